Thin whole path: routers, keepers, stand-ins, operator's commands

Cause: nothing existed; no promise could be tried until a caller's request crosses real processes and comes back billed.

--- /dev/null
+++ b/keeper/keeper.go
@@ -0,0 +1,85 @@
+// Package keeper is the process that holds durable state: the rights of its
+// availability zone and a copy of the configuration log.
+package keeper
+
+import (
+	"context"
+	"net"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"rattanhoist.example/rattanhoist/loader"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/storer"
+)
+
+// Keeper is one keeper process.
+type Keeper struct {
+	settings *loader.Settings
+	self     loader.Process
+	log      *zap.Logger
+	store    *storer.Store
+	peers    *peers
+	budget   *budgetServer
+	config   *configurationServer
+	server   *grpc.Server
+}
+
+// New opens the keeper's store and restores its state. The returned function
+// releases what New took.
+func New(s *loader.Settings, self loader.Process, log *zap.Logger) (*Keeper, func(), error) {
+	store, closeStore, err := storer.Open(self.DataDir())
+	if err != nil {
+		return nil, nil, err
+	}
+	dialer := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey())
+	p, closePeers, err := newPeers(s, self, dialer)
+	if err != nil {
+		_ = closeStore()
+		return nil, nil, err
+	}
+	k := &Keeper{settings: s, self: self, log: log, store: store, peers: p}
+	cleanUp := func() {
+		closePeers()
+		if err := closeStore(); err != nil {
+			log.Error("store did not close", zap.Error(err))
+		}
+	}
+	if k.config, err = newConfigurationServer(k); err != nil {
+		cleanUp()
+		return nil, nil, err
+	}
+	if k.budget, err = newBudgetServer(k); err != nil {
+		cleanUp()
+		return nil, nil, err
+	}
+	k.server = messenger.NewServer(messenger.Keys{
+		messenger.RoleMember:   s.DeploymentKey(),
+		messenger.RoleOperator: s.OperatorKey(),
+	})
+	messenger.RegisterBudgetKeeperServer(k.server, k.budget)
+	messenger.RegisterConfigurationKeeperServer(k.server, k.config)
+	return k, cleanUp, nil
+}
+
+// Run serves until ctx ends, or until the store fails.
+func (k *Keeper) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	l, err := net.Listen("tcp", k.self.RPC())
+	if err != nil {
+		return err
+	}
+	go func() { cancel(k.server.Serve(l)) }()
+	go func() { cancel(k.budget.run(ctx)) }()
+	go k.config.run(ctx)
+	k.log.Info("keeper serves", zap.String("name", k.self.Name()), zap.String("zone", k.self.Zone()),
+		zap.Uint64("configuration_version", k.config.version()))
+	<-ctx.Done()
+	k.server.Stop()
+	if cause := context.Cause(ctx); cause != context.Canceled {
+		return cause
+	}
+	return nil
+}
--- /dev/null
+++ b/messenger/dialer.go
@@ -0,0 +1,61 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+)
+
+const (
+	reconnectBase = 50 * time.Millisecond
+	reconnectMax  = time.Second
+	keepaliveTime = 10 * time.Second
+	keepaliveWait = 2 * time.Second
+)
+
+// Dialer opens connections to the peers of one node.
+type Dialer struct {
+	node   string
+	role   Role
+	key    []byte
+	cutter *Cutter
+}
+
+// NewDialer returns a dialer that proves the role with the key.
+func NewDialer(node string, role Role, key []byte) *Dialer {
+	return &Dialer{node: node, role: role, key: key, cutter: NewCutter()}
+}
+
+// Cutter returns the place where tests cut this node's connections.
+func (d *Dialer) Cutter() *Cutter { return d.cutter }
+
+// Dial returns a connection to address that reconnects by itself; the caller
+// closes it.
+func (d *Dialer) Dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithPerRPCCredentials(proof{role: d.role, node: d.node, key: d.key}),
+		grpc.WithContextDialer(d.dial),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectBase, Multiplier: 2, MaxDelay: reconnectMax},
+			MinConnectTimeout: reconnectMax,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveWait}),
+	)
+}
+
+func (d *Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	if err := d.cutter.wait(ctx, address); err != nil {
+		return nil, err
+	}
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return d.cutter.wrap(c, address), nil
+}
--- /dev/null
+++ b/router/handler.go
@@ -0,0 +1,171 @@
+package router
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/justinas/alice"
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/tracker"
+)
+
+// handler returns the HTTP surface for callers and endpoints.
+func (r *Router) handler() http.Handler {
+	m := http.NewServeMux()
+	callers := alice.New(r.recoverPanic, r.admitReady, r.countActive)
+	m.Handle("POST /v1/chat/completions", callers.ThenFunc(r.chat))
+	m.Handle("/v1/services/{service}/{path...}", callers.ThenFunc(r.plain))
+	m.Handle("POST /v1/endpoints", alice.New(r.recoverPanic, r.endpointKey).ThenFunc(r.announce))
+	m.HandleFunc("GET /healthz", r.health)
+	return m
+}
+
+func (r *Router) recoverPanic(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		defer func() {
+			v := recover()
+			if v == nil || v == http.ErrAbortHandler {
+				return
+			}
+			r.log.Error("panic in a request", zap.Any("panic", v), zap.Stack("stack"))
+			(&Problem{Status: http.StatusInternalServerError, Code: "internal", Outcome: Unknown, Detail: "the router failed"}).write(w)
+		}()
+		next.ServeHTTP(w, q)
+	})
+}
+
+// admitReady refuses before the configuration is known and while draining.
+func (r *Router) admitReady(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		switch {
+		case r.life.Is(stateDraining):
+			(&Problem{Status: http.StatusServiceUnavailable, Code: CodeDraining, Outcome: NotRun, Detail: "this router is shutting down; ask another", After: retrySoon}).write(w)
+		case r.snapshot.Load() == nil:
+			(&Problem{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Outcome: NotRun, Detail: "this router does not know the configuration yet", After: retrySoon}).write(w)
+		default:
+			next.ServeHTTP(w, q)
+		}
+	})
+}
+
+func (r *Router) countActive(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.active.Add(1)
+		defer r.active.Done()
+		next.ServeHTTP(w, q)
+	})
+}
+
+func (r *Router) endpointKey(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		key, _ := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(key), r.settings.EndpointKey()) != 1 {
+			(&Problem{Status: http.StatusUnauthorized, Code: CodeUnknownKey, Field: "Authorization", Outcome: NotRun, Detail: "want the endpoints' key as bearer token"}).write(w)
+			return
+		}
+		next.ServeHTTP(w, q)
+	})
+}
+
+func (r *Router) health(w http.ResponseWriter, _ *http.Request) {
+	if r.life.Is(stateDraining) || r.snapshot.Load() == nil {
+		http.Error(w, r.life.Current(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (r *Router) parser() parser {
+	p := r.settings.Policy()
+	return parser{
+		snapshot: r.snapshot.Load(), maxBody: p.MaxBody(),
+		defaultTimeout: p.DefaultTimeout(), maxTimeout: p.MaxTimeout(), now: time.Now(),
+	}
+}
+
+func (r *Router) chat(w http.ResponseWriter, h *http.Request) {
+	q, err := r.parser().chat(h)
+	if err != nil {
+		problemOf(err).write(w)
+		return
+	}
+	w.Header().Set(headerRequestID, q.key.RequestID())
+	var s sink = &wholeSink{w: w, request: q}
+	if q.streamed {
+		s = &streamSink{w: w, request: q}
+	}
+	r.answer(h.Context(), q, s, r.runModel)
+}
+
+func (r *Router) plain(w http.ResponseWriter, h *http.Request) {
+	q, err := r.parser().plain(h, h.PathValue("service"), h.PathValue("path"))
+	if err != nil {
+		problemOf(err).write(w)
+		return
+	}
+	w.Header().Set(headerRequestID, q.key.RequestID())
+	r.answer(h.Context(), q, &plainSink{w: w}, r.runPlain)
+}
+
+func (r *Router) answer(ctx context.Context, q *request, s sink, run runFunc) {
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	defer cancel()
+	if err := r.serve(ctx, q, s, run); err != nil {
+		p := problemOf(err)
+		p.RequestID = q.key.RequestID()
+		s.fail(p)
+	}
+}
+
+// announcement is an endpoint's message about itself.
+type announcement struct {
+	Name          string            `json:"name"`
+	Service       string            `json:"service"`
+	Zone          string            `json:"zone"`
+	Address       string            `json:"address"`
+	Labels        map[string]string `json:"labels"`
+	Incarnation   uint64            `json:"incarnation"`
+	Sequence      uint64            `json:"sequence"`
+	Capacity      int64             `json:"capacity"`
+	Load          int64             `json:"load"`
+	Leaving       bool              `json:"leaving"`
+	ChecksFencing bool              `json:"checks_fencing"`
+}
+
+const maxAnnouncement = 64 << 10
+
+func (r *Router) announce(w http.ResponseWriter, h *http.Request) {
+	var a announcement
+	d := json.NewDecoder(http.MaxBytesReader(w, h.Body, maxAnnouncement))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&a); err != nil {
+		badField("body", err.Error()).write(w)
+		return
+	}
+	for field, value := range map[string]string{"name": a.Name, "service": a.Service, "zone": a.Zone, "address": a.Address} {
+		if value == "" {
+			badField(field, "missing").write(w)
+			return
+		}
+	}
+	r.tracker.Announce(tracker.Announcement{Sequence: a.Sequence, Endpoint: a.endpoint(time.Now())})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a announcement) endpoint(now time.Time) *rattanhoist.Endpoint {
+	labels := map[string]string{"name": a.Name, "zone": a.Zone, "service": a.Service}
+	for k, v := range a.Labels {
+		labels[k] = v
+	}
+	return rattanhoist.NewEndpoint(rattanhoist.EndpointFields{
+		Name: a.Name, Service: a.Service, Zone: a.Zone, Address: a.Address, Labels: labels,
+		Incarnation: rattanhoist.Incarnation(a.Incarnation), Capacity: a.Capacity, Load: a.Load,
+		Heard: now, Leaving: a.Leaving,
+	})
+}
--- /dev/null
+++ b/router/request.go
@@ -0,0 +1,213 @@
+package router
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/configurer"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// Headers of a request.
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	headerTimeout        = "Request-Timeout"
+	headerRepeatable     = "Request-Repeatable"
+	headerPriority       = "Request-Priority"
+	headerRequestID      = "Request-Id"
+)
+
+const (
+	maxRequestID = 200
+	maxPriority  = 9
+	// prefixBytes is how much of a prompt tells requests of one prefix.
+	prefixBytes = 256
+)
+
+// chatBody is the part of a chat completion request that the router reads.
+type chatBody struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens *int64 `json:"max_tokens"`
+	// MaxCompletionTokens is the newer name of MaxTokens.
+	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
+	Messages            json.RawMessage `json:"messages"`
+}
+
+// request is one parsed request; immutable after parsing.
+type request struct {
+	key       rattanhoist.RequestKey
+	workspace *messenger.Workspace
+	service   *messenger.Service
+	body      []byte
+	// Method and path are those of a call to a plain service.
+	method, path string
+	contentType  string
+	streamed     bool
+	// MaxAnswer bounds the answer in generated tokens.
+	maxAnswer  int64
+	repeatable bool
+	// Priority is 0 (first) to 9.
+	priority int
+	deadline time.Time
+	prefix   uint64
+	// Worst is the largest charge that the request can cause.
+	worst rattanhoist.Tokens
+}
+
+// parser reads requests against one snapshot and the bounds of the settings.
+type parser struct {
+	snapshot       *configurer.Snapshot
+	maxBody        int64
+	defaultTimeout time.Duration
+	maxTimeout     time.Duration
+	now            time.Time
+}
+
+func (p parser) chat(r *http.Request) (*request, error) {
+	q, err := p.common(r)
+	if err != nil {
+		return nil, err
+	}
+	var b chatBody
+	if err := json.Unmarshal(q.body, &b); err != nil {
+		return nil, badField("body", "malformed JSON: "+err.Error())
+	}
+	if b.Model == "" {
+		return nil, badField("model", "missing")
+	}
+	if len(bytes.TrimSpace(b.Messages)) == 0 || b.Messages[0] != '[' {
+		return nil, badField("messages", "missing; want a list of messages")
+	}
+	q.service, err = p.snapshot.ServiceByModel(b.Model)
+	if err != nil {
+		return nil, &Problem{Status: http.StatusNotFound, Code: CodeUnknownModel, Field: "model", Outcome: NotRun, Detail: "no service has the model " + strconv.Quote(b.Model)}
+	}
+	q.streamed = b.Stream
+	if err := q.bound(b); err != nil {
+		return nil, err
+	}
+	q.prefix = xxhash.Sum64(b.Messages[:min(len(b.Messages), prefixBytes)])
+	return q, p.finish(r, q)
+}
+
+// bound sets the largest answer and the largest charge. A token is at least
+// one byte, so the bytes of the messages bound the prompt's tokens.
+func (q *request) bound(b chatBody) error {
+	q.maxAnswer = q.service.MaxAnswerTokens
+	for _, f := range []struct {
+		name  string
+		value *int64
+	}{{"max_tokens", b.MaxTokens}, {"max_completion_tokens", b.MaxCompletionTokens}} {
+		if f.value == nil {
+			continue
+		}
+		if *f.value <= 0 {
+			return badField(f.name, "want a positive number")
+		}
+		q.maxAnswer = min(q.maxAnswer, *f.value)
+	}
+	prompt, err := rattanhoist.Tokens(q.service.PromptPrice).Mul(int64(len(b.Messages)))
+	if err != nil {
+		return badField("messages", err.Error())
+	}
+	answer, err := rattanhoist.Tokens(q.service.AnswerPrice).Mul(q.maxAnswer)
+	if err != nil {
+		return badField("max_tokens", err.Error())
+	}
+	q.worst, err = prompt.Add(answer)
+	if err != nil {
+		return badField("max_tokens", err.Error())
+	}
+	return nil
+}
+
+func (p parser) plain(r *http.Request, service, path string) (*request, error) {
+	q, err := p.common(r)
+	if err != nil {
+		return nil, err
+	}
+	q.service, err = p.snapshot.Service(service)
+	if err != nil || q.service.Kind != messenger.ServiceKind_SERVICE_KIND_PLAIN {
+		return nil, &Problem{Status: http.StatusNotFound, Code: CodeUnknownService, Field: "path", Outcome: NotRun, Detail: "no plain service is named " + strconv.Quote(service)}
+	}
+	q.method, q.path = r.Method, "/"+path
+	q.contentType = r.Header.Get("Content-Type")
+	q.worst = rattanhoist.Tokens(q.service.CallPrice)
+	return q, p.finish(r, q)
+}
+
+// common reads what both shapes share: the caller, the body and the identity.
+func (p parser) common(r *http.Request) (*request, error) {
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return nil, &Problem{Status: http.StatusUnauthorized, Code: CodeUnknownKey, Field: "Authorization", Outcome: NotRun, Detail: "want Authorization: Bearer KEY"}
+	}
+	w, err := p.snapshot.WorkspaceByKey(key)
+	if err != nil {
+		return nil, err
+	}
+	id := r.Header.Get(headerIdempotencyKey)
+	if len(id) > maxRequestID {
+		return nil, badField(headerIdempotencyKey, "longer than 200 characters")
+	}
+	if id == "" {
+		id = uuid.NewString()
+	}
+	body, err := p.readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	return &request{key: rattanhoist.NewRequestKey(w.Name, id), workspace: w, body: body}, nil
+}
+
+func (p parser) readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, p.maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Field: "body", Outcome: NotRun, Detail: "the body is larger than " + strconv.FormatInt(p.maxBody, 10) + " bytes"}
+	}
+	if err != nil {
+		return nil, badField("body", "could not be read: "+err.Error())
+	}
+	return body, nil
+}
+
+// finish reads the headers that need the service.
+func (p parser) finish(r *http.Request, q *request) error {
+	timeout := p.defaultTimeout
+	if v := r.Header.Get(headerTimeout); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil || d <= 0 || d > p.maxTimeout {
+			return badField(headerTimeout, "want a duration such as 30s, at most "+p.maxTimeout.String())
+		}
+		timeout = d
+	}
+	q.deadline = p.now.Add(timeout)
+	q.repeatable = !q.service.NotRepeatable
+	if v := r.Header.Get(headerRepeatable); v != "" {
+		b, err := strconv.ParseBool(v)
+		if err != nil {
+			return badField(headerRepeatable, "want true or false")
+		}
+		q.repeatable = b
+	}
+	if v := r.Header.Get(headerPriority); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 0 || n > maxPriority {
+			return badField(headerPriority, "want 0 to 9")
+		}
+		q.priority = n
+	}
+	return nil
+}
