--- a/keeper/configuration.go
+++ b/keeper/configuration.go
@@ -191,11 +191,11 @@
 }
 
 // ReportInForce notes the version that a subscriber serves.
-func (s *configurationServer) ReportInForce(_ context.Context, r *messenger.InForceReport) (*messenger.Empty, error) {
+func (s *configurationServer) ReportInForce(_ context.Context, r *messenger.InForceReport) (*messenger.ReportReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inForce[r.Node] = inForce{zone: r.Zone, version: r.Version, at: time.Now()}
-	return &messenger.Empty{}, nil
+	return &messenger.ReportReply{}, nil
 }
 
 // InForce returns the versions that the subscribers of every keeper serve.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -11,6 +11,7 @@
 
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/storer"
 )
 
@@ -21,6 +22,7 @@
 	log      *zap.Logger
 	store    *storer.Store
 	peers    *peers
+	dialer   *messenger.Dialer
 	budget   *budgetServer
 	config   *configurationServer
 	server   *grpc.Server
@@ -39,7 +41,7 @@
 		_ = closeStore()
 		return nil, nil, err
 	}
-	k := &Keeper{settings: s, self: self, log: log, store: store, peers: p}
+	k := &Keeper{settings: s, self: self, log: log, store: store, peers: p, dialer: dialer}
 	cleanUp := func() {
 		closePeers()
 		if err := closeStore(); err != nil {
@@ -71,6 +73,13 @@
 	if err != nil {
 		return err
 	}
+	var cutter *messenger.Cutter
+	if k.settings.Policy().FaultPortEnabled() {
+		cutter = k.dialer.Cutter()
+	}
+	if err := reporter.Serve(ctx, k.self.Debug(), cutter, k.log); err != nil {
+		return err
+	}
 	go func() { cancel(k.server.Serve(l)) }()
 	go func() { cancel(k.budget.run(ctx)) }()
 	go k.config.run(ctx)
--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,361 @@
+// Package launcher starts a small deployment of real processes for tests of
+// failures: it kills, stops and continues them, wipes their disks and cuts
+// their connections. The product does not contain it.
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"rattanhoist.example/rattanhoist/loader"
+)
+
+// Waits of the launcher.
+const (
+	pollEvery = 20 * time.Millisecond
+	readyWait = 20 * time.Second
+)
+
+// Options describe a deployment.
+type Options struct {
+	// Net is the second byte of its loopback addresses, 30 to 250; every test
+	// that runs at the same time needs its own.
+	Net int
+	// Zones defaults to three.
+	Zones []string
+	// Policy holds extra lines of the [policy] section.
+	Policy string
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	t        testing.TB
+	dir      string
+	net      int
+	zones    []string
+	settings *loader.Settings
+	mu       sync.Mutex
+	// Running maps process names to their commands.
+	running map[string]*exec.Cmd
+	args    map[string][]string
+}
+
+var build struct {
+	sync.Once
+	dir string
+	err error
+}
+
+// Main runs a package's tests and removes the binaries that they built; call
+// it from TestMain.
+func Main(m *testing.M) {
+	code := m.Run()
+	if build.dir != "" {
+		_ = os.RemoveAll(build.dir)
+	}
+	os.Exit(code)
+}
+
+// binaries builds the two binaries once for each test process.
+func binaries(t testing.TB) string {
+	build.Do(func() {
+		build.dir, build.err = os.MkdirTemp("", "rattanhoist-bin-")
+		if build.err != nil {
+			return
+		}
+		out, err := exec.Command("go", "build", "-o", build.dir+"/", "rattanhoist.example/rattanhoist/cmd/...").CombinedOutput()
+		if err != nil {
+			build.err = fmt.Errorf("%w: %s", err, out)
+		}
+	})
+	if build.err != nil {
+		t.Fatal(build.err)
+	}
+	return build.dir
+}
+
+// Start starts keepers and routers and waits until every router is ready.
+// The fleet ends with the test.
+func Start(t testing.TB, o Options) *Fleet {
+	t.Helper()
+	f := &Fleet{
+		t: t, dir: t.TempDir(), net: o.Net, zones: o.Zones,
+		running: map[string]*exec.Cmd{}, args: map[string][]string{},
+	}
+	if len(f.zones) == 0 {
+		f.zones = []string{"osu-hall", "tema-hall", "legon-hall"}
+	}
+	f.writeSettings(o.Policy)
+	t.Cleanup(f.killAll)
+	for _, p := range f.settings.Processes("") {
+		f.startProcess(p.Name(), "rattanhoist", p.Kind(), "--settings", f.settingsFile(), "--name", p.Name())
+	}
+	return f
+}
+
+func (f *Fleet) settingsFile() string { return filepath.Join(f.dir, "rattanhoist.ini") }
+
+func (f *Fleet) writeSettings(policy string) {
+	f.t.Helper()
+	var b strings.Builder
+	b.WriteString("[deployment]\nname = test\nkey_file = deployment.key\noperator_key_file = operator.key\nendpoint_key_file = endpoint.key\n")
+	fmt.Fprintf(&b, "[policy]\nfault_port = true\n%s\n", policy)
+	for i, z := range f.zones {
+		for n := 1; n <= 2; n++ {
+			ip := fmt.Sprintf("127.%d.%d.%d", f.net, i+1, n)
+			fmt.Fprintf(&b, "[router %s-%d]\nzone = %s\nhttp = %s:8080\nrpc = %s:7070\ndebug = %s:8081\n", z, n, z, ip, ip, ip)
+		}
+		ip := fmt.Sprintf("127.%d.%d.1", f.net, i+1)
+		fmt.Fprintf(&b, "[keeper %s-keeper]\nzone = %s\nrpc = %s:7071\ndebug = %s:8082\ndata_dir = %s\n", z, z, ip, ip, filepath.Join(f.dir, "data", z+"-keeper"))
+	}
+	f.write("rattanhoist.ini", b.String())
+	for _, k := range []string{"deployment", "operator", "endpoint"} {
+		f.write(k+".key", k+"-key-of-a-test-deployment\n")
+	}
+	s, err := loader.Load(f.settingsFile())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.settings = s
+}
+
+func (f *Fleet) write(name, text string) {
+	f.t.Helper()
+	if err := os.WriteFile(filepath.Join(f.dir, name), []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// Settings returns the deployment's settings.
+func (f *Fleet) Settings() *loader.Settings { return f.settings }
+
+// Dir returns the folder of settings, keys, logs and data.
+func (f *Fleet) Dir() string { return f.dir }
+
+func (f *Fleet) startProcess(name, binary string, args ...string) {
+	f.t.Helper()
+	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	c := exec.Command(filepath.Join(binaries(f.t), binary), args...)
+	c.Stdout, c.Stderr = log, log
+	if err := c.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[name] = c
+	f.args[name] = append([]string{binary}, args...)
+}
+
+// StartEndpoint starts a stand-in endpoint ("engine" or "plain"), number n,
+// that announces itself to every router; its runs go to RunLog(name).
+func (f *Fleet) StartEndpoint(kind, name, service, zone string, n int, flags ...string) {
+	f.t.Helper()
+	args := []string{
+		kind, "--name", name, "--service", service, "--zone", zone, "--label", "tier=standard",
+		"--listen", f.EndpointAddress(n), "--key-file", filepath.Join(f.dir, "endpoint.key"), "--run-log", f.RunLog(name),
+	}
+	for _, p := range f.settings.Processes(loader.KindRouter) {
+		args = append(args, "--router", p.HTTP())
+	}
+	f.startProcess(name, "rattanhoist-standin", append(args, flags...)...)
+}
+
+// EndpointAddress returns host:port of stand-in endpoint number n.
+func (f *Fleet) EndpointAddress(n int) string { return fmt.Sprintf("127.%d.100.%d:9000", f.net, n) }
+
+// RunLog returns the file of an endpoint's runs.
+func (f *Fleet) RunLog(name string) string { return filepath.Join(f.dir, name+".runs") }
+
+func (f *Fleet) process(name string) *exec.Cmd {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.running[name]
+	if c == nil {
+		f.t.Fatalf("process %s does not run", name)
+	}
+	return c
+}
+
+// Kill ends a process at once, as kill -9 does.
+func (f *Fleet) Kill(name string) {
+	f.t.Helper()
+	c := f.process(name)
+	_ = c.Process.Kill()
+	_ = c.Wait()
+	f.mu.Lock()
+	delete(f.running, name)
+	f.mu.Unlock()
+}
+
+// Terminate asks a process to shut down and waits until it has.
+func (f *Fleet) Terminate(name string) error {
+	f.t.Helper()
+	c := f.process(name)
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	err := c.Wait()
+	f.mu.Lock()
+	delete(f.running, name)
+	f.mu.Unlock()
+	return err
+}
+
+// Freeze stops a process without ending it.
+func (f *Fleet) Freeze(name string) { f.signal(name, syscall.SIGSTOP) }
+
+// Thaw continues a frozen process.
+func (f *Fleet) Thaw(name string) { f.signal(name, syscall.SIGCONT) }
+
+func (f *Fleet) signal(name string, s syscall.Signal) {
+	f.t.Helper()
+	if err := f.process(name).Process.Signal(s); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// Restart starts a process that was killed or terminated again.
+func (f *Fleet) Restart(name string) {
+	f.t.Helper()
+	f.mu.Lock()
+	args := f.args[name]
+	f.mu.Unlock()
+	f.startProcess(name, args[0], args[1:]...)
+}
+
+// Wipe removes the data folder of a keeper, which must not run.
+func (f *Fleet) Wipe(name string) {
+	f.t.Helper()
+	p, err := f.settings.Process(loader.KindKeeper, name)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := os.RemoveAll(p.DataDir()); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// Cut makes the processes of two zones unreachable for each other, silently;
+// Heal ends it.
+func (f *Fleet) Cut(zoneA, zoneB string) { f.fault("cut", zoneA, zoneB) }
+
+// Heal ends a cut.
+func (f *Fleet) Heal(zoneA, zoneB string) { f.fault("heal", zoneA, zoneB) }
+
+func (f *Fleet) fault(what, a, b string) {
+	f.t.Helper()
+	for _, p := range f.settings.Processes("") {
+		for _, q := range f.settings.Processes("") {
+			if p.Zone() == a && q.Zone() == b || p.Zone() == b && q.Zone() == a {
+				f.FaultAt(p, what, q.RPC())
+			}
+		}
+	}
+}
+
+// FaultAt has one process "cut" or "heal" its connections to an address. A
+// process that does not run is passed over.
+func (f *Fleet) FaultAt(p loader.Process, what, address string) {
+	f.t.Helper()
+	resp, err := http.PostForm("http://"+p.Debug()+"/fault/"+what, url.Values{"address": {address}})
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// Command runs an operator's command and returns its output and exit code.
+func (f *Fleet) Command(args ...string) (string, int) {
+	f.t.Helper()
+	var out bytes.Buffer
+	c := exec.Command(filepath.Join(binaries(f.t), "rattanhoist"), append([]string{"--settings", f.settingsFile()}, args...)...)
+	c.Stdout, c.Stderr = &out, &out
+	err := c.Run()
+	if c.ProcessState == nil {
+		f.t.Fatal(err)
+	}
+	return out.String(), c.ProcessState.ExitCode()
+}
+
+// MustCommand is Command for commands that must succeed.
+func (f *Fleet) MustCommand(args ...string) string {
+	f.t.Helper()
+	out, code := f.Command(args...)
+	if code != 0 {
+		f.t.Fatalf("%s: exit %d: %s", strings.Join(args, " "), code, out)
+	}
+	return out
+}
+
+// Eventually waits until f holds; it polls, and its limit only bounds a
+// failing test.
+func (f *Fleet) Eventually(what string, holds func() bool) {
+	f.t.Helper()
+	end := time.Now().Add(readyWait)
+	for !holds() {
+		if time.Now().After(end) {
+			f.t.Fatalf("%s did not come about in %s\n%s", what, readyWait, f.Logs())
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// Ready reports whether a router says that it serves.
+func (f *Fleet) Ready(router string) bool {
+	p, err := f.settings.Process(loader.KindRouter, router)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.HTTP()+"/healthz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Logs returns the last lines of every log, for a failing test.
+func (f *Fleet) Logs() string {
+	var b strings.Builder
+	files, _ := filepath.Glob(filepath.Join(f.dir, "*.log"))
+	for _, name := range files {
+		text, _ := os.ReadFile(name)
+		lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+		for _, l := range lines[max(0, len(lines)-5):] {
+			fmt.Fprintf(&b, "%s: %s\n", filepath.Base(name), l)
+		}
+	}
+	return b.String()
+}
+
+func (f *Fleet) killAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.running {
+		_ = c.Process.Kill()
+	}
+	for _, c := range f.running {
+		_ = c.Wait()
+	}
+}
--- /dev/null
+++ b/router/peer.go
@@ -0,0 +1,23 @@
+package router
+
+import (
+	"context"
+
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// peerServer serves keepers and other routers.
+type peerServer struct {
+	messenger.UnimplementedRouterPeerServer
+	router *Router
+}
+
+// Recall returns unreserved rights, so that a sibling can spend them.
+func (s *peerServer) Recall(ctx context.Context, r *messenger.RecallRequest) (*messenger.RecallReply, error) {
+	return s.router.money.recall(ctx, r)
+}
+
+// Gossip takes what another router knows of endpoints and answers in kind.
+func (*peerServer) Gossip(_ context.Context, _ *messenger.GossipRequest) (*messenger.GossipReply, error) {
+	return &messenger.GossipReply{}, nil
+}
--- a/router/purse.go
+++ b/router/purse.go
@@ -97,20 +97,36 @@
 	return rattanhoist.Tokens(out.BilledTokens[0]), nil
 }
 
+// recall returns up to the wanted rights to the keeper.
+func (t *treasurer) recall(ctx context.Context, r *messenger.RecallRequest) (*messenger.RecallReply, error) {
+	v, ok := t.purses.Load(r.Workspace)
+	if !ok {
+		return &messenger.RecallReply{}, nil
+	}
+	n := t.returnRights(ctx, v.(*purse), rattanhoist.Tokens(r.WantTokens))
+	return &messenger.RecallReply{ReturningTokens: int64(n)}, nil
+}
+
+// returnRights gives up to n unreserved tokens back to the keeper.
+func (t *treasurer) returnRights(ctx context.Context, p *purse, n rattanhoist.Tokens) rattanhoist.Tokens {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n = p.slice.Withdraw(n)
+	p.sequence++
+	_, _ = resend(ctx, func(ctx context.Context) (*messenger.ReturnReply, error) {
+		return t.keeper.Return(ctx, &messenger.ReturnRequest{
+			Workspace: p.workspace, Router: t.router, Incarnation: uint64(t.incarnation),
+			Sequence: p.sequence, Tokens: int64(n),
+		})
+	})
+	return n
+}
+
 // giveBack returns what is not reserved, at shutdown.
 func (t *treasurer) giveBack(ctx context.Context) {
 	t.purses.Range(func(_, v any) bool {
 		p := v.(*purse)
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		n := p.slice.Withdraw(p.slice.Left())
-		p.sequence++
-		_, _ = resend(ctx, func(ctx context.Context) (*messenger.ReturnReply, error) {
-			return t.keeper.Return(ctx, &messenger.ReturnRequest{
-				Workspace: p.workspace, Router: t.router, Incarnation: uint64(t.incarnation),
-				Sequence: p.sequence, Tokens: int64(n),
-			})
-		})
+		t.returnRights(ctx, p, p.slice.Left())
 		return true
 	})
 }
--- a/router/router.go
+++ b/router/router.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -21,7 +20,7 @@
 	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
-	"rattanhoist.example/rattanhoist/picker"
+	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/tracker"
 )
 
@@ -58,6 +57,8 @@
 	// InFlight maps endpoint names to *atomic.Int64.
 	inFlight sync.Map
 	server   *http.Server
+	dialer   *messenger.Dialer
+	peerRPC  *grpc.Server
 	// Active counts requests in progress, for draining.
 	active sync.WaitGroup
 }
@@ -70,7 +71,8 @@
 		return nil, nil, err
 	}
 	r := &Router{
-		settings: s, self: self, log: log,
+		settings: s, self: self, log: log, dialer: d,
+		peerRPC: messenger.NewServer(messenger.Keys{messenger.RoleMember: s.DeploymentKey()}),
 		tracker: tracker.New(s.Policy().EndpointMaxAge()),
 		money:   newTreasurer(self, conn),
 		config:  messenger.NewConfigurationKeeperClient(conn),
@@ -82,6 +84,7 @@
 	}, fsm.Callbacks{"enter_state": func(_ context.Context, e *fsm.Event) {
 		log.Info("state changed", zap.String("from", e.Src), zap.String("to", e.Dst))
 	}})
+	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
@@ -115,6 +118,9 @@
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	if err := r.serveInside(background); err != nil {
+		return err
+	}
 	failed := make(chan error, 1)
 	go r.follow(background)
 	go r.expire(background)
@@ -127,6 +133,28 @@
 	}
 }
 
+// serveInside starts the servers for other processes of the deployment.
+func (r *Router) serveInside(ctx context.Context) error {
+	l, err := net.Listen("tcp", r.self.RPC())
+	if err != nil {
+		return err
+	}
+	go func() { _ = r.peerRPC.Serve(l) }()
+	go func() {
+		<-ctx.Done()
+		r.peerRPC.Stop()
+	}()
+	return reporter.Serve(ctx, r.self.Debug(), faultCutter(r.settings, r.dialer), r.log)
+}
+
+// faultCutter returns the cutter only where the settings open the fault port.
+func faultCutter(s *loader.Settings, d *messenger.Dialer) *messenger.Cutter {
+	if !s.Policy().FaultPortEnabled() {
+		return nil
+	}
+	return d.Cutter()
+}
+
 func (r *Router) expire(ctx context.Context) {
 	t := time.NewTicker(expireEvery)
 	defer t.Stop()
@@ -154,43 +182,3 @@
 	}
 	return err
 }
-
-func (r *Router) picker(name string) picker.Picker {
-	if name == "" {
-		name = r.settings.Policy().Picker()
-	}
-	p, ok := r.pickers.Load(name)
-	if !ok {
-		made, _ := picker.New(name)
-		p, _ = r.pickers.LoadOrStore(name, made)
-	}
-	return p.(picker.Picker)
-}
-
-func (r *Router) inFlightAt(endpoint string) *atomic.Int64 {
-	n, ok := r.inFlight.Load(endpoint)
-	if !ok {
-		n, _ = r.inFlight.LoadOrStore(endpoint, &atomic.Int64{})
-	}
-	return n.(*atomic.Int64)
-}
-
-// pick returns an endpoint that may serve the request and is not in tried.
-func (r *Router) pick(q *request, tried map[string]bool) (*rattanhoist.Endpoint, error) {
-	now := time.Now()
-	allowed := r.snapshot.Load().Allowed(q.workspace, q.service)
-	var c []picker.Candidate
-	for _, e := range r.tracker.Table().Service(q.service.Name) {
-		if r.tracker.Usable(e, now) && !tried[e.Name()] && allowed(e) {
-			c = append(c, picker.Candidate{Endpoint: e, InFlight: r.inFlightAt(e.Name()).Load()})
-		}
-	}
-	i := r.picker(q.service.Picker).Pick(picker.Query{
-		Now: now, Deadline: q.deadline, Zone: r.self.Zone(), Prefix: q.prefix,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}, c)
-	if i < 0 {
-		return nil, rattanhoist.ErrNoEndpoint
-	}
-	return c[i].Endpoint, nil
-}
--- a/router/serve.go
+++ b/router/serve.go
@@ -43,6 +43,11 @@
 // serve reserves the worst case, runs the request, bills the true count and
 // only then completes the answer.
 func (r *Router) serve(ctx context.Context, q *request, s sink, run runFunc) error {
+	release, err := r.admit(ctx, q)
+	if err != nil {
+		return err
+	}
+	defer release()
 	p, err := r.money.reserve(ctx, q.key.Workspace(), q.worst)
 	if err != nil {
 		return err
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,13 +2,13 @@
 # Formatting, lint, vet, and generated code that is fresh.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-files=$(git ls-files '*.go' | grep -v '\.pb\.go$' | xargs -r ls 2>/dev/null || true)
+files=$(git ls-files -c -o --exclude-standard '*.go' | grep -v '\.pb\.go$' | xargs -r ls 2>/dev/null || true)
 unformatted=$(go tool gofumpt -l $files)
 [ -z "$unformatted" ] || { echo "gofumpt would change:"; echo "$unformatted"; exit 1; }
 go tool revive -set_exit_status -exclude './messenger/*.pb.go' ./...
 go vet ./...
-before=$(cat $(git ls-files '*.pb.go') | sha256sum)
+before=$(cat messenger/*.pb.go | sha256sum)
 ./scripts/generate.sh
-after=$(cat $(git ls-files '*.pb.go') | sha256sum)
+after=$(cat messenger/*.pb.go | sha256sum)
 [ "$before" = "$after" ] || { echo "generated code is not fresh; commit the result of make generate"; exit 1; }
 echo "lint: clean"
