--- a/budgeter/vault.go
+++ b/budgeter/vault.go
@@ -28,8 +28,6 @@
 	ErrTopUpReused = merry.Sentinel("top-up identity was used for another top-up")
 	// ErrFenced says that the router's incarnation may not spend any more.
 	ErrFenced = merry.Sentinel("router incarnation is fenced")
-	// ErrNotLeased says that a charge exceeds what the router has leased.
-	ErrNotLeased = merry.Sentinel("charge exceeds the leased rights")
 	// ErrCorrupt says that stored rows contradict each other.
 	ErrCorrupt = merry.Sentinel("stored budget rows are corrupt")
 )
@@ -222,35 +220,46 @@
 	out := &messenger.ChargeReply{}
 	var actions []Action
 	for _, c := range r.Charges {
-		billed, err := v.charge(r.Router, inc, c)
-		if err != nil {
-			return append(actions, Reply{Ticket: e.Ticket, Err: err})
+		result := v.charge(r.Router, inc, c)
+		out.Results = append(out.Results, result)
+		if result.State == messenger.ChargeState_CHARGE_STATE_BILLED {
+			actions = append(actions, v.chargeRows(r.Router, inc, c)...)
 		}
-		out.BilledTokens = append(out.BilledTokens, billed)
-		actions = append(actions, v.writeCharge(c), v.writeBook(c.Workspace), v.writeLeaseAt(c.Workspace, leaseKey(r.Router, inc)))
 	}
 	return append(actions, Reply{Ticket: e.Ticket, Message: out})
 }
 
+// chargeRows writes the bill that counts, which for a repeated charge is the
+// first one, and the accounts that it changed.
+func (v *Vault) chargeRows(router string, inc rattanhoist.Incarnation, c *messenger.Charge) []Action {
+	first := v.charges[rattanhoist.NewRequestKey(c.Workspace, c.RequestId)]
+	rows := []Action{v.writeCharge(first), v.writeBook(c.Workspace)}
+	key := leaseKey(router, inc)
+	if v.book(c.Workspace).leases[key] != nil {
+		rows = append(rows, v.writeLeaseAt(c.Workspace, key))
+	}
+	return rows
+}
+
 // charge bills one request once; a second charge of the same request frees
 // what the router had reserved for it.
-func (v *Vault) charge(router string, inc rattanhoist.Incarnation, c *messenger.Charge) (int64, error) {
+func (v *Vault) charge(router string, inc rattanhoist.Incarnation, c *messenger.Charge) *messenger.ChargeResult {
 	key := rattanhoist.NewRequestKey(c.Workspace, c.RequestId)
 	if old := v.charges[key]; old != nil {
-		return old.Tokens, nil
+		return &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_BILLED, BilledTokens: old.Tokens}
 	}
 	if inc <= v.fenced[router] {
-		return 0, ErrFenced
+		return &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_FENCED}
 	}
 	b := v.book(c.Workspace)
 	l := b.leases[leaseKey(router, inc)]
 	if l == nil || c.Tokens < 0 || l.outstanding < rattanhoist.Tokens(c.Tokens) {
-		return 0, ErrNotLeased
+		return &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_NOT_LEASED}
 	}
 	l.outstanding -= rattanhoist.Tokens(c.Tokens)
 	b.charged += rattanhoist.Tokens(c.Tokens)
 	v.charges[key] = c
-	return c.Tokens, nil
+	return &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_BILLED, BilledTokens: c.Tokens}
 }
 
 func (v *Vault) takeBack(e Return) []Action {
--- a/keeper/budget.go
+++ b/keeper/budget.go
@@ -255,8 +255,6 @@
 		return codes.AlreadyExists
 	case errors.Is(err, budgeter.ErrFenced):
 		return codes.FailedPrecondition
-	case errors.Is(err, budgeter.ErrNotLeased):
-		return codes.OutOfRange
 	case errors.Is(err, context.DeadlineExceeded):
 		return codes.DeadlineExceeded
 	case errors.Is(err, context.Canceled):
--- a/router/purse.go
+++ b/router/purse.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -21,6 +22,10 @@
 	callTimeout = 2 * time.Second
 )
 
+// errNotBilled says that the keeper refused a charge; the answer must not be
+// completed.
+var errNotBilled = merry.Sentinel("charge refused")
+
 // purse is the router's slice of one workspace.
 type purse struct {
 	workspace string
@@ -94,7 +99,10 @@
 	if err != nil {
 		return 0, err
 	}
-	return rattanhoist.Tokens(out.BilledTokens[0]), nil
+	if s := out.Results[0].State; s != messenger.ChargeState_CHARGE_STATE_BILLED {
+		return 0, merry.Errorf("%w: %s", errNotBilled, s)
+	}
+	return rattanhoist.Tokens(out.Results[0].BilledTokens), nil
 }
 
 // recall returns up to the wanted rights to the keeper.
