--- a/budgeter/vault.go
+++ b/budgeter/vault.go
@@ -7,8 +7,10 @@
 package budgeter
 
 import (
-	"fmt"
-	"strconv"
+	"cmp"
+	"iter"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -30,356 +32,221 @@
 	ErrFenced = merry.Sentinel("router incarnation is fenced")
 	// ErrCorrupt says that stored rows contradict each other.
 	ErrCorrupt = merry.Sentinel("stored budget rows are corrupt")
+	// ErrRepairing says that the vault's disk was lost and the router has not
+	// yet said what it holds; the same request works later.
+	ErrRepairing = merry.Sentinel("budget is being repaired; ask again")
 )
 
-// Buckets of the vault's rows.
-const (
-	BucketBooks     = "budget_books"
-	BucketTopUps    = "budget_top_ups"
-	BucketLeases    = "budget_leases"
-	BucketCharges   = "budget_charges"
-	BucketTransfers = "budget_transfers"
-	BucketReceived  = "budget_received"
-	BucketFences    = "budget_fences"
-)
-
-// Buckets lists every bucket that Restore must be given.
-var Buckets = []string{
-	BucketBooks, BucketTopUps, BucketLeases, BucketCharges,
-	BucketTransfers, BucketReceived, BucketFences,
-}
-
-// lease is what one router holds of one workspace.
-type lease struct {
-	incarnation rattanhoist.Incarnation
-	// Sequence is the last request served; a resend gets lastGrant again.
-	sequence  uint64
-	lastGrant rattanhoist.Tokens
-	// Outstanding is granted and neither charged nor returned; never negative.
-	outstanding rattanhoist.Tokens
+// leaseKey names what one incarnation of a router holds of a workspace.
+type leaseKey struct {
+	router      string
+	incarnation uint64
 }
 
 // book is one workspace's account in this zone.
 //
-// Minted + received = unspent + sum of outstanding + charged + given + frozen.
+// Minted + received = unspent + leased + charged + given + frozen + withheld,
+// and leased is the sum of what the leases have outstanding. Frozen is
+// negative where routers had spent rights whose mint was lost with a disk;
+// everything else never is.
 type book struct {
-	minted, received, unspent, charged, given, frozen rattanhoist.Tokens
-	leases                                            map[string]*lease
+	workspace                               string
+	minted, received                        rattanhoist.Tokens
+	unspent, leased, charged, given, frozen rattanhoist.Tokens
+	// Withheld rights may have been spent by a dead router on a lost disk.
+	withheld rattanhoist.Tokens
+	leases   map[leaseKey]*messenger.LeaseRow
+}
+
+func (b *book) balances() bool {
+	in := b.minted + b.received
+	out := b.unspent + b.leased + b.charged + b.given + b.frozen + b.withheld
+	return in == out && min(b.minted, b.received, b.unspent, b.leased, b.charged, b.given, b.withheld) >= 0
+}
+
+// credit adds rights that may be spent; a debt is paid first.
+func (b *book) credit(n rattanhoist.Tokens) {
+	if b.frozen < 0 {
+		paid := min(n, -b.frozen)
+		b.frozen += paid
+		n -= paid
+	}
+	b.unspent += n
+}
+
+func (b *book) row(zone string) *messenger.Book {
+	return &messenger.Book{
+		Workspace: b.workspace, Zone: zone,
+		MintedTokens: int64(b.minted), ReceivedTokens: int64(b.received),
+		UnspentTokens: int64(b.unspent), LeasedTokens: int64(b.leased),
+		ChargedTokens: int64(b.charged), GivenTokens: int64(b.given),
+		FrozenTokens: int64(b.frozen + b.withheld), WithheldTokens: int64(b.withheld),
+	}
 }
 
 // Vault holds the rights of one availability zone. It is not safe for
 // concurrent use.
 type Vault struct {
-	zone  string
+	zone string
+	rows Rows
+	self *messenger.VaultRow
+	// Books maps workspaces to accounts.
 	books map[string]*book
-	// TopUps maps identities to their amounts.
-	topUps map[string]*messenger.TopUpRequest
-	// Charges maps workspace/request to the bill.
-	charges map[rattanhoist.RequestKey]*messenger.Charge
+	// Routers maps names to incarnations; fenced < incarnation, and released
+	// <= fenced.
+	routers map[string]*messenger.RouterRow
 	// Pending holds transfers out that the other zone has not confirmed.
 	pending map[string]*messenger.Transfer
-	// Received holds transfers in.
-	received map[string]*messenger.Transfer
-	// Fenced holds the highest fenced incarnation of each router.
-	fenced map[string]rattanhoist.Incarnation
-	// NextTransfer numbers transfers out; every number is used once.
-	nextTransfer uint64
+	// Witnessed holds other zones' charges until they are handed over.
+	witnessed map[string]*messenger.Charge
+	// Refused maps other zones' routers to the highest incarnation that the
+	// vault witnesses no more for.
+	refused map[string]uint64
+	// Marks maps zones to the latest solo mark of their keeper.
+	marks map[string]*messenger.SoloMark
+	// Proved maps routers to the incarnation whose holdings have been taken
+	// since the last start; it matters only while the vault is unproved.
+	proved map[string]uint64
+
+	recent recent
+	// Changed holds the rows of the step in progress; nil deletes.
+	changed map[rowKey][]byte
+	dirty   map[*book]bool
+	replies []Action
 }
 
-// NewVault returns the empty vault of a zone.
-func NewVault(zone string) *Vault {
+// NewVault returns the empty vault of a zone; rows looks up what Restore is
+// not given.
+func NewVault(zone string, rows Rows) *Vault {
 	return &Vault{
-		zone: zone, books: map[string]*book{},
-		topUps:   map[string]*messenger.TopUpRequest{},
-		charges:  map[rattanhoist.RequestKey]*messenger.Charge{},
-		pending:  map[string]*messenger.Transfer{},
-		received: map[string]*messenger.Transfer{},
-		fenced:   map[string]rattanhoist.Incarnation{},
+		zone: zone, rows: rows, self: &messenger.VaultRow{},
+		books:     map[string]*book{},
+		routers:   map[string]*messenger.RouterRow{},
+		pending:   map[string]*messenger.Transfer{},
+		witnessed: map[string]*messenger.Charge{},
+		refused:   map[string]uint64{},
+		marks:     map[string]*messenger.SoloMark{},
+		proved:    map[string]uint64{},
+		recent:    recent{now: map[rowKey][]byte{}},
+		changed:   map[rowKey][]byte{},
+		dirty:     map[*book]bool{},
 	}
 }
 
-// Step handles one event.
+// Step handles one event. The rows come before the reply.
 func (v *Vault) Step(_ time.Time, e Event) []Action {
+	v.handle(e)
+	for b := range v.dirty {
+		v.storeBook(b)
+	}
+	actions := make([]Action, 0, len(v.changed)+len(v.replies))
+	for k, value := range v.changed {
+		actions = append(actions, Write{Bucket: k.bucket, Key: k.key, Value: value})
+	}
+	slices.SortFunc(actions, func(a, b Action) int {
+		x, y := a.(Write), b.(Write)
+		return cmp.Or(cmp.Compare(x.Bucket, y.Bucket), cmp.Compare(x.Key, y.Key))
+	})
+	actions = append(actions, v.replies...)
+	clear(v.changed)
+	clear(v.dirty)
+	v.replies = nil
+	return actions
+}
+
+// Synced tells the vault that the rows of every step so far are synced.
+func (v *Vault) Synced() { v.recent.synced() }
+
+func (v *Vault) handle(e Event) {
 	switch e := e.(type) {
 	case Mint:
-		return v.mint(e)
+		v.answer(e.Ticket)(v.mint(e.Request))
 	case Lease:
-		return v.lease(e)
+		v.answer(e.Ticket)(v.lease(e.Request))
 	case Bill:
-		return v.bill(e)
+		v.answer(e.Ticket)(v.bill(e.Request))
 	case Return:
-		return v.takeBack(e)
+		v.answer(e.Ticket)(v.takeBack(e.Request))
 	case Ask:
-		return v.give(e)
+		v.answer(e.Ticket)(v.give(e.Request))
 	case Receive:
-		return v.receive(e)
+		v.answer(e.Ticket)(v.receive(e.Request))
 	case Confirm:
-		return v.confirm(e)
+		v.confirm(e)
+	case Register:
+		v.answer(e.Ticket)(v.register(e.Request))
 	case Fence:
-		return v.fence(e)
+		v.answer(e.Ticket)(v.fence(e.Request))
+	case Release:
+		v.answer(e.Ticket)(v.release(e))
 	default:
-		return nil
+		v.handleRepair(e)
 	}
 }
 
-func (v *Vault) book(workspace string) *book {
-	b := v.books[workspace]
-	if b == nil {
-		b = &book{leases: map[string]*lease{}}
-		v.books[workspace] = b
-	}
-	return b
-}
-
-func (v *Vault) mint(e Mint) []Action {
-	r := e.Request
-	if zone, ok := rattanhoist.TopUpZone(r.TopUpId); !ok || zone != v.zone {
-		return refuse(e.Ticket, ErrWrongZone)
-	}
-	if r.Tokens <= 0 {
-		return refuse(e.Ticket, ErrAmount)
-	}
-	if old := v.topUps[r.TopUpId]; old != nil {
-		if old.Workspace != r.Workspace || old.Tokens != r.Tokens {
-			return refuse(e.Ticket, ErrTopUpReused)
-		}
-		return reply(e.Ticket, &messenger.TopUpReply{MintedTokens: old.Tokens, RepeatedRequest: true})
-	}
-	b := v.book(r.Workspace)
-	minted, err := b.minted.Add(rattanhoist.Tokens(r.Tokens))
-	if err != nil {
-		return refuse(e.Ticket, ErrAmount)
-	}
-	b.minted = minted
-	b.unspent += rattanhoist.Tokens(r.Tokens)
-	v.topUps[r.TopUpId] = r
-	return []Action{
-		write(BucketTopUps, r.TopUpId, r), v.writeBook(r.Workspace),
-		Reply{Ticket: e.Ticket, Message: &messenger.TopUpReply{MintedTokens: r.Tokens}},
-	}
-}
-
-func (v *Vault) lease(e Lease) []Action {
-	r := e.Request
-	if rattanhoist.Incarnation(r.Incarnation) <= v.fenced[r.Router] {
-		return refuse(e.Ticket, ErrFenced)
-	}
-	if r.WantTokens < 0 {
-		return refuse(e.Ticket, ErrAmount)
-	}
-	b := v.book(r.Workspace)
-	l := b.lease(r.Router, rattanhoist.Incarnation(r.Incarnation))
-	if l == nil {
-		return refuse(e.Ticket, ErrFenced)
-	}
-	if r.Sequence <= l.sequence {
-		return reply(e.Ticket, v.leaseReply(b, l.repeat(r.Sequence)))
-	}
-	grant := min(rattanhoist.Tokens(r.WantTokens), b.unspent)
-	b.unspent -= grant
-	l.outstanding += grant
-	l.sequence, l.lastGrant = r.Sequence, grant
-	return []Action{
-		v.writeLease(r.Workspace, r.Router), v.writeBook(r.Workspace),
-		Reply{Ticket: e.Ticket, Message: v.leaseReply(b, grant)},
-	}
-}
-
-func (*Vault) leaseReply(b *book, grant rattanhoist.Tokens) *messenger.LeaseReply {
-	return &messenger.LeaseReply{GrantedTokens: int64(grant), ZoneLeftTokens: int64(b.unspent)}
-}
-
-// lease returns the router's lease for its incarnation, or nil when a later
-// incarnation has one. A new incarnation inherits nothing: what the old one
-// held stays outstanding under its own key until it is fenced.
-func (b *book) lease(router string, inc rattanhoist.Incarnation) *lease {
-	key := leaseKey(router, inc)
-	l := b.leases[key]
-	if l == nil {
-		l = &lease{incarnation: inc}
-		b.leases[key] = l
-	}
-	return l
-}
-
-func leaseKey(router string, inc rattanhoist.Incarnation) string {
-	return router + "#" + strconv.FormatUint(uint64(inc), 10)
-}
-
-// repeat returns the first answer to a resent request.
-func (l *lease) repeat(sequence uint64) rattanhoist.Tokens {
-	if sequence == l.sequence {
-		return l.lastGrant
+func (v *Vault) handleRepair(e Event) {
+	switch e := e.(type) {
+	case Witness:
+		v.answer(e.Ticket)(v.witness(e.Request))
+	case FenceWitness:
+		v.answer(e.Ticket)(v.fenceWitness(e.Request))
+	case HandOver:
+		v.answer(e.Ticket)(v.handOver(e.Request))
+	case HandedOver:
+		v.handedOver(e)
+	case Mark:
+		v.answer(e.Ticket)(v.mark(e.Request))
+	case Begin:
+		v.begin(e)
+	case Paired:
+		v.storeSelf()
+	case Prove:
+		v.prove(e)
+		v.answer(e.Ticket)(v.self, nil)
 	}
-	return 0
 }
 
-func (v *Vault) bill(e Bill) []Action {
-	r := e.Request
-	inc := rattanhoist.Incarnation(r.Incarnation)
-	out := &messenger.ChargeReply{}
-	var actions []Action
-	for _, c := range r.Charges {
-		result := v.charge(r.Router, inc, c)
-		out.Results = append(out.Results, result)
-		if result.State == messenger.ChargeState_CHARGE_STATE_BILLED {
-			actions = append(actions, v.chargeRows(r.Router, inc, c)...)
+func (v *Vault) answer(t Ticket) func(proto.Message, error) {
+	return func(m proto.Message, err error) {
+		r := Reply{Ticket: t, Err: err}
+		if err == nil {
+			r.Message = m
 		}
+		v.replies = append(v.replies, r)
 	}
-	return append(actions, Reply{Ticket: e.Ticket, Message: out})
 }
 
-// chargeRows writes the bill that counts, which for a repeated charge is the
-// first one, and the accounts that it changed.
-func (v *Vault) chargeRows(router string, inc rattanhoist.Incarnation, c *messenger.Charge) []Action {
-	first := v.charges[rattanhoist.NewRequestKey(c.Workspace, c.RequestId)]
-	rows := []Action{v.writeCharge(first), v.writeBook(c.Workspace)}
-	key := leaseKey(router, inc)
-	if v.book(c.Workspace).leases[key] != nil {
-		rows = append(rows, v.writeLeaseAt(c.Workspace, key))
-	}
-	return rows
-}
-
-// charge bills one request once; a second charge of the same request frees
-// what the router had reserved for it.
-func (v *Vault) charge(router string, inc rattanhoist.Incarnation, c *messenger.Charge) *messenger.ChargeResult {
-	key := rattanhoist.NewRequestKey(c.Workspace, c.RequestId)
-	if old := v.charges[key]; old != nil {
-		return &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_BILLED, BilledTokens: old.Tokens}
-	}
-	if inc <= v.fenced[router] {
-		return &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_FENCED}
-	}
-	b := v.book(c.Workspace)
-	l := b.leases[leaseKey(router, inc)]
-	if l == nil || c.Tokens < 0 || l.outstanding < rattanhoist.Tokens(c.Tokens) {
-		return &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_NOT_LEASED}
-	}
-	l.outstanding -= rattanhoist.Tokens(c.Tokens)
-	b.charged += rattanhoist.Tokens(c.Tokens)
-	v.charges[key] = c
-	return &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_BILLED, BilledTokens: c.Tokens}
-}
-
-func (v *Vault) takeBack(e Return) []Action {
-	r := e.Request
-	b := v.book(r.Workspace)
-	l := b.leases[leaseKey(r.Router, rattanhoist.Incarnation(r.Incarnation))]
-	if l == nil || r.Sequence <= l.sequence {
-		return reply(e.Ticket, &messenger.ReturnReply{})
-	}
-	n := min(max(rattanhoist.Tokens(r.Tokens), 0), l.outstanding)
-	l.outstanding -= n
-	l.sequence, l.lastGrant = r.Sequence, 0
-	b.unspent += n
-	return []Action{
-		v.writeLeaseAt(r.Workspace, leaseKey(r.Router, l.incarnation)), v.writeBook(r.Workspace),
-		Reply{Ticket: e.Ticket, Message: &messenger.ReturnReply{}},
-	}
-}
-
-func (v *Vault) give(e Ask) []Action {
-	r := e.Request
-	b := v.book(r.Workspace)
-	n := min(max(rattanhoist.Tokens(r.WantTokens), 0), b.unspent)
-	if n == 0 {
-		return reply(e.Ticket, &messenger.AskReply{LeftTokens: int64(b.unspent)})
-	}
-	v.nextTransfer++
-	t := &messenger.Transfer{
-		TransferId: fmt.Sprintf("%s/%d", v.zone, v.nextTransfer),
-		Workspace:  r.Workspace, FromZone: v.zone, ToZone: r.Zone, Tokens: int64(n),
-	}
-	b.unspent -= n
-	b.given += n
-	v.pending[t.TransferId] = t
-	return []Action{
-		write(BucketTransfers, t.TransferId, t), v.writeBook(r.Workspace),
-		Reply{Ticket: e.Ticket, Message: &messenger.AskReply{Transfer: t, LeftTokens: int64(b.unspent)}},
-	}
-}
-
-func (v *Vault) receive(e Receive) []Action {
-	var actions []Action
-	out := &messenger.GiveReply{}
-	for _, t := range e.Request.Transfers {
-		if t.ToZone != v.zone {
-			continue
-		}
-		out.AcceptedIds = append(out.AcceptedIds, t.TransferId)
-		if v.received[t.TransferId] != nil {
-			continue
-		}
-		b := v.book(t.Workspace)
-		b.received += rattanhoist.Tokens(t.Tokens)
-		b.unspent += rattanhoist.Tokens(t.Tokens)
-		v.received[t.TransferId] = t
-		actions = append(actions, write(BucketReceived, t.TransferId, t), v.writeBook(t.Workspace))
+// book returns the account of a workspace, an empty one where none is.
+func (v *Vault) book(workspace string) *book {
+	b := v.books[workspace]
+	if b == nil {
+		b = &book{workspace: workspace, leases: map[leaseKey]*messenger.LeaseRow{}}
+		v.books[workspace] = b
 	}
-	return append(actions, Reply{Ticket: e.Ticket, Message: out})
+	return b
 }
 
-func (v *Vault) confirm(e Confirm) []Action {
-	var actions []Action
-	for _, id := range e.TransferIDs {
-		if v.pending[id] == nil {
-			continue
-		}
-		delete(v.pending, id)
-		actions = append(actions, v.writeCounter())
-		actions = append(actions, Write{Bucket: BucketTransfers, Key: id})
-	}
-	return actions
+// touch returns the account to be changed; its row is written at the end of
+// the step.
+func (v *Vault) touch(workspace string) *book {
+	b := v.book(workspace)
+	v.dirty[b] = true
+	return b
 }
 
-func (v *Vault) fence(e Fence) []Action {
-	r := e.Request
-	inc := rattanhoist.Incarnation(r.Incarnation)
-	if inc > v.fenced[r.Router] {
-		v.fenced[r.Router] = inc
-	}
-	actions := []Action{write(BucketFences, r.Router, r)}
-	var total rattanhoist.Tokens
-	for name, b := range v.books {
-		for key, l := range b.leases {
-			if l.incarnation > inc || key != leaseKey(r.Router, l.incarnation) {
-				continue
-			}
-			total += l.outstanding
-			b.unspent += l.outstanding
-			delete(b.leases, key)
-			actions = append(actions, Write{Bucket: BucketLeases, Key: name + "/" + key}, v.writeBook(name))
-		}
-	}
-	return append(actions, Reply{Ticket: e.Ticket, Message: &messenger.FenceReply{ReturnedTokens: int64(total)}})
-}
+// Incarnation returns the identity of the vault's disk; 0 before Begin.
+func (v *Vault) Incarnation() uint64 { return v.self.Incarnation }
 
-// Pending returns the transfers that still wait for a confirmation.
-func (v *Vault) Pending() []*messenger.Transfer {
-	out := make([]*messenger.Transfer, 0, len(v.pending))
-	for _, t := range v.pending {
-		out = append(out, t)
-	}
-	return out
-}
+// Unproved reports whether rights are frozen after a restore.
+func (v *Vault) Unproved() bool { return v.self.Unproved }
 
 // Book returns the account of a workspace.
 func (v *Vault) Book(workspace string) *messenger.Book {
-	out := &messenger.Book{Workspace: workspace, Zone: v.zone}
 	b := v.books[workspace]
 	if b == nil {
-		return out
-	}
-	out.MintedTokens = int64(b.minted)
-	out.ReceivedTokens = int64(b.received)
-	out.UnspentTokens = int64(b.unspent)
-	out.ChargedTokens = int64(b.charged)
-	out.GivenTokens = int64(b.given)
-	out.FrozenTokens = int64(b.frozen)
-	for _, l := range b.leases {
-		out.LeasedTokens += int64(l.outstanding)
+		return &messenger.Book{Workspace: workspace, Zone: v.zone}
 	}
+	out := b.row(v.zone)
 	for _, t := range v.pending {
 		if t.Workspace == workspace {
 			out.TransferOutTokens += t.Tokens
@@ -388,27 +255,42 @@
 	return out
 }
 
-// Charges returns the bills of a workspace, or the one of a request.
-func (v *Vault) Charges(workspace, requestID string) []*messenger.Charge {
-	if requestID != "" {
-		if c := v.charges[rattanhoist.NewRequestKey(workspace, requestID)]; c != nil {
-			return []*messenger.Charge{c}
-		}
-		return nil
-	}
-	var out []*messenger.Charge
-	for k, c := range v.charges {
-		if k.Workspace() == workspace {
-			out = append(out, c)
-		}
-	}
-	return out
+// Totals returns the sums over all workspaces.
+func (v *Vault) Totals() *messenger.Book {
+	t := &messenger.Book{Zone: v.zone}
+	for _, b := range v.books {
+		t.MintedTokens += int64(b.minted)
+		t.ReceivedTokens += int64(b.received)
+		t.UnspentTokens += int64(b.unspent)
+		t.LeasedTokens += int64(b.leased)
+		t.ChargedTokens += int64(b.charged)
+		t.GivenTokens += int64(b.given)
+		t.FrozenTokens += int64(b.frozen + b.withheld)
+		t.WithheldTokens += int64(b.withheld)
+	}
+	return t
 }
 
-func reply(t Ticket, m proto.Message) []Action {
-	return []Action{Reply{Ticket: t, Message: m}}
+// Charge returns the bill of a request, or nil.
+func (v *Vault) Charge(k rattanhoist.RequestKey) (*messenger.Charge, error) {
+	c := &messenger.Charge{}
+	ok, err := v.find(BucketCharges, k.String(), c)
+	if !ok || err != nil {
+		return nil, err
+	}
+	return c, nil
 }
 
-func refuse(t Ticket, err error) []Action {
-	return []Action{Reply{Ticket: t, Err: err}}
+// inOrder yields the values by key, so that equal vaults act equally.
+func inOrder[T any](m map[string]T) iter.Seq2[string, T] {
+	return func(yield func(string, T) bool) {
+		for _, k := range slices.Sorted(maps.Keys(m)) {
+			if !yield(k, m[k]) {
+				return
+			}
+		}
+	}
 }
+
+// Zone returns the availability zone.
+func (v *Vault) Zone() string { return v.zone }
--- a/budgeter/vault_test.go
+++ b/budgeter/vault_test.go
@@ -10,6 +10,17 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
+// noRows is an empty store.
+type noRows struct{}
+
+func (noRows) Get(string, string) ([]byte, error) { return nil, nil }
+
+func newVault(zone string) *budgeter.Vault {
+	v := budgeter.NewVault(zone, noRows{})
+	v.Step(time.Time{}, budgeter.Begin{Incarnation: 1})
+	return v
+}
+
 // ask steps an event and returns its reply.
 func ask(v *budgeter.Vault, e budgeter.Event) budgeter.Reply {
 	for _, a := range v.Step(time.Time{}, e) {
@@ -25,7 +36,7 @@
 // Cause: a mint that does not remember identities.
 func TestResentTopUpCountsOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	v := budgeter.NewVault("osu-hall")
+	v := newVault("osu-hall")
 	m := budgeter.Mint{Request: &messenger.TopUpRequest{Workspace: "w", TopUpId: "osu-hall/1", Tokens: 100}}
 	g.Expect(ask(v, m).Message.(*messenger.TopUpReply).RepeatedRequest).To(gomega.BeFalse())
 	g.Expect(ask(v, m).Message.(*messenger.TopUpReply).RepeatedRequest).To(gomega.BeTrue())
@@ -39,7 +50,7 @@
 // Cause: charges that are not keyed by the request.
 func TestResentChargeIsBilledOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
-	v := budgeter.NewVault("osu-hall")
+	v := newVault("osu-hall")
 	ask(v, budgeter.Mint{Request: &messenger.TopUpRequest{Workspace: "w", TopUpId: "osu-hall/1", Tokens: 100}})
 	ask(v, budgeter.Lease{Request: &messenger.LeaseRequest{Workspace: "w", Router: "r", Incarnation: 1, Sequence: 1, WantTokens: 50}})
 	c := budgeter.Bill{Request: &messenger.ChargeRequest{Router: "r", Incarnation: 1, Charges: []*messenger.Charge{{Workspace: "w", RequestId: "a", Tokens: 30}}}}
--- /dev/null
+++ b/budgeter/world_test.go
@@ -0,0 +1,454 @@
+package budgeter_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/budgeter"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+type rowName struct{ bucket, key string }
+
+// disk holds what is synced at one keeper; a step's rows reach it at once or
+// not at all.
+type disk struct {
+	rows   map[rowName][]byte
+	state  *messenger.CopyState
+	paired bool
+	// Begun is set with the first commit: a restore that a crash broke off
+	// before it starts anew.
+	begun  bool
+	copies map[string]*mirrored
+}
+
+type mirrored struct {
+	state *messenger.CopyState
+	rows  map[rowName][]byte
+}
+
+func newDisk() *disk { return &disk{rows: map[rowName][]byte{}, copies: map[string]*mirrored{}} }
+
+func (d *disk) Get(bucket, key string) ([]byte, error) { return d.rows[rowName{bucket, key}], nil }
+
+func apply(to map[rowName][]byte, rows []*messenger.CopyRow) {
+	for _, r := range rows {
+		if r.Value == nil {
+			delete(to, rowName{r.Bucket, r.Key})
+			continue
+		}
+		to[rowName{r.Bucket, r.Key}] = r.Value
+	}
+}
+
+// keeper is the shell of one vault, without sockets, timers and a real disk.
+type keeper struct {
+	zone   string
+	mirror string
+	disk   *disk
+	// Vault and copier are nil while the process is down.
+	vault  *budgeter.Vault
+	copier *budgeter.Copier
+	// Lossy is set once answers may have been lost with a disk and a router.
+	lossy bool
+}
+
+// crash points of the next commit.
+type crashPoint int
+
+const (
+	crashNever crashPoint = iota
+	crashBeforeSync
+	crashCopiedUnsynced
+	crashAfterSync
+	crashPoints
+)
+
+// purse is what a router holds of one workspace.
+type purse struct {
+	slice             budgeter.Slice
+	sequence          uint64
+	granted, returned int64
+	asking            *messenger.LeaseRequest
+	returning         *messenger.ReturnRequest
+}
+
+// run is a request in progress at a router.
+type run struct {
+	charge   *messenger.Charge
+	reserved rattanhoist.Tokens
+	finished bool
+}
+
+type routerNode struct {
+	name, zone  string
+	incarnation uint64
+	up, frozen  bool
+	sharesVM    bool
+	purses      map[string]*purse
+	runs        map[string]*run
+	// Unsafe holds completed charges that are not yet on two disks.
+	unsafe                    map[string]*messenger.Charge
+	markIncarnation, markFrom uint64
+	toldIncarnation           uint64
+}
+
+type envelope struct {
+	from, to string // zones
+	deliver  func()
+}
+
+// world is a deployment with a flat book beside it.
+type world struct {
+	zones   []string
+	keepers map[string]*keeper
+	routers []*routerNode
+	pool    []envelope
+	cut     map[[2]string]bool
+	crash   crashPoint
+	serial  uint64
+	// Paid maps top-up identities to what the operator paid.
+	paid map[string]*messenger.TopUpRequest
+	// Completed maps zone/workspace/request to what whole answers were told
+	// that they cost. Runs of one request at the keeper and at the witness may
+	// be told two prices; the zone bills one of them.
+	completed map[string][]int64
+	fault     string
+	seen      map[string]int
+	trace     []string
+}
+
+func (w *world) note(format string, args ...any) {
+	w.trace = append(w.trace, fmt.Sprintf(format, args...))
+}
+
+func newWorld() *world {
+	w := &world{
+		zones: []string{"a", "b", "c"}, keepers: map[string]*keeper{}, cut: map[[2]string]bool{},
+		paid: map[string]*messenger.TopUpRequest{}, completed: map[string][]int64{}, seen: map[string]int{},
+	}
+	for i, z := range w.zones {
+		w.keepers[z] = &keeper{zone: z, mirror: w.zones[(i+1)%len(w.zones)], disk: newDisk()}
+		for n := range 2 {
+			w.routers = append(w.routers, &routerNode{name: fmt.Sprintf("%s-%d", z, n+1), zone: z, sharesVM: n == 0})
+		}
+	}
+	for _, z := range w.zones {
+		w.startKeeper(w.keepers[z])
+	}
+	for _, z := range w.zones {
+		w.pair(w.keepers[z])
+	}
+	for _, r := range w.routers {
+		w.startRouter(r)
+	}
+	return w
+}
+
+func (w *world) next() uint64 { w.serial++; return w.serial }
+
+func (w *world) reachable(a, b string) bool {
+	return !w.cut[[2]string{min(a, b), max(a, b)}]
+}
+
+func (w *world) send(from, to string, f func()) {
+	w.pool = append(w.pool, envelope{from, to, f})
+}
+
+func (w *world) zoneRouters(zone string) []*routerNode {
+	return slices.DeleteFunc(slices.Clone(w.routers), func(r *routerNode) bool { return r.zone != zone })
+}
+
+// startKeeper restores a vault from its disk, or from the mirror's copy when
+// the disk is empty.
+func (w *world) startKeeper(k *keeper) {
+	v := budgeter.NewVault(k.zone, k.disk)
+	var begin *budgeter.Begin
+	if !k.disk.begun {
+		k.disk.rows = map[rowName][]byte{}
+		if !w.reachable(k.zone, k.mirror) {
+			return
+		}
+		begin = &budgeter.Begin{Incarnation: w.next()}
+		if c := w.keepers[k.mirror].disk.copies[k.zone]; c != nil {
+			k.disk.rows = maps.Clone(c.rows)
+			begin.Copy = c.state
+		}
+		k.disk.state = &messenger.CopyState{Zone: k.zone, Incarnation: begin.Incarnation}
+	}
+	for n, value := range k.disk.rows {
+		w.check(v.Restore(n.bucket, n.key, value) == nil, "row does not restore")
+	}
+	w.check(v.Check() == nil, "books of "+k.zone+" do not balance after a restart")
+	k.vault = v
+	k.copier = budgeter.NewCopier(k.disk.state, k.disk.paired, func(_, to string) { w.seen[to]++ })
+	if begin != nil {
+		k.disk.paired = false
+		w.commit(k, *begin)
+		if begin.Copy != nil {
+			w.seen["restored"]++
+		}
+	}
+}
+
+func (w *world) check(ok bool, fault string) {
+	if !ok && w.fault == "" {
+		w.fault = fault
+	}
+}
+
+func (w *world) stopKeeper(k *keeper) { k.vault, k.copier = nil, nil }
+
+// commit is the shell's group commit of one event; nil means that no answer
+// may leave.
+func (w *world) commit(k *keeper, e budgeter.Event) (proto.Message, error) {
+	if k.vault == nil {
+		return nil, nil
+	}
+	var writes []budgeter.Write
+	var reply budgeter.Reply
+	for _, a := range k.vault.Step(time.Time{}, e) {
+		switch a := a.(type) {
+		case budgeter.Write:
+			writes = append(writes, a)
+		case budgeter.Reply:
+			reply = a
+		}
+	}
+	w.note("%s %T %v -> %v %v", k.zone, e, e, reply.Message, reply.Err)
+	w.check(k.vault.Check() == nil, fmt.Sprintf("books of %s do not balance after %T", k.zone, e))
+	if !w.sync(k, budgeter.CopyRows(writes)) {
+		return nil, nil
+	}
+	if !mayAnswer(k.copier.Mode(), e) {
+		return nil, nil
+	}
+	if c, ok := reply.Message.(*messenger.ChargeReply); ok {
+		c.TwoDisks = k.copier.Mode() == budgeter.ModePaired
+	}
+	return reply.Message, reply.Err
+}
+
+func mayAnswer(mode string, e budgeter.Event) bool {
+	return mode == budgeter.ModePaired || mode == budgeter.ModeSolo && !budgeter.NeedsTwoDisks(e)
+}
+
+// sync writes rows to the disk and to the mirror; false means a crash.
+func (w *world) sync(k *keeper, rows []*messenger.CopyRow) bool {
+	at := w.crash
+	w.crash = crashNever
+	if at == crashBeforeSync {
+		w.stopKeeper(k)
+		return false
+	}
+	r := k.copier.Commit(rows)
+	if k.copier.Mode() == budgeter.ModePaired && !w.copyTo(k, r) {
+		k.copier.Lost()
+	}
+	if at == crashCopiedUnsynced {
+		w.seen["mirror ahead"]++
+		w.stopKeeper(k)
+		return false
+	}
+	apply(k.disk.rows, rows)
+	k.disk.state, k.disk.begun = r.State, true
+	k.vault.Synced()
+	if k.copier.Mode() == budgeter.ModeMarking {
+		w.markSolo(k, r.State.Number)
+	}
+	if at == crashAfterSync {
+		w.stopKeeper(k)
+		return false
+	}
+	return true
+}
+
+func (w *world) copyTo(k *keeper, r *messenger.CopyRequest) bool {
+	m := w.keepers[k.mirror]
+	c := m.disk.copies[k.zone]
+	if !w.reachable(k.zone, m.zone) || m.vault == nil || c == nil || !budgeter.TakeCopy(c.state, r) {
+		return false
+	}
+	apply(c.rows, r.Rows)
+	c.state = r.State
+	return true
+}
+
+// markSolo leaves the mark at every holder that answers; one is enough.
+func (w *world) markSolo(k *keeper, commit uint64) {
+	mark := k.vault.SoloMark(commit)
+	held := false
+	for _, z := range w.zones {
+		o := w.keepers[z]
+		if o.zone == k.zone || o.zone == k.mirror || !w.reachable(k.zone, o.zone) || o.vault == nil {
+			continue
+		}
+		// Two keepers that each wait for the other's mark would wait for ever.
+		if o.copier.Mode() == budgeter.ModeMarking {
+			continue
+		}
+		m, err := w.commit(o, budgeter.Mark{Request: &messenger.MarkRequest{Mark: mark}})
+		held = held || m != nil && err == nil
+	}
+	for _, r := range w.zoneRouters(k.zone) {
+		if r.up && !r.frozen && !r.sharesVM {
+			r.markIncarnation, r.markFrom = mark.VaultIncarnation, mark.SoloCommit
+			held = true
+		}
+	}
+	if held && k.copier != nil {
+		k.copier.Marked()
+	}
+}
+
+// pair brings the mirror up to date and then makes one more commit, so that
+// the copy is later than every solo mark.
+func (w *world) pair(k *keeper) {
+	m := w.keepers[k.mirror]
+	if k.vault == nil || m.vault == nil || !w.reachable(k.zone, m.zone) || k.copier.Mode() == budgeter.ModePaired {
+		return
+	}
+	c := m.disk.copies[k.zone]
+	var have *messenger.CopyState
+	if c != nil {
+		have = c.state
+	}
+	missing, whole := k.copier.Missing(have)
+	if whole {
+		m.disk.copies[k.zone] = &mirrored{state: k.disk.state, rows: maps.Clone(k.disk.rows)}
+		w.seen["whole copy"]++
+	}
+	for _, r := range missing {
+		w.check(w.copyTo(k, r), "mirror refuses a missing commit")
+	}
+	if k.copier.CaughtUp(m.disk.copies[k.zone].state) {
+		k.disk.paired = true
+		w.commit(k, budgeter.Paired{})
+	}
+}
+
+// prove collects what routers and keepers say after a restore.
+func (w *world) prove(k *keeper) {
+	if k.vault == nil || !k.vault.Unproved() {
+		return
+	}
+	p := budgeter.Prove{}
+	e := budgeter.Evidence{KeepersAsked: 1}
+	for _, r := range w.zoneRouters(k.zone) {
+		p.Routers = append(p.Routers, r.name)
+		if !r.sharesVM {
+			e.Routers = append(e.Routers, r.name)
+		}
+		if r.up && !r.frozen {
+			p.Holdings = append(p.Holdings, r.holdings(k.vault.Incarnation()))
+		}
+	}
+	for _, z := range w.zones {
+		o := w.keepers[z]
+		if o.zone == k.zone || o.zone == k.mirror || !w.reachable(k.zone, o.zone) {
+			continue
+		}
+		m, err := w.commit(o, budgeter.Mark{Request: &messenger.MarkRequest{Mark: &messenger.SoloMark{Zone: k.zone}}})
+		if m != nil && err == nil {
+			e.Keepers = append(e.Keepers, m.(*messenger.MarkReply))
+		}
+	}
+	e.Holdings = p.Holdings
+	p.CopyComplete = k.vault.CopyComplete(e)
+	w.commit(k, p)
+	if k.vault != nil && !k.vault.Unproved() {
+		w.seen["proved"]++
+		if p.CopyComplete {
+			w.seen["proved by marks"]++
+		}
+	}
+}
+
+// release returns what fenced incarnations had left.
+func (w *world) release(k *keeper) {
+	m := w.keepers[k.mirror]
+	// The fence must be on two disks before the remainder is spent: a restored
+	// copy without it would take charges of the fenced incarnation.
+	if k.vault == nil || k.copier.Mode() != budgeter.ModePaired || !w.reachable(k.zone, m.zone) {
+		return
+	}
+	for _, r := range k.vault.Fencing() {
+		upTo := r.Fenced
+		got, err := w.commit(m, budgeter.FenceWitness{Request: &messenger.FenceWitnessRequest{Zone: k.zone, Router: r.Router, Incarnation: upTo}})
+		if got == nil || err != nil {
+			continue
+		}
+		if k.vault == nil {
+			return
+		}
+		w.commit(k, budgeter.Release{Router: r.Router, Incarnation: upTo, Witness: got.(*messenger.FenceWitnessReply)})
+		w.seen["released"]++
+	}
+}
+
+// handOver brings witnessed charges to their own zone.
+func (w *world) handOver(k *keeper) {
+	if k.vault == nil {
+		return
+	}
+	for _, z := range w.zones {
+		o := w.keepers[z]
+		charges := k.vault.Witnessed(o.zone, 8)
+		if len(charges) == 0 || !w.reachable(k.zone, o.zone) {
+			continue
+		}
+		got, err := w.commit(o, budgeter.HandOver{Request: &messenger.HandOverRequest{Charges: charges}})
+		if got != nil && err == nil {
+			w.commit(k, budgeter.HandedOver{Charges: charges})
+			w.seen["handed over"]++
+		}
+		if k.vault == nil {
+			return
+		}
+	}
+}
+
+// resend pushes unconfirmed transfers; while a commit is on one disk only, no
+// transfer may leave.
+func (w *world) resend(k *keeper) {
+	if k.vault == nil || k.copier.Mode() != budgeter.ModePaired {
+		return
+	}
+	for _, t := range k.vault.Pending() {
+		w.give(k, t)
+	}
+}
+
+func (w *world) give(k *keeper, t *messenger.Transfer) {
+	o := w.keepers[t.ToZone]
+	w.send(k.zone, o.zone, func() {
+		got, err := w.commit(o, budgeter.Receive{Request: &messenger.GiveRequest{Transfers: []*messenger.Transfer{t}}})
+		if got == nil || err != nil {
+			return
+		}
+		w.send(o.zone, k.zone, func() {
+			w.commit(k, budgeter.Confirm{TransferIDs: got.(*messenger.GiveReply).AcceptedIds})
+		})
+	})
+}
+
+// ask has a zone ask another for rights.
+func (w *world) ask(k, o *keeper, workspace string, n int64) {
+	if k.vault == nil || k == o {
+		return
+	}
+	r := &messenger.AskRequest{Workspace: workspace, Zone: k.zone, WantTokens: n, VaultIncarnation: k.vault.Incarnation()}
+	w.send(k.zone, o.zone, func() {
+		got, err := w.commit(o, budgeter.Ask{Request: r})
+		if got == nil || err != nil || got.(*messenger.AskReply).Transfer == nil {
+			return
+		}
+		w.seen["given"]++
+		w.give(o, got.(*messenger.AskReply).Transfer)
+	})
+}
--- a/keeper/budget.go
+++ b/keeper/budget.go
@@ -13,68 +13,44 @@
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/budgeter"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/storer"
 )
 
-// resendEvery is the pause between resends of unconfirmed transfers.
-const resendEvery = 200 * time.Millisecond
-
 // budgetServer serves the budget protocol from the zone's vault.
 type budgetServer struct {
 	messenger.UnimplementedBudgetKeeperServer
 	keeper *Keeper
 	loop   *vaultLoop
+	sender mirrorSender
+	holder *mirrorHolder
+	shares *shares
+	// Watch belongs to the goroutine of rounds.
+	watch routerWatch
 }
 
-func newBudgetServer(k *Keeper) (*budgetServer, error) {
-	l, err := newVaultLoop(k.self.Zone(), k.store)
-	if err != nil {
-		return nil, err
+func newBudgetServer(k *Keeper) *budgetServer {
+	sender := mirrorSender{peers: k.peers}
+	return &budgetServer{
+		keeper: k, sender: sender, shares: newShares(),
+		loop:   newVaultLoop(k.self.Zone(), k.store, sender, k.log),
+		holder: &mirrorHolder{store: k.store, log: k.log},
+		watch:  routerWatch{heard: map[string]time.Time{}},
 	}
-	return &budgetServer{keeper: k, loop: l}, nil
-}
-
-func (s *budgetServer) run(ctx context.Context) error {
-	go s.resend(ctx)
-	return s.loop.run(ctx)
 }
 
-// resend pushes transfers until the other zone has them on disk: without it a
-// lost answer would leave rights in transfer for ever.
-func (s *budgetServer) resend(ctx context.Context) {
-	t := time.NewTicker(resendEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			s.resendOnce(ctx)
-		}
-	}
-}
+func (s *budgetServer) log() *zap.Logger { return s.keeper.log }
 
-func (s *budgetServer) resendOnce(ctx context.Context) {
-	byZone := map[string]*messenger.GiveRequest{}
-	_ = s.loop.read(ctx, func(v *budgeter.Vault) {
-		for _, t := range v.Pending() {
-			if byZone[t.ToZone] == nil {
-				byZone[t.ToZone] = &messenger.GiveRequest{}
-			}
-			byZone[t.ToZone].Transfers = append(byZone[t.ToZone].Transfers, t)
-		}
-	})
-	for zone, r := range byZone {
-		p, ok := s.keeper.peers.zone(zone)
-		if !ok {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-		got, err := p.budget().Give(ctx, r)
-		cancel()
-		if err == nil {
-			_, _ = s.loop.step(ctx, budgeter.Confirm{TransferIDs: got.AcceptedIds})
-		}
+// run opens the vault and serves it; until then calls are answered with
+// errNotYet.
+func (s *budgetServer) run(ctx context.Context) error {
+	if err := s.open(ctx); err != nil {
+		return err
 	}
+	p := &pairing{loop: s.loop, sender: s.sender, store: s.keeper.store, log: s.log()}
+	go p.run(ctx)
+	go s.rounds(ctx)
+	go s.prove(ctx)
+	return s.loop.run(ctx)
 }
 
 // TopUp mints in the zone that the identity names, forwarding to it.
@@ -91,7 +67,7 @@
 		return nil, status.Errorf(codes.InvalidArgument, "top_up_id: %q: want ZONE/UNIQUE", r.TopUpId)
 	}
 	if zone == s.keeper.self.Zone() {
-		return answer[*messenger.TopUpReply](s.loop.step(ctx, budgeter.Mint{Request: r}))
+		return answer[*messenger.TopUpReply](s.loop.handle(ctx, budgeter.Mint{Request: r}))
 	}
 	p, ok := s.keeper.peers.zone(zone)
 	if !ok {
@@ -104,79 +80,71 @@
 	return out, err
 }
 
-// Lease grants rights to a router, asking the other zones where this one
-// holds too few.
-func (s *budgetServer) Lease(ctx context.Context, r *messenger.LeaseRequest) (*messenger.LeaseReply, error) {
-	var unspent int64
-	err := s.loop.read(ctx, func(v *budgeter.Vault) { unspent = v.Book(r.Workspace).UnspentTokens })
-	if err != nil {
-		return nil, err
-	}
-	var silent []string
-	var elsewhere int64
-	if unspent < r.WantTokens {
-		silent, elsewhere = s.gather(ctx, r.Workspace, r.WantTokens-unspent)
+// Charge bills requests; the answer means that the bills are synced.
+func (s *budgetServer) Charge(ctx context.Context, r *messenger.ChargeRequest) (*messenger.ChargeReply, error) {
+	return answer[*messenger.ChargeReply](s.loop.handle(ctx, budgeter.Bill{Request: r}))
+}
+
+// Return takes rights back from a router.
+func (s *budgetServer) Return(ctx context.Context, r *messenger.ReturnRequest) (*messenger.ReturnReply, error) {
+	return answer[*messenger.ReturnReply](s.loop.handle(ctx, budgeter.Return{Request: r}))
+}
+
+// Witness stores charges for another zone's keeper.
+func (s *budgetServer) Witness(ctx context.Context, r *messenger.ChargeRequest) (*messenger.ChargeReply, error) {
+	out, err := answer[*messenger.ChargeReply](s.loop.handle(ctx, budgeter.Witness{Request: r}))
+	if err == nil {
+		// The router keeps the charge until its own keeper has it twice.
+		out.TwoDisks = false
 	}
-	out, err := answer[*messenger.LeaseReply](s.loop.step(ctx, budgeter.Lease{Request: r}))
+	return out, err
+}
+
+// Register admits an incarnation of a router and names its witness.
+func (s *budgetServer) Register(ctx context.Context, r *messenger.RegisterRequest) (*messenger.RegisterReply, error) {
+	out, err := answer[*messenger.RegisterReply](s.loop.handle(ctx, budgeter.Register{Request: r}))
 	if err != nil {
 		return nil, err
 	}
-	out.UnreachableZones = silent
-	out.ElsewhereTokens = elsewhere
+	if p, ok := s.keeper.peers.name(s.keeper.peers.mirror); ok {
+		out.WitnessName, out.WitnessAddress = p.process.Name(), p.process.RPC()
+	}
 	return out, nil
 }
 
-// gather asks the other zones in turn until they have given n tokens.
-func (s *budgetServer) gather(ctx context.Context, workspace string, n int64) (silent []string, elsewhere int64) {
-	for _, p := range s.keeper.peers.list {
-		if n <= 0 {
-			return silent, elsewhere
-		}
-		got, err := s.ask(ctx, p, &messenger.AskRequest{Workspace: workspace, Zone: s.keeper.self.Zone(), WantTokens: n})
-		if err != nil {
-			silent = append(silent, p.process.Zone())
-			continue
-		}
-		elsewhere += got.LeftTokens
-		n -= got.GetTransfer().GetTokens()
-	}
-	return silent, elsewhere
+// Fence refuses a router's incarnations; what they hold returns once the
+// witness refuses them too.
+func (s *budgetServer) Fence(ctx context.Context, r *messenger.FenceRequest) (*messenger.FenceReply, error) {
+	return answer[*messenger.FenceReply](s.loop.handle(ctx, budgeter.Fence{Request: r}))
 }
 
-func (s *budgetServer) ask(ctx context.Context, p peer, r *messenger.AskRequest) (*messenger.AskReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	out, err := p.budget().Ask(ctx, r)
-	if err != nil || out.Transfer == nil {
-		return out, err
-	}
-	_, err = s.Give(ctx, &messenger.GiveRequest{Transfers: []*messenger.Transfer{out.Transfer}})
-	return out, err
+// FenceWitness refuses a router of another zone.
+func (s *budgetServer) FenceWitness(ctx context.Context, r *messenger.FenceWitnessRequest) (*messenger.FenceWitnessReply, error) {
+	return answer[*messenger.FenceWitnessReply](s.loop.handle(ctx, budgeter.FenceWitness{Request: r}))
 }
 
-// Charge bills requests; the answer means that the bills are synced.
-func (s *budgetServer) Charge(ctx context.Context, r *messenger.ChargeRequest) (*messenger.ChargeReply, error) {
-	return answer[*messenger.ChargeReply](s.loop.step(ctx, budgeter.Bill{Request: r}))
+// HandOver bills charges that a witness has stored.
+func (s *budgetServer) HandOver(ctx context.Context, r *messenger.HandOverRequest) (*messenger.HandOverReply, error) {
+	return answer[*messenger.HandOverReply](s.loop.handle(ctx, budgeter.HandOver{Request: r}))
 }
 
-// Return takes rights back from a router.
-func (s *budgetServer) Return(ctx context.Context, r *messenger.ReturnRequest) (*messenger.ReturnReply, error) {
-	return answer[*messenger.ReturnReply](s.loop.step(ctx, budgeter.Return{Request: r}))
-}
-
-// Fence ends a router's incarnations.
-func (s *budgetServer) Fence(ctx context.Context, r *messenger.FenceRequest) (*messenger.FenceReply, error) {
-	return answer[*messenger.FenceReply](s.loop.step(ctx, budgeter.Fence{Request: r}))
+// Mark holds another keeper's solo mark. Two keepers that each wait for the
+// other's mark would wait for ever, so one that waits itself holds none.
+func (s *budgetServer) Mark(ctx context.Context, r *messenger.MarkRequest) (*messenger.MarkReply, error) {
+	if s.loop.currentMode() == budgeter.ModeMarking {
+		return nil, status.Error(codes.Unavailable, errNotYet.Error())
+	}
+	return answer[*messenger.MarkReply](s.loop.handle(ctx, budgeter.Mark{Request: r}))
 }
 
 // Ask transfers rights to another zone.
 func (s *budgetServer) Ask(ctx context.Context, r *messenger.AskRequest) (*messenger.AskReply, error) {
-	return answer[*messenger.AskReply](s.loop.step(ctx, budgeter.Ask{Request: r}))
+	return answer[*messenger.AskReply](s.loop.handle(ctx, budgeter.Ask{Request: r}))
 }
 
 // Give takes transfers from another zone.
 func (s *budgetServer) Give(ctx context.Context, r *messenger.GiveRequest) (*messenger.GiveReply, error) {
-	return answer[*messenger.GiveReply](s.loop.step(ctx, budgeter.Receive{Request: r}))
+	return answer[*messenger.GiveReply](s.loop.handle(ctx, budgeter.Receive{Request: r}))
 }
 
 // Books returns the accounts of a workspace in every zone that answers.
@@ -205,7 +173,7 @@
 // Charges returns the bills of a workspace from every zone that answers.
 func (s *budgetServer) Charges(ctx context.Context, r *messenger.ChargesRequest) (*messenger.ChargesReply, error) {
 	out := &messenger.ChargesReply{}
-	err := s.loop.read(ctx, func(v *budgeter.Vault) { out.Charges = v.Charges(r.Workspace, r.RequestId) })
+	err := s.localCharges(r, out)
 	if err != nil || r.Local {
 		return out, err
 	}
@@ -225,6 +193,32 @@
 	return out, nil
 }
 
+// chargesMost bounds the bills that one zone lists.
+const chargesMost = 10000
+
+// localCharges lists bills in the order of their request ids, from the disk:
+// they may be many, and memory holds none of them for long.
+func (s *budgetServer) localCharges(r *messenger.ChargesRequest, out *messenger.ChargesReply) error {
+	most := chargesMost
+	if r.Most > 0 {
+		most = min(most, int(r.Most))
+	}
+	prefix := rattanhoist.NewRequestKey(r.Workspace, r.RequestId).String()
+	return s.keeper.store.View(func(v storer.View) error {
+		return v.Each(budgeter.BucketCharges, prefix, func(key string, value []byte) error {
+			if len(out.Charges) >= most || r.RequestId != "" && key != prefix {
+				return nil
+			}
+			c := &messenger.Charge{}
+			if err := proto.Unmarshal(value, c); err != nil {
+				return budgeter.ErrCorrupt
+			}
+			out.Charges = append(out.Charges, c)
+			return nil
+		})
+	})
+}
+
 func zonesOf(peers []peer) []string {
 	var out []string
 	for _, p := range peers {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -52,10 +52,7 @@
 		cleanUp()
 		return nil, nil, err
 	}
-	if k.budget, err = newBudgetServer(k); err != nil {
-		cleanUp()
-		return nil, nil, err
-	}
+	k.budget = newBudgetServer(k)
 	k.server = messenger.NewServer(messenger.Keys{
 		messenger.RoleMember:   s.DeploymentKey(),
 		messenger.RoleOperator: s.OperatorKey(),
--- a/keeper/peers.go
+++ b/keeper/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -11,11 +12,11 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// peerTimeout bounds one call to another keeper: a cut zone must not hold up
+// peerTimeout bounds one call to another process: a cut zone must not hold up
 // the answer of the others.
 const peerTimeout = 500 * time.Millisecond
 
-// peer is another keeper.
+// peer is another keeper, or a router of the zone.
 type peer struct {
 	process loader.Process
 	conn    *grpc.ClientConn
@@ -29,20 +30,32 @@
 	return messenger.NewConfigurationKeeperClient(p.conn)
 }
 
-// peers are the other keepers of the deployment; immutable.
+func (p peer) router() messenger.RouterPeerClient {
+	return messenger.NewRouterPeerClient(p.conn)
+}
+
+// peers are the processes that a keeper calls; immutable.
 type peers struct {
+	self loader.Process
+	// List holds the other keepers in the order of the settings.
 	list []peer
+	// Routers holds the zone's routers.
+	routers []peer
+	// Mirror is the name of the next keeper of another zone in the settings,
+	// as a ring; empty where there is none.
+	mirror string
 }
 
 func newPeers(s *loader.Settings, self loader.Process, d *messenger.Dialer) (*peers, func(), error) {
-	p := &peers{}
+	p := &peers{self: self, mirror: mirrorOf(s, self)}
 	cleanUp := func() {
-		for _, x := range p.list {
+		for _, x := range append(p.list, p.routers...) {
 			_ = x.conn.Close()
 		}
 	}
-	for _, other := range s.Processes(loader.KindKeeper) {
-		if other.Name() == self.Name() {
+	for _, other := range s.Processes("") {
+		isKeeper := other.Kind() == loader.KindKeeper
+		if isKeeper && other.Name() == self.Name() || !isKeeper && other.Zone() != self.Zone() {
 			continue
 		}
 		conn, err := d.Dial(other.RPC())
@@ -50,11 +63,31 @@
 			cleanUp()
 			return nil, nil, err
 		}
-		p.list = append(p.list, peer{process: other, conn: conn})
+		if isKeeper {
+			p.list = append(p.list, peer{process: other, conn: conn})
+		} else {
+			p.routers = append(p.routers, peer{process: other, conn: conn})
+		}
 	}
 	return p, cleanUp, nil
 }
 
+// mirrorOf returns the name of the next keeper of another zone.
+func mirrorOf(s *loader.Settings, self loader.Process) string {
+	all := s.Processes(loader.KindKeeper)
+	for i, k := range all {
+		if k.Name() != self.Name() {
+			continue
+		}
+		for n := 1; n < len(all); n++ {
+			if next := all[(i+n)%len(all)]; next.Zone() != self.Zone() {
+				return next.Name()
+			}
+		}
+	}
+	return ""
+}
+
 // zone returns the first keeper of a zone.
 func (p *peers) zone(name string) (peer, bool) {
 	for _, x := range p.list {
@@ -74,12 +107,48 @@
 	return peer{}, false
 }
 
-// each calls f for every peer at once, each within peerTimeout, and returns
-// the peers whose call failed.
+// markHolders returns the keepers that keep this one's solo marks: the mirror
+// is the one that is lost when a mark is left.
+func (p *peers) markHolders() []peer {
+	var out []peer
+	for _, x := range p.list {
+		if x.process.Name() != p.mirror {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// routersElsewhere returns the zone's routers on other VMs: one on this VM
+// would be lost together with the disk.
+func (p *peers) routersElsewhere() []peer {
+	var out []peer
+	for _, x := range p.routers {
+		if host(x.process) != host(p.self) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func host(p loader.Process) string {
+	h, _, err := net.SplitHostPort(p.RPC())
+	if err != nil {
+		return p.RPC()
+	}
+	return h
+}
+
+// each calls f for every other keeper at once, each within peerTimeout, and
+// returns the peers whose call failed.
 func (p *peers) each(ctx context.Context, f func(context.Context, peer) error) []peer {
+	return each(ctx, p.list, f)
+}
+
+func each(ctx context.Context, list []peer, f func(context.Context, peer) error) []peer {
 	var wg sync.WaitGroup
-	failed := make([]bool, len(p.list))
-	for i, x := range p.list {
+	failed := make([]bool, len(list))
+	for i, x := range list {
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
@@ -90,8 +159,26 @@
 	var out []peer
 	for i, bad := range failed {
 		if bad {
-			out = append(out, p.list[i])
+			out = append(out, list[i])
 		}
 	}
 	return out
 }
+
+// firstOf calls f for every peer at once and returns nil as soon as one call
+// succeeds, or the last error.
+func firstOf(ctx context.Context, list []peer, f func(context.Context, peer) error) error {
+	results := make(chan error, len(list))
+	for _, x := range list {
+		go func() { results <- f(ctx, x) }()
+	}
+	var err error = errNotYet
+	for range list {
+		last := <-results
+		if last == nil {
+			return nil
+		}
+		err = last
+	}
+	return err
+}
--- a/keeper/vault_loop.go
+++ b/keeper/vault_loop.go
@@ -2,16 +2,65 @@
 
 import (
 	"context"
+	"expvar"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"rattanhoist.example/rattanhoist/budgeter"
+	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/storer"
 )
 
-// commitMost bounds how many events share one sync.
-const commitMost = 512
+// errNotYet says that an answer would not be durable now: the vault starts,
+// or neither the mirror nor another holder knows of the commit. The same
+// request works later.
+var errNotYet = merry.Sentinel("budget can't be answered durably now; ask again")
+
+const (
+	// commitMost bounds how many events share one sync.
+	commitMost = 512
+	// mirrorTimeout bounds how long answers wait for the mirror before the
+	// vault goes on alone.
+	mirrorTimeout = 300 * time.Millisecond
+)
+
+// The row of the last commit, the incarnation that was paired, and the mark
+// of a restore in progress.
+const (
+	bucketCommit = "budget_commit"
+	keyState     = "state"
+	keyPaired    = "paired"
+	keyRestoring = "restoring"
+)
+
+var (
+	vaultVars       = expvar.NewMap("budget_vault")
+	countCommits    = new(expvar.Int)
+	countEvents     = new(expvar.Int)
+	countRows       = new(expvar.Int)
+	countMirrored   = new(expvar.Int)
+	countAtRisk     = new(expvar.Int)
+	countRefused    = new(expvar.Int)
+	countDuplicates = new(expvar.Int)
+	textMode        = new(expvar.String)
+)
+
+func init() {
+	vaultVars.Set("commits", countCommits)
+	vaultVars.Set("events", countEvents)
+	vaultVars.Set("rows", countRows)
+	vaultVars.Set("mirrored_bytes", countMirrored)
+	vaultVars.Set("commits_on_one_disk", countAtRisk)
+	vaultVars.Set("not_durable_now", countRefused)
+	vaultVars.Set("reversed_duplicates", countDuplicates)
+	vaultVars.Set("mode", textMode)
+}
 
 // call is one event with the place for its answer, or a read.
 type call struct {
@@ -20,27 +69,115 @@
 	done  chan budgeter.Reply
 }
 
+// mirrorLink copies commits to the mirror and leaves solo marks.
+type mirrorLink interface {
+	// Exists reports whether there is a mirror at all.
+	exists() bool
+	// Copy returns nil once the mirror has synced the commit.
+	copy(context.Context, *messenger.CopyRequest) error
+	// Mark returns nil once another node than the mirror holds the mark.
+	mark(context.Context, *messenger.SoloMark) error
+}
+
 // vaultLoop runs the vault: one goroutine steps it, syncs the rows of every
-// waiting event in one commit, and only then answers.
+// waiting event in one commit on both disks, and only then answers.
 type vaultLoop struct {
 	vault *budgeter.Vault
 	store *storer.Store
-	calls chan call
-	ended chan struct{}
+	link  mirrorLink
+	log   *zap.Logger
+	// Mu guards copier, which pairing shares.
+	mu     sync.Mutex
+	copier *budgeter.Copier
+	calls  chan call
+	ended  chan struct{}
+	// Mode is the copier's, for those who may not wait for mu.
+	mode atomic.Value
 }
 
-func newVaultLoop(zone string, store *storer.Store) (*vaultLoop, error) {
+func newVaultLoop(zone string, store *storer.Store, link mirrorLink, log *zap.Logger) *vaultLoop {
 	l := &vaultLoop{
-		vault: budgeter.NewVault(zone), store: store,
+		vault: budgeter.NewVault(zone, store), store: store, link: link, log: log,
 		calls: make(chan call, commitMost), ended: make(chan struct{}),
 	}
-	for _, b := range budgeter.Buckets {
-		err := store.Each(b, func(key string, value []byte) error { return l.vault.Restore(b, key, value) })
+	l.mode.Store(budgeter.ModeStarting)
+	return l
+}
+
+// begun reports whether the store holds a vault whose first commit is synced.
+func (l *vaultLoop) begun() (bool, error) {
+	state, err := l.store.Get(bucketCommit, keyState)
+	if err != nil {
+		return false, err
+	}
+	restoring, err := l.store.Get(bucketCommit, keyRestoring)
+	return state != nil && restoring == nil, err
+}
+
+// load takes the stored rows in and checks that the books balance.
+func (l *vaultLoop) load() error {
+	for _, b := range budgeter.Resident {
+		err := l.store.Each(b, func(key string, value []byte) error { return l.vault.Restore(b, key, value) })
 		if err != nil {
-			return nil, err
+			return err
 		}
 	}
-	return l, nil
+	return l.vault.Check()
+}
+
+// start prepares the copier from the stored state.
+func (l *vaultLoop) start() error {
+	b, err := l.store.Get(bucketCommit, keyState)
+	if err != nil {
+		return err
+	}
+	state := &messenger.CopyState{}
+	if err := proto.Unmarshal(b, state); err != nil {
+		return budgeter.ErrCorrupt
+	}
+	paired, err := l.store.Get(bucketCommit, keyPaired)
+	if err != nil {
+		return err
+	}
+	l.startCopier(state, string(paired) == strconv.FormatUint(state.Incarnation, 10))
+	return nil
+}
+
+func (l *vaultLoop) startCopier(state *messenger.CopyState, paired bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.copier = budgeter.NewCopier(state, paired, func(from, to string) {
+		l.setMode(to)
+		l.log.Info("mirror mode changed", zap.String("from", from), zap.String("to", to))
+	})
+	l.setMode(l.copier.Mode())
+}
+
+func (l *vaultLoop) setMode(mode string) {
+	l.mode.Store(mode)
+	textMode.Set(mode)
+}
+
+// currentMode returns how commits are copied; see budgeter.ModePaired.
+func (l *vaultLoop) currentMode() string { return l.mode.Load().(string) }
+
+// begin makes the first commit of an incarnation. Rows that were restored
+// count only from here on.
+func (l *vaultLoop) begin(e budgeter.Begin) error {
+	var writes []budgeter.Write
+	for _, a := range l.vault.Step(time.Now(), e) {
+		if w, ok := a.(budgeter.Write); ok {
+			writes = append(writes, w)
+		}
+	}
+	l.startCopier(&messenger.CopyState{Zone: l.vault.Zone(), Incarnation: e.Incarnation}, false)
+	r, _ := l.number(budgeter.CopyRows(writes))
+	rows := append(storeRows(r), storer.Row{Bucket: bucketCommit, Key: keyRestoring}, storer.Row{Bucket: bucketCommit, Key: keyPaired})
+	if err := l.store.Apply(rows); err != nil {
+		return err
+	}
+	l.vault.Synced()
+	return nil
 }
 
 // run steps the vault until ctx ends or the store fails. After a failed
@@ -53,7 +190,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case c := <-l.calls:
-			if err := l.commit(l.gather(c)); err != nil {
+			if err := l.commit(ctx, l.gather(c)); err != nil {
 				return err
 			}
 		}
@@ -73,32 +210,158 @@
 	return batch
 }
 
-func (l *vaultLoop) commit(batch []call) error {
-	var rows []storer.Row
-	replies := make([]budgeter.Reply, len(batch))
-	for i, c := range batch {
+// commit answers reads at once; the events share one sync.
+func (l *vaultLoop) commit(ctx context.Context, batch []call) error {
+	var writes []budgeter.Write
+	var events []call
+	var replies []budgeter.Reply
+	for _, c := range batch {
 		if c.read != nil {
 			c.read(l.vault)
+			c.done <- budgeter.Reply{}
 			continue
 		}
-		for _, a := range l.vault.Step(time.Now(), c.event) {
-			switch a := a.(type) {
-			case budgeter.Write:
-				rows = append(rows, storer.Row(a))
-			case budgeter.Reply:
-				replies[i] = a
-			}
+		w, r := l.step(c.event)
+		writes = append(writes, w...)
+		events = append(events, c)
+		replies = append(replies, r)
+	}
+	if len(events) == 0 {
+		return nil
+	}
+	if err := l.sync(ctx, budgeter.CopyRows(writes)); err != nil {
+		return err
+	}
+	countEvents.Add(int64(len(events)))
+	mode := l.currentMode()
+	for i, c := range events {
+		c.done <- release(mode, c.event, replies[i])
+	}
+	return nil
+}
+
+func (l *vaultLoop) step(e budgeter.Event) (writes []budgeter.Write, reply budgeter.Reply) {
+	mode := l.currentMode()
+	if _, ok := e.(budgeter.Ask); mode == budgeter.ModeStarting || ok && mode == budgeter.ModeSolo {
+		return nil, budgeter.Reply{Err: errNotYet}
+	}
+	for _, a := range l.vault.Step(time.Now(), e) {
+		switch a := a.(type) {
+		case budgeter.Write:
+			writes = append(writes, a)
+		case budgeter.Reply:
+			reply = a
 		}
 	}
-	if err := l.store.Apply(rows); err != nil {
+	return writes, reply
+}
+
+// release decides whether an answer may leave and says how durable it is.
+func release(mode string, e budgeter.Event, r budgeter.Reply) budgeter.Reply {
+	if r.Err != nil {
+		return r
+	}
+	if mode != budgeter.ModePaired && (mode != budgeter.ModeSolo || budgeter.NeedsTwoDisks(e)) {
+		countRefused.Add(1)
+		return budgeter.Reply{Err: errNotYet}
+	}
+	if c, ok := r.Message.(*messenger.ChargeReply); ok {
+		c.TwoDisks = mode == budgeter.ModePaired
+	}
+	return r
+}
+
+// sync writes the rows to this disk and the mirror's at the same time. A
+// commit without rows is not written, except to move past a solo mark.
+func (l *vaultLoop) sync(ctx context.Context, rows []*messenger.CopyRow) error {
+	if len(rows) == 0 {
+		l.leaveMark(ctx)
+		return nil
+	}
+	r, mode := l.number(rows)
+	copied := make(chan error, 1)
+	if mode == budgeter.ModePaired {
+		go func() { copied <- l.copy(ctx, r) }()
+	}
+	if err := l.store.Apply(storeRows(r)); err != nil {
 		return err
 	}
-	for i, c := range batch {
-		c.done <- replies[i]
+	l.vault.Synced()
+	countCommits.Add(1)
+	countRows.Add(int64(len(rows)))
+	if mode == budgeter.ModePaired {
+		if err := <-copied; err != nil {
+			l.lost(err)
+		}
 	}
+	l.leaveMark(ctx)
 	return nil
 }
 
+func (l *vaultLoop) copy(ctx context.Context, r *messenger.CopyRequest) error {
+	if !l.link.exists() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
+	defer cancel()
+	countMirrored.Add(int64(proto.Size(r)))
+	return l.link.copy(ctx, r)
+}
+
+// number gives the rows the next commit number.
+func (l *vaultLoop) number(rows []*messenger.CopyRow) (*messenger.CopyRequest, string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.copier.Commit(rows)
+	countAtRisk.Set(int64(l.copier.AtRisk()))
+	return r, l.copier.Mode()
+}
+
+func (l *vaultLoop) lost(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.log.Warn("mirror does not take commits", zap.Error(err))
+	l.copier.Lost()
+}
+
+// leaveMark has another node remember that the copy falls behind, before
+// anything is answered without it.
+func (l *vaultLoop) leaveMark(ctx context.Context) {
+	if l.currentMode() != budgeter.ModeMarking {
+		return
+	}
+	l.mu.Lock()
+	commit := l.copier.State().Number
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
+	defer cancel()
+	if err := l.link.mark(ctx, l.vault.SoloMark(commit)); err != nil {
+		l.log.Debug("nobody holds the solo mark", zap.Error(err))
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.copier.Marked()
+}
+
+// storeRows are the rows of a commit with its state, for this disk.
+func storeRows(r *messenger.CopyRequest) []storer.Row {
+	rows := make([]storer.Row, 0, len(r.Rows)+1)
+	for _, x := range r.Rows {
+		rows = append(rows, storer.Row{Bucket: x.Bucket, Key: x.Key, Value: x.Value})
+	}
+	return append(rows, storer.Row{Bucket: bucketCommit, Key: keyState, Value: marshal(r.State)})
+}
+
+func marshal(m proto.Message) []byte {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		// Marshalling fails only on invalid UTF-8, which the wire rejects.
+		panic(err)
+	}
+	return append([]byte{}, b...)
+}
+
 func (l *vaultLoop) do(ctx context.Context, c call) (proto.Message, error) {
 	c.done = make(chan budgeter.Reply, 1)
 	select {
@@ -118,12 +381,13 @@
 	}
 }
 
-// step has the vault handle an event and returns its durable answer.
-func (l *vaultLoop) step(ctx context.Context, e budgeter.Event) (proto.Message, error) {
+// handle has the vault handle an event and returns its durable answer.
+func (l *vaultLoop) handle(ctx context.Context, e budgeter.Event) (proto.Message, error) {
 	return l.do(ctx, call{event: e})
 }
 
-// read runs f on the vault between two events.
+// read runs f on the vault between two events; it waits for no sync but the
+// one in progress.
 func (l *vaultLoop) read(ctx context.Context, f func(*budgeter.Vault)) error {
 	_, err := l.do(ctx, call{read: f})
 	return err
--- /dev/null
+++ b/keeper/vault_rounds.go
@@ -0,0 +1,179 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/budgeter"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+const (
+	// roundEvery is the pause between rounds of resends.
+	roundEvery = 200 * time.Millisecond
+	// handOverMost bounds the charges of one call.
+	handOverMost = 256
+)
+
+// rounds repeats what other processes have not yet confirmed. Without it a
+// lost answer would leave rights in transfer, or a dead router's remainder
+// leased, for ever.
+func (s *budgetServer) rounds(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.resend(ctx)
+		s.release(ctx)
+		s.handOver(ctx)
+		s.watchRouters(ctx)
+		pause(ctx, roundEvery)
+	}
+}
+
+// resend pushes transfers until the other zone has them on disk. None leaves
+// before it is on two disks here: a restored copy would still hold the rights.
+func (s *budgetServer) resend(ctx context.Context) {
+	if s.loop.currentMode() != budgeter.ModePaired {
+		return
+	}
+	byZone := map[string]*messenger.GiveRequest{}
+	_ = s.loop.read(ctx, func(v *budgeter.Vault) {
+		for _, t := range v.Pending() {
+			if byZone[t.ToZone] == nil {
+				byZone[t.ToZone] = &messenger.GiveRequest{}
+			}
+			byZone[t.ToZone].Transfers = append(byZone[t.ToZone].Transfers, t)
+		}
+	})
+	for zone, r := range byZone {
+		if p, ok := s.keeper.peers.zone(zone); ok {
+			s.give(ctx, p, r)
+		}
+	}
+}
+
+func (s *budgetServer) give(ctx context.Context, p peer, r *messenger.GiveRequest) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	got, err := p.budget().Give(ctx, r)
+	if err == nil && len(got.AcceptedIds) > 0 {
+		_, _ = s.loop.handle(ctx, budgeter.Confirm{TransferIDs: got.AcceptedIds})
+	}
+}
+
+// release returns what fenced incarnations had left, once the witness refuses
+// them too. It waits until the fence is on two disks: a restored copy without
+// it would take charges for rights that somebody else spends.
+func (s *budgetServer) release(ctx context.Context) {
+	if s.loop.currentMode() != budgeter.ModePaired {
+		return
+	}
+	var fencing []*messenger.FenceWitnessRequest
+	_ = s.loop.read(ctx, func(v *budgeter.Vault) {
+		for _, r := range v.Fencing() {
+			fencing = append(fencing, &messenger.FenceWitnessRequest{Zone: v.Zone(), Router: r.Router, Incarnation: r.Fenced})
+		}
+	})
+	for _, r := range fencing {
+		if err := s.releaseOne(ctx, r); err != nil && ctx.Err() == nil {
+			s.log().Debug("remainder waits for the witness", zap.String("router", r.Router), zap.Error(err))
+		}
+	}
+}
+
+func (s *budgetServer) releaseOne(ctx context.Context, r *messenger.FenceWitnessRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	got := &messenger.FenceWitnessReply{}
+	if s.sender.exists() {
+		var err error
+		if got, err = s.sender.client().FenceWitness(ctx, r); err != nil {
+			return err
+		}
+	}
+	m, err := s.loop.handle(ctx, budgeter.Release{Router: r.Router, Incarnation: r.Incarnation, Witness: got})
+	if err != nil {
+		return err
+	}
+	s.log().Info("remainder of a fenced router returned", zap.String("router", r.Router),
+		zap.Uint64("incarnation", r.Incarnation), zap.Int64("tokens", m.(*messenger.FenceReply).ReturnedTokens))
+	return nil
+}
+
+// handOver brings witnessed charges to their own keepers.
+func (s *budgetServer) handOver(ctx context.Context) {
+	for _, p := range s.keeper.peers.list {
+		var charges []*messenger.Charge
+		_ = s.loop.read(ctx, func(v *budgeter.Vault) { charges = v.Witnessed(p.process.Zone(), handOverMost) })
+		if len(charges) == 0 {
+			continue
+		}
+		c, cancel := context.WithTimeout(ctx, peerTimeout)
+		_, err := p.budget().HandOver(c, &messenger.HandOverRequest{Charges: charges})
+		cancel()
+		if err == nil {
+			_, _ = s.loop.handle(ctx, budgeter.HandedOver{Charges: charges})
+		}
+	}
+}
+
+const (
+	// watchEvery is the pause between questions to the zone's routers.
+	watchEvery = time.Second
+	// silenceMost is how long a router may be silent before it is fenced and
+	// its rights are given to others. Fencing a router that lives costs it its
+	// requests in progress, so it is much longer than a pause or a restart.
+	silenceMost = 10 * time.Second
+)
+
+// routerWatch is what a keeper knows of the life of its zone's routers.
+type routerWatch struct {
+	asked time.Time
+	// Heard maps names to the last answer.
+	heard map[string]time.Time
+}
+
+// watchRouters fences routers that are silent: a VM that is lost for good
+// does not register again, and its slice would count as spent for ever.
+func (s *budgetServer) watchRouters(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(s.watch.asked) < watchEvery {
+		return
+	}
+	s.watch.asked = now
+	routers := s.keeper.peers.routers
+	silent := each(ctx, routers, func(ctx context.Context, p peer) error {
+		// Nothing is recalled: any answer shows that the process lives.
+		_, err := p.router().Recall(ctx, &messenger.RecallRequest{})
+		return err
+	})
+	for _, p := range routers {
+		if s.watch.heard[p.process.Name()].IsZero() {
+			s.watch.heard[p.process.Name()] = now
+		}
+	}
+	lost := map[string]bool{}
+	for _, p := range silent {
+		lost[p.process.Name()] = true
+	}
+	for _, p := range routers {
+		name := p.process.Name()
+		if !lost[name] {
+			s.watch.heard[name] = now
+		} else if now.Sub(s.watch.heard[name]) > silenceMost {
+			s.fenceSilent(ctx, name)
+		}
+	}
+}
+
+func (s *budgetServer) fenceSilent(ctx context.Context, name string) {
+	var incarnation uint64
+	_ = s.loop.read(ctx, func(v *budgeter.Vault) { incarnation = v.Unfenced(name) })
+	if incarnation == 0 {
+		return
+	}
+	_, err := s.loop.handle(ctx, budgeter.Fence{Request: &messenger.FenceRequest{Router: name, Incarnation: incarnation}})
+	if err == nil {
+		s.log().Warn("silent router fenced", zap.String("router", name), zap.Uint64("incarnation", incarnation))
+	}
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -40,7 +41,12 @@
 	if err := os.MkdirAll(dir, dirMode); err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
-	db, err := bbolt.Open(filepath.Join(dir, fileName), fileMode, &bbolt.Options{Timeout: lockTimeout})
+	db, err := bbolt.Open(filepath.Join(dir, fileName), fileMode, &bbolt.Options{
+		Timeout: lockTimeout,
+		// The list of free pages is rebuilt at the start instead of written
+		// with every commit: it grows with the file.
+		NoFreelistSync: true, FreelistType: bbolt.FreelistMapType,
+	})
 	if err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
@@ -77,26 +83,81 @@
 	return b.Put([]byte(r.Key), r.Value)
 }
 
+// Clear removes all rows of the buckets.
+func (s *Store) Clear(buckets ...string) error {
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		for _, b := range buckets {
+			if tx.Bucket([]byte(b)) == nil {
+				continue
+			}
+			if err := tx.DeleteBucket([]byte(b)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return merry.Errorf("%w: %s", ErrStore, err.Error())
+	}
+	return nil
+}
+
 // Each calls f for every row of a bucket in key order. The value is valid
 // only during the call.
 func (s *Store) Each(bucket string, f func(key string, value []byte) error) error {
-	return s.db.View(func(tx *bbolt.Tx) error {
-		b := tx.Bucket([]byte(bucket))
-		if b == nil {
-			return nil
-		}
-		return b.ForEach(func(k, v []byte) error { return f(string(k), v) })
-	})
+	return s.View(func(v View) error { return v.Each(bucket, "", f) })
 }
 
-// Get returns a copy of the value of a key, or nil.
+// Get returns a copy of the value of a key, or nil where there is none.
 func (s *Store) Get(bucket, key string) ([]byte, error) {
 	var out []byte
-	err := s.db.View(func(tx *bbolt.Tx) error {
-		if b := tx.Bucket([]byte(bucket)); b != nil {
-			out = append(out, b.Get([]byte(key))...)
+	err := s.View(func(v View) error {
+		if b := v.Get(bucket, key); b != nil {
+			out = append([]byte{}, b...)
 		}
 		return nil
 	})
 	return out, err
 }
+
+// View is one consistent state of the store. It is valid only in the call
+// that it is given to.
+type View struct{ tx *bbolt.Tx }
+
+// View calls f with the latest state; writers go on meanwhile.
+func (s *Store) View(f func(View) error) error {
+	return s.db.View(func(tx *bbolt.Tx) error { return f(View{tx: tx}) })
+}
+
+// Get returns the value of a key, or nil where there is none.
+func (v View) Get(bucket, key string) []byte {
+	b := v.tx.Bucket([]byte(bucket))
+	if b == nil {
+		return nil
+	}
+	return b.Get([]byte(key))
+}
+
+// Each calls f for every row whose key begins with prefix, in key order.
+func (v View) Each(bucket, prefix string, f func(key string, value []byte) error) error {
+	b := v.tx.Bucket([]byte(bucket))
+	if b == nil {
+		return nil
+	}
+	c := b.Cursor()
+	for k, value := c.Seek([]byte(prefix)); k != nil && strings.HasPrefix(string(k), prefix); k, value = c.Next() {
+		if err := f(string(k), value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Size returns the bytes of the store's file.
+func (s *Store) Size() (n int64) {
+	_ = s.View(func(v View) error {
+		n = v.tx.Size()
+		return nil
+	})
+	return n
+}
