Stand-ins: resume and cancel streams, batch, cache, faults, load

Cause: the stand-in engine could only stream once; tests of resume, of broken answers and of load had nothing to run against. Change: a generation goes on without its connection (Stream-Id, GET and DELETE /v1/streams/ID), batches by priority, caches prefixes, reports load late and takes faults by POST /faults; a bounded load command checks every answer against an oracle that depends on the request alone. Ruled out: counting runs at the connection, since a resumed stream is one run.

--- a/cmd/rattanhoist-standin/main.go
+++ b/cmd/rattanhoist-standin/main.go
@@ -23,7 +23,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "rattanhoist-standin", Short: "Stand-ins for engines, plain services and callers", SilenceUsage: true}
-	root.AddCommand(endpointCommand("engine"), endpointCommand("plain"), callCommand())
+	root.AddCommand(endpointCommand("engine"), endpointCommand("plain"), callCommand(), loadCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
@@ -37,9 +37,19 @@
 
 type endpointFlags struct {
 	name, service, zone, listen, keyFile, runLog string
-	routers, labels                              []string
+	routers, announceTo, labels                  []string
 	capacity                                     int
-	pace                                         time.Duration
+	pace, prefill, loadLag, grace, keep, drain   time.Duration
+	announceEvery                                time.Duration
+	checksFencing                                bool
+	cacheBlocks                                  int
+}
+
+func (f *endpointFlags) engineOptions() imitator.EngineOptions {
+	return imitator.EngineOptions{
+		Capacity: f.capacity, TokenTime: f.pace, PrefillTime: f.prefill, CacheBlocks: f.cacheBlocks,
+		LoadLag: f.loadLag, Grace: f.grace, Keep: f.keep,
+	}
 }
 
 func endpointCommand(kind string) *cobra.Command {
@@ -58,11 +68,20 @@
 	c.Flags().StringSliceVar(&f.labels, "label", nil, "key=value (repeatable)")
 	c.Flags().IntVar(&f.capacity, "capacity", 8, "requests that run at once")
 	c.Flags().DurationVar(&f.pace, "pace", 2*time.Millisecond, "time of a token, or of a plain call")
+	c.Flags().StringSliceVar(&f.announceTo, "announce-to", nil, "host:port of the only routers to announce to, in place of --router")
+	c.Flags().DurationVar(&f.announceEvery, "announce-every", 500*time.Millisecond, "time between announcements")
+	c.Flags().BoolVar(&f.checksFencing, "checks-fencing", false, "announce that orders with an old fencing number are refused")
+	c.Flags().DurationVar(&f.drain, "drain", 10*time.Second, "longest wait for requests in progress after a leave")
+	if kind == "engine" {
+		c.Flags().DurationVar(&f.prefill, "prefill", 20*time.Microsecond, "time for a prompt token that is not cached")
+		c.Flags().DurationVar(&f.loadLag, "load-lag", 200*time.Millisecond, "age of the load that it reports")
+		c.Flags().DurationVar(&f.grace, "grace", 2*time.Second, "how long a run goes on after its connection is lost")
+		c.Flags().DurationVar(&f.keep, "keep", 30*time.Second, "how long a finished stream can be resumed")
+		c.Flags().IntVar(&f.cacheBlocks, "cache-blocks", 1024, "prefix cache, in blocks of 64 bytes")
+	}
 	return c
 }
 
-const announceEvery = 500 * time.Millisecond
-
 func (f *endpointFlags) serve(ctx context.Context, kind string) error {
 	key, err := os.ReadFile(f.keyFile)
 	if err != nil {
@@ -73,7 +92,7 @@
 		return err
 	}
 	defer func() { _ = closeRuns() }()
-	var w worker = imitator.NewEngine(f.capacity, f.pace, runs)
+	var w worker = imitator.NewEngine(f.engineOptions(), runs)
 	if kind == "plain" {
 		w = imitator.NewPlain(f.capacity, f.pace, runs)
 	}
@@ -81,10 +100,15 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
+	routers := f.routers
+	if len(f.announceTo) > 0 {
+		routers = f.announceTo
+	}
+	a := imitator.NewAnnouncer(f.announcement(), routers, strings.TrimSpace(string(key)), f.announceEvery, w.Load)
+	server := &http.Server{Handler: a.Control(w), ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(l) }()
-	imitator.NewAnnouncer(f.announcement(), f.routers, strings.TrimSpace(string(key)), announceEvery, w.Load).Run(ctx)
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), 10*time.Second)
+	a.Run(ctx)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.drain)
 	defer cancel()
 	return server.Shutdown(stop)
 }
@@ -97,7 +121,7 @@
 	}
 	return imitator.Announcement{
 		Name: f.name, Service: f.service, Zone: f.zone, Address: f.listen,
-		Labels: labels, Capacity: int64(f.capacity),
+		Labels: labels, Capacity: int64(f.capacity), ChecksFencing: f.checksFencing,
 	}
 }
 
--- a/imitator/announcer.go
+++ b/imitator/announcer.go
@@ -30,9 +30,11 @@
 	key     string
 	every   time.Duration
 	load    func() int64
+	client  *http.Client
 	mu      sync.Mutex
 	state   Announcement
-	client  *http.Client
+	// Silent says that no renewals are sent.
+	silent bool
 }
 
 // NewAnnouncer returns an announcer to routers given as host:port.
@@ -46,20 +48,54 @@
 	t := time.NewTicker(a.every)
 	defer t.Stop()
 	for {
-		a.announce(false)
+		a.renew()
 		select {
 		case <-ctx.Done():
-			a.announce(true)
+			a.Leave()
 			return
 		case <-t.C:
 		}
 	}
 }
 
-func (a *Announcer) announce(leaving bool) {
+func (a *Announcer) renew() {
+	a.mu.Lock()
+	silent := a.silent
+	a.mu.Unlock()
+	if !silent {
+		a.announce(func(*Announcement) {})
+	}
+}
+
+// Leave says that the endpoint takes no new work and ends the renewals.
+func (a *Announcer) Leave() {
+	a.Silence()
+	a.announce(func(s *Announcement) { s.Leaving = true })
+}
+
+// Join announces under a new incarnation and renews from then on.
+func (a *Announcer) Join() {
+	a.announce(func(s *Announcement) {
+		s.Leaving = false
+		s.Incarnation = uint64(time.Now().UnixNano())
+		s.Sequence = 1
+	})
+	a.mu.Lock()
+	a.silent = false
+	a.mu.Unlock()
+}
+
+// Silence ends the renewals without a word.
+func (a *Announcer) Silence() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.silent = true
+}
+
+func (a *Announcer) announce(change func(*Announcement)) {
 	a.mu.Lock()
 	a.state.Sequence++
-	a.state.Leaving = leaving
+	change(&a.state)
 	a.state.Load = a.load()
 	b, err := json.Marshal(a.state)
 	a.mu.Unlock()
@@ -84,3 +120,16 @@
 		_ = resp.Body.Close()
 	}
 }
+
+// Control adds the commands POST /leave, /join and /silence to a stand-in.
+func (a *Announcer) Control(next http.Handler) http.Handler {
+	m := http.NewServeMux()
+	m.Handle("/", next)
+	for path, command := range map[string]func(){"/leave": a.Leave, "/join": a.Join, "/silence": a.Silence} {
+		m.HandleFunc("POST "+path, func(w http.ResponseWriter, _ *http.Request) {
+			command()
+			w.WriteHeader(http.StatusNoContent)
+		})
+	}
+	return m
+}
--- a/imitator/engine.go
+++ b/imitator/engine.go
@@ -3,160 +3,280 @@
 package imitator
 
 import (
-	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
+	"sync"
 	"time"
+
+	"github.com/google/uuid"
 )
 
-// Headers that a router sends to an endpoint.
+// Headers between a router and an endpoint.
 const (
 	headerRequestID = "Request-Id"
+	headerPriority  = "Request-Priority"
+	// HeaderStreamID names the stream under which an answer can be resumed.
+	HeaderStreamID = "Stream-Id"
 )
 
-var words = strings.Fields("roof beam joist damp crack tile gutter render sill hinge paint drain wall slab vent pipe")
+// EngineOptions configure an engine; zero values take the defaults.
+type EngineOptions struct {
+	// Capacity is how many generations run at once; 8 by default.
+	Capacity int
+	// TokenTime is the time of a token of a generation that runs alone.
+	TokenTime time.Duration
+	// PrefillTime is the time for a prompt token that is not cached.
+	PrefillTime time.Duration
+	// CacheBlocks is the size of the prefix cache; 1024 by default.
+	CacheBlocks int
+	// LoadLag is the age of a reported load.
+	LoadLag time.Duration
+	// Grace is how long a run goes on after its connection is lost; 2s by
+	// default.
+	Grace time.Duration
+	// Keep is how long a finished stream can be resumed; 30s by default.
+	Keep time.Duration
+}
 
-// Answer returns the n words that every engine generates for a request: it
-// depends on the request's identity and body alone, so anyone can tell the
-// whole answer from a fragment or another's.
-func Answer(requestID string, body []byte, n int64) []string {
-	sum := sha256.Sum256(append([]byte(requestID+"\x00"), body...))
-	r := rand.New(rand.NewChaCha8(sum))
-	out := make([]string, 0, n)
-	for range n {
-		out = append(out, words[r.IntN(len(words))]+" ")
+const (
+	defaultCapacity = 8
+	defaultGrace    = 2 * time.Second
+	defaultKeep     = 30 * time.Second
+	maxStreams      = 4096
+)
+
+func (o EngineOptions) withDefaults() EngineOptions {
+	if o.Capacity == 0 {
+		o.Capacity = defaultCapacity
+	}
+	if o.CacheBlocks == 0 {
+		o.CacheBlocks = defaultBlocks
+	}
+	if o.Grace == 0 {
+		o.Grace = defaultGrace
 	}
-	return out
+	if o.Keep == 0 {
+		o.Keep = defaultKeep
+	}
+	return o
 }
 
-// Engine imitates a model engine that batches continuously.
+// Engine imitates a model engine: it batches continuously, caches prefixes,
+// honours priorities, and resumes and cancels streams by id.
 type Engine struct {
-	// Slots holds a value for each request that runs.
-	slots chan struct{}
-	// TokenTime is the pause between two tokens.
-	tokenTime time.Duration
-	runs      *RunLog
+	options EngineOptions
+	batch   *batch
+	cache   *prefixCache
+	report  *loadReport
+	faults  Faults
+	runs    *RunLog
+	mux     *http.ServeMux
+	mu      sync.Mutex
+	// Streams maps ids to generations, for Keep after their end.
+	streams map[string]*generation
 }
 
-// NewEngine returns an engine that runs capacity requests at once.
-func NewEngine(capacity int, tokenTime time.Duration, runs *RunLog) *Engine {
-	return &Engine{slots: make(chan struct{}, capacity), tokenTime: tokenTime, runs: runs}
+// NewEngine returns an engine.
+func NewEngine(o EngineOptions, runs *RunLog) *Engine {
+	o = o.withDefaults()
+	e := &Engine{
+		options: o, runs: runs, streams: map[string]*generation{},
+		batch:  &batch{capacity: o.Capacity, tokenTime: o.TokenTime},
+		cache:  newPrefixCache(o.CacheBlocks),
+		report: &loadReport{lag: o.LoadLag},
+		mux:    http.NewServeMux(),
+	}
+	e.mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	e.mux.HandleFunc("GET /v1/streams/{id}", e.resume)
+	e.mux.HandleFunc("DELETE /v1/streams/{id}", e.cancel)
+	e.mux.HandleFunc("GET /v1/cache_events", e.cacheEvents)
+	e.mux.Handle("/faults", &e.faults)
+	return e
 }
 
-// Load returns the requests in progress.
-func (e *Engine) Load() int64 { return int64(len(e.slots)) }
+// Faults returns the faults in force.
+func (e *Engine) Faults() *Faults { return &e.faults }
+
+// Load returns the requests in progress as the engine reports them.
+func (e *Engine) Load() int64 {
+	now := time.Now()
+	if n, ok := e.faults.lie(now); ok {
+		return n
+	}
+	return e.report.at(now)
+}
 
 // ServeHTTP implements http.Handler.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var q struct {
-		MaxTokens int64           `json:"max_tokens"`
-		Messages  json.RawMessage `json:"messages"`
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+type engineRequest struct {
+	MaxTokens int64           `json:"max_tokens"`
+	Messages  json.RawMessage `json:"messages"`
+}
+
+func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	if e.faults.Take(time.Now(), FaultRefuse) != nil {
+		http.Error(w, "refused by fault", http.StatusServiceUnavailable)
+		return
 	}
+	var q engineRequest
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	select {
-	case e.slots <- struct{}{}:
-	case <-r.Context().Done():
+	g, prompt, err := e.generation(r, q)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !e.keep(g) {
+		http.Error(w, "too many streams", http.StatusServiceUnavailable)
 		return
 	}
-	defer func() { <-e.slots }()
+	unfollow := g.follow(e.options.Grace)
+	defer unfollow()
+	go e.generate(g, prompt)
+	streamWriter{w: w, generation: g}.write(r.Context(), 0)
+}
+
+func (e *Engine) generation(r *http.Request, q engineRequest) (*generation, []byte, error) {
 	id := r.Header.Get(headerRequestID)
-	done := e.runs.Begin(id)
-	s := engineStream{w: w, id: id}
-	err := s.generate(r.Context(), Answer(id, q.Messages, answerLength(id, q.MaxTokens)), e.tokenTime, promptTokens(q.Messages))
-	done(err == nil)
+	prompt, err := canonical(q.Messages)
+	if err != nil {
+		return nil, nil, fmt.Errorf("messages: %w", err)
+	}
+	answer, err := Expect(id, prompt, q.MaxTokens)
+	if err != nil {
+		return nil, nil, err
+	}
+	priority, _ := strconv.Atoi(r.Header.Get(headerPriority))
+	now := time.Now()
+	fault := e.faults.Take(now, FaultStall, FaultDieMidStream, FaultDrop, FaultShort, FaultUnmarked, FaultLate, FaultCrossed, FaultCrossedPiece)
+	g := newGeneration(uuid.NewString(), id, answer, priority, fault, e.faults.slowdown(now))
+	return g, prompt, nil
 }
 
-// answerLength varies the answers between half and all of the bound.
-func answerLength(id string, most int64) int64 {
-	sum := sha256.Sum256([]byte(id))
-	half := most / 2
-	return half + int64(sum[0])%max(most-half, 1) + 1
+// keep stores a stream; it reports false when too many are held.
+func (e *Engine) keep(g *generation) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.streams) >= maxStreams {
+		return false
+	}
+	e.streams[g.streamID] = g
+	return true
 }
 
-// promptTokens counts about four bytes to a token, as engines do.
-func promptTokens(messages json.RawMessage) int64 { return int64(len(messages)+3) / 4 }
+func (e *Engine) forget(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.streams, id)
+}
 
-type engineStream struct {
-	w      http.ResponseWriter
-	id     string
-	offset int
+// generate runs one generation to its end, whoever follows it.
+func (e *Engine) generate(g *generation, prompt []byte) {
+	e.report.note(e.batch.load()+1, time.Now())
+	defer func() { e.report.note(e.batch.load(), time.Now()) }()
+	defer time.AfterFunc(e.options.Keep, func() { e.forget(g.streamID) })
+	if !e.batch.enter(g.priority, g.cancelled) {
+		g.finish(lost)
+		return
+	}
+	defer e.batch.leave()
+	done := e.runs.Begin(g.requestID)
+	s := generated
+	if !e.tokens(g, prompt) {
+		s = lost
+	}
+	done(s == generated)
+	g.finish(s)
 }
 
-func (s *engineStream) generate(ctx context.Context, tokens []string, pause time.Duration, prompt int64) error {
-	s.w.Header().Set("Content-Type", "text/event-stream")
-	digest := sha256.New()
-	for _, t := range tokens {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(pause):
+// tokens emits the answer; it reports false when the run was lost.
+func (e *Engine) tokens(g *generation, prompt []byte) bool {
+	missing := g.answer.PromptTokens - e.cache.use(prompt, time.Now())
+	wait := time.Duration(max(missing, 0)) * e.options.PrefillTime
+	if g.has(FaultLate) {
+		wait += g.fault.delay
+	}
+	if !g.pause(wait) {
+		return false
+	}
+	for i := range g.answer.Tokens {
+		if i == g.half() && g.has(FaultStall) {
+			<-g.cancelled
+			return false
 		}
-		digest.Write([]byte(t))
-		if err := s.send(map[string]any{"choices": []any{map[string]any{"index": 0, "delta": map[string]string{"content": t}}}}); err != nil {
-			return err
+		if i == g.half() && g.has(FaultDieMidStream) {
+			e.forget(g.streamID)
+			return false
 		}
-		s.offset += len(t)
-	}
-	err := s.send(map[string]any{
-		"choices": []any{map[string]any{"index": 0, "delta": map[string]string{}, "finish_reason": "stop"}},
-		"usage":   map[string]int64{"prompt_tokens": prompt, "completion_tokens": int64(len(tokens))},
-		"length":  s.offset, "digest": hex.EncodeToString(digest.Sum(nil)),
-	})
-	if err != nil {
-		return err
+		if !g.pause(e.batch.step()) {
+			return false
+		}
+		g.emit()
 	}
-	_, err = fmt.Fprint(s.w, "data: [DONE]\n\n")
-	return err
+	return true
 }
 
-func (s *engineStream) send(event map[string]any) error {
-	event["id"] = s.id
-	event["object"] = "chat.completion.chunk"
-	event["offset"] = s.offset
-	b, err := json.Marshal(event)
-	if err != nil {
-		return err
-	}
-	if _, err := fmt.Fprintf(s.w, "data: %s\n\n", b); err != nil {
-		return err
+// pause waits the time of a step; it reports false when cancelled before.
+func (g *generation) pause(d time.Duration) bool {
+	t := time.NewTimer(time.Duration(float64(d) * g.slowdown))
+	defer t.Stop()
+	select {
+	case <-g.cancelled:
+		return false
+	case <-t.C:
+		return true
 	}
-	return http.NewResponseController(s.w).Flush()
 }
 
-// Plain imitates a plain service; it counts its runs for each request.
-type Plain struct {
-	runs *RunLog
-	work time.Duration
-	busy chan struct{}
+func (e *Engine) stream(id string) *generation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.streams[id]
 }
 
-// NewPlain returns a plain service whose calls take work time.
-func NewPlain(capacity int, work time.Duration, runs *RunLog) *Plain {
-	return &Plain{runs: runs, work: work, busy: make(chan struct{}, capacity)}
+// resume sends the bytes of a run from an offset on and follows it to its
+// end.
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	g := e.stream(r.PathValue("id"))
+	if g == nil {
+		http.Error(w, "unknown stream", http.StatusNotFound)
+		return
+	}
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if err != nil || offset < 0 {
+		writeFieldError(w, &FieldError{Field: "offset", Detail: "want a number of bytes"})
+		return
+	}
+	if offset > g.length() {
+		http.Error(w, "offset is past the answer", http.StatusRequestedRangeNotSatisfiable)
+		return
+	}
+	if _, s, _ := g.view(); s == lost {
+		http.Error(w, "the run was cancelled", http.StatusGone)
+		return
+	}
+	unfollow := g.follow(e.options.Grace)
+	defer unfollow()
+	streamWriter{w: w, generation: g, resumed: true}.write(r.Context(), offset)
 }
 
-// Load returns the calls in progress.
-func (p *Plain) Load() int64 { return int64(len(p.busy)) }
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	g := e.stream(r.PathValue("id"))
+	if g == nil {
+		http.Error(w, "unknown stream", http.StatusNotFound)
+		return
+	}
+	g.cancel()
+	w.WriteHeader(http.StatusNoContent)
+}
 
-// ServeHTTP implements http.Handler.
-func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	p.busy <- struct{}{}
-	defer func() { <-p.busy }()
-	id := r.Header.Get(headerRequestID)
-	done := p.runs.Begin(id)
-	time.Sleep(p.work)
-	done(true)
-	w.Header().Set(headerRequestID, id)
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Run-Count", strconv.Itoa(p.runs.Count(id)))
-	_ = json.NewEncoder(w).Encode(map[string]string{"request_id": id, "path": r.URL.Path, "state": "done"})
+	_ = json.NewEncoder(w).Encode(e.cache.published(after, time.Now()))
 }
