--- a/launcher/load_test.go
+++ b/launcher/load_test.go
@@ -24,7 +24,10 @@
 	f.MustCommand("service", "set", "llm", "--kind", "model", "--model", "m")
 	f.MustCommand("service", "set", "desk", "--kind", "plain", "--call-price", "5")
 	f.MustCommand("statement", "set", "all")
-	f.Eventually("top-up", func() bool { _, code := f.Command("budget", "topup", "w", "500000", "--id", "osu-hall/1"); return code == 0 })
+	f.Eventually("top-up", func() bool {
+		_, code := f.Command("budget", "topup", "w", "500000", "--id", "osu-hall/1")
+		return code == 0
+	})
 	f.StartEndpoint("engine", "llm-1", "llm", "osu-hall", 1)
 	f.StartEndpoint("plain", "desk-1", "desk", "tema-hall", 2)
 	l := imitator.Load{
