Endpoints: bounded ages, leaving that is final, gossip by pulls

Cause: a router took any announcement for fresh when it read it, so one that lay in a stopped router's socket buffer revived a dead endpoint; nothing was checked but missing fields; routers told each other nothing; every renewal rebuilt the whole table. Change: an announcement carries the token of the router's last answer and its age counts from there; gossip travels only in replies to pulls and its age counts from when the pull was sent; both clocks are read and an entry is not used where they differ; leaving is final for an incarnation; quick restarts are held back; load and age are renewed in place and the table is copied only where membership or a description changes. Ruled out: wall clock stamps from endpoints (need synchronised clocks); pushes of ages (no bound on the time on the way); detecting a stop by a ticker gap (races with the first reads after it); anti-entropy by digest (marks by revision are exact, and ids without a description are asked for).

--- a/router/handler.go
+++ b/router/handler.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"crypto/subtle"
-	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/justinas/alice"
 	"go.uber.org/zap"
-
-	"rattanhoist.example/rattanhoist"
-	"rattanhoist.example/rattanhoist/tracker"
 )
 
 // handler returns the HTTP surface for callers and endpoints.
@@ -122,50 +118,3 @@
 		s.fail(p)
 	}
 }
-
-// announcement is an endpoint's message about itself.
-type announcement struct {
-	Name          string            `json:"name"`
-	Service       string            `json:"service"`
-	Zone          string            `json:"zone"`
-	Address       string            `json:"address"`
-	Labels        map[string]string `json:"labels"`
-	Incarnation   uint64            `json:"incarnation"`
-	Sequence      uint64            `json:"sequence"`
-	Capacity      int64             `json:"capacity"`
-	Load          int64             `json:"load"`
-	Leaving       bool              `json:"leaving"`
-	ChecksFencing bool              `json:"checks_fencing"`
-}
-
-const maxAnnouncement = 64 << 10
-
-func (r *Router) announce(w http.ResponseWriter, h *http.Request) {
-	var a announcement
-	d := json.NewDecoder(http.MaxBytesReader(w, h.Body, maxAnnouncement))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&a); err != nil {
-		badField("body", err.Error()).write(w)
-		return
-	}
-	for field, value := range map[string]string{"name": a.Name, "service": a.Service, "zone": a.Zone, "address": a.Address} {
-		if value == "" {
-			badField(field, "missing").write(w)
-			return
-		}
-	}
-	r.tracker.Announce(tracker.Announcement{Sequence: a.Sequence, Endpoint: a.endpoint(time.Now())})
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (a announcement) endpoint(now time.Time) *rattanhoist.Endpoint {
-	labels := map[string]string{"name": a.Name, "zone": a.Zone, "service": a.Service}
-	for k, v := range a.Labels {
-		labels[k] = v
-	}
-	return rattanhoist.NewEndpoint(rattanhoist.EndpointFields{
-		Name: a.Name, Service: a.Service, Zone: a.Zone, Address: a.Address, Labels: labels,
-		Incarnation: rattanhoist.Incarnation(a.Incarnation), Capacity: a.Capacity, Load: a.Load,
-		Heard: now, Leaving: a.Leaving,
-	})
-}
--- a/router/peer.go
+++ b/router/peer.go
@@ -16,8 +16,3 @@
 func (s *peerServer) Recall(ctx context.Context, r *messenger.RecallRequest) (*messenger.RecallReply, error) {
 	return s.router.money.recall(ctx, r)
 }
-
-// Gossip takes what another router knows of endpoints and answers in kind.
-func (*peerServer) Gossip(_ context.Context, _ *messenger.GossipRequest) (*messenger.GossipReply, error) {
-	return &messenger.GossipReply{}, nil
-}
--- a/router/router.go
+++ b/router/router.go
@@ -49,6 +49,7 @@
 	life     *fsm.FSM
 	snapshot atomic.Pointer[configurer.Snapshot]
 	tracker  *tracker.Tracker
+	gossip   *gossiper
 	money    *treasurer
 	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
@@ -73,7 +74,7 @@
 	r := &Router{
 		settings: s, self: self, log: log, dialer: d,
 		peerRPC: messenger.NewServer(messenger.Keys{messenger.RoleMember: s.DeploymentKey()}),
-		tracker: tracker.New(s.Policy().EndpointMaxAge()),
+		tracker: newTracker(s, self),
 		money:   newTreasurer(self, conn),
 		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
@@ -84,12 +85,16 @@
 	}, fsm.Callbacks{"enter_state": func(_ context.Context, e *fsm.Event) {
 		log.Info("state changed", zap.String("from", e.Src), zap.String("to", e.Dst))
 	}})
+	r.gossip = newGossiper(r)
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
-	return r, func() { _ = conn.Close() }, nil
+	return r, func() {
+		r.gossip.close()
+		_ = conn.Close()
+	}, nil
 }
 
 func newTreasurer(self loader.Process, conn *grpc.ClientConn) *treasurer {
@@ -124,6 +129,7 @@
 	failed := make(chan error, 1)
 	go r.follow(background)
 	go r.expire(background)
+	go r.gossip.run(background)
 	go func() { failed <- r.server.Serve(l) }()
 	select {
 	case err := <-failed:
@@ -163,7 +169,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			r.tracker.Expire(time.Now())
+			r.tracker.Expire(rattanhoist.MomentOf(time.Now()))
 		}
 	}
 }
--- /dev/null
+++ b/tracker/announcement.go
@@ -0,0 +1,153 @@
+package tracker
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+
+	"rattanhoist.example/rattanhoist/matcher"
+)
+
+// Errors of an announcement. Compare with errors.Is.
+var (
+	// ErrInvalid says that a field is wrong; the error is a *FieldError.
+	ErrInvalid = merry.Sentinel("faulty announcement")
+	// ErrAddressTaken says that a live endpoint of another name has the
+	// address.
+	ErrAddressTaken = merry.Sentinel("address is announced under another name")
+	// ErrFull says that no more endpoints are taken in.
+	ErrFull = merry.Sentinel("too many endpoints")
+)
+
+// Bounds of an announcement.
+const (
+	MaxWordBytes = 128
+	MaxLabels    = 32
+	MaxCapacity  = 1_000_000
+	MaxLoad      = 100_000_000
+)
+
+// Announcement is one message of an endpoint about itself.
+type Announcement struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	// Address is IP:port.
+	Address string            `json:"address"`
+	Labels  map[string]string `json:"labels"`
+	// Incarnation grows with every start of the endpoint; a higher one
+	// replaces every lower one.
+	Incarnation uint64 `json:"incarnation"`
+	// Sequence grows with every announcement of one incarnation.
+	Sequence uint64 `json:"sequence"`
+	// Capacity is how many requests run at once.
+	Capacity int64 `json:"capacity"`
+	// Load is how many requests run or wait.
+	Load int64 `json:"load"`
+	// Leaving is final for an incarnation.
+	Leaving       bool `json:"leaving"`
+	ChecksFencing bool `json:"checks_fencing"`
+	// Token is the one of the router's last answer; it bounds the age.
+	Token string `json:"token"`
+}
+
+// FieldError names the field that is wrong.
+type FieldError struct {
+	Field  string
+	Detail string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return e.Field + ": " + e.Detail }
+
+// Unwrap returns ErrInvalid.
+func (*FieldError) Unwrap() error { return ErrInvalid }
+
+func faulty(field, format string, args ...any) error {
+	return &FieldError{Field: field, Detail: fmt.Sprintf(format, args...)}
+}
+
+// reservedLabels are set from the fields of the same name, so that a selector
+// on them can be trusted.
+var reservedLabels = []string{"name", "service", "zone"}
+
+// Check returns the first fault of an announcement; zones are those of the
+// settings.
+func (a Announcement) Check(zones []string) error {
+	for _, f := range []struct{ field, value string }{{"name", a.Name}, {"service", a.Service}, {"zone", a.Zone}} {
+		if err := checkWord(f.field, f.value); err != nil {
+			return err
+		}
+	}
+	if !slices.Contains(zones, a.Zone) {
+		return faulty("zone", "%q is not in the settings; they have %v", a.Zone, zones)
+	}
+	if err := checkAddress(a.Address); err != nil {
+		return err
+	}
+	if err := checkLabels(a.Labels); err != nil {
+		return err
+	}
+	return a.checkNumbers()
+}
+
+func checkWord(field, value string) error {
+	switch {
+	case value == "":
+		return faulty(field, "missing")
+	case len(value) > MaxWordBytes:
+		return faulty(field, "longer than %d bytes", MaxWordBytes)
+	case !matcher.ValidWord(value):
+		return faulty(field, "%q: want letters, digits and -_./", value)
+	default:
+		return nil
+	}
+}
+
+func checkAddress(address string) error {
+	if address == "" {
+		return faulty("address", "missing")
+	}
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		return faulty("address", "%q: want IP:port that routers can reach", address)
+	}
+	return nil
+}
+
+func checkLabels(labels map[string]string) error {
+	if len(labels) > MaxLabels {
+		return faulty("labels", "more than %d", MaxLabels)
+	}
+	for k, v := range labels {
+		if slices.Contains(reservedLabels, k) {
+			return faulty("labels."+k, "reserved; it is set from the field %s", k)
+		}
+		if err := checkWord("labels", k); err != nil {
+			return err
+		}
+		if err := checkWord("labels."+k, v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a Announcement) checkNumbers() error {
+	switch {
+	case a.Incarnation == 0:
+		return faulty("incarnation", "want a positive number that grows with every start")
+	case a.Sequence == 0:
+		return faulty("sequence", "want a positive number that grows with every announcement")
+	case a.Capacity <= 0 || a.Capacity > MaxCapacity:
+		return faulty("capacity", "want 1 to %d", MaxCapacity)
+	case a.Load < 0 || a.Load > MaxLoad:
+		return faulty("load", "want 0 to %d", MaxLoad)
+	default:
+		return nil
+	}
+}
+
+func isReserved(label string) bool { return slices.Contains(reservedLabels, label) }
--- /dev/null
+++ b/tracker/gossip.go
@@ -0,0 +1,204 @@
+package tracker
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// Bounds of one gossip message.
+const (
+	maxStates   = 512
+	maxRenewals = 4096
+	maxWanted   = 512
+	// perServiceAbroad is how many endpoints of a service another zone is
+	// told of; the rest it need not know, since own zone comes first.
+	perServiceAbroad = 32
+)
+
+// Peer is what this router has pulled from another one. One pull at a time.
+type Peer struct {
+	// Incarnation and revision are those of the last reply taken.
+	incarnation, revision uint64
+	// Wanted are ids of renewals that came without a description.
+	wanted []uint64
+}
+
+// Request returns the next pull.
+func (p *Peer) Request(node, zone string) *messenger.GossipRequest {
+	return &messenger.GossipRequest{Node: node, Zone: zone, Incarnation: p.incarnation, Revision: p.revision, Want: p.wanted}
+}
+
+// Reply returns what a puller does not know yet. It leaves out what the
+// puller itself told, what is too old to be used, and, for a puller of
+// another zone, endpoints of third zones.
+func (t *Tracker) Reply(q *messenger.GossipRequest, now rattanhoist.Moment) *messenger.GossipReply {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since := q.Revision
+	if q.Incarnation != uint64(t.incarnation) {
+		since = 0
+	}
+	out := &messenger.GossipReply{Incarnation: uint64(t.incarnation), Revision: t.revision}
+	for _, id := range q.Want[:min(len(q.Want), maxWanted)] {
+		if e := t.byID[id]; e != nil && e.joined <= since {
+			t.appendState(out, e, now)
+		}
+	}
+	for e := t.order.after(since); e != nil; e = e.newer {
+		if len(out.Endpoints) >= maxStates || len(out.Renewals) >= maxRenewals {
+			out.Revision = e.revision - 1
+			break
+		}
+		if !t.tells(e, q) {
+			continue
+		}
+		if e.joined > since {
+			t.appendState(out, e, now)
+		} else {
+			t.appendRenewal(out, e, now)
+		}
+	}
+	return out
+}
+
+func (t *Tracker) tells(e *entry, q *messenger.GossipRequest) bool {
+	if e.via == q.Node {
+		return false
+	}
+	return q.Zone == t.zone || e.endpoint.Zone() == t.zone && t.sampled(e, q.Zone)
+}
+
+// sampled chooses which endpoints another zone hears of; the same ones as
+// long as the number of the service's endpoints stays.
+func (t *Tracker) sampled(e *entry, zone string) bool {
+	n := uint64(max(t.counted[e.endpoint.Service()], 1))
+	return n <= perServiceAbroad || (e.id^xxhash.Sum64String(zone))%n < perServiceAbroad
+}
+
+func (t *Tracker) appendState(out *messenger.GossipReply, e *entry, now rattanhoist.Moment) {
+	age, ok := t.ageMs(e, now)
+	if !ok {
+		return
+	}
+	s := stateOf(e.endpoint, e.sequence)
+	s.AgeMs = age
+	out.Endpoints = append(out.Endpoints, s)
+}
+
+func (t *Tracker) appendRenewal(out *messenger.GossipReply, e *entry, now rattanhoist.Moment) {
+	age, ok := t.ageMs(e, now)
+	if !ok {
+		return
+	}
+	out.Renewals = append(out.Renewals, &messenger.EndpointRenewal{
+		Id: e.id, Sequence: e.sequence, Load: e.endpoint.Load(), AgeMs: age, Leaving: e.endpoint.Leaving(),
+	})
+}
+
+// ageMs returns the age rounded up; false where it is of no use to anyone.
+// The age of an endpoint that leaves does not matter.
+func (t *Tracker) ageMs(e *entry, now rattanhoist.Moment) (uint32, bool) {
+	if e.endpoint.Leaving() {
+		return 0, true
+	}
+	age, ok := now.Since(e.endpoint.HeardMoment())
+	if !ok || age >= t.maxAge {
+		return 0, false
+	}
+	return uint32((age + time.Millisecond - 1) / time.Millisecond), true
+}
+
+func stateOf(e *rattanhoist.Endpoint, sequence uint64) *messenger.EndpointState {
+	labels := map[string]string{}
+	for k, v := range e.Labels() {
+		if !isReserved(k) {
+			labels[k] = v
+		}
+	}
+	return &messenger.EndpointState{
+		Name: e.Name(), Service: e.Service(), Zone: e.Zone(), Address: e.Address(),
+		Incarnation: uint64(e.Incarnation()), Labels: labels, Capacity: e.Capacity(), Load: e.Load(),
+		Leaving: e.Leaving(), ChecksFencing: e.ChecksFencing(), Sequence: sequence,
+	}
+}
+
+// Merge takes the reply to a pull in. Asked is when the pull was sent: what
+// the reply calls n old was announced less than n before the reply was made,
+// and that was after asked, so the age counts from asked is never too small.
+func (t *Tracker) Merge(p *Peer, node string, r *messenger.GossipReply, asked, now rattanhoist.Moment) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := now.Since(asked); !ok {
+		return
+	}
+	p.wanted = p.wanted[:0]
+	for _, s := range r.Endpoints {
+		t.takeState(s, heardAt(asked, s.AgeMs), node, now)
+	}
+	for _, x := range r.Renewals {
+		e := t.byID[x.Id]
+		if e == nil {
+			if len(p.wanted) < maxWanted {
+				p.wanted = append(p.wanted, x.Id)
+			}
+			continue
+		}
+		_, err := t.renew(e, report{
+			sequence: x.Sequence, load: min(max(x.Load, 0), MaxLoad), heard: heardAt(asked, x.AgeMs),
+			leaving: x.Leaving, via: node,
+		}, now)
+		t.countRejected(err)
+	}
+	p.incarnation, p.revision = r.Incarnation, r.Revision
+}
+
+func heardAt(asked rattanhoist.Moment, ageMs uint32) rattanhoist.Moment {
+	return asked.Add(-time.Duration(ageMs) * time.Millisecond)
+}
+
+// TakeLeft takes pushed news of endpoints that left. Everything else in them
+// is passed over: a push has no bound on its age.
+func (t *Tracker) TakeLeft(left []*messenger.EndpointState, via string, now rattanhoist.Moment) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range left[:min(len(left), maxStates)] {
+		if s.Leaving {
+			t.takeState(s, rattanhoist.Moment{}, via, now)
+		}
+	}
+}
+
+func (t *Tracker) takeState(s *messenger.EndpointState, heard rattanhoist.Moment, via string, now rattanhoist.Moment) {
+	a := Announcement{
+		Name: s.Name, Service: s.Service, Zone: s.Zone, Address: s.Address, Labels: s.Labels,
+		Incarnation: s.Incarnation, Sequence: s.Sequence, Capacity: s.Capacity, Load: s.Load,
+		Leaving: s.Leaving, ChecksFencing: s.ChecksFencing,
+	}
+	if a.Check(t.zones) != nil {
+		t.stats.Rejected++
+		return
+	}
+	_, err := t.take(report{fields: a.fields(), sequence: s.Sequence, load: s.Load, heard: heard, leaving: s.Leaving, via: via}, now)
+	t.countRejected(err)
+}
+
+func (t *Tracker) countRejected(err error) {
+	if err != nil {
+		t.stats.Rejected++
+	}
+}
+
+// Left returns the message that pushes an endpoint's leaving.
+func (t *Tracker) Left(name string) *messenger.EndpointState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[name]
+	if e == nil || !e.endpoint.Leaving() {
+		return nil
+	}
+	return stateOf(e.endpoint, e.sequence)
+}
