Place rights by demand, with a reserve for each zone

Cause: a zone's rights stay where a top-up minted them, so a cut finds them in the wrong zone. Weighed: each giver fills every deficit it sees (two givers overshoot; ruled out), one planning zone (lost in a cut; ruled out), each giver fills its own part of the deficits from the same targets (taken). Conclusion: steady demand settles in one round in the test; not yet measured under traffic.

--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,108 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/placer"
+)
+
+var zones = []string{"osu-hall", "tema-hall", "legon-hall"}
+
+// round lets every zone plan once on the same shares and returns what moved.
+func round(p placer.Placer, shares map[string]rattanhoist.Tokens, demand map[string]float64, cut string) rattanhoist.Tokens {
+	var all []placer.Move
+	from := map[string]rattanhoist.Tokens{}
+	for _, z := range zones {
+		v := placer.View{Zone: z, Unspent: shares[z], Demand: demand, Shares: shares, Age: map[string]time.Duration{}}
+		for _, o := range zones {
+			if o == cut || z == cut {
+				v.Age[o] = time.Minute
+			} else {
+				v.Age[o] = 0
+			}
+		}
+		for _, m := range p.Plan(v) {
+			all = append(all, m)
+			from[z] += m.Tokens
+		}
+	}
+	var moved rattanhoist.Tokens
+	for z, n := range from {
+		shares[z] -= n
+	}
+	for _, m := range all {
+		shares[m.Zone] += m.Tokens
+		moved += m.Tokens
+	}
+	return moved
+}
+
+// Symptom: rights travel between zones for ever and are missing on the way.
+// Sequence: demand is steady but for noise, every zone plans again and again.
+// Cause: two givers fill one deficit, or a plan that has no dead band.
+func TestSteadyDemandSettles(t *testing.T) {
+	for _, name := range placer.Names() {
+		g := gomega.NewWithT(t)
+		p, _ := placer.New(name)
+		shares := map[string]rattanhoist.Tokens{"osu-hall": 90000, "tema-hall": 9000, "legon-hall": 0}
+		demand := map[string]float64{"osu-hall": 10, "tema-hall": 60, "legon-hall": 30}
+		g.Expect(round(p, shares, demand, "")).To(gomega.BeNumerically(">", 0), name)
+		for i := range 20 {
+			demand["osu-hall"] = 10 + float64(i%2)
+			g.Expect(round(p, shares, demand, "")).To(gomega.BeZero(), name)
+		}
+	}
+}
+
+func TestTargets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p, known := placer.New("demand")
+	g.Expect(known).To(gomega.BeTrue())
+	shares := map[string]rattanhoist.Tokens{"osu-hall": 100000, "tema-hall": 0, "legon-hall": 0}
+	round(p, shares, map[string]float64{"osu-hall": 10, "tema-hall": 70, "legon-hall": 20}, "")
+	g.Expect(shares).To(gomega.Equal(map[string]rattanhoist.Tokens{"osu-hall": 15834, "tema-hall": 60833, "legon-hall": 23333}))
+	other, known := placer.New("none")
+	g.Expect(known).To(gomega.BeFalse())
+	g.Expect(other).To(gomega.Equal(p))
+}
+
+// Symptom: rights are in transfer for the whole of a cut; nobody spends them.
+// Sequence: a zone is cut off, its share looks small, the others give to it.
+// Cause: a plan that trusts an old share.
+func TestCutZoneGetsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, name := range placer.Names() {
+		p, _ := placer.New(name)
+		shares := map[string]rattanhoist.Tokens{"osu-hall": 90000, "tema-hall": 0, "legon-hall": 0}
+		round(p, shares, map[string]float64{"legon-hall": 100}, "legon-hall")
+		g.Expect(shares["legon-hall"]).To(gomega.BeZero(), name)
+	}
+}
+
+func TestPlansNeverExceedWhatTheZoneHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, _ := placer.New(rapid.SampledFrom(placer.Names()).Draw(t, "placer"))
+		v := placer.View{Zone: zones[0], Demand: map[string]float64{}, Shares: map[string]rattanhoist.Tokens{}, Age: map[string]time.Duration{}}
+		v.Unspent = rattanhoist.Tokens(rapid.Int64Range(0, 1<<50).Draw(t, "unspent"))
+		for _, z := range zones {
+			v.Demand[z] = rapid.Float64Range(0, 1e9).Draw(t, "demand")
+			v.Shares[z] = rattanhoist.Tokens(rapid.Int64Range(0, 1<<50).Draw(t, "share"))
+			v.Age[z] = time.Duration(rapid.Int64Range(0, int64(2*placer.MaxAge)).Draw(t, "age"))
+		}
+		left := v.Unspent
+		for _, m := range p.Plan(v) {
+			if m.Tokens <= 0 || m.Zone == v.Zone {
+				t.Fatalf("bad move %v", m)
+			}
+			left -= m.Tokens
+		}
+		if left < 0 {
+			t.Fatalf("plan gives %d more than the zone holds", -left)
+		}
+	})
+}
