Lease ahead of need, charge in batches with a witness, refuse with the truth

Cause: the router's purse leased only when dry, waited for one keeper for every charge, sent a keeper call for each refusal, and lost what a lost answer had granted when its context ended. Ruled out: a return that waits for a lease in progress (two routers that lease at once and are recalled wait for each other); separate sequences for leases and returns (a return resent after a newer lease would be passed over). Change: package treasurer. Account is the pure state machine of one workspace's slice (lease, refill, return, recall, refusal with age), Outbox that of the charges (batches, witness, resend until two disks), Treasurer the shell. Incarnations that the keeper fences are replaced; Recall and Holdings are served.

--- a/budgeter/slice.go
+++ b/budgeter/slice.go
@@ -229,3 +229,17 @@
 	}
 	return left, spent
 }
+
+// Below reports whether the slice holds less than n. A slice that is spread
+// out holds plenty, so this reads one counter.
+func (s *Slice) Below(n rattanhoist.Tokens) bool {
+	return !s.spread.Load() && s.base.left.Load() < int64(n)
+}
+
+// Resume sets the totals of a new slice, before its first use.
+func (s *Slice) Resume(granted, withdrawn, spent rattanhoist.Tokens) {
+	s.granted.Store(int64(granted))
+	s.withdrawn.Store(int64(withdrawn))
+	s.base.spent.Store(int64(spent))
+	s.base.left.Store(int64(granted - withdrawn - spent))
+}
--- a/router/problem.go
+++ b/router/problem.go
@@ -61,6 +61,15 @@
 // retrySoon is when to come back after a refusal that a repair may lift.
 const retrySoon = time.Second
 
+// retryAfter returns when an error says to come back.
+func retryAfter(err error) time.Duration {
+	var t interface{ RetryAfter() time.Duration }
+	if errors.As(err, &t) {
+		return t.RetryAfter()
+	}
+	return retrySoon
+}
+
 // problemOf turns an error into its refusal.
 func problemOf(err error) *Problem {
 	var p *Problem
@@ -74,7 +83,7 @@
 	case errors.Is(err, rattanhoist.ErrBudgetSpent):
 		return &Problem{Status: http.StatusPaymentRequired, Code: CodeBudgetSpent, Outcome: NotRun, Detail: err.Error()}
 	case errors.Is(err, rattanhoist.ErrBudgetOutOfReach):
-		return &Problem{Status: http.StatusServiceUnavailable, Code: CodeBudgetOutOfReach, Outcome: NotRun, Detail: err.Error(), After: retrySoon}
+		return &Problem{Status: http.StatusServiceUnavailable, Code: CodeBudgetOutOfReach, Outcome: NotRun, Detail: err.Error(), After: retryAfter(err)}
 	default:
 		return &Problem{Status: http.StatusBadGateway, Code: CodeEndpointFailed, Outcome: Unknown, Detail: err.Error(), After: retrySoon}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -16,12 +16,12 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
-	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/tracker"
+	"rattanhoist.example/rattanhoist/treasurer"
 )
 
 // States and events of a router's life.
@@ -49,7 +49,7 @@
 	life     *fsm.FSM
 	snapshot atomic.Pointer[configurer.Snapshot]
 	tracker  *tracker.Tracker
-	money    *treasurer
+	money    *treasurer.Treasurer
 	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
 	// Pickers maps plug-in names to *picker.Picker instances.
@@ -70,11 +70,15 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	money, closeMoney, err := newTreasurer(s, self, d, conn, log)
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, err
+	}
 	r := &Router{
-		settings: s, self: self, log: log, dialer: d,
+		settings: s, self: self, log: log, dialer: d, money: money,
 		peerRPC: messenger.NewServer(messenger.Keys{messenger.RoleMember: s.DeploymentKey()}),
 		tracker: tracker.New(s.Policy().EndpointMaxAge()),
-		money:   newTreasurer(self, conn),
 		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
@@ -89,14 +93,10 @@
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
-	return r, func() { _ = conn.Close() }, nil
-}
-
-func newTreasurer(self loader.Process, conn *grpc.ClientConn) *treasurer {
-	return &treasurer{
-		router: self.Name(), incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
-		keeper: messenger.NewBudgetKeeperClient(conn),
-	}
+	return r, func() {
+		closeMoney()
+		_ = conn.Close()
+	}, nil
 }
 
 // zoneKeeper returns the keeper of a zone; checked settings have one.
@@ -176,7 +176,7 @@
 	r.active.Wait()
 	give, cancelGive := context.WithTimeout(ctx, giveBackTimeout)
 	defer cancelGive()
-	r.money.giveBack(give)
+	r.money.GiveBack(give)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/router/serve.go
+++ b/router/serve.go
@@ -48,26 +48,29 @@
 		return err
 	}
 	defer release()
-	p, err := r.money.reserve(ctx, q.key.Workspace(), q.worst)
+	held, err := r.money.Reserve(ctx, q.key.Workspace(), q.worst)
 	if err != nil {
 		return err
 	}
-	var spent rattanhoist.Tokens
-	defer func() { p.slice.Settle(q.worst, spent) }()
+	billed := false
+	defer func() {
+		if !billed {
+			held.Release()
+		}
+	}()
 	res, err := r.runSomewhere(ctx, q, s, run)
 	if err != nil {
 		return err
 	}
-	spent = min(q.cost(res), q.worst)
-	res.charged, err = r.money.bill(ctx, &messenger.Charge{
-		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Tokens: int64(spent),
+	billed = true
+	res.charged, err = held.Charge(ctx, &messenger.Charge{
+		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Tokens: int64(min(q.cost(res), q.worst)),
 		Service: q.service.Name, Endpoint: res.endpoint,
 		ChargedAtMs: time.Now().UnixMilli(), Zone: r.self.Zone(),
 	})
 	if err != nil {
 		return &Problem{Status: http.StatusServiceUnavailable, Code: CodeBillingFailed, Outcome: Unknown, Detail: "the answer could not be billed: " + err.Error(), After: retrySoon}
 	}
-	spent = res.charged
 	return s.complete(res)
 }
 
--- /dev/null
+++ b/treasurer/account.go
@@ -0,0 +1,296 @@
+package treasurer
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/budgeter"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// call is a lease or a return until its answer comes.
+type call struct {
+	sequence uint64
+	tokens   rattanhoist.Tokens
+	// Began is when it was first sent.
+	began time.Time
+	tries int
+	// Open reports whether an answer may still come; otherwise it is sent
+	// again at resend.
+	open   bool
+	resend time.Time
+	// Overtaken marks a lease after which a return was sent: the keeper may
+	// have passed it over, so its answer says nothing about the zone.
+	overtaken bool
+}
+
+// Account is the state machine of one workspace's slice at one incarnation
+// of a router. The slice is safe for concurrent use; Step is not.
+type Account struct {
+	workspace string
+	policy    *Policy
+	slice     budgeter.Slice
+	// Sequence numbers leases and returns together; it never repeats within
+	// an incarnation, so that the keeper tells a resend from a new request.
+	sequence uint64
+	// Acknowledged is the last sequence whose answer arrived.
+	acknowledged uint64
+	// Lease and back are the calls without an answer. No lease begins while a
+	// return is unanswered: a newer sequence would make the keeper ignore the
+	// return's resend, and the rights would belong to nobody.
+	lease, back *call
+	// Refused is what the last lease found, until refusedUntil.
+	refused      *Shortage
+	refusedUntil time.Time
+	// ZoneLeft is what the zone had left when it last answered, or -1.
+	zoneLeft rattanhoist.Tokens
+	// Size is the size of recent requests.
+	size rattanhoist.Tokens
+	// LowMark is what the slice should hold at least; read by requests.
+	lowMark atomic.Int64
+	meter   meter
+}
+
+// meter measures a workspace's demand at this router.
+type meter struct {
+	// Rate is in tokens a second.
+	rate float64
+	// Unmet is what was refused since the last tick: demand that no spending
+	// shows.
+	unmet     rattanhoist.Tokens
+	lastSpent rattanhoist.Tokens
+	lastTick  time.Time
+	// LastUse is when the slice was last seen in use.
+	lastUse time.Time
+}
+
+// Rest is what remains of an account without rights, to go on from: totals
+// and sequences must not begin anew within an incarnation.
+type Rest struct {
+	sequence                  uint64
+	granted, withdrawn, spent rattanhoist.Tokens
+}
+
+// NewAccount returns an account that holds nothing and goes on from r.
+func NewAccount(workspace string, p *Policy, now time.Time, r Rest) *Account {
+	a := &Account{
+		workspace: workspace, policy: p, zoneLeft: -1,
+		sequence: r.sequence, acknowledged: r.sequence,
+		meter: meter{lastTick: now, lastUse: now, lastSpent: r.spent},
+	}
+	a.slice.Resume(r.granted, r.withdrawn, r.spent)
+	return a
+}
+
+// Rest returns what to go on from; the account must hold nothing.
+func (a *Account) Rest() Rest {
+	return Rest{sequence: a.sequence, granted: a.slice.Granted(), withdrawn: a.slice.Withdrawn(), spent: a.slice.Spent()}
+}
+
+// Slice returns the rights that requests reserve from.
+func (a *Account) Slice() *budgeter.Slice { return &a.slice }
+
+// Workspace returns the workspace that pays.
+func (a *Account) Workspace() string { return a.workspace }
+
+// Low reports whether the slice should be filled up.
+func (a *Account) Low() bool { return a.slice.Below(rattanhoist.Tokens(a.lowMark.Load())) }
+
+// Demand returns recent demand in tokens a second.
+func (a *Account) Demand() float64 { return a.meter.rate }
+
+// Step handles one event.
+func (a *Account) Step(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Need:
+		return a.need(now, e)
+	case Leased:
+		a.leased(now, e)
+	case Returned:
+		a.returned(e)
+	case Failed:
+		a.failed(now, e)
+	case Recall:
+		return a.recall(now, e)
+	case Tick:
+		return a.tick(now)
+	}
+	return nil
+}
+
+// need leases, waits or refuses. A refusal that is known is repeated with its
+// age, so that a spent budget costs the keeper one call for each RefusalAge
+// and not one for each request.
+func (a *Account) need(now time.Time, e Need) []Action {
+	a.size = max(e.Tokens, a.size-a.size/8)
+	a.meter.lastUse = now
+	if a.refused != nil && now.Before(a.refusedUntil) {
+		return a.settleOrRefuse(now, e)
+	}
+	if c := a.pending(); c != nil {
+		if end := c.began.Add(a.policy.KeeperWait); !now.Before(end) {
+			a.meter.unmet += e.Tokens
+			return append(a.resendDue(now), Refuse{Err: a.silence(now, c)})
+		}
+		return append(a.resendDue(now), Wait{Until: a.patience(c)})
+	}
+	want := max(e.Waiting, e.Tokens) - a.slice.Left() + a.ahead(e.Tokens)
+	out := a.startLease(now, max(want, 1))
+	return append(out, Wait{Until: a.patience(a.lease)})
+}
+
+// patience is when a request that waits for a call should look again.
+func (a *Account) patience(c *call) time.Time {
+	end := c.began.Add(a.policy.KeeperWait)
+	if !c.open && c.resend.Before(end) {
+		return c.resend
+	}
+	return end
+}
+
+func (a *Account) pending() *call {
+	if a.back != nil {
+		return a.back
+	}
+	return a.lease
+}
+
+// settleOrRefuse waits while requests in progress may free enough, or while
+// rights may come from another zone, asking again after every RefusalAge.
+func (a *Account) settleOrRefuse(now time.Time, e Need) []Action {
+	enough := a.slice.Reserved()+a.slice.Left() >= e.Tokens
+	if (enough || a.refused.moving) && now.Before(e.GiveUp) {
+		until := a.refusedUntil
+		if e.GiveUp.Before(until) {
+			until = e.GiveUp
+		}
+		return []Action{Wait{Until: until}}
+	}
+	a.meter.unmet += e.Tokens
+	return []Action{Refuse{Err: a.refused.at(now)}}
+}
+
+func (*Account) silence(now time.Time, c *call) *Shortage {
+	return outOfReach(c.began, afterRepair, "the zone's keeper does not answer").at(now)
+}
+
+// ahead is what a lease asks for beyond the need, bounded by what the zone
+// can spare.
+func (a *Account) ahead(n rattanhoist.Tokens) rattanhoist.Tokens {
+	want := max(a.perSeconds(a.policy.Horizon), n*rattanhoist.Tokens(a.policy.LeaseAhead-1))
+	if a.zoneLeft >= 0 {
+		want = min(want, rattanhoist.Tokens(float64(a.zoneLeft)*a.policy.ZoneFraction))
+	}
+	return want
+}
+
+func (a *Account) perSeconds(d time.Duration) rattanhoist.Tokens {
+	return rattanhoist.Tokens(math.Ceil(a.meter.rate * d.Seconds()))
+}
+
+func (a *Account) startLease(now time.Time, want rattanhoist.Tokens) []Action {
+	a.sequence++
+	a.lease = &call{sequence: a.sequence, tokens: want, began: now, open: true}
+	return []Action{a.sendLease()}
+}
+
+func (a *Account) sendLease() Action {
+	return SendLease{Sequence: a.lease.sequence, Want: a.lease.tokens, Demand: int64(math.Ceil(a.meter.rate))}
+}
+
+// leased books the grant. The keeper's total also brings rights of a lease
+// whose own answer was lost after a return had overtaken it.
+func (a *Account) leased(now time.Time, e Leased) {
+	c := a.lease
+	if c == nil || c.sequence != e.Sequence {
+		return
+	}
+	a.lease = nil
+	a.acknowledged = max(a.acknowledged, e.Sequence)
+	r := e.Reply
+	n := rattanhoist.Tokens(r.GrantedTokens)
+	if r.TotalGrantedTokens > 0 {
+		n = max(rattanhoist.Tokens(r.TotalGrantedTokens)-a.slice.Granted(), 0)
+	}
+	if n > 0 {
+		a.slice.Grant(n)
+	}
+	a.zoneLeft = rattanhoist.Tokens(r.ZoneLeftTokens)
+	a.refused = nil
+	if n < c.tokens && !c.overtaken {
+		a.refused = a.shortage(now, r)
+		a.refusedUntil = now.Add(a.policy.RefusalAge)
+	}
+}
+
+// shortage tells a spent budget from rights that exist out of reach.
+func (a *Account) shortage(now time.Time, r *messenger.LeaseReply) *Shortage {
+	switch {
+	case len(r.UnreachableZones) > 0:
+		return outOfReach(now, afterRepair, "zones do not answer: "+join(r.UnreachableZones))
+	case r.ElsewhereTokens > 0:
+		s := outOfReach(now, afterSettlement, "other zones hold rights that they could not give yet")
+		s.moving = true
+		return s
+	case a.slice.Reserved() > 0:
+		return outOfReach(now, afterSettlement, "requests in progress hold the remaining rights")
+	default:
+		return spentOut(now)
+	}
+}
+
+func (a *Account) returned(e Returned) {
+	if a.back != nil && a.back.sequence == e.Sequence {
+		a.acknowledged = max(a.acknowledged, e.Sequence)
+		a.back = nil
+	}
+}
+
+// failed keeps the call: the keeper may have carried it out, so only the same
+// sequence may be sent again.
+func (a *Account) failed(now time.Time, e Failed) {
+	for _, c := range []*call{a.lease, a.back} {
+		if c != nil && c.sequence == e.Sequence {
+			c.open = false
+			c.resend = now.Add(a.policy.pause(c.tries))
+			c.tries++
+		}
+	}
+}
+
+func (a *Account) resendDue(now time.Time) []Action {
+	var out []Action
+	if c := a.back; c != nil && !c.open && !now.Before(c.resend) {
+		c.open = true
+		out = append(out, SendReturn{Sequence: c.sequence, Tokens: c.tokens})
+	}
+	if c := a.lease; c != nil && !c.open && !now.Before(c.resend) {
+		c.open = true
+		out = append(out, a.sendLease())
+	}
+	return out
+}
+
+// recall gives rights back for a sibling. It overtakes a lease in progress:
+// two routers that lease at once would otherwise each wait for the other.
+func (a *Account) recall(now time.Time, e Recall) []Action {
+	if a.back != nil {
+		return a.resendDue(now)
+	}
+	return a.giveBack(now, e.Tokens)
+}
+
+func (a *Account) giveBack(now time.Time, n rattanhoist.Tokens) []Action {
+	n = a.slice.Withdraw(n)
+	if n <= 0 {
+		return nil
+	}
+	a.sequence++
+	a.back = &call{sequence: a.sequence, tokens: n, began: now, open: true}
+	if a.lease != nil {
+		a.lease.overtaken = true
+	}
+	return []Action{SendReturn{Sequence: a.sequence, Tokens: n}}
+}
--- /dev/null
+++ b/treasurer/treasurer_test.go
@@ -0,0 +1,327 @@
+package treasurer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/treasurer"
+)
+
+// bench is one treasurer before a fake keeper, in virtual time.
+type bench struct {
+	*gomega.WithT
+	keeper, witness *fakeKeeper
+	money           *treasurer.Treasurer
+}
+
+// run gives f a treasurer whose keeper holds some unspent tokens.
+func run(t *testing.T, unspent int64, f func(*bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{WithT: gomega.NewWithT(t), keeper: newKeeper(unspent), witness: newKeeper(0)}
+		money, end := treasurer.New(treasurer.Options{
+			Router: "osu-hall-1", Zone: "osu-hall", Incarnation: 7, Keeper: b.keeper, Witness: b.witness,
+			Policy: treasurer.DefaultPolicy(),
+		})
+		b.money = money
+		defer end()
+		f(b)
+	})
+}
+
+// spend reserves n and charges cost within a deadline.
+func (b *bench) spend(id string, n, cost int64, within time.Duration) (rattanhoist.Tokens, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	r, err := b.money.Reserve(ctx, "w", rattanhoist.Tokens(n))
+	if err != nil {
+		return 0, err
+	}
+	return r.Charge(ctx, &messenger.Charge{Workspace: "w", RequestId: id, Tokens: cost})
+}
+
+// Symptom: rights are gone although nobody spent them.
+// Sequence: the keeper grants a lease, the answer is lost, the router asks
+// again.
+// Cause: a resend under a new sequence, which the keeper takes for a new
+// lease.
+func TestLostLeaseAnswerStrandsNothing(t *testing.T) {
+	run(t, 1000, func(b *bench) {
+		b.keeper.set(func() { b.keeper.lose["lease"] = 2 })
+		_, err := b.spend("a", 500, 100, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = b.spend("b", 900, 900, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred(), "every token is still there to be spent")
+		unspent, leased, charged := b.keeper.books()
+		b.Expect([]int64{unspent, leased, charged}).To(gomega.Equal([]int64{0, 0, 1000}))
+	})
+}
+
+// Symptom: a request is billed twice, or its tokens are counted twice.
+// Sequence: the keeper bills, the answer is lost, the router sends again.
+// Cause: a resend that is settled beside the first charge.
+func TestLostChargeAnswerBillsOnce(t *testing.T) {
+	run(t, 1000, func(b *bench) {
+		b.keeper.set(func() { b.keeper.lose["charge"] = 1 })
+		billed, err := b.spend("a", 500, 120, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.Expect(billed).To(gomega.Equal(rattanhoist.Tokens(120)))
+		_, _, charged := b.keeper.books()
+		b.Expect(charged).To(gomega.Equal(int64(120)))
+		b.Expect(b.money.Held()).To(gomega.Equal(rattanhoist.Tokens(880)))
+	})
+}
+
+// Symptom: a retried request is billed again, or its second run's tokens stay
+// reserved for ever.
+// Sequence: another router was billed for the request; this one runs it too.
+// Cause: a settlement at the own count in place of the bill that counts.
+func TestChargeBilledElsewhereSpendsNothingHere(t *testing.T) {
+	run(t, 1000, func(b *bench) {
+		b.keeper.set(func() { b.keeper.bills["a"] = &messenger.Charge{Tokens: 77, Incarnation: 3} })
+		billed, err := b.spend("a", 500, 120, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.Expect(billed).To(gomega.Equal(rattanhoist.Tokens(77)))
+		b.Expect(b.money.Held()).To(gomega.Equal(rattanhoist.Tokens(1000)))
+	})
+}
+
+// Symptom: answers can't complete while the keeper's VM is down, or bills are
+// lost when this router dies before the keeper is back.
+// Sequence: the keeper goes away with rights leased; requests go on; the
+// keeper comes back.
+// Cause: charges that wait for one keeper only.
+func TestWitnessTakesChargesWhileTheKeeperIsAway(t *testing.T) {
+	run(t, 10_000, func(b *bench) {
+		_, err := b.spend("a", 500, 100, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.keeper.set(func() { b.keeper.away = true })
+		began := time.Now()
+		billed, err := b.spend("b", 500, 100, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.Expect(billed).To(gomega.Equal(rattanhoist.Tokens(100)))
+		b.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second))
+		h, err := b.money.Holdings(context.Background(), &messenger.HoldingsRequest{})
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.Expect(h.Charges).To(gomega.HaveLen(1), "the router keeps it until two disks have it")
+		b.keeper.set(func() { b.keeper.away = false })
+		time.Sleep(5 * time.Second)
+		_, _, charged := b.keeper.books()
+		b.Expect(charged).To(gomega.Equal(int64(200)))
+		h, _ = b.money.Holdings(context.Background(), &messenger.HoldingsRequest{})
+		b.Expect(h.Charges).To(gomega.BeEmpty())
+		b.Expect(h.Holdings[0].OutstandingTokens).To(gomega.Equal(h.Holdings[0].GrantedTokens - 200))
+	})
+}
+
+// Symptom: a double fault loses a bill whose answer the caller has.
+// Sequence: the keeper bills on its own disk alone, as its mirror is away.
+// Cause: a router that forgets a charge at the first answer.
+func TestChargeIsKeptUntilTwoDisksHaveIt(t *testing.T) {
+	run(t, 1000, func(b *bench) {
+		b.keeper.set(func() { b.keeper.twoDisks = false })
+		_, err := b.spend("a", 500, 100, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		sent := b.keeper.count("charge")
+		time.Sleep(2 * time.Second)
+		b.Expect(b.keeper.count("charge")).To(gomega.BeNumerically(">", sent))
+		b.keeper.set(func() { b.keeper.twoDisks = true })
+		time.Sleep(time.Second)
+		b.Expect(b.money.Held()).To(gomega.Equal(rattanhoist.Tokens(900)))
+		sent = b.keeper.count("charge")
+		time.Sleep(time.Minute)
+		b.Expect(b.keeper.count("charge")).To(gomega.Equal(sent))
+	})
+}
+
+// Symptom: a router that was stopped for an hour spends rights that went back
+// long ago.
+// Sequence: it reserves, is frozen, is fenced, goes on and charges.
+// Cause: a spend that does not ask, and an incarnation that lives on.
+func TestFencedRouterCompletesNothingAndStartsAnew(t *testing.T) {
+	run(t, 10_000, func(b *bench) {
+		ctx := context.Background()
+		r, err := b.money.Reserve(ctx, "w", 500)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.keeper.set(func() {
+			b.keeper.fenced = 7
+			b.keeper.unspent += b.keeper.lease(7).out
+			b.keeper.lease(7).out = 0
+		})
+		_, err = r.Charge(ctx, &messenger.Charge{Workspace: "w", RequestId: "a", Tokens: 100})
+		b.Expect(err).To(gomega.MatchError(treasurer.ErrFenced))
+		_, err = b.spend("b", 500, 100, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.Expect(b.money.Incarnation()).To(gomega.BeNumerically(">", 7))
+		unspent, leased, charged := b.keeper.books()
+		b.Expect(charged).To(gomega.Equal(int64(100)))
+		b.Expect(unspent + leased + charged).To(gomega.Equal(int64(10_000)))
+	})
+}
+
+// Symptom: a VM whose clock was set back serves nothing after a restart.
+// Sequence: the keeper knows an incarnation from a clock days ahead.
+// Cause: incarnations that follow the clock alone.
+func TestIncarnationPassesAClockSetBack(t *testing.T) {
+	run(t, 10_000, func(b *bench) {
+		b.keeper.set(func() { b.keeper.fenced = uint64(time.Now().Add(240 * time.Hour).UnixNano()) })
+		_, err := b.spend("a", 500, 100, time.Hour)
+		b.Expect(errors.Is(err, rattanhoist.ErrBudgetOutOfReach) || err == nil).To(gomega.BeTrue())
+		time.Sleep(10 * time.Second)
+		_, err = b.spend("b", 500, 100, time.Hour)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+	})
+}
+
+// Symptom: rights stay with a router that has shut down.
+// Sequence: spend some, shut down gracefully.
+// Cause: returns that are not waited for.
+func TestShutdownReturnsRights(t *testing.T) {
+	run(t, 10_000, func(b *bench) {
+		_, err := b.spend("a", 500, 100, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.keeper.set(func() { b.keeper.lose["return"] = 1 })
+		b.money.GiveBack(context.Background())
+		unspent, leased, charged := b.keeper.books()
+		b.Expect([]int64{unspent, leased, charged}).To(gomega.Equal([]int64{9900, 0, 100}))
+	})
+}
+
+// Symptom: rights lie idle at a router while another router refuses.
+// Sequence: traffic ends; later it comes back.
+// Cause: slices that never shrink, or that begin again from a wrong total.
+func TestIdleRightsGoBackAndComeAgain(t *testing.T) {
+	run(t, 10_000, func(b *bench) {
+		for i := range 3 {
+			_, err := b.spend(fmt.Sprint(i), 500, 100, time.Minute)
+			b.Expect(err).NotTo(gomega.HaveOccurred())
+			time.Sleep(2 * time.Minute)
+			unspent, leased, _ := b.keeper.books()
+			b.Expect(leased).To(gomega.BeZero())
+			b.Expect(unspent).To(gomega.Equal(int64(9900 - 100*i)))
+			calls := b.keeper.count("lease") + b.keeper.count("return")
+			time.Sleep(10 * time.Minute)
+			b.Expect(b.keeper.count("lease")+b.keeper.count("return")).To(gomega.Equal(calls), "an idle pair costs nothing")
+		}
+	})
+}
+
+// Symptom: a sibling refuses although this router holds the rights.
+// Sequence: the keeper recalls while a lease of this router is unanswered,
+// as it does when two routers run dry at once.
+// Cause: a recall that waits for the lease, which waits for the other recall.
+func TestRecallOvertakesALease(t *testing.T) {
+	run(t, 1000, func(b *bench) {
+		_, err := b.spend("a", 500, 100, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.keeper.set(func() { b.keeper.delay = time.Second })
+		waiting := make(chan error, 1)
+		go func() { _, err := b.spend("b", 950, 0, 20*time.Second); waiting <- err }()
+		time.Sleep(500 * time.Millisecond)
+		b.keeper.set(func() { b.keeper.delay = 0 })
+		r, err := b.money.Recall(context.Background(), &messenger.RecallRequest{Workspace: "w", WantTokens: 5000})
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.Expect(r.ReturningTokens).To(gomega.Equal(int64(900)))
+		b.Expect(<-waiting).To(gomega.HaveOccurred(), "950 exceed the 900 there are")
+		b.money.GiveBack(context.Background())
+		unspent, leased, charged := b.keeper.books()
+		b.Expect([]int64{unspent, leased, charged}).To(gomega.Equal([]int64{900, 0, 100}))
+	})
+}
+
+func TestRefusalsTellTheTruth(t *testing.T) {
+	run(t, 1000, func(b *bench) {
+		_, err := b.spend("a", 1000, 1000, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		began := time.Now()
+		_, err = b.spend("b", 10, 10, time.Minute)
+		b.Expect(err).To(gomega.MatchError(rattanhoist.ErrBudgetSpent))
+		b.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second))
+		time.Sleep(time.Minute)
+		b.keeper.set(func() { b.keeper.silent = []string{"tema-hall"} })
+		_, err = b.spend("c", 10, 10, time.Minute)
+		b.Expect(err).To(gomega.MatchError(rattanhoist.ErrBudgetOutOfReach))
+		time.Sleep(time.Minute)
+		b.keeper.set(func() { b.keeper.away = true })
+		began = time.Now()
+		_, err = b.spend("d", 10, 10, time.Minute)
+		b.Expect(err).To(gomega.MatchError(rattanhoist.ErrBudgetOutOfReach))
+		b.Expect(time.Since(began)).To(gomega.BeNumerically("<", 4*time.Second))
+		var s *treasurer.Shortage
+		b.Expect(errors.As(err, &s)).To(gomega.BeTrue())
+		b.Expect(s.RetryAfter()).To(gomega.BeNumerically(">", 0))
+	})
+}
+
+// Symptom: a request is refused although the tokens it needs are freed a
+// moment later.
+// Sequence: a request holds its worst case, a second one comes, the first
+// settles at a small count.
+// Cause: a refusal that does not wait for settlements.
+func TestRequestWaitsForSettlement(t *testing.T) {
+	run(t, 1000, func(b *bench) {
+		r, err := b.money.Reserve(context.Background(), "w", 900)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		time.AfterFunc(3*time.Second, func() {
+			_, _ = r.Charge(context.Background(), &messenger.Charge{Workspace: "w", RequestId: "a", Tokens: 50})
+		})
+		_, err = b.spend("b", 900, 900, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+	})
+}
+
+// Symptom: a spent budget's callers overload the keeper.
+// Sequence: thousands of requests a second for a workspace without rights.
+// Cause: a keeper call for each refusal.
+func TestSpentBudgetDoesNotStampede(t *testing.T) {
+	run(t, 0, func(b *bench) {
+		for range 2000 {
+			_, err := b.spend("a", 10, 10, time.Minute)
+			b.Expect(err).To(gomega.MatchError(rattanhoist.ErrBudgetSpent))
+			time.Sleep(time.Millisecond)
+		}
+		b.Expect(b.keeper.count("lease")).To(gomega.BeNumerically("<=", 9))
+	})
+}
+
+// Symptom: every request waits for a lease, or each of a burst sends its own.
+// Sequence: a burst, then steady traffic.
+// Cause: no single flight, or leases that come only when the slice is dry.
+func TestLeasesComeAheadAndOneAtATime(t *testing.T) {
+	run(t, 10_000_000, func(b *bench) {
+		b.keeper.set(func() { b.keeper.delay = 5 * time.Millisecond })
+		var wg sync.WaitGroup
+		for i := range 200 {
+			wg.Go(func() { _, _ = b.spend(fmt.Sprint("burst", i), 100, 50, time.Minute) })
+		}
+		wg.Wait()
+		b.Expect(b.keeper.count("lease")).To(gomega.BeNumerically("<=", 3))
+		time.Sleep(time.Second)
+		var waited atomic.Int64
+		for i := range 4000 {
+			began := time.Now()
+			r, err := b.money.Reserve(context.Background(), "w", 100)
+			b.Expect(err).NotTo(gomega.HaveOccurred())
+			if time.Since(began) > 0 {
+				waited.Add(1)
+			}
+			wg.Go(func() {
+				_, _ = r.Charge(context.Background(), &messenger.Charge{Workspace: "w", RequestId: fmt.Sprint(i), Tokens: 60})
+			})
+			time.Sleep(time.Millisecond)
+		}
+		wg.Wait()
+		b.Expect(waited.Load()).To(gomega.BeNumerically("<=", 12), "of 4000 requests")
+		b.Expect(b.keeper.count("lease")).To(gomega.BeNumerically("<=", 20))
+		b.Expect(b.keeper.count("charge")).To(gomega.BeNumerically("<=", 1200), "charges share calls under load")
+	})
+}
