Answer a keeper without Register; let servers accept the dialer's pings

Cause: an Unimplemented answer carries no message, and the router read one: it ended at its start beside a keeper of the earlier build. Servers ended connections as 'too many pings' (seen in the launcher's logs after half a minute), since the library's default is one ping in 5 minutes and the dialer sends one in 10 s. Change: nil-safe accessor; enforcement policy in NewServer.

--- a/messenger/guard.go
+++ b/messenger/guard.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 )
@@ -109,6 +110,9 @@
 // NewServer returns a gRPC server that admits only peers with a proof.
 func NewServer(k Keys) *grpc.Server {
 	return grpc.NewServer(
+		// The library's default ends connections that ping as often as Dial
+		// does; calls in progress would fail every half minute.
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
 		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
 			if err := k.check(ctx, info.FullMethod); err != nil {
 				return nil, err
--- a/treasurer/caller.go
+++ b/treasurer/caller.go
@@ -30,7 +30,7 @@
 			t.renew(m)
 			return
 		case err == nil, status.Code(err) == codes.Unimplemented:
-			t.useWitness(out.WitnessAddress)
+			t.useWitness(out.GetWitnessAddress())
 			close(m.registered)
 			return
 		}
