--- a/router/router.go
+++ b/router/router.go
@@ -22,6 +22,7 @@
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/tracker"
+	"rattanhoist.example/rattanhoist/treasurer"
 )
 
 // States and events of a router's life.
@@ -50,7 +51,7 @@
 	snapshot atomic.Pointer[configurer.Snapshot]
 	tracker  *tracker.Tracker
 	gossip   *gossiper
-	money    *treasurer
+	money    *treasurer.Treasurer
 	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
 	// Pickers maps plug-in names to *picker.Picker instances.
@@ -71,11 +72,15 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	money, closeMoney, err := newTreasurer(s, self, d, conn, log)
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, err
+	}
 	r := &Router{
-		settings: s, self: self, log: log, dialer: d,
+		settings: s, self: self, log: log, dialer: d, money: money,
 		peerRPC: messenger.NewServer(messenger.Keys{messenger.RoleMember: s.DeploymentKey()}),
 		tracker: newTracker(s, self),
-		money:   newTreasurer(self, conn),
 		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
@@ -93,17 +98,11 @@
 	}
 	return r, func() {
 		r.gossip.close()
+		closeMoney()
 		_ = conn.Close()
 	}, nil
 }
 
-func newTreasurer(self loader.Process, conn *grpc.ClientConn) *treasurer {
-	return &treasurer{
-		router: self.Name(), incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
-		keeper: messenger.NewBudgetKeeperClient(conn),
-	}
-}
-
 // zoneKeeper returns the keeper of a zone; checked settings have one.
 func zoneKeeper(s *loader.Settings, zone string) loader.Process {
 	for _, p := range s.Processes(loader.KindKeeper) {
@@ -182,7 +181,7 @@
 	r.active.Wait()
 	give, cancelGive := context.WithTimeout(ctx, giveBackTimeout)
 	defer cancelGive()
-	r.money.giveBack(give)
+	r.money.GiveBack(give)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
