Pickers over cached tables, admission cores, ejection and the experiment pickers

Cause: every request built a slice of candidates, scanned the selectors of every endpoint and seeded a random source; nothing was learned of endpoints, nothing limited overload. Change: candidate tables per configuration version and group of statements behind atomic pointers; a ledger of learned times, prefixes and failures per router; a queue with priorities, fair shares and shedders; a retry budget.

--- /dev/null
+++ b/admitter/none.go
@@ -0,0 +1,11 @@
+package admitter
+
+import "time"
+
+// None is the name of the shedder that refuses nothing.
+var None = Register("none", func() Shedder { return none{} })
+
+type none struct{}
+
+// Shed implements Shedder.
+func (none) Shed(time.Duration, Request, Forecast) (bool, time.Duration) { return false, 0 }
--- a/configurer/snapshot.go
+++ b/configurer/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"maps"
 
 	"rattanhoist.example/rattanhoist"
@@ -102,24 +103,39 @@
 	return v, nil
 }
 
-// Allowed returns the test that an endpoint must pass to serve the workspace
-// and the service.
-func (s *Snapshot) Allowed(w *messenger.Workspace, v *messenger.Service) func(*rattanhoist.Endpoint) bool {
-	var selectors []matcher.Selector
-	wl, vl := withName(w.Labels, w.Name), withName(v.Labels, v.Name)
-	for _, t := range s.statements {
-		if t.workspaces.Matches(wl) && t.services.Matches(vl) {
-			selectors = append(selectors, t.endpoints)
+// Grant is what the statements allow one workspace for one service.
+type Grant struct {
+	key       string
+	selectors []matcher.Selector
+}
+
+// Key names the matching statements: equal keys of one snapshot are equal
+// grants.
+func (g Grant) Key() string { return g.key }
+
+// Allows reports whether an endpoint may serve.
+func (g Grant) Allows(e *rattanhoist.Endpoint) bool {
+	for _, s := range g.selectors {
+		if s.Matches(e.Labels()) {
+			return true
 		}
 	}
-	return func(e *rattanhoist.Endpoint) bool {
-		for _, sel := range selectors {
-			if sel.Matches(e.Labels()) {
-				return true
-			}
+	return false
+}
+
+// Grant returns what the statements allow the workspace for the service.
+func (s *Snapshot) Grant(w *messenger.Workspace, v *messenger.Service) Grant {
+	var g Grant
+	var key []byte
+	wl, vl := withName(w.Labels, w.Name), withName(v.Labels, v.Name)
+	for i, t := range s.statements {
+		if t.workspaces.Matches(wl) && t.services.Matches(vl) {
+			g.selectors = append(g.selectors, t.endpoints)
+			key = binary.AppendUvarint(key, uint64(i))
 		}
-		return false
 	}
+	g.key = string(key)
+	return g
 }
 
 func withName(labels map[string]string, name string) map[string]string {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -78,6 +78,7 @@
 // default.
 type Policy struct {
 	picker           string
+	shedder          string
 	placement        string
 	maxBody          int64
 	defaultTimeout   time.Duration
@@ -91,6 +92,9 @@
 // Picker returns the default picker plug-in.
 func (p Policy) Picker() string { return p.picker }
 
+// Shedder returns the plug-in that refuses requests under overload.
+func (p Policy) Shedder() string { return p.shedder }
+
 // Placement returns the plug-in that places rights over zones.
 func (p Policy) Placement() string { return p.placement }
 
--- a/loader/policy.go
+++ b/loader/policy.go
@@ -9,6 +9,7 @@
 // Defaults of the policy section.
 const (
 	defaultPicker         = "two_choices"
+	defaultShedder        = "deadline"
 	defaultPlacement      = "demand"
 	defaultMaxBody        = 8 << 20
 	defaultTimeout        = 60 * time.Second
@@ -20,7 +21,7 @@
 
 func defaultPolicy() Policy {
 	return Policy{
-		picker: defaultPicker, placement: defaultPlacement, maxBody: defaultMaxBody,
+		picker: defaultPicker, shedder: defaultShedder, placement: defaultPlacement, maxBody: defaultMaxBody,
 		defaultTimeout: defaultTimeout, maxTimeout: defaultMaxTimeout,
 		keepAnswer: defaultKeepAnswer, endpointMaxAge: defaultEndpointMaxAge,
 		drainTimeout: defaultDrainTimeout,
@@ -28,10 +29,11 @@
 }
 
 func (c *checker) policySection(sec *ini.Section) Policy {
-	c.onlyKeys(sec, "picker", "placement", "max_body_bytes", "default_timeout", "max_timeout",
+	c.onlyKeys(sec, "picker", "shedder", "placement", "max_body_bytes", "default_timeout", "max_timeout",
 		"keep_answer", "endpoint_max_age", "drain_timeout", "fault_port")
 	p := defaultPolicy()
 	c.text(sec, "picker", &p.picker)
+	c.text(sec, "shedder", &p.shedder)
 	c.text(sec, "placement", &p.placement)
 	c.bytes(sec, "max_body_bytes", &p.maxBody)
 	c.duration(sec, "default_timeout", &p.defaultTimeout)
--- /dev/null
+++ b/measurer/picker_fleet.go
@@ -0,0 +1,492 @@
+package measurer
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/admitter"
+	"rattanhoist.example/rattanhoist/picker"
+)
+
+// fleetCase is one run of the experiment.
+type fleetCase struct {
+	picker  string
+	shedder string
+	// Unlimited lets every request go at once, as without admission.
+	unlimited bool
+	// Load is the offered work by what the engines can do.
+	load    float64
+	engines int
+	// Slow makes the first engine this many times slower; 1 is none.
+	slow float64
+	// Broken has the first engine fail every run.
+	broken      bool
+	reportLag   time.Duration
+	eventLoss   float64
+	seed        uint64
+	warm, until time.Duration
+}
+
+// Sizes of the traffic and the fleet.
+const (
+	fleetRouters    = 6
+	fleetZones      = 3
+	fleetCapacity   = 16
+	fleetPrefixes   = 40
+	fleetCache      = 8
+	fleetWorkspaces = 10
+	meanAnswer      = 150
+	promptLength    = 1200
+	sharedLength    = 900
+	reportEvery     = 500 * time.Millisecond
+	eventLag        = 500 * time.Millisecond
+	failureShare    = 0.01
+	maxTries        = 3
+	// crossZoneTime is the extra time to an endpoint of another zone.
+	crossZoneTime = 500 * time.Microsecond
+)
+
+// engineSpeed is the units of work a second of one full engine.
+func engineSpeed() float64 {
+	return fleetCapacity / (engineTokenTime.Seconds() * (1 + engineCrowding*(fleetCapacity-1)))
+}
+
+// requestUnits is the work of a mean request whose prefix is cached.
+func requestUnits() float64 {
+	return meanAnswer + float64(promptLength-sharedLength)/prefillSpeed
+}
+
+type fleetRequest struct {
+	id        uint64
+	workspace string
+	priority  int
+	prefix    uint64
+	answer    int64
+	most      int64
+	arrived   time.Duration
+	deadline  time.Duration
+	first     time.Duration
+	tried     []*picker.Stats
+	runs      int
+	measured  bool
+	done      bool
+}
+
+// fleetResult sums what was measured.
+type fleetResult struct {
+	offered, met, late, refused, expired, failed, falseRefused int
+	runs, dispatched                                           int
+	retries, noRetry                                           int
+	useful, wasted                                             float64
+	hits, starts                                               int
+	first, end                                                 []time.Duration
+	refusals                                                   []refusal
+}
+
+// refusal is kept for the check by hindsight.
+type refusal struct{ at, latest time.Duration }
+
+// fleet is the fake deployment of one service in virtual time; the picking
+// and admitting cores are the product's.
+type fleet struct {
+	c       fleetCase
+	clock   *fakeClock
+	rand    *rand.Rand
+	base    time.Time
+	engines []*fakeEngine
+	routers []*fleetRouter
+	result  fleetResult
+	nextID  uint64
+	// FreeSince and gaps keep when each engine had a free place.
+	freeSince []time.Duration
+	gaps      [][]gap
+	// Numbers maps endpoint names to engines.
+	numbers map[string]int
+}
+
+type gap struct{ from, to time.Duration }
+
+func runFleet(c fleetCase) *fleetResult {
+	f := &fleet{c: c, clock: &fakeClock{}, rand: rand.New(rand.NewPCG(c.seed, 1)), base: time.Unix(0, 0), numbers: map[string]int{}}
+	for i := range c.engines {
+		f.addEngine(i)
+	}
+	for i := range fleetRouters {
+		f.routers = append(f.routers, newFleetRouter(f, i))
+	}
+	for i := range c.engines {
+		f.report(i)
+	}
+	f.clock.after(reportEvery+c.reportLag, f.arrivals)
+	f.clock.runUntil(c.until + 2*time.Minute)
+	f.judgeRefusals()
+	return &f.result
+}
+
+func (f *fleet) addEngine(i int) {
+	e := &fakeEngine{clock: f.clock, capacity: fleetCapacity, slow: 1, cacheMax: fleetCache}
+	if i == 0 {
+		e.slow, e.broken = f.c.slow, f.c.broken
+	}
+	e.onCache = func(prefix uint64, stored bool) { f.cacheEvent(i, prefix, stored) }
+	f.freeSince = append(f.freeSince, 0)
+	f.gaps = append(f.gaps, nil)
+	e.onChange = func(free bool) { f.noteFree(i, free) }
+	f.engines = append(f.engines, e)
+	f.numbers[engineName(i)] = i
+}
+
+func engineName(i int) string { return fmt.Sprintf("engine-%02d", i) }
+
+var workspaceNames = func() (names [fleetWorkspaces]string) {
+	for i := range names {
+		names[i] = fmt.Sprint("workspace-", i)
+	}
+	return names
+}()
+
+func (f *fleet) noteFree(i int, free bool) {
+	if free && f.freeSince[i] < 0 {
+		f.freeSince[i] = f.clock.now
+	}
+	if !free && f.freeSince[i] >= 0 {
+		f.gaps[i] = append(f.gaps[i], gap{f.freeSince[i], f.clock.now})
+		f.freeSince[i] = -1
+	}
+}
+
+// judgeRefusals counts the refusals that an engine's idle place could have
+// answered in time without taking anything from another request. Several may
+// claim the same place, so the count is an upper bound of that kind.
+func (f *fleet) judgeRefusals() {
+	need := time.Duration(requestUnits() * engineTokenTime.Seconds() * (1 + engineCrowding*(fleetCapacity-1)) * float64(time.Second))
+	for i, e := range f.engines {
+		if f.freeSince[i] >= 0 {
+			f.gaps[i] = append(f.gaps[i], gap{f.freeSince[i], f.clock.now})
+		}
+		if e.slow > 1 || e.broken {
+			f.gaps[i] = nil
+		}
+	}
+	for _, r := range f.result.refusals {
+		if f.couldRun(r, need) {
+			f.result.falseRefused++
+		}
+	}
+}
+
+func (f *fleet) couldRun(r refusal, need time.Duration) bool {
+	for _, gaps := range f.gaps {
+		i, _ := slices.BinarySearchFunc(gaps, r.at, func(g gap, t time.Duration) int {
+			if g.to <= t {
+				return -1
+			}
+			return 1
+		})
+		for ; i < len(gaps) && gaps[i].from < r.latest; i++ {
+			if max(gaps[i].from, r.at)+need <= min(gaps[i].to, r.latest) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (f *fleet) arrivals() {
+	if f.clock.now >= f.c.until {
+		return
+	}
+	f.arrive()
+	perSecond := f.c.load * float64(f.c.engines) * engineSpeed() / requestUnits()
+	f.clock.after(time.Duration(f.rand.ExpFloat64()/perSecond*float64(time.Second)), f.arrivals)
+}
+
+// zipf draws below n with shares that fall as 1/rank.
+func (f *fleet) zipf(n int) int {
+	x := math.Pow(float64(n+1), f.rand.Float64())
+	return min(int(x)-1, n-1)
+}
+
+func (f *fleet) arrive() {
+	f.nextID++
+	q := &fleetRequest{id: f.nextID, arrived: f.clock.now, measured: f.clock.now >= f.c.warm}
+	q.workspace = workspaceNames[f.zipf(fleetWorkspaces)]
+	q.prefix = uint64(f.zipf(fleetPrefixes))*0x9e3779b97f4a7c15 + 1
+	q.answer = meanAnswer/3 + f.rand.Int64N(meanAnswer*4/3+1)
+	q.most = q.answer + f.rand.Int64N(q.answer)
+	q.priority, q.deadline = 4, q.arrived+12*time.Second
+	if f.rand.Float64() < 0.3 {
+		q.priority, q.deadline = 5, q.arrived+45*time.Second
+	}
+	if q.measured {
+		f.result.offered++
+	}
+	f.routers[f.rand.IntN(len(f.routers))].arrive(q)
+}
+
+// report sends an engine's load to every router, late by the case's lag.
+func (f *fleet) report(i int) {
+	load := f.engines[i].load()
+	lag := f.c.reportLag
+	f.clock.after(lag, func() {
+		e := f.endpoint(i, load)
+		for _, r := range f.routers {
+			r.hear(i, e)
+		}
+	})
+	f.clock.after(reportEvery, func() { f.report(i) })
+}
+
+func (f *fleet) endpoint(i, load int) *rattanhoist.Endpoint {
+	return rattanhoist.NewEndpoint(rattanhoist.EndpointFields{
+		Name: engineName(i), Service: "survey-llm", Zone: zoneName(i), Incarnation: 1,
+		Capacity: fleetCapacity, Load: int64(load), Heard: f.base.Add(f.clock.now),
+	})
+}
+
+func zoneName(i int) string { return fmt.Sprint("zone-", i%fleetZones) }
+
+func (f *fleet) cacheEvent(i int, prefix uint64, stored bool) {
+	for _, r := range f.routers {
+		if f.rand.Float64() < f.c.eventLoss {
+			continue
+		}
+		f.clock.after(eventLag, func() { r.cacheEvent(i, prefix, stored) })
+	}
+}
+
+// fleetRouter is the shell of the product's cores in virtual time.
+type fleetRouter struct {
+	f         *fleet
+	zone      string
+	ledger    *picker.Ledger
+	picker    picker.Picker
+	queue     *admitter.Queue
+	retries   *admitter.Retries
+	endpoints []*rattanhoist.Endpoint
+	set       *picker.Set
+	waiting   map[uint64]*fleetRequest
+	inFlight  int
+}
+
+func newFleetRouter(f *fleet, i int) *fleetRouter {
+	p, _ := picker.New(f.c.picker)
+	s, _ := admitter.New(f.c.shedder)
+	return &fleetRouter{
+		f: f, zone: zoneName(i), ledger: picker.NewLedger(f.base), picker: p,
+		queue: admitter.NewQueue(admitter.DefaultBounds, s), retries: admitter.NewRetries(),
+		endpoints: make([]*rattanhoist.Endpoint, f.c.engines), waiting: map[uint64]*fleetRequest{},
+	}
+}
+
+func (r *fleetRouter) now() time.Time { return r.f.base.Add(r.f.clock.now) }
+
+func (r *fleetRouter) hear(i int, e *rattanhoist.Endpoint) {
+	r.endpoints[i] = e
+	known := slices.DeleteFunc(slices.Clone(r.endpoints), func(e *rattanhoist.Endpoint) bool { return e == nil })
+	r.set = r.ledger.NewSet("survey-llm", r.zone, 3*time.Second, r.now(), known)
+	r.step(admitter.Event{Kind: admitter.Tick})
+}
+
+func (r *fleetRouter) cacheEvent(i int, prefix uint64, stored bool) {
+	if r.endpoints[i] != nil {
+		r.ledger.CacheEvent(r.endpoints[i], prefix, stored, r.now())
+	}
+}
+
+func (r *fleetRouter) query(q *fleetRequest) picker.Query {
+	return picker.Query{
+		Now: r.now(), Deadline: r.f.base.Add(q.deadline), Prefix: q.prefix, PromptTokens: promptLength,
+		MaxAnswer: q.most, Seed: r.f.rand.Uint64(), Tried: q.tried,
+	}
+}
+
+func (r *fleetRouter) arrive(q *fleetRequest) {
+	r.retries.First()
+	if r.f.c.unlimited {
+		r.dispatch(q)
+		return
+	}
+	e := r.set.Service().Estimate(r.query(q), r.f.clock.now)
+	r.waiting[q.id] = q
+	r.step(admitter.Event{Kind: admitter.Arrive, Request: admitter.Request{
+		ID: q.id, Workspace: q.workspace, Priority: q.priority, Deadline: q.deadline,
+		Tokens: e.Tokens, Service: e.Service, Least: e.Least, Random: r.f.rand.Float64(),
+	}})
+}
+
+// step runs the queue and does what it says.
+func (r *fleetRouter) step(e admitter.Event) {
+	e.InFlight, e.Limit = r.inFlight, r.set.Room(r.now())
+	for _, a := range slices.Clone(r.queue.Step(r.f.clock.now, e)) {
+		q := r.waiting[a.ID]
+		delete(r.waiting, a.ID)
+		if a.Verdict == admitter.Start {
+			r.dispatch(q)
+			continue
+		}
+		r.refuse(q, a.Verdict)
+	}
+	if at, ok := r.queue.NextExpiry(); ok {
+		r.f.clock.after(at-r.f.clock.now+time.Millisecond, func() { r.tick() })
+	}
+}
+
+func (r *fleetRouter) tick() {
+	if at, ok := r.queue.NextExpiry(); ok && at < r.f.clock.now {
+		r.step(admitter.Event{Kind: admitter.Tick})
+	}
+}
+
+func (r *fleetRouter) refuse(q *fleetRequest, v admitter.Verdict) {
+	if !q.measured {
+		return
+	}
+	r.f.result.refusals = append(r.f.result.refusals, refusal{at: r.f.clock.now, latest: q.deadline})
+	if v == admitter.Expired {
+		r.f.result.expired++
+		return
+	}
+	r.f.result.refused++
+}
+
+func (r *fleetRouter) dispatch(q *fleetRequest) {
+	p := r.query(q)
+	i := r.picker.Pick(p, r.set)
+	if i < 0 {
+		r.give(q, false)
+		return
+	}
+	c := r.set.At(i)
+	e := r.f.engines[r.f.numbers[c.Endpoint().Name()]]
+	x := &fleetRun{router: r, request: q, engine: e, stats: c.Stats(), run: r.ledger.Begin(c, p)}
+	r.inFlight++
+	q.runs++
+	var travel time.Duration
+	if c.Endpoint().Zone() != r.zone {
+		travel = crossZoneTime
+	}
+	r.f.clock.after(travel, x.submit)
+}
+
+// give ends a request.
+func (r *fleetRouter) give(q *fleetRequest, whole bool) {
+	if q.done {
+		return
+	}
+	q.done = true
+	if !q.measured {
+		return
+	}
+	res := &r.f.result
+	res.dispatched++
+	res.runs += q.runs
+	switch {
+	case whole && r.f.clock.now <= q.deadline:
+		res.met++
+		res.useful += float64(q.answer)
+		res.first = append(res.first, q.first-q.arrived)
+		res.end = append(res.end, r.f.clock.now-q.arrived)
+	case r.f.clock.now >= q.deadline:
+		res.late++
+		res.first = append(res.first, max(q.first, r.f.clock.now)-q.arrived)
+	default:
+		res.failed++
+	}
+}
+
+// fleetRun is one run of a request at an engine, as its router sees it.
+type fleetRun struct {
+	router  *fleetRouter
+	request *fleetRequest
+	engine  *fakeEngine
+	stats   *picker.Stats
+	run     picker.Run
+	inside  *fakeRun
+	ended   bool
+}
+
+func (x *fleetRun) submit() {
+	q := x.request
+	x.inside = &fakeRun{
+		priority: q.priority, prompt: promptLength, shared: sharedLength, answer: float64(q.answer), prefix: q.prefix,
+		onFirst: x.first, onEnd: x.end,
+	}
+	if x.router.f.rand.Float64() < failureShare {
+		x.inside.failAfter = x.router.f.rand.Float64() + 1e-3
+	}
+	if !x.engine.submit(x.inside) {
+		q.runs--
+		x.end(false)
+		return
+	}
+	x.router.f.clock.after(q.deadline-x.router.f.clock.now, x.timeout)
+}
+
+func (x *fleetRun) first() {
+	if x.request.first == 0 {
+		x.request.first = x.router.f.clock.now
+	}
+	x.run.First(x.router.now())
+}
+
+func (x *fleetRun) end(whole bool) {
+	if x.ended {
+		return
+	}
+	x.ended = true
+	r := x.router
+	cached := int64(x.inside.cached)
+	r.run(x, picker.Outcome{AnswerTokens: x.request.answer, CachedTokens: cached, Whole: whole, Fault: !whole})
+	if x.request.measured && x.inside.started {
+		r.f.result.starts++
+		if cached > 0 {
+			r.f.result.hits++
+		}
+	}
+	if whole {
+		r.give(x.request, true)
+	} else {
+		x.waste(x.inside.failAfter * x.inside.answer)
+		x.retry()
+	}
+	r.step(admitter.Event{Kind: admitter.Tick})
+}
+
+func (r *fleetRouter) run(x *fleetRun, o picker.Outcome) {
+	r.inFlight--
+	x.run.End(r.now(), o, r.f.rand.Float64())
+}
+
+func (x *fleetRun) waste(tokens float64) {
+	if x.request.measured {
+		x.router.f.result.wasted += tokens
+	}
+}
+
+// retry sends a failed request to another endpoint within the retry budget.
+func (x *fleetRun) retry() {
+	q, r := x.request, x.router
+	q.tried = append(q.tried, x.stats)
+	if len(q.tried) >= maxTries || r.f.clock.now >= q.deadline || !r.retries.Retry() {
+		r.give(q, false)
+		return
+	}
+	r.dispatch(q)
+}
+
+// timeout cancels the run at the request's deadline; the caller has gone.
+func (x *fleetRun) timeout() {
+	if x.ended {
+		return
+	}
+	x.ended = true
+	x.waste(x.engine.cancel(x.inside))
+	x.router.run(x, picker.Outcome{CachedTokens: -1})
+	x.router.give(x.request, false)
+	x.router.step(admitter.Event{Kind: admitter.Tick})
+}
--- a/picker/least_outstanding.go
+++ b/picker/least_outstanding.go
@@ -4,15 +4,31 @@
 // the fewest requests of this router in progress.
 var LeastOutstanding = Register("least_outstanding", func() Picker { return leastOutstanding{} })
 
+// leastOutstandingSample bounds the candidates looked at.
+const leastOutstandingSample = 256
+
 type leastOutstanding struct{}
 
-// Pick implements Picker.
-func (leastOutstanding) Pick(_ Query, c []Candidate) int {
-	best := -1
-	for i := range c {
-		if best < 0 || c[i].InFlight < c[best].InFlight {
-			best = i
+// Pick implements Picker. It begins at a random candidate: begun at the first,
+// every router of an idle fleet would send its first requests to the same one.
+func (leastOutstanding) Pick(q Query, s *Set) int {
+	n := len(s.candidates)
+	if n == 0 {
+		return -1
+	}
+	now := s.since(q.Now)
+	best, fewest := -1, int64(0)
+	i := int(q.Seed % uint64(n))
+	for range min(n, leastOutstandingSample) {
+		if own := s.candidates[i].stats.inFlight.Load(); (best < 0 || own < fewest) && s.usable(&q, i, now) {
+			best, fewest = i, own
 		}
+		if i++; i == n {
+			i = 0
+		}
+	}
+	if best < 0 {
+		return s.lastResort(&q, now)
 	}
 	return best
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -1,35 +1,37 @@
 // Package picker chooses the endpoint of a request. Pickers are plug-ins that
-// register themselves under a name.
+// register themselves under a name; they read an immutable Set and this
+// router's own atomic counters, and take no lock.
 package picker
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
-
-	"rattanhoist.example/rattanhoist"
 )
 
-// Candidate is an endpoint that may serve the request.
-type Candidate struct {
-	Endpoint *rattanhoist.Endpoint
-	// InFlight is the number of this router's own requests there.
-	InFlight int64
-}
-
 // Query is what a picker knows of the request.
 type Query struct {
 	Now      time.Time
 	Deadline time.Time
-	Zone     string
 	// Prefix is a hash of the prompt's head; 0 when there is none.
 	Prefix uint64
-	Rand   *rand.Rand
+	// PromptTokens estimates the length of the prompt.
+	PromptTokens int64
+	// MaxAnswer bounds the answer in tokens.
+	MaxAnswer int64
+	// NotRepeatable keeps the request away from endpoints on probation.
+	NotRepeatable bool
+	// Seed is a random word; the same query with the same seed gives the same
+	// choice.
+	Seed uint64
+	// Tried lists the endpoints that failed this request already.
+	Tried []*Stats
 }
 
+func (q *Query) tried(s *Stats) bool { return len(q.Tried) > 0 && slices.Contains(q.Tried, s) }
+
 // Picker chooses among candidates; it returns -1 when none will do.
 type Picker interface {
-	Pick(q Query, c []Candidate) int
+	Pick(q Query, s *Set) int
 }
 
 // Default is the picker for names that are not registered.
--- a/picker/round_robin.go
+++ b/picker/round_robin.go
@@ -8,9 +8,17 @@
 type roundRobin struct{ next atomic.Uint64 }
 
 // Pick implements Picker.
-func (r *roundRobin) Pick(_ Query, c []Candidate) int {
-	if len(c) == 0 {
+func (r *roundRobin) Pick(q Query, s *Set) int {
+	n := uint64(len(s.candidates))
+	if n == 0 {
 		return -1
 	}
-	return int((r.next.Add(1) - 1) % uint64(len(c)))
+	now := s.since(q.Now)
+	start := r.next.Add(1) - 1
+	for k := range n {
+		if i := int((start + k) % n); s.usable(&q, i, now) {
+			return i
+		}
+	}
+	return s.lastResort(&q, now)
 }
--- /dev/null
+++ b/picker/set.go
@@ -0,0 +1,86 @@
+package picker
+
+import (
+	"sync/atomic"
+	"time"
+
+	"rattanhoist.example/rattanhoist"
+)
+
+// Candidate is an endpoint that statements allow to serve the request.
+type Candidate struct {
+	endpoint *rattanhoist.Endpoint
+	stats    *Stats
+	// Heard is when the announcement was made, since the ledger's base.
+	heard    time.Duration
+	load     float64
+	capacity float64
+}
+
+// Endpoint returns the announced endpoint.
+func (c *Candidate) Endpoint() *rattanhoist.Endpoint { return c.endpoint }
+
+// Stats returns this router's own record of the endpoint.
+func (c *Candidate) Stats() *Stats { return c.stats }
+
+// Set is the immutable table of candidates for one service and one group of
+// statements, built once for many picks.
+type Set struct {
+	ledger  *Ledger
+	service *Service
+	maxAge  time.Duration
+	// Candidates begin with those of the own zone; none is leaving.
+	candidates []Candidate
+	local      int
+	// Index finds a candidate by the id of its stats.
+	index    map[uint32]int32
+	capacity float64
+	// Room and roomAt keep what Room computed last, and when.
+	room, roomAt atomic.Int64
+}
+
+// Len returns the number of candidates, usable or not.
+func (s *Set) Len() int { return len(s.candidates) }
+
+// At returns a candidate.
+func (s *Set) At(i int) *Candidate { return &s.candidates[i] }
+
+// Service returns what is learned of the service.
+func (s *Set) Service() *Service { return s.service }
+
+// fresh reports whether new work may be sent to the endpoint. It reads the
+// age at the moment of use: a router that was stopped for an hour wakes with
+// an old table and, without this, would send work on it.
+func (s *Set) fresh(c *Candidate, now time.Duration) bool { return now-c.heard < s.maxAge }
+
+// usable reports whether candidate i may get the request.
+func (s *Set) usable(q *Query, i int, now time.Duration) bool {
+	c := &s.candidates[i]
+	if !s.fresh(c, now) {
+		return false
+	}
+	if c.stats.gate.Ejected() && (q.NotRepeatable || c.stats.gate.Blocked(now)) {
+		return false
+	}
+	return !q.tried(c.stats)
+}
+
+// lastResort returns a fresh candidate that was not tried, ejected or not: a
+// request is better sent to a doubtful endpoint than refused.
+func (s *Set) lastResort(q *Query, now time.Duration) int {
+	n := len(s.candidates)
+	if n == 0 {
+		return -1
+	}
+	start := int(q.Seed % uint64(n))
+	for k := range n {
+		i := (start + k) % n
+		if s.fresh(&s.candidates[i], now) && !q.tried(s.candidates[i].stats) {
+			return i
+		}
+	}
+	return -1
+}
+
+// since turns a time into the ledger's.
+func (s *Set) since(t time.Time) time.Duration { return s.ledger.Since(t) }
--- /dev/null
+++ b/picker/stats.go
@@ -0,0 +1,86 @@
+package picker
+
+import (
+	"sync/atomic"
+	"time"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/ejector"
+)
+
+// Assumed before anything is learned, in seconds a token.
+const (
+	assumedTokenTime   = 0.02
+	assumedPrefillTime = 0.0005
+)
+
+const (
+	// sampleWeight lets some five runs replace what was learned before.
+	sampleWeight = 0.3
+	// serviceWeight is smaller: a service has many endpoints' samples.
+	serviceWeight = 0.05
+	// learnedHalf is the age at which a learned time counts half.
+	learnedHalf = 10 * time.Second
+)
+
+// Service is what this router has learned of a service as a whole.
+type Service struct {
+	tokenTime   average
+	prefillTime average
+	// AnswerShare is the answer's length by the bound that the request gave.
+	answerShare average
+	// Samples counts whole runs.
+	samples atomic.Int64
+}
+
+// TokenTime returns the seconds between two tokens of an answer.
+func (s *Service) TokenTime() float64 { return s.tokenTime.value(assumedTokenTime) }
+
+// PrefillTime returns the seconds to read a prompt token that is not cached.
+func (s *Service) PrefillTime() float64 { return s.prefillTime.value(assumedPrefillTime) }
+
+// AnswerTokens returns the length to expect of an answer bounded by most.
+func (s *Service) AnswerTokens(most int64) float64 {
+	return float64(most) * s.answerShare.value(1)
+}
+
+// Learned reports whether enough runs have ended to refuse on their account,
+// the last of them at most age ago.
+func (s *Service) Learned(now, age time.Duration) bool {
+	const enough = 8
+	return s.samples.Load() >= enough && int64(now)-s.tokenTime.at.Load() <= int64(age)
+}
+
+// Stats is this router's own record of one incarnation of an endpoint.
+type Stats struct {
+	// Id is unique in the ledger and never reused.
+	id          uint32
+	incarnation rattanhoist.Incarnation
+	service     *Service
+	gate        ejector.Gate
+	// InFlight counts this router's requests there.
+	inFlight atomic.Int64
+	// OwnAtReport is inFlight when the last load report arrived.
+	ownAtReport atomic.Int64
+	// ReportAt is when that report arrived, in nanoseconds of the ledger.
+	reportAt    atomic.Int64
+	tokenTime   average
+	prefillTime average
+	// Reuse is the share of expected prefix hits that were hits.
+	reuse average
+	// UsedAt is when a set last listed the endpoint.
+	usedAt atomic.Int64
+}
+
+// InFlight returns this router's requests in progress at the endpoint.
+func (s *Stats) InFlight() int64 { return s.inFlight.Load() }
+
+// Ejected reports whether the endpoint is out of service for failures.
+func (s *Stats) Ejected() bool { return s.gate.Ejected() }
+
+// report notes the arrival of a load report.
+func (s *Stats) report(at time.Duration) {
+	if old := s.reportAt.Load(); int64(at) > old && s.reportAt.CompareAndSwap(old, int64(at)) {
+		s.ownAtReport.Store(s.inFlight.Load())
+	}
+}
--- a/picker/two_choices.go
+++ b/picker/two_choices.go
@@ -1,25 +1,62 @@
 package picker
 
+import "time"
+
 // TwoChoices is the name of the picker that draws two candidates and takes
 // the one with less work for its capacity.
 var TwoChoices = Register("two_choices", func() Picker { return twoChoices{} })
 
+// twoChoicesDraws bounds the draws that look for two usable candidates.
+const twoChoicesDraws = 8
+
 type twoChoices struct{}
 
 // Pick implements Picker.
-func (twoChoices) Pick(q Query, c []Candidate) int {
-	if len(c) == 0 {
+func (twoChoices) Pick(q Query, s *Set) int {
+	n := len(s.candidates)
+	if n == 0 {
 		return -1
 	}
-	a, b := q.Rand.IntN(len(c)), q.Rand.IntN(len(c))
-	if work(c[b]) < work(c[a]) {
-		return b
+	now := s.since(q.Now)
+	d := draw(q.Seed)
+	best, found := -1, 0
+	for range twoChoicesDraws {
+		i := d.below(n)
+		if i == best || !s.usable(&q, i, now) {
+			continue
+		}
+		if best < 0 || s.candidates[i].reported() < s.candidates[best].reported() {
+			best = i
+		}
+		if found++; found == 2 {
+			return best
+		}
 	}
-	return a
+	if best < 0 {
+		return s.lastResort(&q, now)
+	}
+	return best
 }
 
-// work is the share of the capacity in use: the endpoint's own report, or
+// reported is the share of the capacity in use: the endpoint's own report, or
 // this router's requests where they are more, since reports come late.
-func work(c Candidate) float64 {
-	return float64(max(c.InFlight, c.Endpoint.Load())) / float64(c.Endpoint.Capacity())
+func (c *Candidate) reported() float64 {
+	return max(float64(c.stats.inFlight.Load()), c.load) / c.capacity
+}
+
+// reportHalf is the age at which a load report counts half.
+const reportHalf = 2 * time.Second
+
+// work estimates the requests in progress at the endpoint, of all routers:
+// this router's own count is exact; what the last report says beyond it is
+// discounted by its age, so that the older the report, the more the own
+// count weighs.
+func (c *Candidate) work(now time.Duration) float64 {
+	own := float64(c.stats.inFlight.Load())
+	others := c.load - float64(c.stats.ownAtReport.Load())
+	if others <= 0 {
+		return own
+	}
+	age := max(0, now-c.heard)
+	return own + others*float64(reportHalf)/float64(reportHalf+age)
 }
--- a/router/choose.go
+++ b/router/choose.go
@@ -1,8 +1,9 @@
 package router
 
 import (
+	"context"
+	"errors"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"rattanhoist.example/rattanhoist"
@@ -21,30 +22,59 @@
 	return p.(picker.Picker)
 }
 
-func (r *Router) inFlightAt(endpoint string) *atomic.Int64 {
-	n, ok := r.inFlight.Load(endpoint)
-	if !ok {
-		n, _ = r.inFlight.LoadOrStore(endpoint, &atomic.Int64{})
+// promptBytes is how many bytes of a prompt make a token, about.
+const promptBytes = 4
+
+func (q *request) query(now time.Time) picker.Query {
+	return picker.Query{
+		Now: now, Deadline: q.deadline, Prefix: q.prefix, PromptTokens: int64(len(q.body)) / promptBytes,
+		MaxAnswer: q.maxAnswer, NotRepeatable: !q.repeatable, Seed: rand.Uint64(),
 	}
-	return n.(*atomic.Int64)
 }
 
 // pick returns an endpoint that may serve the request and is not in tried.
 func (r *Router) pick(q *request, tried map[string]bool) (*rattanhoist.Endpoint, error) {
 	now := time.Now()
-	allowed := r.snapshot.Load().Allowed(q.workspace, q.service)
-	var c []picker.Candidate
-	for _, e := range r.tracker.Table().Service(q.service.Name) {
-		if r.tracker.Usable(e, now) && !tried[e.Name()] && allowed(e) {
-			c = append(c, picker.Candidate{Endpoint: e, InFlight: r.inFlightAt(e.Name()).Load()})
-		}
+	set := r.candidates(q, now)
+	p := q.query(now)
+	for name := range tried {
+		p.Tried = append(p.Tried, r.ledger.Known(name))
 	}
-	i := r.picker(q.service.Picker).Pick(picker.Query{
-		Now: now, Deadline: q.deadline, Zone: r.self.Zone(), Prefix: q.prefix,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}, c)
+	i := r.picker(q.service.Picker).Pick(p, set)
 	if i < 0 {
 		return nil, rattanhoist.ErrNoEndpoint
 	}
-	return c[i].Endpoint, nil
+	return set.At(i).Endpoint(), nil
+}
+
+// sent is one dispatch, for what later picks learn of it.
+type sent struct {
+	run   picker.Run
+	begun bool
+}
+
+// began notes the dispatch of a request to an endpoint.
+func (r *Router) began(q *request, e *rattanhoist.Endpoint) *sent {
+	return &sent{run: r.ledger.BeginAt(e, q.query(time.Now()))}
+}
+
+// first notes the first token of the answer; later calls do nothing.
+func (s *sent) first() {
+	if !s.begun {
+		s.begun = true
+		s.run.First(time.Now())
+	}
+}
+
+// end notes how the run ended. A caller that left or a deadline that passed
+// is no fault of the endpoint's.
+func (s *sent) end(res *result, err error) {
+	var answerTokens int64
+	if res != nil {
+		answerTokens = res.answerTokens
+	}
+	gone := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	s.run.End(time.Now(), picker.Outcome{
+		AnswerTokens: answerTokens, CachedTokens: -1, Whole: err == nil, Fault: err != nil && !gone,
+	}, rand.Float64())
 }
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,7 @@
 	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/picker"
 	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/tracker"
 )
@@ -39,6 +40,7 @@
 	idleTimeout       = 2 * time.Minute
 	expireEvery       = time.Second
 	giveBackTimeout   = 3 * time.Second
+	forgetEndpoint    = 10 * time.Minute
 )
 
 // Router is one router process.
@@ -54,8 +56,12 @@
 	engines  *http.Client
 	// Pickers maps plug-in names to *picker.Picker instances.
 	pickers sync.Map
-	// InFlight maps endpoint names to *atomic.Int64.
-	inFlight sync.Map
+	// Ledger is what this router has learned of endpoints, from ledgerBase on.
+	ledger     *picker.Ledger
+	ledgerBase time.Time
+	grants     atomic.Pointer[grants]
+	// Limiters maps service names to *limiter.
+	limiters sync.Map
 	server   *http.Server
 	dialer   *messenger.Dialer
 	peerRPC  *grpc.Server
@@ -78,6 +84,8 @@
 		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
+	r.ledgerBase = time.Now()
+	r.ledger = picker.NewLedger(r.ledgerBase)
 	r.life = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventReady, Src: []string{stateStarting}, Dst: stateReady},
 		{Name: eventDrain, Src: []string{stateStarting, stateReady}, Dst: stateDraining},
@@ -164,6 +172,7 @@
 			return
 		case <-t.C:
 			r.tracker.Expire(time.Now())
+			r.ledger.Forget(time.Now(), forgetEndpoint)
 		}
 	}
 }
--- a/router/serve.go
+++ b/router/serve.go
@@ -92,10 +92,9 @@
 			return nil, errors.Join(last, err)
 		}
 		tried[e.Name()] = true
-		n := r.inFlightAt(e.Name())
-		n.Add(1)
+		d := r.began(q, e)
 		res, err := run(ctx, q, e, s)
-		n.Add(-1)
+		d.end(res, err)
 		if err == nil {
 			return res, nil
 		}
@@ -104,7 +103,7 @@
 		if errors.As(err, &f) && (f.passed || f.dispatched && !q.repeatable) {
 			return nil, err
 		}
-		if ctx.Err() != nil {
+		if !r.mayRetry(ctx, q) {
 			return nil, err
 		}
 	}
