--- a/picker/average.go
+++ b/picker/average.go
@@ -24,6 +24,9 @@
 			v := math.Float64frombits(old)
 			next = v + weight*(x-v)
 		}
+		if next == 0 {
+			next = math.SmallestNonzeroFloat64
+		}
 		if a.bits.CompareAndSwap(old, math.Float64bits(next)) {
 			a.at.Store(int64(now))
 			return
--- a/picker/ledger.go
+++ b/picker/ledger.go
@@ -109,7 +109,7 @@
 	st := l.Stats(e)
 	st.usedAt.Store(int64(now))
 	heard := l.Since(e.Heard())
-	st.report(heard)
+	st.report(heard, float64(e.Load()))
 	return Candidate{endpoint: e, stats: st, heard: heard, load: float64(e.Load()), capacity: float64(e.Capacity())}
 }
 
--- a/picker/stats.go
+++ b/picker/stats.go
@@ -19,6 +19,8 @@
 	sampleWeight = 0.3
 	// serviceWeight is smaller: a service has many endpoints' samples.
 	serviceWeight = 0.05
+	// othersWeight averages the reports of some seconds.
+	othersWeight = 0.15
 	// learnedHalf is the age at which a learned time counts half.
 	learnedHalf = 10 * time.Second
 )
@@ -60,8 +62,8 @@
 	gate        ejector.Gate
 	// InFlight counts this router's requests there.
 	inFlight atomic.Int64
-	// OwnAtReport is inFlight when the last load report arrived.
-	ownAtReport atomic.Int64
+	// Others averages what reports say beyond this router's own requests.
+	others average
 	// ReportAt is when that report arrived, in nanoseconds of the ledger.
 	reportAt    atomic.Int64
 	tokenTime   average
@@ -78,9 +80,11 @@
 // Ejected reports whether the endpoint is out of service for failures.
 func (s *Stats) Ejected() bool { return s.gate.Ejected() }
 
-// report notes the arrival of a load report.
-func (s *Stats) report(at time.Duration) {
-	if old := s.reportAt.Load(); int64(at) > old && s.reportAt.CompareAndSwap(old, int64(at)) {
-		s.ownAtReport.Store(s.inFlight.Load())
+// report notes the arrival of a load report. A report is late by a time that
+// nobody knows, so it counts requests of this router that have ended since
+// and misses new ones; on average over some reports that evens out.
+func (s *Stats) report(at time.Duration, load float64) {
+	if old := s.reportAt.Load(); (at > 0 && int64(at) > old) && s.reportAt.CompareAndSwap(old, int64(at)) {
+		s.others.add(load-float64(s.inFlight.Load()), othersWeight, at)
 	}
 }
--- a/picker/two_choices.go
+++ b/picker/two_choices.go
@@ -53,7 +53,7 @@
 // count weighs.
 func (c *Candidate) work(now time.Duration) float64 {
 	own := float64(c.stats.inFlight.Load())
-	others := c.load - float64(c.stats.ownAtReport.Load())
+	others := c.stats.others.value(0)
 	if others <= 0 {
 		return own
 	}
