Sample three candidates besides the prefix's holders

Cause: with late reports every router's full scan finds the same endpoint, and all send there at once. Change: at most 2 of the own zone and 1 of others are drawn, besides those that hold the prefix.

--- a/picker/deadline.go
+++ b/picker/deadline.go
@@ -11,9 +11,9 @@
 	// scanAll is the largest set that is looked at whole; larger ones are
 	// sampled, which bounds the cost and keeps routers with the same view
 	// from choosing the same endpoint.
-	scanAll      = 16
-	sampleLocal  = 8
-	sampleOthers = 4
+	scanAll      = 4
+	sampleLocal  = 2
+	sampleOthers = 1
 	// reuseWeight weighs a reused prefix above the time it saves the request:
 	// the prompt that is not read again leaves room in the batch for others.
 	reuseWeight = 2.0
