Bound the room by the router's share of the load

Change: room within 1.1 and 1.5 of capacity times this router's share of all requests over a quarter of a minute.

--- a/picker/room.go
+++ b/picker/room.go
@@ -21,22 +21,39 @@
 	return n
 }
 
+// Bounds of the room by this router's share of all requests.
+const (
+	shareLeast = 1.1
+	shareMost  = 1.5
+	// loadNoticed is the part of the capacity below which the share of the
+	// load says nothing.
+	loadNoticed = 0.2
+)
+
+// computeRoom bounds the free capacity by the router's share of the load over
+// the last quarter of a minute. Without the lower bound, late reports have
+// all routers hold back at once while endpoints idle, and without the upper
+// one have them all send at once when they hear of it.
 func (s *Set) computeRoom(now time.Duration) int {
-	room := 0.0
-	found := false
+	var capacity, free, own, all float64
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		if !s.fresh(c, now) || c.stats.gate.Blocked(now) {
 			continue
 		}
-		found = true
-		others := c.work(now) - float64(c.stats.inFlight.Load())
-		room += max(0, c.capacity-others)
+		capacity += c.capacity
+		free += max(0, c.capacity-max(0, c.stats.others.value(0)))
+		own += c.stats.ownShare.value(0)
+		all += c.stats.allShare.value(0)
 	}
-	if !found {
+	if capacity == 0 {
 		return 0
 	}
+	if all > loadNoticed*capacity {
+		fair := capacity * min(own/all, 1)
+		free = min(max(free, shareLeast*fair), shareMost*fair)
+	}
 	// One request at least: a router that other routers crowd out would
 	// otherwise learn nothing more.
-	return max(1, int(math.Round(room)))
+	return max(1, int(math.Round(free)))
 }
--- a/picker/stats.go
+++ b/picker/stats.go
@@ -21,6 +21,8 @@
 	serviceWeight = 0.05
 	// othersWeight averages the reports of some seconds.
 	othersWeight = 0.15
+	// shareWeight averages those of a quarter of a minute.
+	shareWeight = 0.03
 	// learnedHalf is the age at which a learned time counts half.
 	learnedHalf = 10 * time.Second
 )
@@ -64,6 +66,8 @@
 	inFlight atomic.Int64
 	// Others averages what reports say beyond this router's own requests.
 	others average
+	// OwnShare and allShare average the own and all requests over longer.
+	ownShare, allShare average
 	// ReportAt is when that report arrived, in nanoseconds of the ledger.
 	reportAt    atomic.Int64
 	tokenTime   average
@@ -85,6 +89,9 @@
 // and misses new ones; on average over some reports that evens out.
 func (s *Stats) report(at time.Duration, load float64) {
 	if old := s.reportAt.Load(); (at > 0 && int64(at) > old) && s.reportAt.CompareAndSwap(old, int64(at)) {
-		s.others.add(load-float64(s.inFlight.Load()), othersWeight, at)
+		own := float64(s.inFlight.Load())
+		s.others.add(load-own, othersWeight, at)
+		s.ownShare.add(own, shareWeight, at)
+		s.allShare.add(load, shareWeight, at)
 	}
 }
