Weigh load reports against the own count by their age

Cause: late reports send all routers to the endpoint that was idle. Change: what a report says of other routers is mixed with a guess, the own count times the others' share, by the age of the report (half at 250 ms).

--- a/measurer/picker_fleet.go
+++ b/measurer/picker_fleet.go
@@ -308,6 +308,7 @@
 func (r *fleetRouter) arrive(q *fleetRequest) {
 	r.retries.First()
 	if r.f.c.unlimited {
+		r.set.Room(r.now())
 		r.dispatch(q)
 		return
 	}
--- a/picker/room.go
+++ b/picker/room.go
@@ -28,6 +28,7 @@
 	// loadNoticed is the part of the capacity below which the share of the
 	// load says nothing.
 	loadNoticed = 0.2
+	mostOthers  = 100
 )
 
 // computeRoom bounds the free capacity by the router's share of the load over
@@ -51,6 +52,7 @@
 	}
 	if all > loadNoticed*capacity {
 		fair := capacity * min(own/all, 1)
+		s.service.othersPerOwn.add(min(max(all/max(own, 1)-1, 0), mostOthers), 1, now)
 		free = min(max(free, shareLeast*fair), shareMost*fair)
 	}
 	// One request at least: a router that other routers crowd out would
--- a/picker/stats.go
+++ b/picker/stats.go
@@ -33,6 +33,8 @@
 	prefillTime average
 	// AnswerShare is the answer's length by the bound that the request gave.
 	answerShare average
+	// OthersPerOwn is the other routers' requests by this router's own.
+	othersPerOwn average
 	// Samples counts whole runs.
 	samples atomic.Int64
 }
--- a/picker/two_choices.go
+++ b/picker/two_choices.go
@@ -45,7 +45,7 @@
 }
 
 // reportHalf is the age at which a load report counts half.
-const reportHalf = 2 * time.Second
+const reportHalf = 250 * time.Millisecond
 
 // work estimates the requests in progress at the endpoint, of all routers:
 // this router's own count is exact; what the last report says beyond it is
@@ -53,10 +53,9 @@
 // count weighs.
 func (c *Candidate) work(now time.Duration) float64 {
 	own := float64(c.stats.inFlight.Load())
-	others := c.stats.others.value(0)
-	if others <= 0 {
-		return own
-	}
+	guess := own * c.stats.service.othersPerOwn.value(0)
+	reported := max(0, c.stats.others.value(guess))
 	age := max(0, now-c.heard)
-	return own + others*float64(reportHalf)/float64(reportHalf+age)
+	trust := float64(reportHalf) / float64(reportHalf+age)
+	return own + guess + trust*(reported-guess)
 }
