Fuzz the spending cores; steps between incarnations double, with a pause

Cause: on a VM whose clock was set back every renewal was refused at once and followed by the next without a pause.

--- a/treasurer/caller.go
+++ b/treasurer/caller.go
@@ -27,17 +27,24 @@
 		cancel()
 		switch {
 		case fenced(err):
+			t.pause(int(t.renewals.Load()))
 			t.renew(m)
 			return
 		case err == nil, status.Code(err) == codes.Unimplemented:
 			t.useWitness(out.GetWitnessAddress())
+			t.renewals.Store(0)
 			close(m.registered)
 			return
 		}
-		select {
-		case <-t.background.Done():
-		case <-time.After(t.policy.pause(try)):
-		}
+		t.pause(try)
+	}
+}
+
+// pause waits before another try, or until the end.
+func (t *Treasurer) pause(tries int) {
+	select {
+	case <-t.background.Done():
+	case <-time.After(t.policy.pause(tries)):
 	}
 }
 
--- /dev/null
+++ b/treasurer/core_test.go
@@ -0,0 +1,298 @@
+package treasurer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/treasurer"
+)
+
+// world runs an account and an outbox before a flat book, through messages
+// that are lost, repeated, held back and reordered.
+type world struct {
+	now     time.Time
+	policy  treasurer.Policy
+	account *treasurer.Account
+	outbox  *treasurer.Outbox
+	// Calls and replies wait for delivery.
+	calls []any
+	// Late holds calls that timed out and are still under way.
+	late    []any
+	replies []func()
+	// Book is the keeper's: unspent, and the lease of this incarnation.
+	unspent int64
+	lease   lease
+	bills   map[string]int64
+	// Completed holds the requests whose answer has gone to the caller.
+	completed map[string]bool
+	reserved  map[string]rattanhoist.Tokens
+	next      int
+}
+
+const minted = 5000
+
+func newWorld() *world {
+	w := &world{
+		now: time.Unix(1_000_000, 0), policy: treasurer.DefaultPolicy(), unspent: minted,
+		bills: map[string]int64{}, completed: map[string]bool{}, reserved: map[string]rattanhoist.Tokens{},
+	}
+	w.account = treasurer.NewAccount("w", &w.policy, w.now, treasurer.Rest{})
+	w.outbox = treasurer.NewOutbox(&w.policy)
+	return w
+}
+
+func (w *world) step(e treasurer.Event) {
+	for _, a := range w.account.Step(w.now, e) {
+		switch a.(type) {
+		case treasurer.SendLease, treasurer.SendReturn:
+			w.calls = append(w.calls, a)
+		}
+	}
+}
+
+func (w *world) send(sends []treasurer.Send) {
+	for _, s := range sends {
+		w.calls = append(w.calls, s)
+	}
+}
+
+// request reserves for a new request, or asks for rights.
+func (w *world) request(n int64) {
+	if !w.account.Slice().Reserve(rattanhoist.Tokens(n)) {
+		w.step(treasurer.Need{Tokens: rattanhoist.Tokens(n), Waiting: rattanhoist.Tokens(n), GiveUp: w.now})
+		return
+	}
+	w.next++
+	w.reserved[fmt.Sprint(w.next)] = rattanhoist.Tokens(n)
+}
+
+// finish charges a running request at part of what it reserved.
+func (w *world) finish(id string, percent int64) {
+	cost := int64(w.reserved[id]) * percent / 100
+	sends, ok := w.outbox.Add(w.now, &messenger.Charge{Workspace: "w", RequestId: id, Tokens: cost})
+	if !ok {
+		return
+	}
+	w.account.Slice().Settle(w.reserved[id]-rattanhoist.Tokens(cost), 0)
+	w.reserved[id] = rattanhoist.Tokens(cost)
+	w.send(sends)
+}
+
+// carryOut lets the keeper handle a call; its answer may be delivered later.
+func (w *world) carryOut(c any) {
+	switch c := c.(type) {
+	case treasurer.SendLease:
+		if c.Sequence > w.lease.sequence {
+			n := min(int64(c.Want), w.unspent)
+			w.unspent -= n
+			w.lease.granted += n
+			w.lease.out += n
+			w.lease.sequence, w.lease.last = c.Sequence, n
+		}
+		r := &messenger.LeaseReply{TotalGrantedTokens: w.lease.granted, ZoneLeftTokens: w.unspent}
+		if c.Sequence == w.lease.sequence {
+			r.GrantedTokens = w.lease.last
+		}
+		w.replies = append(w.replies, func() { w.step(treasurer.Leased{Sequence: c.Sequence, Reply: r}) })
+	case treasurer.SendReturn:
+		if c.Sequence > w.lease.sequence {
+			w.lease.sequence, w.lease.last = c.Sequence, 0
+			w.lease.out -= int64(c.Tokens)
+			w.unspent += int64(c.Tokens)
+		}
+		w.replies = append(w.replies, func() { w.step(treasurer.Returned{Sequence: c.Sequence}) })
+	case treasurer.Send:
+		w.carryOutCharges(c)
+	}
+}
+
+func (w *world) carryOutCharges(s treasurer.Send) {
+	r := &messenger.ChargeReply{TwoDisks: s.Target == treasurer.OwnKeeper}
+	for _, c := range s.Charges() {
+		out := &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_BILLED, BilledTokens: c.Tokens, SpentTokens: c.Tokens}
+		if _, known := w.bills[c.RequestId]; !known && s.Target == treasurer.OwnKeeper {
+			if w.lease.out < c.Tokens {
+				out.State = messenger.ChargeState_CHARGE_STATE_NOT_LEASED
+			} else {
+				w.lease.out -= c.Tokens
+				w.bills[c.RequestId] = c.Tokens
+			}
+		}
+		r.Results = append(r.Results, out)
+	}
+	w.replies = append(w.replies, func() { w.answered(s, r) })
+}
+
+func (w *world) answered(s treasurer.Send, r *messenger.ChargeReply) {
+	known, more := w.outbox.Answered(w.now, s, r)
+	for _, o := range known {
+		id := o.Key.RequestID()
+		if o.State != messenger.ChargeState_CHARGE_STATE_BILLED {
+			panic("charge refused: " + o.State.String())
+		}
+		if !w.completed[id] {
+			w.completed[id] = true
+			w.account.Slice().Settle(w.reserved[id], o.Spent)
+			delete(w.reserved, id)
+		}
+	}
+	w.send(more)
+}
+
+// fail lets a call end without an answer; the keeper has carried it out only
+// if it was delivered before.
+func (w *world) fail(c any) {
+	switch c := c.(type) {
+	case treasurer.SendLease:
+		w.step(treasurer.Failed{Sequence: c.Sequence})
+	case treasurer.SendReturn:
+		w.step(treasurer.Failed{Sequence: c.Sequence})
+	case treasurer.Send:
+		w.answered(c, nil)
+	}
+}
+
+func (w *world) tick(d time.Duration) {
+	w.now = w.now.Add(d)
+	w.step(treasurer.Tick{})
+	w.send(w.outbox.Tick(w.now))
+}
+
+func cut[T any](from *[]T, i int) T {
+	x := (*from)[i]
+	*from = append((*from)[:i:i], (*from)[i+1:]...)
+	return x
+}
+
+// heal delivers everything until nothing is left to say.
+func (w *world) heal() {
+	for range 400 {
+		for len(w.calls) > 0 {
+			w.carryOut(cut(&w.calls, 0))
+		}
+		for len(w.replies) > 0 {
+			cut(&w.replies, 0)()
+		}
+		w.tick(500 * time.Millisecond)
+	}
+}
+
+// TestCoresConserveUnderAnyNetwork checks after every step that the router
+// can't spend more than its keeper has leased, and after the heal that every
+// token is where the flat book says.
+func TestCoresConserveUnderAnyNetwork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		some := func(n int) bool { return n > 0 }
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(t *rapid.T) { w.request(rapid.Int64Range(1, 900).Draw(t, "tokens")) },
+			"finish": func(t *rapid.T) {
+				for id := range w.reserved {
+					if id == fmt.Sprint(rapid.IntRange(1, w.next).Draw(t, "id")) && !w.outbox.Has(rattanhoist.NewRequestKey("w", id)) {
+						w.finish(id, rapid.Int64Range(0, 100).Draw(t, "percent"))
+						return
+					}
+				}
+			},
+			"tick": func(t *rapid.T) { w.tick(time.Duration(rapid.Int64Range(1, 40_000).Draw(t, "ms")) * time.Millisecond) },
+			"recall": func(t *rapid.T) {
+				w.step(treasurer.Recall{Tokens: rattanhoist.Tokens(rapid.Int64Range(1, 3000).Draw(t, "tokens"))})
+			},
+			"deliver": func(t *rapid.T) {
+				if some(len(w.calls)) {
+					w.carryOut(cut(&w.calls, rapid.IntRange(0, len(w.calls)-1).Draw(t, "call")))
+				}
+			},
+			"time_out": func(t *rapid.T) {
+				if some(len(w.calls)) {
+					c := w.calls[rapid.IntRange(0, len(w.calls)-1).Draw(t, "call")]
+					switch rapid.SampledFrom([]string{"lost", "answer lost", "late"}).Draw(t, "fate") {
+					case "answer lost":
+						w.carryOutInVain(c)
+					case "late":
+						w.late = append(w.late, c)
+					}
+					w.drop(c)
+					w.fail(c)
+				}
+			},
+			"late": func(t *rapid.T) {
+				if some(len(w.late)) {
+					w.carryOutInVain(cut(&w.late, rapid.IntRange(0, len(w.late)-1).Draw(t, "call")))
+				}
+			},
+			"answer": func(t *rapid.T) {
+				if some(len(w.replies)) {
+					cut(&w.replies, rapid.IntRange(0, len(w.replies)-1).Draw(t, "reply"))()
+				}
+			},
+			"": func(t *rapid.T) {
+				s := w.account.Slice()
+				if held := s.Granted() - s.Withdrawn() - s.Spent(); int64(held) > w.lease.out+w.billedUnsettled() {
+					t.Fatalf("the router may spend %d, the keeper has leased %d", held, w.lease.out)
+				}
+			},
+		})
+		w.heal()
+		w.check(t)
+	})
+}
+
+func (w *world) carryOutInVain(c any) {
+	w.carryOut(c)
+	w.replies = w.replies[:len(w.replies)-1]
+}
+
+// drop removes a call that timed out: the keeper gets it no more.
+func (w *world) drop(c any) {
+	for i, x := range w.calls {
+		if same(x, c) {
+			cut(&w.calls, i)
+			return
+		}
+	}
+}
+
+func same(a, b any) bool {
+	x, ok := a.(treasurer.Send)
+	y, also := b.(treasurer.Send)
+	if ok || also {
+		return ok && also && x.Target == y.Target && x.Charges()[0] == y.Charges()[0]
+	}
+	return a == b
+}
+
+// billedUnsettled is billed already and still counted as held by the router.
+func (w *world) billedUnsettled() int64 {
+	var n int64
+	for id, tokens := range w.bills {
+		if !w.completed[id] {
+			n += tokens
+		}
+	}
+	return n
+}
+
+func (w *world) check(t *rapid.T) {
+	s := w.account.Slice()
+	var charged int64
+	for _, n := range w.bills {
+		charged += n
+	}
+	if w.unspent+w.lease.out+charged != minted {
+		t.Fatalf("unspent %d + leased %d + charged %d is not %d", w.unspent, w.lease.out, charged, minted)
+	}
+	if held := int64(s.Left() + s.Reserved()); held != w.lease.out {
+		t.Fatalf("the router holds %d, the keeper has leased %d", held, w.lease.out)
+	}
+	for id := range w.completed {
+		if _, ok := w.bills[id]; !ok {
+			t.Fatalf("request %s was answered and not billed", id)
+		}
+	}
+}
--- a/treasurer/keeper_test.go
+++ b/treasurer/keeper_test.go
@@ -37,6 +37,10 @@
 	// next answers of a call after it was.
 	away bool
 	lose map[string]int
+	// Vault is the incarnation in answers; AnswerDelay holds leases' answers
+	// back.
+	vault       uint64
+	answerDelay time.Duration
 	// Delay is added to every call, Calls counts them.
 	delay time.Duration
 	calls map[string]int
@@ -119,8 +123,11 @@
 	if r.Sequence == l.sequence {
 		out.GrantedTokens = l.last
 	}
-	out.TotalGrantedTokens, out.ZoneLeftTokens = l.granted, k.unspent
-	return out, end()
+	out.TotalGrantedTokens, out.ZoneLeftTokens, out.VaultIncarnation = l.granted, k.unspent, k.vault
+	late := k.answerDelay
+	err = end()
+	time.Sleep(late)
+	return out, err
 }
 
 func (k *fakeKeeper) Return(ctx context.Context, r *messenger.ReturnRequest, _ ...grpc.CallOption) (*messenger.ReturnReply, error) {
--- a/treasurer/term.go
+++ b/treasurer/term.go
@@ -167,12 +167,18 @@
 	out.Charges = m.outbox.Pending()
 }
 
-// holding is the account's proof: what it was granted up to the sequence
-// whose answer it has, and what it may still charge.
+// holding is the account's proof: what it was granted and gave back up to the
+// sequence whose answer it has, and what it may still charge. A return whose
+// answer is lost is not in it: the keeper that takes this proof would count
+// the resend as a second one, and grant the rights to another router.
 func (a *Account) holding() *messenger.Holding {
+	returned := a.slice.Withdrawn()
+	if a.back != nil {
+		returned -= a.back.tokens
+	}
 	return &messenger.Holding{
 		Workspace: a.workspace, Sequence: a.acknowledged,
-		GrantedTokens: int64(a.slice.Granted()), ReturnedTokens: int64(a.slice.Withdrawn()),
-		OutstandingTokens: int64(a.slice.Granted() - a.slice.Withdrawn() - a.slice.Spent()),
+		GrantedTokens: int64(a.slice.Granted()), ReturnedTokens: int64(returned),
+		OutstandingTokens: int64(a.slice.Granted() - returned - a.slice.Spent()),
 	}
 }
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -66,8 +66,8 @@
 	// an earlier vault, still under way then, would add rights that the later
 	// one does not know of.
 	told atomic.Uint64
-	// Jump is by how much the next incarnation passes a refused one.
-	jump       time.Duration
+	// Renewals counts the incarnations that were fenced in a row.
+	renewals   atomic.Int64
 	background context.Context
 	work       sync.WaitGroup
 }
@@ -78,15 +78,19 @@
 	close   func()
 }
 
-// firstJump is the first step between incarnations of one process.
-const firstJump = time.Second
+// Steps between incarnations of one process, of which the last doubles the
+// first maxDoublings times.
+const (
+	firstJump    = time.Second
+	maxDoublings = 24
+)
 
 // New returns a treasurer that registers its incarnation and looks after its
 // slices until the returned function is called; that function waits for every
 // call in progress.
 func New(o Options) (*Treasurer, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &Treasurer{options: o, policy: &o.Policy, background: ctx, jump: firstJump}
+	t := &Treasurer{options: o, policy: &o.Policy, background: ctx}
 	if t.options.Log == nil {
 		t.options.Log = zap.NewNop()
 	}
@@ -119,8 +123,8 @@
 		return
 	}
 	counters.fenced.Add(1)
-	next := max(rattanhoist.Incarnation(time.Now().UnixNano()), old.incarnation+rattanhoist.Incarnation(t.jump))
-	t.jump *= 2
+	jump := firstJump << min(t.renewals.Add(1)-1, maxDoublings)
+	next := max(rattanhoist.Incarnation(time.Now().UnixNano()), old.incarnation+rattanhoist.Incarnation(jump))
 	t.options.Log.Warn("incarnation is fenced; going on under a new one",
 		zap.Uint64("fenced", uint64(old.incarnation)), zap.Uint64("incarnation", uint64(next)))
 	old.end()
--- a/treasurer/treasurer_test.go
+++ b/treasurer/treasurer_test.go
@@ -55,14 +55,15 @@
 // Cause: a resend under a new sequence, which the keeper takes for a new
 // lease.
 func TestLostLeaseAnswerStrandsNothing(t *testing.T) {
-	run(t, 1000, func(b *bench) {
+	run(t, 10_000, func(b *bench) {
 		b.keeper.set(func() { b.keeper.lose["lease"] = 2 })
 		_, err := b.spend("a", 500, 100, time.Minute)
 		b.Expect(err).NotTo(gomega.HaveOccurred())
-		_, err = b.spend("b", 900, 900, time.Minute)
-		b.Expect(err).NotTo(gomega.HaveOccurred(), "every token is still there to be spent")
 		unspent, leased, charged := b.keeper.books()
-		b.Expect([]int64{unspent, leased, charged}).To(gomega.Equal([]int64{0, 0, 1000}))
+		b.Expect([]int64{unspent, leased, charged}).To(gomega.Equal([]int64{8000, 1900, 100}), "one lease of 4 requests")
+		b.Expect(int64(b.money.Held())).To(gomega.Equal(leased))
+		_, err = b.spend("b", 9900, 9900, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred(), "every token is still there to be spent")
 	})
 }
 
@@ -176,7 +177,7 @@
 		b.keeper.set(func() { b.keeper.fenced = uint64(time.Now().Add(240 * time.Hour).UnixNano()) })
 		_, err := b.spend("a", 500, 100, time.Hour)
 		b.Expect(errors.Is(err, rattanhoist.ErrBudgetOutOfReach) || err == nil).To(gomega.BeTrue())
-		time.Sleep(10 * time.Second)
+		time.Sleep(30 * time.Second)
 		_, err = b.spend("b", 500, 100, time.Hour)
 		b.Expect(err).NotTo(gomega.HaveOccurred())
 	})
@@ -215,6 +216,51 @@
 	})
 }
 
+// Symptom: a keeper that lost its disk grants rights twice.
+// Sequence: a return is on its way; the keeper asks what the router holds,
+// books the return from that, and then receives the return itself.
+// Cause: a proof that contains a return without an answer.
+func TestHoldingsLeaveOutAnUnansweredReturn(t *testing.T) {
+	run(t, 1000, func(b *bench) {
+		_, err := b.spend("a", 500, 100, time.Minute)
+		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.keeper.set(func() { b.keeper.away = true })
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		b.money.GiveBack(ctx)
+		h, _ := b.money.Holdings(ctx, &messenger.HoldingsRequest{})
+		b.Expect(h.Holdings[0].ReturnedTokens).To(gomega.BeZero())
+		b.Expect(h.Holdings[0].OutstandingTokens).To(gomega.Equal(int64(900)))
+		b.keeper.set(func() { b.keeper.away = false })
+		time.Sleep(5 * time.Second)
+		h, _ = b.money.Holdings(ctx, &messenger.HoldingsRequest{})
+		b.Expect(h.Holdings[0].ReturnedTokens).To(gomega.Equal(int64(900)))
+	})
+}
+
+// Symptom: the router holds rights that its keeper does not know of.
+// Sequence: a lease's answer is under way; the keeper's disk is lost, and the
+// new vault asks what the router holds; then the old answer arrives.
+// Cause: an answer that is taken whoever gave it.
+func TestAnswerOfALostVaultIsDropped(t *testing.T) {
+	run(t, 1000, func(b *bench) {
+		b.keeper.set(func() { b.keeper.vault = 1 })
+		got := make(chan error, 1)
+		b.keeper.set(func() { b.keeper.answerDelay = time.Second })
+		go func() { _, err := b.spend("a", 500, 100, time.Minute); got <- err }()
+		time.Sleep(500 * time.Millisecond)
+		_, _ = b.money.Holdings(context.Background(), &messenger.HoldingsRequest{AskingIncarnation: 2})
+		b.keeper.set(func() {
+			b.keeper.vault, b.keeper.answerDelay = 2, 0
+			b.keeper.unspent, b.keeper.leases = 1000, map[string]*lease{}
+		})
+		b.Expect(<-got).NotTo(gomega.HaveOccurred())
+		unspent, leased, charged := b.keeper.books()
+		b.Expect(unspent + leased + charged).To(gomega.Equal(int64(1000)))
+		b.Expect(int64(b.money.Held())).To(gomega.Equal(leased))
+	})
+}
+
 // Symptom: a sibling refuses although this router holds the rights.
 // Sequence: the keeper recalls while a lease of this router is unanswered,
 // as it does when two routers run dry at once.
@@ -223,18 +269,20 @@
 	run(t, 1000, func(b *bench) {
 		_, err := b.spend("a", 500, 100, time.Minute)
 		b.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(time.Second)
 		b.keeper.set(func() { b.keeper.delay = time.Second })
 		waiting := make(chan error, 1)
-		go func() { _, err := b.spend("b", 950, 0, 20*time.Second); waiting <- err }()
+		go func() { _, err := b.spend("b", 1500, 0, 20*time.Second); waiting <- err }()
 		time.Sleep(500 * time.Millisecond)
 		b.keeper.set(func() { b.keeper.delay = 0 })
 		r, err := b.money.Recall(context.Background(), &messenger.RecallRequest{Workspace: "w", WantTokens: 5000})
 		b.Expect(err).NotTo(gomega.HaveOccurred())
 		b.Expect(r.ReturningTokens).To(gomega.Equal(int64(900)))
-		b.Expect(<-waiting).To(gomega.HaveOccurred(), "950 exceed the 900 there are")
+		b.keeper.set(func() { b.keeper.unspent += 1000 })
+		b.Expect(<-waiting).NotTo(gomega.HaveOccurred(), "the overtaken lease says nothing about the zone")
 		b.money.GiveBack(context.Background())
 		unspent, leased, charged := b.keeper.books()
-		b.Expect([]int64{unspent, leased, charged}).To(gomega.Equal([]int64{900, 0, 100}))
+		b.Expect([]int64{unspent, leased, charged}).To(gomega.Equal([]int64{1900, 0, 100}))
 	})
 }
 
@@ -271,11 +319,13 @@
 	run(t, 1000, func(b *bench) {
 		r, err := b.money.Reserve(context.Background(), "w", 900)
 		b.Expect(err).NotTo(gomega.HaveOccurred())
-		time.AfterFunc(3*time.Second, func() {
+		began := time.Now()
+		time.AfterFunc(3100*time.Millisecond, func() {
 			_, _ = r.Charge(context.Background(), &messenger.Charge{Workspace: "w", RequestId: "a", Tokens: 50})
 		})
 		_, err = b.spend("b", 900, 900, time.Minute)
 		b.Expect(err).NotTo(gomega.HaveOccurred())
+		b.Expect(time.Since(began)).To(gomega.Equal(3100 * time.Millisecond))
 	})
 }
 
@@ -320,7 +370,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		wg.Wait()
-		b.Expect(waited.Load()).To(gomega.BeNumerically("<=", 12), "of 4000 requests")
+		b.Expect(waited.Load()).To(gomega.BeZero(), "of 4000 requests")
 		b.Expect(b.keeper.count("lease")).To(gomega.BeNumerically("<=", 20))
 		b.Expect(b.keeper.count("charge")).To(gomega.BeNumerically("<=", 1200), "charges share calls under load")
 	})
