--- a/router/peer.go
+++ b/router/peer.go
@@ -21,8 +21,3 @@
 func (s *peerServer) Holdings(ctx context.Context, r *messenger.HoldingsRequest) (*messenger.HoldingsReply, error) {
 	return s.router.money.Holdings(ctx, r)
 }
-
-// Gossip takes what another router knows of endpoints and answers in kind.
-func (*peerServer) Gossip(_ context.Context, _ *messenger.GossipRequest) (*messenger.GossipReply, error) {
-	return &messenger.GossipReply{}, nil
-}
--- a/router/router.go
+++ b/router/router.go
@@ -16,9 +16,11 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/picker"
 	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/tracker"
 	"rattanhoist.example/rattanhoist/treasurer"
@@ -39,6 +41,7 @@
 	idleTimeout       = 2 * time.Minute
 	expireEvery       = time.Second
 	giveBackTimeout   = 3 * time.Second
+	forgetEndpoint    = 10 * time.Minute
 )
 
 // Router is one router process.
@@ -49,13 +52,18 @@
 	life     *fsm.FSM
 	snapshot atomic.Pointer[configurer.Snapshot]
 	tracker  *tracker.Tracker
+	gossip   *gossiper
 	money    *treasurer.Treasurer
 	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
 	// Pickers maps plug-in names to *picker.Picker instances.
 	pickers sync.Map
-	// InFlight maps endpoint names to *atomic.Int64.
-	inFlight sync.Map
+	// Ledger is what this router has learned of endpoints, from ledgerBase on.
+	ledger     *picker.Ledger
+	ledgerBase time.Time
+	grants     atomic.Pointer[grants]
+	// Limiters maps service names to *limiter.
+	limiters sync.Map
 	server   *http.Server
 	dialer   *messenger.Dialer
 	peerRPC  *grpc.Server
@@ -78,22 +86,26 @@
 	r := &Router{
 		settings: s, self: self, log: log, dialer: d, money: money,
 		peerRPC: messenger.NewServer(messenger.Keys{messenger.RoleMember: s.DeploymentKey()}),
-		tracker: tracker.New(s.Policy().EndpointMaxAge()),
+		tracker: newTracker(s, self),
 		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
+	r.ledgerBase = time.Now()
+	r.ledger = picker.NewLedger(r.ledgerBase)
 	r.life = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventReady, Src: []string{stateStarting}, Dst: stateReady},
 		{Name: eventDrain, Src: []string{stateStarting, stateReady}, Dst: stateDraining},
 	}, fsm.Callbacks{"enter_state": func(_ context.Context, e *fsm.Event) {
 		log.Info("state changed", zap.String("from", e.Src), zap.String("to", e.Dst))
 	}})
+	r.gossip = newGossiper(r)
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
 	return r, func() {
+		r.gossip.close()
 		closeMoney()
 		_ = conn.Close()
 	}, nil
@@ -124,6 +136,7 @@
 	failed := make(chan error, 1)
 	go r.follow(background)
 	go r.expire(background)
+	go r.gossip.run(background)
 	go func() { failed <- r.server.Serve(l) }()
 	select {
 	case err := <-failed:
@@ -163,7 +176,8 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			r.tracker.Expire(time.Now())
+			r.tracker.Expire(rattanhoist.MomentOf(time.Now()))
+			r.ledger.Forget(time.Now(), forgetEndpoint)
 		}
 	}
 }
