Settle at the billed amount beside a keeper that does not register routers

Cause: such a keeper leaves spent_tokens unset; slices would never shrink and later charges be refused as not leased.

--- a/treasurer/caller.go
+++ b/treasurer/caller.go
@@ -31,6 +31,7 @@
 			t.renew(m)
 			return
 		case err == nil, status.Code(err) == codes.Unimplemented:
+			t.earlierKeeper.Store(err != nil)
 			t.useWitness(out.GetWitnessAddress())
 			t.renewals.Store(0)
 			close(m.registered)
@@ -131,5 +132,10 @@
 	if err != nil {
 		return nil
 	}
+	if t.earlierKeeper.Load() {
+		for _, x := range out.Results {
+			x.SpentTokens = x.BilledTokens
+		}
+	}
 	return out
 }
