Keepers agree on the configuration; routers follow with heartbeats

Cause: the first keeper accepted alone, and a router that restarted or lost its keeper could serve an older version. Change: the keeper runs the replicated log, forwards changes and confirmed reads to the leader, says the age of its copy, refuses changes without a majority; routers take deltas with digest, change the keeper after 2 s of silence, and serve after a restart only what a majority confirms or, cut off, what their zone's keeper has. Checks of a change list every fault and cost only the change.

--- a/configurer/book.go
+++ b/configurer/book.go
@@ -4,24 +4,13 @@
 package configurer
 
 import (
-	"fmt"
 	"slices"
-	"strings"
 
 	"google.golang.org/protobuf/proto"
 
-	"rattanhoist.example/rattanhoist/matcher"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// Bounds of names and sizes.
-const (
-	maxName     = 63
-	maxSelector = 1024
-	maxLabels   = 64
-	maxEdits    = 10000
-)
-
 // Book is the configuration with its history of answers. It is not safe for
 // concurrent use. Applying the same changes in the same order gives the same
 // book everywhere.
@@ -31,8 +20,15 @@
 	services   map[string]*messenger.Service
 	statements map[string]*messenger.Statement
 	members    map[string]*messenger.Member
-	// Answers maps change ids to the version that each was accepted as.
-	answers map[string]uint64
+	// Models and keys map what must be unique to its owner's name.
+	models map[string]string
+	keys   map[string]string
+	// Digest is the sum of the hashes of all objects, so that a change costs
+	// only the objects that it touches.
+	digest  uint64
+	history history
+	// Copy says that the history stays empty.
+	copy bool
 }
 
 // NewBook returns the empty configuration, version 0.
@@ -42,47 +38,100 @@
 		services:   map[string]*messenger.Service{},
 		statements: map[string]*messenger.Statement{},
 		members:    map[string]*messenger.Member{},
-		answers:    map[string]uint64{},
+		models:     map[string]string{},
+		keys:       map[string]string{},
+		history:    newHistory(),
 	}
 }
 
+// NewCopy returns the empty configuration without a history of answers and
+// changes, for a subscriber.
+func NewCopy() *Book {
+	b := NewBook()
+	b.copy = true
+	return b
+}
+
 // Version returns the number of accepted changes.
 func (b *Book) Version() uint64 { return b.version }
 
+// Digest returns a digest of the configuration: two copies of one version
+// have the same.
+func (b *Book) Digest() uint64 { return b.digest }
+
+// HasWorkspace reports whether a workspace exists.
+func (b *Book) HasWorkspace(name string) bool { return b.workspaces[name] != nil }
+
 // Answered returns the version that a change id was accepted as.
 func (b *Book) Answered(changeID string) (uint64, bool) {
-	v, ok := b.answers[changeID]
-	return v, ok
+	v, ok := b.history.answers[changeID]
+	return v, ok && v > 0
 }
 
-// Check answers a change without applying it: accepted means that Apply may
-// follow.
-func (b *Book) Check(c *messenger.Change) *messenger.ProposeReply {
-	if v, ok := b.answers[c.ChangeId]; ok {
-		return &messenger.ProposeReply{Outcome: messenger.ChangeOutcome_CHANGE_OUTCOME_ACCEPTED, Version: v}
+// Since returns the accepted changes after a version, or false where they are
+// no longer kept.
+func (b *Book) Since(version uint64) ([]*messenger.Change, bool) {
+	n := uint64(len(b.history.recent))
+	if version >= b.version {
+		return nil, true
 	}
-	if faults := b.Faults(c); len(faults) > 0 {
-		return &messenger.ProposeReply{Outcome: messenger.ChangeOutcome_CHANGE_OUTCOME_REFUSED, Version: b.version, Faults: faults}
+	if version+n < b.version {
+		return nil, false
 	}
-	if c.BaseVersion != b.version {
-		return &messenger.ProposeReply{Outcome: messenger.ChangeOutcome_CHANGE_OUTCOME_CONFLICT, Version: b.version}
+	return b.history.recent[n-(b.version-version):], true
+}
+
+// Decide answers a change and applies it where it is accepted. Only the
+// change id and the base version decide, so that keepers of different
+// releases agree; Faults must have passed at the base version.
+func (b *Book) Decide(c *messenger.LogChange) *messenger.ProposeReply {
+	id := c.Change.ChangeId
+	if v, ok := b.history.answers[id]; ok {
+		return b.answer(v, c.Change)
+	}
+	if c.Ahead {
+		b.history.note(id, 0)
+		return b.answer(0, c.Change)
 	}
-	return &messenger.ProposeReply{Outcome: messenger.ChangeOutcome_CHANGE_OUTCOME_ACCEPTED, Version: b.version + 1}
+	if c.Change.BaseVersion != b.version {
+		return b.answer(0, c.Change)
+	}
+	b.Apply(c.Change)
+	b.history.note(id, b.version)
+	return b.answer(b.version, c.Change)
 }
 
-// Apply takes an accepted change in. A change id that was applied before
-// changes nothing.
-func (b *Book) Apply(c *messenger.Change) {
-	if _, ok := b.answers[c.ChangeId]; ok {
-		return
+// Peek answers a change where no keeper will ever answer it otherwise: it is
+// accepted already, its base version is past, or it has faults at its base.
+func (b *Book) Peek(c *messenger.Change) (*messenger.ProposeReply, bool) {
+	if v, ok := b.history.answers[c.ChangeId]; ok {
+		return b.answer(v, c), true
 	}
-	b.version++
-	b.answers[c.ChangeId] = b.version
-	b.applyEdits(c.Edits)
+	if c.BaseVersion < b.version {
+		return b.answer(0, c), true
+	}
+	if faults := b.Faults(c); c.BaseVersion == b.version && len(faults) > 0 {
+		return &messenger.ProposeReply{Outcome: messenger.ChangeOutcome_CHANGE_OUTCOME_REFUSED, Version: b.version, Faults: faults}, true
+	}
+	return nil, false
+}
+
+// answer returns the acceptance as a version, or the conflict for version 0.
+func (b *Book) answer(version uint64, c *messenger.Change) *messenger.ProposeReply {
+	if version > 0 {
+		return &messenger.ProposeReply{Outcome: messenger.ChangeOutcome_CHANGE_OUTCOME_ACCEPTED, Version: version}
+	}
+	since, _ := b.Since(c.BaseVersion)
+	return &messenger.ProposeReply{Outcome: messenger.ChangeOutcome_CHANGE_OUTCOME_CONFLICT, Version: b.version, Since: since}
 }
 
-func (b *Book) applyEdits(edits []*messenger.Edit) {
-	for _, e := range edits {
+// Apply takes an accepted change in, as the next version.
+func (b *Book) Apply(c *messenger.Change) {
+	b.version++
+	if !b.copy {
+		b.history.add(c)
+	}
+	for _, e := range c.Edits {
 		b.applyEdit(e)
 	}
 }
@@ -90,21 +139,64 @@
 func (b *Book) applyEdit(e *messenger.Edit) {
 	switch k := e.Kind.(type) {
 	case *messenger.Edit_PutWorkspace:
-		b.workspaces[k.PutWorkspace.Name] = k.PutWorkspace
+		b.setWorkspace(k.PutWorkspace.Name, k.PutWorkspace)
 	case *messenger.Edit_DeleteWorkspace:
-		delete(b.workspaces, k.DeleteWorkspace)
+		b.setWorkspace(k.DeleteWorkspace, nil)
 	case *messenger.Edit_PutService:
-		b.services[k.PutService.Name] = k.PutService
+		b.setService(k.PutService.Name, k.PutService)
 	case *messenger.Edit_DeleteService:
-		delete(b.services, k.DeleteService)
+		b.setService(k.DeleteService, nil)
 	case *messenger.Edit_PutStatement:
-		b.statements[k.PutStatement.Name] = k.PutStatement
+		set(b, b.statements, kindStatement, k.PutStatement.Name, k.PutStatement)
 	case *messenger.Edit_DeleteStatement:
-		delete(b.statements, k.DeleteStatement)
+		set(b, b.statements, kindStatement, k.DeleteStatement, nil)
 	case *messenger.Edit_PutMember:
-		b.members[k.PutMember.Name] = k.PutMember
+		set(b, b.members, kindMember, k.PutMember.Name, k.PutMember)
 	case *messenger.Edit_DeleteMember:
-		delete(b.members, k.DeleteMember)
+		set(b, b.members, kindMember, k.DeleteMember, nil)
+	}
+}
+
+func (b *Book) setWorkspace(name string, w *messenger.Workspace) {
+	for _, h := range b.workspaces[name].GetKeyHashes() {
+		disown(b.keys, string(h), name)
+	}
+	for _, h := range w.GetKeyHashes() {
+		b.keys[string(h)] = name
+	}
+	set(b, b.workspaces, kindWorkspace, name, w)
+}
+
+func (b *Book) setService(name string, s *messenger.Service) {
+	for _, m := range b.services[name].GetModels() {
+		disown(b.models, m, name)
+	}
+	for _, m := range s.GetModels() {
+		b.models[m] = name
+	}
+	set(b, b.services, kindService, name, s)
+}
+
+// disown frees a key unless another object of the same change has it already.
+func disown(owners map[string]string, key, owner string) {
+	if owners[key] == owner {
+		delete(owners, key)
+	}
+}
+
+// set replaces or, with a nil value, deletes an object.
+func set[T interface {
+	comparable
+	proto.Message
+}](b *Book, m map[string]T, kind, name string, value T) {
+	var none T
+	if old, ok := m[name]; ok {
+		b.digest -= hash(kind, old)
+		delete(m, name)
+	}
+	if value != none {
+		b.digest += hash(kind, value)
+		m[name] = value
 	}
 }
 
@@ -119,14 +211,18 @@
 	}
 }
 
-func sorted[T any](m map[string]T) []T {
+func sortedKeys[T any](m map[string]T) []string {
 	names := make([]string, 0, len(m))
 	for n := range m {
 		names = append(names, n)
 	}
 	slices.Sort(names)
+	return names
+}
+
+func sorted[T any](m map[string]T) []T {
 	out := make([]T, 0, len(m))
-	for _, n := range names {
+	for _, n := range sortedKeys(m) {
 		out = append(out, m[n])
 	}
 	return out
@@ -134,172 +230,20 @@
 
 // Load replaces the book by a configuration, without its history of answers.
 func (b *Book) Load(c *messenger.Configuration) {
+	subscriber := b.copy
 	*b = *NewBook()
+	b.copy = subscriber
 	b.version = c.Version
 	for _, w := range c.Workspaces {
-		b.workspaces[w.Name] = w
+		b.setWorkspace(w.Name, w)
 	}
 	for _, s := range c.Services {
-		b.services[s.Name] = s
+		b.setService(s.Name, s)
 	}
 	for _, s := range c.Statements {
-		b.statements[s.Name] = s
+		set(b, b.statements, kindStatement, s.Name, s)
 	}
 	for _, m := range c.Members {
-		b.members[m.Name] = m
-	}
-}
-
-func (b *Book) clone() *Book {
-	c := NewBook()
-	c.Load(proto.Clone(b.Configuration()).(*messenger.Configuration))
-	return c
-}
-
-// Faults lists everything that is wrong with a change, by field.
-func (b *Book) Faults(c *messenger.Change) []string {
-	f := &faults{}
-	if c.ChangeId == "" {
-		f.add("change_id", "missing")
-	}
-	if len(c.Edits) == 0 || len(c.Edits) > maxEdits {
-		f.add("edits", "want 1 to %d, got %d", maxEdits, len(c.Edits))
-	}
-	for i, e := range c.Edits {
-		f.edit(fmt.Sprintf("edits[%d]", i), e, b)
+		set(b, b.members, kindMember, m.Name, m)
 	}
-	if len(f.list) > 0 {
-		return f.list
-	}
-	after := b.clone()
-	after.applyEdits(c.Edits)
-	after.dangling(f)
-	return f.list
-}
-
-// dangling finds names that two parts of the configuration both claim.
-func (b *Book) dangling(f *faults) {
-	models := map[string]string{}
-	for _, s := range sorted(b.services) {
-		for _, m := range s.Models {
-			if other, ok := models[m]; ok {
-				f.add("service "+s.Name+".models", "model %q belongs to service %q already", m, other)
-			}
-			models[m] = s.Name
-		}
-	}
-	keys := map[string]string{}
-	for _, w := range sorted(b.workspaces) {
-		for _, h := range w.KeyHashes {
-			if other, ok := keys[string(h)]; ok {
-				f.add("workspace "+w.Name+".key_hashes", "the key belongs to workspace %q already", other)
-			}
-			keys[string(h)] = w.Name
-		}
-	}
-}
-
-type faults struct{ list []string }
-
-func (f *faults) add(field, format string, args ...any) {
-	f.list = append(f.list, field+": "+fmt.Sprintf(format, args...))
-}
-
-func (f *faults) name(field, name string) {
-	ok := name != "" && len(name) <= maxName
-	for _, r := range name {
-		ok = ok && (r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || strings.ContainsRune("-_.", r))
-	}
-	if !ok {
-		f.add(field, "%q: want 1 to %d of a-z, 0-9, '-', '_' and '.'", name, maxName)
-	}
-}
-
-func (f *faults) selector(field, text string) {
-	if len(text) > maxSelector {
-		f.add(field, "longer than %d characters", maxSelector)
-		return
-	}
-	if _, err := matcher.Parse(text); err != nil {
-		f.add(field, "%v", err)
-	}
-}
-
-func (f *faults) edit(at string, e *messenger.Edit, b *Book) {
-	switch k := e.Kind.(type) {
-	case *messenger.Edit_PutWorkspace:
-		f.workspace(at+".put_workspace", k.PutWorkspace)
-	case *messenger.Edit_PutService:
-		f.service(at+".put_service", k.PutService)
-	case *messenger.Edit_PutStatement:
-		f.statement(at+".put_statement", k.PutStatement)
-	case *messenger.Edit_PutMember:
-		f.name(at+".put_member.name", k.PutMember.Name)
-	case *messenger.Edit_DeleteWorkspace:
-		exists(f, at+".delete_workspace", b.workspaces, k.DeleteWorkspace)
-	case *messenger.Edit_DeleteService:
-		exists(f, at+".delete_service", b.services, k.DeleteService)
-	case *messenger.Edit_DeleteStatement:
-		exists(f, at+".delete_statement", b.statements, k.DeleteStatement)
-	case *messenger.Edit_DeleteMember:
-		exists(f, at+".delete_member", b.members, k.DeleteMember)
-	default:
-		f.add(at, "empty edit")
-	}
-}
-
-func exists[T any](f *faults, field string, m map[string]T, name string) {
-	if _, ok := m[name]; !ok {
-		f.add(field, "%q does not exist", name)
-	}
-}
-
-func (f *faults) labels(field string, labels map[string]string) {
-	if len(labels) > maxLabels {
-		f.add(field, "more than %d labels", maxLabels)
-	}
-	for k, v := range labels {
-		if _, err := matcher.Parse(k + "=" + v); err != nil || k == "" || v == "" {
-			f.add(field, "label %q=%q: want letters, digits, '-', '_', '.' and '/'", k, v)
-		}
-	}
-}
-
-func (f *faults) workspace(at string, w *messenger.Workspace) {
-	f.name(at+".name", w.Name)
-	f.labels(at+".labels", w.Labels)
-	for _, h := range w.KeyHashes {
-		if len(h) != 32 {
-			f.add(at+".key_hashes", "want SHA-256 sums of 32 bytes, got %d bytes", len(h))
-		}
-	}
-}
-
-func (f *faults) service(at string, s *messenger.Service) {
-	f.name(at+".name", s.Name)
-	f.labels(at+".labels", s.Labels)
-	if s.Kind == messenger.ServiceKind_SERVICE_KIND_UNSPECIFIED {
-		f.add(at+".kind", "missing; want model or plain")
-	}
-	if s.Kind == messenger.ServiceKind_SERVICE_KIND_MODEL && len(s.Models) == 0 {
-		f.add(at+".models", "a model service needs at least one model")
-	}
-	if s.Kind == messenger.ServiceKind_SERVICE_KIND_MODEL && s.MaxAnswerTokens <= 0 {
-		f.add(at+".max_answer_tokens", "want a positive number, got %d", s.MaxAnswerTokens)
-	}
-	for _, p := range []struct {
-		key   string
-		value int64
-	}{{"prompt_price", s.PromptPrice}, {"answer_price", s.AnswerPrice}, {"call_price", s.CallPrice}} {
-		if p.value < 0 {
-			f.add(at+"."+p.key, "negative: %d", p.value)
-		}
-	}
-}
-
-func (f *faults) statement(at string, s *messenger.Statement) {
-	f.name(at+".name", s.Name)
-	f.selector(at+".workspaces", s.Workspaces)
-	f.selector(at+".services", s.Services)
-	f.selector(at+".endpoints", s.Endpoints)
 }
--- a/configurer/snapshot.go
+++ b/configurer/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"maps"
+	"sync"
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/matcher"
@@ -17,8 +18,14 @@
 	services   map[string]*messenger.Service
 	byModel    map[string]*messenger.Service
 	statements []compiled
+	// Granted maps grant to its endpoint test, filled as requests come: a
+	// pair is worked out once for each version, not for each request.
+	granted sync.Map
 }
 
+// grant names one workspace and one service.
+type grant struct{ workspace, service string }
+
 type compiled struct {
 	workspaces, services, endpoints matcher.Selector
 }
@@ -105,6 +112,15 @@
 // Allowed returns the test that an endpoint must pass to serve the workspace
 // and the service.
 func (s *Snapshot) Allowed(w *messenger.Workspace, v *messenger.Service) func(*rattanhoist.Endpoint) bool {
+	k := grant{workspace: w.Name, service: v.Name}
+	f, ok := s.granted.Load(k)
+	if !ok {
+		f, _ = s.granted.LoadOrStore(k, s.test(w, v))
+	}
+	return f.(func(*rattanhoist.Endpoint) bool)
+}
+
+func (s *Snapshot) test(w *messenger.Workspace, v *messenger.Service) func(*rattanhoist.Endpoint) bool {
 	var selectors []matcher.Selector
 	wl, vl := withName(w.Labels, w.Name), withName(v.Labels, v.Name)
 	for _, t := range s.statements {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -62,6 +62,7 @@
 	})
 	messenger.RegisterBudgetKeeperServer(k.server, k.budget)
 	messenger.RegisterConfigurationKeeperServer(k.server, k.config)
+	messenger.RegisterLogKeeperServer(k.server, &logServer{loop: k.config.loop})
 	return k, cleanUp, nil
 }
 
@@ -82,7 +83,7 @@
 	}
 	go func() { cancel(k.server.Serve(l)) }()
 	go func() { cancel(k.budget.run(ctx)) }()
-	go k.config.run(ctx)
+	go func() { cancel(k.config.run(ctx)) }()
 	k.log.Info("keeper serves", zap.String("name", k.self.Name()), zap.String("zone", k.self.Zone()),
 		zap.Uint64("configuration_version", k.config.version()))
 	<-ctx.Done()
--- /dev/null
+++ b/keeper/log_loop.go
@@ -0,0 +1,373 @@
+package keeper
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"rattanhoist.example/rattanhoist/configurer"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/replicator"
+	"rattanhoist.example/rattanhoist/storer"
+)
+
+const (
+	tickEvery = 20 * time.Millisecond
+	// logBatch bounds how many events share one sync.
+	logBatch = 256
+)
+
+// Errors of calls to the log. Compare with errors.Is.
+var (
+	// errNotLeader says that nothing was proposed.
+	errNotLeader = merry.Sentinel("this keeper does not lead")
+	// errOutcomeLost says that the leader's role was lost with the call under
+	// way.
+	errOutcomeLost = merry.Sentinel("the leader's role was lost before the outcome was known")
+)
+
+// rowStore keeps rows durably: Apply returns after the sync.
+type rowStore interface {
+	Apply([]storer.Row) error
+	Each(bucket string, f func(key string, value []byte) error) error
+}
+
+// logState is what the log has shown to the outside; immutable.
+type logState struct {
+	version uint64
+	digest  uint64
+	// Applied is the index that the version stands for.
+	applied uint64
+	// ConfirmedAt is when a majority last confirmed the copy; zero if never
+	// since the start.
+	confirmedAt time.Time
+	leader      replicator.Member
+	role        replicator.Role
+	term        uint64
+	voter       bool
+	deployment  string
+	// Changed is closed once applied has moved on.
+	changed chan struct{}
+}
+
+// logCall is one event for the core, or a read between two events.
+type logCall struct {
+	event  replicator.Event
+	change *messenger.Change
+	read   func(*configurer.Book)
+	done   chan logAnswer
+}
+
+type logAnswer struct {
+	reply *messenger.ProposeReply
+	index uint64
+	err   error
+}
+
+// logLoop runs the replicated log: one goroutine steps the core, syncs the
+// rows of all waiting events in one commit, and only then sends and answers.
+type logLoop struct {
+	core   *replicator.Core
+	book   *configurer.Book
+	store  rowStore
+	send   func(*messenger.LogMessage)
+	log    *zap.Logger
+	calls  chan logCall
+	ended  chan struct{}
+	ticket replicator.Ticket
+	// Waiting maps tickets to the callers' channels.
+	waiting map[replicator.Ticket]chan logAnswer
+	state   atomic.Pointer[logState]
+	// Whole is the configuration of wholeVersion, made when first asked for.
+	whole        *messenger.Configuration
+	wholeVersion uint64
+}
+
+// bookMachine applies committed entries to the book.
+type bookMachine struct{ book *configurer.Book }
+
+// Apply returns a *messenger.ProposeReply.
+func (m bookMachine) Apply(data []byte) any {
+	c := &messenger.LogChange{}
+	if err := proto.Unmarshal(data, c); err != nil || c.Change == nil {
+		return &messenger.ProposeReply{Outcome: messenger.ChangeOutcome_CHANGE_OUTCOME_REFUSED, Faults: []string{"change: unreadable"}}
+	}
+	return m.book.Decide(c)
+}
+
+// Snapshot returns the whole book.
+func (m bookMachine) Snapshot() []byte {
+	b, err := m.book.Snapshot()
+	if err != nil {
+		// Changes came through a codec that refuses what can't be encoded.
+		panic(err)
+	}
+	return b
+}
+
+// Restore replaces the book.
+func (m bookMachine) Restore(b []byte) error { return m.book.Restore(b) }
+
+// voters is how many keepers vote: an odd number, so that a spare adds no
+// machine to the majority without adding a failure that it survives.
+func voters(keepers int) int {
+	switch {
+	case keepers <= 3:
+		return keepers
+	case keepers == 4:
+		return 3
+	default:
+		return 5
+	}
+}
+
+func newRand() *rand.Rand {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:])
+	return rand.New(rand.NewPCG(binary.BigEndian.Uint64(seed[:8]), binary.BigEndian.Uint64(seed[8:])))
+}
+
+// newLogLoop restores the log from the store.
+func newLogLoop(name string, peers []string, store rowStore, log *zap.Logger, send func(*messenger.LogMessage)) (*logLoop, error) {
+	l := &logLoop{
+		book: configurer.NewBook(), store: store, send: send, log: log,
+		calls: make(chan logCall, logBatch), ended: make(chan struct{}),
+		waiting: map[replicator.Ticket]chan logAnswer{},
+	}
+	l.core = replicator.NewCore(replicator.Options{
+		Name: name, Peers: peers, Voters: voters(len(peers) + 1), Timing: replicator.DefaultTiming(),
+		Rand: newRand(), Machine: bookMachine{book: l.book},
+	})
+	r := l.core.NewRestorer()
+	for _, b := range replicator.Buckets {
+		if err := store.Each(b, func(key string, value []byte) error {
+			r.Row(b, key, append([]byte(nil), value...))
+			return nil
+		}); err != nil {
+			return nil, err
+		}
+	}
+	actions, err := r.Start(time.Now())
+	if err != nil {
+		return nil, merry.Errorf("%w; to come back, stop this keeper, move its data folder away and start it: it copies from the others", err)
+	}
+	l.state.Store(&logState{changed: make(chan struct{})})
+	return l, l.carryOut(actions)
+}
+
+// run steps the log until ctx ends, the store fails or the core halts. After
+// a failed write the memory is ahead of the disk, so the process must stop.
+func (l *logLoop) run(ctx context.Context) error {
+	defer close(l.ended)
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		var batch []logCall
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			batch = l.gather(logCall{event: replicator.Tick{}})
+		case c := <-l.calls:
+			batch = l.gather(c)
+		}
+		if err := l.commit(batch); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *logLoop) gather(c logCall) []logCall {
+	batch := []logCall{c}
+	for len(batch) < logBatch {
+		select {
+		case c := <-l.calls:
+			batch = append(batch, c)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (l *logLoop) commit(batch []logCall) error {
+	now := time.Now()
+	var actions []replicator.Action
+	answers := make([]logAnswer, len(batch))
+	for i, c := range batch {
+		e := c.event
+		if c.change != nil {
+			e, answers[i] = l.proposal(c)
+		}
+		if _, ok := e.(replicator.Read); ok {
+			e = replicator.Read{Ticket: l.wait(c.done)}
+		}
+		if e != nil {
+			actions = append(actions, l.core.Step(now, e)...)
+		}
+	}
+	if err := l.carryOut(actions); err != nil {
+		return err
+	}
+	for i, c := range batch {
+		if c.read != nil {
+			c.read(l.book)
+		}
+		if c.read != nil || answers[i] != (logAnswer{}) {
+			c.done <- answers[i]
+		}
+	}
+	return nil
+}
+
+// proposal returns the event for a change, or its answer where it needs none.
+func (l *logLoop) proposal(c logCall) (replicator.Event, logAnswer) {
+	if !l.core.Ready() {
+		return nil, logAnswer{err: errNotLeader}
+	}
+	if r, ok := l.book.Peek(c.change); ok {
+		return nil, logAnswer{reply: r}
+	}
+	c.change.AcceptedAtMs = time.Now().UnixMilli()
+	data, err := proto.Marshal(&messenger.LogChange{Change: c.change, Ahead: c.change.BaseVersion > l.book.Version()})
+	if err != nil {
+		return nil, logAnswer{err: err}
+	}
+	return replicator.Propose{Ticket: l.wait(c.done), Data: data}, logAnswer{}
+}
+
+func (l *logLoop) wait(done chan logAnswer) replicator.Ticket {
+	l.ticket++
+	l.waiting[l.ticket] = done
+	return l.ticket
+}
+
+// carryOut syncs all rows before anything leaves the process.
+func (l *logLoop) carryOut(actions []replicator.Action) error {
+	var rows []storer.Row
+	for _, a := range actions {
+		if w, ok := a.(replicator.Write); ok {
+			rows = append(rows, storer.Row(w))
+		}
+	}
+	if err := l.store.Apply(rows); err != nil {
+		return err
+	}
+	l.publish()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case replicator.Send:
+			l.send(a.Message)
+		case replicator.Answered:
+			l.answer(a.Ticket, logAnswer{reply: a.Result.(*messenger.ProposeReply)})
+		case replicator.Confirmed:
+			l.answer(a.Ticket, logAnswer{index: a.Index})
+		case replicator.Lost:
+			l.answer(a.Ticket, logAnswer{err: errOutcomeLost})
+		case replicator.Rejected:
+			l.answer(a.Ticket, logAnswer{err: errNotLeader})
+		case replicator.Halt:
+			return a.Err
+		}
+	}
+	return nil
+}
+
+func (l *logLoop) answer(t replicator.Ticket, a logAnswer) {
+	if done := l.waiting[t]; done != nil {
+		delete(l.waiting, t)
+		done <- a
+	}
+}
+
+// publish shows the state whose rows are synced.
+func (l *logLoop) publish() {
+	old := l.state.Load()
+	s := &logState{
+		version: l.book.Version(), digest: l.book.Digest(), applied: l.core.Commit(),
+		confirmedAt: l.core.ConfirmedAt(), leader: l.core.Leader(), role: l.core.Role(), term: l.core.Term(),
+		voter: l.core.Voter(), deployment: l.core.Deployment(), changed: old.changed,
+	}
+	if s.applied != old.applied {
+		s.changed = make(chan struct{})
+	}
+	l.state.Store(s)
+	if s.applied != old.applied {
+		close(old.changed)
+	}
+	if s.leader != old.leader || s.voter != old.voter || s.deployment != old.deployment {
+		l.log.Info("configuration log", zap.String("leader", s.leader.Name), zap.Uint64("term", s.term),
+			zap.Bool("votes", s.voter), zap.Bool("founded", s.deployment != ""), zap.Uint64("version", s.version))
+	}
+}
+
+// do hands a call to the loop and waits for its answer.
+func (l *logLoop) do(ctx context.Context, c logCall) (logAnswer, error) {
+	c.done = make(chan logAnswer, 1)
+	select {
+	case l.calls <- c:
+	case <-ctx.Done():
+		return logAnswer{}, ctx.Err()
+	case <-l.ended:
+		return logAnswer{}, storer.ErrStore
+	}
+	select {
+	case a := <-c.done:
+		return a, a.err
+	case <-ctx.Done():
+		return logAnswer{}, ctx.Err()
+	case <-l.ended:
+		return logAnswer{}, storer.ErrStore
+	}
+}
+
+// receive hands a message to the loop; it answers nothing.
+func (l *logLoop) receive(ctx context.Context, m *messenger.LogMessage) error {
+	select {
+	case l.calls <- logCall{event: replicator.Receive{Message: m}}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.ended:
+		return storer.ErrStore
+	}
+}
+
+// view runs f on the book between two events.
+func (l *logLoop) view(ctx context.Context, f func(*configurer.Book)) error {
+	_, err := l.do(ctx, logCall{read: f})
+	return err
+}
+
+// configuration returns the whole configuration; called inside view. All
+// callers of one version share it and must not change it.
+func (l *logLoop) configuration() *messenger.Configuration {
+	if l.whole == nil || l.wholeVersion != l.book.Version() {
+		l.whole, l.wholeVersion = l.book.Configuration(), l.book.Version()
+	}
+	return l.whole
+}
+
+// reached waits until everything up to an index is applied here.
+func (l *logLoop) reached(ctx context.Context, index uint64) error {
+	for {
+		s := l.state.Load()
+		if s.applied >= index {
+			return nil
+		}
+		select {
+		case <-s.changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.ended:
+			return storer.ErrStore
+		}
+	}
+}
--- /dev/null
+++ b/keeper/log_peers.go
@@ -0,0 +1,139 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/replicator"
+)
+
+const (
+	// outboxMost bounds the messages that wait for one keeper; more are
+	// dropped, as on a network that loses them.
+	outboxMost = 256
+	reopenWait = 50 * time.Millisecond
+	// barrierTimeout bounds a confirmed read's wait for a majority.
+	barrierTimeout = 1500 * time.Millisecond
+	barrierRetry   = 50 * time.Millisecond
+)
+
+// outbox carries log messages to one keeper, in order.
+type outbox struct {
+	peer     peer
+	messages chan *messenger.LogMessage
+}
+
+func (o *outbox) put(m *messenger.LogMessage) {
+	select {
+	case o.messages <- m:
+	default:
+	}
+}
+
+func (o *outbox) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.stream(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(reopenWait):
+		}
+	}
+}
+
+func (o *outbox) stream(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := messenger.NewLogKeeperClient(o.peer.conn).Carry(ctx)
+	if err != nil {
+		return
+	}
+	for {
+		select {
+		case <-s.Context().Done():
+			return
+		case m := <-o.messages:
+			if err := s.Send(m); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// logServer serves the log to the other keepers.
+type logServer struct {
+	messenger.UnimplementedLogKeeperServer
+	loop *logLoop
+}
+
+// Carry takes another keeper's messages.
+func (s *logServer) Carry(r grpc.ClientStreamingServer[messenger.LogMessage, messenger.LogCarried]) error {
+	for {
+		m, err := r.Recv()
+		if errors.Is(err, io.EOF) {
+			return r.SendAndClose(&messenger.LogCarried{})
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.loop.receive(r.Context(), m); err != nil {
+			return err
+		}
+	}
+}
+
+// Barrier answers, at the leader, after a majority has confirmed it.
+func (s *logServer) Barrier(ctx context.Context, _ *messenger.BarrierRequest) (*messenger.BarrierReply, error) {
+	a, err := s.loop.do(ctx, logCall{event: replicator.Read{}})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &messenger.BarrierReply{Index: a.index}, nil
+}
+
+// barrier waits until the local copy has all that was accepted before the
+// call; it fails where no majority confirms that in time.
+func (s *configurationServer) barrier(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	for {
+		err := s.barrierOnce(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(barrierRetry):
+		}
+	}
+}
+
+func (s *configurationServer) barrierOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	index, err := s.confirmedIndex(ctx)
+	if err != nil {
+		return err
+	}
+	return s.loop.reached(ctx, index)
+}
+
+func (s *configurationServer) confirmedIndex(ctx context.Context) (uint64, error) {
+	l := s.loop.state.Load().leader.Name
+	if p, ok := s.keeper.peers.name(l); ok {
+		r, err := messenger.NewLogKeeperClient(p.conn).Barrier(ctx, &messenger.BarrierRequest{})
+		return r.GetIndex(), err
+	}
+	if l != s.keeper.self.Name() {
+		return 0, errNotLeader
+	}
+	a, err := s.loop.do(ctx, logCall{event: replicator.Read{}})
+	return a.index, err
+}
--- /dev/null
+++ b/matcher/satisfiable.go
@@ -0,0 +1,47 @@
+package matcher
+
+import "slices"
+
+// Satisfiable reports whether any labels at all could match: a selector such
+// as "a=x,!a" never does.
+func (s Selector) Satisfiable() bool {
+	for _, t := range s.terms {
+		if !s.satisfiable(t.key) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s Selector) satisfiable(key string) bool {
+	var absent, exists, listed bool
+	var allowed, denied []string
+	for _, t := range s.terms {
+		if t.key != key {
+			continue
+		}
+		switch t.op {
+		case opAbsent:
+			absent = true
+		case opExists:
+			exists = true
+		case opNotEqual, opNotIn:
+			denied = append(denied, t.values...)
+		default:
+			allowed = intersect(allowed, t.values, listed)
+			listed, exists = true, true
+		}
+	}
+	if absent && exists {
+		return false
+	}
+	left := func(v string) bool { return !slices.Contains(denied, v) }
+	return !listed || slices.ContainsFunc(allowed, left)
+}
+
+func intersect(a, b []string, known bool) []string {
+	if !known {
+		return b
+	}
+	return slices.DeleteFunc(slices.Clone(a), func(v string) bool { return !slices.Contains(b, v) })
+}
--- a/messenger/dialer.go
+++ b/messenger/dialer.go
@@ -16,6 +16,8 @@
 	reconnectMax  = time.Second
 	keepaliveTime = 10 * time.Second
 	keepaliveWait = 2 * time.Second
+	// maxMessage admits a whole configuration of 42,000 workspaces.
+	maxMessage = 64 << 20
 )
 
 // Dialer opens connections to the peers of one node.
@@ -45,6 +47,7 @@
 			Backoff:           backoff.Config{BaseDelay: reconnectBase, Multiplier: 2, MaxDelay: reconnectMax},
 			MinConnectTimeout: reconnectMax,
 		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveWait}),
 	)
 }
--- a/messenger/guard.go
+++ b/messenger/guard.go
@@ -109,6 +109,7 @@
 // NewServer returns a gRPC server that admits only peers with a proof.
 func NewServer(k Keys) *grpc.Server {
 	return grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
 			if err := k.check(ctx, info.FullMethod); err != nil {
 				return nil, err
