--- a/keeper/configuration.go
+++ b/keeper/configuration.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 
 	"rattanhoist.example/rattanhoist/configurer"
+	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
@@ -83,6 +84,7 @@
 	err := s.loop.view(ctx, func(b *configurer.Book) {
 		out.Configuration, out.Digest = s.loop.configuration(), b.Digest()
 	})
+	out.Keepers = s.members()
 	out.LeaderName = s.loop.state.Load().leader.Name
 	out.Leader = out.LeaderName == s.keeper.self.Name()
 	return out, err
@@ -107,3 +109,18 @@
 	}
 	return out, nil
 }
+
+// members lists the keepers of the settings with the disk that votes for each.
+func (s *configurationServer) members() []*messenger.Member {
+	var out []*messenger.Member
+	for _, p := range s.keeper.settings.Processes(loader.KindKeeper) {
+		m := &messenger.Member{Name: p.Name(), Zone: p.Zone(), Address: p.RPC(), Learner: true}
+		for _, v := range s.loop.state.Load().voters {
+			if v.Name == p.Name() {
+				m.Learner, m.Incarnation = false, v.Incarnation
+			}
+		}
+		out = append(out, m)
+	}
+	return out
+}
--- a/keeper/log_loop.go
+++ b/keeper/log_loop.go
@@ -52,7 +52,9 @@
 	role        replicator.Role
 	term        uint64
 	voter       bool
-	deployment  string
+	// Voters are the committed ones.
+	voters     []replicator.Member
+	deployment string
 	// Changed is closed once applied has moved on.
 	changed chan struct{}
 }
@@ -298,6 +300,10 @@
 	if s.applied != old.applied {
 		s.changed = make(chan struct{})
 	}
+	s.voters = old.voters
+	if s.applied != old.applied || old.voters == nil {
+		s.voters = l.core.CommittedVoters()
+	}
 	l.state.Store(s)
 	if s.applied != old.applied {
 		close(old.changed)
--- /dev/null
+++ b/picker/room.go
@@ -0,0 +1,61 @@
+package picker
+
+import (
+	"math"
+	"time"
+)
+
+// roomEvery is how long a computed room is used.
+const roomEvery = 20 * time.Millisecond
+
+// Room returns how many requests this router may have in progress at the
+// set's endpoints: their capacity less what other routers use of it.
+func (s *Set) Room(t time.Time) int {
+	now := s.since(t)
+	if last := s.roomAt.Load(); last != 0 && int64(now)-last < int64(roomEvery) {
+		return int(s.room.Load())
+	}
+	n := s.computeRoom(now)
+	s.room.Store(int64(n))
+	s.roomAt.Store(int64(now))
+	return n
+}
+
+// Bounds of the room by this router's share of all requests.
+const (
+	shareLeast = 1.1
+	shareMost  = 1.5
+	// loadNoticed is the part of the capacity below which the share of the
+	// load says nothing.
+	loadNoticed = 0.2
+	mostOthers  = 100
+)
+
+// computeRoom bounds the free capacity by the router's share of the load over
+// the last quarter of a minute. Without the lower bound, late reports have
+// all routers hold back at once while endpoints idle, and without the upper
+// one have them all send at once when they hear of it.
+func (s *Set) computeRoom(now time.Duration) int {
+	var capacity, free, own, all float64
+	for i := range s.candidates {
+		c := &s.candidates[i]
+		if !s.fresh(c, now) || c.stats.gate.Blocked(now) {
+			continue
+		}
+		capacity += c.capacity
+		free += max(0, c.capacity-max(0, c.stats.others.value(0)))
+		own += c.stats.ownShare.value(0)
+		all += c.stats.allShare.value(0)
+	}
+	if capacity == 0 {
+		return 0
+	}
+	if all > loadNoticed*capacity {
+		fair := capacity * min(own/all, 1)
+		s.service.othersPerOwn.add(min(max(all/max(own, 1)-1, 0), mostOthers), 1, now)
+		free = min(max(free, shareLeast*fair), shareMost*fair)
+	}
+	// One request at least: a router that other routers crowd out would
+	// otherwise learn nothing more.
+	return max(1, int(math.Round(free)))
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -157,6 +157,9 @@
 // Voters returns the members whose majority commits.
 func (c *Core) Voters() []Member { return slices.Clone(c.log.voters) }
 
+// CommittedVoters returns the members of the last committed membership.
+func (c *Core) CommittedVoters() []Member { return c.log.votersAt(c.commit) }
+
 // Voter reports whether this disk votes.
 func (c *Core) Voter() bool { return slices.Contains(c.log.voters, c.self) }
 
--- a/router/serve.go
+++ b/router/serve.go
@@ -48,26 +48,29 @@
 		return err
 	}
 	defer release()
-	p, err := r.money.reserve(ctx, q.key.Workspace(), q.worst)
+	held, err := r.money.Reserve(ctx, q.key.Workspace(), q.worst)
 	if err != nil {
 		return err
 	}
-	var spent rattanhoist.Tokens
-	defer func() { p.slice.Settle(q.worst, spent) }()
+	billed := false
+	defer func() {
+		if !billed {
+			held.Release()
+		}
+	}()
 	res, err := r.runSomewhere(ctx, q, s, run)
 	if err != nil {
 		return err
 	}
-	spent = min(q.cost(res), q.worst)
-	res.charged, err = r.money.bill(ctx, &messenger.Charge{
-		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Tokens: int64(spent),
+	billed = true
+	res.charged, err = held.Charge(ctx, &messenger.Charge{
+		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Tokens: int64(min(q.cost(res), q.worst)),
 		Service: q.service.Name, Endpoint: res.endpoint,
 		ChargedAtMs: time.Now().UnixMilli(), Zone: r.self.Zone(),
 	})
 	if err != nil {
 		return &Problem{Status: http.StatusServiceUnavailable, Code: CodeBillingFailed, Outcome: Unknown, Detail: "the answer could not be billed: " + err.Error(), After: retrySoon}
 	}
-	spent = res.charged
 	return s.complete(res)
 }
 
@@ -92,10 +95,9 @@
 			return nil, errors.Join(last, err)
 		}
 		tried[e.Name()] = true
-		n := r.inFlightAt(e.Name())
-		n.Add(1)
+		d := r.began(q, e)
 		res, err := run(ctx, q, e, s)
-		n.Add(-1)
+		d.end(res, err)
 		if err == nil {
 			return res, nil
 		}
@@ -104,7 +106,7 @@
 		if errors.As(err, &f) && (f.passed || f.dispatched && !q.repeatable) {
 			return nil, err
 		}
-		if ctx.Err() != nil {
+		if !r.mayRetry(ctx, q) {
 			return nil, err
 		}
 	}
