--- a/messenger/guard.go
+++ b/messenger/guard.go
@@ -110,6 +110,7 @@
 // NewServer returns a gRPC server that admits only peers with a proof.
 func NewServer(k Keys) *grpc.Server {
 	return grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessage),
 		// The library's default ends connections that ping as often as Dial
 		// does; calls in progress would fail every half minute.
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
