--- a/measurer/picker_fleet.go
+++ b/measurer/picker_fleet.go
@@ -93,14 +93,16 @@
 // fleet is the fake deployment of one service in virtual time; the picking
 // and admitting cores are the product's.
 type fleet struct {
-	c       fleetCase
-	clock   *fakeClock
-	rand    *rand.Rand
-	base    time.Time
-	engines []*fakeEngine
-	routers []*fleetRouter
-	result  fleetResult
-	nextID  uint64
+	c     fleetCase
+	clock *fakeClock
+	// Traffic draws the requests, so that every policy meets the same ones;
+	// rand draws all else.
+	traffic, rand *rand.Rand
+	base          time.Time
+	engines       []*fakeEngine
+	routers       []*fleetRouter
+	result        fleetResult
+	nextID        uint64
 	// FreeSince and gaps keep when each engine had a free place.
 	freeSince []time.Duration
 	gaps      [][]gap
@@ -111,7 +113,7 @@
 type gap struct{ from, to time.Duration }
 
 func runFleet(c fleetCase) *fleetResult {
-	f := &fleet{c: c, clock: &fakeClock{}, rand: rand.New(rand.NewPCG(c.seed, 1)), base: time.Unix(0, 0), numbers: map[string]int{}}
+	f := &fleet{c: c, clock: &fakeClock{}, traffic: rand.New(rand.NewPCG(c.seed, 1)), rand: rand.New(rand.NewPCG(c.seed, 2)), base: time.Unix(0, 0), numbers: map[string]int{}}
 	for i := range c.engines {
 		f.addEngine(i)
 	}
@@ -202,12 +204,12 @@
 	}
 	f.arrive()
 	perSecond := f.c.load * float64(f.c.engines) * engineSpeed() / requestUnits()
-	f.clock.after(time.Duration(f.rand.ExpFloat64()/perSecond*float64(time.Second)), f.arrivals)
+	f.clock.after(time.Duration(f.traffic.ExpFloat64()/perSecond*float64(time.Second)), f.arrivals)
 }
 
 // zipf draws below n with shares that fall as 1/rank.
 func (f *fleet) zipf(n int) int {
-	x := math.Pow(float64(n+1), f.rand.Float64())
+	x := math.Pow(float64(n+1), f.traffic.Float64())
 	return min(int(x)-1, n-1)
 }
 
@@ -216,16 +218,16 @@
 	q := &fleetRequest{id: f.nextID, arrived: f.clock.now, measured: f.clock.now >= f.c.warm}
 	q.workspace = workspaceNames[f.zipf(fleetWorkspaces)]
 	q.prefix = uint64(f.zipf(fleetPrefixes))*0x9e3779b97f4a7c15 + 1
-	q.answer = meanAnswer/3 + f.rand.Int64N(meanAnswer*4/3+1)
-	q.most = q.answer + f.rand.Int64N(q.answer)
+	q.answer = meanAnswer/3 + f.traffic.Int64N(meanAnswer*4/3+1)
+	q.most = q.answer + f.traffic.Int64N(q.answer)
 	q.priority, q.deadline = 4, q.arrived+12*time.Second
-	if f.rand.Float64() < 0.3 {
+	if f.traffic.Float64() < 0.3 {
 		q.priority, q.deadline = 5, q.arrived+45*time.Second
 	}
 	if q.measured {
 		f.result.offered++
 	}
-	f.routers[f.rand.IntN(len(f.routers))].arrive(q)
+	f.routers[f.traffic.IntN(len(f.routers))].arrive(q)
 }
 
 // report sends an engine's load to every router, late by the case's lag.
--- a/picker/two_choices.go
+++ b/picker/two_choices.go
@@ -45,7 +45,7 @@
 }
 
 // reportHalf is the age at which a load report counts half.
-const reportHalf = 250 * time.Millisecond
+const reportHalf = 500 * time.Millisecond
 
 // work estimates the requests in progress at the endpoint, of all routers:
 // this router's own count is exact; what the last report says beyond it is
