Let a little more into the endpoints than they run at once; learn the time to first token whole

Cause: a router's queue can't use a place that another router leaves free; the expected time counted every prompt as not cached. Change: room counts 1.15 of the capacity; the estimate uses the learned time to the first token, hits and waiting included.

--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -27,7 +27,7 @@
 	if !s.Learned(now, learnedValidity) {
 		return e
 	}
-	x := e.Tokens*s.TokenTime() + float64(q.PromptTokens)*s.PrefillTime()
+	x := e.Tokens*s.TokenTime() + float64(q.PromptTokens)*s.promptTime.value(assumedPrefillTime)
 	e.Service = time.Duration(x * float64(time.Second))
 	e.Least = time.Duration(leastShare * x * float64(time.Second))
 	return e
--- a/picker/ledger.go
+++ b/picker/ledger.go
@@ -174,10 +174,14 @@
 func (r *Run) First(at time.Time) {
 	now := r.ledger.Since(at)
 	r.first = now
-	if r.expected || r.queued || r.prompt < 1 {
+	if r.prompt < 1 {
 		return
 	}
 	x := (now - r.begun).Seconds() / r.prompt
+	r.stats.service.promptTime.add(x, serviceWeight, now)
+	if r.expected || r.queued {
+		return
+	}
 	r.stats.prefillTime.add(x, sampleWeight, now)
 	r.stats.service.prefillTime.add(x, serviceWeight, now)
 }
--- a/picker/room.go
+++ b/picker/room.go
@@ -42,8 +42,8 @@
 		if !s.fresh(c, now) || c.stats.gate.Blocked(now) {
 			continue
 		}
-		capacity += c.capacity
-		free += max(0, c.capacity-max(0, c.stats.others.value(0)))
+		capacity += 1.15 * c.capacity
+		free += max(0, 1.15*c.capacity-max(0, c.stats.others.value(0)))
 		own += c.stats.ownShare.value(0)
 		all += c.stats.allShare.value(0)
 	}
--- a/picker/stats.go
+++ b/picker/stats.go
@@ -31,6 +31,9 @@
 type Service struct {
 	tokenTime   average
 	prefillTime average
+	// PromptTime is the time to the first token by the length of the prompt,
+	// of all runs: cached prefixes and waiting at the endpoint included.
+	promptTime average
 	// AnswerShare is the answer's length by the bound that the request gave.
 	answerShare average
 	// OthersPerOwn is the other routers' requests by this router's own.
