--- /dev/null
+++ b/recorder/recorder_test.go
@@ -0,0 +1,63 @@
+package recorder_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/recorder"
+)
+
+func TestExplainKeepsOrderAndWorkspace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := recorder.New(64)
+	at := time.Unix(1, 0)
+	a, b := rattanhoist.NewRequestKey("a", "1"), rattanhoist.NewRequestKey("b", "1")
+	r.Record(a, recorder.Decision{At: at.Add(2), Kind: recorder.Billed, Tokens: 7})
+	r.Record(a, recorder.Decision{At: at, Kind: recorder.Admitted})
+	r.Record(b, recorder.Decision{At: at.Add(1), Kind: recorder.Refused, Code: "budget_spent"})
+	var kinds []recorder.Kind
+	for _, e := range r.Explain("", "1") {
+		kinds = append(kinds, e.Decision.Kind)
+	}
+	g.Expect(kinds).To(gomega.Equal([]recorder.Kind{recorder.Admitted, recorder.Refused, recorder.Billed}))
+	g.Expect(r.Explain("b", "1")).To(gomega.HaveLen(1))
+	g.Expect(r.Explain("", "2")).To(gomega.BeEmpty())
+}
+
+// Symptom: a router's memory grows with the requests that it has served.
+// Sequence: many requests, and one id retried without end.
+// Cause: decisions were kept without a bound.
+func TestMemoryIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const requests, sent = 64, 10_000
+	r := recorder.New(requests)
+	var wg sync.WaitGroup
+	for w := range 4 {
+		wg.Go(func() {
+			for i := w; i < sent; i += 4 {
+				r.Record(rattanhoist.NewRequestKey("w", fmt.Sprint(i)), recorder.Decision{Kind: recorder.Admitted})
+				r.Record(rattanhoist.NewRequestKey("w", "again"), recorder.Decision{Kind: recorder.Retried})
+			}
+		})
+	}
+	wg.Wait()
+	kept := 0
+	for i := range sent {
+		kept += len(r.Explain("w", fmt.Sprint(i)))
+	}
+	g.Expect(kept).To(gomega.BeNumerically("<=", requests))
+	g.Expect(kept).To(gomega.BeNumerically(">", requests/2))
+	last := rattanhoist.NewRequestKey("w", "last")
+	for i := range 100 {
+		r.Record(last, recorder.Decision{At: time.Unix(int64(i), 0), Tokens: rattanhoist.Tokens(i)})
+	}
+	trail := r.Explain("", "last")
+	g.Expect(len(trail)).To(gomega.BeNumerically("<=", 32))
+	g.Expect(trail[0].Decision.Tokens).To(gomega.BeEquivalentTo(0))
+	g.Expect(trail[len(trail)-1].Decision.Tokens).To(gomega.BeEquivalentTo(99))
+}
