Proofs cover the method and operators' proofs count once; trace set-up

Cause: a recorded proof could be sent along with any other method for five minutes. Change: the proof signs role, node, time, nonce and method with length prefixes; window one minute; an operator's nonce counts once. Ruled out: binding the body by marshalling it again at the server, since two versions of a binary may marshal one message differently during an upgrade. tracer: exporters none, stdout, file, otlp over HTTP; only traces that begin with a request are kept. Messages may be 64 MiB: a configuration of 42,000 workspaces passes gRPC's 4 MiB.

--- a/messenger/dialer.go
+++ b/messenger/dialer.go
@@ -37,9 +37,10 @@
 // Dial returns a connection to address that reconnects by itself; the caller
 // closes it.
 func (d *Dialer) Dial(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
+	options := append(clientTracing(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithPerRPCCredentials(proof{role: d.role, node: d.node, key: d.key}),
+		grpc.WithPerRPCCredentials(proof{role: d.role, node: d.node, key: d.key, now: time.Now}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithContextDialer(d.dial),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: reconnectBase, Multiplier: 2, MaxDelay: reconnectMax},
@@ -47,6 +48,7 @@
 		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveWait}),
 	)
+	return grpc.NewClient("passthrough:///"+address, options...)
 }
 
 func (d *Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/messenger/guard.go
+++ b/messenger/guard.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"crypto/hmac"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -31,9 +33,10 @@
 const (
 	proofHeader = "rattanhoist-proof"
 	nodeHeader  = "rattanhoist-node"
-	// proofMaxAge bounds how long a recorded proof may be replayed; it also
-	// bounds the clock difference between VMs.
-	proofMaxAge = 5 * time.Minute
+	// proofMaxAge bounds how long a recorded proof may be replayed, to the
+	// same method only; it also bounds the clock difference between VMs.
+	proofMaxAge = time.Minute
+	nonceBytes  = 12
 )
 
 // Keys are the secrets of the roles.
@@ -48,6 +51,27 @@
 	BudgetKeeper_TopUp_FullMethodName:          true,
 	BudgetKeeper_Books_FullMethodName:          true,
 	BudgetKeeper_Charges_FullMethodName:        true,
+	Operations_State_FullMethodName:            true,
+	Operations_Endpoints_FullMethodName:        true,
+	Operations_Explain_FullMethodName:          true,
+}
+
+// claim is what a proof signs. The method is part of it: without it, whoever
+// records a harmless call could send its proof along with a top-up.
+type claim struct {
+	role   Role
+	node   string
+	at     string
+	nonce  string
+	method string
+}
+
+func (c claim) sign(key []byte) string {
+	m := hmac.New(sha256.New, key)
+	for _, part := range []string{string(c.role), c.node, c.at, c.nonce, c.method} {
+		m.Write([]byte(strconv.Itoa(len(part)) + ":" + part))
+	}
+	return hex.EncodeToString(m.Sum(nil))
 }
 
 // proof implements credentials.PerRPCCredentials.
@@ -55,15 +79,25 @@
 	role Role
 	node string
 	key  []byte
+	now  func() time.Time
 }
 
 var _ credentials.PerRPCCredentials = proof{}
 
 // GetRequestMetadata returns the proof for one call.
-func (p proof) GetRequestMetadata(_ context.Context, _ ...string) (map[string]string, error) {
-	at := strconv.FormatInt(time.Now().UnixMilli(), 10)
+func (p proof) GetRequestMetadata(ctx context.Context, _ ...string) (map[string]string, error) {
+	info, ok := credentials.RequestInfoFromContext(ctx)
+	if !ok {
+		return nil, status.Error(codes.Internal, "the call does not say its method")
+	}
+	n := make([]byte, nonceBytes)
+	_, _ = rand.Read(n)
+	c := claim{
+		role: p.role, node: p.node, method: info.Method,
+		at: strconv.FormatInt(p.now().UnixMilli(), 10), nonce: hex.EncodeToString(n),
+	}
 	return map[string]string{
-		proofHeader: string(p.role) + ":" + at + ":" + sign(p.key, p.role, p.node, at),
+		proofHeader: strings.Join([]string{string(c.role), c.at, c.nonce, c.sign(p.key)}, ":"),
 		nodeHeader:  p.node,
 	}, nil
 }
@@ -71,34 +105,71 @@
 // RequireTransportSecurity reports false: the key itself never travels.
 func (proof) RequireTransportSecurity() bool { return false }
 
-func sign(key []byte, role Role, node, at string) string {
-	m := hmac.New(sha256.New, key)
-	m.Write([]byte(string(role) + "\x00" + node + "\x00" + at))
-	return hex.EncodeToString(m.Sum(nil))
+// guard checks the proofs of one server's callers.
+type guard struct {
+	keys Keys
+	now  func() time.Time
+	// Seen bars operators' proofs from a second use. Members' proofs are not
+	// kept: at thousands of calls a second they would fill the memory, and
+	// each of their changes carries an identity that counts once.
+	seen *seenNonces
 }
 
-func (k Keys) check(ctx context.Context, method string) error {
+func newGuard(k Keys, now func() time.Time) *guard {
+	return &guard{keys: k, now: now, seen: &seenNonces{}}
+}
+
+func (g *guard) check(ctx context.Context, method string) error {
 	md, _ := metadata.FromIncomingContext(ctx)
 	parts := strings.Split(first(md, proofHeader), ":")
-	if len(parts) != 3 {
+	if len(parts) != 4 {
 		return status.Error(codes.Unauthenticated, "the call carries no proof of the deployment's key")
 	}
-	role := Role(parts[0])
-	key, known := k[role]
-	want := sign(key, role, first(md, nodeHeader), parts[1])
-	if !known || !hmac.Equal([]byte(want), []byte(parts[2])) {
+	c := claim{role: Role(parts[0]), node: first(md, nodeHeader), at: parts[1], nonce: parts[2], method: method}
+	key, known := g.keys[c.role]
+	if !hmac.Equal([]byte(c.sign(key)), []byte(parts[3])) || !known {
 		return status.Error(codes.Unauthenticated, "the proof does not fit the deployment's key")
 	}
-	ms, err := strconv.ParseInt(parts[1], 10, 64)
-	if err != nil || time.Since(time.UnixMilli(ms)).Abs() > proofMaxAge {
+	now := g.now()
+	ms, err := strconv.ParseInt(c.at, 10, 64)
+	if err != nil || now.Sub(time.UnixMilli(ms)).Abs() > proofMaxAge {
 		return status.Error(codes.Unauthenticated, "the proof is too old; compare the clocks of the VMs")
 	}
-	if role == RoleOperator && !operatorMethods[method] {
+	if c.role != RoleOperator {
+		return nil
+	}
+	if !operatorMethods[method] {
 		return status.Error(codes.PermissionDenied, "operators may not call "+method)
 	}
+	if !g.seen.first(c.nonce, now) {
+		return status.Error(codes.Unauthenticated, "the proof was used before")
+	}
 	return nil
 }
 
+// seenNonces remembers nonces for as long as their proofs are valid, in two
+// generations. A proof is valid from proofMaxAge before its time to as long
+// after, so a generation lasts twice that.
+type seenNonces struct {
+	mu       sync.Mutex
+	since    time.Time
+	now, old map[string]bool
+}
+
+// first reports whether the nonce is new, and remembers it.
+func (s *seenNonces) first(nonce string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.now == nil || now.Sub(s.since) > 2*proofMaxAge {
+		s.old, s.now, s.since = s.now, map[string]bool{}, now
+	}
+	if s.now[nonce] || s.old[nonce] {
+		return false
+	}
+	s.now[nonce] = true
+	return true
+}
+
 func first(md metadata.MD, key string) string {
 	if v := md.Get(key); len(v) > 0 {
 		return v[0]
@@ -108,18 +179,21 @@
 
 // NewServer returns a gRPC server that admits only peers with a proof.
 func NewServer(k Keys) *grpc.Server {
-	return grpc.NewServer(
+	g := newGuard(k, time.Now)
+	options := append(serverTracing(),
+		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
-			if err := k.check(ctx, info.FullMethod); err != nil {
+			if err := g.check(ctx, info.FullMethod); err != nil {
 				return nil, err
 			}
 			return h(ctx, req)
 		}),
 		grpc.ChainStreamInterceptor(func(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, h grpc.StreamHandler) error {
-			if err := k.check(ss.Context(), info.FullMethod); err != nil {
+			if err := g.check(ss.Context(), info.FullMethod); err != nil {
 				return err
 			}
 			return h(srv, ss)
 		}),
 	)
+	return grpc.NewServer(options...)
 }
--- /dev/null
+++ b/messenger/tracing.go
@@ -0,0 +1,29 @@
+package messenger
+
+import (
+	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
+	"google.golang.org/grpc"
+
+	"rattanhoist.example/rattanhoist/tracer"
+)
+
+// maxMessage bounds one message, in bytes: a whole configuration of 42,000
+// workspaces is larger than gRPC's default bound of 4 MiB.
+const maxMessage = 64 << 20
+
+// serverTracing adds a span to every call served, when traces are on.
+func serverTracing() []grpc.ServerOption {
+	if !tracer.On() {
+		return nil
+	}
+	return []grpc.ServerOption{grpc.StatsHandler(otelgrpc.NewServerHandler())}
+}
+
+// clientTracing adds a span to every call made within a trace, when traces
+// are on.
+func clientTracing() []grpc.DialOption {
+	if !tracer.On() {
+		return nil
+	}
+	return []grpc.DialOption{grpc.WithStatsHandler(otelgrpc.NewClientHandler())}
+}
--- /dev/null
+++ b/tracer/tracer_test.go
@@ -0,0 +1,99 @@
+package tracer_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/tracer"
+)
+
+const (
+	callersTrace = "4bf92f3577b34da6a3ce929d0e0e4736"
+	callersSpan  = "00f067aa0ba902b7"
+)
+
+type exported struct {
+	Name        string
+	SpanContext struct{ TraceID, SpanID string }
+	Parent      struct{ SpanID string }
+	Status      struct{ Code, Description string }
+}
+
+func TestRequestContinuesTheCallersTrace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	file := filepath.Join(t.TempDir(), "spans")
+	stop, err := tracer.Start(t.Context(), tracer.Options{Exporter: "file", File: file, Ratio: 0})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	out := http.Header{}
+	h := tracer.Middleware(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		ctx, s := tracer.Begin(r.Context(), tracer.HopDispatch)
+		tracer.Inject(ctx, out)
+		s.End(errors.New("endpoint is gone"))
+	}))
+	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", nil)
+	r.Header.Set("traceparent", "00-"+callersTrace+"-"+callersSpan+"-01")
+	h.ServeHTTP(httptest.NewRecorder(), r)
+	// Without a caller's trace and at ratio 0, and outside of a request,
+	// nothing is kept.
+	h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil))
+	_, s := tracer.Begin(t.Context(), tracer.HopBill)
+	s.End(nil)
+	g.Expect(stop(context.Background())).To(gomega.Succeed())
+
+	spans := read(t, file)
+	g.Expect(spans).To(gomega.HaveLen(2))
+	dispatch, request := spans[0], spans[1]
+	g.Expect(request.Name).To(gomega.Equal(tracer.HopRequest))
+	g.Expect(request.Parent.SpanID).To(gomega.Equal(callersSpan))
+	g.Expect(dispatch.Parent.SpanID).To(gomega.Equal(request.SpanContext.SpanID))
+	g.Expect(dispatch.SpanContext.TraceID).To(gomega.Equal(callersTrace))
+	g.Expect(dispatch.Status.Description).To(gomega.Equal("endpoint is gone"))
+}
+
+func read(t *testing.T, file string) []exported {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []exported
+	for _, line := range strings.Split(strings.TrimSpace(string(b)), "\n") {
+		var e exported
+		if err := json.Unmarshal([]byte(line), &e); err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func TestOffCostsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	stop, err := tracer.Start(t.Context(), tracer.Options{Exporter: tracer.None})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = stop(context.Background()) }()
+	g.Expect(tracer.On()).To(gomega.BeFalse())
+	ctx, h := t.Context(), http.Header{}
+	g.Expect(testing.AllocsPerRun(100, func() {
+		c, s := tracer.Begin(ctx, tracer.HopPick)
+		tracer.Inject(c, h)
+		s.Set("k", "v")
+		s.End(nil)
+	})).To(gomega.BeZero())
+	g.Expect(h).To(gomega.BeEmpty())
+}
+
+func TestUnknownExporter(t *testing.T) {
+	_, err := tracer.Start(t.Context(), tracer.Options{Exporter: "paper"})
+	if !errors.Is(err, tracer.ErrExporter) {
+		t.Fatal(err)
+	}
+}
