Check settings: repeated sections and keys, addresses, plug-in names, modes of key files

Cause: a key that stood twice silently took its last value; a host name or port 0 was found only when a peer dialled it; an unknown picker fell back. Change: each is a fault with file, line, section and key; one router in a zone and readable key files are warnings. [trace] section.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -72,6 +73,9 @@
 	endpointKey []byte
 	processes   []Process
 	policy      Policy
+	trace       Trace
+	// Warnings are worth a look and stop no process.
+	warnings []string
 }
 
 // Policy holds the choices among plug-ins and bounds; every value has a
@@ -130,6 +134,12 @@
 // Policy returns the chosen plug-ins and bounds.
 func (s *Settings) Policy() Policy { return s.policy }
 
+// Trace returns where spans go.
+func (s *Settings) Trace() Trace { return s.trace }
+
+// Warnings lists what is worth a look and stops no process.
+func (s *Settings) Warnings() []string { return s.warnings }
+
 // Processes returns the processes of a kind, or all for "".
 func (s *Settings) Processes(kind string) []Process {
 	var out []Process
@@ -169,6 +179,7 @@
 	}
 	c := checker{file: file, lines: indexLines(file)}
 	s := c.settings(f)
+	s.warnings = c.warnings
 	if len(c.faults) > 0 {
 		return nil, merry.Errorf("%w:\n  %s", ErrFaulty, strings.Join(c.faults, "\n  "))
 	}
@@ -177,22 +188,42 @@
 
 // checker collects the faults of one file.
 type checker struct {
-	file   string
-	lines  map[string]int
-	faults []string
+	file     string
+	lines    lineIndex
+	faults   []string
+	warnings []string
 }
 
 func (c *checker) fault(section, key, format string, args ...any) {
+	c.faults = append(c.faults, c.message(c.line(section, key), section, key, fmt.Sprintf(format, args...)))
+}
+
+func (c *checker) warn(section, key, format string, args ...any) {
+	c.warnings = append(c.warnings, c.message(c.line(section, key), section, key, fmt.Sprintf(format, args...)))
+}
+
+// line returns the line of a key or, where the key is missing, of its section.
+func (c *checker) line(section, key string) int {
+	if n := c.lines.first[place{section, key}]; n > 0 {
+		return n
+	}
+	return c.lines.first[place{section: section}]
+}
+
+func (c *checker) message(line int, section, key, text string) string {
 	where := c.file
-	if n := c.lines[section+"\x00"+key]; n > 0 {
-		where = fmt.Sprintf("%s:%d", c.file, n)
+	if line > 0 {
+		where = fmt.Sprintf("%s:%d", c.file, line)
+	}
+	if key != "" {
+		key = " " + key
 	}
-	text := fmt.Sprintf(format, args...)
-	c.faults = append(c.faults, fmt.Sprintf("%s: [%s] %s: %s", where, section, key, text))
+	return fmt.Sprintf("%s: [%s]%s: %s", where, section, key, text)
 }
 
 func (c *checker) settings(f *ini.File) *Settings {
-	s := &Settings{file: c.file, policy: defaultPolicy()}
+	s := &Settings{file: c.file, policy: defaultPolicy(), trace: defaultTrace()}
+	c.checkRepeated()
 	for _, sec := range f.Sections() {
 		c.section(s, sec)
 	}
@@ -212,17 +243,28 @@
 		c.deploymentSection(s, sec)
 	case sec.Name() == "policy":
 		s.policy = c.policySection(sec)
+	case sec.Name() == "trace":
+		s.trace = c.traceSection(sec)
 	case kind == KindRouter || kind == KindKeeper:
 		s.processes = append(s.processes, c.processSection(sec, kind, strings.TrimSpace(name)))
 	default:
-		c.fault(sec.Name(), "", "unknown section; want deployment, policy, router NAME or keeper NAME")
+		c.fault(sec.Name(), "", "unknown section; want deployment, policy, trace, router NAME or keeper NAME")
+	}
+}
+
+// checkRepeated reports sections and keys that stand twice.
+func (c *checker) checkRepeated() {
+	for _, line := range slices.Sorted(maps.Keys(c.lines.repeated)) {
+		p := c.lines.repeated[line]
+		text := fmt.Sprintf("stands in line %d already", c.lines.first[p])
+		c.faults = append(c.faults, c.message(line, p.section, p.key, text))
 	}
 }
 
 func (c *checker) onlyKeys(sec *ini.Section, known ...string) {
 	for _, k := range sec.KeyStrings() {
 		if !slices.Contains(known, k) {
-			c.fault(sec.Name(), k, "unknown key")
+			c.fault(sec.Name(), k, "unknown key; want one of %s", strings.Join(known, ", "))
 		}
 	}
 }
@@ -235,7 +277,10 @@
 	s.endpointKey = c.secret(sec, "endpoint_key_file")
 }
 
-const minSecretBytes = 16
+const (
+	minSecretBytes = 16
+	groupAndOthers = 0o077
+)
 
 func (c *checker) secret(sec *ini.Section, key string) []byte {
 	path := sec.Key(key).String()
@@ -251,6 +296,9 @@
 		c.fault(sec.Name(), key, "%v", err)
 		return nil
 	}
+	if i, err := os.Stat(path); err == nil && i.Mode().Perm()&groupAndOthers != 0 {
+		c.warn(sec.Name(), key, "%s may be read by others (mode %o); run chmod 600 on it", path, i.Mode().Perm())
+	}
 	text := strings.TrimSpace(string(b))
 	if len(text) < minSecretBytes {
 		c.fault(sec.Name(), key, "%s holds fewer than %d characters", path, minSecretBytes)
@@ -263,9 +311,12 @@
 	p.zone = c.required(sec, "zone")
 	p.rpc = c.required(sec, "rpc")
 	p.debug = sec.Key("debug").String()
+	c.address(sec, "rpc", p.rpc)
+	c.address(sec, "debug", p.debug)
 	if kind == KindRouter {
 		c.onlyKeys(sec, "zone", "rpc", "http", "debug")
 		p.http = c.required(sec, "http")
+		c.address(sec, "http", p.http)
 		return p
 	}
 	c.onlyKeys(sec, "zone", "rpc", "data_dir", "debug")
@@ -282,44 +333,51 @@
 }
 
 func (c *checker) checkProcesses(s *Settings) {
-	seen := map[string]string{}
-	for _, p := range s.processes {
-		if p.name == "" {
-			c.fault(p.kind, "", "a process section needs a name: [%s NAME]", p.kind)
-		}
-		for _, a := range []string{p.rpc, p.http, p.debug} {
-			section := p.kind + " " + p.name
-			if other, ok := seen[a]; ok && a != "" {
-				c.fault(section, "", "address %s is also that of [%s]", a, other)
-			}
-			seen[a] = section
-		}
-	}
+	c.checkNames(s)
+	c.checkAddresses(s)
 	for _, z := range s.Zones() {
-		if !slices.ContainsFunc(s.processes, func(p Process) bool { return p.kind == KindKeeper && p.zone == z }) {
+		if keepers := s.inZone(KindKeeper, z); len(keepers) == 0 {
 			c.fault("keeper", "zone", "availability zone %q has no keeper", z)
 		}
+		switch routers := s.inZone(KindRouter, z); len(routers) {
+		case 0:
+			c.warn("router", "zone", "availability zone %q has no router", z)
+		case 1:
+			c.warn("router "+routers[0].name, "zone", "availability zone %q has one router: nothing serves it while this one restarts", z)
+		}
 	}
 }
 
-// indexLines maps section and key to their line, for messages.
-func indexLines(file string) map[string]int {
-	lines := map[string]int{}
-	b, err := os.ReadFile(file)
-	if err != nil {
-		return lines
-	}
-	section := ini.DefaultSection
-	for i, line := range strings.Split(string(b), "\n") {
-		line = strings.TrimSpace(line)
-		if strings.HasPrefix(line, "[") {
-			section = strings.Trim(line, "[]")
-			lines[section+"\x00"] = i + 1
+func (s *Settings) inZone(kind, zone string) []Process {
+	return slices.DeleteFunc(s.Processes(kind), func(p Process) bool { return p.zone != zone })
+}
+
+// checkNames wants names that are unique over routers and keepers: a name
+// identifies a process in budgets, logs and reports.
+func (c *checker) checkNames(s *Settings) {
+	seen := map[string]Process{}
+	for _, p := range s.processes {
+		section := strings.TrimSpace(p.kind + " " + p.name)
+		if p.name == "" {
+			c.fault(section, "", "a process section needs a name: [%s NAME]", p.kind)
 			continue
 		}
-		if key, _, ok := strings.Cut(line, "="); ok {
-			lines[section+"\x00"+strings.TrimSpace(key)] = i + 1
+		if other, ok := seen[p.name]; ok && other.kind != p.kind {
+			c.fault(section, "", "the name is also that of [%s %s]", other.kind, other.name)
+		}
+		seen[p.name] = p
+	}
+}
+
+func (c *checker) checkAddresses(s *Settings) {
+	seen := map[string]string{}
+	for _, p := range s.processes {
+		section := p.kind + " " + p.name
+		for _, a := range []struct{ key, value string }{{"rpc", p.rpc}, {"http", p.http}, {"debug", p.debug}} {
+			if other, ok := seen[a.value]; ok && a.value != "" {
+				c.fault(section, a.key, "address %s is also that of [%s]", a.value, other)
+			}
+			seen[a.value] = section
 		}
 	}
-	return lines
 }
--- a/loader/policy.go
+++ b/loader/policy.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"rattanhoist.example/rattanhoist/picker"
 )
 
 // Defaults of the policy section.
@@ -27,11 +29,16 @@
 	}
 }
 
+var policyKeys = []string{
+	"picker", "placement", "max_body_bytes", "default_timeout", "max_timeout",
+	"keep_answer", "endpoint_max_age", "drain_timeout", "fault_port",
+}
+
 func (c *checker) policySection(sec *ini.Section) Policy {
-	c.onlyKeys(sec, "picker", "placement", "max_body_bytes", "default_timeout", "max_timeout",
-		"keep_answer", "endpoint_max_age", "drain_timeout", "fault_port")
+	c.onlyKeys(sec, policyKeys...)
 	p := defaultPolicy()
 	c.text(sec, "picker", &p.picker)
+	c.oneOf(sec, "picker", p.picker, picker.Names())
 	c.text(sec, "placement", &p.placement)
 	c.bytes(sec, "max_body_bytes", &p.maxBody)
 	c.duration(sec, "default_timeout", &p.defaultTimeout)
@@ -40,6 +47,9 @@
 	c.duration(sec, "endpoint_max_age", &p.endpointMaxAge)
 	c.duration(sec, "drain_timeout", &p.drainTimeout)
 	c.flag(sec, "fault_port", &p.faultPortEnabled)
+	if p.defaultTimeout > p.maxTimeout {
+		c.fault(sec.Name(), "default_timeout", "%s is longer than max_timeout, %s", p.defaultTimeout, p.maxTimeout)
+	}
 	return p
 }
 
--- /dev/null
+++ b/loader/trace.go
@@ -0,0 +1,74 @@
+package loader
+
+import (
+	"slices"
+	"strconv"
+
+	"gopkg.in/ini.v1"
+
+	"rattanhoist.example/rattanhoist/tracer"
+)
+
+// Trace says where the spans of a process go.
+type Trace struct {
+	exporter, file, endpoint string
+	sampleRatio              float64
+}
+
+// Exporter returns the name of the exporter.
+func (t Trace) Exporter() string { return t.exporter }
+
+// File returns the file of the exporter "file".
+func (t Trace) File() string { return t.file }
+
+// Endpoint returns host:port of the collector for the exporter "otlp".
+func (t Trace) Endpoint() string { return t.endpoint }
+
+// SampleRatio returns the part of new traces that is kept, 0 to 1.
+func (t Trace) SampleRatio() float64 { return t.sampleRatio }
+
+// Defaults of the trace section.
+const (
+	defaultTraceFile     = "trace.jsonl"
+	defaultTraceEndpoint = "127.0.0.1:4318"
+	defaultSampleRatio   = 1.0
+)
+
+var traceKeys = []string{"exporter", "file", "endpoint", "sample_ratio"}
+
+func defaultTrace() Trace {
+	return Trace{
+		exporter: tracer.None, file: defaultTraceFile,
+		endpoint: defaultTraceEndpoint, sampleRatio: defaultSampleRatio,
+	}
+}
+
+func (c *checker) traceSection(sec *ini.Section) Trace {
+	c.onlyKeys(sec, traceKeys...)
+	t := defaultTrace()
+	c.text(sec, "exporter", &t.exporter)
+	c.text(sec, "file", &t.file)
+	c.text(sec, "endpoint", &t.endpoint)
+	c.oneOf(sec, "exporter", t.exporter, tracer.Exporters())
+	c.address(sec, "endpoint", t.endpoint)
+	if sec.HasKey("sample_ratio") {
+		v, err := strconv.ParseFloat(sec.Key("sample_ratio").String(), 64)
+		if err != nil || !(v >= 0 && v <= 1) {
+			c.fault(sec.Name(), "sample_ratio", "want a number from 0 to 1, not %q", sec.Key("sample_ratio").String())
+		}
+		t.sampleRatio = v
+	}
+	return t
+}
+
+// oneOf checks the name of a plug-in.
+func (c *checker) oneOf(sec *ini.Section, key, value string, known []string) {
+	if !slices.Contains(known, value) {
+		c.fault(sec.Name(), key, "unknown: %q; want one of %v", value, known)
+	}
+}
+
+// OptionalKeys returns the keys that have a default, by section.
+func OptionalKeys() map[string][]string {
+	return map[string][]string{"policy": slices.Clone(policyKeys), "trace": slices.Clone(traceKeys)}
+}
