Operators' commands, one a file; spans, decisions and counters on the path

Cause: seven commands existed; a lost answer could not be repeated, a wrong output form was found after the change was sent, a cut keeper used up the command's whole time, and nothing told why a request ended as it did. Routers and keepers serve Operations; /state on the debug address; counters and histograms.

--- a/commander/client.go
+++ b/commander/client.go
@@ -2,30 +2,34 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"strings"
-	"text/tabwriter"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/google/uuid"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
-	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
 
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-const commandTimeout = 10 * time.Second
+// A keeper that is cut off is given up on early enough to ask the others
+// within the command's time.
+const (
+	commandTimeout = 12 * time.Second
+	keeperTimeout  = 3 * time.Second
+	processTimeout = 2 * time.Second
+	operatorNode   = "operator"
+)
 
-// client is an operator's connection to a keeper.
+// client is an operator's connection to one process.
 type client struct {
 	settings *loader.Settings
+	process  loader.Process
 	conn     *grpc.ClientConn
 }
 
@@ -37,100 +41,146 @@
 	return messenger.NewBudgetKeeperClient(c.conn)
 }
 
-// withKeeper calls f with the first keeper that answers.
-func (a *app) withKeeper(ctx context.Context, f func(context.Context, *client) error) error {
+func (c *client) operations() messenger.OperationsClient {
+	return messenger.NewOperationsClient(c.conn)
+}
+
+// dial connects to a process or fails while nothing has been sent.
+func dial(ctx context.Context, s *loader.Settings, p loader.Process) (*client, func(), error) {
+	conn, err := messenger.NewDialer(operatorNode, messenger.RoleOperator, s.OperatorKey()).Dial(p.RPC())
+	if err != nil {
+		return nil, nil, err
+	}
+	conn.Connect()
+	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
+		if state == connectivity.TransientFailure || !conn.WaitForStateChange(ctx, state) {
+			_ = conn.Close()
+			return nil, nil, merry.Errorf("%w: %s %s at %s does not answer", ErrUnreachable, p.Kind(), p.Name(), p.RPC())
+		}
+	}
+	return &client{settings: s, process: p, conn: conn}, func() { _ = conn.Close() }, nil
+}
+
+type clientFunc func(context.Context, *client) error
+
+// withKeeper calls f with one keeper after the other until one answers. Where
+// a try may have changed something, f returns ErrOutcomeUnknown, and f must
+// make the same change, under the same id, at the next keeper.
+func (a *app) withKeeper(ctx context.Context, f clientFunc) error {
 	s, err := a.load()
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	d := messenger.NewDialer("operator", messenger.RoleOperator, s.OperatorKey())
-	var last error
+	var failed []string
+	var unknown error
 	for _, p := range s.Processes(loader.KindKeeper) {
-		conn, err := d.Dial(p.RPC())
-		if err != nil {
-			return err
+		err := try(ctx, s, p, f)
+		if !passing(err) {
+			return refusal(err)
 		}
-		err = f(ctx, &client{settings: s, conn: conn})
-		_ = conn.Close()
-		if status.Code(err) != codes.Unavailable {
-			return err
+		if errors.Is(err, ErrOutcomeUnknown) {
+			unknown = err
 		}
-		last = err
+		failed = append(failed, reason(p, err))
+	}
+	if unknown != nil {
+		return unknown
 	}
-	return last
+	return merry.Errorf("%w: no keeper answered:\n  %s", ErrUnreachable, strings.Join(failed, "\n  "))
 }
 
-// propose sends edits based on the current version.
-func (c *client) propose(ctx context.Context, edits ...*messenger.Edit) (*messenger.ProposeReply, error) {
-	now, err := c.config().Read(ctx, &messenger.ReadRequest{Confirmed: true})
-	if err != nil {
-		return nil, err
+func reason(p loader.Process, err error) string {
+	if errors.Is(err, ErrUnreachable) {
+		return err.Error()
 	}
-	out, err := c.config().Propose(ctx, &messenger.ProposeRequest{Change: &messenger.Change{
-		ChangeId: uuid.NewString(), BaseVersion: now.Configuration.Version, Edits: edits,
-	}})
+	return p.Kind() + " " + p.Name() + " at " + p.RPC() + ": " + status.Convert(err).Message()
+}
+
+func try(ctx context.Context, s *loader.Settings, p loader.Process, f clientFunc) error {
+	ctx, cancel := context.WithTimeout(ctx, keeperTimeout)
+	defer cancel()
+	c, closeConn, err := dial(ctx, s, p)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return out, outcomeError(out)
+	defer closeConn()
+	return f(ctx, c)
+}
+
+// passing reports whether another keeper may give a better answer.
+func passing(err error) bool {
+	return errors.Is(err, ErrUnreachable) || errors.Is(err, ErrOutcomeUnknown) || lost(err)
 }
 
-func outcomeError(r *messenger.ProposeReply) error {
-	switch r.Outcome {
-	case messenger.ChangeOutcome_CHANGE_OUTCOME_ACCEPTED:
-		return nil
-	case messenger.ChangeOutcome_CHANGE_OUTCOME_CONFLICT:
-		return merry.Errorf("%w: the configuration is at version %d now; look at it and try again", ErrConflict, r.Version)
-	case messenger.ChangeOutcome_CHANGE_OUTCOME_REFUSED:
-		return merry.Errorf("%w:\n  %s", ErrRefused, strings.Join(r.Faults, "\n  "))
+// lost reports whether a call may or may not have reached its server.
+func lost(err error) bool {
+	switch status.Code(err) {
+	case codes.Unavailable, codes.DeadlineExceeded, codes.Canceled:
+		return true
 	default:
-		return merry.Errorf("%w: repeat the command with the same change id", ErrOutcomeUnknown)
+		return false
 	}
 }
 
-// print writes a message as JSON, or rows as a table.
-func (a *app) print(m proto.Message, header string, rows [][]any) error {
-	if a.output == "json" {
-		b, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true, Multiline: true}.Marshal(m)
-		if err != nil {
-			return err
-		}
-		_, err = fmt.Fprintf(a.out, "%s\n", b)
+// refusal turns a server's final error into one that says whose fault it is.
+func refusal(err error) error {
+	s, ok := status.FromError(err)
+	if err == nil || !ok {
 		return err
 	}
-	if a.output != "table" {
-		return merry.Errorf("%w: --output: want table or json, not %q", ErrUsage, a.output)
-	}
-	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, header)
-	for _, r := range rows {
-		cells := make([]string, len(r))
-		for i, c := range r {
-			cells[i] = fmt.Sprint(c)
-		}
-		_, _ = fmt.Fprintln(w, strings.Join(cells, "\t"))
+	switch s.Code() {
+	case codes.InvalidArgument, codes.NotFound, codes.AlreadyExists, codes.FailedPrecondition:
+		return merry.Errorf("%w: %s", ErrRefused, s.Message())
+	case codes.Unauthenticated:
+		return merry.Errorf("operator_key_file: %s", s.Message())
+	default:
+		return merry.New(s.Message())
 	}
-	return w.Flush()
 }
 
-// printValue writes any value as JSON.
-func (a *app) printValue(v any) error {
-	e := json.NewEncoder(a.out)
-	e.SetIndent("", "  ")
-	return e.Encode(v)
+// answers are what the processes of a kind said.
+type answers[R any] struct {
+	got []R
+	// Unreachable names the processes that did not answer.
+	unreachable []string
 }
 
-// parseLabels reads key=value flags.
-func parseLabels(flags []string) (map[string]string, error) {
-	out := map[string]string{}
-	for _, l := range flags {
-		k, v, ok := strings.Cut(l, "=")
-		if !ok {
-			return nil, errors.Join(ErrUsage, fmt.Errorf("--label: %q: want key=value", l))
+// askAll asks every process of a kind at once; "" asks all.
+func askAll[R any](ctx context.Context, s *loader.Settings, kind string, f func(context.Context, *client) (R, error)) answers[R] {
+	processes := s.Processes(kind)
+	got := make([]R, len(processes))
+	errs := make([]error, len(processes))
+	var wg sync.WaitGroup
+	for i, p := range processes {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, processTimeout)
+			defer cancel()
+			c, closeConn, err := dial(ctx, s, p)
+			if err != nil {
+				errs[i] = err
+				return
+			}
+			defer closeConn()
+			got[i], errs[i] = f(ctx, c)
+		})
+	}
+	wg.Wait()
+	var out answers[R]
+	for i, err := range errs {
+		if err != nil {
+			out.unreachable = append(out.unreachable, processes[i].Name())
+			continue
 		}
-		out[k] = v
+		out.got = append(out.got, got[i])
+	}
+	return out
+}
+
+// warnUnreachable says whose answers are missing.
+func (a *app) warnUnreachable(kind string, names []string) {
+	if len(names) > 0 {
+		a.warn("%s out of reach: %s", kind, strings.Join(names, ", "))
 	}
-	return out, nil
 }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -1,4 +1,5 @@
-// Package commander is the command line of the product.
+// Package commander is the command line of the product. Each command is a
+// plug-in in a file of its own that registers itself.
 package commander
 
 import (
@@ -6,6 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"slices"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
@@ -20,14 +24,24 @@
 	ExitOK = 0
 	// ExitFailed says that it did not, for a reason outside the input.
 	ExitFailed = 1
-	// ExitUsage says that the arguments or the settings are faulty.
+	// ExitUsage says that the arguments or the settings are faulty, or that
+	// the change was refused. Nothing has changed.
 	ExitUsage = 2
-	// ExitConflict says that another change took the version.
+	// ExitConflict says that another change took the version. Nothing has
+	// changed.
 	ExitConflict = 3
 	// ExitUnknown says that the outcome is unknown: repeat under the same id.
 	ExitUnknown = 4
 )
 
+const rootHelp = `Router fleet for prepaid token budgets: its processes and the operator's
+commands.
+
+Exit codes: 0 done; 1 failed, for a reason outside the input; 2 faulty
+arguments or settings, or refused: nothing has changed; 3 conflict, another
+change came first: nothing has changed; 4 outcome unknown: repeat the command
+under the id that it printed, and it counts once.`
+
 // Errors of commands. Compare with errors.Is.
 var (
 	// ErrUsage says that the arguments are faulty.
@@ -38,58 +52,131 @@
 	ErrOutcomeUnknown = merry.Sentinel("outcome unknown")
 	// ErrRefused says that the change is faulty.
 	ErrRefused = merry.Sentinel("refused")
+	// ErrNotYet says that a state waited for has not come about.
+	ErrNotYet = merry.Sentinel("not yet")
+	// ErrUnreachable says that no process answered that could have.
+	ErrUnreachable = merry.Sentinel("out of reach")
 )
 
 // app is what every command shares.
 type app struct {
 	settingsFile string
 	output       string
-	out          io.Writer
+	in           io.Reader
+	out, errOut  io.Writer
 }
 
-// command is a plug-in: it makes one subcommand of the root.
+// command is a plug-in: it makes one command.
 type command func(*app) *cobra.Command
 
-var registry []command
+// root is the group of the commands that stand alone.
+const root = ""
+
+// groups are the commands that only hold others.
+var groups = map[string]string{
+	"workspace": "Workspaces that pay for requests",
+	"service":   "Services that workspaces call",
+	"statement": "Statements of which endpoints may serve whom",
+	"endpoint":  "Endpoints that have announced themselves",
+	"budget":    "Prepaid budgets of workspaces",
+	"config":    "The configuration and where it is in force",
+}
+
+var registry = map[string][]command{}
 
-// register adds a subcommand; it is called from package-level values.
-func register(c command) bool {
-	registry = append(registry, c)
+// register adds a command to a group; it is called from package-level values.
+func register(group string, c command) bool {
+	registry[group] = append(registry[group], c)
 	return true
 }
 
 // Run executes the command line and returns the exit code.
 func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
-	a := &app{out: out}
-	root := &cobra.Command{
-		Use: "rattanhoist", Short: "Router fleet for prepaid token budgets",
-		SilenceUsage: true, SilenceErrors: true,
-	}
-	root.SetOut(out)
-	root.SetErr(errOut)
-	root.PersistentFlags().StringVarP(&a.settingsFile, "settings", "s", "rattanhoist.ini", "settings file of the deployment")
-	root.PersistentFlags().StringVarP(&a.output, "output", "o", "table", "output: table or json")
-	for _, c := range registry {
-		root.AddCommand(c(a))
-	}
-	root.SetArgs(args)
-	err := root.ExecuteContext(ctx)
+	a := &app{in: os.Stdin, out: out, errOut: errOut}
+	err := a.execute(ctx, args)
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "rattanhoist:", err)
 	}
 	return exitCode(err)
 }
 
+func (a *app) execute(ctx context.Context, args []string) error {
+	c := a.rootCommand()
+	c.SetArgs(args)
+	return c.ExecuteContext(ctx)
+}
+
+func (a *app) rootCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "rattanhoist", Short: "Router fleet for prepaid token budgets", Long: rootHelp,
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.ArbitraryArgs, RunE: wantSubcommand,
+		PersistentPreRunE: func(*cobra.Command, []string) error { return a.checkOutput() },
+	}
+	c.SetOut(a.out)
+	c.SetErr(a.errOut)
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return merry.Errorf("%w: %s", ErrUsage, err.Error()) })
+	c.PersistentFlags().StringVarP(&a.settingsFile, "settings", "s", "rattanhoist.ini", "settings file of the deployment")
+	c.PersistentFlags().StringVarP(&a.output, "output", "o", outputTable, "output: table or json")
+	for _, make := range registry[root] {
+		c.AddCommand(make(a))
+	}
+	for name, short := range groups {
+		g := &cobra.Command{Use: name, Short: short, Args: cobra.ArbitraryArgs, RunE: wantSubcommand}
+		for _, make := range registry[name] {
+			g.AddCommand(make(a))
+		}
+		c.AddCommand(g)
+	}
+	return c
+}
+
+// wantSubcommand runs where a command was called that only holds others.
+func wantSubcommand(c *cobra.Command, args []string) error {
+	if len(args) == 0 && !c.HasParent() {
+		return c.Help()
+	}
+	var names []string
+	for _, s := range c.Commands() {
+		if s.IsAvailableCommand() {
+			names = append(names, s.Name())
+		}
+	}
+	slices.Sort(names)
+	got := "nothing"
+	if len(args) > 0 {
+		got = fmt.Sprintf("%q", args[0])
+	}
+	return merry.Errorf("%w: %s: want one of %s, got %s", ErrUsage, c.CommandPath(), strings.Join(names, ", "), got)
+}
+
+// wantArgs names every positional argument in the error.
+func wantArgs(names ...string) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) < len(names) {
+			return merry.Errorf("%w: %s: missing; usage: %s", ErrUsage, names[len(args)], c.UseLine())
+		}
+		if len(args) > len(names) {
+			return merry.Errorf("%w: %q: one argument too many; usage: %s", ErrUsage, args[len(names)], c.UseLine())
+		}
+		for i, a := range args {
+			if a == "" {
+				return merry.Errorf("%w: %s: empty", ErrUsage, names[i])
+			}
+		}
+		return nil
+	}
+}
+
 func exitCode(err error) int {
 	switch {
 	case err == nil:
 		return ExitOK
+	case errors.Is(err, ErrOutcomeUnknown):
+		return ExitUnknown
 	case errors.Is(err, ErrUsage), errors.Is(err, ErrRefused), errors.Is(err, loader.ErrFaulty):
 		return ExitUsage
 	case errors.Is(err, ErrConflict):
 		return ExitConflict
-	case errors.Is(err, ErrOutcomeUnknown):
-		return ExitUnknown
 	default:
 		return ExitFailed
 	}
@@ -97,6 +184,11 @@
 
 func (a *app) load() (*loader.Settings, error) { return loader.Load(a.settingsFile) }
 
+// warn tells the operator what does not change the outcome.
+func (a *app) warn(format string, args ...any) {
+	_, _ = fmt.Fprintf(a.errOut, "warning: "+format+"\n", args...)
+}
+
 // newLog returns a logger of lines for changes of state, on standard error.
 func newLog(process string) (*zap.Logger, func(), error) {
 	log, err := zap.NewProduction(zap.Fields(zap.String("process", process)))
@@ -105,3 +197,13 @@
 	}
 	return log, func() { _ = log.Sync() }, nil
 }
+
+// wantOptional takes at most the one argument.
+func wantOptional(name string) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return nil
+		}
+		return wantArgs(name)(c, args)
+	}
+}
--- a/commander/process.go
+++ b/commander/process.go
@@ -2,42 +2,30 @@
 
 import (
 	"context"
-	"fmt"
+	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/keeper"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/router"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
-var _ = register(func(a *app) *cobra.Command {
-	return a.processCommand(loader.KindRouter, "Run a router", func(s *loader.Settings, p loader.Process, log *zap.Logger) (process, func(), error) {
+var _ = register(root, func(a *app) *cobra.Command {
+	return a.processCommand(loader.KindRouter, "Run a router, on every entry VM", func(s *loader.Settings, p loader.Process, log *zap.Logger) (process, func(), error) {
 		return router.New(s, p, log)
 	})
 })
 
-var _ = register(func(a *app) *cobra.Command {
-	return a.processCommand(loader.KindKeeper, "Run a keeper", func(s *loader.Settings, p loader.Process, log *zap.Logger) (process, func(), error) {
+var _ = register(root, func(a *app) *cobra.Command {
+	return a.processCommand(loader.KindKeeper, "Run a keeper, on a VM with a disk", func(s *loader.Settings, p loader.Process, log *zap.Logger) (process, func(), error) {
 		return keeper.New(s, p, log)
 	})
 })
 
-var _ = register(func(a *app) *cobra.Command {
-	return &cobra.Command{
-		Use: "check", Short: "Check the settings and list every fault", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			s, err := a.load()
-			if err != nil {
-				return err
-			}
-			_, err = fmt.Fprintf(a.out, "%s: deployment %s, %d processes, no faults\n", a.settingsFile, s.Deployment(), len(s.Processes("")))
-			return err
-		},
-	}
-})
-
 // process runs until its context ends.
 type process interface{ Run(context.Context) error }
 
@@ -50,7 +38,6 @@
 		RunE: func(c *cobra.Command, _ []string) error { return a.runProcess(c.Context(), kind, name, f) },
 	}
 	c.Flags().StringVar(&name, "name", "", "name of the process in the settings")
-	_ = c.MarkFlagRequired("name")
 	return c
 }
 
@@ -59,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if name == "" {
+		return merry.Errorf("%w: --name: missing; want the name of a [%s NAME] section of %s", ErrUsage, kind, a.settingsFile)
+	}
 	self, err := s.Process(kind, name)
 	if err != nil {
 		return err
@@ -68,6 +58,11 @@
 		return err
 	}
 	defer syncLog()
+	stopTracing, err := startTracing(ctx, s, self)
+	if err != nil {
+		return err
+	}
+	defer stopTracing(log)
 	p, cleanUp, err := f(s, self, log)
 	if err != nil {
 		return err
@@ -75,3 +70,25 @@
 	defer cleanUp()
 	return p.Run(ctx)
 }
+
+const traceFlushTimeout = 2 * time.Second
+
+// startTracing turns traces on where the settings say so; the returned
+// function exports what is left.
+func startTracing(ctx context.Context, s *loader.Settings, self loader.Process) (func(*zap.Logger), error) {
+	t := s.Trace()
+	stop, err := tracer.Start(ctx, tracer.Options{
+		Process: self.Name(), Exporter: t.Exporter(), File: t.File(),
+		Endpoint: t.Endpoint(), Ratio: t.SampleRatio(),
+	})
+	if err != nil {
+		return nil, merry.Errorf("[trace]: %w", err)
+	}
+	return func(log *zap.Logger) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), traceFlushTimeout)
+		defer cancel()
+		if err := stop(ctx); err != nil {
+			log.Warn("spans were lost at the end", zap.Error(err))
+		}
+	}, nil
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -62,6 +62,7 @@
 	})
 	messenger.RegisterBudgetKeeperServer(k.server, k.budget)
 	messenger.RegisterConfigurationKeeperServer(k.server, k.config)
+	messenger.RegisterOperationsServer(k.server, &operationsServer{keeper: k})
 	return k, cleanUp, nil
 }
 
@@ -77,7 +78,7 @@
 	if k.settings.Policy().FaultPortEnabled() {
 		cutter = k.dialer.Cutter()
 	}
-	if err := reporter.Serve(ctx, k.self.Debug(), cutter, k.log); err != nil {
+	if err := reporter.Serve(ctx, k.self.Debug(), cutter, &operationsServer{keeper: k}, k.log); err != nil {
 		return err
 	}
 	go func() { cancel(k.server.Serve(l)) }()
--- a/loader/trace.go
+++ b/loader/trace.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"path/filepath"
 	"slices"
 	"strconv"
 
@@ -49,6 +50,9 @@
 	c.text(sec, "exporter", &t.exporter)
 	c.text(sec, "file", &t.file)
 	c.text(sec, "endpoint", &t.endpoint)
+	if !filepath.IsAbs(t.file) {
+		t.file = filepath.Join(filepath.Dir(c.file), t.file)
+	}
 	c.oneOf(sec, "exporter", t.exporter, tracer.Exporters())
 	c.address(sec, "endpoint", t.endpoint)
 	if sec.HasKey("sample_ratio") {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -36,6 +36,7 @@
 	Answered   = messenger.DecisionKind_DECISION_KIND_ANSWERED
 	Refused    = messenger.DecisionKind_DECISION_KIND_REFUSED
 	Claimed    = messenger.DecisionKind_DECISION_KIND_CLAIMED
+	Failed     = messenger.DecisionKind_DECISION_KIND_FAILED
 )
 
 // Decision is one choice made for a request.
--- a/router/handler.go
+++ b/router/handler.go
@@ -12,13 +12,14 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/tracer"
 	"rattanhoist.example/rattanhoist/tracker"
 )
 
 // handler returns the HTTP surface for callers and endpoints.
 func (r *Router) handler() http.Handler {
 	m := http.NewServeMux()
-	callers := alice.New(r.recoverPanic, r.admitReady, r.countActive)
+	callers := alice.New(tracer.Middleware, r.recoverPanic, r.admitReady, r.countActive)
 	m.Handle("POST /v1/chat/completions", callers.ThenFunc(r.chat))
 	m.Handle("/v1/services/{service}/{path...}", callers.ThenFunc(r.plain))
 	m.Handle("POST /v1/endpoints", alice.New(r.recoverPanic, r.endpointKey).ThenFunc(r.announce))
@@ -58,6 +59,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.active.Add(1)
 		defer r.active.Done()
+		activeRequests.Add(1)
+		defer activeRequests.Add(-1)
 		next.ServeHTTP(w, q)
 	})
 }
@@ -116,7 +119,10 @@
 func (r *Router) answer(ctx context.Context, q *request, s sink, run runFunc) {
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	if err := r.serve(ctx, q, s, run); err != nil {
+	began := time.Now()
+	err := r.serve(ctx, q, s, run)
+	r.recordEnd(q, began, err)
+	if err != nil {
 		p := problemOf(err)
 		p.RequestID = q.key.RequestID()
 		s.fail(p)
--- /dev/null
+++ b/router/record.go
@@ -0,0 +1,76 @@
+package router
+
+import (
+	"errors"
+	"expvar"
+	"strings"
+	"time"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/recorder"
+	"rattanhoist.example/rattanhoist/reporter"
+)
+
+// recordedRequests is how many of the latest requests can be explained.
+const recordedRequests = 4096
+
+// decisionRecorder keeps decisions for operators who ask about a request.
+type decisionRecorder interface {
+	Record(rattanhoist.RequestKey, recorder.Decision)
+	Explain(workspace, requestID string) []recorder.Entry
+}
+
+// Counters of a router process; docs/operate/counters.md lists them.
+var (
+	countDecisions = expvar.NewMap("router_decisions")
+	countRefusals  = expvar.NewMap("router_refusals")
+	countTokens    = expvar.NewMap("router_tokens")
+	activeRequests = expvar.NewInt("router_active_requests")
+	requestTime    = reporter.NewHistogram("router_request_time")
+	reserveTime    = reporter.NewHistogram("router_reserve_time")
+	billTime       = reporter.NewHistogram("router_bill_time")
+)
+
+// record counts a decision and keeps it for `explain`.
+func (r *Router) record(q *request, d recorder.Decision) {
+	countDecisions.Add(decisionName(d.Kind), 1)
+	switch d.Kind {
+	case recorder.Refused:
+		countRefusals.Add(d.Code, 1)
+	case recorder.Billed:
+		countTokens.Add("charged", int64(d.Tokens))
+	}
+	r.decisions.Record(q.key, d)
+}
+
+// recordEnd records how a request ended.
+func (r *Router) recordEnd(q *request, began time.Time, err error) {
+	requestTime.Observe(time.Since(began))
+	if err == nil {
+		r.record(q, recorder.Decision{Kind: recorder.Answered, Reason: "whole answer in " + time.Since(began).Round(time.Millisecond).String()})
+		return
+	}
+	p := problemOf(err)
+	r.record(q, recorder.Decision{Kind: recorder.Refused, Code: p.Code, Reason: string(p.Outcome) + ": " + p.Detail})
+}
+
+// recordFailure records that an endpoint did not answer whole.
+func (r *Router) recordFailure(q *request, e *rattanhoist.Endpoint, err error) {
+	reason := err.Error()
+	var f *runError
+	if errors.As(err, &f) && !f.dispatched {
+		reason = "not dispatched: " + reason
+	}
+	r.record(q, recorder.Decision{Kind: recorder.Failed, Endpoint: e.Name(), Reason: reason})
+}
+
+var decisionNames = map[recorder.Kind]string{}
+
+func init() {
+	for n, name := range messenger.DecisionKind_name {
+		decisionNames[recorder.Kind(n)] = strings.ToLower(strings.TrimPrefix(name, "DECISION_KIND_"))
+	}
+}
+
+func decisionName(k recorder.Kind) string { return decisionNames[k] }
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,7 @@
 	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/recorder"
 	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/tracker"
 )
@@ -52,6 +53,9 @@
 	money    *treasurer
 	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
+	// KeeperConn is the connection to the zone's keeper.
+	keeperConn *grpc.ClientConn
+	decisions  decisionRecorder
 	// Pickers maps plug-in names to *picker.Picker instances.
 	pickers sync.Map
 	// InFlight maps endpoint names to *atomic.Int64.
@@ -72,7 +76,11 @@
 	}
 	r := &Router{
 		settings: s, self: self, log: log, dialer: d,
-		peerRPC: messenger.NewServer(messenger.Keys{messenger.RoleMember: s.DeploymentKey()}),
+		peerRPC: messenger.NewServer(messenger.Keys{
+			messenger.RoleMember:   s.DeploymentKey(),
+			messenger.RoleOperator: s.OperatorKey(),
+		}),
+		keeperConn: conn, decisions: recorder.New(recordedRequests),
 		tracker: tracker.New(s.Policy().EndpointMaxAge()),
 		money:   newTreasurer(self, conn),
 		config:  messenger.NewConfigurationKeeperClient(conn),
@@ -85,6 +93,7 @@
 		log.Info("state changed", zap.String("from", e.Src), zap.String("to", e.Dst))
 	}})
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
+	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
@@ -124,6 +133,7 @@
 	failed := make(chan error, 1)
 	go r.follow(background)
 	go r.expire(background)
+	go r.watchKeeper(background)
 	go func() { failed <- r.server.Serve(l) }()
 	select {
 	case err := <-failed:
@@ -144,7 +154,7 @@
 		<-ctx.Done()
 		r.peerRPC.Stop()
 	}()
-	return reporter.Serve(ctx, r.self.Debug(), faultCutter(r.settings, r.dialer), r.log)
+	return reporter.Serve(ctx, r.self.Debug(), faultCutter(r.settings, r.dialer), &operationsServer{router: r}, r.log)
 }
 
 // faultCutter returns the cutter only where the settings open the fault port.
--- a/router/run.go
+++ b/router/run.go
@@ -18,6 +18,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
 // Errors of an endpoint's answer. Compare with errors.Is.
@@ -85,6 +86,7 @@
 		h.Header.Set("Content-Type", q.contentType)
 	}
 	h.Header.Set(headerRequestID, q.key.String())
+	tracer.Inject(ctx, h.Header)
 	h.Header.Set(headerPriority, strconv.Itoa(q.priority))
 	// A Go client resends some requests by itself when a kept connection
 	// turns out closed; without a replayable body it can't run one twice.
--- a/router/serve.go
+++ b/router/serve.go
@@ -43,12 +43,12 @@
 // serve reserves the worst case, runs the request, bills the true count and
 // only then completes the answer.
 func (r *Router) serve(ctx context.Context, q *request, s sink, run runFunc) error {
-	release, err := r.admit(ctx, q)
+	release, err := r.admitTraced(ctx, q)
 	if err != nil {
 		return err
 	}
 	defer release()
-	p, err := r.money.reserve(ctx, q.key.Workspace(), q.worst)
+	p, err := r.reserveTraced(ctx, q)
 	if err != nil {
 		return err
 	}
@@ -59,7 +59,7 @@
 		return err
 	}
 	spent = min(q.cost(res), q.worst)
-	res.charged, err = r.money.bill(ctx, &messenger.Charge{
+	res.charged, err = r.billTraced(ctx, q, &messenger.Charge{
 		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Tokens: int64(spent),
 		Service: q.service.Name, Endpoint: res.endpoint,
 		ChargedAtMs: time.Now().UnixMilli(), Zone: r.self.Zone(),
@@ -87,14 +87,14 @@
 	tried := map[string]bool{}
 	var last error
 	for len(tried) < maxTries {
-		e, err := r.pick(q, tried)
+		e, err := r.pick(ctx, q, tried)
 		if err != nil {
 			return nil, errors.Join(last, err)
 		}
 		tried[e.Name()] = true
 		n := r.inFlightAt(e.Name())
 		n.Add(1)
-		res, err := run(ctx, q, e, s)
+		res, err := r.runTraced(ctx, q, e, s, run)
 		n.Add(-1)
 		if err == nil {
 			return res, nil
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,11 @@
 // An entry whose age passes the bound must not be used: Usable tells.
 func (t *Table) Service(name string) []*rattanhoist.Endpoint { return t.byService[name] }
 
+// All returns every endpoint, in no order.
+func (t *Table) All() []*rattanhoist.Endpoint {
+	return slices.Concat(slices.Collect(maps.Values(t.byService))...)
+}
+
 // Announcement is one message of an endpoint about itself.
 type Announcement struct {
 	Endpoint *rattanhoist.Endpoint
