Real-process tests of the operator's commands; two faults mended

Cause 1: a router's life never left 'starting', so status showed no router as ready. Cause 2: a keeper that was asked to stop exited 1, since the cause of the ended context is the signal. Both found by the new tests, which fail without the change. Tests: commands, explain, rotation, spans of a request over processes, bad input that changes nothing.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -67,8 +67,8 @@
 }
 
 // Run serves until ctx ends, or until the store fails.
-func (k *Keeper) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (k *Keeper) Run(parent context.Context) error {
+	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	l, err := net.Listen("tcp", k.self.RPC())
 	if err != nil {
@@ -88,8 +88,9 @@
 		zap.Uint64("configuration_version", k.config.version()))
 	<-ctx.Done()
 	k.server.Stop()
-	if cause := context.Cause(ctx); cause != context.Canceled {
-		return cause
+	// The cause of a parent that ended is the signal, which is no failure.
+	if parent.Err() != nil {
+		return nil
 	}
-	return nil
+	return context.Cause(ctx)
 }
--- a/router/follower.go
+++ b/router/follower.go
@@ -48,6 +48,9 @@
 			book.Apply(c)
 		}
 		r.snapshot.Store(configurer.Compile(book.Configuration()))
+		if r.life.Is(stateStarting) {
+			_ = r.life.Event(ctx, eventReady)
+		}
 	}
 	_, _ = r.config.ReportInForce(ctx, &messenger.InForceReport{Node: r.self.Name(), Zone: r.self.Zone(), Version: book.Version()})
 }
