--- a/commander/change.go
+++ b/commander/change.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"os"
+	"os/user"
 	"strings"
 
 	"github.com/ansel1/merry/v2"
@@ -93,7 +93,7 @@
 	}
 	c.sent = true
 	out, err := k.config().Propose(ctx, &messenger.ProposeRequest{Change: &messenger.Change{
-		ChangeId: c.id, BaseVersion: base, Edits: edits, Author: os.Getenv("USER"),
+		ChangeId: c.id, BaseVersion: base, Edits: edits, Author: author(),
 	}})
 	if lost(err) {
 		return nil, c.unknown(err.Error())
@@ -104,6 +104,15 @@
 	return out, c.outcome(out)
 }
 
+// author names who makes a change, for the history.
+func author() string {
+	u, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return u.Username
+}
+
 // acceptedAs returns the version that a change id was accepted as, or 0.
 func (k *client) acceptedAs(ctx context.Context, id string) (uint64, error) {
 	var after uint64
--- /dev/null
+++ b/messenger/counters.go
@@ -0,0 +1,25 @@
+package messenger
+
+import (
+	"expvar"
+	"path"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// Counters of calls between processes; docs/operate/counters.md lists them.
+var (
+	countServed = expvar.NewMap("rpc_served")
+	countFailed = expvar.NewMap("rpc_failed")
+)
+
+// count counts a served call by method, and a failed one by method and code.
+func count(method string, err error) error {
+	name := path.Base(path.Dir(method)) + "/" + path.Base(method)
+	countServed.Add(name, 1)
+	if c := status.Code(err); c != codes.OK {
+		countFailed.Add(name+" "+c.String(), 1)
+	}
+	return err
+}
--- a/messenger/guard.go
+++ b/messenger/guard.go
@@ -184,15 +184,16 @@
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
 			if err := g.check(ctx, info.FullMethod); err != nil {
-				return nil, err
+				return nil, count(info.FullMethod, err)
 			}
-			return h(ctx, req)
+			out, err := h(ctx, req)
+			return out, count(info.FullMethod, err)
 		}),
 		grpc.ChainStreamInterceptor(func(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, h grpc.StreamHandler) error {
 			if err := g.check(ss.Context(), info.FullMethod); err != nil {
-				return err
+				return count(info.FullMethod, err)
 			}
-			return h(srv, ss)
+			return count(info.FullMethod, h(srv, ss))
 		}),
 	)
 	return grpc.NewServer(options...)
--- a/reporter/histogram.go
+++ b/reporter/histogram.go
@@ -1,6 +1,7 @@
 package reporter
 
 import (
+	"encoding/json"
 	"expvar"
 	"math/rand/v2"
 	"sync"
@@ -28,19 +29,23 @@
 	}
 }
 
-// NewHistogram returns a histogram that is published under an expvar name;
-// "" publishes nothing.
-func NewHistogram(name string) *Histogram {
+var _ expvar.Var = (*Histogram)(nil)
+
+// NewHistogram returns an empty histogram.
+func NewHistogram() *Histogram {
 	h := &Histogram{}
 	for i := range h.stripes {
 		h.stripes[i].h = hdrhistogram.New(1, histogramMaxUnit, histogramDigits)
 	}
-	if name != "" {
-		expvar.Publish(name, expvar.Func(func() any { return h.Summary() }))
-	}
 	return h
 }
 
+// String returns the summary as JSON.
+func (h *Histogram) String() string {
+	b, _ := json.Marshal(h.Summary())
+	return string(b)
+}
+
 // Observe counts one duration.
 func (h *Histogram) Observe(d time.Duration) {
 	s := &h.stripes[rand.IntN(histogramStripes)]
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -12,7 +12,7 @@
 
 func TestHistogramMergesItsStripes(t *testing.T) {
 	g := gomega.NewWithT(t)
-	h := reporter.NewHistogram("")
+	h := reporter.NewHistogram()
 	var wg sync.WaitGroup
 	for w := range 4 {
 		wg.Go(func() {
--- a/router/handler.go
+++ b/router/handler.go
@@ -24,6 +24,7 @@
 	m.Handle("/v1/services/{service}/{path...}", callers.ThenFunc(r.plain))
 	m.Handle("POST /v1/endpoints", alice.New(r.recoverPanic, r.endpointKey).ThenFunc(r.announce))
 	m.HandleFunc("GET /healthz", r.health)
+	m.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("alive\n")) })
 	return m
 }
 
--- a/router/record.go
+++ b/router/record.go
@@ -4,6 +4,7 @@
 	"errors"
 	"expvar"
 	"strings"
+	"sync"
 	"time"
 
 	"rattanhoist.example/rattanhoist"
@@ -23,15 +24,31 @@
 
 // Counters of a router process; docs/operate/counters.md lists them.
 var (
-	countDecisions = expvar.NewMap("router_decisions")
-	countRefusals  = expvar.NewMap("router_refusals")
-	countTokens    = expvar.NewMap("router_tokens")
-	activeRequests = expvar.NewInt("router_active_requests")
-	requestTime    = reporter.NewHistogram("router_request_time")
-	reserveTime    = reporter.NewHistogram("router_reserve_time")
-	billTime       = reporter.NewHistogram("router_bill_time")
+	countDecisions = new(expvar.Map)
+	countRefusals  = new(expvar.Map)
+	countTokens    = new(expvar.Map)
+	activeRequests = new(expvar.Int)
+	requestTime    = reporter.NewHistogram()
+	reserveTime    = reporter.NewHistogram()
+	billTime       = reporter.NewHistogram()
 )
 
+// publishCounters shows the counters; a keeper is the same binary and must
+// not show them.
+var publishCounters = sync.OnceFunc(func() {
+	for name, v := range map[string]expvar.Var{
+		"router_decisions":       countDecisions,
+		"router_refusals":        countRefusals,
+		"router_tokens":          countTokens,
+		"router_active_requests": activeRequests,
+		"router_request_time":    requestTime,
+		"router_reserve_time":    reserveTime,
+		"router_bill_time":       billTime,
+	} {
+		expvar.Publish(name, v)
+	}
+})
+
 // record counts a decision and keeps it for `explain`.
 func (r *Router) record(q *request, d recorder.Decision) {
 	countDecisions.Add(decisionName(d.Kind), 1)
--- a/router/router.go
+++ b/router/router.go
@@ -94,6 +94,7 @@
 	}})
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
 	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
+	publishCounters()
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
