Optional mutual TLS between processes

Cause: a proof covers the method and not the contents, so whoever can change traffic could change those. Change: tls_cert, tls_key and tls_ca, all or none; peers and operators without a certificate of the authority are refused. The one settings file names a path; each VM has its own certificate there.

--- a/commander/client.go
+++ b/commander/client.go
@@ -47,7 +47,7 @@
 
 // dial connects to a process or fails while nothing has been sent.
 func dial(ctx context.Context, s *loader.Settings, p loader.Process) (*client, func(), error) {
-	conn, err := messenger.NewDialer(operatorNode, messenger.RoleOperator, s.OperatorKey()).Dial(p.RPC())
+	conn, err := messenger.NewDialer(operatorNode, messenger.RoleOperator, s.OperatorKey(), messenger.WithTLS(s.TLS())).Dial(p.RPC())
 	if err != nil {
 		return nil, nil, err
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	dialer := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey())
+	dialer := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey(), messenger.WithTLS(s.TLS()))
 	p, closePeers, err := newPeers(s, self, dialer)
 	if err != nil {
 		_ = closeStore()
@@ -59,7 +59,7 @@
 	k.server = messenger.NewServer(messenger.Keys{
 		messenger.RoleMember:   s.DeploymentKey(),
 		messenger.RoleOperator: s.OperatorKey(),
-	})
+	}, messenger.WithTLS(s.TLS()))
 	messenger.RegisterBudgetKeeperServer(k.server, k.budget)
 	messenger.RegisterConfigurationKeeperServer(k.server, k.config)
 	messenger.RegisterOperationsServer(k.server, &operationsServer{keeper: k})
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -6,10 +6,10 @@
 package loader
 
 import (
+	"crypto/tls"
 	"fmt"
 	"maps"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -74,6 +74,8 @@
 	processes   []Process
 	policy      Policy
 	trace       Trace
+	// TLS secures the connections between processes; nil leaves them plain.
+	tls *tls.Config
 	// Warnings are worth a look and stop no process.
 	warnings []string
 }
@@ -137,6 +139,9 @@
 // Trace returns where spans go.
 func (s *Settings) Trace() Trace { return s.trace }
 
+// TLS returns the settings of mutual TLS, or nil.
+func (s *Settings) TLS() *tls.Config { return s.tls }
+
 // Warnings lists what is worth a look and stops no process.
 func (s *Settings) Warnings() []string { return s.warnings }
 
@@ -270,7 +275,8 @@
 }
 
 func (c *checker) deploymentSection(s *Settings, sec *ini.Section) {
-	c.onlyKeys(sec, "name", "key_file", "operator_key_file", "endpoint_key_file")
+	c.onlyKeys(sec, append([]string{"name", "key_file", "operator_key_file", "endpoint_key_file"}, tlsKeys...)...)
+	s.tls = c.tlsConfig(sec)
 	s.deployment = sec.Key("name").String()
 	s.deploymentKey = c.secret(sec, "key_file")
 	s.operatorKey = c.secret(sec, "operator_key_file")
@@ -288,17 +294,13 @@
 		c.fault(sec.Name(), key, "missing")
 		return nil
 	}
-	if !filepath.IsAbs(path) {
-		path = filepath.Join(filepath.Dir(c.file), path)
-	}
+	path = c.relative(path)
 	b, err := os.ReadFile(path)
 	if err != nil {
 		c.fault(sec.Name(), key, "%v", err)
 		return nil
 	}
-	if i, err := os.Stat(path); err == nil && i.Mode().Perm()&groupAndOthers != 0 {
-		c.warn(sec.Name(), key, "%s may be read by others (mode %o); run chmod 600 on it", path, i.Mode().Perm())
-	}
+	c.warnReadable(sec, key, path)
 	text := strings.TrimSpace(string(b))
 	if len(text) < minSecretBytes {
 		c.fault(sec.Name(), key, "%s holds fewer than %d characters", path, minSecretBytes)
@@ -337,11 +339,13 @@
 	c.checkAddresses(s)
 	for _, z := range s.Zones() {
 		if keepers := s.inZone(KindKeeper, z); len(keepers) == 0 {
-			c.fault("keeper", "zone", "availability zone %q has no keeper", z)
+			p := s.inZone("", z)[0]
+			c.fault(p.kind+" "+p.name, "zone", "availability zone %q has no keeper", z)
 		}
 		switch routers := s.inZone(KindRouter, z); len(routers) {
 		case 0:
-			c.warn("router", "zone", "availability zone %q has no router", z)
+			p := s.inZone("", z)[0]
+			c.warn(p.kind+" "+p.name, "zone", "availability zone %q has no router", z)
 		case 1:
 			c.warn("router "+routers[0].name, "zone", "availability zone %q has one router: nothing serves it while this one restarts", z)
 		}
--- /dev/null
+++ b/loader/tls.go
@@ -0,0 +1,75 @@
+package loader
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"path/filepath"
+
+	"gopkg.in/ini.v1"
+)
+
+var tlsKeys = []string{"tls_cert", "tls_key", "tls_ca"}
+
+// tlsConfig reads the files of mutual TLS; none of the keys means no TLS, and
+// some of them are a fault: half of a set-up would fall back to plain text
+// without a word.
+func (c *checker) tlsConfig(sec *ini.Section) *tls.Config {
+	files := map[string]string{}
+	for _, k := range tlsKeys {
+		if v := sec.Key(k).String(); v != "" {
+			files[k] = c.relative(v)
+		}
+	}
+	if len(files) == 0 {
+		return nil
+	}
+	for _, k := range tlsKeys {
+		if files[k] == "" {
+			c.fault(sec.Name(), k, "missing; tls_cert, tls_key and tls_ca come together")
+		}
+	}
+	if len(files) != len(tlsKeys) {
+		return nil
+	}
+	return c.loadTLS(sec, files["tls_cert"], files["tls_key"], files["tls_ca"])
+}
+
+func (c *checker) loadTLS(sec *ini.Section, cert, key, ca string) *tls.Config {
+	pair, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		c.fault(sec.Name(), "tls_cert", "%v", err)
+		return nil
+	}
+	c.warnReadable(sec, "tls_key", key)
+	text, err := os.ReadFile(ca)
+	if err != nil {
+		c.fault(sec.Name(), "tls_ca", "%v", err)
+		return nil
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		c.fault(sec.Name(), "tls_ca", "%s holds no certificate in PEM form", ca)
+		return nil
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair},
+		RootCAs: pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+	}
+}
+
+// relative resolves a path against the folder of the settings file.
+func (c *checker) relative(path string) string {
+	if filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(filepath.Dir(c.file), path)
+}
+
+// warnReadable warns of a secret that other users of the VM can read.
+func (c *checker) warnReadable(sec *ini.Section, key, path string) {
+	i, err := os.Stat(path)
+	if err == nil && i.Mode().Perm()&groupAndOthers != 0 {
+		c.warn(sec.Name(), key, "%s may be read by others (mode %o); run chmod 600 on it", path, i.Mode().Perm())
+	}
+}
--- a/loader/trace.go
+++ b/loader/trace.go
@@ -1,7 +1,6 @@
 package loader
 
 import (
-	"path/filepath"
 	"slices"
 	"strconv"
 
@@ -50,9 +49,7 @@
 	c.text(sec, "exporter", &t.exporter)
 	c.text(sec, "file", &t.file)
 	c.text(sec, "endpoint", &t.endpoint)
-	if !filepath.IsAbs(t.file) {
-		t.file = filepath.Join(filepath.Dir(c.file), t.file)
-	}
+	t.file = c.relative(t.file)
 	c.oneOf(sec, "exporter", t.exporter, tracer.Exporters())
 	c.address(sec, "endpoint", t.endpoint)
 	if sec.HasKey("sample_ratio") {
--- a/messenger/dialer.go
+++ b/messenger/dialer.go
@@ -7,7 +7,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 )
 
@@ -24,11 +23,13 @@
 	role   Role
 	key    []byte
 	cutter *Cutter
+	// Options say how connections are secured.
+	options options
 }
 
 // NewDialer returns a dialer that proves the role with the key.
-func NewDialer(node string, role Role, key []byte) *Dialer {
-	return &Dialer{node: node, role: role, key: key, cutter: NewCutter()}
+func NewDialer(node string, role Role, key []byte, list ...Option) *Dialer {
+	return &Dialer{node: node, role: role, key: key, cutter: NewCutter(), options: newOptions(list)}
 }
 
 // Cutter returns the place where tests cut this node's connections.
@@ -38,7 +39,7 @@
 // closes it.
 func (d *Dialer) Dial(address string) (*grpc.ClientConn, error) {
 	options := append(clientTracing(),
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(d.options.credentials()),
 		grpc.WithPerRPCCredentials(proof{role: d.role, node: d.node, key: d.key, now: time.Now}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithContextDialer(d.dial),
--- a/messenger/guard.go
+++ b/messenger/guard.go
@@ -178,9 +178,10 @@
 }
 
 // NewServer returns a gRPC server that admits only peers with a proof.
-func NewServer(k Keys) *grpc.Server {
+func NewServer(k Keys, list ...Option) *grpc.Server {
 	g := newGuard(k, time.Now)
 	options := append(serverTracing(),
+		grpc.Creds(newOptions(list).credentials()),
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
 			if err := g.check(ctx, info.FullMethod); err != nil {
--- /dev/null
+++ b/messenger/option.go
@@ -0,0 +1,33 @@
+package messenger
+
+import (
+	"crypto/tls"
+
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// options are what dialers and servers share.
+type options struct{ tls *tls.Config }
+
+// Option changes a dialer or a server.
+type Option func(*options)
+
+// WithTLS has both sides prove themselves by certificates and encrypts what
+// they send; nil leaves the connection in plain text.
+func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
+
+func newOptions(list []Option) options {
+	var o options
+	for _, f := range list {
+		f(&o)
+	}
+	return o
+}
+
+func (o options) credentials() credentials.TransportCredentials {
+	if o.tls == nil {
+		return insecure.NewCredentials()
+	}
+	return credentials.NewTLS(o.tls)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -69,7 +69,7 @@
 
 // New returns a router; the returned function releases what New took.
 func New(s *loader.Settings, self loader.Process, log *zap.Logger) (*Router, func(), error) {
-	d := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey())
+	d := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey(), messenger.WithTLS(s.TLS()))
 	conn, err := d.Dial(zoneKeeper(s, self.Zone()).RPC())
 	if err != nil {
 		return nil, nil, err
@@ -79,7 +79,7 @@
 		peerRPC: messenger.NewServer(messenger.Keys{
 			messenger.RoleMember:   s.DeploymentKey(),
 			messenger.RoleOperator: s.OperatorKey(),
-		}),
+		}, messenger.WithTLS(s.TLS())),
 		keeperConn: conn, decisions: recorder.New(recordedRequests),
 		tracker: tracker.New(s.Policy().EndpointMaxAge()),
 		money:   newTreasurer(self, conn),
