--- a/commander/client.go
+++ b/commander/client.go
@@ -20,8 +20,9 @@
 // A keeper that is cut off is given up on early enough to ask the others
 // within the command's time.
 const (
-	commandTimeout = 12 * time.Second
+	defaultTimeout = 12 * time.Second
 	keeperTimeout  = 3 * time.Second
+	roundPause     = 200 * time.Millisecond
 	processTimeout = 2 * time.Second
 	operatorNode   = "operator"
 )
@@ -64,21 +65,44 @@
 type clientFunc func(context.Context, *client) error
 
 // withKeeper calls f with one keeper after the other until one answers. Where
-// a try may have changed something, f returns ErrOutcomeUnknown, and f must
-// make the same change, under the same id, at the next keeper.
+// a try may have changed something, f returns ErrOutcomeUnknown and must make
+// the same change, under the same id, when it is called again: then the
+// keepers are asked in rounds until the command's time is over.
 func (a *app) withKeeper(ctx context.Context, f clientFunc) error {
 	s, err := a.load()
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	ctx, cancel := context.WithTimeout(ctx, a.timeout)
 	defer cancel()
+	var unknown error
+	for {
+		err := oneRound(ctx, s, f)
+		if !passing(err) {
+			return refusal(err)
+		}
+		if errors.Is(err, ErrOutcomeUnknown) {
+			unknown = err
+		}
+		if unknown == nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return unknown
+		case <-time.After(roundPause):
+		}
+	}
+}
+
+// oneRound asks each keeper once, until one gives a final answer.
+func oneRound(ctx context.Context, s *loader.Settings, f clientFunc) error {
 	var failed []string
 	var unknown error
 	for _, p := range s.Processes(loader.KindKeeper) {
 		err := try(ctx, s, p, f)
 		if !passing(err) {
-			return refusal(err)
+			return err
 		}
 		if errors.Is(err, ErrOutcomeUnknown) {
 			unknown = err
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
@@ -62,8 +63,10 @@
 type app struct {
 	settingsFile string
 	output       string
-	in           io.Reader
-	out, errOut  io.Writer
+	// Timeout bounds the tries of one question or change.
+	timeout     time.Duration
+	in          io.Reader
+	out, errOut io.Writer
 }
 
 // command is a plug-in: it makes one command.
@@ -117,6 +120,7 @@
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return merry.Errorf("%w: %s", ErrUsage, err.Error()) })
 	c.PersistentFlags().StringVarP(&a.settingsFile, "settings", "s", "rattanhoist.ini", "settings file of the deployment")
 	c.PersistentFlags().StringVarP(&a.output, "output", "o", outputTable, "output: table or json")
+	c.PersistentFlags().DurationVar(&a.timeout, "timeout", defaultTimeout, "how long to try for an answer")
 	for _, make := range registry[root] {
 		c.AddCommand(make(a))
 	}
--- a/commander/endpoint_list.go
+++ b/commander/endpoint_list.go
@@ -75,8 +75,8 @@
 
 func (s *seenEndpoint) add(e *messenger.EndpointState, maxAge int64) {
 	s.routers++
-	s.oldest = max(s.oldest, e.AgeMs)
-	if !e.Leaving && e.AgeMs < maxAge {
+	s.oldest = max(s.oldest, int64(e.AgeMs))
+	if !e.Leaving && int64(e.AgeMs) < maxAge {
 		s.usable++
 	}
 	if newer := cmp.Compare(e.Incarnation, s.state.Incarnation); newer > 0 || newer == 0 && e.AgeMs < s.state.AgeMs {
@@ -108,7 +108,7 @@
 		s := e.state
 		rows = append(rows, []any{
 			s.Name, s.Service, s.Zone, s.Address, fmt.Sprintf("%d/%d", s.Load, s.Capacity),
-			showAge(s.AgeMs), showAge(e.oldest), e.stateName(), e.routers, showLabels(s.Labels),
+			showAge(int64(s.AgeMs)), showAge(e.oldest), e.stateName(), e.routers, showLabels(s.Labels),
 		})
 	}
 	return rows
--- a/router/router.go
+++ b/router/router.go
@@ -50,6 +50,7 @@
 	life     *fsm.FSM
 	snapshot atomic.Pointer[configurer.Snapshot]
 	tracker  *tracker.Tracker
+	gossip   *gossiper
 	money    *treasurer
 	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
@@ -81,7 +82,7 @@
 			messenger.RoleOperator: s.OperatorKey(),
 		}, messenger.WithTLS(s.TLS())),
 		keeperConn: conn, decisions: recorder.New(recordedRequests),
-		tracker: tracker.New(s.Policy().EndpointMaxAge()),
+		tracker: newTracker(s, self),
 		money:   newTreasurer(self, conn),
 		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
@@ -92,6 +93,7 @@
 	}, fsm.Callbacks{"enter_state": func(_ context.Context, e *fsm.Event) {
 		log.Info("state changed", zap.String("from", e.Src), zap.String("to", e.Dst))
 	}})
+	r.gossip = newGossiper(r)
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
 	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
 	publishCounters()
@@ -99,7 +101,10 @@
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
-	return r, func() { _ = conn.Close() }, nil
+	return r, func() {
+		r.gossip.close()
+		_ = conn.Close()
+	}, nil
 }
 
 func newTreasurer(self loader.Process, conn *grpc.ClientConn) *treasurer {
@@ -135,6 +140,7 @@
 	go r.follow(background)
 	go r.expire(background)
 	go r.watchKeeper(background)
+	go r.gossip.run(background)
 	go func() { failed <- r.server.Serve(l) }()
 	select {
 	case err := <-failed:
@@ -174,7 +180,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			r.tracker.Expire(time.Now())
+			r.tracker.Expire(rattanhoist.MomentOf(time.Now()))
 		}
 	}
 }
