--- a/commander/client.go
+++ b/commander/client.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"strings"
@@ -62,12 +63,16 @@
 	return &client{settings: s, process: p, conn: conn}, func() { _ = conn.Close() }, nil
 }
 
+// errNotAnswered says that a keeper is up and could not answer.
+var errNotAnswered = merry.Sentinel("not answered")
+
 type clientFunc func(context.Context, *client) error
 
 // withKeeper calls f with one keeper after the other until one answers. Where
 // a try may have changed something, f returns ErrOutcomeUnknown and must make
-// the same change, under the same id, when it is called again: then the
-// keepers are asked in rounds until the command's time is over.
+// the same change, under the same id, when it is called again. Keepers that
+// are up and can't answer yet are asked in rounds until the command's time is
+// over; where none is up, the command fails at once.
 func (a *app) withKeeper(ctx context.Context, f clientFunc) error {
 	s, err := a.load()
 	if err != nil {
@@ -78,18 +83,15 @@
 	var unknown error
 	for {
 		err := oneRound(ctx, s, f)
-		if !passing(err) {
-			return refusal(err)
-		}
 		if errors.Is(err, ErrOutcomeUnknown) {
 			unknown = err
 		}
-		if unknown == nil {
-			return err
+		if unknown == nil && !errors.Is(err, errNotAnswered) || !passing(err) {
+			return refusal(err)
 		}
 		select {
 		case <-ctx.Done():
-			return unknown
+			return cmp.Or(unknown, err)
 		case <-time.After(roundPause):
 		}
 	}
@@ -98,21 +100,23 @@
 // oneRound asks each keeper once, until one gives a final answer.
 func oneRound(ctx context.Context, s *loader.Settings, f clientFunc) error {
 	var failed []string
-	var unknown error
+	out := ErrUnreachable
 	for _, p := range s.Processes(loader.KindKeeper) {
 		err := try(ctx, s, p, f)
-		if !passing(err) {
+		switch {
+		case !passing(err):
 			return err
-		}
-		if errors.Is(err, ErrOutcomeUnknown) {
-			unknown = err
+		case errors.Is(err, ErrOutcomeUnknown):
+			out = err
+		case !errors.Is(err, ErrUnreachable) && !errors.Is(out, ErrOutcomeUnknown):
+			out = errNotAnswered
 		}
 		failed = append(failed, reason(p, err))
 	}
-	if unknown != nil {
-		return unknown
+	if errors.Is(out, ErrOutcomeUnknown) {
+		return out
 	}
-	return merry.Errorf("%w: no keeper answered:\n  %s", ErrUnreachable, strings.Join(failed, "\n  "))
+	return merry.Errorf("%w: no keeper answered:\n  %s", out, strings.Join(failed, "\n  "))
 }
 
 func reason(p loader.Process, err error) string {
@@ -135,7 +139,7 @@
 
 // passing reports whether another keeper may give a better answer.
 func passing(err error) bool {
-	return errors.Is(err, ErrUnreachable) || errors.Is(err, ErrOutcomeUnknown) || lost(err)
+	return errors.Is(err, ErrUnreachable) || errors.Is(err, errNotAnswered) || errors.Is(err, ErrOutcomeUnknown) || lost(err)
 }
 
 // lost reports whether a call may or may not have reached its server.
--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -142,7 +142,9 @@
 		f.g.Expect(names[hop]).To(gomega.BeNumerically(">=", 1), "span %s in %v", hop, names)
 	}
 	// Once as the router's call, once as served by the keeper.
-	f.g.Expect(names["rattanhoist.v1.BudgetKeeper/Lease"]).To(gomega.BeNumerically(">=", 2), "%v", names)
+	for _, call := range []string{"Lease", "Charge"} {
+		f.g.Expect(names["rattanhoist.v1.BudgetKeeper/"+call]).To(gomega.BeNumerically(">=", 2), "%s in %v", call, names)
+	}
 }
 
 // post sends a request of a caller's trace and returns the status.
--- a/loader/policy.go
+++ b/loader/policy.go
@@ -5,12 +5,15 @@
 
 	"gopkg.in/ini.v1"
 
+	"rattanhoist.example/rattanhoist/admitter"
 	"rattanhoist.example/rattanhoist/picker"
+	"rattanhoist.example/rattanhoist/placer"
 )
 
 // Defaults of the policy section.
 const (
 	defaultPicker         = "two_choices"
+	defaultShedder        = "deadline"
 	defaultPlacement      = "demand"
 	defaultMaxBody        = 8 << 20
 	defaultTimeout        = 60 * time.Second
@@ -22,7 +25,7 @@
 
 func defaultPolicy() Policy {
 	return Policy{
-		picker: defaultPicker, placement: defaultPlacement, maxBody: defaultMaxBody,
+		picker: defaultPicker, shedder: defaultShedder, placement: defaultPlacement, maxBody: defaultMaxBody,
 		defaultTimeout: defaultTimeout, maxTimeout: defaultMaxTimeout,
 		keepAnswer: defaultKeepAnswer, endpointMaxAge: defaultEndpointMaxAge,
 		drainTimeout: defaultDrainTimeout,
@@ -30,7 +33,7 @@
 }
 
 var policyKeys = []string{
-	"picker", "placement", "max_body_bytes", "default_timeout", "max_timeout",
+	"picker", "shedder", "placement", "max_body_bytes", "default_timeout", "max_timeout",
 	"keep_answer", "endpoint_max_age", "drain_timeout", "fault_port",
 }
 
@@ -39,7 +42,10 @@
 	p := defaultPolicy()
 	c.text(sec, "picker", &p.picker)
 	c.oneOf(sec, "picker", p.picker, picker.Names())
+	c.text(sec, "shedder", &p.shedder)
+	c.oneOf(sec, "shedder", p.shedder, admitter.Names())
 	c.text(sec, "placement", &p.placement)
+	c.oneOf(sec, "placement", p.placement, placer.Names())
 	c.bytes(sec, "max_body_bytes", &p.maxBody)
 	c.duration(sec, "default_timeout", &p.defaultTimeout)
 	c.duration(sec, "max_timeout", &p.maxTimeout)
--- a/messenger/guard.go
+++ b/messenger/guard.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 )
@@ -183,6 +184,9 @@
 	options := append(serverTracing(),
 		grpc.Creds(newOptions(list).credentials()),
 		grpc.MaxRecvMsgSize(maxMessage),
+		// The library's default ends connections that ping as often as Dial
+		// does; calls in progress would fail every half minute.
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
 		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
 			if err := g.check(ctx, info.FullMethod); err != nil {
 				return nil, count(info.FullMethod, err)
--- a/router/bad_input_test.go
+++ b/router/bad_input_test.go
@@ -112,7 +112,7 @@
 	comparer.Golden(t, "bad_input.golden", got.String())
 	g := gomega.NewWithT(t)
 	g.Expect(r.tracker.Table().All()).To(gomega.BeEmpty())
-	g.Expect(r.money.held()).To(gomega.BeZero())
+	g.Expect(r.money.Held()).To(gomega.BeZero())
 }
 
 func send(r *Router, target, headers, body string) string {
--- a/router/hops.go
+++ b/router/hops.go
@@ -8,6 +8,7 @@
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/recorder"
 	"rattanhoist.example/rattanhoist/tracer"
+	"rattanhoist.example/rattanhoist/treasurer"
 )
 
 // Each hop below is a step of serve with its span, its counters and its line
@@ -31,16 +32,16 @@
 	return ""
 }
 
-func (r *Router) reserveTraced(ctx context.Context, q *request) (*purse, error) {
+func (r *Router) reserveTraced(ctx context.Context, q *request) (treasurer.Reservation, error) {
 	began := time.Now()
 	ctx, span := tracer.Begin(ctx, tracer.HopReserve)
-	p, err := r.money.reserve(ctx, q.key.Workspace(), q.worst)
+	held, err := r.money.Reserve(ctx, q.key.Workspace(), q.worst)
 	span.End(err)
 	reserveTime.Observe(time.Since(began))
 	if err == nil {
 		r.record(q, recorder.Decision{Kind: recorder.Reserved, Tokens: q.worst, Reason: "largest charge that the request can cause"})
 	}
-	return p, err
+	return held, err
 }
 
 func (r *Router) runTraced(ctx context.Context, q *request, e *rattanhoist.Endpoint, s sink, run runFunc) (*result, error) {
@@ -55,10 +56,10 @@
 	return res, err
 }
 
-func (r *Router) billTraced(ctx context.Context, q *request, c *messenger.Charge) (rattanhoist.Tokens, error) {
+func (r *Router) billTraced(ctx context.Context, q *request, held treasurer.Reservation, c *messenger.Charge) (rattanhoist.Tokens, error) {
 	began := time.Now()
 	ctx, span := tracer.Begin(ctx, tracer.HopBill)
-	n, err := r.money.bill(ctx, c)
+	n, err := held.Charge(ctx, c)
 	span.End(err)
 	billTime.Observe(time.Since(began))
 	if err == nil {
--- a/router/operations.go
+++ b/router/operations.go
@@ -22,10 +22,10 @@
 	r := s.router
 	out := &messenger.StateReply{
 		Name: r.self.Name(), Kind: r.self.Kind(), Zone: r.self.Zone(), Life: r.life.Current(),
-		Incarnation: uint64(r.money.incarnation), ConfigurationAgeMs: -1,
+		Incarnation: uint64(r.money.Incarnation()), ConfigurationAgeMs: -1,
 		KeeperReachable: r.keeperConn.GetState() == connectivity.Ready,
 		UsableEndpoints: int64(len(r.usableEndpoints())), ActiveRequests: activeRequests.Value(),
-		AtRiskTokens: int64(r.money.held()),
+		AtRiskTokens: int64(r.money.Held()),
 	}
 	if c := r.snapshot.Load(); c != nil {
 		out.ConfigurationVersion = c.Version()
@@ -33,18 +33,6 @@
 	return out, nil
 }
 
-// held returns the rights that are lost to others until the router returns
-// them or is fenced.
-func (t *treasurer) held() rattanhoist.Tokens {
-	var n rattanhoist.Tokens
-	t.purses.Range(func(_, v any) bool {
-		p := v.(*purse)
-		n += p.slice.Left() + p.slice.Reserved()
-		return true
-	})
-	return n
-}
-
 func (r *Router) usableEndpoints() []*rattanhoist.Endpoint {
 	var out []*rattanhoist.Endpoint
 	now := time.Now()
--- a/router/router.go
+++ b/router/router.go
@@ -20,9 +20,11 @@
 	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/picker"
 	"rattanhoist.example/rattanhoist/recorder"
 	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/tracker"
+	"rattanhoist.example/rattanhoist/treasurer"
 )
 
 // States and events of a router's life.
@@ -40,6 +42,7 @@
 	idleTimeout       = 2 * time.Minute
 	expireEvery       = time.Second
 	giveBackTimeout   = 3 * time.Second
+	forgetEndpoint    = 10 * time.Minute
 )
 
 // Router is one router process.
@@ -51,7 +54,7 @@
 	snapshot atomic.Pointer[configurer.Snapshot]
 	tracker  *tracker.Tracker
 	gossip   *gossiper
-	money    *treasurer
+	money    *treasurer.Treasurer
 	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
 	// KeeperConn is the connection to the zone's keeper.
@@ -59,8 +62,12 @@
 	decisions  decisionRecorder
 	// Pickers maps plug-in names to *picker.Picker instances.
 	pickers sync.Map
-	// InFlight maps endpoint names to *atomic.Int64.
-	inFlight sync.Map
+	// Ledger is what this router has learned of endpoints, from ledgerBase on.
+	ledger     *picker.Ledger
+	ledgerBase time.Time
+	grants     atomic.Pointer[grants]
+	// Limiters maps service names to *limiter.
+	limiters sync.Map
 	server   *http.Server
 	dialer   *messenger.Dialer
 	peerRPC  *grpc.Server
@@ -75,18 +82,24 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	money, closeMoney, err := newTreasurer(s, self, d, conn, log)
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, err
+	}
 	r := &Router{
-		settings: s, self: self, log: log, dialer: d,
+		settings: s, self: self, log: log, dialer: d, money: money,
 		peerRPC: messenger.NewServer(messenger.Keys{
 			messenger.RoleMember:   s.DeploymentKey(),
 			messenger.RoleOperator: s.OperatorKey(),
 		}, messenger.WithTLS(s.TLS())),
 		keeperConn: conn, decisions: recorder.New(recordedRequests),
 		tracker: newTracker(s, self),
-		money:   newTreasurer(self, conn),
 		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
+	r.ledgerBase = time.Now()
+	r.ledger = picker.NewLedger(r.ledgerBase)
 	r.life = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventReady, Src: []string{stateStarting}, Dst: stateReady},
 		{Name: eventDrain, Src: []string{stateStarting, stateReady}, Dst: stateDraining},
@@ -103,17 +116,11 @@
 	}
 	return r, func() {
 		r.gossip.close()
+		closeMoney()
 		_ = conn.Close()
 	}, nil
 }
 
-func newTreasurer(self loader.Process, conn *grpc.ClientConn) *treasurer {
-	return &treasurer{
-		router: self.Name(), incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
-		keeper: messenger.NewBudgetKeeperClient(conn),
-	}
-}
-
 // zoneKeeper returns the keeper of a zone; checked settings have one.
 func zoneKeeper(s *loader.Settings, zone string) loader.Process {
 	for _, p := range s.Processes(loader.KindKeeper) {
@@ -181,6 +188,7 @@
 			return
 		case <-t.C:
 			r.tracker.Expire(rattanhoist.MomentOf(time.Now()))
+			r.ledger.Forget(time.Now(), forgetEndpoint)
 		}
 	}
 }
@@ -193,7 +201,7 @@
 	r.active.Wait()
 	give, cancelGive := context.WithTimeout(ctx, giveBackTimeout)
 	defer cancelGive()
-	r.money.giveBack(give)
+	r.money.GiveBack(give)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -218,3 +218,26 @@
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
+
+// Link names the span of a request for work that outlives it or that several
+// requests share; the zero value names none.
+type Link struct{ c trace.SpanContext }
+
+// LinkOf returns the link to a context's span.
+func LinkOf(ctx context.Context) Link {
+	if current == nil {
+		return Link{}
+	}
+	return Link{trace.SpanContextFromContext(ctx)}
+}
+
+// IsZero reports whether the link names no span.
+func (l Link) IsZero() bool { return !l.c.IsValid() }
+
+// Resume returns a context whose spans belong to the link's.
+func (l Link) Resume(ctx context.Context) context.Context {
+	if l.IsZero() {
+		return ctx
+	}
+	return trace.ContextWithSpanContext(ctx, l.c)
+}
