--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -97,3 +97,33 @@
 		t.Fatal(err)
 	}
 }
+
+func TestOTLPGoesOverHTTP(t *testing.T) {
+	g := gomega.NewWithT(t)
+	paths := make(chan string, 8)
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { paths <- r.URL.Path }))
+	defer collector.Close()
+	address := strings.TrimPrefix(collector.URL, "http://")
+	stop, err := tracer.Start(t.Context(), tracer.Options{Exporter: "otlp", Endpoint: address, Ratio: 1})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, s := tracer.Begin(t.Context(), tracer.HopRequest)
+	s.End(nil)
+	g.Expect(stop(context.Background())).To(gomega.Succeed())
+	g.Expect(paths).To(gomega.Receive(gomega.Equal("/v1/traces")))
+}
+
+func TestLinkResumesATraceElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(tracer.LinkOf(t.Context()).IsZero()).To(gomega.BeTrue())
+	file := filepath.Join(t.TempDir(), "spans")
+	stop, err := tracer.Start(t.Context(), tracer.Options{Exporter: "file", File: file, Ratio: 1})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, request := tracer.Begin(t.Context(), tracer.HopRequest)
+	_, bill := tracer.Begin(tracer.LinkOf(ctx).Resume(context.Background()), tracer.HopBill)
+	bill.End(nil)
+	request.End(nil)
+	g.Expect(stop(context.Background())).To(gomega.Succeed())
+	spans := read(t, file)
+	g.Expect(spans).To(gomega.HaveLen(2))
+	g.Expect(spans[0].Parent.SpanID).To(gomega.Equal(spans[1].SpanContext.SpanID))
+}
