--- a/commander/config_in_force.go
+++ b/commander/config_in_force.go
@@ -1,8 +1,10 @@
 package commander
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -29,6 +31,9 @@
 				return err
 			}
 			a.warnUnreachable("keepers", out.UnreachableKeepers)
+			slices.SortFunc(out.Nodes, func(x, y *messenger.InForceEntry) int {
+				return cmp.Or(cmp.Compare(x.Zone, y.Zone), cmp.Compare(x.Node, y.Node))
+			})
 			var rows [][]any
 			for _, n := range out.Nodes {
 				rows = append(rows, []any{n.Node, n.Zone, n.Version, showAge(n.AgeMs)})
--- a/commander/process.go
+++ b/commander/process.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -68,9 +71,39 @@
 		return err
 	}
 	defer cleanUp()
+	if h, ok := p.(hurrier); ok {
+		defer onSecondSignal(ctx, h.Hurry)()
+	}
 	return p.Run(ctx)
 }
 
+// hurrier is a process that can shut down without handing over.
+type hurrier interface{ Hurry() }
+
+// onSecondSignal calls f at a signal that comes after ctx has ended. Neither
+// signal cuts a caller off.
+func onSecondSignal(ctx context.Context, f func()) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	ended := make(chan struct{})
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-ended:
+			return
+		}
+		signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+		select {
+		case <-signals:
+			f()
+		case <-ended:
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(ended)
+	}
+}
+
 const traceFlushTimeout = 2 * time.Second
 
 // startTracing turns traces on where the settings say so; the returned
--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -197,3 +197,33 @@
 	f.g.Expect(json.NewDecoder(resp.Body).Decode(&state)).To(gomega.Succeed())
 	f.g.Expect(state.KeeperReachable).To(gomega.BeTrue())
 }
+
+// Symptom: a caller gets a fragment while its router is restarted by an
+// impatient operator.
+// Sequence: a stream runs, the router is asked to stop, and asked again.
+// Cause: the second signal ended the process.
+func TestSecondSignalCutsNobodyOff(t *testing.T) {
+	f := newOperated(t, 114)
+	f.MustCommand("statement", "set", "slow", "--endpoints", "name=llm-slow")
+	f.StartEndpoint("engine", "llm-slow", "llm", "osu-hall", 3, "--pace", "40ms")
+	call := imitator.Call{Router: f.router("osu-hall-1").HTTP(), Key: f.key, RequestID: "r-0", Model: "m", Prompt: "hello", MaxTokens: 1, Stream: true}
+	f.Eventually("endpoint serves", func() bool { _, err := call.Do(context.Background()); return err == nil })
+	call.RequestID, call.MaxTokens = "r-1", 64
+	type outcome struct {
+		reply *imitator.Reply
+		err   error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		reply, err := call.Do(context.Background())
+		done <- outcome{reply, err}
+	}()
+	f.Eventually("request is dispatched", func() bool { _, code := f.Command("explain", "r-1"); return code == 0 })
+	f.Ask("osu-hall-1")
+	f.Eventually("router drains", func() bool { return strings.Contains(f.MustCommand("status"), "draining") })
+	f.Ask("osu-hall-1")
+	o := <-done
+	f.g.Expect(o.err).NotTo(gomega.HaveOccurred())
+	f.g.Expect(o.reply.Text).NotTo(gomega.BeEmpty())
+	f.Eventually("router has ended", func() bool { return strings.Contains(f.MustCommand("status"), "out of reach: osu-hall-1") })
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -217,6 +217,9 @@
 	return err
 }
 
+// Ask asks a process to shut down and does not wait for it.
+func (f *Fleet) Ask(name string) { f.signal(name, syscall.SIGTERM) }
+
 // Freeze stops a process without ending it.
 func (f *Fleet) Freeze(name string) { f.signal(name, syscall.SIGSTOP) }
 
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -19,6 +19,8 @@
 	// maxDecisions bounds one request; a caller that retries for ever under
 	// one id must not fill the memory.
 	maxDecisions = 32
+	// usualDecisions is how many a request has that nothing went wrong with.
+	usualDecisions = 8
 )
 
 // Kind names a decision.
@@ -101,6 +103,7 @@
 	t, ok := s.trails[k]
 	if !ok {
 		s.admit(k)
+		t = make([]Decision, 0, usualDecisions)
 	}
 	if len(t) == maxDecisions {
 		// The first decisions say how the request began, the last how it
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,3 +63,17 @@
 	g.Expect(trail[0].Decision.Tokens).To(gomega.BeEquivalentTo(0))
 	g.Expect(trail[len(trail)-1].Decision.Tokens).To(gomega.BeEquivalentTo(99))
 }
+
+func BenchmarkRecord(b *testing.B) {
+	r := recorder.New(4096)
+	var n atomic.Int64
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			k := rattanhoist.NewRequestKey("w", strconv.FormatInt(n.Add(1), 10))
+			for _, kind := range []recorder.Kind{recorder.Admitted, recorder.Reserved, recorder.Picked, recorder.Dispatched, recorder.Billed, recorder.Answered} {
+				r.Record(k, recorder.Decision{Kind: kind, Endpoint: "e"})
+			}
+		}
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -71,6 +71,9 @@
 	server   *http.Server
 	dialer   *messenger.Dialer
 	peerRPC  *grpc.Server
+	// Handover ends when the operator will not wait for rights to go back.
+	handover context.Context
+	hurry    context.CancelFunc
 	// Active counts requests in progress, for draining.
 	active sync.WaitGroup
 }
@@ -110,6 +113,7 @@
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
 	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
 	publishCounters()
+	r.handover, r.hurry = context.WithCancel(context.Background())
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
@@ -193,13 +197,17 @@
 	}
 }
 
+// Hurry stops waiting for rights to go back; requests in progress go on. The
+// rights that stay out return once the incarnation is fenced.
+func (r *Router) Hurry() { r.hurry() }
+
 func (r *Router) drain(ctx context.Context) error {
 	_ = r.life.Event(ctx, eventDrain)
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Policy().DrainTimeout())
 	defer cancel()
 	err := r.server.Shutdown(ctx)
 	r.active.Wait()
-	give, cancelGive := context.WithTimeout(ctx, giveBackTimeout)
+	give, cancelGive := context.WithTimeout(r.handover, giveBackTimeout)
 	defer cancelGive()
 	r.money.GiveBack(give)
 	if errors.Is(err, http.ErrServerClosed) {
