--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -227,3 +227,25 @@
 	f.g.Expect(o.reply.Text).NotTo(gomega.BeEmpty())
 	f.Eventually("router has ended", func() bool { return strings.Contains(f.MustCommand("status"), "out of reach: osu-hall-1") })
 }
+
+// Symptom: an operator who lost the answer to a top-up can't tell whether it
+// counts, repeats it, and the workspace has it twice.
+// Sequence: the keeper that mints is frozen with the request in its socket;
+// the command gives up; the keeper goes on and mints; the command is repeated
+// under the id that it printed.
+// Cause: the repetition was another top-up.
+func TestTopUpAtAFrozenKeeperCountsOnce(t *testing.T) {
+	f := newOperated(t, 115)
+	f.Freeze("tema-hall-keeper")
+	out, code := f.Command("budget", "topup", "w", "700", "--zone", "tema-hall", "--timeout", "2s")
+	f.g.Expect(code).To(gomega.Equal(ExitUnknown), out)
+	_, id, ok := strings.Cut(strings.TrimSpace(out), "--id ")
+	f.g.Expect(ok).To(gomega.BeTrue(), out)
+	f.Thaw("tema-hall-keeper")
+	f.MustCommand("budget", "topup", "w", "700", "--id", id)
+	f.MustCommand("budget", "topup", "w", "700", "--id", id)
+	f.g.Expect(f.MustCommand("budget", "show", "w")).To(gomega.MatchRegexp(`total +5700 `))
+	// The id can't be used for another amount.
+	out, code = f.Command("budget", "topup", "w", "701", "--id", id)
+	f.g.Expect(code).To(gomega.Equal(ExitUsage), out)
+}
