--- a/commander/client.go
+++ b/commander/client.go
@@ -56,8 +56,8 @@
 	conn.Connect()
 	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
 		if state == connectivity.TransientFailure || !conn.WaitForStateChange(ctx, state) {
-			_ = conn.Close()
-			return nil, nil, merry.Errorf("%w: %s %s at %s does not answer", ErrUnreachable, p.Kind(), p.Name(), p.RPC())
+			defer func() { _ = conn.Close() }()
+			return nil, nil, merry.Errorf("%w: %s %s at %s%s", ErrUnreachable, p.Kind(), p.Name(), p.RPC(), whyNot(ctx, conn))
 		}
 	}
 	return &client{settings: s, process: p, conn: conn}, func() { _ = conn.Close() }, nil
@@ -66,6 +66,16 @@
 // errNotAnswered says that a keeper is up and could not answer.
 var errNotAnswered = merry.Sentinel("not answered")
 
+// whyNot says why a connection could not be made; only a call tells, and this
+// one changes nothing should it get through.
+func whyNot(ctx context.Context, conn *grpc.ClientConn) string {
+	_, err := messenger.NewOperationsClient(conn).State(ctx, &messenger.StateRequest{})
+	if status.Code(err) != codes.Unavailable {
+		return " does not answer"
+	}
+	return ": " + status.Convert(err).Message()
+}
+
 type clientFunc func(context.Context, *client) error
 
 // withKeeper calls f with one keeper after the other until one answers. Where
@@ -121,7 +131,7 @@
 
 func reason(p loader.Process, err error) string {
 	if errors.Is(err, ErrUnreachable) {
-		return err.Error()
+		return strings.TrimPrefix(err.Error(), ErrUnreachable.Error()+": ")
 	}
 	return p.Kind() + " " + p.Name() + " at " + p.RPC() + ": " + status.Convert(err).Message()
 }
@@ -171,8 +181,8 @@
 // answers are what the processes of a kind said.
 type answers[R any] struct {
 	got []R
-	// Unreachable names the processes that did not answer.
-	unreachable []string
+	// Unreachable names the processes that did not answer; reasons says why.
+	unreachable, reasons []string
 }
 
 // askAll asks every process of a kind at once; "" asks all.
@@ -199,6 +209,7 @@
 	for i, err := range errs {
 		if err != nil {
 			out.unreachable = append(out.unreachable, processes[i].Name())
+			out.reasons = append(out.reasons, reason(processes[i], err))
 			continue
 		}
 		out.got = append(out.got, got[i])
--- a/commander/status.go
+++ b/commander/status.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
 
 	"rattanhoist.example/rattanhoist/loader"
@@ -40,6 +41,9 @@
 	if len(r.unreachable) > 0 {
 		_, err = fmt.Fprintf(a.out, "\nout of reach: %s\n", strings.Join(r.unreachable, ", "))
 	}
+	if len(r.got) == 0 {
+		return merry.Errorf("%w: no process answered:\n  %s", ErrUnreachable, strings.Join(r.reasons, "\n  "))
+	}
 	return err
 }
 
