--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	dialer := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey())
+	dialer := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey(), messenger.WithTLS(s.TLS()))
 	p, closePeers, err := newPeers(s, self, dialer)
 	if err != nil {
 		_ = closeStore()
@@ -56,16 +56,17 @@
 	k.server = messenger.NewServer(messenger.Keys{
 		messenger.RoleMember:   s.DeploymentKey(),
 		messenger.RoleOperator: s.OperatorKey(),
-	})
+	}, messenger.WithTLS(s.TLS()))
 	messenger.RegisterBudgetKeeperServer(k.server, k.budget)
 	messenger.RegisterConfigurationKeeperServer(k.server, k.config)
 	messenger.RegisterLogKeeperServer(k.server, &logServer{loop: k.config.loop})
+	messenger.RegisterOperationsServer(k.server, &operationsServer{keeper: k})
 	return k, cleanUp, nil
 }
 
 // Run serves until ctx ends, or until the store fails.
-func (k *Keeper) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (k *Keeper) Run(parent context.Context) error {
+	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	l, err := net.Listen("tcp", k.self.RPC())
 	if err != nil {
@@ -75,7 +76,7 @@
 	if k.settings.Policy().FaultPortEnabled() {
 		cutter = k.dialer.Cutter()
 	}
-	if err := reporter.Serve(ctx, k.self.Debug(), cutter, k.log); err != nil {
+	if err := reporter.Serve(ctx, k.self.Debug(), cutter, &operationsServer{keeper: k}, k.log); err != nil {
 		return err
 	}
 	go func() { cancel(k.server.Serve(l)) }()
@@ -85,8 +86,9 @@
 		zap.Uint64("configuration_version", k.config.version()))
 	<-ctx.Done()
 	k.server.Stop()
-	if cause := context.Cause(ctx); cause != context.Canceled {
-		return cause
+	// The cause of a parent that ended is the signal, which is no failure.
+	if parent.Err() != nil {
+		return nil
 	}
-	return nil
+	return context.Cause(ctx)
 }
--- a/treasurer/caller.go
+++ b/treasurer/caller.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
 func (t *Treasurer) callContext() (context.Context, context.CancelFunc) {
@@ -69,6 +70,9 @@
 func (t *Treasurer) lease(h *holder, a SendLease) {
 	ctx, cancel := t.callContext()
 	defer cancel()
+	if l := h.trace.Load(); l != nil {
+		ctx = l.Resume(ctx)
+	}
 	select {
 	case <-h.term.registered:
 	case <-ctx.Done():
@@ -110,10 +114,26 @@
 	}
 }
 
+// traceOf returns the trace of the first request of a batch that has one.
+func (m *term) traceOf(s Send) tracer.Link {
+	if !tracer.On() {
+		return tracer.Link{}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range s.entries {
+		if b := m.bills[e.key]; b != nil && !b.trace.IsZero() {
+			return b.trace
+		}
+	}
+	return tracer.Link{}
+}
+
 // callCharge returns nil where the target did not answer.
 func (t *Treasurer) callCharge(m *term, s Send) *messenger.ChargeReply {
 	ctx, cancel := t.callContext()
 	defer cancel()
+	ctx = m.traceOf(s).Resume(ctx)
 	r := &messenger.ChargeRequest{
 		Router: t.options.Router, Incarnation: uint64(m.incarnation), Charges: s.Charges(), Zone: t.options.Zone,
 	}
--- a/treasurer/reserve.go
+++ b/treasurer/reserve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
 // Reservation is what one request may spend. Exactly one of Release and
@@ -47,6 +48,9 @@
 // wait returns false without an error when the account has ended.
 func (t *Treasurer) wait(ctx context.Context, h *holder, n rattanhoist.Tokens) (bool, error) {
 	giveUp := t.giveUp(ctx)
+	if l := tracer.LinkOf(ctx); !l.IsZero() {
+		h.trace.Store(&l)
+	}
 	h.enter(n)
 	defer h.leave(n)
 	timer := time.NewTimer(time.Hour)
--- a/treasurer/term.go
+++ b/treasurer/term.go
@@ -9,6 +9,7 @@
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
 // term is one incarnation with all that it holds.
@@ -73,6 +74,8 @@
 	waiters atomic.Int32
 	// Poked limits the looks of requests at a low slice to one a tick.
 	poked atomic.Bool
+	// Trace is that of the latest request that waited for a lease.
+	trace atomic.Pointer[tracer.Link]
 }
 
 // wake lets every waiting request look again; the caller holds mu.
