--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -24,6 +24,7 @@
 	peers    *peers
 	dialer   *messenger.Dialer
 	budget   *budgetServer
+	claims   *claimServer
 	config   *configurationServer
 	server   *grpc.Server
 }
@@ -56,11 +57,16 @@
 		cleanUp()
 		return nil, nil, err
 	}
+	if k.claims, err = newClaimServer(k); err != nil {
+		cleanUp()
+		return nil, nil, err
+	}
 	k.server = messenger.NewServer(messenger.Keys{
 		messenger.RoleMember:   s.DeploymentKey(),
 		messenger.RoleOperator: s.OperatorKey(),
 	})
 	messenger.RegisterBudgetKeeperServer(k.server, k.budget)
+	messenger.RegisterClaimKeeperServer(k.server, k.claims)
 	messenger.RegisterConfigurationKeeperServer(k.server, k.config)
 	return k, cleanUp, nil
 }
@@ -82,6 +88,7 @@
 	}
 	go func() { cancel(k.server.Serve(l)) }()
 	go func() { cancel(k.budget.run(ctx)) }()
+	go func() { cancel(k.claims.run(ctx)) }()
 	go k.config.run(ctx)
 	k.log.Info("keeper serves", zap.String("name", k.self.Name()), zap.String("zone", k.self.Zone()),
 		zap.Uint64("configuration_version", k.config.version()))
