--- a/configurer/snapshot.go
+++ b/configurer/snapshot.go
@@ -84,6 +84,15 @@
 	return w, nil
 }
 
+// Workspace returns a workspace by name.
+func (s *Snapshot) Workspace(name string) (*messenger.Workspace, error) {
+	w := s.workspaces[name]
+	if w == nil {
+		return nil, rattanhoist.ErrUnknownWorkspace
+	}
+	return w, nil
+}
+
 // Service returns a service by name.
 func (s *Snapshot) Service(name string) (*messenger.Service, error) {
 	v := s.services[name]
--- a/joiner/core.go
+++ b/joiner/core.go
@@ -43,16 +43,31 @@
 	Pinned bool
 	// JoinOnly never starts a run.
 	JoinOnly bool
+	// First says that no earlier attempt can have run elsewhere.
+	First bool
 }
 
 // Leave is a waiter that has its answer or has gone.
 type Leave struct{ Key rattanhoist.RequestKey }
 
-// End is the end of a run; Keep asks to remember it for retries.
+// How says how a run ended.
+type How int
+
+// Ends of a run.
+const (
+	// Answered keeps the answer for retries.
+	Answered How = iota
+	// Failed remembers that the request may have run; a retry runs anew.
+	Failed
+	// NotRun remembers nothing.
+	NotRun
+)
+
+// End is the end of a run.
 type End struct {
 	Key  rattanhoist.RequestKey
 	Size int64
-	Keep bool
+	How  How
 }
 
 // Tick lets time pass.
@@ -66,8 +81,12 @@
 // Action is what the shell must do.
 type Action interface{ isAction() }
 
-// Start begins a run; the arrival waits for it.
-type Start struct{ Key rattanhoist.RequestKey }
+// Start begins a run; the arrival waits for it. Again says that an earlier run
+// here may have been dispatched.
+type Start struct {
+	Key   rattanhoist.RequestKey
+	Again bool
+}
 
 // Join has the arrival wait for the run in progress or take the kept answer.
 type Join struct{ Key rattanhoist.RequestKey }
@@ -107,7 +126,9 @@
 	idle time.Time
 	// Cancelled says that Cancel was given out; the run will end.
 	cancelled bool
-	size      int64
+	// Failed says that the run ended without an answer.
+	failed bool
+	size   int64
 	// Kept is the place among the finished, oldest first; nil while running.
 	kept *list.Element
 }
@@ -170,6 +191,12 @@
 		return []Action{Start{Key: a.Key}}
 	case e.digest != a.Digest:
 		return []Action{Reused{Key: a.Key}}
+	case e.failed && a.JoinOnly:
+		return []Action{Absent{Key: a.Key}}
+	case e.failed:
+		c.forget(e)
+		c.entries[a.Key] = &entry{key: a.Key, digest: a.Digest, pinned: a.Pinned, waiters: 1, deadline: a.Deadline}
+		return []Action{Start{Key: a.Key, Again: true}}
 	}
 	e.waiters++
 	if a.Deadline.After(e.deadline) {
@@ -195,11 +222,15 @@
 	if e == nil || e.kept != nil {
 		return nil
 	}
-	if !d.Keep {
+	if d.How == NotRun {
 		delete(c.entries, d.Key)
 		return []Action{Forget{Key: d.Key}}
 	}
-	e.size = d.Size + entryBytes
+	e.failed = d.How == Failed
+	e.size = entryBytes
+	if d.How == Answered {
+		e.size += d.Size
+	}
 	e.kept = c.kept.PushBack(e)
 	c.bytes += e.size
 	var out []Action
--- a/joiner/joiner.go
+++ b/joiner/joiner.go
@@ -60,12 +60,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, x := range s.core.Step(now, a) {
-		switch x.(type) {
+		switch x := x.(type) {
 		case Forget:
 			delete(s.runs, a.Key)
 		case Start:
 			counters.Add("runs_begun", 1)
 			s.runs[a.Key] = newRun()
+			s.runs[a.Key].proven = a.First && !x.Again
 			return s.runs[a.Key], true, nil
 		case Join:
 			counters.Add("arrivals_joined", 1)
@@ -78,17 +79,19 @@
 	return nil, false, ErrAbsent
 }
 
-// Leave says that a waiter has its answer or has gone.
-func (j *Joiner) Leave(now time.Time, k rattanhoist.RequestKey) {
+// Leave says that a waiter of a run has its answer or has gone. A waiter of
+// an earlier run under the same identity does not count for the one now.
+func (j *Joiner) Leave(now time.Time, k rattanhoist.RequestKey, run *Run) {
 	s := j.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.Step(now, Leave{Key: k})
+	if s.runs[k] == run {
+		s.core.Step(now, Leave{Key: k})
+	}
 }
 
 // Stop keeps the run of a waiter from being dispatched, unless others wait
-// for it too. It reports whether the request provably has not been, and will
-// not be, dispatched here.
+// for it too. It reports whether the request provably did not run.
 func (j *Joiner) Stop(k rattanhoist.RequestKey, run *Run) bool {
 	s := j.shard(k)
 	s.mu.Lock()
@@ -96,16 +99,25 @@
 	if s.runs[k] == run && s.core.Waiters(k) > 1 {
 		return false
 	}
-	return run.Stop()
+	_, proven := run.Stop()
+	return proven
 }
 
-// End ends a run. An answer is kept for retries; a failure only where keep
-// says so.
-func (j *Joiner) End(now time.Time, k rattanhoist.RequestKey, run *Run, a *Answer, err error, keep bool) {
+// End ends a run. An answer is kept for retries; of a failure, that it may
+// have run.
+func (j *Joiner) End(now time.Time, k rattanhoist.RequestKey, run *Run, a *Answer, err error) {
+	stopped, _ := run.Stop()
+	how := Answered
+	switch {
+	case err != nil && stopped:
+		how = NotRun
+	case err != nil:
+		how = Failed
+	}
 	s := j.shard(k)
 	s.mu.Lock()
 	if s.runs[k] == run {
-		s.apply(s.core.Step(now, End{Key: k, Size: run.Length(), Keep: keep}))
+		s.apply(s.core.Step(now, End{Key: k, Size: run.Length(), How: how}))
 	}
 	s.mu.Unlock()
 	run.end(a, err)
@@ -125,7 +137,7 @@
 		switch a := a.(type) {
 		case Cancel:
 			counters.Add("runs_given_up", 1)
-			s.runs[a.Key].giveUp()
+			s.runs[a.Key].cancel()
 		case Forget:
 			if a.Evicted {
 				counters.Add("answers_evicted", 1)
--- a/joiner/run.go
+++ b/joiner/run.go
@@ -17,6 +17,8 @@
 	ErrStopped = merry.Sentinel("the run was stopped before its dispatch")
 	// ErrPassed says that bytes of another run have been passed on.
 	ErrPassed = merry.Sentinel("bytes of another run have been passed on")
+	// ErrGap says that bytes of an answer are missing.
+	ErrGap = merry.Sentinel("bytes of the answer are missing")
 )
 
 // Answer is what an endpoint answered, once it is whole.
@@ -39,19 +41,15 @@
 // can't be.
 type Stream struct{ ID, Endpoint string }
 
-type phase int
-
-const (
-	waiting phase = iota
-	dispatched
-	stopped
-)
-
 // Run is one run of a request with the bytes of its answer so far. Any number
 // of waiters read it from the first byte on. Safe for concurrent use.
 type Run struct {
-	mu    sync.Mutex
-	phase phase
+	mu sync.Mutex
+	// Dispatches counts those that were not taken back.
+	dispatches int
+	stopped    bool
+	// Proven says that no earlier attempt of the request can have run.
+	proven bool
 	// Text is only appended to, so that waiters share its bytes; Restart,
 	// which no reader has seen bytes before, makes a new one.
 	text []byte
@@ -61,17 +59,26 @@
 	// Seen is how many bytes a waiter has had.
 	seen   int
 	stream Stream
-	ended  bool
-	answer *Answer
-	err    error
+	// Following says that the bytes come from another router's run.
+	following bool
+	ended     bool
+	answer    *Answer
+	err       error
 	// Changed is closed and replaced at every change.
 	changed chan struct{}
-	// Over is closed when the run may not go on.
-	over   chan struct{}
-	cancel sync.Once
+	// Context ends when the run may not go on.
+	context context.Context
+	cancel  context.CancelFunc
 }
 
-func newRun() *Run { return &Run{changed: make(chan struct{}), over: make(chan struct{})} }
+func newRun() *Run {
+	r := &Run{changed: make(chan struct{})}
+	r.context, r.cancel = context.WithCancel(context.Background())
+	return r
+}
+
+// Context returns the context of the run's work.
+func (r *Run) Context() context.Context { return r.context }
 
 func (r *Run) update(f func()) {
 	r.mu.Lock()
@@ -81,35 +88,43 @@
 	r.changed = make(chan struct{})
 }
 
+// Prove says that no earlier attempt of the request can have run, so that
+// Stop proves that the request did not run.
+func (r *Run) Prove() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.proven = true
+}
+
 // Dispatch marks that an endpoint may get the request from now on; it returns
 // ErrStopped where a waiter was told that the request did not run.
 func (r *Run) Dispatch() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.phase == stopped {
+	if r.stopped {
 		return ErrStopped
 	}
-	r.phase = dispatched
+	r.dispatches++
 	return nil
 }
 
-// Undispatch takes Dispatch back: the endpoint provably did not get it.
+// Undispatch takes one Dispatch back: the endpoint provably did not get it.
 func (r *Run) Undispatch() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.phase = waiting
+	r.dispatches--
 }
 
-// Stop keeps the run from being dispatched; it reports false when it may have
-// been.
-func (r *Run) Stop() bool {
+// Stop keeps the run from being dispatched. Stopped reports whether this run
+// never is; proven, whether moreover no earlier one can have been.
+func (r *Run) Stop() (isStopped, proven bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.phase == dispatched {
-		return false
+	if r.dispatches > 0 {
+		return false, false
 	}
-	r.phase = stopped
-	return true
+	r.stopped = true
+	return true, r.proven
 }
 
 // Begin takes the stream that the bytes come from. Bytes of another run that
@@ -130,6 +145,20 @@
 	return err
 }
 
+// Follow says whether the bytes come from another router's run.
+func (r *Run) Follow(following bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.following = following
+}
+
+// Following reports whether the bytes come from another router's run.
+func (r *Run) Following() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.following
+}
+
 // Stream returns where the bytes come from.
 func (r *Run) Stream() Stream {
 	r.mu.Lock()
@@ -144,14 +173,25 @@
 	return int64(len(r.text))
 }
 
-// Append takes the next bytes. The last character is held back until the
-// answer is billed.
-func (r *Run) Append(text string) {
+// Append takes the bytes at an offset; those that are there already, of the
+// same run, are passed over. It returns ErrGap when bytes are missing before
+// them. The last character is held back until the answer is billed.
+func (r *Run) Append(offset int64, text string) error {
+	var err error
 	r.update(func() {
-		r.text = append(r.text, text...)
+		have := int64(len(r.text)) - offset
+		if have < 0 {
+			err = ErrGap
+			return
+		}
+		if have >= int64(len(text)) {
+			return
+		}
+		r.text = append(r.text, text[have:]...)
 		_, n := utf8.DecodeLastRune(r.text)
-		r.visible = len(r.text) - n
+		r.visible = max(r.visible, len(r.text)-n)
 	})
+	return err
 }
 
 // Seen reports whether a waiter has had bytes.
@@ -167,15 +207,14 @@
 		r.ended, r.answer, r.err = true, a, err
 		if err == nil {
 			r.visible = len(r.text)
+			return
 		}
+		// A failed run is remembered, its bytes are not.
+		r.text, r.visible = nil, 0
 	})
+	r.cancel()
 }
 
-// Over returns a channel that closes when the run may not go on.
-func (r *Run) Over() <-chan struct{} { return r.over }
-
-func (r *Run) giveUp() { r.cancel.Do(func() { close(r.over) }) }
-
 // Next returns the bytes from an offset on, waiting for some or for the end.
 // Callers must not change them.
 func (r *Run) Next(ctx context.Context, offset int) (text []byte, ended bool, err error) {
--- a/messenger/guard.go
+++ b/messenger/guard.go
@@ -36,6 +36,10 @@
 	proofMaxAge = 5 * time.Minute
 )
 
+// maxMessage bounds one message between processes; a request's body travels
+// in one.
+const maxMessage = 64 << 20
+
 // Keys are the secrets of the roles.
 type Keys map[Role][]byte
 
@@ -109,6 +113,7 @@
 // NewServer returns a gRPC server that admits only peers with a proof.
 func NewServer(k Keys) *grpc.Server {
 	return grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
 			if err := k.check(ctx, info.FullMethod); err != nil {
 				return nil, err
--- /dev/null
+++ b/router/beat.go
@@ -0,0 +1,157 @@
+package router
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/joiner"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+var homeCounters = expvar.NewMap("homes")
+
+// recordBatch bounds the records of one beat.
+const recordBatch = 512
+
+// maxRecords bounds the remembered records of siblings, about 300 bytes each.
+const maxRecords = 100_000
+
+// record is what a sibling has told of a run of its own.
+type record struct {
+	owner   string
+	digest  joiner.Digest
+	stream  joiner.Stream
+	expires time.Time
+}
+
+// records remembers what siblings run, so that this router can go on with it.
+type records struct {
+	byKey sync.Map
+	count atomic.Int64
+}
+
+func (r *records) put(k rattanhoist.RequestKey, x record) {
+	_, had := r.byKey.Load(k)
+	if !had && r.count.Load() >= maxRecords {
+		homeCounters.Add("records_refused", 1)
+		return
+	}
+	if !had {
+		r.count.Add(1)
+	}
+	r.byKey.Store(k, x)
+}
+
+func (r *records) get(k rattanhoist.RequestKey, now time.Time) (record, bool) {
+	v, ok := r.byKey.Load(k)
+	if !ok || !now.Before(v.(record).expires) {
+		return record{}, false
+	}
+	return v.(record), true
+}
+
+func (r *records) expire(now time.Time) {
+	r.byKey.Range(func(k, v any) bool {
+		if !now.Before(v.(record).expires) {
+			r.byKey.Delete(k)
+			r.count.Add(-1)
+		}
+		return true
+	})
+}
+
+// tell records a run at the routers that would be home next.
+func (r *Router) tell(q *request, s joiner.Stream) {
+	for _, x := range r.homes.next(q.key) {
+		select {
+		case x.records <- &messenger.RunRecord{
+			Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Digest: q.digest[:],
+			StreamId: s.ID, Endpoint: s.Endpoint, TimeoutMs: time.Until(q.deadline).Milliseconds(),
+		}:
+		default:
+			homeCounters.Add("records_dropped", 1)
+		}
+	}
+}
+
+// beat keeps one sibling informed until ctx ends, and notes whether it lives.
+func (r *Router) beat(ctx context.Context, x *sibling) {
+	t := time.NewTicker(beatEvery)
+	defer t.Stop()
+	var batch []*messenger.RunRecord
+	for {
+		if r.beatOnce(ctx, x, batch) || len(batch) >= recordBatch {
+			batch = batch[:0]
+		}
+		r.bury(x)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case m := <-x.records:
+			batch = append(batch, m)
+		}
+		batch = gatherRecords(x, batch)
+	}
+}
+
+func gatherRecords(x *sibling, batch []*messenger.RunRecord) []*messenger.RunRecord {
+	for len(batch) < recordBatch {
+		select {
+		case m := <-x.records:
+			batch = append(batch, m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (r *Router) beatOnce(ctx context.Context, x *sibling, batch []*messenger.RunRecord) bool {
+	ctx, cancel := context.WithTimeout(ctx, beatEvery)
+	defer cancel()
+	reply, err := x.client.Beat(ctx, &messenger.BeatRequest{
+		Router: r.self.Name(), Incarnation: uint64(r.money.incarnation), Draining: r.gate.closed.Load(), Records: batch,
+	})
+	if err != nil {
+		return false
+	}
+	r.homes.hear(x, reply.Draining)
+	return true
+}
+
+// bury ends what waits for a sibling that is silent: a stopped process keeps
+// its connections open, so that nothing else would end the wait.
+func (r *Router) bury(x *sibling) {
+	if l := x.life.Load(); l.Err() == nil && !r.homes.alive(x) {
+		l.end()
+		homeCounters.Add("siblings_lost", 1)
+		r.log.Info("sibling is silent", zap.String("router", x.process.Name()))
+	}
+}
+
+// Beat takes a sibling's sign of life and its records.
+func (s *homeServer) Beat(_ context.Context, b *messenger.BeatRequest) (*messenger.BeatReply, error) {
+	r := s.router
+	now := time.Now()
+	if x := r.homes.all[b.Router]; x != nil {
+		r.homes.hear(x, b.Draining)
+	}
+	for _, m := range b.Records {
+		if len(m.Digest) != len(joiner.Digest{}) {
+			continue
+		}
+		r.records.put(rattanhoist.NewRequestKey(m.Workspace, m.RequestId), record{
+			owner: b.Router, digest: joiner.Digest(m.Digest),
+			stream:  joiner.Stream{ID: m.StreamId, Endpoint: m.Endpoint},
+			expires: now.Add(time.Duration(m.TimeoutMs)*time.Millisecond + r.settings.Policy().KeepAnswer()),
+		})
+	}
+	return &messenger.BeatReply{Incarnation: uint64(r.money.incarnation), Draining: r.gate.closed.Load()}, nil
+}
--- /dev/null
+++ b/router/execute.go
@@ -0,0 +1,158 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"rattanhoist.example/rattanhoist/joiner"
+)
+
+const (
+	// tickEvery is how often runs that nobody waits for are looked for.
+	tickEvery = 100 * time.Millisecond
+	// retryGrace is how long a run goes on after its caller has gone.
+	retryGrace = 2 * time.Second
+	// maxKeptBytes bounds the answers kept for retries.
+	maxKeptBytes = 128 << 20
+	// maxJoins bounds how often one arrival joins a run that another stopped.
+	maxJoins = 3
+)
+
+// local joins or starts the run of a request at this router and passes its
+// answer to the feed.
+func (r *Router) local(ctx context.Context, q *request, f *feed, joinOnly bool) error {
+	rec, known := r.records.get(q.key, time.Now())
+	if known && rec.digest != q.digest {
+		return joiner.ErrReused
+	}
+	var err error
+	for range maxJoins {
+		var run *joiner.Run
+		var begun bool
+		run, begun, err = r.joiner.Arrive(time.Now(), joiner.Arrive{
+			Key: q.key, Digest: q.digest, Deadline: q.deadline,
+			Pinned: !q.repeatable, JoinOnly: joinOnly,
+			First: (q.ownID || q.repeatable) && !q.again && !known,
+		})
+		if err != nil {
+			return err
+		}
+		if joinOnly && run.Following() {
+			// Two routers that follow each other would wait for ever.
+			r.joiner.Leave(time.Now(), q.key, run)
+			return joiner.ErrAbsent
+		}
+		if begun {
+			r.gate.follow()
+			go r.execute(q, run)
+		}
+		err = r.wait(ctx, q, run, f)
+		if begun || ctx.Err() != nil || !endedEarly(err) {
+			return err
+		}
+	}
+	return err
+}
+
+// endedEarly reports whether a joined run was given up just as it was joined.
+func endedEarly(err error) bool {
+	return errors.Is(err, joiner.ErrStopped) || errors.Is(err, context.Canceled)
+}
+
+// wait passes a run's answer on, until the caller's deadline.
+func (r *Router) wait(ctx context.Context, q *request, run *joiner.Run, f *feed) error {
+	defer func() { r.joiner.Leave(time.Now(), q.key, run) }()
+	err := follow(ctx, run, f)
+	if !errors.Is(err, context.DeadlineExceeded) || ctx.Err() == nil {
+		return err
+	}
+	p := problemOf(context.DeadlineExceeded)
+	if !f.begun() && r.joiner.Stop(q.key, run) {
+		p.Outcome = NotRun
+	}
+	return p
+}
+
+// execute produces the answer of a run and ends it.
+func (r *Router) execute(q *request, run *joiner.Run) {
+	defer r.gate.leave()
+	a, err := r.obtain(run.Context(), q, run)
+	if err != nil {
+		err = truthful(run, err)
+	}
+	r.joiner.End(time.Now(), q.key, run, a, err)
+}
+
+// truthful gives the failure of a run the outcome that is proved: "not run"
+// only where the run was never dispatched and no earlier one can have been.
+func truthful(run *joiner.Run, err error) error {
+	_, proven := run.Stop()
+	p := *problemOf(err)
+	switch {
+	case p.Code == CodeIDReused || p.Outcome == Ran:
+	case proven:
+		p.Outcome = NotRun
+	default:
+		p.Outcome = Unknown
+	}
+	if run.Seen() {
+		p.Code, p.Status = CodeStreamBroken, http.StatusBadGateway
+	}
+	if errors.Is(err, joiner.ErrStopped) || errors.Is(err, context.Canceled) {
+		return errors.Join(err, &p)
+	}
+	return &p
+}
+
+// obtain goes on with the run that a sibling has or had, or runs the request.
+func (r *Router) obtain(ctx context.Context, q *request, run *joiner.Run) (*joiner.Answer, error) {
+	if a, err := r.takeOver(ctx, q, run); err == nil {
+		return a, nil
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	r.tell(q, joiner.Stream{})
+	if q.repeatable {
+		return r.serve(ctx, q, run)
+	}
+	return r.serveOnce(ctx, q, run)
+}
+
+var errNothingToTakeOver = errors.New("no run to take over")
+
+// takeOver joins the run of the sibling that was home before, or resumes its
+// stream on the engine where the sibling is lost.
+func (r *Router) takeOver(ctx context.Context, q *request, run *joiner.Run) (*joiner.Answer, error) {
+	rec, ok := r.records.get(q.key, time.Now())
+	if x := r.homes.all[rec.owner]; ok && x != nil && r.homes.alive(x) {
+		homeCounters.Add("runs_joined_at_sibling", 1)
+		if a, err := r.joinAt(ctx, q, run, x); err == nil {
+			return a, nil
+		}
+	}
+	s := q.resume
+	if ok && rec.stream.ID != "" {
+		s = rec.stream
+	}
+	if s.ID == "" {
+		return nil, errNothingToTakeOver
+	}
+	return r.resumeElsewhere(ctx, q, run, s)
+}
+
+// resumeElsewhere goes on with a stream that another router began; that is no
+// new run, so it needs no claim.
+func (r *Router) resumeElsewhere(ctx context.Context, q *request, run *joiner.Run, s joiner.Stream) (*joiner.Answer, error) {
+	e := r.endpoint(q.service.Name, s.Endpoint)
+	if e == nil {
+		return nil, errNothingToTakeOver
+	}
+	if err := run.Dispatch(); err != nil {
+		return nil, err
+	}
+	homeCounters.Add("streams_resumed", 1)
+	return r.paid(ctx, q, func() (*joiner.Answer, error) { return r.resumeModel(ctx, q, e, run, s) })
+}
--- a/router/handler.go
+++ b/router/handler.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/justinas/alice"
 	"go.uber.org/zap"
 
@@ -18,8 +19,9 @@
 // handler returns the HTTP surface for callers and endpoints.
 func (r *Router) handler() http.Handler {
 	m := http.NewServeMux()
-	callers := alice.New(r.recoverPanic, r.admitReady, r.countActive)
+	callers := alice.New(r.recoverPanic, r.admitReady)
 	m.Handle("POST /v1/chat/completions", callers.ThenFunc(r.chat))
+	m.Handle("POST /v1/tickets", callers.ThenFunc(r.issueTicket))
 	m.Handle("/v1/services/{service}/{path...}", callers.ThenFunc(r.plain))
 	m.Handle("POST /v1/endpoints", alice.New(r.recoverPanic, r.endpointKey).ThenFunc(r.announce))
 	m.HandleFunc("GET /healthz", r.health)
@@ -34,32 +36,39 @@
 				return
 			}
 			r.log.Error("panic in a request", zap.Any("panic", v), zap.Stack("stack"))
-			(&Problem{Status: http.StatusInternalServerError, Code: "internal", Outcome: Unknown, Detail: "the router failed"}).write(w)
+			(&Problem{Status: http.StatusInternalServerError, Code: codeInternal, Outcome: Unknown, Detail: "the router failed"}).write(w)
 		}()
 		next.ServeHTTP(w, q)
 	})
 }
 
-// admitReady refuses before the configuration is known and while draining.
+// admitReady counts a request in, or refuses it before the configuration is
+// known and while draining.
 func (r *Router) admitReady(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		switch {
-		case r.life.Is(stateDraining):
-			(&Problem{Status: http.StatusServiceUnavailable, Code: CodeDraining, Outcome: NotRun, Detail: "this router is shutting down; ask another", After: retrySoon}).write(w)
-		case r.snapshot.Load() == nil:
-			(&Problem{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Outcome: NotRun, Detail: "this router does not know the configuration yet", After: retrySoon}).write(w)
-		default:
-			next.ServeHTTP(w, q)
+		if !r.gate.enter() {
+			refuseUnread(drainingProblem(), w, q)
+			return
+		}
+		defer r.gate.leave()
+		if r.snapshot.Load() == nil {
+			refuseUnread(&Problem{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Outcome: NotRun, Detail: "this router does not know the configuration yet", After: retrySoon}, w, q)
+			return
 		}
+		next.ServeHTTP(w, q)
 	})
 }
 
-func (r *Router) countActive(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		r.active.Add(1)
-		defer r.active.Done()
-		next.ServeHTTP(w, q)
-	})
+// refuseUnread refuses a request whose identity was not looked at. Of one that
+// says that it may not be repeated an earlier attempt may have run, so that
+// "not run" would say more than is known.
+func refuseUnread(p *Problem, w http.ResponseWriter, q *http.Request) {
+	p.RequestID = q.Header.Get(headerIdempotencyKey)
+	once := q.Header.Get(headerTicket) != "" || strings.EqualFold(q.Header.Get(headerRepeatable), "false")
+	if once && (p.RequestID != "" || q.Header.Get(headerTicket) != "") {
+		p.Outcome = Unknown
+	}
+	p.write(w)
 }
 
 func (r *Router) endpointKey(next http.Handler) http.Handler {
@@ -74,7 +83,7 @@
 }
 
 func (r *Router) health(w http.ResponseWriter, _ *http.Request) {
-	if r.life.Is(stateDraining) || r.snapshot.Load() == nil {
+	if r.gate.closed.Load() || r.snapshot.Load() == nil {
 		http.Error(w, r.life.Current(), http.StatusServiceUnavailable)
 		return
 	}
@@ -86,7 +95,24 @@
 	return parser{
 		snapshot: r.snapshot.Load(), maxBody: p.MaxBody(),
 		defaultTimeout: p.DefaultTimeout(), maxTimeout: p.MaxTimeout(), now: time.Now(),
+		newID: r.newID,
+	}
+}
+
+// newIDTries bounds the search for an id whose home is this router.
+const newIDTries = 32
+
+// newID makes an id whose home is this router where it can, which saves a
+// request without an id the way to another.
+func (r *Router) newID(workspace string) string {
+	var id string
+	for range newIDTries {
+		id = uuid.NewString()
+		if r.homes.home(rattanhoist.NewRequestKey(workspace, id), nil) == nil {
+			break
+		}
 	}
+	return id
 }
 
 func (r *Router) chat(w http.ResponseWriter, h *http.Request) {
@@ -100,26 +126,31 @@
 	if q.streamed {
 		s = &streamSink{w: w, request: q}
 	}
-	r.answer(h.Context(), q, s, r.runModel)
+	r.answer(h.Context(), q, s)
 }
 
+const servicesPath = "/v1/services/"
+
 func (r *Router) plain(w http.ResponseWriter, h *http.Request) {
-	q, err := r.parser().plain(h, h.PathValue("service"), h.PathValue("path"))
+	service := h.PathValue("service")
+	path := strings.TrimPrefix(h.URL.EscapedPath(), servicesPath+service)
+	q, err := r.parser().plain(h, service, path)
 	if err != nil {
 		problemOf(err).write(w)
 		return
 	}
 	w.Header().Set(headerRequestID, q.key.RequestID())
-	r.answer(h.Context(), q, &plainSink{w: w}, r.runPlain)
+	r.answer(h.Context(), q, &plainSink{w: w})
 }
 
-func (r *Router) answer(ctx context.Context, q *request, s sink, run runFunc) {
+// answer gives the caller its answer or the refusal, by its deadline.
+func (r *Router) answer(ctx context.Context, q *request, s sink) {
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	if err := r.serve(ctx, q, s, run); err != nil {
-		p := problemOf(err)
+	if err := r.answerVia(ctx, q, &feed{sink: s}); err != nil {
+		p := *problemOf(err)
 		p.RequestID = q.key.RequestID()
-		s.fail(p)
+		s.fail(&p)
 	}
 }
 
--- /dev/null
+++ b/router/home.go
@@ -0,0 +1,148 @@
+package router
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/grpc"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/loader"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+const (
+	beatEvery = 250 * time.Millisecond
+	// siblingMaxAge is the age of the last beat from which a router is home
+	// to nothing.
+	siblingMaxAge = time.Second
+	// recordQueue bounds the records that wait for a beat; beyond it they are
+	// dropped and counted, which costs a resume and no truth.
+	recordQueue = 4096
+)
+
+// sibling is another router of the deployment.
+type sibling struct {
+	process loader.Process
+	conn    *grpc.ClientConn
+	client  messenger.HomeRouterClient
+	// Heard is when a beat last came, in nanoseconds after the start.
+	heard    atomic.Int64
+	draining atomic.Bool
+	// Life ends when the sibling is taken for dead; a new one follows when it
+	// is heard again.
+	life    atomic.Pointer[life]
+	records chan *messenger.RunRecord
+}
+
+type life struct {
+	context.Context
+	end context.CancelFunc
+}
+
+func newLife() *life {
+	ctx, end := context.WithCancel(context.Background())
+	return &life{Context: ctx, end: end}
+}
+
+// homes are the routers of the deployment as this one sees them; the list is
+// immutable, the liveness atomic.
+type homes struct {
+	self  loader.Process
+	start time.Time
+	// Zone lists the siblings of the own zone, all those of the deployment.
+	zone []*sibling
+	all  map[string]*sibling
+}
+
+func newHomes(s *loader.Settings, self loader.Process, d *messenger.Dialer) (*homes, func(), error) {
+	h := &homes{self: self, start: time.Now(), all: map[string]*sibling{}}
+	cleanUp := func() {
+		for _, x := range h.all {
+			_ = x.conn.Close()
+		}
+	}
+	for _, p := range s.Processes(loader.KindRouter) {
+		if p.Name() == self.Name() {
+			continue
+		}
+		conn, err := d.Dial(p.RPC())
+		if err != nil {
+			cleanUp()
+			return nil, nil, err
+		}
+		x := &sibling{process: p, conn: conn, client: messenger.NewHomeRouterClient(conn), records: make(chan *messenger.RunRecord, recordQueue)}
+		x.heard.Store(-int64(siblingMaxAge))
+		x.life.Store(newLife())
+		x.life.Load().end()
+		h.all[p.Name()] = x
+		if p.Zone() == self.Zone() {
+			h.zone = append(h.zone, x)
+		}
+	}
+	return h, cleanUp, nil
+}
+
+// hear notes a sign of life.
+func (h *homes) hear(x *sibling, draining bool) {
+	x.heard.Store(int64(time.Since(h.start)))
+	x.draining.Store(draining)
+	if x.life.Load().Err() != nil {
+		x.life.Store(newLife())
+	}
+}
+
+// alive reports whether a sibling was heard within siblingMaxAge. It reads
+// the age at the moment of use: a router that was stopped wakes up with an
+// old view.
+func (h *homes) alive(x *sibling) bool {
+	return int64(time.Since(h.start))-x.heard.Load() < int64(siblingMaxAge)
+}
+
+// score ranks a router for a request; every router computes the same.
+func score(router string, k rattanhoist.RequestKey) uint64 {
+	return xxhash.Sum64String(router + "\x00" + k.Workspace() + "\x00" + k.RequestID())
+}
+
+// home returns the sibling that is home to a request, or nil for this router:
+// the live router of the zone with the highest score, so that the loss of one
+// moves only its own requests.
+func (h *homes) home(k rattanhoist.RequestKey, tried map[string]bool) *sibling {
+	var best *sibling
+	most := score(h.self.Name(), k)
+	for _, x := range h.zone {
+		if tried[x.process.Name()] || x.draining.Load() || !h.alive(x) {
+			continue
+		}
+		if s := score(x.process.Name(), k); s > most {
+			best, most = x, s
+		}
+	}
+	return best
+}
+
+// next returns the siblings that would be home after this router, best first.
+func (h *homes) next(k rattanhoist.RequestKey) []*sibling {
+	const most = 2
+	tried := map[string]bool{}
+	var out []*sibling
+	for len(out) < most {
+		var best *sibling
+		for _, x := range h.zone {
+			if tried[x.process.Name()] || x.draining.Load() || !h.alive(x) {
+				continue
+			}
+			if best == nil || score(x.process.Name(), k) > score(best.process.Name(), k) {
+				best = x
+			}
+		}
+		if best == nil {
+			return out
+		}
+		tried[best.process.Name()] = true
+		out = append(out, best)
+	}
+	return out
+}
--- a/router/problem.go
+++ b/router/problem.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"math"
@@ -9,6 +10,7 @@
 	"time"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/joiner"
 )
 
 // Outcome says whether a refused request ran.
@@ -20,6 +22,8 @@
 	NotRun Outcome = "not_run"
 	// Unknown says that the request may have run.
 	Unknown Outcome = "unknown"
+	// Ran says that the request ran to its end; its answer can't be given.
+	Ran Outcome = "ran"
 )
 
 // Codes of refusals; stable, for programs.
@@ -37,6 +41,29 @@
 	CodeDeadline         = "deadline"
 	CodeEndpointFailed   = "endpoint_failed"
 	CodeBillingFailed    = "billing_failed"
+	// CodeEndpointRefused says that the endpoint found fault with the request.
+	CodeEndpointRefused = "endpoint_refused"
+	// CodeIDReused says that the request id belongs to another request.
+	CodeIDReused = "id_reused"
+	// CodeRunning says that another attempt of the request is in progress.
+	CodeRunning = "running"
+	// CodeOutcomeUnknown says that an attempt may have run and can't be asked.
+	CodeOutcomeUnknown = "outcome_unknown"
+	// CodeAnswerGone says that the request ran and its answer is not kept.
+	CodeAnswerGone = "answer_gone"
+	// CodeUndecided says that too few keepers could be asked for a claim.
+	CodeUndecided = "claim_undecided"
+	// CodeStreamBroken says that an answer broke off after its first bytes.
+	CodeStreamBroken = "stream_broken"
+	// CodeStopped says that the run that was joined ended before its dispatch.
+	CodeStopped = "stopped"
+	// CodeAbsent is between routers: nothing is remembered under the id.
+	CodeAbsent = "absent"
+)
+
+// Codes of the router's own faults.
+const (
+	codeInternal = "internal"
 )
 
 // Problem is a refusal as problem details (RFC 9457).
@@ -73,6 +100,16 @@
 		return &Problem{Status: http.StatusServiceUnavailable, Code: CodeNoEndpoint, Outcome: NotRun, Detail: err.Error(), After: retrySoon}
 	case errors.Is(err, rattanhoist.ErrBudgetSpent):
 		return &Problem{Status: http.StatusPaymentRequired, Code: CodeBudgetSpent, Outcome: NotRun, Detail: err.Error()}
+	case errors.Is(err, joiner.ErrReused):
+		return &Problem{Status: http.StatusConflict, Code: CodeIDReused, Field: headerIdempotencyKey, Outcome: NotRun, Detail: "the id belongs to a request with another content; this one was not run"}
+	case errors.Is(err, joiner.ErrAbsent):
+		return &Problem{Status: http.StatusNotFound, Code: CodeAbsent, Outcome: Unknown, Detail: err.Error()}
+	case errors.Is(err, joiner.ErrStopped), errors.Is(err, context.Canceled):
+		return &Problem{Status: http.StatusServiceUnavailable, Code: CodeStopped, Outcome: Unknown, Detail: "the run ended early; ask again under the same id", After: retrySoon}
+	case errors.Is(err, joiner.ErrPassed):
+		return &Problem{Status: http.StatusBadGateway, Code: CodeStreamBroken, Outcome: Unknown, Detail: "the answer broke off; ask again under the same id", After: retrySoon}
+	case errors.Is(err, context.DeadlineExceeded):
+		return &Problem{Status: http.StatusGatewayTimeout, Code: CodeDeadline, Outcome: Unknown, Detail: "the deadline has passed", After: retrySoon}
 	case errors.Is(err, rattanhoist.ErrBudgetOutOfReach):
 		return &Problem{Status: http.StatusServiceUnavailable, Code: CodeBudgetOutOfReach, Outcome: NotRun, Detail: err.Error(), After: retrySoon}
 	default:
@@ -80,11 +117,15 @@
 	}
 }
 
-// write sends the refusal.
-func (p *Problem) write(w http.ResponseWriter) {
+func (p *Problem) title() {
 	if p.Title == "" {
 		p.Title = http.StatusText(p.Status)
 	}
+}
+
+// write sends the refusal.
+func (p *Problem) write(w http.ResponseWriter) {
+	p.title()
 	w.Header().Set("Content-Type", "application/problem+json")
 	if p.After > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.After.Seconds()))))
--- /dev/null
+++ b/router/relay.go
@@ -0,0 +1,197 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/joiner"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// errHomeLost says that a sibling ended or fell silent before its answer did.
+var errHomeLost = merry.Sentinel("the router that runs the request is lost")
+
+// deadlineMargin is how much earlier the home gives up than its relay, so
+// that the home's better knowledge of the outcome reaches the caller.
+const deadlineMargin = 20 * time.Millisecond
+
+// answerVia has the request's home answer it, the next home where that one is
+// lost, and this router last.
+func (r *Router) answerVia(ctx context.Context, q *request, f *feed) error {
+	tried := map[string]bool{}
+	for {
+		x := r.homes.home(q.key, tried)
+		if x == nil {
+			return r.local(ctx, q, f, false)
+		}
+		err := r.relay(ctx, q, x, f, false)
+		if ctx.Err() != nil || !askNext(err) {
+			return err
+		}
+		homeCounters.Add("homes_lost", 1)
+		tried[x.process.Name()] = true
+		// The lost home may have run the request; where its bytes came from
+		// is resumed, so that the caller's answer goes on with the same run.
+		c := *q
+		c.again = c.again || errors.Is(err, errHomeLost)
+		if f.stream.ID != "" {
+			c.resume = f.stream
+		}
+		q = &c
+	}
+}
+
+// askNext reports whether another router may answer what this one has not.
+func askNext(err error) bool {
+	var p *Problem
+	if errors.As(err, &p) {
+		return p.Code == CodeDraining || p.Code == CodeNotReady
+	}
+	return errors.Is(err, errHomeLost)
+}
+
+// joinAt takes a run's answer from the router that has it.
+func (r *Router) joinAt(ctx context.Context, q *request, run *joiner.Run, x *sibling) (*joiner.Answer, error) {
+	run.Follow(true)
+	defer run.Follow(false)
+	s := &runSink{run: run}
+	if err := r.relay(ctx, q, x, &feed{sink: s}, true); err != nil {
+		return nil, err
+	}
+	return s.answer, nil
+}
+
+// relay asks a sibling for the answer and feeds it on.
+func (r *Router) relay(ctx context.Context, q *request, x *sibling, f *feed, joinOnly bool) error {
+	c, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if x.process.Zone() == r.self.Zone() {
+		defer context.AfterFunc(x.life.Load(), cancel)()
+	}
+	ask := askOf(q, joinOnly)
+	ask.Streamed = f.sink.streamed()
+	in, err := x.client.Answer(c, ask)
+	if err != nil {
+		return lost(ctx, err)
+	}
+	for {
+		e, err := in.Recv()
+		if err != nil {
+			return lost(ctx, err)
+		}
+		done, err := feedEvent(f, e)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+// lost tells a lost sibling from the end of the caller's own time.
+func lost(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if errors.Is(err, io.EOF) {
+		return errHomeLost
+	}
+	if c := status.Code(err); c == codes.ResourceExhausted || c == codes.InvalidArgument {
+		return &Problem{Status: http.StatusBadGateway, Code: codeInternal, Outcome: Unknown, Detail: err.Error()}
+	}
+	return merry.Wrap(errHomeLost, merry.AppendMessage(err.Error()))
+}
+
+func feedEvent(f *feed, e *messenger.AnswerEvent) (done bool, err error) {
+	switch k := e.Kind.(type) {
+	case *messenger.AnswerEvent_Begin:
+		return false, f.begin(joiner.Stream{ID: k.Begin.StreamId, Endpoint: k.Begin.Endpoint})
+	case *messenger.AnswerEvent_Chunk:
+		return false, f.chunk(k.Chunk.Offset, k.Chunk.Text)
+	case *messenger.AnswerEvent_End:
+		return true, f.complete(answerOf(k.End))
+	case *messenger.AnswerEvent_Problem:
+		p := k.Problem
+		return true, &Problem{
+			Status: int(p.Status), Code: p.Code, Detail: p.Detail, Field: p.Field,
+			Outcome: Outcome(p.Outcome), After: time.Duration(p.AfterMs) * time.Millisecond,
+		}
+	}
+	return false, nil
+}
+
+func askOf(q *request, joinOnly bool) *messenger.AnswerRequest {
+	return &messenger.AnswerRequest{
+		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Digest: q.digest[:],
+		Service: q.service.Name, Method: q.method, Path: q.path, Query: q.query,
+		Headers: fieldsOf(q.header), Body: q.body, MaxAnswerTokens: q.maxAnswer, WorstTokens: int64(q.worst),
+		Repeatable: q.repeatable, Priority: int32(q.priority), Prefix: q.prefix,
+		TimeoutMs: (time.Until(q.deadline) - deadlineMargin).Milliseconds(),
+		JoinOnly:  joinOnly, OwnId: q.ownID, TicketZone: q.ticket.zone, TicketStore: q.ticket.store,
+		StreamId: q.resume.ID, Endpoint: q.resume.Endpoint, Again: q.again,
+	}
+}
+
+// requestOf rebuilds a request against this router's configuration.
+func (r *Router) requestOf(a *messenger.AnswerRequest) (*request, error) {
+	notReady := &Problem{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Outcome: NotRun, Detail: "the home router does not know the configuration yet", After: retrySoon}
+	s := r.snapshot.Load()
+	if s == nil || len(a.Digest) != len(joiner.Digest{}) {
+		return nil, notReady
+	}
+	service, err := s.Service(a.Service)
+	if err != nil {
+		return nil, notReady
+	}
+	workspace, err := s.Workspace(a.Workspace)
+	if err != nil {
+		return nil, notReady
+	}
+	return &request{
+		key: rattanhoist.NewRequestKey(a.Workspace, a.RequestId), workspace: workspace, service: service,
+		digest: joiner.Digest(a.Digest), method: a.Method, path: a.Path, query: a.Query,
+		header: headerOf(a.Headers), body: a.Body, maxAnswer: a.MaxAnswerTokens, worst: rattanhoist.Tokens(a.WorstTokens),
+		streamed: a.Streamed, repeatable: a.Repeatable, priority: int(a.Priority), prefix: a.Prefix,
+		deadline: time.Now().Add(time.Duration(a.TimeoutMs) * time.Millisecond),
+		ownID:    a.OwnId, ticket: ticket{zone: a.TicketZone, store: a.TicketStore},
+		resume: joiner.Stream{ID: a.StreamId, Endpoint: a.Endpoint}, again: a.Again,
+	}, nil
+}
+
+func answerOf(e *messenger.AnswerEnd) *joiner.Answer {
+	return &joiner.Answer{
+		Endpoint: e.Endpoint, PromptTokens: e.PromptTokens, AnswerTokens: e.AnswerTokens, Length: e.Length,
+		Digest: e.Digest, FinishReason: e.FinishReason, Charged: rattanhoist.Tokens(e.ChargedTokens),
+		Status: int(e.Status), Header: headerOf(e.Headers),
+	}
+}
+
+func endOf(a *joiner.Answer) *messenger.AnswerEnd {
+	return &messenger.AnswerEnd{
+		Endpoint: a.Endpoint, PromptTokens: a.PromptTokens, AnswerTokens: a.AnswerTokens, Length: a.Length,
+		Digest: a.Digest, FinishReason: a.FinishReason, ChargedTokens: int64(a.Charged),
+		Status: int32(a.Status), Headers: fieldsOf(a.Header),
+	}
+}
+
+func fieldsOf(h http.Header) []*messenger.HeaderField {
+	var out []*messenger.HeaderField
+	for name, values := range h {
+		out = append(out, &messenger.HeaderField{Name: name, Values: values})
+	}
+	return out
+}
+
+func headerOf(fields []*messenger.HeaderField) http.Header {
+	h := http.Header{}
+	for _, f := range fields {
+		h[f.Name] = f.Values
+	}
+	return h
+}
--- a/router/request.go
+++ b/router/request.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/configurer"
+	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
@@ -41,6 +41,7 @@
 	MaxTokens *int64 `json:"max_tokens"`
 	// MaxCompletionTokens is the newer name of MaxTokens.
 	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
+	N                   *int64          `json:"n"`
 	Messages            json.RawMessage `json:"messages"`
 }
 
@@ -50,10 +51,20 @@
 	workspace *messenger.Workspace
 	service   *messenger.Service
 	body      []byte
-	// Method and path are those of a call to a plain service.
-	method, path string
-	contentType  string
-	streamed     bool
+	// Method, path (as escaped), query and header are what the endpoint gets.
+	method, path, query string
+	header              http.Header
+	// Digest sums up what the request asks for.
+	digest joiner.Digest
+	// OwnID says that the id was made here, so that there was no earlier
+	// attempt.
+	ownID  bool
+	ticket ticket
+	// Again says that another router was asked before.
+	again bool
+	// Resume is where bytes that the caller has had came from.
+	resume   joiner.Stream
+	streamed bool
 	// MaxAnswer bounds the answer in generated tokens.
 	maxAnswer  int64
 	repeatable bool
@@ -72,8 +83,12 @@
 	defaultTimeout time.Duration
 	maxTimeout     time.Duration
 	now            time.Time
+	// NewID makes the id of a request that comes without one.
+	newID func(workspace string) string
 }
 
+const chatPath = "/v1/chat/completions"
+
 func (p parser) chat(r *http.Request) (*request, error) {
 	q, err := p.common(r)
 	if err != nil {
@@ -94,9 +109,13 @@
 		return nil, &Problem{Status: http.StatusNotFound, Code: CodeUnknownModel, Field: "model", Outcome: NotRun, Detail: "no service has the model " + strconv.Quote(b.Model)}
 	}
 	q.streamed = b.Stream
+	if b.N != nil && *b.N != 1 {
+		return nil, badField("n", "want 1: one answer for each request")
+	}
 	if err := q.bound(b); err != nil {
 		return nil, err
 	}
+	q.method, q.path, q.header = http.MethodPost, chatPath, http.Header{"Content-Type": {"application/json"}}
 	q.prefix = xxhash.Sum64(b.Messages[:min(len(b.Messages), prefixBytes)])
 	return q, p.finish(r, q)
 }
@@ -141,8 +160,8 @@
 	if err != nil || q.service.Kind != messenger.ServiceKind_SERVICE_KIND_PLAIN {
 		return nil, &Problem{Status: http.StatusNotFound, Code: CodeUnknownService, Field: "path", Outcome: NotRun, Detail: "no plain service is named " + strconv.Quote(service)}
 	}
-	q.method, q.path = r.Method, "/"+path
-	q.contentType = r.Header.Get("Content-Type")
+	q.method, q.path, q.query = r.Method, path, r.URL.RawQuery
+	q.header = only(r.Header, requestHeaders)
 	q.worst = rattanhoist.Tokens(q.service.CallPrice)
 	return q, p.finish(r, q)
 }
@@ -157,18 +176,49 @@
 	if err != nil {
 		return nil, err
 	}
+	q := &request{workspace: w}
+	if err := p.identify(r, q); err != nil {
+		return nil, err
+	}
+	q.body, err = p.readBody(r)
+	return q, err
+}
+
+// identify reads the id. A ticket is the id, also where it comes without its
+// header: every attempt must be decided in the same place.
+func (p parser) identify(r *http.Request, q *request) error {
 	id := r.Header.Get(headerIdempotencyKey)
+	if t := r.Header.Get(headerTicket); t != "" {
+		if _, ok := parseTicket(t); !ok {
+			return badField(headerTicket, "not a ticket; take one with POST /v1/tickets")
+		}
+		if id != "" && id != t {
+			return badField(headerIdempotencyKey, "differs from the ticket; send the ticket alone")
+		}
+		id = t
+	}
 	if len(id) > maxRequestID {
-		return nil, badField(headerIdempotencyKey, "longer than 200 characters")
+		return badField(headerIdempotencyKey, "longer than 200 characters")
+	}
+	if !printable(id) {
+		return badField(headerIdempotencyKey, "want printable ASCII characters")
 	}
 	if id == "" {
-		id = uuid.NewString()
+		id, q.ownID = p.newID(q.workspace.Name), true
 	}
-	body, err := p.readBody(r)
-	if err != nil {
-		return nil, err
+	q.key = rattanhoist.NewRequestKey(q.workspace.Name, id)
+	q.ticket, _ = parseTicket(id)
+	return nil
+}
+
+// printable keeps ids out that a header or the protocol can't carry.
+func printable(id string) bool {
+	for _, c := range []byte(id) {
+		if c < ' ' || c > '~' {
+			return false
+		}
 	}
-	return &request{key: rattanhoist.NewRequestKey(w.Name, id), workspace: w, body: body}, nil
+	return true
 }
 
 func (p parser) readBody(r *http.Request) ([]byte, error) {
@@ -209,5 +259,6 @@
 		}
 		q.priority = n
 	}
+	q.digest = digestOf(q)
 	return nil
 }
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/configurer"
+	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/reporter"
@@ -39,6 +40,11 @@
 	idleTimeout       = 2 * time.Minute
 	expireEvery       = time.Second
 	giveBackTimeout   = 3 * time.Second
+	idlePerEndpoint   = 64
+	// drainNotice is how long a draining router still answers that it is
+	// draining, so that balancers and callers learn it without a lost
+	// connection.
+	drainNotice = time.Second
 )
 
 // Router is one router process.
@@ -59,8 +65,14 @@
 	server   *http.Server
 	dialer   *messenger.Dialer
 	peerRPC  *grpc.Server
-	// Active counts requests in progress, for draining.
-	active sync.WaitGroup
+	homes    *homes
+	records  records
+	joiner   *joiner.Joiner
+	claims   claimKeepers
+	// Attempts counts the claims that this incarnation has asked for.
+	attempts atomic.Uint64
+	// Gate counts requests and runs in progress; it closes to drain.
+	gate gate
 }
 
 // New returns a router; the returned function releases what New took.
@@ -70,13 +82,26 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	homes, closeHomes, err := newHomes(s, self, d)
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, err
+	}
+	claims, closeClaims, err := newClaimKeepers(s, d)
+	if err != nil {
+		closeHomes()
+		_ = conn.Close()
+		return nil, nil, err
+	}
 	r := &Router{
+		homes: homes, claims: claims,
+		joiner:   joiner.New(joiner.Limits{Grace: retryGrace, Keep: s.Policy().KeepAnswer(), MaxBytes: maxKeptBytes}),
 		settings: s, self: self, log: log, dialer: d,
 		peerRPC: messenger.NewServer(messenger.Keys{messenger.RoleMember: s.DeploymentKey()}),
 		tracker: tracker.New(s.Policy().EndpointMaxAge()),
 		money:   newTreasurer(self, conn),
 		config:  messenger.NewConfigurationKeeperClient(conn),
-		engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		engines: newEngines(),
 	}
 	r.life = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventReady, Src: []string{stateStarting}, Dst: stateReady},
@@ -85,11 +110,27 @@
 		log.Info("state changed", zap.String("from", e.Src), zap.String("to", e.Dst))
 	}})
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
+	messenger.RegisterHomeRouterServer(r.peerRPC, &homeServer{router: r})
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
-	return r, func() { _ = conn.Close() }, nil
+	return r, func() {
+		closeHomes()
+		closeClaims()
+		_ = conn.Close()
+	}, nil
+}
+
+// newEngines returns the client for endpoints. It passes bodies and redirects
+// on as they are.
+func newEngines() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
 }
 
 func newTreasurer(self loader.Process, conn *grpc.ClientConn) *treasurer {
@@ -124,6 +165,10 @@
 	failed := make(chan error, 1)
 	go r.follow(background)
 	go r.expire(background)
+	go r.tick(background)
+	for _, x := range r.homes.zone {
+		go r.beat(background, x)
+	}
 	go func() { failed <- r.server.Serve(l) }()
 	select {
 	case err := <-failed:
@@ -164,21 +209,47 @@
 			return
 		case <-t.C:
 			r.tracker.Expire(time.Now())
+			r.records.expire(time.Now())
 		}
 	}
 }
 
+// tick lets time pass for runs and kept answers.
+func (r *Router) tick(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			r.joiner.Tick(now)
+		}
+	}
+}
+
+// drain refuses what is new, also from siblings, and ends once every request
+// and run in progress has its answer. The listener stays open until then, so
+// that a refusal reaches its caller.
 func (r *Router) drain(ctx context.Context) error {
 	_ = r.life.Event(ctx, eventDrain)
+	r.gate.close()
+	time.Sleep(drainNotice)
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Policy().DrainTimeout())
 	defer cancel()
-	err := r.server.Shutdown(ctx)
-	r.active.Wait()
-	give, cancelGive := context.WithTimeout(ctx, giveBackTimeout)
+	err := errors.Join(r.gate.wait(ctx), r.server.Shutdown(ctx))
+	give, cancelGive := context.WithTimeout(context.WithoutCancel(ctx), giveBackTimeout)
 	defer cancelGive()
 	r.money.giveBack(give)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
 	return err
 }
+
+// endpoint returns an endpoint that is known by name, or nil.
+func (r *Router) endpoint(service, name string) *rattanhoist.Endpoint {
+	for _, e := range r.tracker.Table().Service(service) {
+		if e.Name() == name {
+			return e
+		}
+	}
+	return nil
+}
--- a/router/run.go
+++ b/router/run.go
@@ -1,64 +1,149 @@
 package router
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"hash"
-	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
-	"strings"
-
-	"github.com/ansel1/merry/v2"
+	"time"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/joiner"
 )
 
-// Errors of an endpoint's answer. Compare with errors.Is.
-var (
-	// ErrFragment says that an answer ended before its completion mark.
-	ErrFragment = merry.Sentinel("the endpoint's answer is not whole")
-	// ErrCrossed says that an answer belongs to another request.
-	ErrCrossed = merry.Sentinel("the endpoint answered another request")
-	// ErrEndpointStatus says that the endpoint refused.
-	ErrEndpointStatus = merry.Sentinel("the endpoint refused")
+const (
+	// headerStreamID names a run at an engine that can resume it.
+	headerStreamID = "Stream-Id"
+	// maxResumes bounds the connections after the first of one run.
+	maxResumes = 3
+	// cancelTimeout bounds the message that frees an engine from a run.
+	cancelTimeout = time.Second
+	// A stream that has begun and sends nothing for a third of the time left,
+	// within these bounds, is taken for broken.
+	minStall      = time.Second
+	maxStall      = 30 * time.Second
+	stallFraction = 3
 )
 
-const maxEvent = 1 << 20
-
-// engineEvent is one event of a model engine's stream.
-type engineEvent struct {
-	ID      string   `json:"id"`
-	Offset  int64    `json:"offset"`
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage"`
-	Length  int64    `json:"length"`
-	Digest  string   `json:"digest"`
-}
+// errStalled says that a stream sent nothing for too long.
+var errStalled = errors.New("the stream has stalled")
 
 // runModel runs a request at a model engine, always as a stream.
-func (r *Router) runModel(ctx context.Context, q *request, e *rattanhoist.Endpoint, s sink) (*result, error) {
+func (r *Router) runModel(ctx context.Context, q *request, e *rattanhoist.Endpoint, run *joiner.Run) (*joiner.Answer, error) {
 	body, err := engineBody(q)
 	if err != nil {
-		return nil, &runError{cause: err}
+		return nil, &runError{cause: err, final: true}
 	}
-	resp, err := r.dispatch(ctx, q, e, http.MethodPost, "/v1/chat/completions", body)
+	c, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	resp, err := r.dispatch(c, q, e, body)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	a := &assembler{request: q, sink: s, digest: sha256.New()}
-	if err := a.read(resp.Body); err != nil {
-		return nil, &runError{cause: err, dispatched: true, passed: s.passed()}
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusedBy(resp, q)
+	}
+	s := joiner.Stream{ID: resp.Header.Get(headerStreamID), Endpoint: e.Name()}
+	if err := run.Begin(s); err != nil {
+		return nil, &runError{cause: err, dispatched: true, final: true}
+	}
+	if s.ID != "" {
+		r.tell(q, s)
+	}
+	a := newAssembler(q, run)
+	err = readWatched(a, resp, q.deadline, cancel)
+	return r.finishModel(ctx, q, e, a, s, err)
+}
+
+// resumeModel goes on with a stream that another router began, from its first
+// byte on.
+func (r *Router) resumeModel(ctx context.Context, q *request, e *rattanhoist.Endpoint, run *joiner.Run, s joiner.Stream) (*joiner.Answer, error) {
+	if err := run.Begin(s); err != nil {
+		return nil, err
+	}
+	a := newAssembler(q, run)
+	return r.finishModel(ctx, q, e, a, s, r.resume(ctx, q, e, a, s))
+}
+
+// finishModel resumes a broken stream where the engine can. Bytes and digest
+// go on from where they were: it is the same run.
+func (r *Router) finishModel(ctx context.Context, q *request, e *rattanhoist.Endpoint, a *assembler, s joiner.Stream, err error) (*joiner.Answer, error) {
+	for try := 0; err != nil && try < maxResumes && ctx.Err() == nil && s.ID != "" && errors.Is(err, ErrFragment); try++ {
+		homeCounters.Add("streams_resumed", 1)
+		err = r.resume(ctx, q, e, a, s)
+	}
+	if err == nil {
+		a.answer.Endpoint = e.Name()
+		return &a.answer, nil
+	}
+	if s.ID != "" {
+		r.cancelStream(e, s)
+	}
+	return nil, &runError{cause: err, dispatched: true}
+}
+
+func (r *Router) resume(ctx context.Context, q *request, e *rattanhoist.Endpoint, a *assembler, s joiner.Stream) error {
+	c, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	h, err := http.NewRequestWithContext(c, http.MethodGet, streamURL(e, s)+"?offset="+strconv.FormatInt(a.answer.Length, 10), nil)
+	if err != nil {
+		return err
+	}
+	h.Header.Set(headerRequestID, q.key.String())
+	resp, err := r.engines.Do(h)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK || resp.Header.Get(headerStreamID) != s.ID {
+		return ErrEndpointStatus
 	}
-	a.result.endpoint = e.Name()
-	return &a.result, nil
+	return readWatched(a, resp, q.deadline, cancel)
+}
+
+func streamURL(e *rattanhoist.Endpoint, s joiner.Stream) string {
+	return "http://" + e.Address() + "/v1/streams/" + url.PathEscape(s.ID)
+}
+
+// readWatched reads a stream and breaks it off when it stalls, so that it can
+// be resumed, or run elsewhere, while there is time.
+func readWatched(a *assembler, resp *http.Response, deadline time.Time, cancel context.CancelCauseFunc) error {
+	bound := func() time.Duration { return min(max(time.Until(deadline)/stallFraction, minStall), maxStall) }
+	var watch *time.Timer
+	a.progress = func() {
+		if watch == nil {
+			watch = time.AfterFunc(bound(), func() { cancel(errStalled) })
+			return
+		}
+		watch.Reset(bound())
+	}
+	defer func() {
+		if watch != nil {
+			watch.Stop()
+		}
+	}()
+	return a.read(resp.Body)
+}
+
+// cancelStream frees the engine from a run that nobody wants any more. The
+// engine would find out by itself only after its own grace.
+func (r *Router) cancelStream(e *rattanhoist.Endpoint, s joiner.Stream) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		h, err := http.NewRequestWithContext(ctx, http.MethodDelete, streamURL(e, s), nil)
+		if err != nil {
+			return
+		}
+		if resp, err := r.engines.Do(h); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
 }
 
 // engineBody sets what the router decides: a stream and a bounded answer.
@@ -75,131 +160,55 @@
 }
 
 // dispatch sends a request; an error says whether the endpoint may have it.
-func (r *Router) dispatch(ctx context.Context, q *request, e *rattanhoist.Endpoint, method, path string, body []byte) (*http.Response, error) {
-	h, err := http.NewRequestWithContext(ctx, method, "http://"+e.Address()+path, bytes.NewReader(body))
+func (r *Router) dispatch(ctx context.Context, q *request, e *rattanhoist.Endpoint, body []byte) (*http.Response, error) {
+	target := "http://" + e.Address() + q.path
+	if q.query != "" {
+		target += "?" + q.query
+	}
+	h, err := http.NewRequestWithContext(ctx, q.method, target, bytes.NewReader(body))
 	if err != nil {
-		return nil, &runError{cause: err}
+		return nil, &runError{cause: err, final: true}
 	}
-	h.Header.Set("Content-Type", "application/json")
-	if q.contentType != "" {
-		h.Header.Set("Content-Type", q.contentType)
+	for name, values := range q.header {
+		h.Header[name] = values
 	}
 	h.Header.Set(headerRequestID, q.key.String())
 	h.Header.Set(headerPriority, strconv.Itoa(q.priority))
 	// A Go client resends some requests by itself when a kept connection
 	// turns out closed; without a replayable body it can't run one twice.
 	h.GetBody = nil
+	if !q.repeatable {
+		// It does resend GET and the like without a body; a fresh connection
+		// gives it no cause to.
+		h.Close = true
+	}
 	resp, err := r.engines.Do(h)
 	if err != nil {
 		return nil, &runError{cause: err, dispatched: !neverSent(err)}
 	}
-	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
-		_ = resp.Body.Close()
-		return nil, &runError{cause: ErrEndpointStatus}
-	}
 	return resp, nil
 }
 
+// refusedBy turns an engine's status into an error. Engines answer 429 and 503
+// instead of a run, before it; of a request that may not be repeated this is
+// not taken on trust.
+func refusedBy(resp *http.Response, q *request) error {
+	cause := &Problem{
+		Status: http.StatusBadGateway, Code: CodeEndpointFailed, Outcome: Unknown, After: retrySoon,
+		Detail: "the endpoint answered " + resp.Status,
+	}
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+		return &runError{cause: cause, dispatched: !q.repeatable}
+	case resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError:
+		cause.Status, cause.Code, cause.After = resp.StatusCode, CodeEndpointRefused, 0
+		return &runError{cause: cause, dispatched: true, final: true}
+	}
+	return &runError{cause: cause, dispatched: true}
+}
+
 // neverSent reports whether the connection was never made.
 func neverSent(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
-
-// assembler checks a stream and passes it on in order.
-type assembler struct {
-	request *request
-	sink    sink
-	digest  hash.Hash
-	result  result
-	whole   bool
-}
-
-func (a *assembler) read(body io.Reader) error {
-	sc := bufio.NewScanner(body)
-	sc.Buffer(nil, maxEvent)
-	for sc.Scan() {
-		data, ok := strings.CutPrefix(sc.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if data == "[DONE]" {
-			break
-		}
-		if err := a.event(data); err != nil {
-			return err
-		}
-	}
-	if err := sc.Err(); err != nil {
-		return err
-	}
-	if !a.whole {
-		return ErrFragment
-	}
-	return nil
-}
-
-func (a *assembler) event(data string) error {
-	var e engineEvent
-	if err := json.Unmarshal([]byte(data), &e); err != nil {
-		return merry.Wrap(ErrFragment, merry.AppendMessage(err.Error()))
-	}
-	if e.ID != a.request.key.String() {
-		return ErrCrossed
-	}
-	if len(e.Choices) == 0 {
-		return nil
-	}
-	c := e.Choices[0]
-	if c.Delta != nil && c.Delta.Content != "" {
-		if err := a.text(e.Offset, c.Delta.Content); err != nil {
-			return err
-		}
-	}
-	if c.FinishReason != nil {
-		return a.end(e)
-	}
-	return nil
-}
-
-func (a *assembler) text(offset int64, text string) error {
-	if offset != a.result.length {
-		return ErrFragment
-	}
-	a.digest.Write([]byte(text))
-	a.result.length += int64(len(text))
-	return a.sink.chunk(offset, text)
-}
-
-// end compares the engine's length and digest with what arrived: a stream
-// that lost a piece, or holds a piece of another, must not pass as whole.
-func (a *assembler) end(e engineEvent) error {
-	a.result.digest = hex.EncodeToString(a.digest.Sum(nil))
-	if e.Length != a.result.length || e.Digest != a.result.digest || e.Usage == nil {
-		return ErrFragment
-	}
-	a.result.promptTokens = e.Usage.PromptTokens
-	a.result.answerTokens = e.Usage.CompletionTokens
-	a.whole = true
-	return nil
-}
-
-// runPlain runs a call at a plain service and passes its answer through.
-func (r *Router) runPlain(ctx context.Context, q *request, e *rattanhoist.Endpoint, s sink) (*result, error) {
-	resp, err := r.dispatch(ctx, q, e, q.method, q.path, q.body)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, r.settings.Policy().MaxBody()))
-	if err != nil {
-		return nil, &runError{cause: err, dispatched: true}
-	}
-	if id := resp.Header.Get(headerRequestID); id != "" && id != q.key.String() {
-		return nil, &runError{cause: ErrCrossed, dispatched: true}
-	}
-	out := s.(*plainSink)
-	out.status, out.headers, out.body = resp.StatusCode, resp.Header, body
-	sum := sha256.Sum256(body)
-	return &result{endpoint: e.Name(), length: int64(len(body)), digest: hex.EncodeToString(sum[:])}, nil
-}
--- /dev/null
+++ b/router/run_plain.go
@@ -0,0 +1,69 @@
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/joiner"
+)
+
+// runPlain runs a call at a plain service. Every status is an answer and is
+// passed on; 502, 503 and 504 of a repeatable call are tried elsewhere first.
+func (r *Router) runPlain(ctx context.Context, q *request, e *rattanhoist.Endpoint, run *joiner.Run) (*joiner.Answer, error) {
+	resp, err := r.dispatch(ctx, q, e, q.body)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := r.plainBody(q, resp)
+	if err != nil {
+		return nil, &runError{cause: err, dispatched: true}
+	}
+	sum := sha256.Sum256(body)
+	a := &joiner.Answer{
+		Endpoint: e.Name(), Length: int64(len(body)), Digest: hex.EncodeToString(sum[:]),
+		Status: resp.StatusCode, Header: only(resp.Header, answerHeaders),
+	}
+	if q.method == http.MethodHead && resp.ContentLength >= 0 {
+		a.Header.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	if q.repeatable && worthAnother(resp.StatusCode) {
+		return nil, &runError{cause: ErrEndpointStatus, dispatched: true, answer: a, body: body}
+	}
+	return a, accept(run, a, body)
+}
+
+func worthAnother(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
+
+// accept gives a plain answer to the run.
+func accept(run *joiner.Run, a *joiner.Answer, body []byte) error {
+	if err := run.Begin(joiner.Stream{Endpoint: a.Endpoint}); err != nil {
+		return err
+	}
+	return run.Append(0, string(body))
+}
+
+// plainBody reads the whole body. One without a length that ends with its
+// connection can't be told from a fragment, so it is refused.
+func (r *Router) plainBody(q *request, resp *http.Response) ([]byte, error) {
+	if id := resp.Header.Get(headerRequestID); id != "" && id != q.key.String() {
+		return nil, ErrCrossed
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && q.method != http.MethodHead {
+		return nil, merry.Wrap(ErrFragment, merry.AppendMessage("the answer has neither a length nor an end mark"))
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, r.settings.Policy().MaxBody()))
+	if err != nil {
+		return nil, merry.Wrap(ErrFragment, merry.AppendMessage(err.Error()))
+	}
+	return body, nil
+}
--- a/router/serve.go
+++ b/router/serve.go
@@ -7,106 +7,136 @@
 	"time"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
 // maxTries bounds the endpoints that one request is sent to.
 const maxTries = 3
 
-// result is a whole answer of an endpoint, before it is billed.
-type result struct {
-	endpoint     string
-	promptTokens int64
-	answerTokens int64
-	length       int64
-	// Digest is the SHA-256 sum of the answer's bytes, in hex.
-	digest string
-	// Charged is set once the bill is durable.
-	charged rattanhoist.Tokens
-}
-
-// runFunc has an endpoint run the request and passes its answer to the sink.
-type runFunc func(context.Context, *request, *rattanhoist.Endpoint, sink) (*result, error)
-
 // runError says how far a run got before it failed.
 type runError struct {
 	cause error
 	// Dispatched reports whether the endpoint may have begun.
 	dispatched bool
-	// Passed reports whether bytes have gone to the caller.
-	passed bool
+	// Final says that another endpoint would answer no better.
+	final bool
+	// Answer and body are a plain service's failure, passed on where no other
+	// endpoint does better.
+	answer *joiner.Answer
+	body   []byte
 }
 
 func (e *runError) Error() string { return e.cause.Error() }
 func (e *runError) Unwrap() error { return e.cause }
 
-// serve reserves the worst case, runs the request, bills the true count and
-// only then completes the answer.
-func (r *Router) serve(ctx context.Context, q *request, s sink, run runFunc) error {
+// serve reserves the worst case, runs the request and bills the true count;
+// the answer is complete only then.
+func (r *Router) serve(ctx context.Context, q *request, run *joiner.Run) (*joiner.Answer, error) {
 	release, err := r.admit(ctx, q)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer release()
+	return r.paid(ctx, q, func() (*joiner.Answer, error) { return r.runSomewhere(ctx, q, run) })
+}
+
+// paid has f produce an answer under a reservation and bills it. What f
+// generated without a whole answer is not billed.
+func (r *Router) paid(ctx context.Context, q *request, f func() (*joiner.Answer, error)) (*joiner.Answer, error) {
 	p, err := r.money.reserve(ctx, q.key.Workspace(), q.worst)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var spent rattanhoist.Tokens
 	defer func() { p.slice.Settle(q.worst, spent) }()
-	res, err := r.runSomewhere(ctx, q, s, run)
+	a, err := f()
 	if err != nil {
-		return err
+		return nil, err
+	}
+	cost := min(q.cost(a), q.worst)
+	if cost == 0 && a.Status >= http.StatusInternalServerError {
+		return a, nil
 	}
-	spent = min(q.cost(res), q.worst)
-	res.charged, err = r.money.bill(ctx, &messenger.Charge{
-		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Tokens: int64(spent),
-		Service: q.service.Name, Endpoint: res.endpoint,
+	// The charge may be durable though its answer was lost, so the slice
+	// counts it as spent from here on.
+	spent = cost
+	a.Charged, err = r.money.bill(ctx, &messenger.Charge{
+		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Tokens: int64(cost),
+		Service: q.service.Name, Endpoint: a.Endpoint,
 		ChargedAtMs: time.Now().UnixMilli(), Zone: r.self.Zone(),
 	})
 	if err != nil {
-		return &Problem{Status: http.StatusServiceUnavailable, Code: CodeBillingFailed, Outcome: Unknown, Detail: "the answer could not be billed: " + err.Error(), After: retrySoon}
+		return nil, &Problem{Status: http.StatusServiceUnavailable, Code: CodeBillingFailed, Outcome: Unknown, Detail: "the answer could not be billed: " + err.Error(), After: retrySoon}
 	}
-	spent = res.charged
-	return s.complete(res)
+	spent = a.Charged
+	return a, nil
 }
 
 // cost is the price of an answer in budget tokens; the checked worst case
-// bounds it, so the products fit.
-func (q *request) cost(res *result) rattanhoist.Tokens {
-	if q.service.Kind == messenger.ServiceKind_SERVICE_KIND_PLAIN {
-		return rattanhoist.Tokens(q.service.CallPrice)
+// bounds it, so the products fit. A plain service's failure costs nothing.
+func (q *request) cost(a *joiner.Answer) rattanhoist.Tokens {
+	if q.service.Kind != messenger.ServiceKind_SERVICE_KIND_PLAIN {
+		return rattanhoist.Tokens(q.service.PromptPrice*a.PromptTokens + q.service.AnswerPrice*a.AnswerTokens)
+	}
+	if a.Status >= http.StatusInternalServerError {
+		return 0
 	}
-	return rattanhoist.Tokens(q.service.PromptPrice*res.promptTokens + q.service.AnswerPrice*res.answerTokens)
+	return rattanhoist.Tokens(q.service.CallPrice)
 }
 
 // runSomewhere tries endpoints until one answers. A request that may not be
 // repeated is tried again only when the endpoint provably did not get it, and
-// no request is once bytes of an answer have gone to the caller.
-func (r *Router) runSomewhere(ctx context.Context, q *request, s sink, run runFunc) (*result, error) {
+// none is once bytes of an answer have gone to a caller.
+func (r *Router) runSomewhere(ctx context.Context, q *request, run *joiner.Run) (*joiner.Answer, error) {
 	tried := map[string]bool{}
 	var last error
 	for len(tried) < maxTries {
 		e, err := r.pick(q, tried)
+		if err != nil && last != nil {
+			return lastAnswer(run, last)
+		}
 		if err != nil {
-			return nil, errors.Join(last, err)
+			return nil, err
 		}
 		tried[e.Name()] = true
-		n := r.inFlightAt(e.Name())
-		n.Add(1)
-		res, err := run(ctx, q, e, s)
-		n.Add(-1)
+		a, err := r.runAt(ctx, q, e, run)
 		if err == nil {
-			return res, nil
+			return a, nil
 		}
 		last = err
 		var f *runError
-		if errors.As(err, &f) && (f.passed || f.dispatched && !q.repeatable) {
-			return nil, err
-		}
-		if ctx.Err() != nil {
+		if run.Seen() || ctx.Err() != nil || !errors.As(err, &f) || f.final || f.dispatched && !q.repeatable {
 			return nil, err
 		}
 	}
-	return nil, last
+	return lastAnswer(run, last)
+}
+
+func lastAnswer(run *joiner.Run, err error) (*joiner.Answer, error) {
+	var f *runError
+	if !errors.As(err, &f) || f.answer == nil {
+		return nil, err
+	}
+	return f.answer, accept(run, f.answer, f.body)
+}
+
+// runAt runs the request at one endpoint.
+func (r *Router) runAt(ctx context.Context, q *request, e *rattanhoist.Endpoint, run *joiner.Run) (*joiner.Answer, error) {
+	if err := run.Dispatch(); err != nil {
+		return nil, err
+	}
+	n := r.inFlightAt(e.Name())
+	n.Add(1)
+	defer n.Add(-1)
+	f := r.runModel
+	if q.service.Kind == messenger.ServiceKind_SERVICE_KIND_PLAIN {
+		f = r.runPlain
+	}
+	a, err := f(ctx, q, e, run)
+	var x *runError
+	if errors.As(err, &x) && !x.dispatched {
+		run.Undispatch()
+	}
+	return a, err
 }
--- a/router/sink.go
+++ b/router/sink.go
@@ -1,25 +1,19 @@
 package router
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
+	"strconv"
 	"time"
-)
 
-// sink takes one answer on its way to the caller.
-type sink interface {
-	// chunk passes the bytes at an offset on.
-	chunk(offset int64, text string) error
-	// complete ends a whole, billed answer.
-	complete(*result) error
-	// fail refuses, or marks an answer that has begun as broken.
-	fail(*Problem)
-	// passed reports whether bytes have gone to the caller.
-	passed() bool
-}
+	"github.com/ansel1/merry/v2"
+
+	"rattanhoist.example/rattanhoist/joiner"
+)
 
 // mark is what the router adds to an answer in the ecosystem's shape.
 type mark struct {
@@ -59,17 +53,15 @@
 	Rattanhoist mark     `json:"rattanhoist"`
 }
 
-var finishStop = "stop"
-
-func finalMark(q *request, res *result) mark {
+func finalMark(q *request, a *joiner.Answer) mark {
 	return mark{
-		RequestID: q.key.RequestID(), Offset: res.length, Complete: true, Length: res.length,
-		Digest: res.digest, Endpoint: res.endpoint, ChargedTokens: int64(res.charged),
+		RequestID: q.key.RequestID(), Offset: a.Length, Complete: true, Length: a.Length,
+		Digest: a.Digest, Endpoint: a.Endpoint, ChargedTokens: int64(a.Charged),
 	}
 }
 
-func usageOf(res *result) *usage {
-	return &usage{PromptTokens: res.promptTokens, CompletionTokens: res.answerTokens, TotalTokens: res.promptTokens + res.answerTokens}
+func usageOf(a *joiner.Answer) *usage {
+	return &usage{PromptTokens: a.PromptTokens, CompletionTokens: a.AnswerTokens, TotalTokens: a.PromptTokens + a.AnswerTokens}
 }
 
 // streamSink writes server-sent events.
@@ -79,7 +71,9 @@
 	begun   bool
 }
 
-func (s *streamSink) passed() bool { return s.begun }
+func (*streamSink) begin(joiner.Stream) error { return nil }
+
+func (*streamSink) streamed() bool { return true }
 
 func (s *streamSink) event(c completion) error {
 	if !s.begun {
@@ -92,30 +86,40 @@
 		return err
 	}
 	if _, err := fmt.Fprintf(s.w, "data: %s\n\n", b); err != nil {
-		return err
+		return gone(err)
 	}
-	return http.NewResponseController(s.w).Flush()
+	return gone(http.NewResponseController(s.w).Flush())
+}
+
+// errCallerGone says that the caller no longer reads.
+var errCallerGone = merry.Sentinel("the caller has gone")
+
+func gone(err error) error {
+	if err == nil {
+		return nil
+	}
+	return merry.Errorf("%w: %s", errCallerGone, err.Error())
 }
 
 func (s *streamSink) base(m mark) completion {
 	return completion{ID: s.request.key.RequestID(), Object: "chat.completion.chunk", Created: time.Now().Unix(), Rattanhoist: m}
 }
 
-func (s *streamSink) chunk(offset int64, text string) error {
+func (s *streamSink) chunk(offset int64, text []byte) error {
 	c := s.base(mark{RequestID: s.request.key.RequestID(), Offset: offset})
-	c.Choices = []choice{{Delta: &message{Content: text}}}
+	c.Choices = []choice{{Delta: &message{Content: string(text)}}}
 	return s.event(c)
 }
 
-func (s *streamSink) complete(res *result) error {
-	c := s.base(finalMark(s.request, res))
-	c.Choices = []choice{{Delta: &message{}, FinishReason: &finishStop}}
-	c.Usage = usageOf(res)
+func (s *streamSink) complete(a *joiner.Answer) error {
+	c := s.base(finalMark(s.request, a))
+	c.Choices = []choice{{Delta: &message{}, FinishReason: &a.FinishReason}}
+	c.Usage = usageOf(a)
 	if err := s.event(c); err != nil {
 		return err
 	}
 	_, err := io.WriteString(s.w, "data: [DONE]\n\n")
-	return err
+	return gone(err)
 }
 
 func (s *streamSink) fail(p *Problem) {
@@ -123,6 +127,7 @@
 		p.write(s.w)
 		return
 	}
+	p.title()
 	b, _ := json.Marshal(map[string]*Problem{"error": p})
 	_, _ = fmt.Fprintf(s.w, "event: error\ndata: %s\n\n", b)
 }
@@ -131,49 +136,64 @@
 type wholeSink struct {
 	w       http.ResponseWriter
 	request *request
-	text    strings.Builder
+	text    bytes.Buffer
 }
 
-func (*wholeSink) passed() bool { return false }
-
-func (s *wholeSink) chunk(offset int64, text string) error {
-	if offset == 0 {
-		s.text.Reset()
-	}
-	s.text.WriteString(text)
+func (s *wholeSink) begin(joiner.Stream) error {
+	s.text.Reset()
 	return nil
 }
 
-func (s *wholeSink) complete(res *result) error {
-	c := completion{ID: s.request.key.RequestID(), Object: "chat.completion", Created: time.Now().Unix(), Rattanhoist: finalMark(s.request, res)}
-	c.Choices = []choice{{Message: &message{Role: "assistant", Content: s.text.String()}, FinishReason: &finishStop}}
-	c.Usage = usageOf(res)
+func (*wholeSink) streamed() bool { return false }
+
+func (s *wholeSink) chunk(_ int64, text []byte) error {
+	_, err := s.text.Write(text)
+	return err
+}
+
+func (s *wholeSink) complete(a *joiner.Answer) error {
+	c := completion{ID: s.request.key.RequestID(), Object: "chat.completion", Created: time.Now().Unix(), Rattanhoist: finalMark(s.request, a)}
+	c.Choices = []choice{{Message: &message{Role: "assistant", Content: s.text.String()}, FinishReason: &a.FinishReason}}
+	c.Usage = usageOf(a)
 	s.w.Header().Set("Content-Type", "application/json")
-	return json.NewEncoder(s.w).Encode(c)
+	return gone(json.NewEncoder(s.w).Encode(c))
 }
 
 func (s *wholeSink) fail(p *Problem) { p.write(s.w) }
 
 // plainSink passes a plain service's answer on once it is whole.
 type plainSink struct {
-	w       http.ResponseWriter
-	status  int
-	headers http.Header
-	body    []byte
+	w    http.ResponseWriter
+	body bytes.Buffer
 }
 
-func (*plainSink) passed() bool { return false }
+func (s *plainSink) begin(joiner.Stream) error {
+	s.body.Reset()
+	return nil
+}
 
-func (*plainSink) chunk(int64, string) error { return nil }
+func (*plainSink) streamed() bool { return false }
 
-func (s *plainSink) complete(res *result) error {
-	s.w.Header().Set("Content-Type", s.headers.Get("Content-Type"))
-	s.w.Header().Set("Answer-Digest", res.digest)
-	s.w.Header().Set("Answer-Endpoint", res.endpoint)
-	s.w.Header().Set("Charged-Tokens", fmt.Sprint(int64(res.charged)))
-	s.w.WriteHeader(s.status)
-	_, err := s.w.Write(s.body)
+func (s *plainSink) chunk(_ int64, text []byte) error {
+	_, err := s.body.Write(text)
 	return err
 }
 
+func (s *plainSink) complete(a *joiner.Answer) error {
+	h := s.w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	h.Set("Answer-Digest", a.Digest)
+	h.Set("Answer-Endpoint", a.Endpoint)
+	h.Set("Charged-Tokens", strconv.FormatInt(int64(a.Charged), 10))
+	s.w.WriteHeader(a.Status)
+	_, err := s.w.Write(s.body.Bytes())
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		// The answer to HEAD has a length and no body.
+		return nil
+	}
+	return gone(err)
+}
+
 func (s *plainSink) fail(p *Problem) { p.write(s.w) }
