--- /dev/null
+++ b/router/fleet_test.go
@@ -0,0 +1,165 @@
+package router_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/imitator"
+	"rattanhoist.example/rattanhoist/launcher"
+	"rattanhoist.example/rattanhoist/loader"
+)
+
+func init() {
+	seed := "7"
+	if s := os.Getenv("FUZZ_SEED"); s != "" {
+		seed = s
+	}
+	_ = flag.Set("rapid.seed", seed)
+	if n := os.Getenv("FUZZ_CHECKS"); n != "" {
+		_ = flag.Set("rapid.checks", n)
+	}
+}
+
+func TestMain(m *testing.M) { launcher.Main(m) }
+
+// call is a caller's request.
+type call = imitator.Call
+
+// fleet is a deployment with one workspace, a model and a plain service.
+type fleet struct {
+	*launcher.Fleet
+	t   *testing.T
+	g   *gomega.WithT
+	key string
+}
+
+const (
+	workspace = "labone-surveys"
+	prepaid   = "50000000"
+)
+
+func startFleet(t *testing.T, o launcher.Options) *fleet {
+	t.Helper()
+	f := &fleet{Fleet: launcher.Start(t, o), t: t, g: gomega.NewWithT(t)}
+	f.command("config", "show")
+	var made struct{ Key string }
+	f.Eventually("workspace is made", func() bool {
+		out, code := f.Command("workspace", "create", workspace)
+		return code == 0 && json.Unmarshal([]byte(out), &made) == nil
+	})
+	f.key = made.Key
+	f.command("service", "set", "llm", "--kind", "model", "--model", "m", "--prompt-price", "1", "--answer-price", "2", "--max-answer-tokens", "4096")
+	f.command("service", "set", "desk", "--kind", "plain", "--call-price", "5")
+	f.command("statement", "set", "all")
+	zone := f.Settings().Zones()[0]
+	f.command("budget", "topup", workspace, prepaid, "--id", zone+"/receipt-1")
+	for _, p := range f.Settings().Processes(loader.KindRouter) {
+		f.Eventually(p.Name()+" is ready", func() bool { return f.Ready(p.Name()) })
+	}
+	return f
+}
+
+// command repeats an operator's idempotent command until it succeeds: the
+// keepers may still be starting.
+func (f *fleet) command(args ...string) {
+	f.t.Helper()
+	f.Eventually(strings.Join(args, " "), func() bool {
+		_, code := f.Command(args...)
+		return code == 0
+	})
+}
+
+func (f *fleet) http(router string) string {
+	p, err := f.Settings().Process(loader.KindRouter, router)
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	return p.HTTP()
+}
+
+func (f *fleet) model(router, id string, tokens int64) imitator.Call {
+	return imitator.Call{
+		Router: f.http(router), Key: f.key, RequestID: id, Model: "m", Prompt: "room " + id,
+		MaxTokens: tokens, Stream: true, Workspace: workspace, Timeout: 30 * time.Second,
+	}
+}
+
+func (f *fleet) plain(router, id string) imitator.Call {
+	return imitator.Call{
+		Router: f.http(router), Key: f.key, RequestID: id, Service: "desk", Path: "/ledger/" + id,
+		Prompt: "entry " + id, Workspace: workspace, Timeout: 10 * time.Second,
+	}
+}
+
+// served waits until a service answers through every router.
+func (f *fleet) served(call func(router, id string) imitator.Call) {
+	f.t.Helper()
+	for _, p := range f.Settings().Processes(loader.KindRouter) {
+		f.Eventually("a first request through "+p.Name(), func() bool {
+			_, err := call(p.Name(), "warm-"+p.Name()).Do(context.Background())
+			return err == nil
+		})
+	}
+}
+
+// runs counts the begun runs of each request over the run logs.
+func (f *fleet) runs(endpoints ...string) map[string]int {
+	f.t.Helper()
+	n := map[string]int{}
+	for _, e := range endpoints {
+		text, err := os.ReadFile(f.RunLog(e))
+		f.g.Expect(err).NotTo(gomega.HaveOccurred())
+		for line := range strings.Lines(string(text)) {
+			var r imitator.Run
+			f.g.Expect(json.Unmarshal([]byte(line), &r)).To(gomega.Succeed())
+			if r.Event == "begin" {
+				n[strings.TrimPrefix(r.RequestID, workspace+"/")]++
+			}
+		}
+	}
+	return n
+}
+
+// bills counts the charges of each request over all zones.
+func (f *fleet) bills() map[string]int {
+	f.t.Helper()
+	var out struct {
+		Charges []struct {
+			RequestID string `json:"request_id"`
+		} `json:"charges"`
+	}
+	f.g.Expect(json.Unmarshal([]byte(f.MustCommand("budget", "history", workspace, "-o", "json")), &out)).To(gomega.Succeed())
+	n := map[string]int{}
+	for _, c := range out.Charges {
+		n[c.RequestID]++
+	}
+	return n
+}
+
+func refused(err error) *imitator.Refusal {
+	var r *imitator.Refusal
+	errors.As(err, &r)
+	return r
+}
+
+// ticket takes a ticket from a router.
+func (f *fleet) ticket(router string) string {
+	f.t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+f.http(router)+"/v1/tickets", nil)
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	r.Header.Set("Authorization", "Bearer "+f.key)
+	resp, err := http.DefaultClient.Do(r)
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	var out struct{ Ticket string }
+	f.g.Expect(json.NewDecoder(resp.Body).Decode(&out)).To(gomega.Succeed())
+	f.g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusCreated))
+	return out.Ticket
+}
--- /dev/null
+++ b/router/identity_test.go
@@ -0,0 +1,185 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/launcher"
+	"rattanhoist.example/rattanhoist/router"
+)
+
+// idWithHome returns an id whose home is a router of a zone of two.
+func idWithHome(prefix, home string, routers ...string) string {
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("%s-%d", prefix, i)
+		if router.HomeOf(rattanhoist.NewRequestKey(workspace, id), routers...) == home {
+			return id
+		}
+	}
+}
+
+var osu = []string{"osu-hall-1", "osu-hall-2"}
+
+// startZone starts one zone of two routers with one engine and one plain
+// service.
+func startZone(t *testing.T, net int, pace string) *fleet {
+	t.Helper()
+	f := startFleet(t, launcher.Options{Net: net, Zones: []string{"osu-hall"}})
+	f.StartEndpoint("engine", "llm-1", "llm", "osu-hall", 1, "--capacity", "64", "--pace", pace)
+	f.StartEndpoint("plain", "desk-1", "desk", "osu-hall", 2, "--pace", "5ms")
+	f.served(func(r, id string) call { return f.model(r, id, 4) })
+	f.served(func(r, id string) call { return f.plain(r, "plain-"+id) })
+	return f
+}
+
+// TestRetriesJoinOneRun
+// Symptom: a request that is sent again runs again and is billed again, or
+// its id brings another caller's answer.
+// Sequence: one id is sent at once through both routers of a zone, streamed,
+// and again after the end; then with another prompt; then as a whole answer.
+// Cause it guards against: routers that know only their own requests.
+func TestRetriesJoinOneRun(t *testing.T) {
+	f := startZone(t, 71, "2ms")
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() {
+			if _, err := f.model(osu[i%2], "joined", 100).Do(context.Background()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	first, err := f.model(osu[0], "joined", 100).Do(context.Background())
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	second, err := f.model(osu[1], "joined", 100).Do(context.Background())
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	f.g.Expect(second.ChargedTokens).To(gomega.Equal(first.ChargedTokens))
+	f.g.Expect(f.runs("llm-1")["joined"]).To(gomega.Equal(1))
+	f.g.Expect(f.bills()["joined"]).To(gomega.Equal(1))
+	for _, r := range osu {
+		other := f.model(r, "joined", 100)
+		other.Prompt = "another surveyor's room"
+		_, err = other.Do(context.Background())
+		f.g.Expect(refused(err)).NotTo(gomega.BeNil(), "%v", err)
+		f.g.Expect(refused(err).Status).To(gomega.Equal(409))
+		f.g.Expect(refused(err).Code).To(gomega.Equal("id_reused"))
+		f.g.Expect(refused(err).Outcome).To(gomega.Equal("not_run"))
+	}
+}
+
+// TestAnswerSurvivesItsHome
+// Symptom: the caller of a streamed answer gets a fragment, or an error though
+// the engine has the answer, when a router dies that it never spoke to.
+// Sequence: the request comes to one router, its home is the other; the home
+// is killed, or stopped without closing its connections, in the middle.
+// Cause it guards against: a relay that knows no stream to resume, or waits on
+// a connection that a stopped process keeps open.
+func TestAnswerSurvivesItsHome(t *testing.T) {
+	f := startZone(t, 72, "10ms")
+	for _, fault := range []string{"kill", "freeze"} {
+		id := idWithHome(fault, osu[1], osu...)
+		done := make(chan error, 1)
+		go func() {
+			_, err := f.model(osu[0], id, 300).Do(context.Background())
+			done <- err
+		}()
+		f.Eventually("the run begins", func() bool { return f.runs("llm-1")[id] == 1 })
+		time.Sleep(200 * time.Millisecond)
+		if fault == "kill" {
+			f.Kill(osu[1])
+		} else {
+			f.Freeze(osu[1])
+		}
+		f.g.Expect(<-done).To(gomega.Succeed(), fault)
+		_, err := f.model(osu[0], id, 300).Do(context.Background())
+		f.g.Expect(err).NotTo(gomega.HaveOccurred())
+		if fault == "kill" {
+			f.Restart(osu[1])
+			f.Eventually("the home is back", func() bool { return f.Ready(osu[1]) })
+			f.Eventually("the sibling is heard", func() bool {
+				_, err := f.model(osu[0], idWithHome("back", osu[1], osu...), 4).Do(context.Background())
+				return err == nil
+			})
+		} else {
+			f.Thaw(osu[1])
+		}
+		f.g.Expect(f.runs("llm-1")[id]).To(gomega.Equal(1), fault)
+		f.g.Expect(f.bills()[id]).To(gomega.Equal(1), fault)
+	}
+}
+
+// TestBrokenStreamsAreResumedOrRefused
+// Symptom: a caller takes a fragment, or an answer with a piece of another's,
+// for its own whole answer.
+// Sequence: the engine loses the connection, ends early with and without its
+// mark, dies, and sends another request's id in one event or in all.
+// Cause it guards against: an end that is taken on trust.
+func TestBrokenStreamsAreResumedOrRefused(t *testing.T) {
+	f := startZone(t, 73, "2ms")
+	f.StartEndpoint("engine", "llm-2", "llm", "osu-hall", 3, "--capacity", "64", "--pace", "2ms")
+	f.Eventually("the second engine runs", func() bool {
+		_, _ = f.model(osu[0], fmt.Sprintf("second-%d", time.Now().UnixNano()), 4).Do(context.Background())
+		_, err := os.Stat(f.RunLog("llm-2"))
+		return err == nil && len(f.runs("llm-2")) > 0
+	})
+	for _, fault := range []string{"drop", "short", "unmarked", "die_mid_stream", "crossed", "crossed_piece", "refuse"} {
+		for _, stream := range []bool{true, false} {
+			f.EndpointCommand(1, "/faults", `{"kind":"`+fault+`"}`)
+			f.EndpointCommand(3, "/faults", `{"kind":"`+fault+`"}`)
+			c := f.model(osu[0], fmt.Sprintf("%s-%t", fault, stream), 60)
+			c.Stream = stream
+			_, err := c.Do(context.Background())
+			if err == nil {
+				continue
+			}
+			f.g.Expect(refused(err)).NotTo(gomega.BeNil(), "%s, streamed %t: %v", fault, stream, err)
+			f.g.Expect(fault).NotTo(gomega.BeElementOf("drop", "short", "unmarked"), "%v", err)
+			if refused(err).Outcome == "not_run" {
+				f.g.Expect(f.runs("llm-1", "llm-2")[c.RequestID]).To(gomega.BeZero(), c.RequestID)
+			}
+		}
+		f.clearFaults(1, 3)
+	}
+}
+
+// clearFaults ends the faults of stand-ins.
+func (f *fleet) clearFaults(endpoints ...int) {
+	f.t.Helper()
+	for _, n := range endpoints {
+		r, err := http.NewRequest(http.MethodDelete, "http://"+f.EndpointAddress(n)+"/faults", nil)
+		f.g.Expect(err).NotTo(gomega.HaveOccurred())
+		resp, err := http.DefaultClient.Do(r)
+		f.g.Expect(err).NotTo(gomega.HaveOccurred())
+		_ = resp.Body.Close()
+	}
+}
+
+// TestTicketDecidesInOnePlace
+// Symptom: a request that may not be repeated runs twice, in two zones.
+// Sequence: one ticket is used at once through both routers, and again after.
+// Cause it guards against: an id that is decided in more than one place.
+func TestTicketDecidesInOnePlace(t *testing.T) {
+	f := startZone(t, 74, "2ms")
+	id := f.ticket(osu[0])
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			c := f.plain(osu[i%2], id)
+			c.NotRepeatable, c.Path = true, "/ledger/1"
+			if _, err := c.Do(context.Background()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	f.g.Expect(f.runs("desk-1")[id]).To(gomega.Equal(1))
+	f.g.Expect(f.bills()[id]).To(gomega.Equal(1))
+}
