--- a/claimer/attempt.go
+++ b/claimer/attempt.go
@@ -28,21 +28,28 @@
 // safe for concurrent use.
 type Attempt struct {
 	begun time.Time
-	// Voters is the number of deciding keepers.
-	voters  int
-	granted int
-	failed  int
-	reused  bool
+	// Answered holds for each deciding keeper whether its answer is counted:
+	// one that came twice must not make two votes.
+	answered []bool
+	granted  int
+	failed   int
+	reused   bool
 	// Held is the row of another attempt that says most.
 	held *messenger.ClaimRow
 }
 
 // NewAttempt returns an attempt that asks so many keepers.
-func NewAttempt(now time.Time, voters int) *Attempt { return &Attempt{begun: now, voters: voters} }
+func NewAttempt(now time.Time, voters int) *Attempt {
+	return &Attempt{begun: now, answered: make([]bool, voters)}
+}
 
-// Step takes one keeper's answer, nil for none, and returns the verdict so
-// far.
-func (a *Attempt) Step(now time.Time, r *messenger.ClaimReply) Verdict {
+// Step takes the answer of one keeper, nil for none, and returns the verdict
+// so far.
+func (a *Attempt) Step(now time.Time, voter int, r *messenger.ClaimReply) Verdict {
+	if a.answered[voter] {
+		return a.verdict()
+	}
+	a.answered[voter] = true
 	switch {
 	case r == nil || now.Sub(a.begun) >= ClaimTime:
 		a.failed++
@@ -83,7 +90,7 @@
 	switch {
 	case a.granted >= a.quorum():
 		return Granted
-	case a.granted+a.failed < a.voters:
+	case a.granted+a.failed < len(a.answered):
 		return Pending
 	case a.reused:
 		return Reused
@@ -93,7 +100,7 @@
 	return Undecided
 }
 
-func (a *Attempt) quorum() int { return a.voters/2 + 1 }
+func (a *Attempt) quorum() int { return len(a.answered)/2 + 1 }
 
 // Holder returns the row of the attempt that holds the claim, or nil.
 func (a *Attempt) Holder() *messenger.ClaimRow { return a.held }
--- a/router/claim.go
+++ b/router/claim.go
@@ -69,6 +69,12 @@
 	return c
 }
 
+// vote is what one keeper answered; nil is nothing.
+type vote struct {
+	voter int
+	reply *messenger.ClaimReply
+}
+
 // take asks the voters and returns the verdict with the row of the attempt
 // that holds the claim instead.
 func (c *claim) take(ctx context.Context) (claimer.Verdict, *messenger.ClaimRow) {
@@ -80,19 +86,20 @@
 		Holder: c.holder, DeadlineMs: q.deadline.UnixMilli(), Store: q.ticket.store,
 	}
 	a := claimer.NewAttempt(time.Now(), len(c.voters))
-	replies := make(chan *messenger.ClaimReply, len(c.voters))
-	for _, k := range c.voters {
+	replies := make(chan vote, len(c.voters))
+	for i, k := range c.voters {
 		go func() {
 			reply, err := resend(ctx, func(ctx context.Context) (*messenger.ClaimReply, error) { return k.Claim(ctx, ask) })
 			if err != nil {
 				reply = nil
 			}
-			replies <- reply
+			replies <- vote{voter: i, reply: reply}
 		}()
 	}
 	v := claimer.Undecided
 	for range c.voters {
-		if v = a.Step(time.Now(), <-replies); v != claimer.Pending {
+		x := <-replies
+		if v = a.Step(time.Now(), x.voter, x.reply); v != claimer.Pending {
 			break
 		}
 	}
