A keeper's new disk takes the others' word over releases it was sent

Symptom: fuzzer, world 13461 of 60,000: a done request was granted again. Cause: the copy passed over ids of which the new disk had a row already. Change: a copied row replaces a release; test with the sequence.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -354,3 +354,26 @@
 	w.restart(0)
 	g.Expect(w.disks[0].core.Len()).To(gomega.Equal(2))
 }
+
+// TestNewDiskTakesOthersWord
+// Symptom: a request that is done is granted again and called "not run".
+// Sequence: two of three keepers have it done; one of them loses its disk; a
+// later attempt fails and its release reaches the new disk; the disk copies
+// the others and grants a further attempt. World 13461 of the fuzzer.
+// Cause: the copy passed over ids of which the new disk had a row, and the row
+// was no more than that release.
+func TestNewDiskTakesOthersWord(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(none)
+	row := &messenger.ClaimRow{Workspace: "w", RequestId: "id", Digest: []byte("d"), Holder: &messenger.Holder{Router: "r", Attempt: 2}, State: messenger.ClaimState_CLAIM_STATE_DONE}
+	d := w.newDisk(1, 1)
+	d.apply(d.core.Step(w.now, claimer.Settle{Request: &messenger.SettleRequest{
+		Workspace: "w", RequestId: "id", Holder: &messenger.Holder{Router: "r", Attempt: 3}, State: messenger.ClaimState_CLAIM_STATE_RELEASED,
+	}}))
+	d.apply(d.core.Step(w.now, claimer.Open{Rows: []*messenger.ClaimRow{row}}))
+	r := d.apply(d.core.Step(w.now, claimer.Claim{Request: &messenger.ClaimRequest{
+		Workspace: "w", RequestId: "id", Digest: []byte("d"), Holder: &messenger.Holder{Router: "r", Attempt: 4},
+	}})).(*messenger.ClaimReply)
+	g.Expect(r.Verdict).To(gomega.Equal(messenger.ClaimVerdict_CLAIM_VERDICT_HELD))
+	g.Expect(r.Row.State).To(gomega.Equal(messenger.ClaimState_CLAIM_STATE_DONE))
+}
--- a/claimer/core.go
+++ b/claimer/core.go
@@ -253,7 +253,7 @@
 func (c *Core) openWith(now time.Time, o Open) []Action {
 	var out []Action
 	for _, r := range o.Rows {
-		if r.State == messenger.ClaimState_CLAIM_STATE_RELEASED || c.row(r.Workspace, r.RequestId) != nil {
+		if r.State == messenger.ClaimState_CLAIM_STATE_RELEASED || c.knowsBetter(r) {
 			continue
 		}
 		row := proto.Clone(r).(*messenger.ClaimRow)
@@ -270,6 +270,14 @@
 		Reply{})
 }
 
+// knowsBetter reports whether the row here says more than a copied one. A
+// release does not: it came after the disk was new, from an attempt that may
+// have found the request done elsewhere.
+func (c *Core) knowsBetter(r *messenger.ClaimRow) bool {
+	old := c.row(r.Workspace, r.RequestId)
+	return old != nil && rank(old.State) >= rank(r.State) && old.State != messenger.ClaimState_CLAIM_STATE_RELEASED
+}
+
 func (c *Core) tick(now time.Time) []Action {
 	var out []Action
 	oldest := now.Add(-Horizon).UnixMilli()
