--- /dev/null
+++ b/router/stream_test.go
@@ -0,0 +1,194 @@
+package router
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/joiner"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+const (
+	ownID   = `"id":"w/a"`
+	chatID  = `"id":"chatcmpl-1"`
+	otherID = `"id":"w/b"`
+)
+
+func piece(id string, offset int, text string) string {
+	return fmt.Sprintf(`{%s,"offset":%d,"choices":[{"index":0,"delta":{"content":%q}}]}`, id, offset, text)
+}
+
+func plainPiece(id, text string) string {
+	return fmt.Sprintf(`{%s,"choices":[{"index":0,"delta":{"content":%q}}]}`, id, text)
+}
+
+func markOf(id, text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return fmt.Sprintf(`{%s,"offset":%d,"choices":[{"index":0,"delta":{},"finish_reason":"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":2},"length":%d,"digest":%q}`,
+		id, len(text), len(text), hex.EncodeToString(sum[:]))
+}
+
+const (
+	finish = `{` + chatID + `,"choices":[{"index":0,"delta":{},"finish_reason":"length"}]}`
+	tokens = `{` + chatID + `,"choices":[],"usage":{"prompt_tokens":3,"completion_tokens":2}}`
+)
+
+// TestWholeIsToldFromFragment
+// Symptom: a fragment, a doubled piece or a piece of another's answer passes
+// as whole.
+// Sequence: each case is one connection of an engine, in events.
+// Cause it guards against: an end, an offset or an id that is taken on trust.
+func TestWholeIsToldFromFragment(t *testing.T) {
+	first, second := piece(ownID, 0, "roof "), piece(ownID, 5, "beam")
+	whole := "roof beam"
+	for name, c := range map[string]struct {
+		events []string
+		want   error
+	}{
+		"marked, whole":                {[]string{first, second, markOf(ownID, whole), doneEvent}, nil},
+		"marked, connection lost late": {[]string{first, second, markOf(ownID, whole)}, nil},
+		"marked, short":                {[]string{first, markOf(ownID, whole), doneEvent}, ErrFragment},
+		"marked, without its mark":     {[]string{first, second, doneEvent}, ErrFragment},
+		"marked, cut":                  {[]string{first}, ErrFragment},
+		"marked, doubled piece":        {[]string{first, first, second, markOf(ownID, whole)}, ErrFragment},
+		"marked, lost piece":           {[]string{second, markOf(ownID, whole)}, ErrFragment},
+		"marked, wrong digest":         {[]string{first, second, markOf(ownID, "roof tile")}, ErrFragment},
+		"marked, text after the mark":  {[]string{first, second, markOf(ownID, whole), piece(ownID, 9, "x")}, ErrFragment},
+		"marked, crossed":              {[]string{piece(otherID, 0, "roof ")}, ErrCrossed},
+		"marked, crossed piece":        {[]string{first, piece(otherID, 5, "beam")}, ErrCrossed},
+		"marked, crossed mark":         {[]string{first, second, markOf(otherID, whole)}, ErrCrossed},
+		"marked, piece without offset": {[]string{first, plainPiece(ownID, "beam")}, ErrFragment},
+		"engine's error":               {[]string{first, `{"error":{"message":"out of memory"}}`}, ErrEngine},
+		"nothing":                      {nil, ErrFragment},
+		"not JSON":                     {[]string{"roof"}, ErrFragment},
+		"ordinary, whole":              {[]string{plainPiece(chatID, whole), finish, tokens, doneEvent}, nil},
+		"ordinary, without usage":      {[]string{plainPiece(chatID, whole), finish, doneEvent}, ErrFragment},
+		"ordinary, without finish":     {[]string{plainPiece(chatID, whole), tokens, doneEvent}, ErrFragment},
+		"ordinary, without last event": {[]string{plainPiece(chatID, whole), finish, tokens}, ErrFragment},
+		"ordinary, crossed piece":      {[]string{plainPiece(chatID, "roof "), plainPiece(otherID, "beam"), finish, tokens, doneEvent}, ErrCrossed},
+		"ordinary, text after finish":  {[]string{finish, plainPiece(chatID, whole), tokens, doneEvent}, ErrFragment},
+		"ordinary, after the end":      {[]string{plainPiece(chatID, whole), finish, tokens, doneEvent, plainPiece(chatID, "x")}, ErrFragment},
+		"two choices":                  {[]string{`{` + ownID + `,"offset":0,"choices":[{"index":1,"delta":{"content":"x"}}]}`}, ErrUnsupported},
+		"tool calls":                   {[]string{`{` + ownID + `,"offset":0,"choices":[{"index":0,"delta":{"tool_calls":[{"id":"x"}]}}]}`}, ErrUnsupported},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			a, run := testAssembler()
+			err := a.read(strings.NewReader("data: " + strings.Join(c.events, "\n\ndata: ") + "\n\n"))
+			if c.want != nil {
+				g.Expect(err).To(gomega.MatchError(c.want))
+				return
+			}
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(a.answer.Length).To(gomega.Equal(int64(len(whole))))
+			g.Expect(run.Length()).To(gomega.Equal(int64(len(whole))))
+			g.Expect(a.answer.AnswerTokens).To(gomega.Equal(int64(2)))
+		})
+	}
+}
+
+func testAssembler() (*assembler, *joiner.Run) {
+	k := rattanhoist.NewRequestKey("w", "a")
+	run, _, _ := joiner.New(joiner.Limits{MaxBytes: 1 << 20}).Arrive(time.Now(), joiner.Arrive{Key: k, Deadline: time.Now().Add(time.Minute)})
+	return newAssembler(&request{key: k}, run), run
+}
+
+// recorder is a sink that keeps what it gets.
+type recorder struct {
+	text  string
+	whole bool
+	live  bool
+}
+
+func (r *recorder) begin(joiner.Stream) error {
+	r.text = ""
+	return nil
+}
+
+func (r *recorder) chunk(_ int64, text []byte) error {
+	r.text += string(text)
+	return nil
+}
+
+func (r *recorder) complete(*joiner.Answer) error {
+	r.whole = true
+	return nil
+}
+
+func (*recorder) fail(*Problem)    {}
+func (r *recorder) streamed() bool { return r.live }
+
+// TestBytesOfTwoRunsNeverMix
+// Symptom: an answer is pieced together from two runs, or has a piece twice.
+// Sequence: the home is lost after five bytes; the next sends the answer from
+// the start, of the same stream, of another one, or with a gap.
+// Cause it guards against: joining at an offset without asking whose.
+func TestBytesOfTwoRunsNeverMix(t *testing.T) {
+	one, two := joiner.Stream{ID: "1", Endpoint: "e"}, joiner.Stream{ID: "2", Endpoint: "e"}
+	start := func(live bool) (*feed, *recorder) {
+		r := &recorder{live: live}
+		f := &feed{sink: r}
+		gomega.NewWithT(t).Expect(f.begin(one)).To(gomega.Succeed())
+		gomega.NewWithT(t).Expect(f.chunk(0, []byte("roof "))).To(gomega.Succeed())
+		return f, r
+	}
+	g := gomega.NewWithT(t)
+	f, r := start(true)
+	g.Expect(f.begin(one)).To(gomega.Succeed())
+	g.Expect(f.chunk(0, []byte("roof be"))).To(gomega.Succeed())
+	g.Expect(f.complete(&joiner.Answer{Length: 9})).To(gomega.MatchError(ErrFragment))
+	g.Expect(f.chunk(7, []byte("am"))).To(gomega.Succeed())
+	g.Expect(f.complete(&joiner.Answer{Length: 9})).To(gomega.Succeed())
+	g.Expect(r.text).To(gomega.Equal("roof beam"))
+	f, _ = start(true)
+	g.Expect(f.begin(two)).To(gomega.MatchError(joiner.ErrPassed))
+	f, _ = start(true)
+	g.Expect(f.begin(joiner.Stream{})).To(gomega.MatchError(joiner.ErrPassed))
+	f, _ = start(true)
+	g.Expect(f.chunk(6, []byte("x"))).To(gomega.MatchError(ErrFragment))
+	f, r = start(false)
+	g.Expect(f.begin(two)).To(gomega.Succeed())
+	g.Expect(f.chunk(0, []byte("tile"))).To(gomega.Succeed())
+	g.Expect(f.complete(&joiner.Answer{Length: 4})).To(gomega.Succeed())
+	g.Expect(r.text).To(gomega.Equal("tile"))
+}
+
+// TestDigestTellsRequestsApart
+// Symptom: an id that is used again for another request gets the first one's
+// answer.
+// Sequence: requests that differ in one part, or in where a part ends.
+// Cause it guards against: a digest over parts that run into each other.
+func TestDigestTellsRequestsApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	base := func() *request {
+		return &request{
+			service: &messenger.Service{Name: "desk"}, method: "POST", path: "/a", query: "b=c", body: []byte("d"),
+			header: map[string][]string{"Accept": {"x", "y"}, "Content-Type": {"z"}},
+		}
+	}
+	same := base()
+	same.header = map[string][]string{"Content-Type": {"z"}, "Accept": {"y", "x"}}
+	g.Expect(digestOf(same)).To(gomega.Equal(digestOf(base())))
+	seen := map[joiner.Digest]bool{digestOf(base()): true}
+	for _, change := range []func(*request){
+		func(q *request) { q.service = &messenger.Service{Name: "desk2"} },
+		func(q *request) { q.method = "PUT" },
+		func(q *request) { q.path, q.query = "/ab", "=c" },
+		func(q *request) { q.query, q.body = "b=", []byte("cd") },
+		func(q *request) { q.body = []byte("e") },
+		func(q *request) { q.repeatable = true },
+		func(q *request) { q.header["Accept"] = []string{"xy"} },
+	} {
+		q := base()
+		change(q)
+		g.Expect(seen[digestOf(q)]).To(gomega.BeFalse())
+		seen[digestOf(q)] = true
+	}
+}
