--- a/router/beat.go
+++ b/router/beat.go
@@ -117,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, beatEvery)
 	defer cancel()
 	reply, err := x.client.Beat(ctx, &messenger.BeatRequest{
-		Router: r.self.Name(), Incarnation: uint64(r.money.incarnation), Draining: r.gate.closed.Load(), Records: batch,
+		Router: r.self.Name(), Incarnation: uint64(r.incarnation), Draining: r.gate.closed.Load(), Records: batch,
 	})
 	if err != nil {
 		return false
@@ -153,5 +153,5 @@
 			expires: now.Add(time.Duration(m.TimeoutMs)*time.Millisecond + r.settings.Policy().KeepAnswer()),
 		})
 	}
-	return &messenger.BeatReply{Incarnation: uint64(r.money.incarnation), Draining: r.gate.closed.Load()}, nil
+	return &messenger.BeatReply{Incarnation: uint64(r.incarnation), Draining: r.gate.closed.Load()}, nil
 }
--- a/router/claim.go
+++ b/router/claim.go
@@ -55,7 +55,7 @@
 // that its ticket names, or all of them.
 func (r *Router) newClaim(q *request) *claim {
 	c := &claim{request: q, holder: &messenger.Holder{
-		Router: r.self.Name(), Incarnation: uint64(r.money.incarnation), Attempt: r.attempts.Add(1),
+		Router: r.self.Name(), Incarnation: uint64(r.incarnation), Attempt: r.attempts.Add(1),
 	}}
 	if q.ticket.zone != "" {
 		if k := r.claims[zoneKeeper(r.settings, q.ticket.zone).Name()]; k != nil {
--- a/router/engine_stream.go
+++ b/router/engine_stream.go
@@ -75,12 +75,12 @@
 	finished, whole bool
 	// Closed says that nothing may follow.
 	closed bool
-	// Progress is called at every event.
-	progress func()
+	// Progress is called at every event, begun at every text.
+	progress, begun func()
 }
 
 func newAssembler(q *request, run *joiner.Run) *assembler {
-	return &assembler{key: q.key.String(), run: run, digest: sha256.New(), progress: func() {}}
+	return &assembler{key: q.key.String(), run: run, digest: sha256.New(), progress: func() {}, begun: func() {}}
 }
 
 // read takes one connection's events until it ends.
@@ -184,6 +184,7 @@
 	if a.finished || offset != nil && *offset != a.answer.Length {
 		return ErrFragment
 	}
+	a.begun()
 	if err := a.run.Append(a.answer.Length, text); err != nil {
 		return err
 	}
--- a/router/header.go
+++ b/router/header.go
@@ -42,7 +42,7 @@
 		d.Write(n[:])
 		d.Write(b)
 	}
-	for _, s := range []string{q.service.Name, q.method, q.path, q.query} {
+	for _, s := range []string{q.service.Name, q.method, q.path, q.rawQuery} {
 		part([]byte(s))
 	}
 	if q.repeatable {
--- a/router/problem.go
+++ b/router/problem.go
@@ -88,6 +88,15 @@
 // retrySoon is when to come back after a refusal that a repair may lift.
 const retrySoon = time.Second
 
+// retryAfter returns when an error says to come back.
+func retryAfter(err error) time.Duration {
+	var t interface{ RetryAfter() time.Duration }
+	if errors.As(err, &t) {
+		return t.RetryAfter()
+	}
+	return retrySoon
+}
+
 // problemOf turns an error into its refusal.
 func problemOf(err error) *Problem {
 	var p *Problem
@@ -111,7 +120,7 @@
 	case errors.Is(err, context.DeadlineExceeded):
 		return &Problem{Status: http.StatusGatewayTimeout, Code: CodeDeadline, Outcome: Unknown, Detail: "the deadline has passed", After: retrySoon}
 	case errors.Is(err, rattanhoist.ErrBudgetOutOfReach):
-		return &Problem{Status: http.StatusServiceUnavailable, Code: CodeBudgetOutOfReach, Outcome: NotRun, Detail: err.Error(), After: retrySoon}
+		return &Problem{Status: http.StatusServiceUnavailable, Code: CodeBudgetOutOfReach, Outcome: NotRun, Detail: err.Error(), After: retryAfter(err)}
 	default:
 		return &Problem{Status: http.StatusBadGateway, Code: CodeEndpointFailed, Outcome: Unknown, Detail: err.Error(), After: retrySoon}
 	}
--- a/router/relay.go
+++ b/router/relay.go
@@ -129,7 +129,7 @@
 func askOf(q *request, joinOnly bool) *messenger.AnswerRequest {
 	return &messenger.AnswerRequest{
 		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Digest: q.digest[:],
-		Service: q.service.Name, Method: q.method, Path: q.path, Query: q.query,
+		Service: q.service.Name, Method: q.method, Path: q.path, Query: q.rawQuery,
 		Headers: fieldsOf(q.header), Body: q.body, MaxAnswerTokens: q.maxAnswer, WorstTokens: int64(q.worst),
 		Repeatable: q.repeatable, Priority: int32(q.priority), Prefix: q.prefix,
 		TimeoutMs: (time.Until(q.deadline) - deadlineMargin).Milliseconds(),
@@ -155,7 +155,7 @@
 	}
 	return &request{
 		key: rattanhoist.NewRequestKey(a.Workspace, a.RequestId), workspace: workspace, service: service,
-		digest: joiner.Digest(a.Digest), method: a.Method, path: a.Path, query: a.Query,
+		digest: joiner.Digest(a.Digest), method: a.Method, path: a.Path, rawQuery: a.Query,
 		header: headerOf(a.Headers), body: a.Body, maxAnswer: a.MaxAnswerTokens, worst: rattanhoist.Tokens(a.WorstTokens),
 		streamed: a.Streamed, repeatable: a.Repeatable, priority: int(a.Priority), prefix: a.Prefix,
 		deadline: time.Now().Add(time.Duration(a.TimeoutMs) * time.Millisecond),
--- a/router/request.go
+++ b/router/request.go
@@ -51,9 +51,9 @@
 	workspace *messenger.Workspace
 	service   *messenger.Service
 	body      []byte
-	// Method, path (as escaped), query and header are what the endpoint gets.
-	method, path, query string
-	header              http.Header
+	// Method, path (as escaped), raw query and header are what the endpoint gets.
+	method, path, rawQuery string
+	header                 http.Header
 	// Digest sums up what the request asks for.
 	digest joiner.Digest
 	// OwnID says that the id was made here, so that there was no earlier
@@ -160,7 +160,7 @@
 	if err != nil || q.service.Kind != messenger.ServiceKind_SERVICE_KIND_PLAIN {
 		return nil, &Problem{Status: http.StatusNotFound, Code: CodeUnknownService, Field: "path", Outcome: NotRun, Detail: "no plain service is named " + strconv.Quote(service)}
 	}
-	q.method, q.path, q.query = r.Method, path, r.URL.RawQuery
+	q.method, q.path, q.rawQuery = r.Method, path, r.URL.RawQuery
 	q.header = only(r.Header, requestHeaders)
 	q.worst = rattanhoist.Tokens(q.service.CallPrice)
 	return q, p.finish(r, q)
--- a/router/router.go
+++ b/router/router.go
@@ -21,8 +21,10 @@
 	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/picker"
 	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/tracker"
+	"rattanhoist.example/rattanhoist/treasurer"
 )
 
 // States and events of a router's life.
@@ -44,7 +46,8 @@
 	// drainNotice is how long a draining router still answers that it is
 	// draining, so that balancers and callers learn it without a lost
 	// connection.
-	drainNotice = time.Second
+	drainNotice    = time.Second
+	forgetEndpoint = 10 * time.Minute
 )
 
 // Router is one router process.
@@ -55,13 +58,18 @@
 	life     *fsm.FSM
 	snapshot atomic.Pointer[configurer.Snapshot]
 	tracker  *tracker.Tracker
-	money    *treasurer
+	gossip   *gossiper
+	money    *treasurer.Treasurer
 	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
 	// Pickers maps plug-in names to *picker.Picker instances.
 	pickers sync.Map
-	// InFlight maps endpoint names to *atomic.Int64.
-	inFlight sync.Map
+	// Ledger is what this router has learned of endpoints, from ledgerBase on.
+	ledger     *picker.Ledger
+	ledgerBase time.Time
+	grants     atomic.Pointer[grants]
+	// Limiters maps service names to *limiter.
+	limiters sync.Map
 	server   *http.Server
 	dialer   *messenger.Dialer
 	peerRPC  *grpc.Server
@@ -69,6 +77,8 @@
 	records  records
 	joiner   *joiner.Joiner
 	claims   claimKeepers
+	// Incarnation tells the starts of this process apart in claims.
+	incarnation rattanhoist.Incarnation
 	// Attempts counts the claims that this incarnation has asked for.
 	attempts atomic.Uint64
 	// Gate counts requests and runs in progress; it closes to drain.
@@ -82,33 +92,42 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	money, closeMoney, err := newTreasurer(s, self, d, conn, log)
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, err
+	}
 	homes, closeHomes, err := newHomes(s, self, d)
 	if err != nil {
+		closeMoney()
 		_ = conn.Close()
 		return nil, nil, err
 	}
 	claims, closeClaims, err := newClaimKeepers(s, d)
 	if err != nil {
 		closeHomes()
+		closeMoney()
 		_ = conn.Close()
 		return nil, nil, err
 	}
 	r := &Router{
-		homes: homes, claims: claims,
+		homes: homes, claims: claims, incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
 		joiner:   joiner.New(joiner.Limits{Grace: retryGrace, Keep: s.Policy().KeepAnswer(), MaxBytes: maxKeptBytes}),
-		settings: s, self: self, log: log, dialer: d,
+		settings: s, self: self, log: log, dialer: d, money: money,
 		peerRPC: messenger.NewServer(messenger.Keys{messenger.RoleMember: s.DeploymentKey()}),
-		tracker: tracker.New(s.Policy().EndpointMaxAge()),
-		money:   newTreasurer(self, conn),
+		tracker: newTracker(s, self),
 		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: newEngines(),
 	}
+	r.ledgerBase = time.Now()
+	r.ledger = picker.NewLedger(r.ledgerBase)
 	r.life = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventReady, Src: []string{stateStarting}, Dst: stateReady},
 		{Name: eventDrain, Src: []string{stateStarting, stateReady}, Dst: stateDraining},
 	}, fsm.Callbacks{"enter_state": func(_ context.Context, e *fsm.Event) {
 		log.Info("state changed", zap.String("from", e.Src), zap.String("to", e.Dst))
 	}})
+	r.gossip = newGossiper(r)
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
 	messenger.RegisterHomeRouterServer(r.peerRPC, &homeServer{router: r})
 	r.server = &http.Server{
@@ -118,6 +137,8 @@
 	return r, func() {
 		closeHomes()
 		closeClaims()
+		r.gossip.close()
+		closeMoney()
 		_ = conn.Close()
 	}, nil
 }
@@ -133,13 +154,6 @@
 	}
 }
 
-func newTreasurer(self loader.Process, conn *grpc.ClientConn) *treasurer {
-	return &treasurer{
-		router: self.Name(), incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
-		keeper: messenger.NewBudgetKeeperClient(conn),
-	}
-}
-
 // zoneKeeper returns the keeper of a zone; checked settings have one.
 func zoneKeeper(s *loader.Settings, zone string) loader.Process {
 	for _, p := range s.Processes(loader.KindKeeper) {
@@ -169,6 +183,7 @@
 	for _, x := range r.homes.zone {
 		go r.beat(background, x)
 	}
+	go r.gossip.run(background)
 	go func() { failed <- r.server.Serve(l) }()
 	select {
 	case err := <-failed:
@@ -208,8 +223,9 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			r.tracker.Expire(time.Now())
 			r.records.expire(time.Now())
+			r.tracker.Expire(rattanhoist.MomentOf(time.Now()))
+			r.ledger.Forget(time.Now(), forgetEndpoint)
 		}
 	}
 }
@@ -240,7 +256,7 @@
 	err := errors.Join(r.gate.wait(ctx), r.server.Shutdown(ctx))
 	give, cancelGive := context.WithTimeout(context.WithoutCancel(ctx), giveBackTimeout)
 	defer cancelGive()
-	r.money.giveBack(give)
+	r.money.GiveBack(give)
 	return err
 }
 
--- a/router/run.go
+++ b/router/run.go
@@ -33,7 +33,7 @@
 var errStalled = errors.New("the stream has stalled")
 
 // runModel runs a request at a model engine, always as a stream.
-func (r *Router) runModel(ctx context.Context, q *request, e *rattanhoist.Endpoint, run *joiner.Run) (*joiner.Answer, error) {
+func (r *Router) runModel(ctx context.Context, q *request, e *rattanhoist.Endpoint, run *joiner.Run, d *sent) (*joiner.Answer, error) {
 	body, err := engineBody(q)
 	if err != nil {
 		return nil, &runError{cause: err, final: true}
@@ -56,6 +56,7 @@
 		r.tell(q, s)
 	}
 	a := newAssembler(q, run)
+	a.begun = d.first
 	err = readWatched(a, resp, q.deadline, cancel)
 	return r.finishModel(ctx, q, e, a, s, err)
 }
@@ -162,8 +163,8 @@
 // dispatch sends a request; an error says whether the endpoint may have it.
 func (r *Router) dispatch(ctx context.Context, q *request, e *rattanhoist.Endpoint, body []byte) (*http.Response, error) {
 	target := "http://" + e.Address() + q.path
-	if q.query != "" {
-		target += "?" + q.query
+	if q.rawQuery != "" {
+		target += "?" + q.rawQuery
 	}
 	h, err := http.NewRequestWithContext(ctx, q.method, target, bytes.NewReader(body))
 	if err != nil {
--- a/router/run_plain.go
+++ b/router/run_plain.go
@@ -16,7 +16,7 @@
 
 // runPlain runs a call at a plain service. Every status is an answer and is
 // passed on; 502, 503 and 504 of a repeatable call are tried elsewhere first.
-func (r *Router) runPlain(ctx context.Context, q *request, e *rattanhoist.Endpoint, run *joiner.Run) (*joiner.Answer, error) {
+func (r *Router) runPlain(ctx context.Context, q *request, e *rattanhoist.Endpoint, run *joiner.Run, _ *sent) (*joiner.Answer, error) {
 	resp, err := r.dispatch(ctx, q, e, q.body)
 	if err != nil {
 		return nil, err
--- a/router/serve.go
+++ b/router/serve.go
@@ -44,24 +44,26 @@
 // paid has f produce an answer under a reservation and bills it. What f
 // generated without a whole answer is not billed.
 func (r *Router) paid(ctx context.Context, q *request, f func() (*joiner.Answer, error)) (*joiner.Answer, error) {
-	p, err := r.money.reserve(ctx, q.key.Workspace(), q.worst)
+	held, err := r.money.Reserve(ctx, q.key.Workspace(), q.worst)
 	if err != nil {
 		return nil, err
 	}
-	var spent rattanhoist.Tokens
-	defer func() { p.slice.Settle(q.worst, spent) }()
+	billed := false
+	defer func() {
+		if !billed {
+			held.Release()
+		}
+	}()
 	a, err := f()
 	if err != nil {
 		return nil, err
 	}
 	cost := min(q.cost(a), q.worst)
-	if cost == 0 && a.Status >= http.StatusInternalServerError {
+	if a.Status >= http.StatusInternalServerError {
 		return a, nil
 	}
-	// The charge may be durable though its answer was lost, so the slice
-	// counts it as spent from here on.
-	spent = cost
-	a.Charged, err = r.money.bill(ctx, &messenger.Charge{
+	billed = true
+	a.Charged, err = held.Charge(ctx, &messenger.Charge{
 		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Tokens: int64(cost),
 		Service: q.service.Name, Endpoint: a.Endpoint,
 		ChargedAtMs: time.Now().UnixMilli(), Zone: r.self.Zone(),
@@ -69,7 +71,6 @@
 	if err != nil {
 		return nil, &Problem{Status: http.StatusServiceUnavailable, Code: CodeBillingFailed, Outcome: Unknown, Detail: "the answer could not be billed: " + err.Error(), After: retrySoon}
 	}
-	spent = a.Charged
 	return a, nil
 }
 
@@ -109,6 +110,9 @@
 		if run.Seen() || ctx.Err() != nil || !errors.As(err, &f) || f.final || f.dispatched && !q.repeatable {
 			return nil, err
 		}
+		if len(tried) < maxTries && !r.mayRetry(ctx, q) {
+			return lastAnswer(run, err)
+		}
 	}
 	return lastAnswer(run, last)
 }
@@ -126,14 +130,13 @@
 	if err := run.Dispatch(); err != nil {
 		return nil, err
 	}
-	n := r.inFlightAt(e.Name())
-	n.Add(1)
-	defer n.Add(-1)
+	d := r.began(q, e)
 	f := r.runModel
 	if q.service.Kind == messenger.ServiceKind_SERVICE_KIND_PLAIN {
 		f = r.runPlain
 	}
-	a, err := f(ctx, q, e, run)
+	a, err := f(ctx, q, e, run, d)
+	d.end(a, err)
 	var x *runError
 	if errors.As(err, &x) && !x.dispatched {
 		run.Undispatch()
--- a/router/stream_test.go
+++ b/router/stream_test.go
@@ -169,7 +169,7 @@
 	g := gomega.NewWithT(t)
 	base := func() *request {
 		return &request{
-			service: &messenger.Service{Name: "desk"}, method: "POST", path: "/a", query: "b=c", body: []byte("d"),
+			service: &messenger.Service{Name: "desk"}, method: "POST", path: "/a", rawQuery: "b=c", body: []byte("d"),
 			header: map[string][]string{"Accept": {"x", "y"}, "Content-Type": {"z"}},
 		}
 	}
@@ -180,8 +180,8 @@
 	for _, change := range []func(*request){
 		func(q *request) { q.service = &messenger.Service{Name: "desk2"} },
 		func(q *request) { q.method = "PUT" },
-		func(q *request) { q.path, q.query = "/ab", "=c" },
-		func(q *request) { q.query, q.body = "b=", []byte("cd") },
+		func(q *request) { q.path, q.rawQuery = "/ab", "=c" },
+		func(q *request) { q.rawQuery, q.body = "b=", []byte("cd") },
 		func(q *request) { q.body = []byte("e") },
 		func(q *request) { q.repeatable = true },
 		func(q *request) { q.header["Accept"] = []string{"xy"} },
