--- a/keeper/claims.go
+++ b/keeper/claims.go
@@ -228,7 +228,7 @@
 	var o claimer.Open
 	old, founded := 0, false
 	for _, p := range s.keeper.peers.list {
-		head, rows, err := rowsOf(ctx, p, store)
+		head, rows, err := claimRowsOf(ctx, p, store)
 		switch {
 		case err != nil:
 		case head.Fresh:
@@ -260,7 +260,7 @@
 	return time.Since(time.Unix(sec, ns)) > claimer.Horizon
 }
 
-func rowsOf(ctx context.Context, p peer, store string) (*messenger.RowsReply, []*messenger.ClaimRow, error) {
+func claimRowsOf(ctx context.Context, p peer, store string) (*messenger.RowsReply, []*messenger.ClaimRow, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyAfter)
 	defer cancel()
 	in, err := messenger.NewClaimKeeperClient(p.conn).Rows(ctx, &messenger.RowsRequest{Store: store})
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -7,7 +7,7 @@
 	// no run has ended for longer, one has to be let in to learn again.
 	learnedValidity = 10 * time.Second
 	// leastShare is the part of the expected time that a lucky run may take.
-	leastShare = 0.8
+	leastShare = 1.0
 )
 
 // Estimate is what this router expects of a request at any endpoint.
@@ -27,7 +27,7 @@
 	if !s.Learned(now, learnedValidity) {
 		return e
 	}
-	x := e.Tokens*s.TokenTime() + float64(q.PromptTokens)*s.PrefillTime()
+	x := e.Tokens*s.TokenTime() + float64(q.PromptTokens)*s.promptTime.value(assumedPrefillTime)
 	e.Service = time.Duration(x * float64(time.Second))
 	e.Least = time.Duration(leastShare * x * float64(time.Second))
 	return e
--- a/router/execute.go
+++ b/router/execute.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rattanhoist.example/rattanhoist/joiner"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
 const (
@@ -46,7 +47,7 @@
 		}
 		if begun {
 			r.gate.follow()
-			go r.execute(q, run)
+			go r.execute(tracer.LinkOf(ctx), q, run)
 		}
 		err = r.wait(ctx, q, run, f)
 		if begun || ctx.Err() != nil || !endedEarly(err) {
@@ -75,10 +76,11 @@
 	return p
 }
 
-// execute produces the answer of a run and ends it.
-func (r *Router) execute(q *request, run *joiner.Run) {
+// execute produces the answer of a run and ends it. Its spans belong to the
+// request that began it.
+func (r *Router) execute(link tracer.Link, q *request, run *joiner.Run) {
 	defer r.gate.leave()
-	a, err := r.obtain(run.Context(), q, run)
+	a, err := r.obtain(link.Resume(run.Context()), q, run)
 	if err != nil {
 		err = truthful(run, err)
 	}
--- a/router/handler.go
+++ b/router/handler.go
@@ -12,17 +12,19 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
 // handler returns the HTTP surface for callers and endpoints.
 func (r *Router) handler() http.Handler {
 	m := http.NewServeMux()
-	callers := alice.New(r.recoverPanic, r.admitReady)
+	callers := alice.New(tracer.Middleware, r.recoverPanic, r.admitReady)
 	m.Handle("POST /v1/chat/completions", callers.ThenFunc(r.chat))
 	m.Handle("POST /v1/tickets", callers.ThenFunc(r.issueTicket))
 	m.Handle("/v1/services/{service}/{path...}", callers.ThenFunc(r.plain))
 	m.Handle("POST /v1/endpoints", alice.New(r.recoverPanic, r.endpointKey).ThenFunc(r.announce))
 	m.HandleFunc("GET /healthz", r.health)
+	m.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("alive\n")) })
 	return m
 }
 
@@ -49,6 +51,8 @@
 			return
 		}
 		defer r.gate.leave()
+		activeRequests.Add(1)
+		defer activeRequests.Add(-1)
 		if r.snapshot.Load() == nil {
 			refuseUnread(&Problem{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Outcome: NotRun, Detail: "this router does not know the configuration yet", After: retrySoon}, w, q)
 			return
@@ -145,7 +149,10 @@
 func (r *Router) answer(ctx context.Context, q *request, s sink) {
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	if err := r.answerVia(ctx, q, &feed{sink: s}); err != nil {
+	began := time.Now()
+	err := r.answerVia(ctx, q, &feed{sink: s})
+	r.recordEnd(q, began, err)
+	if err != nil {
 		p := *problemOf(err)
 		p.RequestID = q.key.RequestID()
 		s.fail(&p)
--- a/router/request.go
+++ b/router/request.go
@@ -41,8 +41,8 @@
 	MaxTokens *int64 `json:"max_tokens"`
 	// MaxCompletionTokens is the newer name of MaxTokens.
 	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
-	N                   *int64          `json:"n"`
 	Messages            json.RawMessage `json:"messages"`
+	N                   *int64          `json:"n"`
 }
 
 // request is one parsed request; immutable after parsing.
@@ -95,8 +95,8 @@
 		return nil, err
 	}
 	var b chatBody
-	if err := json.Unmarshal(q.body, &b); err != nil {
-		return nil, badField("body", "malformed JSON: "+err.Error())
+	if err := decodeChat(q.body, &b); err != nil {
+		return nil, err
 	}
 	if b.Model == "" {
 		return nil, badField("model", "missing")
@@ -109,9 +109,6 @@
 		return nil, &Problem{Status: http.StatusNotFound, Code: CodeUnknownModel, Field: "model", Outcome: NotRun, Detail: "no service has the model " + strconv.Quote(b.Model)}
 	}
 	q.streamed = b.Stream
-	if b.N != nil && *b.N != 1 {
-		return nil, badField("n", "want 1: one answer for each request")
-	}
 	if err := q.bound(b); err != nil {
 		return nil, err
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -22,6 +22,7 @@
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/picker"
+	"rattanhoist.example/rattanhoist/recorder"
 	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/tracker"
 	"rattanhoist.example/rattanhoist/treasurer"
@@ -62,6 +63,9 @@
 	money    *treasurer.Treasurer
 	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
+	// KeeperConn is the connection to the zone's keeper.
+	keeperConn *grpc.ClientConn
+	decisions  decisionRecorder
 	// Pickers maps plug-in names to *picker.Picker instances.
 	pickers sync.Map
 	// Ledger is what this router has learned of endpoints, from ledgerBase on.
@@ -81,13 +85,16 @@
 	incarnation rattanhoist.Incarnation
 	// Attempts counts the claims that this incarnation has asked for.
 	attempts atomic.Uint64
+	// Handover ends when the operator will not wait for rights to go back.
+	handover context.Context
+	hurry    context.CancelFunc
 	// Gate counts requests and runs in progress; it closes to drain.
 	gate gate
 }
 
 // New returns a router; the returned function releases what New took.
 func New(s *loader.Settings, self loader.Process, log *zap.Logger) (*Router, func(), error) {
-	d := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey())
+	d := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey(), messenger.WithTLS(s.TLS()))
 	conn, err := d.Dial(zoneKeeper(s, self.Zone()).RPC())
 	if err != nil {
 		return nil, nil, err
@@ -114,7 +121,11 @@
 		homes: homes, claims: claims, incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
 		joiner:   joiner.New(joiner.Limits{Grace: retryGrace, Keep: s.Policy().KeepAnswer(), MaxBytes: maxKeptBytes}),
 		settings: s, self: self, log: log, dialer: d, money: money,
-		peerRPC: messenger.NewServer(messenger.Keys{messenger.RoleMember: s.DeploymentKey()}),
+		peerRPC: messenger.NewServer(messenger.Keys{
+			messenger.RoleMember:   s.DeploymentKey(),
+			messenger.RoleOperator: s.OperatorKey(),
+		}, messenger.WithTLS(s.TLS())),
+		keeperConn: conn, decisions: recorder.New(recordedRequests),
 		tracker: newTracker(s, self),
 		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: newEngines(),
@@ -130,6 +141,9 @@
 	r.gossip = newGossiper(r)
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
 	messenger.RegisterHomeRouterServer(r.peerRPC, &homeServer{router: r})
+	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
+	publishCounters()
+	r.handover, r.hurry = context.WithCancel(context.Background())
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
@@ -183,6 +197,7 @@
 	for _, x := range r.homes.zone {
 		go r.beat(background, x)
 	}
+	go r.watchKeeper(background)
 	go r.gossip.run(background)
 	go func() { failed <- r.server.Serve(l) }()
 	select {
@@ -204,7 +219,7 @@
 		<-ctx.Done()
 		r.peerRPC.Stop()
 	}()
-	return reporter.Serve(ctx, r.self.Debug(), faultCutter(r.settings, r.dialer), r.log)
+	return reporter.Serve(ctx, r.self.Debug(), faultCutter(r.settings, r.dialer), &operationsServer{router: r}, r.log)
 }
 
 // faultCutter returns the cutter only where the settings open the fault port.
@@ -244,6 +259,10 @@
 	}
 }
 
+// Hurry stops waiting for rights to go back; requests in progress go on. The
+// rights that stay out return once the incarnation is fenced.
+func (r *Router) Hurry() { r.hurry() }
+
 // drain refuses what is new, also from siblings, and ends once every request
 // and run in progress has its answer. The listener stays open until then, so
 // that a refusal reaches its caller.
@@ -254,7 +273,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Policy().DrainTimeout())
 	defer cancel()
 	err := errors.Join(r.gate.wait(ctx), r.server.Shutdown(ctx))
-	give, cancelGive := context.WithTimeout(context.WithoutCancel(ctx), giveBackTimeout)
+	give, cancelGive := context.WithTimeout(r.handover, giveBackTimeout)
 	defer cancelGive()
 	r.money.GiveBack(give)
 	return err
--- a/router/run.go
+++ b/router/run.go
@@ -13,6 +13,7 @@
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/joiner"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
 const (
@@ -174,6 +175,7 @@
 		h.Header[name] = values
 	}
 	h.Header.Set(headerRequestID, q.key.String())
+	tracer.Inject(ctx, h.Header)
 	h.Header.Set(headerPriority, strconv.Itoa(q.priority))
 	// A Go client resends some requests by itself when a kept connection
 	// turns out closed; without a replayable body it can't run one twice.
--- a/router/serve.go
+++ b/router/serve.go
@@ -33,7 +33,7 @@
 // serve reserves the worst case, runs the request and bills the true count;
 // the answer is complete only then.
 func (r *Router) serve(ctx context.Context, q *request, run *joiner.Run) (*joiner.Answer, error) {
-	release, err := r.admit(ctx, q)
+	release, err := r.admitTraced(ctx, q)
 	if err != nil {
 		return nil, err
 	}
@@ -44,7 +44,7 @@
 // paid has f produce an answer under a reservation and bills it. What f
 // generated without a whole answer is not billed.
 func (r *Router) paid(ctx context.Context, q *request, f func() (*joiner.Answer, error)) (*joiner.Answer, error) {
-	held, err := r.money.Reserve(ctx, q.key.Workspace(), q.worst)
+	held, err := r.reserveTraced(ctx, q)
 	if err != nil {
 		return nil, err
 	}
@@ -63,7 +63,7 @@
 		return a, nil
 	}
 	billed = true
-	a.Charged, err = held.Charge(ctx, &messenger.Charge{
+	a.Charged, err = r.billTraced(ctx, q, held, &messenger.Charge{
 		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Tokens: int64(cost),
 		Service: q.service.Name, Endpoint: a.Endpoint,
 		ChargedAtMs: time.Now().UnixMilli(), Zone: r.self.Zone(),
@@ -93,7 +93,7 @@
 	tried := map[string]bool{}
 	var last error
 	for len(tried) < maxTries {
-		e, err := r.pick(q, tried)
+		e, err := r.pick(ctx, q, tried)
 		if err != nil && last != nil {
 			return lastAnswer(run, last)
 		}
@@ -135,7 +135,7 @@
 	if q.service.Kind == messenger.ServiceKind_SERVICE_KIND_PLAIN {
 		f = r.runPlain
 	}
-	a, err := f(ctx, q, e, run, d)
+	a, err := r.runTraced(ctx, q, e, func(ctx context.Context) (*joiner.Answer, error) { return f(ctx, q, e, run, d) })
 	d.end(a, err)
 	var x *runError
 	if errors.As(err, &x) && !x.dispatched {
--- a/router/stream_test.go
+++ b/router/stream_test.go
@@ -100,30 +100,30 @@
 	return newAssembler(&request{key: k}, run), run
 }
 
-// recorder is a sink that keeps what it gets.
-type recorder struct {
+// keepSink is a sink that keeps what it gets.
+type keepSink struct {
 	text  string
 	whole bool
 	live  bool
 }
 
-func (r *recorder) begin(joiner.Stream) error {
+func (r *keepSink) begin(joiner.Stream) error {
 	r.text = ""
 	return nil
 }
 
-func (r *recorder) chunk(_ int64, text []byte) error {
+func (r *keepSink) chunk(_ int64, text []byte) error {
 	r.text += string(text)
 	return nil
 }
 
-func (r *recorder) complete(*joiner.Answer) error {
+func (r *keepSink) complete(*joiner.Answer) error {
 	r.whole = true
 	return nil
 }
 
-func (*recorder) fail(*Problem)    {}
-func (r *recorder) streamed() bool { return r.live }
+func (*keepSink) fail(*Problem)    {}
+func (r *keepSink) streamed() bool { return r.live }
 
 // TestBytesOfTwoRunsNeverMix
 // Symptom: an answer is pieced together from two runs, or has a piece twice.
@@ -132,8 +132,8 @@
 // Cause it guards against: joining at an offset without asking whose.
 func TestBytesOfTwoRunsNeverMix(t *testing.T) {
 	one, two := joiner.Stream{ID: "1", Endpoint: "e"}, joiner.Stream{ID: "2", Endpoint: "e"}
-	start := func(live bool) (*feed, *recorder) {
-		r := &recorder{live: live}
+	start := func(live bool) (*feed, *keepSink) {
+		r := &keepSink{live: live}
 		f := &feed{sink: r}
 		gomega.NewWithT(t).Expect(f.begin(one)).To(gomega.Succeed())
 		gomega.NewWithT(t).Expect(f.chunk(0, []byte("roof "))).To(gomega.Succeed())
