--- a/router/choose.go
+++ b/router/choose.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/picker"
 	"rattanhoist.example/rattanhoist/recorder"
 	"rattanhoist.example/rattanhoist/tracer"
@@ -96,10 +97,10 @@
 
 // end notes how the run ended. A caller that left or a deadline that passed
 // is no fault of the endpoint's.
-func (s *sent) end(res *result, err error) {
+func (s *sent) end(a *joiner.Answer, err error) {
 	var answerTokens int64
-	if res != nil {
-		answerTokens = res.answerTokens
+	if a != nil {
+		answerTokens = a.AnswerTokens
 	}
 	gone := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 	s.run.End(time.Now(), picker.Outcome{
--- a/router/hops.go
+++ b/router/hops.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/recorder"
 	"rattanhoist.example/rattanhoist/tracer"
@@ -44,16 +45,16 @@
 	return held, err
 }
 
-func (r *Router) runTraced(ctx context.Context, q *request, e *rattanhoist.Endpoint, s sink, run runFunc) (*result, error) {
+func (r *Router) runTraced(ctx context.Context, q *request, e *rattanhoist.Endpoint, run func(context.Context) (*joiner.Answer, error)) (*joiner.Answer, error) {
 	ctx, span := tracer.Begin(ctx, tracer.HopDispatch)
 	span.Set("endpoint", e.Name())
 	r.record(q, recorder.Decision{Kind: recorder.Dispatched, Endpoint: e.Name()})
-	res, err := run(ctx, q, e, s)
+	a, err := run(ctx)
 	span.End(err)
 	if err != nil {
 		r.recordFailure(q, e, err)
 	}
-	return res, err
+	return a, err
 }
 
 func (r *Router) billTraced(ctx context.Context, q *request, held treasurer.Reservation, c *messenger.Charge) (rattanhoist.Tokens, error) {
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/configurer"
+	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/picker"
@@ -42,7 +43,12 @@
 	idleTimeout       = 2 * time.Minute
 	expireEvery       = time.Second
 	giveBackTimeout   = 3 * time.Second
-	forgetEndpoint    = 10 * time.Minute
+	idlePerEndpoint   = 64
+	// drainNotice is how long a draining router still answers that it is
+	// draining, so that balancers and callers learn it without a lost
+	// connection.
+	drainNotice    = time.Second
+	forgetEndpoint = 10 * time.Minute
 )
 
 // Router is one router process.
@@ -71,11 +77,19 @@
 	server   *http.Server
 	dialer   *messenger.Dialer
 	peerRPC  *grpc.Server
+	homes    *homes
+	records  records
+	joiner   *joiner.Joiner
+	claims   claimKeepers
+	// Incarnation tells the starts of this process apart in claims.
+	incarnation rattanhoist.Incarnation
+	// Attempts counts the claims that this incarnation has asked for.
+	attempts atomic.Uint64
 	// Handover ends when the operator will not wait for rights to go back.
 	handover context.Context
 	hurry    context.CancelFunc
-	// Active counts requests in progress, for draining.
-	active sync.WaitGroup
+	// Gate counts requests and runs in progress; it closes to drain.
+	gate gate
 }
 
 // New returns a router; the returned function releases what New took.
@@ -90,7 +104,22 @@
 		_ = conn.Close()
 		return nil, nil, err
 	}
+	homes, closeHomes, err := newHomes(s, self, d)
+	if err != nil {
+		closeMoney()
+		_ = conn.Close()
+		return nil, nil, err
+	}
+	claims, closeClaims, err := newClaimKeepers(s, d)
+	if err != nil {
+		closeHomes()
+		closeMoney()
+		_ = conn.Close()
+		return nil, nil, err
+	}
 	r := &Router{
+		homes: homes, claims: claims, incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
+		joiner:   joiner.New(joiner.Limits{Grace: retryGrace, Keep: s.Policy().KeepAnswer(), MaxBytes: maxKeptBytes}),
 		settings: s, self: self, log: log, dialer: d, money: money,
 		peerRPC: messenger.NewServer(messenger.Keys{
 			messenger.RoleMember:   s.DeploymentKey(),
@@ -99,7 +128,7 @@
 		keeperConn: conn, decisions: recorder.New(recordedRequests),
 		tracker: newTracker(s, self),
 		config:  messenger.NewConfigurationKeeperClient(conn),
-		engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		engines: newEngines(),
 	}
 	r.ledgerBase = time.Now()
 	r.ledger = picker.NewLedger(r.ledgerBase)
@@ -111,6 +140,7 @@
 	}})
 	r.gossip = newGossiper(r)
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
+	messenger.RegisterHomeRouterServer(r.peerRPC, &homeServer{router: r})
 	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
 	publishCounters()
 	r.handover, r.hurry = context.WithCancel(context.Background())
@@ -119,12 +149,25 @@
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
 	return r, func() {
+		closeHomes()
+		closeClaims()
 		r.gossip.close()
 		closeMoney()
 		_ = conn.Close()
 	}, nil
 }
 
+// newEngines returns the client for endpoints. It passes bodies and redirects
+// on as they are.
+func newEngines() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
 // zoneKeeper returns the keeper of a zone; checked settings have one.
 func zoneKeeper(s *loader.Settings, zone string) loader.Process {
 	for _, p := range s.Processes(loader.KindKeeper) {
@@ -150,6 +193,10 @@
 	failed := make(chan error, 1)
 	go r.follow(background)
 	go r.expire(background)
+	go r.tick(background)
+	for _, x := range r.homes.zone {
+		go r.beat(background, x)
+	}
 	go r.watchKeeper(background)
 	go r.gossip.run(background)
 	go func() { failed <- r.server.Serve(l) }()
@@ -191,27 +238,53 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			r.records.expire(time.Now())
 			r.tracker.Expire(rattanhoist.MomentOf(time.Now()))
 			r.ledger.Forget(time.Now(), forgetEndpoint)
 		}
 	}
 }
 
+// tick lets time pass for runs and kept answers.
+func (r *Router) tick(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			r.joiner.Tick(now)
+		}
+	}
+}
+
 // Hurry stops waiting for rights to go back; requests in progress go on. The
 // rights that stay out return once the incarnation is fenced.
 func (r *Router) Hurry() { r.hurry() }
 
+// drain refuses what is new, also from siblings, and ends once every request
+// and run in progress has its answer. The listener stays open until then, so
+// that a refusal reaches its caller.
 func (r *Router) drain(ctx context.Context) error {
 	_ = r.life.Event(ctx, eventDrain)
+	r.gate.close()
+	time.Sleep(drainNotice)
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Policy().DrainTimeout())
 	defer cancel()
-	err := r.server.Shutdown(ctx)
-	r.active.Wait()
+	err := errors.Join(r.gate.wait(ctx), r.server.Shutdown(ctx))
 	give, cancelGive := context.WithTimeout(r.handover, giveBackTimeout)
 	defer cancelGive()
 	r.money.GiveBack(give)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
 	return err
 }
+
+// endpoint returns an endpoint that is known by name, or nil.
+func (r *Router) endpoint(service, name string) *rattanhoist.Endpoint {
+	for _, e := range r.tracker.Table().Service(service) {
+		if e.Name() == name {
+			return e
+		}
+	}
+	return nil
+}
