--- a/router/follower.go
+++ b/router/follower.go
@@ -90,7 +90,7 @@
 	defer closeAll()
 	f := &follower{
 		node: r.self.Name(), zone: r.self.Zone(), log: r.log, sources: sources,
-		show: r.snapshot.Store, book: configurer.NewCopy(), started: time.Now(),
+		show: r.show, book: configurer.NewCopy(), started: time.Now(),
 	}
 	f.run(ctx)
 }
@@ -239,3 +239,11 @@
 	f.switchedAt = time.Now()
 	return len(f.sources) > 1
 }
+
+// show serves a snapshot; the first one makes the router ready.
+func (r *Router) show(s *configurer.Snapshot) {
+	r.snapshot.Store(s)
+	if r.life.Is(stateStarting) {
+		_ = r.life.Event(context.Background(), eventReady)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -21,6 +21,7 @@
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/picker"
+	"rattanhoist.example/rattanhoist/recorder"
 	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/tracker"
 	"rattanhoist.example/rattanhoist/treasurer"
@@ -56,6 +57,9 @@
 	money    *treasurer.Treasurer
 	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
+	// KeeperConn is the connection to the zone's keeper.
+	keeperConn *grpc.ClientConn
+	decisions  decisionRecorder
 	// Pickers maps plug-in names to *picker.Picker instances.
 	pickers sync.Map
 	// Ledger is what this router has learned of endpoints, from ledgerBase on.
@@ -67,13 +71,16 @@
 	server   *http.Server
 	dialer   *messenger.Dialer
 	peerRPC  *grpc.Server
+	// Handover ends when the operator will not wait for rights to go back.
+	handover context.Context
+	hurry    context.CancelFunc
 	// Active counts requests in progress, for draining.
 	active sync.WaitGroup
 }
 
 // New returns a router; the returned function releases what New took.
 func New(s *loader.Settings, self loader.Process, log *zap.Logger) (*Router, func(), error) {
-	d := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey())
+	d := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey(), messenger.WithTLS(s.TLS()))
 	conn, err := d.Dial(zoneKeeper(s, self.Zone()).RPC())
 	if err != nil {
 		return nil, nil, err
@@ -85,7 +92,11 @@
 	}
 	r := &Router{
 		settings: s, self: self, log: log, dialer: d, money: money,
-		peerRPC: messenger.NewServer(messenger.Keys{messenger.RoleMember: s.DeploymentKey()}),
+		peerRPC: messenger.NewServer(messenger.Keys{
+			messenger.RoleMember:   s.DeploymentKey(),
+			messenger.RoleOperator: s.OperatorKey(),
+		}, messenger.WithTLS(s.TLS())),
+		keeperConn: conn, decisions: recorder.New(recordedRequests),
 		tracker: newTracker(s, self),
 		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
@@ -100,6 +111,9 @@
 	}})
 	r.gossip = newGossiper(r)
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
+	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
+	publishCounters()
+	r.handover, r.hurry = context.WithCancel(context.Background())
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
@@ -136,6 +150,7 @@
 	failed := make(chan error, 1)
 	go r.follow(background)
 	go r.expire(background)
+	go r.watchKeeper(background)
 	go r.gossip.run(background)
 	go func() { failed <- r.server.Serve(l) }()
 	select {
@@ -157,7 +172,7 @@
 		<-ctx.Done()
 		r.peerRPC.Stop()
 	}()
-	return reporter.Serve(ctx, r.self.Debug(), faultCutter(r.settings, r.dialer), r.log)
+	return reporter.Serve(ctx, r.self.Debug(), faultCutter(r.settings, r.dialer), &operationsServer{router: r}, r.log)
 }
 
 // faultCutter returns the cutter only where the settings open the fault port.
@@ -182,13 +197,17 @@
 	}
 }
 
+// Hurry stops waiting for rights to go back; requests in progress go on. The
+// rights that stay out return once the incarnation is fenced.
+func (r *Router) Hurry() { r.hurry() }
+
 func (r *Router) drain(ctx context.Context) error {
 	_ = r.life.Event(ctx, eventDrain)
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Policy().DrainTimeout())
 	defer cancel()
 	err := r.server.Shutdown(ctx)
 	r.active.Wait()
-	give, cancelGive := context.WithTimeout(ctx, giveBackTimeout)
+	give, cancelGive := context.WithTimeout(r.handover, giveBackTimeout)
 	defer cancelGive()
 	r.money.GiveBack(give)
 	if errors.Is(err, http.ErrServerClosed) {
--- a/router/serve.go
+++ b/router/serve.go
@@ -43,12 +43,12 @@
 // serve reserves the worst case, runs the request, bills the true count and
 // only then completes the answer.
 func (r *Router) serve(ctx context.Context, q *request, s sink, run runFunc) error {
-	release, err := r.admit(ctx, q)
+	release, err := r.admitTraced(ctx, q)
 	if err != nil {
 		return err
 	}
 	defer release()
-	held, err := r.money.Reserve(ctx, q.key.Workspace(), q.worst)
+	held, err := r.reserveTraced(ctx, q)
 	if err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 		return err
 	}
 	billed = true
-	res.charged, err = held.Charge(ctx, &messenger.Charge{
+	res.charged, err = r.billTraced(ctx, q, held, &messenger.Charge{
 		Workspace: q.key.Workspace(), RequestId: q.key.RequestID(), Tokens: int64(min(q.cost(res), q.worst)),
 		Service: q.service.Name, Endpoint: res.endpoint,
 		ChargedAtMs: time.Now().UnixMilli(), Zone: r.self.Zone(),
@@ -90,13 +90,13 @@
 	tried := map[string]bool{}
 	var last error
 	for len(tried) < maxTries {
-		e, err := r.pick(q, tried)
+		e, err := r.pick(ctx, q, tried)
 		if err != nil {
 			return nil, errors.Join(last, err)
 		}
 		tried[e.Name()] = true
 		d := r.began(q, e)
-		res, err := run(ctx, q, e, s)
+		res, err := r.runTraced(ctx, q, e, s, run)
 		d.end(res, err)
 		if err == nil {
 			return res, nil
--- a/tracker/table.go
+++ b/tracker/table.go
@@ -19,6 +19,15 @@
 // An entry whose age passes the bound must not be used: Usable tells.
 func (t *Table) Service(name string) []*rattanhoist.Endpoint { return t.byService[name] }
 
+// All returns every endpoint, in order of service and name.
+func (t *Table) All() []*rattanhoist.Endpoint {
+	var out []*rattanhoist.Endpoint
+	for _, s := range t.Services() {
+		out = append(out, t.byService[s]...)
+	}
+	return out
+}
+
 // Services returns the sorted names of the services that have endpoints.
 func (t *Table) Services() []string { return slices.Sorted(maps.Keys(t.byService)) }
 
--- a/treasurer/bill.go
+++ b/treasurer/bill.go
@@ -9,12 +9,15 @@
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
 // bill is a charge with what was reserved for it, until the outbox forgets
 // the charge.
 type bill struct {
 	holder *holder
+	// Trace is that of the request that made the charge.
+	trace tracer.Link
 	// Held is reserved for the charge until an outcome is known.
 	held rattanhoist.Tokens
 	// Spent is what was settled at the first outcome.
@@ -36,7 +39,7 @@
 		r.Release()
 		return 0, merry.Wrap(ErrNotBilled, merry.AppendMessage("the charge exceeds the reservation"))
 	}
-	b, first, err := r.treasurer.post(m, r.holder, c)
+	b, first, err := r.treasurer.post(ctx, m, r.holder, c)
 	if err != nil {
 		r.Release()
 		return 0, err
@@ -50,7 +53,7 @@
 
 // post hands a charge to the outbox, or joins the one of the same request,
 // which then holds nothing of this run's reservation.
-func (t *Treasurer) post(m *term, h *holder, c *messenger.Charge) (b *bill, first bool, err error) {
+func (t *Treasurer) post(ctx context.Context, m *term, h *holder, c *messenger.Charge) (b *bill, first bool, err error) {
 	key := rattanhoist.NewRequestKey(c.Workspace, c.RequestId)
 	m.mu.Lock()
 	if m.over() {
@@ -66,7 +69,7 @@
 		m.mu.Unlock()
 		return nil, false, ErrFull
 	}
-	b = &bill{holder: h, held: rattanhoist.Tokens(c.Tokens), done: make(chan struct{})}
+	b = &bill{holder: h, trace: tracer.LinkOf(ctx), held: rattanhoist.Tokens(c.Tokens), done: make(chan struct{})}
 	m.bills[key] = b
 	m.mu.Unlock()
 	t.send(m, sends)
--- a/treasurer/term.go
+++ b/treasurer/term.go
@@ -9,6 +9,7 @@
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
 // term is one incarnation with all that it holds.
@@ -73,6 +74,8 @@
 	waiters atomic.Int32
 	// Poked limits the looks of requests at a low slice to one a tick.
 	poked atomic.Bool
+	// Trace is that of the latest request that waited for a lease.
+	trace atomic.Pointer[tracer.Link]
 }
 
 // wake lets every waiting request look again; the caller holds mu.
@@ -167,12 +170,18 @@
 	out.Charges = m.outbox.Pending()
 }
 
-// holding is the account's proof: what it was granted up to the sequence
-// whose answer it has, and what it may still charge.
+// holding is the account's proof: what it was granted and gave back up to the
+// sequence whose answer it has, and what it may still charge. A return whose
+// answer is lost is not in it: the keeper that takes this proof would count
+// the resend as a second one, and grant the rights to another router.
 func (a *Account) holding() *messenger.Holding {
+	returned := a.slice.Withdrawn()
+	if a.back != nil {
+		returned -= a.back.tokens
+	}
 	return &messenger.Holding{
 		Workspace: a.workspace, Sequence: a.acknowledged,
-		GrantedTokens: int64(a.slice.Granted()), ReturnedTokens: int64(a.slice.Withdrawn()),
-		OutstandingTokens: int64(a.slice.Granted() - a.slice.Withdrawn() - a.slice.Spent()),
+		GrantedTokens: int64(a.slice.Granted()), ReturnedTokens: int64(returned),
+		OutstandingTokens: int64(a.slice.Granted() - returned - a.slice.Spent()),
 	}
 }
