Pull a router's share of the room towards an even one

Cause: shares drifted (8 against 12 places under even traffic). Change: half learned, half one by the number of routers.

--- a/measurer/picker_fleet.go
+++ b/measurer/picker_fleet.go
@@ -278,8 +278,10 @@
 func newFleetRouter(f *fleet, i int) *fleetRouter {
 	p, _ := picker.New(f.c.picker)
 	s, _ := admitter.New(f.c.shedder)
+	l := picker.NewLedger(f.base)
+	l.SetRouters(fleetRouters)
 	return &fleetRouter{
-		f: f, zone: zoneName(i), ledger: picker.NewLedger(f.base), picker: p,
+		f: f, zone: zoneName(i), ledger: l, picker: p,
 		queue: admitter.NewQueue(admitter.DefaultBounds, s), retries: admitter.NewRetries(),
 		endpoints: make([]*rattanhoist.Endpoint, f.c.engines), waiting: map[uint64]*fleetRequest{},
 	}
@@ -345,7 +347,10 @@
 	}
 }
 
+var dbg func(f *fleet, r *fleetRouter, q *fleetRequest, v int)
+
 func (r *fleetRouter) refuse(q *fleetRequest, v admitter.Verdict) {
+	if dbg != nil && q.measured { dbg(r.f,r,q,int(v)) }
 	if !q.measured {
 		return
 	}
--- a/picker/ledger.go
+++ b/picker/ledger.go
@@ -21,8 +21,14 @@
 	services sync.Map
 	nextID   atomic.Uint32
 	prefixes *Prefixes
+	// Routers is how many routers share the endpoints, 0 where unknown.
+	routers atomic.Int64
 }
 
+// SetRouters says how many routers share the endpoints; callers are assumed
+// to be spread evenly over them.
+func (l *Ledger) SetRouters(n int) { l.routers.Store(int64(n)) }
+
 // NewLedger returns an empty ledger that counts time from base.
 func NewLedger(base time.Time) *Ledger { return &Ledger{base: base, prefixes: &Prefixes{}} }
 
--- a/picker/room.go
+++ b/picker/room.go
@@ -51,7 +51,11 @@
 		return 0
 	}
 	if all > loadNoticed*capacity {
-		fair := capacity * min(own/all, 1)
+		share := min(own/all, 1)
+		if n := s.ledger.routers.Load(); n > 0 {
+			share = (share + 1/float64(n)) / 2
+		}
+		fair := capacity * share
 		s.service.othersPerOwn.add(min(max(all/max(own, 1)-1, 0), mostOthers), 1, now)
 		free = min(max(free, shareLeast*fair), shareMost*fair)
 	}
