Start requests that need luck only when no other waits

Cause: the expected answer is an estimate; refusing at it refuses some that would have been in time, starting at less wastes tokens under overload. Change: the queue first starts those whose expected time fits; the others go when nothing else waits, and are refused at 0.7 of the expected time.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -113,7 +113,7 @@
 	case Cancel:
 		q.cancel(e.Request)
 	}
-	q.start(e)
+	q.start(now, e)
 	return q.out
 }
 
@@ -240,30 +240,51 @@
 }
 
 // start lets requests go while there is room.
-func (q *Queue) start(e Event) {
+func (q *Queue) start(now time.Duration, e Event) {
 	for n := e.InFlight; n < e.Limit && q.waiting > 0; n++ {
-		q.say(q.next().ID, Start, 0)
+		q.say(q.next(now).ID, Start, 0)
 	}
 }
 
-func (q *Queue) next() Request {
+// next takes the request that goes next. One that would need luck to be in
+// time goes only when none waits that would not.
+func (q *Queue) next(now time.Duration) Request {
+	r, ok := q.nextOf(func(r Request) bool { return now+r.Service <= r.Deadline })
+	if !ok {
+		r, _ = q.nextOf(func(Request) bool { return true })
+	}
+	return r
+}
+
+func (q *Queue) nextOf(fits func(Request) bool) (Request, bool) {
 	for p := range q.classes {
 		c := &q.classes[p]
-		if len(c.flows) == 0 {
-			continue
+		var best *flow
+		at := 0
+		for _, w := range c.flows {
+			i := slices.IndexFunc(w.requests, fits)
+			if i >= 0 && (best == nil || w.pass < best.pass) {
+				best, at = w, i
+			}
 		}
-		w := slices.MinFunc(c.flows, func(a, b *flow) int { return cmp.Compare(a.pass, b.pass) })
-		r := w.requests[0]
-		w.requests = w.requests[1:]
-		c.pass = w.pass
-		w.pass += max(r.Tokens, 1)
-		q.waiting--
-		if len(w.requests) == 0 {
-			c.retire(w)
+		if best != nil {
+			return q.take(c, best, at), true
 		}
-		return r
 	}
-	return Request{}
+	return Request{}, false
+}
+
+// take removes a request of a flow and charges the flow for it.
+func (q *Queue) take(c *class, w *flow, i int) Request {
+	r := w.requests[i]
+	w.requests = slices.Delete(w.requests, i, i+1)
+	c.pass = w.pass
+	w.pass += max(r.Tokens, 1)
+	q.waiting--
+	if len(w.requests) == 0 {
+		c.retire(w)
+	}
+	return r
 }
 
 // retire takes an emptied flow out. Its debt goes with it, but for the class's
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -7,7 +7,7 @@
 	// no run has ended for longer, one has to be let in to learn again.
 	learnedValidity = 10 * time.Second
 	// leastShare is the part of the expected time that a lucky run may take.
-	leastShare = 1.0
+	leastShare = 0.7
 )
 
 // Estimate is what this router expects of a request at any endpoint.
