--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test generate lint
+.PHONY: demo test generate lint spec spec-long slopes
 
 DEPLOYMENT ?= adwenpa
 
@@ -13,3 +13,12 @@
 
 lint:
 	./scripts/lint.sh
+
+spec:
+	./scripts/spec.sh
+
+spec-long:
+	./scripts/spec.sh long
+
+slopes:
+	./scripts/slopes.sh
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,5 +12,6 @@
   apt-get install -q -y "${need[@]}" >/dev/null
 fi
 ./scripts/lint.sh
+./scripts/spec.sh
 go test -race ./...
 for d in adwenpa jasmine-road; do ./scripts/demo.sh "$d"; done
--- a/spec/budget.pml
+++ b/spec/budget.pml
@@ -14,7 +14,8 @@
  * its rows in one commit before it replies; REPLY_BEFORE_SYNC shows why.
  *
  * Every request costs one token. Each BUG_ flag is one seeded mistake; an
- * assertion must fail with it, see scripts/spec.sh.
+ * assertion must fail with it, see scripts/spec.sh. A REACH_ flag shows that
+ * a state is reached at all, again by an assertion that must fail.
  */
 
 #ifndef PAID0
@@ -281,6 +282,9 @@
 
 inline release() {
 	d_step {
+#ifdef REACH_RELEASE
+		assert(0);
+#endif
 		k_frozen = 0;
 		k_unspent = k_minted - k_given - k_leased[0] - k_leased[1] - BILLS;
 	}
@@ -319,6 +323,9 @@
 /* Both zones billed request q: zone 0's bill counts, zone 1's returns. */
 inline settle(q) {
 	d_step {
+#ifdef REACH_SETTLE
+		assert(0);
+#endif
 		z_bill[q] = 0;
 		z_unspent++;
 	}
