--- a/configurer/snapshot.go
+++ b/configurer/snapshot.go
@@ -2,7 +2,9 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"maps"
+	"sync"
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/matcher"
@@ -17,8 +19,14 @@
 	services   map[string]*messenger.Service
 	byModel    map[string]*messenger.Service
 	statements []compiled
+	// Granted maps pair to its Grant, filled as requests come: a
+	// pair is worked out once for each version, not for each request.
+	granted sync.Map
 }
 
+// pair names one workspace and one service.
+type pair struct{ workspace, service string }
+
 type compiled struct {
 	workspaces, services, endpoints matcher.Selector
 }
@@ -102,24 +110,48 @@
 	return v, nil
 }
 
-// Allowed returns the test that an endpoint must pass to serve the workspace
-// and the service.
-func (s *Snapshot) Allowed(w *messenger.Workspace, v *messenger.Service) func(*rattanhoist.Endpoint) bool {
-	var selectors []matcher.Selector
-	wl, vl := withName(w.Labels, w.Name), withName(v.Labels, v.Name)
-	for _, t := range s.statements {
-		if t.workspaces.Matches(wl) && t.services.Matches(vl) {
-			selectors = append(selectors, t.endpoints)
+// Grant is what the statements allow one workspace for one service.
+type Grant struct {
+	key       string
+	selectors []matcher.Selector
+}
+
+// Key names the matching statements: equal keys of one snapshot are equal
+// grants.
+func (g Grant) Key() string { return g.key }
+
+// Allows reports whether an endpoint may serve.
+func (g Grant) Allows(e *rattanhoist.Endpoint) bool {
+	for _, s := range g.selectors {
+		if s.Matches(e.Labels()) {
+			return true
 		}
 	}
-	return func(e *rattanhoist.Endpoint) bool {
-		for _, sel := range selectors {
-			if sel.Matches(e.Labels()) {
-				return true
-			}
+	return false
+}
+
+// Grant returns what the statements allow the workspace for the service.
+func (s *Snapshot) Grant(w *messenger.Workspace, v *messenger.Service) Grant {
+	k := pair{workspace: w.Name, service: v.Name}
+	g, ok := s.granted.Load(k)
+	if !ok {
+		g, _ = s.granted.LoadOrStore(k, s.makeGrant(w, v))
+	}
+	return g.(Grant)
+}
+
+func (s *Snapshot) makeGrant(w *messenger.Workspace, v *messenger.Service) Grant {
+	var g Grant
+	var key []byte
+	wl, vl := withName(w.Labels, w.Name), withName(v.Labels, v.Name)
+	for i, t := range s.statements {
+		if t.workspaces.Matches(wl) && t.services.Matches(vl) {
+			g.selectors = append(g.selectors, t.endpoints)
+			key = binary.AppendUvarint(key, uint64(i))
 		}
-		return false
 	}
+	g.key = string(key)
+	return g
 }
 
 func withName(labels map[string]string, name string) map[string]string {
--- a/router/handler.go
+++ b/router/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
@@ -11,18 +10,18 @@
 	"github.com/justinas/alice"
 	"go.uber.org/zap"
 
-	"rattanhoist.example/rattanhoist"
-	"rattanhoist.example/rattanhoist/tracker"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
 // handler returns the HTTP surface for callers and endpoints.
 func (r *Router) handler() http.Handler {
 	m := http.NewServeMux()
-	callers := alice.New(r.recoverPanic, r.admitReady, r.countActive)
+	callers := alice.New(tracer.Middleware, r.recoverPanic, r.admitReady, r.countActive)
 	m.Handle("POST /v1/chat/completions", callers.ThenFunc(r.chat))
 	m.Handle("/v1/services/{service}/{path...}", callers.ThenFunc(r.plain))
 	m.Handle("POST /v1/endpoints", alice.New(r.recoverPanic, r.endpointKey).ThenFunc(r.announce))
 	m.HandleFunc("GET /healthz", r.health)
+	m.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("alive\n")) })
 	return m
 }
 
@@ -58,6 +57,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.active.Add(1)
 		defer r.active.Done()
+		activeRequests.Add(1)
+		defer activeRequests.Add(-1)
 		next.ServeHTTP(w, q)
 	})
 }
@@ -116,56 +117,12 @@
 func (r *Router) answer(ctx context.Context, q *request, s sink, run runFunc) {
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	if err := r.serve(ctx, q, s, run); err != nil {
+	began := time.Now()
+	err := r.serve(ctx, q, s, run)
+	r.recordEnd(q, began, err)
+	if err != nil {
 		p := problemOf(err)
 		p.RequestID = q.key.RequestID()
 		s.fail(p)
 	}
 }
-
-// announcement is an endpoint's message about itself.
-type announcement struct {
-	Name          string            `json:"name"`
-	Service       string            `json:"service"`
-	Zone          string            `json:"zone"`
-	Address       string            `json:"address"`
-	Labels        map[string]string `json:"labels"`
-	Incarnation   uint64            `json:"incarnation"`
-	Sequence      uint64            `json:"sequence"`
-	Capacity      int64             `json:"capacity"`
-	Load          int64             `json:"load"`
-	Leaving       bool              `json:"leaving"`
-	ChecksFencing bool              `json:"checks_fencing"`
-}
-
-const maxAnnouncement = 64 << 10
-
-func (r *Router) announce(w http.ResponseWriter, h *http.Request) {
-	var a announcement
-	d := json.NewDecoder(http.MaxBytesReader(w, h.Body, maxAnnouncement))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&a); err != nil {
-		badField("body", err.Error()).write(w)
-		return
-	}
-	for field, value := range map[string]string{"name": a.Name, "service": a.Service, "zone": a.Zone, "address": a.Address} {
-		if value == "" {
-			badField(field, "missing").write(w)
-			return
-		}
-	}
-	r.tracker.Announce(tracker.Announcement{Sequence: a.Sequence, Endpoint: a.endpoint(time.Now())})
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (a announcement) endpoint(now time.Time) *rattanhoist.Endpoint {
-	labels := map[string]string{"name": a.Name, "zone": a.Zone, "service": a.Service}
-	for k, v := range a.Labels {
-		labels[k] = v
-	}
-	return rattanhoist.NewEndpoint(rattanhoist.EndpointFields{
-		Name: a.Name, Service: a.Service, Zone: a.Zone, Address: a.Address, Labels: labels,
-		Incarnation: rattanhoist.Incarnation(a.Incarnation), Capacity: a.Capacity, Load: a.Load,
-		Heard: now, Leaving: a.Leaving,
-	})
-}
--- a/router/router.go
+++ b/router/router.go
@@ -20,8 +20,11 @@
 	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/picker"
+	"rattanhoist.example/rattanhoist/recorder"
 	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/tracker"
+	"rattanhoist.example/rattanhoist/treasurer"
 )
 
 // States and events of a router's life.
@@ -39,6 +42,7 @@
 	idleTimeout       = 2 * time.Minute
 	expireEvery       = time.Second
 	giveBackTimeout   = 3 * time.Second
+	forgetEndpoint    = 10 * time.Minute
 )
 
 // Router is one router process.
@@ -49,54 +53,76 @@
 	life     *fsm.FSM
 	snapshot atomic.Pointer[configurer.Snapshot]
 	tracker  *tracker.Tracker
-	money    *treasurer
+	gossip   *gossiper
+	money    *treasurer.Treasurer
 	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
+	// KeeperConn is the connection to the zone's keeper.
+	keeperConn *grpc.ClientConn
+	decisions  decisionRecorder
 	// Pickers maps plug-in names to *picker.Picker instances.
 	pickers sync.Map
-	// InFlight maps endpoint names to *atomic.Int64.
-	inFlight sync.Map
+	// Ledger is what this router has learned of endpoints, from ledgerBase on.
+	ledger     *picker.Ledger
+	ledgerBase time.Time
+	grants     atomic.Pointer[grants]
+	// Limiters maps service names to *limiter.
+	limiters sync.Map
 	server   *http.Server
 	dialer   *messenger.Dialer
 	peerRPC  *grpc.Server
+	// Handover ends when the operator will not wait for rights to go back.
+	handover context.Context
+	hurry    context.CancelFunc
 	// Active counts requests in progress, for draining.
 	active sync.WaitGroup
 }
 
 // New returns a router; the returned function releases what New took.
 func New(s *loader.Settings, self loader.Process, log *zap.Logger) (*Router, func(), error) {
-	d := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey())
+	d := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey(), messenger.WithTLS(s.TLS()))
 	conn, err := d.Dial(zoneKeeper(s, self.Zone()).RPC())
 	if err != nil {
 		return nil, nil, err
 	}
+	money, closeMoney, err := newTreasurer(s, self, d, conn, log)
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, err
+	}
 	r := &Router{
-		settings: s, self: self, log: log, dialer: d,
-		peerRPC: messenger.NewServer(messenger.Keys{messenger.RoleMember: s.DeploymentKey()}),
-		tracker: tracker.New(s.Policy().EndpointMaxAge()),
-		money:   newTreasurer(self, conn),
+		settings: s, self: self, log: log, dialer: d, money: money,
+		peerRPC: messenger.NewServer(messenger.Keys{
+			messenger.RoleMember:   s.DeploymentKey(),
+			messenger.RoleOperator: s.OperatorKey(),
+		}, messenger.WithTLS(s.TLS())),
+		keeperConn: conn, decisions: recorder.New(recordedRequests),
+		tracker: newTracker(s, self),
 		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
+	r.ledgerBase = time.Now()
+	r.ledger = picker.NewLedger(r.ledgerBase)
 	r.life = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventReady, Src: []string{stateStarting}, Dst: stateReady},
 		{Name: eventDrain, Src: []string{stateStarting, stateReady}, Dst: stateDraining},
 	}, fsm.Callbacks{"enter_state": func(_ context.Context, e *fsm.Event) {
 		log.Info("state changed", zap.String("from", e.Src), zap.String("to", e.Dst))
 	}})
+	r.gossip = newGossiper(r)
 	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
+	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
+	publishCounters()
+	r.handover, r.hurry = context.WithCancel(context.Background())
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
-	return r, func() { _ = conn.Close() }, nil
-}
-
-func newTreasurer(self loader.Process, conn *grpc.ClientConn) *treasurer {
-	return &treasurer{
-		router: self.Name(), incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
-		keeper: messenger.NewBudgetKeeperClient(conn),
-	}
+	return r, func() {
+		r.gossip.close()
+		closeMoney()
+		_ = conn.Close()
+	}, nil
 }
 
 // zoneKeeper returns the keeper of a zone; checked settings have one.
@@ -124,6 +150,8 @@
 	failed := make(chan error, 1)
 	go r.follow(background)
 	go r.expire(background)
+	go r.watchKeeper(background)
+	go r.gossip.run(background)
 	go func() { failed <- r.server.Serve(l) }()
 	select {
 	case err := <-failed:
@@ -144,7 +172,7 @@
 		<-ctx.Done()
 		r.peerRPC.Stop()
 	}()
-	return reporter.Serve(ctx, r.self.Debug(), faultCutter(r.settings, r.dialer), r.log)
+	return reporter.Serve(ctx, r.self.Debug(), faultCutter(r.settings, r.dialer), &operationsServer{router: r}, r.log)
 }
 
 // faultCutter returns the cutter only where the settings open the fault port.
@@ -163,20 +191,25 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			r.tracker.Expire(time.Now())
+			r.tracker.Expire(rattanhoist.MomentOf(time.Now()))
+			r.ledger.Forget(time.Now(), forgetEndpoint)
 		}
 	}
 }
 
+// Hurry stops waiting for rights to go back; requests in progress go on. The
+// rights that stay out return once the incarnation is fenced.
+func (r *Router) Hurry() { r.hurry() }
+
 func (r *Router) drain(ctx context.Context) error {
 	_ = r.life.Event(ctx, eventDrain)
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Policy().DrainTimeout())
 	defer cancel()
 	err := r.server.Shutdown(ctx)
 	r.active.Wait()
-	give, cancelGive := context.WithTimeout(ctx, giveBackTimeout)
+	give, cancelGive := context.WithTimeout(r.handover, giveBackTimeout)
 	defer cancelGive()
-	r.money.giveBack(give)
+	r.money.GiveBack(give)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
