--- a/commander/client.go
+++ b/commander/client.go
@@ -169,7 +169,7 @@
 		return err
 	}
 	switch s.Code() {
-	case codes.InvalidArgument, codes.NotFound, codes.AlreadyExists, codes.FailedPrecondition:
+	case codes.InvalidArgument, codes.NotFound, codes.AlreadyExists, codes.FailedPrecondition, codes.OutOfRange:
 		return merry.Errorf("%w: %s", ErrRefused, s.Message())
 	case codes.Unauthenticated:
 		return merry.Errorf("operator_key_file: %s", s.Message())
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -59,7 +59,7 @@
 		return nil, errLost
 	}
 	out := &messenger.HistoryReply{}
-	for i := r.AfterVersion; i < uint64(len(f.changes)) && len(out.Entries) < int(r.Most); i++ {
+	for i := r.AfterVersion; i < uint64(len(f.changes)); i++ {
 		out.Entries = append(out.Entries, &messenger.HistoryEntry{Version: i + 1, Change: f.changes[i]})
 	}
 	return out, nil
@@ -73,9 +73,11 @@
 		f.loseRequests--
 		return nil, errLost
 	}
-	out := f.book.Check(r.Change)
-	if _, known := f.book.Answered(r.Change.ChangeId); out.Outcome == messenger.ChangeOutcome_CHANGE_OUTCOME_ACCEPTED && !known {
-		f.book.Apply(r.Change)
+	out, final := f.book.Peek(r.Change)
+	if !final {
+		out = f.book.Decide(&messenger.LogChange{Change: r.Change})
+	}
+	if out.Outcome == messenger.ChangeOutcome_CHANGE_OUTCOME_ACCEPTED && out.Version > uint64(len(f.changes)) {
 		f.changes = append(f.changes, r.Change)
 	}
 	if f.loseAnswers > 0 {
--- a/commander/config_history.go
+++ b/commander/config_history.go
@@ -8,28 +8,40 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
+const defaultLast = 50
+
 var _ = register("config", func(a *app) *cobra.Command {
-	r := &messenger.HistoryRequest{}
+	var last, after uint64
 	c := &cobra.Command{
-		Use: "history", Short: "List the accepted changes in order", Args: wantArgs(),
+		Use: "history", Short: "List the latest accepted changes in order", Args: wantArgs(),
+		Long: `List the latest accepted changes in order.
+
+Keepers keep the latest 2,048 changes whole, and fewer where they are large.`,
 		RunE: func(c *cobra.Command, _ []string) error {
-			var out *messenger.HistoryReply
-			err := a.withKeeper(c.Context(), func(ctx context.Context, k *client) error {
-				var err error
-				out, err = k.config().History(ctx, r)
+			out := &messenger.HistoryReply{}
+			err := a.withKeeper(c.Context(), func(ctx context.Context, k *client) (err error) {
+				if c.Flags().Changed("after") {
+					out, err = k.config().History(ctx, &messenger.HistoryRequest{AfterVersion: after})
+					return err
+				}
+				out.Entries, err = k.lastChanges(ctx, last)
 				return err
 			})
 			if err != nil {
 				return err
 			}
-			var rows [][]any
-			for _, e := range out.Entries {
-				rows = append(rows, []any{e.Version, showTime(e.Change.AcceptedAtMs), orDash(e.Change.Author), e.Change.ChangeId, showEdits(e.Change.Edits)})
-			}
-			return a.print(out, "VERSION TIME AUTHOR CHANGE_ID EDITS", rows)
+			return a.print(out, "VERSION TIME AUTHOR CHANGE_ID EDITS", historyRows(out.Entries))
 		},
 	}
-	c.Flags().Uint64Var(&r.AfterVersion, "after", 0, "only changes after this version")
-	c.Flags().Uint32Var(&r.Most, "most", historyPage, "at most this many")
+	c.Flags().Uint64Var(&after, "after", 0, "all changes after this version")
+	c.Flags().Uint64Var(&last, "last", defaultLast, "at most this many, the latest")
 	return c
 })
+
+func historyRows(entries []*messenger.HistoryEntry) [][]any {
+	var rows [][]any
+	for _, e := range entries {
+		rows = append(rows, []any{e.Version, showTime(e.Change.AcceptedAtMs), orDash(e.Change.Author), e.Change.ChangeId, showEdits(e.Change.Edits)})
+	}
+	return rows
+}
--- a/configurer/snapshot.go
+++ b/configurer/snapshot.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"maps"
+	"sync"
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/matcher"
@@ -18,8 +19,14 @@
 	services   map[string]*messenger.Service
 	byModel    map[string]*messenger.Service
 	statements []compiled
+	// Granted maps pair to its Grant, filled as requests come: a
+	// pair is worked out once for each version, not for each request.
+	granted sync.Map
 }
 
+// pair names one workspace and one service.
+type pair struct{ workspace, service string }
+
 type compiled struct {
 	workspaces, services, endpoints matcher.Selector
 }
@@ -125,6 +132,15 @@
 
 // Grant returns what the statements allow the workspace for the service.
 func (s *Snapshot) Grant(w *messenger.Workspace, v *messenger.Service) Grant {
+	k := pair{workspace: w.Name, service: v.Name}
+	g, ok := s.granted.Load(k)
+	if !ok {
+		g, _ = s.granted.LoadOrStore(k, s.makeGrant(w, v))
+	}
+	return g.(Grant)
+}
+
+func (s *Snapshot) makeGrant(w *messenger.Workspace, v *messenger.Service) Grant {
 	var g Grant
 	var key []byte
 	wl, vl := withName(w.Labels, w.Name), withName(v.Labels, v.Name)
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -52,10 +52,7 @@
 		cleanUp()
 		return nil, nil, err
 	}
-	if k.budget, err = newBudgetServer(k); err != nil {
-		cleanUp()
-		return nil, nil, err
-	}
+	k.budget = newBudgetServer(k)
 	k.server = messenger.NewServer(messenger.Keys{
 		messenger.RoleMember:   s.DeploymentKey(),
 		messenger.RoleOperator: s.OperatorKey(),
@@ -63,6 +60,7 @@
 	messenger.RegisterBudgetKeeperServer(k.server, k.budget)
 	messenger.RegisterConfigurationKeeperServer(k.server, k.config)
 	messenger.RegisterOperationsServer(k.server, &operationsServer{keeper: k})
+	messenger.RegisterLogKeeperServer(k.server, &logServer{loop: k.config.loop})
 	return k, cleanUp, nil
 }
 
@@ -83,7 +81,7 @@
 	}
 	go func() { cancel(k.server.Serve(l)) }()
 	go func() { cancel(k.budget.run(ctx)) }()
-	go k.config.run(ctx)
+	go func() { cancel(k.config.run(ctx)) }()
 	k.log.Info("keeper serves", zap.String("name", k.self.Name()), zap.String("zone", k.self.Zone()),
 		zap.Uint64("configuration_version", k.config.version()))
 	<-ctx.Done()
--- a/messenger/dialer.go
+++ b/messenger/dialer.go
@@ -15,6 +15,8 @@
 	reconnectMax  = time.Second
 	keepaliveTime = 10 * time.Second
 	keepaliveWait = 2 * time.Second
+	// maxMessage admits a whole configuration of 42,000 workspaces.
+	maxMessage = 64 << 20
 )
 
 // Dialer opens connections to the peers of one node.
@@ -41,12 +43,12 @@
 	options := append(clientTracing(),
 		grpc.WithTransportCredentials(d.options.credentials()),
 		grpc.WithPerRPCCredentials(proof{role: d.role, node: d.node, key: d.key, now: time.Now}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithContextDialer(d.dial),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: reconnectBase, Multiplier: 2, MaxDelay: reconnectMax},
 			MinConnectTimeout: reconnectMax,
 		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveWait}),
 	)
 	return grpc.NewClient("passthrough:///"+address, options...)
