--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -73,11 +73,12 @@
 		f.loseRequests--
 		return nil, errLost
 	}
-	out, final := f.book.Peek(r.Change)
-	if !final {
+	before := f.book.Version()
+	out, known := f.book.Peek(r.Change)
+	if !known {
 		out = f.book.Decide(&messenger.LogChange{Change: r.Change})
 	}
-	if out.Outcome == messenger.ChangeOutcome_CHANGE_OUTCOME_ACCEPTED && out.Version > uint64(len(f.changes)) {
+	if f.book.Version() > before {
 		f.changes = append(f.changes, r.Change)
 	}
 	if f.loseAnswers > 0 {
--- a/messenger/dialer.go
+++ b/messenger/dialer.go
@@ -15,8 +15,6 @@
 	reconnectMax  = time.Second
 	keepaliveTime = 10 * time.Second
 	keepaliveWait = 2 * time.Second
-	// maxMessage admits a whole configuration of 42,000 workspaces.
-	maxMessage = 64 << 20
 )
 
 // Dialer opens connections to the peers of one node.
