--- a/commander/change.go
+++ b/commander/change.go
@@ -9,13 +9,16 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/google/uuid"
 	"github.com/spf13/cobra"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
 const (
 	maxChangeID = 200
-	historyPage = 1000
+	// historyMost is how many changes a keeper keeps whole, at most.
+	historyMost = 2048
 )
 
 // change is one change of the configuration, sent under one id until its
@@ -95,8 +98,11 @@
 	out, err := k.config().Propose(ctx, &messenger.ProposeRequest{Change: &messenger.Change{
 		ChangeId: c.id, BaseVersion: base, Edits: edits, Author: author(),
 	}})
+	if status.Code(err) == codes.Aborted {
+		return nil, merry.Errorf("%w: %s", errNotAnswered, status.Convert(err).Message())
+	}
 	if lost(err) {
-		return nil, c.unknown(err.Error())
+		return nil, c.unknown(status.Convert(err).Message())
 	}
 	if err != nil {
 		return nil, err
@@ -113,23 +119,33 @@
 	return u.Username
 }
 
-// acceptedAs returns the version that a change id was accepted as, or 0.
+// acceptedAs returns the version that a change id was accepted as, or 0. It
+// looks as far back as the keeper keeps whole changes.
 func (k *client) acceptedAs(ctx context.Context, id string) (uint64, error) {
-	var after uint64
-	for {
-		h, err := k.config().History(ctx, &messenger.HistoryRequest{AfterVersion: after, Most: historyPage})
-		if err != nil {
-			return 0, err
-		}
-		for _, e := range h.Entries {
-			if e.Change.ChangeId == id {
-				return e.Version, nil
-			}
-			after = max(after, e.Version)
+	entries, err := k.lastChanges(ctx, historyMost)
+	for _, e := range entries {
+		if e.Change.ChangeId == id {
+			return e.Version, nil
 		}
-		if len(h.Entries) < historyPage {
-			return 0, nil
+	}
+	return 0, err
+}
+
+// lastChanges returns the last accepted changes, at most as many as given. A
+// keeper keeps a bounded number and bounded bytes of them, and refuses to
+// begin before those.
+func (k *client) lastChanges(ctx context.Context, most uint64) ([]*messenger.HistoryEntry, error) {
+	now, err := k.config().Read(ctx, &messenger.ReadRequest{})
+	if err != nil {
+		return nil, err
+	}
+	version := now.Configuration.Version
+	for back := min(most, version); ; back /= 2 {
+		h, err := k.config().History(ctx, &messenger.HistoryRequest{AfterVersion: version - back})
+		if status.Code(err) == codes.OutOfRange && back > 0 {
+			continue
 		}
+		return h.GetEntries(), err
 	}
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -65,8 +65,8 @@
 	messenger.RegisterBudgetKeeperServer(k.server, k.budget)
 	messenger.RegisterClaimKeeperServer(k.server, k.claims)
 	messenger.RegisterConfigurationKeeperServer(k.server, k.config)
-	messenger.RegisterLogKeeperServer(k.server, &logServer{loop: k.config.loop})
 	messenger.RegisterOperationsServer(k.server, &operationsServer{keeper: k})
+	messenger.RegisterLogKeeperServer(k.server, &logServer{loop: k.config.loop})
 	return k, cleanUp, nil
 }
 
--- a/keeper/log_propose.go
+++ b/keeper/log_propose.go
@@ -52,12 +52,12 @@
 		}
 		begun = begun || !errors.Is(err, errNotLeader)
 		if !begun && time.Since(started) > leaderWait {
-			return nil, s.cutOff("the change was not accepted")
+			return nil, s.notBegun()
 		}
 		select {
 		case <-ctx.Done():
 			if !begun {
-				return nil, s.cutOff("the change was not accepted")
+				return nil, s.notBegun()
 			}
 			return &messenger.ProposeReply{Outcome: messenger.ChangeOutcome_CHANGE_OUTCOME_UNKNOWN, Version: s.version()}, nil
 		case <-time.After(proposeRetry):
@@ -91,6 +91,12 @@
 	return a.reply, err
 }
 
+// notBegun says that no keeper has the change, so that an operator is not
+// told that the outcome is unknown.
+func (s *configurationServer) notBegun() error {
+	return status.Error(codes.Aborted, status.Convert(s.cutOff("the change was not accepted")).Message())
+}
+
 // cutOff is the refusal of a keeper that finds no majority.
 func (s *configurationServer) cutOff(what string) error {
 	st := s.loop.state.Load()
