--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -24,6 +24,7 @@
 	peers    *peers
 	dialer   *messenger.Dialer
 	budget   *budgetServer
+	claims   *claimServer
 	config   *configurationServer
 	server   *grpc.Server
 }
@@ -35,7 +36,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	dialer := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey())
+	dialer := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey(), messenger.WithTLS(s.TLS()))
 	p, closePeers, err := newPeers(s, self, dialer)
 	if err != nil {
 		_ = closeStore()
@@ -53,18 +54,25 @@
 		return nil, nil, err
 	}
 	k.budget = newBudgetServer(k)
+	if k.claims, err = newClaimServer(k); err != nil {
+		cleanUp()
+		return nil, nil, err
+	}
 	k.server = messenger.NewServer(messenger.Keys{
 		messenger.RoleMember:   s.DeploymentKey(),
 		messenger.RoleOperator: s.OperatorKey(),
-	})
+	}, messenger.WithTLS(s.TLS()))
 	messenger.RegisterBudgetKeeperServer(k.server, k.budget)
+	messenger.RegisterClaimKeeperServer(k.server, k.claims)
 	messenger.RegisterConfigurationKeeperServer(k.server, k.config)
+	messenger.RegisterOperationsServer(k.server, &operationsServer{keeper: k})
+	messenger.RegisterLogKeeperServer(k.server, &logServer{loop: k.config.loop})
 	return k, cleanUp, nil
 }
 
 // Run serves until ctx ends, or until the store fails.
-func (k *Keeper) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (k *Keeper) Run(parent context.Context) error {
+	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	l, err := net.Listen("tcp", k.self.RPC())
 	if err != nil {
@@ -74,18 +82,20 @@
 	if k.settings.Policy().FaultPortEnabled() {
 		cutter = k.dialer.Cutter()
 	}
-	if err := reporter.Serve(ctx, k.self.Debug(), cutter, k.log); err != nil {
+	if err := reporter.Serve(ctx, k.self.Debug(), cutter, &operationsServer{keeper: k}, k.log); err != nil {
 		return err
 	}
 	go func() { cancel(k.server.Serve(l)) }()
 	go func() { cancel(k.budget.run(ctx)) }()
-	go k.config.run(ctx)
+	go func() { cancel(k.claims.run(ctx)) }()
+	go func() { cancel(k.config.run(ctx)) }()
 	k.log.Info("keeper serves", zap.String("name", k.self.Name()), zap.String("zone", k.self.Zone()),
 		zap.Uint64("configuration_version", k.config.version()))
 	<-ctx.Done()
 	k.server.Stop()
-	if cause := context.Cause(ctx); cause != context.Canceled {
-		return cause
+	// The cause of a parent that ended is the signal, which is no failure.
+	if parent.Err() != nil {
+		return nil
 	}
-	return nil
+	return context.Cause(ctx)
 }
--- a/messenger/dialer.go
+++ b/messenger/dialer.go
@@ -7,7 +7,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 )
 
@@ -24,11 +23,13 @@
 	role   Role
 	key    []byte
 	cutter *Cutter
+	// Options say how connections are secured.
+	options options
 }
 
 // NewDialer returns a dialer that proves the role with the key.
-func NewDialer(node string, role Role, key []byte) *Dialer {
-	return &Dialer{node: node, role: role, key: key, cutter: NewCutter()}
+func NewDialer(node string, role Role, key []byte, list ...Option) *Dialer {
+	return &Dialer{node: node, role: role, key: key, cutter: NewCutter(), options: newOptions(list)}
 }
 
 // Cutter returns the place where tests cut this node's connections.
@@ -37,16 +38,18 @@
 // Dial returns a connection to address that reconnects by itself; the caller
 // closes it.
 func (d *Dialer) Dial(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithPerRPCCredentials(proof{role: d.role, node: d.node, key: d.key}),
+	options := append(clientTracing(),
+		grpc.WithTransportCredentials(d.options.credentials()),
+		grpc.WithPerRPCCredentials(proof{role: d.role, node: d.node, key: d.key, now: time.Now}),
 		grpc.WithContextDialer(d.dial),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: reconnectBase, Multiplier: 2, MaxDelay: reconnectMax},
 			MinConnectTimeout: reconnectMax,
 		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveWait}),
 	)
+	return grpc.NewClient("passthrough:///"+address, options...)
 }
 
 func (d *Dialer) dial(ctx context.Context, address string) (net.Conn, error) {
--- a/picker/ledger.go
+++ b/picker/ledger.go
@@ -21,8 +21,14 @@
 	services sync.Map
 	nextID   atomic.Uint32
 	prefixes *Prefixes
+	// Routers is how many routers share the endpoints, 0 where unknown.
+	routers atomic.Int64
 }
 
+// SetRouters says how many routers share the endpoints; callers are assumed
+// to be spread evenly over them.
+func (l *Ledger) SetRouters(n int) { l.routers.Store(int64(n)) }
+
 // NewLedger returns an empty ledger that counts time from base.
 func NewLedger(base time.Time) *Ledger { return &Ledger{base: base, prefixes: &Prefixes{}} }
 
@@ -174,10 +180,14 @@
 func (r *Run) First(at time.Time) {
 	now := r.ledger.Since(at)
 	r.first = now
-	if r.expected || r.queued || r.prompt < 1 {
+	if r.prompt < 1 {
 		return
 	}
 	x := (now - r.begun).Seconds() / r.prompt
+	r.stats.service.promptTime.add(x, serviceWeight, now)
+	if r.expected || r.queued {
+		return
+	}
 	r.stats.prefillTime.add(x, sampleWeight, now)
 	r.stats.service.prefillTime.add(x, serviceWeight, now)
 }
--- a/router/choose.go
+++ b/router/choose.go
@@ -3,17 +3,35 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/picker"
+	"rattanhoist.example/rattanhoist/recorder"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
-func (r *Router) picker(name string) picker.Picker {
+func (r *Router) pickerName(name string) string {
 	if name == "" {
-		name = r.settings.Policy().Picker()
+		return r.settings.Policy().Picker()
+	}
+	return name
+}
+
+func pickReason(picker string, c *picker.Candidate) string {
+	state := ""
+	if c.Stats().Ejected() {
+		state = ", on probation after failures"
 	}
+	return fmt.Sprintf("%s: %d of this router's requests there, load %d of %d%s",
+		picker, c.Stats().InFlight(), c.Endpoint().Load(), c.Endpoint().Capacity(), state)
+}
+
+func (r *Router) picker(name string) picker.Picker {
+	name = r.pickerName(name)
 	p, ok := r.pickers.Load(name)
 	if !ok {
 		made, _ := picker.New(name)
@@ -33,18 +51,29 @@
 }
 
 // pick returns an endpoint that may serve the request and is not in tried.
-func (r *Router) pick(q *request, tried map[string]bool) (*rattanhoist.Endpoint, error) {
+func (r *Router) pick(ctx context.Context, q *request, tried map[string]bool) (*rattanhoist.Endpoint, error) {
 	now := time.Now()
 	set := r.candidates(q, now)
 	p := q.query(now)
 	for name := range tried {
 		p.Tried = append(p.Tried, r.ledger.Known(name))
 	}
+	_, span := tracer.Begin(ctx, tracer.HopPick)
+	defer span.End(nil)
 	i := r.picker(q.service.Picker).Pick(p, set)
 	if i < 0 {
 		return nil, rattanhoist.ErrNoEndpoint
 	}
-	return set.At(i).Endpoint(), nil
+	kind := recorder.Picked
+	if len(tried) > 0 {
+		kind = recorder.Retried
+	}
+	c := set.At(i)
+	r.record(q, recorder.Decision{
+		Kind: kind, Endpoint: c.Endpoint().Name(), Candidates: set.Len(),
+		Reason: pickReason(r.pickerName(q.service.Picker), c),
+	})
+	return c.Endpoint(), nil
 }
 
 // sent is one dispatch, for what later picks learn of it.
@@ -68,10 +97,10 @@
 
 // end notes how the run ended. A caller that left or a deadline that passed
 // is no fault of the endpoint's.
-func (s *sent) end(res *result, err error) {
+func (s *sent) end(a *joiner.Answer, err error) {
 	var answerTokens int64
-	if res != nil {
-		answerTokens = res.answerTokens
+	if a != nil {
+		answerTokens = a.AnswerTokens
 	}
 	gone := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 	s.run.End(time.Now(), picker.Outcome{
--- a/treasurer/caller.go
+++ b/treasurer/caller.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
 func (t *Treasurer) callContext() (context.Context, context.CancelFunc) {
@@ -27,17 +28,25 @@
 		cancel()
 		switch {
 		case fenced(err):
+			t.pause(int(t.renewals.Load()))
 			t.renew(m)
 			return
 		case err == nil, status.Code(err) == codes.Unimplemented:
+			t.earlierKeeper.Store(err != nil)
 			t.useWitness(out.GetWitnessAddress())
+			t.renewals.Store(0)
 			close(m.registered)
 			return
 		}
-		select {
-		case <-t.background.Done():
-		case <-time.After(t.policy.pause(try)):
-		}
+		t.pause(try)
+	}
+}
+
+// pause waits before another try, or until the end.
+func (t *Treasurer) pause(tries int) {
+	select {
+	case <-t.background.Done():
+	case <-time.After(t.policy.pause(tries)):
 	}
 }
 
@@ -61,6 +70,9 @@
 func (t *Treasurer) lease(h *holder, a SendLease) {
 	ctx, cancel := t.callContext()
 	defer cancel()
+	if l := h.trace.Load(); l != nil {
+		ctx = l.Resume(ctx)
+	}
 	select {
 	case <-h.term.registered:
 	case <-ctx.Done():
@@ -102,10 +114,26 @@
 	}
 }
 
+// traceOf returns the trace of the first request of a batch that has one.
+func (m *term) traceOf(s Send) tracer.Link {
+	if !tracer.On() {
+		return tracer.Link{}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range s.entries {
+		if b := m.bills[e.key]; b != nil && !b.trace.IsZero() {
+			return b.trace
+		}
+	}
+	return tracer.Link{}
+}
+
 // callCharge returns nil where the target did not answer.
 func (t *Treasurer) callCharge(m *term, s Send) *messenger.ChargeReply {
 	ctx, cancel := t.callContext()
 	defer cancel()
+	ctx = m.traceOf(s).Resume(ctx)
 	r := &messenger.ChargeRequest{
 		Router: t.options.Router, Incarnation: uint64(m.incarnation), Charges: s.Charges(), Zone: t.options.Zone,
 	}
@@ -124,5 +152,10 @@
 	if err != nil {
 		return nil
 	}
+	if t.earlierKeeper.Load() {
+		for _, x := range out.Results {
+			x.SpentTokens = x.BilledTokens
+		}
+	}
 	return out
 }
