--- a/budgeter/escrow.go
+++ b/budgeter/escrow.go
@@ -125,3 +125,22 @@
 	}
 	return out
 }
+
+// Unspent returns the rights of a workspace that may be leased or given.
+func (v *Vault) Unspent(workspace string) int64 {
+	if b := v.books[workspace]; b != nil {
+		return int64(b.unspent)
+	}
+	return 0
+}
+
+// UnderWay returns the rights of a workspace that are on their way, by zone.
+func (v *Vault) UnderWay(workspace string) map[string]rattanhoist.Tokens {
+	out := map[string]rattanhoist.Tokens{}
+	for _, t := range v.pending {
+		if t.Workspace == workspace {
+			out[t.ToZone] += rattanhoist.Tokens(t.Tokens)
+		}
+	}
+	return out
+}
--- a/keeper/budget.go
+++ b/keeper/budget.go
@@ -50,6 +50,7 @@
 	go p.run(ctx)
 	go s.rounds(ctx)
 	go s.prove(ctx)
+	go s.place(ctx)
 	return s.loop.run(ctx)
 }
 
@@ -67,6 +68,7 @@
 		return nil, status.Errorf(codes.InvalidArgument, "top_up_id: %q: want ZONE/UNIQUE", r.TopUpId)
 	}
 	if zone == s.keeper.self.Zone() {
+		s.shares.touch(r.Workspace, time.Now())
 		return answer[*messenger.TopUpReply](s.loop.handle(ctx, budgeter.Mint{Request: r}))
 	}
 	p, ok := s.keeper.peers.zone(zone)
@@ -142,6 +144,20 @@
 	return answer[*messenger.AskReply](s.loop.handle(ctx, budgeter.Ask{Request: r}))
 }
 
+// Exchange answers with this zone's shares of the workspaces that another zone
+// has traffic of.
+func (s *budgetServer) Exchange(ctx context.Context, r *messenger.ExchangeRequest) (*messenger.ExchangeReply, error) {
+	var names []string
+	for _, x := range r.Shares {
+		names = append(names, x.Workspace)
+		s.shares.heard(r.Zone, x, time.Now())
+	}
+	out := &messenger.ExchangeReply{VaultIncarnation: s.loop.incarnation.Load()}
+	var err error
+	out.Shares, err = s.ownShares(ctx, names)
+	return out, err
+}
+
 // Give takes transfers from another zone.
 func (s *budgetServer) Give(ctx context.Context, r *messenger.GiveRequest) (*messenger.GiveReply, error) {
 	return answer[*messenger.GiveReply](s.loop.handle(ctx, budgeter.Receive{Request: r}))
--- a/keeper/vault_lease.go
+++ b/keeper/vault_lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"rattanhoist.example/rattanhoist/budgeter"
 	"rattanhoist.example/rattanhoist/messenger"
@@ -12,6 +13,7 @@
 // unreserved rights from the zone's other routers and asks the other zones
 // first, so that a refusal tells what is spent from what is out of reach.
 func (s *budgetServer) Lease(ctx context.Context, r *messenger.LeaseRequest) (*messenger.LeaseReply, error) {
+	s.shares.demand(r.Workspace, r.Router, float64(r.DemandTokensPerSecond), time.Now())
 	g := &gathering{server: s, workspace: r.Workspace, want: r.WantTokens}
 	if s.loop.currentMode() != budgeter.ModeStarting && g.missing(ctx) > 0 {
 		g.recall(ctx, r.Router)
@@ -21,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out.UnreachableZones, out.ElsewhereTokens = g.silent, s.shares.sum(r.Workspace)
+	out.UnreachableZones, out.ElsewhereTokens = g.silent, s.shares.elsewhere(r.Workspace)
 	return out, nil
 }
 
@@ -110,7 +112,7 @@
 		return nil
 	})
 	for zone, n := range left {
-		g.server.shares.note(g.workspace, zone, n)
+		g.server.shares.left(g.workspace, zone, n, time.Now())
 	}
 	return left
 }
@@ -130,32 +132,3 @@
 	_, _ = g.server.Give(ctx, &messenger.GiveRequest{Transfers: []*messenger.Transfer{out.Transfer}})
 	return out, nil
 }
-
-// shares is what other zones had left of a workspace when last heard; soft.
-type shares struct {
-	mu sync.Mutex
-	// Left maps workspaces and zones to tokens.
-	left map[string]map[string]int64
-}
-
-func newShares() *shares { return &shares{left: map[string]map[string]int64{}} }
-
-func (s *shares) note(workspace, zone string, n int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	zones := s.left[workspace]
-	if zones == nil {
-		zones = map[string]int64{}
-		s.left[workspace] = zones
-	}
-	zones[zone] = n
-}
-
-func (s *shares) sum(workspace string) (n int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, x := range s.left[workspace] {
-		n += x
-	}
-	return n
-}
