--- a/storer/storer.go
+++ b/storer/storer.go
@@ -153,11 +153,14 @@
 	return nil
 }
 
-// Size returns the bytes of the store's file.
-func (s *Store) Size() (n int64) {
+// Used returns the bytes of the file that hold rows; the rest is free for new
+// ones.
+func (s *Store) Used() int64 {
+	var size int64
 	_ = s.View(func(v View) error {
-		n = v.tx.Size()
+		size = v.tx.Size()
 		return nil
 	})
-	return n
+	free := s.db.Stats()
+	return size - int64(free.FreePageN+free.PendingPageN)*int64(s.db.Info().PageSize)
 }
