Bill a request once where two zones ran it

Cause: a caller that comes back in another zone, or across a cut, was billed in both; the books balanced, but the request had two bills. Ruled out: exchanging only charges made while a zone was unreachable (a retry reaches another zone without any cut); asking every other zone (the cost of a bill would grow with the zones). Change: each request has one zone that keeps its claim; bills on two disks are claimed there in groups, the first claim counts, other bills are reversed and their tokens go back. A reversed row stays as the answer to resends. Conclusion: no request waits for a claim; a cut delays reversals.

--- a/budgeter/action.go
+++ b/budgeter/action.go
@@ -120,6 +120,19 @@
 	CopyComplete bool
 }
 
+// ClaimBills records claims of bills, the first for each request.
+type ClaimBills struct {
+	Ticket  Ticket
+	Request *messenger.ClaimBillsRequest
+}
+
+// BillsClaimed ends rows of Unclaimed. Counting maps their keys to the zones
+// whose bills count, for each of their requests in order; others are reversed.
+type BillsClaimed struct{ Counting map[string][]string }
+
+func (ClaimBills) isEvent()   {}
+func (BillsClaimed) isEvent() {}
+
 // Paired makes a commit of its own, so that a copy which is whole again is
 // later than every solo mark.
 type Paired struct {
--- a/budgeter/charge.go
+++ b/budgeter/charge.go
@@ -70,6 +70,7 @@
 	row := proto.CloneOf(c)
 	row.Router, row.Incarnation = l.Router, l.Incarnation
 	v.put(BucketCharges, requestKey(c).String(), row)
+	v.billed = append(v.billed, requestKey(c).String())
 	return row
 }
 
--- a/budgeter/copier.go
+++ b/budgeter/copier.go
@@ -222,7 +222,7 @@
 // a restored copy would not know of it; it must wait for the mirror.
 func NeedsTwoDisks(e Event) bool {
 	switch e.(type) {
-	case Ask, Receive, FenceWitness, HandOver:
+	case Ask, Receive, FenceWitness, HandOver, ClaimBills:
 		return true
 	default:
 		return false
--- a/budgeter/rows.go
+++ b/budgeter/rows.go
@@ -20,19 +20,21 @@
 	BucketWitnessed = "budget_witnessed"
 	BucketRefused   = "budget_refused"
 	BucketMarks     = "budget_marks"
+	BucketUnclaimed = "budget_unclaimed"
+	BucketClaimed   = "budget_claimed"
 )
 
 // Buckets lists every bucket of a vault, for copies.
 var Buckets = []string{
 	BucketVault, BucketBooks, BucketTopUps, BucketLeases, BucketCharges, BucketTransfers,
-	BucketReceived, BucketRouters, BucketWitnessed, BucketRefused, BucketMarks,
+	BucketReceived, BucketRouters, BucketWitnessed, BucketRefused, BucketMarks, BucketUnclaimed, BucketClaimed,
 }
 
 // Resident lists the buckets that Restore must be given; the rows of the
 // others are looked up when needed.
 var Resident = []string{
 	BucketVault, BucketBooks, BucketLeases, BucketTransfers,
-	BucketRouters, BucketWitnessed, BucketRefused, BucketMarks,
+	BucketRouters, BucketWitnessed, BucketRefused, BucketMarks, BucketUnclaimed,
 }
 
 // vaultKey is the key of the only row of BucketVault.
@@ -146,6 +148,8 @@
 		return into(value, &messenger.Charge{}, func(m *messenger.Charge) { v.witnessed[witnessKey(m)] = m })
 	case BucketRefused:
 		return into(value, &messenger.FenceWitnessRequest{}, func(m *messenger.FenceWitnessRequest) { v.refused[key] = m.Incarnation })
+	case BucketUnclaimed:
+		return into(value, &messenger.UnclaimedRow{}, func(m *messenger.UnclaimedRow) { v.unclaimed[key] = m })
 	case BucketMarks:
 		return into(value, &messenger.SoloMark{}, func(m *messenger.SoloMark) { v.marks[m.Zone] = m })
 	default:
--- a/budgeter/vault.go
+++ b/budgeter/vault.go
@@ -104,6 +104,11 @@
 	refused map[string]uint64
 	// Marks maps zones to the latest solo mark of their keeper.
 	marks map[string]*messenger.SoloMark
+	// Unclaimed holds, by the first of its requests, each group of bills whose
+	// claim waits; a cut makes them wait for its length.
+	unclaimed map[string]*messenger.UnclaimedRow
+	// Billed holds the requests billed in the step in progress.
+	billed []string
 	// Proved maps routers to the incarnation whose holdings have been taken
 	// since the last start; it matters only while the vault is unproved.
 	proved map[string]uint64
@@ -127,6 +132,7 @@
 		refused:   map[string]uint64{},
 		marks:     map[string]*messenger.SoloMark{},
 		proved:    map[string]uint64{},
+		unclaimed: map[string]*messenger.UnclaimedRow{},
 		recent:    recent{now: map[rowKey][]byte{}},
 		changed:   map[rowKey][]byte{},
 		dirty:     map[*book]bool{},
@@ -136,6 +142,7 @@
 // Step handles one event. The rows come before the reply.
 func (v *Vault) Step(_ time.Time, e Event) []Action {
 	v.handle(e)
+	v.storeUnclaimed()
 	for b := range v.dirty {
 		v.storeBook(b)
 	}
@@ -194,6 +201,10 @@
 		v.answer(e.Ticket)(v.handOver(e.Request))
 	case HandedOver:
 		v.handedOver(e)
+	case ClaimBills:
+		v.answer(e.Ticket)(v.claimBills(e.Request))
+	case BillsClaimed:
+		v.billsClaimed(e)
 	case Mark:
 		v.answer(e.Ticket)(v.mark(e.Request))
 	case Begin:
--- a/budgeter/world_test.go
+++ b/budgeter/world_test.go
@@ -417,6 +417,37 @@
 	}
 }
 
+// claim finds bills of one request in two zones.
+func (w *world) claim(k *keeper) {
+	// A claim for a bill that is on one disk could outlive the bill.
+	if k.vault == nil || k.copier.Mode() != budgeter.ModePaired {
+		return
+	}
+	rows := k.vault.Unclaimed(8)
+	for _, key := range slices.Sorted(maps.Keys(rows)) {
+		var counting []string
+		for _, request := range rows[key].RequestKeys {
+			h := budgeter.RequestHash(request)
+			o := w.keepers[w.zones[int(h[0])%len(w.zones)]]
+			if !w.reachable(k.zone, o.zone) {
+				break
+			}
+			m, err := w.commit(o, budgeter.ClaimBills{Request: &messenger.ClaimBillsRequest{Zone: k.zone, RequestHashes: [][]byte{h}}})
+			if m == nil || err != nil {
+				break
+			}
+			counting = append(counting, m.(*messenger.ClaimBillsReply).Zones...)
+		}
+		if slices.ContainsFunc(counting, func(z string) bool { return z != k.zone }) {
+			w.seen["reversed"]++
+		}
+		w.commit(k, budgeter.BillsClaimed{Counting: map[string][]string{key: counting}})
+		if k.vault == nil {
+			return
+		}
+	}
+}
+
 // resend pushes unconfirmed transfers; while a commit is on one disk only, no
 // transfer may leave.
 func (w *world) resend(k *keeper) {
--- a/keeper/budget.go
+++ b/keeper/budget.go
@@ -144,6 +144,11 @@
 	return answer[*messenger.AskReply](s.loop.handle(ctx, budgeter.Ask{Request: r}))
 }
 
+// ClaimBills records which zone billed a request first.
+func (s *budgetServer) ClaimBills(ctx context.Context, r *messenger.ClaimBillsRequest) (*messenger.ClaimBillsReply, error) {
+	return answer[*messenger.ClaimBillsReply](s.loop.handle(ctx, budgeter.ClaimBills{Request: r}))
+}
+
 // Exchange answers with this zone's shares of the workspaces that another zone
 // has traffic of.
 func (s *budgetServer) Exchange(ctx context.Context, r *messenger.ExchangeRequest) (*messenger.ExchangeReply, error) {
--- a/keeper/vault_rounds.go
+++ b/keeper/vault_rounds.go
@@ -25,6 +25,7 @@
 		s.resend(ctx)
 		s.release(ctx)
 		s.handOver(ctx)
+		s.claimBills(ctx)
 		s.watchRouters(ctx)
 		pause(ctx, roundEvery)
 	}
