--- /dev/null
+++ b/measurer/budget_slopes.go
@@ -0,0 +1,3 @@
+package measurer
+
+func budgetSlopes(*Report) {}
--- a/treasurer/caller.go
+++ b/treasurer/caller.go
@@ -31,9 +31,8 @@
 			t.pause(int(t.renewals.Load()))
 			t.renew(m)
 			return
-		case err == nil, status.Code(err) == codes.Unimplemented:
-			t.earlierKeeper.Store(err != nil)
-			t.useWitness(out.GetWitnessAddress())
+		case err == nil:
+			t.useWitness(out.WitnessAddress)
 			t.renewals.Store(0)
 			close(m.registered)
 			return
@@ -152,10 +151,5 @@
 	if err != nil {
 		return nil
 	}
-	if t.earlierKeeper.Load() {
-		for _, x := range out.Results {
-			x.SpentTokens = x.BilledTokens
-		}
-	}
 	return out
 }
--- a/treasurer/term.go
+++ b/treasurer/term.go
@@ -164,17 +164,17 @@
 	}
 	for h := range m.holders() {
 		h.mu.Lock()
-		out.Holdings = append(out.Holdings, h.holding())
+		out.Holdings = append(out.Holdings, h.Holding())
 		h.mu.Unlock()
 	}
 	out.Charges = m.outbox.Pending()
 }
 
-// holding is the account's proof: what it was granted and gave back up to the
+// Holding is the account's proof: what it was granted and gave back up to the
 // sequence whose answer it has, and what it may still charge. A return whose
 // answer is lost is not in it: the keeper that takes this proof would count
 // the resend as a second one, and grant the rights to another router.
-func (a *Account) holding() *messenger.Holding {
+func (a *Account) Holding() *messenger.Holding {
 	returned := a.slice.Withdrawn()
 	if a.back != nil {
 		returned -= a.back.tokens
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -66,9 +66,6 @@
 	// an earlier vault, still under way then, would add rights that the later
 	// one does not know of.
 	told atomic.Uint64
-	// EarlierKeeper marks a keeper without Register, which does not say what a
-	// bill took out of the lease; it goes once every keeper registers routers.
-	earlierKeeper atomic.Bool
 	// Renewals counts the incarnations that were fenced in a row.
 	renewals   atomic.Int64
 	background context.Context
