Launcher: wait while another checkout uses the same addresses

Cause: two checkouts that ran the keeper's tests at once failed with 'address already in use'. Ruled out: processes left behind (none listened afterwards). Change: a file lock for each net, held until the test's processes are gone.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -97,6 +97,7 @@
 		f.zones = []string{"osu-hall", "tema-hall", "legon-hall"}
 	}
 	f.writeSettings(o.Policy)
+	lockNet(t, o.Net)
 	t.Cleanup(f.killAll)
 	for _, p := range f.settings.Processes("") {
 		f.startProcess(p.Name(), "rattanhoist", p.Kind(), "--settings", f.settingsFile(), "--name", p.Name())
