--- a/keeper/configuration.go
+++ b/keeper/configuration.go
@@ -52,12 +52,13 @@
 
 func (s *configurationServer) version() uint64 { return s.loop.state.Load().version }
 
-func (s *configurationServer) ageMS() int64 {
-	at := s.loop.state.Load().confirmedAt
-	if at.IsZero() {
+func (s *configurationServer) ageMS() int64 { return ageMS(s.loop.state.Load().confirmedAt) }
+
+func ageMS(confirmedAt time.Time) int64 {
+	if confirmedAt.IsZero() {
 		return unknownAge
 	}
-	return max(time.Since(at).Milliseconds(), 0)
+	return max(time.Since(confirmedAt).Milliseconds(), 0)
 }
 
 // hasWorkspace looks in the local copy, then in a confirmed one: a workspace
--- a/keeper/log_loop.go
+++ b/keeper/log_loop.go
@@ -4,6 +4,7 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
+	"expvar"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,9 @@
 	logBatch = 256
 )
 
+// logVars holds the state of the log of each keeper in this process.
+var logVars = expvar.NewMap("configuration_log")
+
 // Errors of calls to the log. Compare with errors.Is.
 var (
 	// errNotLeader says that nothing was proposed.
@@ -130,6 +134,26 @@
 	}
 }
 
+// logCounters is the state of a log as its debug address shows it.
+type logCounters struct {
+	Version uint64 `json:"version"`
+	Commit  uint64 `json:"commit"`
+	Term    uint64 `json:"term"`
+	Leader  string `json:"leader"`
+	Leads   bool   `json:"leads"`
+	Votes   bool   `json:"votes"`
+	// AgeMS is the time since a majority confirmed the copy; -1 if never.
+	AgeMS int64 `json:"age_ms"`
+}
+
+func (l *logLoop) vars() any {
+	s := l.state.Load()
+	return logCounters{
+		Version: s.version, Commit: s.applied, Term: s.term, Leader: s.leader.Name,
+		Leads: s.role == replicator.Leader, Votes: s.voter, AgeMS: ageMS(s.confirmedAt),
+	}
+}
+
 func newRand() *rand.Rand {
 	var seed [16]byte
 	_, _ = crand.Read(seed[:])
@@ -161,6 +185,7 @@
 		return nil, merry.Errorf("%w; to come back, stop this keeper, move its data folder away and start it: it copies from the others", err)
 	}
 	l.state.Store(&logState{changed: make(chan struct{})})
+	logVars.Set(name, expvar.Func(l.vars))
 	return l, l.carryOut(actions)
 }
 
--- a/keeper/log_store_test.go
+++ b/keeper/log_store_test.go
@@ -124,8 +124,10 @@
 	}
 }
 
-func (c *cluster) accept(id string) uint64 {
-	base := uint64(0)
+func (c *cluster) accept(id string) uint64 { return c.acceptAt(id, 0) }
+
+// acceptAt tries the bases from one on until the change is accepted.
+func (c *cluster) acceptAt(id string, base uint64) uint64 {
 	for {
 		for _, n := range clusterNames {
 			l := c.loop(n)
--- /dev/null
+++ b/keeper/spread_watch_test.go
@@ -0,0 +1,56 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// TestSubscriberFarBehind: symptom, a router that was away for long never
+// catches up, or one whose copy differs keeps it. Sequence: more changes than
+// are kept as deltas, which also takes the log through snapshots; then a
+// subscriber at version 1, one just behind, one with another copy; then a
+// restart from the snapshot.
+func TestSubscriberFarBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &faultyStore{rows: map[string]map[string][]byte{}}
+		l, err := newLogLoop("a", nil, store, rand.New(rand.NewPCG(1, 1)), zap.NewNop(), func(*messenger.LogMessage) {})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		go func() { _ = l.run(ctx) }()
+		c := &cluster{t: t, ctx: ctx, loops: map[string]*logLoop{"a": l}}
+		const changes = 6000
+		for i := range uint64(changes) {
+			g.Expect(c.acceptAt(fmt.Sprint("change-", i), i)).To(gomega.Equal(i + 1))
+		}
+		s := &configurationServer{loop: l}
+		far, _, err := s.update(ctx, &subscriber{version: 1})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(far.Configuration.GetVersion()).To(gomega.Equal(uint64(changes)))
+		near, _, err := s.update(ctx, &subscriber{version: changes - 2})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(near.Configuration).To(gomega.BeNil())
+		g.Expect(near.Changes).To(gomega.HaveLen(2))
+		other, _, err := s.update(ctx, &subscriber{version: changes, digest: near.Digest + 1})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(other.Configuration.GetVersion()).To(gomega.Equal(uint64(changes)))
+		cancel()
+		synctest.Wait()
+		g.Expect(store.rows["log_snapshot"]).To(gomega.HaveLen(1))
+		g.Expect(len(store.rows["log_entries"])).To(gomega.BeNumerically("<", changes))
+		again, err := newLogLoop("a", nil, store, rand.New(rand.NewPCG(1, 2)), zap.NewNop(), func(*messenger.LogMessage) {})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(again.book.Version()).To(gomega.Equal(uint64(changes)))
+		g.Expect(again.book.Digest()).To(gomega.Equal(near.Digest))
+		first := again.book.Decide(&messenger.LogChange{Change: &messenger.Change{ChangeId: "change-7", BaseVersion: 7}})
+		g.Expect(first.Version).To(gomega.Equal(uint64(8)), "the first answer is part of the snapshot")
+	})
+}
