--- a/router/follower.go
+++ b/router/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -39,9 +40,11 @@
 
 // Counters of the configuration at this router.
 var (
-	followed       = expvar.NewMap("configuration")
-	versionServed  = new(expvar.Int)
-	ageServedMS    = new(expvar.Int)
+	followed      = expvar.NewMap("configuration")
+	versionServed = new(expvar.Int)
+	ageServedMS   = new(expvar.Int)
+	// AgeServedAt is when ageServedMS was heard, in milliseconds of Unix time.
+	ageServedAt    atomic.Int64
 	keeperSwitches = new(expvar.Int)
 	lowerVersions  = new(expvar.Int)
 	wholeCopies    = new(expvar.Int)
@@ -95,6 +98,24 @@
 	f.run(ctx)
 }
 
+// show has the router serve a configuration.
+func (r *Router) show(s *configurer.Snapshot) {
+	r.snapshot.Store(s)
+	if r.life.Is(stateStarting) {
+		_ = r.life.Event(context.Background(), eventReady)
+	}
+}
+
+// configurationAgeMS is the time since the configuration was last confirmed,
+// or -1 where that is not known.
+func configurationAgeMS(now time.Time) int64 {
+	age, at := ageServedMS.Value(), ageServedAt.Load()
+	if at == 0 || age < 0 {
+		return -1
+	}
+	return age + max(0, now.UnixMilli()-at)
+}
+
 // sources lists the keepers, those of the router's own zone first.
 func (r *Router) sources() ([]source, func(), error) {
 	var own, others []source
@@ -199,6 +220,7 @@
 		return
 	}
 	ageServedMS.Set(u.AgeMs)
+	ageServedAt.Store(time.Now().UnixMilli())
 	lone := s.own && time.Since(f.started) > confirmWait
 	if !f.shown && !u.Confirmed && !lone {
 		return
@@ -239,11 +261,3 @@
 	f.switchedAt = time.Now()
 	return len(f.sources) > 1
 }
-
-// show serves a snapshot; the first one makes the router ready.
-func (r *Router) show(s *configurer.Snapshot) {
-	r.snapshot.Store(s)
-	if r.life.Is(stateStarting) {
-		_ = r.life.Event(context.Background(), eventReady)
-	}
-}
--- a/router/operations.go
+++ b/router/operations.go
@@ -22,7 +22,7 @@
 	r := s.router
 	out := &messenger.StateReply{
 		Name: r.self.Name(), Kind: r.self.Kind(), Zone: r.self.Zone(), Life: r.life.Current(),
-		Incarnation: uint64(r.money.Incarnation()), ConfigurationAgeMs: -1,
+		Incarnation: uint64(r.money.Incarnation()), ConfigurationAgeMs: configurationAgeMS(time.Now()),
 		KeeperReachable: r.keeperConn.GetState() == connectivity.Ready,
 		UsableEndpoints: int64(len(r.usableEndpoints())), ActiveRequests: activeRequests.Value(),
 		AtRiskTokens: int64(r.money.Held()),
