--- a/launcher/endpoint.go
+++ b/launcher/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"os"
 	"strings"
@@ -24,10 +25,13 @@
 	}
 }
 
-// Runs returns the lines of an endpoint's run log.
+// Runs returns the lines of an endpoint's run log; none before it has begun.
 func (f *Fleet) Runs(name string) []imitator.Run {
 	f.t.Helper()
 	file, err := os.Open(f.RunLog(name))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/launcher/leaving_test.go
@@ -0,0 +1,199 @@
+package launcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/imitator"
+	"rattanhoist.example/rattanhoist/launcher"
+	"rattanhoist.example/rattanhoist/loader"
+)
+
+// lateWork is the time after which an endpoint that left may get no request.
+const lateWork = 3 * time.Second
+
+// endpoints of TestNoNewWorkAfterLeaving, by their number.
+const (
+	leaves = iota + 1
+	silent
+	killed
+	flaps
+	toldOne
+	stays
+)
+
+var endpointNames = []string{leaves: "leaves", silent: "silent", killed: "killed", flaps: "flaps", toldOne: "told-one", stays: "stays"}
+
+// TestNoNewWorkAfterLeaving: endpoints that are gone get requests seconds
+// later. One announces that it leaves, one falls silent, one is killed, one
+// comes and goes, one tells a single router; meanwhile one router is stopped
+// with calls waiting in its sockets and then continued, and one can't hear any
+// other router. Each time a router trusted what it had heard before.
+func TestNoNewWorkAfterLeaving(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := launcher.Start(t, launcher.Options{Net: 100})
+	l := loadOf(t, f)
+	var frozen, cutOff, hearing loader.Process
+	for _, p := range f.Settings().Processes(loader.KindRouter) {
+		f.Eventually(p.Name()+" is ready", func() bool { return f.Ready(p.Name()) })
+		switch p.Name() {
+		case "osu-hall-1":
+			hearing = p
+		case "osu-hall-2":
+			cutOff = p
+		case "tema-hall-1":
+			frozen = p
+		}
+	}
+	for n := leaves; n <= stays; n++ {
+		flags := []string{"--pace", "1ms"}
+		if n == toldOne {
+			flags = append(flags, "--announce-to", hearing.HTTP())
+		}
+		f.StartEndpoint("engine", endpointNames[n], "llm", "osu-hall", n, flags...)
+	}
+	stop := sendEverywhere(t, f, l)
+	for n := leaves; n <= stays; n++ {
+		f.Eventually(endpointNames[n]+" works", func() bool { return len(f.Runs(endpointNames[n])) > 20 })
+	}
+
+	gone := map[int]time.Time{}
+	cutFromRouters(f, cutOff)
+	f.Freeze(frozen.Name())
+	// Renewals of every endpoint now lie in the stopped router's sockets.
+	f.Eventually("renewals wait", func() bool { return len(f.Runs("stays")) > 200 })
+	f.EndpointCommand(silent, "/silence", "")
+	gone[silent] = time.Now()
+	f.Kill("killed")
+	gone[killed] = time.Now()
+	connections := listen(t, f.EndpointAddress(killed))
+	for range 3 {
+		f.EndpointCommand(flaps, "/leave", "")
+		f.EndpointCommand(flaps, "/join", "")
+	}
+	for _, n := range []int{flaps, leaves, toldOne} {
+		f.EndpointCommand(n, "/leave", "")
+		gone[n] = time.Now()
+	}
+	f.Eventually("bound passes", func() bool { return time.Since(gone[toldOne]) > lateWork+500*time.Millisecond })
+	thawed := time.Now()
+	f.Thaw(frozen.Name())
+	f.Eventually("thawed router works", func() bool { return time.Since(thawed) > time.Second })
+	summaries := stop()
+
+	for n, at := range gone {
+		last := lastBegin(f, endpointNames[n])
+		t.Logf("%s: last request %v after it was gone", endpointNames[n], last.Sub(at))
+		g.Expect(last).To(gomega.BeTemporally("<", at.Add(lateWork)), endpointNames[n])
+	}
+	for _, at := range connections() {
+		g.Expect(at).To(gomega.BeTemporally("<", gone[killed].Add(lateWork)), "a connection to the killed one's address")
+	}
+	for router, s := range summaries {
+		t.Logf("%s: %+v", router, s)
+		g.Expect(s.Wrong).To(gomega.BeZero())
+		g.Expect(s.Answered).To(gomega.BeNumerically(">", 50), router)
+	}
+}
+
+// loadOf makes a workspace and returns its load.
+func loadOf(t *testing.T, f *launcher.Fleet) imitator.Load {
+	t.Helper()
+	f.Eventually("keepers answer", func() bool { _, code := f.Command("config", "show"); return code == 0 })
+	var made struct{ Key string }
+	if err := json.Unmarshal([]byte(f.MustCommand("workspace", "create", "w")), &made); err != nil {
+		t.Fatal(err)
+	}
+	f.MustCommand("service", "set", "llm", "--kind", "model", "--model", "m")
+	f.MustCommand("statement", "set", "all")
+	f.Eventually("top-up", func() bool {
+		_, code := f.Command("budget", "topup", "w", "100000000", "--id", "osu-hall/1")
+		return code == 0
+	})
+	return imitator.Load{
+		Call:  imitator.Call{Key: made.Key, Workspace: "w", Model: "m", MaxTokens: 4, Prompt: "report", Timeout: 20 * time.Second},
+		Count: 100_000, Concurrent: 2, For: time.Minute, Seed: 1,
+	}
+}
+
+// sendEverywhere sends the load to every router at once; the returned function
+// ends it and returns what came of it at each router.
+func sendEverywhere(t *testing.T, f *launcher.Fleet, l imitator.Load) func() map[string]imitator.Summary {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	out := map[string]imitator.Summary{}
+	for _, p := range f.Settings().Processes(loader.KindRouter) {
+		wg.Go(func() {
+			l := l
+			l.Routers, l.Prefix = []string{p.HTTP()}, p.Name()+"-"
+			s, err := l.Run(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				out[p.Name()] = s
+			}
+		})
+	}
+	return func() map[string]imitator.Summary {
+		cancel()
+		wg.Wait()
+		return out
+	}
+}
+
+func cutFromRouters(f *launcher.Fleet, from loader.Process) {
+	for _, p := range f.Settings().Processes(loader.KindRouter) {
+		if p.Name() != from.Name() {
+			f.FaultAt(from, "cut", p.RPC())
+			f.FaultAt(p, "cut", from.RPC())
+		}
+	}
+}
+
+// listen takes the place of an endpoint and tells when connections came.
+func listen(t *testing.T, address string) func() []time.Time {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var at []time.Time
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			at = append(at, time.Now())
+			mu.Unlock()
+			_ = c.Close()
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	return func() []time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return at
+	}
+}
+
+func lastBegin(f *launcher.Fleet, endpoint string) time.Time {
+	var last int64
+	for _, r := range f.Runs(endpoint) {
+		if r.Event == "begin" {
+			last = max(last, r.AtMs)
+		}
+	}
+	return time.UnixMilli(last)
+}
--- a/router/run.go
+++ b/router/run.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -89,6 +90,11 @@
 	// A Go client resends some requests by itself when a kept connection
 	// turns out closed; without a replayable body it can't run one twice.
 	h.GetBody = nil
+	// A router that was stopped between the choice and here must not send
+	// work on what it knew before.
+	if !r.tracker.Usable(e, time.Now()) {
+		return nil, &runError{cause: rattanhoist.ErrNoEndpoint}
+	}
 	resp, err := r.engines.Do(h)
 	if err != nil {
 		return nil, &runError{cause: err, dispatched: !neverSent(err)}
