--- a/commander/process.go
+++ b/commander/process.go
@@ -2,42 +2,33 @@
 
 import (
 	"context"
-	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/keeper"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/router"
+	"rattanhoist.example/rattanhoist/tracer"
 )
 
-var _ = register(func(a *app) *cobra.Command {
-	return a.processCommand(loader.KindRouter, "Run a router", func(s *loader.Settings, p loader.Process, log *zap.Logger) (process, func(), error) {
+var _ = register(root, func(a *app) *cobra.Command {
+	return a.processCommand(loader.KindRouter, "Run a router, on every entry VM", func(s *loader.Settings, p loader.Process, log *zap.Logger) (process, func(), error) {
 		return router.New(s, p, log)
 	})
 })
 
-var _ = register(func(a *app) *cobra.Command {
-	return a.processCommand(loader.KindKeeper, "Run a keeper", func(s *loader.Settings, p loader.Process, log *zap.Logger) (process, func(), error) {
+var _ = register(root, func(a *app) *cobra.Command {
+	return a.processCommand(loader.KindKeeper, "Run a keeper, on a VM with a disk", func(s *loader.Settings, p loader.Process, log *zap.Logger) (process, func(), error) {
 		return keeper.New(s, p, log)
 	})
 })
 
-var _ = register(func(a *app) *cobra.Command {
-	return &cobra.Command{
-		Use: "check", Short: "Check the settings and list every fault", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			s, err := a.load()
-			if err != nil {
-				return err
-			}
-			_, err = fmt.Fprintf(a.out, "%s: deployment %s, %d processes, no faults\n", a.settingsFile, s.Deployment(), len(s.Processes("")))
-			return err
-		},
-	}
-})
-
 // process runs until its context ends.
 type process interface{ Run(context.Context) error }
 
@@ -50,7 +41,6 @@
 		RunE: func(c *cobra.Command, _ []string) error { return a.runProcess(c.Context(), kind, name, f) },
 	}
 	c.Flags().StringVar(&name, "name", "", "name of the process in the settings")
-	_ = c.MarkFlagRequired("name")
 	return c
 }
 
@@ -59,6 +49,9 @@
 	if err != nil {
 		return err
 	}
+	if name == "" {
+		return merry.Errorf("%w: --name: missing; want the name of a [%s NAME] section of %s", ErrUsage, kind, a.settingsFile)
+	}
 	self, err := s.Process(kind, name)
 	if err != nil {
 		return err
@@ -68,10 +61,67 @@
 		return err
 	}
 	defer syncLog()
+	stopTracing, err := startTracing(ctx, s, self)
+	if err != nil {
+		return err
+	}
+	defer stopTracing(log)
 	p, cleanUp, err := f(s, self, log)
 	if err != nil {
 		return err
 	}
 	defer cleanUp()
+	if h, ok := p.(hurrier); ok {
+		defer onSecondSignal(ctx, h.Hurry)()
+	}
 	return p.Run(ctx)
 }
+
+// hurrier is a process that can shut down without handing over.
+type hurrier interface{ Hurry() }
+
+// onSecondSignal calls f at a signal that comes after ctx has ended. Neither
+// signal cuts a caller off.
+func onSecondSignal(ctx context.Context, f func()) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	ended := make(chan struct{})
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-ended:
+			return
+		}
+		signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+		select {
+		case <-signals:
+			f()
+		case <-ended:
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(ended)
+	}
+}
+
+const traceFlushTimeout = 2 * time.Second
+
+// startTracing turns traces on where the settings say so; the returned
+// function exports what is left.
+func startTracing(ctx context.Context, s *loader.Settings, self loader.Process) (func(*zap.Logger), error) {
+	t := s.Trace()
+	stop, err := tracer.Start(ctx, tracer.Options{
+		Process: self.Name(), Exporter: t.Exporter(), File: t.File(),
+		Endpoint: t.Endpoint(), Ratio: t.SampleRatio(),
+	})
+	if err != nil {
+		return nil, merry.Errorf("[trace]: %w", err)
+	}
+	return func(log *zap.Logger) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), traceFlushTimeout)
+		defer cancel()
+		if err := stop(ctx); err != nil {
+			log.Warn("spans were lost at the end", zap.Error(err))
+		}
+	}, nil
+}
--- a/loader/policy.go
+++ b/loader/policy.go
@@ -4,11 +4,16 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"rattanhoist.example/rattanhoist/admitter"
+	"rattanhoist.example/rattanhoist/picker"
+	"rattanhoist.example/rattanhoist/placer"
 )
 
 // Defaults of the policy section.
 const (
 	defaultPicker         = "two_choices"
+	defaultShedder        = "deadline"
 	defaultPlacement      = "demand"
 	defaultMaxBody        = 8 << 20
 	defaultTimeout        = 60 * time.Second
@@ -20,19 +25,27 @@
 
 func defaultPolicy() Policy {
 	return Policy{
-		picker: defaultPicker, placement: defaultPlacement, maxBody: defaultMaxBody,
+		picker: defaultPicker, shedder: defaultShedder, placement: defaultPlacement, maxBody: defaultMaxBody,
 		defaultTimeout: defaultTimeout, maxTimeout: defaultMaxTimeout,
 		keepAnswer: defaultKeepAnswer, endpointMaxAge: defaultEndpointMaxAge,
 		drainTimeout: defaultDrainTimeout,
 	}
 }
 
+var policyKeys = []string{
+	"picker", "shedder", "placement", "max_body_bytes", "default_timeout", "max_timeout",
+	"keep_answer", "endpoint_max_age", "drain_timeout", "fault_port",
+}
+
 func (c *checker) policySection(sec *ini.Section) Policy {
-	c.onlyKeys(sec, "picker", "placement", "max_body_bytes", "default_timeout", "max_timeout",
-		"keep_answer", "endpoint_max_age", "drain_timeout", "fault_port")
+	c.onlyKeys(sec, policyKeys...)
 	p := defaultPolicy()
 	c.text(sec, "picker", &p.picker)
+	c.oneOf(sec, "picker", p.picker, picker.Names())
+	c.text(sec, "shedder", &p.shedder)
+	c.oneOf(sec, "shedder", p.shedder, admitter.Names())
 	c.text(sec, "placement", &p.placement)
+	c.oneOf(sec, "placement", p.placement, placer.Names())
 	c.bytes(sec, "max_body_bytes", &p.maxBody)
 	c.duration(sec, "default_timeout", &p.defaultTimeout)
 	c.duration(sec, "max_timeout", &p.maxTimeout)
@@ -40,6 +53,9 @@
 	c.duration(sec, "endpoint_max_age", &p.endpointMaxAge)
 	c.duration(sec, "drain_timeout", &p.drainTimeout)
 	c.flag(sec, "fault_port", &p.faultPortEnabled)
+	if p.defaultTimeout > p.maxTimeout {
+		c.fault(sec.Name(), "default_timeout", "%s is longer than max_timeout, %s", p.defaultTimeout, p.maxTimeout)
+	}
 	return p
 }
 
--- a/router/announce.go
+++ b/router/announce.go
@@ -5,7 +5,6 @@
 	"errors"
 	"expvar"
 	"net/http"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,7 +48,7 @@
 	d := json.NewDecoder(http.MaxBytesReader(w, h.Body, maxAnnouncement))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&a); err != nil {
-		faultyAnnouncement(err).write(w)
+		badJSON(err).write(w)
 		return
 	}
 	now := rattanhoist.MomentOf(time.Now())
@@ -68,18 +67,6 @@
 	})
 }
 
-// faultyAnnouncement names the field that could not be read.
-func faultyAnnouncement(err error) *Problem {
-	var wrongType *json.UnmarshalTypeError
-	if errors.As(err, &wrongType) && wrongType.Field != "" {
-		return badField(wrongType.Field, "want "+wrongType.Type.String()+", not "+wrongType.Value)
-	}
-	if field, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		return badField(strings.Trim(field, `"`), "unknown field")
-	}
-	return badField("body", err.Error())
-}
-
 func announceProblem(err error) *Problem {
 	var field *tracker.FieldError
 	switch {
