Rebuild candidates on every news of endpoints; real processes leave

Symptom: after merging trackers and pickers a router found no endpoint 3 s after the last change of membership. Cause: candidate tables were rebuilt when the tracker's table changed, but load and age are now renewed in place. Change: they follow the tracker's revision; held and aged endpoints stay out.

--- a/router/candidates.go
+++ b/router/candidates.go
@@ -49,9 +49,11 @@
 }
 
 type builtTable struct {
-	set  *picker.Set
-	from *tracker.Table
-	at   time.Time
+	set *picker.Set
+	// Revision is that of the endpoints' news when the table was built. The
+	// tracker renews load and age in place, so its table alone does not tell.
+	revision uint64
+	at       time.Time
 }
 
 // candidates returns the table of endpoints that statements allow.
@@ -86,9 +88,9 @@
 // request rebuilds while the others use the last table, but for one that is
 // stale: an idle router's table may be hours old.
 func (t *candidateTable) current(r *Router, now time.Time) *picker.Set {
-	from := r.tracker.Table()
+	revision := r.tracker.Revision()
 	b := t.built.Load()
-	if b != nil && (b.from == from || now.Sub(b.at) < tableRefresh) {
+	if b != nil && (b.revision == revision || now.Sub(b.at) < tableRefresh) {
 		return b.set
 	}
 	if b != nil && now.Sub(b.at) < tableStale {
@@ -99,18 +101,18 @@
 		t.mu.Lock()
 	}
 	defer t.mu.Unlock()
-	if c := t.built.Load(); c != b && c.from == from {
+	if c := t.built.Load(); c != b && c.revision == revision {
 		return c.set
 	}
-	set := r.newSet(t, from, now)
-	t.built.Store(&builtTable{set: set, from: from, at: now})
+	set := r.newSet(t, r.tracker.Table(), now)
+	t.built.Store(&builtTable{set: set, revision: revision, at: now})
 	return set
 }
 
 func (r *Router) newSet(t *candidateTable, from *tracker.Table, now time.Time) *picker.Set {
 	var allowed []*rattanhoist.Endpoint
 	for _, e := range from.Service(t.service) {
-		if t.grant.Allows(e) {
+		if r.tracker.Usable(e, now) && t.grant.Allows(e) {
 			allowed = append(allowed, e)
 		}
 	}
--- a/tracker/gossip.go
+++ b/tracker/gossip.go
@@ -42,7 +42,7 @@
 	if q.Incarnation != uint64(t.incarnation) {
 		since = 0
 	}
-	out := &messenger.GossipReply{Incarnation: uint64(t.incarnation), Revision: t.revision}
+	out := &messenger.GossipReply{Incarnation: uint64(t.incarnation), Revision: t.revision.Load()}
 	for _, id := range q.Want[:min(len(q.Want), maxWanted)] {
 		if e := t.byID[id]; e != nil && e.joined <= since {
 			t.appendState(out, e, now)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -46,8 +46,8 @@
 	// ByAddress names who announced an address last.
 	byAddress map[string]string
 	order     order
-	// Revision counts the news; it never falls.
-	revision uint64
+	// Revision counts the news; it never falls. Only holders of mu change it.
+	revision atomic.Uint64
 	// Counted holds the endpoints of the own zone for each service.
 	counted map[string]int
 	stats   Stats
@@ -85,6 +85,10 @@
 // Table returns the current table.
 func (t *Tracker) Table() *Table { return t.table.Load() }
 
+// Revision counts the news so far, renewals included: what was derived from
+// loads and ages is up to date as long as it stays.
+func (t *Tracker) Revision() uint64 { return t.revision.Load() }
+
 // Stats returns the counters.
 func (t *Tracker) Stats() Stats {
 	t.mu.Lock()
@@ -319,8 +323,7 @@
 // note gives an entry the next revision.
 func (t *Tracker) note(e *entry, via string) {
 	t.order.remove(e)
-	t.revision++
-	e.revision, e.via = t.revision, via
+	e.revision, e.via = t.revision.Add(1), via
 	t.order.append(e)
 }
 
