--- a/launcher/leaving_test.go
+++ b/launcher/leaving_test.go
@@ -63,6 +63,11 @@
 	for n := leaves; n <= stays; n++ {
 		f.Eventually(endpointNames[n]+" works", func() bool { return len(f.Runs(endpointNames[n])) > 20 })
 	}
+	for _, p := range f.Settings().Processes(loader.KindRouter) {
+		f.Eventually(p.Name()+" knows by gossip", func() bool {
+			return beginsAfter(f, "told-one", "w/"+p.Name()+"-", time.Time{}) > 0
+		})
+	}
 
 	gone := map[int]time.Time{}
 	cut := time.Now()
@@ -97,7 +102,6 @@
 		t.Logf("%s: last request %v after it was gone", endpointNames[n], last.Sub(at))
 		g.Expect(last).To(gomega.BeTemporally("<", at.Add(lateWork)), endpointNames[n])
 	}
-	g.Expect(beginsAfter(f, "told-one", "w/"+cutOff.Name()+"-", time.Time{})).NotTo(gomega.BeZero(), "known by gossip")
 	g.Expect(beginsAfter(f, "told-one", "w/"+cutOff.Name()+"-", cut.Add(lateWork))).To(gomega.BeZero(), "known from before the cut")
 	for _, at := range connections() {
 		g.Expect(at).To(gomega.BeTemporally("<", gone[killed].Add(lateWork)), "a connection to the killed one's address")
--- /dev/null
+++ b/measurer/endpoints.go
@@ -0,0 +1,180 @@
+package measurer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/tracker"
+)
+
+// Endpoints is the name of the experiment on what an endpoint known costs.
+var Endpoints = Register(Experiment{
+	Name: "endpoints", Short: "Announcements and gossip: bytes, processor time and memory for each endpoint",
+	Run: measureEndpoints,
+})
+
+const (
+	endpointMaxAge = 3 * time.Second
+	endpointZone   = "zone-1"
+	// endpointRounds is how often each case is repeated.
+	endpointRounds = 20
+)
+
+// endpointSizes are a zone of today, a zone and a region of two years on, and
+// all of it.
+var endpointSizes = []int{15, 216, 600, 1200, 4100}
+
+// endpointFleet is a router that endpoints announce to and one that pulls.
+type endpointFleet struct {
+	told, pulls *tracker.Tracker
+	peer        tracker.Peer
+	now         rattanhoist.Moment
+	said        []tracker.Announcement
+}
+
+func newEndpointFleet(n int) *endpointFleet {
+	f := &endpointFleet{now: rattanhoist.MomentOf(time.Now())}
+	for i, t := range []**tracker.Tracker{&f.told, &f.pulls} {
+		*t = tracker.New(tracker.Options{
+			MaxAge: endpointMaxAge, Incarnation: rattanhoist.Incarnation(i + 1),
+			Zone: endpointZone, Zones: []string{endpointZone},
+		})
+	}
+	for i := range n {
+		f.said = append(f.said, tracker.Announcement{
+			Name: fmt.Sprintf("survey-llm-%d", i), Service: fmt.Sprintf("service-%d", i%15), Zone: endpointZone,
+			Address: fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255),
+			Labels:  map[string]string{"tier": "standard", "accelerator": "large", "version": "v12"},
+			// As endpoints choose it: the time of their start.
+			Incarnation: uint64(time.Now().UnixNano()), Capacity: 16,
+		})
+	}
+	return f
+}
+
+// renew has every endpoint announce once, as the router's handler takes it.
+func (f *endpointFleet) renew() (bytes int, err error) {
+	f.now = f.now.Add(time.Second)
+	token := f.told.Token(f.now)
+	for i := range f.said {
+		a := &f.said[i]
+		a.Sequence++
+		a.Load, a.Token = int64(i+int(a.Sequence))%16, token
+		b, err := json.Marshal(a)
+		if err != nil {
+			return 0, err
+		}
+		bytes += len(b)
+		var read tracker.Announcement
+		if err := json.Unmarshal(b, &read); err != nil {
+			return 0, err
+		}
+		if _, err := f.told.Announce(read, f.now); err != nil {
+			return 0, err
+		}
+	}
+	return bytes, nil
+}
+
+// pull has the other router pull once, through the codec.
+func (f *endpointFleet) pull() (bytes int, err error) {
+	reply := f.told.Reply(f.peer.Request("puller", endpointZone), f.now)
+	b, err := proto.Marshal(reply)
+	if err != nil {
+		return 0, err
+	}
+	var read messenger.GossipReply
+	if err := proto.Unmarshal(b, &read); err != nil {
+		return 0, err
+	}
+	f.pulls.Merge(&f.peer, "told", &read, f.now, f.now)
+	return len(b), nil
+}
+
+// endpointCost is what one size cost.
+type endpointCost struct {
+	announceBytes, pullBytes, joinBytes float64
+	announceTime, pullTime              time.Duration
+	memory                              float64
+}
+
+func measureEndpoints(ctx context.Context, r *Report) error {
+	points := map[string][]Point{}
+	for _, n := range endpointSizes {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		c, err := costOfEndpoints(n)
+		if err != nil {
+			return err
+		}
+		kase := fmt.Sprintf("%d endpoints", n)
+		r.Figure(kase, "announcement", c.announceBytes/float64(n), "bytes")
+		r.Figure(kase, "announcement taken in", float64(c.announceTime.Nanoseconds())/float64(n), "ns")
+		for metric, y := range map[string]float64{
+			"pull_bytes": c.pullBytes, "join_bytes": c.joinBytes, "memory_bytes": c.memory,
+			"pull_us": float64(c.pullTime.Nanoseconds()) / 1e3, "announce_us": float64(c.announceTime.Nanoseconds()) / 1e3,
+		} {
+			points[metric] = append(points[metric], Point{X: float64(n), Y: y})
+		}
+	}
+	for _, m := range []struct{ metric, unit string }{
+		{"announce_us", "us per round of announcements"},
+		{"pull_us", "us per pull, both sides"},
+		{"pull_bytes", "bytes per pull, all renewed"},
+		{"join_bytes", "bytes until all are known"},
+		{"memory_bytes", "bytes"},
+	} {
+		r.Slope("router", m.metric, m.unit, "endpoint", points[m.metric])
+	}
+	return nil
+}
+
+func costOfEndpoints(n int) (endpointCost, error) {
+	var c endpointCost
+	f := newEndpointFleet(n)
+	before := heapInUse()
+	if _, err := f.renew(); err != nil {
+		return c, err
+	}
+	c.memory = heapInUse() - before
+	for f.pulls.Stats().Known < n {
+		bytes, err := f.pull()
+		if err != nil {
+			return c, err
+		}
+		c.joinBytes += float64(bytes)
+	}
+	for range endpointRounds {
+		start := time.Now()
+		bytes, err := f.renew()
+		if err != nil {
+			return c, err
+		}
+		c.announceBytes += float64(bytes) / endpointRounds
+		c.announceTime += time.Since(start) / endpointRounds
+		start = time.Now()
+		bytes, err = f.pull()
+		if err != nil {
+			return c, err
+		}
+		c.pullBytes += float64(bytes) / endpointRounds
+		c.pullTime += time.Since(start) / endpointRounds
+	}
+	runtime.KeepAlive(f)
+	return c, nil
+}
+
+func heapInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
