Weigh prefix reuse four times the time it saves the request

Cause: under load requests left the holder of their prefix for a small wait, and the prompt was read again elsewhere.

--- a/picker/deadline.go
+++ b/picker/deadline.go
@@ -16,7 +16,7 @@
 	sampleOthers = 1
 	// reuseWeight weighs a reused prefix above the time it saves the request:
 	// the prompt that is not read again leaves room in the batch for others.
-	reuseWeight = 2.0
+	reuseWeight = 4.0
 	// crossZone is the time another zone must save to be preferred.
 	crossZone = 0.02
 	// crowding is how much a full batch slows each of its requests.
