Send only requests that can afford it back to an endpoint that was slow

Cause: what is learned of an endpoint fades, so the slow one was tried again and again by requests that could not wait; and the bonus for reuse grew with the endpoint's own slowness. Change: being in time is judged by the learned time unfaded; the bonus counts the service's usual time.

--- a/picker/deadline.go
+++ b/picker/deadline.go
@@ -112,33 +112,38 @@
 		return
 	}
 	c := &p.s.candidates[i]
-	finish, saved := p.finish(c)
-	cost := finish - saved*(reuseWeight-1)
+	st := c.stats
+	hit := 0.0
+	if p.holds(st.id) {
+		hit = st.reuse.value(1)
+	}
+	fill := c.work(p.now) / c.capacity
+	// What was learned of an endpoint is believed less as it ages, so that
+	// one that was slow is tried again, but only by a request that would be
+	// in time even if nothing has changed.
+	slowest := p.finish(c, fill, hit, st.tokenTime.value(p.tokenTime), st.prefillTime.value(p.prefillTime))
+	cost := p.finish(c, fill, hit, st.tokenTime.aged(p.tokenTime, p.now, learnedHalf), st.prefillTime.aged(p.prefillTime, p.now, learnedHalf))
+	cost -= hit * p.prompt * p.prefillTime * (reuseWeight - 1)
 	if i >= p.s.local {
 		cost += crossZone
 	}
-	meets := finish <= p.left
+	meets := slowest <= p.left
 	if p.best < 0 || meets && !p.bestMeets || meets == p.bestMeets && cost < p.bestCost {
 		p.best, p.bestCost, p.bestMeets = i, cost, meets
 	}
 }
 
-// finish predicts the seconds until the end of the answer, and those that a
-// cached prefix saves of them.
-func (p *prediction) finish(c *Candidate) (seconds, saved float64) {
-	t := c.stats.tokenTime.aged(p.tokenTime, p.now, learnedHalf)
-	f := c.stats.prefillTime.aged(p.prefillTime, p.now, learnedHalf)
-	fill := c.work(p.now) / c.capacity
-	decode := p.answer * t * (1 + crowding*min(fill, 1))
-	prefill := p.prompt * f
-	if p.holds(c.stats.id) {
-		saved = prefill * c.stats.reuse.value(1)
-	}
+// finish predicts the seconds until the end of the answer at an endpoint that
+// is full to a part and takes the given times for a token of the answer and
+// of the prompt.
+func (p *prediction) finish(c *Candidate, fill, hit, tokenTime, prefillTime float64) float64 {
+	decode := p.answer * tokenTime * (1 + crowding*min(fill, 1))
+	prefill := p.prompt * prefillTime
 	wait := 0.0
 	if fill >= 1 {
 		wait = (fill - 1 + 1/c.capacity) * (decode + prefill)
 	}
-	return wait + prefill - saved + decode, saved
+	return wait + prefill*(1-hit) + decode
 }
 
 func (p *prediction) holds(id uint32) bool {
