--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -24,6 +24,7 @@
 	peers    *peers
 	dialer   *messenger.Dialer
 	budget   *budgetServer
+	claims   *claimServer
 	config   *configurationServer
 	server   *grpc.Server
 }
@@ -53,14 +54,19 @@
 		return nil, nil, err
 	}
 	k.budget = newBudgetServer(k)
+	if k.claims, err = newClaimServer(k); err != nil {
+		cleanUp()
+		return nil, nil, err
+	}
 	k.server = messenger.NewServer(messenger.Keys{
 		messenger.RoleMember:   s.DeploymentKey(),
 		messenger.RoleOperator: s.OperatorKey(),
 	}, messenger.WithTLS(s.TLS()))
 	messenger.RegisterBudgetKeeperServer(k.server, k.budget)
+	messenger.RegisterClaimKeeperServer(k.server, k.claims)
 	messenger.RegisterConfigurationKeeperServer(k.server, k.config)
-	messenger.RegisterLogKeeperServer(k.server, &logServer{loop: k.config.loop})
 	messenger.RegisterOperationsServer(k.server, &operationsServer{keeper: k})
+	messenger.RegisterLogKeeperServer(k.server, &logServer{loop: k.config.loop})
 	return k, cleanUp, nil
 }
 
@@ -81,6 +87,7 @@
 	}
 	go func() { cancel(k.server.Serve(l)) }()
 	go func() { cancel(k.budget.run(ctx)) }()
+	go func() { cancel(k.claims.run(ctx)) }()
 	go func() { cancel(k.config.run(ctx)) }()
 	k.log.Info("keeper serves", zap.String("name", k.self.Name()), zap.String("zone", k.self.Zone()),
 		zap.Uint64("configuration_version", k.config.version()))
