--- a/cmd/rattanhoist-measure/main.go
+++ b/cmd/rattanhoist-measure/main.go
@@ -14,11 +14,13 @@
 	"rattanhoist.example/rattanhoist/measurer"
 )
 
+const pageMode = 0o644
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "rattanhoist-measure", Short: "Measure the product's parts", SilenceUsage: true}
-	root.AddCommand(listCommand(), runCommand())
+	root.AddCommand(listCommand(), runCommand(), capacityCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
@@ -45,6 +47,34 @@
 	return c
 }
 
+func capacityCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "capacity SLOPES PAGE", Short: "Write the measured lines of the page on capacity", Args: cobra.ExactArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error { return capacity(args[0], args[1]) },
+	}
+}
+
+func capacity(slopes, page string) error {
+	f, err := os.Open(slopes)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	r, err := measurer.ReadReport(f)
+	if err != nil {
+		return err
+	}
+	old, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	text, err := measurer.ReplaceCapacity(string(old), r)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(page, []byte(text), pageMode)
+}
+
 func run(ctx context.Context, names []string, output string) error {
 	if len(names) == 0 {
 		for _, e := range measurer.Experiments() {
--- /dev/null
+++ b/measurer/capacity.go
@@ -0,0 +1,160 @@
+package measurer
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// State says how far a line of the page on capacity can be trusted.
+type State string
+
+// States of lines.
+const (
+	// Measured: the slope and what multiplies it are the product's own.
+	Measured State = "measured slope"
+	// WorkedOut: a measured slope times counts that follow from the design.
+	WorkedOut State = "worked out"
+	// NotBuilt: the mechanism does not exist yet.
+	NotBuilt State = "not yet built"
+)
+
+// slopeKey names a slope in a report.
+type slopeKey struct{ experiment, role, metric, per string }
+
+// term is a measured slope times a count.
+type term struct {
+	slope slopeKey
+	count float64
+	// Why tells what the count is made of.
+	why string
+}
+
+// quantity is a unit that lines are shown in.
+type quantity struct {
+	unit   string
+	factor float64
+}
+
+var (
+	megabytes = quantity{"MB", 1e-6}
+	perSecond = quantity{"KB/s", 1e-3}
+	core      = quantity{"% of a core", 100}
+	seconds   = quantity{"s", 1}
+)
+
+// line is one figure of the page.
+type line struct {
+	role, what, mechanism string
+	terms                 []term
+	unit                  quantity
+	// Bound is 0 where the users give none.
+	bound float64
+	state State
+	// Mend says what would keep the bound where it is broken.
+	mend string
+}
+
+// ReadReport reads what WriteJSON wrote.
+func ReadReport(r io.Reader) (*Report, error) {
+	out := &Report{}
+	return out, json.NewDecoder(r).Decode(out)
+}
+
+func (r *Report) find(k slopeKey) (Slope, bool) {
+	for _, s := range r.Slopes {
+		if s.Experiment == k.experiment && s.Role == k.role && s.Metric == k.metric && s.Per == k.per {
+			return s, true
+		}
+	}
+	return Slope{}, false
+}
+
+// total returns the sum of slope times count, or the first missing slope.
+func (l line) total(r *Report) (float64, error) {
+	sum := 0.0
+	for _, t := range l.terms {
+		s, ok := r.find(t.slope)
+		if !ok {
+			return 0, fmt.Errorf("no slope %v; run the experiment %s", t.slope, t.slope.experiment)
+		}
+		sum += s.Slope * t.count
+	}
+	return sum, nil
+}
+
+// WriteCapacity writes the measured lines of the page on capacity: the
+// figures of each role, then the slopes that they are made of.
+func WriteCapacity(w io.Writer, r *Report) error {
+	b := &strings.Builder{}
+	role := ""
+	for _, l := range capacityLines() {
+		if l.role != role {
+			role = l.role
+			fmt.Fprintf(b, "\n### %s\n\n| what | carried by | slope x count | figure | bound | state |\n|---|---|---|---|---|---|\n", role)
+		}
+		if err := l.write(b, r); err != nil {
+			return err
+		}
+	}
+	writeSlopes(b, r)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func (l line) write(b *strings.Builder, r *Report) error {
+	sum, err := l.total(r)
+	if err != nil {
+		return err
+	}
+	var parts []string
+	for _, t := range l.terms {
+		s, _ := r.find(t.slope)
+		parts = append(parts, fmt.Sprintf("%.3g %s x %.4g (%s)", s.Slope, s.Unit, t.count, t.why))
+	}
+	bound, state := "-", string(l.state)
+	if l.bound > 0 {
+		bound = fmt.Sprintf("%.3g", l.bound*l.unit.factor)
+		if sum > l.bound {
+			state += "; **broken**: " + l.mend
+		}
+	}
+	fmt.Fprintf(b, "| %s | %s | %s | %.3g %s | %s | %s |\n",
+		l.what, l.mechanism, strings.Join(parts, " + "), sum*l.unit.factor, l.unit.unit, bound, state)
+	return nil
+}
+
+// writeSlopes shows the points and the fit of every slope in use, so that one
+// that is not straight is seen.
+func writeSlopes(b *strings.Builder, r *Report) {
+	b.WriteString("\n### The slopes\n\n| experiment | role | metric | slope | base | r2 | largest residual | points (size: cost) |\n|---|---|---|---|---|---|---|---|\n")
+	for _, s := range r.Slopes {
+		var points []string
+		for _, p := range s.Points {
+			points = append(points, fmt.Sprintf("%g: %.4g", p.X, p.Y))
+		}
+		fmt.Fprintf(b, "| %s | %s | %s | %.4g %s per %s | %.3g | %.4f | %.3g | %s |\n", s.Experiment, s.Role, s.Metric,
+			s.Slope, s.Unit, s.Per, s.Base, s.RSquared, s.MaxResidual, strings.Join(points, ", "))
+	}
+}
+
+// Markers between which the page is generated.
+const (
+	beginMark = "<!-- slopes begin -->"
+	endMark   = "<!-- slopes end -->"
+)
+
+// ReplaceCapacity returns the page with its generated part made anew.
+func ReplaceCapacity(page string, r *Report) (string, error) {
+	head, rest, ok := strings.Cut(page, beginMark)
+	_, tail, ok2 := strings.Cut(rest, endMark)
+	if !ok || !ok2 {
+		return "", fmt.Errorf("the page lacks %s or %s", beginMark, endMark)
+	}
+	b := &strings.Builder{}
+	if err := WriteCapacity(b, r); err != nil {
+		return "", err
+	}
+	return head + beginMark + "\n" + b.String() + "\n" + endMark + tail, nil
+}
--- /dev/null
+++ b/measurer/capacity_lines.go
@@ -0,0 +1,223 @@
+package measurer
+
+// Periods of the product's messages, in calls a second.
+const (
+	beatsPerS    = 4
+	gossipPerS   = 2
+	watchPerS    = 1
+	reportsPerS  = 0.2
+	announcePerS = 2
+	appendsPerS  = 10
+)
+
+// Shares of the work that the design leaves to choose.
+const (
+	// announcedTo is how many routers an endpoint tells of itself.
+	announcedTo = 2
+	// collector is live heap to memory of the process, at the default of the
+	// garbage collector: it lets the heap double before it collects.
+	collector = 2
+	// activeShare is the part of all budgets with traffic at one node.
+	activeShare = 0.1
+	// voters of the configuration log.
+	voters = 5
+	// callSide is one side's part of a call's processor time and bytes.
+	callSide = 0.5
+)
+
+// Slopes that the lines use.
+var (
+	configurationMemory = slopeKey{"configuration", "router", "memory", "workspace"}
+	configurationCPU    = slopeKey{"configuration", "router", "processor_per_change", "workspace"}
+	configurationUpdate = slopeKey{"configuration", "router", "update_bytes", "change"}
+	configurationWhole  = slopeKey{"configuration", "router", "whole_copy_bytes", "workspace"}
+	endpointMemory      = slopeKey{"endpoint_slopes", "router", "memory", "endpoint"}
+	endpointCPU         = slopeKey{"endpoint_slopes", "router", "renewal_processor", "announcement"}
+	gossipBytes         = slopeKey{"endpoint_slopes", "router", "gossip_bytes", "renewed endpoint"}
+	accountMemory       = slopeKey{"budget_slopes", "router", "memory", "active budget"}
+	bookMemory          = slopeKey{"budget_slopes", "keeper", "memory", "budget"}
+	leaseMemory         = slopeKey{"budget_slopes", "keeper", "memory", "lease"}
+	leaseCPU            = slopeKey{"budget_slopes", "keeper", "lease_processor", "lease"}
+	chargeCPU           = slopeKey{"budget_slopes", "keeper", "charge_processor", "charge"}
+	chargeRows          = slopeKey{"budget_slopes", "keeper", "charge_rows", "charge"}
+	chargeMessage       = slopeKey{"budget_slopes", "router", "charge_message", "charge"}
+	callCPU             = slopeKey{"calls", "any", "call_processor", "call, both sides"}
+	callBytes           = slopeKey{"calls", "any", "call_bytes", "call, both ways"}
+)
+
+func capacityLines() []line {
+	return append(append(append(routerLines(), vaultLines()...), logLines()...), relayLines()...)
+}
+
+func routerLines() []line {
+	c, bound := Letter, LetterBounds
+	siblings := c.NodesPerZone() - 1
+	const role = "Router (340, one a node)"
+	return []line{
+		{
+			role, "memory of the configuration", "`configurer`: followed copy and compiled snapshot",
+			[]term{{configurationMemory, c.Workspaces * collector, "42,000 workspaces, heap doubled by the collector"}},
+			megabytes, bound.NodeBytes, WorkedOut,
+			"a smaller form of a workspace in the snapshot, names interned, one copy instead of two; or a memory limit for the collector",
+		},
+		{
+			role, "memory of endpoints", "`tracker`: own zone whole, 32 a service of every other zone",
+			[]term{{endpointMemory, min(c.Endpoints, c.EndpointsPerZone()+c.Models*32*(c.Zones-1)) * collector, "endpoints known, at most all 4,100, heap doubled"}},
+			megabytes, bound.NodeBytes, WorkedOut, "",
+		},
+		{
+			role, "memory of budgets", "`treasurer`: accounts only for budgets with traffic here",
+			[]term{{accountMemory, c.Budgets * activeShare * collector, "a tenth of 35,000 active at a node (assumed), heap doubled"}},
+			megabytes, bound.NodeBytes, WorkedOut, "",
+		},
+		{
+			role, "processor, changes", "`configurer`: every change compiles the whole snapshot anew",
+			[]term{{configurationCPU, c.Workspaces * c.ChangesPerDay / secondsPerDay, "42,000 workspaces x 3,200 changes a day"}},
+			core, bound.NodeCores, Measured, "compile only what the change touches",
+		},
+		{
+			role, "time of one change", "the same; part of the 3 s until in force",
+			[]term{{configurationCPU, c.Workspaces, "42,000 workspaces, all of it on one core"}},
+			seconds, bound.InForceS, Measured, "compile only what the change touches",
+		},
+		{
+			role, "processor, beats between siblings", "`router`: every router calls every other of its zone, 4 a second",
+			[]term{{callCPU, 2 * siblings * beatsPerS * callSide, "17 siblings x 4 a second, one side of calls made and taken"}},
+			core, bound.NodeCores, WorkedOut, "beat a few siblings in turn and let them pass it on",
+		},
+		{
+			role, "network, beats between siblings", "the same",
+			[]term{{callBytes, 2 * siblings * beatsPerS, "17 siblings x 4 a second, made and taken"}},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "one beat a second carried by the gossip's own calls, to a few siblings in turn: cost then does not grow with the zone",
+		},
+		{
+			role, "network, gossip of endpoints", "`tracker`: pulls from every sibling, 2 a second, each what it has not heard",
+			[]term{
+				{callBytes, 2 * siblings * gossipPerS, "17 siblings x 2 a second, made and taken"},
+				{gossipBytes, 2 * siblings * gossipPerS * c.EndpointsPerZone(), "at worst all 216 endpoints of the zone renewed in each pull"},
+			},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "pull from two siblings in turn instead of all: the zone still hears in a few rounds",
+		},
+		{
+			role, "processor, announcements", "`tracker`: each endpoint tells two routers, 2 a second; the rest by gossip",
+			[]term{{endpointCPU, c.Endpoints * announcePerS * announcedTo / c.Nodes, "4,100 endpoints x 2 a second x 2 routers / 340"}},
+			core, bound.NodeCores, WorkedOut, "",
+		},
+		{
+			role, "network, charges", "`treasurer`: one call for the charges of a moment; here one a call",
+			[]term{
+				{callBytes, c.RequestsPerNode(), "5,700 requests a second / 340"},
+				{chargeMessage, c.RequestsPerNode(), "the same"},
+			},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "",
+		},
+		{
+			role, "processor, charges", "the same, one side of a call",
+			[]term{{callCPU, c.RequestsPerNode() * callSide, "5,700 requests a second / 340"}},
+			core, bound.NodeCores, WorkedOut, "",
+		},
+	}
+}
+
+func vaultLines() []line {
+	c, bound := Letter, LetterBounds
+	const role = "Keeper as vault of a zone (19)"
+	active := c.Budgets * activeShare * c.NodesPerZone()
+	return []line{
+		{
+			role, "memory of books", "`budgeter`: books and leases in memory, charges and top-ups on disk",
+			[]term{{bookMemory, c.Budgets * collector, "35,000 budgets, all present in every zone, heap doubled"}},
+			megabytes, bound.NodeBytes, WorkedOut, "",
+		},
+		{
+			role, "memory of leases", "the same; a lease for each active (budget, node)",
+			[]term{{leaseMemory, active * collector, "a tenth of 35,000 x 18 nodes of the zone, heap doubled"}},
+			megabytes, bound.NodeBytes, WorkedOut, "keep idle leases on disk only, as charges are",
+		},
+		{
+			role, "processor, charges", "`budgeter` steps, group commit in `keeper`",
+			[]term{
+				{chargeCPU, c.RequestsPerZone(), "300 charges a second"},
+				{callCPU, c.RequestsPerZone() * callSide, "one call each, this side"},
+			},
+			core, bound.NodeCores, WorkedOut, "one stream a router in place of a call a charge: its proof is checked once",
+		},
+		{
+			role, "network, charges from routers", "one call a charge at this rate: 17 a second and router leave nothing to gather",
+			[]term{
+				{callBytes, c.RequestsPerZone(), "300 a second"},
+				{chargeMessage, c.RequestsPerZone(), "300 a second"},
+			},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "one stream a router: the proof of a call is most of its bytes; and keepers on VMs that are set aside",
+		},
+		{
+			role, "network, copy to the mirror", "`keeper`: rows of every commit to the next zone's keeper",
+			[]term{{chargeRows, 2 * c.RequestsPerZone(), "300 charges a second, sent to one mirror and taken from another zone"}},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "smaller rows: the request's id hashed, names as numbers; the book's row once a commit and not once a charge",
+		},
+		{
+			role, "disk written in a day", "`storer`: rows of charges, kept for the history",
+			[]term{{chargeRows, c.RequestsPerZone() * secondsPerDay, "300 charges a second, peak all day"}},
+			megabytes, 0, WorkedOut, "",
+		},
+		{
+			role, "processor, leases", "`treasurer` asks for about 4 s of demand at a time",
+			[]term{{leaseCPU, active / 4, "each active (budget, node) once in 4 s"}, {callCPU, active / 4 * callSide, "one call each, this side"}},
+			core, bound.NodeCores, WorkedOut, "longer leases for quiet budgets, and several leases in one call",
+		},
+		{
+			role, "network, questions whether routers live", "`keeper`: one call a router and second",
+			[]term{{callBytes, c.NodesPerZone() * watchPerS, "18 routers"}},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "",
+		},
+	}
+}
+
+func logLines() []line {
+	c, bound := Letter, LetterBounds
+	const role = "Keeper as voter of the configuration log"
+	return []line{
+		{
+			role, "network, heartbeats of the leader", "`replicator`: to the other voters, 10 a second",
+			[]term{{callBytes, (voters - 1) * appendsPerS, "4 other voters x 10 a second"}},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "",
+		},
+		{
+			role, "network, heartbeats if all 19 keepers voted", "the same",
+			[]term{{callBytes, (c.Zones - 1) * appendsPerS, "18 other voters x 10 a second"}},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "5 voters in 5 regions, the other keepers follow",
+		},
+		{
+			role, "processor, heartbeats of the leader", "the same",
+			[]term{{callCPU, (voters - 1) * appendsPerS * callSide, "4 other voters x 10 a second, this side"}},
+			core, bound.NodeCores, WorkedOut, "",
+		},
+		{
+			role, "network, changes", "deltas to every follower",
+			[]term{{configurationUpdate, c.ChangesPerDay / secondsPerDay * (c.Zones - 1), "3,200 a day to 18 keepers"}},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "",
+		},
+	}
+}
+
+func relayLines() []line {
+	c, bound := Letter, LetterBounds
+	const role = "Relay: the keeper of a zone, towards its routers"
+	return []line{
+		{
+			role, "network, changes", "`keeper` pushes deltas on one stream a router",
+			[]term{{configurationUpdate, c.ChangesPerDay / secondsPerDay * c.NodesPerZone(), "3,200 a day x 18 routers"}},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "",
+		},
+		{
+			role, "network, reports of the version in force", "`router` after a change and every 5 s",
+			[]term{{callBytes, c.NodesPerZone() * (reportsPerS + c.ChangesPerDay/secondsPerDay), "18 routers"}},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "",
+		},
+		{
+			role, "network, whole copies after restarts", "a restarted router takes the whole configuration once",
+			[]term{{configurationWhole, c.Workspaces * c.RestartsPerDay / secondsPerDay / c.Zones, "42,000 workspaces x 820 restarts a day / 19 zones"}},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "",
+		},
+	}
+}
