--- a/measurer/capacity.go
+++ b/measurer/capacity.go
@@ -42,6 +42,7 @@
 	perSecond = quantity{"KB/s", 1e-3}
 	core      = quantity{"% of a core", 100}
 	seconds   = quantity{"s", 1}
+	tokens    = quantity{"tokens", 1}
 )
 
 // line is one figure of the page.
@@ -63,6 +64,9 @@
 }
 
 func (r *Report) find(k slopeKey) (Slope, bool) {
+	if k == unitSlope {
+		return Slope{Slope: 1}, true
+	}
 	for _, s := range r.Slopes {
 		if s.Experiment == k.experiment && s.Role == k.role && s.Metric == k.metric && s.Per == k.per {
 			return s, true
@@ -88,8 +92,9 @@
 // figures of each role, then the slopes that they are made of.
 func WriteCapacity(w io.Writer, r *Report) error {
 	b := &strings.Builder{}
+	lines := capacityLines()
 	role := ""
-	for _, l := range capacityLines() {
+	for i, l := range lines {
 		if l.role != role {
 			role = l.role
 			fmt.Fprintf(b, "\n### %s\n\n| what | carried by | slope x count | figure | bound | state |\n|---|---|---|---|---|---|\n", role)
@@ -97,6 +102,9 @@
 		if err := l.write(b, r); err != nil {
 			return err
 		}
+		if i+1 == len(lines) || lines[i+1].role != role {
+			writeSums(b, r, lines, role)
+		}
 	}
 	writeSlopes(b, r)
 	_, err := io.WriteString(w, b.String())
@@ -111,7 +119,7 @@
 	var parts []string
 	for _, t := range l.terms {
 		s, _ := r.find(t.slope)
-		parts = append(parts, fmt.Sprintf("%.3g %s x %.4g (%s)", s.Slope, s.Unit, t.count, t.why))
+		parts = append(parts, t.text(s))
 	}
 	bound, state := "-", string(l.state)
 	if l.bound > 0 {
@@ -125,6 +133,38 @@
 	return nil
 }
 
+func (t term) text(s Slope) string {
+	if t.slope == unitSlope {
+		return fmt.Sprintf("%.4g (%s)", t.count, t.why)
+	}
+	return fmt.Sprintf("%.3g %s x %.4g (%s)", s.Slope, s.Unit, t.count, t.why)
+}
+
+// writeSums adds a role's lines up for each thing that has a bound a node.
+func writeSums(b *strings.Builder, r *Report, lines []line, role string) {
+	for _, q := range []quantity{megabytes, core, perSecond} {
+		sum, bound, n := 0.0, 0.0, 0
+		for _, l := range lines {
+			if l.role != role || l.unit != q || l.bound == 0 || strings.Contains(l.what, notInSum) {
+				continue
+			}
+			v, _ := l.total(r)
+			sum, bound, n = sum+v, l.bound, n+1
+		}
+		if n < 2 {
+			continue
+		}
+		state := "sum of the lines above"
+		if sum > bound {
+			state += "; **broken**"
+		}
+		fmt.Fprintf(b, "| **sum** | | | **%.3g %s** | %.3g | %s |\n", sum*q.factor, q.unit, bound*q.factor, state)
+	}
+}
+
+// notInSum marks a line that shows another choice.
+const notInSum = "(not in the sum)"
+
 // writeSlopes shows the points and the fit of every slope in use, so that one
 // that is not straight is seen.
 func writeSlopes(b *strings.Builder, r *Report) {
--- a/measurer/capacity_lines.go
+++ b/measurer/capacity_lines.go
@@ -1,5 +1,7 @@
 package measurer
 
+import "slices"
+
 // Periods of the product's messages, in calls a second.
 const (
 	beatsPerS    = 4
@@ -17,14 +19,24 @@
 	// collector is live heap to memory of the process, at the default of the
 	// garbage collector: it lets the heap double before it collects.
 	collector = 2
-	// activeShare is the part of all budgets with traffic at one node.
-	activeShare = 0.1
+	// idleAfterS is how long a router keeps an account without traffic, and
+	// horizonS for how long a lease should last, both in seconds.
+	idleAfterS = 30
+	horizonS   = 4
 	// voters of the configuration log.
 	voters = 5
-	// callSide is one side's part of a call's processor time and bytes.
+	// callSide is one side's part of a call's processor time.
 	callSide = 0.5
+	// fencedAfterS is how long a silent router keeps its rights, in seconds.
+	fencedAfterS = 10
 )
 
+// activePerNode bounds the budgets with an account at a router: each request
+// of the time until an account is idle may be of another budget.
+func activePerNode() float64 {
+	return min(Letter.Budgets, Letter.RequestsPerNode()*idleAfterS)
+}
+
 // Slopes that the lines use.
 var (
 	configurationMemory = slopeKey{"configuration", "router", "memory", "workspace"}
@@ -43,10 +55,12 @@
 	chargeMessage       = slopeKey{"budget_slopes", "router", "charge_message", "charge"}
 	callCPU             = slopeKey{"calls", "any", "call_processor", "call, both sides"}
 	callBytes           = slopeKey{"calls", "any", "call_bytes", "call, both ways"}
+	// unitSlope stands where a count alone gives the figure.
+	unitSlope = slopeKey{"", "", "", ""}
 )
 
 func capacityLines() []line {
-	return append(append(append(routerLines(), vaultLines()...), logLines()...), relayLines()...)
+	return slices.Concat(routerLines(), vaultLines(), logLines(), relayLines(), faultLines())
 }
 
 func routerLines() []line {
@@ -67,7 +81,7 @@
 		},
 		{
 			role, "memory of budgets", "`treasurer`: accounts only for budgets with traffic here",
-			[]term{{accountMemory, c.Budgets * activeShare * collector, "a tenth of 35,000 active at a node (assumed), heap doubled"}},
+			[]term{{accountMemory, activePerNode() * collector, "at most one for each request of the last 30 s, heap doubled"}},
 			megabytes, bound.NodeBytes, WorkedOut, "",
 		},
 		{
@@ -122,7 +136,7 @@
 func vaultLines() []line {
 	c, bound := Letter, LetterBounds
 	const role = "Keeper as vault of a zone (19)"
-	active := c.Budgets * activeShare * c.NodesPerZone()
+	active := activePerNode() * c.NodesPerZone()
 	return []line{
 		{
 			role, "memory of books", "`budgeter`: books and leases in memory, charges and top-ups on disk",
@@ -131,7 +145,7 @@
 		},
 		{
 			role, "memory of leases", "the same; a lease for each active (budget, node)",
-			[]term{{leaseMemory, active * collector, "a tenth of 35,000 x 18 nodes of the zone, heap doubled"}},
+			[]term{{leaseMemory, active * collector, "at most one for each request of the last 30 s at 18 nodes, heap doubled"}},
 			megabytes, bound.NodeBytes, WorkedOut, "keep idle leases on disk only, as charges are",
 		},
 		{
@@ -162,8 +176,13 @@
 		},
 		{
 			role, "processor, leases", "`treasurer` asks for about 4 s of demand at a time",
-			[]term{{leaseCPU, active / 4, "each active (budget, node) once in 4 s"}, {callCPU, active / 4 * callSide, "one call each, this side"}},
-			core, bound.NodeCores, WorkedOut, "longer leases for quiet budgets, and several leases in one call",
+			[]term{{leaseCPU, c.RequestsPerZone(), "at worst one a request: no budget returns within 4 s"}, {callCPU, c.RequestsPerZone() * callSide, "one call each, this side"}},
+			core, bound.NodeCores, WorkedOut, "several leases in one call, and longer ones for quiet budgets",
+		},
+		{
+			role, "network, leases", "the same",
+			[]term{{callBytes, c.RequestsPerZone(), "at worst one a request"}},
+			perSecond, bound.NodeBytesPerS, WorkedOut, "several leases in one call, and longer ones for quiet budgets",
 		},
 		{
 			role, "network, questions whether routers live", "`keeper`: one call a router and second",
@@ -183,7 +202,7 @@
 			perSecond, bound.NodeBytesPerS, WorkedOut, "",
 		},
 		{
-			role, "network, heartbeats if all 19 keepers voted", "the same",
+			role, "network, heartbeats if all 19 keepers voted (not in the sum)", "the same",
 			[]term{{callBytes, (c.Zones - 1) * appendsPerS, "18 other voters x 10 a second"}},
 			perSecond, bound.NodeBytesPerS, WorkedOut, "5 voters in 5 regions, the other keepers follow",
 		},
@@ -221,3 +240,44 @@
 		},
 	}
 }
+
+func faultLines() []line {
+	c := Letter
+	const role = "Faults of an ordinary day"
+	tokensPerNode := c.TokensPerS / c.Nodes
+	keepersLost := c.VMFailuresPerDay * c.Zones / c.Nodes
+	return []line{
+		{
+			role, "configuration sent after 820 restarts", "a whole copy each, from the keeper of the zone",
+			[]term{{configurationWhole, c.Workspaces * c.RestartsPerDay, "42,000 workspaces x 820"}},
+			megabytes, 0, WorkedOut, "",
+		},
+		{
+			role, "compiling after a restart", "`configurer`, once, before the router is ready",
+			[]term{{configurationCPU, c.Workspaces, "42,000 workspaces"}},
+			seconds, 0, Measured, "",
+		},
+		{
+			role, "rights out of use after one router's death", "`treasurer`: a lease lasts about 4 s; fenced after 10 s of silence",
+			[]term{{unitSlope, tokensPerNode * horizonS, "2.3M tokens a second / 340 x 4 s; for 10 s and the fence"}},
+			tokens, 0, WorkedOut, "",
+		},
+		{
+			role, "the same for 47 failures and 820 restarts a day, times seconds", "a graceful restart returns its rights; here none does",
+			[]term{{unitSlope, tokensPerNode * horizonS * fencedAfterS * (c.VMFailuresPerDay + c.RestartsPerDay), "27,000 tokens x 10 s x 867"}},
+			quantity{"token-seconds", 1},
+			0, WorkedOut, "",
+		},
+		{
+			role, "keepers' disks lost", "`keeper` restores its vault from the mirror's copy",
+			[]term{{unitSlope, keepersLost, "47 x 19 keepers / 340 VMs"}},
+			quantity{"a day", 1},
+			0, WorkedOut, "",
+		},
+		{
+			role, "rows to copy for one such repair", "the whole copy, charges of all days included",
+			[]term{{chargeRows, c.RequestsPerZone() * secondsPerDay, "300 charges a second for each day kept"}},
+			megabytes, 0, WorkedOut, "",
+		},
+	}
+}
--- a/measurer/vault_slopes.go
+++ b/measurer/vault_slopes.go
@@ -30,7 +30,7 @@
 
 func (noRows) Get(string, string) ([]byte, error) { return nil, nil }
 
-func sampleRouter(i int) string       { return fmt.Sprintf("%s-router-%02d", sampleZone, i) }
+func sampleRouter(i int) string        { return fmt.Sprintf("%s-router-%02d", sampleZone, i) }
 func sampleWorkspaceName(i int) string { return fmt.Sprintf("workspace-%06d", i) }
 
 // rowBench is a vault whose rows are counted and dropped.
