--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -89,6 +89,7 @@
 // The fleet ends with the test.
 func Start(t testing.TB, o Options) *Fleet {
 	t.Helper()
+	lockNet(t, o.Net)
 	f := &Fleet{
 		t: t, dir: t.TempDir(), net: o.Net, zones: o.Zones,
 		running: map[string]*exec.Cmd{}, args: map[string][]string{},
