--- a/measurer/vault.go
+++ b/measurer/vault.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -50,34 +49,21 @@
 	return vaultDisk(r)
 }
 
-type noRows struct{}
-
-func (noRows) Get(string, string) ([]byte, error) { return nil, nil }
-
 // vaultMemory returns the heap of a vault with n budgets, each leased to as
 // many routers.
 func vaultMemory(n, routers int) float64 {
-	before := heapBytes()
-	v := newVault(noRows{})
-	for i := range n {
-		name := fmt.Sprintf("workspace-%06d", i)
-		v.Step(time.Time{}, budgeter.Mint{Request: &messenger.TopUpRequest{Workspace: name, TopUpId: "a/" + name, Tokens: 1e6}})
-		for k := range routers {
-			lease(v, name, fmt.Sprintf("router-%03d", k))
+	return heapBytes(func() any {
+		v := newVault(noRows{})
+		for i := range n {
+			name := fmt.Sprintf("workspace-%06d", i)
+			v.Step(time.Time{}, budgeter.Mint{Request: &messenger.TopUpRequest{Workspace: name, TopUpId: "a/" + name, Tokens: 1e6}})
+			for k := range routers {
+				lease(v, name, fmt.Sprintf("router-%03d", k))
+			}
+			v.Synced()
 		}
-		v.Synced()
-	}
-	after := heapBytes()
-	runtime.KeepAlive(v)
-	return after - before
-}
-
-func heapBytes() float64 {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc)
+		return v
+	})
 }
 
 func newVault(rows budgeter.Rows) *budgeter.Vault {
@@ -159,7 +145,7 @@
 		for i := range group {
 			rows = append(rows, bill(v, vaultCharge(fmt.Sprintf("workspace-%06d", i%tenWorkspaces), n+i))...)
 		}
-		if err := applyRows(store, budgeter.CopyRows(rows)); err != nil {
+		if err := applyCopy(store, budgeter.CopyRows(rows)); err != nil {
 			return err
 		}
 		v.Synced()
@@ -168,7 +154,7 @@
 	return nil
 }
 
-func applyRows(s *storer.Store, rows []*messenger.CopyRow) error {
+func applyCopy(s *storer.Store, rows []*messenger.CopyRow) error {
 	out := make([]storer.Row, 0, len(rows))
 	for _, x := range rows {
 		out = append(out, storer.Row{Bucket: x.Bucket, Key: x.Key, Value: x.Value})
