Say what other routers and repairs hold, so that a refusal tells spent from out of reach

Cause: rights leased to a sibling or frozen by a repair were told as 'spent'. Change: lease answers carry held tokens of the zones that answered; the treasurer refuses as out of reach while they could cover the request.

--- a/budgeter/escrow.go
+++ b/budgeter/escrow.go
@@ -63,7 +63,7 @@
 	b := v.book(r.Workspace)
 	n := min(max(rattanhoist.Tokens(r.WantTokens), 0), b.unspent)
 	if n == 0 || r.Zone == v.zone || r.Zone == "" {
-		return &messenger.AskReply{LeftTokens: int64(b.unspent)}, nil
+		return &messenger.AskReply{LeftTokens: int64(b.unspent), HeldTokens: int64(b.held())}, nil
 	}
 	v.touch(r.Workspace)
 	v.self.LastTransfer++
@@ -77,7 +77,7 @@
 	b.given += n
 	v.pending[t.TransferId] = t
 	v.store(BucketTransfers, t.TransferId, t)
-	return &messenger.AskReply{Transfer: t, LeftTokens: int64(b.unspent)}, nil
+	return &messenger.AskReply{Transfer: t, LeftTokens: int64(b.unspent), HeldTokens: int64(b.held())}, nil
 }
 
 func (v *Vault) receive(r *messenger.GiveRequest) (proto.Message, error) {
--- a/budgeter/vault.go
+++ b/budgeter/vault.go
@@ -74,6 +74,9 @@
 	b.unspent += n
 }
 
+// held is what neither can be given now nor is spent.
+func (b *book) held() rattanhoist.Tokens { return b.leased + max(b.frozen, 0) + b.withheld }
+
 func (b *book) row(zone string) *messenger.Book {
 	return &messenger.Book{
 		Workspace: b.workspace, Zone: zone,
--- a/keeper/vault_lease.go
+++ b/keeper/vault_lease.go
@@ -14,7 +14,7 @@
 // first, so that a refusal tells what is spent from what is out of reach.
 func (s *budgetServer) Lease(ctx context.Context, r *messenger.LeaseRequest) (*messenger.LeaseReply, error) {
 	s.shares.demand(r.Workspace, r.Router, float64(r.DemandTokensPerSecond), time.Now())
-	g := &gathering{server: s, workspace: r.Workspace, want: r.WantTokens}
+	g := &gathering{server: s, workspace: r.Workspace, want: r.WantTokens, held: map[string]int64{}}
 	if s.loop.currentMode() != budgeter.ModeStarting && g.missing(ctx) > 0 {
 		g.recall(ctx, r.Router)
 		g.askAll(ctx)
@@ -23,6 +23,9 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, n := range g.held {
+		out.HeldTokens += n
+	}
 	out.UnreachableZones, out.ElsewhereTokens = g.silent, s.shares.elsewhere(r.Workspace)
 	return out, nil
 }
@@ -33,6 +36,8 @@
 	workspace string
 	want      int64
 	silent    []string
+	// Held maps zones that answered to the rights that they can't give now.
+	held map[string]int64
 }
 
 func (g *gathering) missing(ctx context.Context) int64 {
@@ -109,6 +114,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		left[p.process.Zone()] = out.LeftTokens
+		g.held[p.process.Zone()] = out.HeldTokens
 		return nil
 	})
 	for zone, n := range left {
--- a/treasurer/account.go
+++ b/treasurer/account.go
@@ -236,6 +236,8 @@
 		return s
 	case a.slice.Reserved() > 0:
 		return outOfReach(now, afterSettlement, "requests in progress hold the remaining rights")
+	case r.HeldTokens >= int64(max(a.size, 1)):
+		return outOfReach(now, afterSettlement, "other routers hold the remaining rights, or a repair does")
 	default:
 		return spentOut(now)
 	}
