--- a/budgeter/charge.go
+++ b/budgeter/charge.go
@@ -146,6 +146,9 @@
 	return out, nil
 }
 
+// WitnessedCount returns how many charges wait to be handed over.
+func (v *Vault) WitnessedCount() int { return len(v.witnessed) }
+
 // Witnessed returns up to most charges that wait to be handed to a zone.
 func (v *Vault) Witnessed(zone string, most int) []*messenger.Charge {
 	var out []*messenger.Charge
--- a/keeper/budget.go
+++ b/keeper/budget.go
@@ -51,6 +51,7 @@
 	go s.rounds(ctx)
 	go s.prove(ctx)
 	go s.place(ctx)
+	go s.gauges(ctx)
 	return s.loop.run(ctx)
 }
 
--- a/keeper/vault_loop.go
+++ b/keeper/vault_loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -39,29 +38,6 @@
 	keyRestoring = "restoring"
 )
 
-var (
-	vaultVars       = expvar.NewMap("budget_vault")
-	countCommits    = new(expvar.Int)
-	countEvents     = new(expvar.Int)
-	countRows       = new(expvar.Int)
-	countMirrored   = new(expvar.Int)
-	countAtRisk     = new(expvar.Int)
-	countRefused    = new(expvar.Int)
-	countDuplicates = new(expvar.Int)
-	textMode        = new(expvar.String)
-)
-
-func init() {
-	vaultVars.Set("commits", countCommits)
-	vaultVars.Set("events", countEvents)
-	vaultVars.Set("rows", countRows)
-	vaultVars.Set("mirrored_bytes", countMirrored)
-	vaultVars.Set("commits_on_one_disk", countAtRisk)
-	vaultVars.Set("not_durable_now", countRefused)
-	vaultVars.Set("reversed_duplicates", countDuplicates)
-	vaultVars.Set("mode", textMode)
-}
-
 // call is one event with the place for its answer, or a read.
 type call struct {
 	event budgeter.Event
