--- a/measurer/vault.go
+++ b/measurer/vault.go
@@ -41,10 +41,13 @@
 	for _, n := range []int{1, 2, 4, 8} {
 		pairs = append(pairs, Point{X: float64(n) * 10000, Y: vaultMemory(10000, n)})
 	}
+	for _, group := range []int{1, 8, 64, 512} {
+		r.Figure(fmt.Sprintf("%d charges in a commit", group), "mirror_bytes_per_charge_with_claim", mirrorBytes(group, true), "bytes")
+	}
 	r.Slope("keeper", "memory", "bytes", "budget without leases", books)
 	r.Slope("keeper", "memory", "bytes", "active (budget, node) pair", pairs)
 	for _, group := range []int{1, 8, 64, 512} {
-		r.Figure(fmt.Sprintf("%d charges in a commit", group), "mirror_bytes_per_charge", mirrorBytes(group), "bytes")
+		r.Figure(fmt.Sprintf("%d charges in a commit", group), "mirror_bytes_per_charge", mirrorBytes(group, false), "bytes")
 	}
 	return vaultDisk(r)
 }
@@ -112,14 +115,36 @@
 	return v
 }
 
-func mirrorBytes(group int) float64 {
+// mirrorBytes returns the bytes that go to the mirror for a charge, and, where
+// asked so, those of the commit that ends the search for a second bill.
+func mirrorBytes(group int, claims bool) float64 {
 	v := chargedVault(noRows{})
 	c := budgeter.NewCopier(&messenger.CopyState{Zone: "a", Incarnation: 1}, true, func(string, string) {})
 	var rows []budgeter.Write
 	for i := range group {
 		rows = append(rows, bill(v, vaultCharge(fmt.Sprintf("workspace-%06d", i%tenWorkspaces), i))...)
 	}
-	return float64(proto.Size(c.Prepare(budgeter.CopyRows(rows)))) / float64(group)
+	total := proto.Size(c.Prepare(budgeter.CopyRows(rows)))
+	if claims {
+		total += proto.Size(c.Prepare(budgeter.CopyRows(claimed(v, rows))))
+	}
+	return float64(total) / float64(group)
+}
+
+// claimed ends the search for second bills of the charges among rows.
+func claimed(v *budgeter.Vault, rows []budgeter.Write) (out []budgeter.Write) {
+	e := budgeter.BillsClaimed{Counting: map[string][]string{}}
+	for _, w := range rows {
+		if w.Bucket == budgeter.BucketUnclaimed {
+			e.Counting[w.Key] = []string{"a"}
+		}
+	}
+	for _, a := range v.Step(time.Time{}, e) {
+		if w, ok := a.(budgeter.Write); ok {
+			out = append(out, w)
+		}
+	}
+	return out
 }
 
 // vaultDisk fits the file's used bytes by the number of charges.
@@ -145,10 +170,12 @@
 		for i := range group {
 			rows = append(rows, bill(v, vaultCharge(fmt.Sprintf("workspace-%06d", i%tenWorkspaces), n+i))...)
 		}
-		if err := applyCopy(store, budgeter.CopyRows(rows)); err != nil {
-			return err
+		for _, commit := range [][]budgeter.Write{rows, claimed(v, rows)} {
+			if err := applyCopy(store, budgeter.CopyRows(commit)); err != nil {
+				return err
+			}
+			v.Synced()
 		}
-		v.Synced()
 	}
 	r.Slope("keeper", "disk", "bytes", "charge", points)
 	return nil
