Notice a mirror that lost its copy while nothing is committed

Cause: a keeper without traffic took its mirror for a second disk after that one had been replaced; losing its own disk then would have passed for a first start, with the zone's budget gone and top-ups minted again on a resend. Ruled out: a test over real processes (it passed without the change, since routers' traffic commits something within the second). Change: a paired keeper asks its mirror each second how far its copy reaches. Before: the unit test stays in mode paired. After: it leaves it.

--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/budgeter"
@@ -15,12 +16,17 @@
 const (
 	// pairEvery is the pause between tries to bring the mirror up to date.
 	pairEvery = 100 * time.Millisecond
+	// verifyEvery is the pause between questions to a mirror that is paired.
+	verifyEvery = time.Second
 	// wholeTimeout bounds the sending of a whole copy.
 	wholeTimeout = 5 * time.Minute
 	// partMost bounds the rows of one part of a whole copy.
 	partMost = 500
 )
 
+// errCopyLost says that the mirror does not have what it had acknowledged.
+var errCopyLost = merry.Sentinel("mirror lost its copy")
+
 // mirrorSender implements mirrorLink over the connections to the peers.
 type mirrorSender struct{ peers *peers }
 
@@ -52,10 +58,16 @@
 	})
 }
 
+// mirrorClient reaches the mirror's keeper.
+type mirrorClient interface {
+	exists() bool
+	client() messenger.BudgetKeeperClient
+}
+
 // pairing keeps the mirror up to date whenever commits do not reach it.
 type pairing struct {
 	loop   *vaultLoop
-	sender mirrorSender
+	sender mirrorClient
 	store  *storer.Store
 	log    *zap.Logger
 	// Mirror is the mirror's own incarnation as last heard.
@@ -63,16 +75,34 @@
 }
 
 func (p *pairing) run(ctx context.Context) {
+	var verified time.Time
 	for ctx.Err() == nil {
 		if p.loop.currentMode() != budgeter.ModePaired {
 			if err := p.once(ctx); err != nil && ctx.Err() == nil {
 				p.log.Debug("mirror is not up to date", zap.Error(err))
 			}
+		} else if time.Since(verified) > verifyEvery {
+			p.verify(ctx)
+			verified = time.Now()
 		}
 		pause(ctx, pairEvery)
 	}
 }
 
+// verify asks a mirror that takes commits whether it has the earlier ones too:
+// one that lost its disk while nothing was committed would otherwise pass for
+// a second disk until this one is lost as well.
+func (p *pairing) verify(ctx context.Context) {
+	if !p.sender.exists() {
+		return
+	}
+	least := p.state()
+	has, err := p.copyOne(ctx, &messenger.CopyRequest{State: &messenger.CopyState{Zone: p.loop.vault.Zone()}})
+	if err == nil && (has.GetIncarnation() != least.Incarnation || has.GetNumber() < least.Number) {
+		p.loop.lost(errCopyLost)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/keeper/mirror_test.go
+++ b/keeper/mirror_test.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"context"
 	"errors"
 	"testing"
 
@@ -116,3 +117,41 @@
 	_, values := held(t, h)
 	g.Expect(values).To(gomega.Equal([]string{"w=2"}))
 }
+
+// forgetfulMirror is a mirror whose copy can vanish.
+type forgetfulMirror struct {
+	messenger.BudgetKeeperClient
+	mirrorLink
+	state *messenger.CopyState
+}
+
+func (*forgetfulMirror) exists() bool                                    { return true }
+func (*forgetfulMirror) mark(context.Context, *messenger.SoloMark) error { return errNotYet }
+func (m *forgetfulMirror) client() messenger.BudgetKeeperClient          { return m }
+func (m *forgetfulMirror) copy(_ context.Context, r *messenger.CopyRequest) error {
+	m.state = r.State
+	return nil
+}
+
+func (m *forgetfulMirror) Copy(context.Context, *messenger.CopyRequest, ...grpc.CallOption) (*messenger.CopyReply, error) {
+	return &messenger.CopyReply{State: m.state}, nil
+}
+
+// Symptom: a zone forgets its budget. Sequence: a keeper is idle; its mirror
+// loses its disk and comes back; then the keeper loses its own. Cause: a
+// keeper that notices a lost copy at its next commit only.
+func TestIdleKeeperNoticesThatItsCopyIsLost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := newHolder(t).store
+	m := &forgetfulMirror{}
+	l := newVaultLoop("a", store, m, zap.NewNop())
+	g.Expect(l.begin(budgeter.Begin{Incarnation: 1})).To(gomega.Succeed())
+	p := &pairing{loop: l, sender: m, store: store, log: zap.NewNop()}
+	m.state = p.state()
+	l.copier.CaughtUp(m.state)
+	p.verify(t.Context())
+	g.Expect(l.currentMode()).To(gomega.Equal(budgeter.ModePaired))
+	m.state = nil
+	p.verify(t.Context())
+	g.Expect(l.currentMode()).To(gomega.Equal(budgeter.ModeMarking))
+}
