--- a/placer/meter.go
+++ b/placer/meter.go
@@ -6,10 +6,10 @@
 )
 
 // MeterTime is the time constant of a Meter.
-const MeterTime = 20 * time.Minute
+const MeterTime = time.Hour
 
 // Meter averages a zone's demand over a time that is long beside a request
-// and comparable to a cut: rights are placed for the next hour, and the last
+// and as long as a cut: rights are placed for the next hour, and the last
 // seconds say little about it. The zero value has seen nothing. It is not
 // safe for concurrent use.
 type Meter struct {
--- a/placer/proportional.go
+++ b/placer/proportional.go
@@ -14,13 +14,13 @@
 	// Demand follows demand and keeps a reserve in every zone. The reserve is
 	// large since demand moves between zones within the hour that a cut lasts;
 	// docs/design/spending.md has the figures.
-	Demand = Register("demand", proportional{reserve: 0.6, band: 0.05})
-	// FalseRefusals moves sooner, for users who would rather pay for more
-	// transfers than refuse during a cut.
-	FalseRefusals = Register("false_refusals", proportional{reserve: 0.6, band: 0.02})
+	Demand = Register("demand", proportional{reserve: 0.45, band: 0.05})
+	// FalseRefusals keeps larger reserves and moves sooner, for users who would
+	// rather pay for more transfers than refuse during a cut.
+	FalseRefusals = Register("false_refusals", proportional{reserve: 0.6, band: 0.03})
 	// Overspend moves rarely, for users whose books must be simple to balance:
 	// few rights are under way at any time.
-	Overspend = Register("overspend", proportional{reserve: 0.4, band: 0.2})
+	Overspend = Register("overspend", proportional{reserve: 0.3, band: 0.2})
 )
 
 // proportional shares the rights out by demand, after an equal reserve.
