--- a/budgeter/rows.go
+++ b/budgeter/rows.go
@@ -20,12 +20,14 @@
 	BucketWitnessed = "budget_witnessed"
 	BucketRefused   = "budget_refused"
 	BucketMarks     = "budget_marks"
+	BucketUnclaimed = "budget_unclaimed"
+	BucketClaimed   = "budget_claimed"
 )
 
 // Buckets lists every bucket of a vault, for copies.
 var Buckets = []string{
 	BucketVault, BucketBooks, BucketTopUps, BucketLeases, BucketCharges, BucketTransfers,
-	BucketReceived, BucketRouters, BucketWitnessed, BucketRefused, BucketMarks,
+	BucketReceived, BucketRouters, BucketWitnessed, BucketRefused, BucketMarks, BucketUnclaimed, BucketClaimed,
 }
 
 // Resident lists the buckets that Restore must be given; the rows of the
--- a/budgeter/vault.go
+++ b/budgeter/vault.go
@@ -74,6 +74,9 @@
 	b.unspent += n
 }
 
+// held is what neither can be given now nor is spent.
+func (b *book) held() rattanhoist.Tokens { return b.leased + max(b.frozen, 0) + b.withheld }
+
 func (b *book) row(zone string) *messenger.Book {
 	return &messenger.Book{
 		Workspace: b.workspace, Zone: zone,
@@ -104,6 +107,8 @@
 	refused map[string]uint64
 	// Marks maps zones to the latest solo mark of their keeper.
 	marks map[string]*messenger.SoloMark
+	// Billed holds the requests billed in the step in progress.
+	billed []string
 	// Proved maps routers to the incarnation whose holdings have been taken
 	// since the last start; it matters only while the vault is unproved.
 	proved map[string]uint64
@@ -136,6 +141,7 @@
 // Step handles one event. The rows come before the reply.
 func (v *Vault) Step(_ time.Time, e Event) []Action {
 	v.handle(e)
+	v.storeUnclaimed()
 	for b := range v.dirty {
 		v.storeBook(b)
 	}
@@ -194,6 +200,10 @@
 		v.answer(e.Ticket)(v.handOver(e.Request))
 	case HandedOver:
 		v.handedOver(e)
+	case ClaimBills:
+		v.answer(e.Ticket)(v.claimBills(e.Request))
+	case BillsClaimed:
+		v.billsClaimed(e)
 	case Mark:
 		v.answer(e.Ticket)(v.mark(e.Request))
 	case Begin:
--- a/keeper/vault_lease.go
+++ b/keeper/vault_lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"rattanhoist.example/rattanhoist/budgeter"
 	"rattanhoist.example/rattanhoist/messenger"
@@ -12,7 +13,8 @@
 // unreserved rights from the zone's other routers and asks the other zones
 // first, so that a refusal tells what is spent from what is out of reach.
 func (s *budgetServer) Lease(ctx context.Context, r *messenger.LeaseRequest) (*messenger.LeaseReply, error) {
-	g := &gathering{server: s, workspace: r.Workspace, want: r.WantTokens}
+	s.shares.demand(r.Workspace, r.Router, float64(r.DemandTokensPerSecond), time.Now())
+	g := &gathering{server: s, workspace: r.Workspace, want: r.WantTokens, held: map[string]int64{}}
 	if s.loop.currentMode() != budgeter.ModeStarting && g.missing(ctx) > 0 {
 		g.recall(ctx, r.Router)
 		g.askAll(ctx)
@@ -21,7 +23,10 @@
 	if err != nil {
 		return nil, err
 	}
-	out.UnreachableZones, out.ElsewhereTokens = g.silent, s.shares.sum(r.Workspace)
+	for _, n := range g.held {
+		out.HeldTokens += n
+	}
+	out.UnreachableZones, out.ElsewhereTokens = g.silent, s.shares.elsewhere(r.Workspace)
 	return out, nil
 }
 
@@ -31,6 +36,8 @@
 	workspace string
 	want      int64
 	silent    []string
+	// Held maps zones that answered to the rights that they can't give now.
+	held map[string]int64
 }
 
 func (g *gathering) missing(ctx context.Context) int64 {
@@ -107,10 +114,11 @@
 		mu.Lock()
 		defer mu.Unlock()
 		left[p.process.Zone()] = out.LeftTokens
+		g.held[p.process.Zone()] = out.HeldTokens
 		return nil
 	})
 	for zone, n := range left {
-		g.server.shares.note(g.workspace, zone, n)
+		g.server.shares.left(g.workspace, zone, n, time.Now())
 	}
 	return left
 }
@@ -130,32 +138,3 @@
 	_, _ = g.server.Give(ctx, &messenger.GiveRequest{Transfers: []*messenger.Transfer{out.Transfer}})
 	return out, nil
 }
-
-// shares is what other zones had left of a workspace when last heard; soft.
-type shares struct {
-	mu sync.Mutex
-	// Left maps workspaces and zones to tokens.
-	left map[string]map[string]int64
-}
-
-func newShares() *shares { return &shares{left: map[string]map[string]int64{}} }
-
-func (s *shares) note(workspace, zone string, n int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	zones := s.left[workspace]
-	if zones == nil {
-		zones = map[string]int64{}
-		s.left[workspace] = zones
-	}
-	zones[zone] = n
-}
-
-func (s *shares) sum(workspace string) (n int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, x := range s.left[workspace] {
-		n += x
-	}
-	return n
-}
