Let the keeper place by the averaged demand

Change: shares keep a meter for each workspace, also through a pause; spending slopes are an experiment of their own.

--- a/keeper/placement.go
+++ b/keeper/placement.go
@@ -101,9 +101,8 @@
 			out = append(out, &messenger.Share{Workspace: name, UnspentTokens: v.Unspent(name)})
 		}
 	})
-	now := time.Now()
 	for _, x := range out {
-		x.DemandTokensPerSecond = int64(math.Ceil(s.shares.ownDemand(x.Workspace, now)))
+		x.DemandTokensPerSecond = int64(math.Ceil(s.shares.ownDemand(x.Workspace)))
 	}
 	return out, err
 }
@@ -113,7 +112,7 @@
 	zone := l.server.keeper.self.Zone()
 	view := placer.View{
 		Zone:   zone,
-		Demand: map[string]float64{zone: l.server.shares.ownDemand(workspace, now)},
+		Demand: map[string]float64{zone: l.server.shares.ownDemand(workspace)},
 		Shares: map[string]rattanhoist.Tokens{}, Age: map[string]time.Duration{},
 	}
 	for z, x := range l.server.shares.others(workspace) {
--- a/keeper/shares.go
+++ b/keeper/shares.go
@@ -1,11 +1,13 @@
 package keeper
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/placer"
 )
 
 const (
@@ -33,6 +35,14 @@
 	touched time.Time
 	zones   map[string]zoneShare
 	routers map[string]routerDemand
+	// Meter averages the zone's demand over the time that a cut may last.
+	meter placer.Meter
+}
+
+// idleMeter is the demand of a workspace that is out of the exchange.
+type idleMeter struct {
+	meter placer.Meter
+	since time.Time
 }
 
 // shares is the soft state of the workspaces that have traffic; others are
@@ -40,15 +50,25 @@
 type shares struct {
 	mu  sync.Mutex
 	all map[string]*workspaceShares
+	// Idle keeps the meters of dropped workspaces for placer.MeterTime: a
+	// pause between requests must not make a workspace's demand unknown.
+	idle map[string]idleMeter
 }
 
-func newShares() *shares { return &shares{all: map[string]*workspaceShares{}} }
+func newShares() *shares {
+	return &shares{all: map[string]*workspaceShares{}, idle: map[string]idleMeter{}}
+}
 
 func (s *shares) get(workspace string, now time.Time) *workspaceShares {
 	w := s.all[workspace]
 	if w == nil {
 		w = &workspaceShares{zones: map[string]zoneShare{}, routers: map[string]routerDemand{}}
 		s.all[workspace] = w
+		if i, ok := s.idle[workspace]; ok {
+			w.meter = i.meter
+			w.meter.Add(now, 0)
+			delete(s.idle, workspace)
+		}
 	}
 	w.touched = now
 	return w
@@ -99,7 +119,8 @@
 	return n
 }
 
-// active drops idle workspaces and returns the others by name.
+// active drops idle workspaces and returns the others by name; it is called
+// once a round, and measures the demand since the last.
 func (s *shares) active(now time.Time) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,22 +128,19 @@
 	for name, w := range s.all {
 		if now.Sub(w.touched) > activeFor {
 			delete(s.all, name)
+			s.idle[name] = idleMeter{meter: w.meter, since: now}
 			continue
 		}
+		w.meter.Add(now, w.demandNow(now))
 		out = append(out, name)
 	}
+	maps.DeleteFunc(s.idle, func(_ string, i idleMeter) bool { return now.Sub(i.since) > placer.MeterTime })
 	slices.Sort(out)
 	return out
 }
 
-// ownDemand sums what the zone's routers said lately.
-func (s *shares) ownDemand(workspace string, now time.Time) (rate float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	w := s.all[workspace]
-	if w == nil {
-		return 0
-	}
+// demandNow sums what the zone's routers said lately.
+func (w *workspaceShares) demandNow(now time.Time) (rate float64) {
 	for _, r := range w.routers {
 		if now.Sub(r.at) < demandFor {
 			rate += r.rate
@@ -131,6 +149,17 @@
 	return rate
 }
 
+// ownDemand returns the zone's demand, averaged over placer.MeterTime.
+func (s *shares) ownDemand(workspace string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w := s.all[workspace]; w != nil {
+		return w.meter.Rate()
+	}
+	i := s.idle[workspace]
+	return i.meter.Rate()
+}
+
 // others returns a copy of what the other zones last said.
 func (s *shares) others(workspace string) map[string]zoneShare {
 	s.mu.Lock()
--- a/measurer/budget_slopes.go
+++ b/measurer/budget_slopes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
 	"time"
 
 	"google.golang.org/grpc"
@@ -26,9 +25,14 @@
 	networkPairs = []int{100, 200, 400, 800}
 )
 
-// budgetSlopes measures what one active pair of a workspace and a router
-// costs.
-func budgetSlopes(r *Report) error {
+// SpendingSlopes is the name of the experiment on the cost of one active pair
+// of a workspace and a router.
+var SpendingSlopes = Register(Experiment{
+	Name: "spending_slopes", Short: "memory and network of a router's slices",
+	Run: runSpendingSlopes,
+})
+
+func runSpendingSlopes(_ context.Context, r *Report) error {
 	var memory, bytes []Point
 	for _, n := range memoryPairs {
 		held, err := pairMemory(n)
@@ -73,14 +77,6 @@
 	return heapInUse() - before, nil
 }
 
-func heapInUse() float64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc)
-}
-
 // pairNetwork returns the bytes a second of leases and returns of n pairs
 // with steady traffic, without the transport's frames.
 func pairNetwork(n int) float64 {
--- a/measurer/budget_zone.go
+++ b/measurer/budget_zone.go
@@ -96,7 +96,7 @@
 }
 
 func (k *keeperFake) unspent(workspace string) rattanhoist.Tokens {
-	return rattanhoist.Tokens(k.vault.Book(workspace).UnspentTokens)
+	return rattanhoist.Tokens(k.vault.Unspent(workspace))
 }
 
 // lease answers a router: from the zone's rights, else from siblings, else
--- a/measurer/budgets.go
+++ b/measurer/budgets.go
@@ -110,7 +110,7 @@
 	for _, group := range groups {
 		group.report(r)
 	}
-	return budgetSlopes(r)
+	return nil
 }
 
 // runOne plays one case at one seed.
