--- a/treasurer/main_test.go
+++ b/treasurer/main_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"os"
 	"testing"
+
+	"rattanhoist.example/rattanhoist/launcher"
 )
 
 func TestMain(m *testing.M) {
@@ -16,5 +18,5 @@
 			_ = flag.Set(name, value)
 		}
 	}
-	os.Exit(m.Run())
+	launcher.Main(m)
 }
