--- a/measurer/budget_traffic.go
+++ b/measurer/budget_traffic.go
@@ -16,12 +16,14 @@
 	budgetWorkspaces = 10
 	// requestsPerSecond is the mean of all workspaces together.
 	requestsPerSecond = 6
-	trafficTime       = 90 * time.Minute
-	requestDeadline   = 30 * time.Second
-	retryAfterKill    = time.Second
-	answerPrice       = 2
-	maxAnswerTokens   = 512
-	timePerToken      = 10 * time.Millisecond
+	trafficTime       = 150 * time.Minute
+	// payAgainAt is when every workspace buys for the rest of the time.
+	payAgainAt      = 58 * time.Minute
+	requestDeadline = 30 * time.Second
+	retryAfterKill  = time.Second
+	answerPrice     = 2
+	maxAnswerTokens = 512
+	timePerToken    = 10 * time.Millisecond
 	// movingPeriod and movingPart say how the zones' parts of a workspace's
 	// traffic move.
 	movingPeriod = 40 * time.Minute
@@ -50,11 +52,10 @@
 	runs      time.Duration
 }
 
-func workspaceName(i int) string { return fmt.Sprintf("workspace-%d", i) }
-
 // traffic draws the requests; the same seed gives the same ones.
 func traffic(seed uint64, length time.Duration) []demandCall {
 	r := rand.New(rand.NewPCG(seed, 1))
+	phase := 2 * math.Pi * r.Float64()
 	var out []demandCall
 	for t := time.Duration(0); ; {
 		t += time.Duration(r.ExpFloat64() / requestsPerSecond * float64(time.Second))
@@ -65,17 +66,17 @@
 		prompt := 100 + r.Int64N(700)
 		answer := 50 + r.Int64N(maxAnswerTokens-50)
 		out = append(out, demandCall{
-			id: fmt.Sprintf("request-%d", len(out)), workspace: w, zone: drawZone(r, w, t), router: r.IntN(routersPerZone),
+			id: fmt.Sprintf("request-%d", len(out)), workspace: w, zone: drawZone(r, w, phase+2*math.Pi*float64(t)/float64(movingPeriod)), router: r.IntN(routersPerZone),
 			at: t, worst: rattanhoist.Tokens(prompt + answerPrice*maxAnswerTokens),
 			cost: rattanhoist.Tokens(prompt + answerPrice*answer), runs: time.Duration(answer) * timePerToken,
 		})
 	}
 }
 
-// drawZone skews by zone, each workspace in its own rotation and moving.
-func drawZone(r *rand.Rand, workspace int, t time.Duration) int {
+// drawZone skews by zone, each workspace in its own rotation and moving with
+// the phase.
+func drawZone(r *rand.Rand, workspace int, phase float64) int {
 	var weights [budgetZones]float64
-	phase := 2 * math.Pi * float64(t) / float64(movingPeriod)
 	for z := range weights {
 		base := zoneWeights[(z+workspace)%budgetZones]
 		weights[z] = base * (1 + movingPart*math.Sin(phase+2*math.Pi*float64(z)/budgetZones))
@@ -97,11 +98,14 @@
 	return len(weights) - 1
 }
 
-// paid returns what each workspace buys, from the traffic's true cost.
-func paid(calls []demandCall) [budgetWorkspaces]rattanhoist.Tokens {
+// paid returns what each workspace buys for the traffic from a time to
+// another, from its true cost.
+func paid(calls []demandCall, from, to time.Duration) [budgetWorkspaces]rattanhoist.Tokens {
 	var cost, out [budgetWorkspaces]rattanhoist.Tokens
 	for _, c := range calls {
-		cost[c.workspace] += c.cost
+		if c.at >= from && c.at < to {
+			cost[c.workspace] += c.cost
+		}
 	}
 	for w := range out {
 		out[w] = rattanhoist.Tokens(float64(cost[w]) * paidPart[w])
