--- a/replicator/fuzz_test.go
+++ b/replicator/fuzz_test.go
@@ -85,12 +85,17 @@
 	floor   uint64
 	leaders map[string]replicator.Member
 	ids     int
+	voters  int
+	timing  replicator.Timing
 	// Reads and wiped count what happened, against a test of nothing.
 	reads, wiped int
 }
 
-func newPool(t *rapid.T, n int) *pool {
+func newPool(t *rapid.T, n int) *pool { return newPoolOf(t, n, n, replicator.DefaultTiming()) }
+
+func newPoolOf(t *rapid.T, n, voters int, timing replicator.Timing) *pool {
 	p := &pool{
+		voters: voters, timing: timing,
 		t: t, nodes: map[string]*node{}, cut: map[string]bool{},
 		asked: map[replicator.Ticket]ask{}, acked: map[string]int{}, leaders: map[string]replicator.Member{},
 	}
@@ -109,7 +114,7 @@
 	n.machine = &register{}
 	n.core = replicator.NewCore(replicator.Options{
 		Name: name, Peers: slices.DeleteFunc(slices.Clone(p.names), func(s string) bool { return s == name }),
-		Voters: len(p.names), Timing: replicator.DefaultTiming(), Rand: n.rand, Machine: n.machine, CompactAfter: 8,
+		Voters: p.voters, Timing: p.timing, Rand: n.rand, Machine: n.machine, CompactAfter: 8,
 	})
 	r := n.core.NewRestorer()
 	for _, b := range replicator.Buckets {
@@ -172,6 +177,7 @@
 			p.t.Fatalf("two leaders in term %s: %v and %v", key, l, n.core.Self())
 		}
 		p.leaders[key] = n.core.Self()
+		p.checkVoters(n.core)
 	}
 	for _, o := range p.nodes {
 		if o.machine == nil {
@@ -184,6 +190,21 @@
 	}
 }
 
+// checkVoters finds two changes of membership under way at once: their
+// majorities need not overlap.
+func (p *pool) checkVoters(c *replicator.Core) {
+	now, before := c.Voters(), c.CommittedVoters()
+	differ := len(now) + len(before)
+	for _, v := range now {
+		if slices.Contains(before, v) {
+			differ -= 2
+		}
+	}
+	if differ > 1 && c.Commit() > 0 {
+		p.t.Fatalf("voters change from %v to %v in one step", before, now)
+	}
+}
+
 func (p *pool) step(name string, e replicator.Event) {
 	p.do(name, p.nodes[name].core.Step(p.nodes[name].now, e))
 }
@@ -453,6 +474,9 @@
 			p.messages = append(p.messages, m)
 		default:
 			p.pass(m)
+			if m.GetVote() != nil && r.IntN(4) == 0 {
+				p.start(m.To.Name)
+			}
 			if x > 96 {
 				p.messages = append(p.messages, m)
 			}
--- a/router/follower.go
+++ b/router/follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
@@ -139,7 +140,17 @@
 			others = append(others, s)
 		}
 	}
-	return append(own, others...), closeAll, nil
+	return append(spread(own, r.self.Name()), spread(others, r.self.Name())...), closeAll, nil
+}
+
+// spread rotates the list by the router's name: routers of zones without a
+// keeper would otherwise all follow the first one of the settings.
+func spread(list []source, node string) []source {
+	if len(list) == 0 {
+		return nil
+	}
+	i := int(xxhash.Sum64String(node) % uint64(len(list)))
+	return append(append([]source(nil), list[i:]...), list[:i]...)
 }
 
 func (f *follower) run(ctx context.Context) {
