--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -89,6 +89,7 @@
 // The fleet ends with the test.
 func Start(t testing.TB, o Options) *Fleet {
 	t.Helper()
+	lockNet(t, o.Net)
 	f := &Fleet{
 		t: t, dir: t.TempDir(), net: o.Net, zones: o.Zones,
 		running: map[string]*exec.Cmd{}, args: map[string][]string{},
@@ -97,7 +98,6 @@
 		f.zones = []string{"osu-hall", "tema-hall", "legon-hall"}
 	}
 	f.writeSettings(o.Policy)
-	lockNet(t, o.Net)
 	t.Cleanup(f.killAll)
 	for _, p := range f.settings.Processes("") {
 		f.startProcess(p.Name(), "rattanhoist", p.Kind(), "--settings", f.settingsFile(), "--name", p.Name())
