Routers come back to their zone's keeper

Cause: a router whose own keeper was not ready at the start followed another zone's keeper for good; found because the test of a frozen keeper ended in 0.27 s without meeting the silence. Ruled out: a shorter silence timeout. Change: while it follows another keeper, a router looks at its own every 3 s and goes back when that one is at least as new; the test waits until the router follows its own keeper before it freezes it, and for its return.

--- a/keeper/log_process_test.go
+++ b/keeper/log_process_test.go
@@ -259,6 +259,7 @@
 // Sequence: freeze, a change at the rest, thaw, a change at the old leader
 // with the old base.
 func TestFrozenLeader(t *testing.T) {
+	t.Parallel()
 	g := gomega.NewWithT(t)
 	f := launcher.Start(t, launcher.Options{Net: 62})
 	o := newOperator(t, f)
@@ -288,6 +289,7 @@
 // Cause: a repair that counts before the copy is complete, or an empty disk
 // that votes under its old name.
 func TestSecondLossAfterRepair(t *testing.T) {
+	t.Parallel()
 	f := launcher.Start(t, launcher.Options{Net: 63})
 	o := newOperator(t, f)
 	first := o.leader(keepers...)
--- a/keeper/spread_process_test.go
+++ b/keeper/spread_process_test.go
@@ -15,27 +15,34 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
+// routerVars are the counters of the configuration at a router.
+type routerVars struct {
+	Version int64  `json:"version"`
+	Keeper  string `json:"keeper"`
+}
+
 // served returns the version that a router serves, or -1.
-func served(f *launcher.Fleet, router string) int64 {
+func served(f *launcher.Fleet, router string) int64 { return varsOf(f, router).Version }
+
+func varsOf(f *launcher.Fleet, router string) routerVars {
+	none := routerVars{Version: -1}
 	p, err := f.Settings().Process(loader.KindRouter, router)
 	if err != nil {
-		return -1
+		return none
 	}
 	c := http.Client{Timeout: time.Second}
 	r, err := c.Get("http://" + p.Debug() + "/debug/vars")
 	if err != nil {
-		return -1
+		return none
 	}
 	defer func() { _ = r.Body.Close() }()
 	var v struct {
-		Configuration struct {
-			Version int64 `json:"version"`
-		} `json:"configuration"`
+		Configuration routerVars `json:"configuration"`
 	}
 	if json.NewDecoder(r.Body).Decode(&v) != nil {
-		return -1
+		return none
 	}
-	return v.Configuration.Version
+	return v.Configuration
 }
 
 func everywhere(f *launcher.Fleet, version int64) func() bool {
@@ -120,14 +127,18 @@
 
 // TestRouterLeavesSilentKeeper: symptom, a router stays at an old version
 // while its zone's keeper is frozen. Sequence: freeze the keeper, accept a
-// change at the others. Cause: a stream that stays open and says nothing.
+// change at the others, thaw. Cause: a stream that stays open and says
+// nothing, or a router that stays with another zone's keeper for good.
 func TestRouterLeavesSilentKeeper(t *testing.T) {
+	t.Parallel()
 	f := launcher.Start(t, launcher.Options{Net: 65})
 	o := newOperator(t, f)
 	o.leader(keepers...)
 	r := rand.New(rand.NewPCG(1, 5))
 	o.accept("one", r)
 	f.Eventually("all routers serve version 1", everywhere(f, 1))
+	home := func() bool { return varsOf(f, "osu-hall-1").Keeper == "osu-hall-keeper" }
+	f.Eventually("the router follows its zone's keeper", home)
 	f.Freeze("osu-hall-keeper")
 	f.Eventually("the rest accepts", func() bool {
 		out, err := o.propose("tema-hall-keeper", "two", 1)
@@ -136,4 +147,5 @@
 	f.Eventually("all routers serve version 2", everywhere(f, 2))
 	f.Thaw("osu-hall-keeper")
 	f.Eventually("the keeper catches up", func() bool { return o.version("osu-hall-keeper") == 2 })
+	f.Eventually("the router comes back to its zone's keeper", home)
 }
--- a/keeper/spread_report.go
+++ b/keeper/spread_report.go
@@ -47,10 +47,11 @@
 	return out
 }
 
-// ReportInForce notes the version that a subscriber serves.
+// ReportInForce notes the version that a subscriber serves. Its reply tells a
+// subscriber of another keeper whether this one can take it back.
 func (s *configurationServer) ReportInForce(_ context.Context, r *messenger.InForceReport) (*messenger.ReportReply, error) {
 	s.reports.put(r.Node, report{zone: r.Zone, version: r.Version, at: time.Now()})
-	return &messenger.ReportReply{}, nil
+	return &messenger.ReportReply{Version: s.version(), AgeMs: s.ageMS()}, nil
 }
 
 // InForce returns the versions that the subscribers of every keeper serve. A
--- a/router/follower.go
+++ b/router/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,10 @@
 	confirmWait   = 4 * time.Second
 	reportTimeout = time.Second
 	reportEvery   = 5 * time.Second
+	// homeEvery is the pause between looks at the own zone's keeper while
+	// another one is followed, and homeTimeout bounds one.
+	homeEvery   = 3 * time.Second
+	homeTimeout = 200 * time.Millisecond
 )
 
 // Errors that end a stream. Compare with errors.Is.
@@ -37,6 +42,7 @@
 	errSilent = merry.Sentinel("the keeper is silent")
 	errStale  = merry.Sentinel("the keeper's copy is old")
 	errBase   = merry.Sentinel("the update has another base")
+	errHome   = merry.Sentinel("the keeper of the own zone is back")
 )
 
 // Counters of the configuration at this router.
@@ -49,6 +55,7 @@
 	keeperSwitches = new(expvar.Int)
 	lowerVersions  = new(expvar.Int)
 	wholeCopies    = new(expvar.Int)
+	keeperFollowed = new(expvar.String)
 )
 
 func init() {
@@ -57,6 +64,7 @@
 	followed.Set("keeper_switches", keeperSwitches)
 	followed.Set("lower_versions_passed_over", lowerVersions)
 	followed.Set("whole_copies", wholeCopies)
+	followed.Set("keeper", keeperFollowed)
 }
 
 // source is one keeper that the router may follow.
@@ -80,6 +88,7 @@
 	served uint64
 	// SwitchedAt is when a stale source was last left.
 	switchedAt time.Time
+	lookedHome time.Time
 	reported   uint64
 	reportedAt time.Time
 }
@@ -160,6 +169,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errHome) {
+			i = -1
+		}
 		keeperSwitches.Add(1)
 		f.log.Debug("configuration stream ended", zap.String("keeper", s.name), zap.Error(err))
 		select {
@@ -174,6 +186,7 @@
 	defer cancel(nil)
 	silence := time.AfterFunc(silenceTimeout, func() { cancel(errSilent) })
 	defer silence.Stop()
+	keeperFollowed.Set(s.name)
 	w, err := s.client.Watch(ctx, &messenger.WatchRequest{
 		Node: f.node, Zone: f.zone, Version: f.book.Version(), Digest: f.book.Digest(),
 	})
@@ -194,6 +207,9 @@
 		if f.stale(u) {
 			return errStale
 		}
+		if f.home(ctx, s) {
+			return errHome
+		}
 	}
 }
 
@@ -262,6 +278,21 @@
 	}
 }
 
+// home reports whether the keeper of the own zone can be followed again:
+// without it one failure of that keeper would load the others for good, and
+// every zone's cut would meet routers that hang on the far side.
+func (f *follower) home(ctx context.Context, s source) bool {
+	own := f.sources[0]
+	if s.own || !own.own || !f.shown || time.Since(f.lookedHome) < homeEvery {
+		return false
+	}
+	f.lookedHome = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, homeTimeout)
+	defer cancel()
+	r, err := own.client.ReportInForce(ctx, &messenger.InForceReport{Node: f.node, Zone: f.zone, Version: f.book.Version()})
+	return err == nil && r.Version >= f.book.Version() && r.AgeMs >= 0 && time.Duration(r.AgeMs)*time.Millisecond < staleAge
+}
+
 // stale reports whether another keeper may know more.
 func (f *follower) stale(u *messenger.Update) bool {
 	old := u.AgeMs < 0 || time.Duration(u.AgeMs)*time.Millisecond > staleAge
