Voters that the settings no longer name leave; a forwarded change follows the leader

Cause: a keeper taken out of the settings counted against every majority for good; a change forwarded to a leader that was cut off silently waited for the end of its try (1 s). Change: a silent voter without a section is removed by a committed change; a forward ends when its leader does. The unused field of the router goes.

--- a/keeper/log_propose.go
+++ b/keeper/log_propose.go
@@ -72,6 +72,7 @@
 	defer cancel()
 	l := s.loop.state.Load().leader.Name
 	if p, ok := s.keeper.peers.name(l); ok {
+		go s.endWithLeader(ctx, cancel, l)
 		out, err := p.configuration().Propose(ctx, &messenger.ProposeRequest{Change: c, Forwarded: true})
 		if status.Code(err) == codes.FailedPrecondition {
 			return nil, errNotLeader
@@ -84,6 +85,22 @@
 	return s.proposeHere(ctx, c)
 }
 
+// endWithLeader cancels a call once its leader is no longer taken for one: a
+// leader that was cut off silently answers nothing, and the change need not
+// wait for the end of the try.
+func (s *configurationServer) endWithLeader(ctx context.Context, cancel func(), leader string) {
+	t := time.NewTicker(proposeRetry)
+	defer t.Stop()
+	for s.loop.state.Load().leader.Name == leader {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+	cancel()
+}
+
 // proposeHere hands the loop its own copy: a caller that gives up may send
 // the change again while the loop still reads it.
 func (s *configurationServer) proposeHere(ctx context.Context, c *messenger.Change) (*messenger.ProposeReply, error) {
--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -250,3 +250,25 @@
 		}
 	})
 }
+
+// TestRetiredKeeperLeaves: symptom, a keeper that was taken out of the
+// settings counts against every majority for good. Sequence: four voters; one
+// stops and the others restart with settings that do not name it.
+func TestRetiredKeeperLeaves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPool(t, 4)
+		p.settle()
+		p.retired, p.voters = "d", 3
+		for _, n := range []string{"a", "b", "c"} {
+			p.cut["d"+n], p.cut[n+"d"] = true, true
+			p.start(n)
+		}
+		for range 80 {
+			p.flow()
+		}
+		v := p.nodes[p.leaderName()].core.CommittedVoters()
+		if len(v) != 3 {
+			t.Fatalf("voters are %v", v)
+		}
+	})
+}
--- a/replicator/fuzz_test.go
+++ b/replicator/fuzz_test.go
@@ -87,6 +87,8 @@
 	ids     int
 	voters  int
 	timing  replicator.Timing
+	// Retired is a name that the settings no longer have.
+	retired string
 	// Reads and wiped count what happened, against a test of nothing.
 	reads, wiped int
 }
@@ -113,7 +115,7 @@
 	n := p.nodes[name]
 	n.machine = &register{}
 	n.core = replicator.NewCore(replicator.Options{
-		Name: name, Peers: slices.DeleteFunc(slices.Clone(p.names), func(s string) bool { return s == name }),
+		Name: name, Peers: slices.DeleteFunc(slices.Clone(p.names), func(s string) bool { return s == name || s == p.retired }),
 		Voters: p.voters, Timing: p.timing, Rand: n.rand, Machine: n.machine, CompactAfter: 8,
 	})
 	r := n.core.NewRestorer()
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -86,12 +86,16 @@
 
 // mendMembership takes one step towards a full set of voters on live disks:
 // a voter whose disk was emptied, or who was silent for long while a spare is
-// ready, leaves; then a complete copy joins. Two steps, each waiting for the
+// ready, or whom the settings no longer name, leaves; then a complete copy
+// joins. Two steps, each waiting for the
 // commit of the one before, keep every two majorities overlapping.
 func (c *Core) mendMembership() {
 	if !c.Ready() || c.log.votersIndex > c.commit {
 		return
 	}
+	if c.retire() {
+		return
+	}
 	for _, l := range c.members() {
 		if c.complete(l) && c.seat(l) {
 			return
@@ -99,6 +103,18 @@
 	}
 }
 
+// retire removes a voter that the settings no longer name, once it is silent,
+// and reports whether it did.
+func (c *Core) retire() bool {
+	for i, v := range c.log.voters {
+		if v != c.self && !slices.Contains(c.options.Peers, v.Name) && c.mayRemove(v) {
+			c.changeVoters(slices.Delete(c.Voters(), i, i+1))
+			return true
+		}
+	}
+	return false
+}
+
 // complete reports whether a disk that does not vote has all that is
 // committed.
 func (c *Core) complete(l Member) bool {
--- a/router/router.go
+++ b/router/router.go
@@ -61,7 +61,6 @@
 	tracker  *tracker.Tracker
 	gossip   *gossiper
 	money    *treasurer.Treasurer
-	config   messenger.ConfigurationKeeperClient
 	engines  *http.Client
 	// KeeperConn is the connection to the zone's keeper.
 	keeperConn *grpc.ClientConn
@@ -127,7 +126,6 @@
 		}, messenger.WithTLS(s.TLS())),
 		keeperConn: conn, decisions: recorder.New(recordedRequests),
 		tracker: newTracker(s, self),
-		config:  messenger.NewConfigurationKeeperClient(conn),
 		engines: newEngines(),
 	}
 	r.ledgerBase = time.Now()
