--- a/joiner/core.go
+++ b/joiner/core.go
@@ -28,7 +28,7 @@
 }
 
 // entryBytes is what a remembered request takes besides its answer.
-const entryBytes = 512
+const entryBytes = 900
 
 // Event is what happens to a core.
 type Event interface{ isEvent() }
--- a/joiner/joiner_test.go
+++ b/joiner/joiner_test.go
@@ -23,6 +23,8 @@
 		seed = s
 	}
 	_ = flag.Set("rapid.seed", seed)
+	_ = flag.Set("rapid.steps", "150")
+	_ = flag.Set("rapid.checks", "400")
 	if n := os.Getenv("FUZZ_CHECKS"); n != "" {
 		_ = flag.Set("rapid.checks", n)
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -363,3 +363,9 @@
 		_ = c.Wait()
 	}
 }
+
+// PID returns the process id of a running process, for measurements.
+func (f *Fleet) PID(name string) int {
+	f.t.Helper()
+	return f.process(name).Process.Pid
+}
--- a/measurer/heap.go
+++ b/measurer/heap.go
@@ -51,3 +51,10 @@
 	}
 	return points
 }
+
+// stackBytes returns the bytes of goroutines' stacks.
+func stackBytes() float64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.StackInuse)
+}
