--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"flag"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -177,3 +178,12 @@
 	f.g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusCreated))
 	return out.Ticket
 }
+
+func listen(t *testing.T, address string) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
--- a/router/identity_test.go
+++ b/router/identity_test.go
@@ -199,3 +199,42 @@
 	}
 	f.Eventually("one bill is left", func() bool { return f.billed("twice") == 1 })
 }
+
+// TestCutZoneClaimsOnlyByItsTicket
+// Symptom: a request that may not be repeated runs on both sides of a cut, or
+// is called "not run" though the other side may have run it.
+// Sequence: a zone is cut off; it gets such requests with a ticket of its own
+// and with an id; the id runs on the other side and comes back after the heal.
+// Cause it guards against: claims that a minority grants.
+func TestCutZoneClaimsOnlyByItsTicket(t *testing.T) {
+	f := startFleet(t, launcher.Options{Net: 80})
+	for i, z := range f.Settings().Zones() {
+		f.StartEndpoint("plain", "desk-"+z, "desk", z, i+1, "--pace", "5ms")
+	}
+	f.served(f.plain)
+	once := func(router, id string) error {
+		c := f.plain(router, id)
+		c.NotRepeatable, c.Path, c.Timeout = true, "/ledger/1", 4*time.Second
+		_, err := c.Do(context.Background())
+		return err
+	}
+	f.Eventually("claims are decided", func() bool { return once("osu-hall-1", fmt.Sprintf("first-%d", time.Now().UnixNano())) == nil })
+	ticket := f.ticket("osu-hall-1")
+	for _, z := range []string{"tema-hall", "legon-hall"} {
+		f.Cut("osu-hall", z)
+	}
+	f.g.Expect(once("osu-hall-1", ticket)).To(gomega.Succeed())
+	err := once("osu-hall-2", "ledger-7")
+	f.g.Expect(refused(err)).NotTo(gomega.BeNil(), "%v", err)
+	f.g.Expect(refused(err).Code).To(gomega.Equal("claim_undecided"))
+	f.g.Expect(refused(err).Outcome).To(gomega.Equal("unknown"))
+	f.g.Expect(once("tema-hall-1", "ledger-7")).To(gomega.Succeed())
+	for _, z := range []string{"tema-hall", "legon-hall"} {
+		f.Heal("osu-hall", z)
+	}
+	f.Eventually("the kept answer comes through the healed zone", func() bool { return once("osu-hall-1", "ledger-7") == nil })
+	runs := f.runs("desk-osu-hall", "desk-tema-hall", "desk-legon-hall")
+	f.g.Expect(runs["ledger-7"]).To(gomega.Equal(1))
+	f.g.Expect(runs[ticket]).To(gomega.Equal(1))
+	f.g.Expect(f.billed("ledger-7")).To(gomega.Equal(1))
+}
