--- a/router/execute.go
+++ b/router/execute.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/tracer"
 )
@@ -80,11 +82,21 @@
 // request that began it.
 func (r *Router) execute(link tracer.Link, q *request, run *joiner.Run) {
 	defer r.gate.leave()
-	a, err := r.obtain(link.Resume(run.Context()), q, run)
-	if err != nil {
-		err = truthful(run, err)
-	}
-	r.joiner.End(time.Now(), q.key, run, a, err)
+	var a *joiner.Answer
+	err := errors.New("the router failed")
+	defer func() {
+		// A panic here is outside the HTTP handler: it would end the process
+		// and with it every other stream.
+		if v := recover(); v != nil {
+			r.log.Error("panic in a run", zap.Any("panic", v), zap.Stack("stack"))
+			a, err = nil, &Problem{Status: http.StatusInternalServerError, Code: codeInternal, Outcome: Unknown, Detail: "the router failed"}
+		}
+		if err != nil {
+			err = truthful(run, err)
+		}
+		r.joiner.End(time.Now(), q.key, run, a, err)
+	}()
+	a, err = r.obtain(link.Resume(run.Context()), q, run)
 }
 
 // truthful gives the failure of a run the outcome that is proved: "not run"
--- a/router/handler.go
+++ b/router/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,14 +48,14 @@
 func (r *Router) admitReady(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		if !r.gate.enter() {
-			refuseUnread(drainingProblem(), w, q)
+			r.refuseUnread(drainingProblem(), w, q)
 			return
 		}
 		defer r.gate.leave()
 		activeRequests.Add(1)
 		defer activeRequests.Add(-1)
 		if r.snapshot.Load() == nil {
-			refuseUnread(&Problem{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Outcome: NotRun, Detail: "this router does not know the configuration yet", After: retrySoon}, w, q)
+			r.refuseUnread(&Problem{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Outcome: NotRun, Detail: "this router does not know the configuration yet", After: retrySoon}, w, q)
 			return
 		}
 		next.ServeHTTP(w, q)
@@ -64,15 +65,30 @@
 // refuseUnread refuses a request whose identity was not looked at. Of one that
 // says that it may not be repeated an earlier attempt may have run, so that
 // "not run" would say more than is known.
-func refuseUnread(p *Problem, w http.ResponseWriter, q *http.Request) {
+func (r *Router) refuseUnread(p *Problem, w http.ResponseWriter, q *http.Request) {
 	p.RequestID = q.Header.Get(headerIdempotencyKey)
-	once := q.Header.Get(headerTicket) != "" || strings.EqualFold(q.Header.Get(headerRepeatable), "false")
-	if once && (p.RequestID != "" || q.Header.Get(headerTicket) != "") {
+	ticket := q.Header.Get(headerTicket) != ""
+	if ticket || p.RequestID != "" && r.maybeOnce(q) {
 		p.Outcome = Unknown
 	}
 	p.write(w)
 }
 
+// maybeOnce reports whether an unread request may be one that must not be
+// repeated. Of a chat only the body would tell the service.
+func (r *Router) maybeOnce(q *http.Request) bool {
+	if v := q.Header.Get(headerRepeatable); v != "" {
+		repeatable, err := strconv.ParseBool(v)
+		return err == nil && !repeatable
+	}
+	s := r.snapshot.Load()
+	if s == nil {
+		return true
+	}
+	service, err := s.Service(q.PathValue("service"))
+	return err == nil && service.NotRepeatable
+}
+
 func (r *Router) endpointKey(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		key, _ := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
--- a/router/home_server.go
+++ b/router/home_server.go
@@ -33,6 +33,12 @@
 		sink.fail(problemOf(err))
 		return nil
 	}
+	if a.JoinOnly {
+		// The first sign, so that the asker need not wait for bytes to come.
+		if err := sink.begin(joiner.Stream{}); err != nil {
+			return err
+		}
+	}
 	ctx, cancel := context.WithDeadline(out.Context(), q.deadline)
 	defer cancel()
 	err = r.local(ctx, q, &feed{sink: sink}, a.JoinOnly || !open)
--- a/router/relay.go
+++ b/router/relay.go
@@ -49,6 +49,10 @@
 	}
 }
 
+// joinPatience bounds the wait for a sign of a router that may have a run: in
+// a cut zone it would otherwise take the time in which another could answer.
+const joinPatience = time.Second
+
 // askNext reports whether another router may answer what this one has not.
 func askNext(err error) bool {
 	var p *Problem
@@ -82,8 +86,14 @@
 	if err != nil {
 		return lost(ctx, err)
 	}
+	taken := time.AfterFunc(time.Until(q.deadline), cancel)
+	defer taken.Stop()
+	if joinOnly {
+		taken.Reset(joinPatience)
+	}
 	for {
 		e, err := in.Recv()
+		taken.Stop()
 		if err != nil {
 			return lost(ctx, err)
 		}
