--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -128,18 +128,23 @@
 	return n
 }
 
-// bills counts the charges of each request in each zone.
+// bills counts the charges of each request in each zone. A charge that was
+// reversed, because another zone's counts, stays in the history and is none.
 func (f *fleet) bills() map[string]map[string]int {
 	f.t.Helper()
 	var out struct {
 		Charges []struct {
 			RequestID string `json:"request_id"`
 			Zone      string `json:"zone"`
+			Reversed  string `json:"reversed_for_zone"`
 		} `json:"charges"`
 	}
 	f.g.Expect(json.Unmarshal([]byte(f.MustCommand("budget", "history", workspace, "-o", "json")), &out)).To(gomega.Succeed())
 	n := map[string]map[string]int{}
 	for _, c := range out.Charges {
+		if c.Reversed != "" {
+			continue
+		}
 		if n[c.RequestID] == nil {
 			n[c.RequestID] = map[string]int{}
 		}
