--- a/measurer/capacity_lines.go
+++ b/measurer/capacity_lines.go
@@ -60,7 +60,7 @@
 )
 
 func capacityLines() []line {
-	return slices.Concat(routerLines(), vaultLines(), logLines(), relayLines(), faultLines())
+	return slices.Concat(routerLines(), answerLines(), vaultLines(), logLines(), relayLines(), faultLines())
 }
 
 func routerLines() []line {
