--- a/loader/policy.go
+++ b/loader/policy.go
@@ -8,7 +8,7 @@
 
 // Defaults of the policy section.
 const (
-	defaultPicker         = "two_choices"
+	defaultPicker         = "deadline"
 	defaultShedder        = "deadline"
 	defaultPlacement      = "demand"
 	defaultMaxBody        = 8 << 20
--- a/measurer/picker_fleet.go
+++ b/measurer/picker_fleet.go
@@ -350,7 +350,9 @@
 var dbg func(f *fleet, r *fleetRouter, q *fleetRequest, v int)
 
 func (r *fleetRouter) refuse(q *fleetRequest, v admitter.Verdict) {
-	if dbg != nil && q.measured { dbg(r.f,r,q,int(v)) }
+	if dbg != nil && q.measured {
+		dbg(r.f, r, q, int(v))
+	}
 	if !q.measured {
 		return
 	}
--- a/measurer/pickers.go
+++ b/measurer/pickers.go
@@ -40,6 +40,7 @@
 	{"load 3.0", 3.0, nil},
 	{"load 0.7, one endpoint 10x slower", 0.7, func(c *fleetCase) { c.slow = 10 }},
 	{"load 1.0, one endpoint 10x slower", 1.0, func(c *fleetCase) { c.slow = 10 }},
+	{"load 0.9, one endpoint 10x slower", 0.9, func(c *fleetCase) { c.slow = 10 }},
 	{"load 0.7, one endpoint fails all", 0.7, func(c *fleetCase) { c.broken = true }},
 	{"load 1.0, reports 2 s late", 1.0, func(c *fleetCase) { c.reportLag = 2 * time.Second }},
 	{"load 1.5, reports 2 s late", 1.5, func(c *fleetCase) { c.reportLag = 2 * time.Second }},
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -35,7 +35,7 @@
 }
 
 // Default is the picker for names that are not registered.
-const Default = "two_choices"
+const Default = "deadline"
 
 var registry = map[string]func() Picker{}
 
--- a/picker/room.go
+++ b/picker/room.go
@@ -24,7 +24,10 @@
 // Bounds of the room by this router's share of all requests.
 const (
 	shareLeast = 1.1
-	shareMost  = 1.5
+	// overfill lets endpoints hold a little more than they run at once: a
+	// place that one router leaves free is then taken by another's request.
+	overfill  = 1.15
+	shareMost = 1.5
 	// loadNoticed is the part of the capacity below which the share of the
 	// load says nothing.
 	loadNoticed = 0.2
@@ -42,8 +45,8 @@
 		if !s.fresh(c, now) || c.stats.gate.Blocked(now) {
 			continue
 		}
-		capacity += 1.15 * c.capacity
-		free += max(0, 1.15*c.capacity-max(0, c.stats.others.value(0)))
+		capacity += overfill * c.capacity
+		free += max(0, overfill*c.capacity-max(0, c.stats.others.value(0)))
 		own += c.stats.ownShare.value(0)
 		all += c.stats.allShare.value(0)
 	}
