--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -89,6 +89,7 @@
 // The fleet ends with the test.
 func Start(t testing.TB, o Options) *Fleet {
 	t.Helper()
+	lockNet(t, o.Net)
 	f := &Fleet{
 		t: t, dir: t.TempDir(), net: o.Net, zones: o.Zones,
 		running: map[string]*exec.Cmd{}, args: map[string][]string{},
@@ -217,6 +218,9 @@
 	return err
 }
 
+// Ask asks a process to shut down and does not wait for it.
+func (f *Fleet) Ask(name string) { f.signal(name, syscall.SIGTERM) }
+
 // Freeze stops a process without ending it.
 func (f *Fleet) Freeze(name string) { f.signal(name, syscall.SIGSTOP) }
 
