--- /dev/null
+++ b/admitter/admitter_test.go
@@ -0,0 +1,244 @@
+package admitter_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"rattanhoist.example/rattanhoist/admitter"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seed := "5"
+	if s := os.Getenv("FUZZ_SEED"); s != "" {
+		seed = s
+	}
+	_ = flag.Set("rapid.seed", seed)
+	if n := os.Getenv("FUZZ_CHECKS"); n != "" {
+		_ = flag.Set("rapid.checks", n)
+	}
+	os.Exit(m.Run())
+}
+
+func newQueue(shedder string) *admitter.Queue {
+	s, _ := admitter.New(shedder)
+	return admitter.NewQueue(admitter.DefaultBounds, s)
+}
+
+func request(id uint64, workspace string, priority int, deadline time.Duration) admitter.Request {
+	return admitter.Request{
+		ID: id, Workspace: workspace, Priority: priority, Deadline: deadline,
+		Tokens: 100, Service: 2 * time.Second, Least: time.Second,
+	}
+}
+
+func arrive(r admitter.Request, inFlight, limit int) admitter.Event {
+	return admitter.Event{Kind: admitter.Arrive, Request: r, InFlight: inFlight, Limit: limit}
+}
+
+// drain starts what waits, one place at a time, and returns the ids.
+func drain(q *admitter.Queue, now time.Duration) (ids []uint64) {
+	for q.Waiting() > 0 {
+		for _, a := range q.Step(now, admitter.Event{Kind: admitter.Tick, Limit: 1}) {
+			ids = append(ids, a.ID)
+		}
+	}
+	return ids
+}
+
+func TestAdmitsAtOnceWhereThereIsRoom(t *testing.T) {
+	g := gomega.NewWithT(t)
+	out := newQueue("deadline").Step(0, arrive(request(1, "w", 0, 10*time.Second), 0, 1))
+	g.Expect(out).To(gomega.HaveLen(1))
+	g.Expect(out[0].Verdict).To(gomega.Equal(admitter.Start))
+}
+
+func TestRefusesEarlyWithTimeToComeBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueue("deadline")
+	for id := range uint64(5) {
+		g.Expect(q.Step(0, arrive(request(id, "w", 0, time.Minute), 1, 1))).To(gomega.BeEmpty())
+	}
+	// Ahead are five requests of 2 s and half of one in progress: 11 s of
+	// wait and 2 s of service end 3 s after the deadline.
+	out := q.Step(0, arrive(request(9, "w", 1, 10*time.Second), 1, 1))
+	g.Expect(out).To(gomega.Equal([]admitter.Action{{ID: 9, Verdict: admitter.Shed, After: 3 * time.Second}}))
+	g.Expect(q.Waiting()).To(gomega.Equal(5))
+}
+
+// Symptom: a caller learns at its deadline that its request never began.
+// Sequence: it waits behind others; its deadline comes so near that no
+// endpoint could answer in time; the queue holds it until the deadline.
+// Cause: only the deadline itself is watched.
+func TestExpiredWaitingRequestIsRefusedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueue("deadline")
+	q.Step(0, arrive(request(1, "w", 0, 10*time.Second), 1, 1))
+	at, ok := q.NextExpiry()
+	g.Expect(ok).To(gomega.BeTrue())
+	g.Expect(at).To(gomega.Equal(9 * time.Second))
+	g.Expect(q.Step(at, admitter.Event{Kind: admitter.Tick, InFlight: 1, Limit: 1})).To(gomega.BeEmpty())
+	out := q.Step(at+1, admitter.Event{Kind: admitter.Tick, InFlight: 1, Limit: 1})
+	g.Expect(out).To(gomega.HaveLen(1))
+	g.Expect(out[0].Verdict).To(gomega.Equal(admitter.Expired))
+	g.Expect(out[0].After).To(gomega.BeNumerically(">", 0))
+}
+
+func TestPrioritiesGoFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueue("none")
+	for id, p := range []int{5, 3, 9, 0} {
+		q.Step(0, arrive(request(uint64(id), "w", p, time.Hour), 1, 1))
+	}
+	g.Expect(drain(q, 0)).To(gomega.Equal([]uint64{3, 1, 0, 2}))
+}
+
+// Symptom: one workspace's flood keeps the others from being served.
+// Sequence: a workspace queues 60 requests, then two others queue 5 each.
+// Cause: first come, first served over all workspaces.
+func TestWorkspacesShareByTokens(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueue("none")
+	id := uint64(0)
+	add := func(w string, n int, tokens float64) {
+		for range n {
+			r := request(id, w, 0, time.Hour)
+			r.Tokens = tokens
+			q.Step(0, arrive(r, 1, 1))
+			id++
+		}
+	}
+	add("flood", 60, 100)
+	add("small", 5, 100)
+	add("large", 5, 200)
+	first := drain(q, 0)[:20]
+	var small, large int
+	for _, x := range first {
+		switch {
+		case x >= 65:
+			large++
+		case x >= 60:
+			small++
+		}
+	}
+	g.Expect(small).To(gomega.Equal(5), "all of the small workspace within twenty starts")
+	g.Expect(large).To(gomega.BeNumerically("~", 4, 1), "twice the tokens, half the starts")
+}
+
+func TestFullQueueGivesWayToHigherPriority(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, _ := admitter.New("none")
+	q := admitter.NewQueue(admitter.Bounds{Waiting: 2, Workspace: 2}, s)
+	q.Step(0, arrive(request(1, "a", 5, time.Hour), 1, 1))
+	q.Step(0, arrive(request(2, "b", 5, time.Hour), 1, 1))
+	out := q.Step(0, arrive(request(3, "c", 5, time.Hour), 1, 1))
+	g.Expect(out).To(gomega.ConsistOf(gomega.HaveField("Verdict", admitter.Full)))
+	out = q.Step(0, arrive(request(4, "c", 1, time.Hour), 1, 1))
+	g.Expect(out).To(gomega.HaveLen(1))
+	g.Expect(out[0].ID).NotTo(gomega.Equal(uint64(4)), "one of lower priority is refused")
+	g.Expect(drain(q, 0)[0]).To(gomega.Equal(uint64(4)))
+}
+
+func TestLuckIsNeededOnlyWhenNothingElseWaits(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueue("none")
+	q.Step(0, arrive(request(1, "w", 0, 3*time.Second), 1, 1))
+	q.Step(0, arrive(request(2, "w", 0, 30*time.Second), 1, 1))
+	g.Expect(drain(q, 1500*time.Millisecond)).To(gomega.Equal([]uint64{2, 1}))
+}
+
+func TestLossShedderFollowsFillAndForgets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, _ := admitter.New("loss")
+	r := request(1, "w", 0, time.Hour)
+	r.Random = 0.3
+	var refused bool
+	for i := range 20 {
+		refused, _ = s.Shed(time.Duration(i)*time.Second, r, admitter.Forecast{Fill: 2})
+	}
+	g.Expect(refused).To(gomega.BeTrue())
+	refused, _ = s.Shed(time.Hour, r, admitter.Forecast{Fill: 1})
+	g.Expect(refused).To(gomega.BeFalse(), "past its validity the share counts for nothing")
+}
+
+// Symptom: an overloaded service gets every failed request again.
+// Sequence: the burst is spent; 100 first tries fail, each wants a retry.
+// Cause: retries bounded for each request and not for the service.
+func TestRetryBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := admitter.NewRetries()
+	for r.Retry() {
+		continue
+	}
+	retries := 0
+	for range 100 {
+		r.First()
+		if r.Retry() {
+			retries++
+		}
+	}
+	g.Expect(retries).To(gomega.Equal(10))
+}
+
+// TestEveryRequestGetsOneVerdict drives the queue against a simple oracle:
+// each request gets exactly one verdict, none is started past the limit, none
+// expired is started, and bounds hold.
+func TestEveryRequestGetsOneVerdict(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, _ := admitter.New(rapid.SampledFrom(admitter.Names()).Draw(t, "shedder"))
+		b := admitter.Bounds{Waiting: rapid.IntRange(1, 20).Draw(t, "waiting"), Workspace: rapid.IntRange(1, 10).Draw(t, "workspace")}
+		q := admitter.NewQueue(b, s)
+		open := map[uint64]admitter.Request{}
+		inFlight, now, next := 0, time.Duration(0), uint64(0)
+		step := func(e admitter.Event) {
+			e.InFlight, e.Limit = inFlight, rapid.IntRange(0, 4).Draw(t, "limit")
+			for _, a := range q.Step(now, e) {
+				r, ok := open[a.ID]
+				if !ok {
+					t.Fatalf("request %d got a second verdict", a.ID)
+				}
+				delete(open, a.ID)
+				if a.Verdict != admitter.Start {
+					continue
+				}
+				if inFlight++; inFlight > e.Limit {
+					t.Fatalf("started past the limit of %d", e.Limit)
+				}
+				if now > r.Deadline-r.Least {
+					t.Fatalf("started request %d too late", a.ID)
+				}
+			}
+			if q.Waiting() != len(open) || q.Waiting() > b.Waiting {
+				t.Fatalf("%d wait, %d have no verdict, bound %d", q.Waiting(), len(open), b.Waiting)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				next++
+				r := request(next, fmt.Sprint("w", rapid.IntRange(0, 3).Draw(t, "w")), rapid.IntRange(-1, 11).Draw(t, "p"), now+time.Duration(rapid.IntRange(500, 20000).Draw(t, "d"))*time.Millisecond)
+				r.Random = rapid.Float64Range(0, 0.999).Draw(t, "random")
+				open[next] = r
+				step(admitter.Event{Kind: admitter.Arrive, Request: r})
+			},
+			"end": func(*rapid.T) {
+				inFlight = max(0, inFlight-1)
+				step(admitter.Event{Kind: admitter.Tick})
+			},
+			"cancel": func(t *rapid.T) {
+				id := uint64(rapid.IntRange(1, 20).Draw(t, "id"))
+				delete(open, id)
+				step(admitter.Event{Kind: admitter.Cancel, Request: admitter.Request{ID: id}})
+			},
+			"wait": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+				step(admitter.Event{Kind: admitter.Tick})
+			},
+		})
+	})
+}
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -168,6 +168,10 @@
 func (q *Queue) arrive(now time.Duration, e Event) {
 	r := e.Request
 	r.Priority = min(max(r.Priority, 0), Priorities-1)
+	if now > r.Deadline-r.Least {
+		q.say(r.ID, Shed, r.Service)
+		return
+	}
 	f := q.forecast(r, e)
 	if refused, after := q.shedder.Shed(now, r, f); refused {
 		q.say(r.ID, Shed, after)
--- a/picker/deadline.go
+++ b/picker/deadline.go
@@ -1,7 +1,5 @@
 package picker
 
-import "time"
-
 // Deadline is the name of the product's own picker: endpoints that are
 // predicted to finish within the deadline go first; among them the one whose
 // predicted time, reuse of a cached prefix included, is the shortest.
@@ -27,7 +25,7 @@
 
 // Pick implements Picker.
 func (deadline) Pick(q Query, s *Set) int {
-	now := s.since(q.Now)
+	now := s.at(q.Now)
 	p := prediction{q: &q, s: s, now: now, best: -1}
 	p.prepare()
 	n := len(s.candidates)
@@ -46,7 +44,7 @@
 type prediction struct {
 	q   *Query
 	s   *Set
-	now time.Duration
+	now instant
 	// Answer is the expected length; the times are in seconds.
 	answer, prompt, tokenTime, prefillTime, left float64
 	owners                                       [prefixWays]uint32
@@ -62,7 +60,7 @@
 	p.tokenTime = v.TokenTime()
 	p.prefillTime = v.PrefillTime()
 	p.left = p.q.Deadline.Sub(p.q.Now).Seconds()
-	p.owners = p.s.ledger.prefixes.owners(p.q.Prefix, p.now)
+	p.owners = p.s.ledger.prefixes.owners(p.q.Prefix, p.now.Duration)
 }
 
 // scan looks at candidates from to to-1, beginning at a random one so that
@@ -117,12 +115,12 @@
 	if p.holds(st.id) {
 		hit = st.reuse.value(1)
 	}
-	fill := c.work(p.now) / c.capacity
+	fill := c.work(p.now.Duration) / c.capacity
 	// What was learned of an endpoint is believed less as it ages, so that
 	// one that was slow is tried again, but only by a request that would be
 	// in time even if nothing has changed.
 	slowest := p.finish(c, fill, hit, st.tokenTime.value(p.tokenTime), st.prefillTime.value(p.prefillTime))
-	cost := p.finish(c, fill, hit, st.tokenTime.aged(p.tokenTime, p.now, learnedHalf), st.prefillTime.aged(p.prefillTime, p.now, learnedHalf))
+	cost := p.finish(c, fill, hit, st.tokenTime.aged(p.tokenTime, p.now.Duration, learnedHalf), st.prefillTime.aged(p.prefillTime, p.now.Duration, learnedHalf))
 	cost -= hit * p.prompt * p.prefillTime * (reuseWeight - 1)
 	if i >= p.s.local {
 		cost += crossZone
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -27,6 +27,11 @@
 	if !s.Learned(now, learnedValidity) {
 		return e
 	}
+	if q.MaxAnswer == 0 {
+		e.Service = time.Duration(s.callTime.value(0) * float64(time.Second))
+		e.Least = time.Duration(leastShare * float64(e.Service))
+		return e
+	}
 	x := e.Tokens*s.TokenTime() + float64(q.PromptTokens)*s.promptTime.value(assumedPrefillTime)
 	e.Service = time.Duration(x * float64(time.Second))
 	e.Least = time.Duration(leastShare * x * float64(time.Second))
--- a/picker/least_outstanding.go
+++ b/picker/least_outstanding.go
@@ -16,7 +16,7 @@
 	if n == 0 {
 		return -1
 	}
-	now := s.since(q.Now)
+	now := s.at(q.Now)
 	best, fewest := -1, int64(0)
 	i := int(q.Seed % uint64(n))
 	for range min(n, leastOutstandingSample) {
--- a/picker/ledger.go
+++ b/picker/ledger.go
@@ -218,7 +218,11 @@
 	if r.most > 0 && o.AnswerTokens > 0 {
 		s.answerShare.add(float64(o.AnswerTokens)/float64(r.most), serviceWeight, now)
 	}
+	if r.most == 0 {
+		s.callTime.add((now - r.begun).Seconds(), serviceWeight, now)
+	}
 	s.samples.Add(1)
+	s.learnedAt.Store(int64(now))
 	if r.expected && o.CachedTokens >= 0 {
 		hit := 0.0
 		if o.CachedTokens > 0 {
--- a/picker/room.go
+++ b/picker/room.go
@@ -11,13 +11,13 @@
 // Room returns how many requests this router may have in progress at the
 // set's endpoints: their capacity less what other routers use of it.
 func (s *Set) Room(t time.Time) int {
-	now := s.since(t)
-	if last := s.roomAt.Load(); last != 0 && int64(now)-last < int64(roomEvery) {
+	now := s.at(t)
+	if last := s.roomAt.Load(); last != 0 && int64(now.Duration)-last < int64(roomEvery) {
 		return int(s.room.Load())
 	}
 	n := s.computeRoom(now)
 	s.room.Store(int64(n))
-	s.roomAt.Store(int64(now))
+	s.roomAt.Store(int64(now.Duration))
 	return n
 }
 
@@ -38,11 +38,11 @@
 // the last quarter of a minute. Without the lower bound, late reports have
 // all routers hold back at once while endpoints idle, and without the upper
 // one have them all send at once when they hear of it.
-func (s *Set) computeRoom(now time.Duration) int {
+func (s *Set) computeRoom(now instant) int {
 	var capacity, free, own, all float64
 	for i := range s.candidates {
 		c := &s.candidates[i]
-		if !s.fresh(c, now) || c.stats.gate.Blocked(now) {
+		if !s.fresh(c, now) || c.stats.gate.Blocked(now.Duration) {
 			continue
 		}
 		capacity += overfill * c.capacity
@@ -59,7 +59,7 @@
 			share = (share + 1/float64(n)) / 2
 		}
 		fair := capacity * share
-		s.service.othersPerOwn.add(min(max(all/max(own, 1)-1, 0), mostOthers), 1, now)
+		s.service.othersPerOwn.add(min(max(all/max(own, 1)-1, 0), mostOthers), 1, now.Duration)
 		free = min(max(free, shareLeast*fair), shareMost*fair)
 	}
 	// One request at least: a router that other routers crowd out would
--- a/picker/round_robin.go
+++ b/picker/round_robin.go
@@ -13,7 +13,7 @@
 	if n == 0 {
 		return -1
 	}
-	now := s.since(q.Now)
+	now := s.at(q.Now)
 	start := r.next.Add(1) - 1
 	for k := range n {
 		if i := int((start + k) % n); s.usable(&q, i, now) {
--- a/picker/set.go
+++ b/picker/set.go
@@ -48,18 +48,24 @@
 // Service returns what is learned of the service.
 func (s *Set) Service() *Service { return s.service }
 
+// instant is the time of a pick: since the ledger's base, and by both clocks.
+type instant struct {
+	time.Duration
+	moment rattanhoist.Moment
+}
+
 // fresh reports whether new work may be sent to the endpoint. It reads the
 // age at the moment of use: a router that was stopped for an hour wakes with
 // an old table and, without this, would send work on it.
-func (s *Set) fresh(c *Candidate, now time.Duration) bool { return now-c.heard < s.maxAge }
+func (s *Set) fresh(c *Candidate, now instant) bool { return c.endpoint.UsableAt(now.moment, s.maxAge) }
 
 // usable reports whether candidate i may get the request.
-func (s *Set) usable(q *Query, i int, now time.Duration) bool {
+func (s *Set) usable(q *Query, i int, now instant) bool {
 	c := &s.candidates[i]
 	if !s.fresh(c, now) {
 		return false
 	}
-	if c.stats.gate.Ejected() && (q.NotRepeatable || c.stats.gate.Blocked(now)) {
+	if c.stats.gate.Ejected() && (q.NotRepeatable || c.stats.gate.Blocked(now.Duration)) {
 		return false
 	}
 	return !q.tried(c.stats)
@@ -67,7 +73,7 @@
 
 // lastResort returns a fresh candidate that was not tried, ejected or not: a
 // request is better sent to a doubtful endpoint than refused.
-func (s *Set) lastResort(q *Query, now time.Duration) int {
+func (s *Set) lastResort(q *Query, now instant) int {
 	n := len(s.candidates)
 	if n == 0 {
 		return -1
@@ -82,5 +88,6 @@
 	return -1
 }
 
-// since turns a time into the ledger's.
-func (s *Set) since(t time.Time) time.Duration { return s.ledger.Since(t) }
+func (s *Set) at(t time.Time) instant {
+	return instant{s.ledger.Since(t), rattanhoist.MomentOf(t)}
+}
--- a/picker/stats.go
+++ b/picker/stats.go
@@ -34,12 +34,16 @@
 	// PromptTime is the time to the first token by the length of the prompt,
 	// of all runs: cached prefixes and waiting at the endpoint included.
 	promptTime average
+	// CallTime is the whole time of a run whose answer has no tokens.
+	callTime average
 	// AnswerShare is the answer's length by the bound that the request gave.
 	answerShare average
 	// OthersPerOwn is the other routers' requests by this router's own.
 	othersPerOwn average
 	// Samples counts whole runs.
 	samples atomic.Int64
+	// LearnedAt is the end of the last whole run.
+	learnedAt atomic.Int64
 }
 
 // TokenTime returns the seconds between two tokens of an answer.
@@ -57,7 +61,7 @@
 // the last of them at most age ago.
 func (s *Service) Learned(now, age time.Duration) bool {
 	const enough = 8
-	return s.samples.Load() >= enough && int64(now)-s.tokenTime.at.Load() <= int64(age)
+	return s.samples.Load() >= enough && int64(now)-s.learnedAt.Load() <= int64(age)
 }
 
 // Stats is this router's own record of one incarnation of an endpoint.
--- a/picker/two_choices.go
+++ b/picker/two_choices.go
@@ -17,7 +17,7 @@
 	if n == 0 {
 		return -1
 	}
-	now := s.since(q.Now)
+	now := s.at(q.Now)
 	d := draw(q.Seed)
 	best, found := -1, 0
 	for range twoChoicesDraws {
--- a/router/router.go
+++ b/router/router.go
@@ -132,6 +132,7 @@
 	}
 	r.ledgerBase = time.Now()
 	r.ledger = picker.NewLedger(r.ledgerBase)
+	r.ledger.SetRouters(len(s.Processes(loader.KindRouter)))
 	r.life = fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventReady, Src: []string{stateStarting}, Dst: stateReady},
 		{Name: eventDrain, Src: []string{stateStarting, stateReady}, Dst: stateDraining},
