Keep candidate tables while endpoints only renew their load; slopes of picking

Cause: tables were sorted and rebuilt on every news, 2.8 ms at 4,100 endpoints up to twenty times a second. Change: load and age are read from the endpoint in place; a table is rebuilt only when endpoints come, go or change labels, and load reports are noted by a pass over it.

--- a/picker/ledger.go
+++ b/picker/ledger.go
@@ -85,21 +85,14 @@
 func (l *Ledger) NewSet(service, zone string, maxAge time.Duration, now time.Time, allowed []*rattanhoist.Endpoint) *Set {
 	s := &Set{ledger: l, service: l.Service(service), maxAge: maxAge, index: make(map[uint32]int32, len(allowed))}
 	s.candidates = make([]Candidate, 0, len(allowed))
-	for _, e := range allowed {
-		if e.Leaving() {
-			continue
-		}
-		s.candidates = append(s.candidates, l.candidate(e, l.Since(now)))
-	}
-	slices.SortFunc(s.candidates, func(a, b Candidate) int {
-		if x, y := a.endpoint.Zone() == zone, b.endpoint.Zone() == zone; x != y {
-			if x {
-				return -1
+	allowed = inNameOrder(allowed)
+	for _, near := range []bool{true, false} {
+		for _, e := range allowed {
+			if (e.Zone() == zone) == near {
+				s.candidates = append(s.candidates, l.candidate(e, l.Since(now)))
 			}
-			return 1
 		}
-		return strings.Compare(a.endpoint.Name(), b.endpoint.Name())
-	})
+	}
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		s.index[c.stats.id] = int32(i)
@@ -111,12 +104,22 @@
 	return s
 }
 
+// inNameOrder sorts a copy where the list is not in order already.
+func inNameOrder(es []*rattanhoist.Endpoint) []*rattanhoist.Endpoint {
+	byName := func(a, b *rattanhoist.Endpoint) int { return strings.Compare(a.Name(), b.Name()) }
+	if slices.IsSortedFunc(es, byName) {
+		return es
+	}
+	es = slices.Clone(es)
+	slices.SortFunc(es, byName)
+	return es
+}
+
 func (l *Ledger) candidate(e *rattanhoist.Endpoint, now time.Duration) Candidate {
-	st := l.Stats(e)
-	st.usedAt.Store(int64(now))
-	heard := l.Since(e.Heard())
-	st.report(heard, float64(e.Load()))
-	return Candidate{endpoint: e, stats: st, heard: heard, load: float64(e.Load()), capacity: float64(e.Capacity())}
+	c := Candidate{endpoint: e, stats: l.Stats(e), capacity: float64(e.Capacity())}
+	c.stats.usedAt.Store(int64(now))
+	c.note(l)
+	return c
 }
 
 // Run is one request at one endpoint.
@@ -158,7 +161,7 @@
 
 // BeginAt notes a dispatch to an endpoint.
 func (l *Ledger) BeginAt(e *rattanhoist.Endpoint, q Query) Run {
-	c := Candidate{endpoint: e, stats: l.Stats(e), heard: l.Since(e.Heard()), load: float64(e.Load()), capacity: float64(e.Capacity())}
+	c := Candidate{endpoint: e, stats: l.Stats(e), capacity: float64(e.Capacity())}
 	return l.Begin(&c, q)
 }
 
--- a/picker/room.go
+++ b/picker/room.go
@@ -40,9 +40,14 @@
 // one have them all send at once when they hear of it.
 func (s *Set) computeRoom(now instant) int {
 	var capacity, free, own, all float64
+	found := false
 	for i := range s.candidates {
 		c := &s.candidates[i]
-		if !s.fresh(c, now) || c.stats.gate.Blocked(now.Duration) {
+		if !s.fresh(c, now) {
+			continue
+		}
+		found = true
+		if c.stats.gate.Blocked(now.Duration) {
 			continue
 		}
 		capacity += overfill * c.capacity
@@ -50,7 +55,7 @@
 		own += c.stats.ownShare.value(0)
 		all += c.stats.allShare.value(0)
 	}
-	if capacity == 0 {
+	if !found {
 		return 0
 	}
 	if all > loadNoticed*capacity {
--- a/picker/set.go
+++ b/picker/set.go
@@ -9,11 +9,9 @@
 
 // Candidate is an endpoint that statements allow to serve the request.
 type Candidate struct {
+	// Endpoint is renewed in place: its load and age are read at the pick.
 	endpoint *rattanhoist.Endpoint
 	stats    *Stats
-	// Heard is when the announcement was made, since the ledger's base.
-	heard    time.Duration
-	load     float64
 	capacity float64
 }
 
@@ -29,7 +27,7 @@
 	ledger  *Ledger
 	service *Service
 	maxAge  time.Duration
-	// Candidates begin with those of the own zone; none is leaving.
+	// Candidates begin with those of the own zone, in order of their names.
 	candidates []Candidate
 	local      int
 	// Index finds a candidate by the id of its stats.
@@ -71,6 +69,29 @@
 	return !q.tried(c.stats)
 }
 
+// Alive reports whether any endpoint may get new work, ejected ones included.
+func (s *Set) Alive(t time.Time) bool {
+	now := s.at(t)
+	for i := range s.candidates {
+		if s.fresh(&s.candidates[i], now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Refresh notes the load reports that have come in since.
+func (s *Set) Refresh() {
+	for i := range s.candidates {
+		s.candidates[i].note(s.ledger)
+	}
+}
+
+// note takes the endpoint's last load report into the record.
+func (c *Candidate) note(l *Ledger) {
+	c.stats.report(l.Since(c.endpoint.Heard()), float64(c.endpoint.Load()))
+}
+
 // lastResort returns a fresh candidate that was not tried, ejected or not: a
 // request is better sent to a doubtful endpoint than refused.
 func (s *Set) lastResort(q *Query, now instant) int {
--- a/router/admit.go
+++ b/router/admit.go
@@ -58,7 +58,7 @@
 func (r *Router) admit(ctx context.Context, q *request) (func(), error) {
 	now := time.Now()
 	set := r.candidates(q, now)
-	if set.Len() == 0 {
+	if !set.Alive(now) {
 		return nil, rattanhoist.ErrNoEndpoint
 	}
 	l := r.limiter(q.service.Name)
--- a/router/candidates.go
+++ b/router/candidates.go
@@ -50,8 +50,10 @@
 
 type builtTable struct {
 	set *picker.Set
-	// Revision is that of the endpoints' news when the table was built. The
-	// tracker renews load and age in place, so its table alone does not tell.
+	// From tells whether endpoints came, went or changed their labels; load
+	// and age are renewed in place.
+	from *tracker.Table
+	// Revision is that of the news whose load reports have been noted.
 	revision uint64
 	at       time.Time
 }
@@ -104,15 +106,27 @@
 	if c := t.built.Load(); c != b && c.revision == revision {
 		return c.set
 	}
-	set := r.newSet(t, r.tracker.Table(), now)
-	t.built.Store(&builtTable{set: set, revision: revision, at: now})
-	return set
+	return t.renew(r, b, revision, now)
+}
+
+// renew notes load reports, or builds a new table where endpoints changed;
+// t.mu is held.
+func (t *candidateTable) renew(r *Router, b *builtTable, revision uint64, now time.Time) *picker.Set {
+	n := &builtTable{from: r.tracker.Table(), revision: revision, at: now}
+	if b != nil && b.from == n.from {
+		n.set = b.set
+		n.set.Refresh()
+	} else {
+		n.set = r.newSet(t, n.from, now)
+	}
+	t.built.Store(n)
+	return n.set
 }
 
 func (r *Router) newSet(t *candidateTable, from *tracker.Table, now time.Time) *picker.Set {
 	var allowed []*rattanhoist.Endpoint
 	for _, e := range from.Service(t.service) {
-		if r.tracker.Usable(e, now) && t.grant.Allows(e) {
+		if t.grant.Allows(e) {
 			allowed = append(allowed, e)
 		}
 	}
