Siblings pass on only what endpoints told them; tests see changed binaries

A reply now leaves out what the puller hears from a sibling itself, but for siblings that the puller names as silent. A real-process test passed from Go's test cache after the router had changed: the cache does not know the binaries that a test builds. The launcher now looks at the sources, which makes them part of the key.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -74,6 +74,9 @@
 		if build.err != nil {
 			return
 		}
+		if build.err = noteSources(); build.err != nil {
+			return
+		}
 		out, err := exec.Command("go", "build", "-o", build.dir+"/", "rattanhoist.example/rattanhoist/cmd/...").CombinedOutput()
 		if err != nil {
 			build.err = fmt.Errorf("%w: %s", err, out)
--- a/measurer/endpoints.go
+++ b/measurer/endpoints.go
@@ -34,13 +34,13 @@
 // endpointFleet is a router that endpoints announce to and one that pulls.
 type endpointFleet struct {
 	told, pulls *tracker.Tracker
-	peer        tracker.Peer
+	peer        *tracker.Peer
 	now         rattanhoist.Moment
 	said        []tracker.Announcement
 }
 
 func newEndpointFleet(n int) *endpointFleet {
-	f := &endpointFleet{now: rattanhoist.MomentOf(time.Now())}
+	f := &endpointFleet{now: rattanhoist.MomentOf(time.Now()), peer: tracker.NewPeer("told", true)}
 	for i, t := range []**tracker.Tracker{&f.told, &f.pulls} {
 		*t = tracker.New(tracker.Options{
 			MaxAge: endpointMaxAge, Incarnation: rattanhoist.Incarnation(i + 1),
@@ -85,7 +85,7 @@
 
 // pull has the other router pull once, through the codec.
 func (f *endpointFleet) pull() (bytes int, err error) {
-	reply := f.told.Reply(f.peer.Request("puller", endpointZone), f.now)
+	reply := f.told.Reply(f.peer.Request("puller", endpointZone, nil), f.now)
 	b, err := proto.Marshal(reply)
 	if err != nil {
 		return 0, err
@@ -94,7 +94,7 @@
 	if err := proto.Unmarshal(b, &read); err != nil {
 		return 0, err
 	}
-	f.pulls.Merge(&f.peer, "told", &read, f.now, f.now)
+	f.pulls.Merge(f.peer, &read, f.now, f.now)
 	return len(b), nil
 }
 
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -23,6 +23,9 @@
 	// siblingSilence is how long a sibling may fail to answer before another
 	// router pulls from the other zones in its place.
 	siblingSilence = 2 * time.Second
+	// relaySilence is how long until other siblings are asked for what it
+	// tells; too early costs some bytes, too late ages.
+	relaySilence = time.Second
 )
 
 // gossipPeer is another router that this one pulls from.
@@ -31,7 +34,7 @@
 	// Busy is held during a pull; it guards conn and pulled.
 	busy   sync.Mutex
 	conn   *grpc.ClientConn
-	pulled tracker.Peer
+	pulled *tracker.Peer
 	// Answered is when the last reply came; never nil.
 	answered atomic.Pointer[rattanhoist.Moment]
 }
@@ -53,7 +56,7 @@
 		if p.Name() == r.self.Name() {
 			continue
 		}
-		x := &gossipPeer{process: p}
+		x := &gossipPeer{process: p, pulled: tracker.NewPeer(p.Name(), p.Zone() == r.self.Zone())}
 		x.answered.Store(&rattanhoist.Moment{})
 		if p.Zone() == r.self.Zone() {
 			g.siblings = append(g.siblings, x)
@@ -134,7 +137,7 @@
 func (g *gossiper) pullsFrom(zone string, now rattanhoist.Moment) bool {
 	own := rank(g.router.self.Name(), zone)
 	for _, s := range g.siblings {
-		if rank(s.process.Name(), zone) < own && s.answers(now) {
+		if rank(s.process.Name(), zone) < own && s.answers(now, siblingSilence) {
 			return false
 		}
 	}
@@ -145,16 +148,28 @@
 // it goes through them in turn.
 func abroadTarget(list []*gossipPeer, now rattanhoist.Moment) *gossipPeer {
 	for _, p := range list {
-		if p.answers(now) {
+		if p.answers(now, siblingSilence) {
 			return p
 		}
 	}
 	return list[int(now.Steady()/gossipEvery)%len(list)]
 }
 
-func (p *gossipPeer) answers(now rattanhoist.Moment) bool {
+// answers reports whether the router has answered within a time.
+func (p *gossipPeer) answers(now rattanhoist.Moment, within time.Duration) bool {
 	silent, ok := now.Since(*p.answered.Load())
-	return ok && silent < siblingSilence
+	return ok && silent < within
+}
+
+// silent names the siblings that do not answer.
+func (g *gossiper) silent(now rattanhoist.Moment) []string {
+	var out []string
+	for _, s := range g.siblings {
+		if !s.answers(now, relaySilence) {
+			out = append(out, s.process.Name())
+		}
+	}
+	return out
 }
 
 // pull asks one router for news, unless an earlier pull from it still waits.
@@ -165,12 +180,12 @@
 	defer p.busy.Unlock()
 	r := g.router
 	asked := rattanhoist.MomentOf(time.Now())
-	reply, err := g.call(ctx, p, p.pulled.Request(r.self.Name(), r.self.Zone()))
+	reply, err := g.call(ctx, p, p.pulled.Request(r.self.Name(), r.self.Zone(), g.silent(asked)))
 	if err != nil {
 		return
 	}
 	now := rattanhoist.MomentOf(time.Now())
-	r.tracker.Merge(&p.pulled, p.process.Name(), reply, asked, now)
+	r.tracker.Merge(p.pulled, reply, asked, now)
 	p.answered.Store(&now)
 }
 
@@ -209,18 +224,18 @@
 	p.busy.Lock()
 	defer p.busy.Unlock()
 	asked := rattanhoist.MomentOf(time.Now())
-	q := p.pulled.Request(g.router.self.Name(), g.router.self.Zone())
+	q := p.pulled.Request(g.router.self.Name(), g.router.self.Zone(), g.silent(asked))
 	q.Left = []*messenger.EndpointState{s}
 	reply, err := g.call(context.Background(), p, q)
 	if err != nil {
 		return
 	}
-	g.router.tracker.Merge(&p.pulled, p.process.Name(), reply, asked, rattanhoist.MomentOf(time.Now()))
+	g.router.tracker.Merge(p.pulled, reply, asked, rattanhoist.MomentOf(time.Now()))
 }
 
 // Gossip takes pushed leaves and answers with what the puller does not know.
 func (s *peerServer) Gossip(_ context.Context, q *messenger.GossipRequest) (*messenger.GossipReply, error) {
 	now := rattanhoist.MomentOf(time.Now())
-	s.router.tracker.TakeLeft(q.Left, q.Node, now)
+	s.router.tracker.TakeLeft(q, now)
 	return s.router.tracker.Reply(q, now), nil
 }
--- a/tracker/entry.go
+++ b/tracker/entry.go
@@ -31,7 +31,9 @@
 	// Revision is that of the latest news; entries are listed in its order.
 	revision uint64
 	// Via is the router that told the latest news, "" for the endpoint.
-	via      string
+	via string
+	// Sibling reports whether via is a router of the own zone.
+	sibling  bool
 	joinedAt rattanhoist.Moment
 	// Restarts counts incarnations that followed each other quickly.
 	restarts int
@@ -49,6 +51,7 @@
 	heard   rattanhoist.Moment
 	leaving bool
 	via     string
+	sibling bool
 }
 
 // identify returns a short name for one incarnation of an endpoint.
--- a/tracker/fuzz_test.go
+++ b/tracker/fuzz_test.go
@@ -103,14 +103,20 @@
 
 func (w *world) pull(from, to *clockedRouter) {
 	if from.peers[to.name] == nil {
-		from.peers[to.name] = &Peer{}
+		from.peers[to.name] = NewPeer(to.name, to.zone == from.zone)
 	}
 	p := from.peers[to.name]
 	asked := from.now(w.at)
-	q := p.Request(from.name, from.zone)
+	var silent []string
+	for _, r := range w.routers {
+		if len(w.pool)%2 == 0 {
+			silent = append(silent, r.name)
+		}
+	}
+	q := p.Request(from.name, from.zone, silent)
 	w.pool = append(w.pool, func() {
 		reply := to.tracker.Reply(q, to.now(w.at))
-		w.pool = append(w.pool, func() { from.tracker.Merge(p, to.name, reply, asked, from.now(w.at)) })
+		w.pool = append(w.pool, func() { from.tracker.Merge(p, reply, asked, from.now(w.at)) })
 	})
 }
 
@@ -129,7 +135,7 @@
 		return
 	}
 	w.pool = append(w.pool, func() {
-		to.tracker.TakeLeft([]*messenger.EndpointState{s}, from.name, to.now(w.at))
+		to.tracker.TakeLeft(&messenger.GossipRequest{Node: from.name, Zone: from.zone, Left: []*messenger.EndpointState{s}}, to.now(w.at))
 		to.told[incarnationName(s.Name, s.Incarnation)] = true
 	})
 }
--- a/tracker/gossip.go
+++ b/tracker/gossip.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,20 +22,28 @@
 
 // Peer is what this router has pulled from another one. One pull at a time.
 type Peer struct {
+	name string
+	// Sibling reports whether the other one is in the same zone.
+	sibling bool
 	// Incarnation and revision are those of the last reply taken.
 	incarnation, revision uint64
 	// Wanted are ids of renewals that came without a description.
 	wanted []uint64
 }
 
-// Request returns the next pull.
-func (p *Peer) Request(node, zone string) *messenger.GossipRequest {
-	return &messenger.GossipRequest{Node: node, Zone: zone, Incarnation: p.incarnation, Revision: p.revision, Want: p.wanted}
+// NewPeer returns a router that nothing was pulled from yet.
+func NewPeer(name string, sibling bool) *Peer { return &Peer{name: name, sibling: sibling} }
+
+// Request returns the next pull. Silent names the siblings that do not answer.
+func (p *Peer) Request(node, zone string, silent []string) *messenger.GossipRequest {
+	return &messenger.GossipRequest{
+		Node: node, Zone: zone, Incarnation: p.incarnation, Revision: p.revision, Want: p.wanted, Silent: silent,
+	}
 }
 
-// Reply returns what a puller does not know yet. It leaves out what the
-// puller itself told, what is too old to be used, and, for a puller of
-// another zone, endpoints of third zones.
+// Reply returns what a puller does not know yet. It leaves out what is too old
+// to be used, what the puller told itself or hears from a sibling, and, for a
+// puller of another zone, endpoints of third zones.
 func (t *Tracker) Reply(q *messenger.GossipRequest, now rattanhoist.Moment) *messenger.GossipReply {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -69,7 +78,10 @@
 	if e.via == q.Node {
 		return false
 	}
-	return q.Zone == t.zone || e.endpoint.Zone() == t.zone && t.sampled(e, q.Zone)
+	if q.Zone != t.zone {
+		return e.endpoint.Zone() == t.zone && t.sampled(e, q.Zone)
+	}
+	return !e.sibling || slices.Contains(q.Silent, e.via)
 }
 
 // sampled chooses which endpoints another zone hears of; the same ones as
@@ -129,7 +141,7 @@
 // Merge takes the reply to a pull in. Asked is when the pull was sent: what
 // the reply calls n old was announced less than n before the reply was made,
 // and that was after asked, so the age counts from asked is never too small.
-func (t *Tracker) Merge(p *Peer, node string, r *messenger.GossipReply, asked, now rattanhoist.Moment) {
+func (t *Tracker) Merge(p *Peer, r *messenger.GossipReply, asked, now rattanhoist.Moment) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, ok := now.Since(asked); !ok {
@@ -137,7 +149,7 @@
 	}
 	p.wanted = p.wanted[:0]
 	for _, s := range r.Endpoints {
-		t.takeState(s, heardAt(asked, s.AgeMs), node, now)
+		t.takeState(s, report{heard: heardAt(asked, s.AgeMs), via: p.name, sibling: p.sibling}, now)
 	}
 	for _, x := range r.Renewals {
 		e := t.byID[x.Id]
@@ -149,7 +161,7 @@
 		}
 		_, err := t.renew(e, report{
 			sequence: x.Sequence, load: min(max(x.Load, 0), MaxLoad), heard: heardAt(asked, x.AgeMs),
-			leaving: x.Leaving, via: node,
+			leaving: x.Leaving, via: p.name, sibling: p.sibling,
 		}, now)
 		t.countRejected(err)
 	}
@@ -162,17 +174,18 @@
 
 // TakeLeft takes pushed news of endpoints that left. Everything else in them
 // is passed over: a push has no bound on its age.
-func (t *Tracker) TakeLeft(left []*messenger.EndpointState, via string, now rattanhoist.Moment) {
+func (t *Tracker) TakeLeft(q *messenger.GossipRequest, now rattanhoist.Moment) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range left[:min(len(left), maxStates)] {
+	for _, s := range q.Left[:min(len(q.Left), maxStates)] {
 		if s.Leaving {
-			t.takeState(s, rattanhoist.Moment{}, via, now)
+			t.takeState(s, report{via: q.Node, sibling: q.Zone == t.zone}, now)
 		}
 	}
 }
 
-func (t *Tracker) takeState(s *messenger.EndpointState, heard rattanhoist.Moment, via string, now rattanhoist.Moment) {
+// takeState merges a described endpoint; the report says how it was heard.
+func (t *Tracker) takeState(s *messenger.EndpointState, r report, now rattanhoist.Moment) {
 	a := Announcement{
 		Name: s.Name, Service: s.Service, Zone: s.Zone, Address: s.Address, Labels: s.Labels,
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Capacity: s.Capacity, Load: s.Load,
@@ -182,7 +195,8 @@
 		t.stats.Rejected++
 		return
 	}
-	_, err := t.take(report{fields: a.fields(), sequence: s.Sequence, load: s.Load, heard: heard, leaving: s.Leaving, via: via}, now)
+	r.fields, r.sequence, r.load, r.leaving = a.fields(), s.Sequence, s.Load, s.Leaving
+	_, err := t.take(r, now)
 	t.countRejected(err)
 }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -228,7 +228,7 @@
 	e.endpoint = rattanhoist.NewEndpoint(r.fields)
 	e.endpoint.Renew(r.load, r.heard)
 	e.sequence = r.sequence
-	t.note(e, r.via)
+	t.note(e, r)
 	e.joined = e.revision
 	if r.leaving {
 		e.endpoint.Leave()
@@ -279,7 +279,7 @@
 	case r.leaving:
 		t.remove(e)
 		e.sequence = max(e.sequence, r.sequence)
-		t.note(e, r.via)
+		t.note(e, r)
 		t.stats.Left++
 		return true, nil
 	case r.sequence > e.sequence:
@@ -304,7 +304,7 @@
 	first := p.HeardMoment().IsZero()
 	e.sequence = r.sequence
 	p.Renew(r.load, later(p.HeardMoment(), r.heard))
-	t.note(e, r.via)
+	t.note(e, r)
 	if first {
 		// Nobody was told of it while it had no age: tell all of it now.
 		e.joined = e.revision
@@ -321,9 +321,9 @@
 }
 
 // note gives an entry the next revision.
-func (t *Tracker) note(e *entry, via string) {
+func (t *Tracker) note(e *entry, r report) {
 	t.order.remove(e)
-	e.revision, e.via = t.revision.Add(1), via
+	e.revision, e.via, e.sibling = t.revision.Add(1), r.via, r.sibling
 	t.order.append(e)
 }
 
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -190,18 +190,18 @@
 	g := gomega.NewWithT(t)
 	a, b, c := newTracker(zones[0], 1), newTracker(zones[0], 2), newTracker(zones[0], 3)
 	say(g, a, valid(), start)
-	var ab, bc Peer
+	ab, bc := NewPeer("a", true), NewPeer("b", true)
 	asked := start.Add(time.Second)
-	b.Merge(&ab, "a", a.Reply(ab.Request("b", zones[0]), asked), asked, asked.Add(10*time.Millisecond))
+	b.Merge(ab, a.Reply(ab.Request("b", zones[0], nil), asked), asked, asked.Add(10*time.Millisecond))
 	asked = asked.Add(time.Second)
-	c.Merge(&bc, "b", b.Reply(bc.Request("c", zones[0]), asked), asked, asked)
+	g.Expect(b.Reply(bc.Request("c", zones[0], nil), asked).Endpoints).To(gomega.BeEmpty(), "it hears a")
+	c.Merge(bc, b.Reply(bc.Request("c", zones[0], []string{"a"}), asked), asked, asked)
 	age, ok := asked.Since(c.Table().Service("llm")[0].HeardMoment())
 	g.Expect(ok).To(gomega.BeTrue())
 	g.Expect(age).To(gomega.Equal(2 * time.Second))
 	g.Expect(usable(c, "llm", start.Add(maxAge-1))).To(gomega.HaveLen(1))
 	g.Expect(usable(c, "llm", start.Add(maxAge))).To(gomega.BeEmpty())
-	var back Peer
-	g.Expect(b.Reply(back.Request("a", zones[0]), asked).Endpoints).To(gomega.BeEmpty(), "a told it")
+	g.Expect(b.Reply(bc.Request("a", zones[0], []string{"a"}), asked).Endpoints).To(gomega.BeEmpty(), "a told it")
 }
 
 // TestUnknownRenewalIsAskedFor: a router never learns of an endpoint. It had
@@ -209,8 +209,8 @@
 func TestUnknownRenewalIsAskedFor(t *testing.T) {
 	g := gomega.NewWithT(t)
 	a, b := newTracker(zones[0], 1), newTracker(zones[0], 2)
-	var p Peer
-	pull := func(now rattanhoist.Moment) { b.Merge(&p, "a", a.Reply(p.Request("b", zones[0]), now), now, now) }
+	p := NewPeer("a", true)
+	pull := func(now rattanhoist.Moment) { b.Merge(p, a.Reply(p.Request("b", zones[0], nil), now), now, now) }
 	say(g, a, valid(), start)
 	pull(start)
 	late := start.Add(time.Minute)
@@ -231,7 +231,7 @@
 	abroad := valid()
 	abroad.Name, abroad.Zone, abroad.Address = "e2", zones[1], "10.0.0.2:9000"
 	say(g, a, abroad, start)
-	var p Peer
-	g.Expect(a.Reply(p.Request("b", zones[1]), start).Endpoints).To(gomega.HaveLen(1))
-	g.Expect(a.Reply(p.Request("b", zones[0]), start).Endpoints).To(gomega.HaveLen(2))
+	p := NewPeer("a", true)
+	g.Expect(a.Reply(p.Request("b", zones[1], nil), start).Endpoints).To(gomega.HaveLen(1))
+	g.Expect(a.Reply(p.Request("b", zones[0], nil), start).Endpoints).To(gomega.HaveLen(2))
 }
