--- a/measurer/endpoints.go
+++ b/measurer/endpoints.go
@@ -140,11 +140,11 @@
 func costOfEndpoints(n int) (endpointCost, error) {
 	var c endpointCost
 	f := newEndpointFleet(n)
-	before := heapInUse()
+	before := liveBytes()
 	if _, err := f.renew(); err != nil {
 		return c, err
 	}
-	c.memory = heapInUse() - before
+	c.memory = liveBytes() - before
 	for f.pulls.Stats().Known < n {
 		bytes, err := f.pull()
 		if err != nil {
@@ -171,10 +171,3 @@
 	runtime.KeepAlive(f)
 	return c, nil
 }
-
-func heapInUse() float64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc)
-}
