Hand-overs, joins and claims in spans and records; '#' belongs to a value

Cause 1: with the home router, a request's decisions and spans lay at two routers and nothing said why. Cause 2: a data folder below a path with '#' was cut off there, so that all keepers opened one store and two never served. Found when subtests of one name put '#' into temporary paths.

--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -121,9 +122,14 @@
 	f := newOperated(t, 112)
 	f.MustCommand("statement", "set", "all")
 	const trace = "4bf92f3577b34da6a3ce929d0e0e4736"
-	f.Eventually("request is answered", func() bool { return f.post(trace) == http.StatusOK })
+	f.Eventually("request is answered", func() bool { return f.post(trace, "r") == http.StatusOK })
+	// Of eight ids, some are at home at the other router of the zone.
+	for i := range 8 {
+		f.g.Expect(f.post(trace, fmt.Sprint("r-", i))).To(gomega.Equal(http.StatusOK))
+	}
 	// Spans are exported in batches; the shutdown exports the last ones.
 	f.g.Expect(f.Terminate("osu-hall-1")).To(gomega.Succeed())
+	f.g.Expect(f.Terminate("osu-hall-2")).To(gomega.Succeed())
 	f.g.Expect(f.Terminate("osu-hall-keeper")).To(gomega.Succeed())
 	b, err := os.ReadFile(filepath.Join(f.Dir(), "trace.jsonl"))
 	f.g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -138,21 +144,22 @@
 			names[s.Name]++
 		}
 	}
-	for _, hop := range []string{tracer.HopRequest, tracer.HopAdmit, tracer.HopReserve, tracer.HopPick, tracer.HopDispatch, tracer.HopBill} {
+	for _, hop := range []string{tracer.HopRequest, tracer.HopAdmit, tracer.HopReserve, tracer.HopPick, tracer.HopDispatch, tracer.HopBill, tracer.HopHome} {
 		f.g.Expect(names[hop]).To(gomega.BeNumerically(">=", 1), "span %s in %v", hop, names)
 	}
 	// Once as the router's call, once as served by the keeper.
-	for _, call := range []string{"Lease", "Charge"} {
-		f.g.Expect(names["rattanhoist.v1.BudgetKeeper/"+call]).To(gomega.BeNumerically(">=", 2), "%s in %v", call, names)
+	for _, call := range []string{"BudgetKeeper/Lease", "BudgetKeeper/Charge", "HomeRouter/Answer"} {
+		f.g.Expect(names["rattanhoist.v1."+call]).To(gomega.BeNumerically(">=", 2), "%s in %v", call, names)
 	}
 }
 
 // post sends a request of a caller's trace and returns the status.
-func (f *operated) post(trace string) int {
+func (f *operated) post(trace, id string) int {
 	body := strings.NewReader(`{"model": "m", "max_tokens": 4, "messages": [{"role": "user", "content": "x"}]}`)
 	r, err := http.NewRequest(http.MethodPost, "http://"+f.router("osu-hall-1").HTTP()+"/v1/chat/completions", body)
 	f.g.Expect(err).NotTo(gomega.HaveOccurred())
 	r.Header.Set("Authorization", "Bearer "+f.key)
+	r.Header.Set("Idempotency-Key", id)
 	r.Header.Set("traceparent", "00-"+trace+"-00f067aa0ba902b7-01")
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
@@ -218,7 +225,10 @@
 		reply, err := call.Do(context.Background())
 		done <- outcome{reply, err}
 	}()
-	f.Eventually("request is dispatched", func() bool { _, code := f.Command("explain", "r-1"); return code == 0 })
+	f.Eventually("request is dispatched", func() bool {
+		out, _ := f.Command("explain", "r-1")
+		return strings.Contains(out, "dispatched")
+	})
 	f.Ask("osu-hall-1")
 	f.Eventually("router drains", func() bool { return strings.Contains(f.MustCommand("status"), "draining") })
 	f.Ask("osu-hall-1")
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -182,7 +182,9 @@
 
 // Load reads and checks a settings file. The error lists every fault.
 func Load(file string) (*Settings, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: false}, file)
+	// A '#' or ';' within a value belongs to it: a path cut off there would
+	// name another folder, and two keepers would wait for one store.
+	f, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, file)
 	if err != nil {
 		return nil, merry.Errorf("%w: %s: %s", ErrFaulty, file, err.Error())
 	}
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -53,6 +53,22 @@
 	comparer.Golden(t, "faulty.golden", text+"\n")
 }
 
+// Symptom: two of three keepers never serve and log nothing.
+// Sequence: the data folders lie below a path with a '#' in it.
+// Cause: the rest of the line was taken for a comment, so that all keepers
+// opened one store.
+func TestValuesMayHoldCommentSigns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	file := copyIn(t, "good.ini")
+	b, err := os.ReadFile(file)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	text := strings.Replace(string(b), "data_dir = data", "data_dir = /var/a#b;c/data", 1)
+	g.Expect(os.WriteFile(file, []byte(text), 0o600)).To(gomega.Succeed())
+	s, err := loader.Load(file)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.Processes(loader.KindKeeper)[0].DataDir()).To(gomega.Equal("/var/a#b;c/data"))
+}
+
 func TestWarningsStopNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
 	file := copyIn(t, "good.ini")
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -39,6 +39,7 @@
 	Refused    = messenger.DecisionKind_DECISION_KIND_REFUSED
 	Claimed    = messenger.DecisionKind_DECISION_KIND_CLAIMED
 	Failed     = messenger.DecisionKind_DECISION_KIND_FAILED
+	HandedOver = messenger.DecisionKind_DECISION_KIND_HANDED_OVER
 )
 
 // Decision is one choice made for a request.
--- a/router/claim.go
+++ b/router/claim.go
@@ -125,7 +125,7 @@
 // serveOnce runs a request that may not be repeated, under a claim.
 func (r *Router) serveOnce(ctx context.Context, q *request, run *joiner.Run) (*joiner.Answer, error) {
 	c := r.newClaim(q)
-	v, row := c.take(ctx)
+	v, row := r.claimTraced(ctx, q, c)
 	if v != claimer.Granted {
 		c.settle(messenger.ClaimState_CLAIM_STATE_RELEASED, nil)
 		return r.heldElsewhere(ctx, q, run, v, row)
--- a/router/execute.go
+++ b/router/execute.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rattanhoist.example/rattanhoist/joiner"
+	"rattanhoist.example/rattanhoist/recorder"
 	"rattanhoist.example/rattanhoist/tracer"
 )
 
@@ -45,6 +46,9 @@
 			r.joiner.Leave(time.Now(), q.key, run)
 			return joiner.ErrAbsent
 		}
+		if !begun {
+			r.record(q, recorder.Decision{Kind: recorder.Joined, Reason: "the request runs here, or its answer is kept"})
+		}
 		if begun {
 			r.gate.follow()
 			go r.execute(tracer.LinkOf(ctx), q, run)
--- a/router/hops.go
+++ b/router/hops.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/claimer"
 	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/recorder"
@@ -68,3 +70,34 @@
 	}
 	return n, err
 }
+
+// relayTraced has the request's home answer it.
+func (r *Router) relayTraced(ctx context.Context, q *request, x *sibling, f *feed) error {
+	home := x.process.Name()
+	ctx, span := tracer.Begin(ctx, tracer.HopHome)
+	span.Set("home", home)
+	r.record(q, recorder.Decision{Kind: recorder.HandedOver, Reason: "home router " + home + traceOf(ctx)})
+	err := r.relay(ctx, q, x, f, false)
+	span.End(err)
+	if err != nil && askNext(err) {
+		r.record(q, recorder.Decision{Kind: recorder.Failed, Reason: "home router " + home + ": " + err.Error()})
+	}
+	return err
+}
+
+var verdictNames = map[claimer.Verdict]string{
+	claimer.Granted: "granted", claimer.Reused: "the id is another request's", claimer.Undecided: "too few keepers answered",
+}
+
+// claimTraced takes the claim of a request that may not be repeated.
+func (r *Router) claimTraced(ctx context.Context, q *request, c *claim) (claimer.Verdict, *messenger.ClaimRow) {
+	ctx, span := tracer.Begin(ctx, tracer.HopClaim)
+	v, row := c.take(ctx)
+	span.End(nil)
+	what, known := verdictNames[v]
+	if !known {
+		what = "held by another attempt"
+	}
+	r.record(q, recorder.Decision{Kind: recorder.Claimed, Reason: what + ", asked " + strconv.Itoa(len(c.voters)) + " keepers"})
+	return v, row
+}
--- a/router/relay.go
+++ b/router/relay.go
@@ -32,7 +32,7 @@
 		if x == nil {
 			return r.local(ctx, q, f, false)
 		}
-		err := r.relay(ctx, q, x, f, false)
+		err := r.relayTraced(ctx, q, x, f)
 		if ctx.Err() != nil || !askNext(err) {
 			return err
 		}
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -143,6 +143,7 @@
 	HopDispatch = "dispatch"
 	HopBill     = "bill"
 	HopHome     = "hand_over_to_home"
+	HopClaim    = "claim"
 )
 
 // Span is one hop of a request; the zero value does nothing.
