--- a/router/run.go
+++ b/router/run.go
@@ -185,6 +185,11 @@
 		// gives it no cause to.
 		h.Close = true
 	}
+	// A router that was stopped between the choice and here must not send
+	// work on what it knew before.
+	if !r.tracker.Usable(e, time.Now()) {
+		return nil, &runError{cause: rattanhoist.ErrNoEndpoint}
+	}
 	resp, err := r.engines.Do(h)
 	if err != nil {
 		return nil, &runError{cause: err, dispatched: !neverSent(err)}
