--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -203,6 +203,24 @@
 	}
 	f.g.Expect(json.NewDecoder(resp.Body).Decode(&state)).To(gomega.Succeed())
 	f.g.Expect(state.KeeperReachable).To(gomega.BeTrue())
+	f.countersAreDocumented(f.router("osu-hall-1"))
+}
+
+// countersAreDocumented keeps the page of counters whole.
+func (f *operated) countersAreDocumented(p loader.Process) {
+	page, err := os.ReadFile("../docs/operate/counters.md")
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp, err := http.Get("http://" + p.Debug() + "/debug/vars")
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	vars := map[string]json.RawMessage{}
+	f.g.Expect(json.NewDecoder(resp.Body).Decode(&vars)).To(gomega.Succeed())
+	f.g.Expect(vars).To(gomega.HaveKey("router_decisions"))
+	for name := range vars {
+		if name != "cmdline" && name != "memstats" {
+			f.g.Expect(string(page)).To(gomega.ContainSubstring("`"+name+"`"), "docs/operate/counters.md lacks %s", name)
+		}
+	}
 }
 
 // Symptom: a caller gets a fragment while its router is restarted by an
