--- a/measurer/capacity.go
+++ b/measurer/capacity.go
@@ -106,6 +106,7 @@
 			writeSums(b, r, lines, role)
 		}
 	}
+	writeFigures(b, r)
 	writeSlopes(b, r)
 	_, err := io.WriteString(w, b.String())
 	return err
@@ -165,6 +166,14 @@
 // notInSum marks a line that shows another choice.
 const notInSum = "(not in the sum)"
 
+// writeFigures shows the measured values that are no slopes.
+func writeFigures(b *strings.Builder, r *Report) {
+	b.WriteString("\n### Times measured\n\n| experiment | case | what | figure |\n|---|---|---|---|\n")
+	for _, f := range r.Figures {
+		fmt.Fprintf(b, "| %s | %s | %s | %.4g %s |\n", f.Experiment, f.Case, f.Metric, f.Value, f.Unit)
+	}
+}
+
 // writeSlopes shows the points and the fit of every slope in use, so that one
 // that is not straight is seen.
 func writeSlopes(b *strings.Builder, r *Report) {
--- a/measurer/capacity_lines.go
+++ b/measurer/capacity_lines.go
@@ -7,7 +7,6 @@
 	beatsPerS    = 4
 	gossipPerS   = 2
 	watchPerS    = 1
-	reportsPerS  = 0.2
 	announcePerS = 2
 	appendsPerS  = 10
 )
@@ -55,6 +54,9 @@
 	chargeMessage       = slopeKey{"budget_slopes", "router", "charge_message", "charge"}
 	callCPU             = slopeKey{"calls", "any", "call_processor", "call, both sides"}
 	callBytes           = slopeKey{"calls", "any", "call_bytes", "call, both ways"}
+	followBytes         = slopeKey{"spread_cost", "keeper", "bytes both ways", "subscriber at 0 changes a second"}
+	followCPU           = slopeKey{"spread_cost", "keeper and router", "processor time", "subscriber at 0 changes a second"}
+	changingBytes       = slopeKey{"spread_cost", "keeper", "bytes both ways", "subscriber at 4 changes a second"}
 	// unitSlope stands where a count alone gives the figure.
 	unitSlope = slopeKey{"", "", "", ""}
 )
@@ -222,17 +224,24 @@
 func relayLines() []line {
 	c, bound := Letter, LetterBounds
 	const role = "Relay: the keeper of a zone, towards its routers"
+	// A quarter of the growth from 0 to 4 changes a second is that of one.
+	changes := c.ChangesPerDay / secondsPerDay / 4 * c.NodesPerZone()
 	return []line{
 		{
-			role, "network, changes", "`keeper` pushes deltas on one stream a router",
-			[]term{{configurationUpdate, c.ChangesPerDay / secondsPerDay * c.NodesPerZone(), "3,200 a day x 18 routers"}},
-			perSecond, bound.NodeBytesPerS, WorkedOut, "",
+			role, "network at rest", "`keeper`: one stream a router, a heartbeat each half second, reports",
+			[]term{{followBytes, c.NodesPerZone(), "18 routers"}},
+			perSecond, bound.NodeBytesPerS, Measured, "",
 		},
 		{
-			role, "network, reports of the version in force", "`router` after a change and every 5 s",
-			[]term{{callBytes, c.NodesPerZone() * (reportsPerS + c.ChangesPerDay/secondsPerDay), "18 routers"}},
+			role, "network, changes", "`keeper` pushes deltas on the same streams; routers report the version in force",
+			[]term{{changingBytes, changes, "3,200 a day x 18 routers, of the cost at 4 a second"}},
 			perSecond, bound.NodeBytesPerS, WorkedOut, "",
 		},
+		{
+			role, "processor at rest", "the same, keeper and routers together",
+			[]term{{followCPU, c.NodesPerZone() * 1e-3, "18 routers; ms"}},
+			core, bound.NodeCores, Measured, "",
+		},
 		{
 			role, "network, whole copies after restarts", "a restarted router takes the whole configuration once",
 			[]term{{configurationWhole, c.Workspaces * c.RestartsPerDay / secondsPerDay / c.Zones, "42,000 workspaces x 820 restarts a day / 19 zones"}},
