--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -74,6 +74,9 @@
 		if build.err != nil {
 			return
 		}
+		if build.err = noteSources(); build.err != nil {
+			return
+		}
 		out, err := exec.Command("go", "build", "-o", build.dir+"/", "rattanhoist.example/rattanhoist/cmd/...").CombinedOutput()
 		if err != nil {
 			build.err = fmt.Errorf("%w: %s", err, out)
@@ -363,3 +366,9 @@
 		_ = c.Wait()
 	}
 }
+
+// PID returns the process id of a running process, for measurements.
+func (f *Fleet) PID(name string) int {
+	f.t.Helper()
+	return f.process(name).Process.Pid
+}
