Compare a mirror's copy with what it had, not with a commit under way

Cause: the check of a paired mirror, read before the commit in progress had reached it, would have taken the mirror for lost under steady traffic. Change: the copy must not go back; the last commit may be missing.

--- a/keeper/mirror.go
+++ b/keeper/mirror.go
@@ -72,6 +72,8 @@
 	log    *zap.Logger
 	// Mirror is the mirror's own incarnation as last heard.
 	mirror uint64
+	// Has is how far the copy reached when last heard while paired.
+	has *messenger.CopyState
 }
 
 func (p *pairing) run(ctx context.Context) {
@@ -96,11 +98,17 @@
 	if !p.sender.exists() {
 		return
 	}
-	least := p.state()
 	has, err := p.copyOne(ctx, &messenger.CopyRequest{State: &messenger.CopyState{Zone: p.loop.vault.Zone()}})
-	if err == nil && (has.GetIncarnation() != least.Incarnation || has.GetNumber() < least.Number) {
+	if err != nil {
+		return
+	}
+	// The last commit may be under way; what the mirror had before may not be
+	// gone.
+	if has.GetIncarnation() != p.has.GetIncarnation() || has.GetNumber() < p.has.GetNumber() {
 		p.loop.lost(errCopyLost)
+		return
 	}
+	p.has = has
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -161,6 +169,7 @@
 	if err := p.store.Apply([]storer.Row{row}); err != nil {
 		return err
 	}
+	p.has = state
 	p.loop.mu.Lock()
 	paired := p.loop.copier.CaughtUp(state)
 	p.loop.mu.Unlock()
--- a/keeper/mirror_test.go
+++ b/keeper/mirror_test.go
@@ -149,6 +149,7 @@
 	p := &pairing{loop: l, sender: m, store: store, log: zap.NewNop()}
 	m.state = p.state()
 	l.copier.CaughtUp(m.state)
+	p.has = m.state
 	p.verify(t.Context())
 	g.Expect(l.currentMode()).To(gomega.Equal(budgeter.ModePaired))
 	m.state = nil
