--- a/treasurer/bill.go
+++ b/treasurer/bill.go
@@ -114,6 +114,9 @@
 	fenced := false
 	for _, o := range known {
 		m.resolve(o)
+		if o.State == messenger.ChargeState_CHARGE_STATE_NOT_LEASED {
+			t.options.Log.Error("keeper refuses a charge as not leased", zap.String("request", o.Key.String()))
+		}
 		fenced = fenced || o.State == messenger.ChargeState_CHARGE_STATE_FENCED
 	}
 	for _, e := range s.entries {
@@ -142,7 +145,6 @@
 		// back here could let them be spent twice.
 		spent = b.held
 		counters.notLeased.Add(1)
-		zap.L().Error("keeper refuses a charge as not leased", zap.String("request", o.Key.String()))
 	}
 	if b.known {
 		b.holder.settle(0, spent-b.spent)
