--- a/measurer/budget_slopes.go
+++ b/measurer/budget_slopes.go
@@ -64,7 +64,7 @@
 
 // pairMemory returns the heap that n active workspaces take at a router.
 func pairMemory(n int) (float64, error) {
-	before := heapInUse()
+	before := liveBytes()
 	t, end := treasurer.New(treasurer.Options{Router: "r", Zone: "z", Incarnation: 1, Keeper: generousKeeper{}, Policy: treasurer.DefaultPolicy()})
 	defer end()
 	for i := range n {
@@ -74,7 +74,7 @@
 		}
 		held.Release()
 	}
-	return heapInUse() - before, nil
+	return liveBytes() - before, nil
 }
 
 // pairNetwork returns the bytes a second of leases and returns of n pairs
