Kill the router with most streams in the budget cases, and say how many

Cause: at the lower rate of traffic the killed router had no stream open in the test, which then said so.

--- a/measurer/budget_report.go
+++ b/measurer/budget_report.go
@@ -14,6 +14,9 @@
 	g.perThousand(r, "false_refusals_during_fault", func(t *tally) int { return t.faulty })
 	g.perThousand(r, "refused_before_all_was_charged", func(t *tally) int { return t.uncharged })
 	g.perThousand(r, "true_refusals", func(t *tally) int { return t.trueRefusals })
+	if g.runs[0].tally.killed > 0 {
+		g.figure(r, "streams_killed", "streams", func(b *budgetRun) float64 { return float64(b.tally.killed) })
+	}
 	if _, ours := g.runs[0].ledger.(*escrow); !ours {
 		return
 	}
--- a/measurer/budget_run.go
+++ b/measurer/budget_run.go
@@ -194,6 +194,26 @@
 	}
 }
 
+// killBusiest ends the router of a zone that has most streams open.
+func (r *budgetRun) killBusiest(zone int) {
+	most := 0
+	for n := range r.open[zone] {
+		if len(r.open[zone][n]) > len(r.open[zone][most]) {
+			most = n
+		}
+	}
+	r.kill(zone, most)
+}
+
+// restartDead restarts the routers of a zone that were killed.
+func (r *budgetRun) restartDead(zone int) {
+	for n, dead := range r.dead[zone] {
+		if dead {
+			r.restart(zone, n)
+		}
+	}
+}
+
 func (r *budgetRun) restart(zone, router int) {
 	r.dead[zone][router] = false
 	r.ledger.restart(zone, router)
--- a/measurer/budgets.go
+++ b/measurer/budgets.go
@@ -68,19 +68,19 @@
 		{name: "zone cut for an hour", baselines: true, placers: true, seeds: cutSeeds, faults: []fault{cut, heal}},
 		{name: "cut and top-up on the cut side", baselines: true, seeds: 1, faults: []fault{cut, topUp, heal}},
 		{name: "router killed with open streams", baselines: true, seeds: 1, faults: []fault{
-			{loseAt, func(r *budgetRun) { r.kill(hotZone, 0) }},
-			{repairAt, func(r *budgetRun) { r.restart(hotZone, 0) }},
+			{loseAt, func(r *budgetRun) { r.killBusiest(hotZone) }},
+			{repairAt, func(r *budgetRun) { r.restartDead(hotZone) }},
 		}},
 		{name: "keeper's disk lost", seeds: 1, faults: []fault{lose, repair}},
 		{name: "second VM lost after the repair", seeds: 1, faults: []fault{
 			lose, repair,
 			{repairAt + again, func(r *budgetRun) {
 				r.ledger.loseDisk(hotZone + 1)
-				r.kill(hotZone+1, 0)
+				r.killBusiest(hotZone + 1)
 			}},
 			{repairAt + again + 10*time.Second, func(r *budgetRun) {
 				r.ledger.repair(hotZone + 1)
-				r.restart(hotZone+1, 0)
+				r.restartDead(hotZone + 1)
 			}},
 		}},
 	}
--- a/measurer/budgets_test.go
+++ b/measurer/budgets_test.go
@@ -18,8 +18,8 @@
 	run := newBudgetRun(clock, fleet)
 	run.play(traffic(firstBudgetSeed, budgetTestTime), []fault{
 		{2 * time.Minute, func(r *budgetRun) { r.cut(hotZone, true) }},
-		{3 * time.Minute, func(r *budgetRun) { r.kill(hotZone, 1) }},
-		{4 * time.Minute, func(r *budgetRun) { r.restart(hotZone, 1) }},
+		{3 * time.Minute, func(r *budgetRun) { r.killBusiest(hotZone) }},
+		{4 * time.Minute, func(r *budgetRun) { r.restartDead(hotZone) }},
 		{6 * time.Minute, func(r *budgetRun) { r.cut(hotZone, false) }},
 		{7 * time.Minute, func(r *budgetRun) { r.ledger.loseDisk(0) }},
 		{7*time.Minute + 5*time.Second, func(r *budgetRun) { r.ledger.repair(0) }},
