A replaced keeper finds disks that it does not know

Cause: a voter that had lost its seat while cut off asked for votes only at the incarnations of its old log; all of them were gone, so nobody told it. Ruled out: a lost leader (the other four agreed). Change: a keeper in a trial says hello to all names; a learner counts as complete only by its answer to a broadcast that began after it was known, so that late messages of a lost disk can't bring it back. TestReplacedKeeperFindsNewDisks failed before and passes.

--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -272,3 +272,41 @@
 		}
 	})
 }
+
+// TestReplacedKeeperFindsNewDisks: symptom, a keeper stays outside for good
+// after a long cut. Sequence: a voter is cut off, a spare takes its seat, and
+// the other voters lose their disks one after the other; the cut heals. Cause:
+// the keeper asks for votes only at the disks that it knows, which are all
+// gone, and nobody tells it.
+func TestReplacedKeeperFindsNewDisks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		timing := replicator.DefaultTiming()
+		timing.Replace = 3 * time.Second
+		p := newPoolOf(t, 4, 3, timing)
+		for range 60 {
+			p.flow()
+		}
+		lost := "c"
+		for _, n := range p.names {
+			p.cut[lost+n], p.cut[n+lost] = true, true
+		}
+		for range 140 {
+			p.flow()
+		}
+		for _, n := range []string{"a", "b"} {
+			p.nodes[n].disk = map[string]map[string][]byte{}
+			p.start(n)
+			for range 140 {
+				p.flow()
+			}
+		}
+		p.cut = map[string]bool{}
+		for range 60 {
+			p.flow()
+		}
+		l, c := p.nodes[p.leaderName()].core, p.nodes[lost].core
+		if c.Voter() || c.Commit() != l.Commit() {
+			t.Fatalf("the replaced keeper: votes %v, commit %d of %d", c.Voter(), c.Commit(), l.Commit())
+		}
+	})
+}
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -23,6 +23,9 @@
 	// AckedSince is reset at every heartbeat.
 	ackedSince bool
 	since      time.Time
+	// SinceRound is the leader's broadcast when the member became known: only
+	// the answer to a later one shows that its disk still exists.
+	sinceRound uint64
 	// InstallAt is when a snapshot was sent last.
 	installAt time.Time
 }
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -18,9 +18,11 @@
 	return m.Deployment != "" && m.Deployment == c.deployment
 }
 
-// sayHello makes a disk that does not vote known to the others.
+// sayHello makes a disk that does not vote known to the others, and one that
+// finds no leader: it may have lost its vote while it was cut off, and all the
+// disks that it knows may be gone.
 func (c *Core) sayHello() {
-	if c.Voter() || c.now.Before(c.helloAt) {
+	if c.Voter() && c.role != Trial || c.now.Before(c.helloAt) {
 		return
 	}
 	c.helloAt = c.now.Add(helloEvery * c.options.Timing.Heartbeat)
@@ -81,7 +83,7 @@
 	if c.role != Leader || c.lead.progress[m] != nil || m == c.self || m.Incarnation == 0 {
 		return
 	}
-	c.lead.progress[m] = &progress{next: c.log.last() + 1, since: c.now}
+	c.lead.progress[m] = &progress{next: c.log.last() + 1, since: c.now, sinceRound: c.lead.round}
 }
 
 // mendMembership takes one step towards a full set of voters on live disks:
@@ -116,10 +118,10 @@
 }
 
 // complete reports whether a disk that does not vote has all that is
-// committed.
+// committed. Late messages of a disk that is gone must not bring it back.
 func (c *Core) complete(l Member) bool {
 	p := c.lead.progress[l]
-	return !slices.Contains(c.log.voters, l) && c.live(p) && p.match >= c.commit
+	return !slices.Contains(c.log.voters, l) && c.live(p) && p.round > p.sinceRound && p.match >= c.commit
 }
 
 // seat takes the next step to the vote of a complete copy and reports whether
