A sibling lives as long as it can be reached, not as long as it is heard

Symptom: requests waited until their deadline behind a one-way cut. Cause: its heartbeats made a sibling live that this router could not reach. Change: only an answered beat counts; test with the fault port, which failed before.

--- a/router/beat.go
+++ b/router/beat.go
@@ -136,12 +136,13 @@
 	}
 }
 
-// Beat takes a sibling's sign of life and its records.
+// Beat takes a sibling's records and whether it drains. It is no sign of life:
+// that the sibling reaches this router does not mean that this one reaches it.
 func (s *homeServer) Beat(_ context.Context, b *messenger.BeatRequest) (*messenger.BeatReply, error) {
 	r := s.router
 	now := time.Now()
 	if x := r.homes.all[b.Router]; x != nil {
-		r.homes.hear(x, b.Draining)
+		x.draining.Store(b.Draining)
 	}
 	for _, m := range b.Records {
 		if len(m.Digest) != len(joiner.Digest{}) {
--- a/router/home.go
+++ b/router/home.go
@@ -28,7 +28,7 @@
 	process loader.Process
 	conn    *grpc.ClientConn
 	client  messenger.HomeRouterClient
-	// Heard is when a beat last came, in nanoseconds after the start.
+	// Heard is when it last answered a beat, in nanoseconds after the start.
 	heard    atomic.Int64
 	draining atomic.Bool
 	// Life ends when the sibling is taken for dead; a new one follows when it
@@ -85,7 +85,7 @@
 	return h, cleanUp, nil
 }
 
-// hear notes a sign of life.
+// hear notes that a sibling has answered.
 func (h *homes) hear(x *sibling, draining bool) {
 	x.heard.Store(int64(time.Since(h.start)))
 	x.draining.Store(draining)
--- a/router/identity_test.go
+++ b/router/identity_test.go
@@ -238,3 +238,26 @@
 	f.g.Expect(runs[ticket]).To(gomega.Equal(1))
 	f.g.Expect(f.billed("ledger-7")).To(gomega.Equal(1))
 }
+
+// TestHomeCutOneWay
+// Symptom: requests wait until their deadline though an engine is free.
+// Sequence: one router no longer reaches its sibling, whose heartbeats still
+// come in; a request whose home is that sibling arrives.
+// Cause: a sibling was taken for alive because it was heard, not because it
+// could be reached.
+func TestHomeCutOneWay(t *testing.T) {
+	f := startZone(t, 83, "2ms")
+	self, err := f.Settings().Process("router", osu[0])
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	sibling, err := f.Settings().Process("router", osu[1])
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	f.FaultAt(self, "cut", sibling.RPC())
+	for _, prefix := range []string{"at-the-cut", "after-the-cut"} {
+		c := f.model(osu[0], idWithHome(prefix, osu[1], osu...), 20)
+		c.Timeout = 6 * time.Second
+		began := time.Now()
+		_, err = c.Do(context.Background())
+		f.g.Expect(err).NotTo(gomega.HaveOccurred(), prefix)
+		f.g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 4*time.Second), prefix)
+	}
+}
