--- a/router/chaos_test.go
+++ b/router/chaos_test.go
@@ -50,6 +50,8 @@
 	done    int
 	kills   int
 	freezes int
+	// Down holds the routers that are killed or stopped now.
+	down map[string]bool
 }
 
 func (c *chaos) pick() string {
@@ -108,28 +110,57 @@
 	c.done++
 }
 
-// breakRouters kills or stops one router at a time at seeded points.
+// take chooses a router that is up, and when and how it is to break.
+func (c *chaos) take() (victim string, point int, kill bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		victim = c.routers[c.rand.IntN(len(c.routers))]
+		if !c.down[victim] {
+			break
+		}
+	}
+	c.down[victim] = true
+	return victim, c.done + 20 + c.rand.IntN(40), c.rand.IntN(2) == 0
+}
+
+func (c *chaos) count(kill bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if kill {
+		c.kills++
+	} else {
+		c.freezes++
+	}
+}
+
+func (c *chaos) release(victim string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.down, victim)
+}
+
+// breakRouters kills or stops one router at a time at seeded points; two of it
+// run, so that two routers may be down together.
 func (c *chaos) breakRouters(stop <-chan struct{}) {
-	for n := 0; ; n++ {
-		c.mu.Lock()
-		victim := c.routers[c.rand.IntN(len(c.routers))]
-		point, kill := c.done+20+c.rand.IntN(40), c.rand.IntN(2) == 0
-		c.mu.Unlock()
+	for {
+		victim, point, kill := c.take()
 		if !c.reach(point, stop) {
+			c.release(victim)
 			return
 		}
+		c.count(kill)
 		if kill {
-			c.kills++
 			c.Kill(victim)
 			c.reach(point+15, stop)
 			c.Restart(victim)
 			c.Eventually(victim+" is back", func() bool { return c.Ready(victim) })
-			continue
+		} else {
+			c.Freeze(victim)
+			c.reach(point+40, stop)
+			c.Thaw(victim)
 		}
-		c.freezes++
-		c.Freeze(victim)
-		c.reach(point+40, stop)
-		c.Thaw(victim)
+		c.release(victim)
 	}
 }
 
@@ -184,7 +215,7 @@
 		_, err := q.Do(context.Background())
 		return err == nil
 	})
-	c := &chaos{fleet: f, rand: rand.New(rand.NewPCG(chaosSeed(), 1)), fates: map[string]*fate{}}
+	c := &chaos{fleet: f, rand: rand.New(rand.NewPCG(chaosSeed(), 1)), fates: map[string]*fate{}, down: map[string]bool{}}
 	for _, p := range f.Settings().Processes(loader.KindRouter) {
 		c.routers = append(c.routers, p.Name())
 	}
@@ -193,11 +224,11 @@
 }
 
 func (c *chaos) run() {
-	stop, broken := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(broken)
-		c.breakRouters(stop)
-	}()
+	stop := make(chan struct{})
+	var breakers sync.WaitGroup
+	for range 2 {
+		breakers.Go(func() { c.breakRouters(stop) })
+	}
 	next := make(chan int)
 	var wg sync.WaitGroup
 	for range chaosCallers {
@@ -213,7 +244,7 @@
 	close(next)
 	wg.Wait()
 	close(stop)
-	<-broken
+	breakers.Wait()
 }
 
 // judge compares what callers were told with the run logs and the bills.
