--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -48,6 +48,18 @@
 	prepaid   = "50000000"
 )
 
+// places bounds the deployments that run at once.
+var places = make(chan struct{}, 3)
+
+// startShared is startFleet for tests that may run beside others.
+func startShared(t *testing.T, o launcher.Options) *fleet {
+	t.Helper()
+	t.Parallel()
+	places <- struct{}{}
+	t.Cleanup(func() { <-places })
+	return startFleet(t, o)
+}
+
 func startFleet(t *testing.T, o launcher.Options) *fleet {
 	t.Helper()
 	f := &fleet{Fleet: launcher.Start(t, o), t: t, g: gomega.NewWithT(t)}
--- a/router/identity_test.go
+++ b/router/identity_test.go
@@ -32,7 +32,7 @@
 // service.
 func startZone(t *testing.T, net int, pace string) *fleet {
 	t.Helper()
-	f := startFleet(t, launcher.Options{Net: net, Zones: []string{"osu-hall"}})
+	f := startShared(t, launcher.Options{Net: net, Zones: []string{"osu-hall"}})
 	f.StartEndpoint("engine", "llm-1", "llm", "osu-hall", 1, "--capacity", "64", "--pace", pace)
 	f.StartEndpoint("plain", "desk-1", "desk", "osu-hall", 2, "--pace", "5ms")
 	f.served(func(r, id string) call { return f.model(r, id, 4) })
@@ -190,7 +190,7 @@
 // sends it again through another, which runs and bills it too.
 // Cause it guards against: charges that are keyed by request in one zone only.
 func TestBilledOnceThoughTwoZonesRan(t *testing.T) {
-	f := startFleet(t, launcher.Options{Net: 76})
+	f := startShared(t, launcher.Options{Net: 76})
 	f.StartEndpoint("engine", "llm-1", "llm", "osu-hall", 1)
 	f.served(func(r, id string) call { return f.model(r, id, 4) })
 	for _, r := range []string{"osu-hall-1", "tema-hall-1"} {
@@ -207,7 +207,7 @@
 // and with an id; the id runs on the other side and comes back after the heal.
 // Cause it guards against: claims that a minority grants.
 func TestCutZoneClaimsOnlyByItsTicket(t *testing.T) {
-	f := startFleet(t, launcher.Options{Net: 80})
+	f := startShared(t, launcher.Options{Net: 80})
 	for i, z := range f.Settings().Zones() {
 		f.StartEndpoint("plain", "desk-"+z, "desk", z, i+1, "--pace", "5ms")
 	}
