Make the experiment pickers quicker

Change: the queue keeps the first expiry instead of searching it at each step; the fakes renew endpoints in place, as the tracker does.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -76,6 +76,8 @@
 	shedder Shedder
 	classes [Priorities]class
 	waiting int
+	// Earliest is a time before which no waiting request expires.
+	earliest time.Duration
 	// Out is reused between steps.
 	out []Action
 }
@@ -117,15 +119,12 @@
 	return q.out
 }
 
-// NextExpiry returns when the first waiting request can't be met any more.
-func (q *Queue) NextExpiry() (at time.Duration, ok bool) {
-	q.each(func(r Request) {
-		if x := r.Deadline - r.Least; !ok || x < at {
-			at, ok = x, true
-		}
-	})
-	return at, ok
-}
+// NextExpiry returns a time up to which no waiting request needs refusing for
+// its deadline.
+func (q *Queue) NextExpiry() (at time.Duration, ok bool) { return q.earliest, q.waiting > 0 }
+
+// expiry is the last time at which a start could still be in time.
+func (r Request) expiry() time.Duration { return r.Deadline - r.Least }
 
 func (q *Queue) each(f func(Request)) {
 	for p := range q.classes {
@@ -144,11 +143,14 @@
 // expire refuses what can't be met any more, at once: held back until its
 // deadline, a caller would learn too late to try elsewhere.
 func (q *Queue) expire(now time.Duration) {
+	if q.waiting == 0 || now <= q.earliest {
+		return
+	}
 	for p := range q.classes {
 		c := &q.classes[p]
 		for _, w := range c.flows {
 			w.requests = slices.DeleteFunc(w.requests, func(r Request) bool {
-				if now <= r.Deadline-r.Least {
+				if now <= r.expiry() {
 					return false
 				}
 				q.waiting--
@@ -158,6 +160,8 @@
 		}
 		c.drop()
 	}
+	q.earliest = 1<<63 - 1
+	q.each(func(r Request) { q.earliest = min(q.earliest, r.expiry()) })
 }
 
 // drop takes out flows without requests.
@@ -168,7 +172,7 @@
 func (q *Queue) arrive(now time.Duration, e Event) {
 	r := e.Request
 	r.Priority = min(max(r.Priority, 0), Priorities-1)
-	if now > r.Deadline-r.Least {
+	if now > r.expiry() {
 		q.say(r.ID, Shed, r.Service)
 		return
 	}
@@ -198,6 +202,9 @@
 		return 1
 	})
 	w.requests = slices.Insert(w.requests, j, r)
+	if q.waiting == 0 || r.expiry() < q.earliest {
+		q.earliest = r.expiry()
+	}
 	q.waiting++
 }
 
--- a/measurer/picker_fleet.go
+++ b/measurer/picker_fleet.go
@@ -108,12 +108,14 @@
 	gaps      [][]gap
 	// Numbers maps endpoint names to engines.
 	numbers map[string]int
+	// Endpoints are what all routers know of the engines.
+	endpoints []*rattanhoist.Endpoint
 }
 
 type gap struct{ from, to time.Duration }
 
 func runFleet(c fleetCase) *fleetResult {
-	f := &fleet{c: c, clock: &fakeClock{}, traffic: rand.New(rand.NewPCG(c.seed, 1)), rand: rand.New(rand.NewPCG(c.seed, 2)), base: time.Unix(0, 0), numbers: map[string]int{}}
+	f := &fleet{c: c, clock: &fakeClock{}, traffic: rand.New(rand.NewPCG(c.seed, 1)), rand: rand.New(rand.NewPCG(c.seed, 2)), base: time.Unix(0, 0), numbers: map[string]int{}, endpoints: make([]*rattanhoist.Endpoint, c.engines)}
 	for i := range c.engines {
 		f.addEngine(i)
 	}
@@ -235,14 +237,25 @@
 	load := f.engines[i].load()
 	lag := f.c.reportLag
 	f.clock.after(lag, func() {
-		e := f.endpoint(i, load)
-		for _, r := range f.routers {
-			r.hear(i, e)
-		}
+		f.hear(i, load)
 	})
 	f.clock.after(reportEvery, func() { f.report(i) })
 }
 
+// hear has all routers learn of an engine's load.
+func (f *fleet) hear(i, load int) {
+	now := f.base.Add(f.clock.now)
+	known := f.endpoints[i] != nil
+	if known {
+		f.endpoints[i].Renew(int64(load), rattanhoist.MomentOf(now))
+	} else {
+		f.endpoints[i] = f.endpoint(i, load)
+	}
+	for _, r := range f.routers {
+		r.hear(known)
+	}
+}
+
 func (f *fleet) endpoint(i, load int) *rattanhoist.Endpoint {
 	return rattanhoist.NewEndpoint(rattanhoist.EndpointFields{
 		Name: engineName(i), Service: "survey-llm", Zone: zoneName(i), Incarnation: 1,
@@ -263,16 +276,17 @@
 
 // fleetRouter is the shell of the product's cores in virtual time.
 type fleetRouter struct {
-	f         *fleet
-	zone      string
-	ledger    *picker.Ledger
-	picker    picker.Picker
-	queue     *admitter.Queue
-	retries   *admitter.Retries
-	endpoints []*rattanhoist.Endpoint
-	set       *picker.Set
-	waiting   map[uint64]*fleetRequest
-	inFlight  int
+	f        *fleet
+	zone     string
+	ledger   *picker.Ledger
+	picker   picker.Picker
+	queue    *admitter.Queue
+	retries  *admitter.Retries
+	set      *picker.Set
+	waiting  map[uint64]*fleetRequest
+	inFlight int
+	// TickAt is the next tick that is set, 0 for none.
+	tickAt time.Duration
 }
 
 func newFleetRouter(f *fleet, i int) *fleetRouter {
@@ -283,22 +297,25 @@
 	return &fleetRouter{
 		f: f, zone: zoneName(i), ledger: l, picker: p,
 		queue: admitter.NewQueue(admitter.DefaultBounds, s), retries: admitter.NewRetries(),
-		endpoints: make([]*rattanhoist.Endpoint, f.c.engines), waiting: map[uint64]*fleetRequest{},
+		waiting: map[uint64]*fleetRequest{},
 	}
 }
 
 func (r *fleetRouter) now() time.Time { return r.f.base.Add(r.f.clock.now) }
 
-func (r *fleetRouter) hear(i int, e *rattanhoist.Endpoint) {
-	r.endpoints[i] = e
-	known := slices.DeleteFunc(slices.Clone(r.endpoints), func(e *rattanhoist.Endpoint) bool { return e == nil })
-	r.set = r.ledger.NewSet("survey-llm", r.zone, 3*time.Second, r.now(), known)
+func (r *fleetRouter) hear(known bool) {
+	if known {
+		r.set.Refresh()
+	} else {
+		es := slices.DeleteFunc(slices.Clone(r.f.endpoints), func(e *rattanhoist.Endpoint) bool { return e == nil })
+		r.set = r.ledger.NewSet("survey-llm", r.zone, 3*time.Second, r.now(), es)
+	}
 	r.step(admitter.Event{Kind: admitter.Tick})
 }
 
 func (r *fleetRouter) cacheEvent(i int, prefix uint64, stored bool) {
-	if r.endpoints[i] != nil {
-		r.ledger.CacheEvent(r.endpoints[i], prefix, stored, r.now())
+	if r.f.endpoints[i] != nil {
+		r.ledger.CacheEvent(r.f.endpoints[i], prefix, stored, r.now())
 	}
 }
 
@@ -336,15 +353,23 @@
 		}
 		r.refuse(q, a.Verdict)
 	}
-	if at, ok := r.queue.NextExpiry(); ok {
-		r.f.clock.after(at-r.f.clock.now+time.Millisecond, func() { r.tick() })
-	}
+	r.watchExpiry()
 }
 
-func (r *fleetRouter) tick() {
-	if at, ok := r.queue.NextExpiry(); ok && at < r.f.clock.now {
-		r.step(admitter.Event{Kind: admitter.Tick})
+// watchExpiry sets the next tick for a waiting request, once.
+func (r *fleetRouter) watchExpiry() {
+	at, ok := r.queue.NextExpiry()
+	at += time.Millisecond
+	if !ok || r.tickAt > 0 && r.tickAt <= at {
+		return
 	}
+	r.tickAt = at
+	r.f.clock.after(at-r.f.clock.now, func() {
+		if r.tickAt == at {
+			r.tickAt = 0
+			r.step(admitter.Event{Kind: admitter.Tick})
+		}
+	})
 }
 
 var dbg func(f *fleet, r *fleetRouter, q *fleetRequest, v int)
