--- a/router/admit.go
+++ b/router/admit.go
@@ -19,7 +19,7 @@
 const CodeOverloaded = "overloaded"
 
 // admitCounters count what admission did; keys end in what became of requests.
-var admitCounters = expvar.NewMap("admission")
+var admitCounters = new(expvar.Map)
 
 // recheck is how often a waiting request looks for room that load reports
 // have brought.
--- a/router/record.go
+++ b/router/record.go
@@ -41,6 +41,7 @@
 		"router_refusals":        countRefusals,
 		"router_tokens":          countTokens,
 		"router_active_requests": activeRequests,
+		"router_admission":       admitCounters,
 		"router_request_time":    requestTime,
 		"router_reserve_time":    reserveTime,
 		"router_bill_time":       billTime,
