Bound the expected answer by the usual length; real processes under overload

Cause: callers that bound answers tightly taught the router to expect all of a loose bound, and requests without a bound of their own would be refused. Change: three usual lengths at most.

--- a/picker/ledger.go
+++ b/picker/ledger.go
@@ -219,6 +219,7 @@
 		s.tokenTime.add(x, serviceWeight, now)
 	}
 	if r.most > 0 && o.AnswerTokens > 0 {
+		s.answerLength.add(float64(o.AnswerTokens), serviceWeight, now)
 		s.answerShare.add(float64(o.AnswerTokens)/float64(r.most), serviceWeight, now)
 	}
 	if r.most == 0 {
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -269,3 +269,22 @@
 	e := rattanhoist.NewEndpoint(rattanhoist.EndpointFields{Name: s.At(0).Endpoint().Name(), Service: "llm", Incarnation: 2, Heard: start})
 	g.Expect(l.Stats(e).Ejected()).To(gomega.BeFalse())
 }
+
+// Symptom: requests without a bound of their own are refused as too long.
+// Sequence: callers that bound their answers to the token are answered, then
+// one comes under the service's bound of 4,000.
+// Cause: the part of the bound that answers used is taken for all bounds.
+func TestLooseBoundIsNotTakenForALongAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, s := fleetOf(3)
+	tight := query(0)
+	tight.MaxAnswer = 100
+	for range 60 {
+		run(l, s.At(0), tight, 100*time.Millisecond, 10*time.Millisecond)
+	}
+	loose := tight
+	loose.MaxAnswer = 4000
+	e := s.Service().Estimate(loose, l.Since(start.Add(2*time.Second)))
+	g.Expect(e.Service).To(gomega.BeNumerically("~", 3*time.Second, time.Second))
+	g.Expect(s.Service().Estimate(loose, l.Since(start.Add(time.Hour))).Service).To(gomega.BeZero(), "old knowledge refuses nobody")
+}
--- a/picker/stats.go
+++ b/picker/stats.go
@@ -38,6 +38,8 @@
 	callTime average
 	// AnswerShare is the answer's length by the bound that the request gave.
 	answerShare average
+	// AnswerLength is the length of an answer in tokens.
+	answerLength average
 	// OthersPerOwn is the other routers' requests by this router's own.
 	othersPerOwn average
 	// Samples counts whole runs.
@@ -52,9 +54,16 @@
 // PrefillTime returns the seconds to read a prompt token that is not cached.
 func (s *Service) PrefillTime() float64 { return s.prefillTime.value(assumedPrefillTime) }
 
+// longAnswer is how many usual lengths an answer is expected to have at most.
+const longAnswer = 3
+
 // AnswerTokens returns the length to expect of an answer bounded by most.
+// Where some callers give a tight bound and others none, the share of the
+// bound misleads: answers of 100 tokens under a bound of 4,000 would be
+// expected to take minutes, and refused. The usual length bounds that.
 func (s *Service) AnswerTokens(most int64) float64 {
-	return float64(most) * s.answerShare.value(1)
+	x := float64(most) * s.answerShare.value(1)
+	return min(x, longAnswer*s.answerLength.value(x))
 }
 
 // Learned reports whether enough runs have ended to refuse on their account,
--- /dev/null
+++ b/router/overload_test.go
@@ -0,0 +1,59 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/launcher"
+)
+
+// TestOverloadRefusesTruthfully
+// Symptom: a request that was refused with "not run" ran, or the whole flood
+// is answered late.
+// Sequence: a fleet that answers some three requests a second gets fifty at
+// once with two seconds each, through both routers.
+// Cause it guards against: refusals that don't look at what was dispatched,
+// and admission without a look at the time left.
+func TestOverloadRefusesTruthfully(t *testing.T) {
+	f := startFleet(t, launcher.Options{Net: 90, Zones: []string{"osu-hall"}})
+	f.StartEndpoint("engine", "llm-1", "llm", "osu-hall", 1, "--capacity", "2", "--pace", "10ms")
+	f.served(func(r, id string) call { return f.model(r, id, 4) })
+	for i := range 20 {
+		_, _ = f.model(osu[i%2], fmt.Sprint("learn-", i), 20).Do(context.Background())
+	}
+	var mu sync.Mutex
+	codes := map[string]int{}
+	var wg sync.WaitGroup
+	for i := range 50 {
+		wg.Go(func() {
+			c := f.model(osu[i%2], fmt.Sprint("flood-", i), 100)
+			c.Timeout = 2 * time.Second
+			_, err := c.Do(context.Background())
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				codes["answered"]++
+			case refused(err) == nil:
+				t.Errorf("flood-%d: %v", i, err)
+			default:
+				codes[refused(err).Code+" "+refused(err).Outcome]++
+				if refused(err).Code == "overloaded" && refused(err).RetryAfter <= 0 {
+					t.Errorf("flood-%d: overloaded without a time to come back", i)
+				}
+				if ran := f.runs("llm-1")[c.RequestID]; refused(err).Outcome == "not_run" && ran > 0 {
+					t.Errorf("flood-%d: %s says not run, ran %d times", i, refused(err).Code, ran)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	t.Log(codes)
+	f.g.Expect(codes["answered"]).To(gomega.BeNumerically(">=", 2))
+	f.g.Expect(codes["overloaded not_run"]).To(gomega.BeNumerically(">=", 25))
+}
