Learn prefix hits from the cached tokens that engines report

Cause: the ledger's share of hoped-for hits that came true was never taught by the router. Change: usage.prompt_tokens_details.cached_tokens is read where an engine sends it.

--- a/router/choose.go
+++ b/router/choose.go
@@ -80,11 +80,13 @@
 type sent struct {
 	run   picker.Run
 	begun bool
+	// Cached is the cached part of the prompt in tokens, -1 where unknown.
+	cached int64
 }
 
 // began notes the dispatch of a request to an endpoint.
 func (r *Router) began(q *request, e *rattanhoist.Endpoint) *sent {
-	return &sent{run: r.ledger.BeginAt(e, q.query(time.Now()))}
+	return &sent{cached: -1, run: r.ledger.BeginAt(e, q.query(time.Now()))}
 }
 
 // first notes the first token of the answer; later calls do nothing.
@@ -104,6 +106,6 @@
 	}
 	gone := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 	s.run.End(time.Now(), picker.Outcome{
-		AnswerTokens: answerTokens, CachedTokens: -1, Whole: err == nil, Fault: err != nil && !gone,
+		AnswerTokens: answerTokens, CachedTokens: s.cached, Whole: err == nil, Fault: err != nil && !gone,
 	}, rand.Float64())
 }
--- a/router/run.go
+++ b/router/run.go
@@ -59,6 +59,7 @@
 	a := newAssembler(q, run)
 	a.begun = d.first
 	err = readWatched(a, resp, q.deadline, cancel)
+	d.cached = a.usage.cachedTokens()
 	return r.finishModel(ctx, q, e, a, s, err)
 }
 
--- a/router/sink.go
+++ b/router/sink.go
@@ -30,6 +30,21 @@
 	PromptTokens     int64 `json:"prompt_tokens"`
 	CompletionTokens int64 `json:"completion_tokens"`
 	TotalTokens      int64 `json:"total_tokens"`
+	// PromptDetails is sent by engines that say what they had cached.
+	PromptDetails *promptDetails `json:"prompt_tokens_details,omitempty"`
+}
+
+type promptDetails struct {
+	CachedTokens int64 `json:"cached_tokens"`
+}
+
+// cachedTokens returns how much of the prompt was cached, or -1 where the
+// engine does not say.
+func (u *usage) cachedTokens() int64 {
+	if u == nil || u.PromptDetails == nil {
+		return -1
+	}
+	return u.PromptDetails.CachedTokens
 }
 
 type message struct {
