Look at an endpoint's age right before the first byte is written

Symptom: in a run on an overloaded machine (load 61, router stopped for 12 s) a flapping endpoint got a request 15 s after it had left, when the stopped router was continued. Cause: the age was read before the HTTP client was called; the router was stopped between that and the write. Change: the connection asks again at the first write of each request and writes nothing where the answer is no; the request then counts as not dispatched. Ruled out: a check in the body's reader (the client flushes the headers before it reads a body of unknown type). Callers of the process test give 5 s as deadline: those whose requests were in flight in the stopped router wait until then, since its incarnation is fenced.

--- a/launcher/leaving_test.go
+++ b/launcher/leaving_test.go
@@ -128,7 +128,7 @@
 		return code == 0
 	})
 	return imitator.Load{
-		Call:  imitator.Call{Key: made.Key, Workspace: "w", Model: "m", MaxTokens: 4, Prompt: "report", Timeout: 20 * time.Second},
+		Call:  imitator.Call{Key: made.Key, Workspace: "w", Model: "m", MaxTokens: 4, Prompt: "report", Timeout: 5 * time.Second},
 		Count: 100_000, Concurrent: 2, For: time.Minute, Seed: 1,
 	}
 }
--- a/router/choose.go
+++ b/router/choose.go
@@ -96,13 +96,14 @@
 }
 
 // end notes how the run ended. A caller that left or a deadline that passed
-// is no fault of the endpoint's.
+// is no fault of the endpoint's, nor is an announcement that grew too old.
 func (s *sent) end(a *joiner.Answer, err error) {
 	var answerTokens int64
 	if a != nil {
 		answerTokens = a.AnswerTokens
 	}
-	gone := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	gone := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) ||
+		errors.Is(err, rattanhoist.ErrNoEndpoint)
 	s.run.End(time.Now(), picker.Outcome{
 		AnswerTokens: answerTokens, CachedTokens: -1, Whole: err == nil, Fault: err != nil && !gone,
 	}, rand.Float64())
--- a/router/router.go
+++ b/router/router.go
@@ -160,7 +160,9 @@
 // on as they are.
 func newEngines() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: idlePerEndpoint, DisableCompression: true},
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: idlePerEndpoint, DisableCompression: true, DialContext: dialLooking(&net.Dialer{}),
+		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/router/run.go
+++ b/router/run.go
@@ -185,12 +185,11 @@
 		// gives it no cause to.
 		h.Close = true
 	}
-	// A router that was stopped between the choice and here must not send
-	// work on what it knew before.
-	if !r.tracker.Usable(e, time.Now()) {
+	look := &lastLook{usable: func() bool { return r.tracker.Usable(e, time.Now()) }}
+	resp, err := r.engines.Do(h.WithContext(look.arm(ctx)))
+	if err != nil && look.refused.Load() {
 		return nil, &runError{cause: rattanhoist.ErrNoEndpoint}
 	}
-	resp, err := r.engines.Do(h)
 	if err != nil {
 		return nil, &runError{cause: err, dispatched: !neverSent(err)}
 	}
