--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -16,6 +16,7 @@
 	"rattanhoist.example/rattanhoist/imitator"
 	"rattanhoist.example/rattanhoist/launcher"
 	"rattanhoist.example/rattanhoist/loader"
+	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/tracer"
 )
 
@@ -277,3 +278,36 @@
 	out, code = f.Command("budget", "topup", "w", "701", "--id", id)
 	f.g.Expect(code).To(gomega.Equal(ExitUsage), out)
 }
+
+// Symptom: a change is said to be in force, and a router goes on without it.
+// Sequence: a router is frozen while a change is applied with --wait; it goes
+// on later.
+// Cause: a router that did not answer was taken for dead at once.
+func TestWaitNamesAFrozenRouter(t *testing.T) {
+	f := newOperated(t, 116)
+	file := filepath.Join(f.Dir(), "change.json")
+	write(t, file, `{"edits": [{"put_statement": {"name": "all"}}]}`)
+	f.Freeze("tema-hall-2")
+	out, code := f.Command("config", "apply", file, "--wait", "--wait-timeout", "7s")
+	f.g.Expect(code).To(gomega.Equal(ExitFailed), out)
+	f.g.Expect(out).To(gomega.MatchRegexp(`accepted but not in force at:\n  tema-hall-2: does not answer; version \d+, reported \S+ ago`))
+	f.Thaw("tema-hall-2")
+	out, code = f.Command("config", "apply", file, "--wait")
+	f.g.Expect(code).To(gomega.Equal(ExitOK), out)
+	f.g.Expect(out).To(gomega.ContainSubstring("is in force at 6 routers"))
+}
+
+func TestSilentRoutersAreNotWaitedFor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var p progress
+	p.addReported([]string{"gone", "dead", "elsewhere", "late"}, map[string]*messenger.InForceEntry{
+		"dead":      {Node: "dead", Version: 3, AgeMs: 60_000},
+		"elsewhere": {Node: "elsewhere", Version: 4, AgeMs: 1000},
+		"late":      {Node: "late", Version: 3, AgeMs: 1000},
+	}, 4)
+	g.Expect(p).To(gomega.Equal(progress{
+		inForce: 1,
+		behind:  []string{"late: does not answer; version 3, reported 1s ago"},
+		silent:  []string{"gone: does not answer, and no keeper has heard of it", "dead: does not answer; version 3, silent for 1m0s"},
+	}))
+}
