--- a/measurer/capacity.go
+++ b/measurer/capacity.go
@@ -168,12 +168,25 @@
 
 // writeFigures shows the measured values that are no slopes.
 func writeFigures(b *strings.Builder, r *Report) {
-	b.WriteString("\n### Times measured\n\n| experiment | case | what | figure |\n|---|---|---|---|\n")
+	b.WriteString("\n### Times and refusals measured\n\n| experiment | case | what | figure |\n|---|---|---|---|\n")
 	for _, f := range r.Figures {
+		if !shown(f) {
+			continue
+		}
 		fmt.Fprintf(b, "| %s | %s | %s | %.4g %s |\n", f.Experiment, f.Case, f.Metric, f.Value, f.Unit)
 	}
 }
 
+// shown leaves out the placements besides the default and the figures of the
+// budgets' experiment that the page does not speak of.
+func shown(f Figure) bool {
+	if f.Experiment != "budgets" {
+		return true
+	}
+	other := strings.HasSuffix(f.Case, ", false_refusals") || strings.HasSuffix(f.Case, ", overspend")
+	return !other && (f.Metric == "overspent" || f.Metric == "false_refusals")
+}
+
 // writeSlopes shows the points and the fit of every slope in use, so that one
 // that is not straight is seen.
 func writeSlopes(b *strings.Builder, r *Report) {
