--- a/spec/budget.pml
+++ b/spec/budget.pml
@@ -388,7 +388,10 @@
 /* A bill crosses zones once two disks have it. */
 #define SETTLED(q) (m_bill[q])
 
-/* Both zones billed request q: zone 0's bill counts, zone 1's returns. */
+/*
+ * Both zones billed request q: zone 0's bill counts, zone 1's returns. In the
+ * code the bill counts that a third keeper was told of first, on two disks.
+ */
 inline settle(q) {
 	d_step {
 #ifdef REACH_SETTLE
