The load test waits until the workspace is in force everywhere

Ruled out: a fault of the router; the refusal says not_run, which is true. Change: the launcher waits for the version in force at all routers.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -322,6 +323,37 @@
 	}
 }
 
+// AwaitInForce waits until every router serves the latest configuration: a
+// router that lags refuses a workspace that was made a moment ago.
+func (f *Fleet) AwaitInForce() {
+	f.t.Helper()
+	var latest struct{ Version string }
+	if err := json.Unmarshal([]byte(f.MustCommand("config", "show", "-o", "json")), &latest); err != nil {
+		f.t.Fatal(err)
+	}
+	f.Eventually("version "+latest.Version+" in force", func() bool {
+		return f.serving(latest.Version) == len(f.settings.Processes(loader.KindRouter))
+	})
+}
+
+// serving counts the routers that serve a version.
+func (f *Fleet) serving(version string) int {
+	var r struct {
+		Nodes []struct{ Node, Version string }
+	}
+	out, code := f.Command("config", "in-force", "-o", "json")
+	if code != 0 || json.Unmarshal([]byte(out), &r) != nil {
+		return 0
+	}
+	n := 0
+	for _, x := range r.Nodes {
+		if x.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
 // Ready reports whether a router says that it serves.
 func (f *Fleet) Ready(router string) bool {
 	p, err := f.settings.Process(loader.KindRouter, router)
--- a/launcher/load_test.go
+++ b/launcher/load_test.go
@@ -38,6 +38,7 @@
 		f.Eventually(p.Name()+" is ready", func() bool { return f.Ready(p.Name()) })
 		l.Routers = append(l.Routers, p.HTTP())
 	}
+	f.AwaitInForce()
 	s, err := l.Run(context.Background())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(s.Answered).To(gomega.Equal(40), "%+v", s)
