--- a/router/run.go
+++ b/router/run.go
@@ -59,6 +59,7 @@
 	a := newAssembler(q, run)
 	a.begun = d.first
 	err = readWatched(a, resp, q.deadline, cancel)
+	d.cached = a.usage.cachedTokens()
 	return r.finishModel(ctx, q, e, a, s, err)
 }
 
@@ -185,12 +186,11 @@
 		// gives it no cause to.
 		h.Close = true
 	}
-	// A router that was stopped between the choice and here must not send
-	// work on what it knew before.
-	if !r.tracker.Usable(e, time.Now()) {
+	look := &lastLook{usable: func() bool { return r.tracker.Usable(e, time.Now()) }}
+	resp, err := r.engines.Do(h.WithContext(look.arm(ctx)))
+	if err != nil && look.refused.Load() {
 		return nil, &runError{cause: rattanhoist.ErrNoEndpoint}
 	}
-	resp, err := r.engines.Do(h)
 	if err != nil {
 		return nil, &runError{cause: err, dispatched: !neverSent(err)}
 	}
