Fuzz: a router keeps the bill, not a later run's count

Cause: after 2,228 checks a router ran one request twice, kept the cheaper count of the second run for resends, its keeper lost its disk, and the request told as 10 was billed as 1; 9 more were spent. Ruled out: the vault, which billed what it was given.

--- a/budgeter/router_test.go
+++ b/budgeter/router_test.go
@@ -174,7 +174,12 @@
 	}
 	p.slice.Settle(x.reserved, rattanhoist.Tokens(res.SpentTokens))
 	if !got.TwoDisks || witness {
-		r.unsafe[id] = x.charge
+		// What is kept is the bill, not this run's count: a second run of the
+		// request that cost less would otherwise replace it, and after a lost
+		// disk the request would be billed at less than its callers were told.
+		kept := proto.CloneOf(x.charge)
+		kept.Tokens = res.BilledTokens
+		r.unsafe[id] = kept
 	}
 	w.note("%s#%d completes %s for %d", r.name, r.incarnation, id, res.BilledTokens)
 	w.completed[r.zone+"/"+id] = append(w.completed[r.zone+"/"+id], res.BilledTokens)
