--- a/budgeter/vault.go
+++ b/budgeter/vault.go
@@ -213,7 +213,7 @@
 		v.storeSelf()
 	case Prove:
 		v.prove(e)
-		v.answer(e.Ticket)(v.self, nil)
+		v.answer(e.Ticket)(proto.CloneOf(v.self), nil)
 	}
 }
 
