Begin the new term before a request hears of the fence

Cause: TestFencedRouterCompletesNothingAndStartsAnew failed once in 2 runs: a request right after the refused charge reserved from the old slices, ran, and was refused in its turn. Nothing was overspent. Ruled out: settling outside of the lock (another charge of the request could take the bill's place). Change: renewal comes before the outcome is told.

--- a/treasurer/bill.go
+++ b/treasurer/bill.go
@@ -109,15 +109,24 @@
 
 func (t *Treasurer) sendOne(m *term, s Send) {
 	r := t.callCharge(m, s)
+	t.send(m, t.answered(m, s, r))
+}
+
+// answered settles what a batch's answer decides and returns what to send
+// next. After a fence the new term begins before any request hears of it: one
+// that comes right after must not reserve from the old slices.
+func (t *Treasurer) answered(m *term, s Send, r *messenger.ChargeReply) []Send {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	known, more := m.outbox.Answered(time.Now(), s, r)
-	fenced := false
 	for _, o := range known {
-		m.resolve(o)
-		if o.State == messenger.ChargeState_CHARGE_STATE_NOT_LEASED {
+		switch o.State {
+		case messenger.ChargeState_CHARGE_STATE_FENCED:
+			t.renew(m)
+		case messenger.ChargeState_CHARGE_STATE_NOT_LEASED:
 			t.options.Log.Error("keeper refuses a charge as not leased", zap.String("request", o.Key.String()))
 		}
-		fenced = fenced || o.State == messenger.ChargeState_CHARGE_STATE_FENCED
+		m.resolve(o)
 	}
 	for _, e := range s.entries {
 		if e.gone {
@@ -125,11 +134,7 @@
 		}
 	}
 	m.report()
-	m.mu.Unlock()
-	t.send(m, more)
-	if fenced {
-		t.renew(m)
-	}
+	return more
 }
 
 // resolve settles a bill; the caller holds mu. The own keeper's word after
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -115,7 +115,8 @@
 
 // renew goes on under a new incarnation once the keeper has fenced one. What
 // the old one held is the keeper's to return. The step doubles: after a clock
-// that was set back, the keeper knows incarnations far above the clock's.
+// that was set back, the keeper knows incarnations far above the clock's. The
+// caller may hold the old term's mu.
 func (t *Treasurer) renew(old *term) {
 	t.renewal.Lock()
 	defer t.renewal.Unlock()
