--- /dev/null
+++ b/replicator/pool_test.go
@@ -0,0 +1,327 @@
+package replicator_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/replicator"
+)
+
+// register is the oracle's machine: a change "id/base" counts if base is the
+// number of changes before it.
+type register struct{ history []string }
+
+func (r *register) Apply(data []byte) any {
+	id, base, _ := strings.Cut(string(data), "/")
+	if i := slices.Index(r.history, id); i >= 0 {
+		return i + 1
+	}
+	if base != fmt.Sprint(len(r.history)) {
+		return 0
+	}
+	r.history = append(r.history, id)
+	return len(r.history)
+}
+
+func (r *register) Snapshot() []byte { return []byte(strings.Join(r.history, "\n")) }
+
+func (r *register) Restore(b []byte) error {
+	r.history = nil
+	if len(b) > 0 {
+		r.history = strings.Split(string(b), "\n")
+	}
+	return nil
+}
+
+type node struct {
+	core    *replicator.Core
+	machine *register
+	disk    map[string]map[string][]byte
+	// Rand outlives a restart, as the system's randomness does.
+	rand *rand.Rand
+	// Now is the node's own clock: the clocks run apart without bound.
+	now time.Time
+}
+
+type ask struct {
+	id    string
+	floor uint64
+}
+
+type pool struct {
+	t rapid.TB
+	// Draw is nil where a test has a fixed sequence.
+	draw     *rapid.T
+	names    []string
+	nodes    map[string]*node
+	messages []*messenger.LogMessage
+	cut      map[string]bool
+	ticket   replicator.Ticket
+	asked    map[replicator.Ticket]ask
+	// Acked maps change ids to the versions that were acknowledged.
+	acked map[string]int
+	// Floor is the highest index that anybody was shown as committed.
+	floor   uint64
+	leaders map[string]replicator.Member
+	ids     int
+	voters  int
+	timing  replicator.Timing
+	// Retired is a name that the settings no longer have.
+	retired string
+	// Reads and wiped count what happened, against a test of nothing.
+	reads, wiped int
+}
+
+func newPool(t rapid.TB, n int) *pool { return newPoolOf(t, n, n, replicator.DefaultTiming()) }
+
+func newPoolOf(t rapid.TB, n, voters int, timing replicator.Timing) *pool {
+	p := &pool{
+		voters: voters, timing: timing,
+		t: t, nodes: map[string]*node{}, cut: map[string]bool{},
+		asked: map[replicator.Ticket]ask{}, acked: map[string]int{}, leaders: map[string]replicator.Member{},
+	}
+	for i := range n {
+		p.names = append(p.names, string(rune('a'+i)))
+	}
+	p.draw, _ = t.(*rapid.T)
+	for i, name := range p.names {
+		p.nodes[name] = &node{disk: map[string]map[string][]byte{}, rand: rand.New(rand.NewPCG(uint64(i), 7)), now: time.Unix(1000, 0)}
+		p.start(name)
+	}
+	return p
+}
+
+func (p *pool) start(name string) {
+	n := p.nodes[name]
+	n.machine = &register{}
+	n.core = replicator.NewCore(replicator.Options{
+		Name: name, Peers: slices.DeleteFunc(slices.Clone(p.names), func(s string) bool { return s == name || s == p.retired }),
+		Voters: p.voters, Timing: p.timing, Rand: n.rand, Machine: n.machine, CompactAfter: 8,
+	})
+	r := n.core.NewRestorer()
+	for _, b := range replicator.Buckets {
+		for k, v := range n.disk[b] {
+			r.Row(b, k, v)
+		}
+	}
+	actions, err := r.Start(n.now)
+	if err != nil {
+		// Only a torn write brings this about, and torn allows it only where
+		// losing the disk is allowed.
+		n.disk = map[string]map[string][]byte{}
+		p.start(name)
+		return
+	}
+	p.do(name, actions)
+}
+
+func (n *node) write(w replicator.Write) {
+	if n.disk[w.Bucket] == nil {
+		n.disk[w.Bucket] = map[string][]byte{}
+	}
+	if w.Value == nil {
+		delete(n.disk[w.Bucket], w.Key)
+		return
+	}
+	n.disk[w.Bucket][w.Key] = w.Value
+}
+
+func (p *pool) do(name string, actions []replicator.Action) {
+	n := p.nodes[name]
+	for _, a := range actions {
+		switch a := a.(type) {
+		case replicator.Write:
+			n.write(a)
+		case replicator.Send:
+			p.messages = append(p.messages, a.Message)
+		case replicator.Answered:
+			if v := a.Result.(int); v > 0 {
+				p.acked[p.asked[a.Ticket].id] = v
+				p.floor = max(p.floor, n.core.Commit())
+			}
+		case replicator.Confirmed:
+			p.reads++
+			if a.Index < p.asked[a.Ticket].floor {
+				p.t.Fatalf("confirmed read at %d misses commit %d", a.Index, p.asked[a.Ticket].floor)
+			}
+		case replicator.Halt:
+			p.t.Fatalf("%s halted: %v", name, a.Err)
+		}
+	}
+	p.checkNode(name)
+}
+
+func (p *pool) checkNode(name string) {
+	n := p.nodes[name]
+	if n.core.Role() == replicator.Leader {
+		key := fmt.Sprint(n.core.Deployment(), n.core.Term())
+		if l, ok := p.leaders[key]; ok && l != n.core.Self() {
+			p.t.Fatalf("two leaders in term %s: %v and %v", key, l, n.core.Self())
+		}
+		p.leaders[key] = n.core.Self()
+		p.checkVoters(n.core)
+	}
+	for _, o := range p.nodes {
+		if o.machine == nil {
+			continue
+		}
+		m := min(len(o.machine.history), len(n.machine.history))
+		if !slices.Equal(o.machine.history[:m], n.machine.history[:m]) {
+			p.t.Fatalf("histories differ: %v and %v", o.machine.history, n.machine.history)
+		}
+	}
+}
+
+// checkVoters finds two changes of membership under way at once: their
+// majorities need not overlap.
+func (p *pool) checkVoters(c *replicator.Core) {
+	now, before := c.Voters(), c.CommittedVoters()
+	differ := len(now) + len(before)
+	for _, v := range now {
+		if slices.Contains(before, v) {
+			differ -= 2
+		}
+	}
+	if differ > 1 && c.Commit() > 0 {
+		p.t.Fatalf("voters change from %v to %v in one step", before, now)
+	}
+}
+
+func (p *pool) step(name string, e replicator.Event) {
+	p.do(name, p.nodes[name].core.Step(p.nodes[name].now, e))
+}
+
+func (p *pool) tick(d time.Duration) {
+	for _, n := range p.names {
+		p.tickOne(n, d)
+	}
+}
+
+func (p *pool) tickOne(name string, d time.Duration) {
+	p.nodes[name].now = p.nodes[name].now.Add(d)
+	p.step(name, replicator.Tick{})
+}
+
+func (p *pool) name() string { return rapid.SampledFrom(p.names).Draw(p.draw, "node") }
+
+// propose offers a change, new or sent again, based on what the node knows.
+func (p *pool) propose(name string) {
+	p.offer(name, rapid.IntRange(0, p.ids).Draw(p.draw, "again"))
+}
+
+// offer proposes change number again, or a new one where that is 0.
+func (p *pool) offer(name string, again int) {
+	if again == 0 || again%2 == 0 {
+		p.ids++
+		again = p.ids
+	}
+	id := fmt.Sprint("c", again)
+	p.ticket++
+	p.asked[p.ticket] = ask{id: id}
+	p.step(name, replicator.Propose{Ticket: p.ticket, Data: fmt.Appendf(nil, "%s/%d", id, len(p.nodes[name].machine.history))})
+}
+
+func (p *pool) read(name string) {
+	p.ticket++
+	p.asked[p.ticket] = ask{floor: p.floor}
+	p.step(name, replicator.Read{Ticket: p.ticket})
+}
+
+// deliver takes one message, which may be lost or stay for a second delivery.
+func (p *pool) deliver(i int, keep bool) {
+	m := p.messages[i]
+	if !keep {
+		p.messages = slices.Delete(p.messages, i, i+1)
+	}
+	p.pass(m)
+}
+
+func (p *pool) pass(m *messenger.LogMessage) {
+	if !p.cut[m.From.Name+m.To.Name] {
+		p.step(m.To.Name, replicator.Receive{Message: m})
+	}
+}
+
+// mayLose reports whether the disk of a keeper may be lost: a majority of
+// every membership that anybody goes by must keep its disks.
+func (p *pool) mayLose(name string) bool {
+	for _, n := range p.nodes {
+		v := n.core.Voters()
+		if n.core.Deployment() == "" || n.core.Commit() == 0 {
+			return false
+		}
+		gone := 0
+		for _, m := range v {
+			if m.Name == name || p.nodes[m.Name].core.Self() != m {
+				gone++
+			}
+		}
+		if gone > (len(v)-1)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+// settle heals everything and runs until one leader has everybody's copy.
+func (p *pool) settle() {
+	p.cut = map[string]bool{}
+	last := fmt.Sprint("last", p.ids)
+	for range 2000 {
+		p.flow()
+		for range 2 * len(p.messages) {
+			if len(p.messages) > 0 {
+				p.deliver(0, false)
+			}
+		}
+		if p.settled(last) {
+			return
+		}
+		for _, n := range p.names {
+			if c := p.nodes[n].core; c.Ready() && p.acked[last] == 0 {
+				p.ticket++
+				p.asked[p.ticket] = ask{id: last}
+				p.step(n, replicator.Propose{Ticket: p.ticket, Data: fmt.Appendf(nil, "%s/%d", last, len(p.nodes[n].machine.history))})
+			}
+		}
+	}
+	for _, n := range p.names {
+		c := p.nodes[n].core
+		p.t.Logf("%s: role %d term %d leader %v commit %d voters %v", n, c.Role(), c.Term(), c.Leader(), c.Commit(), c.Voters())
+	}
+	p.t.Fatalf("did not settle")
+}
+
+func (p *pool) settled(last string) bool {
+	for _, name := range p.names {
+		n := p.nodes[name]
+		if !slices.Contains(n.machine.history, last) || !n.core.Voter() {
+			return false
+		}
+	}
+	return true
+}
+
+// checkAcked looks for every acknowledged change once, at its version.
+func (p *pool) checkAcked() {
+	for name, n := range p.nodes {
+		for id, v := range p.acked {
+			if len(n.machine.history) < v || n.machine.history[v-1] != id {
+				p.t.Fatalf("%s: change %s was acknowledged as version %d; history %v", name, id, v, n.machine.history)
+			}
+		}
+		seen := map[string]bool{}
+		for _, id := range n.machine.history {
+			if seen[id] {
+				p.t.Fatalf("%s: change %s is there twice", name, id)
+			}
+			seen[id] = true
+		}
+	}
+}
