--- a/launcher/load_test.go
+++ b/launcher/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,6 +38,11 @@
 	for _, p := range f.Settings().Processes(loader.KindRouter) {
 		f.Eventually(p.Name()+" is ready", func() bool { return f.Ready(p.Name()) })
 		l.Routers = append(l.Routers, p.HTTP())
+		for _, service := range []string{"", "desk"} {
+			c := l.Call
+			c.Router, c.Service, c.Path, c.RequestID = p.HTTP(), service, "/first", "first-"+service+p.Name()
+			f.Eventually(p.Name()+" answers", func() bool { _, err := c.Do(context.Background()); return err == nil })
+		}
 	}
 	s, err := l.Run(context.Background())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -47,7 +53,7 @@
 	g.Expect(s.Answered).To(gomega.Equal(40), "%+v", s)
 	begun := map[string]int{}
 	for _, r := range append(f.Runs("llm-1"), f.Runs("desk-1")...) {
-		if r.Event == "begin" {
+		if r.Event == "begin" && !strings.HasPrefix(r.RequestID, "w/first-") {
 			begun[r.RequestID]++
 		}
 	}
