--- a/measurer/capacity_lines.go
+++ b/measurer/capacity_lines.go
@@ -62,7 +62,7 @@
 )
 
 func capacityLines() []line {
-	return slices.Concat(routerLines(), answerLines(), vaultLines(), logLines(), relayLines(), faultLines())
+	return slices.Concat(routerLines(), pickerLines(), answerLines(), vaultLines(), logLines(), relayLines(), faultLines())
 }
 
 func routerLines() []line {
