One registry for plug-ins

Change: registrar.Registry, used by the three. Measured: tests of picker, admitter, placer, loader and router pass.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -4,8 +4,9 @@
 package admitter
 
 import (
-	"slices"
 	"time"
+
+	"rattanhoist.example/rattanhoist/registrar"
 )
 
 // Request is what admission knows of a request. Times count from any fixed
@@ -50,29 +51,17 @@
 // Default is the shedder for names that are not registered.
 const Default = "deadline"
 
-var registry = map[string]func() Shedder{}
+var registry = registrar.New[func() Shedder](Default)
 
 // Register adds a plug-in under a name and returns the name, so that it can
 // be called from a package-level value.
-func Register(name string, f func() Shedder) string {
-	registry[name] = f
-	return name
-}
+func Register(name string, f func() Shedder) string { return registry.Register(name, f) }
 
 // New returns a new shedder by name, or the default one and false.
 func New(name string) (Shedder, bool) {
-	if f := registry[name]; f != nil {
-		return f(), true
-	}
-	return registry[Default](), false
+	f, ok := registry.Lookup(name)
+	return f(), ok
 }
 
 // Names lists the registered plug-ins in order.
-func Names() []string {
-	var names []string
-	for n := range registry {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	return names
-}
+func Names() []string { return registry.Names() }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"time"
+
+	"rattanhoist.example/rattanhoist/registrar"
 )
 
 // Query is what a picker knows of the request.
@@ -37,29 +39,17 @@
 // Default is the picker for names that are not registered.
 const Default = "deadline"
 
-var registry = map[string]func() Picker{}
+var registry = registrar.New[func() Picker](Default)
 
 // Register adds a plug-in under a name and returns the name, so that it can
 // be called from a package-level value.
-func Register(name string, f func() Picker) string {
-	registry[name] = f
-	return name
-}
+func Register(name string, f func() Picker) string { return registry.Register(name, f) }
 
 // New returns a new picker by name, or the default one and false.
 func New(name string) (Picker, bool) {
-	if f := registry[name]; f != nil {
-		return f(), true
-	}
-	return registry[Default](), false
+	f, ok := registry.Lookup(name)
+	return f(), ok
 }
 
 // Names lists the registered plug-ins in order.
-func Names() []string {
-	var names []string
-	for n := range registry {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	return names
-}
+func Names() []string { return registry.Names() }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -4,10 +4,10 @@
 package placer
 
 import (
-	"slices"
 	"time"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/registrar"
 )
 
 // View is what one zone knows of one workspace's rights.
@@ -44,29 +44,14 @@
 // would be out of everyone's reach until the heal.
 const MaxAge = 3 * time.Second
 
-var registry = map[string]Placer{}
+var registry = registrar.New[Placer](Default)
 
 // Register adds a plug-in under a name and returns the name, so that it can
 // be called from a package-level value.
-func Register(name string, p Placer) string {
-	registry[name] = p
-	return name
-}
+func Register(name string, p Placer) string { return registry.Register(name, p) }
 
 // New returns a placer by name, or the default one and false.
-func New(name string) (Placer, bool) {
-	if p := registry[name]; p != nil {
-		return p, true
-	}
-	return registry[Default], false
-}
+func New(name string) (Placer, bool) { return registry.Lookup(name) }
 
 // Names lists the registered plug-ins in order.
-func Names() []string {
-	var names []string
-	for n := range registry {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	return names
-}
+func Names() []string { return registry.Names() }
