Do not read what a cancelled read of the vault may still write

Symptom: the race detector's report in a keeper of TestCutZoneClaimsOnlyByItsTicket run with binaries built with -race (a trial). Cause: ownShares went through its result after its context had ended, while the vault's loop still filled it. Change: an error returns at once.

--- a/keeper/placement.go
+++ b/keeper/placement.go
@@ -101,10 +101,14 @@
 			out = append(out, &messenger.Share{Workspace: name, UnspentTokens: v.Unspent(name)})
 		}
 	})
+	if err != nil {
+		// The loop may still be at it: out is not ours to read.
+		return nil, err
+	}
 	for _, x := range out {
 		x.DemandTokensPerSecond = int64(math.Ceil(s.shares.ownDemand(x.Workspace)))
 	}
-	return out, err
+	return out, nil
 }
 
 func (l *placement) plan(ctx context.Context, workspace string) {
