--- a/budgeter/vault.go
+++ b/budgeter/vault.go
@@ -74,8 +74,8 @@
 	b.unspent += n
 }
 
-// held is what neither can be given now nor is spent.
-func (b *book) held() rattanhoist.Tokens { return b.leased + max(b.frozen, 0) + b.withheld }
+// held is what can't be given now and may come back; withheld rights do not.
+func (b *book) held() rattanhoist.Tokens { return b.leased + max(b.frozen, 0) }
 
 func (b *book) row(zone string) *messenger.Book {
 	return &messenger.Book{
@@ -213,7 +213,7 @@
 		v.storeSelf()
 	case Prove:
 		v.prove(e)
-		v.answer(e.Ticket)(v.self, nil)
+		v.answer(e.Ticket)(proto.CloneOf(v.self), nil)
 	}
 }
 
