--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -143,6 +143,12 @@
 // bills counts the charges of each request in each zone. A charge that was
 // reversed, because another zone's counts, stays in the history and is none.
 func (f *fleet) bills() map[string]map[string]int {
+	f.t.Helper()
+	return f.billsOf(f.MustCommand("budget", "history", workspace, "-o", "json"))
+}
+
+// billsOf reads a history.
+func (f *fleet) billsOf(history string) map[string]map[string]int {
 	f.t.Helper()
 	var out struct {
 		Charges []struct {
@@ -151,7 +157,7 @@
 			Reversed  string `json:"reversed_for_zone"`
 		} `json:"charges"`
 	}
-	f.g.Expect(json.Unmarshal([]byte(f.MustCommand("budget", "history", workspace, "-o", "json")), &out)).To(gomega.Succeed())
+	f.g.Expect(json.Unmarshal([]byte(history), &out)).To(gomega.Succeed())
 	n := map[string]map[string]int{}
 	for _, c := range out.Charges {
 		if c.Reversed != "" {
