Cut off callers that send or read too slowly

Cause: only headers had a bound. A caller that never sent the rest of its body, or never read its answer, held a handler, and a draining router with it. Ruled out: the server's read timeout; it goes on after the body and would break off long answers. Change: 30 s for a body (408 body_too_slow), 5 s past the request's deadline for the answer. Measured: TestSlowBodyIsCutOff and TestCallerThatDoesNotReadIsCutOff fail without the bounds (10 s each), pass with them, 3 of 3 under the race detector; TestBodyBoundEndsWithTheBody passes with and without.

--- a/router/handler.go
+++ b/router/handler.go
@@ -19,11 +19,11 @@
 // handler returns the HTTP surface for callers and endpoints.
 func (r *Router) handler() http.Handler {
 	m := http.NewServeMux()
-	callers := alice.New(tracer.Middleware, r.recoverPanic, r.admitReady)
+	callers := alice.New(tracer.Middleware, r.recoverPanic, r.admitReady, boundBody(bodyTimeout))
 	m.Handle("POST /v1/chat/completions", callers.ThenFunc(r.chat))
 	m.Handle("POST /v1/tickets", callers.ThenFunc(r.issueTicket))
 	m.Handle("/v1/services/{service}/{path...}", callers.ThenFunc(r.plain))
-	m.Handle("POST /v1/endpoints", alice.New(r.recoverPanic, r.endpointKey).ThenFunc(r.announce))
+	m.Handle("POST /v1/endpoints", alice.New(r.recoverPanic, r.endpointKey, boundBody(bodyTimeout)).ThenFunc(r.announce))
 	m.HandleFunc("GET /healthz", r.health)
 	m.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("alive\n")) })
 	return m
@@ -139,6 +139,7 @@
 		problemOf(err).write(w)
 		return
 	}
+	boundWrite(w, q.deadline)
 	w.Header().Set(headerRequestID, q.key.RequestID())
 	var s sink = &wholeSink{w: w, request: q}
 	if q.streamed {
@@ -157,6 +158,7 @@
 		problemOf(err).write(w)
 		return
 	}
+	boundWrite(w, q.deadline)
 	w.Header().Set(headerRequestID, q.key.RequestID())
 	r.answer(h.Context(), q, &plainSink{w: w})
 }
--- a/router/problem.go
+++ b/router/problem.go
@@ -30,6 +30,7 @@
 const (
 	CodeBadRequest       = "bad_request"
 	CodeTooLarge         = "body_too_large"
+	CodeTooSlow          = "body_too_slow"
 	CodeUnknownKey       = "unknown_key"
 	CodeUnknownModel     = "unknown_model"
 	CodeUnknownService   = "unknown_service"
--- a/router/request.go
+++ b/router/request.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -224,12 +225,25 @@
 	if errors.As(err, &tooLarge) {
 		return nil, &Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Field: "body", Outcome: NotRun, Detail: "the body is larger than " + strconv.FormatInt(p.maxBody, 10) + " bytes"}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, tooSlow(r)
+	}
 	if err != nil {
 		return nil, badField("body", "could not be read: "+err.Error())
 	}
 	return body, nil
 }
 
+// tooSlow refuses a body that did not come in time. Under an id that was sent
+// before, an earlier sending may have run.
+func tooSlow(r *http.Request) *Problem {
+	p := &Problem{Status: http.StatusRequestTimeout, Code: CodeTooSlow, Field: "body", Outcome: NotRun, Detail: "the body did not come within " + bodyTimeout.String()}
+	if r.Header.Get(headerIdempotencyKey) != "" {
+		p.Outcome = Unknown
+	}
+	return p
+}
+
 // finish reads the headers that need the service.
 func (p parser) finish(r *http.Request, q *request) error {
 	timeout := p.defaultTimeout
--- a/router/router.go
+++ b/router/router.go
@@ -146,6 +146,7 @@
 	r.server = &http.Server{
 		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+		WriteTimeout: s.Policy().MaxTimeout() + idleTimeout,
 	}
 	return r, func() {
 		closeHomes()
