recorder: the tests are a ginkgo suite

TestExplainKeepsOrderAndWorkspace -> "explains in order and by workspace"; TestMemoryIsBounded -> "bounds its memory". The same assertions. The benchmark stays, as it needs testing.B. Counts: before 2 tests, after 2 specs.

--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -8,14 +8,21 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/recorder"
 )
 
-func TestExplainKeepsOrderAndWorkspace(t *testing.T) {
-	g := gomega.NewWithT(t)
+func TestRecorder(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	c, _ := ginkgo.GinkgoConfiguration()
+	c.RandomSeed, c.FailOnPending, c.FailOnEmpty = 1, true, true
+	ginkgo.RunSpecs(t, "recorder", c)
+}
+
+var _ = ginkgo.It("explains in order and by workspace", func() {
 	r := recorder.New(64)
 	at := time.Unix(1, 0)
 	a, b := rattanhoist.NewRequestKey("a", "1"), rattanhoist.NewRequestKey("b", "1")
@@ -26,16 +33,15 @@
 	for _, e := range r.Explain("", "1") {
 		kinds = append(kinds, e.Decision.Kind)
 	}
-	g.Expect(kinds).To(gomega.Equal([]recorder.Kind{recorder.Admitted, recorder.Refused, recorder.Billed}))
-	g.Expect(r.Explain("b", "1")).To(gomega.HaveLen(1))
-	g.Expect(r.Explain("", "2")).To(gomega.BeEmpty())
-}
+	gomega.Expect(kinds).To(gomega.Equal([]recorder.Kind{recorder.Admitted, recorder.Refused, recorder.Billed}))
+	gomega.Expect(r.Explain("b", "1")).To(gomega.HaveLen(1))
+	gomega.Expect(r.Explain("", "2")).To(gomega.BeEmpty())
+})
 
 // Symptom: a router's memory grows with the requests that it has served.
 // Sequence: many requests, and one id retried without end.
 // Cause: decisions were kept without a bound.
-func TestMemoryIsBounded(t *testing.T) {
-	g := gomega.NewWithT(t)
+var _ = ginkgo.It("bounds its memory", func() {
 	const requests, sent = 64, 10_000
 	r := recorder.New(requests)
 	var wg sync.WaitGroup
@@ -52,17 +58,17 @@
 	for i := range sent {
 		kept += len(r.Explain("w", fmt.Sprint(i)))
 	}
-	g.Expect(kept).To(gomega.BeNumerically("<=", requests))
-	g.Expect(kept).To(gomega.BeNumerically(">", requests/2))
+	gomega.Expect(kept).To(gomega.BeNumerically("<=", requests))
+	gomega.Expect(kept).To(gomega.BeNumerically(">", requests/2))
 	last := rattanhoist.NewRequestKey("w", "last")
 	for i := range 100 {
 		r.Record(last, recorder.Decision{At: time.Unix(int64(i), 0), Tokens: rattanhoist.Tokens(i)})
 	}
 	trail := r.Explain("", "last")
-	g.Expect(len(trail)).To(gomega.BeNumerically("<=", 32))
-	g.Expect(trail[0].Decision.Tokens).To(gomega.BeEquivalentTo(0))
-	g.Expect(trail[len(trail)-1].Decision.Tokens).To(gomega.BeEquivalentTo(99))
-}
+	gomega.Expect(len(trail)).To(gomega.BeNumerically("<=", 32))
+	gomega.Expect(trail[0].Decision.Tokens).To(gomega.BeEquivalentTo(0))
+	gomega.Expect(trail[len(trail)-1].Decision.Tokens).To(gomega.BeEquivalentTo(99))
+})
 
 func BenchmarkRecord(b *testing.B) {
 	r := recorder.New(4096)
