reporter: the test is a ginkgo spec

TestHistogramMergesItsStripes -> "merges the stripes of a histogram", the same 4 assertions. Counts: before 1 test, after 1 spec.

--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -5,13 +5,20 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"rattanhoist.example/rattanhoist/reporter"
 )
 
-func TestHistogramMergesItsStripes(t *testing.T) {
-	g := gomega.NewWithT(t)
+func TestReporter(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	c, _ := ginkgo.GinkgoConfiguration()
+	c.RandomSeed, c.FailOnPending, c.FailOnEmpty = 1, true, true
+	ginkgo.RunSpecs(t, "reporter", c)
+}
+
+var _ = ginkgo.It("merges the stripes of a histogram", func() {
 	h := reporter.NewHistogram()
 	var wg sync.WaitGroup
 	for w := range 4 {
@@ -24,8 +31,8 @@
 	wg.Wait()
 	h.Observe(100 * time.Hour)
 	s := h.Summary()
-	g.Expect(s.Count).To(gomega.BeEquivalentTo(1001))
-	g.Expect(s.P50).To(gomega.BeNumerically("~", 500_000, 10_000))
-	g.Expect(s.P99).To(gomega.BeNumerically("~", 990_000, 20_000))
-	g.Expect(s.Max).To(gomega.BeNumerically("~", time.Hour.Microseconds(), 1e8))
-}
+	gomega.Expect(s.Count).To(gomega.BeEquivalentTo(1001))
+	gomega.Expect(s.P50).To(gomega.BeNumerically("~", 500_000, 10_000))
+	gomega.Expect(s.P99).To(gomega.BeNumerically("~", 990_000, 20_000))
+	gomega.Expect(s.Max).To(gomega.BeNumerically("~", time.Hour.Microseconds(), 1e8))
+})
