placer: the tests but the fuzzed one are a ginkgo suite

TestSteadyDemandSettles -> "settles under steady demand"; TestTargets -> "gives each zone its target"; TestCutZoneGetsNothing -> "gives nothing to a zone that is cut off"; TestMeterAveragesOverBursts -> "averages demand over bursts". The same assertions. TestPlansNeverExceedWhatTheZoneHolds stays a testing function: rapid's checks take a *testing.T. Counts: before 5 tests, after 4 specs and 1 test.

--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
@@ -11,6 +12,13 @@
 	"rattanhoist.example/rattanhoist/placer"
 )
 
+func TestPlacer(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	c, _ := ginkgo.GinkgoConfiguration()
+	c.RandomSeed, c.FailOnPending, c.FailOnEmpty = 1, true, true
+	ginkgo.RunSpecs(t, "placer", c)
+}
+
 var zones = []string{"osu-hall", "tema-hall", "legon-hall"}
 
 // round lets every zone plan once on the same shares and returns what moved.
@@ -45,44 +53,41 @@
 // Symptom: rights travel between zones for ever and are missing on the way.
 // Sequence: demand is steady but for noise, every zone plans again and again.
 // Cause: two givers fill one deficit, or a plan that has no dead band.
-func TestSteadyDemandSettles(t *testing.T) {
+var _ = ginkgo.It("settles under steady demand", func() {
 	for _, name := range placer.Names() {
-		g := gomega.NewWithT(t)
 		p, _ := placer.New(name)
 		shares := map[string]rattanhoist.Tokens{"osu-hall": 90000, "tema-hall": 9000, "legon-hall": 0}
 		demand := map[string]float64{"osu-hall": 10, "tema-hall": 60, "legon-hall": 30}
-		g.Expect(round(p, shares, demand, "")).To(gomega.BeNumerically(">", 0), name)
+		gomega.Expect(round(p, shares, demand, "")).To(gomega.BeNumerically(">", 0), name)
 		for i := range 20 {
 			demand["osu-hall"] = 10 + float64(i%2)
-			g.Expect(round(p, shares, demand, "")).To(gomega.BeZero(), name)
+			gomega.Expect(round(p, shares, demand, "")).To(gomega.BeZero(), name)
 		}
 	}
-}
+})
 
-func TestTargets(t *testing.T) {
-	g := gomega.NewWithT(t)
+var _ = ginkgo.It("gives each zone its target", func() {
 	p, known := placer.New("demand")
-	g.Expect(known).To(gomega.BeTrue())
+	gomega.Expect(known).To(gomega.BeTrue())
 	shares := map[string]rattanhoist.Tokens{"osu-hall": 100000, "tema-hall": 0, "legon-hall": 0}
 	round(p, shares, map[string]float64{"osu-hall": 10, "tema-hall": 70, "legon-hall": 20}, "")
-	g.Expect(shares).To(gomega.Equal(map[string]rattanhoist.Tokens{"osu-hall": 20500, "tema-hall": 53500, "legon-hall": 26000}))
+	gomega.Expect(shares).To(gomega.Equal(map[string]rattanhoist.Tokens{"osu-hall": 20500, "tema-hall": 53500, "legon-hall": 26000}))
 	other, known := placer.New("none")
-	g.Expect(known).To(gomega.BeFalse())
-	g.Expect(other).To(gomega.Equal(p))
-}
+	gomega.Expect(known).To(gomega.BeFalse())
+	gomega.Expect(other).To(gomega.Equal(p))
+})
 
 // Symptom: rights are in transfer for the whole of a cut; nobody spends them.
 // Sequence: a zone is cut off, its share looks small, the others give to it.
 // Cause: a plan that trusts an old share.
-func TestCutZoneGetsNothing(t *testing.T) {
-	g := gomega.NewWithT(t)
+var _ = ginkgo.It("gives nothing to a zone that is cut off", func() {
 	for _, name := range placer.Names() {
 		p, _ := placer.New(name)
 		shares := map[string]rattanhoist.Tokens{"osu-hall": 90000, "tema-hall": 0, "legon-hall": 0}
 		round(p, shares, map[string]float64{"legon-hall": 100}, "legon-hall")
-		g.Expect(shares["legon-hall"]).To(gomega.BeZero(), name)
+		gomega.Expect(shares["legon-hall"]).To(gomega.BeZero(), name)
 	}
-}
+})
 
 func TestPlansNeverExceedWhatTheZoneHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -111,11 +116,10 @@
 // hour's traffic needs them.
 // Sequence: traffic comes in bursts; the zone is cut off between two of them.
 // Cause: placement by momentary demand.
-func TestMeterAveragesOverBursts(t *testing.T) {
-	g := gomega.NewWithT(t)
+var _ = ginkgo.It("averages demand over bursts", func() {
 	var m placer.Meter
 	now := time.Unix(0, 0)
-	g.Expect(m.Rate()).To(gomega.BeZero())
+	gomega.Expect(m.Rate()).To(gomega.BeZero())
 	for i := range 3600 {
 		rate := 0.0
 		if i%60 < 6 {
@@ -123,7 +127,7 @@
 		}
 		m.Add(now.Add(time.Duration(i)*time.Second), rate)
 		if i > 120 {
-			g.Expect(m.Rate()).To(gomega.BeNumerically("~", 10, 4))
+			gomega.Expect(m.Rate()).To(gomega.BeNumerically("~", 10, 4))
 		}
 	}
-}
+})
