--- a/commander/budget_history.go
+++ b/commander/budget_history.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -26,7 +25,9 @@
 })
 
 func (a *app) budgetHistory(ctx context.Context, r *messenger.ChargesRequest) error {
-	out, err := a.charges(ctx, r)
+	out, err := askKeeper(ctx, a, func(ctx context.Context, k *client) (*messenger.ChargesReply, error) {
+		return k.budget().Charges(ctx, r)
+	})
 	if err != nil {
 		return err
 	}
@@ -43,21 +44,3 @@
 	}
 	return a.print(out, "TIME REQUEST TOKENS SERVICE ENDPOINT ZONE", rows)
 }
-
-func (a *app) charges(ctx context.Context, r *messenger.ChargesRequest) (*messenger.ChargesReply, error) {
-	var out *messenger.ChargesReply
-	err := a.withKeeper(ctx, func(ctx context.Context, k *client) error {
-		var err error
-		out, err = k.budget().Charges(ctx, r)
-		return err
-	})
-	return out, err
-}
-
-// showTime writes milliseconds since the Unix epoch.
-func showTime(ms int64) string {
-	if ms == 0 {
-		return "-"
-	}
-	return time.UnixMilli(ms).UTC().Format("2006-01-02T15:04:05.000Z")
-}
--- a/commander/budget_show.go
+++ b/commander/budget_show.go
@@ -64,11 +64,8 @@
 // they don't.
 func (a *app) readAccount(ctx context.Context, workspace string) (*account, error) {
 	for try := 1; ; try++ {
-		var r *messenger.BookReply
-		err := a.withKeeper(ctx, func(ctx context.Context, k *client) error {
-			var err error
-			r, err = k.budget().Books(ctx, &messenger.BookRequest{Workspace: workspace})
-			return err
+		r, err := askKeeper(ctx, a, func(ctx context.Context, k *client) (*messenger.BookReply, error) {
+			return k.budget().Books(ctx, &messenger.BookRequest{Workspace: workspace})
 		})
 		if err != nil {
 			return nil, err
--- a/commander/change.go
+++ b/commander/change.go
@@ -37,6 +37,7 @@
 	cmd.Flags().StringVar(&c.id, "change-id", "", "id of a command that is repeated after a lost answer: it counts once")
 }
 
+// prepare checks the change's id, or gives it one.
 func (c *change) prepare() error {
 	c.sent = c.id != ""
 	if len(c.id) > maxChangeID {
@@ -57,17 +58,9 @@
 	return a.proposePrepared(ctx, c)
 }
 
+// proposePrepared is propose for a change whose id is settled already.
 func (a *app) proposePrepared(ctx context.Context, c *change) (*messenger.ProposeReply, error) {
-	var out *messenger.ProposeReply
-	err := a.withKeeper(ctx, func(ctx context.Context, k *client) error {
-		var err error
-		out, err = k.propose(ctx, c)
-		return err
-	})
-	if err != nil {
-		return nil, err
-	}
-	return out, nil
+	return askKeeper(ctx, a, func(ctx context.Context, k *client) (*messenger.ProposeReply, error) { return k.propose(ctx, c) })
 }
 
 func (k *client) propose(ctx context.Context, c *change) (*messenger.ProposeReply, error) {
--- a/commander/client.go
+++ b/commander/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -24,15 +23,15 @@
 	defaultTimeout = 12 * time.Second
 	keeperTimeout  = 3 * time.Second
 	roundPause     = 200 * time.Millisecond
-	processTimeout = 2 * time.Second
-	operatorNode   = "operator"
 )
 
+// operatorNode is the node that commands prove to be.
+const operatorNode = "operator"
+
 // client is an operator's connection to one process.
 type client struct {
-	settings *loader.Settings
-	process  loader.Process
-	conn     *grpc.ClientConn
+	process loader.Process
+	conn    *grpc.ClientConn
 }
 
 func (c *client) config() messenger.ConfigurationKeeperClient {
@@ -60,7 +59,7 @@
 			return nil, nil, merry.Errorf("%w: %s %s at %s%s", ErrUnreachable, p.Kind(), p.Name(), p.RPC(), whyNot(ctx, conn))
 		}
 	}
-	return &client{settings: s, process: p, conn: conn}, func() { _ = conn.Close() }, nil
+	return &client{process: p, conn: conn}, func() { _ = conn.Close() }, nil
 }
 
 // errNotAnswered says that a keeper is up and could not answer.
@@ -107,6 +106,18 @@
 	}
 }
 
+// askKeeper returns the answer of the first keeper that gives one; what
+// withKeeper says of f holds.
+func askKeeper[R any](ctx context.Context, a *app, f func(context.Context, *client) (R, error)) (R, error) {
+	var out R
+	err := a.withKeeper(ctx, func(ctx context.Context, k *client) error {
+		var err error
+		out, err = f(ctx, k)
+		return err
+	})
+	return out, err
+}
+
 // oneRound asks each keeper once, until one gives a final answer.
 func oneRound(ctx context.Context, s *loader.Settings, f clientFunc) error {
 	var failed []string
@@ -177,49 +188,3 @@
 		return merry.New(s.Message())
 	}
 }
-
-// answers are what the processes of a kind said.
-type answers[R any] struct {
-	got []R
-	// Unreachable names the processes that did not answer; reasons says why.
-	unreachable, reasons []string
-}
-
-// askAll asks every process of a kind at once; "" asks all.
-func askAll[R any](ctx context.Context, s *loader.Settings, kind string, f func(context.Context, *client) (R, error)) answers[R] {
-	processes := s.Processes(kind)
-	got := make([]R, len(processes))
-	errs := make([]error, len(processes))
-	var wg sync.WaitGroup
-	for i, p := range processes {
-		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, processTimeout)
-			defer cancel()
-			c, closeConn, err := dial(ctx, s, p)
-			if err != nil {
-				errs[i] = err
-				return
-			}
-			defer closeConn()
-			got[i], errs[i] = f(ctx, c)
-		})
-	}
-	wg.Wait()
-	var out answers[R]
-	for i, err := range errs {
-		if err != nil {
-			out.unreachable = append(out.unreachable, processes[i].Name())
-			out.reasons = append(out.reasons, reason(processes[i], err))
-			continue
-		}
-		out.got = append(out.got, got[i])
-	}
-	return out
-}
-
-// warnUnreachable says whose answers are missing.
-func (a *app) warnUnreachable(kind string, names []string) {
-	if len(names) > 0 {
-		a.warn("%s out of reach: %s", kind, strings.Join(names, ", "))
-	}
-}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -14,7 +14,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/loader"
 )
@@ -153,24 +152,6 @@
 	return merry.Errorf("%w: %s: want one of %s, got %s", ErrUsage, c.CommandPath(), strings.Join(names, ", "), got)
 }
 
-// wantArgs names every positional argument in the error.
-func wantArgs(names ...string) cobra.PositionalArgs {
-	return func(c *cobra.Command, args []string) error {
-		if len(args) < len(names) {
-			return merry.Errorf("%w: %s: missing; usage: %s", ErrUsage, names[len(args)], c.UseLine())
-		}
-		if len(args) > len(names) {
-			return merry.Errorf("%w: %q: one argument too many; usage: %s", ErrUsage, args[len(names)], c.UseLine())
-		}
-		for i, a := range args {
-			if a == "" {
-				return merry.Errorf("%w: %s: empty", ErrUsage, names[i])
-			}
-		}
-		return nil
-	}
-}
-
 func exitCode(err error) int {
 	switch {
 	case err == nil:
@@ -192,22 +173,3 @@
 func (a *app) warn(format string, args ...any) {
 	_, _ = fmt.Fprintf(a.errOut, "warning: "+format+"\n", args...)
 }
-
-// newLog returns a logger of lines for changes of state, on standard error.
-func newLog(process string) (*zap.Logger, func(), error) {
-	log, err := zap.NewProduction(zap.Fields(zap.String("process", process)))
-	if err != nil {
-		return nil, nil, err
-	}
-	return log, func() { _ = log.Sync() }, nil
-}
-
-// wantOptional takes at most the one argument.
-func wantOptional(name string) cobra.PositionalArgs {
-	return func(c *cobra.Command, args []string) error {
-		if len(args) == 0 {
-			return nil
-		}
-		return wantArgs(name)(c, args)
-	}
-}
--- a/commander/endpoint_list.go
+++ b/commander/endpoint_list.go
@@ -26,17 +26,16 @@
 type seenEndpoint struct {
 	// State is that of the youngest announcement.
 	state *messenger.EndpointState
-	// Oldest is the age at the router that heard from it last, in
-	// milliseconds.
+	// Oldest is its largest age at a router, in milliseconds.
 	oldest int64
 	// Routers counts those that know it, Usable those that would use it.
 	routers, usable int
 }
 
+// seenEndpoints are the endpoints in order, and the routers that did not
+// answer.
 type seenEndpoints struct {
-	list []seenEndpoint
-	// Asked counts the routers that answered.
-	asked       int
+	list        []seenEndpoint
 	unreachable []string
 }
 
@@ -63,7 +62,7 @@
 			seen.add(e, reply.MaxAgeMs)
 		}
 	}
-	out := &seenEndpoints{asked: len(r.got), unreachable: r.unreachable}
+	out := &seenEndpoints{unreachable: r.unreachable}
 	for _, e := range byName {
 		out.list = append(out.list, *e)
 	}
--- a/commander/output.go
+++ b/commander/output.go
@@ -111,6 +111,14 @@
 	return (time.Duration(ms) * time.Millisecond).String()
 }
 
+// showTime writes milliseconds since the Unix epoch.
+func showTime(ms int64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return time.UnixMilli(ms).UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
 // plainSpaces undoes the non-breaking spaces that the protocol's library
 // puts into its messages.
 func plainSpaces(s string) string { return strings.ReplaceAll(s, "\u00a0", " ") }
--- a/commander/process.go
+++ b/commander/process.go
@@ -77,6 +77,15 @@
 	return p.Run(ctx)
 }
 
+// newLog returns a logger of lines for changes of state, on standard error.
+func newLog(process string) (*zap.Logger, func(), error) {
+	log, err := zap.NewProduction(zap.Fields(zap.String("process", process)))
+	if err != nil {
+		return nil, nil, err
+	}
+	return log, func() { _ = log.Sync() }, nil
+}
+
 // hurrier is a process that can shut down without handing over.
 type hurrier interface{ Hurry() }
 
