Each cost of the page on capacity is measured by one experiment

Cause: endpoints and endpoint_slopes measured the same memory, announcements and pulls, spending_slopes and vault_state repeated memory that budget_slopes has, and two of them were run by nothing. Ruled out: keeping endpoint_slopes. endpoints sends what routers send through its encoding and has real labels, so it costs more and is nearer to a router. Change: endpoint_slopes is gone and the lines use endpoints; a budget's memory at a router is that of the real treasurer, with the bytes of its leases, in budget_slopes in place of spending_slopes; vault_state keeps the bytes on disk and to the mirror. Files are named for their experiments; experiments register through the registry that all plug-ins use and export no names. Runs: go test -race ./measurer; rattanhoist-measure run vault_state budget_slopes endpoints.

--- a/measurer/answers.go
+++ b/measurer/answers.go
@@ -13,8 +13,8 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// Answers measures what remembering requests and passing answers on costs.
-var Answers = Register(Experiment{
+// The experiment measures what remembering requests and passing answers on costs.
+var _ = register(Experiment{
 	Name: "answers", Short: "Answers: memory per request remembered, per open stream and per claim; processor time per token passed on",
 	Run: runAnswers,
 })
--- a/measurer/budget_slopes.go
+++ b/measurer/budget_slopes.go
@@ -1,131 +1,162 @@
 package measurer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
 
-	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
+	"rattanhoist.example/rattanhoist/budgeter"
 	"rattanhoist.example/rattanhoist/messenger"
-	"rattanhoist.example/rattanhoist/treasurer"
 )
 
-// Sizes of the slopes: pairs of a workspace and a router with traffic.
+// The experiment measures what budgets cost a keeper and a router, without the
+// disk and the network.
+var _ = register(Experiment{
+	Name: "budget_slopes", Short: "Budgets: memory of keeper and router, processor time and bytes of charges and leases",
+	Run: runBudgetSlopes,
+})
+
 const (
-	pairRequestEvery = 2 * time.Second
-	pairRunTime      = 2 * time.Minute
-	pairWorst        = 1400
-	pairCost         = 900
+	sampleZone = "zone-01"
+	// sampleBudget is large enough for every case.
+	sampleBudget = 1_000_000_000
 )
 
-var (
-	memoryPairs  = []int{2000, 4000, 8000, 16000}
-	networkPairs = []int{100, 200, 400, 800}
-)
+// noRows is the disk of a vault that has just started empty.
+type noRows struct{}
 
-// SpendingSlopes is the name of the experiment on the cost of one active pair
-// of a workspace and a router.
-var SpendingSlopes = Register(Experiment{
-	Name: "spending_slopes", Short: "memory and network of a router's slices",
-	Run: runSpendingSlopes,
-})
+func (noRows) Get(string, string) ([]byte, error) { return nil, nil }
 
-func runSpendingSlopes(_ context.Context, r *Report) error {
-	var memory, bytes []Point
-	for _, n := range memoryPairs {
-		held, err := pairMemory(n)
-		if err != nil {
-			return err
+func sampleRouter(i int) string        { return fmt.Sprintf("%s-router-%02d", sampleZone, i) }
+func sampleWorkspaceName(i int) string { return fmt.Sprintf("workspace-%06d", i) }
+
+// rowBench is a vault whose rows are counted and dropped.
+type rowBench struct {
+	vault *budgeter.Vault
+	bytes int
+}
+
+func newRowBench() *rowBench { return &rowBench{vault: budgeter.NewVault(sampleZone, noRows{})} }
+
+func (b *rowBench) step(e budgeter.Event) {
+	for _, a := range b.vault.Step(time.Time{}, e) {
+		if w, ok := a.(budgeter.Write); ok {
+			b.bytes += len(w.Key) + len(w.Value)
 		}
-		memory = append(memory, Point{X: float64(n), Y: held})
 	}
-	for _, n := range networkPairs {
-		bytes = append(bytes, Point{X: float64(n), Y: pairNetwork(n)})
-	}
-	r.Slope("router", "spending_memory", "bytes", "active (budget, node) pair", memory)
-	r.Slope("router", "lease_network", "bytes/s", "active (budget, node) pair at 0.5 requests/s", bytes)
-	return nil
+	b.vault.Synced()
 }
 
-// generousKeeper grants all that is asked for.
-type generousKeeper struct{ treasurer.Keeper }
-
-// Register implements treasurer.Keeper.
-func (generousKeeper) Register(context.Context, *messenger.RegisterRequest, ...grpc.CallOption) (*messenger.RegisterReply, error) {
-	return &messenger.RegisterReply{}, nil
+func (b *rowBench) mint(workspace int) {
+	b.step(budgeter.Mint{Request: &messenger.TopUpRequest{
+		Workspace: sampleWorkspaceName(workspace), TopUpId: fmt.Sprintf("%s/receipt-%d", sampleZone, workspace), Tokens: sampleBudget,
+	}})
 }
 
-// Lease implements treasurer.Keeper.
-func (generousKeeper) Lease(_ context.Context, r *messenger.LeaseRequest, _ ...grpc.CallOption) (*messenger.LeaseReply, error) {
-	return &messenger.LeaseReply{GrantedTokens: r.WantTokens, TotalGrantedTokens: r.WantTokens, ZoneLeftTokens: 1 << 40}, nil
+func (b *rowBench) lease(workspace, router int, sequence uint64) {
+	b.step(budgeter.Lease{Request: &messenger.LeaseRequest{
+		Workspace: sampleWorkspaceName(workspace), Router: sampleRouter(router), Incarnation: 1, Sequence: sequence, WantTokens: 100_000,
+	}})
 }
 
-// pairMemory returns the heap that n active workspaces take at a router.
-func pairMemory(n int) (float64, error) {
-	before := liveBytes()
-	t, end := treasurer.New(treasurer.Options{Router: "r", Zone: "z", Incarnation: 1, Keeper: generousKeeper{}, Policy: treasurer.DefaultPolicy()})
-	defer end()
-	for i := range n {
-		held, err := t.Reserve(context.Background(), fmt.Sprintf("workspace-%d", i), pairWorst)
-		if err != nil {
-			return 0, err
-		}
-		held.Release()
+func sampleCharge(i int) *messenger.Charge {
+	return &messenger.Charge{
+		Workspace: sampleWorkspaceName(0), RequestId: fmt.Sprintf("0b54a3a6-6c1f-4e0a-9d7e-%012d", i), Tokens: 400,
+		Service: "service-01", Endpoint: "service-01-worker-0001", ChargedAtMs: 1_790_000_000_000, Zone: sampleZone,
 	}
-	return liveBytes() - before, nil
 }
 
-// pairNetwork returns the bytes a second of leases and returns of n pairs
-// with steady traffic, without the transport's frames.
-func pairNetwork(n int) float64 {
-	clock := newVirtualClock()
-	policy := treasurer.DefaultPolicy()
-	var bytes int64
+func sampleCharges(from, n int) *messenger.ChargeRequest {
+	r := &messenger.ChargeRequest{Router: sampleRouter(0), Incarnation: 1, Zone: sampleZone}
 	for i := range n {
-		p := &pairLoad{clock: clock, bytes: &bytes, account: treasurer.NewAccount(fmt.Sprintf("workspace-%d", i), &policy, clock.now, treasurer.Rest{})}
-		clock.after(time.Duration(i)*pairRequestEvery/time.Duration(n), p.start)
+		r.Charges = append(r.Charges, sampleCharge(from+i))
 	}
-	clock.runUntil(clock.now.Add(pairRunTime))
-	return float64(bytes) / pairRunTime.Seconds()
+	return r
 }
 
-// pairLoad is one account with steady traffic before a generous keeper.
-type pairLoad struct {
-	clock   *virtualClock
-	account *treasurer.Account
-	bytes   *int64
+func runBudgetSlopes(_ context.Context, r *Report) error {
+	xs := sizes(1000, 5000, 10000, 35000)
+	r.Slope("keeper", "memory", "B", "budget", sweep(xs, func(n int) float64 {
+		return heapBytes(func() any {
+			b := newRowBench()
+			for i := range n {
+				b.mint(i)
+			}
+			return b
+		})
+	}))
+	r.Slope("keeper", "memory", "B", "lease", sweep(xs, memoryOfLeases))
+	if err := pairSlopes(r); err != nil {
+		return err
+	}
+	r.Slope("keeper", "lease_processor", "s", "lease", sweep(sizes(5000, 10000, 20000, 40000), costOfLeases))
+	r.Slope("keeper", "charge_processor", "s", "charge", sweep(sizes(5000, 10000, 20000, 40000), func(n int) float64 {
+		s, _ := costOfCharges(n)
+		return s
+	}))
+	r.Slope("keeper", "charge_rows", "B", "charge", sweep(sizes(1000, 5000, 10000), func(n int) float64 {
+		_, bytes := costOfCharges(n)
+		return bytes
+	}))
+	r.Slope("router", "charge_message", "B", "charge", sweep(sizes(1, 16, 64, 256), func(n int) float64 {
+		return float64(proto.Size(sampleCharges(0, n)))
+	}))
+	return nil
 }
 
-func (p *pairLoad) start() {
-	p.clock.every(pairRequestEvery, func() bool { p.request(); return true })
-	p.clock.every(treasurer.DefaultPolicy().TickEvery, func() bool { p.step(treasurer.Tick{}); return true })
+// pairSlopes measures what a budget with traffic costs a router.
+func pairSlopes(r *Report) error {
+	var failed error
+	r.Slope("router", "memory", "B", "active budget", sweep(sizes(2000, 4000, 8000, 16000), func(n int) float64 {
+		held, err := pairMemory(n)
+		failed = cmp.Or(failed, err)
+		return held
+	}))
+	r.Slope("router", "lease_network", "B/s", "active budget at 0.5 requests/s", sweep(sizes(100, 200, 400, 800), pairNetwork))
+	return failed
 }
 
-func (p *pairLoad) request() {
-	s := p.account.Slice()
-	if !s.Reserve(pairWorst) {
-		p.step(treasurer.Need{Tokens: pairWorst, Waiting: pairWorst, GiveUp: p.clock.now})
-		s.Reserve(pairWorst)
+func memoryOfLeases(n int) float64 {
+	const routers = 5
+	b := newRowBench()
+	for i := range n / routers {
+		b.mint(i)
 	}
-	p.clock.after(time.Second, func() { s.Settle(pairWorst, pairCost) })
+	return heapBytes(func() any {
+		for i := range n {
+			b.lease(i/routers, i%routers, 1)
+		}
+		return b
+	})
 }
 
-func (p *pairLoad) step(e treasurer.Event) {
-	for _, a := range p.account.Step(p.clock.now, e) {
-		switch a := a.(type) {
-		case treasurer.SendLease:
-			q := &messenger.LeaseRequest{
-				Workspace: p.account.Workspace(), Router: "osu-hall-1", Incarnation: uint64(p.clock.now.UnixNano()),
-				Sequence: a.Sequence, WantTokens: int64(a.Want), DemandTokensPerSecond: a.Demand,
-			}
-			r := &messenger.LeaseReply{GrantedTokens: q.WantTokens, ZoneLeftTokens: 1 << 30, TotalGrantedTokens: int64(p.account.Slice().Granted() + a.Want)}
-			*p.bytes += int64(proto.Size(q) + proto.Size(r))
-			p.step(treasurer.Leased{Sequence: a.Sequence, Reply: r})
-		case treasurer.SendReturn:
-			*p.bytes += int64(proto.Size(&messenger.ReturnRequest{Workspace: p.account.Workspace(), Router: "osu-hall-1", Sequence: a.Sequence, Tokens: int64(a.Tokens)}))
-			p.step(treasurer.Returned{Sequence: a.Sequence})
+func costOfLeases(n int) float64 {
+	b := newRowBench()
+	b.mint(0)
+	return processorSeconds(func() {
+		for i := range n {
+			b.lease(0, 0, uint64(i+1))
 		}
-	}
+	})
+}
+
+// costOfCharges bills n charges in batches as a router sends them; it returns
+// processor seconds and the bytes of the rows.
+func costOfCharges(n int) (seconds, bytes float64) {
+	const batch = 16
+	b := newRowBench()
+	b.mint(0)
+	b.step(budgeter.Lease{Request: &messenger.LeaseRequest{
+		Workspace: sampleWorkspaceName(0), Router: sampleRouter(0), Incarnation: 1, Sequence: 1, WantTokens: sampleBudget,
+	}})
+	b.bytes = 0
+	seconds = processorSeconds(func() {
+		for i := 0; i < n; i += batch {
+			b.step(budgeter.Bill{Request: sampleCharges(i, min(batch, n-i))})
+		}
+	})
+	return seconds, float64(b.bytes)
 }
--- a/measurer/budgets.go
+++ b/measurer/budgets.go
@@ -10,8 +10,8 @@
 	"rattanhoist.example/rattanhoist/placer"
 )
 
-// Budgets is the name of the experiment on overspend and false refusals.
-var Budgets = Register(Experiment{
+// The experiment on overspend and false refusals.
+var _ = register(Experiment{
 	Name: "budgets", Short: "overspend and false refusals under faults, beside two baselines",
 	Run: runBudgets,
 })
--- a/measurer/call_slopes.go
+++ b/measurer/call_slopes.go
@@ -10,9 +10,9 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// CallSlopes measures what one call between two processes costs, whatever it
+// The experiment measures what one call between two processes costs, whatever it
 // carries: proof, frames and headers of HTTP/2, both processes' work.
-var CallSlopes = Register(Experiment{
+var _ = register(Experiment{
 	Name: "calls", Short: "One call between processes: bytes both ways, processor time of both sides",
 	Run: runCallSlopes,
 })
--- a/measurer/capacity_lines.go
+++ b/measurer/capacity_lines.go
@@ -42,9 +42,9 @@
 	configurationCPU    = slopeKey{"configuration", "router", "processor_per_change", "workspace"}
 	configurationUpdate = slopeKey{"configuration", "router", "update_bytes", "change"}
 	configurationWhole  = slopeKey{"configuration", "router", "whole_copy_bytes", "workspace"}
-	endpointMemory      = slopeKey{"endpoint_slopes", "router", "memory", "endpoint"}
-	endpointCPU         = slopeKey{"endpoint_slopes", "router", "renewal_processor", "announcement"}
-	gossipBytes         = slopeKey{"endpoint_slopes", "router", "gossip_bytes", "renewed endpoint"}
+	endpointMemory      = slopeKey{"endpoints", "router", "memory_bytes", "endpoint"}
+	endpointTime        = slopeKey{"endpoints", "router", "announce_us", "endpoint"}
+	gossipBytes         = slopeKey{"endpoints", "router", "pull_bytes", "endpoint"}
 	accountMemory       = slopeKey{"budget_slopes", "router", "memory", "active budget"}
 	bookMemory          = slopeKey{"budget_slopes", "keeper", "memory", "budget"}
 	leaseMemory         = slopeKey{"budget_slopes", "keeper", "memory", "lease"}
@@ -116,7 +116,7 @@
 		},
 		{
 			role, "processor, announcements", "`tracker`: each endpoint tells two routers, 2 a second; the rest by gossip",
-			[]term{{endpointCPU, c.Endpoints * announcePerS * announcedTo / c.Nodes, "4,100 endpoints x 2 a second x 2 routers / 340"}},
+			[]term{{endpointTime, c.Endpoints * announcePerS * announcedTo / c.Nodes * 1e-6, "4,100 endpoints x 2 a second x 2 routers / 340; us elapsed, both ends of the JSON"}},
 			core, bound.NodeCores, WorkedOut, "",
 		},
 		{
--- a/measurer/configuration_slopes.go
+++ b/measurer/configuration_slopes.go
@@ -10,8 +10,8 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// ConfigurationSlopes measures what the configuration costs a router.
-var ConfigurationSlopes = Register(Experiment{
+// The experiment measures what the configuration costs a router.
+var _ = register(Experiment{
 	Name: "configuration", Short: "Configuration at a router: memory, processor time of a change, bytes",
 	Run: runConfigurationSlopes,
 })
--- a/measurer/endpoints.go
+++ b/measurer/endpoints.go
@@ -14,8 +14,8 @@
 	"rattanhoist.example/rattanhoist/tracker"
 )
 
-// Endpoints is the name of the experiment on what an endpoint known costs.
-var Endpoints = Register(Experiment{
+// The experiment on what an endpoint known costs.
+var _ = register(Experiment{
 	Name: "endpoints", Short: "Announcements and gossip: bytes, processor time and memory for each endpoint",
 	Run: measureEndpoints,
 })
@@ -98,7 +98,8 @@
 	return len(b), nil
 }
 
-// endpointCost is what one size cost.
+// endpointCost is what one size cost: one round of announcements, one pull in
+// which all are renewed, the pulls until all are known; times are elapsed.
 type endpointCost struct {
 	announceBytes, pullBytes, joinBytes float64
 	announceTime, pullTime              time.Duration
@@ -126,10 +127,10 @@
 		}
 	}
 	for _, m := range []struct{ metric, unit string }{
-		{"announce_us", "us per round of announcements"},
-		{"pull_us", "us per pull, both sides"},
-		{"pull_bytes", "bytes per pull, all renewed"},
-		{"join_bytes", "bytes until all are known"},
+		{"announce_us", "us"},
+		{"pull_us", "us"},
+		{"pull_bytes", "bytes"},
+		{"join_bytes", "bytes"},
 		{"memory_bytes", "bytes"},
 	} {
 		r.Slope("router", m.metric, m.unit, "endpoint", points[m.metric])
--- a/measurer/endpoints_wire.go
+++ b/measurer/endpoints_wire.go
@@ -15,9 +15,9 @@
 	"rattanhoist.example/rattanhoist/tracker"
 )
 
-// EndpointsWire is the name of the experiment on announcements and pulls over
+// The experiment on announcements and pulls over
 // real connections.
-var EndpointsWire = Register(Experiment{
+var _ = register(Experiment{
 	Name: "endpoints_wire", Short: "Announcements over HTTP and pulls over gRPC on loopback: processor time of both ends",
 	Run: measureEndpointsWire,
 })
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -9,10 +9,10 @@
 	"fmt"
 	"io"
 	"math"
-	"slices"
-	"strings"
 
 	"gonum.org/v1/gonum/stat"
+
+	"rattanhoist.example/rattanhoist/registrar"
 )
 
 // Experiment is one measurement; the same seed gives the same decisions.
@@ -22,29 +22,23 @@
 	Run   func(context.Context, *Report) error
 }
 
-var registry = map[string]Experiment{}
+var registry = registrar.New[Experiment]("")
 
-// Register adds an experiment and returns its name, for package-level values.
-func Register(e Experiment) string {
-	registry[e.Name] = e
-	return e.Name
-}
+// register adds an experiment; it is called from package-level values.
+func register(e Experiment) string { return registry.Register(e.Name, e) }
 
 // Experiments lists the registered experiments by name.
 func Experiments() []Experiment {
 	var out []Experiment
-	for _, e := range registry {
+	for _, n := range registry.Names() {
+		e, _ := registry.Lookup(n)
 		out = append(out, e)
 	}
-	slices.SortFunc(out, func(a, b Experiment) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
-// Lookup returns an experiment by name.
-func Lookup(name string) (Experiment, bool) {
-	e, ok := registry[name]
-	return e, ok
-}
+// Lookup returns an experiment by name, or false.
+func Lookup(name string) (Experiment, bool) { return registry.Lookup(name) }
 
 // Figure is one measured value.
 type Figure struct {
--- a/measurer/picker_slopes.go
+++ b/measurer/picker_slopes.go
@@ -11,8 +11,8 @@
 	"rattanhoist.example/rattanhoist/picker"
 )
 
-// PickerSlopes measures what choosing among endpoints costs a router.
-var PickerSlopes = Register(Experiment{
+// The experiment measures what choosing among endpoints costs a router.
+var _ = register(Experiment{
 	Name: "picker_slopes", Short: "Picks and admission at a router: processor time and memory by endpoints and waiting requests",
 	Run: runPickerSlopes,
 })
--- a/measurer/pickers.go
+++ b/measurer/pickers.go
@@ -12,8 +12,8 @@
 	"rattanhoist.example/rattanhoist/picker"
 )
 
-// Pickers compares the pickers and the limits under load and faults.
-var Pickers = Register(Experiment{
+// The experiment compares the pickers and the limits under load and faults.
+var _ = register(Experiment{
 	Name: "pickers", Short: "Pickers and limits under overload, a slow endpoint, late and lost reports",
 	Run: runPickers,
 })
--- a/measurer/spread.go
+++ b/measurer/spread.go
@@ -18,20 +18,20 @@
 	"rattanhoist.example/rattanhoist/storer"
 )
 
-// Spread measures how fast an accepted change is in force everywhere.
-var Spread = Register(Experiment{
+// The experiment measures how fast an accepted change is in force everywhere.
+var _ = register(Experiment{
 	Name: "spread", Short: "Time from a change to its being in force on 6 and on 340 subscribers",
 	Run: runSpread,
 })
 
-// SpreadOutage measures how long no change is accepted after failures.
-var SpreadOutage = Register(Experiment{
+// The experiment measures how long no change is accepted after failures.
+var _ = register(Experiment{
 	Name: "spread_outage", Short: "Time without a leader after its death and after a silent cut; elections in calm; restart",
 	Run: runSpreadOutage,
 })
 
-// SpreadCost measures what a subscriber costs.
-var SpreadCost = Register(Experiment{
+// The experiment measures what a subscriber costs.
+var _ = register(Experiment{
 	Name: "spread_cost", Short: "Bytes and processor time for each subscriber, at rest and under changes",
 	Run: runSpreadCost,
 })
