A demo whose reader is gone stops its processes

Symptom: after make demo piped into head, 24 processes ran on, and the next demo failed with a proof that does not fit the key, or addresses in use. Cause: the clean-up at the end wrote that the demo had failed to the closed pipe first and was ended by it. Ruled out: another demo at the same time; the processes left over stood in the earlier demo's folder. Change: the clean-up ignores closed pipes and failed commands; signals pass through the same clean-up. scripts/idle.sh went on with its script after an interrupt; it has the same clean-up now.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -22,8 +22,24 @@
   for p in "$@"; do wait "$p" 2>/dev/null || true; done
 }
 endpoint_pids=() router_pids=() keeper_pids=()
-trap 'stop_all; exit 130' INT TERM
-trap 'code=$?; [ $code = 0 ] || { echo "demo failed; logs:"; grep -h . "$work"/log/*-[12] "$work"/log/*keeper | tail -n 20 || true; }; stop_all; exit $code' EXIT
+show_logs() {
+  echo "demo failed; logs:"
+  grep -h . "$work"/log/*-[12] "$work"/log/*keeper | tail -n 20
+}
+# When the reader of the output is gone, a write must not end the clean-up:
+# the processes would run on and answer the next demo.
+on_exit() {
+  local code=$?
+  trap '' PIPE
+  set +e
+  # A signal, 128 and above, is no failure of the demo.
+  if [ "$code" -gt 0 ] && [ "$code" -lt 128 ]; then show_logs 2>/dev/null; fi
+  stop_all
+  exit "$code"
+}
+trap on_exit EXIT
+trap 'exit 130' INT TERM
+trap 'exit 141' PIPE
 
 go build -o "$work/" ./cmd/rattanhoist ./cmd/rattanhoist-standin
 mkdir -p "$work/keys" "$work/log"
--- a/scripts/idle.sh
+++ b/scripts/idle.sh
@@ -7,12 +7,17 @@
 work=$(mktemp -d)
 pids=()
 stop() {
-  trap - EXIT INT TERM
-  [ ${#pids[@]} = 0 ] || kill -TERM "${pids[@]}" 2>/dev/null || true
+  local code=$?
+  trap '' PIPE
+  set +e
+  [ ${#pids[@]} = 0 ] || kill -TERM "${pids[@]}" 2>/dev/null
   wait
   rm -rf "$work"
+  exit "$code"
 }
-trap stop EXIT INT TERM
+trap stop EXIT
+trap 'exit 130' INT TERM
+trap 'exit 141' PIPE
 go build -o "$work/" ./cmd/rattanhoist
 sed 's/127\.[0-9]*\./127.219./g' deployments/adwenpa/rattanhoist.ini >"$work/rattanhoist.ini"
 cd "$work"
