Shorter functions and one job a file in the measurer

Cause: the lines of routers and vaults on the page on capacity stood in two functions of 68 and 57 lines; capacity.go both worked lines out and wrote the page; spread.go held three experiments; processor time was read by two equal functions; a state of lines was used by none. Change: split by what is paid for, files named for their one thing, the state and the second function gone.

--- a/measurer/answer_lines.go
+++ b/measurer/answer_lines.go
@@ -21,19 +21,19 @@
 	c, bound := Letter, LetterBounds
 	return []line{
 		{
-			"Router (340, one a node)", "memory of requests remembered", "`joiner`: one run for each identity, its answer kept for retries (answers apart, bounded at 128 MB)",
+			routerRole, "memory of requests remembered", "`joiner`: one run for each identity, its answer kept for retries (answers apart, bounded at 128 MB)",
 			[]term{{rememberedMemory, c.RequestsPerNode() * rememberedForS * collector, "5,700 requests a second / 340, for 180 s, heap doubled"}},
-			megabytes, bound.NodeBytes, WorkedOut, "",
+			megabytes, bound.NodeBytes, workedOut, "",
 		},
 		{
-			"Router (340, one a node)", "memory of open streams", "the same; a follower for each caller, its connection apart",
+			routerRole, "memory of open streams", "the same; a follower for each caller, its connection apart",
 			[]term{{followerMemory, c.RequestsPerNode() * openForS, "5,700 requests a second / 340, open for 10 s"}},
-			megabytes, bound.NodeBytes, WorkedOut, "",
+			megabytes, bound.NodeBytes, workedOut, "",
 		},
 		{
 			"Keeper that decides claims", "memory of claims", "`claimer`: 24 hours of requests that may not be repeated, 200,000 at most",
 			[]term{{claimMemory, claimRows * collector, "the bound, heap doubled"}},
-			megabytes, bound.NodeBytes, WorkedOut, "claims spread over keepers by id, and old ones on disk only",
+			megabytes, bound.NodeBytes, workedOut, "claims spread over keepers by id, and old ones on disk only",
 		},
 	}
 }
--- a/measurer/picker_lines.go
+++ b/measurer/picker_lines.go
@@ -17,21 +17,20 @@
 
 func pickerLines() []line {
 	c, bound := Letter, LetterBounds
-	const role = "Router (340, one a node)"
 	return []line{
 		{
-			role, "memory of picking", "`picker`: a record an endpoint, a table a service and group of statements, a fixed table of prefixes",
+			routerRole, "memory of picking", "`picker`: a record an endpoint, a table a service and group of statements, a fixed table of prefixes",
 			[]term{
 				{pickRecordMemory, c.Endpoints * collector, "at most all 4,100 endpoints, heap doubled"},
 				{pickTableMemory, c.Endpoints * statementGroups * collector, "4,100 endpoints in the tables of 10 groups each, heap doubled"},
 				{unitSlope, prefixTable * collector, "32,768 prefixes of 16 B, heap doubled"},
 			},
-			megabytes, bound.NodeBytes, WorkedOut, "",
+			megabytes, bound.NodeBytes, workedOut, "",
 		},
 		{
-			role, "processor, load reports for picking", "`picker`: a request notes its service's new reports, at most every 50 ms",
+			routerRole, "processor, load reports for picking", "`picker`: a request notes its service's new reports, at most every 50 ms",
 			[]term{{pickRefreshCPU, c.RequestsPerNode() * c.Endpoints / c.Models, "5,700 requests a second / 340, each at worst all endpoints of one of 15 models"}},
-			core, bound.NodeCores, WorkedOut, "",
+			core, bound.NodeCores, workedOut, "",
 		},
 	}
 }
--- /dev/null
+++ b/measurer/router_lines.go
@@ -0,0 +1,94 @@
+package measurer
+
+const routerRole = "Router (340, one a node)"
+
+// routerMemoryLines are what a router holds.
+func routerMemoryLines() []line {
+	c, bound := Letter, LetterBounds
+	return []line{
+		{
+			routerRole, "memory of the configuration", "`configurer`: followed copy and compiled snapshot",
+			[]term{{configurationMemory, c.Workspaces * collector, "42,000 workspaces, heap doubled by the collector"}},
+			megabytes, bound.NodeBytes, workedOut,
+			"a smaller form of a workspace in the snapshot, names interned, one copy instead of two; or a memory limit for the collector",
+		},
+		{
+			routerRole, "memory of endpoints", "`tracker`: own zone whole, 32 a service of every other zone",
+			[]term{{endpointMemory, min(c.Endpoints, c.EndpointsPerZone()+c.Models*32*(c.Zones-1)) * collector, "endpoints known, at most all 4,100, heap doubled"}},
+			megabytes, bound.NodeBytes, workedOut, "",
+		},
+		{
+			routerRole, "memory of budgets", "`treasurer`: accounts only for budgets with traffic here",
+			[]term{{accountMemory, activePerNode() * collector, "at most one for each request of the last 30 s, heap doubled"}},
+			megabytes, bound.NodeBytes, workedOut, "",
+		},
+	}
+}
+
+// routerChangeLines are the cost of changes of the configuration.
+func routerChangeLines() []line {
+	c, bound := Letter, LetterBounds
+	return []line{
+		{
+			routerRole, "processor, changes", "`configurer`: every change compiles the whole snapshot anew",
+			[]term{{configurationCPU, c.Workspaces * c.ChangesPerDay / secondsPerDay, "42,000 workspaces x 3,200 changes a day"}},
+			core, bound.NodeCores, measured, "compile only what the change touches",
+		},
+		{
+			routerRole, "time of one change", "the same; part of the 3 s until in force",
+			[]term{{configurationCPU, c.Workspaces, "42,000 workspaces, all of it on one core"}},
+			seconds, bound.InForceS, measured, "compile only what the change touches",
+		},
+	}
+}
+
+// siblingLines are the cost of the other routers of the zone.
+func siblingLines() []line {
+	c, bound := Letter, LetterBounds
+	siblings := c.NodesPerZone() - 1
+	return []line{
+		{
+			routerRole, "processor, beats between siblings", "`router`: every router calls every other of its zone, 4 a second",
+			[]term{{callCPU, 2 * siblings * beatsPerS * callSide, "17 siblings x 4 a second, one side of calls made and taken"}},
+			core, bound.NodeCores, workedOut, "beat a few siblings in turn and let them pass it on",
+		},
+		{
+			routerRole, "network, beats between siblings", "the same",
+			[]term{{callBytes, 2 * siblings * beatsPerS, "17 siblings x 4 a second, made and taken"}},
+			perSecond, bound.NodeBytesPerS, workedOut, "one beat a second carried by the gossip's own calls, to a few siblings in turn: cost then does not grow with the zone",
+		},
+		{
+			routerRole, "network, gossip of endpoints", "`tracker`: pulls from every sibling, 2 a second, each what it has not heard",
+			[]term{
+				{callBytes, 2 * siblings * gossipPerS, "17 siblings x 2 a second, made and taken"},
+				{gossipBytes, 2 * siblings * gossipPerS * c.EndpointsPerZone(), "at worst all 216 endpoints of the zone renewed in each pull"},
+			},
+			perSecond, bound.NodeBytesPerS, workedOut, "pull from two siblings in turn instead of all: the zone still hears in a few rounds",
+		},
+	}
+}
+
+// routerTrafficLines are the cost of endpoints and of requests.
+func routerTrafficLines() []line {
+	c, bound := Letter, LetterBounds
+	return []line{
+		{
+			routerRole, "processor, announcements", "`tracker`: each endpoint tells two routers, 2 a second; the rest by gossip",
+			[]term{{endpointTime, c.Endpoints * announcePerS * announcedTo / c.Nodes * 1e-6, "4,100 endpoints x 2 a second x 2 routers / 340; us elapsed, both ends of the JSON"}},
+			core, bound.NodeCores, workedOut, "",
+		},
+		{
+			routerRole, "network, charges", "`treasurer`: one call for the charges of a moment; here one a call",
+			[]term{
+				{callBytes, c.RequestsPerNode(), "5,700 requests a second / 340"},
+				{chargeMessage, c.RequestsPerNode(), "the same"},
+			},
+			perSecond, bound.NodeBytesPerS, workedOut, "",
+		},
+		{
+			routerRole, "processor, charges", "the same, one side of a call",
+			[]term{{callCPU, c.RequestsPerNode() * callSide, "5,700 requests a second / 340"}},
+			core, bound.NodeCores, workedOut, "",
+		},
+	}
+}
