Loader: a file for processes, for the policy and for checks of values

Cause: loader.go held the settings, every section's type and the checks; the checks of values stood with the policy, those of paths with TLS and that of plug-ins with traces. No behaviour changes: go test -race ./loader passes.

--- a/loader/policy.go
+++ b/loader/policy.go
@@ -10,6 +10,51 @@
 	"rattanhoist.example/rattanhoist/placer"
 )
 
+// Policy holds the choices among plug-ins and bounds; every value has a
+// default.
+type Policy struct {
+	picker           string
+	shedder          string
+	placement        string
+	maxBody          int64
+	defaultTimeout   time.Duration
+	maxTimeout       time.Duration
+	keepAnswer       time.Duration
+	endpointMaxAge   time.Duration
+	drainTimeout     time.Duration
+	faultPortEnabled bool
+}
+
+// Picker returns the default picker plug-in.
+func (p Policy) Picker() string { return p.picker }
+
+// Shedder returns the plug-in that refuses requests under overload.
+func (p Policy) Shedder() string { return p.shedder }
+
+// Placement returns the plug-in that places rights over zones.
+func (p Policy) Placement() string { return p.placement }
+
+// MaxBody returns the largest request body in bytes.
+func (p Policy) MaxBody() int64 { return p.maxBody }
+
+// DefaultTimeout returns the deadline of requests that give none.
+func (p Policy) DefaultTimeout() time.Duration { return p.defaultTimeout }
+
+// MaxTimeout returns the longest deadline a request may ask for.
+func (p Policy) MaxTimeout() time.Duration { return p.maxTimeout }
+
+// KeepAnswer returns how long a finished answer is kept for retries.
+func (p Policy) KeepAnswer() time.Duration { return p.keepAnswer }
+
+// EndpointMaxAge returns the age from which an announcement is not used.
+func (p Policy) EndpointMaxAge() time.Duration { return p.endpointMaxAge }
+
+// DrainTimeout returns how long a graceful shutdown waits for requests.
+func (p Policy) DrainTimeout() time.Duration { return p.drainTimeout }
+
+// FaultPortEnabled reports whether tests may cut connections by command.
+func (p Policy) FaultPortEnabled() bool { return p.faultPortEnabled }
+
 // Defaults of the policy section.
 const (
 	defaultPicker         = "deadline"
@@ -58,45 +103,3 @@
 	}
 	return p
 }
-
-func (c *checker) text(sec *ini.Section, key string, to *string) {
-	if sec.HasKey(key) {
-		*to = sec.Key(key).String()
-	}
-}
-
-func (c *checker) flag(sec *ini.Section, key string, to *bool) {
-	if !sec.HasKey(key) {
-		return
-	}
-	v, err := sec.Key(key).Bool()
-	if err != nil {
-		c.fault(sec.Name(), key, "want true or false, not %q", sec.Key(key).String())
-		return
-	}
-	*to = v
-}
-
-func (c *checker) bytes(sec *ini.Section, key string, to *int64) {
-	if !sec.HasKey(key) {
-		return
-	}
-	v, err := sec.Key(key).Int64()
-	if err != nil || v <= 0 {
-		c.fault(sec.Name(), key, "want a positive number of bytes, not %q", sec.Key(key).String())
-		return
-	}
-	*to = v
-}
-
-func (c *checker) duration(sec *ini.Section, key string, to *time.Duration) {
-	if !sec.HasKey(key) {
-		return
-	}
-	v, err := time.ParseDuration(sec.Key(key).String())
-	if err != nil || v <= 0 {
-		c.fault(sec.Name(), key, "want a positive duration such as 1.5s or 2m, not %q", sec.Key(key).String())
-		return
-	}
-	*to = v
-}
--- a/loader/tls.go
+++ b/loader/tls.go
@@ -4,7 +4,6 @@
 	"crypto/tls"
 	"crypto/x509"
 	"os"
-	"path/filepath"
 
 	"gopkg.in/ini.v1"
 )
@@ -57,19 +56,3 @@
 		RootCAs: pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
 	}
 }
-
-// relative resolves a path against the folder of the settings file.
-func (c *checker) relative(path string) string {
-	if filepath.IsAbs(path) {
-		return path
-	}
-	return filepath.Join(filepath.Dir(c.file), path)
-}
-
-// warnReadable warns of a secret that other users of the VM can read.
-func (c *checker) warnReadable(sec *ini.Section, key, path string) {
-	i, err := os.Stat(path)
-	if err == nil && i.Mode().Perm()&groupAndOthers != 0 {
-		c.warn(sec.Name(), key, "%s may be read by others (mode %o); run chmod 600 on it", path, i.Mode().Perm())
-	}
-}
--- a/loader/trace.go
+++ b/loader/trace.go
@@ -62,13 +62,6 @@
 	return t
 }
 
-// oneOf checks the name of a plug-in.
-func (c *checker) oneOf(sec *ini.Section, key, value string, known []string) {
-	if !slices.Contains(known, value) {
-		c.fault(sec.Name(), key, "unknown: %q; want one of %v", value, known)
-	}
-}
-
 // OptionalKeys returns the keys that have a default, by section.
 func OptionalKeys() map[string][]string {
 	return map[string][]string{"policy": slices.Clone(policyKeys), "trace": slices.Clone(traceKeys)}
