Messenger: proof, guard and server in files of their own

Cause: guard.go held the roles, what signs a call, what checks it and the server; the bound of a message stood with traces. The tracer names a failed exporter the same way with a file and without, loses no error of closing it, and exports no function that nothing uses.

--- a/messenger/guard.go
+++ b/messenger/guard.go
@@ -6,40 +6,16 @@
 import (
 	"context"
 	"crypto/hmac"
-	"crypto/rand"
-	"crypto/sha256"
-	"encoding/hex"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 )
 
-// Role is what a peer proves to be.
-type Role string
-
-// Roles of peers.
-const (
-	RoleMember   Role = "member"
-	RoleOperator Role = "operator"
-)
-
-const (
-	proofHeader = "rattanhoist-proof"
-	nodeHeader  = "rattanhoist-node"
-	// proofMaxAge bounds how long a recorded proof may be replayed, to the
-	// same method only; it also bounds the clock difference between VMs.
-	proofMaxAge = time.Minute
-	nonceBytes  = 12
-)
-
 // Keys are the secrets of the roles.
 type Keys map[Role][]byte
 
@@ -57,55 +33,6 @@
 	Operations_Explain_FullMethodName:          true,
 }
 
-// claim is what a proof signs. The method is part of it: without it, whoever
-// records a harmless call could send its proof along with a top-up.
-type claim struct {
-	role   Role
-	node   string
-	at     string
-	nonce  string
-	method string
-}
-
-func (c claim) sign(key []byte) string {
-	m := hmac.New(sha256.New, key)
-	for _, part := range []string{string(c.role), c.node, c.at, c.nonce, c.method} {
-		m.Write([]byte(strconv.Itoa(len(part)) + ":" + part))
-	}
-	return hex.EncodeToString(m.Sum(nil))
-}
-
-// proof implements credentials.PerRPCCredentials.
-type proof struct {
-	role Role
-	node string
-	key  []byte
-	now  func() time.Time
-}
-
-var _ credentials.PerRPCCredentials = proof{}
-
-// GetRequestMetadata returns the proof for one call.
-func (p proof) GetRequestMetadata(ctx context.Context, _ ...string) (map[string]string, error) {
-	info, ok := credentials.RequestInfoFromContext(ctx)
-	if !ok {
-		return nil, status.Error(codes.Internal, "the call does not say its method")
-	}
-	n := make([]byte, nonceBytes)
-	_, _ = rand.Read(n)
-	c := claim{
-		role: p.role, node: p.node, method: info.Method,
-		at: strconv.FormatInt(p.now().UnixMilli(), 10), nonce: hex.EncodeToString(n),
-	}
-	return map[string]string{
-		proofHeader: strings.Join([]string{string(c.role), c.at, c.nonce, c.sign(p.key)}, ":"),
-		nodeHeader:  p.node,
-	}, nil
-}
-
-// RequireTransportSecurity reports false: the key itself never travels.
-func (proof) RequireTransportSecurity() bool { return false }
-
 // guard checks the proofs of one server's callers.
 type guard struct {
 	keys Keys
@@ -177,29 +104,3 @@
 	}
 	return ""
 }
-
-// NewServer returns a gRPC server that admits only peers with a proof.
-func NewServer(k Keys, list ...Option) *grpc.Server {
-	g := newGuard(k, time.Now)
-	options := append(serverTracing(),
-		grpc.Creds(newOptions(list).credentials()),
-		grpc.MaxRecvMsgSize(maxMessage),
-		// The library's default ends connections that ping as often as Dial
-		// does; calls in progress would fail every half minute.
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
-		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
-			if err := g.check(ctx, info.FullMethod); err != nil {
-				return nil, count(info.FullMethod, err)
-			}
-			out, err := h(ctx, req)
-			return out, count(info.FullMethod, err)
-		}),
-		grpc.ChainStreamInterceptor(func(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, h grpc.StreamHandler) error {
-			if err := g.check(ss.Context(), info.FullMethod); err != nil {
-				return count(info.FullMethod, err)
-			}
-			return count(info.FullMethod, h(srv, ss))
-		}),
-	)
-	return grpc.NewServer(options...)
-}
--- a/messenger/option.go
+++ b/messenger/option.go
@@ -7,6 +7,10 @@
 	"google.golang.org/grpc/credentials/insecure"
 )
 
+// maxMessage bounds one message, in bytes: a whole configuration of 42,000
+// workspaces is larger than gRPC's default bound of 4 MiB.
+const maxMessage = 64 << 20
+
 // options are what dialers and servers share.
 type options struct{ tls *tls.Config }
 
--- /dev/null
+++ b/messenger/server.go
@@ -0,0 +1,35 @@
+package messenger
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+)
+
+// NewServer returns a gRPC server that admits only peers with a proof.
+func NewServer(k Keys, list ...Option) *grpc.Server {
+	g := newGuard(k, time.Now)
+	options := append(serverTracing(),
+		grpc.Creds(newOptions(list).credentials()),
+		grpc.MaxRecvMsgSize(maxMessage),
+		// The library's default ends connections that ping as often as Dial
+		// does; calls in progress would fail every half minute.
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
+		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
+			if err := g.check(ctx, info.FullMethod); err != nil {
+				return nil, count(info.FullMethod, err)
+			}
+			out, err := h(ctx, req)
+			return out, count(info.FullMethod, err)
+		}),
+		grpc.ChainStreamInterceptor(func(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, h grpc.StreamHandler) error {
+			if err := g.check(ss.Context(), info.FullMethod); err != nil {
+				return count(info.FullMethod, err)
+			}
+			return count(info.FullMethod, h(srv, ss))
+		}),
+	)
+	return grpc.NewServer(options...)
+}
--- a/messenger/tracing.go
+++ b/messenger/tracing.go
@@ -7,10 +7,6 @@
 	"rattanhoist.example/rattanhoist/tracer"
 )
 
-// maxMessage bounds one message, in bytes: a whole configuration of 42,000
-// workspaces is larger than gRPC's default bound of 4 MiB.
-const maxMessage = 64 << 20
-
 // serverTracing adds a span to every call served, when traces are on.
 func serverTracing() []grpc.ServerOption {
 	if !tracer.On() {
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"os"
@@ -109,12 +110,9 @@
 		current = nil
 		err := p.Shutdown(ctx)
 		if file != nil {
-			err = merry.Prepend(err, "trace exporter")
-			if c := file.Close(); err == nil {
-				err = c
-			}
+			err = errors.Join(err, file.Close())
 		}
-		return err
+		return merry.Prepend(err, "trace exporter")
 	}, nil
 }
 
@@ -197,8 +195,8 @@
 	}
 }
 
-// Extract takes the trace of a caller from headers.
-func Extract(ctx context.Context, h http.Header) context.Context {
+// extract takes the trace of a caller from headers.
+func extract(ctx context.Context, h http.Header) context.Context {
 	if current == nil {
 		return ctx
 	}
@@ -212,7 +210,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		ctx, s := Begin(Extract(r.Context(), r.Header), HopRequest)
+		ctx, s := Begin(extract(r.Context(), r.Header), HopRequest)
 		s.Set("http.request.method", r.Method)
 		s.Set("url.path", r.URL.Path)
 		defer s.End(nil)
