The time of a command bounds its readings too

Ruled out: one time for both readings, the confirmed and the unconfirmed one: with five keepers that are cut off the first would take all of it, and the copy would not be shown.

--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -381,6 +381,29 @@
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", defaultTimeout))
 }
 
+// Symptom: config show --timeout 200ms says nothing for six seconds.
+// Sequence: three keepers accept connections and say nothing.
+// Cause: the command's time bounded changes only; a reading waited for each
+// keeper's connection, twice.
+func TestReadingEndsWithTheCommandsTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBench(t, 1)
+	text, err := os.ReadFile(b.settings)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	settings, _, _ := strings.Cut(string(text), "[keeper")
+	for _, zone := range []string{"a", "b", "c"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = l.Close() }()
+		settings += "[keeper k-" + zone + "]\nzone = " + zone + "\ndata_dir = d\nrpc = " + l.Addr().String() + "\n"
+	}
+	write(t, b.settings, settings)
+	began := time.Now()
+	_, errOut, code := b.run("config", "show", "--timeout", "200ms")
+	g.Expect(code).To(gomega.Equal(ExitFailed), errOut)
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", keeperTimeout))
+}
+
 func TestNoKeeperIsAFailureNotAnUnknownOutcome(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, 1)
