Reads of the vault see synced state only

Cause: a batch answered its reads between its steps, before the sync. The round of resends could read a transfer that was not on disk yet and send it; a crash before the sync brought the rights back here while the other zone spent them too. The rounds also read the mode before the rows, and the mode stays paired while a commit is on its way to the mirror, so a transfer, a fence or a claim of bills could leave from one disk.

Ruled out: answering the reads after the sync. It is as safe against a crash, but the mode would still have to be read in the same place, and a read would wait for its own batch.

Change: reads of a batch go first, on the last commit; the rounds ask the loop after their read whether the mirror has everything (vaultLoop.copied).

Both tests failed before: the transfer was visible without a row on disk, and the mode answered paired while the mirror's outcome was open. They pass after.

--- a/keeper/merge.go
+++ b/keeper/merge.go
@@ -34,11 +34,8 @@
 // claimBills waits until the bills are on two disks: a claim could otherwise
 // outlive its bill, and the other zone would have reversed its own.
 func (s *budgetServer) claimBills(ctx context.Context) {
-	if s.loop.currentMode() != budgeter.ModePaired {
-		return
-	}
 	r := &claimRound{server: s, zones: s.keeper.settings.Zones(), counting: map[string]string{}}
-	if err := s.keeper.store.View(r.read); err != nil || len(r.rows) == 0 {
+	if err := s.keeper.store.View(r.read); err != nil || len(r.rows) == 0 || !s.loop.copied(ctx) {
 		return
 	}
 	for zone, keys := range r.byOwner() {
--- a/keeper/vault_loop.go
+++ b/keeper/vault_loop.go
@@ -189,24 +189,20 @@
 	return batch
 }
 
-// commit answers reads at once; the events share one sync.
+// commit answers reads at once; the events share one sync. The reads go first:
+// after a step they would see what a crash may still take back, and a transfer
+// that left on the strength of it would exist in two zones.
 func (l *vaultLoop) commit(ctx context.Context, batch []call) error {
+	events := l.answerReads(batch)
+	if len(events) == 0 {
+		return nil
+	}
 	var writes []budgeter.Write
-	var events []call
-	var replies []budgeter.Reply
-	for _, c := range batch {
-		if c.read != nil {
-			c.read(l.vault)
-			c.done <- budgeter.Reply{}
-			continue
-		}
+	replies := make([]budgeter.Reply, len(events))
+	for i, c := range events {
 		w, r := l.step(c.event)
 		writes = append(writes, w...)
-		events = append(events, c)
-		replies = append(replies, r)
-	}
-	if len(events) == 0 {
-		return nil
+		replies[i] = r
 	}
 	if err := l.sync(ctx, budgeter.CopyRows(writes)); err != nil {
 		return err
@@ -219,6 +215,20 @@
 	return nil
 }
 
+// answerReads returns the calls that are events.
+func (l *vaultLoop) answerReads(batch []call) []call {
+	var events []call
+	for _, c := range batch {
+		if c.read == nil {
+			events = append(events, c)
+			continue
+		}
+		c.read(l.vault)
+		c.done <- budgeter.Reply{}
+	}
+	return events
+}
+
 func (l *vaultLoop) step(e budgeter.Event) (writes []budgeter.Write, reply budgeter.Reply) {
 	mode := l.currentMode()
 	if _, ok := e.(budgeter.Ask); mode == budgeter.ModeStarting || ok && mode == budgeter.ModeSolo {
@@ -370,8 +380,17 @@
 	return l.do(ctx, call{event: e})
 }
 
-// read runs f on the vault between two events; it waits for no sync but the
-// one in progress.
+// copied reports whether the mirror has everything that was synced before the
+// call. The mode alone does not say so: it stays paired while a commit is on
+// its way to the mirror. Between two commits it does.
+func (l *vaultLoop) copied(ctx context.Context) bool {
+	var mode string
+	err := l.read(ctx, func(*budgeter.Vault) { mode = l.currentMode() })
+	return err == nil && mode == budgeter.ModePaired
+}
+
+// read runs f on the vault as it was last synced, between two commits; it
+// waits for no sync but the one in progress.
 func (l *vaultLoop) read(ctx context.Context, f func(*budgeter.Vault)) error {
 	_, err := l.do(ctx, call{read: f})
 	return err
--- /dev/null
+++ b/keeper/vault_loop_test.go
@@ -0,0 +1,108 @@
+package keeper
+
+import (
+	"context"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/budgeter"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/storer"
+)
+
+// gatedMirror takes commits at once until it is gated, and then reports each
+// copy and waits for its outcome.
+type gatedMirror struct {
+	asked   chan struct{}
+	outcome chan error
+}
+
+func (*gatedMirror) exists() bool                                    { return true }
+func (*gatedMirror) mark(context.Context, *messenger.SoloMark) error { return errNotYet }
+func (m *gatedMirror) copy(context.Context, *messenger.CopyRequest) error {
+	if m.asked == nil {
+		return nil
+	}
+	m.asked <- struct{}{}
+	return <-m.outcome
+}
+
+// pairedLoop returns the loop of a paired vault of zone a, with 100 tokens of
+// workspace w.
+func pairedLoop(t *testing.T, m mirrorLink) (*vaultLoop, *storer.Store) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	store := newHolder(t).store
+	l := newVaultLoop("a", store, m, zap.NewNop())
+	g.Expect(l.begin(budgeter.Begin{Incarnation: 1})).To(gomega.Succeed())
+	l.copier.CaughtUp(l.copier.State())
+	mint := call{
+		event: budgeter.Mint{Request: &messenger.TopUpRequest{TopUpId: "a/1", Workspace: "w", Tokens: 100}},
+		done:  make(chan budgeter.Reply, 1),
+	}
+	g.Expect(l.commit(t.Context(), []call{mint})).To(gomega.Succeed())
+	g.Expect((<-mint.done).Err).NotTo(gomega.HaveOccurred())
+	return l, store
+}
+
+func askCall() call {
+	return call{
+		event: budgeter.Ask{Request: &messenger.AskRequest{Workspace: "w", Zone: "b", WantTokens: 60}},
+		done:  make(chan budgeter.Reply, 1),
+	}
+}
+
+// Symptom: two zones spend the same rights. Sequence: zone b asks zone a for
+// rights, and a's round of resends reads the pending transfers in the same
+// batch; the transfer leaves; a crashes before its sync, and comes back with
+// the rights that b spends. Cause: reads that see steps without a sync.
+func TestReadsSeeOnlySyncedTransfers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, store := pairedLoop(t, &gatedMirror{})
+	ask := askCall()
+	read := call{done: make(chan budgeter.Reply, 1), read: func(v *budgeter.Vault) {
+		for _, p := range v.Pending() {
+			row, err := store.Get(budgeter.BucketTransfers, p.TransferId)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(row).NotTo(gomega.BeNil(), "transfer %s is not synced", p.TransferId)
+		}
+	}}
+	g.Expect(l.commit(t.Context(), []call{ask, read})).To(gomega.Succeed())
+	<-read.done
+	g.Expect((<-ask.done).Err).NotTo(gomega.HaveOccurred())
+	g.Expect(l.vault.Pending()).To(gomega.HaveLen(1))
+}
+
+// Symptom: two zones spend the same rights. Sequence: a transfer of zone a is
+// synced there and on its way to the mirror; a round of resends finds the mode
+// still paired; the mirror does not take it; a loses its disk and is restored
+// with the rights. Cause: a mode that was read before the outcome of the copy.
+func TestCopiedWaitsForTheMirror(t *testing.T) {
+	for _, x := range []struct {
+		outcome error
+		copied  bool
+	}{{nil, true}, {errBroken, false}} {
+		g := gomega.NewWithT(t)
+		m := &gatedMirror{}
+		l, _ := pairedLoop(t, m)
+		m.asked, m.outcome = make(chan struct{}), make(chan error)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = l.run(ctx) }()
+		ask := askCall()
+		l.calls <- ask
+		<-m.asked
+		g.Expect(l.currentMode()).To(gomega.Equal(budgeter.ModePaired))
+		copied := make(chan bool)
+		go func() { copied <- l.copied(ctx) }()
+		select {
+		case <-copied:
+			t.Fatal("answered before the mirror did")
+		case m.outcome <- x.outcome:
+		}
+		g.Expect(<-copied).To(gomega.Equal(x.copied))
+		cancel()
+		<-l.ended
+	}
+}
--- a/keeper/vault_rounds.go
+++ b/keeper/vault_rounds.go
@@ -34,9 +34,6 @@
 // resend pushes transfers until the other zone has them on disk. None leaves
 // before it is on two disks here: a restored copy would still hold the rights.
 func (s *budgetServer) resend(ctx context.Context) {
-	if s.loop.currentMode() != budgeter.ModePaired {
-		return
-	}
 	byZone := map[string]*messenger.GiveRequest{}
 	_ = s.loop.read(ctx, func(v *budgeter.Vault) {
 		for _, t := range v.Pending() {
@@ -46,6 +43,9 @@
 			byZone[t.ToZone].Transfers = append(byZone[t.ToZone].Transfers, t)
 		}
 	})
+	if len(byZone) == 0 || !s.loop.copied(ctx) {
+		return
+	}
 	for zone, r := range byZone {
 		if p, ok := s.keeper.peers.zone(zone); ok {
 			s.give(ctx, p, r)
@@ -66,15 +66,15 @@
 // them too. It waits until the fence is on two disks: a restored copy without
 // it would take charges for rights that somebody else spends.
 func (s *budgetServer) release(ctx context.Context) {
-	if s.loop.currentMode() != budgeter.ModePaired {
-		return
-	}
 	var fencing []*messenger.FenceWitnessRequest
 	_ = s.loop.read(ctx, func(v *budgeter.Vault) {
 		for _, r := range v.Fencing() {
 			fencing = append(fencing, &messenger.FenceWitnessRequest{Zone: v.Zone(), Router: r.Router, Incarnation: r.Fenced})
 		}
 	})
+	if len(fencing) == 0 || !s.loop.copied(ctx) {
+		return
+	}
 	for _, r := range fencing {
 		if err := s.releaseOne(ctx, r); err != nil && ctx.Err() == nil {
 			s.log().Debug("remainder waits for the witness", zap.String("router", r.Router), zap.Error(err))
