Bound the connection attempt at an endpoint

Cause: the dialer had no timeout. The address of a lost VM neither takes nor refuses a connection, so a request that had picked the endpoint before its announcement grew too old waited until its own deadline, although a failed dial is proof of 'not dispatched' and another endpoint could have served it. Kept connections had no idle bound either.

Change: dialTimeout (2 s, one SYN may be sent again) and idleConnTimeout.

--- a/router/router.go
+++ b/router/router.go
@@ -44,6 +44,14 @@
 	expireEvery       = time.Second
 	giveBackTimeout   = 3 * time.Second
 	idlePerEndpoint   = 64
+	// dialTimeout bounds a connection attempt at an endpoint: the address of a
+	// lost VM neither takes nor refuses one, and a request that waited for it
+	// until its deadline could not be tried elsewhere. One SYN may be sent
+	// again.
+	dialTimeout = 2 * time.Second
+	// idleConnTimeout closes kept connections to endpoints: there is no other
+	// bound on those to endpoints that get no work any more.
+	idleConnTimeout = 90 * time.Second
 	// drainNotice is how long a draining router still answers that it is
 	// draining, so that balancers and callers learn it without a lost
 	// connection.
@@ -161,7 +169,8 @@
 func newEngines() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			MaxIdleConnsPerHost: idlePerEndpoint, DisableCompression: true, DialContext: dialLooking(&net.Dialer{}),
+			MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
+			DialContext: dialLooking(&net.Dialer{Timeout: dialTimeout}),
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
