Bound the reading of a request's body by its deadline

Cause: the body was read before the context got its deadline, and the server had only a bound for headers. A caller that stops in the middle of its body held the request, its connection and the drain's count for as long as it kept the connection open.

Ruled out: http.Server.ReadTimeout alone. It would either cut slow uploads with a long Request-Timeout or bound nothing useful; and its deadline stays while the request runs, which ends the request's context (a test holds that).

Change: readBy sets the connection's read deadline from Request-Timeout and lifts it after a whole body. A late body is refused with 408, code deadline, and the outcome that an unread request gets. Announcements and tickets have ReadTimeout.

--- a/router/handler.go
+++ b/router/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -108,12 +109,12 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
-func (r *Router) parser() parser {
+func (r *Router) parser(w http.ResponseWriter) parser {
 	p := r.settings.Policy()
 	return parser{
 		snapshot: r.snapshot.Load(), maxBody: p.MaxBody(),
 		defaultTimeout: p.DefaultTimeout(), maxTimeout: p.MaxTimeout(), now: time.Now(),
-		newID: r.newID,
+		newID: r.newID, connection: http.NewResponseController(w),
 	}
 }
 
@@ -134,9 +135,9 @@
 }
 
 func (r *Router) chat(w http.ResponseWriter, h *http.Request) {
-	q, err := r.parser().chat(h)
+	q, err := r.parser(w).chat(h)
 	if err != nil {
-		problemOf(err).write(w)
+		r.refuseUnparsed(err, w, h)
 		return
 	}
 	w.Header().Set(headerRequestID, q.key.RequestID())
@@ -147,14 +148,25 @@
 	r.answer(h.Context(), q, s)
 }
 
+// refuseUnparsed refuses a request that is faulty or did not arrive whole. Of
+// the latter an earlier attempt may have arrived.
+func (r *Router) refuseUnparsed(err error, w http.ResponseWriter, h *http.Request) {
+	if !errors.Is(err, errSlowBody) {
+		problemOf(err).write(w)
+		return
+	}
+	w.Header().Set("Connection", "close")
+	r.refuseUnread(&Problem{Status: http.StatusRequestTimeout, Code: CodeDeadline, Field: "body", Outcome: NotRun, Detail: err.Error()}, w, h)
+}
+
 const servicesPath = "/v1/services/"
 
 func (r *Router) plain(w http.ResponseWriter, h *http.Request) {
 	service := h.PathValue("service")
 	path := strings.TrimPrefix(h.URL.EscapedPath(), servicesPath+service)
-	q, err := r.parser().plain(h, service, path)
+	q, err := r.parser(w).plain(h, service, path)
 	if err != nil {
-		problemOf(err).write(w)
+		r.refuseUnparsed(err, w, h)
 		return
 	}
 	w.Header().Set(headerRequestID, q.key.RequestID())
--- a/router/request.go
+++ b/router/request.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -83,6 +83,8 @@
 	defaultTimeout time.Duration
 	maxTimeout     time.Duration
 	now            time.Time
+	// Connection is the one that the request comes on.
+	connection readDeadliner
 	// NewID makes the id of a request that comes without one.
 	newID func(workspace string) string
 }
@@ -219,26 +221,41 @@
 }
 
 func (p parser) readBody(r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, p.maxBody))
+	timeout, err := p.timeout(r)
+	if err != nil {
+		// It is reported after the faults of the body.
+		timeout = p.maxTimeout
+	}
+	body, err := readBy(p.connection, r, p.now.Add(timeout), p.maxBody)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, &Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Field: "body", Outcome: NotRun, Detail: "the body is larger than " + strconv.FormatInt(p.maxBody, 10) + " bytes"}
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, errSlowBody
+	case err != nil:
 		return nil, badField("body", "could not be read: "+err.Error())
 	}
 	return body, nil
 }
 
+func (p parser) timeout(r *http.Request) (time.Duration, error) {
+	v := r.Header.Get(headerTimeout)
+	if v == "" {
+		return p.defaultTimeout, nil
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil || d <= 0 || d > p.maxTimeout {
+		return 0, badField(headerTimeout, "want a duration such as 30s, at most "+p.maxTimeout.String())
+	}
+	return d, nil
+}
+
 // finish reads the headers that need the service.
 func (p parser) finish(r *http.Request, q *request) error {
-	timeout := p.defaultTimeout
-	if v := r.Header.Get(headerTimeout); v != "" {
-		d, err := time.ParseDuration(v)
-		if err != nil || d <= 0 || d > p.maxTimeout {
-			return badField(headerTimeout, "want a duration such as 30s, at most "+p.maxTimeout.String())
-		}
-		timeout = d
+	timeout, err := p.timeout(r)
+	if err != nil {
+		return err
 	}
 	q.deadline = p.now.Add(timeout)
 	q.repeatable = !q.service.NotRepeatable
--- a/router/router.go
+++ b/router/router.go
@@ -39,11 +39,13 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
-	maxHeaderBytes    = 64 << 10
-	idleTimeout       = 2 * time.Minute
-	expireEvery       = time.Second
-	giveBackTimeout   = 3 * time.Second
-	idlePerEndpoint   = 64
+	// readTimeout bounds announcements and tickets; requests set their own.
+	readTimeout     = 10 * time.Second
+	maxHeaderBytes  = 64 << 10
+	idleTimeout     = 2 * time.Minute
+	expireEvery     = time.Second
+	giveBackTimeout = 3 * time.Second
+	idlePerEndpoint = 64
 	// dialTimeout bounds a connection attempt at an endpoint: the address of a
 	// lost VM neither takes nor refuses one, and a request that waited for it
 	// until its deadline could not be tried elsewhere. One SYN may be sent
@@ -152,7 +154,7 @@
 	publishCounters()
 	r.handover, r.hurry = context.WithCancel(context.Background())
 	r.server = &http.Server{
-		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout,
+		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
 	return r, func() {
