Count each remembered record once and expire only what is old

Cause: put looked for a key and stored it in two steps, and expire deleted by key alone. Two siblings that told the same run at once were both counted, so that the count crept up to maxRecords and records were refused; a record that was renewed while expiry looked at it was deleted.

Change: Swap and CompareAndDelete.

--- a/router/beat.go
+++ b/router/beat.go
@@ -32,20 +32,21 @@
 
 // records remembers what siblings run, so that this router can go on with it.
 type records struct {
+	// ByKey maps a rattanhoist.RequestKey to a record.
 	byKey sync.Map
+	// Count is the number of keys; maxRecords may be passed by as many as are
+	// put at once.
 	count atomic.Int64
 }
 
 func (r *records) put(k rattanhoist.RequestKey, x record) {
-	_, had := r.byKey.Load(k)
-	if !had && r.count.Load() >= maxRecords {
+	if _, had := r.byKey.Load(k); !had && r.count.Load() >= maxRecords {
 		homeCounters.Add("records_refused", 1)
 		return
 	}
-	if !had {
+	if _, had := r.byKey.Swap(k, x); !had {
 		r.count.Add(1)
 	}
-	r.byKey.Store(k, x)
 }
 
 func (r *records) get(k rattanhoist.RequestKey, now time.Time) (record, bool) {
@@ -58,8 +59,7 @@
 
 func (r *records) expire(now time.Time) {
 	r.byKey.Range(func(k, v any) bool {
-		if !now.Before(v.(record).expires) {
-			r.byKey.Delete(k)
+		if !now.Before(v.(record).expires) && r.byKey.CompareAndDelete(k, v) {
 			r.count.Add(-1)
 		}
 		return true
