Open and close the router's connections in one way

No change of behaviour. Router.New was 62 lines with a clean-up chain written out at each step, and claim keepers and keeper sources had closers of their own; cleanUps serves all three. expire and tick were the same loop (repeat); home and next chose the best sibling twice (best); compareRank was cmp.Compare; codes of refusals stood in three files; bury is now endSilent.

--- a/router/admit.go
+++ b/router/admit.go
@@ -14,10 +14,6 @@
 	"rattanhoist.example/rattanhoist/picker"
 )
 
-// CodeOverloaded says that the request was refused before it ran, because it
-// would not have been answered by its deadline.
-const CodeOverloaded = "overloaded"
-
 // admitCounters count what admission did; keys end in what became of requests.
 var admitCounters = new(expvar.Map)
 
--- a/router/announce.go
+++ b/router/announce.go
@@ -80,9 +80,3 @@
 		return &Problem{Status: http.StatusServiceUnavailable, Code: CodeTooManyEndpoints, Outcome: NotRun, Detail: err.Error(), After: retrySoon}
 	}
 }
-
-// Codes of refused announcements.
-const (
-	CodeAddressTaken     = "address_taken"
-	CodeTooManyEndpoints = "too_many_endpoints"
-)
--- a/router/beat.go
+++ b/router/beat.go
@@ -89,7 +89,7 @@
 		if r.beatOnce(ctx, x, batch) || len(batch) >= recordBatch {
 			batch = batch[:0]
 		}
-		r.bury(x)
+		r.endSilent(x)
 		select {
 		case <-ctx.Done():
 			return
@@ -126,9 +126,9 @@
 	return true
 }
 
-// bury ends what waits for a sibling that is silent: a stopped process keeps
-// its connections open, so that nothing else would end the wait.
-func (r *Router) bury(x *sibling) {
+// endSilent ends what waits for a sibling that is silent: a stopped process
+// keeps its connections open, so that nothing else would end the wait.
+func (r *Router) endSilent(x *sibling) {
 	if l := x.life.Load(); l.Err() == nil && !r.homes.alive(x) {
 		l.end()
 		homeCounters.Add("siblings_lost", 1)
--- a/router/claim.go
+++ b/router/claim.go
@@ -26,22 +26,17 @@
 
 func newClaimKeepers(s *loader.Settings, d *messenger.Dialer) (claimKeepers, func(), error) {
 	k := claimKeepers{}
-	var closers []func() error
-	cleanUp := func() {
-		for _, c := range closers {
-			_ = c()
-		}
-	}
+	var opened cleanUps
 	for _, p := range s.Processes(loader.KindKeeper) {
 		conn, err := d.Dial(p.RPC())
 		if err != nil {
-			cleanUp()
+			opened.run()
 			return nil, nil, err
 		}
-		closers = append(closers, conn.Close)
+		opened.add(func() { _ = conn.Close() })
 		k[p.Name()] = messenger.NewClaimKeeperClient(conn)
 	}
-	return k, cleanUp, nil
+	return k, opened.run, nil
 }
 
 // claim is one attempt of this router to run a request at most once.
--- a/router/follower.go
+++ b/router/follower.go
@@ -10,7 +10,6 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
-	"google.golang.org/grpc"
 
 	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/loader"
@@ -129,19 +128,14 @@
 // sources lists the keepers, those of the router's own zone first.
 func (r *Router) sources() ([]source, func(), error) {
 	var own, others []source
-	var conns []*grpc.ClientConn
-	closeAll := func() {
-		for _, c := range conns {
-			_ = c.Close()
-		}
-	}
+	var opened cleanUps
 	for _, p := range r.settings.Processes(loader.KindKeeper) {
 		c, err := r.dialer.Dial(p.RPC())
 		if err != nil {
-			closeAll()
+			opened.run()
 			return nil, nil, err
 		}
-		conns = append(conns, c)
+		opened.add(func() { _ = c.Close() })
 		s := source{name: p.Name(), own: p.Zone() == r.self.Zone(), client: messenger.NewConfigurationKeeperClient(c)}
 		if s.own {
 			own = append(own, s)
@@ -149,7 +143,7 @@
 			others = append(others, s)
 		}
 	}
-	return append(spread(own, r.self.Name()), spread(others, r.self.Name())...), closeAll, nil
+	return append(spread(own, r.self.Name()), spread(others, r.self.Name())...), opened.run, nil
 }
 
 // spread rotates the list by the router's name: routers of zones without a
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -66,7 +67,7 @@
 	}
 	for _, list := range g.abroad {
 		slices.SortFunc(list, func(a, b *gossipPeer) int {
-			return compareRank(rank(a.process.Name(), r.self.Zone()), rank(b.process.Name(), r.self.Zone()))
+			return cmp.Compare(rank(a.process.Name(), r.self.Zone()), rank(b.process.Name(), r.self.Zone()))
 		})
 	}
 	return g
@@ -76,17 +77,6 @@
 // zones is spread.
 func rank(router, zone string) uint64 { return xxhash.Sum64String(router + "\x00" + zone) }
 
-func compareRank(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 func (g *gossiper) close() {
 	for _, p := range g.all() {
 		p.busy.Lock()
--- a/router/home.go
+++ b/router/home.go
@@ -110,17 +110,11 @@
 // the live router of the zone with the highest score, so that the loss of one
 // moves only its own requests.
 func (h *homes) home(k rattanhoist.RequestKey, tried map[string]bool) *sibling {
-	var best *sibling
-	most := score(h.self.Name(), k)
-	for _, x := range h.zone {
-		if tried[x.process.Name()] || x.draining.Load() || !h.alive(x) {
-			continue
-		}
-		if s := score(x.process.Name(), k); s > most {
-			best, most = x, s
-		}
+	x := h.best(k, tried)
+	if x == nil || score(x.process.Name(), k) <= score(h.self.Name(), k) {
+		return nil
 	}
-	return best
+	return x
 }
 
 // next returns the siblings that would be home after this router, best first.
@@ -129,20 +123,28 @@
 	tried := map[string]bool{}
 	var out []*sibling
 	for len(out) < most {
-		var best *sibling
-		for _, x := range h.zone {
-			if tried[x.process.Name()] || x.draining.Load() || !h.alive(x) {
-				continue
-			}
-			if best == nil || score(x.process.Name(), k) > score(best.process.Name(), k) {
-				best = x
-			}
+		x := h.best(k, tried)
+		if x == nil {
+			break
 		}
-		if best == nil {
-			return out
-		}
-		tried[best.process.Name()] = true
-		out = append(out, best)
+		tried[x.process.Name()] = true
+		out = append(out, x)
 	}
 	return out
 }
+
+// best returns the live sibling of the zone with the highest score that is not
+// in tried, or nil.
+func (h *homes) best(k rattanhoist.RequestKey, tried map[string]bool) *sibling {
+	var best *sibling
+	var most uint64
+	for _, x := range h.zone {
+		if tried[x.process.Name()] || x.draining.Load() || !h.alive(x) {
+			continue
+		}
+		if s := score(x.process.Name(), k); best == nil || s > most {
+			best, most = x, s
+		}
+	}
+	return best
+}
--- a/router/problem.go
+++ b/router/problem.go
@@ -59,12 +59,16 @@
 	CodeStopped = "stopped"
 	// CodeAbsent is between routers: nothing is remembered under the id.
 	CodeAbsent = "absent"
+	// CodeOverloaded says that the request was refused before it ran, because
+	// it would not have been answered by its deadline.
+	CodeOverloaded = "overloaded"
+	// CodeAddressTaken and CodeTooManyEndpoints refuse announcements.
+	CodeAddressTaken     = "address_taken"
+	CodeTooManyEndpoints = "too_many_endpoints"
 )
 
-// Codes of the router's own faults.
-const (
-	codeInternal = "internal"
-)
+// codeInternal says that the router itself failed.
+const codeInternal = "internal"
 
 // Problem is a refusal as problem details (RFC 9457).
 type Problem struct {
--- a/router/router.go
+++ b/router/router.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,67 +104,96 @@
 
 // New returns a router; the returned function releases what New took.
 func New(s *loader.Settings, self loader.Process, log *zap.Logger) (*Router, func(), error) {
-	d := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey(), messenger.WithTLS(s.TLS()))
-	conn, err := d.Dial(zoneKeeper(s, self.Zone()).RPC())
-	if err != nil {
-		return nil, nil, err
+	now := time.Now()
+	r := &Router{
+		settings: s, self: self, log: log,
+		incarnation: rattanhoist.Incarnation(now.UnixNano()),
+		joiner:      joiner.New(joiner.Limits{Grace: retryGrace, Keep: s.Policy().KeepAnswer(), MaxBytes: maxKeptBytes}),
+		decisions:   recorder.New(recordedRequests),
+		tracker:     newTracker(s, self),
+		engines:     newEngines(),
+		ledgerBase:  now,
+		ledger:      picker.NewLedger(now),
+		life:        newLifeCycle(log),
 	}
-	money, closeMoney, err := newTreasurer(s, self, d, conn, log)
+	r.ledger.SetRouters(len(s.Processes(loader.KindRouter)))
+	closePeers, err := r.connect()
 	if err != nil {
-		_ = conn.Close()
 		return nil, nil, err
 	}
-	homes, closeHomes, err := newHomes(s, self, d)
-	if err != nil {
-		closeMoney()
-		_ = conn.Close()
-		return nil, nil, err
+	r.serveRPC()
+	publishCounters()
+	r.handover, r.hurry = context.WithCancel(context.Background())
+	r.server = &http.Server{
+		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
+		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
-	claims, closeClaims, err := newClaimKeepers(s, d)
-	if err != nil {
-		closeHomes()
-		closeMoney()
-		_ = conn.Close()
-		return nil, nil, err
+	return r, closePeers, nil
+}
+
+// connect sets up the clients of other processes; the returned function closes
+// them.
+func (r *Router) connect() (func(), error) {
+	s := r.settings
+	r.dialer = messenger.NewDialer(r.self.Name(), messenger.RoleMember, s.DeploymentKey(), messenger.WithTLS(s.TLS()))
+	var opened cleanUps
+	var err error
+	if r.keeperConn, err = r.dialer.Dial(zoneKeeper(s, r.self.Zone()).RPC()); err != nil {
+		return nil, err
 	}
-	r := &Router{
-		homes: homes, claims: claims, incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
-		joiner:   joiner.New(joiner.Limits{Grace: retryGrace, Keep: s.Policy().KeepAnswer(), MaxBytes: maxKeptBytes}),
-		settings: s, self: self, log: log, dialer: d, money: money,
-		peerRPC: messenger.NewServer(messenger.Keys{
-			messenger.RoleMember:   s.DeploymentKey(),
-			messenger.RoleOperator: s.OperatorKey(),
-		}, messenger.WithTLS(s.TLS())),
-		keeperConn: conn, decisions: recorder.New(recordedRequests),
-		tracker: newTracker(s, self),
-		engines: newEngines(),
+	opened.add(func() { _ = r.keeperConn.Close() })
+	var closeOne func()
+	if r.money, closeOne, err = newTreasurer(s, r.self, r.dialer, r.keeperConn, r.log); err != nil {
+		opened.run()
+		return nil, err
 	}
-	r.ledgerBase = time.Now()
-	r.ledger = picker.NewLedger(r.ledgerBase)
-	r.ledger.SetRouters(len(s.Processes(loader.KindRouter)))
-	r.life = fsm.NewFSM(stateStarting, fsm.Events{
+	opened.add(closeOne)
+	if r.homes, closeOne, err = newHomes(s, r.self, r.dialer); err != nil {
+		opened.run()
+		return nil, err
+	}
+	opened.add(closeOne)
+	if r.claims, closeOne, err = newClaimKeepers(s, r.dialer); err != nil {
+		opened.run()
+		return nil, err
+	}
+	opened.add(closeOne)
+	r.gossip = newGossiper(r)
+	opened.add(r.gossip.close)
+	return opened.run, nil
+}
+
+// cleanUps are the clean-up functions of what was opened so far.
+type cleanUps []func()
+
+func (c *cleanUps) add(f func()) { *c = append(*c, f) }
+
+// run calls the functions, the latest first.
+func (c *cleanUps) run() {
+	for _, f := range slices.Backward(*c) {
+		f()
+	}
+}
+
+// serveRPC registers what the router answers to other processes.
+func (r *Router) serveRPC() {
+	s := r.settings
+	r.peerRPC = messenger.NewServer(messenger.Keys{
+		messenger.RoleMember:   s.DeploymentKey(),
+		messenger.RoleOperator: s.OperatorKey(),
+	}, messenger.WithTLS(s.TLS()))
+	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
+	messenger.RegisterHomeRouterServer(r.peerRPC, &homeServer{router: r})
+	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
+}
+
+func newLifeCycle(log *zap.Logger) *fsm.FSM {
+	return fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventReady, Src: []string{stateStarting}, Dst: stateReady},
 		{Name: eventDrain, Src: []string{stateStarting, stateReady}, Dst: stateDraining},
 	}, fsm.Callbacks{"enter_state": func(_ context.Context, e *fsm.Event) {
 		log.Info("state changed", zap.String("from", e.Src), zap.String("to", e.Dst))
 	}})
-	r.gossip = newGossiper(r)
-	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
-	messenger.RegisterHomeRouterServer(r.peerRPC, &homeServer{router: r})
-	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
-	publishCounters()
-	r.handover, r.hurry = context.WithCancel(context.Background())
-	r.server = &http.Server{
-		Handler: r.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
-		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
-	}
-	return r, func() {
-		closeHomes()
-		closeClaims()
-		r.gossip.close()
-		closeMoney()
-		_ = conn.Close()
-	}, nil
 }
 
 // newEngines returns the client for endpoints. It passes bodies and redirects
@@ -204,8 +234,8 @@
 	}
 	failed := make(chan error, 1)
 	go r.follow(background)
-	go r.expire(background)
-	go r.tick(background)
+	go repeat(background, expireEvery, r.expire)
+	go repeat(background, tickEvery, r.joiner.Tick)
 	for _, x := range r.homes.zone {
 		go r.beat(background, x)
 	}
@@ -242,31 +272,23 @@
 	return d.Cutter()
 }
 
-func (r *Router) expire(ctx context.Context) {
-	t := time.NewTicker(expireEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			r.records.expire(time.Now())
-			r.tracker.Expire(rattanhoist.MomentOf(time.Now()))
-			r.ledger.Forget(time.Now(), forgetEndpoint)
-		}
-	}
+// expire forgets what has not been renewed for long.
+func (r *Router) expire(now time.Time) {
+	r.records.expire(now)
+	r.tracker.Expire(rattanhoist.MomentOf(now))
+	r.ledger.Forget(now, forgetEndpoint)
 }
 
-// tick lets time pass for runs and kept answers.
-func (r *Router) tick(ctx context.Context) {
-	t := time.NewTicker(tickEvery)
+// repeat calls f at every interval until ctx ends.
+func repeat(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-t.C:
-			r.joiner.Tick(now)
+		case <-t.C:
+			f(time.Now())
 		}
 	}
 }
