--- a/joiner/core.go
+++ b/joiner/core.go
@@ -170,7 +170,7 @@
 	case Leave:
 		return c.leave(now, e)
 	case End:
-		return c.end(now, e)
+		return c.end(e)
 	case Tick:
 		return c.tick(now)
 	}
@@ -187,7 +187,7 @@
 	case e == nil && a.JoinOnly:
 		return []Action{Absent{Key: a.Key}}
 	case e == nil:
-		c.entries[a.Key] = &entry{key: a.Key, digest: a.Digest, pinned: a.Pinned, waiters: 1, deadline: a.Deadline}
+		c.begin(a)
 		return []Action{Start{Key: a.Key}}
 	case e.digest != a.Digest:
 		return []Action{Reused{Key: a.Key}}
@@ -195,7 +195,7 @@
 		return []Action{Absent{Key: a.Key}}
 	case e.failed:
 		c.forget(e)
-		c.entries[a.Key] = &entry{key: a.Key, digest: a.Digest, pinned: a.Pinned, waiters: 1, deadline: a.Deadline}
+		c.begin(a)
 		return []Action{Start{Key: a.Key, Again: true}}
 	}
 	e.waiters++
@@ -205,6 +205,11 @@
 	return []Action{Join{Key: a.Key}}
 }
 
+// begin remembers a request that starts to run.
+func (c *Core) begin(a Arrive) {
+	c.entries[a.Key] = &entry{key: a.Key, digest: a.Digest, pinned: a.Pinned, waiters: 1, deadline: a.Deadline}
+}
+
 func (c *Core) leave(now time.Time, l Leave) []Action {
 	e := c.entries[l.Key]
 	if e == nil || e.waiters == 0 {
@@ -217,7 +222,7 @@
 	return nil
 }
 
-func (c *Core) end(_ time.Time, d End) []Action {
+func (c *Core) end(d End) []Action {
 	e := c.entries[d.Key]
 	if e == nil || e.kept != nil {
 		return nil
--- a/joiner/run.go
+++ b/joiner/run.go
@@ -117,7 +117,7 @@
 
 // Stop keeps the run from being dispatched. Stopped reports whether this run
 // never is; proven, whether moreover no earlier one can have been.
-func (r *Run) Stop() (isStopped, proven bool) {
+func (r *Run) Stop() (stopped, proven bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.dispatches > 0 {
