--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -14,6 +14,8 @@
 	failuresToEject = 3
 	firstEjection   = time.Second
 	longestEjection = 30 * time.Second
+	// maxDoublings reaches longestEjection and keeps the shift in range.
+	maxDoublings = 5
 	// probeTimeout lets another probe out when one never ended.
 	probeTimeout = 10 * time.Second
 )
@@ -64,10 +66,7 @@
 	if s.failures < failuresToEject {
 		return s
 	}
-	d := longestEjection
-	if s.ejections < 5 {
-		d = min(firstEjection<<s.ejections, longestEjection)
-	}
+	d := min(firstEjection<<min(s.ejections, maxDoublings), longestEjection)
 	s.ejections++
 	s.blockedUntil = now + d + time.Duration(random*float64(d)/2)
 	return s
--- a/tracker/entry.go
+++ b/tracker/entry.go
@@ -19,6 +19,8 @@
 	freeRestarts = 1
 	holdBase     = time.Second
 	holdMax      = 30 * time.Second
+	// maxDoublings reaches holdMax and keeps the shift in range.
+	maxDoublings = 5
 )
 
 // entry is what the tracker knows under one name: the newest incarnation.
@@ -69,7 +71,7 @@
 	if restarts <= freeRestarts {
 		return rattanhoist.Moment{}
 	}
-	d := holdBase << min(restarts-freeRestarts-1, 10)
+	d := holdBase << min(restarts-freeRestarts-1, maxDoublings)
 	return now.Add(min(d, holdMax))
 }
 
