Give the picker's runs, loads and random source files of their own

No change of behaviour. ledger.go held the runs too, two_choices.go the estimate of load that every picker uses, prefixes.go the random source. Prefixes had no user outside, so it and its methods are unexported; the type draw and the method draw were two things.

--- a/picker/deadline.go
+++ b/picker/deadline.go
@@ -89,19 +89,20 @@
 			p.consider(int(i))
 		}
 	}
-	d := draw(p.q.Seed)
-	p.draw(&d, 0, p.s.local, sampleLocal)
-	p.draw(&d, p.s.local, len(p.s.candidates), sampleOthers)
+	r := source(p.q.Seed)
+	p.sampleRange(&r, 0, p.s.local, sampleLocal)
+	p.sampleRange(&r, p.s.local, len(p.s.candidates), sampleOthers)
 }
 
-func (p *prediction) draw(d *draw, from, to, most int) {
+// sampleRange looks at most candidates of those from from to to-1.
+func (p *prediction) sampleRange(r *source, from, to, most int) {
 	n := to - from
 	if n <= most {
-		p.scan(int(d.next()>>33), from, to)
+		p.scan(int(r.next()>>33), from, to)
 		return
 	}
 	for range most {
-		p.consider(from + d.below(n))
+		p.consider(from + r.below(n))
 	}
 }
 
--- a/picker/ledger.go
+++ b/picker/ledger.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"rattanhoist.example/rattanhoist"
-	"rattanhoist.example/rattanhoist/ejector"
 )
 
 // Ledger is one router's own record of endpoints, services and prefixes. Safe
@@ -20,24 +19,21 @@
 	// Services maps names to *Service.
 	services sync.Map
 	nextID   atomic.Uint32
-	prefixes *Prefixes
+	prefixes *prefixes
 	// Routers is how many routers share the endpoints, 0 where unknown.
 	routers atomic.Int64
 }
 
+// NewLedger returns an empty ledger that counts time from base.
+func NewLedger(base time.Time) *Ledger { return &Ledger{base: base, prefixes: &prefixes{}} }
+
 // SetRouters says how many routers share the endpoints; callers are assumed
 // to be spread evenly over them.
 func (l *Ledger) SetRouters(n int) { l.routers.Store(int64(n)) }
 
-// NewLedger returns an empty ledger that counts time from base.
-func NewLedger(base time.Time) *Ledger { return &Ledger{base: base, prefixes: &Prefixes{}} }
-
 // Since returns the time since the ledger's base; monotonic where t is.
 func (l *Ledger) Since(t time.Time) time.Duration { return t.Sub(l.base) }
 
-// Prefixes returns the record of prefixes, for cache events.
-func (l *Ledger) Prefixes() *Prefixes { return l.prefixes }
-
 // Service returns the record of a service.
 func (l *Ledger) Service(name string) *Service {
 	v, ok := l.services.Load(name)
@@ -122,34 +118,6 @@
 	return c
 }
 
-// Run is one request at one endpoint.
-type Run struct {
-	ledger *Ledger
-	stats  *Stats
-	prefix uint64
-	prompt float64
-	most   int64
-	begun  time.Duration
-	first  time.Duration
-	// Expected says that the endpoint was believed to hold the prefix.
-	expected bool
-	// Queued says that the endpoint was full at dispatch.
-	queued bool
-}
-
-// Outcome is how a run ended.
-type Outcome struct {
-	// AnswerTokens of a whole answer.
-	AnswerTokens int64
-	// CachedTokens of the prompt, or -1 where the engine does not say.
-	CachedTokens int64
-	// Whole says that the answer is complete.
-	Whole bool
-	// Fault says that the run failed through the endpoint's own fault, and
-	// not because the caller left or the deadline passed.
-	Fault bool
-}
-
 // Known returns the record of an endpoint by name, or nil.
 func (l *Ledger) Known(name string) *Stats {
 	v, ok := l.endpoints.Load(name)
@@ -159,90 +127,13 @@
 	return v.(*Stats)
 }
 
-// BeginAt notes a dispatch to an endpoint.
-func (l *Ledger) BeginAt(e *rattanhoist.Endpoint, q Query) Run {
-	c := Candidate{endpoint: e, stats: l.Stats(e), capacity: float64(e.Capacity())}
-	return l.Begin(&c, q)
-}
-
-// Begin notes a dispatch.
-func (l *Ledger) Begin(c *Candidate, q Query) Run {
-	now := l.Since(q.Now)
-	r := Run{ledger: l, stats: c.stats, prefix: q.Prefix, prompt: float64(q.PromptTokens), most: q.MaxAnswer, begun: now}
-	for _, id := range l.prefixes.owners(q.Prefix, now) {
-		r.expected = r.expected || id == c.stats.id
-	}
-	r.queued = c.work(now) >= c.capacity
-	c.stats.inFlight.Add(1)
-	c.stats.gate.Step(now, ejector.Dispatched, 0)
-	l.prefixes.Stored(q.Prefix, c.stats.id, now)
-	return r
-}
-
-// First notes the first token of the answer.
-func (r *Run) First(at time.Time) {
-	now := r.ledger.Since(at)
-	r.first = now
-	if r.prompt < 1 {
-		return
-	}
-	x := (now - r.begun).Seconds() / r.prompt
-	r.stats.service.promptTime.add(x, serviceWeight, now)
-	if r.expected || r.queued {
-		return
-	}
-	r.stats.prefillTime.add(x, sampleWeight, now)
-	r.stats.service.prefillTime.add(x, serviceWeight, now)
-}
-
-// End notes the end of the run; random in [0, 1) spreads probes.
-func (r *Run) End(at time.Time, o Outcome, random float64) {
-	now := r.ledger.Since(at)
-	r.stats.inFlight.Add(-1)
-	if o.Fault {
-		r.stats.gate.Step(now, ejector.Failed, random)
-		r.ledger.prefixes.Evicted(r.prefix, r.stats.id)
-		return
-	}
-	if !o.Whole {
-		return
-	}
-	r.stats.gate.Step(now, ejector.Succeeded, random)
-	r.learn(now, o)
-}
-
-func (r *Run) learn(now time.Duration, o Outcome) {
-	s := r.stats.service
-	if o.AnswerTokens > 1 && r.first > 0 {
-		x := (now - r.first).Seconds() / float64(o.AnswerTokens-1)
-		r.stats.tokenTime.add(x, sampleWeight, now)
-		s.tokenTime.add(x, serviceWeight, now)
-	}
-	if r.most > 0 && o.AnswerTokens > 0 {
-		s.answerLength.add(float64(o.AnswerTokens), serviceWeight, now)
-		s.answerShare.add(float64(o.AnswerTokens)/float64(r.most), serviceWeight, now)
-	}
-	if r.most == 0 {
-		s.callTime.add((now - r.begun).Seconds(), serviceWeight, now)
-	}
-	s.samples.Add(1)
-	s.learnedAt.Store(int64(now))
-	if r.expected && o.CachedTokens >= 0 {
-		hit := 0.0
-		if o.CachedTokens > 0 {
-			hit = 1
-		}
-		r.stats.reuse.add(hit, sampleWeight, now)
-	}
-}
-
 // CacheEvent takes in what an endpoint says of its prefix cache. Events come
 // late and with gaps, so they only add to the ledger's own record.
 func (l *Ledger) CacheEvent(e *rattanhoist.Endpoint, prefix uint64, stored bool, now time.Time) {
 	id := l.Stats(e).id
 	if stored {
-		l.prefixes.Stored(prefix, id, l.Since(now))
+		l.prefixes.stored(prefix, id, l.Since(now))
 		return
 	}
-	l.prefixes.Evicted(prefix, id)
+	l.prefixes.evicted(prefix, id)
 }
--- a/picker/prefixes.go
+++ b/picker/prefixes.go
@@ -12,11 +12,11 @@
 	prefixMaxAge = 10 * time.Minute
 )
 
-// Prefixes records which endpoints hold which prompt prefixes in their cache:
+// prefixes records which endpoints hold which prompt prefixes in their cache:
 // this router's own dispatches, and cache events where they come. Its memory
 // is fixed; the oldest record of a full set makes room. It is only a hint.
 // Safe for concurrent use without a lock.
-type Prefixes struct {
+type prefixes struct {
 	slots [prefixSets * prefixWays]prefixSlot
 }
 
@@ -29,13 +29,13 @@
 	return uint64(id)<<32 | uint64(uint32(now/time.Second)+1)
 }
 
-func (p *Prefixes) set(prefix uint64) []prefixSlot {
+func (p *prefixes) set(prefix uint64) []prefixSlot {
 	i := (mix(prefix) % prefixSets) * prefixWays
 	return p.slots[i : i+prefixWays]
 }
 
-// Stored notes that an endpoint has a prefix.
-func (p *Prefixes) Stored(prefix uint64, id uint32, now time.Duration) {
+// stored notes that an endpoint has a prefix.
+func (p *prefixes) stored(prefix uint64, id uint32, now time.Duration) {
 	if prefix == 0 {
 		return
 	}
@@ -57,8 +57,8 @@
 	set[at].check.Store(prefix ^ v)
 }
 
-// Evicted notes that an endpoint no longer has a prefix.
-func (p *Prefixes) Evicted(prefix uint64, id uint32) {
+// evicted notes that an endpoint no longer has a prefix.
+func (p *prefixes) evicted(prefix uint64, id uint32) {
 	set := p.set(prefix)
 	for i := range set {
 		v := set[i].value.Load()
@@ -69,7 +69,7 @@
 }
 
 // owners lists the ids of endpoints that hold a prefix, 0 for none.
-func (p *Prefixes) owners(prefix uint64, now time.Duration) (ids [prefixWays]uint32) {
+func (p *prefixes) owners(prefix uint64, now time.Duration) (ids [prefixWays]uint32) {
 	if prefix == 0 {
 		return ids
 	}
@@ -85,24 +85,3 @@
 	}
 	return ids
 }
-
-// mix spreads the bits of a word (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-// draw is a small deterministic source of random words.
-type draw uint64
-
-func (d *draw) next() uint64 {
-	*d += 0x9e3779b97f4a7c15
-	return mix(uint64(*d))
-}
-
-// below returns a number from 0 to n-1; n is far below 2^32, so the bias of
-// the multiplication does not count.
-func (d *draw) below(n int) int { return int((d.next() >> 32) * uint64(n) >> 32) }
--- a/picker/two_choices.go
+++ b/picker/two_choices.go
@@ -1,7 +1,5 @@
 package picker
 
-import "time"
-
 // TwoChoices is the name of the picker that draws two candidates and takes
 // the one with less work for its capacity.
 var TwoChoices = Register("two_choices", func() Picker { return twoChoices{} })
@@ -18,10 +16,10 @@
 		return -1
 	}
 	now := s.at(q.Now)
-	d := draw(q.Seed)
+	r := source(q.Seed)
 	best, found := -1, 0
 	for range twoChoicesDraws {
-		i := d.below(n)
+		i := r.below(n)
 		if i == best || !s.usable(&q, i, now) {
 			continue
 		}
@@ -37,25 +35,3 @@
 	}
 	return best
 }
-
-// reported is the share of the capacity in use: the endpoint's own report, or
-// this router's requests where they are more, since reports come late.
-func (c *Candidate) reported() float64 {
-	return max(float64(c.stats.inFlight.Load()), float64(c.endpoint.Load())) / c.capacity
-}
-
-// reportHalf is the age at which a load report counts half.
-const reportHalf = 500 * time.Millisecond
-
-// work estimates the requests in progress at the endpoint, of all routers:
-// this router's own count is exact; what the last report says beyond it is
-// discounted by its age, so that the older the report, the more the own
-// count weighs.
-func (c *Candidate) work(now time.Duration) float64 {
-	own := float64(c.stats.inFlight.Load())
-	guess := own * c.stats.service.othersPerOwn.value(0)
-	reported := max(0, c.stats.others.value(guess))
-	age := max(0, now-time.Duration(c.stats.reportAt.Load()))
-	trust := float64(reportHalf) / float64(reportHalf+age)
-	return own + guess + trust*(reported-guess)
-}
