--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -202,10 +202,16 @@
 	f.t.Helper()
 	c := f.process(name)
 	_ = c.Process.Kill()
-	_ = c.Wait()
+	_ = f.reap(name, c)
+}
+
+// reap waits until a process has ended; from then on it counts as stopped.
+func (f *Fleet) reap(name string, c *exec.Cmd) error {
+	err := c.Wait()
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	delete(f.running, name)
-	f.mu.Unlock()
+	return err
 }
 
 // Terminate asks a process to shut down and waits until it has.
@@ -215,11 +221,7 @@
 	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
-	err := c.Wait()
-	f.mu.Lock()
-	delete(f.running, name)
-	f.mu.Unlock()
-	return err
+	return f.reap(name, c)
 }
 
 // Ask asks a process to shut down and does not wait for it.
