Bound a model's answer by its request's tokens

Cause: a run kept whatever an engine sent until the request's deadline, ten minutes by default at most; an engine that ignores max_tokens could fill the router's memory and end every other stream with it. Plain answers were bounded by max_body_bytes.

Ruled out: max_body_bytes for models too, because an operator who lowers it for requests would break long answers.

Change: an answer may have 256 bytes for each token that the request allows; more is the engine's failure. The new test failed before for engines with and without offsets.

--- a/router/engine_stream.go
+++ b/router/engine_stream.go
@@ -32,6 +32,9 @@
 const (
 	maxEvent  = 1 << 20
 	doneEvent = "[DONE]"
+	// maxTokenBytes is above the longest token of the usual vocabularies (128
+	// bytes).
+	maxTokenBytes = 256
 )
 
 // engineEvent is one event of a model engine's stream. Engines that know the
@@ -67,7 +70,11 @@
 	run    *joiner.Run
 	digest hash.Hash
 	answer joiner.Answer
-	usage  *usage
+	// Most bounds the answer in bytes: an engine that ignores max_tokens would
+	// otherwise fill the memory of the router, which shows as its resident
+	// size growing with one stream.
+	most  int64
+	usage *usage
 	// First is the first event; it shows what kind of engine sends.
 	first *engineEvent
 	// Finished says that the engine ended the text; whole, that the answer
@@ -80,7 +87,7 @@
 }
 
 func newAssembler(q *request, run *joiner.Run) *assembler {
-	return &assembler{key: q.key.String(), run: run, digest: sha256.New(), progress: func() {}, begun: func() {}}
+	return &assembler{key: q.key.String(), run: run, digest: sha256.New(), most: q.maxAnswer * maxTokenBytes, progress: func() {}, begun: func() {}}
 }
 
 // read takes one connection's events until it ends.
@@ -184,6 +191,9 @@
 	if a.finished || offset != nil && *offset != a.answer.Length {
 		return ErrFragment
 	}
+	if a.answer.Length+int64(len(text)) > a.most {
+		return merry.Wrap(ErrEngine, merry.AppendMessage("more text than max_tokens allows"))
+	}
 	a.begun()
 	if err := a.run.Append(a.answer.Length, text); err != nil {
 		return err
--- a/router/stream_test.go
+++ b/router/stream_test.go
@@ -94,10 +94,37 @@
 	}
 }
 
+// TestAnswerIsBoundedByItsTokens
+// Symptom: the memory of a router grows until it is ended, and with it every
+// other stream.
+// Sequence: an engine ignores max_tokens and sends text for as long as the
+// request's deadline allows.
+// Cause: a run kept whatever an engine sent; only plain answers had a bound.
+func TestAnswerIsBoundedByItsTokens(t *testing.T) {
+	const most = 8 * 256
+	for _, id := range []string{ownID, chatID} {
+		t.Run(id, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			a, run := testAssembler()
+			send := func(at, n int) error {
+				event := plainPiece(id, strings.Repeat("x", n))
+				if id == ownID {
+					event = piece(id, at, strings.Repeat("x", n))
+				}
+				return a.take(event)
+			}
+			g.Expect(send(0, most-1)).To(gomega.Succeed())
+			g.Expect(send(most-1, 1)).To(gomega.Succeed())
+			g.Expect(send(most, 1)).To(gomega.MatchError(ErrEngine))
+			g.Expect(run.Length()).To(gomega.Equal(int64(most)))
+		})
+	}
+}
+
 func testAssembler() (*assembler, *joiner.Run) {
 	k := rattanhoist.NewRequestKey("w", "a")
 	run, _, _ := joiner.New(joiner.Limits{MaxBytes: 1 << 20}).Arrive(time.Now(), joiner.Arrive{Key: k, Deadline: time.Now().Add(time.Minute)})
-	return newAssembler(&request{key: k}, run), run
+	return newAssembler(&request{key: k, maxAnswer: 8}, run), run
 }
 
 // keepSink is a sink that keeps what it gets.
