Forget the count of a service without endpoints

Cause: the tracker counted the endpoints of each service that endpoints name, and kept the count at zero for ever; endpoints choose those names, so nothing bounded them. The new test found 'portal: 0' before.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -254,11 +254,20 @@
 		delete(t.byAddress, p.Address())
 	}
 	if p.Zone() == t.zone {
-		t.counted[p.Service()]--
+		t.uncount(p.Service())
 	}
 	t.table.Store(t.Table().without(p))
 }
 
+// uncount takes one endpoint off a service's count. A count of zero goes:
+// names of services come from endpoints, so nothing else bounds their number.
+func (t *Tracker) uncount(service string) {
+	t.counted[service]--
+	if t.counted[service] == 0 {
+		delete(t.counted, service)
+	}
+}
+
 // drop forgets an entry.
 func (t *Tracker) drop(e *entry) {
 	t.remove(e)
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -235,3 +235,20 @@
 	g.Expect(a.Reply(p.Request("b", zones[1], nil), start).Endpoints).To(gomega.HaveLen(1))
 	g.Expect(a.Reply(p.Request("b", zones[0], nil), start).Endpoints).To(gomega.HaveLen(2))
 }
+
+// TestServicesWithoutEndpointsAreForgotten
+// Symptom: the memory of a router grows with every service that ever was.
+// Sequence: endpoints announce services that come and go, and leave.
+// Cause: the count of a service's endpoints stayed, at zero.
+func TestServicesWithoutEndpointsAreForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := newTracker(zones[0], 1)
+	say(g, k, valid(), start)
+	a := valid()
+	a.Name, a.Service, a.Address = "e2", "portal", "10.0.0.2:9000"
+	say(g, k, a, start)
+	g.Expect(k.counted).To(gomega.Equal(map[string]int{"llm": 1, "portal": 1}))
+	a.Sequence, a.Leaving = 2, true
+	say(g, k, a, start)
+	g.Expect(k.counted).To(gomega.Equal(map[string]int{"llm": 1}))
+}
