Bound the text that is kept of an endpoint's failure

Cause: an engine's error and a status line went whole into the refusal and into the decisions kept for operators; some thousand failures with a megabyte each (the bound of an event) would take gigabytes.

Change: clip to 1 KiB, between characters.

--- a/router/engine_stream.go
+++ b/router/engine_stream.go
@@ -125,7 +125,7 @@
 		return merry.Wrap(ErrFragment, merry.AppendMessage(err.Error()))
 	}
 	if !isNull(e.Error) {
-		return merry.Wrap(ErrEngine, merry.AppendMessage(string(e.Error)))
+		return merry.Wrap(ErrEngine, merry.AppendMessage(clip(string(e.Error))))
 	}
 	if err := a.identify(&e); err != nil {
 		return err
--- a/router/record.go
+++ b/router/record.go
@@ -59,9 +59,23 @@
 	case recorder.Billed:
 		countTokens.Add("charged", int64(d.Tokens))
 	}
+	d.Reason = clip(d.Reason)
 	r.decisions.Record(q.key, d)
 }
 
+// maxReason bounds the text that is kept or passed on of an endpoint's failure,
+// in bytes: thousands of decisions are kept, and a faulty endpoint may send
+// megabytes with each.
+const maxReason = 1 << 10
+
+// clip returns the beginning of a text, cut between two characters.
+func clip(s string) string {
+	if len(s) <= maxReason {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxReason], "") + " ..."
+}
+
 // recordEnd records how a request ended.
 func (r *Router) recordEnd(q *request, began time.Time, err error) {
 	requestTime.Observe(time.Since(began))
--- a/router/run.go
+++ b/router/run.go
@@ -203,7 +203,7 @@
 func refusedBy(resp *http.Response, q *request) error {
 	cause := &Problem{
 		Status: http.StatusBadGateway, Code: CodeEndpointFailed, Outcome: Unknown, After: retrySoon,
-		Detail: "the endpoint answered " + resp.Status,
+		Detail: "the endpoint answered " + clip(resp.Status),
 	}
 	switch {
 	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
--- a/router/stream_test.go
+++ b/router/stream_test.go
@@ -7,12 +7,14 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/onsi/gomega"
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/recorder"
 )
 
 const (
@@ -121,6 +123,28 @@
 	}
 }
 
+// TestEndpointsWordsAreBounded
+// Symptom: some thousand failures at one engine take gigabytes at the router.
+// Sequence: an engine reports each failure with a megabyte of text; the text
+// goes into the refusal and into the decisions that are kept for operators.
+// Cause: what an endpoint says of its failures was kept whole.
+func TestEndpointsWordsAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, _ := testAssembler()
+	text := strings.Repeat("\u00e9", 1<<17)
+	err := a.take(`{` + ownID + `,"error":"` + text + `"}`)
+	g.Expect(err).To(gomega.MatchError(ErrEngine))
+	g.Expect(len(err.Error())).To(gomega.BeNumerically("<", 2048))
+	g.Expect(utf8.ValidString(err.Error())).To(gomega.BeTrue())
+
+	r := newTestRouter(t)
+	q := &request{key: rattanhoist.NewRequestKey("w", "a")}
+	r.record(q, recorder.Decision{Kind: recorder.Failed, Reason: text})
+	kept := r.decisions.Explain("w", "a")
+	g.Expect(kept).To(gomega.HaveLen(1))
+	g.Expect(len(kept[0].Decision.Reason)).To(gomega.BeNumerically("<", 2048))
+}
+
 func testAssembler() (*assembler, *joiner.Run) {
 	k := rattanhoist.NewRequestKey("w", "a")
 	run, _, _ := joiner.New(joiner.Limits{MaxBytes: 1 << 20}).Arrive(time.Now(), joiner.Arrive{Key: k, Deadline: time.Now().Add(time.Minute)})
