Bound the writes of an answer by the request's deadline

Cause: a write that waits for a caller that does not read sees nothing of the request's context, and had no bound: such a caller held its request, and the drain, for as long as it kept the connection open.

Ruled out: http.Server.WriteTimeout, one bound for all requests.

--- a/router/request.go
+++ b/router/request.go
@@ -84,7 +84,7 @@
 	maxTimeout     time.Duration
 	now            time.Time
 	// Connection is the one that the request comes on.
-	connection readDeadliner
+	connection deadliner
 	// NewID makes the id of a request that comes without one.
 	newID func(workspace string) string
 }
--- a/router/slow_body_test.go
+++ b/router/slow_body_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"testing"
 	"time"
 
@@ -72,3 +73,28 @@
 	_ = resp.Body.Close()
 	g.Expect(<-ended).NotTo(gomega.HaveOccurred())
 }
+
+// TestCallerThatDoesNotReadEndsAtTheDeadline
+// Symptom: a router that drains waits for answers that nobody reads.
+// Sequence: a caller sends a request, keeps the connection open and reads
+// nothing; the answer is larger than the buffers between the two.
+// Cause: a write that waits for room does not see the end of the request's
+// context, and had no bound of its own.
+func TestCallerThatDoesNotReadEndsAtTheDeadline(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ended := make(chan error, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+		_, err := readBy(http.NewResponseController(w), h, time.Now().Add(100*time.Millisecond), 1000)
+		for err == nil {
+			_, err = w.Write(make([]byte, 1<<20))
+		}
+		ended <- err
+	}))
+	t.Cleanup(s.CloseClientConnections)
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: r\r\n\r\n")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(ended, 10*time.Second).Should(gomega.Receive(gomega.MatchError(os.ErrDeadlineExceeded)))
+}
