Read bearer keys and gather whole answers in one place

Three readers of the Authorization header differed in one thing: announcements and tickets wanted the scheme's case as written, requests did not; now none does (RFC 9110). The two sinks that wait for a whole answer shared three methods.

--- a/router/handler.go
+++ b/router/handler.go
@@ -92,8 +92,7 @@
 
 func (r *Router) endpointKey(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		key, _ := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(key), r.settings.EndpointKey()) != 1 {
+		if key := bearerKey(q); subtle.ConstantTimeCompare([]byte(key), r.settings.EndpointKey()) != 1 {
 			(&Problem{Status: http.StatusUnauthorized, Code: CodeUnknownKey, Field: "Authorization", Outcome: NotRun, Detail: "want the endpoints' key as bearer token"}).write(w)
 			return
 		}
--- a/router/header.go
+++ b/router/header.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net/http"
 	"slices"
+	"strings"
 
 	"rattanhoist.example/rattanhoist/joiner"
 )
@@ -21,6 +22,16 @@
 	"Content-Range", "Content-Type", "Etag", "Expires", "Last-Modified", "Link", "Location", "Retry-After", "Vary",
 }
 
+// bearerKey returns the key of a request, "" for none. The scheme's case does
+// not matter (RFC 9110).
+func bearerKey(r *http.Request) string {
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return key
+}
+
 // only returns the headers on the list.
 func only(h http.Header, list []string) http.Header {
 	out := http.Header{}
--- a/router/request.go
+++ b/router/request.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -167,8 +166,8 @@
 
 // common reads what both shapes share: the caller, the body and the identity.
 func (p parser) common(r *http.Request) (*request, error) {
-	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+	key := bearerKey(r)
+	if key == "" {
 		return nil, &Problem{Status: http.StatusUnauthorized, Code: CodeUnknownKey, Field: "Authorization", Outcome: NotRun, Detail: "want Authorization: Bearer KEY"}
 	}
 	w, err := p.snapshot.WorkspaceByKey(key)
--- a/router/sink.go
+++ b/router/sink.go
@@ -147,28 +147,31 @@
 	_, _ = fmt.Fprintf(s.w, "event: error\ndata: %s\n\n", b)
 }
 
-// wholeSink gathers the answer and writes it once it is complete.
-type wholeSink struct {
-	w       http.ResponseWriter
-	request *request
-	text    bytes.Buffer
-}
+// gatherer keeps the bytes of an answer until it is complete.
+type gatherer struct{ body bytes.Buffer }
 
-func (s *wholeSink) begin(joiner.Stream) error {
-	s.text.Reset()
+func (g *gatherer) begin(joiner.Stream) error {
+	g.body.Reset()
 	return nil
 }
 
-func (*wholeSink) streamed() bool { return false }
+func (*gatherer) streamed() bool { return false }
 
-func (s *wholeSink) chunk(_ int64, text []byte) error {
-	_, err := s.text.Write(text)
+func (g *gatherer) chunk(_ int64, text []byte) error {
+	_, err := g.body.Write(text)
 	return err
 }
 
+// wholeSink writes a model's answer once it is complete.
+type wholeSink struct {
+	gatherer
+	w       http.ResponseWriter
+	request *request
+}
+
 func (s *wholeSink) complete(a *joiner.Answer) error {
 	c := completion{ID: s.request.key.RequestID(), Object: "chat.completion", Created: time.Now().Unix(), Rattanhoist: finalMark(s.request, a)}
-	c.Choices = []choice{{Message: &message{Role: "assistant", Content: s.text.String()}, FinishReason: &a.FinishReason}}
+	c.Choices = []choice{{Message: &message{Role: "assistant", Content: s.body.String()}, FinishReason: &a.FinishReason}}
 	c.Usage = usageOf(a)
 	s.w.Header().Set("Content-Type", "application/json")
 	return gone(json.NewEncoder(s.w).Encode(c))
@@ -178,20 +181,8 @@
 
 // plainSink passes a plain service's answer on once it is whole.
 type plainSink struct {
-	w    http.ResponseWriter
-	body bytes.Buffer
-}
-
-func (s *plainSink) begin(joiner.Stream) error {
-	s.body.Reset()
-	return nil
-}
-
-func (*plainSink) streamed() bool { return false }
-
-func (s *plainSink) chunk(_ int64, text []byte) error {
-	_, err := s.body.Write(text)
-	return err
+	gatherer
+	w http.ResponseWriter
 }
 
 func (s *plainSink) complete(a *joiner.Answer) error {
--- a/router/ticket.go
+++ b/router/ticket.go
@@ -40,8 +40,7 @@
 // issueTicket gives a caller the id of a request to come, decided by the
 // keeper of this zone.
 func (r *Router) issueTicket(w http.ResponseWriter, h *http.Request) {
-	key, _ := strings.CutPrefix(h.Header.Get("Authorization"), "Bearer ")
-	if _, err := r.snapshot.Load().WorkspaceByKey(key); err != nil {
+	if _, err := r.snapshot.Load().WorkspaceByKey(bearerKey(h)); err != nil {
 		problemOf(err).write(w)
 		return
 	}
