Split router files that had two jobs

Moves only: records of siblings' runs, connections to other processes, the dispatch to an endpoint, and the messages between routers have files of their own.

--- a/router/router.go
+++ b/router/router.go
@@ -8,7 +8,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,62 +130,6 @@
 	return r, closePeers, nil
 }
 
-// connect sets up the clients of other processes; the returned function closes
-// them.
-func (r *Router) connect() (func(), error) {
-	s := r.settings
-	r.dialer = messenger.NewDialer(r.self.Name(), messenger.RoleMember, s.DeploymentKey(), messenger.WithTLS(s.TLS()))
-	var opened cleanUps
-	var err error
-	if r.keeperConn, err = r.dialer.Dial(zoneKeeper(s, r.self.Zone()).RPC()); err != nil {
-		return nil, err
-	}
-	opened.add(func() { _ = r.keeperConn.Close() })
-	var closeOne func()
-	if r.money, closeOne, err = newTreasurer(s, r.self, r.dialer, r.keeperConn, r.log); err != nil {
-		opened.run()
-		return nil, err
-	}
-	opened.add(closeOne)
-	if r.homes, closeOne, err = newHomes(s, r.self, r.dialer); err != nil {
-		opened.run()
-		return nil, err
-	}
-	opened.add(closeOne)
-	if r.claims, closeOne, err = newClaimKeepers(s, r.dialer); err != nil {
-		opened.run()
-		return nil, err
-	}
-	opened.add(closeOne)
-	r.gossip = newGossiper(r)
-	opened.add(r.gossip.close)
-	return opened.run, nil
-}
-
-// cleanUps are the clean-up functions of what was opened so far.
-type cleanUps []func()
-
-func (c *cleanUps) add(f func()) { *c = append(*c, f) }
-
-// run calls the functions, the latest first.
-func (c *cleanUps) run() {
-	for _, f := range slices.Backward(*c) {
-		f()
-	}
-}
-
-// serveRPC registers what the router answers to other processes.
-func (r *Router) serveRPC() {
-	s := r.settings
-	r.peerRPC = messenger.NewServer(messenger.Keys{
-		messenger.RoleMember:   s.DeploymentKey(),
-		messenger.RoleOperator: s.OperatorKey(),
-	}, messenger.WithTLS(s.TLS()))
-	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
-	messenger.RegisterHomeRouterServer(r.peerRPC, &homeServer{router: r})
-	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
-}
-
 func newLifeCycle(log *zap.Logger) *fsm.FSM {
 	return fsm.NewFSM(stateStarting, fsm.Events{
 		{Name: eventReady, Src: []string{stateStarting}, Dst: stateReady},
@@ -196,30 +139,6 @@
 	}})
 }
 
-// newEngines returns the client for endpoints. It passes bodies and redirects
-// on as they are.
-func newEngines() *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost: idlePerEndpoint, IdleConnTimeout: idleConnTimeout, DisableCompression: true,
-			DialContext: dialLooking(&net.Dialer{Timeout: dialTimeout}),
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		},
-	}
-}
-
-// zoneKeeper returns the keeper of a zone; checked settings have one.
-func zoneKeeper(s *loader.Settings, zone string) loader.Process {
-	for _, p := range s.Processes(loader.KindKeeper) {
-		if p.Zone() == zone {
-			return p
-		}
-	}
-	return loader.Process{}
-}
-
 // Run serves until ctx ends, then drains: requests in progress end, new ones
 // are refused, and unspent rights go back.
 func (r *Router) Run(ctx context.Context) error {
