--- a/router/handler.go
+++ b/router/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,11 +19,11 @@
 // handler returns the HTTP surface for callers and endpoints.
 func (r *Router) handler() http.Handler {
 	m := http.NewServeMux()
-	callers := alice.New(tracer.Middleware, r.recoverPanic, r.admitReady)
+	callers := alice.New(tracer.Middleware, r.recoverPanic, r.admitReady, boundBody(bodyTimeout))
 	m.Handle("POST /v1/chat/completions", callers.ThenFunc(r.chat))
 	m.Handle("POST /v1/tickets", callers.ThenFunc(r.issueTicket))
 	m.Handle("/v1/services/{service}/{path...}", callers.ThenFunc(r.plain))
-	m.Handle("POST /v1/endpoints", alice.New(r.recoverPanic, r.endpointKey).ThenFunc(r.announce))
+	m.Handle("POST /v1/endpoints", alice.New(r.recoverPanic, r.endpointKey, boundBody(bodyTimeout)).ThenFunc(r.announce))
 	m.HandleFunc("GET /healthz", r.health)
 	m.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("alive\n")) })
 	return m
@@ -108,12 +107,12 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
-func (r *Router) parser(w http.ResponseWriter) parser {
+func (r *Router) parser() parser {
 	p := r.settings.Policy()
 	return parser{
 		snapshot: r.snapshot.Load(), maxBody: p.MaxBody(),
 		defaultTimeout: p.DefaultTimeout(), maxTimeout: p.MaxTimeout(), now: time.Now(),
-		newID: r.newID, connection: http.NewResponseController(w),
+		newID: r.newID,
 	}
 }
 
@@ -134,11 +133,12 @@
 }
 
 func (r *Router) chat(w http.ResponseWriter, h *http.Request) {
-	q, err := r.parser(w).chat(h)
+	q, err := r.parser().chat(h)
 	if err != nil {
-		r.refuseUnparsed(err, w, h)
+		problemOf(err).write(w)
 		return
 	}
+	boundWrite(w, q.deadline)
 	w.Header().Set(headerRequestID, q.key.RequestID())
 	var s sink = &wholeSink{w: w, request: q}
 	if q.streamed {
@@ -147,27 +147,17 @@
 	r.answer(h.Context(), q, s)
 }
 
-// refuseUnparsed refuses a request that is faulty or did not arrive whole. Of
-// the latter an earlier attempt may have arrived.
-func (r *Router) refuseUnparsed(err error, w http.ResponseWriter, h *http.Request) {
-	if !errors.Is(err, errSlowBody) {
-		problemOf(err).write(w)
-		return
-	}
-	w.Header().Set("Connection", "close")
-	r.refuseUnread(&Problem{Status: http.StatusRequestTimeout, Code: CodeDeadline, Field: "body", Outcome: NotRun, Detail: err.Error()}, w, h)
-}
-
 const servicesPath = "/v1/services/"
 
 func (r *Router) plain(w http.ResponseWriter, h *http.Request) {
 	service := h.PathValue("service")
 	path := strings.TrimPrefix(h.URL.EscapedPath(), servicesPath+service)
-	q, err := r.parser(w).plain(h, service, path)
+	q, err := r.parser().plain(h, service, path)
 	if err != nil {
-		r.refuseUnparsed(err, w, h)
+		problemOf(err).write(w)
 		return
 	}
+	boundWrite(w, q.deadline)
 	w.Header().Set(headerRequestID, q.key.RequestID())
 	r.answer(h.Context(), q, &plainSink{w: w})
 }
--- a/router/request.go
+++ b/router/request.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -82,8 +83,6 @@
 	defaultTimeout time.Duration
 	maxTimeout     time.Duration
 	now            time.Time
-	// Connection is the one that the request comes on.
-	connection deadliner
 	// NewID makes the id of a request that comes without one.
 	newID func(workspace string) string
 }
@@ -220,41 +219,39 @@
 }
 
 func (p parser) readBody(r *http.Request) ([]byte, error) {
-	timeout, err := p.timeout(r)
-	if err != nil {
-		// It is reported after the faults of the body.
-		timeout = p.maxTimeout
-	}
-	body, err := readBy(p.connection, r, p.now.Add(timeout), p.maxBody)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, p.maxBody))
 	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
+	if errors.As(err, &tooLarge) {
 		return nil, &Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Field: "body", Outcome: NotRun, Detail: "the body is larger than " + strconv.FormatInt(p.maxBody, 10) + " bytes"}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, errSlowBody
-	case err != nil:
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, tooSlow(r)
+	}
+	if err != nil {
 		return nil, badField("body", "could not be read: "+err.Error())
 	}
 	return body, nil
 }
 
-func (p parser) timeout(r *http.Request) (time.Duration, error) {
-	v := r.Header.Get(headerTimeout)
-	if v == "" {
-		return p.defaultTimeout, nil
-	}
-	d, err := time.ParseDuration(v)
-	if err != nil || d <= 0 || d > p.maxTimeout {
-		return 0, badField(headerTimeout, "want a duration such as 30s, at most "+p.maxTimeout.String())
+// tooSlow refuses a body that did not come in time. Under an id or a ticket
+// that was sent before, an earlier sending may have run.
+func tooSlow(r *http.Request) *Problem {
+	p := &Problem{Status: http.StatusRequestTimeout, Code: CodeTooSlow, Field: "body", Outcome: NotRun, Detail: "the body did not come within " + bodyBound(r.Header, bodyTimeout).String()}
+	if r.Header.Get(headerIdempotencyKey) != "" || r.Header.Get(headerTicket) != "" {
+		p.Outcome = Unknown
 	}
-	return d, nil
+	return p
 }
 
 // finish reads the headers that need the service.
 func (p parser) finish(r *http.Request, q *request) error {
-	timeout, err := p.timeout(r)
-	if err != nil {
-		return err
+	timeout := p.defaultTimeout
+	if v := r.Header.Get(headerTimeout); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil || d <= 0 || d > p.maxTimeout {
+			return badField(headerTimeout, "want a duration such as 30s, at most "+p.maxTimeout.String())
+		}
+		timeout = d
 	}
 	q.deadline = p.now.Add(timeout)
 	q.repeatable = !q.service.NotRepeatable
