--- a/router/request.go
+++ b/router/request.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -166,8 +165,8 @@
 
 // common reads what both shapes share: the caller, the body and the identity.
 func (p parser) common(r *http.Request) (*request, error) {
-	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+	key := bearerKey(r)
+	if key == "" {
 		return nil, &Problem{Status: http.StatusUnauthorized, Code: CodeUnknownKey, Field: "Authorization", Outcome: NotRun, Detail: "want Authorization: Bearer KEY"}
 	}
 	w, err := p.snapshot.WorkspaceByKey(key)
@@ -234,11 +233,11 @@
 	return body, nil
 }
 
-// tooSlow refuses a body that did not come in time. Under an id that was sent
-// before, an earlier sending may have run.
+// tooSlow refuses a body that did not come in time. Under an id or a ticket
+// that was sent before, an earlier sending may have run.
 func tooSlow(r *http.Request) *Problem {
-	p := &Problem{Status: http.StatusRequestTimeout, Code: CodeTooSlow, Field: "body", Outcome: NotRun, Detail: "the body did not come within " + bodyTimeout.String()}
-	if r.Header.Get(headerIdempotencyKey) != "" {
+	p := &Problem{Status: http.StatusRequestTimeout, Code: CodeTooSlow, Field: "body", Outcome: NotRun, Detail: "the body did not come within " + bodyBound(r.Header, bodyTimeout).String()}
+	if r.Header.Get(headerIdempotencyKey) != "" || r.Header.Get(headerTicket) != "" {
 		p.Outcome = Unknown
 	}
 	return p
--- a/router/router.go
+++ b/router/router.go
@@ -44,6 +44,14 @@
 	expireEvery       = time.Second
 	giveBackTimeout   = 3 * time.Second
 	idlePerEndpoint   = 64
+	// dialTimeout bounds a connection attempt at an endpoint: the address of a
+	// lost VM neither takes nor refuses one, and a request that waited for it
+	// until its deadline could not be tried elsewhere. One SYN may be sent
+	// again.
+	dialTimeout = 2 * time.Second
+	// idleConnTimeout closes kept connections to endpoints: there is no other
+	// bound on those to endpoints that get no work any more.
+	idleConnTimeout = 90 * time.Second
 	// drainNotice is how long a draining router still answers that it is
 	// draining, so that balancers and callers learn it without a lost
 	// connection.
@@ -93,54 +101,24 @@
 
 // New returns a router; the returned function releases what New took.
 func New(s *loader.Settings, self loader.Process, log *zap.Logger) (*Router, func(), error) {
-	d := messenger.NewDialer(self.Name(), messenger.RoleMember, s.DeploymentKey(), messenger.WithTLS(s.TLS()))
-	conn, err := d.Dial(zoneKeeper(s, self.Zone()).RPC())
-	if err != nil {
-		return nil, nil, err
-	}
-	money, closeMoney, err := newTreasurer(s, self, d, conn, log)
-	if err != nil {
-		_ = conn.Close()
-		return nil, nil, err
-	}
-	homes, closeHomes, err := newHomes(s, self, d)
-	if err != nil {
-		closeMoney()
-		_ = conn.Close()
-		return nil, nil, err
+	now := time.Now()
+	r := &Router{
+		settings: s, self: self, log: log,
+		incarnation: rattanhoist.Incarnation(now.UnixNano()),
+		joiner:      joiner.New(joiner.Limits{Grace: retryGrace, Keep: s.Policy().KeepAnswer(), MaxBytes: maxKeptBytes}),
+		decisions:   recorder.New(recordedRequests),
+		tracker:     newTracker(s, self),
+		engines:     newEngines(),
+		ledgerBase:  now,
+		ledger:      picker.NewLedger(now),
+		life:        newLifeCycle(log),
 	}
-	claims, closeClaims, err := newClaimKeepers(s, d)
+	r.ledger.SetRouters(len(s.Processes(loader.KindRouter)))
+	closePeers, err := r.connect()
 	if err != nil {
-		closeHomes()
-		closeMoney()
-		_ = conn.Close()
 		return nil, nil, err
 	}
-	r := &Router{
-		homes: homes, claims: claims, incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
-		joiner:   joiner.New(joiner.Limits{Grace: retryGrace, Keep: s.Policy().KeepAnswer(), MaxBytes: maxKeptBytes}),
-		settings: s, self: self, log: log, dialer: d, money: money,
-		peerRPC: messenger.NewServer(messenger.Keys{
-			messenger.RoleMember:   s.DeploymentKey(),
-			messenger.RoleOperator: s.OperatorKey(),
-		}, messenger.WithTLS(s.TLS())),
-		keeperConn: conn, decisions: recorder.New(recordedRequests),
-		tracker: newTracker(s, self),
-		engines: newEngines(),
-	}
-	r.ledgerBase = time.Now()
-	r.ledger = picker.NewLedger(r.ledgerBase)
-	r.ledger.SetRouters(len(s.Processes(loader.KindRouter)))
-	r.life = fsm.NewFSM(stateStarting, fsm.Events{
-		{Name: eventReady, Src: []string{stateStarting}, Dst: stateReady},
-		{Name: eventDrain, Src: []string{stateStarting, stateReady}, Dst: stateDraining},
-	}, fsm.Callbacks{"enter_state": func(_ context.Context, e *fsm.Event) {
-		log.Info("state changed", zap.String("from", e.Src), zap.String("to", e.Dst))
-	}})
-	r.gossip = newGossiper(r)
-	messenger.RegisterRouterPeerServer(r.peerRPC, &peerServer{router: r})
-	messenger.RegisterHomeRouterServer(r.peerRPC, &homeServer{router: r})
-	messenger.RegisterOperationsServer(r.peerRPC, &operationsServer{router: r})
+	r.serveRPC()
 	publishCounters()
 	r.handover, r.hurry = context.WithCancel(context.Background())
 	r.server = &http.Server{
@@ -148,36 +126,16 @@
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		WriteTimeout: s.Policy().MaxTimeout() + idleTimeout,
 	}
-	return r, func() {
-		closeHomes()
-		closeClaims()
-		r.gossip.close()
-		closeMoney()
-		_ = conn.Close()
-	}, nil
+	return r, closePeers, nil
 }
 
-// newEngines returns the client for endpoints. It passes bodies and redirects
-// on as they are.
-func newEngines() *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost: idlePerEndpoint, DisableCompression: true, DialContext: dialLooking(&net.Dialer{}),
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		},
-	}
-}
-
-// zoneKeeper returns the keeper of a zone; checked settings have one.
-func zoneKeeper(s *loader.Settings, zone string) loader.Process {
-	for _, p := range s.Processes(loader.KindKeeper) {
-		if p.Zone() == zone {
-			return p
-		}
-	}
-	return loader.Process{}
+func newLifeCycle(log *zap.Logger) *fsm.FSM {
+	return fsm.NewFSM(stateStarting, fsm.Events{
+		{Name: eventReady, Src: []string{stateStarting}, Dst: stateReady},
+		{Name: eventDrain, Src: []string{stateStarting, stateReady}, Dst: stateDraining},
+	}, fsm.Callbacks{"enter_state": func(_ context.Context, e *fsm.Event) {
+		log.Info("state changed", zap.String("from", e.Src), zap.String("to", e.Dst))
+	}})
 }
 
 // Run serves until ctx ends, then drains: requests in progress end, new ones
@@ -194,8 +152,8 @@
 	}
 	failed := make(chan error, 1)
 	go r.follow(background)
-	go r.expire(background)
-	go r.tick(background)
+	go repeat(background, expireEvery, r.expire)
+	go repeat(background, tickEvery, r.joiner.Tick)
 	for _, x := range r.homes.zone {
 		go r.beat(background, x)
 	}
@@ -232,31 +190,23 @@
 	return d.Cutter()
 }
 
-func (r *Router) expire(ctx context.Context) {
-	t := time.NewTicker(expireEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			r.records.expire(time.Now())
-			r.tracker.Expire(rattanhoist.MomentOf(time.Now()))
-			r.ledger.Forget(time.Now(), forgetEndpoint)
-		}
-	}
+// expire forgets what has not been renewed for long.
+func (r *Router) expire(now time.Time) {
+	r.records.expire(now)
+	r.tracker.Expire(rattanhoist.MomentOf(now))
+	r.ledger.Forget(now, forgetEndpoint)
 }
 
-// tick lets time pass for runs and kept answers.
-func (r *Router) tick(ctx context.Context) {
-	t := time.NewTicker(tickEvery)
+// repeat calls f at every interval until ctx ends.
+func repeat(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-t.C:
-			r.joiner.Tick(now)
+		case <-t.C:
+			f(time.Now())
 		}
 	}
 }
