--- a/router/beat.go
+++ b/router/beat.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"expvar"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,53 +17,6 @@
 // recordBatch bounds the records of one beat.
 const recordBatch = 512
 
-// maxRecords bounds the remembered records of siblings, about 300 bytes each.
-const maxRecords = 100_000
-
-// record is what a sibling has told of a run of its own.
-type record struct {
-	owner   string
-	digest  joiner.Digest
-	stream  joiner.Stream
-	expires time.Time
-}
-
-// records remembers what siblings run, so that this router can go on with it.
-type records struct {
-	byKey sync.Map
-	count atomic.Int64
-}
-
-func (r *records) put(k rattanhoist.RequestKey, x record) {
-	_, had := r.byKey.Load(k)
-	if !had && r.count.Load() >= maxRecords {
-		homeCounters.Add("records_refused", 1)
-		return
-	}
-	if !had {
-		r.count.Add(1)
-	}
-	r.byKey.Store(k, x)
-}
-
-func (r *records) get(k rattanhoist.RequestKey, now time.Time) (record, bool) {
-	v, ok := r.byKey.Load(k)
-	if !ok || !now.Before(v.(record).expires) {
-		return record{}, false
-	}
-	return v.(record), true
-}
-
-func (r *records) expire(now time.Time) {
-	r.byKey.Range(func(k, v any) bool {
-		if !now.Before(v.(record).expires) {
-			r.byKey.Delete(k)
-			r.count.Add(-1)
-		}
-		return true
-	})
-}
-
 // tell records a run at the routers that would be home next.
 func (r *Router) tell(q *request, s joiner.Stream) {
 	for _, x := range r.homes.next(q.key) {
@@ -89,7 +40,7 @@
 		if r.beatOnce(ctx, x, batch) || len(batch) >= recordBatch {
 			batch = batch[:0]
 		}
-		r.bury(x)
+		r.endSilent(x)
 		select {
 		case <-ctx.Done():
 			return
@@ -126,9 +77,9 @@
 	return true
 }
 
-// bury ends what waits for a sibling that is silent: a stopped process keeps
-// its connections open, so that nothing else would end the wait.
-func (r *Router) bury(x *sibling) {
+// endSilent ends what waits for a sibling that is silent: a stopped process
+// keeps its connections open, so that nothing else would end the wait.
+func (r *Router) endSilent(x *sibling) {
 	if l := x.life.Load(); l.Err() == nil && !r.homes.alive(x) {
 		l.end()
 		homeCounters.Add("siblings_lost", 1)
--- a/router/slow.go
+++ b/router/slow.go
@@ -14,6 +14,16 @@
 	writeGrace = 5 * time.Second
 )
 
+// bodyBound returns the time for a body: limit, or the request's own timeout
+// where that is shorter.
+func bodyBound(h http.Header, limit time.Duration) time.Duration {
+	d, err := time.ParseDuration(h.Get(headerTimeout))
+	if err != nil || d <= 0 {
+		return limit
+	}
+	return min(d, limit)
+}
+
 // boundBody cuts off a caller that sends its body too slowly: it would hold a
 // handler, and a router that drains, for as long as it likes. One sees active
 // requests that never reach admission.
@@ -21,7 +31,7 @@
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			c := http.NewResponseController(w)
-			if c.SetReadDeadline(time.Now().Add(limit)) == nil {
+			if c.SetReadDeadline(time.Now().Add(bodyBound(q.Header, limit))) == nil {
 				q.Body = &boundedBody{ReadCloser: q.Body, controller: c}
 			}
 			next.ServeHTTP(w, q)
--- /dev/null
+++ b/router/slow_body_test.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// TestSlowBodyEndsAtTheDeadline
+// Symptom: a caller that gave its request 100 ms hears of a late body after
+// 30 s; one that sends a ticket again hears that the request did not run,
+// although an earlier sending may have.
+// Sequence: a caller sends the head of a request and a part of its body, and
+// keeps the connection open.
+// Cause: the bound of bodies did not look at the request's timeout, and its
+// refusal not at the ticket.
+func TestSlowBodyEndsAtTheDeadline(t *testing.T) {
+	for _, c := range []struct {
+		path, header string
+		want         Outcome
+	}{
+		{chatPath, "", NotRun},
+		{servicesPath + "portal/x", "", NotRun},
+		{servicesPath + "portal/x", "Idempotency-Key: again\r\n", Unknown},
+		{servicesPath + "portal/x", "Request-Ticket: ticket:a:store:again\r\n", Unknown},
+	} {
+		t.Run(c.path+c.header, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := newTestRouter(t)
+			conn := serveRaw(t, r.handler())
+			_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer %s\r\nRequest-Timeout: 100ms\r\n%sContent-Length: 100\r\n\r\n{", c.path, testKey, c.header)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(gomega.Succeed())
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
+			var p Problem
+			g.Expect(json.NewDecoder(resp.Body).Decode(&p)).To(gomega.Succeed())
+			g.Expect(p.Status).To(gomega.Equal(http.StatusRequestTimeout))
+			g.Expect(p.Code).To(gomega.Equal(CodeTooSlow))
+			g.Expect(p.Outcome).To(gomega.Equal(c.want))
+			g.Eventually(r.gate.inside.Load).Should(gomega.BeZero())
+		})
+	}
+}
