Results of reads leave a loop by its answer

Cause: reads of the vault and of the configuration wrote to captured variables. When the caller goes while its read still waits in the queue, the call returns and looks at them while the loop writes: a data race, in Watch whenever a subscriber leaves, and in recalls whenever a lease's caller does. A slice read while half written would end the keeper.

Change: readVault and viewBook return the read's result, or the zero value with an error. The log test's history uses viewBook; it checks the same.

--- a/keeper/configuration.go
+++ b/keeper/configuration.go
@@ -64,16 +64,14 @@
 // hasWorkspace looks in the local copy, then in a confirmed one: a workspace
 // that was accepted a moment ago must not be refused for a copy that lags.
 func (s *configurationServer) hasWorkspace(ctx context.Context, name string) (bool, error) {
-	var has bool
-	look := func(b *configurer.Book) { has = b.HasWorkspace(name) }
-	if err := s.loop.view(ctx, look); err != nil || has {
+	look := func(b *configurer.Book) bool { return b.HasWorkspace(name) }
+	if has, err := viewBook(ctx, s.loop, look); err != nil || has {
 		return has, err
 	}
 	if err := s.barrier(ctx); err != nil {
 		return false, s.cutOff("the workspace is not known here")
 	}
-	err := s.loop.view(ctx, look)
-	return has, err
+	return viewBook(ctx, s.loop, look)
 }
 
 // Read returns the local copy with its age, or one that a majority confirms.
@@ -81,24 +79,35 @@
 	if r.Confirmed && s.barrier(ctx) != nil {
 		return nil, s.cutOff("the read can't be confirmed")
 	}
-	out := &messenger.ReadReply{AgeMs: s.ageMS(), Confirmed: r.Confirmed}
-	err := s.loop.view(ctx, func(b *configurer.Book) {
-		out.Configuration, out.Digest = s.loop.configuration(), b.Digest()
+	age := s.ageMS()
+	out, err := viewBook(ctx, s.loop, func(b *configurer.Book) *messenger.ReadReply {
+		return &messenger.ReadReply{Configuration: s.loop.configuration(), Digest: b.Digest()}
 	})
+	if err != nil {
+		return nil, err
+	}
+	out.AgeMs, out.Confirmed = age, r.Confirmed
 	out.Keepers = s.members()
 	out.LeaderName = s.loop.state.Load().leader.Name
 	out.Leader = out.LeaderName == s.keeper.self.Name()
-	return out, err
+	return out, nil
 }
 
 // History returns accepted changes in order, as far back as they are kept.
 func (s *configurationServer) History(ctx context.Context, r *messenger.HistoryRequest) (*messenger.HistoryReply, error) {
-	var changes []*messenger.Change
-	var kept bool
-	if err := s.loop.view(ctx, func(b *configurer.Book) { changes, kept = b.Since(r.AfterVersion) }); err != nil {
+	type since struct {
+		changes []*messenger.Change
+		kept    bool
+	}
+	got, err := viewBook(ctx, s.loop, func(b *configurer.Book) since {
+		changes, kept := b.Since(r.AfterVersion)
+		return since{changes, kept}
+	})
+	if err != nil {
 		return nil, err
 	}
-	if !kept {
+	changes := got.changes
+	if !got.kept {
 		return nil, status.Errorf(codes.OutOfRange, "after_version: changes after %d are no longer kept", r.AfterVersion)
 	}
 	if r.Most > 0 && len(changes) > int(r.Most) {
--- a/keeper/log_loop.go
+++ b/keeper/log_loop.go
@@ -375,13 +375,17 @@
 	}
 }
 
-// view runs f on the book between two events.
-func (l *logLoop) view(ctx context.Context, f func(*configurer.Book)) error {
-	_, err := l.do(ctx, logCall{read: f})
-	return err
+// viewBook returns what f returns for the book between two events, or the
+// zero value with an error; see readVault.
+func viewBook[T any](ctx context.Context, l *logLoop, f func(*configurer.Book) T) (T, error) {
+	var out, none T
+	if _, err := l.do(ctx, logCall{read: func(b *configurer.Book) { out = f(b) }}); err != nil {
+		return none, err
+	}
+	return out, nil
 }
 
-// configuration returns the whole configuration; called inside view. All
+// configuration returns the whole configuration; called inside viewBook. All
 // callers of one version share it and must not change it.
 func (l *logLoop) configuration() *messenger.Configuration {
 	if l.whole == nil || l.wholeVersion != l.book.Version() {
--- a/keeper/log_store_test.go
+++ b/keeper/log_store_test.go
@@ -154,12 +154,12 @@
 }
 
 func (c *cluster) history(name string) []string {
-	var ids []string
-	_ = c.loop(name).view(c.ctx, func(b *configurer.Book) {
+	ids, _ := viewBook(c.ctx, c.loop(name), func(b *configurer.Book) (ids []string) {
 		changes, _ := b.Since(0)
 		for _, x := range changes {
 			ids = append(ids, x.ChangeId)
 		}
+		return ids
 	})
 	return ids
 }
--- a/keeper/mirror_repair.go
+++ b/keeper/mirror_repair.go
@@ -91,8 +91,7 @@
 // prove asks everybody who may know until nothing can be missing any more.
 func (s *budgetServer) prove(ctx context.Context) {
 	for ctx.Err() == nil {
-		var unproved bool
-		err := s.loop.read(ctx, func(v *budgeter.Vault) { unproved = v.Unproved() })
+		unproved, err := readVault(ctx, s.loop, (*budgeter.Vault).Unproved)
 		if err != nil || !unproved {
 			return
 		}
@@ -103,8 +102,8 @@
 
 func (s *budgetServer) proveOnce(ctx context.Context) {
 	evidence, routers := s.evidence(ctx)
-	var complete bool
-	if err := s.loop.read(ctx, func(v *budgeter.Vault) { complete = v.CopyComplete(evidence) }); err != nil {
+	complete, err := readVault(ctx, s.loop, func(v *budgeter.Vault) bool { return v.CopyComplete(evidence) })
+	if err != nil {
 		return
 	}
 	m, err := s.loop.handle(ctx, budgeter.Prove{Routers: routers, Holdings: evidence.Holdings, CopyComplete: complete})
@@ -127,8 +126,7 @@
 		names = append(names, x.process.Name())
 	}
 	var mu sync.Mutex
-	var asking uint64
-	_ = s.loop.read(ctx, func(v *budgeter.Vault) { asking = v.Incarnation() })
+	asking, _ := readVault(ctx, s.loop, (*budgeter.Vault).Incarnation)
 	each(ctx, p.routers, func(ctx context.Context, x peer) error {
 		h, err := x.router().Holdings(ctx, &messenger.HoldingsRequest{AskingIncarnation: asking})
 		if err != nil {
--- a/keeper/spread_watch.go
+++ b/keeper/spread_watch.go
@@ -50,22 +50,35 @@
 // changes, or the whole configuration where the changes are no longer kept or
 // where its copy of the version is another.
 func (s *configurationServer) update(ctx context.Context, sub *subscriber) (*messenger.Update, <-chan struct{}, error) {
-	u := &messenger.Update{AgeMs: s.ageMS(), Confirmed: sub.confirmed}
-	var changed <-chan struct{}
-	err := s.loop.view(ctx, func(b *configurer.Book) {
-		changed = s.loop.state.Load().changed
-		u.Version, u.Digest, u.BaseVersion = b.Version(), b.Digest(), sub.version
-		changes, kept := b.Since(sub.version)
-		if !kept || sub.version == u.Version && sub.digest != u.Digest {
-			u.Configuration = s.loop.configuration()
-			return
-		}
-		u.Changes = changes
+	type news struct {
+		update  *messenger.Update
+		changed <-chan struct{}
+	}
+	has, age := *sub, s.ageMS()
+	n, err := viewBook(ctx, s.loop, func(b *configurer.Book) news {
+		return news{update: s.missing(b, has), changed: s.loop.state.Load().changed}
 	})
+	if err != nil {
+		return nil, nil, err
+	}
+	u := n.update
+	u.AgeMs, u.Confirmed = age, sub.confirmed
 	if u.Version >= sub.version {
 		sub.version, sub.digest = u.Version, u.Digest
 	}
-	return u, changed, err
+	return u, n.changed, nil
+}
+
+// missing returns what the book has and a subscriber does not.
+func (s *configurationServer) missing(b *configurer.Book, has subscriber) *messenger.Update {
+	u := &messenger.Update{Version: b.Version(), Digest: b.Digest(), BaseVersion: has.version}
+	changes, kept := b.Since(has.version)
+	if !kept || has.version == u.Version && has.digest != u.Digest {
+		u.Configuration = s.loop.configuration()
+		return u
+	}
+	u.Changes = changes
+	return u
 }
 
 // awaitNews waits for a change or the next heartbeat. Until the copy is
--- a/keeper/vault_lease.go
+++ b/keeper/vault_lease.go
@@ -41,8 +41,7 @@
 }
 
 func (g *gathering) missing(ctx context.Context) int64 {
-	var unspent int64
-	err := g.server.loop.read(ctx, func(v *budgeter.Vault) { unspent = v.Book(g.workspace).UnspentTokens })
+	unspent, err := readVault(ctx, g.server.loop, func(v *budgeter.Vault) int64 { return v.Unspent(g.workspace) })
 	if err != nil {
 		return 0
 	}
@@ -55,8 +54,7 @@
 	if n <= 0 {
 		return
 	}
-	var holders []string
-	_ = g.server.loop.read(ctx, func(v *budgeter.Vault) { holders = v.Lessees(g.workspace) })
+	holders, _ := readVault(ctx, g.server.loop, func(v *budgeter.Vault) []string { return v.Lessees(g.workspace) })
 	var others []peer
 	for _, p := range g.server.keeper.peers.routers {
 		for _, name := range holders {
@@ -124,8 +122,8 @@
 }
 
 func (g *gathering) ask(ctx context.Context, p peer, n int64) (*messenger.AskReply, error) {
-	var incarnation uint64
-	if err := g.server.loop.read(ctx, func(v *budgeter.Vault) { incarnation = v.Incarnation() }); err != nil {
+	incarnation, err := readVault(ctx, g.server.loop, (*budgeter.Vault).Incarnation)
+	if err != nil {
 		return nil, err
 	}
 	out, err := p.budget().Ask(ctx, &messenger.AskRequest{
--- a/keeper/vault_loop.go
+++ b/keeper/vault_loop.go
@@ -384,8 +384,7 @@
 // call. The mode alone does not say so: it stays paired while a commit is on
 // its way to the mirror. Between two commits it does.
 func (l *vaultLoop) copied(ctx context.Context) bool {
-	var mode string
-	err := l.read(ctx, func(*budgeter.Vault) { mode = l.currentMode() })
+	mode, err := readVault(ctx, l, func(*budgeter.Vault) string { return l.currentMode() })
 	return err == nil && mode == budgeter.ModePaired
 }
 
@@ -395,3 +394,14 @@
 	_, err := l.do(ctx, call{read: f})
 	return err
 }
+
+// readVault returns what f returns for the vault as it was last synced, or
+// the zero value with an error. A read that was given up may still run: its
+// result must not be looked at then, so none leaves by captured variables.
+func readVault[T any](ctx context.Context, l *vaultLoop, f func(*budgeter.Vault) T) (T, error) {
+	var out, none T
+	if _, err := l.do(ctx, call{read: func(v *budgeter.Vault) { out = f(v) }}); err != nil {
+		return none, err
+	}
+	return out, nil
+}
--- a/keeper/vault_loop_test.go
+++ b/keeper/vault_loop_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"runtime"
 	"testing"
 
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/budgeter"
+	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/storer"
 )
@@ -106,3 +109,51 @@
 		<-l.ended
 	}
 }
+
+// Symptom: a keeper reads memory that its loop is writing. Sequence: a caller
+// goes while its read waits in the loop's queue; the call returns and looks at
+// what the read writes; the loop runs the read at the same time. Cause: results
+// that leave a read by captured variables. Only the race detector sees it.
+func TestAbandonedReadsShareNoMemory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := newLogLoop("a", nil, &faultyStore{rows: map[string]map[string][]byte{}}, rand.New(rand.NewPCG(1, 1)), zap.NewNop(), func(*messenger.LogMessage) {})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() { _ = l.run(t.Context()) }()
+	s := &configurationServer{loop: l}
+	for range 100 {
+		busy, gate := make(chan struct{}), make(chan struct{})
+		l.calls <- logCall{read: func(*configurer.Book) {
+			close(busy)
+			<-gate
+		}, done: make(chan logAnswer, 1)}
+		<-busy
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			for len(l.calls) == 0 {
+				runtime.Gosched()
+			}
+			cancel()
+			close(gate)
+		}()
+		sub := subscriber{version: 1}
+		_, _, _ = s.update(ctx, &sub)
+		cancel()
+	}
+}
+
+// What a read that was given up returns later must not be seen.
+func TestReadThatWasGivenUpReturnsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, _ := pairedLoop(t, &gatedMirror{})
+	go func() { _ = l.run(t.Context()) }()
+	ctx, giveUp := context.WithCancel(t.Context())
+	returned := make(chan struct{})
+	defer close(returned)
+	got, err := readVault(ctx, l, func(*budgeter.Vault) int {
+		giveUp()
+		<-returned
+		return 1
+	})
+	g.Expect(err).To(gomega.MatchError(context.Canceled))
+	g.Expect(got).To(gomega.BeZero())
+}
--- a/keeper/vault_rounds.go
+++ b/keeper/vault_rounds.go
@@ -34,15 +34,14 @@
 // resend pushes transfers until the other zone has them on disk. None leaves
 // before it is on two disks here: a restored copy would still hold the rights.
 func (s *budgetServer) resend(ctx context.Context) {
+	pending, _ := readVault(ctx, s.loop, (*budgeter.Vault).Pending)
 	byZone := map[string]*messenger.GiveRequest{}
-	_ = s.loop.read(ctx, func(v *budgeter.Vault) {
-		for _, t := range v.Pending() {
-			if byZone[t.ToZone] == nil {
-				byZone[t.ToZone] = &messenger.GiveRequest{}
-			}
-			byZone[t.ToZone].Transfers = append(byZone[t.ToZone].Transfers, t)
+	for _, t := range pending {
+		if byZone[t.ToZone] == nil {
+			byZone[t.ToZone] = &messenger.GiveRequest{}
 		}
-	})
+		byZone[t.ToZone].Transfers = append(byZone[t.ToZone].Transfers, t)
+	}
 	if len(byZone) == 0 || !s.loop.copied(ctx) {
 		return
 	}
@@ -66,11 +65,11 @@
 // them too. It waits until the fence is on two disks: a restored copy without
 // it would take charges for rights that somebody else spends.
 func (s *budgetServer) release(ctx context.Context) {
-	var fencing []*messenger.FenceWitnessRequest
-	_ = s.loop.read(ctx, func(v *budgeter.Vault) {
+	fencing, _ := readVault(ctx, s.loop, func(v *budgeter.Vault) (out []*messenger.FenceWitnessRequest) {
 		for _, r := range v.Fencing() {
-			fencing = append(fencing, &messenger.FenceWitnessRequest{Zone: v.Zone(), Router: r.Router, Incarnation: r.Fenced})
+			out = append(out, &messenger.FenceWitnessRequest{Zone: v.Zone(), Router: r.Router, Incarnation: r.Fenced})
 		}
+		return out
 	})
 	if len(fencing) == 0 || !s.loop.copied(ctx) {
 		return
@@ -104,8 +103,9 @@
 // handOver brings witnessed charges to their own keepers.
 func (s *budgetServer) handOver(ctx context.Context) {
 	for _, p := range s.keeper.peers.list {
-		var charges []*messenger.Charge
-		_ = s.loop.read(ctx, func(v *budgeter.Vault) { charges = v.Witnessed(p.process.Zone(), handOverMost) })
+		charges, _ := readVault(ctx, s.loop, func(v *budgeter.Vault) []*messenger.Charge {
+			return v.Witnessed(p.process.Zone(), handOverMost)
+		})
 		if len(charges) == 0 {
 			continue
 		}
@@ -168,8 +168,7 @@
 }
 
 func (s *budgetServer) fenceSilent(ctx context.Context, name string) {
-	var incarnation uint64
-	_ = s.loop.read(ctx, func(v *budgeter.Vault) { incarnation = v.Unfenced(name) })
+	incarnation, _ := readVault(ctx, s.loop, func(v *budgeter.Vault) uint64 { return v.Unfenced(name) })
 	if incarnation == 0 {
 		return
 	}
