One call queue for the keeper's three loops

Cause: the vault, the log and the claims each had the same code to hand a call to their goroutine, gather a batch and wait for the answer.

Behaviour is the same: a batch is bounded by the queue's size, which was the bound before.

--- a/keeper/claims.go
+++ b/keeper/claims.go
@@ -39,14 +39,13 @@
 // every waiting call in one commit, and only then answers.
 type claimServer struct {
 	messenger.UnimplementedClaimKeeperServer
+	callQueue[claimCall]
 	keeper *Keeper
 	core   *claimer.Core
-	calls  chan claimCall
-	ended  chan struct{}
 }
 
 func newClaimServer(k *Keeper) (*claimServer, error) {
-	s := &claimServer{keeper: k, core: claimer.NewCore(), calls: make(chan claimCall, commitMost), ended: make(chan struct{})}
+	s := &claimServer{keeper: k, core: claimer.NewCore(), callQueue: newCallQueue[claimCall](commitMost)}
 	for _, b := range []string{claimer.BucketStore, claimer.BucketClaims} {
 		err := k.store.Each(b, func(key string, value []byte) error { return s.core.Restore(b, key, value) })
 		if err != nil {
@@ -94,26 +93,13 @@
 				return err
 			}
 		case c := <-s.calls:
-			if err := s.commit(s.gather(c)); err != nil {
+			if err := s.commit(s.batch(c)); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-func (s *claimServer) gather(c claimCall) []claimCall {
-	batch := []claimCall{c}
-	for len(batch) < commitMost {
-		select {
-		case c := <-s.calls:
-			batch = append(batch, c)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
 func (s *claimServer) commit(batch []claimCall) error {
 	var rows []storer.Row
 	replies := make([]claimReply, len(batch))
@@ -136,21 +122,14 @@
 
 func (s *claimServer) do(ctx context.Context, c claimCall) (proto.Message, error) {
 	c.done = make(chan claimReply, 1)
-	select {
-	case s.calls <- c:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-s.ended:
-		return nil, storer.ErrStore
+	if err := s.put(ctx, c); err != nil {
+		return nil, err
 	}
-	select {
-	case r := <-c.done:
-		return r.message, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-s.ended:
-		return nil, storer.ErrStore
+	r, err := await(ctx, s.callQueue, c.done)
+	if err != nil {
+		return nil, err
 	}
+	return r.message, nil
 }
 
 // Claim grants a request to one attempt.
--- a/keeper/log_loop.go
+++ b/keeper/log_loop.go
@@ -80,13 +80,12 @@
 // logLoop runs the replicated log: one goroutine steps the core, syncs the
 // rows of all waiting events in one commit, and only then sends and answers.
 type logLoop struct {
+	callQueue[logCall]
 	core   *replicator.Core
 	book   *configurer.Book
 	store  rowStore
 	send   func(*messenger.LogMessage)
 	log    *zap.Logger
-	calls  chan logCall
-	ended  chan struct{}
 	ticket replicator.Ticket
 	// Waiting maps tickets to the callers' channels.
 	waiting map[replicator.Ticket]chan logAnswer
@@ -164,8 +163,8 @@
 func newLogLoop(name string, peers []string, store rowStore, r *rand.Rand, log *zap.Logger, send func(*messenger.LogMessage)) (*logLoop, error) {
 	l := &logLoop{
 		book: configurer.NewBook(), store: store, send: send, log: log,
-		calls: make(chan logCall, logBatch), ended: make(chan struct{}),
-		waiting: map[replicator.Ticket]chan logAnswer{},
+		callQueue: newCallQueue[logCall](logBatch),
+		waiting:   map[replicator.Ticket]chan logAnswer{},
 	}
 	l.core = replicator.NewCore(replicator.Options{
 		Name: name, Peers: peers, Voters: voters(len(peers) + 1), Timing: replicator.DefaultTiming(),
@@ -201,9 +200,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
-			batch = l.gather(logCall{event: replicator.Tick{}})
+			batch = l.batch(logCall{event: replicator.Tick{}})
 		case c := <-l.calls:
-			batch = l.gather(c)
+			batch = l.batch(c)
 		}
 		if err := l.commit(batch); err != nil {
 			return err
@@ -211,19 +210,6 @@
 	}
 }
 
-func (l *logLoop) gather(c logCall) []logCall {
-	batch := []logCall{c}
-	for len(batch) < logBatch {
-		select {
-		case c := <-l.calls:
-			batch = append(batch, c)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
 func (l *logLoop) commit(batch []logCall) error {
 	now := time.Now()
 	var actions []replicator.Action
@@ -342,21 +328,14 @@
 // do hands a call to the loop and waits for its answer.
 func (l *logLoop) do(ctx context.Context, c logCall) (logAnswer, error) {
 	c.done = make(chan logAnswer, 1)
-	select {
-	case l.calls <- c:
-	case <-ctx.Done():
-		return logAnswer{}, ctx.Err()
-	case <-l.ended:
-		return logAnswer{}, storer.ErrStore
+	if err := l.put(ctx, c); err != nil {
+		return logAnswer{}, err
 	}
-	select {
-	case a := <-c.done:
-		return a, a.err
-	case <-ctx.Done():
-		return logAnswer{}, ctx.Err()
-	case <-l.ended:
-		return logAnswer{}, storer.ErrStore
+	a, err := await(ctx, l.callQueue, c.done)
+	if err != nil {
+		return logAnswer{}, err
 	}
+	return a, a.err
 }
 
 func receiveCall(m *messenger.LogMessage) logCall {
@@ -365,14 +344,7 @@
 
 // receive hands a message to the loop; it answers nothing.
 func (l *logLoop) receive(ctx context.Context, m *messenger.LogMessage) error {
-	select {
-	case l.calls <- receiveCall(m):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-l.ended:
-		return storer.ErrStore
-	}
+	return l.put(ctx, receiveCall(m))
 }
 
 // viewBook returns what f returns for the book between two events, or the
--- a/keeper/vault_loop.go
+++ b/keeper/vault_loop.go
@@ -58,6 +58,7 @@
 // vaultLoop runs the vault: one goroutine steps it, syncs the rows of every
 // waiting event in one commit on both disks, and only then answers.
 type vaultLoop struct {
+	callQueue[call]
 	vault *budgeter.Vault
 	store *storer.Store
 	link  mirrorLink
@@ -65,8 +66,6 @@
 	// Mu guards copier, which pairing shares.
 	mu     sync.Mutex
 	copier *budgeter.Copier
-	calls  chan call
-	ended  chan struct{}
 	// Mode is the copier's, for those who may not wait for mu.
 	mode atomic.Value
 	// Incarnation is the vault's, 0 until it is open.
@@ -76,7 +75,7 @@
 func newVaultLoop(zone string, store *storer.Store, link mirrorLink, log *zap.Logger) *vaultLoop {
 	l := &vaultLoop{
 		vault: budgeter.NewVault(zone, store), store: store, link: link, log: log,
-		calls: make(chan call, commitMost), ended: make(chan struct{}),
+		callQueue: newCallQueue[call](commitMost),
 	}
 	l.mode.Store(budgeter.ModeStarting)
 	return l
@@ -169,26 +168,13 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case c := <-l.calls:
-			if err := l.commit(ctx, l.gather(c)); err != nil {
+			if err := l.commit(ctx, l.batch(c)); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-func (l *vaultLoop) gather(c call) []call {
-	batch := []call{c}
-	for len(batch) < commitMost {
-		select {
-		case c := <-l.calls:
-			batch = append(batch, c)
-		default:
-			return batch
-		}
-	}
-	return batch
-}
-
 // commit answers reads at once; the events share one sync. The reads go first:
 // after a step they would see what a crash may still take back, and a transfer
 // that left on the strength of it would exist in two zones.
@@ -358,21 +344,14 @@
 
 func (l *vaultLoop) do(ctx context.Context, c call) (proto.Message, error) {
 	c.done = make(chan budgeter.Reply, 1)
-	select {
-	case l.calls <- c:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-l.ended:
-		return nil, storer.ErrStore
+	if err := l.put(ctx, c); err != nil {
+		return nil, err
 	}
-	select {
-	case r := <-c.done:
-		return r.Message, r.Err
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-l.ended:
-		return nil, storer.ErrStore
+	r, err := await(ctx, l.callQueue, c.done)
+	if err != nil {
+		return nil, err
 	}
+	return r.Message, r.Err
 }
 
 // handle has the vault handle an event and returns its durable answer.
