--- a/router/request.go
+++ b/router/request.go
@@ -6,8 +6,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -165,8 +165,8 @@
 
 // common reads what both shapes share: the caller, the body and the identity.
 func (p parser) common(r *http.Request) (*request, error) {
-	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") || key == "" {
+	key := bearerKey(r)
+	if key == "" {
 		return nil, &Problem{Status: http.StatusUnauthorized, Code: CodeUnknownKey, Field: "Authorization", Outcome: NotRun, Detail: "want Authorization: Bearer KEY"}
 	}
 	w, err := p.snapshot.WorkspaceByKey(key)
@@ -224,12 +224,25 @@
 	if errors.As(err, &tooLarge) {
 		return nil, &Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Field: "body", Outcome: NotRun, Detail: "the body is larger than " + strconv.FormatInt(p.maxBody, 10) + " bytes"}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, tooSlow(r)
+	}
 	if err != nil {
 		return nil, badField("body", "could not be read: "+err.Error())
 	}
 	return body, nil
 }
 
+// tooSlow refuses a body that did not come in time. Under an id or a ticket
+// that was sent before, an earlier sending may have run.
+func tooSlow(r *http.Request) *Problem {
+	p := &Problem{Status: http.StatusRequestTimeout, Code: CodeTooSlow, Field: "body", Outcome: NotRun, Detail: "the body did not come within " + bodyBound(r.Header, bodyTimeout).String()}
+	if r.Header.Get(headerIdempotencyKey) != "" || r.Header.Get(headerTicket) != "" {
+		p.Outcome = Unknown
+	}
+	return p
+}
+
 // finish reads the headers that need the service.
 func (p parser) finish(r *http.Request, q *request) error {
 	timeout := p.defaultTimeout
