--- a/budgeter/copier.go
+++ b/budgeter/copier.go
@@ -152,8 +152,9 @@
 	}
 }
 
-// TakeCopy reports whether a commit follows the copy that a mirror has. A gap
-// or another past must not be papered over: the copy would be restored.
+// TakeCopy reports whether a commit follows the copy that a mirror has. After a
+// gap, or on another history, the copy would lack commits, and a restore would
+// bring back rights that they had moved.
 func TakeCopy(have *messenger.CopyState, r *messenger.CopyRequest) bool {
 	return have.GetIncarnation() == r.State.Incarnation &&
 		have.GetNumber()+1 == r.State.Number &&
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -132,13 +132,13 @@
 
 func newTerm(text, key string, op operator, values ...string) (term, error) {
 	key = strings.TrimSpace(key)
-	if !validWord(key) {
+	if !ValidWord(key) {
 		return term{}, syntaxError(text)
 	}
 	t := term{key: key, op: op}
 	for _, v := range values {
 		v = strings.TrimSpace(v)
-		if !validWord(v) {
+		if !ValidWord(v) {
 			return term{}, syntaxError(text)
 		}
 		t.values = append(t.values, v)
@@ -146,8 +146,9 @@
 	return t, nil
 }
 
-// validWord accepts letters, digits and "-_./" in keys and values.
-func validWord(w string) bool {
+// ValidWord reports whether a key or a value can stand in a selector: letters,
+// digits and "-_./", at least one.
+func ValidWord(w string) bool {
 	ok := func(r rune) bool {
 		return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("-_./", r)
 	}
