Standard terms in the command line, tracer and measurer

Cause: an error for which another keeper may answer was called passing; local names hid make and print of the language or misspelt case; a comment used a metaphor. Change: retryable, newCommand, printPart, caseName. No behaviour changes: go test -race of commander, tracer and measurer passes.

--- a/commander/client.go
+++ b/commander/client.go
@@ -95,7 +95,7 @@
 		if errors.Is(err, ErrOutcomeUnknown) {
 			unknown = err
 		}
-		if unknown == nil && !errors.Is(err, errNotAnswered) || !passing(err) {
+		if unknown == nil && !errors.Is(err, errNotAnswered) || !retryable(err) {
 			return refusal(err)
 		}
 		select {
@@ -125,7 +125,7 @@
 	for _, p := range s.Processes(loader.KindKeeper) {
 		err := try(ctx, s, p, f)
 		switch {
-		case !passing(err):
+		case !retryable(err):
 			return err
 		case errors.Is(err, ErrOutcomeUnknown):
 			out = err
@@ -158,8 +158,8 @@
 	return f(ctx, c)
 }
 
-// passing reports whether another keeper may give a better answer.
-func passing(err error) bool {
+// retryable reports whether another keeper may give a better answer.
+func retryable(err error) bool {
 	return errors.Is(err, ErrUnreachable) || errors.Is(err, errNotAnswered) || errors.Is(err, ErrOutcomeUnknown) || lost(err)
 }
 
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -120,13 +120,13 @@
 	c.PersistentFlags().StringVarP(&a.settingsFile, "settings", "s", "rattanhoist.ini", "settings file of the deployment")
 	c.PersistentFlags().StringVarP(&a.output, "output", "o", outputTable, "output: table or json")
 	c.PersistentFlags().DurationVar(&a.timeout, "timeout", defaultTimeout, "how long to try for an answer")
-	for _, make := range registry[root] {
-		c.AddCommand(make(a))
+	for _, newCommand := range registry[root] {
+		c.AddCommand(newCommand(a))
 	}
 	for name, short := range groups {
 		g := &cobra.Command{Use: name, Short: short, Args: cobra.ArbitraryArgs, RunE: wantSubcommand}
-		for _, make := range registry[name] {
-			g.AddCommand(make(a))
+		for _, newCommand := range registry[name] {
+			g.AddCommand(newCommand(a))
 		}
 		c.AddCommand(g)
 	}
--- a/commander/configuration.go
+++ b/commander/configuration.go
@@ -15,7 +15,7 @@
 		return nil, err
 	}
 	out, err := a.readOnce(ctx, s, true)
-	if !passing(err) {
+	if !retryable(err) {
 		return out.GetConfiguration(), refusal(err)
 	}
 	if out, err = a.readOnce(ctx, s, false); err != nil {
--- a/commander/status.go
+++ b/commander/status.go
@@ -33,8 +33,8 @@
 	if a.output == outputJSON {
 		return a.printStatus(r)
 	}
-	for _, print := range []func(*loader.Settings, answers[*messenger.StateReply]) error{a.printZones, a.printKeepers, a.printRouters} {
-		if err := print(s, r); err != nil {
+	for _, printPart := range []func(*loader.Settings, answers[*messenger.StateReply]) error{a.printZones, a.printKeepers, a.printRouters} {
+		if err := printPart(s, r); err != nil {
 			return err
 		}
 	}
--- a/measurer/endpoints.go
+++ b/measurer/endpoints.go
@@ -116,9 +116,9 @@
 		if err != nil {
 			return err
 		}
-		kase := fmt.Sprintf("%d endpoints", n)
-		r.Figure(kase, "announcement", c.announceBytes/float64(n), "bytes")
-		r.Figure(kase, "announcement taken in", float64(c.announceTime.Nanoseconds())/float64(n), "ns")
+		caseName := fmt.Sprintf("%d endpoints", n)
+		r.Figure(caseName, "announcement", c.announceBytes/float64(n), "bytes")
+		r.Figure(caseName, "announcement taken in", float64(c.announceTime.Nanoseconds())/float64(n), "ns")
 		for metric, y := range map[string]float64{
 			"pull_bytes": c.pullBytes, "join_bytes": c.joinBytes, "memory_bytes": c.memory,
 			"pull_us": float64(c.pullTime.Nanoseconds()) / 1e3, "announce_us": float64(c.announceTime.Nanoseconds()) / 1e3,
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -82,8 +82,8 @@
 func (r *Report) Begin(name string) { r.experiment = name }
 
 // Figure adds one measured value.
-func (r *Report) Figure(kase, metric string, value float64, unit string) {
-	r.Figures = append(r.Figures, Figure{Experiment: r.experiment, Case: kase, Metric: metric, Value: value, Unit: unit})
+func (r *Report) Figure(caseName, metric string, value float64, unit string) {
+	r.Figures = append(r.Figures, Figure{Experiment: r.experiment, Case: caseName, Metric: metric, Value: value, Unit: unit})
 }
 
 // Slope fits a line through the points and adds it.
--- a/measurer/pickers.go
+++ b/measurer/pickers.go
@@ -137,28 +137,28 @@
 	a.end = append(a.end, b.end...)
 }
 
-func reportFleet(r *Report, kase string, f *fleetResult) {
+func reportFleet(r *Report, caseName string, f *fleetResult) {
 	share := func(n int) float64 { return 100 * float64(n) / float64(max(f.offered, 1)) }
-	r.Figure(kase, "deadlines_met", share(f.met), "% of offered")
-	r.Figure(kase, "late", share(f.late), "% of offered")
-	r.Figure(kase, "refused", share(f.refused+f.expired), "% of offered")
-	r.Figure(kase, "failed", share(f.failed), "% of offered")
-	r.Figure(kase, "false_refusals", share(f.falseRefused), "% of offered")
-	reportTimes(r, kase, "first_token", f.first)
-	reportTimes(r, kase, "end", f.end)
-	r.Figure(kase, "wasted_tokens", 100*f.wasted/max(f.wasted+f.useful, 1), "% of generated")
-	r.Figure(kase, "runs_per_request", float64(f.runs)/float64(max(f.dispatched, 1)), "runs")
+	r.Figure(caseName, "deadlines_met", share(f.met), "% of offered")
+	r.Figure(caseName, "late", share(f.late), "% of offered")
+	r.Figure(caseName, "refused", share(f.refused+f.expired), "% of offered")
+	r.Figure(caseName, "failed", share(f.failed), "% of offered")
+	r.Figure(caseName, "false_refusals", share(f.falseRefused), "% of offered")
+	reportTimes(r, caseName, "first_token", f.first)
+	reportTimes(r, caseName, "end", f.end)
+	r.Figure(caseName, "wasted_tokens", 100*f.wasted/max(f.wasted+f.useful, 1), "% of generated")
+	r.Figure(caseName, "runs_per_request", float64(f.runs)/float64(max(f.dispatched, 1)), "runs")
 	seconds := (fleetTime - fleetWarm).Seconds() * float64(len(fleetSeeds))
-	r.Figure(kase, "useful_work", f.useful/seconds, "tokens/s")
-	r.Figure(kase, "prefix_hits", 100*float64(f.hits)/float64(max(f.starts, 1)), "% of runs")
+	r.Figure(caseName, "useful_work", f.useful/seconds, "tokens/s")
+	r.Figure(caseName, "prefix_hits", 100*float64(f.hits)/float64(max(f.starts, 1)), "% of runs")
 }
 
-func reportTimes(r *Report, kase, metric string, times []time.Duration) {
+func reportTimes(r *Report, caseName, metric string, times []time.Duration) {
 	h := hdrhistogram.New(1, time.Hour.Microseconds(), 3)
 	for _, t := range times {
 		_ = h.RecordValue(t.Microseconds())
 	}
 	for _, p := range []float64{50, 95, 99} {
-		r.Figure(kase, fmt.Sprintf("%s_p%.0f", metric, p), float64(h.ValueAtQuantile(p))/1e3, "ms")
+		r.Figure(caseName, fmt.Sprintf("%s_p%.0f", metric, p), float64(h.ValueAtQuantile(p))/1e3, "ms")
 	}
 }
--- a/measurer/vault_state.go
+++ b/measurer/vault_state.go
@@ -19,9 +19,9 @@
 // sockets.
 func vaultState(_ context.Context, r *Report) error {
 	for _, group := range []int{1, 8, 64, 512} {
-		kase := fmt.Sprintf("%d charges in a commit", group)
-		r.Figure(kase, "mirror_bytes_per_charge", mirrorBytes(group, false), "bytes")
-		r.Figure(kase, "mirror_bytes_per_charge_with_claim", mirrorBytes(group, true), "bytes")
+		caseName := fmt.Sprintf("%d charges in a commit", group)
+		r.Figure(caseName, "mirror_bytes_per_charge", mirrorBytes(group, false), "bytes")
+		r.Figure(caseName, "mirror_bytes_per_charge_with_claim", mirrorBytes(group, true), "bytes")
 	}
 	return vaultDisk(r)
 }
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -117,8 +117,8 @@
 }
 
 // sampler keeps a ratio of the traces that begin with a request, and none of
-// those that begin elsewhere: gossip and configuration streams would bury the
-// requests.
+// those that begin elsewhere: the spans of gossip and of configuration streams
+// would outnumber those of requests.
 func sampler(ratio float64) sdk.Sampler {
 	return sdk.ParentBased(requestSampler{sdk.TraceIDRatioBased(ratio)})
 }
