A draining router does not say not_run of a chat that may have run

Cause: a chat's service stands in its body, which a refusal before reading does not see; of a chat sent again without the header, under a service whose requests may not be repeated, it said not_run though an earlier sending may have run. Ruled out: reading the body while draining; it holds the shutdown up. Change: where any service of models is not repeatable, such a chat with an id is refused as unknown.

--- a/configurer/snapshot.go
+++ b/configurer/snapshot.go
@@ -110,6 +110,17 @@
 	return v, nil
 }
 
+// ChatsMayBeOnce reports whether any service of models says that its requests
+// may not be repeated.
+func (s *Snapshot) ChatsMayBeOnce() bool {
+	for _, v := range s.byModel {
+		if v.NotRepeatable {
+			return true
+		}
+	}
+	return false
+}
+
 // ServiceByModel returns the service that serves a model.
 func (s *Snapshot) ServiceByModel(model string) (*messenger.Service, error) {
 	v := s.byModel[model]
--- a/router/handler.go
+++ b/router/handler.go
@@ -75,7 +75,8 @@
 }
 
 // maybeOnce reports whether an unread request may be one that must not be
-// repeated. Of a chat only the body would tell the service.
+// repeated. Of a chat only the body would tell the service, so one such service
+// of models makes every chat doubtful.
 func (r *Router) maybeOnce(q *http.Request) bool {
 	if v := q.Header.Get(headerRepeatable); v != "" {
 		repeatable, err := strconv.ParseBool(v)
@@ -85,7 +86,11 @@
 	if s == nil {
 		return true
 	}
-	service, err := s.Service(q.PathValue("service"))
+	name := q.PathValue("service")
+	if name == "" {
+		return s.ChatsMayBeOnce()
+	}
+	service, err := s.Service(name)
 	return err == nil && service.NotRepeatable
 }
 
