--- a/configurer/book.go
+++ b/configurer/book.go
@@ -20,16 +20,13 @@
 	services   map[string]*messenger.Service
 	statements map[string]*messenger.Statement
 	members    map[string]*messenger.Member
-	// Models and keys map what must be unique to its owner's name; a copy,
-	// which checks nothing, has no keys.
+	// Models and keys map what must be unique to its owner's name.
 	models map[string]string
 	keys   map[string]string
 	// Digest is the sum of the hashes of all objects, so that a change costs
 	// only the objects that it touches.
 	digest  uint64
 	history history
-	// Copy says that the history and the keys stay empty.
-	copy bool
 }
 
 // NewBook returns the empty configuration, version 0.
@@ -45,14 +42,6 @@
 	}
 }
 
-// NewCopy returns the empty configuration for a subscriber: without what only
-// the check of changes and their answers need. Faults must not be called.
-func NewCopy() *Book {
-	b := NewBook()
-	b.copy = true
-	return b
-}
-
 // Version returns the number of accepted changes.
 func (b *Book) Version() uint64 { return b.version }
 
@@ -129,9 +118,7 @@
 // Apply takes an accepted change in, as the next version.
 func (b *Book) Apply(c *messenger.Change) {
 	b.version++
-	if !b.copy {
-		b.history.add(c)
-	}
+	b.history.add(c)
 	for _, e := range c.Edits {
 		b.applyEdit(e)
 	}
@@ -148,21 +135,19 @@
 	case *messenger.Edit_DeleteService:
 		b.setService(k.DeleteService, nil)
 	case *messenger.Edit_PutStatement:
-		set(b, b.statements, kindStatement, k.PutStatement.Name, k.PutStatement)
+		setIn(&b.digest, b.statements, kindStatement, k.PutStatement.Name, k.PutStatement)
 	case *messenger.Edit_DeleteStatement:
-		set(b, b.statements, kindStatement, k.DeleteStatement, nil)
+		setIn(&b.digest, b.statements, kindStatement, k.DeleteStatement, nil)
 	case *messenger.Edit_PutMember:
-		set(b, b.members, kindMember, k.PutMember.Name, k.PutMember)
+		setIn(&b.digest, b.members, kindMember, k.PutMember.Name, k.PutMember)
 	case *messenger.Edit_DeleteMember:
-		set(b, b.members, kindMember, k.DeleteMember, nil)
+		setIn(&b.digest, b.members, kindMember, k.DeleteMember, nil)
 	}
 }
 
 func (b *Book) setWorkspace(name string, w *messenger.Workspace) {
-	if !b.copy {
-		b.moveKeys(name, w)
-	}
-	set(b, b.workspaces, kindWorkspace, name, w)
+	b.moveKeys(name, w)
+	setIn(&b.digest, b.workspaces, kindWorkspace, name, w)
 }
 
 func (b *Book) moveKeys(name string, w *messenger.Workspace) {
@@ -181,7 +166,7 @@
 	for _, m := range s.GetModels() {
 		b.models[m] = name
 	}
-	set(b, b.services, kindService, name, s)
+	setIn(&b.digest, b.services, kindService, name, s)
 }
 
 // disown frees a key unless another object of the same change has it already.
@@ -191,18 +176,18 @@
 	}
 }
 
-// set replaces or, with a nil value, deletes an object.
-func set[T interface {
+// setIn replaces or, with a nil value, deletes an object, and keeps the digest.
+func setIn[T interface {
 	comparable
 	proto.Message
-}](b *Book, m map[string]T, kind, name string, value T) {
+}](digest *uint64, m map[string]T, kind, name string, value T) {
 	var none T
 	if old, ok := m[name]; ok {
-		b.digest -= hash(kind, old)
+		*digest -= hash(kind, old)
 		delete(m, name)
 	}
 	if value != none {
-		b.digest += hash(kind, value)
+		*digest += hash(kind, value)
 		m[name] = value
 	}
 }
@@ -237,9 +222,7 @@
 
 // Load replaces the book by a configuration, without its history of answers.
 func (b *Book) Load(c *messenger.Configuration) {
-	subscriber := b.copy
 	*b = *NewBook()
-	b.copy = subscriber
 	b.version = c.Version
 	for _, w := range c.Workspaces {
 		b.setWorkspace(w.Name, w)
@@ -248,9 +231,9 @@
 		b.setService(s.Name, s)
 	}
 	for _, s := range c.Statements {
-		set(b, b.statements, kindStatement, s.Name, s)
+		setIn(&b.digest, b.statements, kindStatement, s.Name, s)
 	}
 	for _, m := range c.Members {
-		set(b, b.members, kindMember, m.Name, m)
+		setIn(&b.digest, b.members, kindMember, m.Name, m)
 	}
 }
--- a/configurer/snapshot.go
+++ b/configurer/snapshot.go
@@ -6,6 +6,8 @@
 	"maps"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/matcher"
 	"rattanhoist.example/rattanhoist/messenger"
@@ -13,17 +15,24 @@
 
 // Snapshot is a compiled, immutable configuration for the path of a request.
 type Snapshot struct {
-	version    uint64
-	byKey      map[[sha256.Size]byte]*messenger.Workspace
-	workspaces map[string]*messenger.Workspace
-	services   map[string]*messenger.Service
-	byModel    map[string]*messenger.Service
-	statements []compiled
+	version uint64
+	// Names and keys hold the workspaces by the hashes of their names and of
+	// their keys.
+	names, keys shards
+	*rules
 	// Granted maps pair to its Grant, filled as requests come: a
 	// pair is worked out once for each version, not for each request.
 	granted sync.Map
 }
 
+// rules are compiled from services and statements; immutable. Versions that
+// differ in workspaces only share them.
+type rules struct {
+	services   map[string]*messenger.Service
+	byModel    map[string]*messenger.Service
+	statements []compiled
+}
+
 // pair names one workspace and one service.
 type pair struct{ workspace, service string }
 
@@ -35,36 +44,30 @@
 const labelName = "name"
 
 // Compile indexes a configuration whose changes have all been checked.
-func Compile(c *messenger.Configuration) *Snapshot {
-	s := &Snapshot{
-		version:    c.Version,
-		byKey:      map[[sha256.Size]byte]*messenger.Workspace{},
-		workspaces: map[string]*messenger.Workspace{},
-		services:   map[string]*messenger.Service{},
-		byModel:    map[string]*messenger.Service{},
-	}
-	for _, w := range c.Workspaces {
-		s.workspaces[w.Name] = w
-		for _, h := range w.KeyHashes {
-			s.byKey[[sha256.Size]byte(h)] = w
-		}
-	}
-	for _, v := range c.Services {
-		s.services[v.Name] = v
+func Compile(m *messenger.Configuration) *Snapshot {
+	c := NewCopy()
+	c.Load(m)
+	return c.Snapshot()
+}
+
+func compileRules(services []*messenger.Service, statements []*messenger.Statement) *rules {
+	r := &rules{services: map[string]*messenger.Service{}, byModel: map[string]*messenger.Service{}}
+	for _, v := range services {
+		r.services[v.Name] = v
 		for _, m := range v.Models {
-			s.byModel[m] = v
+			r.byModel[m] = v
 		}
 	}
-	for _, t := range c.Statements {
-		s.addStatement(t)
+	for _, t := range statements {
+		r.addStatement(t)
 	}
-	return s
+	return r
 }
 
 // addStatement leaves out a statement that does not parse: acceptance has
 // checked every selector, so this happens only with a damaged copy, and a
 // statement that grants nothing is the safe reading of it.
-func (s *Snapshot) addStatement(t *messenger.Statement) {
+func (r *rules) addStatement(t *messenger.Statement) {
 	w, err := matcher.Parse(t.Workspaces)
 	if err != nil {
 		return
@@ -77,15 +80,16 @@
 	if err != nil {
 		return
 	}
-	s.statements = append(s.statements, compiled{workspaces: w, services: v, endpoints: e})
+	r.statements = append(r.statements, compiled{workspaces: w, services: v, endpoints: e})
 }
 
 // Version returns the configuration's version.
 func (s *Snapshot) Version() uint64 { return s.version }
 
 // WorkspaceByKey returns the workspace that a bearer key identifies.
-func (s *Snapshot) WorkspaceByKey(key string) (*messenger.Workspace, error) {
-	w := s.byKey[sha256.Sum256([]byte(key))]
+func (s *Snapshot) WorkspaceByKey(key string) (*Workspace, error) {
+	sum := sha256.Sum256([]byte(key))
+	w := s.keys.find(xxhash.Sum64(sum[:]), func(w *Workspace) bool { return w.hasKey(sum) })
 	if w == nil {
 		return nil, rattanhoist.ErrUnknownWorkspace
 	}
@@ -93,8 +97,8 @@
 }
 
 // Workspace returns a workspace by name.
-func (s *Snapshot) Workspace(name string) (*messenger.Workspace, error) {
-	w := s.workspaces[name]
+func (s *Snapshot) Workspace(name string) (*Workspace, error) {
+	w := findName(s.names, name)
 	if w == nil {
 		return nil, rattanhoist.ErrUnknownWorkspace
 	}
@@ -151,8 +155,8 @@
 }
 
 // Grant returns what the statements allow the workspace for the service.
-func (s *Snapshot) Grant(w *messenger.Workspace, v *messenger.Service) Grant {
-	k := pair{workspace: w.Name, service: v.Name}
+func (s *Snapshot) Grant(w *Workspace, v *messenger.Service) Grant {
+	k := pair{workspace: w.name, service: v.Name}
 	g, ok := s.granted.Load(k)
 	if !ok {
 		g, _ = s.granted.LoadOrStore(k, s.makeGrant(w, v))
@@ -160,10 +164,10 @@
 	return g.(Grant)
 }
 
-func (s *Snapshot) makeGrant(w *messenger.Workspace, v *messenger.Service) Grant {
+func (s *Snapshot) makeGrant(w *Workspace, v *messenger.Service) Grant {
 	var g Grant
 	var key []byte
-	wl, vl := withName(w.Labels, w.Name), withName(v.Labels, v.Name)
+	wl, vl := withName(w.Labels(), w.name), withName(maps.Clone(v.Labels), v.Name)
 	for i, t := range s.statements {
 		if t.workspaces.Matches(wl) && t.services.Matches(vl) {
 			g.selectors = append(g.selectors, t.endpoints)
@@ -174,11 +178,11 @@
 	return g
 }
 
+// withName adds the name to labels, which it may change.
 func withName(labels map[string]string, name string) map[string]string {
-	out := maps.Clone(labels)
-	if out == nil {
-		out = map[string]string{}
+	if labels == nil {
+		labels = map[string]string{}
 	}
-	out[labelName] = name
-	return out
+	labels[labelName] = name
+	return labels
 }
--- a/measurer/capacity_lines.go
+++ b/measurer/capacity_lines.go
@@ -40,6 +40,8 @@
 var (
 	configurationMemory = slopeKey{"configuration", "router", "memory", "workspace"}
 	configurationCPU    = slopeKey{"configuration", "router", "processor_per_change", "workspace"}
+	configurationLoad   = slopeKey{"configuration", "router", "processor_after_restart", "workspace"}
+	ownLabelsMemory     = slopeKey{"configuration", "router", "own_labels_memory", "workspace"}
 	configurationUpdate = slopeKey{"configuration", "router", "update_bytes", "change"}
 	configurationWhole  = slopeKey{"configuration", "router", "whole_copy_bytes", "workspace"}
 	endpointMemory      = slopeKey{"endpoints", "router", "memory_bytes", "endpoint"}
@@ -137,8 +139,8 @@
 			megabytes, 0, workedOut, "",
 		},
 		{
-			role, "compiling after a restart", "`configurer`, once, before the router is ready",
-			[]term{{configurationCPU, c.Workspaces, "42,000 workspaces"}},
+			role, "compiling after a restart", "`configurer`, once, before the router is ready; the collector included",
+			[]term{{configurationLoad, c.Workspaces, "42,000 workspaces"}},
 			seconds, 0, measured, "",
 		},
 		{
--- a/measurer/configuration_slopes.go
+++ b/measurer/configuration_slopes.go
@@ -51,25 +51,38 @@
 	return c
 }
 
+// ownLabels gives each workspace a label that no other has, as an operator may
+// who notes the customer's number.
+func ownLabels(c *messenger.Configuration) *messenger.Configuration {
+	for _, w := range c.Workspaces {
+		w.Labels["customer"] = w.Name
+	}
+	return c
+}
+
 // routersCopy is what a router keeps: the copy that it follows and the index
 // of the version in force.
 type routersCopy struct {
-	book     *configurer.Book
+	book     *configurer.Copy
 	snapshot *configurer.Snapshot
 }
 
-func newRoutersCopy(n int) *routersCopy {
+func newRoutersCopy(m *messenger.Configuration) *routersCopy {
 	b := configurer.NewCopy()
-	b.Load(sampleConfiguration(n))
-	return &routersCopy{book: b, snapshot: configurer.Compile(b.Configuration())}
+	b.Load(m)
+	return &routersCopy{book: b, snapshot: b.Snapshot()}
 }
 
 func runConfigurationSlopes(_ context.Context, r *Report) error {
 	xs := sizes(2000, 5000, 10000, 20000, 42000)
 	r.Slope("router", "memory", "B", "workspace", sweep(xs, func(n int) float64 {
-		return heapBytes(func() any { return newRoutersCopy(n) })
+		return heapBytes(func() any { return newRoutersCopy(sampleConfiguration(n)) })
 	}))
 	r.Slope("router", "processor_per_change", "s", "workspace", sweep(xs, costOfChange))
+	r.Slope("router", "own_labels_memory", "B", "workspace", sweep(xs, func(n int) float64 {
+		return heapBytes(func() any { return newRoutersCopy(ownLabels(sampleConfiguration(n))) })
+	}))
+	r.Slope("router", "processor_after_restart", "s", "workspace", sweep(xs, costOfLoad))
 	r.Slope("router", "update_bytes", "B", "change", sweep(sizes(1, 10, 50, 100), func(n int) float64 {
 		u := &messenger.Update{Version: uint64(n), Digest: 1 << 63, Confirmed: true}
 		for i := range n {
@@ -84,15 +97,27 @@
 }
 
 // costOfChange is the processor time from the arrival of one change to the
-// new snapshot, averaged over a few.
+// new snapshot, averaged over many.
 func costOfChange(n int) float64 {
-	const changes = 5
-	c := newRoutersCopy(n)
+	const changes = 200
+	c := newRoutersCopy(sampleConfiguration(n))
 	s := processorSeconds(func() {
 		for i := range changes {
 			c.book.Apply(sampleChange(n+i, c.book.Version()))
-			c.snapshot = configurer.Compile(c.book.Configuration())
+			c.snapshot = c.book.Snapshot()
 		}
 	})
 	return s / changes
 }
+
+// costOfLoad is the processor time from the arrival of a whole configuration
+// to its snapshot.
+func costOfLoad(n int) float64 {
+	const loads = 3
+	m := sampleConfiguration(n)
+	return processorSeconds(func() {
+		for range loads {
+			_ = newRoutersCopy(m)
+		}
+	}) / loads
+}
--- a/measurer/router_lines.go
+++ b/measurer/router_lines.go
@@ -7,10 +7,14 @@
 	c, bound := Letter, LetterBounds
 	return []line{
 		{
-			routerRole, "memory of the configuration", "`configurer`: followed copy and compiled snapshot",
+			routerRole, "memory of the configuration", "`configurer`: one small form of a workspace, shared by the followed copy and the snapshots; labels that many workspaces have are held once",
 			[]term{{configurationMemory, c.Workspaces * collector, "42,000 workspaces, heap doubled by the collector"}},
-			megabytes, bound.NodeBytes, workedOut,
-			"a smaller form of a workspace in the snapshot, names interned, one copy instead of two; or a memory limit for the collector",
+			megabytes, bound.NodeBytes, workedOut, "a memory limit for the collector",
+		},
+		{
+			routerRole, "the same if no two workspaces had equal labels (not in the sum)", "the same",
+			[]term{{ownLabelsMemory, c.Workspaces * collector, "42,000 workspaces, heap doubled by the collector"}},
+			megabytes, bound.NodeBytes, workedOut, "each label held once in place of each set",
 		},
 		{
 			routerRole, "memory of endpoints", "`tracker`: own zone whole, 32 a service of every other zone",
@@ -30,14 +34,14 @@
 	c, bound := Letter, LetterBounds
 	return []line{
 		{
-			routerRole, "processor, changes", "`configurer`: every change compiles the whole snapshot anew",
+			routerRole, "processor, changes", "`configurer`: a change copies the list of shards and the shards that it touches",
 			[]term{{configurationCPU, c.Workspaces * c.ChangesPerDay / secondsPerDay, "42,000 workspaces x 3,200 changes a day"}},
-			core, bound.NodeCores, measured, "compile only what the change touches",
+			core, bound.NodeCores, measured, "shards in a tree, so that a change copies a path",
 		},
 		{
 			routerRole, "time of one change", "the same; part of the 3 s until in force",
 			[]term{{configurationCPU, c.Workspaces, "42,000 workspaces, all of it on one core"}},
-			seconds, bound.InForceS, measured, "compile only what the change touches",
+			seconds, bound.InForceS, measured, "shards in a tree, so that a change copies a path",
 		},
 	}
 }
--- a/measurer/spread_fleet.go
+++ b/measurer/spread_fleet.go
@@ -234,7 +234,7 @@
 	}
 }
 
-func (s *standIn) take(book *configurer.Book, u *messenger.Update) {
+func (s *standIn) take(book *configurer.Copy, u *messenger.Update) {
 	if u.Configuration != nil {
 		book.Load(u.Configuration)
 	}
@@ -242,7 +242,7 @@
 		book.Apply(x)
 	}
 	if s.compile && u.Version > s.version.Load() {
-		configurer.Compile(book.Configuration())
+		book.Snapshot()
 	}
 	s.version.Store(u.Version)
 }
--- a/router/candidates.go
+++ b/router/candidates.go
@@ -34,7 +34,7 @@
 // pair names who asks for what; configuration objects are never changed, so
 // their addresses identify them within one version.
 type pair struct {
-	workspace *messenger.Workspace
+	workspace *configurer.Workspace
 	service   *messenger.Service
 }
 
--- a/router/follower.go
+++ b/router/follower.go
@@ -79,7 +79,7 @@
 	log        *zap.Logger
 	sources    []source
 	show       func(*configurer.Snapshot)
-	book       *configurer.Book
+	book       *configurer.Copy
 	// Shown says that the router serves; from then on the version only grows.
 	shown   bool
 	started time.Time
@@ -256,7 +256,7 @@
 	f.shown = true
 	f.served = f.book.Version()
 	versionServed.Set(int64(f.served))
-	f.show(configurer.Compile(f.book.Configuration()))
+	f.show(f.book.Snapshot())
 }
 
 // report tells the keeper which version is in force here.
--- a/router/request.go
+++ b/router/request.go
@@ -48,7 +48,7 @@
 // request is one parsed request; immutable after parsing.
 type request struct {
 	key       rattanhoist.RequestKey
-	workspace *messenger.Workspace
+	workspace *configurer.Workspace
 	service   *messenger.Service
 	body      []byte
 	// Method, path (as escaped), raw query and header are what the endpoint gets.
@@ -201,9 +201,9 @@
 		return badField(headerIdempotencyKey, "want printable ASCII characters")
 	}
 	if id == "" {
-		id, q.ownID = p.newID(q.workspace.Name), true
+		id, q.ownID = p.newID(q.workspace.Name()), true
 	}
-	q.key = rattanhoist.NewRequestKey(q.workspace.Name, id)
+	q.key = rattanhoist.NewRequestKey(q.workspace.Name(), id)
 	q.ticket, _ = parseTicket(id)
 	return nil
 }
