Learn a token's time from answers that are cut off or in progress

At dispatch its token time was unknown: runs there were cut at their deadline, and only whole answers taught, so it was taken to be as quick as the others, for up to 80 s.

Change: a run tells of its texts; the 16th, and the cut, teach the endpoint's token time. Texts are converted to tokens by what whole answers taught. The router passes the count of texts (router/choose.go, run.go).

--- a/measurer/picker_engine.go
+++ b/measurer/picker_engine.go
@@ -29,9 +29,10 @@
 	started         bool
 	firstAt, lastAt float64
 	firstDone       bool
-	// Called on the first token and on the end.
-	onFirst func()
-	onEnd   func(whole bool)
+	paceDone        bool
+	// Called on the first token, on the paceTokens-th and on the end.
+	onFirst, onPace func()
+	onEnd           func(whole bool)
 }
 
 // generated returns the tokens made at a progress.
@@ -42,12 +43,22 @@
 	return min(max(v-r.firstAt+1, 0), r.answer)
 }
 
+// paceTokens is the token at which a run tells how quick it is.
+const paceTokens = 16
+
+// paceAt returns the mark of that token.
+func (r *fakeRun) paceAt() float64 { return r.firstAt + paceTokens - 1 }
+
 // next returns the run's next mark.
 func (r *fakeRun) next() float64 {
-	if !r.firstDone {
+	switch {
+	case !r.firstDone:
 		return min(r.firstAt, r.lastAt)
+	case !r.paceDone:
+		return min(r.paceAt(), r.lastAt)
+	default:
+		return r.lastAt
 	}
-	return r.lastAt
 }
 
 // fakeEngine is a continuously batching engine in virtual time.
@@ -165,6 +176,10 @@
 			r.firstDone = true
 			r.onFirst()
 		}
+		if r.firstDone && !r.paceDone && r.paceAt() <= e.progress+slack {
+			r.paceDone = true
+			r.onPace()
+		}
 		if r.firstDone && r.lastAt <= e.progress+slack {
 			ended = append(ended, r)
 		}
--- a/measurer/picker_router.go
+++ b/measurer/picker_router.go
@@ -184,7 +184,7 @@
 	q := x.request
 	x.inside = &fakeRun{
 		priority: q.priority, prompt: promptLength, shared: sharedLength, answer: float64(q.answer), prefix: q.prefix,
-		onFirst: x.first, onEnd: x.end,
+		onFirst: x.first, onPace: x.pace, onEnd: x.end,
 	}
 	if x.router.f.rand.Float64() < failureShare {
 		x.inside.failAfter = x.router.f.rand.Float64() + 1e-3
@@ -204,6 +204,8 @@
 	x.run.First(x.router.now())
 }
 
+func (x *fleetRun) pace() { x.run.Text(x.router.now(), paceTokens) }
+
 func (x *fleetRun) end(whole bool) {
 	if x.ended {
 		return
@@ -211,6 +213,9 @@
 	x.ended = true
 	r := x.router
 	cached := int64(x.inside.cached)
+	if whole {
+		x.run.Text(r.now(), x.request.answer)
+	}
 	r.run(x, picker.Outcome{AnswerTokens: x.request.answer, CachedTokens: cached, Whole: whole, Fault: !whole})
 	if x.request.measured && x.inside.started {
 		r.f.result.starts++
@@ -255,7 +260,9 @@
 		return
 	}
 	x.ended = true
-	x.waste(x.engine.cancel(x.inside))
+	made := x.engine.cancel(x.inside)
+	x.run.Text(x.router.now(), int64(made))
+	x.waste(made)
 	x.router.run(x, picker.Outcome{CachedTokens: -1})
 	x.router.give(x.request, false)
 	x.router.step(admitter.Event{Kind: admitter.Tick})
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -288,3 +288,37 @@
 	g.Expect(e.Service).To(gomega.BeNumerically("~", 3*time.Second, time.Second))
 	g.Expect(s.Service().Estimate(loose, l.Since(start.Add(time.Hour))).Service).To(gomega.BeZero(), "old knowledge refuses nobody")
 }
+
+// Symptom: requests go on to an endpoint ten times slower and miss their
+// deadlines. Sequence: every run there is cut off at its deadline. Cause: only
+// whole answers taught the time of a token, so the endpoint looked unknown and
+// was taken to be as quick as the others.
+func TestRunsCutOffTeachThatAnEndpointIsSlow(t *testing.T) {
+	for name, cut := range map[string]bool{"in progress": false, "cut off": true} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			l := picker.NewLedger(start.Add(-time.Minute))
+			var es []*rattanhoist.Endpoint
+			for _, n := range []string{"slow", "well-1", "well-2"} {
+				es = append(es, endpointNamed(n, "z-0", 0, start))
+			}
+			s := l.NewSet("llm", "z-0", maxAge, start, es)
+			for i := 1; i < s.Len(); i++ {
+				run(l, s.At(i), query(0), 100*time.Millisecond, 20*time.Millisecond)
+				l.Begin(s.At(i), query(0))
+				l.Begin(s.At(i), query(0))
+			}
+			r := l.Begin(s.At(0), query(0))
+			r.First(start.Add(100 * time.Millisecond))
+			for n := int64(1); n <= 40; n++ {
+				r.Text(start.Add(time.Duration(n)*200*time.Millisecond), n)
+			}
+			if cut {
+				r.End(start.Add(8*time.Second), picker.Outcome{CachedTokens: -1}, 0)
+			}
+			q := query(0)
+			q.Now, q.Deadline = start.Add(2*time.Second), start.Add(10*time.Second)
+			g.Expect(shares(made(picker.Deadline), s, q, 100)).NotTo(gomega.HaveKey("slow"))
+		})
+	}
+}
--- a/picker/run.go
+++ b/picker/run.go
@@ -20,8 +20,15 @@
 	expected bool
 	// Queued says that the endpoint was full at dispatch.
 	queued bool
+	// Texts counts the answer's texts so far; early says that the first of
+	// them have been learned from.
+	texts int64
+	early bool
 }
 
+// earlyTexts is how many texts of an answer tell the time of a token.
+const earlyTexts = 16
+
 // Outcome is how a run ended.
 type Outcome struct {
 	// AnswerTokens of a whole answer.
@@ -71,6 +78,26 @@
 	r.stats.service.prefillTime.add(x, serviceWeight, now)
 }
 
+// Text notes that the answer has n texts so far.
+func (r *Run) Text(at time.Time, n int64) {
+	r.texts = n
+	if n >= earlyTexts && !r.early {
+		r.early = true
+		r.learnPace(r.ledger.Since(at))
+	}
+}
+
+// learnPace learns the time of a token from an answer that has not ended, or
+// was cut off. Were only whole answers learned from, an endpoint too slow for
+// any deadline would teach nothing and look as quick as the others.
+func (r *Run) learnPace(now time.Duration) {
+	if r.first == 0 || r.texts < earlyTexts {
+		return
+	}
+	tokens := float64(r.texts) * r.stats.service.textTokens.value(1)
+	r.stats.tokenTime.add((now-r.first).Seconds()/max(tokens-1, 1), sampleWeight, now)
+}
+
 // End notes the end of the run; random in [0, 1) spreads probes.
 func (r *Run) End(at time.Time, o Outcome, random float64) {
 	now := r.ledger.Since(at)
@@ -81,6 +108,7 @@
 		return
 	}
 	if !o.Whole {
+		r.learnPace(now)
 		return
 	}
 	r.stats.gate.Step(now, ejector.Succeeded, random)
@@ -94,6 +122,9 @@
 		r.stats.tokenTime.add(x, sampleWeight, now)
 		s.tokenTime.add(x, serviceWeight, now)
 	}
+	if r.texts > 0 && o.AnswerTokens > 0 {
+		s.textTokens.add(float64(o.AnswerTokens)/float64(r.texts), serviceWeight, now)
+	}
 	if r.most > 0 && o.AnswerTokens > 0 {
 		s.answerLength.add(float64(o.AnswerTokens), serviceWeight, now)
 		s.answerShare.add(float64(o.AnswerTokens)/float64(r.most), serviceWeight, now)
--- a/picker/stats.go
+++ b/picker/stats.go
@@ -40,6 +40,8 @@
 	answerShare average
 	// AnswerLength is the length of an answer in tokens.
 	answerLength average
+	// TextTokens is the tokens of one text of a streamed answer.
+	textTokens average
 	// OthersPerOwn is the other routers' requests by this router's own.
 	othersPerOwn average
 	// Samples counts whole runs.
--- a/router/choose.go
+++ b/router/choose.go
@@ -80,6 +80,8 @@
 type sent struct {
 	run   picker.Run
 	begun bool
+	// Texts counts the texts of the answer that have come.
+	texts int64
 	// Cached is the cached part of the prompt in tokens, -1 where unknown.
 	cached int64
 }
@@ -89,12 +91,15 @@
 	return &sent{cached: -1, run: r.ledger.BeginAt(e, q.query(time.Now()))}
 }
 
-// first notes the first token of the answer; later calls do nothing.
-func (s *sent) first() {
+// text notes a text of the answer.
+func (s *sent) text() {
+	now := time.Now()
 	if !s.begun {
 		s.begun = true
-		s.run.First(time.Now())
+		s.run.First(now)
 	}
+	s.texts++
+	s.run.Text(now, s.texts)
 }
 
 // end notes how the run ended. A caller that left or a deadline that passed
--- a/router/run.go
+++ b/router/run.go
@@ -54,7 +54,7 @@
 		r.tell(q, s)
 	}
 	a := newAssembler(q, run)
-	a.begun = d.first
+	a.begun = d.text
 	err = readWatched(a, resp, q.deadline, cancel)
 	d.cached = a.usage.cachedTokens()
 	return r.finishModel(ctx, q, e, a, s, err)
