Short of time goes before a workspace's turn while none is refused

Cause: near a load of 1.0 the limits refused what the endpoints could have met: workspaces shared a priority by tokens also where everything fitted, so the requests of the largest workspace waited until they expired while the others' had time to spare.

Change: while no request of a priority has been refused for 2 s, the one with the least time left goes first, of whichever workspace, if it has less left than four times its expected time. Once one is refused, workspaces share by tokens as before; a flood therefore still waits on its own.

The red test fails without the change (shortTime -1000), the second one with the earliest deadline first at any time (shortTime 1000000).

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -242,3 +242,37 @@
 		})
 	})
 }
+
+// Symptom: near its capacity a service refuses requests that all could have
+// been met. Sequence: a large workspace has a request with 1 s left to wait, a
+// small one a request with 6 s. Cause: workspaces share by tokens also while
+// nothing is refused, so the large one waits for its turn.
+func TestShortTimeGoesBeforeTheWorkspacesTurn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	order := func(refuse bool) []uint64 {
+		q := newQueue("none")
+		for id := range uint64(3) {
+			q.Step(0, arrive(request(id, "large", 0, 3*time.Second+time.Duration(id)*time.Second), 1, 1))
+		}
+		q.Step(0, arrive(request(3, "small", 0, 8*time.Second), 1, 1))
+		if refuse {
+			q.Step(0, arrive(request(9, "large", 0, 0), 1, 1))
+		}
+		return drain(q, 0)
+	}
+	g.Expect(order(false)).To(gomega.Equal([]uint64{0, 1, 2, 3}))
+	g.Expect(order(true)).To(gomega.Equal([]uint64{0, 3, 1, 2}), "shared by tokens once one was refused")
+}
+
+// Symptom: a burst of one workspace makes the others wait although nothing is
+// refused. Sequence: 20 requests of one workspace with an hour to go, then one
+// of another. Cause: the earliest deadline first, whatever the time left.
+func TestAmpleTimeWaitsForTheWorkspacesTurn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueue("none")
+	for id := range uint64(20) {
+		q.Step(0, arrive(request(id, "burst", 0, time.Hour), 1, 1))
+	}
+	q.Step(0, arrive(request(20, "calm", 0, time.Hour+time.Minute), 1, 1))
+	g.Expect(drain(q, 0)[:2]).To(gomega.ContainElement(uint64(20)))
+}
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -68,7 +68,10 @@
 
 // Queue holds the waiting requests of one service on one router. Priorities
 // go strictly first; within one the workspaces share by tokens (stride
-// scheduling); within a workspace the earliest deadline goes first. It is a
+// scheduling); within a workspace the earliest deadline goes first. While no
+// request of a priority is refused, those whose time grows short go first of
+// whichever workspace: who gets less is to be decided only where not all can
+// be met. It is a
 // state machine: not safe for concurrent use, without clock and randomness of
 // its own.
 type Queue struct {
@@ -89,6 +92,9 @@
 	// Pass is that of the flow served last; a flow that comes back starts
 	// from it, so that idle time earns nothing.
 	pass float64
+	// CalmFrom is the time from which nothing has been refused for long
+	// enough to take it that all can be met.
+	calmFrom time.Duration
 }
 
 // flow holds the requests of one workspace in one priority.
@@ -140,6 +146,13 @@
 	q.out = append(q.out, Action{ID: id, Verdict: v, After: max(after, leastAfter)})
 }
 
+// refuse says that a request is refused, and has its priority share by
+// workspaces for a while.
+func (q *Queue) refuse(now time.Duration, r Request, v Verdict, after time.Duration) {
+	q.classes[r.Priority].calmFrom = now + calmAfter
+	q.say(r.ID, v, after)
+}
+
 // expire refuses what can't be met any more, at once: held back until its
 // deadline, a caller would learn too late to try elsewhere.
 func (q *Queue) expire(now time.Duration) {
@@ -154,7 +167,7 @@
 					return false
 				}
 				q.waiting--
-				q.say(r.ID, Expired, r.Service)
+				q.refuse(now, r, Expired, r.Service)
 				return true
 			})
 		}
@@ -173,16 +186,16 @@
 	r := e.Request
 	r.Priority = min(max(r.Priority, 0), Priorities-1)
 	if now > r.expiry() {
-		q.say(r.ID, Shed, r.Service)
+		q.refuse(now, r, Shed, r.Service)
 		return
 	}
 	f := q.forecast(r, e)
 	if refused, after := q.shedder.Shed(now, r, f); refused {
-		q.say(r.ID, Shed, after)
+		q.refuse(now, r, Shed, after)
 		return
 	}
-	if q.waiting >= q.bounds.Waiting && !q.makeRoom(r.Priority, f.Wait) || q.backlog(r.Workspace) >= q.bounds.Workspace {
-		q.say(r.ID, Full, f.Wait)
+	if q.waiting >= q.bounds.Waiting && !q.makeRoom(now, r.Priority, f.Wait) || q.backlog(r.Workspace) >= q.bounds.Workspace {
+		q.refuse(now, r, Full, f.Wait)
 		return
 	}
 	q.put(r)
@@ -209,7 +222,7 @@
 }
 
 // makeRoom refuses the last request of the longest flow of a lower priority.
-func (q *Queue) makeRoom(priority int, wait time.Duration) bool {
+func (q *Queue) makeRoom(now time.Duration, priority int, wait time.Duration) bool {
 	for p := Priorities - 1; p > priority; p-- {
 		c := &q.classes[p]
 		if len(c.flows) == 0 {
@@ -217,7 +230,7 @@
 		}
 		w := slices.MaxFunc(c.flows, func(a, b *flow) int { return cmp.Compare(len(a.requests), len(b.requests)) })
 		last := len(w.requests) - 1
-		q.say(w.requests[last].ID, Full, wait)
+		q.refuse(now, w.requests[last], Full, wait)
 		w.requests = w.requests[:last]
 		q.waiting--
 		c.drop()
@@ -260,26 +273,21 @@
 // next takes the request that goes next. One that would need luck to be in
 // time goes only when none waits that would not.
 func (q *Queue) next(now time.Duration) Request {
-	r, ok := q.nextOf(func(r Request) bool { return now+r.Service <= r.Deadline })
+	r, ok := q.nextOf(now, func(r Request) bool { return now+r.Service <= r.Deadline })
 	if !ok {
-		r, _ = q.nextOf(func(Request) bool { return true })
+		r, _ = q.nextOf(now, func(Request) bool { return true })
 	}
 	return r
 }
 
-func (q *Queue) nextOf(fits func(Request) bool) (Request, bool) {
+func (q *Queue) nextOf(now time.Duration, fits func(Request) bool) (Request, bool) {
 	for p := range q.classes {
 		c := &q.classes[p]
-		var best *flow
-		at := 0
-		for _, w := range c.flows {
-			i := slices.IndexFunc(w.requests, fits)
-			if i >= 0 && (best == nil || w.pass < best.pass) {
-				best, at = w, i
-			}
+		if w, at := c.shortest(now, fits); w != nil {
+			return q.advance(c, w, at), true
 		}
-		if best != nil {
-			return q.take(c, best, at), true
+		if w, at := c.fairest(fits); w != nil {
+			return q.take(c, w, at), true
 		}
 	}
 	return Request{}, false
@@ -287,10 +295,17 @@
 
 // take removes a request of a flow and charges the flow for it.
 func (q *Queue) take(c *class, w *flow, i int) Request {
+	c.pass = w.pass
+	w.pass += max(w.requests[i].Tokens, 1)
+	return q.advance(c, w, i)
+}
+
+// advance removes a request that goes before its workspace's turn. The flow is
+// not charged: a debt from a time when all were met would keep the workspace
+// out when that time is over.
+func (q *Queue) advance(c *class, w *flow, i int) Request {
 	r := w.requests[i]
 	w.requests = slices.Delete(w.requests, i, i+1)
-	c.pass = w.pass
-	w.pass += max(r.Tokens, 1)
 	q.waiting--
 	if len(w.requests) == 0 {
 		c.retire(w)
