Count the batch's fill once in the predicted time

Cause: the learned time of a token comes from runs in batches of the usual fill; the prediction added up to the same again for the fill.

Change: the factor is 0.3, was 1.

--- a/picker/deadline.go
+++ b/picker/deadline.go
@@ -17,8 +17,10 @@
 	reuseWeight = 4.0
 	// crossZone is the time another zone must save to be preferred.
 	crossZone = 0.02
-	// crowding is how much a full batch slows each of its requests.
-	crowding = 1.0
+	// crowding is how much longer a request takes in a full batch than in an
+	// empty one, beyond what was learned: learned times come from the usual
+	// fill. Counted whole once more, it outweighs the reuse of a prefix.
+	crowding = 0.3
 )
 
 type deadline struct{}
