One request at a time to an endpoint whose pace is unknown

Change: where the service's answers tell a pace, an endpoint that has not told its own and has a request of this router in progress counts as not in time.

--- a/picker/average.go
+++ b/picker/average.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// known reports whether there was a sample.
+func (a *average) known() bool { return a.bits.Load() != 0 }
+
 // value returns the average, or otherwise where nothing is known.
 func (a *average) value(otherwise float64) float64 {
 	b := a.bits.Load()
--- a/picker/deadline.go
+++ b/picker/deadline.go
@@ -53,6 +53,8 @@
 	best                                         int
 	bestCost                                     float64
 	bestMeets                                    bool
+	// Paced says that the service's answers tell the time of a token.
+	paced bool
 }
 
 func (p *prediction) prepare() {
@@ -60,6 +62,7 @@
 	p.answer = v.AnswerTokens(p.q.MaxAnswer)
 	p.prompt = float64(p.q.PromptTokens)
 	p.tokenTime = v.TokenTime()
+	p.paced = v.tokenTime.known()
 	p.prefillTime = v.PrefillTime()
 	p.left = p.q.Deadline.Sub(p.q.Now).Seconds()
 	p.owners = p.s.ledger.prefixes.owners(p.q.Prefix, p.now.Duration)
@@ -128,7 +131,7 @@
 	if i >= p.s.local {
 		cost += crossZone
 	}
-	meets := slowest <= p.left
+	meets := slowest <= p.left && !p.unproven(st)
 	if p.best < 0 || meets && !p.bestMeets || meets == p.bestMeets && cost < p.bestCost {
 		p.best, p.bestCost, p.bestMeets = i, cost, meets
 	}
@@ -147,6 +150,13 @@
 	return wait + prefill*(1-hit) + decode
 }
 
+// unproven reports whether this router waits for an endpoint's first tokens to
+// tell how quick it is. Until then it is assumed to be as quick as the others,
+// and a slow one would be sent more than it can answer in time.
+func (p *prediction) unproven(s *Stats) bool {
+	return p.paced && !s.tokenTime.known() && s.inFlight.Load() > 0
+}
+
 func (p *prediction) holds(id uint32) bool {
 	for _, o := range p.owners {
 		if o == id {
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -322,3 +322,26 @@
 		})
 	}
 }
+
+// Symptom: in its first seconds a router sends an endpoint ten times slower
+// more than it can answer in time. Sequence: an endpoint that nothing is known
+// of has a request in progress and holds the prefix of the next ones. Cause:
+// an unknown endpoint is taken to be as quick as the others.
+func TestUnknownEndpointGetsOneRequestUntilItsFirstTokens(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := picker.NewLedger(start.Add(-time.Minute))
+	var es []*rattanhoist.Endpoint
+	for _, n := range []string{"known-1", "known-2", "unknown"} {
+		es = append(es, endpointNamed(n, "z-0", 0, start))
+	}
+	s := l.NewSet("llm", "z-0", maxAge, start, es)
+	for i := range 2 {
+		run(l, s.At(i), query(0), 100*time.Millisecond, 20*time.Millisecond)
+	}
+	q := query(7)
+	r := l.Begin(s.At(2), q)
+	g.Expect(shares(made(picker.Deadline), s, q, 100)).NotTo(gomega.HaveKey("unknown"))
+	r.First(start.Add(100 * time.Millisecond))
+	r.Text(start.Add(400*time.Millisecond), 16)
+	g.Expect(shares(made(picker.Deadline), s, q, 100)).To(gomega.HaveKey("unknown"))
+}
