An oracle beside the pickers, and a load of 1.0 of what a slow endpoint leaves

Change: the policy "oracle" is the product's picker without limits with one router, every prefix cached and the own count exact; a further scene offers 1.0 of what the slow endpoint leaves. A hook for debugging that was left in picker_router.go is gone.

--- a/measurer/picker_fleet.go
+++ b/measurer/picker_fleet.go
@@ -17,6 +17,8 @@
 	shedder string
 	// Unlimited lets every request go at once, as without admission.
 	unlimited bool
+	// Oracle has one router see everything at once and every prefix cached.
+	oracle bool
 	// Load is the offered work by what the engines can do.
 	load    float64
 	engines int
@@ -59,6 +61,22 @@
 	return meanAnswer + float64(promptLength-sharedLength)/prefillSpeed
 }
 
+// routers is how many routers share the engines.
+func (c fleetCase) routers() int {
+	if c.oracle {
+		return 1
+	}
+	return fleetRouters
+}
+
+// cached is how many prefixes an engine holds.
+func (c fleetCase) cached() int {
+	if c.oracle {
+		return fleetPrefixes
+	}
+	return fleetCache
+}
+
 type fleetRequest struct {
 	id        uint64
 	workspace string
@@ -118,7 +136,7 @@
 	for i := range c.engines {
 		f.addEngine(i)
 	}
-	for i := range fleetRouters {
+	for i := range c.routers() {
 		f.routers = append(f.routers, newFleetRouter(f, i))
 	}
 	for i := range c.engines {
@@ -131,7 +149,7 @@
 }
 
 func (f *fleet) addEngine(i int) {
-	e := &fakeEngine{clock: f.clock, capacity: fleetCapacity, slow: 1, cacheMax: fleetCache}
+	e := &fakeEngine{clock: f.clock, capacity: fleetCapacity, slow: 1, cacheMax: f.c.cached()}
 	if i == 0 {
 		e.slow, e.broken = f.c.slow, f.c.broken
 	}
--- a/measurer/picker_router.go
+++ b/measurer/picker_router.go
@@ -28,7 +28,7 @@
 	p, _ := picker.New(f.c.picker)
 	s, _ := admitter.New(f.c.shedder)
 	l := picker.NewLedger(f.base)
-	l.SetRouters(fleetRouters)
+	l.SetRouters(f.c.routers())
 	return &fleetRouter{
 		f: f, zone: zoneName(i), ledger: l, picker: p,
 		queue: admitter.NewQueue(admitter.DefaultBounds, s), retries: admitter.NewRetries(),
@@ -107,12 +107,7 @@
 	})
 }
 
-var dbg func(f *fleet, r *fleetRouter, q *fleetRequest, v int)
-
 func (r *fleetRouter) refuse(q *fleetRequest, v admitter.Verdict) {
-	if dbg != nil && q.measured {
-		dbg(r.f, r, q, int(v))
-	}
 	if !q.measured {
 		return
 	}
--- a/measurer/pickers.go
+++ b/measurer/pickers.go
@@ -41,33 +41,46 @@
 	{"load 0.7, one endpoint 10x slower", 0.7, func(c *fleetCase) { c.slow = 10 }},
 	{"load 1.0, one endpoint 10x slower", 1.0, func(c *fleetCase) { c.slow = 10 }},
 	{"load 0.9, one endpoint 10x slower", 0.9, func(c *fleetCase) { c.slow = 10 }},
+	{"load 1.0 of the rest, one endpoint 10x slower", 1.0, loadOfTheRest},
 	{"load 0.7, one endpoint fails all", 0.7, func(c *fleetCase) { c.broken = true }},
 	{"load 1.0, reports 2 s late", 1.0, func(c *fleetCase) { c.reportLag = 2 * time.Second }},
 	{"load 1.5, reports 2 s late", 1.5, func(c *fleetCase) { c.reportLag = 2 * time.Second }},
 	{"load 1.0, half the cache events lost", 1.0, func(c *fleetCase) { c.eventLoss = 0.5 }},
 }
 
+// loadOfTheRest makes an endpoint slow and scales the load to what the
+// endpoints can do then.
+func loadOfTheRest(c *fleetCase) {
+	c.slow = 10
+	if c.engines != smallService {
+		c.load *= (float64(c.engines) - 1 + 1/c.slow) / float64(c.engines)
+	}
+}
+
 // fleetPolicy is one choice of plug-ins to compare.
 type fleetPolicy struct {
 	name, picker, shedder string
-	unlimited             bool
+	unlimited, oracle     bool
 }
 
 // fleetPolicies lists each picker without limits, each under the product's
-// limits, and the product's picker under the other shedders.
+// limits, the product's picker under the other shedders, and an oracle: the
+// product's picker without limits where nothing is hidden from it. It shows
+// what the endpoints' capacity and the order of priorities leave to gain.
 func fleetPolicies() []fleetPolicy {
 	names := []string{picker.RoundRobin, picker.LeastOutstanding, picker.TwoChoices, picker.Deadline}
 	var p []fleetPolicy
 	for _, n := range names {
-		p = append(p, fleetPolicy{n + " alone", n, admitter.None, true})
+		p = append(p, fleetPolicy{name: n + " alone", picker: n, shedder: admitter.None, unlimited: true})
 	}
 	for _, n := range names {
-		p = append(p, fleetPolicy{n, n, admitter.Deadline, false})
+		p = append(p, fleetPolicy{name: n, picker: n, shedder: admitter.Deadline})
 	}
 	return append(
 		p,
-		fleetPolicy{"deadline+none", picker.Deadline, admitter.None, false},
-		fleetPolicy{"deadline+loss", picker.Deadline, admitter.Loss, false},
+		fleetPolicy{name: "deadline+none", picker: picker.Deadline, shedder: admitter.None},
+		fleetPolicy{name: "deadline+loss", picker: picker.Deadline, shedder: admitter.Loss},
+		fleetPolicy{name: "oracle", picker: picker.Deadline, shedder: admitter.None, unlimited: true, oracle: true},
 	)
 }
 
@@ -101,7 +114,7 @@
 	for _, seed := range fleetSeeds {
 		for _, engines := range []int{12, 3} {
 			c := fleetCase{
-				picker: p.picker, shedder: p.shedder, unlimited: p.unlimited, load: s.load, engines: engines,
+				picker: p.picker, shedder: p.shedder, unlimited: p.unlimited, oracle: p.oracle, load: s.load, engines: engines,
 				slow: 1, reportLag: 50 * time.Millisecond, seed: seed, warm: fleetWarm, until: fleetTime,
 			}
 			if s.edit != nil {
