Tests of real processes wait until every keeper is paired

The logs of that run show keeper osu-hall with a new vault and neither "mirror has a whole copy" nor a change of mode, while tema-hall took the whole copy 1 ms later: the test cut the zone between the copy's arrival and its acknowledgement. A keeper whose mirror never confirmed its incarnation answers nothing, by design (docs/design/budgets.md, mode starting), so the test waited for what can't come. It began its fault before the deployment was in the state that the test presumes; nothing had been minted or promised yet.

Ruled out: a mirror mode lost at a restart (no process restarted); an election (the leader was there, version 3 in force); the fault port (the cut came about).

Change: launcher.AwaitPaired, from the keepers' own counters, called by the four suites that start a deployment and cut or kill. What the tests assert is as before. The launcher's questions about a process's state are in one file, and Start's comment no longer says that it waits.

Conclusion: a test of a fault waits for each state that it presumes.

--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -43,6 +43,7 @@
 	for _, p := range f.Settings().Processes(loader.KindRouter) {
 		f.Eventually(p.Name()+" is ready", func() bool { return f.Ready(p.Name()) })
 	}
+	f.AwaitPaired()
 	return f
 }
 
--- a/keeper/faults_test.go
+++ b/keeper/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strings"
@@ -15,15 +14,6 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-func getJSON(url string, to any) error {
-	resp, err := http.Get(url)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return json.NewDecoder(resp.Body).Decode(to)
-}
-
 // Symptom: after a keeper's restart its routers' rights are stranded, or the
 // books do not add up. Sequence: requests, kill -9 of the keeper with leases
 // out, a request that the mirror witnesses, restart, requests. Cause: lease rows that forget the last grant.
@@ -56,14 +46,14 @@
 	charged += f.mustCall(routerA2)
 	f.Restart(routerA1)
 	f.Eventually("repaired", func() bool {
-		return f.mode(keeperA) == budgeter.ModePaired && f.balances(5000, charged) && f.books().FrozenTokens == 0
+		return f.Mode(keeperA) == budgeter.ModePaired && f.balances(5000, charged) && f.books().FrozenTokens == 0
 	})
 	f.Kill(keeperB)
 	f.Wipe(keeperB)
 	charged += f.mustCall(routerA2)
 	f.Restart(keeperB)
 	f.Eventually("second repair", func() bool {
-		return f.mode(keeperA) == budgeter.ModePaired && f.mode(keeperB) == budgeter.ModePaired && f.balances(5000, charged)
+		return f.Mode(keeperA) == budgeter.ModePaired && f.Mode(keeperB) == budgeter.ModePaired && f.balances(5000, charged)
 	})
 	charged += f.mustCall(routerA2)
 	f.Eventually("books balance", func() bool { return f.balances(5000, charged) && f.books().FrozenTokens == 0 })
@@ -81,7 +71,7 @@
 	f.Eventually("top-up in the cut zone", func() bool { _, err := a.TopUp(context.Background(), r); return err == nil })
 	_, err := b.TopUp(context.Background(), r)
 	f.g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("outcome unknown")))
-	f.g.Expect(f.mode(keeperA)).To(gomega.Equal(budgeter.ModeSolo))
+	f.g.Expect(f.Mode(keeperA)).To(gomega.Equal(budgeter.ModeSolo))
 	charged := f.mustCall(routerA1)
 	f.Heal(zoneA, zoneB)
 	f.Heal(zoneA, zoneC)
@@ -89,7 +79,7 @@
 		got, err := b.TopUp(context.Background(), r)
 		return err == nil && got.RepeatedRequest
 	})
-	f.Eventually("books balance", func() bool { return f.mode(keeperA) == budgeter.ModePaired && f.balances(3000, charged) })
+	f.Eventually("books balance", func() bool { return f.Mode(keeperA) == budgeter.ModePaired && f.balances(3000, charged) })
 	charged += f.mustCall(zoneB + "-1")
 	f.Eventually("books balance", func() bool { return f.balances(3000, charged) })
 }
--- a/keeper/fleet_test.go
+++ b/keeper/fleet_test.go
@@ -51,6 +51,7 @@
 	for _, r := range []string{routerA1, routerA2, zoneB + "-1"} {
 		f.Eventually(r+" is ready", func() bool { return f.Ready(r) })
 	}
+	f.AwaitPaired()
 	return f
 }
 
@@ -142,16 +143,3 @@
 	f.g.Expect(err).NotTo(gomega.HaveOccurred())
 	return h
 }
-
-// mode returns a keeper's mirror mode from its counters.
-func (f *fleet) mode(keeper string) string {
-	p, err := f.Settings().Process(loader.KindKeeper, keeper)
-	f.g.Expect(err).NotTo(gomega.HaveOccurred())
-	var vars struct {
-		BudgetVault struct{ Mode string } `json:"budget_vault"`
-	}
-	if err := getJSON("http://"+p.Debug()+"/debug/vars", &vars); err != nil {
-		return ""
-	}
-	return vars.BudgetVault.Mode
-}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -5,8 +5,6 @@
 
 import (
 	"bytes"
-	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -89,8 +87,8 @@
 	return build.dir
 }
 
-// Start starts keepers and routers and waits until every router is ready.
-// The fleet ends with the test.
+// Start starts keepers and routers; Await and Ready tell how far they are. The
+// fleet ends with the test.
 func Start(t testing.TB, o Options) *Fleet {
 	t.Helper()
 	lockNet(t, o.Net)
@@ -325,57 +323,6 @@
 	}
 }
 
-// AwaitInForce waits until every router serves the latest configuration: a
-// router that lags refuses a workspace that was made a moment ago.
-func (f *Fleet) AwaitInForce() {
-	f.t.Helper()
-	var latest struct{ Version string }
-	if err := json.Unmarshal([]byte(f.MustCommand("config", "show", "-o", "json")), &latest); err != nil {
-		f.t.Fatal(err)
-	}
-	f.Eventually("version "+latest.Version+" in force", func() bool {
-		return f.serving(latest.Version) == len(f.settings.Processes(loader.KindRouter))
-	})
-}
-
-// serving counts the routers that serve a version.
-func (f *Fleet) serving(version string) int {
-	var r struct {
-		Nodes []struct{ Node, Version string }
-	}
-	out, code := f.Command("config", "in-force", "-o", "json")
-	if code != 0 || json.Unmarshal([]byte(out), &r) != nil {
-		return 0
-	}
-	n := 0
-	for _, x := range r.Nodes {
-		if x.Version == version {
-			n++
-		}
-	}
-	return n
-}
-
-// Ready reports whether a router says that it serves.
-func (f *Fleet) Ready(router string) bool {
-	p, err := f.settings.Process(loader.KindRouter, router)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.HTTP()+"/healthz", nil)
-	if err != nil {
-		return false
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // Logs returns the last lines of every log, for a failing test.
 func (f *Fleet) Logs() string {
 	var b strings.Builder
--- /dev/null
+++ b/launcher/state.go
@@ -0,0 +1,99 @@
+package launcher
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"rattanhoist.example/rattanhoist/budgeter"
+	"rattanhoist.example/rattanhoist/loader"
+)
+
+// askWait bounds one question to a process about its state.
+const askWait = time.Second
+
+// AwaitPaired waits until every keeper's vault has a whole copy at its mirror.
+// A keeper that is cut off or loses its mirror before that answers nothing, by
+// design, until it has one: a test that begins its faults earlier would wait
+// for answers in vain.
+func (f *Fleet) AwaitPaired() {
+	f.t.Helper()
+	for _, p := range f.settings.Processes(loader.KindKeeper) {
+		f.Eventually(p.Name()+" is paired with its mirror", func() bool {
+			return f.Mode(p.Name()) == budgeter.ModePaired
+		})
+	}
+}
+
+// Mode returns the mirror mode that a keeper's counters tell, "" while it does
+// not answer.
+func (f *Fleet) Mode(keeper string) string {
+	f.t.Helper()
+	p, err := f.settings.Process(loader.KindKeeper, keeper)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := get("http://" + p.Debug() + "/debug/vars")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var vars struct {
+		BudgetVault struct{ Mode string } `json:"budget_vault"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&vars) != nil {
+		return ""
+	}
+	return vars.BudgetVault.Mode
+}
+
+// AwaitInForce waits until every router serves the latest configuration: a
+// router that lags refuses a workspace that was made a moment ago.
+func (f *Fleet) AwaitInForce() {
+	f.t.Helper()
+	var latest struct{ Version string }
+	if err := json.Unmarshal([]byte(f.MustCommand("config", "show", "-o", "json")), &latest); err != nil {
+		f.t.Fatal(err)
+	}
+	f.Eventually("version "+latest.Version+" in force", func() bool {
+		return f.serving(latest.Version) == len(f.settings.Processes(loader.KindRouter))
+	})
+}
+
+// serving counts the routers that serve a version.
+func (f *Fleet) serving(version string) int {
+	var r struct {
+		Nodes []struct{ Node, Version string }
+	}
+	out, code := f.Command("config", "in-force", "-o", "json")
+	if code != 0 || json.Unmarshal([]byte(out), &r) != nil {
+		return 0
+	}
+	n := 0
+	for _, x := range r.Nodes {
+		if x.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
+// Ready reports whether a router says that it serves.
+func (f *Fleet) Ready(router string) bool {
+	p, err := f.settings.Process(loader.KindRouter, router)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := get("http://" + p.HTTP() + "/healthz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// get asks a process, for askWait at most. The deadline covers the body too.
+func get(url string) (*http.Response, error) {
+	c := http.Client{Timeout: askWait}
+	return c.Get(url)
+}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -78,6 +78,7 @@
 	for _, p := range f.Settings().Processes(loader.KindRouter) {
 		f.Eventually(p.Name()+" is ready", func() bool { return f.Ready(p.Name()) })
 	}
+	f.AwaitPaired()
 	return f
 }
 
--- a/treasurer/process_test.go
+++ b/treasurer/process_test.go
@@ -52,6 +52,7 @@
 		_, code := d.Command("budget", "topup", "w", strconv.Itoa(paid), "--id", zone+"/1")
 		return code == 0
 	})
+	d.AwaitPaired()
 	return d
 }
 
