The names of a keeper's store are durable before its rows

Cause: bbolt syncs its file, nobody synced the folders that name it. After a power cut at the wrong moment a keeper's first rows, all acknowledged, would be gone with the whole file; it would come back as a lost disk. Found by reading.

Ruled out: a sync of the folder by bbolt itself (it opens the file and syncs the file's descriptor only).

Change: storer syncs the parent of each folder that it creates and the folder of its file, at every start, before the store is used; a failure is ErrStore.

Before: no folder synced. Not shown: a real power cut.

--- a/storer/storer.go
+++ b/storer/storer.go
@@ -3,7 +3,6 @@
 package storer
 
 import (
-	"os"
 	"path/filepath"
 	"strings"
 	"time"
@@ -38,7 +37,11 @@
 // Open opens the store under dir, creating it where missing. The returned
 // function closes it.
 func Open(dir string) (*Store, func() error, error) {
-	if err := os.MkdirAll(dir, dirMode); err != nil {
+	return open(dir, syncFolder)
+}
+
+func open(dir string, sync func(folder string) error) (*Store, func() error, error) {
+	if err := makeFolder(dir, sync); err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
 	db, err := bbolt.Open(filepath.Join(dir, fileName), fileMode, &bbolt.Options{
@@ -50,6 +53,13 @@
 	if err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
+	// A file that is synced can still be missing after a power cut, with all
+	// its rows, if the folder that names it was not synced: the keeper would
+	// come back with an empty disk. So the name is durable before any row is.
+	if err := sync(dir); err != nil {
+		_ = db.Close()
+		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
+	}
 	return &Store{db: db}, db.Close, nil
 }
 
