make bench: calls through routers beside direct calls of one endpoint

Change: `rattanhoist-standin hop` sends the same plain calls both ways in one run; scripts/bench.sh starts nine processes and the endpoint and calls it.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: demo test generate lint spec spec-long slopes
+.PHONY: bench demo test generate lint spec spec-long slopes
 
 DEPLOYMENT ?= adwenpa
 
@@ -8,6 +8,9 @@
 test:
 	./scripts/test.sh
 
+bench:
+	./scripts/bench.sh
+
 generate:
 	./scripts/generate.sh
 
--- a/cmd/rattanhoist-standin/main.go
+++ b/cmd/rattanhoist-standin/main.go
@@ -23,7 +23,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "rattanhoist-standin", Short: "Stand-ins for engines, plain services and callers", SilenceUsage: true}
-	root.AddCommand(endpointCommand("engine"), endpointCommand("plain"), callCommand(), loadCommand())
+	root.AddCommand(endpointCommand("engine"), endpointCommand("plain"), callCommand(), loadCommand(), hopCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
