A test's deployment ends with the test process, however that ends

The clean-up of the launcher runs only where the test process ends by itself; after a kill or go test's own time limit its processes stay.

Ruled out: two runs at once (the launcher's lock keeps them apart, and the other test process was gone); the product (all eleven had the dead run's settings).

Change: the kernel ends each process with its test process; all starts are made on one thread that lives as long, which that needs.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -155,7 +155,7 @@
 	defer func() { _ = log.Close() }()
 	c := exec.Command(filepath.Join(binaries(f.t), binary), args...)
 	c.Stdout, c.Stderr = log, log
-	if err := c.Start(); err != nil {
+	if err := start(c); err != nil {
 		f.t.Fatal(err)
 	}
 	f.mu.Lock()
