A router is ready once its zone's routers know each other; it asks them for earlier runs

Cause: a router served as soon as it had its configuration. Until its first beat was answered it took itself for home to every request, and so did its sibling: an id sent through both ran twice (TestRetriesJoinOneRun; its record shows both routers dispatch 0.15 s after they were ready). In the same state the wait for the holder of a claim was ended before it began, as the holder counted as dead: both callers at that router were told "running" of an answer that they could have had (TestTicketDecidesInOnePlace; one run, so true, but needless). Three faults lie beside it: the successor of a killed router was known by its name and so alive for the second in which its predecessor was not missed; a router that is back knew nothing of what had run in its absence; a router that was stopped itself took its siblings for dead, broke off what it relayed from them and ran it anew. Ruled out: a second dispatch by one router (one engine, one try each), an evicted answer, two runs under one claim. Change: ready, for callers and for other routers, once each sibling has answered a beat and tells that it reaches this incarnation, or after 2 s. A sibling that speaks and is not known is tried at once. Lives belong to an incarnation. A run of a caller's repeatable id first asks the sibling that was home before, for max_timeout plus keep_answer after the two met. Silence counts only after a beat that ended in time. A message of a sibling is a sign of life. Each guard taken out, a trial: readiness and the watch of the holder make their tests fail. Left: a connection lost in one direction still lets views differ.

--- a/router/answer_message.go
+++ b/router/answer_message.go
@@ -23,9 +23,9 @@
 
 // requestOf rebuilds a request against this router's configuration.
 func (r *Router) requestOf(a *messenger.AnswerRequest) (*request, error) {
-	notReady := &Problem{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Outcome: NotRun, Detail: "the home router does not know the configuration yet", After: retrySoon}
+	notReady := &Problem{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Outcome: NotRun, Detail: "the home router does not know the configuration or its zone's routers yet", After: retrySoon}
 	s := r.snapshot.Load()
-	if s == nil || len(a.Digest) != len(joiner.Digest{}) {
+	if s == nil || !a.JoinOnly && !r.homes.settled() || len(a.Digest) != len(joiner.Digest{}) {
 		return nil, notReady
 	}
 	service, err := s.Service(a.Service)
--- a/router/bad_input_test.go
+++ b/router/bad_input_test.go
@@ -40,11 +40,12 @@
 `
 )
 
-// newTestRouter returns a router that has a configuration and serves nothing.
-func newTestRouter(t *testing.T) *Router {
+// newTestRouter returns a router that has a configuration and serves nothing;
+// more settings may name siblings.
+func newTestRouter(t *testing.T, more ...string) *Router {
 	t.Helper()
 	dir := t.TempDir()
-	for name, text := range map[string]string{"rattanhoist.ini": testSettings, "a.key": testSecret} {
+	for name, text := range map[string]string{"rattanhoist.ini": testSettings + strings.Join(more, ""), "a.key": testSecret} {
 		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/router/beat.go
+++ b/router/beat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/joiner"
@@ -41,10 +42,12 @@
 			batch = batch[:0]
 		}
 		r.endSilent(x)
+		r.becomeReady()
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		case <-x.kick:
 		case m := <-x.records:
 			batch = append(batch, m)
 		}
@@ -65,22 +68,28 @@
 }
 
 func (r *Router) beatOnce(ctx context.Context, x *sibling, batch []*messenger.RunRecord) bool {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, beatEvery)
 	defer cancel()
 	reply, err := x.client.Beat(ctx, &messenger.BeatRequest{
 		Router: r.self.Name(), Incarnation: uint64(r.incarnation), Draining: r.gate.closed.Load(), Records: batch,
-	})
+	}, grpc.WaitForReady(true))
+	if time.Since(began) < 2*beatEvery {
+		x.tried.Store(r.homes.now())
+	}
 	if err != nil {
 		return false
 	}
-	r.homes.hear(x, reply.Draining)
+	r.homes.hear(x, reply)
 	return true
 }
 
 // endSilent ends what waits for a sibling that is silent: a stopped process
 // keeps its connections open, so that nothing else would end the wait.
 func (r *Router) endSilent(x *sibling) {
-	if l := x.life.Load(); l.Err() == nil && !r.homes.alive(x) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if l := x.life.Load(); l.Err() == nil && !r.homes.alive(x) && !r.homes.unclear(x) {
 		l.end()
 		homeCounters.Add("siblings_lost", 1)
 		r.log.Info("sibling is silent", zap.String("router", x.process.Name()))
@@ -92,8 +101,11 @@
 func (s *homeServer) Beat(_ context.Context, b *messenger.BeatRequest) (*messenger.BeatReply, error) {
 	r := s.router
 	now := time.Now()
+	reply := &messenger.BeatReply{Incarnation: uint64(r.incarnation), Draining: r.gate.closed.Load()}
 	if x := r.homes.all[b.Router]; x != nil {
 		x.draining.Store(b.Draining)
+		reply.ReachedForMs = r.homes.reachedForMS(x, b.Incarnation)
+		x.seek(reply.ReachedForMs > 0)
 	}
 	for _, m := range b.Records {
 		if len(m.Digest) != len(joiner.Digest{}) {
@@ -105,5 +117,18 @@
 			expires: now.Add(time.Duration(m.TimeoutMs)*time.Millisecond + r.settings.Policy().KeepAnswer()),
 		})
 	}
-	return &messenger.BeatReply{Incarnation: uint64(r.incarnation), Draining: r.gate.closed.Load()}, nil
+	return reply, nil
+}
+
+// seek has a sibling that speaks and is taken for dead be tried at once: it
+// waits to be known, and connecting may be paused for a second.
+func (x *sibling) seek(known bool) {
+	if known {
+		return
+	}
+	x.conn.ResetConnectBackoff()
+	select {
+	case x.kick <- struct{}{}:
+	default:
+	}
 }
--- a/router/execute.go
+++ b/router/execute.go
@@ -129,6 +129,9 @@
 	if a, err := r.takeOver(ctx, q, run); err == nil {
 		return a, nil
 	}
+	if a, err := r.joinBefore(ctx, q, run); err == nil {
+		return a, nil
+	}
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
--- a/router/follower.go
+++ b/router/follower.go
@@ -110,9 +110,7 @@
 // show has the router serve a configuration.
 func (r *Router) show(s *configurer.Snapshot) {
 	r.snapshot.Store(s)
-	if r.life.Is(stateStarting) {
-		_ = r.life.Event(context.Background(), eventReady)
-	}
+	r.becomeReady()
 }
 
 // configurationAgeMS is the time since the configuration was last confirmed,
--- a/router/handler.go
+++ b/router/handler.go
@@ -54,8 +54,8 @@
 		defer r.gate.leave()
 		activeRequests.Add(1)
 		defer activeRequests.Add(-1)
-		if r.snapshot.Load() == nil {
-			r.refuseUnread(&Problem{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Outcome: NotRun, Detail: "this router does not know the configuration yet", After: retrySoon}, w, q)
+		if !r.ready() {
+			r.refuseUnread(&Problem{Status: http.StatusServiceUnavailable, Code: CodeNotReady, Outcome: NotRun, Detail: "this router does not know the configuration or its zone's routers yet", After: retrySoon}, w, q)
 			return
 		}
 		next.ServeHTTP(w, q)
@@ -105,7 +105,7 @@
 }
 
 func (r *Router) health(w http.ResponseWriter, _ *http.Request) {
-	if r.gate.closed.Load() || r.snapshot.Load() == nil {
+	if r.gate.closed.Load() || !r.ready() {
 		http.Error(w, r.life.Current(), http.StatusServiceUnavailable)
 		return
 	}
--- a/router/home.go
+++ b/router/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,23 +29,35 @@
 	process loader.Process
 	conn    *grpc.ClientConn
 	client  messenger.HomeRouterClient
-	// Heard is when it last answered a beat, in nanoseconds after the start.
-	heard    atomic.Int64
-	draining atomic.Bool
+	// Heard is when it last answered, in nanoseconds after the start.
+	heard atomic.Int64
+	// Tried is when a beat to it last ended in time, answered or not.
+	tried atomic.Int64
+	// ReachedBy is since when it has reached this router; notReached for never.
+	reachedBy atomic.Int64
+	draining  atomic.Bool
+	// Kick has the next beat sent at once.
+	kick chan struct{}
 	// Life ends when the sibling is taken for dead; a new one follows when it
 	// is heard again.
-	life    atomic.Pointer[life]
+	life atomic.Pointer[life]
+	// Mu is held to begin or end a life, so that one that is alive has one.
+	mu      sync.Mutex
 	records chan *messenger.RunRecord
 }
 
 type life struct {
 	context.Context
 	end context.CancelFunc
+	// Began is in nanoseconds after the router's start.
+	began int64
+	// Incarnation is the sibling's; 0 until a beat has told it.
+	incarnation uint64
 }
 
-func newLife() *life {
+func newLife(began int64, incarnation uint64) *life {
 	ctx, end := context.WithCancel(context.Background())
-	return &life{Context: ctx, end: end}
+	return &life{Context: ctx, end: end, began: began, incarnation: incarnation}
 }
 
 // homes are the routers of the deployment as this one sees them; the list is
@@ -55,6 +68,8 @@
 	// Zone lists the siblings of the own zone, all those of the deployment.
 	zone []*sibling
 	all  map[string]*sibling
+	// HasSettled latches settled.
+	hasSettled atomic.Bool
 }
 
 func newHomes(s *loader.Settings, self loader.Process, d *messenger.Dialer) (*homes, func(), error) {
@@ -73,9 +88,10 @@
 			cleanUp()
 			return nil, nil, err
 		}
-		x := &sibling{process: p, conn: conn, client: messenger.NewHomeRouterClient(conn), records: make(chan *messenger.RunRecord, recordQueue)}
+		x := &sibling{process: p, conn: conn, client: messenger.NewHomeRouterClient(conn), records: make(chan *messenger.RunRecord, recordQueue), kick: make(chan struct{}, 1)}
 		x.heard.Store(-int64(siblingMaxAge))
-		x.life.Store(newLife())
+		x.reachedBy.Store(notReached)
+		x.life.Store(newLife(0, 0))
 		x.life.Load().end()
 		h.all[p.Name()] = x
 		if p.Zone() == self.Zone() {
@@ -85,20 +101,35 @@
 	return h, cleanUp, nil
 }
 
-// hear notes that a sibling has answered.
-func (h *homes) hear(x *sibling, draining bool) {
-	x.heard.Store(int64(time.Since(h.start)))
-	x.draining.Store(draining)
+// hear notes a sibling's answer to a beat. A life is that of one incarnation:
+// what waits for a sibling that was started anew waits for nothing.
+func (h *homes) hear(x *sibling, b *messenger.BeatReply) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if l := x.life.Load(); l.Err() != nil || l.incarnation != b.Incarnation {
+		l.end()
+		x.life.Store(newLife(h.now(), b.Incarnation))
+	}
+	x.draining.Store(b.Draining)
+	x.heard.Store(h.now())
+	h.reached(x, b.ReachedForMs)
+}
+
+// revive notes a sign of life that is no answer to a beat.
+func (h *homes) revive(x *sibling) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	if x.life.Load().Err() != nil {
-		x.life.Store(newLife())
+		x.life.Store(newLife(h.now(), 0))
 	}
+	x.heard.Store(h.now())
 }
 
 // alive reports whether a sibling was heard within siblingMaxAge. It reads
 // the age at the moment of use: a router that was stopped wakes up with an
 // old view.
 func (h *homes) alive(x *sibling) bool {
-	return int64(time.Since(h.start))-x.heard.Load() < int64(siblingMaxAge)
+	return h.now()-x.heard.Load() < int64(siblingMaxAge)
 }
 
 // score ranks a router for a request; every router computes the same.
--- a/router/identity_test.go
+++ b/router/identity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -261,3 +262,62 @@
 		f.g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 4*time.Second), prefix)
 	}
 }
+
+// homesCounter reads a counter of a router's view of its zone.
+func (f *fleet) homesCounter(router, name string) int {
+	f.t.Helper()
+	p, err := f.Settings().Process("router", router)
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	resp, err := http.Get("http://" + p.Debug() + "/debug/vars")
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	var vars struct{ Homes map[string]int }
+	f.g.Expect(json.NewDecoder(resp.Body).Decode(&vars)).To(gomega.Succeed())
+	return vars.Homes[name]
+}
+
+// TestRestartedRouterRunsNothingTwice
+// Symptom: a request that is sent again runs again after a router's restart.
+// Sequence: a router is killed; a request whose home it is runs at its sibling,
+// before (first round) and after the loss was noticed; it comes back, and as soon as it is ready the request is sent again through
+// it, and others are sent through both at once.
+// Cause: the router served before its sibling knew that it was back, and knew
+// nothing of what had run in its absence.
+func TestRestartedRouterRunsNothingTwice(t *testing.T) {
+	f := startZone(t, 84, "2ms")
+	for round := range 3 {
+		send := func(router, id string) {
+			f.Eventually(id+" through "+router, func() bool {
+				_, err := f.model(router, id, 20).Do(context.Background())
+				if r := refused(err); r != nil {
+					f.g.Expect(r.Outcome).To(gomega.Equal("not_run"), "%v", err)
+				}
+				return err == nil
+			})
+		}
+		lost := f.homesCounter(osu[0], "siblings_lost")
+		f.Kill(osu[1])
+		if round > 0 {
+			f.Eventually("the loss is noticed", func() bool { return f.homesCounter(osu[0], "siblings_lost") > lost })
+		}
+		early := idWithHome(fmt.Sprintf("early-%d", round), osu[1], osu...)
+		send(osu[0], early)
+		f.Restart(osu[1])
+		f.Eventually("the home is back", func() bool { return f.Ready(osu[1]) })
+		ids := []string{early}
+		var wg sync.WaitGroup
+		for _, home := range osu {
+			id := idWithHome(fmt.Sprintf("late-%d-%s", round, home), home, osu...)
+			ids = append(ids, id)
+			for _, r := range osu {
+				wg.Go(func() { _, _ = f.model(r, id, 20).Do(context.Background()) })
+			}
+		}
+		wg.Wait()
+		for _, id := range ids {
+			send(osu[1], id)
+			send(osu[0], id)
+			f.g.Expect(f.runs("llm-1")[id]).To(gomega.Equal(1), id)
+		}
+	}
+}
--- a/router/relay.go
+++ b/router/relay.go
@@ -27,6 +27,7 @@
 func (r *Router) answerVia(ctx context.Context, q *request, f *feed) error {
 	tried := map[string]bool{}
 	for {
+		r.homes.await(ctx)
 		x := r.homes.home(q.key, tried)
 		if x == nil {
 			return r.local(ctx, q, f, false)
@@ -76,9 +77,11 @@
 func (r *Router) relay(ctx context.Context, q *request, x *sibling, f *feed, joinOnly bool) error {
 	c, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if x.process.Zone() == r.self.Zone() {
-		defer context.AfterFunc(x.life.Load(), cancel)()
+	w := watch{homes: r.homes, sibling: x, cancel: cancel}
+	if x.life.Load().Err() == nil {
+		w.begin()
 	}
+	defer w.end()
 	ask := askOf(q, joinOnly)
 	ask.Streamed = f.sink.streamed()
 	in, err := x.client.Answer(c, ask)
@@ -96,6 +99,7 @@
 		if err != nil {
 			return lost(ctx, err)
 		}
+		w.heard()
 		done, err := feedEvent(f, e)
 		if done || err != nil {
 			return err
