Routers of a large zone pull from two siblings in turn, renewals packed

Cause: every router pulled from every other of its zone, twice a second.

Change: in a zone with more siblings than gossip_siblings (new, 2) a router asks that many in each half second, evenly spread, at distances 1, 2, 4, 8 and so on in the ring of the zone's routers; one that its beats show as silent is passed over. Such pulls carry what siblings told, too, and list the numbers of entries younger than 0.4 of the maximal age, whose renewals are left out. A renewal goes as number, sequence, load and age, about 6 bytes; the id is told once with the description. Pullers of older versions get the old form. Pushes of leaves still go to every sibling at once. With two siblings or fewer the same routers are asked as before.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -26,6 +26,8 @@
 const (
 	pollEvery = 20 * time.Millisecond
 	readyWait = 20 * time.Second
+	// defaultRouters is the least number of routers of a zone.
+	defaultRouters = 2
 )
 
 // Options describe a deployment.
@@ -35,6 +37,8 @@
 	Net int
 	// Zones defaults to three.
 	Zones []string
+	// Routers of each zone; two at least.
+	Routers int
 	// Policy holds extra lines of the [policy] section.
 	Policy string
 }
@@ -101,7 +105,7 @@
 	if len(f.zones) == 0 {
 		f.zones = []string{"osu-hall", "tema-hall", "legon-hall"}
 	}
-	f.writeSettings(o.Policy)
+	f.writeSettings(o)
 	t.Cleanup(f.killAll)
 	for _, p := range f.settings.Processes("") {
 		f.startProcess(p.Name(), "rattanhoist", p.Kind(), "--settings", f.settingsFile(), "--name", p.Name())
@@ -111,13 +115,13 @@
 
 func (f *Fleet) settingsFile() string { return filepath.Join(f.dir, "rattanhoist.ini") }
 
-func (f *Fleet) writeSettings(policy string) {
+func (f *Fleet) writeSettings(o Options) {
 	f.t.Helper()
 	var b strings.Builder
 	b.WriteString("[deployment]\nname = test\nkey_file = deployment.key\noperator_key_file = operator.key\nendpoint_key_file = endpoint.key\n")
-	fmt.Fprintf(&b, "[policy]\nfault_port = true\n%s\n", policy)
+	fmt.Fprintf(&b, "[policy]\nfault_port = true\n%s\n", o.Policy)
 	for i, z := range f.zones {
-		for n := 1; n <= 2; n++ {
+		for n := 1; n <= max(o.Routers, defaultRouters); n++ {
 			ip := fmt.Sprintf("127.%d.%d.%d", f.net, i+1, n)
 			fmt.Fprintf(&b, "[router %s-%d]\nzone = %s\nhttp = %s:8080\nrpc = %s:7070\ndebug = %s:8081\n", z, n, z, ip, ip, ip)
 		}
--- a/launcher/leaving_test.go
+++ b/launcher/leaving_test.go
@@ -115,6 +115,41 @@
 	}
 }
 
+// TestZoneThatAsksInTurn: in a zone with more routers than are asked in a
+// round, some never hear of an endpoint, or only until it is too old. Each
+// asks others in turn, which have it from others again; one is stopped.
+func TestZoneThatAsksInTurn(t *testing.T) {
+	f := launcher.Start(t, launcher.Options{Net: 101, Zones: []string{"osu-hall"}, Routers: 6})
+	l := loadOf(t, f)
+	routers := f.Settings().Processes(loader.KindRouter)
+	for _, p := range routers {
+		f.Eventually(p.Name()+" is ready", func() bool { return f.Ready(p.Name()) })
+	}
+	f.StartEndpoint("engine", "told-one", "llm", "osu-hall", 1, "--pace", "1ms", "--announce-to", routers[2].HTTP())
+	stop := sendEverywhere(t, f, l)
+	works := func(since time.Time, but string) {
+		for _, p := range routers {
+			if p.Name() != but {
+				f.Eventually(p.Name()+" sends work", func() bool { return beginsAfter(f, "told-one", "w/"+p.Name()+"-", since) > 5 })
+			}
+		}
+	}
+	works(time.Time{}, "")
+	f.Freeze(routers[3].Name())
+	froze := time.Now()
+	f.Eventually("ages pass the bound", func() bool { return time.Since(froze) > lateWork+time.Second })
+	works(time.Now(), routers[3].Name())
+	gone := time.Now()
+	f.EndpointCommand(1, "/silence", "")
+	f.Thaw(routers[3].Name())
+	f.Eventually("bound passes", func() bool { return time.Since(gone) > lateWork+500*time.Millisecond })
+	stop()
+	run := lastBegin(f, "told-one")
+	last := time.UnixMilli(run.AtMs)
+	t.Logf("last request (%s) %v after it was gone", run.RequestID, last.Sub(gone))
+	gomega.NewWithT(t).Expect(last).To(gomega.BeTemporally("<", gone.Add(lateWork)))
+}
+
 // loadOf makes a workspace and returns its load.
 func loadOf(t *testing.T, f *launcher.Fleet) imitator.Load {
 	t.Helper()
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -102,6 +102,18 @@
 	*to = v
 }
 
+func (c *checker) count(sec *ini.Section, key string, to *int64, most int64) {
+	if !sec.HasKey(key) {
+		return
+	}
+	v, err := sec.Key(key).Int64()
+	if err != nil || v <= 0 || v > most {
+		c.fault(sec.Name(), key, "want a number from 1 to %d, not %q", most, sec.Key(key).String())
+		return
+	}
+	*to = v
+}
+
 func (c *checker) duration(sec *ini.Section, key string, to *time.Duration) {
 	if !sec.HasKey(key) {
 		return
--- a/loader/policy.go
+++ b/loader/policy.go
@@ -8,6 +8,7 @@
 	"rattanhoist.example/rattanhoist/admitter"
 	"rattanhoist.example/rattanhoist/picker"
 	"rattanhoist.example/rattanhoist/placer"
+	"rattanhoist.example/rattanhoist/tracker"
 )
 
 // Policy holds the choices among plug-ins and bounds; every value has a
@@ -21,6 +22,7 @@
 	maxTimeout       time.Duration
 	keepAnswer       time.Duration
 	endpointMaxAge   time.Duration
+	gossipSiblings   int64
 	drainTimeout     time.Duration
 	faultPortEnabled bool
 }
@@ -49,6 +51,10 @@
 // EndpointMaxAge returns the age from which an announcement is not used.
 func (p Policy) EndpointMaxAge() time.Duration { return p.endpointMaxAge }
 
+// GossipSiblings returns how many routers of its zone a router asks for news
+// of endpoints in each round.
+func (p Policy) GossipSiblings() int { return int(p.gossipSiblings) }
+
 // DrainTimeout returns how long a graceful shutdown waits for requests.
 func (p Policy) DrainTimeout() time.Duration { return p.drainTimeout }
 
@@ -66,20 +72,22 @@
 	defaultKeepAnswer     = 2 * time.Minute
 	defaultEndpointMaxAge = 3 * time.Second
 	defaultDrainTimeout   = 10 * time.Minute
+	// maxGossipSiblings is more than any zone has routers.
+	maxGossipSiblings = 1000
 )
 
 func defaultPolicy() Policy {
 	return Policy{
 		picker: defaultPicker, shedder: defaultShedder, placement: defaultPlacement, maxBody: defaultMaxBody,
 		defaultTimeout: defaultTimeout, maxTimeout: defaultMaxTimeout,
-		keepAnswer: defaultKeepAnswer, endpointMaxAge: defaultEndpointMaxAge,
+		keepAnswer: defaultKeepAnswer, endpointMaxAge: defaultEndpointMaxAge, gossipSiblings: tracker.DefaultSiblings,
 		drainTimeout: defaultDrainTimeout,
 	}
 }
 
 var policyKeys = []string{
 	"picker", "shedder", "placement", "max_body_bytes", "default_timeout", "max_timeout",
-	"keep_answer", "endpoint_max_age", "drain_timeout", "fault_port",
+	"keep_answer", "endpoint_max_age", "gossip_siblings", "drain_timeout", "fault_port",
 }
 
 func (c *checker) policySection(sec *ini.Section) Policy {
@@ -96,6 +104,7 @@
 	c.duration(sec, "max_timeout", &p.maxTimeout)
 	c.duration(sec, "keep_answer", &p.keepAnswer)
 	c.duration(sec, "endpoint_max_age", &p.endpointMaxAge)
+	c.count(sec, "gossip_siblings", &p.gossipSiblings, maxGossipSiblings)
 	c.duration(sec, "drain_timeout", &p.drainTimeout)
 	c.flag(sec, "fault_port", &p.faultPortEnabled)
 	if p.defaultTimeout > p.maxTimeout {
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// gossipEvery is the time between two pulls from one router.
-	gossipEvery   = 500 * time.Millisecond
+	// gossipEvery is the length of a round of pulls.
+	gossipEvery   = tracker.PullEvery
 	gossipTimeout = time.Second
 	// siblingSilence is how long a sibling may fail to answer before another
 	// router pulls from the other zones in its place.
@@ -32,6 +32,8 @@
 // gossipPeer is another router that this one pulls from.
 type gossipPeer struct {
 	process loader.Process
+	// Home is the same router as its beats show it.
+	home *sibling
 	// Busy is held during a pull; it guards conn and pulled.
 	busy   sync.Mutex
 	conn   *grpc.ClientConn
@@ -40,12 +42,19 @@
 	answered atomic.Pointer[rattanhoist.Moment]
 }
 
-// gossiper pulls news of endpoints: from every router of the own zone, and,
-// on one router of the zone, from one router of each other zone.
+// gossiper pulls news of endpoints: from the routers of the own zone, all of
+// them or a few in turn, and, on one router of the zone, from one router of
+// each other zone.
 type gossiper struct {
 	router *Router
 	// Siblings are the other routers of the zone.
 	siblings []*gossipPeer
+	// Rota is nil where the zone is small enough to ask all in each round; it
+	// counts the routers in ring, where this one is nil.
+	rota *tracker.Rota
+	ring []*gossipPeer
+	// Parts are the pulls from siblings in turn in a round, or 1.
+	parts int
 	// Abroad lists the routers of every other zone in the order in which this
 	// zone asks them.
 	abroad map[string][]*gossipPeer
@@ -58,6 +67,7 @@
 			continue
 		}
 		x := &gossipPeer{process: p, pulled: tracker.NewPeer(p.Name(), p.Zone() == r.self.Zone())}
+		x.home = r.homes.all[p.Name()]
 		x.answered.Store(&rattanhoist.Moment{})
 		if p.Zone() == r.self.Zone() {
 			g.siblings = append(g.siblings, x)
@@ -70,9 +80,32 @@
 			return cmp.Compare(rank(a.process.Name(), r.self.Zone()), rank(b.process.Name(), r.self.Zone()))
 		})
 	}
+	g.takeTurns(r.settings.Policy().GossipSiblings())
 	return g
 }
 
+// takeTurns has siblings asked in turn where there are more than a round asks.
+func (g *gossiper) takeTurns(siblings int) {
+	g.parts = 1
+	if len(g.siblings) <= siblings {
+		return
+	}
+	g.parts = siblings
+	g.ring = append(slices.Clone(g.siblings), nil)
+	own := g.router.self.Name()
+	nameOf := func(p *gossipPeer) string {
+		if p == nil {
+			return own
+		}
+		return p.process.Name()
+	}
+	slices.SortFunc(g.ring, func(a, b *gossipPeer) int { return cmp.Compare(nameOf(a), nameOf(b)) })
+	g.rota = tracker.NewRota(len(g.ring), slices.Index(g.ring, nil))
+	for _, s := range g.siblings {
+		s.pulled = tracker.NewPeerInTurn(s.process.Name())
+	}
+}
+
 // rank orders routers differently for each zone, so that the work between
 // zones is spread.
 func rank(router, zone string) uint64 { return xxhash.Sum64String(router + "\x00" + zone) }
@@ -97,10 +130,10 @@
 
 // run pulls until ctx ends.
 func (g *gossiper) run(ctx context.Context) {
-	t := time.NewTicker(gossipEvery)
+	t := time.NewTicker(gossipEvery / time.Duration(g.parts))
 	defer t.Stop()
-	for {
-		for _, p := range g.targets(rattanhoist.MomentOf(time.Now())) {
+	for part := 0; ; part = (part + 1) % g.parts {
+		for _, p := range g.targets(part, rattanhoist.MomentOf(time.Now())) {
 			go g.pull(ctx, p)
 		}
 		select {
@@ -111,9 +144,15 @@
 	}
 }
 
-// targets are the routers to pull from now.
-func (g *gossiper) targets(now rattanhoist.Moment) []*gossipPeer {
+// targets are the routers to pull from in one part of a round.
+func (g *gossiper) targets(part int, now rattanhoist.Moment) []*gossipPeer {
 	out := slices.Clone(g.siblings)
+	if g.rota != nil {
+		out = []*gossipPeer{g.ring[g.rota.Next(func(place int) bool { return g.lives(g.ring[place], now) })]}
+	}
+	if part > 0 {
+		return out
+	}
 	for zone, list := range g.abroad {
 		if g.pullsFrom(zone, now) {
 			out = append(out, abroadTarget(list, now))
@@ -127,13 +166,22 @@
 func (g *gossiper) pullsFrom(zone string, now rattanhoist.Moment) bool {
 	own := rank(g.router.self.Name(), zone)
 	for _, s := range g.siblings {
-		if rank(s.process.Name(), zone) < own && s.answers(now, siblingSilence) {
+		if rank(s.process.Name(), zone) < own && g.lives(s, now) {
 			return false
 		}
 	}
 	return true
 }
 
+// lives reports whether a sibling answers: pulls, where every round asks all,
+// else beats, which go to every sibling.
+func (g *gossiper) lives(s *gossipPeer, now rattanhoist.Moment) bool {
+	if g.rota != nil {
+		return g.router.homes.alive(s.home)
+	}
+	return s.answers(now, siblingSilence)
+}
+
 // abroadTarget returns the first router that answered lately; while none has,
 // it goes through them in turn.
 func abroadTarget(list []*gossipPeer, now rattanhoist.Moment) *gossipPeer {
@@ -151,8 +199,11 @@
 	return ok && silent < within
 }
 
-// silent names the siblings that do not answer.
+// silent names the siblings that do not answer, where every round asks all.
 func (g *gossiper) silent(now rattanhoist.Moment) []string {
+	if g.rota != nil {
+		return nil
+	}
 	var out []string
 	for _, s := range g.siblings {
 		if !s.answers(now, relaySilence) {
@@ -170,7 +221,7 @@
 	defer p.busy.Unlock()
 	r := g.router
 	asked := rattanhoist.MomentOf(time.Now())
-	reply, err := g.call(ctx, p, p.pulled.Request(r.self.Name(), r.self.Zone(), g.silent(asked)))
+	reply, err := g.call(ctx, p, r.tracker.Request(p.pulled, r.self.Name(), r.self.Zone(), g.silent(asked), asked))
 	if err != nil {
 		return
 	}
@@ -217,7 +268,8 @@
 	q := p.pulled.Request(g.router.self.Name(), g.router.self.Zone(), g.silent(asked))
 	q.Left = []*messenger.EndpointState{s}
 	reply, err := g.call(context.Background(), p, q)
-	if err != nil {
+	if err != nil || q.Relayed {
+		// The reply to a push by one that asks in turn is empty.
 		return
 	}
 	g.router.tracker.Merge(p.pulled, reply, asked, rattanhoist.MomentOf(time.Now()))
--- a/tracker/entry.go
+++ b/tracker/entry.go
@@ -27,6 +27,8 @@
 type entry struct {
 	endpoint *rattanhoist.Endpoint
 	id       uint64
+	// Number stands for the incarnation in replies; it is never given twice.
+	number   uint64
 	sequence uint64
 	// Joined is the revision at which the present description came.
 	joined uint64
--- a/tracker/fuzz_test.go
+++ b/tracker/fuzz_test.go
@@ -58,6 +58,8 @@
 	// Pool holds messages on their way: each is delivered in any order, any
 	// number of times, or never.
 	pool []func()
+	// InTurn has siblings ask each other in turn.
+	inTurn bool
 	// Usable counts the pairs of router and endpoint that could be used.
 	usable int
 }
@@ -104,6 +106,9 @@
 func (w *world) pull(from, to *clockedRouter) {
 	if from.peers[to.name] == nil {
 		from.peers[to.name] = NewPeer(to.name, to.zone == from.zone)
+		if w.inTurn && to.zone == from.zone {
+			from.peers[to.name] = NewPeerInTurn(to.name)
+		}
 	}
 	p := from.peers[to.name]
 	asked := from.now(w.at)
@@ -113,7 +118,7 @@
 			silent = append(silent, r.name)
 		}
 	}
-	q := p.Request(from.name, from.zone, silent)
+	q := from.tracker.Request(p, from.name, from.zone, silent, asked)
 	w.pool = append(w.pool, func() {
 		reply := to.tracker.Reply(q, to.now(w.at))
 		w.pool = append(w.pool, func() { from.tracker.Merge(p, reply, asked, from.now(w.at)) })
@@ -186,6 +191,7 @@
 	usable := 0
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld()
+		w.inTurn = rapid.Bool().Draw(t, "in turn")
 		defer func() { usable += w.usable }()
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(t *rapid.T) { w.check(t) },
--- a/tracker/gossip.go
+++ b/tracker/gossip.go
@@ -25,19 +25,36 @@
 	name string
 	// Sibling reports whether the other one is in the same zone.
 	sibling bool
+	// Relayed reports whether it is asked in turn with others.
+	relayed bool
 	// Incarnation and revision are those of the last reply taken.
 	incarnation, revision uint64
-	// Wanted are ids of renewals that came without a description.
-	wanted []uint64
+	// Numbers are those that this incarnation gave out, with the ids that
+	// they stand for.
+	numbers map[uint64]uint64
+	// Wanted are ids of renewals that came without a description,
+	// wantedNumbers those that came as numbers.
+	wanted, wantedNumbers []uint64
 }
 
 // NewPeer returns a router that nothing was pulled from yet.
-func NewPeer(name string, sibling bool) *Peer { return &Peer{name: name, sibling: sibling} }
+func NewPeer(name string, sibling bool) *Peer {
+	return &Peer{name: name, sibling: sibling, numbers: map[uint64]uint64{}}
+}
+
+// NewPeerInTurn returns a sibling that is pulled from in turn with others:
+// it is to pass on also what it heard from siblings.
+func NewPeerInTurn(name string) *Peer {
+	p := NewPeer(name, true)
+	p.relayed = true
+	return p
+}
 
 // Request returns the next pull. Silent names the siblings that do not answer.
 func (p *Peer) Request(node, zone string, silent []string) *messenger.GossipRequest {
 	return &messenger.GossipRequest{
-		Node: node, Zone: zone, Incarnation: p.incarnation, Revision: p.revision, Want: p.wanted, Silent: silent,
+		Node: node, Zone: zone, Incarnation: p.incarnation, Revision: p.revision, Silent: silent,
+		Want: p.wanted, WantNumbers: p.wantedNumbers, Packs: true, Relayed: p.relayed,
 	}
 }
 
@@ -45,6 +62,10 @@
 // to be used, what the puller told itself or hears from a sibling, and, for a
 // puller of another zone, endpoints of third zones.
 func (t *Tracker) Reply(q *messenger.GossipRequest, now rattanhoist.Moment) *messenger.GossipReply {
+	if q.Relayed && len(q.Left) > 0 {
+		// A push; one that asks in turn hears enough by its pulls.
+		return &messenger.GossipReply{}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	since := q.Revision
@@ -52,36 +73,62 @@
 		since = 0
 	}
 	out := &messenger.GossipReply{Incarnation: uint64(t.incarnation), Revision: t.revision.Load()}
-	for _, id := range q.Want[:min(len(q.Want), maxWanted)] {
-		if e := t.byID[id]; e != nil && e.joined <= since {
-			t.appendState(out, e, now)
-		}
-	}
+	t.appendWanted(out, q, since, now)
+	fresh := t.freshNumbers(q)
+	var renewed []*entry
 	for e := t.order.after(since); e != nil; e = e.newer {
-		if len(out.Endpoints) >= maxStates || len(out.Renewals) >= maxRenewals {
+		if len(out.Endpoints) >= maxStates || len(renewed) >= maxRenewals {
 			out.Revision = e.revision - 1
 			break
 		}
-		if !t.tells(e, q) {
+		if !t.tells(e, q, since) {
+			continue
+		}
+		if fresh[e.number] && e.joined <= since && !e.endpoint.Leaving() {
 			continue
 		}
 		if e.joined > since {
 			t.appendState(out, e, now)
 		} else {
-			t.appendRenewal(out, e, now)
+			renewed = append(renewed, e)
 		}
 	}
+	if q.Packs {
+		out.Packed = t.pack(renewed, now)
+		return out
+	}
+	for _, e := range renewed {
+		t.appendRenewal(out, e, now)
+	}
 	return out
 }
 
-func (t *Tracker) tells(e *entry, q *messenger.GossipRequest) bool {
+// appendWanted describes what the puller could not place.
+func (t *Tracker) appendWanted(out *messenger.GossipReply, q *messenger.GossipRequest, since uint64, now rattanhoist.Moment) {
+	for _, id := range q.Want[:min(len(q.Want), maxWanted)] {
+		if e := t.byID[id]; e != nil && e.joined <= since {
+			t.appendState(out, e, now)
+		}
+	}
+	if q.Incarnation != uint64(t.incarnation) {
+		return
+	}
+	for _, n := range q.WantNumbers[:min(len(q.WantNumbers), maxWanted)] {
+		if e := t.byNumber[n]; e != nil && e.joined <= since {
+			t.appendState(out, e, now)
+		}
+	}
+}
+
+func (t *Tracker) tells(e *entry, q *messenger.GossipRequest, since uint64) bool {
 	if e.via == q.Node {
-		return false
+		// One that asks in turn learns the number with the description.
+		return q.Relayed && e.joined > since
 	}
 	if q.Zone != t.zone {
 		return e.endpoint.Zone() == t.zone && t.sampled(e, q.Zone)
 	}
-	return !e.sibling || slices.Contains(q.Silent, e.via)
+	return q.Relayed || !e.sibling || slices.Contains(q.Silent, e.via)
 }
 
 // sampled chooses which endpoints another zone hears of; the same ones as
@@ -97,7 +144,7 @@
 		return
 	}
 	s := stateOf(e.endpoint, e.sequence)
-	s.AgeMs = age
+	s.AgeMs, s.Number = age, e.number
 	out.Endpoints = append(out.Endpoints, s)
 }
 
@@ -147,9 +194,15 @@
 	if _, ok := now.Since(asked); !ok {
 		return
 	}
-	p.wanted = p.wanted[:0]
+	if r.Incarnation != p.incarnation {
+		p.numbers = map[uint64]uint64{}
+	}
+	p.wanted, p.wantedNumbers = p.wanted[:0], p.wantedNumbers[:0]
 	for _, s := range r.Endpoints {
 		t.takeState(s, report{heard: heardAt(asked, s.AgeMs), via: p.name, sibling: p.sibling}, now)
+		if s.Number > 0 {
+			p.numbers[s.Number] = identify(s.Name, rattanhoist.Incarnation(s.Incarnation))
+		}
 	}
 	for _, x := range r.Renewals {
 		e := t.byID[x.Id]
@@ -159,15 +212,21 @@
 			}
 			continue
 		}
-		_, err := t.renew(e, report{
-			sequence: x.Sequence, load: min(max(x.Load, 0), MaxLoad), heard: heardAt(asked, x.AgeMs),
-			leaving: x.Leaving, via: p.name, sibling: p.sibling,
-		}, now)
-		t.countRejected(err)
+		t.takeRenewal(e, p, x.Sequence, x.Load, heardAt(asked, x.AgeMs), x.Leaving, now)
 	}
+	t.unpack(p, r.Packed, asked, now)
+	t.pruneNumbers(p)
 	p.incarnation, p.revision = r.Incarnation, r.Revision
 }
 
+func (t *Tracker) takeRenewal(e *entry, p *Peer, sequence uint64, load int64, heard rattanhoist.Moment, leaving bool, now rattanhoist.Moment) {
+	_, err := t.renew(e, report{
+		sequence: sequence, load: min(max(load, 0), MaxLoad), heard: heard,
+		leaving: leaving, via: p.name, sibling: p.sibling,
+	}, now)
+	t.countRejected(err)
+}
+
 func heardAt(asked rattanhoist.Moment, ageMs uint32) rattanhoist.Moment {
 	return asked.Add(-time.Duration(ageMs) * time.Millisecond)
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -43,6 +43,9 @@
 	// Entries hold the newest incarnation of each name.
 	entries map[string]*entry
 	byID    map[uint64]*entry
+	// ByNumber and numbered hold the numbers given out by this router.
+	byNumber map[uint64]*entry
+	numbered uint64
 	// ByAddress names who announced an address last.
 	byAddress map[string]string
 	order     order
@@ -75,8 +78,8 @@
 func New(o Options) *Tracker {
 	t := &Tracker{
 		maxAge: o.MaxAge, incarnation: o.Incarnation, zone: o.Zone, zones: o.Zones,
-		entries: map[string]*entry{}, byID: map[uint64]*entry{}, byAddress: map[string]string{},
-		counted: map[string]int{},
+		entries: map[string]*entry{}, byID: map[uint64]*entry{}, byNumber: map[uint64]*entry{},
+		byAddress: map[string]string{}, counted: map[string]int{},
 	}
 	t.table.Store(&Table{})
 	return t
@@ -176,7 +179,8 @@
 	if err := t.checkAddress(r, now); err != nil {
 		return err
 	}
-	e := &entry{id: identify(r.fields.Name, r.fields.Incarnation), joinedAt: now}
+	t.numbered++
+	e := &entry{id: identify(r.fields.Name, r.fields.Incarnation), number: t.numbered, joinedAt: now}
 	if old != nil {
 		e.restarts = restartsAfter(old, now)
 		t.drop(old)
@@ -188,6 +192,7 @@
 	t.stats.Joined++
 	t.entries[r.fields.Name] = e
 	t.byID[e.id] = e
+	t.byNumber[e.number] = e
 	t.install(e, r)
 	return nil
 }
@@ -273,6 +278,7 @@
 	t.remove(e)
 	t.order.remove(e)
 	delete(t.byID, e.id)
+	delete(t.byNumber, e.number)
 	delete(t.entries, e.endpoint.Name())
 }
 
