Tests of commands wait until every router may use the endpoints

Cause: commander's TestSpansOfARequest failed once at a load average of 33 on 12 cores (a request refused with 503): it had waited for one request to be answered, and the next one's home was the other router of the zone, which had not the statement yet or had not heard of the endpoints.

Change: launcher.AwaitEndpoints, from `status`; the test waits for the statement in force. What it asserts is as before.

--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -44,6 +44,7 @@
 		f.Eventually(p.Name()+" is ready", func() bool { return f.Ready(p.Name()) })
 	}
 	f.AwaitPaired()
+	f.AwaitEndpoints(2)
 	return f
 }
 
@@ -123,6 +124,8 @@
 func TestSpansOfARequest(t *testing.T) {
 	f := newOperated(t, 112)
 	f.MustCommand("statement", "set", "all")
+	// The home of a request may be the other router of the zone.
+	f.AwaitInForce()
 	const trace = "4bf92f3577b34da6a3ce929d0e0e4736"
 	f.Eventually("request is answered", func() bool { return f.post(trace, "r") == http.StatusOK })
 	// Of eight ids, some are at home at the other router of the zone.
--- a/launcher/state.go
+++ b/launcher/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"rattanhoist.example/rattanhoist/budgeter"
@@ -25,6 +26,31 @@
 	}
 }
 
+// AwaitEndpoints waits until every router may use so many endpoints, or more: a
+// router that has not heard of any refuses what its siblings would answer.
+func (f *Fleet) AwaitEndpoints(n int) {
+	f.t.Helper()
+	f.Eventually("every router may use the endpoints", func() bool {
+		var r struct {
+			Processes []struct {
+				Kind            string
+				UsableEndpoints string `json:"usable_endpoints"`
+			}
+		}
+		out, code := f.Command("status", "-o", "json")
+		if code != 0 || json.Unmarshal([]byte(out), &r) != nil {
+			return false
+		}
+		ready := 0
+		for _, p := range r.Processes {
+			if k, err := strconv.Atoi(p.UsableEndpoints); err == nil && p.Kind == loader.KindRouter && k >= n {
+				ready++
+			}
+		}
+		return ready == len(f.settings.Processes(loader.KindRouter))
+	})
+}
+
 // Mode returns the mirror mode that a keeper's counters tell, "" while it does
 // not answer.
 func (f *Fleet) Mode(keeper string) string {
