--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -82,7 +82,17 @@
 for r in "${routers[@]}"; do
   for try in $(seq 1 100); do curl -fsS "http://$r/healthz" >/dev/null 2>&1 && break; sleep 0.1; done
 done
-sleep 1 # endpoints announce every half second
+# serving: every router serves the keepers' configuration and has heard of every
+# endpoint.
+serving() {
+  rh status | awk -v endpoints="$((model_workers + plain_workers))" '
+    $1 == "KEEPER" || $1 == "ROUTER" { table = $1; for (i = 1; i <= NF; i++) column[$i] = i; next }
+    table == "KEEPER" && NF && $column["VERSION"] > latest { latest = $column["VERSION"] }
+    table == "ROUTER" && NF { all++; if ($column["VERSION"] == latest && $column["ENDPOINTS"] == endpoints) ready++ }
+    END { exit !(all > 0 && all == ready) }'
+}
+for try in $(seq 1 100); do serving && break; sleep 0.1; done
+serving || { echo "the routers did not come to serve all endpoints in 10 s"; exit 1; }
 
 # left prints the tokens not spent, charged and paid, over all zones.
 left() {
