Leases, returns and charges go over one stream a router

Change: `Spend`, one stream a router's incarnation, to the keeper and to the witness. It is a client of the budget protocol like the plain one, so Treasurer and the pure cores do not change, nor identities, resends, deadlines or the witness's 200 ms. The proof is checked at the opening, which must name the proof's own node; what a message says of router and incarnation does not count. The time left and the trace travel with each message. A keeper that does not know the stream is called plain.

--- a/keeper/budget.go
+++ b/keeper/budget.go
@@ -83,6 +83,11 @@
 	return out, err
 }
 
+// Spend serves a router's stream of leases, returns and charges.
+func (s *budgetServer) Spend(stream messenger.BudgetKeeper_SpendServer) error {
+	return messenger.ServeSpend(s, stream)
+}
+
 // Charge bills requests; the answer means that the bills are synced.
 func (s *budgetServer) Charge(ctx context.Context, r *messenger.ChargeRequest) (*messenger.ChargeReply, error) {
 	return answer[*messenger.ChargeReply](s.loop.handle(ctx, budgeter.Bill{Request: r}))
--- a/measurer/capacity_lines.go
+++ b/measurer/capacity_lines.go
@@ -21,7 +21,7 @@
 	// idleAfterS is how long a router keeps an account without traffic, and
 	// horizonS for how long a lease should last, both in seconds.
 	idleAfterS = 30
-	horizonS   = 4
+	horizonS   = 30
 	// voters of the configuration log.
 	voters = 5
 	// callSide is one side's part of a call's processor time.
@@ -51,7 +51,10 @@
 	leaseCPU            = slopeKey{"budget_slopes", "keeper", "lease_processor", "lease"}
 	chargeCPU           = slopeKey{"budget_slopes", "keeper", "charge_processor", "charge"}
 	chargeRows          = slopeKey{"budget_slopes", "keeper", "charge_rows", "charge"}
-	chargeMessage       = slopeKey{"budget_slopes", "router", "charge_message", "charge"}
+	spendChargeCPU      = slopeKey{"spends", "keeper and router", "processor", "charge on the stream"}
+	spendChargeBytes    = slopeKey{"spends", "keeper and router", "bytes", "charge on the stream"}
+	spendLeaseCPU       = slopeKey{"spends", "keeper and router", "processor", "lease on the stream"}
+	spendLeaseBytes     = slopeKey{"spends", "keeper and router", "bytes", "lease on the stream"}
 	callCPU             = slopeKey{"calls", "any", "call_processor", "call, both sides"}
 	callBytes           = slopeKey{"calls", "any", "call_bytes", "call, both ways"}
 	followBytes         = slopeKey{"spread_cost", "keeper", "bytes both ways", "subscriber at 0 changes a second"}
@@ -142,13 +145,13 @@
 			seconds, 0, measured, "",
 		},
 		{
-			role, "rights out of use after one router's death", "`treasurer`: a lease lasts about 4 s; fenced after 10 s of silence",
-			[]term{{unitSlope, tokensPerNode * horizonS, "2.3M tokens a second / 340 x 4 s; for 10 s and the fence"}},
+			role, "rights out of use after one router's death", "`treasurer`: a lease lasts about 30 s; fenced after 10 s of silence",
+			[]term{{unitSlope, tokensPerNode * horizonS, "2.3M tokens a second / 340 x 30 s; for 10 s and the fence"}},
 			tokens, 0, workedOut, "",
 		},
 		{
 			role, "the same for 47 failures and 820 restarts a day, times seconds", "a graceful restart returns its rights; here none does",
-			[]term{{unitSlope, tokensPerNode * horizonS * fencedAfterS * (c.VMFailuresPerDay + c.RestartsPerDay), "27,000 tokens x 10 s x 867"}},
+			[]term{{unitSlope, tokensPerNode * horizonS * fencedAfterS * (c.VMFailuresPerDay + c.RestartsPerDay), "203,000 tokens x 10 s x 867"}},
 			quantity{"token-seconds", 1},
 			0, workedOut, "",
 		},
--- a/measurer/router_lines.go
+++ b/measurer/router_lines.go
@@ -78,16 +78,13 @@
 			core, bound.NodeCores, workedOut, "",
 		},
 		{
-			routerRole, "network, charges", "`treasurer`: one call for the charges of a moment; here one a call",
-			[]term{
-				{callBytes, c.RequestsPerNode(), "5,700 requests a second / 340"},
-				{chargeMessage, c.RequestsPerNode(), "the same"},
-			},
+			routerRole, "network, charges", "`treasurer`: one stream to the keeper, one message for the charges of a moment; here one each",
+			[]term{{spendChargeBytes, c.RequestsPerNode(), "5,700 requests a second / 340"}},
 			perSecond, bound.NodeBytesPerS, workedOut, "",
 		},
 		{
-			routerRole, "processor, charges", "the same, one side of a call",
-			[]term{{callCPU, c.RequestsPerNode() * callSide, "5,700 requests a second / 340"}},
+			routerRole, "processor, charges", "the same, one side",
+			[]term{{spendChargeCPU, c.RequestsPerNode() * callSide, "5,700 requests a second / 340"}},
 			core, bound.NodeCores, workedOut, "",
 		},
 	}
--- a/measurer/vault_lines.go
+++ b/measurer/vault_lines.go
@@ -25,20 +25,17 @@
 	c, bound := Letter, LetterBounds
 	return []line{
 		{
-			vaultRole, "processor, charges", "`budgeter` steps, group commit in `keeper`",
+			vaultRole, "processor, charges", "`budgeter` steps, group commit in `keeper`, one stream a router",
 			[]term{
 				{chargeCPU, c.RequestsPerZone(), "300 charges a second"},
-				{callCPU, c.RequestsPerZone() * callSide, "one call each, this side"},
+				{spendChargeCPU, c.RequestsPerZone() * callSide, "one message each at 17 a second and router, this side"},
 			},
-			core, bound.NodeCores, workedOut, "one stream a router in place of a call a charge: its proof is checked once",
+			core, bound.NodeCores, workedOut, "charges of a few milliseconds in one message",
 		},
 		{
-			vaultRole, "network, charges from routers", "one call a charge at this rate: 17 a second and router leave nothing to gather",
-			[]term{
-				{callBytes, c.RequestsPerZone(), "300 a second"},
-				{chargeMessage, c.RequestsPerZone(), "300 a second"},
-			},
-			perSecond, bound.NodeBytesPerS, workedOut, "one stream a router: the proof of a call is most of its bytes; and keepers on VMs that are set aside",
+			vaultRole, "network, charges from routers", "one stream a router, its proof checked once; 17 a second and router leave nothing to gather",
+			[]term{{spendChargeBytes, c.RequestsPerZone(), "300 a second, frames and answers included"}},
+			perSecond, bound.NodeBytesPerS, workedOut, "names sent once a stream and then as numbers; and keepers on VMs that are set aside",
 		},
 		{
 			vaultRole, "network, copy to the mirror", "`keeper`: rows of every commit to the next zone's keeper",
@@ -58,14 +55,17 @@
 	c, bound := Letter, LetterBounds
 	return []line{
 		{
-			vaultRole, "processor, leases", "`treasurer` asks for about 4 s of demand at a time",
-			[]term{{leaseCPU, c.RequestsPerZone(), "at worst one a request: no budget returns within 4 s"}, {callCPU, c.RequestsPerZone() * callSide, "one call each, this side"}},
-			core, bound.NodeCores, workedOut, "several leases in one call, and longer ones for quiet budgets",
+			vaultRole, "processor, leases and returns", "`treasurer` asks for 30 s of demand at a time, and gives back what 30 s did not use; on the same stream",
+			[]term{
+				{leaseCPU, 2 * c.RequestsPerZone(), "at worst one of each a request: no budget comes again within 30 s"},
+				{spendLeaseCPU, 2 * c.RequestsPerZone() * callSide, "one message each, this side"},
+			},
+			core, bound.NodeCores, workedOut, "quiet budgets keep their lease for minutes; several leases in one message",
 		},
 		{
-			vaultRole, "network, leases", "the same",
-			[]term{{callBytes, c.RequestsPerZone(), "at worst one a request"}},
-			perSecond, bound.NodeBytesPerS, workedOut, "several leases in one call, and longer ones for quiet budgets",
+			vaultRole, "network, leases and returns", "the same",
+			[]term{{spendLeaseBytes, 2 * c.RequestsPerZone(), "at worst one of each a request; a return taken for a lease"}},
+			perSecond, bound.NodeBytesPerS, workedOut, "quiet budgets keep their lease for minutes; several leases in one message",
 		},
 		{
 			vaultRole, "network, questions whether routers live", "`keeper`: one call a router and second",
--- a/router/purse.go
+++ b/router/purse.go
@@ -20,16 +20,22 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		return messenger.NewBudgetKeeperClient(c), func() { _ = c.Close() }, nil
+		k, closeSpender := messenger.NewSpender(messenger.NewBudgetKeeperClient(c), self.Zone())
+		return k, func() {
+			closeSpender()
+			_ = c.Close()
+		}, nil
 	}
+	own, closeOwn := messenger.NewSpender(messenger.NewBudgetKeeperClient(conn), self.Zone())
 	o := treasurer.Options{
 		Router: self.Name(), Zone: self.Zone(), Incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
-		Keeper: messenger.NewBudgetKeeperClient(conn), Dial: dial, Policy: treasurer.DefaultPolicy(), Log: log,
+		Keeper: own, Dial: dial, Policy: treasurer.DefaultPolicy(), Log: log,
 	}
 	closeWitness := func() {}
 	if next, ok := nextKeeper(s, self.Zone()); ok {
 		k, c, err := dial(next.RPC())
 		if err != nil {
+			closeOwn()
 			return nil, nil, err
 		}
 		o.Witness, closeWitness = k, c
@@ -37,6 +43,7 @@
 	t, closeTreasurer := treasurer.New(o)
 	return t, func() {
 		closeTreasurer()
+		closeOwn()
 		closeWitness()
 	}, nil
 }
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 	"go.opentelemetry.io/otel"
@@ -162,6 +163,39 @@
 	HopHome:     trace.SpanKindClient,
 }
 
+// traceparentHeader is the field of the W3C trace context.
+const traceparentHeader = "traceparent"
+
+// BeginCall starts the span of a call that goes over a stream, where the
+// context is of a trace that is kept; method is "/service/method" of gRPC.
+func BeginCall(ctx context.Context, method string) (context.Context, Span) {
+	if current == nil || !trace.SpanContextFromContext(ctx).IsSampled() {
+		return ctx, Span{}
+	}
+	ctx, s := current.Start(ctx, strings.TrimPrefix(method, "/"), trace.WithSpanKind(trace.SpanKindClient))
+	return ctx, Span{s}
+}
+
+// Traceparent returns the W3C trace context of a trace that is kept, or "".
+func Traceparent(ctx context.Context) string {
+	if current == nil || !trace.SpanContextFromContext(ctx).IsSampled() {
+		return ""
+	}
+	c := propagation.MapCarrier{}
+	propagator.Inject(ctx, c)
+	return c.Get(traceparentHeader)
+}
+
+// BeginServed starts the span of a call that came over a stream; see BeginCall.
+func BeginServed(ctx context.Context, method, traceparent string) (context.Context, Span) {
+	if current == nil || traceparent == "" {
+		return ctx, Span{}
+	}
+	ctx = propagator.Extract(ctx, propagation.MapCarrier{traceparentHeader: traceparent})
+	ctx, s := current.Start(ctx, strings.TrimPrefix(method, "/"), trace.WithSpanKind(trace.SpanKindServer))
+	return ctx, Span{s}
+}
+
 // Set adds an attribute.
 func (s Span) Set(key, value string) {
 	if s.s != nil {
