--- a/keeper/kills_test.go
+++ b/keeper/kills_test.go
@@ -26,7 +26,7 @@
 	f := start(t, 46)
 	f.topUp(zoneA+"/1", 1_000_000)
 	f.Eventually("the keepers are paired", func() bool {
-		return f.mode(keeperA) == budgeter.ModePaired && f.mode(keeperB) == budgeter.ModePaired
+		return f.Mode(keeperA) == budgeter.ModePaired && f.Mode(keeperB) == budgeter.ModePaired
 	})
 	charged := f.mustCall(routerA1) + f.mustCall(routerA2)
 	var told, answers, tries atomic.Int64
@@ -53,7 +53,7 @@
 		before := tries.Load()
 		f.Eventually("requests end without the keeper", func() bool { return tries.Load() >= before+callers })
 		f.Restart(keeperA)
-		f.Eventually("the keeper is paired again", func() bool { return f.mode(keeperA) == budgeter.ModePaired })
+		f.Eventually("the keeper is paired again", func() bool { return f.Mode(keeperA) == budgeter.ModePaired })
 		before = answers.Load()
 		f.Eventually("answers go on", func() bool { return answers.Load() >= before+callers })
 	}
