--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -5,8 +5,6 @@
 
 import (
 	"bytes"
-	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -26,6 +24,8 @@
 const (
 	pollEvery = 20 * time.Millisecond
 	readyWait = 20 * time.Second
+	// defaultRouters is the least number of routers of a zone.
+	defaultRouters = 2
 )
 
 // Options describe a deployment.
@@ -35,6 +35,8 @@
 	Net int
 	// Zones defaults to three.
 	Zones []string
+	// Routers of each zone; two at least.
+	Routers int
 	// Policy holds extra lines of the [policy] section.
 	Policy string
 }
@@ -89,8 +91,8 @@
 	return build.dir
 }
 
-// Start starts keepers and routers and waits until every router is ready.
-// The fleet ends with the test.
+// Start starts keepers and routers; Await and Ready tell how far they are. The
+// fleet ends with the test.
 func Start(t testing.TB, o Options) *Fleet {
 	t.Helper()
 	lockNet(t, o.Net)
@@ -101,7 +103,7 @@
 	if len(f.zones) == 0 {
 		f.zones = []string{"osu-hall", "tema-hall", "legon-hall"}
 	}
-	f.writeSettings(o.Policy)
+	f.writeSettings(o)
 	t.Cleanup(f.killAll)
 	for _, p := range f.settings.Processes("") {
 		f.startProcess(p.Name(), "rattanhoist", p.Kind(), "--settings", f.settingsFile(), "--name", p.Name())
@@ -111,13 +113,13 @@
 
 func (f *Fleet) settingsFile() string { return filepath.Join(f.dir, "rattanhoist.ini") }
 
-func (f *Fleet) writeSettings(policy string) {
+func (f *Fleet) writeSettings(o Options) {
 	f.t.Helper()
 	var b strings.Builder
 	b.WriteString("[deployment]\nname = test\nkey_file = deployment.key\noperator_key_file = operator.key\nendpoint_key_file = endpoint.key\n")
-	fmt.Fprintf(&b, "[policy]\nfault_port = true\n%s\n", policy)
+	fmt.Fprintf(&b, "[policy]\nfault_port = true\n%s\n", o.Policy)
 	for i, z := range f.zones {
-		for n := 1; n <= 2; n++ {
+		for n := 1; n <= max(o.Routers, defaultRouters); n++ {
 			ip := fmt.Sprintf("127.%d.%d.%d", f.net, i+1, n)
 			fmt.Fprintf(&b, "[router %s-%d]\nzone = %s\nhttp = %s:8080\nrpc = %s:7070\ndebug = %s:8081\n", z, n, z, ip, ip, ip)
 		}
@@ -157,7 +159,7 @@
 	defer func() { _ = log.Close() }()
 	c := exec.Command(filepath.Join(binaries(f.t), binary), args...)
 	c.Stdout, c.Stderr = log, log
-	if err := c.Start(); err != nil {
+	if err := start(c); err != nil {
 		f.t.Fatal(err)
 	}
 	f.mu.Lock()
@@ -325,57 +327,6 @@
 	}
 }
 
-// AwaitInForce waits until every router serves the latest configuration: a
-// router that lags refuses a workspace that was made a moment ago.
-func (f *Fleet) AwaitInForce() {
-	f.t.Helper()
-	var latest struct{ Version string }
-	if err := json.Unmarshal([]byte(f.MustCommand("config", "show", "-o", "json")), &latest); err != nil {
-		f.t.Fatal(err)
-	}
-	f.Eventually("version "+latest.Version+" in force", func() bool {
-		return f.serving(latest.Version) == len(f.settings.Processes(loader.KindRouter))
-	})
-}
-
-// serving counts the routers that serve a version.
-func (f *Fleet) serving(version string) int {
-	var r struct {
-		Nodes []struct{ Node, Version string }
-	}
-	out, code := f.Command("config", "in-force", "-o", "json")
-	if code != 0 || json.Unmarshal([]byte(out), &r) != nil {
-		return 0
-	}
-	n := 0
-	for _, x := range r.Nodes {
-		if x.Version == version {
-			n++
-		}
-	}
-	return n
-}
-
-// Ready reports whether a router says that it serves.
-func (f *Fleet) Ready(router string) bool {
-	p, err := f.settings.Process(loader.KindRouter, router)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.HTTP()+"/healthz", nil)
-	if err != nil {
-		return false
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // Logs returns the last lines of every log, for a failing test.
 func (f *Fleet) Logs() string {
 	var b strings.Builder
