Capacity: gossip in turn from the code's own periods, and other zones' endpoints

Cause: the lines of gossip, beats and announcements held copies of the periods, and the line of gossip knew only the old pulls. What siblings pass on of other zones' endpoints was on no line.

Change: periods and counts come from router.BeatEvery, router.RenewAfter, tracker.PullEvery and tracker.DefaultSiblings. The experiment endpoints has a zone of 18 routers in virtual time (turn_pull_bytes: bytes of request and reply; largest age and share not usable).

Beats were left alone: pulls reach a few siblings only and can't carry them without changing who counts as live.

--- a/measurer/capacity_lines.go
+++ b/measurer/capacity_lines.go
@@ -1,13 +1,21 @@
 package measurer
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"rattanhoist.example/rattanhoist/router"
+	"rattanhoist.example/rattanhoist/tracker"
+)
 
 // Periods of the product's messages, in calls a second.
 const (
-	beatsPerS    = 4
-	gossipPerS   = 2
+	beatsPerS = float64(time.Second / router.BeatEvery)
+	// roundsPerS are rounds of pulls, pullsPerS a router's pulls from siblings.
+	roundsPerS   = float64(time.Second / tracker.PullEvery)
+	pullsPerS    = roundsPerS * tracker.DefaultSiblings
 	watchPerS    = 1
-	announcePerS = 2
+	announcePerS = float64(time.Second / router.RenewAfter)
 	appendsPerS  = 10
 )
 
@@ -45,6 +53,8 @@
 	endpointMemory      = slopeKey{"endpoints", "router", "memory_bytes", "endpoint"}
 	endpointTime        = slopeKey{"endpoints", "router", "announce_us", "endpoint"}
 	gossipBytes         = slopeKey{"endpoints", "router", "pull_bytes", "endpoint"}
+	gossipTime          = slopeKey{"endpoints", "router", "pull_us", "endpoint"}
+	turnBytes           = slopeKey{"endpoints", "router", "turn_pull_bytes", "endpoint"}
 	accountMemory       = slopeKey{"budget_slopes", "router", "memory", "active budget"}
 	bookMemory          = slopeKey{"budget_slopes", "keeper", "memory", "budget"}
 	leaseMemory         = slopeKey{"budget_slopes", "keeper", "memory", "lease"}
--- a/measurer/endpoints.go
+++ b/measurer/endpoints.go
@@ -23,6 +23,12 @@
 const (
 	endpointMaxAge = 3 * time.Second
 	endpointZone   = "zone-1"
+	// pulledAfter is how old an announcement is on average when it is pulled:
+	// a period for the token, half a one for the wait.
+	pulledAfter = 750 * time.Millisecond
+	// announcedBefore is about what an endpoint has announced in three days,
+	// so that sequences are not shorter than they will be.
+	announcedBefore = 1 << 20
 	// endpointRounds is how often each case is repeated.
 	endpointRounds = 20
 )
@@ -53,7 +59,7 @@
 			Address: fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255),
 			Labels:  map[string]string{"tier": "standard", "accelerator": "large", "version": "v12"},
 			// As endpoints choose it: the time of their start.
-			Incarnation: uint64(time.Now().UnixNano()), Capacity: 16,
+			Incarnation: uint64(time.Now().UnixNano()), Capacity: 16, Sequence: announcedBefore,
 		})
 	}
 	return f
@@ -85,7 +91,8 @@
 
 // pull has the other router pull once, through the codec.
 func (f *endpointFleet) pull() (bytes int, err error) {
-	reply := f.told.Reply(f.peer.Request("puller", endpointZone, nil), f.now)
+	now := f.now.Add(pulledAfter)
+	reply := f.told.Reply(f.peer.Request("puller", endpointZone, nil), now)
 	b, err := proto.Marshal(reply)
 	if err != nil {
 		return 0, err
@@ -94,7 +101,7 @@
 	if err := proto.Unmarshal(b, &read); err != nil {
 		return 0, err
 	}
-	f.pulls.Merge(f.peer, &read, f.now, f.now)
+	f.pulls.Merge(f.peer, &read, now, now)
 	return len(b), nil
 }
 
@@ -135,7 +142,7 @@
 	} {
 		r.Slope("router", m.metric, m.unit, "endpoint", points[m.metric])
 	}
-	return nil
+	return measureTurns(ctx, r)
 }
 
 func costOfEndpoints(n int) (endpointCost, error) {
--- a/measurer/endpoints_wire.go
+++ b/measurer/endpoints_wire.go
@@ -12,6 +12,7 @@
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/router"
 	"rattanhoist.example/rattanhoist/tracker"
 )
 
@@ -100,7 +101,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"token": f.told.Token(now), "usable": done.Usable, "renew_after_ms": 500})
+	_ = json.NewEncoder(w).Encode(map[string]any{"token": f.told.Token(now), "usable": done.Usable, "renew_after_ms": router.RenewAfter.Milliseconds()})
 }
 
 // gossipServer answers pulls from a fleet's tracker.
@@ -111,7 +112,7 @@
 
 // Gossip implements messenger.RouterPeerServer.
 func (s *gossipServer) Gossip(_ context.Context, q *messenger.GossipRequest) (*messenger.GossipReply, error) {
-	return s.fleet.told.Reply(q, s.fleet.now), nil
+	return s.fleet.told.Reply(q, s.fleet.now.Add(pulledAfter)), nil
 }
 
 // pullOverRPC returns the processor time of one pull in us, the announcements
@@ -142,7 +143,7 @@
 		if err != nil {
 			return 0, err
 		}
-		f.pulls.Merge(f.peer, reply, f.now, f.now)
+		f.pulls.Merge(f.peer, reply, f.now.Add(pulledAfter), f.now.Add(pulledAfter))
 		spent += processorTime() - before
 	}
 	return float64(spent.Microseconds()) / wirePulls, nil
--- a/measurer/router_lines.go
+++ b/measurer/router_lines.go
@@ -50,20 +50,37 @@
 		{
 			routerRole, "processor, beats between siblings", "`router`: every router calls every other of its zone, 4 a second",
 			[]term{{callCPU, 2 * siblings * beatsPerS * callSide, "17 siblings x 4 a second, one side of calls made and taken"}},
-			core, bound.NodeCores, workedOut, "beat a few siblings in turn and let them pass it on",
+			core, bound.NodeCores, workedOut, "one stream to each sibling in place of a call a beat",
 		},
 		{
 			routerRole, "network, beats between siblings", "the same",
 			[]term{{callBytes, 2 * siblings * beatsPerS, "17 siblings x 4 a second, made and taken"}},
-			perSecond, bound.NodeBytesPerS, workedOut, "one beat a second carried by the gossip's own calls, to a few siblings in turn: cost then does not grow with the zone",
+			perSecond, bound.NodeBytesPerS, workedOut, "one stream to each sibling in place of a call a beat: the proof of a call is most of its bytes",
 		},
 		{
-			routerRole, "network, gossip of endpoints", "`tracker`: pulls from every sibling, 2 a second, each what it has not heard",
+			routerRole, "processor, gossip of endpoints", "`tracker`: pulls from two siblings in turn in each half second",
 			[]term{
-				{callBytes, 2 * siblings * gossipPerS, "17 siblings x 2 a second, made and taken"},
-				{gossipBytes, 2 * siblings * gossipPerS * c.EndpointsPerZone(), "at worst all 216 endpoints of the zone renewed in each pull"},
+				{callCPU, 2 * pullsPerS * callSide, "4 a second, one side of calls made and taken"},
+				{gossipTime, 2 * pullsPerS * callSide * c.EndpointsPerZone() * 1e-6, "at worst all 216 endpoints of the zone in each; us elapsed"},
 			},
-			perSecond, bound.NodeBytesPerS, workedOut, "pull from two siblings in turn instead of all: the zone still hears in a few rounds",
+			core, bound.NodeCores, workedOut, "",
+		},
+		{
+			routerRole, "network, gossip of endpoints", "the same; renewals that the puller needs not yet left out",
+			[]term{
+				{callBytes, 2 * pullsPerS, "4 a second, made and taken"},
+				{turnBytes, 2 * pullsPerS * c.EndpointsPerZone(), "216 endpoints of the zone, as many of them in each pull as in the simulated zone"},
+			},
+			perSecond, bound.NodeBytesPerS, workedOut, "",
+		},
+		{
+			routerRole, "network, endpoints of other zones", "`tracker`: each other zone pulled by one router, which passes on what it hears",
+			[]term{
+				{callBytes, 2 * roundsPerS * (c.Zones - 1) / c.NodesPerZone(), "18 zones / 18 routers x 2 a second, made and taken"},
+				{gossipBytes, 2 * roundsPerS * (c.Zones - 1) / c.NodesPerZone() * c.EndpointsPerZone(), "at worst all 216 endpoints of that zone"},
+				{turnBytes, 2 * pullsPerS * (c.Endpoints - c.EndpointsPerZone()), "3,884 endpoints passed on with the pulls between siblings"},
+			},
+			perSecond, bound.NodeBytesPerS, workedOut, "know a sample of other zones' endpoints, or ask for them only where the own zone serves nothing",
 		},
 	}
 }
