--- a/keeper/budget.go
+++ b/keeper/budget.go
@@ -29,7 +29,7 @@
 }
 
 func newBudgetServer(k *Keeper) *budgetServer {
-	sender := mirrorSender{peers: k.peers}
+	sender := newMirrorSender(k.peers)
 	return &budgetServer{
 		keeper: k, sender: sender, shares: newShares(),
 		loop:   newVaultLoop(k.self.Zone(), k.store, sender, k.log),
@@ -83,6 +83,11 @@
 	return out, err
 }
 
+// Spend serves a router's stream of leases, returns and charges.
+func (s *budgetServer) Spend(stream messenger.BudgetKeeper_SpendServer) error {
+	return messenger.ServeSpend(s, stream)
+}
+
 // Charge bills requests; the answer means that the bills are synced.
 func (s *budgetServer) Charge(ctx context.Context, r *messenger.ChargeRequest) (*messenger.ChargeReply, error) {
 	return answer[*messenger.ChargeReply](s.loop.handle(ctx, budgeter.Bill{Request: r}))
--- a/measurer/capacity_lines.go
+++ b/measurer/capacity_lines.go
@@ -29,7 +29,7 @@
 	// idleAfterS is how long a router keeps an account without traffic, and
 	// horizonS for how long a lease should last, both in seconds.
 	idleAfterS = 30
-	horizonS   = 4
+	horizonS   = 30
 	// voters of the configuration log.
 	voters = 5
 	// callSide is one side's part of a call's processor time.
@@ -48,6 +48,8 @@
 var (
 	configurationMemory = slopeKey{"configuration", "router", "memory", "workspace"}
 	configurationCPU    = slopeKey{"configuration", "router", "processor_per_change", "workspace"}
+	configurationLoad   = slopeKey{"configuration", "router", "processor_after_restart", "workspace"}
+	ownLabelsMemory     = slopeKey{"configuration", "router", "own_labels_memory", "workspace"}
 	configurationUpdate = slopeKey{"configuration", "router", "update_bytes", "change"}
 	configurationWhole  = slopeKey{"configuration", "router", "whole_copy_bytes", "workspace"}
 	endpointMemory      = slopeKey{"endpoints", "router", "memory_bytes", "endpoint"}
@@ -61,12 +63,18 @@
 	leaseCPU            = slopeKey{"budget_slopes", "keeper", "lease_processor", "lease"}
 	chargeCPU           = slopeKey{"budget_slopes", "keeper", "charge_processor", "charge"}
 	chargeRows          = slopeKey{"budget_slopes", "keeper", "charge_rows", "charge"}
-	chargeMessage       = slopeKey{"budget_slopes", "router", "charge_message", "charge"}
+	spendChargeCPU      = slopeKey{"spends", "keeper and router", "processor", "charge on the stream"}
+	spendChargeBytes    = slopeKey{"spends", "keeper and router", "bytes", "charge on the stream"}
+	spendLeaseCPU       = slopeKey{"spends", "keeper and router", "processor", "lease on the stream"}
+	spendLeaseBytes     = slopeKey{"spends", "keeper and router", "bytes", "lease on the stream"}
 	callCPU             = slopeKey{"calls", "any", "call_processor", "call, both sides"}
 	callBytes           = slopeKey{"calls", "any", "call_bytes", "call, both ways"}
 	followBytes         = slopeKey{"spread_cost", "keeper", "bytes both ways", "subscriber at 0 changes a second"}
 	followCPU           = slopeKey{"spread_cost", "keeper and router", "processor time", "subscriber at 0 changes a second"}
 	changingBytes       = slopeKey{"spread_cost", "keeper", "bytes both ways", "subscriber at 4 changes a second"}
+	commitChargeBytes   = slopeKey{"commits", "keeper and mirror", "bytes", "commit of a charge, packed"}
+	commitLeaseBytes    = slopeKey{"commits", "keeper and mirror", "bytes", "commit of a lease, packed"}
+	commitCPU           = slopeKey{"commits", "keeper and mirror", "processor", "commit of a charge, packed"}
 	// unitSlope stands where a count alone gives the figure.
 	unitSlope = slopeKey{"", "", "", ""}
 )
@@ -75,7 +83,7 @@
 	return slices.Concat(
 		routerMemoryLines(), routerChangeLines(), siblingLines(), routerTrafficLines(),
 		pickerLines(), answerLines(),
-		vaultMemoryLines(), vaultChargeLines(), vaultLeaseLines(), logLines(), relayLines(), faultLines(),
+		vaultMemoryLines(), vaultChargeLines(), vaultMirrorLines(), vaultLeaseLines(), logLines(), relayLines(), faultLines(),
 	)
 }
 
@@ -147,18 +155,18 @@
 			megabytes, 0, workedOut, "",
 		},
 		{
-			role, "compiling after a restart", "`configurer`, once, before the router is ready",
-			[]term{{configurationCPU, c.Workspaces, "42,000 workspaces"}},
+			role, "compiling after a restart", "`configurer`, once, before the router is ready; the collector included",
+			[]term{{configurationLoad, c.Workspaces, "42,000 workspaces"}},
 			seconds, 0, measured, "",
 		},
 		{
-			role, "rights out of use after one router's death", "`treasurer`: a lease lasts about 4 s; fenced after 10 s of silence",
-			[]term{{unitSlope, tokensPerNode * horizonS, "2.3M tokens a second / 340 x 4 s; for 10 s and the fence"}},
+			role, "rights out of use after one router's death", "`treasurer`: a lease lasts about 30 s; fenced after 10 s of silence",
+			[]term{{unitSlope, tokensPerNode * horizonS, "2.3M tokens a second / 340 x 30 s; for 10 s and the fence"}},
 			tokens, 0, workedOut, "",
 		},
 		{
 			role, "the same for 47 failures and 820 restarts a day, times seconds", "a graceful restart returns its rights; here none does",
-			[]term{{unitSlope, tokensPerNode * horizonS * fencedAfterS * (c.VMFailuresPerDay + c.RestartsPerDay), "27,000 tokens x 10 s x 867"}},
+			[]term{{unitSlope, tokensPerNode * horizonS * fencedAfterS * (c.VMFailuresPerDay + c.RestartsPerDay), "203,000 tokens x 10 s x 867"}},
 			quantity{"token-seconds", 1},
 			0, workedOut, "",
 		},
--- a/measurer/router_lines.go
+++ b/measurer/router_lines.go
@@ -7,10 +7,14 @@
 	c, bound := Letter, LetterBounds
 	return []line{
 		{
-			routerRole, "memory of the configuration", "`configurer`: followed copy and compiled snapshot",
+			routerRole, "memory of the configuration", "`configurer`: one small form of a workspace, shared by the followed copy and the snapshots; labels that many workspaces have are held once",
 			[]term{{configurationMemory, c.Workspaces * collector, "42,000 workspaces, heap doubled by the collector"}},
-			megabytes, bound.NodeBytes, workedOut,
-			"a smaller form of a workspace in the snapshot, names interned, one copy instead of two; or a memory limit for the collector",
+			megabytes, bound.NodeBytes, workedOut, "a memory limit for the collector",
+		},
+		{
+			routerRole, "the same if no two workspaces had equal labels (not in the sum)", "the same",
+			[]term{{ownLabelsMemory, c.Workspaces * collector, "42,000 workspaces, heap doubled by the collector"}},
+			megabytes, bound.NodeBytes, workedOut, "each label held once in place of each set",
 		},
 		{
 			routerRole, "memory of endpoints", "`tracker`: own zone whole, 32 a service of every other zone",
@@ -30,14 +34,14 @@
 	c, bound := Letter, LetterBounds
 	return []line{
 		{
-			routerRole, "processor, changes", "`configurer`: every change compiles the whole snapshot anew",
+			routerRole, "processor, changes", "`configurer`: a change copies the list of shards and the shards that it touches",
 			[]term{{configurationCPU, c.Workspaces * c.ChangesPerDay / secondsPerDay, "42,000 workspaces x 3,200 changes a day"}},
-			core, bound.NodeCores, measured, "compile only what the change touches",
+			core, bound.NodeCores, measured, "shards in a tree, so that a change copies a path",
 		},
 		{
 			routerRole, "time of one change", "the same; part of the 3 s until in force",
 			[]term{{configurationCPU, c.Workspaces, "42,000 workspaces, all of it on one core"}},
-			seconds, bound.InForceS, measured, "compile only what the change touches",
+			seconds, bound.InForceS, measured, "shards in a tree, so that a change copies a path",
 		},
 	}
 }
@@ -55,7 +59,7 @@
 		{
 			routerRole, "network, beats between siblings", "the same",
 			[]term{{callBytes, 2 * siblings * beatsPerS, "17 siblings x 4 a second, made and taken"}},
-			perSecond, bound.NodeBytesPerS, workedOut, "one stream to each sibling in place of a call a beat: the proof of a call is most of its bytes",
+			perSecond, bound.NodeBytesPerS, workedOut, "one stream to each sibling in place of a call a beat",
 		},
 		{
 			routerRole, "processor, gossip of endpoints", "`tracker`: pulls from two siblings in turn in each half second",
@@ -95,16 +99,13 @@
 			core, bound.NodeCores, workedOut, "",
 		},
 		{
-			routerRole, "network, charges", "`treasurer`: one call for the charges of a moment; here one a call",
-			[]term{
-				{callBytes, c.RequestsPerNode(), "5,700 requests a second / 340"},
-				{chargeMessage, c.RequestsPerNode(), "the same"},
-			},
+			routerRole, "network, charges", "`treasurer`: one stream to the keeper, one message for the charges of a moment; here one each",
+			[]term{{spendChargeBytes, c.RequestsPerNode(), "5,700 requests a second / 340"}},
 			perSecond, bound.NodeBytesPerS, workedOut, "",
 		},
 		{
-			routerRole, "processor, charges", "the same, one side of a call",
-			[]term{{callCPU, c.RequestsPerNode() * callSide, "5,700 requests a second / 340"}},
+			routerRole, "processor, charges", "the same, one side",
+			[]term{{spendChargeCPU, c.RequestsPerNode() * callSide, "5,700 requests a second / 340"}},
 			core, bound.NodeCores, workedOut, "",
 		},
 	}
--- a/measurer/vault_lines.go
+++ b/measurer/vault_lines.go
@@ -25,25 +25,17 @@
 	c, bound := Letter, LetterBounds
 	return []line{
 		{
-			vaultRole, "processor, charges", "`budgeter` steps, group commit in `keeper`",
+			vaultRole, "processor, charges", "`budgeter` steps, group commit in `keeper`, one stream a router",
 			[]term{
 				{chargeCPU, c.RequestsPerZone(), "300 charges a second"},
-				{callCPU, c.RequestsPerZone() * callSide, "one call each, this side"},
+				{spendChargeCPU, c.RequestsPerZone() * callSide, "one message each at 17 a second and router, this side"},
 			},
-			core, bound.NodeCores, workedOut, "one stream a router in place of a call a charge: its proof is checked once",
+			core, bound.NodeCores, workedOut, "charges of a few milliseconds in one message",
 		},
 		{
-			vaultRole, "network, charges from routers", "one call a charge at this rate: 17 a second and router leave nothing to gather",
-			[]term{
-				{callBytes, c.RequestsPerZone(), "300 a second"},
-				{chargeMessage, c.RequestsPerZone(), "300 a second"},
-			},
-			perSecond, bound.NodeBytesPerS, workedOut, "one stream a router: the proof of a call is most of its bytes; and keepers on VMs that are set aside",
-		},
-		{
-			vaultRole, "network, copy to the mirror", "`keeper`: rows of every commit to the next zone's keeper",
-			[]term{{chargeRows, 2 * c.RequestsPerZone(), "300 charges a second, sent to one mirror and taken from another zone"}},
-			perSecond, bound.NodeBytesPerS, workedOut, "smaller rows: the request's id hashed, names as numbers; the book's row once a commit and not once a charge",
+			vaultRole, "network, charges from routers", "one stream a router, its proof checked once; 17 a second and router leave nothing to gather",
+			[]term{{spendChargeBytes, c.RequestsPerZone(), "300 a second, frames and answers included"}},
+			perSecond, bound.NodeBytesPerS, workedOut, "names sent once a stream and then as numbers; and keepers on VMs that are set aside",
 		},
 		{
 			vaultRole, "disk written in a day", "`storer`: rows of charges, kept for the history",
@@ -53,19 +45,45 @@
 	}
 }
 
+// vaultMirrorLines are the cost of commits on their way to the mirror.
+func vaultMirrorLines() []line {
+	c, bound := Letter, LetterBounds
+	const mend = "commits a few milliseconds apart under load, so that events share call and sync; one stream to the mirror"
+	return []line{
+		{
+			vaultRole, "network, charges to the mirror", "`keeper`: rows of every commit, packed, in a call to the next zone's keeper",
+			[]term{{commitChargeBytes, 2 * c.RequestsPerZone(), "300 charges a second, at worst each alone in a commit; sent to one mirror and taken from another zone"}},
+			perSecond, bound.NodeBytesPerS, workedOut, mend,
+		},
+		{
+			vaultRole, "network, leases and returns to the mirror", "the same",
+			[]term{{commitLeaseBytes, 4 * c.RequestsPerZone(), "at worst one of each a request and alone in a commit; sent and taken; a return taken for a lease"}},
+			perSecond, bound.NodeBytesPerS, workedOut, mend,
+		},
+		{
+			vaultRole, "processor, commits to the mirror", "the same: calls made and taken, beside the sync",
+			[]term{{commitCPU, 2 * 3 * c.RequestsPerZone() * callSide, "900 commits a second at worst, one side of those sent and of those taken"}},
+			core, bound.NodeCores, workedOut, mend,
+		},
+	}
+}
+
 // vaultLeaseLines are the cost of leases, and of watching who holds them.
 func vaultLeaseLines() []line {
 	c, bound := Letter, LetterBounds
 	return []line{
 		{
-			vaultRole, "processor, leases", "`treasurer` asks for about 4 s of demand at a time",
-			[]term{{leaseCPU, c.RequestsPerZone(), "at worst one a request: no budget returns within 4 s"}, {callCPU, c.RequestsPerZone() * callSide, "one call each, this side"}},
-			core, bound.NodeCores, workedOut, "several leases in one call, and longer ones for quiet budgets",
+			vaultRole, "processor, leases and returns", "`treasurer` asks for 30 s of demand at a time, and gives back what 30 s did not use; on the same stream",
+			[]term{
+				{leaseCPU, 2 * c.RequestsPerZone(), "at worst one of each a request: no budget comes again within 30 s"},
+				{spendLeaseCPU, 2 * c.RequestsPerZone() * callSide, "one message each, this side"},
+			},
+			core, bound.NodeCores, workedOut, "quiet budgets keep their lease for minutes; several leases in one message",
 		},
 		{
-			vaultRole, "network, leases", "the same",
-			[]term{{callBytes, c.RequestsPerZone(), "at worst one a request"}},
-			perSecond, bound.NodeBytesPerS, workedOut, "several leases in one call, and longer ones for quiet budgets",
+			vaultRole, "network, leases and returns", "the same",
+			[]term{{spendLeaseBytes, 2 * c.RequestsPerZone(), "at worst one of each a request; a return taken for a lease"}},
+			perSecond, bound.NodeBytesPerS, workedOut, "quiet budgets keep their lease for minutes; several leases in one message",
 		},
 		{
 			vaultRole, "network, questions whether routers live", "`keeper`: one call a router and second",
