--- a/budgeter/lease.go
+++ b/budgeter/lease.go
@@ -217,3 +217,7 @@
 	slices.Sort(out)
 	return slices.Compact(out)
 }
+
+// Routers returns how many routers have leased rights here, ever: more than the
+// zone has where some were taken out of the settings.
+func (v *Vault) Routers() int { return len(v.routers) }
--- a/keeper/vault_loop.go
+++ b/keeper/vault_loop.go
@@ -24,9 +24,13 @@
 const (
 	// commitMost bounds how many events share one sync.
 	commitMost = 512
-	// commitEvery is the least time from one commit to the next. An event that
-	// comes later than that waits for nothing.
-	commitEvery = 5 * time.Millisecond
+	// commitEvery is the least time from one commit to the next in a zone of
+	// pacedRouters and more, and less in smaller ones, down to nothing with the
+	// two routers that every zone has. An event that comes later than that
+	// waits for nothing.
+	commitEvery  = 5 * time.Millisecond
+	pacedRouters = 18
+	leastRouters = 2
 	// mirrorTimeout bounds how long answers wait for the mirror before the
 	// vault goes on alone.
 	mirrorTimeout = 300 * time.Millisecond
@@ -190,7 +194,7 @@
 // once; the vault is as it was last synced.
 func (l *vaultLoop) gather(ctx context.Context, first call) []call {
 	events := l.answerReads(l.batch(first))
-	wait := l.last.Add(commitEvery).Sub(l.now())
+	wait := l.last.Add(paceOf(l.vault.Routers())).Sub(l.now())
 	if len(events) == 0 || wait <= 0 {
 		return events
 	}
@@ -208,6 +212,14 @@
 	return events
 }
 
+// paceOf returns the least time between commits in a zone of so many routers.
+// With few routers the commits are few, and a wait would only make a caller who
+// sends one request after the other slower.
+func paceOf(routers int) time.Duration {
+	paced := min(max(routers, leastRouters), pacedRouters) - leastRouters
+	return commitEvery * time.Duration(paced) / (pacedRouters - leastRouters)
+}
+
 // commit answers reads at once; the events share one sync. The reads go first:
 // after a step they would see what a crash may still take back, and a transfer
 // that left on the strength of it would exist in two zones.
--- a/keeper/vault_loop_test.go
+++ b/keeper/vault_loop_test.go
@@ -175,6 +175,10 @@
 		asked <- d
 		return due
 	}
+	for i := range pacedRouters {
+		r := &messenger.RegisterRequest{Router: fmt.Sprint("r", i), Incarnation: 1}
+		g.Expect(l.commit(t.Context(), []call{{event: budgeter.Register{Request: r}, done: make(chan budgeter.Reply, 1)}})).To(gomega.Succeed())
+	}
 	l.last = l.now()
 	number := l.copier.State().Number
 	clock.Add(int64(3 * time.Millisecond))
@@ -209,3 +213,11 @@
 	g.Expect((<-calls[0].done).Err).NotTo(gomega.HaveOccurred())
 	g.Expect(asked).To(gomega.BeEmpty())
 }
+
+// TestPaceFollowsTheZone guards small zones: with two routers no commit waits.
+func TestPaceFollowsTheZone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for routers, want := range map[int]time.Duration{0: 0, 2: 0, 10: commitEvery / 2, 18: commitEvery, 40: commitEvery} {
+		g.Expect(paceOf(routers)).To(gomega.Equal(want), fmt.Sprint(routers))
+	}
+}
