Tests of whole answers: faults come when a part of each answer has passed

Causes, three, all in the tests. It waited until the first VM's budgets were repaired and not its copy of the configuration, so that two of three disks of the configuration were lost, for which nothing is promised. It now waits until the new disk votes. Now a short answer is awaited first, and each router has streams and whole answers.

--- a/router/proof_test.go
+++ b/router/proof_test.go
@@ -27,7 +27,9 @@
 	proofTokens   = 60
 	// proofLong answers are open while a fault begins or ends.
 	proofLong = 150
-	proofWait = 15 * time.Second
+	// proofPassed tokens of each open answer have passed before a fault.
+	proofPassed = 10
+	proofWait   = 15 * time.Second
 )
 
 // proof sends requests under faults and checks each answer against the oracle.
@@ -63,9 +65,7 @@
 		p.Eventually(r.Name()+" is ready", func() bool { return p.Ready(r.Name()) })
 	}
 	p.AwaitInForce()
-	for _, k := range p.Settings().Processes(loader.KindKeeper) {
-		p.Eventually(k.Name()+" is paired", func() bool { return p.isPaired(k.Name()) })
-	}
+	p.AwaitPaired()
 	for _, z := range p.Settings().Zones() {
 		n := 0
 		p.Eventually("routers of "+z+" hear each other", func() bool {
@@ -263,12 +263,13 @@
 }
 
 // open sends a wave of requests at once, call i to routers(i) in turn, and
-// returns when all have begun; the returned function waits for their answers.
+// returns when all have begun and a part of each answer has passed; the
+// returned function waits for the answers.
 func (p *proof) open(prefix string, tokens int64, routers func(i int) []string) (ids []string, wait func()) {
 	p.t.Helper()
 	var wg sync.WaitGroup
 	for i := range proofRequests {
-		c := p.request(fmt.Sprintf("%s-%d", prefix, i), i/2, tokens)
+		c := p.request(fmt.Sprintf("%s-%d", prefix, i), i/4, tokens)
 		ids = append(ids, c.RequestID)
 		wg.Go(func() { p.answered(c, routers(i)...) })
 	}
@@ -281,6 +282,11 @@
 		}
 		return true
 	})
+	// An answer of that many tokens that begins now ends after the open ones
+	// have as many.
+	for _, r := range []string{"osu-hall-2", "tema-hall-2"} {
+		p.answered(p.request(prefix+"-passed-"+r, 0, proofPassed), r)
+	}
 	return ids, wg.Wait
 }
 
@@ -291,7 +297,7 @@
 	var wg sync.WaitGroup
 	for n, id := range ids {
 		i := n % proofRequests
-		wg.Go(func() { p.answered(p.request(id, i/2, tokens), routers(i)...) })
+		wg.Go(func() { p.answered(p.request(id, i/4, tokens), routers(i)...) })
 	}
 	wg.Wait()
 	p.settled(ids)
@@ -305,6 +311,25 @@
 	}
 }
 
+// disk returns the incarnation that votes for a keeper on the configuration, as
+// its own confirmed copy has it; 0 where it has none.
+func (p *proof) disk(keeper string) uint64 {
+	x, err := p.Settings().Process(loader.KindKeeper, keeper)
+	p.g.Expect(err).NotTo(gomega.HaveOccurred())
+	c, err := messenger.NewDialer("test", messenger.RoleMember, p.Settings().DeploymentKey()).Dial(x.RPC())
+	p.g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = c.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r, _ := messenger.NewConfigurationKeeperClient(c).Read(ctx, &messenger.ReadRequest{Confirmed: true})
+	for _, m := range r.GetKeepers() {
+		if m.Name == keeper {
+			return m.Incarnation
+		}
+	}
+	return 0
+}
+
 // TestWholeAnswersAfterASecondLoss
 // Symptom: a caller gets a fragment or another's answer, or two bills, when a
 // second VM is lost right after the first is repaired.
@@ -323,6 +348,7 @@
 		p.Kill(zone + "-1")
 		p.Wipe(zone + "-keeper")
 	}
+	before := p.disk("osu-hall-keeper")
 	first, wait := p.open("first", proofLong, all)
 	lose("osu-hall")
 	wait()
@@ -330,7 +356,12 @@
 	p.Restart("osu-hall-1")
 	p.Eventually("the first VM is back", func() bool { return p.Ready("osu-hall-1") })
 	p.died.Clear()
-	p.Eventually("the first VM is repaired", func() bool { return p.isPaired("osu-hall-keeper") })
+	p.Eventually("the first VM's budgets are repaired", func() bool { return p.isPaired("osu-hall-keeper") })
+	// Without this, two of three disks of the configuration would be lost.
+	p.Eventually("the first VM's configuration is repaired", func() bool {
+		now := p.disk("osu-hall-keeper")
+		return now != 0 && now != before
+	})
 	second, wait := p.open("second", proofLong, all)
 	lose("tema-hall")
 	wait()
@@ -371,7 +402,7 @@
 	wait()
 	var wg sync.WaitGroup
 	for i, id := range ids {
-		wg.Go(func() { p.answered(p.request(id, i/2, proofLong), other(i)...) })
+		wg.Go(func() { p.answered(p.request(id, i/4, proofLong), other(i)...) })
 	}
 	wg.Wait()
 	p.Eventually("the silent router is fenced", func() bool {
