Old bills and claims are pruned, their sums stay

Cause: a charge and its claim took 385 bytes of a keeper's disk for ever. A vault keeps the time before which it takes no new charge. Whoever repeats an older charge - router, witness, restored copy - is told that it is too old, so no bill comes twice. Claims go when every zone has told that it has no unsettled bill of their time. A run that began more than half of keep_charges ago is not charged: a frozen router could otherwise bill a request whose bill has gone. Ruled out: a time limit alone (bills twice after a cut that is longer); a promise for each incarnation instead of a zone-wide time (another router's lingering charge of the same request is not covered).

--- a/budgeter/bill_claims.go
+++ b/budgeter/bill_claims.go
@@ -3,6 +3,9 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -13,6 +16,9 @@
 // hashBytes is enough that two requests never share a claim by chance.
 const hashBytes = 16
 
+// timeDigits is the length of the time in a key of BucketUnclaimed.
+const timeDigits = 16
+
 // RequestHash is the name of a request in claims.
 func RequestHash(requestKey string) []byte {
 	sum := sha256.Sum256([]byte(requestKey))
@@ -26,11 +32,34 @@
 	if len(v.billed) == 0 {
 		return
 	}
-	v.put(BucketUnclaimed, v.billed[0], &messenger.UnclaimedRow{RequestKeys: v.billed})
+	v.put(BucketUnclaimed, unclaimedKey(v.billedMs, v.billed[0]), &messenger.UnclaimedRow{RequestKeys: v.billed})
 	v.billed = nil
 }
 
+// unclaimedKey sorts by the time of the oldest bill, so that the first row of
+// the bucket says how old a bill without a settled claim can be.
+func unclaimedKey(oldestMs int64, request string) string {
+	return fmt.Sprintf("%016x/%s", max(oldestMs, 0), request)
+}
+
+// UnsettledMs returns the time of the oldest bill that the row of a key in
+// BucketUnclaimed can have, in Unix milliseconds; 0 where the key does not say.
+func UnsettledMs(key string) int64 {
+	digits, _, _ := strings.Cut(key, "/")
+	n, err := strconv.ParseInt(digits, 16, 64)
+	if err != nil || len(digits) != timeDigits {
+		return 0
+	}
+	return n
+}
+
 func (v *Vault) claimBills(r *messenger.ClaimBillsRequest) (proto.Message, error) {
+	// A message that was under way for long could win a claim whose first
+	// winner is pruned.
+	if r.SettledBeforeMs < v.settled[r.Zone] {
+		return nil, ErrOutdated
+	}
+	v.settled[r.Zone] = r.SettledBeforeMs
 	out := &messenger.ClaimBillsReply{}
 	for _, h := range r.RequestHashes {
 		row := &messenger.ClaimedRow{}
@@ -40,7 +69,7 @@
 			return nil, err
 		}
 		if !known {
-			row.Zone = r.Zone
+			row.Zone, row.ClaimedAtMs = r.Zone, v.nowMs
 			v.put(BucketClaimed, key, row)
 		}
 		out.Zones = append(out.Zones, row.Zone)
@@ -65,8 +94,7 @@
 			return
 		}
 	}
-	v.recent.put(rowKey{BucketUnclaimed, name}, nil)
-	v.remove(BucketUnclaimed, name)
+	v.drop(BucketUnclaimed, name)
 }
 
 // reverse gives the tokens of a bill back to the budget, once. The row stays,
--- a/budgeter/charge.go
+++ b/budgeter/charge.go
@@ -45,6 +45,9 @@
 	if v.fencedOut(router, incarnation) {
 		return &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_FENCED}, nil
 	}
+	if v.tooOld(c) {
+		return &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_TOO_OLD}, nil
+	}
 	l := v.book(c.Workspace).leases[leaseKey{router, incarnation}]
 	if l == nil || c.Tokens < 0 || outstanding(l) < rattanhoist.Tokens(c.Tokens) {
 		return &messenger.ChargeResult{State: messenger.ChargeState_CHARGE_STATE_NOT_LEASED}, nil
@@ -70,6 +73,9 @@
 	row := proto.CloneOf(c)
 	row.Router, row.Incarnation = l.Router, l.Incarnation
 	v.put(BucketCharges, requestKey(c).String(), row)
+	if len(v.billed) == 0 || c.ChargedAtMs < v.billedMs {
+		v.billedMs = c.ChargedAtMs
+	}
 	v.billed = append(v.billed, requestKey(c).String())
 	return row
 }
@@ -79,7 +85,8 @@
 // until the mint that it was spent from is known again.
 func (v *Vault) takeWitnessed(c *messenger.Charge) error {
 	old, err := v.Charge(requestKey(c))
-	if old != nil || err != nil {
+	// A charge that is too old was billed before, and its bill pruned.
+	if old != nil || err != nil || v.tooOld(c) {
 		return err
 	}
 	b := v.touch(c.Workspace)
--- a/budgeter/fuzz_test.go
+++ b/budgeter/fuzz_test.go
@@ -38,7 +38,7 @@
 
 var (
 	workspaces = []string{"w", "x"}
-	requests   = []string{"1", "2", "3", "4", "5", "6", "7", "8"}
+	requests   = []string{"1", "2", "3", "4"}
 )
 
 // machine draws what happens to a world.
@@ -77,7 +77,8 @@
 // request draws a shared identity, which other routers run too, or a new one.
 func (m machine) request(t *rapid.T) string {
 	if rapid.Bool().Draw(t, "shared") {
-		return rapid.SampledFrom(requests).Draw(t, "request")
+		// A caller that repeats a request does so within a window.
+		return fmt.Sprint(rapid.SampledFrom(requests).Draw(t, "request"), "@", m.clock/window)
 	}
 	return fmt.Sprint("n", m.next())
 }
@@ -102,7 +103,7 @@
 	name := workspace(t)
 	r := m.pick(t, func(r *routerNode) bool { return r.purse(name).slice.Left() > 0 })
 	worst := min(rattanhoist.Tokens(amount(t, 40)), r.purse(name).slice.Left())
-	r.begin(name, m.request(t), worst)
+	m.begin(r, name, m.request(t), worst)
 }
 
 func (m machine) Finish(t *rapid.T) {
@@ -170,7 +171,7 @@
 
 func (m machine) Timers(t *rapid.T) {
 	k := m.keeper(t)
-	switch rapid.IntRange(0, 5).Draw(t, "timer") {
+	switch rapid.IntRange(0, 6).Draw(t, "timer") {
 	case 0:
 		m.pair(k)
 	case 1:
@@ -183,6 +184,9 @@
 		m.resend(k)
 	case 5:
 		m.claim(k)
+	case 6:
+		m.prune(k)
+		m.prune(k)
 	}
 }
 
@@ -241,7 +245,8 @@
 	k.disk = newDisk()
 	m.seen["disk lost"]++
 	if rapid.Bool().Draw(t, "whole VM") {
-		m.zoneRouters(k.zone)[0].up = false
+		r := m.zoneRouters(k.zone)[0]
+		r.up, r.frozen = false, false
 	}
 }
 
@@ -249,10 +254,10 @@
 	rarely(t)
 	r := m.router(t)
 	if rapid.Bool().Draw(t, "freeze") {
-		r.frozen = true
+		r.frozen = r.up
 		return
 	}
-	r.up = false
+	r.up, r.frozen = false, false
 }
 
 func (m machine) StartRouter(t *rapid.T) {
@@ -269,8 +274,9 @@
 // answers have cost, is never negative.
 func (m machine) Check(t *rapid.T) {
 	m.seen["steps"]++
+	m.clock++
 	if m.fault != "" {
-		t.Fatal(m.fault)
+		t.Fatalf("%s\n%s", m.fault, strings.Join(m.trace, "\n"))
 	}
 	for _, name := range workspaces {
 		if paid, spent := m.flat(name); spent > paid {
@@ -287,6 +293,16 @@
 		w.settleOnce()
 	}
 	w.spendRounds()
+	w.clock += 2 * retention
+	w.spendRounds()
+	// What was pruned is known after a restart.
+	for _, z := range w.zones {
+		w.stopKeeper(w.keepers[z])
+		w.startKeeper(w.keepers[z])
+		w.pair(w.keepers[z])
+	}
+	w.deliverLate()
+	w.spendRounds()
 	w.checkAgreement()
 	// Two runs of a request, one of them witnessed, leave the price of one in
 	// its lease until the incarnation ends.
@@ -314,7 +330,7 @@
 		r.frozen = false
 		for _, name := range workspaces {
 			if n := r.purse(name).slice.Left(); n > 0 {
-				r.begin(name, fmt.Sprint("thawed", w.next()), n)
+				w.begin(r, name, fmt.Sprint("thawed", w.next()), n)
 			}
 		}
 		for _, id := range slices.Sorted(maps.Keys(r.runs)) {
@@ -342,7 +358,7 @@
 			p := r.purse(name)
 			if n := p.slice.Left(); n > 0 {
 				request := fmt.Sprint("last", w.next())
-				r.begin(name, request, n)
+				w.begin(r, name, request, n)
 				w.finish(r, name+"/"+request, int64(n), false)
 			}
 			if p.asking == nil && p.returning == nil {
@@ -365,7 +381,7 @@
 	for _, r := range w.routers {
 		w.settleRouter(r)
 	}
-	for _, f := range []func(*keeper){w.pair, w.prove, w.release, w.handOver, w.claim, w.claim, w.resend} {
+	for _, f := range []func(*keeper){w.pair, w.prove, w.release, w.handOver, w.claim, w.claim, w.prune, w.resend} {
 		for _, z := range w.zones {
 			f(w.keepers[z])
 		}
@@ -423,7 +439,7 @@
 		t.Logf("%d runs are too few to ask what they saw", seen["runs"])
 		return
 	}
-	for _, what := range []string{"completed", "completed by witness", "restored", "proved", "proved by marks", "released", "handed over", "given", "thawed", "reversed", budgeter.ModeSolo, "copy behind", "CHARGE_STATE_FENCED"} {
+	for _, what := range []string{"completed", "completed by witness", "restored", "proved", "proved by marks", "released", "handed over", "given", "thawed", "reversed", "pruned", "pruned reversed", "claim pruned", "too old", "ran too long", budgeter.ModeSolo, "copy behind", "CHARGE_STATE_FENCED"} {
 		if seen[what] == 0 {
 			t.Errorf("the run never saw %q; it proves nothing about it", what)
 		}
--- a/budgeter/lease.go
+++ b/budgeter/lease.go
@@ -54,7 +54,7 @@
 	if err := v.admit(r.Router, r.Incarnation); err != nil {
 		return nil, err
 	}
-	return &messenger.RegisterReply{VaultIncarnation: v.self.Incarnation}, nil
+	return &messenger.RegisterReply{VaultIncarnation: v.self.Incarnation, OldestChargeMs: v.self.OldestChargeMs}, nil
 }
 
 func (v *Vault) lease(r *messenger.LeaseRequest) (proto.Message, error) {
--- a/budgeter/oracle_test.go
+++ b/budgeter/oracle_test.go
@@ -32,14 +32,28 @@
 // of another zone where the bill was reversed for it. The run there may have
 // ended before anybody was told its price.
 func (w *world) counting(zone, id string, told int64) int64 {
-	b, _ := w.keepers[zone].disk.Get(budgeter.BucketCharges, id)
-	if b == nil || decodeCharge(b).ReversedForZone == "" {
+	c := w.bill(zone, id)
+	if c.GetReversedForZone() == "" {
 		return told
 	}
-	if b, _ = w.keepers[decodeCharge(b).ReversedForZone].disk.Get(budgeter.BucketCharges, id); b == nil {
+	other := w.bill(c.ReversedForZone, id)
+	if other == nil {
 		return told
 	}
-	return min(told, decodeCharge(b).Tokens)
+	return min(told, other.Tokens)
+}
+
+// bill returns the bill of a request, also after it was pruned, or nil.
+func (w *world) bill(zone, id string) *messenger.Charge {
+	rows := w.keepers[zone].disk.rows
+	b := rows[rowName{budgeter.BucketCharges, id}]
+	if b == nil {
+		b = rows[rowName{bucketGone, id + "#0"}]
+	}
+	if b == nil {
+		return nil
+	}
+	return decodeCharge(b)
 }
 
 func (w *world) flat(workspace string) (paid, spent int64) {
@@ -145,6 +159,11 @@
 				sum += c.Tokens
 			}
 		}
+		if n.bucket == budgeter.BucketPruned && strings.HasPrefix(n.key, workspace+"/") {
+			day := &messenger.PrunedRow{}
+			w.check(proto.Unmarshal(value, day) == nil, "sum of pruned bills is corrupt")
+			sum += day.Tokens
+		}
 	}
 	return sum
 }
@@ -154,12 +173,13 @@
 	count, rows := map[string]int{}, map[string]int{}
 	for _, z := range w.zones {
 		for n, value := range w.keepers[z].disk.rows {
-			if n.bucket != budgeter.BucketCharges {
+			if n.bucket != budgeter.BucketCharges && n.bucket != bucketGone {
 				continue
 			}
-			rows[n.key]++
+			id, _, _ := strings.Cut(n.key, "#")
+			rows[id]++
 			if decodeCharge(value).ReversedForZone == "" {
-				count[n.key]++
+				count[id]++
 			}
 		}
 	}
@@ -173,9 +193,9 @@
 func (w *world) checkBilled(t *rapid.T) {
 	for key, prices := range w.completed {
 		zone, id, _ := strings.Cut(key, "/")
-		b, _ := w.keepers[zone].disk.Get(budgeter.BucketCharges, id)
-		if b == nil || !slices.Contains(prices, decodeCharge(b).Tokens) {
-			t.Fatalf("answer %s was completed for %v tokens and is billed as %v", key, prices, decodeCharge(b))
+		c := w.bill(zone, id)
+		if c == nil || !slices.Contains(prices, c.Tokens) {
+			t.Fatalf("answer %s was completed for %v tokens and is billed as %v\n%s", key, prices, c, w.dump(strings.SplitN(id, "/", 2)[0]))
 		}
 	}
 }
--- a/budgeter/router_test.go
+++ b/budgeter/router_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -15,6 +16,7 @@
 func (w *world) startRouter(r *routerNode) {
 	*r = routerNode{
 		name: r.name, zone: r.zone, sharesVM: r.sharesVM, up: true, incarnation: w.next(),
+		skew:   int64(w.next()%(2*skewMost+1)) - skewMost,
 		purses: map[string]*purse{}, runs: map[string]*run{}, unsafe: map[string]*messenger.Charge{},
 	}
 	w.register(r)
@@ -23,7 +25,11 @@
 func (w *world) register(r *routerNode) {
 	m := &messenger.RegisterRequest{Router: r.name, Incarnation: r.incarnation, Zone: r.zone}
 	w.send(r.zone, r.zone, func() {
-		_, err := w.commit(w.keepers[r.zone], budgeter.Register{Request: m})
+		got, err := w.commit(w.keepers[r.zone], budgeter.Register{Request: m})
+		if got != nil && err == nil && r.alive(m.Incarnation) {
+			r.registered = true
+			r.earliest = max(r.earliest, got.(*messenger.RegisterReply).OldestChargeMs)
+		}
 		// A router that learns that it is fenced starts anew.
 		if errors.Is(err, budgeter.ErrFenced) && r.alive(m.Incarnation) {
 			w.startRouter(r)
@@ -51,6 +57,10 @@
 	if p.returning != nil {
 		return
 	}
+	if !r.registered {
+		w.register(r)
+		return
+	}
 	if p.asking == nil {
 		p.sequence++
 		p.asking = &messenger.LeaseRequest{Workspace: workspace, Router: r.name, Incarnation: r.incarnation, Sequence: p.sequence, WantTokens: n}
@@ -105,12 +115,13 @@
 }
 
 // begin starts a run of a request; finish ends it with its true cost.
-func (r *routerNode) begin(workspace, request string, worst rattanhoist.Tokens) {
+func (w *world) begin(r *routerNode, workspace, request string, worst rattanhoist.Tokens) {
 	id := workspace + "/" + request
-	if r.runs[id] != nil || !r.purse(workspace).slice.Reserve(worst) {
+	// A run whose request has a charge in the outbox makes no charge of its own.
+	if r.runs[id] != nil || r.unsafe[id] != nil || !r.purse(workspace).slice.Reserve(worst) {
 		return
 	}
-	r.runs[id] = &run{reserved: worst, charge: &messenger.Charge{Workspace: workspace, RequestId: request, Zone: r.zone}}
+	r.runs[id] = &run{reserved: worst, begun: w.clock, charge: &messenger.Charge{Workspace: workspace, RequestId: request, Zone: r.zone}}
 }
 
 // finish sends the charge of a run, to the witness where asked so, or sends
@@ -120,7 +131,15 @@
 	if x == nil {
 		return
 	}
+	if !x.finished && w.clock-x.begun > runMost {
+		// Another router may have run the request since, and that bill gone.
+		delete(r.runs, id)
+		r.purse(x.charge.Workspace).slice.Settle(x.reserved, 0)
+		w.seen["ran too long"]++
+		return
+	}
 	if !x.finished {
+		x.charge.ChargedAtMs = r.clock(w)
 		x.finished = true
 		x.charge.Tokens = min(tokens, int64(x.reserved))
 	}
@@ -128,6 +147,10 @@
 }
 
 func (w *world) charge(r *routerNode, id string, c *messenger.Charge, witness bool) {
+	// Of two runs in one zone the keeper bills one; had the other been completed
+	// by the witness, its caller was told another price. Requests of Work that
+	// others run too have no witness.
+	witness = witness && !strings.HasPrefix(c.RequestId, "s")
 	k, inc := w.keepers[r.zone], r.incarnation
 	m := &messenger.ChargeRequest{Router: r.name, Incarnation: inc, Charges: []*messenger.Charge{c}, Zone: r.zone}
 	var e budgeter.Event = budgeter.Bill{Request: m}
@@ -135,20 +158,30 @@
 		k = w.keepers[k.mirror]
 		e = budgeter.Witness{Request: m}
 	}
-	w.send(r.zone, k.zone, func() {
+	deliver := func() {
 		got, err := w.commit(k, e)
 		if got == nil || err != nil {
 			return
 		}
-		w.send(k.zone, r.zone, func() { w.charged(r, inc, id, got.(*messenger.ChargeReply), witness) })
-	})
+		w.send(k.zone, r.zone, func() { w.charged(r, inc, id, c, got.(*messenger.ChargeReply), witness) })
+	}
+	w.send(r.zone, k.zone, deliver)
+	if len(w.trace)%3 == 0 {
+		w.late = append(w.late, envelope{r.zone, k.zone, deliver})
+	}
 }
 
 // charged completes an answer once its charge is durable, and not otherwise.
-func (w *world) charged(r *routerNode, incarnation uint64, id string, got *messenger.ChargeReply, witness bool) {
+func (w *world) charged(r *routerNode, incarnation uint64, id string, c *messenger.Charge, got *messenger.ChargeReply, witness bool) {
 	if !r.alive(incarnation) {
 		return
 	}
+	if got.Results[0].State == messenger.ChargeState_CHARGE_STATE_TOO_OLD {
+		w.seen["too old"]++
+		waits := r.unsafe[id] == c || r.runs[id] != nil && r.runs[id].charge == c
+		w.check(!waits, "a charge that its router has no answer for is too old")
+		return
+	}
 	if got.TwoDisks && !witness {
 		delete(r.unsafe, id)
 	}
@@ -163,6 +196,9 @@
 		w.seen[res.State.String()]++
 		// Only a lost disk can make a router and its vault differ.
 		w.check(res.State != messenger.ChargeState_CHARGE_STATE_NOT_LEASED || w.keepers[r.zone].lossy, "a leased charge is refused")
+		if r.pinned == 0 || x.charge.ChargedAtMs < r.pinned {
+			r.pinned = x.charge.ChargedAtMs
+		}
 		p.slice.Settle(x.reserved, 0)
 		// A fenced incarnation spends nothing more: its charge may have been
 		// witnessed before the refusal, so what it reserved is not free. Freed
@@ -179,6 +215,9 @@
 		// disk the request would be billed at less than its callers were told.
 		kept := proto.CloneOf(x.charge)
 		kept.Tokens = res.BilledTokens
+		if old := r.unsafe[id]; old != nil {
+			kept.ChargedAtMs = min(kept.ChargedAtMs, old.ChargedAtMs)
+		}
 		r.unsafe[id] = kept
 	}
 	w.note("%s#%d completes %s for %d", r.name, r.incarnation, id, res.BilledTokens)
--- a/budgeter/rows.go
+++ b/budgeter/rows.go
@@ -22,12 +22,14 @@
 	BucketMarks     = "budget_marks"
 	BucketUnclaimed = "budget_unclaimed"
 	BucketClaimed   = "budget_claimed"
+	BucketPruned    = "budget_pruned"
 )
 
 // Buckets lists every bucket of a vault, for copies.
 var Buckets = []string{
 	BucketVault, BucketBooks, BucketTopUps, BucketLeases, BucketCharges, BucketTransfers,
 	BucketReceived, BucketRouters, BucketWitnessed, BucketRefused, BucketMarks, BucketUnclaimed, BucketClaimed,
+	BucketPruned,
 }
 
 // Resident lists the buckets that Restore must be given; the rows of the
@@ -104,6 +106,12 @@
 	v.changed[rowKey{bucket, key}] = encode(m)
 }
 
+// drop deletes a row that is looked up.
+func (v *Vault) drop(bucket, key string) {
+	v.recent.put(rowKey{bucket, key}, nil)
+	v.remove(bucket, key)
+}
+
 func (v *Vault) remove(bucket, key string) { v.changed[rowKey{bucket, key}] = nil }
 
 func encode(m proto.Message) []byte {
--- a/budgeter/vault.go
+++ b/budgeter/vault.go
@@ -35,6 +35,8 @@
 	// ErrRepairing says that the vault's disk was lost and the router has not
 	// yet said what it holds; the same request works later.
 	ErrRepairing = merry.Sentinel("budget is being repaired; ask again")
+	// ErrOutdated says that a zone has sent a later message than this one.
+	ErrOutdated = merry.Sentinel("message is older than one that was taken; ask again")
 )
 
 // leaseKey names what one incarnation of a router holds of a workspace.
@@ -128,8 +130,17 @@
 	refused map[string]uint64
 	// Marks maps zones to the latest solo mark of their keeper.
 	marks map[string]*messenger.SoloMark
-	// Billed holds the requests billed in the step in progress.
-	billed []string
+	// Billed holds the requests billed in the step in progress, and billedMs
+	// the time of the oldest.
+	billed   []string
+	billedMs int64
+	// Settled maps zones to the time before which they ask for no claim any
+	// more; it is heard anew after a start.
+	settled map[string]int64
+	// PrunedCharges and prunedClaims count since the start.
+	prunedCharges, prunedClaims int64
+	// NowMs is the time of the step in progress, in Unix milliseconds.
+	nowMs int64
 	// Proved maps routers to the incarnation whose holdings have been taken
 	// since the last start; it matters only while the vault is unproved.
 	proved map[string]uint64
@@ -153,6 +164,7 @@
 		refused:   map[string]uint64{},
 		marks:     map[string]*messenger.SoloMark{},
 		proved:    map[string]uint64{},
+		settled:   map[string]int64{},
 		recent:    recent{now: map[rowKey][]byte{}},
 		changed:   map[rowKey][]byte{},
 		dirty:     map[*book]bool{},
@@ -160,7 +172,8 @@
 }
 
 // Step handles one event. The rows come before the reply.
-func (v *Vault) Step(_ time.Time, e Event) []Action {
+func (v *Vault) Step(now time.Time, e Event) []Action {
+	v.nowMs = max(now.UnixMilli(), 0)
 	v.handle(e)
 	v.storeUnclaimed()
 	for b := range v.dirty {
@@ -225,6 +238,8 @@
 		v.answer(e.Ticket)(v.claimBills(e.Request))
 	case BillsClaimed:
 		v.billsClaimed(e)
+	case Prune:
+		v.prune(e)
 	case Mark:
 		v.answer(e.Ticket)(v.mark(e.Request))
 	case Begin:
--- a/budgeter/world_test.go
+++ b/budgeter/world_test.go
@@ -39,6 +39,9 @@
 func apply(to map[rowName][]byte, rows []*messenger.CopyRow) {
 	for _, r := range rows {
 		if r.Value == nil {
+			if r.Bucket == budgeter.BucketCharges {
+				keepGone(to, r.Key)
+			}
 			delete(to, rowName{r.Bucket, r.Key})
 			continue
 		}
@@ -56,6 +59,8 @@
 	copier *budgeter.Copier
 	// Lossy is set once answers may have been lost with a disk and a router.
 	lossy bool
+	// Heard is what the process knows of its routers' charges.
+	heard map[string]budgeter.Heard
 }
 
 // crash points of the next commit.
@@ -83,15 +88,20 @@
 	charge   *messenger.Charge
 	reserved rattanhoist.Tokens
 	finished bool
+	begun    int64
 }
 
 type routerNode struct {
 	name, zone  string
 	incarnation uint64
 	up, frozen  bool
-	sharesVM    bool
-	purses      map[string]*purse
-	runs        map[string]*run
+	registered  bool
+	// Skew is how far the router's clock is ahead; earliest is the time before
+	// which it makes no charge, and pinned that of a charge it gave up on.
+	skew, earliest, pinned int64
+	sharesVM               bool
+	purses                 map[string]*purse
+	runs                   map[string]*run
 	// Unsafe holds completed charges that are not yet on two disks.
 	unsafe                    map[string]*messenger.Charge
 	markIncarnation, markFrom uint64
@@ -109,9 +119,13 @@
 	keepers map[string]*keeper
 	routers []*routerNode
 	pool    []envelope
-	cut     map[[2]string]bool
-	crash   crashPoint
-	serial  uint64
+	// Late holds charges that the network delivers once more after long.
+	late   []envelope
+	cut    map[[2]string]bool
+	crash  crashPoint
+	serial uint64
+	// Clock is the time in milliseconds.
+	clock int64
 	// Paid maps top-up identities to what the operator paid.
 	paid map[string]*messenger.TopUpRequest
 	// Completed maps zone/workspace/request to what whole answers were told
@@ -131,6 +145,7 @@
 	w := &world{
 		zones: []string{"a", "b", "c"}, keepers: map[string]*keeper{}, cut: map[[2]string]bool{},
 		paid: map[string]*messenger.TopUpRequest{}, completed: map[string][]int64{}, seen: map[string]int{},
+		clock: 1000,
 	}
 	for i, z := range w.zones {
 		w.keepers[z] = &keeper{zone: z, mirror: w.zones[(i+1)%len(w.zones)], disk: newDisk()}
@@ -186,6 +201,7 @@
 	}
 	w.check(v.Check() == nil, "books of "+k.zone+" do not balance after a restart")
 	k.vault = v
+	k.heard = map[string]budgeter.Heard{}
 	k.copier = budgeter.NewCopier(k.disk.state, k.disk.paired, func(_, to string) { w.seen[to]++ })
 	if begin != nil {
 		k.disk.paired = false
@@ -212,7 +228,7 @@
 	}
 	var writes []budgeter.Write
 	var reply budgeter.Reply
-	for _, a := range k.vault.Step(time.Time{}, e) {
+	for _, a := range k.vault.Step(time.UnixMilli(w.clock), e) {
 		switch a := a.(type) {
 		case budgeter.Write:
 			writes = append(writes, a)
@@ -424,6 +440,7 @@
 		return
 	}
 	rows := map[string]*messenger.UnclaimedRow{}
+	settled := min(k.vault.OldestChargeMs(), k.unsettled())
 	for n, value := range k.disk.rows {
 		if n.bucket == budgeter.BucketUnclaimed {
 			rows[n.key] = &messenger.UnclaimedRow{}
@@ -438,7 +455,7 @@
 			if !w.reachable(k.zone, o.zone) {
 				break
 			}
-			m, err := w.commit(o, budgeter.ClaimBills{Request: &messenger.ClaimBillsRequest{Zone: k.zone, RequestHashes: [][]byte{h}}})
+			m, err := w.commit(o, budgeter.ClaimBills{Request: &messenger.ClaimBillsRequest{Zone: k.zone, RequestHashes: [][]byte{h}, SettledBeforeMs: settled}})
 			if m == nil || err != nil {
 				break
 			}
@@ -453,43 +470,3 @@
 		}
 	}
 }
-
-// resend pushes unconfirmed transfers; while a commit is on one disk only, no
-// transfer may leave.
-func (w *world) resend(k *keeper) {
-	if k.vault == nil || k.copier.Mode() != budgeter.ModePaired {
-		return
-	}
-	for _, t := range k.vault.Pending() {
-		w.give(k, t)
-	}
-}
-
-func (w *world) give(k *keeper, t *messenger.Transfer) {
-	o := w.keepers[t.ToZone]
-	w.send(k.zone, o.zone, func() {
-		got, err := w.commit(o, budgeter.Receive{Request: &messenger.GiveRequest{Transfers: []*messenger.Transfer{t}}})
-		if got == nil || err != nil {
-			return
-		}
-		w.send(o.zone, k.zone, func() {
-			w.commit(k, budgeter.Confirm{TransferIDs: got.(*messenger.GiveReply).AcceptedIds})
-		})
-	})
-}
-
-// ask has a zone ask another for rights.
-func (w *world) ask(k, o *keeper, workspace string, n int64) {
-	if k.vault == nil || k == o {
-		return
-	}
-	r := &messenger.AskRequest{Workspace: workspace, Zone: k.zone, WantTokens: n, VaultIncarnation: k.vault.Incarnation()}
-	w.send(k.zone, o.zone, func() {
-		got, err := w.commit(o, budgeter.Ask{Request: r})
-		if got == nil || err != nil || got.(*messenger.AskReply).Transfer == nil {
-			return
-		}
-		w.seen["given"]++
-		w.give(o, got.(*messenger.AskReply).Transfer)
-	})
-}
--- /dev/null
+++ b/budgeter/world_transfers_test.go
@@ -0,0 +1,46 @@
+package budgeter_test
+
+import (
+	"rattanhoist.example/rattanhoist/budgeter"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// resend pushes unconfirmed transfers; while a commit is on one disk only, no
+// transfer may leave.
+func (w *world) resend(k *keeper) {
+	if k.vault == nil || k.copier.Mode() != budgeter.ModePaired {
+		return
+	}
+	for _, t := range k.vault.Pending() {
+		w.give(k, t)
+	}
+}
+
+func (w *world) give(k *keeper, t *messenger.Transfer) {
+	o := w.keepers[t.ToZone]
+	w.send(k.zone, o.zone, func() {
+		got, err := w.commit(o, budgeter.Receive{Request: &messenger.GiveRequest{Transfers: []*messenger.Transfer{t}}})
+		if got == nil || err != nil {
+			return
+		}
+		w.send(o.zone, k.zone, func() {
+			w.commit(k, budgeter.Confirm{TransferIDs: got.(*messenger.GiveReply).AcceptedIds})
+		})
+	})
+}
+
+// ask has a zone ask another for rights.
+func (w *world) ask(k, o *keeper, workspace string, n int64) {
+	if k.vault == nil || k == o {
+		return
+	}
+	r := &messenger.AskRequest{Workspace: workspace, Zone: k.zone, WantTokens: n, VaultIncarnation: k.vault.Incarnation()}
+	w.send(k.zone, o.zone, func() {
+		got, err := w.commit(o, budgeter.Ask{Request: r})
+		if got == nil || err != nil || got.(*messenger.AskReply).Transfer == nil {
+			return
+		}
+		w.seen["given"]++
+		w.give(o, got.(*messenger.AskReply).Transfer)
+	})
+}
--- a/commander/budget_history.go
+++ b/commander/budget_history.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 
 	"github.com/spf13/cobra"
@@ -14,6 +15,11 @@
 	r := &messenger.ChargesRequest{}
 	c := &cobra.Command{
 		Use: "history WORKSPACE", Short: "List the charges of a workspace, in order of time", Args: wantArgs("WORKSPACE"),
+		Long: `List the charges of a workspace, in order of time.
+
+Single charges are kept for the setting keep_charges at least. Of older days one
+row for each zone says how many there were and what they cost together, so that
+the tokens still add up to what "budget show" calls charged.`,
 		RunE: func(c *cobra.Command, args []string) error {
 			r.Workspace = args[0]
 			return a.budgetHistory(c.Context(), r)
@@ -38,9 +44,28 @@
 	if n := int(r.Most); n > 0 && len(out.Charges) > n {
 		out.Charges = out.Charges[len(out.Charges)-n:]
 	}
-	var rows [][]any
+	rows := a.prunedRows(r, out.Pruned)
 	for _, x := range out.Charges {
 		rows = append(rows, []any{showTime(x.ChargedAtMs), x.RequestId, x.Tokens, x.Service, x.Endpoint, x.Zone})
 	}
 	return a.print(out, "TIME REQUEST TOKENS SERVICE ENDPOINT ZONE", rows)
 }
+
+// prunedRows are the sums of days whose charges are not kept singly. A list of
+// some charges only gets a warning: sums would not belong to it.
+func (a *app) prunedRows(r *messenger.ChargesRequest, pruned []*messenger.PrunedRow) [][]any {
+	slices.SortFunc(pruned, func(x, y *messenger.PrunedRow) int {
+		return cmp.Or(cmp.Compare(x.Day, y.Day), cmp.Compare(x.Zone, y.Zone))
+	})
+	if r.Most > 0 || r.RequestId != "" {
+		if n := len(pruned); n > 0 {
+			a.warn("single charges of %s and before may no longer be kept", pruned[n-1].Day)
+		}
+		return nil
+	}
+	var rows [][]any
+	for _, x := range pruned {
+		rows = append(rows, []any{x.Day, fmt.Sprintf("(%d charges, no longer kept singly)", x.Count), x.Tokens, "", "", x.Zone})
+	}
+	return rows
+}
--- a/keeper/bill_claims.go
+++ b/keeper/bill_claims.go
@@ -29,12 +29,19 @@
 	rows   map[string]*messenger.UnclaimedRow
 	// Counting maps request keys to the zone whose bill counts.
 	counting map[string]string
+	// Settled is told to the zones that are asked.
+	settled int64
 }
 
 // claimBills waits until the bills are on two disks: a claim could otherwise
 // outlive its bill, and the other zone would have reversed its own.
 func (s *budgetServer) claimBills(ctx context.Context) {
 	r := &claimRound{server: s, zones: s.keeper.settings.Zones(), counting: map[string]string{}}
+	oldest, unsettled, err := s.settledBefore(ctx)
+	if err != nil {
+		return
+	}
+	r.settled = min(oldest, unsettled)
 	if err := s.keeper.store.View(r.read); err != nil || len(r.rows) == 0 || !s.loop.copied(ctx) {
 		return
 	}
@@ -84,7 +91,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	m := &messenger.ClaimBillsRequest{Zone: self}
+	m := &messenger.ClaimBillsRequest{Zone: self, SettledBeforeMs: r.settled}
 	for _, key := range keys {
 		m.RequestHashes = append(m.RequestHashes, budgeter.RequestHash(key))
 	}
--- a/keeper/budget.go
+++ b/keeper/budget.go
@@ -26,16 +26,19 @@
 	shares *shares
 	// Watch belongs to the goroutine of rounds.
 	watch routerWatch
+	prune *pruning
 }
 
 func newBudgetServer(k *Keeper) *budgetServer {
 	sender := mirrorSender{peers: k.peers}
-	return &budgetServer{
+	s := &budgetServer{
 		keeper: k, sender: sender, shares: newShares(),
 		loop:   newVaultLoop(k.self.Zone(), k.store, sender, k.log),
 		holder: &mirrorHolder{store: k.store, log: k.log},
-		watch:  routerWatch{heard: map[string]time.Time{}},
+		watch:  routerWatch{heard: map[string]time.Time{}, said: map[string]budgeter.Heard{}},
 	}
+	s.prune = newPruning(s, k.settings.Policy().KeepCharges())
+	return s
 }
 
 func (s *budgetServer) log() *zap.Logger { return s.keeper.log }
@@ -203,17 +206,18 @@
 	if err != nil || r.Local {
 		return out, err
 	}
-	others := make(chan []*messenger.Charge, len(s.keeper.peers.list))
+	others := make(chan *messenger.ChargesReply, len(s.keeper.peers.list))
 	local := proto.CloneOf(r)
 	local.Local = true
 	failed := s.keeper.peers.each(ctx, func(ctx context.Context, p peer) error {
 		got, err := p.budget().Charges(ctx, local)
-		others <- got.GetCharges()
+		others <- got
 		return err
 	})
 	close(others)
 	for c := range others {
-		out.Charges = append(out.Charges, c...)
+		out.Charges = append(out.Charges, c.GetCharges()...)
+		out.Pruned = append(out.Pruned, c.GetPruned()...)
 	}
 	out.UnreachableZones = zonesOf(failed)
 	return out, nil
@@ -231,6 +235,9 @@
 	}
 	prefix := rattanhoist.NewRequestKey(r.Workspace, r.RequestId).String()
 	return s.keeper.store.View(func(v storer.View) error {
+		if err := prunedDays(v, r.Workspace, out); err != nil {
+			return err
+		}
 		return v.Each(budgeter.BucketCharges, prefix, func(key string, value []byte) error {
 			if len(out.Charges) >= most || r.RequestId != "" && key != prefix {
 				return nil
@@ -245,6 +252,17 @@
 	})
 }
 
+func prunedDays(v storer.View, workspace string, out *messenger.ChargesReply) error {
+	return v.Each(budgeter.BucketPruned, workspace+"/", func(_ string, value []byte) error {
+		day := &messenger.PrunedRow{}
+		if err := proto.Unmarshal(value, day); err != nil {
+			return budgeter.ErrCorrupt
+		}
+		out.Pruned = append(out.Pruned, day)
+		return nil
+	})
+}
+
 func zonesOf(peers []peer) []string {
 	var out []string
 	for _, p := range peers {
--- a/keeper/fleet_test.go
+++ b/keeper/fleet_test.go
@@ -32,10 +32,14 @@
 	g   *gomega.WithT
 	key string
 	n   int
+	// Timeout is the deadline of requests.
+	timeout time.Duration
 }
 
-func start(t *testing.T, net int) *fleet {
-	f := &fleet{Fleet: launcher.Start(t, launcher.Options{Net: net}), g: gomega.NewWithT(t)}
+func start(t *testing.T, net int) *fleet { return startWith(t, launcher.Options{Net: net}) }
+
+func startWith(t *testing.T, o launcher.Options) *fleet {
+	f := &fleet{Fleet: launcher.Start(t, o), g: gomega.NewWithT(t), timeout: 5 * time.Second}
 	f.Eventually("keepers answer", func() bool { _, code := f.Command("config", "show"); return code == 0 })
 	var made struct{ Key string }
 	f.Eventually("workspace is made", func() bool {
@@ -74,7 +78,7 @@
 	f.g.Expect(err).NotTo(gomega.HaveOccurred())
 	c := imitator.Call{
 		Router: p.HTTP(), Key: f.key, RequestID: id, Model: "m",
-		Prompt: "hello", MaxTokens: 8, Stream: true, Workspace: "w", Timeout: 5 * time.Second,
+		Prompt: "hello", MaxTokens: 8, Stream: true, Workspace: "w", Timeout: f.timeout,
 	}
 	return c.Do(context.Background())
 }
--- a/keeper/router_watch.go
+++ b/keeper/router_watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +26,9 @@
 	asked time.Time
 	// Heard maps names to the last answer.
 	heard map[string]time.Time
+	// Said maps names to what the routers promised of their charges. It is
+	// replaced, not changed: a vault may be reading the old one.
+	said map[string]budgeter.Heard
 }
 
 // watchRouters fences routers that are silent: a VM that is lost for good
@@ -35,11 +40,19 @@
 	}
 	s.watch.asked = now
 	routers := s.keeper.peers.routers
+	var mu sync.Mutex
+	said := maps.Clone(s.watch.said)
 	silent := each(ctx, routers, func(ctx context.Context, p peer) error {
 		// Nothing is recalled: any answer shows that the process lives.
-		_, err := p.router().Recall(ctx, &messenger.RecallRequest{})
+		out, err := p.router().Recall(ctx, &messenger.RecallRequest{})
+		if err == nil {
+			mu.Lock()
+			defer mu.Unlock()
+			said[p.process.Name()] = budgeter.Heard{Incarnation: out.Incarnation, AnsweredBeforeMs: out.AnsweredBeforeMs}
+		}
 		return err
 	})
+	s.watch.said = said
 	for _, p := range routers {
 		if s.watch.heard[p.process.Name()].IsZero() {
 			s.watch.heard[p.process.Name()] = now
--- a/keeper/vault_counters.go
+++ b/keeper/vault_counters.go
@@ -30,6 +30,9 @@
 	gaugeTransfers  = vaultInt("transfers_under_way")
 	gaugeFencing    = vaultInt("routers_being_fenced")
 	gaugeWitnessed  = vaultInt("charges_witnessed")
+	gaugeOldest     = vaultInt("oldest_charge_ms")
+	gaugePruned     = vaultInt("charges_pruned")
+	gaugeForgotten  = vaultInt("claims_pruned")
 	textMode        = new(expvar.String)
 )
 
@@ -51,6 +54,7 @@
 
 func setGauges(v *budgeter.Vault) {
 	t := v.Totals()
+	charges, claims := v.Pruned()
 	for _, x := range []struct {
 		gauge *expvar.Int
 		value int64
@@ -65,6 +69,9 @@
 		{gaugeFencing, int64(len(v.Fencing()))},
 		{gaugeWitnessed, int64(v.WitnessedCount())},
 		{gaugeUnproved, unproved(v)},
+		{gaugeOldest, v.OldestChargeMs()},
+		{gaugePruned, charges},
+		{gaugeForgotten, claims},
 	} {
 		x.gauge.Set(x.value)
 	}
--- a/keeper/vault_rounds.go
+++ b/keeper/vault_rounds.go
@@ -27,6 +27,7 @@
 		s.handOver(ctx)
 		s.claimBills(ctx)
 		s.watchRouters(ctx)
+		s.prune.round(ctx)
 		pause(ctx, roundEvery)
 	}
 }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -78,6 +79,21 @@
 	comparer.Golden(ginkgo.GinkgoTB(), "warnings.golden", text+"\n")
 })
 
+var _ = ginkgo.It("keeps charges for longer than requests are repeated", func() {
+	file := copyIn("good.ini")
+	b, err := os.ReadFile(file)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	load := func(lines string) (*loader.Settings, error) {
+		gomega.Expect(os.WriteFile(file, append(slices.Clone(b), "\n[policy]\n"+lines...), 0o600)).To(gomega.Succeed())
+		return loader.Load(file)
+	}
+	_, err = load("keep_charges = 4h\n")
+	gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("[policy] keep_charges: 4h0m0s is too short: want 4h8m0s at least")))
+	s, err := load("max_timeout = 10h\nkeep_answer = 1h\n")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(s.Policy().KeepCharges()).To(gomega.Equal(44 * time.Hour))
+})
+
 const sample = "../docs/operate/rattanhoist.sample.ini"
 
 // This keeps the page of settings true: each key of the code stands in the
--- a/loader/policy.go
+++ b/loader/policy.go
@@ -20,6 +20,7 @@
 	defaultTimeout   time.Duration
 	maxTimeout       time.Duration
 	keepAnswer       time.Duration
+	keepCharges      time.Duration
 	endpointMaxAge   time.Duration
 	drainTimeout     time.Duration
 	faultPortEnabled bool
@@ -46,6 +47,9 @@
 // KeepAnswer returns how long a finished answer is kept for retries.
 func (p Policy) KeepAnswer() time.Duration { return p.keepAnswer }
 
+// KeepCharges returns how long single bills are kept at least.
+func (p Policy) KeepCharges() time.Duration { return p.keepCharges }
+
 // EndpointMaxAge returns the age from which an announcement is not used.
 func (p Policy) EndpointMaxAge() time.Duration { return p.endpointMaxAge }
 
@@ -64,22 +68,27 @@
 	defaultTimeout        = 60 * time.Second
 	defaultMaxTimeout     = time.Hour
 	defaultKeepAnswer     = 2 * time.Minute
+	defaultKeepCharges    = 24 * time.Hour
 	defaultEndpointMaxAge = 3 * time.Second
 	defaultDrainTimeout   = 10 * time.Minute
 )
 
+// keepChargesFactor leaves room in the life of a bill for the run, the time
+// that its answer is kept, the caller's last repetition, and clocks that differ.
+const keepChargesFactor = 4
+
 func defaultPolicy() Policy {
 	return Policy{
 		picker: defaultPicker, shedder: defaultShedder, placement: defaultPlacement, maxBody: defaultMaxBody,
 		defaultTimeout: defaultTimeout, maxTimeout: defaultMaxTimeout,
-		keepAnswer: defaultKeepAnswer, endpointMaxAge: defaultEndpointMaxAge,
+		keepAnswer: defaultKeepAnswer, keepCharges: defaultKeepCharges, endpointMaxAge: defaultEndpointMaxAge,
 		drainTimeout: defaultDrainTimeout,
 	}
 }
 
 var policyKeys = []string{
 	"picker", "shedder", "placement", "max_body_bytes", "default_timeout", "max_timeout",
-	"keep_answer", "endpoint_max_age", "drain_timeout", "fault_port",
+	"keep_answer", "keep_charges", "endpoint_max_age", "drain_timeout", "fault_port",
 }
 
 func (c *checker) policySection(sec *ini.Section) Policy {
@@ -95,11 +104,17 @@
 	c.duration(sec, "default_timeout", &p.defaultTimeout)
 	c.duration(sec, "max_timeout", &p.maxTimeout)
 	c.duration(sec, "keep_answer", &p.keepAnswer)
+	c.duration(sec, "keep_charges", &p.keepCharges)
 	c.duration(sec, "endpoint_max_age", &p.endpointMaxAge)
 	c.duration(sec, "drain_timeout", &p.drainTimeout)
 	c.flag(sec, "fault_port", &p.faultPortEnabled)
 	if p.defaultTimeout > p.maxTimeout {
 		c.fault(sec.Name(), "default_timeout", "%s is longer than max_timeout, %s", p.defaultTimeout, p.maxTimeout)
 	}
+	least := keepChargesFactor * (p.maxTimeout + p.keepAnswer)
+	if p.keepCharges < least && sec.HasKey("keep_charges") {
+		c.fault(sec.Name(), "keep_charges", "%s is too short: want %s at least, %d times max_timeout and keep_answer together", p.keepCharges, least, keepChargesFactor)
+	}
+	p.keepCharges = max(p.keepCharges, least)
 	return p
 }
--- a/router/purse.go
+++ b/router/purse.go
@@ -26,6 +26,8 @@
 		Router: self.Name(), Zone: self.Zone(), Incarnation: rattanhoist.Incarnation(time.Now().UnixNano()),
 		Keeper: messenger.NewBudgetKeeperClient(conn), Dial: dial, Policy: treasurer.DefaultPolicy(), Log: log,
 	}
+	// A bill is kept for twice as long as a run may hold its reservation.
+	o.Policy.RunMost = s.Policy().KeepCharges() / 2
 	closeWitness := func() {}
 	if next, ok := nextKeeper(s, self.Zone()); ok {
 		k, c, err := dial(next.RPC())
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -163,6 +163,21 @@
 	return nil
 }
 
+// From calls f for every row from a key on, in key order.
+func (v View) From(bucket, first string, f func(key string, value []byte) error) error {
+	b := v.tx.Bucket([]byte(bucket))
+	if b == nil {
+		return nil
+	}
+	c := b.Cursor()
+	for k, value := c.Seek([]byte(first)); k != nil; k, value = c.Next() {
+		if err := f(string(k), value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Used returns the bytes of the file that hold rows; the rest is free for new
 // ones.
 func (s *Store) Used() int64 {
--- a/treasurer/bill.go
+++ b/treasurer/bill.go
@@ -39,6 +39,10 @@
 		r.Release()
 		return 0, merry.Wrap(ErrNotBilled, merry.AppendMessage("the charge exceeds the reservation"))
 	}
+	if most := r.treasurer.policy.RunMost; most > 0 && time.Now().Round(0).Sub(r.begun) > most {
+		r.Release()
+		return 0, merry.Wrap(ErrNotBilled, merry.AppendMessagef("the run began more than %s ago", most))
+	}
 	b, first, err := r.treasurer.post(ctx, m, r.holder, c)
 	if err != nil {
 		r.Release()
--- a/treasurer/caller.go
+++ b/treasurer/caller.go
@@ -34,6 +34,7 @@
 		case err == nil:
 			t.useWitness(out.WitnessAddress)
 			t.renewals.Store(0)
+			m.notBefore(out.OldestChargeMs)
 			close(m.registered)
 			return
 		}
--- a/treasurer/outbox.go
+++ b/treasurer/outbox.go
@@ -85,6 +85,7 @@
 	undurable int
 	tokens    rattanhoist.Tokens
 	dropped   int
+	promise
 }
 
 // NewOutbox returns an empty outbox.
@@ -117,6 +118,7 @@
 	if o.byKey[key] != nil || !o.makeRoom() {
 		return nil, false
 	}
+	o.keep(c)
 	e := &entry{charge: c, key: key, added: now}
 	o.byKey[key] = e
 	o.undurable++
@@ -138,6 +140,7 @@
 		}
 		if e := q.front(); e != nil && e.durable {
 			q.pop()
+			o.pin(e)
 			o.forget(e)
 			o.dropped++
 			return true
@@ -266,6 +269,9 @@
 	if billed {
 		o.makeDurable(e)
 	}
+	if !billed {
+		o.pin(e)
+	}
 	if !billed || twoDisks {
 		o.forget(e)
 	} else if !e.gone {
@@ -289,6 +295,7 @@
 		o.makeDurable(e)
 		return Outcome{Key: e.key, State: r.State, Billed: cost, Spent: cost}, true
 	case messenger.ChargeState_CHARGE_STATE_FENCED:
+		o.pin(e)
 		o.forget(e)
 		return Outcome{Key: e.key, State: r.State}, true
 	default:
--- a/treasurer/policy.go
+++ b/treasurer/policy.go
@@ -37,6 +37,11 @@
 	BatchMost int
 	// PendingMost bounds the charges that are not on two disks yet.
 	PendingMost int
+	// RunMost is the longest time from a reservation to its charge, by the wall
+	// clock; 0 for no bound. A process that was frozen for longer may hold a
+	// run whose request was billed to another router since, and that bill may
+	// have been pruned.
+	RunMost time.Duration
 	// TickEvery is the pause between looks at demand and idle slices.
 	TickEvery time.Duration
 }
--- a/treasurer/reserve.go
+++ b/treasurer/reserve.go
@@ -14,6 +14,9 @@
 	treasurer *Treasurer
 	holder    *holder
 	tokens    rattanhoist.Tokens
+	// Begun is wall time without the monotonic clock, which stands still while
+	// a VM is frozen.
+	begun time.Time
 }
 
 // Reserve sets n tokens of a workspace aside. Where the slice holds too few
@@ -33,7 +36,7 @@
 		}
 		if got {
 			t.poke(h)
-			return Reservation{treasurer: t, holder: h, tokens: n}, nil
+			return Reservation{treasurer: t, holder: h, tokens: n, begun: time.Now().Round(0)}, nil
 		}
 	}
 }
--- a/treasurer/term.go
+++ b/treasurer/term.go
@@ -49,6 +49,18 @@
 	}
 }
 
+func (m *term) answeredBefore() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.outbox.AnsweredBefore(time.Now())
+}
+
+func (m *term) notBefore(ms int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.outbox.NotBefore(ms)
+}
+
 func (m *term) over() bool {
 	select {
 	case <-m.ended:
--- a/treasurer/treasurer.go
+++ b/treasurer/treasurer.go
@@ -208,15 +208,18 @@
 // Recall returns up to the wanted rights to the keeper, so that a sibling can
 // spend them, and waits until the keeper has them.
 func (t *Treasurer) Recall(ctx context.Context, r *messenger.RecallRequest) (*messenger.RecallReply, error) {
-	h, ok := t.term.Load().find(r.Workspace)
+	m := t.term.Load()
+	out := &messenger.RecallReply{Incarnation: uint64(m.incarnation), AnsweredBeforeMs: m.answeredBefore()}
+	h, ok := m.find(r.Workspace)
 	if !ok {
-		return &messenger.RecallReply{}, nil
+		return out, nil
 	}
 	before := h.slice.Withdrawn()
 	t.step(h, Recall{Tokens: rattanhoist.Tokens(r.WantTokens)})
 	h.awaitReturn(ctx)
 	counters.recalls.Add(1)
-	return &messenger.RecallReply{ReturningTokens: int64(h.slice.Withdrawn() - before)}, nil
+	out.ReturningTokens = int64(h.slice.Withdrawn() - before)
+	return out, nil
 }
 
 // GiveBack returns what is not reserved, and waits until the keeper has the
