--- a/loader/policy.go
+++ b/loader/policy.go
@@ -68,7 +68,7 @@
 	defaultTimeout        = 60 * time.Second
 	defaultMaxTimeout     = time.Hour
 	defaultKeepAnswer     = 2 * time.Minute
-	defaultKeepCharges    = 24 * time.Hour
+	defaultKeepCharges    = 12 * time.Hour
 	defaultEndpointMaxAge = 3 * time.Second
 	defaultDrainTimeout   = 10 * time.Minute
 )
