--- a/keeper/vault_loop.go
+++ b/keeper/vault_loop.go
@@ -24,6 +24,13 @@
 const (
 	// commitMost bounds how many events share one sync.
 	commitMost = 512
+	// commitEvery is the least time from one commit to the next in a zone of
+	// pacedRouters and more, and less in smaller ones, down to nothing with the
+	// two routers that every zone has. An event that comes later than that
+	// waits for nothing.
+	commitEvery  = 5 * time.Millisecond
+	pacedRouters = 18
+	leastRouters = 2
 	// mirrorTimeout bounds how long answers wait for the mirror before the
 	// vault goes on alone.
 	mirrorTimeout = 300 * time.Millisecond
@@ -63,6 +70,11 @@
 	store *storer.Store
 	link  mirrorLink
 	log   *zap.Logger
+	// Last is when the latest commit of events began; of the goroutine of run.
+	last time.Time
+	// Now and after are the clock.
+	now   func() time.Time
+	after func(time.Duration) <-chan time.Time
 	// Mu guards copier, which pairing shares.
 	mu     sync.Mutex
 	copier *budgeter.Copier
@@ -75,7 +87,7 @@
 func newVaultLoop(zone string, store *storer.Store, link mirrorLink, log *zap.Logger) *vaultLoop {
 	l := &vaultLoop{
 		vault: budgeter.NewVault(zone, store), store: store, link: link, log: log,
-		callQueue: newCallQueue[call](commitMost),
+		callQueue: newCallQueue[call](commitMost), now: time.Now, after: time.After,
 	}
 	l.mode.Store(budgeter.ModeStarting)
 	return l
@@ -168,13 +180,46 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case c := <-l.calls:
-			if err := l.commit(ctx, l.batch(c)); err != nil {
+			if err := l.commit(ctx, l.gather(ctx, c)); err != nil {
 				return err
 			}
 		}
 	}
 }
 
+// gather returns the events of the next commit: those that wait, and where the
+// last commit is less than commitEvery ago, those that come until then. Each
+// commit costs a call to the mirror and two syncs, whatever it holds: without
+// this a busy keeper makes one of nearly every event. Reads are answered at
+// once; the vault is as it was last synced.
+func (l *vaultLoop) gather(ctx context.Context, first call) []call {
+	events := l.answerReads(l.batch(first))
+	wait := l.last.Add(paceOf(l.vault.Routers())).Sub(l.now())
+	if len(events) == 0 || wait <= 0 {
+		return events
+	}
+	due := l.after(wait)
+	for len(events) < commitMost {
+		select {
+		case c := <-l.calls:
+			events = append(events, l.answerReads([]call{c})...)
+		case <-due:
+			return events
+		case <-ctx.Done():
+			return events
+		}
+	}
+	return events
+}
+
+// paceOf returns the least time between commits in a zone of so many routers.
+// With few routers the commits are few, and a wait would only make a caller who
+// sends one request after the other slower.
+func paceOf(routers int) time.Duration {
+	paced := min(max(routers, leastRouters), pacedRouters) - leastRouters
+	return commitEvery * time.Duration(paced) / (pacedRouters - leastRouters)
+}
+
 // commit answers reads at once; the events share one sync. The reads go first:
 // after a step they would see what a crash may still take back, and a transfer
 // that left on the strength of it would exist in two zones.
@@ -183,6 +228,7 @@
 	if len(events) == 0 {
 		return nil
 	}
+	l.last = l.now()
 	var writes []budgeter.Write
 	replies := make([]budgeter.Reply, len(events))
 	for i, c := range events {
--- a/loader/policy.go
+++ b/loader/policy.go
@@ -8,6 +8,7 @@
 	"rattanhoist.example/rattanhoist/admitter"
 	"rattanhoist.example/rattanhoist/picker"
 	"rattanhoist.example/rattanhoist/placer"
+	"rattanhoist.example/rattanhoist/tracker"
 )
 
 // Policy holds the choices among plug-ins and bounds; every value has a
@@ -22,6 +23,7 @@
 	keepAnswer       time.Duration
 	keepCharges      time.Duration
 	endpointMaxAge   time.Duration
+	gossipSiblings   int64
 	drainTimeout     time.Duration
 	faultPortEnabled bool
 }
@@ -53,6 +55,10 @@
 // EndpointMaxAge returns the age from which an announcement is not used.
 func (p Policy) EndpointMaxAge() time.Duration { return p.endpointMaxAge }
 
+// GossipSiblings returns how many routers of its zone a router asks for news
+// of endpoints in each round.
+func (p Policy) GossipSiblings() int { return int(p.gossipSiblings) }
+
 // DrainTimeout returns how long a graceful shutdown waits for requests.
 func (p Policy) DrainTimeout() time.Duration { return p.drainTimeout }
 
@@ -71,6 +77,8 @@
 	defaultKeepCharges    = 12 * time.Hour
 	defaultEndpointMaxAge = 3 * time.Second
 	defaultDrainTimeout   = 10 * time.Minute
+	// maxGossipSiblings is more than any zone has routers.
+	maxGossipSiblings = 1000
 )
 
 // keepChargesFactor leaves room in the life of a bill for the run, the time
@@ -82,13 +90,14 @@
 		picker: defaultPicker, shedder: defaultShedder, placement: defaultPlacement, maxBody: defaultMaxBody,
 		defaultTimeout: defaultTimeout, maxTimeout: defaultMaxTimeout,
 		keepAnswer: defaultKeepAnswer, keepCharges: defaultKeepCharges, endpointMaxAge: defaultEndpointMaxAge,
-		drainTimeout: defaultDrainTimeout,
+		gossipSiblings: tracker.DefaultSiblings,
+		drainTimeout:   defaultDrainTimeout,
 	}
 }
 
 var policyKeys = []string{
 	"picker", "shedder", "placement", "max_body_bytes", "default_timeout", "max_timeout",
-	"keep_answer", "keep_charges", "endpoint_max_age", "drain_timeout", "fault_port",
+	"keep_answer", "keep_charges", "endpoint_max_age", "gossip_siblings", "drain_timeout", "fault_port",
 }
 
 func (c *checker) policySection(sec *ini.Section) Policy {
@@ -106,6 +115,7 @@
 	c.duration(sec, "keep_answer", &p.keepAnswer)
 	c.duration(sec, "keep_charges", &p.keepCharges)
 	c.duration(sec, "endpoint_max_age", &p.endpointMaxAge)
+	c.count(sec, "gossip_siblings", &p.gossipSiblings, maxGossipSiblings)
 	c.duration(sec, "drain_timeout", &p.drainTimeout)
 	c.flag(sec, "fault_port", &p.faultPortEnabled)
 	if p.defaultTimeout > p.maxTimeout {
--- a/measurer/router_lines.go
+++ b/measurer/router_lines.go
@@ -7,10 +7,14 @@
 	c, bound := Letter, LetterBounds
 	return []line{
 		{
-			routerRole, "memory of the configuration", "`configurer`: followed copy and compiled snapshot",
+			routerRole, "memory of the configuration", "`configurer`: one small form of a workspace, shared by the followed copy and the snapshots; labels that many workspaces have are held once",
 			[]term{{configurationMemory, c.Workspaces * collector, "42,000 workspaces, heap doubled by the collector"}},
-			megabytes, bound.NodeBytes, workedOut,
-			"a smaller form of a workspace in the snapshot, names interned, one copy instead of two; or a memory limit for the collector",
+			megabytes, bound.NodeBytes, workedOut, "a memory limit for the collector",
+		},
+		{
+			routerRole, "the same if no two workspaces had equal labels (not in the sum)", "the same",
+			[]term{{ownLabelsMemory, c.Workspaces * collector, "42,000 workspaces, heap doubled by the collector"}},
+			megabytes, bound.NodeBytes, workedOut, "each label held once in place of each set",
 		},
 		{
 			routerRole, "memory of endpoints", "`tracker`: own zone whole, 32 a service of every other zone",
@@ -30,14 +34,14 @@
 	c, bound := Letter, LetterBounds
 	return []line{
 		{
-			routerRole, "processor, changes", "`configurer`: every change compiles the whole snapshot anew",
+			routerRole, "processor, changes", "`configurer`: a change copies the list of shards and the shards that it touches",
 			[]term{{configurationCPU, c.Workspaces * c.ChangesPerDay / secondsPerDay, "42,000 workspaces x 3,200 changes a day"}},
-			core, bound.NodeCores, measured, "compile only what the change touches",
+			core, bound.NodeCores, measured, "shards in a tree, so that a change copies a path",
 		},
 		{
 			routerRole, "time of one change", "the same; part of the 3 s until in force",
 			[]term{{configurationCPU, c.Workspaces, "42,000 workspaces, all of it on one core"}},
-			seconds, bound.InForceS, measured, "compile only what the change touches",
+			seconds, bound.InForceS, measured, "shards in a tree, so that a change copies a path",
 		},
 	}
 }
@@ -50,20 +54,37 @@
 		{
 			routerRole, "processor, beats between siblings", "`router`: every router calls every other of its zone, 4 a second",
 			[]term{{callCPU, 2 * siblings * beatsPerS * callSide, "17 siblings x 4 a second, one side of calls made and taken"}},
-			core, bound.NodeCores, workedOut, "beat a few siblings in turn and let them pass it on",
+			core, bound.NodeCores, workedOut, "one stream to each sibling in place of a call a beat",
 		},
 		{
 			routerRole, "network, beats between siblings", "the same",
 			[]term{{callBytes, 2 * siblings * beatsPerS, "17 siblings x 4 a second, made and taken"}},
-			perSecond, bound.NodeBytesPerS, workedOut, "one beat a second carried by the gossip's own calls, to a few siblings in turn: cost then does not grow with the zone",
+			perSecond, bound.NodeBytesPerS, workedOut, "one stream to each sibling in place of a call a beat",
+		},
+		{
+			routerRole, "processor, gossip of endpoints", "`tracker`: pulls from two siblings in turn in each half second",
+			[]term{
+				{callCPU, 2 * pullsPerS * callSide, "4 a second, one side of calls made and taken"},
+				{gossipTime, 2 * pullsPerS * callSide * c.EndpointsPerZone() * 1e-6, "at worst all 216 endpoints of the zone in each; us elapsed"},
+			},
+			core, bound.NodeCores, workedOut, "",
 		},
 		{
-			routerRole, "network, gossip of endpoints", "`tracker`: pulls from every sibling, 2 a second, each what it has not heard",
+			routerRole, "network, gossip of endpoints", "the same; renewals that the puller needs not yet left out",
 			[]term{
-				{callBytes, 2 * siblings * gossipPerS, "17 siblings x 2 a second, made and taken"},
-				{gossipBytes, 2 * siblings * gossipPerS * c.EndpointsPerZone(), "at worst all 216 endpoints of the zone renewed in each pull"},
+				{callBytes, 2 * pullsPerS, "4 a second, made and taken"},
+				{turnBytes, 2 * pullsPerS * c.EndpointsPerZone(), "216 endpoints of the zone, as many of them in each pull as in the simulated zone"},
 			},
-			perSecond, bound.NodeBytesPerS, workedOut, "pull from two siblings in turn instead of all: the zone still hears in a few rounds",
+			perSecond, bound.NodeBytesPerS, workedOut, "",
+		},
+		{
+			routerRole, "network, endpoints of other zones", "`tracker`: each other zone pulled by one router, which passes on what it hears",
+			[]term{
+				{callBytes, 2 * roundsPerS * (c.Zones - 1) / c.NodesPerZone(), "18 zones / 18 routers x 2 a second, made and taken"},
+				{gossipBytes, 2 * roundsPerS * (c.Zones - 1) / c.NodesPerZone() * c.EndpointsPerZone(), "at worst all 216 endpoints of that zone"},
+				{turnBytes, 2 * pullsPerS * (c.Endpoints - c.EndpointsPerZone()), "3,884 endpoints passed on with the pulls between siblings"},
+			},
+			perSecond, bound.NodeBytesPerS, workedOut, "know a sample of other zones' endpoints, or ask for them only where the own zone serves nothing",
 		},
 	}
 }
@@ -78,16 +99,13 @@
 			core, bound.NodeCores, workedOut, "",
 		},
 		{
-			routerRole, "network, charges", "`treasurer`: one call for the charges of a moment; here one a call",
-			[]term{
-				{callBytes, c.RequestsPerNode(), "5,700 requests a second / 340"},
-				{chargeMessage, c.RequestsPerNode(), "the same"},
-			},
+			routerRole, "network, charges", "`treasurer`: one stream to the keeper, one message for the charges of a moment; here one each",
+			[]term{{spendChargeBytes, c.RequestsPerNode(), "5,700 requests a second / 340"}},
 			perSecond, bound.NodeBytesPerS, workedOut, "",
 		},
 		{
-			routerRole, "processor, charges", "the same, one side of a call",
-			[]term{{callCPU, c.RequestsPerNode() * callSide, "5,700 requests a second / 340"}},
+			routerRole, "processor, charges", "the same, one side",
+			[]term{{spendChargeCPU, c.RequestsPerNode() * callSide, "5,700 requests a second / 340"}},
 			core, bound.NodeCores, workedOut, "",
 		},
 	}
--- a/router/follower.go
+++ b/router/follower.go
@@ -79,7 +79,7 @@
 	log        *zap.Logger
 	sources    []source
 	show       func(*configurer.Snapshot)
-	book       *configurer.Book
+	book       *configurer.Copy
 	// Shown says that the router serves; from then on the version only grows.
 	shown   bool
 	started time.Time
@@ -110,9 +110,7 @@
 // show has the router serve a configuration.
 func (r *Router) show(s *configurer.Snapshot) {
 	r.snapshot.Store(s)
-	if r.life.Is(stateStarting) {
-		_ = r.life.Event(context.Background(), eventReady)
-	}
+	r.becomeReady()
 }
 
 // configurationAgeMS is the time since the configuration was last confirmed,
@@ -256,7 +254,7 @@
 	f.shown = true
 	f.served = f.book.Version()
 	versionServed.Set(int64(f.served))
-	f.show(configurer.Compile(f.book.Configuration()))
+	f.show(f.book.Snapshot())
 }
 
 // report tells the keeper which version is in force here.
