--- a/keeper/claims.go
+++ b/keeper/claims.go
@@ -222,37 +222,39 @@
 	if err := out.Send(head); err != nil {
 		return err
 	}
-	for after := ""; ; {
+	for next, more := "", true; more; more = next != "" {
 		part := &messenger.RowsReply{}
-		if after, err = s.rowsAfter(after, part); err != nil || len(part.Rows) == 0 {
+		if next, err = s.rowsFrom(next, part); err != nil {
 			return err
 		}
 		if err := out.Send(part); err != nil {
 			return err
 		}
 	}
+	return nil
 }
 
-// rowsAfter reads the next rows and returns the key of the last one. Each part
-// is a reading of its own: one held open while a slow keeper takes the rows
-// would hold up the store's commits. Rows that are written meanwhile may be
-// left out: they are of attempts that the new disk could not have voted for
-// before it was lost.
-func (s *claimServer) rowsAfter(after string, part *messenger.RowsReply) (string, error) {
-	err := s.keeper.store.View(func(v storer.View) error {
-		return v.EachAfter(claimer.BucketClaims, after, func(key string, value []byte) error {
+// rowsFrom reads the rows from a key on, as many as go into a part, and returns
+// the key of the next one, "" after the last. Each part is a reading of its own:
+// one held open while a slow keeper takes the rows would hold up the store's
+// commits. Rows that are written meanwhile may be left out: they are of attempts
+// that the new disk could not have voted for before it was lost.
+func (s *claimServer) rowsFrom(first string, part *messenger.RowsReply) (next string, err error) {
+	err = s.keeper.store.View(func(v storer.View) error {
+		return v.From(claimer.BucketClaims, first, func(key string, value []byte) error {
 			if len(part.Rows) >= rowsPart {
+				next = key
 				return errEnough
 			}
 			row := &messenger.ClaimRow{}
-			part.Rows, after = append(part.Rows, row), key
+			part.Rows = append(part.Rows, row)
 			return proto.Unmarshal(value, row)
 		})
 	})
 	if errors.Is(err, errEnough) {
 		err = nil
 	}
-	return after, err
+	return next, err
 }
 
 // copyOthers lets a keeper with a new disk decide once it knows what its lost
--- a/keeper/claims_test.go
+++ b/keeper/claims_test.go
@@ -121,16 +121,15 @@
 	s = restartedClaims(t, store)
 	seen := map[string]bool{}
 	parts := 0
-	for after := ""; ; parts++ {
+	for next, more := "", true; more; more = next != "" {
 		part := &messenger.RowsReply{}
-		after, err = s.rowsAfter(after, part)
+		next, err = s.rowsFrom(next, part)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		if len(part.Rows) == 0 {
-			break
-		}
+		g.Expect(part.Rows).To(gomega.HaveLen(rowsPart))
 		for _, r := range part.Rows {
 			seen[r.RequestId] = true
 		}
+		parts++
 	}
 	g.Expect(parts).To(gomega.Equal(2))
 	g.Expect(seen).To(gomega.HaveLen(2 * rowsPart))
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -163,17 +163,14 @@
 	return nil
 }
 
-// EachAfter calls f for every row whose key follows after, in key order.
-func (v View) EachAfter(bucket, after string, f func(key string, value []byte) error) error {
+// From calls f for every row from a key on, in key order.
+func (v View) From(bucket, first string, f func(key string, value []byte) error) error {
 	b := v.tx.Bucket([]byte(bucket))
 	if b == nil {
 		return nil
 	}
 	c := b.Cursor()
-	for k, value := c.Seek([]byte(after)); k != nil; k, value = c.Next() {
-		if string(k) == after {
-			continue
-		}
+	for k, value := c.Seek([]byte(first)); k != nil; k, value = c.Next() {
 		if err := f(string(k), value); err != nil {
 			return err
 		}
