A leave is pulled however young it is: tested

Cause: of seeded mistakes in a scratch copy, one was not found: leaving out renewals of young entries without looking whether they say that the endpoint leaves. Found before: ages of packed renewals ignored, ages rounded down, what siblings told not passed on, numbers kept over a router's start, the leave flag dropped.

Change: TestPackedRenewals pulls a leave of an entry that is young. The mistake fails it; the others still fail.

--- a/tracker/zone_test.go
+++ b/tracker/zone_test.go
@@ -370,15 +370,25 @@
 	again.Sequence = 4
 	say(g, a, again, now.Add(maxAge/2))
 	g.Expect(pull(now.Add(maxAge / 2)).Packed.Sequences).To(gomega.Equal([]uint64{4}))
+	leave := again
+	leave.Sequence, leave.Leaving = 5, true
+	say(g, a, leave, now.Add(maxAge/2))
+	g.Expect(pull(now.Add(maxAge/2)).Packed.Sequences).To(gomega.Equal([]uint64{5}), "a leave, however young")
+	g.Expect(usable(b, "llm", now.Add(maxAge/2))).To(gomega.BeEmpty())
+	again.Incarnation, again.Sequence = 2, 1
+	say(g, a, again, now.Add(maxAge/2))
+	pull(now.Add(maxAge / 2))
 	rejected := b.Stats().Rejected
 	b.Merge(p, &messenger.GossipReply{Incarnation: 1, Packed: &messenger.PackedRenewals{Numbers: []uint64{1}}}, now, now)
 	g.Expect(b.Stats().Rejected).To(gomega.Equal(rejected + 1))
+	again.Sequence = 2
+	say(g, a, again, now.Add(maxAge/2))
 	old := &messenger.GossipRequest{Node: "c", Zone: zones[0], Incarnation: 1, Revision: a.Revision() - 1}
 	reply := a.Reply(old, now.Add(maxAge/2))
 	g.Expect(reply.Renewals).To(gomega.HaveLen(1))
 	g.Expect(reply.Packed).To(gomega.BeNil())
 	b.Merge(p, &messenger.GossipReply{Incarnation: 9, Packed: &messenger.PackedRenewals{
-		Numbers: []uint64{1}, Sequences: []uint64{99}, Loads: []uint64{1}, Ages: []uint32{0},
+		Numbers: []uint64{2}, Sequences: []uint64{99}, Loads: []uint64{1}, Ages: []uint32{0},
 	}}, now, now)
 	g.Expect(usable(b, "llm", now.Add(maxAge/2))).To(gomega.Equal([]string{"e1"}), "a number of another start")
 }
