A drain after a second loss waits until the first keeper votes again

Cause: TestDrainAfterASecondLoss takes the second disk as soon as the first keeper's budgets are repaired. Its configuration may not vote yet; then two of three disks of the configuration are gone, which no promise covers.

Change: the wait of TestWholeAnswersAfterASecondLoss is shared. What the tests assert is as before.

--- a/router/drain_faults_test.go
+++ b/router/drain_faults_test.go
@@ -177,11 +177,13 @@
 		f.Kill(zone + "-1")
 		f.Wipe(zone + "-keeper")
 	}
+	before := f.disk("osu-hall-keeper")
 	lose("osu-hall")
 	f.Restart("osu-hall-keeper")
 	f.Restart("osu-hall-1")
 	f.Eventually("the first VM is back", func() bool { return f.Ready("osu-hall-1") })
 	f.Eventually("the first VM is repaired", func() bool { return f.isPaired("osu-hall-keeper") })
+	f.votesAgain("osu-hall-keeper", before)
 	ids := f.drainUnder("osu-hall-2", func() { lose("tema-hall") }, nothing)
 	f.Restart("tema-hall-keeper")
 	f.Restart("tema-hall-1")
--- a/router/proof_test.go
+++ b/router/proof_test.go
@@ -313,11 +313,11 @@
 
 // disk returns the incarnation that votes for a keeper on the configuration, as
 // its own confirmed copy has it; 0 where it has none.
-func (p *proof) disk(keeper string) uint64 {
-	x, err := p.Settings().Process(loader.KindKeeper, keeper)
-	p.g.Expect(err).NotTo(gomega.HaveOccurred())
-	c, err := messenger.NewDialer("test", messenger.RoleMember, p.Settings().DeploymentKey()).Dial(x.RPC())
-	p.g.Expect(err).NotTo(gomega.HaveOccurred())
+func (f *fleet) disk(keeper string) uint64 {
+	x, err := f.Settings().Process(loader.KindKeeper, keeper)
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
+	c, err := messenger.NewDialer("test", messenger.RoleMember, f.Settings().DeploymentKey()).Dial(x.RPC())
+	f.g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer func() { _ = c.Close() }()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -330,6 +330,17 @@
 	return 0
 }
 
+// votesAgain waits until a keeper that lost the disk of an incarnation votes on
+// the configuration with a new one. Before that, the loss of another keeper's
+// disk is that of two of three.
+func (f *fleet) votesAgain(keeper string, lost uint64) {
+	f.t.Helper()
+	f.Eventually(keeper+" votes again", func() bool {
+		now := f.disk(keeper)
+		return now != 0 && now != lost
+	})
+}
+
 // TestWholeAnswersAfterASecondLoss
 // Symptom: a caller gets a fragment or another's answer, or two bills, when a
 // second VM is lost right after the first is repaired.
@@ -357,11 +368,7 @@
 	p.Eventually("the first VM is back", func() bool { return p.Ready("osu-hall-1") })
 	p.died.Clear()
 	p.Eventually("the first VM's budgets are repaired", func() bool { return p.isPaired("osu-hall-keeper") })
-	// Without this, two of three disks of the configuration would be lost.
-	p.Eventually("the first VM's configuration is repaired", func() bool {
-		now := p.disk("osu-hall-keeper")
-		return now != 0 && now != before
-	})
+	p.votesAgain("osu-hall-keeper", before)
 	second, wait := p.open("second", proofLong, all)
 	lose("tema-hall")
 	wait()
