A data folder written with a slash at its end is durable

Cause: filepath.Dir("data/") is "data", so after creating it the folder itself was synced and not the one that names it: a power cut after the first start could take the whole folder, which the sync is there to prevent. And a folder that can't be made because of ErrNotExist was tried again without end: Open("") died of a full stack, where it returned an error before.

Change: the parent is that of the cleaned path; a second failure is returned.

--- a/storer/folder.go
+++ b/storer/folder.go
@@ -12,21 +12,23 @@
 // although the file in it was synced. It syncs for a dir that is there too,
 // since a process may have ended between the two.
 func makeFolder(dir string, sync func(folder string) error) error {
+	// Of "data/" alone Dir would return "data", which does not name it.
+	parent := filepath.Dir(filepath.Clean(dir))
 	err := os.Mkdir(dir, dirMode)
-	switch {
-	case err == nil:
-		return sync(filepath.Dir(dir))
-	case errors.Is(err, fs.ErrNotExist):
-		if err := makeFolder(filepath.Dir(dir), sync); err != nil {
+	if errors.Is(err, fs.ErrNotExist) && parent != dir {
+		if err := makeFolder(parent, sync); err != nil {
 			return err
 		}
-		return makeFolder(dir, sync)
+		err = os.Mkdir(dir, dirMode)
 	}
-	// The folder is there, or can't be made; MkdirAll tells which.
-	if err := os.MkdirAll(dir, dirMode); err != nil {
+	if err != nil {
+		// The folder is there, or can't be made; MkdirAll tells which.
+		err = os.MkdirAll(dir, dirMode)
+	}
+	if err != nil {
 		return err
 	}
-	return sync(filepath.Dir(dir))
+	return sync(parent)
 }
 
 // syncFolder makes the names in a folder durable.
