The first beat of a sibling ends no relay from it

Cause: where a sibling is taken for dead, the first message of its answer begins a life without an incarnation, since no beat has told one. The next answered beat, at most 100 ms later, took it for the life of another process and ended it, and with it the relay that had begun it. The caller of a request that a sibling holds the claim of was told "running" while its answer was on the way, right after a start or a heal.

Ruled out: that the relay and the beat reach different processes. Both use the sibling's one connection, and a relay does not outlive it.

Change: such a life takes the beat's incarnation and goes on.

Tests: TestFirstBeatEndsNoRelay failed before and passes now; the other tests of settle_test.go pass under -race. Tests with real processes: not run here.

--- a/router/home.go
+++ b/router/home.go
@@ -102,11 +102,16 @@
 }
 
 // hear notes a sibling's answer to a beat. A life is that of one incarnation:
-// what waits for a sibling that was started anew waits for nothing.
+// what waits for a sibling that was started anew waits for nothing. One that a
+// sign of life began goes on: that came over the connection of the beat.
 func (h *homes) hear(x *sibling, b *messenger.BeatReply) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if l := x.life.Load(); l.Err() != nil || l.incarnation != b.Incarnation {
+	l := x.life.Load()
+	switch {
+	case l.Err() == nil && l.incarnation == 0:
+		x.life.Store(&life{Context: l.Context, end: l.end, began: l.began, incarnation: b.Incarnation})
+	case l.Err() != nil || l.incarnation != b.Incarnation:
 		l.end()
 		x.life.Store(newLife(h.now(), b.Incarnation))
 	}
--- a/router/settle_test.go
+++ b/router/settle_test.go
@@ -84,6 +84,28 @@
 	g.Expect(old.Err()).To(gomega.HaveOccurred(), "what waits for the old one ends")
 }
 
+// TestFirstBeatEndsNoRelay
+// Symptom: a caller is told "running" of a request whose holder is just sending
+// the answer.
+// Sequence: a sibling that is taken for dead begins to answer, which shows that
+// it lives; then it answers a beat.
+// Cause: the beat's incarnation differed from the one not known yet, so the life
+// that the answer had begun was ended as that of an earlier process.
+func TestFirstBeatEndsNoRelay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, x := newPair(t, "127.0.0.1:5")
+	ended := make(chan struct{})
+	w := watch{homes: r.homes, sibling: x, cancel: func() { close(ended) }}
+	w.heard()
+	l := x.life.Load()
+	r.homes.hear(x, &messenger.BeatReply{Incarnation: 7})
+	g.Expect(l.Err()).NotTo(gomega.HaveOccurred())
+	g.Expect(r.homes.reachedForMS(x, 7)).To(gomega.BeNumerically(">", 0))
+	r.homes.hear(x, &messenger.BeatReply{Incarnation: 8})
+	g.Expect(l.Err()).To(gomega.HaveOccurred(), "another process answers")
+	g.Eventually(ended, 10*time.Second).Should(gomega.BeClosed())
+}
+
 // TestLostSiblingHoldsNoStartUp guards the bound of the wait.
 func TestLostSiblingHoldsNoStartUp(t *testing.T) {
 	g := gomega.NewWithT(t)
