Leases that wait hold up no charge on a router's stream

Cause: a stream served 256 calls at once, of any kind, and read no more meanwhile. A lease of a budget that is short asks the other zones, half a second for each question where they are cut off. With more than 256 such leases open, charges of the same router waited unread behind them, so that answers could not complete; as single calls they did not wait for each other.

Change: leases have 256 places of their own and wait for them in their own goroutine; a router has one lease open for each workspace, and its time runs while it waits. Charges, returns and witnessed charges keep the bound that stops the reading.

Tests: TestWaitingLeasesHoldUpNoCharge, 512 leases held back, failed before (a charge timed out after 5 s) and passes now, in 4 runs of 4 under -race, with the other tests of the stream. Tests with real processes: not run here.

--- a/messenger/spend_server.go
+++ b/messenger/spend_server.go
@@ -14,8 +14,9 @@
 	"rattanhoist.example/rattanhoist/tracer"
 )
 
-// spendMost bounds the calls of one stream that are served at once; more wait
-// unread.
+// spendMost bounds the calls of one stream that are served at once, leases and
+// others each. More leases wait, as many as the router has workspaces: it has
+// one open for each. More of the others wait unread.
 const spendMost = 256
 
 // spendServer serves one router's stream.
@@ -23,7 +24,11 @@
 	keeper  BudgetKeeperServer
 	stream  BudgetKeeper_SpendServer
 	opening *SpendOpening
-	places  chan struct{}
+	// Places and leasePlaces have a place for each call that is served. Leases
+	// wait for other zones, half a second for each question to one that is cut
+	// off: in the same places they would hold up every charge, and with it the
+	// end of every answer.
+	places, leasePlaces chan struct{}
 	// Sending guards the stream's sends.
 	sending sync.Mutex
 }
@@ -43,7 +48,7 @@
 	if node := provedNode(stream.Context()); o.Router != node {
 		return status.Errorf(codes.PermissionDenied, "opening: router: %q has proved to be %q", o.Router, node)
 	}
-	s := &spendServer{keeper: k, stream: stream, opening: o, places: make(chan struct{}, spendMost)}
+	s := &spendServer{keeper: k, stream: stream, opening: o, places: make(chan struct{}, spendMost), leasePlaces: make(chan struct{}, spendMost)}
 	var work sync.WaitGroup
 	defer work.Wait()
 	for {
@@ -54,15 +59,33 @@
 		if err != nil {
 			return err
 		}
-		select {
-		case s.places <- struct{}{}:
-		case <-stream.Context().Done():
-			return status.FromContextError(stream.Context().Err()).Err()
+		if r.GetLease() != nil {
+			// It waits for its place in lease, and not here.
+			work.Go(func() { s.serve(r) })
+			continue
 		}
-		work.Go(func() { s.serve(r) })
+		if err := enter(stream.Context(), s.places); err != nil {
+			return err
+		}
+		work.Go(func() {
+			defer leave(s.places)
+			s.serve(r)
+		})
+	}
+}
+
+// enter takes a place, or fails with the context.
+func enter(ctx context.Context, places chan struct{}) error {
+	select {
+	case places <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return status.FromContextError(ctx.Err()).Err()
 	}
 }
 
+func leave(places chan struct{}) { <-places }
+
 // provedNode returns the name that the checked proof of a call is for.
 func provedNode(ctx context.Context) string {
 	md, _ := metadata.FromIncomingContext(ctx)
@@ -70,7 +93,6 @@
 }
 
 func (s *spendServer) serve(r *SpendRequest) {
-	defer func() { <-s.places }()
 	ctx := s.stream.Context()
 	if r.WaitMs > 0 {
 		var cancel context.CancelFunc
@@ -114,7 +136,7 @@
 	switch c := r.Call.(type) {
 	case *SpendRequest_Lease:
 		c.Lease.Router, c.Lease.Incarnation = o.Router, o.Incarnation
-		m, err := s.keeper.Lease(ctx, c.Lease)
+		m, err := s.lease(ctx, c.Lease)
 		return &SpendReply{Answer: &SpendReply_Lease{Lease: m}}, err
 	case *SpendRequest_Return:
 		c.Return.Router, c.Return.Incarnation = o.Router, o.Incarnation
@@ -133,6 +155,14 @@
 	}
 }
 
+func (s *spendServer) lease(ctx context.Context, r *LeaseRequest) (*LeaseReply, error) {
+	if err := enter(ctx, s.leasePlaces); err != nil {
+		return nil, err
+	}
+	defer leave(s.leasePlaces)
+	return s.keeper.Lease(ctx, r)
+}
+
 func (s *spendServer) own(r *ChargeRequest) {
 	r.Router, r.Incarnation, r.Zone = s.opening.Router, s.opening.Incarnation, s.opening.Zone
 }
--- a/messenger/spender_test.go
+++ b/messenger/spender_test.go
@@ -142,6 +142,31 @@
 	}
 }
 
+// Symptom: no charge of a router goes through, and no answer completes, while
+// zones are cut off. Sequence: more budgets than a stream serves at once run
+// short; each lease waits for the zones that do not answer; a charge follows.
+// Cause: leases that wait took the places of charges.
+func TestWaitingLeasesHoldUpNoCharge(t *testing.T) {
+	b := newSpendBench(t, "osu-hall-1", memberKey)
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	b.Expect(b.charge("before", 5, time.Minute)).To(gomega.Succeed())
+	for range 2 * spendMost {
+		all.Go(func() { _, _ = b.client.Lease(ctx, &LeaseRequest{Router: "osu-hall-1", Incarnation: 5}) })
+	}
+	t.Cleanup(all.Wait)
+	t.Cleanup(cancel)
+	current := b.client.(*spender).current
+	b.Eventually(func() int {
+		current.mu.Lock()
+		defer current.mu.Unlock()
+		return len(current.open) - len(current.calls)
+	}, "10s").Should(gomega.Equal(2 * spendMost))
+	b.Expect(b.charge("meanwhile", 5, 5*time.Second)).To(gomega.Succeed())
+	close(b.keeper.hold)
+	all.Wait()
+}
+
 // Symptom: somebody spends as another router. Sequence: a stream is opened
 // with another key, for another router than the proof's node, without an
 // opening; a message on it names another router. Cause: what each call proved
