A router's line at its start says how many siblings it knows

Cause: "the zone's routers know each other" was logged also where the two seconds were over and a sibling had not answered: a line that was not true.

Ruled out: another place that says so (install.md and the glossary speak of the condition, not of the line).

--- a/router/settle.go
+++ b/router/settle.go
@@ -75,6 +75,17 @@
 	return true
 }
 
+// known counts the siblings of the zone with which this router agrees; the rest
+// were taken for dead.
+func (h *homes) known() (n int) {
+	for _, x := range h.zone {
+		if _, ok := h.agreed(x); ok {
+			n++
+		}
+	}
+	return n
+}
+
 // unclear reports whether a sibling seems silent while no beat to it ended in
 // time of late: then it may be this router that did not run, and the sibling
 // lives and is home to its requests.
@@ -173,7 +184,7 @@
 // becomeReady says so once.
 func (r *Router) becomeReady() {
 	if r.life.Is(stateStarting) && r.ready() {
-		r.log.Info("the zone's routers know each other", zap.Int("siblings", len(r.homes.zone)))
+		r.log.Info("runs may begin", zap.Int("siblings", len(r.homes.zone)), zap.Int("known", r.homes.known()))
 		_ = r.life.Event(context.Background(), eventReady)
 	}
 }
--- a/router/settle_test.go
+++ b/router/settle_test.go
@@ -49,6 +49,7 @@
 	g.Expect(chat()).To(gomega.ContainSubstring(CodeNotReady))
 	r.homes.hear(x, &messenger.BeatReply{Incarnation: 7})
 	g.Expect(health()).To(gomega.Equal(http.StatusServiceUnavailable), "the sibling does not know this router yet")
+	g.Expect(r.homes.known()).To(gomega.BeZero())
 	_, err := r.requestOf(&messenger.AnswerRequest{Digest: make([]byte, len(joiner.Digest{})), Workspace: "w", Service: "llm"})
 	g.Expect(problemOf(err).Code).To(gomega.Equal(CodeNotReady), "nor does it begin runs for others")
 	_, err = r.requestOf(&messenger.AnswerRequest{Digest: make([]byte, len(joiner.Digest{})), Workspace: "w", Service: "llm", JoinOnly: true})
@@ -114,6 +115,7 @@
 	g.Expect(r.ready()).To(gomega.BeFalse())
 	r.homes.start = time.Now().Add(-settleWait)
 	g.Expect(r.ready()).To(gomega.BeTrue())
+	g.Expect(r.homes.known()).To(gomega.BeZero(), "the log does not call a lost sibling known")
 }
 
 // TestOwnPauseIsNoSilenceOfASibling
