--- /dev/null
+++ b/allotter/ledger.go
@@ -0,0 +1,209 @@
+// Package allotter shares prepaid rights out among routers. A workspace's total
+// exists once: what routers hold, what ended routers may have spent, and what
+// is left never add up to more.
+package allotter
+
+import (
+	"maps"
+	"slices"
+
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+const (
+	// rememberedEnds is how many ended incarnations of one router are known:
+	// a claim of theirs that comes late must not bring them back. Restarts
+	// take seconds, and a claim is not kept for as long.
+	rememberedEnds = 16
+	// scarcePart is the part of a total below which headroom goes back: with
+	// less, what idle routers hold decides whether the total can be used up.
+	scarcePart = 8
+	// poolShare is how many equal parts of the pool each router could have:
+	// two, so that one claim never empties the pool for the others.
+	poolShare = 2
+)
+
+// account is one incarnation's rights of one workspace. Each amount only ever
+// grows, so claims that arrive twice or out of order do no harm.
+type account struct {
+	granted, returned, spent, ceiling int64
+}
+
+// cap is the most that the incarnation can have spent.
+func (a *account) cap() int64 { return a.granted - a.returned }
+
+type holder struct {
+	incarnation uint64
+	accounts    map[string]*account
+	ended       []uint64
+}
+
+// Ledger is the pure state of all rights. It is not safe for concurrent use.
+type Ledger struct {
+	totals map[string]int64
+	// Consumed is what ended incarnations have spent or may have spent.
+	consumed map[string]int64
+	// Held is the sum of the caps of all holders.
+	held    map[string]int64
+	holders map[string]*holder
+}
+
+// NewLedger returns a ledger without totals.
+func NewLedger() *Ledger {
+	return &Ledger{
+		totals: map[string]int64{}, consumed: map[string]int64{},
+		held: map[string]int64{}, holders: map[string]*holder{},
+	}
+}
+
+// SetTotals states the prepaid totals. A workspace that is not named keeps
+// what it has spent, in case that it comes back.
+func (l *Ledger) SetTotals(totals []*messenger.PrepaidTotal) {
+	l.totals = map[string]int64{}
+	for _, t := range totals {
+		l.totals[t.Workspace] = t.Tokens
+	}
+}
+
+// Left returns the tokens of a workspace that nobody holds.
+func (l *Ledger) Left(workspace string) int64 {
+	return max(l.totals[workspace]-l.consumed[workspace]-l.held[workspace], 0)
+}
+
+// Total returns the prepaid total of a workspace.
+func (l *Ledger) Total(workspace string) int64 { return l.totals[workspace] }
+
+// Claim takes a router's account in and grants what the pool allows. It
+// returns nil for an incarnation that has ended.
+func (l *Ledger) Claim(c *messenger.RightsChange) []*messenger.RightsGrant {
+	h := l.holder(c)
+	if h == nil {
+		return nil
+	}
+	var out []*messenger.RightsGrant
+	for _, claim := range c.Claims {
+		out = append(out, l.claim(h, claim))
+	}
+	if c.Closing {
+		l.end(h, func(a *account) int64 { return a.spent })
+	}
+	return out
+}
+
+func (l *Ledger) holder(c *messenger.RightsChange) *holder {
+	h := l.holders[c.Router]
+	if h == nil {
+		h = &holder{incarnation: c.Incarnation, accounts: map[string]*account{}}
+		l.holders[c.Router] = h
+	}
+	if slices.Contains(h.ended, c.Incarnation) {
+		return nil
+	}
+	if h.incarnation != c.Incarnation {
+		l.end(h, lostOf(c.Prompt))
+		h.incarnation = c.Incarnation
+	}
+	return h
+}
+
+// lostOf returns what an incarnation that ended without a word may have spent.
+// One that ended soon after its last claim kept below the ceiling that it had
+// stated; one that may have counted itself out of touch could use all.
+func lostOf(prompt bool) func(*account) int64 {
+	return func(a *account) int64 {
+		if prompt {
+			return min(max(a.ceiling, a.spent), a.cap())
+		}
+		return a.cap()
+	}
+}
+
+func (l *Ledger) end(h *holder, lost func(*account) int64) {
+	for w, a := range h.accounts {
+		l.held[w] -= a.cap()
+		l.consumed[w] += lost(a)
+	}
+	h.accounts = map[string]*account{}
+	h.ended = append(h.ended, h.incarnation)
+	if len(h.ended) > rememberedEnds {
+		h.ended = h.ended[1:]
+	}
+}
+
+func (l *Ledger) claim(h *holder, c *messenger.RightsClaim) *messenger.RightsGrant {
+	a := h.accounts[c.Workspace]
+	if a == nil {
+		a = &account{}
+		h.accounts[c.Workspace] = a
+	}
+	if c.Returned > a.returned && c.Returned <= a.granted {
+		l.held[c.Workspace] -= c.Returned - a.returned
+		a.returned = c.Returned
+	}
+	a.spent = max(a.spent, c.Spent)
+	a.ceiling = max(a.ceiling, c.Ceiling)
+	more := l.share(c)
+	a.granted += more
+	l.held[c.Workspace] += more
+	left := l.Left(c.Workspace)
+	return &messenger.RightsGrant{
+		Workspace: c.Workspace, Granted: a.granted, Left: left,
+		Scarce: left < l.totals[c.Workspace]/scarcePart,
+	}
+}
+
+// share is what a claim is granted: all that it wants while the pool is
+// large, an equal part of what is left later, and always what a waiting
+// request needs, if the pool has it.
+func (l *Ledger) share(c *messenger.RightsClaim) int64 {
+	left := l.Left(c.Workspace)
+	fair := left / int64(poolShare*max(len(l.holders), 1))
+	more := min(c.Wanted, fair)
+	if c.Urgent <= left {
+		more = max(more, c.Urgent)
+	}
+	return max(more, 0)
+}
+
+// Snapshot writes the ledger into s.
+func (l *Ledger) Snapshot(s *messenger.FleetSnapshot) {
+	s.Totals = amounts(l.totals)
+	s.Consumed = amounts(l.consumed)
+	for _, name := range slices.Sorted(maps.Keys(l.holders)) {
+		h := l.holders[name]
+		out := &messenger.RightsHolder{Router: name, Incarnation: h.incarnation, Ended: h.ended}
+		for _, w := range slices.Sorted(maps.Keys(h.accounts)) {
+			a := h.accounts[w]
+			out.Accounts = append(out.Accounts, &messenger.RightsAccount{
+				Workspace: w, Granted: a.granted, Returned: a.returned, Spent: a.spent, Ceiling: a.ceiling,
+			})
+		}
+		s.Holders = append(s.Holders, out)
+	}
+}
+
+func amounts(m map[string]int64) []*messenger.PrepaidTotal {
+	var out []*messenger.PrepaidTotal
+	for _, w := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, &messenger.PrepaidTotal{Workspace: w, Tokens: m[w]})
+	}
+	return out
+}
+
+// Restore returns the ledger of a snapshot.
+func Restore(s *messenger.FleetSnapshot) *Ledger {
+	l := NewLedger()
+	l.SetTotals(s.Totals)
+	for _, c := range s.Consumed {
+		l.consumed[c.Workspace] = c.Tokens
+	}
+	for _, in := range s.Holders {
+		h := &holder{incarnation: in.Incarnation, accounts: map[string]*account{}, ended: slices.Clone(in.Ended)}
+		for _, a := range in.Accounts {
+			h.accounts[a.Workspace] = &account{granted: a.Granted, returned: a.Returned, spent: a.Spent, ceiling: a.Ceiling}
+			l.held[a.Workspace] += a.Granted - a.Returned
+		}
+		l.holders[in.Router] = h
+	}
+	return l
+}
--- /dev/null
+++ b/allotter/purse.go
@@ -0,0 +1,140 @@
+package allotter
+
+import (
+	"sync"
+	"time"
+
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+const (
+	// Horizon is how long a router should be able to serve from what it holds
+	// while no keeper is in reach: cuts of nine seconds are ordinary, and the
+	// claim before one may be half a second old.
+	Horizon = 10 * time.Second
+	// InTouch is how long after an answered claim a router still counts as in
+	// touch; until then it keeps below the ceiling that it stated.
+	InTouch = 1500 * time.Millisecond
+	// scarceHorizon is the headroom that a router keeps while the pool is
+	// low: two claims' worth of demand.
+	scarceHorizon = time.Second
+	// rateWindow is over how much time demand is averaged: long enough that
+	// single large prompts don't count as demand, short against Horizon.
+	rateWindow = 4 * time.Second
+	// returnSlack keeps small amounts from going back and forth, in tokens:
+	// about one large request.
+	returnSlack = 20_000
+)
+
+// Purse is what a router holds of one workspace's rights. All amounts but
+// reserved only ever grow. It is safe for concurrent use.
+type Purse struct {
+	mu sync.Mutex
+	// Spent + reserved never exceeds granted - returned.
+	granted, returned, spent, reserved int64
+	// Waiting is what requests that didn't fit ask for, the largest of them.
+	waiting int64
+	// Ceiling is the one last answered; stated the one last sent.
+	ceiling, stated int64
+	left            int64
+	scarce          bool
+	// Known says that a keeper has answered a claim for this workspace.
+	known bool
+	// Rate is tokens a second, averaged over rateWindow.
+	rate   float64
+	rateAt time.Time
+}
+
+// Reserve sets n tokens aside and reports whether they were there. In touch,
+// it keeps below the ceiling that a keeper knows of.
+func (p *Purse) Reserve(now time.Time, n int64, inTouch bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	used := p.spent + p.reserved + n
+	if used > p.granted-p.returned || inTouch && used > p.ceiling {
+		p.waiting = max(p.waiting, n)
+		return false
+	}
+	p.reserved += n
+	p.demand(now, n)
+	return true
+}
+
+// demand notes n tokens asked for.
+func (p *Purse) demand(now time.Time, n int64) {
+	p.decay(now)
+	p.rate += float64(n) / rateWindow.Seconds()
+}
+
+func (p *Purse) decay(now time.Time) {
+	if gone := now.Sub(p.rateAt); gone > 0 {
+		p.rate *= max(0, 1-gone.Seconds()/rateWindow.Seconds())
+		p.rateAt = now
+	}
+}
+
+// Settle ends a reservation of which only part was spent.
+func (p *Purse) Settle(reserved, spent int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reserved -= reserved
+	p.spent += min(spent, reserved)
+}
+
+// Exhausted reports whether a keeper has said that fewer than n tokens are
+// left for anybody.
+func (p *Purse) Exhausted(n int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known && p.left < n
+}
+
+// Claim returns what to tell a keeper. Headroom beyond need goes back at once
+// here, before the keeper hears of it.
+func (p *Purse) Claim(now time.Time, workspace string) *messenger.RightsClaim {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.decay(now)
+	horizon := Horizon
+	if p.scarce {
+		horizon = scarceHorizon
+	}
+	headroom := p.granted - p.returned - p.spent - p.reserved
+	need := int64(p.rate*horizon.Seconds()) + p.waiting
+	if surplus := headroom - need; surplus > returnSlack && (p.scarce || surplus > 2*need+returnSlack) {
+		p.returned += surplus
+		headroom -= surplus
+	}
+	p.stated = p.spent + p.reserved + p.waiting + int64(p.rate*InTouch.Seconds()) + returnSlack
+	c := &messenger.RightsClaim{
+		Workspace: workspace, Returned: p.returned, Spent: p.spent, Ceiling: max(p.stated, p.ceiling),
+		Wanted: max(need-headroom, 0), Urgent: max(p.waiting-headroom, 0),
+	}
+	p.stated = c.Ceiling
+	p.waiting = 0
+	return c
+}
+
+// Granted takes a keeper's answer to a claim in, with the ceiling of that
+// claim.
+func (p *Purse) Granted(g *messenger.RightsGrant, ceiling int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.granted = max(p.granted, g.Granted)
+	p.ceiling = max(p.ceiling, ceiling)
+	p.left, p.scarce, p.known = g.Left, g.Scarce, true
+}
+
+// Idle reports whether nothing is held, spent or asked for.
+func (p *Purse) Idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.granted == p.returned && p.waiting == 0 && p.reserved == 0 && p.rate < 1
+}
+
+// Held returns the headroom: tokens held that are neither spent nor reserved.
+func (p *Purse) Held() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.granted - p.returned - p.spent - p.reserved
+}
--- /dev/null
+++ b/courier/courier.go
@@ -0,0 +1,188 @@
+// Package courier is a router of a fleet whose members find each other through
+// seeds: it asks keepers what is in force and serves callers.
+package courier
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/forwarder"
+	"rattanhoist.example/rattanhoist/limiter"
+	"rattanhoist.example/rattanhoist/loader"
+	"rattanhoist.example/rattanhoist/pooler"
+	"rattanhoist.example/rattanhoist/predictor"
+	"rattanhoist.example/rattanhoist/publisher"
+)
+
+const (
+	// headerTimeout and idleTimeout are for connections of callers: twice what
+	// operators state for them, so that no caller who keeps to that is cut.
+	headerTimeout = 6 * time.Second
+	idleTimeout   = 30 * time.Second
+	// headerMost is in bytes.
+	headerMost = 64 << 10
+	// sweepEvery is how often idle connections to endpoints are looked at.
+	sweepEvery = time.Second
+	// tellLeast is how long a router that stops goes on taking connections:
+	// the platform notices after two questions a second apart.
+	tellLeast = 2500 * time.Millisecond
+	// takeUntil is how long a router that stops still takes requests on open
+	// connections, as a part of the time until it is killed: what is taken
+	// must be answered before.
+	takeUntil = 0.5
+	// endMargin before the kill, the process ends by itself.
+	endMargin = 300 * time.Millisecond
+	endPoll   = 20 * time.Millisecond
+)
+
+// Options are what a courier needs beside its settings.
+type Options struct {
+	Node   *loader.Node
+	Log    *zap.Logger
+	Decode func([]byte) (*publisher.Document, error)
+	Wire   forwarder.Wire
+	// Belongs tells whose answer a header is.
+	Belongs func(http.Header, string) pooler.Belonging
+	// ReadyPath is where the platform asks whether callers may come.
+	ReadyPath string
+}
+
+// Courier is one router process.
+type Courier struct {
+	Options
+	incarnation uint64
+	start       time.Time
+	fleet       *fleet
+	rights      *rights
+	pool        *pooler.Pool
+	handler     *forwarder.Forwarder
+	// Stopping is when the process was told to stop, as time since start; 0
+	// before.
+	stopping atomic.Int64
+	active   atomic.Int64
+	opened   atomic.Int64
+}
+
+// New returns a courier.
+func New(o Options) *Courier {
+	c := &Courier{Options: o, start: time.Now(), incarnation: newIncarnation()}
+	table := predictor.NewTable(o.Node.Zone())
+	c.pool = pooler.New(o.Belongs, func() { c.opened.Add(1) })
+	c.fleet = newFleet(o, c.incarnation, table, c.pool)
+	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
+	ratio, slack, window := o.Node.Retries()
+	c.handler = forwarder.New(forwarder.Parts{
+		Wire: o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
+		Limiter: limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
+	})
+	return c
+}
+
+func newIncarnation() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:])
+	return max(binary.BigEndian.Uint64(b[:]), 1)
+}
+
+// Run serves until ctx ends and all that was taken is answered.
+func (c *Courier) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	front, err := net.Listen("tcp", c.Node.Serve())
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", c.Node.Ready())
+	if err != nil {
+		return err
+	}
+	callers := &http.Server{
+		Handler: http.HandlerFunc(c.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMost,
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+c.ReadyPath, c.answerReady)
+	question := &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	failed := make(chan error, 2)
+	go func() { failed <- callers.Serve(front) }()
+	go func() { failed <- question.Serve(ready) }()
+	go c.fleet.run(work)
+	go c.rights.run(work)
+	go c.sweep(work)
+	c.Log.Info("router started", zap.String("zone", c.Node.Zone()), zap.Strings("seeds", c.Node.Seeds()), zap.Uint64("incarnation", c.incarnation))
+	select {
+	case err := <-failed:
+		c.Log.Error("router ends", zap.Error(err))
+		return err
+	case <-ctx.Done():
+	}
+	c.drain()
+	c.rights.close(work)
+	_ = callers.Close()
+	_ = question.Close()
+	c.Log.Info("router stopped")
+	return nil
+}
+
+// drain waits until no caller is left, inside the time until the kill.
+func (c *Courier) drain() {
+	c.Log.Info("router stops", zap.Int64("active", c.active.Load()))
+	begun := time.Now()
+	c.stopping.Store(int64(time.Since(c.start)))
+	for time.Since(begun) < c.Node.Grace()-endMargin {
+		if time.Since(begun) > tellLeast && c.active.Load() == 0 {
+			return
+		}
+		time.Sleep(endPoll)
+	}
+	c.Log.Warn("router stops with callers left", zap.Int64("active", c.active.Load()))
+}
+
+// stoppingFor returns how long ago the process was told to stop, or 0.
+func (c *Courier) stoppingFor() time.Duration {
+	at := c.stopping.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Since(c.start) - time.Duration(at)
+}
+
+func (c *Courier) serve(w http.ResponseWriter, r *http.Request) {
+	c.active.Add(1)
+	defer c.active.Add(-1)
+	if d := c.stoppingFor(); d > 0 {
+		// The caller's next request then goes to a router that stays.
+		w.Header().Set("Connection", "close")
+		if d > time.Duration(takeUntil*float64(c.Node.Grace())) {
+			c.Wire.RetryAfter(w.Header(), 0)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
+	c.handler.ServeHTTP(w, r)
+}
+
+func (c *Courier) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if c.fleet.Index() == nil || c.stoppingFor() > 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (c *Courier) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			c.pool.Sweep(time.Now())
+		}
+	}
+}
--- /dev/null
+++ b/courier/fleet.go
@@ -0,0 +1,258 @@
+package courier
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/pooler"
+	"rattanhoist.example/rattanhoist/predictor"
+	"rattanhoist.example/rattanhoist/publisher"
+)
+
+const (
+	// syncEvery is how often a keeper is asked: a change is in force a few of
+	// these after its acknowledgement, against a bound of seconds.
+	syncEvery = 200 * time.Millisecond
+	// wholeEvery questions, the ages of all endpoints are asked for.
+	wholeEvery  = 5
+	syncTimeout = 350 * time.Millisecond
+	// freshWithin is how lately a majority must have confirmed what a keeper
+	// tells; otherwise another keeper is asked too.
+	freshWithin = 700 * time.Millisecond
+	// settleFor is how long a starting router waits for a confirmed document
+	// before it takes one that its keeper couldn't have confirmed: where no
+	// majority answers, that is the newest that its zone can know.
+	settleFor = 3 * time.Second
+	// silentBeats is how many heartbeats an endpoint may miss while keepers
+	// are in reach.
+	silentBeats = 8
+)
+
+// fleet is what this router knows of keepers, routers, endpoints and the
+// document in force.
+type fleet struct {
+	o     Options
+	self  *messenger.FleetMember
+	table *predictor.Table
+	pool  *pooler.Pool
+	index atomic.Pointer[publisher.Index]
+	// Known is how many routers there are, this one included.
+	known atomic.Int64
+	// Current is the keeper asked last with success.
+	current atomic.Pointer[messenger.Link]
+
+	mu      sync.Mutex
+	keepers map[string]*messenger.Link
+	// Zones holds the keepers' zones as far as known.
+	zones map[string]string
+
+	// The rest belongs to the goroutine of run.
+	roll      *enroller.Table
+	endpoints map[string]*predictor.Endpoint
+	revisions map[string]uint64
+	asked     int
+	start     time.Time
+	// TouchedAt is when a keeper last answered; TouchedFor how long keepers
+	// have been answering without a gap.
+	touchedAt  time.Time
+	touchSince time.Time
+	shown      uint64
+}
+
+func newFleet(o Options, incarnation uint64, table *predictor.Table, pool *pooler.Pool) *fleet {
+	f := &fleet{
+		o: o, table: table, pool: pool, start: time.Now(),
+		self:    &messenger.FleetMember{Address: o.Node.Internal(), Zone: o.Node.Zone(), Incarnation: incarnation},
+		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
+		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[string]*predictor.Endpoint{},
+		revisions: map[string]uint64{},
+	}
+	f.known.Store(1)
+	for _, s := range o.Node.Seeds() {
+		f.learn(s, "")
+	}
+	return f
+}
+
+// Index returns the document in force, or nil before the first.
+func (f *fleet) Index() *publisher.Index { return f.index.Load() }
+
+// Routers returns how many routers share the fleet's bounds.
+func (f *fleet) Routers() int { return int(f.known.Load()) }
+
+func (f *fleet) learn(address, zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.keepers[address] == nil {
+		f.keepers[address] = messenger.NewLink(address)
+	}
+	if zone != "" {
+		f.zones[address] = zone
+	}
+}
+
+// order returns the keepers in the order in which to ask them: the one that
+// answered last, those of the zone, the others.
+func (f *fleet) order() []*messenger.Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current := f.current.Load()
+	var out []*messenger.Link
+	for _, l := range f.keepers {
+		out = append(out, l)
+	}
+	rank := func(l *messenger.Link) int {
+		switch {
+		case f.zones[l.Address()] == f.self.Zone:
+			return 0
+		case l == current:
+			return 1
+		}
+		return 2
+	}
+	slices.SortFunc(out, func(a, b *messenger.Link) int {
+		if d := rank(a) - rank(b); d != 0 {
+			return d
+		}
+		if a.Address() < b.Address() {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// run asks keepers until ctx ends.
+func (f *fleet) run(ctx context.Context) {
+	t := time.NewTicker(syncEvery)
+	defer t.Stop()
+	for {
+		f.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// round asks keepers until one has answered whose copy a majority confirmed
+// lately.
+func (f *fleet) round(ctx context.Context) {
+	f.asked++
+	for _, l := range f.order() {
+		r, sent, err := f.ask(ctx, l)
+		if err != nil {
+			continue
+		}
+		f.take(l, r, sent)
+		if age := time.Duration(r.ConfirmedAgeMs) * time.Millisecond; r.ConfirmedAgeMs >= 0 && age < freshWithin {
+			f.current.Store(l)
+			break
+		}
+	}
+	f.show(time.Now())
+}
+
+func (f *fleet) ask(ctx context.Context, l *messenger.Link) (*messenger.SyncReply, time.Time, error) {
+	q := &messenger.SyncRequest{Router: f.self, Revision: f.revisions[l.Address()]}
+	if x := f.index.Load(); x != nil {
+		q.Number = x.Number()
+	}
+	if f.asked%wholeEvery == 0 {
+		q.Revision = 0
+	}
+	sent := time.Now()
+	var r *messenger.SyncReply
+	err := l.Call(ctx, syncTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+		var err error
+		r, err = c.Sync(ctx, q)
+		return err
+	})
+	return r, sent, err
+}
+
+func (f *fleet) take(l *messenger.Link, r *messenger.SyncReply, sent time.Time) {
+	now := time.Now()
+	if now.Sub(f.touchedAt) > time.Second {
+		f.touchSince = now
+	}
+	f.touchedAt = now
+	for _, k := range r.Keepers {
+		f.learn(k.Address, k.Zone)
+	}
+	f.known.Store(int64(max(len(r.Routers), 1)))
+	f.publish(r, sent)
+	f.revisions[l.Address()] = r.Revision
+	for _, s := range r.Endpoints {
+		b, age := enroller.BeatOf(s)
+		f.roll.Hear(sent, b, age)
+	}
+	for _, id := range r.Left {
+		f.roll.Leave(now, id)
+	}
+}
+
+// publish takes a document into force. The number only ever grows; the first
+// document of this process must have been confirmed after its start, since it
+// may have served a newer one before.
+func (f *fleet) publish(r *messenger.SyncReply, sent time.Time) {
+	old := f.index.Load()
+	if len(r.Content) == 0 || old != nil && r.Number <= old.Number() {
+		return
+	}
+	confirmed := r.ConfirmedAgeMs >= 0 && sent.Add(-time.Duration(r.ConfirmedAgeMs)*time.Millisecond).After(f.start)
+	if old == nil && !confirmed && time.Since(f.start) < settleFor {
+		return
+	}
+	d, err := f.o.Decode(r.Content)
+	if err != nil {
+		f.o.Log.Error("configuration from a keeper is unreadable", zap.Uint64("number", r.Number), zap.Error(err))
+		return
+	}
+	f.index.Store(publisher.NewIndex(d))
+	f.o.Log.Info("configuration in force", zap.Uint64("number", d.Number), zap.Int("routes", len(d.Routes)), zap.Bool("confirmed", confirmed))
+}
+
+// show puts the known endpoints in service. While no keeper answers, nobody is
+// forgotten for silence: what is heard of endpoints comes from keepers.
+func (f *fleet) show(now time.Time) {
+	if now.Sub(f.touchedAt) < time.Second && now.Sub(f.touchSince) > silentBeats*f.o.Node.Heartbeat() {
+		f.roll.Expire(now)
+	}
+	if f.roll.Revision() == f.shown {
+		return
+	}
+	f.shown = f.roll.Revision()
+	byService := map[string][]*predictor.Endpoint{}
+	known := map[string]bool{}
+	for _, s := range f.roll.Sightings(now) {
+		if s.Leaving {
+			continue
+		}
+		b, _ := enroller.BeatOf(s)
+		e := f.endpoints[b.ID]
+		if e == nil {
+			e = predictor.NewEndpoint(b)
+			f.endpoints[b.ID] = e
+			f.o.Log.Info("endpoint in service", zap.String("endpoint", b.ID), zap.String("service", b.Service), zap.String("zone", b.Zone))
+		}
+		known[b.ID] = true
+		byService[b.Service] = append(byService[b.Service], e)
+	}
+	f.table.Replace(byService)
+	for id := range f.endpoints {
+		if !known[id] {
+			delete(f.endpoints, id)
+			f.pool.Forget(id)
+			f.o.Log.Info("endpoint out of service", zap.String("endpoint", id))
+		}
+	}
+}
--- /dev/null
+++ b/courier/rights.go
@@ -0,0 +1,186 @@
+package courier
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/allotter"
+	"rattanhoist.example/rattanhoist/forwarder"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+const (
+	// claimEvery is how often rights are settled with the keepers.
+	claimEvery   = 400 * time.Millisecond
+	claimTimeout = 600 * time.Millisecond
+	// claimPause is the least time between two claims made for waiting
+	// requests: requests that come meanwhile share the next one.
+	claimPause = 10 * time.Millisecond
+	// reserveWait bounds the wait of one request for rights: a few claims.
+	reserveWait = 500 * time.Millisecond
+	// closeWait bounds the last claim of a process that stops.
+	closeWait = 200 * time.Millisecond
+)
+
+// rights holds this router's purses and settles them with the keepers.
+type rights struct {
+	fleet   *fleet
+	address string
+	log     *zap.Logger
+	urgent  chan struct{}
+
+	mu          sync.Mutex
+	purses      map[string]*allotter.Purse
+	incarnation uint64
+	// Settled is closed and replaced after every answered claim.
+	settled chan struct{}
+	rounds  uint64
+}
+
+func newRights(f *fleet, address string, log *zap.Logger) *rights {
+	return &rights{
+		fleet: f, address: address, log: log, urgent: make(chan struct{}, 1), purses: map[string]*allotter.Purse{},
+		incarnation: newIncarnation(), settled: make(chan struct{}),
+	}
+}
+
+// reservation is tokens set aside in one purse.
+type reservation struct {
+	purse  *allotter.Purse
+	tokens int64
+}
+
+// Settle gives back what was not spent.
+func (r *reservation) Settle(spent int64) { r.purse.Settle(r.tokens, spent) }
+
+// Reserve sets tokens aside, asking the keepers where this router holds too
+// few.
+func (r *rights) Reserve(ctx context.Context, workspace string, tokens int64) (forwarder.Reservation, error) {
+	ctx, cancel := context.WithTimeout(ctx, reserveWait)
+	defer cancel()
+	p, settled, first := r.purse(workspace)
+	for {
+		if p.Reserve(time.Now(), tokens, false) {
+			return &reservation{purse: p, tokens: tokens}, nil
+		}
+		select {
+		case r.urgent <- struct{}{}:
+		default:
+		}
+		select {
+		case <-settled:
+		case <-ctx.Done():
+			return nil, forwarder.ErrRightsOutOfReach
+		}
+		var now uint64
+		p, settled, now = r.purse(workspace)
+		if now > first+1 && p.Exhausted(tokens) {
+			return nil, forwarder.ErrSpent
+		}
+	}
+}
+
+func (r *rights) purse(workspace string) (*allotter.Purse, chan struct{}, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.purses[workspace]
+	if p == nil {
+		p = &allotter.Purse{}
+		r.purses[workspace] = p
+	}
+	return p, r.settled, r.rounds
+}
+
+// run settles purses with the keepers until ctx ends.
+func (r *rights) run(ctx context.Context) {
+	t := time.NewTicker(claimEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-r.urgent:
+		}
+		r.claim(ctx, claimTimeout, false)
+		time.Sleep(claimPause)
+	}
+}
+
+// close gives back what is left. Nothing may be in progress any more.
+func (r *rights) close(ctx context.Context) { r.claim(ctx, closeWait, true) }
+
+func (r *rights) claim(ctx context.Context, timeout time.Duration, closing bool) {
+	change, purses := r.change(closing)
+	if len(change.Claims) == 0 && !closing {
+		return
+	}
+	reply, err := r.order(ctx, timeout, change)
+	if err != nil {
+		return
+	}
+	if reply.Grants == nil && !closing {
+		r.reset()
+		return
+	}
+	for i, g := range reply.Grants {
+		if p := purses[g.Workspace]; p != nil {
+			p.Granted(g, change.Claims[i].Ceiling)
+		}
+	}
+	r.mu.Lock()
+	close(r.settled)
+	r.settled = make(chan struct{})
+	r.rounds++
+	r.mu.Unlock()
+}
+
+func (r *rights) change(closing bool) (*messenger.RightsChange, map[string]*allotter.Purse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := &messenger.RightsChange{Router: r.address, Incarnation: r.incarnation, Closing: closing}
+	purses := map[string]*allotter.Purse{}
+	var names []string
+	for w := range r.purses {
+		names = append(names, w)
+	}
+	slices.Sort(names)
+	for _, w := range names {
+		p := r.purses[w]
+		if p.Idle() && !closing {
+			continue
+		}
+		out.Claims = append(out.Claims, p.Claim(time.Now(), w))
+		purses[w] = p
+	}
+	return out, purses
+}
+
+// order sends the claims to a keeper, which passes them to the leader.
+func (r *rights) order(ctx context.Context, timeout time.Duration, change *messenger.RightsChange) (*messenger.OrderReply, error) {
+	l := r.fleet.current.Load()
+	if l == nil {
+		return nil, forwarder.ErrRightsOutOfReach
+	}
+	var reply *messenger.OrderReply
+	err := l.Call(ctx, timeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+		var err error
+		reply, err = c.Order(ctx, &messenger.OrderRequest{Change: &messenger.FleetChange{Body: &messenger.FleetChange_Rights{Rights: change}}})
+		return err
+	})
+	return reply, err
+}
+
+// reset begins a new account: the keepers count this one as ended, with all
+// that it held as spent.
+func (r *rights) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.log.Warn("rights of this router were ended; it begins a new account", zap.Uint64("incarnation", r.incarnation))
+	r.purses = map[string]*allotter.Purse{}
+	r.incarnation = newIncarnation()
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,277 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/limiter"
+	"rattanhoist.example/rattanhoist/pooler"
+	"rattanhoist.example/rattanhoist/predictor"
+	"rattanhoist.example/rattanhoist/publisher"
+)
+
+// Errors of rights. Compare with errors.Is.
+var (
+	// ErrSpent says that the prepaid total does not cover the request.
+	ErrSpent = merry.Sentinel("prepaid total does not cover the request")
+	// ErrRightsOutOfReach says that rights may exist that this router can't
+	// get now.
+	ErrRightsOutOfReach = merry.Sentinel("prepaid rights are out of reach")
+)
+
+const (
+	// defaultTimeout bounds a request whose caller names no deadline and whose
+	// route's timeout is longer.
+	defaultTimeout = 60 * time.Second
+	// unsentMost is how many endpoints may turn out to be unreachable before
+	// the request is refused; none of them got a byte.
+	unsentMost = 3
+	// comeBack and comeBackSpread are when a refused caller should come back:
+	// a few engine steps later, spread so that they don't return together.
+	comeBack       = 150 * time.Millisecond
+	comeBackSpread = 250 * time.Millisecond
+	// connectionPart of an endpoint's bound is shared out among routers; the
+	// rest is for connections that are being closed and for uneven routers.
+	connectionPart = 0.8
+	connectionsMin = 4
+)
+
+// Reservation is tokens set aside for one request.
+type Reservation interface {
+	// Settle gives back what was not spent; it must be called once.
+	Settle(spent int64)
+}
+
+// Rights sets tokens of a workspace aside.
+type Rights interface {
+	// Reserve returns ErrSpent or ErrRightsOutOfReach where it can't.
+	Reserve(ctx context.Context, workspace string, tokens int64) (Reservation, error)
+}
+
+// Fleet is what the router knows of the others.
+type Fleet interface {
+	// Index returns the document in force, or nil before the first.
+	Index() *publisher.Index
+	// Routers is how many routers share the fleet's bounds; at least 1.
+	Routers() int
+}
+
+// Parts are what a forwarder works with.
+type Parts struct {
+	Wire    Wire
+	Fleet   Fleet
+	Table   *predictor.Table
+	Pool    *pooler.Pool
+	Rights  Rights
+	Limiter *limiter.Limiter
+	Log     *zap.Logger
+}
+
+// Forwarder serves callers. It is safe for concurrent use.
+type Forwarder struct {
+	Parts
+	start time.Time
+}
+
+// New returns a forwarder.
+func New(p Parts) *Forwarder { return &Forwarder{Parts: p, start: time.Now()} }
+
+// ServeHTTP takes one request and gives its final answer.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	j := &job{f: f, w: w, r: r, begun: time.Now()}
+	j.serve()
+}
+
+// job is one request from its arrival to its final answer.
+type job struct {
+	f      *Forwarder
+	w      http.ResponseWriter
+	r      *http.Request
+	begun  time.Time
+	caller Caller
+	index  *publisher.Index
+	route  *publisher.Route
+	// Service is drawn once: repeats stay with it.
+	service   *publisher.Service
+	workspace *publisher.Workspace
+	body      []byte
+	until     time.Time
+	// Reserved is nil where nothing is paid.
+	reserved Reservation
+	// Tried holds the incarnations that the request was sent to.
+	tried []string
+	// Unsent counts endpoints that could not be reached.
+	unsent int
+	// MayHaveRun says that some endpoint may have run the request.
+	mayHaveRun bool
+	// Delivered counts tokens passed on to the caller.
+	delivered int64
+	// Began says that the head of the answer was sent to the caller.
+	began bool
+	// LastEvent is the id of the last whole event passed on.
+	lastEvent string
+	why       string
+}
+
+func (j *job) serve() {
+	if !j.prepare() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(j.r.Context(), j.until)
+	defer cancel()
+	if !j.reserve(ctx) {
+		return
+	}
+	if j.reserved != nil {
+		defer func() { j.reserved.Settle(j.spent()) }()
+	}
+	j.f.Limiter.Request(j.begun, j.service.Name)
+	j.attempts(ctx)
+}
+
+// spent is what the request costs: its prompt once if any endpoint may have
+// run it, and each token passed on.
+func (j *job) spent() int64 {
+	if !j.mayHaveRun || j.caller.Prompt == nil {
+		return 0
+	}
+	return j.caller.Prompt.In + j.delivered
+}
+
+// prepare finds route, service and workspace and reads the body; it reports
+// false when the answer is given already.
+func (j *job) prepare() bool {
+	j.index = j.f.Fleet.Index()
+	if j.index == nil {
+		return j.refuse(http.StatusServiceUnavailable, "no configuration yet")
+	}
+	c, err := j.f.Wire.Caller(j.r.Header)
+	if err != nil {
+		return j.fail(http.StatusBadRequest, err.Error())
+	}
+	j.caller = c
+	j.route = j.index.Route(j.r.Host, j.r.URL.EscapedPath())
+	if j.route == nil {
+		return j.fail(http.StatusNotFound, "no route")
+	}
+	if !j.identify() {
+		return false
+	}
+	j.service = j.index.Service(draw(j.route.Shares))
+	timeout := j.route.Timeout
+	if c.Deadline > 0 {
+		timeout = min(timeout, c.Deadline)
+	}
+	j.until = j.begun.Add(min(timeout, defaultTimeout))
+	return j.readBody()
+}
+
+func (j *job) identify() bool {
+	if !j.index.Document().Keyed || j.route.Public {
+		return true
+	}
+	j.workspace = j.index.Workspace(j.caller.Key)
+	if j.workspace == nil {
+		return j.fail(http.StatusUnauthorized, "unknown key")
+	}
+	return true
+}
+
+func (j *job) readBody() bool {
+	most := j.index.Document().Limits.BodyBytes
+	if most <= 0 {
+		most = 1 << 22
+	}
+	var err error
+	j.body, err = io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, most))
+	if err == nil {
+		return true
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return j.fail(http.StatusRequestEntityTooLarge, "body too large")
+	}
+	return j.fail(http.StatusBadRequest, "body not read: "+err.Error())
+}
+
+// draw picks a service by weight.
+func draw(shares []publisher.Share) string {
+	var sum int64
+	for _, s := range shares {
+		sum += s.Weight
+	}
+	n := rand.Int64N(max(sum, 1))
+	for _, s := range shares {
+		if n -= s.Weight; n < 0 {
+			return s.Service
+		}
+	}
+	return shares[len(shares)-1].Service
+}
+
+func (j *job) reserve(ctx context.Context) bool {
+	if j.workspace == nil || j.workspace.Prepaid == nil || j.caller.Prompt == nil {
+		return true
+	}
+	r, err := j.f.Rights.Reserve(ctx, j.workspace.Name, j.caller.Prompt.In+j.caller.Prompt.Out)
+	switch {
+	case err == nil:
+		j.reserved = r
+		return true
+	case errors.Is(err, ErrSpent):
+		return j.fail(http.StatusPaymentRequired, "prepaid total is spent")
+	default:
+		return j.refuse(http.StatusServiceUnavailable, err.Error())
+	}
+}
+
+// refuse says that the request has not run, and when to come back.
+func (j *job) refuse(status int, why string) bool {
+	if j.mayHaveRun {
+		return j.fail(http.StatusBadGateway, why)
+	}
+	j.f.Wire.RetryAfter(j.w.Header(), comeBack+rand.N(comeBackSpread))
+	return j.fail(status, why)
+}
+
+// fail gives the final answer where no endpoint's is to be had.
+func (j *job) fail(status int, why string) bool {
+	j.log(status, why)
+	if j.began {
+		// The caller has part of an answer; only a broken connection tells it
+		// that the rest is missing.
+		panic(http.ErrAbortHandler)
+	}
+	h := j.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	j.w.WriteHeader(status)
+	_, _ = io.WriteString(j.w, why+"\n")
+	return false
+}
+
+func (j *job) log(status int, why string) {
+	fields := []zap.Field{
+		zap.String("request", j.caller.ID), zap.Int("status", status), zap.Duration("took", time.Since(j.begun)),
+		zap.Strings("endpoints", j.tried),
+	}
+	if j.route != nil {
+		fields = append(fields, zap.String("route", j.route.Name))
+	}
+	if j.workspace != nil {
+		fields = append(fields, zap.String("workspace", j.workspace.Name))
+	}
+	if why != "" {
+		fields = append(fields, zap.String("why", why))
+	}
+	if j.index != nil {
+		fields = append(fields, zap.Uint64("configuration", j.index.Number()))
+	}
+	j.f.Log.Info("ended", fields...)
+}
--- /dev/null
+++ b/forwarder/relay.go
@@ -0,0 +1,115 @@
+package forwarder
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"rattanhoist.example/rattanhoist/ejector"
+	"rattanhoist.example/rattanhoist/pooler"
+	"rattanhoist.example/rattanhoist/predictor"
+)
+
+const (
+	relayBuffer = 4 << 10
+	// eventMost bounds one event, in bytes.
+	eventMost = 1 << 20
+)
+
+// relay passes events on as they come. An event that breaks off is held back,
+// so that the stream can go on elsewhere after the last whole one.
+func (j *job) relay(ctx context.Context, a *pooler.Answer, work *predictor.Work) outcome {
+	if !j.began {
+		j.head(a, false)
+		j.w.Header().Del("Content-Length")
+	}
+	events := bufio.NewReaderSize(a.Body, relayBuffer)
+	for {
+		event, err := readEvent(events)
+		if len(event) > 0 && err == nil {
+			work.First(time.Now())
+			if !j.passEvent(event) {
+				j.log(0, "caller gone")
+				panic(http.ErrAbortHandler)
+			}
+			continue
+		}
+		if err == io.EOF && a.Ended() && len(event) == 0 && !a.Unframed {
+			work.Endpoint().Gate().Step(time.Since(j.f.start), ejector.Succeeded, 0)
+			if !j.began {
+				j.w.WriteHeader(a.Status)
+			}
+			j.log(a.Status, "")
+			return done
+		}
+		return j.torn(ctx, a, work, event, err)
+	}
+}
+
+// torn ends a stream that broke off.
+func (j *job) torn(ctx context.Context, a *pooler.Answer, work *predictor.Work, event []byte, err error) outcome {
+	if err == io.EOF && a.Unframed && len(event) == 0 && j.began {
+		// Without a length, the end of the connection is the end of the answer.
+		j.log(a.Status, "unframed")
+		return done
+	}
+	j.why = "stream broken off"
+	if err != nil {
+		j.why += ": " + err.Error()
+	}
+	j.blame(ctx, work.Endpoint())
+	return lost
+}
+
+func (j *job) passEvent(event []byte) bool {
+	if !j.began {
+		j.began = true
+		j.w.WriteHeader(http.StatusOK)
+	}
+	if id, ok := eventID(event); ok {
+		j.lastEvent = id
+	}
+	// Counted before it is written: a caller that has read it has had it.
+	if e := j.service.Engine; e != nil {
+		j.delivered += max(e.Stride, 1)
+	}
+	if _, err := j.w.Write(event); err != nil {
+		return false
+	}
+	if f, ok := j.w.(http.Flusher); ok {
+		f.Flush()
+	}
+	return true
+}
+
+// readEvent returns the bytes up to and with the empty line that ends an
+// event. With an error, the bytes are those of an event that broke off.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		event = append(event, line...)
+		if err == bufio.ErrBufferFull && len(event) < eventMost {
+			continue
+		}
+		if err != nil {
+			return event, err
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(bytes.TrimRight(event, "\r\n")) > 0 {
+			return event, nil
+		}
+	}
+}
+
+// eventID returns the value of an event's id field.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.Lines(event) {
+		if v, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:")); ok {
+			return string(bytes.TrimSpace(v)), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/governor/governor.go
@@ -0,0 +1,112 @@
+// Package governor is the state that a fleet's log builds up: the operator's
+// document, the prepaid rights, and the endpoints that have left.
+package governor
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"rattanhoist.example/rattanhoist/allotter"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// leftMost bounds the endpoints remembered as left. An incarnation leaves
+// once; its late heartbeats come within seconds, and this many leave in hours.
+const leftMost = 1024
+
+// Document is the document in force; immutable.
+type Document struct {
+	number  uint64
+	content []byte
+}
+
+// Number returns the operator's number; 0 before the first document.
+func (d *Document) Number() uint64 { return d.number }
+
+// Content returns the document as it was sent; callers must not change it.
+func (d *Document) Content() []byte { return d.content }
+
+// Governor is the pure state machine. Not safe for concurrent use.
+type Governor struct {
+	document *Document
+	ledger   *allotter.Ledger
+	// Left holds endpoint incarnations, oldest first; replaced, never changed.
+	left []string
+}
+
+// New returns the empty state.
+func New() *Governor {
+	return &Governor{document: &Document{}, ledger: allotter.NewLedger()}
+}
+
+// Document returns the document in force.
+func (g *Governor) Document() *Document { return g.document }
+
+// Left returns the endpoints that have left; callers must not change it.
+func (g *Governor) Left() []string { return g.left }
+
+// Ledger returns the rights.
+func (g *Governor) Ledger() *allotter.Ledger { return g.ledger }
+
+// Apply takes a committed change in. The result is []*messenger.RightsGrant
+// for rights, and nil otherwise.
+func (g *Governor) Apply(data []byte) any {
+	c := &messenger.FleetChange{}
+	if err := proto.Unmarshal(data, c); err != nil {
+		// Every keeper reads the same bytes, so all skip it alike.
+		return nil
+	}
+	switch b := c.Body.(type) {
+	case *messenger.FleetChange_Document:
+		g.publish(b.Document)
+	case *messenger.FleetChange_Rights:
+		return g.ledger.Claim(b.Rights)
+	case *messenger.FleetChange_Leave:
+		g.leave(b.Leave.Endpoint)
+	}
+	return nil
+}
+
+// publish brings a document into force if its number is the highest. Any
+// other is acknowledged and changes nothing: an order that was overtaken, or
+// that is sent again, must get the same answer as the first time.
+func (g *Governor) publish(d *messenger.DocumentChange) {
+	if d.Number <= g.document.number {
+		return
+	}
+	g.document = &Document{number: d.Number, content: d.Content}
+	g.ledger.SetTotals(d.Totals)
+}
+
+func (g *Governor) leave(id string) {
+	if slices.Contains(g.left, id) {
+		return
+	}
+	from := max(len(g.left)+1-leftMost, 0)
+	g.left = append(slices.Clone(g.left[from:]), id)
+}
+
+// Snapshot returns the whole state.
+func (g *Governor) Snapshot() []byte {
+	s := &messenger.FleetSnapshot{Number: g.document.number, Content: g.document.content, Left: g.left}
+	g.ledger.Snapshot(s)
+	b, err := proto.Marshal(s)
+	if err != nil {
+		// Every string came through a codec that refuses what can't be written.
+		panic(err)
+	}
+	return b
+}
+
+// Restore replaces the state.
+func (g *Governor) Restore(b []byte) error {
+	s := &messenger.FleetSnapshot{}
+	if err := proto.Unmarshal(b, s); err != nil {
+		return err
+	}
+	g.document = &Document{number: s.Number, content: s.Content}
+	g.left = s.Left
+	g.ledger = allotter.Restore(s)
+	return nil
+}
--- /dev/null
+++ b/loader/node.go
@@ -0,0 +1,219 @@
+package loader
+
+import (
+	"net/netip"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"gopkg.in/ini.v1"
+)
+
+// Node is the settings of one process of a fleet whose members find each other
+// through seeds; immutable. A platform renders one such file for each VM.
+type Node struct {
+	name, kind, zone string
+	// Internal is IP:PORT for the other processes.
+	internal string
+	seeds    []string
+	// FirstStart says that the whole fleet starts for the first time.
+	firstStart bool
+	serve      string
+	ready      string
+	control    string
+	metrics    string
+	dataDir    string
+	// MemoryBytes is what the process may use; 0 for no bound.
+	memoryBytes int64
+	// LostDisks is how many disks may be lost at once.
+	lostDisks int
+	heartbeat time.Duration
+	// Grace is how long after a request to stop the process is killed.
+	grace time.Duration
+	// Drain is how long an endpoint serves after its leave was acknowledged.
+	drain        time.Duration
+	retryRatio   float64
+	retrySlack   float64
+	retryWindow  time.Duration
+	orderTimeout time.Duration
+}
+
+// Name returns the VM's name.
+func (n *Node) Name() string { return n.name }
+
+// Kind returns KindRouter or KindKeeper.
+func (n *Node) Kind() string { return n.kind }
+
+// Zone returns the availability zone.
+func (n *Node) Zone() string { return n.zone }
+
+// Internal returns IP:PORT for the other processes.
+func (n *Node) Internal() string { return n.internal }
+
+// Seeds returns the internal addresses of the keepers to begin with.
+func (n *Node) Seeds() []string { return n.seeds }
+
+// FirstStart reports whether the whole fleet starts for the first time.
+func (n *Node) FirstStart() bool { return n.firstStart }
+
+// Serve returns IP:PORT for callers; routers only.
+func (n *Node) Serve() string { return n.serve }
+
+// Ready returns IP:PORT for the platform's question whether callers may come.
+func (n *Node) Ready() string { return n.ready }
+
+// Control returns IP:PORT for operators and endpoints; keepers only.
+func (n *Node) Control() string { return n.control }
+
+// Metrics returns IP:PORT for counters, or "".
+func (n *Node) Metrics() string { return n.metrics }
+
+// DataDir returns the data folder; keepers only.
+func (n *Node) DataDir() string { return n.dataDir }
+
+// MemoryBytes returns what the process may use; 0 for no bound.
+func (n *Node) MemoryBytes() int64 { return n.memoryBytes }
+
+// LostDisks returns how many disks may be lost at once.
+func (n *Node) LostDisks() int { return n.lostDisks }
+
+// Heartbeat returns the pause between heartbeats of an endpoint.
+func (n *Node) Heartbeat() time.Duration { return n.heartbeat }
+
+// Grace returns the time from a request to stop to the kill.
+func (n *Node) Grace() time.Duration { return n.grace }
+
+// Drain returns how long an endpoint serves after its leave was acknowledged.
+func (n *Node) Drain() time.Duration { return n.drain }
+
+// Retries returns the fleet's bound on repeats: for each request, beside that,
+// and in what time.
+func (n *Node) Retries() (ratio, slack float64, window time.Duration) {
+	return n.retryRatio, n.retrySlack, n.retryWindow
+}
+
+// OrderTimeout returns within what time an order must be acknowledged.
+func (n *Node) OrderTimeout() time.Duration { return n.orderTimeout }
+
+// Defaults of a node's settings.
+const (
+	defaultHeartbeat    = time.Second
+	defaultGrace        = 10 * time.Second
+	defaultDrain        = 2 * time.Second
+	defaultRetryRatio   = 0.2
+	defaultRetrySlack   = 10
+	defaultRetryWindow  = 10 * time.Second
+	defaultOrderTimeout = 4 * time.Second
+	mebibyte            = 1 << 20
+)
+
+var nodeKeys = []string{
+	"name", "kind", "zone", "ip", "internal_ports", "seeds", "first_start", "serve", "ready", "control",
+	"metrics", "data_dir", "memory_mb", "lost_disks", "heartbeat_ms", "grace_s", "drain_ms",
+	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms",
+}
+
+// LoadNode reads and checks the settings of one process. The error lists
+// every fault; the warnings are unknown fields, which a newer platform may
+// send.
+func LoadNode(file string) (*Node, []string, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, file)
+	if err != nil {
+		return nil, nil, merry.Errorf("%w: %s: %s", ErrFaulty, file, err.Error())
+	}
+	c := checker{file: file, lines: indexLines(file)}
+	n := c.node(f.Section("node"))
+	if len(c.faults) > 0 {
+		return nil, nil, merry.Errorf("%w:\n  %s", ErrFaulty, strings.Join(c.faults, "\n  "))
+	}
+	return n, c.warnings, nil
+}
+
+func (c *checker) node(sec *ini.Section) *Node {
+	for _, k := range sec.KeyStrings() {
+		if !slices.Contains(nodeKeys, k) {
+			c.warn("node", k, "unknown field, ignored")
+		}
+	}
+	n := &Node{
+		name: c.required(sec, "name"), kind: c.required(sec, "kind"), zone: c.required(sec, "zone"),
+		serve: sec.Key("serve").String(), ready: sec.Key("ready").String(), control: sec.Key("control").String(),
+		metrics: sec.Key("metrics").String(), dataDir: sec.Key("data_dir").String(),
+		heartbeat: defaultHeartbeat, grace: defaultGrace, drain: defaultDrain, retryRatio: defaultRetryRatio,
+		retrySlack: defaultRetrySlack, retryWindow: defaultRetryWindow, orderTimeout: defaultOrderTimeout,
+	}
+	c.oneOf(sec, "kind", n.kind, []string{KindRouter, KindKeeper})
+	c.flag(sec, "first_start", &n.firstStart)
+	c.nodeAddresses(sec, n)
+	c.nodeBounds(sec, n)
+	return n
+}
+
+func (c *checker) nodeAddresses(sec *ini.Section, n *Node) {
+	for _, k := range []string{"serve", "ready", "control", "metrics"} {
+		c.address(sec, k, sec.Key(k).String())
+	}
+	port, _, _ := strings.Cut(c.required(sec, "internal_ports"), ",")
+	n.internal = sec.Key("ip").String() + ":" + port
+	c.address(sec, "internal_ports", n.internal)
+	for _, s := range strings.Split(c.required(sec, "seeds"), ",") {
+		a, err := netip.ParseAddrPort(strings.TrimSpace(s))
+		if err != nil {
+			c.fault(sec.Name(), "seeds", "want IP:PORT,..., not %q", s)
+			continue
+		}
+		// Ports are the same on all VMs, and a seed is named by the port that
+		// operators use.
+		n.seeds = append(n.seeds, a.Addr().String()+":"+port)
+	}
+	if n.kind == KindRouter {
+		c.required(sec, "serve")
+		return
+	}
+	c.required(sec, "control")
+	if n.dataDir = c.required(sec, "data_dir"); n.dataDir != "" {
+		n.dataDir = filepath.Clean(n.dataDir)
+	}
+}
+
+func (c *checker) nodeBounds(sec *ini.Section, n *Node) {
+	var memory, disks float64
+	c.number(sec, "memory_mb", &memory)
+	c.number(sec, "lost_disks", &disks)
+	n.memoryBytes, n.lostDisks = int64(memory*mebibyte), int(disks)
+	c.span(sec, "heartbeat_ms", time.Millisecond, &n.heartbeat)
+	c.span(sec, "grace_s", time.Second, &n.grace)
+	c.span(sec, "drain_ms", time.Millisecond, &n.drain)
+	c.span(sec, "retry_window_s", time.Second, &n.retryWindow)
+	c.span(sec, "order_timeout_ms", time.Millisecond, &n.orderTimeout)
+	c.number(sec, "retry_ratio", &n.retryRatio)
+	c.number(sec, "retry_slack", &n.retrySlack)
+}
+
+// number reads a number that is not negative; an empty field stands for its
+// default, since a platform leaves out what an installation doesn't know.
+func (c *checker) number(sec *ini.Section, key string, to *float64) {
+	text := sec.Key(key).String()
+	if text == "" {
+		return
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || v < 0 {
+		c.fault(sec.Name(), key, "want a number from 0 on, not %q", text)
+		return
+	}
+	*to = v
+}
+
+func (c *checker) span(sec *ini.Section, key string, unit time.Duration, to *time.Duration) {
+	v := float64(*to) / float64(unit)
+	c.number(sec, key, &v)
+	if v <= 0 {
+		c.fault(sec.Name(), key, "want more than 0")
+		return
+	}
+	*to = time.Duration(v * float64(unit))
+}
--- /dev/null
+++ b/predictor/endpoint.go
@@ -0,0 +1,182 @@
+// Package predictor knows how busy each endpoint is, as one router sees it, and
+// predicts how long a request would wait there.
+package predictor
+
+import (
+	"sync"
+	"time"
+
+	"rattanhoist.example/rattanhoist/ejector"
+	"rattanhoist.example/rattanhoist/enroller"
+)
+
+const (
+	// startRate is what a prompt is taken to be read at before anything was
+	// measured, in tokens a millisecond: the published speed of the engines
+	// in use is 61 to 68.
+	startRate = 60.0
+	// rateGain is the weight of the newest measurement.
+	rateGain = 0.1
+	// baseWait is the time to a first event that no prompt explains.
+	baseWait = 40 * time.Millisecond
+	// reportTrust is how long a reported load counts.
+	reportTrust = 500 * time.Millisecond
+	// partsMost bounds the parts remembered for one endpoint.
+	partsMost = 4096
+)
+
+// Part is one part of a prompt; requests share parts.
+type Part struct {
+	ID     string
+	Tokens int64
+}
+
+// Prompt is what is known of a generation before it runs.
+type Prompt struct {
+	Model string
+	Parts []Part
+	// In is the number of prompt tokens, Out the most that may be generated.
+	In, Out int64
+}
+
+// Shared returns the parts that other requests may have too: the last one is
+// the request's own.
+func (p *Prompt) Shared() []Part {
+	if len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
+// Endpoint is one incarnation of an endpoint with this router's view of it.
+// It is safe for concurrent use.
+type Endpoint struct {
+	beat enroller.Beat
+	gate ejector.Gate
+
+	mu sync.Mutex
+	// Running counts this router's requests there.
+	running int
+	// Unread is the prompt tokens of this router's requests without a first
+	// event yet, as far as they must be read.
+	unread int64
+	// Rate is prompt tokens a millisecond.
+	rate float64
+	// Latency is the average time of a plain request there; 0 before one.
+	latency time.Duration
+	// Reported is the load that the endpoint told last, of all routers.
+	reported   Load
+	reportedAt time.Time
+	// Parts maps prompt parts to when they were last sent there.
+	parts map[string]time.Time
+}
+
+// Load is what an endpoint tells of itself.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// NewEndpoint returns an endpoint without history.
+func NewEndpoint(b enroller.Beat) *Endpoint {
+	return &Endpoint{beat: b, rate: startRate, parts: map[string]time.Time{}}
+}
+
+// Beat returns what the endpoint announced.
+func (e *Endpoint) Beat() enroller.Beat { return e.beat }
+
+// Gate returns the endpoint's state of failures.
+func (e *Endpoint) Gate() *ejector.Gate { return &e.gate }
+
+// Running returns how many of this router's requests are there.
+func (e *Endpoint) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
+// Report takes the endpoint's own load in.
+func (e *Endpoint) Report(now time.Time, l Load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reported, e.reportedAt = l, now
+}
+
+// busy is the number of requests there, of all routers as far as known.
+func (e *Endpoint) busy(now time.Time) int {
+	if now.Sub(e.reportedAt) < reportTrust {
+		return max(e.running, e.reported.Running+e.reported.Waiting)
+	}
+	return e.running
+}
+
+// uncached returns the tokens of a prompt that must be read there: a part is
+// kept only if all parts before it are.
+func (e *Endpoint) uncached(p *Prompt, now time.Time, kept time.Duration) int64 {
+	left := p.In
+	for _, part := range p.Shared() {
+		at, ok := e.parts[part.ID]
+		if !ok || now.Sub(at) > kept {
+			break
+		}
+		left -= part.Tokens
+	}
+	return max(left, 0)
+}
+
+// Work is one request at an endpoint, from its dispatch to its end.
+type Work struct {
+	endpoint *Endpoint
+	unread   int64
+	at       time.Time
+	predict  time.Duration
+	started  bool
+}
+
+// Predicted returns the time to the first event as predicted at the start.
+func (w *Work) Predicted() time.Duration { return w.predict }
+
+// Endpoint returns where the work is.
+func (w *Work) Endpoint() *Endpoint { return w.endpoint }
+
+// First notes the first byte of the answer's body.
+func (w *Work) First(now time.Time) {
+	if w.started {
+		return
+	}
+	w.started = true
+	e := w.endpoint
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unread -= w.unread
+	took := now.Sub(w.at)
+	if w.unread > 0 {
+		e.learn(w.unread, took)
+		return
+	}
+	if e.latency == 0 {
+		e.latency = took
+	}
+	e.latency += time.Duration(rateGain * float64(took-e.latency))
+}
+
+// learn moves the rate towards what one prompt was read at. Short prompts tell
+// little of it: their time is mostly waiting.
+func (e *Endpoint) learn(tokens int64, took time.Duration) {
+	ms := max(took-baseWait, time.Millisecond).Seconds() * 1000
+	if tokens < 2000 {
+		return
+	}
+	e.rate += rateGain * (min(float64(tokens)/ms, 2*startRate) - e.rate)
+}
+
+// End notes that the request is over.
+func (w *Work) End() {
+	e := w.endpoint
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+	if !w.started {
+		w.started = true
+		e.unread -= w.unread
+	}
+}
--- /dev/null
+++ b/predictor/table.go
@@ -0,0 +1,184 @@
+package predictor
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// keptFor is how long a part sent to an endpoint is expected in its
+	// memory.
+	keptFor = 30 * time.Second
+	// otherZone is what sending a request to another availability zone costs,
+	// as time: what the bytes between zones cost against a late answer.
+	otherZone = 60 * time.Millisecond
+	// shareOfOthers scales this router's unread tokens up to what the other
+	// routers of the zone have sent there too.
+	shareOfOthers = 1.5
+	// slotCost is the time that each running request adds to all others.
+	slotCost = 300 * time.Microsecond
+	// fullCost keeps requests from an endpoint whose slots are taken.
+	fullCost = 400 * time.Millisecond
+	// homeLoad is how much longer than the best a prompt waits for the
+	// endpoint where its parts are kept for all routers alike.
+	homeLoad = 80 * time.Millisecond
+)
+
+// Table holds the endpoints in service; it is replaced as a whole.
+type Table struct {
+	zone      string
+	byService atomic.Pointer[map[string][]*Endpoint]
+}
+
+// NewTable returns an empty table for a router in zone.
+func NewTable(zone string) *Table {
+	t := &Table{zone: zone}
+	t.byService.Store(&map[string][]*Endpoint{})
+	return t
+}
+
+// Replace puts other endpoints in service.
+func (t *Table) Replace(byService map[string][]*Endpoint) { t.byService.Store(&byService) }
+
+// Endpoints returns the endpoints of a service; callers must not change it.
+func (t *Table) Endpoints(service string) []*Endpoint { return (*t.byService.Load())[service] }
+
+// Ask describes a request that needs an endpoint.
+type Ask struct {
+	Service string
+	// Prompt is nil for plain requests.
+	Prompt *Prompt
+	// Tried holds the incarnations that the request was sent to already.
+	Tried []string
+	// Since counts from any fixed instant, for the gates.
+	Since time.Duration
+}
+
+// Choose returns work at the endpoint with the shortest predicted wait, or nil
+// where none is in service. The work must be ended.
+func (t *Table) Choose(now time.Time, a Ask) *Work {
+	all := t.Endpoints(a.Service)
+	best := t.best(now, a, all, false)
+	if best == nil {
+		// Every endpoint is blocked: one that failed may have recovered, and
+		// an error costs no more than a refusal.
+		best = t.best(now, a, all, true)
+	}
+	if best == nil {
+		return nil
+	}
+	return best.begin(now, a)
+}
+
+func (t *Table) best(now time.Time, a Ask, all []*Endpoint, blocked bool) *Endpoint {
+	var best *Endpoint
+	var least time.Duration
+	home := t.home(a, all)
+	for _, e := range all {
+		if !blocked && e.gate.Blocked(a.Since) || tried(a.Tried, e.beat.ID) {
+			continue
+		}
+		c := e.cost(now, a.Prompt, e == home)
+		if e.beat.Zone != t.zone {
+			c += otherZone
+		}
+		if e.gate.Ejected() {
+			c += fullCost
+		}
+		// A little noise keeps routers that know the same from choosing the
+		// same endpoint at the same moment.
+		c += time.Duration(rand.Int64N(int64(2 * time.Millisecond)))
+		if best == nil || c < least {
+			best, least = e, c
+		}
+	}
+	return best
+}
+
+func tried(ids []string, id string) bool {
+	for _, t := range ids {
+		if t == id {
+			return true
+		}
+	}
+	return false
+}
+
+// home returns the endpoint of the zone where all its routers look for the
+// last shared part of a prompt first: the one with the highest hash of part
+// and endpoint. It needs no word between routers, and a change of endpoints
+// moves few parts.
+func (t *Table) home(a Ask, all []*Endpoint) *Endpoint {
+	if a.Prompt == nil || len(a.Prompt.Shared()) == 0 {
+		return nil
+	}
+	shared := a.Prompt.Shared()
+	key := shared[len(shared)-1].ID
+	var best *Endpoint
+	var most uint64
+	for _, e := range all {
+		if e.beat.Zone != t.zone || e.gate.Blocked(a.Since) {
+			continue
+		}
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(key))
+		_, _ = h.Write([]byte(e.beat.ID))
+		x := h.Sum64()
+		x ^= x >> 29
+		x *= 0xbf58476d1ce4e5b9
+		x ^= x >> 32
+		if best == nil || x > most {
+			best, most = e, x
+		}
+	}
+	return best
+}
+
+// cost is the predicted wait for the first event, or for a plain answer.
+func (e *Endpoint) cost(now time.Time, p *Prompt, home bool) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	busy := e.busy(now)
+	if p == nil {
+		slots := max(e.beat.Slots, 1)
+		c := e.latency + time.Duration(float64(busy)/float64(slots)*float64(50*time.Millisecond))
+		if busy >= slots {
+			c += fullCost
+		}
+		return c
+	}
+	c := e.wait(now, p)
+	if home {
+		c -= homeLoad
+	}
+	if slots := e.beat.Slots; slots > 0 && busy >= slots {
+		c += fullCost
+	}
+	return c
+}
+
+func (e *Endpoint) wait(now time.Time, p *Prompt) time.Duration {
+	tokens := shareOfOthers*float64(e.unread) + float64(e.uncached(p, now, keptFor))
+	return baseWait + time.Duration(tokens/e.rate*float64(time.Millisecond)) + time.Duration(e.busy(now))*slotCost
+}
+
+func (e *Endpoint) begin(now time.Time, a Ask) *Work {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := &Work{endpoint: e, at: now}
+	e.running++
+	if a.Prompt != nil {
+		w.predict = e.wait(now, a.Prompt)
+		w.unread = e.uncached(a.Prompt, now, keptFor)
+		e.unread += w.unread
+		if len(e.parts) > partsMost {
+			clear(e.parts)
+		}
+		for _, part := range a.Prompt.Parts {
+			e.parts[part.ID] = now
+		}
+	}
+	return w
+}
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -55,7 +55,7 @@
 // settings must have said, after this disk was emptied, that its own is empty
 // too; the first in name order then founds.
 func (c *Core) found() {
-	if c.deployment != "" || len(c.unfounded) < len(c.options.Peers) {
+	if c.options.NeverFounds || c.deployment != "" || len(c.unfounded) < len(c.options.Peers) {
 		return
 	}
 	all := []Member{c.self}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -84,6 +84,10 @@
 	// CompactAfter is the number of applied entries kept beside a snapshot;
 	// 0 stands for the default.
 	CompactAfter int
+	// NeverFounds keeps an empty disk from founding a deployment: it waits to
+	// be taken into one. Where members find each other through seeds, a disk
+	// that was emptied knows too few names to tell that it is the first.
+	NeverFounds bool
 }
 
 const (
@@ -139,6 +143,10 @@
 // Self returns the name and the incarnation of this disk.
 func (c *Core) Self() Member { return c.self }
 
+// SetPeers replaces the names of the other keepers: where members find each
+// other, names come and go.
+func (c *Core) SetPeers(names []string) { c.options.Peers = slices.Clone(names) }
+
 // Role returns what the core is in its term.
 func (c *Core) Role() Role { return c.role }
 
--- /dev/null
+++ b/steward/orders.go
@@ -0,0 +1,193 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"rattanhoist.example/rattanhoist/committer"
+	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/publisher"
+)
+
+// ErrNotNow says that an order or a question can't be answered for sure here
+// and now; it may be sent again, to any keeper.
+var ErrNotNow = merry.Sentinel("no majority of keepers answers")
+
+// leaderWait is the pause before an order looks for a leader again.
+const leaderWait = 50 * time.Millisecond
+
+// Decoder reads a configuration as operators send it.
+type Decoder func([]byte) (*publisher.Document, error)
+
+// Control takes the orders of operators and the heartbeats of endpoints.
+type Control struct {
+	s      *Steward
+	decode Decoder
+}
+
+// NewControl returns the steward's control, which reads documents with decode.
+func NewControl(s *Steward, decode Decoder) *Control { return &Control{s: s, decode: decode} }
+
+// Publish returns nil once the document, or one with a higher number, is on
+// the disks of a majority.
+func (c *Control) Publish(ctx context.Context, content []byte) error {
+	d, err := c.decode(content)
+	if err != nil {
+		return err
+	}
+	if err := d.Check(); err != nil {
+		c.s.log.Info("configuration refused", zap.Uint64("number", d.Number), zap.Error(err))
+		return err
+	}
+	if d.Number <= c.s.view.Load().document.Number() {
+		return nil
+	}
+	change := &messenger.DocumentChange{Number: d.Number, Content: content}
+	for _, w := range d.Workspaces {
+		if w.Prepaid != nil {
+			change.Totals = append(change.Totals, &messenger.PrepaidTotal{Workspace: w.Name, Tokens: *w.Prepaid})
+		}
+	}
+	began := time.Now()
+	err = c.s.mustOrder(ctx, &messenger.FleetChange{Body: &messenger.FleetChange_Document{Document: change}})
+	c.s.log.Info("configuration order", zap.Uint64("number", d.Number), zap.Duration("took", time.Since(began)), zap.Error(err))
+	return err
+}
+
+// Document returns the newest document, confirmed by a majority after the call
+// began.
+func (c *Control) Document(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	i, err := c.s.confirm(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.s.loop.Reached(ctx, i); err != nil {
+		return nil, merry.Errorf("%w: %s", ErrNotNow, err.Error())
+	}
+	d := c.s.view.Load().document
+	if d.Number() == 0 {
+		return nil, merry.Errorf("%w: no configuration yet", ErrNotNow)
+	}
+	return d.Content(), nil
+}
+
+// Beat takes a heartbeat in. One that says that the endpoint leaves is
+// answered only once a majority holds that.
+func (c *Control) Beat(ctx context.Context, b enroller.Beat) (string, error) {
+	c.s.roster.beat(time.Now(), b)
+	if b.Leaving {
+		return "", c.Leave(ctx, b.ID)
+	}
+	return "", nil
+}
+
+// Leave returns nil once a majority holds that the endpoint takes no new work.
+func (c *Control) Leave(ctx context.Context, id string) error {
+	if slices.Contains(c.s.view.Load().left, id) {
+		return nil
+	}
+	err := c.s.mustOrder(ctx, &messenger.FleetChange{Body: &messenger.FleetChange_Leave{Leave: &messenger.LeaveChange{Endpoint: id}}})
+	c.s.log.Info("endpoint leaves", zap.String("endpoint", id), zap.Error(err))
+	return err
+}
+
+func (s *Steward) mustOrder(ctx context.Context, change *messenger.FleetChange) error {
+	r, err := s.order(ctx, change)
+	if err != nil {
+		return merry.Errorf("%w: %s", ErrNotNow, err.Error())
+	}
+	if !r.Done {
+		return ErrNotNow
+	}
+	return nil
+}
+
+// order commits a change here or at the leader, looking for one until the
+// sender would give up.
+func (s *Steward) order(ctx context.Context, change *messenger.FleetChange) (*messenger.OrderReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	for {
+		r, err := s.orderOnce(ctx, change)
+		if err == nil && r.Done {
+			return r, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, merry.Errorf("%w: in time", ErrNotNow)
+		case <-time.After(leaderWait):
+		}
+	}
+}
+
+func (s *Steward) orderOnce(ctx context.Context, change *messenger.FleetChange) (*messenger.OrderReply, error) {
+	state := s.loop.State()
+	if state.Leads() {
+		return s.orderHere(ctx, change)
+	}
+	x := s.members.member(state.Leader())
+	if x == nil {
+		return &messenger.OrderReply{}, nil
+	}
+	var r *messenger.OrderReply
+	err := x.link.Call(ctx, orderTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+		var err error
+		r, err = c.Order(ctx, &messenger.OrderRequest{Change: change, Passed: true})
+		return err
+	})
+	return r, err
+}
+
+// orderHere commits a change as the leader. A change may be committed twice
+// when its first outcome was lost; each kind is made so that this does no harm.
+func (s *Steward) orderHere(ctx context.Context, change *messenger.FleetChange) (*messenger.OrderReply, error) {
+	b, err := proto.Marshal(change)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	out, err := s.loop.Propose(ctx, b)
+	if errors.Is(err, committer.ErrNotLeader) {
+		return &messenger.OrderReply{Leader: s.loop.State().Leader()}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	grants, _ := out.([]*messenger.RightsGrant)
+	return &messenger.OrderReply{Done: true, Grants: grants}, nil
+}
+
+// confirm returns an index that covers all acknowledged before the call.
+func (s *Steward) confirm(ctx context.Context) (uint64, error) {
+	for {
+		state := s.loop.State()
+		if state.Leads() {
+			if i, err := s.loop.Confirm(ctx); err == nil {
+				return i, nil
+			}
+		} else if x := s.members.member(state.Leader()); x != nil {
+			var r *messenger.ConfirmReply
+			err := x.link.Call(ctx, orderTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+				var err error
+				r, err = c.Confirm(ctx, &messenger.ConfirmRequest{})
+				return err
+			})
+			if err == nil && r.Done {
+				return r.Index, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ErrNotNow
+		case <-time.After(leaderWait):
+		}
+	}
+}
--- /dev/null
+++ b/steward/roster.go
@@ -0,0 +1,119 @@
+package steward
+
+import (
+	"sync"
+	"time"
+
+	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+const (
+	// silentBeats is how many heartbeats an endpoint may miss: they can come
+	// seconds late, and failures on the path show a crash sooner.
+	silentBeats = 6
+	// routerSilence is after how long a router no longer counts: it asks
+	// several times a second.
+	routerSilence = 3 * time.Second
+	// leftTold bounds the leaves told in one answer: the newest.
+	leftTold = 256
+)
+
+type router struct {
+	member *messenger.FleetMember
+	heard  time.Time
+	// Direct says that the router itself asked here.
+	direct bool
+}
+
+// roster is what a keeper heard of endpoints and routers.
+type roster struct {
+	mu    sync.Mutex
+	table *enroller.Table
+	// Fresh holds what endpoints told this very keeper since the last share.
+	fresh   map[string]bool
+	routers map[string]router
+}
+
+func newRoster(heartbeat time.Duration) *roster {
+	return &roster{table: enroller.NewTable(silentBeats * heartbeat), fresh: map[string]bool{}, routers: map[string]router{}}
+}
+
+func (r *roster) beat(now time.Time, b enroller.Beat) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Hear(now, b, 0)
+	r.fresh[b.ID] = true
+}
+
+func (r *roster) leave(now time.Time, ids []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range ids {
+		r.table.Leave(now, id)
+	}
+}
+
+func (r *roster) expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Expire(now)
+	for a, x := range r.routers {
+		if now.Sub(x.heard) > routerSilence {
+			delete(r.routers, a)
+		}
+	}
+}
+
+// news returns what was heard here since the last call, or nil.
+func (r *roster) news(now time.Time, from string) *messenger.Sightings {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := &messenger.Sightings{From: from}
+	for _, s := range r.table.Sightings(now) {
+		if r.fresh[s.Id] {
+			out.Sightings = append(out.Sightings, s)
+		}
+	}
+	clear(r.fresh)
+	for _, x := range r.routers {
+		if x.direct && now.Sub(x.heard) < 2*shareEvery {
+			out.Routers = append(out.Routers, x.member)
+		}
+	}
+	if len(out.Sightings) == 0 && len(out.Routers) == 0 {
+		return nil
+	}
+	return out
+}
+
+// take takes in what another keeper heard.
+func (r *roster) take(now time.Time, s *messenger.Sightings) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, x := range s.Sightings {
+		b, age := enroller.BeatOf(x)
+		r.table.Hear(now, b, age)
+	}
+	for _, m := range s.Routers {
+		if x := r.routers[m.Address]; !x.direct || now.Sub(x.heard) > 2*shareEvery {
+			r.routers[m.Address] = router{member: m, heard: now}
+		}
+	}
+}
+
+// ask notes a router's question and fills in what it is told.
+func (r *roster) ask(now time.Time, q *messenger.SyncRequest, out *messenger.SyncReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a := q.Router.GetAddress(); a != "" {
+		r.routers[a] = router{member: q.Router, heard: now, direct: true}
+	}
+	for _, x := range r.routers {
+		out.Routers = append(out.Routers, x.member)
+	}
+	out.Revision = r.table.Revision()
+	if q.Revision != out.Revision {
+		out.Endpoints = r.table.Sightings(now)
+	}
+}
--- /dev/null
+++ b/steward/server.go
@@ -0,0 +1,80 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"rattanhoist.example/rattanhoist/committer"
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// server answers the calls of the fleet's other processes.
+type server struct {
+	messenger.UnimplementedFleetKeeperServer
+	s *Steward
+}
+
+// Carry takes a message of the log in.
+func (v *server) Carry(_ context.Context, m *messenger.LogMessage) (*messenger.LogCarried, error) {
+	v.s.members.learn(m.From.GetName())
+	if err := v.s.loop.Receive(m); err != nil {
+		return nil, status.Error(codes.ResourceExhausted, err.Error())
+	}
+	return &messenger.LogCarried{}, nil
+}
+
+// Order commits a change if this keeper leads; a router's is passed on to the
+// leader.
+func (v *server) Order(ctx context.Context, r *messenger.OrderRequest) (*messenger.OrderReply, error) {
+	if r.Passed {
+		return v.s.orderHere(ctx, r.Change)
+	}
+	return v.s.order(ctx, r.Change)
+}
+
+// Confirm returns a confirmed index if this keeper leads.
+func (v *server) Confirm(ctx context.Context, _ *messenger.ConfirmRequest) (*messenger.ConfirmReply, error) {
+	i, err := v.s.loop.Confirm(ctx)
+	if errors.Is(err, committer.ErrNotLeader) {
+		return &messenger.ConfirmReply{Leader: v.s.loop.State().Leader()}, nil
+	}
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &messenger.ConfirmReply{Done: true, Index: i}, nil
+}
+
+// Share takes in what another keeper heard.
+func (v *server) Share(_ context.Context, s *messenger.Sightings) (*messenger.SightingsTaken, error) {
+	v.s.roster.take(time.Now(), s)
+	return &messenger.SightingsTaken{}, nil
+}
+
+// Sync tells a router what is in force here.
+func (v *server) Sync(_ context.Context, q *messenger.SyncRequest) (*messenger.SyncReply, error) {
+	s, now := v.s, time.Now()
+	state, shown := s.loop.State(), s.view.Load()
+	out := &messenger.SyncReply{
+		ConfirmedAgeMs: -1, Leader: state.Leader(), Number: shown.document.Number(),
+		UptimeMs: now.Sub(s.start).Milliseconds(),
+		Keepers:  []*messenger.FleetMember{{Address: s.node.Internal(), Zone: s.node.Zone()}},
+	}
+	if at := state.ConfirmedAt(); !at.IsZero() {
+		out.ConfirmedAgeMs = now.Sub(at).Milliseconds()
+	}
+	for _, n := range s.members.names() {
+		out.Keepers = append(out.Keepers, &messenger.FleetMember{Address: n})
+	}
+	if shown.document.Number() > q.Number {
+		out.Content = shown.document.Content()
+	}
+	s.roster.ask(now, q, out)
+	if len(out.Endpoints) > 0 || q.Revision != out.Revision {
+		out.Left = shown.left[max(len(shown.left)-leftTold, 0):]
+	}
+	return out, nil
+}
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,199 @@
+// Package steward is a keeper of a fleet whose members find each other through
+// seeds: it votes in the log, takes orders and heartbeats, and tells routers
+// what is in force.
+package steward
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"rattanhoist.example/rattanhoist/committer"
+	"rattanhoist.example/rattanhoist/governor"
+	"rattanhoist.example/rattanhoist/loader"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/replicator"
+	"rattanhoist.example/rattanhoist/storer"
+)
+
+const (
+	// heartbeat, election: a leader's death costs at most 0.6 to 1.2 s and a
+	// round of votes, well below the bound on acknowledgements of 4 s; a
+	// heartbeat costs 2 calls for each of the others.
+	heartbeat = 100 * time.Millisecond
+	election  = 600 * time.Millisecond
+	// replaceAfter is the silence after which a complete copy takes a voter's
+	// seat. It is longer than a restart or a cut between zones usually lasts;
+	// taking a seat too early is safe, only needless.
+	replaceAfter = 6 * time.Second
+	// compactAfter entries a snapshot is written. Entries may hold whole
+	// documents of 130 kB, and the disk 128 MB.
+	compactAfter = 96
+	// shareEvery is how often keepers tell each other what they heard: half
+	// of the time that a leave may take to be known everywhere is far longer.
+	shareEvery = 300 * time.Millisecond
+	// callTimeout is for calls between keepers; it is within the second that
+	// operators and endpoints wait.
+	callTimeout = 400 * time.Millisecond
+	// orderTimeout ends an order's wait just before its sender gives up.
+	orderTimeout = 900 * time.Millisecond
+)
+
+// view is the committed state that is shown to others; immutable.
+type view struct {
+	document *governor.Document
+	left     []string
+}
+
+// Steward is one keeper process.
+type Steward struct {
+	node  *loader.Node
+	log   *zap.Logger
+	start time.Time
+	loop  *committer.Loop
+	// State is stepped by the loop only; view shows copies.
+	state   *governor.Governor
+	view    atomic.Pointer[view]
+	members *members
+	roster  *roster
+}
+
+// New opens the store and restores the log. The returned function closes the
+// store.
+func New(n *loader.Node, log *zap.Logger) (*Steward, func(), error) {
+	store, closeStore, err := storer.Open(n.DataDir())
+	if err != nil {
+		return nil, nil, err
+	}
+	s := &Steward{node: n, log: log, start: time.Now(), state: governor.New()}
+	s.view.Store(&view{document: s.state.Document()})
+	s.members = newMembers(n.Internal(), n.Seeds(), s.setPeers)
+	s.roster = newRoster(n.Heartbeat())
+	s.loop, err = committer.New(committer.Options{
+		Core: replicator.Options{
+			Name: n.Internal(), Peers: s.members.names(), Voters: 2*n.LostDisks() + 1,
+			Timing:  replicator.Timing{Heartbeat: heartbeat, Election: election, Replace: replaceAfter},
+			Rand:    newRand(),
+			Machine: s.state, CompactAfter: compactAfter,
+			NeverFounds: !n.FirstStart() || !slices.Contains(n.Seeds(), n.Internal()),
+		},
+		Store: store, Send: s.members.send, Committed: s.committed, Log: log,
+	})
+	if err != nil {
+		_ = closeStore()
+		return nil, nil, err
+	}
+	s.committed()
+	return s, func() { _ = closeStore() }, nil
+}
+
+func newRand() *rand.Rand {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:])
+	return rand.New(rand.NewPCG(binary.BigEndian.Uint64(seed[:8]), binary.BigEndian.Uint64(seed[8:])))
+}
+
+// committed shows what the loop has applied and synced.
+func (s *Steward) committed() {
+	old := s.view.Load()
+	v := &view{document: s.state.Document(), left: s.state.Left()}
+	s.view.Store(v)
+	if v.document.Number() != old.document.Number() {
+		s.log.Info("configuration", zap.Uint64("number", v.document.Number()), zap.Int("bytes", len(v.document.Content())))
+	}
+	if len(v.left) > 0 {
+		s.roster.leave(time.Now(), v.left)
+	}
+}
+
+func (s *Steward) setPeers(names []string) {
+	if s.loop == nil || !s.loop.State().Founded() {
+		// Before the founding, the seeds alone decide who founds.
+		return
+	}
+	if err := s.loop.SetPeers(names); err != nil {
+		s.log.Warn("peers not taken up, tried again with the next one", zap.Error(err))
+	}
+}
+
+// Run serves until ctx ends.
+func (s *Steward) Run(ctx context.Context, control func(*Steward) http.Handler) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	internal, err := net.Listen("tcp", s.node.Internal())
+	if err != nil {
+		return err
+	}
+	outside, err := net.Listen("tcp", s.node.Control())
+	if err != nil {
+		return err
+	}
+	rpc := messenger.NewFleetServer(&server{s: s})
+	web := &http.Server{Handler: control(s), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
+	failed := make(chan error, 3)
+	go func() { failed <- rpc.Serve(internal) }()
+	go func() { failed <- web.Serve(outside) }()
+	go func() { failed <- s.loop.Run(ctx) }()
+	go s.share(ctx)
+	s.members.run(ctx)
+	s.log.Info("keeper started", zap.String("zone", s.node.Zone()), zap.Strings("seeds", s.node.Seeds()),
+		zap.Bool("first_start", s.node.FirstStart()), zap.Uint64("number", s.view.Load().document.Number()))
+	select {
+	case <-ctx.Done():
+		s.stop(rpc, web)
+		return nil
+	case err := <-failed:
+		s.log.Error("keeper ends", zap.Error(err))
+		return err
+	}
+}
+
+// stopWait lets answers under way leave.
+const stopWait = 200 * time.Millisecond
+
+func (s *Steward) stop(rpc *grpc.Server, web *http.Server) {
+	s.log.Info("keeper stops")
+	ctx, cancel := context.WithTimeout(context.Background(), stopWait)
+	defer cancel()
+	_ = web.Shutdown(ctx)
+	rpc.Stop()
+}
+
+// share tells the other keepers what this one heard.
+func (s *Steward) share(ctx context.Context) {
+	t := time.NewTicker(shareEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		m := s.roster.news(time.Now(), s.node.Internal())
+		s.roster.expire(time.Now())
+		if m != nil {
+			s.members.share(ctx, m)
+		}
+		s.learnVoters()
+	}
+}
+
+// learnVoters makes the voters of the log known as peers: after a restart, the
+// seeds of the settings may name other VMs.
+func (s *Steward) learnVoters() {
+	for _, v := range s.loop.State().Voters() {
+		s.members.learn(v.Name)
+	}
+	if s.loop.State().Founded() {
+		s.members.refresh()
+	}
+}
