A router's last claim counts requests in progress; an answer's head waits for its first event

Stated ceilings are gone: whether an incarnation kept to one can't be proved from the leader's clock.

--- a/allotter/ledger.go
+++ b/allotter/ledger.go
@@ -26,7 +26,7 @@
 // account is one incarnation's rights of one workspace. Each amount only ever
 // grows, so claims that arrive twice or out of order do no harm.
 type account struct {
-	granted, returned, spent, ceiling int64
+	granted, returned, spent int64
 }
 
 // cap is the most that the incarnation can have spent.
@@ -100,24 +100,14 @@
 		return nil
 	}
 	if h.incarnation != c.Incarnation {
-		l.end(h, lostOf(c.Prompt))
+		// Nobody can prove what an incarnation that ended without a word has
+		// not spent.
+		l.end(h, (*account).cap)
 		h.incarnation = c.Incarnation
 	}
 	return h
 }
 
-// lostOf returns what an incarnation that ended without a word may have spent.
-// One that ended soon after its last claim kept below the ceiling that it had
-// stated; one that may have counted itself out of touch could use all.
-func lostOf(prompt bool) func(*account) int64 {
-	return func(a *account) int64 {
-		if prompt {
-			return min(max(a.ceiling, a.spent), a.cap())
-		}
-		return a.cap()
-	}
-}
-
 func (l *Ledger) end(h *holder, lost func(*account) int64) {
 	for w, a := range h.accounts {
 		l.held[w] -= a.cap()
@@ -141,7 +131,6 @@
 		a.returned = c.Returned
 	}
 	a.spent = max(a.spent, c.Spent)
-	a.ceiling = max(a.ceiling, c.Ceiling)
 	more := l.share(c)
 	a.granted += more
 	l.held[c.Workspace] += more
@@ -175,7 +164,7 @@
 		for _, w := range slices.Sorted(maps.Keys(h.accounts)) {
 			a := h.accounts[w]
 			out.Accounts = append(out.Accounts, &messenger.RightsAccount{
-				Workspace: w, Granted: a.granted, Returned: a.returned, Spent: a.spent, Ceiling: a.ceiling,
+				Workspace: w, Granted: a.granted, Returned: a.returned, Spent: a.spent,
 			})
 		}
 		s.Holders = append(s.Holders, out)
@@ -200,7 +189,7 @@
 	for _, in := range s.Holders {
 		h := &holder{incarnation: in.Incarnation, accounts: map[string]*account{}, ended: slices.Clone(in.Ended)}
 		for _, a := range in.Accounts {
-			h.accounts[a.Workspace] = &account{granted: a.Granted, returned: a.Returned, spent: a.Spent, ceiling: a.Ceiling}
+			h.accounts[a.Workspace] = &account{granted: a.Granted, returned: a.Returned, spent: a.Spent}
 			l.held[a.Workspace] += a.Granted - a.Returned
 		}
 		l.holders[in.Router] = h
--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -12,9 +12,6 @@
 	// while no keeper is in reach: cuts of nine seconds are ordinary, and the
 	// claim before one may be half a second old.
 	Horizon = 10 * time.Second
-	// InTouch is how long after an answered claim a router still counts as in
-	// touch; until then it keeps below the ceiling that it stated.
-	InTouch = 1500 * time.Millisecond
 	// scarceHorizon is the headroom that a router keeps while the pool is
 	// low: two claims' worth of demand.
 	scarceHorizon = time.Second
@@ -34,24 +31,25 @@
 	granted, returned, spent, reserved int64
 	// Waiting is what requests that didn't fit ask for, the largest of them.
 	waiting int64
-	// Ceiling is the one last answered; stated the one last sent.
-	ceiling, stated int64
-	left            int64
-	scarce          bool
+	left    int64
+	scarce  bool
 	// Known says that a keeper has answered a claim for this workspace.
 	known bool
+	// Closed says that nothing more may be set aside.
+	closed bool
 	// Rate is tokens a second, averaged over rateWindow.
 	rate   float64
 	rateAt time.Time
 }
 
-// Reserve sets n tokens aside and reports whether they were there. In touch,
-// it keeps below the ceiling that a keeper knows of.
-func (p *Purse) Reserve(now time.Time, n int64, inTouch bool) bool {
+// Reserve sets n tokens aside and reports whether they were there.
+func (p *Purse) Reserve(now time.Time, n int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	used := p.spent + p.reserved + n
-	if used > p.granted-p.returned || inTouch && used > p.ceiling {
+	if p.closed {
+		return false
+	}
+	if p.spent+p.reserved+n > p.granted-p.returned {
 		p.waiting = max(p.waiting, n)
 		return false
 	}
@@ -105,23 +103,29 @@
 		p.returned += surplus
 		headroom -= surplus
 	}
-	p.stated = p.spent + p.reserved + p.waiting + int64(p.rate*InTouch.Seconds()) + returnSlack
 	c := &messenger.RightsClaim{
-		Workspace: workspace, Returned: p.returned, Spent: p.spent, Ceiling: max(p.stated, p.ceiling),
+		Workspace: workspace, Returned: p.returned, Spent: p.spent,
 		Wanted: max(need-headroom, 0), Urgent: max(p.waiting-headroom, 0),
 	}
-	p.stated = c.Ceiling
 	p.waiting = 0
 	return c
 }
 
-// Granted takes a keeper's answer to a claim in, with the ceiling of that
-// claim.
-func (p *Purse) Granted(g *messenger.RightsGrant, ceiling int64) {
+// Close returns the last claim of a process that ends. Requests may still be
+// in progress, so what is set aside for them counts as spent: given back, it
+// would be granted to another router while their last tokens are delivered.
+func (p *Purse) Close(workspace string) *messenger.RightsClaim {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	return &messenger.RightsClaim{Workspace: workspace, Returned: p.returned, Spent: p.spent + p.reserved}
+}
+
+// Granted takes a keeper's answer to a claim in.
+func (p *Purse) Granted(g *messenger.RightsGrant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.granted = max(p.granted, g.Granted)
-	p.ceiling = max(p.ceiling, ceiling)
 	p.left, p.scarce, p.known = g.Left, g.Scarce, true
 }
 
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -123,8 +123,8 @@
 	case <-ctx.Done():
 	}
 	c.drain()
-	c.rights.close(work)
 	_ = callers.Close()
+	c.rights.close(work)
 	_ = question.Close()
 	c.Log.Info("router stopped")
 	return nil
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -64,7 +64,7 @@
 	defer cancel()
 	p, settled, first := r.purse(workspace)
 	for {
-		if p.Reserve(time.Now(), tokens, false) {
+		if p.Reserve(time.Now(), tokens) {
 			return &reservation{purse: p, tokens: tokens}, nil
 		}
 		select {
@@ -111,7 +111,7 @@
 	}
 }
 
-// close gives back what is left. Nothing may be in progress any more.
+// close gives back what is left. The keepers' answer changes nothing here.
 func (r *rights) close(ctx context.Context) { r.claim(ctx, closeWait, true) }
 
 func (r *rights) claim(ctx context.Context, timeout time.Duration, closing bool) {
@@ -127,9 +127,9 @@
 		r.reset()
 		return
 	}
-	for i, g := range reply.Grants {
+	for _, g := range reply.Grants {
 		if p := purses[g.Workspace]; p != nil {
-			p.Granted(g, change.Claims[i].Ceiling)
+			p.Granted(g)
 		}
 	}
 	r.mu.Lock()
@@ -154,6 +154,10 @@
 		if p.Idle() && !closing {
 			continue
 		}
+		if closing {
+			out.Claims = append(out.Claims, p.Close(w))
+			continue
+		}
 		out.Claims = append(out.Claims, p.Claim(time.Now(), w))
 		purses[w] = p
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -22,16 +22,12 @@
 // relay passes events on as they come. An event that breaks off is held back,
 // so that the stream can go on elsewhere after the last whole one.
 func (j *job) relay(ctx context.Context, a *pooler.Answer, work *predictor.Work) outcome {
-	if !j.began {
-		j.head(a, false)
-		j.w.Header().Del("Content-Length")
-	}
 	events := bufio.NewReaderSize(a.Body, relayBuffer)
 	for {
 		event, err := readEvent(events)
 		if len(event) > 0 && err == nil {
 			work.First(time.Now())
-			if !j.passEvent(event) {
+			if !j.passEvent(a, event) {
 				j.log(0, "caller gone")
 				panic(http.ErrAbortHandler)
 			}
@@ -39,9 +35,7 @@
 		}
 		if err == io.EOF && a.Ended() && len(event) == 0 && !a.Unframed {
 			work.Endpoint().Gate().Step(time.Since(j.f.start), ejector.Succeeded, 0)
-			if !j.began {
-				j.w.WriteHeader(a.Status)
-			}
+			j.begin(a)
 			j.log(a.Status, "")
 			return done
 		}
@@ -64,11 +58,21 @@
 	return lost
 }
 
-func (j *job) passEvent(event []byte) bool {
-	if !j.began {
-		j.began = true
-		j.w.WriteHeader(http.StatusOK)
+// begin sends the head of the first endpoint's answer, once. It waits for the
+// first whole event: a stream that breaks off before that can still be
+// answered by another endpoint, or by a failure that bears no signature.
+func (j *job) begin(a *pooler.Answer) {
+	if j.began {
+		return
 	}
+	j.began = true
+	j.head(a, false)
+	j.w.Header().Del("Content-Length")
+	j.w.WriteHeader(a.Status)
+}
+
+func (j *job) passEvent(a *pooler.Answer, event []byte) bool {
+	j.begin(a)
 	if id, ok := eventID(event); ok {
 		j.lastEvent = id
 	}
