Rights go further ahead, and routers lend to each other

Change: 14 s ahead, 5 s when the pool is under 1/40 of the total; a router that no keeper answers borrows from others, one in touch does so before 402.

--- a/allotter/fuzz_test.go
+++ b/allotter/fuzz_test.go
@@ -100,6 +100,7 @@
 			w.arrive(m, w.rand.IntN(n), w.coin(), w.coin())
 		}
 	case 10:
+		w.lend(m)
 		if w.rand.IntN(8) == 0 {
 			w.stop(m)
 		}
@@ -112,6 +113,17 @@
 	}
 }
 
+// lend moves rights between two routers; the answer may be lost.
+func (w *world) lend(from *machine) {
+	to := w.machines[w.rand.IntN(len(w.machines))]
+	if !from.alive || !to.alive || to == from {
+		return
+	}
+	if n := from.purse.Lend(1, int64(1+w.rand.IntN(5_000))); w.coin() {
+		to.purse.Receive(n)
+	}
+}
+
 // stop ends a process, with or without a last word, or starts it again. A
 // process that ended with requests in progress may have delivered all of them.
 func (w *world) stop(m *machine) {
--- a/allotter/ledger.go
+++ b/allotter/ledger.go
@@ -17,7 +17,7 @@
 	rememberedEnds = 16
 	// scarcePart is the part of a total below which headroom goes back: with
 	// less, what idle routers hold decides whether the total can be used up.
-	scarcePart = 8
+	scarcePart = 40
 	// poolShare is how many equal parts of the pool each router could have:
 	// two, so that one claim never empties the pool for the others.
 	poolShare = 2
--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -9,12 +9,15 @@
 
 const (
 	// Horizon is how long a router should be able to serve from what it holds
-	// while no keeper is in reach: cuts of nine seconds are ordinary, and the
-	// claim before one may be half a second old.
-	Horizon = 10 * time.Second
+	// while no keeper is in reach: cuts of nine seconds are ordinary, and
+	// demand may rise by half meanwhile.
+	Horizon = 14 * time.Second
 	// scarceHorizon is the headroom that a router keeps while the pool is
-	// low: two claims' worth of demand.
-	scarceHorizon = time.Second
+	// low. Routers lend to each other, so what one holds too much of is not
+	// lost to the others, while all of them may be cut off the next moment.
+	scarceHorizon = 5 * time.Second
+	// lendHorizon is how long what a router borrows should last.
+	lendHorizon = 2 * time.Second
 	// rateWindow is over how much time demand is averaged: long enough that
 	// single large prompts don't count as demand, short against Horizon.
 	rateWindow = 4 * time.Second
@@ -27,8 +30,10 @@
 // reserved only ever grow. It is safe for concurrent use.
 type Purse struct {
 	mu sync.Mutex
-	// Spent + reserved never exceeds granted - returned.
-	granted, returned, spent, reserved int64
+	// Spent + reserved never exceeds granted - returned + received. Received
+	// is what other routers lent: the lender counts it as spent, so keepers
+	// never hear of it here.
+	granted, returned, received, spent, reserved int64
 	// Waiting is what requests that didn't fit ask for, the largest of them.
 	waiting int64
 	left    int64
@@ -49,7 +54,7 @@
 	if p.closed {
 		return false
 	}
-	if p.spent+p.reserved+n > p.granted-p.returned {
+	if n > p.headroom() {
 		p.waiting = max(p.waiting, n)
 		return false
 	}
@@ -97,14 +102,15 @@
 	if p.scarce {
 		horizon = scarceHorizon
 	}
-	headroom := p.granted - p.returned - p.spent - p.reserved
+	headroom := p.headroom()
 	need := int64(p.rate*horizon.Seconds()) + p.waiting
-	if surplus := headroom - need; surplus > returnSlack && (p.scarce || surplus > 2*need+returnSlack) {
+	// What was lent can't go back: the lender has written it off.
+	if surplus := min(headroom-need, p.granted-p.returned-p.spent-p.reserved); surplus > returnSlack && (p.scarce || surplus > 2*need+returnSlack) {
 		p.returned += surplus
 		headroom -= surplus
 	}
 	c := &messenger.RightsClaim{
-		Workspace: workspace, Returned: p.returned, Spent: p.spent,
+		Workspace: workspace, Returned: p.returned, Spent: max(p.spent-p.received, 0),
 		Wanted: max(need-headroom, 0), Urgent: max(p.waiting-headroom, 0),
 	}
 	p.waiting = 0
@@ -118,7 +124,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	return &messenger.RightsClaim{Workspace: workspace, Returned: p.returned, Spent: p.spent + p.reserved}
+	return &messenger.RightsClaim{Workspace: workspace, Returned: p.returned, Spent: max(p.spent+p.reserved-p.received, 0)}
 }
 
 // Granted takes a keeper's answer to a claim in.
@@ -136,9 +142,35 @@
 	return p.granted == p.returned && p.waiting == 0 && p.reserved == 0 && p.rate < 1
 }
 
-// Held returns the headroom: tokens held that are neither spent nor reserved.
-func (p *Purse) Held() int64 {
+// headroom is what may still be set aside.
+func (p *Purse) headroom() int64 { return p.granted - p.returned + p.received - p.spent - p.reserved }
+
+// Lend gives up to wanted tokens away, at most half of the headroom, and none
+// where that is less than least. They count as spent here.
+func (p *Purse) Lend(least, wanted int64) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := min(wanted, p.headroom()/2)
+	if p.closed || n < least || n <= 0 {
+		return 0
+	}
+	p.spent += n
+	return n
+}
+
+// Receive takes in what another router lent.
+func (p *Purse) Receive(n int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.granted - p.returned - p.spent - p.reserved
+	p.received += n
+}
+
+// Short returns what to ask another router for: the least of use to a request
+// of n tokens, and what demand makes of it until the next claim.
+func (p *Purse) Short(now time.Time, n int64) (least, wanted int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.decay(now)
+	least = max(n-p.headroom(), 1)
+	return least, least + int64(p.rate*lendHorizon.Seconds())
 }
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -16,6 +16,7 @@
 	"rattanhoist.example/rattanhoist/forwarder"
 	"rattanhoist.example/rattanhoist/limiter"
 	"rattanhoist.example/rattanhoist/loader"
+	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
@@ -109,7 +110,14 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+c.ReadyPath, c.answerReady)
 	question := &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	failed := make(chan error, 2)
+	internal, err := net.Listen("tcp", c.Node.Internal())
+	if err != nil {
+		return err
+	}
+	rpc := messenger.NewFleetServer()
+	messenger.RegisterFleetRouterServer(rpc, c.rights)
+	failed := make(chan error, 3)
+	go func() { failed <- rpc.Serve(internal) }()
 	go func() { failed <- callers.Serve(front) }()
 	go func() { failed <- question.Serve(ready) }()
 	go c.fleet.run(work)
@@ -126,6 +134,7 @@
 	_ = callers.Close()
 	c.rights.close(work)
 	_ = question.Close()
+	rpc.Stop()
 	c.Log.Info("router stopped")
 	return nil
 }
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -30,6 +30,8 @@
 	// before it takes one that its keeper couldn't have confirmed: where no
 	// majority answers, that is the newest that its zone can know.
 	settleFor = 3 * time.Second
+	// siblingsMost bounds the routers that are remembered for lending.
+	siblingsMost = 128
 	// silentBeats is how many heartbeats an endpoint may miss while keepers
 	// are in reach.
 	silentBeats = 8
@@ -47,11 +49,15 @@
 	known atomic.Int64
 	// Current is the keeper asked last with success.
 	current atomic.Pointer[messenger.Link]
+	// Touched is when a keeper last answered, as time since start.
+	touched atomic.Int64
 
 	mu      sync.Mutex
 	keepers map[string]*messenger.Link
 	// Zones holds the keepers' zones as far as known.
 	zones map[string]string
+	// Siblings are the other routers, those of the zone first.
+	siblings []*messenger.Link
 
 	// The rest belongs to the goroutine of run.
 	roll      *enroller.Table
@@ -185,10 +191,11 @@
 		f.touchSince = now
 	}
 	f.touchedAt = now
+	f.touched.Store(int64(now.Sub(f.start)))
 	for _, k := range r.Keepers {
 		f.learn(k.Address, k.Zone)
 	}
-	f.known.Store(int64(max(len(r.Routers), 1)))
+	f.meet(r.Routers)
 	f.publish(r, sent)
 	f.revisions[l.Address()] = r.Revision
 	for _, s := range r.Endpoints {
@@ -200,6 +207,53 @@
 	}
 }
 
+// untouched returns how long no keeper has answered.
+func (f *fleet) untouched() time.Duration {
+	return time.Since(f.start) - time.Duration(f.touched.Load())
+}
+
+// meet takes the other routers in. Those that keepers no longer name stay
+// known until others take their place: a keeper that has just started knows
+// few.
+func (f *fleet) meet(routers []*messenger.FleetMember) {
+	f.known.Store(int64(max(len(routers), 1)))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := map[string]*messenger.Link{}
+	for _, l := range f.siblings {
+		old[l.Address()] = l
+	}
+	var near, far []*messenger.Link
+	for _, m := range routers {
+		if m.Address == f.self.Address {
+			continue
+		}
+		l := old[m.Address]
+		if l == nil {
+			l = messenger.NewLink(m.Address)
+		}
+		delete(old, m.Address)
+		if m.Zone == f.self.Zone {
+			near = append(near, l)
+		} else {
+			far = append(far, l)
+		}
+	}
+	for _, l := range old {
+		if len(near)+len(far) < siblingsMost {
+			far = append(far, l)
+		}
+	}
+	f.siblings = append(near, far...)
+}
+
+// others returns the other routers, those of the zone first.
+func (f *fleet) others() []*messenger.Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.siblings
+}
+
 // publish takes a document into force. The number only ever grows; the first
 // document of this process must have been confirmed after its start, since it
 // may have served a newer one before.
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -22,16 +23,28 @@
 	claimPause = 10 * time.Millisecond
 	// reserveWait bounds the wait of one request for rights: a few claims.
 	reserveWait = 500 * time.Millisecond
+	// outOfTouch is after how long without an answer of any keeper a router
+	// borrows from others instead of waiting for keepers: two rounds of
+	// questions with their timeouts.
+	outOfTouch = 900 * time.Millisecond
+	// lendTimeout and lendersMost bound the search for a lender; the request
+	// waits meanwhile.
+	lendTimeout = 150 * time.Millisecond
+	lendersMost = 6
 	// closeWait bounds the last claim of a process that stops.
 	closeWait = 200 * time.Millisecond
 )
 
 // rights holds this router's purses and settles them with the keepers.
 type rights struct {
+	messenger.UnimplementedFleetRouterServer
 	fleet   *fleet
 	address string
 	log     *zap.Logger
 	urgent  chan struct{}
+	// Lending lets one request at a time look for a lender: what it borrows
+	// serves those behind it too.
+	lending sync.Mutex
 
 	mu          sync.Mutex
 	purses      map[string]*allotter.Purse
@@ -67,6 +80,12 @@
 		if p.Reserve(time.Now(), tokens) {
 			return &reservation{purse: p, tokens: tokens}, nil
 		}
+		if r.fleet.untouched() > outOfTouch {
+			if r.borrow(ctx, p, workspace, tokens) {
+				continue
+			}
+			return nil, forwarder.ErrRightsOutOfReach
+		}
 		select {
 		case r.urgent <- struct{}{}:
 		default:
@@ -78,12 +97,41 @@
 		}
 		var now uint64
 		p, settled, now = r.purse(workspace)
-		if now > first+1 && p.Exhausted(tokens) {
+		if now > first+1 && p.Exhausted(tokens) && !r.borrow(ctx, p, workspace, tokens) {
 			return nil, forwarder.ErrSpent
 		}
 	}
 }
 
+// borrow asks other routers for rights and reports whether one lent any.
+func (r *rights) borrow(ctx context.Context, p *allotter.Purse, workspace string, tokens int64) bool {
+	r.lending.Lock()
+	defer r.lending.Unlock()
+	least, wanted := p.Short(time.Now(), tokens)
+	if least <= 1 && wanted <= 1 {
+		return true
+	}
+	q := &messenger.LendRequest{Workspace: workspace, Least: least, Wanted: wanted}
+	others := r.fleet.others()
+	from := rand.IntN(max(len(others), 1))
+	for i := range min(len(others), lendersMost) {
+		l := others[(from+i)%len(others)]
+		n, err := l.Lend(ctx, lendTimeout, q)
+		if err == nil && n > 0 {
+			p.Receive(n)
+			r.log.Info("rights borrowed", zap.String("workspace", workspace), zap.String("from", l.Address()), zap.Int64("tokens", n))
+			return true
+		}
+	}
+	return false
+}
+
+// Lend serves another router that can't reach a keeper.
+func (r *rights) Lend(_ context.Context, q *messenger.LendRequest) (*messenger.LendReply, error) {
+	p, _, _ := r.purse(q.Workspace)
+	return &messenger.LendReply{Lent: p.Lend(q.Least, q.Wanted)}, nil
+}
+
 func (r *rights) purse(workspace string) (*allotter.Purse, chan struct{}, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -67,15 +67,30 @@
 	return c, nil
 }
 
-// Call makes one call with a timeout.
+// Call makes one call to a keeper with a timeout.
 func (l *Link) Call(ctx context.Context, timeout time.Duration, f func(context.Context, FleetKeeperClient) error) error {
+	return l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error { return f(ctx, NewFleetKeeperClient(c)) })
+}
+
+// Lend asks a router for rights.
+func (l *Link) Lend(ctx context.Context, timeout time.Duration, r *LendRequest) (int64, error) {
+	var lent int64
+	err := l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error {
+		reply, err := NewFleetRouterClient(c).Lend(ctx, r)
+		lent = reply.GetLent()
+		return err
+	})
+	return lent, err
+}
+
+func (l *Link) call(ctx context.Context, timeout time.Duration, f func(context.Context, *grpc.ClientConn) error) error {
 	c, err := l.connection()
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	err = f(ctx, NewFleetKeeperClient(c))
+	err = f(ctx, c)
 	if status.Code(err) == codes.DeadlineExceeded {
 		l.drop(c)
 	}
@@ -102,12 +117,11 @@
 	}
 }
 
-// NewFleetServer returns a server for the calls of a fleet's processes.
-func NewFleetServer(k FleetKeeperServer) *grpc.Server {
-	s := grpc.NewServer(
+// NewFleetServer returns a server for the calls of a fleet's processes; the
+// caller registers what it serves.
+func NewFleetServer() *grpc.Server {
+	return grpc.NewServer(
 		grpc.MaxRecvMsgSize(linkMessageMost), grpc.MaxSendMsgSize(linkMessageMost),
 		grpc.ReadBufferSize(linkBuffer), grpc.WriteBufferSize(linkBuffer), grpc.SharedWriteBuffer(true),
 	)
-	RegisterFleetKeeperServer(s, k)
-	return s
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -137,7 +137,8 @@
 	if err != nil {
 		return err
 	}
-	rpc := messenger.NewFleetServer(&server{s: s})
+	rpc := messenger.NewFleetServer()
+	messenger.RegisterFleetKeeperServer(rpc, &server{s: s})
 	web := &http.Server{Handler: control(s), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
 	failed := make(chan error, 3)
 	go func() { failed <- rpc.Serve(internal) }()
