--- a/allotter/ledger.go
+++ b/allotter/ledger.go
@@ -79,21 +79,22 @@
 
 // Claim takes a router's account in and grants what the pool allows.
 func (l *Ledger) Claim(c *messenger.RightsChange) *messenger.RightsGrants {
-	h := l.holder(c)
+	out := &messenger.RightsGrants{}
+	h := l.holder(c, out)
 	if h == nil {
-		return &messenger.RightsGrants{Ended: true}
+		out.Ended = true
+		return out
 	}
 	fresh := c.Sequence > h.sequence
 	if fresh {
 		h.sequence = c.Sequence
 		h.bound(c)
 	}
-	out := &messenger.RightsGrants{}
 	for _, claim := range c.Claims {
 		out.Grants = append(out.Grants, l.claim(h, claim, fresh))
 	}
 	if c.Closing {
-		l.end(h, func(_ string, a *account) int64 { return min(a.spent, a.cap()) })
+		l.end(h, out, func(_ string, a *account) int64 { return min(a.spent, a.cap()) })
 	}
 	return out
 }
@@ -109,7 +110,7 @@
 	h.bounds = append(keep, &messenger.RightsBound{Sequence: c.Sequence, Sent: c.Sent, Claims: c.Claims})
 }
 
-func (l *Ledger) holder(c *messenger.RightsChange) *holder {
+func (l *Ledger) holder(c *messenger.RightsChange, out *messenger.RightsGrants) *holder {
 	h := l.holders[c.Router]
 	if h == nil {
 		h = &holder{incarnation: c.Incarnation, accounts: map[string]*account{}}
@@ -119,7 +120,7 @@
 		return nil
 	}
 	if h.incarnation != c.Incarnation {
-		l.end(h, h.lost(c.Started))
+		l.end(h, out, h.lost(c.Started))
 		h.incarnation, h.sequence = c.Incarnation, 0
 	}
 	return h
@@ -145,10 +146,13 @@
 	}
 }
 
-func (l *Ledger) end(h *holder, lost func(string, *account) int64) {
+func (l *Ledger) end(h *holder, out *messenger.RightsGrants, lost func(string, *account) int64) {
 	for w, a := range h.accounts {
+		n := lost(w, a)
 		l.held[w] -= a.cap()
-		l.consumed[w] += lost(w, a)
+		l.consumed[w] += n
+		out.WrittenOff += n - a.spent
+		out.Recovered += a.cap() - n
 	}
 	h.accounts, h.bounds = map[string]*account{}, nil
 	h.ended = append(h.ended, h.incarnation)
--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -167,6 +167,15 @@
 // headroom is what may still be set aside.
 func (p *Purse) headroom() int64 { return p.granted - p.returned + p.received - p.spent - p.reserved }
 
+// Rest takes all headroom out of the purse, for another router.
+func (p *Purse) Rest(now time.Time) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := max(min(p.headroom(), p.bounded(now)), 0)
+	p.spent += n
+	return n
+}
+
 // Lend gives up to wanted tokens away, at most half of the headroom, and none
 // where that is less than least. They count as spent here.
 func (p *Purse) Lend(now time.Time, least, wanted int64) int64 {
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -158,21 +158,58 @@
 		case <-t.C:
 		case <-r.urgent:
 		}
-		r.claim(ctx, claimTimeout, false)
+		r.claim(ctx, claimTimeout)
 		time.Sleep(claimPause)
 	}
 }
 
-// close gives back what is left. The keepers' answer changes nothing here.
-func (r *rights) close(ctx context.Context) { r.claim(ctx, closeWait, true) }
+// close gives back what is left: to the keepers, or to another router where no
+// keeper answers. Else it would count as spent.
+func (r *rights) close(ctx context.Context) {
+	if r.fleet.untouched() > outOfTouch {
+		r.give(ctx)
+	}
+	change, _, _ := r.change(true)
+	if _, err := r.order(ctx, closeWait, change); err != nil {
+		r.log.Warn("no keeper took the last account", zap.Error(err))
+	}
+}
+
+// give hands all headroom to another router. One whose answer is lost may have
+// it, so it is not offered twice.
+func (r *rights) give(ctx context.Context) {
+	others := r.fleet.others()
+	if len(others) == 0 {
+		return
+	}
+	q := &messenger.LeaveRightsRequest{}
+	r.mu.Lock()
+	for _, w := range slices.Sorted(maps.Keys(r.purses)) {
+		if n := r.purses[w].Rest(time.Now()); n > 0 {
+			q.Gifts = append(q.Gifts, &messenger.PrepaidTotal{Workspace: w, Tokens: n})
+		}
+	}
+	r.mu.Unlock()
+	err := others[0].LeaveRights(ctx, closeWait, q)
+	r.log.Info("rights handed over", zap.String("to", others[0].Address()), zap.Error(err))
+}
+
+// LeaveRights serves another router that stops while no keeper answers it.
+func (r *rights) LeaveRights(_ context.Context, q *messenger.LeaveRightsRequest) (*messenger.LeaveRightsReply, error) {
+	for _, x := range q.Gifts {
+		p, _, _ := r.purse(x.Workspace)
+		p.Receive(x.Tokens)
+	}
+	return &messenger.LeaveRightsReply{}, nil
+}
 
-func (r *rights) claim(ctx context.Context, timeout time.Duration, closing bool) {
-	change, purses, sent := r.change(closing)
-	if len(change.Claims) == 0 && !closing && change.Answered > 0 {
+func (r *rights) claim(ctx context.Context, timeout time.Duration) {
+	change, purses, sent := r.change(false)
+	if len(change.Claims) == 0 && change.Answered > 0 {
 		return
 	}
 	reply, err := r.order(ctx, timeout, change)
-	if err != nil || closing {
+	if err != nil {
 		return
 	}
 	if reply.Grants.GetEnded() {
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -83,6 +83,14 @@
 	return lent, err
 }
 
+// LeaveRights hands rights over to a router.
+func (l *Link) LeaveRights(ctx context.Context, timeout time.Duration, r *LeaveRightsRequest) error {
+	return l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error {
+		_, err := NewFleetRouterClient(c).LeaveRights(ctx, r)
+		return err
+	})
+}
+
 func (l *Link) call(ctx context.Context, timeout time.Duration, f func(context.Context, *grpc.ClientConn) error) error {
 	c, err := l.connection()
 	if err != nil {
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -165,6 +165,11 @@
 		return nil, err
 	}
 	grants, _ := out.(*messenger.RightsGrants)
+	if grants.GetWrittenOff() > 0 || grants.GetRecovered() > 0 {
+		s.log.Info("account of a router ended", zap.String("router", change.GetRights().GetRouter()),
+			zap.Bool("closing", change.GetRights().GetClosing()),
+			zap.Int64("written_off", grants.WrittenOff), zap.Int64("recovered", grants.Recovered))
+	}
 	return &messenger.OrderReply{Done: true, Grants: grants}, nil
 }
 
