--- a/allotter/ledger.go
+++ b/allotter/ledger.go
@@ -74,8 +74,14 @@
 	return max(l.totals[workspace]-l.consumed[workspace]-l.held[workspace], 0)
 }
 
-// Total returns the prepaid total of a workspace.
-func (l *Ledger) Total(workspace string) int64 { return l.totals[workspace] }
+// Prepaid returns the sum of all totals.
+func (l *Ledger) Prepaid() int64 {
+	var sum int64
+	for _, n := range l.totals {
+		sum += n
+	}
+	return sum
+}
 
 // Claim takes a router's account in and grants what the pool allows.
 func (l *Ledger) Claim(c *messenger.RightsChange) *messenger.RightsGrants {
@@ -138,7 +144,7 @@
 			}
 			for _, c := range b.Claims {
 				if c.Workspace == workspace {
-					most = max(most, c.Ceiling+int64(float64(c.Slope)*t.Seconds()))
+					most = max(most, bound(c.Ceiling, c.Slope, t))
 				}
 			}
 		}
--- a/allotter/moment.go
+++ b/allotter/moment.go
@@ -10,24 +10,42 @@
 	// clocksAgree is how far two clocks may differ on a time for it to count
 	// as known: clocks that run properly differ by far less.
 	clocksAgree = 500 * time.Millisecond
-	// otherVM is added where the clock since the VM's start can't be used, as
-	// after a loss of power: two clocks that were set by the same amount in
-	// the same direction agree and are wrong. Steps are of seconds.
-	otherVM = 3 * time.Second
+	// twoClocks is added where only two clocks of other VMs tell: two that
+	// were set by the same amount agree and are wrong. Steps are of seconds;
+	// that three are set alike between a claim and a restart is ruled out.
+	twoClocks = 3 * time.Second
 )
 
 // elapsed returns the most time that can lie between two moments of one VM,
 // and whether it is known. One clock proves nothing: the time of day jumps, and
-// the clock since the VM's start begins anew. Two that agree do.
+// the clock since the VM's start begins anew. Clocks of several VMs that agree
+// do.
 func elapsed(from, to *messenger.RightsMoment) (time.Duration, bool) {
-	router := time.Duration(to.GetRouterMs()-from.GetRouterMs()) * time.Millisecond
-	boot := time.Duration(to.GetBootMs()-from.GetBootMs()) * time.Millisecond
-	leader := time.Duration(to.GetLeaderMs()-from.GetLeaderMs()) * time.Millisecond
+	router := between(from.GetRouterMs(), to.GetRouterMs())
+	leader := between(from.GetLeaderMs(), to.GetLeaderMs())
+	keeper := between(from.GetKeeperMs(), to.GetKeeperMs())
+	boot := between(from.GetBootMs(), to.GetBootMs())
 	switch {
-	case boot > 0 && from.GetBootMs() > 0 && ((boot-router).Abs() < clocksAgree || (boot-leader).Abs() < clocksAgree):
+	case boot > 0 && (agree(boot, router) || agree(boot, leader)):
 		return boot + clocksAgree, true
-	case from.GetLeaderMs() > 0 && to.GetLeaderMs() > 0 && (router-leader).Abs() < clocksAgree:
-		return max(router, leader, 0) + clocksAgree + otherVM, true
+	case agree(router, leader) && agree(router, keeper) && agree(leader, keeper):
+		return max(router, leader, keeper, 0) + clocksAgree, true
+	case agree(router, leader):
+		return max(router, leader, 0) + clocksAgree + twoClocks, true
 	}
 	return 0, false
 }
+
+// unknown is a time that no other agrees with.
+const unknown = time.Duration(-1 << 62)
+
+func between(from, to int64) time.Duration {
+	if from <= 0 || to <= 0 {
+		return unknown
+	}
+	return time.Duration(to-from) * time.Millisecond
+}
+
+func agree(a, b time.Duration) bool {
+	return a != unknown && b != unknown && (a-b).Abs() < clocksAgree
+}
--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -17,12 +17,17 @@
 	// lost to the others, while all of them may be cut off the next moment.
 	scarceHorizon = 5 * time.Second
 	// boundHorizon of demand, boundSlack and the slope make the bound that a
-	// claim states. Claims come every 0.4 s, so the horizon covers two of
-	// them. What the bound leaves open is lost when the process dies: about 1
-	// s of demand, and boundRise times the demand while it is down.
-	boundHorizon = time.Second
-	boundSlack   = 8_000
-	boundRise    = 1.5
+	// claim states. Claims come every 0.4 s, so the horizon covers one and
+	// its answer. What the bound leaves open is lost when the process dies: about 0.7
+	// s of demand, and after BoundRest boundRise times the demand while it is
+	// down.
+	boundHorizon = 700 * time.Millisecond
+	boundSlack   = 1_000
+	boundRise    = 1.1
+	// BoundRest is how long a bound stays at its ceiling before it rises: while
+	// claims are answered in time, how long a dead process was down does not
+	// matter at all.
+	BoundRest = 1200 * time.Millisecond
 	// boundSlope is tokens a second for a workspace without demand yet.
 	boundSlope = 500
 	// lendHorizon is how long what a router borrows should last.
@@ -160,8 +165,12 @@
 
 // bounded is what may still be set aside below the bound that a keeper knows.
 func (p *Purse) bounded(now time.Time) int64 {
-	gone := max(now.Sub(p.boundAt).Seconds(), 0)
-	return p.ceiling + int64(float64(p.slope)*gone) + p.received - p.spent - p.reserved
+	return bound(p.ceiling, p.slope, now.Sub(p.boundAt)) + p.received - p.spent - p.reserved
+}
+
+// bound returns the most spent within a time after a claim.
+func bound(ceiling, slope int64, after time.Duration) int64 {
+	return ceiling + int64(float64(slope)*max(after-BoundRest, 0).Seconds())
 }
 
 // headroom is what may still be set aside.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -267,6 +267,9 @@
 	if j.workspace != nil {
 		fields = append(fields, zap.String("workspace", j.workspace.Name))
 	}
+	if j.reserved != nil {
+		fields = append(fields, zap.Int64("tokens", j.spent()))
+	}
 	if why != "" {
 		fields = append(fields, zap.String("why", why))
 	}
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -138,6 +139,9 @@
 	if x == nil {
 		return &messenger.OrderReply{}, nil
 	}
+	if r := change.GetRights(); r != nil {
+		stamp(r, time.Now(), func(m *messenger.RightsMoment, at int64) { m.KeeperMs = at })
+	}
 	var r *messenger.OrderReply
 	err := x.link.Call(ctx, orderTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
 		var err error
@@ -151,7 +155,7 @@
 // when its first outcome was lost; each kind is made so that this does no harm.
 func (s *Steward) orderHere(ctx context.Context, change *messenger.FleetChange) (*messenger.OrderReply, error) {
 	if r := change.GetRights(); r != nil {
-		stamp(r, time.Now())
+		stamp(r, time.Now(), func(m *messenger.RightsMoment, at int64) { m.LeaderMs = at })
 	}
 	b, err := proto.Marshal(change)
 	if err != nil {
@@ -200,11 +204,35 @@
 	}
 }
 
-// stamp puts the leader's time of day beside the router's.
-func stamp(r *messenger.RightsChange, now time.Time) {
+// witnessTimeout bounds the way of a claim through another keeper; without it
+// the claim lacks that keeper's clock and is as good otherwise.
+const witnessTimeout = 150 * time.Millisecond
+
+// claim commits a router's claim. One that came to the leader itself goes
+// through another keeper first, which puts its own time of day beside the
+// leader's.
+func (s *Steward) claim(ctx context.Context, change *messenger.FleetChange) (*messenger.OrderReply, error) {
+	names := s.members.names()
+	if s.loop.State().Leads() && len(names) > 0 {
+		x := s.members.member(names[rand.IntN(len(names))])
+		var r *messenger.OrderReply
+		err := x.link.Call(ctx, witnessTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+			var err error
+			r, err = c.Order(ctx, &messenger.OrderRequest{Change: change})
+			return err
+		})
+		if err == nil && r.Done {
+			return r, nil
+		}
+	}
+	return s.order(ctx, change)
+}
+
+// stamp puts this keeper's time of day beside the router's.
+func stamp(r *messenger.RightsChange, now time.Time, set func(*messenger.RightsMoment, int64)) {
 	for _, m := range []*messenger.RightsMoment{r.Sent, r.Started} {
 		if m != nil {
-			m.LeaderMs = now.UnixMilli() - m.AgeMs
+			set(m, now.UnixMilli()-m.AgeMs)
 		}
 	}
 }
--- a/steward/server.go
+++ b/steward/server.go
@@ -33,6 +33,9 @@
 	if r.Passed {
 		return v.s.orderHere(ctx, r.Change)
 	}
+	if r.Change.GetRights() != nil {
+		return v.s.claim(ctx, r.Change)
+	}
 	return v.s.order(ctx, r.Change)
 }
 
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -108,7 +108,8 @@
 	v := &view{document: s.state.Document(), left: s.state.Left()}
 	s.view.Store(v)
 	if v.document.Number() != old.document.Number() {
-		s.log.Info("configuration", zap.Uint64("number", v.document.Number()), zap.Int("bytes", len(v.document.Content())))
+		s.log.Info("configuration", zap.Uint64("number", v.document.Number()), zap.Int("bytes", len(v.document.Content())),
+			zap.Int64("prepaid", s.state.Ledger().Prepaid()))
 	}
 	if len(v.left) > 0 {
 		s.roster.leave(time.Now(), v.left)
