--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -23,13 +23,13 @@
 	// down.
 	boundHorizon = 700 * time.Millisecond
 	boundSlack   = 1_000
-	boundRise    = 1.1
+	boundRise    = 2.0
 	// BoundRest is how long a bound stays at its ceiling before it rises: while
 	// claims are answered in time, how long a dead process was down does not
 	// matter at all.
 	BoundRest = 1200 * time.Millisecond
 	// boundSlope is tokens a second for a workspace without demand yet.
-	boundSlope = 500
+	boundSlope = 2_000
 	// lendHorizon is how long what a router borrows should last.
 	lendHorizon = 2 * time.Second
 	// rateWindow is over how much time demand is averaged: long enough that
