Routers tell each other of the prompts they send

Cause: short prompts waited 1 s behind prompts of 60,000 tokens that another router had sent to the same endpoint a moment before; endpoints' reports come too late.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -114,6 +114,13 @@
 	if err != nil {
 		return err
 	}
+	n, closeNews, err := newNews(c.fleet, c.Log)
+	if err != nil {
+		return err
+	}
+	defer closeNews()
+	c.fleet.news.Store(n)
+	go n.run(work)
 	rpc := messenger.NewFleetServer()
 	messenger.RegisterFleetRouterServer(rpc, c.rights)
 	failed := make(chan error, 3)
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,8 @@
 	known atomic.Int64
 	// Current is the keeper asked last with success.
 	current atomic.Pointer[messenger.Link]
+	near    atomic.Pointer[[]netip.AddrPort]
+	news    atomic.Pointer[news]
 	// Touched is when a keeper last answered, as time since start.
 	touched atomic.Int64
 
@@ -245,6 +248,28 @@
 		}
 	}
 	f.siblings = append(near, far...)
+	var addresses []netip.AddrPort
+	for _, l := range f.siblings {
+		if a, err := netip.ParseAddrPort(l.Address()); err == nil {
+			addresses = append(addresses, a)
+		}
+	}
+	f.near.Store(&addresses)
+}
+
+// neighbours returns the other routers' addresses for datagrams.
+func (f *fleet) neighbours() []netip.AddrPort {
+	if a := f.near.Load(); a != nil {
+		return *a
+	}
+	return nil
+}
+
+// Dispatched tells the other routers of a prompt sent to an endpoint.
+func (f *fleet) Dispatched(endpoint string, unread int64) {
+	if n := f.news.Load(); n != nil {
+		n.tell(endpoint, unread)
+	}
 }
 
 // others returns the other routers, those of the zone first.
--- /dev/null
+++ b/courier/news.go
@@ -0,0 +1,81 @@
+package courier
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+const (
+	// toldLeast is the smallest prompt that other routers hear of, in tokens:
+	// shorter ones are read in the time that a datagram is on its way.
+	toldLeast = 500
+	// toldMost bounds the routers told, those of the zone first.
+	toldMost = 24
+	// datagramMost is more than any of these takes, in bytes.
+	datagramMost = 512
+)
+
+// news carries datagrams between routers: what one sent to an endpoint delays
+// what the others send there in the same moment, long before the endpoint's own
+// reports show it.
+type news struct {
+	fleet *fleet
+	conn  *net.UDPConn
+	log   *zap.Logger
+}
+
+// newNews opens the socket. The returned function closes it.
+func newNews(f *fleet, log *zap.Logger) (*news, func(), error) {
+	a, err := net.ResolveUDPAddr("udp", f.self.Address)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := net.ListenUDP("udp", a)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &news{fleet: f, conn: c, log: log}, func() { _ = c.Close() }, nil
+}
+
+// tell sends a dispatch to the other routers; lost datagrams are not missed.
+func (n *news) tell(endpoint string, unread int64) {
+	if unread < toldLeast {
+		return
+	}
+	b, err := proto.Marshal(&messenger.Dispatched{Endpoint: endpoint, Unread: unread})
+	if err != nil {
+		n.log.Error("dispatch not told", zap.Error(err))
+		return
+	}
+	for i, a := range n.fleet.neighbours() {
+		if i == toldMost {
+			return
+		}
+		// A full link drops them; the endpoint's reports come anyway.
+		_, _ = n.conn.WriteToUDPAddrPort(b, a)
+	}
+}
+
+// run takes datagrams in until the socket is closed.
+func (n *news) run(ctx context.Context) {
+	b := make([]byte, datagramMost)
+	for ctx.Err() == nil {
+		size, _, err := n.conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if ctx.Err() == nil {
+				n.log.Warn("no more news of other routers", zap.Error(err))
+			}
+			return
+		}
+		d := &messenger.Dispatched{}
+		if proto.Unmarshal(b[:size], d) == nil && d.Unread > 0 {
+			n.fleet.table.Sent(time.Now(), d.Endpoint, d.Unread)
+		}
+	}
+}
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -116,6 +116,9 @@
 	e := work.Endpoint()
 	b := e.Beat()
 	e.Gate().Step(time.Since(j.f.start), ejector.Dispatched, 0)
+	if n := work.Unread(); n > 0 {
+		j.f.Fleet.Dispatched(b.ID, n)
+	}
 	before := j.mayHaveRun
 	a, err := j.f.Pool.Exchange(ctx, j.target(b.ID, b.Address), j.request(b.ID))
 	if err != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -61,6 +61,8 @@
 	Index() *publisher.Index
 	// Routers is how many routers share the fleet's bounds; at least 1.
 	Routers() int
+	// Dispatched tells the other routers of a prompt sent to an endpoint.
+	Dispatched(endpoint string, unread int64)
 }
 
 // Parts are what a forwarder works with.
@@ -115,6 +117,13 @@
 	delivered int64
 	// Began says that the head of the answer was sent to the caller.
 	began bool
+	// Events counts those passed on; eventAt is when the last one came.
+	events  int
+	eventAt time.Time
+	// First, predicted and pause tell how well the stream ran: the time to its
+	// first event, as it was and as expected at the last dispatch, and its
+	// longest pause.
+	first, predicted, pause time.Duration
 	// LastEvent is the id of the last whole event passed on.
 	lastEvent string
 	why       string
@@ -270,6 +279,13 @@
 	if j.reserved != nil {
 		fields = append(fields, zap.Int64("tokens", j.spent()))
 	}
+	if j.events > 0 {
+		fields = append(fields, zap.Duration("first", j.first), zap.Duration("predicted", j.predicted),
+			zap.Duration("pause", j.pause), zap.Int("events", j.events))
+	}
+	if p := j.caller.Prompt; p != nil {
+		fields = append(fields, zap.Int64("prompt", p.In))
+	}
 	if why != "" {
 		fields = append(fields, zap.String("why", why))
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -26,7 +26,7 @@
 	for {
 		event, err := readEvent(events)
 		if len(event) > 0 && err == nil {
-			work.First(time.Now())
+			j.pace(time.Now(), work)
 			if !j.passEvent(a, event) {
 				j.log(0, "caller gone")
 				panic(http.ErrAbortHandler)
@@ -71,6 +71,18 @@
 	j.w.WriteHeader(a.Status)
 }
 
+// pace notes how long the first event and the longest pause took.
+func (j *job) pace(now time.Time, work *predictor.Work) {
+	if j.events == 0 {
+		j.first, j.predicted = now.Sub(j.begun), work.Predicted()
+	} else {
+		j.pause = max(j.pause, now.Sub(j.eventAt))
+	}
+	work.First(now)
+	j.events++
+	j.eventAt = now
+}
+
 func (j *job) passEvent(a *pooler.Answer, event []byte) bool {
 	j.begin(a)
 	if id, ok := eventID(event); ok {
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -57,9 +57,7 @@
 	mu sync.Mutex
 	// Running counts this router's requests there.
 	running int
-	// Unread is the prompt tokens of this router's requests without a first
-	// event yet, as far as they must be read.
-	unread int64
+	queue   queue
 	// Rate is prompt tokens a millisecond.
 	rate float64
 	// Latency is the average time of a plain request there; 0 before one.
@@ -123,13 +121,25 @@
 	return max(left, 0)
 }
 
+// Sent notes a prompt that another router sent there.
+func (e *Endpoint) Sent(now time.Time, unread int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queue.add(now, unread, e.rate)
+}
+
+// Unread returns the tokens that the endpoint must read for the work.
+func (w *Work) Unread() int64 { return w.unread }
+
 // Work is one request at an endpoint, from its dispatch to its end.
 type Work struct {
 	endpoint *Endpoint
-	unread   int64
-	at       time.Time
-	predict  time.Duration
-	started  bool
+	// Unread is the prompt tokens that must be read, and place where they end
+	// in the endpoint's queue.
+	unread, place int64
+	at            time.Time
+	predict       time.Duration
+	started       bool
 }
 
 // Predicted returns the time to the first event as predicted at the start.
@@ -147,9 +157,9 @@
 	e := w.endpoint
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.unread -= w.unread
 	took := now.Sub(w.at)
-	if w.unread > 0 {
+	if w.place > 0 {
+		e.queue.leave(now, w.place, true, e.rate)
 		e.learn(w.unread, took)
 		return
 	}
@@ -175,8 +185,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running--
-	if !w.started {
-		w.started = true
-		e.unread -= w.unread
+	if !w.started && w.place > 0 {
+		e.queue.leave(time.Now(), w.place, false, e.rate)
 	}
+	w.started = true
 }
--- /dev/null
+++ b/predictor/predictor_test.go
@@ -0,0 +1,112 @@
+package predictor_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/predictor"
+)
+
+var start = time.Unix(1000, 0)
+
+func endpoints(zone string, n int) []*predictor.Endpoint {
+	var out []*predictor.Endpoint
+	for i := range n {
+		out = append(out, predictor.NewEndpoint(enroller.Beat{ID: zone + strconv.Itoa(i), Service: "llm", Zone: zone, Slots: 64}))
+	}
+	return out
+}
+
+func table(list ...*predictor.Endpoint) *predictor.Table {
+	t := predictor.NewTable("a")
+	t.Replace(map[string][]*predictor.Endpoint{"llm": list})
+	return t
+}
+
+func ask(tokens int64, parts ...predictor.Part) predictor.Ask {
+	parts = append(parts, predictor.Part{ID: "own", Tokens: tokens})
+	return predictor.Ask{Service: "llm", Prompt: &predictor.Prompt{In: tokens, Out: 100, Parts: parts}}
+}
+
+// Pattern: a long prompt was just sent to an endpoint, by this router or by
+// another. A short one must not wait behind it: at 60 tokens a millisecond,
+// 60,000 tokens take a second, and the others are idle.
+func TestShortPromptsKeepAwayFromLongOnes(t *testing.T) {
+	for name, send := range map[string]func(*predictor.Table, *predictor.Endpoint){
+		"own":   func(t *predictor.Table, _ *predictor.Endpoint) { t.Choose(start, ask(60_000)) },
+		"other": func(t *predictor.Table, e *predictor.Endpoint) { t.Sent(start, e.Beat().ID, 60_000) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			list := endpoints("a", 2)
+			x := table(list...)
+			send(x, list[0])
+			for range 20 {
+				w := x.Choose(start.Add(10*time.Millisecond), ask(800))
+				g.Expect(w.Predicted()).To(gomega.BeNumerically("<", 300*time.Millisecond))
+				w.First(start.Add(50 * time.Millisecond))
+				w.End()
+			}
+		})
+	}
+}
+
+// Pattern: an endpoint reads far slower than it was taken to. Time alone must
+// not empty its queue while a prompt of ours there has no first event.
+func TestQueueDoesNotDrainPastAnUnreadPrompt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := table(endpoints("a", 1)...)
+	x.Choose(start, ask(60_000))
+	x.Choose(start, ask(60_000))
+	late := start.Add(10 * time.Second)
+	g.Expect(x.Choose(late, ask(100)).Predicted()).To(gomega.BeNumerically(">", time.Second))
+}
+
+// Pattern: a first event shows that all before its prompt was read.
+func TestFirstEventEmptiesTheQueueBeforeIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := table(endpoints("a", 1)...)
+	x.Choose(start, ask(60_000))
+	w := x.Choose(start, ask(60_000))
+	w.First(start.Add(20 * time.Millisecond))
+	g.Expect(x.Choose(start.Add(21*time.Millisecond), ask(100)).Predicted()).To(gomega.BeNumerically("<", 200*time.Millisecond))
+}
+
+// Pattern: requests share a part of 5,000 tokens. Routers that know nothing of
+// each other send them to the same endpoint of the zone.
+func TestRoutersAgreeOnTheHomeOfASharedPart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for part := range 20 {
+		p := predictor.Part{ID: "p" + strconv.Itoa(part), Tokens: 5_000}
+		seen := map[string]bool{}
+		for range 3 {
+			x := table(endpoints("a", 4)...)
+			seen[x.Choose(start, ask(6_000, p)).Endpoint().Beat().ID] = true
+		}
+		g.Expect(seen).To(gomega.HaveLen(1))
+	}
+}
+
+func TestOtherZoneOnlyWhereItWins(t *testing.T) {
+	g := gomega.NewWithT(t)
+	near, far := endpoints("a", 1)[0], endpoints("b", 1)[0]
+	x := table(near, far)
+	g.Expect(x.Choose(start, ask(800)).Endpoint()).To(gomega.BeIdenticalTo(near))
+	x.Sent(start, near.Beat().ID, 30_000)
+	g.Expect(x.Choose(start, ask(800)).Endpoint()).To(gomega.BeIdenticalTo(far))
+}
+
+func TestTriedEndpointsAreLeftOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	list := endpoints("a", 2)
+	x := table(list...)
+	a := ask(800)
+	a.Tried = []string{"a0"}
+	g.Expect(x.Choose(start, a).Endpoint()).To(gomega.BeIdenticalTo(list[1]))
+	a.Tried = []string{"a0", "a1"}
+	g.Expect(x.Choose(start, a)).To(gomega.BeNil())
+}
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -14,9 +14,6 @@
 	// otherZone is what sending a request to another availability zone costs,
 	// as time: what the bytes between zones cost against a late answer.
 	otherZone = 60 * time.Millisecond
-	// shareOfOthers scales this router's unread tokens up to what the other
-	// routers of the zone have sent there too.
-	shareOfOthers = 1.5
 	// slotCost is the time that each running request adds to all others.
 	slotCost = 300 * time.Microsecond
 	// fullCost keeps requests from an endpoint whose slots are taken.
@@ -45,6 +42,18 @@
 // Endpoints returns the endpoints of a service; callers must not change it.
 func (t *Table) Endpoints(service string) []*Endpoint { return (*t.byService.Load())[service] }
 
+// Sent notes a prompt that another router sent to an endpoint.
+func (t *Table) Sent(now time.Time, id string, unread int64) {
+	for _, list := range *t.byService.Load() {
+		for _, e := range list {
+			if e.beat.ID == id {
+				e.Sent(now, unread)
+				return
+			}
+		}
+	}
+}
+
 // Ask describes a request that needs an endpoint.
 type Ask struct {
 	Service string
@@ -160,7 +169,7 @@
 }
 
 func (e *Endpoint) wait(now time.Time, p *Prompt) time.Duration {
-	tokens := shareOfOthers*float64(e.unread) + float64(e.uncached(p, now, keptFor))
+	tokens := float64(e.queue.left(now, e.rate) + e.uncached(p, now, keptFor))
 	return baseWait + time.Duration(tokens/e.rate*float64(time.Millisecond)) + time.Duration(e.busy(now))*slotCost
 }
 
@@ -172,7 +181,7 @@
 	if a.Prompt != nil {
 		w.predict = e.wait(now, a.Prompt)
 		w.unread = e.uncached(a.Prompt, now, keptFor)
-		e.unread += w.unread
+		w.place = e.queue.enter(now, w.unread, e.rate)
 		if len(e.parts) > partsMost {
 			clear(e.parts)
 		}
