--- a/allotter/fuzz_test.go
+++ b/allotter/fuzz_test.go
@@ -84,7 +84,7 @@
 		Sent: w.moment(m), Started: proto.Clone(m.started).(*messenger.RightsMoment),
 	}
 	c.Started.AgeMs = w.now.Sub(m.startedAt).Milliseconds()
-	c.Claims = append(c.Claims, m.purse.Claim(w.now, workspace))
+	c.Claims = append(c.Claims, m.purse.Claim(w.now, workspace, 400*time.Millisecond))
 	m.sent = append(m.sent, w.now)
 	m.underWay = append(m.underWay, c)
 }
--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -16,12 +16,11 @@
 	// low. Routers lend to each other, so what one holds too much of is not
 	// lost to the others, while all of them may be cut off the next moment.
 	scarceHorizon = 5 * time.Second
-	// boundHorizon of demand, boundSlack and the slope make the bound that a
-	// claim states. Claims come every 0.4 s, so the horizon covers one and
-	// its answer. What the bound leaves open is lost when the process dies: about 0.7
+	// The pause between claims and boundHorizon of demand, boundSlack and the
+	// slope make the bound that a claim states. What the bound leaves open is lost when the process dies: about 0.7
 	// s of demand, and after BoundRest boundRise times the demand while it is
 	// down.
-	boundHorizon = 700 * time.Millisecond
+	boundHorizon = 300 * time.Millisecond
 	boundSlack   = 1_000
 	boundRise    = 2.0
 	// BoundRest is how long a bound stays at its ceiling before it rises: while
@@ -110,9 +109,10 @@
 	return p.known && p.left < n
 }
 
-// Claim returns what to tell a keeper. Headroom beyond need goes back at once
+// Claim returns what to tell a keeper, where the next claim comes after a
+// pause. Headroom beyond need goes back at once
 // here, before the keeper hears of it.
-func (p *Purse) Claim(now time.Time, workspace string) *messenger.RightsClaim {
+func (p *Purse) Claim(now time.Time, workspace string, pause time.Duration) *messenger.RightsClaim {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.decay(now)
@@ -130,7 +130,7 @@
 	c := &messenger.RightsClaim{
 		Workspace: workspace, Returned: p.returned, Spent: max(p.spent-p.received, 0),
 		Wanted: max(need-headroom, 0), Urgent: max(p.waiting-headroom, 0),
-		Ceiling: max(p.spent+p.reserved-p.received, 0) + p.waiting + int64(p.rate*boundHorizon.Seconds()) + boundSlack,
+		Ceiling: max(p.spent+p.reserved-p.received, 0) + p.waiting + int64(p.rate*(boundHorizon+pause).Seconds()) + boundSlack,
 		Slope:   int64(p.rate*boundRise) + boundSlope,
 	}
 	p.waiting = 0
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -21,6 +21,12 @@
 	// syncEvery is how often a keeper is asked: a change is in force a few of
 	// these after its acknowledgement, against a bound of seconds.
 	syncEvery = 200 * time.Millisecond
+	// evenRouters is the number of routers up to which each asks keepers and
+	// settles rights at its own pace; with more, all slow down alike, so that
+	// a keeper's work stays the same. pacedMost bounds that: a change must be
+	// in force within 2 s, and two questions may fail.
+	evenRouters = 12
+	pacedMost   = 3
 	// wholeEvery questions, the ages of all endpoints are asked for.
 	wholeEvery  = 5
 	syncTimeout = 350 * time.Millisecond
@@ -138,16 +144,21 @@
 	return out
 }
 
+// paced returns a pause stretched by the number of routers, at most so much.
+func (f *fleet) paced(pause time.Duration, most float64) time.Duration {
+	x := float64(f.known.Load()) / evenRouters
+	return time.Duration(float64(pause) * min(max(x, 1), most))
+}
+
 // run asks keepers until ctx ends.
 func (f *fleet) run(ctx context.Context) {
-	t := time.NewTicker(syncEvery)
-	defer t.Stop()
 	for {
+		begun := time.Now()
 		f.round(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case <-time.After(max(f.paced(syncEvery, pacedMost)-time.Since(begun), syncEvery/4)):
 		}
 	}
 }
@@ -198,7 +209,9 @@
 	for _, k := range r.Keepers {
 		f.learn(k.Address, k.Zone)
 	}
-	f.meet(r.Routers)
+	if len(r.Routers) > 0 {
+		f.meet(r.Routers)
+	}
 	f.publish(r, sent)
 	f.revisions[l.Address()] = r.Revision
 	for _, s := range r.Endpoints {
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -19,6 +19,9 @@
 	// claimEvery is how often rights are settled with the keepers.
 	claimEvery   = 400 * time.Millisecond
 	claimTimeout = 600 * time.Millisecond
+	// claimPacedMost bounds how far claims slow down with the number of
+	// routers: what a bound leaves open grows with the pause.
+	claimPacedMost = 8
 	// claimPause is the least time between two claims made for waiting
 	// requests: requests that come meanwhile share the next one.
 	claimPause = 10 * time.Millisecond
@@ -149,17 +152,15 @@
 
 // run settles purses with the keepers until ctx ends.
 func (r *rights) run(ctx context.Context) {
-	t := time.NewTicker(claimEvery)
-	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case <-time.After(r.fleet.paced(claimEvery, claimPacedMost)):
 		case <-r.urgent:
 		}
 		r.claim(ctx, claimTimeout)
-		time.Sleep(claimPause)
+		time.Sleep(r.fleet.paced(claimPause, claimPacedMost))
 	}
 }
 
@@ -237,6 +238,7 @@
 		Sent: moment(sent), Started: r.started.at(sent),
 	}
 	var purses []*allotter.Purse
+	pause := r.fleet.paced(claimEvery, claimPacedMost)
 	for _, w := range slices.Sorted(maps.Keys(r.purses)) {
 		p := r.purses[w]
 		switch {
@@ -245,7 +247,7 @@
 		case p.Idle():
 			continue
 		default:
-			out.Claims = append(out.Claims, p.Claim(sent, w))
+			out.Claims = append(out.Claims, p.Claim(sent, w, pause))
 		}
 		purses = append(purses, p)
 	}
--- a/steward/roster.go
+++ b/steward/roster.go
@@ -109,8 +109,10 @@
 	if a := q.Router.GetAddress(); a != "" {
 		r.routers[a] = router{member: q.Router, heard: now, direct: true}
 	}
-	for _, x := range r.routers {
-		out.Routers = append(out.Routers, x.member)
+	if q.Revision == 0 {
+		for _, x := range r.routers {
+			out.Routers = append(out.Routers, x.member)
+		}
 	}
 	out.Revision = r.table.Revision()
 	if q.Revision != out.Revision {
