--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -18,7 +18,7 @@
 
 // claim settles a purse with the ledger, as a router that started at a time.
 func claim(l *allotter.Ledger, router string, incarnation uint64, p *allotter.Purse, now, started time.Time) *messenger.RightsGrants {
-	c := p.Claim(now, workspace, 400*time.Millisecond)
+	c := p.Claim(now, workspace, 0, 400*time.Millisecond)
 	sequence++
 	g := l.Claim(&messenger.RightsChange{
 		Router: router, Incarnation: incarnation, Claims: []*messenger.RightsClaim{c}, Sequence: sequence, Answered: sequence - 1,
@@ -135,7 +135,7 @@
 			g.Expect(held).To(gomega.BeNumerically(">", 20_000), "rights ahead")
 			back := now.Add(1500 * time.Millisecond)
 			q := &allotter.Purse{}
-			l.Claim(&messenger.RightsChange{Router: "a", Incarnation: 2, Sequence: 1, Sent: c.end(back), Started: c.end(back), Claims: []*messenger.RightsClaim{q.Claim(back, workspace, 400*time.Millisecond)}})
+			l.Claim(&messenger.RightsChange{Router: "a", Incarnation: 2, Sequence: 1, Sent: c.end(back), Started: c.end(back), Claims: []*messenger.RightsClaim{q.Claim(back, workspace, 0, 400*time.Millisecond)}})
 			lost := 1_000_000 - l.Left(workspace) - spent
 			g.Expect(lost).To(gomega.BeNumerically("<=", c.most))
 			if name == "clocks part" {
--- a/allotter/fuzz_test.go
+++ b/allotter/fuzz_test.go
@@ -84,7 +84,9 @@
 		Sent: w.moment(m), Started: proto.Clone(m.started).(*messenger.RightsMoment),
 	}
 	c.Started.AgeMs = w.now.Sub(m.startedAt).Milliseconds()
-	c.Claims = append(c.Claims, m.purse.Claim(w.now, workspace, 400*time.Millisecond))
+	if w.rand.IntN(3) > 0 {
+		c.Claims = append(c.Claims, m.purse.Claim(w.now, workspace, 0, 400*time.Millisecond))
+	}
 	m.sent = append(m.sent, w.now)
 	m.underWay = append(m.underWay, c)
 }
@@ -107,7 +109,9 @@
 	if lost || c.Closing || c.Incarnation != m.incarnation || !m.alive || grants.Ended || c.Sequence != m.sequence {
 		return
 	}
-	m.purse.Granted(grants.Grants[0], c.Claims[0], m.sent[c.Sequence-1])
+	if len(c.Claims) > 0 {
+		m.purse.Granted(grants.Grants[0], c.Claims[0], m.sent[c.Sequence-1])
+	}
 	m.answered = c.Sequence
 }
 
--- a/allotter/ledger.go
+++ b/allotter/ledger.go
@@ -27,6 +27,11 @@
 // grows, so claims that arrive twice or out of order do no harm.
 type account struct {
 	granted, returned, spent int64
+	// Bounds are what the router may be keeping, oldest first: that of the
+	// last claim for this workspace whose answer it is known to have seen, and
+	// of all later ones. A claim leaves out workspaces that need nothing, so
+	// the bound of an old claim may be in force for long.
+	bounds []*messenger.RightsBound
 }
 
 // cap is the most that the incarnation can have spent.
@@ -36,10 +41,7 @@
 	incarnation uint64
 	sequence    uint64
 	accounts    map[string]*account
-	// Bounds are what the router may be keeping: that of the claim whose
-	// answer it has seen, and of all later ones.
-	bounds []*messenger.RightsBound
-	ended  []uint64
+	ended       []uint64
 }
 
 // Ledger is the pure state of all rights. It is not safe for concurrent use.
@@ -94,26 +96,26 @@
 	fresh := c.Sequence > h.sequence
 	if fresh {
 		h.sequence = c.Sequence
-		h.bound(c)
 	}
 	for _, claim := range c.Claims {
-		out.Grants = append(out.Grants, l.claim(h, claim, fresh))
+		a := h.account(claim.Workspace)
+		if fresh {
+			a.bound(&messenger.RightsBound{Sequence: c.Sequence, Sent: c.Sent, Ceiling: claim.Ceiling, Slope: claim.Slope}, c.Answered)
+		}
+		out.Grants = append(out.Grants, l.claim(a, claim, fresh))
 	}
 	if c.Closing {
-		l.end(h, out, func(_ string, a *account) int64 { return min(a.spent, a.cap()) })
+		l.end(h, out, func(a *account) int64 { return min(a.spent, a.cap()) })
 	}
 	return out
 }
 
 // bound notes what a claim states, and forgets what the router no longer keeps.
-func (h *holder) bound(c *messenger.RightsChange) {
-	keep := h.bounds[:0]
-	for _, b := range h.bounds {
-		if b.Sequence >= c.Answered {
-			keep = append(keep, b)
-		}
+func (a *account) bound(b *messenger.RightsBound, answered uint64) {
+	for len(a.bounds) > 1 && a.bounds[1].Sequence <= answered {
+		a.bounds = a.bounds[1:]
 	}
-	h.bounds = append(keep, &messenger.RightsBound{Sequence: c.Sequence, Sent: c.Sent, Claims: c.Claims})
+	a.bounds = append(slices.Clone(a.bounds), b)
 }
 
 func (l *Ledger) holder(c *messenger.RightsChange, out *messenger.RightsGrants) *holder {
@@ -126,53 +128,53 @@
 		return nil
 	}
 	if h.incarnation != c.Incarnation {
-		l.end(h, out, h.lost(c.Started))
+		l.end(h, out, lost(c.Started))
 		h.incarnation, h.sequence = c.Incarnation, 0
 	}
 	return h
 }
 
+func (h *holder) account(workspace string) *account {
+	a := h.accounts[workspace]
+	if a == nil {
+		a = &account{}
+		h.accounts[workspace] = a
+	}
+	return a
+}
+
 // lost returns what an incarnation may have spent that ended, without a word,
 // before its successor started at a moment.
-func (h *holder) lost(end *messenger.RightsMoment) func(string, *account) int64 {
-	return func(workspace string, a *account) int64 {
+func lost(end *messenger.RightsMoment) func(*account) int64 {
+	return func(a *account) int64 {
 		most := a.spent
-		for _, b := range h.bounds {
+		for _, b := range a.bounds {
 			t, ok := elapsed(b.Sent, end)
 			if !ok {
 				return a.cap()
 			}
-			for _, c := range b.Claims {
-				if c.Workspace == workspace {
-					most = max(most, bound(c.Ceiling, c.Slope, t))
-				}
-			}
+			most = max(most, bound(b.Ceiling, b.Slope, t))
 		}
 		return min(most, a.cap())
 	}
 }
 
-func (l *Ledger) end(h *holder, out *messenger.RightsGrants, lost func(string, *account) int64) {
+func (l *Ledger) end(h *holder, out *messenger.RightsGrants, lost func(*account) int64) {
 	for w, a := range h.accounts {
-		n := lost(w, a)
+		n := lost(a)
 		l.held[w] -= a.cap()
 		l.consumed[w] += n
 		out.WrittenOff += n - a.spent
 		out.Recovered += a.cap() - n
 	}
-	h.accounts, h.bounds = map[string]*account{}, nil
+	h.accounts = map[string]*account{}
 	h.ended = append(h.ended, h.incarnation)
 	if len(h.ended) > rememberedEnds {
 		h.ended = h.ended[1:]
 	}
 }
 
-func (l *Ledger) claim(h *holder, c *messenger.RightsClaim, fresh bool) *messenger.RightsGrant {
-	a := h.accounts[c.Workspace]
-	if a == nil {
-		a = &account{}
-		h.accounts[c.Workspace] = a
-	}
+func (l *Ledger) claim(a *account, c *messenger.RightsClaim, fresh bool) *messenger.RightsGrant {
 	if c.Returned > a.returned && c.Returned <= a.granted {
 		l.held[c.Workspace] -= c.Returned - a.returned
 		a.returned = c.Returned
@@ -211,12 +213,12 @@
 	for _, name := range slices.Sorted(maps.Keys(l.holders)) {
 		h := l.holders[name]
 		out := &messenger.RightsHolder{
-			Router: name, Incarnation: h.incarnation, Ended: h.ended, Sequence: h.sequence, Bounds: h.bounds,
+			Router: name, Incarnation: h.incarnation, Ended: h.ended, Sequence: h.sequence,
 		}
 		for _, w := range slices.Sorted(maps.Keys(h.accounts)) {
 			a := h.accounts[w]
 			out.Accounts = append(out.Accounts, &messenger.RightsAccount{
-				Workspace: w, Granted: a.granted, Returned: a.returned, Spent: a.spent,
+				Workspace: w, Granted: a.granted, Returned: a.returned, Spent: a.spent, Bounds: a.bounds,
 			})
 		}
 		s.Holders = append(s.Holders, out)
@@ -241,10 +243,10 @@
 	for _, in := range s.Holders {
 		h := &holder{
 			incarnation: in.Incarnation, sequence: in.Sequence, accounts: map[string]*account{},
-			bounds: slices.Clone(in.Bounds), ended: slices.Clone(in.Ended),
+			ended: slices.Clone(in.Ended),
 		}
 		for _, a := range in.Accounts {
-			h.accounts[a.Workspace] = &account{granted: a.Granted, returned: a.Returned, spent: a.Spent}
+			h.accounts[a.Workspace] = &account{granted: a.Granted, returned: a.Returned, spent: a.Spent, bounds: a.Bounds}
 			l.held[a.Workspace] += a.Granted - a.Returned
 		}
 		l.holders[in.Router] = h
--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -109,19 +109,36 @@
 	return p.known && p.left < n
 }
 
-// Claim returns what to tell a keeper, where the next claim comes after a
-// pause. Headroom beyond need goes back at once
-// here, before the keeper hears of it.
-func (p *Purse) Claim(now time.Time, workspace string, pause time.Duration) *messenger.RightsClaim {
+// Due reports whether a claim is worth its way: something waits, headroom or
+// bound run low, or headroom should go back.
+func (p *Purse) Due(now time.Time, floor int64, pause time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.decay(now)
+	need := p.need(floor)
+	headroom := p.headroom()
+	return !p.known || p.waiting > 0 || headroom < need-need/8 ||
+		now.Sub(p.boundAt) >= pause && (p.rate >= 1 || p.reserved > 0 || headroom > 2*need+returnSlack)
+}
+
+// need is the headroom that the router should hold.
+func (p *Purse) need(floor int64) int64 {
 	horizon := Horizon
 	if p.scarce {
-		horizon = scarceHorizon
+		horizon, floor = scarceHorizon, 0
 	}
+	return max(int64(p.rate*horizon.Seconds()), min(floor, p.left))
+}
+
+// Claim returns what to tell a keeper, where the next claim comes after a
+// pause. At least floor is held ahead of any demand. Headroom beyond need goes back at once
+// here, before the keeper hears of it.
+func (p *Purse) Claim(now time.Time, workspace string, floor int64, pause time.Duration) *messenger.RightsClaim {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.decay(now)
 	headroom := p.headroom()
-	need := int64(p.rate*horizon.Seconds()) + p.waiting
+	need := p.need(floor) + p.waiting
 	// What was lent can't go back: the lender has written it off.
 	if surplus := min(headroom-need, p.granted-p.returned-p.spent-p.reserved); surplus > returnSlack && (p.scarce || surplus > 2*need+returnSlack) {
 		p.returned += surplus
@@ -156,13 +173,6 @@
 	p.left, p.scarce, p.known = g.Left, g.Scarce, true
 }
 
-// Idle reports whether nothing is held, spent or asked for.
-func (p *Purse) Idle() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.granted == p.returned && p.waiting == 0 && p.reserved == 0 && p.rate < 1
-}
-
 // bounded is what may still be set aside below the bound that a keeper knows.
 func (p *Purse) bounded(now time.Time) int64 {
 	return bound(p.ceiling, p.slope, now.Sub(p.boundAt)) + p.received - p.spent - p.reserved
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -52,6 +52,8 @@
 	table *predictor.Table
 	pool  *pooler.Pool
 	index atomic.Pointer[publisher.Index]
+	// Published is told of each document before it is in force.
+	published func(*publisher.Document)
 	// Known is how many routers there are, this one included.
 	known atomic.Int64
 	// Current is the keeper asked last with success.
@@ -309,6 +311,7 @@
 		f.o.Log.Error("configuration from a keeper is unreadable", zap.Uint64("number", r.Number), zap.Error(err))
 		return
 	}
+	f.published(d)
 	f.index.Store(publisher.NewIndex(d))
 	f.o.Log.Info("configuration in force", zap.Uint64("number", d.Number), zap.Int("routes", len(d.Routes)), zap.Bool("confirmed", confirmed))
 }
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -13,6 +13,7 @@
 	"rattanhoist.example/rattanhoist/allotter"
 	"rattanhoist.example/rattanhoist/forwarder"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/publisher"
 )
 
 const (
@@ -35,6 +36,8 @@
 	// waits meanwhile.
 	lendTimeout = 150 * time.Millisecond
 	lendersMost = 6
+	// floorPart of the even share of a total is held ahead of any demand.
+	floorPart = 8
 	// closeWait bounds the last claim of a process that stops.
 	closeWait = 200 * time.Millisecond
 )
@@ -56,6 +59,8 @@
 	// Sequence counts claims; answered is the last one that was.
 	sequence, answered uint64
 	started            start
+	// Totals are the prepaid totals of the document in force.
+	totals map[string]int64
 	// Settled is closed and replaced after every answered claim.
 	settled chan struct{}
 	rounds  uint64
@@ -228,6 +233,28 @@
 	r.rounds++
 }
 
+// floor is what this router holds of a workspace ahead of any demand: a part
+// of the even share of the total, so that the first requests need not wait.
+func (r *rights) floor(workspace string) int64 {
+	return r.totals[workspace] / int64(floorPart*max(r.fleet.Routers(), 1))
+}
+
+// prepare makes purses for the workspaces of a document.
+func (r *rights) prepare(d *publisher.Document) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.totals = map[string]int64{}
+	for _, w := range d.Workspaces {
+		if w.Prepaid == nil {
+			continue
+		}
+		r.totals[w.Name] = *w.Prepaid
+		if r.purses[w.Name] == nil {
+			r.purses[w.Name] = &allotter.Purse{}
+		}
+	}
+}
+
 func (r *rights) change(closing bool) (*messenger.RightsChange, []*allotter.Purse, time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -244,10 +271,10 @@
 		switch {
 		case closing:
 			out.Claims = append(out.Claims, p.Close(w))
-		case p.Idle():
+		case !p.Due(sent, r.floor(w), pause):
 			continue
 		default:
-			out.Claims = append(out.Claims, p.Claim(sent, w, pause))
+			out.Claims = append(out.Claims, p.Claim(sent, w, r.floor(w), pause))
 		}
 		purses = append(purses, p)
 	}
@@ -275,7 +302,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.log.Warn("rights of this router were ended; it begins a new account", zap.Uint64("incarnation", r.incarnation))
-	r.purses = map[string]*allotter.Purse{}
+	for w := range r.purses {
+		r.purses[w] = &allotter.Purse{}
+	}
 	r.incarnation = newIncarnation()
 	r.sequence, r.answered, r.started = 0, 0, newStart()
 }
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -50,7 +50,7 @@
 func (g *Governor) Ledger() *allotter.Ledger { return g.ledger }
 
 // Apply takes a committed change in. The result is *messenger.RightsGrants
-// for rights, and nil otherwise.
+// for rights, a slice of them for a batch, and nil otherwise.
 func (g *Governor) Apply(data []byte) any {
 	c := &messenger.FleetChange{}
 	if err := proto.Unmarshal(data, c); err != nil {
@@ -62,6 +62,12 @@
 		g.publish(b.Document)
 	case *messenger.FleetChange_Rights:
 		return g.ledger.Claim(b.Rights)
+	case *messenger.FleetChange_Batch:
+		var out []*messenger.RightsGrants
+		for _, r := range b.Batch.Changes {
+			out = append(out, g.ledger.Claim(r))
+		}
+		return out
 	case *messenger.FleetChange_Leave:
 		g.leave(b.Leave.Endpoint)
 	}
--- a/replicator/follower.go
+++ b/replicator/follower.go
@@ -129,6 +129,7 @@
 }
 
 func (c *Core) apply(e *messenger.LogEntry) {
+	c.appliedBytes += len(e.Data)
 	switch e.Kind {
 	case messenger.LogEntryKind_LOG_ENTRY_KIND_CHANGE:
 		result := c.options.Machine.Apply(e.Data)
@@ -146,16 +147,23 @@
 // compact replaces applied entries by a snapshot; half of them stay beside it
 // for followers that lag a little.
 func (c *Core) compact() {
-	if c.halted || c.applied < c.log.base+uint64(c.options.CompactAfter) {
+	kept := uint64(c.options.CompactAfter / 2)
+	if c.options.CompactBytes > 0 && c.appliedBytes > c.options.CompactBytes {
+		kept = min(kept, keptAfterBytes)
+	} else if c.applied < c.log.base+uint64(c.options.CompactAfter) {
 		return
 	}
+	if c.halted || c.applied <= c.log.base+kept {
+		return
+	}
+	c.appliedBytes = 0
 	t, _ := c.log.termAt(c.applied)
 	data := c.options.Machine.Snapshot()
 	c.log.snapshot = &messenger.LogSnapshot{
 		Index: c.applied, Term: t, Membership: membershipOf(c.log.votersAt(c.applied)),
 		Data: data, Checksum: xxhash.Sum64(data),
 	}
-	first, upTo := c.log.base+1, c.applied-uint64(c.options.CompactAfter/2)
+	first, upTo := c.log.base+1, c.applied-kept
 	c.log.compact(upTo)
 	c.writeSnapshot()
 	c.dropEntries(first, upTo)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -84,6 +84,9 @@
 	// CompactAfter is the number of applied entries kept beside a snapshot;
 	// 0 stands for the default.
 	CompactAfter int
+	// CompactBytes is how many bytes of applied entries call for a snapshot
+	// before CompactAfter does; 0 for no such bound.
+	CompactBytes int
 	// NeverFounds keeps an empty disk from founding a deployment: it waits to
 	// be taken into one. Where members find each other through seeds, a disk
 	// that was emptied knows too few names to tell that it is the first.
@@ -92,6 +95,9 @@
 
 const (
 	defaultCompactAfter = 4096
+	// keptAfterBytes is the number of entries kept beside a snapshot that
+	// CompactBytes called for: each may be large.
+	keptAfterBytes = 16
 	// learnerTimeout is the silence after which a learner is forgotten.
 	learnerTimeout = 10 * time.Second
 	// helloEvery is in heartbeats.
@@ -113,6 +119,8 @@
 	// Commit never goes back and is durable before what it shows leaves.
 	commit  uint64
 	applied uint64
+	// AppliedBytes counts the data applied since the last snapshot.
+	appliedBytes int
 
 	now time.Time
 	// Heard is when a leader of the current term was last heard of.
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -155,26 +155,28 @@
 // when its first outcome was lost; each kind is made so that this does no harm.
 func (s *Steward) orderHere(ctx context.Context, change *messenger.FleetChange) (*messenger.OrderReply, error) {
 	if r := change.GetRights(); r != nil {
+		if !s.loop.State().Leads() {
+			return &messenger.OrderReply{Leader: s.loop.State().Leader()}, nil
+		}
 		stamp(r, time.Now(), func(m *messenger.RightsMoment, at int64) { m.LeaderMs = at })
+		grants, err := s.batcher.claim(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		return &messenger.OrderReply{Done: true, Grants: grants}, nil
 	}
 	b, err := proto.Marshal(change)
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	out, err := s.loop.Propose(ctx, b)
+	_, err = s.loop.Propose(ctx, b)
 	if errors.Is(err, committer.ErrNotLeader) {
 		return &messenger.OrderReply{Leader: s.loop.State().Leader()}, nil
 	}
 	if err != nil {
 		return nil, err
 	}
-	grants, _ := out.(*messenger.RightsGrants)
-	if grants.GetWrittenOff() > 0 || grants.GetRecovered() > 0 {
-		s.log.Info("account of a router ended", zap.String("router", change.GetRights().GetRouter()),
-			zap.Bool("closing", change.GetRights().GetClosing()),
-			zap.Int64("written_off", grants.WrittenOff), zap.Int64("recovered", grants.Recovered))
-	}
-	return &messenger.OrderReply{Done: true, Grants: grants}, nil
+	return &messenger.OrderReply{Done: true}, nil
 }
 
 // confirm returns an index that covers all acknowledged before the call.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -35,9 +35,10 @@
 	// seat. It is longer than a restart or a cut between zones usually lasts;
 	// taking a seat too early is safe, only needless.
 	replaceAfter = 6 * time.Second
-	// compactAfter entries a snapshot is written. Entries may hold whole
-	// documents of 130 kB, and the disk 128 MB.
-	compactAfter = 96
+	// compactAfter entries, or compactBytes, a snapshot is written: a whole
+	// document takes 130 kB with hundreds of routes, and the disk 128 MB.
+	compactAfter = 1024
+	compactBytes = 4 << 20
 	// shareEvery is how often keepers tell each other what they heard: half
 	// of the time that a leave may take to be known everywhere is far longer.
 	shareEvery = 300 * time.Millisecond
@@ -65,6 +66,7 @@
 	view    atomic.Pointer[view]
 	members *members
 	roster  *roster
+	batcher *batcher
 }
 
 // New opens the store and restores the log. The returned function closes the
@@ -83,7 +85,7 @@
 			Name: n.Internal(), Peers: s.members.names(), Voters: 2*n.LostDisks() + 1,
 			Timing:  replicator.Timing{Heartbeat: heartbeat, Election: election, Replace: replaceAfter},
 			Rand:    newRand(),
-			Machine: s.state, CompactAfter: compactAfter,
+			Machine: s.state, CompactAfter: compactAfter, CompactBytes: compactBytes,
 			NeverFounds: !n.FirstStart() || !slices.Contains(n.Seeds(), n.Internal()),
 		},
 		Store: store, Send: s.members.send, Committed: s.committed, Log: log,
@@ -92,6 +94,7 @@
 		_ = closeStore()
 		return nil, nil, err
 	}
+	s.batcher = newBatcher(s.loop.Propose, log)
 	s.committed()
 	return s, func() { _ = closeStore() }, nil
 }
@@ -146,6 +149,7 @@
 	go func() { failed <- web.Serve(outside) }()
 	go func() { failed <- s.loop.Run(ctx) }()
 	go s.share(ctx)
+	go s.batcher.run(ctx)
 	s.members.run(ctx)
 	s.log.Info("keeper started", zap.String("zone", s.node.Zone()), zap.Strings("seeds", s.node.Seeds()),
 		zap.Bool("first_start", s.node.FirstStart()), zap.Uint64("number", s.view.Load().document.Number()))
