--- a/allotter/fuzz_test.go
+++ b/allotter/fuzz_test.go
@@ -170,7 +170,7 @@
 	if !from.alive || !to.alive || to == from {
 		return
 	}
-	if n := from.purse.Lend(w.now, 1, int64(1+w.rand.IntN(5_000))); w.rand.IntN(8) > 0 {
+	if n := from.purse.Lend(w.now, int64(1+w.rand.IntN(5_000))); w.rand.IntN(8) > 0 {
 		to.purse.Receive(n)
 	}
 }
--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -29,6 +29,8 @@
 	BoundRest = 1200 * time.Millisecond
 	// boundSlope is tokens a second for a workspace without demand yet.
 	boundSlope = 2_000
+	// lendReserve of its own demand a router keeps when it lends.
+	lendReserve = 4 * time.Second
 	// lendHorizon is how long what a router borrows should last.
 	lendHorizon = 2 * time.Second
 	// rateWindow is over how much time demand is averaged: long enough that
@@ -195,13 +197,16 @@
 	return n
 }
 
-// Lend gives up to wanted tokens away, at most half of the headroom, and none
-// where that is less than least. They count as spent here.
-func (p *Purse) Lend(now time.Time, least, wanted int64) int64 {
+// Lend gives up to wanted tokens away: half of the headroom, or all that the
+// router itself won't need for a while. They count as spent here.
+func (p *Purse) Lend(now time.Time, wanted int64) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := min(wanted, p.headroom()/2, p.bounded(now))
-	if p.closed || n < least || n <= 0 {
+	p.decay(now)
+	headroom := p.headroom()
+	spare := max(headroom/2, headroom-int64(p.rate*lendReserve.Seconds()))
+	n := min(wanted, spare, p.bounded(now))
+	if p.closed || n <= 0 {
 		return 0
 	}
 	p.spent += n
@@ -221,6 +226,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.decay(now)
-	least = max(n-min(p.headroom(), p.bounded(now)), 1)
-	return least, least + int64(p.rate*lendHorizon.Seconds())
+	least = n - min(p.headroom(), p.bounded(now))
+	return least, max(least, 0) + int64(p.rate*lendHorizon.Seconds())
 }
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -115,23 +115,28 @@
 	}
 }
 
-// borrow asks other routers for rights and reports whether one lent any.
+// borrow asks other routers for rights until there are enough for a request,
+// and reports whether any lent some.
 func (r *rights) borrow(ctx context.Context, p *allotter.Purse, workspace string, tokens int64) bool {
 	r.lending.Lock()
 	defer r.lending.Unlock()
 	least, wanted := p.Short(time.Now(), tokens)
-	if least <= 1 && wanted <= 1 {
+	if least <= 0 {
+		// Another request has borrowed for this one too.
 		return true
 	}
-	q := &messenger.LendRequest{Workspace: workspace, Least: least, Wanted: wanted}
 	others := r.fleet.others()
 	from := rand.IntN(max(len(others), 1))
+	var got int64
 	for i := range min(len(others), lendersMost) {
 		l := others[(from+i)%len(others)]
-		n, err := l.Lend(ctx, lendTimeout, q)
-		if err == nil && n > 0 {
-			p.Receive(n)
-			r.log.Info("rights borrowed", zap.String("workspace", workspace), zap.String("from", l.Address()), zap.Int64("tokens", n))
+		n, err := l.Lend(ctx, lendTimeout, &messenger.LendRequest{Workspace: workspace, Wanted: wanted - got})
+		if err != nil {
+			continue
+		}
+		p.Receive(n)
+		if got += n; got >= least {
+			r.log.Info("rights borrowed", zap.String("workspace", workspace), zap.Int64("tokens", got))
 			return true
 		}
 	}
@@ -141,7 +146,7 @@
 // Lend serves another router that can't reach a keeper.
 func (r *rights) Lend(_ context.Context, q *messenger.LendRequest) (*messenger.LendReply, error) {
 	p, _, _ := r.purse(q.Workspace)
-	return &messenger.LendReply{Lent: p.Lend(time.Now(), q.Least, q.Wanted)}, nil
+	return &messenger.LendReply{Lent: p.Lend(time.Now(), q.Wanted)}, nil
 }
 
 func (r *rights) purse(workspace string) (*allotter.Purse, chan struct{}, uint64) {
