--- a/cmd/rattanhoist-node/main.go
+++ b/cmd/rattanhoist-node/main.go
@@ -5,19 +5,27 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"rattanhoist.example/rattanhoist/courier"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/platform"
+	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/steward"
 )
 
+// metricsTimeout bounds a reader that is slow to ask.
+const metricsTimeout = 5 * time.Second
+
 // settingsVariable names the settings file.
 const settingsVariable = "RATTANHOIST_SETTINGS"
 
@@ -31,18 +39,34 @@
 	}
 }
 
-func run(ctx context.Context) error {
-	n, warnings, err := loader.LoadNode(os.Getenv(settingsVariable))
+// serveMetrics shows counters as text; a port that is taken costs only them.
+func serveMetrics(address string, log *zap.Logger) {
+	if address == "" {
+		return
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		log.Warn("no metrics", zap.Error(err))
+		return
 	}
-	c := zap.NewProductionConfig()
-	c.OutputPaths = []string{"stdout"}
-	c.DisableCaller, c.DisableStacktrace = true, true
-	log, err := c.Build(zap.Fields(zap.String("process", n.Name())))
+	m := http.NewServeMux()
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	go func() {
+		s := &http.Server{Handler: m, ReadHeaderTimeout: metricsTimeout}
+		log.Warn("metrics end", zap.Error(s.Serve(l)))
+	}()
+}
+
+func run(ctx context.Context) error {
+	n, warnings, err := loader.LoadNode(os.Getenv(settingsVariable))
 	if err != nil {
 		return err
 	}
+	out, flush := reporter.NewQueue(os.Stdout)
+	defer flush()
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel),
+		zap.Fields(zap.String("process", n.Name())))
+	serveMetrics(n.Metrics(), log)
 	for _, w := range warnings {
 		log.Warn(w)
 	}
--- /dev/null
+++ b/courier/counters.go
@@ -0,0 +1,27 @@
+package courier
+
+import "github.com/VictoriaMetrics/metrics"
+
+// Counters of a router's rights.
+var (
+	rightsRefused  = metrics.NewCounter("rattanhoist_rights_out_of_reach_total")
+	rightsSpent    = metrics.NewCounter("rattanhoist_rights_spent_total")
+	borrowedTokens = metrics.NewCounter("rattanhoist_rights_borrowed_tokens_total")
+	lentTokens     = metrics.NewCounter("rattanhoist_rights_lent_tokens_total")
+	claimsAnswered = metrics.NewCounter("rattanhoist_rights_claims_answered_total")
+	claimsFailed   = metrics.NewCounter("rattanhoist_rights_claims_failed_total")
+)
+
+// gauges shows the state of a courier; one process holds one.
+func (c *Courier) gauges() {
+	metrics.NewGauge("rattanhoist_requests_active", func() float64 { return float64(c.active.Load()) })
+	metrics.NewGauge("rattanhoist_connections_opened", func() float64 { return float64(c.opened.Load()) })
+	metrics.NewGauge("rattanhoist_keeper_silence_seconds", func() float64 { return c.fleet.untouched().Seconds() })
+	metrics.NewGauge("rattanhoist_routers_known", func() float64 { return float64(c.fleet.Routers()) })
+	metrics.NewGauge("rattanhoist_configuration_number", func() float64 {
+		if x := c.fleet.Index(); x != nil {
+			return float64(x.Number())
+		}
+		return 0
+	})
+}
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -79,6 +79,7 @@
 	c.fleet = newFleet(o, c.incarnation, table, c.pool)
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
 	c.fleet.published = c.rights.prepare
+	c.gauges()
 	ratio, slack, window := o.Node.Retries()
 	c.handler = forwarder.New(forwarder.Parts{
 		Wire: o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -96,6 +96,7 @@
 			if r.borrow(ctx, p, workspace, tokens) {
 				continue
 			}
+			rightsRefused.Inc()
 			return nil, forwarder.ErrRightsOutOfReach
 		}
 		select {
@@ -105,11 +106,13 @@
 		select {
 		case <-settled:
 		case <-ctx.Done():
+			rightsRefused.Inc()
 			return nil, forwarder.ErrRightsOutOfReach
 		}
 		var now uint64
 		p, settled, now = r.purse(workspace)
 		if now > first+1 && p.Exhausted(tokens) && !r.borrow(ctx, p, workspace, tokens) {
+			rightsSpent.Inc()
 			return nil, forwarder.ErrSpent
 		}
 	}
@@ -135,6 +138,7 @@
 			continue
 		}
 		p.Receive(n)
+		borrowedTokens.AddInt64(n)
 		if got += n; got >= least {
 			r.log.Info("rights borrowed", zap.String("workspace", workspace), zap.Int64("tokens", got))
 			return true
@@ -146,7 +150,9 @@
 // Lend serves another router that can't reach a keeper.
 func (r *rights) Lend(_ context.Context, q *messenger.LendRequest) (*messenger.LendReply, error) {
 	p, _, _ := r.purse(q.Workspace)
-	return &messenger.LendReply{Lent: p.Lend(time.Now(), q.Wanted)}, nil
+	n := p.Lend(time.Now(), q.Wanted)
+	lentTokens.AddInt64(n)
+	return &messenger.LendReply{Lent: n}, nil
 }
 
 func (r *rights) purse(workspace string) (*allotter.Purse, chan struct{}, uint64) {
@@ -221,8 +227,10 @@
 	}
 	reply, err := r.order(ctx, timeout, change)
 	if err != nil {
+		claimsFailed.Inc()
 		return
 	}
+	claimsAnswered.Inc()
 	if reply.Grants.GetEnded() {
 		r.reset()
 		return
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rattanhoist.example/rattanhoist/ejector"
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
@@ -49,6 +51,12 @@
 		if o == done || !j.again(ctx, o) {
 			return
 		}
+		repeated.Inc()
+		if j.began {
+			resumed.Inc()
+		}
+		j.f.Log.Info("another endpoint", zap.String("request", j.caller.ID), zap.String("why", j.why),
+			zap.Strings("endpoints", j.tried), zap.String("last_event", j.lastEvent))
 	}
 }
 
@@ -152,6 +160,7 @@
 // time ran out.
 func (j *job) blame(ctx context.Context, e *predictor.Endpoint) {
 	if ctx.Err() == nil {
+		blamed.Inc()
 		e.Gate().Step(time.Since(j.f.start), ejector.Failed, 0)
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -266,6 +266,7 @@
 }
 
 func (j *job) log(status int, why string) {
+	j.countEnd(status)
 	fields := []zap.Field{
 		zap.String("request", j.caller.ID), zap.Int("status", status), zap.Duration("took", time.Since(j.begun)),
 		zap.Strings("endpoints", j.tried),
--- /dev/null
+++ b/steward/counters.go
@@ -0,0 +1,31 @@
+package steward
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Counters of a keeper.
+var (
+	beats     = metrics.NewCounter("rattanhoist_endpoint_heartbeats_total")
+	questions = metrics.NewCounter("rattanhoist_router_questions_total")
+	claims    = metrics.NewCounter("rattanhoist_rights_claims_total")
+	orders    = metrics.NewHistogram("rattanhoist_order_seconds")
+	refusals  = metrics.NewCounter("rattanhoist_orders_not_now_total")
+)
+
+// gauges shows the state of a steward; one process holds one.
+func (s *Steward) gauges() {
+	metrics.NewGauge("rattanhoist_log_applied", func() float64 { return float64(s.loop.State().Applied()) })
+	metrics.NewGauge("rattanhoist_log_leads", func() float64 {
+		if s.loop.State().Leads() {
+			return 1
+		}
+		return 0
+	})
+	metrics.NewGauge("rattanhoist_log_confirmed_age_seconds", func() float64 {
+		return time.Since(s.loop.State().ConfirmedAt()).Seconds()
+	})
+	metrics.NewGauge("rattanhoist_configuration_number", func() float64 { return float64(s.view.Load().document.Number()) })
+}
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -84,6 +84,7 @@
 // Beat takes a heartbeat in. One that says that the endpoint leaves is
 // answered only once a majority holds that.
 func (c *Control) Beat(ctx context.Context, b enroller.Beat) (string, error) {
+	beats.Inc()
 	c.s.roster.beat(time.Now(), b)
 	if b.Leaving {
 		return "", c.Leave(ctx, b.ID)
@@ -102,8 +103,11 @@
 }
 
 func (s *Steward) mustOrder(ctx context.Context, change *messenger.FleetChange) error {
+	began := time.Now()
 	r, err := s.order(ctx, change)
+	orders.Update(time.Since(began).Seconds())
 	if err != nil {
+		refusals.Inc()
 		return merry.Errorf("%w: %s", ErrNotNow, err.Error())
 	}
 	if !r.Done {
@@ -214,6 +218,7 @@
 // through another keeper first, which puts its own time of day beside the
 // leader's.
 func (s *Steward) claim(ctx context.Context, change *messenger.FleetChange) (*messenger.OrderReply, error) {
+	claims.Inc()
 	names := s.members.names()
 	if s.loop.State().Leads() && len(names) > 0 {
 		x := s.members.member(names[rand.IntN(len(names))])
--- a/steward/server.go
+++ b/steward/server.go
@@ -59,6 +59,7 @@
 
 // Sync tells a router what is in force here.
 func (v *server) Sync(_ context.Context, q *messenger.SyncRequest) (*messenger.SyncReply, error) {
+	questions.Inc()
 	s, now := v.s, time.Now()
 	state, shown := s.loop.State(), s.view.Load()
 	out := &messenger.SyncReply{
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -94,6 +94,7 @@
 		_ = closeStore()
 		return nil, nil, err
 	}
+	s.gauges()
 	s.batcher = newBatcher(s.loop.Propose, log)
 	s.committed()
 	return s, func() { _ = closeStore() }, nil
