Giants of a zone go to one endpoint, the others keep away from it

Cause of late streams: prompts beyond 40,000 tokens stretch each step of an engine to 50 ms, so an event of six steps takes over 300 ms for all who run beside them.

--- a/predictor/table.go
+++ b/predictor/table.go
@@ -18,6 +18,17 @@
 	slotCost = 300 * time.Microsecond
 	// fullCost keeps requests from an endpoint whose slots are taken.
 	fullCost = 400 * time.Millisecond
+	// giant is a prompt, in tokens to be read, that delays every event of the
+	// streams beside it by more than the pauses that callers bear: reading in
+	// chunks of 2,048, each step takes 30 ms and more beyond 40,000 tokens of
+	// context, and an event takes six steps.
+	giant = 24_000
+	// giantHome draws giants of a zone to one endpoint, and giantShy keeps the
+	// others away from it while they have a choice: both as time.
+	giantHome = 400 * time.Millisecond
+	giantShy  = 250 * time.Millisecond
+	// giantZone is how many endpoints of a zone it takes to set one apart.
+	giantZone = 3
 	// homeLoad is how much longer than the best a prompt waits for the
 	// endpoint where its parts are kept for all routers alike.
 	homeLoad = 80 * time.Millisecond
@@ -84,12 +95,16 @@
 func (t *Table) best(now time.Time, a Ask, all []*Endpoint, blocked bool) *Endpoint {
 	var best *Endpoint
 	var least time.Duration
-	home := t.home(a, all)
+	apart := t.apart(a, all)
+	home := t.home(a, all, apart)
 	for _, e := range all {
 		if !blocked && e.gate.Blocked(a.Since) || tried(a.Tried, e.beat.ID) {
 			continue
 		}
 		c := e.cost(now, a.Prompt, e == home)
+		if apart != nil {
+			c += apartCost(a.Prompt, e == apart)
+		}
 		if e.beat.Zone != t.zone {
 			c += otherZone
 		}
@@ -116,33 +131,66 @@
 }
 
 // home returns the endpoint of the zone where all its routers look for the
-// last shared part of a prompt first: the one with the highest hash of part
-// and endpoint. It needs no word between routers, and a change of endpoints
-// moves few parts.
-func (t *Table) home(a Ask, all []*Endpoint) *Endpoint {
+// last shared part of a prompt first. It needs no word between routers, and a
+// change of endpoints moves few parts.
+func (t *Table) home(a Ask, all []*Endpoint, apart *Endpoint) *Endpoint {
 	if a.Prompt == nil || len(a.Prompt.Shared()) == 0 {
 		return nil
 	}
 	shared := a.Prompt.Shared()
-	key := shared[len(shared)-1].ID
+	e, _ := t.highest(a, all, apart, shared[len(shared)-1].ID)
+	return e
+}
+
+// apart returns the endpoint of the zone where giants go, or nil.
+func (t *Table) apart(a Ask, all []*Endpoint) *Endpoint {
+	if a.Prompt == nil {
+		return nil
+	}
+	e, n := t.highest(a, all, nil, "giants")
+	if n < giantZone {
+		return nil
+	}
+	return e
+}
+
+func apartCost(p *Prompt, there bool) time.Duration {
+	switch {
+	case there && p.In >= giant:
+		return -giantHome
+	case there:
+		return giantShy
+	}
+	return 0
+}
+
+// highest returns the endpoint of the zone with the highest hash of key and
+// endpoint, without one of them, and how many there are.
+func (t *Table) highest(a Ask, all []*Endpoint, but *Endpoint, key string) (*Endpoint, int) {
 	var best *Endpoint
 	var most uint64
+	n := 0
 	for _, e := range all {
-		if e.beat.Zone != t.zone || e.gate.Blocked(a.Since) {
+		if e == but || e.beat.Zone != t.zone || e.gate.Blocked(a.Since) {
 			continue
 		}
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(key))
-		_, _ = h.Write([]byte(e.beat.ID))
-		x := h.Sum64()
-		x ^= x >> 29
-		x *= 0xbf58476d1ce4e5b9
-		x ^= x >> 32
-		if best == nil || x > most {
+		n++
+		if x := weight(key, e.beat.ID); best == nil || x > most {
 			best, most = e, x
 		}
 	}
-	return best
+	return best, n
+}
+
+// weight is a hash in which every bit of both strings counts for every bit.
+func weight(key, id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte(id))
+	x := h.Sum64()
+	x ^= x >> 29
+	x *= 0xbf58476d1ce4e5b9
+	return x ^ x>>32
 }
 
 // cost is the predicted wait for the first event, or for a plain answer.
