--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -48,6 +48,15 @@
 	return p.Parts[:len(p.Parts)-1]
 }
 
+// own returns the tokens that no other request shares.
+func (p *Prompt) own() int64 {
+	left := p.In
+	for _, part := range p.Shared() {
+		left -= part.Tokens
+	}
+	return max(left, 0)
+}
+
 // Endpoint is one incarnation of an endpoint with this router's view of it.
 // It is safe for concurrent use.
 type Endpoint struct {
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -12,51 +12,95 @@
 	// memory.
 	keptFor = 30 * time.Second
 	// otherZone is what sending a request to another availability zone costs,
-	// as time: what the bytes between zones cost against a late answer.
-	otherZone = 60 * time.Millisecond
+	// as time. A way of 0.5 to 1 ms and some kilobytes are little beside parts
+	// of a prompt that need not be read again: 500 tokens take 8 ms.
+	otherZone = 6 * time.Millisecond
+	// otherZonePlain is the same for plain requests, which gain nothing there.
+	otherZonePlain = 60 * time.Millisecond
 	// slotCost is the time that each running request adds to all others.
 	slotCost = 300 * time.Microsecond
 	// fullCost keeps requests from an endpoint whose slots are taken.
 	fullCost = 400 * time.Millisecond
-	// giant is a prompt, in tokens to be read, that delays every event of the
-	// streams beside it by more than the pauses that callers bear: reading in
-	// chunks of 2,048, each step takes 30 ms and more beyond 40,000 tokens of
-	// context, and an event takes six steps.
+	// giant is a prompt, in tokens, that stretches the steps of any engine so
+	// far that callers of the streams beside it miss an event's pause: six
+	// steps with a chunk of 2,048 tokens each, and the longer the context the
+	// longer a step.
 	giant = 24_000
 	// giantHome draws giants of a zone to one endpoint, and giantShy keeps the
 	// others away from it while they have a choice: both as time.
-	giantHome = 400 * time.Millisecond
+	giantHome = 200 * time.Millisecond
 	giantShy  = 250 * time.Millisecond
-	// giantZone is how many endpoints of a zone it takes to set one apart.
-	giantZone = 3
+	// longRead is how long a prompt is read for it to do the same harm at one
+	// endpoint: at a slow one, prompts far from giant do.
+	longRead = 200 * time.Millisecond
+	// longHarm is what such a prompt costs for each request that runs beside
+	// it, as time.
+	longHarm = 25 * time.Millisecond
+	// apartZone is how many endpoints of a zone it takes to set one apart.
+	apartZone = 3
 	// homeLoad is how much longer than the best a prompt waits for the
-	// endpoint where its parts are kept for all routers alike.
-	homeLoad = 80 * time.Millisecond
+	// endpoint where its parts are kept for all routers alike, beside the time
+	// that reading them would take.
+	homeLoad = 20 * time.Millisecond
 )
 
 // Table holds the endpoints in service; it is replaced as a whole.
 type Table struct {
 	zone      string
-	byService atomic.Pointer[map[string][]*Endpoint]
+	byService atomic.Pointer[map[string]*group]
+}
+
+// group is the endpoints of one service; immutable.
+type group struct {
+	endpoints []*Endpoint
+	// Apart holds for each zone the endpoint where its giants go.
+	apart map[*Endpoint]bool
 }
 
 // NewTable returns an empty table for a router in zone.
 func NewTable(zone string) *Table {
 	t := &Table{zone: zone}
-	t.byService.Store(&map[string][]*Endpoint{})
+	t.Replace(nil)
 	return t
 }
 
 // Replace puts other endpoints in service.
-func (t *Table) Replace(byService map[string][]*Endpoint) { t.byService.Store(&byService) }
+func (t *Table) Replace(byService map[string][]*Endpoint) {
+	groups := map[string]*group{}
+	for s, list := range byService {
+		groups[s] = &group{endpoints: list, apart: apart(list)}
+	}
+	t.byService.Store(&groups)
+}
+
+// apart picks an endpoint for giants in each zone that has enough of them. All
+// routers pick the same.
+func apart(list []*Endpoint) map[*Endpoint]bool {
+	zones := map[string][]*Endpoint{}
+	for _, e := range list {
+		zones[e.beat.Zone] = append(zones[e.beat.Zone], e)
+	}
+	out := map[*Endpoint]bool{}
+	for _, l := range zones {
+		if len(l) >= apartZone {
+			out[highest(l, "giants", func(*Endpoint) bool { return true })] = true
+		}
+	}
+	return out
+}
 
 // Endpoints returns the endpoints of a service; callers must not change it.
-func (t *Table) Endpoints(service string) []*Endpoint { return (*t.byService.Load())[service] }
+func (t *Table) Endpoints(service string) []*Endpoint {
+	if g := (*t.byService.Load())[service]; g != nil {
+		return g.endpoints
+	}
+	return nil
+}
 
 // Sent notes a prompt that another router sent to an endpoint.
 func (t *Table) Sent(now time.Time, id string, unread int64) {
-	for _, list := range *t.byService.Load() {
-		for _, e := range list {
+	for _, g := range *t.byService.Load() {
+		for _, e := range g.endpoints {
 			if e.beat.ID == id {
 				e.Sent(now, unread)
 				return
@@ -79,12 +123,15 @@
 // Choose returns work at the endpoint with the shortest predicted wait, or nil
 // where none is in service. The work must be ended.
 func (t *Table) Choose(now time.Time, a Ask) *Work {
-	all := t.Endpoints(a.Service)
-	best := t.best(now, a, all, false)
+	g := (*t.byService.Load())[a.Service]
+	if g == nil {
+		return nil
+	}
+	best := t.best(now, a, g, false)
 	if best == nil {
 		// Every endpoint is blocked: one that failed may have recovered, and
 		// an error costs no more than a refusal.
-		best = t.best(now, a, all, true)
+		best = t.best(now, a, g, true)
 	}
 	if best == nil {
 		return nil
@@ -92,21 +139,20 @@
 	return best.begin(now, a)
 }
 
-func (t *Table) best(now time.Time, a Ask, all []*Endpoint, blocked bool) *Endpoint {
+func (t *Table) best(now time.Time, a Ask, g *group, blocked bool) *Endpoint {
 	var best *Endpoint
 	var least time.Duration
-	apart := t.apart(a, all)
-	home := t.home(a, all, apart)
-	for _, e := range all {
+	home := g.home(a)
+	for _, e := range g.endpoints {
 		if !blocked && e.gate.Blocked(a.Since) || tried(a.Tried, e.beat.ID) {
 			continue
 		}
 		c := e.cost(now, a.Prompt, e == home)
-		if apart != nil {
-			c += apartCost(a.Prompt, e == apart)
+		if g.apart[e] {
+			c += apartCost(a.Prompt, e.beat.Zone == t.zone)
 		}
 		if e.beat.Zone != t.zone {
-			c += otherZone
+			c += otherZoneCost(a.Prompt)
 		}
 		if e.gate.Ejected() {
 			c += fullCost
@@ -121,6 +167,13 @@
 	return best
 }
 
+func otherZoneCost(p *Prompt) time.Duration {
+	if p == nil {
+		return otherZonePlain
+	}
+	return otherZone
+}
+
 func tried(ids []string, id string) bool {
 	for _, t := range ids {
 		if t == id {
@@ -130,56 +183,47 @@
 	return false
 }
 
-// home returns the endpoint of the zone where all its routers look for the
-// last shared part of a prompt first. It needs no word between routers, and a
-// change of endpoints moves few parts.
-func (t *Table) home(a Ask, all []*Endpoint, apart *Endpoint) *Endpoint {
+// home returns the endpoint where all routers look for the last shared part of
+// a prompt first. It needs no word between routers, and a change of endpoints
+// moves few parts.
+func (g *group) home(a Ask) *Endpoint {
 	if a.Prompt == nil || len(a.Prompt.Shared()) == 0 {
 		return nil
 	}
 	shared := a.Prompt.Shared()
-	e, _ := t.highest(a, all, apart, shared[len(shared)-1].ID)
-	return e
-}
-
-// apart returns the endpoint of the zone where giants go, or nil.
-func (t *Table) apart(a Ask, all []*Endpoint) *Endpoint {
-	if a.Prompt == nil {
-		return nil
-	}
-	e, n := t.highest(a, all, nil, "giants")
-	if n < giantZone {
-		return nil
-	}
-	return e
+	return highest(g.endpoints, shared[len(shared)-1].ID, func(e *Endpoint) bool {
+		return !g.apart[e] && !e.gate.Blocked(a.Since)
+	})
 }
 
-func apartCost(p *Prompt, there bool) time.Duration {
+// apartCost is what it costs, beside the wait, to send a prompt to an endpoint
+// that is set apart for giants.
+func apartCost(p *Prompt, sameZone bool) time.Duration {
 	switch {
-	case there && p.In >= giant:
-		return -giantHome
-	case there:
+	case p == nil:
+		return 0
+	case p.In < giant:
 		return giantShy
+	case sameZone:
+		return -giantHome
 	}
 	return 0
 }
 
-// highest returns the endpoint of the zone with the highest hash of key and
-// endpoint, without one of them, and how many there are.
-func (t *Table) highest(a Ask, all []*Endpoint, but *Endpoint, key string) (*Endpoint, int) {
+// highest returns the endpoint with the highest hash of key and endpoint among
+// those that fit, or nil.
+func highest(all []*Endpoint, key string, fits func(*Endpoint) bool) *Endpoint {
 	var best *Endpoint
 	var most uint64
-	n := 0
 	for _, e := range all {
-		if e == but || e.beat.Zone != t.zone || e.gate.Blocked(a.Since) {
+		if !fits(e) {
 			continue
 		}
-		n++
 		if x := weight(key, e.beat.ID); best == nil || x > most {
 			best, most = e, x
 		}
 	}
-	return best, n
+	return best
 }
 
 // weight is a hash in which every bit of both strings counts for every bit.
@@ -206,10 +250,17 @@
 		}
 		return c
 	}
-	c := e.wait(now, p)
+	unread := e.uncached(p, now, keptFor)
+	if home {
+		unread = p.own()
+	}
+	c := e.waitFor(now, unread)
 	if home {
 		c -= homeLoad
 	}
+	if float64(unread)/e.rate > longRead.Seconds()*1000 {
+		c += time.Duration(busy) * longHarm
+	}
 	if slots := e.beat.Slots; slots > 0 && busy >= slots {
 		c += fullCost
 	}
@@ -217,7 +268,12 @@
 }
 
 func (e *Endpoint) wait(now time.Time, p *Prompt) time.Duration {
-	tokens := float64(e.queue.left(now, e.rate) + e.uncached(p, now, keptFor))
+	return e.waitFor(now, e.uncached(p, now, keptFor))
+}
+
+// waitFor is the predicted wait with so many tokens of the prompt to read.
+func (e *Endpoint) waitFor(now time.Time, unread int64) time.Duration {
+	tokens := float64(e.queue.left(now, e.rate) + unread)
 	return baseWait + time.Duration(tokens/e.rate*float64(time.Millisecond)) + time.Duration(e.busy(now))*slotCost
 }
 
