--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -22,6 +22,10 @@
 	ackedAt time.Time
 	// AckedSince is reset at every heartbeat.
 	ackedSince bool
+	// Silent members get no entries until they answer: all that is not on
+	// their disks would else be sent again with every heartbeat, megabytes a
+	// second over a link that is cut or slow.
+	silent bool
 	since      time.Time
 	// SinceRound is the leader's broadcast when the member became known: only
 	// the answer to a later one shows that its disk still exists.
@@ -124,6 +128,7 @@
 	for m, p := range c.lead.progress {
 		if !p.ackedSince {
 			p.next = p.match + 1
+			p.silent = true
 		}
 		p.ackedSince = false
 		if !slices.Contains(c.log.voters, m) && c.now.Sub(p.ackedAt) > learnerTimeout && c.now.Sub(p.since) > learnerTimeout {
@@ -183,7 +188,10 @@
 		c.installAt(m, p)
 		return
 	}
-	entries := c.log.from(p.next, appendBytes)
+	var entries []*messenger.LogEntry
+	if !p.silent {
+		entries = c.log.from(p.next, appendBytes)
+	}
 	p.next += uint64(len(entries))
 	c.send(m, &messenger.LogMessage{Body: &messenger.LogMessage_Append{Append: &messenger.LogAppend{
 		PrevIndex: prev, PrevTerm: t, Entries: entries, CommitIndex: c.commit, Round: c.lead.round,
@@ -208,7 +216,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.ackedAt, p.ackedSince = c.now, true
+	p.ackedAt, p.ackedSince, p.silent = c.now, true, false
 	p.round = max(p.round, r.Round)
 	if r.Accepted {
 		p.match = max(p.match, r.MatchIndex)
