--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -294,3 +294,39 @@
 		t.Fatalf("the replaced keeper: votes %v, commit %d of %d", c.Voter(), c.Commit(), l.Commit())
 	}
 }
+
+// TestSilentVoterGetsNoEntriesAgain: symptom, a leader fills the link to a
+// voter that is cut off with megabytes a second. Sequence: a voter stops
+// answering; changes go on. Cause: with each heartbeat the leader sends again
+// all that the voter lacks, although none of it arrives.
+func TestSilentVoterGetsNoEntriesAgain(t *testing.T) {
+	p := newPool(t, 3)
+	p.settle()
+	l := p.leaderName()
+	silent := ""
+	for _, n := range p.names {
+		if n != l {
+			silent = n
+		}
+	}
+	p.cut[l+silent], p.cut[silent+l] = true, true
+	for range 3 {
+		p.offer(l, 0)
+	}
+	sent := 0
+	for round := range 20 {
+		p.tick(50 * time.Millisecond)
+		for len(p.messages) > 0 {
+			if m := p.messages[0]; round > 4 && m.From.Name == l && m.To.Name == silent {
+				sent += len(m.GetAppend().GetEntries())
+			}
+			p.deliver(0, false)
+		}
+	}
+	if p.nodes[l].core.Role() != replicator.Leader {
+		t.Fatalf("%s leads no more", l)
+	}
+	if sent > 0 {
+		t.Fatalf("%d entries sent to a silent voter within a second", sent)
+	}
+}
