--- a/courier/counters.go
+++ b/courier/counters.go
@@ -14,11 +14,11 @@
 
 // gauges shows the state of a courier; one process holds one.
 func (c *Courier) gauges() {
-	metrics.NewGauge("rattanhoist_requests_active", func() float64 { return float64(c.active.Load()) })
-	metrics.NewGauge("rattanhoist_connections_opened", func() float64 { return float64(c.opened.Load()) })
-	metrics.NewGauge("rattanhoist_keeper_silence_seconds", func() float64 { return c.fleet.untouched().Seconds() })
-	metrics.NewGauge("rattanhoist_routers_known", func() float64 { return float64(c.fleet.Routers()) })
-	metrics.NewGauge("rattanhoist_configuration_number", func() float64 {
+	metrics.GetOrCreateGauge("rattanhoist_requests_active", func() float64 { return float64(c.active.Load()) })
+	metrics.GetOrCreateGauge("rattanhoist_connections_opened", func() float64 { return float64(c.opened.Load()) })
+	metrics.GetOrCreateGauge("rattanhoist_keeper_silence_seconds", func() float64 { return c.fleet.untouched().Seconds() })
+	metrics.GetOrCreateGauge("rattanhoist_routers_known", func() float64 { return float64(c.fleet.Routers()) })
+	metrics.GetOrCreateGauge("rattanhoist_configuration_number", func() float64 {
 		if x := c.fleet.Index(); x != nil {
 			return float64(x.Number())
 		}
--- /dev/null
+++ b/courier/process_test.go
@@ -0,0 +1,301 @@
+package courier_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/courier"
+	"rattanhoist.example/rattanhoist/loader"
+	"rattanhoist.example/rattanhoist/platform"
+	"rattanhoist.example/rattanhoist/steward"
+)
+
+// fleet is keepers and routers on loopback addresses, each with its own
+// settings, disk and life.
+type fleet struct {
+	t   *testing.T
+	dir string
+	// Net is the second byte of the addresses: tests don't share any.
+	net   int
+	stops map[string]func()
+}
+
+func newFleet(t *testing.T, net int) *fleet {
+	return &fleet{t: t, dir: t.TempDir(), net: net, stops: map[string]func(){}}
+}
+
+func (f *fleet) ip(n int) string { return fmt.Sprintf("127.%d.%d.1", f.net, n) }
+
+func (f *fleet) control(n int) string { return f.ip(n) + ":8229" }
+
+func (f *fleet) serve(n int) string { return f.ip(n) + ":8227" }
+
+func (f *fleet) data(n int) string { return filepath.Join(f.dir, fmt.Sprint("data", n)) }
+
+func (f *fleet) node(kind string, n int, first bool) *loader.Node {
+	text := fmt.Sprintf("[node]\nname = n%d\nkind = %s\nzone = z%d\nip = %s\ninternal_ports = 7340,7355\nseeds = %s,%s,%s\n"+
+		"first_start = %v\nlost_disks = 1\nheartbeat_ms = 300\ngrace_s = 5\n", n, kind, n, f.ip(n), f.control(1), f.control(2), f.control(3), first)
+	if kind == loader.KindKeeper {
+		text += "control = " + f.control(n) + "\ndata_dir = " + f.data(n) + "\n"
+	} else {
+		text += "serve = " + f.serve(n) + "\nready = " + f.ip(n) + ":8220\n"
+	}
+	file := filepath.Join(f.dir, fmt.Sprint("node", n, ".ini"))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	node, _, err := loader.LoadNode(file)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return node
+}
+
+// run keeps a process going until it is stopped or the test ends.
+func (f *fleet) run(name string, p func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := p(ctx); err != nil && ctx.Err() == nil {
+			f.t.Errorf("%s: %v", name, err)
+		}
+	}()
+	var once sync.Once
+	f.stops[name] = func() { once.Do(func() { cancel(); <-done }) }
+	f.t.Cleanup(f.stops[name])
+}
+
+func (f *fleet) keeper(n int, first bool) {
+	s, cleanUp, err := steward.New(f.node(loader.KindKeeper, n, first), zap.NewNop())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.run(fmt.Sprint("keeper", n), func(ctx context.Context) error {
+		defer cleanUp()
+		return s.Run(ctx, func(s *steward.Steward) http.Handler {
+			return platform.NewControl(steward.NewControl(s, platform.DecodeDocument))
+		})
+	})
+}
+
+func (f *fleet) router(n int) {
+	c := courier.New(courier.Options{
+		Node: f.node(loader.KindRouter, n, false), Log: zap.NewNop(), Decode: platform.DecodeDocument, Wire: platform.Wire{},
+		Belongs: platform.Belongs, ReadyPath: platform.ReadyPath,
+	})
+	f.run(fmt.Sprint("router", n), c.Run)
+}
+
+func (f *fleet) stop(name string) { f.stops[name]() }
+
+// call returns status and body of one call, or 0.
+func (f *fleet) call(method, address, path, body string, header ...string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	r.Close = true
+	r.Host = "a.example"
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return a.StatusCode, string(b)
+}
+
+func document(number int, prepaid int64) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","hostname":"a.example","path_prefix":"/a/","route_type":"streaming",`+
+		`"timeout_ms":3000,"service":"engine","attempts":1}],"services":[{"name":"engine","max_connections":50,"engine":{"stride":5}}],`+
+		`"limits":{},"tenants":[{"name":"w","api_keys":["k"],"prepaid":%d}]}`, number, prepaid)
+}
+
+// engine answers each request with two events of five tokens.
+func (f *fleet) engine(id string) string {
+	l, err := net.Listen("tcp", f.ip(100)+":0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Rattanhoist-Target-Instance") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		w.Header().Set("Rattanhoist-Request-Id", r.Header.Get("Rattanhoist-Request-Id"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
+	}), ReadHeaderTimeout: time.Second}
+	go func() { _ = s.Serve(l) }()
+	f.t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+func (f *fleet) beat(keeper int, id, address, state string, sequence int) int {
+	status, _ := f.call("PUT", f.control(keeper), "/v1/instances/"+id,
+		fmt.Sprintf(`{"service":"engine","address":%q,"zone":"z4","slots":8,"state":%q,"sequence":%d}`, address, state, sequence))
+	return status
+}
+
+// beats sends heartbeats until the test ends, to the first keeper that answers.
+func (f *fleet) beats(id, address string) {
+	f.run("beats "+id, func(ctx context.Context) error {
+		for n := 1; ctx.Err() == nil; n++ {
+			for k := 1; k <= 3 && f.beat(k, id, address, "ready", n) != 200; k++ {
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+		return ctx.Err()
+	})
+}
+
+func (f *fleet) ask(router int, id string, tokens string) (int, string) {
+	return f.call("POST", f.serve(router), "/a/x", "", "Api-Key", "k", "Rattanhoist-Request-Id", id, "Rattanhoist-Token-Usage", tokens)
+}
+
+func (f *fleet) publish(g *gomega.WithT, keeper int, content string) {
+	g.Eventually(func() int {
+		status, _ := f.call("PUT", f.control(keeper), "/v1/config", content)
+		return status
+	}, 15*time.Second, 100*time.Millisecond).Should(gomega.Equal(200))
+}
+
+func start(t *testing.T, net int) (*fleet, *gomega.WithT) {
+	f, g := newFleet(t, net), gomega.NewWithT(t)
+	for n := 1; n <= 3; n++ {
+		f.keeper(n, true)
+	}
+	f.publish(g, 1, document(1, 200))
+	return f, g
+}
+
+func (f *fleet) serves(g *gomega.WithT, router int) {
+	g.Eventually(func() int {
+		status, _ := f.ask(router, "warm", "1,1")
+		return status
+	}, 15*time.Second, 50*time.Millisecond).Should(gomega.Equal(200))
+}
+
+func TestAFleetServesCountsAndDrains(t *testing.T) {
+	f, g := start(t, 61)
+	f.router(4)
+	f.router(5)
+	address := f.engine("i-1")
+	f.beats("i-1", address)
+	f.serves(g, 4)
+	f.serves(g, 5)
+	_, body := f.ask(4, "one", "10,10")
+	g.Expect(body).To(gomega.Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\n"))
+
+	// The total is 200; each request takes 30 at the most and costs 20.
+	served := 0
+	for i := range 20 {
+		status, _ := f.ask(4+i%2, fmt.Sprint("r", i), "10,20")
+		if status == 200 {
+			served++
+		} else {
+			g.Expect(status).To(gomega.Equal(402))
+		}
+	}
+	g.Expect(served).To(gomega.BeNumerically(">=", 6))
+	g.Expect(served).To(gomega.BeNumerically("<=", 9))
+
+	f.publish(g, 2, document(2, 100_000))
+	g.Eventually(func() int {
+		status, _ := f.ask(4, "more", "10,20")
+		return status
+	}, 3*time.Second, 50*time.Millisecond).Should(gomega.Equal(200), "a raised total is in force within seconds")
+
+	status, _ := f.call("DELETE", f.control(3), "/v1/instances/i-1", "")
+	g.Expect(status).To(gomega.Equal(200))
+	g.Eventually(func() int {
+		status, _ := f.ask(5, "late", "1,1")
+		return status
+	}, 2*time.Second, 50*time.Millisecond).Should(gomega.Equal(503), "an endpoint that left gets no new work")
+	g.Consistently(func() int {
+		status, _ := f.ask(5, "late", "1,1")
+		return status
+	}, time.Second, 100*time.Millisecond).Should(gomega.Equal(503), "its late heartbeats don't bring it back")
+}
+
+// Symptom: an acknowledged configuration is gone, or an older one is read.
+// Sequence: a keeper acknowledges, loses its disk and comes back empty at the
+// same address while another is down; then all stop and start.
+// Cause: an empty disk that counts for a majority.
+func TestAcknowledgedConfigurationSurvivesALostDisk(t *testing.T) {
+	f, g := start(t, 62)
+	f.publish(g, 1, document(5, 200))
+	f.stop("keeper1")
+	g.Expect(os.RemoveAll(f.data(1))).To(gomega.Succeed())
+	f.stop("keeper2")
+	f.keeper(1, false)
+	status, body := f.call("GET", f.control(1), "/v1/config", "")
+	g.Expect(status).To(gomega.Equal(503), "without a majority nothing is read: %s", body)
+	f.keeper(2, false)
+	read := func(n int) func() string {
+		return func() string {
+			_, body := f.call("GET", f.control(n), "/v1/config", "")
+			return body
+		}
+	}
+	g.Eventually(read(1), 10*time.Second, 100*time.Millisecond).Should(gomega.Equal(document(5, 200)))
+	f.publish(g, 3, document(9, 200))
+	for n := 1; n <= 3; n++ {
+		f.stop(fmt.Sprint("keeper", n))
+	}
+	for n := 1; n <= 3; n++ {
+		f.keeper(n, false)
+	}
+	for n := 1; n <= 3; n++ {
+		g.Eventually(read(n), 10*time.Second, 100*time.Millisecond).Should(gomega.Equal(document(9, 200)))
+	}
+	f.publish(g, 2, document(7, 1))
+	g.Expect(read(1)()).To(gomega.Equal(document(9, 200)), "a lower number changes nothing")
+}
+
+// Symptom: callers are refused while all keepers are out of reach.
+// Sequence: routers hold rights and a configuration; all keepers stop.
+// Cause: a request that needs a keeper.
+func TestRoutersServeWithoutKeepers(t *testing.T) {
+	f, g := start(t, 63)
+	f.publish(g, 1, document(2, 100_000))
+	f.router(4)
+	f.router(5)
+	address := f.engine("i-1")
+	f.beats("i-1", address)
+	f.serves(g, 4)
+	f.serves(g, 5)
+	time.Sleep(time.Second)
+	for n := 1; n <= 3; n++ {
+		f.stop(fmt.Sprint("keeper", n))
+	}
+	for i := range 30 {
+		status, _ := f.ask(4+i%2, fmt.Sprint("r", i), "50,50")
+		g.Expect(status).To(gomega.Equal(200), "request %d", i)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,56 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/limiter"
+)
+
+// Pattern: every request fails, and six routers repeat as often as they may.
+// In no window of 10 s may the repeats of all together exceed a fifth of the
+// requests and 52.
+func TestRepeatsOfTheFleetStayWithinTheBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const routers, ratio, slack = 6, 0.2, 52.0
+	start := time.Unix(1000, 0)
+	var all []*limiter.Limiter
+	for range routers {
+		all = append(all, limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: 10 * time.Second}, start))
+	}
+	var requests, repeats [40]float64
+	for s := range 40 {
+		for n := range 20 {
+			now := start.Add(time.Duration(s)*time.Second + time.Duration(n)*50*time.Millisecond)
+			for _, l := range all {
+				l.Request(now, "s")
+				requests[s]++
+				if l.Repeat(now, "s", routers) {
+					repeats[s]++
+				}
+			}
+		}
+	}
+	var sum float64
+	for s := 10; s < 40; s++ {
+		var q, r float64
+		for i := s - 10; i < s; i++ {
+			q, r = q+requests[i], r+repeats[i]
+		}
+		g.Expect(r).To(gomega.BeNumerically("<=", ratio*q+slack))
+		sum += r
+	}
+	g.Expect(sum).To(gomega.BeNumerically(">", 0))
+}
+
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	l := limiter.New(limiter.Budget{Ratio: 0, Slack: 2, Window: time.Second}, now)
+	g.Expect(l.Repeat(now, "a", 1)).To(gomega.BeTrue())
+	g.Expect(l.Repeat(now, "a", 1)).To(gomega.BeFalse())
+	g.Expect(l.Repeat(now, "b", 1)).To(gomega.BeTrue())
+	g.Expect(l.Repeat(now.Add(2*time.Second), "a", 1)).To(gomega.BeTrue())
+}
--- /dev/null
+++ b/loader/node_test.go
@@ -0,0 +1,60 @@
+package loader_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/loader"
+)
+
+func nodeFile(t *testing.T, text string) string {
+	f := filepath.Join(t.TempDir(), "node.ini")
+	if err := os.WriteFile(f, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+const wholeNode = `[node]
+name = core-1
+kind = keeper
+zone = z
+ip = 10.1.0.4
+internal_ports = 7340,7355
+seeds = 10.1.0.4:8229,10.2.0.4:8229
+first_start = true
+control = 10.1.0.4:8229
+data_dir = /data/x
+lost_disks = 1
+grace_s = 8
+heartbeat_ms =
+retry_ratio = 0.3
+new_field = 1
+`
+
+func TestNodeIsRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, warnings, err := loader.LoadNode(nodeFile(t, wholeNode))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(n.Internal()).To(gomega.Equal("10.1.0.4:7340"))
+	g.Expect(n.Seeds()).To(gomega.Equal([]string{"10.1.0.4:7340", "10.2.0.4:7340"}))
+	g.Expect(n.FirstStart()).To(gomega.BeTrue())
+	g.Expect(n.Grace()).To(gomega.Equal(8 * time.Second))
+	g.Expect(n.Heartbeat()).To(gomega.Equal(time.Second), "an empty field stands for its default")
+	ratio, _, _ := n.Retries()
+	g.Expect(ratio).To(gomega.Equal(0.3))
+	g.Expect(warnings).To(gomega.HaveLen(1), "an unknown field is told, not fatal")
+}
+
+func TestEveryFaultOfANodeIsTold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, _, err := loader.LoadNode(nodeFile(t, "[node]\nkind = other\nip = x\ninternal_ports = 1\nseeds = y\nfirst_start = maybe\ngrace_s = -1\n"))
+	g.Expect(err).To(gomega.MatchError(loader.ErrFaulty))
+	for _, part := range []string{"name: missing", "zone: missing", `"other"`, "want IP:PORT", "true or false", "grace_s", "data_dir: missing", "control: missing", "node.ini:7"} {
+		g.Expect(err.Error()).To(gomega.ContainSubstring(part))
+	}
+}
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -26,7 +26,7 @@
 	// their disks would else be sent again with every heartbeat, megabytes a
 	// second over a link that is cut or slow.
 	silent bool
-	since      time.Time
+	since  time.Time
 	// SinceRound is the leader's broadcast when the member became known: only
 	// the answer to a later one shows that its disk still exists.
 	sinceRound uint64
--- a/steward/counters.go
+++ b/steward/counters.go
@@ -17,15 +17,15 @@
 
 // gauges shows the state of a steward; one process holds one.
 func (s *Steward) gauges() {
-	metrics.NewGauge("rattanhoist_log_applied", func() float64 { return float64(s.loop.State().Applied()) })
-	metrics.NewGauge("rattanhoist_log_leads", func() float64 {
+	metrics.GetOrCreateGauge("rattanhoist_log_applied", func() float64 { return float64(s.loop.State().Applied()) })
+	metrics.GetOrCreateGauge("rattanhoist_log_leads", func() float64 {
 		if s.loop.State().Leads() {
 			return 1
 		}
 		return 0
 	})
-	metrics.NewGauge("rattanhoist_log_confirmed_age_seconds", func() float64 {
+	metrics.GetOrCreateGauge("rattanhoist_log_confirmed_age_seconds", func() float64 {
 		return time.Since(s.loop.State().ConfirmedAt()).Seconds()
 	})
-	metrics.NewGauge("rattanhoist_configuration_number", func() float64 { return float64(s.view.Load().document.Number()) })
+	metrics.GetOrCreateGauge("rattanhoist_configuration_number", func() float64 { return float64(s.view.Load().document.Number()) })
 }
