--- a/cmd/rattanhoist-node/main.go
+++ b/cmd/rattanhoist-node/main.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -26,6 +27,9 @@
 // metricsTimeout bounds a reader that is slow to ask.
 const metricsTimeout = 5 * time.Second
 
+// reloadEvery is how often the settings are read; it takes less than 0.1 ms.
+const reloadEvery = 2 * time.Second
+
 // settingsVariable names the settings file.
 const settingsVariable = "RATTANHOIST_SETTINGS"
 
@@ -70,25 +74,50 @@
 	for _, w := range warnings {
 		log.Warn(w)
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	go func() {
-		for range hup {
-			log.Info("settings may have changed")
-		}
-	}()
 	if n.Kind() == loader.KindRouter {
-		return courier.New(courier.Options{
+		c := courier.New(courier.Options{
 			Node: n, Log: log, Decode: platform.DecodeDocument, Wire: platform.Wire{},
 			Belongs: platform.Belongs, ReadyPath: platform.ReadyPath,
-		}).Run(ctx)
+		})
+		go reload(ctx, n, log, c.Learn)
+		return c.Run(ctx)
 	}
 	s, cleanUp, err := steward.New(n, log)
 	if err != nil {
 		return err
 	}
 	defer cleanUp()
+	go reload(ctx, n, log, s.Learn)
 	return s.Run(ctx, func(s *steward.Steward) http.Handler {
 		return platform.NewControl(steward.NewControl(s, platform.DecodeDocument))
 	})
 }
+
+// reload takes up seeds of changed settings, at a signal or when the file has
+// changed without one. All else needs a new start, which the platform gives.
+func reload(ctx context.Context, n *loader.Node, log *zap.Logger, learn func([]string)) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	file := os.Getenv(settingsVariable)
+	seeds := n.Seeds()
+	t := time.NewTicker(reloadEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-t.C:
+		}
+		next, _, err := loader.LoadNode(file)
+		if err != nil {
+			log.Warn("changed settings refused, the old ones stay", zap.Error(err))
+			continue
+		}
+		if !slices.Equal(next.Seeds(), seeds) {
+			seeds = next.Seeds()
+			log.Info("seeds changed", zap.Strings("seeds", seeds))
+			learn(seeds)
+		}
+	}
+}
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -95,6 +95,13 @@
 	return max(binary.BigEndian.Uint64(b[:]), 1)
 }
 
+// Learn makes keepers known that changed settings name.
+func (c *Courier) Learn(seeds []string) {
+	for _, s := range seeds {
+		c.fleet.learn(s, "")
+	}
+}
+
 // Run serves until ctx ends and all that was taken is answered.
 func (c *Courier) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -130,6 +130,13 @@
 	}
 }
 
+// Learn makes keepers known that changed settings name.
+func (s *Steward) Learn(seeds []string) {
+	for _, x := range seeds {
+		s.members.learn(x)
+	}
+}
+
 // Run serves until ctx ends.
 func (s *Steward) Run(ctx context.Context, control func(*Steward) http.Handler) error {
 	ctx, cancel := context.WithCancel(ctx)
