--- a/cmd/rattanhoist-node/main.go
+++ b/cmd/rattanhoist-node/main.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"slices"
 	"syscall"
 	"time"
@@ -27,6 +28,10 @@
 // metricsTimeout bounds a reader that is slow to ask.
 const metricsTimeout = 5 * time.Second
 
+// memoryPart of what the process may use is where garbage collection gives up
+// its pace: what the kernel holds for sockets comes on top.
+const memoryPart = 0.7
+
 // reloadEvery is how often the settings are read; it takes less than 0.1 ms.
 const reloadEvery = 2 * time.Second
 
@@ -71,6 +76,9 @@
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel),
 		zap.Fields(zap.String("process", n.Name())))
 	serveMetrics(n.Metrics(), log)
+	if m := n.MemoryBytes(); m > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(m)))
+	}
 	for _, w := range warnings {
 		log.Warn(w)
 	}
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -23,10 +23,12 @@
 )
 
 const (
-	// headerTimeout and idleTimeout are for connections of callers: twice what
-	// operators state for them, so that no caller who keeps to that is cut.
+	// headerTimeout and idleTimeout are for connections of callers: a little
+	// more than what operators state for them (3 and 15 s), so that no caller
+	// who keeps to that is cut. An idle connection takes 30 kB, and a router of
+	// 112 MB ran out of it with 2,800 of them kept for 30 s.
 	headerTimeout = 6 * time.Second
-	idleTimeout   = 30 * time.Second
+	idleTimeout   = 16 * time.Second
 	// headerMost is in bytes.
 	headerMost = 64 << 10
 	// sweepEvery is how often idle connections to endpoints are looked at.
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -30,6 +30,10 @@
 	// wholeEvery questions, the ages of all endpoints are asked for.
 	wholeEvery  = 5
 	syncTimeout = 350 * time.Millisecond
+	// patientTimeout is for keepers that have not answered for outOfTouch.
+	patientTimeout = 1200 * time.Millisecond
+	// fetchTimeout is for a whole document: a megabyte over 10 Mbit/s.
+	fetchTimeout = 1500 * time.Millisecond
 	// freshWithin is how lately a majority must have confirmed what a keeper
 	// tells; otherwise another keeper is asked too.
 	freshWithin = 700 * time.Millisecond
@@ -56,6 +60,8 @@
 	published func(*publisher.Document)
 	// Known is how many routers there are, this one included.
 	known atomic.Int64
+	// Fetching says that a document is on its way.
+	fetching atomic.Bool
 	// Current is the keeper asked last with success.
 	current atomic.Pointer[messenger.Link]
 	near    atomic.Pointer[[]netip.AddrPort]
@@ -169,12 +175,17 @@
 // lately.
 func (f *fleet) round(ctx context.Context) {
 	f.asked++
+	if f.untouched() > outOfTouch {
+		f.askAll(ctx)
+		f.show(time.Now())
+		return
+	}
 	for _, l := range f.order() {
-		r, sent, err := f.ask(ctx, l)
+		r, sent, err := ask(ctx, l, f.question(l), syncTimeout)
 		if err != nil {
 			continue
 		}
-		f.take(l, r, sent)
+		f.take(ctx, l, r, sent)
 		if age := time.Duration(r.ConfirmedAgeMs) * time.Millisecond; r.ConfirmedAgeMs >= 0 && age < freshWithin {
 			f.current.Store(l)
 			break
@@ -183,7 +194,40 @@
 	f.show(time.Now())
 }
 
-func (f *fleet) ask(ctx context.Context, l *messenger.Link) (*messenger.SyncReply, time.Time, error) {
+// askAll asks all keepers at once, with patience. A keeper that doesn't answer
+// may be cut off, and then asking it first delays all others; or this router's
+// link is full, and then a short timeout fails for all of them, for as long as
+// callers press.
+func (f *fleet) askAll(ctx context.Context) {
+	type answer struct {
+		link  *messenger.Link
+		reply *messenger.SyncReply
+		sent  time.Time
+	}
+	links := f.order()
+	answers := make(chan answer, len(links))
+	for _, l := range links {
+		q := f.question(l)
+		go func() {
+			r, sent, err := ask(ctx, l, q, patientTimeout)
+			if err != nil {
+				r = nil
+			}
+			answers <- answer{l, r, sent}
+		}()
+	}
+	for range links {
+		if a := <-answers; a.reply != nil {
+			f.take(ctx, a.link, a.reply, a.sent)
+			if f.current.Load() == nil || a.reply.ConfirmedAgeMs >= 0 {
+				f.current.Store(a.link)
+			}
+		}
+	}
+}
+
+// question returns what to ask a keeper.
+func (f *fleet) question(l *messenger.Link) *messenger.SyncRequest {
 	q := &messenger.SyncRequest{Router: f.self, Revision: f.revisions[l.Address()]}
 	if x := f.index.Load(); x != nil {
 		q.Number = x.Number()
@@ -191,9 +235,13 @@
 	if f.asked%wholeEvery == 0 {
 		q.Revision = 0
 	}
+	return q
+}
+
+func ask(ctx context.Context, l *messenger.Link, q *messenger.SyncRequest, timeout time.Duration) (*messenger.SyncReply, time.Time, error) {
 	sent := time.Now()
 	var r *messenger.SyncReply
-	err := l.Call(ctx, syncTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+	err := l.Call(ctx, timeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
 		var err error
 		r, err = c.Sync(ctx, q)
 		return err
@@ -201,7 +249,7 @@
 	return r, sent, err
 }
 
-func (f *fleet) take(l *messenger.Link, r *messenger.SyncReply, sent time.Time) {
+func (f *fleet) take(ctx context.Context, l *messenger.Link, r *messenger.SyncReply, sent time.Time) {
 	now := time.Now()
 	if now.Sub(f.touchedAt) > time.Second {
 		f.touchSince = now
@@ -214,7 +262,7 @@
 	if len(r.Routers) > 0 {
 		f.meet(r.Routers)
 	}
-	f.publish(r, sent)
+	f.renew(ctx, l, r.Number)
 	f.revisions[l.Address()] = r.Revision
 	for _, s := range r.Endpoints {
 		b, age := enroller.BeatOf(s)
@@ -294,19 +342,42 @@
 	return f.siblings
 }
 
+// renew fetches a newer document, beside the questions: a large one takes
+// seconds over a small link.
+func (f *fleet) renew(ctx context.Context, l *messenger.Link, number uint64) {
+	if old := f.index.Load(); number == 0 || old != nil && number <= old.Number() || !f.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer f.fetching.Store(false)
+		sent := time.Now()
+		var r *messenger.FleetDocumentReply
+		err := l.Call(ctx, fetchTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+			var err error
+			r, err = c.Fetch(ctx, &messenger.FleetDocumentRequest{})
+			return err
+		})
+		if err != nil {
+			f.o.Log.Warn("configuration not fetched, asked for again", zap.Uint64("number", number), zap.Error(err))
+			return
+		}
+		f.publish(r, sent)
+	}()
+}
+
 // publish takes a document into force. The number only ever grows; the first
 // document of this process must have been confirmed after its start, since it
 // may have served a newer one before.
-func (f *fleet) publish(r *messenger.SyncReply, sent time.Time) {
+func (f *fleet) publish(r *messenger.FleetDocumentReply, sent time.Time) {
 	old := f.index.Load()
-	if len(r.Content) == 0 || old != nil && r.Number <= old.Number() {
+	if old != nil && r.Number <= old.Number() {
 		return
 	}
 	confirmed := r.ConfirmedAgeMs >= 0 && sent.Add(-time.Duration(r.ConfirmedAgeMs)*time.Millisecond).After(f.start)
 	if old == nil && !confirmed && time.Since(f.start) < settleFor {
 		return
 	}
-	d, err := f.o.Decode(r.Content)
+	d, err := f.decode(r.Content)
 	if err != nil {
 		f.o.Log.Error("configuration from a keeper is unreadable", zap.Uint64("number", r.Number), zap.Error(err))
 		return
@@ -316,6 +387,14 @@
 	f.o.Log.Info("configuration in force", zap.Uint64("number", d.Number), zap.Int("routes", len(d.Routes)), zap.Bool("confirmed", confirmed))
 }
 
+func (f *fleet) decode(packed []byte) (*publisher.Document, error) {
+	b, err := publisher.Unpack(packed)
+	if err != nil {
+		return nil, err
+	}
+	return f.o.Decode(b)
+}
+
 // show puts the known endpoints in service. While no keeper answers, nobody is
 // forgotten for silence: what is heard of endpoints comes from keepers.
 func (f *fleet) show(now time.Time) {
--- a/courier/process_test.go
+++ b/courier/process_test.go
@@ -253,8 +253,12 @@
 	g.Expect(os.RemoveAll(f.data(1))).To(gomega.Succeed())
 	f.stop("keeper2")
 	f.keeper(1, false)
-	status, body := f.call("GET", f.control(1), "/v1/config", "")
-	g.Expect(status).To(gomega.Equal(503), "without a majority nothing is read: %s", body)
+	status := func() int {
+		status, _ := f.call("GET", f.control(1), "/v1/config", "")
+		return status
+	}
+	g.Eventually(status, 3*time.Second, 20*time.Millisecond).Should(gomega.Equal(503), "it listens")
+	g.Consistently(status, 2*time.Second, 100*time.Millisecond).Should(gomega.Equal(503), "without a majority nothing is read")
 	f.keeper(2, false)
 	read := func(n int) func() string {
 		return func() string {
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -30,6 +30,8 @@
 	// repeat says that the endpoint answered with a failure of its own and
 	// that leave to try another was taken already.
 	repeat
+	// full says that the router may open no more connections there.
+	full
 )
 
 // plainMost bounds an answer that is held until it is whole, in bytes; a
@@ -40,7 +42,7 @@
 func (j *job) attempts(ctx context.Context) {
 	for {
 		work := j.f.Table.Choose(time.Now(), predictor.Ask{
-			Service: j.service.Name, Prompt: j.caller.Prompt, Tried: j.tried, Since: time.Since(j.f.start),
+			Service: j.service.Name, Prompt: j.caller.Prompt, Tried: append(j.tried, j.full...), Since: time.Since(j.f.start),
 		})
 		if work == nil {
 			j.give(ctx, http.StatusServiceUnavailable, "no endpoint in service")
@@ -51,6 +53,9 @@
 		if o == done || !j.again(ctx, o) {
 			return
 		}
+		if o == full {
+			continue
+		}
 		repeated.Inc()
 		if j.began {
 			resumed.Inc()
@@ -75,7 +80,7 @@
 		j.give(ctx, http.StatusServiceUnavailable, "endpoints out of reach: "+j.why)
 		return false
 	}
-	if o == repeat {
+	if o == repeat || o == full {
 		return true
 	}
 	if o == lost && !j.repeatable() {
@@ -137,9 +142,11 @@
 			j.blame(ctx, e)
 			return lost
 		}
-		if errors.Is(err, pooler.ErrNotSent) {
-			j.blame(ctx, e)
+		if errors.Is(err, pooler.ErrBound) {
+			j.full = append(j.full, b.ID)
+			return full
 		}
+		j.blame(ctx, e)
 		return unsent
 	}
 	j.tried = append(j.tried, b.ID)
@@ -187,7 +194,7 @@
 	body, err := io.ReadAll(io.LimitReader(a.Body, plainMost))
 	if m.Moved {
 		// The address belongs to somebody else now: the incarnation is gone.
-		j.blame(ctx, e)
+		e.Lose()
 	}
 	if a.Status == http.StatusBadRequest && err == nil && a.Ended() {
 		j.send(a, body, false)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -109,6 +109,8 @@
 	reserved Reservation
 	// Tried holds the incarnations that the request was sent to.
 	tried []string
+	// Full holds the incarnations that had no connection left.
+	full []string
 	// Unsent counts endpoints that could not be reached.
 	unsent int
 	// MayHaveRun says that some endpoint may have run the request.
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -24,7 +24,7 @@
 // Number returns the operator's number; 0 before the first document.
 func (d *Document) Number() uint64 { return d.number }
 
-// Content returns the document as it was sent; callers must not change it.
+// Content returns the document, packed; callers must not change it.
 func (d *Document) Content() []byte { return d.content }
 
 // Governor is the pure state machine. Not safe for concurrent use.
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// linkConnect bounds one try to connect: above a round trip between zones,
-	// below the first repeat of a lost opening packet after 1 s, so that a try
-	// of our own comes first.
-	linkConnect = 400 * time.Millisecond
+	// linkConnect bounds one try to connect. A link that callers fill holds
+	// packets back for half a second and more, and a try that is given up too
+	// early is never answered.
+	linkConnect = time.Second
 	linkBackoff = 50 * time.Millisecond
 	// linkBackoffMost is how long after the end of a cut a link may still
 	// rest.
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rattanhoist.example/rattanhoist/ejector"
@@ -62,6 +63,7 @@
 type Endpoint struct {
 	beat enroller.Beat
 	gate ejector.Gate
+	lost atomic.Bool
 
 	mu sync.Mutex
 	// Running counts this router's requests there.
@@ -94,6 +96,10 @@
 // Gate returns the endpoint's state of failures.
 func (e *Endpoint) Gate() *ejector.Gate { return &e.gate }
 
+// Lose takes the endpoint out of this router's choice for good: another
+// incarnation answered at its address.
+func (e *Endpoint) Lose() { e.lost.Store(true) }
+
 // Running returns how many of this router's requests are there.
 func (e *Endpoint) Running() int {
 	e.mu.Lock()
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -144,7 +144,7 @@
 	var least time.Duration
 	home := g.home(a)
 	for _, e := range g.endpoints {
-		if !blocked && e.gate.Blocked(a.Since) || tried(a.Tried, e.beat.ID) {
+		if !blocked && e.gate.Blocked(a.Since) || e.lost.Load() || tried(a.Tried, e.beat.ID) {
 			continue
 		}
 		c := e.cost(now, a.Prompt, e == home)
@@ -192,7 +192,7 @@
 	}
 	shared := a.Prompt.Shared()
 	return highest(g.endpoints, shared[len(shared)-1].ID, func(e *Endpoint) bool {
-		return !g.apart[e] && !e.gate.Blocked(a.Since)
+		return !g.apart[e] && !e.lost.Load() && !e.gate.Blocked(a.Since)
 	})
 }
 
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -50,7 +50,11 @@
 	if d.Number <= c.s.view.Load().document.Number() {
 		return nil
 	}
-	change := &messenger.DocumentChange{Number: d.Number, Content: content}
+	packed, err := publisher.Pack(content)
+	if err != nil {
+		return err
+	}
+	change := &messenger.DocumentChange{Number: d.Number, Content: packed}
 	for _, w := range d.Workspaces {
 		if w.Prepaid != nil {
 			change.Totals = append(change.Totals, &messenger.PrepaidTotal{Workspace: w.Name, Tokens: *w.Prepaid})
@@ -78,7 +82,7 @@
 	if d.Number() == 0 {
 		return nil, merry.Errorf("%w: no configuration yet", ErrNotNow)
 	}
-	return d.Content(), nil
+	return publisher.Unpack(d.Content())
 }
 
 // Beat takes a heartbeat in. One that says that the endpoint leaves is
--- a/steward/server.go
+++ b/steward/server.go
@@ -63,22 +63,35 @@
 	s, now := v.s, time.Now()
 	state, shown := s.loop.State(), s.view.Load()
 	out := &messenger.SyncReply{
-		ConfirmedAgeMs: -1, Leader: state.Leader(), Number: shown.document.Number(),
+		ConfirmedAgeMs: s.confirmedAge(now), Leader: state.Leader(), Number: shown.document.Number(),
 		UptimeMs: now.Sub(s.start).Milliseconds(),
 		Keepers:  []*messenger.FleetMember{{Address: s.node.Internal(), Zone: s.node.Zone()}},
 	}
-	if at := state.ConfirmedAt(); !at.IsZero() {
-		out.ConfirmedAgeMs = now.Sub(at).Milliseconds()
-	}
 	for _, n := range s.members.names() {
 		out.Keepers = append(out.Keepers, &messenger.FleetMember{Address: n})
 	}
-	if shown.document.Number() > q.Number {
-		out.Content = shown.document.Content()
-	}
 	s.roster.ask(now, q, out)
 	if len(out.Endpoints) > 0 || q.Revision != out.Revision {
 		out.Left = shown.left[max(len(shown.left)-leftTold, 0):]
 	}
 	return out, nil
 }
+
+// Fetch returns the document in force here.
+func (v *server) Fetch(context.Context, *messenger.FleetDocumentRequest) (*messenger.FleetDocumentReply, error) {
+	// The age is read first: what was confirmed then holds for the document
+	// that is read after it.
+	age := v.s.confirmedAge(time.Now())
+	d := v.s.view.Load().document
+	return &messenger.FleetDocumentReply{Number: d.Number(), Content: d.Content(), ConfirmedAgeMs: age}, nil
+}
+
+// confirmedAge returns the time since a majority confirmed the copy held here,
+// in milliseconds, or -1.
+func (s *Steward) confirmedAge(now time.Time) int64 {
+	at := s.loop.State().ConfirmedAt()
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
