--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -144,3 +144,18 @@
 		})
 	}
 }
+
+// Pattern: a workspace has used its total up, and hundreds of its requests come
+// each second. One search in a while is enough; smaller requests, which may
+// still fit, look for themselves.
+func TestSearchThatFoundNothingSparesTheNext(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	p := &allotter.Purse{}
+	p.Dry(now, 5_000)
+	g.Expect(p.IsDry(now.Add(100*time.Millisecond), 6_000)).To(gomega.BeTrue())
+	g.Expect(p.IsDry(now.Add(100*time.Millisecond), 4_000)).To(gomega.BeFalse())
+	g.Expect(p.IsDry(now.Add(time.Second), 6_000)).To(gomega.BeFalse())
+	p.Receive(10_000)
+	g.Expect(p.IsDry(now.Add(100*time.Millisecond), 6_000)).To(gomega.BeFalse())
+}
--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -31,6 +31,10 @@
 	boundSlope = 2_000
 	// lendReserve of its own demand a router keeps when it lends.
 	lendReserve = 4 * time.Second
+	// dryFor is how long a search that found nothing spares the next ones. Each
+	// takes several calls and up to half a second; a total that is raised, or
+	// rights that come back, are found within this time.
+	dryFor = 300 * time.Millisecond
 	// lendHorizon is how long what a router borrows should last.
 	lendHorizon = 2 * time.Second
 	// rateWindow is over how much time demand is averaged: long enough that
@@ -57,6 +61,9 @@
 	boundAt        time.Time
 	left           int64
 	scarce         bool
+	// DryAt is when drySize tokens were last looked for in vain.
+	dryAt   time.Time
+	drySize int64
 	// Known says that a keeper has answered a claim for this workspace.
 	known bool
 	// Closed says that nothing more may be set aside.
@@ -111,6 +118,24 @@
 	return p.known && p.left < n
 }
 
+// Dry notes that neither keepers nor other routers had n tokens.
+func (p *Purse) Dry(now time.Time, n int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.dryAt) > dryFor || n < p.drySize {
+		p.drySize = n
+	}
+	p.dryAt = now
+}
+
+// IsDry reports whether a request of n tokens is known to fail: as large a one
+// has just been looked for everywhere in vain.
+func (p *Purse) IsDry(now time.Time, n int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.dryAt) < dryFor && n >= p.drySize && n > p.headroom()
+}
+
 // Due reports whether a claim is worth its way: something waits, headroom or
 // bound run low, or headroom should go back.
 func (p *Purse) Due(now time.Time, floor int64, pause time.Duration) bool {
--- /dev/null
+++ b/committer/committer_test.go
@@ -0,0 +1,100 @@
+package committer_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/committer"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/replicator"
+	"rattanhoist.example/rattanhoist/storer"
+)
+
+// disk refuses writes while it is full.
+type disk struct {
+	mu   sync.Mutex
+	full bool
+	kept map[string][]byte
+}
+
+func (d *disk) Apply(rows []storer.Row) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.full {
+		return merry.Errorf("%w: no space", storer.ErrStore)
+	}
+	for _, r := range rows {
+		d.kept[r.Bucket+"/"+r.Key] = r.Value
+	}
+	return nil
+}
+
+func (d *disk) Each(string, func(string, []byte) error) error { return nil }
+
+func (d *disk) setFull(full bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full = full
+}
+
+func (d *disk) size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.kept)
+}
+
+type machine struct{ n int }
+
+func (m *machine) Apply([]byte) any {
+	m.n++
+	return m.n
+}
+
+func (m *machine) Snapshot() []byte     { return nil }
+func (m *machine) Restore([]byte) error { return nil }
+
+// Symptom: a change is acknowledged that no disk holds, or the keeper ends.
+// Sequence: the disk is full while a change is committed; space is made.
+// Cause: an answer that does not wait for the sync, or a process that ends at
+// the first refused write.
+func TestNothingIsAcknowledgedWhileTheDiskIsFull(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := &disk{kept: map[string][]byte{}}
+	l, err := committer.New(committer.Options{
+		Core: replicator.Options{
+			Name: "a", Voters: 1, Timing: replicator.DefaultTiming(), Rand: rand.New(rand.NewPCG(1, 1)), Machine: &machine{},
+		},
+		Store: d, Send: func(*messenger.LogMessage) {}, Committed: func() {}, Log: zap.NewNop(),
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = l.Run(ctx) }()
+	g.Eventually(func() bool { return l.State().Leads() }, 5*time.Second).Should(gomega.BeTrue())
+	out, err := l.Propose(ctx, []byte("x"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(out).To(gomega.Equal(1))
+
+	d.setFull(true)
+	before := d.size()
+	short, stop := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer stop()
+	_, err = l.Propose(short, []byte("y"))
+	g.Expect(err).To(gomega.MatchError(context.DeadlineExceeded))
+	g.Expect(d.size()).To(gomega.Equal(before))
+	d.setFull(false)
+	g.Eventually(func() error {
+		_, err := l.Propose(ctx, []byte("z"))
+		return err
+	}, 3*time.Second).Should(gomega.Succeed())
+	i, err := l.Confirm(ctx)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(l.Reached(ctx, i)).To(gomega.Succeed())
+}
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -20,6 +20,10 @@
 	// claimEvery is how often rights are settled with the keepers.
 	claimEvery   = 250 * time.Millisecond
 	claimTimeout = 600 * time.Millisecond
+	// patientClaim is the timeout after a claim that got no answer: over a link
+	// that callers fill, answers come late, and a short timeout fails for as
+	// long as they press.
+	patientClaim = 1500 * time.Millisecond
 	// claimPacedMost bounds how far claims slow down with the number of
 	// routers: what a bound leaves open grows with the pause.
 	claimPacedMost = 8
@@ -88,6 +92,10 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveWait)
 	defer cancel()
 	p, settled, first := r.purse(workspace)
+	if p.IsDry(time.Now(), tokens) {
+		rightsSpent.Inc()
+		return nil, forwarder.ErrSpent
+	}
 	for {
 		if p.Reserve(time.Now(), tokens) {
 			return &reservation{purse: p, tokens: tokens}, nil
@@ -106,18 +114,27 @@
 		select {
 		case <-settled:
 		case <-ctx.Done():
-			rightsRefused.Inc()
-			return nil, forwarder.ErrRightsOutOfReach
+			return nil, r.refused(p, tokens)
 		}
 		var now uint64
 		p, settled, now = r.purse(workspace)
 		if now > first+1 && p.Exhausted(tokens) && !r.borrow(ctx, p, workspace, tokens) {
-			rightsSpent.Inc()
-			return nil, forwarder.ErrSpent
+			return nil, r.refused(p, tokens)
 		}
 	}
 }
 
+// refused tells a total that is spent from one that is out of reach.
+func (r *rights) refused(p *allotter.Purse, tokens int64) error {
+	if !p.Exhausted(tokens) {
+		rightsRefused.Inc()
+		return forwarder.ErrRightsOutOfReach
+	}
+	rightsSpent.Inc()
+	p.Dry(time.Now(), tokens)
+	return forwarder.ErrSpent
+}
+
 // borrow asks other routers for rights until there are enough for a request,
 // and reports whether any lent some.
 func (r *rights) borrow(ctx context.Context, p *allotter.Purse, workspace string, tokens int64) bool {
@@ -168,6 +185,7 @@
 
 // run settles purses with the keepers until ctx ends.
 func (r *rights) run(ctx context.Context) {
+	timeout := claimTimeout
 	for {
 		select {
 		case <-ctx.Done():
@@ -175,7 +193,7 @@
 		case <-time.After(r.fleet.paced(claimEvery, claimPacedMost)):
 		case <-r.urgent:
 		}
-		r.claim(ctx, claimTimeout)
+		timeout = r.claim(ctx, timeout)
 		time.Sleep(r.fleet.paced(claimPause, claimPacedMost))
 	}
 }
@@ -220,20 +238,21 @@
 	return &messenger.LeaveRightsReply{}, nil
 }
 
-func (r *rights) claim(ctx context.Context, timeout time.Duration) {
+// claim settles with the keepers once and returns the next one's timeout.
+func (r *rights) claim(ctx context.Context, timeout time.Duration) time.Duration {
 	change, purses, sent := r.change(false)
 	if len(change.Claims) == 0 && change.Answered > 0 {
-		return
+		return timeout
 	}
 	reply, err := r.order(ctx, timeout, change)
 	if err != nil {
 		claimsFailed.Inc()
-		return
+		return patientClaim
 	}
 	claimsAnswered.Inc()
 	if reply.Grants.GetEnded() {
 		r.reset()
-		return
+		return claimTimeout
 	}
 	for i, g := range reply.Grants.GetGrants() {
 		purses[i].Granted(g, change.Claims[i], sent)
@@ -244,6 +263,7 @@
 	close(r.settled)
 	r.settled = make(chan struct{})
 	r.rounds++
+	return claimTimeout
 }
 
 // floor is what this router holds of a workspace ahead of any demand: a part
