--- a/storer/folder_test.go
+++ b/storer/folder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"path/filepath"
 	"testing"
 
@@ -20,7 +21,7 @@
 		synced = append(synced, folder)
 		return syncFolder(folder)
 	}
-	_, closeStore, err := open(dir, note)
+	_, closeStore, err := open(dir, files{syncFolder: note, openFile: os.OpenFile})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(closeStore()).To(gomega.Succeed())
 	g.Expect(synced).To(gomega.Equal([]string{root, filepath.Join(root, "data"), dir}))
@@ -28,7 +29,7 @@
 	// A crash between a creation and the sync of its name: the next start syncs
 	// it.
 	synced = nil
-	_, closeStore, err = open(dir, note)
+	_, closeStore, err = open(dir, files{syncFolder: note, openFile: os.OpenFile})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(closeStore()).To(gomega.Succeed())
 	g.Expect(synced).To(gomega.Equal([]string{filepath.Join(root, "data"), dir}))
@@ -47,7 +48,7 @@
 	}
 	for range 2 {
 		synced = nil
-		_, closeStore, err := open(filepath.Join(root, "data")+"/", note)
+		_, closeStore, err := open(filepath.Join(root, "data")+"/", files{syncFolder: note, openFile: os.OpenFile})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(closeStore()).To(gomega.Succeed())
 		g.Expect(synced).To(gomega.Equal([]string{root, filepath.Join(root, "data")}))
@@ -67,12 +68,12 @@
 	for _, failing := range []string{"", "data", "data/keeper"} {
 		g := gomega.NewWithT(t)
 		root := t.TempDir()
-		_, _, err := open(filepath.Join(root, "data", "keeper"), func(folder string) error {
+		_, _, err := open(filepath.Join(root, "data", "keeper"), files{openFile: os.OpenFile, syncFolder: func(folder string) error {
 			if folder == filepath.Join(root, failing) {
 				return errors.New("input/output error")
 			}
 			return nil
-		})
+		}})
 		g.Expect(err).To(gomega.MatchError(ErrStore), failing)
 	}
 }
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -3,6 +3,7 @@
 package storer
 
 import (
+	"os"
 	"path/filepath"
 	"strings"
 	"time"
@@ -37,11 +38,18 @@
 // Open opens the store under dir, creating it where missing. The returned
 // function closes it.
 func Open(dir string) (*Store, func() error, error) {
-	return open(dir, syncFolder)
+	return open(dir, files{syncFolder: syncFolder, openFile: os.OpenFile})
 }
 
-func open(dir string, sync func(folder string) error) (*Store, func() error, error) {
-	if err := makeFolder(dir, sync); err != nil {
+// files is what a store asks of the operating system beyond reads and writes;
+// tests that lose power stand in here.
+type files struct {
+	syncFolder func(folder string) error
+	openFile   func(name string, flag int, mode os.FileMode) (*os.File, error)
+}
+
+func open(dir string, f files) (*Store, func() error, error) {
+	if err := makeFolder(dir, f.syncFolder); err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
 	db, err := bbolt.Open(filepath.Join(dir, fileName), fileMode, &bbolt.Options{
@@ -49,6 +57,7 @@
 		// The list of free pages is rebuilt at the start instead of written
 		// with every commit: it grows with the file.
 		NoFreelistSync: true, FreelistType: bbolt.FreelistMapType,
+		OpenFile: f.openFile,
 	})
 	if err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
@@ -56,7 +65,7 @@
 	// A file that is synced can still be missing after a power cut, with all
 	// its rows, if the folder that names it was not synced: the keeper would
 	// come back with an empty disk. So the name is durable before any row is.
-	if err := sync(dir); err != nil {
+	if err := f.syncFolder(dir); err != nil {
 		_ = db.Close()
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
