courier: questions to keepers overlap, one borrower for each router

Its link of 10 Mbit/s was full: answers took 0.4 to 1 s, each question was given 0.35 s, and each call that timed out, claims of 0.6 s among them, closed the connection that was being made. Each request looked for a lender by itself with what was left of its 0.5 s and closed connections in the same way: nothing was borrowed in nine seconds. Ruled out: processor (0.06 of 0.19 cores), the bound on questions at keepers. Change: the next keeper is asked after 0.35 s while the one before may still answer for 2 s; keepers that owed an answer lately are asked last; connections are closed only when nothing was heard on them for a second. Loss and return of the keepers are logged. Tests: TestSlowAnswersAreAnswers, TestManyRequestsBorrowTogether, TestShortTimeoutsLeaveASlowConnectionAlone fail with the figures of before; TestLargeDocumentDelaysNoQuestion, TestCutKeeperDelaysNoQuestion, TestAllRoutersAreAskedBeforeARefusal, TestSilentConnectionIsReplaced hold what was there.

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -7,6 +7,7 @@
 	rightsRefused  = metrics.NewCounter("rattanhoist_rights_out_of_reach_total")
 	rightsSpent    = metrics.NewCounter("rattanhoist_rights_spent_total")
 	borrowedTokens = metrics.NewCounter("rattanhoist_rights_borrowed_tokens_total")
+	lendersSilent  = metrics.NewCounter("rattanhoist_rights_lenders_silent_total")
 	lentTokens     = metrics.NewCounter("rattanhoist_rights_lent_tokens_total")
 	claimsAnswered = metrics.NewCounter("rattanhoist_rights_claims_answered_total")
 	claimsFailed   = metrics.NewCounter("rattanhoist_rights_claims_failed_total")
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -1,6 +1,7 @@
 package courier
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -29,11 +30,19 @@
 	pacedMost   = 3
 	// wholeEvery questions, the ages of all endpoints are asked for.
 	wholeEvery = 5
-	// syncTimeout is for one keeper of those asked in turn: many times a way
-	// between zones, and three of them are shorter than a bound of 2 s.
-	syncTimeout = 350 * time.Millisecond
-	// patientTimeout is for keepers that have not answered for outOfTouch.
-	patientTimeout = 1200 * time.Millisecond
+	// askNext is how long a keeper may take before the next one is asked too:
+	// many times a way between zones, and three of them are shorter than a
+	// bound of 2 s.
+	askNext = 350 * time.Millisecond
+	// syncTimeout ends one question. A link of 10 Mbit/s that callers filled
+	// took 0.4 to 1 s for each way and back, and a new connection needs two.
+	syncTimeout = 2 * time.Second
+	// touchSlack, beyond the pause between two questions, keepers may take to
+	// answer before a router takes itself for cut off, and borrows from others
+	// instead of waiting for keepers: two of them asked in turn.
+	touchSlack = 700 * time.Millisecond
+	// shunSilent is how long a keeper that let askNext pass is asked last.
+	shunSilent = 3 * time.Second
 	// fetchTimeout is for a whole document: a megabyte over 10 Mbit/s.
 	fetchTimeout = 1500 * time.Millisecond
 	// freshWithin is how lately a majority must have confirmed what a keeper
@@ -78,17 +87,26 @@
 	zones map[string]string
 	// Siblings are the other routers, those of the zone first.
 	siblings []*messenger.Link
+	// Owing holds the keepers that owe an answer, and silent when one last let
+	// askNext pass.
+	owing  map[string]bool
+	silent map[string]time.Time
 
 	// The rest belongs to the goroutine of run.
 	roll      *enroller.Table
 	endpoints map[string]*predictor.Endpoint
 	revisions map[string]uint64
+	answers   chan reply
 	asked     int
 	start     time.Time
 	// TouchedAt is when a keeper last answered, touchSince since when they have
 	// been answering without a gap.
 	touchedAt  time.Time
 	touchSince time.Time
+	// Failure is why the last question failed that did; lost says that the
+	// loss of all keepers was logged.
+	failure error
+	lost    bool
 	// Shown is the revision of the endpoints in service.
 	shown uint64
 }
@@ -99,7 +117,8 @@
 		self:    &messenger.FleetMember{Address: o.Node.Internal(), Zone: o.Node.Zone(), Incarnation: incarnation},
 		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
 		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[string]*predictor.Endpoint{},
-		revisions: map[string]uint64{},
+		revisions: map[string]uint64{}, owing: map[string]bool{}, silent: map[string]time.Time{},
+		answers: make(chan reply),
 	}
 	f.known.Store(1)
 	for _, s := range o.Node.Seeds() {
@@ -125,18 +144,23 @@
 	}
 }
 
-// order returns the keepers in the order in which to ask them: the one that
-// answered last, those of the zone, the others.
+// order returns the keepers in the order in which to ask them: those of the
+// zone, the one that answered last, the others; those that owe an answer are
+// left out, and those that owed one lately come last.
 func (f *fleet) order() []*messenger.Link {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	current := f.current.Load()
+	current, now := f.current.Load(), time.Now()
 	var out []*messenger.Link
-	for _, l := range f.keepers {
-		out = append(out, l)
+	for a, l := range f.keepers {
+		if !f.owing[a] {
+			out = append(out, l)
+		}
 	}
 	rank := func(l *messenger.Link) int {
 		switch {
+		case now.Sub(f.silent[l.Address()]) < shunSilent:
+			return 3
 		case f.zones[l.Address()] == f.self.Zone:
 			return 0
 		case l == current:
@@ -145,13 +169,7 @@
 		return 2
 	}
 	slices.SortFunc(out, func(a, b *messenger.Link) int {
-		if d := rank(a) - rank(b); d != 0 {
-			return d
-		}
-		if a.Address() < b.Address() {
-			return -1
-		}
-		return 1
+		return cmp.Or(rank(a)-rank(b), cmp.Compare(a.Address(), b.Address()))
 	})
 	return out
 }
@@ -164,74 +182,142 @@
 
 // run asks keepers until ctx ends.
 func (f *fleet) run(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
 		begun := time.Now()
 		f.round(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(max(f.paced(syncEvery, pacedMost)-time.Since(begun), syncEvery/4)):
-		}
+		f.show(time.Now())
+		f.listen(ctx, max(f.paced(syncEvery, pacedMost)-time.Since(begun), syncEvery/4))
+		f.show(time.Now())
 	}
 }
 
-// round asks keepers until one has answered whose copy a majority confirmed
-// lately.
+// round asks one keeper after the other, each when those before it have failed
+// or let askNext pass, until one has answered whose copy a majority confirmed
+// lately. Those asked before may still answer: a keeper that is cut off never
+// does, and over a link that callers fill all do, half a second and more later.
+// A short timeout for each would fail there for as long as callers press, and
+// patience with each in turn would take seconds to find one that is not cut
+// off.
 func (f *fleet) round(ctx context.Context) {
 	f.asked++
-	if f.untouched() > outOfTouch {
-		f.askAll(ctx)
-		f.show(time.Now())
-		return
-	}
 	for _, l := range f.order() {
-		r, sent, err := ask(ctx, l, f.question(l), syncTimeout)
-		if err != nil {
-			continue
+		f.question(ctx, l)
+		wait := askNext
+		if f.outOfTouch() {
+			// All are asked at once.
+			wait = 0
 		}
-		f.take(ctx, l, r, sent)
-		if age := time.Duration(r.ConfirmedAgeMs) * time.Millisecond; r.ConfirmedAgeMs >= 0 && age < freshWithin {
-			f.current.Store(l)
-			break
+		if f.await(ctx, wait) {
+			return
 		}
+		f.shun(l)
 	}
-	f.show(time.Now())
 }
 
-// askAll asks all keepers at once, with patience. A keeper that doesn't answer
-// may be cut off, and then asking it first delays all others; or this router's
-// link is full, and then a short timeout fails for all of them, for as long as
-// callers press.
-func (f *fleet) askAll(ctx context.Context) {
-	type answer struct {
-		link  *messenger.Link
-		reply *messenger.SyncReply
-		sent  time.Time
-	}
-	links := f.order()
-	answers := make(chan answer, len(links))
-	for _, l := range links {
-		q := f.question(l)
-		go func() {
-			r, sent, err := ask(ctx, l, q, patientTimeout)
-			if err != nil {
-				r = nil
-			}
-			answers <- answer{l, r, sent}
-		}()
-	}
-	for range links {
-		if a := <-answers; a.reply != nil {
-			f.take(ctx, a.link, a.reply, a.sent)
-			if f.current.Load() == nil || a.reply.ConfirmedAgeMs >= 0 {
-				f.current.Store(a.link)
+// shun puts a keeper that still owes an answer at the end of the order.
+func (f *fleet) shun(l *messenger.Link) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.owing[l.Address()] {
+		f.silent[l.Address()] = time.Now()
+	}
+}
+
+// await takes answers in until one is of use, one fails, or a time has passed;
+// it reports whether one was of use.
+func (f *fleet) await(ctx context.Context, wait time.Duration) bool {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		select {
+		case a := <-f.answers:
+			if fresh, ok := f.answer(ctx, a); fresh || !ok {
+				return fresh
 			}
+		case <-t.C:
+			return false
+		case <-ctx.Done():
+			return false
 		}
 	}
 }
 
-// question returns what to ask a keeper.
-func (f *fleet) question(l *messenger.Link) *messenger.SyncRequest {
+// listen takes late answers in until a time has passed.
+func (f *fleet) listen(ctx context.Context, pause time.Duration) {
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	for {
+		select {
+		case a := <-f.answers:
+			f.answer(ctx, a)
+		case <-t.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reply is what became of a question to a keeper.
+type reply struct {
+	link *messenger.Link
+	// Body is nil where the question failed.
+	body *messenger.SyncReply
+	err  error
+	sent time.Time
+}
+
+// answer takes one reply in: fresh tells that a majority confirmed lately what
+// the keeper says, ok that it answered at all.
+func (f *fleet) answer(ctx context.Context, a reply) (fresh, ok bool) {
+	f.settle(a)
+	if a.err != nil {
+		f.failure = a.err
+		return false, false
+	}
+	f.take(ctx, a.link, a.body, a.sent)
+	age := time.Duration(a.body.ConfirmedAgeMs) * time.Millisecond
+	fresh = a.body.ConfirmedAgeMs >= 0 && age < freshWithin
+	if fresh || f.current.Load() == nil {
+		f.current.Store(a.link)
+	}
+	return fresh, true
+}
+
+// settle notes that a keeper owes nothing any more.
+func (f *fleet) settle(a reply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.owing, a.link.Address())
+	if a.err == nil {
+		delete(f.silent, a.link.Address())
+	} else {
+		f.silent[a.link.Address()] = time.Now()
+	}
+}
+
+// question asks a keeper; the reply comes to answers.
+func (f *fleet) question(ctx context.Context, l *messenger.Link) {
+	q := f.syncRequest(l)
+	f.mu.Lock()
+	f.owing[l.Address()] = true
+	f.mu.Unlock()
+	go func() {
+		r := reply{link: l, sent: time.Now()}
+		r.err = l.Call(ctx, syncTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+			var err error
+			r.body, err = c.Sync(ctx, q)
+			return err
+		})
+		select {
+		case f.answers <- r:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// syncRequest returns what to ask a keeper.
+func (f *fleet) syncRequest(l *messenger.Link) *messenger.SyncRequest {
 	q := &messenger.SyncRequest{Router: f.self, Revision: f.revisions[l.Address()]}
 	if x := f.index.Load(); x != nil {
 		q.Number = x.Number()
@@ -242,19 +328,12 @@
 	return q
 }
 
-func ask(ctx context.Context, l *messenger.Link, q *messenger.SyncRequest, timeout time.Duration) (*messenger.SyncReply, time.Time, error) {
-	sent := time.Now()
-	var r *messenger.SyncReply
-	err := l.Call(ctx, timeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
-		var err error
-		r, err = c.Sync(ctx, q)
-		return err
-	})
-	return r, sent, err
-}
-
 func (f *fleet) take(ctx context.Context, l *messenger.Link, r *messenger.SyncReply, sent time.Time) {
 	now := time.Now()
+	if f.lost {
+		f.lost = false
+		f.o.Log.Info("keepers answer again", zap.String("keeper", l.Address()), zap.Duration("silence", f.untouched()))
+	}
 	if now.Sub(f.touchedAt) > time.Second {
 		f.touchSince = now
 	}
@@ -282,6 +361,12 @@
 	return time.Since(f.start) - time.Duration(f.touched.Load())
 }
 
+// outOfTouch reports whether keepers have been silent for longer than a round
+// of questions with slow answers takes.
+func (f *fleet) outOfTouch() bool {
+	return f.untouched() > f.paced(syncEvery, pacedMost)+touchSlack
+}
+
 // meet takes the other routers in. Those that keepers no longer name stay
 // known until others take their place: a keeper that has just started knows
 // few.
@@ -402,6 +487,10 @@
 // show puts the known endpoints in service. While no keeper answers, nobody is
 // forgotten for silence: what is heard of endpoints comes from keepers.
 func (f *fleet) show(now time.Time) {
+	if !f.lost && f.outOfTouch() {
+		f.lost = true
+		f.o.Log.Warn("no keeper answers; serving what is known", zap.Duration("silence", f.untouched()), zap.NamedError("last_failure", f.failure))
+	}
 	if now.Sub(f.touchedAt) < time.Second && now.Sub(f.touchSince) > silentBeats*f.o.Node.Heartbeat() {
 		f.roll.Expire(now)
 	}
--- /dev/null
+++ b/courier/fleet_test.go
@@ -0,0 +1,242 @@
+package courier
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/loader"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/predictor"
+	"rattanhoist.example/rattanhoist/publisher"
+)
+
+// keeperStub answers questions, each after a delay.
+type keeperStub struct {
+	messenger.UnimplementedFleetKeeperServer
+	sync, fetch atomic.Int64
+	asked       atomic.Int64
+	content     []byte
+}
+
+func pause(ctx context.Context, d int64) error {
+	select {
+	case <-time.After(time.Duration(d)):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (k *keeperStub) Sync(ctx context.Context, _ *messenger.SyncRequest) (*messenger.SyncReply, error) {
+	k.asked.Add(1)
+	return &messenger.SyncReply{Number: 1}, pause(ctx, k.sync.Load())
+}
+
+func (k *keeperStub) Fetch(ctx context.Context, _ *messenger.FleetDocumentRequest) (*messenger.FleetDocumentReply, error) {
+	return &messenger.FleetDocumentReply{Number: 1, Content: k.content}, pause(ctx, k.fetch.Load())
+}
+
+func serveStub(t *testing.T, k *keeperStub) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if k.content, err = publisher.Pack([]byte("{}")); err != nil {
+		t.Fatal(err)
+	}
+	s := messenger.NewFleetServer()
+	messenger.RegisterFleetKeeperServer(s, k)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Stop)
+	return l.Addr().String()
+}
+
+// startFleet runs a router's view of keepers at addresses.
+func startFleet(t *testing.T, keepers ...string) *fleet {
+	text := "[node]\nname = n\nkind = router\nzone = z\nip = 127.0.0.1\ninternal_ports = 1\nseeds = 127.0.0.1:9"
+	file := filepath.Join(t.TempDir(), "node.ini")
+	if err := os.WriteFile(file, []byte(text+"\nserve = 127.0.0.1:2\nready = 127.0.0.1:3\nheartbeat_ms = 300\ngrace_s = 5\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n, _, err := loader.LoadNode(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decode := func([]byte) (*publisher.Document, error) { return &publisher.Document{Number: 1}, nil }
+	f := newFleet(Options{Node: n, Log: zap.NewNop(), Decode: decode}, 1, predictor.NewTable("z"), nil)
+	f.published = func(*publisher.Document) {}
+	clear(f.keepers)
+	for _, k := range keepers {
+		f.learn(k, "")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { f.run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return f
+}
+
+// Symptom: a router takes itself for cut off, refuses requests for lack of
+// rights and serves an old configuration, while all keepers are well.
+// Sequence: callers fill its link, and each answer of a keeper takes 0.6 s.
+// Cause: each keeper in turn is given less than that.
+func TestSlowAnswersAreAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var addresses []string
+	for range 3 {
+		k := &keeperStub{}
+		k.sync.Store(int64(600 * time.Millisecond))
+		addresses = append(addresses, serveStub(t, k))
+	}
+	f := startFleet(t, addresses...)
+	g.Eventually(f.Index, 5*time.Second, 10*time.Millisecond).ShouldNot(gomega.BeNil())
+	g.Consistently(f.outOfTouch, 4*time.Second, 10*time.Millisecond).Should(gomega.BeFalse())
+}
+
+// Symptom: every configuration comes into force late. Sequence: the keeper of
+// the zone is cut off: it takes questions and never answers. Cause: it is asked
+// first, again and again.
+func TestCutKeeperDelaysNoQuestion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	cut, well := &keeperStub{}, &keeperStub{}
+	cut.sync.Store(int64(time.Minute))
+	f := startFleet(t, serveStub(t, cut), serveStub(t, well))
+	g.Eventually(f.Index, 3*time.Second, 10*time.Millisecond).ShouldNot(gomega.BeNil())
+	before := well.asked.Load()
+	time.Sleep(2 * time.Second)
+	g.Expect(well.asked.Load()-before).To(gomega.BeNumerically(">=", 7), "questions in 2 s, at most ten")
+	g.Expect(f.outOfTouch()).To(gomega.BeFalse())
+}
+
+// Symptom: a router hears nothing of keepers for as long as a large
+// configuration is on its way over a small link. Sequence: a new document, which
+// takes 1.2 s. Cause: it is fetched within the round of questions.
+func TestLargeDocumentDelaysNoQuestion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := &keeperStub{}
+	k.fetch.Store(int64(1200 * time.Millisecond))
+	f := startFleet(t, serveStub(t, k))
+	g.Eventually(k.asked.Load, 2*time.Second, 10*time.Millisecond).Should(gomega.BeNumerically(">", 0))
+	before := k.asked.Load()
+	time.Sleep(time.Second)
+	g.Expect(f.Index()).To(gomega.BeNil(), "it is still on its way")
+	g.Expect(k.asked.Load()-before).To(gomega.BeNumerically(">=", 3), "questions in 1 s")
+	g.Eventually(f.Index, 2*time.Second, 10*time.Millisecond).ShouldNot(gomega.BeNil())
+}
+
+// lenderStub lends what it has, after a delay.
+type lenderStub struct {
+	messenger.UnimplementedFleetRouterServer
+	has   atomic.Int64
+	delay time.Duration
+}
+
+func (s *lenderStub) Lend(ctx context.Context, q *messenger.LendRequest) (*messenger.LendReply, error) {
+	if err := pause(ctx, int64(s.delay)); err != nil {
+		return nil, err
+	}
+	out := &messenger.LendReply{}
+	for _, w := range q.Wants {
+		if n := min(w.Tokens, s.has.Load()); n > 0 {
+			s.has.Add(-n)
+			out.Lent = append(out.Lent, &messenger.PrepaidTotal{Workspace: w.Workspace, Tokens: n})
+		}
+	}
+	return out, nil
+}
+
+// cutOff returns the rights of a router that no keeper answers, among others
+// that hold some tokens each.
+func cutOff(t *testing.T, routers int, tokens int64, delay time.Duration) *rights {
+	f := startFleet(t)
+	var members []*messenger.FleetMember
+	for range routers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		x := &lenderStub{delay: delay}
+		x.has.Store(tokens)
+		s := messenger.NewFleetServer()
+		messenger.RegisterFleetRouterServer(s, x)
+		go func() { _ = s.Serve(l) }()
+		t.Cleanup(s.Stop)
+		members = append(members, &messenger.FleetMember{Address: l.Addr().String(), Zone: "z"})
+	}
+	f.meet(members)
+	f.known.Store(1)
+	r := newRights(f, "127.0.0.1:1", zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.run(ctx)
+	t.Cleanup(cancel)
+	for !f.outOfTouch() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return r
+}
+
+// Symptom: a router with 250 requests a second borrows nothing for nine seconds,
+// while the others hold rights that they don't need. Sequence: no keeper
+// answers; each request looks for a lender, and others take 100 ms to answer.
+// Cause: each search has only what is left of its request's time, one search
+// after the other.
+func TestManyRequestsBorrowTogether(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := cutOff(t, 20, 40_000, 100*time.Millisecond)
+	const requests = 200
+	results := make(chan error, requests)
+	for i := range requests {
+		go func() {
+			time.Sleep(time.Duration(i) * 4 * time.Millisecond)
+			_, err := r.Reserve(context.Background(), "w", 3_000)
+			results <- err
+		}()
+	}
+	served := 0
+	for range requests {
+		if <-results == nil {
+			served++
+		}
+	}
+	g.Expect(served).To(gomega.BeNumerically(">=", requests*9/10), fmt.Sprint("of ", requests, "; 20 routers hold 800,000 tokens, they need 600,000"))
+}
+
+// Symptom: a request is refused as out of reach while one of many routers holds
+// enough. Sequence: no keeper answers; all but one of 20 others hold nothing.
+// Cause: only some of them are asked.
+func TestAllRoutersAreAskedBeforeARefusal(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := cutOff(t, 20, 0, 0)
+	last, ok := r.fleet.others()[0], false
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	x := &lenderStub{}
+	x.has.Store(10_000)
+	s := messenger.NewFleetServer()
+	messenger.RegisterFleetRouterServer(s, x)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Stop)
+	r.fleet.mu.Lock()
+	for i, o := range r.fleet.siblings {
+		if o == last {
+			r.fleet.siblings[i], ok = messenger.NewLink(l.Addr().String()), true
+		}
+	}
+	r.fleet.mu.Unlock()
+	g.Expect(ok).To(gomega.BeTrue())
+	_, err = r.Reserve(context.Background(), "w", 3_000)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	begun := time.Now()
+	_, err = r.Reserve(context.Background(), "w", 300_000)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 400*time.Millisecond), "known to fail once all were asked")
+}
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -32,14 +31,6 @@
 	claimPause = 10 * time.Millisecond
 	// reserveWait bounds the wait of one request for rights: a few claims.
 	reserveWait = 500 * time.Millisecond
-	// outOfTouch is after how long without an answer of any keeper a router
-	// borrows from others instead of waiting for keepers: two rounds of
-	// questions with their timeouts.
-	outOfTouch = 900 * time.Millisecond
-	// lendTimeout and lendersMost bound the search for a lender; the request
-	// waits meanwhile.
-	lendTimeout = 150 * time.Millisecond
-	lendersMost = 6
 	// floorPart of the even share of a total is held ahead of any demand.
 	floorPart = 8
 	// closeWait bounds the last claim of a process that stops.
@@ -53,9 +44,8 @@
 	address string
 	log     *zap.Logger
 	urgent  chan struct{}
-	// Lending lets one request at a time look for a lender: what it borrows
-	// serves those behind it too.
-	lending sync.Mutex
+	// Borrower gets rights from other routers.
+	borrower *borrower
 
 	mu          sync.Mutex
 	purses      map[string]*allotter.Purse
@@ -71,10 +61,12 @@
 }
 
 func newRights(f *fleet, address string, log *zap.Logger) *rights {
-	return &rights{
+	r := &rights{
 		fleet: f, address: address, log: log, urgent: make(chan struct{}, 1), purses: map[string]*allotter.Purse{},
 		incarnation: newIncarnation(), settled: make(chan struct{}), started: newStart(),
 	}
+	r.borrower = newBorrower(r, log)
+	return r
 }
 
 // reservation is tokens set aside in one purse.
@@ -100,9 +92,9 @@
 		if !asked && p.Reserve(time.Now(), tokens) || asked && p.Retry(time.Now(), tokens) {
 			return &reservation{purse: p, tokens: tokens}, nil
 		}
-		if r.fleet.untouched() > outOfTouch {
-			if r.borrow(ctx, p, workspace, tokens) {
-				continue
+		if r.fleet.outOfTouch() {
+			if r.borrow(ctx, p, tokens) {
+				return &reservation{purse: p, tokens: tokens}, nil
 			}
 			rightsRefused.Inc()
 			return nil, forwarder.ErrRightsOutOfReach
@@ -118,12 +110,20 @@
 		}
 		var now uint64
 		p, settled, now = r.purse(workspace)
-		if now > first+1 && p.Exhausted(tokens) && !r.borrow(ctx, p, workspace, tokens) {
+		if now > first+1 && p.Exhausted(tokens) {
+			if r.borrow(ctx, p, tokens) {
+				return &reservation{purse: p, tokens: tokens}, nil
+			}
 			return nil, r.refused(p, tokens)
 		}
 	}
 }
 
+// borrow sets tokens aside from what other routers lend.
+func (r *rights) borrow(ctx context.Context, p *allotter.Purse, tokens int64) bool {
+	return r.borrower.fetch(ctx, func() bool { return p.Retry(time.Now(), tokens) })
+}
+
 // refused tells a total that is spent from one that is out of reach.
 func (r *rights) refused(p *allotter.Purse, tokens int64) error {
 	if !p.Exhausted(tokens) {
@@ -135,41 +135,17 @@
 	return forwarder.ErrSpent
 }
 
-// borrow asks other routers for rights until there are enough for a request,
-// and reports whether any lent some.
-func (r *rights) borrow(ctx context.Context, p *allotter.Purse, workspace string, tokens int64) bool {
-	r.lending.Lock()
-	defer r.lending.Unlock()
-	least, wanted := p.Short(time.Now(), tokens)
-	if least <= 0 {
-		// Another request has borrowed for this one too.
-		return true
-	}
-	others := r.fleet.others()
-	from := rand.IntN(max(len(others), 1))
-	var got int64
-	for i := range min(len(others), lendersMost) {
-		l := others[(from+i)%len(others)]
-		n, err := l.Lend(ctx, lendTimeout, &messenger.LendRequest{Workspace: workspace, Wanted: wanted - got})
-		if err != nil {
-			continue
-		}
-		p.Receive(n)
-		borrowedTokens.AddInt64(n)
-		if got += n; got >= least {
-			r.log.Info("rights borrowed", zap.String("workspace", workspace), zap.Int64("tokens", got))
-			return true
-		}
-	}
-	return false
-}
-
 // Lend serves another router that can't reach a keeper.
 func (r *rights) Lend(_ context.Context, q *messenger.LendRequest) (*messenger.LendReply, error) {
-	p, _, _ := r.purse(q.Workspace)
-	n := p.Lend(time.Now(), q.Wanted)
-	lentTokens.AddInt64(n)
-	return &messenger.LendReply{Lent: n}, nil
+	out := &messenger.LendReply{}
+	for _, w := range q.Wants {
+		p, _, _ := r.purse(w.Workspace)
+		if n := p.Lend(time.Now(), w.Tokens); n > 0 {
+			lentTokens.AddInt64(n)
+			out.Lent = append(out.Lent, &messenger.PrepaidTotal{Workspace: w.Workspace, Tokens: n})
+		}
+	}
+	return out, nil
 }
 
 func (r *rights) purse(workspace string) (*allotter.Purse, chan struct{}, uint64) {
@@ -185,6 +161,7 @@
 
 // run settles purses with the keepers until ctx ends.
 func (r *rights) run(ctx context.Context) {
+	go r.borrower.run(ctx)
 	timeout := claimTimeout
 	for {
 		select {
@@ -201,11 +178,15 @@
 // close gives back what is left: to the keepers, or to another router where no
 // keeper answers. Else it would count as spent.
 func (r *rights) close(ctx context.Context) {
-	if r.fleet.untouched() > outOfTouch {
+	if r.fleet.outOfTouch() {
 		r.give(ctx)
 	}
+	l := r.fleet.current.Load()
+	if l == nil {
+		return
+	}
 	change, _, _ := r.change(true)
-	if _, err := r.order(ctx, closeWait, change); err != nil {
+	if _, err := r.order(ctx, l, closeWait, change); err != nil {
 		r.log.Warn("no keeper took the last account", zap.Error(err))
 	}
 }
@@ -240,11 +221,18 @@
 
 // claim settles with the keepers once and returns the next one's timeout.
 func (r *rights) claim(ctx context.Context, timeout time.Duration) time.Duration {
+	// A claim states when it was sent, and is worth less if it waits for a
+	// connection first.
+	l := r.fleet.current.Load()
+	if l == nil || l.Await(ctx, timeout) != nil {
+		claimsFailed.Inc()
+		return patientClaim
+	}
 	change, purses, sent := r.change(false)
 	if len(change.Claims) == 0 && change.Answered > 0 {
 		return timeout
 	}
-	reply, err := r.order(ctx, timeout, change)
+	reply, err := r.order(ctx, l, timeout, change)
 	if err != nil {
 		claimsFailed.Inc()
 		return patientClaim
@@ -315,11 +303,7 @@
 }
 
 // order sends the claims to a keeper, which passes them to the leader.
-func (r *rights) order(ctx context.Context, timeout time.Duration, change *messenger.RightsChange) (*messenger.OrderReply, error) {
-	l := r.fleet.current.Load()
-	if l == nil {
-		return nil, forwarder.ErrRightsOutOfReach
-	}
+func (r *rights) order(ctx context.Context, l *messenger.Link, timeout time.Duration, change *messenger.RightsChange) (*messenger.OrderReply, error) {
 	var reply *messenger.OrderReply
 	err := l.Call(ctx, timeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
 		var err error
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -9,19 +9,25 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 )
 
 const (
-	// linkConnect bounds one try to connect. A link that callers fill holds
-	// packets back for half a second and more, and a try that is given up too
-	// early is never answered.
-	linkConnect = time.Second
+	// linkConnect bounds one try to connect, the first two packets of each side.
+	// A link that callers fill holds packets back for half a second and more,
+	// and a try that is given up too early is never answered. The first packet
+	// is sent again after a second, so a cut that has healed costs no more.
+	linkConnect = 2500 * time.Millisecond
 	linkBackoff = 50 * time.Millisecond
 	// linkBackoffMost is how long after the end of a cut a link may still
 	// rest.
 	linkBackoffMost = 250 * time.Millisecond
+	// linkSilence is for how long nothing may be heard on a connection where
+	// calls wait: twice what a full link takes for a way and back. What waits to
+	// be sent again on a silent one is sent after as long a pause again.
+	linkSilence = time.Second
 	// linkBuffer keeps the memory of a connection small, in bytes.
 	linkBuffer = 4 << 10
 	// linkMessageMost bounds one message, in bytes: a whole configuration of
@@ -29,13 +35,18 @@
 	linkMessageMost = 32 << 20
 )
 
-// Link calls one keeper. A call that times out closes the connection: one that
-// was cut silently would else hang long after the cut has healed. It is safe
-// for concurrent use.
+// Link calls one process. Calls that time out close a connection on which
+// nothing was heard for linkSilence: one that was cut silently would else hang
+// long after the cut has healed. One that is just being made, or that answers
+// late over a full link, stays: a new one takes two ways and back before its
+// first call, and would be closed again. It is safe for concurrent use.
 type Link struct {
 	address string
 	mu      sync.Mutex
 	conn    *grpc.ClientConn
+	// SilentSince is when the first call began of those that timed out since
+	// the last answer; zero if none did.
+	silentSince time.Time
 }
 
 // NewLink returns a link to an internal address; it connects when needed.
@@ -63,7 +74,7 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	l.conn = c
+	l.conn, l.silentSince = c, time.Time{}
 	return c, nil
 }
 
@@ -72,9 +83,26 @@
 	return l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error { return f(ctx, NewFleetKeeperClient(c)) })
 }
 
-// Lend asks a router for rights.
-func (l *Link) Lend(ctx context.Context, timeout time.Duration, r *LendRequest) (int64, error) {
-	var lent int64
+// Await connects and returns nil once calls can be sent.
+func (l *Link) Await(ctx context.Context, timeout time.Duration) error {
+	c, err := l.connection()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c.Connect()
+	for s := c.GetState(); s != connectivity.Ready; s = c.GetState() {
+		if s == connectivity.TransientFailure || s == connectivity.Shutdown || !c.WaitForStateChange(ctx, s) {
+			return merry.Errorf("%s: not connected", l.address)
+		}
+	}
+	return nil
+}
+
+// Lend asks a router for rights and returns what it lent.
+func (l *Link) Lend(ctx context.Context, timeout time.Duration, r *LendRequest) ([]*PrepaidTotal, error) {
+	var lent []*PrepaidTotal
 	err := l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error {
 		reply, err := NewFleetRouterClient(c).Lend(ctx, r)
 		lent = reply.GetLent()
@@ -98,20 +126,42 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	ready, begun := c.GetState() == connectivity.Ready, time.Now()
 	err = f(ctx, c)
-	if status.Code(err) == codes.DeadlineExceeded {
-		l.drop(c)
+	switch {
+	case err == nil:
+		l.heard(c)
+	case status.Code(err) == codes.DeadlineExceeded && ready && l.forget(c, begun):
+		_ = c.Close()
 	}
 	return err
 }
 
-func (l *Link) drop(c *grpc.ClientConn) {
+func (l *Link) heard(c *grpc.ClientConn) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.conn == c {
-		l.conn = nil
+		l.silentSince = time.Time{}
 	}
-	l.mu.Unlock()
-	_ = c.Close()
+}
+
+// forget notes that a call timed out that began at a time. It makes the next
+// call open another connection if this one has been silent for long, and
+// reports whether it did.
+func (l *Link) forget(c *grpc.ClientConn, begun time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != c {
+		return false
+	}
+	if l.silentSince.IsZero() {
+		l.silentSince = begun
+	}
+	if time.Since(l.silentSince) < linkSilence {
+		return false
+	}
+	l.conn = nil
+	return true
 }
 
 // Close ends the link.
--- /dev/null
+++ b/messenger/link_test.go
@@ -0,0 +1,105 @@
+package messenger_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// slowKeeper answers questions after a delay.
+type slowKeeper struct {
+	messenger.UnimplementedFleetKeeperServer
+	delay atomic.Int64
+}
+
+func (k *slowKeeper) Sync(ctx context.Context, _ *messenger.SyncRequest) (*messenger.SyncReply, error) {
+	select {
+	case <-time.After(time.Duration(k.delay.Load())):
+		return &messenger.SyncReply{}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// countingListener counts accepted connections, and lets each wait.
+type countingListener struct {
+	net.Listener
+	accepted atomic.Int64
+	delay    time.Duration
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+		time.Sleep(l.delay)
+	}
+	return c, err
+}
+
+func slow(t *testing.T, accept time.Duration) (*slowKeeper, *countingListener, *messenger.Link) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, counting := &slowKeeper{}, &countingListener{Listener: l, delay: accept}
+	s := messenger.NewFleetServer()
+	messenger.RegisterFleetKeeperServer(s, k)
+	go func() { _ = s.Serve(counting) }()
+	link := messenger.NewLink(l.Addr().String())
+	t.Cleanup(func() { link.Close(); s.Stop() })
+	return k, counting, link
+}
+
+func sync(link *messenger.Link, timeout time.Duration) error {
+	return link.Call(context.Background(), timeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+		_, err := c.Sync(ctx, &messenger.SyncRequest{})
+		return err
+	})
+}
+
+// Symptom: a router whose link callers fill hears nothing of keepers for ten
+// seconds and serves an old configuration. Sequence: each call times out before
+// its connection is there, or a moment before its answer comes. Cause: a call
+// that times out closes the connection, and a new one takes as long again.
+func TestShortTimeoutsLeaveASlowConnectionAlone(t *testing.T) {
+	t.Run("being made", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		_, l, link := slow(t, 700*time.Millisecond)
+		g.Eventually(func() error { return sync(link, 250*time.Millisecond) }, 3*time.Second, time.Millisecond).Should(gomega.Succeed())
+		g.Expect(l.accepted.Load()).To(gomega.Equal(int64(1)), "connections made")
+	})
+	t.Run("late answers", func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		k, l, link := slow(t, 0)
+		g.Expect(sync(link, time.Second)).To(gomega.Succeed())
+		k.delay.Store(int64(400 * time.Millisecond))
+		for range 4 {
+			g.Expect(sync(link, 100*time.Millisecond)).NotTo(gomega.Succeed())
+			g.Expect(sync(link, time.Second)).To(gomega.Succeed())
+		}
+		g.Expect(l.accepted.Load()).To(gomega.Equal(int64(1)), "connections made")
+	})
+}
+
+// Symptom: a process hears nothing for many seconds after a cut has healed.
+// Sequence: packets of an open connection vanish; calls time out. Cause: the
+// connection sends again at ever longer pauses.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k, l, link := slow(t, 0)
+	g.Expect(sync(link, time.Second)).To(gomega.Succeed())
+	k.delay.Store(int64(time.Minute))
+	begun := time.Now()
+	g.Eventually(func() int64 {
+		_ = sync(link, 250*time.Millisecond)
+		return l.accepted.Load()
+	}, 3*time.Second, time.Millisecond).Should(gomega.Equal(int64(2)), "connections made")
+	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 2*time.Second))
+}
