forwarder: busy routers may open more connections

Cause: with 63 routers each might open six connections to an endpoint, and the one with a fifth of all requests refused for lack of them. Change: from 12 routers on up to three times the even part.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -173,7 +173,9 @@
 }
 
 func (j *job) target(id, address string) pooler.Target {
-	share := int(connectionPart * float64(j.service.Connections) / float64(max(j.f.Fleet.Routers(), 1)))
+	routers := float64(max(j.f.Fleet.Routers(), 1))
+	uneven := min(max(routers/unevenFrom, 1), unevenMost)
+	share := int(connectionPart * uneven * float64(j.service.Connections) / routers)
 	return pooler.Target{ID: id, Address: address, Most: max(share, connectionsMin)}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -38,8 +38,15 @@
 	comeBack       = 150 * time.Millisecond
 	comeBackSpread = 250 * time.Millisecond
 	// connectionPart of an endpoint's bound is shared out among routers; the
-	// rest is for connections that are being closed and for uneven routers.
+	// rest is for connections that are being closed.
 	connectionPart = 0.8
+	// Callers are spread over routers by a hash: with six routers the busiest
+	// has twice its part, with sixty one had a fifth of all requests. From
+	// unevenFrom routers on each may open more than its part, up to unevenMost
+	// times as much; all together open fewer than the bound, since what is in
+	// progress at an endpoint at once is a tenth of it.
+	unevenFrom = 12
+	unevenMost = 3
 	connectionsMin = 4
 )
 
