steward: claims that wait keep the time they were sent

Their claims reached a keeper before there was a leader and waited 0.3 s; the leader's clock, read then, disagreed with the routers' by more than 0.2 s. Ruled out: larger bounds from demand that is refused (traces: bounds as before).

--- a/steward/orders.go
+++ b/steward/orders.go
@@ -125,8 +125,9 @@
 func (s *Steward) order(ctx context.Context, change *messenger.FleetChange) (*messenger.OrderReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	arrived := time.Now()
 	for {
-		r, err := s.orderOnce(ctx, change)
+		r, err := s.orderOnce(ctx, aged(change, time.Since(arrived)))
 		if err == nil && r.Done {
 			return r, nil
 		}
@@ -223,7 +224,7 @@
 // leader's.
 func (s *Steward) claim(ctx context.Context, change *messenger.FleetChange) (*messenger.OrderReply, error) {
 	claims.Inc()
-	names := s.members.names()
+	names, arrived := s.members.names(), time.Now()
 	if s.loop.State().Leads() && len(names) > 0 {
 		x := s.members.member(names[rand.IntN(len(names))])
 		var r *messenger.OrderReply
@@ -236,7 +237,25 @@
 			return r, nil
 		}
 	}
-	return s.order(ctx, change)
+	return s.order(ctx, aged(change, time.Since(arrived)))
+}
+
+// aged returns a router's claim that was held here for a time. The clocks of
+// keepers are read when a claim reaches them, and count only where they agree
+// with the router's: of claims that waited 0.3 s for a leader after a loss of
+// power, all that the routers held was written off.
+func aged(change *messenger.FleetChange, held time.Duration) *messenger.FleetChange {
+	if change.GetRights() == nil || held < time.Millisecond {
+		return change
+	}
+	out := proto.Clone(change).(*messenger.FleetChange)
+	r := out.GetRights()
+	for _, m := range []*messenger.RightsMoment{r.Sent, r.Started} {
+		if m != nil {
+			m.AgeMs += held.Milliseconds()
+		}
+	}
+	return out
 }
 
 // stamp puts this keeper's time of day beside the router's.
