--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -45,8 +45,8 @@
 	// unevenFrom routers on each may open more than its part, up to unevenMost
 	// times as much; all together open fewer than the bound, since what is in
 	// progress at an endpoint at once is a tenth of it.
-	unevenFrom = 12
-	unevenMost = 3
+	unevenFrom     = 12
+	unevenMost     = 3
 	connectionsMin = 4
 )
 
