narrator: a request's story from log files; check of rendered settings

Cause: the commands of OPERATIONS.md showed a request's own lines, not what its processes believed; files of machines whose clocks differ could not be put in order; a rendered settings file could only be tried by a start. Offsets of clocks come from when processes learn of configurations; one late sample alone is a cut.

--- a/commander/check.go
+++ b/commander/check.go
@@ -12,25 +12,55 @@
 
 var _ = register(root, func(a *app) *cobra.Command {
 	var strict bool
+	var node string
 	c := &cobra.Command{
 		Use: "check", Short: "Check the settings and list every fault with its file, line, section and key", Args: wantArgs(),
-		RunE: func(*cobra.Command, []string) error { return a.check(strict) },
+		RunE: func(*cobra.Command, []string) error {
+			if node != "" {
+				return a.checkNode(node, strict)
+			}
+			return a.check(strict)
+		},
 	}
+	c.Flags().StringVar(&node, "node", "", "settings of one process of a fleet, as its platform rendered them")
 	c.Flags().BoolVar(&strict, "strict", false, "take warnings for faults")
 	return c
 })
 
-func (a *app) check(strict bool) error {
-	s, err := a.load()
+// checkNode checks the settings of one process of a fleet.
+func (a *app) checkNode(file string, strict bool) error {
+	n, warnings, err := loader.LoadNode(file)
 	if err != nil {
 		return err
 	}
-	if w := s.Warnings(); strict && len(w) > 0 {
-		return merry.Errorf("%w:\n  %s", loader.ErrFaulty, strings.Join(w, "\n  "))
+	if err := a.warnOrFail(warnings, strict); err != nil {
+		return err
+	}
+	if a.output == outputJSON {
+		return a.printValue(map[string]any{"name": n.Name(), "kind": n.Kind(), "zone": n.Zone(), "warnings": warnings})
+	}
+	_, err = fmt.Fprintf(a.out, "%s: %s %s in %s, no faults\n", file, n.Kind(), n.Name(), n.Zone())
+	return err
+}
+
+func (a *app) warnOrFail(warnings []string, strict bool) error {
+	if strict && len(warnings) > 0 {
+		return merry.Errorf("%w:\n  %s", loader.ErrFaulty, strings.Join(warnings, "\n  "))
 	}
-	for _, w := range s.Warnings() {
+	for _, w := range warnings {
 		a.warn("%s", w)
 	}
+	return nil
+}
+
+func (a *app) check(strict bool) error {
+	s, err := a.load()
+	if err != nil {
+		return err
+	}
+	if err := a.warnOrFail(s.Warnings(), strict); err != nil {
+		return err
+	}
 	if a.output == outputJSON {
 		return a.printValue(map[string]any{"deployment": s.Deployment(), "processes": len(s.Processes("")), "warnings": s.Warnings()})
 	}
--- a/commander/explain.go
+++ b/commander/explain.go
@@ -17,15 +17,26 @@
 
 var _ = register(root, func(a *app) *cobra.Command {
 	var workspace string
+	var logs []string
 	c := &cobra.Command{
 		Use: "explain REQUEST_ID", Short: "Show each decision taken for a request, and why", Args: wantArgs("REQUEST_ID"),
 		Long: `Show each decision taken for a request, and why.
 
 Routers remember the decisions of their latest requests, in memory. Decisions
 of several routers are put in order by their clocks. The bill is on disk: see
-` + "`budget history WORKSPACE --request REQUEST_ID`" + `.`,
-		RunE: func(c *cobra.Command, args []string) error { return a.explain(c.Context(), workspace, args[0]) },
+` + "`budget history WORKSPACE --request REQUEST_ID`" + `.
+
+With --logs the story is read from log files of a fleet's processes instead,
+with what they believed meanwhile. Clocks that differ are set right by when each
+process learned of configurations.`,
+		RunE: func(c *cobra.Command, args []string) error {
+			if len(logs) > 0 {
+				return a.explainLogs(logs, args[0])
+			}
+			return a.explain(c.Context(), workspace, args[0])
+		},
 	}
+	c.Flags().StringSliceVar(&logs, "logs", nil, "log files, by commas or given again")
 	c.Flags().StringVar(&workspace, "workspace", "", "only requests of this workspace")
 	return c
 })
--- /dev/null
+++ b/narrator/narrator_test.go
@@ -0,0 +1,102 @@
+package narrator_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/narrator"
+)
+
+// files are logs of processes, as written.
+func read(t *testing.T, files map[string]string) []*narrator.Line {
+	var all []*narrator.Line
+	for name, text := range files {
+		lines, skipped, err := narrator.Read(strings.NewReader(text), name)
+		if err != nil || skipped > 0 {
+			t.Fatal(name, skipped, err)
+		}
+		all = append(all, lines...)
+	}
+	return all
+}
+
+func told(lines []*narrator.Line) []string {
+	var out []string
+	for _, l := range lines {
+		out = append(out, l.Process+": "+l.Message)
+	}
+	return out
+}
+
+func line(at float64, process, message, rest string) string {
+	return fmt.Sprintf(`{"level":"info","ts":%v,"msg":%q,"process":%q%s}`+"\n", at, message, process, rest)
+}
+
+// A request that was refused while its router was cut off, among lines of other
+// requests, workspaces and endpoints.
+func TestStoryHoldsWhatTheProcessesBelieved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := read(t, map[string]string{
+		"r1.log": line(90, "r1", "configuration in force", `,"number":7`) +
+			line(95, "r1", "no keeper answers; serving what is known", `,"silence":0.9`) +
+			line(100, "r1", "rights borrowed", `,"tokens":4000,"workspaces":["v","w"]`) +
+			line(100, "r1", "rights borrowed", `,"tokens":4000,"workspaces":["v"]`) +
+			line(100.2, "r1", "ended", `,"request":"other","status":200`) +
+			line(100.3, "r1", "endpoint out of service", `,"endpoint":"i-9"`) +
+			line(100.4, "r1", "ended", `,"request":"x1","status":503,"took":0.5,"workspace":"w","why":"prepaid rights are out of reach"`),
+		"k1.log": line(100.1, "k1", "prepaid total", `,"workspace":"w","left":0`) +
+			line(100.1, "k1", "prepaid total", `,"workspace":"v","left":0`) +
+			line(100.2, "k1", "log", `,"leader":"k2"`),
+		"r2.log": line(100.1, "r2", "rights borrowed", `,"tokens":1`),
+	})
+	story := narrator.Story(all, "x1")
+	g.Expect(told(story)).To(gomega.Equal([]string{"r1: rights borrowed", "k1: prepaid total", "k1: log", "r1: ended"}))
+	g.Expect(told(narrator.Before(all, story))).To(gomega.Equal([]string{
+		"r1: configuration in force", "r1: no keeper answers; serving what is known",
+	}))
+	g.Expect(narrator.Story(all, "x2")).To(gomega.BeEmpty())
+}
+
+// Symptom: the story shows a keeper's lines five seconds after what followed
+// from them. Sequence: the clock of one VM is ahead; another router was cut off
+// and learned of one configuration late. Cause: lines put in order by their own
+// clocks, or every late line taken for a wrong clock.
+func TestClocksThatDiffer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	learn := func(process string, offset float64, late map[int]float64) string {
+		out := ""
+		for n := range 6 {
+			out += line(100+10*float64(n)+offset+late[n], process, "configuration in force", fmt.Sprintf(`,"number":%d`, n))
+		}
+		return out
+	}
+	all := read(t, map[string]string{
+		"r1.log": learn("r1", 0.2, nil) + line(151, "r1", "ended", `,"request":"x","took":0.1,"workspace":"w"`),
+		"r2.log": learn("r2", 0.1, nil),
+		"cut":    learn("cut", 0.3, map[int]float64{2: 8}),
+		"k1.log": learn("k1", 5, nil) + line(155.5, "k1", "prepaid total", `,"workspace":"w"`),
+	})
+	story := narrator.Story(all, "x")
+	g.Expect(told(story)).To(gomega.Equal([]string{"r1: configuration in force", "k1: prepaid total", "r1: ended"}))
+	for _, l := range all {
+		want := 0.0
+		if l.Process == "k1" {
+			want = 4.8
+		}
+		g.Expect(l.Offset.Seconds()).To(gomega.BeNumerically("~", want, 0.3), l.Process)
+	}
+}
+
+// A collector's own time may stand before each line, and lines of other
+// programs between them.
+func TestLinesOfOthersAreCounted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lines, skipped, err := narrator.Read(strings.NewReader("  1.20 r1 "+line(1, "r1", "ended", `,"request":"x"`)+"panic: no\n\n{\"a\":1}\n"), "f")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(lines).To(gomega.HaveLen(1))
+	g.Expect(lines[0].Text()).To(gomega.Equal(`request="x"`))
+	g.Expect(skipped).To(gomega.Equal(2))
+}
