courier: a waiting request notices a cut; loans ahead of need only at half

Routers that were all cut off lent the same rights to each other and back twice a second. Change: a waiting request looks every 0.1 s whether keepers still answer; ahead of need a router borrows once half of two seconds' demand is gone. Test: TestWaitingRequestNoticesACut.

--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -288,15 +288,18 @@
 }
 
 // Lack returns what to ask other routers for: what the largest request that was
-// refused since the last call needs, and the demand of lendHorizon. With only
-// set, nothing as long as keepers have that much left.
+// refused since the last call needs, and the demand of lendHorizon; ahead of
+// need only once half of that is gone, since routers that are all cut off would
+// lend the same rights to each other and back. With only set, nothing as long as
+// keepers have that much left.
 func (p *Purse) Lack(now time.Time, only bool) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	need := max(p.lacked, int64(p.rate(now)*lendHorizon.Seconds()))
-	if p.closed || only && (p.lacked == 0 || p.left >= p.lacked) {
+	lacked, need := p.lacked, int64(p.rate(now)*lendHorizon.Seconds())
+	there := min(p.headroom(), p.bounded(now))
+	if p.closed || only && (lacked == 0 || p.left >= lacked) || lacked == 0 && there > need/2 {
 		return 0
 	}
 	p.lacked = 0
-	return max(need-min(p.headroom(), p.bounded(now)), 0)
+	return max(lacked, need) - min(there, max(lacked, need))
 }
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -240,3 +240,18 @@
 	g.Expect(err).To(gomega.HaveOccurred())
 	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 400*time.Millisecond), "known to fail once all were asked")
 }
+
+// Symptom: a request is refused as out of reach in the first second of a cut,
+// while others hold rights. Sequence: it waits for keepers that were in touch
+// when it came; they fall silent. Cause: it waits for them until its time is
+// gone.
+func TestWaitingRequestNoticesACut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := cutOff(t, 5, 40_000, 0)
+	// The keepers answered 0.75 s ago, so that they count as silent 0.15 s after
+	// the request comes.
+	r.fleet.touched.Store(int64(time.Since(r.fleet.start) - 750*time.Millisecond))
+	g.Expect(r.fleet.outOfTouch()).To(gomega.BeFalse())
+	_, err := r.Reserve(context.Background(), "w", 3_000)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -31,6 +31,10 @@
 	claimPause = 10 * time.Millisecond
 	// reserveWait bounds the wait of one request for rights: a few claims.
 	reserveWait = 500 * time.Millisecond
+	// touchLook is how often a waiting request looks whether keepers still
+	// answer: with the time that is left it can still be served by what others
+	// lend.
+	touchLook = 100 * time.Millisecond
 	// floorPart of the even share of a total is held ahead of any demand.
 	floorPart = 8
 	// closeWait bounds the last claim of a process that stops.
@@ -105,6 +109,9 @@
 		}
 		select {
 		case <-settled:
+		case <-time.After(touchLook):
+			// The keepers may have fallen silent since the last look.
+			continue
 		case <-ctx.Done():
 			return nil, r.refused(p, tokens)
 		}
