committer: one desk for the calls and actions of both logs

Cleanup: keeper/log_loop.go and committer restored a core, held its callers and carried its actions out with the same hundred lines. Ruled out: one loop for both; reads between two events and proposals that are answered before they enter the log belong to the chat interface alone.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -28,22 +28,9 @@
 	storeRetry = 200 * time.Millisecond
 )
 
-// Errors of calls to the log. Compare with errors.Is.
-var (
-	// ErrNotLeader says that nothing was proposed.
-	ErrNotLeader = merry.Sentinel("this keeper does not lead")
-	// ErrOutcomeLost says that the leader's role was lost with the call under
-	// way.
-	ErrOutcomeLost = merry.Sentinel("the leader's role was lost before the outcome was known")
-	// ErrBusy says that too many events wait for the disk; nothing was done.
-	ErrBusy = merry.Sentinel("too many events wait for the disk")
-)
-
-// Store keeps rows durably: Apply returns after the sync.
-type Store interface {
-	Apply([]storer.Row) error
-	Each(bucket string, f func(key string, value []byte) error) error
-}
+// ErrBusy says that too many events wait for the disk; nothing was done.
+// Compare with errors.Is.
+var ErrBusy = merry.Sentinel("too many events wait for the disk")
 
 // State is what the log has shown to the outside; immutable.
 type State struct {
@@ -82,13 +69,7 @@
 type call struct {
 	event replicator.Event
 	peers []string
-	done  chan answer
-}
-
-type answer struct {
-	result any
-	index  uint64
-	err    error
+	done  chan Outcome
 }
 
 // Options describe a loop.
@@ -108,9 +89,7 @@
 	options Options
 	core    *replicator.Core
 	calls   chan call
-	ticket  replicator.Ticket
-	// Waiting maps tickets to the callers' channels.
-	waiting map[replicator.Ticket]chan answer
+	desk    Desk[Outcome]
 	state   atomic.Pointer[State]
 	ended   chan struct{}
 }
@@ -118,20 +97,11 @@
 // New restores the log from the store.
 func New(o Options) (*Loop, error) {
 	l := &Loop{
-		options: o, calls: make(chan call, queueMost),
-		waiting: map[replicator.Ticket]chan answer{}, ended: make(chan struct{}),
+		options: o, calls: make(chan call, queueMost), ended: make(chan struct{}),
+		desk: NewDesk(func(o Outcome) Outcome { return o }),
 	}
 	l.core = replicator.NewCore(o.Core)
-	disk := l.core.NewRestorer()
-	for _, b := range replicator.Buckets {
-		if err := o.Store.Each(b, func(key string, value []byte) error {
-			disk.Row(b, key, append([]byte(nil), value...))
-			return nil
-		}); err != nil {
-			return nil, err
-		}
-	}
-	actions, err := disk.Start(time.Now())
+	actions, err := Restore(l.core, o.Store)
 	if err != nil {
 		return nil, err
 	}
@@ -183,10 +153,10 @@
 		case nil:
 			l.core.SetPeers(c.peers)
 		case replicator.Propose:
-			e.Ticket = l.wait(c.done)
+			e.Ticket = l.desk.Wait(c.done)
 			actions = append(actions, l.core.Step(now, e)...)
 		case replicator.Read:
-			actions = append(actions, l.core.Step(now, replicator.Read{Ticket: l.wait(c.done)})...)
+			actions = append(actions, l.core.Step(now, replicator.Read{Ticket: l.desk.Wait(c.done)})...)
 		default:
 			actions = append(actions, l.core.Step(now, e)...)
 		}
@@ -194,41 +164,11 @@
 	return l.carryOut(ctx, actions)
 }
 
-func (l *Loop) wait(done chan answer) replicator.Ticket {
-	l.ticket++
-	l.waiting[l.ticket] = done
-	return l.ticket
-}
-
-// carryOut syncs all rows before anything leaves the process.
 func (l *Loop) carryOut(ctx context.Context, actions []replicator.Action) error {
-	var rows []storer.Row
-	for _, a := range actions {
-		if w, ok := a.(replicator.Write); ok {
-			rows = append(rows, storer.Row(w))
-		}
-	}
-	if err := l.sync(ctx, rows); err != nil {
-		return err
-	}
-	l.publish()
-	for _, a := range actions {
-		switch a := a.(type) {
-		case replicator.Send:
-			l.options.Send(a.Message)
-		case replicator.Answered:
-			l.answer(a.Ticket, answer{result: a.Result})
-		case replicator.Confirmed:
-			l.answer(a.Ticket, answer{index: a.Index})
-		case replicator.Lost:
-			l.answer(a.Ticket, answer{err: ErrOutcomeLost})
-		case replicator.Rejected:
-			l.answer(a.Ticket, answer{err: ErrNotLeader})
-		case replicator.Halt:
-			return a.Err
-		}
-	}
-	return nil
+	return l.desk.CarryOut(actions, Ports{
+		Sync: func(rows []storer.Row) error { return l.sync(ctx, rows) },
+		Show: l.publish, Send: l.options.Send,
+	})
 }
 
 // sync writes the rows until the disk takes them. The core is ahead of a disk
@@ -258,13 +198,6 @@
 	}
 }
 
-func (l *Loop) answer(t replicator.Ticket, a answer) {
-	if done := l.waiting[t]; done != nil {
-		delete(l.waiting, t)
-		done <- a
-	}
-}
-
 // publish shows the state whose rows are synced.
 func (l *Loop) publish() {
 	old := l.state.Load()
@@ -302,18 +235,18 @@
 }
 
 // do hands an event to the loop and waits for its answer.
-func (l *Loop) do(ctx context.Context, e replicator.Event) (answer, error) {
-	c := call{event: e, done: make(chan answer, 1)}
+func (l *Loop) do(ctx context.Context, e replicator.Event) (Outcome, error) {
+	c := call{event: e, done: make(chan Outcome, 1)}
 	if err := l.put(c); err != nil {
-		return answer{}, err
+		return Outcome{}, err
 	}
 	select {
-	case a := <-c.done:
-		return a, a.err
+	case o := <-c.done:
+		return o, o.Err
 	case <-ctx.Done():
-		return answer{}, ctx.Err()
+		return Outcome{}, ctx.Err()
 	case <-l.ended:
-		return answer{}, ErrOutcomeLost
+		return Outcome{}, ErrOutcomeLost
 	}
 }
 
@@ -327,15 +260,15 @@
 
 // Propose commits a change and returns what the machine made of it.
 func (l *Loop) Propose(ctx context.Context, data []byte) (any, error) {
-	a, err := l.do(ctx, replicator.Propose{Data: data})
-	return a.result, err
+	o, err := l.do(ctx, replicator.Propose{Data: data})
+	return o.Result, err
 }
 
 // Confirm returns an index that covers all that was acknowledged before the
 // call, confirmed by a majority after it.
 func (l *Loop) Confirm(ctx context.Context) (uint64, error) {
-	a, err := l.do(ctx, replicator.Read{})
-	return a.index, err
+	o, err := l.do(ctx, replicator.Read{})
+	return o.Index, err
 }
 
 // Reached waits until everything up to an index is applied here.
--- a/keeper/log_loop.go
+++ b/keeper/log_loop.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"rattanhoist.example/rattanhoist/committer"
 	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/replicator"
@@ -28,21 +29,6 @@
 // logVars holds the state of the log of each keeper in this process.
 var logVars = expvar.NewMap("configuration_log")
 
-// Errors of calls to the log. Compare with errors.Is.
-var (
-	// errNotLeader says that nothing was proposed.
-	errNotLeader = merry.Sentinel("this keeper does not lead")
-	// errOutcomeLost says that the leader's role was lost with the call under
-	// way.
-	errOutcomeLost = merry.Sentinel("the leader's role was lost before the outcome was known")
-)
-
-// rowStore keeps rows durably: Apply returns after the sync.
-type rowStore interface {
-	Apply([]storer.Row) error
-	Each(bucket string, f func(key string, value []byte) error) error
-}
-
 // logState is what the log has shown to the outside; immutable.
 type logState struct {
 	version uint64
@@ -81,15 +67,13 @@
 // rows of all waiting events in one commit, and only then sends and answers.
 type logLoop struct {
 	callQueue[logCall]
-	core   *replicator.Core
-	book   *configurer.Book
-	store  rowStore
-	send   func(*messenger.LogMessage)
-	log    *zap.Logger
-	ticket replicator.Ticket
-	// Waiting maps tickets to the callers' channels.
-	waiting map[replicator.Ticket]chan logAnswer
-	state   atomic.Pointer[logState]
+	core  *replicator.Core
+	book  *configurer.Book
+	store committer.Store
+	send  func(*messenger.LogMessage)
+	log   *zap.Logger
+	desk  committer.Desk[logAnswer]
+	state atomic.Pointer[logState]
 	// Whole is the configuration of wholeVersion, made when first asked for.
 	whole        *messenger.Configuration
 	wholeVersion uint64
@@ -160,26 +144,16 @@
 }
 
 // newLogLoop restores the log from the store.
-func newLogLoop(name string, peers []string, store rowStore, r *rand.Rand, log *zap.Logger, send func(*messenger.LogMessage)) (*logLoop, error) {
+func newLogLoop(name string, peers []string, store committer.Store, r *rand.Rand, log *zap.Logger, send func(*messenger.LogMessage)) (*logLoop, error) {
 	l := &logLoop{
 		book: configurer.NewBook(), store: store, send: send, log: log,
-		callQueue: newCallQueue[logCall](logBatch),
-		waiting:   map[replicator.Ticket]chan logAnswer{},
+		callQueue: newCallQueue[logCall](logBatch), desk: committer.NewDesk(answerOf),
 	}
 	l.core = replicator.NewCore(replicator.Options{
 		Name: name, Peers: peers, Voters: voters(len(peers) + 1), Timing: replicator.DefaultTiming(),
 		Rand: r, Machine: bookMachine{book: l.book},
 	})
-	disk := l.core.NewRestorer()
-	for _, b := range replicator.Buckets {
-		if err := store.Each(b, func(key string, value []byte) error {
-			disk.Row(b, key, append([]byte(nil), value...))
-			return nil
-		}); err != nil {
-			return nil, err
-		}
-	}
-	actions, err := disk.Start(time.Now())
+	actions, err := committer.Restore(l.core, store)
 	if err != nil {
 		return nil, merry.Errorf("%w; to come back, stop this keeper, move its data folder away and start it: it copies from the others", err)
 	}
@@ -220,7 +194,7 @@
 			e, answers[i] = l.proposal(c)
 		}
 		if _, ok := e.(replicator.Read); ok {
-			e = replicator.Read{Ticket: l.wait(c.done)}
+			e = replicator.Read{Ticket: l.desk.Wait(c.done)}
 		}
 		if e != nil {
 			actions = append(actions, l.core.Step(now, e)...)
@@ -243,7 +217,7 @@
 // proposal returns the event for a change, or its answer where it needs none.
 func (l *logLoop) proposal(c logCall) (replicator.Event, logAnswer) {
 	if !l.core.Ready() {
-		return nil, logAnswer{err: errNotLeader}
+		return nil, logAnswer{err: committer.ErrNotLeader}
 	}
 	if r, ok := l.book.Peek(c.change); ok {
 		return nil, logAnswer{reply: r}
@@ -253,51 +227,16 @@
 	if err != nil {
 		return nil, logAnswer{err: err}
 	}
-	return replicator.Propose{Ticket: l.wait(c.done), Data: data}, logAnswer{}
-}
-
-func (l *logLoop) wait(done chan logAnswer) replicator.Ticket {
-	l.ticket++
-	l.waiting[l.ticket] = done
-	return l.ticket
+	return replicator.Propose{Ticket: l.desk.Wait(c.done), Data: data}, logAnswer{}
 }
 
-// carryOut syncs all rows before anything leaves the process.
 func (l *logLoop) carryOut(actions []replicator.Action) error {
-	var rows []storer.Row
-	for _, a := range actions {
-		if w, ok := a.(replicator.Write); ok {
-			rows = append(rows, storer.Row(w))
-		}
-	}
-	if err := l.store.Apply(rows); err != nil {
-		return err
-	}
-	l.publish()
-	for _, a := range actions {
-		switch a := a.(type) {
-		case replicator.Send:
-			l.send(a.Message)
-		case replicator.Answered:
-			l.answer(a.Ticket, logAnswer{reply: a.Result.(*messenger.ProposeReply)})
-		case replicator.Confirmed:
-			l.answer(a.Ticket, logAnswer{index: a.Index})
-		case replicator.Lost:
-			l.answer(a.Ticket, logAnswer{err: errOutcomeLost})
-		case replicator.Rejected:
-			l.answer(a.Ticket, logAnswer{err: errNotLeader})
-		case replicator.Halt:
-			return a.Err
-		}
-	}
-	return nil
+	return l.desk.CarryOut(actions, committer.Ports{Sync: l.store.Apply, Show: l.publish, Send: l.send})
 }
 
-func (l *logLoop) answer(t replicator.Ticket, a logAnswer) {
-	if done := l.waiting[t]; done != nil {
-		delete(l.waiting, t)
-		done <- a
-	}
+func answerOf(o committer.Outcome) logAnswer {
+	reply, _ := o.Result.(*messenger.ProposeReply)
+	return logAnswer{reply: reply, index: o.Index, err: o.Err}
 }
 
 // publish shows the state whose rows are synced.
--- a/keeper/log_peers.go
+++ b/keeper/log_peers.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"rattanhoist.example/rattanhoist/committer"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/replicator"
 )
@@ -132,7 +133,7 @@
 		return r.GetIndex(), err
 	}
 	if l != s.keeper.self.Name() {
-		return 0, errNotLeader
+		return 0, committer.ErrNotLeader
 	}
 	a, err := s.loop.do(ctx, logCall{event: replicator.Read{}})
 	return a.index, err
--- a/keeper/log_propose.go
+++ b/keeper/log_propose.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"rattanhoist.example/rattanhoist/committer"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
@@ -32,7 +33,7 @@
 	}
 	if r.Forwarded {
 		out, err := s.proposeHere(ctx, r.Change)
-		if errors.Is(err, errNotLeader) {
+		if errors.Is(err, committer.ErrNotLeader) {
 			return nil, status.Error(codes.FailedPrecondition, err.Error())
 		}
 		return out, err
@@ -50,7 +51,7 @@
 		if err == nil {
 			return out, nil
 		}
-		begun = begun || !errors.Is(err, errNotLeader)
+		begun = begun || !errors.Is(err, committer.ErrNotLeader)
 		if !begun && time.Since(started) > leaderWait {
 			return nil, s.notBegun()
 		}
@@ -65,7 +66,7 @@
 	}
 }
 
-// proposeOnce tries the leader that is known now; errNotLeader says that
+// proposeOnce tries the leader that is known now; committer.ErrNotLeader says that
 // nothing was begun.
 func (s *configurationServer) proposeOnce(ctx context.Context, c *messenger.Change) (*messenger.ProposeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTry)
@@ -75,12 +76,12 @@
 		go s.endWithLeader(ctx, cancel, l)
 		out, err := p.configuration().Propose(ctx, &messenger.ProposeRequest{Change: c, Forwarded: true})
 		if status.Code(err) == codes.FailedPrecondition {
-			return nil, errNotLeader
+			return nil, committer.ErrNotLeader
 		}
 		return out, err
 	}
 	if l != s.keeper.self.Name() {
-		return nil, errNotLeader
+		return nil, committer.ErrNotLeader
 	}
 	return s.proposeHere(ctx, c)
 }
