--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -19,6 +19,8 @@
 trap stop EXIT
 trap 'exit 130' INT TERM
 trap 'exit 141' PIPE
+# One decision of where a prompt goes, at 12 and at 216 endpoints.
+go test -run "^$" -bench Choose ./predictor
 go build -o "$work/" ./cmd/rattanhoist ./cmd/rattanhoist-standin
 sed 's/127\.[0-9]*\./127.218./g' deployments/adwenpa/rattanhoist.ini >"$work/rattanhoist.ini"
 cd "$work"
