allotter: the fuzz runs a second keeper's ledger, restored at other times

Test: a shadow ledger gets the same entries and its own restarts; answers and balances must be equal.

--- a/allotter/fuzz_test.go
+++ b/allotter/fuzz_test.go
@@ -1,8 +1,10 @@
 package allotter_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -51,6 +53,10 @@
 	offset, keeper time.Duration
 	// Passed says that a moment bears the other keeper's time too.
 	passed bool
+	// Shadow is another keeper's ledger: it gets the same entries and is restored
+	// from its own snapshots at other times. Parted is how it was seen to differ.
+	shadow *allotter.Ledger
+	parted string
 	// Rand is seeded by the property's one draw: steps that are drawn one by
 	// one come out too small to use a total up.
 	rand *rand.Rand
@@ -105,7 +111,7 @@
 		}
 		x.LeaderMs = w.now.Add(w.offset).UnixMilli() - x.AgeMs
 	}
-	grants := w.ledger.Claim(c)
+	grants := w.apply(c)
 	if lost || c.Closing || c.Incarnation != m.incarnation || !m.alive || grants.Ended || c.Sequence != m.sequence {
 		return
 	}
@@ -159,7 +165,7 @@
 		if w.rand.IntN(20) == 0 {
 			w.total += int64(w.rand.IntN(10_001))
 		}
-		w.ledger.SetTotals([]*messenger.PrepaidTotal{{Workspace: workspace, Tokens: w.total}})
+		w.setTotal()
 		w.reload()
 	}
 }
@@ -199,10 +205,35 @@
 
 func (w *world) reload() {
 	if w.coin() {
-		s := &messenger.FleetSnapshot{}
-		w.ledger.Snapshot(s)
-		w.ledger = allotter.Restore(s)
+		w.ledger = restored(w.ledger)
 	}
+	if w.coin() {
+		w.shadow = restored(w.shadow)
+	}
+}
+
+func restored(l *allotter.Ledger) *allotter.Ledger {
+	s := &messenger.FleetSnapshot{}
+	l.Snapshot(s)
+	return allotter.Restore(s)
+}
+
+func (w *world) setTotal() {
+	for _, l := range []*allotter.Ledger{w.ledger, w.shadow} {
+		l.SetTotals([]*messenger.PrepaidTotal{{Workspace: workspace, Tokens: w.total}})
+	}
+}
+
+// apply commits a claim at both keepers.
+func (w *world) apply(c *messenger.RightsChange) *messenger.RightsGrants {
+	a, b := w.ledger.Claim(c), w.shadow.Claim(proto.Clone(c).(*messenger.RightsChange))
+	if w.parted == "" && !proto.Equal(a, b) {
+		w.parted = "answers differ: " + a.String() + " and " + b.String()
+	}
+	if x, y := w.ledger.Balances(), w.shadow.Balances(); w.parted == "" && !slices.Equal(x, y) {
+		w.parted = fmt.Sprintf("balances differ: %+v and %+v", x, y)
+	}
+	return a
 }
 
 // useUp ends all that is under way and spends what is left: a token that is
@@ -239,18 +270,21 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
-		w := &world{rand: rand.New(rand.NewPCG(seed, 0)), ledger: allotter.NewLedger(), now: time.Unix(1000, 0)}
+		w := &world{rand: rand.New(rand.NewPCG(seed, 0)), ledger: allotter.NewLedger(), shadow: allotter.NewLedger(), now: time.Unix(1000, 0)}
 		for _, n := range []string{"a", "b", "c"} {
 			m := &machine{name: n}
 			w.start(m)
 			w.machines = append(w.machines, m)
 		}
 		w.total = int64(20_000 + w.rand.IntN(60_000))
-		w.ledger.SetTotals([]*messenger.PrepaidTotal{{Workspace: workspace, Tokens: w.total}})
+		w.setTotal()
 		for range steps {
 			w.step()
 		}
 		w.useUp()
+		if w.parted != "" {
+			t.Fatalf("two keepers part over the same entries, one restored from a snapshot: %s", w.parted)
+		}
 		if w.delivered > w.total {
 			t.Fatalf("delivered %d of %d tokens", w.delivered, w.total)
 		}
