narrator: a story begins with what was last told of the workspace's total

Cause: the incident's 402 answers showed no sign of the total in their stories: the keepers' line was older than the second and a half around the request. Change: the last line about the workspace's total before the story is part of it.

--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -159,6 +159,9 @@
 	return s
 }
 
+// totalMessage is the keepers' line about where a workspace's total is.
+const totalMessage = "prepaid total"
+
 // states are messages that stay true until another of the same kind, so the
 // last one before a request belongs to its story however old it is.
 var states = map[string]string{
@@ -183,17 +186,24 @@
 }
 
 // Before returns the last line of each kind of state that a request's process
-// had written before the request came.
+// had written before its story begins, and the last one about its workspace's
+// total.
 func Before(all, story []*Line) []*Line {
-	if len(story) == 0 {
+	i := slices.IndexFunc(story, func(l *Line) bool { return l.Own })
+	if i < 0 {
 		return nil
 	}
-	i := slices.IndexFunc(story, func(l *Line) bool { return l.Own })
 	process, at := story[i].Process, story[0].Time()
+	workspace := scopeOf(story[i : i+1]).workspace
 	last := map[string]*Line{}
 	for _, l := range all {
 		kind, ok := states[l.Message]
-		if !ok || l.Process != process || !l.Time().Before(at) {
+		if l.Message == totalMessage {
+			kind, ok = totalMessage, l.Fields["workspace"] == workspace
+		} else {
+			ok = ok && l.Process == process
+		}
+		if !ok || !l.Time().Before(at) {
 			continue
 		}
 		if o := last[kind]; o == nil || o.Time().Before(l.Time()) {
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -47,7 +47,8 @@
 			line(100.2, "r1", "ended", `,"request":"other","status":200`) +
 			line(100.3, "r1", "endpoint out of service", `,"endpoint":"i-9"`) +
 			line(100.4, "r1", "ended", `,"request":"x1","status":503,"took":0.5,"workspace":"w","why":"prepaid rights are out of reach"`),
-		"k1.log": line(100.1, "k1", "prepaid total", `,"workspace":"w","left":0`) +
+		"k1.log": line(50, "k1", "prepaid total", `,"workspace":"v","left":9`) + line(60, "k1", "prepaid total", `,"workspace":"w","left":9`) +
+			line(100.1, "k1", "prepaid total", `,"workspace":"w","left":0`) +
 			line(100.1, "k1", "prepaid total", `,"workspace":"v","left":0`) +
 			line(100.2, "k1", "log", `,"leader":"k2"`),
 		"r2.log": line(100.1, "r2", "rights borrowed", `,"tokens":1`),
@@ -55,7 +56,7 @@
 	story := narrator.Story(all, "x1")
 	g.Expect(told(story)).To(gomega.Equal([]string{"r1: rights borrowed", "k1: prepaid total", "k1: log", "r1: ended"}))
 	g.Expect(told(narrator.Before(all, story))).To(gomega.Equal([]string{
-		"r1: configuration in force", "r1: no keeper answers; serving what is known",
+		"k1: prepaid total", "r1: configuration in force", "r1: no keeper answers; serving what is known",
 	}))
 	g.Expect(narrator.Story(all, "x2")).To(gomega.BeEmpty())
 }
