courier: a keeper without a majority delays no question; claims go to one that has

The claim waited at the same keeper, and the router died 0.05 s after the next one was found. Change: any answer ends the wait; the first keeper to answer after a cut becomes the current one, and a claim under way is made anew when another one does.

--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -78,8 +78,8 @@
 	// Near holds the other routers' addresses for datagrams.
 	near atomic.Pointer[[]netip.AddrPort]
 	news atomic.Pointer[news]
-	// Back is told when keepers answer again.
-	back chan struct{}
+	// Turned is told when another keeper is the current one.
+	turned chan struct{}
 	// Touched is when a keeper last answered, as time since start.
 	touched atomic.Int64
 
@@ -120,7 +120,7 @@
 		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
 		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[string]*predictor.Endpoint{},
 		revisions: map[string]uint64{}, owing: map[string]bool{}, silent: map[string]time.Time{},
-		answers: make(chan reply), back: make(chan struct{}, 1),
+		answers: make(chan reply), turned: make(chan struct{}, 1),
 	}
 	f.known.Store(1)
 	for _, s := range o.Node.Seeds() {
@@ -225,23 +225,19 @@
 	}
 }
 
-// await takes answers in until one is of use, one fails, or a time has passed;
-// it reports whether one was of use.
+// await waits for one answer, or a failure, for a time; it reports whether it is
+// of use. One that is not, as of a keeper without a majority, is no reason to wait
+// for another.
 func (f *fleet) await(ctx context.Context, wait time.Duration) bool {
 	t := time.NewTimer(wait)
 	defer t.Stop()
-	for {
-		select {
-		case a := <-f.answers:
-			if fresh, ok := f.answer(ctx, a); fresh || !ok {
-				return fresh
-			}
-		case <-t.C:
-			return false
-		case <-ctx.Done():
-			return false
-		}
+	select {
+	case a := <-f.answers:
+		return f.answer(ctx, a)
+	case <-t.C:
+	case <-ctx.Done():
 	}
+	return false
 }
 
 // listen takes late answers in until a time has passed.
@@ -269,21 +265,37 @@
 	sent time.Time
 }
 
-// answer takes one reply in: fresh tells that a majority confirmed lately what
-// the keeper says, ok that it answered at all.
-func (f *fleet) answer(ctx context.Context, a reply) (fresh, ok bool) {
+// answer takes one reply in and reports whether a majority confirmed lately what
+// the keeper says.
+func (f *fleet) answer(ctx context.Context, a reply) bool {
 	f.settle(a)
 	if a.err != nil {
 		f.failure = a.err
-		return false, false
+		return false
 	}
+	regained := f.lost
 	f.take(ctx, a.link, a.body, a.sent)
 	age := time.Duration(a.body.ConfirmedAgeMs) * time.Millisecond
-	fresh = a.body.ConfirmedAgeMs >= 0 && age < freshWithin
-	if fresh || f.current.Load() == nil {
-		f.current.Store(a.link)
+	fresh := a.body.ConfirmedAgeMs >= 0 && age < freshWithin
+	// After a cut the first to answer is as good as any: the one before may be
+	// cut off still, or the connection to it not notice for seconds that the cut
+	// is over.
+	if fresh || regained || f.current.Load() == nil {
+		f.turnTo(a.link)
+	}
+	return fresh
+}
+
+// turnTo makes a keeper the one that takes claims, and tells the one that makes
+// them if it is another than before.
+func (f *fleet) turnTo(l *messenger.Link) {
+	if f.current.Swap(l) == l {
+		return
+	}
+	select {
+	case f.turned <- struct{}{}:
+	default:
 	}
-	return fresh, true
 }
 
 // settle notes that a keeper owes nothing any more.
@@ -335,10 +347,6 @@
 	if f.lost {
 		f.lost = false
 		f.o.Log.Info("keepers answer again", zap.String("keeper", l.Address()), zap.Duration("silence", f.untouched()))
-		select {
-		case f.back <- struct{}{}:
-		default:
-		}
 	}
 	if now.Sub(f.touchedAt) > time.Second {
 		f.touchSince = now
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -176,9 +176,9 @@
 			return
 		case <-time.After(r.fleet.paced(claimEvery, claimPacedMost)):
 		case <-r.urgent:
-		case <-r.fleet.back:
+		case <-r.fleet.turned:
 		}
-		timeout = r.claimUntilBack(ctx, timeout)
+		timeout = r.claimAnew(ctx, timeout)
 		time.Sleep(r.fleet.paced(claimPause, claimPacedMost))
 	}
 }
@@ -227,12 +227,12 @@
 	return &messenger.LeaveRightsReply{}, nil
 }
 
-// claimUntilBack is claim, begun anew if keepers answer again meanwhile. What
-// the keepers know of this router is as old as the cut, and would be written off
-// by that time if it died: one that was killed 0.6 s after a cut of eight
-// seconds, with its claim still waiting for a keeper that was cut off, cost 14
-// in 100 of all totals.
-func (r *rights) claimUntilBack(ctx context.Context, timeout time.Duration) time.Duration {
+// claimAnew is claim, begun anew if another keeper becomes the current one
+// meanwhile. After a cut, what the keepers know of this router is as old as the
+// cut, and would be written off by that time if it died: one that was killed
+// 0.6 s after a cut of eight seconds, with its claim still waiting at a keeper that
+// knew no leader, cost 14 in 100 of all totals.
+func (r *rights) claimAnew(ctx context.Context, timeout time.Duration) time.Duration {
 	once, cancel := context.WithCancel(ctx)
 	defer cancel()
 	next := make(chan time.Duration, 1)
@@ -240,7 +240,7 @@
 	select {
 	case t := <-next:
 		return t
-	case <-r.fleet.back:
+	case <-r.fleet.turned:
 		cancel()
 		<-next
 		return r.claim(ctx, claimTimeout)
