committer: waiting for an index stands once

Reading: committer and keeper/log_loop.go waited with the same loop. Both use committer.Reached; what differs, the error at the end, is passed in.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -273,17 +273,8 @@
 
 // Reached waits until everything up to an index is applied here.
 func (l *Loop) Reached(ctx context.Context, index uint64) error {
-	for {
+	return Reached(ctx, func() (uint64, <-chan struct{}) {
 		s := l.state.Load()
-		if s.applied >= index {
-			return nil
-		}
-		select {
-		case <-s.changed:
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-l.ended:
-			return ErrOutcomeLost
-		}
-	}
+		return s.applied, s.changed
+	}, index, l.ended, ErrOutcomeLost)
 }
--- a/committer/desk.go
+++ b/committer/desk.go
@@ -1,6 +1,7 @@
 package committer
 
 import (
+	"context"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -69,6 +70,28 @@
 	return d.ticket
 }
 
+// Applied is how far a log is applied, with a channel that is closed once it is
+// applied further.
+type Applied func() (index uint64, changed <-chan struct{})
+
+// Reached waits until a log is applied up to an index. It returns gone if the log
+// ends first.
+func Reached(ctx context.Context, applied Applied, index uint64, ended <-chan struct{}, gone error) error {
+	for {
+		at, changed := applied()
+		if at >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ended:
+			return gone
+		}
+	}
+}
+
 // Ports are what a core's actions need.
 type Ports struct {
 	// Sync returns once the rows are durable.
--- a/keeper/log_loop.go
+++ b/keeper/log_loop.go
@@ -307,17 +307,8 @@
 
 // reached waits until everything up to an index is applied here.
 func (l *logLoop) reached(ctx context.Context, index uint64) error {
-	for {
+	return committer.Reached(ctx, func() (uint64, <-chan struct{}) {
 		s := l.state.Load()
-		if s.applied >= index {
-			return nil
-		}
-		select {
-		case <-s.changed:
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-l.ended:
-			return storer.ErrStore
-		}
-	}
+		return s.applied, s.changed
+	}, index, l.ended, storer.ErrStore)
 }
