--- a/commander/explain_logs_test.go
+++ b/commander/explain_logs_test.go
@@ -22,6 +22,11 @@
 00:01:40.000  -      r1       -        no keeper answers; serving what is known  silence=0.9
 00:01:44.000  -      r1       x1       ended                                     request="x1" status=503 took=0.5 why="prepaid rights are out of reach"
 `))
+	out, _, _ = b.run("explain", "x1", "--logs", file, "--output", "json")
+	g.Expect(out).To(gomega.MatchJSON(`[
+		{"process":"r1","at":"1970-01-01T00:01:40Z","offset_ms":0,"message":"no keeper answers; serving what is known","fields":{"silence":0.9},"own":false},
+		{"process":"r1","at":"1970-01-01T00:01:44Z","offset_ms":0,"message":"ended","fields":{"request":"x1","status":503,"took":0.5,"why":"prepaid rights are out of reach"},"own":true}
+	]`))
 	_, errOut, code := b.run("explain", "x2", "--logs", file)
 	g.Expect(code).To(gomega.Equal(ExitFailed))
 	g.Expect(errOut).To(gomega.ContainSubstring(`no line of 2 names request "x2"`))
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -28,7 +28,8 @@
 	around = 1500 * time.Millisecond
 )
 
-// Line is one line of a log.
+// Line is one line of a log. As JSON it has the fields process, at, offset_ms,
+// message, fields and own.
 type Line struct {
 	// Process wrote the line; At is when by its own clock, and Offset how far
 	// that is ahead of the others'.
@@ -46,6 +47,18 @@
 // Time is when the line was written by the clocks that most processes share.
 func (l *Line) Time() time.Time { return l.At.Add(-l.Offset) }
 
+// MarshalJSON writes the line as other programs read it.
+func (l *Line) MarshalJSON() ([]byte, error) {
+	return json.Marshal(struct {
+		Process  string         `json:"process"`
+		At       time.Time      `json:"at"`
+		OffsetMS int64          `json:"offset_ms"`
+		Message  string         `json:"message"`
+		Fields   map[string]any `json:"fields"`
+		Own      bool           `json:"own"`
+	}{l.Process, l.At, l.Offset.Milliseconds(), l.Message, l.Fields, l.Own})
+}
+
 // Text returns the fields as text, by name.
 func (l *Line) Text() string {
 	var parts []string
