--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -28,10 +28,6 @@
 type entry struct {
 	beat  Beat
 	heard time.Time
-	// First is when the incarnation was first heard of here.
-	first time.Time
-	// Revision is the table's when the beat last changed in substance.
-	revision uint64
 }
 
 // Table is pure: time comes in as an argument. Not safe for concurrent use.
@@ -81,7 +77,7 @@
 	news := b.Leaving != e.beat.Leaving || b.Address != e.beat.Address || b.Slots != e.beat.Slots
 	e.beat = b
 	if news {
-		t.touch(e)
+		t.revision++
 	}
 	return news
 }
@@ -97,16 +93,11 @@
 		t.remove(old)
 		t.left[old] = now
 	}
-	e := &entry{beat: b, heard: heard, first: now}
+	e := &entry{beat: b, heard: heard}
 	t.entries[b.ID] = e
 	t.byAddress[b.Address] = b.ID
-	t.touch(e)
-	return true
-}
-
-func (t *Table) touch(e *entry) {
 	t.revision++
-	e.revision = t.revision
+	return true
 }
 
 // Leave takes an incarnation out for good.
