An endpoint may start again under its id; foreign heartbeats are refused

Cause: the id was taken for the incarnation, from the heartbeat to the connection. An endpoint that started again counts its heartbeats anew, so its heartbeats were dropped until it had been silent for six of them; one that had left was never heard again; routers kept what they believed of the life before, its connections too.

Change: an incarnation is id and start (enroller.Incarnation), from platform to keeper, log, router and connection. A late heartbeat or leave of an earlier life touches no later one. Counter and at most 5 log lines a second.

The process test's stand-in sent heartbeats without version and cold_remaining_ms, which no endpoint of the platform does; it sends them now.

Tests fail on a scratch copy in which starts are ignored and End does nothing.

--- a/courier/endpoint.go
+++ b/courier/endpoint.go
@@ -28,27 +28,34 @@
 	}
 	f.shown = f.roll.Revision()
 	byService := map[string][]*predictor.Endpoint{}
-	known := map[string]bool{}
+	known := map[enroller.Incarnation]bool{}
 	for _, s := range f.roll.Sightings(now) {
 		if s.Leaving {
 			continue
 		}
 		b, _ := enroller.BeatOf(s)
-		e := f.endpoints[b.ID]
+		e := f.endpoints[b.Incarnation]
 		if e == nil {
 			e = predictor.NewEndpoint(b)
-			f.endpoints[b.ID] = e
-			f.o.Log.Info("endpoint in service", zap.String("endpoint", b.ID), zap.String("service", b.Service), zap.String("zone", b.Zone))
+			f.endpoints[b.Incarnation] = e
+			f.o.Log.Info("endpoint in service", zap.Stringer("endpoint", b), zap.String("service", b.Service), zap.String("zone", b.Zone))
 		}
-		known[b.ID] = true
+		known[b.Incarnation] = true
 		byService[b.Service] = append(byService[b.Service], e)
 	}
 	f.table.Replace(byService)
-	for id := range f.endpoints {
-		if !known[id] {
-			delete(f.endpoints, id)
-			f.pool.Forget(id)
-			f.o.Log.Info("endpoint out of service", zap.String("endpoint", id))
+	for i := range f.endpoints {
+		if known[i] {
+			continue
+		}
+		delete(f.endpoints, i)
+		if n, ok := f.roll.Known(i.ID); ok && n != i {
+			// Its process has ended. Where no reset comes from there, the requests
+			// that it still had would wait for it until their deadline.
+			f.pool.End(i.String())
+		} else {
+			f.pool.Forget(i.String())
 		}
+		f.o.Log.Info("endpoint out of service", zap.Stringer("endpoint", i))
 	}
 }
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -72,7 +72,7 @@
 
 	// The rest belongs to the goroutine of run.
 	roll      *enroller.Table
-	endpoints map[string]*predictor.Endpoint
+	endpoints map[enroller.Incarnation]*predictor.Endpoint
 	revisions map[string]uint64
 	answers   chan reply
 	asked     int
@@ -94,7 +94,7 @@
 		o: o, table: table, pool: pool, start: time.Now(),
 		self:    &messenger.FleetMember{Address: o.Node.Internal(), Zone: o.Node.Zone(), Incarnation: incarnation},
 		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
-		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[string]*predictor.Endpoint{},
+		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{},
 		revisions: map[string]uint64{}, owing: map[string]bool{}, silent: map[string]time.Time{},
 		answers: make(chan reply), turned: make(chan struct{}, 1),
 	}
@@ -164,8 +164,8 @@
 		b, age := enroller.BeatOf(s)
 		f.roll.Hear(sent, b, age)
 	}
-	for _, id := range r.Left {
-		f.roll.Leave(now, id)
+	for _, l := range r.Left {
+		f.roll.Leave(now, enroller.LeaveOf(l))
 	}
 }
 
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
 )
@@ -24,11 +26,13 @@
 	messenger.UnimplementedFleetKeeperServer
 	sync, fetch atomic.Int64
 	// Age is how long ago a majority confirmed its copy, in milliseconds.
-	age     atomic.Int64
-	asked   atomic.Int64
-	claims  atomic.Int64
-	cut     atomic.Bool
-	content []byte
+	age   atomic.Int64
+	asked atomic.Int64
+	// Sightings are the endpoints that it tells of, at a revision of their own.
+	sightings atomic.Pointer[messenger.Sightings]
+	claims    atomic.Int64
+	cut       atomic.Bool
+	content   []byte
 }
 
 func pause(ctx context.Context, d int64) error {
@@ -42,7 +46,11 @@
 
 func (k *keeperStub) Sync(ctx context.Context, _ *messenger.SyncRequest) (*messenger.SyncReply, error) {
 	k.asked.Add(1)
-	return &messenger.SyncReply{Number: 1, ConfirmedAgeMs: k.age.Load()}, pause(ctx, k.sync.Load())
+	out := &messenger.SyncReply{Number: 1, ConfirmedAgeMs: k.age.Load()}
+	if s := k.sightings.Load(); s != nil {
+		out.Endpoints = s.Sightings
+	}
+	return out, pause(ctx, k.sync.Load())
 }
 
 func (k *keeperStub) Fetch(ctx context.Context, _ *messenger.FleetDocumentRequest) (*messenger.FleetDocumentReply, error) {
@@ -89,7 +97,8 @@
 		t.Fatal(err)
 	}
 	decode := func([]byte) (*publisher.Document, error) { return &publisher.Document{Number: 1}, nil }
-	f := newFleet(Options{Node: n, Log: zap.NewNop(), Decode: decode}, 1, predictor.NewTable("z"), nil)
+	belongs := func(http.Header, string) pooler.Belonging { return pooler.Own }
+	f := newFleet(Options{Node: n, Log: zap.NewNop(), Decode: decode}, 1, predictor.NewTable("z"), pooler.New(belongs, func() {}))
 	f.published = func(*publisher.Document) {}
 	clear(f.keepers)
 	for _, k := range keepers {
@@ -331,3 +340,39 @@
 	g.Eventually(k.claims.Load, 300*time.Millisecond, time.Millisecond).Should(gomega.Equal(int64(1)))
 	g.Eventually(ended, time.Second).Should(gomega.Receive(gomega.Equal(claimTimeout)))
 }
+
+// Symptom: requests wait until their deadline at an endpoint that is well.
+// Sequence: it loses power with requests under way and starts again under its id
+// and address; no reset comes from there.
+// Cause: the id taken for the incarnation.
+func TestRequestsAtAnEarlierLifeEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dark, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer dark.Close()
+	born := func(ms int64) *messenger.Sightings {
+		return &messenger.Sightings{Sightings: []*messenger.Sighting{{Id: "e", BornMs: ms, Service: "s", Address: dark.Addr().String(), Zone: "z", Slots: 1, Sequence: 1}}}
+	}
+	k := &keeperStub{}
+	k.sightings.Store(born(1))
+	f := startFleet(t, serveStub(t, k))
+	names := func() []string {
+		var out []string
+		for _, e := range f.table.Endpoints("s") {
+			out = append(out, e.Name())
+		}
+		return out
+	}
+	g.Eventually(names, 3*time.Second, 10*time.Millisecond).Should(gomega.Equal([]string{"e@1"}))
+	ended := make(chan error, 1)
+	go func() {
+		_, err := f.pool.Exchange(t.Context(), pooler.Target{ID: "e@1", Address: dark.Addr().String(), Most: 1}, &pooler.Request{Method: "GET", URI: "/", ID: "r"})
+		ended <- err
+	}()
+	g.Consistently(ended, 300*time.Millisecond).ShouldNot(gomega.Receive())
+	k.sightings.Store(born(2))
+	var got error
+	g.Eventually(ended, time.Second).Should(gomega.Receive(&got))
+	g.Expect(got).To(gomega.MatchError(pooler.ErrMayHaveRun), "the life before may have run it")
+	g.Expect(names()).To(gomega.Equal([]string{"e@2"}))
+}
--- a/courier/process_test.go
+++ b/courier/process_test.go
@@ -154,7 +154,7 @@
 
 func (f *fleet) beat(keeper int, id, address, state string, sequence int) int {
 	status, _ := f.call("PUT", f.control(keeper), "/v1/instances/"+id,
-		fmt.Sprintf(`{"service":"engine","address":%q,"zone":"z4","slots":8,"state":%q,"sequence":%d}`, address, state, sequence))
+		fmt.Sprintf(`{"service":"engine","address":%q,"zone":"z4","version":"v1","slots":8,"state":%q,"cold_remaining_ms":0,"sequence":%d}`, address, state, sequence))
 	return status
 }
 
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -7,13 +7,19 @@
 	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
+// ErrUnusable says that a heartbeat names no endpoint that can be used: some
+// other program wrote it. Compare with errors.Is.
+var ErrUnusable = merry.Sentinel("heartbeat is unusable")
+
 // Beat is one heartbeat of an endpoint.
 type Beat struct {
-	// ID is the endpoint's incarnation.
-	ID      string
+	Incarnation
+	// Service never changes in an incarnation.
 	Service string
 	Address string
 	Zone    string
@@ -30,14 +36,24 @@
 	heard time.Time
 }
 
+// departure is the end of an incarnation: it and all that were born before it
+// under the same id are gone for good.
+type departure struct {
+	bornMS int64
+	at     time.Time
+}
+
 // Table is pure: time comes in as an argument. Not safe for concurrent use.
 type Table struct {
 	// Silence is after how long an endpoint without heartbeats is forgotten.
 	silence time.Duration
+	// Entries holds by id the newest incarnation: of two under one id, the
+	// older one has ended.
 	entries map[string]*entry
-	// Left never loses an entry while the incarnation might still be heard.
-	left map[string]time.Time
-	// ByAddress holds the newest incarnation at each address.
+	// Left holds by id the last incarnation that ended. It never loses one
+	// that might still be heard.
+	left map[string]departure
+	// ByAddress holds the id of the newest incarnation at each address.
 	byAddress map[string]string
 	revision  uint64
 }
@@ -48,24 +64,53 @@
 
 // NewTable returns an empty table.
 func NewTable(silence time.Duration) *Table {
-	return &Table{silence: silence, entries: map[string]*entry{}, left: map[string]time.Time{}, byAddress: map[string]string{}}
+	return &Table{silence: silence, entries: map[string]*entry{}, left: map[string]departure{}, byAddress: map[string]string{}}
 }
 
 // Revision grows with every change but the age of what is known.
 func (t *Table) Revision() uint64 { return t.revision }
 
+// Known returns the newest incarnation under an id.
+func (t *Table) Known(id string) (Incarnation, bool) {
+	e := t.entries[id]
+	if e == nil {
+		return Incarnation{}, false
+	}
+	return e.beat.Incarnation, true
+}
+
+// Accepts reports whether a heartbeat agrees with what is known of its id: an
+// incarnation stays with its service, and one that has told its start goes on
+// telling it. Anything else was not written by that endpoint.
+func (t *Table) Accepts(b Beat) bool {
+	e := t.entries[b.ID]
+	if e == nil {
+		return true
+	}
+	if b.BornMS == 0 && e.beat.BornMS != 0 {
+		return false
+	}
+	return b.Incarnation != e.beat.Incarnation || b.Service == e.beat.Service
+}
+
 // Hear takes a heartbeat in that was made age ago. It reports whether it told
 // anything but that the endpoint is alive.
 func (t *Table) Hear(now time.Time, b Beat, age time.Duration) bool {
-	if _, gone := t.left[b.ID]; gone || age > t.silence {
+	if t.hasLeft(b.Incarnation) || age > t.silence || !t.Accepts(b) {
 		return false
 	}
 	heard := now.Add(-age)
 	e := t.entries[b.ID]
-	if e == nil {
+	switch {
+	case e == nil:
 		return t.enter(now, b, heard)
-	}
-	if b.Sequence < e.beat.Sequence {
+	case b.BornMS < e.beat.BornMS:
+		// Held up since before the endpoint started again.
+		return false
+	case b.BornMS > e.beat.BornMS:
+		t.end(now, e.beat.Incarnation)
+		return t.enter(now, b, heard)
+	case b.Sequence < e.beat.Sequence:
 		return false
 	}
 	if heard.After(e.heard) {
@@ -87,11 +132,12 @@
 // for good.
 func (t *Table) enter(now time.Time, b Beat, heard time.Time) bool {
 	if old := t.byAddress[b.Address]; old != "" && old != b.ID {
-		if o := t.entries[old]; o != nil && o.heard.After(heard) {
-			return false
+		if o := t.entries[old]; o != nil {
+			if o.heard.After(heard) {
+				return false
+			}
+			t.end(now, o.beat.Incarnation)
 		}
-		t.remove(old)
-		t.left[old] = now
 	}
 	e := &entry{beat: b, heard: heard}
 	t.entries[b.ID] = e
@@ -100,18 +146,36 @@
 	return true
 }
 
-// Leave takes an incarnation out for good.
-func (t *Table) Leave(now time.Time, id string) {
-	if _, known := t.left[id]; known {
+// Leave takes an incarnation out for good. One without a start stands for the
+// incarnation that is known now: the message that says so names the id alone.
+func (t *Table) Leave(now time.Time, i Incarnation) {
+	if _, known := t.left[i.ID]; known && i.BornMS == 0 || t.hasLeft(i) {
 		return
 	}
-	t.left[id] = now
-	t.remove(id)
+	if k, ok := t.Known(i.ID); ok && i.BornMS == 0 {
+		i = k
+	}
+	t.end(now, i)
 	t.revision++
 }
 
+// hasLeft reports whether an incarnation has ended.
+func (t *Table) hasLeft(i Incarnation) bool {
+	d, ok := t.left[i.ID]
+	return ok && i.BornMS <= d.bornMS
+}
+
+// end notes that an incarnation and those before it under its id are gone.
+func (t *Table) end(now time.Time, i Incarnation) {
+	t.left[i.ID] = departure{bornMS: i.BornMS, at: now}
+	if e := t.entries[i.ID]; e != nil && e.beat.BornMS <= i.BornMS {
+		t.remove(i.ID)
+	}
+}
+
 func (t *Table) remove(id string) {
 	if e := t.entries[id]; e != nil {
+		t.revision++
 		delete(t.entries, id)
 		if t.byAddress[e.beat.Address] == id {
 			delete(t.byAddress, e.beat.Address)
@@ -124,11 +188,10 @@
 	for id, e := range t.entries {
 		if now.Sub(e.heard) > t.silence {
 			t.remove(id)
-			t.revision++
 		}
 	}
-	for id, at := range t.left {
-		if now.Sub(at) > leftKept {
+	for id, d := range t.left {
+		if now.Sub(d.at) > leftKept {
 			delete(t.left, id)
 		}
 	}
@@ -146,7 +209,7 @@
 func (e *entry) sighting(now time.Time) *messenger.Sighting {
 	b := e.beat
 	return &messenger.Sighting{
-		Id: b.ID, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: uint32(max(b.Slots, 0)),
+		Id: b.ID, BornMs: b.BornMS, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: uint32(max(b.Slots, 0)),
 		Leaving: b.Leaving, AgeMs: max(now.Sub(e.heard), 0).Milliseconds(), ColdMs: b.Cold.Milliseconds(), Sequence: b.Sequence,
 	}
 }
@@ -154,7 +217,8 @@
 // BeatOf returns the heartbeat that a sighting tells of, and its age.
 func BeatOf(s *messenger.Sighting) (Beat, time.Duration) {
 	return Beat{
-		ID: s.Id, Service: s.Service, Address: s.Address, Zone: s.Zone, Slots: int(s.Slots), Leaving: s.Leaving,
+		Incarnation: Incarnation{ID: s.Id, BornMS: s.BornMs},
+		Service:     s.Service, Address: s.Address, Zone: s.Zone, Slots: int(s.Slots), Leaving: s.Leaving,
 		Cold: time.Duration(s.ColdMs) * time.Millisecond, Sequence: s.Sequence,
 	}, time.Duration(s.AgeMs) * time.Millisecond
 }
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -25,18 +25,18 @@
 func TestLateHeartbeatAfterALeave(t *testing.T) {
 	g := gomega.NewWithT(t)
 	x := enroller.NewTable(5 * time.Second)
-	x.Hear(start, enroller.Beat{ID: "a", Address: "1", Sequence: 3}, 0)
-	x.Leave(start, "a")
-	x.Hear(start.Add(time.Second), enroller.Beat{ID: "a", Address: "1", Sequence: 4}, 0)
+	x.Hear(start, enroller.Beat{Incarnation: enroller.Incarnation{ID: "a"}, Address: "1", Sequence: 3}, 0)
+	x.Leave(start, enroller.Incarnation{ID: "a"})
+	x.Hear(start.Add(time.Second), enroller.Beat{Incarnation: enroller.Incarnation{ID: "a"}, Address: "1", Sequence: 4}, 0)
 	g.Expect(ids(x, start)).To(gomega.BeEmpty())
 }
 
 func TestLeavingIsFinal(t *testing.T) {
 	g := gomega.NewWithT(t)
 	x := enroller.NewTable(5 * time.Second)
-	x.Hear(start, enroller.Beat{ID: "a", Address: "1", Sequence: 5, Leaving: true}, 0)
-	x.Hear(start, enroller.Beat{ID: "a", Address: "1", Sequence: 4}, 0)
-	x.Hear(start, enroller.Beat{ID: "a", Address: "1", Sequence: 6}, 0)
+	x.Hear(start, enroller.Beat{Incarnation: enroller.Incarnation{ID: "a"}, Address: "1", Sequence: 5, Leaving: true}, 0)
+	x.Hear(start, enroller.Beat{Incarnation: enroller.Incarnation{ID: "a"}, Address: "1", Sequence: 4}, 0)
+	x.Hear(start, enroller.Beat{Incarnation: enroller.Incarnation{ID: "a"}, Address: "1", Sequence: 6}, 0)
 	g.Expect(x.Sightings(start)[0].Leaving).To(gomega.BeTrue())
 }
 
@@ -48,16 +48,16 @@
 func TestHeldUpHeartbeatOfAPredecessor(t *testing.T) {
 	g := gomega.NewWithT(t)
 	x := enroller.NewTable(5 * time.Second)
-	x.Hear(start, enroller.Beat{ID: "old", Address: "1", Sequence: 3}, 0)
-	x.Hear(start.Add(time.Second), enroller.Beat{ID: "new", Address: "1", Sequence: 1}, 0)
-	x.Hear(start.Add(2*time.Second), enroller.Beat{ID: "old", Address: "1", Sequence: 9}, 0)
+	x.Hear(start, enroller.Beat{Incarnation: enroller.Incarnation{ID: "old"}, Address: "1", Sequence: 3}, 0)
+	x.Hear(start.Add(time.Second), enroller.Beat{Incarnation: enroller.Incarnation{ID: "new"}, Address: "1", Sequence: 1}, 0)
+	x.Hear(start.Add(2*time.Second), enroller.Beat{Incarnation: enroller.Incarnation{ID: "old"}, Address: "1", Sequence: 9}, 0)
 	g.Expect(ids(x, start)).To(gomega.Equal([]string{"new"}))
 }
 
 func TestSilentEndpointsAreForgotten(t *testing.T) {
 	g := gomega.NewWithT(t)
 	x := enroller.NewTable(5 * time.Second)
-	x.Hear(start, enroller.Beat{ID: "a", Address: "1"}, time.Second)
+	x.Hear(start, enroller.Beat{Incarnation: enroller.Incarnation{ID: "a"}, Address: "1"}, time.Second)
 	x.Expire(start.Add(3 * time.Second))
 	g.Expect(ids(x, start)).To(gomega.Equal([]string{"a"}))
 	before := x.Revision()
@@ -65,3 +65,92 @@
 	g.Expect(ids(x, start)).To(gomega.BeEmpty())
 	g.Expect(x.Revision()).To(gomega.BeNumerically(">", before))
 }
+
+func life(born int64, sequence uint64) enroller.Beat {
+	return enroller.Beat{Incarnation: enroller.Incarnation{ID: "a", BornMS: born}, Service: "s", Address: "1", Sequence: sequence}
+}
+
+func born(t *enroller.Table) []int64 {
+	var out []int64
+	for _, s := range t.Sightings(start) {
+		out = append(out, s.BornMs)
+	}
+	return out
+}
+
+// Symptom: an endpoint that started again under its id gets no work until its
+// silence has run out, or never.
+// Sequence: it counts its heartbeats anew, from 1; before that it had sent 400, or
+// had left.
+// Cause: the id taken for the incarnation.
+func TestAnEndpointThatStartedAgain(t *testing.T) {
+	for name, end := range map[string]func(*enroller.Table){
+		"crashed": func(*enroller.Table) {},
+		"left":    func(x *enroller.Table) { x.Leave(start, enroller.Incarnation{ID: "a", BornMS: 10}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			x := enroller.NewTable(5 * time.Second)
+			x.Hear(start, life(10, 400), 0)
+			end(x)
+			before := x.Revision()
+			g.Expect(x.Hear(start, life(20, 1), 0)).To(gomega.BeTrue())
+			g.Expect(born(x)).To(gomega.Equal([]int64{20}))
+			g.Expect(x.Revision()).To(gomega.BeNumerically(">", before))
+		})
+	}
+}
+
+// Symptom: an endpoint in service is taken out, or an old one put back.
+// Sequence: it has started again; a heartbeat or a leave of its life before,
+// held up on the way, arrives.
+// Cause: what an incarnation said is taken for the next one's word.
+func TestHeldUpWordOfAnEarlierLife(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := enroller.NewTable(5 * time.Second)
+	x.Hear(start, life(10, 400), 0)
+	x.Hear(start, life(20, 1), 0)
+	before := x.Revision()
+	leaving := life(10, 401)
+	leaving.Leaving = true
+	g.Expect(x.Hear(start, leaving, 0)).To(gomega.BeFalse())
+	g.Expect(x.Revision()).To(gomega.Equal(before))
+	x.Leave(start, enroller.Incarnation{ID: "a", BornMS: 10})
+	g.Expect(born(x)).To(gomega.Equal([]int64{20}))
+	g.Expect(x.Sightings(start)[0].Leaving).To(gomega.BeFalse())
+	x.Expire(start.Add(6 * time.Second))
+	g.Expect(x.Hear(start.Add(6*time.Second), life(10, 402), 0)).To(gomega.BeFalse(), "not even once the next life was forgotten")
+	x.Leave(start, enroller.Incarnation{ID: "a", BornMS: 20})
+	g.Expect(x.Hear(start, life(20, 2), 0)).To(gomega.BeFalse())
+}
+
+// A leave that names the id alone means the incarnation that is known; told
+// again, it does not mean the next one.
+func TestLeaveWithoutAStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := enroller.NewTable(5 * time.Second)
+	x.Hear(start, life(10, 1), 0)
+	x.Leave(start, enroller.Incarnation{ID: "a"})
+	g.Expect(born(x)).To(gomega.BeEmpty())
+	x.Hear(start, life(20, 1), 0)
+	x.Leave(start, enroller.Incarnation{ID: "a"})
+	g.Expect(born(x)).To(gomega.Equal([]int64{20}))
+}
+
+// Symptom: requests for a service go to an endpoint that does not serve it.
+// Sequence: some other program sends heartbeats under an id in use, with another
+// service, or without the start that the endpoint tells.
+// Cause: the last heartbeat taken for the endpoint's word.
+func TestForeignHeartbeatUnderAnIDInUse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := enroller.NewTable(5 * time.Second)
+	x.Hear(start, life(10, 1), 0)
+	other := life(10, 2)
+	other.Service = "t"
+	for _, b := range []enroller.Beat{other, life(0, 3)} {
+		g.Expect(x.Accepts(b)).To(gomega.BeFalse())
+		x.Hear(start, b, 0)
+		g.Expect(x.Sightings(start)).To(gomega.HaveLen(1))
+		g.Expect(x.Sightings(start)[0].Sequence).To(gomega.Equal(uint64(1)))
+	}
+}
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -61,7 +61,7 @@
 			resumed.Inc()
 		}
 		j.f.Log.Info("another endpoint", zap.String("request", j.caller.ID), zap.String("why", j.why),
-			zap.Strings("endpoints", j.tried), zap.String("last_event", j.lastEvent))
+			zap.Stringers("endpoints", j.tried), zap.String("last_event", j.lastEvent))
 	}
 }
 
@@ -130,26 +130,26 @@
 	b := e.Beat()
 	e.Gate().Step(time.Since(j.f.start), ejector.Dispatched, 0)
 	if n := work.Unread(); n > 0 {
-		j.f.Fleet.Dispatched(b.ID, n)
+		j.f.Fleet.Dispatched(e.Name(), n)
 	}
 	before := j.mayHaveRun
-	a, err := j.f.Pool.Exchange(ctx, j.target(b.ID, b.Address), j.request(b.ID))
+	a, err := j.f.Pool.Exchange(ctx, j.target(e), j.request(b.ID))
 	if err != nil {
 		j.why = err.Error()
 		if errors.Is(err, pooler.ErrMayHaveRun) {
-			j.tried = append(j.tried, b.ID)
+			j.tried = append(j.tried, b.Incarnation)
 			j.mayHaveRun = true
 			j.blame(ctx, e)
 			return lost
 		}
 		if errors.Is(err, pooler.ErrBound) {
-			j.full = append(j.full, b.ID)
+			j.full = append(j.full, b.Incarnation)
 			return full
 		}
 		j.blame(ctx, e)
 		return unsent
 	}
-	j.tried = append(j.tried, b.ID)
+	j.tried = append(j.tried, b.Incarnation)
 	defer a.Close()
 	marks := j.f.Wire.Marks(a.Status, a.Header)
 	if marks.Load != nil {
@@ -172,11 +172,11 @@
 	}
 }
 
-func (j *job) target(id, address string) pooler.Target {
+func (j *job) target(e *predictor.Endpoint) pooler.Target {
 	routers := float64(max(j.f.Fleet.Routers(), 1))
 	uneven := min(max(routers/unevenFrom, 1), unevenMost)
 	share := int(connectionPart * uneven * float64(j.service.Connections) / routers)
-	return pooler.Target{ID: id, Address: address, Most: max(share, connectionsMin)}
+	return pooler.Target{ID: e.Name(), Address: e.Beat().Address, Most: max(share, connectionsMin)}
 }
 
 func (j *job) request(endpoint string) *pooler.Request {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/limiter"
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
@@ -119,9 +120,9 @@
 	// Reserved is nil where nothing is paid.
 	reserved Reservation
 	// Tried holds the incarnations that the request was sent to.
-	tried []string
+	tried []enroller.Incarnation
 	// Full holds the incarnations that had no connection left.
-	full []string
+	full []enroller.Incarnation
 	// Unsent counts endpoints that could not be reached.
 	unsent int
 	// MayHaveRun says that some endpoint may have run the request.
@@ -282,7 +283,7 @@
 	j.countEnd(status)
 	fields := []zap.Field{
 		zap.String("request", j.caller.ID), zap.Int("status", status), zap.Duration("took", time.Since(j.begun)),
-		zap.Strings("endpoints", j.tried),
+		zap.Stringers("endpoints", j.tried),
 	}
 	if j.route != nil {
 		fields = append(fields, zap.String("route", j.route.Name))
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -208,3 +208,33 @@
 	g.Expect(a.status).To(gomega.Equal(504))
 	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 600*time.Millisecond))
 }
+
+// Symptom: a stream stands still for seconds and breaks off, though it may go on
+// elsewhere.
+// Sequence: its endpoint loses power within the stream and starts again under its
+// id; no reset comes from there.
+// Cause: the connection to the life before is kept as if that were alive.
+func TestStreamGoesOnWhenItsEndpointStartedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	silent := make(chan struct{}, 1)
+	dark := newEndpoint(t, func(c net.Conn, r *http.Request, b string) bool {
+		says(events, event("1"))(c, r, b)
+		silent <- struct{}{}
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	rest := newEndpoint(t, says(events, event("2"), ending))
+	w := newWorld(t, dark, rest)
+	go func() {
+		<-silent
+		time.Sleep(20 * time.Millisecond)
+		w.pool.End("e1")
+	}()
+	for len(dark.requests()) == 0 {
+		a := w.ask(t, "POST", "/resume/x", "b", "Rattanhoist-Token-Usage", "10,20")
+		g.Expect(a.err).NotTo(gomega.HaveOccurred())
+		if len(dark.requests()) == 1 {
+			g.Expect(a.body).To(gomega.Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\n"))
+		}
+	}
+}
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -165,6 +165,7 @@
 	server *httptest.Server
 	rights *rightsStub
 	table  *predictor.Table
+	pool   *pooler.Pool
 }
 
 func document() *publisher.Document {
@@ -188,17 +189,17 @@
 }
 
 func newWorld(t *testing.T, endpoints ...*endpoint) *world {
-	w := &world{rights: &rightsStub{}, table: predictor.NewTable("z")}
+	w := &world{rights: &rightsStub{}, table: predictor.NewTable("z"), pool: pooler.New(platform.Belongs, func() {})}
 	var list []*predictor.Endpoint
 	for i, e := range endpoints {
 		list = append(list, predictor.NewEndpoint(enroller.Beat{
-			ID: "e" + string(rune('1'+i)), Service: "engine", Address: e.listener.Addr().String(), Zone: "z", Slots: 8,
+			Incarnation: enroller.Incarnation{ID: "e" + string(rune('1'+i))}, Service: "engine", Address: e.listener.Addr().String(), Zone: "z", Slots: 8,
 		}))
 	}
 	w.table.Replace(map[string][]*predictor.Endpoint{"engine": list})
 	f := forwarder.New(forwarder.Parts{
 		Wire: platform.Wire{}, Fleet: fleetStub{publisher.NewIndex(document())}, Table: w.table,
-		Pool: pooler.New(platform.Belongs, func() {}), Rights: w.rights, Log: zap.NewNop(),
+		Pool: w.pool, Rights: w.rights, Log: zap.NewNop(),
 		Limiter: limiter.New(limiter.Budget{Ratio: 1, Slack: 50, Window: seconds}, time.Now()),
 	})
 	w.server = httptest.NewServer(f)
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rattanhoist.example/rattanhoist/allotter"
+	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
@@ -32,7 +33,7 @@
 	document *Document
 	ledger   *allotter.Ledger
 	// Left holds endpoint incarnations, oldest first; replaced, never changed.
-	left []string
+	left []enroller.Incarnation
 }
 
 // New returns the empty state.
@@ -44,7 +45,7 @@
 func (g *Governor) Document() *Document { return g.document }
 
 // Left returns the endpoints that have left; callers must not change it.
-func (g *Governor) Left() []string { return g.left }
+func (g *Governor) Left() []enroller.Incarnation { return g.left }
 
 // Ledger returns the rights.
 func (g *Governor) Ledger() *allotter.Ledger { return g.ledger }
@@ -69,7 +70,7 @@
 		}
 		return out
 	case *messenger.FleetChange_Leave:
-		g.leave(b.Leave.Endpoint)
+		g.leave(enroller.LeaveOf(b.Leave))
 	}
 	return nil
 }
@@ -85,17 +86,20 @@
 	g.ledger.SetTotals(d.Totals)
 }
 
-func (g *Governor) leave(id string) {
-	if slices.Contains(g.left, id) {
+func (g *Governor) leave(i enroller.Incarnation) {
+	if slices.Contains(g.left, i) {
 		return
 	}
 	from := max(len(g.left)+1-leftMost, 0)
-	g.left = append(slices.Clone(g.left[from:]), id)
+	g.left = append(slices.Clone(g.left[from:]), i)
 }
 
 // Snapshot returns the whole state.
 func (g *Governor) Snapshot() []byte {
-	s := &messenger.FleetSnapshot{Number: g.document.number, Content: g.document.content, Left: g.left}
+	s := &messenger.FleetSnapshot{Number: g.document.number, Content: g.document.content}
+	for _, i := range g.left {
+		s.Left = append(s.Left, i.Leave())
+	}
 	g.ledger.Snapshot(s)
 	b, err := proto.Marshal(s)
 	if err != nil {
@@ -112,7 +116,10 @@
 		return err
 	}
 	g.document = &Document{number: s.Number, content: s.Content}
-	g.left = s.Left
+	g.left = nil
+	for _, l := range s.Left {
+		g.left = append(g.left, enroller.LeaveOf(l))
+	}
 	g.ledger = allotter.Restore(s)
 	return nil
 }
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -6,6 +6,7 @@
 	"github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/governor"
 	"rattanhoist.example/rattanhoist/messenger"
 )
@@ -59,13 +60,13 @@
 	g := gomega.NewWithT(t)
 	s := governor.New()
 	apply(t, s, document(3, "three", 100))
-	apply(t, s, &messenger.FleetChange{Body: &messenger.FleetChange_Leave{Leave: &messenger.LeaveChange{Endpoint: "e"}}})
+	apply(t, s, &messenger.FleetChange{Body: &messenger.FleetChange_Leave{Leave: &messenger.LeaveChange{Endpoint: "e", BornMs: 3}}})
 	apply(t, s, &messenger.FleetChange{Body: &messenger.FleetChange_Rights{Rights: &messenger.RightsChange{
 		Router: "r", Incarnation: 1, Sequence: 4, Claims: []*messenger.RightsClaim{{Workspace: "w", Urgent: 30, Ceiling: 10, Slope: 2}},
 	}}})
 	copied := governor.New()
 	g.Expect(copied.Restore(s.Snapshot())).To(gomega.Succeed())
 	g.Expect(copied.Snapshot()).To(gomega.Equal(s.Snapshot()))
-	g.Expect(copied.Left()).To(gomega.Equal([]string{"e"}))
+	g.Expect(copied.Left()).To(gomega.Equal([]enroller.Incarnation{{ID: "e", BornMS: 3}}))
 	g.Expect(copied.Ledger().Left("w")).To(gomega.Equal(int64(70)))
 }
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -72,6 +72,8 @@
 	// Idle is used as a stack: the connection used last is the least likely
 	// to be closed by the other side.
 	idle []*conn
+	// Busy holds the connections with a request under way.
+	busy map[*conn]bool
 	// Open counts idle and busy connections.
 	open int
 }
@@ -123,12 +125,13 @@
 	defer p.mu.Unlock()
 	x := p.peers[t.ID]
 	if x == nil {
-		x = &peer{}
+		x = &peer{busy: map[*conn]bool{}}
 		p.peers[t.ID] = x
 	}
 	if n := len(x.idle); n > 0 {
 		c := x.idle[n-1]
 		x.idle = x.idle[:n-1]
+		x.busy[c] = true
 		return c, nil
 	}
 	if x.open >= max(t.Most, 1) {
@@ -173,7 +176,13 @@
 		return nil, err
 	}
 	p.opened()
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, bufferSize), target: t}, nil
+	out := &conn{Conn: c, reader: bufio.NewReaderSize(c, bufferSize), target: t}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if x := p.peers[t.ID]; x != nil {
+		x.busy[out] = true
+	}
+	return out, nil
 }
 
 // tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
@@ -187,6 +196,11 @@
 
 func (p *Pool) drop(c *conn) {
 	_ = c.Close()
+	p.mu.Lock()
+	if x := p.peers[c.target.ID]; x != nil {
+		delete(x.busy, c)
+	}
+	p.mu.Unlock()
 	p.closed(c.target.ID)
 }
 
@@ -210,6 +224,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if x := p.peers[c.target.ID]; x != nil {
+		delete(x.busy, c)
 		x.idle = append(x.idle, c)
 	}
 }
@@ -227,6 +242,20 @@
 	}
 }
 
+// End closes all connections to an endpoint whose process is known to have
+// ended. What was under way there may have run.
+func (p *Pool) End(id string) {
+	p.Forget(id)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if x := p.peers[id]; x != nil {
+		for c := range x.busy {
+			// The exchange that holds it drops it.
+			_ = c.Close()
+		}
+	}
+}
+
 // Sweep closes idle connections that are too old to be used.
 func (p *Pool) Sweep(now time.Time) {
 	var old []*conn
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -65,6 +65,8 @@
 // It is safe for concurrent use.
 type Endpoint struct {
 	beat enroller.Beat
+	// Name is the incarnation as text.
+	name string
 	gate ejector.Gate
 	lost atomic.Bool
 
@@ -90,12 +92,16 @@
 
 // NewEndpoint returns an endpoint without history.
 func NewEndpoint(b enroller.Beat) *Endpoint {
-	return &Endpoint{beat: b, rate: startRate, parts: map[string]time.Time{}}
+	return &Endpoint{beat: b, name: b.String(), rate: startRate, parts: map[string]time.Time{}}
 }
 
 // Beat returns what the endpoint announced.
 func (e *Endpoint) Beat() enroller.Beat { return e.beat }
 
+// Name returns the incarnation as text: the key under which connections to it
+// are kept, and its name in what routers tell each other.
+func (e *Endpoint) Name() string { return e.name }
+
 // Gate returns the endpoint's state of failures.
 func (e *Endpoint) Gate() *ejector.Gate { return &e.gate }
 
--- a/predictor/predictor_test.go
+++ b/predictor/predictor_test.go
@@ -16,7 +16,7 @@
 func endpoints(zone string, n int) []*predictor.Endpoint {
 	var out []*predictor.Endpoint
 	for i := range n {
-		out = append(out, predictor.NewEndpoint(enroller.Beat{ID: zone + strconv.Itoa(i), Service: "llm", Zone: zone, Slots: 64}))
+		out = append(out, predictor.NewEndpoint(enroller.Beat{Incarnation: enroller.Incarnation{ID: zone + strconv.Itoa(i)}, Service: "llm", Zone: zone, Slots: 64}))
 	}
 	return out
 }
@@ -38,7 +38,7 @@
 func TestShortPromptsKeepAwayFromLongOnes(t *testing.T) {
 	for name, send := range map[string]func(*predictor.Table, *predictor.Endpoint){
 		"own":   func(t *predictor.Table, _ *predictor.Endpoint) { t.Choose(start, ask(60_000)) },
-		"other": func(t *predictor.Table, e *predictor.Endpoint) { t.Sent(start, e.Beat().ID, 60_000) },
+		"other": func(t *predictor.Table, e *predictor.Endpoint) { t.Sent(start, e.Name(), 60_000) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -96,7 +96,7 @@
 	near, far := endpoints("a", 1)[0], endpoints("b", 1)[0]
 	x := table(near, far)
 	g.Expect(x.Choose(start, ask(800)).Endpoint()).To(gomega.BeIdenticalTo(near))
-	x.Sent(start, near.Beat().ID, 30_000)
+	x.Sent(start, near.Name(), 30_000)
 	g.Expect(x.Choose(start, ask(800)).Endpoint()).To(gomega.BeIdenticalTo(far))
 }
 
@@ -105,8 +105,27 @@
 	list := endpoints("a", 2)
 	x := table(list...)
 	a := ask(800)
-	a.Tried = []string{"a0"}
+	a.Tried = []enroller.Incarnation{{ID: "a0"}}
 	g.Expect(x.Choose(start, a).Endpoint()).To(gomega.BeIdenticalTo(list[1]))
-	a.Tried = []string{"a0", "a1"}
+	a.Tried = append(a.Tried, enroller.Incarnation{ID: "a1"})
 	g.Expect(x.Choose(start, a)).To(gomega.BeNil())
 }
+
+// Symptom: work for an endpoint that started again is reckoned with what its
+// life before held and had to do. Sequence: it crashes with a second of prompts
+// to read, and starts again under its id. Cause: the id taken for the
+// incarnation.
+func TestAnEndpointThatStartedAgainBeginsAnew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	old := predictor.NewEndpoint(enroller.Beat{Incarnation: enroller.Incarnation{ID: "a0", BornMS: 1}, Service: "llm", Zone: "a", Slots: 64})
+	next := predictor.NewEndpoint(enroller.Beat{Incarnation: enroller.Incarnation{ID: "a0", BornMS: 2}, Service: "llm", Zone: "a", Slots: 64})
+	x := table(old)
+	x.Sent(start, old.Name(), 60_000)
+	x.Replace(map[string][]*predictor.Endpoint{"llm": {next}})
+	x.Sent(start, old.Name(), 60_000)
+	a := ask(800)
+	a.Tried = []enroller.Incarnation{old.Beat().Incarnation}
+	w := x.Choose(start, a)
+	g.Expect(w).NotTo(gomega.BeNil(), "the life before was tried, this one was not")
+	g.Expect(w.Predicted()).To(gomega.BeNumerically("<", 200*time.Millisecond))
+}
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -3,8 +3,11 @@
 import (
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
+
+	"rattanhoist.example/rattanhoist/enroller"
 )
 
 const (
@@ -53,6 +56,8 @@
 type Table struct {
 	zone      string
 	byService atomic.Pointer[map[string]*group]
+	// ByName holds the same endpoints by incarnation, as text.
+	byName atomic.Pointer[map[string]*Endpoint]
 }
 
 // group is the endpoints of one service; immutable.
@@ -71,11 +76,15 @@
 
 // Replace puts other endpoints in service.
 func (t *Table) Replace(byService map[string][]*Endpoint) {
-	groups := map[string]*group{}
+	groups, names := map[string]*group{}, map[string]*Endpoint{}
 	for s, list := range byService {
 		groups[s] = &group{endpoints: list, apart: apart(list)}
+		for _, e := range list {
+			names[e.name] = e
+		}
 	}
 	t.byService.Store(&groups)
+	t.byName.Store(&names)
 }
 
 // apart picks an endpoint for giants in each zone that has enough of them. All
@@ -102,15 +111,11 @@
 	return nil
 }
 
-// Sent notes a prompt that another router sent to an endpoint.
-func (t *Table) Sent(now time.Time, id string, unread int64) {
-	for _, g := range *t.byService.Load() {
-		for _, e := range g.endpoints {
-			if e.beat.ID == id {
-				e.Sent(now, unread)
-				return
-			}
-		}
+// Sent notes a prompt that another router sent to an endpoint, which is named
+// by its incarnation.
+func (t *Table) Sent(now time.Time, name string, unread int64) {
+	if e := (*t.byName.Load())[name]; e != nil {
+		e.Sent(now, unread)
 	}
 }
 
@@ -120,7 +125,7 @@
 	// Prompt is nil for plain requests.
 	Prompt *Prompt
 	// Tried holds the incarnations that the request was sent to already.
-	Tried []string
+	Tried []enroller.Incarnation
 	// Since counts from any fixed instant, for the gates.
 	Since time.Duration
 }
@@ -149,7 +154,7 @@
 	var least time.Duration
 	home := g.home(a)
 	for _, e := range g.endpoints {
-		if !blocked && e.gate.Blocked(a.Since) || e.lost.Load() || tried(a.Tried, e.beat.ID) {
+		if !blocked && e.gate.Blocked(a.Since) || e.lost.Load() || slices.Contains(a.Tried, e.beat.Incarnation) {
 			continue
 		}
 		c := e.cost(now, a.Prompt, e == home)
@@ -179,15 +184,6 @@
 	return otherZone
 }
 
-func tried(ids []string, id string) bool {
-	for _, t := range ids {
-		if t == id {
-			return true
-		}
-	}
-	return false
-}
-
 // home returns the endpoint where all routers look for the last shared part of
 // a prompt first. It needs no word between routers, and a change of endpoints
 // moves few parts.
--- a/steward/counters.go
+++ b/steward/counters.go
@@ -8,11 +8,13 @@
 
 // Counters of a keeper.
 var (
-	beats     = metrics.NewCounter("rattanhoist_endpoint_heartbeats_total")
-	questions = metrics.NewCounter("rattanhoist_router_questions_total")
-	claims    = metrics.NewCounter("rattanhoist_rights_claims_total")
-	orders    = metrics.NewHistogram("rattanhoist_order_seconds")
-	refusals  = metrics.NewCounter("rattanhoist_orders_not_now_total")
+	beats = metrics.NewCounter("rattanhoist_endpoint_heartbeats_total")
+	// BeatsRefused counts heartbeats that named no endpoint to use.
+	beatsRefused = metrics.NewCounter("rattanhoist_endpoint_heartbeats_refused_total")
+	questions    = metrics.NewCounter("rattanhoist_router_questions_total")
+	claims       = metrics.NewCounter("rattanhoist_rights_claims_total")
+	orders       = metrics.NewHistogram("rattanhoist_order_seconds")
+	refusals     = metrics.NewCounter("rattanhoist_orders_not_now_total")
 )
 
 // gauges shows the state of a steward; one process holds one.
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -5,14 +5,17 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"google.golang.org/protobuf/proto"
 
 	"rattanhoist.example/rattanhoist/committer"
 	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/governor"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/publisher"
 )
@@ -29,12 +32,24 @@
 
 // Control takes the orders of operators and the heartbeats of endpoints.
 type Control struct {
-	s      *Steward
-	decode Decoder
+	s        *Steward
+	decode   Decoder
+	services atomic.Pointer[services]
+	// Refusals logs what is refused, so many lines a second at most: a program
+	// that sends nothing else must not fill the log.
+	refusals *zap.Logger
 }
 
+// refusalsLogged bounds the lines a second on refused heartbeats.
+const refusalsLogged = 5
+
 // NewControl returns the steward's control, which reads documents with decode.
-func NewControl(s *Steward, decode Decoder) *Control { return &Control{s: s, decode: decode} }
+func NewControl(s *Steward, decode Decoder) *Control {
+	sampled := s.log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(c, time.Second, refusalsLogged, 0)
+	}))
+	return &Control{s: s, decode: decode, refusals: sampled}
+}
 
 // Publish returns nil once the document, or one with a higher number, is on
 // the disks of a majority.
@@ -89,20 +104,83 @@
 // answered only once a majority holds that.
 func (c *Control) Beat(ctx context.Context, b enroller.Beat) (string, error) {
 	beats.Inc()
-	c.s.roster.beat(time.Now(), b)
+	if err := c.take(b); err != nil {
+		c.Refused(b.ID, err)
+		return "", err
+	}
 	if b.Leaving {
-		return "", c.Leave(ctx, b.ID)
+		return "", c.Leave(ctx, b.Incarnation)
 	}
 	return "", nil
 }
 
+// take takes a heartbeat in, or returns ErrUnusable for one that some other
+// program must have written: taken in, it would put an endpoint in service that
+// is none, or another address behind an id that is in service.
+func (c *Control) take(b enroller.Beat) error {
+	if !c.names(b.Service) {
+		return merry.Errorf("%w: no service %q", enroller.ErrUnusable, b.Service)
+	}
+	if !c.s.roster.beat(time.Now(), b) {
+		return merry.Errorf("%w: it disagrees with what %s told before", enroller.ErrUnusable, b.ID)
+	}
+	return nil
+}
+
+// services are the names that a document gives to services; immutable.
+type services struct {
+	number uint64
+	names  map[string]bool
+}
+
+// names reports whether the document in force has a service. Before the first
+// document every name may be one.
+func (c *Control) names(service string) bool {
+	d := c.s.view.Load().document
+	if d.Number() == 0 {
+		return true
+	}
+	known := c.services.Load()
+	if known == nil || known.number != d.Number() {
+		known = c.readServices(d)
+		c.services.Store(known)
+	}
+	return known.names == nil || known.names[service]
+}
+
+func (c *Control) readServices(d *governor.Document) *services {
+	out := &services{number: d.Number()}
+	b, err := publisher.Unpack(d.Content())
+	if err != nil {
+		c.s.log.Error("services unknown: configuration is unreadable", zap.Uint64("number", d.Number()), zap.Error(err))
+		return out
+	}
+	decoded, err := c.decode(b)
+	if err != nil {
+		c.s.log.Error("services unknown: configuration is unreadable", zap.Uint64("number", d.Number()), zap.Error(err))
+		return out
+	}
+	out.names = map[string]bool{}
+	for _, s := range decoded.Services {
+		out.names[s.Name] = true
+	}
+	return out
+}
+
+// Refused notes a heartbeat that was not taken in.
+func (c *Control) Refused(endpoint string, why error) {
+	beatsRefused.Inc()
+	c.refusals.Warn("heartbeat refused", zap.String("endpoint", endpoint), zap.Error(why))
+}
+
 // Leave returns nil once a majority holds that the endpoint takes no new work.
-func (c *Control) Leave(ctx context.Context, id string) error {
-	if slices.Contains(c.s.view.Load().left, id) {
+func (c *Control) Leave(ctx context.Context, i enroller.Incarnation) error {
+	i = c.s.roster.resolve(i)
+	if slices.Contains(c.s.view.Load().left, i) {
 		return nil
 	}
-	err := c.s.mustOrder(ctx, &messenger.FleetChange{Body: &messenger.FleetChange_Leave{Leave: &messenger.LeaveChange{Endpoint: id}}})
-	c.s.log.Info("endpoint leaves", zap.String("endpoint", id), zap.Error(err))
+	err := c.s.mustOrder(ctx, &messenger.FleetChange{Body: &messenger.FleetChange_Leave{Leave: i.Leave()}})
+	c.s.log.Info("endpoint leaves", zap.Stringer("endpoint", i), zap.Error(err))
 	return err
 }
 
@@ -174,6 +252,10 @@
 		}
 		return &messenger.OrderReply{Done: true, Grants: grants}, nil
 	}
+	if l := change.GetLeave(); l != nil {
+		// The keeper that was asked may have started just now and know nothing.
+		change = &messenger.FleetChange{Body: &messenger.FleetChange_Leave{Leave: s.roster.resolve(enroller.LeaveOf(l)).Leave()}}
+	}
 	b, err := proto.Marshal(change)
 	if err != nil {
 		return nil, merry.Wrap(err)
--- a/steward/roster.go
+++ b/steward/roster.go
@@ -39,19 +39,39 @@
 	return &roster{table: enroller.NewTable(silentBeats * heartbeat), fresh: map[string]bool{}, routers: map[string]router{}}
 }
 
-func (r *roster) beat(now time.Time, b enroller.Beat) {
+// beat takes a heartbeat in and reports whether it agrees with what is known of
+// its id.
+func (r *roster) beat(now time.Time, b enroller.Beat) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.table.Accepts(b) {
+		return false
+	}
 	r.table.Hear(now, b, 0)
 	r.fresh[b.ID] = true
+	return true
 }
 
-func (r *roster) leave(now time.Time, ids []string) {
+func (r *roster) leave(now time.Time, left []enroller.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, i := range left {
+		r.table.Leave(now, i)
+	}
+}
+
+// resolve returns the incarnation that a message means which names the id
+// alone: the newest one heard of, if any was.
+func (r *roster) resolve(i enroller.Incarnation) enroller.Incarnation {
+	if i.BornMS != 0 {
+		return i
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, id := range ids {
-		r.table.Leave(now, id)
+	if k, ok := r.table.Known(i.ID); ok {
+		return k
 	}
+	return i
 }
 
 func (r *roster) expire(now time.Time) {
--- a/steward/server.go
+++ b/steward/server.go
@@ -72,7 +72,9 @@
 	}
 	s.roster.ask(now, q, out)
 	if len(out.Endpoints) > 0 || q.Revision != out.Revision {
-		out.Left = shown.left[max(len(shown.left)-leftTold, 0):]
+		for _, i := range shown.left[max(len(shown.left)-leftTold, 0):] {
+			out.Left = append(out.Left, i.Leave())
+		}
 	}
 	return out, nil
 }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc"
 
 	"rattanhoist.example/rattanhoist/committer"
+	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/governor"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
@@ -59,7 +60,7 @@
 // view is the committed state that is shown to others; immutable.
 type view struct {
 	document *governor.Document
-	left     []string
+	left     []enroller.Incarnation
 }
 
 // Steward is one keeper process.
