--- a/commander/explain_logs.go
+++ b/commander/explain_logs.go
@@ -11,13 +11,9 @@
 
 // explainLogs tells a request's story from log files.
 func (a *app) explainLogs(files []string, id string) error {
-	var all []*narrator.Line
-	for _, file := range files {
-		lines, err := a.readLog(file)
-		if err != nil {
-			return err
-		}
-		all = append(all, lines...)
+	all, err := a.readLogs(files)
+	if err != nil {
+		return err
 	}
 	story := narrator.Story(all, id)
 	if len(story) == 0 {
@@ -44,6 +40,18 @@
 	return d.Round(100 * time.Millisecond).String()
 }
 
+func (a *app) readLogs(files []string) ([]*narrator.Line, error) {
+	var all []*narrator.Line
+	for _, file := range files {
+		lines, err := a.readLog(file)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
 func (a *app) readLog(file string) (lines []*narrator.Line, err error) {
 	f, err := os.Open(file)
 	if err != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -138,6 +138,8 @@
 	// first event, as it was and as expected at the last dispatch, and its
 	// longest pause.
 	first, predicted, pause time.Duration
+	// Unread is the prompt tokens to be read at the last endpoint, as expected.
+	unread int64
 	// LastEvent is the id of the last whole event passed on.
 	lastEvent string
 	why       string
@@ -279,6 +281,21 @@
 	return false
 }
 
+// late names what made an answer miss its route's objective, or returns "".
+func (j *job) late() string {
+	switch {
+	case j.route == nil || j.route.Objective <= 0:
+		return ""
+	case j.events > 0 && j.first > j.route.Objective:
+		return "first event"
+	case j.events > 0 && j.route.Pause > 0 && j.pause > j.route.Pause:
+		return "pause"
+	case j.events == 0 && time.Since(j.begun) > j.route.Objective:
+		return "answer"
+	}
+	return ""
+}
+
 func (j *job) log(status int, why string) {
 	j.countEnd(status)
 	fields := []zap.Field{
@@ -296,11 +313,14 @@
 	}
 	if j.events > 0 {
 		fields = append(fields, zap.Duration("first", j.first), zap.Duration("predicted", j.predicted),
-			zap.Duration("pause", j.pause), zap.Int("events", j.events))
+			zap.Duration("pause", j.pause), zap.Int("events", j.events), zap.Int64("unread", j.unread))
 	}
 	if p := j.caller.Prompt; p != nil {
 		fields = append(fields, zap.Int64("prompt", p.In))
 	}
+	if l := j.late(); l != "" {
+		fields = append(fields, zap.String("late", l))
+	}
 	if why != "" {
 		fields = append(fields, zap.String("why", why))
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -75,6 +75,7 @@
 func (j *job) pace(now time.Time, work *predictor.Work) {
 	if j.events == 0 {
 		j.first, j.predicted = now.Sub(j.begun), work.Predicted()
+		j.unread = work.Unread()
 	} else {
 		j.pause = max(j.pause, now.Sub(j.eventAt))
 	}
