allotter: a claim states anew the bounds of workspaces that it leaves out

Change: a claim that leaves a workspace out says that its ceiling still covers all that was used, and states it anew from that moment. The time between a claim and an end is never taken for more than that of the claim before it. A router without demand settles once a second.

Ruled out: nothing by measurement alone.

--- a/allotter/ledger.go
+++ b/allotter/ledger.go
@@ -35,8 +35,8 @@
 	granted, returned, spent int64
 	// Bounds are what the router may be keeping, oldest first: that of the
 	// last claim for this workspace whose answer it is known to have seen, and
-	// of all later ones. A claim leaves out workspaces that need nothing, so
-	// the bound of an old claim may be in force for long.
+	// of all later ones. Claims that leave the workspace out state the one before
+	// them anew.
 	bounds []*messenger.RightsBound
 }
 
@@ -48,6 +48,10 @@
 	sequence    uint64
 	accounts    map[string]*account
 	ended       []uint64
+	// Statements are the claims whose bounds the router may be keeping, oldest
+	// first: the last one whose answer it is known to have seen, and all later
+	// ones.
+	statements []*messenger.RightsStatement
 }
 
 // Ledger is the pure state of all rights. It is not safe for concurrent use.
@@ -134,13 +138,13 @@
 	}
 	fresh := c.Sequence > h.sequence
 	if fresh {
-		h.sequence = c.Sequence
+		h.state(c)
 	}
 	for _, claim := range c.Claims {
 		a := h.account(claim.Workspace)
 		if fresh {
 			l.slopes[claim.Workspace] += claim.Slope - a.slope()
-			a.bound(&messenger.RightsBound{Sequence: c.Sequence, Sent: c.Sent, Ceiling: claim.Ceiling, Slope: claim.Slope}, c.Answered)
+			a.bound(&messenger.RightsBound{Sequence: c.Sequence, Ceiling: claim.Ceiling, Slope: claim.Slope}, c.Answered)
 		}
 		out.Grants = append(out.Grants, l.claim(a, claim, fresh))
 	}
@@ -166,6 +170,28 @@
 	a.bounds = append(slices.Clone(a.bounds), b)
 }
 
+// stated returns the bound that a claim stated, or stated anew, or nil where the
+// workspace had none yet.
+func (a *account) stated(sequence uint64) *messenger.RightsBound {
+	var out *messenger.RightsBound
+	for _, b := range a.bounds {
+		if b.Sequence <= sequence {
+			out = b
+		}
+	}
+	return out
+}
+
+// state notes a claim, and forgets those whose bounds the router no longer
+// keeps.
+func (h *holder) state(c *messenger.RightsChange) {
+	h.sequence = c.Sequence
+	for len(h.statements) > 1 && h.statements[1].Sequence <= c.Answered {
+		h.statements = h.statements[1:]
+	}
+	h.statements = append(slices.Clone(h.statements), &messenger.RightsStatement{Sequence: c.Sequence, Sent: c.Sent})
+}
+
 func (l *Ledger) holder(c *messenger.RightsChange, out *messenger.RightsGrants) *holder {
 	h := l.holders[c.Router]
 	if h == nil {
@@ -176,7 +202,7 @@
 		return nil
 	}
 	if h.incarnation != c.Incarnation {
-		l.end(h, out, lost(c.Started))
+		l.end(h, out, lost(h.statements, c.Started))
 		h.incarnation, h.sequence = c.Incarnation, 0
 	}
 	return h
@@ -193,15 +219,19 @@
 
 // lost returns what an incarnation may have spent that ended, without a word,
 // before its successor started at a moment.
-func lost(end *messenger.RightsMoment) func(*account) int64 {
+func lost(statements []*messenger.RightsStatement, end *messenger.RightsMoment) func(*account) int64 {
+	times := untilEnd(statements, end)
 	return func(a *account) int64 {
 		most := a.spent
-		for _, b := range a.bounds {
-			t, ok := elapsed(b.Sent, end)
-			if !ok {
+		for i, s := range statements {
+			b := a.stated(s.Sequence)
+			if b == nil {
+				continue
+			}
+			if times[i] == unknown {
 				return a.cap()
 			}
-			most = max(most, bound(b.Ceiling, b.Slope, t))
+			most = max(most, bound(b.Ceiling, b.Slope, times[i]))
 		}
 		return min(most, a.cap())
 	}
@@ -217,7 +247,7 @@
 		out.WrittenOff += n - a.spent
 		out.Recovered += a.cap() - n
 	}
-	h.accounts = map[string]*account{}
+	h.accounts, h.statements = map[string]*account{}, nil
 	h.ended = append(h.ended, h.incarnation)
 	if len(h.ended) > rememberedEnds {
 		h.ended = h.ended[1:]
@@ -274,7 +304,7 @@
 	for _, name := range slices.Sorted(maps.Keys(l.holders)) {
 		h := l.holders[name]
 		out := &messenger.RightsHolder{
-			Router: name, Incarnation: h.incarnation, Ended: h.ended, Sequence: h.sequence,
+			Router: name, Incarnation: h.incarnation, Ended: h.ended, Sequence: h.sequence, Statements: h.statements,
 		}
 		for _, w := range slices.Sorted(maps.Keys(h.accounts)) {
 			a := h.accounts[w]
@@ -304,7 +334,7 @@
 	for _, in := range s.Holders {
 		h := &holder{
 			incarnation: in.Incarnation, sequence: in.Sequence, accounts: map[string]*account{},
-			ended: slices.Clone(in.Ended),
+			ended: slices.Clone(in.Ended), statements: in.Statements,
 		}
 		for _, a := range in.Accounts {
 			x := &account{granted: a.Granted, returned: a.Returned, spent: a.Spent, bounds: a.Bounds}
--- a/allotter/moment.go
+++ b/allotter/moment.go
@@ -36,6 +36,26 @@
 	return 0, false
 }
 
+// untilEnd returns for each claim the most time that can lie between its sending
+// and the end of the incarnation that made it, or unknown. A claim was sent after
+// the one before it, so no more time can lie behind it: a claim that fewer clocks
+// tell of, because it took another way, is as good as the one before.
+func untilEnd(statements []*messenger.RightsStatement, end *messenger.RightsMoment) []time.Duration {
+	out := make([]time.Duration, len(statements))
+	before := unknown
+	for i, s := range statements {
+		t, ok := elapsed(s.Sent, end)
+		switch {
+		case !ok:
+			t = before
+		case before != unknown:
+			t = min(t, before)
+		}
+		out[i], before = t, t
+	}
+	return out
+}
+
 // unknown is a time that no other agrees with.
 const unknown = time.Duration(-1 << 62)
 
--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -75,6 +75,9 @@
 	// tokens a second. Spent + reserved - received never exceeds it.
 	ceiling, slope int64
 	boundAt        time.Time
+	// Unanswered says that a claim stated another bound and got no answer: a
+	// keeper may know either.
+	unanswered bool
 	left           int64
 	scarce         bool
 	// DryAt is when drySize tokens were last looked for in vain.
@@ -174,17 +177,44 @@
 }
 
 // Due reports whether a claim is worth its way: something waits, headroom or
-// bound run low, or headroom should go back.
+// bound run low, headroom should go back, or more may have been spent than the
+// ceiling that a keeper knows.
 func (p *Purse) Due(now time.Time, floor int64, pause time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rate := p.rate(now)
 	need := p.need(rate, floor)
 	headroom := p.headroom()
-	return !p.known || p.waiting > 0 || headroom < need-need/8 ||
+	return !p.covered() || p.waiting > 0 || headroom < need-need/8 ||
 		now.Sub(p.boundAt) >= pause && (rate >= 1 || p.reserved > 0 || headroom > 2*need+slackFor(floor))
 }
 
+// Covered reports whether it is certain which ceiling a keeper knows, and that it
+// covers all that was used. Only then may a claim leave the workspace out.
+func (p *Purse) Covered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.covered()
+}
+
+func (p *Purse) covered() bool { return p.known && !p.unanswered && p.used() <= p.ceiling }
+
+// LeftOut notes that a keeper answered a router's claims, sent at a time, that
+// left this workspace out while it was Covered: its ceiling holds from that time
+// on. Without this the bound of a workspace that nobody asks for
+// rises as long as its router lives, and all that the router holds ahead of demand
+// counts as spent when it dies.
+func (p *Purse) LeftOut(sent time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if sent.After(p.boundAt) {
+		p.boundAt = sent
+	}
+}
+
+// used is what keepers must know to be covered by the bound.
+func (p *Purse) used() int64 { return p.spent + p.reserved - p.received }
+
 // slackFor is the surplus that may stay with a router that holds floor ahead.
 func slackFor(floor int64) int64 {
 	if floor <= 0 {
@@ -220,10 +250,10 @@
 	c := &messenger.RightsClaim{
 		Workspace: workspace, Returned: p.returned, Spent: max(p.spent-p.received, 0),
 		Wanted: max(need-headroom, 0), Urgent: max(p.waiting-headroom, 0),
-		Ceiling: max(p.spent+p.reserved-p.received, 0) + p.waiting + int64(rate*(boundHorizon+pause).Seconds()) + boundSlack,
+		Ceiling: max(p.used(), 0) + p.waiting + int64(rate*(boundHorizon+pause).Seconds()) + boundSlack,
 		Slope:   int64(rate*boundRise) + boundSlope,
 	}
-	p.waiting = 0
+	p.waiting, p.unanswered = 0, true
 	return c
 }
 
@@ -234,21 +264,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	return &messenger.RightsClaim{Workspace: workspace, Returned: p.returned, Spent: max(p.spent+p.reserved-p.received, 0)}
+	return &messenger.RightsClaim{Workspace: workspace, Returned: p.returned, Spent: max(p.used(), 0)}
 }
 
 // Granted takes a keeper's answer to a claim in, which was sent at a time.
 func (p *Purse) Granted(g *messenger.RightsGrant, c *messenger.RightsClaim, sent time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.ceiling, p.slope, p.boundAt = c.Ceiling, c.Slope, sent
+	p.ceiling, p.slope, p.boundAt, p.unanswered = c.Ceiling, c.Slope, sent, false
 	p.granted = max(p.granted, g.Granted)
 	p.left, p.scarce, p.known = g.Left, g.Scarce, true
 }
 
 // bounded is what may still be set aside below the bound that a keeper knows.
 func (p *Purse) bounded(now time.Time) int64 {
-	return bound(p.ceiling, p.slope, now.Sub(p.boundAt)) + p.received - p.spent - p.reserved
+	return bound(p.ceiling, p.slope, now.Sub(p.boundAt)) - p.used()
 }
 
 // bound returns the most spent within a time after a claim.
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -38,6 +38,10 @@
 	// answer: with the time that is left it can still be served by what others
 	// lend.
 	touchLook = 100 * time.Millisecond
+	// renewEvery is how often a router without demand settles, so that no bound
+	// rises while keepers answer: within allotter.BoundRest, with time for one
+	// that gets no answer.
+	renewEvery = time.Second
 	// floorPart of the even share of a total is held ahead of any demand.
 	floorPart = 8
 	// closeWait bounds the last claim of a process that stops.
@@ -66,9 +70,10 @@
 	settled chan struct{}
 	rounds  uint64
 
-	// Failing says that the last claim got no answer; it belongs to claim, of
-	// which one runs at a time.
+	// Failing says that the last claim got no answer, stated when the last one
+	// that got one was sent. Both belong to claim, of which one runs at a time.
 	failing bool
+	stated  time.Time
 }
 
 func newRights(f *fleet, address string, log *zap.Logger) *rights {
@@ -200,7 +205,7 @@
 	if l == nil {
 		return
 	}
-	change, _, _ := r.change(true)
+	change, _, _, _ := r.change(true)
 	if _, err := r.order(ctx, l, closeWait, change); err != nil {
 		r.log.Warn("no keeper took the last account", zap.Error(err))
 	}
@@ -265,8 +270,8 @@
 	if err := l.Await(ctx, timeout); err != nil {
 		return r.unsettled(l, err)
 	}
-	change, purses, sent := r.change(false)
-	if len(change.Claims) == 0 && change.Answered > 0 {
+	change, purses, leftOut, sent := r.change(false)
+	if len(change.Claims) == 0 && change.Answered > 0 && sent.Sub(r.stated) < renewEvery {
 		return timeout
 	}
 	reply, err := r.order(ctx, l, timeout, change)
@@ -274,6 +279,7 @@
 		return r.unsettled(l, err)
 	}
 	claimsAnswered.Inc()
+	r.stated = sent
 	r.failing = false
 	if reply.Grants.GetEnded() {
 		r.reset()
@@ -282,6 +288,9 @@
 	for i, g := range reply.Grants.GetGrants() {
 		purses[i].Granted(g, change.Claims[i], sent)
 	}
+	for _, p := range leftOut {
+		p.LeftOut(sent)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answered = change.Sequence
@@ -323,16 +332,17 @@
 	}
 }
 
-func (r *rights) change(closing bool) (*messenger.RightsChange, []*allotter.Purse, time.Time) {
+// change returns the claims to send now, their purses, and the purses that they
+// leave out.
+func (r *rights) change(closing bool) (out *messenger.RightsChange, purses, leftOut []*allotter.Purse, sent time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sent := time.Now()
+	sent = time.Now()
 	r.sequence++
-	out := &messenger.RightsChange{
+	out = &messenger.RightsChange{
 		Router: r.address, Incarnation: r.incarnation, Closing: closing, Sequence: r.sequence, Answered: r.answered,
 		Sent: moment(sent), Started: r.started.at(sent),
 	}
-	var purses []*allotter.Purse
 	pause := r.fleet.paced(claimEvery, claimPacedMost)
 	for _, w := range slices.Sorted(maps.Keys(r.purses)) {
 		p := r.purses[w]
@@ -340,13 +350,14 @@
 		case closing:
 			out.Claims = append(out.Claims, p.Close(w))
 		case !p.Due(sent, r.floor(w), pause):
+			leftOut = append(leftOut, p)
 			continue
 		default:
 			out.Claims = append(out.Claims, p.Claim(sent, w, r.floor(w), pause))
 		}
 		purses = append(purses, p)
 	}
-	return out, purses, sent
+	return out, purses, leftOut, sent
 }
 
 // order sends the claims to a keeper, which passes them to the leader.
