Refused for want of rights in a cut: come back when the bound has risen

Cause: a caller comes back once; sent back after 0.15 to 0.4 s in a cut of eight seconds, it found the same bound and was refused for good.

Change: Retry-After is the time until the bound has risen far enough, or, where the router holds too few rights, as long as the cut has lasted already.

--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -142,6 +142,19 @@
 	return p.mean / (1 - math.Exp(-seen.Seconds()/rateWindow.Seconds()))
 }
 
+// Until returns how long it takes until the bound has risen far enough for n
+// tokens, where the router holds as many. It returns false where it does not.
+func (p *Purse) Until(now time.Time, n int64) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || n > p.headroom() || p.slope <= 0 {
+		return 0, false
+	}
+	missing := n + p.used() - p.ceiling
+	rises := time.Duration(float64(max(missing, 0)) / float64(p.slope) * float64(time.Second))
+	return max(p.boundAt.Add(BoundRest+rises).Sub(now), 0), true
+}
+
 // Settle ends a reservation of which only part was spent.
 func (p *Purse) Settle(reserved, spent int64) {
 	p.mu.Lock()
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -113,7 +113,7 @@
 				return &reservation{purse: p, tokens: tokens}, nil
 			}
 			rightsRefused.Inc()
-			return nil, forwarder.ErrRightsOutOfReach
+			return nil, forwarder.OutOfReach{After: r.expected(p, tokens)}
 		}
 		select {
 		case r.urgent <- struct{}{}:
@@ -143,11 +143,26 @@
 	return r.borrower.fetch(ctx, func() bool { return p.Retry(time.Now(), tokens) })
 }
 
+// expected returns after what time a request should come back that found no
+// rights: once the bound has risen, or, where this router holds too few, after the
+// time for which no keeper has answered already; how long a cut will still last is
+// best told by how long it has lasted. A caller comes back once, so that sent back
+// after a quarter of a second, in a cut of eight, it was refused for good.
+func (r *rights) expected(p *allotter.Purse, tokens int64) time.Duration {
+	if !r.fleet.outOfTouch() {
+		return 0
+	}
+	if d, ok := p.Until(time.Now(), tokens); ok {
+		return d
+	}
+	return r.fleet.untouched()
+}
+
 // refused tells a total that is spent from one that is out of reach.
 func (r *rights) refused(p *allotter.Purse, tokens int64) error {
 	if !p.Exhausted(tokens) {
 		rightsRefused.Inc()
-		return forwarder.ErrRightsOutOfReach
+		return forwarder.OutOfReach{After: r.expected(p, tokens)}
 	}
 	rightsSpent.Inc()
 	p.Dry(time.Now(), tokens)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,6 +27,15 @@
 	ErrRightsOutOfReach = merry.Sentinel("prepaid rights are out of reach")
 )
 
+// OutOfReach is ErrRightsOutOfReach with the time after which rights are expected.
+type OutOfReach struct{ After time.Duration }
+
+// Error returns the text of ErrRightsOutOfReach.
+func (OutOfReach) Error() string { return ErrRightsOutOfReach.Error() }
+
+// Unwrap makes it one with ErrRightsOutOfReach.
+func (OutOfReach) Unwrap() error { return ErrRightsOutOfReach }
+
 const (
 	// defaultTimeout bounds a request whose caller names no deadline and whose
 	// route's timeout is longer: four times the longest that callers name (15 s).
@@ -63,7 +72,7 @@
 
 // Rights sets tokens of a workspace aside.
 type Rights interface {
-	// Reserve returns ErrSpent or ErrRightsOutOfReach where it can't.
+	// Reserve returns ErrSpent, or OutOfReach, where it can't.
 	Reserve(ctx context.Context, workspace string, tokens int64) (Reservation, error)
 }
 
@@ -253,16 +262,26 @@
 	case errors.Is(err, ErrSpent):
 		return j.fail(http.StatusPaymentRequired, "prepaid total is spent")
 	default:
-		return j.refuse(http.StatusServiceUnavailable, err.Error())
+		var out OutOfReach
+		if !errors.As(err, &out) {
+			return j.refuse(http.StatusServiceUnavailable, err.Error())
+		}
+		return j.refuseFor(max(out.After, comeBack), http.StatusServiceUnavailable, err.Error())
 	}
 }
 
-// refuse says that the request has not run, and when to come back.
+// refuse says that the request has not run, and that it may come back soon.
 func (j *job) refuse(status int, why string) bool {
+	return j.refuseFor(comeBack, status, why)
+}
+
+// refuseFor says that the request has not run, and after what time it should come
+// back, spread so that those refused together don't come back together.
+func (j *job) refuseFor(after time.Duration, status int, why string) bool {
 	if j.mayHaveRun {
 		return j.fail(http.StatusBadGateway, why)
 	}
-	j.f.Wire.RetryAfter(j.w.Header(), comeBack+rand.N(comeBackSpread))
+	j.f.Wire.RetryAfter(j.w.Header(), after+rand.N(comeBackSpread))
 	return j.fail(status, why)
 }
 
