A router that starts asks engines what they keep

Cause: what engines keep is known from what routers send; after a restart of all of them nobody knew, and all shared parts were read again in the seconds in which the callers of the outage come back; a router that is stopped and started in turn sent work away from where parts were.

Of a part that is kept in part nothing counts.

--- a/cmd/rattanhoist-node/main.go
+++ b/cmd/rattanhoist-node/main.go
@@ -85,7 +85,7 @@
 	if n.Kind() == loader.KindRouter {
 		c := courier.New(courier.Options{
 			Node: n, Log: log, Decode: platform.DecodeDocument, Wire: platform.Wire{},
-			Belongs: platform.Belongs, ReadyPath: platform.ReadyPath,
+			Belongs: platform.Belongs, Kept: platform.Kept, ReadyPath: platform.ReadyPath,
 		})
 		go reload(ctx, n, log, c.Learn)
 		return c.Run(ctx)
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -54,6 +54,8 @@
 	Wire   forwarder.Wire
 	// Belongs tells whose answer a header is.
 	Belongs func(http.Header, string) pooler.Belonging
+	// Kept asks the endpoint at an address which parts of prompts it keeps.
+	Kept func(context.Context, string) ([]predictor.Part, error)
 	// ReadyPath is where the platform asks whether callers may come.
 	ReadyPath string
 }
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -73,6 +73,8 @@
 	// The rest belongs to the goroutine of run.
 	roll      *enroller.Table
 	endpoints map[enroller.Incarnation]*predictor.Endpoint
+	// KeptAsked holds the endpoints that were asked what they keep.
+	keptAsked map[enroller.Incarnation]bool
 	revisions map[string]uint64
 	answers   chan reply
 	asked     int
@@ -94,7 +96,7 @@
 		o: o, table: table, pool: pool, start: time.Now(),
 		self:    &messenger.FleetMember{Address: o.Node.Internal(), Zone: o.Node.Zone(), Incarnation: incarnation},
 		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
-		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{},
+		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, keptAsked: map[enroller.Incarnation]bool{},
 		revisions: map[string]uint64{}, owing: map[string]bool{}, silent: map[string]time.Time{},
 		answers: make(chan reply), turned: make(chan struct{}, 1),
 	}
@@ -135,6 +137,7 @@
 		begun := time.Now()
 		f.round(ctx)
 		f.show(time.Now())
+		f.askKept(ctx)
 		f.listen(ctx, max(f.paced(syncEvery, pacedMost)-time.Since(begun), syncEvery/4))
 		f.show(time.Now())
 	}
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -87,6 +87,10 @@
 
 // startFleet runs a router's view of keepers at addresses.
 func startFleet(t *testing.T, keepers ...string) *fleet {
+	return startFleetWith(t, func(*Options) {}, keepers...)
+}
+
+func startFleetWith(t *testing.T, change func(*Options), keepers ...string) *fleet {
 	text := "[node]\nname = n\nkind = router\nzone = z\nip = 127.0.0.1\ninternal_ports = 1\nseeds = 127.0.0.1:9"
 	file := filepath.Join(t.TempDir(), "node.ini")
 	if err := os.WriteFile(file, []byte(text+"\nserve = 127.0.0.1:2\nready = 127.0.0.1:3\nheartbeat_ms = 300\ngrace_s = 5\n"), 0o600); err != nil {
@@ -98,7 +102,9 @@
 	}
 	decode := func([]byte) (*publisher.Document, error) { return &publisher.Document{Number: 1}, nil }
 	belongs := func(http.Header, string) pooler.Belonging { return pooler.Own }
-	f := newFleet(Options{Node: n, Log: zap.NewNop(), Decode: decode}, 1, predictor.NewTable("z"), pooler.New(belongs, func() {}))
+	o := Options{Node: n, Log: zap.NewNop(), Decode: decode}
+	change(&o)
+	f := newFleet(o, 1, predictor.NewTable("z"), pooler.New(belongs, func() {}))
 	f.published = func(*publisher.Document) {}
 	clear(f.keepers)
 	for _, k := range keepers {
@@ -376,3 +382,34 @@
 	g.Expect(got).To(gomega.MatchError(pooler.ErrMayHaveRun), "the life before may have run it")
 	g.Expect(names()).To(gomega.Equal([]string{"e@2"}))
 }
+
+// Symptom: after a restart of all routers every shared part is read again.
+// Sequence: routers start while engines have been running; nobody knows what they
+// keep. Cause: only what routers send is known.
+func TestAStartingRouterAsksEnginesWhatTheyKeep(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := &keeperStub{}
+	k.sightings.Store(&messenger.Sightings{Sightings: []*messenger.Sighting{
+		{Id: "e", Service: "s", Address: "10.0.0.1:1", Zone: "z", Slots: 8, Sequence: 1},
+		{Id: "p", Service: "plain", Address: "10.0.0.2:1", Zone: "z", Slots: 8, Sequence: 1},
+	}})
+	var asked atomic.Int64
+	f := startFleetWith(t, func(o *Options) {
+		o.Decode = func([]byte) (*publisher.Document, error) {
+			return &publisher.Document{Number: 1, Services: []publisher.Service{{Name: "s", Engine: &publisher.Engine{Slots: 8}}, {Name: "plain"}}}, nil
+		}
+		o.Kept = func(_ context.Context, address string) ([]predictor.Part, error) {
+			asked.Add(1)
+			if address != "10.0.0.1:1" {
+				return nil, fmt.Errorf("%s is no engine", address)
+			}
+			return []predictor.Part{{ID: "part", Tokens: 5_000}}, nil
+		}
+	}, serveStub(t, k))
+	p := &predictor.Prompt{In: 6_000, Out: 10, Parts: []predictor.Part{{ID: "part", Tokens: 5_000}, {ID: "own", Tokens: 1_000}}}
+	g.Eventually(asked.Load, 4*time.Second, 10*time.Millisecond).Should(gomega.Equal(int64(1)))
+	g.Consistently(asked.Load, time.Second).Should(gomega.Equal(int64(1)))
+	w := f.table.Choose(time.Now(), predictor.Ask{Service: "s", Prompt: p})
+	defer w.End()
+	g.Expect(w.Unread()).To(gomega.Equal(int64(1_000)))
+}
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -118,8 +118,21 @@
 	parts map[string]use
 }
 
+// Keeps takes in what the endpoint itself says that it keeps.
+func (e *Endpoint) Keeps(parts []Part) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range parts {
+		if _, known := e.parts[p.ID]; !known {
+			e.parts[p.ID] = use{read: e.read, tokens: p.Tokens}
+		}
+	}
+}
+
 // use is the last use of a part at an endpoint.
 type use struct {
+	// Tokens is how much of the part is kept where the endpoint has told; 0 for all.
+	tokens int64
 	// Read is the endpoint's count of tokens then.
 	read int64
 	// First is where in the queue the prompt ends that brought the part: once that
@@ -192,7 +205,7 @@
 	left := p.In
 	for _, part := range p.Shared() {
 		u, ok := e.parts[part.ID]
-		if !ok || float64(e.read-u.read) > keepsPart*float64(memory) {
+		if !ok || float64(e.read-u.read) > keepsPart*float64(memory) || u.tokens > 0 && u.tokens < part.Tokens {
 			break
 		}
 		left -= part.Tokens
@@ -224,7 +237,7 @@
 		if !ok {
 			u.first = place
 		}
-		u.read = e.read
+		u.read, u.tokens = e.read, 0
 		e.parts[id] = u
 	}
 }
--- a/predictor/predictor_test.go
+++ b/predictor/predictor_test.go
@@ -229,3 +229,16 @@
 		})
 	}
 }
+
+// Pattern: a router has just started, and its engines keep parts from before. What
+// they tell is found; of a part that is kept only in part nothing is.
+func TestWhatAnEndpointSaysThatItKeepsIsFound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	list := endpoints("a", 1)
+	x := table(list...)
+	list[0].Keeps([]predictor.Part{{ID: "p", Tokens: 13_000}, {ID: "q", Tokens: 200}})
+	w := x.Choose(start, ask(17_000, predictor.Part{ID: "p", Tokens: 13_000}))
+	g.Expect(w.Unread()).To(gomega.Equal(int64(4_000)))
+	w = x.Choose(start, ask(17_000, predictor.Part{ID: "q", Tokens: 13_000}))
+	g.Expect(w.Unread()).To(gomega.Equal(int64(17_000)))
+}
