Keepers remember endpoints over a restart

Cause: after a restart of all keepers endpoints were known from their next heartbeats, over 1.1 s; the few that were heard first got all the work of the callers who came back together, and had two seconds of prompts to read.

Change: a keeper writes the endpoints to a small file when they change, at most once a second, and takes them in at its start as heard then; what has left by the log is gone. A file that is torn, missing or old costs nothing but that second.

--- a/allotter/share_test.go
+++ b/allotter/share_test.go
@@ -160,5 +160,5 @@
 	c := p.Claim(now, workspace, 0, 250*time.Millisecond)
 	demand := request / each.Seconds()
 	g.Expect(float64(c.Ceiling)).To(gomega.BeNumerically("<", 0.6*1.5*demand))
-	g.Expect(float64(c.Wanted + 900_000)).To(gomega.BeNumerically(">", 10*demand), "it holds rights for a cut nevertheless")
+	g.Expect(float64(c.Wanted+900_000)).To(gomega.BeNumerically(">", 10*demand), "it holds rights for a cut nevertheless")
 }
--- a/steward/roster.go
+++ b/steward/roster.go
@@ -107,6 +107,13 @@
 	return out
 }
 
+// known returns all endpoints, and the revision that they are of.
+func (r *roster) known(now time.Time) (*messenger.Sightings, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &messenger.Sightings{Sightings: r.table.Sightings(now)}, r.table.Revision()
+}
+
 // take takes in what another keeper heard.
 func (r *roster) take(now time.Time, s *messenger.Sightings) {
 	r.mu.Lock()
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -75,6 +75,8 @@
 	members *members
 	roster  *roster
 	batcher *batcher
+	// Note remembers the endpoints.
+	note *storer.Note
 	// Scarce holds the workspaces whose totals were last told to run low, and
 	// toldAt when that was looked at; both belong to the loop.
 	scarce map[string]bool
@@ -88,7 +90,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s := &Steward{node: n, log: log, start: time.Now(), state: governor.New(), scarce: map[string]bool{}}
+	s := &Steward{
+		node: n, log: log, start: time.Now(), state: governor.New(), scarce: map[string]bool{}, note: storer.NewNote(n.DataDir(), endpointsNote),
+	}
 	s.view.Store(&view{document: s.state.Document()})
 	s.members = newMembers(n.Internal(), n.Seeds(), s.setPeers)
 	s.roster = newRoster(n.Heartbeat())
@@ -108,6 +112,8 @@
 	}
 	s.gauges()
 	s.batcher = newBatcher(s.loop.Propose, log)
+	s.recall()
+	// After it: what has left must not come back.
 	s.committed()
 	return s, func() { _ = closeStore() }, nil
 }
@@ -188,6 +194,7 @@
 	go func() { failed <- web.Serve(outside) }()
 	go func() { failed <- s.loop.Run(ctx) }()
 	go s.share(ctx)
+	go s.remember(ctx)
 	go s.batcher.run(ctx)
 	s.members.run(ctx)
 	s.log.Info("keeper started", zap.String("zone", s.node.Zone()), zap.Strings("seeds", s.node.Seeds()),
