A starting router lets callers wait for its first configuration

Cause: after a loss of everything routers start half a second before keepers have a leader; a hundred callers in that time were sent away for 0.15 to 0.4 s, came back once, and were refused for good.

Change: until 1.2 s after its start a router lets callers wait for the first document; after that it says when it will take what its zone has.

--- a/courier/document.go
+++ b/courier/document.go
@@ -17,8 +17,33 @@
 	// before it takes one that its keeper couldn't have confirmed: where no
 	// majority answers, that is the newest that its zone can know.
 	settleFor = 3 * time.Second
+	// startPatience is how long after its start a router lets callers wait for the
+	// first document: with keepers that start at the same moment it is there after 0.3
+	// to 0.9 s. Sent back, a caller who comes back once finds the same.
+	startPatience = 1200 * time.Millisecond
+	// comeBackUnset is when a caller should come back to a router that no keeper and
+	// no other router has told a document: a few rounds of its questions.
+	comeBackUnset = time.Second
 )
 
+// Await returns the document in force. A router that has just started waits for the
+// first one until startPatience after its start; later, or if it does not come, it
+// returns after what time one is expected: once it takes what its zone has.
+func (f *fleet) Await(ctx context.Context) (*publisher.Index, time.Duration) {
+	if x := f.index.Load(); x != nil {
+		return x, 0
+	}
+	t := time.NewTimer(startPatience - time.Since(f.start))
+	defer t.Stop()
+	select {
+	case <-f.first:
+		return f.index.Load(), 0
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return f.index.Load(), max(settleFor-time.Since(f.start), comeBackUnset)
+}
+
 // renew fetches a newer document, beside the questions: a large one takes
 // seconds over a small link.
 func (f *fleet) renew(ctx context.Context, l *messenger.Link, number uint64) {
@@ -61,6 +86,9 @@
 	}
 	f.published(d)
 	f.index.Store(publisher.NewIndex(d))
+	if old == nil {
+		close(f.first)
+	}
 	f.o.Log.Info("configuration in force", zap.Uint64("number", d.Number), zap.Int("routes", len(d.Routes)), zap.Bool("confirmed", confirmed))
 }
 
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -43,6 +43,8 @@
 	table *predictor.Table
 	pool  *pooler.Pool
 	index atomic.Pointer[publisher.Index]
+	// First is closed once there is a document.
+	first chan struct{}
 	// Published is told of each document before it is in force.
 	published func(*publisher.Document)
 	// Known is how many routers there are, this one included.
@@ -98,7 +100,7 @@
 		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
 		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, keptAsked: map[enroller.Incarnation]bool{},
 		revisions: map[string]uint64{}, owing: map[string]bool{}, silent: map[string]time.Time{},
-		answers: make(chan reply), turned: make(chan struct{}, 1),
+		answers: make(chan reply), first: make(chan struct{}), turned: make(chan struct{}, 1),
 	}
 	f.known.Store(1)
 	for _, s := range o.Node.Seeds() {
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -413,3 +413,32 @@
 	defer w.End()
 	g.Expect(w.Unread()).To(gomega.Equal(int64(1_000)))
 }
+
+// Symptom: callers of an outage are refused for good. Sequence: routers and keepers
+// start at the same moment; callers come at once and are sent away; they come back,
+// once, before there is a configuration. Cause: "no configuration yet" is answered at
+// once, though it will be there within the second.
+func TestCallersWaitForTheFirstConfiguration(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := &keeperStub{}
+	k.fetch.Store(int64(400 * time.Millisecond))
+	f := startFleet(t, serveStub(t, k))
+	x, _ := f.Await(t.Context())
+	g.Expect(x).NotTo(gomega.BeNil())
+	g.Expect(x.Number()).To(gomega.Equal(uint64(1)))
+}
+
+// A router without keepers lets nobody wait for long, and says when it takes what its
+// zone has.
+func TestCallersDoNotWaitForKeepersThatAreGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	x, after := f.Await(t.Context())
+	g.Expect(x).To(gomega.BeNil())
+	g.Expect(time.Since(f.start)).To(gomega.BeNumerically("~", startPatience, 200*time.Millisecond))
+	g.Expect(after).To(gomega.BeNumerically("~", settleFor-startPatience, 200*time.Millisecond))
+	begun := time.Now()
+	x, _ = f.Await(t.Context())
+	g.Expect(x).To(gomega.BeNil())
+	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 50*time.Millisecond))
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -78,8 +78,9 @@
 
 // Fleet is what the router knows of the others.
 type Fleet interface {
-	// Index returns the document in force, or nil before the first.
-	Index() *publisher.Index
+	// Await returns the document in force; before the first it waits for it for a
+	// moment, and returns after what time it is expected.
+	Await(ctx context.Context) (x *publisher.Index, after time.Duration)
 	// Routers is how many routers share the fleet's bounds; at least 1.
 	Routers() int
 	// Dispatched tells the other routers of a prompt sent to an endpoint.
@@ -185,9 +186,9 @@
 // prepare finds route, service and workspace and reads the body; it reports
 // false when the answer is given already.
 func (j *job) prepare() bool {
-	j.index = j.f.Fleet.Index()
-	if j.index == nil {
-		return j.refuse(http.StatusServiceUnavailable, "no configuration yet")
+	var after time.Duration
+	if j.index, after = j.f.Fleet.Await(j.r.Context()); j.index == nil {
+		return j.refuseFor(after, http.StatusServiceUnavailable, "no configuration yet")
 	}
 	c, err := j.f.Wire.Caller(j.r.Header)
 	if err != nil {
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -156,10 +156,10 @@
 
 type fleetStub struct{ index *publisher.Index }
 
-func (f fleetStub) Index() *publisher.Index               { return f.index }
-func (f fleetStub) Routers() int                          { return 1 }
-func (f fleetStub) Dispatched(string, predictor.Dispatch) {}
-func (f fleetStub) Partial() bool                         { return false }
+func (f fleetStub) Await(context.Context) (*publisher.Index, time.Duration) { return f.index, 0 }
+func (f fleetStub) Routers() int                                            { return 1 }
+func (f fleetStub) Dispatched(string, predictor.Dispatch)                   {}
+func (f fleetStub) Partial() bool                                           { return false }
 
 // world is one router before scripted endpoints.
 type world struct {
