predictor: beliefs about endpoints fade, and ejected ones are probed

(1) An endpoint that had failed three times in a row cost 0.4 s more than any other until a request succeeded there, so none ever went: it was out of use for good, model engines alike. (2) The average time of plain answers at an endpoint moved only by its own answers: one late answer, and it was avoided for good.

Change: (1) an ejected endpoint whose block has run out costs a request that may be repeated no more than another, so one of those is its probe; others only if none came for 5 s. (2) A mean for the service, and for each endpoint a deviation that fades within 10 s. Tests of both fail on the code before.

--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -90,6 +90,15 @@
 // sent at all.
 func (g *Gate) Ejected() bool { return g.until.Load() != 0 }
 
+// ProbeDue returns for how long a probe has been due; 0 where none is.
+func (g *Gate) ProbeDue(now time.Duration) time.Duration {
+	until := time.Duration(g.until.Load())
+	if until == 0 || now < until {
+		return 0
+	}
+	return now - until
+}
+
 // Step takes an event in. An endpoint in good order costs no lock.
 func (g *Gate) Step(now time.Duration, e Event, random float64) {
 	if e == Dispatched && g.until.Load() == 0 {
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -66,7 +66,7 @@
 func (j *job) ask() predictor.Ask {
 	a := predictor.Ask{
 		Service: j.service.Name, Prompt: j.caller.Prompt, Partial: j.f.Fleet.Partial(), Tried: append(j.tried, j.full...),
-		Since: time.Since(j.f.start),
+		Since: time.Since(j.f.start), Repeatable: j.repeatable() && len(j.tried)+1 < j.route.Attempts,
 	}
 	if e := j.service.Engine; e != nil {
 		a.Memory, a.Carry = e.MemoryTokens, e.Carry()
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -23,14 +23,15 @@
 	// paceMost bounds the pace: an endpoint that slow gets no work while there is
 	// another.
 	paceMost = 20
-	// paceFades is how long a pace is believed that nothing has shown since: else an
-	// endpoint that is avoided for it would never show that it is well again.
-	paceFades = 10 * time.Second
+	// beliefFades is how long it is believed that an endpoint is slow which nothing has
+	// shown since: else one that is avoided for it would never show that it is well.
+	beliefFades = 10 * time.Second
 	// paceOrdinary is how far from an ordinary endpoint's one may be for what it
 	// shows to be learned of all.
 	paceOrdinary = 1.4
-	// latencyGain is the weight of the newest time of a plain request.
-	latencyGain = 0.1
+	// slowerGain is the weight of the newest plain answer in how much slower than the
+	// others an endpoint is.
+	slowerGain = 0.1
 	// reportTrust is how long a reported load counts: a few times the lag that
 	// reports have anyway.
 	reportTrust = 500 * time.Millisecond
@@ -100,15 +101,16 @@
 	// Running counts this router's requests there.
 	running int
 	queue   queue
-	// Reader belongs to the endpoint's service, from when it was first put in service.
-	reader  *Reader
-	serving bool
+	// Ordinary belongs to the endpoint's service, from when it was first put in service.
+	ordinary *Ordinary
+	serving  bool
 	// Pace is how many times as long as an ordinary endpoint this one took to read
 	// what it was last seen to read, at paceAt.
 	pace   float64
 	paceAt time.Time
-	// Latency is the average time of a plain request there; 0 before one.
-	latency time.Duration
+	// Slower is how much longer than on average plain answers take there, as of slowerAt.
+	slower   time.Duration
+	slowerAt time.Time
 	// Reported is the load that the endpoint told last, of all routers.
 	reported   Load
 	reportedAt time.Time
@@ -147,16 +149,16 @@
 
 // NewEndpoint returns an endpoint without history.
 func NewEndpoint(b enroller.Beat) *Endpoint {
-	return &Endpoint{beat: b, name: b.String(), reader: NewReader(), pace: 1, parts: map[string]use{}}
+	return &Endpoint{beat: b, name: b.String(), ordinary: NewOrdinary(), pace: 1, parts: map[string]use{}}
 }
 
 // serve puts the endpoint in service with what is learned of all of its service. It
 // has no effect on one that was in service before.
-func (e *Endpoint) serve(r *Reader) {
+func (e *Endpoint) serve(r *Ordinary) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.serving {
-		e.serving, e.reader = true, r
+		e.serving, e.ordinary = true, r
 	}
 }
 
@@ -252,8 +254,7 @@
 
 // paceNow is the pace as it is believed now.
 func (e *Endpoint) paceNow(now time.Time) float64 {
-	age := max(now.Sub(e.paceAt), 0)
-	return 1 + (e.pace-1)*math.Exp(-age.Seconds()/paceFades.Seconds())
+	return 1 + (e.pace-1)*faded(now.Sub(e.paceAt))
 }
 
 // Dispatch is what routers tell each other of a prompt that they sent.
@@ -313,10 +314,19 @@
 		e.learn(now, w, took)
 		return
 	}
-	if e.latency == 0 {
-		e.latency = took
-	}
-	e.latency += time.Duration(latencyGain * float64(took-e.latency))
+	slower := e.slowerNow(now)
+	e.slower = slower + time.Duration(slowerGain*float64(e.ordinary.LearnAnswer(took)-slower))
+	e.slowerAt = now
+}
+
+// slowerNow is how much slower the endpoint is taken to be now.
+func (e *Endpoint) slowerNow(now time.Time) time.Duration {
+	return time.Duration(float64(e.slower) * faded(now.Sub(e.slowerAt)))
+}
+
+// faded is what is left of a belief that nothing has shown for a time.
+func faded(age time.Duration) float64 {
+	return math.Exp(-max(age, 0).Seconds() / beliefFades.Seconds())
 }
 
 // learn takes in how long a prompt took, with what had to be read before it: of the
@@ -325,13 +335,13 @@
 func (e *Endpoint) learn(now time.Time, w *Work, took time.Duration) {
 	pace := e.paceNow(now)
 	if w.queued == 0 && pace < paceOrdinary && pace > 1/paceOrdinary {
-		e.reader.Learn(w.dispatch.Unread, w.prompt, took)
+		e.ordinary.Learn(w.dispatch.Unread, w.prompt, took)
 	}
 	whole := w.queued + w.dispatch.Takes
 	if whole < paceLeast {
 		return
 	}
-	shown := float64(max(took-e.reader.Base(), 0)) / float64(whole)
+	shown := float64(max(took-e.ordinary.Base(), 0)) / float64(whole)
 	gain := paceGain * min(float64(whole)/float64(paceWhole), 1)
 	e.pace = pace + gain*(min(shown, paceMost)-pace)
 	e.paceAt = now
--- a/predictor/reader.go
+++ b/predictor/ordinary.go
@@ -26,23 +26,29 @@
 	// outlier bounds how far one measurement pulls: an endpoint that is slow tells of
 	// itself, not of the others.
 	outlier = 150 * time.Millisecond
+	// answerGain is the weight of the newest plain answer; the first ones count alike.
+	answerGain = 0.05
 )
 
-// Reader predicts how long an ordinary endpoint of one service takes to the first
-// event of a prompt, and learns it: a part that every request takes, one for each
+// Ordinary is what the endpoints of one service have in common, learned from all of
+// them: how long a plain answer takes, and the first event of a prompt, which has a part that every request takes, one for each
 // token that it must read, and one for each pair of a token and those before it,
 // which long prompts feel. It is safe for concurrent use.
-type Reader struct {
+type Ordinary struct {
 	mu sync.Mutex
 	// Theta holds the three figures in milliseconds, spread their uncertainty, as
 	// recursive least squares keep it.
 	theta  [3]float64
 	spread [3][3]float64
+	// Answer is the average time of a plain answer, 0 before the first, and answers how
+	// many there were.
+	answer  time.Duration
+	answers int
 }
 
-// NewReader returns a reader that has measured nothing.
-func NewReader() *Reader {
-	r := &Reader{theta: [3]float64{
+// NewOrdinary returns what is taken for ordinary before anything was measured.
+func NewOrdinary() *Ordinary {
+	r := &Ordinary{theta: [3]float64{
 		milliseconds(startBase), milliseconds(startToken) * tokenScale, startPair * pairScale / 1e6,
 	}}
 	r.spread = startUncertainty()
@@ -68,23 +74,45 @@
 }
 
 // Base is the time to a first event that no prompt explains.
-func (r *Reader) Base() time.Duration {
+func (r *Ordinary) Base() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return duration(r.theta[0])
 }
 
 // Read returns the time that reading takes, beside Base.
-func (r *Reader) Read(unread, prompt int64) time.Duration {
+func (r *Ordinary) Read(unread, prompt int64) time.Duration {
 	x := features(unread, prompt)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return duration(r.theta[1]*x[1] + r.theta[2]*x[2])
 }
 
+// LearnAnswer takes in the time of a plain answer and returns by how much it was
+// longer than they are on average.
+func (r *Ordinary) LearnAnswer(took time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	off := took - r.answer
+	if r.answers == 0 {
+		off = 0
+		r.answer = took
+	}
+	r.answers++
+	r.answer += time.Duration(max(answerGain, 1/float64(r.answers)) * float64(off))
+	return off
+}
+
+// Answer returns the average time of a plain answer, or 0 before the first.
+func (r *Ordinary) Answer() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answer
+}
+
 // Learn takes in the time to the first event of a prompt that found nothing else to
 // be read at its endpoint.
-func (r *Reader) Learn(unread, prompt int64, took time.Duration) {
+func (r *Ordinary) Learn(unread, prompt int64, took time.Duration) {
 	x := features(unread, prompt)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -117,7 +145,7 @@
 
 // bound keeps the uncertainty at what it was at the start: while only one kind of
 // prompt comes, forgetting would let that of the others grow without limit.
-func (r *Reader) bound() {
+func (r *Ordinary) bound() {
 	most := startUncertainty()
 	for i := range r.spread {
 		if r.spread[i][i] <= most[i][i] {
--- a/predictor/reader_test.go
+++ b/predictor/ordinary_test.go
@@ -31,7 +31,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			x := rand.New(rand.NewPCG(1, 2))
-			r := predictor.NewReader()
+			r := predictor.NewOrdinary()
 			near := 0
 			for i := range 300 {
 				prompt := 1_000 + x.Int64N(1_000+x.Int64N(49_000))
@@ -59,7 +59,7 @@
 	g := gomega.NewWithT(t)
 	truth := engine(6*time.Millisecond, 50, 2.7e6)
 	x := rand.New(rand.NewPCG(1, 2))
-	r := predictor.NewReader()
+	r := predictor.NewOrdinary()
 	for range 100 {
 		n := 1_000 + x.Int64N(40_000)
 		r.Learn(n, n, truth(n, n))
--- a/predictor/plan.go
+++ b/predictor/plan.go
@@ -74,7 +74,7 @@
 	if a.Prompt == nil {
 		return p
 	}
-	least := e.reader.Read(p.unread, a.Prompt.In)
+	least := e.ordinary.Read(p.unread, a.Prompt.In)
 	kept := a.Prompt.In - p.unread
 	for zone, d := range donors {
 		gain := d.kept - kept
@@ -86,7 +86,7 @@
 			carry *= otherZoneCarry
 		}
 		unread := a.Prompt.In - d.kept
-		if takes := carry + e.reader.Read(unread, a.Prompt.In); takes < least {
+		if takes := carry + e.ordinary.Read(unread, a.Prompt.In); takes < least {
 			least, p.unread, p.donor, p.carry = takes, unread, d.endpoint, carry
 		}
 	}
@@ -106,7 +106,7 @@
 	busy := e.busy(now)
 	if a.Prompt == nil {
 		slots := max(e.beat.Slots, 1)
-		c := e.latency + time.Duration(float64(busy)/float64(slots)*float64(50*time.Millisecond))
+		c := e.ordinary.Answer() + e.slowerNow(now) + time.Duration(float64(busy)/float64(slots)*float64(50*time.Millisecond))
 		if busy >= slots {
 			c += fullCost
 		}
@@ -140,14 +140,14 @@
 
 // takes is how long the endpoint reads a prompt of which so many tokens are unread.
 func (e *Endpoint) takes(now time.Time, unread, prompt int64) time.Duration {
-	return time.Duration(float64(e.reader.Read(unread, prompt)) * e.paceNow(now))
+	return time.Duration(float64(e.ordinary.Read(unread, prompt)) * e.paceNow(now))
 }
 
 // waitFor is the predicted wait for the first event of such a prompt.
 func (e *Endpoint) waitFor(now time.Time, p plan, prompt int64) time.Duration {
 	pace := e.paceNow(now)
 	queued := time.Duration(float64(e.queue.left(now, pace)) * pace)
-	return e.reader.Base() + max(queued, p.carry) + e.takes(now, p.unread, prompt) + time.Duration(e.busy(now))*slotCost
+	return e.ordinary.Base() + max(queued, p.carry) + e.takes(now, p.unread, prompt) + time.Duration(e.busy(now))*slotCost
 }
 
 func (e *Endpoint) begin(now time.Time, a Ask, p plan) *Work {
@@ -160,7 +160,7 @@
 	}
 	w.prompt, w.donor = a.Prompt.In, p.donor
 	w.predict = e.waitFor(now, p, w.prompt)
-	w.dispatch = Dispatch{Unread: p.unread, Takes: e.reader.Read(p.unread, w.prompt), Parts: a.Prompt.SharedIDs()}
+	w.dispatch = Dispatch{Unread: p.unread, Takes: e.ordinary.Read(p.unread, w.prompt), Parts: a.Prompt.SharedIDs()}
 	pace := e.paceNow(now)
 	w.queued = e.queue.left(now, pace)
 	w.place = e.queue.enter(now, w.dispatch.Takes, pace)
--- a/predictor/predictor_test.go
+++ b/predictor/predictor_test.go
@@ -1,12 +1,14 @@
 package predictor_test
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"rattanhoist.example/rattanhoist/ejector"
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/predictor"
 )
@@ -34,7 +36,7 @@
 
 // told is a dispatch of another router, with what it learned at first.
 func told(unread int64, parts []string) predictor.Dispatch {
-	return predictor.Dispatch{Unread: unread, Takes: predictor.NewReader().Read(unread, unread), Parts: parts}
+	return predictor.Dispatch{Unread: unread, Takes: predictor.NewOrdinary().Read(unread, unread), Parts: parts}
 }
 
 // Pattern: a long prompt was just sent to an endpoint, by this router or by
@@ -242,3 +244,82 @@
 	w = x.Choose(start, ask(17_000, predictor.Part{ID: "q", Tokens: 13_000}))
 	g.Expect(w.Unread()).To(gomega.Equal(int64(17_000)))
 }
+
+// Pattern: plain requests of 60 ms, one in twenty of 400 ms, at one endpoint in each
+// of three zones. They should stay in their zone: with an average for each endpoint
+// that only its own answers move, one late answer sent half of all requests to another
+// zone for the rest of the day.
+func TestPlainRequestsStayInTheirZone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := table(endpoints("a", 1)[0], endpoints("b", 1)[0], endpoints("c", 1)[0])
+	r := rand.New(rand.NewPCG(1, 2))
+	other := 0
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * 150 * time.Millisecond)
+		w := x.Choose(now, predictor.Ask{Service: "llm"})
+		if w.Endpoint().Beat().Zone != "a" {
+			other++
+		}
+		took := time.Duration(30+r.IntN(60)) * time.Millisecond
+		if i%20 == 0 {
+			took = 400 * time.Millisecond
+		}
+		w.First(now.Add(took))
+		w.End()
+	}
+	g.Expect(other).To(gomega.BeNumerically("<", 30))
+}
+
+// Pattern: the endpoint of the zone has become eight times as slow. Plain requests
+// leave it, and come back some time after it is well.
+func TestPlainRequestsLeaveASlowEndpoint(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := table(endpoints("a", 1)[0], endpoints("b", 1)[0])
+	played := func(from, n int, slow time.Duration) (near int) {
+		for i := range n {
+			now := start.Add(time.Duration(from+i) * 100 * time.Millisecond)
+			w := x.Choose(now, predictor.Ask{Service: "llm"})
+			took := 60 * time.Millisecond
+			if w.Endpoint().Beat().Zone == "a" {
+				near++
+				took = slow
+			}
+			w.First(now.Add(took))
+			w.End()
+		}
+		return near
+	}
+	g.Expect(played(0, 100, 60*time.Millisecond)).To(gomega.BeNumerically(">", 95))
+	g.Expect(played(100, 100, 480*time.Millisecond)).To(gomega.BeNumerically("<", 15))
+	played(200, 200, 60*time.Millisecond)
+	g.Expect(played(400, 100, 60*time.Millisecond)).To(gomega.BeNumerically(">", 90))
+}
+
+// Symptom: an endpoint that is well gets no work for the rest of the day. Sequence: it
+// fails three times in a row and is ejected; a second later it is well; other endpoints
+// are there. Cause: one that needs a probe costs more than any other, so it gets none.
+func TestAnEjectedEndpointIsProbed(t *testing.T) {
+	for name, c := range map[string]struct {
+		repeatable bool
+		within     time.Duration
+	}{"repeatable": {true, 3 * time.Second}, "not": {false, 8 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			near, far := endpoints("a", 1)[0], endpoints("b", 1)[0]
+			x := table(near, far)
+			for range 3 {
+				near.Gate().Step(0, ejector.Failed, 0.5)
+			}
+			a := predictor.Ask{Service: "llm", Repeatable: c.repeatable}
+			for a.Since = 0; a.Since < c.within; a.Since += 100 * time.Millisecond {
+				w := x.Choose(start.Add(a.Since), a)
+				w.First(start.Add(a.Since + 50*time.Millisecond))
+				w.End()
+				if w.Endpoint() == near {
+					near.Gate().Step(a.Since, ejector.Succeeded, 0)
+				}
+			}
+			g.Expect(near.Gate().Ejected()).To(gomega.BeFalse())
+		})
+	}
+}
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -18,6 +18,8 @@
 	// pause where a link lost packets; with 80 ms endpoints of a zone fill up while
 	// others idle.
 	otherZone = 30 * time.Millisecond
+	// probeOverdue is how long a probe is left to requests that may be repeated.
+	probeOverdue = 5 * time.Second
 	// otherZonePlain is the same for plain requests, which gain nothing there.
 	otherZonePlain = 60 * time.Millisecond
 )
@@ -28,9 +30,9 @@
 	byService atomic.Pointer[map[string]*group]
 	// ByName holds the same endpoints by incarnation, as text.
 	byName atomic.Pointer[map[string]*Endpoint]
-	// Readers holds what was learned of each service's endpoints; it belongs to
+	// Ordinary holds what was learned of each service's endpoints; it belongs to
 	// Replace.
-	readers map[string]*Reader
+	ordinary map[string]*Ordinary
 }
 
 // group is the endpoints of one service; immutable.
@@ -42,7 +44,7 @@
 
 // NewTable returns an empty table for a router in zone.
 func NewTable(zone string) *Table {
-	t := &Table{zone: zone, readers: map[string]*Reader{}}
+	t := &Table{zone: zone, ordinary: map[string]*Ordinary{}}
 	t.Replace(nil)
 	return t
 }
@@ -52,12 +54,12 @@
 	groups, names := map[string]*group{}, map[string]*Endpoint{}
 	for s, list := range byService {
 		groups[s] = &group{endpoints: list, apart: apart(list)}
-		if t.readers[s] == nil {
-			t.readers[s] = NewReader()
+		if t.ordinary[s] == nil {
+			t.ordinary[s] = NewOrdinary()
 		}
 		for _, e := range list {
 			names[e.name] = e
-			e.serve(t.readers[s])
+			e.serve(t.ordinary[s])
 		}
 	}
 	t.byService.Store(&groups)
@@ -94,6 +96,8 @@
 	Carry time.Duration
 	// Partial says that only some of the other routers tell this one what they send.
 	Partial bool
+	// Repeatable says that the request may go to another endpoint if this one fails.
+	Repeatable bool
 	// Since counts from any fixed instant, for the gates.
 	Since time.Duration
 }
@@ -132,9 +136,7 @@
 		if e.beat.Zone != t.zone {
 			c += otherZoneCost(a.Prompt)
 		}
-		if e.gate.Ejected() {
-			c += fullCost
-		}
+		c += probeCost(e.gate.ProbeDue(a.Since), a.Repeatable)
 		// A little noise keeps routers that know the same from choosing the
 		// same endpoint at the same moment.
 		c += time.Duration(rand.Int64N(int64(2 * time.Millisecond)))
@@ -145,6 +147,18 @@
 	return best, ok
 }
 
+// probeCost is what it costs to send a request to an endpoint whose probe has been
+// due for a time. One that may be repeated costs nothing more than elsewhere: sent
+// nowhere, no probe would ever show that the endpoint is well again, and one that had
+// failed three times in a row got no work for the rest of the day. Others stand in
+// only if none of those came for probeOverdue.
+func probeCost(due time.Duration, repeatable bool) time.Duration {
+	if due == 0 || repeatable || due > probeOverdue {
+		return 0
+	}
+	return fullCost
+}
+
 func otherZoneCost(p *Prompt) time.Duration {
 	if p == nil {
 		return otherZonePlain
