The keepers' configuration log runs on committer

A pair that did one job: keeper/log_loop.go and committer.Loop both stepped a replicated log, synced a batch's rows once and answered then. Two differences that callers may see: a full queue refuses at once where it waited (ErrBusy, nothing begun), messages that find it full are lost.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -39,7 +39,8 @@
 	leader      replicator.Member
 	leads       bool
 	voter       bool
-	founded     bool
+	term        uint64
+	deployment  string
 	voters      []replicator.Member
 	changed     chan struct{}
 }
@@ -61,15 +62,24 @@
 func (s *State) Votes() bool { return s.voter }
 
 // Founded reports whether the disk belongs to a deployment.
-func (s *State) Founded() bool { return s.founded }
+func (s *State) Founded() bool { return s.deployment != "" }
+
+// Term returns the newest term that is known.
+func (s *State) Term() uint64 { return s.term }
+
+// Changed is closed once more is applied than here.
+func (s *State) Changed() <-chan struct{} { return s.changed }
 
 // Voters returns the committed voters; callers must not change them.
 func (s *State) Voters() []replicator.Member { return s.voters }
 
+// call is one of an event, a request, a look and new peers.
 type call struct {
-	event replicator.Event
-	peers []string
-	done  chan Outcome
+	event   replicator.Event
+	request any
+	look    func()
+	peers   []string
+	done    chan Outcome
 }
 
 // Options describe a loop.
@@ -81,7 +91,13 @@
 	Send func(*messenger.LogMessage)
 	// Committed is called in the loop after entries were applied and synced.
 	Committed func()
-	Log       *zap.Logger
+	// Prepare makes the data of a request just before it enters the log, or returns
+	// its answer where it needs no entry, in the loop. Only Ask needs it.
+	Prepare func(request any) (data []byte, answer any, err error)
+	// EndsOnRefusal says that Run ends when the disk refuses a write, for a process
+	// that starts anew from what is there; otherwise it is tried again.
+	EndsOnRefusal bool
+	Log           *zap.Logger
 }
 
 // Loop runs one keeper's log.
@@ -148,20 +164,61 @@
 func (l *Loop) commit(ctx context.Context, batch []call) error {
 	now := time.Now()
 	var actions []replicator.Action
-	for _, c := range batch {
-		switch e := c.event.(type) {
-		case nil:
-			l.core.SetPeers(c.peers)
-		case replicator.Propose:
-			e.Ticket = l.desk.Wait(c.done)
-			actions = append(actions, l.core.Step(now, e)...)
-		case replicator.Read:
-			actions = append(actions, l.core.Step(now, replicator.Read{Ticket: l.desk.Wait(c.done)})...)
-		default:
+	answers := make([]*Outcome, len(batch))
+	for i, c := range batch {
+		var e replicator.Event
+		if e, answers[i] = l.eventOf(c); e != nil {
 			actions = append(actions, l.core.Step(now, e)...)
 		}
 	}
-	return l.carryOut(ctx, actions)
+	if err := l.carryOut(ctx, actions); err != nil {
+		return err
+	}
+	// What is looked at, or answered without an entry of its own, may come from an
+	// entry of this batch: it leaves the process after the rows are synced.
+	for i, c := range batch {
+		if c.look != nil {
+			c.look()
+		}
+		if answers[i] != nil {
+			c.done <- *answers[i]
+		}
+	}
+	return nil
+}
+
+// eventOf returns a call's event for the core, or its answer, or neither.
+func (l *Loop) eventOf(c call) (replicator.Event, *Outcome) {
+	switch e := c.event.(type) {
+	case replicator.Propose:
+		e.Ticket = l.desk.Wait(c.done)
+		return e, nil
+	case replicator.Read:
+		return replicator.Read{Ticket: l.desk.Wait(c.done)}, nil
+	case nil:
+	default:
+		return e, nil
+	}
+	switch {
+	case c.request != nil:
+		return l.proposal(c)
+	case c.look != nil:
+		return nil, &Outcome{}
+	}
+	l.core.SetPeers(c.peers)
+	return nil, nil
+}
+
+// proposal returns the event for a request, or its answer where it needs none.
+func (l *Loop) proposal(c call) (replicator.Event, *Outcome) {
+	if !l.core.Ready() {
+		return nil, &Outcome{Err: ErrNotLeader}
+	}
+	data, answer, err := l.options.Prepare(c.request)
+	if err != nil || answer != nil {
+		return nil, &Outcome{Result: answer, Err: err}
+	}
+	return replicator.Propose{Ticket: l.desk.Wait(c.done), Data: data}, nil
 }
 
 func (l *Loop) carryOut(ctx context.Context, actions []replicator.Action) error {
@@ -171,7 +228,7 @@
 	})
 }
 
-// sync writes the rows until the disk takes them. The core is ahead of a disk
+// sync writes the rows until the disk takes them, or ends at a refusal. The core is ahead of a disk
 // that refuses, so nothing may leave meanwhile: to the others this keeper is
 // silent, and a leader loses its role. Ending the process instead would only
 // lose what it knows beside the disk.
@@ -187,6 +244,9 @@
 			}
 			return nil
 		}
+		if l.options.EndsOnRefusal {
+			return err
+		}
 		if refused == 0 {
 			l.options.Log.Warn("disk refuses writes; nothing is acknowledged", zap.Error(err))
 		}
@@ -203,7 +263,7 @@
 	old := l.state.Load()
 	s := &State{
 		applied: l.core.Commit(), confirmedAt: l.core.ConfirmedAt(), leader: l.core.Leader(),
-		leads: l.core.Ready(), voter: l.core.Voter(), founded: l.core.Deployment() != "",
+		leads: l.core.Ready(), voter: l.core.Voter(), deployment: l.core.Deployment(), term: l.core.Term(),
 		changed: old.changed, voters: old.voters,
 	}
 	moved := s.applied != old.applied
@@ -218,9 +278,9 @@
 	if moved {
 		close(old.changed)
 	}
-	if s.leader != old.leader || s.voter != old.voter || s.founded != old.founded || s.leads != old.leads {
+	if s.leader != old.leader || s.voter != old.voter || s.deployment != old.deployment || s.leads != old.leads {
 		l.options.Log.Info("log", zap.String("leader", s.leader.Name), zap.Bool("leads", s.leads),
-			zap.Bool("votes", s.voter), zap.Bool("founded", s.founded), zap.Uint64("term", l.core.Term()),
+			zap.Bool("votes", s.voter), zap.Bool("founded", s.Founded()), zap.Uint64("term", s.term),
 			zap.Int("voters", len(s.voters)))
 	}
 }
@@ -235,8 +295,8 @@
 }
 
 // do hands an event to the loop and waits for its answer.
-func (l *Loop) do(ctx context.Context, e replicator.Event) (Outcome, error) {
-	c := call{event: e, done: make(chan Outcome, 1)}
+func (l *Loop) do(ctx context.Context, c call) (Outcome, error) {
+	c.done = make(chan Outcome, 1)
 	if err := l.put(c); err != nil {
 		return Outcome{}, err
 	}
@@ -260,14 +320,34 @@
 
 // Propose commits a change and returns what the machine made of it.
 func (l *Loop) Propose(ctx context.Context, data []byte) (any, error) {
-	o, err := l.do(ctx, replicator.Propose{Data: data})
+	o, err := l.do(ctx, call{event: replicator.Propose{Data: data}})
 	return o.Result, err
 }
 
+// Ask commits what Options.Prepare makes of a request, and returns what the machine
+// made of that, or the answer that Prepare gave.
+func (l *Loop) Ask(ctx context.Context, request any) (any, error) {
+	o, err := l.do(ctx, call{request: request})
+	return o.Result, err
+}
+
+// Look calls f between two events, when all that the machine holds is synced. If it
+// returns an error, f may still be called later.
+func (l *Loop) Look(ctx context.Context, f func()) error {
+	_, err := l.do(ctx, call{look: f})
+	return err
+}
+
+// Waiting returns how many calls wait for the loop.
+func (l *Loop) Waiting() int { return len(l.calls) }
+
+// Ended is closed once no call will be answered any more.
+func (l *Loop) Ended() <-chan struct{} { return l.ended }
+
 // Confirm returns an index that covers all that was acknowledged before the
 // call, confirmed by a majority after it.
 func (l *Loop) Confirm(ctx context.Context) (uint64, error) {
-	o, err := l.do(ctx, replicator.Read{})
+	o, err := l.do(ctx, call{event: replicator.Read{}})
 	return o.Index, err
 }
 
--- a/keeper/configuration.go
+++ b/keeper/configuration.go
@@ -47,12 +47,12 @@
 	for _, o := range s.outboxes {
 		go o.run(ctx)
 	}
-	return s.loop.run(ctx)
+	return s.loop.Run(ctx)
 }
 
-func (s *configurationServer) version() uint64 { return s.loop.state.Load().version }
+func (s *configurationServer) version() uint64 { return s.loop.version() }
 
-func (s *configurationServer) ageMS() int64 { return ageMS(s.loop.state.Load().confirmedAt) }
+func (s *configurationServer) ageMS() int64 { return ageMS(s.loop.State().ConfirmedAt()) }
 
 func ageMS(confirmedAt time.Time) int64 {
 	if confirmedAt.IsZero() {
@@ -88,7 +88,7 @@
 	}
 	out.AgeMs, out.Confirmed = age, r.Confirmed
 	out.Keepers = s.members()
-	out.LeaderName = s.loop.state.Load().leader.Name
+	out.LeaderName = s.loop.State().Leader()
 	out.Leader = out.LeaderName == s.keeper.self.Name()
 	return out, nil
 }
@@ -125,7 +125,7 @@
 	var out []*messenger.Member
 	for _, p := range s.keeper.settings.Processes(loader.KindKeeper) {
 		m := &messenger.Member{Name: p.Name(), Zone: p.Zone(), Address: p.RPC(), Learner: true}
-		for _, v := range s.loop.state.Load().voters {
+		for _, v := range s.loop.State().Voters() {
 			if v.Name == p.Name() {
 				m.Learner, m.Incarnation = false, v.Incarnation
 			}
--- a/keeper/log_peers.go
+++ b/keeper/log_peers.go
@@ -12,7 +12,6 @@
 
 	"rattanhoist.example/rattanhoist/committer"
 	"rattanhoist.example/rattanhoist/messenger"
-	"rattanhoist.example/rattanhoist/replicator"
 )
 
 const (
@@ -83,7 +82,8 @@
 		if err != nil {
 			return err
 		}
-		if err := s.loop.receive(r.Context(), m); err != nil {
+		// One that finds the queue full is lost, as on a network; the log sends it again.
+		if err := s.loop.Receive(m); err != nil && !errors.Is(err, committer.ErrBusy) {
 			return err
 		}
 	}
@@ -91,11 +91,11 @@
 
 // Barrier answers, at the leader, after a majority has confirmed it.
 func (s *logServer) Barrier(ctx context.Context, _ *messenger.BarrierRequest) (*messenger.BarrierReply, error) {
-	a, err := s.loop.do(ctx, logCall{event: replicator.Read{}})
+	index, err := s.loop.Confirm(ctx)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
-	return &messenger.BarrierReply{Index: a.index}, nil
+	return &messenger.BarrierReply{Index: index}, nil
 }
 
 // barrier waits until the local copy has all that was accepted before the
@@ -123,11 +123,11 @@
 	if err != nil {
 		return err
 	}
-	return s.loop.reached(ctx, index)
+	return s.loop.Reached(ctx, index)
 }
 
 func (s *configurationServer) confirmedIndex(ctx context.Context) (uint64, error) {
-	l := s.loop.state.Load().leader.Name
+	l := s.loop.State().Leader()
 	if p, ok := s.keeper.peers.name(l); ok {
 		r, err := messenger.NewLogKeeperClient(p.conn).Barrier(ctx, &messenger.BarrierRequest{})
 		return r.GetIndex(), err
@@ -135,6 +135,5 @@
 	if l != s.keeper.self.Name() {
 		return 0, committer.ErrNotLeader
 	}
-	a, err := s.loop.do(ctx, logCall{event: replicator.Read{}})
-	return a.index, err
+	return s.loop.Confirm(ctx)
 }
--- a/keeper/log_propose.go
+++ b/keeper/log_propose.go
@@ -51,7 +51,7 @@
 		if err == nil {
 			return out, nil
 		}
-		begun = begun || !errors.Is(err, committer.ErrNotLeader)
+		begun = begun || !errors.Is(err, committer.ErrNotLeader) && !errors.Is(err, committer.ErrBusy)
 		if !begun && time.Since(started) > leaderWait {
 			return nil, s.notBegun()
 		}
@@ -66,12 +66,12 @@
 	}
 }
 
-// proposeOnce tries the leader that is known now; committer.ErrNotLeader says that
-// nothing was begun.
+// proposeOnce tries the leader that is known now; committer.ErrNotLeader and ErrBusy
+// say that nothing was begun.
 func (s *configurationServer) proposeOnce(ctx context.Context, c *messenger.Change) (*messenger.ProposeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTry)
 	defer cancel()
-	l := s.loop.state.Load().leader.Name
+	l := s.loop.State().Leader()
 	if p, ok := s.keeper.peers.name(l); ok {
 		go s.endWithLeader(ctx, cancel, l)
 		out, err := p.configuration().Propose(ctx, &messenger.ProposeRequest{Change: c, Forwarded: true})
@@ -92,7 +92,7 @@
 func (s *configurationServer) endWithLeader(ctx context.Context, cancel func(), leader string) {
 	t := time.NewTicker(proposeRetry)
 	defer t.Stop()
-	for s.loop.state.Load().leader.Name == leader {
+	for s.loop.State().Leader() == leader {
 		select {
 		case <-ctx.Done():
 			return
@@ -105,8 +105,7 @@
 // proposeHere hands the loop its own copy: a caller that gives up may send
 // the change again while the loop still reads it.
 func (s *configurationServer) proposeHere(ctx context.Context, c *messenger.Change) (*messenger.ProposeReply, error) {
-	a, err := s.loop.do(ctx, logCall{change: proto.Clone(c).(*messenger.Change)})
-	return a.reply, err
+	return s.loop.change(ctx, proto.Clone(c).(*messenger.Change))
 }
 
 // notBegun says that no keeper has the change, so that an operator is not
@@ -117,11 +116,11 @@
 
 // cutOff is the refusal of a keeper that finds no majority.
 func (s *configurationServer) cutOff(what string) error {
-	st := s.loop.state.Load()
+	st := s.loop.State()
 	age := "not confirmed since this keeper started"
-	if !st.confirmedAt.IsZero() {
-		age = "confirmed " + time.Since(st.confirmedAt).Round(time.Millisecond).String() + " ago"
+	if !st.ConfirmedAt().IsZero() {
+		age = "confirmed " + time.Since(st.ConfirmedAt()).Round(time.Millisecond).String() + " ago"
 	}
 	return status.Errorf(codes.Unavailable, "%s: %s reaches no majority of the keepers; its copy is version %d, %s",
-		what, s.keeper.self.Name(), st.version, age)
+		what, s.keeper.self.Name(), s.loop.version(), age)
 }
--- a/keeper/log_store_test.go
+++ b/keeper/log_store_test.go
@@ -106,7 +106,7 @@
 	c.loops[name] = l
 	c.mu.Unlock()
 	go func() {
-		if err := l.run(c.ctx); errors.Is(err, errDisk) {
+		if err := l.Run(c.ctx); errors.Is(err, errDisk) {
 			c.mu.Lock()
 			c.failed++
 			c.mu.Unlock()
@@ -120,10 +120,8 @@
 	if l == nil {
 		return
 	}
-	select {
-	case l.calls <- receiveCall(m):
-	default:
-	}
+	// One that finds the queue full is lost.
+	_ = l.Receive(m)
 }
 
 func (c *cluster) accept(id string) uint64 { return c.acceptAt(id, 0) }
@@ -137,16 +135,16 @@
 				continue
 			}
 			ctx, cancel := context.WithTimeout(c.ctx, time.Second)
-			a, err := l.do(ctx, logCall{change: &messenger.Change{ChangeId: id, BaseVersion: base, Edits: []*messenger.Edit{
+			reply, err := l.change(ctx, &messenger.Change{ChangeId: id, BaseVersion: base, Edits: []*messenger.Edit{
 				{Kind: &messenger.Edit_PutWorkspace{PutWorkspace: &messenger.Workspace{Name: id}}},
-			}}})
+			}})
 			cancel()
 			switch {
 			case err != nil:
-			case a.reply.Outcome == messenger.ChangeOutcome_CHANGE_OUTCOME_ACCEPTED:
-				return a.reply.Version
-			case a.reply.Outcome == messenger.ChangeOutcome_CHANGE_OUTCOME_CONFLICT:
-				base = a.reply.Version
+			case reply.Outcome == messenger.ChangeOutcome_CHANGE_OUTCOME_ACCEPTED:
+				return reply.Version
+			case reply.Outcome == messenger.ChangeOutcome_CHANGE_OUTCOME_CONFLICT:
+				base = reply.Version
 			}
 		}
 		time.Sleep(proposeRetry)
@@ -228,7 +226,19 @@
 		if err != nil {
 			return err
 		}
-		return l.commit([]logCall{{event: replicator.Tick{}}, {event: replicator.Tick{}}})
+		// Long enough for it to found a deployment of one and lead it.
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		ended := make(chan error, 1)
+		go func() { ended <- l.Run(ctx) }()
+		for !l.State().Leads() && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			return err
+		}
+		return nil
 	}
 	if err := open(); err != nil {
 		t.Fatal(err)
--- a/keeper/spread_watch.go
+++ b/keeper/spread_watch.go
@@ -19,7 +19,7 @@
 // before a majority has confirmed it.
 func (s *configurationServer) Watch(r *messenger.WatchRequest, w grpc.ServerStreamingServer[messenger.Update]) error {
 	sub := subscriber{version: r.Version, digest: r.Digest, confirmed: s.barrier(w.Context()) == nil}
-	if st := s.loop.state.Load(); !sub.confirmed && !st.voter && st.confirmedAt.IsZero() {
+	if st := s.loop.State(); !sub.confirmed && !st.Votes() && st.ConfirmedAt().IsZero() {
 		return s.cutOff("this keeper's copy may be incomplete")
 	}
 	t := time.NewTicker(heartbeatEvery)
@@ -56,7 +56,7 @@
 	}
 	has, age := *sub, s.ageMS()
 	n, err := viewBook(ctx, s.loop, func(b *configurer.Book) news {
-		return news{update: s.missing(b, has), changed: s.loop.state.Load().changed}
+		return news{update: s.missing(b, has), changed: s.loop.State().Changed()}
 	})
 	if err != nil {
 		return nil, nil, err
@@ -87,7 +87,7 @@
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-s.loop.ended:
+	case <-s.loop.Ended():
 		return s.cutOff("the keeper stops")
 	case <-changed:
 	case <-beat:
--- a/keeper/spread_watch_test.go
+++ b/keeper/spread_watch_test.go
@@ -25,7 +25,7 @@
 		store := &faultyStore{rows: map[string]map[string][]byte{}}
 		l, err := newLogLoop("a", nil, store, rand.New(rand.NewPCG(1, 1)), zap.NewNop(), func(*messenger.LogMessage) {})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		go func() { _ = l.run(ctx) }()
+		go func() { _ = l.Run(ctx) }()
 		c := &cluster{t: t, ctx: ctx, loops: map[string]*logLoop{"a": l}}
 		const changes = 6000
 		for i := range uint64(changes) {
--- a/keeper/vault_loop_test.go
+++ b/keeper/vault_loop_test.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/budgeter"
-	"rattanhoist.example/rattanhoist/configurer"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/storer"
 )
@@ -121,18 +120,20 @@
 	g := gomega.NewWithT(t)
 	l, err := newLogLoop("a", nil, &faultyStore{rows: map[string]map[string][]byte{}}, rand.New(rand.NewPCG(1, 1)), zap.NewNop(), func(*messenger.LogMessage) {})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	go func() { _ = l.run(t.Context()) }()
+	go func() { _ = l.Run(t.Context()) }()
 	s := &configurationServer{loop: l}
 	for range 100 {
 		busy, gate := make(chan struct{}), make(chan struct{})
-		l.calls <- logCall{read: func(*configurer.Book) {
-			close(busy)
-			<-gate
-		}, done: make(chan logAnswer, 1)}
+		go func() {
+			_ = l.Look(t.Context(), func() {
+				close(busy)
+				<-gate
+			})
+		}()
 		<-busy
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
-			for len(l.calls) == 0 {
+			for l.Waiting() == 0 {
 				runtime.Gosched()
 			}
 			cancel()
