--- a/courier/borrower.go
+++ b/courier/borrower.go
@@ -47,7 +47,7 @@
 	mu        sync.Mutex
 	waiting   []*borrowing
 	searching bool
-	// Next is where in the list of routers the next search begins; owing are
+	// Next is where in the lists of routers the next search begins; owing are
 	// the routers that have been asked and have not answered.
 	next  int
 	owing map[*messenger.Link]bool
@@ -112,22 +112,19 @@
 }
 
 // search asks the other routers in waves until nothing is wanted any more or
-// all were asked.
+// all were asked, those of the zone first: of 78 routers, 52 are in other zones, and
+// each question there and back takes 450 bytes of a link that has to be paid for.
 func (b *borrower) search(ctx context.Context) {
 	b.begin()
 	defer b.end()
-	others := b.rights.fleet.others()
 	b.next++
+	others := b.rights.fleet.turn(b.next)
 	for i := 0; i < len(others) && ctx.Err() == nil; i += lendWave {
 		wants := b.rights.lacking()
 		if len(wants) == 0 {
 			return
 		}
-		var wave []*messenger.Link
-		for j := i; j < min(i+lendWave, len(others)); j++ {
-			wave = append(wave, others[(b.next+j)%len(others)])
-		}
-		b.wave(ctx, wave, wants)
+		b.wave(ctx, others[i:min(i+lendWave, len(others))], wants)
 		b.serve()
 	}
 }
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,9 +52,9 @@
 	fetching atomic.Bool
 	// Current is the keeper asked last with success.
 	current atomic.Pointer[messenger.Link]
-	// Near holds the other routers' addresses for datagrams.
-	near atomic.Pointer[[]netip.AddrPort]
-	news atomic.Pointer[news]
+	// Circles holds the other routers' addresses for datagrams.
+	circles atomic.Pointer[circles]
+	news    atomic.Pointer[news]
 	// Turned is told when another keeper is the current one.
 	turned chan struct{}
 	// Touched is when a keeper last answered, as time since start.
@@ -65,8 +64,9 @@
 	keepers map[string]*messenger.Link
 	// Zones holds the keepers' zones as far as known.
 	zones map[string]string
-	// Siblings are the other routers, those of the zone first.
+	// Siblings are the other routers, the first near of them those of the zone.
 	siblings []*messenger.Link
+	near     int
 	// Owing holds the keepers that owe an answer, and silent when one last let
 	// askNext pass.
 	owing  map[string]bool
--- a/courier/news.go
+++ b/courier/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,8 +17,10 @@
 	// toldLeast is the smallest prompt that other routers hear of, in tokens:
 	// shorter ones are read in the time that a datagram is on its way.
 	toldLeast = 500
-	// toldMost bounds the routers told, those of the zone first.
-	toldMost = 24
+	// toldMost bounds the routers told, those of the endpoint's zone first: all of
+	// them in the fleets of up to 78 routers in three zones that were measured, where
+	// a router gets 110 datagrams of 100 bytes a second, a hundredth of its link.
+	toldMost = 28
 	// datagramMost is more than any of these takes, in bytes.
 	datagramMost = 512
 )
@@ -44,8 +47,8 @@
 	return &news{fleet: f, conn: c, log: log}, func() { _ = c.Close() }, nil
 }
 
-// tell sends a dispatch to the other routers; lost datagrams are not missed.
-func (n *news) tell(d *messenger.Dispatched) {
+// tell sends a dispatch to other routers; lost datagrams are not missed.
+func (n *news) tell(to []netip.AddrPort, d *messenger.Dispatched) {
 	if d.Unread < toldLeast {
 		return
 	}
@@ -54,10 +57,7 @@
 		n.log.Error("dispatch not told", zap.Error(err))
 		return
 	}
-	for i, a := range n.fleet.neighbours() {
-		if i == toldMost {
-			return
-		}
+	for _, a := range to {
 		// A full link drops them; the endpoint's reports come anyway.
 		_, _ = n.conn.WriteToUDPAddrPort(b, a)
 	}
--- a/courier/sibling.go
+++ b/courier/sibling.go
@@ -1,7 +1,9 @@
 package courier
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -24,6 +26,7 @@
 		old[l.Address()] = l
 	}
 	var near, far []*messenger.Link
+	zones := map[string]string{}
 	for _, m := range routers {
 		if m.Address == f.self.Address {
 			continue
@@ -33,6 +36,7 @@
 			l = messenger.NewLink(m.Address)
 		}
 		delete(old, m.Address)
+		zones[m.Address] = m.Zone
 		if m.Zone == f.self.Zone {
 			near = append(near, l)
 		} else {
@@ -44,36 +48,70 @@
 			far = append(far, l)
 		}
 	}
-	f.siblings = append(near, far...)
-	var addresses []netip.AddrPort
+	f.siblings, f.near = append(near, far...), len(near)
+	f.circles.Store(f.newCircles(zones))
+}
+
+// circles are the routers that hear of a dispatch, by the zone of its endpoint; under
+// the empty name those for a zone without routers. Immutable.
+type circles struct {
+	byZone map[string][]netip.AddrPort
+	// Here says that not all routers tell this one what they send to its zone.
+	partialHere bool
+}
+
+// newCircles puts the routers of an endpoint's zone first, which send it most of its
+// work, then as many others as each dispatch may be told. A router that only told
+// those of its own zone left the ones that matter in the dark wherever it sent work
+// to another. It needs f.mu.
+func (f *fleet) newCircles(zones map[string]string) *circles {
+	byZone := map[string][]netip.AddrPort{"": nil}
 	for _, l := range f.siblings {
 		a, err := netip.ParseAddrPort(l.Address())
 		if err != nil {
 			f.o.Log.Warn("router is told of no dispatch", zap.String("router", l.Address()), zap.Error(err))
 			continue
 		}
-		addresses = append(addresses, a)
+		byZone[zones[l.Address()]] = append(byZone[zones[l.Address()]], a)
 	}
-	f.near.Store(&addresses)
+	out := &circles{byZone: map[string][]netip.AddrPort{}, partialHere: len(byZone[f.self.Zone]) >= toldMost}
+	for zone, inside := range byZone {
+		list := slices.Clone(inside)
+		for _, other := range slices.Sorted(maps.Keys(byZone)) {
+			if other != zone {
+				list = append(list, byZone[other]...)
+			}
+		}
+		out.byZone[zone] = list[:min(len(list), toldMost)]
+	}
+	return out
 }
 
-// neighbours returns the other routers' addresses for datagrams.
-func (f *fleet) neighbours() []netip.AddrPort {
-	if a := f.near.Load(); a != nil {
-		return *a
+// circle returns the addresses of the routers that hear of a dispatch to a zone.
+func (f *fleet) circle(zone string) []netip.AddrPort {
+	c := f.circles.Load()
+	if c == nil {
+		return nil
 	}
-	return nil
+	if list, ok := c.byZone[zone]; ok {
+		return list
+	}
+	return c.byZone[""]
 }
 
-// Dispatched tells the other routers of a prompt sent to an endpoint.
-func (f *fleet) Dispatched(endpoint string, d predictor.Dispatch) {
+// Dispatched tells other routers of a prompt sent to an endpoint of a zone.
+func (f *fleet) Dispatched(endpoint, zone string, d predictor.Dispatch) {
 	if n := f.news.Load(); n != nil {
-		n.tell(&messenger.Dispatched{Endpoint: endpoint, Unread: d.Unread, Parts: d.Parts, TakesUs: d.Takes.Microseconds()})
+		n.tell(f.circle(zone), &messenger.Dispatched{Endpoint: endpoint, Unread: d.Unread, Parts: d.Parts, TakesUs: d.Takes.Microseconds()})
 	}
 }
 
-// Partial reports whether there are more routers than each tells.
-func (f *fleet) Partial() bool { return f.Routers() > toldMost+1 }
+// Partial reports whether there are more routers than each tells, and whether there
+// are even in this zone.
+func (f *fleet) Partial() (anywhere, here bool) {
+	c := f.circles.Load()
+	return f.Routers() > toldMost+1, c != nil && c.partialHere
+}
 
 // others returns the other routers, those of the zone first.
 func (f *fleet) others() []*messenger.Link {
@@ -81,3 +119,21 @@
 	defer f.mu.Unlock()
 	return f.siblings
 }
+
+// turn returns the other routers, those of the zone first, both parts beginning at
+// another one for each n: who asks them in this order spreads what it asks for.
+func (f *fleet) turn(n int) []*messenger.Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	near := min(f.near, len(f.siblings))
+	return append(rotated(f.siblings[:near], n), rotated(f.siblings[near:], n)...)
+}
+
+// rotated returns a copy that begins at the nth element.
+func rotated[T any](list []T, n int) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	n %= len(list)
+	return append(slices.Clone(list[n:]), list[:n]...)
+}
--- /dev/null
+++ b/courier/sibling_test.go
@@ -0,0 +1,45 @@
+package courier
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// Pattern: 78 routers in three zones. A search for rights, and the news of a dispatch,
+// go to the 25 others of a zone before any of the 52 elsewhere.
+func TestRoutersOfTheZoneComeFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	members := []*messenger.FleetMember{f.self}
+	zones := map[string]string{}
+	for i := 1; i < 78; i++ {
+		m := &messenger.FleetMember{Address: "10.0.0." + strconv.Itoa(i) + ":7000", Zone: []string{"z", "b", "c"}[i%3]}
+		zones[m.Address] = m.Zone
+		members = append(members, m)
+	}
+	f.meet(members)
+	first := map[string]bool{}
+	for n := range 30 {
+		list := f.turn(n)
+		g.Expect(list).To(gomega.HaveLen(77))
+		for i, l := range list {
+			g.Expect(zones[l.Address()] == "z").To(gomega.Equal(i < 25), "turn %d, place %d", n, i)
+		}
+		first[list[0].Address()] = true
+	}
+	g.Expect(first).To(gomega.HaveLen(25), "another one begins each time")
+	for zone, inside := range map[string]int{"z": 25, "b": 26, "c": 26} {
+		told := f.circle(zone)
+		g.Expect(len(told)).To(gomega.BeNumerically("<=", toldMost))
+		for i, a := range told {
+			g.Expect(zones[a.String()] == zone).To(gomega.Equal(i < inside), "dispatch to %s, place %d", zone, i)
+		}
+	}
+	anywhere, here := f.Partial()
+	g.Expect(anywhere).To(gomega.BeTrue())
+	g.Expect(here).To(gomega.BeFalse(), "all of a zone's routers tell each other what they send there")
+}
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -64,8 +64,9 @@
 }
 
 func (j *job) ask() predictor.Ask {
+	partial, here := j.f.Fleet.Partial()
 	a := predictor.Ask{
-		Service: j.service.Name, Prompt: j.caller.Prompt, Partial: j.f.Fleet.Partial(), Tried: append(j.tried, j.full...),
+		Service: j.service.Name, Prompt: j.caller.Prompt, Partial: partial, PartialHere: here, Tried: append(j.tried, j.full...),
 		Since: time.Since(j.f.start), Repeatable: j.repeatable() && len(j.tried)+1 < j.route.Attempts,
 	}
 	if e := j.service.Engine; e != nil {
@@ -139,7 +140,7 @@
 	b := e.Beat()
 	e.Gate().Step(time.Since(j.f.start), ejector.Dispatched, 0)
 	if work.Unread() > 0 {
-		j.f.Fleet.Dispatched(e.Name(), work.Dispatch())
+		j.f.Fleet.Dispatched(e.Name(), b.Zone, work.Dispatch())
 	}
 	before := j.mayHaveRun
 	a, err := j.f.Pool.Exchange(ctx, j.target(e), j.request(work))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -83,11 +83,11 @@
 	Await(ctx context.Context) (x *publisher.Index, after time.Duration)
 	// Routers is how many routers share the fleet's bounds; at least 1.
 	Routers() int
-	// Dispatched tells the other routers of a prompt sent to an endpoint.
-	Dispatched(endpoint string, d predictor.Dispatch)
+	// Dispatched tells other routers of a prompt sent to an endpoint of a zone.
+	Dispatched(endpoint, zone string, d predictor.Dispatch)
 	// Partial reports whether only some of the other routers tell this one what they
-	// send.
-	Partial() bool
+	// send, and whether that holds even for endpoints of its own zone.
+	Partial() (anywhere, here bool)
 }
 
 // Parts are what a forwarder works with.
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -158,8 +158,8 @@
 
 func (f fleetStub) Await(context.Context) (*publisher.Index, time.Duration) { return f.index, 0 }
 func (f fleetStub) Routers() int                                            { return 1 }
-func (f fleetStub) Dispatched(string, predictor.Dispatch)                   {}
-func (f fleetStub) Partial() bool                                           { return false }
+func (f fleetStub) Dispatched(string, string, predictor.Dispatch)           {}
+func (f fleetStub) Partial() (bool, bool)                                   { return false, false }
 
 // world is one router before scripted endpoints.
 type world struct {
