State and questions of a router bounded: parts that yielded, engines asked

Parts of prompts that an endpoint can't keep any more are forgotten by how much it has read since their last use; before, up to 4,096 were kept for each endpoint, then all of one forgotten at once. A starting router asks 24 engines what they keep, those of its zone first; before all, 75,000 questions at a restart of 295 routers with 256 engines.

--- /dev/null
+++ b/courier/kept_test.go
@@ -0,0 +1,57 @@
+package courier
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/predictor"
+	"rattanhoist.example/rattanhoist/publisher"
+)
+
+// Pattern: 295 routers start together before 256 engines in five zones, 51 in each. Each
+// router asks no more engines than keptMost, however often it looks, and none of another
+// zone while its own has enough.
+func TestAStartingRouterAsksFewEngines(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		here, elsewhere    int
+		asked, askedOfHere int
+	}{
+		{"many", 51, 205, keptMost, keptMost},
+		{"few in the zone", 10, 205, keptMost, 10},
+		{"few", 4, 8, 12, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := &fleet{
+				endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, keptAsked: map[enroller.Incarnation]bool{},
+				self: &messenger.FleetMember{Zone: "z"},
+			}
+			add := func(zone string, n int) {
+				for i := range n {
+					b := enroller.Beat{Incarnation: enroller.Incarnation{ID: zone + strconv.Itoa(i)}, Service: "llm", Zone: zone}
+					f.endpoints[b.Incarnation] = predictor.NewEndpoint(b)
+				}
+			}
+			add("z", c.here)
+			add("other", c.elsewhere)
+			x := publisher.NewIndex(&publisher.Document{Services: []publisher.Service{{Name: "llm", Engine: &publisher.Engine{}}}})
+			asked, here := 0, 0
+			for range 3 {
+				for _, e := range f.unasked(x) {
+					f.keptAsked[e.Beat().Incarnation] = true
+					asked++
+					if e.Beat().Zone == "z" {
+						here++
+					}
+				}
+			}
+			g.Expect(asked).To(gomega.Equal(c.asked))
+			g.Expect(here).To(gomega.Equal(c.askedOfHere))
+		})
+	}
+}
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -3,6 +3,7 @@
 package predictor
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -35,8 +36,9 @@
 	// reportTrust is how long a reported load counts: a few times the lag that
 	// reports have anyway.
 	reportTrust = 500 * time.Millisecond
-	// partsMost bounds the parts remembered for one endpoint.
-	partsMost = 4096
+	// partsLeast is how many parts of one endpoint are remembered before those that it
+	// can't keep any more are looked for; then that is done at each doubling.
+	partsLeast = 64
 	// keepsPart of an endpoint's memory is taken to hold parts of prompts: what is
 	// running takes the rest. The parts used least lately yield first, so a part is
 	// gone once so many other tokens were read since its last use.
@@ -118,6 +120,10 @@
 	// the shared parts of prompts to their last use there.
 	read  int64
 	parts map[string]use
+	// Memory is what the endpoint keeps, in tokens; sweepAt the number of parts at which
+	// to look for those that are gone.
+	memory  int64
+	sweepAt int
 }
 
 // Keeps takes in what the endpoint itself says that it keeps.
@@ -149,7 +155,10 @@
 
 // NewEndpoint returns an endpoint without history.
 func NewEndpoint(b enroller.Beat) *Endpoint {
-	return &Endpoint{beat: b, name: b.String(), ordinary: NewOrdinary(), pace: 1, parts: map[string]use{}}
+	return &Endpoint{
+		beat: b, name: b.String(), ordinary: NewOrdinary(), pace: 1,
+		parts: map[string]use{}, memory: memoryUnknown, sweepAt: partsLeast,
+	}
 }
 
 // serve puts the endpoint in service with what is learned of all of its service. It
@@ -201,13 +210,13 @@
 // uncached returns the tokens of a prompt that must be read there: a part is
 // kept only if all parts before it are.
 func (e *Endpoint) uncached(p *Prompt, memory int64) int64 {
-	if memory <= 0 {
-		memory = memoryUnknown
+	if memory > 0 {
+		e.memory = memory
 	}
 	left := p.In
 	for _, part := range p.Shared() {
 		u, ok := e.parts[part.ID]
-		if !ok || float64(e.read-u.read) > keepsPart*float64(memory) || u.tokens > 0 && u.tokens < part.Tokens {
+		if !ok || e.gone(u) || u.tokens > 0 && u.tokens < part.Tokens {
 			break
 		}
 		left -= part.Tokens
@@ -231,9 +240,7 @@
 // queue.
 func (e *Endpoint) given(unread int64, place time.Duration, parts []string) {
 	e.read += unread
-	if len(e.parts) > partsMost {
-		clear(e.parts)
-	}
+	e.sweep()
 	for _, id := range parts {
 		u, ok := e.parts[id]
 		if !ok {
@@ -244,6 +251,22 @@
 	}
 }
 
+// gone reports whether so much was read since a part's last use that it has yielded.
+func (e *Endpoint) gone(u use) bool {
+	return float64(e.read-u.read) > keepsPart*float64(e.memory)
+}
+
+// sweep forgets the parts that have yielded. Without it a router remembers the parts of
+// each prompt that it ever heard of, 100 bytes each; forgetting all at once instead, all
+// of them are taken to be read anew.
+func (e *Endpoint) sweep() {
+	if len(e.parts) < e.sweepAt {
+		return
+	}
+	maps.DeleteFunc(e.parts, func(_ string, u use) bool { return e.gone(u) })
+	e.sweepAt = max(2*len(e.parts), partsLeast)
+}
+
 // Sent notes a prompt that another router sent there.
 func (e *Endpoint) Sent(now time.Time, d Dispatch) {
 	e.mu.Lock()
