--- a/committer/committer.go
+++ b/committer/committer.go
@@ -228,10 +228,10 @@
 	})
 }
 
-// sync writes the rows until the disk takes them, or ends at a refusal. The core is ahead of a disk
-// that refuses, so nothing may leave meanwhile: to the others this keeper is
-// silent, and a leader loses its role. Ending the process instead would only
-// lose what it knows beside the disk.
+// sync writes the rows until the disk takes them, or ends at a refusal where the
+// options say so. The core is ahead of a disk that refuses, so nothing may leave
+// meanwhile: to the others this keeper is silent, and a leader loses its role. Ending
+// the process instead would only lose what it knows beside the disk.
 func (l *Loop) sync(ctx context.Context, rows []storer.Row) error {
 	if len(rows) == 0 {
 		return nil
