predictor: one home for all zones again

Taken back: homes in each zone, and what is assumed of them. Kept: dispatches told to the routers of the endpoint's zone, lenders of the zone first.

--- a/courier/sibling.go
+++ b/courier/sibling.go
@@ -49,22 +49,19 @@
 		}
 	}
 	f.siblings, f.near = append(near, far...), len(near)
-	f.circles.Store(f.newCircles(zones))
+	c := f.newCircles(zones)
+	f.circles.Store(&c)
 }
 
 // circles are the routers that hear of a dispatch, by the zone of its endpoint; under
 // the empty name those for a zone without routers. Immutable.
-type circles struct {
-	byZone map[string][]netip.AddrPort
-	// PartialHere says that not all routers tell this one what they send to its zone.
-	partialHere bool
-}
+type circles map[string][]netip.AddrPort
 
 // newCircles puts the routers of an endpoint's zone first, which send it most of its
 // work, then as many others as each dispatch may be told. A router that only told
 // those of its own zone left the ones that matter in the dark wherever it sent work
 // to another. It needs f.mu.
-func (f *fleet) newCircles(zones map[string]string) *circles {
+func (f *fleet) newCircles(zones map[string]string) circles {
 	byZone := map[string][]netip.AddrPort{"": nil}
 	for _, l := range f.siblings {
 		a, err := netip.ParseAddrPort(l.Address())
@@ -74,7 +71,7 @@
 		}
 		byZone[zones[l.Address()]] = append(byZone[zones[l.Address()]], a)
 	}
-	out := &circles{byZone: map[string][]netip.AddrPort{}, partialHere: len(byZone[f.self.Zone]) >= toldMost}
+	out := circles{}
 	for zone, inside := range byZone {
 		list := slices.Clone(inside)
 		for _, other := range slices.Sorted(maps.Keys(byZone)) {
@@ -82,7 +79,7 @@
 				list = append(list, byZone[other]...)
 			}
 		}
-		out.byZone[zone] = list[:min(len(list), toldMost)]
+		out[zone] = list[:min(len(list), toldMost)]
 	}
 	return out
 }
@@ -93,10 +90,10 @@
 	if c == nil {
 		return nil
 	}
-	if list, ok := c.byZone[zone]; ok {
+	if list, ok := (*c)[zone]; ok {
 		return list
 	}
-	return c.byZone[""]
+	return (*c)[""]
 }
 
 // Dispatched tells other routers of a prompt sent to an endpoint of a zone.
@@ -106,12 +103,8 @@
 	}
 }
 
-// Partial reports whether there are more routers than each tells, and whether there
-// are even in this zone.
-func (f *fleet) Partial() (anywhere, here bool) {
-	c := f.circles.Load()
-	return f.Routers() > toldMost+1, c != nil && c.partialHere
-}
+// Partial reports whether there are more routers than each tells.
+func (f *fleet) Partial() bool { return f.Routers() > toldMost+1 }
 
 // others returns the other routers, those of the zone first.
 func (f *fleet) others() []*messenger.Link {
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -64,9 +64,8 @@
 }
 
 func (j *job) ask() predictor.Ask {
-	partial, here := j.f.Fleet.Partial()
 	a := predictor.Ask{
-		Service: j.service.Name, Prompt: j.caller.Prompt, Partial: partial, PartialHere: here, Tried: append(j.tried, j.full...),
+		Service: j.service.Name, Prompt: j.caller.Prompt, Partial: j.f.Fleet.Partial(), Tried: append(j.tried, j.full...),
 		Since: time.Since(j.f.start), Repeatable: j.repeatable() && len(j.tried)+1 < j.route.Attempts,
 	}
 	if e := j.service.Engine; e != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -86,8 +86,8 @@
 	// Dispatched tells other routers of a prompt sent to an endpoint of a zone.
 	Dispatched(endpoint, zone string, d predictor.Dispatch)
 	// Partial reports whether only some of the other routers tell this one what they
-	// send, and whether that holds even for endpoints of its own zone.
-	Partial() (anywhere, here bool)
+	// send.
+	Partial() bool
 }
 
 // Parts are what a forwarder works with.
--- a/predictor/home.go
+++ b/predictor/home.go
@@ -27,7 +27,11 @@
 
 // apart picks an endpoint for giants in each zone that has enough of them. All
 // routers pick the same.
-func apart(zones map[string][]*Endpoint) map[*Endpoint]bool {
+func apart(list []*Endpoint) map[*Endpoint]bool {
+	zones := map[string][]*Endpoint{}
+	for _, e := range list {
+		zones[e.beat.Zone] = append(zones[e.beat.Zone], e)
+	}
 	out := map[*Endpoint]bool{}
 	for _, l := range zones {
 		if len(l) >= apartZone {
@@ -37,38 +41,17 @@
 	return out
 }
 
-// homes are the endpoints where routers look for the last shared part of a prompt
-// first. They need no word between routers, and a change of endpoints moves few parts.
-type homes struct {
-	// Here is the one that all routers of this zone agree on, and fleet the one that
-	// those of all zones do, from which the other zones fetch the part; each may be nil.
-	here, fleet *Endpoint
-}
-
-// homes returns the homes of a prompt. With one home for all zones, which 78 routers
-// took to keep its parts, a quarter of the prompts crossed zones.
-func (g *group) homes(a Ask, zone string) homes {
+// home returns the endpoint where all routers look for the last shared part of
+// a prompt first. It needs no word between routers, and a change of endpoints
+// moves few parts.
+func (g *group) home(a Ask) *Endpoint {
 	if a.Prompt == nil || len(a.Prompt.Shared()) == 0 {
-		return homes{}
+		return nil
 	}
 	shared := a.Prompt.Shared()
-	key := shared[len(shared)-1].ID
-	fits := func(e *Endpoint) bool { return !g.apart[e] && !e.lost.Load() && !e.gate.Blocked(a.Since) }
-	h := homes{here: highest(g.zones[zone], key, fits), fleet: highest(g.endpoints, key, fits)}
-	if h.here == nil {
-		h.here = h.fleet
-	}
-	return h
-}
-
-// assumed reports whether an endpoint is taken to keep the shared parts of a prompt
-// unheard: a home, where not all of the routers that send there tell this one. What
-// they send there together does not get old.
-func (h homes) assumed(e *Endpoint, a Ask, zone string) bool {
-	if e.beat.Zone == zone {
-		return a.PartialHere && e == h.here
-	}
-	return a.Partial && e == h.fleet
+	return highest(g.endpoints, shared[len(shared)-1].ID, func(e *Endpoint) bool {
+		return !g.apart[e] && !e.lost.Load() && !e.gate.Blocked(a.Since)
+	})
 }
 
 // apartCost is what it costs, beside the wait, to send a prompt to an endpoint
--- a/predictor/plan.go
+++ b/predictor/plan.go
@@ -41,7 +41,7 @@
 
 // donors returns for each zone the endpoint that keeps most of a prompt and has
 // read it already. There are as many as a request may look at.
-func (g *group) donors(now time.Time, a Ask, h homes, zone string) map[string]keeper {
+func (g *group) donors(now time.Time, a Ask, home *Endpoint) map[string]keeper {
 	if a.Carry <= 0 || a.Prompt == nil {
 		return nil
 	}
@@ -50,7 +50,7 @@
 		if e.lost.Load() || e.gate.Ejected() {
 			continue
 		}
-		if n := e.keeps(now, a, h.assumed(e, a, zone)); n >= fetchLeast && n > out[e.beat.Zone].kept {
+		if n := e.keeps(now, a, e == home); n >= fetchLeast && n > out[e.beat.Zone].kept {
 			out[e.beat.Zone] = keeper{e, n}
 		}
 	}
@@ -58,19 +58,19 @@
 }
 
 // keeps returns how many tokens of a prompt another endpoint can fetch here.
-func (e *Endpoint) keeps(now time.Time, a Ask, assumed bool) int64 {
+func (e *Endpoint) keeps(now time.Time, a Ask, home bool) int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.queue.left(now, e.paceNow(now)) > 0 {
 		// What was sent there last may not be read yet.
 		return e.finished(a.Prompt, a.Memory)
 	}
-	return a.Prompt.In - e.unread(a, assumed)
+	return a.Prompt.In - e.unread(a, home)
 }
 
 // planFor returns the fastest way for an endpoint to come by a prompt.
-func (e *Endpoint) planFor(a Ask, assumed bool, donors map[string]keeper) plan {
-	p := plan{endpoint: e, unread: e.unread(a, assumed)}
+func (e *Endpoint) planFor(a Ask, home bool, donors map[string]keeper) plan {
+	p := plan{endpoint: e, unread: e.unread(a, home)}
 	if a.Prompt == nil {
 		return p
 	}
@@ -94,15 +94,15 @@
 }
 
 // offer returns how the endpoint would come by a prompt, and the wait that it costs.
-func (e *Endpoint) offer(now time.Time, a Ask, assumed bool, donors map[string]keeper) (plan, time.Duration) {
+func (e *Endpoint) offer(now time.Time, a Ask, home bool, donors map[string]keeper) (plan, time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	p := e.planFor(a, assumed, donors)
-	return p, e.cost(now, a, p)
+	p := e.planFor(a, home, donors)
+	return p, e.cost(now, a, home, p)
 }
 
 // cost is the predicted wait for the first event, or for a plain answer.
-func (e *Endpoint) cost(now time.Time, a Ask, p plan) time.Duration {
+func (e *Endpoint) cost(now time.Time, a Ask, home bool, p plan) time.Duration {
 	busy := e.busy(now)
 	if a.Prompt == nil {
 		slots := max(e.beat.Slots, 1)
@@ -113,6 +113,9 @@
 		return c
 	}
 	c := e.waitFor(now, p, a.Prompt.In)
+	if home {
+		c -= homeLoad
+	}
 	if e.takes(now, p.unread, a.Prompt.In) > longRead {
 		c += time.Duration(busy) * longHarm
 	}
@@ -122,13 +125,14 @@
 	return c
 }
 
-// unread returns the tokens of a prompt that the endpoint must read by itself, where
-// it may be assumed to keep the shared parts.
-func (e *Endpoint) unread(a Ask, assumed bool) int64 {
+// unread returns the tokens of a prompt that the endpoint must read by itself.
+// Where only some routers tell what they send, the home of its parts is taken to
+// keep them: what all routers send there together does not get old.
+func (e *Endpoint) unread(a Ask, home bool) int64 {
 	if a.Prompt == nil {
 		return 0
 	}
-	if assumed {
+	if home && a.Partial {
 		return a.Prompt.own()
 	}
 	return e.uncached(a.Prompt, a.Memory)
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -38,21 +38,10 @@
 // group is the endpoints of one service; immutable.
 type group struct {
 	endpoints []*Endpoint
-	// Zones holds the same endpoints by availability zone.
-	zones map[string][]*Endpoint
 	// Apart holds for each zone the endpoint where its giants go.
 	apart map[*Endpoint]bool
 }
 
-func newGroup(list []*Endpoint) *group {
-	g := &group{endpoints: list, zones: map[string][]*Endpoint{}}
-	for _, e := range list {
-		g.zones[e.beat.Zone] = append(g.zones[e.beat.Zone], e)
-	}
-	g.apart = apart(g.zones)
-	return g
-}
-
 // NewTable returns an empty table for a router in zone.
 func NewTable(zone string) *Table {
 	t := &Table{zone: zone, ordinary: map[string]*Ordinary{}}
@@ -64,7 +53,7 @@
 func (t *Table) Replace(byService map[string][]*Endpoint) {
 	groups, names := map[string]*group{}, map[string]*Endpoint{}
 	for s, list := range byService {
-		groups[s] = newGroup(list)
+		groups[s] = &group{endpoints: list, apart: apart(list)}
 		if t.ordinary[s] == nil {
 			t.ordinary[s] = NewOrdinary()
 		}
@@ -105,10 +94,8 @@
 	// Carry is how long it takes two endpoints of a zone to pass on what one keeps of
 	// one token; 0 where they can't.
 	Carry time.Duration
-	// Partial says that only some of the routers tell this one what they send, and
-	// PartialHere that even of what is sent to endpoints of its own zone some is not
-	// told.
-	Partial, PartialHere bool
+	// Partial says that only some of the other routers tell this one what they send.
+	Partial bool
 	// Repeatable says that the request may go to another endpoint if this one fails.
 	Repeatable bool
 	// Since counts from any fixed instant, for the gates.
@@ -136,16 +123,13 @@
 
 func (t *Table) best(now time.Time, a Ask, g *group, blocked bool) (best plan, ok bool) {
 	var least time.Duration
-	h := g.homes(a, t.zone)
-	donors := g.donors(now, a, h, t.zone)
+	home := g.home(a)
+	donors := g.donors(now, a, home)
 	for _, e := range g.endpoints {
 		if !blocked && e.gate.Blocked(a.Since) || e.lost.Load() || slices.Contains(a.Tried, e.beat.Incarnation) {
 			continue
 		}
-		p, c := e.offer(now, a, h.assumed(e, a, t.zone), donors)
-		if e == h.here {
-			c -= homeLoad
-		}
+		p, c := e.offer(now, a, e == home, donors)
 		if g.apart[e] {
 			c += apartCost(a.Prompt, e.beat.Zone == t.zone)
 		}
