Routers tell which requests were under way at an endpoint that ended

The lines of the incident could not show whether the requests that began on engines just before these ended were equal. A router now asks, when a connection breaks off before the answer, whether the endpoint still takes connections; one that refuses has ended, and a line names it and the contents that were under way.

Nothing is decided by it yet.

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -13,6 +13,10 @@
 	claimsFailed   = metrics.NewCounter("rattanhoist_rights_claims_failed_total")
 )
 
+// EndpointsEnded counts endpoints that ended while requests of this router were under
+// way there.
+var endpointsEnded = metrics.NewCounter("rattanhoist_endpoints_ended_total")
+
 // gauges shows the state of a courier; one process holds one.
 func (c *Courier) gauges() {
 	metrics.GetOrCreateGauge("rattanhoist_requests_active", func() float64 { return float64(c.active.Load()) })
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/forwarder"
 	"rattanhoist.example/rattanhoist/limiter"
 	"rattanhoist.example/rattanhoist/loader"
@@ -20,6 +21,7 @@
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
+	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
 const (
@@ -88,6 +90,7 @@
 	ratio, slack, window := o.Node.Retries()
 	c.handler = forwarder.New(forwarder.Parts{
 		Wire: o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
+		Quarantine: newAutopsies(o.Log, func(enroller.Incarnation, []quarantiner.Fingerprint) {}),
 		Limiter: limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
 	})
 	return c
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -48,6 +48,10 @@
 		}
 		o := j.attempt(ctx, work)
 		work.End()
+		if o == lost && ctx.Err() == nil {
+			j.brokenOff = true
+			j.f.Quarantine.BrokenOff(work.Endpoint(), j.content)
+		}
 		if o == done || !j.again(ctx, o) {
 			return
 		}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
+	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
 // Errors of rights. Compare with errors.Is.
@@ -90,15 +91,22 @@
 	Partial() bool
 }
 
+// Quarantine knows which requests end the endpoints that run them.
+type Quarantine interface {
+	// BrokenOff tells that an endpoint's connection ended before the answer.
+	BrokenOff(*predictor.Endpoint, quarantiner.Fingerprint)
+}
+
 // Parts are what a forwarder works with.
 type Parts struct {
-	Wire    Wire
-	Fleet   Fleet
-	Table   *predictor.Table
-	Pool    *pooler.Pool
-	Rights  Rights
-	Limiter *limiter.Limiter
-	Log     *zap.Logger
+	Wire       Wire
+	Fleet      Fleet
+	Table      *predictor.Table
+	Pool       *pooler.Pool
+	Rights     Rights
+	Limiter    *limiter.Limiter
+	Quarantine Quarantine
+	Log        *zap.Logger
 }
 
 // Forwarder serves callers. It is safe for concurrent use.
@@ -129,6 +137,7 @@
 	service   *publisher.Service
 	workspace *publisher.Workspace
 	body      []byte
+	content   quarantiner.Fingerprint
 	until     time.Time
 	// Reserved is nil where nothing is paid.
 	reserved Reservation
@@ -140,6 +149,8 @@
 	unsent int
 	// MayHaveRun says that some endpoint may have run the request.
 	mayHaveRun bool
+	// BrokenOff says that some endpoint broke off under the request.
+	brokenOff bool
 	// Delivered counts tokens passed on to the caller.
 	delivered int64
 	// Began says that the head of the answer was sent to the caller.
@@ -230,6 +241,7 @@
 	var err error
 	j.body, err = io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, most))
 	if err == nil {
+		j.identifyContent()
 		return true
 	}
 	var large *http.MaxBytesError
@@ -239,6 +251,14 @@
 	return j.fail(http.StatusBadRequest, "body not read: "+err.Error())
 }
 
+func (j *job) identifyContent() {
+	r := quarantiner.Request{Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Body: j.body}
+	if j.workspace != nil {
+		r.Workspace = j.workspace.Name
+	}
+	j.content = r.Fingerprint()
+}
+
 // draw picks a service by weight.
 func draw(shares []publisher.Share) string {
 	var sum int64
@@ -344,6 +364,9 @@
 	if l := j.late(); l != "" {
 		fields = append(fields, zap.String("late", l))
 	}
+	if j.brokenOff {
+		fields = append(fields, zap.Stringer("content", j.content))
+	}
 	if why != "" {
 		fields = append(fields, zap.String("why", why))
 	}
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -21,6 +21,7 @@
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
+	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
 const signature = "Rattanhoist-Response-Signature"
@@ -167,6 +168,7 @@
 	rights *rightsStub
 	table  *predictor.Table
 	pool   *pooler.Pool
+	held   *quarantineStub
 }
 
 func document() *publisher.Document {
@@ -190,7 +192,7 @@
 }
 
 func newWorld(t *testing.T, endpoints ...*endpoint) *world {
-	w := &world{rights: &rightsStub{}, table: predictor.NewTable("z"), pool: pooler.New(platform.Belongs, func() {})}
+	w := &world{rights: &rightsStub{}, table: predictor.NewTable("z"), pool: pooler.New(platform.Belongs, func() {}), held: &quarantineStub{}}
 	var list []*predictor.Endpoint
 	for i, e := range endpoints {
 		list = append(list, predictor.NewEndpoint(enroller.Beat{
@@ -200,7 +202,7 @@
 	w.table.Replace(map[string][]*predictor.Endpoint{"engine": list})
 	f := forwarder.New(forwarder.Parts{
 		Wire: platform.Wire{}, Fleet: fleetStub{publisher.NewIndex(document())}, Table: w.table,
-		Pool: w.pool, Rights: w.rights, Log: zap.NewNop(),
+		Pool: w.pool, Rights: w.rights, Quarantine: w.held, Log: zap.NewNop(),
 		Limiter: limiter.New(limiter.Budget{Ratio: 1, Slack: 50, Window: seconds}, time.Now()),
 	})
 	w.server = httptest.NewServer(f)
@@ -236,3 +238,15 @@
 	b, err := io.ReadAll(a.Body)
 	return reply{status: a.StatusCode, header: a.Header, body: string(b), err: err}
 }
+
+// quarantineStub notes what broke off.
+type quarantineStub struct {
+	mu     sync.Mutex
+	broken []quarantiner.Fingerprint
+}
+
+func (q *quarantineStub) BrokenOff(_ *predictor.Endpoint, f quarantiner.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.broken = append(q.broken, f)
+}
