--- a/courier/courier.go
+++ b/courier/courier.go
@@ -91,7 +91,7 @@
 	c.handler = forwarder.New(forwarder.Parts{
 		Wire: o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
 		Quarantine: newAutopsies(o.Log, func(enroller.Incarnation, []quarantiner.Fingerprint) {}),
-		Limiter: limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
+		Limiter:    limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
 	})
 	return c
 }
