Requests under which three endpoints ended are held back by all routers

What callers saw: engines of the house surveys ended one after the other, up to nineteen under one request that its caller sent again and again, and each took ten to twenty streams of others with it.

Cause: each failure was taken for the endpoint's. What it teaches was kept by endpoint (ejector) and by one router; nothing was kept by request, so that each repeat was new work for whichever router the balancer chose. Ruled out: our own repeats (one endpoint in each line, one attempt allowed), resets (the endpoints refused connections), a common end of a rack (half a second apart, each just after the same content began).

Change: a router whose connection broke off asks whether the endpoint still takes connections. If not, it tells its keeper what was under way there with its next question. Keepers share that every 0.3 s; the leader charges each end to one request at the most, and puts a request with three ends of its own into the log, from where routers learn of it with their questions, and refuse it at once as not run for an hour. Three ends and not two: what is repeated beside the one to blame meets it again; ends under a request that is held back count against no other; what endpoints answered lately is no suspect. A router that no keeper answers holds back by what it saw itself.

Why it holds: the log survives restarts and lost disks, routers learn of what is held back before their first document, crashes are told again to keepers that started since.

--- a/courier/autopsy.go
+++ b/courier/autopsy.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/enroller"
-	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
@@ -33,26 +32,24 @@
 // and live on.
 type autopsies struct {
 	log *zap.Logger
-	// Ended takes the requests that were under way at an endpoint that ended.
-	ended func(enroller.Incarnation, []quarantiner.Fingerprint)
+	// Crashed takes what was under way at an endpoint that ended.
+	crashed func([]quarantiner.Crash)
 
 	mu sync.Mutex
 	// Open holds what broke off at endpoints that are being asked.
-	open map[enroller.Incarnation][]quarantiner.Fingerprint
+	open map[enroller.Incarnation][]quarantiner.Crash
 }
 
-func newAutopsies(log *zap.Logger, ended func(enroller.Incarnation, []quarantiner.Fingerprint)) *autopsies {
-	return &autopsies{log: log, ended: ended, open: map[enroller.Incarnation][]quarantiner.Fingerprint{}}
+func newAutopsies(log *zap.Logger, crashed func([]quarantiner.Crash)) *autopsies {
+	return &autopsies{log: log, crashed: crashed, open: map[enroller.Incarnation][]quarantiner.Crash{}}
 }
 
-// BrokenOff notes that the connection on which a request was under way ended before
-// its answer.
-func (a *autopsies) BrokenOff(e *predictor.Endpoint, f quarantiner.Fingerprint) {
-	b := e.Beat()
+// brokenOff notes what is a crash if the endpoint turns out to have ended.
+func (a *autopsies) brokenOff(b enroller.Beat, c quarantiner.Crash) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	list, asked := a.open[b.Incarnation]
-	a.open[b.Incarnation] = append(list, f)
+	a.open[b.Incarnation] = append(list, c)
 	if !asked {
 		go a.hold(b)
 	}
@@ -70,8 +67,12 @@
 		return
 	}
 	endpointsEnded.Inc()
-	a.log.Info("endpoint ended under requests", zap.Stringer("endpoint", b.Incarnation), zap.String("service", b.Service), zap.Stringers("contents", list))
-	a.ended(b.Incarnation, list)
+	contents := make([]quarantiner.Fingerprint, len(list))
+	for i, c := range list {
+		contents[i] = c.Request
+	}
+	a.log.Info("endpoint ended under requests", zap.Stringer("endpoint", b.Incarnation), zap.String("service", b.Service), zap.Stringers("contents", contents))
+	a.crashed(list)
 }
 
 // refuses reports whether nothing listens at an address. An endpoint that lives takes
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -13,7 +13,6 @@
 
 	"go.uber.org/zap"
 
-	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/forwarder"
 	"rattanhoist.example/rattanhoist/limiter"
 	"rattanhoist.example/rattanhoist/loader"
@@ -21,7 +20,6 @@
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
-	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
 const (
@@ -90,7 +88,7 @@
 	ratio, slack, window := o.Node.Retries()
 	c.handler = forwarder.New(forwarder.Parts{
 		Wire: o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
-		Quarantine: newAutopsies(o.Log, func(enroller.Incarnation, []quarantiner.Fingerprint) {}),
+		Quarantine: c.fleet.quarantine,
 		Limiter:    limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
 	})
 	return c
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -44,6 +44,8 @@
 	index atomic.Pointer[publisher.Index]
 	// First is closed once there is a document.
 	first chan struct{}
+	// Quarantine knows the requests that are held back.
+	quarantine *quarantine
 	// Published is told of each document before it is in force.
 	published func(*publisher.Document)
 	// Known is how many routers there are, this one included.
@@ -95,7 +97,7 @@
 
 func newFleet(o Options, incarnation uint64, table *predictor.Table, pool *pooler.Pool) *fleet {
 	f := &fleet{
-		o: o, table: table, pool: pool, start: time.Now(),
+		o: o, table: table, pool: pool, quarantine: newQuarantine(o.Log), start: time.Now(),
 		self:    &messenger.FleetMember{Address: o.Node.Internal(), Zone: o.Node.Zone(), Incarnation: incarnation},
 		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
 		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, keptAsked: map[enroller.Incarnation]bool{},
@@ -139,6 +141,7 @@
 		begun := time.Now()
 		f.round(ctx)
 		f.show(time.Now())
+		f.quarantine.step(time.Now())
 		f.askKept(ctx)
 		f.listen(ctx, max(f.paced(syncEvery, pacedMost)-time.Since(begun), syncEvery/4))
 		f.show(time.Now())
@@ -163,6 +166,8 @@
 	if len(r.Routers) > 0 {
 		f.meet(r.Routers)
 	}
+	// Before the document: a router that starts serves once it has one.
+	f.quarantine.learn(now, r.Quarantined)
 	f.renew(ctx, l, r.Number)
 	f.revisions[l.Address()] = r.Revision
 	for _, s := range r.Endpoints {
--- /dev/null
+++ b/courier/quarantine.go
@@ -0,0 +1,190 @@
+package courier
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/predictor"
+	"rattanhoist.example/rattanhoist/quarantiner"
+)
+
+const (
+	// recentMost bounds the crashes that are kept for keepers; past it, the oldest are
+	// dropped. A router cut off for as long as cuts usually last sees fewer.
+	recentMost = 1024
+	// toldAtOnce bounds those of one question, some 60 bytes each.
+	toldAtOnce = 256
+	// tellAgainFor is how long crashes are kept that keepers have been told: those that
+	// start again know none.
+	tellAgainFor = time.Minute
+	// aloneFor is how long a router holds a request back by what it saw itself; what
+	// the keepers say holds for longer.
+	aloneFor = time.Minute
+)
+
+// heldBack is what a router refuses to send; immutable.
+type heldBack struct {
+	// Newest is the highest number that a keeper told.
+	newest uint64
+	until  map[quarantiner.Fingerprint]time.Time
+}
+
+func (h *heldBack) anyEnded(now time.Time) bool {
+	for _, until := range h.until {
+		if !until.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// quarantine is what a router knows of requests under which endpoints end: what keepers
+// hold back, and what it saw itself.
+type quarantine struct {
+	*autopsies
+	log  *zap.Logger
+	held atomic.Pointer[heldBack]
+
+	mu       sync.Mutex
+	answered quarantiner.Recent
+	// Own holds what this router saw, so that it protects endpoints without keepers.
+	own *quarantiner.Register
+	// Recent holds the latest crashes, oldest first; dropped counts those that are in
+	// it no more, and told those, from the first of all, that keepers have been told.
+	recent        []recentCrash
+	dropped, told int
+	// ToldAt is when keepers were last told.
+	toldAt time.Time
+}
+
+type recentCrash struct {
+	message *messenger.Crash
+	at      time.Time
+}
+
+func newQuarantine(log *zap.Logger) *quarantine {
+	q := &quarantine{log: log, own: quarantiner.NewRegister(aloneFor)}
+	q.held.Store(&heldBack{})
+	q.autopsies = newAutopsies(log, q.crashed)
+	return q
+}
+
+// Held returns for how much longer a request is held back, or 0.
+func (q *quarantine) Held(f quarantiner.Fingerprint) time.Duration {
+	until, ok := q.held.Load().until[f]
+	if !ok {
+		return 0
+	}
+	return max(time.Until(until), 0)
+}
+
+// Answered notes that an endpoint gave a request its whole answer.
+func (q *quarantine) Answered(f quarantiner.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.answered.Add(f)
+}
+
+// BrokenOff notes that the connection on which a request was under way ended before
+// its answer.
+func (q *quarantine) BrokenOff(e *predictor.Endpoint, f quarantiner.Fingerprint, underway time.Duration) {
+	q.autopsies.brokenOff(e.Beat(), quarantiner.Crash{Request: f, Endpoint: e.Beat().Incarnation, Underway: underway})
+}
+
+// crashed takes in what was under way at an endpoint that ended.
+func (q *quarantine) crashed(list []quarantiner.Crash) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, c := range list {
+		if !q.answered.Has(c.Request) && q.own.Hear(now, c) {
+			q.recent = append(q.recent, recentCrash{message: c.Message(), at: now})
+		}
+	}
+	for len(q.recent) > 0 && (len(q.recent) > recentMost || now.Sub(q.recent[0].at) > tellAgainFor && q.dropped < q.told) {
+		if q.dropped >= q.told {
+			q.log.Warn("end of an endpoint not told to keepers", zap.String("endpoint", q.recent[0].message.Endpoint))
+		}
+		q.recent = q.recent[1:]
+		q.dropped++
+	}
+	q.told = max(q.told, q.dropped)
+}
+
+// step holds back what this router's own crashes call for.
+func (q *quarantine) step(now time.Time) {
+	q.mu.Lock()
+	due := q.own.Due(now)
+	q.mu.Unlock()
+	q.hold(now, 0, due, func(int) time.Duration { return aloneFor })
+}
+
+// ask fills in what a keeper is told and asked; upTo is for tellEnded.
+func (q *quarantine) ask(r *messenger.SyncRequest) (upTo int) {
+	r.Quarantine = q.held.Load().newest
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, c := range q.recent[q.told-q.dropped:] {
+		if len(r.Crashes) < toldAtOnce {
+			r.Crashes = append(r.Crashes, c.message)
+		}
+	}
+	return q.told + len(r.Crashes)
+}
+
+// tellEnded notes that a keeper which a majority follows, and which started at a time,
+// has taken in what ask filled in. One that started after keepers were last told may
+// be one of several that did, and none may know what was told before.
+func (q *quarantine) tellEnded(now, started time.Time, upTo int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if started.After(q.toldAt) {
+		q.told = q.dropped
+	} else {
+		q.told = min(max(q.told, upTo), q.dropped+len(q.recent))
+	}
+	q.toldAt = now
+}
+
+// learn takes in what a keeper holds back.
+func (q *quarantine) learn(now time.Time, list []*messenger.QuarantineTold) {
+	var requests []quarantiner.Fingerprint
+	var newest uint64
+	for _, x := range list {
+		requests = append(requests, quarantiner.FingerprintOf(x.Request))
+		newest = max(newest, x.Number)
+	}
+	q.hold(now, newest, requests, func(i int) time.Duration { return time.Duration(list[i].LeftMs) * time.Millisecond })
+}
+
+// hold holds requests back, each for at least a time. Called by the goroutine that asks
+// keepers alone.
+func (q *quarantine) hold(now time.Time, newest uint64, requests []quarantiner.Fingerprint, lasts func(int) time.Duration) {
+	old := q.held.Load()
+	if len(requests) == 0 && !old.anyEnded(now) {
+		return
+	}
+	next := &heldBack{newest: max(old.newest, newest), until: maps.Clone(old.until)}
+	if next.until == nil {
+		next.until = map[quarantiner.Fingerprint]time.Time{}
+	}
+	maps.DeleteFunc(next.until, func(_ quarantiner.Fingerprint, until time.Time) bool { return !until.After(now) })
+	for i, f := range requests {
+		until := now.Add(lasts(i))
+		if next.until[f].After(until) {
+			continue
+		}
+		next.until[f] = until
+		q.log.Info("request held back", zap.Stringer("content", f), zap.String("workspace", f.Workspace), zap.Duration("for", lasts(i)), zap.Bool("told", newest > 0))
+	}
+	q.held.Store(next)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.own.Hold(slices.Collect(maps.Keys(next.until)))
+}
--- a/courier/quarantine_test.go
+++ b/courier/quarantine_test.go
@@ -163,3 +163,42 @@
 		g.Expect(send(i, fmt.Sprint("after ", i))).To(gomega.Equal(http.StatusOK), "all others are served")
 	}
 }
+
+// Symptom: after a restart of everything a request ends three endpoints more.
+// Sequence: it is held back; all keepers and routers are stopped and start again.
+// Cause: what is held back known only to memories.
+func TestRestartOfAllLetsNothingThroughThatIsHeldBack(t *testing.T) {
+	f, g := start(t, 66)
+	f.publish(g, 1, document(2, 1_000_000))
+	f.router(4)
+	m := &mortals{f: f, down: 300 * time.Millisecond}
+	for e := 1; e <= 4; e++ {
+		m.run(fmt.Sprint("i-", e))
+	}
+	f.serves(g, 4)
+	send := func() int {
+		status, _ := f.call("POST", f.serve(4), "/a/x", deadly, "Api-Key", "k", "Rattanhoist-Request-Id", "r", "Rattanhoist-Token-Usage", "10,20")
+		return status
+	}
+	for range 8 {
+		send()
+		time.Sleep(300 * time.Millisecond)
+	}
+	// By then it is in the log, not only held back by the router itself.
+	time.Sleep(2 * time.Second)
+	ended := m.ends()
+	g.Expect(ended).To(gomega.BeNumerically(">=", 3))
+	f.stop("router4")
+	for n := 1; n <= 3; n++ {
+		f.stop(fmt.Sprint("keeper", n))
+	}
+	for n := 1; n <= 3; n++ {
+		f.keeper(n, false)
+	}
+	f.router(4)
+	f.serves(g, 4)
+	for range 5 {
+		g.Expect(send()).To(gomega.Equal(http.StatusServiceUnavailable))
+	}
+	g.Expect(m.ends()).To(gomega.Equal(ended))
+}
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -46,12 +46,10 @@
 			j.give(ctx, http.StatusServiceUnavailable, "no endpoint in service")
 			return
 		}
+		sent := time.Now()
 		o := j.attempt(ctx, work)
 		work.End()
-		if o == lost && ctx.Err() == nil {
-			j.brokenOff = true
-			j.f.Quarantine.BrokenOff(work.Endpoint(), j.content)
-		}
+		j.tell(ctx, o, work, time.Since(sent))
 		if o == done || !j.again(ctx, o) {
 			return
 		}
@@ -67,6 +65,18 @@
 	}
 }
 
+// tell tells what the attempt shows of the request: whether it may be one that ends
+// endpoints.
+func (j *job) tell(ctx context.Context, o outcome, work *predictor.Work, underway time.Duration) {
+	switch {
+	case o == done || o == repeat:
+		j.f.Quarantine.Answered(j.content)
+	case o == lost && ctx.Err() == nil:
+		j.brokenOff = true
+		j.f.Quarantine.BrokenOff(work.Endpoint(), j.content, underway)
+	}
+}
+
 func (j *job) ask() predictor.Ask {
 	a := predictor.Ask{
 		Service: j.service.Name, Prompt: j.caller.Prompt, Partial: j.f.Fleet.Partial(), Tried: append(j.tried, j.full...),
@@ -85,6 +95,10 @@
 		j.give(ctx, http.StatusServiceUnavailable, "out of time")
 		return false
 	}
+	if j.f.Quarantine.Held(j.content) > 0 {
+		j.give(ctx, http.StatusServiceUnavailable, whyHeld)
+		return false
+	}
 	if o == unsent {
 		j.unsent++
 		if j.unsent < unsentMost {
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -16,6 +16,7 @@
 	resumed         = metrics.NewCounter("rattanhoist_streams_resumed_total")
 	repeated        = metrics.NewCounter("rattanhoist_requests_repeated_total")
 	fetched         = metrics.NewCounter("rattanhoist_prompts_fetched_total")
+	heldBack        = metrics.NewCounter("rattanhoist_requests_held_back_total")
 	blamed          = metrics.NewCounter("rattanhoist_endpoint_failures_total")
 )
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -65,6 +65,9 @@
 	bodyMost = 4 << 20
 )
 
+// whyHeld is the answer to a request that is held back.
+const whyHeld = "held back: endpoints ended under requests equal to it"
+
 // Reservation is tokens set aside for one request.
 type Reservation interface {
 	// Settle gives back what was not spent; it must be called once.
@@ -93,8 +96,13 @@
 
 // Quarantine knows which requests end the endpoints that run them.
 type Quarantine interface {
-	// BrokenOff tells that an endpoint's connection ended before the answer.
-	BrokenOff(*predictor.Endpoint, quarantiner.Fingerprint)
+	// Held returns for how much longer a request is held back; 0 for one that is not.
+	Held(quarantiner.Fingerprint) time.Duration
+	// Answered tells that an endpoint gave the whole answer.
+	Answered(quarantiner.Fingerprint)
+	// BrokenOff tells that an endpoint's connection ended before the answer, and how
+	// long before the request was sent there.
+	BrokenOff(e *predictor.Endpoint, f quarantiner.Fingerprint, underway time.Duration)
 }
 
 // Parts are what a forwarder works with.
@@ -219,7 +227,7 @@
 		timeout = min(timeout, c.Deadline)
 	}
 	j.until = j.begun.Add(min(timeout, defaultTimeout))
-	return j.readBody()
+	return j.readBody() && j.mayRun()
 }
 
 func (j *job) identify() bool {
@@ -251,6 +259,17 @@
 	return j.fail(http.StatusBadRequest, "body not read: "+err.Error())
 }
 
+// mayRun refuses a request under which endpoints have ended: it would end the next one,
+// with all that others have running there, and fail.
+func (j *job) mayRun() bool {
+	left := j.f.Quarantine.Held(j.content)
+	if left == 0 {
+		return true
+	}
+	heldBack.Inc()
+	return j.refuseFor(left, http.StatusServiceUnavailable, whyHeld)
+}
+
 func (j *job) identifyContent() {
 	r := quarantiner.Request{Method: j.r.Method, Host: j.r.Host, Target: j.r.RequestURI, Body: j.body}
 	if j.workspace != nil {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -238,3 +239,62 @@
 		}
 	}
 }
+
+func TestRequestThatIsHeldBackIsRefusedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := newEndpoint(t, says(whole))
+	w := newWorld(t, e)
+	w.held.held = 40 * time.Second
+	a := w.ask(t, "POST", "/read/x", "b", "Rattanhoist-Token-Usage", "10,20")
+	g.Expect(a.status).To(gomega.Equal(503))
+	after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(after).To(gomega.BeNumerically(">=", 40))
+	g.Expect(e.requests()).To(gomega.BeEmpty())
+	g.Expect(w.rights.settled()).To(gomega.BeEmpty(), "nothing is set aside for it")
+}
+
+// A request is told of by what it is, not by its id, and only what an endpoint's
+// connection did tells against it.
+func TestWhatAnAttemptShowsOfItsRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, newEndpoint(t, says(events, "reset")))
+	for _, id := range []string{"r1", "r2"} {
+		g.Expect(w.ask(t, "POST", "/stream/x", "b", "Rattanhoist-Request-Id", id).status).To(gomega.Equal(502))
+	}
+	g.Expect(w.held.broken).To(gomega.HaveLen(2))
+	g.Expect(w.held.broken[0]).To(gomega.Equal(w.held.broken[1]))
+	g.Expect(w.held.broken[0].Workspace).To(gomega.Equal("labone"))
+	g.Expect(w.held.answered).To(gomega.BeEmpty())
+
+	for name, s := range map[string]script{"whole": says(whole), "failed": says(broken)} {
+		w = newWorld(t, newEndpoint(t, s))
+		w.ask(t, "POST", "/once/x", "b")
+		g.Expect(w.held.answered).To(gomega.HaveLen(1), name)
+		g.Expect(w.held.broken).To(gomega.BeEmpty(), name)
+	}
+	w = newWorld(t, newEndpoint(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	}))
+	w.ask(t, "POST", "/once/x", "b", "Rattanhoist-Deadline-Ms", "100")
+	g.Expect(w.held.broken).To(gomega.BeEmpty(), "the router itself ended it")
+}
+
+// Symptom: a request is sent on to another endpoint though equal ones ended several.
+// Sequence: it is held back while an attempt is under way, which breaks off.
+// Cause: what is held back looked at only when a request arrives.
+func TestAttemptThatBrokeOffIsNotRepeatedOnceHeldBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var w *world
+	dies := func(c net.Conn, r *http.Request, b string) bool {
+		w.held.mu.Lock()
+		w.held.held = time.Minute
+		w.held.mu.Unlock()
+		return says("reset")(c, r, b)
+	}
+	one, two := newEndpoint(t, dies), newEndpoint(t, dies)
+	w = newWorld(t, one, two)
+	g.Expect(w.ask(t, "GET", "/read/x", "").status).To(gomega.Equal(502), "it may have run")
+	g.Expect(len(one.requests()) + len(two.requests())).To(gomega.Equal(1))
+}
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -239,13 +239,26 @@
 	return reply{status: a.StatusCode, header: a.Header, body: string(b), err: err}
 }
 
-// quarantineStub notes what broke off.
+// quarantineStub notes what it is told.
 type quarantineStub struct {
-	mu     sync.Mutex
-	broken []quarantiner.Fingerprint
+	mu               sync.Mutex
+	broken, answered []quarantiner.Fingerprint
+	held             time.Duration
 }
 
-func (q *quarantineStub) BrokenOff(_ *predictor.Endpoint, f quarantiner.Fingerprint) {
+func (q *quarantineStub) Held(quarantiner.Fingerprint) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.held
+}
+
+func (q *quarantineStub) Answered(f quarantiner.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.answered = append(q.answered, f)
+}
+
+func (q *quarantineStub) BrokenOff(_ *predictor.Endpoint, f quarantiner.Fingerprint, _ time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.broken = append(q.broken, f)
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -1,5 +1,6 @@
 // Package governor is the state that a fleet's log builds up: the operator's
-// document, the prepaid rights, and the endpoints that have left.
+// document, the prepaid rights, the endpoints that have left, and the requests that are
+// held back.
 package governor
 
 import (
@@ -10,12 +11,25 @@
 	"rattanhoist.example/rattanhoist/allotter"
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
 // leftMost bounds the endpoints remembered as left. An incarnation leaves
 // once; its late heartbeats come within seconds, and this many leave in hours.
 const leftMost = 1024
 
+// quarantinesMost bounds the requests held back; past it, the oldest are let go.
+const quarantinesMost = 1024
+
+// Quarantine is a request that is held back.
+type Quarantine struct {
+	Request quarantiner.Fingerprint
+	// Number counts all that were ever held back.
+	Number uint64
+	// UntilMS is when it ends, by the time of day, in milliseconds since 1970.
+	UntilMS int64
+}
+
 // Document is the document in force; immutable.
 type Document struct {
 	number  uint64
@@ -34,6 +48,8 @@
 	ledger   *allotter.Ledger
 	// Left holds endpoint incarnations, oldest first; replaced, never changed.
 	left []enroller.Incarnation
+	// Quarantines holds one for each request, oldest first; replaced, never changed.
+	quarantines []Quarantine
 }
 
 // New returns the empty state.
@@ -47,6 +63,10 @@
 // Left returns the endpoints that have left; callers must not change it.
 func (g *Governor) Left() []enroller.Incarnation { return g.left }
 
+// Quarantines returns the requests that are held back, oldest first, those that have
+// ended by now included; callers must not change it.
+func (g *Governor) Quarantines() []Quarantine { return g.quarantines }
+
 // Ledger returns the rights.
 func (g *Governor) Ledger() *allotter.Ledger { return g.ledger }
 
@@ -71,6 +91,8 @@
 		return out
 	case *messenger.FleetChange_Leave:
 		g.leave(enroller.LeaveOf(b.Leave))
+	case *messenger.FleetChange_Quarantine:
+		g.holdBack(b.Quarantine)
 	}
 	return nil
 }
@@ -94,12 +116,34 @@
 	g.left = append(slices.Clone(g.left[from:]), i)
 }
 
+// holdBack takes a quarantine in. One that is in force is left as it is: a leader may
+// ask for it twice before it sees that it was committed.
+func (g *Governor) holdBack(c *messenger.QuarantineChange) {
+	list := slices.Clone(g.quarantines)
+	for _, x := range c.Requests {
+		f := quarantiner.FingerprintOf(x)
+		same := func(q Quarantine) bool { return q.Request == f }
+		if i := slices.IndexFunc(list, same); i >= 0 && list[i].UntilMS > c.AtMs {
+			continue
+		}
+		number := uint64(1)
+		if n := len(list); n > 0 {
+			number = list[n-1].Number + 1
+		}
+		list = append(slices.DeleteFunc(list, same), Quarantine{Request: f, Number: number, UntilMS: c.UntilMs})
+	}
+	g.quarantines = list[max(len(list)-quarantinesMost, 0):]
+}
+
 // Snapshot returns the whole state.
 func (g *Governor) Snapshot() []byte {
 	s := &messenger.FleetSnapshot{Number: g.document.number, Content: g.document.content}
 	for _, i := range g.left {
 		s.Left = append(s.Left, i.Leave())
 	}
+	for _, q := range g.quarantines {
+		s.Quarantined = append(s.Quarantined, &messenger.Quarantine{Request: q.Request.Content(), Number: q.Number, UntilMs: q.UntilMS})
+	}
 	g.ledger.Snapshot(s)
 	b, err := proto.Marshal(s)
 	if err != nil {
@@ -120,6 +164,10 @@
 	for _, l := range s.Left {
 		g.left = append(g.left, enroller.LeaveOf(l))
 	}
+	g.quarantines = nil
+	for _, q := range s.Quarantined {
+		g.quarantines = append(g.quarantines, Quarantine{Request: quarantiner.FingerprintOf(q.Request), Number: q.Number, UntilMS: q.UntilMs})
+	}
 	g.ledger = allotter.Restore(s)
 	return nil
 }
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -9,6 +9,7 @@
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/governor"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
 func apply(t *testing.T, g *governor.Governor, c *messenger.FleetChange) any {
@@ -70,3 +71,42 @@
 	g.Expect(copied.Left()).To(gomega.Equal([]enroller.Incarnation{{ID: "e", BornMS: 3}}))
 	g.Expect(copied.Ledger().Left("w")).To(gomega.Equal(int64(70)))
 }
+
+func holdBack(at, until int64, sums ...uint64) *messenger.FleetChange {
+	c := &messenger.QuarantineChange{AtMs: at, UntilMs: until}
+	for _, s := range sums {
+		c.Requests = append(c.Requests, &messenger.Content{Workspace: "w", Sum: s})
+	}
+	return &messenger.FleetChange{Body: &messenger.FleetChange_Quarantine{Quarantine: c}}
+}
+
+// Symptom: a router never hears of a request that is held back, or a restart lets it
+// through again.
+// Sequence: it is held back, told twice by the leader, ends, and is held back anew; a
+// keeper starts from a snapshot.
+// Cause: numbers that do not grow with what is new, or a state that the log lacks.
+func TestQuarantinesAreNumberedAndKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := governor.New()
+	apply(t, s, holdBack(0, 1_000, 7, 8))
+	apply(t, s, holdBack(10, 1_010, 7))
+	held := func(sum, number uint64, until int64) governor.Quarantine {
+		return governor.Quarantine{Request: quarantiner.Fingerprint{Workspace: "w", Sum: sum}, Number: number, UntilMS: until}
+	}
+	g.Expect(s.Quarantines()).To(gomega.Equal([]governor.Quarantine{held(7, 1, 1_000), held(8, 2, 1_000)}), "told twice")
+	apply(t, s, holdBack(1_001, 2_001, 7))
+	want := []governor.Quarantine{held(8, 2, 1_000), held(7, 3, 2_001)}
+	g.Expect(s.Quarantines()).To(gomega.Equal(want), "held back anew after its end")
+	restored := governor.New()
+	g.Expect(restored.Restore(s.Snapshot())).To(gomega.Succeed())
+	g.Expect(restored.Quarantines()).To(gomega.Equal(want))
+	apply(t, restored, holdBack(3_000, 4_000, 9))
+	g.Expect(restored.Quarantines()).To(gomega.HaveLen(3))
+	g.Expect(restored.Quarantines()[2]).To(gomega.Equal(held(9, 4, 4_000)))
+	for n := range uint64(3_000) {
+		apply(t, restored, holdBack(3_000, 4_000, 100+n))
+	}
+	list := restored.Quarantines()
+	g.Expect(list).To(gomega.HaveLen(1_024))
+	g.Expect(list[len(list)-1].Number).To(gomega.Equal(uint64(3_004)))
+}
--- a/loader/node.go
+++ b/loader/node.go
@@ -39,6 +39,8 @@
 	retrySlack   float64
 	retryWindow  time.Duration
 	orderTimeout time.Duration
+	// Quarantine is how long a request is held back under which endpoints ended.
+	quarantine time.Duration
 }
 
 // Name returns the VM's name.
@@ -98,6 +100,9 @@
 // OrderTimeout returns within what time an order must be acknowledged.
 func (n *Node) OrderTimeout() time.Duration { return n.orderTimeout }
 
+// Quarantine returns how long a request is held back under which endpoints ended.
+func (n *Node) Quarantine() time.Duration { return n.quarantine }
+
 // Defaults of a node's settings.
 const (
 	defaultHeartbeat    = time.Second
@@ -107,13 +112,14 @@
 	defaultRetrySlack   = 10
 	defaultRetryWindow  = 10 * time.Second
 	defaultOrderTimeout = 4 * time.Second
+	defaultQuarantine   = time.Hour
 	mebibyte            = 1 << 20
 )
 
 var nodeKeys = []string{
 	"name", "kind", "zone", "ip", "internal_ports", "seeds", "first_start", "serve", "ready", "control",
 	"metrics", "data_dir", "memory_mb", "lost_disks", "heartbeat_ms", "grace_s", "drain_ms",
-	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms",
+	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms", "quarantine_s",
 }
 
 // LoadNode reads and checks the settings of one process. The error lists
@@ -143,7 +149,7 @@
 		serve: sec.Key("serve").String(), ready: sec.Key("ready").String(), control: sec.Key("control").String(),
 		metrics: sec.Key("metrics").String(), dataDir: sec.Key("data_dir").String(),
 		heartbeat: defaultHeartbeat, grace: defaultGrace, drain: defaultDrain, retryRatio: defaultRetryRatio,
-		retrySlack: defaultRetrySlack, retryWindow: defaultRetryWindow, orderTimeout: defaultOrderTimeout,
+		retrySlack: defaultRetrySlack, retryWindow: defaultRetryWindow, orderTimeout: defaultOrderTimeout, quarantine: defaultQuarantine,
 	}
 	c.oneOf(sec, "kind", n.kind, []string{KindRouter, KindKeeper})
 	c.flag(sec, "first_start", &n.firstStart)
@@ -189,6 +195,7 @@
 	c.span(sec, "drain_ms", time.Millisecond, &n.drain)
 	c.span(sec, "retry_window_s", time.Second, &n.retryWindow)
 	c.span(sec, "order_timeout_ms", time.Millisecond, &n.orderTimeout)
+	c.span(sec, "quarantine_s", time.Second, &n.quarantine)
 	c.number(sec, "retry_ratio", &n.retryRatio)
 	c.number(sec, "retry_slack", &n.retrySlack)
 }
--- a/steward/counters.go
+++ b/steward/counters.go
@@ -14,6 +14,8 @@
 	questions    = metrics.NewCounter("rattanhoist_router_questions_total")
 	claims       = metrics.NewCounter("rattanhoist_rights_claims_total")
 	orders       = metrics.NewHistogram("rattanhoist_order_seconds")
+	// CrashesHeard counts requests that were under way at endpoints that ended.
+	crashesHeard = metrics.NewCounter("rattanhoist_endpoint_crashes_told_total")
 	refusals     = metrics.NewCounter("rattanhoist_orders_not_now_total")
 )
 
--- a/steward/server.go
+++ b/steward/server.go
@@ -54,6 +54,7 @@
 // Share takes in what another keeper heard.
 func (v *server) Share(_ context.Context, s *messenger.Sightings) (*messenger.SightingsTaken, error) {
 	v.s.roster.take(time.Now(), s)
+	v.s.quarantine.take(time.Now(), s.Crashes)
 	return &messenger.SightingsTaken{}, nil
 }
 
@@ -71,6 +72,8 @@
 		out.Keepers = append(out.Keepers, &messenger.FleetMember{Address: n})
 	}
 	s.roster.ask(now, q, out)
+	s.quarantine.tell(now, q.Crashes)
+	out.Quarantined = quarantinedSince(shown.quarantines, q.Quarantine, now)
 	if len(out.Endpoints) > 0 || q.Revision != out.Revision {
 		for _, i := range shown.left[max(len(shown.left)-leftTold, 0):] {
 			out.Left = append(out.Left, i.Leave())
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -59,8 +59,9 @@
 
 // view is the committed state that is shown to others; immutable.
 type view struct {
-	document *governor.Document
-	left     []enroller.Incarnation
+	document    *governor.Document
+	left        []enroller.Incarnation
+	quarantines []governor.Quarantine
 }
 
 // Steward is one keeper process.
@@ -75,6 +76,8 @@
 	members *members
 	roster  *roster
 	batcher *batcher
+	// Quarantine finds the requests that end endpoints.
+	quarantine *quarantine
 	// Note remembers the endpoints.
 	note *storer.Note
 	// Scarce holds the workspaces whose totals were last told to run low, and
@@ -96,6 +99,7 @@
 	s.view.Store(&view{document: s.state.Document()})
 	s.members = newMembers(n.Internal(), n.Seeds(), s.setPeers)
 	s.roster = newRoster(n.Heartbeat())
+	s.quarantine = newQuarantine(n.Quarantine())
 	s.loop, err = committer.New(committer.Options{
 		Core: replicator.Options{
 			Name: n.Internal(), Peers: s.members.names(), Voters: 2*n.LostDisks() + 1,
@@ -128,7 +132,7 @@
 // committed shows what the loop has applied and synced.
 func (s *Steward) committed() {
 	old := s.view.Load()
-	v := &view{document: s.state.Document(), left: s.state.Left()}
+	v := &view{document: s.state.Document(), left: s.state.Left(), quarantines: s.state.Quarantines()}
 	s.view.Store(v)
 	if v.document.Number() != old.document.Number() {
 		s.log.Info("configuration", zap.Uint64("number", v.document.Number()), zap.Int("bytes", len(v.document.Content())),
@@ -232,9 +236,16 @@
 		}
 		m := s.roster.news(time.Now(), s.node.Internal())
 		s.roster.expire(time.Now())
+		if crashes := s.quarantine.news(); len(crashes) > 0 {
+			if m == nil {
+				m = &messenger.Sightings{From: s.node.Internal()}
+			}
+			m.Crashes = crashes
+		}
 		if m != nil {
 			s.members.share(ctx, m)
 		}
+		s.holdBack(ctx)
 		s.learnVoters()
 	}
 }
