Which of several requests is to blame; a failure says nothing for a request

Review of the mend, each with a test that fails without it: - An end counts from when anybody first told of it, 0.8 s, and not from when each request's own was told: a late word of the one to blame let one that was only repeated beside it be held back instead. - Only whole answers that are no failures clear a request. An endpoint that fails some of what it is sent answers 500 without running it. - In touch, keepers alone decide; a router by itself does not know what else was under way at an endpoint. - An endpoint may take a second to refuse a connection over a full link.

--- a/courier/autopsy.go
+++ b/courier/autopsy.go
@@ -18,9 +18,9 @@
 	// gatherFor is how long a router waits before it asks whether an endpoint has
 	// ended: all that was under way there breaks off within that time.
 	gatherFor = 20 * time.Millisecond
-	// refusalTimeout bounds one such question, and askAgain is the pause before the
-	// next where nothing answers.
-	refusalTimeout = 400 * time.Millisecond
+	// refusalTimeout bounds one such question, over a link that callers fill too, and
+	// askAgain is the pause before the next where nothing answers.
+	refusalTimeout = time.Second
 	askAgain       = 100 * time.Millisecond
 	// askUntil is when an endpoint that neither takes nor refuses a connection is
 	// taken for cut off: one that ended may be back after that.
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -141,7 +141,9 @@
 		begun := time.Now()
 		f.round(ctx)
 		f.show(time.Now())
-		f.quarantine.step(time.Now())
+		if f.outOfTouch() {
+			f.quarantine.step(time.Now())
+		}
 		f.askKept(ctx)
 		f.listen(ctx, max(f.paced(syncEvery, pacedMost)-time.Since(begun), syncEvery/4))
 		f.show(time.Now())
--- a/courier/quarantine.go
+++ b/courier/quarantine.go
@@ -117,7 +117,8 @@
 	q.told = max(q.told, q.dropped)
 }
 
-// step holds back what this router's own crashes call for.
+// step holds back what this router's own crashes call for. In touch, keepers decide:
+// they know what else was under way at the endpoints that ended.
 func (q *quarantine) step(now time.Time) {
 	q.mu.Lock()
 	due := q.own.Due(now)
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -49,7 +49,9 @@
 		sent := time.Now()
 		o := j.attempt(ctx, work)
 		work.End()
-		j.tell(ctx, o, work, time.Since(sent))
+		if o == lost {
+			j.suspect(ctx, work.Endpoint(), time.Since(sent))
+		}
 		if o == done || !j.again(ctx, o) {
 			return
 		}
@@ -65,18 +67,22 @@
 	}
 }
 
-// tell tells what the attempt shows of the request: whether it may be one that ends
+// suspect tells of a request on which an endpoint broke off: it may be one that ends
 // endpoints.
-func (j *job) tell(ctx context.Context, o outcome, work *predictor.Work, underway time.Duration) {
-	switch {
-	case o == done || o == repeat:
-		j.f.Quarantine.Answered(j.content)
-	case o == lost && ctx.Err() == nil:
+func (j *job) suspect(ctx context.Context, e *predictor.Endpoint, underway time.Duration) {
+	if ctx.Err() == nil {
 		j.brokenOff = true
-		j.f.Quarantine.BrokenOff(work.Endpoint(), j.content, underway)
+		j.f.Quarantine.BrokenOff(e, j.content, underway)
 	}
 }
 
+// succeeded notes a whole answer that is no failure. A failure says nothing for the
+// request: endpoints that fail some of what they are sent do so without running it.
+func (j *job) succeeded(e *predictor.Endpoint) {
+	e.Gate().Step(time.Since(j.f.start), ejector.Succeeded, 0)
+	j.f.Quarantine.Answered(j.content)
+}
+
 func (j *job) ask() predictor.Ask {
 	a := predictor.Ask{
 		Service: j.service.Name, Prompt: j.caller.Prompt, Partial: j.f.Fleet.Partial(), Tried: append(j.tried, j.full...),
@@ -260,7 +266,7 @@
 			return repeat
 		}
 	} else {
-		e.Gate().Step(time.Since(j.f.start), ejector.Succeeded, 0)
+		j.succeeded(e)
 	}
 	if promises(a.Status) {
 		// Passed on, it would promise that nothing was run.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"rattanhoist.example/rattanhoist/ejector"
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 )
@@ -34,7 +33,7 @@
 			continue
 		}
 		if err == io.EOF && a.Ended() && len(event) == 0 && !a.Unframed {
-			work.Endpoint().Gate().Step(time.Since(j.f.start), ejector.Succeeded, 0)
+			j.succeeded(work.Endpoint())
 			j.begin(a)
 			j.log(a.Status, "")
 			return done
--- a/quarantiner/register.go
+++ b/quarantiner/register.go
@@ -12,9 +12,9 @@
 	// crashesToHold is under how many endpoints' ends a request is held back. One or
 	// two befall requests that were only repeated beside the one to blame.
 	crashesToHold = 3
-	// settleFor is how old a crash must be to count: until then other routers may
-	// still tell what else was under way at the same endpoint.
-	settleFor = 500 * time.Millisecond
+	// settleFor is how long ago an end must have been told of first to count: until
+	// then other routers may still tell what else was under way at the endpoint.
+	settleFor = 800 * time.Millisecond
 	// crashesMost bounds the crashes that are remembered, some 250 bytes each.
 	crashesMost = 8192
 )
@@ -35,6 +35,13 @@
 	underway time.Duration
 }
 
+// end is the end of one endpoint.
+type end struct {
+	// Told is when it was first told of.
+	told  time.Time
+	under []Fingerprint
+}
+
 // Register counts under which requests endpoints ended, and says which to hold back. An
 // endpoint that ends takes others' requests with it, and these are repeated too, so that
 // some were under way at as many ends as the one to blame. Each end is therefore
@@ -44,8 +51,7 @@
 	// Remember is after what time a crash counts no more.
 	remember time.Duration
 	suspects map[Fingerprint]*suspect
-	// Under holds what was under way at each endpoint that ended.
-	under map[enroller.Incarnation][]Fingerprint
+	ends     map[enroller.Incarnation]*end
 	// Order holds all crashes, oldest first.
 	order []Crash
 	held  map[Fingerprint]bool
@@ -54,7 +60,7 @@
 // NewRegister returns a register that forgets crashes after a time.
 func NewRegister(remember time.Duration) *Register {
 	return &Register{
-		remember: remember, suspects: map[Fingerprint]*suspect{}, under: map[enroller.Incarnation][]Fingerprint{},
+		remember: remember, suspects: map[Fingerprint]*suspect{}, ends: map[enroller.Incarnation]*end{},
 		held: map[Fingerprint]bool{},
 	}
 }
@@ -71,7 +77,12 @@
 	}
 	s.ends[c.Endpoint] = now
 	s.underway += c.Underway
-	r.under[c.Endpoint] = append(r.under[c.Endpoint], c.Request)
+	e := r.ends[c.Endpoint]
+	if e == nil {
+		e = &end{told: now}
+		r.ends[c.Endpoint] = e
+	}
+	e.under = append(e.under, c.Request)
 	r.order = append(r.order, c)
 	if len(r.order) > crashesMost {
 		r.forgetOldest()
@@ -119,8 +130,8 @@
 // charged counts the settled ends that no request held back accounts for.
 func (r *Register) charged(now time.Time, s *suspect, held func(Fingerprint) bool) int {
 	n := 0
-	for e, at := range s.ends {
-		if now.Sub(at) >= settleFor && !slices.ContainsFunc(r.under[e], held) {
+	for i := range s.ends {
+		if e := r.ends[i]; now.Sub(e.told) >= settleFor && !slices.ContainsFunc(e.under, held) {
 			n++
 		}
 	}
@@ -155,8 +166,9 @@
 	if len(s.ends) == 0 {
 		delete(r.suspects, c.Request)
 	}
-	r.under[c.Endpoint] = slices.DeleteFunc(r.under[c.Endpoint], func(f Fingerprint) bool { return f == c.Request })
-	if len(r.under[c.Endpoint]) == 0 {
-		delete(r.under, c.Endpoint)
+	e := r.ends[c.Endpoint]
+	e.under = slices.DeleteFunc(e.under, func(f Fingerprint) bool { return f == c.Request })
+	if len(e.under) == 0 {
+		delete(r.ends, c.Endpoint)
 	}
 }
