Ends of many endpoints at once count against no request; answered ones are let go

Change: an end counts against a request only if not two others, at which it was not under way, ended within 0.1 s; crashes carry how long ago they were. An endpoint's whole answer to a suspected or held request is told to keepers, which forget its ends and let it go through the log.

--- a/courier/quarantine.go
+++ b/courier/quarantine.go
@@ -57,17 +57,15 @@
 	own *quarantiner.Register
 	// Recent holds the latest crashes, oldest first; dropped counts those that are in
 	// it no more, and told those, from the first of all, that keepers have been told.
-	recent        []recentCrash
+	recent        []quarantiner.Crash
 	dropped, told int
+	// Cleared holds requests that were answered though endpoints ended under them,
+	// until a keeper has taken that in.
+	cleared []quarantiner.Fingerprint
 	// ToldAt is when keepers were last told.
 	toldAt time.Time
 }
 
-type recentCrash struct {
-	message *messenger.Crash
-	at      time.Time
-}
-
 func newQuarantine(log *zap.Logger) *quarantine {
 	q := &quarantine{log: log, own: quarantiner.NewRegister(aloneFor)}
 	q.held.Store(&heldBack{})
@@ -89,12 +87,18 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.answered.Add(f)
+	if (q.own.Suspects(f) || q.Held(f) > 0) && !slices.Contains(q.cleared, f) && len(q.cleared) < toldAtOnce {
+		q.cleared = append(q.cleared, f)
+		q.own.Clear(f)
+	}
 }
 
 // BrokenOff notes that the connection on which a request was under way ended before
 // its answer.
 func (q *quarantine) BrokenOff(e *predictor.Endpoint, f quarantiner.Fingerprint, underway time.Duration) {
-	q.autopsies.brokenOff(e.Beat(), quarantiner.Crash{Request: f, Endpoint: e.Beat().Incarnation, Underway: underway})
+	q.autopsies.brokenOff(e.Beat(), quarantiner.Crash{
+		Request: f, Endpoint: e.Beat().Incarnation, At: time.Now(), Underway: underway,
+	})
 }
 
 // crashed takes in what was under way at an endpoint that ended.
@@ -104,12 +108,12 @@
 	defer q.mu.Unlock()
 	for _, c := range list {
 		if !q.answered.Has(c.Request) && q.own.Hear(now, c) {
-			q.recent = append(q.recent, recentCrash{message: c.Message(), at: now})
+			q.recent = append(q.recent, c)
 		}
 	}
-	for len(q.recent) > 0 && (len(q.recent) > recentMost || now.Sub(q.recent[0].at) > tellAgainFor && q.dropped < q.told) {
+	for len(q.recent) > 0 && (len(q.recent) > recentMost || now.Sub(q.recent[0].At) > tellAgainFor && q.dropped < q.told) {
 		if q.dropped >= q.told {
-			q.log.Warn("end of an endpoint not told to keepers", zap.String("endpoint", q.recent[0].message.Endpoint))
+			q.log.Warn("end of an endpoint not told to keepers", zap.Stringer("endpoint", q.recent[0].Endpoint))
 		}
 		q.recent = q.recent[1:]
 		q.dropped++
@@ -126,30 +130,39 @@
 	q.hold(now, 0, due, func(int) time.Duration { return aloneFor })
 }
 
-// ask fills in what a keeper is told and asked; upTo is for tellEnded.
-func (q *quarantine) ask(r *messenger.SyncRequest) (upTo int) {
+// telling is what one question tells a keeper: crashes up to one, counted from the first
+// of all, and so many answered requests.
+type telling struct{ crashes, cleared int }
+
+// ask fills in what a keeper is told and asked.
+func (q *quarantine) ask(r *messenger.SyncRequest) telling {
 	r.Quarantine = q.held.Load().newest
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, c := range q.recent[q.told-q.dropped:] {
 		if len(r.Crashes) < toldAtOnce {
-			r.Crashes = append(r.Crashes, c.message)
+			r.Crashes = append(r.Crashes, c.Message(now))
 		}
 	}
-	return q.told + len(r.Crashes)
+	for _, f := range q.cleared {
+		r.Answered = append(r.Answered, f.Content())
+	}
+	return telling{crashes: q.told + len(r.Crashes), cleared: len(r.Answered)}
 }
 
 // tellEnded notes that a keeper which a majority follows, and which started at a time,
 // has taken in what ask filled in. One that started after keepers were last told may
 // be one of several that did, and none may know what was told before.
-func (q *quarantine) tellEnded(now, started time.Time, upTo int) {
+func (q *quarantine) tellEnded(now, started time.Time, t telling) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if started.After(q.toldAt) {
 		q.told = q.dropped
 	} else {
-		q.told = min(max(q.told, upTo), q.dropped+len(q.recent))
+		q.told = min(max(q.told, t.crashes), q.dropped+len(q.recent))
 	}
+	q.cleared = q.cleared[min(t.cleared, len(q.cleared)):]
 	q.toldAt = now
 }
 
@@ -164,8 +177,8 @@
 	q.hold(now, newest, requests, func(i int) time.Duration { return time.Duration(list[i].LeftMs) * time.Millisecond })
 }
 
-// hold holds requests back, each for at least a time. Called by the goroutine that asks
-// keepers alone.
+// hold holds requests back, each for at least a time, and lets those go whose time is 0.
+// Called by the goroutine that asks keepers alone.
 func (q *quarantine) hold(now time.Time, newest uint64, requests []quarantiner.Fingerprint, lasts func(int) time.Duration) {
 	old := q.held.Load()
 	if len(requests) == 0 && !old.anyEnded(now) {
@@ -177,15 +190,29 @@
 	}
 	maps.DeleteFunc(next.until, func(_ quarantiner.Fingerprint, until time.Time) bool { return !until.After(now) })
 	for i, f := range requests {
-		until := now.Add(lasts(i))
-		if next.until[f].After(until) {
+		until, known := now.Add(lasts(i)), next.until[f]
+		switch {
+		case lasts(i) <= 0:
+			delete(next.until, f)
+			if known.IsZero() {
+				continue
+			}
+		case known.After(until):
 			continue
+		default:
+			next.until[f] = until
 		}
-		next.until[f] = until
-		q.log.Info("request held back", zap.Stringer("content", f), zap.String("workspace", f.Workspace), zap.Duration("for", lasts(i)), zap.Bool("told", newest > 0))
+		q.log.Info(message(lasts(i)), zap.Stringer("content", f), zap.String("workspace", f.Workspace), zap.Duration("for", lasts(i)), zap.Bool("told", newest > 0))
 	}
 	q.held.Store(next)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.own.Hold(slices.Collect(maps.Keys(next.until)))
 }
+
+func message(lasts time.Duration) string {
+	if lasts <= 0 {
+		return "request let go"
+	}
+	return "request held back"
+}
--- a/courier/question.go
+++ b/courier/question.go
@@ -126,8 +126,8 @@
 	body *messenger.SyncReply
 	err  error
 	sent time.Time
-	// Crashes is up to which crash the question told.
-	crashes int
+	// Told is what the question told.
+	told telling
 }
 
 // answer takes one reply in and reports whether a majority confirmed lately what
@@ -144,7 +144,7 @@
 	fresh := a.body.ConfirmedAgeMs >= 0 && age < freshWithin
 	if fresh {
 		now := time.Now()
-		f.quarantine.tellEnded(now, now.Add(-time.Duration(a.body.UptimeMs)*time.Millisecond), a.crashes)
+		f.quarantine.tellEnded(now, now.Add(-time.Duration(a.body.UptimeMs)*time.Millisecond), a.told)
 	}
 	// After a cut the first to answer is as good as any: the one before may be
 	// cut off still, or the connection to it not notice for seconds that the cut
@@ -181,12 +181,12 @@
 
 // question asks a keeper; the reply comes to answers.
 func (f *fleet) question(ctx context.Context, l *messenger.Link) {
-	q, crashes := f.syncRequest(l)
+	q, told := f.syncRequest(l)
 	f.mu.Lock()
 	f.owing[l.Address()] = true
 	f.mu.Unlock()
 	go func() {
-		r := reply{link: l, sent: time.Now(), crashes: crashes}
+		r := reply{link: l, sent: time.Now(), told: told}
 		r.err = l.Call(ctx, syncTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
 			var err error
 			r.body, err = c.Sync(ctx, q)
@@ -199,8 +199,8 @@
 	}()
 }
 
-// syncRequest returns what to ask a keeper, and up to which crash it is told.
-func (f *fleet) syncRequest(l *messenger.Link) (*messenger.SyncRequest, int) {
+// syncRequest returns what to ask a keeper, and what it is told by that.
+func (f *fleet) syncRequest(l *messenger.Link) (*messenger.SyncRequest, telling) {
 	q := &messenger.SyncRequest{Router: f.self, Revision: f.revisions[l.Address()]}
 	if x := f.index.Load(); x != nil {
 		q.Number = x.Number()
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -71,7 +71,7 @@
 // endpoints.
 func (j *job) suspect(ctx context.Context, e *predictor.Endpoint, underway time.Duration) {
 	if ctx.Err() == nil {
-		j.brokenOff = true
+		j.suspected = true
 		j.f.Quarantine.BrokenOff(e, j.content, underway)
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -157,8 +157,9 @@
 	unsent int
 	// MayHaveRun says that some endpoint may have run the request.
 	mayHaveRun bool
-	// BrokenOff says that some endpoint broke off under the request.
-	brokenOff bool
+	// Suspected says that an endpoint broke off under the request, or that it is held
+	// back.
+	suspected bool
 	// Delivered counts tokens passed on to the caller.
 	delivered int64
 	// Began says that the head of the answer was sent to the caller.
@@ -267,6 +268,7 @@
 		return true
 	}
 	heldBack.Inc()
+	j.suspected = true
 	return j.refuseFor(left, http.StatusServiceUnavailable, whyHeld)
 }
 
@@ -383,7 +385,7 @@
 	if l := j.late(); l != "" {
 		fields = append(fields, zap.String("late", l))
 	}
-	if j.brokenOff {
+	if j.suspected {
 		fields = append(fields, zap.Stringer("content", j.content))
 	}
 	if why != "" {
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -116,14 +116,15 @@
 	g.left = append(slices.Clone(g.left[from:]), i)
 }
 
-// holdBack takes a quarantine in. One that is in force is left as it is: a leader may
-// ask for it twice before it sees that it was committed.
+// holdBack holds requests back, or lets them go. One that is held back, or let go,
+// already is left as it is: a leader may ask twice before it sees that it was committed.
 func (g *Governor) holdBack(c *messenger.QuarantineChange) {
 	list := slices.Clone(g.quarantines)
 	for _, x := range c.Requests {
 		f := quarantiner.FingerprintOf(x)
 		same := func(q Quarantine) bool { return q.Request == f }
-		if i := slices.IndexFunc(list, same); i >= 0 && list[i].UntilMS > c.AtMs {
+		i := slices.IndexFunc(list, same)
+		if held := i >= 0 && list[i].UntilMS > c.AtMs; held == (c.UntilMs > c.AtMs) {
 			continue
 		}
 		number := uint64(1)
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -143,6 +143,8 @@
 	from, to             time.Time
 	processes, endpoints map[string]bool
 	workspace            string
+	// Content is "" unless an endpoint broke off under the request or it was held back.
+	content string
 }
 
 func scopeOf(own []*Line) *scope {
@@ -159,6 +161,9 @@
 			s.to = l.Time()
 		}
 		s.processes[l.Process] = true
+		if c, ok := l.Fields["content"].(string); ok {
+			s.content = c
+		}
 		if w, ok := l.Fields["workspace"].(string); ok {
 			s.workspace = w
 		}
@@ -182,8 +187,24 @@
 	"configuration in force": "configuration",
 }
 
+// equals reports whether a line tells of a request equal to this one. Why one is held
+// back is told long before it comes.
+func (s *scope) equals(l *Line) bool {
+	if s.content == "" {
+		return false
+	}
+	list, _ := l.Fields["contents"].([]any)
+	return l.Fields["content"] == s.content || slices.Contains(list, any(s.content))
+}
+
 func (s *scope) covers(l *Line) bool {
-	if _, other := l.Fields["request"]; other || l.Time().Before(s.from.Add(-around)) || l.Time().After(s.to.Add(around)) {
+	if _, other := l.Fields["request"]; other {
+		return false
+	}
+	if s.equals(l) {
+		return true
+	}
+	if l.Time().Before(s.from.Add(-around)) || l.Time().After(s.to.Add(around)) {
 		return false
 	}
 	if e, ok := l.Fields["endpoint"].(string); ok {
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -61,6 +61,22 @@
 	g.Expect(narrator.Story(all, "x2")).To(gomega.BeEmpty())
 }
 
+// A request that is held back, a minute after equal ones ended endpoints.
+func TestStoryHoldsWhyEqualRequestsWereHeldBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := read(t, map[string]string{
+		"r1.log": line(160, "r1", "ended", `,"request":"x1","status":503,"took":0,"workspace":"w","content":"c1"`),
+		"r2.log": line(90, "r2", "ended", `,"request":"x0","status":502,"took":0.1,"workspace":"w","content":"c1","endpoints":["i-1"]`) +
+			line(91, "r2", "endpoint ended under requests", `,"endpoint":"i-1","contents":["c7","c1"]`) +
+			line(92, "r2", "endpoint ended under requests", `,"endpoint":"i-2","contents":["c7"]`),
+		"k1.log": line(93, "k1", "request held back: endpoints ended under it", `,"content":"c1","workspace":"w"`) +
+			line(93, "k1", "request held back: endpoints ended under it", `,"content":"c7","workspace":"w"`),
+	})
+	g.Expect(told(narrator.Story(all, "x1"))).To(gomega.Equal([]string{
+		"r2: endpoint ended under requests", "k1: request held back: endpoints ended under it", "r1: ended",
+	}))
+}
+
 // Symptom: the story shows a keeper's lines five seconds after what followed
 // from them. Sequence: the clock of one VM is ahead; another router was cut off
 // and learned of one configuration late. Cause: lines put in order by their own
--- a/quarantiner/message.go
+++ b/quarantiner/message.go
@@ -17,17 +17,19 @@
 	return &messenger.Content{Workspace: f.Workspace, Sum: f.Sum}
 }
 
-// CrashOf returns the crash that a message tells of.
-func CrashOf(c *messenger.Crash) Crash {
+// CrashOf returns the crash that a message tells of which came now.
+func CrashOf(now time.Time, c *messenger.Crash) Crash {
 	return Crash{
 		Request: FingerprintOf(c.GetRequest()), Endpoint: enroller.Incarnation{ID: c.GetEndpoint(), BornMS: c.GetBornMs()},
+		At:       now.Add(-time.Duration(c.GetAgoMs()) * time.Millisecond),
 		Underway: time.Duration(c.GetUnderwayMs()) * time.Millisecond,
 	}
 }
 
-// Message returns the message that tells of the crash.
-func (c Crash) Message() *messenger.Crash {
+// Message returns the message that tells of the crash now.
+func (c Crash) Message(now time.Time) *messenger.Crash {
 	return &messenger.Crash{
 		Request: c.Request.Content(), Endpoint: c.Endpoint.ID, BornMs: c.Endpoint.BornMS, UnderwayMs: c.Underway.Milliseconds(),
+		AgoMs: now.Sub(c.At).Milliseconds(),
 	}
 }
--- a/quarantiner/register.go
+++ b/quarantiner/register.go
@@ -15,6 +15,11 @@
 	// settleFor is how long ago an end must have been told of first to count: until
 	// then other routers may still tell what else was under way at the endpoint.
 	settleFor = 800 * time.Millisecond
+	// together is how close ends of several endpoints are that have one cause outside, such
+	// as a rack that loses power, and crowd how many others make it one: what was under
+	// way at few of them did not end them all.
+	together = 100 * time.Millisecond
+	crowd    = 2
 	// crashesMost bounds the crashes that are remembered, some 250 bytes each.
 	crashesMost = 8192
 )
@@ -23,14 +28,15 @@
 type Crash struct {
 	Request  Fingerprint
 	Endpoint enroller.Incarnation
+	// At is when the connection broke off, by the clock of whoever holds the crash.
+	At time.Time
 	// Underway is how long before the end the request was sent there.
 	Underway time.Duration
 }
 
 // suspect is a request under which endpoints ended.
 type suspect struct {
-	// Ends holds when each end was heard of.
-	ends map[enroller.Incarnation]time.Time
+	ends map[enroller.Incarnation]bool
 	// Underway is the sum over the ends.
 	underway time.Duration
 }
@@ -38,7 +44,9 @@
 // end is the end of one endpoint.
 type end struct {
 	// Told is when it was first told of.
-	told  time.Time
+	told time.Time
+	// At is the earliest time that was named for it.
+	at    time.Time
 	under []Fingerprint
 }
 
@@ -67,21 +75,25 @@
 
 // Hear takes a crash in and reports whether it was unknown.
 func (r *Register) Hear(now time.Time, c Crash) bool {
+	r.expire(now)
 	s := r.suspects[c.Request]
 	if s == nil {
-		s = &suspect{ends: map[enroller.Incarnation]time.Time{}}
+		s = &suspect{ends: map[enroller.Incarnation]bool{}}
 		r.suspects[c.Request] = s
 	}
-	if _, known := s.ends[c.Endpoint]; known {
+	if s.ends[c.Endpoint] {
 		return false
 	}
-	s.ends[c.Endpoint] = now
+	s.ends[c.Endpoint] = true
 	s.underway += c.Underway
 	e := r.ends[c.Endpoint]
 	if e == nil {
-		e = &end{told: now}
+		e = &end{told: now, at: c.At}
 		r.ends[c.Endpoint] = e
 	}
+	if c.At.Before(e.at) {
+		e.at = c.At
+	}
 	e.under = append(e.under, c.Request)
 	r.order = append(r.order, c)
 	if len(r.order) > crashesMost {
@@ -98,6 +110,25 @@
 	}
 }
 
+// Suspects reports whether endpoints ended under a request.
+func (r *Register) Suspects(f Fingerprint) bool { return r.suspects[f] != nil }
+
+// Clear forgets the ends under a request that an endpoint has answered.
+func (r *Register) Clear(f Fingerprint) {
+	if !r.Suspects(f) {
+		return
+	}
+	kept := r.order[:0]
+	for _, c := range r.order {
+		if c.Request == f {
+			r.forget(c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	r.order = kept
+}
+
 // Due returns the requests to hold back from now on. Of several under which as many
 // endpoints ended, it takes the one after whose arrival they ended soonest: a request
 // that ends its endpoint does so when it begins, what else ran there had run for longer.
@@ -112,7 +143,7 @@
 			if len(s.ends) < crashesToHold || held(f) {
 				continue
 			}
-			n := r.charged(now, s, held)
+			n := r.charged(now, f, held)
 			if n < crashesToHold || n < most {
 				continue
 			}
@@ -127,17 +158,31 @@
 	}
 }
 
-// charged counts the settled ends that no request held back accounts for.
-func (r *Register) charged(now time.Time, s *suspect, held func(Fingerprint) bool) int {
+// charged counts the settled ends that neither a request held back nor a cause outside
+// accounts for.
+func (r *Register) charged(now time.Time, f Fingerprint, held func(Fingerprint) bool) int {
 	n := 0
-	for i := range s.ends {
-		if e := r.ends[i]; now.Sub(e.told) >= settleFor && !slices.ContainsFunc(e.under, held) {
+	for i := range r.suspects[f].ends {
+		e := r.ends[i]
+		if now.Sub(e.told) >= settleFor && !slices.ContainsFunc(e.under, held) && !r.crowded(f, e, held) {
 			n++
 		}
 	}
 	return n
 }
 
+// crowded reports whether endpoints at which a request was not under way ended together
+// with one at which it was.
+func (r *Register) crowded(f Fingerprint, e *end, held func(Fingerprint) bool) bool {
+	others := 0
+	for _, x := range r.ends {
+		if x.at.Sub(e.at).Abs() <= together && !slices.Contains(x.under, f) && !slices.ContainsFunc(x.under, held) {
+			others++
+		}
+	}
+	return others >= crowd
+}
+
 // before orders suspects with as many ends.
 func (r *Register) before(a, b Fingerprint) bool {
 	x, y := r.suspects[a], r.suspects[b]
@@ -150,7 +195,7 @@
 func (r *Register) expire(now time.Time) {
 	for len(r.order) > 0 {
 		c := r.order[0]
-		if now.Sub(r.suspects[c.Request].ends[c.Endpoint]) < r.remember {
+		if now.Sub(r.ends[c.Endpoint].told) < r.remember {
 			return
 		}
 		r.forgetOldest()
@@ -158,8 +203,11 @@
 }
 
 func (r *Register) forgetOldest() {
-	c := r.order[0]
+	r.forget(r.order[0])
 	r.order = r.order[1:]
+}
+
+func (r *Register) forget(c Crash) {
 	s := r.suspects[c.Request]
 	delete(s.ends, c.Endpoint)
 	s.underway -= c.Underway
--- a/steward/roster.go
+++ b/steward/roster.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// news returns what was heard here since the last call, or nil.
+// news returns what was heard here since the last call.
 func (r *roster) news(now time.Time, from string) *messenger.Sightings {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -101,9 +101,6 @@
 			out.Routers = append(out.Routers, x.member)
 		}
 	}
-	if len(out.Sightings) == 0 && len(out.Routers) == 0 {
-		return nil
-	}
 	return out
 }
 
--- a/steward/server.go
+++ b/steward/server.go
@@ -54,7 +54,7 @@
 // Share takes in what another keeper heard.
 func (v *server) Share(_ context.Context, s *messenger.Sightings) (*messenger.SightingsTaken, error) {
 	v.s.roster.take(time.Now(), s)
-	v.s.quarantine.take(time.Now(), s.Crashes)
+	v.s.quarantine.take(time.Now(), s)
 	return &messenger.SightingsTaken{}, nil
 }
 
@@ -72,7 +72,7 @@
 		out.Keepers = append(out.Keepers, &messenger.FleetMember{Address: n})
 	}
 	s.roster.ask(now, q, out)
-	s.quarantine.tell(now, q.Crashes)
+	s.quarantine.tell(now, q.Crashes, q.Answered)
 	out.Quarantined = quarantinedSince(shown.quarantines, q.Quarantine, now)
 	if len(out.Endpoints) > 0 || q.Revision != out.Revision {
 		for _, i := range shown.left[max(len(shown.left)-leftTold, 0):] {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -236,13 +236,7 @@
 		}
 		m := s.roster.news(time.Now(), s.node.Internal())
 		s.roster.expire(time.Now())
-		if crashes := s.quarantine.news(); len(crashes) > 0 {
-			if m == nil {
-				m = &messenger.Sightings{From: s.node.Internal()}
-			}
-			m.Crashes = crashes
-		}
-		if m != nil {
+		if s.quarantine.news(time.Now(), m) || len(m.Sightings)+len(m.Routers) > 0 {
 			s.members.share(ctx, m)
 		}
 		s.holdBack(ctx)
