Only a success clears a request; names

An endpoint that sheds requests with 429, without saying that it did not run them, cleared what it was sent and would have hidden a request that ends endpoints from its router for as long as it is remembered. The test of what an attempt shows has that case. Other changes are names and comments.

--- a/courier/autopsy.go
+++ b/courier/liveness.go
@@ -27,10 +27,10 @@
 	askUntil = 1500 * time.Millisecond
 )
 
-// autopsies tell whether an endpoint ended while requests were under way there. That
+// livenessChecks tell whether an endpoint ended while requests were under way there. That
 // a connection breaks off does not show it: endpoints and links reset connections
 // and live on.
-type autopsies struct {
+type livenessChecks struct {
 	log *zap.Logger
 	// Crashed takes what was under way at an endpoint that ended.
 	crashed func([]quarantiner.Crash)
@@ -40,29 +40,29 @@
 	open map[enroller.Incarnation][]quarantiner.Crash
 }
 
-func newAutopsies(log *zap.Logger, crashed func([]quarantiner.Crash)) *autopsies {
-	return &autopsies{log: log, crashed: crashed, open: map[enroller.Incarnation][]quarantiner.Crash{}}
+func newLivenessChecks(log *zap.Logger, crashed func([]quarantiner.Crash)) *livenessChecks {
+	return &livenessChecks{log: log, crashed: crashed, open: map[enroller.Incarnation][]quarantiner.Crash{}}
 }
 
 // brokenOff notes what is a crash if the endpoint turns out to have ended.
-func (a *autopsies) brokenOff(b enroller.Beat, c quarantiner.Crash) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	list, asked := a.open[b.Incarnation]
-	a.open[b.Incarnation] = append(list, c)
+func (l *livenessChecks) brokenOff(b enroller.Beat, c quarantiner.Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list, asked := l.open[b.Incarnation]
+	l.open[b.Incarnation] = append(list, c)
 	if !asked {
-		go a.hold(b)
+		go l.check(b)
 	}
 }
 
-// hold asks about one endpoint and closes its case.
-func (a *autopsies) hold(b enroller.Beat) {
+// check asks one endpoint, and tells what was under way there if it has ended.
+func (l *livenessChecks) check(b enroller.Beat) {
 	time.Sleep(gatherFor)
 	refused := refuses(b.Address)
-	a.mu.Lock()
-	list := a.open[b.Incarnation]
-	delete(a.open, b.Incarnation)
-	a.mu.Unlock()
+	l.mu.Lock()
+	list := l.open[b.Incarnation]
+	delete(l.open, b.Incarnation)
+	l.mu.Unlock()
 	if !refused {
 		return
 	}
@@ -71,8 +71,8 @@
 	for i, c := range list {
 		contents[i] = c.Request
 	}
-	a.log.Info("endpoint ended under requests", zap.Stringer("endpoint", b.Incarnation), zap.String("service", b.Service), zap.Stringers("contents", contents))
-	a.crashed(list)
+	l.log.Info("endpoint ended under requests", zap.Stringer("endpoint", b.Incarnation), zap.String("service", b.Service), zap.Stringers("contents", contents))
+	l.crashed(list)
 }
 
 // refuses reports whether nothing listens at an address. An endpoint that lives takes
--- a/courier/quarantine.go
+++ b/courier/quarantine.go
@@ -47,7 +47,7 @@
 // quarantine is what a router knows of requests under which endpoints end: what keepers
 // hold back, and what it saw itself.
 type quarantine struct {
-	*autopsies
+	*livenessChecks
 	log  *zap.Logger
 	held atomic.Pointer[heldBack]
 
@@ -69,7 +69,7 @@
 func newQuarantine(log *zap.Logger) *quarantine {
 	q := &quarantine{log: log, own: quarantiner.NewRegister(aloneFor)}
 	q.held.Store(&heldBack{})
-	q.autopsies = newAutopsies(log, q.crashed)
+	q.livenessChecks = newLivenessChecks(log, q.crashed)
 	return q
 }
 
@@ -96,7 +96,7 @@
 // BrokenOff notes that the connection on which a request was under way ended before
 // its answer.
 func (q *quarantine) BrokenOff(e *predictor.Endpoint, f quarantiner.Fingerprint, underway time.Duration) {
-	q.autopsies.brokenOff(e.Beat(), quarantiner.Crash{
+	q.livenessChecks.brokenOff(e.Beat(), quarantiner.Crash{
 		Request: f, Endpoint: e.Beat().Incarnation, At: time.Now(), Underway: underway,
 	})
 }
--- a/courier/quarantine_test.go
+++ b/courier/quarantine_test.go
@@ -13,21 +13,21 @@
 	"github.com/onsi/gomega"
 )
 
-// deadly is the body that ends an engine.
-const deadly = "deadly"
+// poison is the body that ends an engine.
+const poison = "poison"
 
-// mortals are engines that end as soon as they begin to run a deadly request, with all
+// fragile are engines that end as soon as they begin to run a poison request, with all
 // that runs there, and are back after a while as other incarnations.
-type mortals struct {
+type fragile struct {
 	f    *fleet
 	down time.Duration
 
 	mu sync.Mutex
-	// Ended is when engines ended, reached when they were sent the deadly request.
+	// Ended is when engines ended, reached when they were sent the poison request.
 	ended, reached []time.Time
 }
 
-func (m *mortals) run(name string) {
+func (m *fragile) run(name string) {
 	l, err := net.Listen("tcp", m.f.ip(100)+":0")
 	if err != nil {
 		m.f.t.Fatal(err)
@@ -50,7 +50,7 @@
 }
 
 // live serves and sends heartbeats until the incarnation ends.
-func (m *mortals) live(ctx context.Context, id string, l net.Listener) {
+func (m *fragile) live(ctx context.Context, id string, l net.Listener) {
 	ctx, end := context.WithCancel(ctx)
 	defer end()
 	s := &http.Server{ReadHeaderTimeout: time.Second}
@@ -69,7 +69,7 @@
 }
 
 // answer gives two events of five tokens, or ends the engine.
-func (m *mortals) answer(w http.ResponseWriter, r *http.Request, id string, end func()) {
+func (m *fragile) answer(w http.ResponseWriter, r *http.Request, id string, end func()) {
 	if r.Header.Get("Rattanhoist-Target-Instance") != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -82,7 +82,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
-	if string(body) != deadly {
+	if string(body) != poison {
 		_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
 		return
 	}
@@ -97,9 +97,9 @@
 	<-r.Context().Done()
 }
 
-// late returns how often the deadly request reached an engine later than the contact
+// late returns how often the poison request reached an engine later than the contact
 // window after it had ended the third.
-func (m *mortals) late() int {
+func (m *fragile) late() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.ended) < 3 {
@@ -115,7 +115,7 @@
 	return n
 }
 
-func (m *mortals) ends() int {
+func (m *fragile) ends() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return len(m.ended)
@@ -142,7 +142,7 @@
 	for r := 4; r <= 6; r++ {
 		f.router(r)
 	}
-	m := &mortals{f: f, down: time.Second}
+	m := &fragile{f: f, down: time.Second}
 	for e := 1; e <= 8; e++ {
 		m.run(fmt.Sprint("i-", e))
 	}
@@ -156,11 +156,11 @@
 	}
 	var last int
 	for i := 0; i < 40; i++ {
-		last = send(i, deadly)
+		last = send(i, poison)
 		send(i+1, fmt.Sprint("harmless ", i))
 		time.Sleep(200 * time.Millisecond)
 	}
-	g.Expect(m.ends()).To(gomega.BeNumerically(">=", 3), "the engines are mortal")
+	g.Expect(m.ends()).To(gomega.BeNumerically(">=", 3), "the engines are fragile")
 	g.Expect(m.late()).To(gomega.BeNumerically("<=", lateMost))
 	g.Expect(last).To(gomega.Equal(http.StatusServiceUnavailable), "it is told that it did not run")
 	for i := range 12 {
@@ -175,13 +175,13 @@
 	f, g := start(t, 66)
 	f.publish(g, 1, document(2, 1_000_000))
 	f.router(4)
-	m := &mortals{f: f, down: 300 * time.Millisecond}
+	m := &fragile{f: f, down: 300 * time.Millisecond}
 	for e := 1; e <= 4; e++ {
 		m.run(fmt.Sprint("i-", e))
 	}
 	f.serves(g, 4)
 	send := func() int {
-		status, _ := f.call("POST", f.serve(4), "/a/x", deadly, "Api-Key", "k", "Rattanhoist-Request-Id", "r", "Rattanhoist-Token-Usage", "10,20")
+		status, _ := f.call("POST", f.serve(4), "/a/x", poison, "Api-Key", "k", "Rattanhoist-Request-Id", "r", "Rattanhoist-Token-Usage", "10,20")
 		return status
 	}
 	for range 8 {
@@ -216,14 +216,14 @@
 	f.publish(g, 1, document(2, 1_000_000))
 	f.router(4)
 	f.router(5)
-	m := &mortals{f: f, down: 500 * time.Millisecond}
+	m := &fragile{f: f, down: 500 * time.Millisecond}
 	for e := 1; e <= 6; e++ {
 		m.run(fmt.Sprint("i-", e))
 	}
 	f.serves(g, 4)
 	f.serves(g, 5)
 	send := func(i int) {
-		f.call("POST", f.serve(4+i%2), "/a/x", deadly, "Api-Key", "k", "Rattanhoist-Request-Id", fmt.Sprint("r", i), "Rattanhoist-Token-Usage", "10,20")
+		f.call("POST", f.serve(4+i%2), "/a/x", poison, "Api-Key", "k", "Rattanhoist-Request-Id", fmt.Sprint("r", i), "Rattanhoist-Token-Usage", "10,20")
 	}
 	for i := 0; m.ends() < 2; i++ {
 		send(i)
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -76,11 +76,14 @@
 	}
 }
 
-// succeeded notes a whole answer that is no failure. A failure says nothing for the
-// request: endpoints that fail some of what they are sent do so without running it.
-func (j *job) succeeded(e *predictor.Endpoint) {
+// succeeded notes a whole answer that is not the endpoint's failure. Only a success
+// clears the request: endpoints that refuse or fail some of what they are sent do so
+// without running it.
+func (j *job) succeeded(status int, e *predictor.Endpoint) {
 	e.Gate().Step(time.Since(j.f.start), ejector.Succeeded, 0)
-	j.f.Quarantine.Answered(j.content)
+	if status < http.StatusMultipleChoices {
+		j.f.Quarantine.Answered(j.content)
+	}
 }
 
 func (j *job) ask() predictor.Ask {
@@ -266,7 +269,7 @@
 			return repeat
 		}
 	} else {
-		j.succeeded(e)
+		j.succeeded(a.Status, e)
 	}
 	if promises(a.Status) {
 		// Passed on, it would promise that nothing was run.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -98,7 +98,7 @@
 type Quarantine interface {
 	// Held returns for how much longer a request is held back; 0 for one that is not.
 	Held(quarantiner.Fingerprint) time.Duration
-	// Answered tells that an endpoint gave a whole answer that is no failure.
+	// Answered tells that an endpoint gave a whole answer with success.
 	Answered(quarantiner.Fingerprint)
 	// BrokenOff tells that an endpoint's connection ended before the answer, and how
 	// long before the request was sent there.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -274,6 +274,7 @@
 	}{
 		"whole": {"/once/x", says(whole), 1}, "stream": {"/stream/x", says(events, event("1"), ending), 1},
 		"failed": {"/once/x", says(broken), 0}, "not run": {"/once/x", says(notRun), 0},
+		"shed": {"/once/x", says("HTTP/1.1 429 Too Many Requests\r\nRattanhoist-Request-Id: ID\r\nContent-Length: 0\r\n\r\n"), 0},
 	} {
 		w = newWorld(t, newEndpoint(t, c.s))
 		w.ask(t, "POST", c.path, "b")
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		if err == io.EOF && a.Ended() && len(event) == 0 && !a.Unframed {
-			j.succeeded(work.Endpoint())
+			j.succeeded(a.Status, work.Endpoint())
 			j.begin(a)
 			j.log(a.Status, "")
 			return done
--- a/quarantiner/register_test.go
+++ b/quarantiner/register_test.go
@@ -121,13 +121,13 @@
 		luck := rand.New(rand.NewPCG(seed, 26))
 		var again []uint64
 		var third, heldAt time.Time
-		const deadly = 1
+		const poison = 1
 		for n := 0; n < 30; n++ {
 			now := at(float64(n) * 0.4)
 			if n == 2 {
 				third = now
 			}
-			// A third of those that were cut off before meet the deadly one again.
+			// A third of those that were cut off before meet the poison one again.
 			var beside []uint64
 			for _, f := range again {
 				if luck.IntN(3) == 0 {
@@ -137,7 +137,7 @@
 			for range 18 - len(beside)/2 {
 				beside = append(beside, luck.Uint64())
 			}
-			for i, f := range append([]uint64{deadly}, beside...) {
+			for i, f := range append([]uint64{poison}, beside...) {
 				ran := time.Duration(luck.IntN(200)) * time.Millisecond
 				if i > 0 {
 					ran = time.Duration(luck.IntN(3000)) * time.Millisecond
@@ -147,7 +147,7 @@
 			again = beside
 			// Told within 0.3 s; keepers look as often.
 			if due := r.Due(now.Add(390 * time.Millisecond)); len(due) > 0 {
-				g.Expect(due).To(gomega.Equal([]quarantiner.Fingerprint{named(deadly)}), "seed %d", seed)
+				g.Expect(due).To(gomega.Equal([]quarantiner.Fingerprint{named(poison)}), "seed %d", seed)
 				r.Hold(due)
 				heldAt = now
 			}
