--- a/predictor/predictor_test.go
+++ b/predictor/predictor_test.go
@@ -245,6 +245,22 @@
 	g.Expect(w.Unread()).To(gomega.Equal(int64(17_000)))
 }
 
+// playPlain sends n plain requests, one after each pause, each answered in the time that
+// took names, and returns how many stayed in zone a.
+func playPlain(x *predictor.Table, from time.Time, n int, pause time.Duration, took func(i int, zone string) time.Duration) (near int) {
+	for i := range n {
+		now := from.Add(time.Duration(i) * pause)
+		w := x.Choose(now, predictor.Ask{Service: "llm"})
+		zone := w.Endpoint().Beat().Zone
+		if zone == "a" {
+			near++
+		}
+		w.First(now.Add(took(i, zone)))
+		w.End()
+	}
+	return near
+}
+
 // Pattern: plain requests of 60 ms, one in twenty of 400 ms, at one endpoint in each
 // of three zones. They should stay in their zone: with an average for each endpoint
 // that only its own answers move, one late answer sent half of all requests to another
@@ -253,21 +269,14 @@
 	g := gomega.NewWithT(t)
 	x := table(endpoints("a", 1)[0], endpoints("b", 1)[0], endpoints("c", 1)[0])
 	r := rand.New(rand.NewPCG(1, 2))
-	other := 0
-	for i := range 1000 {
-		now := start.Add(time.Duration(i) * 150 * time.Millisecond)
-		w := x.Choose(now, predictor.Ask{Service: "llm"})
-		if w.Endpoint().Beat().Zone != "a" {
-			other++
-		}
+	near := playPlain(x, start, 1000, 150*time.Millisecond, func(i int, _ string) time.Duration {
 		took := time.Duration(30+r.IntN(60)) * time.Millisecond
 		if i%20 == 0 {
-			took = 400 * time.Millisecond
+			return 400 * time.Millisecond
 		}
-		w.First(now.Add(took))
-		w.End()
-	}
-	g.Expect(other).To(gomega.BeNumerically("<", 30))
+		return took
+	})
+	g.Expect(near).To(gomega.BeNumerically(">", 970))
 }
 
 // Pattern: as before, with one answer in a hundred that takes two seconds, as where an
@@ -276,21 +285,13 @@
 func TestOneVeryLateAnswerSendsNobodyAway(t *testing.T) {
 	g := gomega.NewWithT(t)
 	x := table(endpoints("a", 1)[0], endpoints("b", 1)[0], endpoints("c", 1)[0])
-	other := 0
-	for i := range 1000 {
-		now := start.Add(time.Duration(i) * 150 * time.Millisecond)
-		w := x.Choose(now, predictor.Ask{Service: "llm"})
-		if w.Endpoint().Beat().Zone != "a" {
-			other++
-		}
-		took := 60 * time.Millisecond
+	near := playPlain(x, start, 1000, 150*time.Millisecond, func(i int, _ string) time.Duration {
 		if i%100 == 50 {
-			took = 2 * time.Second
+			return 2 * time.Second
 		}
-		w.First(now.Add(took))
-		w.End()
-	}
-	g.Expect(other).To(gomega.BeNumerically("<", 30))
+		return 60 * time.Millisecond
+	})
+	g.Expect(near).To(gomega.BeNumerically(">", 970))
 }
 
 // Pattern: the endpoint of the zone has become eight times as slow. Plain requests
@@ -298,19 +299,14 @@
 func TestPlainRequestsLeaveASlowEndpoint(t *testing.T) {
 	g := gomega.NewWithT(t)
 	x := table(endpoints("a", 1)[0], endpoints("b", 1)[0])
-	played := func(from, n int, slow time.Duration) (near int) {
-		for i := range n {
-			now := start.Add(time.Duration(from+i) * 100 * time.Millisecond)
-			w := x.Choose(now, predictor.Ask{Service: "llm"})
-			took := 60 * time.Millisecond
-			if w.Endpoint().Beat().Zone == "a" {
-				near++
-				took = slow
+	const pause = 100 * time.Millisecond
+	played := func(from, n int, slow time.Duration) int {
+		return playPlain(x, start.Add(time.Duration(from)*pause), n, pause, func(_ int, zone string) time.Duration {
+			if zone == "a" {
+				return slow
 			}
-			w.First(now.Add(took))
-			w.End()
-		}
-		return near
+			return 60 * time.Millisecond
+		})
 	}
 	g.Expect(played(0, 100, 60*time.Millisecond)).To(gomega.BeNumerically(">", 95))
 	g.Expect(played(100, 100, 480*time.Millisecond)).To(gomega.BeNumerically("<", 15))
