--- a/courier/quarantine_test.go
+++ b/courier/quarantine_test.go
@@ -134,8 +134,9 @@
 // it again and again, each time at another router, which sends it to another engine.
 // Cause: what a failure teaches was kept by endpoint and by one router, never by
 // request: each repeat was new work.
-// Proof: engines that end under one body and no other; in the lines of the incident
-// the same content began on each engine just before it ended.
+// Proof: engines that end under one body and no other bring it about; in the lines of
+// the incident a prompt of one workspace, route and size began on each just before it
+// ended.
 func TestRequestThatEndsEndpointsIsHeldBackByAllRouters(t *testing.T) {
 	f, g := start(t, 65)
 	f.publish(g, 1, document(2, 1_000_000))
