Evacuations of availability zones: an order of the control plane

Callers saw: the operator empties a zone, and its endpoints went on getting work; the order was answered 404 and never acknowledged.

Cause: no code knew of evacuations.

Routers hear of it with each answer of a keeper and with the document, before they are ready, and never go back to a lower revision. The table of endpoints leaves evacuated zones out in one place, so first tries, repeats, resumed streams, donors of prefixes and questions about caches all pass it; endpoints keep what was learned of them, and what runs there ends.

Ruled out: a list in the document (the operator's numbers are not ours); telling routers only (lost with a restart).

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -22,6 +22,7 @@
 	metrics.GetOrCreateGauge("rattanhoist_requests_active", func() float64 { return float64(c.active.Load()) })
 	metrics.GetOrCreateGauge("rattanhoist_connections_opened", func() float64 { return float64(c.opened.Load()) })
 	metrics.GetOrCreateGauge("rattanhoist_keeper_silence_seconds", func() float64 { return c.fleet.untouched().Seconds() })
+	metrics.GetOrCreateGauge("rattanhoist_zones_evacuated", func() float64 { return float64(len(c.fleet.evacuations.load().zones)) })
 	metrics.GetOrCreateGauge("rattanhoist_routers_known", func() float64 { return float64(c.fleet.Routers()) })
 	metrics.GetOrCreateGauge("rattanhoist_configuration_number", func() float64 {
 		if x := c.fleet.Index(); x != nil {
--- a/courier/document.go
+++ b/courier/document.go
@@ -85,6 +85,7 @@
 		return
 	}
 	f.published(d)
+	f.evacuations.learn(time.Now(), r.Evacuations)
 	f.index.Store(publisher.NewIndex(d))
 	if old == nil {
 		close(f.first)
--- a/courier/endpoint.go
+++ b/courier/endpoint.go
@@ -23,10 +23,11 @@
 	if now.Sub(f.touchedAt) < touchGap && now.Sub(f.touchSince) > silentBeats*f.o.Node.Heartbeat() {
 		f.roll.Expire(now)
 	}
-	if f.roll.Revision() == f.shown {
+	evacuated := f.evacuations.load()
+	if f.roll.Revision() == f.appliedRevision && evacuated.revision == f.appliedEvacuations {
 		return
 	}
-	f.shown = f.roll.Revision()
+	f.appliedRevision, f.appliedEvacuations = f.roll.Revision(), evacuated.revision
 	byService := map[string][]*predictor.Endpoint{}
 	known := map[enroller.Incarnation]bool{}
 	for _, s := range f.roll.Sightings(now) {
@@ -41,6 +42,10 @@
 			f.o.Log.Info("endpoint in service", zap.Stringer("endpoint", b), zap.String("service", b.Service), zap.String("zone", b.Zone))
 		}
 		known[b.Incarnation] = true
+		if evacuated.zones[b.Zone] {
+			// What is under way there ends in peace.
+			continue
+		}
 		byService[b.Service] = append(byService[b.Service], e)
 	}
 	f.table.Replace(byService)
--- /dev/null
+++ b/courier/evacuation.go
@@ -0,0 +1,53 @@
+package courier
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// evacuatedZones is what a router knows of evacuations; immutable.
+type evacuatedZones struct {
+	// Revision only grows in the life of a router.
+	revision uint64
+	zones    map[string]bool
+	// Returned holds when zones were put back in service, no earlier than they were.
+	returned map[string]time.Time
+}
+
+// evacuations follows the evacuated zones. It is safe for concurrent use.
+type evacuations struct {
+	log     *zap.Logger
+	mu      sync.Mutex
+	current atomic.Pointer[evacuatedZones]
+}
+
+func newEvacuations(log *zap.Logger) *evacuations {
+	e := &evacuations{log: log}
+	e.current.Store(&evacuatedZones{})
+	return e
+}
+
+func (e *evacuations) load() *evacuatedZones { return e.current.Load() }
+
+// learn takes in what a keeper tells, unless the router knows of something newer.
+func (e *evacuations) learn(now time.Time, m *messenger.Evacuations) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if m.GetRevision() <= e.load().revision {
+		return
+	}
+	next := &evacuatedZones{revision: m.Revision, zones: map[string]bool{}, returned: map[string]time.Time{}}
+	for _, zone := range m.Zones {
+		next.zones[zone] = true
+	}
+	for _, r := range m.Returned {
+		next.returned[r.Zone] = now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
+	}
+	e.current.Store(next)
+	e.log.Info("evacuated zones", zap.Uint64("revision", m.Revision), zap.Strings("zones", m.Zones))
+}
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -91,8 +91,12 @@
 	// loss of all keepers was logged.
 	failure error
 	lost    bool
-	// Shown is the revision of the endpoints in service.
-	shown uint64
+	// AppliedRevision is the revision of the endpoints in service.
+	appliedRevision uint64
+	// AppliedEvacuations is the revision of the evacuated zones that the endpoints in
+	// service leave out.
+	appliedEvacuations uint64
+	evacuations        *evacuations
 }
 
 func newFleet(o Options, incarnation uint64, table *predictor.Table, pool *pooler.Pool) *fleet {
@@ -102,7 +106,8 @@
 		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
 		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, keptAsked: map[enroller.Incarnation]bool{},
 		revisions: map[string]uint64{}, owing: map[string]bool{}, silent: map[string]time.Time{},
-		answers: make(chan reply), first: make(chan struct{}), turned: make(chan struct{}, 1),
+		evacuations: newEvacuations(o.Log),
+		answers:     make(chan reply), first: make(chan struct{}), turned: make(chan struct{}, 1),
 	}
 	f.known.Store(1)
 	for _, s := range o.Node.Seeds() {
@@ -170,6 +175,7 @@
 	}
 	// Before the document: a router that starts serves once it has one.
 	f.quarantine.learn(now, r.Quarantined)
+	f.evacuations.learn(now, r.Evacuations)
 	f.renew(ctx, l, r.Number)
 	f.revisions[l.Address()] = r.Revision
 	for _, s := range r.Endpoints {
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -30,9 +30,11 @@
 	asked atomic.Int64
 	// Sightings are the endpoints that it tells of, at a revision of their own.
 	sightings atomic.Pointer[messenger.Sightings]
-	claims    atomic.Int64
-	cut       atomic.Bool
-	content   []byte
+	// Evacuations are told with each answer.
+	evacuations atomic.Pointer[messenger.Evacuations]
+	claims      atomic.Int64
+	cut         atomic.Bool
+	content     []byte
 }
 
 func pause(ctx context.Context, d int64) error {
@@ -46,7 +48,7 @@
 
 func (k *keeperStub) Sync(ctx context.Context, _ *messenger.SyncRequest) (*messenger.SyncReply, error) {
 	k.asked.Add(1)
-	out := &messenger.SyncReply{Number: 1, ConfirmedAgeMs: k.age.Load()}
+	out := &messenger.SyncReply{Number: 1, ConfirmedAgeMs: k.age.Load(), Evacuations: k.evacuations.Load()}
 	if s := k.sightings.Load(); s != nil {
 		out.Endpoints = s.Sightings
 	}
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -79,6 +79,16 @@
 	return e.beat.Incarnation, true
 }
 
+// HasZone reports whether an endpoint of a zone is known.
+func (t *Table) HasZone(zone string) bool {
+	for _, e := range t.entries {
+		if e.beat.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
 // Accepts reports whether a heartbeat agrees with what is known of its id: an
 // incarnation stays with its service, and one that has told its start goes on
 // telling it. Anything else was not written by that endpoint.
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -1,6 +1,6 @@
 // Package governor is the state that a fleet's log builds up: the operator's
-// document, the prepaid rights, the endpoints that have left, and the requests that are
-// held back.
+// document, the prepaid rights, the endpoints that have left, the requests that are
+// held back, and the evacuated zones.
 package governor
 
 import (
@@ -50,11 +50,12 @@
 	left []enroller.Incarnation
 	// Quarantines holds one for each request, oldest first; replaced, never changed.
 	quarantines []Quarantine
+	evacuations *Evacuations
 }
 
 // New returns the empty state.
 func New() *Governor {
-	return &Governor{document: &Document{}, ledger: allotter.NewLedger()}
+	return &Governor{document: &Document{}, ledger: allotter.NewLedger(), evacuations: &Evacuations{}}
 }
 
 // Document returns the document in force.
@@ -67,6 +68,9 @@
 // ended by now included; callers must not change it.
 func (g *Governor) Quarantines() []Quarantine { return g.quarantines }
 
+// Evacuations returns the evacuated zones.
+func (g *Governor) Evacuations() *Evacuations { return g.evacuations }
+
 // Ledger returns the rights.
 func (g *Governor) Ledger() *allotter.Ledger { return g.ledger }
 
@@ -93,6 +97,8 @@
 		g.leave(enroller.LeaveOf(b.Leave))
 	case *messenger.FleetChange_Quarantine:
 		g.holdBack(b.Quarantine)
+	case *messenger.FleetChange_Evacuation:
+		g.evacuations = g.evacuations.after(b.Evacuation)
 	}
 	return nil
 }
@@ -138,7 +144,7 @@
 
 // Snapshot returns the whole state.
 func (g *Governor) Snapshot() []byte {
-	s := &messenger.FleetSnapshot{Number: g.document.number, Content: g.document.content}
+	s := &messenger.FleetSnapshot{Number: g.document.number, Content: g.document.content, Evacuations: g.evacuations.Message()}
 	for _, i := range g.left {
 		s.Left = append(s.Left, i.Leave())
 	}
@@ -170,5 +176,6 @@
 		g.quarantines = append(g.quarantines, Quarantine{Request: quarantiner.FingerprintOf(q.Request), Number: q.Number, UntilMS: q.UntilMs})
 	}
 	g.ledger = allotter.Restore(s)
+	g.evacuations = evacuationsOf(s.Evacuations)
 	return nil
 }
--- a/loader/node.go
+++ b/loader/node.go
@@ -41,6 +41,11 @@
 	orderTimeout time.Duration
 	// Quarantine is how long a request is held back under which endpoints ended.
 	quarantine time.Duration
+	// Regions holds the region of each availability zone; empty where the platform
+	// names none.
+	regions map[string]string
+	// ColdOvershoot and coldSlack bound what cold endpoints get.
+	coldOvershoot, coldSlack float64
 }
 
 // Name returns the VM's name.
@@ -103,6 +108,13 @@
 // Quarantine returns how long a request is held back under which endpoints ended.
 func (n *Node) Quarantine() time.Duration { return n.quarantine }
 
+// Regions returns the region of each availability zone; callers must not change it.
+func (n *Node) Regions() map[string]string { return n.regions }
+
+// Cold returns the fleet's bound on a cold endpoint: in one second it gets at most
+// overshoot times its service's rate, and slack requests beside that.
+func (n *Node) Cold() (overshoot, slack float64) { return n.coldOvershoot, n.coldSlack }
+
 // Defaults of a node's settings.
 const (
 	defaultHeartbeat    = time.Second
@@ -113,6 +125,7 @@
 	defaultRetryWindow  = 10 * time.Second
 	defaultOrderTimeout = 4 * time.Second
 	defaultQuarantine   = time.Hour
+	defaultOvershoot    = 1
 	mebibyte            = 1 << 20
 )
 
@@ -120,6 +133,7 @@
 	"name", "kind", "zone", "ip", "internal_ports", "seeds", "first_start", "serve", "ready", "control",
 	"metrics", "data_dir", "memory_mb", "lost_disks", "heartbeat_ms", "grace_s", "drain_ms",
 	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms", "quarantine_s",
+	"zones", "cold_overshoot", "cold_slack",
 }
 
 // LoadNode reads and checks the settings of one process. The error lists
@@ -150,14 +164,32 @@
 		metrics: sec.Key("metrics").String(), dataDir: sec.Key("data_dir").String(),
 		heartbeat: defaultHeartbeat, grace: defaultGrace, drain: defaultDrain, retryRatio: defaultRetryRatio,
 		retrySlack: defaultRetrySlack, retryWindow: defaultRetryWindow, orderTimeout: defaultOrderTimeout, quarantine: defaultQuarantine,
+		coldOvershoot: defaultOvershoot,
 	}
 	c.oneOf(sec, "kind", n.kind, []string{KindRouter, KindKeeper})
 	c.flag(sec, "first_start", &n.firstStart)
 	c.nodeAddresses(sec, n)
 	c.nodeBounds(sec, n)
+	c.regions(sec, n)
 	return n
 }
 
+// regions reads ZONE:REGION,....
+func (c *checker) regions(sec *ini.Section, n *Node) {
+	n.regions = map[string]string{}
+	for _, entry := range strings.Split(sec.Key("zones").String(), ",") {
+		if strings.TrimSpace(entry) == "" {
+			continue
+		}
+		zone, region, ok := strings.Cut(strings.TrimSpace(entry), ":")
+		if !ok || zone == "" || region == "" {
+			c.fault(sec.Name(), "zones", "want ZONE:REGION,..., not %q", entry)
+			continue
+		}
+		n.regions[zone] = region
+	}
+}
+
 func (c *checker) nodeAddresses(sec *ini.Section, n *Node) {
 	for _, k := range []string{"serve", "ready", "control", "metrics"} {
 		c.address(sec, k, sec.Key(k).String())
@@ -198,6 +230,8 @@
 	c.span(sec, "quarantine_s", time.Second, &n.quarantine)
 	c.number(sec, "retry_ratio", &n.retryRatio)
 	c.number(sec, "retry_slack", &n.retrySlack)
+	c.number(sec, "cold_overshoot", &n.coldOvershoot)
+	c.number(sec, "cold_slack", &n.coldSlack)
 }
 
 // number reads a number that is not negative; an empty field stands for its
--- a/loader/node_test.go
+++ b/loader/node_test.go
@@ -33,6 +33,8 @@
 grace_s = 8
 heartbeat_ms =
 retry_ratio = 0.3
+zones = z:north,y:south
+cold_overshoot = 1.5
 new_field = 1
 `
 
@@ -47,14 +49,18 @@
 	g.Expect(n.Heartbeat()).To(gomega.Equal(time.Second), "an empty field stands for its default")
 	ratio, _, _ := n.Retries()
 	g.Expect(ratio).To(gomega.Equal(0.3))
+	g.Expect(n.Regions()).To(gomega.Equal(map[string]string{"z": "north", "y": "south"}))
+	overshoot, slack := n.Cold()
+	g.Expect(overshoot).To(gomega.Equal(1.5))
+	g.Expect(slack).To(gomega.BeZero())
 	g.Expect(warnings).To(gomega.HaveLen(1), "an unknown field is told, not fatal")
 }
 
 func TestEveryFaultOfANodeIsTold(t *testing.T) {
 	g := gomega.NewWithT(t)
-	_, _, err := loader.LoadNode(nodeFile(t, "[node]\nkind = other\nip = x\ninternal_ports = 1\nseeds = y\nfirst_start = maybe\ngrace_s = -1\n"))
+	_, _, err := loader.LoadNode(nodeFile(t, "[node]\nkind = other\nip = x\ninternal_ports = 1\nseeds = y\nfirst_start = maybe\ngrace_s = -1\nzones = a\n"))
 	g.Expect(err).To(gomega.MatchError(loader.ErrFaulty))
-	for _, part := range []string{"name: missing", "zone: missing", `"other"`, "want IP:PORT", "true or false", "grace_s", "data_dir: missing", "control: missing", "node.ini:7"} {
+	for _, part := range []string{"name: missing", "zone: missing", `"other"`, "want IP:PORT", "true or false", "grace_s", "want ZONE:REGION", "data_dir: missing", "control: missing", "node.ini:7"} {
 		g.Expect(err.Error()).To(gomega.ContainSubstring(part))
 	}
 }
--- a/steward/counters.go
+++ b/steward/counters.go
@@ -31,5 +31,6 @@
 	metrics.GetOrCreateGauge("rattanhoist_log_confirmed_age_seconds", func() float64 {
 		return time.Since(s.loop.State().ConfirmedAt()).Seconds()
 	})
+	metrics.GetOrCreateGauge("rattanhoist_zones_evacuated", func() float64 { return float64(len(s.view.Load().evacuations.Zones())) })
 	metrics.GetOrCreateGauge("rattanhoist_configuration_number", func() float64 { return float64(s.view.Load().document.Number()) })
 }
--- a/steward/orders_test.go
+++ b/steward/orders_test.go
@@ -47,7 +47,7 @@
 	}
 	state.Apply(b)
 	s := &Steward{log: zap.NewNop(), roster: newRoster(time.Second)}
-	s.view.Store(&view{document: state.Document()})
+	s.view.Store(&view{document: state.Document(), evacuations: state.Evacuations()})
 	return NewControl(s, func([]byte) (*publisher.Document, error) {
 		return &publisher.Document{Number: 1, Services: []publisher.Service{{Name: "s"}}}, nil
 	})
--- a/steward/roster.go
+++ b/steward/roster.go
@@ -74,6 +74,13 @@
 	return i
 }
 
+// hasZone reports whether an endpoint of a zone is known.
+func (r *roster) hasZone(zone string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.HasZone(zone)
+}
+
 func (r *roster) expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/steward/server.go
+++ b/steward/server.go
@@ -73,6 +73,7 @@
 	}
 	s.roster.ask(now, q, out)
 	s.quarantine.tell(now, q.Crashes, q.Answered)
+	out.Evacuations = shown.evacuationsAt(now)
 	out.Quarantined = quarantinedSince(shown.quarantines, q.Quarantine, now)
 	if len(out.Endpoints) > 0 || q.Revision != out.Revision {
 		for _, i := range shown.left[max(len(shown.left)-leftTold, 0):] {
@@ -87,8 +88,11 @@
 	// The age is read first: what was confirmed then holds for the document
 	// that is read after it.
 	age := v.s.confirmedAge(time.Now())
-	d := v.s.view.Load().document
-	return &messenger.FleetDocumentReply{Number: d.Number(), Content: d.Content(), ConfirmedAgeMs: age}, nil
+	shown := v.s.view.Load()
+	d := shown.document
+	return &messenger.FleetDocumentReply{
+		Number: d.Number(), Content: d.Content(), ConfirmedAgeMs: age, Evacuations: shown.evacuationsAt(time.Now()),
+	}, nil
 }
 
 // confirmedAge returns the time since a majority confirmed the copy held here,
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -62,6 +62,9 @@
 	document    *governor.Document
 	left        []enroller.Incarnation
 	quarantines []governor.Quarantine
+	evacuations *governor.Evacuations
+	// Returned holds when zones were put back in service, as this keeper saw it.
+	returned map[string]time.Time
 }
 
 // Steward is one keeper process.
@@ -96,7 +99,7 @@
 	s := &Steward{
 		node: n, log: log, start: time.Now(), state: governor.New(), scarce: map[string]bool{}, note: storer.NewNote(n.DataDir(), endpointsNote),
 	}
-	s.view.Store(&view{document: s.state.Document()})
+	s.view.Store(&view{document: s.state.Document(), evacuations: s.state.Evacuations()})
 	s.members = newMembers(n.Internal(), n.Seeds(), s.setPeers)
 	s.roster = newRoster(n.Heartbeat())
 	s.quarantine = newQuarantine(n.Quarantine())
@@ -132,7 +135,14 @@
 // committed shows what the loop has applied and synced.
 func (s *Steward) committed() {
 	old := s.view.Load()
-	v := &view{document: s.state.Document(), left: s.state.Left(), quarantines: s.state.Quarantines()}
+	v := &view{
+		document: s.state.Document(), left: s.state.Left(), quarantines: s.state.Quarantines(),
+		evacuations: s.state.Evacuations(), returned: old.returned,
+	}
+	if v.evacuations.Revision() != old.evacuations.Revision() {
+		v.returned = returnedZones(time.Now(), old, v.evacuations)
+		s.log.Info("evacuated zones", zap.Uint64("revision", v.evacuations.Revision()), zap.Strings("zones", v.evacuations.Zones()))
+	}
 	s.view.Store(v)
 	if v.document.Number() != old.document.Number() {
 		s.log.Info("configuration", zap.Uint64("number", v.document.Number()), zap.Int("bytes", len(v.document.Content())),
