Routes and workspaces bound to regions

Cause: the document's lists of regions were not read.

Change: localizer turns regions into zones by the settings; the index of a document holds them for each route and workspace and for each two sets that meet, so a request pays two map look-ups. The table of endpoints keeps a group for each set of zones in use: homes of shared parts, donors, repeats and resumed streams come from that group. Where no zone is left the request is refused at once as not run.

Ruled out: a test of the zone in the loop over endpoints (homes and donors would each need it too, and one would be forgotten).

--- a/courier/document.go
+++ b/courier/document.go
@@ -86,7 +86,7 @@
 	}
 	f.published(d)
 	f.evacuations.learn(time.Now(), r.Evacuations)
-	f.index.Store(publisher.NewIndex(d))
+	f.index.Store(publisher.NewIndex(d, f.localizer))
 	if old == nil {
 		close(f.first)
 	}
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/localizer"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
@@ -46,6 +47,7 @@
 	first chan struct{}
 	// Quarantine knows the requests that are held back.
 	quarantine *quarantine
+	localizer  *localizer.Localizer
 	// Published is told of each document before it is in force.
 	published func(*publisher.Document)
 	// Known is how many routers there are, this one included.
@@ -101,7 +103,7 @@
 
 func newFleet(o Options, incarnation uint64, table *predictor.Table, pool *pooler.Pool) *fleet {
 	f := &fleet{
-		o: o, table: table, pool: pool, quarantine: newQuarantine(o.Log), start: time.Now(),
+		o: o, table: table, pool: pool, quarantine: newQuarantine(o.Log), localizer: localizer.New(o.Node.Regions()), start: time.Now(),
 		self:    &messenger.FleetMember{Address: o.Node.Internal(), Zone: o.Node.Zone(), Incarnation: incarnation},
 		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
 		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, keptAsked: map[enroller.Incarnation]bool{},
--- a/courier/kept_test.go
+++ b/courier/kept_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/gomega"
 
 	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/localizer"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
@@ -39,7 +40,7 @@
 			}
 			add("z", c.here)
 			add("other", c.elsewhere)
-			x := publisher.NewIndex(&publisher.Document{Services: []publisher.Service{{Name: "llm", Engine: &publisher.Engine{}}}})
+			x := publisher.NewIndex(&publisher.Document{Services: []publisher.Service{{Name: "llm", Engine: &publisher.Engine{}}}}, localizer.New(nil))
 			asked, here := 0, 0
 			for range 3 {
 				for _, e := range f.unasked(x) {
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -88,7 +88,7 @@
 
 func (j *job) ask() predictor.Ask {
 	a := predictor.Ask{
-		Service: j.service.Name, Prompt: j.caller.Prompt, Partial: j.f.Fleet.Partial(), Tried: append(j.tried, j.full...),
+		Service: j.service.Name, Zones: j.zones, Prompt: j.caller.Prompt, Partial: j.f.Fleet.Partial(), Tried: append(j.tried, j.full...),
 		Since: time.Since(j.f.start), Repeatable: j.repeatable() && len(j.tried)+1 < j.route.Attempts,
 	}
 	if e := j.service.Engine; e != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/limiter"
+	"rattanhoist.example/rattanhoist/localizer"
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
@@ -48,6 +49,9 @@
 	// a few engine steps later, spread so that they don't return together.
 	comeBack       = 150 * time.Millisecond
 	comeBackSpread = 250 * time.Millisecond
+	// comeBackUnserved is when a caller should come back whose request only another
+	// configuration lets in.
+	comeBackUnserved = time.Second
 	// connectionPart of an endpoint's bound is shared out among routers; the
 	// rest is for connections that are being closed.
 	connectionPart = 0.8
@@ -144,9 +148,11 @@
 	// Service is drawn once: repeats stay with it.
 	service   *publisher.Service
 	workspace *publisher.Workspace
-	body      []byte
-	content   quarantiner.Fingerprint
-	until     time.Time
+	// Zones is where the request may be served; nil for everywhere.
+	zones   *localizer.Zones
+	body    []byte
+	content quarantiner.Fingerprint
+	until   time.Time
 	// Reserved is nil where nothing is paid.
 	reserved Reservation
 	// Tried holds the incarnations that the request was sent to.
@@ -228,7 +234,16 @@
 		timeout = min(timeout, c.Deadline)
 	}
 	j.until = j.begun.Add(min(timeout, defaultTimeout))
-	return j.readBody() && j.mayRun()
+	return j.locate() && j.readBody() && j.mayRun()
+}
+
+// locate finds where the request may be served; it refuses one that no zone may serve.
+func (j *job) locate() bool {
+	j.zones = j.index.Zones(j.route, j.workspace)
+	if j.zones.Empty() {
+		return j.refuseFor(comeBackUnserved, http.StatusServiceUnavailable, "no availability zone is in the regions that route and workspace allow")
+	}
+	return true
 }
 
 func (j *job) identify() bool {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -306,3 +306,18 @@
 	g.Expect(w.ask(t, "GET", "/read/x", "").status).To(gomega.Equal(502), "it may have run")
 	g.Expect(len(one.requests()) + len(two.requests())).To(gomega.Equal(1))
 }
+
+// Guards against a request, or its repeat, that leaves the regions of its route.
+func TestBoundRequestsStayInTheirRegions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	inside, outside := newEndpoint(t, says(broken)), newEndpoint(t, says(whole))
+	w := newWorldIn(t, func(i int) string { return []string{"z", "y"}[i] }, inside, outside)
+	for range 5 {
+		g.Expect(w.ask(t, "GET", "/north/x", "").status).To(gomega.Equal(502), "no other endpoint may have it")
+	}
+	a := w.ask(t, "GET", "/nowhere/x", "")
+	g.Expect(a.status).To(gomega.Equal(503))
+	g.Expect(a.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	g.Expect(inside.requests()).To(gomega.HaveLen(5))
+	g.Expect(outside.requests()).To(gomega.BeEmpty())
+}
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -17,6 +17,7 @@
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/forwarder"
 	"rattanhoist.example/rattanhoist/limiter"
+	"rattanhoist.example/rattanhoist/localizer"
 	"rattanhoist.example/rattanhoist/platform"
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
@@ -185,23 +186,34 @@
 		Routes: []publisher.Route{
 			route("read", "/read/", publisher.Idempotent, false), route("once", "/once/", publisher.Once, false),
 			route("stream", "/stream/", publisher.Stream, false), route("resume", "/resume/", publisher.Stream, true),
+			bound(route("north", "/north/", publisher.Idempotent, false), "north"), bound(route("nowhere", "/nowhere/", publisher.Idempotent, false), "nowhere"),
 		},
 		Services:   []publisher.Service{{Name: "engine", Connections: 50, Engine: &publisher.Engine{Stride: 6, Slots: 8}}},
 		Workspaces: []publisher.Workspace{{Name: "labone", Keys: []string{"k1"}, Prepaid: &prepaid}},
 	}
 }
 
+func bound(r publisher.Route, region string) publisher.Route {
+	r.Regions = []string{region}
+	return r
+}
+
+// newWorld puts the endpoints in zone z.
 func newWorld(t *testing.T, endpoints ...*endpoint) *world {
+	return newWorldIn(t, func(int) string { return "z" }, endpoints...)
+}
+
+func newWorldIn(t *testing.T, zone func(int) string, endpoints ...*endpoint) *world {
 	w := &world{rights: &rightsStub{}, table: predictor.NewTable("z"), pool: pooler.New(platform.Belongs, func() {}), held: &quarantineStub{}}
 	var list []*predictor.Endpoint
 	for i, e := range endpoints {
 		list = append(list, predictor.NewEndpoint(enroller.Beat{
-			Incarnation: enroller.Incarnation{ID: "e" + string(rune('1'+i))}, Service: "engine", Address: e.listener.Addr().String(), Zone: "z", Slots: 8,
+			Incarnation: enroller.Incarnation{ID: "e" + string(rune('1'+i))}, Service: "engine", Address: e.listener.Addr().String(), Zone: zone(i), Slots: 8,
 		}))
 	}
 	w.table.Replace(map[string][]*predictor.Endpoint{"engine": list})
 	f := forwarder.New(forwarder.Parts{
-		Wire: platform.Wire{}, Fleet: fleetStub{publisher.NewIndex(document())}, Table: w.table,
+		Wire: platform.Wire{}, Fleet: fleetStub{publisher.NewIndex(document(), localizer.New(map[string]string{"z": "north"}))}, Table: w.table,
 		Pool: w.pool, Rights: w.rights, Quarantine: w.held, Log: zap.NewNop(),
 		Limiter: limiter.New(limiter.Budget{Ratio: 1, Slack: 50, Window: seconds}, time.Now()),
 	})
--- /dev/null
+++ b/localizer/localizer_test.go
@@ -0,0 +1,27 @@
+package localizer_test
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/localizer"
+)
+
+// Guards against an empty list taken for a bound, or a bound that nothing meets for none.
+func TestZonesOfRegions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := localizer.New(map[string]string{"n1": "north", "n2": "north", "s1": "south"})
+	g.Expect(l.Within(nil)).To(gomega.BeNil())
+	g.Expect(l.Within(nil).Allows("anywhere")).To(gomega.BeTrue())
+	north, south := l.Within([]string{"north"}), l.Within([]string{"south", "north"})
+	g.Expect(north.Allows("n2")).To(gomega.BeTrue())
+	g.Expect(north.Allows("s1")).To(gomega.BeFalse())
+	g.Expect(north.Allows("unknown")).To(gomega.BeFalse())
+	g.Expect(north.And(south).Key()).To(gomega.Equal("n1,n2"))
+	g.Expect(north.And(nil)).To(gomega.Equal(north))
+	g.Expect(l.Within(nil).And(north)).To(gomega.Equal(north))
+	none := l.Within([]string{"east"})
+	g.Expect(none.Empty()).To(gomega.BeTrue())
+	g.Expect(none.And(north).Empty()).To(gomega.BeTrue())
+}
--- a/predictor/predictor_test.go
+++ b/predictor/predictor_test.go
@@ -10,6 +10,7 @@
 
 	"rattanhoist.example/rattanhoist/ejector"
 	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/localizer"
 	"rattanhoist.example/rattanhoist/predictor"
 )
 
@@ -342,3 +343,22 @@
 		})
 	}
 }
+
+// Guards against a home or a donor of shared parts outside the zones of a request.
+func TestSharedPartsStayInTheZonesOfARequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := ask(50_100, predictor.Part{ID: "p", Tokens: 50_000})
+	a.Memory, a.Carry = 400_000, 100*time.Nanosecond
+	choose := func(z *localizer.Zones) (w *predictor.Work, in, out *predictor.Endpoint) {
+		in, out = endpoints("a", 1)[0], endpoints("b", 1)[0]
+		out.Keeps([]predictor.Part{{ID: "p", Tokens: 50_000}})
+		a.Zones = z
+		return table(in, out).Choose(start, a), in, out
+	}
+	w, _, out := choose(nil)
+	g.Expect(w.Endpoint() == out || w.Donor() == out).To(gomega.BeTrue(), "what it keeps is worth going there")
+	w, in, _ := choose(localizer.New(map[string]string{"a": "north", "b": "south"}).Within([]string{"north"}))
+	g.Expect(w.Endpoint()).To(gomega.Equal(in))
+	g.Expect(w.Donor()).To(gomega.BeNil())
+	g.Expect(w.Unread()).To(gomega.Equal(int64(50_100)))
+}
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -3,10 +3,12 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/localizer"
 )
 
 const (
@@ -35,11 +37,34 @@
 	ordinary map[string]*Ordinary
 }
 
-// group is the endpoints of one service; immutable.
+// group is the endpoints of one service.
 type group struct {
 	endpoints []*Endpoint
 	// Apart holds for each zone the endpoint where its giants go.
 	apart map[*Endpoint]bool
+	// Subsets holds a *group for each set of zones that was asked for, by its key.
+	subsets sync.Map
+}
+
+func newGroup(list []*Endpoint) *group { return &group{endpoints: list, apart: apart(list)} }
+
+// within returns the endpoints in some zones. Whatever is chosen from it, a home of
+// shared parts or a donor too, is in those zones.
+func (g *group) within(z *localizer.Zones) *group {
+	if z == nil {
+		return g
+	}
+	if known, ok := g.subsets.Load(z.Key()); ok {
+		return known.(*group)
+	}
+	var list []*Endpoint
+	for _, e := range g.endpoints {
+		if z.Allows(e.beat.Zone) {
+			list = append(list, e)
+		}
+	}
+	known, _ := g.subsets.LoadOrStore(z.Key(), newGroup(list))
+	return known.(*group)
 }
 
 // NewTable returns an empty table for a router in zone.
@@ -53,7 +78,7 @@
 func (t *Table) Replace(byService map[string][]*Endpoint) {
 	groups, names := map[string]*group{}, map[string]*Endpoint{}
 	for s, list := range byService {
-		groups[s] = &group{endpoints: list, apart: apart(list)}
+		groups[s] = newGroup(list)
 		if t.ordinary[s] == nil {
 			t.ordinary[s] = NewOrdinary()
 		}
@@ -85,6 +110,8 @@
 // Ask describes a request that needs an endpoint.
 type Ask struct {
 	Service string
+	// Zones is where the request may be served; nil for everywhere.
+	Zones *localizer.Zones
 	// Prompt is nil for plain requests.
 	Prompt *Prompt
 	// Tried holds the incarnations that the request was sent to already.
@@ -109,6 +136,7 @@
 	if g == nil {
 		return nil
 	}
+	g = g.within(a.Zones)
 	best, ok := t.best(now, a, g, false)
 	if !ok {
 		// Every endpoint is blocked: one that failed may have recovered, and
--- a/publisher/index.go
+++ b/publisher/index.go
@@ -1,6 +1,10 @@
 package publisher
 
-import "strings"
+import (
+	"strings"
+
+	"rattanhoist.example/rattanhoist/localizer"
+)
 
 type place struct{ host, prefix string }
 
@@ -11,13 +15,19 @@
 	routes     map[place]*Route
 	services   map[string]*Service
 	workspaces map[string]*Workspace
+	// ByRoute and byWorkspace hold where requests may be served, for those that are
+	// bound; both holds what each two of these allow together, by their keys.
+	byRoute     map[*Route]*localizer.Zones
+	byWorkspace map[*Workspace]*localizer.Zones
+	both        map[[2]string]*localizer.Zones
 }
 
-// NewIndex returns the index of a checked document.
-func NewIndex(d *Document) *Index {
+// NewIndex returns the index of a checked document; l knows the regions of zones.
+func NewIndex(d *Document, l *localizer.Localizer) *Index {
 	x := &Index{
 		document: d, routes: map[place]*Route{},
 		services: map[string]*Service{}, workspaces: map[string]*Workspace{},
+		byRoute: map[*Route]*localizer.Zones{}, byWorkspace: map[*Workspace]*localizer.Zones{}, both: map[[2]string]*localizer.Zones{},
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
@@ -32,9 +42,46 @@
 			x.workspaces[k] = w
 		}
 	}
+	x.locate(l)
 	return x
 }
 
+// locate resolves the regions that bind routes and workspaces.
+func (x *Index) locate(l *localizer.Localizer) {
+	for i := range x.document.Routes {
+		r := &x.document.Routes[i]
+		if z := l.Within(r.Regions); z != nil {
+			x.byRoute[r] = z
+		}
+	}
+	for i := range x.document.Workspaces {
+		w := &x.document.Workspaces[i]
+		if z := l.Within(w.Regions); z != nil {
+			x.byWorkspace[w] = z
+		}
+	}
+	for _, a := range x.byRoute {
+		for _, b := range x.byWorkspace {
+			if k := [2]string{a.Key(), b.Key()}; x.both[k] == nil {
+				x.both[k] = a.And(b)
+			}
+		}
+	}
+}
+
+// Zones returns where a request of a route may be served, nil for everywhere; w is nil
+// where no workspace pays.
+func (x *Index) Zones(r *Route, w *Workspace) *localizer.Zones {
+	a, b := x.byRoute[r], x.byWorkspace[w]
+	switch {
+	case a == nil:
+		return b
+	case b == nil:
+		return a
+	}
+	return x.both[[2]string{a.Key(), b.Key()}]
+}
+
 // Document returns the indexed document.
 func (x *Index) Document() *Document { return x.document }
 
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -58,6 +58,8 @@
 	Affine bool
 	// Resumable streams may go on at another endpoint.
 	Resumable bool
+	// Regions are the only ones in which requests may be served; empty for any.
+	Regions []string
 }
 
 // Repeatable reports whether a request may be sent to a second endpoint
@@ -106,6 +108,9 @@
 	Priority *int
 	// Prepaid is the total of tokens; nil for no limit.
 	Prepaid *int64
+	// Regions are the only ones in which its requests may be served; empty for any.
+	// Those of a route bind beside them.
+	Regions []string
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"rattanhoist.example/rattanhoist/localizer"
 	"rattanhoist.example/rattanhoist/publisher"
 )
 
@@ -25,7 +26,7 @@
 
 func TestLongestPrefixIsFound(t *testing.T) {
 	g := gomega.NewWithT(t)
-	x := publisher.NewIndex(document())
+	x := publisher.NewIndex(document(), localizer.New(nil))
 	for path, want := range map[string]string{"/x/": "short", "/x/1": "short", "/x/y/1/2": "long", "/x/y": "short"} {
 		g.Expect(x.Route("A.example:8080", path).Name).To(gomega.Equal(want), path)
 	}
@@ -55,3 +56,25 @@
 	}
 	gomega.NewWithT(t).Expect(document().Check()).To(gomega.Succeed())
 }
+
+// Guards against requests that leave the regions of their route or their workspace.
+func TestRouteAndWorkspaceBindTogether(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := &publisher.Document{
+		Routes:     []publisher.Route{{Name: "free"}, {Name: "north", Regions: []string{"north"}}, {Name: "gone", Regions: []string{"nowhere"}}},
+		Workspaces: []publisher.Workspace{{Name: "any"}, {Name: "both", Regions: []string{"north", "south"}}, {Name: "south", Regions: []string{"south"}}},
+	}
+	x := publisher.NewIndex(d, localizer.New(map[string]string{"n1": "north", "n2": "north", "s1": "south"}))
+	zones := func(route, workspace int) string {
+		z := x.Zones(&d.Routes[route], &d.Workspaces[workspace])
+		if z == nil {
+			return "all"
+		}
+		return z.Key()
+	}
+	g.Expect([]string{zones(0, 0), zones(0, 1), zones(0, 2)}).To(gomega.Equal([]string{"all", "n1,n2,s1", "s1"}))
+	g.Expect([]string{zones(1, 0), zones(1, 1), zones(1, 2)}).To(gomega.Equal([]string{"n1,n2", "n1,n2", ""}))
+	g.Expect(x.Zones(&d.Routes[1], nil).Key()).To(gomega.Equal("n1,n2"))
+	g.Expect(x.Zones(&d.Routes[1], &d.Workspaces[2]).Empty()).To(gomega.BeTrue())
+	g.Expect(x.Zones(&d.Routes[2], &d.Workspaces[0]).Empty()).To(gomega.BeTrue(), "an unknown region is nowhere")
+}
