Cold endpoints get what a few owners may send

Cause: nothing read how long an endpoint is cold, nor its service's rate.

Change: warmer (pure). The right to send to a cold endpoint belongs to a few routers, found by rendezvous over the members that keepers with a majority told of, those of its zone first; the others send nothing. The sum: owners x (burst + rate) per second is half of overshoot x rate + slack, for two views side by side; the rates together are within the service's rate. A router acts on a list for 4 s and counts members for 5 s after the last list that named them, and owns nothing until it had lists for 6 s without a gap: who joins acts once all know it, who is cut off stops before others take over. Cold is what a heartbeat or an answer says, and for cold_start_s after the return of an evacuated zone, with the age that keepers tell. Homes of shared parts leave cold endpoints out; the gate is passed on the choice of every attempt.

Ruled out: even shares of all routers (66 bursts of one pass the limit of 26); leases from the leader (a second authority beside the log, and a message for each endpoint); a heartbeat that says 0 as proof of warmth after an evacuation (it may be seconds late).

--- a/courier/endpoint.go
+++ b/courier/endpoint.go
@@ -48,6 +48,7 @@
 		}
 		byService[b.Service] = append(byService[b.Service], e)
 	}
+	f.warmup.apply(now, f)
 	f.table.Replace(byService)
 	for i := range f.endpoints {
 		if known[i] {
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -99,6 +99,7 @@
 	// service leave out.
 	appliedEvacuations uint64
 	evacuations        *evacuations
+	warmup             *warmup
 }
 
 func newFleet(o Options, incarnation uint64, table *predictor.Table, pool *pooler.Pool) *fleet {
@@ -108,8 +109,8 @@
 		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
 		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, keptAsked: map[enroller.Incarnation]bool{},
 		revisions: map[string]uint64{}, owing: map[string]bool{}, silent: map[string]time.Time{},
-		evacuations: newEvacuations(o.Log),
-		answers:     make(chan reply), first: make(chan struct{}), turned: make(chan struct{}, 1),
+		evacuations: newEvacuations(o.Log), warmup: newWarmup(o),
+		answers: make(chan reply), first: make(chan struct{}), turned: make(chan struct{}, 1),
 	}
 	f.known.Store(1)
 	for _, s := range o.Node.Seeds() {
@@ -182,11 +183,16 @@
 	f.revisions[l.Address()] = r.Revision
 	for _, s := range r.Endpoints {
 		b, age := enroller.BeatOf(s)
+		if b.Cold > 0 {
+			// The age counts from the answer, not from the question.
+			b.Cold += now.Sub(sent)
+		}
 		f.roll.Hear(sent, b, age)
 	}
 	for _, l := range r.Left {
 		f.roll.Leave(now, enroller.LeaveOf(l))
 	}
+	f.warmup.apply(now, f)
 }
 
 // untouched returns how long no keeper has answered.
--- a/courier/kept_test.go
+++ b/courier/kept_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/localizer"
@@ -30,7 +31,7 @@
 			g := gomega.NewWithT(t)
 			f := &fleet{
 				endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, keptAsked: map[enroller.Incarnation]bool{},
-				self: &messenger.FleetMember{Zone: "z"},
+				self: &messenger.FleetMember{Zone: "z"}, evacuations: newEvacuations(zap.NewNop()),
 			}
 			add := func(zone string, n int) {
 				for i := range n {
--- a/courier/question.go
+++ b/courier/question.go
@@ -144,6 +144,7 @@
 	fresh := a.body.ConfirmedAgeMs >= 0 && age < freshWithin
 	if fresh {
 		now := time.Now()
+		f.warmup.observe(now, a.body.Routers)
 		f.quarantine.tellEnded(now, now.Add(-time.Duration(a.body.UptimeMs)*time.Millisecond), a.told)
 	}
 	// After a cut the first to answer is as good as any: the one before may be
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -62,6 +62,9 @@
 // of any heartbeat.
 const leftKept = 10 * time.Minute
 
+// coldSlack is by how much two statements of one cold spell may differ.
+const coldSlack = 500 * time.Millisecond
+
 // NewTable returns an empty table.
 func NewTable(silence time.Duration) *Table {
 	return &Table{silence: silence, entries: map[string]*entry{}, left: map[string]departure{}, byAddress: map[string]string{}}
@@ -123,13 +126,15 @@
 	case b.Sequence < e.beat.Sequence:
 		return false
 	}
+	coldUntil := e.heard.Add(e.beat.Cold)
 	if heard.After(e.heard) {
 		e.heard = heard
 	}
 	// Leaving is final for an incarnation: a heartbeat that was sent before it
 	// and comes late must not bring work back.
 	b.Leaving = b.Leaving || e.beat.Leaving
-	news := b.Leaving != e.beat.Leaving || b.Address != e.beat.Address || b.Slots != e.beat.Slots
+	news := b.Leaving != e.beat.Leaving || b.Address != e.beat.Address || b.Slots != e.beat.Slots ||
+		b.Cold > 0 && heard.Add(b.Cold).Sub(coldUntil) > coldSlack
 	e.beat = b
 	if news {
 		t.revision++
@@ -137,6 +142,17 @@
 	return news
 }
 
+// ColdUntil returns until when endpoints are cold that are now, by incarnation.
+func (t *Table) ColdUntil(now time.Time) map[Incarnation]time.Time {
+	out := map[Incarnation]time.Time{}
+	for _, e := range t.entries {
+		if until := e.heard.Add(e.beat.Cold); e.beat.Cold > 0 && until.After(now) {
+			out[e.beat.Incarnation] = until
+		}
+	}
+	return out
+}
+
 // enter adds an incarnation. Another one at the same address has ended: a
 // heartbeat of it that was held up must not bring it back, so it is forgotten
 // for good.
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -154,3 +154,23 @@
 		g.Expect(x.Sightings(start)[0].Sequence).To(gomega.Equal(uint64(1)))
 	}
 }
+
+// Guards against an endpoint that is taken for warm while it says that it is cold, and
+// against news that nobody is told.
+func TestColdEndpointsAreKnownUntilTheyAreWarm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	x := enroller.NewTable(10 * time.Second)
+	beat := func(sequence uint64, cold time.Duration) enroller.Beat {
+		return enroller.Beat{Incarnation: enroller.Incarnation{ID: "e"}, Service: "s", Address: "a:1", Zone: "z", Slots: 1, Sequence: sequence, Cold: cold}
+	}
+	until := func(at time.Time) time.Time { return x.ColdUntil(at)[enroller.Incarnation{ID: "e"}] }
+	x.Hear(now, beat(1, 3*time.Second), time.Second)
+	g.Expect(until(now)).To(gomega.Equal(now.Add(2 * time.Second)))
+	g.Expect(until(now.Add(2 * time.Second))).To(gomega.BeZero())
+	g.Expect(x.Hear(now.Add(time.Second), beat(2, time.Second), 0)).To(gomega.BeFalse(), "the same cold spell")
+	g.Expect(x.Hear(now.Add(2*time.Second), beat(3, 0), 0)).To(gomega.BeFalse())
+	g.Expect(x.Hear(now.Add(3*time.Second), beat(4, 3*time.Second), 0)).To(gomega.BeTrue(), "cold again")
+	g.Expect(x.Hear(now.Add(3*time.Second), beat(3, 0), 0)).To(gomega.BeFalse(), "a heartbeat of before comes late")
+	g.Expect(until(now.Add(3 * time.Second))).To(gomega.Equal(now.Add(6 * time.Second)))
+}
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -188,6 +188,10 @@
 	j.tried = append(j.tried, b.Incarnation)
 	defer a.Close()
 	marks := j.f.Wire.Marks(a.Status, a.Header)
+	if marks.Cold > 0 {
+		now := time.Now()
+		e.Warmup().Extend(now, now.Add(marks.Cold))
+	}
 	if marks.Load != nil {
 		e.Report(time.Now(), *marks.Load)
 	}
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -46,6 +46,8 @@
 	Moved bool
 	// Signed says that the answer bears an endpoint's signature.
 	Signed bool
+	// Cold is for how much longer the endpoint says that it is cold; 0 where it doesn't.
+	Cold time.Duration
 	// Load is nil where the endpoint doesn't tell.
 	Load *predictor.Load
 }
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -11,6 +11,7 @@
 
 	"rattanhoist.example/rattanhoist/ejector"
 	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/warmer"
 )
 
 const (
@@ -97,7 +98,9 @@
 	// Name is the incarnation as text.
 	name string
 	gate ejector.Gate
-	lost atomic.Bool
+	// Warmup is closed while the endpoint is cold and this router may send nothing.
+	warmup warmer.Gate
+	lost   atomic.Bool
 
 	mu sync.Mutex
 	// Running counts this router's requests there.
@@ -181,6 +184,9 @@
 // Gate returns the endpoint's state of failures.
 func (e *Endpoint) Gate() *ejector.Gate { return &e.gate }
 
+// Warmup returns what limits requests to the endpoint while it is cold.
+func (e *Endpoint) Warmup() *warmer.Gate { return &e.warmup }
+
 // Lose takes the endpoint out of this router's choice for good: another
 // incarnation answered at its address.
 func (e *Endpoint) Lose() { e.lost.Store(true) }
--- a/predictor/home.go
+++ b/predictor/home.go
@@ -44,13 +44,13 @@
 // home returns the endpoint where all routers look for the last shared part of
 // a prompt first. It needs no word between routers, and a change of endpoints
 // moves few parts.
-func (g *group) home(a Ask) *Endpoint {
+func (g *group) home(now time.Time, a Ask) *Endpoint {
 	if a.Prompt == nil || len(a.Prompt.Shared()) == 0 {
 		return nil
 	}
 	shared := a.Prompt.Shared()
 	return highest(g.endpoints, shared[len(shared)-1].ID, func(e *Endpoint) bool {
-		return !g.apart[e] && !e.lost.Load() && !e.gate.Blocked(a.Since)
+		return !g.apart[e] && !e.lost.Load() && !e.gate.Blocked(a.Since) && !e.warmup.Cold(now)
 	})
 }
 
--- a/predictor/predictor_test.go
+++ b/predictor/predictor_test.go
@@ -12,6 +12,7 @@
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/localizer"
 	"rattanhoist.example/rattanhoist/predictor"
+	"rattanhoist.example/rattanhoist/warmer"
 )
 
 var start = time.Unix(1000, 0)
@@ -362,3 +363,19 @@
 	g.Expect(w.Donor()).To(gomega.BeNil())
 	g.Expect(w.Unread()).To(gomega.Equal(int64(50_100)))
 }
+
+// Pattern: an endpoint comes back cold, empty and fast, beside one with a long queue, and
+// a burst of prompts arrives. Guards against all of them going to the cold one.
+func TestABurstDoesNotGoToAColdEndpoint(t *testing.T) {
+	g := gomega.NewWithT(t)
+	cold, busy := endpoints("a", 1)[0], endpoints("b", 1)[0]
+	x := table(cold, busy)
+	busy.Sent(start, told(60_000, nil))
+	cold.Warmup().Set(start, start.Add(3*time.Second), warmer.Share{Rate: 2, Burst: 1}, start.Add(time.Minute))
+	at := map[*predictor.Endpoint]int{}
+	for i := range 100 {
+		at[x.Choose(start.Add(time.Duration(i)*10*time.Millisecond), ask(800)).Endpoint()]++
+	}
+	g.Expect(at[cold]).To(gomega.BeNumerically("~", 2, 1))
+	g.Expect(at[busy]).To(gomega.Equal(100 - at[cold]))
+}
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -137,24 +137,29 @@
 		return nil
 	}
 	g = g.within(a.Zones)
-	best, ok := t.best(now, a, g, false)
-	if !ok {
-		// Every endpoint is blocked: one that failed may have recovered, and
-		// an error costs no more than a refusal.
-		best, ok = t.best(now, a, g, true)
-	}
-	if !ok {
-		return nil
+	for {
+		best, ok := t.best(now, a, g, false)
+		if !ok {
+			// Every endpoint is blocked: one that failed may have recovered, and
+			// an error costs no more than a refusal.
+			best, ok = t.best(now, a, g, true)
+		}
+		if !ok {
+			return nil
+		}
+		// Another request may have taken what a cold endpoint still got.
+		if best.endpoint.warmup.Admit(now) {
+			return best.endpoint.begin(now, a, best)
+		}
 	}
-	return best.endpoint.begin(now, a, best)
 }
 
 func (t *Table) best(now time.Time, a Ask, g *group, blocked bool) (best plan, ok bool) {
 	var least time.Duration
-	home := g.home(a)
+	home := g.home(now, a)
 	donors := g.donors(now, a, home)
 	for _, e := range g.endpoints {
-		if !blocked && e.gate.Blocked(a.Since) || e.lost.Load() || slices.Contains(a.Tried, e.beat.Incarnation) {
+		if !blocked && e.gate.Blocked(a.Since) || e.lost.Load() || !e.warmup.Open(now) || slices.Contains(a.Tried, e.beat.Incarnation) {
 			continue
 		}
 		p, c := e.offer(now, a, e == home, donors)
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -98,6 +98,15 @@
 	Connections int
 	// Engine is nil for plain services.
 	Engine *Engine
+	Cold   Cold
+}
+
+// Cold says what endpoints of a service bear after their start.
+type Cold struct {
+	// Duration is how long an endpoint is cold.
+	Duration time.Duration
+	// PerSecond is how many requests it tolerates meanwhile; 0 for any number.
+	PerSecond float64
 }
 
 // Workspace pays for its requests.
