Keepers carry log messages in batches

Cause: each keeper sent its log messages to another one at a time, the next one after the answer. At 40 ms there and back 25 messages a second went out, claims alone made more, and 128 waited: the far copy was 5 s old. It was confirmed all the same, since confirmations waited in the same queue.

Change: all messages that wait go in one call (CarryAll), in their order, up to 256 kB. A keeper that does not know the call gets single ones.

Ruled out: several calls at once (order is lost, and an append that overtakes another one is sent again).

--- a/steward/members.go
+++ b/steward/members.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"rattanhoist.example/rattanhoist/messenger"
@@ -15,6 +17,8 @@
 	// outboxMost bounds the messages that wait for one keeper; more are
 	// dropped, as on a network that loses them.
 	outboxMost = 128
+	// maxCarryBytes is the size of messages from which no more are added to a call.
+	maxCarryBytes = 256 << 10
 	// carryRate is how fast a large message is expected to go at least, in
 	// bytes a second.
 	carryRate = 2 << 20
@@ -112,21 +116,49 @@
 	}
 }
 
-// run carries log messages in order.
+// run carries log messages in order, all that wait in one call: the round trip then
+// bounds their delay, not their number.
 func (x *member) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-x.outbox:
-			timeout := callTimeout + time.Duration(proto.Size(m))*time.Second/carryRate
-			// A message that fails is lost; the log sends it again by itself.
-			_ = x.link.Call(ctx, timeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
-				_, err := c.Carry(ctx, m)
-				return err
-			})
+			x.carry(ctx, x.waiting(m))
+		}
+	}
+}
+
+// waiting returns a message with those that wait behind it, up to maxCarryBytes.
+func (x *member) waiting(first *messenger.LogMessage) *messenger.LogMessages {
+	out := &messenger.LogMessages{Messages: []*messenger.LogMessage{first}}
+	for size := proto.Size(first); size < maxCarryBytes; {
+		select {
+		case m := <-x.outbox:
+			out.Messages = append(out.Messages, m)
+			size += proto.Size(m)
+		default:
+			return out
 		}
 	}
+	return out
+}
+
+// carry sends messages; those that fail are lost, and the log sends them again by itself.
+func (x *member) carry(ctx context.Context, list *messenger.LogMessages) {
+	timeout := callTimeout + time.Duration(proto.Size(list))*time.Second/carryRate
+	_ = x.link.Call(ctx, timeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+		_, err := c.CarryAll(ctx, list)
+		if status.Code(err) != codes.Unimplemented {
+			return err
+		}
+		for _, m := range list.Messages {
+			if _, err := c.Carry(ctx, m); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
 }
 
 // share sends sightings to all others at once; they come again with the next
--- a/steward/server.go
+++ b/steward/server.go
@@ -27,6 +27,16 @@
 	return &messenger.LogCarried{}, nil
 }
 
+// CarryAll takes messages of the log in, in their order.
+func (v *server) CarryAll(ctx context.Context, list *messenger.LogMessages) (*messenger.LogCarried, error) {
+	for _, m := range list.Messages {
+		if _, err := v.Carry(ctx, m); err != nil {
+			return nil, err
+		}
+	}
+	return &messenger.LogCarried{}, nil
+}
+
 // Order commits a change if this keeper leads; a router's is passed on to the
 // leader.
 func (v *server) Order(ctx context.Context, r *messenger.OrderRequest) (*messenger.OrderReply, error) {
