Keepers tell routers what changed of the endpoints

Cause: a change of any endpoint, and every fifth question, had all endpoints told to each router: some 240 kB an answer, a hundred answers a second.

Change: the table notes the revision of each change and what is gone; an answer holds what is newer than the router's revision under the keeper's epoch. What a router holds from a keeper and hears nothing new of is alive. The first answer is whole, and routers that ask together share one list. Routers ask for the list of routers as often as before, by a flag.

Ruled out: ages of all endpoints as a digest (grows with the endpoints still); heartbeats to routers (two ways for leaves).

Keepers and routers of the version before are told and tell as before.

--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -81,10 +81,11 @@
 	endpoints map[enroller.Incarnation]*predictor.Endpoint
 	// KeptAsked holds the endpoints that were asked what they keep.
 	keptAsked map[enroller.Incarnation]bool
-	revisions map[string]uint64
-	answers   chan reply
-	asked     int
-	start     time.Time
+	// Sources holds what is known from each keeper, by its address.
+	sources map[string]*source
+	answers chan reply
+	asked   int
+	start   time.Time
 	// TouchedAt is when a keeper last answered, touchSince since when they have
 	// been answering without a gap.
 	touchedAt  time.Time
@@ -108,7 +109,7 @@
 		self:    &messenger.FleetMember{Address: o.Node.Internal(), Zone: o.Node.Zone(), Incarnation: incarnation},
 		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
 		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, keptAsked: map[enroller.Incarnation]bool{},
-		revisions: map[string]uint64{}, owing: map[string]bool{}, silent: map[string]time.Time{},
+		sources: map[string]*source{}, owing: map[string]bool{}, silent: map[string]time.Time{},
 		evacuations: newEvacuations(o.Log), warmup: newWarmup(o),
 		answers: make(chan reply), first: make(chan struct{}), turned: make(chan struct{}, 1),
 	}
@@ -180,15 +181,7 @@
 	f.quarantine.learn(now, r.Quarantined)
 	f.evacuations.learn(now, r.Evacuations)
 	f.renew(ctx, l, r.Number)
-	f.revisions[l.Address()] = r.Revision
-	for _, s := range r.Endpoints {
-		b, age := enroller.BeatOf(s)
-		if b.Cold > 0 {
-			// The age counts from the answer, not from the question.
-			b.Cold += now.Sub(sent)
-		}
-		f.roll.Hear(sent, b, age)
-	}
+	f.hearEndpoints(l.Address(), r, sent, now)
 	for _, l := range r.Left {
 		f.roll.Leave(now, enroller.LeaveOf(l))
 	}
--- a/courier/question.go
+++ b/courier/question.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// wholeEvery questions, the ages of all endpoints are asked for.
+	// wholeEvery questions, all routers are asked for.
 	wholeEvery = 5
 	// askNext is how long a keeper may take before the next one is asked too:
 	// many times a way between zones, and three of them are shorter than a
@@ -202,12 +202,20 @@
 
 // syncRequest returns what to ask a keeper, and what it is told by that.
 func (f *fleet) syncRequest(l *messenger.Link) (*messenger.SyncRequest, telling) {
-	q := &messenger.SyncRequest{Router: f.self, Revision: f.revisions[l.Address()]}
+	q := &messenger.SyncRequest{Router: f.self}
+	s := f.sources[l.Address()]
+	if s != nil {
+		q.Revision, q.Epoch = s.revision, s.epoch
+	}
 	if x := f.index.Load(); x != nil {
 		q.Number = x.Number()
 	}
 	if f.asked%wholeEvery == 0 {
-		q.Revision = 0
+		q.ListRouters = true
+		if s != nil && s.epoch == 0 {
+			// A keeper of an older version tells ages, and routers, only so.
+			q.Revision = 0
+		}
 	}
 	return q, f.quarantine.ask(q)
 }
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -34,6 +34,16 @@
 type entry struct {
 	beat  Beat
 	heard time.Time
+	// ColdUntil is when the endpoint is warm, as it said last.
+	coldUntil time.Time
+	// Revision is the table's at the last change.
+	revision uint64
+}
+
+// gone is an incarnation that was taken out at a revision.
+type gone struct {
+	incarnation Incarnation
+	revision    uint64
 }
 
 // departure is the end of an incarnation: it and all that were born before it
@@ -56,12 +66,18 @@
 	// ByAddress holds the id of the newest incarnation at each address.
 	byAddress map[string]string
 	revision  uint64
+	// Gone holds what was taken out last, oldest first, all of it after goneSince.
+	gone      []gone
+	goneSince uint64
 }
 
 // leftKept is how long a leave is remembered here: far longer than the delay
 // of any heartbeat.
 const leftKept = 10 * time.Minute
 
+// maxGone bounds the endpoints that Changes knows to be gone.
+const maxGone = 4096
+
 // coldSlack is by how much two statements of one cold spell may differ.
 const coldSlack = 500 * time.Millisecond
 
@@ -126,18 +142,22 @@
 	case b.Sequence < e.beat.Sequence:
 		return false
 	}
-	coldUntil := e.heard.Add(e.beat.Cold)
 	if heard.After(e.heard) {
 		e.heard = heard
 	}
 	// Leaving is final for an incarnation: a heartbeat that was sent before it
 	// and comes late must not bring work back.
 	b.Leaving = b.Leaving || e.beat.Leaving
+	coldUntil := heard.Add(b.Cold)
 	news := b.Leaving != e.beat.Leaving || b.Address != e.beat.Address || b.Slots != e.beat.Slots ||
-		b.Cold > 0 && heard.Add(b.Cold).Sub(coldUntil) > coldSlack
+		b.Cold > 0 && coldUntil.Sub(e.coldUntil) > coldSlack
+	if b.Sequence > e.beat.Sequence || coldUntil.After(e.coldUntil) {
+		e.coldUntil = coldUntil
+	}
 	e.beat = b
 	if news {
 		t.revision++
+		e.revision = t.revision
 	}
 	return news
 }
@@ -146,8 +166,8 @@
 func (t *Table) ColdUntil(now time.Time) map[Incarnation]time.Time {
 	out := map[Incarnation]time.Time{}
 	for _, e := range t.entries {
-		if until := e.heard.Add(e.beat.Cold); e.beat.Cold > 0 && until.After(now) {
-			out[e.beat.Incarnation] = until
+		if e.coldUntil.After(now) {
+			out[e.beat.Incarnation] = e.coldUntil
 		}
 	}
 	return out
@@ -165,10 +185,9 @@
 			t.end(now, o.beat.Incarnation)
 		}
 	}
-	e := &entry{beat: b, heard: heard}
-	t.entries[b.ID] = e
-	t.byAddress[b.Address] = b.ID
 	t.revision++
+	t.entries[b.ID] = &entry{beat: b, heard: heard, coldUntil: heard.Add(b.Cold), revision: t.revision}
+	t.byAddress[b.Address] = b.ID
 	return true
 }
 
@@ -206,7 +225,48 @@
 		if t.byAddress[e.beat.Address] == id {
 			delete(t.byAddress, e.beat.Address)
 		}
+		t.gone = append(t.gone, gone{e.beat.Incarnation, t.revision})
+	}
+	if n := len(t.gone); n > maxGone {
+		t.goneSince = t.gone[n-maxGone-1].revision
+		t.gone = slices.Clone(t.gone[n-maxGone:])
+	}
+}
+
+// Forget takes an incarnation out that may be heard again.
+func (t *Table) Forget(i Incarnation) {
+	if e := t.entries[i.ID]; e != nil && e.beat.Incarnation == i {
+		t.remove(i.ID)
+	}
+}
+
+// Alive notes that an incarnation was alive at a moment.
+func (t *Table) Alive(at time.Time, i Incarnation) {
+	if e := t.entries[i.ID]; e != nil && e.beat.Incarnation == i && at.After(e.heard) {
+		e.heard = at
+	}
+}
+
+// Changes returns the endpoints that changed after a revision, and those that are gone
+// since. It returns false where that is not known any more.
+func (t *Table) Changes(now time.Time, since uint64) (changed []*messenger.Sighting, left []Incarnation, known bool) {
+	if since < t.goneSince || since > t.revision {
+		return nil, nil, false
+	}
+	if since == t.revision {
+		return nil, nil, true
+	}
+	for _, g := range t.gone {
+		if g.revision > since {
+			left = append(left, g.incarnation)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
+		if e := t.entries[id]; e.revision > since {
+			changed = append(changed, e.sighting(now))
+		}
 	}
+	return changed, left, true
 }
 
 // Expire forgets endpoints that fell silent.
@@ -236,7 +296,7 @@
 	b := e.beat
 	return &messenger.Sighting{
 		Id: b.ID, BornMs: b.BornMS, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: uint32(max(b.Slots, 0)),
-		Leaving: b.Leaving, AgeMs: max(now.Sub(e.heard), 0).Milliseconds(), ColdMs: b.Cold.Milliseconds(), Sequence: b.Sequence,
+		Leaving: b.Leaving, AgeMs: max(now.Sub(e.heard), 0).Milliseconds(), ColdMs: max(e.coldUntil.Sub(e.heard), 0).Milliseconds(), Sequence: b.Sequence,
 	}
 }
 
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -1,6 +1,8 @@
 package enroller_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -174,3 +176,45 @@
 	g.Expect(x.Hear(now.Add(3*time.Second), beat(3, 0), 0)).To(gomega.BeFalse(), "a heartbeat of before comes late")
 	g.Expect(until(now.Add(3 * time.Second))).To(gomega.Equal(now.Add(6 * time.Second)))
 }
+
+// Guards against a reader of changes whose copy differs from the table.
+func TestChangesBuildTheSameTable(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(1000, 0)
+	x, held := enroller.NewTable(10*time.Second), map[enroller.Incarnation]string{}
+	var revision uint64
+	for range 5_000 {
+		now = now.Add(time.Duration(r.IntN(100)) * time.Millisecond)
+		i := enroller.Incarnation{ID: fmt.Sprint("e", r.IntN(40)), BornMS: int64(1 + r.IntN(3))}
+		switch r.IntN(10) {
+		case 0:
+			x.Leave(now, i)
+		case 1:
+			x.Expire(now)
+		default:
+			x.Hear(now, enroller.Beat{Incarnation: i, Service: "s", Address: fmt.Sprint("a", r.IntN(60), ":1"), Zone: "z", Slots: 1 + r.IntN(2), Sequence: uint64(now.UnixMilli())}, 0)
+		}
+		if r.IntN(3) > 0 {
+			continue
+		}
+		changed, gone, known := x.Changes(now, revision)
+		g.Expect(known).To(gomega.BeTrue())
+		for _, i := range gone {
+			delete(held, i)
+		}
+		for _, s := range changed {
+			b, _ := enroller.BeatOf(s)
+			held[b.Incarnation] = fmt.Sprint(b.Address, b.Slots)
+		}
+		revision = x.Revision()
+		want := map[enroller.Incarnation]string{}
+		for _, s := range x.Sightings(now) {
+			b, _ := enroller.BeatOf(s)
+			want[b.Incarnation] = fmt.Sprint(b.Address, b.Slots)
+		}
+		g.Expect(held).To(gomega.Equal(want))
+	}
+	_, _, known := x.Changes(now, revision+1)
+	g.Expect(known).To(gomega.BeFalse(), "a revision of another table")
+}
--- a/steward/roster.go
+++ b/steward/roster.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 	// routerSilence is after how long a router no longer counts: it asks
 	// several times a second.
 	routerSilence = 3 * time.Second
+	// wholeTTL is how long the ages of a list of all endpoints may stand.
+	wholeTTL = 100 * time.Millisecond
 	// leftTold bounds the leaves told in one answer: the newest.
 	leftTold = 256
 )
@@ -33,10 +36,16 @@
 	// Fresh holds what endpoints told this very keeper since the last share.
 	fresh   map[string]bool
 	routers map[string]router
+	// Epoch names this process, whose revisions of the table begin anew.
+	epoch uint64
+	// Whole holds all endpoints as of wholeAt, for the routers that ask for them together.
+	whole         []*messenger.Sighting
+	wholeAt       time.Time
+	wholeRevision uint64
 }
 
 func newRoster(heartbeat time.Duration) *roster {
-	return &roster{table: enroller.NewTable(silentBeats * heartbeat), fresh: map[string]bool{}, routers: map[string]router{}}
+	return &roster{table: enroller.NewTable(silentBeats * heartbeat), fresh: map[string]bool{}, routers: map[string]router{}, epoch: rand.Uint64() | 1}
 }
 
 // beat takes a heartbeat in and reports whether it agrees with what is known of
@@ -140,13 +149,33 @@
 	if a := q.Router.GetAddress(); a != "" {
 		r.routers[a] = router{member: q.Router, heard: now, direct: true}
 	}
-	if q.Revision == 0 {
+	if q.ListRouters || q.Revision == 0 {
 		for _, x := range r.routers {
 			out.Routers = append(out.Routers, x.member)
 		}
 	}
-	out.Revision = r.table.Revision()
-	if q.Revision != out.Revision {
-		out.Endpoints = r.table.Sightings(now)
+	out.Revision, out.Epoch = r.table.Revision(), r.epoch
+	if r.tellChanges(now, q, out) || q.Revision == out.Revision && q.Epoch == 0 {
+		return
 	}
+	if r.wholeRevision != out.Revision || now.Sub(r.wholeAt) > wholeTTL {
+		r.whole, r.wholeAt, r.wholeRevision = r.table.Sightings(now), now, out.Revision
+	}
+	out.Endpoints = r.whole
+}
+
+// tellChanges fills in what changed since the router's revision, if that is known.
+func (r *roster) tellChanges(now time.Time, q *messenger.SyncRequest, out *messenger.SyncReply) bool {
+	if q.Epoch != r.epoch || q.Revision == 0 {
+		return false
+	}
+	changed, gone, known := r.table.Changes(now, q.Revision)
+	if !known {
+		return false
+	}
+	out.Partial, out.Endpoints = true, changed
+	for _, i := range gone {
+		out.Gone = append(out.Gone, i.Leave())
+	}
+	return true
 }
