--- a/allotter/ledger.go
+++ b/allotter/ledger.go
@@ -15,12 +15,9 @@
 	// a claim of theirs that comes late must not bring them back. Restarts
 	// take seconds, and a claim is not kept for as long.
 	rememberedEnds = 16
-	// scarcePart is the part of a total that must be left for routers to hold
-	// rights far ahead, and unspentPart the part that must not have been spent:
-	// with less, what idle routers hold decides whether the total can be used
-	// up. A sixth lasts about twice scarceHorizon on the deployments tried. What
-	// is left alone would say so by turns, each time that they
-	// have given back.
+	// scarcePart is the part of a total that must be left for routers to hold rights far
+	// ahead, and unspentPart the part that must be unspent. Below either, what idle
+	// routers hold decides whether the total can be used up.
 	scarcePart  = 40
 	unspentPart = 6
 	// poolShare is into how many parts the pool is cut beyond one for each
@@ -320,10 +317,8 @@
 
 // share is what a claim is granted: all that it wants while the pool is
 // large, later a part of what is left by the router's part of the demand, and
-// always what a waiting request needs, if the pool has it. Callers are spread
-// by a hash, so one router can have most of a workspace's demand: with equal
-// parts for 63 routers, one that used 60,000 tokens a second never held a
-// second's worth, and refused 98 of 104 requests.
+// always what a waiting request needs, if the pool has it. Callers are spread by a hash, so
+// one router can have most of a workspace's demand.
 func (l *Ledger) share(c *messenger.RightsClaim) int64 {
 	left := l.Left(c.Workspace)
 	fair := left / int64(poolShare*max(len(l.holders), 1))
--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -36,30 +36,22 @@
 	// lendReserve of its own demand a router keeps when it lends: as much as it is
 	// averaged over.
 	lendReserve = 4 * time.Second
-	// dryFor is how long a search that found nothing spares the next ones. Each
-	// takes several calls and up to half a second; a total that is raised, or
-	// rights that come back, are found within this time.
+	// dryFor is how long a search that found nothing spares the next ones.
 	dryFor = 300 * time.Millisecond
-	// lendSmall is the least worth lending, in tokens, a small request: a purse
-	// that is nearly empty gave halves of halves, a thousand times in two
-	// seconds.
+	// lendSmall is the least worth lending, in tokens: a small request.
 	lendSmall = 500
-	// lendHorizon is how long what a router borrows should last: several searches,
-	// so that a lender that is slow to answer is not missed.
+	// lendHorizon is how long what a router borrows should last: several searches.
 	lendHorizon = 2 * time.Second
-	// rateWindow is over how much time demand is averaged: long enough that
-	// single large prompts don't count as demand, short against Horizon.
+	// rateWindow is over how much time demand is averaged: single large prompts don't
+	// count as demand.
 	rateWindow = 4 * time.Second
-	// rateLeast is the shortest time that demand is reckoned from: some dozen
-	// requests of a busy router.
+	// rateLeast is the shortest time that demand is reckoned from.
 	rateLeast = time.Second
-	// rateSure is the same for what a limit leaves open: what it leaves is lost when the
-	// process dies, and a few requests of a caller that has just come tell little.
+	// rateSure is the same for what a limit leaves open, which is lost when the process
+	// dies.
 	rateSure = 3 * time.Second
-	// returnSlack keeps small amounts from going back and forth, in tokens: about
-	// one large request, or a part of the floor if that is less. With many
-	// routers the floor is small, and 62 that each kept 20,000 tokens kept 1.2
-	// of a total of 3 million.
+	// returnSlack, in tokens, keeps small amounts from going back and forth: one large
+	// request, or a part of the floor if that is less.
 	returnSlack  = 20_000
 	slackOfFloor = 4
 )
--- a/courier/kept.go
+++ b/courier/kept.go
@@ -12,25 +12,21 @@
 )
 
 const (
-	// keptWithin its start a router asks endpoints what they keep; of those that
-	// start later it hears from the beginning.
-	keptWithin = 10 * time.Second
-	// keptTimeout bounds one question: work goes on without the answer.
-	keptTimeout = 500 * time.Millisecond
-	// keptMost bounds how many endpoints one router asks, those of its zone first: a
-	// question takes a connection and up to a megabyte of its link. 295 routers with 256
-	// engines would ask 75,000 in the seconds in which callers come back; so it is 7,000.
-	keptMost = 24
+	// cacheQueryWindow is how long after its start a router queries prefix caches; of
+	// endpoints that start later it hears from the beginning.
+	cacheQueryWindow  = 10 * time.Second
+	cacheQueryTimeout = 500 * time.Millisecond
+	// maxCacheQueries bounds the prefix cache queries of one starting router: each takes
+	// a connection.
+	maxCacheQueries = 24
 )
 
-// askKept asks engines that came into service for what they keep, once each. A
-// router that starts knows none of it; after a restart of all routers nobody does,
-// and all shared parts were read again, 0.3 s of engine time for each, in the very
-// seconds in which the callers of the outage come back. At the first start of a fleet
-// there is nothing to know.
+// askKept queries the prefix caches of engines that came into service, once each: after a
+// restart of all routers nobody knows them. At the first start of a fleet there is nothing
+// to know.
 func (f *fleet) askKept(ctx context.Context) {
 	x := f.index.Load()
-	if f.o.Kept == nil || x == nil || f.o.Node.FirstStart() || time.Since(f.start) > keptWithin {
+	if f.o.Kept == nil || x == nil || f.o.Node.FirstStart() || time.Since(f.start) > cacheQueryWindow {
 		return
 	}
 	for _, e := range f.unasked(x) {
@@ -55,7 +51,7 @@
 	shuffle(here)
 	shuffle(elsewhere)
 	all := append(here, elsewhere...)
-	return all[:min(len(all), max(keptMost-len(f.keptAsked), 0))]
+	return all[:min(len(all), max(maxCacheQueries-len(f.keptAsked), 0))]
 }
 
 func shuffle(list []*predictor.Endpoint) {
@@ -63,7 +59,7 @@
 }
 
 func (f *fleet) learnKept(ctx context.Context, e *predictor.Endpoint) {
-	ctx, cancel := context.WithTimeout(ctx, keptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cacheQueryTimeout)
 	defer cancel()
 	parts, err := f.o.Kept(ctx, e.Beat().Address)
 	if err != nil {
--- a/courier/kept_test.go
+++ b/courier/kept_test.go
@@ -15,7 +15,7 @@
 )
 
 // Pattern: 295 routers start together before 256 engines in five zones, 51 in each. Each
-// router asks no more engines than keptMost, however often it looks, and none of another
+// router asks no more engines than maxCacheQueries, however often it looks, and none of another
 // zone while its own has enough.
 func TestAStartingRouterAsksFewEngines(t *testing.T) {
 	for _, c := range []struct {
@@ -23,8 +23,8 @@
 		here, elsewhere    int
 		asked, askedOfHere int
 	}{
-		{"many", 51, 205, keptMost, keptMost},
-		{"few in the zone", 10, 205, keptMost, 10},
+		{"many", 51, 205, maxCacheQueries, maxCacheQueries},
+		{"few in the zone", 10, 205, maxCacheQueries, 10},
 		{"few", 4, 8, 12, 4},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/courier/news.go
+++ b/courier/news.go
@@ -14,16 +14,14 @@
 )
 
 const (
-	// toldLeast is the smallest prompt that other routers hear of, in tokens:
-	// shorter ones are read in the time that a datagram is on its way.
-	toldLeast = 500
-	// toldMost bounds the routers told, those of the endpoint's zone first: all of
-	// them in the fleets of up to 78 routers in three zones that were measured, where
-	// a router gets 112 datagrams of 72 bytes, headers included, a second: less than a
-	// hundredth of its link.
-	toldMost = 28
-	// datagramMost is more than any of these takes, in bytes.
-	datagramMost = 512
+	// minNotifiedPrompt is the smallest prompt that other routers hear of, in tokens:
+	// shorter ones are read while a datagram is on its way.
+	minNotifiedPrompt = 500
+	// maxNotifiedPeers bounds the fan-out of a dispatch notice; those of the endpoint's
+	// zone come first.
+	maxNotifiedPeers = 28
+	// maxDatagram bounds a dispatch notice, in bytes.
+	maxDatagram = 512
 )
 
 // news carries datagrams between routers: what one sent to an endpoint delays
@@ -50,7 +48,7 @@
 
 // tell sends a dispatch to other routers; lost datagrams are not missed.
 func (n *news) tell(to []netip.AddrPort, d *messenger.Dispatched) {
-	if d.Unread < toldLeast {
+	if d.Unread < minNotifiedPrompt {
 		return
 	}
 	b, err := proto.Marshal(d)
@@ -66,7 +64,7 @@
 
 // run takes datagrams in until the socket is closed.
 func (n *news) run(ctx context.Context) {
-	b := make([]byte, datagramMost)
+	b := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
 		size, _, err := n.conn.ReadFromUDPAddrPort(b)
 		if err != nil {
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -16,11 +16,10 @@
 )
 
 const (
-	// claimEvery is how often rights are settled with the keepers: half a second
-	// of demand is what a bound leaves open, this pause and as much again.
+	// claimEvery is how often rights are settled with the keepers.
 	claimEvery = 250 * time.Millisecond
-	// claimTimeout is for a sync on the slowest disks tried (12 ms), an entry that
-	// waits for the one before, and a way through another keeper, many times over.
+	// claimTimeout is for syncs on slow disks, an entry that waits for the one before, and
+	// a way through another keeper.
 	claimTimeout = 600 * time.Millisecond
 	// patientClaim is the timeout after a claim that got no answer: over a link
 	// that callers fill, answers come late, and a short timeout fails for as
@@ -254,11 +253,9 @@
 	return &messenger.LeaveRightsReply{}, nil
 }
 
-// claimAnew is claim, begun anew if another keeper becomes the current one
-// meanwhile. After a cut, what the keepers know of this router is as old as the
-// cut, and would be written off by that time if it died: one that was killed
-// 0.6 s after a cut of eight seconds, with its claim still waiting at a keeper that
-// knew no leader, cost 14 in 100 of all totals.
+// claimAnew is claim, begun anew if another keeper becomes the current one meanwhile:
+// after a cut, what the keepers know of this router is as old as the cut, and would be
+// written off by that time if it died.
 func (r *rights) claimAnew(ctx context.Context, timeout time.Duration) time.Duration {
 	once, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/courier/sibling.go
+++ b/courier/sibling.go
@@ -58,9 +58,7 @@
 type circles map[string][]netip.AddrPort
 
 // newCircles puts the routers of an endpoint's zone first, which send it most of its
-// work, then as many others as each dispatch may be told. A router that only told
-// those of its own zone left the ones that matter in the dark wherever it sent work
-// to another. It needs f.mu.
+// work, then others up to maxNotifiedPeers. It needs f.mu.
 func (f *fleet) newCircles(zones map[string]string) circles {
 	byZone := map[string][]netip.AddrPort{"": nil}
 	for _, l := range f.siblings {
@@ -79,7 +77,7 @@
 				list = append(list, byZone[other]...)
 			}
 		}
-		out[zone] = list[:min(len(list), toldMost)]
+		out[zone] = list[:min(len(list), maxNotifiedPeers)]
 	}
 	return out
 }
@@ -104,7 +102,7 @@
 }
 
 // Partial reports whether there are more routers than each tells.
-func (f *fleet) Partial() bool { return f.Routers() > toldMost+1 }
+func (f *fleet) Partial() bool { return f.Routers() > maxNotifiedPeers+1 }
 
 // others returns the other routers, those of the zone first.
 func (f *fleet) others() []*messenger.Link {
--- a/courier/sibling_test.go
+++ b/courier/sibling_test.go
@@ -34,7 +34,7 @@
 	g.Expect(first).To(gomega.HaveLen(25), "another one begins each time")
 	for zone, inside := range map[string]int{"z": 25, "b": 26, "c": 26} {
 		told := f.circle(zone)
-		g.Expect(len(told)).To(gomega.BeNumerically("<=", toldMost))
+		g.Expect(len(told)).To(gomega.BeNumerically("<=", maxNotifiedPeers))
 		for i, a := range told {
 			g.Expect(zones[a.String()] == zone).To(gomega.Equal(i < inside), "dispatch to %s, place %d", zone, i)
 		}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -39,8 +39,8 @@
 func (OutOfReach) Unwrap() error { return ErrRightsOutOfReach }
 
 const (
-	// defaultTimeout bounds a request whose caller names no deadline and whose
-	// route's timeout is longer: four times the longest that callers name (15 s).
+	// defaultTimeout bounds a request whose caller names no deadline and whose route's
+	// timeout is longer.
 	defaultTimeout = 60 * time.Second
 	// unsentMost is how many endpoints may turn out to be unreachable before
 	// the request is refused; none of them got a byte.
@@ -55,17 +55,12 @@
 	// connectionPart of an endpoint's bound is shared out among routers; the
 	// rest is for connections that are being closed.
 	connectionPart = 0.8
-	// Callers are spread over routers by a hash: with six routers the busiest
-	// has twice its part, with sixty one had a fifth of all requests. From
-	// unevenFrom routers on each may open more than its part, up to unevenMost
-	// times as much. All together could pass the bound, but don't: on three days
-	// of 63 and 77 routers at most 50 requests were in progress at one endpoint at
-	// once, where 440 to 720 connections are allowed.
+	// Callers are spread over routers by a hash, unevenly: from unevenFrom routers on each
+	// may open more connections than its part, up to unevenMost times as many.
 	unevenFrom     = 12
 	unevenMost     = 3
 	connectionsMin = 4
-	// bodyMost bounds a body where the document states no bound, in bytes: what
-	// the operators' documents state.
+	// bodyMost bounds a body where the document states no bound, in bytes.
 	bodyMost = 4 << 20
 )
 
--- a/predictor/home.go
+++ b/predictor/home.go
@@ -11,10 +11,8 @@
 	// steps with a chunk of 2,048 tokens each, and the longer the context the
 	// longer a step.
 	giant = 24_000
-	// giantHome draws giants of a zone to one endpoint, and giantShy keeps the
-	// others away from it while they have a choice: both as time. On calm days
-	// streams with too long a pause went from 105 to 54 of 1,350; with a
-	// giantShy of 60 ms nothing moved.
+	// giantHome draws giants of a zone to one endpoint, and giantShy keeps the others
+	// away from it while they have a choice: both as time.
 	giantHome = 200 * time.Millisecond
 	giantShy  = 250 * time.Millisecond
 	// apartZone is how many endpoints of a zone it takes to set one apart.
--- a/predictor/plan.go
+++ b/predictor/plan.go
@@ -3,11 +3,9 @@
 import "time"
 
 const (
-	// slotCost is the time that each running request adds to all others: a
-	// step grows by 23 µs for each, and a first event takes about a dozen.
+	// slotCost is the time that each running request adds to the first event of others.
 	slotCost = 300 * time.Microsecond
-	// fullCost keeps requests from an endpoint whose slots are taken: half of
-	// a usual latency objective.
+	// fullCost keeps requests from an endpoint whose slots are taken.
 	fullCost = 400 * time.Millisecond
 	// fetchLeast is the fewest tokens worth fetching from another endpoint: below it,
 	// reading takes a few steps.
@@ -17,8 +15,8 @@
 	// longRead is how long a prompt is read for it to do the same harm at one
 	// endpoint: at a slow one, prompts far from giant do.
 	longRead = 200 * time.Millisecond
-	// longHarm is what such a prompt costs for each request that runs beside
-	// it, as time: one in ten of them misses its pause, worth a quarter second.
+	// longHarm is what such a prompt costs for each request that runs beside it, whose
+	// events it delays.
 	longHarm = 25 * time.Millisecond
 )
 
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -12,18 +12,13 @@
 )
 
 const (
-	// otherZone is what sending a request to another availability zone costs, as
-	// time. The way there and back takes 1 to 3 ms, but bodies and streams cross it,
-	// where packets get lost and zones get cut off, while parts that are kept there
-	// are fetched in a fraction of the time that it takes to read them. With 6 ms a
-	// third more bytes crossed zones, and three times as many streams had too long a
-	// pause where a link lost packets; with 80 ms endpoints of a zone fill up while
-	// others idle.
-	otherZone = 30 * time.Millisecond
+	// crossZonePenalty is the cost of dispatching to another availability zone, in
+	// queueing time: bodies and streams cross a link that may drop packets.
+	crossZonePenalty = 30 * time.Millisecond
+	// crossZonePlainPenalty is the same for plain requests, which find no prefix there.
+	crossZonePlainPenalty = 60 * time.Millisecond
 	// probeOverdue is how long a probe is left to requests that may be repeated.
 	probeOverdue = 5 * time.Second
-	// otherZonePlain is the same for plain requests, which gain nothing there.
-	otherZonePlain = 60 * time.Millisecond
 )
 
 // Table holds the endpoints in service; it is replaced as a whole.
@@ -167,7 +162,7 @@
 			c += apartCost(a.Prompt, e.beat.Zone == t.zone)
 		}
 		if e.beat.Zone != t.zone {
-			c += otherZoneCost(a.Prompt)
+			c += crossZoneCost(a.Prompt)
 		}
 		c += probeCost(e.gate.ProbeDue(a.Since), a.Repeatable)
 		// A little noise keeps routers that know the same from choosing the
@@ -180,11 +175,9 @@
 	return best, ok
 }
 
-// probeCost is what it costs to send a request to an endpoint whose probe has been
-// due for a time. One that may be repeated costs nothing more than elsewhere: sent
-// nowhere, no probe would ever show that the endpoint is well again, and one that had
-// failed three times in a row got no work for the rest of the day. Others stand in
-// only if none of those came for probeOverdue.
+// probeCost is the cost of sending a request to an endpoint whose probe has been due for a
+// time. Requests that may be repeated probe at no cost; others stand in only if none of
+// those came for probeOverdue.
 func probeCost(due time.Duration, repeatable bool) time.Duration {
 	if due == 0 || repeatable || due > probeOverdue {
 		return 0
@@ -192,9 +185,9 @@
 	return fullCost
 }
 
-func otherZoneCost(p *Prompt) time.Duration {
+func crossZoneCost(p *Prompt) time.Duration {
 	if p == nil {
-		return otherZonePlain
+		return crossZonePlainPenalty
 	}
-	return otherZone
+	return crossZonePenalty
 }
--- a/steward/batch.go
+++ b/steward/batch.go
@@ -26,9 +26,8 @@
 }
 
 // batcher commits the claims of many routers in few entries: while one entry
-// is under way, the claims that come wait for the next. Each entry costs a sync
-// of every voter's disk, so a hundred claims a second one by one took a leader
-// on a slow disk out of its role.
+// is under way, the claims that come wait for the next. Each entry costs a sync of every
+// voter's disk.
 type batcher struct {
 	propose func(context.Context, []byte) (any, error)
 	log     *zap.Logger
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -323,9 +323,8 @@
 }
 
 // aged returns a router's claim that was held here for a time. The clocks of
-// keepers are read when a claim reaches them, and count only where they agree
-// with the router's: of claims that waited 0.3 s for a leader after a loss of
-// power, all that the routers held was written off.
+// keepers are read when a claim reaches them, and count only where they agree with the
+// router's.
 func aged(change *messenger.FleetChange, held time.Duration) *messenger.FleetChange {
 	if change.GetRights() == nil || held < time.Millisecond {
 		return change
--- a/steward/remember.go
+++ b/steward/remember.go
@@ -18,10 +18,9 @@
 	rememberEvery = time.Second
 )
 
-// remember writes the endpoints down whenever they change. After a restart of all
-// keepers nobody would know any of them until their next heartbeats, and the few
-// that are heard first would get all the work of callers who come back together:
-// engines had two seconds of prompts to read while others idled.
+// remember writes the endpoints down whenever they change. After a restart of all keepers
+// nobody would know any of them until their next heartbeats, and the few that are heard
+// first would get all the work of callers who come back together.
 func (s *Steward) remember(ctx context.Context) {
 	t := time.NewTicker(rememberEvery)
 	defer t.Stop()
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -27,27 +27,22 @@
 )
 
 const (
-	// heartbeat, election: a leader's death costs at most 0.6 to 1.2 s and a
-	// round of votes, well below the bound on acknowledgements of 4 s; a
-	// heartbeat costs 2 calls for each of the others.
+	// A leader's death costs one to two times election and a round of votes.
 	heartbeat = 100 * time.Millisecond
 	election  = 600 * time.Millisecond
 	// replaceAfter is the silence after which a complete copy takes a voter's
 	// seat. It is longer than a restart or a cut between zones usually lasts;
 	// taking a seat too early is safe, only needless.
 	replaceAfter = 6 * time.Second
-	// compactAfter entries, or compactBytes, a snapshot is written: a whole
-	// document takes 130 kB with hundreds of routes, and the disk 128 MB.
+	// compactAfter entries, or compactBytes, a snapshot is written.
 	compactAfter = 1024
 	compactBytes = 4 << 20
-	// balanceEvery is how often prepaid totals are looked at: at tens of
-	// thousands of them a look takes a few milliseconds.
+	// balanceEvery is how often prepaid totals are looked at.
 	balanceEvery = time.Second
-	// shareEvery is how often keepers tell each other what they heard: half
-	// of the time that a leave may take to be known everywhere is far longer.
+	// shareEvery is how often keepers tell each other what they heard.
 	shareEvery = 300 * time.Millisecond
-	// headerTimeout bounds a caller that is slow to ask, and idleTimeout how long
-	// an endpoint's connection is kept: 25 heartbeats of the deployments tried.
+	// headerTimeout bounds a caller that is slow to ask, and idleTimeout how long an
+	// endpoint's connection is kept between heartbeats.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 30 * time.Second
 	// callTimeout is for calls between keepers; it is within the second that
--- a/warmer/gate.go
+++ b/warmer/gate.go
@@ -15,7 +15,7 @@
 	// Until is when the endpoint is warm, by heartbeats and evacuations; told is the
 	// same by its own answers. The later one counts.
 	until, told time.Time
-	share Share
+	share       Share
 	// Expires is when the router no longer owns the share.
 	expires time.Time
 	// Tokens is what the bucket held at filledAt; before the first time it is full.
--- a/warmer/warmer_test.go
+++ b/warmer/warmer_test.go
@@ -199,7 +199,7 @@
 	g.Expect(x.Admit(start)).To(gomega.BeTrue())
 	g.Expect(x.Admit(start.Add(400 * time.Millisecond))).To(gomega.BeFalse())
 	g.Expect(x.Admit(start.Add(600 * time.Millisecond))).To(gomega.BeTrue())
-	g.Expect(x.Open(start.Add(1500 * time.Millisecond))).To(gomega.BeFalse(), "the share has expired")
+	g.Expect(x.Open(start.Add(1500*time.Millisecond))).To(gomega.BeFalse(), "the share has expired")
 	g.Expect(x.Open(cold)).To(gomega.BeTrue())
 	x.Extend(cold, cold.Add(time.Second))
 	g.Expect(x.Open(cold)).To(gomega.BeFalse(), "it says itself that it is cold again")
