--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -29,7 +29,7 @@
 	boundRise = 1.5
 	// boundSlack, in tokens, and boundSlope, in tokens a second, are what a bound leaves
 	// open and its rise without demand: one small request. More than boundRouters
-	// routers share them out, and leave nothing open where there is no demand.
+	// routers share them out.
 	boundSlack   = 1_000
 	boundSlope   = 2_000
 	boundRouters = 24
@@ -317,8 +317,8 @@
 	c := &messenger.RightsClaim{
 		Workspace: workspace, Returned: p.returned, Spent: max(p.spent-p.received, 0),
 		Wanted: max(need-headroom, 0), Urgent: max(p.waiting-headroom, 0),
-		Ceiling: max(p.used(), 0) + p.queued + int64(sure*max(boundCover, pause+boundMargin).Seconds()) + p.idle(boundSlack, rate),
-		Slope:   int64(sure*boundRise) + p.idle(boundSlope, rate), RestMs: BoundRest.Milliseconds(),
+		Ceiling: max(p.used(), 0) + p.queued + int64(sure*max(boundCover, pause+boundMargin).Seconds()) + p.idle(boundSlack),
+		Slope:   int64(sure*boundRise) + p.idle(boundSlope), RestMs: BoundRest.Milliseconds(),
 	}
 	if p.unanswered && p.known {
 		// A keeper may hear of this claim only after a cut, through which the router
@@ -367,10 +367,7 @@
 
 // idle is the part of a bound that is there without demand, in tokens or in tokens a
 // second.
-func (p *Purse) idle(most int64, rate float64) int64 {
-	if p.routers > boundRouters && rate < 1 {
-		return 0
-	}
+func (p *Purse) idle(most int64) int64 {
 	return most * boundRouters / max(p.routers, boundRouters)
 }
 
