--- a/courier/process_test.go
+++ b/courier/process_test.go
@@ -330,3 +330,43 @@
 	status, _ = f.ask(4, "late", "1,1")
 	g.Expect(status).To(gomega.Equal(503), "not run: the caller goes elsewhere")
 }
+
+// Guards against an acknowledged evacuation that a restart of all processes, one of them
+// with an empty disk, forgets, and against one that a router learns only once it serves.
+func TestAnEvacuationSurvivesARestartOfAll(t *testing.T) {
+	f, g := start(t, 65)
+	f.publish(g, 1, document(2, 100_000))
+	f.router(4)
+	address := f.engine("i-1")
+	f.beats("i-1", address)
+	f.serves(g, 4)
+	order := func(keeper int, method string) int {
+		status, _ := f.call(method, f.control(keeper), "/v1/evacuations/z4", "")
+		return status
+	}
+	ask := func() int {
+		status, _ := f.ask(4, "x", "1,1")
+		return status
+	}
+	status, _ := f.call("POST", f.control(1), "/v1/evacuations/nowhere", "")
+	g.Expect(status).To(gomega.Equal(400))
+	g.Expect(order(1, "POST")).To(gomega.Equal(200))
+	g.Eventually(ask, 2*time.Second, 20*time.Millisecond).Should(gomega.Equal(503), "no other zone has an engine")
+	f.stop("router4")
+	for n := 1; n <= 3; n++ {
+		f.stop(fmt.Sprint("keeper", n))
+	}
+	g.Expect(os.RemoveAll(f.data(1))).To(gomega.Succeed())
+	for n := 1; n <= 3; n++ {
+		f.keeper(n, false)
+	}
+	f.router(4)
+	for ready := 0; ready != 200; {
+		ready, _ = f.call("GET", f.ip(4)+":8220", "/v1/ready", "")
+		g.Expect(ask()).NotTo(gomega.Equal(200))
+	}
+	g.Consistently(ask, 2*time.Second, 50*time.Millisecond).Should(gomega.Equal(503))
+	g.Eventually(func() int { return order(2, "POST") }, 5*time.Second, 100*time.Millisecond).Should(gomega.Equal(200), "sent again")
+	g.Eventually(func() int { return order(3, "DELETE") }, 5*time.Second, 100*time.Millisecond).Should(gomega.Equal(200))
+	f.serves(g, 4)
+}
