--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -88,7 +88,9 @@
 	start   time.Time
 	// TouchedAt is when a keeper last answered, touchSince since when they have
 	// been answering without a gap.
-	touchedAt  time.Time
+	touchedAt time.Time
+	// ListedAt is when a keeper with a majority last told of all routers.
+	listedAt   time.Time
 	touchSince time.Time
 	// Failure is why the last question failed that did; lost says that the
 	// loss of all keepers was logged.
--- a/courier/question.go
+++ b/courier/question.go
@@ -10,7 +10,10 @@
 )
 
 const (
-	// wholeEvery questions, all routers are asked for.
+	// listEvery is how old the list of routers may be before it is asked for: with the
+	// next question it comes well within what warmer.Members act on.
+	listEvery = 2 * time.Second
+	// wholeEvery questions, a keeper of an older version is asked for all it knows.
 	wholeEvery = 5
 	// askNext is how long a keeper may take before the next one is asked too:
 	// many times a way between zones, and three of them are shorter than a
@@ -144,7 +147,10 @@
 	fresh := a.body.ConfirmedAgeMs >= 0 && age < freshWithin
 	if fresh {
 		now := time.Now()
-		f.warmup.observe(now, a.body.Routers)
+		if len(a.body.Routers) > 0 {
+			f.listedAt = now
+			f.warmup.observe(now, a.body.Routers)
+		}
 		f.quarantine.tellEnded(now, now.Add(-time.Duration(a.body.UptimeMs)*time.Millisecond), a.told)
 	}
 	// After a cut the first to answer is as good as any: the one before may be
@@ -210,12 +216,10 @@
 	if x := f.index.Load(); x != nil {
 		q.Number = x.Number()
 	}
-	if f.asked%wholeEvery == 0 {
-		q.ListRouters = true
-		if s != nil && s.epoch == 0 {
-			// A keeper of an older version tells ages, and routers, only so.
-			q.Revision = 0
-		}
+	q.ListRouters = time.Since(f.listedAt) > listEvery
+	if f.asked%wholeEvery == 0 && s != nil && s.epoch == 0 {
+		// A keeper of an older version tells ages, and routers, only so.
+		q.Revision = 0
 	}
 	return q, f.quarantine.ask(q)
 }
--- a/courier/warmup.go
+++ b/courier/warmup.go
@@ -32,9 +32,6 @@
 // observe takes in the routers that a keeper tells of whose copy a majority confirmed
 // lately.
 func (w *warmup) observe(now time.Time, routers []*messenger.FleetMember) {
-	if len(routers) == 0 {
-		return
-	}
 	list := make([]warmer.Member, len(routers))
 	for i, m := range routers {
 		list[i] = warmer.Member{Address: m.Address, Zone: m.Zone}
