--- a/courier/evacuation_test.go
+++ b/courier/evacuation_test.go
@@ -19,13 +19,7 @@
 		{Id: "b", Service: "s", Address: "10.0.0.2:1", Zone: "y", Slots: 8, Sequence: 1},
 	}})
 	f := startFleet(t, serveStub(t, k))
-	names := func() []string {
-		var out []string
-		for _, e := range f.table.Endpoints("s") {
-			out = append(out, e.Name())
-		}
-		return out
-	}
+	names := func() []string { return inService(f) }
 	g.Eventually(names, time.Second, 10*time.Millisecond).Should(gomega.HaveLen(2))
 	before := f.table.Endpoints("s")
 	k.evacuations.Store(&messenger.Evacuations{Revision: 3, Zones: []string{"z"}})
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -119,6 +119,15 @@
 	return f
 }
 
+// inService returns the endpoints of service s, by name.
+func inService(f *fleet) []string {
+	var out []string
+	for _, e := range f.table.Endpoints("s") {
+		out = append(out, e.Name())
+	}
+	return out
+}
+
 // Symptom: a router takes itself for cut off, refuses requests for lack of
 // rights and serves an old configuration, while all keepers are well.
 // Sequence: callers fill its link, and each answer of a keeper takes 0.6 s.
@@ -364,13 +373,7 @@
 	k := &keeperStub{}
 	k.sightings.Store(born(1))
 	f := startFleet(t, serveStub(t, k))
-	names := func() []string {
-		var out []string
-		for _, e := range f.table.Endpoints("s") {
-			out = append(out, e.Name())
-		}
-		return out
-	}
+	names := func() []string { return inService(f) }
 	g.Eventually(names, 3*time.Second, 10*time.Millisecond).Should(gomega.Equal([]string{"e@1"}))
 	ended := make(chan error, 1)
 	go func() {
