Rate limits of endpoints are read, logged and counted

What callers saw: nothing new; this only adds visibility. Endpoints report a rate limit (Server-Limit) in their responses, and no log line and no metric of a router showed it.

Change: the header is decoded into a typed value, and the gate of each endpoint keeps the latest accepted one. A lower limit takes effect immediately; a higher one, or none, only if the response is to a request that was sent after the previous accepted response had arrived, since responses can arrive out of order. New log line "endpoint rate limit changed"; new counter rattanhoist_requests_to_rate_limited_total: requests sent to an endpoint that has reported a limit to this router. No decision uses the limit yet.

One thing behaves differently: load and cold time in a misdirected response (421) are no longer recorded. They are those of another incarnation at the address.

Evidence: TestRateLimitEndsOnlyByALaterAnswer; decoding of seven header values in TestStampAndMarks.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -168,7 +168,10 @@
 	if work.Unread() > 0 {
 		j.f.Fleet.Dispatched(e.Name(), b.Zone, work.Dispatch())
 	}
-	before := j.mayHaveRun
+	if e.Warmup().RateLimit().Limited {
+		toRateLimited.Inc()
+	}
+	before, sentAt := j.mayHaveRun, time.Now()
 	a, err := j.f.Pool.Exchange(ctx, j.target(e), j.request(work))
 	if err != nil {
 		j.why = err.Error()
@@ -188,12 +191,9 @@
 	j.tried = append(j.tried, b.Incarnation)
 	defer a.Close()
 	marks := j.f.Wire.Marks(a.Status, a.Header)
-	if marks.Cold > 0 {
-		now := time.Now()
-		e.Warmup().Extend(now, now.Add(marks.Cold))
-	}
-	if marks.Load != nil {
-		e.Report(time.Now(), *marks.Load)
+	// A misdirected response comes from another incarnation and says nothing about e.
+	if !marks.Moved {
+		j.recordEndpointState(e, marks, sentAt)
 	}
 	if marks.NotRun || marks.Moved {
 		j.mayHaveRun = before
@@ -203,6 +203,22 @@
 	return j.pass(ctx, a, work)
 }
 
+// recordEndpointState records the cold time, load and rate limit that an endpoint reports
+// in its response to a request sent at sentAt.
+func (j *job) recordEndpointState(e *predictor.Endpoint, m Marks, sentAt time.Time) {
+	now := time.Now()
+	if m.Cold > 0 {
+		e.Warmup().Extend(now, now.Add(m.Cold))
+	}
+	if m.Load != nil {
+		e.Report(now, *m.Load)
+	}
+	if e.Warmup().ObserveRateLimit(m.RateLimit, sentAt, now) {
+		j.f.Log.Info("endpoint rate limit changed", zap.String("endpoint", e.Name()), zap.String("service", j.service.Name),
+			zap.Bool("limited", m.RateLimit.Limited), zap.Float64("per_second", m.RateLimit.PerSecond))
+	}
+}
+
 // blame counts a failure against an endpoint, unless the caller left or the
 // time ran out.
 func (j *job) blame(ctx context.Context, e *predictor.Endpoint) {
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -17,6 +17,7 @@
 	repeated        = metrics.NewCounter("rattanhoist_requests_repeated_total")
 	fetched         = metrics.NewCounter("rattanhoist_prompts_fetched_total")
 	heldBack        = metrics.NewCounter("rattanhoist_requests_held_back_total")
+	toRateLimited   = metrics.NewCounter("rattanhoist_requests_to_rate_limited_total")
 	blamed          = metrics.NewCounter("rattanhoist_endpoint_failures_total")
 )
 
--- a/warmer/gate.go
+++ b/warmer/gate.go
@@ -21,6 +21,23 @@
 	// Tokens is what the bucket held at filledAt; before the first time it is full.
 	tokens   float64
 	filledAt time.Time
+	// RateLimit is the rate limit last accepted from the endpoint's responses.
+	rateLimit rateLimitState
+}
+
+// ObserveRateLimit records the rate limit reported in the response, received now, to a
+// request sent at sentAt. It returns whether the limit in effect changed.
+func (g *Gate) ObserveRateLimit(l RateLimit, sentAt, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rateLimit.observe(l, sentAt, now)
+}
+
+// RateLimit returns the endpoint's rate limit in effect.
+func (g *Gate) RateLimit() RateLimit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rateLimit.limit
 }
 
 // Set states until when the endpoint is cold, and the share that the router owns until
