Make routers respect the rate limits that endpoints report

What callers saw: overloaded endpoints that reported a limit of 2 and 3 requests per second (Server-Limit) received 20 and 26 requests in 4 s from routers that had already received such a response; 17 and 23 were allowed.

Cause: no decision used the header; each router relied on the wait that it predicted. Class of fault: information that an endpoint reports about itself in a response is not decoded or not enforced anywhere.

Change: the mechanism for cold endpoints now enforces rate limits as well. warmer.Limit gets a window. A limit of N per second is split among a few owners so that owners x (burst + rate x 4 s), doubled because two views of the members may coexist, is within 1.5 x 4 N + 5. From the first response with a limit on, a router sends nothing to the endpoint until the fleet goroutine assigns it a share. A router without a share sends nothing and queries an owner every second (RateLimits, jittered, less often from 12 routers on) whether the limit still applies. Owners maintain 0.2 requests per second so that a response can report the end of the limit. Selecting an endpoint and counting the request are one step (Gate.Admit) for first sends, repeats and resumed streams. Rate limited endpoints are neither homes of shared parts nor donors, and responses to prefix cache queries report limits as well. If all endpoints that may serve a request are closed, it is refused at once with the time at which the first one opens. New settings: limit_overshoot (1.5), limit_slack (5), limit_window_s (4).

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -54,8 +54,9 @@
 	Wire   forwarder.Wire
 	// Belongs tells whose answer a header is.
 	Belongs func(http.Header, string) pooler.Belonging
-	// Kept asks the endpoint at an address which parts of prompts it keeps.
-	Kept func(context.Context, string) ([]predictor.Part, error)
+	// Kept asks the endpoint at an address which parts of prompts it keeps. It also returns
+	// the state that the endpoint reports, which is nil only if there was no response.
+	Kept func(context.Context, string) ([]predictor.Part, *predictor.State, error)
 	// ReadyPath is where the platform asks whether callers may come.
 	ReadyPath string
 }
@@ -138,7 +139,7 @@
 	c.fleet.news.Store(n)
 	go n.run(work)
 	rpc := messenger.NewFleetServer()
-	messenger.RegisterFleetRouterServer(rpc, c.rights)
+	messenger.RegisterFleetRouterServer(rpc, &peerServer{rights: c.rights, table: c.fleet.table})
 	failed := make(chan error, 3)
 	go func() { failed <- rpc.Serve(internal) }()
 	go func() { failed <- callers.Serve(front) }()
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -103,6 +103,7 @@
 	appliedEvacuations uint64
 	evacuations        *evacuations
 	warmup             *warmup
+	rateLimitPolls     rateLimitPolls
 }
 
 func newFleet(o Options, incarnation uint64, table *predictor.Table, pool *pooler.Pool) *fleet {
@@ -112,7 +113,7 @@
 		keepers: map[string]*messenger.Link{}, zones: map[string]string{},
 		roll: enroller.NewTable(silentBeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, keptAsked: map[enroller.Incarnation]bool{},
 		sources: map[string]*source{}, owing: map[string]bool{}, silent: map[string]time.Time{},
-		evacuations: newEvacuations(o.Log), warmup: newWarmup(o),
+		evacuations: newEvacuations(o.Log), warmup: newWarmup(o), rateLimitPolls: rateLimitPolls{},
 		answers: make(chan reply), first: make(chan struct{}), turned: make(chan struct{}, 1),
 	}
 	f.known.Store(1)
@@ -156,6 +157,7 @@
 			f.quarantine.step(time.Now())
 		}
 		f.askKept(ctx)
+		f.pollRateLimits(ctx)
 		f.listen(ctx, max(f.paced(syncEvery, pacedMost)-time.Since(begun), syncEvery/4))
 		f.show(time.Now())
 	}
--- a/courier/kept.go
+++ b/courier/kept.go
@@ -41,7 +41,7 @@
 	for i, e := range f.endpoints {
 		b := e.Beat()
 		switch s := x.Service(b.Service); {
-		case f.keptAsked[i] || s == nil || s.Engine == nil || f.evacuations.load().zones[b.Zone]:
+		case f.keptAsked[i] || s == nil || e.Warmup().RateLimit().Limited || s.Engine == nil || f.evacuations.load().zones[b.Zone]:
 		case b.Zone == f.self.Zone:
 			here = append(here, e)
 		default:
@@ -61,7 +61,11 @@
 func (f *fleet) learnKept(ctx context.Context, e *predictor.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, cacheQueryTimeout)
 	defer cancel()
-	parts, err := f.o.Kept(ctx, e.Beat().Address)
+	sentAt := time.Now()
+	parts, state, err := f.o.Kept(ctx, e.Beat().Address)
+	if state != nil {
+		f.recordState(e, *state, sentAt)
+	}
 	if err != nil {
 		f.o.Log.Warn("endpoint's kept parts unknown", zap.String("endpoint", e.Name()), zap.Error(err))
 		return
--- a/courier/warmup.go
+++ b/courier/warmup.go
@@ -11,11 +11,13 @@
 	"rattanhoist.example/rattanhoist/warmer"
 )
 
-// warmup limits what this router sends to cold endpoints. It belongs to the goroutine of
-// the fleet's run.
+// warmup limits what this router sends to cold and rate limited endpoints. It belongs to
+// the goroutine of the fleet's run.
 type warmup struct {
 	members          *warmer.Members
 	overshoot, slack float64
+	// RateLimit is the fleet's bound on a rate limited endpoint; PerSecond is unset.
+	rateLimit warmer.Limit
 	// Cold holds the endpoints whose gates were closed last.
 	cold map[enroller.Incarnation]bool
 }
@@ -26,6 +28,8 @@
 		cold:    map[enroller.Incarnation]bool{},
 	}
 	w.overshoot, w.slack = o.Node.Cold()
+	w.rateLimit.Overshoot, w.rateLimit.Slack, w.rateLimit.Window = o.Node.RateLimit()
+	w.rateLimit.MinPerSecond = minLimitedRate
 	return w
 }
 
@@ -45,6 +49,7 @@
 func (w *warmup) apply(now time.Time, f *fleet) {
 	x, byBeat, returned := f.index.Load(), f.roll.ColdUntil(now), f.evacuations.load().returned
 	for i, e := range f.endpoints {
+		w.applyRateLimit(now, e)
 		until, cold := byBeat[i], publisher.Cold{}
 		if x != nil {
 			service := x.Service(e.Beat().Service)
@@ -72,10 +77,15 @@
 		return
 	}
 	w.cold[b.Incarnation] = true
-	owners, share := warmer.Limit{PerSecond: c.PerSecond, Overshoot: w.overshoot, Slack: w.slack}.Split()
-	expires := w.members.Until(now)
-	if !w.members.Owns(b.String(), b.Zone, owners) {
-		expires = time.Time{}
+	owners, share := warmer.Limit{PerSecond: c.PerSecond, Overshoot: w.overshoot, Slack: w.slack, Window: time.Second}.Split()
+	e.Warmup().Set(now, until, share, w.ownedUntil(now, e, owners))
+}
+
+// ownedUntil returns until when this router may act as an owner of an endpoint, or the
+// zero time if it is none.
+func (w *warmup) ownedUntil(now time.Time, e *predictor.Endpoint, owners int) time.Time {
+	if !w.members.Owns(e.Name(), e.Beat().Zone, owners) {
+		return time.Time{}
 	}
-	e.Warmup().Set(now, until, share, expires)
+	return w.members.Until(now)
 }
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -43,7 +43,8 @@
 	for {
 		work := j.f.Table.Choose(time.Now(), j.ask())
 		if work == nil {
-			j.give(ctx, http.StatusServiceUnavailable, "no endpoint in service")
+			after := j.f.Table.RetryAfter(time.Now(), j.ask())
+			j.giveAfter(ctx, max(after, comeBack), http.StatusServiceUnavailable, "no endpoint in service")
 			return
 		}
 		sent := time.Now()
@@ -147,6 +148,11 @@
 // give ends the request without an endpoint's answer. What may have run is
 // never called not run.
 func (j *job) give(ctx context.Context, status int, why string) {
+	j.giveAfter(ctx, comeBack, status, why)
+}
+
+// giveAfter is like give, but sets when a request that has not run should be retried.
+func (j *job) giveAfter(ctx context.Context, after time.Duration, status int, why string) {
 	switch {
 	case j.r.Context().Err() != nil:
 		// The caller is gone; nobody reads an answer.
@@ -157,7 +163,7 @@
 	case j.mayHaveRun:
 		j.fail(http.StatusBadGateway, why)
 	default:
-		j.refuse(status, why)
+		j.refuseFor(after, status, why)
 	}
 }
 
@@ -191,9 +197,9 @@
 	j.tried = append(j.tried, b.Incarnation)
 	defer a.Close()
 	marks := j.f.Wire.Marks(a.Status, a.Header)
-	// A misdirected response comes from another incarnation and says nothing about e.
+	// A misdirected response comes from another incarnation, so it does not describe e.
 	if !marks.Moved {
-		j.recordEndpointState(e, marks, sentAt)
+		j.recordState(e, marks.State, sentAt)
 	}
 	if marks.NotRun || marks.Moved {
 		j.mayHaveRun = before
@@ -203,19 +209,12 @@
 	return j.pass(ctx, a, work)
 }
 
-// recordEndpointState records the cold time, load and rate limit that an endpoint reports
-// in its response to a request sent at sentAt.
-func (j *job) recordEndpointState(e *predictor.Endpoint, m Marks, sentAt time.Time) {
-	now := time.Now()
-	if m.Cold > 0 {
-		e.Warmup().Extend(now, now.Add(m.Cold))
-	}
-	if m.Load != nil {
-		e.Report(now, *m.Load)
-	}
-	if e.Warmup().ObserveRateLimit(m.RateLimit, sentAt, now) {
+// recordState records the state that an endpoint reported in its response to a request
+// sent at sentAt.
+func (j *job) recordState(e *predictor.Endpoint, s predictor.State, sentAt time.Time) {
+	if e.Observe(s, sentAt, time.Now()) {
 		j.f.Log.Info("endpoint rate limit changed", zap.String("endpoint", e.Name()), zap.String("service", j.service.Name),
-			zap.Bool("limited", m.RateLimit.Limited), zap.Float64("per_second", m.RateLimit.PerSecond))
+			zap.Bool("limited", s.RateLimit.Limited), zap.Float64("per_second", s.RateLimit.PerSecond))
 	}
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -321,3 +321,29 @@
 	g.Expect(inside.requests()).To(gomega.HaveLen(5))
 	g.Expect(outside.requests()).To(gomega.BeEmpty())
 }
+
+// Guards against a rate limit that is read from only some kinds of responses. The router
+// has no share of the limit, so it must not send another request to the endpoint.
+func TestRateLimitIsReadFromAnyResponse(t *testing.T) {
+	const limit = "Server-Limit: 2\r\n"
+	for name, s := range map[string]script{
+		"whole": says(headOK + limit + "Content-Length: 5\r\n\r\nhello"), "stream": says(headOK+limit+"Transfer-Encoding: chunked\r\n\r\n", event("1"), ending),
+		"not run": says("HTTP/1.1 503 Service Unavailable\r\nRattanhoist-Not-Executed: 1\r\n" + limit + "Content-Length: 0\r\n\r\n"),
+		"failed":  says("HTTP/1.1 500 Internal Server Error\r\nRattanhoist-Request-Id: ID\r\n" + limit + "Content-Length: 3\r\n\r\nbad"),
+		"broken":  says(headOK+limit+"Content-Length: 5\r\n\r\nhe", "reset"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			e := newEndpoint(t, s)
+			w := newWorld(t, e)
+			w.ask(t, "POST", "/stream/x", "b")
+			g.Expect(e.requests()).To(gomega.HaveLen(1))
+			for _, path := range []string{"/stream/x", "/read/x", "/resume/x", "/once/x"} {
+				a := w.ask(t, "POST", path, "b")
+				g.Expect(a.status).To(gomega.Equal(503))
+				g.Expect(a.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+			}
+			g.Expect(e.requests()).To(gomega.HaveLen(1))
+		})
+	}
+}
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"rattanhoist.example/rattanhoist/predictor"
-	"rattanhoist.example/rattanhoist/warmer"
 )
 
 // Caller is what a request's header says, beside what is passed on.
@@ -47,12 +46,8 @@
 	Moved bool
 	// Signed says that the answer bears an endpoint's signature.
 	Signed bool
-	// Cold is for how much longer the endpoint says that it is cold; 0 where it doesn't.
-	Cold time.Duration
-	// RateLimit is the rate limit that the endpoint reports, shared by all routers.
-	RateLimit warmer.RateLimit
-	// Load is nil where the endpoint doesn't tell.
-	Load *predictor.Load
+	// State is what the endpoint reports about itself.
+	predictor.State
 }
 
 // Wire translates headers. It decides nothing.
--- a/loader/node.go
+++ b/loader/node.go
@@ -46,6 +46,9 @@
 	regions map[string]string
 	// ColdOvershoot and coldSlack bound what cold endpoints get.
 	coldOvershoot, coldSlack float64
+	// LimitOvershoot, limitSlack and limitWindow bound the requests to rate limited endpoints.
+	limitOvershoot, limitSlack float64
+	limitWindow                time.Duration
 }
 
 // Name returns the VM's name.
@@ -115,6 +118,12 @@
 // overshoot times its service's rate, and slack requests beside that.
 func (n *Node) Cold() (overshoot, slack float64) { return n.coldOvershoot, n.coldSlack }
 
+// RateLimit returns the fleet's bound on an endpoint that reports a rate limit: in any
+// window it gets at most overshoot times the requests that the limit allows, plus slack.
+func (n *Node) RateLimit() (overshoot, slack float64, window time.Duration) {
+	return n.limitOvershoot, n.limitSlack, n.limitWindow
+}
+
 // Defaults of a node's settings.
 const (
 	defaultHeartbeat    = time.Second
@@ -127,6 +136,10 @@
 	defaultQuarantine   = time.Hour
 	defaultOvershoot    = 1
 	mebibyte            = 1 << 20
+
+	defaultLimitOvershoot = 1.5
+	defaultLimitSlack     = 5
+	defaultLimitWindow    = 4 * time.Second
 )
 
 var nodeKeys = []string{
@@ -134,6 +147,7 @@
 	"metrics", "data_dir", "memory_mb", "lost_disks", "heartbeat_ms", "grace_s", "drain_ms",
 	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms", "quarantine_s",
 	"zones", "cold_overshoot", "cold_slack",
+	"limit_overshoot", "limit_slack", "limit_window_s",
 }
 
 // LoadNode reads and checks the settings of one process. The error lists
@@ -164,7 +178,7 @@
 		metrics: sec.Key("metrics").String(), dataDir: sec.Key("data_dir").String(),
 		heartbeat: defaultHeartbeat, grace: defaultGrace, drain: defaultDrain, retryRatio: defaultRetryRatio,
 		retrySlack: defaultRetrySlack, retryWindow: defaultRetryWindow, orderTimeout: defaultOrderTimeout, quarantine: defaultQuarantine,
-		coldOvershoot: defaultOvershoot,
+		coldOvershoot: defaultOvershoot, limitOvershoot: defaultLimitOvershoot, limitSlack: defaultLimitSlack, limitWindow: defaultLimitWindow,
 	}
 	c.oneOf(sec, "kind", n.kind, []string{KindRouter, KindKeeper})
 	c.flag(sec, "first_start", &n.firstStart)
@@ -232,6 +246,9 @@
 	c.number(sec, "retry_slack", &n.retrySlack)
 	c.number(sec, "cold_overshoot", &n.coldOvershoot)
 	c.number(sec, "cold_slack", &n.coldSlack)
+	c.number(sec, "limit_overshoot", &n.limitOvershoot)
+	c.number(sec, "limit_slack", &n.limitSlack)
+	c.span(sec, "limit_window_s", time.Second, &n.limitWindow)
 }
 
 // number reads a number that is not negative; an empty field stands for its
--- a/loader/node_test.go
+++ b/loader/node_test.go
@@ -35,6 +35,7 @@
 retry_ratio = 0.3
 zones = z:north,y:south
 cold_overshoot = 1.5
+limit_overshoot = 2
 new_field = 1
 `
 
@@ -53,6 +54,8 @@
 	overshoot, slack := n.Cold()
 	g.Expect(overshoot).To(gomega.Equal(1.5))
 	g.Expect(slack).To(gomega.BeZero())
+	overshoot, slack, window := n.RateLimit()
+	g.Expect([]any{overshoot, slack, window}).To(gomega.Equal([]any{2.0, 5.0, 4 * time.Second}), "missing fields have their defaults")
 	g.Expect(warnings).To(gomega.HaveLen(1), "an unknown field is told, not fatal")
 }
 
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -121,6 +121,17 @@
 	})
 }
 
+// RateLimits queries a router for the rate limits of endpoints.
+func (l *Link) RateLimits(ctx context.Context, timeout time.Duration, r *RateLimitsRequest) (*RateLimitsReply, error) {
+	var reply *RateLimitsReply
+	err := l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error {
+		var err error
+		reply, err = NewFleetRouterClient(c).RateLimits(ctx, r)
+		return err
+	})
+	return reply, err
+}
+
 func (l *Link) call(ctx context.Context, timeout time.Duration, f func(context.Context, *grpc.ClientConn) error) error {
 	c, err := l.connection()
 	if err != nil {
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -156,6 +156,28 @@
 	Running, Waiting, Slots int
 }
 
+// State is what an endpoint reports about itself in a response.
+type State struct {
+	// Cold is the remaining time for which the endpoint reports to be cold, or 0.
+	Cold time.Duration
+	// RateLimit applies to the requests of all routers combined.
+	RateLimit warmer.RateLimit
+	// Load is nil if not reported.
+	Load *Load
+}
+
+// Observe records the state that the endpoint reported in its response to a request sent
+// at sentAt. It returns whether the rate limit in effect changed.
+func (e *Endpoint) Observe(s State, sentAt, now time.Time) bool {
+	if s.Cold > 0 {
+		e.warmup.Extend(now, now.Add(s.Cold))
+	}
+	if s.Load != nil {
+		e.Report(now, *s.Load)
+	}
+	return e.warmup.ObserveRateLimit(s.RateLimit, sentAt, now)
+}
+
 // NewEndpoint returns an endpoint without history.
 func NewEndpoint(b enroller.Beat) *Endpoint {
 	return &Endpoint{
--- a/predictor/home.go
+++ b/predictor/home.go
@@ -48,7 +48,7 @@
 	}
 	shared := a.Prompt.Shared()
 	return highest(g.endpoints, shared[len(shared)-1].ID, func(e *Endpoint) bool {
-		return !g.apart[e] && !e.lost.Load() && !e.gate.Blocked(a.Since) && !e.warmup.Cold(now)
+		return !g.apart[e] && !e.lost.Load() && !e.gate.Blocked(a.Since) && !e.warmup.Restricted(now)
 	})
 }
 
--- a/predictor/plan.go
+++ b/predictor/plan.go
@@ -45,7 +45,7 @@
 	}
 	out := map[string]keeper{}
 	for _, e := range g.endpoints {
-		if e.lost.Load() || e.gate.Ejected() {
+		if e.lost.Load() || e.gate.Ejected() || e.warmup.Restricted(now) {
 			continue
 		}
 		if n := e.keeps(now, a, e == home); n >= fetchLeast && n > out[e.beat.Zone].kept {
--- a/predictor/predictor_test.go
+++ b/predictor/predictor_test.go
@@ -41,6 +41,32 @@
 	return predictor.Dispatch{Unread: unread, Takes: predictor.NewOrdinary().Read(unread, unread), Parts: parts}
 }
 
+// Guards against requests to a rate limited endpoint beyond this router's share of the
+// limit, including as the home of shared parts, and against retries that are due too early.
+func TestRateLimitedEndpointGetsItsShareOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	list := endpoints("a", 2)
+	x := table(list...)
+	shared := ask(800, predictor.Part{ID: "p", Tokens: 5_000})
+	limit := func(e *predictor.Endpoint, expires time.Time) {
+		e.Observe(predictor.State{RateLimit: warmer.RateLimit{Limited: true, PerSecond: 2}}, start, start)
+		e.Warmup().SetRateLimitShare(start, warmer.Share{Rate: 1, Burst: 1}, expires)
+	}
+	limit(list[0], time.Time{})
+	for range 20 {
+		w := x.Choose(start, shared)
+		g.Expect(w.Endpoint()).To(gomega.BeIdenticalTo(list[1]))
+		g.Expect(w.Donor()).To(gomega.BeNil())
+	}
+	limit(list[1], start.Add(time.Minute))
+	w := x.Choose(start, shared)
+	g.Expect(w.Endpoint()).To(gomega.BeIdenticalTo(list[1]), "the share allows one request")
+	g.Expect(x.Choose(start, shared)).To(gomega.BeNil())
+	g.Expect(x.RetryAfter(start, shared)).To(gomega.BeNumerically("~", time.Second, time.Millisecond))
+	list[0].Observe(predictor.State{}, start.Add(time.Millisecond), start.Add(2*time.Millisecond))
+	g.Expect(x.Choose(start.Add(2*time.Millisecond), shared).Endpoint()).To(gomega.BeIdenticalTo(list[0]), "the limit was removed")
+}
+
 // Pattern: a long prompt was just sent to an endpoint, by this router or by
 // another. A short one must not wait behind it: at 60 tokens a millisecond,
 // 60,000 tokens take a second, and the others are idle.
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -86,6 +86,9 @@
 	t.byName.Store(&names)
 }
 
+// Endpoint returns the endpoint with the given name, or nil if none is in service.
+func (t *Table) Endpoint(name string) *Endpoint { return (*t.byName.Load())[name] }
+
 // Endpoints returns the endpoints of a service; callers must not change it.
 func (t *Table) Endpoints(service string) []*Endpoint {
 	if g := (*t.byService.Load())[service]; g != nil {
@@ -149,6 +152,27 @@
 	}
 }
 
+// RetryAfter returns the shortest time until an endpoint may be sent the request, for which
+// Choose has found none; 0 if one is open to other requests or the time is unknown.
+func (t *Table) RetryAfter(now time.Time, a Ask) time.Duration {
+	g := (*t.byService.Load())[a.Service]
+	if g == nil {
+		return 0
+	}
+	var least time.Duration
+	for _, e := range g.within(a.Zones).endpoints {
+		at := e.warmup.OpensAt(now)
+		switch {
+		case e.lost.Load() || at.IsZero():
+		case !at.After(now):
+			return 0
+		case least == 0 || at.Sub(now) < least:
+			least = at.Sub(now)
+		}
+	}
+	return least
+}
+
 func (t *Table) best(now time.Time, a Ask, g *group, blocked bool) (best plan, ok bool) {
 	var least time.Duration
 	home := g.home(now, a)
--- a/warmer/gate.go
+++ b/warmer/gate.go
@@ -6,73 +6,102 @@
 	"time"
 )
 
-// Gate limits what one router sends to one endpoint while that is cold. The zero value
-// is open. It is safe for concurrent use; an endpoint that is warm costs no lock.
+// Gate limits what one router sends to one endpoint while that is cold or rate limited.
+// The zero value is open. It is safe for concurrent use, and takes no lock to admit a
+// request while the endpoint is neither.
 type Gate struct {
-	// Cold is false only for an endpoint that is warm.
-	cold atomic.Bool
-	mu   sync.Mutex
+	// Restricted is false only for an endpoint that is neither cold nor rate limited.
+	restricted atomic.Bool
+	mu         sync.Mutex
 	// Until is when the endpoint is warm, by heartbeats and evacuations; told is the
 	// same by its own answers. The later one counts.
 	until, told time.Time
-	share       Share
-	// Expires is when the router no longer owns the share.
-	expires time.Time
-	// Tokens is what the bucket held at filledAt; before the first time it is full.
-	tokens   float64
-	filledAt time.Time
-	// RateLimit is the rate limit last accepted from the endpoint's responses.
+	// RateLimit is the rate limit in effect.
 	rateLimit rateLimitState
+	// ColdQuota applies while the endpoint is cold, and rateQuota while it is rate limited.
+	coldQuota, rateQuota quota
 }
 
-// ObserveRateLimit records the rate limit reported in the response, received now, to a
-// request sent at sentAt. It returns whether the limit in effect changed.
-func (g *Gate) ObserveRateLimit(l RateLimit, sentAt, now time.Time) bool {
+// Set states until when the endpoint is cold, and the share that the router owns until
+// it expires.
+func (g *Gate) Set(now, until time.Time, s Share, expires time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.rateLimit.observe(l, sentAt, now)
+	g.until = until
+	g.coldQuota.set(now, s, expires)
+	g.updateRestricted(now)
 }
 
-// RateLimit returns the endpoint's rate limit in effect.
-func (g *Gate) RateLimit() RateLimit {
+// SetRateLimitShare sets the router's share of the endpoint's rate limit, and when that
+// share expires.
+func (g *Gate) SetRateLimitShare(now time.Time, s Share, expires time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.rateLimit.limit
+	g.rateQuota.set(now, s, expires)
 }
 
-// Set states until when the endpoint is cold, and the share that the router owns until
-// it expires.
-func (g *Gate) Set(now, until time.Time, s Share, expires time.Time) {
+// Extend notes that the endpoint itself says that it stays cold until then.
+func (g *Gate) Extend(now, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fill(now)
-	g.until, g.share, g.expires = until, s, expires
-	g.cold.Store(g.isCold(now))
+	g.told = until
+	g.updateRestricted(now)
 }
 
-// Extend notes that the endpoint itself says that it stays cold until then.
-func (g *Gate) Extend(now, until time.Time) {
+// ObserveRateLimit records the rate limit reported in the response to a request sent at
+// sentAt. The response was received at receivedAt, by this router or another. It returns
+// whether the limit in effect changed. When the endpoint becomes rate limited, the gate
+// closes until SetRateLimitShare is called.
+func (g *Gate) ObserveRateLimit(l RateLimit, sentAt, receivedAt time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.told = until
-	g.cold.Store(g.isCold(now))
+	wasLimited := g.rateLimit.limit.Limited
+	changed := g.rateLimit.observe(l, sentAt, receivedAt)
+	if !wasLimited {
+		g.rateQuota.expires = time.Time{}
+	}
+	g.updateRestricted(receivedAt)
+	return changed
+}
+
+// RateLimit returns the rate limit in effect.
+func (g *Gate) RateLimit() RateLimit {
+	if !g.restricted.Load() {
+		return RateLimit{}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rateLimit.limit
+}
+
+// LastRateLimit returns the rate limit in effect, the latest send time of a request whose
+// response was accepted, and the latest receive time of such a response. The times are
+// zero before the first response.
+func (g *Gate) LastRateLimit() (l RateLimit, sentAt, receivedAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rateLimit.limit, g.rateLimit.sentAt, g.rateLimit.receivedAt
 }
 
-// Cold reports whether the endpoint is cold.
-func (g *Gate) Cold(now time.Time) bool {
-	if !g.cold.Load() {
+// Restricted reports whether the endpoint is cold or rate limited.
+func (g *Gate) Restricted(now time.Time) bool {
+	if !g.restricted.Load() {
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.isCold(now)
+	return g.isRestricted(now)
 }
 
+func (g *Gate) isRestricted(now time.Time) bool { return g.isCold(now) || g.rateLimit.limit.Limited }
+
 func (g *Gate) isCold(now time.Time) bool { return g.until.After(now) || g.told.After(now) }
 
+func (g *Gate) updateRestricted(now time.Time) { g.restricted.Store(g.isRestricted(now)) }
+
 // Open reports whether a request may be sent now.
 func (g *Gate) Open(now time.Time) bool {
-	if !g.cold.Load() {
+	if !g.restricted.Load() {
 		return true
 	}
 	g.mu.Lock()
@@ -80,9 +109,29 @@
 	return g.open(now)
 }
 
+// OpensAt returns when the next request may be sent, or the zero time if that is unknown.
+func (g *Gate) OpensAt(now time.Time) time.Time {
+	if !g.restricted.Load() {
+		return now
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := now
+	for _, q := range g.activeQuotas(now) {
+		opens := q.opensAt(now)
+		if opens.IsZero() {
+			return opens
+		}
+		if opens.After(at) {
+			at = opens
+		}
+	}
+	return at
+}
+
 // Admit reports whether a request may be sent now, and counts it if so.
 func (g *Gate) Admit(now time.Time) bool {
-	if !g.cold.Load() {
+	if !g.restricted.Load() {
 		return true
 	}
 	g.mu.Lock()
@@ -90,31 +139,29 @@
 	if !g.open(now) {
 		return false
 	}
-	if g.isCold(now) {
-		g.tokens--
+	for _, q := range g.activeQuotas(now) {
+		q.tokens--
 	}
 	return true
 }
 
 func (g *Gate) open(now time.Time) bool {
-	if !g.isCold(now) {
-		return true
-	}
-	if !g.expires.After(now) {
-		return false
+	for _, q := range g.activeQuotas(now) {
+		if !q.open(now) {
+			return false
+		}
 	}
-	g.fill(now)
-	return g.tokens >= 1
+	return true
 }
 
-func (g *Gate) fill(now time.Time) {
-	switch {
-	case g.filledAt.IsZero():
-		g.tokens = burst
-	case now.After(g.filledAt):
-		g.tokens = min(g.tokens+now.Sub(g.filledAt).Seconds()*g.share.Rate, max(g.share.Burst, g.tokens))
+// activeQuotas returns the quotas that apply now.
+func (g *Gate) activeQuotas(now time.Time) []*quota {
+	var out []*quota
+	if g.isCold(now) {
+		out = append(out, &g.coldQuota)
 	}
-	if now.After(g.filledAt) {
-		g.filledAt = now
+	if g.rateLimit.limit.Limited {
+		out = append(out, &g.rateQuota)
 	}
+	return out
 }
--- a/warmer/limit.go
+++ b/warmer/limit.go
@@ -1,9 +1,11 @@
 // Package warmer bounds what all routers of a fleet together send to an endpoint that is
-// cold: it started lately, takes few requests a second, and more of them end it. The
-// right to send there is owned by a few routers, which all find by the same rule; the
-// others send nothing.
+// cold or that reports a rate limit. A cold endpoint has started recently and fails if it
+// gets more than a few requests per second. Only a few routers, the owners, may send to
+// such an endpoint. All routers determine the owners by the same rule.
 package warmer
 
+import "time"
+
 const (
 	// maxViews is how many sets of owners may stand side by side while routers
 	// disagree on who is a member.
@@ -15,33 +17,34 @@
 	burst = 1
 )
 
-// Limit bounds the requests to one cold endpoint. The zero value is no bound.
+// Limit bounds the requests to one endpoint. The zero value is no bound.
 type Limit struct {
 	// PerSecond is the rate that the endpoint tolerates; 0 for any.
 	PerSecond float64
-	// Overshoot times PerSecond, and Slack beside it, is the most that may arrive in
-	// any one second from all routers together, whether they agree or not.
+	// At most Overshoot x PerSecond x Window + Slack requests may arrive in any Window from
+	// all routers combined, even while they disagree on the owners.
 	Overshoot, Slack float64
+	Window           time.Duration
+	// MinPerSecond is the minimum combined rate of the owners. It may exceed PerSecond, but
+	// not the bound on a Window.
+	MinPerSecond float64
 }
 
 // Share is what one owner may send: a token bucket of Burst that fills at Rate a second.
 type Share struct{ Rate, Burst float64 }
 
-// Bound reports whether there is a limit at all.
-func (l Limit) Bound() bool { return l.PerSecond > 0 }
-
-// max is the most that may arrive in a second.
-func (l Limit) max() float64 { return l.PerSecond*l.Overshoot + l.Slack }
+// max is the most that may arrive in a window.
+func (l Limit) max() float64 { return l.PerSecond*l.Window.Seconds()*l.Overshoot + l.Slack }
 
-// Split returns how many owners an endpoint has, and the share of each. In any second
-// they send owners x (Burst + Rate) at the most; that many times maxViews is within the
-// limit, and owners x Rate within PerSecond.
+// Split returns how many owners an endpoint has, and the share of each. In any window
+// the owners send at most owners x (Burst + Rate x Window) requests; maxViews times that
+// is within the limit, and owners x Rate is at most max(PerSecond, MinPerSecond).
 func (l Limit) Split() (owners int, s Share) {
-	view := l.max() / maxViews
+	view, window := l.max()/maxViews, l.Window.Seconds()
 	if view < burst {
 		return 0, Share{}
 	}
-	owners = max(int(view/minOwnerLoad), 1)
-	rate := min(view/float64(owners)-burst, l.PerSecond/float64(owners))
+	owners = max(int(view/(minOwnerLoad*window)), 1)
+	rate := min((view/float64(owners)-burst)/window, max(l.PerSecond, l.MinPerSecond)/float64(owners))
 	return owners, Share{Rate: max(rate, 0), Burst: burst}
 }
--- a/warmer/members.go
+++ b/warmer/members.go
@@ -1,6 +1,7 @@
 package warmer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,6 +74,28 @@
 	return ahead < owners
 }
 
+// OtherOwners returns the addresses of an endpoint's owners, the highest rank first, to a
+// router that is none itself.
+func (m *Members) OtherOwners(endpoint, zone string, owners int) []string {
+	var ranks []position
+	for x := range m.seen {
+		if x.Address != m.self.Address {
+			ranks = append(ranks, rank(x, endpoint, zone))
+		}
+	}
+	slices.SortFunc(ranks, func(a, b position) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	out := make([]string, 0, owners)
+	for _, r := range ranks[:min(owners, len(ranks))] {
+		out = append(out, r.address)
+	}
+	return out
+}
+
 type position struct {
 	elsewhere bool
 	hash      uint64
--- a/warmer/rate_limit.go
+++ b/warmer/rate_limit.go
@@ -23,8 +23,13 @@
 // observe records the limit reported in the response to a request sent at sentAt, and
 // returns whether the limit in effect changed. A lower limit takes effect immediately. A
 // higher one, or none, is accepted only if the request was sent after the last accepted
-// response arrived: responses can arrive out of order, and this one may be outdated.
-func (s *rateLimitState) observe(l RateLimit, sentAt, now time.Time) bool {
+// response arrived, because responses can arrive out of order. A response that was received
+// before the request of an accepted one was sent, as another router may report it, is
+// outdated and ignored.
+func (s *rateLimitState) observe(l RateLimit, sentAt, receivedAt time.Time) bool {
+	if receivedAt.Before(s.sentAt) {
+		return false
+	}
 	if !l.stricterThan(s.limit) && l != s.limit && !sentAt.After(s.receivedAt) {
 		return false
 	}
@@ -33,7 +38,9 @@
 	if sentAt.After(s.sentAt) {
 		s.sentAt = sentAt
 	}
-	s.receivedAt = now
+	if receivedAt.After(s.receivedAt) {
+		s.receivedAt = receivedAt
+	}
 	return changed
 }
 
