Read, log and count Retry-After of endpoints

What callers saw: nothing new; this only adds visibility. An endpoint that rejects a request with 503 may state in Retry-After how long this router should send it no requests, but no log line or metric of a router showed it.

Only the response to a request that was sent after the last response with Retry-After arrived shows that the endpoint serves again.

Evidence: TestBackoffEndsOnlyByALaterResponse; decoding of eight headers in TestStampAndMarks.

--- a/courier/kept.go
+++ b/courier/kept.go
@@ -64,7 +64,7 @@
 	sentAt := time.Now()
 	parts, state, err := f.o.Kept(ctx, e.Beat().Address)
 	if state != nil {
-		f.recordState(e, *state, sentAt)
+		f.Observe(e, *state, sentAt)
 	}
 	if err != nil {
 		f.o.Log.Warn("endpoint's kept parts unknown", zap.String("endpoint", e.Name()), zap.Error(err))
--- a/courier/rate_limit.go
+++ b/courier/rate_limit.go
@@ -134,14 +134,6 @@
 	}
 }
 
-// recordState records the state that an endpoint reported in its response to a request
-// sent at sentAt.
-func (f *fleet) recordState(e *predictor.Endpoint, s predictor.State, sentAt time.Time) {
-	if e.Observe(s, sentAt, time.Now()) {
-		f.logRateLimit(e, s.RateLimit)
-	}
-}
-
 func (f *fleet) logRateLimit(e *predictor.Endpoint, l warmer.RateLimit) {
 	f.o.Log.Info("endpoint rate limit changed", zap.String("endpoint", e.Name()), zap.String("service", e.Beat().Service),
 		zap.Bool("limited", l.Limited), zap.Float64("per_second", l.PerSecond))
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -177,6 +177,9 @@
 	if e.Warmup().RateLimit().Limited {
 		toRateLimited.Inc()
 	}
+	if e.Warmup().BackingOff(time.Now()) {
+		beforeRetryAfter.Inc()
+	}
 	before, sentAt := j.mayHaveRun, time.Now()
 	a, err := j.f.Pool.Exchange(ctx, j.target(e), j.request(work))
 	if err != nil {
@@ -199,7 +202,7 @@
 	marks := j.f.Wire.Marks(a.Status, a.Header)
 	// A misdirected response comes from another incarnation, so it does not describe e.
 	if !marks.Moved {
-		j.recordState(e, marks.State, sentAt)
+		j.f.Fleet.Observe(e, marks.State, sentAt)
 	}
 	if marks.NotRun || marks.Moved {
 		j.mayHaveRun = before
@@ -209,15 +212,6 @@
 	return j.pass(ctx, a, work)
 }
 
-// recordState records the state that an endpoint reported in its response to a request
-// sent at sentAt.
-func (j *job) recordState(e *predictor.Endpoint, s predictor.State, sentAt time.Time) {
-	if e.Observe(s, sentAt, time.Now()) {
-		j.f.Log.Info("endpoint rate limit changed", zap.String("endpoint", e.Name()), zap.String("service", j.service.Name),
-			zap.Bool("limited", s.RateLimit.Limited), zap.Float64("per_second", s.RateLimit.PerSecond))
-	}
-}
-
 // blame counts a failure against an endpoint, unless the caller left or the
 // time ran out.
 func (j *job) blame(ctx context.Context, e *predictor.Endpoint) {
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -18,7 +18,9 @@
 	fetched         = metrics.NewCounter("rattanhoist_prompts_fetched_total")
 	heldBack        = metrics.NewCounter("rattanhoist_requests_held_back_total")
 	toRateLimited   = metrics.NewCounter("rattanhoist_requests_to_rate_limited_total")
-	blamed          = metrics.NewCounter("rattanhoist_endpoint_failures_total")
+	// beforeRetryAfter counts requests sent to an endpoint before its Retry-After period elapsed.
+	beforeRetryAfter = metrics.NewCounter("rattanhoist_requests_before_retry_after_total")
+	blamed           = metrics.NewCounter("rattanhoist_endpoint_failures_total")
 )
 
 // countEnd counts a final answer; status 0 stands for a caller who left.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -88,6 +88,9 @@
 	Routers() int
 	// Dispatched tells other routers of a prompt sent to an endpoint of a zone.
 	Dispatched(endpoint, zone string, d predictor.Dispatch)
+	// Observe records the state that an endpoint reported in its response to a request sent
+	// at sentAt.
+	Observe(e *predictor.Endpoint, s predictor.State, sentAt time.Time)
 	// Partial reports whether only some of the other routers tell this one what they
 	// send.
 	Partial() bool
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -161,7 +161,10 @@
 func (f fleetStub) Await(context.Context) (*publisher.Index, time.Duration) { return f.index, 0 }
 func (f fleetStub) Routers() int                                            { return 1 }
 func (f fleetStub) Dispatched(string, string, predictor.Dispatch)           {}
-func (f fleetStub) Partial() bool                                           { return false }
+func (f fleetStub) Observe(e *predictor.Endpoint, s predictor.State, sentAt time.Time) {
+	e.Observe(s, sentAt, time.Now())
+}
+func (f fleetStub) Partial() bool { return false }
 
 // world is one router before scripted endpoints.
 type world struct {
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -162,20 +162,34 @@
 	Cold time.Duration
 	// RateLimit applies to the requests of all routers combined.
 	RateLimit warmer.RateLimit
+	// RetryAfter is how long this router should send no requests to the endpoint, which is
+	// shedding load; 0 if the endpoint did not ask for that.
+	RetryAfter time.Duration
 	// Load is nil if not reported.
 	Load *Load
 }
 
+// StateChange describes the effect of recording a State.
+type StateChange struct {
+	// RateLimit is set if the rate limit in effect changed.
+	RateLimit bool
+	// SheddingStarted is set if the endpoint started shedding load.
+	SheddingStarted bool
+}
+
 // Observe records the state that the endpoint reported in its response to a request sent
-// at sentAt. It returns whether the rate limit in effect changed.
-func (e *Endpoint) Observe(s State, sentAt, now time.Time) bool {
+// at sentAt, and returns what changed.
+func (e *Endpoint) Observe(s State, sentAt, now time.Time) StateChange {
 	if s.Cold > 0 {
 		e.warmup.Extend(now, now.Add(s.Cold))
 	}
 	if s.Load != nil {
 		e.Report(now, *s.Load)
 	}
-	return e.warmup.ObserveRateLimit(s.RateLimit, sentAt, now)
+	return StateChange{
+		RateLimit:       e.warmup.ObserveRateLimit(s.RateLimit, sentAt, now),
+		SheddingStarted: e.warmup.ObserveBackoff(s.RetryAfter, sentAt, now),
+	}
 }
 
 // NewEndpoint returns an endpoint without history.
--- a/warmer/gate.go
+++ b/warmer/gate.go
@@ -10,7 +10,8 @@
 // The zero value is open. It is safe for concurrent use, and takes no lock to admit a
 // request while the endpoint is neither.
 type Gate struct {
-	// Restricted is false only for an endpoint that is neither cold nor rate limited.
+	// Restricted is false only for an endpoint that is neither cold, rate limited nor
+	// shedding load.
 	restricted atomic.Bool
 	mu         sync.Mutex
 	// Until is when the endpoint is warm, by heartbeats and evacuations; told is the
@@ -18,6 +19,8 @@
 	until, told time.Time
 	// RateLimit is the rate limit in effect.
 	rateLimit rateLimitState
+	// Backoff is the Retry-After state of the endpoint.
+	backoff backoff
 	// ColdQuota applies while the endpoint is cold, and rateQuota while it is rate limited.
 	coldQuota, rateQuota quota
 }
@@ -48,6 +51,27 @@
 	g.updateRestricted(now)
 }
 
+// ObserveBackoff records the Retry-After period, 0 for none, of the response to a request
+// sent at sentAt. The response was received at receivedAt. It returns whether the endpoint
+// started shedding load.
+func (g *Gate) ObserveBackoff(retryAfter time.Duration, sentAt, receivedAt time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	started := g.backoff.observe(retryAfter, sentAt, receivedAt)
+	g.updateRestricted(receivedAt)
+	return started
+}
+
+// BackingOff reports whether the endpoint's Retry-After period has not elapsed yet.
+func (g *Gate) BackingOff(now time.Time) bool {
+	if !g.restricted.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.backoff.until.After(now)
+}
+
 // ObserveRateLimit records the rate limit reported in the response to a request sent at
 // sentAt. The response was received at receivedAt, by this router or another. It returns
 // whether the limit in effect changed. When the endpoint becomes rate limited, the gate
@@ -93,7 +117,9 @@
 	return g.isRestricted(now)
 }
 
-func (g *Gate) isRestricted(now time.Time) bool { return g.isCold(now) || g.rateLimit.limit.Limited }
+func (g *Gate) isRestricted(now time.Time) bool {
+	return g.isCold(now) || g.rateLimit.limit.Limited || g.backoff.shedding()
+}
 
 func (g *Gate) isCold(now time.Time) bool { return g.until.After(now) || g.told.After(now) }
 
