Test of endpoints that send Retry-After: red

Three routers with 20 requests a second each, two engines, of which one turns everything away with 503 and Retry-After: 2.

--- a/courier/rate_limit_process_test.go
+++ b/courier/endpoint_state_test.go
@@ -21,9 +21,9 @@
 	notificationGrace = 500 * time.Millisecond
 )
 
-// rateLimitedEngine is an engine that reports a rate limit in its responses while one is
-// set.
-type rateLimitedEngine struct {
+// reportingEngine is an engine that reports its state in its responses: a rate limit, or
+// that it sheds load and wants no requests for a time.
+type reportingEngine struct {
 	f       *fleet
 	id      string
 	address string
@@ -33,20 +33,24 @@
 	limitedAt time.Time
 	// Notified is when each router was first sent a response with a limit.
 	notified map[string]time.Time
-	arrivals []arrival
+	// RetryAfter is what it asks for while it sheds load; 0 while it serves.
+	retryAfter time.Duration
+	arrivals   []arrival
 }
 
 type arrival struct {
 	at     time.Time
 	router string
+	// RetryAfter is what the response asked for; 0 if the request was run.
+	retryAfter time.Duration
 }
 
-func (f *fleet) rateLimitedEngine(id string) *rateLimitedEngine {
+func (f *fleet) reportingEngine(id string) *reportingEngine {
 	l, err := net.Listen("tcp", f.ip(100)+":0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	e := &rateLimitedEngine{f: f, id: id, address: l.Addr().String(), notified: map[string]time.Time{}}
+	e := &reportingEngine{f: f, id: id, address: l.Addr().String(), notified: map[string]time.Time{}}
 	s := &http.Server{Handler: e, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.Serve(l) }()
 	f.t.Cleanup(func() { _ = s.Close() })
@@ -56,7 +60,7 @@
 
 // ServeHTTP responds with two events. Request ids start with the name of the router that
 // received the request.
-func (e *rateLimitedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (e *reportingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("Rattanhoist-Target-Instance") != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -64,7 +68,8 @@
 	id := r.Header.Get("Rattanhoist-Request-Id")
 	router, _, _ := strings.Cut(id, "-")
 	e.mu.Lock()
-	e.arrivals = append(e.arrivals, arrival{time.Now(), router})
+	e.arrivals = append(e.arrivals, arrival{time.Now(), router, e.retryAfter})
+	retryAfter := e.retryAfter
 	if e.limit > 0 {
 		w.Header().Set("Server-Limit", fmt.Sprint(e.limit))
 		if e.notified[router].IsZero() {
@@ -72,20 +77,50 @@
 		}
 	}
 	e.mu.Unlock()
+	if retryAfter > 0 {
+		w.Header().Set("Retry-After", fmt.Sprint(retryAfter.Seconds()))
+		w.Header().Set("Rattanhoist-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Rattanhoist-Request-Id", id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
 }
 
-func (e *rateLimitedEngine) setLimit(perSecond float64) {
+func (e *reportingEngine) setLimit(perSecond float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.limit, e.limitedAt = perSecond, time.Now()
 }
 
+func (e *reportingEngine) setRetryAfter(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retryAfter = d
+}
+
+// maxEarlyRetries returns the maximum number of requests from one router that arrived
+// between notificationGrace after a response with Retry-After and the end of that time.
+func (e *reportingEngine) maxEarlyRetries() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	most := 0
+	for i, shed := range e.arrivals {
+		n := 0
+		for _, a := range e.arrivals[i+1:] {
+			if d := a.at.Sub(shed.at); a.router == shed.router && d > notificationGrace && d < shed.retryAfter {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // maxArrivals returns the maximum number of requests from notified routers in any
 // rateWindow that ends at least contactWindow after the limit was set.
-func (e *rateLimitedEngine) maxArrivals() int {
+func (e *reportingEngine) maxArrivals() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	most := 0
@@ -106,7 +141,7 @@
 }
 
 // routersSince returns the routers whose requests arrived after t.
-func (e *rateLimitedEngine) routersSince(t time.Time) map[string]bool {
+func (e *reportingEngine) routersSince(t time.Time) map[string]bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := map[string]bool{}
@@ -148,7 +183,7 @@
 	for _, r := range routers {
 		f.router(r)
 	}
-	limited, unlimited := f.rateLimitedEngine("i-1"), f.rateLimitedEngine("i-2")
+	limited, unlimited := f.reportingEngine("i-1"), f.reportingEngine("i-2")
 	for _, r := range routers {
 		f.serves(g, r)
 	}
@@ -174,8 +209,8 @@
 	for _, r := range routers {
 		f.router(r)
 	}
-	e := f.rateLimitedEngine("i-1")
-	f.rateLimitedEngine("i-2")
+	e := f.reportingEngine("i-1")
+	f.reportingEngine("i-2")
 	for _, r := range routers {
 		f.serves(g, r)
 	}
@@ -187,3 +222,29 @@
 	ended := time.Now()
 	g.Eventually(func() map[string]bool { return e.routersSince(ended) }, 10*time.Second, 100*time.Millisecond).Should(gomega.HaveLen(len(routers)))
 }
+
+// Guards against requests to an endpoint that sheds load before the time in its
+// Retry-After has passed, and against routers that never use it again.
+func TestEndpointGetsNoRequestsBeforeItsRetryAfter(t *testing.T) {
+	f, g := start(t, 70)
+	f.publish(g, 1, document(2, 10_000_000))
+	routers := []int{4, 5, 6}
+	for _, r := range routers {
+		f.router(r)
+	}
+	shedding := f.reportingEngine("i-1")
+	f.reportingEngine("i-2")
+	for _, r := range routers {
+		f.serves(g, r)
+	}
+	defer f.startLoad(routers...)()
+	time.Sleep(time.Second)
+	shedding.setRetryAfter(2 * time.Second)
+	time.Sleep(7 * time.Second)
+	most := shedding.maxEarlyRetries()
+	t.Logf("%d requests of one router before the time had passed", most)
+	g.Expect(most).To(gomega.BeNumerically("<=", 2))
+	shedding.setRetryAfter(0)
+	ended := time.Now()
+	g.Eventually(func() map[string]bool { return shedding.routersSince(ended) }, 5*time.Second, 50*time.Millisecond).Should(gomega.HaveLen(len(routers)))
+}
