Honor Retry-After from endpoints

What callers saw: after an endpoint had refused a router's request with 503 and Retry-After: 3, it received 10 more requests from that router within that time, where 2 are allowed. Many callers received 503 after two such endpoints had refused them in turn, while ten other endpoints were serving.

Cause: no routing decision used the header. An endpoint that refuses requests immediately has nothing running and looks idle, so it attracts more requests than before. Class: as with the rate limits, no single place enforces what an endpoint reports about itself in a response.

TestEndpointGetsNoRequestsBeforeItsRetryAfter: 18 requests from one router within the Retry-After period, 2 allowed.

Change: warmer.Gate closes the endpoint for this router until the Retry-After period has elapsed, extended by a random delay of up to an eighth so that routers don't return at the same time. After that, one request every 0.5 s is sent as a probe, preferably a repeatable one, until a response without Retry-After to a request sent later. The backoff applies wherever the rate limits apply: to every endpoint choice, homes, donors and prefix cache queries (which now also skip cold endpoints). Callers whose requests are refused as not run are told when the first endpoint opens, after any refusal and not only when no endpoint was available.

Result: in the same test, 0 requests arrive within that period, and all routers use the endpoint again once it serves.

--- a/courier/endpoint_state_test.go
+++ b/courier/endpoint_state_test.go
@@ -21,8 +21,8 @@
 	notificationGrace = 500 * time.Millisecond
 )
 
-// reportingEngine is an engine that reports its state in its responses: a rate limit, or
-// that it sheds load and wants no requests for a time.
+// reportingEngine is an engine that reports its state in its responses: a rate limit while
+// one is set, and Retry-After while it sheds load.
 type reportingEngine struct {
 	f       *fleet
 	id      string
@@ -33,7 +33,7 @@
 	limitedAt time.Time
 	// Notified is when each router was first sent a response with a limit.
 	notified map[string]time.Time
-	// RetryAfter is what it asks for while it sheds load; 0 while it serves.
+	// RetryAfter is the period sent in Retry-After; 0 if the engine is not shedding load.
 	retryAfter time.Duration
 	arrivals   []arrival
 }
@@ -41,7 +41,7 @@
 type arrival struct {
 	at     time.Time
 	router string
-	// RetryAfter is what the response asked for; 0 if the request was run.
+	// RetryAfter is the Retry-After period of the response; 0 if the request was run.
 	retryAfter time.Duration
 }
 
@@ -100,8 +100,8 @@
 	e.retryAfter = d
 }
 
-// maxEarlyRetries returns the maximum number of requests from one router that arrived
-// between notificationGrace after a response with Retry-After and the end of that time.
+// maxEarlyRetries returns the maximum number of requests from one router that arrived later
+// than notificationGrace after a response with Retry-After, but before that period elapsed.
 func (e *reportingEngine) maxEarlyRetries() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -223,8 +223,8 @@
 	g.Eventually(func() map[string]bool { return e.routersSince(ended) }, 10*time.Second, 100*time.Millisecond).Should(gomega.HaveLen(len(routers)))
 }
 
-// Guards against requests to an endpoint that sheds load before the time in its
-// Retry-After has passed, and against routers that never use it again.
+// Guards against requests to an endpoint that is shedding load before its Retry-After period
+// has elapsed, and against routers that don't use the endpoint again after it recovers.
 func TestEndpointGetsNoRequestsBeforeItsRetryAfter(t *testing.T) {
 	f, g := start(t, 70)
 	f.publish(g, 1, document(2, 10_000_000))
@@ -242,7 +242,7 @@
 	shedding.setRetryAfter(2 * time.Second)
 	time.Sleep(7 * time.Second)
 	most := shedding.maxEarlyRetries()
-	t.Logf("%d requests of one router before the time had passed", most)
+	t.Logf("at most %d requests from one router before Retry-After elapsed", most)
 	g.Expect(most).To(gomega.BeNumerically("<=", 2))
 	shedding.setRetryAfter(0)
 	ended := time.Now()
--- a/courier/kept.go
+++ b/courier/kept.go
@@ -41,7 +41,7 @@
 	for i, e := range f.endpoints {
 		b := e.Beat()
 		switch s := x.Service(b.Service); {
-		case f.keptAsked[i] || s == nil || e.Warmup().RateLimit().Limited || s.Engine == nil || f.evacuations.load().zones[b.Zone]:
+		case f.keptAsked[i] || s == nil || e.Warmup().Restricted(time.Now()) || s.Engine == nil || f.evacuations.load().zones[b.Zone]:
 		case b.Zone == f.self.Zone:
 			here = append(here, e)
 		default:
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -43,8 +43,7 @@
 	for {
 		work := j.f.Table.Choose(time.Now(), j.ask())
 		if work == nil {
-			after := j.f.Table.RetryAfter(time.Now(), j.ask())
-			j.giveAfter(ctx, max(after, comeBack), http.StatusServiceUnavailable, "no endpoint in service")
+			j.give(ctx, http.StatusServiceUnavailable, "no endpoint in service")
 			return
 		}
 		sent := time.Now()
@@ -148,11 +147,6 @@
 // give ends the request without an endpoint's answer. What may have run is
 // never called not run.
 func (j *job) give(ctx context.Context, status int, why string) {
-	j.giveAfter(ctx, comeBack, status, why)
-}
-
-// giveAfter is like give, but sets when a request that has not run should be retried.
-func (j *job) giveAfter(ctx context.Context, after time.Duration, status int, why string) {
 	switch {
 	case j.r.Context().Err() != nil:
 		// The caller is gone; nobody reads an answer.
@@ -163,7 +157,7 @@
 	case j.mayHaveRun:
 		j.fail(http.StatusBadGateway, why)
 	default:
-		j.refuseFor(after, status, why)
+		j.refuseFor(max(j.f.Table.RetryAfter(time.Now(), j.ask()), comeBack), status, why)
 	}
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -347,3 +347,21 @@
 		})
 	}
 }
+
+// Guards against requests to an endpoint before its Retry-After period has elapsed, and
+// against refusals that tell callers to retry before an endpoint accepts requests.
+func TestEndpointRetryAfterIsHonored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	unavailable := "HTTP/1.1 503 Service Unavailable\r\nRattanhoist-Not-Executed: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
+	one, two := newEndpoint(t, says(unavailable)), newEndpoint(t, says(unavailable))
+	w := newWorld(t, one, two)
+	for _, path := range []string{"/read/x", "/stream/x", "/resume/x", "/once/x"} {
+		a := w.ask(t, "POST", path, "b")
+		g.Expect(a.status).To(gomega.Equal(503))
+		after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(after).To(gomega.BeNumerically(">", 2), path)
+	}
+	g.Expect(one.requests()).To(gomega.HaveLen(1))
+	g.Expect(two.requests()).To(gomega.HaveLen(1))
+}
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,9 @@
 	// running takes the rest. The parts used least lately yield first, so a part is
 	// gone once so many other tokens were read since its last use.
 	keepsPart = 0.5
+	// backoffJitterDivisor limits the random delay added to a Retry-After period to the
+	// period divided by it.
+	backoffJitterDivisor = 8
 	// memoryUnknown stands for an endpoint's memory where the document does not
 	// state it, in tokens: below what the engines in use have.
 	memoryUnknown = 200_000
@@ -177,6 +181,12 @@
 	SheddingStarted bool
 }
 
+// withJitter adds a random delay to a Retry-After period, so that routers don't all send
+// requests as soon as it ends. It returns 0 for 0.
+func withJitter(retryAfter time.Duration) time.Duration {
+	return retryAfter + rand.N(retryAfter/backoffJitterDivisor+1)
+}
+
 // Observe records the state that the endpoint reported in its response to a request sent
 // at sentAt, and returns what changed.
 func (e *Endpoint) Observe(s State, sentAt, now time.Time) StateChange {
@@ -188,7 +198,7 @@
 	}
 	return StateChange{
 		RateLimit:       e.warmup.ObserveRateLimit(s.RateLimit, sentAt, now),
-		SheddingStarted: e.warmup.ObserveBackoff(s.RetryAfter, sentAt, now),
+		SheddingStarted: e.warmup.ObserveBackoff(withJitter(s.RetryAfter), sentAt, now),
 	}
 }
 
--- a/predictor/predictor_test.go
+++ b/predictor/predictor_test.go
@@ -67,6 +67,42 @@
 	g.Expect(x.Choose(start.Add(2*time.Millisecond), shared).Endpoint()).To(gomega.BeIdenticalTo(list[0]), "the limit was removed")
 }
 
+// Guards against requests to an endpoint that is shedding load before its Retry-After period
+// has elapsed, and against a burst of requests afterwards instead of single probes at
+// intervals, preferably with repeatable requests.
+func TestSheddingEndpointIsProbedAfterRetryAfter(t *testing.T) {
+	g := gomega.NewWithT(t)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	list := endpoints("a", 2)
+	x := table(list...)
+	plain, repeatable := ask(800), ask(800)
+	repeatable.Repeatable = true
+	// countSent sends 20 requests and returns how many of them went to list[0].
+	countSent := func(ms int, a predictor.Ask) int {
+		n := 0
+		for range 20 {
+			w := x.Choose(at(ms), a)
+			if w.Endpoint() == list[0] {
+				n++
+			}
+			w.First(at(ms))
+			w.End()
+		}
+		return n
+	}
+	c := list[0].Observe(predictor.State{RetryAfter: 2 * time.Second}, at(0), at(10))
+	g.Expect(c.SheddingStarted).To(gomega.BeTrue())
+	g.Expect(countSent(20, repeatable)).To(gomega.BeZero())
+	g.Expect(countSent(2009, repeatable)).To(gomega.BeZero())
+	g.Expect(x.RetryAfter(at(20), plain)).To(gomega.BeZero(), "the other endpoint is open")
+	g.Expect(countSent(2300, plain)).To(gomega.BeZero(), "probes prefer repeatable requests")
+	g.Expect(countSent(2310, repeatable)).To(gomega.BeNumerically("<=", 1))
+	g.Expect(countSent(9000, plain)).To(gomega.BeNumerically("<=", 1), "an overdue probe may use any request")
+	g.Expect(countSent(9600, repeatable)).To(gomega.BeNumerically("<=", 1))
+	list[0].Observe(predictor.State{}, at(9600), at(9610))
+	g.Expect(countSent(9620, plain)).To(gomega.BeNumerically(">", 3), "the endpoint stopped shedding load")
+}
+
 // Pattern: a long prompt was just sent to an endpoint, by this router or by
 // another. A short one must not wait behind it: at 60 tokens a millisecond,
 // 60,000 tokens take a second, and the others are idle.
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -188,7 +188,7 @@
 		if e.beat.Zone != t.zone {
 			c += crossZoneCost(a.Prompt)
 		}
-		c += probeCost(e.gate.ProbeDue(a.Since), a.Repeatable)
+		c += probeCost(max(e.gate.ProbeDue(a.Since), e.warmup.ProbeDue(now)), a.Repeatable)
 		// A little noise keeps routers that know the same from choosing the
 		// same endpoint at the same moment.
 		c += time.Duration(rand.Int64N(int64(2 * time.Millisecond)))
--- a/warmer/gate.go
+++ b/warmer/gate.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// Gate limits what one router sends to one endpoint while that is cold or rate limited.
-// The zero value is open. It is safe for concurrent use, and takes no lock to admit a
-// request while the endpoint is neither.
+// Gate limits what one router sends to one endpoint while that is cold, rate limited or
+// shedding load. The zero value is open. It is safe for concurrent use, and takes no lock to
+// admit a request while the endpoint is none of these.
 type Gate struct {
 	// Restricted is false only for an endpoint that is neither cold, rate limited nor
 	// shedding load.
@@ -72,6 +72,20 @@
 	return g.backoff.until.After(now)
 }
 
+// ProbeDue returns how long a probe of an endpoint that is shedding load has been due; 0 if
+// none is due.
+func (g *Gate) ProbeDue(now time.Time) time.Duration {
+	if !g.restricted.Load() {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.backoff.shedding() {
+		return 0
+	}
+	return max(now.Sub(g.backoff.opensAt()), 0)
+}
+
 // ObserveRateLimit records the rate limit reported in the response to a request sent at
 // sentAt. The response was received at receivedAt, by this router or another. It returns
 // whether the limit in effect changed. When the endpoint becomes rate limited, the gate
@@ -107,7 +121,7 @@
 	return g.rateLimit.limit, g.rateLimit.sentAt, g.rateLimit.receivedAt
 }
 
-// Restricted reports whether the endpoint is cold or rate limited.
+// Restricted reports whether the endpoint is cold, rate limited or shedding load.
 func (g *Gate) Restricted(now time.Time) bool {
 	if !g.restricted.Load() {
 		return false
@@ -143,6 +157,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	at := now
+	if opens := g.backoff.opensAt(); opens.After(now) {
+		at = opens
+	}
 	for _, q := range g.activeQuotas(now) {
 		opens := q.opensAt(now)
 		if opens.IsZero() {
@@ -168,10 +185,14 @@
 	for _, q := range g.activeQuotas(now) {
 		q.tokens--
 	}
+	g.backoff.admit(now)
 	return true
 }
 
 func (g *Gate) open(now time.Time) bool {
+	if g.backoff.opensAt().After(now) {
+		return false
+	}
 	for _, q := range g.activeQuotas(now) {
 		if !q.open(now) {
 			return false
