Stop sending new requests to endpoints that report that they are leaving

What callers saw: nothing that was recorded. An endpoint that is leaving sets Server-Leaving: 1 in all of its responses, in some cases before any keeper knows. Routers out of touch with keepers had no other way to learn of it and continued to send requests to the endpoint.

Cause: the header was not read. This is the same class of fault as with the rate limits and Retry-After.

Evidence: TestLeavingEndpointGetsNoNewRequests fails for all five kinds of responses without the decoding; TestEndpointThatReportsLeavingStaysOut fails without the removal.

Change: decode the header into predictor.State. The first response with the header immediately excludes the endpoint from selection by this router. The fleet's goroutine then records the leave as if a keeper had reported it, so that a keeper that does not know yet can't return that incarnation to service. As with a leave that a keeper reports, only idle connections are closed. New log line: "endpoint reports that it is leaving".

--- a/courier/endpoint.go
+++ b/courier/endpoint.go
@@ -23,6 +23,7 @@
 	if now.Sub(f.touchedAt) < touchGap && now.Sub(f.touchSince) > silentBeats*f.o.Node.Heartbeat() {
 		f.roll.Expire(now)
 	}
+	f.removeLeaving(now)
 	evacuated := f.evacuations.load()
 	if f.roll.Revision() == f.appliedRevision && evacuated.revision == f.appliedEvacuations {
 		return
--- a/courier/endpoint_state.go
+++ b/courier/endpoint_state.go
@@ -9,7 +9,7 @@
 )
 
 // Observe records the state that an endpoint reported in its response to a request sent
-// at sentAt, and logs changes of its rate limit and the start of load shedding.
+// at sentAt, logs what changed, and has an endpoint that is leaving removed from service.
 func (f *fleet) Observe(e *predictor.Endpoint, s predictor.State, sentAt time.Time) {
 	change := e.Observe(s, sentAt, time.Now())
 	if change.RateLimit {
@@ -19,4 +19,22 @@
 		f.o.Log.Info("endpoint started shedding load", zap.String("endpoint", e.Name()), zap.String("service", e.Beat().Service),
 			zap.Duration("retry_after", s.RetryAfter))
 	}
+	if change.LeavingStarted {
+		f.o.Log.Info("endpoint reports that it is leaving", zap.String("endpoint", e.Name()), zap.String("service", e.Beat().Service))
+		f.mu.Lock()
+		f.leaving = append(f.leaving, e.Beat().Incarnation)
+		f.mu.Unlock()
+	}
+}
+
+// removeLeaving permanently removes from service the incarnations that have reported that
+// they are leaving, so that later sightings from keepers can't restore them.
+func (f *fleet) removeLeaving(now time.Time) {
+	f.mu.Lock()
+	leaving := f.leaving
+	f.leaving = nil
+	f.mu.Unlock()
+	for _, i := range leaving {
+		f.roll.Leave(now, i)
+	}
 }
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -75,6 +75,9 @@
 	// askNext pass.
 	owing  map[string]bool
 	silent map[string]time.Time
+	// Leaving holds the incarnations that have reported that they are leaving, until the
+	// goroutine of run removes them from service.
+	leaving []enroller.Incarnation
 
 	// The rest belongs to the goroutine of run.
 	roll      *enroller.Table
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -325,12 +325,23 @@
 // Guards against a rate limit that is read from only some kinds of responses. The router
 // has no share of the limit, so it must not send another request to the endpoint.
 func TestRateLimitIsReadFromAnyResponse(t *testing.T) {
-	const limit = "Server-Limit: 2\r\n"
+	expectNoRequestsAfter(t, "Server-Limit: 2\r\n")
+}
+
+// Guards against new requests to an endpoint after it has reported, in any kind of
+// response, that it is leaving.
+func TestLeavingEndpointGetsNoNewRequests(t *testing.T) {
+	expectNoRequestsAfter(t, "Server-Leaving: 1\r\n")
+}
+
+// expectNoRequestsAfter checks, for each kind of response, that an endpoint receives no
+// further requests after a response that contains the given header field.
+func expectNoRequestsAfter(t *testing.T, field string) {
 	for name, s := range map[string]script{
-		"whole": says(headOK + limit + "Content-Length: 5\r\n\r\nhello"), "stream": says(headOK+limit+"Transfer-Encoding: chunked\r\n\r\n", event("1"), ending),
-		"not run": says("HTTP/1.1 503 Service Unavailable\r\nRattanhoist-Not-Executed: 1\r\n" + limit + "Content-Length: 0\r\n\r\n"),
-		"failed":  says("HTTP/1.1 500 Internal Server Error\r\nRattanhoist-Request-Id: ID\r\n" + limit + "Content-Length: 3\r\n\r\nbad"),
-		"broken":  says(headOK+limit+"Content-Length: 5\r\n\r\nhe", "reset"),
+		"whole": says(headOK + field + "Content-Length: 5\r\n\r\nhello"), "stream": says(headOK+field+"Transfer-Encoding: chunked\r\n\r\n", event("1"), ending),
+		"not run": says("HTTP/1.1 503 Service Unavailable\r\nRattanhoist-Not-Executed: 1\r\n" + field + "Content-Length: 0\r\n\r\n"),
+		"failed":  says("HTTP/1.1 500 Internal Server Error\r\nRattanhoist-Request-Id: ID\r\n" + field + "Content-Length: 3\r\n\r\nbad"),
+		"broken":  says(headOK+field+"Content-Length: 5\r\n\r\nhe", "reset"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -166,6 +166,8 @@
 	Cold time.Duration
 	// RateLimit applies to the requests of all routers combined.
 	RateLimit warmer.RateLimit
+	// Leaving is set if the endpoint is draining and should receive no new requests.
+	Leaving bool
 	// RetryAfter is how long this router should send no requests to the endpoint, which is
 	// shedding load; 0 if the endpoint did not ask for that.
 	RetryAfter time.Duration
@@ -179,6 +181,9 @@
 	RateLimit bool
 	// SheddingStarted is set if the endpoint started shedding load.
 	SheddingStarted bool
+	// LeavingStarted is set if the endpoint reported that it is leaving and this router
+	// could still choose it before.
+	LeavingStarted bool
 }
 
 // withJitter adds a random delay to a Retry-After period, so that routers don't all send
@@ -199,6 +204,7 @@
 	return StateChange{
 		RateLimit:       e.warmup.ObserveRateLimit(s.RateLimit, sentAt, now),
 		SheddingStarted: e.warmup.ObserveBackoff(withJitter(s.RetryAfter), sentAt, now),
+		LeavingStarted:  s.Leaving && !e.lost.Swap(true),
 	}
 }
 
@@ -234,7 +240,7 @@
 func (e *Endpoint) Warmup() *warmer.Gate { return &e.warmup }
 
 // Lose takes the endpoint out of this router's choice for good: another
-// incarnation answered at its address.
+// incarnation answered at its address, or it is leaving.
 func (e *Endpoint) Lose() { e.lost.Store(true) }
 
 // Running returns how many of this router's requests are there.
