Read the fourth figure of an endpoint's reported load

A report that had not exactly three was passed over whole, so routers there knew no load at all. Ruled out: the other new words of demands/ (born, writers of other kinds) are decoded already.

--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -158,6 +158,8 @@
 // Load is what an endpoint tells of itself.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how many times as long as usual work takes there now; 0 if not reported.
+	Slowdown float64
 }
 
 // State is what an endpoint reports about itself in a response.
@@ -265,6 +267,15 @@
 	return e.running
 }
 
+// slowdown is how many times as long as usual the endpoint last reported that work takes,
+// or 1 if that is not known or too old.
+func (e *Endpoint) slowdown(now time.Time) float64 {
+	if e.reported.Slowdown > 0 && now.Sub(e.reportedAt) < reportTrust {
+		return e.reported.Slowdown
+	}
+	return 1
+}
+
 // uncached returns the tokens of a prompt that must be read there: a part is
 // kept only if all parts before it are.
 func (e *Endpoint) uncached(p *Prompt, memory int64) int64 {
--- a/predictor/plan.go
+++ b/predictor/plan.go
@@ -104,13 +104,13 @@
 	busy := e.busy(now)
 	if a.Prompt == nil {
 		slots := max(e.beat.Slots, 1)
-		c := e.ordinary.Answer() + e.slowerNow(now) + time.Duration(float64(busy)/float64(slots)*float64(50*time.Millisecond))
+		c := scaled(e.ordinary.Answer(), e.slowdown(now)) + e.slowerNow(now) + time.Duration(float64(busy)/float64(slots)*float64(50*time.Millisecond))
 		if busy >= slots {
 			c += fullCost
 		}
 		return c
 	}
-	c := e.waitFor(now, p, a.Prompt.In)
+	c := scaled(e.waitFor(now, p, a.Prompt.In), e.slowdown(now))
 	if home {
 		c -= homeLoad
 	}
@@ -123,6 +123,8 @@
 	return c
 }
 
+func scaled(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
+
 // unread returns the tokens of a prompt that the endpoint must read by itself.
 // Where only some routers tell what they send, the home of its parts is taken to
 // keep them: what all routers send there together does not get old.
