Refuse requests while a newer configuration is known and not held

A router whose link callers fill heard of document 11 at 5.3 s, its fetch was torn down after 1.5 s with bytes under way, calls beside it timed out and closed the connection, and it served by document 10 until 8.8 s. Ruled out: the keepers; other routers of the zone had the document 0.1 to 0.4 s after its acknowledgement.

Change: a router remembers since when it knows of each newer document. Half of the time in which a change must be in force after that, it answers 503 as not run, and is not ready, until it holds the newer one; one that can't be decoded counts for nothing. A connection on which calls time out is kept while more than control frames come in. New setting apply_ms.

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -9,10 +9,14 @@
 	borrowedTokens = metrics.NewCounter("rattanhoist_rights_borrowed_tokens_total")
 	lendersSilent  = metrics.NewCounter("rattanhoist_rights_lenders_silent_total")
 	lentTokens     = metrics.NewCounter("rattanhoist_rights_lent_tokens_total")
+	ownersSilent   = metrics.NewCounter("rattanhoist_rights_owners_silent_total")
 	claimsAnswered = metrics.NewCounter("rattanhoist_rights_claims_answered_total")
 	claimsFailed   = metrics.NewCounter("rattanhoist_rights_claims_failed_total")
 )
 
+// OutdatedRefusals counts requests refused while a newer configuration was known and not held.
+var outdatedRefusals = metrics.NewCounter("rattanhoist_configuration_outdated_refusals_total")
+
 // EndpointsEnded counts endpoints that ended while requests of this router were under
 // way there.
 var endpointsEnded = metrics.NewCounter("rattanhoist_endpoints_ended_total")
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -202,7 +202,7 @@
 }
 
 func (c *Courier) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if c.fleet.Index() == nil || c.stoppingFor() > 0 {
+	if c.fleet.Index() == nil || c.fleet.outdated() || c.stoppingFor() > 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -52,8 +52,11 @@
 	published func(*publisher.Document)
 	// Known is how many routers there are, this one included.
 	known atomic.Int64
-	// Fetching says that a document is on its way.
-	fetching atomic.Bool
+	// Announced holds the known documents that are newer than the one in force.
+	announced announcements
+	fetches   fetches
+	// Publishing is held while a document is put in force.
+	publishing sync.Mutex
 	// Current is the keeper asked last with success.
 	current atomic.Pointer[messenger.Link]
 	// Circles holds the other routers' addresses for datagrams.
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -25,6 +25,8 @@
 type keeperStub struct {
 	messenger.UnimplementedFleetKeeperServer
 	sync, fetch atomic.Int64
+	// Newer is added to the number of its document, which is 1.
+	newer atomic.Int64
 	// Age is how long ago a majority confirmed its copy, in milliseconds.
 	age   atomic.Int64
 	asked atomic.Int64
@@ -46,9 +48,11 @@
 	}
 }
 
+func (k *keeperStub) number() uint64 { return uint64(1 + k.newer.Load()) }
+
 func (k *keeperStub) Sync(ctx context.Context, _ *messenger.SyncRequest) (*messenger.SyncReply, error) {
 	k.asked.Add(1)
-	out := &messenger.SyncReply{Number: 1, ConfirmedAgeMs: k.age.Load(), Evacuations: k.evacuations.Load()}
+	out := &messenger.SyncReply{Number: k.number(), ConfirmedAgeMs: k.age.Load(), Evacuations: k.evacuations.Load()}
 	if s := k.sightings.Load(); s != nil {
 		out.Endpoints = s.Sightings
 	}
@@ -56,7 +60,7 @@
 }
 
 func (k *keeperStub) Fetch(ctx context.Context, _ *messenger.FleetDocumentRequest) (*messenger.FleetDocumentReply, error) {
-	return &messenger.FleetDocumentReply{Number: 1, Content: k.content}, pause(ctx, k.fetch.Load())
+	return &messenger.FleetDocumentReply{Number: k.number(), Content: k.content}, pause(ctx, k.fetch.Load())
 }
 
 // Order takes claims, unless the keeper is cut off.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -81,8 +81,8 @@
 
 // Fleet is what the router knows of the others.
 type Fleet interface {
-	// Await returns the document in force; before the first it waits for it for a
-	// moment, and returns after what time it is expected.
+	// Await returns the document in force, or nil while a newer one is known; before the
+	// first it waits for it for a moment, and returns after what time it is expected.
 	Await(ctx context.Context) (x *publisher.Index, after time.Duration)
 	// Routers is how many routers share the fleet's bounds; at least 1.
 	Routers() int
@@ -212,7 +212,7 @@
 func (j *job) prepare() bool {
 	var after time.Duration
 	if j.index, after = j.f.Fleet.Await(j.r.Context()); j.index == nil {
-		return j.refuseFor(after, http.StatusServiceUnavailable, "no configuration yet")
+		return j.refuseFor(after, http.StatusServiceUnavailable, "no current configuration")
 	}
 	c, err := j.f.Wire.Caller(j.r.Header)
 	if err != nil {
--- a/loader/node.go
+++ b/loader/node.go
@@ -39,6 +39,8 @@
 	retrySlack   float64
 	retryWindow  time.Duration
 	orderTimeout time.Duration
+	// Apply is within what time an acknowledged document must be in force.
+	apply time.Duration
 	// Quarantine is how long a request is held back under which endpoints ended.
 	quarantine time.Duration
 	// Regions holds the region of each availability zone; empty where the platform
@@ -108,6 +110,9 @@
 // OrderTimeout returns within what time an order must be acknowledged.
 func (n *Node) OrderTimeout() time.Duration { return n.orderTimeout }
 
+// Apply returns within what time an acknowledged document must be in force.
+func (n *Node) Apply() time.Duration { return n.apply }
+
 // Quarantine returns how long a request is held back under which endpoints ended.
 func (n *Node) Quarantine() time.Duration { return n.quarantine }
 
@@ -133,6 +138,7 @@
 	defaultRetrySlack   = 10
 	defaultRetryWindow  = 10 * time.Second
 	defaultOrderTimeout = 4 * time.Second
+	defaultApply        = 2 * time.Second
 	defaultQuarantine   = time.Hour
 	defaultOvershoot    = 1
 	mebibyte            = 1 << 20
@@ -145,7 +151,7 @@
 var nodeKeys = []string{
 	"name", "kind", "zone", "ip", "internal_ports", "seeds", "first_start", "serve", "ready", "control",
 	"metrics", "data_dir", "memory_mb", "lost_disks", "heartbeat_ms", "grace_s", "drain_ms",
-	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms", "quarantine_s",
+	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms", "apply_ms", "quarantine_s",
 	"zones", "cold_overshoot", "cold_slack",
 	"limit_overshoot", "limit_slack", "limit_window_s",
 }
@@ -177,7 +183,7 @@
 		serve: sec.Key("serve").String(), ready: sec.Key("ready").String(), control: sec.Key("control").String(),
 		metrics: sec.Key("metrics").String(), dataDir: sec.Key("data_dir").String(),
 		heartbeat: defaultHeartbeat, grace: defaultGrace, drain: defaultDrain, retryRatio: defaultRetryRatio,
-		retrySlack: defaultRetrySlack, retryWindow: defaultRetryWindow, orderTimeout: defaultOrderTimeout, quarantine: defaultQuarantine,
+		retrySlack: defaultRetrySlack, retryWindow: defaultRetryWindow, orderTimeout: defaultOrderTimeout, apply: defaultApply, quarantine: defaultQuarantine,
 		coldOvershoot: defaultOvershoot, limitOvershoot: defaultLimitOvershoot, limitSlack: defaultLimitSlack, limitWindow: defaultLimitWindow,
 	}
 	c.oneOf(sec, "kind", n.kind, []string{KindRouter, KindKeeper})
@@ -241,6 +247,7 @@
 	c.span(sec, "drain_ms", time.Millisecond, &n.drain)
 	c.span(sec, "retry_window_s", time.Second, &n.retryWindow)
 	c.span(sec, "order_timeout_ms", time.Millisecond, &n.orderTimeout)
+	c.span(sec, "apply_ms", time.Millisecond, &n.apply)
 	c.span(sec, "quarantine_s", time.Second, &n.quarantine)
 	c.number(sec, "retry_ratio", &n.retryRatio)
 	c.number(sec, "retry_slack", &n.retrySlack)
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -30,6 +32,9 @@
 	// calls wait: twice what a full link takes for a way and back. What waits to
 	// be sent again on a silent one is sent after as long a pause again.
 	linkSilence = time.Second
+	// linkProgress is how many bytes must come in within linkSilence for a connection to be
+	// kept on which calls time out: more than its control frames take.
+	linkProgress = 2 << 10
 	// linkBuffer keeps the memory of a connection small, in bytes.
 	linkBuffer = 4 << 10
 	// linkMessageMost bounds one message, in bytes: a whole configuration of
@@ -37,8 +42,8 @@
 	linkMessageMost = 32 << 20
 )
 
-// Link calls one process. Calls that time out close a connection on which
-// nothing was heard for linkSilence: one that was cut silently would else hang
+// Link calls one process. Calls that time out close a connection on which no
+// more than control frames came in for linkSilence: one that was cut silently would else hang
 // long after the cut has healed. One that is just being made, or that answers
 // late over a full link, stays: a new one takes two ways and back before its
 // first call, and would be closed again. It is safe for concurrent use.
@@ -49,6 +54,31 @@
 	// SilentSince is when the first call began of those that timed out since
 	// the last answer; zero if none did.
 	silentSince time.Time
+	// SilentRead is what received was at silentSince.
+	silentRead int64
+	// Received counts the bytes that came in over all connections.
+	received atomic.Int64
+}
+
+// countingConn counts the bytes that come in.
+type countingConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+// Read reads from the connection.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+func (l *Link) dial(ctx context.Context, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, received: &l.received}, nil
 }
 
 // NewLink returns a link to an internal address; it connects when needed.
@@ -65,6 +95,7 @@
 	}
 	c, err := grpc.NewClient("passthrough:///"+l.address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(l.dial),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: linkBackoff, Multiplier: 2, MaxDelay: linkBackoffMost},
 			MinConnectTimeout: linkConnect,
@@ -167,12 +198,17 @@
 	if l.conn != c {
 		return false
 	}
+	received := l.received.Load()
 	if l.silentSince.IsZero() {
-		l.silentSince = begun
+		l.silentSince, l.silentRead = begun, received
 	}
 	if time.Since(l.silentSince) < linkSilence {
 		return false
 	}
+	if received-l.silentRead >= linkProgress {
+		l.silentSince, l.silentRead = time.Now(), received
+		return false
+	}
 	l.conn = nil
 	return true
 }
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -27,6 +27,40 @@
 	}
 }
 
+func (k *slowKeeper) Fetch(context.Context, *messenger.FleetDocumentRequest) (*messenger.FleetDocumentReply, error) {
+	return &messenger.FleetDocumentReply{Content: make([]byte, documentBytes)}, nil
+}
+
+const (
+	documentBytes = 64 << 10
+	// linkRate is in bytes a second.
+	linkRate = 32 << 10
+)
+
+// throttledListener accepts connections that send linkRate bytes a second.
+type throttledListener struct{ net.Listener }
+
+type throttledConn struct{ net.Conn }
+
+func (l throttledListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return throttledConn{c}, err
+}
+
+func (c throttledConn) Write(b []byte) (int, error) {
+	const chunk = 2 << 10
+	sent := 0
+	for sent < len(b) {
+		n, err := c.Conn.Write(b[sent:min(sent+chunk, len(b))])
+		sent += n
+		if err != nil {
+			return sent, err
+		}
+		time.Sleep(time.Duration(n) * time.Second / linkRate)
+	}
+	return sent, nil
+}
+
 // countingListener counts accepted connections, and lets each wait.
 type countingListener struct {
 	net.Listener
@@ -88,6 +122,39 @@
 	})
 }
 
+// Guards against a document that never arrives over a full link: calls beside it time out,
+// and the connection is closed although the document's bytes are coming in.
+func TestConnectionWithIncomingBytesIsKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	counting := &countingListener{Listener: throttledListener{l}}
+	s := messenger.NewFleetServer()
+	messenger.RegisterFleetKeeperServer(s, &slowKeeper{})
+	go func() { _ = s.Serve(counting) }()
+	link := messenger.NewLink(l.Addr().String())
+	defer s.Stop()
+	defer link.Close()
+	g.Expect(sync(link, time.Second)).To(gomega.Succeed())
+	fetched := make(chan error, 1)
+	go func() {
+		fetched <- link.Call(context.Background(), 10*time.Second, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+			_, err := c.Fetch(ctx, &messenger.FleetDocumentRequest{})
+			return err
+		})
+	}()
+	for done := false; !done; {
+		select {
+		case err := <-fetched:
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			done = true
+		default:
+			_ = sync(link, 20*time.Millisecond)
+		}
+	}
+	g.Expect(counting.accepted.Load()).To(gomega.Equal(int64(1)), "connections made")
+}
+
 // Symptom: a process hears nothing for many seconds after a cut has healed.
 // Sequence: packets of an open connection vanish; calls time out. Cause: the
 // connection sends again at ever longer pauses.
