predictor: a choice in constant steps where a service has many endpoints

Cause: each request walked all endpoints of its service three times (home, donors, offers) with a lock and a random number each: 10,000 at the whole fleet, where 1 in 100 places is taken. One endpoint a zone was set apart for prompts over 24,000 tokens, of 50 and of 2,000 alike. Ruled out: a smaller constant for the same walk; it doubles with the fleet.

Change: above 256 endpoints of a service, 16 of the router's zone, 4 others, 4 set apart for long prompts and the home are considered; all only if none of them serves. Homes come from multi-probe consistent hashing over the zone's endpoints, which every router of the zone knows; one endpoint in 64 is set apart.

Tests name the load: candidates_test.go (2,000 and 4,000 endpoints take the same steps; homes agree and move little; the last endpoint left is found; long prompts spread).

--- /dev/null
+++ b/predictor/candidates_test.go
@@ -0,0 +1,99 @@
+package predictor
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/enroller"
+)
+
+func largeTable(n int) (*Table, []*Endpoint) {
+	t, list := NewTable("a"), []*Endpoint(nil)
+	for i := range n {
+		zone := "a"
+		if i%10 == 0 {
+			zone = "b"
+		}
+		list = append(list, NewEndpoint(enroller.Beat{
+			Incarnation: enroller.Incarnation{ID: "i-" + strconv.Itoa(i)}, Service: "llm", Zone: zone, Slots: 12,
+		}))
+	}
+	t.Replace(map[string][]*Endpoint{"llm": list})
+	return t, list
+}
+
+func sharing(part string) Ask {
+	return Ask{Service: "llm", Prompt: &Prompt{In: 6_000, Out: 100, Parts: []Part{{ID: part, Tokens: 5_000}, {ID: "own", Tokens: 1_000}}}}
+}
+
+// Pattern: a service of 2,000 and of 4,000 endpoints. Guards against a choice that looks at
+// all endpoints for each request.
+func TestChoiceTakesTheSameStepsAtTwiceTheSize(t *testing.T) {
+	g := gomega.NewWithT(t)
+	size := func(n int) int {
+		x, _ := largeTable(n)
+		group := (*x.byService.Load())["llm"]
+		a := sharing("p")
+		return len(group.candidates(a, group.home(time.Now(), a)))
+	}
+	g.Expect(size(4_000)).To(gomega.Equal(size(2_000)))
+	g.Expect(size(2_000)).To(gomega.BeNumerically("<", 32))
+}
+
+// Guards against shared parts of prompts that routers of a zone look for at different
+// endpoints, or that all move when one endpoint leaves.
+func TestHomesOfALargeServiceAgree(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, list := largeTable(2_000)
+	y := NewTable("a")
+	y.Replace(map[string][]*Endpoint{"llm": list[1:]})
+	moved, load := 0, map[*Endpoint]int{}
+	for i := range 4_000 {
+		a := sharing("part" + strconv.Itoa(i))
+		one := (*x.byService.Load())["llm"].home(time.Now(), a)
+		two := (*y.byService.Load())["llm"].home(time.Now(), a)
+		g.Expect(one.beat.Zone).To(gomega.Equal("a"))
+		load[one]++
+		if one != two {
+			moved++
+		}
+	}
+	g.Expect(moved).To(gomega.BeNumerically("<", 12))
+	most := 0
+	for _, n := range load {
+		most = max(most, n)
+	}
+	g.Expect(most).To(gomega.BeNumerically("<", 16), "2.2 on average")
+}
+
+// Pattern: a cut takes nearly all endpoints of a large service out at once. Guards against
+// refusals because none of those drawn is in service.
+func TestLastEndpointOfALargeServiceIsFound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, list := largeTable(1_000)
+	for _, e := range list[1:] {
+		e.Lose()
+	}
+	g.Expect(x.Choose(time.Now(), sharing("p")).Endpoint()).To(gomega.BeIdenticalTo(list[0]))
+}
+
+// Pattern: prompts of 30,000 tokens at 2,000 endpoints. Guards against all of them going to
+// one endpoint, or to those that serve short prompts.
+func TestGiantsOfALargeServiceAreSpreadOverWhatIsSetApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, _ := largeTable(2_000)
+	group, now := (*x.byService.Load())["llm"], time.Now()
+	g.Expect(len(group.nearApart)).To(gomega.Equal(28))
+	seen := map[*Endpoint]bool{}
+	for range 200 {
+		w := x.Choose(now, Ask{Service: "llm", Prompt: &Prompt{In: 30_000, Out: 100, Parts: []Part{{ID: "own", Tokens: 30_000}}}})
+		g.Expect(group.apart[w.Endpoint()]).To(gomega.BeTrue())
+		seen[w.Endpoint()] = true
+		w.First(now)
+		w.End()
+	}
+	g.Expect(len(seen)).To(gomega.BeNumerically(">", 10))
+}
--- a/predictor/home.go
+++ b/predictor/home.go
@@ -1,7 +1,10 @@
 package predictor
 
 import (
+	"cmp"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -15,16 +18,18 @@
 	// away from it while they have a choice: both as time.
 	giantHome = 200 * time.Millisecond
 	giantShy  = 250 * time.Millisecond
-	// apartZone is how many endpoints of a zone it takes to set one apart.
-	apartZone = 3
+	// apartZone is how many endpoints of a zone it takes to set one apart, and apartEvery
+	// how many to set apart one more.
+	apartZone  = 3
+	apartEvery = 64
 	// homeLoad is how much longer than the best a prompt waits for the
 	// endpoint where its parts are kept for all routers alike, beside the time
 	// that reading them would take.
 	homeLoad = 20 * time.Millisecond
 )
 
-// apart picks an endpoint for giants in each zone that has enough of them. All
-// routers pick the same.
+// apart picks endpoints for giants in each zone that has enough of them, those with the
+// highest hashes. All routers that know the same endpoints pick the same.
 func apart(list []*Endpoint) map[*Endpoint]bool {
 	zones := map[string][]*Endpoint{}
 	for _, e := range list {
@@ -32,13 +37,28 @@
 	}
 	out := map[*Endpoint]bool{}
 	for _, l := range zones {
-		if len(l) >= apartZone {
-			out[highest(l, "giants", func(*Endpoint) bool { return true })] = true
+		if len(l) < apartZone {
+			continue
+		}
+		for _, e := range heaviest(l, "giants", max(len(l)/apartEvery, 1)) {
+			out[e] = true
 		}
 	}
 	return out
 }
 
+// heaviest returns the n endpoints with the highest hashes of key and endpoint.
+func heaviest(list []*Endpoint, key string, n int) []*Endpoint {
+	weights := make(map[*Endpoint]uint64, len(list))
+	for _, e := range list {
+		weights[e] = weight(key, e.beat.ID)
+	}
+	sorted := slices.SortedFunc(maps.Keys(weights), func(a, b *Endpoint) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a.beat.ID, b.beat.ID))
+	})
+	return sorted[:min(n, len(sorted))]
+}
+
 // home returns the endpoint where all routers look for the last shared part of
 // a prompt first. It needs no word between routers, and a change of endpoints
 // moves few parts.
@@ -47,9 +67,14 @@
 		return nil
 	}
 	shared := a.Prompt.Shared()
-	return highest(g.endpoints, shared[len(shared)-1].ID, func(e *Endpoint) bool {
+	last := shared[len(shared)-1].ID
+	fits := func(e *Endpoint) bool {
 		return !g.apart[e] && !e.lost.Load() && !e.gate.Blocked(a.Since) && !e.warmup.Restricted(now)
-	})
+	}
+	if g.homes != nil {
+		return g.homes.lookup(last, fits)
+	}
+	return highest(g.endpoints, last, fits)
 }
 
 // apartCost is what it costs, beside the wait, to send a prompt to an endpoint
--- a/predictor/plan.go
+++ b/predictor/plan.go
@@ -37,14 +37,14 @@
 	kept     int64
 }
 
-// donors returns for each zone the endpoint that keeps most of a prompt and has
-// read it already. There are as many as a request may look at.
-func (g *group) donors(now time.Time, a Ask, home *Endpoint) map[string]keeper {
+// donors returns for each zone the candidate that keeps most of a prompt and has
+// read it already.
+func donors(now time.Time, a Ask, candidates []*Endpoint, home *Endpoint) map[string]keeper {
 	if a.Carry <= 0 || a.Prompt == nil {
 		return nil
 	}
 	out := map[string]keeper{}
-	for _, e := range g.endpoints {
+	for _, e := range candidates {
 		if e.lost.Load() || e.gate.Ejected() || e.warmup.Restricted(now) {
 			continue
 		}
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -32,16 +32,44 @@
 	ordinary map[string]*Ordinary
 }
 
-// group is the endpoints of one service.
+// group is the endpoints of one service, as a router of a zone sees them; immutable.
 type group struct {
+	zone      string
 	endpoints []*Endpoint
-	// Apart holds for each zone the endpoint where its giants go.
-	apart map[*Endpoint]bool
+	// Near are the endpoints of the router's zone, far all others.
+	near, far []*Endpoint
+	// Apart holds for each zone the endpoints where its giants go, nearApart those of the
+	// router's zone.
+	apart     map[*Endpoint]bool
+	nearApart []*Endpoint
+	// Homes finds the homes of shared parts in large groups; nil in small ones.
+	homes *ring
 	// Subsets holds a *group for each set of zones that was asked for, by its key.
 	subsets sync.Map
 }
 
-func newGroup(list []*Endpoint) *group { return &group{endpoints: list, apart: apart(list)} }
+func newGroup(list []*Endpoint, zone string) *group {
+	g := &group{zone: zone, endpoints: list, apart: apart(list)}
+	for _, e := range list {
+		switch {
+		case e.beat.Zone != zone:
+			g.far = append(g.far, e)
+			continue
+		case g.apart[e]:
+			g.nearApart = append(g.nearApart, e)
+		}
+		g.near = append(g.near, e)
+	}
+	if len(list) > maxExhaustive {
+		// Routers of a zone know the same endpoints of their own zone only.
+		homes := g.near
+		if len(homes) == 0 {
+			homes = list
+		}
+		g.homes = newRing(homes)
+	}
+	return g
+}
 
 // within returns the endpoints in some zones. Whatever is chosen from it, a home of
 // shared parts or a donor too, is in those zones.
@@ -58,7 +86,7 @@
 			list = append(list, e)
 		}
 	}
-	known, _ := g.subsets.LoadOrStore(z.Key(), newGroup(list))
+	known, _ := g.subsets.LoadOrStore(z.Key(), newGroup(list, g.zone))
 	return known.(*group)
 }
 
@@ -73,7 +101,7 @@
 func (t *Table) Replace(byService map[string][]*Endpoint) {
 	groups, names := map[string]*group{}, map[string]*Endpoint{}
 	for s, list := range byService {
-		groups[s] = newGroup(list)
+		groups[s] = newGroup(list, t.zone)
 		if t.ordinary[s] == nil {
 			t.ordinary[s] = NewOrdinary()
 		}
@@ -136,11 +164,16 @@
 	}
 	g = g.within(a.Zones)
 	for {
-		best, ok := t.best(now, a, g, false)
+		home := g.home(now, a)
+		candidates := g.candidates(a, home)
+		best, ok := t.best(now, a, g, candidates, home, false)
+		if !ok && len(candidates) < len(g.endpoints) {
+			best, ok = t.best(now, a, g, g.endpoints, home, false)
+		}
 		if !ok {
 			// Every endpoint is blocked: one that failed may have recovered, and
 			// an error costs no more than a refusal.
-			best, ok = t.best(now, a, g, true)
+			best, ok = t.best(now, a, g, g.endpoints, home, true)
 		}
 		if !ok {
 			return nil
@@ -173,11 +206,11 @@
 	return least
 }
 
-func (t *Table) best(now time.Time, a Ask, g *group, blocked bool) (best plan, ok bool) {
+// best returns the plan with the shortest predicted wait among candidates.
+func (t *Table) best(now time.Time, a Ask, g *group, candidates []*Endpoint, home *Endpoint, blocked bool) (best plan, ok bool) {
 	var least time.Duration
-	home := g.home(now, a)
-	donors := g.donors(now, a, home)
-	for _, e := range g.endpoints {
+	donors := donors(now, a, candidates, home)
+	for _, e := range candidates {
 		if !blocked && e.gate.Blocked(a.Since) || e.lost.Load() || !e.warmup.Open(now) || slices.Contains(a.Tried, e.beat.Incarnation) {
 			continue
 		}
