Keepers: told by zone, by difference, and asked by hash

Ruled out: the log's entries as cause of the routers' memory (keepers hold those).

Change: keepers share their zone; routers ask those of their zone, ordered by a hash of router and keeper. The list of routers is told by difference. Equal names are held once. Log lines on single endpoints are bounded for each change. Older routers and keepers are told all, as before (tests).

TestChangesBuildTheSameTable reads changes from a view now, with the same checks: the table's own change log is gone.

--- a/courier/endpoint.go
+++ b/courier/endpoint.go
@@ -31,6 +31,7 @@
 	f.appliedRevision, f.appliedEvacuations = f.roll.Revision(), evacuated.revision
 	byService := map[string][]*predictor.Endpoint{}
 	known := map[enroller.Incarnation]bool{}
+	changes := endpointChanges{log: f.o.Log}
 	for _, s := range f.roll.Sightings(now) {
 		if s.Leaving {
 			continue
@@ -40,7 +41,7 @@
 		if e == nil {
 			e = predictor.NewEndpoint(b)
 			f.endpoints[b.Incarnation] = e
-			f.o.Log.Info("endpoint in service", zap.Stringer("endpoint", b), zap.String("service", b.Service), zap.String("zone", b.Zone))
+			changes.entered(b)
 		}
 		known[b.Incarnation] = true
 		if evacuated.zones[b.Zone] {
@@ -63,6 +64,36 @@
 		} else {
 			f.pool.Forget(i.String())
 		}
-		f.o.Log.Info("endpoint out of service", zap.Stringer("endpoint", i))
+		changes.left(i)
+	}
+	changes.summarize(len(known))
+}
+
+// maxEndpointLines bounds the log lines on single endpoints for one change of the list: a
+// router that starts hears of all of them at once.
+const maxEndpointLines = 16
+
+// endpointChanges logs what one change of the list of endpoints puts in and out of service.
+type endpointChanges struct {
+	log     *zap.Logger
+	in, out int
+}
+
+func (c *endpointChanges) entered(b enroller.Beat) {
+	if c.in++; c.in <= maxEndpointLines {
+		c.log.Info("endpoint in service", zap.Stringer("endpoint", b), zap.String("service", b.Service), zap.String("zone", b.Zone))
+	}
+}
+
+func (c *endpointChanges) left(i enroller.Incarnation) {
+	if c.out++; c.out <= maxEndpointLines {
+		c.log.Info("endpoint out of service", zap.Stringer("endpoint", i))
+	}
+}
+
+// summarize logs the numbers where lines on single endpoints were left out.
+func (c *endpointChanges) summarize(known int) {
+	if c.in > maxEndpointLines || c.out > maxEndpointLines {
+		c.log.Info("endpoints changed", zap.Int("in_service", c.in), zap.Int("out_of_service", c.out), zap.Int("known", known))
 	}
 }
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -95,8 +95,10 @@
 	// TouchedAt is when a keeper last answered, touchSince since when they have
 	// been answering without a gap.
 	touchedAt time.Time
-	// ListedAt is when a keeper with a majority last told of all routers.
+	// ListedAt is when a keeper with a majority last told of all routers, and lister the
+	// keeper whose list is in use.
 	listedAt   time.Time
+	lister     *messenger.Link
 	touchSince time.Time
 	// Failure is why the last question failed that did; lost says that the
 	// loss of all keepers was logged.
@@ -169,8 +171,9 @@
 	}
 }
 
-// take takes in what a keeper told.
-func (f *fleet) take(ctx context.Context, l *messenger.Link, r *messenger.SyncReply, sent time.Time) {
+// take takes in what a keeper told. It returns the routers that it names, or nil where it
+// told nothing of them.
+func (f *fleet) take(ctx context.Context, l *messenger.Link, r *messenger.SyncReply, sent time.Time) []*messenger.FleetMember {
 	now := time.Now()
 	if f.lost {
 		f.lost = false
@@ -184,18 +187,21 @@
 	for _, k := range r.Keepers {
 		f.learn(k.Address, k.Zone)
 	}
-	if len(r.Routers) > 0 {
-		f.meet(r.Routers)
+	f.hearEndpoints(l.Address(), r, sent, now)
+	listed := f.listRouters(l.Address(), r)
+	if len(listed) > 0 && (len(r.Routers)+len(r.RoutersGone) > 0 || f.lister != l) {
+		f.lister = l
+		f.meet(listed)
 	}
 	// Before the document: a router that starts serves once it has one.
 	f.quarantine.learn(now, r.Quarantined)
 	f.evacuations.learn(now, r.Evacuations)
 	f.renew(ctx, l, r.Number)
-	f.hearEndpoints(l.Address(), r, sent, now)
 	for _, l := range r.Left {
 		f.roll.Leave(now, enroller.LeaveOf(l))
 	}
 	f.warmup.apply(now, f)
+	return listed
 }
 
 // untouched returns how long no keeper has answered.
--- a/courier/question.go
+++ b/courier/question.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
@@ -31,7 +33,8 @@
 
 // order returns the keepers in the order in which to ask them: those of the
 // zone, the one that answered last, the others; those that owe an answer are
-// left out, and those that owed one lately come last.
+// left out, and those that owed one lately come last. Keepers that are equal otherwise are
+// ordered by a hash of router and keeper, so that routers spread over them.
 func (f *fleet) order() []*messenger.Link {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -54,11 +57,16 @@
 		return 2
 	}
 	slices.SortFunc(out, func(a, b *messenger.Link) int {
-		return cmp.Or(rank(a)-rank(b), cmp.Compare(a.Address(), b.Address()))
+		return cmp.Or(rank(a)-rank(b), cmp.Compare(f.preference(a), f.preference(b)), cmp.Compare(a.Address(), b.Address()))
 	})
 	return out
 }
 
+// preference orders keepers, the lowest first.
+func (f *fleet) preference(l *messenger.Link) uint64 {
+	return xxhash.Sum64String(f.self.Address + "\x00" + l.Address())
+}
+
 // round asks one keeper after the other, each when those before it have failed
 // or let askNext pass, until one has answered whose copy a majority confirmed
 // lately. Those asked before may still answer: a keeper that is cut off never
@@ -142,14 +150,14 @@
 		return false
 	}
 	regained := f.lost
-	f.take(ctx, a.link, a.body, a.sent)
+	listed := f.take(ctx, a.link, a.body, a.sent)
 	age := time.Duration(a.body.ConfirmedAgeMs) * time.Millisecond
 	fresh := a.body.ConfirmedAgeMs >= 0 && age < freshWithin
 	if fresh {
 		now := time.Now()
-		if len(a.body.Routers) > 0 {
+		if len(listed) > 0 {
 			f.listedAt = now
-			f.warmup.observe(now, a.body.Routers)
+			f.warmup.observe(now, listed)
 		}
 		f.quarantine.tellEnded(now, now.Add(-time.Duration(a.body.UptimeMs)*time.Millisecond), a.told)
 	}
@@ -211,7 +219,7 @@
 	q := &messenger.SyncRequest{Router: f.self}
 	s := f.sources[l.Address()]
 	if s != nil {
-		q.Revision, q.Epoch = s.revision, s.epoch
+		q.Revision, q.Epoch, q.RoutersRevision = s.revision, s.epoch, s.routersRevision
 	}
 	if x := f.index.Load(); x != nil {
 		q.Number = x.Number()
--- a/courier/source.go
+++ b/courier/source.go
@@ -1,6 +1,8 @@
 package courier
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"rattanhoist.example/rattanhoist/enroller"
@@ -11,6 +13,10 @@
 type source struct {
 	// Epoch is 0 for a keeper that does not tell changes.
 	epoch, revision uint64
+	// Routers holds by address the routers that the keeper named, as of routersRevision; 0
+	// for none.
+	routers         map[string]*messenger.FleetMember
+	routersRevision uint64
 	// Alive holds the endpoints that the keeper takes for alive.
 	alive map[enroller.Incarnation]bool
 }
@@ -18,9 +24,12 @@
 // hearEndpoints takes in what a keeper tells of endpoints, asked at sent.
 func (f *fleet) hearEndpoints(keeper string, r *messenger.SyncReply, sent, now time.Time) {
 	s := f.sources[keeper]
-	if s == nil || !r.Partial || s.epoch != r.Epoch {
+	switch {
+	case s == nil || s.epoch != r.Epoch:
 		s = &source{alive: map[enroller.Incarnation]bool{}}
 		f.sources[keeper] = s
+	case !r.Partial:
+		s.alive = map[enroller.Incarnation]bool{}
 	}
 	s.epoch, s.revision = r.Epoch, r.Revision
 	for _, g := range r.Gone {
@@ -43,3 +52,23 @@
 		}
 	}
 }
+
+// listRouters takes in what a keeper tells of routers. It returns all that it names, or nil
+// where it told nothing of them.
+func (f *fleet) listRouters(keeper string, r *messenger.SyncReply) []*messenger.FleetMember {
+	s := f.sources[keeper]
+	if s == nil || r.RoutersRevision == 0 {
+		return r.Routers
+	}
+	if !r.RoutersPartial {
+		s.routers = map[string]*messenger.FleetMember{}
+	}
+	for _, m := range r.Routers {
+		s.routers[m.Address] = m
+	}
+	for _, a := range r.RoutersGone {
+		delete(s.routers, a)
+	}
+	s.routersRevision = r.RoutersRevision
+	return slices.Collect(maps.Values(s.routers))
+}
--- a/courier/source_test.go
+++ b/courier/source_test.go
@@ -44,3 +44,27 @@
 	}
 	g.Expect(ids()).To(gomega.Equal([]string{"a"}), "the keeper started anew and knows one")
 }
+
+// Guards against routers of a keeper's list that are lost or kept when it tells changes, and
+// against changes of a keeper that started anew.
+func TestChangesOfRoutersAreApplied(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := &fleet{roll: enroller.NewTable(2 * time.Second), sources: map[string]*source{}}
+	member := func(a string) *messenger.FleetMember { return &messenger.FleetMember{Address: a, Zone: "z"} }
+	hear := func(r *messenger.SyncReply) []string {
+		f.hearEndpoints("k", r, time.Unix(1000, 0), time.Unix(1000, 0))
+		var out []string
+		for _, m := range f.listRouters("k", r) {
+			out = append(out, m.Address)
+		}
+		return out
+	}
+	g.Expect(hear(&messenger.SyncReply{Epoch: 7, RoutersRevision: 4, Routers: []*messenger.FleetMember{member("a"), member("b")}})).To(gomega.ConsistOf("a", "b"))
+	g.Expect(hear(&messenger.SyncReply{Epoch: 7, Partial: true})).To(gomega.BeEmpty(), "not asked for")
+	change := &messenger.SyncReply{Epoch: 7, Partial: true, RoutersPartial: true, RoutersRevision: 6, Routers: []*messenger.FleetMember{member("c")}, RoutersGone: []string{"a"}}
+	g.Expect(hear(change)).To(gomega.ConsistOf("b", "c"))
+	g.Expect(hear(&messenger.SyncReply{Epoch: 7, Partial: true, RoutersPartial: true, RoutersRevision: 6})).To(gomega.ConsistOf("b", "c"))
+	g.Expect(hear(&messenger.SyncReply{Epoch: 8, RoutersRevision: 1, Routers: []*messenger.FleetMember{member("d")}})).To(gomega.ConsistOf("d"))
+	older := &messenger.SyncReply{Epoch: 8, Partial: true, Routers: []*messenger.FleetMember{member("e")}}
+	g.Expect(hear(older)).To(gomega.ConsistOf("e"), "a keeper of an older version tells all")
+}
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"time"
+	"unique"
 
 	"github.com/ansel1/merry/v2"
 
@@ -40,12 +41,6 @@
 	revision uint64
 }
 
-// gone is an incarnation that was taken out at a revision.
-type gone struct {
-	incarnation Incarnation
-	revision    uint64
-}
-
 // departure is the end of an incarnation: it and all that were born before it
 // under the same id are gone for good.
 type departure struct {
@@ -66,24 +61,20 @@
 	// ByAddress holds the id of the newest incarnation at each address.
 	byAddress map[string]string
 	revision  uint64
-	// Gone holds what was taken out last, oldest first, all of it after goneSince.
-	gone      []gone
-	goneSince uint64
+	// Views holds by availability zone what routers are told.
+	views map[string]*View
 }
 
 // leftKept is how long a leave is remembered here: far longer than the delay
 // of any heartbeat.
 const leftKept = 10 * time.Minute
 
-// maxGone bounds the endpoints that Changes knows to be gone.
-const maxGone = 4096
-
 // coldSlack is by how much two statements of one cold spell may differ.
 const coldSlack = 500 * time.Millisecond
 
 // NewTable returns an empty table.
 func NewTable(silence time.Duration) *Table {
-	return &Table{silence: silence, entries: map[string]*entry{}, left: map[string]departure{}, byAddress: map[string]string{}}
+	return &Table{silence: silence, entries: map[string]*entry{}, left: map[string]departure{}, byAddress: map[string]string{}, views: map[string]*View{}}
 }
 
 // Revision grows with every change but the age of what is known.
@@ -225,11 +216,6 @@
 		if t.byAddress[e.beat.Address] == id {
 			delete(t.byAddress, e.beat.Address)
 		}
-		t.gone = append(t.gone, gone{e.beat.Incarnation, t.revision})
-	}
-	if n := len(t.gone); n > maxGone {
-		t.goneSince = t.gone[n-maxGone-1].revision
-		t.gone = slices.Clone(t.gone[n-maxGone:])
 	}
 }
 
@@ -247,28 +233,6 @@
 	}
 }
 
-// Changes returns the endpoints that changed after a revision, and those that are gone
-// since. It returns false where that is not known any more.
-func (t *Table) Changes(now time.Time, since uint64) (changed []*messenger.Sighting, left []Incarnation, known bool) {
-	if since < t.goneSince || since > t.revision {
-		return nil, nil, false
-	}
-	if since == t.revision {
-		return nil, nil, true
-	}
-	for _, g := range t.gone {
-		if g.revision > since {
-			left = append(left, g.incarnation)
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(t.entries)) {
-		if e := t.entries[id]; e.revision > since {
-			changed = append(changed, e.sighting(now))
-		}
-	}
-	return changed, left, true
-}
-
 // Expire forgets endpoints that fell silent.
 func (t *Table) Expire(now time.Time) {
 	for id, e := range t.entries {
@@ -283,6 +247,17 @@
 	}
 }
 
+// SightingsOf returns the endpoints of ids with their ages, by id; unknown ids are left out.
+func (t *Table) SightingsOf(now time.Time, ids map[string]bool) []*messenger.Sighting {
+	var out []*messenger.Sighting
+	for _, id := range slices.Sorted(maps.Keys(ids)) {
+		if e := t.entries[id]; e != nil {
+			out = append(out, e.sighting(now))
+		}
+	}
+	return out
+}
+
 // Sightings returns all endpoints with their ages, by id.
 func (t *Table) Sightings(now time.Time) []*messenger.Sighting {
 	var out []*messenger.Sighting
@@ -300,11 +275,14 @@
 	}
 }
 
+// intern returns a copy of s that equal strings share.
+func intern(s string) string { return unique.Make(s).Value() }
+
 // BeatOf returns the heartbeat that a sighting tells of, and its age.
 func BeatOf(s *messenger.Sighting) (Beat, time.Duration) {
 	return Beat{
 		Incarnation: Incarnation{ID: s.Id, BornMS: s.BornMs},
-		Service:     s.Service, Address: s.Address, Zone: s.Zone, Slots: int(s.Slots), Leaving: s.Leaving,
+		Service:     intern(s.Service), Address: s.Address, Zone: intern(s.Zone), Slots: int(s.Slots), Leaving: s.Leaving,
 		Cold: time.Duration(s.ColdMs) * time.Millisecond, Sequence: s.Sequence,
 	}, time.Duration(s.AgeMs) * time.Millisecond
 }
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -183,6 +183,7 @@
 	r := rand.New(rand.NewPCG(1, 1))
 	now := time.Unix(1000, 0)
 	x, held := enroller.NewTable(10*time.Second), map[enroller.Incarnation]string{}
+	v := x.View("z")
 	var revision uint64
 	for range 5_000 {
 		now = now.Add(time.Duration(r.IntN(100)) * time.Millisecond)
@@ -198,7 +199,8 @@
 		if r.IntN(3) > 0 {
 			continue
 		}
-		changed, gone, known := x.Changes(now, revision)
+		next := v.Revision(now)
+		changed, gone, known := v.Changes(now, revision)
 		g.Expect(known).To(gomega.BeTrue())
 		for _, i := range gone {
 			delete(held, i)
@@ -207,7 +209,7 @@
 			b, _ := enroller.BeatOf(s)
 			held[b.Incarnation] = fmt.Sprint(b.Address, b.Slots)
 		}
-		revision = x.Revision()
+		revision = next
 		want := map[enroller.Incarnation]string{}
 		for _, s := range x.Sightings(now) {
 			b, _ := enroller.BeatOf(s)
@@ -215,6 +217,6 @@
 		}
 		g.Expect(held).To(gomega.Equal(want))
 	}
-	_, _, known := x.Changes(now, revision+1)
+	_, _, known := v.Changes(now, revision+1)
 	g.Expect(known).To(gomega.BeFalse(), "a revision of another table")
 }
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -152,6 +152,17 @@
 	})
 }
 
+// ReserveRights asks a router for the tokens of one request.
+func (l *Link) ReserveRights(ctx context.Context, timeout time.Duration, r *ReserveRightsRequest) (*ReserveRightsReply, error) {
+	var reply *ReserveRightsReply
+	err := l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error {
+		var err error
+		reply, err = NewFleetRouterClient(c).ReserveRights(ctx, r)
+		return err
+	})
+	return reply, err
+}
+
 // RateLimits queries a router for the rate limits of endpoints.
 func (l *Link) RateLimits(ctx context.Context, timeout time.Duration, r *RateLimitsRequest) (*RateLimitsReply, error) {
 	var reply *RateLimitsReply
--- a/steward/members.go
+++ b/steward/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -30,6 +31,8 @@
 	changed func([]string)
 	mu      sync.Mutex
 	links   map[string]*member
+	// Zones holds the availability zones of keepers, as far as they told.
+	zones map[string]string
 	// Dirty says that the loop has not heard of all names yet.
 	dirty bool
 	ctx   context.Context
@@ -41,7 +44,7 @@
 }
 
 func newMembers(self string, seeds []string, changed func([]string)) *members {
-	m := &members{self: self, changed: changed, links: map[string]*member{}}
+	m := &members{self: self, changed: changed, links: map[string]*member{}, zones: map[string]string{}}
 	for _, s := range seeds {
 		m.learn(s)
 	}
@@ -78,6 +81,28 @@
 	}
 }
 
+// located makes a keeper known that told its availability zone.
+func (m *members) located(name, zone string) {
+	if name == "" || name == m.self {
+		return
+	}
+	m.learn(name)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.zones[name] = zone
+}
+
+// list returns the other keepers, sorted by name.
+func (m *members) list() []*messenger.FleetMember {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]*messenger.FleetMember, 0, len(m.links))
+	for _, n := range slices.Sorted(maps.Keys(m.links)) {
+		out = append(out, &messenger.FleetMember{Address: n, Zone: m.zones[n]})
+	}
+	return out
+}
+
 // refresh tells the loop of names that it has not heard of.
 func (m *members) refresh() {
 	m.mu.Lock()
--- a/steward/members_test.go
+++ b/steward/members_test.go
@@ -95,3 +95,18 @@
 	}
 	g.Eventually(k.taken, time.Second, time.Millisecond).Should(gomega.Equal([]uint64{0, 1, 2}))
 }
+
+// Guards against routers that never learn which keepers are in their zone, and stay with the
+// seeds.
+func TestKeepersTellTheZonesOfOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := newMembers("10.0.0.1:7340", []string{"10.0.0.2:7340", "10.0.0.3:7340"}, func([]string) {})
+	m.located("10.0.0.3:7340", "z3")
+	m.located("10.0.0.4:7340", "z4")
+	m.located("10.0.0.1:7340", "z1")
+	zones := map[string]string{}
+	for _, k := range m.list() {
+		zones[k.Address] = k.Zone
+	}
+	g.Expect(zones).To(gomega.Equal(map[string]string{"10.0.0.2:7340": "", "10.0.0.3:7340": "z3", "10.0.0.4:7340": "z4"}))
+}
--- a/steward/roster.go
+++ b/steward/roster.go
@@ -22,30 +22,19 @@
 	leftTold = 256
 )
 
-type router struct {
-	member *messenger.FleetMember
-	heard  time.Time
-	// Direct says that the router itself asked here.
-	direct bool
-}
-
 // roster is what a keeper heard of endpoints and routers.
 type roster struct {
 	mu    sync.Mutex
 	table *enroller.Table
 	// Fresh holds what endpoints told this very keeper since the last share.
 	fresh   map[string]bool
-	routers map[string]router
+	routers *routers
 	// Epoch names this process, whose revisions of the table begin anew.
 	epoch uint64
-	// Whole holds all endpoints as of wholeAt, for the routers that ask for them together.
-	whole         []*messenger.Sighting
-	wholeAt       time.Time
-	wholeRevision uint64
 }
 
 func newRoster(heartbeat time.Duration) *roster {
-	return &roster{table: enroller.NewTable(silentBeats * heartbeat), fresh: map[string]bool{}, routers: map[string]router{}, epoch: rand.Uint64() | 1}
+	return &roster{table: enroller.NewTable(silentBeats * heartbeat), fresh: map[string]bool{}, routers: newRouters(), epoch: rand.Uint64() | 1}
 }
 
 // beat takes a heartbeat in and reports whether it agrees with what is known of
@@ -94,29 +83,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.Expire(now)
-	for a, x := range r.routers {
-		if now.Sub(x.heard) > routerSilence {
-			delete(r.routers, a)
-		}
-	}
+	r.routers.expire(now)
 }
 
 // news returns what was heard here since the last call.
 func (r *roster) news(now time.Time, from string) *messenger.Sightings {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := &messenger.Sightings{From: from}
-	for _, s := range r.table.Sightings(now) {
-		if r.fresh[s.Id] {
-			out.Sightings = append(out.Sightings, s)
-		}
-	}
+	out := &messenger.Sightings{From: from, Sightings: r.table.SightingsOf(now, r.fresh)}
 	clear(r.fresh)
-	for _, x := range r.routers {
-		if x.direct && now.Sub(x.heard) < 2*shareEvery {
-			out.Routers = append(out.Routers, x.member)
-		}
-	}
+	out.Routers = r.routers.direct(now)
 	return out
 }
 
@@ -136,9 +112,7 @@
 		r.table.Hear(now, b, age)
 	}
 	for _, m := range s.Routers {
-		if x := r.routers[m.Address]; !x.direct || now.Sub(x.heard) > 2*shareEvery {
-			r.routers[m.Address] = router{member: m, heard: now}
-		}
+		r.routers.relayed(now, m)
 	}
 }
 
@@ -146,30 +120,32 @@
 func (r *roster) ask(now time.Time, q *messenger.SyncRequest, out *messenger.SyncReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if a := q.Router.GetAddress(); a != "" {
-		r.routers[a] = router{member: q.Router, heard: now, direct: true}
+	if q.Router.GetAddress() != "" {
+		r.routers.observe(now, q.Router, true)
+		r.routers.setLoad(q.Router.Address, q.Load)
+		out.ZoneLoad = r.routers.zoneLoad(now, q.Router.Zone)
 	}
 	if q.ListRouters || q.Revision == 0 {
-		for _, x := range r.routers {
-			out.Routers = append(out.Routers, x.member)
+		held := q.RoutersRevision
+		if q.Epoch != r.epoch {
+			held = 0
 		}
+		r.routers.list(held, out)
 	}
-	out.Revision, out.Epoch = r.table.Revision(), r.epoch
-	if r.tellChanges(now, q, out) || q.Revision == out.Revision && q.Epoch == 0 {
+	view := r.table.View(q.Router.GetZone())
+	out.Revision, out.Epoch = view.Revision(now), r.epoch
+	if tellChanges(now, view, q, out) || q.Revision == out.Revision && q.Epoch == 0 {
 		return
 	}
-	if r.wholeRevision != out.Revision || now.Sub(r.wholeAt) > wholeTTL {
-		r.whole, r.wholeAt, r.wholeRevision = r.table.Sightings(now), now, out.Revision
-	}
-	out.Endpoints = r.whole
+	out.Endpoints = view.Sightings(now, wholeTTL)
 }
 
 // tellChanges fills in what changed since the router's revision, if that is known.
-func (r *roster) tellChanges(now time.Time, q *messenger.SyncRequest, out *messenger.SyncReply) bool {
-	if q.Epoch != r.epoch || q.Revision == 0 {
+func tellChanges(now time.Time, view *enroller.View, q *messenger.SyncRequest, out *messenger.SyncReply) bool {
+	if q.Epoch != out.Epoch || q.Revision == 0 {
 		return false
 	}
-	changed, gone, known := r.table.Changes(now, q.Revision)
+	changed, gone, known := view.Changes(now, q.Revision)
 	if !known {
 		return false
 	}
--- a/steward/server.go
+++ b/steward/server.go
@@ -63,6 +63,7 @@
 
 // Share takes in what another keeper heard.
 func (v *server) Share(_ context.Context, s *messenger.Sightings) (*messenger.SightingsTaken, error) {
+	v.s.members.located(s.From, s.Zone)
 	v.s.roster.take(time.Now(), s)
 	v.s.quarantine.take(time.Now(), s)
 	return &messenger.SightingsTaken{}, nil
@@ -78,9 +79,7 @@
 		UptimeMs: now.Sub(s.start).Milliseconds(),
 		Keepers:  []*messenger.FleetMember{{Address: s.node.Internal(), Zone: s.node.Zone()}},
 	}
-	for _, n := range s.members.names() {
-		out.Keepers = append(out.Keepers, &messenger.FleetMember{Address: n})
-	}
+	out.Keepers = append(out.Keepers, s.members.list()...)
 	s.roster.ask(now, q, out)
 	s.quarantine.tell(now, q.Crashes, q.Answered)
 	out.Evacuations = shown.evacuationsAt(now)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -41,6 +41,8 @@
 	balanceEvery = time.Second
 	// shareEvery is how often keepers tell each other what they heard.
 	shareEvery = 300 * time.Millisecond
+	// announceEvery is how often a keeper that heard nothing tells the others its zone.
+	announceEvery = 2 * time.Second
 	// headerTimeout bounds a caller that is slow to ask, and idleTimeout how long an
 	// endpoint's connection is kept between heartbeats.
 	headerTimeout = 5 * time.Second
@@ -233,6 +235,7 @@
 func (s *Steward) share(ctx context.Context) {
 	t := time.NewTicker(shareEvery)
 	defer t.Stop()
+	var sharedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -240,9 +243,12 @@
 		case <-t.C:
 		}
 		m := s.roster.news(time.Now(), s.node.Internal())
+		m.Zone = s.node.Zone()
 		s.roster.expire(time.Now())
-		if s.quarantine.news(time.Now(), m) || len(m.Sightings)+len(m.Routers) > 0 {
+		news := s.quarantine.news(time.Now(), m) || len(m.Sightings)+len(m.Routers) > 0
+		if news || time.Since(sharedAt) > announceEvery {
 			s.members.share(ctx, m)
+			sharedAt = time.Now()
 		}
 		s.holdBack(ctx)
 		s.learnVoters()
