Admission by the router's own link and processor; hot routers move their callers away

Change (package shaper, pure but for its listener): a model of the bytes that wait at the link and the lag of the process refuse what can't be in time, before the body is read, with Retry-After of 10 to 20 ms since the next try reaches another router; large bodies give way first, notices before them. Failures to connect while overloaded blame no endpoint and are not repeated. Routers tell keepers how busy their link is and hear their zone's mean; one that is far above it is not ready for 5 s, doubled while its callers overload it whenever it is, closes connections after 2 s, and at most an eighth of a zone does so at a time. Events that came together leave together. New setting link_mbps.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -20,6 +20,7 @@
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
+	"rattanhoist.example/rattanhoist/shaper"
 )
 
 const (
@@ -31,6 +32,9 @@
 	idleTimeout   = 16 * time.Second
 	// headerMost is in bytes.
 	headerMost = 64 << 10
+	// minBusy is the number of requests in progress from which the lag of the process is
+	// measured.
+	minBusy = 4
 	// sweepEvery is how often idle connections to endpoints are looked at.
 	sweepEvery = time.Second
 	// tellLeast is how long a router that stops goes on taking connections:
@@ -69,6 +73,8 @@
 	fleet       *fleet
 	rights      *rights
 	pool        *pooler.Pool
+	lag         shaper.Lag
+	admission   *shaper.Admission
 	handler     *forwarder.Forwarder
 	// Stopping is when the process was told to stop, as time since start; 0
 	// before.
@@ -82,15 +88,18 @@
 	c := &Courier{Options: o, start: time.Now(), incarnation: newIncarnation()}
 	table := predictor.NewTable(o.Node.Zone())
 	c.pool = pooler.New(o.Belongs, func() { c.opened.Add(1) })
+	c.admission = shaper.NewAdmission(o.Node.LinkRate(), &c.lag)
+	c.pool.UseLink(c.admission)
 	c.fleet = newFleet(o, c.incarnation, table, c.pool)
+	c.fleet.shedding = newShedding(c.admission, o.Log)
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
 	c.fleet.published = c.rights.prepare
 	c.gauges()
 	ratio, slack, window := o.Node.Retries()
 	c.handler = forwarder.New(forwarder.Parts{
 		Wire: o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
-		Quarantine: c.fleet.quarantine,
-		Limiter:    limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
+		Quarantine: c.fleet.quarantine, Admission: c.admission,
+		Limiter: limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
 	})
 	return c
 }
@@ -131,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	n, closeNews, err := newNews(c.fleet, c.Log)
+	n, closeNews, err := newNews(c.fleet, c.admission, c.Log)
 	if err != nil {
 		return err
 	}
@@ -142,11 +151,13 @@
 	messenger.RegisterFleetRouterServer(rpc, &peerServer{rights: c.rights, table: c.fleet.table})
 	failed := make(chan error, 3)
 	go func() { failed <- rpc.Serve(internal) }()
-	go func() { failed <- callers.Serve(front) }()
+	go func() { failed <- callers.Serve(c.admission.Listener(front)) }()
 	go func() { failed <- question.Serve(ready) }()
 	go c.fleet.run(work)
 	go c.rights.run(work)
 	go c.sweep(work)
+	go c.fleet.shedding.run(work, callers.SetKeepAlivesEnabled)
+	go c.lag.Run(work, func() bool { return c.active.Load() >= minBusy })
 	c.Log.Info("router started", zap.String("zone", c.Node.Zone()), zap.Strings("seeds", c.Node.Seeds()), zap.Uint64("incarnation", c.incarnation))
 	select {
 	case err := <-failed:
@@ -202,7 +213,7 @@
 }
 
 func (c *Courier) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if c.fleet.Index() == nil || c.fleet.outdated() || c.stoppingFor() > 0 {
+	if c.fleet.Index() == nil || c.fleet.outdated() || c.fleet.shedding.active() || c.stoppingFor() > 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -110,8 +110,10 @@
 	// service leave out.
 	appliedEvacuations uint64
 	evacuations        *evacuations
-	warmup             *warmup
-	rateLimitPolls     rateLimitPolls
+	// Shedding moves callers to other routers; nil without a link whose load is known.
+	shedding       *shedding
+	warmup         *warmup
+	rateLimitPolls rateLimitPolls
 }
 
 func newFleet(o Options, incarnation uint64, table *predictor.Table, pool *pooler.Pool) *fleet {
@@ -196,6 +198,7 @@
 	// Before the document: a router that starts serves once it has one.
 	f.quarantine.learn(now, r.Quarantined)
 	f.evacuations.learn(now, r.Evacuations)
+	f.shedding.observe(r.ZoneLoad)
 	f.renew(ctx, l, r.Number)
 	for _, l := range r.Left {
 		f.roll.Leave(now, enroller.LeaveOf(l))
--- a/courier/news.go
+++ b/courier/news.go
@@ -11,6 +11,7 @@
 
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/predictor"
+	"rattanhoist.example/rattanhoist/shaper"
 )
 
 const (
@@ -28,13 +29,14 @@
 // what the others send there in the same moment, long before the endpoint's own
 // reports show it.
 type news struct {
-	fleet *fleet
-	conn  *net.UDPConn
-	log   *zap.Logger
+	fleet     *fleet
+	conn      *net.UDPConn
+	admission *shaper.Admission
+	log       *zap.Logger
 }
 
 // newNews opens the socket. The returned function closes it.
-func newNews(f *fleet, log *zap.Logger) (*news, func(), error) {
+func newNews(f *fleet, admission *shaper.Admission, log *zap.Logger) (*news, func(), error) {
 	a, err := net.ResolveUDPAddr("udp", f.self.Address)
 	if err != nil {
 		return nil, nil, err
@@ -43,7 +45,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return &news{fleet: f, conn: c, log: log}, func() { _ = c.Close() }, nil
+	return &news{fleet: f, conn: c, admission: admission, log: log}, func() { _ = c.Close() }, nil
 }
 
 // tell sends a dispatch to other routers; lost datagrams are not missed.
@@ -57,6 +59,9 @@
 		return
 	}
 	for _, a := range to {
+		if !n.admission.AdmitOptional(time.Now(), len(b)) {
+			return
+		}
 		// A full link drops them; the endpoint's reports come anyway.
 		_, _ = n.conn.WriteToUDPAddrPort(b, a)
 	}
--- a/courier/question.go
+++ b/courier/question.go
@@ -216,7 +216,7 @@
 
 // syncRequest returns what to ask a keeper, and what it is told by that.
 func (f *fleet) syncRequest(l *messenger.Link) (*messenger.SyncRequest, telling) {
-	q := &messenger.SyncRequest{Router: f.self}
+	q := &messenger.SyncRequest{Router: f.self, Load: f.shedding.load(time.Now())}
 	s := f.sources[l.Address()]
 	if s != nil {
 		q.Revision, q.Epoch, q.RoutersRevision = s.revision, s.epoch, s.routersRevision
--- /dev/null
+++ b/courier/shedding.go
@@ -0,0 +1,99 @@
+package courier
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/shaper"
+)
+
+// zoneLoadTTL is how long what a keeper told of the load of a zone is valid: longer than most
+// cuts, and than an overloaded link keeps answers of keepers back.
+const zoneLoadTTL = 15 * time.Second
+
+// shedInterval is the pause between two looks at the load.
+const shedInterval = 100 * time.Millisecond
+
+// shedding moves callers to other routers of the zone while this router's link is much
+// busier than theirs. It is safe for concurrent use; nil sheds nothing.
+type shedding struct {
+	admission *shaper.Admission
+	log       *zap.Logger
+
+	mu      sync.Mutex
+	shedder shaper.Shedder
+	zone    shaper.ZoneLoad
+	zoneAt  time.Time
+}
+
+func newShedding(a *shaper.Admission, log *zap.Logger) *shedding {
+	return &shedding{admission: a, log: log}
+}
+
+// observe takes in what a keeper tells of the zone, or nil if it told nothing.
+func (s *shedding) observe(z *messenger.ZoneLoad) {
+	if s == nil || z == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.zone = shaper.ZoneLoad{Mean: float64(z.MeanPermille) / 1000, Routers: int(z.Routers), Shedding: int(z.Shedding)}
+	s.zoneAt = time.Now()
+}
+
+// run follows the load until ctx ends. KeepAlives is told whether connections of callers may
+// stay open after an answer.
+func (s *shedding) run(ctx context.Context, keepAlives func(bool)) {
+	t := time.NewTicker(shedInterval)
+	defer t.Stop()
+	kept := true
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if keep := !s.step(time.Now()); keep != kept {
+			kept = keep
+			keepAlives(keep)
+		}
+	}
+}
+
+// step returns whether connections of callers should be closed.
+func (s *shedding) step(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.zoneAt) > zoneLoadTTL {
+		s.zone = shaper.ZoneLoad{}
+	}
+	before, utilization := s.shedder.Shedding(), s.admission.Utilization(now)
+	s.shedder.Step(now, utilization, s.zone)
+	if after := s.shedder.Shedding(); after != before {
+		s.log.Info("callers are sent to other routers", zap.Bool("shedding", after), zap.Float64("utilization", utilization),
+			zap.Float64("zone_mean", s.zone.Mean), zap.Int("zone_routers", s.zone.Routers), zap.Int("zone_shedding", s.zone.Shedding))
+	}
+	return s.shedder.Closing(now)
+}
+
+// active reports whether new callers should go to other routers.
+func (s *shedding) active() bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shedder.Shedding()
+}
+
+// load returns what to tell keepers of this router, or nil.
+func (s *shedding) load(now time.Time) *messenger.RouterLoad {
+	if s == nil {
+		return nil
+	}
+	return &messenger.RouterLoad{Permille: uint32(1000 * s.admission.Utilization(now)), Shedding: s.active()}
+}
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -110,6 +110,9 @@
 	}
 	if o == unsent {
 		j.unsent++
+		if !j.mayHaveRun && !j.began && j.overloaded() {
+			return j.refuseOverloaded()
+		}
 		if j.unsent < unsentMost {
 			return true
 		}
@@ -188,7 +191,9 @@
 			j.full = append(j.full, b.Incarnation)
 			return full
 		}
-		j.blame(ctx, e)
+		if !j.overloaded() {
+			j.blame(ctx, e)
+		}
 		return unsent
 	}
 	j.tried = append(j.tried, b.Incarnation)
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -20,6 +20,7 @@
 	toRateLimited   = metrics.NewCounter("rattanhoist_requests_to_rate_limited_total")
 	// beforeRetryAfter counts requests sent to an endpoint before its Retry-After period elapsed.
 	beforeRetryAfter = metrics.NewCounter("rattanhoist_requests_before_retry_after_total")
+	overloadRefusals = metrics.NewCounter("rattanhoist_overload_refusals_total")
 	blamed           = metrics.NewCounter("rattanhoist_endpoint_failures_total")
 )
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,6 +49,9 @@
 	// a few engine steps later, spread so that they don't return together.
 	comeBack       = 150 * time.Millisecond
 	comeBackSpread = 250 * time.Millisecond
+	// comeBackElsewhere is when a caller should come back whom another router can serve at
+	// once.
+	comeBackElsewhere = 10 * time.Millisecond
 	// comeBackUnserved is when a caller should come back whose request only another
 	// configuration lets in.
 	comeBackUnserved = time.Second
@@ -107,6 +110,15 @@
 	BrokenOff(e *predictor.Endpoint, f quarantiner.Fingerprint, underway time.Duration)
 }
 
+// Admission decides which requests this router takes on.
+type Admission interface {
+	// Admit reports whether a request with a body of n bytes may be taken on.
+	Admit(now time.Time, n int64) bool
+	// Overloaded reports whether the router itself delays work so much that connections it
+	// can't make tell nothing of endpoints.
+	Overloaded(now time.Time) bool
+}
+
 // Parts are what a forwarder works with.
 type Parts struct {
 	Wire       Wire
@@ -116,7 +128,9 @@
 	Rights     Rights
 	Limiter    *limiter.Limiter
 	Quarantine Quarantine
-	Log        *zap.Logger
+	// Admission is nil where every request is taken on.
+	Admission Admission
+	Log       *zap.Logger
 }
 
 // Forwarder serves callers. It is safe for concurrent use.
@@ -232,7 +246,28 @@
 		timeout = min(timeout, c.Deadline)
 	}
 	j.until = j.begun.Add(min(timeout, defaultTimeout))
-	return j.locate() && j.readBody() && j.mayRun()
+	return j.locate() && j.admit() && j.readBody() && j.mayRun()
+}
+
+// admit refuses a request, before its body is read, that would wait for this router's link or
+// processor: the platform sends its caller's next try to another router.
+func (j *job) admit() bool {
+	if j.f.Admission == nil || j.f.Admission.Admit(j.begun, max(j.r.ContentLength, 0)) {
+		return true
+	}
+	return j.refuseOverloaded()
+}
+
+// refuseOverloaded says that the request has not run, and that another router can serve it.
+func (j *job) refuseOverloaded() bool {
+	overloadRefusals.Inc()
+	j.f.Wire.RetryAfter(j.w.Header(), comeBackElsewhere+rand.N(comeBackElsewhere))
+	return j.fail(http.StatusServiceUnavailable, "this router is overloaded")
+}
+
+// overloaded reports whether failures to reach endpoints may be due to this router.
+func (j *job) overloaded() bool {
+	return j.f.Admission != nil && j.f.Admission.Overloaded(time.Now())
 }
 
 // locate finds where the request may be served; it refuses one that no zone may serve.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -26,7 +26,7 @@
 		event, err := readEvent(events)
 		if len(event) > 0 && err == nil {
 			j.pace(time.Now(), work)
-			if !j.passEvent(a, event) {
+			if !j.passEvent(a, event, !holdsEvent(events)) {
 				j.log(0, "caller gone")
 				panic(http.ErrAbortHandler)
 			}
@@ -83,7 +83,8 @@
 	j.eventAt = now
 }
 
-func (j *job) passEvent(a *pooler.Answer, event []byte) bool {
+// passEvent passes a whole event on, at once with flush, and otherwise with the next one.
+func (j *job) passEvent(a *pooler.Answer, event []byte, flush bool) bool {
 	j.begin(a)
 	if id, ok := eventID(event); ok {
 		j.lastEvent = id
@@ -95,12 +96,18 @@
 	if _, err := j.w.Write(event); err != nil {
 		return false
 	}
-	if f, ok := j.w.(http.Flusher); ok {
+	if f, ok := j.w.(http.Flusher); ok && flush {
 		f.Flush()
 	}
 	return true
 }
 
+// holdsEvent reports whether another whole event has been received already.
+func holdsEvent(r *bufio.Reader) bool {
+	b, err := r.Peek(r.Buffered())
+	return err == nil && (bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\r\n\r\n")))
+}
+
 // readEvent returns the bytes up to and with the empty line that ends an
 // event. With an error, the bytes are those of an event that broke off.
 func readEvent(r *bufio.Reader) ([]byte, error) {
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -173,8 +173,16 @@
 	table  *predictor.Table
 	pool   *pooler.Pool
 	held   *quarantineStub
+	// Admission admits everything until a test changes that.
+	admission *admissionStub
 }
 
+// admissionStub is the load of the router itself.
+type admissionStub struct{ full, overloaded bool }
+
+func (a *admissionStub) Admit(time.Time, int64) bool { return !a.full }
+func (a *admissionStub) Overloaded(time.Time) bool   { return a.overloaded }
+
 func document() *publisher.Document {
 	prepaid := int64(1000)
 	share := []publisher.Share{{Service: "engine", Weight: 1}}
@@ -207,7 +215,10 @@
 }
 
 func newWorldIn(t *testing.T, zone func(int) string, endpoints ...*endpoint) *world {
-	w := &world{rights: &rightsStub{}, table: predictor.NewTable("z"), pool: pooler.New(platform.Belongs, func() {}), held: &quarantineStub{}}
+	w := &world{
+		rights: &rightsStub{}, table: predictor.NewTable("z"), pool: pooler.New(platform.Belongs, func() {}), held: &quarantineStub{},
+		admission: &admissionStub{},
+	}
 	var list []*predictor.Endpoint
 	for i, e := range endpoints {
 		list = append(list, predictor.NewEndpoint(enroller.Beat{
@@ -217,7 +228,7 @@
 	w.table.Replace(map[string][]*predictor.Endpoint{"engine": list})
 	f := forwarder.New(forwarder.Parts{
 		Wire: platform.Wire{}, Fleet: fleetStub{publisher.NewIndex(document(), localizer.New(map[string]string{"z": "north"}))}, Table: w.table,
-		Pool: w.pool, Rights: w.rights, Quarantine: w.held, Log: zap.NewNop(),
+		Pool: w.pool, Rights: w.rights, Quarantine: w.held, Admission: w.admission, Log: zap.NewNop(),
 		Limiter: limiter.New(limiter.Budget{Ratio: 1, Slack: 50, Window: seconds}, time.Now()),
 	})
 	w.server = httptest.NewServer(f)
--- a/loader/node.go
+++ b/loader/node.go
@@ -28,6 +28,8 @@
 	dataDir    string
 	// MemoryBytes is what the process may use; 0 for no bound.
 	memoryBytes int64
+	// LinkRate is what the VM's link carries, in bytes a second; 0 for no bound.
+	linkRate float64
 	// LostDisks is how many disks may be lost at once.
 	lostDisks int
 	heartbeat time.Duration
@@ -89,6 +91,9 @@
 // MemoryBytes returns what the process may use; 0 for no bound.
 func (n *Node) MemoryBytes() int64 { return n.memoryBytes }
 
+// LinkRate returns what the VM's link carries, in bytes a second; 0 for no bound.
+func (n *Node) LinkRate() float64 { return n.linkRate }
+
 // LostDisks returns how many disks may be lost at once.
 func (n *Node) LostDisks() int { return n.lostDisks }
 
@@ -142,6 +147,8 @@
 	defaultQuarantine   = time.Hour
 	defaultOvershoot    = 1
 	mebibyte            = 1 << 20
+	// megabit is in bytes.
+	megabit = 1e6 / 8
 
 	defaultLimitOvershoot = 1.5
 	defaultLimitSlack     = 5
@@ -150,7 +157,7 @@
 
 var nodeKeys = []string{
 	"name", "kind", "zone", "ip", "internal_ports", "seeds", "first_start", "serve", "ready", "control",
-	"metrics", "data_dir", "memory_mb", "lost_disks", "heartbeat_ms", "grace_s", "drain_ms",
+	"metrics", "data_dir", "memory_mb", "link_mbps", "lost_disks", "heartbeat_ms", "grace_s", "drain_ms",
 	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms", "apply_ms", "quarantine_s",
 	"zones", "cold_overshoot", "cold_slack",
 	"limit_overshoot", "limit_slack", "limit_window_s",
@@ -238,8 +245,10 @@
 }
 
 func (c *checker) nodeBounds(sec *ini.Section, n *Node) {
-	var memory, disks float64
+	var memory, disks, link float64
 	c.number(sec, "memory_mb", &memory)
+	c.number(sec, "link_mbps", &link)
+	n.linkRate = link * megabit
 	c.number(sec, "lost_disks", &disks)
 	n.memoryBytes, n.lostDisks = int64(memory*mebibyte), int(disks)
 	c.span(sec, "heartbeat_ms", time.Millisecond, &n.heartbeat)
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -84,6 +84,7 @@
 func (p *Pool) exchange(c *conn, r *Request) (*Answer, error) {
 	written := &atomic.Bool{}
 	head := r.head()
+	p.sent(len(head) + len(r.Body))
 	if len(r.Body) < writeApart {
 		if _, err := c.Write(append(head, r.Body...)); err != nil {
 			return nil, err
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -28,9 +29,11 @@
 )
 
 const (
-	// dialTimeout is far above a round trip between availability zones and
-	// below the first repeat of a lost opening packet, which comes after 1 s.
-	dialTimeout = 400 * time.Millisecond
+	// minDialTimeout is far above a round trip between availability zones and
+	// below the first repeat of a lost opening packet, which comes after 1 s. While bytes
+	// wait at the VM's own link it is longer, up to maxDialTimeout.
+	minDialTimeout = 400 * time.Millisecond
+	maxDialTimeout = 900 * time.Millisecond
 	// ackTimeout ends a connection whose bytes nobody acknowledges: several
 	// retransmissions, and less than what callers of a stream wait.
 	ackTimeout = 1500 * time.Millisecond
@@ -66,6 +69,58 @@
 	mu      sync.Mutex
 	peers   map[string]*peer
 	opened  func()
+	link    Link
+}
+
+// Link is the VM's network link.
+type Link interface {
+	// Sent and Received record bytes that were handed to the link and that came in.
+	Sent(now time.Time, n int)
+	Received(now time.Time, n int)
+	// Delay returns how long work is delayed by what waits at the link and the processor.
+	Delay(now time.Time) time.Duration
+}
+
+// UseLink makes the pool record what it sends, and wait longer for connections while the
+// link is busy. It must be called before the first exchange.
+func (p *Pool) UseLink(l Link) { p.link = l }
+
+// sent records bytes written.
+func (p *Pool) sent(n int) {
+	if p.link != nil {
+		p.link.Sent(time.Now(), n)
+	}
+}
+
+// recordedReader records what is read from a connection.
+type recordedReader struct {
+	net.Conn
+	link Link
+}
+
+// Read reads from the connection.
+func (r recordedReader) Read(b []byte) (int, error) {
+	n, err := r.Conn.Read(b)
+	if n > 0 {
+		r.link.Received(time.Now(), n)
+	}
+	return n, err
+}
+
+// reader returns what reads from a connection.
+func (p *Pool) reader(c net.Conn) io.Reader {
+	if p.link == nil {
+		return c
+	}
+	return recordedReader{Conn: c, link: p.link}
+}
+
+// dialTimeout returns how long a connection may take to be made.
+func (p *Pool) dialTimeout() time.Duration {
+	if p.link == nil {
+		return minDialTimeout
+	}
+	return minDialTimeout + min(2*p.link.Delay(time.Now()), maxDialTimeout-minDialTimeout)
 }
 
 type peer struct {
@@ -162,7 +217,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout())
 	defer cancel()
 	d := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount},
@@ -176,7 +231,7 @@
 		return nil, err
 	}
 	p.opened()
-	out := &conn{Conn: c, reader: bufio.NewReaderSize(c, bufferSize), target: t}
+	out := &conn{Conn: c, reader: bufio.NewReaderSize(p.reader(c), bufferSize), target: t}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if x := p.peers[t.ID]; x != nil {
