Pooled rights: one owner a zone where an even share covers no request

A floor is 1/8 of 1/985 of a total, some forty tokens, which fits no prompt and is out of use. In a cut each router searched all others. Ruled out: claims only on demand by each router: rights would lie with whoever saw a request last, half of the pool each time; and 700 claims a second at one leader.

Others ask it for one request's tokens in one call; it counts them as spent, as for any loan, and they give back what is left. One that does not answer is passed over for its successor, then for the keepers. An owner that lacks rights in a cut asks one router of each other zone. What nobody claims needs no renewal. A router that has just started claims no floors of more than 32 workspaces until it knows the fleet's size. State: zones x workspaces in demand, not routers x workspaces. Totals whose even share covers a small request work as before.

No new way for rights to come into being: a loan is spent at the lender first; a lost answer or gift loses tokens and never doubles them. The model spec/rights.pml does not know owners: not extended.

--- a/allotter/purse.go
+++ b/allotter/purse.go
@@ -177,6 +177,32 @@
 	return out, true
 }
 
+// Known reports whether a keeper has answered a claim of this purse.
+func (p *Purse) Known() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known
+}
+
+// TakeHeld sets n tokens aside if they are there, and notes nothing otherwise.
+func (p *Purse) TakeHeld(now time.Time, n int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || n > p.headroom() || n > p.bounded(now) {
+		return false
+	}
+	p.reserved += n
+	return true
+}
+
+// Borrow adds n tokens that another router lent for one request and sets them aside.
+func (p *Purse) Borrow(n int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.received += n
+	p.reserved += n
+}
+
 // Settle ends a reservation of which only part was spent.
 func (p *Purse) Settle(reserved, spent int64) {
 	p.mu.Lock()
@@ -219,6 +245,9 @@
 func (p *Purse) Due(now time.Time, floor int64, pause time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.known && p.waiting == 0 && floor <= 0 {
+		return false
+	}
 	rate := p.rate(now)
 	need := p.need(rate, floor)
 	headroom := p.headroom()
@@ -426,6 +455,19 @@
 	return n
 }
 
+// RestAbove is Rest where at least so many tokens are left and nothing is set aside;
+// otherwise it takes nothing.
+func (p *Purse) RestAbove(now time.Time, least int64) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := min(p.headroom(), p.bounded(now))
+	if p.reserved > 0 || n < least {
+		return 0
+	}
+	p.spent += n
+	return n
+}
+
 // Lend gives up to wanted tokens away: half of the headroom, or all that the
 // router itself won't need for a while. They count as spent here.
 func (p *Purse) Lend(now time.Time, wanted int64) int64 {
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -74,6 +74,8 @@
 	// Siblings are the other routers, the first near of them those of the zone.
 	siblings []*messenger.Link
 	near     int
+	// PeerZones holds the siblings' zones as keepers told last, by address.
+	peerZones map[string]string
 	// Owing holds the keepers that owe an answer, and silent when one last let
 	// askNext pass.
 	owing  map[string]bool
--- /dev/null
+++ b/courier/owner_test.go
@@ -0,0 +1,122 @@
+package courier
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// ownedWorkspace returns a name of a workspace that a peer owns, or that this router owns.
+func ownedWorkspace(r *rights, byPeer bool) string {
+	for i := range 100 {
+		w := string(rune('a'+i%26)) + string(rune('a'+i/26))
+		if (len(r.owners.of(time.Now(), w)) > 0) == byPeer {
+			return w
+		}
+	}
+	return ""
+}
+
+// ownerStub lends what it has for single requests.
+type ownerStub struct {
+	messenger.UnimplementedFleetRouterServer
+	lent, returned chan int64
+	spent          bool
+}
+
+func (o *ownerStub) ReserveRights(_ context.Context, q *messenger.ReserveRightsRequest) (*messenger.ReserveRightsReply, error) {
+	if o.spent {
+		return &messenger.ReserveRightsReply{Spent: true}, nil
+	}
+	o.lent <- q.Tokens
+	return &messenger.ReserveRightsReply{Lent: q.Tokens}, nil
+}
+
+func (o *ownerStub) LeaveRights(_ context.Context, q *messenger.LeaveRightsRequest) (*messenger.LeaveRightsReply, error) {
+	for _, x := range q.Gifts {
+		o.returned <- x.Tokens
+	}
+	return &messenger.LeaveRightsReply{}, nil
+}
+
+// pooledRights returns the rights of a router in a fleet of 1,000, and a peer of its zone.
+func pooledRights(t *testing.T) (*rights, *ownerStub, *keeperStub) {
+	k := &keeperStub{}
+	f := startFleet(t, serveStub(t, k))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &ownerStub{lent: make(chan int64, 100), returned: make(chan int64, 100)}
+	s := messenger.NewFleetServer()
+	messenger.RegisterFleetRouterServer(s, o)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Stop)
+	f.meet([]*messenger.FleetMember{{Address: l.Addr().String(), Zone: "z"}, f.self})
+	f.known.Store(1000)
+	r := newRights(f, "127.0.0.1:1", zap.NewNop())
+	r.totals = map[string]int64{}
+	for _, byPeer := range []bool{true, false} {
+		r.totals[ownedWorkspace(r, byPeer)] = 300_000
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.run(ctx)
+	t.Cleanup(cancel)
+	return r, o, k
+}
+
+// Pattern: 1,000 routers, and a workspace whose even share covers no request. Guards against
+// rights that every router claims ahead, and against leftovers that stay with those who
+// borrowed.
+func TestPooledRightsComeFromTheirOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, o, k := pooledRights(t)
+	g.Eventually(k.claims.Load, 3*time.Second).Should(gomega.Equal(int64(1)), "it says that it has started")
+	w := ownedWorkspace(r, true)
+	got, err := r.Reserve(context.Background(), w, 3_000)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(o.lent).To(gomega.Receive(gomega.Equal(int64(3_000))))
+	got.Settle(1_000)
+	g.Eventually(o.returned, 3*time.Second).Should(gomega.Receive(gomega.Equal(int64(2_000))))
+	g.Consistently(k.claims.Load, 3*time.Second).Should(gomega.Equal(int64(1)), "what was borrowed is no matter of the keepers")
+}
+
+// Guards against a refusal for lack of rights that exist, when the owner of a workspace has
+// ended.
+func TestSilentOwnerIsPassedOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, _, k := pooledRights(t)
+	w := ownedWorkspace(r, true)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	address := l.Addr().String()
+	_ = l.Close()
+	r.fleet.meet([]*messenger.FleetMember{{Address: address, Zone: "z"}, r.fleet.self})
+	r.fleet.known.Store(1000)
+	for len(r.owners.of(time.Now(), w)) == 0 {
+		w += "x"
+	}
+	r.mu.Lock()
+	r.totals[w] = 300_000
+	r.mu.Unlock()
+	g.Eventually(r.fleet.current.Load, 2*time.Second, 5*time.Millisecond).ShouldNot(gomega.BeNil())
+	_, err = r.Reserve(context.Background(), w, 500)
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "the keepers grant 1,000")
+	g.Expect(k.claims.Load()).To(gomega.BeNumerically(">", 0))
+	g.Expect(r.owners.of(time.Now(), w)).To(gomega.BeEmpty(), "passed over for a while")
+}
+
+// Guards against a second search for rights whose owner says that the total is spent.
+func TestOwnerSaysThatATotalIsSpent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, o, _ := pooledRights(t)
+	o.spent = true
+	_, err := r.Reserve(context.Background(), ownedWorkspace(r, true), 3_000)
+	g.Expect(err).To(gomega.MatchError("prepaid total does not cover the request"))
+}
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -56,6 +56,7 @@
 	urgent  chan struct{}
 	// Borrower gets rights from other routers.
 	borrower *borrower
+	owners   *owners
 
 	mu          sync.Mutex
 	purses      map[string]*allotter.Purse
@@ -81,6 +82,7 @@
 		incarnation: newIncarnation(), settled: make(chan struct{}), started: newStart(),
 	}
 	r.borrower = newBorrower(r, log)
+	r.owners = newOwners(f)
 	return r
 }
 
@@ -93,11 +95,30 @@
 // Settle gives back what was not spent.
 func (r *reservation) Settle(spent int64) { r.purse.Settle(r.tokens, spent) }
 
-// Reserve sets tokens aside, asking the keepers where this router holds too
+// Reserve sets tokens aside, asking other routers or the keepers where this router holds too
 // few.
 func (r *rights) Reserve(ctx context.Context, workspace string, tokens int64) (forwarder.Reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveWait)
 	defer cancel()
+	if r.pooled(workspace) {
+		if res, err, done := r.reserveInZone(ctx, workspace, tokens, messenger.RightsScope_RIGHTS_SCOPE_FLEET); done {
+			return asReservation(res, err)
+		}
+	}
+	return asReservation(r.reserveHere(ctx, workspace, tokens, true))
+}
+
+// asReservation keeps a nil reservation from becoming an interface that is not nil.
+func asReservation(res *reservation, err error) (forwarder.Reservation, error) {
+	if err != nil {
+		return nil, err
+	}
+	return res, nil
+}
+
+// reserveHere sets tokens aside that this router holds, asking the keepers where they are
+// too few, and other routers too where that is allowed.
+func (r *rights) reserveHere(ctx context.Context, workspace string, tokens int64, others bool) (*reservation, error) {
 	p, settled, first := r.purse(workspace)
 	if p.IsDry(time.Now(), tokens) {
 		rightsSpent.Inc()
@@ -108,7 +129,7 @@
 			return &reservation{purse: p, tokens: tokens}, nil
 		}
 		if r.fleet.outOfTouch() {
-			if r.borrow(ctx, p, tokens) {
+			if others && r.borrow(ctx, p, workspace, tokens) {
 				return &reservation{purse: p, tokens: tokens}, nil
 			}
 			rightsRefused.Inc()
@@ -129,7 +150,7 @@
 		var now uint64
 		p, settled, now = r.purse(workspace)
 		if now > first+1 && p.Exhausted(tokens) {
-			if r.borrow(ctx, p, tokens) {
+			if others && r.borrow(ctx, p, workspace, tokens) {
 				return &reservation{purse: p, tokens: tokens}, nil
 			}
 			return nil, r.refused(p, tokens)
@@ -138,7 +159,10 @@
 }
 
 // borrow sets tokens aside from what other routers lend.
-func (r *rights) borrow(ctx context.Context, p *allotter.Purse, tokens int64) bool {
+func (r *rights) borrow(ctx context.Context, p *allotter.Purse, workspace string, tokens int64) bool {
+	if r.pooled(workspace) {
+		return r.borrowElsewhere(ctx, p, workspace, tokens)
+	}
 	return r.borrower.fetch(ctx, func() bool { return p.Retry(time.Now(), tokens) })
 }
 
@@ -195,6 +219,7 @@
 // run settles purses with the keepers until ctx ends.
 func (r *rights) run(ctx context.Context) {
 	go r.borrower.run(ctx)
+	go r.runReturns(ctx)
 	timeout := claimTimeout
 	for {
 		select {
@@ -209,6 +234,20 @@
 	}
 }
 
+// runReturns gives back what is left of borrowed rights until ctx ends.
+func (r *rights) runReturns(ctx context.Context) {
+	t := time.NewTicker(returnInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			r.returnLeftovers(ctx)
+		}
+	}
+}
+
 // close gives back what is left: to the keepers, or to another router where no
 // keeper answers. Else it would count as spent.
 func (r *rights) close(ctx context.Context) {
@@ -323,9 +362,14 @@
 }
 
 // floor is what this router holds of a workspace ahead of any demand: a part
-// of the even share of the total, so that the first requests need not wait.
+// of the even share of the total, so that the first requests need not wait. Of pooled
+// workspaces it is nothing.
 func (r *rights) floor(workspace string) int64 {
-	return r.totals[workspace] / int64(floorPart*max(r.fleet.Routers(), 1))
+	n := r.share(workspace)
+	if n < minFloor || len(r.totals) > maxEagerFloors && time.Since(r.fleet.start) < floorDelay {
+		return 0
+	}
+	return n
 }
 
 // prepare makes purses for the workspaces of a document.
@@ -348,12 +392,13 @@
 func (r *rights) due(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.answered == 0 || now.Sub(r.stated) >= renewEvery {
+	if r.answered == 0 {
 		return true
 	}
 	pause := r.fleet.paced(claimEvery, claimPacedMost)
+	renew := now.Sub(r.stated) >= renewEvery
 	for w, p := range r.purses {
-		if p.Due(now, r.floor(w), pause) {
+		if renew && p.Known() || p.Due(now, r.floor(w), pause) {
 			return true
 		}
 	}
@@ -374,10 +419,17 @@
 	pause := r.fleet.paced(claimEvery, claimPacedMost)
 	for _, w := range slices.Sorted(maps.Keys(r.purses)) {
 		p := r.purses[w]
-		p.Among(r.fleet.Routers())
+		p.Among(r.holders(w))
+		known := p.Known()
 		switch {
 		case closing:
-			out.Claims = append(out.Claims, p.Close(w))
+			c := p.Close(w)
+			if !known {
+				continue
+			}
+			out.Claims = append(out.Claims, c)
+		case !known && !p.Due(sent, r.floor(w), pause):
+			continue
 		case !p.Due(sent, r.floor(w), pause) && p.LeaveOut(sent):
 			leftOut[w] = p
 			continue
@@ -389,6 +441,14 @@
 	return out, purses, leftOut, sent
 }
 
+// holders is how many routers hold rights of a workspace.
+func (r *rights) holders(workspace string) int {
+	if _, limited := r.totals[workspace]; limited && r.share(workspace) < minFloor {
+		return 1
+	}
+	return r.fleet.Routers()
+}
+
 // order sends the claims to a keeper, which passes them to the leader.
 func (r *rights) order(ctx context.Context, l *messenger.Link, timeout time.Duration, change *messenger.RightsChange) (*messenger.OrderReply, error) {
 	var reply *messenger.OrderReply
--- a/courier/sibling.go
+++ b/courier/sibling.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 
@@ -48,7 +49,7 @@
 			far = append(far, l)
 		}
 	}
-	f.siblings, f.near = append(near, far...), len(near)
+	f.siblings, f.near, f.peerZones = append(near, far...), len(near), zones
 	c := f.newCircles(zones)
 	f.circles.Store(&c)
 }
@@ -111,6 +112,27 @@
 	return f.siblings
 }
 
+// zonePeers returns the other routers of the zone; callers must not change the list.
+func (f *fleet) zonePeers() []*messenger.Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.siblings[:min(f.near, len(f.siblings))]
+}
+
+// remotePeers returns one router of each other zone, in random order.
+func (f *fleet) remotePeers() []*messenger.Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	byZone := map[string]*messenger.Link{}
+	far := f.siblings[min(f.near, len(f.siblings)):]
+	for _, i := range rand.Perm(len(far)) {
+		if zone := f.peerZones[far[i].Address()]; zone != "" && byZone[zone] == nil {
+			byZone[zone] = far[i]
+		}
+	}
+	return slices.Collect(maps.Values(byZone))
+}
+
 // turn returns the other routers, those of the zone first, both parts beginning at
 // another one for each n: who asks them in this order spreads what it asks for.
 func (f *fleet) turn(n int) []*messenger.Link {
