Routers: one keeper at a time tells of many endpoints

Cause: a router that no keeper answers for 1.3 s asks all of them at once, and each told it all endpoints: 25 x 0.3 MB over 10 Mbit/s, 6 s. Ruled out as cause of late leaves: long rounds; they end once the router counts as out of touch.

Change: the keeper that is asked once the primary source has been silent for 2 s takes its place. A round is no longer cut at eight keepers.

--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -32,6 +32,8 @@
 	asked atomic.Int64
 	// Sightings are the endpoints that it tells of, at a revision of their own.
 	sightings atomic.Pointer[messenger.Sightings]
+	// AskedEndpoints counts the questions for endpoints.
+	askedEndpoints atomic.Int64
 	// Evacuations are told with each answer.
 	evacuations atomic.Pointer[messenger.Evacuations]
 	claims      atomic.Int64
@@ -50,8 +52,11 @@
 
 func (k *keeperStub) number() uint64 { return uint64(1 + k.newer.Load()) }
 
-func (k *keeperStub) Sync(ctx context.Context, _ *messenger.SyncRequest) (*messenger.SyncReply, error) {
+func (k *keeperStub) Sync(ctx context.Context, q *messenger.SyncRequest) (*messenger.SyncReply, error) {
 	k.asked.Add(1)
+	if !q.SkipEndpoints {
+		k.askedEndpoints.Add(1)
+	}
 	out := &messenger.SyncReply{Number: k.number(), ConfirmedAgeMs: k.age.Load(), Evacuations: k.evacuations.Load()}
 	if s := k.sightings.Load(); s != nil {
 		out.Endpoints = s.Sightings
--- a/courier/question.go
+++ b/courier/question.go
@@ -24,9 +24,6 @@
 	// syncTimeout ends one question. A link of 10 Mbit/s that callers filled
 	// took 0.4 to 0.5 s for each way and back, and a new connection needs two.
 	syncTimeout = 2 * time.Second
-	// maxAsked bounds the keepers asked in one round. Those that have not answered are asked last
-	// in the next.
-	maxAsked = 8
 	// shunSilent is how long a keeper that let askNext pass is asked last.
 	shunSilent = 3 * time.Second
 	// freshWithin is how lately a majority must have confirmed what a keeper
@@ -79,8 +76,7 @@
 // off.
 func (f *fleet) round(ctx context.Context) {
 	f.asked++
-	keepers := f.order()
-	for _, l := range keepers[:min(len(keepers), maxAsked)] {
+	for _, l := range f.order() {
 		f.question(ctx, l)
 		wait := askNext
 		if f.outOfTouch() {
--- a/courier/question_test.go
+++ b/courier/question_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -32,3 +33,41 @@
 		g.Expect(n).To(gomega.BeNumerically("<", 60), k)
 	}
 }
+
+// Pattern: 25 keepers that know 600 endpoints, all of them silent for some seconds. Guards
+// against a router that asks each of them for all endpoints at once, over a link that takes
+// seconds to carry the answers.
+func TestOneKeeperAtATimeTellsOfManyEndpoints(t *testing.T) {
+	g := gomega.NewWithT(t)
+	known := &messenger.Sightings{}
+	for i := range maxSharedEndpoints + 100 {
+		known.Sightings = append(known.Sightings, &messenger.Sighting{
+			Id: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Zone: "z", Slots: 1, Sequence: 1,
+		})
+	}
+	var stubs []*keeperStub
+	var addresses []string
+	for range 25 {
+		k := &keeperStub{}
+		k.sightings.Store(known)
+		stubs = append(stubs, k)
+		addresses = append(addresses, serveStub(t, k))
+	}
+	f := startFleet(t, addresses...)
+	g.Eventually(func() []string { return inService(f) }, 3*time.Second, 10*time.Millisecond).Should(gomega.HaveLen(len(known.Sightings)))
+	before := int64(0)
+	for _, k := range stubs {
+		before += k.askedEndpoints.Load()
+		k.sync.Store(int64(time.Minute))
+	}
+	time.Sleep(3 * time.Second)
+	asked, after := 0, int64(0)
+	for _, k := range stubs {
+		if k.asked.Load() > 0 {
+			asked++
+		}
+		after += k.askedEndpoints.Load()
+	}
+	g.Expect(asked).To(gomega.Equal(len(stubs)), "all are asked whether they answer")
+	g.Expect(after-before).To(gomega.BeNumerically("<=", 4), "questions for all endpoints in 3 s")
+}
--- a/courier/source.go
+++ b/courier/source.go
@@ -31,10 +31,17 @@
 	primaryTimeout = 2 * time.Second
 )
 
-// skipsEndpoints reports whether a keeper need not tell of endpoints, since the primary source
-// does.
+// skipsEndpoints reports whether a keeper that is asked now need not tell of endpoints, since
+// the primary source does. If that one has been silent for too long, the keeper takes its place.
 func (f *fleet) skipsEndpoints(now time.Time, keeper string) bool {
-	return len(f.endpoints) > maxSharedEndpoints && f.primary != keeper && now.Sub(f.primaryAt) < primaryTimeout
+	if len(f.endpoints) <= maxSharedEndpoints || f.primary == keeper {
+		return false
+	}
+	if now.Sub(f.primaryAt) < primaryTimeout {
+		return true
+	}
+	f.primary, f.primaryAt = keeper, now
+	return false
 }
 
 // hearEndpoints takes in what a keeper tells of endpoints, asked at sent.
