--- a/courier/owner.go
+++ b/courier/owner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -105,12 +106,12 @@
 }
 
 // reserveInZone sets pooled tokens aside: those that this router has left over, or those
-// that the owner in its zone lends. It returns false where this router has to look for them
+// that the owner in its zone lends. It is not done where this router has to look for them
 // itself.
-func (r *rights) reserveInZone(ctx context.Context, workspace string, tokens int64, scope messenger.RightsScope) (*reservation, error, bool) {
+func (r *rights) reserveInZone(ctx context.Context, workspace string, tokens int64, scope messenger.RightsScope) (res *reservation, done bool, err error) {
 	p, _, _ := r.purse(workspace)
 	if p.TakeHeld(time.Now(), tokens) {
-		return &reservation{purse: p, tokens: tokens}, nil, true
+		return &reservation{purse: p, tokens: tokens}, true, nil
 	}
 	for _, l := range r.owners.of(time.Now(), workspace) {
 		reply, err := l.ReserveRights(ctx, ownerTimeout, &messenger.ReserveRightsRequest{Workspace: workspace, Tokens: tokens, Scope: scope})
@@ -119,9 +120,9 @@
 			continue
 		}
 		res, err := lent(p, tokens, reply)
-		return res, err, true
+		return res, true, err
 	}
-	return nil, nil, false
+	return nil, false, nil
 }
 
 // ownerSilent passes an owner over that did not answer in time.
@@ -197,8 +198,9 @@
 		lentTokens.AddInt64(q.Tokens)
 		return &messenger.ReserveRightsReply{Lent: q.Tokens}, nil
 	}
-	out := &messenger.ReserveRightsReply{Spent: err == forwarder.ErrSpent}
-	if o, ok := err.(forwarder.OutOfReach); ok {
+	out := &messenger.ReserveRightsReply{Spent: errors.Is(err, forwarder.ErrSpent)}
+	var o forwarder.OutOfReach
+	if errors.As(err, &o) {
 		out.RetryAfterMs = o.After.Milliseconds()
 	}
 	return out, nil
@@ -206,7 +208,7 @@
 
 func (r *rights) reserveFor(ctx context.Context, q *messenger.ReserveRightsRequest) (*reservation, error) {
 	if q.Scope == messenger.RightsScope_RIGHTS_SCOPE_ZONE {
-		if res, err, done := r.reserveInZone(ctx, q.Workspace, q.Tokens, messenger.RightsScope_RIGHTS_SCOPE_LOCAL); done {
+		if res, done, err := r.reserveInZone(ctx, q.Workspace, q.Tokens, messenger.RightsScope_RIGHTS_SCOPE_LOCAL); done {
 			return res, err
 		}
 	}
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -101,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reserveWait)
 	defer cancel()
 	if r.pooled(workspace) {
-		if res, err, done := r.reserveInZone(ctx, workspace, tokens, messenger.RightsScope_RIGHTS_SCOPE_FLEET); done {
+		if res, done, err := r.reserveInZone(ctx, workspace, tokens, messenger.RightsScope_RIGHTS_SCOPE_FLEET); done {
 			return asReservation(res, err)
 		}
 	}
