--- a/loader/node.go
+++ b/loader/node.go
@@ -58,6 +58,24 @@
 	// endpoints that report a rate limit.
 	limitOvershoot, limitSlack float64
 	limitWindow                time.Duration
+	// processorShare is the part of a core that the process may use; 0 means unknown.
+	processorShare float64
+	features       Features
+}
+
+// Features are the parts of a fleet that a setting can switch off. All are on by default, and each
+// takes effect only where the configuration calls for it.
+type Features struct {
+	// PacedClaims lets keepers state the interval at which routers settle prepaid rights.
+	PacedClaims bool
+	// ShortageNotices lets routers refuse requests by what they were told of a scarce total.
+	ShortageNotices bool
+	// LoadDigests makes routers tell each other the load of endpoints and zones.
+	LoadDigests bool
+	// ServiceAdmission makes requests wait in the router, by priority, while every endpoint is full.
+	ServiceAdmission bool
+	// EnginePriorities sends the priorities of requests to endpoints.
+	EnginePriorities bool
 }
 
 // Name returns the name of the VM.
@@ -148,6 +166,12 @@
 	return n.limitOvershoot, n.limitSlack, n.limitWindow
 }
 
+// ProcessorShare returns the part of a core that the process may use; 0 means unknown.
+func (n *Node) ProcessorShare() float64 { return n.processorShare }
+
+// Features returns the parts of the fleet that are switched on.
+func (n *Node) Features() Features { return n.features }
+
 // Defaults of a node's settings.
 const (
 	defaultHeartbeat    = time.Second
@@ -175,6 +199,7 @@
 	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms", "apply_ms", "quarantine_s",
 	"zones", "cold_overshoot", "cold_slack",
 	"limit_overshoot", "limit_slack", "limit_window_s",
+	"processor_share", "paced_claims", "shortage_notices", "load_digests", "service_admission", "engine_priorities",
 }
 
 // LoadNode reads and validates the settings of one process. The error lists
@@ -213,9 +238,20 @@
 	c.parseNodeAddresses(sec, n)
 	c.parseNodeLimits(sec, n)
 	c.parseRegions(sec, n)
+	c.parseFeatures(sec, &n.features)
 	return n
 }
 
+// parseFeatures reads which parts of the fleet are switched on.
+func (c *parser) parseFeatures(sec *ini.Section, f *Features) {
+	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true}
+	c.readBool(sec, "paced_claims", &f.PacedClaims)
+	c.readBool(sec, "shortage_notices", &f.ShortageNotices)
+	c.readBool(sec, "load_digests", &f.LoadDigests)
+	c.readBool(sec, "service_admission", &f.ServiceAdmission)
+	c.readBool(sec, "engine_priorities", &f.EnginePriorities)
+}
+
 // parseRegions reads the region of each zone in the form ZONE:REGION,ZONE:REGION.
 func (c *parser) parseRegions(sec *ini.Section, n *Node) {
 	n.regions = map[string]string{}
@@ -284,6 +320,7 @@
 	c.readNumber(sec, "limit_overshoot", &n.limitOvershoot)
 	c.readNumber(sec, "limit_slack", &n.limitSlack)
 	c.readTimeSpan(sec, "limit_window_s", time.Second, &n.limitWindow)
+	c.readNumber(sec, "processor_share", &n.processorShare)
 }
 
 // readNumber sets *to to a non-negative number. An empty field keeps the
--- a/loader/node_test.go
+++ b/loader/node_test.go
@@ -69,3 +69,22 @@
 		g.Expect(err.Error()).To(gomega.ContainSubstring(part))
 	}
 }
+
+// Guards against a part of the fleet that can't be switched off, or that is off where the settings
+// don't name it.
+func TestFeaturesAreOnUnlessSwitchedOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n, _, err := loader.LoadNode(nodeFile(t, validNode))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(n.Features()).To(gomega.Equal(loader.Features{
+		PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true,
+	}))
+	g.Expect(n.ProcessorShare()).To(gomega.BeZero())
+	off := "processor_share = 0.48\npaced_claims = false\nshortage_notices = false\nload_digests = false\nservice_admission = false\nengine_priorities = false\n"
+	n, _, err = loader.LoadNode(nodeFile(t, validNode+off))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(n.Features()).To(gomega.Equal(loader.Features{}))
+	g.Expect(n.ProcessorShare()).To(gomega.Equal(0.48))
+	_, _, err = loader.LoadNode(nodeFile(t, validNode+"paced_claims = perhaps\n"))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("paced_claims")))
+}
