A leave reaches routers before it is acknowledged, and no request is sent after a late connection

Change: a keeper acknowledges a leave once the routers that sync with it have done so, 0.6 s after the leave's arrival at the latest; a request is sent only if its endpoint is still in service once the connection is there, and otherwise another one is chosen. Measured: go test -race ./forwarder ./steward; the new forwarder test fails without Confirm.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -32,7 +32,7 @@
 	// retry budget for another attempt has been taken already.
 	outcomeRetry
 	// outcomeNoConnection means that the router may not open more connections to the
-	// endpoint.
+	// endpoint, or that the endpoint left service before the request was sent.
 	outcomeNoConnection
 )
 
@@ -192,6 +192,11 @@
 			j.recordFailure(ctx, e)
 			return outcomeLost
 		}
+		if errors.Is(err, pooler.ErrWithdrawn) {
+			dispatchesWithdrawn.Inc()
+			j.noConnection = append(j.noConnection, b.Incarnation)
+			return outcomeNoConnection
+		}
 		if errors.Is(err, pooler.ErrConnectionLimit) {
 			j.noConnection = append(j.noConnection, b.Incarnation)
 			return outcomeNoConnection
@@ -247,6 +252,7 @@
 	return &pooler.Request{
 		Method: j.r.Method, URI: j.r.RequestURI, Host: j.r.Host,
 		Header: j.f.Wire.EndpointHeader(j.r.Header, s), Body: j.body, ID: j.caller.ID,
+		Confirm: func() bool { return j.f.Table.InService(w.Endpoint()) },
 	}
 }
 
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -22,7 +22,10 @@
 	// period elapsed.
 	requestsBeforeRetryAfter = metrics.NewCounter("rattanhoist_requests_before_retry_after_total")
 	overloadRefusals         = metrics.NewCounter("rattanhoist_overload_refusals_total")
-	endpointFailures         = metrics.NewCounter("rattanhoist_endpoint_failures_total")
+	// dispatchesWithdrawn counts requests that were not sent because the endpoint left
+	// service while a connection was opened.
+	dispatchesWithdrawn = metrics.NewCounter("rattanhoist_dispatches_withdrawn_total")
+	endpointFailures    = metrics.NewCounter("rattanhoist_endpoint_failures_total")
 )
 
 // countEnd counts a final answer; status 0 stands for a caller who disconnected.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -4,12 +4,14 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"rattanhoist.example/rattanhoist/forwarder"
+	"rattanhoist.example/rattanhoist/predictor"
 )
 
 func TestRequestIsForwardedUnchanged(t *testing.T) {
@@ -322,6 +324,39 @@
 	expectNoRequestsAfter(t, "Server-Leaving: 1\r\n")
 }
 
+// leavingLink is a network link during whose delay an endpoint leaves service.
+type leavingLink struct{ leave func() }
+
+func (l leavingLink) Sent(time.Time, int)     {}
+func (l leavingLink) Received(time.Time, int) {}
+func (l leavingLink) Delay(time.Time) time.Duration {
+	l.leave()
+	return 0
+}
+
+// Guards against a request that reaches an endpoint after its leave, because the endpoint was chosen
+// before it and opening the connection took long.
+func TestEndpointThatLeavesWhileItsConnectionOpensGetsNoRequest(t *testing.T) {
+	for path, s := range map[string]script{
+		"/read/x": responds(answerOK), "/once/x": responds(answerOK), "/stream/x": responds(streamHead, event("1"), streamEnd),
+	} {
+		t.Run(path, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			first, second := newEndpoint(t, s), newEndpoint(t, s)
+			w := newTestRouter(t, first, second)
+			all := w.table.Endpoints("engine")
+			all[1].Exclude()
+			w.pool.UseLink(leavingLink{sync.OnceFunc(func() {
+				remaining := predictor.NewEndpoint(all[1].Beat())
+				w.table.Replace(map[string][]*predictor.Endpoint{"engine": {remaining}})
+			})})
+			g.Expect(w.send(t, "POST", path, "b").status).To(gomega.Equal(200))
+			g.Expect(first.requests()).To(gomega.BeEmpty(), "it has left")
+			g.Expect(second.requests()).To(gomega.HaveLen(1))
+		})
+	}
+}
+
 // expectNoRequestsAfter checks, for each kind of response, that an endpoint receives no
 // further requests after a response that contains the given header field.
 func expectNoRequestsAfter(t *testing.T, field string) {
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -23,6 +23,10 @@
 	Body   []byte
 	// ID is the request id that the answer must contain.
 	ID string
+	// Confirm is called once a connection is available. If it returns false, nothing is
+	// sent. Opening a connection over a busy link takes up to a second, in which the choice
+	// of the endpoint may become invalid. Nil confirms every request.
+	Confirm func() bool
 }
 
 // maxStrayAnswers is the number of answers to earlier requests that are skipped before the
@@ -54,7 +58,7 @@
 }
 
 // Exchange sends a request and returns its answer once the head has arrived. Errors are
-// ErrNotSent, ErrConnectionLimit or ErrMayHaveRun.
+// ErrNotSent, ErrConnectionLimit, ErrWithdrawn or ErrMayHaveRun.
 func (p *Pool) Exchange(ctx context.Context, t Target, r *Request) (*Answer, error) {
 	c, err := p.acquire(t, time.Now())
 	if err != nil {
@@ -69,6 +73,10 @@
 		p.release(c, minReuseTimeout)
 		return nil, merry.Errorf("%w: %s", ErrNotSent, ctx.Err().Error())
 	}
+	if r.Confirm != nil && !r.Confirm() {
+		p.discard(c)
+		return nil, ErrWithdrawn
+	}
 	// Closing the connection ends reads and writes at once and tells the endpoint to stop.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	a, err := p.exchange(c, r)
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -25,6 +25,9 @@
 	// ErrConnectionLimit means that this router may not open more connections to the
 	// endpoint. Nothing was sent.
 	ErrConnectionLimit = merry.Sentinel("connection bound reached")
+	// ErrWithdrawn means that the request was withdrawn before it was sent. Nothing was
+	// sent.
+	ErrWithdrawn = merry.Sentinel("request withdrawn before it was sent")
 )
 
 const (
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -121,6 +121,11 @@
 // Endpoint returns the endpoint with the given name, or nil if none is in service.
 func (t *Table) Endpoint(name string) *Endpoint { return (*t.byName.Load())[name] }
 
+// InService reports whether an endpoint may still receive requests.
+func (t *Table) InService(e *Endpoint) bool {
+	return (*t.byName.Load())[e.name] == e && !e.excluded.Load()
+}
+
 // Endpoints returns the endpoints of a service. Callers must not modify the slice.
 func (t *Table) Endpoints(service string) []*Endpoint {
 	if g := (*t.byService.Load())[service]; g != nil {
--- a/steward/control.go
+++ b/steward/control.go
@@ -175,14 +175,19 @@
 	c.refusalLog.Warn("heartbeat refused", zap.String("endpoint", endpoint), zap.Error(why))
 }
 
-// Leave returns nil once a majority has stored that the endpoint takes no new work.
+// Leave returns nil once a majority has stored that the endpoint takes no new work, and the routers
+// that sync with this keeper have been told, as far as they do so in time.
 func (c *Control) Leave(ctx context.Context, i enroller.Incarnation) error {
+	arrived := time.Now()
 	i = c.keeper.registry.resolveIncarnation(i)
 	if slices.Contains(c.keeper.committedState.Load().leftEndpoints, i) {
 		return nil
 	}
 	err := c.keeper.commitChange(ctx, &messenger.FleetChange{Body: &messenger.FleetChange_Leave{Leave: i.LeaveChange()}})
-	c.keeper.log.Info("endpoint leaves", zap.Stringer("endpoint", i), zap.Error(err))
+	if err == nil {
+		c.keeper.awaitLeaveNotified(ctx, i, arrived)
+	}
+	c.keeper.log.Info("endpoint leaves", zap.Stringer("endpoint", i), zap.Duration("took", time.Since(arrived)), zap.Error(err))
 	return err
 }
 
--- a/steward/counters.go
+++ b/steward/counters.go
@@ -18,6 +18,8 @@
 	// crashed.
 	crashesReported     = metrics.NewCounter("rattanhoist_endpoint_crashes_told_total")
 	changesNotCommitted = metrics.NewCounter("rattanhoist_orders_not_now_total")
+	// leavesUnnotified counts leaves that were acknowledged before all routers had synced.
+	leavesUnnotified = metrics.NewCounter("rattanhoist_leaves_unnotified_total")
 )
 
 // registerGauges registers the gauges of a keeper; a process has one keeper only.
