Callers that send or read slowly have limits on time and memory on the platform's path

Cause: a caller that does not read blocked its handler for as long as it liked, with its prepaid tokens reserved and a drain waiting for it; one that does not send its body did the same; and nothing bounded the bytes held for all callers of a VM together. Setting caller_limits switches it off.

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -1,6 +1,10 @@
 package courier
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"rattanhoist.example/rattanhoist/enforcer"
+)
 
 // Counters for prepaid rights.
 var (
@@ -22,6 +26,11 @@
 // progress there.
 var endpointCrashes = metrics.NewCounter("rattanhoist_endpoints_ended_total")
 
+// registerMemoryGauge registers the gauge of the bytes held for callers.
+func registerMemoryGauge(m *enforcer.Memory) {
+	metrics.GetOrCreateGauge("rattanhoist_caller_bytes_held", func() float64 { return float64(m.Held()) })
+}
+
 // registerGauges registers the gauges of a router. There is one router per process.
 func (c *Router) registerGauges() {
 	metrics.GetOrCreateGauge("rattanhoist_requests_active", func() float64 { return float64(c.activeRequests.Load()) })
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"rattanhoist.example/rattanhoist/enforcer"
 	"rattanhoist.example/rattanhoist/forwarder"
 	"rattanhoist.example/rattanhoist/limiter"
 	"rattanhoist.example/rattanhoist/loader"
@@ -47,6 +48,10 @@
 	// exitMargin is how long before the end of the grace period the process exits by itself.
 	exitMargin        = 300 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
+	// callerMemoryDivisor is the part of the process's memory that requests and answers of
+	// callers may hold. The heap grows to nearly twice its live data, and buffers of
+	// connections take as much again.
+	callerMemoryDivisor = 4
 )
 
 // Options configure a router.
@@ -96,9 +101,14 @@
 	c.fleet.onDocument = c.rights.updateTotals
 	c.registerGauges()
 	ratio, slack, window := o.Node.RetryLimit()
+	var limits *forwarder.CallerLimits
+	if o.Node.Features().CallerLimits {
+		limits = &forwarder.CallerLimits{Memory: enforcer.NewMemory(o.Node.MemoryBytes() / callerMemoryDivisor)}
+		registerMemoryGauge(limits.Memory)
+	}
 	c.handler = forwarder.New(forwarder.Dependencies{
 		Wire: o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
-		Quarantine: c.fleet.quarantine, Admission: c.admission,
+		Quarantine: c.fleet.quarantine, Admission: c.admission, CallerLimits: limits,
 		Limiter: limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
 	})
 	return c
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -281,6 +281,7 @@
 		return outcomeLost
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxPlainAnswerBytes))
+	j.holding.Add(len(body))
 	assignment.ObserveFirstByte(time.Now())
 	e := assignment.Endpoint()
 	if err != nil || !a.Complete() {
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -22,6 +22,10 @@
 	// period elapsed.
 	requestsBeforeRetryAfter = metrics.NewCounter("rattanhoist_requests_before_retry_after_total")
 	overloadRefusals         = metrics.NewCounter("rattanhoist_overload_refusals_total")
+	// memoryRefusals counts requests refused because too many bytes were held for callers,
+	// and slowBodies those whose body was not sent in time.
+	memoryRefusals = metrics.NewCounter("rattanhoist_memory_refusals_total")
+	slowBodies     = metrics.NewCounter("rattanhoist_slow_bodies_total")
 	// dispatchesWithdrawn counts requests that were not sent because the endpoint left
 	// service while a connection was opened.
 	dispatchesWithdrawn = metrics.NewCounter("rattanhoist_dispatches_withdrawn_total")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -6,11 +6,13 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"rattanhoist.example/rattanhoist/enforcer"
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/limiter"
 	"rattanhoist.example/rattanhoist/localizer"
@@ -65,6 +67,9 @@
 	skewedRouters     = 12
 	maxConnectionSkew = 3
 	minConnections    = 4
+	// writeGrace is how long after its deadline a caller may take to read the rest of its
+	// answer.
+	writeGrace = time.Second
 	// defaultMaxBodyBytes is the limit on request bodies where the configuration
 	// states none.
 	defaultMaxBodyBytes = 4 << 20
@@ -136,7 +141,15 @@
 	Quarantine Quarantine
 	// Admission is nil if every request is accepted.
 	Admission Admission
-	Log       *zap.Logger
+	// CallerLimits is nil if callers may take any time and memory.
+	CallerLimits *CallerLimits
+	Log          *zap.Logger
+}
+
+// CallerLimits bounds what callers that send or read slowly may take.
+type CallerLimits struct {
+	// Memory holds the bodies of requests and the answers that are not passed on yet.
+	Memory *enforcer.Memory
 }
 
 // Forwarder is the HTTP handler for callers. It is safe for concurrent use.
@@ -150,10 +163,19 @@
 
 // ServeHTTP handles one request up to its final answer.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	j := &job{f: f, w: w, r: r, startedAt: time.Now()}
+	j := &job{f: f, w: w, r: r, startedAt: time.Now(), holding: f.hold()}
+	defer j.holding.Release()
 	j.serve()
 }
 
+// hold returns the account for the memory that one request takes.
+func (f *Forwarder) hold() *enforcer.Holding {
+	if f.CallerLimits == nil {
+		return (*enforcer.Memory)(nil).Hold()
+	}
+	return f.CallerLimits.Memory.Hold()
+}
+
 // job is one request from its arrival to its final answer.
 type job struct {
 	f         *Forwarder
@@ -167,8 +189,10 @@
 	service   *publisher.Service
 	workspace *publisher.Workspace
 	// zones holds the zones in which the request may be served; nil stands for all.
-	zones       *localizer.Zones
-	body        []byte
+	zones *localizer.Zones
+	body  []byte
+	// holding counts the bytes held for the request.
+	holding     *enforcer.Holding
 	fingerprint quarantiner.Fingerprint
 	deadline    time.Time
 	// reservation is nil if the request uses no prepaid tokens.
@@ -310,15 +334,31 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	if j.f.CallerLimits != nil {
+		enforcer.LimitBodyTime(j.w, j.r, j.deadline)
+		enforcer.LimitWriteTime(j.w, j.deadline.Add(writeGrace))
+	}
 	var err error
-	j.body, err = io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
+	j.body, err = io.ReadAll(j.holding.Reader(http.MaxBytesReader(j.w, j.r.Body, limit)))
 	if err == nil {
 		j.computeFingerprint()
 		return true
 	}
+	return j.refuseBody(err)
+}
+
+// refuseBody answers a request whose body was not read.
+func (j *job) refuseBody(err error) bool {
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.As(err, &large):
 		return j.fail(http.StatusRequestEntityTooLarge, "body too large")
+	case errors.Is(err, enforcer.ErrMemory):
+		memoryRefusals.Inc()
+		return j.refuseOverloaded()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		slowBodies.Inc()
+		return j.fail(http.StatusRequestTimeout, "body not sent in time")
 	}
 	return j.fail(http.StatusBadRequest, "body not read: "+err.Error())
 }
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -178,6 +178,8 @@
 	quarantine *quarantineStub
 	// admission admits every request until a test changes that.
 	admission *admissionStub
+	limits    *forwarder.CallerLimits
+	forwarder *forwarder.Forwarder
 }
 
 // admissionStub sets the load of the router itself.
@@ -220,7 +222,7 @@
 func newTestRouterInZones(t *testing.T, zone func(int) string, endpoints ...*endpoint) *testRouter {
 	w := &testRouter{
 		rights: &rightsStub{}, table: predictor.NewTable("z"), pool: pooler.New(platform.ClassifyResponse, func() {}), quarantine: &quarantineStub{},
-		admission: &admissionStub{},
+		admission: &admissionStub{}, limits: &forwarder.CallerLimits{},
 	}
 	var list []*predictor.Endpoint
 	for i, e := range endpoints {
@@ -231,9 +233,10 @@
 	w.table.Replace(map[string][]*predictor.Endpoint{"engine": list})
 	f := forwarder.New(forwarder.Dependencies{
 		Wire: platform.HeaderCodec{}, Fleet: fleetStub{publisher.NewIndex(document(), localizer.New(map[string]string{"z": "north"}))}, Table: w.table,
-		Pool: w.pool, Rights: w.rights, Quarantine: w.quarantine, Admission: w.admission, Log: zap.NewNop(),
+		Pool: w.pool, Rights: w.rights, Quarantine: w.quarantine, Admission: w.admission, CallerLimits: w.limits, Log: zap.NewNop(),
 		Limiter: limiter.New(limiter.Budget{Ratio: 1, Slack: 50, Window: budgetWindow}, time.Now()),
 	})
+	w.forwarder = f
 	w.server = httptest.NewServer(f)
 	t.Cleanup(w.server.Close)
 	return w
--- a/loader/node.go
+++ b/loader/node.go
@@ -74,6 +74,8 @@
 	LoadDigests bool
 	// ServiceAdmission makes requests wait in the router, by priority, while every endpoint is full.
 	ServiceAdmission bool
+	// CallerLimits bounds the time and the memory that callers may take who send or read slowly.
+	CallerLimits bool
 	// EnginePriorities sends the priorities of requests to endpoints.
 	EnginePriorities bool
 }
@@ -199,7 +201,7 @@
 	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms", "apply_ms", "quarantine_s",
 	"zones", "cold_overshoot", "cold_slack",
 	"limit_overshoot", "limit_slack", "limit_window_s",
-	"processor_share", "paced_claims", "shortage_notices", "load_digests", "service_admission", "engine_priorities",
+	"processor_share", "paced_claims", "shortage_notices", "load_digests", "service_admission", "engine_priorities", "caller_limits",
 }
 
 // LoadNode reads and validates the settings of one process. The error lists
@@ -244,12 +246,13 @@
 
 // parseFeatures reads which parts of the fleet are switched on.
 func (c *parser) parseFeatures(sec *ini.Section, f *Features) {
-	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true}
+	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true}
 	c.readBool(sec, "paced_claims", &f.PacedClaims)
 	c.readBool(sec, "shortage_notices", &f.ShortageNotices)
 	c.readBool(sec, "load_digests", &f.LoadDigests)
 	c.readBool(sec, "service_admission", &f.ServiceAdmission)
 	c.readBool(sec, "engine_priorities", &f.EnginePriorities)
+	c.readBool(sec, "caller_limits", &f.CallerLimits)
 }
 
 // parseRegions reads the region of each zone in the form ZONE:REGION,ZONE:REGION.
