allotter: less is written off at a loss of power

Cause: requests that waited for a claim counted twice in its ceiling, in the rate and in full. The bounds of idle workspaces had a ceiling above what was used and rose after 1.8 s, and the ceiling covered 1.5 s of demand at the shortest interval too. Change: the rate for ceiling and slope leaves out the waiting requests. A bound without demand has no ceiling above what is used, and rises after 4 s. The rise delay with demand is 2.05 s. The ceiling covers the interval and 0.95 s, at most 1.67 s or the interval and 0.25 s. Each limit keeps the rise delay of its claim, and merged limits take the longest. The fuzz tests also draw other rise delays and claims that state none. With the shorter rise delay in merged limits, TestMergedLimitsKeepTheLongestRiseDelay fails.

--- a/allotter/allocation.go
+++ b/allotter/allocation.go
@@ -14,22 +14,29 @@
 	// scarceHorizon replaces Horizon while tokens are scarce, to prepare for a network partition
 	// that begins at once.
 	scarceHorizon = 5 * time.Second
-	// BoundRiseDelay is how long a bound stays at its ceiling before it rises. If a process
-	// crashes and is back within this delay, only tokens up to the ceiling count as spent.
-	BoundRiseDelay = 1800 * time.Millisecond
+	// riseDelayWithDemand is the rise delay of a bound: how long it stays at its ceiling before it
+	// rises. If a process crashes and is back within this delay, only tokens up to the ceiling count
+	// as spent. It covers a VM's restart and the shortest claim interval. In a network partition, a
+	// router refuses requests for the part of it that exceeds the ceiling time.
+	riseDelayWithDemand = 2050 * time.Millisecond
+	// idleRiseDelay replaces it without demand, when a bound has to rise only for a network
+	// partition of several seconds.
+	idleRiseDelay = 4 * time.Second
 	// defaultRiseDelay is the rise delay of claims that state none.
 	defaultRiseDelay = 1500 * time.Millisecond
-	// A ceiling leaves room for the demand during minCeilingTime, or during the interval until the
-	// next claim plus ceilingMargin if that is longer.
-	minCeilingTime = 1500 * time.Millisecond
-	ceilingMargin  = 250 * time.Millisecond
+	// A ceiling leaves room for the demand until the next claim and during failedClaimTime, in which
+	// a claim times out and is repeated, but for at most maxCeilingTime, because the room counts as
+	// spent when the process crashes. If the interval plus ceilingMargin is longer, it leaves room
+	// for that.
+	failedClaimTime = 950 * time.Millisecond
+	maxCeilingTime  = 1670 * time.Millisecond
+	ceilingMargin   = 250 * time.Millisecond
 	// slopeFactor is the slope of a bound as a multiple of the demand rate, because bursts during
-	// a network partition exceed the mean.
-	slopeFactor = 1.5
-	// idleCeiling, in tokens, and idleSlope, in tokens per second, are a bound's ceiling and slope
-	// without demand. They allow for one small request. More than idleHolders routers divide them
-	// among themselves.
-	idleCeiling = 1_000
+	// a network partition exceed the mean. Twice as much above the mean would be lost when a
+	// process that crashed is back only after the rise delay.
+	slopeFactor = 1.25
+	// idleSlope, in tokens per second, is a bound's slope without demand. More than idleHolders
+	// routers divide it among themselves.
 	idleSlope   = 2_000
 	idleHolders = 24
 	// lendReserve is the time for which a lender keeps tokens for its own demand. It equals the
@@ -310,20 +317,20 @@
 	surplus := p.surplus(need, rate, floor)
 	p.returned += surplus
 	headroom -= surplus
-	boundRate := p.demandRateOver(now, minBoundDemandTime)
+	boundRate, ceilingTime, delay := p.servedRate(now), ceilingTime(interval), p.claimRiseDelay(now, interval)
 	c := &messenger.RightsClaim{
 		Workspace: workspace, Returned: p.returned, Spent: max(p.spent-p.received, 0),
 		Wanted: max(need-headroom, 0), Urgent: max(p.largestWaiting-headroom, 0),
-		Ceiling: max(p.used(), 0) + p.waitingTotal + int64(boundRate*max(minCeilingTime, interval+ceilingMargin).Seconds()) + p.idlePart(idleCeiling),
-		Slope:   int64(boundRate*slopeFactor) + p.idlePart(idleSlope), RestMs: BoundRiseDelay.Milliseconds(),
+		Ceiling: max(p.used(), 0) + p.waitingTotal + int64(boundRate*ceilingTime.Seconds()),
+		Slope:   int64(boundRate*slopeFactor) + p.idleSlopePart(), RestMs: delay.Milliseconds(),
 	}
 	if p.claimUnanswered && p.answered {
 		// This claim may reach a keeper only after a network partition, during which the router
 		// spends under its earlier limits.
-		c.Ceiling, c.Slope = max(c.Ceiling, p.allowedAt(now.Add(BoundRiseDelay))), max(c.Slope, p.maxSlope())
+		c.Ceiling, c.Slope = max(c.Ceiling, p.allowedAt(now.Add(delay))), max(c.Slope, p.maxSlope())
 	}
 	p.largestWaiting, p.waitingTotal, p.claimUnanswered = 0, 0, true
-	p.addLimit(limit{ceiling: c.Ceiling, slope: c.Slope, statedAt: now})
+	p.addLimit(claimLimit(c, now))
 	return c
 }
 
@@ -356,7 +363,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// No later claim was sent, because claims are sent one after the other.
-	p.limits, p.claimUnanswered = []limit{{ceiling: c.Ceiling, slope: c.Slope, statedAt: sent}}, false
+	p.limits, p.claimUnanswered = []limit{claimLimit(c, sent)}, false
 	p.granted = max(p.granted, g.Granted)
 	p.unallocated, p.scarce, p.answered = g.Left, g.Scarce, true
 }
--- a/allotter/crash_fuzz_test.go
+++ b/allotter/crash_fuzz_test.go
@@ -58,6 +58,7 @@
 			continue
 		}
 		c.Claims = append(c.Claims, p.NextClaim(x.now, w, 0, 250*time.Millisecond))
+		varyRiseDelay(x.rand, p, c.Claims[len(c.Claims)-1])
 		claimed = append(claimed, p)
 	}
 	sent := x.now
@@ -208,3 +209,39 @@
 		})
 	}
 }
+
+// Guards against a router that spends more than its oldest claims state, because limits with
+// different rise delays were merged into one that rises too early. 30 claims get no answer.
+func TestMergedLimitsKeepTheLongestRiseDelay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		now := time.Unix(1000, 0)
+		l, p := newLedger(10_000_000), &allotter.Allocation{}
+		sendClaim(l, "a", 1, p, now, now)
+		type sentClaim struct {
+			claim *messenger.RightsClaim
+			at    time.Time
+		}
+		var sent []sentClaim
+		for range 30 {
+			now = now.Add(time.Duration(r.IntN(300)) * time.Millisecond)
+			p.Reserve(now, r.Int64N(5_000))
+			c := p.NextClaim(now, workspace, 0, 250*time.Millisecond)
+			varyRiseDelay(r, p, c)
+			sent = append(sent, sentClaim{claim: c, at: now})
+		}
+		for range 100 {
+			now = now.Add(100 * time.Millisecond)
+			for _, s := range sent {
+				rest := s.claim.RestMs
+				if rest == 0 {
+					rest = 1_500
+				}
+				risen := max(now.Sub(s.at)-time.Duration(rest)*time.Millisecond, 0).Seconds()
+				if most := s.claim.Ceiling + int64(float64(s.claim.Slope)*risen); p.AllowedAt(now) > most {
+					t.Fatalf("%d allowed, a claim stated %d", p.AllowedAt(now), most)
+				}
+			}
+		}
+	})
+}
--- a/allotter/demand.go
+++ b/allotter/demand.go
@@ -24,8 +24,22 @@
 	return p.demandRateOver(now, minDemandTime)
 }
 
+// servedRate returns the demand rate for a bound, without the waiting requests: the bound leaves
+// room for them in full. Claims are sent when requests wait, so counting these twice would make
+// most ceilings too high.
+func (p *Allocation) servedRate(now time.Time) float64 {
+	waiting := float64(p.waitingTotal) / demandWindow.Seconds()
+	return max(p.meanDemand-waiting, 0) / p.windowPart(now, minBoundDemandTime)
+}
+
 // demandRateOver returns the demand rate, assuming that demand began at least minTime ago.
 func (p *Allocation) demandRateOver(now time.Time, minTime time.Duration) float64 {
+	return p.meanDemand / p.windowPart(now, minTime)
+}
+
+// windowPart returns the part of demandWindow's weight that falls in the time since demand began,
+// or in minTime if that is longer.
+func (p *Allocation) windowPart(now time.Time, minTime time.Duration) float64 {
 	elapsed := max(now.Sub(p.demandSince), minTime)
-	return p.meanDemand / (1 - math.Exp(-elapsed.Seconds()/demandWindow.Seconds()))
+	return 1 - math.Exp(-elapsed.Seconds()/demandWindow.Seconds())
 }
--- a/allotter/fuzz_test.go
+++ b/allotter/fuzz_test.go
@@ -94,11 +94,21 @@
 	c.Binding = true
 	if w.rand.IntN(3) > 0 || !m.allocation.OmitFromClaim(w.now) {
 		c.Claims = append(c.Claims, m.allocation.NextClaim(w.now, workspace, 0, 400*time.Millisecond))
+		varyRiseDelay(w.rand, m.allocation, c.Claims[0])
 	}
 	m.sentAt = append(m.sentAt, w.now)
 	m.claimsInFlight = append(m.claimsInFlight, c)
 }
 
+// varyRiseDelay makes every second claim state another rise delay, as routers of earlier versions
+// (1,800 ms, or none) and workspaces with and without demand do.
+func varyRiseDelay(r *rand.Rand, p *allotter.Allocation, c *messenger.RightsClaim) {
+	delays := []int64{0, 1_000, 1_800, 2_050, 4_000}
+	if r.IntN(2) == 0 {
+		p.RestateRiseDelay(c, delays[r.IntN(len(delays))])
+	}
+}
+
 // deliverClaim applies a claim to the ledger. The answer reaches the router unless it is lost.
 func (w *simulation) deliverClaim(m *routerProcess, i int, again, lost bool) {
 	c := m.claimsInFlight[i]
--- a/allotter/limits.go
+++ b/allotter/limits.go
@@ -3,15 +3,28 @@
 import (
 	"math"
 	"time"
+
+	"rattanhoist.example/rattanhoist/messenger"
 )
 
 // limit is the spending bound of one claim. It starts at ceiling and rises by slope tokens per
-// second after BoundRiseDelay.
+// second after riseDelay, which equals the rise delay in the claim.
 type limit struct {
 	ceiling, slope int64
+	riseDelay      time.Duration
 	statedAt       time.Time
 }
 
+// claimLimit returns the limit that a claim sent at sent states.
+func claimLimit(c *messenger.RightsClaim, sent time.Time) limit {
+	return limit{ceiling: c.Ceiling, slope: c.Slope, riseDelay: riseDelay(c.RestMs), statedAt: sent}
+}
+
+// allowedAt returns the most tokens that may be used until a time.
+func (l limit) allowedAt(at time.Time) int64 {
+	return spendingBound(l.ceiling, l.slope, l.riseDelay, at.Sub(l.statedAt))
+}
+
 // maxLimits is the number of limits that are kept before the oldest two are merged.
 const maxLimits = 16
 
@@ -27,7 +40,9 @@
 		a.statedAt, b.statedAt = b.statedAt, a.statedAt
 	}
 	p.limits = p.limits[1:]
-	p.limits[0] = limit{ceiling: min(a.ceiling, b.ceiling), slope: min(a.slope, b.slope), statedAt: b.statedAt}
+	p.limits[0] = limit{
+		ceiling: min(a.ceiling, b.ceiling), slope: min(a.slope, b.slope), riseDelay: max(a.riseDelay, b.riseDelay), statedAt: b.statedAt,
+	}
 }
 
 // allowedAt returns the most tokens that may be used until a time under all limits.
@@ -37,7 +52,7 @@
 	}
 	most := int64(math.MaxInt64)
 	for _, l := range p.limits {
-		most = min(most, spendingBound(l.ceiling, l.slope, BoundRiseDelay, at.Sub(l.statedAt)))
+		most = min(most, l.allowedAt(at))
 	}
 	return most
 }
@@ -51,10 +66,23 @@
 	return most
 }
 
-// idlePart returns this router's part of idleCeiling or idleSlope, which more than idleHolders
-// routers divide among themselves.
-func (p *Allocation) idlePart(amount int64) int64 {
-	return amount * idleHolders / max(p.holders, idleHolders)
+// idleSlopePart returns this router's part of idleSlope, which more than idleHolders routers divide
+// among themselves.
+func (p *Allocation) idleSlopePart() int64 {
+	return idleSlope * idleHolders / max(p.holders, idleHolders)
+}
+
+// ceilingTime returns the time of demand for which a ceiling leaves room.
+func ceilingTime(interval time.Duration) time.Duration {
+	return max(min(interval+failedClaimTime, maxCeilingTime), interval+ceilingMargin)
+}
+
+// claimRiseDelay returns the rise delay that a claim sent now states.
+func (p *Allocation) claimRiseDelay(now time.Time, interval time.Duration) time.Duration {
+	if p.demandRateOver(now, minBoundDemandTime)*ceilingTime(interval).Seconds() < minLoan {
+		return idleRiseDelay
+	}
+	return riseDelayWithDemand
 }
 
 // remainingAllowed returns the tokens that the limits still allow to be reserved.
@@ -90,7 +118,7 @@
 		}
 		if shortfall > 0 {
 			riseTime := time.Duration(float64(shortfall) / float64(l.slope) * float64(time.Second))
-			out = max(out, l.statedAt.Add(BoundRiseDelay+riseTime).Sub(now))
+			out = max(out, l.statedAt.Add(l.riseDelay+riseTime).Sub(now))
 		}
 	}
 	return out, true
