allotter: headroom follows how long a scarce total lasts

Cause: while a total is scarce, routers hold headroom for 5 s of demand, also when it lasts for 2 s. The rest stays with routers whose callers have moved. Change: grants state the unspent tokens, the total and, while scarce, how long the unspent tokens last at the demand of all routers; scarce workspaces that a claim omits are listed with the same. A router holds headroom for a quarter of that time, at most 5 s, and its surplus shrinks alike. A total does not count as exhausted if the unallocated tokens and those that the router holds are enough together. Up to 24 routers have a ceiling of 1,000 tokens without demand again.

--- a/allotter/allocation.go
+++ b/allotter/allocation.go
@@ -12,8 +12,11 @@
 	// keeper is reachable, even if demand rises by half.
 	Horizon = 14 * time.Second
 	// scarceHorizon replaces Horizon while tokens are scarce, to prepare for a network partition
-	// that begins at once.
+	// that begins at once. If the runway is known, a router holds tokens for at most
+	// 1/runwayDivisor of it, so that at least three quarters of the unspent tokens stay available
+	// to the routers that callers move to.
 	scarceHorizon = 5 * time.Second
+	runwayDivisor = 4
 	// riseDelayWithDemand is the rise delay of a bound: how long it stays at its ceiling before it
 	// rises. If a process crashes and is back within this delay, only tokens up to the ceiling count
 	// as spent. It covers a VM's restart and the shortest claim interval. In a network partition, a
@@ -35,8 +38,11 @@
 	// a network partition exceed the mean. Twice as much above the mean would be lost when a
 	// process that crashed is back only after the rise delay.
 	slopeFactor = 1.25
-	// idleSlope, in tokens per second, is a bound's slope without demand. More than idleHolders
-	// routers divide it among themselves.
+	// idleCeiling, in tokens, and idleSlope, in tokens per second, are a bound's ceiling and slope
+	// without demand. They allow for small requests while no keeper is reachable. More than
+	// idleHolders routers divide the slope among themselves, and have no such ceiling: its parts
+	// would be too small for any request.
+	idleCeiling = 1_000
 	idleSlope   = 2_000
 	idleHolders = 24
 	// lendReserve is the time for which a lender keeps tokens for its own demand. It equals the
@@ -88,6 +94,8 @@
 	claimUnanswered bool
 	unallocated     int64
 	scarce          bool
+	// Runway is how long the unspent tokens last at the demand of all routers, or 0 if unknown.
+	runway time.Duration
 	// FailedSearchAt is when a search for failedSearchSize tokens last failed.
 	failedSearchAt   time.Time
 	failedSearchSize int64
@@ -178,13 +186,13 @@
 	p.spent += min(spent, reserved)
 }
 
-// Exhausted reports whether a keeper has said that fewer than n tokens are unallocated and the
-// router itself holds fewer. If the router holds them but its limit does not allow them yet, the
-// total is not exhausted.
+// Exhausted reports whether a keeper has said that fewer than n tokens are unallocated, including
+// those that the router itself holds, which a claim can complete. If the router holds them but its
+// limit does not allow them yet, the total is not exhausted.
 func (p *Allocation) Exhausted(n int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.answered && p.unallocated < n && p.headroom() < n
+	return p.answered && p.unallocated+max(p.headroom(), 0) < n
 }
 
 // RecordFailedSearch records that neither keepers nor other routers had n tokens.
@@ -259,6 +267,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.scarce, p.claimUnanswered = scarce, false
+	if !scarce {
+		p.runway = 0
+	}
 }
 
 // surplus returns the headroom to return to the keepers, beyond the headroom that the router
@@ -268,8 +279,12 @@
 	if !p.scarce {
 		maxKept = 3 * need
 	}
-	if !p.scarce || rate >= 1 {
+	switch {
+	case !p.scarce:
 		maxKept += p.allowedSurplus(floor)
+	case rate >= 1:
+		// The surplus shrinks with the horizon, so that none is kept of a spent total.
+		maxKept += int64(float64(p.allowedSurplus(floor)) * float64(p.scarceHorizon()) / float64(scarceHorizon))
 	}
 	surplus := min(p.headroom()-need, p.granted-p.returned-p.spent-p.reserved)
 	if need+surplus <= maxKept {
@@ -292,11 +307,19 @@
 	return min(maxKeptSurplus, floor/floorSurplusDivisor)
 }
 
+// scarceHorizon returns how long the router should be able to serve while tokens are scarce.
+func (p *Allocation) scarceHorizon() time.Duration {
+	if p.runway <= 0 {
+		return scarceHorizon
+	}
+	return min(p.runway/runwayDivisor, scarceHorizon)
+}
+
 // targetHeadroom returns the headroom that the router should hold at a demand rate.
 func (p *Allocation) targetHeadroom(rate float64, floor int64) int64 {
 	horizon, divisor := Horizon, int64(shareHeadroomDivisor)
 	if p.scarce {
-		horizon, floor, divisor = scarceHorizon, 0, scarceShareHeadroomDivisor
+		horizon, floor, divisor = p.scarceHorizon(), 0, scarceShareHeadroomDivisor
 	}
 	need := int64(rate * horizon.Seconds())
 	if p.evenShare > 0 {
@@ -321,8 +344,8 @@
 	c := &messenger.RightsClaim{
 		Workspace: workspace, Returned: p.returned, Spent: max(p.spent-p.received, 0),
 		Wanted: max(need-headroom, 0), Urgent: max(p.largestWaiting-headroom, 0),
-		Ceiling: max(p.used(), 0) + p.waitingTotal + int64(boundRate*ceilingTime.Seconds()),
-		Slope:   int64(boundRate*slopeFactor) + p.idleSlopePart(), RestMs: delay.Milliseconds(),
+		Ceiling: max(p.used(), 0) + p.waitingTotal + int64(boundRate*ceilingTime.Seconds()) + idleCeilingOf(p.holders),
+		Slope:   int64(boundRate*slopeFactor) + idleSlopePart(p.holders), RestMs: delay.Milliseconds(),
 	}
 	if p.claimUnanswered && p.answered {
 		// This claim may reach a keeper only after a network partition, during which the router
@@ -366,6 +389,7 @@
 	p.limits, p.claimUnanswered = []limit{claimLimit(c, sent)}, false
 	p.granted = max(p.granted, g.Granted)
 	p.unallocated, p.scarce, p.answered = g.Left, g.Scarce, true
+	p.runway = time.Duration(max(g.RunwayMs, 0)) * time.Millisecond
 }
 
 // headroom returns the tokens that are held and neither spent nor reserved.
--- a/allotter/claim_pacer.go
+++ b/allotter/claim_pacer.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// MinClaimInterval and MaxClaimInterval bound the interval between two claims of a router. What
-	// routers may spend without a keeper's knowledge grows with it.
+	// MinClaimInterval is the shortest interval between two claims of a router, which costs a keeper
+	// four claims per second and router.
 	MinClaimInterval = 250 * time.Millisecond
+	// MaxClaimInterval is the longest interval, because what routers may spend without a keeper's
+	// knowledge grows with it.
 	MaxClaimInterval = 2 * time.Second
 	// maxUnpacedRouters is the number of routers up to which claims are sent at MinClaimInterval
 	// whatever the keepers' load. With more routers, the initial interval grows in proportion.
--- a/allotter/ledger.go
+++ b/allotter/ledger.go
@@ -9,6 +9,8 @@
 	"maps"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
@@ -25,6 +27,8 @@
 	// poolDivisor limits a single claim to 1/poolDivisor of the unallocated tokens, scaled by the
 	// router's part of all routers or of the demand. With 2, one claim never takes all of them.
 	poolDivisor = 2
+	// maxRunwayMs limits the runway to an hour. Routers act on runways of seconds.
+	maxRunwayMs = 3_600_000
 )
 
 // account holds what one incarnation of a router was granted of a workspace. Its amounts only
@@ -66,6 +70,8 @@
 	// Slopes is the sum of the slopes in the holders' latest claims, which estimates how fast all
 	// routers together spend a workspace's tokens.
 	slopes map[string]int64
+	// AccountCounts is the number of holders that have an account for a workspace.
+	accountCounts map[string]int64
 	// ScarceWorkspaces holds the workspaces for which isScarce is true.
 	scarceWorkspaces map[string]bool
 	holders          map[string]*holder
@@ -75,7 +81,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		totals: map[string]int64{}, consumed: map[string]int64{},
-		held: map[string]int64{}, spent: map[string]int64{}, slopes: map[string]int64{}, scarceWorkspaces: map[string]bool{}, holders: map[string]*holder{},
+		held: map[string]int64{}, spent: map[string]int64{}, slopes: map[string]int64{}, accountCounts: map[string]int64{}, scarceWorkspaces: map[string]bool{}, holders: map[string]*holder{},
 	}
 }
 
@@ -158,7 +164,7 @@
 		h.addStatement(c)
 	}
 	for _, claim := range c.Claims {
-		a := h.account(claim.Workspace)
+		a := l.account(h, claim.Workspace)
 		if isNew {
 			l.slopes[claim.Workspace] += claim.Slope - a.slope()
 			a.addBound(&messenger.RightsBound{Sequence: c.Sequence, Ceiling: claim.Ceiling, Slope: claim.Slope, RestMs: claim.RestMs}, c.Answered)
@@ -166,6 +172,7 @@
 		out.Grants = append(out.Grants, l.applyClaim(a, claim, isNew))
 	}
 	out.Scarce = l.omittedScarce(h, c)
+	out.Shortages = l.shortages(out.Scarce)
 	if c.Closing {
 		l.endIncarnation(h, out, func(a *account) int64 { return min(a.spent, a.allocated()) })
 	}
@@ -242,11 +249,13 @@
 	return h
 }
 
-func (h *holder) account(workspace string) *account {
+// account returns a holder's account for a workspace, which is created if necessary.
+func (l *Ledger) account(h *holder, workspace string) *account {
 	a := h.accounts[workspace]
 	if a == nil {
 		a = &account{}
 		h.accounts[workspace] = a
+		l.accountCounts[workspace]++
 	}
 	return a
 }
@@ -286,6 +295,7 @@
 		n := spentBy(a)
 		l.held[w] -= a.allocated()
 		l.slopes[w] -= a.slope()
+		l.accountCounts[w]--
 		l.spent[w] -= a.spent
 		l.consumed[w] += n
 		l.updateScarce(w)
@@ -314,9 +324,39 @@
 		l.held[c.Workspace] += more
 	}
 	l.updateScarce(c.Workspace)
-	return &messenger.RightsGrant{
-		Workspace: c.Workspace, Granted: a.granted, Left: l.Unallocated(c.Workspace), Scarce: l.isScarce(c.Workspace),
+	out := &messenger.RightsGrant{
+		Workspace: c.Workspace, Granted: a.granted, Left: l.Unallocated(c.Workspace), Scarce: l.isScarce(c.Workspace), Total: l.totals[c.Workspace],
+	}
+	if _, known := l.totals[c.Workspace]; known {
+		out.Unspent = proto.Int64(max(l.unspent(c.Workspace), 0))
+	}
+	if out.Scarce {
+		out.RunwayMs = l.runwayMs(c.Workspace)
+	}
+	return out
+}
+
+// shortages states how little is left of scarce workspaces.
+func (l *Ledger) shortages(scarce []string) []*messenger.RightsShortage {
+	var out []*messenger.RightsShortage
+	for _, w := range scarce {
+		out = append(out, &messenger.RightsShortage{
+			Workspace: w, Left: l.Unallocated(w), Unspent: max(l.unspent(w), 0), Total: l.totals[w], RunwayMs: l.runwayMs(w),
+		})
+	}
+	return out
+}
+
+// runwayMs returns how long the unspent tokens of a workspace last at the demand of all routers, in
+// milliseconds, or 0 if no router has demand.
+func (l *Ledger) runwayMs(workspace string) int64 {
+	idle := l.accountCounts[workspace] * idleSlopePart(int64(len(l.holders)))
+	demand := float64(l.slopes[workspace]-idle) / slopeFactor
+	if demand < 1 {
+		return 0
 	}
+	ms := float64(max(l.unspent(workspace), 0)) / demand * 1000
+	return int64(min(max(ms, 1), maxRunwayMs))
 }
 
 // isScarce reports whether routers must not hold tokens far ahead of demand.
@@ -386,6 +426,7 @@
 			h.accounts[a.Workspace] = x
 			l.held[a.Workspace] += x.allocated()
 			l.slopes[a.Workspace] += x.slope()
+			l.accountCounts[a.Workspace]++
 			l.spent[a.Workspace] += x.spent
 		}
 		l.holders[in.Router] = h
--- a/allotter/limits.go
+++ b/allotter/limits.go
@@ -66,10 +66,18 @@
 	return most
 }
 
-// idleSlopePart returns this router's part of idleSlope, which more than idleHolders routers divide
+// idleSlopePart returns one router's part of idleSlope, which more than idleHolders routers divide
 // among themselves.
-func (p *Allocation) idleSlopePart() int64 {
-	return idleSlope * idleHolders / max(p.holders, idleHolders)
+func idleSlopePart(holders int64) int64 {
+	return idleSlope * idleHolders / max(holders, idleHolders)
+}
+
+// idleCeilingOf returns one router's ceiling without demand.
+func idleCeilingOf(holders int64) int64 {
+	if holders > idleHolders {
+		return 0
+	}
+	return idleCeiling
 }
 
 // ceilingTime returns the time of demand for which a ceiling leaves room.
