steward, courier: keepers state the claim interval

Cause: the claim interval depends on the number of routers alone; 82 routers claim every 1.7 s while the keepers are idle. Change: the leader measures its processor time as a part of processor_share and the time to commit claims, and states the interval of ClaimPacer in its replies. A new term starts from the initial interval. Routers use a stated interval for 5 s and drop one that is out of range. paced_claims switches it off on either side. Gauges state the interval and the use. Measured: go test -race ./steward passes; go test -race -run 'Rights|Claim|ServeWithout|Lend|Borrow|Owner|Total|Token' ./courier passes.

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -12,6 +12,8 @@
 	ownerFailures    = metrics.NewCounter("rattanhoist_rights_owners_silent_total")
 	claimsAnswered   = metrics.NewCounter("rattanhoist_rights_claims_answered_total")
 	claimsFailed     = metrics.NewCounter("rattanhoist_rights_claims_failed_total")
+	// claimIntervalsDropped counts stated claim intervals that are out of range.
+	claimIntervalsDropped = metrics.NewCounter("rattanhoist_claim_intervals_dropped_total")
 )
 
 // outdatedRefusals counts requests refused because a newer configuration than the one in
@@ -27,6 +29,7 @@
 	metrics.GetOrCreateGauge("rattanhoist_requests_active", func() float64 { return float64(c.activeRequests.Load()) })
 	metrics.GetOrCreateGauge("rattanhoist_connections_opened", func() float64 { return float64(c.connectionsOpened.Load()) })
 	metrics.GetOrCreateGauge("rattanhoist_keeper_silence_seconds", func() float64 { return c.fleet.sinceContact().Seconds() })
+	metrics.GetOrCreateGauge("rattanhoist_claim_interval_seconds", func() float64 { return c.rights.claimInterval().Seconds() })
 	metrics.GetOrCreateGauge("rattanhoist_zones_evacuated", func() float64 { return float64(len(c.fleet.evacuations.load().zones)) })
 	metrics.GetOrCreateGauge("rattanhoist_routers_known", func() float64 { return float64(c.fleet.Routers()) })
 	metrics.GetOrCreateGauge("rattanhoist_configuration_number", func() float64 {
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// claimInterval is the interval at which rights are settled with the keepers.
-	claimInterval = 250 * time.Millisecond
+	// claimInterval is the interval at which rights are settled with the keepers, if these state
+	// none.
+	claimInterval = allotter.MinClaimInterval
 	// claimTimeout allows for syncs on slow disks, a log entry that waits for the one
 	// before it, and forwarding by another keeper.
 	claimTimeout = 600 * time.Millisecond
@@ -58,6 +59,7 @@
 	// borrower obtains rights from other routers.
 	borrower *borrower
 	owners   *owners
+	pace     claimPace
 
 	mu          sync.Mutex
 	allocations map[string]*allotter.Allocation
@@ -84,9 +86,16 @@
 	}
 	r.borrower = newBorrower(r, log)
 	r.owners = newOwners(f)
+	r.pace.ignored = !f.options.Node.Features().PacedClaims
 	return r
 }
 
+// claimInterval returns the interval between two claims: the one that keepers state, or else the
+// one by the number of routers.
+func (r *rights) claimInterval() time.Duration {
+	return r.pace.current(time.Now(), r.fleet.paced(claimInterval, maxClaimPaceFactor))
+}
+
 // reservation is an amount of tokens that one allocation has reserved for a request.
 type reservation struct {
 	allocation *allotter.Allocation
@@ -230,7 +239,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(r.fleet.paced(claimInterval, maxClaimPaceFactor)):
+		case <-time.After(r.claimInterval()):
 		case <-r.urgent:
 		case <-r.fleet.keeperChanged:
 		}
@@ -338,6 +347,7 @@
 	claimsAnswered.Inc()
 	r.answeredSentAt = sent
 	r.failing = false
+	r.pace.observe(time.Now(), reply.Grants.GetClaimIntervalMs())
 	if reply.Grants.GetEnded() {
 		r.reset()
 		return claimTimeout
@@ -401,7 +411,7 @@
 	if r.answeredSequence == 0 {
 		return true
 	}
-	pause := r.fleet.paced(claimInterval, maxClaimPaceFactor)
+	pause := r.claimInterval()
 	renew := now.Sub(r.answeredSentAt) >= renewInterval
 	for w, p := range r.allocations {
 		if renew && p.ClaimAnswered() || p.ClaimDue(now, r.floor(w), pause) {
@@ -422,7 +432,7 @@
 		Router: r.address, Incarnation: r.incarnation, Closing: closing, Sequence: r.sequence, Answered: r.answeredSequence,
 		Sent: rightsMoment(sent), Started: r.started.momentAt(sent), Binding: true,
 	}
-	pause := r.fleet.paced(claimInterval, maxClaimPaceFactor)
+	pause := r.claimInterval()
 	for _, w := range slices.Sorted(maps.Keys(r.allocations)) {
 		p := r.allocations[w]
 		r.setHolders(w, p)
--- a/steward/batch.go
+++ b/steward/batch.go
@@ -34,11 +34,13 @@
 	propose func(context.Context, []byte) (any, error)
 	log     *zap.Logger
 	queue   chan pendingClaim
+	// onCommit is called with the time that each committed or failed entry took.
+	onCommit func(time.Duration)
 }
 
 // newBatcher returns a batcher that commits entries with propose.
 func newBatcher(propose func(context.Context, []byte) (any, error), log *zap.Logger) *batcher {
-	return &batcher{propose: propose, log: log, queue: make(chan pendingClaim, maxQueuedClaims)}
+	return &batcher{propose: propose, log: log, queue: make(chan pendingClaim, maxQueuedClaims), onCommit: func(time.Duration) {}}
 }
 
 // submit returns what a claim was granted, once the grant is committed.
@@ -88,7 +90,9 @@
 
 // commitBatch commits the claims of a batch and answers each; nil stands for a failure.
 func (b *batcher) commitBatch(ctx context.Context, batch []pendingClaim) {
+	began := time.Now()
 	grants, err := b.proposeBatch(ctx, batch)
+	b.onCommit(time.Since(began))
 	for i, p := range batch {
 		if err != nil || i >= len(grants) {
 			p.done <- nil
--- a/steward/control.go
+++ b/steward/control.go
@@ -254,7 +254,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &messenger.OrderReply{Done: true, Grants: grants}, nil
+		return &messenger.OrderReply{Done: true, Grants: s.withClaimInterval(time.Now(), grants)}, nil
 	}
 	if l := change.GetLeave(); l != nil {
 		// The keeper that received the call may have just started and not know the
@@ -275,6 +275,15 @@
 	return &messenger.OrderReply{Done: true}, nil
 }
 
+// withClaimInterval adds the interval at which routers should send claims, if this keeper states
+// one.
+func (s *Keeper) withClaimInterval(now time.Time, grants *messenger.RightsGrants) *messenger.RightsGrants {
+	if s.node.Features().PacedClaims {
+		grants.ClaimIntervalMs = s.claimPace.step(now, s.loop.State().Term(), s.registry.routerCount()).Milliseconds()
+	}
+	return grants
+}
+
 // readIndex returns a log index that covers everything acknowledged before the call.
 func (s *Keeper) readIndex(ctx context.Context) (uint64, error) {
 	for {
--- a/steward/counters.go
+++ b/steward/counters.go
@@ -32,6 +32,14 @@
 	metrics.GetOrCreateGauge("rattanhoist_log_confirmed_age_seconds", func() float64 {
 		return time.Since(s.loop.State().ConfirmedAt()).Seconds()
 	})
+	metrics.GetOrCreateGauge("rattanhoist_claim_interval_stated_seconds", func() float64 {
+		interval, _ := s.claimPace.stated()
+		return interval.Seconds()
+	})
+	metrics.GetOrCreateGauge("rattanhoist_processor_use", func() float64 {
+		_, use := s.claimPace.stated()
+		return use
+	})
 	metrics.GetOrCreateGauge("rattanhoist_zones_evacuated", func() float64 { return float64(len(s.committedState.Load().evacuations.Zones())) })
 	metrics.GetOrCreateGauge("rattanhoist_configuration_number", func() float64 { return float64(s.committedState.Load().document.Number()) })
 }
--- a/steward/registry.go
+++ b/steward/registry.go
@@ -149,6 +149,13 @@
 	out.Endpoints = view.Sightings(now, fullListTTL)
 }
 
+// routerCount returns the number of known routers.
+func (r *registry) routerCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.routers.byAddress)
+}
+
 // fillChanges fills in the endpoints that changed since the router's revision, and reports
 // whether these changes are still known.
 func fillChanges(now time.Time, view *enroller.View, q *messenger.SyncRequest, out *messenger.SyncReply) bool {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -81,6 +81,8 @@
 	peers          *peerLinks
 	registry       *registry
 	batcher        *batcher
+	// claimPace states the interval of claims while this keeper leads.
+	claimPace *claimPace
 	// quarantines detects the requests under which endpoints crash.
 	quarantines *quarantineTracker
 	// endpointsFile stores the known endpoints across restarts.
@@ -118,8 +120,10 @@
 		_ = closeStore()
 		return nil, nil, err
 	}
+	s.claimPace = newClaimPace(n.ProcessorShare())
 	s.registerGauges()
 	s.batcher = newBatcher(s.loop.Propose, log)
+	s.batcher.onCommit = s.claimPace.recordCommit
 	s.restoreEndpoints()
 	// Runs after restoreEndpoints, so that it removes the restored endpoints that have
 	// left.
