forwarder: waits for prepaid tokens follow the objective

Cause: a request waits up to 0.5 s for tokens whatever its objective, and the log does not state how long it waited.

Change: Rights.Reserve gets the wait: a quarter of the route's latency objective, 100 to 200 ms, 200 ms without an objective.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -56,6 +56,15 @@
 	// retryDelayUnserved is the Retry-After time of requests that only a new configuration
 	// can admit.
 	retryDelayUnserved = time.Second
+	// A request waits for prepaid tokens for 1/rightsWaitDivisor of its route's latency
+	// objective, from minRightsWait, a few round trips to keepers, to maxRightsWait, so that
+	// a refusal is returned within 0.25 s.
+	rightsWaitDivisor = 4
+	minRightsWait     = 100 * time.Millisecond
+	maxRightsWait     = 200 * time.Millisecond
+	// minLoggedRightsWait is the shortest wait for tokens that is logged. Tokens that the
+	// router holds are reserved in less.
+	minLoggedRightsWait = time.Millisecond
 	// connectionFraction of an endpoint's connection limit is shared among the routers; the
 	// rest allows for connections that are being closed.
 	connectionFraction = 0.8
@@ -82,8 +91,8 @@
 // Rights reserves prepaid tokens of workspaces.
 type Rights interface {
 	// Reserve returns ErrSpent or a RightsUnavailable error if the tokens can't be
-	// reserved.
-	Reserve(ctx context.Context, workspace string, tokens int64) (Reservation, error)
+	// reserved within wait.
+	Reserve(ctx context.Context, workspace string, tokens int64, wait time.Duration) (Reservation, error)
 }
 
 // Fleet provides the configuration and connects the router with the other routers.
@@ -173,6 +182,8 @@
 	deadline    time.Time
 	// reservation is nil if the request uses no prepaid tokens.
 	reservation Reservation
+	// rightsWait is how long the request waited for prepaid tokens, or 0 if it did not.
+	rightsWait time.Duration
 	// tried holds the incarnations that the request was sent to.
 	tried []enroller.Incarnation
 	// noConnection holds the incarnations that had no connection left for this router.
@@ -365,7 +376,11 @@
 	if j.workspace == nil || j.workspace.Prepaid == nil || j.caller.Prompt == nil {
 		return true
 	}
-	r, err := j.f.Rights.Reserve(ctx, j.workspace.Name, j.caller.Prompt.InputTokens+j.caller.Prompt.MaxOutputTokens)
+	asked := time.Now()
+	r, err := j.f.Rights.Reserve(ctx, j.workspace.Name, j.caller.Prompt.InputTokens+j.caller.Prompt.MaxOutputTokens, maxWaitForRights(j.route.LatencyObjective))
+	if d := time.Since(asked); d >= minLoggedRightsWait {
+		j.rightsWait = d
+	}
 	switch {
 	case err == nil:
 		j.reservation = r
@@ -381,6 +396,15 @@
 	}
 }
 
+// maxWaitForRights returns how long a request of a route with a latency objective waits for
+// prepaid tokens; 0 stands for no objective.
+func maxWaitForRights(objective time.Duration) time.Duration {
+	if objective <= 0 {
+		return maxRightsWait
+	}
+	return min(max(objective/rightsWaitDivisor, minRightsWait), maxRightsWait)
+}
+
 // refuse answers that the request has not run and may soon be sent again.
 func (j *job) refuse(status int, reason string) bool {
 	return j.refuseFor(retryDelay, status, reason)
@@ -443,6 +467,9 @@
 	if j.reservation != nil {
 		fields = append(fields, zap.Int64("tokens", j.spentTokens()))
 	}
+	if j.rightsWait > 0 {
+		fields = append(fields, zap.Duration("rights_wait", j.rightsWait))
+	}
 	if j.events > 0 {
 		fields = append(fields, zap.Duration("first", j.firstEvent), zap.Duration("predicted", j.predictedFirstEvent),
 			zap.Duration("pause", j.longestPause), zap.Int("events", j.events), zap.Int64("unread", j.uncachedTokens))
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/forwarder"
@@ -132,11 +133,14 @@
 	return string([]byte{digits[len(s)/16], digits[len(s)%16]}) + "\r\n" + s + "\r\n"
 }
 
-// rightsStub grants every reservation unless err is set, and records the spent tokens.
+// rightsStub grants every reservation unless err is set, after delay, and records the spent
+// tokens and the longest waits that requests allow.
 type rightsStub struct {
 	mu    sync.Mutex
 	spent []int64
+	waits []time.Duration
 	err   error
+	delay time.Duration
 }
 
 type reservationStub struct{ r *rightsStub }
@@ -147,7 +151,11 @@
 	s.r.spent = append(s.r.spent, n)
 }
 
-func (r *rightsStub) Reserve(context.Context, string, int64) (forwarder.Reservation, error) {
+func (r *rightsStub) Reserve(_ context.Context, _ string, _ int64, wait time.Duration) (forwarder.Reservation, error) {
+	r.mu.Lock()
+	r.waits = append(r.waits, wait)
+	r.mu.Unlock()
+	time.Sleep(r.delay)
 	return reservationStub{r}, r.err
 }
 
@@ -178,6 +186,8 @@
 	quarantine *quarantineStub
 	// admission admits every request until a test changes that.
 	admission *admissionStub
+	// logged are the log entries.
+	logged *observer.ObservedLogs
 }
 
 // admissionStub sets the load of the router itself.
@@ -200,6 +210,9 @@
 		Routes: []publisher.Route{
 			route("read", "/read/", publisher.Idempotent, false), route("once", "/once/", publisher.AtMostOnce, false),
 			route("stream", "/stream/", publisher.Stream, false), route("resume", "/resume/", publisher.Stream, true),
+			withObjective(route("fast", "/fast/", publisher.Idempotent, false), 200*time.Millisecond),
+			withObjective(route("medium", "/medium/", publisher.Idempotent, false), 600*time.Millisecond),
+			withObjective(route("slow", "/slow/", publisher.Idempotent, false), 3*time.Second),
 			restrictedTo(route("north", "/north/", publisher.Idempotent, false), "north"), restrictedTo(route("nowhere", "/nowhere/", publisher.Idempotent, false), "nowhere"),
 		},
 		Services:   []publisher.Service{{Name: "engine", Connections: 50, Engine: &publisher.Engine{MaxTokensPerEvent: 6, Slots: 8}}},
@@ -207,6 +220,11 @@
 	}
 }
 
+func withObjective(r publisher.Route, d time.Duration) publisher.Route {
+	r.LatencyObjective = d
+	return r
+}
+
 func restrictedTo(r publisher.Route, region string) publisher.Route {
 	r.Regions = []string{region}
 	return r
@@ -222,6 +240,8 @@
 		rights: &rightsStub{}, table: predictor.NewTable("z"), pool: pooler.New(platform.ClassifyResponse, func() {}), quarantine: &quarantineStub{},
 		admission: &admissionStub{},
 	}
+	core, logged := observer.New(zap.InfoLevel)
+	w.logged = logged
 	var list []*predictor.Endpoint
 	for i, e := range endpoints {
 		list = append(list, predictor.NewEndpoint(enroller.Heartbeat{
@@ -231,7 +251,7 @@
 	w.table.Replace(map[string][]*predictor.Endpoint{"engine": list})
 	f := forwarder.New(forwarder.Dependencies{
 		Wire: platform.HeaderCodec{}, Fleet: fleetStub{publisher.NewIndex(document(), localizer.New(map[string]string{"z": "north"}))}, Table: w.table,
-		Pool: w.pool, Rights: w.rights, Quarantine: w.quarantine, Admission: w.admission, Log: zap.NewNop(),
+		Pool: w.pool, Rights: w.rights, Quarantine: w.quarantine, Admission: w.admission, Log: zap.New(core),
 		Limiter: limiter.New(limiter.Budget{Ratio: 1, Slack: 50, Window: budgetWindow}, time.Now()),
 	})
 	w.server = httptest.NewServer(f)
