courier: notices of short totals, short waits, early claims and loans in bulk

Cause: refusals for lack of tokens take 0.5 s; a router asks for half a second to learn that a total is spent; requests wait for the next claim although keepers answer; partitioned routers ask all others for each loan and log each loan.

Change: requests are refused with 402 at once while a notice of a keeper, lender or owner says that the total does not cover them; replies of lenders and owners carry these notices. Requests wait as long as the forwarder states. A reservation that leaves little triggers a claim. While no keeper answers, a request that the limits allow later is refused at once with that time. Searches are decided by allotter.LoanSearches and write one line each. With shortage_notices = false, decisions are as before.

--- a/courier/borrower.go
+++ b/courier/borrower.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"rattanhoist.example/rattanhoist/allotter"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
@@ -42,6 +43,9 @@
 	rights *rights
 	log    *zap.Logger
 	wake   chan struct{}
+	// bulk is set if searches are bounded as searches decides. Otherwise each search asks all
+	// routers.
+	bulk bool
 
 	mu        sync.Mutex
 	waiters   []*waiter
@@ -50,8 +54,19 @@
 	// that have been asked and have not responded yet.
 	nextPeer int
 	pending  map[*messenger.Link]bool
+	searches *allotter.LoanSearches
+	// loans are those that no log line has stated yet.
+	loans loans
 }
 
+// loans are the loans that one log line states. Workspaces are those that were lent or asked for.
+type loans struct {
+	tokens              int64
+	workspaces, lenders map[string]bool
+}
+
+func newLoans() loans { return loans{workspaces: map[string]bool{}, lenders: map[string]bool{}} }
+
 // waiter is a request that waits for rights from other routers.
 type waiter struct {
 	// try reserves the tokens of the request if enough are held, and reports whether it did.
@@ -63,20 +78,24 @@
 }
 
 func newBorrower(r *rights, log *zap.Logger) *borrower {
-	return &borrower{rights: r, log: log, wake: make(chan struct{}, 1), nextPeer: rand.IntN(1 << 16), pending: map[*messenger.Link]bool{}}
+	return &borrower{
+		rights: r, log: log, wake: make(chan struct{}, 1), nextPeer: rand.IntN(1 << 16), pending: map[*messenger.Link]bool{},
+		bulk: r.notices, searches: allotter.NewLoanSearches(rand.IntN(1 << 16)), loans: newLoans(),
+	}
 }
 
-// wait blocks until try succeeds, until a search has asked all routers in vain, or until
-// ctx is done. It reports whether try succeeded.
+// wait blocks until try succeeds, until a search was in vain, or until ctx is done. It reports
+// whether try succeeded. It does not block if no search will start soon.
 func (b *borrower) wait(ctx context.Context, try func() bool) bool {
 	b.mu.Lock()
+	if !b.searching && b.backingOff() {
+		b.mu.Unlock()
+		return try()
+	}
 	w := &waiter{try: try, done: make(chan bool, 1), joinedDuringSearch: b.searching}
 	b.waiters = append(b.waiters, w)
 	b.mu.Unlock()
-	select {
-	case b.wake <- struct{}{}:
-	default:
-	}
+	b.signal()
 	select {
 	case ok := <-w.done:
 		return ok
@@ -94,6 +113,27 @@
 	}
 }
 
+// signal makes a search start, unless the last one had no result.
+func (b *borrower) signal() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// backingOff reports whether no search starts because the last one had no result. It needs b.mu.
+func (b *borrower) backingOff() bool {
+	d, fruitless := b.searches.Delay(time.Now())
+	return b.bulk && d > 0 && fruitless
+}
+
+// keepersAnswer ends the backoff after searches without result.
+func (b *borrower) keepersAnswer() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.searches.Reset(time.Now())
+}
+
 // run searches for rights when requests wait for them, and regularly while no keeper can be
 // reached, until ctx is done.
 func (b *borrower) run(ctx context.Context) {
@@ -107,14 +147,104 @@
 				continue
 			}
 		}
-		b.search(ctx)
+		switch {
+		case !b.bulk:
+			b.searchAll(ctx)
+		case b.awaitTurn(ctx):
+			b.searchInBulk(ctx)
+		}
+	}
+}
+
+// awaitTurn waits for the pause between two searches, and reports whether a search may start. If
+// the last one had no result, it does not wait.
+func (b *borrower) awaitTurn(ctx context.Context) bool {
+	b.mu.Lock()
+	d, _ := b.searches.Delay(time.Now())
+	if b.backingOff() {
+		b.failWaiters(func(*waiter) bool { return true })
+		b.mu.Unlock()
+		return false
+	}
+	b.mu.Unlock()
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// searchInBulk asks some routers for everything that is missing, in waves, until nothing is. Each
+// search writes one log line, which includes the loans that arrived after the one before.
+func (b *borrower) searchInBulk(ctx context.Context) {
+	begun, asked := time.Now(), 0
+	b.beginSearch()
+	defer b.endSearch()
+	for wave := range slices.Chunk(b.lenders(), waveSize) {
+		wants := b.rights.shortfalls()
+		if len(wants) == 0 || ctx.Err() != nil {
+			break
+		}
+		b.recordWants(wants)
+		asked += b.askWave(ctx, wave, wants)
+		b.serveWaiters()
+	}
+	if asked > 0 {
+		b.recordSearch(asked, time.Since(begun))
 	}
 }
 
-// search asks the other routers in waves until nothing is missing or all have been asked.
+// lenders returns the routers that the next search asks.
+func (b *borrower) lenders() []*messenger.Link {
+	near, far := b.rights.fleet.peersByDistance()
+	byAddress := map[string]*messenger.Link{}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	available := func(list []*messenger.Link) []string {
+		var out []string
+		for _, l := range list {
+			if !b.pending[l] {
+				byAddress[l.Address()] = l
+				out = append(out, l.Address())
+			}
+		}
+		return out
+	}
+	var out []*messenger.Link
+	for _, a := range b.searches.Lenders(time.Now(), available(near), available(far)) {
+		out = append(out, byAddress[a])
+	}
+	return out
+}
+
+// recordWants records the workspaces that a search asks for.
+func (b *borrower) recordWants(wants []*messenger.PrepaidTotal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, w := range wants {
+		b.loans.workspaces[w.Workspace] = true
+	}
+}
+
+// recordSearch logs and counts a search, and decides when the next one may start.
+func (b *borrower) recordSearch(asked int, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	loanSearches.Inc()
+	if b.loans.tokens == 0 {
+		emptySearches.Inc()
+	}
+	b.searches.Ended(time.Now(), b.loans.tokens > 0)
+	b.log.Info("rights borrowed", zap.Int64("tokens", b.loans.tokens), zap.Strings("workspaces", slices.Sorted(maps.Keys(b.loans.workspaces))),
+		zap.Int("asked", asked), zap.Int("lenders", len(b.loans.lenders)), zap.Duration("took", took))
+	b.loans = newLoans()
+}
+
+// searchAll asks the other routers in waves until nothing is missing or all have been asked.
 // Routers in this zone come first: of 78 routers, 52 are in other zones, and each request
 // and its response take 450 bytes of a link that is charged for.
-func (b *borrower) search(ctx context.Context) {
+func (b *borrower) searchAll(ctx context.Context) {
 	b.beginSearch()
 	defer b.endSearch()
 	b.nextPeer++
@@ -145,18 +275,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.searching = false
+	noneSoon := b.backingOff()
+	b.failWaiters(func(w *waiter) bool { return noneSoon || !w.joinedDuringSearch })
+	if len(b.waiters) > 0 {
+		b.signal()
+	}
+}
+
+// failWaiters tells some of the waiting requests that no loan was found. It needs b.mu.
+func (b *borrower) failWaiters(failed func(*waiter) bool) {
 	b.waiters = slices.DeleteFunc(b.waiters, func(w *waiter) bool {
-		if !w.joinedDuringSearch {
-			w.done <- false
+		if !failed(w) {
+			return false
 		}
-		return !w.joinedDuringSearch
+		w.done <- false
+		return true
 	})
-	if len(b.waiters) > 0 {
-		select {
-		case b.wake <- struct{}{}:
-		default:
-		}
-	}
 }
 
 // serveWaiters completes the waiting requests whose tokens can be reserved now.
@@ -173,16 +307,18 @@
 }
 
 // askWave asks several routers at once for everything that is missing, and waits up to
-// waveTimeout for their responses.
-func (b *borrower) askWave(ctx context.Context, lenders []*messenger.Link, wants []*messenger.PrepaidTotal) {
+// waveTimeout for their responses. It returns how many it asked.
+func (b *borrower) askWave(ctx context.Context, lenders []*messenger.Link, wants []*messenger.PrepaidTotal) int {
 	for _, w := range wants {
 		w.Tokens = max(w.Tokens/loanDivisor, minLoanRequest)
 	}
 	var asked sync.WaitGroup
+	count := 0
 	for _, l := range lenders {
 		if b.markPending(l) {
 			continue
 		}
+		count++
 		asked.Go(func() { b.askPeer(ctx, l, &messenger.LendRequest{Wants: wants}) })
 	}
 	done := make(chan struct{})
@@ -194,6 +330,7 @@
 	case <-done:
 	case <-time.After(waveTimeout):
 	}
+	return count
 }
 
 // markPending records that a router is being asked. It reports whether an earlier request
@@ -208,26 +345,41 @@
 
 // askPeer asks one router for a loan and adds what it lends to the allocations.
 func (b *borrower) askPeer(ctx context.Context, l *messenger.Link, q *messenger.LendRequest) {
-	lent, err := l.Lend(ctx, lendTimeout, q)
-	b.mu.Lock()
-	delete(b.pending, l)
-	b.mu.Unlock()
+	reply, err := l.Lend(ctx, lendTimeout, q)
 	if err != nil {
 		lenderFailures.Inc()
-		return
 	}
+	b.rights.observeShortages(reply.GetShortages())
 	var sum int64
 	var workspaces []string
-	for _, x := range lent {
+	for _, x := range reply.GetLent() {
 		p, _, _ := b.rights.allocation(x.Workspace)
 		p.Receive(x.Tokens)
 		sum += x.Tokens
 		workspaces = append(workspaces, x.Workspace)
 	}
-	if sum > 0 {
-		borrowedTokens.AddInt64(sum)
+	borrowedTokens.AddInt64(sum)
+	if sum > 0 && !b.bulk {
 		b.log.Info("rights borrowed", zap.Int64("tokens", sum), zap.Strings("workspaces", workspaces), zap.String("from", l.Address()))
 	}
+	b.recordReply(l, sum, workspaces)
+}
+
+// recordReply records what a router lent, or that it lent nothing.
+func (b *borrower) recordReply(l *messenger.Link, tokens int64, workspaces []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.pending, l)
+	if tokens == 0 {
+		b.searches.LentNothing(time.Now(), l.Address())
+		return
+	}
+	b.searches.Lent(time.Now(), l.Address())
+	b.loans.tokens += tokens
+	b.loans.lenders[l.Address()] = true
+	for _, w := range workspaces {
+		b.loans.workspaces[w] = true
+	}
 }
 
 // shortfalls returns the rights to borrow, by workspace. While keepers can be reached,
--- a/courier/counters.go
+++ b/courier/counters.go
@@ -12,6 +12,14 @@
 	ownerFailures    = metrics.NewCounter("rattanhoist_rights_owners_silent_total")
 	claimsAnswered   = metrics.NewCounter("rattanhoist_rights_claims_answered_total")
 	claimsFailed     = metrics.NewCounter("rattanhoist_rights_claims_failed_total")
+	// knownSpentRefusals counts the part of rightsSpent that was refused by an earlier notice,
+	// and droppedNotices the malformed notices of unspent tokens.
+	knownSpentRefusals = metrics.NewCounter("rattanhoist_rights_known_spent_total")
+	droppedNotices     = metrics.NewCounter("rattanhoist_rights_notices_dropped_total")
+	// loanSearches counts the searches for loans that asked other routers, and emptySearches
+	// those without result.
+	loanSearches  = metrics.NewCounter("rattanhoist_rights_searches_total")
+	emptySearches = metrics.NewCounter("rattanhoist_rights_searches_empty_total")
 )
 
 // outdatedRefusals counts requests refused because a newer configuration than the one in
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -230,6 +230,10 @@
 
 // disconnected reports whether keepers have been silent for longer than a sync round with
 // slow answers takes.
-func (f *fleetView) disconnected() bool {
-	return f.sinceContact() > f.paced(syncInterval, maxSyncPaceFactor)+disconnectSlack
+func (f *fleetView) disconnected() bool { return f.untilDisconnected() < 0 }
+
+// untilDisconnected returns the time until this router considers itself disconnected unless a
+// keeper answers. It is negative afterwards.
+func (f *fleetView) untilDisconnected() time.Duration {
+	return f.paced(syncInterval, maxSyncPaceFactor) + disconnectSlack - f.sinceContact()
 }
--- a/courier/owner.go
+++ b/courier/owner.go
@@ -124,7 +124,8 @@
 			r.ownerTimedOut(ctx, l, err)
 			continue
 		}
-		res, err := acceptLoan(p, tokens, reply)
+		r.observeShortages(reply.Shortages)
+		res, err := r.acceptLoan(p, tokens, reply)
 		return res, true, err
 	}
 	return nil, false, nil
@@ -141,7 +142,7 @@
 }
 
 // acceptLoan converts the reply of another router to a reservation or an error.
-func acceptLoan(p *allotter.Allocation, tokens int64, reply *messenger.ReserveRightsReply) (*reservation, error) {
+func (r *rights) acceptLoan(p *allotter.Allocation, tokens int64, reply *messenger.ReserveRightsReply) (*reservation, error) {
 	switch {
 	case reply.Lent >= tokens:
 		borrowedTokens.AddInt64(reply.Lent)
@@ -152,7 +153,11 @@
 		return nil, forwarder.ErrSpent
 	}
 	rightsOutOfReach.Inc()
-	return nil, forwarder.RightsUnavailable{After: time.Duration(reply.RetryAfterMs) * time.Millisecond}
+	after := time.Duration(reply.RetryAfterMs) * time.Millisecond
+	if r.notices && after <= 0 {
+		after = r.retryAfter(p, tokens)
+	}
+	return nil, forwarder.RightsUnavailable{After: after}
 }
 
 // borrowFromOtherZones asks one router of each other zone, two at a time. Each of them asks
@@ -183,7 +188,11 @@
 func (r *rights) borrowFromPeer(ctx context.Context, l *messenger.Link, p *allotter.Allocation, workspace string, tokens int64) bool {
 	q := &messenger.ReserveRightsRequest{Workspace: workspace, Tokens: tokens, Scope: messenger.RightsScope_RIGHTS_SCOPE_ZONE}
 	reply, err := l.ReserveRights(context.WithoutCancel(ctx), otherZoneTimeout, q)
-	if err != nil || reply.Lent < tokens {
+	if err != nil {
+		return false
+	}
+	r.observeShortages(reply.Shortages)
+	if reply.Lent < tokens {
 		return false
 	}
 	borrowedTokens.AddInt64(reply.Lent)
@@ -202,9 +211,9 @@
 	if err == nil {
 		res.Settle(q.Tokens)
 		lentTokens.AddInt64(q.Tokens)
-		return &messenger.ReserveRightsReply{Lent: q.Tokens}, nil
+		return &messenger.ReserveRightsReply{Lent: q.Tokens, Shortages: r.reportShortages(q.Workspace)}, nil
 	}
-	out := &messenger.ReserveRightsReply{Spent: errors.Is(err, forwarder.ErrSpent)}
+	out := &messenger.ReserveRightsReply{Spent: errors.Is(err, forwarder.ErrSpent), Shortages: r.reportShortages(q.Workspace)}
 	var o forwarder.RightsUnavailable
 	if errors.As(err, &o) {
 		out.RetryAfterMs = o.After.Milliseconds()
--- a/courier/peers.go
+++ b/courier/peers.go
@@ -154,6 +154,15 @@
 	return append(rotated(f.peers[:near], n), rotated(f.peers[near:], n)...)
 }
 
+// peersByDistance returns the other routers of this router's zone and those of other zones. Callers
+// must not change the lists.
+func (f *fleetView) peersByDistance() (zone, others []*messenger.Link) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	near := min(f.zonePeerCount, len(f.peers))
+	return f.peers[:near], f.peers[near:]
+}
+
 // rotated returns a copy of a list that is rotated to start at index n modulo its length.
 func rotated[T any](list []T, n int) []T {
 	if len(list) == 0 {
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -30,8 +30,13 @@
 	// minClaimPause is the minimum pause between two claims made for waiting requests.
 	// Requests that arrive in the meantime share the next claim.
 	minClaimPause = 10 * time.Millisecond
-	// reserveTimeout bounds how long one request waits for rights: a few claims.
+	// reserveTimeout bounds how long one request waits for rights: a few claims. With notices
+	// of shortages, requests state a shorter wait, and only those for pooled rights may wait
+	// that long, for an owner that does not answer.
 	reserveTimeout = 500 * time.Millisecond
+	// minRetryAfter is the shortest time after which a request is to be retried while no keeper
+	// can be reached, so that its caller doesn't return at once.
+	minRetryAfter = 100 * time.Millisecond
 	// contactCheckInterval is how often a waiting request checks whether keepers can still
 	// be reached. If not, there is time left to borrow from other routers.
 	contactCheckInterval = 100 * time.Millisecond
@@ -58,6 +63,9 @@
 	// borrower obtains rights from other routers.
 	borrower *borrower
 	owners   *owners
+	// notices is set if requests are refused by what was reported of short totals.
+	notices   bool
+	shortages *allotter.Shortages
 
 	mu          sync.Mutex
 	allocations map[string]*allotter.Allocation
@@ -81,6 +89,7 @@
 	r := &rights{
 		fleet: f, address: address, log: log, urgent: make(chan struct{}, 1), allocations: map[string]*allotter.Allocation{},
 		incarnation: newIncarnation(), settled: make(chan struct{}), started: newAccountStart(),
+		notices: f.options.Node.Features().ShortageNotices, shortages: allotter.NewShortages(),
 	}
 	r.borrower = newBorrower(r, log)
 	r.owners = newOwners(f)
@@ -97,8 +106,8 @@
 func (r *reservation) Settle(spent int64) { r.allocation.Settle(r.tokens, spent) }
 
 // Reserve reserves tokens for a request. If this router holds too few, it asks other
-// routers or the keepers.
-func (r *rights) Reserve(ctx context.Context, workspace string, tokens int64) (forwarder.Reservation, error) {
+// routers or the keepers, for at most the time that the request may wait.
+func (r *rights) Reserve(ctx context.Context, workspace string, tokens int64, wait time.Duration) (forwarder.Reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	if r.pooled(workspace) {
@@ -106,6 +115,11 @@
 			return asReservation(res, err)
 		}
 	}
+	if r.notices {
+		var cancelWait context.CancelFunc
+		ctx, cancelWait = context.WithTimeout(ctx, wait)
+		defer cancelWait()
+	}
 	return asReservation(r.reserveLocally(ctx, workspace, tokens, true))
 }
 
@@ -122,28 +136,25 @@
 // keepers are asked, and, if others is set, other routers too.
 func (r *rights) reserveLocally(ctx context.Context, workspace string, tokens int64, others bool) (*reservation, error) {
 	p, settled, firstCount := r.allocation(workspace)
+	if r.knownSpent(p, workspace, tokens) {
+		return nil, refuseKnownSpent()
+	}
 	if p.FailedSearchRecently(time.Now(), tokens) {
 		rightsSpent.Inc()
 		return nil, forwarder.ErrSpent
 	}
 	for asked := false; ; asked = true {
 		if !asked && p.Reserve(time.Now(), tokens) || asked && p.RetryReserve(time.Now(), tokens) {
+			r.claimEarly(p, workspace)
 			return &reservation{allocation: p, tokens: tokens}, nil
 		}
 		if r.fleet.disconnected() {
-			if others && r.borrow(ctx, p, workspace, tokens) {
-				return &reservation{allocation: p, tokens: tokens}, nil
-			}
-			rightsOutOfReach.Inc()
-			return nil, forwarder.RightsUnavailable{After: r.retryAfter(p, tokens)}
-		}
-		select {
-		case r.urgent <- struct{}{}:
-		default:
+			return r.reserveDisconnected(ctx, p, workspace, tokens, others)
 		}
+		r.signalClaim()
 		select {
 		case <-settled:
-		case <-time.After(contactCheckInterval):
+		case <-time.After(r.contactCheckDelay()):
 			// The keepers may have become unreachable since the last check.
 			continue
 		case <-ctx.Done():
@@ -151,6 +162,9 @@
 		}
 		var count uint64
 		p, settled, count = r.allocation(workspace)
+		if r.knownSpent(p, workspace, tokens) {
+			return nil, refuseKnownSpent()
+		}
 		if count > firstCount+1 && p.Exhausted(tokens) {
 			if others && r.borrow(ctx, p, workspace, tokens) {
 				return &reservation{allocation: p, tokens: tokens}, nil
@@ -160,6 +174,47 @@
 	}
 }
 
+// reserveDisconnected reserves tokens while no keeper can be reached, if other routers lend them.
+// A request that the limits of this router will allow later is refused at once with that time.
+func (r *rights) reserveDisconnected(ctx context.Context, p *allotter.Allocation, workspace string, tokens int64, others bool) (*reservation, error) {
+	switch {
+	case r.allowedLater(p, workspace, tokens):
+		// Loans serve later requests.
+		r.borrower.signal()
+	case others && r.borrow(ctx, p, workspace, tokens):
+		return &reservation{allocation: p, tokens: tokens}, nil
+	}
+	rightsOutOfReach.Inc()
+	return nil, forwarder.RightsUnavailable{After: r.retryAfter(p, tokens)}
+}
+
+// allowedLater reports whether this router holds the tokens of a request and its limits will allow
+// them. Pooled rights are excluded, as owners in other zones lend them within one round trip.
+func (r *rights) allowedLater(p *allotter.Allocation, workspace string, tokens int64) bool {
+	if !r.notices || r.pooled(workspace) {
+		return false
+	}
+	d, held := p.TimeUntilAllowed(time.Now(), tokens)
+	return held && d > 0
+}
+
+// contactCheckDelay returns when a waiting request checks again whether keepers can be reached.
+func (r *rights) contactCheckDelay() time.Duration {
+	if !r.notices {
+		return contactCheckInterval
+	}
+	// Requests wait for little more than the interval, so the check should not be late.
+	return max(min(contactCheckInterval, r.fleet.untilDisconnected()), time.Millisecond)
+}
+
+// signalClaim makes the next claim start without waiting for the interval.
+func (r *rights) signalClaim() {
+	select {
+	case r.urgent <- struct{}{}:
+	default:
+	}
+}
+
 // borrow reserves tokens that other routers lend.
 func (r *rights) borrow(ctx context.Context, p *allotter.Allocation, workspace string, tokens int64) bool {
 	if r.pooled(workspace) {
@@ -178,9 +233,9 @@
 		return 0
 	}
 	if d, ok := p.TimeUntilAllowed(time.Now(), tokens); ok {
-		return d
+		return max(d, minRetryAfter)
 	}
-	return r.fleet.sinceContact()
+	return max(r.fleet.sinceContact(), minRetryAfter)
 }
 
 // refusal returns the error for a request without rights: the total is spent, or the rights
@@ -199,6 +254,7 @@
 func (r *rights) Lend(_ context.Context, q *messenger.LendRequest) (*messenger.LendReply, error) {
 	out := &messenger.LendReply{}
 	for _, w := range q.Wants {
+		out.Shortages = append(out.Shortages, r.reportShortages(w.Workspace)...)
 		p, _, _ := r.allocation(w.Workspace)
 		if n := p.Lend(time.Now(), w.Tokens); n > 0 {
 			lentTokens.AddInt64(n)
@@ -337,14 +393,21 @@
 	}
 	claimsAnswered.Inc()
 	r.answeredSentAt = sent
-	r.failing = false
+	if r.failing {
+		r.failing = false
+		r.borrower.keepersAnswer()
+	}
 	if reply.Grants.GetEnded() {
 		r.reset()
 		return claimTimeout
 	}
 	for i, g := range reply.Grants.GetGrants() {
 		allocations[i].ApplyGrant(g, change.Claims[i], sent)
+		if n := allotter.ShortageOf(g); n != nil {
+			r.observeShortages([]*messenger.RightsShortage{n})
+		}
 	}
+	r.observeShortages(reply.Grants.GetShortages())
 	for w, p := range leftOut {
 		p.OmissionAnswered(slices.Contains(reply.Grants.GetScarce(), w))
 	}
@@ -392,6 +455,7 @@
 			r.allocations[w.Name] = &allotter.Allocation{}
 		}
 	}
+	r.shortages.SetTotals(r.totals)
 }
 
 // claimDue reports whether there is something to claim or to settle now.
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -133,15 +133,15 @@
 	return nil
 }
 
-// Lend asks a router for rights and returns what it lent.
-func (l *Link) Lend(ctx context.Context, timeout time.Duration, r *LendRequest) ([]*PrepaidTotal, error) {
-	var lent []*PrepaidTotal
+// Lend asks a router for rights.
+func (l *Link) Lend(ctx context.Context, timeout time.Duration, r *LendRequest) (*LendReply, error) {
+	var reply *LendReply
 	err := l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error {
-		reply, err := NewFleetRouterClient(c).Lend(ctx, r)
-		lent = reply.GetLent()
+		var err error
+		reply, err = NewFleetRouterClient(c).Lend(ctx, r)
 		return err
 	})
-	return lent, err
+	return reply, err
 }
 
 // LeaveRights hands rights over to a router.
