allotter: the burst test keeps claims under way for their round trip

Cause: the test applied the answer of a claim at once, so requests during the round trip met the new limits already.

Change: the answer is applied 20 ms later, and the burst begins when a claim was answered. The expectations are unchanged.

--- a/allotter/early_claim_test.go
+++ b/allotter/early_claim_test.go
@@ -11,14 +11,20 @@
 )
 
 // burstRun is a router whose demand rises fivefold right after a claim. Its claims are answered
-// after 20 ms. As in a fleet of 82 routers, claims are at least 68 ms and at most 1.7 s apart.
+// after 20 ms. As in a fleet of 82 routers, the next claim follows 68 ms to 1.7 s after an answer.
 type burstRun struct {
 	early          bool
 	waited, claims int
 	now, nextClaim time.Time
-	ledger         *allotter.Ledger
-	allocation     *allotter.Allocation
-	urgent         bool
+	// EarliestClaim is when the pause after the last answer is over.
+	earliestClaim time.Time
+	ledger        *allotter.Ledger
+	allocation    *allotter.Allocation
+	urgent        bool
+	// Answer is applied at answerAt to the claim that was sent at sentAt; nil if none is under way.
+	answer           *messenger.RightsGrant
+	claim            *messenger.RightsClaim
+	sentAt, answerAt time.Time
 }
 
 const (
@@ -36,8 +42,9 @@
 		for arrivals += step * time.Duration(rate); arrivals >= time.Second; arrivals -= time.Second {
 			r.request()
 		}
+		r.applyAnswer()
 		if r.urgent || !r.now.Before(r.nextClaim) {
-			r.claim()
+			r.sendClaim()
 		}
 	}
 }
@@ -54,26 +61,47 @@
 	}
 }
 
-// claim sends a claim unless the last one was just answered. Requests during its round trip are
-// not simulated separately: the answer is applied at once, and the pause until the next claim
-// includes the round trip.
-func (r *burstRun) claim() {
-	if r.now.Before(r.nextClaim.Add(-burstInterval + burstRoundTrip + burstPause)) {
+// sendClaim sends a claim if one is due, unless another is under way or was just answered.
+func (r *burstRun) sendClaim() {
+	if r.answer != nil || r.now.Before(r.earliestClaim) {
 		return
 	}
-	if r.allocation.ClaimDue(r.now, 0, burstInterval) {
-		sendClaimWithInterval(r.ledger, "a", 1, r.allocation, r.now, time.Unix(1000, 0), burstInterval)
-		r.claims++
-	}
 	r.urgent, r.nextClaim = false, r.now.Add(burstInterval)
+	if !r.allocation.ClaimDue(r.now, 0, burstInterval) {
+		return
+	}
+	sequence++
+	r.claims++
+	r.claim = r.allocation.NextClaim(r.now, workspace, 0, burstInterval)
+	r.answer = r.ledger.ApplyClaims(&messenger.RightsChange{
+		Router: "a", Incarnation: 1, Claims: []*messenger.RightsClaim{r.claim}, Sequence: sequence, Answered: sequence - 1,
+		Sent: momentAt(r.now), Started: momentAt(time.Unix(1000, 0)),
+	}).Grants[0]
+	r.sentAt, r.answerAt = r.now, r.now.Add(burstRoundTrip)
 }
 
-func burst(early bool) *burstRun {
+// applyAnswer applies the answer to the claim under way once it has arrived.
+func (r *burstRun) applyAnswer() {
+	if r.answer == nil || r.now.Before(r.answerAt) {
+		return
+	}
+	r.allocation.ApplyGrant(r.answer, r.claim, r.sentAt)
+	r.answer, r.earliestClaim, r.nextClaim = nil, r.now.Add(burstPause), r.now.Add(burstInterval)
+}
+
+func newBurstRun(early bool) *burstRun {
 	now := time.Unix(1000, 0)
-	r := &burstRun{early: early, now: now, nextClaim: now, ledger: newLedger(1_000_000_000), allocation: &allotter.Allocation{}}
+	return &burstRun{early: early, now: now, nextClaim: now, ledger: newLedger(1_000_000_000), allocation: &allotter.Allocation{}}
+}
+
+// burst returns a run of 1.5 s at five times the mean demand, which begins when a claim was
+// answered.
+func burst(early bool) *burstRun {
+	r := newBurstRun(early)
 	r.run(20, 20*time.Second)
-	sendClaimWithInterval(r.ledger, "a", 1, r.allocation, r.now, now, burstInterval)
-	r.nextClaim = r.now.Add(burstInterval)
+	for before := r.claims; r.claims == before || r.answer != nil; {
+		r.run(20, 5*time.Millisecond)
+	}
 	r.waited, r.claims = 0, 0
 	r.run(100, 1500*time.Millisecond)
 	return r
@@ -94,8 +122,7 @@
 // the usual interval suffices.
 func TestSteadyDemandCausesNoEarlyClaims(t *testing.T) {
 	g := gomega.NewWithT(t)
-	now := time.Unix(1000, 0)
-	r := &burstRun{early: true, now: now, nextClaim: now, ledger: newLedger(1_000_000_000), allocation: &allotter.Allocation{}}
+	r := newBurstRun(true)
 	r.run(20, 20*time.Second)
 	r.claims = 0
 	r.run(20, 17*time.Second)
