--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -134,6 +134,12 @@
 	// routers.
 	reported   Load
 	reportedAt time.Time
+	// reportedPace is the prefill factor that came with the reported load, or 0, and
+	// paceMeasuredAt when this router last measured its own.
+	reportedPace   float64
+	paceMeasuredAt time.Time
+	// reports is nil unless the table uses the load that other routers report.
+	reports *loadReports
 	// prefilled counts the prompt tokens that the endpoint was sent for prefill; parts maps
 	// the ids of shared prompt parts to their last use there.
 	prefilled int64
@@ -231,13 +237,13 @@
 	}
 }
 
-// putInService puts the endpoint in service with the latency model of its service. It has
-// no effect on an endpoint that is in service already.
-func (e *Endpoint) putInService(m *LatencyModel) {
+// putInService puts the endpoint in service with the latency model of its service and the
+// table's load reports, or nil. It has no effect on an endpoint that is in service already.
+func (e *Endpoint) putInService(m *LatencyModel, r *loadReports) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.inService {
-		e.inService, e.model = true, m
+		e.inService, e.model, e.reports = true, m, r
 	}
 }
 
@@ -458,7 +464,7 @@
 	measured := float64(max(took-e.model.BaseLatency(), 0)) / float64(expected)
 	weight := prefillFactorGain * min(float64(expected)/float64(fullWeightPrefill), 1)
 	e.prefillFactor = factor + weight*(min(measured, maxPrefillFactor)-factor)
-	e.prefillFactorAt = now
+	e.prefillFactorAt, e.paceMeasuredAt = now, now
 }
 
 // End records that the request is over. It must be called once.
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -29,6 +29,12 @@
 	byService atomic.Pointer[map[string]*group]
 	// byName maps incarnations in text form to the same endpoints.
 	byName atomic.Pointer[map[string]*Endpoint]
+	// byHash maps the hashes of these names to the endpoints, and serviceHashes holds the hashes
+	// of the services' names.
+	byHash        atomic.Pointer[map[uint32]*Endpoint]
+	serviceHashes atomic.Pointer[map[uint32]bool]
+	// reports is nil unless the table uses the load that other routers report.
+	reports *loadReports
 	// models holds the latency model of each service; only Replace accesses it.
 	models map[string]*LatencyModel
 }
@@ -103,19 +109,23 @@
 
 // Replace replaces the endpoints in service.
 func (t *Table) Replace(byService map[string][]*Endpoint) {
-	groups, names := map[string]*group{}, map[string]*Endpoint{}
+	groups, names, services := map[string]*group{}, map[string]*Endpoint{}, map[uint32]bool{}
 	for s, list := range byService {
+		services[hashName(s)] = true
 		groups[s] = newGroup(list, t.zone)
 		if t.models[s] == nil {
 			t.models[s] = NewLatencyModel()
 		}
 		for _, e := range list {
 			names[e.name] = e
-			e.putInService(t.models[s])
+			e.putInService(t.models[s], t.reports)
 		}
 	}
 	t.byService.Store(&groups)
 	t.byName.Store(&names)
+	byHash := indexByHash(names)
+	t.byHash.Store(&byHash)
+	t.serviceHashes.Store(&services)
 }
 
 // Endpoint returns the endpoint with the given name, or nil if none is in service.
