courier: load digests are exchanged on the socket of dispatch notices

Every 250 ms a router sends one datagram to each of three routers of its zone and one of another zone, in turn, if it observed a load in the last second and the link admits optional traffic. load_digests = false switches sending and receiving off. The receive buffer holds 1,500 bytes, so that larger datagrams of other versions can be read; unreadable datagrams are counted. loadTestNode was split off from startFleetWith, without a change of what it does.

go test -race ./courier: ok

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -14,6 +14,18 @@
 	claimsFailed     = metrics.NewCounter("rattanhoist_rights_claims_failed_total")
 )
 
+// Counters for load digests. Used entries were newer than what this router knew, dropped ones are
+// invalid or concern unknown endpoints or services.
+var (
+	digestsSent        = metrics.NewCounter("rattanhoist_load_digests_sent_total")
+	digestsReceived    = metrics.NewCounter("rattanhoist_load_digests_received_total")
+	loadEntriesUsed    = metrics.NewCounter("rattanhoist_load_entries_used_total")
+	loadEntriesDropped = metrics.NewCounter("rattanhoist_load_entries_dropped_total")
+)
+
+// datagramsInvalid counts datagrams of other routers that could not be read.
+var datagramsInvalid = metrics.NewCounter("rattanhoist_datagrams_invalid_total")
+
 // outdatedRefusals counts requests refused because a newer configuration than the one in
 // force had been announced for too long.
 var outdatedRefusals = metrics.NewCounter("rattanhoist_configuration_outdated_refusals_total")
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -87,6 +87,9 @@
 func New(o Options) *Router {
 	c := &Router{Options: o, startedAt: time.Now(), incarnation: newIncarnation()}
 	table := predictor.NewTable(o.Node.Zone())
+	if o.Node.Features().LoadDigests {
+		table.EnableLoadReports()
+	}
 	c.pool = pooler.New(o.ClassifyResponse, func() { c.connectionsOpened.Add(1) })
 	c.admission = shaper.NewAdmission(o.Node.LinkRate(), &c.lag)
 	c.pool.UseLink(c.admission)
@@ -148,6 +151,7 @@
 	defer closeNews()
 	c.fleet.notifier.Store(n)
 	go n.receive(work)
+	go n.sendDigests(work)
 	rpc := messenger.NewFleetServer()
 	messenger.RegisterFleetRouterServer(rpc, &peerServer{rights: c.rights, table: c.fleet.table})
 	failed := make(chan error, 3)
--- a/courier/dispatch_notifier.go
+++ b/courier/dispatch_notifier.go
@@ -22,12 +22,13 @@
 	// maxNotifiedPeers is the maximum number of routers that are notified of a dispatch.
 	// Routers in the endpoint's zone come first.
 	maxNotifiedPeers = 28
-	// maxDatagramBytes is the maximum size of a dispatch notice.
-	maxDatagramBytes = 512
+	// maxDatagramBytes is the size of the largest datagram that is received: what a network passes
+	// on without fragments.
+	maxDatagramBytes = 1500
 )
 
-// dispatchNotifier exchanges datagrams with other routers about prompts sent to endpoints.
-// A prompt delays what other routers send to the same endpoint at the same time, long
+// dispatchNotifier exchanges datagrams with other routers about prompts sent to endpoints, and
+// digests of load. A prompt delays what other routers send to the same endpoint at the same time, long
 // before the endpoint's own reports show its load.
 type dispatchNotifier struct {
 	fleet     *fleetView
@@ -81,12 +82,23 @@
 			}
 			return
 		}
-		d := &messenger.Dispatched{}
-		// Datagrams that don't parse are ignored.
-		if proto.Unmarshal(b[:size], d) == nil && d.Unread > 0 {
-			n.fleet.table.RecordDispatch(time.Now(), d.Endpoint, predictor.Dispatch{
-				UncachedTokens: d.Unread, PrefillTime: time.Duration(d.TakesUs) * time.Microsecond, Parts: d.Parts,
-			})
-		}
+		n.handle(time.Now(), b[:size])
+	}
+}
+
+// handle processes a datagram. One that doesn't parse is ignored.
+func (n *dispatchNotifier) handle(now time.Time, b []byte) {
+	d := &messenger.Dispatched{}
+	if proto.Unmarshal(b, d) != nil {
+		datagramsInvalid.Inc()
+		return
+	}
+	if d.Unread > 0 {
+		n.fleet.table.RecordDispatch(now, d.Endpoint, predictor.Dispatch{
+			UncachedTokens: d.Unread, PrefillTime: time.Duration(d.TakesUs) * time.Microsecond, Parts: d.Parts,
+		})
+	}
+	if d.Digest != nil {
+		n.receiveDigest(now, d.Digest)
 	}
 }
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -63,6 +63,8 @@
 	// notifyLists holds the addresses of the other routers for dispatch notices.
 	notifyLists atomic.Pointer[notifyLists]
 	notifier    atomic.Pointer[dispatchNotifier]
+	// digestPeers holds the routers of each zone for load digests.
+	digestPeers atomic.Pointer[digestPeers]
 	// keeperChanged receives a value when currentKeeper changes.
 	keeperChanged chan struct{}
 	// lastContact is when a keeper last answered, as a duration since startedAt.
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -97,22 +97,28 @@
 	return l.Addr().String()
 }
 
-// startFleet runs a fleetView with the given keeper addresses.
-func startFleet(t *testing.T, keepers ...string) *fleetView {
-	return startFleetWith(t, func(*Options) {}, keepers...)
-}
-
-// startFleetWith is startFleet with changed options.
-func startFleetWith(t *testing.T, change func(*Options), keepers ...string) *fleetView {
+// loadTestNode returns the settings of a router, with additional lines of section [node].
+func loadTestNode(t *testing.T, lines string) *loader.Node {
 	text := "[node]\nname = n\nkind = router\nzone = z\nip = 127.0.0.1\ninternal_ports = 1\nseeds = 127.0.0.1:9"
 	file := filepath.Join(t.TempDir(), "node.ini")
-	if err := os.WriteFile(file, []byte(text+"\nserve = 127.0.0.1:2\nready = 127.0.0.1:3\nheartbeat_ms = 300\ngrace_s = 5\n"), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(text+"\nserve = 127.0.0.1:2\nready = 127.0.0.1:3\nheartbeat_ms = 300\ngrace_s = 5\n"+lines), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	n, _, err := loader.LoadNode(file)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return n
+}
+
+// startFleet runs a fleetView with the given keeper addresses.
+func startFleet(t *testing.T, keepers ...string) *fleetView {
+	return startFleetWith(t, func(*Options) {}, keepers...)
+}
+
+// startFleetWith is startFleet with changed options.
+func startFleetWith(t *testing.T, change func(*Options), keepers ...string) *fleetView {
+	n := loadTestNode(t, "")
 	decode := func([]byte) (*publisher.Document, error) { return &publisher.Document{Number: 1}, nil }
 	belongs := func(http.Header, string) pooler.AnswerMatch { return pooler.MatchOwn }
 	o := Options{Node: n, Log: zap.NewNop(), Decode: decode}
--- a/courier/peers.go
+++ b/courier/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -52,6 +53,64 @@
 	f.peers, f.zonePeerCount, f.peerZones = append(near, far...), len(near), zones
 	c := f.buildNotifyLists(zones)
 	f.notifyLists.Store(&c)
+	f.digestPeers.Store(newDigestPeers(f.self, zones))
+}
+
+// digestPeers holds the listed routers of each zone in an order that all routers know. It is
+// immutable.
+type digestPeers struct {
+	// zone holds this router's zone, with this router at place self.
+	zone []netip.AddrPort
+	self int
+	// others holds the other zones.
+	others [][]netip.AddrPort
+}
+
+// newDigestPeers sorts the other routers, whose zones are given by address, and this one.
+func newDigestPeers(self *messenger.FleetMember, zones map[string]string) *digestPeers {
+	byZone := map[string][]netip.AddrPort{}
+	add := func(address, zone string) {
+		if a, err := netip.ParseAddrPort(address); err == nil && zone != "" {
+			byZone[zone] = append(byZone[zone], a)
+		}
+	}
+	for address, zone := range zones {
+		add(address, zone)
+	}
+	add(self.Address, self.Zone)
+	p := &digestPeers{}
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		list := byZone[zone]
+		slices.SortFunc(list, netip.AddrPort.Compare)
+		if zone != self.Zone {
+			p.others = append(p.others, list)
+			continue
+		}
+		own, _ := netip.ParseAddrPort(self.Address)
+		p.zone, p.self = list, max(slices.Index(list, own), 0)
+	}
+	return p
+}
+
+// digestTargets returns the addresses of the routers to send a load digest to.
+func (f *fleetView) digestTargets(now time.Time) []netip.AddrPort {
+	p := f.digestPeers.Load()
+	if p == nil {
+		return nil
+	}
+	round := predictor.GossipRound(now)
+	var out []netip.AddrPort
+	for _, i := range predictor.GossipTargets(round, p.self, len(p.zone)) {
+		out = append(out, p.zone[i])
+	}
+	sizes := make([]int, len(p.others))
+	for i, list := range p.others {
+		sizes[i] = len(list)
+	}
+	if zone, i, ok := predictor.GossipRemoteTarget(round, p.self, sizes); ok {
+		out = append(out, p.others[zone][i])
+	}
+	return out
 }
 
 // notifyLists holds the addresses of the routers that are notified of a dispatch, by the zone of
