predictor: first events are predicted with the waits that the load causes

The prediction left out the wait for a slot, the delay by other requests as it is at a service, and what recent predictions missed, and it was not multiplied by a reported slowdown. With load reports on, it includes them and the delay at this router's own link, the delay that recent first events of at least three endpoints share. That delay is not charged to endpoints, and neither is the wait for a slot: an answer that may have waited says nothing about the endpoint's pace. Requests that other routers announce count as load until the next observation, since all routers would choose the same idle endpoint otherwise, and an endpoint that delays all its answers reports nothing.

--- a/predictor/digest.go
+++ b/predictor/digest.go
@@ -76,6 +76,8 @@
 
 // loadReports is the state of a table that exchanges digests with other routers.
 type loadReports struct {
+	link linkDelay
+
 	mu sync.Mutex
 	// rooms holds the room in each zone by the newest report.
 	rooms map[roomKey]*zoneRoom
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -119,7 +119,9 @@
 	running int
 	// dispatched holds when they were sent there, in this order, if the endpoint has load reports.
 	dispatched []time.Time
-	queue      queue
+	// announced holds when other routers recently announced requests there, in this order.
+	announced []time.Time
+	queue     queue
 	// model is shared by all endpoints of the service from the time when the endpoint is
 	// first put in service.
 	model     *LatencyModel
@@ -142,6 +144,14 @@
 	paceMeasuredAt time.Time
 	// reports is nil unless the table uses the load that other routers report.
 	reports *loadReports
+	// delays is shared by all endpoints of the service; nil without load reports, like the fields
+	// below.
+	delays *serviceDelay
+	// correction is the estimated error, as of correctionAt, of predictions for this endpoint.
+	correction   time.Duration
+	correctionAt time.Time
+	// occupancy is the mean duration of requests in a slot.
+	occupancy meanDuration
 	// prefilled counts the prompt tokens that the endpoint was sent for prefill; parts maps
 	// the ids of shared prompt parts to their last use there.
 	prefilled int64
@@ -240,12 +250,12 @@
 }
 
 // putInService puts the endpoint in service with the latency model of its service and the
-// table's load reports, or nil. It has no effect on an endpoint that is in service already.
-func (e *Endpoint) putInService(m *LatencyModel, r *loadReports) {
+// table's load reports and delays, or nil. It has no effect on an endpoint that is in service already.
+func (e *Endpoint) putInService(m *LatencyModel, r *loadReports, d *serviceDelay) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.inService {
-		e.inService, e.model, e.reports = true, m, r
+		e.inService, e.model, e.reports, e.delays = true, m, r, d
 	}
 }
 
@@ -371,6 +381,7 @@
 	defer e.mu.Unlock()
 	position := e.queue.add(now, d.PrefillTime, e.currentPrefillFactor(now))
 	e.recordPrefill(d.UncachedTokens, position, d.Parts)
+	e.recordAnnounced(now)
 }
 
 // currentPrefillFactor returns the prefill factor, which decays towards 1 without new
@@ -409,7 +420,11 @@
 	cacheSource         *Endpoint
 	dispatchedAt        time.Time
 	predictedFirstEvent time.Duration
-	started             bool
+	// predicted holds the parts of the prediction, and firstByteAt when the answer began, if the
+	// endpoint has load reports.
+	predicted   prediction
+	firstByteAt time.Time
+	started     bool
 }
 
 // PredictedFirstEvent returns the time to the first event as predicted at dispatch.
@@ -433,11 +448,22 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	took := now.Sub(w.dispatchedAt)
+	w.firstByteAt = now
 	if w.queuePosition > 0 {
 		e.queue.remove(now, w.queuePosition, true, e.currentPrefillFactor(now))
+		countPrediction(w.predictedFirstEvent, took)
+		if e.reports != nil {
+			took = w.undisturbed(took - e.learnPrediction(now, w, took))
+			if e.mayHaveWaited(now, w) {
+				return
+			}
+		}
 		e.learnPrefill(now, w, took)
 		return
 	}
+	if e.reports != nil {
+		took = max(took-e.reports.link.value(now), 0)
+	}
 	extra := e.currentExtraAnswerTime(now)
 	e.extraAnswerTime = extra + time.Duration(extraAnswerTimeGain*float64(e.model.ObserveAnswer(took)-extra))
 	e.extraAnswerTimeAt = now
@@ -473,14 +499,16 @@
 }
 
 // End records that the request is over. It must be called once.
-func (w *Assignment) End() {
+func (w *Assignment) End() { w.endAt(time.Now()) }
+
+func (w *Assignment) endAt(now time.Time) {
 	e := w.endpoint
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running--
 	e.forgetDispatch(w.dispatchedAt)
+	e.learnOccupancy(now, w)
 	if !w.started && w.queuePosition > 0 {
-		now := time.Now()
 		e.queue.remove(now, w.queuePosition, false, e.currentPrefillFactor(now))
 	}
 	w.started = true
--- a/predictor/plan.go
+++ b/predictor/plan.go
@@ -115,9 +115,12 @@
 		if active >= slots {
 			c += unavailablePenalty
 		}
+		if e.reports != nil {
+			c += scaled(e.slotWait(active), e.reportedSlowdown(now))
+		}
 		return c
 	}
-	c := scaled(e.predictFirstEvent(now, p, a.Prompt.InputTokens), e.reportedSlowdown(now))
+	c := e.expectedFirstEvent(now, p, a.Prompt.InputTokens)
 	if home {
 		c -= homeBonus
 	}
@@ -153,6 +156,14 @@
 	return time.Duration(float64(e.model.PrefillTime(uncached, prompt)) * e.currentPrefillFactor(now))
 }
 
+// expectedFirstEvent returns the time to the first event that counts for the choice.
+func (e *Endpoint) expectedFirstEvent(now time.Time, p plan, prompt int64) time.Duration {
+	if e.reports != nil {
+		return e.predict(now, p, prompt).total()
+	}
+	return scaled(e.predictFirstEvent(now, p, prompt), e.reportedSlowdown(now))
+}
+
 // predictFirstEvent returns the predicted time to the first event of a prompt under a plan.
 func (e *Endpoint) predictFirstEvent(now time.Time, p plan, prompt int64) time.Duration {
 	factor := e.currentPrefillFactor(now)
@@ -165,13 +176,19 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w := &Assignment{endpoint: e, dispatchedAt: now}
+	if e.reports != nil && a.Prompt != nil {
+		w.predicted = e.predict(now, p, a.Prompt.InputTokens)
+		w.predictedFirstEvent = w.predicted.total() + e.reports.link.value(now)
+	}
 	e.running++
 	e.recordDispatchTime(now)
 	if a.Prompt == nil {
 		return w
 	}
 	w.promptTokens, w.cacheSource = a.Prompt.InputTokens, p.cacheSource
-	w.predictedFirstEvent = e.predictFirstEvent(now, p, w.promptTokens)
+	if e.reports == nil {
+		w.predictedFirstEvent = e.predictFirstEvent(now, p, w.promptTokens)
+	}
 	w.dispatch = Dispatch{UncachedTokens: p.uncachedTokens, PrefillTime: e.model.PrefillTime(p.uncachedTokens, w.promptTokens), Parts: a.Prompt.SharedIDs()}
 	factor := e.currentPrefillFactor(now)
 	w.queuedBefore = e.queue.remaining(now, factor)
--- a/predictor/shared_load.go
+++ b/predictor/shared_load.go
@@ -5,6 +5,15 @@
 	"time"
 )
 
+const (
+	// announcedTTL is the longest time for which a request that another router announced counts. Its
+	// end is not announced; longer ones are seen in observations.
+	announcedTTL = 3 * time.Second
+	// maxAnnounced bounds the announced requests that are remembered for an endpoint. So many fill
+	// any endpoint.
+	maxAnnounced = 256
+)
+
 // loadKnown reports whether the load of the endpoint was observed recently enough to be used.
 func (e *Endpoint) loadKnown(now time.Time) bool {
 	if e.reports != nil {
@@ -13,13 +22,16 @@
 	return now.Sub(e.reportedAt) < reportedLoadTTL
 }
 
-// combinedRequests returns the requests at the endpoint by the newest observation of any router and
-// by what this router has sent there since and not seen end.
+// combinedRequests returns the requests at the endpoint by the newest observation of any router, by
+// what this router has sent there since and not seen end, and by what others have announced since.
+// Without the latter, all routers would choose the same idle endpoint until the next digest. Without
+// an observation, those announced within the usual duration of a request count: an endpoint that
+// delays all its answers reports nothing, and isn't idle.
 func (e *Endpoint) combinedRequests(now time.Time) int {
 	if !e.loadKnown(now) {
-		return e.running
+		return e.running + e.announcedSince(now, now.Add(-min(e.meanOccupancy(), announcedTTL)))
 	}
-	return max(e.running, e.reported.Running+e.reported.Waiting+e.dispatchedSince(e.reportedAt))
+	return max(e.running, e.reported.Running+e.reported.Waiting+e.dispatchedSince(e.reportedAt)+e.announcedSince(now, e.reportedAt))
 }
 
 // dispatchedSince counts this router's requests at the endpoint that were sent after a time. There
@@ -45,3 +57,30 @@
 		e.dispatched = slices.Delete(e.dispatched, i, i+1)
 	}
 }
+
+// recordAnnounced records that another router announced a request to the endpoint.
+func (e *Endpoint) recordAnnounced(now time.Time) {
+	if e.reports == nil {
+		return
+	}
+	if len(e.announced) >= maxAnnounced {
+		e.announced = slices.Delete(e.announced, 0, maxAnnounced/2)
+	}
+	e.announced = append(e.announced, now)
+}
+
+// announcedSince counts the requests that other routers announced after a time, and forgets those
+// that are too old to count for any.
+func (e *Endpoint) announcedSince(now, at time.Time) int {
+	expired := now.Add(-announcedTTL)
+	i := 0
+	for i < len(e.announced) && e.announced[i].Before(expired) {
+		i++
+	}
+	e.announced = slices.Delete(e.announced, 0, i)
+	n := 0
+	for j := len(e.announced) - 1; j >= 0 && e.announced[j].After(at); j-- {
+		n++
+	}
+	return n
+}
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -35,8 +35,10 @@
 	serviceHashes atomic.Pointer[map[uint32]bool]
 	// reports is nil unless the table uses the load that other routers report.
 	reports *loadReports
-	// models holds the latency model of each service; only Replace accesses it.
+	// models and delays hold the latency model and the delays of each service; only Replace
+	// accesses them.
 	models map[string]*LatencyModel
+	delays map[string]*serviceDelay
 }
 
 // group holds the endpoints of one service as seen by a router of a zone. It is immutable
@@ -104,7 +106,7 @@
 
 // NewTable returns an empty table for a router in zone.
 func NewTable(zone string) *Table {
-	t := &Table{zone: zone, models: map[string]*LatencyModel{}}
+	t := &Table{zone: zone, models: map[string]*LatencyModel{}, delays: map[string]*serviceDelay{}}
 	t.Replace(nil)
 	return t
 }
@@ -116,11 +118,11 @@
 		services[hashName(s)] = true
 		groups[s] = newGroup(list, t.zone)
 		if t.models[s] == nil {
-			t.models[s] = NewLatencyModel()
+			t.models[s], t.delays[s] = NewLatencyModel(), newServiceDelay()
 		}
 		for _, e := range list {
 			names[e.name] = e
-			e.putInService(t.models[s], t.reports)
+			e.putInService(t.models[s], t.reports, t.delays[s])
 		}
 	}
 	t.byService.Store(&groups)
