--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -103,6 +103,20 @@
 	return l.Addr().String()
 }
 
+// loadTestNode returns the settings of a router, with additional lines of section [node].
+func loadTestNode(t *testing.T, lines string) *loader.Node {
+	text := "[node]\nname = n\nkind = router\nzone = z\nip = 127.0.0.1\ninternal_ports = 1\nseeds = 127.0.0.1:9"
+	file := filepath.Join(t.TempDir(), "node.ini")
+	if err := os.WriteFile(file, []byte(text+"\nserve = 127.0.0.1:2\nready = 127.0.0.1:3\nheartbeat_ms = 300\ngrace_s = 5\n"+lines), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n, _, err := loader.LoadNode(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 // startFleet runs a fleetView with the given keeper addresses.
 func startFleet(t *testing.T, keepers ...string) *fleetView {
 	return startFleetWith(t, func(*Options) {}, keepers...)
@@ -118,15 +132,7 @@
 
 // startFleetSet is startFleetWith with additional settings.
 func startFleetSet(t *testing.T, settings string, change func(*Options), keepers ...string) *fleetView {
-	text := "[node]\nname = n\nkind = router\nzone = z\nip = 127.0.0.1\ninternal_ports = 1\nseeds = 127.0.0.1:9"
-	file := filepath.Join(t.TempDir(), "node.ini")
-	if err := os.WriteFile(file, []byte(text+"\nserve = 127.0.0.1:2\nready = 127.0.0.1:3\nheartbeat_ms = 300\ngrace_s = 5\n"+settings), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	n, _, err := loader.LoadNode(file)
-	if err != nil {
-		t.Fatal(err)
-	}
+	n := loadTestNode(t, settings)
 	decode := func([]byte) (*publisher.Document, error) { return &publisher.Document{Number: 1}, nil }
 	belongs := func(http.Header, string) pooler.AnswerMatch { return pooler.MatchOwn }
 	o := Options{Node: n, Log: zap.NewNop(), Decode: decode}
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -117,7 +117,11 @@
 	mu sync.Mutex
 	// running counts this router's requests at the endpoint.
 	running int
-	queue   queue
+	// dispatched holds when they were sent there, in this order, if the endpoint has load reports.
+	dispatched []time.Time
+	// announced holds when other routers recently announced requests there, in this order.
+	announced []time.Time
+	queue     queue
 	// model is shared by all endpoints of the service from the time when the endpoint is
 	// first put in service.
 	model     *LatencyModel
@@ -134,6 +138,20 @@
 	// routers.
 	reported   Load
 	reportedAt time.Time
+	// reportedPace is the prefill factor that came with the reported load, or 0, and
+	// paceMeasuredAt when this router last measured its own.
+	reportedPace   float64
+	paceMeasuredAt time.Time
+	// reports is nil unless the table uses the load that other routers report.
+	reports *loadReports
+	// delays is shared by all endpoints of the service; nil without load reports, like the fields
+	// below.
+	delays *serviceDelay
+	// correction is the estimated error, as of correctionAt, of predictions for this endpoint.
+	correction   time.Duration
+	correctionAt time.Time
+	// occupancy is the mean duration of requests in a slot.
+	occupancy meanDuration
 	// prefilled counts the prompt tokens that the endpoint was sent for prefill; parts maps
 	// the ids of shared prompt parts to their last use there.
 	prefilled int64
@@ -231,13 +249,13 @@
 	}
 }
 
-// putInService puts the endpoint in service with the latency model of its service. It has
-// no effect on an endpoint that is in service already.
-func (e *Endpoint) putInService(m *LatencyModel) {
+// putInService puts the endpoint in service with the latency model of its service and the
+// table's load reports and delays, or nil. It has no effect on an endpoint that is in service already.
+func (e *Endpoint) putInService(m *LatencyModel, r *loadReports, d *serviceDelay) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.inService {
-		e.inService, e.model = true, m
+		e.inService, e.model, e.reports, e.delays = true, m, r, d
 	}
 }
 
@@ -276,6 +294,9 @@
 // activeRequests returns the number of requests of all routers at the endpoint, as far as
 // it is known.
 func (e *Endpoint) activeRequests(now time.Time) int {
+	if e.reports != nil {
+		return e.combinedRequests(now)
+	}
 	if now.Sub(e.reportedAt) < reportedLoadTTL {
 		return max(e.running, e.reported.Running+e.reported.Waiting)
 	}
@@ -285,7 +306,7 @@
 // reportedSlowdown returns the slowdown that the endpoint last reported, or 1 if there is
 // no report or only an old one.
 func (e *Endpoint) reportedSlowdown(now time.Time) float64 {
-	if e.reported.Slowdown > 0 && now.Sub(e.reportedAt) < reportedLoadTTL {
+	if e.reported.Slowdown > 0 && e.loadKnown(now) {
 		return e.reported.Slowdown
 	}
 	return 1
@@ -360,6 +381,7 @@
 	defer e.mu.Unlock()
 	position := e.queue.add(now, d.PrefillTime, e.currentPrefillFactor(now))
 	e.recordPrefill(d.UncachedTokens, position, d.Parts)
+	e.recordAnnounced(now)
 }
 
 // currentPrefillFactor returns the prefill factor, which decays towards 1 without new
@@ -398,7 +420,11 @@
 	cacheSource         *Endpoint
 	dispatchedAt        time.Time
 	predictedFirstEvent time.Duration
-	started             bool
+	// predicted holds the parts of the prediction, and firstByteAt when the answer began, if the
+	// endpoint has load reports.
+	predicted   prediction
+	firstByteAt time.Time
+	started     bool
 }
 
 // PredictedFirstEvent returns the time to the first event as predicted at dispatch.
@@ -422,11 +448,22 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	took := now.Sub(w.dispatchedAt)
+	w.firstByteAt = now
 	if w.queuePosition > 0 {
 		e.queue.remove(now, w.queuePosition, true, e.currentPrefillFactor(now))
+		countPrediction(w.predictedFirstEvent, took)
+		if e.reports != nil {
+			took = w.undisturbed(took - e.learnPrediction(now, w, took))
+			if e.mayHaveWaited(now, w) {
+				return
+			}
+		}
 		e.learnPrefill(now, w, took)
 		return
 	}
+	if e.reports != nil {
+		took = max(took-e.reports.link.value(now), 0)
+	}
 	extra := e.currentExtraAnswerTime(now)
 	e.extraAnswerTime = extra + time.Duration(extraAnswerTimeGain*float64(e.model.ObserveAnswer(took)-extra))
 	e.extraAnswerTimeAt = now
@@ -458,17 +495,20 @@
 	measured := float64(max(took-e.model.BaseLatency(), 0)) / float64(expected)
 	weight := prefillFactorGain * min(float64(expected)/float64(fullWeightPrefill), 1)
 	e.prefillFactor = factor + weight*(min(measured, maxPrefillFactor)-factor)
-	e.prefillFactorAt = now
+	e.prefillFactorAt, e.paceMeasuredAt = now, now
 }
 
 // End records that the request is over. It must be called once.
-func (w *Assignment) End() {
+func (w *Assignment) End() { w.endAt(time.Now()) }
+
+func (w *Assignment) endAt(now time.Time) {
 	e := w.endpoint
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running--
+	e.forgetDispatch(w.dispatchedAt)
+	e.learnOccupancy(now, w)
 	if !w.started && w.queuePosition > 0 {
-		now := time.Now()
 		e.queue.remove(now, w.queuePosition, false, e.currentPrefillFactor(now))
 	}
 	w.started = true
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -29,12 +29,20 @@
 	byService atomic.Pointer[map[string]*group]
 	// byName maps incarnations in text form to the same endpoints.
 	byName atomic.Pointer[map[string]*Endpoint]
-	// models holds the latency model of each service; only Replace accesses it.
+	// byHash maps the hashes of these names to the endpoints, and serviceHashes holds the hashes
+	// of the services' names.
+	byHash        atomic.Pointer[map[uint32]*Endpoint]
+	serviceHashes atomic.Pointer[map[uint32]bool]
+	// reports is nil unless the table uses the load that other routers report.
+	reports *loadReports
+	// models and delays hold the latency model and the delays of each service; only Replace
+	// accesses them.
 	models map[string]*LatencyModel
+	delays map[string]*serviceDelay
 }
 
 // group holds the endpoints of one service as seen by a router of a zone. It is immutable
-// apart from the cache of its subsets.
+// apart from the caches of its subsets and of its capacity.
 type group struct {
 	zone      string
 	endpoints []*Endpoint
@@ -49,6 +57,8 @@
 	homeRing *ring
 	// subsets caches the *group for each set of zones that was requested, by its key.
 	subsets sync.Map
+	// lastCapacity is used in large groups only.
+	lastCapacity capacityCache
 }
 
 // newGroup returns the group of the given endpoints for a router of a zone.
@@ -96,26 +106,30 @@
 
 // NewTable returns an empty table for a router in zone.
 func NewTable(zone string) *Table {
-	t := &Table{zone: zone, models: map[string]*LatencyModel{}}
+	t := &Table{zone: zone, models: map[string]*LatencyModel{}, delays: map[string]*serviceDelay{}}
 	t.Replace(nil)
 	return t
 }
 
 // Replace replaces the endpoints in service.
 func (t *Table) Replace(byService map[string][]*Endpoint) {
-	groups, names := map[string]*group{}, map[string]*Endpoint{}
+	groups, names, services := map[string]*group{}, map[string]*Endpoint{}, map[uint32]bool{}
 	for s, list := range byService {
+		services[hashName(s)] = true
 		groups[s] = newGroup(list, t.zone)
 		if t.models[s] == nil {
-			t.models[s] = NewLatencyModel()
+			t.models[s], t.delays[s] = NewLatencyModel(), newServiceDelay()
 		}
 		for _, e := range list {
 			names[e.name] = e
-			e.putInService(t.models[s])
+			e.putInService(t.models[s], t.reports, t.delays[s])
 		}
 	}
 	t.byService.Store(&groups)
 	t.byName.Store(&names)
+	byHash := indexByHash(names)
+	t.byHash.Store(&byHash)
+	t.serviceHashes.Store(&services)
 }
 
 // Endpoint returns the endpoint with the given name, or nil if none is in service.
