forwarder, publisher: priorities of requests are sent to engines

Cause: the priorities of routes and workspaces were read and never used. Change: the workspace's priority, else the route's, limited to 0 to 9, is sent with the request if the document in force states more than one priority, which publisher.NewIndex computes once. Priorities are compared after they are limited.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -236,7 +236,7 @@
 
 // endpointRequest returns the request to send to the assigned endpoint.
 func (j *job) endpointRequest(w *predictor.Assignment) *pooler.Request {
-	s := EndpointFields{Deadline: time.Until(j.deadline), Endpoint: w.Endpoint().Beat().ID, LastEventID: j.lastEventID, Priority: -1}
+	s := EndpointFields{Deadline: time.Until(j.deadline), Endpoint: w.Endpoint().Beat().ID, LastEventID: j.lastEventID, Priority: j.enginePriority()}
 	if d := w.CacheSource(); d != nil {
 		s.CacheSource = d.Beat().Address
 		promptsFetched.Inc()
@@ -250,6 +250,14 @@
 	}
 }
 
+// enginePriority returns the priority to send to the endpoint, or -1 to send none.
+func (j *job) enginePriority() int {
+	if !j.f.EnginePriorities || !j.index.Ranked() {
+		return -1
+	}
+	return j.index.Priority(j.route, j.workspace)
+}
+
 // handleNotRun handles an answer stating that the request was not run.
 func (j *job) handleNotRun(a *pooler.Answer, m AnswerFields, e *predictor.Endpoint) outcome {
 	j.reason = "endpoint did not run it: " + http.StatusText(a.Status)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -136,7 +136,9 @@
 	Quarantine Quarantine
 	// Admission is nil if every request is accepted.
 	Admission Admission
-	Log       *zap.Logger
+	// EnginePriorities is set if the priorities of requests are sent to endpoints.
+	EnginePriorities bool
+	Log              *zap.Logger
 }
 
 // Forwarder is the HTTP handler for callers. It is safe for concurrent use.
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -218,6 +218,11 @@
 }
 
 func newTestRouterInZones(t *testing.T, zone func(int) string, endpoints ...*endpoint) *testRouter {
+	return newTestRouterWith(t, document(), func(*forwarder.Dependencies) {}, zone, endpoints...)
+}
+
+// newTestRouterWith starts a router with the given document and changed dependencies.
+func newTestRouterWith(t *testing.T, d *publisher.Document, change func(*forwarder.Dependencies), zone func(int) string, endpoints ...*endpoint) *testRouter {
 	w := &testRouter{
 		rights: &rightsStub{}, table: predictor.NewTable("z"), pool: pooler.New(platform.ClassifyResponse, func() {}), quarantine: &quarantineStub{},
 		admission: &admissionStub{},
@@ -229,12 +234,13 @@
 		}))
 	}
 	w.table.Replace(map[string][]*predictor.Endpoint{"engine": list})
-	f := forwarder.New(forwarder.Dependencies{
-		Wire: platform.HeaderCodec{}, Fleet: fleetStub{publisher.NewIndex(document(), localizer.New(map[string]string{"z": "north"}))}, Table: w.table,
+	p := forwarder.Dependencies{
+		Wire: platform.HeaderCodec{}, Fleet: fleetStub{publisher.NewIndex(d, localizer.New(map[string]string{"z": "north"}))}, Table: w.table,
 		Pool: w.pool, Rights: w.rights, Quarantine: w.quarantine, Admission: w.admission, Log: zap.NewNop(),
 		Limiter: limiter.New(limiter.Budget{Ratio: 1, Slack: 50, Window: budgetWindow}, time.Now()),
-	})
-	w.server = httptest.NewServer(f)
+	}
+	change(&p)
+	w.server = httptest.NewServer(forwarder.New(p))
 	t.Cleanup(w.server.Close)
 	return w
 }
--- a/publisher/index.go
+++ b/publisher/index.go
@@ -22,8 +22,13 @@
 	routeZones     map[*Route]*localizer.Zones
 	workspaceZones map[*Workspace]*localizer.Zones
 	intersections  map[[2]string]*localizer.Zones
+	// ranked is set if the document states more than one priority.
+	ranked bool
 }
 
+// lowestPriority is the number of the lowest priority; 0 is the highest.
+const lowestPriority = 9
+
 // NewIndex returns the index of a checked document; l maps zones to regions.
 func NewIndex(d *Document, l *localizer.Localizer) *Index {
 	x := &Index{
@@ -45,9 +50,40 @@
 		}
 	}
 	x.resolveZones(l)
+	x.ranked = d.statesPriorities()
 	return x
 }
 
+// statesPriorities reports whether the routes and workspaces state more than one priority within
+// the limits.
+func (d *Document) statesPriorities() bool {
+	stated := map[int]bool{}
+	for _, r := range d.Routes {
+		stated[limitPriority(r.Priority)] = true
+	}
+	for _, w := range d.Workspaces {
+		if w.Priority != nil {
+			stated[limitPriority(*w.Priority)] = true
+		}
+	}
+	return len(stated) > 1
+}
+
+// limitPriority returns the priority within the limits that is nearest to p.
+func limitPriority(p int) int { return min(max(p, 0), lowestPriority) }
+
+// Ranked reports whether the document states more than one priority.
+func (x *Index) Ranked() bool { return x.ranked }
+
+// Priority returns the priority of a request from 0, the highest, to 9: that of the workspace,
+// else that of the route. w is nil if the request belongs to no workspace.
+func (x *Index) Priority(r *Route, w *Workspace) int {
+	if w != nil && w.Priority != nil {
+		return limitPriority(*w.Priority)
+	}
+	return limitPriority(r.Priority)
+}
+
 // resolveZones determines the zones that the regions of routes and workspaces allow.
 func (x *Index) resolveZones(l *localizer.Localizer) {
 	for i := range x.document.Routes {
