admitter: returning requests go first in their priority

Cause: a refused caller that comes back when it was told to finds the place that it was promised taken by requests that arrived since. Change: Request.Returning; such requests go before all others of their priority, by the same rules among themselves, and others don't count as ahead of them. No code sets it yet, so the chat interface is unchanged.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -26,6 +26,8 @@
 	// the response; a request dispatched after Deadline-MinService is
 	// certain to miss its deadline.
 	MinService time.Duration
+	// Returning requests go before all others of their priority.
+	Returning bool
 	// RandomValue in [0, 1) is the random draw for shedders that reject a
 	// fraction of the requests.
 	RandomValue float64
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -290,3 +290,29 @@
 	g.Expect(out).To(gomega.ConsistOf(gomega.HaveField("Verdict", admitter.Shed)))
 	g.Expect(near(3)).To(gomega.ConsistOf(gomega.HaveField("Verdict", admitter.Shed)), "a request was rejected just before")
 }
+
+// Guards against callers that come back when they were told to and find their place taken by
+// requests that arrived since: a returning request goes first in its priority, but not before a
+// higher one, and only returning requests count as ahead of it.
+func TestReturningRequestsGoFirstInTheirPriority(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQueue("none")
+	for id := uint64(1); id <= 3; id++ {
+		q.Step(0, arrive(request(id, "w", 1, 60*time.Second), 1, 1))
+	}
+	q.Step(0, arrive(request(4, "v", 0, 60*time.Second), 1, 1))
+	r := request(5, "w", 1, 70*time.Second)
+	r.Returning = true
+	q.Step(0, arrive(r, 1, 1))
+	g.Expect(drain(q, 0)).To(gomega.Equal([]uint64{4, 5, 1, 2, 3}))
+
+	q = newQueue("deadline")
+	for id := uint64(1); id <= 5; id++ {
+		q.Step(0, arrive(request(id, "w", 1, 12*time.Second), 1, 1))
+	}
+	late := request(6, "w", 1, 12*time.Second)
+	late.MinService = late.Service
+	g.Expect(q.Step(0, arrive(late, 1, 1))[0].Verdict).To(gomega.Equal(admitter.Shed))
+	late.ID, late.Returning = 7, true
+	g.Expect(q.Step(0, arrive(late, 1, 1))).To(gomega.BeEmpty(), "it waits behind none of the others")
+}
--- a/admitter/next.go
+++ b/admitter/next.go
@@ -52,6 +52,13 @@
 	return best, at
 }
 
+// hasReturning reports whether a returning request waits.
+func (c *class) hasReturning() bool {
+	return slices.ContainsFunc(c.flows, func(w *flow) bool {
+		return slices.ContainsFunc(w.requests, func(r Request) bool { return r.Returning })
+	})
+}
+
 // shouldShed asks the shedder whether to reject an arriving request. If nothing
 // was rejected recently, a request is rejected only if it would be late even
 // with its minimum service time. Predictions err in both directions, and a
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -294,16 +294,29 @@
 func (q *Queue) nextMatching(now time.Duration, fits func(Request) bool) (Request, bool) {
 	for p := range q.classes {
 		c := &q.classes[p]
-		if w, at := c.mostUrgent(now, fits); w != nil {
-			return q.takeUncharged(c, w, at), true
+		if c.hasReturning() {
+			if r, ok := q.nextOfClass(now, c, func(r Request) bool { return r.Returning && fits(r) }); ok {
+				return r, true
+			}
 		}
-		if w, at := c.nextInTurn(fits); w != nil {
-			return q.takeCharged(c, w, at), true
+		if r, ok := q.nextOfClass(now, c, fits); ok {
+			return r, true
 		}
 	}
 	return Request{}, false
 }
 
+// nextOfClass removes and returns the next request of one priority that fits accepts.
+func (q *Queue) nextOfClass(now time.Duration, c *class, fits func(Request) bool) (Request, bool) {
+	if w, at := c.mostUrgent(now, fits); w != nil {
+		return q.takeUncharged(c, w, at), true
+	}
+	if w, at := c.nextInTurn(fits); w != nil {
+		return q.takeCharged(c, w, at), true
+	}
+	return Request{}, false
+}
+
 // takeCharged removes a request from a flow and adds its tokens to the pass of
 // the flow.
 func (q *Queue) takeCharged(c *class, w *flow, i int) Request {
@@ -369,7 +382,7 @@
 	var own time.Duration
 	for _, w := range c.flows {
 		if w.workspace == r.Workspace {
-			own = w.serviceUntil(r.Deadline)
+			own = w.serviceAhead(r, r.Deadline)
 		}
 	}
 	sum += own
@@ -377,7 +390,7 @@
 	// the same amount of service.
 	for _, w := range c.flows {
 		if w.workspace != r.Workspace {
-			sum += min(w.serviceUntil(1<<62), own+r.Service)
+			sum += min(w.serviceAhead(r, 1<<62), own+r.Service)
 		}
 	}
 	return sum
@@ -386,18 +399,18 @@
 func (c *class) totalService() time.Duration {
 	var sum time.Duration
 	for _, w := range c.flows {
-		sum += w.serviceUntil(1 << 62)
+		sum += w.serviceAhead(Request{}, 1<<62)
 	}
 	return sum
 }
 
-// serviceUntil returns the total service time of the requests with at most the
-// given deadline.
-func (w *flow) serviceUntil(deadline time.Duration) time.Duration {
+// serviceAhead returns the total service time of the requests with at most the
+// given deadline. New requests are not ahead of a returning r.
+func (w *flow) serviceAhead(r Request, deadline time.Duration) time.Duration {
 	var sum time.Duration
-	for _, r := range w.requests {
-		if r.Deadline <= deadline {
-			sum += r.Service
+	for _, x := range w.requests {
+		if x.Deadline <= deadline && (x.Returning || !r.Returning) {
+			sum += x.Service
 		}
 	}
 	return sum
