forwarder: requests wait, by priority, while every endpoint is full

Cause: requests to services were sent to the cheapest endpoint regardless of its queue, and a refused caller was told to return after a fixed time. Change: a request waits in the router while every endpoint that may serve it is known to be full, in the order of admitter.Queue. It is refused on arrival if its first event would come past its deadline or if it would wait for more than a quarter of its time, and at the latest when that is over. Retry-After is the backlog divided by the rate of starts, with jitter of up to a fifth, and refused callers who return then go first in their priority. Waiting requests are checked again when the configuration changes. The ended line gets queued. Tests: fleetStub of the forwarder's tests gets Index and a configuration that can be replaced; nothing is checked less.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -98,7 +98,8 @@
 	ratio, slack, window := o.Node.RetryLimit()
 	c.handler = forwarder.New(forwarder.Dependencies{
 		Wire: o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
-		Quarantine: c.fleet.quarantine, Admission: c.admission, EnginePriorities: o.Node.Features().EnginePriorities,
+		Quarantine: c.fleet.quarantine, Admission: c.admission,
+		EnginePriorities: o.Node.Features().EnginePriorities, ServiceAdmission: o.Node.Features().ServiceAdmission,
 		Limiter: limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
 	})
 	return c
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -201,6 +201,7 @@
 		}
 		return outcomeUnsent
 	}
+	j.place.recordReported()
 	j.tried = append(j.tried, b.Incarnation)
 	defer a.Close()
 	fields := j.f.Wire.AnswerFields(a.Status, a.Header)
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -23,6 +23,19 @@
 	requestsBeforeRetryAfter = metrics.NewCounter("rattanhoist_requests_before_retry_after_total")
 	overloadRefusals         = metrics.NewCounter("rattanhoist_overload_refusals_total")
 	endpointFailures         = metrics.NewCounter("rattanhoist_endpoint_failures_total")
+	// Requests that found every endpoint full, by outcome: started after a wait, refused on
+	// arrival, refused after a wait, refused because too many waited, given up by the caller, and
+	// ended by a change of the configuration.
+	requestsWaited    = metrics.NewCounter(`rattanhoist_admission_total{outcome="waited"}`)
+	refusalsEarly     = metrics.NewCounter(`rattanhoist_admission_total{outcome="refused_early"}`)
+	refusalsLate      = metrics.NewCounter(`rattanhoist_admission_total{outcome="refused_late"}`)
+	refusalsFull      = metrics.NewCounter(`rattanhoist_admission_total{outcome="refused_full"}`)
+	requestsAbandoned = metrics.NewCounter(`rattanhoist_admission_total{outcome="abandoned"}`)
+	requestsRevoked   = metrics.NewCounter(`rattanhoist_admission_total{outcome="revoked"}`)
+	// requestsReturned counts refused callers that came back when they were told to.
+	requestsReturned = metrics.NewCounter("rattanhoist_admission_returned_total")
+	// refusalsWithRoom counts requests refused while an endpoint had room, which is a fault.
+	refusalsWithRoom = metrics.NewCounter("rattanhoist_admission_refused_with_room_total")
 )
 
 // countEnd counts a final answer; status 0 stands for a caller who disconnected.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -92,6 +92,8 @@
 	// known to exist. Until the first configuration arrives, it waits for a moment; if none
 	// comes, it returns the time after which one is expected.
 	AwaitConfiguration(ctx context.Context) (x *publisher.Index, after time.Duration)
+	// Index returns the configuration in force, or nil before the first one.
+	Index() *publisher.Index
 	// Routers returns the number of routers that share the fleet's limits; at least 1.
 	Routers() int
 	// AnnounceDispatch tells other routers about a prompt sent to an endpoint of a zone.
@@ -138,6 +140,8 @@
 	Admission Admission
 	// EnginePriorities is set if the priorities of requests are sent to endpoints.
 	EnginePriorities bool
+	// ServiceAdmission is set if requests wait while every endpoint is full.
+	ServiceAdmission bool
 	Log              *zap.Logger
 }
 
@@ -145,10 +149,18 @@
 type Forwarder struct {
 	Dependencies
 	start time.Time
+	// services is nil if requests never wait.
+	services *serviceAdmission
 }
 
 // New returns a forwarder.
-func New(p Dependencies) *Forwarder { return &Forwarder{Dependencies: p, start: time.Now()} }
+func New(p Dependencies) *Forwarder {
+	f := &Forwarder{Dependencies: p, start: time.Now()}
+	if p.ServiceAdmission {
+		f.services = newServiceAdmission(p, f.start)
+	}
+	return f
+}
 
 // ServeHTTP handles one request up to its final answer.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -173,6 +185,10 @@
 	body        []byte
 	fingerprint quarantiner.Fingerprint
 	deadline    time.Time
+	// place is the request's place among those of its service; nil unless it was started there.
+	place *place
+	// queued is the time for which the request waited for room at endpoints; 0 if it did not.
+	queued time.Duration
 	// reservation is nil if the request uses no prepaid tokens.
 	reservation Reservation
 	// tried holds the incarnations that the request was sent to.
@@ -211,6 +227,10 @@
 	}
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	if !j.awaitStart(ctx) {
+		return
+	}
+	defer j.leaveService()
 	if !j.reserve(ctx) {
 		return
 	}
@@ -452,6 +472,9 @@
 	if p := j.caller.Prompt; p != nil {
 		fields = append(fields, zap.Int64("prompt", p.InputTokens))
 	}
+	if j.queued > 0 {
+		fields = append(fields, zap.Duration("queued", j.queued))
+	}
 	if l := j.missedObjective(); l != "" {
 		fields = append(fields, zap.String("late", l))
 	}
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,11 +158,15 @@
 	return append([]int64{}, r.spent...)
 }
 
-type fleetStub struct{ index *publisher.Index }
+// fleetStub has a configuration that a test may replace.
+type fleetStub struct {
+	index *atomic.Pointer[publisher.Index]
+}
 
 func (f fleetStub) AwaitConfiguration(context.Context) (*publisher.Index, time.Duration) {
-	return f.index, 0
+	return f.index.Load(), 0
 }
+func (f fleetStub) Index() *publisher.Index                             { return f.index.Load() }
 func (f fleetStub) Routers() int                                        { return 1 }
 func (f fleetStub) AnnounceDispatch(string, string, predictor.Dispatch) {}
 func (f fleetStub) Observe(e *predictor.Endpoint, s predictor.State, sentAt time.Time) {
@@ -178,6 +183,12 @@
 	quarantine *quarantineStub
 	// admission admits every request until a test changes that.
 	admission *admissionStub
+	index     atomic.Pointer[publisher.Index]
+}
+
+// publish puts a document in force.
+func (w *testRouter) publish(d *publisher.Document) {
+	w.index.Store(publisher.NewIndex(d, localizer.New(map[string]string{"z": "north"})))
 }
 
 // admissionStub sets the load of the router itself.
@@ -234,8 +245,9 @@
 		}))
 	}
 	w.table.Replace(map[string][]*predictor.Endpoint{"engine": list})
+	w.publish(d)
 	p := forwarder.Dependencies{
-		Wire: platform.HeaderCodec{}, Fleet: fleetStub{publisher.NewIndex(d, localizer.New(map[string]string{"z": "north"}))}, Table: w.table,
+		Wire: platform.HeaderCodec{}, Fleet: fleetStub{&w.index}, Table: w.table,
 		Pool: w.pool, Rights: w.rights, Quarantine: w.quarantine, Admission: w.admission, Log: zap.NewNop(),
 		Limiter: limiter.New(limiter.Budget{Ratio: 1, Slack: 50, Window: budgetWindow}, time.Now()),
 	}
