forwarder: the slot of a request that ends goes to a waiting one

Cause: endpoints report their load only in answers. While all requests wait, full endpoints answer none and report none, so that free slots were found only when the loads expired. Change: the end of a request that an endpoint completed starts a waiting one, unless the slot was reported a moment earlier or its endpoint is presumed to be among those that left. A request that is told of a change of the configuration as it starts is checked again. Only started requests count as ended when they leave the queue.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -82,6 +82,7 @@
 // success status clears the request in the quarantine: endpoints refuse or fail some
 // requests without running them.
 func (j *job) recordSuccess(status int, e *predictor.Endpoint) {
+	j.completed = true
 	e.Gate().Step(time.Since(j.f.start), ejector.Succeeded, 0)
 	if status < http.StatusMultipleChoices {
 		j.f.Quarantine.RecordSuccess(j.fingerprint)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -189,6 +189,8 @@
 	place *place
 	// queued is the time for which the request waited for room at endpoints; 0 if it did not.
 	queued time.Duration
+	// completed is set if an endpoint answered completely and successfully.
+	completed bool
 	// reservation is nil if the request uses no prepaid tokens.
 	reservation Reservation
 	// tried holds the incarnations that the request was sent to.
--- a/forwarder/service_admission.go
+++ b/forwarder/service_admission.go
@@ -79,15 +79,19 @@
 	// configuration came into force.
 	verdict chan admitter.Action
 	changed chan struct{}
+	// index is the configuration that the request knows or was told of; guarded by queue.mu.
+	index *publisher.Index
+	// started is set once the request may be sent; guarded by queue.mu.
+	started bool
 	// startedAt is when the request was started, and reported is set once loads include it. Both
 	// belong to the request's goroutine.
 	startedAt time.Time
 	reported  bool
 }
 
-// enter adds a request to the queue.
-func (q *waitingQueue) enter(r queuedRequest) *place {
-	p := &place{queue: q, verdict: make(chan admitter.Action, 1), changed: make(chan struct{}, 1)}
+// enter adds a request to the queue, which was checked against a configuration.
+func (q *waitingQueue) enter(r queuedRequest, x *publisher.Index) *place {
+	p := &place{queue: q, index: x, verdict: make(chan admitter.Action, 1), changed: make(chan struct{}, 1)}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.nextID++
@@ -105,27 +109,27 @@
 func (q *waitingQueue) tick() {
 	t := time.NewTicker(queueTickInterval)
 	defer t.Stop()
-	x := q.admission.fleet.Index()
 	for range t.C {
-		current := q.admission.fleet.Index()
-		if !q.tickOnce(current != x) {
+		if !q.tickOnce() {
 			return
 		}
-		x = current
 	}
 }
 
 // tickOnce updates the queue and reports whether requests still wait. If the configuration has
 // changed, it tells the waiting requests, each of which checks itself.
-func (q *waitingQueue) tickOnce(changed bool) bool {
+func (q *waitingQueue) tickOnce() bool {
+	current := q.admission.fleet.Index()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if changed {
-		for _, p := range q.places {
-			select {
-			case p.changed <- struct{}{}:
-			default:
-			}
+	for _, p := range q.places {
+		if p.index == current {
+			continue
+		}
+		p.index = current
+		select {
+		case p.changed <- struct{}{}:
+		default:
 		}
 	}
 	q.stepLocked(queueEvent{kind: queueTick})
@@ -146,6 +150,7 @@
 	}
 	for _, a := range q.queue.Step(time.Since(q.admission.start), e) {
 		if p := q.places[a.ID]; p != nil {
+			p.started = a.Verdict == admitter.Start
 			p.verdict <- a
 			delete(q.places, a.ID)
 		}
@@ -166,8 +171,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.places, p.id)
+	if p.started {
+		q.stepLocked(queueEvent{kind: queueEnd, request: queuedRequest{id: p.id}})
+		return
+	}
 	q.stepLocked(queueEvent{kind: queueCancel, request: queuedRequest{id: p.id}})
-	q.stepLocked(queueEvent{kind: queueEnd, request: queuedRequest{id: p.id}})
 }
 
 // recordReported records that an endpoint has answered the request: the load that it reports
@@ -182,15 +190,15 @@
 	p.queue.stepLocked(queueEvent{kind: queueReported, request: queuedRequest{id: p.id}})
 }
 
-// end records the end of a started request, and lets waiting requests use its slot. Durations are 0
-// if unknown.
-func (p *place) end(firstEvent, total time.Duration) {
+// end records the end of a started request. If an endpoint completed it, a waiting request gets its
+// slot. Durations are 0 if unknown.
+func (p *place) end(completed bool, firstEvent, total time.Duration) {
 	q := p.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.stepLocked(queueEvent{kind: queueEnd, request: queuedRequest{id: p.id}, firstEvent: firstEvent, total: total})
 	if q.queue.Waiting() > 0 {
-		q.stepLocked(queueEvent{kind: queueTick})
+		q.stepLocked(queueEvent{kind: queueTick, freed: completed})
 	}
 }
 
@@ -213,7 +221,7 @@
 	}
 	begun := time.Now()
 	for {
-		p := s.queue(j.service.Name, j.zones).enter(j.queuedRequest(returning))
+		p := s.queue(j.service.Name, j.zones).enter(j.queuedRequest(returning), j.index)
 		done, err := j.awaitVerdict(ctx, p, begun)
 		if errors.Is(err, errMoved) {
 			continue
@@ -371,7 +379,7 @@
 		return
 	}
 	if !j.mayHaveRun {
-		j.place.end(0, 0)
+		j.place.end(false, 0, 0)
 		return
 	}
 	total, firstEvent := time.Since(j.place.startedAt), time.Duration(0)
@@ -381,7 +389,7 @@
 	case j.route.Kind != publisher.Stream:
 		firstEvent = total
 	}
-	j.place.end(firstEvent, total)
+	j.place.end(j.completed, firstEvent, total)
 }
 
 // usesRights reports whether the request uses prepaid tokens.
--- a/forwarder/service_admission_test.go
+++ b/forwarder/service_admission_test.go
@@ -256,6 +256,36 @@
 	}
 }
 
+// Guards against a request that starts in the moment in which its key is revoked: the slot of a request
+// that ends is passed on before anything tells the waiting one of the change.
+func TestKeyIsRevokedAsRequestStarts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := make(chan struct{})
+	e := newEndpoint(t, func(c net.Conn, r *http.Request, body string) bool {
+		<-release
+		return responds(answerOK)(c, r, body)
+	})
+	w := newAdmissionRouter(t, unchanged, e)
+	d := document()
+	d.Number++
+	d.Workspaces[0].Keys = []string{"k2"}
+	for range 8 {
+		w.publish(document())
+		w.report(0)
+		first := make(chan response, 1)
+		go func() { first <- w.send(t, http.MethodPost, "/once/first", "b") }()
+		g.Eventually(e.requests).ShouldNot(gomega.BeEmpty())
+		time.Sleep(20 * time.Millisecond)
+		w.report(8)
+		second := w.sendSoon(t, "/once/second")
+		w.publish(d)
+		release <- struct{}{}
+		g.Expect((<-first).status).To(gomega.Equal(http.StatusOK))
+		g.Expect((<-second).status).To(gomega.Equal(http.StatusUnauthorized))
+	}
+	g.Expect(e.requests()).To(gomega.HaveLen(8))
+}
+
 // Guards against a change of the document that ends, or loses, requests which it still allows.
 func TestDocumentKeepsWaitingRequest(t *testing.T) {
 	for name, edit := range map[string]func(*publisher.Document){
--- a/forwarder/service_queue.go
+++ b/forwarder/service_queue.go
@@ -23,6 +23,9 @@
 	// maxLoadAge is the age up to which a load counts as known. A request that started earlier
 	// is part of every known load.
 	maxLoadAge = time.Second
+	// maxReportLead is how much earlier than the end of a request a report of its free slot may
+	// arrive: the time of one small answer on a link in use.
+	maxReportLead = 20 * time.Millisecond
 	// durationGain is the weight of the newest request in the mean durations.
 	durationGain = 0.1
 	// defaultFirstEvent is the time to the first event before the first one was measured.
@@ -55,6 +58,10 @@
 	// that share it. Both belong to the first three kinds.
 	capacity predictor.Capacity
 	routers  int
+	// freed is set on a tick if an endpoint has just completed a request of this router. Endpoints
+	// report their load only in answers, so that otherwise nothing would tell of the free slot while
+	// all requests wait.
+	freed bool
 	// firstEvent is the time from the start of an ended request to its first event, and total
 	// that to its end; 0 if unknown.
 	firstEvent, total time.Duration
@@ -86,6 +93,9 @@
 type transit struct {
 	id uint64
 	at time.Duration
+	// fromReport is set if it took a slot that was reported to be free and that may be the slot of a
+	// request of this router whose end is not known yet.
+	fromReport bool
 }
 
 // serviceQueue decides when the requests of one service start and which of them are refused. A
@@ -100,6 +110,11 @@
 	starts   startRate
 	// slots and routers are those of the last event that stated them.
 	slots, routers int
+	// running is the number of started requests that have not ended.
+	running int
+	// lost is the expected number of those at endpoints that are no longer in service, whose slots
+	// don't become free.
+	lost float64
 	// meanFirstEvent and meanTotal are the mean times from a start to the first event and to the
 	// end; meanTotal is 0 before the first measurement.
 	meanFirstEvent, meanTotal time.Duration
@@ -125,15 +140,21 @@
 		return nil
 	case queueEnd:
 		q.removeTransit(e.request.id)
+		q.running--
 		q.learn(e)
 		return nil
 	}
-	q.slots, q.routers = e.capacity.Slots, e.routers
+	q.observeSlots(e.capacity.Slots)
+	q.routers = e.routers
 	if e.kind == queueCancel {
 		delete(q.waiting, e.request.id)
 		q.step(now, q.beforeExpiry(now), 0, admitter.Event{Kind: admitter.Cancel, Request: admitter.Request{ID: e.request.id}})
 	}
-	q.startWaiting(now, e.capacity)
+	q.startWaiting(now, q.Room(now, e.capacity))
+	if e.freed && q.Waiting() > 0 && q.freesSlot(now) {
+		q.startWaiting(now, 1)
+		q.transits[len(q.transits)-1].fromReport = false
+	}
 	switch {
 	case e.kind == queueArrive && q.Room(now, e.capacity) > 0:
 		q.start(now, e.request.id)
@@ -158,10 +179,36 @@
 	return max(c.Room-len(q.transits), 0)
 }
 
+// observeSlots updates the number of slots. Of the slots that are gone, the running requests are
+// expected to use an even part.
+func (q *serviceQueue) observeSlots(n int) {
+	if q.slots > 0 {
+		q.lost += float64(q.running) * float64(q.slots-n) / float64(q.slots)
+		q.lost = min(max(q.lost, 0), float64(q.running))
+	}
+	q.slots = n
+}
+
+// freesSlot reports whether the end of a request of this router frees a slot that no request was
+// started for yet.
+func (q *serviceQueue) freesSlot(now time.Duration) bool {
+	if q.lost >= 1 {
+		q.lost--
+		return false
+	}
+	for i := len(q.transits) - 1; i >= 0 && now-q.transits[i].at <= maxReportLead; i-- {
+		if q.transits[i].fromReport {
+			q.transits[i].fromReport = false
+			return false
+		}
+	}
+	return true
+}
+
 // startWaiting starts waiting requests while there is room. It does so before any of them expires,
 // so that no request is refused while there is room.
-func (q *serviceQueue) startWaiting(now time.Duration, c predictor.Capacity) {
-	if room := q.Room(now, c); room > 0 && q.Waiting() > 0 {
+func (q *serviceQueue) startWaiting(now time.Duration, room int) {
+	if room > 0 && q.Waiting() > 0 {
 		q.step(now, q.beforeExpiry(now), room, admitter.Event{Kind: admitter.Tick})
 	}
 }
@@ -192,7 +239,8 @@
 
 // start records the start of a request.
 func (q *serviceQueue) start(now time.Duration, id uint64) {
-	q.transits = append(q.transits, transit{id, now})
+	q.transits = append(q.transits, transit{id: id, at: now, fromReport: true})
+	q.running++
 	q.starts.add(now)
 	q.actions = append(q.actions, admitter.Action{ID: id, Verdict: admitter.Start})
 }
--- a/forwarder/service_queue_internal_test.go
+++ b/forwarder/service_queue_internal_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -39,7 +40,8 @@
 	now    time.Duration
 	// slots is the number of slots at a time.
 	slots func(now time.Duration) int
-	// reportEvery is the interval of the reports; known is cleared while there are none.
+	// reportEvery is the interval of the reports, 0 if they come only with first events; known is
+	// cleared while there are none.
 	reportEvery time.Duration
 	known       bool
 	reported    predictor.Capacity
@@ -51,6 +53,8 @@
 	running    map[uint64]time.Duration
 	unreported []uint64
 	back       map[time.Duration][]queuedRequest
+	// firstEvents holds the times of first events.
+	firstEvents map[time.Duration]bool
 	// counts holds the outcomes of first requests by workspace, and returned those of requests that
 	// came back.
 	counts   map[string]*simCounts
@@ -65,7 +69,7 @@
 	return &simulation{
 		t: t, q: newServiceQueue(), random: rand.New(rand.NewPCG(1, 2)), slots: func(time.Duration) int { return slots },
 		reportEvery: 50 * time.Millisecond, known: true, loads: loads, requests: map[uint64]queuedRequest{}, running: map[uint64]time.Duration{},
-		back: map[time.Duration][]queuedRequest{}, counts: map[string]*simCounts{},
+		back: map[time.Duration][]queuedRequest{}, counts: map[string]*simCounts{}, firstEvents: map[time.Duration]bool{},
 	}
 }
 
@@ -78,7 +82,7 @@
 func (s *simulation) run(until time.Duration) *simulation {
 	for ; s.now < until; s.now += simStep {
 		s.endRequests()
-		if s.now%s.reportEvery == 0 {
+		if s.reportEvery > 0 && s.now%s.reportEvery == 0 || s.reportEvery == 0 && (s.now == 0 || s.firstEvents[s.now]) {
 			s.report()
 		}
 		s.step(queueEvent{kind: queueTick})
@@ -107,11 +111,13 @@
 	s.unreported = nil
 }
 
+// endRequests ends the requests that are complete.
 func (s *simulation) endRequests() {
-	for id, at := range s.running {
-		if s.now >= at {
+	for _, id := range slices.Sorted(maps.Keys(s.running)) {
+		if s.now >= s.running[id] {
 			delete(s.running, id)
 			s.q.Step(s.now, queueEvent{kind: queueEnd, request: queuedRequest{id: id}, firstEvent: simFirst, total: simTotal})
+			s.step(queueEvent{kind: queueTick, freed: true})
 		}
 	}
 }
@@ -169,6 +175,7 @@
 	s.countsOf(r).started++
 	s.running[r.id] = s.now + simTotal
 	s.unreported = append(s.unreported, r.id)
+	s.firstEvents[s.now+simFirst] = true
 	s.peak = max(s.peak, len(s.running))
 }
 
@@ -303,6 +310,17 @@
 	g.Expect(s.longestWait).To(gomega.BeNumerically("<=", simDeadline/4+2*simStep))
 }
 
+// Guards against slots that stay free while requests wait: endpoints report their load only in answers,
+// and a full endpoint that gets no request sends none.
+func TestLoadsReportedOnlyInAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSimulation(t, simSlots, simLoad{workspace: "w", perSecond: steady(2 * simCapacity)})
+	s.reportEvery = 0
+	s.run(20 * time.Second)
+	g.Expect(float64(s.counts["w"].started)).To(gomega.BeNumerically(">", 0.95*20*simCapacity))
+	g.Expect(s.peak).To(gomega.BeNumerically("<=", simSlots+1), "a slot may be counted twice, in a report and at the end of its request")
+}
+
 // Guards against a room of n that starts more than n of many waiting requests.
 func TestRoomStartsAtMostSoMany(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -324,6 +342,23 @@
 	g.Expect(q.Step(6*time.Millisecond+maxLoadAge, tick)).To(gomega.HaveLen(2), "every known load is younger than their start")
 }
 
+// Guards against a request that is refused although room for it appears just as its time to wait is over.
+func TestRequestStartsRatherThanExpires(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newServiceQueue()
+	full := predictor.Capacity{Known: true, Slots: 8}
+	for id := uint64(1); id <= 2; id++ {
+		r := queuedRequest{id: id, workspace: "w", deadline: 8 * time.Second, tokens: 1}
+		g.Expect(q.Step(0, queueEvent{kind: queueArrive, request: r, capacity: full, routers: 1})).To(gomega.BeEmpty())
+	}
+	room := full
+	room.Room = 1
+	out := q.Step(2100*time.Millisecond, queueEvent{kind: queueTick, capacity: room, routers: 1})
+	g.Expect(out).To(gomega.HaveLen(2))
+	g.Expect(out[0].Verdict).To(gomega.Equal(admitter.Start))
+	g.Expect(out[1].Verdict).To(gomega.Equal(admitter.Expired))
+}
+
 // Guards against a Retry-After that is shorter than the work ahead takes, or the same for all callers.
 func TestRetryAfterFollowsTheBacklog(t *testing.T) {
 	g := gomega.NewWithT(t)
