--- a/courier/cluster_test.go
+++ b/courier/cluster_test.go
@@ -131,8 +131,9 @@
 		`"limits":{},"tenants":[{"name":"w","api_keys":["k"],"prepaid":%d}]}`, number, prepaid)
 }
 
-// engine starts an engine that answers each request with two events of five tokens.
-func (f *cluster) engine(id string) string {
+// engine starts an engine that answers each request with two events of five tokens, and with the given
+// names and values in the header.
+func (f *cluster) engine(id string, header ...string) string {
 	l, err := net.Listen("tcp", f.ip(100)+":0")
 	if err != nil {
 		f.t.Fatal(err)
@@ -144,6 +145,9 @@
 		}
 		w.Header().Set("Rattanhoist-Request-Id", r.Header.Get("Rattanhoist-Request-Id"))
 		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 0; i < len(header); i += 2 {
+			w.Header().Set(header[i], header[i+1])
+		}
 		_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
 	}), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.Serve(l) }()
@@ -326,6 +330,28 @@
 	g.Expect(status).To(gomega.Equal(503), "refused as not executed")
 }
 
+// Guards against requests that wait for room at an endpoint and are ended by the planned stop of their
+// router, although its grace period has only begun.
+func TestStoppingRouterKeepsWaitingRequests(t *testing.T) {
+	f, g := startCluster(t, 77)
+	// A request waits for a quarter of its time at most, longer than a load is known.
+	f.publish(g, 1, strings.Replace(document(2, 100_000), `"timeout_ms":3000`, `"timeout_ms":8000`, 1))
+	f.router(4)
+	f.sendHeartbeats("i-1", f.engine("i-1", "Rattanhoist-Server-Load", "8,0,8"))
+	f.awaitServing(g, 4)
+	status, _ := f.request(4, "full", "1,1")
+	g.Expect(status).To(gomega.Equal(200))
+	begun, waiting := time.Now(), make(chan int, 1)
+	go func() {
+		status, _ := f.request(4, "waits", "1,1")
+		waiting <- status
+	}()
+	time.Sleep(100 * time.Millisecond)
+	go f.stop("router4")
+	g.Eventually(waiting, 3*time.Second).Should(gomega.Receive(gomega.Equal(200)))
+	g.Expect(time.Since(begun)).To(gomega.BeNumerically(">", 250*time.Millisecond), "it waited until the load was no longer known")
+}
+
 // Guards against a restart of all processes, one of them with an empty disk, that loses an
 // acknowledged evacuation, and against a router that learns of the evacuation only once it
 // serves callers.
