--- a/forwarder/service_queue_internal_test.go
+++ b/forwarder/service_queue_internal_test.go
@@ -359,6 +359,34 @@
 	g.Expect(out[1].Verdict).To(gomega.Equal(admitter.Expired))
 }
 
+// Guards against queues that grow without bound, and against low priorities that keep a high one out of
+// a full queue.
+func TestFullQueueRefusesTheLowestPriority(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newServiceQueue()
+	arrive := func(id uint64, workspace string, priority int) []admitter.Action {
+		r := queuedRequest{id: id, workspace: workspace, priority: priority, deadline: 8 * time.Second, tokens: 1}
+		return q.Step(0, queueEvent{kind: queueArrive, request: r, capacity: predictor.Capacity{Known: true, Slots: 8}, routers: 1})
+	}
+	id := uint64(0)
+	for _, w := range []string{"a", "b"} {
+		for range admitter.DefaultBounds.Workspace {
+			id++
+			g.Expect(arrive(id, w, 5)).To(gomega.BeEmpty())
+		}
+	}
+	g.Expect(q.Waiting()).To(gomega.Equal(admitter.DefaultBounds.MaxWaiting))
+	out := arrive(1001, "c", 5)
+	g.Expect(out).To(gomega.HaveLen(1))
+	g.Expect(out[0].ID).To(gomega.BeEquivalentTo(1001))
+	g.Expect(out[0].Verdict).To(gomega.Equal(admitter.Full))
+	out = arrive(1002, "c", 0)
+	g.Expect(out).To(gomega.HaveLen(1))
+	g.Expect(out[0].ID).To(gomega.BeNumerically("<=", id))
+	g.Expect(out[0].Verdict).To(gomega.Equal(admitter.Full))
+	g.Expect(q.waiting).To(gomega.HaveLen(q.Waiting()))
+}
+
 // Guards against a Retry-After that is shorter than the work ahead takes, or the same for all callers.
 func TestRetryAfterFollowsTheBacklog(t *testing.T) {
 	g := gomega.NewWithT(t)
