forwarder: a router passes on freed slots up to its even share only

Cause: in a trial of 82 routers at 60 endpoints of 48 slots, at twice their capacity, the requests that waited at endpoints stayed there: each request that ended was replaced by another, also where the endpoint was over-full. Change: a router passes on the slot of a request that ended while it runs fewer requests than its even share of the slots; above it, only reported room counts. This also covers endpoints that left, so that the estimate of lost requests goes.

--- a/forwarder/service_queue.go
+++ b/forwarder/service_queue.go
@@ -112,9 +112,6 @@
 	slots, routers int
 	// running is the number of started requests that have not ended.
 	running int
-	// lost is the expected number of those at endpoints that are no longer in service, whose slots
-	// don't become free.
-	lost float64
 	// meanFirstEvent and meanTotal are the mean times from a start to the first event and to the
 	// end; meanTotal is 0 before the first measurement.
 	meanFirstEvent, meanTotal time.Duration
@@ -144,8 +141,7 @@
 		q.learn(e)
 		return nil
 	}
-	q.observeSlots(e.capacity.Slots)
-	q.routers = e.routers
+	q.slots, q.routers = e.capacity.Slots, e.routers
 	if e.kind == queueCancel {
 		delete(q.waiting, e.request.id)
 		q.step(now, q.beforeExpiry(now), 0, admitter.Event{Kind: admitter.Cancel, Request: admitter.Request{ID: e.request.id}})
@@ -179,21 +175,14 @@
 	return max(c.Room-len(q.transits), 0)
 }
 
-// observeSlots updates the number of slots. Of the slots that are gone, the running requests are
-// expected to use an even part.
-func (q *serviceQueue) observeSlots(n int) {
-	if q.slots > 0 {
-		q.lost += float64(q.running) * float64(q.slots-n) / float64(q.slots)
-		q.lost = min(max(q.lost, 0), float64(q.running))
-	}
-	q.slots = n
-}
+// slotShare returns this router's even share of all slots.
+func (q *serviceQueue) slotShare() float64 { return float64(q.slots) / float64(max(q.routers, 1)) }
 
 // freesSlot reports whether the end of a request of this router frees a slot that no request was
-// started for yet.
+// started for yet. Beyond the router's even share of the slots it may be one that other routers
+// were told of, or that of a request which waited at a full endpoint, or at one that has left.
 func (q *serviceQueue) freesSlot(now time.Duration) bool {
-	if q.lost >= 1 {
-		q.lost--
+	if float64(q.running) >= q.slotShare() {
 		return false
 	}
 	for i := len(q.transits) - 1; i >= 0 && now-q.transits[i].at <= maxReportLead; i-- {
@@ -279,8 +268,7 @@
 	if q.meanTotal <= 0 {
 		return 0
 	}
-	share := float64(q.slots) / float64(max(q.routers, 1)) / q.meanTotal.Seconds()
-	return max(q.starts.perSecond(now), share)
+	return max(q.starts.perSecond(now), q.slotShare()/q.meanTotal.Seconds())
 }
 
 // retryAfter returns when the waiting requests of a refused request's priority and higher ones will
