forwarder: a request refused just before room appears starts instead

Cause: between the decision of the queue and the answer, an endpoint may get room, above all where the processor is busy; the caller was refused although an endpoint had room. Change: a refusal is checked before it is sent; where there is room, the request enters the queue again, once. A second refusal with room counts as a fault.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -189,6 +189,8 @@
 	place *place
 	// queued is the time for which the request waited for room at endpoints; 0 if it did not.
 	queued time.Duration
+	// reentered is set if the request entered its queue again as there was room after its refusal.
+	reentered bool
 	// completed is set if an endpoint answered completely and successfully.
 	completed bool
 	// reservation is nil if the request uses no prepaid tokens.
--- a/forwarder/service_admission.go
+++ b/forwarder/service_admission.go
@@ -202,8 +202,9 @@
 	}
 }
 
-// errMoved means that a waiting request may now be served in other zones.
-var errMoved = errors.New("zones of the request have changed")
+// errEnterAgain means that a request has to enter a queue again: the zones in which it may be served
+// have changed, or there is room just after its refusal.
+var errEnterAgain = errors.New("request enters a queue again")
 
 // awaitStart waits until the request may be sent to an endpoint. It returns false if it has given
 // the final answer.
@@ -223,7 +224,7 @@
 	for {
 		p := s.queue(j.service.Name, j.zones).enter(j.queuedRequest(returning), j.index)
 		done, err := j.awaitVerdict(ctx, p, begun)
-		if errors.Is(err, errMoved) {
+		if errors.Is(err, errEnterAgain) {
 			continue
 		}
 		return done
@@ -254,12 +255,11 @@
 	return r
 }
 
-// awaitVerdict waits for the decision on the request. It returns errMoved if the request has to
-// enter another queue.
+// awaitVerdict waits for the decision on the request and acts on it.
 func (j *job) awaitVerdict(ctx context.Context, p *place, begun time.Time) (started bool, err error) {
 	select {
 	case a := <-p.verdict:
-		return j.handleVerdict(p, a, time.Since(begun), false)
+		return j.handleVerdict(p, a, time.Since(begun), j.queued > 0)
 	default:
 	}
 	for {
@@ -286,7 +286,7 @@
 		j.queued = queued
 	}
 	if a.Verdict != admitter.Start {
-		return j.refuseQueued(p, a), nil
+		return false, j.refuseQueued(p, a)
 	}
 	if waited {
 		requestsWaited.Inc()
@@ -333,7 +333,7 @@
 	}
 	if j.resolveZones(); j.zones.Key() != zones {
 		p.leave()
-		return errMoved
+		return errEnterAgain
 	}
 	return nil
 }
@@ -347,15 +347,21 @@
 	return errEnded
 }
 
-// refuseQueued refuses a request that its queue does not start.
-func (j *job) refuseQueued(p *place, a admitter.Action) bool {
+// refuseQueued refuses a request that its queue does not start. If there is room by then, the request
+// enters the queue again, once, and would start at once.
+func (j *job) refuseQueued(p *place, a admitter.Action) error {
 	if p.queue.hasRoom() {
+		if !j.reentered {
+			j.reentered = true
+			return errEnterAgain
+		}
 		refusalsWithRoom.Inc()
 	}
 	now := time.Now()
 	j.f.services.returns.Record(now, j.fingerprint, now.Add(a.RetryAfter))
 	j.f.Wire.RetryAfter(j.w.Header(), a.RetryAfter)
-	return j.fail(http.StatusServiceUnavailable, refusalReason(a.Verdict))
+	j.fail(http.StatusServiceUnavailable, refusalReason(a.Verdict))
+	return errEnded
 }
 
 // refusalReason counts a refusal and returns its reason.
--- a/forwarder/service_admission_test.go
+++ b/forwarder/service_admission_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -150,6 +151,36 @@
 	expectNoRefusalWithRoom(t)
 }
 
+// Guards against requests that are refused while an endpoint has room, where room appears and is gone
+// again many times in the time that a request waits.
+func TestRoomThatComesAndGoes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newAdmissionRouter(t, unchanged, newEndpoint(t, responds(answerOK)))
+	var n atomic.Int64
+	w.keepReporting(t, func() int { return 7 + int(n.Add(1)%3+1)/2 })
+	refused := outcome(t, "refused_late") + outcome(t, "refused_early") + outcome(t, "refused_full")
+	var all sync.WaitGroup
+	var started, ended atomic.Int64
+	for range 40 {
+		all.Go(func() {
+			for range 5 {
+				switch a := w.send(t, http.MethodPost, "/once/x", "b", "Rattanhoist-Deadline-Ms", "100"); a.status {
+				case http.StatusOK:
+					started.Add(1)
+				case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+					ended.Add(1)
+				default:
+					t.Errorf("status %d, %v", a.status, a.err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	g.Expect(started.Load()).To(gomega.BeNumerically(">", 0))
+	g.Expect(outcome(t, "refused_late") + outcome(t, "refused_early") + outcome(t, "refused_full")).To(gomega.BeNumerically(">", refused))
+	expectNoRefusalWithRoom(t)
+}
+
 // Guards against a caller that comes back when it was told to and is placed behind new requests.
 func TestReturningCallerGoesFirst(t *testing.T) {
 	g := gomega.NewWithT(t)
