--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -106,6 +106,8 @@
 	// known to exist. Until the first configuration arrives, it waits for a moment; if none
 	// comes, it returns the time after which one is expected.
 	AwaitConfiguration(ctx context.Context) (x *publisher.Index, after time.Duration)
+	// Index returns the configuration in force, or nil before the first one.
+	Index() *publisher.Index
 	// Routers returns the number of routers that share the fleet's limits; at least 1.
 	Routers() int
 	// AnnounceDispatch tells other routers about a prompt sent to an endpoint of a zone.
@@ -152,7 +154,11 @@
 	Admission Admission
 	// CallerLimits is nil if callers may take any time and memory.
 	CallerLimits *CallerLimits
-	Log          *zap.Logger
+	// EnginePriorities is set if the priorities of requests are sent to endpoints.
+	EnginePriorities bool
+	// ServiceAdmission is set if requests wait while every endpoint is full.
+	ServiceAdmission bool
+	Log              *zap.Logger
 }
 
 // CallerLimits bounds what callers that send or read slowly may take.
@@ -165,10 +171,18 @@
 type Forwarder struct {
 	Dependencies
 	start time.Time
+	// services is nil if requests never wait.
+	services *serviceAdmission
 }
 
 // New returns a forwarder.
-func New(p Dependencies) *Forwarder { return &Forwarder{Dependencies: p, start: time.Now()} }
+func New(p Dependencies) *Forwarder {
+	f := &Forwarder{Dependencies: p, start: time.Now()}
+	if p.ServiceAdmission {
+		f.services = newServiceAdmission(p, f.start)
+	}
+	return f
+}
 
 // ServeHTTP handles one request up to its final answer.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -204,6 +218,14 @@
 	holding     *enforcer.Holding
 	fingerprint quarantiner.Fingerprint
 	deadline    time.Time
+	// place is the request's place among those of its service; nil unless it was started there.
+	place *place
+	// queued is the time for which the request waited for room at endpoints; 0 if it did not.
+	queued time.Duration
+	// reentered is set if the request entered its queue again as there was room after its refusal.
+	reentered bool
+	// completed is set if an endpoint answered completely and successfully.
+	completed bool
 	// reservation is nil if the request uses no prepaid tokens.
 	reservation Reservation
 	// rightsWait is how long the request waited for prepaid tokens, or 0 if it did not.
@@ -244,6 +266,10 @@
 	}
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	if !j.awaitStart(ctx) {
+		return
+	}
+	defer j.leaveService()
 	if !j.reserve(ctx) {
 		return
 	}
@@ -517,6 +543,9 @@
 	if p := j.caller.Prompt; p != nil {
 		fields = append(fields, zap.Int64("prompt", p.InputTokens))
 	}
+	if j.queued > 0 {
+		fields = append(fields, zap.Duration("queued", j.queued))
+	}
 	if l := j.missedObjective(); l != "" {
 		fields = append(fields, zap.String("late", l))
 	}
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -165,11 +166,15 @@
 	return append([]int64{}, r.spent...)
 }
 
-type fleetStub struct{ index *publisher.Index }
+// fleetStub has a configuration that a test may replace.
+type fleetStub struct {
+	index *atomic.Pointer[publisher.Index]
+}
 
 func (f fleetStub) AwaitConfiguration(context.Context) (*publisher.Index, time.Duration) {
-	return f.index, 0
+	return f.index.Load(), 0
 }
+func (f fleetStub) Index() *publisher.Index                             { return f.index.Load() }
 func (f fleetStub) Routers() int                                        { return 1 }
 func (f fleetStub) AnnounceDispatch(string, string, predictor.Dispatch) {}
 func (f fleetStub) Observe(e *predictor.Endpoint, s predictor.State, sentAt time.Time) {
@@ -190,6 +195,12 @@
 	forwarder *forwarder.Forwarder
 	// logged are the log entries.
 	logged *observer.ObservedLogs
+	index  atomic.Pointer[publisher.Index]
+}
+
+// publish puts a document in force.
+func (w *testRouter) publish(d *publisher.Document) {
+	w.index.Store(publisher.NewIndex(d, localizer.New(map[string]string{"z": "north"})))
 }
 
 // admissionStub sets the load of the router itself.
@@ -238,6 +249,11 @@
 }
 
 func newTestRouterInZones(t *testing.T, zone func(int) string, endpoints ...*endpoint) *testRouter {
+	return newTestRouterWith(t, document(), func(*forwarder.Dependencies) {}, zone, endpoints...)
+}
+
+// newTestRouterWith starts a router with the given document and changed dependencies.
+func newTestRouterWith(t *testing.T, d *publisher.Document, change func(*forwarder.Dependencies), zone func(int) string, endpoints ...*endpoint) *testRouter {
 	w := &testRouter{
 		rights: &rightsStub{}, table: predictor.NewTable("z"), pool: pooler.New(platform.ClassifyResponse, func() {}), quarantine: &quarantineStub{},
 		admission: &admissionStub{}, limits: &forwarder.CallerLimits{},
@@ -251,13 +267,15 @@
 		}))
 	}
 	w.table.Replace(map[string][]*predictor.Endpoint{"engine": list})
-	f := forwarder.New(forwarder.Dependencies{
-		Wire: platform.HeaderCodec{}, Fleet: fleetStub{publisher.NewIndex(document(), localizer.New(map[string]string{"z": "north"}))}, Table: w.table,
+	w.publish(d)
+	p := forwarder.Dependencies{
+		Wire: platform.HeaderCodec{}, Fleet: fleetStub{&w.index}, Table: w.table,
 		Pool: w.pool, Rights: w.rights, Quarantine: w.quarantine, Admission: w.admission, CallerLimits: w.limits, Log: zap.New(core),
 		Limiter: limiter.New(limiter.Budget{Ratio: 1, Slack: 50, Window: budgetWindow}, time.Now()),
-	})
-	w.forwarder = f
-	w.server = httptest.NewServer(f)
+	}
+	change(&p)
+	w.forwarder = forwarder.New(p)
+	w.server = httptest.NewServer(w.forwarder)
 	t.Cleanup(w.server.Close)
 	return w
 }
