allotter: bounds keep the room of before at short claim intervals

Change: the ceiling covers 1.55 s at 250 ms, the slope is 1.5 times the demand again, the rise delay ends 0.45 s after the ceiling is used up at the mean demand (2.05 s at most), and without demand covers the interval and a VM's restart.

--- a/allotter/allocation.go
+++ b/allotter/allocation.go
@@ -17,27 +17,27 @@
 	// to the routers that callers move to.
 	scarceHorizon = 5 * time.Second
 	runwayDivisor = 4
-	// riseDelayWithDemand is the rise delay of a bound: how long it stays at its ceiling before it
-	// rises. If a process crashes and is back within this delay, only tokens up to the ceiling count
-	// as spent. It covers a VM's restart and the shortest claim interval. In a network partition, a
-	// router refuses requests for the part of it that exceeds the ceiling time.
-	riseDelayWithDemand = 2050 * time.Millisecond
-	// idleRiseDelay replaces it without demand, when a bound has to rise only for a network
-	// partition of several seconds.
-	idleRiseDelay = 4 * time.Second
+	// The rise delay of a bound is how long it stays at its ceiling before it rises. If a process
+	// crashes and is back within this delay, only tokens up to the ceiling count as spent. In a
+	// network partition, a router refuses requests for the part of it that exceeds the ceiling time,
+	// which maxPartitionStall limits. maxRiseDelay covers a VM's restart.
+	maxPartitionStall = 450 * time.Millisecond
+	maxRiseDelay      = 2050 * time.Millisecond
+	// Without demand, the rise delay covers the claim interval and restartTime, because many idle
+	// bounds would otherwise rise while all VMs restart.
+	restartTime = 1950 * time.Millisecond
 	// defaultRiseDelay is the rise delay of claims that state none.
 	defaultRiseDelay = 1500 * time.Millisecond
 	// A ceiling leaves room for the demand until the next claim and during failedClaimTime, in which
 	// a claim times out and is repeated, but for at most maxCeilingTime, because the room counts as
 	// spent when the process crashes. If the interval plus ceilingMargin is longer, it leaves room
 	// for that.
-	failedClaimTime = 950 * time.Millisecond
+	failedClaimTime = 1300 * time.Millisecond
 	maxCeilingTime  = 1670 * time.Millisecond
 	ceilingMargin   = 250 * time.Millisecond
 	// slopeFactor is the slope of a bound as a multiple of the demand rate, because bursts during
-	// a network partition exceed the mean. Twice as much above the mean would be lost when a
-	// process that crashed is back only after the rise delay.
-	slopeFactor = 1.25
+	// a network partition exceed the mean.
+	slopeFactor = 1.5
 	// idleCeiling, in tokens, and idleSlope, in tokens per second, are a bound's ceiling and slope
 	// without demand. They allow for small requests while no keeper is reachable. More than
 	// idleHolders routers divide the slope among themselves, and have no such ceiling: its parts
--- a/allotter/limits.go
+++ b/allotter/limits.go
@@ -88,9 +88,9 @@
 // claimRiseDelay returns the rise delay that a claim sent now states.
 func (p *Allocation) claimRiseDelay(now time.Time, interval time.Duration) time.Duration {
 	if p.demandRateOver(now, minBoundDemandTime)*ceilingTime(interval).Seconds() < minLoan {
-		return idleRiseDelay
+		return interval + restartTime
 	}
-	return riseDelayWithDemand
+	return min(ceilingTime(interval)+maxPartitionStall, maxRiseDelay)
 }
 
 // remainingAllowed returns the tokens that the limits still allow to be reserved.
