courier, allotter: loans are searched at a constant rate, and requests wait for limits that rise soon

Cause: a search without result held up the next one for up to 4 s, routers that lent nothing were skipped for 2 s, and a request that the limits would allow a moment later was refused at once. Change: a router asks at most 40 routers a second, whatever the fleet's size, without a backoff; those that lent nothing are asked last; a request waits for its limits where they rise within its wait. Rights tell admission of spent totals (KnownSpent).

--- a/allotter/loan_searches.go
+++ b/allotter/loan_searches.go
@@ -1,33 +1,30 @@
 package allotter
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
-	// MaxLendersAsked is the maximum number of routers that one search for loans asks. With the
-	// longest backoff, a router then sends four requests a second in a network partition.
+	// MaxLendersAsked is the maximum number of routers that one search for loans asks.
 	MaxLendersAsked = 16
-	// After a search without result, the next one starts after minSearchBackoff, which is doubled
-	// after each further one up to maxSearchBackoff.
-	minSearchBackoff = 500 * time.Millisecond
-	maxSearchBackoff = 4 * time.Second
-	// minSearchPause is the time from the end of a search with a result to the start of the next
-	// one. Requests that arrive in the meantime share the next search.
+	// maxAskRate bounds the requests of a router for loans, per second, in a network partition:
+	// 20 kB a second of its link with their replies, whatever the size of the fleet. A fleet of a
+	// few routers searches almost without pauses, because the limits of its routers rise all the
+	// time.
+	maxAskRate = 40
+	// minSearchPause is the time from the end of a search to the start of the next one. Requests
+	// that arrive in the meantime share the next search.
 	minSearchPause = 100 * time.Millisecond
-	// emptyLenderTTL is how long a router is not asked again after it lent nothing.
+	// emptyLenderTTL is how long a router that lent nothing is asked last.
 	emptyLenderTTL = 2 * time.Second
 )
 
 // LoanSearches decides when a router searches for loans of other routers and whom it asks. It
 // reads no clock. It is not safe for concurrent use.
 type LoanSearches struct {
-	// NotBefore is when the next search may start, and backoff the time after the last search
-	// without result, or 0 if the last search had one.
+	// NotBefore is when the next search may start, and fruitless is set if the last one obtained
+	// nothing.
 	notBefore time.Time
-	backoff   time.Duration
-	// EmptyUntil holds, by address, the time until which a router is not asked.
+	fruitless bool
+	// EmptyUntil holds, by address, the time until which a router is asked last.
 	emptyUntil map[string]time.Time
 	// Rotation is the number of searches, by which the lists of routers are rotated.
 	rotation int
@@ -39,26 +36,28 @@
 	return &LoanSearches{emptyUntil: map[string]time.Time{}, rotation: rotation}
 }
 
-// Delay returns the time until the next search may start, and whether that is because the last one
-// had no result.
+// Delay returns the time until the next search may start, and whether the last one had no result.
 func (s *LoanSearches) Delay(now time.Time) (delay time.Duration, fruitless bool) {
-	return max(s.notBefore.Sub(now), 0), s.backoff > 0
+	return max(s.notBefore.Sub(now), 0), s.fruitless
 }
 
-// Lenders returns the routers that a search asks, by address: those of the zone first, and none
-// that lent nothing recently.
+// Lenders returns the routers that a search asks, by address: those of the zone first, and those
+// that lent nothing recently last.
 func (s *LoanSearches) Lenders(now time.Time, zone, others []string) []string {
 	s.rotation++
-	var out []string
+	var out, empty []string
 	for _, list := range [][]string{zone, others} {
 		for i := range list {
 			a := list[(i+s.rotation)%len(list)]
-			if len(out) < MaxLendersAsked && !now.Before(s.emptyUntil[a]) {
-				out = append(out, a)
+			if now.Before(s.emptyUntil[a]) {
+				empty = append(empty, a)
+				continue
 			}
+			out = append(out, a)
 		}
 	}
-	return out
+	out = append(out, empty...)
+	return out[:min(len(out), MaxLendersAsked)]
 }
 
 // LentNothing records that a router lent nothing or did not answer.
@@ -71,26 +70,22 @@
 	s.emptyUntil[lender] = now.Add(emptyLenderTTL)
 }
 
-// Lent records a loan, which may arrive after the end of its search. It ends the backoff.
-func (s *LoanSearches) Lent(now time.Time, lender string) {
+// Lent records a loan, which may arrive after the end of its search.
+func (s *LoanSearches) Lent(lender string) {
 	delete(s.emptyUntil, lender)
-	s.Reset(now)
+	s.fruitless = false
 }
 
-// Ended records the end of a search, and whether it obtained a loan.
-func (s *LoanSearches) Ended(now time.Time, obtained bool) {
-	if obtained {
-		s.backoff, s.notBefore = 0, now.Add(minSearchPause)
-		return
-	}
-	s.backoff = min(max(2*s.backoff, minSearchBackoff), maxSearchBackoff)
-	s.notBefore = now.Add(s.backoff)
+// Ended records the end of a search that asked a number of routers, and whether it obtained a loan.
+func (s *LoanSearches) Ended(now time.Time, asked int, obtained bool) {
+	s.fruitless = !obtained
+	s.notBefore = now.Add(max(time.Duration(asked)*time.Second/maxAskRate, minSearchPause))
 }
 
-// Reset ends the backoff, because a keeper answers again or a loan arrived.
+// Reset lets the next search start soon, because a keeper answers again.
 func (s *LoanSearches) Reset(now time.Time) {
-	if s.backoff == 0 {
-		return
+	s.fruitless = false
+	if next := now.Add(minSearchPause); next.Before(s.notBefore) {
+		s.notBefore = next
 	}
-	s.backoff, s.notBefore = 0, slices.MinFunc([]time.Time{s.notBefore, now.Add(minSearchPause)}, time.Time.Compare)
 }
--- a/courier/borrower.go
+++ b/courier/borrower.go
@@ -85,13 +85,9 @@
 }
 
 // wait blocks until try succeeds, until a search was in vain, or until ctx is done. It reports
-// whether try succeeded. It does not block if no search will start soon.
+// whether try succeeded.
 func (b *borrower) wait(ctx context.Context, try func() bool) bool {
 	b.mu.Lock()
-	if !b.searching && b.backingOff() {
-		b.mu.Unlock()
-		return try()
-	}
 	w := &waiter{try: try, done: make(chan bool, 1), joinedDuringSearch: b.searching}
 	b.waiters = append(b.waiters, w)
 	b.mu.Unlock()
@@ -113,7 +109,7 @@
 	}
 }
 
-// signal makes a search start, unless the last one had no result.
+// signal makes a search start.
 func (b *borrower) signal() {
 	select {
 	case b.wake <- struct{}{}:
@@ -121,13 +117,7 @@
 	}
 }
 
-// backingOff reports whether no search starts because the last one had no result. It needs b.mu.
-func (b *borrower) backingOff() bool {
-	d, fruitless := b.searches.Delay(time.Now())
-	return b.bulk && d > 0 && fruitless
-}
-
-// keepersAnswer ends the backoff after searches without result.
+// keepersAnswer shortens the pause before the next search.
 func (b *borrower) keepersAnswer() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -156,16 +146,10 @@
 	}
 }
 
-// awaitTurn waits for the pause between two searches, and reports whether a search may start. If
-// the last one had no result, it does not wait.
+// awaitTurn waits for the pause between two searches, and reports whether a search may start.
 func (b *borrower) awaitTurn(ctx context.Context) bool {
 	b.mu.Lock()
 	d, _ := b.searches.Delay(time.Now())
-	if b.backingOff() {
-		b.failWaiters(func(*waiter) bool { return true })
-		b.mu.Unlock()
-		return false
-	}
 	b.mu.Unlock()
 	select {
 	case <-time.After(d):
@@ -235,7 +219,7 @@
 	if b.loans.tokens == 0 {
 		emptySearches.Inc()
 	}
-	b.searches.Ended(time.Now(), b.loans.tokens > 0)
+	b.searches.Ended(time.Now(), asked, b.loans.tokens > 0)
 	b.log.Info("rights borrowed", zap.Int64("tokens", b.loans.tokens), zap.Strings("workspaces", slices.Sorted(maps.Keys(b.loans.workspaces))),
 		zap.Int("asked", asked), zap.Int("lenders", len(b.loans.lenders)), zap.Duration("took", took))
 	b.loans = newLoans()
@@ -275,22 +259,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.searching = false
-	noneSoon := b.backingOff()
-	b.failWaiters(func(w *waiter) bool { return noneSoon || !w.joinedDuringSearch })
-	if len(b.waiters) > 0 {
-		b.signal()
-	}
-}
-
-// failWaiters tells some of the waiting requests that no loan was found. It needs b.mu.
-func (b *borrower) failWaiters(failed func(*waiter) bool) {
 	b.waiters = slices.DeleteFunc(b.waiters, func(w *waiter) bool {
-		if !failed(w) {
-			return false
+		if !w.joinedDuringSearch {
+			w.done <- false
 		}
-		w.done <- false
-		return true
+		return !w.joinedDuringSearch
 	})
+	if len(b.waiters) > 0 {
+		b.signal()
+	}
 }
 
 // serveWaiters completes the waiting requests whose tokens can be reserved now.
@@ -374,7 +351,7 @@
 		b.searches.LentNothing(time.Now(), l.Address())
 		return
 	}
-	b.searches.Lent(time.Now(), l.Address())
+	b.searches.Lent(l.Address())
 	b.loans.tokens += tokens
 	b.loans.lenders[l.Address()] = true
 	for _, w := range workspaces {
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -183,28 +183,35 @@
 	}
 }
 
-// reserveDisconnected reserves tokens while no keeper can be reached, if other routers lend them.
-// A request that the limits of this router will allow later is refused at once with that time.
+// reserveDisconnected reserves tokens while no keeper can be reached: once the limits of this router
+// allow them, if that is within the time for which the request may wait, or if other routers lend
+// them. A refused request gets the time at which the limits will allow it.
 func (r *rights) reserveDisconnected(ctx context.Context, p *allotter.Allocation, workspace string, tokens int64, others bool) (*reservation, error) {
-	switch {
-	case r.allowedLater(p, workspace, tokens):
-		// Loans serve later requests.
-		r.borrower.signal()
-	case others && r.borrow(ctx, p, workspace, tokens):
+	if r.awaitLimits(ctx, p, workspace, tokens) || others && r.borrow(ctx, p, workspace, tokens) {
 		return &reservation{allocation: p, tokens: tokens}, nil
 	}
 	rightsOutOfReach.Inc()
 	return nil, forwarder.RightsUnavailable{After: r.retryAfter(p, tokens)}
 }
 
-// allowedLater reports whether this router holds the tokens of a request and its limits will allow
-// them. Pooled rights are excluded, as owners in other zones lend them within one round trip.
-func (r *rights) allowedLater(p *allotter.Allocation, workspace string, tokens int64) bool {
+// awaitLimits waits until the limits of this router allow a request whose tokens it holds, if that
+// is before ctx ends, and reserves the tokens. Pooled rights are excluded, as owners in other zones
+// lend them within one round trip.
+func (r *rights) awaitLimits(ctx context.Context, p *allotter.Allocation, workspace string, tokens int64) bool {
 	if !r.notices || r.pooled(workspace) {
 		return false
 	}
 	d, held := p.TimeUntilAllowed(time.Now(), tokens)
-	return held && d > 0
+	end, limited := ctx.Deadline()
+	if !held || limited && time.Until(end) < d {
+		return false
+	}
+	select {
+	case <-time.After(d):
+		return p.RetryReserve(time.Now(), tokens)
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // contactCheckDelay returns when a waiting request checks again whether keepers can be reached.
--- a/courier/shortage.go
+++ b/courier/shortage.go
@@ -28,6 +28,14 @@
 	return r.notices && r.shortages.KnownSpent(workspace, tokens) && !p.Holds(tokens)
 }
 
+// KnownSpent implements forwarder.SpentChecker.
+func (r *rights) KnownSpent(workspace string, tokens int64) bool {
+	p, _, _ := r.allocation(workspace)
+	return r.knownSpent(p, workspace, tokens)
+}
+
+var _ forwarder.SpentChecker = (*rights)(nil)
+
 // refuseKnownSpent counts and returns the refusal of a request whose total is known to be spent.
 func refuseKnownSpent() error {
 	rightsSpent.Inc()
