spec: claims with different rise delays

Cause: claims state different rise delays now, and the model had one for all. Change: with RESTS, each claim states one of two rise delays. Three seeded mistakes: the newest claim's rise delay applied to earlier bounds, an omission with a shorter one, and a ledger that applies a longer one. The lines of other models were not run.

--- a/spec/rights.pml
+++ b/spec/rights.pml
@@ -4,7 +4,8 @@
  * and what the ledger counts as used once it is dead (package allotter).
  *
  * The router states a limit with each claim: a ceiling that rises by SLOPE for each
- * tick after REST ticks. A claim may leave the workspace out while the last stated
+ * tick after a rise delay of REST ticks, or with RESTS of REST or LONG_REST ticks, as the
+ * claim states. A claim may leave the workspace out while the last stated
  * ceiling covers all that was used; the limit then counts from this claim on. From its
  * sending on the router keeps to the limit of each claim, until it has seen the answer of
  * a later one: whichever was taken in last is all that the ledger must know. Claims follow
@@ -34,6 +35,7 @@
 #define TICKS 3
 #endif
 #define REST 1
+#define LONG_REST 2
 #define SLOPE 1
 #define NONE 255
 
@@ -42,6 +44,7 @@
 byte used;                 /* spent, set aside and lent */
 byte granted, returned;    /* as the router knows them */
 byte ceiling;              /* what it stated last and saw the answer of */
+byte rest;                 /* the rise delay of that ceiling */
 bool stated;               /* it has a limit */
 byte sent;                 /* claims sent */
 byte answered;             /* the last claim with an answer */
@@ -49,6 +52,7 @@
 /* Claims that were sent; the first has the number 1. */
 typedef claim {
   byte at, ceiling, returned;
+  byte rest;               /* the rise delay that the router obeys by it */
   bool named;
   byte limit;              /* the ceiling that the router keeps to by it */
   bool taken;              /* taken in by the ledger */
@@ -68,8 +72,14 @@
 
 /* What the router may use more. */
 #define HEADROOM (granted - returned - used)
-#define RISEN(c, t) ((c) + SLOPE * ((t) > REST -> (t) - REST : 0))
-#define WITHIN(n) (used < RISEN(claims[n].limit, now - claims[n].at))
+#define RISEN(c, t, rest) ((c) + SLOPE * ((t) > (rest) -> (t) - (rest) : 0))
+#ifdef BUG_NEWEST_REST
+/* The rise delay of the newest claim is applied to the bounds of earlier ones. */
+#define OBEYED_REST(n) claims[sent].rest
+#else
+#define OBEYED_REST(n) claims[n].rest
+#endif
+#define WITHIN(n) (used < RISEN(claims[n].limit, now - claims[n].at, OBEYED_REST(n)))
 #ifdef BUG_ANSWERED
 #define KEPT(n) (n != answered || WITHIN(n))
 #else
@@ -122,18 +132,26 @@
   assert(delivered + others <= TOTAL);
 }
 
-/* The ceiling that was in force by a claim: its own, or the one named last before. */
-inline statedBy(n, out) {
+inline reachRests() {
+#ifdef REACH_RESTS
+  assert(!(sent > 1 && claims[1].named && claims[sent].named && claims[1].rest > claims[sent].rest && answered == 1))
+#else
+  skip
+#endif
+}
+
+/* The ceiling and rise delay in force by a claim: its own, or those named last before. */
+inline statedBy(n, out, outRest) {
   out = NONE;
   k = n;
   do
-  :: k >= 1 && claims[k].taken && claims[k].named -> out = claims[k].ceiling; break
+  :: k >= 1 && claims[k].taken && claims[k].named -> out = claims[k].ceiling; outRest = claims[k].rest; break
   :: k >= 1 && !(claims[k].taken && claims[k].named) -> k--
   :: k == 0 -> break
   od
 }
 
-byte k, c, most, t;
+byte k, c, d, most, t;
 
 /* The router's successor has claimed: the ledger ends the account. */
 inline finish(moment) {
@@ -144,8 +162,11 @@
 #ifdef BUG_TAKEN_TIME
      t = (t > 1 -> t - 1 : 0);
 #endif
-     statedBy(newest, c);
-     if :: c != NONE -> most = RISEN(c, t) :: else fi
+     statedBy(newest, c, d);
+#ifdef BUG_LEDGER_REST
+     d = LONG_REST;
+#endif
+     if :: c != NONE -> most = RISEN(c, t, d) :: else fi
   :: else
   fi;
   consumed = (most < lGranted - lReturned -> most : lGranted - lReturned);
@@ -154,7 +175,7 @@
 #endif
   ended = true;
   /* Nothing of the account matters any more. */
-  k = 0; c = 0; most = 0; t = 0;
+  k = 0; c = 0; d = 0; most = 0; t = 0; rest = 0;
   used = 0; granted = 0; returned = 0; ceiling = 0; stated = false; answered = 0;
   lGranted = 0; lReturned = 0; newest = 0; now = 0; sent = 0
 }
@@ -205,7 +226,14 @@
   :: alive && sent < CLAIMS ->
      atomic {
        if
-       :: COVERED -> sent++; claims[sent].limit = ceiling
+       :: COVERED ->
+          sent++;
+          claims[sent].limit = ceiling;
+#ifdef BUG_OMITTED_REST
+          claims[sent].rest = REST
+#else
+          claims[sent].rest = rest
+#endif
        :: true ->
           sent++;
           claims[sent].named = true;
@@ -225,8 +253,17 @@
           :: claims[sent].ceiling = used + 1
           fi;
 #endif
-          claims[sent].limit = claims[sent].ceiling
+          claims[sent].limit = claims[sent].ceiling;
+#ifdef RESTS
+          if
+          :: claims[sent].rest = REST
+          :: claims[sent].rest = LONG_REST
+          fi
+#else
+          claims[sent].rest = REST
+#endif
        fi;
+       reachRests();
        claims[sent].at = now
      }
 
@@ -247,7 +284,7 @@
        answered = sent;
        if :: claims[sent].granted > granted -> granted = claims[sent].granted :: else fi;
        if
-       :: claims[sent].named -> ceiling = claims[sent].ceiling; stated = true
+       :: claims[sent].named -> ceiling = claims[sent].ceiling; rest = claims[sent].rest; stated = true
        :: else -> reachLeftOut()
        fi
      }
