--- a/steward/pace_test.go
+++ b/steward/pace_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/allotter"
+	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
@@ -74,3 +77,21 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(<-times).To(gomega.BeNumerically(">=", 20*time.Millisecond))
 }
+
+// Guards against a keeper that states an interval although paced_claims is off: routers then use the
+// interval by their number, as before.
+func TestPacedClaimsCanBeSwitchedOff(t *testing.T) {
+	for setting, want := range map[string]int64{"yes": 250, "no": 0} {
+		g := gomega.NewWithT(t)
+		file := filepath.Join(t.TempDir(), "node.ini")
+		text := "[node]\nname = k\nkind = keeper\nzone = z\nip = 127.0.0.1\ninternal_ports = 1\nseeds = 127.0.0.1:1\ncontrol = 127.0.0.1:2\ndata_dir = " +
+			t.TempDir() + "\npaced_claims = " + setting + "\n"
+		g.Expect(os.WriteFile(file, []byte(text), 0o600)).To(gomega.Succeed())
+		n, _, err := loader.LoadNode(file)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		s, cleanUp, err := New(n, zap.NewNop())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(cleanUp)
+		g.Expect(s.withClaimInterval(time.Unix(1000, 0), &messenger.RightsGrants{}).ClaimIntervalMs).To(gomega.Equal(want), setting)
+	}
+}
