courier, allotter: tests of early claims by the ceiling, refusals between searches, owners' reports

Cause: of 15 mistakes put into the code one at a time, two passed all tests: an early claim that ClaimDue does not count, and requests that wait through the backoff.

Change: a test for each; tests that an owner's report of a shortage is used, and that an owner is asked despite one.

Result: both mistakes now fail TestLowCeilingMakesAClaimDue and TestRefusalsInAPartitionAreFast. go test -race -run 'LowCeiling|Burst|Scarce|Steady' ./allotter, go test -race -count=3 -run PartitionAreFast ./courier and go test -race -run 'Owner|Pooled' ./courier print ok.

--- a/allotter/early_claim_test.go
+++ b/allotter/early_claim_test.go
@@ -147,3 +147,21 @@
 	p.NextClaim(now.Add(time.Second), workspace, 0, burstInterval)
 	g.Expect(p.NeedsEarlyClaim(now.Add(time.Second), 0)).To(gomega.BeTrue(), "a claim was stated in between")
 }
+
+// A router that holds ample tokens and has used most of its ceiling. Guards against an early claim
+// that is not sent because no other reason makes it due.
+func TestLowCeilingMakesAClaimDue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	p := &allotter.Allocation{}
+	p.Reserve(now, 8_000)
+	c := p.NextClaim(now, workspace, 0, burstInterval)
+	p.ApplyGrant(&messenger.RightsGrant{Workspace: workspace, Granted: 200_000, Left: 1_000_000}, c, now)
+	g.Expect(p.TryReserve(now, 100)).To(gomega.BeTrue())
+	g.Expect(p.NeedsEarlyClaim(now, 0)).To(gomega.BeFalse())
+	g.Expect(p.TryReserve(now, c.Ceiling-1_000)).To(gomega.BeTrue())
+	p.Settle(100, 0)
+	g.Expect(p.ClaimDue(now, 0, burstInterval)).To(gomega.BeFalse(), "no other reason")
+	g.Expect(p.NeedsEarlyClaim(now, 0)).To(gomega.BeTrue())
+	g.Expect(p.ClaimDue(now, 0, burstInterval)).To(gomega.BeTrue())
+}
--- a/courier/owner_test.go
+++ b/courier/owner_test.go
@@ -9,7 +9,9 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"rattanhoist.example/rattanhoist/forwarder"
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/publisher"
 )
 
 // ownedWorkspace returns the name of a workspace that a peer owns, or that this router owns.
@@ -28,11 +30,13 @@
 	messenger.UnimplementedFleetRouterServer
 	lent, returned chan int64
 	spent          bool
+	// shortages are reported if the total is spent.
+	shortages []*messenger.RightsShortage
 }
 
 func (o *ownerStub) ReserveRights(_ context.Context, q *messenger.ReserveRightsRequest) (*messenger.ReserveRightsReply, error) {
 	if o.spent {
-		return &messenger.ReserveRightsReply{Spent: true}, nil
+		return &messenger.ReserveRightsReply{Spent: true, Shortages: o.shortages}, nil
 	}
 	o.lent <- q.Tokens
 	return &messenger.ReserveRightsReply{Lent: q.Tokens}, nil
@@ -121,3 +125,30 @@
 	_, err := r.Reserve(context.Background(), ownedWorkspace(r, true), 3_000, reserveTimeout)
 	g.Expect(err).To(gomega.MatchError("prepaid total does not cover the request"))
 }
+
+// Guards against an owner's report of a spent total that has no effect once the owner is silent.
+func TestOwnerReportsShortage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, o, _ := pooledRights(t)
+	w := ownedWorkspace(r, true)
+	r.updateTotals(&publisher.Document{Workspaces: []publisher.Workspace{{Name: w, Prepaid: new(int64(300_000))}}})
+	o.spent, o.shortages = true, []*messenger.RightsShortage{{Workspace: w, Total: 300_000, Unspent: 2_000}}
+	_, err := r.Reserve(context.Background(), w, 3_000, reserveTimeout)
+	g.Expect(err).To(gomega.MatchError(forwarder.ErrSpent))
+	g.Expect(r.shortages.KnownSpent(w, 2_001)).To(gomega.BeTrue())
+	g.Expect(r.shortages.KnownSpent(w, 2_000)).To(gomega.BeFalse())
+}
+
+// Guards against refusals for a known shortage while the owner holds tokens that other routers have
+// returned: keepers count lent tokens as spent.
+func TestOwnerIsAskedDespiteAKnownShortage(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r, o, _ := pooledRights(t)
+	w := ownedWorkspace(r, true)
+	r.updateTotals(&publisher.Document{Workspaces: []publisher.Workspace{{Name: w, Prepaid: new(int64(300_000))}}})
+	r.observeShortages([]*messenger.RightsShortage{{Workspace: w, Total: 300_000}})
+	g.Expect(r.shortages.KnownSpent(w, 1)).To(gomega.BeTrue())
+	_, err := r.Reserve(context.Background(), w, 3_000, reserveTimeout)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(o.lent).To(gomega.Receive(gomega.Equal(int64(3_000))))
+}
--- a/courier/shortage_test.go
+++ b/courier/shortage_test.go
@@ -89,6 +89,7 @@
 		g.Expect(errors.As(x.err, &out)).To(gomega.BeTrue(), "%v", x.err)
 	}
 	g.Expect(results[len(results)*9/10].took).To(gomega.BeNumerically("<", maxRefusalTime))
+	g.Expect(results[len(results)*2/5].took).To(gomega.BeNumerically("<", 50*time.Millisecond), "refused at once between searches")
 	for _, x := range sendRequests(r, 5, 0, 3_000) {
 		var out forwarder.RightsUnavailable
 		g.Expect(errors.As(x.err, &out)).To(gomega.BeTrue(), "%v", x.err)
