predictor: work spills over by the difference in fullness of two zones

Another zone cost 30 ms, or 60 ms for plain requests, however full the own zone was. With load reports on, the cost falls with the difference of the two zones' fullness, averaged over a second, to 0.2 ms at a difference of 0.07, and is as before without a report about one of them.

Greatest difference in utilization over two seconds while callers crest in one of three zones (go test ./predictor -run Spills -count=6 -v): 0.11 to 0.13 with 35 endpoints of 12 slots in a zone and 0.08 to 0.13 with ten of 48 slots; of equal load, at most 0.04 crosses.

--- a/predictor/prediction_test.go
+++ b/predictor/prediction_test.go
@@ -40,6 +40,8 @@
 	hold time.Duration
 	// observe is called with each first event.
 	observe func(router int, at time.Time, c *fakeCall)
+	// watch is called each millisecond.
+	watch func(at time.Time)
 }
 
 func newSimulation(perZone, engines, slots int, zones ...string) *simulation {
@@ -55,6 +57,7 @@
 	s.rate = func(int, time.Time) float64 { return 5 }
 	s.link = func(int, time.Time) time.Duration { return 0 }
 	s.observe = func(int, time.Time, *fakeCall) {}
+	s.watch = func(time.Time) {}
 	return s
 }
 
@@ -80,6 +83,7 @@
 	for _, e := range s.tables[0].Endpoints("llm") {
 		s.engines[e.name].admit(at, s.random, s.hold)
 	}
+	s.watch(at)
 }
 
 func (s *simulation) send(i int, at time.Time) {
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -234,6 +234,7 @@
 func (t *Table) cheapest(now time.Time, a Request, g *group, candidates []*Endpoint, home *Endpoint, blocked bool) (best plan, ok bool) {
 	var least time.Duration
 	sources := findCacheSources(now, a, candidates, home)
+	crossings := t.crossings(now, a)
 	for _, e := range candidates {
 		if !blocked && e.gate.Blocked(a.Elapsed) || e.excluded.Load() || !e.warmup.Open(now) || slices.Contains(a.Tried, e.beat.Incarnation) {
 			continue
@@ -243,7 +244,7 @@
 			c += dedicatedCost(a.Prompt, e.beat.Zone == t.zone)
 		}
 		if e.beat.Zone != t.zone {
-			c += crossZoneCost(a.Prompt)
+			c += crossings.cost(e.beat.Zone)
 		}
 		c += probeCost(max(e.gate.ProbeDue(a.Elapsed), e.warmup.ProbeDue(now)), a.Repeatable)
 		// Random noise keeps routers with the same information from choosing the same
@@ -266,7 +267,7 @@
 	return unavailablePenalty
 }
 
-// crossZoneCost returns the cost of sending a request to another availability zone.
+// crossZoneCost returns the cost of sending a request to another availability zone that is as full.
 func crossZoneCost(p *Prompt) time.Duration {
 	if p == nil {
 		return crossZonePlainPenalty
