--- a/predictor/prediction_test.go
+++ b/predictor/prediction_test.go
@@ -162,7 +162,7 @@
 // Guards against first events that are predicted wrongly by more than a factor of two for more than
 // one in ten requests under loads that are not balanced.
 func TestPredictionIsWithinAFactorOfTwo(t *testing.T) {
-	const warmup, measured = 5 * time.Second, 18 * time.Second
+	const warmup = 5 * time.Second
 	for name, prepare := range map[string]func(*simulation){
 		"equal endpoints": func(*simulation) {},
 		"a third of the endpoints at 0.6 of the usual speed": func(s *simulation) {
@@ -199,7 +199,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			s := newSimulation(9, 9, 12, "a", "b")
+			s, measured := newSimulation(9, 9, 12, "a", "b"), 18*time.Second
+			if name == "slow periods of 600 ms" {
+				// The result is near the limit and varies by 0.01 between runs of 18 s.
+				measured = 72 * time.Second
+			}
 			prepare(s)
 			begun, good, all, goodFirst, allFirst := time.Unix(1_000, 0).Add(warmup), 0, 0, 0, 0
 			s.observe = func(i int, at time.Time, c *fakeCall) {
