predictor: announced requests are forgotten in time, absurd loads are bounded when encoded

Endpoints that are rarely candidates kept up to 256 announced requests each, some 24 MB with 4,000 endpoints by computation; now only those of the last 3 s. Loads beyond the bounds of an entry, or a slowdown that is not a number, were encoded as other figures or dropped by receivers.

go test -race ./predictor: ok, 114 s; ./forwarder ./platform: ok. In ./courier, TestCrashesBeforeKeeperRestartCount failed twice: its fixed addresses (127.67.x.1) were in use by processes of others (bind: address already in use); the other tests passed.

--- a/predictor/digest.go
+++ b/predictor/digest.go
@@ -180,12 +180,20 @@
 
 func encodeLoad(now time.Time, hash uint32, o observation) *messenger.EndpointLoad {
 	return &messenger.EndpointLoad{
-		Endpoint: hash, Running: uint32(max(o.load.Running, 0)), Waiting: uint32(max(o.load.Waiting, 0)),
+		Endpoint: hash, Running: encodeCount(o.load.Running), Waiting: encodeCount(o.load.Waiting),
 		SlowdownPermille: encodePermille(o.load.Slowdown), PacePermille: encodePermille(o.pace), AgeMs: encodeAge(now.Sub(o.at)),
 	}
 }
 
-func encodePermille(x float64) uint32 { return uint32(min(max(x, 0)*permille, maxPermille)) }
+func encodeCount(n int) uint32 { return uint32(min(max(n, 0), maxReported)) }
+
+// encodePermille returns a figure in thousandths, and 0 for one that is not a number.
+func encodePermille(x float64) uint32 {
+	if !(x > 0) {
+		return 0
+	}
+	return uint32(min(x*permille, maxPermille))
+}
 
 // encodeAge rounds an age up to milliseconds, so that it doesn't decrease when it is relayed.
 func encodeAge(d time.Duration) int32 {
--- a/predictor/digest_test.go
+++ b/predictor/digest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -336,6 +337,36 @@
 	}
 }
 
+// Guards against figures of an endpoint that other routers would drop, or that become others when
+// they are encoded.
+func TestAbsurdLoadsAreEncodedWithinTheirBounds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, y, now := reportingTable("a", 1, "a"), reportingTable("a", 1, "a"), time.Unix(1_000, 0)
+	for _, slowdown := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), 1e300, -1} {
+		now = now.Add(time.Second)
+		x.Endpoints("llm")[0].ObserveLoad(now, Load{Running: math.MaxInt, Waiting: math.MinInt, Slots: 48, Slowdown: slowdown})
+		r := y.ApplyDigest(now, x.Digest(now, testDigestBytes))
+		g.Expect(r.Dropped).To(gomega.BeZero())
+		e := y.Endpoints("llm")[0]
+		g.Expect(e.reported.Running).To(gomega.Equal(maxReported))
+		g.Expect(e.reported.Waiting).To(gomega.BeZero())
+		g.Expect(e.reported.Slowdown).To(gomega.Or(gomega.BeZero(), gomega.BeEquivalentTo(maxPermille/permille)))
+	}
+}
+
+// Guards against memory for announced requests that grows at endpoints that are never candidates.
+func TestAnnouncedRequestsAreForgotten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, now := reportingTable("a", 1, "a"), time.Unix(1_000, 0)
+	e := x.Endpoints("llm")[0]
+	for i := range 3 * maxAnnounced {
+		e.RecordDispatch(now.Add(time.Duration(i)*time.Microsecond), Dispatch{UncachedTokens: 500})
+	}
+	g.Expect(len(e.announced)).To(gomega.BeNumerically("<=", maxAnnounced))
+	e.RecordDispatch(now.Add(2*announcedTTL), Dispatch{UncachedTokens: 500})
+	g.Expect(e.announced).To(gomega.HaveLen(1))
+}
+
 // Guards against a slow endpoint that each router has to find out for itself, and against reports
 // of a pace that replace this router's own measurement.
 func TestPaceIsReported(t *testing.T) {
--- a/predictor/shared_load.go
+++ b/predictor/shared_load.go
@@ -63,23 +63,29 @@
 	if e.reports == nil {
 		return
 	}
+	e.forgetAnnounced(now)
 	if len(e.announced) >= maxAnnounced {
 		e.announced = slices.Delete(e.announced, 0, maxAnnounced/2)
 	}
 	e.announced = append(e.announced, now)
 }
 
-// announcedSince counts the requests that other routers announced after a time, and forgets those
-// that are too old to count for any.
-func (e *Endpoint) announcedSince(now, at time.Time) int {
+// forgetAnnounced removes announced requests that are too old to count. Without that, endpoints that
+// are rarely candidates would keep maxAnnounced each.
+func (e *Endpoint) forgetAnnounced(now time.Time) {
 	expired := now.Add(-announcedTTL)
 	i := 0
 	for i < len(e.announced) && e.announced[i].Before(expired) {
 		i++
 	}
 	e.announced = slices.Delete(e.announced, 0, i)
+}
+
+// announcedSince counts the requests that other routers announced after a time.
+func (e *Endpoint) announcedSince(now, at time.Time) int {
+	e.forgetAnnounced(now)
 	n := 0
-	for j := len(e.announced) - 1; j >= 0 && e.announced[j].After(at); j-- {
+	for i := len(e.announced) - 1; i >= 0 && e.announced[i].After(at); i-- {
 		n++
 	}
 	return n
