--- a/predictor/prediction_test.go
+++ b/predictor/prediction_test.go
@@ -40,6 +40,8 @@
 	hold time.Duration
 	// observe is called with each first event.
 	observe func(router int, at time.Time, c *fakeCall)
+	// watch is called each millisecond.
+	watch func(at time.Time)
 }
 
 func newSimulation(perZone, engines, slots int, zones ...string) *simulation {
@@ -55,6 +57,7 @@
 	s.rate = func(int, time.Time) float64 { return 5 }
 	s.link = func(int, time.Time) time.Duration { return 0 }
 	s.observe = func(int, time.Time, *fakeCall) {}
+	s.watch = func(time.Time) {}
 	return s
 }
 
@@ -80,6 +83,7 @@
 	for _, e := range s.tables[0].Endpoints("llm") {
 		s.engines[e.name].admit(at, s.random, s.hold)
 	}
+	s.watch(at)
 }
 
 func (s *simulation) send(i int, at time.Time) {
@@ -158,7 +162,7 @@
 // Guards against first events that are predicted wrongly by more than a factor of two for more than
 // one in ten requests under loads that are not balanced.
 func TestPredictionIsWithinAFactorOfTwo(t *testing.T) {
-	const warmup, measured = 5 * time.Second, 18 * time.Second
+	const warmup = 5 * time.Second
 	for name, prepare := range map[string]func(*simulation){
 		"equal endpoints": func(*simulation) {},
 		"a third of the endpoints at 0.6 of the usual speed": func(s *simulation) {
@@ -195,7 +199,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			s := newSimulation(9, 9, 12, "a", "b")
+			s, measured := newSimulation(9, 9, 12, "a", "b"), 18*time.Second
+			if name == "slow periods of 600 ms" {
+				// The result is near the limit and varies by 0.01 between runs of 18 s.
+				measured = 72 * time.Second
+			}
 			prepare(s)
 			begun, good, all, goodFirst, allFirst := time.Unix(1_000, 0).Add(warmup), 0, 0, 0, 0
 			s.observe = func(i int, at time.Time, c *fakeCall) {
