--- a/allotter/loan_searches.go
+++ b/allotter/loan_searches.go
@@ -4,12 +4,12 @@
 
 const (
 	// MaxLendersAsked is the maximum number of routers that one search for loans asks.
-	MaxLendersAsked = 16
+	MaxLendersAsked = 32
 	// maxAskRate bounds the requests of a router for loans, per second, in a network partition:
-	// 20 kB a second of its link with their replies, whatever the size of the fleet. A fleet of a
+	// 45 kB a second of its link with their replies, whatever the size of the fleet. A fleet of a
 	// few routers searches almost without pauses, because the limits of its routers rise all the
 	// time.
-	maxAskRate = 40
+	maxAskRate = 100
 	// minSearchPause is the time from the end of a search to the start of the next one. Requests
 	// that arrive in the meantime share the next search.
 	minSearchPause = 100 * time.Millisecond
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -62,8 +62,8 @@
 	// objective, from minRightsWait, a few round trips to keepers, to maxRightsWait, so that
 	// a refusal is returned within 0.25 s.
 	rightsWaitDivisor = 4
-	minRightsWait     = 100 * time.Millisecond
-	maxRightsWait     = 200 * time.Millisecond
+	minRightsWait     = 200 * time.Millisecond
+	maxRightsWait     = 240 * time.Millisecond
 	// minLoggedRightsWait is the shortest wait for tokens that is logged. Tokens that the
 	// router holds are reserved in less.
 	minLoggedRightsWait = time.Millisecond
--- a/predictor/capacity.go
+++ b/predictor/capacity.go
@@ -67,6 +67,8 @@
 		out.Room += free
 		out.Slots += slots
 	}
+	// Without any candidate, Choose tries endpoints that are blocked after failures.
+	out.Known = out.Known && out.Slots > 0
 	return out
 }
 
