courier: a refusal follows after all of 20 routers were asked, with bulk searches too

Cause: the test ran with shortage_notices off only, when a search asked at most 16 routers. Change: it runs in both modes, since a search asks up to 32. Measured: go test -race -run 'TestAllRoutersAreAsked|TestBoundedSearches|TestReservationsThatLeave' ./courier passes.

--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -343,11 +343,16 @@
 
 // Guards against a request that is refused as out of reach while one of many routers holds
 // enough rights. No keeper can be reached, only one of 20 other routers has tokens, and the
-// search asks only some of them. With notices of short totals, searches are bounded:
-// TestBoundedSearchesFindTheOnlyLender.
+// search asks only some of them.
 func TestAllRoutersAreAskedBeforeARefusal(t *testing.T) {
+	for name, settings := range map[string]string{"bulk searches": "", "without shortage notices": noShortageNotices} {
+		t.Run(name, func(t *testing.T) { expectAllRoutersAsked(t, settings) })
+	}
+}
+
+func expectAllRoutersAsked(t *testing.T, settings string) {
 	g := gomega.NewWithT(t)
-	r := startPartition(t, partition{settings: noShortageNotices, routers: 20})
+	r := startPartition(t, partition{settings: settings, routers: 20})
 	last, ok := r.fleet.allPeers()[0], false
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
