--- a/allotter/allocation.go
+++ b/allotter/allocation.go
@@ -25,7 +25,7 @@
 	maxRiseDelay      = 2050 * time.Millisecond
 	// Without demand, the rise delay covers the claim interval and restartTime, because many idle
 	// bounds would otherwise rise while all VMs restart.
-	restartTime = 1950 * time.Millisecond
+	restartTime = 1750 * time.Millisecond
 	// defaultRiseDelay is the rise delay of claims that state none.
 	defaultRiseDelay = 1500 * time.Millisecond
 	// A ceiling leaves room for the demand until the next claim and during failedClaimTime, in which
