--- a/allotter/allocation.go
+++ b/allotter/allocation.go
@@ -59,6 +59,9 @@
 	demandWindow = 4 * time.Second
 	// minDemandTime is the shortest time over which a demand rate is computed.
 	minDemandTime = time.Second
+	// minBoundDemand, in tokens, is the smallest demand until the next claim that a bound counts as
+	// demand: one small request.
+	minBoundDemand = 500
 	// minBoundDemandTime is the same for a bound's ceiling and slope, because the tokens that they
 	// allow are lost if the process crashes.
 	minBoundDemandTime = 3 * time.Second
@@ -85,8 +88,9 @@
 	granted, returned, received, spent, reserved int64
 	// LargestWaiting is the size of the largest request refused since the last claim, and
 	// waitingTotal the sum of all of them. LargestSinceBorrowing is the largest refused since
-	// other routers were last asked for tokens.
-	largestWaiting, largestSinceBorrowing, waitingTotal int64
+	// other routers were last asked for tokens. WaitingDemand is
+	// the part of the demand that is of these requests.
+	largestWaiting, largestSinceBorrowing, waitingTotal, waitingDemand int64
 	// Limits are the bounds of the last claim that was answered and of all later claims, oldest
 	// first. A keeper may have applied any of them, so spent + reserved - received exceeds none.
 	limits []limit
@@ -122,7 +126,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recordDemand(now, n)
-	return p.reserve(now, n)
+	ok := p.reserve(now, n)
+	if !ok {
+		p.waitingDemand += n
+	}
+	return ok
 }
 
 // RetryReserve is Reserve for a request that already counted as demand.
@@ -353,7 +361,7 @@
 		// spends under its earlier limits.
 		c.Ceiling, c.Slope = max(c.Ceiling, p.allowedAt(now.Add(delay))), max(c.Slope, p.maxSlope())
 	}
-	p.largestWaiting, p.waitingTotal, p.claimUnanswered = 0, 0, true
+	p.largestWaiting, p.waitingTotal, p.waitingDemand, p.claimUnanswered = 0, 0, 0, true
 	p.addLimit(claimLimit(c, now))
 	return c
 }
--- a/allotter/demand.go
+++ b/allotter/demand.go
@@ -28,7 +28,7 @@
 // room for them in full. Claims are sent when requests wait, so counting these twice would make
 // most ceilings too high.
 func (p *Allocation) servedRate(now time.Time) float64 {
-	waiting := float64(p.waitingTotal) / demandWindow.Seconds()
+	waiting := float64(p.waitingDemand) / demandWindow.Seconds()
 	return max(p.meanDemand-waiting, 0) / p.windowPart(now, minBoundDemandTime)
 }
 
--- a/allotter/limits.go
+++ b/allotter/limits.go
@@ -87,7 +87,7 @@
 
 // claimRiseDelay returns the rise delay that a claim sent now states.
 func (p *Allocation) claimRiseDelay(now time.Time, interval time.Duration) time.Duration {
-	if p.demandRateOver(now, minBoundDemandTime)*ceilingTime(interval).Seconds() < minLoan {
+	if p.demandRateOver(now, minBoundDemandTime)*ceilingTime(interval).Seconds() < minBoundDemand {
 		return interval + restartTime
 	}
 	return min(ceilingTime(interval)+maxPartitionStall, maxRiseDelay)
--- a/courier/borrower.go
+++ b/courier/borrower.go
@@ -105,7 +105,8 @@
 		// It was served at the same time.
 		return ok
 	default:
-		return false
+		// A loan may have arrived after the last search.
+		return try()
 	}
 }
 
@@ -340,6 +341,10 @@
 		b.log.Info("rights borrowed", zap.Int64("tokens", sum), zap.Strings("workspaces", workspaces), zap.String("from", l.Address()))
 	}
 	b.recordReply(l, sum, workspaces)
+	if sum > 0 && b.bulk {
+		// The next search may start only after these requests have been refused.
+		b.serveWaiters()
+	}
 }
 
 // recordReply records what a router lent, or that it lent nothing.
@@ -351,6 +356,9 @@
 		b.searches.LentNothing(time.Now(), l.Address())
 		return
 	}
+	if !b.bulk {
+		return
+	}
 	b.searches.Lent(l.Address())
 	b.loans.tokens += tokens
 	b.loans.lenders[l.Address()] = true
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -86,11 +87,13 @@
 	drainingSince     atomic.Int64
 	activeRequests    atomic.Int64
 	connectionsOpened atomic.Int64
+	// stopping is closed when a stopping router accepts no more requests.
+	stopping chan struct{}
 }
 
 // New returns a router that Run starts.
 func New(o Options) *Router {
-	c := &Router{Options: o, startedAt: time.Now(), incarnation: newIncarnation()}
+	c := &Router{Options: o, startedAt: time.Now(), incarnation: newIncarnation(), stopping: make(chan struct{})}
 	table := predictor.NewTable(o.Node.Zone())
 	if o.Node.Features().LoadDigests {
 		table.EnableLoadReports()
@@ -112,7 +115,7 @@
 	c.handler = forwarder.New(forwarder.Dependencies{
 		Wire: o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
 		Quarantine: c.fleet.quarantine, Admission: c.admission, CallerLimits: limits,
-		EnginePriorities: o.Node.Features().EnginePriorities, ServiceAdmission: o.Node.Features().ServiceAdmission,
+		EnginePriorities: o.Node.Features().EnginePriorities, ServiceAdmission: o.Node.Features().ServiceAdmission, Stopping: c.stopping,
 		Limiter: limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
 	})
 	return c
@@ -195,7 +198,12 @@
 	c.Log.Info("router stops", zap.Int64("active", c.activeRequests.Load()))
 	begun := time.Now()
 	c.drainingSince.Store(int64(time.Since(c.startedAt)))
+	stopWaiting := sync.OnceFunc(func() { close(c.stopping) })
+	defer stopWaiting()
 	for time.Since(begun) < c.Node.Grace()-exitMargin {
+		if time.Since(begun) > c.acceptDuration() {
+			stopWaiting()
+		}
 		if time.Since(begun) > minDrainDuration && c.activeRequests.Load() == 0 {
 			return
 		}
@@ -204,6 +212,11 @@
 	c.Log.Warn("router stops with callers left", zap.Int64("active", c.activeRequests.Load()))
 }
 
+// acceptDuration returns how long a stopping router accepts requests, and lets them wait.
+func (c *Router) acceptDuration() time.Duration {
+	return time.Duration(drainAcceptFraction * float64(c.Node.Grace()))
+}
+
 // drainDuration returns how long ago the process was told to stop, or 0.
 func (c *Router) drainDuration() time.Duration {
 	at := c.drainingSince.Load()
@@ -220,7 +233,7 @@
 	if d := c.drainDuration(); d > 0 {
 		// The caller has to open a new connection, which the platform routes to another router.
 		w.Header().Set("Connection", "close")
-		if d > time.Duration(drainAcceptFraction*float64(c.Node.Grace())) {
+		if d > c.acceptDuration() {
 			c.Wire.RetryAfter(w.Header(), 0)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/courier/owner_test.go
+++ b/courier/owner_test.go
@@ -148,6 +148,7 @@
 	r.updateTotals(&publisher.Document{Workspaces: []publisher.Workspace{{Name: w, Prepaid: new(int64(300_000))}}})
 	r.observeShortages([]*messenger.RightsShortage{{Workspace: w, Total: 300_000}})
 	g.Expect(r.shortages.KnownSpent(w, 1)).To(gomega.BeTrue())
+	g.Expect(r.KnownSpent(w, 3_000)).To(gomega.BeFalse(), "the check before a request waits for endpoints")
 	_, err := r.Reserve(context.Background(), w, 3_000, reserveTimeout)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(o.lent).To(gomega.Receive(gomega.Equal(int64(3_000))))
--- a/courier/rights.go
+++ b/courier/rights.go
@@ -206,6 +206,8 @@
 	if !held || limited && time.Until(end) < d {
 		return false
 	}
+	// Loans may be needed too, if several requests wait for the same tokens.
+	r.borrower.signal()
 	select {
 	case <-time.After(d):
 		return p.RetryReserve(time.Now(), tokens)
--- a/courier/shortage.go
+++ b/courier/shortage.go
@@ -23,9 +23,10 @@
 }
 
 // knownSpent reports whether a request needs more tokens than the total has unspent. Tokens that
-// this router borrowed count as spent at the keepers, so it serves requests from them still.
+// this router borrowed count as spent at the keepers, so it serves requests from them still. The
+// same holds for the tokens of a pooled total that its owners got back, so owners are asked.
 func (r *rights) knownSpent(p *allotter.Allocation, workspace string, tokens int64) bool {
-	return r.notices && r.shortages.KnownSpent(workspace, tokens) && !p.Holds(tokens)
+	return r.notices && r.shortages.KnownSpent(workspace, tokens) && !p.Holds(tokens) && !r.pooled(workspace)
 }
 
 // KnownSpent implements forwarder.SpentChecker.
--- a/enforcer/memory.go
+++ b/enforcer/memory.go
@@ -54,7 +54,7 @@
 
 // Reserve holds n more bytes, or returns ErrMemory if that exceeds the limit.
 func (h *Holding) Reserve(n int) error {
-	if h.memory == nil {
+	if h.memory == nil || n == 0 {
 		return nil
 	}
 	if h.memory.held.Add(int64(n)) > h.memory.limit {
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -48,6 +48,9 @@
 			j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, "no endpoint in service")
 			return
 		}
+		if j.f.Table.CountsDispatches() {
+			j.place.recordReported()
+		}
 		sentAt := time.Now()
 		o := j.attempt(ctx, assignment)
 		assignment.End()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -158,7 +158,9 @@
 	EnginePriorities bool
 	// ServiceAdmission is set if requests wait while every endpoint is full.
 	ServiceAdmission bool
-	Log              *zap.Logger
+	// Stopping is closed when requests may no longer wait, because the process is about to end.
+	Stopping <-chan struct{}
+	Log      *zap.Logger
 }
 
 // CallerLimits bounds what callers that send or read slowly may take.
@@ -371,6 +373,9 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	if !time.Now().Before(j.deadline) {
+		return j.refuse(http.StatusServiceUnavailable, "out of time")
+	}
 	if j.f.CallerLimits != nil {
 		enforcer.LimitBodyTime(j.w, j.r, j.deadline)
 		enforcer.LimitWriteTime(j.w, j.deadline.Add(writeGrace))
--- a/forwarder/service_admission.go
+++ b/forwarder/service_admission.go
@@ -178,8 +178,8 @@
 	q.stepLocked(queueEvent{kind: queueCancel, request: queuedRequest{id: p.id}})
 }
 
-// recordReported records that an endpoint has answered the request: the load that it reports
-// includes the request.
+// recordReported records that the capacity of the endpoints includes the request: an endpoint has
+// answered it, or the capacity counts dispatches.
 func (p *place) recordReported() {
 	if p == nil || p.reported {
 		return
@@ -270,6 +270,12 @@
 			if err := j.recheck(p, time.Since(begun)); err != nil {
 				return false, err
 			}
+		case <-j.f.Stopping:
+			p.leave()
+			j.queued = time.Since(begun)
+			refusalsLate.Inc()
+			j.refuseFor(retryDelayOverload, http.StatusServiceUnavailable, "this router stops")
+			return false, nil
 		case <-ctx.Done():
 			p.leave()
 			j.queued = time.Since(begun)
--- a/forwarder/service_admission_test.go
+++ b/forwarder/service_admission_test.go
@@ -403,6 +403,24 @@
 	return b.String()
 }
 
+// Guards against a caller that waits at a stopping router until its connection is cut, and can't know
+// that the request has not run.
+func TestWaitingRequestIsRefusedBeforeTheRouterEnds(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e := newEndpoint(t, responds(answerOK))
+	w := newAdmissionRouter(t, unchanged, e)
+	stopping := make(chan struct{})
+	w.forwarder.Stopping = stopping
+	w.keepReporting(t, full)
+	out := w.sendSoon(t, "/once/x", "Rattanhoist-Deadline-Ms", "60000")
+	g.Consistently(out, 50*time.Millisecond).ShouldNot(gomega.Receive())
+	close(stopping)
+	a := <-out
+	g.Expect(a.status).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(a.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	g.Expect(e.requests()).To(gomega.BeEmpty())
+}
+
 // Guards against endpoints that get more requests at once than they have room for, when many wait.
 func TestManyWaitingRequestsStartAsThereIsRoom(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/forwarder/service_queue.go
+++ b/forwarder/service_queue.go
@@ -23,6 +23,9 @@
 	// maxLoadAge is the age up to which a load counts as known. A request that started earlier
 	// is part of every known load.
 	maxLoadAge = time.Second
+	// maxQueueRetry limits the time after which a refused caller is told to return. Callers give
+	// up on a longer one, and endpoints may have been added by then.
+	maxQueueRetry = 5 * time.Second
 	// maxReportLead is how much earlier than the end of a request a report of its free slot may
 	// arrive: the time of one small answer on a link in use.
 	maxReportLead = 20 * time.Millisecond
@@ -284,7 +287,7 @@
 		}
 		after = time.Duration(float64(ahead) / rate * float64(time.Second))
 	}
-	after = max(after, minQueueRetry)
+	after = min(max(after, minQueueRetry), maxQueueRetry)
 	// Callers are told whole milliseconds.
 	return (after + time.Duration(retryJitterFraction*r.random*float64(after))).Round(time.Millisecond)
 }
--- a/predictor/capacity.go
+++ b/predictor/capacity.go
@@ -32,12 +32,20 @@
 	if len(g.endpoints) <= maxExhaustive {
 		return capacityOf(now, a, g.endpoints)
 	}
-	if out := capacityOf(now, a, g.candidates(a, nil)); out.Room > 0 || !out.Known {
+	sample := g.candidates(a, nil)
+	if out := capacityOf(now, a, sample); out.Room > 0 || !out.Known {
+		// The sample stands for the whole service, which all requests of this router share.
+		out.Room = out.Room * len(g.endpoints) / len(sample)
+		out.Slots = out.Slots * len(g.endpoints) / len(sample)
 		return out
 	}
 	return g.lastCapacity.get(now, func() Capacity { return capacityOf(now, a, g.endpoints) })
 }
 
+// CountsDispatches reports whether Capacity counts what this router has sent to endpoints since they
+// last reported their load.
+func (t *Table) CountsDispatches() bool { return t.reports != nil }
+
 // capacityCache holds the capacity of a group for capacityInterval.
 type capacityCache struct {
 	mu    sync.Mutex
