--- a/allotter/allocation.go
+++ b/allotter/allocation.go
@@ -12,11 +12,8 @@
 	// keeper is reachable, even if demand rises by half.
 	Horizon = 14 * time.Second
 	// scarceHorizon replaces Horizon while tokens are scarce, to prepare for a network partition
-	// that begins at once. If the runway is known, a router holds tokens for at most
-	// 1/runwayDivisor of it, so that at least three quarters of the unspent tokens stay available
-	// to the routers that callers move to.
+	// that begins at once.
 	scarceHorizon = 5 * time.Second
-	runwayDivisor = 4
 	// The rise delay of a bound is how long it stays at its ceiling before it rises. If a process
 	// crashes and is back within this delay, only tokens up to the ceiling count as spent. In a
 	// network partition, a router refuses requests for the part of it that exceeds the ceiling time,
@@ -98,8 +95,6 @@
 	claimUnanswered bool
 	unallocated     int64
 	scarce          bool
-	// Runway is how long the unspent tokens last at the demand of all routers, or 0 if unknown.
-	runway time.Duration
 	// FailedSearchAt is when a search for failedSearchSize tokens last failed.
 	failedSearchAt   time.Time
 	failedSearchSize int64
@@ -276,9 +271,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.scarce, p.claimUnanswered = scarce, false
-	if !scarce {
-		p.runway = 0
-	}
 }
 
 // surplus returns the headroom to return to the keepers, beyond the headroom that the router
@@ -288,12 +280,8 @@
 	if !p.scarce {
 		maxKept = 3 * need
 	}
-	switch {
-	case !p.scarce:
+	if !p.scarce || rate >= 1 {
 		maxKept += p.allowedSurplus(floor)
-	case rate >= 1:
-		// The surplus shrinks with the horizon, so that none is kept of a spent total.
-		maxKept += int64(float64(p.allowedSurplus(floor)) * float64(p.scarceHorizon()) / float64(scarceHorizon))
 	}
 	surplus := min(p.headroom()-need, p.granted-p.returned-p.spent-p.reserved)
 	if need+surplus <= maxKept {
@@ -316,19 +304,11 @@
 	return min(maxKeptSurplus, floor/floorSurplusDivisor)
 }
 
-// scarceHorizon returns how long the router should be able to serve while tokens are scarce.
-func (p *Allocation) scarceHorizon() time.Duration {
-	if p.runway <= 0 {
-		return scarceHorizon
-	}
-	return min(p.runway/runwayDivisor, scarceHorizon)
-}
-
 // targetHeadroom returns the headroom that the router should hold at a demand rate.
 func (p *Allocation) targetHeadroom(rate float64, floor int64) int64 {
 	horizon, divisor := Horizon, int64(shareHeadroomDivisor)
 	if p.scarce {
-		horizon, floor, divisor = p.scarceHorizon(), 0, scarceShareHeadroomDivisor
+		horizon, floor, divisor = scarceHorizon, 0, scarceShareHeadroomDivisor
 	}
 	need := int64(rate * horizon.Seconds())
 	if p.evenShare > 0 {
@@ -398,7 +378,6 @@
 	p.limits, p.claimUnanswered = []limit{claimLimit(c, sent)}, false
 	p.granted = max(p.granted, g.Granted)
 	p.unallocated, p.scarce, p.answered = g.Left, g.Scarce, true
-	p.runway = time.Duration(max(g.RunwayMs, 0)) * time.Millisecond
 }
 
 // headroom returns the tokens that are held and neither spent nor reserved.
--- a/allotter/ledger.go
+++ b/allotter/ledger.go
@@ -27,7 +27,7 @@
 	// poolDivisor limits a single claim to 1/poolDivisor of the unallocated tokens, scaled by the
 	// router's part of all routers or of the demand. With 2, one claim never takes all of them.
 	poolDivisor = 2
-	// maxRunwayMs limits the runway to an hour. Routers act on runways of seconds.
+	// maxRunwayMs limits the runway to an hour.
 	maxRunwayMs = 3_600_000
 )
 
