Comments of the new parts say what holds; a loan search no longer records whether it had a result

Cause: found by the reviewers: reasons that did not agree with their constants, a result that nothing uses since the backoff is gone, and commit times of a window that is too long to say anything.

--- a/allotter/claim_pacer.go
+++ b/allotter/claim_pacer.go
@@ -19,8 +19,8 @@
 	highUse        = 0.4
 	lowCommitTime  = 50 * time.Millisecond
 	highCommitTime = 150 * time.Millisecond
-	// paceStep is the minimum time between two changes of the interval. The load that a change
-	// causes shows within one MaxClaimInterval at most.
+	// paceStep is the minimum time between two changes of the interval: several of the shortest
+	// intervals, in which the load that a change causes shows.
 	paceStep = time.Second
 	// The interval rises faster than it falls, because an overloaded keeper delays all claims.
 	paceFall = 0.75
--- a/allotter/early_claim.go
+++ b/allotter/early_claim.go
@@ -11,7 +11,7 @@
 type earlyClaims struct {
 	// StatedAt identifies the limit to which room and due belong.
 	statedAt time.Time
-	// Room is what the limit's ceiling allowed when it was stated.
+	// Room is what the limit's ceiling allowed at the first reservation after it was stated.
 	room int64
 	// Due is set once a claim is due. The next claim states a new limit, which clears it.
 	due bool
--- a/allotter/loan_searches.go
+++ b/allotter/loan_searches.go
@@ -20,10 +20,8 @@
 // LoanSearches decides when a router searches for loans of other routers and whom it asks. It
 // reads no clock. It is not safe for concurrent use.
 type LoanSearches struct {
-	// NotBefore is when the next search may start, and fruitless is set if the last one obtained
-	// nothing.
+	// NotBefore is when the next search may start.
 	notBefore time.Time
-	fruitless bool
 	// EmptyUntil holds, by address, the time until which a router is asked last.
 	emptyUntil map[string]time.Time
 	// Rotation is the number of searches, by which the lists of routers are rotated.
@@ -36,9 +34,9 @@
 	return &LoanSearches{emptyUntil: map[string]time.Time{}, rotation: rotation}
 }
 
-// Delay returns the time until the next search may start, and whether the last one had no result.
-func (s *LoanSearches) Delay(now time.Time) (delay time.Duration, fruitless bool) {
-	return max(s.notBefore.Sub(now), 0), s.fruitless
+// Delay returns the time until the next search may start.
+func (s *LoanSearches) Delay(now time.Time) time.Duration {
+	return max(s.notBefore.Sub(now), 0)
 }
 
 // Lenders returns the routers that a search asks, by address: those of the zone first, and those
@@ -73,18 +71,15 @@
 // Lent records a loan, which may arrive after the end of its search.
 func (s *LoanSearches) Lent(lender string) {
 	delete(s.emptyUntil, lender)
-	s.fruitless = false
 }
 
-// Ended records the end of a search that asked a number of routers, and whether it obtained a loan.
-func (s *LoanSearches) Ended(now time.Time, asked int, obtained bool) {
-	s.fruitless = !obtained
+// Ended records the end of a search that asked a number of routers.
+func (s *LoanSearches) Ended(now time.Time, asked int) {
 	s.notBefore = now.Add(max(time.Duration(asked)*time.Second/maxAskRate, minSearchPause))
 }
 
 // Reset lets the next search start soon, because a keeper answers again.
 func (s *LoanSearches) Reset(now time.Time) {
-	s.fruitless = false
 	if next := now.Add(minSearchPause); next.Before(s.notBefore) {
 		s.notBefore = next
 	}
--- a/allotter/shortage.go
+++ b/allotter/shortage.go
@@ -15,7 +15,7 @@
 // concurrent use.
 type Shortages struct {
 	mu sync.Mutex
-	// Totals are the totals of the document in force. Workspaces that are not in it have no notice.
+	// Workspaces that the document in force does not limit are absent from both maps.
 	totals  map[string]int64
 	notices map[string]*messenger.RightsShortage
 }
--- a/courier/borrower.go
+++ b/courier/borrower.go
@@ -150,7 +150,7 @@
 // awaitTurn waits for the pause between two searches, and reports whether a search may start.
 func (b *borrower) awaitTurn(ctx context.Context) bool {
 	b.mu.Lock()
-	d, _ := b.searches.Delay(time.Now())
+	d := b.searches.Delay(time.Now())
 	b.mu.Unlock()
 	select {
 	case <-time.After(d):
@@ -220,7 +220,7 @@
 	if b.loans.tokens == 0 {
 		emptySearches.Inc()
 	}
-	b.searches.Ended(time.Now(), asked, b.loans.tokens > 0)
+	b.searches.Ended(time.Now(), asked)
 	b.log.Info("rights borrowed", zap.Int64("tokens", b.loans.tokens), zap.Strings("workspaces", slices.Sorted(maps.Keys(b.loans.workspaces))),
 		zap.Int("asked", asked), zap.Int("lenders", len(b.loans.lenders)), zap.Duration("took", took))
 	b.loans = newLoans()
--- a/predictor/spillover.go
+++ b/predictor/spillover.go
@@ -6,13 +6,13 @@
 
 const (
 	// spilloverRange is the difference between the fullness of two zones from which work crosses at
-	// the lowest cost. Utilizations of zones have to stay within 0.15 of each other; a third of that
-	// is margin for reports that are late.
+	// the lowest cost. Utilizations of zones have to stay within 0.15 of each other; about half of
+	// that is margin for reports that are late.
 	spilloverRange = 0.07
 	// minCrossZoneCost is the lowest cost of another zone, a tenth of the random noise of costs: the own
 	// zone is preferred where all else is equal. An endpoint of 12 slots that is half full differs from
-	// an idle one by 2 ms, so that a floor of 1 ms would keep the zones 0.15 apart. What the way
-	// to the other zone takes is part of the measured first events and their corrections.
+	// an idle one by 2 ms, so that a floor of 1 ms would keep the zones 0.18 apart. The transfer time
+	// to the other zone is part of the measured first events and their corrections.
 	minCrossZoneCost = 200 * time.Microsecond
 )
 
--- a/steward/pace.go
+++ b/steward/pace.go
@@ -76,7 +76,7 @@
 	if used, known := c.processorTime(); known && c.share > 0 && elapsed <= maxPaceWindow {
 		c.load.Use, c.load.UseKnown = (used-c.usedBefore).Seconds()/elapsed.Seconds()/c.share, true
 	}
-	if c.commits > 0 {
+	if c.commits > 0 && elapsed <= maxPaceWindow {
 		c.load.CommitTime = c.commitTotal / time.Duration(c.commits)
 	}
 	c.beginMeasurement(now)
