--- a/predictor/capacity.go
+++ b/predictor/capacity.go
@@ -21,8 +21,8 @@
 const capacityInterval = 50 * time.Millisecond
 
 // Capacity returns the room for a request at the endpoints that Choose would consider. In a large
-// service, that is a sample; all endpoints are examined only if the sample has no room, and then once
-// in capacityInterval, so that the cost of a request does not depend on the number of endpoints.
+// service, they are examined once in capacityInterval, so that the cost of a request does not depend
+// on their number.
 func (t *Table) Capacity(now time.Time, a Request) Capacity {
 	g := (*t.byService.Load())[a.Service]
 	if g == nil {
@@ -32,13 +32,6 @@
 	if len(g.endpoints) <= maxExhaustive {
 		return capacityOf(now, a, g.endpoints)
 	}
-	sample := g.candidates(a, nil)
-	if out := capacityOf(now, a, sample); out.Room > 0 || !out.Known {
-		// The sample stands for the whole service, which all requests of this router share.
-		out.Room = out.Room * len(g.endpoints) / len(sample)
-		out.Slots = out.Slots * len(g.endpoints) / len(sample)
-		return out
-	}
 	return g.lastCapacity.get(now, func() Capacity { return capacityOf(now, a, g.endpoints) })
 }
 
