Counters of dials to endpoints by result, and the time since any endpoint was heard

Dials were counted only where they connected, and a failure of an endpoint did not tell a dial from an answer. Endpoint connections can be opened by a function of the options, so that a test can partition one router. No change of what is sent.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -68,6 +68,8 @@
 	// cache holds. It also returns the state that the endpoint reports, which is
 	// nil only if there was no response.
 	QueryCache func(context.Context, string) ([]predictor.Part, *predictor.State, error)
+	// DialEndpoint opens connections to endpoints; nil stands for pooler.DialDirect.
+	DialEndpoint pooler.DialFunc
 	// ReadyPath is the path of the platform's readiness probe.
 	ReadyPath string
 }
@@ -101,6 +103,9 @@
 	c.pool = pooler.New(o.ClassifyResponse, func() { c.connectionsOpened.Add(1) })
 	c.admission = shaper.NewAdmission(o.Node.LinkRate(), &c.lag)
 	c.pool.UseLink(c.admission)
+	if o.DialEndpoint != nil {
+		c.pool.UseDialer(o.DialEndpoint)
+	}
 	c.fleet = newFleetView(o, c.incarnation, table, c.pool)
 	c.fleet.shedding = newShedding(c.admission, o.Log)
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
--- /dev/null
+++ b/pooler/counters.go
@@ -0,0 +1,32 @@
+package pooler
+
+import (
+	"context"
+	"errors"
+	"os"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Connection attempts to endpoints, by result.
+var (
+	dialsConnected = metrics.NewCounter(`rattanhoist_endpoint_dials_total{result="connected"}`)
+	dialsRefused   = metrics.NewCounter(`rattanhoist_endpoint_dials_total{result="refused"}`)
+	dialsTimedOut  = metrics.NewCounter(`rattanhoist_endpoint_dials_total{result="timeout"}`)
+	dialsFailed    = metrics.NewCounter(`rattanhoist_endpoint_dials_total{result="error"}`)
+)
+
+// countDial counts the result of a connection attempt.
+func countDial(err error) {
+	switch {
+	case err == nil:
+		dialsConnected.Inc()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		dialsRefused.Inc()
+	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded):
+		dialsTimedOut.Inc()
+	default:
+		dialsFailed.Inc()
+	}
+}
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -5,10 +5,10 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,11 +66,38 @@
 
 // Pool holds the connections to all endpoints. It is safe for concurrent use.
 type Pool struct {
-	match  func(http.Header, string) AnswerMatch
-	mu     sync.Mutex
-	peers  map[string]*peer
-	opened func()
-	link   Link
+	match       func(http.Header, string) AnswerMatch
+	mu          sync.Mutex
+	peers       map[string]*peer
+	opened      func()
+	link        Link
+	dialAddress DialFunc
+	// heardAt is when bytes of any endpoint last arrived, in nanoseconds since created.
+	heardAt atomic.Int64
+	created time.Time
+}
+
+// DialFunc opens a TCP connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// DialDirect opens a TCP connection that detects the loss of its peer.
+func DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(setAckTimeout)
+		},
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// UseDialer makes the pool open connections with a function other than DialDirect. It must be
+// called before the first exchange.
+func (p *Pool) UseDialer(dial DialFunc) { p.dialAddress = dial }
+
+// Silence returns the time since bytes of any endpoint last arrived.
+func (p *Pool) Silence() time.Duration {
+	return time.Since(p.created) - time.Duration(p.heardAt.Load())
 }
 
 // Link measures the load of the VM's network link.
@@ -96,26 +123,22 @@
 // recordedReader records the bytes read from a connection.
 type recordedReader struct {
 	net.Conn
-	link Link
+	pool *Pool
 }
 
 // Read reads from the connection.
 func (r recordedReader) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
 	if n > 0 {
-		r.link.Received(time.Now(), n)
+		now := time.Now()
+		r.pool.heardAt.Store(int64(now.Sub(r.pool.created)))
+		if r.pool.link != nil {
+			r.pool.link.Received(now, n)
+		}
 	}
 	return n, err
 }
 
-// reader returns the reader of a connection, which records its traffic if there is a link.
-func (p *Pool) reader(c net.Conn) io.Reader {
-	if p.link == nil {
-		return c
-	}
-	return recordedReader{Conn: c, link: p.link}
-}
-
 // dialTimeout returns the current timeout for opening a connection.
 func (p *Pool) dialTimeout() time.Duration {
 	if p.link == nil {
@@ -151,7 +174,7 @@
 // New returns a pool. The function match matches the header of an answer to the request
 // with an id; opened is called for each new connection.
 func New(match func(h http.Header, id string) AnswerMatch, opened func()) *Pool {
-	return &Pool{match: match, peers: map[string]*peer{}, opened: opened}
+	return &Pool{match: match, peers: map[string]*peer{}, opened: opened, dialAddress: DialDirect, created: time.Now()}
 }
 
 // conn is a connection to an endpoint.
@@ -207,7 +230,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -225,19 +252,14 @@
 func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout())
 	defer cancel()
-	d := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(setAckTimeout)
-		},
-	}
-	c, err := d.DialContext(ctx, "tcp", t.Address)
+	c, err := p.dialAddress(ctx, t.Address)
+	countDial(err)
 	if err != nil {
 		p.uncount(t.ID)
 		return nil, err
 	}
 	p.opened()
-	out := &conn{Conn: c, reader: bufio.NewReaderSize(p.reader(c), bufferSize), target: t}
+	out := &conn{Conn: c, reader: bufio.NewReaderSize(recordedReader{Conn: c, pool: p}, bufferSize), target: t}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if x := p.peers[t.ID]; x != nil {
