A router without paths to endpoints connects through other routers

Cause: a router's own TCP connection was its only way to an endpoint. Without it the router tried three endpoints, 0.4 s each, and refused, counted each time-out as a failure of its endpoint, and took resets with refused connections for endpoints that had ended. Ruled out: paths that the choice did not find (no dial succeeded, at any of 15 endpoints), kept connections that swallow requests (none after 3 s).

Change: pathfinder decides by which way to connect, relayer carries the bytes of a connection through one other router (FleetRouter.Relay). The router that has the request keeps charge of it. A relay connects directly only and tells a path from an endpoint by connecting to others. What fails on a lost path is no failure of the endpoint, and no crash unless a relay finds it so.

TestFleetServesAgainWhenPathsAreBack and TestRelayStopsWithoutFailures fail on the code before (a refusal after 1.2 s; 0 of 300 served). TestLostPathsAreNoCrashes fails if the confirmation by a relay is taken out.

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -59,6 +59,8 @@
 	metrics.GetOrCreateGauge("rattanhoist_connections_opened", func() float64 { return float64(c.connectionsOpened.Load()) })
 	metrics.GetOrCreateGauge("rattanhoist_keeper_silence_seconds", func() float64 { return c.fleet.sinceContact().Seconds() })
 	metrics.GetOrCreateGauge("rattanhoist_endpoint_silence_seconds", func() float64 { return c.pool.Silence().Seconds() })
+	metrics.GetOrCreateGauge("rattanhoist_endpoint_paths_lost", func() float64 { return float64(c.pool.LostPaths()) })
+	metrics.GetOrCreateGauge("rattanhoist_relays_active", func() float64 { return float64(c.relayedConnections()) })
 	metrics.GetOrCreateGauge("rattanhoist_claim_interval_seconds", func() float64 { return c.rights.claimInterval().Seconds() })
 	metrics.GetOrCreateGauge("rattanhoist_zones_evacuated", func() float64 { return float64(len(c.fleet.evacuations.load().zones)) })
 	metrics.GetOrCreateGauge("rattanhoist_routers_known", func() float64 { return float64(c.fleet.Routers()) })
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -85,6 +85,8 @@
 	lag         shaper.Lag
 	admission   *shaper.Admission
 	handler     *forwarder.Forwarder
+	// relays is nil if relaying is switched off.
+	relays *relays
 	// drainingSince is the time from startedAt until the process was told to stop, or 0.
 	drainingSince     atomic.Int64
 	activeRequests    atomic.Int64
@@ -108,6 +110,14 @@
 	}
 	c.fleet = newFleetView(o, c.incarnation, table, c.pool)
 	c.fleet.shedding = newShedding(c.admission, o.Log)
+	if o.DialEndpoint != nil {
+		c.fleet.quarantine.dial = o.DialEndpoint
+	}
+	if o.Node.Features().EndpointRelays {
+		c.relays = newRelays(c.fleet, c.admission, o)
+		c.pool.UseRelays(c.relays.dialer)
+		c.fleet.quarantine.confirmEnded = c.relays.confirmEnded
+	}
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
 	c.fleet.onDocument = c.rights.updateTotals
 	c.registerGauges()
@@ -172,7 +182,7 @@
 	go n.receive(work)
 	go n.sendDigests(work)
 	rpc := messenger.NewFleetServer()
-	messenger.RegisterFleetRouterServer(rpc, &peerServer{rights: c.rights, table: c.fleet.table})
+	messenger.RegisterFleetRouterServer(rpc, &peerServer{rights: c.rights, table: c.fleet.table, relays: c.relays})
 	failed := make(chan error, 3)
 	go func() { failed <- rpc.Serve(internal) }()
 	go func() { failed <- callers.Serve(c.admission.Listener(front)) }()
@@ -180,6 +190,10 @@
 	go c.fleet.run(work)
 	go c.rights.run(work)
 	go c.sweepPool(work)
+	if c.relays != nil {
+		go c.pool.MaintainPaths(work)
+		go c.relays.report(work)
+	}
 	go c.fleet.shedding.run(work, callers.SetKeepAlivesEnabled)
 	go c.lag.Run(work, func() bool { return c.activeRequests.Load() >= minRequestsForLag })
 	c.Log.Info("router started", zap.String("zone", c.Node.Zone()), zap.Strings("seeds", c.Node.Seeds()), zap.Uint64("incarnation", c.incarnation))
@@ -203,13 +217,16 @@
 	c.Log.Info("router stops", zap.Int64("active", c.activeRequests.Load()))
 	begun := time.Now()
 	c.drainingSince.Store(int64(time.Since(c.startedAt)))
+	if c.relays != nil {
+		c.relays.server.Drain()
+	}
 	stopWaiting := sync.OnceFunc(func() { close(c.stopping) })
 	defer stopWaiting()
 	for time.Since(begun) < c.Node.Grace()-exitMargin {
 		if time.Since(begun) > c.acceptDuration() {
 			stopWaiting()
 		}
-		if time.Since(begun) > minDrainDuration && c.activeRequests.Load() == 0 {
+		if time.Since(begun) > minDrainDuration && c.activeRequests.Load() == 0 && c.relayedConnections() == 0 {
 			return
 		}
 		time.Sleep(drainPollInterval)
@@ -217,6 +234,14 @@
 	c.Log.Warn("router stops with callers left", zap.Int64("active", c.activeRequests.Load()))
 }
 
+// relayedConnections returns the number of connections that this router relays for others.
+func (c *Router) relayedConnections() int {
+	if c.relays == nil {
+		return 0
+	}
+	return c.relays.server.Active()
+}
+
 // acceptDuration returns how long a stopping router accepts requests, and lets them wait.
 func (c *Router) acceptDuration() time.Duration {
 	return time.Duration(drainAcceptFraction * float64(c.Node.Grace()))
--- a/courier/liveness.go
+++ b/courier/liveness.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -11,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
@@ -32,6 +32,10 @@
 // broken connection does not show that: endpoints and links reset connections and keep running.
 type livenessChecks struct {
 	log *zap.Logger
+	// dial opens a connection to an endpoint. confirmEnded reports whether an endpoint that refuses
+	// connections of this router has ended; it may be the path that is gone.
+	dial         pooler.DialFunc
+	confirmEnded func(enroller.Heartbeat) bool
 	// onCrash receives the requests that were in progress at an endpoint that ended.
 	onCrash func([]quarantiner.Crash)
 
@@ -41,7 +45,10 @@
 }
 
 func newLivenessChecks(log *zap.Logger, crashed func([]quarantiner.Crash)) *livenessChecks {
-	return &livenessChecks{log: log, onCrash: crashed, pending: map[enroller.Incarnation][]quarantiner.Crash{}}
+	return &livenessChecks{
+		log: log, onCrash: crashed, pending: map[enroller.Incarnation][]quarantiner.Crash{},
+		dial: pooler.DialDirect, confirmEnded: func(enroller.Heartbeat) bool { return true },
+	}
 }
 
 // connectionBroken records a request that counts as a crash if the endpoint has ended.
@@ -58,12 +65,12 @@
 // check probes an endpoint, and reports the requests that failed there if it has ended.
 func (l *livenessChecks) check(b enroller.Heartbeat) {
 	time.Sleep(gatherDelay)
-	refused := refusesConnections(b.Address)
+	ended := l.refusesConnections(b.Address) && l.confirmEnded(b)
 	l.mu.Lock()
 	list := l.pending[b.Incarnation]
 	delete(l.pending, b.Incarnation)
 	l.mu.Unlock()
-	if !refused {
+	if !ended {
 		return
 	}
 	endpointCrashes.Inc()
@@ -77,10 +84,10 @@
 
 // refusesConnections reports whether nothing listens at an address. A running endpoint
 // accepts the connection, and an unreachable one doesn't respond.
-func refusesConnections(address string) bool {
+func (l *livenessChecks) refusesConnections(address string) bool {
 	for begun := time.Now(); time.Since(begun) < probeDuration; time.Sleep(dialRetryInterval) {
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		c, err := l.dial(ctx, address)
 		cancel()
 		if err == nil {
 			_ = c.Close()
--- a/courier/partition_test.go
+++ b/courier/partition_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
 	"sync"
 	"syscall"
 	"testing"
@@ -29,6 +32,8 @@
 	cutRefuse
 	// cutReset resets open connections and drops the packets of new ones.
 	cutReset
+	// cutResetRefuse resets open connections and refuses new ones.
+	cutResetRefuse
 )
 
 // partition is the network between one router and all endpoints.
@@ -50,7 +55,7 @@
 	defer p.mu.Unlock()
 	close(p.healed)
 	p.cut, p.healed = c, make(chan struct{})
-	if c != cutReset {
+	if c != cutReset && c != cutResetRefuse {
 		return
 	}
 	for x := range p.conns {
@@ -81,7 +86,7 @@
 	for {
 		c, changed := p.state()
 		switch c {
-		case cutRefuse:
+		case cutRefuse, cutResetRefuse:
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 		case cutNone:
 			n, err := pooler.DialDirect(ctx, address)
@@ -210,3 +215,144 @@
 		})
 	}
 }
+
+// slowEngine starts an engine that answers each request after a delay.
+func (f *cluster) slowEngine(id string, delay time.Duration) string {
+	address := f.engine(id)
+	l, err := net.Listen("tcp", f.ip(100)+":0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: address})
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(delay)
+		proxy.ServeHTTP(w, r)
+	}), ReadHeaderTimeout: time.Second}
+	go func() { _ = s.Serve(l) }()
+	f.t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+// Guards against holding a request back as one that crashes endpoints because its router lost the
+// paths to three of them at once: its connections are reset and new ones are refused, as if the
+// endpoints had ended under it.
+func TestLostPathsAreNoCrashes(t *testing.T) {
+	f, g := startCluster(t, 94)
+	f.publish(g, 1, document(2, 1_000_000))
+	p := newPartition()
+	f.partitionedRouter(4, p)
+	f.router(5)
+	f.router(6)
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+		f.sendHeartbeats(id, f.slowEngine(id, 300*time.Millisecond))
+	}
+	for n := 4; n <= 6; n++ {
+		f.awaitServing(g, n)
+	}
+	send := func(router int, id string) (int, string) {
+		return f.call("POST", f.serveAddress(router), "/a/same", "", "Api-Key", "k", "Rattanhoist-Request-Id", id, "Rattanhoist-Token-Usage", "1,1")
+	}
+	for round := range 3 {
+		var wg sync.WaitGroup
+		for i := range 12 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				send(4, fmt.Sprint("r", round, "-", i))
+			}()
+		}
+		time.Sleep(200 * time.Millisecond)
+		p.set(cutResetRefuse)
+		wg.Wait()
+		time.Sleep(500 * time.Millisecond)
+		p.set(cutNone)
+		time.Sleep(time.Second)
+	}
+	for n := 4; n <= 6; n++ {
+		status, body := send(n, fmt.Sprint("same", n))
+		g.Expect(status).To(gomega.Equal(200), body)
+	}
+}
+
+// Guards against a zone or a fleet that loses all paths and does not serve again when they are
+// back: endpoints must not stay ejected for what the cut did. While nobody has a path, a request is
+// refused at once.
+func TestFleetServesAgainWhenPathsAreBack(t *testing.T) {
+	f, g := startCluster(t, 95)
+	f.publish(g, 1, document(2, 1_000_000))
+	cuts := []*partition{newPartition(), newPartition(), newPartition()}
+	for i, p := range cuts {
+		f.partitionedRouter(4+i, p)
+	}
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+		f.sendHeartbeats(id, f.engine(id, "Connection", "close"))
+	}
+	for n := 4; n <= 6; n++ {
+		f.awaitServing(g, n)
+	}
+	for _, c := range []cut{cutHang, cutRefuse, cutReset} {
+		for _, p := range cuts {
+			p.set(c)
+		}
+		f.served(4, 30, "begin")
+		time.Sleep(contactWindow)
+		begun := time.Now()
+		status, _ := f.request(4, "cut", "1,1")
+		g.Expect(status).To(gomega.Equal(503))
+		g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 100*time.Millisecond), "cut %d", c)
+		for _, p := range cuts {
+			p.set(cutNone)
+		}
+		time.Sleep(time.Second)
+		for n := 4; n <= 6; n++ {
+			g.Expect(f.served(n, 50, fmt.Sprint("healed", c))).To(gomega.BeNumerically(">=", 49), "cut %d, router %d", c, n)
+		}
+	}
+}
+
+// Guards against requests that fail while the paths of a router come and go every second.
+func TestFlappingPathsFailNoRequests(t *testing.T) {
+	f, g := startCluster(t, 96)
+	f.publish(g, 1, document(2, 1_000_000))
+	p := newPartition()
+	f.partitionedRouter(4, p)
+	f.router(5)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		f.sendHeartbeats(id, f.engine(id))
+	}
+	f.awaitServing(g, 4)
+	f.awaitServing(g, 5)
+	p.set(cutReset)
+	time.Sleep(contactWindow)
+	done := make(chan int)
+	go func() { done <- f.served(4, 400, "flap") }()
+	for i := range 8 {
+		time.Sleep(time.Second)
+		p.set([]cut{cutNone, cutReset, cutNone, cutRefuse}[i%4])
+	}
+	g.Expect(<-done).To(gomega.BeNumerically(">=", 392))
+}
+
+// Guards against requests that fail because the only router that helps stops: what it relays goes
+// on, and the cut-off router asks another one.
+func TestRelayStopsWithoutFailures(t *testing.T) {
+	f, g := startCluster(t, 97)
+	f.publish(g, 1, document(2, 1_000_000))
+	p := newPartition()
+	f.partitionedRouter(4, p)
+	f.router(5)
+	f.router(6)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		f.sendHeartbeats(id, f.slowEngine(id, 200*time.Millisecond))
+	}
+	for n := 4; n <= 6; n++ {
+		f.awaitServing(g, n)
+	}
+	p.set(cutReset)
+	time.Sleep(contactWindow)
+	done := make(chan int)
+	go func() { done <- f.served(4, 300, "stop") }()
+	time.Sleep(2 * time.Second)
+	f.stop("router5")
+	g.Expect(<-done).To(gomega.BeNumerically(">=", 297))
+}
--- a/courier/rate_limit.go
+++ b/courier/rate_limit.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/messenger"
@@ -149,6 +151,16 @@
 type peerServer struct {
 	*rights
 	table *predictor.Table
+	// relays is nil if relaying is switched off.
+	relays *relays
+}
+
+// Relay relays a connection to an endpoint.
+func (s *peerServer) Relay(stream messenger.FleetRouter_RelayServer) error {
+	if s.relays == nil {
+		return status.Error(codes.Unimplemented, "relaying is switched off")
+	}
+	return s.relays.server.Relay(stream)
 }
 
 // RateLimits returns the rate limits in effect at this router.
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -34,6 +34,9 @@
 	// outcomeNoConnection means that the router may not open more connections to the
 	// endpoint, or that the endpoint left service before the request was sent.
 	outcomeNoConnection
+	// outcomeUnreachable means that neither this router nor another one has a path to the
+	// endpoint. That was known before, so no time was spent.
+	outcomeUnreachable
 )
 
 // maxPlainAnswerBytes is how much is read of an answer that is passed on only when it
@@ -60,7 +63,7 @@
 		if o == outcomeDone || !j.mayTryAgain(ctx, o) {
 			return
 		}
-		if o == outcomeNoConnection {
+		if o == outcomeNoConnection || o == outcomeUnreachable {
 			continue
 		}
 		requestsRepeated.Inc()
@@ -126,6 +129,13 @@
 		j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, "endpoints out of reach: "+j.reason)
 		return false
 	}
+	if o == outcomeUnreachable {
+		if j.withoutPath++; j.withoutPath < maxWithoutPath {
+			return true
+		}
+		j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, "no path to endpoints")
+		return false
+	}
 	if o == outcomeRetry || o == outcomeNoConnection {
 		return true
 	}
@@ -187,7 +197,9 @@
 		requestsBeforeRetryAfter.Inc()
 	}
 	mayHaveRunBefore, sentAt := j.mayHaveRun, time.Now()
-	a, err := j.f.Pool.Exchange(ctx, j.connectionTarget(e), j.endpointRequest(assignment))
+	r := j.endpointRequest(assignment)
+	a, err := j.f.Pool.Exchange(ctx, j.connectionTarget(e), r)
+	j.recordRelay(r.Relay)
 	if err != nil {
 		j.reason = err.Error()
 		if errors.Is(err, pooler.ErrMayHaveRun) {
@@ -196,6 +208,10 @@
 			j.recordFailure(ctx, e)
 			return outcomeLost
 		}
+		if errors.Is(err, pooler.ErrUnreachable) {
+			j.noConnection = append(j.noConnection, b.Incarnation)
+			return outcomeUnreachable
+		}
 		if errors.Is(err, pooler.ErrWithdrawn) {
 			dispatchesWithdrawn.Inc()
 			j.noConnection = append(j.noConnection, b.Incarnation)
@@ -226,10 +242,18 @@
 	return j.passAnswer(ctx, a, assignment)
 }
 
-// recordFailure counts a failure against an endpoint, unless the caller disconnected or the
-// deadline passed.
+// recordRelay notes the router that relayed an attempt, if any.
+func (j *job) recordRelay(address string) {
+	if address != "" {
+		j.relays = append(j.relays, address)
+		requestsRelayed.Inc()
+	}
+}
+
+// recordFailure counts a failure against an endpoint, unless the caller disconnected, the deadline
+// passed, or this router has lost its path there.
 func (j *job) recordFailure(ctx context.Context, e *predictor.Endpoint) {
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !j.f.Pool.PathLost(e.Name()) {
 		endpointFailures.Inc()
 		e.Gate().Step(time.Since(j.f.start), ejector.Failed, 0)
 	}
@@ -241,7 +265,10 @@
 	routers := float64(max(j.f.Fleet.Routers(), 1))
 	skew := min(max(routers/skewedRouters, 1), maxConnectionSkew)
 	share := int(connectionFraction * skew * float64(j.service.Connections) / routers)
-	return pooler.Target{ID: e.Name(), Address: e.Beat().Address, MaxConnections: max(share, minConnections)}
+	b := e.Beat()
+	return pooler.Target{
+		ID: e.Name(), Address: b.Address, Service: b.Service, Zone: b.Zone, RelayZones: j.zones, MaxConnections: max(share, minConnections),
+	}
 }
 
 // endpointRequest returns the request to send to the assigned endpoint.
@@ -256,7 +283,7 @@
 	}
 	return &pooler.Request{
 		Method: j.r.Method, URI: j.r.RequestURI, Host: j.r.Host,
-		Header: j.f.Wire.EndpointHeader(j.r.Header, s), Body: j.body, ID: j.caller.ID,
+		Header: j.f.Wire.EndpointHeader(j.r.Header, s), Body: j.body, ID: j.caller.ID, Repeatable: j.repeatable(),
 		Confirm: func() bool { return j.f.Table.InService(w.Endpoint()) },
 	}
 }
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -28,6 +28,8 @@
 	slowBodies     = metrics.NewCounter("rattanhoist_slow_bodies_total")
 	// dispatchesWithdrawn counts requests that were not sent because the endpoint left
 	// service while a connection was opened.
+	// requestsRelayed counts attempts that another router relayed.
+	requestsRelayed     = metrics.NewCounter("rattanhoist_requests_relayed_total")
 	dispatchesWithdrawn = metrics.NewCounter("rattanhoist_dispatches_withdrawn_total")
 	endpointFailures    = metrics.NewCounter("rattanhoist_endpoint_failures_total")
 	// Requests that found every endpoint full, by outcome: started after a wait, refused on
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -47,6 +47,9 @@
 	// maxUnreachable is how many endpoints may be unreachable before a request is refused.
 	// None of them received a byte of it.
 	maxUnreachable = 3
+	// maxWithoutPath is how many endpoints without a path are passed over before a request is
+	// refused.
+	maxWithoutPath = 16
 	// retryDelay is the default Retry-After time of refused requests, a few engine steps. A
 	// random part of up to retryJitter is added so that the callers don't return at the
 	// same moment.
@@ -238,6 +241,10 @@
 	noConnection []enroller.Incarnation
 	// unreachable counts the endpoints that could not be reached.
 	unreachable int
+	// withoutPath counts the endpoints to which there was no path, and relays holds the routers
+	// that relayed attempts.
+	withoutPath int
+	relays      []string
 	// mayHaveRun is set if an endpoint may have run the request.
 	mayHaveRun bool
 	// suspected is set if an endpoint broke off while it ran the request, or if the request
@@ -554,6 +561,9 @@
 	if l := j.missedObjective(); l != "" {
 		fields = append(fields, zap.String("late", l))
 	}
+	if len(j.relays) > 0 {
+		fields = append(fields, zap.Strings("relays", j.relays))
+	}
 	if j.suspected {
 		fields = append(fields, zap.Stringer("content", j.fingerprint))
 	}
--- a/loader/node.go
+++ b/loader/node.go
@@ -76,6 +76,9 @@
 	ServiceAdmission bool
 	// CallerLimits bounds the time and the memory that callers may take who send or read slowly.
 	CallerLimits bool
+	// EndpointRelays connects a router to endpoints through other routers while it has no path of
+	// its own, and lets it relay connections for others.
+	EndpointRelays bool
 	// EnginePriorities sends the priorities of requests to endpoints.
 	EnginePriorities bool
 }
@@ -201,7 +204,7 @@
 	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms", "apply_ms", "quarantine_s",
 	"zones", "cold_overshoot", "cold_slack",
 	"limit_overshoot", "limit_slack", "limit_window_s",
-	"processor_share", "paced_claims", "shortage_notices", "load_digests", "service_admission", "engine_priorities", "caller_limits",
+	"processor_share", "paced_claims", "shortage_notices", "load_digests", "service_admission", "engine_priorities", "caller_limits", "endpoint_relays",
 }
 
 // LoadNode reads and validates the settings of one process. The error lists
@@ -246,13 +249,14 @@
 
 // parseFeatures reads which parts of the fleet are switched on.
 func (c *parser) parseFeatures(sec *ini.Section, f *Features) {
-	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true}
+	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true, EndpointRelays: true}
 	c.readBool(sec, "paced_claims", &f.PacedClaims)
 	c.readBool(sec, "shortage_notices", &f.ShortageNotices)
 	c.readBool(sec, "load_digests", &f.LoadDigests)
 	c.readBool(sec, "service_admission", &f.ServiceAdmission)
 	c.readBool(sec, "engine_priorities", &f.EnginePriorities)
 	c.readBool(sec, "caller_limits", &f.CallerLimits)
+	c.readBool(sec, "endpoint_relays", &f.EndpointRelays)
 }
 
 // parseRegions reads the region of each zone in the form ZONE:REGION,ZONE:REGION.
--- a/messenger/guard.go
+++ b/messenger/guard.go
@@ -48,31 +48,36 @@
 }
 
 func (g *guard) check(ctx context.Context, method string) error {
+	c, err := verifyProof(ctx, method, g.now(), func(c claim) ([]byte, bool) {
+		key, known := g.keys[c.role]
+		return key, known
+	})
+	if err != nil || c.role != RoleOperator {
+		return err
+	}
+	if !operatorMethods[method] {
+		return status.Error(codes.PermissionDenied, "operators may not call "+method)
+	}
+	return g.seen.check(c.nonce, g.now())
+}
+
+// verifyProof checks the proof of a call to a method against the key of the caller.
+func verifyProof(ctx context.Context, method string, now time.Time, keyOf func(claim) ([]byte, bool)) (claim, error) {
 	md, _ := metadata.FromIncomingContext(ctx)
 	parts := strings.Split(first(md, proofHeader), ":")
 	if len(parts) != 4 {
-		return status.Error(codes.Unauthenticated, "the call carries no proof of the deployment's key")
+		return claim{}, status.Error(codes.Unauthenticated, "the call carries no proof of the deployment's key")
 	}
 	c := claim{role: Role(parts[0]), node: first(md, nodeHeader), at: parts[1], nonce: parts[2], method: method}
-	key, known := g.keys[c.role]
+	key, known := keyOf(c)
 	if !hmac.Equal([]byte(c.sign(key)), []byte(parts[3])) || !known {
-		return status.Error(codes.Unauthenticated, "the proof does not fit the deployment's key")
+		return claim{}, status.Error(codes.Unauthenticated, "the proof does not fit the deployment's key")
 	}
-	now := g.now()
 	ms, err := strconv.ParseInt(c.at, 10, 64)
 	if err != nil || now.Sub(time.UnixMilli(ms)).Abs() > proofMaxAge {
-		return status.Error(codes.Unauthenticated, "the proof is too old; compare the clocks of the VMs")
-	}
-	if c.role != RoleOperator {
-		return nil
-	}
-	if !operatorMethods[method] {
-		return status.Error(codes.PermissionDenied, "operators may not call "+method)
-	}
-	if !g.seen.first(c.nonce, now) {
-		return status.Error(codes.Unauthenticated, "the proof was used before")
+		return claim{}, status.Error(codes.Unauthenticated, "the proof is too old; compare the clocks of the VMs")
 	}
-	return nil
+	return c, nil
 }
 
 // seenNonces remembers nonces for as long as their proofs are valid, in two
@@ -84,6 +89,14 @@
 	now, old map[string]bool
 }
 
+// check returns an error if the nonce was used before, and remembers it.
+func (s *seenNonces) check(nonce string, now time.Time) error {
+	if !s.first(nonce, now) {
+		return status.Error(codes.Unauthenticated, "the proof was used before")
+	}
+	return nil
+}
+
 // first reports whether the nonce is new, and remembers it.
 func (s *seenNonces) first(nonce string, now time.Time) bool {
 	s.mu.Lock()
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,9 @@
 	linkMessageMost = 32 << 20
 )
 
+// DialFunc opens a TCP connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // Link calls one process. Calls that time out close a connection on which no
 // more than control frames came in for linkSilence: one that was cut silently would else hang
 // long after the cut has healed. One that is just being made, or that answers
@@ -49,8 +53,10 @@
 // first call, and would be closed again. It is safe for concurrent use.
 type Link struct {
 	address string
-	mu      sync.Mutex
-	conn    *grpc.ClientConn
+	// dialAddress opens its connections.
+	dialAddress DialFunc
+	mu          sync.Mutex
+	conn        *grpc.ClientConn
 	// SilentSince is when the first call began of those that timed out since
 	// the last answer; zero if none did.
 	silentSince time.Time
@@ -74,7 +80,7 @@
 }
 
 func (l *Link) dial(ctx context.Context, address string) (net.Conn, error) {
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	c, err := l.dialAddress(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +88,16 @@
 }
 
 // NewLink returns a link to an internal address; it connects when needed.
-func NewLink(address string) *Link { return &Link{address: address} }
+func NewLink(address string) *Link {
+	return NewLinkWithDialer(address, func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	})
+}
+
+// NewLinkWithDialer returns a link whose connections are opened by dial.
+func NewLinkWithDialer(address string, dial DialFunc) *Link {
+	return &Link{address: address, dialAddress: dial}
+}
 
 // Address returns the keeper's internal address.
 func (l *Link) Address() string { return l.address }
@@ -174,6 +189,57 @@
 	return reply, err
 }
 
+// RelayStream carries the bytes of a connection through a router.
+type RelayStream struct {
+	FleetRouter_RelayClient
+	cancel context.CancelCauseFunc
+}
+
+// Close ends the stream, and with it the connection.
+func (s *RelayStream) Close() { s.cancel(context.Canceled) }
+
+// OpenRelay asks a router, as a member of the fleet, for a connection to an endpoint, until timeout
+// or the end of ctx. The stream outlives ctx; the caller closes it.
+func (l *Link) OpenRelay(ctx context.Context, timeout time.Duration, self *FleetMember, endpoint string) (*RelayStream, *RelayResponse, error) {
+	c, err := l.connection()
+	if err != nil {
+		return nil, nil, err
+	}
+	ready, begun := c.GetState() == connectivity.Ready, time.Now()
+	streamCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() { cancel(ctx.Err()) })
+	expiry := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	stream, reply, err := openRelay(streamCtx, c, self, endpoint)
+	if err == nil && stop() && expiry.Stop() {
+		l.heard(c)
+		return &RelayStream{FleetRouter_RelayClient: stream, cancel: cancel}, reply, nil
+	}
+	stop()
+	if context.Cause(streamCtx) == context.DeadlineExceeded && ready && l.forget(c, begun) {
+		_ = c.Close()
+	}
+	if err == nil {
+		// ctx ended, or the timeout passed, just as the response came.
+		err = context.Canceled
+	}
+	cancel(err)
+	return nil, nil, merry.Wrap(err)
+}
+
+// openRelay opens a relay stream and returns its first response.
+func openRelay(ctx context.Context, c *grpc.ClientConn, self *FleetMember, endpoint string) (FleetRouter_RelayClient, *RelayResponse, error) {
+	stream, err := NewFleetRouterClient(c).Relay(ctx, grpc.PerRPCCredentials(memberProof(self)))
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := stream.Send(&RelayRequest{Endpoint: endpoint}); err != nil && err != io.EOF {
+		return nil, nil, err
+	}
+	// After io.EOF of Send, Recv returns the status.
+	reply, err := stream.Recv()
+	return stream, reply, err
+}
+
 func (l *Link) call(ctx context.Context, timeout time.Duration, f func(context.Context, *grpc.ClientConn) error) error {
 	c, err := l.connection()
 	if err != nil {
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -23,6 +24,11 @@
 	Body   []byte
 	// ID is the request id that the answer must contain.
 	ID string
+	// Repeatable is set if the request may run again. One that waits on a connection whose path is
+	// lost is ended, so that it can be sent again.
+	Repeatable bool
+	// Relay is set to the internal address of the router that relayed the request, if any.
+	Relay string
 	// Confirm is called once a connection is available. If it returns false, nothing is
 	// sent. Opening a connection over a busy link takes up to a second, in which the choice
 	// of the endpoint may become invalid. Nil confirms every request.
@@ -58,14 +64,16 @@
 }
 
 // Exchange sends a request and returns its answer once the head has arrived. Errors are
-// ErrNotSent, ErrConnectionLimit, ErrWithdrawn or ErrMayHaveRun.
+// ErrNotSent, ErrUnreachable, ErrConnectionLimit, ErrWithdrawn or ErrMayHaveRun.
 func (p *Pool) Exchange(ctx context.Context, t Target, r *Request) (*Answer, error) {
 	c, err := p.acquire(t, time.Now())
 	if err != nil {
 		return nil, err
 	}
 	if c == nil {
-		if c, err = p.dial(ctx, t); err != nil {
+		if c, err = p.open(ctx, t); errors.Is(err, ErrUnreachable) {
+			return nil, ErrUnreachable
+		} else if err != nil {
 			return nil, merry.Errorf("%w: %s", ErrNotSent, err.Error())
 		}
 	}
@@ -79,9 +87,12 @@
 	}
 	// Closing the connection ends reads and writes at once and tells the endpoint to stop.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	r.Relay = c.relay
+	p.began(c, r.Repeatable)
 	a, err := p.exchange(c, r)
 	if err != nil {
 		stop()
+		p.ended(c)
 		p.discard(c)
 		return nil, merry.Errorf("%w: %s", ErrMayHaveRun, err.Error())
 	}
@@ -205,6 +216,7 @@
 // request was written completely. Otherwise it closes the connection.
 func (a *Answer) Close() {
 	running := a.stopContextClose()
+	a.pool.ended(a.conn)
 	if running && a.complete && a.reuseTimeout > 0 && a.written.Load() && a.conn.reader.Buffered() == 0 {
 		a.pool.release(a.conn, a.reuseTimeout)
 		return
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -4,21 +4,25 @@
 
 import (
 	"bufio"
-	"context"
-	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"rattanhoist.example/rattanhoist/localizer"
+	"rattanhoist.example/rattanhoist/pathfinder"
 )
 
 // Errors of an exchange. Compare with errors.Is.
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = merry.Sentinel("request not sent")
+	// ErrUnreachable means that the path to the endpoint is lost and no other router could relay
+	// the request a moment ago. Nothing was sent, and it says nothing about the endpoint.
+	ErrUnreachable = merry.Sentinel("no path to the endpoint")
 	// ErrMayHaveRun means that the request was sent, at least in part, and that its outcome
 	// is unknown.
 	ErrMayHaveRun = merry.Sentinel("request sent, outcome unknown")
@@ -50,6 +54,9 @@
 	// reuseMargin is how long before the stated timeout a connection is no longer reused: a
 	// request that arrives while the endpoint closes the connection may or may not run.
 	reuseMargin = 1 * time.Second
+	// maxReuseSilence is how long a service may have been silent for a direct connection to be
+	// reused. Packets that are dropped leave it open.
+	maxReuseSilence = 1500 * time.Millisecond
 	// minReuseTimeout is the shortest reuse timeout for which a connection is kept.
 	minReuseTimeout = 500 * time.Millisecond
 	bufferSize      = 4 << 10
@@ -60,6 +67,10 @@
 	// ID is the incarnation. Incarnations don't share connections.
 	ID      string
 	Address string
+	// Service and Zone are those of the endpoint.
+	Service, Zone string
+	// RelayZones are the availability zones of which routers may relay; nil stands for all.
+	RelayZones *localizer.Zones
 	// MaxConnections is the limit on this router's connections to the endpoint.
 	MaxConnections int
 }
@@ -75,20 +86,12 @@
 	// heardAt is when bytes of any endpoint last arrived, in nanoseconds since created.
 	heardAt atomic.Int64
 	created time.Time
-}
-
-// DialFunc opens a TCP connection to an address.
-type DialFunc func(ctx context.Context, address string) (net.Conn, error)
-
-// DialDirect opens a TCP connection that detects the loss of its peer.
-func DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(setAckTimeout)
-		},
-	}
-	return d.DialContext(ctx, "tcp", address)
+	// relays is nil unless connections may go through other routers.
+	relays  RelayDialer
+	paths   *pathfinder.Paths
+	silence *pathfinder.Silence
+	// lostTargets holds the endpoints to which a direct connection failed, by id.
+	lostTargets map[string]Target
 }
 
 // UseDialer makes the pool open connections with a function other than DialDirect. It must be
@@ -120,25 +123,6 @@
 	}
 }
 
-// recordedReader records the bytes read from a connection.
-type recordedReader struct {
-	net.Conn
-	pool *Pool
-}
-
-// Read reads from the connection.
-func (r recordedReader) Read(b []byte) (int, error) {
-	n, err := r.Conn.Read(b)
-	if n > 0 {
-		now := time.Now()
-		r.pool.heardAt.Store(int64(now.Sub(r.pool.created)))
-		if r.pool.link != nil {
-			r.pool.link.Received(now, n)
-		}
-	}
-	return n, err
-}
-
 // dialTimeout returns the current timeout for opening a connection.
 func (p *Pool) dialTimeout() time.Duration {
 	if p.link == nil {
@@ -174,18 +158,70 @@
 // New returns a pool. The function match matches the header of an answer to the request
 // with an id; opened is called for each new connection.
 func New(match func(h http.Header, id string) AnswerMatch, opened func()) *Pool {
-	return &Pool{match: match, peers: map[string]*peer{}, opened: opened, dialAddress: DialDirect, created: time.Now()}
+	return &Pool{
+		match: match, peers: map[string]*peer{}, opened: opened, dialAddress: DialDirect, created: time.Now(),
+		paths: pathfinder.New(), silence: pathfinder.NewSilence(), lostTargets: map[string]Target{},
+	}
 }
 
 // conn is a connection to an endpoint.
 type conn struct {
-	net.Conn
+	transport
 	reader *bufio.Reader
 	target Target
+	// relay is the internal address of the router that relays the connection, or "".
+	relay string
+	// relayZone is that router's availability zone.
+	relayZone string
+	// silence is nil on relayed connections.
+	silence *pathfinder.ServiceSilence
+	// heardAt is when bytes last arrived, in nanoseconds since the pool was created.
+	heardAt atomic.Int64
+	// repeatable is set while a request that may run again waits on the connection.
+	repeatable atomic.Bool
 	// reusableUntil is when an idle connection becomes too old to be reused.
 	reusableUntil time.Time
 }
 
+// newConn returns a connection over a transport.
+func (p *Pool) newConn(t Target, over transport, relay, relayZone string) *conn {
+	c := &conn{transport: over, target: t, relay: relay, relayZone: relayZone}
+	if relay == "" {
+		c.silence = p.silence.Service(t.Service)
+	}
+	c.reader = bufio.NewReaderSize(recordedReader{conn: c, pool: p}, bufferSize)
+	return c
+}
+
+// recordedReader records the bytes read from a connection.
+type recordedReader struct {
+	conn *conn
+	pool *Pool
+}
+
+// Read reads from the connection.
+func (r recordedReader) Read(b []byte) (int, error) {
+	n, err := r.conn.transport.Read(b)
+	if n > 0 {
+		r.pool.recordReceived(r.conn, n)
+	}
+	return n, err
+}
+
+// recordReceived records bytes that arrived on a connection.
+func (p *Pool) recordReceived(c *conn, n int) {
+	now := time.Now()
+	if p.link != nil {
+		p.link.Received(now, n)
+	}
+	at := now.Sub(p.created)
+	c.heardAt.Store(int64(at))
+	if c.silence != nil {
+		p.heardAt.Store(int64(at))
+		c.silence.Heard(at)
+	}
+}
+
 // acquire returns an idle connection that appears to be open. It returns nil if the caller
 // should open a new one, which is counted already.
 func (p *Pool) acquire(t Target, now time.Time) (*conn, error) {
@@ -194,26 +230,41 @@
 		if c == nil || err != nil {
 			return nil, err
 		}
-		if now.Before(c.reusableUntil) && c.reusable() {
+		if now.Before(c.reusableUntil) && !p.doubtful(c, now) && c.reader.Buffered() == 0 && c.Reusable() {
 			return c, nil
 		}
 		p.discard(c)
 	}
 }
 
+// peer returns the connections to an endpoint. It needs p.mu.
+func (p *Pool) peer(id string) *peer {
+	x := p.peers[id]
+	if x == nil {
+		x = &peer{busy: map[*conn]bool{}}
+		p.peers[id] = x
+	}
+	return x
+}
+
+// doubtful reports whether the path of an idle connection may have been lost unnoticed, because
+// nothing of the whole service was heard for a while.
+func (p *Pool) doubtful(c *conn, now time.Time) bool {
+	return p.relays != nil && c.silence != nil && now.Sub(p.created)-c.silence.HeardAt() > maxReuseSilence
+}
+
 // popIdle removes the most recently used idle connection and marks it busy. It returns nil
 // if there is none, and counts a connection to be opened instead.
 func (p *Pool) popIdle(t Target) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	x := p.peers[t.ID]
-	if x == nil {
-		x = &peer{busy: map[*conn]bool{}}
-		p.peers[t.ID] = x
-	}
-	if n := len(x.idle); n > 0 {
-		c := x.idle[n-1]
-		x.idle = x.idle[:n-1]
+	x := p.peer(t.ID)
+	for i := len(x.idle) - 1; i >= 0; i-- {
+		c := x.idle[i]
+		if c.relay != "" && !t.RelayZones.Allows(c.relayZone) {
+			continue
+		}
+		x.idle = slices.Delete(x.idle, i, i+1)
 		x.busy[c] = true
 		return c, nil
 	}
@@ -224,60 +275,6 @@
 	return nil, nil
 }
 
-// reusable reports whether an idle connection is open and has no unread bytes. Unsolicited
-// bytes belong to no request and could not be told from the next answer.
-func (c *conn) reusable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && silent
-}
-
-// dial opens a connection that popIdle has counted.
-func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout())
-	defer cancel()
-	c, err := p.dialAddress(ctx, t.Address)
-	countDial(err)
-	if err != nil {
-		p.uncount(t.ID)
-		return nil, err
-	}
-	p.opened()
-	out := &conn{Conn: c, reader: bufio.NewReaderSize(recordedReader{Conn: c, pool: p}, bufferSize), target: t}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if x := p.peers[t.ID]; x != nil {
-		x.busy[out] = true
-	}
-	return out, nil
-}
-
-// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
-const tcpUserTimeout = 0x12
-
-// setAckTimeout sets ackTimeout on a socket.
-func setAckTimeout(fd uintptr) {
-	// If the option can't be set, the connection hangs for minutes after a silent loss. The
-	// caller's deadline still ends the request.
-	_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
-}
-
 // discard closes a connection and removes it from the pool.
 func (p *Pool) discard(c *conn) {
 	_ = c.Close()
@@ -317,15 +314,30 @@
 	}
 }
 
-// CloseIdle closes the idle connections to an endpoint.
+// CloseIdle closes the idle connections to an endpoint that has left service.
 func (p *Pool) CloseIdle(id string) {
+	p.closeIdle(id, func(*conn) bool { return true })
+	p.paths.Forget(id)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.lostTargets, id)
+}
+
+// closeIdle closes the idle connections to an endpoint that the function selects.
+func (p *Pool) closeIdle(id string, selected func(*conn) bool) {
 	p.mu.Lock()
-	var idle []*conn
+	var closed []*conn
 	if x := p.peers[id]; x != nil {
-		idle, x.idle = x.idle, nil
+		x.idle = slices.DeleteFunc(x.idle, func(c *conn) bool {
+			if selected(c) {
+				closed = append(closed, c)
+				return true
+			}
+			return false
+		})
 	}
 	p.mu.Unlock()
-	for _, c := range idle {
+	for _, c := range closed {
 		p.discard(c)
 	}
 }
@@ -344,14 +356,16 @@
 	}
 }
 
-// CloseExpired closes idle connections that are too old to be reused.
+// CloseExpired closes idle connections that are too old to be reused, and those through relays
+// that are about to stop.
 func (p *Pool) CloseExpired(now time.Time) {
 	var old []*conn
 	p.mu.Lock()
 	for _, x := range p.peers {
 		keep := x.idle[:0]
 		for _, c := range x.idle {
-			if now.Before(c.reusableUntil) {
+			// A relay that is about to stop waits until its connections are closed.
+			if now.Before(c.reusableUntil) && (c.relay == "" || c.Reusable()) {
 				keep = append(keep, c)
 			} else {
 				old = append(old, c)
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -1,6 +1,7 @@
 package predictor
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -135,6 +136,9 @@
 // Endpoint returns the endpoint with the given name, or nil if none is in service.
 func (t *Table) Endpoint(name string) *Endpoint { return (*t.byName.Load())[name] }
 
+// Names returns the names of the endpoints in service.
+func (t *Table) Names() []string { return slices.Collect(maps.Keys(*t.byName.Load())) }
+
 // InService reports whether an endpoint may still receive requests.
 func (t *Table) InService(e *Endpoint) bool {
 	return (*t.byName.Load())[e.name] == e && !e.excluded.Load()
