A sound endpoint that is silent for two seconds is not broken off and not ejected

Cause: TCP_USER_TIMEOUT was 1.5 s. It also ends a connection whose window stays closed, and keepalive probes, whatever their count: with an idle time of 1 s a silence of 0.5 s could do. Connection attempts of 0.4 s that an endpoint did not accept counted as failures, and three of them within one second ejected it. Go rounds a probe interval below a second up to one, so 0.5 s never was in force.

Change: 2.8 s, below the retransmission at 3.0 s that some systems test first; probes each second. Time-outs of connection attempts eject only if they last for two seconds (ejector.TimedOut). The chat interface's router was looked through: deadlines only.

--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -14,8 +14,10 @@
 	// failuresToEject is the number of consecutive failures after which an
 	// endpoint is ejected.
 	failuresToEject = 3
-	minEjection     = time.Second
-	maxEjection     = 30 * time.Second
+	// maxSilence is how long a sound endpoint may accept no connections.
+	maxSilence  = 2 * time.Second
+	minEjection = time.Second
+	maxEjection = 30 * time.Second
 	// maxDoublings is enough to reach maxEjection and prevents an overflow of
 	// the shift.
 	maxDoublings = 5
@@ -33,6 +35,9 @@
 	Succeeded Event = iota
 	// Failed means that a run failed because of the endpoint.
 	Failed
+	// TimedOut means that the endpoint did not accept a connection in time. It may only be silent
+	// for a moment.
+	TimedOut
 	// Dispatched means that a request was sent.
 	Dispatched
 )
@@ -42,6 +47,9 @@
 type State struct {
 	failures  int
 	ejections int
+	// silentSince is when the endpoint first did not accept a connection in time, or 0 if it
+	// answered since. It is in nanoseconds and at least 1.
+	silentSince time.Duration
 	// blockedUntil is 0 while the endpoint is in service. Otherwise no request
 	// may be sent before it, and the first one after it is a probe.
 	blockedUntil time.Duration
@@ -63,9 +71,15 @@
 			s.blockedUntil = now + probeTimeout
 		}
 		return s
-	default:
-		return s.fail(now, random)
+	case TimedOut:
+		if s.silentSince == 0 {
+			s.silentSince = max(now, 1)
+		}
+		if now-s.silentSince < maxSilence {
+			return s
+		}
 	}
+	return s.fail(now, random)
 }
 
 // fail returns the state after a failure. Each ejection doubles the time until
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -61,3 +61,18 @@
 	s := failures(ejector.State{}, 0, 2)
 	gomega.Expect(s.Step(0, ejector.Failed, 0.9).BlockedUntil()).To(gomega.BeNumerically(">", s.Step(0, ejector.Failed, 0.1).BlockedUntil()))
 })
+
+// Guards against ejecting a sound endpoint that accepts no connections for a moment: the attempts of
+// one second must not count as several failures.
+var _ = ginkgo.It("ejects after time-outs only if they last", func() {
+	var s ejector.State
+	for now := time.Second; now < 3*time.Second; now += 100 * time.Millisecond {
+		s = s.Step(now, ejector.TimedOut, 0)
+	}
+	gomega.Expect(s.BlockedUntil()).To(gomega.BeZero())
+	gomega.Expect(s.Step(3*time.Second, ejector.Succeeded, 0)).To(gomega.Equal(ejector.State{}))
+	for range 3 {
+		s = s.Step(3*time.Second, ejector.TimedOut, 0)
+	}
+	gomega.Expect(s.BlockedUntil()).To(gomega.BeNumerically(">", 3*time.Second))
+})
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -222,7 +222,7 @@
 			return outcomeNoConnection
 		}
 		if !j.overloaded() {
-			j.recordFailure(ctx, e)
+			j.recordUnsent(ctx, e, err)
 		}
 		return outcomeUnsent
 	}
@@ -253,9 +253,22 @@
 // recordFailure counts a failure against an endpoint, unless the caller disconnected, the deadline
 // passed, or this router has lost its path there.
 func (j *job) recordFailure(ctx context.Context, e *predictor.Endpoint) {
+	j.recordEndpointEvent(ctx, e, ejector.Failed)
+}
+
+// recordUnsent counts a connection that could not be opened, as recordFailure does.
+func (j *job) recordUnsent(ctx context.Context, e *predictor.Endpoint, err error) {
+	if pooler.TimedOut(err) {
+		j.recordEndpointEvent(ctx, e, ejector.TimedOut)
+		return
+	}
+	j.recordFailure(ctx, e)
+}
+
+func (j *job) recordEndpointEvent(ctx context.Context, e *predictor.Endpoint, event ejector.Event) {
 	if ctx.Err() == nil && !j.f.Pool.PathLost(e.Name()) {
 		endpointFailures.Inc()
-		e.Gate().Step(time.Since(j.f.start), ejector.Failed, 0)
+		e.Gate().Step(time.Since(j.f.start), event, 0)
 	}
 }
 
--- a/pathfinder/paths.go
+++ b/pathfinder/paths.go
@@ -40,6 +40,9 @@
 	// probeInterval is the time between two probes of a lost path, and between two probes that
 	// confirm that it is back.
 	probeInterval = 250 * time.Millisecond
+	// goneDelay is how long a path must be lost before connections over it are given up. An endpoint
+	// that was silent for a moment accepts probes again by then.
+	goneDelay = time.Second
 	// A path that is back must hold for minHold before it is used, and twice as long each time
 	// it is lost within flapWindow, up to maxHold.
 	minHold    = 500 * time.Millisecond
@@ -58,6 +61,8 @@
 type path struct {
 	// lost is set while relays are used in place of the direct path.
 	lost bool
+	// lostAt is when it was lost.
+	lostAt time.Duration
 	// failures counts the direct connection attempts that failed since one succeeded, and
 	// failedAt is when the last one did.
 	failures int
@@ -132,6 +137,18 @@
 	return x != nil && x.lost
 }
 
+// Gone reports whether the direct path to an endpoint has been lost for a while, without a sign of
+// life, so that connections over it are not going to recover soon.
+func (p *Paths) Gone(now time.Duration, id string) bool {
+	if p.troubled.Load() == 0 {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x := p.paths[id]
+	return x != nil && x.lost && x.goodSince == 0 && now-x.lostAt > goneDelay
+}
+
 // LostCount returns the number of endpoints whose direct path is gone.
 func (p *Paths) LostCount() int {
 	if p.troubled.Load() == 0 {
@@ -251,7 +268,7 @@
 	if x.lost {
 		return false
 	}
-	x.lost, x.goodSince, x.probeAt = true, 0, now+probeInterval
+	x.lost, x.lostAt, x.goodSince, x.probeAt = true, now, 0, now+probeInterval
 	p.lostPaths++
 	return true
 }
--- a/pathfinder/paths_test.go
+++ b/pathfinder/paths_test.go
@@ -131,6 +131,19 @@
 	g.Expect(p.Connected(1500*ms, "0")).To(gomega.BeTrue())
 }
 
+// Guards against giving up connections to an endpoint that was silent for a moment: its path counts
+// as lost for a short while.
+func TestSilentEndpointIsNotGone(t *testing.T) {
+	g, p := gomega.NewWithT(t), pathfinder.New()
+	p.Failed(100*ms, "a")
+	p.Failed(200*ms, "a")
+	g.Expect(p.Relayed(210*ms, "a")).To(gomega.BeTrue())
+	p.Connected(500*ms, "a")
+	g.Expect(p.Gone(1300*ms, "a")).To(gomega.BeFalse())
+	p.Failed(1400*ms, "a")
+	g.Expect(p.Gone(1500*ms, "a")).To(gomega.BeTrue())
+}
+
 // Guards against state that grows with every endpoint that ever failed.
 func TestPathsForgetOldTrouble(t *testing.T) {
 	g, p := gomega.NewWithT(t), pathfinder.New()
--- a/pooler/counters.go
+++ b/pooler/counters.go
@@ -1,9 +1,7 @@
 package pooler
 
 import (
-	"context"
 	"errors"
-	"os"
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,7 +30,7 @@
 		dialsConnected.Inc()
 	case errors.Is(err, syscall.ECONNREFUSED):
 		dialsRefused.Inc()
-	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded):
+	case TimedOut(err):
 		dialsTimedOut.Inc()
 	default:
 		dialsFailed.Inc()
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -74,7 +75,7 @@
 		if c, err = p.open(ctx, t); errors.Is(err, ErrUnreachable) {
 			return nil, ErrUnreachable
 		} else if err != nil {
-			return nil, merry.Errorf("%w: %s", ErrNotSent, err.Error())
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
 	if ctx.Err() != nil {
--- a/pooler/paths.go
+++ b/pooler/paths.go
@@ -421,7 +421,7 @@
 	defer p.mu.Unlock()
 	for id, x := range p.peers {
 		for c := range x.busy {
-			if c.direct() && c.repeatable.Load() && now-time.Duration(c.heardAt.Load()) > hungTimeout && p.paths.Lost(id) {
+			if c.direct() && c.repeatable.Load() && now-time.Duration(c.heardAt.Load()) > hungTimeout && p.paths.Gone(now, id) {
 				// The exchange that uses the connection discards it.
 				_ = c.Close()
 			}
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -34,20 +35,28 @@
 	ErrWithdrawn = merry.Sentinel("request withdrawn before it was sent")
 )
 
+// TimedOut reports whether a connection was not opened because the endpoint did not respond in time.
+func TimedOut(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
 const (
 	// minDialTimeout is far above a round trip between availability zones and below the
 	// first retransmission of a lost SYN packet, which comes after 1 s. While bytes are
 	// queued at the VM's own network link, the timeout is longer, up to maxDialTimeout.
 	minDialTimeout = 400 * time.Millisecond
 	maxDialTimeout = 900 * time.Millisecond
-	// ackTimeout ends a connection whose bytes are not acknowledged. It allows for several
-	// retransmissions and is shorter than the time that callers wait for a stream.
-	ackTimeout = 1500 * time.Millisecond
-	// Keepalive probes detect a peer that disappeared while it had nothing to acknowledge,
-	// about as fast as ackTimeout does.
+	// ackTimeout ends a connection whose bytes are not acknowledged, or whose peer does not read. A
+	// sound endpoint may be silent for up to two seconds. It is below 3 s, the time of the fourth
+	// retransmission, since some systems apply the timeout only then.
+	ackTimeout = 2800 * time.Millisecond
+	// Keepalive probes detect a peer that disappeared while it had nothing to acknowledge. Linux
+	// gives them up once ackTimeout has passed since bytes last came, whatever their count; by then
+	// the endpoint may have been silent for keepAliveIdle less.
 	keepAliveIdle     = 1 * time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 2
+	keepAliveInterval = 1 * time.Second
+	keepAliveCount    = 3
 	// defaultReuseTimeout is how long an idle connection may be reused if the endpoint
 	// doesn't state a timeout.
 	defaultReuseTimeout = 4 * time.Second
--- a/relayer/dialer.go
+++ b/relayer/dialer.go
@@ -23,6 +23,18 @@
 	ErrNoRelay = merry.Sentinel("no relay has a path to the endpoint")
 )
 
+// endpointSilentError is the ErrEndpointDown of an endpoint that did not respond to a relay in time.
+type endpointSilentError struct{}
+
+// Error returns the message.
+func (endpointSilentError) Error() string { return "endpoint did not respond to a relay in time" }
+
+// Timeout reports true, as for direct connection attempts that time out.
+func (endpointSilentError) Timeout() bool { return true }
+
+// Is makes the error an ErrEndpointDown.
+func (endpointSilentError) Is(target error) bool { return target == ErrEndpointDown }
+
 const (
 	// openTimeout bounds one request to a relay: a connection to it and one from it.
 	openTimeout = 700 * time.Millisecond
@@ -99,7 +111,7 @@
 			}
 			answered++
 			if errors.Is(r.err, ErrEndpointDown) {
-				err = ErrEndpointDown
+				err = r.err
 			}
 			delay.Reset(0)
 		}
@@ -154,8 +166,10 @@
 // declined records why a relay did not connect, and returns the error.
 func (d *Dialer) declined(now time.Duration, address string, reply *messenger.RelayResponse) error {
 	switch reply.Result {
-	case messenger.RelayResult_RELAY_RESULT_ENDPOINT_REFUSED, messenger.RelayResult_RELAY_RESULT_ENDPOINT_SILENT:
+	case messenger.RelayResult_RELAY_RESULT_ENDPOINT_REFUSED:
 		return ErrEndpointDown
+	case messenger.RelayResult_RELAY_RESULT_ENDPOINT_SILENT:
+		return endpointSilentError{}
 	case messenger.RelayResult_RELAY_RESULT_UNKNOWN_ENDPOINT:
 		return ErrNoRelay
 	}
