Endpoints that limit rejections (Server-Brittle) are sent what finds room

Cause: nothing read the header.

While an endpoint names a limit, a request that might be rejected (less than a quarter of the slots free, requests wait there, or it rejected one within a second) takes a token of the router's share of the limit, split as rate limits are; what finds room is sent as always.

--- a/courier/endpoint_state.go
+++ b/courier/endpoint_state.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/predictor"
+	"rattanhoist.example/rattanhoist/warmer"
 )
 
 // Observe records the state that an endpoint reported in its response to a request sent at
@@ -15,6 +16,9 @@
 	if change.RateLimit {
 		f.rateLimitChanged(e, s.RateLimit)
 	}
+	if change.RejectionLimit {
+		f.rejectionLimitChanged(e, s.RejectionLimit)
+	}
 	if change.SheddingStarted {
 		f.options.Log.Info("endpoint started shedding load", zap.String("endpoint", e.Name()), zap.String("service", e.Beat().Service),
 			zap.Duration("retry_after", s.RetryAfter))
@@ -27,6 +31,13 @@
 	}
 }
 
+// rejectionLimitChanged logs a new limit on rejections, and makes run set the shares of it.
+func (f *fleetView) rejectionLimitChanged(e *predictor.Endpoint, l warmer.RateLimit) {
+	f.rejectionsLimited.Store(true)
+	f.options.Log.Info("endpoint rejection limit changed", zap.String("endpoint", e.Name()), zap.String("service", e.Beat().Service),
+		zap.Bool("limited", l.Limited), zap.Float64("per_second", l.PerSecond))
+}
+
 // removeLeaving removes from service the incarnations that have reported that they are
 // leaving. The removal is permanent: later sightings from keepers can't restore them.
 func (f *fleetView) removeLeaving(now time.Time) {
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -129,6 +129,8 @@
 	rateLimitPolls rateLimitPolls
 	// rateLimited is set once any endpoint has reported a rate limit.
 	rateLimited atomic.Bool
+	// rejectionsLimited is set once any endpoint has reported a limit on rejections.
+	rejectionsLimited atomic.Bool
 }
 
 func newFleetView(o Options, incarnation uint64, table *predictor.Table, pool *pooler.Pool) *fleetView {
--- a/courier/warmup.go
+++ b/courier/warmup.go
@@ -54,6 +54,7 @@
 	x, byBeat, returned := f.index.Load(), f.registered.ColdUntil(now), f.evacuations.load().returned
 	for i, e := range f.endpoints {
 		w.applyRateLimit(now, e)
+		w.applyRejectionLimit(now, e)
 		until, cold := byBeat[i], publisher.ColdStart{}
 		if x != nil {
 			service := x.Service(e.Beat().Service)
@@ -71,10 +72,20 @@
 	maps.DeleteFunc(w.cold, func(i enroller.Incarnation, _ bool) bool { return f.endpoints[i] == nil })
 }
 
+// applyRejectionLimit sets this router's share of the requests that an endpoint might reject.
+func (w *warmup) applyRejectionLimit(now time.Time, e *predictor.Endpoint) {
+	l := e.Warmup().RejectionLimit()
+	if !l.Limited {
+		return
+	}
+	owners, share := warmer.Limit{PerSecond: l.PerSecond, Overshoot: 1, Window: time.Second}.Split()
+	e.Warmup().SetRejectionShare(now, share, w.ownedUntil(now, e, owners))
+}
+
 // needsUpdate reports whether the limits of any endpoint may have to be set.
 func (w *warmup) needsUpdate(f *fleetView) bool {
 	x := f.index.Load()
-	if x == nil || len(w.cold) > 0 || f.rateLimited.Load() {
+	if x == nil || len(w.cold) > 0 || f.rateLimited.Load() || f.rejectionsLimited.Load() {
 		return true
 	}
 	return slices.ContainsFunc(x.Document().Services, func(s publisher.Service) bool { return s.ColdStart.MaxRequestsPerSecond > 0 })
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -234,6 +234,9 @@
 	if !fields.Misdirected {
 		j.f.Fleet.Observe(e, fields.State, sentAt)
 	}
+	if fields.Rejected && e.Warmup().LimitsRejections() {
+		rejectionsWhileLimited.Inc()
+	}
 	if fields.NotRun || fields.Misdirected {
 		j.mayHaveRun = mayHaveRunBefore
 		return j.handleNotRun(a, fields, e)
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -21,7 +21,9 @@
 	// requestsBeforeRetryAfter counts requests sent to an endpoint before its Retry-After
 	// period elapsed.
 	requestsBeforeRetryAfter = metrics.NewCounter("rattanhoist_requests_before_retry_after_total")
-	overloadRefusals         = metrics.NewCounter("rattanhoist_overload_refusals_total")
+	// rejectionsWhileLimited counts rejections by endpoints that limit them.
+	rejectionsWhileLimited = metrics.NewCounter("rattanhoist_rejections_while_limited_total")
+	overloadRefusals       = metrics.NewCounter("rattanhoist_overload_refusals_total")
 	// memoryRefusals counts requests refused because too many bytes were held for callers,
 	// and slowBodies those whose body was not sent in time.
 	memoryRefusals = metrics.NewCounter("rattanhoist_memory_refusals_total")
--- a/predictor/capacity.go
+++ b/predictor/capacity.go
@@ -81,5 +81,9 @@
 	if slots <= 0 || !e.loadKnown(now) {
 		return 0, slots, false
 	}
-	return max(slots-e.activeRequests(now), 0), slots, true
+	free = slots - e.activeRequests(now)
+	if e.warmup.LimitsRejections() {
+		free -= reservedSlots(slots)
+	}
+	return max(free, 0), slots, true
 }
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -138,6 +138,8 @@
 	// routers.
 	reported   Load
 	reportedAt time.Time
+	// rejectedAt is when the endpoint last rejected a request of this router.
+	rejectedAt time.Time
 	// reportedPace is the prefill factor that came with the reported load, or 0, and
 	// paceMeasuredAt when this router last measured its own.
 	reportedPace   float64
@@ -199,6 +201,11 @@
 	Cold time.Duration
 	// RateLimit applies to the requests of all routers combined.
 	RateLimit warmer.RateLimit
+	// RejectionLimit is the rate of rejections for want of room above which the endpoint fails. It
+	// applies to the requests of all routers combined.
+	RejectionLimit warmer.RateLimit
+	// Rejected is set if the response is such a rejection.
+	Rejected bool
 	// Leaving is set if the endpoint is draining and should receive no new requests.
 	Leaving bool
 	// RetryAfter is how long this router should send no requests to the endpoint, which is
@@ -210,8 +217,9 @@
 
 // StateChange describes the effect of recording a State.
 type StateChange struct {
-	// RateLimit is set if the rate limit in effect changed.
-	RateLimit bool
+	// RateLimit is set if the rate limit in effect changed, and RejectionLimit if the rejection
+	// limit did.
+	RateLimit, RejectionLimit bool
 	// SheddingStarted is set if the endpoint started shedding load.
 	SheddingStarted bool
 	// LeavingStarted is set if the endpoint reported that it is leaving and this router
@@ -234,7 +242,11 @@
 	if s.Load != nil {
 		e.ObserveLoad(now, *s.Load)
 	}
+	if s.Rejected {
+		e.recordRejection(now)
+	}
 	return StateChange{
+		RejectionLimit:  e.warmup.ObserveRejectionLimit(s.RejectionLimit, sentAt, now),
 		RateLimit:       e.warmup.ObserveRateLimit(s.RateLimit, sentAt, now),
 		SheddingStarted: e.warmup.ObserveBackoff(withJitter(s.RetryAfter), sentAt, now),
 		LeavingStarted:  s.Leaving && !e.excluded.Swap(true),
--- /dev/null
+++ b/predictor/rejection_test.go
@@ -0,0 +1,50 @@
+package predictor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/warmer"
+)
+
+// Guards against requests that fill an endpoint which limits rejections, or that are sent to it
+// although requests wait there or it has just rejected one; and against leaving it alone while it has
+// room.
+func TestFullEndpointThatLimitsRejectionsIsSpared(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, now := reportingTable("a", 2, "a"), time.Unix(1_000, 0)
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	e, other := x.Endpoints("llm")[0], x.Endpoints("llm")[1]
+	plain := Request{Service: "llm"}
+	chosen := func(ms int) *Endpoint {
+		w := x.Choose(at(ms), plain)
+		if w == nil {
+			return nil
+		}
+		w.endAt(at(ms))
+		return w.Endpoint()
+	}
+	limit := State{RejectionLimit: warmer.RateLimit{Limited: true, PerSecond: 10}}
+	other.Exclude()
+	e.Observe(limit, at(0), at(1))
+	e.ObserveLoad(at(1), Load{Running: 35, Slots: 48})
+	g.Expect(chosen(2)).To(gomega.BeIdenticalTo(e), "it has room")
+	g.Expect(x.Capacity(at(2), plain).Room).To(gomega.Equal(1))
+	e.ObserveLoad(at(3), Load{Running: 36, Slots: 48})
+	g.Expect(chosen(4)).To(gomega.BeNil(), "a quarter of its slots is left free")
+	e.ObserveLoad(at(5), Load{Running: 20, Waiting: 1, Slots: 48})
+	g.Expect(chosen(6)).To(gomega.BeNil(), "requests wait there")
+	e.ObserveLoad(at(7), Load{Running: 20, Slots: 48})
+	e.Observe(State{RejectionLimit: limit.RejectionLimit, Rejected: true}, at(8), at(9))
+	g.Expect(chosen(10)).To(gomega.BeNil(), "it rejected a request")
+	e.ObserveLoad(at(1008), Load{Running: 20, Slots: 48})
+	g.Expect(chosen(1010)).To(gomega.BeIdenticalTo(e))
+	e.ObserveLoad(at(1011), Load{Running: 48, Slots: 48})
+	e.Warmup().SetRejectionShare(at(1011), warmer.Share{Rate: 1, Burst: 1}, at(5000))
+	g.Expect(chosen(1012)).To(gomega.BeIdenticalTo(e), "this router's share of the rejections")
+	g.Expect(chosen(1013)).To(gomega.BeNil())
+	e.Observe(State{}, at(1020), at(1021))
+	g.Expect(chosen(1022)).To(gomega.BeIdenticalTo(e), "the limit has ended")
+}
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -211,7 +211,7 @@
 			return nil
 		}
 		// A concurrent request may have used up what the endpoint still accepts.
-		if best.endpoint.warmup.Admit(now) {
+		if best.endpoint.admit(now) {
 			return best.endpoint.assign(now, a, best)
 		}
 	}
@@ -245,7 +245,7 @@
 	sources := findCacheSources(now, a, candidates, home)
 	crossings := t.crossings(now, a)
 	for _, e := range candidates {
-		if !blocked && e.gate.Blocked(a.Elapsed) || e.excluded.Load() || !e.warmup.Open(now) || slices.Contains(a.Tried, e.beat.Incarnation) {
+		if !blocked && e.gate.Blocked(a.Elapsed) || e.excluded.Load() || !e.admits(now) || slices.Contains(a.Tried, e.beat.Incarnation) {
 			continue
 		}
 		p, c := e.evaluate(now, a, e == home, sources)
--- a/warmer/gate.go
+++ b/warmer/gate.go
@@ -23,6 +23,11 @@
 	backoff backoff
 	// ColdQuota applies while the endpoint is cold, and rateQuota while it is rate limited.
 	coldQuota, rateQuota quota
+	// RejectionLimit is the limit on rejections in effect, and limitsRejections whether there is
+	// one. RiskQuota applies to requests that might be rejected.
+	rejectionLimit   rateLimitState
+	limitsRejections atomic.Bool
+	riskQuota        quota
 }
 
 // SetCold sets until when the endpoint is cold, and the router's share, which it may use until it
@@ -102,6 +107,63 @@
 	return changed
 }
 
+// ObserveRejectionLimit records the limit on rejections reported in the response to a request sent
+// at sentAt. The response was received at receivedAt. It returns whether the limit in effect
+// changed. Until SetRejectionShare is called, no request may be sent that might be rejected.
+func (g *Gate) ObserveRejectionLimit(l RateLimit, sentAt, receivedAt time.Time) bool {
+	if !l.Limited && !g.limitsRejections.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wasLimited := g.rejectionLimit.limit.Limited
+	changed := g.rejectionLimit.observe(l, sentAt, receivedAt)
+	if !wasLimited {
+		g.riskQuota.expires = time.Time{}
+	}
+	g.limitsRejections.Store(g.rejectionLimit.limit.Limited)
+	return changed
+}
+
+// SetRejectionShare sets the router's share of the requests that might be rejected, and when that
+// share expires.
+func (g *Gate) SetRejectionShare(now time.Time, s Share, expires time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.riskQuota.set(now, s, expires)
+}
+
+// RejectionLimit returns the limit on rejections in effect.
+func (g *Gate) RejectionLimit() RateLimit {
+	if !g.limitsRejections.Load() {
+		return RateLimit{}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rejectionLimit.limit
+}
+
+// LimitsRejections reports whether the endpoint limits rejections.
+func (g *Gate) LimitsRejections() bool { return g.limitsRejections.Load() }
+
+// RiskOpen reports whether a request that might be rejected may be sent now.
+func (g *Gate) RiskOpen(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.riskQuota.open(now)
+}
+
+// AdmitRisk reports whether a request that might be rejected may be sent now, and counts it if so.
+func (g *Gate) AdmitRisk(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.riskQuota.open(now) {
+		return false
+	}
+	g.riskQuota.tokens--
+	return true
+}
+
 // RateLimit returns the rate limit in effect.
 func (g *Gate) RateLimit() RateLimit {
 	if !g.restricted.Load() {
