--- a/courier/cluster_test.go
+++ b/courier/cluster_test.go
@@ -43,7 +43,7 @@
 
 func (f *cluster) dataDir(n int) string { return filepath.Join(f.dir, fmt.Sprint("data", n)) }
 
-func (f *cluster) node(kind string, n int, first bool) *loader.Node {
+func (f *cluster) node(kind string, n int, first bool, settings ...string) *loader.Node {
 	text := fmt.Sprintf("[node]\nname = n%d\nkind = %s\nzone = z%d\nip = %s\ninternal_ports = 7340,7355\nseeds = %s,%s,%s\n"+
 		"first_start = %v\nlost_disks = 1\nheartbeat_ms = 300\ngrace_s = 5\n", n, kind, n, f.ip(n), f.controlAddress(1), f.controlAddress(2), f.controlAddress(3), first)
 	if kind == loader.KindKeeper {
@@ -51,6 +51,7 @@
 	} else {
 		text += "serve = " + f.serveAddress(n) + "\nready = " + f.ip(n) + ":8220\n"
 	}
+	text += strings.Join(settings, "\n") + "\n"
 	file := filepath.Join(f.dir, fmt.Sprint("node", n, ".ini"))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
--- a/courier/partition_test.go
+++ b/courier/partition_test.go
@@ -38,7 +38,9 @@
 
 // partition is the network between one router and all endpoints.
 type partition struct {
-	mu     sync.Mutex
+	mu sync.Mutex
+	// spared holds the addresses of the endpoints that are not cut off.
+	spared map[string]bool
 	cut    cut
 	healed chan struct{}
 	conns  map[*partitionedConn]bool
@@ -59,6 +61,9 @@
 		return
 	}
 	for x := range p.conns {
+		if p.spared[x.TCPConn.RemoteAddr().String()] {
+			continue
+		}
 		_ = x.TCPConn.SetLinger(0)
 		_ = x.TCPConn.Close()
 	}
@@ -85,6 +90,9 @@
 	p.mu.Unlock()
 	for {
 		c, changed := p.state()
+		if p.spared[address] {
+			c = cutNone
+		}
 		switch c {
 		case cutRefuse, cutResetRefuse:
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
@@ -119,7 +127,7 @@
 func (c *partitionedConn) await() error {
 	for {
 		state, changed := c.partition.state()
-		if state != cutHang {
+		if state != cutHang || c.partition.spared[c.TCPConn.RemoteAddr().String()] {
 			return nil
 		}
 		select {
@@ -153,10 +161,11 @@
 	return c.TCPConn.Close()
 }
 
-// partitionedRouter starts a router whose connections to endpoints pass through p.
-func (f *cluster) partitionedRouter(n int, p *partition) {
+// partitionedRouter starts a router whose connections to endpoints pass through p, with more lines of
+// settings.
+func (f *cluster) partitionedRouter(n int, p *partition, settings ...string) {
 	c := courier.New(courier.Options{
-		Node: f.node(loader.KindRouter, n, false), Log: zap.NewNop(), Decode: platform.DecodeDocument, Wire: platform.HeaderCodec{},
+		Node: f.node(loader.KindRouter, n, false, settings...), Log: zap.NewNop(), Decode: platform.DecodeDocument, Wire: platform.HeaderCodec{},
 		ClassifyResponse: platform.ClassifyResponse, ReadyPath: platform.ReadyPath, DialEndpoint: p.dial,
 	})
 	f.run(fmt.Sprint("router", n), c.Run)
@@ -356,3 +365,46 @@
 	f.stop("router5")
 	g.Expect(<-done).To(gomega.BeNumerically(">=", 297))
 }
+
+// Guards against a router that refuses the requests for which it has no path, because it still
+// reaches some endpoints and so does not look cut off: with half of the endpoints, all are served in
+// time by either way.
+func TestRouterWithoutSomePathsServesAll(t *testing.T) {
+	f, g := startCluster(t, 99)
+	f.publish(g, 1, document(2, 1_000_000))
+	p := newPartition()
+	p.spared = map[string]bool{}
+	f.partitionedRouter(4, p)
+	f.router(5)
+	for i, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+		address := f.engine(id)
+		f.sendHeartbeats(id, address)
+		p.spared[address] = i < 2
+	}
+	f.awaitServing(g, 4)
+	f.awaitServing(g, 5)
+	for _, c := range []cut{cutHang, cutResetRefuse} {
+		p.set(c)
+		time.Sleep(contactWindow)
+		g.Expect(f.served(4, 100, fmt.Sprint("cut", c))).To(gomega.BeNumerically(">=", 98))
+		p.set(cutNone)
+		time.Sleep(time.Second)
+	}
+}
+
+// Guards against a setting without effect: switched off, a router neither asks relays nor is one.
+func TestRelaysCanBeSwitchedOff(t *testing.T) {
+	f, g := startCluster(t, 100)
+	f.publish(g, 1, document(2, 1_000_000))
+	off, on := newPartition(), newPartition()
+	f.partitionedRouter(4, off, "endpoint_relays = false")
+	f.partitionedRouter(5, on)
+	f.sendHeartbeats("i-1", f.engine("i-1", "Connection", "close"))
+	f.awaitServing(g, 4)
+	f.awaitServing(g, 5)
+	off.set(cutRefuse)
+	g.Expect(f.served(4, 5, "off")).To(gomega.BeZero())
+	off.set(cutNone)
+	on.set(cutRefuse)
+	g.Expect(f.served(5, 5, "on")).To(gomega.BeZero())
+}
--- a/relayer/dialer.go
+++ b/relayer/dialer.go
@@ -94,7 +94,8 @@
 	results := make(chan result, len(candidates))
 	delay := time.NewTimer(0)
 	defer delay.Stop()
-	err, asked, answered := error(ErrNoRelay), 0, 0
+	err := error(ErrNoRelay)
+	asked, answered := 0, 0
 	for answered < len(candidates) {
 		select {
 		case <-delay.C:
@@ -104,13 +105,18 @@
 				delay.Reset(nextRelayDelay)
 			}
 		case r := <-results:
+			answered++
 			if r.err == nil {
-				go discard(results, asked-answered-1)
+				go discard(results, asked-answered)
 				relayedConnections.Inc()
 				return r.conn, nil
 			}
-			answered++
-			if errors.Is(r.err, ErrEndpointDown) {
+			if r.err == ErrEndpointDown {
+				// The endpoint itself answered that nothing listens there.
+				go discard(results, asked-answered)
+				return nil, r.err
+			}
+			if errors.Is(r.err, ErrEndpointDown) || !errors.Is(err, ErrEndpointDown) {
 				err = r.err
 			}
 			delay.Reset(0)
@@ -118,7 +124,10 @@
 	}
 	d.relays.SearchFailed()
 	relaySearchesFailed.Inc()
-	return nil, err
+	if errors.Is(err, ErrEndpointDown) {
+		return nil, err
+	}
+	return nil, merry.Errorf("%w: %s", ErrNoRelay, err.Error())
 }
 
 // discard closes the connections of the last n results.
