--- a/courier/courier.go
+++ b/courier/courier.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	crand "crypto/rand"
+	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"net"
 	"net/http"
 	"sync"
@@ -49,6 +51,8 @@
 	// exitMargin is how long before the end of the grace period the process exits by itself.
 	exitMargin        = 300 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
+	// incarnationLabelBytes is the length of a label that identifies an incarnation in logs.
+	incarnationLabelBytes = 6
 	// callerMemoryDivisor is the part of the process's memory that requests and answers of
 	// callers may hold. The heap grows to nearly twice its live data, and buffers of
 	// connections take as much again.
@@ -144,6 +148,13 @@
 	return max(binary.BigEndian.Uint64(b[:]), 1)
 }
 
+// incarnationLabel identifies an incarnation in logs. The number itself proves membership, and is
+// not to be found there.
+func incarnationLabel(incarnation uint64) string {
+	sum := sha256.Sum256(binary.BigEndian.AppendUint64(nil, incarnation))
+	return hex.EncodeToString(sum[:incarnationLabelBytes])
+}
+
 // AddKeepers adds keeper addresses from changed settings.
 func (c *Router) AddKeepers(seeds []string) {
 	for _, s := range seeds {
@@ -196,7 +207,7 @@
 	}
 	go c.fleet.shedding.run(work, callers.SetKeepAlivesEnabled)
 	go c.lag.Run(work, func() bool { return c.activeRequests.Load() >= minRequestsForLag })
-	c.Log.Info("router started", zap.String("zone", c.Node.Zone()), zap.Strings("seeds", c.Node.Seeds()), zap.Uint64("incarnation", c.incarnation))
+	c.Log.Info("router started", zap.String("zone", c.Node.Zone()), zap.Strings("seeds", c.Node.Seeds()), zap.String("incarnation", incarnationLabel(c.incarnation)))
 	select {
 	case err := <-failed:
 		c.Log.Error("server failed, router exits", zap.Error(err))
