TestRightsLeasedInAnotherZoneAreReached waits until every router serves the service and its endpoint

Cause: the test sent its first request in one zone and its last in another, and awaited neither the configuration nor the endpoint at the last router. Not a fault of the product: a router may learn of a configuration within seconds, and callers come back.

--- a/treasurer/process_test.go
+++ b/treasurer/process_test.go
@@ -166,6 +166,9 @@
 // what its keeper has not leased.
 func TestRightsLeasedInAnotherZoneAreReached(t *testing.T) {
 	d := start(t, 52, 80, "1ms")
+	// Routers learn of the service and of the endpoint at different times, and refuse until then.
+	d.AwaitInForce()
+	d.AwaitEndpoints(1)
 	d.Eventually("first answer", func() bool { return d.trySend("tema-hall-1", "a") })
 	unspent, leased, _ := d.books()
 	d.g.Expect(unspent).To(gomega.BeZero(), "the first lease takes all of a small budget")
