--- a/messenger/counters.go
+++ b/messenger/counters.go
@@ -14,7 +14,7 @@
 	countFailed = expvar.NewMap("rpc_failed")
 )
 
-// count counts a served call by method, and a failed one by method and code.
+// count counts a served call by its method, and also by its code if it failed. It returns err.
 func count(method string, err error) error {
 	name := path.Base(path.Dir(method)) + "/" + path.Base(method)
 	countServed.Add(name, 1)
--- a/messenger/cutter.go
+++ b/messenger/cutter.go
@@ -6,15 +6,15 @@
 	"sync"
 )
 
-// Cutter makes addresses unreachable without a firewall: a cut connection
-// stays open and passes nothing, as in a silent network partition.
+// Cutter simulates network partitions without a firewall: connections to an address that is cut stay
+// open and pass no bytes.
 type Cutter struct {
 	mu sync.Mutex
-	// Cut maps an address to a channel that is closed when it heals.
+	// cut maps unreachable addresses to channels that are closed when they become reachable.
 	cut map[string]chan struct{}
 }
 
-// NewCutter returns a cutter that cuts nothing.
+// NewCutter returns a cutter for which all addresses are reachable.
 func NewCutter() *Cutter { return &Cutter{cut: map[string]chan struct{}{}} }
 
 // Cut makes an address unreachable.
@@ -36,13 +36,14 @@
 	}
 }
 
+// healed returns a channel that is closed when the address becomes reachable, or nil if it is.
 func (c *Cutter) healed(address string) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.cut[address]
 }
 
-// wait blocks while the address is cut.
+// wait blocks until the address is reachable.
 func (c *Cutter) wait(ctx context.Context, address string) error {
 	ch := c.healed(address)
 	if ch == nil {
@@ -56,12 +57,13 @@
 	}
 }
 
+// wrap returns a connection that passes no bytes while its address is cut.
 func (c *Cutter) wrap(n net.Conn, address string) net.Conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &cutConn{Conn: n, cutter: c, address: address, closed: ctx, cancel: cancel}
 }
 
-// cutConn holds reads and writes back while its address is cut.
+// cutConn blocks reads and writes while its address is cut.
 type cutConn struct {
 	net.Conn
 	cutter  *Cutter
--- a/messenger/dialer.go
+++ b/messenger/dialer.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	reconnectBase = 50 * time.Millisecond
-	reconnectMax  = time.Second
-	keepaliveTime = 10 * time.Second
-	keepaliveWait = 2 * time.Second
+	reconnectBase     = 50 * time.Millisecond
+	reconnectMax      = time.Second
+	keepaliveInterval = 10 * time.Second
+	keepaliveTimeout  = 2 * time.Second
 )
 
 // Dialer opens connections to the peers of one node.
@@ -23,7 +23,7 @@
 	role   Role
 	key    []byte
 	cutter *Cutter
-	// Options say how connections are secured.
+	// options are the security settings of connections.
 	options options
 }
 
@@ -32,11 +32,10 @@
 	return &Dialer{node: node, role: role, key: key, cutter: NewCutter(), options: newOptions(list)}
 }
 
-// Cutter returns the place where tests cut this node's connections.
+// Cutter returns the cutter with which tests partition this node.
 func (d *Dialer) Cutter() *Cutter { return d.cutter }
 
-// Dial returns a connection to address that reconnects by itself; the caller
-// closes it.
+// Dial returns a connection to address that reconnects by itself. The caller closes it.
 func (d *Dialer) Dial(address string) (*grpc.ClientConn, error) {
 	options := append(clientTracing(),
 		grpc.WithTransportCredentials(d.options.credentials()),
@@ -46,10 +45,10 @@
 			Backoff:           backoff.Config{BaseDelay: reconnectBase, Multiplier: 2, MaxDelay: reconnectMax},
 			MinConnectTimeout: reconnectMax,
 		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithStaticStreamWindowSize(windowBytes),
 		grpc.WithStaticConnWindowSize(windowBytes),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveWait}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 	)
 	return grpc.NewClient("passthrough:///"+address, options...)
 }
--- a/messenger/guard.go
+++ b/messenger/guard.go
@@ -37,9 +37,9 @@
 type guard struct {
 	keys Keys
 	now  func() time.Time
-	// Seen bars operators' proofs from a second use. Members' proofs are not
-	// kept: at thousands of calls a second they would fill the memory, and
-	// each of their changes carries an identity that counts once.
+	// seen rejects operators' proofs that were used before. Members' proofs are not kept: thousands of
+	// calls a second would fill the memory, and each of their changes has an identity that counts
+	// once.
 	seen *seenNonces
 }
 
@@ -47,6 +47,7 @@
 	return &guard{keys: k, now: now, seen: &seenNonces{}}
 }
 
+// check returns an error unless the call to a method carries a valid proof.
 func (g *guard) check(ctx context.Context, method string) error {
 	c, err := verifyProof(ctx, method, g.now(), func(c claim) ([]byte, bool) {
 		key, known := g.keys[c.role]
@@ -80,9 +81,8 @@
 	return c, nil
 }
 
-// seenNonces remembers nonces for as long as their proofs are valid, in two
-// generations. A proof is valid from proofMaxAge before its time to as long
-// after, so a generation lasts twice that.
+// seenNonces holds nonces for as long as their proofs are valid, in two generations. A proof is valid
+// from proofMaxAge before its time to proofMaxAge after it, so a generation lasts twice that.
 type seenNonces struct {
 	mu       sync.Mutex
 	since    time.Time
@@ -97,7 +97,7 @@
 	return nil
 }
 
-// first reports whether the nonce is new, and remembers it.
+// first reports whether the nonce is new, and records it.
 func (s *seenNonces) first(nonce string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,6 +111,7 @@
 	return true
 }
 
+// first returns the first value of a key, or "".
 func first(md metadata.MD, key string) string {
 	if v := md.Get(key); len(v) > 0 {
 		return v[0]
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -18,55 +18,56 @@
 )
 
 const (
-	// linkConnect bounds one try to connect, the first two packets of each side.
-	// A link that callers fill holds packets back for half a second and more,
-	// and a try that is given up too early is never answered. The first packet
-	// is sent again after a second, so a cut that has healed costs no more.
-	linkConnect = 2500 * time.Millisecond
-	// linkBackoff is the first pause after a refused connection: a process that
-	// starts listens within it.
-	linkBackoff = 50 * time.Millisecond
-	// linkBackoffMost is how long after the end of a cut a link may still
-	// rest.
-	linkBackoffMost = 250 * time.Millisecond
-	// linkSilence is for how long nothing may be heard on a connection where
-	// calls wait: twice what a full link takes for a way and back. What waits to
-	// be sent again on a silent one is sent after as long a pause again.
-	linkSilence = time.Second
-	// linkProgress is how many bytes must come in within linkSilence for a connection to be
-	// kept on which calls time out: more than its control frames take.
-	linkProgress = 2 << 10
-	// linkBuffer keeps the memory of a connection small, in bytes.
-	linkBuffer = 4 << 10
-	// linkMessageMost bounds one message, in bytes: a whole configuration of
-	// thousands of routes.
-	linkMessageMost = 32 << 20
+	// linkConnectTimeout bounds one connection attempt. A network link that callers fill delays
+	// packets by half a second and more, and an attempt that ends too early never succeeds. The
+	// first packet is retransmitted after a second, so the timeout adds no delay after a network
+	// partition.
+	linkConnectTimeout = 2500 * time.Millisecond
+	// linkMinBackoff is the first pause after a refused connection. A starting process listens by
+	// then.
+	linkMinBackoff = 50 * time.Millisecond
+	// linkMaxBackoff is the longest pause between attempts, and so the longest delay after a network
+	// partition.
+	linkMaxBackoff = 250 * time.Millisecond
+	// linkSilenceTimeout is how long a connection with waiting calls may receive nothing: twice the
+	// round trip over a full network link. Retransmissions on a silent connection follow at ever
+	// longer intervals.
+	linkSilenceTimeout = time.Second
+	// minLinkProgressBytes is how many bytes a connection whose calls time out must receive within
+	// linkSilenceTimeout to be kept. Control frames take fewer.
+	minLinkProgressBytes = 2 << 10
+	// linkBufferBytes is the size of each buffer of a connection. It is small, since a process has a
+	// connection to each peer.
+	linkBufferBytes = 4 << 10
+	// maxLinkMessageBytes is the maximum size of a message. A configuration of thousands of routes
+	// fits.
+	maxLinkMessageBytes = 32 << 20
 )
 
 // DialFunc opens a TCP connection to an address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// Link calls one process. Calls that time out close a connection on which no
-// more than control frames came in for linkSilence: one that was cut silently would else hang
-// long after the cut has healed. One that is just being made, or that answers
-// late over a full link, stays: a new one takes two ways and back before its
-// first call, and would be closed again. It is safe for concurrent use.
+// Link calls one process. When calls time out and only control frames arrived for
+// linkSilenceTimeout, the connection is closed: after a network partition it would hang for long. A
+// connection that is being opened, or whose answers are late over a full network link, is kept,
+// since a new one needs two round trips before its first call and would be closed again. It is safe
+// for concurrent use.
 type Link struct {
 	address string
 	// dialAddress opens its connections.
 	dialAddress DialFunc
 	mu          sync.Mutex
 	conn        *grpc.ClientConn
-	// SilentSince is when the first call began of those that timed out since
-	// the last answer; zero if none did.
+	// silentSince is when the first call began of those that timed out since the last answer; zero
+	// if none did.
 	silentSince time.Time
-	// SilentRead is what received was at silentSince.
+	// silentRead is the value of received at silentSince.
 	silentRead int64
-	// Received counts the bytes that came in over all connections.
+	// received counts the bytes received over all connections.
 	received atomic.Int64
 }
 
-// countingConn counts the bytes that come in.
+// countingConn counts the bytes that are received.
 type countingConn struct {
 	net.Conn
 	received *atomic.Int64
@@ -99,7 +100,7 @@
 	return &Link{address: address, dialAddress: dial}
 }
 
-// Address returns the keeper's internal address.
+// Address returns the internal address of the process.
 func (l *Link) Address() string { return l.address }
 
 func (l *Link) connection() (*grpc.ClientConn, error) {
@@ -112,11 +113,11 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(l.dial),
 		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: linkBackoff, Multiplier: 2, MaxDelay: linkBackoffMost},
-			MinConnectTimeout: linkConnect,
+			Backoff:           backoff.Config{BaseDelay: linkMinBackoff, Multiplier: 2, MaxDelay: linkMaxBackoff},
+			MinConnectTimeout: linkConnectTimeout,
 		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(linkMessageMost), grpc.MaxCallSendMsgSize(linkMessageMost)),
-		grpc.WithReadBufferSize(linkBuffer), grpc.WithWriteBufferSize(linkBuffer), grpc.WithSharedWriteBuffer(true),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxLinkMessageBytes), grpc.MaxCallSendMsgSize(maxLinkMessageBytes)),
+		grpc.WithReadBufferSize(linkBufferBytes), grpc.WithWriteBufferSize(linkBufferBytes), grpc.WithSharedWriteBuffer(true),
 		grpc.WithDisableServiceConfig(),
 	)
 	if err != nil {
@@ -131,7 +132,7 @@
 	return l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error { return f(ctx, NewFleetKeeperClient(c)) })
 }
 
-// Await connects and returns nil once calls can be sent.
+// Await connects, and returns nil once calls can be sent.
 func (l *Link) Await(ctx context.Context, timeout time.Duration) error {
 	c, err := l.connection()
 	if err != nil {
@@ -159,7 +160,7 @@
 	return reply, err
 }
 
-// LeaveRights hands rights over to a router.
+// LeaveRights transfers rights to a router.
 func (l *Link) LeaveRights(ctx context.Context, timeout time.Duration, r *LeaveRightsRequest) error {
 	return l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error {
 		_, err := NewFleetRouterClient(c).LeaveRights(ctx, r)
@@ -211,11 +212,11 @@
 	expiry := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
 	stream, reply, err := openRelay(streamCtx, c, self, endpoint)
 	if err == nil && stop() && expiry.Stop() {
-		l.heard(c)
+		l.recordAnswer(c)
 		return &RelayStream{FleetRouter_RelayClient: stream, cancel: cancel}, reply, nil
 	}
 	stop()
-	if context.Cause(streamCtx) == context.DeadlineExceeded && ready && l.forget(c, begun) {
+	if context.Cause(streamCtx) == context.DeadlineExceeded && ready && l.recordTimeout(c, begun) {
 		_ = c.Close()
 	}
 	if err == nil {
@@ -251,14 +252,15 @@
 	err = f(ctx, c)
 	switch {
 	case err == nil:
-		l.heard(c)
-	case status.Code(err) == codes.DeadlineExceeded && ready && l.forget(c, begun):
+		l.recordAnswer(c)
+	case status.Code(err) == codes.DeadlineExceeded && ready && l.recordTimeout(c, begun):
 		_ = c.Close()
 	}
 	return err
 }
 
-func (l *Link) heard(c *grpc.ClientConn) {
+// recordAnswer records that a call over a connection was answered.
+func (l *Link) recordAnswer(c *grpc.ClientConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == c {
@@ -266,10 +268,9 @@
 	}
 }
 
-// forget notes that a call timed out that began at a time. It makes the next
-// call open another connection if this one has been silent for long, and
-// reports whether it did.
-func (l *Link) forget(c *grpc.ClientConn, begun time.Time) bool {
+// recordTimeout records that a call timed out, and when it began. It reports whether the connection
+// has been silent for too long; the next call then opens another one.
+func (l *Link) recordTimeout(c *grpc.ClientConn, begun time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != c {
@@ -279,10 +280,10 @@
 	if l.silentSince.IsZero() {
 		l.silentSince, l.silentRead = begun, received
 	}
-	if time.Since(l.silentSince) < linkSilence {
+	if time.Since(l.silentSince) < linkSilenceTimeout {
 		return false
 	}
-	if received-l.silentRead >= linkProgress {
+	if received-l.silentRead >= minLinkProgressBytes {
 		l.silentSince, l.silentRead = time.Now(), received
 		return false
 	}
@@ -301,11 +302,11 @@
 	}
 }
 
-// NewFleetServer returns a server for the calls of a fleet's processes; the
-// caller registers what it serves.
+// NewFleetServer returns a gRPC server for the calls of a fleet's processes. The caller registers the
+// services.
 func NewFleetServer() *grpc.Server {
 	return grpc.NewServer(
-		grpc.MaxRecvMsgSize(linkMessageMost), grpc.MaxSendMsgSize(linkMessageMost),
-		grpc.ReadBufferSize(linkBuffer), grpc.WriteBufferSize(linkBuffer), grpc.SharedWriteBuffer(true),
+		grpc.MaxRecvMsgSize(maxLinkMessageBytes), grpc.MaxSendMsgSize(maxLinkMessageBytes),
+		grpc.ReadBufferSize(linkBufferBytes), grpc.WriteBufferSize(linkBufferBytes), grpc.SharedWriteBuffer(true),
 	)
 }
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -98,10 +98,9 @@
 	})
 }
 
-// Symptom: a router whose link callers fill hears nothing of keepers for ten
-// seconds and serves an old configuration. Sequence: each call times out before
-// its connection is there, or a moment before its answer comes. Cause: a call
-// that times out closes the connection, and a new one takes as long again.
+// Guards against a router that serves an old configuration because callers fill its network link:
+// each call times out before its connection is open, or just before its answer arrives. If a
+// timeout closes the connection, the next one takes as long again.
 func TestShortTimeoutsLeaveASlowConnectionAlone(t *testing.T) {
 	t.Run("being made", func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -155,9 +154,8 @@
 	g.Expect(counting.accepted.Load()).To(gomega.Equal(int64(1)), "connections made")
 }
 
-// Symptom: a process hears nothing for many seconds after a cut has healed.
-// Sequence: packets of an open connection vanish; calls time out. Cause: the
-// connection sends again at ever longer pauses.
+// Guards against a process that receives nothing for many seconds after a network partition: an open
+// connection whose packets were dropped retransmits at ever longer intervals.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	g := gomega.NewWithT(t)
 	k, l, link := slow(t, 0)
--- a/messenger/packing.go
+++ b/messenger/packing.go
@@ -15,33 +15,34 @@
 	"google.golang.org/grpc/status"
 )
 
-// packingName is the name of the compression on the wire. The rows of a commit
-// say each name several times, in keys and values.
+// packingName is the name of the compression on the wire. The rows of a commit repeat each name in
+// keys and values.
 const packingName = "s2"
 
-// errPacked says that a packed message is larger than any may be.
+// errPacked is returned for a packed message that would exceed maxMessageBytes.
 var errPacked = merry.Sentinel("packed message is too large")
 
 func init() { encoding.RegisterCompressor(packing{}) }
 
-// packing implements encoding.Compressor: a block for each message, in a
-// microsecond for one of a kilobyte.
+// packing implements encoding.Compressor with one block for each message. Packing a kilobyte takes
+// about a microsecond.
 type packing struct{}
 
 // Name returns the name on the wire.
 func (packing) Name() string { return packingName }
 
-// Compress packs what is written once the writer is closed.
+// Compress returns a writer that packs everything written to it when it is closed.
 func (packing) Compress(w io.Writer) (io.WriteCloser, error) { return &packer{to: w}, nil }
 
-// answerPlain keeps the answer to a packed call plain. It is short, and to pack
-// it would grow the stack of a goroutine that lives for one call, which takes
-// longer than the packing.
-func answerPlain(ctx context.Context) {
-	// It fails only outside a call.
+// sendPlainAnswer makes the server send the answer to a packed call unpacked. The answer is short, and
+// packing it would grow the stack of a goroutine that serves a single call, which takes longer than
+// the packing itself.
+func sendPlainAnswer(ctx context.Context) {
+	// It returns an error only outside a call.
 	_ = grpc.SetSendCompressor(ctx, encoding.Identity)
 }
 
+// packer collects a message and packs it when it is closed.
 type packer struct {
 	bytes.Buffer
 	to io.Writer
@@ -52,8 +53,8 @@
 	return err
 }
 
-// Decompress unpacks one message. It looks at the size first: a few bytes may
-// claim gigabytes.
+// Decompress unpacks one message. It checks the stated size first, because a few bytes can state
+// gigabytes.
 func (packing) Decompress(r io.Reader) (io.Reader, error) {
 	b, err := io.ReadAll(r)
 	if err != nil {
@@ -63,36 +64,36 @@
 	if err != nil {
 		return nil, err
 	}
-	if n > maxMessage {
+	if n > maxMessageBytes {
 		return nil, merry.Wrap(errPacked, merry.AppendMessagef("%d bytes", n))
 	}
 	out, err := s2.Decode(nil, b)
 	return bytes.NewReader(out), err
 }
 
-// packedMirror is a mirror's keeper to which commits go packed.
+// packedMirror is a client of a mirror's keeper that sends commits packed.
 type packedMirror struct {
 	BudgetKeeperClient
-	// Plain is when to try again after a mirror of an earlier version could
-	// not unpack, in nanoseconds since the Unix epoch.
-	plain atomic.Int64
+	// plainUntil is until when commits are sent unpacked, because a mirror of an earlier version could
+	// not unpack one, in nanoseconds since the Unix epoch.
+	plainUntil atomic.Int64
 }
 
-// NewPackedMirror returns a keeper whose commits are packed on the wire, or
-// go plain for a while where the mirror can't unpack them.
+// NewPackedMirror returns a client that packs commits, and sends them unpacked for a while after the
+// mirror could not unpack one.
 func NewPackedMirror(k BudgetKeeperClient) BudgetKeeperClient {
 	return &packedMirror{BudgetKeeperClient: k}
 }
 
-// Copy brings the mirror's copy from one commit to the next.
+// Copy updates the mirror's copy from one commit to the next.
 func (m *packedMirror) Copy(ctx context.Context, r *CopyRequest, o ...grpc.CallOption) (*CopyReply, error) {
-	if time.Now().UnixNano() < m.plain.Load() {
+	if time.Now().UnixNano() < m.plainUntil.Load() {
 		return m.BudgetKeeperClient.Copy(ctx, r, o...)
 	}
 	out, err := m.BudgetKeeperClient.Copy(ctx, r, append(o, grpc.UseCompressor(packingName))...)
 	if status.Code(err) != codes.Unimplemented {
 		return out, err
 	}
-	m.plain.Store(time.Now().Add(plainFor).UnixNano())
+	m.plainUntil.Store(time.Now().Add(plainDuration).UnixNano())
 	return m.BudgetKeeperClient.Copy(ctx, r, o...)
 }
--- a/messenger/packing_test.go
+++ b/messenger/packing_test.go
@@ -33,16 +33,15 @@
 	}
 }
 
-// Symptom: a keeper runs out of memory on a message of a few bytes. Sequence:
-// a message that claims to be larger than any may be. Cause: memory taken
-// before the size is looked at.
+// Guards against a keeper that runs out of memory on a message of a few bytes, which states a size
+// above the maximum, because memory is allocated before the size is checked.
 func TestPackedMessageMayNotClaimTooMuch(t *testing.T) {
 	g := gomega.NewWithT(t)
-	_, err := packing{}.Decompress(bytes.NewReader(binary.AppendUvarint(nil, maxMessage+1)))
+	_, err := packing{}.Decompress(bytes.NewReader(binary.AppendUvarint(nil, maxMessageBytes+1)))
 	g.Expect(err).To(gomega.MatchError(errPacked))
 }
 
-// earlierMirror can't unpack; it notes how each commit came.
+// earlierMirror can't unpack messages. It records whether each commit was packed.
 type earlierMirror struct {
 	BudgetKeeperClient
 	packed []bool
@@ -56,9 +55,8 @@
 	return &CopyReply{State: r.State}, nil
 }
 
-// Symptom: a keeper loses its mirror for as long as that is of an earlier
-// version. Sequence: commits to such a mirror. Cause: commits that only come
-// packed.
+// Guards against a keeper that loses its mirror while that is of an earlier version, because commits
+// are only sent packed.
 func TestEarlierMirrorGetsPlainCommits(t *testing.T) {
 	g := gomega.NewWithT(t)
 	m := &earlierMirror{}
--- a/messenger/proof.go
+++ b/messenger/proof.go
@@ -15,7 +15,7 @@
 	"google.golang.org/grpc/status"
 )
 
-// Role is what a peer proves to be.
+// Role is the role that a peer proves to have.
 type Role string
 
 // Roles of peers.
@@ -27,14 +27,14 @@
 const (
 	proofHeader = "rattanhoist-proof"
 	nodeHeader  = "rattanhoist-node"
-	// proofMaxAge bounds how long a recorded proof may be replayed, to the
-	// same method only; it also bounds the clock difference between VMs.
+	// proofMaxAge is how long a recorded proof can be replayed, to the same method only. Clocks of VMs
+	// must not differ by more.
 	proofMaxAge = time.Minute
 	nonceBytes  = 12
 )
 
-// claim is what a proof signs. The method is part of it: without it, whoever
-// records a harmless call could send its proof along with a top-up.
+// claim is the content that a proof signs. It contains the method, so that the proof of a recorded call
+// can't be used for another method, such as a top-up.
 type claim struct {
 	role   Role
 	node   string
@@ -43,6 +43,7 @@
 	method string
 }
 
+// sign returns the signature of the claim with a key.
 func (c claim) sign(key []byte) string {
 	m := hmac.New(sha256.New, key)
 	for _, part := range []string{string(c.role), c.node, c.at, c.nonce, c.method} {
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -13,17 +13,17 @@
 	g := newGuard(k, time.Now)
 	options := append(serverTracing(),
 		grpc.Creds(newOptions(list).credentials()),
-		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.StaticStreamWindowSize(windowBytes),
 		grpc.StaticConnWindowSize(windowBytes),
-		// The library's default ends connections that ping as often as Dial
-		// does; calls in progress would fail every half minute.
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
+		// With the library's default, the server closes connections that ping as often as those of
+		// Dial, and calls in progress would fail every half minute.
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2}),
 		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, info *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
 			if err := g.check(ctx, info.FullMethod); err != nil {
 				return nil, count(info.FullMethod, err)
 			}
-			answerPlain(ctx)
+			sendPlainAnswer(ctx)
 			out, err := h(ctx, req)
 			return out, count(info.FullMethod, err)
 		}),
--- a/messenger/spend_server.go
+++ b/messenger/spend_server.go
@@ -14,28 +14,27 @@
 	"rattanhoist.example/rattanhoist/tracer"
 )
 
-// spendMost bounds the calls of one stream that are served at once, leases and
-// others each. More leases wait, as many as the router has workspaces: it has
-// one open for each. More of the others wait unread.
-const spendMost = 256
+// maxConcurrentSpends is the maximum number of leases, and of other calls, of one stream that are
+// served at a time. Further leases wait; there is at most one for each workspace of the router.
+// Further other calls are not read.
+const maxConcurrentSpends = 256
 
-// spendServer serves one router's stream.
+// spendServer serves the stream of one router.
 type spendServer struct {
 	keeper  BudgetKeeperServer
 	stream  BudgetKeeper_SpendServer
 	opening *SpendOpening
-	// Places and leasePlaces have a place for each call that is served. Leases
-	// wait for other zones, half a second for each question to one that is cut
-	// off: in the same places they would hold up every charge, and with it the
-	// end of every answer.
-	places, leasePlaces chan struct{}
-	// Sending guards the stream's sends.
+	// slots and leaseSlots limit the calls served at a time. Leases have slots of their own: they wait
+	// for other zones, half a second for each request to one that is partitioned, and would delay
+	// every charge, and with it the end of every answer.
+	slots, leaseSlots chan struct{}
+	// sending guards the stream's sends.
 	sending sync.Mutex
 }
 
-// ServeSpend answers the calls of a stream by the keeper's own methods, until
-// the stream ends. All are made as the router that opened it, and that is the
-// node whose proof came with the stream.
+// ServeSpend serves the calls of a stream with the keeper's own methods until the stream ends. All
+// calls count as those of the router that opened the stream, which must be the node that proved its
+// membership.
 func ServeSpend(k BudgetKeeperServer, stream BudgetKeeper_SpendServer) error {
 	first, err := stream.Recv()
 	if err != nil {
@@ -48,7 +47,7 @@
 	if node := provedNode(stream.Context()); o.Router != node {
 		return status.Errorf(codes.PermissionDenied, "opening: router: %q has proved to be %q", o.Router, node)
 	}
-	s := &spendServer{keeper: k, stream: stream, opening: o, places: make(chan struct{}, spendMost), leasePlaces: make(chan struct{}, spendMost)}
+	s := &spendServer{keeper: k, stream: stream, opening: o, slots: make(chan struct{}, maxConcurrentSpends), leaseSlots: make(chan struct{}, maxConcurrentSpends)}
 	var work sync.WaitGroup
 	defer work.Wait()
 	for {
@@ -60,22 +59,22 @@
 			return err
 		}
 		if r.GetLease() != nil {
-			// It waits for its place in lease, and not here.
+			// It waits for its slot in lease, so that the calls behind it are read.
 			work.Go(func() { s.serve(r) })
 			continue
 		}
-		if err := enter(stream.Context(), s.places); err != nil {
+		if err := acquireSlot(stream.Context(), s.slots); err != nil {
 			return err
 		}
 		work.Go(func() {
-			defer leave(s.places)
+			defer releaseSlot(s.slots)
 			s.serve(r)
 		})
 	}
 }
 
-// enter takes a place, or fails with the context.
-func enter(ctx context.Context, places chan struct{}) error {
+// acquireSlot acquires a slot, or returns the error of the context.
+func acquireSlot(ctx context.Context, places chan struct{}) error {
 	select {
 	case places <- struct{}{}:
 		return nil
@@ -84,14 +83,16 @@
 	}
 }
 
-func leave(places chan struct{}) { <-places }
+// releaseSlot releases a slot.
+func releaseSlot(places chan struct{}) { <-places }
 
-// provedNode returns the name that the checked proof of a call is for.
+// provedNode returns the name of the node whose proof was checked for a call.
 func provedNode(ctx context.Context) string {
 	md, _ := metadata.FromIncomingContext(ctx)
 	return first(md, nodeHeader)
 }
 
+// serve serves one call and sends its answer.
 func (s *spendServer) serve(r *SpendRequest) {
 	ctx := s.stream.Context()
 	if r.WaitMs > 0 {
@@ -110,10 +111,11 @@
 	out.Number = r.Number
 	s.sending.Lock()
 	defer s.sending.Unlock()
-	// Where it fails, the stream has ended, and its reader hears of it.
+	// After an error, the stream has ended and its reader returns.
 	_ = s.stream.Send(out)
 }
 
+// methodOf returns the gRPC method that a call on the stream stands for.
 func methodOf(r *SpendRequest) string {
 	switch r.Call.(type) {
 	case *SpendRequest_Lease:
@@ -129,8 +131,7 @@
 	}
 }
 
-// answer fills in whose call it is: what a message on the stream says of that
-// does not count.
+// answer calls the keeper as the router that opened the stream, whatever sender the message states.
 func (s *spendServer) answer(ctx context.Context, r *SpendRequest) (*SpendReply, error) {
 	o := s.opening
 	switch c := r.Call.(type) {
@@ -143,11 +144,11 @@
 		m, err := s.keeper.Return(ctx, c.Return)
 		return &SpendReply{Answer: &SpendReply_Return{Return: m}}, err
 	case *SpendRequest_Charge:
-		s.own(c.Charge)
+		s.setSender(c.Charge)
 		m, err := s.keeper.Charge(ctx, c.Charge)
 		return &SpendReply{Answer: &SpendReply_Charge{Charge: m}}, err
 	case *SpendRequest_Witness:
-		s.own(c.Witness)
+		s.setSender(c.Witness)
 		m, err := s.keeper.Witness(ctx, c.Witness)
 		return &SpendReply{Answer: &SpendReply_Charge{Charge: m}}, err
 	default:
@@ -155,14 +156,16 @@
 	}
 }
 
+// lease serves a lease once there is a slot for it.
 func (s *spendServer) lease(ctx context.Context, r *LeaseRequest) (*LeaseReply, error) {
-	if err := enter(ctx, s.leasePlaces); err != nil {
+	if err := acquireSlot(ctx, s.leaseSlots); err != nil {
 		return nil, err
 	}
-	defer leave(s.leasePlaces)
+	defer releaseSlot(s.leaseSlots)
 	return s.keeper.Lease(ctx, r)
 }
 
-func (s *spendServer) own(r *ChargeRequest) {
+// setSender makes a charge that of the router that opened the stream.
+func (s *spendServer) setSender(r *ChargeRequest) {
 	r.Router, r.Incarnation, r.Zone = s.opening.Router, s.opening.Incarnation, s.opening.Zone
 }
--- a/messenger/spend_stream.go
+++ b/messenger/spend_stream.go
@@ -13,42 +13,41 @@
 	"rattanhoist.example/rattanhoist/tracer"
 )
 
-// spendQueue is how many calls wait for the stream's sender; more wait in their
-// callers.
-const spendQueue = 64
+// spendQueueLength is the number of calls that are queued for the sender of a stream. Further callers
+// block.
+const spendQueueLength = 64
 
-// spendCall is a call on its way to the sender.
+// spendCall is a call that is queued for the sender.
 type spendCall struct {
 	ctx     context.Context
 	request *SpendRequest
 }
 
-// spendStream is a router's end of one stream. It never opens again: what was
-// open when it broke has an unknown outcome.
+// spendStream is the router's end of one stream. It is not opened again after it ended. The outcome of
+// calls that were unanswered then is unknown.
 type spendStream struct {
 	opening *SpendOpening
 	calls   chan spendCall
-	// Ended is closed after err is set.
+	// ended is closed after err is set.
 	ended chan struct{}
 	err   error
-	// Mu guards the fields below, and the end.
-	mu   sync.Mutex
-	last uint64
-	// Open maps the numbers of unanswered calls to where the answer goes, with
-	// room for it.
-	open map[uint64]chan *SpendReply
+	// mu guards the fields below, and the end of the stream.
+	mu sync.Mutex
+	// lastNumber is the number of the last call.
+	lastNumber uint64
+	// unanswered maps the numbers of calls without an answer to buffered channels for it.
+	unanswered map[uint64]chan *SpendReply
 }
 
 func newSpendStream(o *SpendOpening) *spendStream {
 	return &spendStream{
-		opening: o, calls: make(chan spendCall, spendQueue), ended: make(chan struct{}),
-		open: map[uint64]chan *SpendReply{},
+		opening: o, calls: make(chan spendCall, spendQueueLength), ended: make(chan struct{}),
+		unanswered: map[uint64]chan *SpendReply{},
 	}
 }
 
-// run opens the stream and sends until it ends. Callers never wait for it
-// beyond their own time: a connection that is cut in silence takes nothing
-// for as long as nobody has noticed.
+// run opens the stream and sends calls until it ends. A send may block for long on a connection that
+// is partitioned without notice, so callers wait for it only until their own deadlines.
 func (t *spendStream) run(ctx context.Context, k BudgetKeeperClient) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -70,10 +69,11 @@
 	if stream.Send(&SpendRequest{Call: &SpendRequest_Opening{Opening: t.opening}}) == nil {
 		t.send(stream)
 	}
-	// Where sending failed, the receiver hears why.
+	// After a failed send, the receiver gets the error.
 	<-t.ended
 }
 
+// send sends queued calls until the stream ends or a send fails.
 func (t *spendStream) send(stream BudgetKeeper_SpendClient) {
 	for {
 		select {
@@ -83,7 +83,7 @@
 			if c.ctx.Err() != nil {
 				continue
 			}
-			c.request.WaitMs = waitOf(c.ctx)
+			c.request.WaitMs = remainingMS(c.ctx)
 			if stream.Send(c.request) != nil {
 				return
 			}
@@ -91,9 +91,9 @@
 	}
 }
 
-// waitOf returns the time that a caller has left, at least a millisecond, or 0
-// where it waits without end.
-func waitOf(ctx context.Context) uint32 {
+// remainingMS returns the time until the deadline of a caller in milliseconds, at least 1, or 0 if
+// there is no deadline.
+func remainingMS(ctx context.Context) uint32 {
 	d, ok := ctx.Deadline()
 	if !ok {
 		return 0
@@ -101,6 +101,7 @@
 	return uint32(max(time.Until(d).Milliseconds(), 1))
 }
 
+// receive passes answers to their callers until the stream ends.
 func (t *spendStream) receive(stream BudgetKeeper_SpendClient) {
 	for {
 		r, err := stream.Recv()
@@ -112,8 +113,8 @@
 			return
 		}
 		t.mu.Lock()
-		done := t.open[r.Number]
-		delete(t.open, r.Number)
+		done := t.unanswered[r.Number]
+		delete(t.unanswered, r.Number)
 		t.mu.Unlock()
 		if done != nil {
 			done <- r
@@ -121,18 +122,19 @@
 	}
 }
 
-// end fails every open call; only the first error counts.
+// end ends the stream, which fails every unanswered call. Only the first error counts.
 func (t *spendStream) end(err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.over() {
+	if t.hasEnded() {
 		return
 	}
 	t.err = err
 	close(t.ended)
 }
 
-func (t *spendStream) over() bool {
+// hasEnded reports whether the stream has ended.
+func (t *spendStream) hasEnded() bool {
 	select {
 	case <-t.ended:
 		return true
@@ -141,17 +143,17 @@
 	}
 }
 
-// call sends a request and returns the answer to it, or fails with the
-// context, with the stream, or as the keeper says.
+// call sends a request and returns its answer. It returns an error if the context or the stream ends
+// before, or if the keeper answers with an error.
 func (t *spendStream) call(ctx context.Context, method string, r *SpendRequest) (out *SpendReply, err error) {
 	ctx, span := tracer.StartClientSpan(ctx, method)
 	defer func() { span.End(err) }()
 	r.Traceparent = tracer.Traceparent(ctx)
 	done := make(chan *SpendReply, 1)
 	t.mu.Lock()
-	t.last++
-	r.Number = t.last
-	t.open[r.Number] = done
+	t.lastNumber++
+	r.Number = t.lastNumber
+	t.unanswered[r.Number] = done
 	t.mu.Unlock()
 	select {
 	case t.calls <- spendCall{ctx: ctx, request: r}:
@@ -163,11 +165,11 @@
 	case <-ctx.Done():
 		err = status.FromContextError(ctx.Err()).Err()
 	case <-t.ended:
-		out, err = t.late(done)
+		out, err = t.answerAtEnd(done)
 	}
 	if err != nil {
 		t.mu.Lock()
-		delete(t.open, r.Number)
+		delete(t.unanswered, r.Number)
 		t.mu.Unlock()
 		return nil, err
 	}
@@ -177,8 +179,8 @@
 	return out, nil
 }
 
-// late returns an answer that came just before the end.
-func (t *spendStream) late(done <-chan *SpendReply) (*SpendReply, error) {
+// answerAtEnd returns an answer that arrived just before the stream ended, or the error of the stream.
+func (t *spendStream) answerAtEnd(done <-chan *SpendReply) (*SpendReply, error) {
 	select {
 	case out := <-done:
 		return out, nil
--- a/messenger/spender.go
+++ b/messenger/spender.go
@@ -10,30 +10,30 @@
 	"google.golang.org/grpc/status"
 )
 
-// plainFor is how long calls go one by one after a keeper of an earlier
-// version did not know the stream.
-const plainFor = 10 * time.Second
+// plainDuration is how long calls are made without a stream after a keeper of an earlier version did
+// not support it.
+const plainDuration = 10 * time.Second
 
-// spender is a keeper of budgets whose leases, returns and charges share one
-// stream, so that their proof is made and checked once and not with each.
+// spender is a client of a keeper of budgets that sends leases, returns and charges over one stream, so
+// that the proof is made and checked once for all of them.
 type spender struct {
 	BudgetKeeperClient
 	zone string
 	ctx  context.Context
 	work sync.WaitGroup
-	// Mu guards the fields below.
+	// mu guards the fields below.
 	mu sync.Mutex
-	// Current is the stream of the latest incarnation, nil before the first
-	// call.
-	current    *spendStream
+	// current is the stream of the latest incarnation, or nil before the first call.
+	current *spendStream
+	// plainUntil is until when calls are made without a stream.
 	plainUntil time.Time
 	closed     bool
 }
 
-// NewSpender returns a keeper that carries leases, returns and charges over
-// one stream, opened by the first call and again after it broke. A call whose
-// stream breaks fails as one whose connection broke: its outcome is not known.
-// The returned function ends the stream and leaves k open.
+// NewSpender returns a client that sends leases, returns and charges over one stream. The stream is
+// opened by the first call, and opened again after it broke. A call whose stream breaks fails like one
+// whose connection breaks: its outcome is unknown. The returned function ends the stream and leaves k
+// open.
 func NewSpender(k BudgetKeeperClient, zone string) (BudgetKeeperClient, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &spender{BudgetKeeperClient: k, zone: zone, ctx: ctx}
@@ -46,7 +46,7 @@
 	}
 }
 
-// Lease asks for rights.
+// Lease requests rights.
 func (s *spender) Lease(ctx context.Context, r *LeaseRequest, o ...grpc.CallOption) (*LeaseReply, error) {
 	t := s.stream(r.Router, r.Incarnation)
 	if t == nil {
@@ -55,10 +55,10 @@
 	out, err := t.call(ctx, BudgetKeeper_Lease_FullMethodName, &SpendRequest{Call: &SpendRequest_Lease{Lease: &LeaseRequest{
 		Workspace: r.Workspace, Sequence: r.Sequence, WantTokens: r.WantTokens, DemandTokensPerSecond: r.DemandTokensPerSecond,
 	}}})
-	return typed(out.GetLease(), s.noted(err))
+	return requireAnswer(out.GetLease(), s.recordSupport(err))
 }
 
-// Return gives rights back.
+// Return returns rights.
 func (s *spender) Return(ctx context.Context, r *ReturnRequest, o ...grpc.CallOption) (*ReturnReply, error) {
 	t := s.stream(r.Router, r.Incarnation)
 	if t == nil {
@@ -67,7 +67,7 @@
 	out, err := t.call(ctx, BudgetKeeper_Return_FullMethodName, &SpendRequest{Call: &SpendRequest_Return{Return: &ReturnRequest{
 		Workspace: r.Workspace, Sequence: r.Sequence, Tokens: r.Tokens,
 	}}})
-	return typed(out.GetReturn(), s.noted(err))
+	return requireAnswer(out.GetReturn(), s.recordSupport(err))
 }
 
 // Charge bills requests.
@@ -77,7 +77,7 @@
 		return s.BudgetKeeperClient.Charge(ctx, r, o...)
 	}
 	out, err := t.call(ctx, BudgetKeeper_Charge_FullMethodName, &SpendRequest{Call: &SpendRequest_Charge{Charge: &ChargeRequest{Charges: r.Charges}}})
-	return typed(out.GetCharge(), s.noted(err))
+	return requireAnswer(out.GetCharge(), s.recordSupport(err))
 }
 
 // Witness stores charges for the keeper of the router's own zone.
@@ -87,31 +87,31 @@
 		return s.BudgetKeeperClient.Witness(ctx, r, o...)
 	}
 	out, err := t.call(ctx, BudgetKeeper_Witness_FullMethodName, &SpendRequest{Call: &SpendRequest_Witness{Witness: &ChargeRequest{Charges: r.Charges}}})
-	return typed(out.GetCharge(), s.noted(err))
+	return requireAnswer(out.GetCharge(), s.recordSupport(err))
 }
 
-// typed fails where the keeper has answered with something else.
-func typed[M any](m *M, err error) (*M, error) {
+// requireAnswer returns an error if the answer of the keeper is of another type than the call.
+func requireAnswer[M any](m *M, err error) (*M, error) {
 	if err == nil && m == nil {
 		err = status.Error(codes.Internal, "the keeper's answer is not one to the call")
 	}
 	return m, err
 }
 
-// noted remembers a keeper that does not know the stream; the same call made
-// again goes to it plain.
-func (s *spender) noted(err error) error {
+// recordSupport records whether the keeper supports the stream, by the error of a call. If it does not,
+// the next calls are made without one.
+func (s *spender) recordSupport(err error) error {
 	if status.Code(err) == codes.Unimplemented {
 		s.mu.Lock()
-		s.plainUntil = time.Now().Add(plainFor)
+		s.plainUntil = time.Now().Add(plainDuration)
 		s.mu.Unlock()
 	}
 	return err
 }
 
-// stream returns the stream of an incarnation, a new one where it broke, or
-// nil where the call is to go plain: to a keeper of an earlier version, and
-// for what an earlier incarnation has left.
+// stream returns the stream of an incarnation, which is a new one after a break. It returns nil if the
+// call is to be made without a stream: to a keeper of an earlier version, or for an earlier
+// incarnation.
 func (s *spender) stream(router string, incarnation uint64) *spendStream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -119,7 +119,7 @@
 	if s.closed || time.Now().Before(s.plainUntil) || t != nil && incarnation < t.opening.Incarnation {
 		return nil
 	}
-	if t != nil && t.opening.Incarnation == incarnation && !t.over() {
+	if t != nil && t.opening.Incarnation == incarnation && !t.hasEnded() {
 		return t
 	}
 	if t != nil {
--- a/messenger/spender_test.go
+++ b/messenger/spender_test.go
@@ -115,9 +115,9 @@
 	return err
 }
 
-// Symptom: a call waits for another's answer, or gets it. Sequence: a lease
-// that the keeper holds back, charges meanwhile, a refused return. Cause:
-// answers taken in order and not by number, or a failure without its code.
+// Guards against a call that waits for the answer of another, or gets it, because answers are matched
+// by their order and not by number. The keeper delays a lease, answers charges meanwhile and refuses
+// a return, whose error code must arrive.
 func TestAnswersOnAStreamAreMatchedByNumber(t *testing.T) {
 	b := newSpendBench(t, "osu-hall-1", memberKey)
 	ctx := t.Context()
@@ -142,16 +142,14 @@
 	}
 }
 
-// Symptom: no charge of a router goes through, and no answer completes, while
-// zones are cut off. Sequence: more budgets than a stream serves at once run
-// short; each lease waits for the zones that do not answer; a charge follows.
-// Cause: leases that wait took the places of charges.
+// Guards against answers that don't complete while zones are partitioned: more leases than a stream
+// serves at a time wait for zones that don't answer, and must not take the slots of charges.
 func TestWaitingLeasesHoldUpNoCharge(t *testing.T) {
 	b := newSpendBench(t, "osu-hall-1", memberKey)
 	ctx, cancel := context.WithCancel(t.Context())
 	var all sync.WaitGroup
 	b.Expect(b.charge("before", 5, time.Minute)).To(gomega.Succeed())
-	for range 2 * spendMost {
+	for range 2 * maxConcurrentSpends {
 		all.Go(func() { _, _ = b.client.Lease(ctx, &LeaseRequest{Router: "osu-hall-1", Incarnation: 5}) })
 	}
 	t.Cleanup(all.Wait)
@@ -160,17 +158,15 @@
 	b.Eventually(func() int {
 		current.mu.Lock()
 		defer current.mu.Unlock()
-		return len(current.open) - len(current.calls)
-	}, "10s").Should(gomega.Equal(2 * spendMost))
+		return len(current.unanswered) - len(current.calls)
+	}, "10s").Should(gomega.Equal(2 * maxConcurrentSpends))
 	b.Expect(b.charge("meanwhile", 5, 5*time.Second)).To(gomega.Succeed())
 	close(b.keeper.hold)
 	all.Wait()
 }
 
-// Symptom: somebody spends as another router. Sequence: a stream is opened
-// with another key, for another router than the proof's node, without an
-// opening; a message on it names another router. Cause: what each call proved
-// is not proved by the stream.
+// Guards against spending as another router: a stream is opened with another key, for another router
+// than the proof's node, or without an opening; or a message on it names another router.
 func TestStreamIsBoundToItsProof(t *testing.T) {
 	t.Run("another node", func(t *testing.T) {
 		b := newSpendBench(t, "osu-hall-2", memberKey)
@@ -199,11 +195,9 @@
 	own.Expect(own.keeper.bills["a"].Incarnation).To(gomega.Equal(uint64(5)))
 }
 
-// Symptom: a charge hangs, or no charge goes through any more, after the
-// keeper was killed. Sequence: charges are billed and the keeper's process
-// ends before the answers; another one comes at the same address; the charges
-// are made again. Cause: an open call that nobody fails, or a stream that is
-// not opened again.
+// Guards against charges that hang or fail after the keeper was killed. The process ends after it
+// billed charges and before it answered; another one starts at the same address, and the charges are
+// sent again. Unanswered calls must fail, and the stream must be opened again.
 func TestStreamComesBackAfterAKill(t *testing.T) {
 	b := newSpendBench(t, "osu-hall-1", memberKey)
 	killed, once := make(chan struct{}), sync.Once{}
@@ -229,10 +223,9 @@
 	b.Expect(b.keeper.streams).To(gomega.Equal(3))
 }
 
-// Symptom: a router does not notice that its keeper is out of reach, and no
-// witness gets the charge. Sequence: a silent cut, with more calls than the
-// connection buffers; a heal. Cause: a caller that waits for the stream's
-// sender, which waits for the connection.
+// Guards against a router that does not notice that its keeper is unreachable, so that no witness gets
+// the charge. In a silent network partition, with more calls than the connection buffers, callers
+// must not wait for the sender of the stream, which waits for the connection.
 func TestCallOnACutStreamEndsInTime(t *testing.T) {
 	b := newSpendBench(t, "osu-hall-1", memberKey)
 	b.Expect(b.charge("before", 5, time.Minute)).To(gomega.Succeed())
@@ -253,12 +246,11 @@
 	current := b.client.(*spender).current
 	current.mu.Lock()
 	defer current.mu.Unlock()
-	b.Expect(current.open).To(gomega.BeEmpty())
+	b.Expect(current.unanswered).To(gomega.BeEmpty())
 }
 
-// Symptom: a router of this version gets no rights while its keeper is still
-// of the last one. Sequence: charges to such a keeper. Cause: no other way
-// than the stream.
+// Guards against a router that gets no rights while its keeper is of an earlier version, which does not
+// support the stream.
 func TestKeeperWithoutStreamsIsCalledPlain(t *testing.T) {
 	b := newSpendBench(t, "osu-hall-1", memberKey)
 	b.keeper.old = true
--- a/messenger/tracing.go
+++ b/messenger/tracing.go
@@ -7,7 +7,7 @@
 	"rattanhoist.example/rattanhoist/tracer"
 )
 
-// serverTracing adds a span to every call served, when traces are on.
+// serverTracing returns the option that adds a span to every call served, if tracing is enabled.
 func serverTracing() []grpc.ServerOption {
 	if !tracer.Enabled() {
 		return nil
@@ -15,8 +15,8 @@
 	return []grpc.ServerOption{grpc.StatsHandler(otelgrpc.NewServerHandler())}
 }
 
-// clientTracing adds a span to every call made within a trace, when traces
-// are on.
+// clientTracing returns the option that adds a span to every call made within a trace, if tracing is
+// enabled.
 func clientTracing() []grpc.DialOption {
 	if !tracer.Enabled() {
 		return nil
