A caller who leaves early does not make a path count as lost; refused relays fill no log

Cause: connection attempts that went on after the caller left were recorded as if a relay had connected, so that two of them to an endpoint that is down made its path lost. And every call without a proof wrote a line. Change: only a relay that connected shows that an endpoint works; lines as for refused heartbeats, five a second, by one function for both.

--- a/courier/partition_test.go
+++ b/courier/partition_test.go
@@ -306,8 +306,9 @@
 		f.served(4, 30, "begin")
 		time.Sleep(contactWindow)
 		begun := time.Now()
-		status, _ := f.request(4, "cut", "1,1")
+		status, body := f.request(4, "cut", "1,1")
 		g.Expect(status).To(gomega.Equal(503))
+		g.Expect(body).To(gomega.Equal("no path to endpoints\n"))
 		g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 100*time.Millisecond), "cut %d", c)
 		for _, p := range cuts {
 			p.set(cutNone)
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -48,7 +48,7 @@
 	for {
 		assignment := j.f.Table.Choose(time.Now(), j.predictorRequest())
 		if assignment == nil {
-			j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, "no endpoint in service")
+			j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, j.noEndpointReason())
 			return
 		}
 		if j.f.Table.CountsDispatches() {
@@ -75,6 +75,17 @@
 	}
 }
 
+// noPathReason is the body of answers to requests that neither this router nor a relay can send.
+const noPathReason = "no path to endpoints"
+
+// noEndpointReason returns why there is no endpoint to choose.
+func (j *job) noEndpointReason() string {
+	if j.withoutPath > 0 {
+		return noPathReason
+	}
+	return "no endpoint in service"
+}
+
 // reportBrokenOff reports an endpoint that broke off while it ran the request: the request
 // may be one that crashes endpoints.
 func (j *job) reportBrokenOff(ctx context.Context, e *predictor.Endpoint, underway time.Duration) {
@@ -133,7 +144,7 @@
 		if j.withoutPath++; j.withoutPath < maxWithoutPath {
 			return true
 		}
-		j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, "no path to endpoints")
+		j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, noPathReason)
 		return false
 	}
 	if o == outcomeRetry || o == outcomeNoConnection {
--- a/pooler/paths.go
+++ b/pooler/paths.go
@@ -199,7 +199,7 @@
 	for running > 0 {
 		select {
 		case <-ctx.Done():
-			go p.settleRace(t, results, running, relayErr)
+			go p.settleRace(t, results, running, false)
 			return nil, ctx.Err()
 		case <-timer.C:
 			askRelay()
@@ -207,7 +207,7 @@
 			running--
 			switch {
 			case r.err == nil:
-				go p.settleRace(t, results, running, relayErr)
+				go p.settleRace(t, results, running, r.relayed)
 				return r.conn, nil
 			case r.relayed:
 				relayErr = r.err
@@ -220,8 +220,9 @@
 	return nil, p.bothFailed(t, directErr, relayErr)
 }
 
-// settleRace records the results of connection attempts that are still running.
-func (p *Pool) settleRace(t Target, results <-chan dialed, running int, relayErr error) {
+// settleRace records the results of connection attempts that are still running. The flag relayed is
+// set if a relay has connected, which shows that the endpoint accepts connections.
+func (p *Pool) settleRace(t Target, results <-chan dialed, running int, relayed bool) {
 	for range running {
 		r := <-results
 		switch {
@@ -229,11 +230,8 @@
 			p.closeUncounted(r.conn)
 		case r.err == nil:
 			p.adopt(r.conn)
-		case !r.relayed && relayErr == nil:
-			// A relay has connected, so the endpoint works.
-			if p.paths.Relayed(p.now(), t.ID) {
-				p.lost(t)
-			}
+		case !r.relayed && relayed && p.paths.Relayed(p.now(), t.ID):
+			p.lost(t)
 		}
 	}
 }
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/status"
 
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/reporter"
 )
 
 const (
@@ -23,6 +24,11 @@
 	// connectTimeout bounds a connection attempt for another router. It ends before the other
 	// router gives up.
 	connectTimeout = 300 * time.Millisecond
+	// maxRefusalLogLines is the maximum number of log lines a second about callers without a proof.
+	maxRefusalLogLines = 5
+	// relayBufferBytes is the size of the buffer for bytes of an endpoint. Events of streams are
+	// shorter.
+	relayBufferBytes = 4 << 10
 )
 
 // Endpoints connects a relay to endpoints.
@@ -49,6 +55,8 @@
 	endpoints Endpoints
 	guard     *messenger.MemberGuard
 	log       *zap.Logger
+	// refusalLog logs at most maxRefusalLogLines a second.
+	refusalLog *zap.Logger
 	// proven returns a relay that connected this router lately, or "".
 	proven func() string
 	active atomic.Int64
@@ -60,7 +68,9 @@
 
 // NewServer returns a server for the members that the guard admits.
 func NewServer(e Endpoints, g *messenger.MemberGuard, proven func() string, log *zap.Logger) *Server {
-	return &Server{endpoints: e, guard: g, proven: proven, log: log, relays: map[*relay]bool{}}
+	return &Server{
+		endpoints: e, guard: g, proven: proven, log: log, refusalLog: reporter.Sampled(log, maxRefusalLogLines), relays: map[*relay]bool{},
+	}
 }
 
 // Active returns the number of connections that are relayed.
@@ -78,7 +88,7 @@
 func (s *Server) Relay(stream messenger.FleetRouter_RelayServer) error {
 	if err := s.guard.Check(stream.Context(), messenger.FleetRouter_Relay_FullMethodName); err != nil {
 		relayProofsRefused.Inc()
-		s.log.Warn("relay refused", zap.Error(err))
+		s.refusalLog.Warn("relay refused", zap.Error(err))
 		return err
 	}
 	first, err := stream.Recv()
@@ -164,9 +174,6 @@
 	}
 }
 
-// relayBufferBytes is the buffer for bytes of an endpoint; events of streams are shorter.
-const relayBufferBytes = 4 << 10
-
 func (r *relay) send(m *messenger.RelayResponse) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/steward/control.go
+++ b/steward/control.go
@@ -10,7 +10,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 	"google.golang.org/protobuf/proto"
 
 	"rattanhoist.example/rattanhoist/committer"
@@ -18,6 +17,7 @@
 	"rattanhoist.example/rattanhoist/governor"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/publisher"
+	"rattanhoist.example/rattanhoist/reporter"
 )
 
 // ErrNoMajority says that a change could not be committed, or a read not confirmed, in
@@ -46,10 +46,7 @@
 
 // NewControl returns the control of a keeper; decode parses configuration documents.
 func NewControl(s *Keeper, decode Decoder) *Control {
-	sampled := s.log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(c, time.Second, maxRefusalLogLines, 0)
-	}))
-	return &Control{keeper: s, decode: decode, refusalLog: sampled}
+	return &Control{keeper: s, decode: decode, refusalLog: reporter.Sampled(s.log, maxRefusalLogLines)}
 }
 
 // Publish returns nil once the document, or one with a higher number, is on the disks of a
