--- a/predictor/prediction_test.go
+++ b/predictor/prediction_test.go
@@ -36,6 +36,8 @@
 	rate func(router int, at time.Time) float64
 	// link returns the delay at a router's own link.
 	link func(router int, at time.Time) time.Duration
+	// notified returns the routers that are notified of a dispatch to a zone; nil stands for all.
+	notified func(zone string) []int
 	// hold is the mean time in a slot after the first event.
 	hold time.Duration
 	// observe is called with each first event.
@@ -88,7 +90,7 @@
 
 func (s *simulation) send(i int, at time.Time) {
 	n := int64(100 + s.random.ExpFloat64()*1_500)
-	w := s.tables[i].Choose(at, Request{Service: "llm", Prompt: &Prompt{InputTokens: n, MaxOutputTokens: 50, Parts: []Part{{ID: "own", Tokens: n}}}})
+	w := s.tables[i].Choose(at, Request{Service: "llm", PartialDispatches: s.notified != nil, Prompt: &Prompt{InputTokens: n, MaxOutputTokens: 50, Parts: []Part{{ID: "own", Tokens: n}}}})
 	c := &fakeCall{router: i, assignment: w, sent: at}
 	e := s.engines[w.endpoint.name]
 	s.announce(i, at, c)
@@ -100,13 +102,25 @@
 	if c.assignment.dispatch.UncachedTokens < 500 {
 		return
 	}
-	for i, t := range s.tables {
+	for _, i := range s.notifiedOf(c.assignment.endpoint.beat.Zone) {
 		if i != from && s.random.Float64() >= s.lost {
-			t.RecordDispatch(at, c.assignment.endpoint.name, c.assignment.dispatch)
+			s.tables[i].RecordDispatch(at, c.assignment.endpoint.name, c.assignment.dispatch)
 		}
 	}
 }
 
+// notifiedOf returns the routers that are notified of a dispatch to a zone.
+func (s *simulation) notifiedOf(zone string) []int {
+	if s.notified != nil {
+		return s.notified(zone)
+	}
+	all := make([]int, len(s.tables))
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
 // move shows a request's first event and its end to the router, and reports whether it has ended.
 func (s *simulation) move(c *fakeCall, at time.Time) bool {
 	if c.first.IsZero() {
--- a/predictor/spillover_test.go
+++ b/predictor/spillover_test.go
@@ -115,37 +115,48 @@
 	return float64(crossed) / float64(sent)
 }
 
+// testSpillover checks the utilizations of three zones whose callers crest one after the other.
+func testSpillover(t *testing.T, routers, engines, slots int) {
+	g := gomega.NewWithT(t)
+	s, start := newSimulation(routers, engines, slots, "a", "b", "c"), time.Unix(1_000, 0)
+	if 3*routers > maxNotifiedInFleet {
+		s.notifyAsLargeFleet()
+	}
+	const turn, settled = 7, 4
+	perRouter := float64(engines*slots) / float64(routers)
+	s.rate = func(i int, at time.Time) float64 {
+		turns := int(at.Sub(start)/time.Second) / turn
+		switch {
+		case turns >= 3:
+			return 0.5 * perRouter
+		case s.zones[i] == s.zoneNames[turns]:
+			return 1.1 * perRouter
+		}
+		return 0.2 * perRouter
+	}
+	u := s.watchZones()
+	s.start(4 * turn * time.Second)
+	worst := 0.0
+	for n := range u.utilization {
+		t.Logf("second %d: %.2f, crossed %.2f", n, u.utilization[n], u.crossing(n, n+1))
+		if n%turn >= settled {
+			worst = max(worst, u.gap(n))
+		}
+	}
+	t.Logf("greatest difference %.2f, crossed %.2f, of equal load %.2f", worst, u.crossing(0, 3*turn), u.crossing(3*turn+settled, 4*turn))
+	g.Expect(worst).To(gomega.BeNumerically("<=", 0.15))
+	g.Expect(u.crossing(3*turn+settled, 4*turn)).To(gomega.BeNumerically("<=", 0.15))
+}
+
 // Guards against zones that stay idle while the callers of another zone fill its endpoints, against
 // work that stays away after the crest, and against work that moves back and forth between zones.
 func TestWorkSpillsOverWhileCallersCrestInOneZone(t *testing.T) {
 	for _, c := range []struct{ engines, slots int }{{35, 12}, {10, 48}} {
 		t.Run(fmt.Sprint(c.engines, " endpoints of ", c.slots, " slots"), func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			s, start := newSimulation(9, c.engines, c.slots, "a", "b", "c"), time.Unix(1_000, 0)
-			const turn, settled = 7, 4
-			perRouter := float64(c.engines*c.slots) / 9
-			s.rate = func(i int, at time.Time) float64 {
-				turns := int(at.Sub(start)/time.Second) / turn
-				switch {
-				case turns >= 3:
-					return 0.5 * perRouter
-				case s.zones[i] == s.zoneNames[turns]:
-					return 1.1 * perRouter
-				}
-				return 0.2 * perRouter
-			}
-			u := s.watchZones()
-			s.start(4 * turn * time.Second)
-			worst := 0.0
-			for n := range u.utilization {
-				t.Logf("second %d: %.2f, crossed %.2f", n, u.utilization[n], u.crossing(n, n+1))
-				if n%turn >= settled {
-					worst = max(worst, u.gap(n))
-				}
-			}
-			t.Logf("greatest difference %.2f, crossed %.2f, of equal load %.2f", worst, u.crossing(0, 3*turn), u.crossing(3*turn+settled, 4*turn))
-			g.Expect(worst).To(gomega.BeNumerically("<=", 0.15))
-			g.Expect(u.crossing(3*turn+settled, 4*turn)).To(gomega.BeNumerically("<=", 0.15))
+			testSpillover(t, 9, c.engines, c.slots)
 		})
 	}
 }
+
+// Guards against the same in a fleet in which only some routers are notified of a dispatch.
+func TestWorkSpillsOverInALargeFleet(t *testing.T) { testSpillover(t, 22, 35, 12) }
