Relays that do not know a router yet are asked again soon; unreported requests of other routers count at brittle endpoints

Change: a router assumes that each other router sent as much as itself since the last report.

Cluster tests of lost paths run in parallel.

--- a/courier/partition_soak_test.go
+++ b/courier/partition_soak_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,9 @@
 	minServedInSoak = 2.0 / 3
 )
 
+// addressPattern matches addresses in refusals.
+var addressPattern = regexp.MustCompile(`\d+\.\d+\.\d+\.\d+(:\d+)?`)
+
 // soakEngines counts how often each request ran.
 type soakEngines struct {
 	mu   sync.Mutex
@@ -116,6 +120,7 @@
 // routers are stopped and started. Router 7 always has its paths, and callers go on using their
 // connections until the process is gone.
 func TestSoakOfLostPaths(t *testing.T) {
+	t.Parallel()
 	seed := uint64(soakSeed)
 	if s := os.Getenv("SOAK_SEED"); s != "" {
 		n, err := strconv.ParseUint(s, 10, 64)
@@ -173,6 +178,7 @@
 	// What was refused must not run later either.
 	time.Sleep(time.Second)
 	served, answered := 0, 0
+	outcomes := map[string]int{}
 	for id, a := range answers {
 		runs := engines.runsOf(id)
 		g.Expect(runs).To(gomega.BeNumerically("<=", 1), "%s ran twice", id)
@@ -187,7 +193,10 @@
 		if a.status != 0 {
 			answered++
 		}
+		if a.status != 200 || !a.whole {
+			outcomes[fmt.Sprintf("%s %d %s", id[:2], a.status, addressPattern.ReplaceAllString(strings.TrimSpace(a.body), "ADDRESS"))]++
+		}
 	}
-	t.Logf("%d of %d answers are whole", served, answered)
+	t.Logf("%d of %d answers are whole; the others: %v", served, answered, outcomes)
 	g.Expect(float64(served)).To(gomega.BeNumerically(">=", minServedInSoak*float64(answered)))
 }
--- a/courier/partition_test.go
+++ b/courier/partition_test.go
@@ -196,8 +196,10 @@
 // while other routers reach them. Kinds of cuts: packets are dropped, new connections are refused
 // while open ones go on, and open connections are reset.
 func TestRouterWithoutPathsServesThroughOthers(t *testing.T) {
+	t.Parallel()
 	for i, c := range []cut{cutHang, cutRefuse, cutReset} {
 		t.Run([]string{"hang", "refuse", "reset"}[i], func(t *testing.T) {
+			t.Parallel()
 			f, g := startCluster(t, 90+i)
 			f.publish(g, 1, document(2, 1_000_000))
 			p := newPartition()
@@ -246,6 +248,7 @@
 // paths to three of them at once: its connections are reset and new ones are refused, as if the
 // endpoints had ended under it.
 func TestLostPathsAreNoCrashes(t *testing.T) {
+	t.Parallel()
 	f, g := startCluster(t, 94)
 	f.publish(g, 1, document(2, 1_000_000))
 	p := newPartition()
@@ -287,6 +290,7 @@
 // back: endpoints must not stay ejected for what the cut did. While nobody has a path, a request is
 // refused at once.
 func TestFleetServesAgainWhenPathsAreBack(t *testing.T) {
+	t.Parallel()
 	f, g := startCluster(t, 95)
 	f.publish(g, 1, document(2, 1_000_000))
 	cuts := []*partition{newPartition(), newPartition(), newPartition()}
@@ -322,6 +326,7 @@
 
 // Guards against requests that fail while the paths of a router come and go every second.
 func TestFlappingPathsFailNoRequests(t *testing.T) {
+	t.Parallel()
 	f, g := startCluster(t, 96)
 	f.publish(g, 1, document(2, 1_000_000))
 	p := newPartition()
@@ -346,6 +351,7 @@
 // Guards against requests that fail because the only router that helps stops: what it relays goes
 // on, and the cut-off router asks another one.
 func TestRelayStopsWithoutFailures(t *testing.T) {
+	t.Parallel()
 	f, g := startCluster(t, 97)
 	f.publish(g, 1, document(2, 1_000_000))
 	p := newPartition()
@@ -371,6 +377,7 @@
 // reaches some endpoints and so does not look cut off: with half of the endpoints, all are served in
 // time by either way.
 func TestRouterWithoutSomePathsServesAll(t *testing.T) {
+	t.Parallel()
 	f, g := startCluster(t, 99)
 	f.publish(g, 1, document(2, 1_000_000))
 	p := newPartition()
@@ -395,6 +402,7 @@
 
 // Guards against a setting without effect: switched off, a router neither asks relays nor is one.
 func TestRelaysCanBeSwitchedOff(t *testing.T) {
+	t.Parallel()
 	f, g := startCluster(t, 100)
 	f.publish(g, 1, document(2, 1_000_000))
 	off, on := newPartition(), newPartition()
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -109,7 +109,7 @@
 // predictorRequest describes the request for the choice of an endpoint.
 func (j *job) predictorRequest() predictor.Request {
 	a := predictor.Request{
-		Service: j.service.Name, Zones: j.zones, Prompt: j.caller.Prompt, PartialDispatches: j.f.Fleet.PartialDispatches(), Tried: append(j.tried, j.noConnection...),
+		Service: j.service.Name, Zones: j.zones, Prompt: j.caller.Prompt, PartialDispatches: j.f.Fleet.PartialDispatches(), Routers: j.f.Fleet.Routers(), Tried: append(j.tried, j.noConnection...),
 		Elapsed: time.Since(j.f.start), Repeatable: j.repeatable() && len(j.tried)+1 < j.route.Attempts,
 	}
 	if e := j.service.Engine; e != nil {
--- a/pathfinder/relays.go
+++ b/pathfinder/relays.go
@@ -11,6 +11,9 @@
 	MaxRelaysAsked = 3
 	// relayCooldown is how long a relay is not asked after it could not help.
 	relayCooldown = 2 * time.Second
+	// recognitionDelay is the same where the relay did not know this router. Keepers list routers
+	// that have started within a second.
+	recognitionDelay = 200 * time.Millisecond
 	// relayMemory is how long a relay that connected is asked before others.
 	relayMemory = 10 * time.Second
 	// Searches for a relay that end without a connection are limited to searchRate a second,
@@ -28,6 +31,8 @@
 type relay struct {
 	// connectedAt and failedAt are when it last connected and last failed to; 0 for never.
 	connectedAt, failedAt time.Duration
+	// skipUntil is until when it is not asked because it failed.
+	skipUntil time.Duration
 	// open is the number of connections through it.
 	open int
 }
@@ -100,7 +105,7 @@
 		if x.proven(now) {
 			return rankProven, true
 		}
-		if x.failedAt > x.connectedAt && now-x.failedAt < relayCooldown && !r.referred[p.Address] {
+		if x.failedAt > x.connectedAt && now < x.skipUntil && !r.referred[p.Address] {
 			return 0, false
 		}
 	}
@@ -151,10 +156,18 @@
 }
 
 // Failed records that a relay could not be reached, has no path of its own or is busy.
-func (r *Relays) Failed(now time.Duration, address string) {
+func (r *Relays) Failed(now time.Duration, address string) { r.fail(now, address, relayCooldown) }
+
+// Unrecognized records that a relay does not know this router yet, which has just started.
+func (r *Relays) Unrecognized(now time.Duration, address string) {
+	r.fail(now, address, recognitionDelay)
+}
+
+func (r *Relays) fail(now time.Duration, address string, cooldown time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.entry(address).failedAt = now
+	x := r.entry(address)
+	x.failedAt, x.skipUntil = now, now+cooldown
 }
 
 // Refer records that another router named a relay.
--- a/pathfinder/relays_test.go
+++ b/pathfinder/relays_test.go
@@ -44,6 +44,15 @@
 	g.Expect(addresses(r.Choose(3400*ms, all, "a", "b"))).To(gomega.ContainElement("a2"), "asked again after a while")
 }
 
+// Guards against a router that has just started and gets no help for seconds, because relays that did not
+// know it yet are not asked again.
+func TestRelayThatDidNotKnowARouterIsAskedAgainSoon(t *testing.T) {
+	g, r := gomega.NewWithT(t), pathfinder.NewRelays()
+	r.Unrecognized(time.Second, "a0")
+	g.Expect(r.Choose(1100*ms, peers("a"), "a", "a")).To(gomega.BeEmpty())
+	g.Expect(r.Choose(1200*ms, peers("a"), "a", "a")).To(gomega.HaveLen(1))
+}
+
 // Guards against a flood of searches by a router for which nobody has a path.
 func TestFailedSearchesAreLimited(t *testing.T) {
 	g, r := gomega.NewWithT(t), pathfinder.NewRelays()
--- a/predictor/rejection.go
+++ b/predictor/rejection.go
@@ -19,8 +19,9 @@
 
 // mayReject reports whether the endpoint limits rejections and might reject a request now, as far as
 // this router knows its load. It may hold fewer waiting requests than usual, so that only free slots
-// count as room.
-func (e *Endpoint) mayReject(now time.Time) bool {
+// count as room. The other routers of the fleet are assumed to have sent there, since its last report, as
+// many requests each as this one.
+func (e *Endpoint) mayReject(now time.Time, routers int) bool {
 	if !e.warmup.LimitsRejections() {
 		return false
 	}
@@ -30,20 +31,30 @@
 		return true
 	}
 	slots := e.beat.Slots
-	return slots > 0 && e.activeRequests(now) >= slots-reservedSlots(slots)
+	unknown := max(routers-1, 0) * e.unreported(now)
+	return slots > 0 && e.activeRequests(now)+unknown >= slots-reservedSlots(slots)
+}
+
+// unreported returns the number of requests of this router at the endpoint that its last report does not
+// include.
+func (e *Endpoint) unreported(now time.Time) int {
+	if e.reports == nil || !e.loadKnown(now) {
+		return e.running
+	}
+	return e.dispatchedSince(e.reportedAt)
 }
 
 // reservedSlots returns how many slots are left free at an endpoint that limits rejections.
 func reservedSlots(slots int) int { return (slots + reservedSlotsDivisor - 1) / reservedSlotsDivisor }
 
-// admits reports whether the endpoint may be sent a request now.
-func (e *Endpoint) admits(now time.Time) bool {
-	return e.warmup.Open(now) && (!e.mayReject(now) || e.warmup.RiskOpen(now))
+// admits reports whether the endpoint may be sent a request now, in a fleet of so many routers.
+func (e *Endpoint) admits(now time.Time, routers int) bool {
+	return e.warmup.Open(now) && (!e.mayReject(now, routers) || e.warmup.RiskOpen(now))
 }
 
 // admit reports whether the endpoint may be sent a request now, and counts it if so.
-func (e *Endpoint) admit(now time.Time) bool {
-	if e.mayReject(now) && !e.warmup.AdmitRisk(now) {
+func (e *Endpoint) admit(now time.Time, routers int) bool {
+	if e.mayReject(now, routers) && !e.warmup.AdmitRisk(now) {
 		return false
 	}
 	return e.warmup.Admit(now)
--- a/predictor/rejection_test.go
+++ b/predictor/rejection_test.go
@@ -48,3 +48,17 @@
 	e.Observe(State{}, at(1020), at(1021))
 	g.Expect(chosen(1022)).To(gomega.BeIdenticalTo(e), "the limit has ended")
 }
+
+// Guards against routers that each fill the slots which the last report of an endpoint showed as free.
+func TestUnreportedRequestsOfOtherRoutersAreAssumed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, now := reportingTable("a", 1, "a"), time.Unix(1_000, 0)
+	e := x.Endpoints("llm")[0]
+	e.Observe(State{RejectionLimit: warmer.RateLimit{Limited: true, PerSecond: 10}}, now, now)
+	e.ObserveLoad(now, Load{Running: 0, Slots: 48})
+	sent := 0
+	for x.Choose(now.Add(time.Millisecond), Request{Service: "llm", Routers: 6}) != nil {
+		sent++
+	}
+	g.Expect(sent).To(gomega.Equal(6), "six routers fill three quarters of 48 slots")
+}
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -178,6 +178,8 @@
 	// PartialDispatches is set if only some of the other routers tell this one about their
 	// dispatches.
 	PartialDispatches bool
+	// Routers is the number of routers in the fleet, as far as it is known.
+	Routers int
 	// Repeatable is set if the request may be sent to another endpoint when this attempt
 	// fails.
 	Repeatable bool
@@ -211,7 +213,7 @@
 			return nil
 		}
 		// A concurrent request may have used up what the endpoint still accepts.
-		if best.endpoint.admit(now) {
+		if best.endpoint.admit(now, a.Routers) {
 			return best.endpoint.assign(now, a, best)
 		}
 	}
@@ -245,7 +247,7 @@
 	sources := findCacheSources(now, a, candidates, home)
 	crossings := t.crossings(now, a)
 	for _, e := range candidates {
-		if !blocked && e.gate.Blocked(a.Elapsed) || e.excluded.Load() || !e.admits(now) || slices.Contains(a.Tried, e.beat.Incarnation) {
+		if !blocked && e.gate.Blocked(a.Elapsed) || e.excluded.Load() || !e.admits(now, a.Routers) || slices.Contains(a.Tried, e.beat.Incarnation) {
 			continue
 		}
 		p, c := e.evaluate(now, a, e == home, sources)
--- a/relayer/dialer.go
+++ b/relayer/dialer.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/pathfinder"
@@ -156,8 +158,11 @@
 	s, reply, err := d.link(address).OpenRelay(ctx, openTimeout, d.fleet.Self(), t.Endpoint)
 	now := time.Since(d.started)
 	if err != nil {
-		// Where another relay was faster, the request was canceled.
-		if !errors.Is(ctx.Err(), context.Canceled) || time.Since(begun) >= nextRelayDelay {
+		switch {
+		case status.Code(err) == codes.Unauthenticated:
+			d.relays.Unrecognized(now, address)
+		case !errors.Is(ctx.Err(), context.Canceled) || time.Since(begun) >= nextRelayDelay:
+			// Where another relay was faster, the request was canceled.
 			d.relays.Failed(now, address)
 		}
 		results <- result{err: err}
