Software versions of endpoints in logs and metrics; streams that callers take up

Change: heartbeats and sightings carry the version; lines on requests name it beside each endpoint; counters of streams taken up by outcome and of answers that mix versions, a gauge of endpoints in service by version. No decision depends on it yet.

--- a/courier/endpoint.go
+++ b/courier/endpoint.go
@@ -44,6 +44,10 @@
 			f.endpoints[b.Incarnation] = e
 			changes.added(b)
 		}
+		if e.Version() != b.Version {
+			changes.versionChanged(b, e.Version())
+			e.SetVersion(b.Version)
+		}
 		known[b.Incarnation] = true
 		if evacuated.zones[b.Zone] {
 			// Its zone is evacuated: it gets no new requests, and those in progress complete.
@@ -53,6 +57,7 @@
 	}
 	f.warmup.applyLimits(now, f)
 	f.table.Replace(byService)
+	f.versionGauges.update(byService)
 	for i := range f.endpoints {
 		if known[i] {
 			continue
@@ -83,10 +88,15 @@
 // added records and logs an endpoint that came into service.
 func (c *endpointChanges) added(b enroller.Heartbeat) {
 	if c.addedCount++; c.addedCount <= maxEndpointLogLines {
-		c.log.Info("endpoint in service", zap.Stringer("endpoint", b), zap.String("service", b.Service), zap.String("zone", b.Zone))
+		c.log.Info("endpoint in service", zap.Stringer("endpoint", b), zap.String("service", b.Service), zap.String("zone", b.Zone), zap.String("version", string(b.Version)))
 	}
 }
 
+// versionChanged logs that the heartbeats of an endpoint state another version than before.
+func (c *endpointChanges) versionChanged(b enroller.Heartbeat, old enroller.Version) {
+	c.log.Warn("endpoint changed its version", zap.Stringer("endpoint", b), zap.String("version", string(b.Version)), zap.String("before", string(old)))
+}
+
 // removed records and logs an endpoint that left service.
 func (c *endpointChanges) removed(i enroller.Incarnation) {
 	if c.removedCount++; c.removedCount <= maxEndpointLogLines {
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -63,6 +63,8 @@
 	// notifyLists holds the addresses of the other routers for dispatch notices.
 	notifyLists atomic.Pointer[notifyLists]
 	notifier    atomic.Pointer[dispatchNotifier]
+	// versionGauges count the endpoints in service.
+	versionGauges versionGauges
 	// listedPeers holds the other routers as keepers last listed them.
 	listedPeers atomic.Pointer[listedPeers]
 	// digestPeers holds the routers of each zone for load digests.
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -30,6 +30,8 @@
 	ColdRemaining time.Duration
 	// Sequence grows with each heartbeat of an incarnation.
 	Sequence uint64
+	// Version identifies the version of the endpoint's software.
+	Version Version
 }
 
 // entry is what the table knows about one endpoint.
@@ -141,7 +143,11 @@
 	// make the endpoint available again.
 	b.Leaving = b.Leaving || e.heartbeat.Leaving
 	coldUntil := lastSeen.Add(b.ColdRemaining)
-	changed := b.Leaving != e.heartbeat.Leaving || b.Address != e.heartbeat.Address || b.Slots != e.heartbeat.Slots ||
+	if b.Version == "" {
+		// A keeper of an earlier build passed the heartbeat on without it.
+		b.Version = e.heartbeat.Version
+	}
+	changed := b.Leaving != e.heartbeat.Leaving || b.Version != e.heartbeat.Version || b.Address != e.heartbeat.Address || b.Slots != e.heartbeat.Slots ||
 		b.ColdRemaining > 0 && coldUntil.Sub(e.coldUntil) > coldTolerance
 	if b.Sequence > e.heartbeat.Sequence || coldUntil.After(e.coldUntil) {
 		e.coldUntil = coldUntil
@@ -275,6 +281,7 @@
 	return &messenger.Sighting{
 		Id: b.ID, BornMs: b.BornMS, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: uint32(max(b.Slots, 0)),
 		Leaving: b.Leaving, AgeMs: max(now.Sub(e.lastSeen), 0).Milliseconds(), ColdMs: max(e.coldUntil.Sub(e.lastSeen), 0).Milliseconds(), Sequence: b.Sequence,
+		Version: string(b.Version),
 	}
 }
 
@@ -286,6 +293,6 @@
 	return Heartbeat{
 		Incarnation: Incarnation{ID: s.Id, BornMS: s.BornMs},
 		Service:     intern(s.Service), Address: s.Address, Zone: intern(s.Zone), Slots: int(s.Slots), Leaving: s.Leaving,
-		ColdRemaining: time.Duration(s.ColdMs) * time.Millisecond, Sequence: s.Sequence,
+		ColdRemaining: time.Duration(s.ColdMs) * time.Millisecond, Sequence: s.Sequence, Version: Version(intern(s.Version)),
 	}, time.Duration(s.AgeMs) * time.Millisecond
 }
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -71,7 +71,7 @@
 			streamsResumed.Inc()
 		}
 		j.f.Log.Info("another endpoint", zap.String("request", j.caller.ID), zap.String("why", j.reason),
-			zap.Stringers("endpoints", j.tried), zap.String("last_event", j.lastEventID))
+			zap.Stringers("endpoints", j.tried), zap.Strings("versions", j.versions), zap.String("last_event", j.lastEventID))
 	}
 }
 
@@ -214,7 +214,7 @@
 	if err != nil {
 		j.reason = err.Error()
 		if errors.Is(err, pooler.ErrMayHaveRun) {
-			j.tried = append(j.tried, b.Incarnation)
+			j.recordTried(e)
 			j.mayHaveRun = true
 			j.recordFailure(ctx, e)
 			return outcomeLost
@@ -238,7 +238,7 @@
 		return outcomeUnsent
 	}
 	j.place.recordReported()
-	j.tried = append(j.tried, b.Incarnation)
+	j.recordTried(e)
 	defer a.Close()
 	fields := j.f.Wire.AnswerFields(a.Status, a.Header)
 	// A misdirected response comes from another incarnation, so it does not describe e.
@@ -256,6 +256,12 @@
 	return j.passAnswer(ctx, a, assignment)
 }
 
+// recordTried records that the request was sent to an endpoint.
+func (j *job) recordTried(e *predictor.Endpoint) {
+	j.tried = append(j.tried, e.Beat().Incarnation)
+	j.versions = append(j.versions, string(e.Version()))
+}
+
 // recordRelay notes the router that relayed an attempt, if any.
 func (j *job) recordRelay(address string) {
 	if address != "" {
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -14,10 +14,13 @@
 	longestPauseSeconds    = metrics.NewHistogram("rattanhoist_longest_pause_seconds")
 	plainAnswerSeconds     = metrics.NewHistogram("rattanhoist_plain_answer_seconds")
 	streamsResumed         = metrics.NewCounter("rattanhoist_streams_resumed_total")
-	requestsRepeated       = metrics.NewCounter("rattanhoist_requests_repeated_total")
-	promptsFetched         = metrics.NewCounter("rattanhoist_prompts_fetched_total")
-	requestsHeldBack       = metrics.NewCounter("rattanhoist_requests_held_back_total")
-	requestsToRateLimited  = metrics.NewCounter("rattanhoist_requests_to_rate_limited_total")
+	// streamsMixed counts events that follow one of another software version in the same answer, which
+	// is a fault.
+	streamsMixed          = metrics.NewCounter("rattanhoist_streams_mixed_total")
+	requestsRepeated      = metrics.NewCounter("rattanhoist_requests_repeated_total")
+	promptsFetched        = metrics.NewCounter("rattanhoist_prompts_fetched_total")
+	requestsHeldBack      = metrics.NewCounter("rattanhoist_requests_held_back_total")
+	requestsToRateLimited = metrics.NewCounter("rattanhoist_requests_to_rate_limited_total")
 	// requestsBeforeRetryAfter counts requests sent to an endpoint before its Retry-After
 	// period elapsed.
 	requestsBeforeRetryAfter = metrics.NewCounter("rattanhoist_requests_before_retry_after_total")
@@ -52,6 +55,9 @@
 // countEnd counts a final answer; status 0 stands for a caller who disconnected.
 func (j *job) countEnd(status int) {
 	metrics.GetOrCreateCounter(`rattanhoist_answers_total{status="` + strconv.Itoa(status) + `"}`).Inc()
+	if j.resumesStream() {
+		countResumption(j.events > 0)
+	}
 	switch {
 	case j.events > 0:
 		firstEventSeconds.Update(j.firstEvent.Seconds())
@@ -61,3 +67,12 @@
 		plainAnswerSeconds.Update(time.Since(j.startedAt).Seconds())
 	}
 }
+
+// countResumption counts a caller that resumes a stream of an earlier attempt.
+func countResumption(wentOn bool) {
+	outcome := "refused"
+	if wentOn {
+		outcome = "went_on"
+	}
+	metrics.GetOrCreateCounter(`rattanhoist_streams_taken_up_total{outcome="` + outcome + `"}`).Inc()
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -237,6 +237,10 @@
 	rightsWait time.Duration
 	// tried holds the incarnations that the request was sent to.
 	tried []enroller.Incarnation
+	// versions holds the software versions of these incarnations when the request was sent there.
+	versions []string
+	// streamVersion is the version of the endpoint that made the last event passed on.
+	streamVersion enroller.Version
 	// noConnection holds the incarnations that had no connection left for this router.
 	noConnection []enroller.Incarnation
 	// unreachable counts the endpoints that could not be reached.
@@ -534,7 +538,10 @@
 	j.countEnd(status)
 	fields := []zap.Field{
 		zap.String("request", j.caller.ID), zap.Int("status", status), zap.Duration("took", time.Since(j.startedAt)),
-		zap.Stringers("endpoints", j.tried),
+		zap.Stringers("endpoints", j.tried), zap.Strings("versions", j.versions),
+	}
+	if j.resumesStream() {
+		fields = append(fields, zap.String("resumes", logged(j.caller.Resumes)), zap.String("after_event", logged([]string{j.caller.LastEventID})))
 	}
 	if j.route != nil {
 		fields = append(fields, zap.String("route", j.route.Name))
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 )
@@ -26,6 +27,7 @@
 		event, err := readEvent(events)
 		if len(event) > 0 && err == nil {
 			j.recordEvent(time.Now(), assignment)
+			j.recordVersion(assignment.Endpoint().Version())
 			if !j.passEvent(a, event, !holdsEvent(events)) {
 				j.logEnd(0, "caller gone")
 				panic(http.ErrAbortHandler)
@@ -83,6 +85,14 @@
 	j.lastEventAt = now
 }
 
+// recordVersion records the software version that made an event.
+func (j *job) recordVersion(v enroller.Version) {
+	if j.headSent && j.streamVersion != v {
+		streamsMixed.Inc()
+	}
+	j.streamVersion = v
+}
+
 // passEvent passes on a complete event, immediately if flush is set and otherwise together
 // with the next one.
 func (j *job) passEvent(a *pooler.Answer, event []byte, flush bool) bool {
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -19,6 +19,11 @@
 	Deadline time.Duration
 	// Prompt is nil for plain requests.
 	Prompt *predictor.Prompt
+	// LastEventID is the id of the last event that the caller has of a stream that it resumes, or "".
+	LastEventID string
+	// Resumes holds the ids that the caller states of the attempt which brought the stream's first
+	// event. One is allowed.
+	Resumes []string
 }
 
 // EndpointFields holds the values that the router itself sends to the endpoint in the
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -106,6 +106,8 @@
 // safe for concurrent use.
 type Endpoint struct {
 	beat enroller.Heartbeat
+	// version is the software version that its heartbeats state now.
+	version atomic.Pointer[enroller.Version]
 	// name is the incarnation in text form.
 	name string
 	gate ejector.Gate
@@ -255,12 +257,21 @@
 
 // NewEndpoint returns an endpoint without any measurements.
 func NewEndpoint(b enroller.Heartbeat) *Endpoint {
-	return &Endpoint{
+	e := &Endpoint{
 		beat: b, name: b.String(), model: NewLatencyModel(), prefillFactor: 1,
 		parts: map[string]partUse{}, cacheTokens: defaultCacheTokens, sweepAt: minPartsToSweep,
 	}
+	e.SetVersion(b.Version)
+	return e
 }
 
+// Version returns the software version of the endpoint, which heartbeats may change.
+func (e *Endpoint) Version() enroller.Version { return *e.version.Load() }
+
+// SetVersion sets the version that the endpoint's heartbeats state. A table takes it into account
+// from its next Replace on.
+func (e *Endpoint) SetVersion(v enroller.Version) { e.version.Store(&v) }
+
 // putInService puts the endpoint in service with the latency model of its service and the
 // table's load reports and delays, or nil. It has no effect on an endpoint that is in service already.
 func (e *Endpoint) putInService(m *LatencyModel, r *loadReports, d *serviceDelay) {
