--- a/enroller/view.go
+++ b/enroller/view.go
@@ -15,6 +15,9 @@
 	// maxRemoteEndpoints bounds the endpoints of one service that routers are sent for
 	// each availability zone other than their own.
 	maxRemoteEndpoints = 64
+	// minPerVersion is how many endpoints of each software version are among them, so that routers
+	// can resume streams of every version.
+	minPerVersion = 4
 	// The minimum time between two refreshes of a view is refreshIntervalPerEndpoint for
 	// each endpoint beyond unthrottledEndpoints, so that refreshes take the same share of
 	// a processor at any size.
@@ -140,8 +143,8 @@
 	return out
 }
 
-// sample returns the maxRemoteEndpoints entries with the highest hashes of zone and id: a
-// change of the list then changes few of them.
+// sample returns the maxRemoteEndpoints entries with the highest hashes of zone and id, and among them
+// minPerVersion of each version while there is room: a change of the list then changes few of them.
 func sample(list []*entry, zone string) []*entry {
 	type ranked struct {
 		entry *entry
@@ -154,11 +157,17 @@
 	slices.SortFunc(all, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.entry.heartbeat.ID, b.entry.heartbeat.ID))
 	})
-	out := make([]*entry, maxRemoteEndpoints)
-	for i := range out {
-		out[i] = all[i].entry
+	out, rest := make([]*entry, 0, maxRemoteEndpoints), make([]*entry, 0, len(all))
+	versions := map[Version]int{}
+	for _, r := range all {
+		v := r.entry.heartbeat.Version
+		if versions[v]++; versions[v] <= minPerVersion && len(out) < maxRemoteEndpoints {
+			out = append(out, r.entry)
+		} else {
+			rest = append(rest, r.entry)
+		}
 	}
-	return out
+	return append(out, rest[:maxRemoteEndpoints-len(out)]...)
 }
 
 // Changes returns the members that changed after a revision, and the incarnations that are
--- a/enroller/view_test.go
+++ b/enroller/view_test.go
@@ -102,3 +102,30 @@
 		}
 	}
 }
+
+// Guards against routers of other zones that can't resume streams of a version with few endpoints left,
+// because the sample that they are sent has none of them.
+func TestSampleHasEndpointsOfEachVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	x := enroller.NewTable(time.Minute)
+	for i := range 5_000 {
+		version := enroller.Version("v2")
+		if i%2_500 < 5 {
+			version = "v1"
+		}
+		x.Observe(now, enroller.Heartbeat{
+			Incarnation: enroller.Incarnation{ID: fmt.Sprintf("i-%08d", i)}, Service: "model", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
+			Zone: viewZones[i%len(viewZones)], Slots: 12, Sequence: 1, Version: version,
+		}, 0)
+	}
+	v := x.View("z1")
+	v.Refresh(now)
+	old := map[string]int{}
+	for _, s := range v.Sightings(now, 0) {
+		if s.Version == "v1" {
+			old[s.Zone]++
+		}
+	}
+	g.Expect(old).To(gomega.Equal(map[string]int{"z0": 2, "z1": 2, "z2": 2, "z3": 2, "z4": 2}))
+}
--- a/messenger/member.go
+++ b/messenger/member.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/sha256"
 	"encoding/binary"
 	"time"
 
@@ -44,3 +46,27 @@
 func memberProof(m *FleetMember) credentials.PerRPCCredentials {
 	return proof{role: RoleMember, node: m.Address, key: incarnationKey(m.Incarnation), now: time.Now}
 }
+
+// datagramProofBytes is the length of the proof of a datagram.
+const datagramProofBytes = 16
+
+// SignDatagram returns the proof that a member sends the content of a datagram to an address.
+func SignDatagram(m *FleetMember, to string, content []byte) []byte {
+	return datagramProof(m.Incarnation, m.Address, to, content)
+}
+
+// CheckDatagram reports whether a datagram was sent to an address by the member that it names. The
+// content of a datagram may arrive again: a proof does not tell it from the first time.
+func (g *MemberGuard) CheckDatagram(from, to string, content, proof []byte) bool {
+	incarnation, known := g.incarnationOf(from)
+	return known && incarnation != 0 && hmac.Equal(datagramProof(incarnation, from, to, content), proof)
+}
+
+func datagramProof(incarnation uint64, from, to string, content []byte) []byte {
+	m := hmac.New(sha256.New, incarnationKey(incarnation))
+	for _, part := range [][]byte{[]byte(from), []byte(to), content} {
+		_, _ = m.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+		_, _ = m.Write(part)
+	}
+	return m.Sum(nil)[:datagramProofBytes]
+}
--- a/predictor/capacity.go
+++ b/predictor/capacity.go
@@ -28,7 +28,7 @@
 	if g == nil {
 		return Capacity{}
 	}
-	g = g.inZones(a.Zones)
+	g = g.subset(a)
 	if len(g.endpoints) <= maxExhaustive {
 		return capacityOf(now, a, g.endpoints)
 	}
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -56,7 +56,7 @@
 	// homeRing maps shared parts to their home endpoints in large groups; nil in small
 	// ones.
 	homeRing *ring
-	// subsets caches the *group for each set of zones that was requested, by its key.
+	// subsets caches the *group for each set of zones and version that was requested, by subsetKey.
 	subsets sync.Map
 	// lastCapacity is used in large groups only.
 	lastCapacity capacityCache
@@ -86,25 +86,37 @@
 	return g
 }
 
-// inZones returns the group of the endpoints in the given zones. Home endpoints and cache
-// sources are chosen from the same group, so they are in those zones as well.
-func (g *group) inZones(z *localizer.Zones) *group {
-	if z == nil {
+// subsetKey identifies the endpoints of a group in a set of zones and with a version.
+type subsetKey struct {
+	zones   string
+	version enroller.Version
+}
+
+// subset returns the group of the endpoints that may serve a request. Home endpoints and cache sources
+// are chosen from the same group, so they may serve it as well.
+func (g *group) subset(a Request) *group {
+	if a.Zones == nil && a.Version == "" {
 		return g
 	}
-	if known, ok := g.subsets.Load(z.Key()); ok {
+	k := subsetKey{zones: a.Zones.Key(), version: a.Version}
+	if known, ok := g.subsets.Load(k); ok {
 		return known.(*group)
 	}
 	var list []*Endpoint
 	for _, e := range g.endpoints {
-		if z.Allows(e.beat.Zone) {
+		if a.serves(e) {
 			list = append(list, e)
 		}
 	}
-	known, _ := g.subsets.LoadOrStore(z.Key(), newGroup(list, g.zone))
+	known, _ := g.subsets.LoadOrStore(k, newGroup(list, g.zone))
 	return known.(*group)
 }
 
+// serves reports whether an endpoint of the request's service may serve the request.
+func (a Request) serves(e *Endpoint) bool {
+	return (a.Zones == nil || a.Zones.Allows(e.beat.Zone)) && (a.Version == "" || a.Version.Same(e.Version()))
+}
+
 // NewTable returns an empty table for a router in zone.
 func NewTable(zone string) *Table {
 	t := &Table{zone: zone, models: map[string]*LatencyModel{}, delays: map[string]*serviceDelay{}}
@@ -165,6 +177,8 @@
 	Service string
 	// Zones holds the zones in which the request may be served; nil stands for all.
 	Zones *localizer.Zones
+	// Version is the software version of the endpoints that may serve the request; "" stands for all.
+	Version enroller.Version
 	// Prompt is nil for plain requests.
 	Prompt *Prompt
 	// Tried holds the incarnations that must not be chosen, for example because the request
@@ -196,7 +210,7 @@
 	if g == nil {
 		return nil
 	}
-	g = g.inZones(a.Zones)
+	g = g.subset(a)
 	for {
 		home := g.home(now, a)
 		candidates := g.candidates(a, home)
@@ -219,6 +233,12 @@
 	}
 }
 
+// Serves reports whether an endpoint in service may serve a request, now or later.
+func (t *Table) Serves(a Request) bool {
+	g := (*t.byService.Load())[a.Service]
+	return g != nil && slices.ContainsFunc(g.subset(a).endpoints, func(e *Endpoint) bool { return !e.excluded.Load() })
+}
+
 // RetryAfter returns the shortest time until an endpoint accepts a request for which Choose
 // found none. It returns 0 if an endpoint accepts other requests or if the time is unknown.
 func (t *Table) RetryAfter(now time.Time, a Request) time.Duration {
@@ -227,7 +247,7 @@
 		return 0
 	}
 	var least time.Duration
-	for _, e := range g.inZones(a.Zones).endpoints {
+	for _, e := range g.subset(a).endpoints {
 		at := e.warmup.OpensAt(now)
 		switch {
 		case e.excluded.Load() || at.IsZero():
