Streams go on at the software version that began them

Cause: a router took all endpoints of a service for interchangeable in whatever goes on: the version in heartbeats was dropped, a resumption within an answer chose anew among all, and one over a caller's attempts did not know what had begun the stream. Change: a request is bound to the service and version of its first event, or of the attempt that Resumes names; choice, queue and Retry-After look at endpoints of that version only. Origins go to two other routers before the first event is passed on, with proofs, and are searched for when a caller comes back at a router that does not know them. What is not known is refused as not run. Setting stream_versions.

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -1,9 +1,12 @@
 package courier
 
 import (
+	"errors"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"rattanhoist.example/rattanhoist/enforcer"
+	"rattanhoist.example/rattanhoist/resumer"
 )
 
 // Counters for prepaid rights.
@@ -37,6 +40,30 @@
 	loadEntriesDropped = metrics.NewCounter("rattanhoist_load_entries_dropped_total")
 )
 
+// Counters for what began streams. Refused datagrams have no valid proof, and dropped searches were too
+// many at a time.
+var (
+	streamDatagramsSent     = metrics.NewCounter("rattanhoist_stream_datagrams_sent_total")
+	streamDatagramsReceived = metrics.NewCounter("rattanhoist_stream_datagrams_received_total")
+	streamDatagramsRefused  = metrics.NewCounter("rattanhoist_stream_datagrams_refused_total")
+	originSearchesDropped   = metrics.NewCounter("rattanhoist_stream_searches_dropped_total")
+	originSearchesFound     = metrics.NewCounter(`rattanhoist_stream_searches_total{result="found"}`)
+	originSearchesUnknown   = metrics.NewCounter(`rattanhoist_stream_searches_total{result="unknown"}`)
+	originSearchesUnheard   = metrics.NewCounter(`rattanhoist_stream_searches_total{result="unreachable"}`)
+)
+
+// countSearch counts the end of a search for what began a stream.
+func countSearch(err error) {
+	switch {
+	case err == nil:
+		originSearchesFound.Inc()
+	case errors.Is(err, resumer.ErrUnknown):
+		originSearchesUnknown.Inc()
+	default:
+		originSearchesUnheard.Inc()
+	}
+}
+
 // datagramsInvalid counts datagrams of other routers that could not be read.
 var datagramsInvalid = metrics.NewCounter("rattanhoist_datagrams_invalid_total")
 
@@ -53,6 +80,12 @@
 	metrics.GetOrCreateGauge("rattanhoist_caller_bytes_held", func() float64 { return float64(m.Held()) })
 }
 
+// registerOriginGauges registers what is known of streams.
+func registerOriginGauges(s *streamOrigins) {
+	metrics.GetOrCreateGauge("rattanhoist_stream_origins", func() float64 { known, _ := s.counts(); return float64(known) })
+	metrics.GetOrCreateGauge("rattanhoist_stream_origins_dropped_total", func() float64 { _, dropped := s.counts(); return float64(dropped) })
+}
+
 // registerGauges registers the gauges of a router. There is one router per process.
 func (c *Router) registerGauges() {
 	metrics.GetOrCreateGauge("rattanhoist_requests_active", func() float64 { return float64(c.activeRequests.Load()) })
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -122,6 +122,10 @@
 		c.pool.UseRelays(c.relays.dialer)
 		c.fleet.quarantine.confirmEnded = c.relays.confirmEnded
 	}
+	if o.Node.Features().StreamVersions {
+		c.fleet.origins = newStreamOrigins(c.fleet, o.Log)
+		registerOriginGauges(c.fleet.origins)
+	}
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
 	c.fleet.onDocument = c.rights.updateTotals
 	c.registerGauges()
@@ -131,8 +135,13 @@
 		limits = &forwarder.CallerLimits{Memory: enforcer.NewMemory(o.Node.MemoryBytes() / callerMemoryDivisor)}
 		registerMemoryGauge(limits.Memory)
 	}
+	var origins forwarder.StreamOrigins
+	if c.fleet.origins != nil {
+		origins = c.fleet.origins
+	}
 	c.handler = forwarder.New(forwarder.Dependencies{
-		Wire: o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
+		Origins: origins,
+		Wire:    o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
 		Quarantine: c.fleet.quarantine, Admission: c.admission, CallerLimits: limits,
 		EnginePriorities: o.Node.Features().EnginePriorities, ServiceAdmission: o.Node.Features().ServiceAdmission, Stopping: c.stopping,
 		Limiter: limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
@@ -200,6 +209,9 @@
 	go func() { failed <- question.Serve(ready) }()
 	go c.fleet.run(work)
 	go c.rights.run(work)
+	if c.fleet.origins != nil {
+		go c.fleet.origins.run(work)
+	}
 	go c.sweepPool(work)
 	if c.relays != nil {
 		go c.pool.MaintainPaths(work)
@@ -215,6 +227,9 @@
 	case <-ctx.Done():
 	}
 	c.drain()
+	if c.fleet.origins != nil {
+		c.fleet.origins.handOver()
+	}
 	_ = callers.Close()
 	c.rights.close(work)
 	_ = question.Close()
--- a/courier/dispatch_notifier.go
+++ b/courier/dispatch_notifier.go
@@ -27,8 +27,8 @@
 	maxDatagramBytes = 1500
 )
 
-// dispatchNotifier exchanges datagrams with other routers about prompts sent to endpoints, and
-// digests of load. A prompt delays what other routers send to the same endpoint at the same time, long
+// dispatchNotifier exchanges datagrams with other routers about prompts sent to endpoints, digests
+// of load, and messages on streams. A prompt delays what other routers send to the same endpoint at the same time, long
 // before the endpoint's own reports show its load.
 type dispatchNotifier struct {
 	fleet     *fleetView
@@ -101,4 +101,7 @@
 	if d.Digest != nil {
 		n.receiveDigest(now, d.Digest)
 	}
+	if d.Stream != nil && n.fleet.origins != nil {
+		n.fleet.origins.receive(d.Stream, now)
+	}
 }
--- a/courier/endpoint.go
+++ b/courier/endpoint.go
@@ -31,13 +31,15 @@
 	}
 	f.appliedRevision, f.appliedEvacuations = f.registered.Revision(), evacuated.revision
 	byService := map[string][]*predictor.Endpoint{}
+	versions := map[string][]enroller.Version{}
 	known := map[enroller.Incarnation]bool{}
 	changes := endpointChanges{log: f.options.Log}
 	for _, s := range f.registered.Sightings(now) {
+		b, _ := enroller.HeartbeatFromSighting(s)
+		versions[b.Service] = append(versions[b.Service], b.Version)
 		if s.Leaving {
 			continue
 		}
-		b, _ := enroller.HeartbeatFromSighting(s)
 		e := f.endpoints[b.Incarnation]
 		if e == nil {
 			e = predictor.NewEndpoint(b)
@@ -45,7 +47,9 @@
 			changes.added(b)
 		}
 		if e.Version() != b.Version {
-			changes.versionChanged(b, e.Version())
+			if e.Version() != "" {
+				changes.versionChanged(b, e.Version())
+			}
 			e.SetVersion(b.Version)
 		}
 		known[b.Incarnation] = true
@@ -55,6 +59,7 @@
 		}
 		byService[b.Service] = append(byService[b.Service], e)
 	}
+	f.versions.observe(now, versions)
 	f.warmup.applyLimits(now, f)
 	f.table.Replace(byService)
 	f.versionGauges.update(byService)
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -65,6 +65,13 @@
 	notifier    atomic.Pointer[dispatchNotifier]
 	// versionGauges count the endpoints in service.
 	versionGauges versionGauges
+	versions      versionHistory
+	// origins is nil if streams go on at any version.
+	origins *streamOrigins
+	// listSoon is set if the next sync is to ask for the list of routers, and listSoonAt is when it was
+	// last set, as a duration since startedAt.
+	listSoon   atomic.Bool
+	listSoonAt atomic.Int64
 	// listedPeers holds the other routers as keepers last listed them.
 	listedPeers atomic.Pointer[listedPeers]
 	// digestPeers holds the routers of each zone for load digests.
@@ -204,6 +211,7 @@
 	}
 	if now.Sub(f.contactAt) > maxContactGap {
 		f.contactSince = now
+		f.versions.restart(now)
 	}
 	f.contactAt = now
 	f.lastContact.Store(int64(now.Sub(f.startedAt)))
--- a/courier/peers.go
+++ b/courier/peers.go
@@ -52,6 +52,9 @@
 	}
 	f.peers, f.zonePeerCount, f.peerZones = append(near, far...), len(near), zones
 	f.listedPeers.Store(newListedPeers(f.self, routers))
+	if f.origins != nil {
+		f.origins.setRouters(routers)
+	}
 	c := f.buildNotifyLists(zones)
 	f.notifyLists.Store(&c)
 	f.digestPeers.Store(newDigestPeers(f.self, zones))
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -16,6 +16,8 @@
 	// Together with the time until the next sync, it is well below the age up to which the
 	// list is used to assign cold endpoints to routers.
 	routerListInterval = 2 * time.Second
+	// minRouterListInterval is the time between two lists that are requested early.
+	minRouterListInterval = 500 * time.Millisecond
 	// fullSyncRounds is the number of rounds after which a keeper of an older version is
 	// asked for its complete state.
 	fullSyncRounds = 5
@@ -220,6 +222,16 @@
 	}()
 }
 
+// listRoutersSoon makes the next sync ask for the list of routers, at most once in
+// minRouterListInterval: a router that this one does not know has sent something.
+func (f *fleetView) listRoutersSoon(now time.Time) {
+	at := int64(now.Sub(f.startedAt))
+	last := f.listSoonAt.Load()
+	if (last == 0 || time.Duration(at-last) >= minRouterListInterval) && f.listSoonAt.CompareAndSwap(last, max(at, 1)) {
+		f.listSoon.Store(true)
+	}
+}
+
 // syncRequest returns the request for a keeper, and the crash report in it.
 func (f *fleetView) syncRequest(l *messenger.Link) (*messenger.SyncRequest, crashReport) {
 	q := &messenger.SyncRequest{Router: f.self, Load: f.shedding.load(time.Now()), SkipEndpoints: f.skipEndpoints(time.Now(), l.Address())}
@@ -230,7 +242,7 @@
 	if x := f.index.Load(); x != nil {
 		q.Number = x.Number()
 	}
-	q.ListRouters = time.Since(f.routersListedAt) > routerListInterval
+	q.ListRouters = time.Since(f.routersListedAt) > routerListInterval || f.listSoon.Swap(false)
 	if f.rounds%fullSyncRounds == 0 && s != nil && s.epoch == 0 {
 		// Keepers of an older version only send ages and routers in a full reply.
 		q.Revision = 0
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/ejector"
+	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
@@ -46,9 +47,9 @@
 // runAttempts sends the request to endpoints until there is a final answer.
 func (j *job) runAttempts(ctx context.Context) {
 	for {
-		assignment := j.f.Table.Choose(time.Now(), j.predictorRequest())
+		assignment := j.choose()
 		if assignment == nil {
-			j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, j.noEndpointReason())
+			j.endWithoutEndpoint(ctx)
 			return
 		}
 		if j.f.Table.CountsDispatches() {
@@ -75,6 +76,24 @@
 	}
 }
 
+// choose assigns the request to an endpoint, or returns nil.
+func (j *job) choose() *predictor.Assignment {
+	if j.bound && j.origin.Version == "" {
+		// Nothing is known to have the version of the stream's first event.
+		return nil
+	}
+	return j.f.Table.Choose(time.Now(), j.predictorRequest())
+}
+
+// endWithoutEndpoint ends a request for which there is no endpoint to choose.
+func (j *job) endWithoutEndpoint(ctx context.Context) {
+	if j.withoutPath == 0 && j.withoutVersion() && !j.mayHaveRun && ctx.Err() == nil {
+		j.refuseWithoutVersion()
+		return
+	}
+	j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, j.noEndpointReason())
+}
+
 // noPathReason is the body of answers to requests that neither this router nor a relay can send.
 const noPathReason = "no path to endpoints"
 
@@ -83,6 +102,9 @@
 	if j.withoutPath > 0 {
 		return noPathReason
 	}
+	if j.withoutVersion() {
+		return noVersionReason
+	}
 	return "no endpoint in service"
 }
 
@@ -112,6 +134,9 @@
 		Service: j.service.Name, Zones: j.zones, Prompt: j.caller.Prompt, PartialDispatches: j.f.Fleet.PartialDispatches(), Routers: j.f.Fleet.Routers(), Tried: append(j.tried, j.noConnection...),
 		Elapsed: time.Since(j.f.start), Repeatable: j.repeatable() && len(j.tried)+1 < j.route.Attempts,
 	}
+	if j.bound {
+		a.Version = j.origin.Version
+	}
 	if e := j.service.Engine; e != nil {
 		a.CacheTokens, a.TransferPerToken = e.MemoryTokens, e.TransferTimePerToken()
 	}
@@ -196,7 +221,7 @@
 // attempt sends the request to one endpoint and handles the answer.
 func (j *job) attempt(ctx context.Context, assignment *predictor.Assignment) outcome {
 	e := assignment.Endpoint()
-	b := e.Beat()
+	b, version := e.Beat(), e.Version()
 	e.Gate().Step(time.Since(j.f.start), ejector.Dispatched, 0)
 	if assignment.UncachedTokens() > 0 {
 		j.f.Fleet.AnnounceDispatch(e.Name(), b.Zone, assignment.Dispatch())
@@ -214,7 +239,7 @@
 	if err != nil {
 		j.reason = err.Error()
 		if errors.Is(err, pooler.ErrMayHaveRun) {
-			j.recordTried(e)
+			j.recordTried(b, version)
 			j.mayHaveRun = true
 			j.recordFailure(ctx, e)
 			return outcomeLost
@@ -238,7 +263,7 @@
 		return outcomeUnsent
 	}
 	j.place.recordReported()
-	j.recordTried(e)
+	j.recordTried(b, version)
 	defer a.Close()
 	fields := j.f.Wire.AnswerFields(a.Status, a.Header)
 	// A misdirected response comes from another incarnation, so it does not describe e.
@@ -253,13 +278,13 @@
 		return j.handleNotRun(a, fields, e)
 	}
 	j.mayHaveRun = true
-	return j.passAnswer(ctx, a, assignment)
+	return j.passAnswer(ctx, a, assignment, version)
 }
 
 // recordTried records that the request was sent to an endpoint.
-func (j *job) recordTried(e *predictor.Endpoint) {
-	j.tried = append(j.tried, e.Beat().Incarnation)
-	j.versions = append(j.versions, string(e.Version()))
+func (j *job) recordTried(b enroller.Heartbeat, v enroller.Version) {
+	j.tried = append(j.tried, b.Incarnation)
+	j.versions = append(j.versions, string(v))
 }
 
 // recordRelay notes the router that relayed an attempt, if any.
@@ -317,7 +342,7 @@
 	return &pooler.Request{
 		Method: j.r.Method, URI: j.r.RequestURI, Host: j.r.Host,
 		Header: j.f.Wire.EndpointHeader(j.r.Header, s), Body: j.body, ID: j.caller.ID, Repeatable: j.repeatable(),
-		Confirm: func() bool { return j.f.Table.InService(w.Endpoint()) },
+		Confirm: func() bool { return j.f.Table.InService(w.Endpoint()) && j.fits(w.Endpoint()) },
 	}
 }
 
@@ -345,9 +370,9 @@
 }
 
 // passAnswer passes on the answer of an endpoint that may have run the request.
-func (j *job) passAnswer(ctx context.Context, a *pooler.Answer, assignment *predictor.Assignment) outcome {
+func (j *job) passAnswer(ctx context.Context, a *pooler.Answer, assignment *predictor.Assignment, version enroller.Version) outcome {
 	if j.route.Kind == publisher.Stream && a.Status == http.StatusOK {
-		return j.relay(ctx, a, assignment)
+		return j.relay(ctx, a, assignment, version)
 	}
 	if j.headSent {
 		j.reason = "stream not taken up: " + http.StatusText(a.Status)
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -56,7 +56,7 @@
 func (j *job) countEnd(status int) {
 	metrics.GetOrCreateCounter(`rattanhoist_answers_total{status="` + strconv.Itoa(status) + `"}`).Inc()
 	if j.resumesStream() {
-		countResumption(j.events > 0)
+		j.countTakeUp()
 	}
 	switch {
 	case j.events > 0:
@@ -67,12 +67,3 @@
 		plainAnswerSeconds.Update(time.Since(j.startedAt).Seconds())
 	}
 }
-
-// countResumption counts a caller that resumes a stream of an earlier attempt.
-func countResumption(wentOn bool) {
-	outcome := "refused"
-	if wentOn {
-		outcome = "went_on"
-	}
-	metrics.GetOrCreateCounter(`rattanhoist_streams_taken_up_total{outcome="` + outcome + `"}`).Inc()
-}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
 	"rattanhoist.example/rattanhoist/quarantiner"
+	"rattanhoist.example/rattanhoist/resumer"
 )
 
 // Errors of Rights. Compare with errors.Is.
@@ -153,6 +154,8 @@
 	Rights     Rights
 	Limiter    *limiter.Limiter
 	Quarantine Quarantine
+	// Origins is nil if streams go on at any version of their service.
+	Origins StreamOrigins
 	// Admission is nil if every request is accepted.
 	Admission Admission
 	// CallerLimits is nil if callers may take any time and memory.
@@ -239,6 +242,12 @@
 	tried []enroller.Incarnation
 	// versions holds the software versions of these incarnations when the request was sent there.
 	versions []string
+	// bound is set once the request may be sent only to endpoints of the service and version in
+	// origin: it resumes a stream, or its first event was passed on.
+	bound  bool
+	origin resumer.Origin
+	// takeUp is the outcome so far for a caller that resumes a stream.
+	takeUp takeUpOutcome
 	// streamVersion is the version of the endpoint that made the last event passed on.
 	streamVersion enroller.Version
 	// noConnection holds the incarnations that had no connection left for this router.
@@ -327,7 +336,7 @@
 		timeout = min(timeout, c.Deadline)
 	}
 	j.deadline = j.startedAt.Add(min(timeout, defaultTimeout))
-	return j.resolveZones() && j.admit() && j.readBody() && j.checkQuarantine()
+	return j.resolveZones() && j.admit() && j.bindResumed() && j.readBody() && j.checkQuarantine()
 }
 
 // admit refuses a request, before its body is read, that would be delayed by this router's
@@ -541,7 +550,7 @@
 		zap.Stringers("endpoints", j.tried), zap.Strings("versions", j.versions),
 	}
 	if j.resumesStream() {
-		fields = append(fields, zap.String("resumes", logged(j.caller.Resumes)), zap.String("after_event", logged([]string{j.caller.LastEventID})))
+		fields = append(fields, zap.String("resumes", logged(j.resumedAttempt())), zap.String("after_event", logged(j.caller.LastEventID)))
 	}
 	if j.route != nil {
 		fields = append(fields, zap.String("route", j.route.Name))
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -20,14 +20,19 @@
 )
 
 // relay passes events on as they arrive. An incomplete event is held back, so that the
-// stream can be resumed at another endpoint after the last complete one.
-func (j *job) relay(ctx context.Context, a *pooler.Answer, assignment *predictor.Assignment) outcome {
+// stream can be resumed at another endpoint after the last complete one. version is that of the
+// endpoint when the request was sent there.
+func (j *job) relay(ctx context.Context, a *pooler.Answer, assignment *predictor.Assignment, version enroller.Version) outcome {
 	events := bufio.NewReaderSize(a.Body, relayBuffer)
 	for {
 		event, err := readEvent(events)
 		if len(event) > 0 && err == nil {
+			if j.f.Origins != nil && changed(version, assignment.Endpoint().Version()) {
+				j.reason = "endpoint changed its version during the stream"
+				return outcomeLost
+			}
 			j.recordEvent(time.Now(), assignment)
-			j.recordVersion(assignment.Endpoint().Version())
+			j.recordVersion(version)
 			if !j.passEvent(a, event, !holdsEvent(events)) {
 				j.logEnd(0, "caller gone")
 				panic(http.ErrAbortHandler)
@@ -91,6 +96,9 @@
 		streamsMixed.Inc()
 	}
 	j.streamVersion = v
+	if !j.headSent {
+		j.bindTo(v)
+	}
 }
 
 // passEvent passes on a complete event, immediately if flush is set and otherwise together
--- a/forwarder/resumption.go
+++ b/forwarder/resumption.go
@@ -1,21 +1,201 @@
 package forwarder
 
 import (
+	"errors"
+	"math/rand/v2"
+	"net/http"
 	"strings"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
+	"rattanhoist.example/rattanhoist/resumer"
+)
+
+const (
+	// maxLoggedBytes bounds what is logged of a header that a caller sends.
+	maxLoggedBytes = 64
+	// A stream whose origin is lost goes on if its service has had one version for soleVersionTimeouts
+	// of its route's timeouts, and for minSoleVersion. A stream and its resumptions last less.
+	soleVersionTimeouts = 4
+	minSoleVersion      = 2 * time.Minute
+	// noVersionReason is the body of answers to requests whose stream no endpoint can continue.
+	noVersionReason = "no endpoint has the version that began the stream"
+)
+
+// takeUpOutcome is the outcome of a request by which a caller resumes a stream.
+type takeUpOutcome string
+
+const (
+	takeUpWentOn takeUpOutcome = "went_on"
+	// takeUpFailed means that the origin is known, and that no event followed.
+	takeUpFailed      takeUpOutcome = "failed"
+	takeUpInvalid     takeUpOutcome = "invalid"
+	takeUpUnknown     takeUpOutcome = "unknown"
+	takeUpUnreachable takeUpOutcome = "unreachable"
+	takeUpNoVersion   takeUpOutcome = "no_version"
 )
 
-// maxLoggedBytes bounds what is logged of a header that a caller sends.
-const maxLoggedBytes = 64
+// countTakeUp counts a request by which a caller resumes a stream.
+func (j *job) countTakeUp() {
+	outcome := j.takeUp
+	switch {
+	case j.events > 0:
+		outcome = takeUpWentOn
+	case outcome == "":
+		outcome = takeUpFailed
+	}
+	metrics.GetOrCreateCounter(`rattanhoist_streams_taken_up_total{outcome="` + string(outcome) + `"}`).Inc()
+}
 
 // resumesStream reports whether the caller resumes a stream that an earlier attempt began.
 func (j *job) resumesStream() bool {
-	return j.route != nil && j.route.Kind == publisher.Stream && (j.caller.LastEventID != "" || len(j.caller.Resumes) > 0)
+	return j.route != nil && j.route.Kind == publisher.Stream && (j.caller.LastEventID != "" || j.resumedAttempt() != "")
+}
+
+// resumedAttempt returns the attempt that the caller states, or "".
+func (j *job) resumedAttempt() string { return strings.Join(j.caller.Resumes, ",") }
+
+// originKey returns the key of the stream that an attempt of this request's caller began.
+func (j *job) originKey(attempt string) resumer.Key {
+	workspace := ""
+	if j.workspace != nil {
+		workspace = j.workspace.Name
+	}
+	return resumer.NewKey(workspace, j.r.Host, j.r.URL.EscapedPath(), attempt)
+}
+
+// bindResumed binds a request that resumes a stream to the service and version that began it. It
+// refuses one of which that is not known.
+func (j *job) bindResumed() bool {
+	if j.f.Origins == nil || !j.resumesStream() {
+		return true
+	}
+	if reason := j.resumptionFault(); reason != "" {
+		j.takeUp = takeUpInvalid
+		return j.fail(http.StatusBadRequest, reason)
+	}
+	o, err := j.findOrigin()
+	if err != nil {
+		return j.refuseUnknownOrigin(err)
+	}
+	return j.useOrigin(o)
+}
+
+// resumptionFault returns what is wrong with the headers of a resumption, or "".
+func (j *job) resumptionFault() string {
+	switch {
+	case len(j.caller.Resumes) > 1:
+		return "Resumes names several attempts"
+	case j.caller.ID != "" && j.resumedAttempt() == j.caller.ID:
+		return "Resumes names this attempt"
+	}
+	return ""
+}
+
+// findOrigin returns what began the stream that the request resumes.
+func (j *job) findOrigin() (resumer.Origin, error) {
+	err := error(resumer.ErrUnknown)
+	if attempt := j.resumedAttempt(); attempt != "" {
+		var o resumer.Origin
+		if o, err = j.f.Origins.Find(j.r.Context(), j.originKey(attempt)); err == nil {
+			return o, nil
+		}
+	}
+	within := max(soleVersionTimeouts*j.route.Timeout, minSoleVersion)
+	if service, ok := soleService(j.route.Shares); ok {
+		if v, ok := j.f.Origins.SoleVersion(service, within); ok {
+			return resumer.Origin{Service: service, Version: v}, nil
+		}
+	}
+	return resumer.Origin{}, err
 }
 
-// logged returns the values of a header as far as they are logged.
-func logged(values []string) string {
-	text := strings.Join(values, ",")
-	return text[:min(len(text), maxLoggedBytes)]
+// soleService returns the service of a route that has only one.
+func soleService(shares []publisher.Share) (string, bool) {
+	if len(shares) != 1 {
+		return "", false
+	}
+	return shares[0].Service, true
 }
+
+// refuseUnknownOrigin refuses a request whose stream's origin was not found. Another router may know
+// it only if the routers that were asked did not answer.
+func (j *job) refuseUnknownOrigin(err error) bool {
+	if errors.Is(err, resumer.ErrUnknown) {
+		j.takeUp = takeUpUnknown
+		return j.fail(http.StatusServiceUnavailable, err.Error())
+	}
+	j.takeUp = takeUpUnreachable
+	j.f.Wire.RetryAfter(j.w.Header(), retryDelay+rand.N(retryJitter))
+	return j.fail(http.StatusServiceUnavailable, err.Error())
+}
+
+// useOrigin binds the request to an origin. It refuses the request if its route does not lead to the
+// service any more, or if no endpoint has the version.
+func (j *job) useOrigin(o resumer.Origin) bool {
+	if !leadsTo(j.route.Shares, o.Service) || j.index.Service(o.Service) == nil {
+		return j.refuseWithoutVersion()
+	}
+	j.bound, j.origin, j.service = true, o, j.index.Service(o.Service)
+	if j.withoutVersion() {
+		return j.refuseWithoutVersion()
+	}
+	return true
+}
+
+// leadsTo reports whether requests of a route are sent to a service.
+func leadsTo(shares []publisher.Share, service string) bool {
+	for _, s := range shares {
+		if s.Service == service && s.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// withoutVersion reports whether no endpoint has the version to which the request is bound.
+func (j *job) withoutVersion() bool {
+	return j.bound && (j.origin.Version == "" || !j.f.Table.Serves(predictor.Request{Service: j.service.Name, Zones: j.zones, Version: j.origin.Version}))
+}
+
+// refuseWithoutVersion answers that the request has not run. It states no Retry-After: endpoints of an
+// earlier version do not come back.
+func (j *job) refuseWithoutVersion() bool {
+	j.takeUp = takeUpNoVersion
+	return j.fail(http.StatusServiceUnavailable, noVersionReason)
+}
+
+// fits reports whether an endpoint may run the request.
+func (j *job) fits(e *predictor.Endpoint) bool {
+	return !j.bound || j.origin.Version.Same(e.Version())
+}
+
+// changed reports whether an endpoint has another version than before. One that was not known has not
+// changed once it is.
+func changed(before, now enroller.Version) bool { return before != "" && before != now }
+
+// bindTo binds the request to the version that made the stream's first event in this answer, before
+// that is passed on, and records the origin for later attempts.
+func (j *job) bindTo(v enroller.Version) {
+	if j.f.Origins == nil {
+		return
+	}
+	if !j.bound {
+		j.bound, j.origin = true, resumer.Origin{Service: j.service.Name, Version: v}
+	}
+	if !j.route.Repeatable() {
+		return
+	}
+	retention := resumer.Retention(max(j.caller.Deadline, j.route.Timeout))
+	j.f.Origins.Record(j.originKey(j.caller.ID), j.origin, retention)
+	if attempt := j.resumedAttempt(); attempt != "" {
+		j.f.Origins.Record(j.originKey(attempt), j.origin, retention)
+	}
+}
+
+// logged returns the beginning of a text that a caller sent.
+func logged(text string) string { return text[:min(len(text), maxLoggedBytes)] }
--- a/forwarder/service_admission.go
+++ b/forwarder/service_admission.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rattanhoist.example/rattanhoist/admitter"
+	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/localizer"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
@@ -35,32 +36,54 @@
 	queues map[queueKey]*waitingQueue
 }
 
-// queueKey identifies a queue. Requests that may be served in different zones wait for different
-// endpoints, so that neither may delay the other.
-type queueKey struct{ service, zones string }
+// maxVersionQueues is the number of queues for single versions from which those that nobody uses are
+// removed.
+const maxVersionQueues = 64
+
+// queueKey identifies a queue. Requests that may be served in different zones, or that resume streams
+// of different versions, wait for different endpoints, so that neither may delay the other.
+type queueKey struct {
+	service, zones string
+	// version is "" for requests that may be served by any version.
+	version enroller.Version
+}
 
 func newServiceAdmission(p Dependencies, start time.Time) *serviceAdmission {
 	return &serviceAdmission{table: p.Table, fleet: p.Fleet, start: start, returns: newReturns(), queues: map[queueKey]*waitingQueue{}}
 }
 
-// queue returns the queue for a service in the given zones.
-func (s *serviceAdmission) queue(service string, zones *localizer.Zones) *waitingQueue {
-	k := queueKey{service, zones.Key()}
+// queue returns the queue for a service in the given zones, and for a version unless that is "".
+func (s *serviceAdmission) queue(service string, zones *localizer.Zones, version enroller.Version) *waitingQueue {
+	k := queueKey{service, zones.Key(), version}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q := s.queues[k]
 	if q == nil {
-		q = &waitingQueue{admission: s, service: service, zones: zones, queue: newServiceQueue(), places: map[uint64]*place{}}
+		s.removeIdle()
+		q = &waitingQueue{admission: s, service: service, zones: zones, version: version, queue: newServiceQueue(), places: map[uint64]*place{}}
 		s.queues[k] = q
 	}
 	return q
 }
 
+// removeIdle removes the idle queues for single versions if there are many. The caller holds s.mu.
+func (s *serviceAdmission) removeIdle() {
+	if len(s.queues) < maxVersionQueues {
+		return
+	}
+	for k, q := range s.queues {
+		if k.version != "" && q.idle() {
+			delete(s.queues, k)
+		}
+	}
+}
+
 // waitingQueue connects a serviceQueue with the requests that wait in it.
 type waitingQueue struct {
 	admission *serviceAdmission
 	service   string
 	zones     *localizer.Zones
+	version   enroller.Version
 
 	mu     sync.Mutex
 	queue  *serviceQueue
@@ -139,7 +162,7 @@
 
 // capacity returns the capacity for the requests of the queue.
 func (q *waitingQueue) capacity() predictor.Capacity {
-	a := predictor.Request{Service: q.service, Zones: q.zones, Elapsed: time.Since(q.admission.start)}
+	a := predictor.Request{Service: q.service, Zones: q.zones, Version: q.version, Elapsed: time.Since(q.admission.start)}
 	return q.admission.table.Capacity(time.Now(), a)
 }
 
@@ -157,6 +180,13 @@
 	}
 }
 
+// idle reports whether no request waits or was started in the queue.
+func (q *waitingQueue) idle() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.Waiting() == 0 && q.queue.running == 0
+}
+
 // hasRoom reports whether there is an endpoint at which a request could start now.
 func (q *waitingQueue) hasRoom() bool {
 	q.mu.Lock()
@@ -222,7 +252,7 @@
 	}
 	begun := time.Now()
 	for {
-		p := s.queue(j.service.Name, j.zones).enter(j.queuedRequest(returning), j.index)
+		p := s.queue(j.service.Name, j.zones, j.origin.Version).enter(j.queuedRequest(returning), j.index)
 		done, err := j.awaitVerdict(ctx, p, begun)
 		if errors.Is(err, errEnterAgain) {
 			continue
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -3,10 +3,13 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/predictor"
+	"rattanhoist.example/rattanhoist/resumer"
 )
 
 // Caller is the information in the header of a caller's request.
@@ -57,6 +60,17 @@
 	predictor.State
 }
 
+// StreamOrigins knows what began the streams of all routers.
+type StreamOrigins interface {
+	// Record makes the origin of a stream known to other routers, for at least the retention. It
+	// returns once that survives the end of this process.
+	Record(k resumer.Key, o resumer.Origin, retention time.Duration)
+	// Find returns the origin of a stream, resumer.ErrUnknown or resumer.ErrUnreachable.
+	Find(ctx context.Context, k resumer.Key) (resumer.Origin, error)
+	// SoleVersion returns the version of a service if no endpoint has had another one for a time.
+	SoleVersion(service string, within time.Duration) (enroller.Version, bool)
+}
+
 // Wire translates HTTP headers. It makes no decisions.
 type Wire interface {
 	// Caller reads a caller's request.
--- a/loader/node.go
+++ b/loader/node.go
@@ -79,6 +79,8 @@
 	// EndpointRelays connects a router to endpoints through other routers while it has no path of
 	// its own, and lets it relay connections for others.
 	EndpointRelays bool
+	// StreamVersions makes streams go on only at the software version that began them.
+	StreamVersions bool
 	// EnginePriorities sends the priorities of requests to endpoints.
 	EnginePriorities bool
 }
@@ -205,6 +207,7 @@
 	"zones", "cold_overshoot", "cold_slack",
 	"limit_overshoot", "limit_slack", "limit_window_s",
 	"processor_share", "paced_claims", "shortage_notices", "load_digests", "service_admission", "engine_priorities", "caller_limits", "endpoint_relays",
+	"stream_versions",
 }
 
 // LoadNode reads and validates the settings of one process. The error lists
@@ -249,7 +252,7 @@
 
 // parseFeatures reads which parts of the fleet are switched on.
 func (c *parser) parseFeatures(sec *ini.Section, f *Features) {
-	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true, EndpointRelays: true}
+	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true, EndpointRelays: true, StreamVersions: true}
 	c.readBool(sec, "paced_claims", &f.PacedClaims)
 	c.readBool(sec, "shortage_notices", &f.ShortageNotices)
 	c.readBool(sec, "load_digests", &f.LoadDigests)
@@ -257,6 +260,7 @@
 	c.readBool(sec, "engine_priorities", &f.EnginePriorities)
 	c.readBool(sec, "caller_limits", &f.CallerLimits)
 	c.readBool(sec, "endpoint_relays", &f.EndpointRelays)
+	c.readBool(sec, "stream_versions", &f.StreamVersions)
 }
 
 // parseRegions reads the region of each zone in the form ZONE:REGION,ZONE:REGION.
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -41,8 +41,9 @@
 	Message string
 	// Fields holds the remaining fields of the line.
 	Fields map[string]any
-	// Own reports whether the line names the request. Other lines of its
-	// history describe the state of the system at the time.
+	// Own reports whether the line names the request, or another attempt of its
+	// caller to get the same stream. Other lines of its history describe the
+	// state of the system at the time.
 	Own bool
 }
 
@@ -119,13 +120,16 @@
 }
 
 // History returns the history of a request in chronological order: the lines that
-// name the request, and lines that show the state known to the processes
-// involved. It returns nil if no line names the request.
+// name the request or another attempt of its stream, and lines that show the
+// state known to the processes involved. It returns nil if no line names the
+// request.
 func History(all []*Line, request string) []*Line {
 	alignClocks(all)
 	var own, out []*Line
+	attempts := streamAttempts(all, request)
 	for _, l := range all {
-		l.Own = l.Fields["request"] == request
+		id, _ := l.Fields["request"].(string)
+		l.Own = attempts[id]
 		if l.Own {
 			own = append(own, l)
 		}
@@ -145,6 +149,25 @@
 	return out
 }
 
+// streamAttempts returns the request and the other attempts of its stream: the
+// one that began it, and those that resume it.
+func streamAttempts(all []*Line, request string) map[string]bool {
+	first := request
+	for _, l := range all {
+		if r, ok := l.Fields["resumes"].(string); ok && r != "" && l.Fields["request"] == request {
+			first = r
+		}
+	}
+	out := map[string]bool{request: true, first: true}
+	for _, l := range all {
+		id, ok := l.Fields["request"].(string)
+		if r, resumes := l.Fields["resumes"].(string); ok && resumes && r == first {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // requestScope describes the time span, processes, endpoints, workspace and
 // content of a request. It selects the lines that are relevant to the request.
 type requestScope struct {
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -120,3 +120,20 @@
 	g.Expect(lines[0].Text()).To(gomega.Equal(`request="x"`))
 	g.Expect(skipped).To(gomega.Equal(2))
 }
+
+// Guards against the story of a stream that ends with its first attempt, although its caller resumed
+// it at other routers.
+func TestStoryHoldsAllAttemptsOfAStream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := readLogs(t, map[string]string{
+		"r1.log": formatLine(100, "r1", "ended", `,"request":"a","status":502,"endpoints":["i-1"],"versions":["v1"]`),
+		"r2.log": formatLine(101, "r2", "ended", `,"request":"b","status":502,"resumes":"a","after_event":"4"`) +
+			formatLine(101.5, "r2", "ended", `,"request":"other","status":200,"resumes":"z"`),
+		"r3.log": formatLine(102, "r3", "ended", `,"request":"c","status":200,"resumes":"a","after_event":"9"`),
+	})
+	want := []string{"r1: ended", "r2: ended", "r3: ended"}
+	for _, id := range []string{"a", "b", "c"} {
+		g.Expect(processMessages(narrator.History(all, id))).To(gomega.Equal(want), id)
+	}
+	g.Expect(narrator.History(all, "other")).To(gomega.HaveLen(1))
+}
