--- a/forwarder/resumption_test.go
+++ b/forwarder/resumption_test.go
@@ -15,6 +15,7 @@
 
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/forwarder"
+	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
 	"rattanhoist.example/rattanhoist/resumer"
@@ -141,7 +142,7 @@
 		a := w.resume(t, "first")
 		g.Expect(a.status).To(gomega.Equal(200))
 	}
-	g.Expect(one.requests()).To(gomega.BeEmpty())
+	g.Expect(one.accepted.Load()).To(gomega.BeZero())
 	g.Expect(two.requests()).To(gomega.HaveLen(10))
 	g.Expect(two.requests()[0].Header.Get("Resumes")).To(gomega.Equal("first"))
 	g.Expect(o.known[originKey("/resume/x", "later")]).To(gomega.Equal(resumer.Origin{Service: "engine", Version: "v2"}))
@@ -188,6 +189,7 @@
 	a = w.send(t, "POST", "/resume/x", "")
 	g.Expect(a.err).To(gomega.HaveOccurred())
 	g.Expect(append(one.requests(), two.requests()...)).To(gomega.HaveLen(1))
+	g.Expect(one.accepted.Load() + two.accepted.Load()).To(gomega.BeEquivalentTo(1))
 }
 
 // Guards against resumptions that are answered falsely, late, or at another workspace's expense when
@@ -212,6 +214,7 @@
 		{"another route", []string{"Last-Event-Id", "2", "Resumes", "first"}, "/stream/x", resumer.ErrUnknown, 503, false},
 		{"another workspace", []string{"Last-Event-Id", "2", "Resumes", "foreign"}, "/resume/x", resumer.ErrUnknown, 503, false},
 		{"another service", []string{"Last-Event-Id", "2", "Resumes", "other"}, "/resume/x", resumer.ErrUnknown, 503, false},
+		{"a service that gets no requests now", []string{"Last-Event-Id", "2", "Resumes", "drained"}, "/resume/x", resumer.ErrUnknown, 503, false},
 		{"a version that is gone", []string{"Last-Event-Id", "2", "Resumes", "gone"}, "/resume/x", resumer.ErrUnknown, 503, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -222,8 +225,14 @@
 			o.known[originKey("/resume/x", "gone")] = resumer.Origin{Service: "engine", Version: "v0"}
 			o.known[originKey("/resume/x", "other")] = resumer.Origin{Service: "desk", Version: "v1"}
 			o.known[resumer.NewKey("another", "A.example:80", "/resume/x", "foreign")] = resumer.Origin{Service: "engine", Version: "v1"}
+			o.known[originKey("/resume/x", "drained")] = resumer.Origin{Service: "drained", Version: "v1"}
 			e := newEndpoint(t, streamOf(3, 4))
-			w := newVersionRouter(t, o, []string{"v1"}, e)
+			d := document()
+			d.Services = append(d.Services, publisher.Service{Name: "desk", Connections: 50}, publisher.Service{Name: "drained", Connections: 50})
+			d.Routes[3].Shares = append(d.Routes[3].Shares, publisher.Share{Service: "drained"})
+			w := newVersionRouterWith(t, d, func(*forwarder.Dependencies) {}, o, []string{"v1"}, e)
+			list := w.table.Endpoints("engine")
+			w.table.Replace(map[string][]*predictor.Endpoint{"engine": list, "desk": list, "drained": list})
 			begun := time.Now()
 			a := w.send(t, "POST", c.path, "", append(c.header, "Rattanhoist-Token-Usage", "10,20")...)
 			g.Expect(a.status).To(gomega.Equal(c.status), a.body)
@@ -304,6 +313,22 @@
 	g.Expect(o.known[originKey("/resume/x", "r1")].Version).To(gomega.Equal(enroller.Version("v1")))
 }
 
+// Guards against a request that is sent to an endpoint whose version has changed since it was chosen.
+func TestVersionIsCheckedAsTheRequestIsSent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := newOriginsStub()
+	o.known[originKey("/resume/x", "first")] = resumer.Origin{Service: "engine", Version: "v1"}
+	e := newEndpoint(t, streamOf(3, 4))
+	w := newVersionRouter(t, o, []string{"v1"}, e)
+	w.pool.UseDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		w.setVersions("v2")
+		return pooler.DialDirect(ctx, address)
+	})
+	a := w.resume(t, "first")
+	g.Expect(a.status).To(gomega.Equal(503))
+	g.Expect(e.requests()).To(gomega.BeEmpty())
+}
+
 // Guards against a resumption that waits for, or is refused because of, endpoints of other versions
 // that are full, and one that does not wait although those of its version are full.
 func TestResumptionQueuesForItsVersion(t *testing.T) {
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -39,6 +39,8 @@
 	scripts  []script
 	received []*http.Request
 	bodies   []string
+	// accepted counts the connections.
+	accepted atomic.Int64
 }
 
 // newEndpoint starts an endpoint that runs the scripts in turn, and the last one
@@ -56,6 +58,7 @@
 			if err != nil {
 				return
 			}
+			e.accepted.Add(1)
 			go e.serve(c)
 		}
 	}()
--- a/resumer/replication_test.go
+++ b/resumer/replication_test.go
@@ -133,8 +133,30 @@
 	}
 }
 
-// Guards against streams that only the router knows that began them, because datagrams are lost or
-// because the routers that kept them have started anew.
+// Guards against streams that only the router knows that began them because datagrams are lost.
+func TestLostDatagramsAreMadeUpFor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(3, 2, 0.2)
+	const streams = 1000
+	for i := range streams {
+		f.deliver(start, f.routers[f.members[0].Address].Begin(start, entry(i, "v1", 30*time.Second)))
+	}
+	for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(250 * time.Millisecond) {
+		f.deliver(now, f.routers[f.members[0].Address].Tick(now))
+	}
+	f.remove(f.members[0])
+	found := 0
+	for i := range streams {
+		if f.finds(start, f.members[1+i%5], key(i)) {
+			found++
+		}
+	}
+	// Each of two replicas misses an origin that was sent twice with a probability of 0.04, and once of 0.2.
+	g.Expect(found).To(gomega.BeNumerically(">=", 0.99*streams))
+}
+
+// Guards against streams that only the router knows that began them because the routers that kept them
+// have started anew.
 func TestOriginsAreSentAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := newFleet(3, 2, 0.2)
