Streams of a version, or of a router, that this router has not heard of yet go on

Cause: in a test of a release, 4 of 300 streams that callers took up within 20 ms were refused because their router had not heard of the first endpoint of the new version yet, and 3 to 6 in the first second of a fleet because its routers had not listed each other. Change: such a version is awaited for 0.4 s; routers list each other in each sync for 3 s after their start, and when they are asked for a stream that they can't search for.

--- a/courier/stream_origins.go
+++ b/courier/stream_origins.go
@@ -175,7 +175,11 @@
 		originSearchesDropped.Inc()
 		return nil, resumer.Origin{}, resumer.ErrUnreachable
 	}
-	search := &originSearch{core: resumer.NewSearch(now, s.placement.Candidates(k)), answered: make(chan struct{}, 1)}
+	candidates := s.placement.Candidates(k)
+	if len(candidates) == 0 {
+		s.fleet.listRoutersSoon(now)
+	}
+	search := &originSearch{core: resumer.NewSearch(now, candidates), answered: make(chan struct{}, 1)}
 	s.searches[number] = search
 	return search, resumer.Origin{}, nil
 }
@@ -316,6 +320,11 @@
 	return s.fleet.soleVersion(time.Now(), service, within)
 }
 
+// HasHeardOf reports whether this router has heard of an endpoint of a service with a version.
+func (s *streamOrigins) HasHeardOf(service string, v enroller.Version) bool {
+	return s.fleet.versions.knows(service, v)
+}
+
 // send sends a datagram to the router at an internal address. It may be lost.
 func (n *dispatchNotifier) send(to string, d *messenger.Dispatched) {
 	a, err := netip.ParseAddrPort(to)
--- a/courier/stream_version_test.go
+++ b/courier/stream_version_test.go
@@ -130,6 +130,8 @@
 	first string
 	// origins holds the service and version of each event, in order.
 	origins []string
+	// refusals holds the answers to attempts without events.
+	refusals []string
 	// misplaced is set if an event came twice or was left out.
 	misplaced bool
 }
@@ -173,7 +175,10 @@
 	defer a.Body.Close()
 	if a.StatusCode == http.StatusOK {
 		s.read(id, a.Body, most)
+		return a.StatusCode
 	}
+	b, _ := io.ReadAll(io.LimitReader(a.Body, 200))
+	s.refusals = append(s.refusals, fmt.Sprintf("%s at router %d: %d %s", id, router, a.StatusCode, b))
 	return a.StatusCode
 }
 
@@ -242,7 +247,7 @@
 }
 
 // countStreams returns how many streams mix versions and how many are whole.
-func countStreams(g *gomega.WithT, streams []stream) (mixed, whole int) {
+func countStreams(t *testing.T, g *gomega.WithT, streams []stream) (mixed, whole int) {
 	for i := range streams {
 		g.Expect(streams[i].misplaced).To(gomega.BeFalse(), "stream %d: %v", i, streams[i].origins)
 		if streams[i].mixed() {
@@ -250,7 +255,9 @@
 		}
 		if streams[i].whole() {
 			whole++
+			continue
 		}
+		t.Logf("stream %d: %v, %q", i, streams[i].origins, streams[i].refusals)
 	}
 	return mixed, whole
 }
@@ -273,7 +280,7 @@
 		}
 		f.attempt(4+i%3, id, &streams[i], streamEvents)
 	})
-	mixed, whole := countStreams(g, streams)
+	mixed, whole := countStreams(t, g, streams)
 	t.Logf("%d of %d streams mix versions, %d are whole", mixed, len(streams), whole)
 	g.Expect(mixed).To(gomega.BeZero())
 	g.Expect(whole).To(gomega.BeNumerically(">=", minWentOn*float64(len(streams))))
@@ -292,7 +299,7 @@
 			f.attempt(4+(i/3+k*step)%3, fmt.Sprintf("s%d-%d", i, k), &streams[i], most)
 		}
 	})
-	mixed, whole := countStreams(g, streams)
+	mixed, whole := countStreams(t, g, streams)
 	t.Logf("%d of %d streams mix versions, %d are whole", mixed, len(streams), whole)
 	g.Expect(mixed).To(gomega.BeZero())
 	g.Expect(whole).To(gomega.BeNumerically(">=", minWentOn*float64(len(streams))))
@@ -320,7 +327,7 @@
 	f.publish(g, 1, streamDocument(3, `{"service":"engine","weight":100},{"service":"other","weight":1}`))
 	time.Sleep(time.Second)
 	parallel(20, func(i int) { goOn(20 + i) })
-	mixed, whole := countStreams(g, streams)
+	mixed, whole := countStreams(t, g, streams)
 	t.Logf("%d of %d streams mix services, %d are whole", mixed, len(streams), whole)
 	g.Expect(mixed).To(gomega.BeZero())
 	g.Expect(whole).To(gomega.BeNumerically(">=", minWentOn*float64(len(streams))))
@@ -382,7 +389,7 @@
 		}
 		wg.Wait()
 		_ = killed.Wait()
-		mixed, whole := countStreams(g, streams)
+		mixed, whole := countStreams(t, g, streams)
 		resumed := 0
 		for i := range streams {
 			if streams[i].first != "" {
@@ -461,3 +468,124 @@
 		return f.attempt(router, fmt.Sprint("first", router), &stream{}, 1)
 	}, 15*time.Second, 20*time.Millisecond).Should(gomega.Equal(200))
 }
+
+// Guards against streams that do not go on while a release replaces one endpoint after the other, as
+// long as two of their version serve.
+func TestStreamsGoOnDuringARelease(t *testing.T) {
+	t.Parallel()
+	f, g := startCluster(t, 156)
+	f.publish(g, 1, streamDocument(2, engineOnly))
+	for n := 4; n <= 6; n++ {
+		f.router(n)
+	}
+	var old []*versionEngine
+	for i := range 6 {
+		old = append(old, f.startVersionEngine(fmt.Sprint("i-", i), "engine", "v1", nil))
+	}
+	for n := 4; n <= 6; n++ {
+		f.awaitVersions(g, n, 1)
+	}
+	streams := make([]stream, 300)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		parallel(len(streams), func(i int) {
+			f.attempt(4+i%3, fmt.Sprintf("s%d-0", i), &streams[i], 2)
+			time.Sleep(20 * time.Millisecond)
+			f.attempt(4+(i+1)%3, fmt.Sprintf("s%d-1", i), &streams[i], streamEvents)
+		})
+	}()
+	for i := range 4 {
+		f.startVersionEngine(fmt.Sprint("i-new", i), "engine", "v2", nil)
+		time.Sleep(300 * time.Millisecond)
+		old[i].leave()
+		time.Sleep(300 * time.Millisecond)
+	}
+	<-done
+	mixed, whole := countStreams(t, g, streams)
+	began := 0
+	for i := range streams {
+		if streams[i].first != "" {
+			began++
+		}
+	}
+	t.Logf("%d of %d streams mix versions, %d began, %d are whole", mixed, len(streams), began, whole)
+	g.Expect(mixed).To(gomega.BeZero())
+	g.Expect(whole).To(gomega.BeNumerically(">=", minWentOn*float64(began)))
+}
+
+// Guards against streams that are lost, or that mix versions, when routers stop in turn.
+func TestStreamsOfStoppedRoutersGoOnAtTheirVersion(t *testing.T) {
+	t.Parallel()
+	f, g := startVersionFleet(t, 157, nil)
+	streams := make([]stream, 60)
+	parallel(len(streams), func(i int) { f.attempt(4+i%3, fmt.Sprintf("s%d-0", i), &streams[i], 2) })
+	for n := 4; n <= 5; n++ {
+		f.stop(fmt.Sprint("router", n))
+		f.router(n)
+		f.awaitVersions(g, n, 2)
+	}
+	f.stop("router6")
+	parallel(len(streams), func(i int) { f.attempt(4+i%2, fmt.Sprintf("s%d-1", i), &streams[i], streamEvents) })
+	mixed, whole := countStreams(t, g, streams)
+	t.Logf("%d of %d streams mix versions, %d are whole", mixed, len(streams), whole)
+	g.Expect(mixed).To(gomega.BeZero())
+	g.Expect(whole).To(gomega.BeNumerically(">=", minWentOn*float64(len(streams))))
+}
+
+// Guards against streams that go on anywhere because a router beside this one does not exchange what
+// began them, as one of an earlier build.
+func TestStreamsOfAnEarlierBuildAreRefused(t *testing.T) {
+	t.Parallel()
+	f, g := startCluster(t, 158)
+	f.publish(g, 1, streamDocument(2, engineOnly))
+	f.partitionedRouter(4, newPartition(), "stream_versions = false")
+	f.router(5)
+	f.router(6)
+	for i := range 4 {
+		f.startVersionEngine(fmt.Sprint("i-", i), "engine", fmt.Sprint("v", 1+i%2), nil)
+	}
+	for n := 4; n <= 6; n++ {
+		f.awaitVersions(g, n, 2)
+	}
+	var s stream
+	f.attempt(4, "old", &s, 2)
+	begun := time.Now()
+	g.Expect(f.attempt(5, "refused", &s, streamEvents)).To(gomega.Equal(503))
+	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 500*time.Millisecond))
+	streams := make([]stream, 40)
+	parallel(len(streams), func(i int) {
+		f.attempt(5+i%2, fmt.Sprintf("s%d-0", i), &streams[i], 2)
+		f.attempt(6-i%2, fmt.Sprintf("s%d-1", i), &streams[i], streamEvents)
+	})
+	mixed, whole := countStreams(t, g, streams)
+	g.Expect(mixed).To(gomega.BeZero())
+	g.Expect(whole).To(gomega.BeNumerically(">=", minWentOn*float64(len(streams))))
+}
+
+// Guards against a stream of a router without paths to endpoints that goes on at another version: it
+// goes through a relay.
+func TestRelayedStreamGoesOnAtItsVersion(t *testing.T) {
+	t.Parallel()
+	f, g := startCluster(t, 159)
+	f.publish(g, 1, streamDocument(2, engineOnly))
+	p := newPartition()
+	f.partitionedRouter(4, p)
+	f.router(5)
+	for i := range 4 {
+		f.startVersionEngine(fmt.Sprint("i-", i), "engine", fmt.Sprint("v", 1+i%2), nil)
+	}
+	f.awaitVersions(g, 4, 2)
+	f.awaitVersions(g, 5, 2)
+	p.set(cutReset)
+	time.Sleep(contactWindow)
+	streams := make([]stream, 40)
+	parallel(len(streams), func(i int) {
+		f.attempt(4+i%2, fmt.Sprintf("s%d-0", i), &streams[i], 2)
+		f.attempt(5-i%2, fmt.Sprintf("s%d-1", i), &streams[i], streamEvents)
+	})
+	mixed, whole := countStreams(t, g, streams)
+	t.Logf("%d of %d streams mix versions, %d are whole", mixed, len(streams), whole)
+	g.Expect(mixed).To(gomega.BeZero())
+	g.Expect(whole).To(gomega.BeNumerically(">=", minWentOn*float64(len(streams))))
+}
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -16,6 +16,9 @@
 	// Together with the time until the next sync, it is well below the age up to which the
 	// list is used to assign cold endpoints to routers.
 	routerListInterval = 2 * time.Second
+	// routerListStart is how long after its start a router asks for the list in each sync: routers that
+	// start together learn of each other soon.
+	routerListStart = 3 * time.Second
 	// minRouterListInterval is the time between two lists that are requested early.
 	minRouterListInterval = 500 * time.Millisecond
 	// fullSyncRounds is the number of rounds after which a keeper of an older version is
@@ -242,7 +245,7 @@
 	if x := f.index.Load(); x != nil {
 		q.Number = x.Number()
 	}
-	q.ListRouters = time.Since(f.routersListedAt) > routerListInterval || f.listSoon.Swap(false)
+	q.ListRouters = time.Since(f.routersListedAt) > routerListInterval || time.Since(f.startedAt) < routerListStart || f.listSoon.Swap(false)
 	if f.rounds%fullSyncRounds == 0 && s != nil && s.epoch == 0 {
 		// Keepers of an older version only send ages and routers in a full reply.
 		q.Revision = 0
--- a/courier/version_history.go
+++ b/courier/version_history.go
@@ -41,6 +41,13 @@
 	return h.history.Sole(service, since)
 }
 
+// knows reports whether an endpoint of a service has, or has had lately, a version.
+func (h *versionHistory) knows(service string, v enroller.Version) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.history.Knows(service, v)
+}
+
 // soleVersion returns the version of a service if its endpoints have had no other one for a time.
 func (f *fleetView) soleVersion(now time.Time, service string, within time.Duration) (enroller.Version, bool) {
 	if f.disconnected() {
--- a/enroller/version_history.go
+++ b/enroller/version_history.go
@@ -65,3 +65,10 @@
 	}
 	return "", false
 }
+
+// Knows reports whether an endpoint of a service has, or has had lately, a version.
+func (h *VersionHistory) Knows(service string, v Version) bool {
+	k := serviceVersion{service, v}
+	_, gone := h.gone[k]
+	return h.current[k] || gone
+}
--- a/forwarder/resumption.go
+++ b/forwarder/resumption.go
@@ -22,6 +22,10 @@
 	// of its route's timeouts, and for minSoleVersion. A stream and its resumptions last less.
 	soleVersionTimeouts = 4
 	minSoleVersion      = 2 * time.Minute
+	// maxVersionWait is how long a request waits for the first endpoint of its stream's version that
+	// this router hears of, a few syncs with keepers. versionPollInterval is the time between two looks.
+	maxVersionWait      = 400 * time.Millisecond
+	versionPollInterval = 20 * time.Millisecond
 	// noVersionReason is the body of answers to requests whose stream no endpoint can continue.
 	noVersionReason = "no endpoint has the version that began the stream"
 )
@@ -141,10 +145,23 @@
 		return j.refuseWithoutVersion()
 	}
 	j.bound, j.origin, j.service = true, o, j.index.Service(o.Service)
-	if j.withoutVersion() {
-		return j.refuseWithoutVersion()
+	if !j.withoutVersion() || j.awaitVersion() {
+		return true
+	}
+	return j.refuseWithoutVersion()
+}
+
+// awaitVersion waits for an endpoint of the stream's version if this router has not heard of one yet:
+// another router that has may have begun the stream just now. It returns false if there is none.
+func (j *job) awaitVersion() bool {
+	for begun := time.Now(); time.Since(begun) < maxVersionWait && j.origin.Version != "" && !j.f.Origins.HasHeardOf(j.service.Name, j.origin.Version); {
+		select {
+		case <-j.r.Context().Done():
+			return false
+		case <-time.After(versionPollInterval):
+		}
 	}
-	return true
+	return !j.withoutVersion()
 }
 
 // leadsTo reports whether requests of a route are sent to a service.
--- a/forwarder/resumption_test.go
+++ b/forwarder/resumption_test.go
@@ -30,6 +30,14 @@
 	err    error
 	sole   map[string]enroller.Version
 	within time.Duration
+	// unheard holds the versions of which the router has not heard yet.
+	unheard map[enroller.Version]bool
+}
+
+func (o *originsStub) HasHeardOf(_ string, v enroller.Version) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.unheard[v]
 }
 
 func newOriginsStub() *originsStub {
@@ -313,6 +321,27 @@
 	g.Expect(o.known[originKey("/resume/x", "r1")].Version).To(gomega.Equal(enroller.Version("v1")))
 }
 
+// Guards against a stream that is refused because this router hears of the first endpoint of a version a
+// moment after another router has begun the stream there.
+func TestVersionThatIsNewHereIsAwaited(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := newOriginsStub()
+	o.known[originKey("/resume/x", "first")] = resumer.Origin{Service: "engine", Version: "v2"}
+	o.unheard = map[enroller.Version]bool{"v2": true}
+	e := newEndpoint(t, streamOf(3, 4))
+	w := newVersionRouter(t, o, []string{"v1"}, e)
+	begun := time.Now()
+	g.Expect(w.resume(t, "first").status).To(gomega.Equal(503))
+	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 600*time.Millisecond))
+	time.AfterFunc(100*time.Millisecond, func() {
+		w.setVersions("v2")
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.unheard = nil
+	})
+	g.Expect(w.resume(t, "first").status).To(gomega.Equal(200))
+}
+
 // Guards against a request that is sent to an endpoint whose version has changed since it was chosen.
 func TestVersionIsCheckedAsTheRequestIsSent(t *testing.T) {
 	g := gomega.NewWithT(t)
