Streams whose callers do not name the first attempt are found by their content

Cause: an origin was kept under the caller's attempt only. Two streams of one content at different versions are told from each other by nobody, and go on nowhere. The body is read before the search.

--- a/courier/stream_origins.go
+++ b/courier/stream_origins.go
@@ -92,9 +92,9 @@
 }
 
 // Record keeps the origin of a stream and sends it to the routers that keep it as well.
-func (s *streamOrigins) Record(k resumer.Key, o resumer.Origin, retention time.Duration) {
+func (s *streamOrigins) Record(o resumer.Origin, retention time.Duration, content resumer.Key, attempts ...resumer.Key) {
 	s.mu.Lock()
-	sends := s.replication.Begin(time.Now(), resumer.Entry{Key: k, Origin: o, Remaining: retention})
+	sends := s.replication.Begin(time.Now(), o, retention, content, attempts...)
 	s.mu.Unlock()
 	s.sendAll(sends)
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -336,7 +336,7 @@
 		timeout = min(timeout, c.Deadline)
 	}
 	j.deadline = j.startedAt.Add(min(timeout, defaultTimeout))
-	return j.resolveZones() && j.admit() && j.bindResumed() && j.readBody() && j.checkQuarantine()
+	return j.resolveZones() && j.admit() && j.readBody() && j.bindResumed() && j.checkQuarantine()
 }
 
 // admit refuses a request, before its body is read, that would be delayed by this router's
--- a/forwarder/resumption.go
+++ b/forwarder/resumption.go
@@ -102,12 +102,13 @@
 
 // findOrigin returns what began the stream that the request resumes.
 func (j *job) findOrigin() (resumer.Origin, error) {
-	err := error(resumer.ErrUnknown)
+	k := resumer.NewContentKey(j.fingerprint)
 	if attempt := j.resumedAttempt(); attempt != "" {
-		var o resumer.Origin
-		if o, err = j.f.Origins.Find(j.r.Context(), j.originKey(attempt)); err == nil {
-			return o, nil
-		}
+		k = j.originKey(attempt)
+	}
+	o, err := j.f.Origins.Find(j.r.Context(), k)
+	if err == nil {
+		return o, nil
 	}
 	within := max(soleVersionTimeouts*j.route.Timeout, minSoleVersion)
 	if service, ok := soleService(j.route.Shares); ok {
@@ -207,11 +208,11 @@
 	if !j.route.Repeatable() {
 		return
 	}
-	retention := resumer.Retention(max(j.caller.Deadline, j.route.Timeout))
-	j.f.Origins.Record(j.originKey(j.caller.ID), j.origin, retention)
-	if attempt := j.resumedAttempt(); attempt != "" {
-		j.f.Origins.Record(j.originKey(attempt), j.origin, retention)
+	attempts := []resumer.Key{j.originKey(j.caller.ID)}
+	if a := j.resumedAttempt(); a != "" {
+		attempts = append(attempts, j.originKey(a))
 	}
+	j.f.Origins.Record(j.origin, resumer.Retention(max(j.caller.Deadline, j.route.Timeout)), resumer.NewContentKey(j.fingerprint), attempts...)
 }
 
 // logged returns the beginning of a text that a caller sent.
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -62,9 +62,9 @@
 
 // StreamOrigins knows what began the streams of all routers.
 type StreamOrigins interface {
-	// Record makes the origin of a stream known to other routers, for at least the retention. It
-	// returns once that survives the end of this process.
-	Record(k resumer.Key, o resumer.Origin, retention time.Duration)
+	// Record makes the origin of a stream known to other routers for the retention, by the content of
+	// its request and by attempts. It returns once that survives the end of this process.
+	Record(o resumer.Origin, retention time.Duration, content resumer.Key, attempts ...resumer.Key)
 	// Find returns the origin of a stream, resumer.ErrUnknown or resumer.ErrUnreachable.
 	Find(ctx context.Context, k resumer.Key) (resumer.Origin, error)
 	// SoleVersion returns the version of a service if no endpoint has had another one for a time.
--- a/resumer/origin.go
+++ b/resumer/origin.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
 // Errors of a search. Compare with errors.Is.
@@ -34,7 +35,8 @@
 // keyBytes is the length of a key.
 const keyBytes = 16
 
-// Key identifies the attempt of a caller that brought the first event of a stream.
+// Key identifies a stream: by the attempt of a caller that brought its first event, or by the content
+// of its request.
 type Key [keyBytes]byte
 
 // NewKey returns the key of an attempt of a workspace to request a path of a host. Nobody finds the
@@ -48,6 +50,15 @@
 	return Key(h.Sum(nil)[:keyBytes])
 }
 
+// NewContentKey returns the key of a request by what all attempts for a stream have in common, for
+// callers that do not name the attempt which brought the first event.
+func NewContentKey(f quarantiner.Fingerprint) Key {
+	h := sha256.New()
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, f.Sum))
+	_, _ = h.Write([]byte(f.Workspace))
+	return Key(h.Sum(nil)[:keyBytes])
+}
+
 // KeyFromBytes returns the key with the given bytes, and false if they are no key.
 func KeyFromBytes(b []byte) (Key, bool) {
 	if len(b) != keyBytes {
--- a/resumer/replication.go
+++ b/resumer/replication.go
@@ -5,16 +5,18 @@
 const (
 	// maxOwnEntries and maxHeldEntries bound the origins of streams that began at this router, and of
 	// those that other routers sent. maxStoreBytes bounds the memory of each of the two.
-	maxOwnEntries  = 8 << 10
-	maxHeldEntries = 16 << 10
-	maxStoreBytes  = 6 << 20
+	maxOwnEntries  = 16 << 10
+	maxHeldEntries = 32 << 10
+	maxStoreBytes  = 8 << 20
 	// repeatDelay is the time after which an origin is sent a second time. Datagrams may be lost.
 	repeatDelay = 500 * time.Millisecond
 	// maxSendsPerTick bounds the origins that one tick sends again, so that a change of the routers
 	// takes little time at once.
 	maxSendsPerTick = 256
-	// sendsPerReplica is how often an origin is sent to a router.
-	sendsPerReplica = 2
+	// sendsPerReplica is how often an origin is sent to a router. By content it is sent once: most
+	// callers name the attempt.
+	sendsPerReplica        = 2
+	contentSendsPerReplica = 1
 )
 
 // Send is an order to send origins to a router.
@@ -34,8 +36,11 @@
 	queue []queuedKey
 }
 
-// sendState is to which replicas an origin was sent.
-type sendState struct{ replicas [2]replicaState }
+// sendState is to which replicas an origin was sent, and how often each of them has to get it.
+type sendState struct {
+	replicas [2]replicaState
+	wanted   int
+}
 
 type replicaState struct {
 	address     string
@@ -63,16 +68,23 @@
 	}
 }
 
-// Begin adds the origin of a stream that begins, or goes on, at this router, and returns what to send
-// before its first event is passed on.
-func (r *Replication) Begin(now time.Time, e Entry) []Send {
-	r.own.Put(now, e)
-	r.sent[e.Key] = &sendState{}
+// Begin adds the origin of a stream that begins, or goes on, at this router, under the keys of attempts
+// and of its content. It returns what to send before its first event is passed on.
+func (r *Replication) Begin(now time.Time, o Origin, retention time.Duration, content Key, attempts ...Key) []Send {
 	b := batch{}
-	r.send(now, e.Key, &b)
+	r.begin(now, Entry{content, o, retention}, contentSendsPerReplica, &b)
+	for _, k := range attempts {
+		r.begin(now, Entry{k, o, retention}, sendsPerReplica, &b)
+	}
 	return b.sends
 }
 
+func (r *Replication) begin(now time.Time, e Entry, sends int, b *batch) {
+	r.own.Put(now, e)
+	r.sent[e.Key] = &sendState{wanted: sends}
+	r.send(now, e.Key, b)
+}
+
 // Tick returns what to send again.
 func (r *Replication) Tick(now time.Time) []Send {
 	b := batch{}
@@ -122,16 +134,16 @@
 	if !ok || state == nil || r.placement == nil {
 		return
 	}
-	var next sendState
+	next := sendState{wanted: state.wanted}
 	again := false
 	for i, m := range r.placement.Replicas(k) {
 		s := state.of(m)
-		if s.sends < sendsPerReplica {
+		if s.sends < state.wanted {
 			s.sends++
 			b.add(m, e)
 		}
 		next.replicas[i] = s
-		again = again || s.sends < sendsPerReplica
+		again = again || s.sends < state.wanted
 	}
 	*state = next
 	if again {
