Streams of a service with one version go on although all routers that knew them are gone

What callers saw: after all routers were killed at once, or the few that knew a stream, callers who came back were refused although the fleet has had one version all along. Cause: a router that has started knows nothing of the time before, and one version in service says nothing. Change: keepers keep which versions of a service have gone and since when that is complete, over restarts, tell each other and tell routers with each reply.

--- a/courier/endpoint.go
+++ b/courier/endpoint.go
@@ -25,21 +25,20 @@
 		f.registered.Expire(now)
 	}
 	f.removeLeaving(now)
+	defer f.publishVersions(now)
 	evacuated := f.evacuations.load()
 	if f.registered.Revision() == f.appliedRevision && evacuated.revision == f.appliedEvacuations {
 		return
 	}
 	f.appliedRevision, f.appliedEvacuations = f.registered.Revision(), evacuated.revision
 	byService := map[string][]*predictor.Endpoint{}
-	versions := map[string][]enroller.Version{}
 	known := map[enroller.Incarnation]bool{}
 	changes := endpointChanges{log: f.options.Log}
 	for _, s := range f.registered.Sightings(now) {
-		b, _ := enroller.HeartbeatFromSighting(s)
-		versions[b.Service] = append(versions[b.Service], b.Version)
 		if s.Leaving {
 			continue
 		}
+		b, _ := enroller.HeartbeatFromSighting(s)
 		e := f.endpoints[b.Incarnation]
 		if e == nil {
 			e = predictor.NewEndpoint(b)
@@ -59,7 +58,6 @@
 		}
 		byService[b.Service] = append(byService[b.Service], e)
 	}
-	f.versions.observe(now, versions)
 	f.warmup.applyLimits(now, f)
 	f.table.Replace(byService)
 	f.versionGauges.update(byService)
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -65,7 +65,8 @@
 	notifier    atomic.Pointer[dispatchNotifier]
 	// versionGauges count the endpoints in service.
 	versionGauges versionGauges
-	versions      versionHistory
+	// versions is the history of versions for requests; nil before the first endpoints.
+	versions atomic.Pointer[enroller.VersionHistory]
 	// origins is nil if streams go on at any version.
 	origins *streamOrigins
 	// listSoon is set if the next sync is to ask for the list of routers, and listSoonAt is when it was
@@ -211,13 +212,14 @@
 	}
 	if now.Sub(f.contactAt) > maxContactGap {
 		f.contactSince = now
-		f.versions.restart(now)
+		f.registered.Versions().Begin(now)
 	}
 	f.contactAt = now
 	f.lastContact.Store(int64(now.Sub(f.startedAt)))
 	for _, k := range r.Keepers {
 		f.addKeeper(k.Address, k.Zone)
 	}
+	f.mergeVersions(now, r)
 	if !skippedEndpoints {
 		f.updateEndpoints(l.Address(), r, sent, now)
 		f.primarySource, f.primaryAt = l.Address(), now
--- a/courier/stream_origins.go
+++ b/courier/stream_origins.go
@@ -322,7 +322,7 @@
 
 // HasHeardOf reports whether this router has heard of an endpoint of a service with a version.
 func (s *streamOrigins) HasHeardOf(service string, v enroller.Version) bool {
-	return s.fleet.versions.knows(service, v)
+	return s.fleet.knowsVersion(service, v)
 }
 
 // send sends a datagram to the router at an internal address. It may be lost.
--- a/courier/stream_version_test.go
+++ b/courier/stream_version_test.go
@@ -601,3 +601,42 @@
 	g.Expect(mixed).To(gomega.BeZero())
 	g.Expect(whole).To(gomega.BeNumerically(">=", minWentOn*float64(len(streams))))
 }
+
+// Guards against streams that nobody resumes after all routers were killed at once, although their
+// service has had one version since the fleet began.
+func TestStreamsOfTheOnlyVersionOutliveAllRouters(t *testing.T) {
+	t.Parallel()
+	binary := nodeBinary(t)
+	f, g := startCluster(t, 149)
+	f.publish(g, 1, streamDocument(2, engineOnly))
+	for i := range 4 {
+		f.startVersionEngine(fmt.Sprint("i-", i), "engine", "v1", nil)
+	}
+	var routers []*exec.Cmd
+	start := func() {
+		routers = nil
+		for n := 4; n <= 6; n++ {
+			routers = append(routers, f.routerProcess(binary, n))
+		}
+		for n := 4; n <= 6; n++ {
+			f.awaitVersions(g, n, 1)
+		}
+	}
+	start()
+	var s stream
+	f.attempt(4, "begin", &s, 2)
+	for _, c := range routers {
+		g.Expect(c.Process.Kill()).To(gomega.Succeed())
+		_ = c.Wait()
+	}
+	start()
+	g.Eventually(func() bool {
+		f.attempt(5, "later", &s, streamEvents)
+		return s.whole()
+	}, 3*time.Second, 50*time.Millisecond).Should(gomega.BeTrue(), "%v", s.refusals)
+	// Once another version has served, nobody can tell.
+	f.startVersionEngine("i-new", "engine", "v2", nil)
+	f.awaitVersions(g, 6, 2)
+	lost := stream{first: "lost", origins: []string{"a", "b"}}
+	g.Expect(f.attempt(6, "unknown", &lost, streamEvents)).To(gomega.Equal(503))
+}
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -64,6 +64,7 @@
 	// byAddress holds the id of the newest incarnation at each address.
 	byAddress map[string]string
 	revision  uint64
+	versions  *VersionHistory
 	// views holds the view of each availability zone's routers.
 	views map[string]*View
 }
@@ -77,9 +78,12 @@
 
 // NewTable returns an empty table.
 func NewTable(expireAfter time.Duration) *Table {
-	return &Table{expireAfter: expireAfter, entries: map[string]*entry{}, tombstones: map[string]tombstone{}, byAddress: map[string]string{}, views: map[string]*View{}}
+	return &Table{expireAfter: expireAfter, entries: map[string]*entry{}, tombstones: map[string]tombstone{}, byAddress: map[string]string{}, views: map[string]*View{}, versions: newVersionHistory()}
 }
 
+// Versions returns the history of the software versions of the table's endpoints.
+func (t *Table) Versions() *VersionHistory { return t.versions }
+
 // Revision grows with every change except for the ages of entries.
 func (t *Table) Revision() uint64 { return t.revision }
 
@@ -152,6 +156,10 @@
 	if b.Sequence > e.heartbeat.Sequence || coldUntil.After(e.coldUntil) {
 		e.coldUntil = coldUntil
 	}
+	if b.Version != e.heartbeat.Version {
+		t.versions.count(b, 1)
+		t.versions.count(e.heartbeat, -1)
+	}
 	e.heartbeat = b
 	if changed {
 		t.revision++
@@ -185,6 +193,7 @@
 	t.revision++
 	t.entries[b.ID] = &entry{heartbeat: b, lastSeen: lastSeen, coldUntil: lastSeen.Add(b.ColdRemaining), revision: t.revision}
 	t.byAddress[b.Address] = b.ID
+	t.versions.count(b, 1)
 	return true
 }
 
@@ -220,6 +229,7 @@
 	if e := t.entries[id]; e != nil {
 		t.revision++
 		delete(t.entries, id)
+		t.versions.count(e.heartbeat, -1)
 		if t.byAddress[e.heartbeat.Address] == id {
 			delete(t.byAddress, e.heartbeat.Address)
 		}
--- a/steward/endpoints_file.go
+++ b/steward/endpoints_file.go
@@ -74,6 +74,10 @@
 	for _, x := range known.Sightings {
 		x.AgeMs = 0
 	}
+	for _, v := range known.GetVersions().GetGone() {
+		// How long this process was down is not known.
+		v.AgeMs = 0
+	}
 	s.registry.merge(time.Now(), known)
 	s.log.Info("endpoints restored", zap.Int("endpoints", len(known.Sightings)))
 }
--- a/steward/endpoints_file_test.go
+++ b/steward/endpoints_file_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/storer"
 )
 
@@ -48,3 +49,41 @@
 	known, _ = torn.registry.snapshot(time.Now())
 	g.Expect(known.Sightings).To(gomega.BeEmpty())
 }
+
+// Guards against keepers that forget, in a restart of all of them, which software versions services have
+// had, and against one that vouches for versions of which other keepers have not told it yet.
+func TestVersionsAreKnownAfterARestart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dir := t.TempDir()
+	keeper := func(firstStart bool) *Keeper {
+		k := &Keeper{log: zap.NewNop(), registry: newRegistry(time.Second), endpointsFile: storer.NewAtomicFile(dir, endpointsFileName)}
+		k.registry.beginVersions(time.Now(), firstStart)
+		k.restoreEndpoints()
+		return k
+	}
+	first := keeper(true)
+	for _, v := range []enroller.Version{"v1", "v2"} {
+		b := heartbeatFor(string(v), 5, "s")
+		b.Address, b.Version = "10.0.0.1:"+string(v[1:]), v
+		first.registry.observeHeartbeat(time.Now(), b)
+	}
+	first.registry.markLeft(time.Now(), []enroller.Incarnation{{ID: "v1", BornMS: 5}})
+	known, _ := first.registry.snapshot(time.Now())
+	g.Expect(first.writeEndpoints(known)).To(gomega.Succeed())
+
+	after := keeper(false)
+	now := time.Now()
+	g.Expect(after.registry.versions(now).CompleteMs).To(gomega.BeZero(), "another keeper may know more")
+	later := after.registry.versions(now.Add(versionsSettleTime))
+	g.Expect(later.CompleteMs).To(gomega.BeNumerically(">", time.Hour.Milliseconds()))
+	g.Expect(later.Gone).To(gomega.HaveLen(1))
+	g.Expect(later.Gone[0].Version).To(gomega.Equal("v1"))
+
+	g.Expect(os.Remove(filepath.Join(dir, endpointsFileName))).To(gomega.Succeed())
+	wiped := keeper(false)
+	g.Expect(wiped.registry.versions(now.Add(2 * versionsSettleTime)).CompleteMs).To(gomega.BeNumerically("<", 10_000))
+	wiped.registry.merge(now, &messenger.Sightings{Versions: later})
+	told := wiped.registry.versions(now.Add(2 * versionsSettleTime))
+	g.Expect(told.CompleteMs).To(gomega.BeNumerically(">", time.Hour.Milliseconds()), "another keeper has told it")
+	g.Expect(told.Gone).To(gomega.HaveLen(1))
+}
--- a/steward/registry.go
+++ b/steward/registry.go
@@ -18,6 +18,9 @@
 	routerTimeout = 3 * time.Second
 	// fullListTTL is how long the ages in a list of all endpoints may be reused.
 	fullListTTL = 100 * time.Millisecond
+	// versionsSettleTime is how long after its start a keeper does not vouch for the versions that
+	// services have had: a few times the interval at which keepers share what they know.
+	versionsSettleTime = 3 * time.Second
 	// maxLeavesSent bounds the leaves in one answer; the newest are sent.
 	maxLeavesSent = 256
 )
@@ -32,11 +35,33 @@
 	routers  *routers
 	// epoch identifies this process: the revisions of the table start again in every
 	// process.
-	epoch uint64
+	epoch     uint64
+	startedAt time.Time
 }
 
 func newRegistry(heartbeat time.Duration) *registry {
-	return &registry{table: enroller.NewTable(maxMissedHeartbeats * heartbeat), unshared: map[string]bool{}, routers: newRouters(), epoch: rand.Uint64() | 1}
+	return &registry{table: enroller.NewTable(maxMissedHeartbeats * heartbeat), unshared: map[string]bool{}, routers: newRouters(), epoch: rand.Uint64() | 1, startedAt: time.Now()}
+}
+
+// beginVersions records whether there were endpoints before this process.
+func (r *registry) beginVersions(now time.Time, firstStart bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if firstStart {
+		r.table.Versions().BeginWithFleet(now)
+	} else {
+		r.table.Versions().Begin(now)
+	}
+}
+
+// versions returns the history of versions for another process. Until other keepers have had the time
+// to share theirs, it is not known to be complete.
+func (r *registry) versions(now time.Time) *messenger.VersionHistory {
+	out := r.table.Versions().Message(now)
+	if now.Sub(r.startedAt) < versionsSettleTime {
+		out.CompleteMs = 0
+	}
+	return out
 }
 
 // observeHeartbeat records a heartbeat and reports whether it is consistent with what is
@@ -94,7 +119,7 @@
 func (r *registry) takeUnshared(now time.Time, from string) *messenger.Sightings {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := &messenger.Sightings{From: from, Sightings: r.table.SightingsOf(now, r.unshared)}
+	out := &messenger.Sightings{From: from, Sightings: r.table.SightingsOf(now, r.unshared), Versions: r.versions(now)}
 	clear(r.unshared)
 	out.Routers = r.routers.recentDirect(now)
 	return out
@@ -104,7 +129,7 @@
 func (r *registry) snapshot(now time.Time) (*messenger.Sightings, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return &messenger.Sightings{Sightings: r.table.Sightings(now)}, r.table.Revision()
+	return &messenger.Sightings{Sightings: r.table.Sightings(now), Versions: r.table.Versions().Message(now)}, r.table.Revision()
 }
 
 // merge merges the observations of another keeper.
@@ -115,6 +140,7 @@
 		b, age := enroller.HeartbeatFromSighting(x)
 		r.table.Observe(now, b, age)
 	}
+	r.table.Versions().Merge(now, s.Versions)
 	for _, m := range s.Routers {
 		r.routers.observeRelayed(now, m)
 	}
@@ -137,6 +163,7 @@
 		}
 		r.routers.fillList(heldRevision, out)
 	}
+	out.Versions = r.versions(now)
 	if q.SkipEndpoints {
 		out.Epoch, out.Revision, out.Partial = q.Epoch, q.Revision, true
 		return
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -124,6 +124,7 @@
 	s.registerGauges()
 	s.batcher = newBatcher(s.loop.Propose, log)
 	s.batcher.onCommit = s.claimPace.recordCommit
+	s.registry.beginVersions(time.Now(), n.FirstStart())
 	s.restoreEndpoints()
 	// Runs after restoreEndpoints, so that it removes the restored endpoints that have
 	// left.
