One adjusted clock adds no margin to the time between a router's last claim and its end

Cause: where two of three clocks agreed, the third was not looked at, though with at most two adjusted clocks, which is assumed, one of the three durations is right; router and keeper in agreement counted for nothing. Change: the longest of the three, and no more than the two that agree with the margin.

--- a/allotter/elapsed.go
+++ b/allotter/elapsed.go
@@ -12,7 +12,7 @@
 	clockTolerance = 200 * time.Millisecond
 	// twoClockMargin is added to a duration that only two clocks of other VMs confirm, because
 	// both may have been adjusted by the same amount. Adjustments are of the order of seconds.
-	// Three equal adjustments between a claim and a restart are assumed not to happen.
+	// Adjustments of three clocks between a claim and a restart are assumed not to happen.
 	twoClockMargin = 3 * time.Second
 )
 
@@ -30,11 +30,23 @@
 	case durationsAgree(router, leader) && durationsAgree(router, keeper) && durationsAgree(leader, keeper):
 		return max(router, leader, keeper, 0) + clockTolerance, true
 	case durationsAgree(router, leader):
-		return max(router, leader, 0) + clockTolerance + twoClockMargin, true
+		return maxOfThree(max(router, leader, 0), keeper) + clockTolerance, true
+	case durationsAgree(router, keeper):
+		return maxOfThree(max(router, keeper, 0), leader) + clockTolerance, true
 	}
 	return 0, false
 }
 
+// maxOfThree returns the most time that can have passed where two clocks agree and the third one
+// measured another duration, or none. At most two clocks are adjusted between a claim and a restart, so
+// one of the three durations is right.
+func maxOfThree(agreed, third time.Duration) time.Duration {
+	if third == unknownDuration {
+		return agreed + twoClockMargin
+	}
+	return min(max(agreed, third), agreed+twoClockMargin)
+}
+
 // maxTimesUntilEnd returns for each claim the most time that can have passed from its sending to
 // the end of the incarnation that sent it, or unknownDuration. A claim was sent after the previous
 // one, so the time of the previous one is an upper bound. It also serves a claim that took another
--- a/allotter/elapsed_test.go
+++ b/allotter/elapsed_test.go
@@ -37,3 +37,42 @@
 	l.ApplyClaims(&messenger.RightsChange{Router: "a", Incarnation: 2, Sequence: 1, Sent: end, Started: end})
 	g.Expect(l.Balances()[0].SpentByEnded).To(gomega.BeNumerically(">=", p.Used()), "tokens used that could be granted again")
 }
+
+// Guards against tokens that are written off because one keeper's clock was adjusted between the last
+// claim of a router that lost power and its restart, as if two clocks might have been.
+func TestOneAdjustedClockCostsLittle(t *testing.T) {
+	writtenOff := func(adjust func(m *messenger.RightsMoment)) int64 {
+		now := time.Unix(1000, 0)
+		l, p := newLedger(100_000_000), &allotter.Allocation{}
+		for range 40 {
+			runRequests(p, now, 20, 250*time.Millisecond)
+			now = now.Add(250 * time.Millisecond)
+			sendClaim(l, "a", 1, p, now, now)
+		}
+		used := p.Used()
+		end := momentAt(now.Add(1300 * time.Millisecond))
+		end.BootMs = 77
+		adjust(end)
+		sequence++
+		l.ApplyClaims(&messenger.RightsChange{Router: "a", Incarnation: 2, Sequence: sequence, Sent: end, Started: end})
+		return l.Balances()[0].SpentByEnded - used
+	}
+	g := gomega.NewWithT(t)
+	least := writtenOff(func(*messenger.RightsMoment) {})
+	most := writtenOff(func(m *messenger.RightsMoment) { m.KeeperMs = 0 })
+	g.Expect(least).To(gomega.BeNumerically("<", most))
+	for name, c := range map[string]struct {
+		adjust func(*messenger.RightsMoment)
+		want   int64
+	}{
+		"keeper set back":    {func(m *messenger.RightsMoment) { m.KeeperMs -= 3000 }, least},
+		"leader set back":    {func(m *messenger.RightsMoment) { m.LeaderMs -= 3000 }, least},
+		"keeper set forward": {func(m *messenger.RightsMoment) { m.KeeperMs += 60_000 }, most},
+		"leader set forward": {func(m *messenger.RightsMoment) { m.LeaderMs += 60_000 }, most},
+		"slightly forward":   {func(m *messenger.RightsMoment) { m.KeeperMs += 1000 }, (least + most) / 2},
+	} {
+		off := writtenOff(c.adjust)
+		g.Expect(off).To(gomega.BeNumerically("<=", c.want), name)
+		g.Expect(off).To(gomega.BeNumerically(">=", least), name)
+	}
+}
