--- a/allotter/elapsed.go
+++ b/allotter/elapsed.go
@@ -44,7 +44,7 @@
 	if third == unknownDuration {
 		return agreed + twoClockMargin
 	}
-	return min(max(agreed, third), agreed+twoClockMargin)
+	return max(agreed, third)
 }
 
 // maxTimesUntilEnd returns for each claim the most time that can have passed from its sending to
--- a/forwarder/resumption.go
+++ b/forwarder/resumption.go
@@ -208,9 +208,11 @@
 	if !j.route.Repeatable() {
 		return
 	}
-	attempts := []resumer.Key{j.originKey(j.caller.ID)}
-	if a := j.resumedAttempt(); a != "" {
-		attempts = append(attempts, j.originKey(a))
+	var attempts []resumer.Key
+	for _, a := range []string{j.caller.ID, j.resumedAttempt()} {
+		if a != "" {
+			attempts = append(attempts, j.originKey(a))
+		}
 	}
 	j.f.Origins.Record(j.origin, resumer.Retention(max(j.caller.Deadline, j.route.Timeout)), resumer.NewContentKey(j.fingerprint), attempts...)
 }
