--- a/courier/counters.go
+++ b/courier/counters.go
@@ -43,13 +43,13 @@
 // Counters for what began streams. Refused datagrams have no valid proof, and dropped searches were too
 // many at a time.
 var (
-	streamDatagramsSent     = metrics.NewCounter("rattanhoist_stream_datagrams_sent_total")
-	streamDatagramsReceived = metrics.NewCounter("rattanhoist_stream_datagrams_received_total")
-	streamDatagramsRefused  = metrics.NewCounter("rattanhoist_stream_datagrams_refused_total")
-	originSearchesDropped   = metrics.NewCounter("rattanhoist_stream_searches_dropped_total")
-	originSearchesFound     = metrics.NewCounter(`rattanhoist_stream_searches_total{result="found"}`)
-	originSearchesUnknown   = metrics.NewCounter(`rattanhoist_stream_searches_total{result="unknown"}`)
-	originSearchesUnheard   = metrics.NewCounter(`rattanhoist_stream_searches_total{result="unreachable"}`)
+	streamDatagramsSent       = metrics.NewCounter("rattanhoist_stream_datagrams_sent_total")
+	streamDatagramsReceived   = metrics.NewCounter("rattanhoist_stream_datagrams_received_total")
+	streamDatagramsRefused    = metrics.NewCounter("rattanhoist_stream_datagrams_refused_total")
+	originSearchesDropped     = metrics.NewCounter("rattanhoist_stream_searches_dropped_total")
+	originSearchesFound       = metrics.NewCounter(`rattanhoist_stream_searches_total{result="found"}`)
+	originSearchesUnknown     = metrics.NewCounter(`rattanhoist_stream_searches_total{result="unknown"}`)
+	originSearchesUnreachable = metrics.NewCounter(`rattanhoist_stream_searches_total{result="unreachable"}`)
 )
 
 // countSearch counts the end of a search for what began a stream.
@@ -60,7 +60,7 @@
 	case errors.Is(err, resumer.ErrUnknown):
 		originSearchesUnknown.Inc()
 	default:
-		originSearchesUnheard.Inc()
+		originSearchesUnreachable.Inc()
 	}
 }
 
--- a/courier/stream_members.go
+++ b/courier/stream_members.go
@@ -55,9 +55,9 @@
 	return k.incarnation, ok
 }
 
-// keepEarly keeps a datagram until its sender is known, and returns the senders of those that are
+// addEarly keeps a datagram until its sender is known, and returns the senders of those that are
 // dropped instead.
-func (m *streamMembers) keepEarly(now time.Time, d earlyDatagram) (refused []string) {
+func (m *streamMembers) addEarly(now time.Time, d earlyDatagram) (refused []string) {
 	m.early = append(m.early, d)
 	for len(m.early) > 0 && (len(m.early) > maxEarly || now.Sub(m.early[0].receivedAt) > earlyTTL) {
 		refused = append(refused, m.early[0].message.From)
--- a/courier/stream_origins.go
+++ b/courier/stream_origins.go
@@ -34,7 +34,8 @@
 	maxProofLogLines = 2
 )
 
-// streamOrigins exchanges with other routers what began streams. It is safe for concurrent use.
+// streamOrigins exchanges the origins of streams, which are the services and versions that began them,
+// with other routers. It is safe for concurrent use.
 type streamOrigins struct {
 	fleet *fleetView
 	guard *messenger.MemberGuard
@@ -135,7 +136,7 @@
 }
 
 // Find returns the origin of a stream. It returns resumer.ErrUnknown if the routers that would keep it
-// do not know it, and resumer.ErrUnreachable if that can't be told.
+// do not know it, and resumer.ErrUnreachable if they do not answer.
 func (s *streamOrigins) Find(ctx context.Context, k resumer.Key) (resumer.Origin, error) {
 	number := rand.Uint64()
 	search, o, err := s.startSearch(number, k)
@@ -244,7 +245,7 @@
 func (s *streamOrigins) receive(p *messenger.ProvenStreamMessage, receivedAt time.Time) {
 	if !s.guard.CheckDatagram(p.From, s.fleet.self.Address, p.Content, p.Proof) {
 		s.mu.Lock()
-		refused := s.members.keepEarly(time.Now(), earlyDatagram{p, receivedAt})
+		refused := s.members.addEarly(time.Now(), earlyDatagram{p, receivedAt})
 		s.mu.Unlock()
 		s.fleet.listRoutersSoon(receivedAt)
 		for _, from := range refused {
@@ -320,8 +321,8 @@
 	return s.fleet.soleVersion(time.Now(), service, within)
 }
 
-// HasHeardOf reports whether this router has heard of an endpoint of a service with a version.
-func (s *streamOrigins) HasHeardOf(service string, v enroller.Version) bool {
+// KnowsVersion reports whether an endpoint of a service has, or has had lately, a version.
+func (s *streamOrigins) KnowsVersion(service string, v enroller.Version) bool {
 	return s.fleet.knowsVersion(service, v)
 }
 
--- a/enroller/version_history.go
+++ b/enroller/version_history.go
@@ -11,7 +11,7 @@
 const (
 	// versionHistoryTTL is how long a version is remembered that no endpoint has any more.
 	versionHistoryTTL = 30 * time.Minute
-	// maxGoneVersions bounds the versions that are told to other processes.
+	// maxGoneVersions bounds the versions that are sent to other processes.
 	maxGoneVersions = 16
 	// allTime is the time for which a history is complete that began with the fleet.
 	allTime = 24 * time.Hour
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -31,10 +31,10 @@
 	// and slowBodies those whose body was not sent in time.
 	memoryRefusals = metrics.NewCounter("rattanhoist_memory_refusals_total")
 	slowBodies     = metrics.NewCounter("rattanhoist_slow_bodies_total")
-	// dispatchesWithdrawn counts requests that were not sent because the endpoint left
-	// service while a connection was opened.
 	// requestsRelayed counts attempts that another router relayed.
-	requestsRelayed     = metrics.NewCounter("rattanhoist_requests_relayed_total")
+	requestsRelayed = metrics.NewCounter("rattanhoist_requests_relayed_total")
+	// dispatchesWithdrawn counts requests that were not sent because the endpoint left service, or had
+	// another version than the stream, once the connection was open.
 	dispatchesWithdrawn = metrics.NewCounter("rattanhoist_dispatches_withdrawn_total")
 	endpointFailures    = metrics.NewCounter("rattanhoist_endpoint_failures_total")
 	// Requests that found every endpoint full, by outcome: started after a wait, refused on
@@ -56,7 +56,7 @@
 func (j *job) countEnd(status int) {
 	metrics.GetOrCreateCounter(`rattanhoist_answers_total{status="` + strconv.Itoa(status) + `"}`).Inc()
 	if j.resumesStream() {
-		j.countTakeUp()
+		j.countResumption()
 	}
 	switch {
 	case j.events > 0:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -246,8 +246,8 @@
 	// origin: it resumes a stream, or its first event was passed on.
 	bound  bool
 	origin resumer.Origin
-	// takeUp is the outcome so far for a caller that resumes a stream.
-	takeUp takeUpOutcome
+	// resumption is the outcome of a request that resumes a stream, as far as it is known.
+	resumption resumptionOutcome
 	// streamVersion is the version of the endpoint that made the last event passed on.
 	streamVersion enroller.Version
 	// noConnection holds the incarnations that had no connection left for this router.
--- a/forwarder/resumption.go
+++ b/forwarder/resumption.go
@@ -22,35 +22,35 @@
 	// of its route's timeouts, and for minSoleVersion. A stream and its resumptions last less.
 	soleVersionTimeouts = 4
 	minSoleVersion      = 2 * time.Minute
-	// maxVersionWait is how long a request waits for the first endpoint of its stream's version that
-	// this router hears of, a few syncs with keepers. versionPollInterval is the time between two looks.
+	// maxVersionWait is how long a request waits for the first endpoint of its stream's version to be
+	// known here, a few syncs with keepers. versionPollInterval is the time between two checks.
 	maxVersionWait      = 400 * time.Millisecond
 	versionPollInterval = 20 * time.Millisecond
 	// noVersionReason is the body of answers to requests whose stream no endpoint can continue.
 	noVersionReason = "no endpoint has the version that began the stream"
 )
 
-// takeUpOutcome is the outcome of a request by which a caller resumes a stream.
-type takeUpOutcome string
+// resumptionOutcome is the outcome of a request by which a caller resumes a stream.
+type resumptionOutcome string
 
 const (
-	takeUpWentOn takeUpOutcome = "went_on"
-	// takeUpFailed means that the origin is known, and that no event followed.
-	takeUpFailed      takeUpOutcome = "failed"
-	takeUpInvalid     takeUpOutcome = "invalid"
-	takeUpUnknown     takeUpOutcome = "unknown"
-	takeUpUnreachable takeUpOutcome = "unreachable"
-	takeUpNoVersion   takeUpOutcome = "no_version"
+	resumptionWentOn resumptionOutcome = "went_on"
+	// resumptionFailed means that the origin is known, and that no event followed.
+	resumptionFailed      resumptionOutcome = "failed"
+	resumptionInvalid     resumptionOutcome = "invalid"
+	resumptionUnknown     resumptionOutcome = "unknown"
+	resumptionUnreachable resumptionOutcome = "unreachable"
+	resumptionNoVersion   resumptionOutcome = "no_version"
 )
 
-// countTakeUp counts a request by which a caller resumes a stream.
-func (j *job) countTakeUp() {
-	outcome := j.takeUp
+// countResumption counts a request by which a caller resumes a stream.
+func (j *job) countResumption() {
+	outcome := j.resumption
 	switch {
 	case j.events > 0:
-		outcome = takeUpWentOn
+		outcome = resumptionWentOn
 	case outcome == "":
-		outcome = takeUpFailed
+		outcome = resumptionFailed
 	}
 	metrics.GetOrCreateCounter(`rattanhoist_streams_taken_up_total{outcome="` + string(outcome) + `"}`).Inc()
 }
@@ -79,7 +79,7 @@
 		return true
 	}
 	if reason := j.resumptionFault(); reason != "" {
-		j.takeUp = takeUpInvalid
+		j.resumption = resumptionInvalid
 		return j.fail(http.StatusBadRequest, reason)
 	}
 	o, err := j.findOrigin()
@@ -131,10 +131,10 @@
 // it only if the routers that were asked did not answer.
 func (j *job) refuseUnknownOrigin(err error) bool {
 	if errors.Is(err, resumer.ErrUnknown) {
-		j.takeUp = takeUpUnknown
+		j.resumption = resumptionUnknown
 		return j.fail(http.StatusServiceUnavailable, err.Error())
 	}
-	j.takeUp = takeUpUnreachable
+	j.resumption = resumptionUnreachable
 	j.f.Wire.RetryAfter(j.w.Header(), retryDelay+rand.N(retryJitter))
 	return j.fail(http.StatusServiceUnavailable, err.Error())
 }
@@ -152,10 +152,10 @@
 	return j.refuseWithoutVersion()
 }
 
-// awaitVersion waits for an endpoint of the stream's version if this router has not heard of one yet:
-// another router that has may have begun the stream just now. It returns false if there is none.
+// awaitVersion waits for an endpoint of the stream's version if this router has known none yet: one that
+// learned of it earlier may have begun the stream just now. It returns false if there is none.
 func (j *job) awaitVersion() bool {
-	for begun := time.Now(); time.Since(begun) < maxVersionWait && j.origin.Version != "" && !j.f.Origins.HasHeardOf(j.service.Name, j.origin.Version); {
+	for begun := time.Now(); time.Since(begun) < maxVersionWait && j.origin.Version != "" && !j.f.Origins.KnowsVersion(j.service.Name, j.origin.Version); {
 		select {
 		case <-j.r.Context().Done():
 			return false
@@ -183,7 +183,7 @@
 // refuseWithoutVersion answers that the request has not run. It states no Retry-After: endpoints of an
 // earlier version do not come back.
 func (j *job) refuseWithoutVersion() bool {
-	j.takeUp = takeUpNoVersion
+	j.resumption = resumptionNoVersion
 	return j.fail(http.StatusServiceUnavailable, noVersionReason)
 }
 
--- a/forwarder/resumption_test.go
+++ b/forwarder/resumption_test.go
@@ -34,7 +34,7 @@
 	unheard map[enroller.Version]bool
 }
 
-func (o *originsStub) HasHeardOf(_ string, v enroller.Version) bool {
+func (o *originsStub) KnowsVersion(_ string, v enroller.Version) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return !o.unheard[v]
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -69,8 +69,8 @@
 	Find(ctx context.Context, k resumer.Key) (resumer.Origin, error)
 	// SoleVersion returns the version of a service if no endpoint has had another one for a time.
 	SoleVersion(service string, within time.Duration) (enroller.Version, bool)
-	// HasHeardOf reports whether this router has heard of an endpoint of a service with a version.
-	HasHeardOf(service string, v enroller.Version) bool
+	// KnowsVersion reports whether an endpoint of a service has, or has had lately, a version.
+	KnowsVersion(service string, v enroller.Version) bool
 }
 
 // Wire translates HTTP headers. It makes no decisions.
--- a/messenger/member.go
+++ b/messenger/member.go
@@ -56,7 +56,7 @@
 }
 
 // CheckDatagram reports whether a datagram was sent to an address by the member that it names. The
-// content of a datagram may arrive again: a proof does not tell it from the first time.
+// same datagram may arrive again: its proof stays valid.
 func (g *MemberGuard) CheckDatagram(from, to string, content, proof []byte) bool {
 	incarnation, known := g.incarnationOf(from)
 	return known && incarnation != 0 && hmac.Equal(datagramProof(incarnation, from, to, content), proof)
--- a/resumer/store.go
+++ b/resumer/store.go
@@ -36,7 +36,7 @@
 }
 
 // Put adds an origin, or extends the time of one that is known. A key with two different origins
-// belongs to several streams, of which none can be told from the others.
+// belongs to several streams that can't be distinguished.
 func (s *Store) Put(now time.Time, e Entry) {
 	s.expire(now)
 	expires := now.Add(min(e.Remaining, maxRetention))
