--- a/loader/policy.go
+++ b/loader/policy.go
@@ -94,7 +94,7 @@
 		picker: defaultPicker, shedder: defaultShedder, placement: defaultPlacement, maxBody: defaultMaxBody,
 		defaultTimeout: defaultTimeout, maxTimeout: defaultMaxTimeout,
 		keepAnswer: defaultKeepAnswer, keepCharges: DefaultKeepCharges, endpointMaxAge: defaultEndpointMaxAge,
-		gossipSiblings: tracker.DefaultSiblings,
+		gossipSiblings: tracker.DefaultSiblingsPerRound,
 		drainTimeout:   defaultDrainTimeout,
 	}
 }
--- a/measurer/capacity_lines.go
+++ b/measurer/capacity_lines.go
@@ -12,8 +12,8 @@
 const (
 	beatsPerS = float64(time.Second / router.HeartbeatInterval)
 	// roundsPerS are rounds of pulls, pullsPerS a router's pulls from siblings.
-	roundsPerS   = float64(time.Second / tracker.PullEvery)
-	pullsPerS    = roundsPerS * tracker.DefaultSiblings
+	roundsPerS   = float64(time.Second / tracker.PullInterval)
+	pullsPerS    = roundsPerS * tracker.DefaultSiblingsPerRound
 	watchPerS    = 1
 	announcePerS = float64(time.Second / router.RenewInterval)
 	appendsPerS  = 10
--- a/measurer/endpoints_zone.go
+++ b/measurer/endpoints_zone.go
@@ -34,7 +34,7 @@
 	random   *rand.Rand
 	fleet    *endpointFleet
 	trackers []*tracker.Tracker
-	rotas    []*tracker.Rota
+	rotas    []*tracker.PullSchedule
 	// Peers are those of each router, by the other one's place.
 	peers [][]*tracker.Peer
 	// PullAt and sayAt are when the next pull of a router and the next
@@ -60,11 +60,11 @@
 		z.trackers = append(z.trackers, tracker.New(tracker.Options{
 			MaxAge: endpointMaxAge, Incarnation: rattanhoist.Incarnation(i + 1), Zone: endpointZone, Zones: []string{endpointZone},
 		}))
-		z.rotas = append(z.rotas, tracker.NewRota(routers, i))
-		z.pullAt = append(z.pullAt, z.within(tracker.PullEvery))
+		z.rotas = append(z.rotas, tracker.NewPullSchedule(routers, i))
+		z.pullAt = append(z.pullAt, z.within(tracker.PullInterval))
 		var peers []*tracker.Peer
 		for j := range routers {
-			peers = append(peers, tracker.NewPeerInTurn(routerName(j)))
+			peers = append(peers, tracker.NewRotatedPeer(routerName(j)))
 		}
 		z.peers = append(z.peers, peers)
 	}
@@ -102,7 +102,7 @@
 }
 
 func (z *turnZone) pull(n int) {
-	z.pullAt[n] += tracker.PullEvery / tracker.DefaultSiblings
+	z.pullAt[n] += tracker.PullInterval / tracker.DefaultSiblingsPerRound
 	m := z.rotas[n].Next(func(int) bool { return true })
 	p, asked := z.peers[n][m], z.now()
 	q := z.trackers[n].Request(p, routerName(n), endpointZone, nil, asked)
--- a/router/gossip.go
+++ b/router/gossip.go
@@ -19,7 +19,7 @@
 
 const (
 	// gossipInterval is the length of a round of pulls.
-	gossipInterval = tracker.PullEvery
+	gossipInterval = tracker.PullInterval
 	gossipTimeout  = time.Second
 	// siblingTimeout is how long a sibling may stay silent before another
 	// router pulls from the other zones in its place.
@@ -53,7 +53,7 @@
 	// rota is nil if the zone is small enough to pull from all siblings in each
 	// round. Otherwise it selects an index of ring, in which this router is
 	// nil.
-	rota *tracker.Rota
+	rota *tracker.PullSchedule
 	ring []*gossipPeer
 	// pullsPerRound is the number of steps in a round, each with one pull from
 	// a sibling in rotation; it is 1 without rotation.
@@ -106,9 +106,9 @@
 		return p.process.Name()
 	}
 	slices.SortFunc(g.ring, func(a, b *gossipPeer) int { return cmp.Compare(nameOf(a), nameOf(b)) })
-	g.rota = tracker.NewRota(len(g.ring), slices.Index(g.ring, nil))
+	g.rota = tracker.NewPullSchedule(len(g.ring), slices.Index(g.ring, nil))
 	for _, s := range g.siblings {
-		s.pulled = tracker.NewPeerInTurn(s.process.Name())
+		s.pulled = tracker.NewRotatedPeer(s.process.Name())
 	}
 }
 
@@ -293,6 +293,6 @@
 // that the caller does not have.
 func (s *peerServer) Gossip(_ context.Context, q *messenger.GossipRequest) (*messenger.GossipReply, error) {
 	now := rattanhoist.MomentOf(time.Now())
-	s.router.tracker.TakeLeft(q, now)
+	s.router.tracker.MergeLeaves(q, now)
 	return s.router.tracker.Reply(q, now), nil
 }
--- a/tracker/announcement.go
+++ b/tracker/announcement.go
@@ -12,16 +12,16 @@
 
 // Errors of an announcement. Compare with errors.Is.
 var (
-	// ErrInvalid says that a field is wrong; the error is a *FieldError.
+	// ErrInvalid means that a field is invalid; the error is a *FieldError.
 	ErrInvalid = merry.Sentinel("faulty announcement")
-	// ErrAddressTaken says that a live endpoint of another name has the
+	// ErrAddressTaken means that a live endpoint with another name has the
 	// address.
 	ErrAddressTaken = merry.Sentinel("address is announced under another name")
-	// ErrFull says that no more endpoints are taken in.
+	// ErrFull means that the tracker holds MaxEndpoints endpoints.
 	ErrFull = merry.Sentinel("too many endpoints")
 )
 
-// Bounds of an announcement.
+// Limits on the fields of an announcement.
 const (
 	MaxWordBytes = 128
 	MaxLabels    = 32
@@ -29,7 +29,7 @@
 	MaxLoad      = 100_000_000
 )
 
-// Announcement is one message of an endpoint about itself.
+// Announcement is a message in which an endpoint describes itself.
 type Announcement struct {
 	Name    string `json:"name"`
 	Service string `json:"service"`
@@ -37,23 +37,24 @@
 	// Address is IP:port.
 	Address string            `json:"address"`
 	Labels  map[string]string `json:"labels"`
-	// Incarnation grows with every start of the endpoint; a higher one
-	// replaces every lower one.
+	// Incarnation grows with every start of the endpoint; the highest one
+	// replaces all others.
 	Incarnation uint64 `json:"incarnation"`
 	// Sequence grows with every announcement of one incarnation.
 	Sequence uint64 `json:"sequence"`
-	// Capacity is how many requests run at once.
+	// Capacity is the number of requests that the endpoint runs at once.
 	Capacity int64 `json:"capacity"`
-	// Load is how many requests run or wait.
+	// Load is the number of requests that run or wait there.
 	Load int64 `json:"load"`
-	// Leaving is final for an incarnation.
+	// Leaving can't be revoked by the same incarnation.
 	Leaving       bool `json:"leaving"`
 	ChecksFencing bool `json:"checks_fencing"`
-	// Token is the one of the router's last answer; it bounds the age.
+	// Token is that of the router's last response, which bounds the age of the
+	// announcement.
 	Token string `json:"token"`
 }
 
-// FieldError names the field that is wrong.
+// FieldError describes an invalid field.
 type FieldError struct {
 	Field  string
 	Detail string
@@ -69,12 +70,12 @@
 	return &FieldError{Field: field, Detail: fmt.Sprintf(format, args...)}
 }
 
-// reservedLabels are set from the fields of the same name, so that a selector
-// on them can be trusted.
+// reservedLabels are set from the fields of the same name, so that an endpoint
+// can't choose values for them that differ from its fields.
 var reservedLabels = []string{"name", "service", "zone"}
 
-// Check returns the first fault of an announcement; zones are those of the
-// settings.
+// Check returns an error for the first invalid field. Zones holds the zones in
+// the settings.
 func (a Announcement) Check(zones []string) error {
 	for _, f := range []struct{ field, value string }{{"name", a.Name}, {"service", a.Service}, {"zone", a.Zone}} {
 		if err := checkWord(f.field, f.value); err != nil {
--- a/tracker/entry.go
+++ b/tracker/entry.go
@@ -10,55 +10,59 @@
 	"rattanhoist.example/rattanhoist"
 )
 
-// Damping of endpoints that come and go.
+// Delays for endpoints that restart repeatedly.
 const (
-	// stableAfter is the life of an incarnation after which earlier
-	// restarts are forgotten.
+	// stableAfter is how long an incarnation has to run for earlier restarts
+	// not to count any more.
 	stableAfter = 10 * time.Second
-	// freeRestarts may follow each other quickly: a rolling update does so.
+	// freeRestarts is the number of quick restarts that cause no delay: a
+	// rolling update may cause one.
 	freeRestarts = 1
 	holdBase     = time.Second
 	holdMax      = 30 * time.Second
-	// maxDoublings reaches holdMax and keeps the shift in range.
+	// maxDoublings is enough to reach holdMax, and keeps the shift in range.
 	maxDoublings = 5
 )
 
-// entry is what the tracker knows under one name: the newest incarnation.
+// entry holds the newest known incarnation of the endpoint with one name.
 type entry struct {
 	endpoint *rattanhoist.Endpoint
 	id       uint64
-	// Number stands for the incarnation in replies; it is never given twice.
+	// Number identifies the incarnation in replies. Numbers are not reused.
 	number   uint64
 	sequence uint64
-	// Joined is the revision at which the present description came.
+	// Joined is the revision at which the description was added or replaced.
 	joined uint64
-	// Revision is that of the latest news; entries are listed in its order.
+	// Revision is that of the last change; entries are linked in this order.
 	revision uint64
-	// Via is the router that told the latest news, "" for the endpoint.
+	// Via is the router that reported the last change, or "" if the endpoint
+	// announced it here.
 	via string
-	// Sibling reports whether via is a router of the own zone.
+	// Sibling is set if via is a router of the same zone.
 	sibling  bool
 	joinedAt rattanhoist.Moment
-	// Restarts counts incarnations that followed each other quickly.
+	// Restarts counts the incarnations that followed each other within
+	// stableAfter.
 	restarts int
-	// Older and newer are the neighbours in the order of revisions.
+	// Older and newer are the neighbors by revision.
 	older, newer *entry
 }
 
-// report is news of an endpoint from whatever source.
+// report describes an endpoint as announced by itself or by another router.
 type report struct {
-	// Fields describe the endpoint; Heard, Load and Leaving are not read.
+	// Fields describes the endpoint; its load, age and state are in the fields
+	// below.
 	fields   rattanhoist.EndpointFields
 	sequence uint64
 	load     int64
-	// Heard is not after the moment at which the endpoint spoke.
-	heard   rattanhoist.Moment
-	leaving bool
-	via     string
-	sibling bool
+	// AnnouncedAt is at or before the time of the announcement.
+	announcedAt rattanhoist.Moment
+	leaving     bool
+	via         string
+	sibling     bool
 }
 
-// identify returns a short name for one incarnation of an endpoint.
+// identify returns a hash that identifies one incarnation of an endpoint.
 func identify(name string, i rattanhoist.Incarnation) uint64 {
 	h := xxhash.New()
 	_, _ = h.WriteString(name)
@@ -68,8 +72,8 @@
 	return h.Sum64()
 }
 
-// hold returns until when a restarted endpoint gets no work.
-func hold(restarts int, now rattanhoist.Moment) rattanhoist.Moment {
+// heldUntil returns the time until which a restarted endpoint gets no requests.
+func heldUntil(restarts int, now rattanhoist.Moment) rattanhoist.Moment {
 	if restarts <= freeRestarts {
 		return rattanhoist.Moment{}
 	}
@@ -77,16 +81,16 @@
 	return now.Add(min(d, holdMax))
 }
 
-// describes reports whether an endpoint is as the fields say.
-func describes(f rattanhoist.EndpointFields, e *rattanhoist.Endpoint) bool {
+// matchesDescription reports whether an endpoint has the given fields.
+func matchesDescription(f rattanhoist.EndpointFields, e *rattanhoist.Endpoint) bool {
 	return f.Service == e.Service() && f.Zone == e.Zone() && f.Address == e.Address() &&
 		f.Capacity == e.Capacity() && f.ChecksFencing == e.ChecksFencing() && maps.Equal(f.Labels, e.Labels())
 }
 
-// order lists entries by revision.
-type order struct{ oldest, newest *entry }
+// revisionList is a doubly linked list of entries, ordered by revision.
+type revisionList struct{ oldest, newest *entry }
 
-func (o *order) remove(e *entry) {
+func (o *revisionList) remove(e *entry) {
 	if e.older != nil {
 		e.older.newer = e.newer
 	} else if o.oldest == e {
@@ -100,7 +104,7 @@
 	e.older, e.newer = nil, nil
 }
 
-func (o *order) append(e *entry) {
+func (o *revisionList) append(e *entry) {
 	e.older = o.newest
 	if o.newest != nil {
 		o.newest.newer = e
@@ -110,8 +114,8 @@
 	o.newest = e
 }
 
-// after returns the oldest entry whose revision is higher.
-func (o *order) after(revision uint64) *entry {
+// after returns the entry with the lowest revision above the given one, or nil.
+func (o *revisionList) after(revision uint64) *entry {
 	e := o.newest
 	if e == nil || e.revision <= revision {
 		return nil
--- a/tracker/fuzz_test.go
+++ b/tracker/fuzz_test.go
@@ -16,20 +16,20 @@
 
 var zones = []string{"osu-hall", "tema-hall"}
 
-// clockedRouter is a tracker with its own clocks.
+// clockedRouter is a tracker with clocks of its own.
 type clockedRouter struct {
 	name    string
 	zone    string
 	tracker *Tracker
 	peers   map[string]*Peer
-	// Asleep is how long the steady clock stood still while suspended.
+	// Asleep is for how long the monotonic clock stood still during suspensions.
 	asleep time.Duration
-	// Step is by how much the wall clock was set.
+	// Step is the total adjustment of the wall clock.
 	step time.Duration
-	// Told holds the incarnations whose leaving this router has heard of.
+	// Told holds the incarnations that this router knows to be leaving.
 	told map[string]bool
-	// Seen are all endpoints that any table ever held: a request may still
-	// hold an old table.
+	// Seen holds all endpoints of all tables so far, because a request may still
+	// use an old table.
 	seen map[*rattanhoist.Endpoint]bool
 }
 
@@ -37,7 +37,7 @@
 	return rattanhoist.NewMoment(at-r.asleep+time.Hour, at+r.step+1000*time.Hour)
 }
 
-// speaker is the truth about an endpoint.
+// speaker is the actual state of an endpoint.
 type speaker struct {
 	name, zone  string
 	incarnation uint64
@@ -48,19 +48,19 @@
 
 func incarnationName(name string, i uint64) string { return fmt.Sprint(name, "#", i) }
 
-// world is the oracle: it knows when each incarnation last said that it takes
-// work.
+// world is the oracle: it knows when each incarnation last announced that it
+// accepts requests.
 type world struct {
 	at      time.Duration
 	routers []*clockedRouter
 	ends    []*speaker
 	spoke   map[string]time.Duration
-	// Pool holds messages on their way: each is delivered in any order, any
-	// number of times, or never.
+	// Pool holds the messages in flight, which are delivered in any order, any
+	// number of times or never.
 	pool []func()
-	// InTurn has siblings ask each other in turn.
+	// InTurn is set if pulls rotate over the siblings.
 	inTurn bool
-	// Usable counts the pairs of router and endpoint that could be used.
+	// Usable counts the pairs of a router and an endpoint that it may use.
 	usable int
 }
 
@@ -107,7 +107,7 @@
 	if from.peers[to.name] == nil {
 		from.peers[to.name] = NewPeer(to.name, to.zone == from.zone)
 		if w.inTurn && to.zone == from.zone {
-			from.peers[to.name] = NewPeerInTurn(to.name)
+			from.peers[to.name] = NewRotatedPeer(to.name)
 		}
 	}
 	p := from.peers[to.name]
@@ -125,7 +125,7 @@
 	})
 }
 
-// now has a message and its answer arrive without delay.
+// now delivers a message and its reply without delay.
 func (w *world) now(send func()) {
 	before := len(w.pool)
 	send()
@@ -140,12 +140,13 @@
 		return
 	}
 	w.pool = append(w.pool, func() {
-		to.tracker.TakeLeft(&messenger.GossipRequest{Node: from.name, Zone: from.zone, Left: []*messenger.EndpointState{s}}, to.now(w.at))
+		to.tracker.MergeLeaves(&messenger.GossipRequest{Node: from.name, Zone: from.zone, Left: []*messenger.EndpointState{s}}, to.now(w.at))
 		to.told[incarnationName(s.Name, s.Incarnation)] = true
 	})
 }
 
-// check holds every router, also with every older table, against the truth.
+// check compares each router, with its current and all older tables, with the
+// actual state.
 func (w *world) check(t *rapid.T) {
 	for _, r := range w.routers {
 		now := r.now(w.at)
@@ -183,10 +184,10 @@
 	return rapid.IntRange(0, len(w.pool)-1).Draw(t, "message")
 }
 
-// TestNoWorkAfterMaxAge: a leaving, silent or restarted endpoint is used by
-// some router more than 3 s after its last word. Messages are late, doubled,
-// reordered and lost, wall clocks are set, VMs are suspended, and old tables
-// are still held.
+// Guards against a router that uses a leaving, silent or restarted endpoint more
+// than 3 s after its last announcement. Messages are delayed, duplicated, reordered
+// and lost, wall clocks are adjusted, VMs are suspended, and old tables are still
+// in use.
 func TestNoWorkAfterMaxAge(t *testing.T) {
 	usable := 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -241,6 +242,6 @@
 			},
 		})
 	})
-	// Routers that use nothing would pass.
+	// Otherwise routers that use no endpoint would pass.
 	gomega.NewWithT(t).Expect(usable).To(gomega.BeNumerically(">", 1000))
 }
--- a/tracker/gossip.go
+++ b/tracker/gossip.go
@@ -10,47 +10,48 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// Bounds of one gossip message.
+// Limits on one gossip message.
 const (
 	maxStates   = 512
 	maxRenewals = 4096
 	maxWanted   = 512
-	// perServiceAbroad is how many endpoints of a service another zone is
-	// told of; the rest it need not know, since own zone comes first.
-	perServiceAbroad = 32
+	// maxRemotePerService is the maximum number of endpoints of a service that
+	// are sent to another zone, which uses its own endpoints first.
+	maxRemotePerService = 32
 )
 
-// Peer is what this router has pulled from another one. One pull at a time.
+// Peer holds the state of the pulls from another router. Only one pull may be in
+// progress at a time.
 type Peer struct {
 	name string
-	// Sibling reports whether the other one is in the same zone.
+	// Sibling is set if the other router is in the same zone.
 	sibling bool
-	// Relayed reports whether it is asked in turn with others.
+	// Relayed is set if pulls rotate over the siblings.
 	relayed bool
-	// Incarnation and revision are those of the last reply taken.
+	// Incarnation and revision are those of the last merged reply.
 	incarnation, revision uint64
-	// Numbers are those that this incarnation gave out, with the ids that
-	// they stand for.
+	// Numbers maps the numbers assigned by this incarnation to ids.
 	numbers map[uint64]uint64
-	// Wanted are ids of renewals that came without a description,
-	// wantedNumbers those that came as numbers.
+	// Wanted holds the ids of renewals whose endpoints are unknown, and
+	// wantedNumbers their numbers if they came as numbers.
 	wanted, wantedNumbers []uint64
 }
 
-// NewPeer returns a router that nothing was pulled from yet.
+// NewPeer returns the state for a router from which nothing was pulled yet.
 func NewPeer(name string, sibling bool) *Peer {
 	return &Peer{name: name, sibling: sibling, numbers: map[uint64]uint64{}}
 }
 
-// NewPeerInTurn returns a sibling that is pulled from in turn with others:
-// it is to pass on also what it heard from siblings.
-func NewPeerInTurn(name string) *Peer {
+// NewRotatedPeer returns the state for a sibling if pulls rotate over the
+// siblings. Its replies include what it received from other siblings.
+func NewRotatedPeer(name string) *Peer {
 	p := NewPeer(name, true)
 	p.relayed = true
 	return p
 }
 
-// Request returns the next pull. Silent names the siblings that do not answer.
+// Request returns the next pull request. Silent holds the siblings that don't
+// answer.
 func (p *Peer) Request(node, zone string, silent []string) *messenger.GossipRequest {
 	return &messenger.GossipRequest{
 		Node: node, Zone: zone, Incarnation: p.incarnation, Revision: p.revision, Silent: silent,
@@ -58,12 +59,12 @@
 	}
 }
 
-// Reply returns what a puller does not know yet. It leaves out what is too old
-// to be used, what the puller told itself or hears from a sibling, and, for a
-// puller of another zone, endpoints of third zones.
+// Reply returns what changed since the puller's revision. It omits entries that
+// are too old to be used, those that the puller reported itself or receives from
+// a sibling, and, for a puller in another zone, endpoints of other zones.
 func (t *Tracker) Reply(q *messenger.GossipRequest, now rattanhoist.Moment) *messenger.GossipReply {
 	if q.Relayed && len(q.Left) > 0 {
-		// A push; one that asks in turn hears enough by its pulls.
+		// This is a push. A router whose pulls rotate needs no reply to it.
 		return &messenger.GossipReply{}
 	}
 	t.mu.Lock()
@@ -74,7 +75,7 @@
 	}
 	out := &messenger.GossipReply{Incarnation: uint64(t.incarnation), Revision: t.revision.Load()}
 	t.appendWanted(out, q, since, now)
-	fresh := t.freshNumbers(q)
+	fresh := t.decodeFreshNumbers(q)
 	var renewed []*entry
 	for e := t.order.after(since); e != nil; e = e.newer {
 		if len(out.Endpoints) >= maxStates || len(renewed) >= maxRenewals {
@@ -82,7 +83,7 @@
 			break
 		}
 		switch {
-		case !t.tells(e, q, since) || e.spared(fresh, since):
+		case !t.sendsTo(e, q, since) || e.needsNoRenewal(fresh, since):
 		case e.joined > since:
 			t.appendState(out, e, now)
 		default:
@@ -99,7 +100,7 @@
 	return out
 }
 
-// appendWanted describes what the puller could not place.
+// appendWanted appends the descriptions that the puller asked for.
 func (t *Tracker) appendWanted(out *messenger.GossipReply, q *messenger.GossipRequest, since uint64, now rattanhoist.Moment) {
 	for _, id := range q.Want[:min(len(q.Want), maxWanted)] {
 		if e := t.byID[id]; e != nil && e.joined <= since {
@@ -116,28 +117,27 @@
 	}
 }
 
-func (t *Tracker) tells(e *entry, q *messenger.GossipRequest, since uint64) bool {
+func (t *Tracker) sendsTo(e *entry, q *messenger.GossipRequest, since uint64) bool {
 	if e.via == q.Node {
-		// One that asks in turn learns the number with the description.
+		// A router whose pulls rotate receives the number with the description.
 		return q.Relayed && e.joined > since
 	}
 	if q.Zone != t.zone {
-		return e.endpoint.Zone() == t.zone && t.sampled(e, q.Zone)
+		return e.endpoint.Zone() == t.zone && t.isSampled(e, q.Zone)
 	}
 	return q.Relayed || !e.sibling || slices.Contains(q.Silent, e.via)
 }
 
-// spared reports whether a puller that listed fresh numbers needs no renewal of
-// the entry yet.
-func (e *entry) spared(fresh map[uint64]bool, since uint64) bool {
+// needsNoRenewal reports whether the puller listed the entry as recent enough.
+func (e *entry) needsNoRenewal(fresh map[uint64]bool, since uint64) bool {
 	return fresh[e.number] && e.joined <= since && !e.endpoint.Leaving()
 }
 
-// sampled chooses which endpoints another zone hears of; the same ones as
-// long as the number of the service's endpoints stays.
-func (t *Tracker) sampled(e *entry, zone string) bool {
-	n := uint64(max(t.counted[e.endpoint.Service()], 1))
-	return n <= perServiceAbroad || (e.id^xxhash.Sum64String(zone))%n < perServiceAbroad
+// isSampled reports whether an endpoint is sent to another zone. The sample is
+// the same while the number of the service's endpoints is.
+func (t *Tracker) isSampled(e *entry, zone string) bool {
+	n := uint64(max(t.ownZoneCounts[e.endpoint.Service()], 1))
+	return n <= maxRemotePerService || (e.id^xxhash.Sum64String(zone))%n < maxRemotePerService
 }
 
 func (t *Tracker) appendState(out *messenger.GossipReply, e *entry, now rattanhoist.Moment) {
@@ -160,8 +160,8 @@
 	})
 }
 
-// ageMs returns the age rounded up; false where it is of no use to anyone.
-// The age of an endpoint that leaves does not matter.
+// ageMs returns the age, rounded up, or false if the entry is too old to be used.
+// The age of a leaving endpoint is 0.
 func (t *Tracker) ageMs(e *entry, now rattanhoist.Moment) (uint32, bool) {
 	if e.endpoint.Leaving() {
 		return 0, true
@@ -187,9 +187,9 @@
 	}
 }
 
-// Merge takes the reply to a pull in. Asked is when the pull was sent: what
-// the reply calls n old was announced less than n before the reply was made,
-// and that was after asked, so the age counts from asked is never too small.
+// Merge merges the reply to a pull that was sent at asked. An entry of age n in
+// the reply was announced at most n before the reply, which was made after asked,
+// so an age counted from asked is never underestimated.
 func (t *Tracker) Merge(p *Peer, r *messenger.GossipReply, asked, now rattanhoist.Moment) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -201,7 +201,7 @@
 	}
 	p.wanted, p.wantedNumbers = p.wanted[:0], p.wantedNumbers[:0]
 	for _, s := range r.Endpoints {
-		t.takeState(s, report{heard: heardAt(asked, s.AgeMs), via: p.name, sibling: p.sibling}, now)
+		t.mergeState(s, report{announcedAt: announcementTime(asked, s.AgeMs), via: p.name, sibling: p.sibling}, now)
 		if s.Number > 0 {
 			p.numbers[s.Number] = identify(s.Name, rattanhoist.Incarnation(s.Incarnation))
 		}
@@ -214,39 +214,40 @@
 			}
 			continue
 		}
-		t.takeRenewal(e, p, x.Sequence, x.Load, heardAt(asked, x.AgeMs), x.Leaving, now)
+		t.mergeRenewal(e, p, x.Sequence, x.Load, announcementTime(asked, x.AgeMs), x.Leaving, now)
 	}
 	t.unpack(p, r.Packed, asked, now)
 	t.pruneNumbers(p)
 	p.incarnation, p.revision = r.Incarnation, r.Revision
 }
 
-func (t *Tracker) takeRenewal(e *entry, p *Peer, sequence uint64, load int64, heard rattanhoist.Moment, leaving bool, now rattanhoist.Moment) {
+func (t *Tracker) mergeRenewal(e *entry, p *Peer, sequence uint64, load int64, heard rattanhoist.Moment, leaving bool, now rattanhoist.Moment) {
 	_, err := t.renew(e, report{
-		sequence: sequence, load: min(max(load, 0), MaxLoad), heard: heard,
+		sequence: sequence, load: min(max(load, 0), MaxLoad), announcedAt: heard,
 		leaving: leaving, via: p.name, sibling: p.sibling,
 	}, now)
 	t.countRejected(err)
 }
 
-func heardAt(asked rattanhoist.Moment, ageMs uint32) rattanhoist.Moment {
+func announcementTime(asked rattanhoist.Moment, ageMs uint32) rattanhoist.Moment {
 	return asked.Add(-time.Duration(ageMs) * time.Millisecond)
 }
 
-// TakeLeft takes pushed news of endpoints that left. Everything else in them
-// is passed over: a push has no bound on its age.
-func (t *Tracker) TakeLeft(q *messenger.GossipRequest, now rattanhoist.Moment) {
+// MergeLeaves merges the leaving endpoints in a push. Other entries are ignored,
+// because the age of a push is unknown.
+func (t *Tracker) MergeLeaves(q *messenger.GossipRequest, now rattanhoist.Moment) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range q.Left[:min(len(q.Left), maxStates)] {
 		if s.Leaving {
-			t.takeState(s, report{via: q.Node, sibling: q.Zone == t.zone}, now)
+			t.mergeState(s, report{via: q.Node, sibling: q.Zone == t.zone}, now)
 		}
 	}
 }
 
-// takeState merges a described endpoint; the report says how it was heard.
-func (t *Tracker) takeState(s *messenger.EndpointState, r report, now rattanhoist.Moment) {
+// mergeState merges an endpoint's description. The report holds its source and
+// time.
+func (t *Tracker) mergeState(s *messenger.EndpointState, r report, now rattanhoist.Moment) {
 	a := Announcement{
 		Name: s.Name, Service: s.Service, Zone: s.Zone, Address: s.Address, Labels: s.Labels,
 		Incarnation: s.Incarnation, Sequence: s.Sequence, Capacity: s.Capacity, Load: s.Load,
@@ -257,7 +258,7 @@
 		return
 	}
 	r.fields, r.sequence, r.load, r.leaving = a.fields(), s.Sequence, s.Load, s.Leaving
-	_, err := t.take(r, now)
+	_, err := t.merge(r, now)
 	t.countRejected(err)
 }
 
@@ -267,7 +268,7 @@
 	}
 }
 
-// Left returns the message that pushes an endpoint's leaving.
+// Left returns the message to push when an endpoint is leaving, or nil.
 func (t *Tracker) Left(name string) *messenger.EndpointState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/tracker/main_test.go
+++ b/tracker/main_test.go
@@ -6,8 +6,8 @@
 	"testing"
 )
 
-// TestMain fixes the seed of the fuzz tests; FUZZ_SEED and FUZZ_CHECKS have
-// one command run others, or more.
+// TestMain fixes the seed of the fuzz tests. FUZZ_SEED and FUZZ_CHECKS select
+// another seed and the number of checks.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	set("rapid.seed", "FUZZ_SEED", "20261202")
--- a/tracker/pack.go
+++ b/tracker/pack.go
@@ -9,10 +9,11 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// ageUnit is the unit of ages in packed renewals: up to 2 s they take one byte.
+// ageUnit is the unit of ages in packed renewals. Ages up to 2 s take one byte.
 const ageUnit = 16 * time.Millisecond
 
-// pack returns the renewals of entries that are of use to anyone, nil for none.
+// pack returns the renewals of the entries that are not too old, or nil if the
+// list is empty.
 func (t *Tracker) pack(list []*entry, now rattanhoist.Moment) *messenger.PackedRenewals {
 	if len(list) == 0 {
 		return nil
@@ -32,19 +33,20 @@
 		out.Numbers = append(out.Numbers, e.number-last)
 		out.Sequences = append(out.Sequences, e.sequence)
 		out.Loads = append(out.Loads, load)
-		out.Ages = append(out.Ages, ageUnits(age))
+		out.Ages = append(out.Ages, roundUpAge(age))
 		last = e.number
 	}
 	return out
 }
 
-// ageUnits rounds up: no age may become smaller on its way.
-func ageUnits(ms uint32) uint32 {
+// roundUpAge converts an age to units. It rounds up, because ages must not be
+// underestimated.
+func roundUpAge(ms uint32) uint32 {
 	return uint32((time.Duration(ms)*time.Millisecond + ageUnit - 1) / ageUnit)
 }
 
-// unpack merges packed renewals; lists of different lengths are cut to the
-// shortest and counted.
+// unpack merges packed renewals. If the lists have different lengths, which is
+// counted, the rest of the longer ones is ignored.
 func (t *Tracker) unpack(p *Peer, x *messenger.PackedRenewals, asked, now rattanhoist.Moment) {
 	if x == nil {
 		return
@@ -66,12 +68,12 @@
 		}
 		load := int64(min(x.Loads[i]>>1, MaxLoad))
 		heard := asked.Add(-time.Duration(x.Ages[i]) * ageUnit)
-		t.takeRenewal(e, p, x.Sequences[i], load, heard, x.Loads[i]&1 == 1, now)
+		t.mergeRenewal(e, p, x.Sequences[i], load, heard, x.Loads[i]&1 == 1, now)
 	}
 }
 
-// pruneNumbers bounds what is kept of endpoints that are gone: their numbers
-// do not come again, and one that does is asked for.
+// pruneNumbers removes the numbers of endpoints that are gone. If one is received
+// again, its description is requested.
 func (t *Tracker) pruneNumbers(p *Peer) {
 	const slack = 64
 	if len(p.numbers) <= 2*len(t.byID)+slack {
@@ -84,25 +86,27 @@
 	}
 }
 
-// freshPart of the maximal age, in hundredths, is how old an entry may be
-// before its renewal is asked for: lower costs more bytes, higher more age.
-const freshPart = 40
+// freshPercent is the age, in percent of the maximum age, up to which an entry's
+// renewal is not requested. A lower value takes more bandwidth, a higher one makes
+// entries older.
+const freshPercent = 40
 
-// Request returns the next pull from a peer. Silent names the siblings that do
-// not answer.
+// Request returns the next pull request to a peer. Silent holds the siblings that
+// don't answer.
 func (t *Tracker) Request(p *Peer, node, zone string, silent []string, now rattanhoist.Moment) *messenger.GossipRequest {
 	q := p.Request(node, zone, silent)
 	if p.relayed {
-		q.Fresh = t.fresh(p, now)
+		q.Fresh = t.freshNumbersOf(p, now)
 	}
 	return q
 }
 
-// fresh lists the numbers of a peer that need no renewal yet.
-func (t *Tracker) fresh(p *Peer, now rattanhoist.Moment) []uint64 {
+// freshNumbersOf returns the numbers of a peer that need no renewal yet, encoded
+// as differences.
+func (t *Tracker) freshNumbersOf(p *Peer, now rattanhoist.Moment) []uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	enough := t.maxAge * freshPart / 100
+	enough := t.maxAge * freshPercent / 100
 	out := make([]uint64, 0, len(p.numbers))
 	for n, id := range p.numbers {
 		e := t.byID[id]
@@ -114,15 +118,16 @@
 		}
 	}
 	slices.Sort(out)
-	// Each but the first becomes its difference from the one before.
+	// All but the first are replaced by the difference from the previous one.
 	for i := len(out) - 1; i > 0; i-- {
 		out[i] -= out[i-1]
 	}
 	return out
 }
 
-// freshNumbers reads the numbers that the puller of this incarnation listed.
-func (t *Tracker) freshNumbers(q *messenger.GossipRequest) map[uint64]bool {
+// decodeFreshNumbers returns the numbers that need no renewal according to the
+// puller. They are ignored if another incarnation of this router assigned them.
+func (t *Tracker) decodeFreshNumbers(q *messenger.GossipRequest) map[uint64]bool {
 	if q.Incarnation != uint64(t.incarnation) {
 		return nil
 	}
--- a/tracker/table.go
+++ b/tracker/table.go
@@ -8,18 +8,18 @@
 	"rattanhoist.example/rattanhoist"
 )
 
-// Table lists the endpoints of each service; immutable, but for what
-// endpoints renew in place.
+// Table lists the endpoints of each service. It is immutable, except that load
+// and age of endpoints are updated in place.
 type Table struct {
 	// Each list is sorted by name.
 	byService map[string][]*rattanhoist.Endpoint
 }
 
-// Service returns the endpoints of a service; callers must not change it.
-// An entry whose age passes the bound must not be used: Usable tells.
+// Service returns the endpoints of a service, which callers must not modify.
+// Endpoints for which Tracker.Usable returns false must not be used.
 func (t *Table) Service(name string) []*rattanhoist.Endpoint { return t.byService[name] }
 
-// All returns every endpoint, in order of service and name.
+// All returns all endpoints, sorted by service and name.
 func (t *Table) All() []*rattanhoist.Endpoint {
 	var out []*rattanhoist.Endpoint
 	for _, s := range t.Services() {
@@ -28,13 +28,13 @@
 	return out
 }
 
-// Services returns the sorted names of the services that have endpoints.
+// Services returns the names of the services that have endpoints, sorted.
 func (t *Table) Services() []string { return slices.Sorted(maps.Keys(t.byService)) }
 
 func byName(e *rattanhoist.Endpoint, name string) int { return strings.Compare(e.Name(), name) }
 
-// without returns a table without the endpoint of a name; it copies the list
-// of one service and shares the rest.
+// without returns a copy of the table without an endpoint. The lists of all
+// other services are shared.
 func (t *Table) without(e *rattanhoist.Endpoint) *Table {
 	list := t.byService[e.Service()]
 	i, ok := slices.BinarySearchFunc(list, e.Name(), byName)
@@ -50,7 +50,7 @@
 	return &Table{byService: out}
 }
 
-// with returns a table with an endpoint that is not in it.
+// with returns a copy of the table with an additional endpoint.
 func (t *Table) with(e *rattanhoist.Endpoint) *Table {
 	list := t.byService[e.Service()]
 	i, _ := slices.BinarySearchFunc(list, e.Name(), byName)
--- a/tracker/token.go
+++ b/tracker/token.go
@@ -8,18 +8,18 @@
 	"rattanhoist.example/rattanhoist"
 )
 
-// Token returns what an endpoint sends back with its next announcement. An
-// announcement that carries it was made after now, however long it lay in a
-// socket's buffer or in the network. Without it, a router that was stopped
-// would take announcements that waited in its buffers for fresh ones.
+// Token returns a token that the endpoint sends back with its next announcement.
+// An announcement with the token was made after now, however long it was
+// delayed. Without tokens, a router that was suspended would treat the
+// announcements in its socket buffers as new.
 func (t *Tracker) Token(now rattanhoist.Moment) string {
 	b := strconv.AppendUint(nil, uint64(t.incarnation), 16)
 	b = strconv.AppendInt(append(b, '.'), int64(now.Monotonic()), 16)
 	return string(strconv.AppendInt(append(b, '.'), int64(now.Wall()), 16))
 }
 
-// issued returns when a token was given out; false for another process's
-// token or one from the future.
+// issued returns when a token was issued. It returns false for tokens of other
+// processes and for those with a time in the future.
 func (t *Tracker) issued(token string, now rattanhoist.Moment) (rattanhoist.Moment, bool) {
 	incarnation, rest, _ := strings.Cut(token, ".")
 	steady, wall, _ := strings.Cut(rest, ".")
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -1,6 +1,7 @@
-// Package tracker keeps what a router knows of the endpoints: their latest
-// announcements, each with an age that is never too small. Readers see an
-// immutable table; load and age are renewed in place. Time comes in.
+// Package tracker holds what a router knows about endpoints: their latest
+// announcements, with ages that are never underestimated. Readers use an
+// immutable table in which load and age are updated in place. The package reads
+// no clock: callers pass the time.
 package tracker
 
 import (
@@ -12,27 +13,29 @@
 )
 
 const (
-	// MaxEndpoints bounds what a router knows, the forgotten-soon included.
+	// MaxEndpoints is the maximum number of endpoints, including those that have
+	// left or are silent and not forgotten yet.
 	MaxEndpoints = 20_000
-	// forgetAfter is how many times the maximal age an entry is remembered:
-	// until then a late message of an endpoint that left is known as late.
+	// forgetAfter is the time, in multiples of the maximum age, after which the
+	// entry of a silent endpoint is removed. Until then, a delayed message of an
+	// endpoint that has left is recognized as outdated.
 	forgetAfter = 10
 )
 
 // Options configure a tracker.
 type Options struct {
-	// MaxAge is the age from which an announcement is not used.
+	// MaxAge is the age from which an announcement is no longer used.
 	MaxAge time.Duration
-	// Incarnation tells this start of the router from every other.
+	// Incarnation identifies this run of the router.
 	Incarnation rattanhoist.Incarnation
-	// Zone is the router's own; other zones are told only of its endpoints.
+	// Zone is the router's zone. Other zones are sent only its endpoints.
 	Zone string
-	// Zones are those of the settings.
+	// Zones holds the zones in the settings.
 	Zones []string
 }
 
-// Tracker takes announcements in and publishes tables. Safe for concurrent
-// use.
+// Tracker processes announcements and publishes tables. It is safe for
+// concurrent use.
 type Tracker struct {
 	maxAge      time.Duration
 	incarnation rattanhoist.Incarnation
@@ -40,37 +43,41 @@
 	zones       []string
 	table       atomic.Pointer[Table]
 	mu          sync.Mutex
-	// Entries hold the newest incarnation of each name.
+	// Entries holds the newest incarnation of each name.
 	entries map[string]*entry
 	byID    map[uint64]*entry
-	// ByNumber and numbered hold the numbers given out by this router.
+	// ByNumber holds the entries by number, and numbered the last number
+	// assigned.
 	byNumber map[uint64]*entry
 	numbered uint64
-	// ByAddress names who announced an address last.
+	// ByAddress holds the name that last announced an address.
 	byAddress map[string]string
-	order     order
-	// Revision counts the news; it never falls. Only holders of mu change it.
+	order     revisionList
+	// Revision counts the changes. It is only modified with mu held.
 	revision atomic.Uint64
-	// Counted holds the endpoints of the own zone for each service.
-	counted map[string]int
-	stats   Stats
+	// OwnZoneCounts is the number of endpoints of the own zone, by service.
+	ownZoneCounts map[string]int
+	stats         Stats
 }
 
-// Stats count what the tracker has seen.
+// Stats holds the counters of a tracker.
 type Stats struct {
-	// Known is the number of entries, leaving ones included.
+	// Known is the number of entries, including endpoints that are leaving.
 	Known int `json:"known"`
-	// Renewed counts the news of known incarnations.
+	// Renewed counts newer announcements of known incarnations.
 	Renewed uint64 `json:"renewed"`
 	Joined  uint64 `json:"joined"`
 	Left    uint64 `json:"left"`
-	// Stale counts messages that told nothing new.
+	// Stale counts messages that changed nothing.
 	Stale uint64 `json:"stale"`
-	// Conflicts counts refused announcements of another's address.
+	// Conflicts counts announcements refused because another endpoint has the
+	// address.
 	Conflicts uint64 `json:"conflicts"`
-	// Held counts incarnations that were held back for flapping.
+	// Held counts incarnations that got no requests at first because of repeated
+	// restarts.
 	Held uint64 `json:"held"`
-	// Rejected counts gossiped entries that were faulty or too many.
+	// Rejected counts entries of other routers that were invalid or exceeded
+	// limits.
 	Rejected uint64 `json:"rejected"`
 }
 
@@ -79,7 +86,7 @@
 	t := &Tracker{
 		maxAge: o.MaxAge, incarnation: o.Incarnation, zone: o.Zone, zones: o.Zones,
 		entries: map[string]*entry{}, byID: map[uint64]*entry{}, byNumber: map[uint64]*entry{},
-		byAddress: map[string]string{}, counted: map[string]int{},
+		byAddress: map[string]string{}, ownZoneCounts: map[string]int{},
 	}
 	t.table.Store(&Table{})
 	return t
@@ -88,8 +95,8 @@
 // Table returns the current table.
 func (t *Tracker) Table() *Table { return t.table.Load() }
 
-// Revision counts the news so far, renewals included: what was derived from
-// loads and ages is up to date as long as it stays.
+// Revision returns the number of changes so far, including renewals. Values
+// derived from loads and ages are up to date while it is the same.
 func (t *Tracker) Revision() uint64 { return t.revision.Load() }
 
 // Stats returns the counters.
@@ -101,46 +108,46 @@
 	return s
 }
 
-// Usable reports whether new work may be sent to an endpoint now. It reads
-// the age at the moment of use: a router that was stopped for an hour wakes
-// with an old table and, without this, would send work on it.
+// Usable reports whether new requests may be sent to an endpoint now. The age is
+// evaluated at each call, because a router that was suspended resumes with an
+// outdated table.
 func (t *Tracker) Usable(e *rattanhoist.Endpoint, now time.Time) bool {
 	return t.UsableAt(e, rattanhoist.MomentOf(now))
 }
 
-// UsableAt is Usable for a reading of both clocks.
+// UsableAt is Usable at the given moment of both clocks.
 func (t *Tracker) UsableAt(e *rattanhoist.Endpoint, now rattanhoist.Moment) bool {
 	return e.UsableAt(now, t.maxAge)
 }
 
-// Announced says what became of an announcement.
-type Announced struct {
-	// News reports whether it told anything new.
-	News bool
-	// Usable reports whether the endpoint may get work now.
+// AnnounceResult is the result of an announcement.
+type AnnounceResult struct {
+	// Changed is set if the announcement changed anything.
+	Changed bool
+	// Usable is set if requests may be sent to the endpoint now.
 	Usable bool
-	// Left reports whether it is the first word of the endpoint's leaving.
+	// Left is set if this is the first announcement that the endpoint is leaving.
 	Left bool
 }
 
-// Announce takes an announcement of an endpoint in. The error is a
-// *FieldError, ErrAddressTaken or ErrFull.
-func (t *Tracker) Announce(a Announcement, now rattanhoist.Moment) (Announced, error) {
+// Announce processes an announcement by an endpoint. The error is a *FieldError,
+// ErrAddressTaken or ErrFull.
+func (t *Tracker) Announce(a Announcement, now rattanhoist.Moment) (AnnounceResult, error) {
 	if err := a.Check(t.zones); err != nil {
-		return Announced{}, err
+		return AnnounceResult{}, err
 	}
 	r := report{fields: a.fields(), sequence: a.Sequence, load: a.Load, leaving: a.Leaving}
-	// Without a token of this process nothing bounds the age: the entry is
-	// known but not used until the endpoint has sent the token back.
-	r.heard, _ = t.issued(a.Token, now)
+	// Without a token of this process, the age is unknown: the entry is not used
+	// until the endpoint has sent the token back.
+	r.announcedAt, _ = t.issued(a.Token, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	news, err := t.take(r, now)
+	news, err := t.merge(r, now)
 	if err != nil {
-		return Announced{}, err
+		return AnnounceResult{}, err
 	}
 	e := t.entries[a.Name].endpoint
-	return Announced{News: news, Usable: e.UsableAt(now, t.maxAge), Left: news && e.Leaving()}, nil
+	return AnnounceResult{Changed: news, Usable: e.UsableAt(now, t.maxAge), Left: news && e.Leaving()}, nil
 }
 
 func (a Announcement) fields() rattanhoist.EndpointFields {
@@ -155,24 +162,24 @@
 	}
 }
 
-// take merges a report and tells whether it was news.
-func (t *Tracker) take(r report, now rattanhoist.Moment) (bool, error) {
+// merge merges a report and reports whether anything changed.
+func (t *Tracker) merge(r report, now rattanhoist.Moment) (bool, error) {
 	old := t.entries[r.fields.Name]
 	switch {
 	case old == nil || r.fields.Incarnation > old.endpoint.Incarnation():
-		return true, t.join(r, old, now)
+		return true, t.addIncarnation(r, old, now)
 	case r.fields.Incarnation < old.endpoint.Incarnation():
 		t.stats.Stale++
 		return false, nil
-	case !r.leaving && r.sequence > old.sequence && !old.endpoint.Leaving() && !describes(r.fields, old.endpoint):
-		return true, t.describe(old, r, now)
+	case !r.leaving && r.sequence > old.sequence && !old.endpoint.Leaving() && !matchesDescription(r.fields, old.endpoint):
+		return true, t.replaceDescription(old, r, now)
 	default:
 		return t.renew(old, r, now)
 	}
 }
 
-// join takes a new name or a new incarnation in.
-func (t *Tracker) join(r report, old *entry, now rattanhoist.Moment) error {
+// addIncarnation adds an endpoint with a new name, or a new incarnation.
+func (t *Tracker) addIncarnation(r report, old *entry, now rattanhoist.Moment) error {
 	if old == nil && len(t.entries) >= MaxEndpoints {
 		return ErrFull
 	}
@@ -183,9 +190,9 @@
 	e := &entry{id: identify(r.fields.Name, r.fields.Incarnation), number: t.numbered, joinedAt: now}
 	if old != nil {
 		e.restarts = restartsAfter(old, now)
-		t.drop(old)
+		t.forget(old)
 	}
-	r.fields.HeldUntil = hold(e.restarts, now)
+	r.fields.HeldUntil = heldUntil(e.restarts, now)
 	if e.restarts > freeRestarts {
 		t.stats.Held++
 	}
@@ -193,7 +200,7 @@
 	t.entries[r.fields.Name] = e
 	t.byID[e.id] = e
 	t.byNumber[e.number] = e
-	t.install(e, r)
+	t.addToTable(e, r)
 	return nil
 }
 
@@ -204,9 +211,9 @@
 	return old.restarts + 1
 }
 
-// checkAddress refuses an address that a live endpoint of another name has:
-// the load of one process would count as that of two, and a request tried at
-// both would run twice in one place.
+// checkAddress returns ErrAddressTaken if a live endpoint with another name has
+// the address. Otherwise the load of one process would count as that of two, and
+// a request sent to both endpoints would run twice in the same process.
 func (t *Tracker) checkAddress(r report, now rattanhoist.Moment) error {
 	other := t.entries[t.byAddress[r.fields.Address]]
 	if r.leaving || other == nil || other.endpoint.Name() == r.fields.Name || !other.endpoint.UsableAt(now, t.maxAge) {
@@ -216,24 +223,24 @@
 	return ErrAddressTaken
 }
 
-// describe replaces the description of a known incarnation.
-func (t *Tracker) describe(e *entry, r report, now rattanhoist.Moment) error {
+// replaceDescription replaces the description of a known incarnation.
+func (t *Tracker) replaceDescription(e *entry, r report, now rattanhoist.Moment) error {
 	if err := t.checkAddress(r, now); err != nil {
 		return err
 	}
-	r.heard = later(e.endpoint.AnnouncedAtMoment(), r.heard)
-	r.fields.HeldUntil = hold(e.restarts, e.joinedAt)
-	t.remove(e)
-	t.install(e, r)
+	r.announcedAt = later(e.endpoint.AnnouncedAtMoment(), r.announcedAt)
+	r.fields.HeldUntil = heldUntil(e.restarts, e.joinedAt)
+	t.removeFromTable(e)
+	t.addToTable(e, r)
 	return nil
 }
 
-// install makes the endpoint of an entry and puts it into the table.
-func (t *Tracker) install(e *entry, r report) {
+// addToTable creates the endpoint of an entry and adds it to the table.
+func (t *Tracker) addToTable(e *entry, r report) {
 	e.endpoint = rattanhoist.NewEndpoint(r.fields)
-	e.endpoint.Renew(r.load, r.heard)
+	e.endpoint.Renew(r.load, r.announcedAt)
 	e.sequence = r.sequence
-	t.note(e, r)
+	t.assignRevision(e, r)
 	e.joined = e.revision
 	if r.leaving {
 		e.endpoint.MarkLeaving()
@@ -242,14 +249,14 @@
 	}
 	t.byAddress[r.fields.Address] = r.fields.Name
 	if r.fields.Zone == t.zone {
-		t.counted[r.fields.Service]++
+		t.ownZoneCounts[r.fields.Service]++
 	}
 	t.table.Store(t.Table().with(e.endpoint))
 }
 
-// remove takes an entry's endpoint out of the table. Readers that hold an
-// older table see it leave too.
-func (t *Tracker) remove(e *entry) {
+// removeFromTable removes an entry's endpoint from the table. It is marked as
+// leaving, which readers of an older table see as well.
+func (t *Tracker) removeFromTable(e *entry) {
 	p := e.endpoint
 	if p.Leaving() {
 		return
@@ -259,32 +266,33 @@
 		delete(t.byAddress, p.Address())
 	}
 	if p.Zone() == t.zone {
-		t.uncount(p.Service())
+		t.decrementCount(p.Service())
 	}
 	t.table.Store(t.Table().without(p))
 }
 
-// uncount takes one endpoint off a service's count. A count of zero goes:
-// names of services come from endpoints, so nothing else bounds their number.
-func (t *Tracker) uncount(service string) {
-	t.counted[service]--
-	if t.counted[service] == 0 {
-		delete(t.counted, service)
+// decrementCount removes one endpoint from a service's count. Counts of zero are
+// deleted, because endpoints choose the names of services and nothing else limits
+// their number.
+func (t *Tracker) decrementCount(service string) {
+	t.ownZoneCounts[service]--
+	if t.ownZoneCounts[service] == 0 {
+		delete(t.ownZoneCounts, service)
 	}
 }
 
-// drop forgets an entry.
-func (t *Tracker) drop(e *entry) {
-	t.remove(e)
+// forget deletes an entry.
+func (t *Tracker) forget(e *entry) {
+	t.removeFromTable(e)
 	t.order.remove(e)
 	delete(t.byID, e.id)
 	delete(t.byNumber, e.number)
 	delete(t.entries, e.endpoint.Name())
 }
 
-// renew merges a report of a known incarnation and tells whether it was news.
-// Leaving is final: an older renewal that comes late does not bring the
-// endpoint back.
+// renew merges a report about a known incarnation and reports whether anything
+// changed. Leaving is final: a delayed renewal does not put the endpoint back in
+// service.
 func (t *Tracker) renew(e *entry, r report, now rattanhoist.Moment) (bool, error) {
 	p := e.endpoint
 	switch {
@@ -292,16 +300,16 @@
 		t.stats.Stale++
 		return false, nil
 	case r.leaving:
-		t.remove(e)
+		t.removeFromTable(e)
 		e.sequence = max(e.sequence, r.sequence)
-		t.note(e, r)
+		t.assignRevision(e, r)
 		t.stats.Left++
 		return true, nil
 	case r.sequence > e.sequence:
 		return t.renewLoad(e, r, now)
 	default:
-		// Both moments lie before the one at which the endpoint spoke last.
-		p.Renew(p.Load(), later(p.AnnouncedAtMoment(), r.heard))
+		// Both moments are before the endpoint's last announcement.
+		p.Renew(p.Load(), later(p.AnnouncedAtMoment(), r.announcedAt))
 		t.stats.Stale++
 		return false, nil
 	}
@@ -310,7 +318,7 @@
 func (t *Tracker) renewLoad(e *entry, r report, now rattanhoist.Moment) (bool, error) {
 	p := e.endpoint
 	if t.byAddress[p.Address()] != p.Name() {
-		// Another name took the address while this one was silent.
+		// Another endpoint announced the address while this one was silent.
 		if err := t.checkAddress(report{fields: rattanhoist.EndpointFields{Name: p.Name(), Address: p.Address()}}, now); err != nil {
 			return false, err
 		}
@@ -318,10 +326,11 @@
 	}
 	first := p.AnnouncedAtMoment().IsZero()
 	e.sequence = r.sequence
-	p.Renew(r.load, later(p.AnnouncedAtMoment(), r.heard))
-	t.note(e, r)
+	p.Renew(r.load, later(p.AnnouncedAtMoment(), r.announcedAt))
+	t.assignRevision(e, r)
 	if first {
-		// Nobody was told of it while it had no age: tell all of it now.
+		// It was not sent to other routers while its age was unknown, so they need
+		// the whole description.
 		e.joined = e.revision
 	}
 	t.stats.Renewed++
@@ -335,23 +344,23 @@
 	return a
 }
 
-// note gives an entry the next revision.
-func (t *Tracker) note(e *entry, r report) {
+// assignRevision assigns the next revision to an entry.
+func (t *Tracker) assignRevision(e *entry, r report) {
 	t.order.remove(e)
 	e.revision, e.via, e.sibling = t.revision.Add(1), r.via, r.sibling
 	t.order.append(e)
 }
 
-// Expire forgets entries that have been silent for long; it bounds memory. It
-// reads the steady clock alone: a wall clock that is set forward must not
-// make a router forget who left.
+// Expire removes entries that have been silent for long, which limits memory. It
+// uses only the monotonic clock: a wall clock that is set forward must not remove
+// the entries of endpoints that have left.
 func (t *Tracker) Expire(now rattanhoist.Moment) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.entries {
 		last := max(e.endpoint.AnnouncedAtMoment().Monotonic(), e.joinedAt.Monotonic())
 		if now.Monotonic()-last > forgetAfter*t.maxAge {
-			t.drop(e)
+			t.forget(e)
 		}
 	}
 }
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -10,7 +10,7 @@
 	"rattanhoist.example/rattanhoist"
 )
 
-// start is late enough for ages to lie before it.
+// start is far enough from zero for earlier moments to exist.
 var start = rattanhoist.NewMoment(time.Hour, 1000*time.Hour)
 
 func newTracker(zone string, incarnation rattanhoist.Incarnation) *Tracker {
@@ -24,8 +24,8 @@
 	}
 }
 
-// say announces with a fresh token and must be taken.
-func say(g *gomega.WithT, t *Tracker, a Announcement, now rattanhoist.Moment) Announced {
+// say makes an announcement with a new token, which must be accepted.
+func say(g *gomega.WithT, t *Tracker, a Announcement, now rattanhoist.Moment) AnnounceResult {
 	a.Token = t.Token(now)
 	out, err := t.Announce(a, now)
 	g.ExpectWithOffset(1, err).NotTo(gomega.HaveOccurred())
@@ -76,10 +76,9 @@
 	g.Expect(long.Check(zones)).To(gomega.MatchError(ErrInvalid))
 }
 
-// TestBufferedAnnouncementIsNotFresh: a router that was stopped for a minute
-// sends work to an endpoint that died meanwhile. The endpoint's last renewal
-// lay in the router's socket buffer and was read after the stop; its time of
-// arrival made it look fresh.
+// Guards against a router that was suspended for a minute and sends requests to an
+// endpoint that ended meanwhile: the endpoint's last renewal was in the router's
+// socket buffer and was read after the suspension.
 func TestBufferedAnnouncementIsNotFresh(t *testing.T) {
 	g := gomega.NewWithT(t)
 	tr := newTracker(zones[0], 1)
@@ -98,8 +97,8 @@
 	g.Expect(out.Usable).To(gomega.BeTrue())
 }
 
-// TestLateRenewalDoesNotBringBack: an endpoint that left gets work again. Its
-// last renewal before the leave, or one of its earlier start, came after it.
+// Guards against an endpoint that gets requests after it has left, because its last
+// renewal before the leave, or one of an earlier incarnation, arrives late.
 func TestLateRenewalDoesNotBringBack(t *testing.T) {
 	g := gomega.NewWithT(t)
 	tr := newTracker(zones[0], 1)
@@ -112,10 +111,10 @@
 	g.Expect(say(g, tr, leave, start).Left).To(gomega.BeFalse(), "said twice")
 	for _, sequence := range []uint64{6, 8} {
 		a.Sequence = sequence
-		g.Expect(say(g, tr, a, start).News).To(gomega.BeFalse())
+		g.Expect(say(g, tr, a, start).Changed).To(gomega.BeFalse())
 	}
 	a.Incarnation, a.Sequence = 1, 100
-	g.Expect(say(g, tr, a, start).News).To(gomega.BeFalse())
+	g.Expect(say(g, tr, a, start).Changed).To(gomega.BeFalse())
 	g.Expect(usable(tr, "llm", start)).To(gomega.BeEmpty())
 	a.Incarnation, a.Sequence = 3, 1
 	say(g, tr, a, start.Add(time.Minute))
@@ -141,8 +140,8 @@
 	g.Expect(usable(tr, "llm", later)).To(gomega.Equal([]string{"e2"}))
 }
 
-// TestFlappingEndpointIsHeldBack: an endpoint that restarts every second gets
-// work after each start and loses it again.
+// Guards against an endpoint that restarts every second, gets requests after each
+// start and loses them.
 func TestFlappingEndpointIsHeldBack(t *testing.T) {
 	g := gomega.NewWithT(t)
 	tr := newTracker(zones[0], 1)
@@ -185,8 +184,8 @@
 	g.Expect(tr.UsableAt(table.Service("llm")[0], start.Add(time.Second))).To(gomega.BeFalse(), "the old description")
 }
 
-// TestRelayedEntryIsAsOldAsItIs follows one announcement over two hops.
-func TestRelayedEntryIsAsOldAsItIs(t *testing.T) {
+// Guards against an age that is underestimated after two hops.
+func TestAgeIsNotUnderestimatedOverTwoHops(t *testing.T) {
 	g := gomega.NewWithT(t)
 	a, b, c := newTracker(zones[0], 1), newTracker(zones[0], 2), newTracker(zones[0], 3)
 	say(g, a, valid(), start)
@@ -204,8 +203,8 @@
 	g.Expect(b.Reply(bc.Request("a", zones[0], []string{"a"}), asked).Endpoints).To(gomega.BeEmpty(), "a told it")
 }
 
-// TestUnknownRenewalIsAskedFor: a router never learns of an endpoint. It had
-// forgotten it while it was silent, and the sibling sends only renewals.
+// Guards against a router that never learns of an endpoint again: it had removed the
+// silent endpoint, and its sibling sends only renewals.
 func TestUnknownRenewalIsAskedFor(t *testing.T) {
 	g := gomega.NewWithT(t)
 	a, b := newTracker(zones[0], 1), newTracker(zones[0], 2)
@@ -236,10 +235,8 @@
 	g.Expect(a.Reply(p.Request("b", zones[0], nil), start).Endpoints).To(gomega.HaveLen(2))
 }
 
-// TestServicesWithoutEndpointsAreForgotten
-// Symptom: the memory of a router grows with every service that ever was.
-// Sequence: endpoints announce services that come and go, and leave.
-// Cause: the count of a service's endpoints stayed, at zero.
+// Guards against memory that grows with every service that ever had endpoints,
+// because the count of a service without endpoints is kept.
 func TestServicesWithoutEndpointsAreForgotten(t *testing.T) {
 	g := gomega.NewWithT(t)
 	k := newTracker(zones[0], 1)
@@ -247,8 +244,8 @@
 	a := valid()
 	a.Name, a.Service, a.Address = "e2", "portal", "10.0.0.2:9000"
 	say(g, k, a, start)
-	g.Expect(k.counted).To(gomega.Equal(map[string]int{"llm": 1, "portal": 1}))
+	g.Expect(k.ownZoneCounts).To(gomega.Equal(map[string]int{"llm": 1, "portal": 1}))
 	a.Sequence, a.Leaving = 2, true
 	say(g, k, a, start)
-	g.Expect(k.counted).To(gomega.Equal(map[string]int{"llm": 1}))
+	g.Expect(k.ownZoneCounts).To(gomega.Equal(map[string]int{"llm": 1}))
 }
--- a/tracker/zone_test.go
+++ b/tracker/zone_test.go
@@ -15,54 +15,55 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// The size of a zone that the letter expects.
+// The expected size of a large zone.
 const (
 	zoneRouters   = 18
 	zoneEndpoints = 216
-	// zoneStep is the grain of the virtual time, zoneTrip one way of a message.
+	// zoneStep is the step of the virtual time, and zoneTrip the one-way delay of a
+	// message.
 	zoneStep = 5 * time.Millisecond
 	zoneTrip = 5 * time.Millisecond
-	// zoneWarm is the time until the zone is looked at, zoneLook how long.
+	// zoneWarm is the time before measurements begin, and zoneLook their duration.
 	zoneWarm = 8 * time.Second
 	zoneLook = 10 * time.Second
 	renewal  = 500 * time.Millisecond
-	// hearWithin is the time in which all routers are to know a new endpoint.
+	// hearWithin is the time within which all routers must know a new endpoint.
 	hearWithin = 2 * time.Second
-	// zoneBytesPerS is what the messages of pulls may cost a router, both ways,
-	// without what each call costs.
+	// zoneBytesPerS limits the messages of a router's pulls in both directions, in
+	// bytes per second without the overhead of each call.
 	zoneBytesPerS = 9000
 )
 
-// zoneRouter is one of the zone's routers: a tracker and its pulls.
+// zoneRouter is a router of the zone with its pulls.
 type zoneRouter struct {
 	tracker *Tracker
-	rota    *Rota
+	rota    *PullSchedule
 	peers   []*Peer
 	// Next is when the next pull is due.
 	next time.Duration
-	// Down routers answer nothing and ask nothing; those that are cut off
-	// hear endpoints all the same.
+	// A router that is down neither sends nor answers pulls. One that is cut off
+	// still receives announcements.
 	down, cut bool
 }
 
-// zoneEnd is an endpoint that tells two routers.
+// zoneEnd is an endpoint that announces itself to two routers.
 type zoneEnd struct {
 	said Announcement
 	tell [2]int
 	next time.Duration
-	// Quiet ones are gone without a word.
+	// Quiet is set once the endpoint has ended without leaving.
 	quiet bool
 	token [2]string
 }
 
-// zoneSim is a zone in virtual time.
+// zoneSim simulates a zone in virtual time.
 type zoneSim struct {
 	at      time.Duration
 	routers []*zoneRouter
 	ends    []*zoneEnd
 	random  *rand.Rand
 	later   map[time.Duration][]func()
-	// Pulls and bytes count what was pulled after zoneWarm.
+	// Pulls and bytes count the pulls after zoneWarm.
 	pulls, bytes int
 }
 
@@ -70,11 +71,11 @@
 	s := &zoneSim{random: rand.New(rand.NewPCG(seed, 1)), later: map[time.Duration][]func(){}}
 	for i := range zoneRouters {
 		r := &zoneRouter{
-			tracker: newTracker(zones[0], rattanhoist.Incarnation(i+1)), next: s.any(PullEvery),
-			rota: NewRota(zoneRouters, i),
+			tracker: newTracker(zones[0], rattanhoist.Incarnation(i+1)), next: s.any(PullInterval),
+			rota: NewPullSchedule(zoneRouters, i),
 		}
 		for j := range zoneRouters {
-			r.peers = append(r.peers, NewPeerInTurn(fmt.Sprint("r", j)))
+			r.peers = append(r.peers, NewRotatedPeer(fmt.Sprint("r", j)))
 		}
 		s.routers = append(s.routers, r)
 	}
@@ -84,7 +85,7 @@
 	return s
 }
 
-// any returns a moment within a time, on the grain.
+// any returns a random moment within a duration, in multiples of zoneStep.
 func (s *zoneSim) any(within time.Duration) time.Duration {
 	return s.at + time.Duration(s.random.Int64N(int64(within/zoneStep)))*zoneStep
 }
@@ -94,7 +95,7 @@
 	n := len(s.ends)
 	a.Name, a.Address = fmt.Sprint("e", n), fmt.Sprintf("10.0.%d.%d:9000", n>>8, n&255)
 	two := s.random.Perm(zoneRouters)
-	// A sequence as after days, so that the bytes are not flattered.
+	// The sequence is as large as after days, so that its size is realistic.
 	a.Sequence = 1 << 20
 	e := &zoneEnd{said: a, tell: [2]int{two[0], two[1]}, next: s.any(renewal)}
 	s.ends = append(s.ends, e)
@@ -135,7 +136,7 @@
 
 func (s *zoneSim) pull(n int) {
 	r := s.routers[n]
-	r.next += PullEvery / DefaultSiblings
+	r.next += PullInterval / DefaultSiblingsPerRound
 	m := r.rota.Next(func(i int) bool { return !s.routers[i].down && !s.routers[i].cut })
 	p, other, at := r.peers[m], s.routers[m], s.moment()
 	q := r.tracker.Request(p, fmt.Sprint("r", n), zones[0], nil, s.moment())
@@ -162,7 +163,7 @@
 	})
 }
 
-// run lets time pass; look is called at every step.
+// run advances the time and calls look at every step.
 func (s *zoneSim) run(d time.Duration, look func()) {
 	for end := s.at + d; s.at < end; s.at += zoneStep {
 		for _, f := range s.later[s.at] {
@@ -183,8 +184,8 @@
 	}
 }
 
-// uses returns how many endpoints a router may use, and how many of them are
-// gone.
+// uses returns how many endpoints a router may use, and how many of these have
+// ended.
 func (s *zoneSim) uses(r *zoneRouter, gone map[string]bool) (usable, wrong int) {
 	for _, x := range r.tracker.Table().Service("llm") {
 		if !r.tracker.UsableAt(x, s.moment()) {
@@ -198,8 +199,8 @@
 	return usable, wrong
 }
 
-// missing counts pairs of router and speaking endpoint, looked at every 50 ms,
-// and those of them that can't be used; oldest is the highest age seen.
+// missing counts the pairs of a router and a running endpoint every 50 ms, and
+// those that can't be used; oldest is the highest age.
 func (s *zoneSim) missing(speaking map[string]bool) (missing, pairs int, oldest time.Duration) {
 	s.run(zoneLook, func() {
 		if s.at%(50*time.Millisecond) != 0 {
@@ -228,7 +229,7 @@
 
 func idle() {}
 
-// speaking names the endpoints that tell a router which is up.
+// speaking returns the endpoints that announce themselves to a running router.
 func (s *zoneSim) speaking() map[string]bool {
 	out := map[string]bool{}
 	for _, e := range s.ends {
@@ -241,9 +242,9 @@
 	return out
 }
 
-// TestZoneOfTheLetter: endpoints drop out of the tables of a large zone for
-// moments, since a renewal that comes over several routers is too old.
-func TestZoneOfTheLetter(t *testing.T) {
+// Guards against endpoints that are unusable for moments in a large zone, because a
+// renewal that arrives over several routers is too old.
+func TestEndpointsStayUsableInALargeZone(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for seed := range uint64(2) {
 		s := newZoneSim(seed)
@@ -287,9 +288,9 @@
 	}
 }
 
-// TestNoWorkInALargeZone: endpoints that are gone get work from a router that
-// heard of them over others, from one that hears no other, or from one that
-// was stopped.
+// Guards against requests to endpoints that have ended, from a router that knows
+// them through others, from one that reaches no other router, or from one that was
+// suspended.
 func TestNoWorkInALargeZone(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newZoneSim(3)
@@ -324,7 +325,7 @@
 	g := gomega.NewWithT(t)
 	for routers := 2; routers < 40; routers++ {
 		// What router 0 knows after asking backwards over one turn of each.
-		heard, r := map[int]bool{0: true}, NewRota(routers, 0)
+		heard, r := map[int]bool{0: true}, NewPullSchedule(routers, 0)
 		for range 6 {
 			d := r.Next(func(int) bool { return true })
 			for _, n := range slices.Collect(maps.Keys(heard)) {
@@ -333,7 +334,7 @@
 		}
 		g.Expect(heard).To(gomega.HaveLen(routers))
 	}
-	r := NewRota(5, 3)
+	r := NewPullSchedule(5, 3)
 	for range 10 {
 		g.Expect(r.Next(func(int) bool { return false })).To(gomega.BeElementOf(4, 0, 2))
 	}
@@ -342,13 +343,13 @@
 	}
 }
 
-// TestPackedRenewals: what can't be placed is asked for, lists that do not fit
-// together are counted, no age gets smaller, and a router of an older version
-// is told as before.
+// Packed renewals of unknown endpoints are requested, lists of different lengths
+// are counted, ages are not underestimated, and routers of an earlier version get
+// renewals in the earlier form.
 func TestPackedRenewals(t *testing.T) {
 	g := gomega.NewWithT(t)
 	a, b := newTracker(zones[0], 1), newTracker(zones[0], 2)
-	p := NewPeerInTurn("a")
+	p := NewRotatedPeer("a")
 	say(g, a, valid(), start)
 	p.incarnation, p.revision = 1, a.Revision()
 	again := valid()
