--- a/courier/stream_version_soak_test.go
+++ b/courier/stream_version_soak_test.go
@@ -19,6 +19,13 @@
 	// versionSoakSeed is the seed of the run in CI. SOAK_SEED replaces it.
 	versionSoakSeed     = 1
 	versionSoakDuration = 20 * time.Second
+	// soakRouters is the number of router processes, which SOAK_ROUTERS replaces, soakZones that of
+	// their zones, and callersPerRouter that of callers.
+	soakRouters      = 6
+	soakZones        = 3
+	callersPerRouter = 2
+	// firstRouter is the number of the first router; those before are keepers.
+	firstRouter = 4
 	// minResumedInSoak is the share of the resumed streams that must go on, relative to that of new
 	// streams which begin, as users require.
 	minResumedInSoak = 0.5
@@ -28,7 +35,9 @@
 type soakFleet struct {
 	*cluster
 	binary string
-	mu     sync.Mutex
+	// routers is the number of routers.
+	routers int
+	mu      sync.Mutex
 	// processes holds the process of each router that runs.
 	processes map[int]*exec.Cmd
 	// disturbedAt is when a router was last disturbed.
@@ -38,7 +47,7 @@
 }
 
 func (f *soakFleet) startRouter(n int) {
-	c := f.routerProcess(f.binary, n)
+	c := f.routerProcess(f.binary, n, fmt.Sprint("zone = z", n%soakZones))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.processes[n] = c
@@ -82,7 +91,7 @@
 	f.versions[version] += by
 }
 
-// served reports whether two endpoints or more serve a version.
+// serves reports whether two endpoints or more serve a version.
 func (f *soakFleet) serves(origin string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -108,7 +117,7 @@
 		}
 		var s stream
 		for try := 0; try < 4 && !s.whole(); try++ {
-			n := 4 + r.IntN(6)
+			n := firstRouter + r.IntN(f.routers)
 			most := streamEvents
 			if r.IntN(3) == 0 {
 				most = 1 + r.IntN(3)
@@ -158,22 +167,28 @@
 	}
 }
 
+// soakSetting returns the number in an environment variable, or a default.
+func soakSetting(t *testing.T, variable string, otherwise uint64) uint64 {
+	s := os.Getenv(variable)
+	if s == "" {
+		return otherwise
+	}
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 // Guards against streams that hold events of two software versions, or that do not go on, while router
 // processes are killed, stopped in turn and frozen, releases replace the endpoints, and endpoints break
 // off.
 func TestSoakOfResumedStreams(t *testing.T) {
-	seed := uint64(versionSoakSeed)
-	if s := os.Getenv("SOAK_SEED"); s != "" {
-		n, err := strconv.ParseUint(s, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		seed = n
-	}
+	seed, routers := soakSetting(t, "SOAK_SEED", versionSoakSeed), int(soakSetting(t, "SOAK_ROUTERS", soakRouters))
 	r := rand.New(rand.NewPCG(seed, 1))
 	c, g := startCluster(t, 160+int(seed%60))
 	c.publish(g, 1, streamDocument(2, engineOnly))
-	f := &soakFleet{cluster: c, binary: nodeBinary(t), processes: map[int]*exec.Cmd{}, disturbedAt: map[int]time.Time{}, versions: map[string]int{}}
+	f := &soakFleet{cluster: c, binary: nodeBinary(t), routers: routers, processes: map[int]*exec.Cmd{}, disturbedAt: map[int]time.Time{}, versions: map[string]int{}}
 	breakOff := func(id string) int {
 		if len(id)%5 == 0 {
 			return 3
@@ -189,24 +204,24 @@
 	for n := range 6 {
 		release("v1", n)
 	}
-	for n := 4; n <= 9; n++ {
-		f.startRouter(n)
+	for n := range routers {
+		f.startRouter(firstRouter + n)
 	}
-	for n := 4; n <= 9; n++ {
-		f.awaitVersions(g, n, 1)
+	for n := range routers {
+		f.awaitVersions(g, firstRouter+n, 1)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), versionSoakDuration)
 	defer cancel()
 	counts := &soakCounts{}
 	stop := make(chan struct{})
 	var callers, disturbances sync.WaitGroup
-	for n := range 12 {
+	for n := range callersPerRouter * routers {
 		own := rand.New(rand.NewPCG(seed, uint64(2+n)))
 		callers.Go(func() { soakStreamCaller(f, fmt.Sprint("c", n), own, stop, counts) })
 	}
 	version, replaced := 2, 0
 	for ctx.Err() == nil {
-		switch n := 4 + r.IntN(6); r.IntN(4) {
+		switch n := firstRouter + r.IntN(routers); r.IntN(4) {
 		case 0:
 			// A release replaces one endpoint.
 			if replaced++; replaced%8 == 0 {
@@ -230,7 +245,8 @@
 				disturbances.Go(func() { f.disturb(n, how) })
 			}
 		}
-		time.Sleep(time.Duration(100+r.IntN(900)) * time.Millisecond)
+		// As often for each router in a fleet of any size.
+		time.Sleep(time.Duration(100+r.IntN(900)) * time.Millisecond * soakRouters / time.Duration(routers))
 	}
 	close(stop)
 	callers.Wait()
--- a/courier/stream_version_test.go
+++ b/courier/stream_version_test.go
@@ -345,9 +345,9 @@
 	g.Expect(whole).To(gomega.BeNumerically(">=", minWentOn*float64(len(streams))))
 }
 
-// routerProcess runs a router as a process of its own, which can be killed.
-func (f *cluster) routerProcess(binary string, n int) *exec.Cmd {
-	f.node(loader.KindRouter, n, false)
+// routerProcess runs a router as a process of its own, which can be killed, with more lines of settings.
+func (f *cluster) routerProcess(binary string, n int, settings ...string) *exec.Cmd {
+	f.node(loader.KindRouter, n, false, settings...)
 	c := exec.Command(binary)
 	c.Env = append(os.Environ(), "RATTANHOIST_SETTINGS="+filepath.Join(f.dir, fmt.Sprint("node", n, ".ini")))
 	// The process must not outlive a test that is aborted.
