--- a/tracker/gossip.go
+++ b/tracker/gossip.go
@@ -221,9 +221,9 @@
 	p.incarnation, p.revision = r.Incarnation, r.Revision
 }
 
-func (t *Tracker) mergeRenewal(e *entry, p *Peer, sequence uint64, load int64, heard rattanhoist.Moment, leaving bool, now rattanhoist.Moment) {
+func (t *Tracker) mergeRenewal(e *entry, p *Peer, sequence uint64, load int64, announcedAt rattanhoist.Moment, leaving bool, now rattanhoist.Moment) {
 	_, err := t.renew(e, report{
-		sequence: sequence, load: min(max(load, 0), MaxLoad), announcedAt: heard,
+		sequence: sequence, load: min(max(load, 0), MaxLoad), announcedAt: announcedAt,
 		leaving: leaving, via: p.name, sibling: p.sibling,
 	}, now)
 	t.countRejected(err)
--- a/tracker/pack.go
+++ b/tracker/pack.go
@@ -67,8 +67,8 @@
 			continue
 		}
 		load := int64(min(x.Loads[i]>>1, MaxLoad))
-		heard := asked.Add(-time.Duration(x.Ages[i]) * ageUnit)
-		t.mergeRenewal(e, p, x.Sequences[i], load, heard, x.Loads[i]&1 == 1, now)
+		announcedAt := asked.Add(-time.Duration(x.Ages[i]) * ageUnit)
+		t.mergeRenewal(e, p, x.Sequences[i], load, announcedAt, x.Loads[i]&1 == 1, now)
 	}
 }
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -142,12 +142,12 @@
 	r.announcedAt, _ = t.issued(a.Token, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	news, err := t.merge(r, now)
+	changed, err := t.merge(r, now)
 	if err != nil {
 		return AnnounceResult{}, err
 	}
 	e := t.entries[a.Name].endpoint
-	return AnnounceResult{Changed: news, Usable: e.UsableAt(now, t.maxAge), Left: news && e.Leaving()}, nil
+	return AnnounceResult{Changed: changed, Usable: e.UsableAt(now, t.maxAge), Left: changed && e.Leaving()}, nil
 }
 
 func (a Announcement) fields() rattanhoist.EndpointFields {
