A request that meets the end of a stopping router is answered

Change: the listener and idle connections are closed first, requests that arrived since the drain are awaited within the grace period, and the origins are handed over beside the last claim of rights.

--- a/courier/cluster_test.go
+++ b/courier/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -393,3 +394,33 @@
 	g.Eventually(func() int { return order(3, "DELETE") }, 5*time.Second, 100*time.Millisecond).Should(gomega.Equal(200))
 	f.awaitServing(g, 4)
 }
+
+// Guards against a request that is sent to an endpoint and gets no answer, because it arrives while its
+// stopping router, which had no request in progress a moment before, ends.
+func TestRequestsThatMeetTheEndOfARouterAreAnswered(t *testing.T) {
+	t.Parallel()
+	f, g := startCluster(t, 148)
+	f.publish(g, 1, document(2, 100_000_000))
+	f.partitionedRouter(4, newPartition(), "grace_s = 8")
+	f.partitionedRouter(5, newPartition())
+	engines := &soakEngines{runs: map[string]int{}}
+	engines.start(f, "i-1", rand.New(rand.NewPCG(1, 1)))
+	f.awaitServing(g, 4)
+	f.awaitServing(g, 5)
+	stopped := make(chan struct{})
+	go func() { f.stop("router4"); close(stopped) }()
+	unanswered := []string{}
+	for i := 0; ; i++ {
+		id := fmt.Sprint("r", i)
+		if status, _ := f.request(4, id, "1,1"); status == 0 && engines.runsOf(id) > 0 {
+			unanswered = append(unanswered, id)
+		}
+		select {
+		case <-stopped:
+			g.Expect(i).To(gomega.BeNumerically(">", 10))
+			g.Expect(unanswered).To(gomega.BeEmpty())
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -227,11 +227,13 @@
 	case <-ctx.Done():
 	}
 	c.drain()
+	c.closeCallers(callers)
+	var handOvers sync.WaitGroup
 	if c.fleet.origins != nil {
-		c.fleet.origins.handOver()
+		handOvers.Go(c.fleet.origins.handOver)
 	}
-	_ = callers.Close()
 	c.rights.close(work)
+	handOvers.Wait()
 	_ = question.Close()
 	rpc.Stop()
 	c.Log.Info("router stopped")
@@ -260,6 +262,22 @@
 	c.Log.Warn("router stops with callers left", zap.Int64("active", c.activeRequests.Load()))
 }
 
+// closeCallers closes the listener and idle connections, and then all others once the requests that
+// arrived after the drain have ended, within the grace period.
+func (c *Router) closeCallers(s *http.Server) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	// The server is closed in any case, so the error says nothing.
+	go func() { _ = s.Shutdown(ctx) }()
+	for {
+		time.Sleep(drainPollInterval)
+		if c.activeRequests.Load() == 0 || c.drainDuration() >= c.Node.Grace()-exitMargin {
+			_ = s.Close()
+			return
+		}
+	}
+}
+
 // relayedConnections returns the number of connections that this router relays for others.
 func (c *Router) relayedConnections() int {
 	if c.relays == nil {
--- a/courier/stream_origins.go
+++ b/courier/stream_origins.go
@@ -119,12 +119,14 @@
 
 // handOver sends everything that this router keeps to the routers that keep it from now on.
 func (s *streamOrigins) handOver() {
-	for range handOverSends {
+	for i := range handOverSends {
+		if i > 0 {
+			time.Sleep(handOverInterval)
+		}
 		s.mu.Lock()
 		sends := s.replication.Close(time.Now())
 		s.mu.Unlock()
 		s.sendAll(sends)
-		time.Sleep(handOverInterval)
 	}
 }
 
