Predictor's test of crests measures 72 s as its neighbour does

Change: 72 s are measured, as in 'slow periods of 600 ms'. Bound and load are as before; a share below the bound is found with more certainty than before.

--- a/predictor/prediction_test.go
+++ b/predictor/prediction_test.go
@@ -214,7 +214,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			s, measured := newSimulation(9, 9, 12, "a", "b"), 18*time.Second
-			if name == "slow periods of 600 ms" {
+			if name == "slow periods of 600 ms" || name == "callers that crest in one zone" {
 				// The result is near the limit and varies by 0.01 between runs of 18 s.
 				measured = 72 * time.Second
 			}
