--- a/courier/cluster_test.go
+++ b/courier/cluster_test.go
@@ -222,11 +222,11 @@
 	// The total is 200. Each request reserves up to 30 and costs 20.
 	served := 0
 	for i := range 20 {
-		status, _ := f.request(4+i%2, fmt.Sprint("r", i), "10,20")
+		status, body := f.request(4+i%2, fmt.Sprint("r", i), "10,20")
 		if status == 200 {
 			served++
 		} else {
-			g.Expect(status).To(gomega.Equal(402))
+			g.Expect(status).To(gomega.Equal(402), body)
 		}
 	}
 	g.Expect(served).To(gomega.BeNumerically(">=", 6))
