--- a/commander/answers.go
+++ b/commander/answers.go
@@ -10,18 +10,18 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// processTimeout bounds the question to one of several processes.
+// processTimeout bounds the query of one of several processes.
 const processTimeout = 2 * time.Second
 
-// answers are what the processes of a kind said.
+// answers holds the replies of the processes of a kind.
 type answers[R any] struct {
-	got []R
-	// Unreachable names the processes that did not answer; reasons says why.
+	replies []R
+	// unreachable holds the names of the processes that did not answer, and reasons their errors.
 	unreachable, reasons []string
 }
 
-// askAll asks every process of a kind, or of all kinds for "", at once.
-func askAll[R any](ctx context.Context, s *loader.Settings, kind string, f func(context.Context, *client) (R, error)) answers[R] {
+// queryAll queries all processes of a kind concurrently; "" stands for all kinds.
+func queryAll[R any](ctx context.Context, s *loader.Settings, kind string, f func(context.Context, *client) (R, error)) answers[R] {
 	processes := s.Processes(kind)
 	got := make([]R, len(processes))
 	errs := make([]error, len(processes))
@@ -47,19 +47,19 @@
 			out.reasons = append(out.reasons, reason(processes[i], err))
 			continue
 		}
-		out.got = append(out.got, got[i])
+		out.replies = append(out.replies, got[i])
 	}
 	return out
 }
 
-// warnUnreachable says whose answers are missing.
+// warnUnreachable warns about the processes that did not answer.
 func (a *app) warnUnreachable(kind string, names []string) {
 	if len(names) > 0 {
 		a.warn("%s out of reach: %s", kind, strings.Join(names, ", "))
 	}
 }
 
-// state asks a process for its state; for askAll.
+// state queries the state of a process, for queryAll.
 func state(ctx context.Context, c *client) (*messenger.StateReply, error) {
 	return c.operations().State(ctx, &messenger.StateRequest{})
 }
--- a/commander/arguments.go
+++ b/commander/arguments.go
@@ -7,8 +7,8 @@
 	"github.com/spf13/cobra"
 )
 
-// wantArgs names every positional argument in the error.
-func wantArgs(names ...string) cobra.PositionalArgs {
+// exactArgs requires the given positional arguments, and names a missing one in the error.
+func exactArgs(names ...string) cobra.PositionalArgs {
 	return func(c *cobra.Command, args []string) error {
 		if len(args) < len(names) {
 			return merry.Errorf("%w: %s: missing; usage: %s", ErrUsage, names[len(args)], c.UseLine())
@@ -25,19 +25,19 @@
 	}
 }
 
-// wantOptional takes at most the one argument.
-func wantOptional(name string) cobra.PositionalArgs {
+// optionalArg accepts at most the given argument.
+func optionalArg(name string) cobra.PositionalArgs {
 	return func(c *cobra.Command, args []string) error {
 		if len(args) == 0 {
 			return nil
 		}
-		return wantArgs(name)(c, args)
+		return exactArgs(name)(c, args)
 	}
 }
 
-// wantSome takes one argument or more.
-func wantSome(name string) cobra.PositionalArgs {
+// minOneArg requires one argument or more.
+func minOneArg(name string) cobra.PositionalArgs {
 	return func(c *cobra.Command, args []string) error {
-		return wantArgs(slices.Repeat([]string{name}, max(len(args), 1))...)(c, args)
+		return exactArgs(slices.Repeat([]string{name}, max(len(args), 1))...)(c, args)
 	}
 }
--- a/commander/budget_history.go
+++ b/commander/budget_history.go
@@ -14,7 +14,7 @@
 var _ = register("budget", func(a *app) *cobra.Command {
 	r := &messenger.ChargesRequest{}
 	c := &cobra.Command{
-		Use: "history WORKSPACE", Short: "List the charges of a workspace, in order of time", Args: wantArgs("WORKSPACE"),
+		Use: "history WORKSPACE", Short: "List the charges of a workspace, in order of time", Args: exactArgs("WORKSPACE"),
 		Long: `List the charges of a workspace, in order of time.
 
 Single charges are kept for the setting keep_charges at least. Of older days one
@@ -31,7 +31,7 @@
 })
 
 func (a *app) budgetHistory(ctx context.Context, r *messenger.ChargesRequest) error {
-	out, err := askKeeper(ctx, a, func(ctx context.Context, k *client) (*messenger.ChargesReply, error) {
+	out, err := queryKeeper(ctx, a, func(ctx context.Context, k *client) (*messenger.ChargesReply, error) {
 		return k.budget().Charges(ctx, r)
 	})
 	if err != nil {
@@ -51,8 +51,8 @@
 	return a.print(out, "TIME REQUEST TOKENS SERVICE ENDPOINT ZONE", rows)
 }
 
-// prunedRows are the sums of days whose charges are not kept singly. A list of
-// some charges only gets a warning: sums would not belong to it.
+// prunedRows returns rows with daily sums of the charges that were pruned. For a list that is limited
+// to some charges it prints a warning instead, because the sums include others.
 func (a *app) prunedRows(r *messenger.ChargesRequest, pruned []*messenger.PrunedRow) [][]any {
 	slices.SortFunc(pruned, func(x, y *messenger.PrunedRow) int {
 		return cmp.Or(cmp.Compare(x.Day, y.Day), cmp.Compare(x.Zone, y.Zone))
--- a/commander/budget_show.go
+++ b/commander/budget_show.go
@@ -12,17 +12,16 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// Books of several zones are not read in one instant: rights that move
-// between two readings are missed or counted twice, so a difference is only
-// reported when it stays.
+// The books of the zones are not read at the same time: tokens that are transferred between two reads
+// are missed or counted twice. A difference is reported only if it persists over several reads.
 const (
-	balanceTries = 4
-	balancePause = 250 * time.Millisecond
+	maxBalanceTries = 4
+	balancePause    = 250 * time.Millisecond
 )
 
 var _ = register("budget", func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "show WORKSPACE", Short: "Show the account of a workspace in every zone, and whether it balances", Args: wantArgs("WORKSPACE"),
+		Use: "show WORKSPACE", Short: "Show the account of a workspace in every zone, and whether it balances", Args: exactArgs("WORKSPACE"),
 		Long: `Show the account of a workspace in every zone, and whether it balances.
 
 Over all zones: minted = unspent + leased + charged + frozen + given - received.
@@ -32,7 +31,7 @@
 	}
 })
 
-// account is a workspace's account over all zones.
+// account is the account of a workspace in all zones.
 type account struct {
 	books       *messenger.BookReply
 	total       *messenger.Book
@@ -60,18 +59,17 @@
 	return err
 }
 
-// readAccount reads the books until they balance, or long enough to say that
-// they don't.
+// readAccount reads the books until they balance, at most maxBalanceTries times.
 func (a *app) readAccount(ctx context.Context, workspace string) (*account, error) {
 	for try := 1; ; try++ {
-		r, err := askKeeper(ctx, a, func(ctx context.Context, k *client) (*messenger.BookReply, error) {
+		r, err := queryKeeper(ctx, a, func(ctx context.Context, k *client) (*messenger.BookReply, error) {
 			return k.budget().Books(ctx, &messenger.BookRequest{Workspace: workspace})
 		})
 		if err != nil {
 			return nil, err
 		}
 		acc := newAccount(r)
-		if acc.balanced || len(acc.unreachable) > 0 || try == balanceTries {
+		if acc.balanced || len(acc.unreachable) > 0 || try == maxBalanceTries {
 			return acc, nil
 		}
 		select {
--- a/commander/budget_topup.go
+++ b/commander/budget_topup.go
@@ -16,13 +16,13 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// negativeNumber finds an amount that was taken for a flag.
+// negativeNumber matches the error for a negative amount that was parsed as a flag.
 var negativeNumber = regexp.MustCompile(`shorthand flag: '\d' in (-\d+)`)
 
 var _ = register("budget", func(a *app) *cobra.Command {
 	var id, zone string
 	c := &cobra.Command{
-		Use: "topup WORKSPACE TOKENS", Short: "Add prepaid tokens, once for each id", Args: wantArgs("WORKSPACE", "TOKENS"),
+		Use: "topup WORKSPACE TOKENS", Short: "Add prepaid tokens, once for each id", Args: exactArgs("WORKSPACE", "TOKENS"),
 		Long: `Add prepaid tokens, once for each id.
 
 The id is ZONE/UNIQUE: the keeper of the availability zone mints the tokens.
@@ -31,7 +31,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			n, err := strconv.ParseInt(args[1], 10, 64)
 			if err != nil || n <= 0 {
-				return wantTokens(args[1])
+				return invalidTokens(args[1])
 			}
 			return a.topUp(c.Context(), &messenger.TopUpRequest{Workspace: args[0], TopUpId: id, Tokens: n}, zone)
 		},
@@ -41,14 +41,14 @@
 	c.Flags().StringVar(&zone, "zone", "", "availability zone that mints, when no --id is given")
 	c.SetFlagErrorFunc(func(c *cobra.Command, err error) error {
 		if n := negativeNumber.FindStringSubmatch(err.Error()); n != nil {
-			return wantTokens(n[1])
+			return invalidTokens(n[1])
 		}
 		return c.Parent().FlagErrorFunc()(c, err)
 	})
 	return c
 })
 
-func wantTokens(got string) error {
+func invalidTokens(got string) error {
 	return merry.Errorf("%w: TOKENS: want a whole number from 1 to 9223372036854775807, without a unit, not %q", ErrUsage, got)
 }
 
@@ -64,7 +64,7 @@
 	err = a.withKeeper(ctx, func(ctx context.Context, k *client) error {
 		var err error
 		out, err = k.budget().TopUp(ctx, r)
-		if lost(err) {
+		if outcomeUncertain(err) {
 			return merry.Errorf("%w: the top-up may count or not (%s); repeat the same command with --id %s", ErrOutcomeUnknown, reason(k.process, err), r.TopUpId)
 		}
 		return err
--- a/commander/change.go
+++ b/commander/change.go
@@ -17,19 +17,18 @@
 
 const (
 	maxChangeID = 200
-	// historyMost is how many changes a keeper keeps whole, at most.
-	historyMost = 2048
+	// maxHistoryEntries is the maximum number of changes that a keeper retains in full.
+	maxHistoryEntries = 2048
 )
 
-// change is one change of the configuration, sent under one id until its
-// outcome is known.
+// change is a change of the configuration. It is sent with the same id until its outcome is known.
 type change struct {
 	id string
-	// Sent says that a try under the id may have been accepted before.
-	sent bool
-	// Base is the version that the edits are based on; 0 takes the current.
+	// maybeSent reports whether an earlier attempt with this id may have been accepted.
+	maybeSent bool
+	// base is the version that the edits are based on; 0 stands for the current one.
 	base uint64
-	// Edits makes the edits from the current configuration.
+	// edits returns the edits for the current configuration.
 	edits func(*messenger.Configuration) ([]*messenger.Edit, error)
 }
 
@@ -37,9 +36,9 @@
 	cmd.Flags().StringVar(&c.id, "change-id", "", "id of a command that is repeated after a lost answer: it counts once")
 }
 
-// prepare checks the change's id, or gives it one.
+// prepare validates the id of the change, or generates one.
 func (c *change) prepare() error {
-	c.sent = c.id != ""
+	c.maybeSent = c.id != ""
 	if len(c.id) > maxChangeID {
 		return merry.Errorf("%w: --change-id: longer than %d characters", ErrUsage, maxChangeID)
 	}
@@ -49,8 +48,7 @@
 	return nil
 }
 
-// propose sends the change to one keeper after the other until its outcome is
-// known.
+// propose sends the change to one keeper after the other until its outcome is known.
 func (a *app) propose(ctx context.Context, c *change) (*messenger.ProposeReply, error) {
 	if err := c.prepare(); err != nil {
 		return nil, err
@@ -58,16 +56,16 @@
 	return a.proposePrepared(ctx, c)
 }
 
-// proposePrepared is propose for a change whose id is settled already.
+// proposePrepared is propose for a change that has its id already.
 func (a *app) proposePrepared(ctx context.Context, c *change) (*messenger.ProposeReply, error) {
-	return askKeeper(ctx, a, func(ctx context.Context, k *client) (*messenger.ProposeReply, error) { return k.propose(ctx, c) })
+	return queryKeeper(ctx, a, func(ctx context.Context, k *client) (*messenger.ProposeReply, error) { return k.propose(ctx, c) })
 }
 
 func (k *client) propose(ctx context.Context, c *change) (*messenger.ProposeReply, error) {
-	if c.sent {
-		// The edits below may be refused because they are in force already:
-		// a resend must get its first answer.
-		version, err := k.acceptedAs(ctx, c.id)
+	if c.maybeSent {
+		// The edits may be refused because they are in force already. A repeated command must get
+		// the result of the first.
+		version, err := k.acceptedVersion(ctx, c.id)
 		if err != nil {
 			return nil, err
 		}
@@ -87,14 +85,14 @@
 	if base == 0 {
 		base = now.Configuration.Version
 	}
-	c.sent = true
+	c.maybeSent = true
 	out, err := k.config().Propose(ctx, &messenger.ProposeRequest{Change: &messenger.Change{
 		ChangeId: c.id, BaseVersion: base, Edits: edits, Author: author(),
 	}})
 	if status.Code(err) == codes.Aborted {
 		return nil, merry.Errorf("%w: %s", errNotAnswered, status.Convert(err).Message())
 	}
-	if lost(err) {
+	if outcomeUncertain(err) {
 		return nil, c.unknown(status.Convert(err).Message())
 	}
 	if err != nil {
@@ -103,7 +101,7 @@
 	return out, c.outcome(out)
 }
 
-// author names who makes a change, for the history.
+// author returns the name of the user, for the history of changes.
 func author() string {
 	u, err := user.Current()
 	if err != nil {
@@ -112,10 +110,10 @@
 	return u.Username
 }
 
-// acceptedAs returns the version that a change id was accepted as, or 0. It
-// looks as far back as the keeper keeps whole changes.
-func (k *client) acceptedAs(ctx context.Context, id string) (uint64, error) {
-	entries, err := k.lastChanges(ctx, historyMost)
+// acceptedVersion returns the version with which the change of an id was accepted, or 0 if it is not
+// among the changes that the keeper retains in full.
+func (k *client) acceptedVersion(ctx context.Context, id string) (uint64, error) {
+	entries, err := k.lastChanges(ctx, maxHistoryEntries)
 	for _, e := range entries {
 		if e.Change.ChangeId == id {
 			return e.Version, nil
@@ -124,16 +122,15 @@
 	return 0, err
 }
 
-// lastChanges returns the last accepted changes, at most as many as given. A
-// keeper keeps a bounded number and bounded bytes of them, and refuses to
-// begin before those.
-func (k *client) lastChanges(ctx context.Context, most uint64) ([]*messenger.HistoryEntry, error) {
+// lastChanges returns the latest accepted changes, at most limit of them. A keeper retains a bounded
+// number and size of them, and rejects requests that start earlier.
+func (k *client) lastChanges(ctx context.Context, limit uint64) ([]*messenger.HistoryEntry, error) {
 	now, err := k.config().Read(ctx, &messenger.ReadRequest{})
 	if err != nil {
 		return nil, err
 	}
 	version := now.Configuration.Version
-	for back := min(most, version); ; back /= 2 {
+	for back := min(limit, version); ; back /= 2 {
 		h, err := k.config().History(ctx, &messenger.HistoryRequest{AfterVersion: version - back})
 		if status.Code(err) == codes.OutOfRange && back > 0 {
 			continue
@@ -167,7 +164,7 @@
 	return fmt.Sprintf(", last changed by %s: %s", orDash(last.Author), showEdits(last.Edits))
 }
 
-// accepted prints the answer to a change.
+// accepted prints the result of an accepted change.
 func (a *app) accepted(c *change, r *messenger.ProposeReply) error {
 	if a.output == outputJSON {
 		return a.printValue(map[string]any{"change_id": c.id, "version": r.Version})
@@ -176,7 +173,7 @@
 	return err
 }
 
-// proposeEdit proposes one edit and prints the answer.
+// proposeEdit proposes one edit and prints the result.
 func (a *app) proposeEdit(ctx context.Context, c *change, e *messenger.Edit) error {
 	c.edits = func(*messenger.Configuration) ([]*messenger.Edit, error) { return []*messenger.Edit{e}, nil }
 	r, err := a.propose(ctx, c)
@@ -186,7 +183,7 @@
 	return a.accepted(c, r)
 }
 
-// showEdits names what edits do, for tables.
+// showEdits describes edits, for tables.
 func showEdits(edits []*messenger.Edit) string {
 	var out []string
 	for _, e := range edits {
--- a/commander/check.go
+++ b/commander/check.go
@@ -14,7 +14,7 @@
 	var strict bool
 	var node string
 	c := &cobra.Command{
-		Use: "check", Short: "Check the settings and list every fault with its file, line, section and key", Args: wantArgs(),
+		Use: "check", Short: "Check the settings and list every fault with its file, line, section and key", Args: exactArgs(),
 		RunE: func(*cobra.Command, []string) error {
 			if node != "" {
 				return a.checkNode(node, strict)
@@ -27,7 +27,7 @@
 	return c
 })
 
-// checkNode checks the settings of one process of a fleet.
+// checkNode validates the settings of one process of a fleet.
 func (a *app) checkNode(file string, strict bool) error {
 	n, warnings, err := loader.LoadNode(file)
 	if err != nil {
--- a/commander/client.go
+++ b/commander/client.go
@@ -17,15 +17,15 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// A keeper that is cut off is given up on early enough to ask the others
-// within the command's time.
+// keeperTimeout is well below defaultTimeout, so that the other keepers can be queried after one that
+// does not answer.
 const (
 	defaultTimeout = 12 * time.Second
 	keeperTimeout  = 3 * time.Second
 	roundPause     = 200 * time.Millisecond
 )
 
-// operatorNode is the node that commands prove to be.
+// operatorNode is the name of the node in the proofs of commands.
 const operatorNode = "operator"
 
 // client is an operator's connection to one process.
@@ -46,7 +46,7 @@
 	return messenger.NewOperationsClient(c.conn)
 }
 
-// dial connects to a process or fails while nothing has been sent.
+// dial connects to a process. If it fails, nothing has been sent.
 func dial(ctx context.Context, s *loader.Settings, p loader.Process) (*client, func(), error) {
 	conn, err := messenger.NewDialer(operatorNode, messenger.RoleOperator, s.OperatorKey(), messenger.WithTLS(s.TLS())).Dial(p.RPC())
 	if err != nil {
@@ -56,18 +56,18 @@
 	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
 		if state == connectivity.TransientFailure || !conn.WaitForStateChange(ctx, state) {
 			defer func() { _ = conn.Close() }()
-			return nil, nil, merry.Errorf("%w: %s %s at %s%s", ErrUnreachable, p.Kind(), p.Name(), p.RPC(), whyNot(ctx, conn))
+			return nil, nil, merry.Errorf("%w: %s %s at %s%s", ErrUnreachable, p.Kind(), p.Name(), p.RPC(), connectionFailure(ctx, conn))
 		}
 	}
 	return &client{process: p, conn: conn}, func() { _ = conn.Close() }, nil
 }
 
-// errNotAnswered says that a keeper is up and could not answer.
+// errNotAnswered is returned if a keeper is running and could not answer.
 var errNotAnswered = merry.Sentinel("not answered")
 
-// whyNot says why a connection could not be made; only a call tells, and this
-// one changes nothing should it get through.
-func whyNot(ctx context.Context, conn *grpc.ClientConn) string {
+// connectionFailure returns the reason why a connection could not be made. Only a call returns it; this
+// one changes nothing if it succeeds.
+func connectionFailure(ctx context.Context, conn *grpc.ClientConn) string {
 	_, err := messenger.NewOperationsClient(conn).State(ctx, &messenger.StateRequest{})
 	if status.Code(err) != codes.Unavailable {
 		return " does not answer"
@@ -77,11 +77,10 @@
 
 type clientFunc func(context.Context, *client) error
 
-// withKeeper calls f with one keeper after the other until one answers. Where
-// a try may have changed something, f returns ErrOutcomeUnknown and must make
-// the same change, under the same id, when it is called again. Keepers that
-// are up and can't answer yet are asked in rounds until the command's time is
-// over; where none is up, the command fails at once.
+// withKeeper calls f with one keeper after the other until one answers. If an attempt may have changed
+// something, f returns ErrOutcomeUnknown, and must make the same change with the same id when it is
+// called again. Keepers that are running and can't answer yet are tried again until the timeout of the
+// command. If none is running, the command fails at once.
 func (a *app) withKeeper(ctx context.Context, f clientFunc) error {
 	s, err := a.load()
 	if err != nil {
@@ -91,7 +90,7 @@
 	defer cancel()
 	var unknown error
 	for {
-		err := oneRound(ctx, s, f)
+		err := queryEachKeeper(ctx, s, f)
 		if errors.Is(err, ErrOutcomeUnknown) {
 			unknown = err
 		}
@@ -106,9 +105,8 @@
 	}
 }
 
-// askKeeper returns the answer of the first keeper that gives one; what
-// withKeeper says of f holds.
-func askKeeper[R any](ctx context.Context, a *app, f func(context.Context, *client) (R, error)) (R, error) {
+// queryKeeper returns the answer of the first keeper that gives one. f must be as for withKeeper.
+func queryKeeper[R any](ctx context.Context, a *app, f func(context.Context, *client) (R, error)) (R, error) {
 	var out R
 	err := a.withKeeper(ctx, func(ctx context.Context, k *client) error {
 		var err error
@@ -118,8 +116,8 @@
 	return out, err
 }
 
-// oneRound asks each keeper once, until one gives a final answer.
-func oneRound(ctx context.Context, s *loader.Settings, f clientFunc) error {
+// queryEachKeeper queries each keeper once, until one gives a final answer.
+func queryEachKeeper(ctx context.Context, s *loader.Settings, f clientFunc) error {
 	var failed []string
 	out := ErrUnreachable
 	for _, p := range s.Processes(loader.KindKeeper) {
@@ -158,13 +156,13 @@
 	return f(ctx, c)
 }
 
-// retryable reports whether another keeper may give a better answer.
+// retryable reports whether another keeper may be able to answer.
 func retryable(err error) bool {
-	return errors.Is(err, ErrUnreachable) || errors.Is(err, errNotAnswered) || errors.Is(err, ErrOutcomeUnknown) || lost(err)
+	return errors.Is(err, ErrUnreachable) || errors.Is(err, errNotAnswered) || errors.Is(err, ErrOutcomeUnknown) || outcomeUncertain(err)
 }
 
-// lost reports whether a call may or may not have reached its server.
-func lost(err error) bool {
+// outcomeUncertain reports whether it is unknown if a call reached its server.
+func outcomeUncertain(err error) bool {
 	switch status.Code(err) {
 	case codes.Unavailable, codes.DeadlineExceeded, codes.Canceled:
 		return true
@@ -173,7 +171,7 @@
 	}
 }
 
-// refusal turns a server's final error into one that says whose fault it is.
+// refusal converts the final error of a server into an error of this package, by its cause.
 func refusal(err error) error {
 	s, ok := status.FromError(err)
 	if err == nil || !ok {
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -1,5 +1,5 @@
-// Package commander is the command line of the product. Each command is a
-// plug-in in a file of its own that registers itself.
+// Package commander implements the command line. Each command is a plug-in in a file of its own that
+// registers itself.
 package commander
 
 import (
@@ -20,17 +20,16 @@
 
 // Exit codes of the command line.
 const (
-	// ExitOK says that the command did what it says.
+	// ExitOK is returned if the command succeeded.
 	ExitOK = 0
-	// ExitFailed says that it did not, for a reason outside the input.
+	// ExitFailed is returned if the command failed for a reason other than its input.
 	ExitFailed = 1
-	// ExitUsage says that the arguments or the settings are faulty, or that
-	// the change was refused. Nothing has changed.
+	// ExitUsage is returned if the arguments or the settings are invalid, or if the change was
+	// refused. Nothing has changed.
 	ExitUsage = 2
-	// ExitConflict says that another change took the version. Nothing has
-	// changed.
+	// ExitConflict is returned if another change was made first. Nothing has changed.
 	ExitConflict = 3
-	// ExitUnknown says that the outcome is unknown: repeat under the same id.
+	// ExitUnknown is returned if the outcome is unknown. Repeat the command with the same id.
 	ExitUnknown = 4
 )
 
@@ -44,37 +43,37 @@
 
 // Errors of commands. Compare with errors.Is.
 var (
-	// ErrUsage says that the arguments are faulty.
+	// ErrUsage is returned for invalid arguments.
 	ErrUsage = merry.Sentinel("faulty arguments")
-	// ErrConflict says that another change took the version.
+	// ErrConflict is returned if another change was made first.
 	ErrConflict = merry.Sentinel("conflict")
-	// ErrOutcomeUnknown says that the same command must be repeated.
+	// ErrOutcomeUnknown is returned if a change may have been made. Repeat the command with the same id.
 	ErrOutcomeUnknown = merry.Sentinel("outcome unknown")
-	// ErrRefused says that the change is faulty.
+	// ErrRefused is returned for an invalid change.
 	ErrRefused = merry.Sentinel("refused")
-	// ErrNotYet says that a state waited for has not come about.
+	// ErrNotYet is returned if an awaited state was not reached in time.
 	ErrNotYet = merry.Sentinel("not yet")
-	// ErrUnreachable says that no process answered that could have.
+	// ErrUnreachable is returned if none of the processes answered.
 	ErrUnreachable = merry.Sentinel("out of reach")
 )
 
-// app is what every command shares.
+// app holds the state that all commands share.
 type app struct {
 	settingsFile string
 	output       string
-	// Timeout bounds the tries of one question or change.
+	// timeout bounds all attempts of one query or change.
 	timeout     time.Duration
 	in          io.Reader
 	out, errOut io.Writer
 }
 
-// command is a plug-in: it makes one command.
+// command is a plug-in that creates one command.
 type command func(*app) *cobra.Command
 
-// root is the group of the commands that stand alone.
+// root is the group of the commands without a parent.
 const root = ""
 
-// groups are the commands that only hold others.
+// groups maps the names of commands that only have subcommands to their descriptions.
 var groups = map[string]string{
 	"workspace": "Workspaces that pay for requests",
 	"service":   "Services that workspaces call",
@@ -86,7 +85,7 @@
 
 var registry = map[string][]command{}
 
-// register adds a command to a group; it is called from package-level values.
+// register adds a command to a group. It is called in initializers of package-level variables.
 func register(group string, c command) bool {
 	registry[group] = append(registry[group], c)
 	return true
@@ -111,7 +110,7 @@
 func (a *app) rootCommand() *cobra.Command {
 	c := &cobra.Command{
 		Use: "rattanhoist", Short: "Router fleet for prepaid token budgets", Long: rootHelp,
-		SilenceUsage: true, SilenceErrors: true, Args: cobra.ArbitraryArgs, RunE: wantSubcommand,
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.ArbitraryArgs, RunE: requireSubcommand,
 		PersistentPreRunE: func(*cobra.Command, []string) error { return a.checkOutput() },
 	}
 	c.SetOut(a.out)
@@ -124,7 +123,7 @@
 		c.AddCommand(newCommand(a))
 	}
 	for name, short := range groups {
-		g := &cobra.Command{Use: name, Short: short, Args: cobra.ArbitraryArgs, RunE: wantSubcommand}
+		g := &cobra.Command{Use: name, Short: short, Args: cobra.ArbitraryArgs, RunE: requireSubcommand}
 		for _, newCommand := range registry[name] {
 			g.AddCommand(newCommand(a))
 		}
@@ -133,8 +132,8 @@
 	return c
 }
 
-// wantSubcommand runs where a command was called that only holds others.
-func wantSubcommand(c *cobra.Command, args []string) error {
+// requireSubcommand returns the error for a command that only has subcommands.
+func requireSubcommand(c *cobra.Command, args []string) error {
 	if len(args) == 0 && !c.HasParent() {
 		return c.Help()
 	}
@@ -169,7 +168,7 @@
 
 func (a *app) load() (*loader.Settings, error) { return loader.Load(a.settingsFile) }
 
-// warn tells the operator what does not change the outcome.
+// warn prints a warning, which does not change the exit code.
 func (a *app) warn(format string, args ...any) {
 	_, _ = fmt.Fprintf(a.errOut, "warning: "+format+"\n", args...)
 }
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -26,7 +26,7 @@
 
 func TestMain(m *testing.M) { launcher.Main(m) }
 
-// fakeKeeper answers operators from one book; tests lose its answers.
+// fakeKeeper is a keeper whose answers, and the requests to it, can be lost.
 type fakeKeeper struct {
 	messenger.UnimplementedConfigurationKeeperServer
 	messenger.UnimplementedBudgetKeeperServer
@@ -34,8 +34,8 @@
 	book    *configurer.Book
 	changes []*messenger.Change
 	topUps  map[string]int64
-	// LoseAnswers is how many answers are lost, also those to a change that
-	// was made; loseRequests is how many changes never arrive.
+	// loseAnswers is the number of answers that will be lost, including those to changes that were
+	// made, and loseRequests that of changes that will not arrive.
 	loseAnswers, loseRequests int
 	calls                     int
 }
@@ -105,15 +105,15 @@
 	return &messenger.TopUpReply{MintedTokens: sum, RepeatedRequest: known}, nil
 }
 
-// bench is a settings file whose keepers are fakes on loopback.
+// bench is a settings file whose keepers are fakes on loopback addresses.
 type bench struct {
 	t        *testing.T
 	settings string
 	fake     *fakeKeeper
 }
 
-// newBench starts one fake behind as many keeper addresses as are asked for,
-// so that every keeper knows what another accepted.
+// newBench starts one fake behind the given number of keeper addresses, so that each keeper knows what
+// another has accepted.
 func newBench(t *testing.T, keepers int) *bench {
 	t.Helper()
 	dir := t.TempDir()
@@ -150,15 +150,14 @@
 	return l.Addr().String()
 }
 
-// run executes a command line and returns its output, errors and exit code.
+// run executes a command line and returns its output, its errors and the exit code.
 func (b *bench) run(args ...string) (out, errOut string, code int) {
 	var o, e bytes.Buffer
 	code = Run(b.t.Context(), append([]string{"--settings", b.settings}, args...), &o, &e)
 	return o.String(), strings.ReplaceAll(e.String(), filepath.Dir(b.settings)+"/", ""), code
 }
 
-// TestBadInput records what an operator reads for each kind of faulty input,
-// and that nothing has changed after it.
+// Guards against unclear messages for invalid input of each kind, and against changes by it.
 func TestBadInput(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, 1)
@@ -226,7 +225,7 @@
 		}
 	}
 	text := strings.ReplaceAll(got.String(), fmt.Sprint(picker.Names()), "[PICKERS]")
-	comparer.Golden(t, "bad_input.golden", plainSpaces(text))
+	comparer.Golden(t, "bad_input.golden", normalizeSpaces(text))
 	g.Expect(b.fake.book.Version()).To(gomega.BeEquivalentTo(1))
 	g.Expect(b.fake.topUps).To(gomega.BeEmpty())
 }
@@ -241,12 +240,8 @@
 	g.Expect(errOut).To(gomega.ContainSubstring(`endpoints: selector "tier=none" matches none of 0 now`))
 }
 
-// Symptom: a workspace is made twice, or a repeated command is refused as a
-// duplicate of itself.
-// Sequence: the keeper makes the change and its answer is lost; the command
-// goes on to the next keeper.
-// Cause: the next keeper was asked under another id, or the check for
-// duplicates came before the look at the id.
+// Guards against a workspace that is created twice, or a command that is refused as a duplicate of
+// itself, after the answer of the first keeper was lost and the next one is queried.
 func TestLostAnswerIsAskedForAtTheNextKeeper(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, 2)
@@ -257,11 +252,8 @@
 	g.Expect(b.fake.book.Version()).To(gomega.BeEquivalentTo(1))
 }
 
-// Symptom: the key of a workspace that exists is known to nobody.
-// Sequence: the keeper makes the workspace, every answer is lost, and the
-// command ends without printing the key; or its repetition prints a new key
-// that is not in force.
-// Cause: the key was printed only after an answer.
+// Guards against a workspace whose key nobody knows: all answers are lost and the key is not printed,
+// or the repeated command prints a key that is not in force.
 func TestUnknownOutcomePrintsKeyAndID(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, 1)
@@ -281,9 +273,8 @@
 	g.Expect(b.fake.book.Version()).To(gomega.BeEquivalentTo(1))
 }
 
-// Symptom: as above, but the first request never arrived.
-// Sequence: the request is lost on its way, the command is repeated.
-// Cause: a repetition must make the change, with the key that it prints.
+// Guards against a repeated command that prints a key without putting it in force, after the first
+// request did not arrive.
 func TestRepetitionOfALostRequestMakesTheChange(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, 1)
@@ -298,10 +289,8 @@
 	g.Expect(out).To(gomega.ContainSubstring(`"outcome": "accepted"`))
 }
 
-// Symptom: a top-up counts twice.
-// Sequence: the answer is lost at one keeper, the next is asked; later the
-// operator repeats the command.
-// Cause: the next keeper or the repetition got another id.
+// Guards against a top-up that counts twice: the answer of one keeper is lost, the next one is queried,
+// and the operator repeats the command later.
 func TestTopUpCountsOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, 2)
@@ -317,11 +306,8 @@
 	g.Expect(b.fake.topUps).To(gomega.HaveLen(1))
 }
 
-// Symptom: a top-up just after the start of the keepers ends with an unknown
-// outcome, and the same command a moment later works.
-// Sequence: the keeper that mints is not up yet, and the others, which are,
-// can't forward to it.
-// Cause: every keeper was asked once only, though there was time left.
+// Guards against a top-up that ends with an unknown outcome although there is time left, because the
+// keeper that mints is still starting and the others can't forward to it yet.
 func TestKeepersAreAskedInRoundsWhileTheOutcomeIsUnknown(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, 2)
@@ -354,17 +340,14 @@
 	g.Expect(errOut).To(gomega.HavePrefix("change id "))
 	_, errOut, code = b.run("config", "apply", file, "--base-version", "2", "--change-id", "again")
 	g.Expect(code).To(gomega.Equal(ExitOK), errOut)
-	// Repeated after the answer was read: the first answer, not a conflict.
+	// A repetition after the answer gets the first result, not a conflict.
 	out, _, code := b.run("config", "apply", file, "--base-version", "2", "--change-id", "again")
 	g.Expect(code).To(gomega.Equal(ExitOK))
 	g.Expect(out).To(gomega.Equal("accepted as version 3\n"))
 }
 
-// Symptom: a command hangs, or says that the outcome is unknown, although a
-// living keeper could have answered.
-// Sequence: the first keeper's address accepts connections and says nothing,
-// as in a silent partition; the second is well.
-// Cause: the first keeper was given the whole time of the command.
+// Guards against a command that spends its whole timeout on a keeper that accepts connections and does
+// not answer, as in a silent partition, while another keeper could answer.
 func TestSilentKeeperLeavesTimeForTheNext(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, 1)
@@ -381,10 +364,8 @@
 	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", defaultTimeout))
 }
 
-// Symptom: config show --timeout 200ms says nothing for six seconds.
-// Sequence: three keepers accept connections and say nothing.
-// Cause: the command's time bounded changes only; a reading waited for each
-// keeper's connection, twice.
+// Guards against reads that exceed the timeout of the command: config show --timeout 200ms took six
+// seconds when three keepers accepted connections and did not answer.
 func TestReadingEndsWithTheCommandsTime(t *testing.T) {
 	g := gomega.NewWithT(t)
 	b := newBench(t, 1)
--- a/commander/config_apply.go
+++ b/commander/config_apply.go
@@ -42,7 +42,7 @@
 var _ = register("config", func(a *app) *cobra.Command {
 	o := &applyOptions{}
 	c := &cobra.Command{
-		Use: "apply FILE", Short: "Apply the edits of a JSON file (- for standard input) as one change", Long: applyHelp, Args: wantArgs("FILE"),
+		Use: "apply FILE", Short: "Apply the edits of a JSON file (- for standard input) as one change", Long: applyHelp, Args: exactArgs("FILE"),
 		RunE: func(c *cobra.Command, args []string) error { return a.configApply(c.Context(), o, args[0]) },
 	}
 	c.Flags().Uint64Var(&o.change.base, "base-version", 0, "version that the edits are based on; overrides the file's")
@@ -81,7 +81,7 @@
 	return a.waitInForce(ctx, r.Version)
 }
 
-// readChange reads a change from a file; unknown fields are errors.
+// readChange reads a change from a file. Unknown fields are errors.
 func (a *app) readChange(file string) (*messenger.Change, error) {
 	read := func() ([]byte, error) { return os.ReadFile(file) }
 	if file == standardInput {
@@ -93,7 +93,7 @@
 	}
 	c := &messenger.Change{}
 	if err := protojson.Unmarshal(b, c); err != nil {
-		return nil, merry.Errorf("%w: FILE: %s: %s", ErrUsage, file, plainSpaces(err.Error()))
+		return nil, merry.Errorf("%w: FILE: %s: %s", ErrUsage, file, normalizeSpaces(err.Error()))
 	}
 	if len(c.Edits) == 0 {
 		return nil, merry.Errorf("%w: FILE: %s: edits: missing; see `config apply --help`", ErrUsage, file)
--- a/commander/config_history.go
+++ b/commander/config_history.go
@@ -13,7 +13,7 @@
 var _ = register("config", func(a *app) *cobra.Command {
 	var last, after uint64
 	c := &cobra.Command{
-		Use: "history", Short: "List the latest accepted changes in order", Args: wantArgs(),
+		Use: "history", Short: "List the latest accepted changes in order", Args: exactArgs(),
 		Long: `List the latest accepted changes in order.
 
 Keepers keep the latest 2,048 changes whole, and fewer where they are large.`,
--- a/commander/config_in_force.go
+++ b/commander/config_in_force.go
@@ -12,13 +12,13 @@
 
 var _ = register("config", func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "in-force", Short: "Show the version that each process serves, as the keepers know it", Args: wantArgs(),
+		Use: "in-force", Short: "Show the version that each process serves, as the keepers know it", Args: exactArgs(),
 		RunE: func(c *cobra.Command, _ []string) error { return a.configInForce(c.Context()) },
 	}
 })
 
 func (a *app) configInForce(ctx context.Context) error {
-	out, err := askKeeper(ctx, a, inForce)
+	out, err := queryKeeper(ctx, a, inForce)
 	if err != nil {
 		return err
 	}
@@ -33,7 +33,7 @@
 	return a.print(out, "NODE ZONE VERSION AGE", rows)
 }
 
-// inForce asks a keeper which version each process serves; for askKeeper.
+// inForce queries the version that each process serves, for queryKeeper.
 func inForce(ctx context.Context, k *client) (*messenger.InForceReply, error) {
 	return k.config().InForce(ctx, &messenger.InForceRequest{})
 }
--- a/commander/config_show.go
+++ b/commander/config_show.go
@@ -8,7 +8,7 @@
 
 var _ = register("config", func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "show", Short: "Show the configuration", Args: wantArgs(),
+		Use: "show", Short: "Show the configuration", Args: exactArgs(),
 		RunE: func(c *cobra.Command, _ []string) error {
 			now, err := a.readConfiguration(c.Context())
 			if err != nil {
--- a/commander/configuration.go
+++ b/commander/configuration.go
@@ -7,8 +7,8 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// readConfiguration returns the configuration that a majority confirms or,
-// where none answers, one keeper's copy, with a warning.
+// readConfiguration returns the configuration that a majority of the keepers confirms. If there is no
+// majority, it returns the copy of one keeper and prints a warning.
 func (a *app) readConfiguration(ctx context.Context) (*messenger.Configuration, error) {
 	s, err := a.load()
 	if err != nil {
@@ -25,12 +25,12 @@
 	return out.Configuration, nil
 }
 
-// readOnce asks each keeper once, all within the command's time.
+// readOnce queries each keeper once, within the timeout of the command.
 func (a *app) readOnce(ctx context.Context, s *loader.Settings, confirmed bool) (*messenger.ReadReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, a.timeout)
 	defer cancel()
 	var out *messenger.ReadReply
-	err := oneRound(ctx, s, func(ctx context.Context, k *client) error {
+	err := queryEachKeeper(ctx, s, func(ctx context.Context, k *client) error {
 		var err error
 		out, err = k.config().Read(ctx, &messenger.ReadRequest{Confirmed: confirmed})
 		return err
--- a/commander/endpoint_list.go
+++ b/commander/endpoint_list.go
@@ -15,64 +15,64 @@
 var _ = register("endpoint", func(a *app) *cobra.Command {
 	var service string
 	c := &cobra.Command{
-		Use: "list", Short: "List the endpoints that routers know, with their ages", Args: wantArgs(),
+		Use: "list", Short: "List the endpoints that routers know, with their ages", Args: exactArgs(),
 		RunE: func(c *cobra.Command, _ []string) error { return a.endpointList(c.Context(), service) },
 	}
 	c.Flags().StringVar(&service, "service", "", "only the endpoints of this service")
 	return c
 })
 
-// seenEndpoint is an endpoint as the routers know it.
-type seenEndpoint struct {
-	// State is that of the youngest announcement.
+// observedEndpoint is the state of an endpoint at the routers.
+type observedEndpoint struct {
+	// state is that of the latest announcement.
 	state *messenger.EndpointState
-	// Oldest is its largest age at a router, in milliseconds.
+	// oldest is the maximum age of the announcement at a router, in milliseconds.
 	oldest int64
-	// Routers counts those that know it, Usable those that would use it.
+	// routers is the number of routers that know the endpoint, and usable of those that would use it.
 	routers, usable int
 }
 
-// seenEndpoints are the endpoints in order, and the routers that did not
+// observedEndpoints holds the endpoints, ordered by service and name, and the routers that did not
 // answer.
-type seenEndpoints struct {
-	list        []seenEndpoint
+type observedEndpoints struct {
+	list        []observedEndpoint
 	unreachable []string
 }
 
-func (a *app) endpoints(ctx context.Context, service string) (*seenEndpoints, error) {
+func (a *app) endpoints(ctx context.Context, service string) (*observedEndpoints, error) {
 	s, err := a.load()
 	if err != nil {
 		return nil, err
 	}
-	r := askAll(ctx, s, loader.KindRouter, func(ctx context.Context, c *client) (*messenger.EndpointsReply, error) {
+	r := queryAll(ctx, s, loader.KindRouter, func(ctx context.Context, c *client) (*messenger.EndpointsReply, error) {
 		return c.operations().Endpoints(ctx, &messenger.EndpointsRequest{Service: service})
 	})
 	return mergeEndpoints(r), nil
 }
 
-func mergeEndpoints(r answers[*messenger.EndpointsReply]) *seenEndpoints {
-	byName := map[string]*seenEndpoint{}
-	for _, reply := range r.got {
+func mergeEndpoints(r answers[*messenger.EndpointsReply]) *observedEndpoints {
+	byName := map[string]*observedEndpoint{}
+	for _, reply := range r.replies {
 		for _, e := range reply.Endpoints {
 			seen := byName[e.Name]
 			if seen == nil {
-				seen = &seenEndpoint{state: e}
+				seen = &observedEndpoint{state: e}
 				byName[e.Name] = seen
 			}
 			seen.add(e, reply.MaxAgeMs)
 		}
 	}
-	out := &seenEndpoints{unreachable: r.unreachable}
+	out := &observedEndpoints{unreachable: r.unreachable}
 	for _, e := range byName {
 		out.list = append(out.list, *e)
 	}
-	slices.SortFunc(out.list, func(a, b seenEndpoint) int {
+	slices.SortFunc(out.list, func(a, b observedEndpoint) int {
 		return cmp.Or(cmp.Compare(a.state.Service, b.state.Service), cmp.Compare(a.state.Name, b.state.Name))
 	})
 	return out
 }
 
-func (s *seenEndpoint) add(e *messenger.EndpointState, maxAge int64) {
+func (s *observedEndpoint) add(e *messenger.EndpointState, maxAge int64) {
 	s.routers++
 	s.oldest = max(s.oldest, int64(e.AgeMs))
 	if !e.Leaving && int64(e.AgeMs) < maxAge {
@@ -101,7 +101,7 @@
 
 const endpointHeader = "NAME SERVICE ZONE ADDRESS LOAD AGE OLDEST_AGE STATE ROUTERS LABELS"
 
-func endpointRows(list []seenEndpoint) [][]any {
+func endpointRows(list []observedEndpoint) [][]any {
 	var rows [][]any
 	for _, e := range list {
 		s := e.state
@@ -113,7 +113,7 @@
 	return rows
 }
 
-func (s *seenEndpoint) stateName() string {
+func (s *observedEndpoint) stateName() string {
 	switch {
 	case s.state.Leaving:
 		return "leaving"
--- a/commander/evacuations.go
+++ b/commander/evacuations.go
@@ -9,12 +9,12 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// fleetCallTimeout bounds a question to a keeper of a fleet.
+// fleetCallTimeout bounds the query of a keeper of a fleet.
 const fleetCallTimeout = 3 * time.Second
 
 var _ = register(root, func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "evacuations KEEPER", Short: "Show the evacuated zones of a fleet on a platform, as a keeper holds them", Args: wantArgs("KEEPER"),
+		Use: "evacuations KEEPER", Short: "Show the evacuated zones of a fleet on a platform, as a keeper holds them", Args: exactArgs("KEEPER"),
 		Long: `Show the evacuated zones of a fleet on a platform, as a keeper holds them.
 
 KEEPER is its internal address, IP:PORT. A keeper that lags shows what it has;
--- a/commander/evacuations_test.go
+++ b/commander/evacuations_test.go
@@ -21,7 +21,7 @@
 	}}, nil
 }
 
-// Guards against a zone that is evacuated and not shown to the operator.
+// Guards against an evacuated zone that is not shown to the operator.
 func TestEvacuationsOfAKeeper(t *testing.T) {
 	g := gomega.NewWithT(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/commander/explain.go
+++ b/commander/explain.go
@@ -19,7 +19,7 @@
 	var workspace string
 	var logs []string
 	c := &cobra.Command{
-		Use: "explain REQUEST_ID", Short: "Show each decision taken for a request, and why", Args: wantArgs("REQUEST_ID"),
+		Use: "explain REQUEST_ID", Short: "Show each decision taken for a request, and why", Args: exactArgs("REQUEST_ID"),
 		Long: `Show each decision taken for a request, and why.
 
 Routers remember the decisions of their latest requests, in memory. Decisions
@@ -46,13 +46,13 @@
 	if err != nil {
 		return err
 	}
-	r := askAll(ctx, s, loader.KindRouter, func(ctx context.Context, c *client) (*messenger.ExplainReply, error) {
+	r := queryAll(ctx, s, loader.KindRouter, func(ctx context.Context, c *client) (*messenger.ExplainReply, error) {
 		return c.operations().Explain(ctx, &messenger.ExplainRequest{Workspace: workspace, RequestId: id})
 	})
 	a.warnUnreachable("routers", r.unreachable)
-	out := &messenger.ExplainReply{Decisions: mergeDecisions(r.got)}
+	out := &messenger.ExplainReply{Decisions: mergeDecisions(r.replies)}
 	if len(out.Decisions) == 0 {
-		return merry.Errorf("%d routers answered and none remembers request %q; its bill, if any, is in `budget history WORKSPACE --request %s`", len(r.got), id, id)
+		return merry.Errorf("%d routers answered and none remembers request %q; its bill, if any, is in `budget history WORKSPACE --request %s`", len(r.replies), id, id)
 	}
 	return a.print(out, "TIME ROUTER WORKSPACE DECISION ENDPOINT TOKENS WHY", decisionRows(out.Decisions))
 }
--- a/commander/explain_logs.go
+++ b/commander/explain_logs.go
@@ -9,7 +9,7 @@
 	"rattanhoist.example/rattanhoist/narrator"
 )
 
-// explainLogs tells a request's story from log files.
+// explainLogs prints the history of a request from log files.
 func (a *app) explainLogs(files []string, id string) error {
 	all, err := a.readLogs(files)
 	if err != nil {
--- a/commander/losses.go
+++ b/commander/losses.go
@@ -14,7 +14,7 @@
 
 var _ = register(root, func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "losses LOG...", Short: "Show which requests ended late or not at all, by cause", Args: wantSome("LOG"),
+		Use: "losses LOG...", Short: "Show which requests ended late or not at all, by cause", Args: minOneArg("LOG"),
 		Long: `Show which requests ended late or not at all, by cause, from log files of a
 fleet's routers: how many, the tokens of their prompts, the two seconds in which
 most of them fell, and the routes with most of them. A caller that was refused and
@@ -23,8 +23,8 @@
 	}
 })
 
-// routesShown bounds the routes named in a line of losses.
-const routesShown = 3
+// maxRoutesShown bounds the routes listed for one cause.
+const maxRoutesShown = 3
 
 func (a *app) losses(files []string) error {
 	all, err := a.readLogs(files)
@@ -50,7 +50,7 @@
 func busiest(routes map[string]int) string {
 	names := slices.SortedFunc(maps.Keys(routes), func(x, y string) int { return routes[y] - routes[x] })
 	var out []string
-	for _, r := range names[:min(len(names), routesShown)] {
+	for _, r := range names[:min(len(names), maxRoutesShown)] {
 		out = append(out, fmt.Sprintf("%s %d", r, routes[r]))
 	}
 	return strings.Join(out, ", ")
--- a/commander/output.go
+++ b/commander/output.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Forms of output.
+// Output formats.
 const (
 	outputTable = "table"
 	outputJSON  = "json"
@@ -26,7 +26,7 @@
 	return nil
 }
 
-// print writes a message as JSON, or rows as a table.
+// print writes the message as JSON or the rows as a table, as the output format requires.
 func (a *app) print(m proto.Message, header string, rows [][]any) error {
 	if a.output == outputJSON {
 		return a.printValue(m)
@@ -47,13 +47,13 @@
 	return w.Flush()
 }
 
-// printValue writes a message or any value as JSON.
+// printValue writes a message or another value as JSON.
 func (a *app) printValue(v any) error {
 	b, err := asJSON(v)
 	if err != nil {
 		return err
 	}
-	// The protocol's library varies its spaces from build to build.
+	// The whitespace in the output of protojson differs between builds.
 	var text any
 	if err := json.Unmarshal(b, &text); err != nil {
 		return err
@@ -70,7 +70,7 @@
 	return json.Marshal(v)
 }
 
-// parseLabels reads key=value flags.
+// parseLabels parses flags of the form key=value.
 func parseLabels(flags []string) (map[string]string, error) {
 	out := map[string]string{}
 	for _, l := range flags {
@@ -86,7 +86,7 @@
 	return out, nil
 }
 
-// showLabels writes labels in order of their keys.
+// showLabels formats labels, ordered by their keys.
 func showLabels(labels map[string]string) string {
 	var out []string
 	for k, v := range labels {
@@ -103,7 +103,7 @@
 	return s
 }
 
-// showAge writes an age given in milliseconds; a negative one is not known.
+// showAge formats an age in milliseconds; a negative age is unknown.
 func showAge(ms int64) string {
 	if ms < 0 {
 		return "-"
@@ -111,7 +111,7 @@
 	return (time.Duration(ms) * time.Millisecond).String()
 }
 
-// showTime writes milliseconds since the Unix epoch.
+// showTime formats a time in milliseconds since the Unix epoch.
 func showTime(ms int64) string {
 	if ms == 0 {
 		return "-"
@@ -119,6 +119,5 @@
 	return time.UnixMilli(ms).UTC().Format("2006-01-02T15:04:05.000Z")
 }
 
-// plainSpaces undoes the non-breaking spaces that the protocol's library
-// puts into its messages.
-func plainSpaces(s string) string { return strings.ReplaceAll(s, "\u00a0", " ") }
+// normalizeSpaces replaces the non-breaking spaces that protojson puts into some of its errors.
+func normalizeSpaces(s string) string { return strings.ReplaceAll(s, "\u00a0", " ") }
--- a/commander/process.go
+++ b/commander/process.go
@@ -29,7 +29,7 @@
 	})
 })
 
-// process runs until its context ends.
+// process is a process that runs until its context is done.
 type process interface{ Run(context.Context) error }
 
 type makeProcess func(*loader.Settings, loader.Process, *zap.Logger) (process, func(), error)
@@ -71,13 +71,13 @@
 		return err
 	}
 	defer cleanUp()
-	if h, ok := p.(hurrier); ok {
+	if h, ok := p.(fastStopper); ok {
 		defer onSecondSignal(ctx, h.Hurry)()
 	}
 	return p.Run(ctx)
 }
 
-// newLog returns a logger of lines for changes of state, on standard error.
+// newLog returns a logger to standard error, for changes of state.
 func newLog(process string) (*zap.Logger, func(), error) {
 	log, err := zap.NewProduction(zap.Fields(zap.String("process", process)))
 	if err != nil {
@@ -86,11 +86,10 @@
 	return log, func() { _ = log.Sync() }, nil
 }
 
-// hurrier is a process that can shut down without handing over.
-type hurrier interface{ Hurry() }
+// fastStopper is a process that can skip the handover when it shuts down.
+type fastStopper interface{ Hurry() }
 
-// onSecondSignal calls f at a signal that comes after ctx has ended. Neither
-// signal cuts a caller off.
+// onSecondSignal calls f at a signal that arrives after ctx is done. No answer in progress is cut off.
 func onSecondSignal(ctx context.Context, f func()) (stop func()) {
 	signals := make(chan os.Signal, 1)
 	ended := make(chan struct{})
@@ -115,8 +114,8 @@
 
 const traceFlushTimeout = 2 * time.Second
 
-// startTracing turns traces on where the settings say so; the returned
-// function exports what is left.
+// startTracing enables traces if the settings require it. The returned function exports the remaining
+// spans.
 func startTracing(ctx context.Context, s *loader.Settings, self loader.Process) (func(*zap.Logger), error) {
 	t := s.Trace()
 	stop, err := tracer.Start(ctx, tracer.Options{
--- a/commander/process_test.go
+++ b/commander/process_test.go
@@ -33,7 +33,7 @@
 		g:     gomega.NewWithT(t),
 	}
 	f.Eventually("keepers answer", func() bool { _, code := f.Command("config", "show"); return code == 0 })
-	var made newKeyAnswer
+	var made newKeyResult
 	f.g.Expect(json.Unmarshal([]byte(f.MustCommand("workspace", "create", "w", "--label", "tier=gold")), &made)).To(gomega.Succeed())
 	f.key = made.Key
 	f.MustCommand("service", "set", "llm", "--kind", "model", "--model", "m")
@@ -54,7 +54,7 @@
 	return p
 }
 
-// TestOperatorsCommands runs the operator's commands against real processes.
+// Guards against commands that fail with real processes.
 func TestOperatorsCommands(t *testing.T) {
 	f := newOperated(t, 110)
 	g := f.g
@@ -93,15 +93,14 @@
 	g.Expect(f.MustCommand("budget", "show", "w")).To(gomega.ContainSubstring("balance not known: out of reach: legon-hall"))
 }
 
-// Symptom: after a rotation of a leaked key, the key still buys answers.
-// Sequence: a key is rotated while routers serve; the old key is used.
-// Cause: a router kept the old key's hash.
+// Guards against a leaked key that is still accepted after it was rotated, because a router keeps its
+// hash.
 func TestRotatedKeyIsRefused(t *testing.T) {
 	f := newOperated(t, 111)
 	f.MustCommand("statement", "set", "all")
 	call := imitator.Call{Router: f.router("tema-hall-1").HTTP(), Key: f.key, RequestID: "r-1", Model: "m", Prompt: "hello", MaxTokens: 4}
 	f.Eventually("old key is served", func() bool { _, err := call.Do(context.Background()); return err == nil })
-	var made newKeyAnswer
+	var made newKeyResult
 	f.g.Expect(json.Unmarshal([]byte(f.MustCommand("workspace", "rotate-key", "w")), &made)).To(gomega.Succeed())
 	call.RequestID = "r-2"
 	f.Eventually("old key is refused", func() bool {
@@ -119,8 +118,7 @@
 	})
 }
 
-// TestSpansOfARequest follows one request over real processes by the trace
-// that its caller began.
+// Guards against spans that are missing in the trace of a request that a caller has started.
 func TestSpansOfARequest(t *testing.T) {
 	f := newOperated(t, 112)
 	f.MustCommand("statement", "set", "all")
@@ -132,7 +130,7 @@
 	for i := range 8 {
 		f.g.Expect(f.post(trace, fmt.Sprint("r-", i))).To(gomega.Equal(http.StatusOK))
 	}
-	// Spans are exported in batches; the shutdown exports the last ones.
+	// Spans are exported in batches, the last ones at the shutdown.
 	f.g.Expect(f.Terminate("osu-hall-1")).To(gomega.Succeed())
 	f.g.Expect(f.Terminate("osu-hall-2")).To(gomega.Succeed())
 	f.g.Expect(f.Terminate("osu-hall-keeper")).To(gomega.Succeed())
@@ -152,13 +150,13 @@
 	for _, hop := range []string{tracer.HopRequest, tracer.HopAdmit, tracer.HopReserve, tracer.HopPick, tracer.HopDispatch, tracer.HopBill, tracer.HopHandOver} {
 		f.g.Expect(names[hop]).To(gomega.BeNumerically(">=", 1), "span %s in %v", hop, names)
 	}
-	// Once as the router's call, once as served by the keeper.
+	// One span is that of the router's call, the other that of the keeper.
 	for _, call := range []string{"BudgetKeeper/Lease", "BudgetKeeper/Charge", "HomeRouter/Answer"} {
 		f.g.Expect(names["rattanhoist.v1."+call]).To(gomega.BeNumerically(">=", 2), "%s in %v", call, names)
 	}
 }
 
-// post sends a request of a caller's trace and returns the status.
+// post sends a request with a caller's trace context and returns the status.
 func (f *operated) post(trace, id string) int {
 	body := strings.NewReader(`{"model": "m", "max_tokens": 4, "messages": [{"role": "user", "content": "x"}]}`)
 	r, err := http.NewRequest(http.MethodPost, "http://"+f.router("osu-hall-1").HTTP()+"/v1/chat/completions", body)
@@ -175,8 +173,7 @@
 	return resp.StatusCode
 }
 
-// TestBadInputAtRealProcesses sends one faulty input of each kind to running
-// processes and looks that nothing changed.
+// Guards against changes by invalid input of each kind, at running processes.
 func TestBadInputAtRealProcesses(t *testing.T) {
 	f := newOperated(t, 113)
 	before := f.MustCommand("config", "show")
@@ -211,7 +208,7 @@
 	f.countersAreDocumented(f.router("osu-hall-1"))
 }
 
-// countersAreDocumented keeps the page of counters whole.
+// countersAreDocumented checks that the documentation lists all counters.
 func (f *operated) countersAreDocumented(p loader.Process) {
 	page, err := os.ReadFile("../docs/operate/counters.md")
 	f.g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -228,10 +225,7 @@
 	}
 }
 
-// Symptom: a caller gets a fragment while its router is restarted by an
-// impatient operator.
-// Sequence: a stream runs, the router is asked to stop, and asked again.
-// Cause: the second signal ended the process.
+// Guards against a stream that is cut off when an operator signals its router twice to stop.
 func TestSecondSignalCutsNobodyOff(t *testing.T) {
 	f := newOperated(t, 114)
 	f.MustCommand("statement", "set", "slow", "--endpoints", "name=llm-slow")
@@ -261,12 +255,9 @@
 	f.Eventually("router has ended", func() bool { return strings.Contains(f.MustCommand("status"), "out of reach: osu-hall-1") })
 }
 
-// Symptom: an operator who lost the answer to a top-up can't tell whether it
-// counts, repeats it, and the workspace has it twice.
-// Sequence: the keeper that mints is frozen with the request in its socket;
-// the command gives up; the keeper goes on and mints; the command is repeated
-// under the id that it printed.
-// Cause: the repetition was another top-up.
+// Guards against a top-up that counts twice: the keeper that mints is frozen with the request in its
+// socket, the command times out, the keeper resumes and mints, and the command is repeated with the id
+// that it printed.
 func TestTopUpAtAFrozenKeeperCountsOnce(t *testing.T) {
 	f := newOperated(t, 115)
 	f.Freeze("tema-hall-keeper")
@@ -283,10 +274,8 @@
 	f.g.Expect(code).To(gomega.Equal(ExitUsage), out)
 }
 
-// Symptom: a change is said to be in force, and a router goes on without it.
-// Sequence: a router is frozen while a change is applied with --wait; it goes
-// on later.
-// Cause: a router that did not answer was taken for dead at once.
+// Guards against a change that is reported to be in force while a frozen router, which resumes later,
+// does not have it.
 func TestWaitNamesAFrozenRouter(t *testing.T) {
 	f := newOperated(t, 116)
 	file := filepath.Join(f.Dir(), "change.json")
--- a/commander/service_list.go
+++ b/commander/service_list.go
@@ -10,7 +10,7 @@
 
 var _ = register("service", func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "list", Short: "List the services", Args: wantArgs(),
+		Use: "list", Short: "List the services", Args: exactArgs(),
 		RunE: func(c *cobra.Command, _ []string) error {
 			now, err := a.readConfiguration(c.Context())
 			if err != nil {
--- a/commander/service_set.go
+++ b/commander/service_set.go
@@ -11,7 +11,7 @@
 	"rattanhoist.example/rattanhoist/picker"
 )
 
-// Defaults of a new service.
+// Defaults for a new service.
 const (
 	defaultPrice           = 1
 	defaultMaxAnswerTokens = 1024
@@ -23,7 +23,7 @@
 	var labels []string
 	ch := &change{}
 	c := &cobra.Command{
-		Use: "set NAME", Short: "Create or replace a service", Args: wantArgs("NAME"),
+		Use: "set NAME", Short: "Create or replace a service", Args: exactArgs("NAME"),
 		RunE: func(c *cobra.Command, args []string) error {
 			s.Name = args[0]
 			if err := readService(s, kind, labels); err != nil {
--- a/commander/service_show.go
+++ b/commander/service_show.go
@@ -11,7 +11,7 @@
 
 var _ = register("service", func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "show NAME", Short: "Show a service", Args: wantArgs("NAME"),
+		Use: "show NAME", Short: "Show a service", Args: exactArgs("NAME"),
 		RunE: func(c *cobra.Command, args []string) error {
 			now, err := a.readConfiguration(c.Context())
 			if err != nil {
--- a/commander/statement_list.go
+++ b/commander/statement_list.go
@@ -8,7 +8,7 @@
 
 var _ = register("statement", func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "list", Short: "List the statements", Args: wantArgs(),
+		Use: "list", Short: "List the statements", Args: exactArgs(),
 		RunE: func(c *cobra.Command, _ []string) error {
 			now, err := a.readConfiguration(c.Context())
 			if err != nil {
--- a/commander/statement_match.go
+++ b/commander/statement_match.go
@@ -11,7 +11,7 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// selectors are the compiled selectors of a statement.
+// selectors holds the compiled selectors of a statement.
 type selectors struct{ workspaces, services, endpoints matcher.Selector }
 
 func compileStatement(s *messenger.Statement) (selectors, error) {
@@ -33,12 +33,12 @@
 	return out, nil
 }
 
-// match is what a statement selects now.
+// match holds what a statement selects now.
 type match struct {
 	statement            *messenger.Statement
 	workspaces, services []string
-	endpoints            []seenEndpoint
-	// All counts what there was to choose from.
+	endpoints            []observedEndpoint
+	// allWorkspaces, allServices and allEndpoints are the numbers of which it selects.
 	allWorkspaces, allServices, allEndpoints int
 	unreachable                              []string
 }
@@ -59,7 +59,7 @@
 	return matchAll(s, sel, now, seen), nil
 }
 
-func matchAll(s *messenger.Statement, sel selectors, now *messenger.Configuration, seen *seenEndpoints) *match {
+func matchAll(s *messenger.Statement, sel selectors, now *messenger.Configuration, seen *observedEndpoints) *match {
 	m := &match{
 		statement: s, allWorkspaces: len(now.Workspaces), allServices: len(now.Services),
 		allEndpoints: len(seen.list), unreachable: seen.unreachable,
@@ -93,8 +93,8 @@
 	return out
 }
 
-// warnings names every selector that matches nothing: it is accepted, since
-// what it selects may come later, but it is often a misspelling.
+// warnings returns a line for each selector that matches nothing. It is accepted, because what it
+// selects may be added later, but it is often a typing error.
 func (m *match) warnings() []string {
 	var out []string
 	for _, f := range []struct {
--- a/commander/statement_set.go
+++ b/commander/statement_set.go
@@ -12,7 +12,7 @@
 	s := &messenger.Statement{}
 	ch := &change{}
 	c := &cobra.Command{
-		Use: "set NAME", Short: "Create or replace a statement", Args: wantArgs("NAME"),
+		Use: "set NAME", Short: "Create or replace a statement", Args: exactArgs("NAME"),
 		Long: "Create or replace a statement.\n\n" + selectorHelp,
 		RunE: func(c *cobra.Command, args []string) error {
 			s.Name = args[0]
--- a/commander/statement_try.go
+++ b/commander/statement_try.go
@@ -14,7 +14,7 @@
 var _ = register("statement", func(a *app) *cobra.Command {
 	s := &messenger.Statement{}
 	c := &cobra.Command{
-		Use: "test [NAME]", Short: "Show what selectors, or a statement, match now, and change nothing", Args: wantOptional("NAME"),
+		Use: "test [NAME]", Short: "Show what selectors, or a statement, match now, and change nothing", Args: optionalArg("NAME"),
 		Long: "Show what selectors, or a statement, match now, and change nothing.\n\n" + selectorHelp,
 		RunE: func(c *cobra.Command, args []string) error {
 			if len(args) == 0 {
--- a/commander/status.go
+++ b/commander/status.go
@@ -15,7 +15,7 @@
 
 var _ = register(root, func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "status", Short: "Show zones, processes, versions, ages, shares and what is at risk", Args: wantArgs(),
+		Use: "status", Short: "Show zones, processes, versions, ages, shares and what is at risk", Args: exactArgs(),
 		Long: `Show zones, processes, versions, ages, shares and what is at risk.
 
 SHARE is a zone's part of all unspent rights. AT_RISK is what a router would
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	r := askAll(ctx, s, "", state)
+	r := queryAll(ctx, s, "", state)
 	if a.output == outputJSON {
 		return a.printStatus(r)
 	}
@@ -41,7 +41,7 @@
 	if len(r.unreachable) > 0 {
 		_, err = fmt.Fprintf(a.out, "\nout of reach: %s\n", strings.Join(r.unreachable, ", "))
 	}
-	if len(r.got) == 0 {
+	if len(r.replies) == 0 {
 		return merry.Errorf("%w: no process answered:\n  %s", ErrUnreachable, strings.Join(r.reasons, "\n  "))
 	}
 	return err
@@ -49,7 +49,7 @@
 
 func (a *app) printStatus(r answers[*messenger.StateReply]) error {
 	processes := []any{}
-	for _, p := range r.got {
+	for _, p := range r.replies {
 		b, err := asJSON(p)
 		if err != nil {
 			return err
@@ -59,7 +59,7 @@
 	return a.printValue(map[string]any{"processes": processes, "unreachable": r.unreachable})
 }
 
-// zoneSum adds up the processes of one zone.
+// zoneSum holds the sums over the processes of one zone.
 type zoneSum struct {
 	routers, ready, keepers  int
 	unspent, leased, charged int64
@@ -93,7 +93,7 @@
 }
 
 func (a *app) printZones(s *loader.Settings, r answers[*messenger.StateReply]) error {
-	sums, all := sumZones(r.got)
+	sums, all := sumZones(r.replies)
 	var rows [][]any
 	for _, name := range s.Zones() {
 		z := sums[name]
@@ -119,7 +119,7 @@
 func (a *app) printKeepers(_ *loader.Settings, r answers[*messenger.StateReply]) error {
 	_, _ = fmt.Fprintln(a.out)
 	var rows [][]any
-	for _, p := range byKind(r.got, loader.KindKeeper) {
+	for _, p := range byKind(r.replies, loader.KindKeeper) {
 		rows = append(rows, []any{p.Name, p.Zone, p.Life, orDash(p.LeaderName), p.ConfigurationVersion, showAge(p.ConfigurationAgeMs), p.AtRiskTokens})
 	}
 	return a.printTable("KEEPER ZONE LIFE LEADER VERSION AGE AT_RISK", rows)
@@ -128,7 +128,7 @@
 func (a *app) printRouters(_ *loader.Settings, r answers[*messenger.StateReply]) error {
 	_, _ = fmt.Fprintln(a.out)
 	var rows [][]any
-	for _, p := range byKind(r.got, loader.KindRouter) {
+	for _, p := range byKind(r.replies, loader.KindRouter) {
 		rows = append(rows, []any{
 			p.Name, p.Zone, p.Life, p.KeeperReachable, p.ConfigurationVersion, showAge(p.ConfigurationAgeMs),
 			p.UsableEndpoints, p.ActiveRequests, p.AtRiskTokens,
--- a/commander/version.go
+++ b/commander/version.go
@@ -9,7 +9,7 @@
 
 var _ = register(root, func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "version", Short: "Show the version of the binary", Args: wantArgs(),
+		Use: "version", Short: "Show the version of the binary", Args: exactArgs(),
 		RunE: func(*cobra.Command, []string) error {
 			v := buildVersion()
 			if a.output == outputJSON {
--- a/commander/wait_in_force.go
+++ b/commander/wait_in_force.go
@@ -14,21 +14,20 @@
 
 const inForcePoll = 100 * time.Millisecond
 
-// liveAge is how long a router that doesn't answer is taken for alive after
-// its last report, of which it makes one every five seconds.
-const liveAge = 15 * time.Second
+// reportTTL is how long a router that does not answer counts as alive after its last report. Routers
+// report every five seconds.
+const reportTTL = 15 * time.Second
 
-// progress is where a version is in force.
+// progress holds the routers at which a version is in force, and those at which it is not.
 type progress struct {
 	inForce int
-	// Behind lists live routers without the version; silent lists those that
-	// neither answer nor have reported for long.
+	// behind lists the live routers without the version, and silent those that neither answer nor
+	// have reported within reportTTL.
 	behind, silent []string
 }
 
-// waitInForce waits until each live router serves the version. It asks the
-// routers themselves and, for those that can't be reached from here, what
-// they have reported to the keepers.
+// waitInForce waits until each live router serves the version. It queries the routers and, for those
+// that do not answer, the keepers to which they report.
 func (a *app) waitInForce(ctx context.Context, version uint64) error {
 	s, err := a.load()
 	if err != nil {
@@ -40,7 +39,7 @@
 		if len(now.behind) == 0 && now.inForce > 0 {
 			return a.printProgress(now, version)
 		}
-		// The round that the time cuts short knows less than the one before.
+		// A round that the timeout cuts short has less information than the one before.
 		if ctx.Err() == nil || p.inForce == 0 {
 			p = now
 		}
@@ -61,9 +60,9 @@
 }
 
 func (a *app) progress(ctx context.Context, s *loader.Settings, version uint64) progress {
-	r := askAll(ctx, s, loader.KindRouter, state)
+	r := queryAll(ctx, s, loader.KindRouter, state)
 	var p progress
-	for _, x := range r.got {
+	for _, x := range r.replies {
 		if x.ConfigurationVersion >= version {
 			p.inForce++
 			continue
@@ -73,9 +72,9 @@
 	if len(r.unreachable) == 0 {
 		return p
 	}
-	reported, err := a.reported(ctx)
+	reported, err := a.reportedVersions(ctx)
 	if err != nil {
-		// Nothing is known of these routers, so they may be alive.
+		// These routers may be alive.
 		p.behind = append(p.behind, strings.Join(r.unreachable, ", ")+": no answer, and the keepers could not be asked")
 		return p
 	}
@@ -91,7 +90,7 @@
 			p.silent = append(p.silent, name+": does not answer, and no keeper has heard of it")
 		case e.Version >= version:
 			p.inForce++
-		case e.AgeMs < liveAge.Milliseconds():
+		case e.AgeMs < reportTTL.Milliseconds():
 			p.behind = append(p.behind, fmt.Sprintf("%s: does not answer; version %d, reported %s ago", name, e.Version, showAge(e.AgeMs)))
 		default:
 			p.silent = append(p.silent, fmt.Sprintf("%s: does not answer; version %d, silent for %s", name, e.Version, showAge(e.AgeMs)))
@@ -99,10 +98,9 @@
 	}
 }
 
-// reported returns the routers' reports that the keepers have, by name; the
-// youngest of each.
-func (a *app) reported(ctx context.Context) (map[string]*messenger.InForceEntry, error) {
-	r, err := askKeeper(ctx, a, inForce)
+// reportedVersions returns the latest report of each router that a keeper has received, by name.
+func (a *app) reportedVersions(ctx context.Context) (map[string]*messenger.InForceEntry, error) {
+	r, err := queryKeeper(ctx, a, inForce)
 	out := map[string]*messenger.InForceEntry{}
 	for _, e := range r.GetNodes() {
 		if old := out[e.Node]; old == nil || e.AgeMs < old.AgeMs {
--- a/commander/workspace_create.go
+++ b/commander/workspace_create.go
@@ -18,7 +18,7 @@
 	var labels []string
 	ch := &change{}
 	c := &cobra.Command{
-		Use: "create NAME", Short: "Create a workspace and print its bearer key, once, as JSON", Args: wantArgs("NAME"),
+		Use: "create NAME", Short: "Create a workspace and print its bearer key, once, as JSON", Args: exactArgs("NAME"),
 		RunE: func(c *cobra.Command, args []string) error {
 			l, err := parseLabels(labels)
 			if err != nil {
@@ -36,7 +36,7 @@
 	key := newKey()
 	w := &messenger.Workspace{Name: name, Labels: labels, KeyHashes: [][]byte{hashKey(key)}}
 	ch.edits = func(c *messenger.Configuration) ([]*messenger.Edit, error) {
-		// Putting a name again would replace the keys that callers hold.
+		// An edit for an existing name would replace the keys that callers use.
 		if findWorkspace(c, name) != nil {
 			return nil, merry.Errorf("%w: name: workspace %q exists already", ErrRefused, name)
 		}
@@ -67,8 +67,8 @@
 	return nil
 }
 
-// newKeyAnswer is what a command prints that has made a key.
-type newKeyAnswer struct {
+// newKeyResult is the output of a command that generates a key.
+type newKeyResult struct {
 	Workspace string `json:"workspace"`
 	Key       string `json:"key,omitempty"`
 	Version   uint64 `json:"version,omitempty"`
@@ -76,21 +76,21 @@
 	Outcome   string `json:"outcome"`
 }
 
-// Outcomes of a command that makes a key.
+// Outcomes of a command that generates a key.
 const (
 	outcomeAccepted = "accepted"
 	outcomeUnknown  = "unknown"
-	// outcomeEarlier says that an earlier try was accepted: the key that it
-	// printed is in force, and this try's is not.
+	// outcomeEarlier states that an earlier attempt was accepted: the key that it printed is in
+	// force, and the key of this attempt is not.
 	outcomeEarlier = "accepted_with_the_key_printed_before"
 )
 
-// proposeKey proposes a change with a new key and prints the key, also where
-// the outcome is unknown: the key may be in force, and nobody else has it.
+// proposeKey proposes a change with a new key and prints the key. It does so even if the outcome is
+// unknown, because the key may be in force and is stored nowhere else.
 func (a *app) proposeKey(ctx context.Context, ch *change, workspace, key string) error {
 	resent := ch.id != ""
 	r, err := a.propose(ctx, ch)
-	out := newKeyAnswer{Workspace: workspace, Key: key, ChangeID: ch.id}
+	out := newKeyResult{Workspace: workspace, Key: key, ChangeID: ch.id}
 	switch {
 	case errors.Is(err, ErrOutcomeUnknown):
 		out.Outcome = outcomeUnknown
@@ -107,17 +107,16 @@
 	return a.printValue(out)
 }
 
-// compareKey finds out whose key a repeated command put in force: the keeper
-// answers a resend as it did the first time, and the first try had another
-// key.
-func (a *app) compareKey(ctx context.Context, ch *change, out *newKeyAnswer) error {
+// compareKey finds out whether a repeated command's key is in force. The keeper answers a repeated
+// change as it answered the first one, which had another key.
+func (a *app) compareKey(ctx context.Context, ch *change, out *newKeyResult) error {
 	return a.withKeeper(ctx, func(ctx context.Context, k *client) error {
 		h, err := k.config().History(ctx, &messenger.HistoryRequest{AfterVersion: out.Version - 1, Most: 1})
 		if err != nil {
 			return err
 		}
 		for _, e := range h.Entries {
-			if e.Change.ChangeId == ch.id && !putsKey(e.Change.Edits, hashKey(out.Key)) {
+			if e.Change.ChangeId == ch.id && !containsKey(e.Change.Edits, hashKey(out.Key)) {
 				out.Key, out.Outcome = "", outcomeEarlier
 			}
 		}
@@ -125,7 +124,7 @@
 	})
 }
 
-func putsKey(edits []*messenger.Edit, hash []byte) bool {
+func containsKey(edits []*messenger.Edit, hash []byte) bool {
 	return slices.ContainsFunc(edits, func(e *messenger.Edit) bool {
 		return slices.ContainsFunc(e.GetPutWorkspace().GetKeyHashes(), func(h []byte) bool { return slices.Equal(h, hash) })
 	})
--- a/commander/workspace_delete.go
+++ b/commander/workspace_delete.go
@@ -9,7 +9,7 @@
 var _ = register("workspace", func(a *app) *cobra.Command {
 	ch := &change{}
 	c := &cobra.Command{
-		Use: "delete NAME", Short: "Delete a workspace: its keys are refused from then on", Args: wantArgs("NAME"),
+		Use: "delete NAME", Short: "Delete a workspace: its keys are refused from then on", Args: exactArgs("NAME"),
 		Long: `Delete a workspace: its keys are refused from then on.
 
 Its budget stays in the books; a workspace that is created again under the
--- a/commander/workspace_list.go
+++ b/commander/workspace_list.go
@@ -8,7 +8,7 @@
 
 var _ = register("workspace", func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "list", Short: "List the workspaces", Args: wantArgs(),
+		Use: "list", Short: "List the workspaces", Args: exactArgs(),
 		RunE: func(c *cobra.Command, _ []string) error {
 			now, err := a.readConfiguration(c.Context())
 			if err != nil {
--- a/commander/workspace_rotate_key.go
+++ b/commander/workspace_rotate_key.go
@@ -12,7 +12,7 @@
 	var keepOld bool
 	ch := &change{}
 	c := &cobra.Command{
-		Use: "rotate-key NAME", Short: "Give a workspace a new bearer key and print it, once, as JSON", Args: wantArgs("NAME"),
+		Use: "rotate-key NAME", Short: "Give a workspace a new bearer key and print it, once, as JSON", Args: exactArgs("NAME"),
 		Long: `Give a workspace a new bearer key and print it, once, as JSON.
 
 The earlier keys are refused from then on. With --keep-old they stay valid, so
--- a/commander/workspace_show.go
+++ b/commander/workspace_show.go
@@ -6,12 +6,12 @@
 	"github.com/spf13/cobra"
 )
 
-// shownHash is how many bytes of a key's hash tell it from others.
-const shownHash = 6
+// hashPrefixBytes is the number of bytes of a key's hash that are shown.
+const hashPrefixBytes = 6
 
 var _ = register("workspace", func(a *app) *cobra.Command {
 	return &cobra.Command{
-		Use: "show NAME", Short: "Show a workspace", Args: wantArgs("NAME"),
+		Use: "show NAME", Short: "Show a workspace", Args: exactArgs("NAME"),
 		RunE: func(c *cobra.Command, args []string) error {
 			now, err := a.readConfiguration(c.Context())
 			if err != nil {
@@ -23,7 +23,7 @@
 			}
 			rows := [][]any{{"name", w.Name}, {"labels", showLabels(w.Labels)}}
 			for _, h := range w.KeyHashes {
-				rows = append(rows, []any{"key_hash", hex.EncodeToString(h[:min(len(h), shownHash)]) + "..."})
+				rows = append(rows, []any{"key_hash", hex.EncodeToString(h[:min(len(h), hashPrefixBytes)]) + "..."})
 			}
 			return a.print(w, "FIELD VALUE", rows)
 		},
--- a/comparer/comparer.go
+++ b/comparer/comparer.go
@@ -1,6 +1,5 @@
-// Package comparer compares what a test got with a golden file under
-// testdata. UPDATE_GOLDEN=1 records the files anew. The product does not
-// contain it.
+// Package comparer compares output of tests with golden files in testdata. UPDATE_GOLDEN=1 rewrites the
+// files. The product does not contain it.
 package comparer
 
 import (
--- a/launcher/endpoint.go
+++ b/launcher/endpoint.go
@@ -11,8 +11,8 @@
 	"rattanhoist.example/rattanhoist/imitator"
 )
 
-// EndpointCommand posts to stand-in endpoint number n: "/faults" with a
-// JSON fault, or "/leave", "/join" and "/silence" with "".
+// EndpointCommand posts to stand-in endpoint number n: to "/faults" with a fault as JSON, or to "/leave",
+// "/join" or "/silence" with "".
 func (f *Fleet) EndpointCommand(n int, path, body string) {
 	f.t.Helper()
 	resp, err := http.Post("http://"+f.EndpointAddress(n)+path, "application/json", strings.NewReader(body))
@@ -25,7 +25,7 @@
 	}
 }
 
-// Runs returns the lines of an endpoint's run log; none before it has begun.
+// Runs returns the lines of the run log of an endpoint, or none if it does not exist yet.
 func (f *Fleet) Runs(name string) []imitator.Run {
 	f.t.Helper()
 	text, err := ReadWhole(f.RunLog(name))
@@ -46,9 +46,8 @@
 	return out
 }
 
-// ReadWhole reads a file of lines that a process writes meanwhile. A line that
-// crosses a page is seen half-written; the read is repeated until the last line
-// has its end, for readWait at most, so that no line is left out.
+// ReadWhole reads a file of lines that a process is writing to. A line that crosses a page may be
+// incomplete, so the read is repeated until the last line is complete, for at most readWait.
 func ReadWhole(path string) (string, error) {
 	end := time.Now().Add(readWait)
 	for {
@@ -60,7 +59,7 @@
 	}
 }
 
-// A write takes microseconds; a process killed within one leaves half a line.
+// A write takes microseconds. A process that is killed during one leaves an incomplete line.
 const (
 	readWait  = time.Second
 	readPause = time.Millisecond
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -1,6 +1,5 @@
-// Package launcher starts a small deployment of real processes for tests of
-// failures: it kills, stops and continues them, wipes their disks and cuts
-// their connections. The product does not contain it.
+// Package launcher starts small deployments of real processes for tests of failures. It kills, freezes
+// and restarts processes, deletes their data and partitions zones. The product does not contain it.
 package launcher
 
 import (
@@ -20,24 +19,23 @@
 	"rattanhoist.example/rattanhoist/loader"
 )
 
-// Waits of the launcher.
 const (
 	pollEvery = 20 * time.Millisecond
 	readyWait = 20 * time.Second
-	// defaultRouters is the least number of routers of a zone.
+	// defaultRouters is the minimum number of routers in a zone.
 	defaultRouters = 2
 )
 
 // Options describe a deployment.
 type Options struct {
-	// Net is the second byte of its loopback addresses, 30 to 250; every test
-	// that runs at the same time needs its own.
+	// Net is the second byte of the loopback addresses, 30 to 250. Tests that run at the same time
+	// must have different ones.
 	Net int
-	// Zones defaults to three.
+	// Zones holds the names of the zones; the default is three zones.
 	Zones []string
-	// Routers of each zone; two at least.
+	// Routers is the number of routers in each zone, at least two.
 	Routers int
-	// Policy holds extra lines of the [policy] section.
+	// Policy holds additional lines of the section [policy].
 	Policy string
 }
 
@@ -49,7 +47,7 @@
 	zones    []string
 	settings *loader.Settings
 	mu       sync.Mutex
-	// Running maps process names to their commands.
+	// running maps the names of processes to their commands.
 	running map[string]*exec.Cmd
 	args    map[string][]string
 }
@@ -60,8 +58,8 @@
 	err error
 }
 
-// Main runs a package's tests and removes the binaries that they built; call
-// it from TestMain.
+// Main runs the tests of a package and removes the binaries that were built for them. It is called from
+// TestMain.
 func Main(m *testing.M) {
 	code := m.Run()
 	if build.dir != "" {
@@ -70,14 +68,14 @@
 	os.Exit(code)
 }
 
-// binaries builds the two binaries once for each test process.
+// binaries builds the binaries once for each test process and returns their folder.
 func binaries(t testing.TB) string {
 	build.Do(func() {
 		build.dir, build.err = os.MkdirTemp("", "rattanhoist-bin-")
 		if build.err != nil {
 			return
 		}
-		if build.err = noteSources(); build.err != nil {
+		if build.err = statSources(); build.err != nil {
 			return
 		}
 		out, err := exec.Command("go", "build", "-o", build.dir+"/", "rattanhoist.example/rattanhoist/cmd/...").CombinedOutput()
@@ -91,8 +89,7 @@
 	return build.dir
 }
 
-// Start starts keepers and routers; Await and Ready tell how far they are. The
-// fleet ends with the test.
+// Start starts keepers and routers, which run until the test ends. Await and Ready wait for their state.
 func Start(t testing.TB, o Options) *Fleet {
 	t.Helper()
 	lockNet(t, o.Net)
@@ -144,10 +141,10 @@
 	}
 }
 
-// Settings returns the deployment's settings.
+// Settings returns the settings of the deployment.
 func (f *Fleet) Settings() *loader.Settings { return f.settings }
 
-// Dir returns the folder of settings, keys, logs and data.
+// Dir returns the folder with settings, keys, logs and data.
 func (f *Fleet) Dir() string { return f.dir }
 
 func (f *Fleet) startProcess(name, binary string, args ...string) {
@@ -168,8 +165,8 @@
 	f.args[name] = append([]string{binary}, args...)
 }
 
-// StartEndpoint starts a stand-in endpoint ("engine" or "plain"), number n,
-// that announces itself to every router; its runs go to RunLog(name).
+// StartEndpoint starts stand-in endpoint number n of a kind ("engine" or "plain"), which announces itself
+// to all routers and writes its runs to RunLog(name).
 func (f *Fleet) StartEndpoint(kind, name, service, zone string, n int, flags ...string) {
 	f.t.Helper()
 	args := []string{
@@ -182,10 +179,10 @@
 	f.startProcess(name, "rattanhoist-standin", append(args, flags...)...)
 }
 
-// EndpointAddress returns host:port of stand-in endpoint number n.
+// EndpointAddress returns the host:port of stand-in endpoint number n.
 func (f *Fleet) EndpointAddress(n int) string { return fmt.Sprintf("127.%d.100.%d:9000", f.net, n) }
 
-// RunLog returns the file of an endpoint's runs.
+// RunLog returns the file with the runs of an endpoint.
 func (f *Fleet) RunLog(name string) string { return filepath.Join(f.dir, name+".runs") }
 
 func (f *Fleet) process(name string) *exec.Cmd {
@@ -199,7 +196,7 @@
 	return c
 }
 
-// Kill ends a process at once, as kill -9 does.
+// Kill kills a process with SIGKILL.
 func (f *Fleet) Kill(name string) {
 	f.t.Helper()
 	c := f.process(name)
@@ -207,7 +204,7 @@
 	_ = f.reap(name, c)
 }
 
-// reap waits until a process has ended; from then on it counts as stopped.
+// reap waits until a process has ended and removes it from the running ones.
 func (f *Fleet) reap(name string, c *exec.Cmd) error {
 	err := c.Wait()
 	f.mu.Lock()
@@ -216,7 +213,7 @@
 	return err
 }
 
-// Terminate asks a process to shut down and waits until it has.
+// Terminate sends SIGTERM to a process and waits until it has ended.
 func (f *Fleet) Terminate(name string) error {
 	f.t.Helper()
 	c := f.process(name)
@@ -226,13 +223,13 @@
 	return f.reap(name, c)
 }
 
-// Ask asks a process to shut down and does not wait for it.
+// Ask sends SIGTERM to a process without waiting.
 func (f *Fleet) Ask(name string) { f.signal(name, syscall.SIGTERM) }
 
-// Freeze stops a process without ending it.
+// Freeze suspends a process with SIGSTOP.
 func (f *Fleet) Freeze(name string) { f.signal(name, syscall.SIGSTOP) }
 
-// Thaw continues a frozen process.
+// Thaw resumes a frozen process.
 func (f *Fleet) Thaw(name string) { f.signal(name, syscall.SIGCONT) }
 
 func (f *Fleet) signal(name string, s syscall.Signal) {
@@ -242,7 +239,7 @@
 	}
 }
 
-// Restart starts a process that was killed or terminated again.
+// Restart starts a process again that was killed or terminated.
 func (f *Fleet) Restart(name string) {
 	f.t.Helper()
 	f.mu.Lock()
@@ -251,7 +248,7 @@
 	f.startProcess(name, args[0], args[1:]...)
 }
 
-// Wipe removes the data folder of a keeper, which must not run.
+// Wipe deletes the data of a keeper, which must not be running.
 func (f *Fleet) Wipe(name string) {
 	f.t.Helper()
 	p, err := f.settings.Process(loader.KindKeeper, name)
@@ -263,11 +260,10 @@
 	}
 }
 
-// Cut makes the processes of two zones unreachable for each other, silently;
-// Heal ends it.
+// Cut partitions two zones: packets between them are dropped until Heal.
 func (f *Fleet) Cut(zoneA, zoneB string) { f.fault("cut", zoneA, zoneB) }
 
-// Heal ends a cut.
+// Heal ends the partition of two zones.
 func (f *Fleet) Heal(zoneA, zoneB string) { f.fault("heal", zoneA, zoneB) }
 
 func (f *Fleet) fault(what, a, b string) {
@@ -281,8 +277,8 @@
 	}
 }
 
-// FaultAt has one process "cut" or "heal" its connections to an address. A
-// process that does not run is passed over.
+// FaultAt makes a process "cut" or "heal" its connections to an address. It has no effect on a process
+// that is not running.
 func (f *Fleet) FaultAt(p loader.Process, what, address string) {
 	f.t.Helper()
 	resp, err := http.PostForm("http://"+p.Debug()+"/fault/"+what, url.Values{"address": {address}})
@@ -291,7 +287,7 @@
 	}
 }
 
-// Command runs an operator's command and returns its output and exit code.
+// Command runs a command of the operator and returns its output and exit code.
 func (f *Fleet) Command(args ...string) (string, int) {
 	f.t.Helper()
 	var out bytes.Buffer
@@ -304,7 +300,7 @@
 	return out.String(), c.ProcessState.ExitCode()
 }
 
-// MustCommand is Command for commands that must succeed.
+// MustCommand runs a command that must succeed, and returns its output.
 func (f *Fleet) MustCommand(args ...string) string {
 	f.t.Helper()
 	out, code := f.Command(args...)
@@ -314,8 +310,7 @@
 	return out
 }
 
-// Eventually waits until f holds; it polls, and its limit only bounds a
-// failing test.
+// Eventually polls until holds returns true, and fails the test after readyWait.
 func (f *Fleet) Eventually(what string, holds func() bool) {
 	f.t.Helper()
 	end := time.Now().Add(readyWait)
@@ -327,7 +322,7 @@
 	}
 }
 
-// Logs returns the last lines of every log, for a failing test.
+// Logs returns the last lines of each log, for the message of a failing test.
 func (f *Fleet) Logs() string {
 	var b strings.Builder
 	files, _ := filepath.Glob(filepath.Join(f.dir, "*.log"))
@@ -352,7 +347,7 @@
 	}
 }
 
-// PID returns the process id of a running process, for measurements.
+// PID returns the process id of a running process.
 func (f *Fleet) PID(name string) int {
 	f.t.Helper()
 	return f.process(name).Process.Pid
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -15,7 +15,7 @@
 
 func TestMain(m *testing.M) { launcher.Main(m) }
 
-// TestFleetServes is the pattern for tests with real processes.
+// Guards against a fleet of real processes that does not serve.
 func TestFleetServes(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := launcher.Start(t, launcher.Options{Net: 30})
@@ -36,11 +36,8 @@
 	g.Expect(f.Terminate("osu-hall-1")).To(gomega.Succeed())
 }
 
-// TestReadWholeWaitsForTheLinesEnd
-// Symptom: a test with hundreds of runs fails at "unexpected end of JSON input".
-// Sequence: the stand-in writes a line across the end of a page; the test reads
-// the run log meanwhile and sees the bytes on the first page.
-// Cause: the reader took what was there for whole lines.
+// Guards against "unexpected end of JSON input" in tests that read a run log while its last line is
+// being written.
 func TestReadWholeWaitsForTheLinesEnd(t *testing.T) {
 	g := gomega.NewWithT(t)
 	path := filepath.Join(t.TempDir(), "runs")
--- a/launcher/leaving_test.go
+++ b/launcher/leaving_test.go
@@ -17,10 +17,10 @@
 	"rattanhoist.example/rattanhoist/loader"
 )
 
-// lateWork is the time after which an endpoint that left may get no request.
+// lateWork is the time after which an endpoint that left must not get requests.
 const lateWork = 3 * time.Second
 
-// endpoints of TestNoNewWorkAfterLeaving, by their number.
+// Numbers of the endpoints of TestNoNewWorkAfterLeaving.
 const (
 	leaves = iota + 1
 	silent
@@ -32,11 +32,10 @@
 
 var endpointNames = []string{leaves: "leaves", silent: "silent", killed: "killed", flaps: "flaps", toldOne: "told-one", stays: "stays"}
 
-// TestNoNewWorkAfterLeaving: endpoints that are gone get requests seconds
-// later. One announces that it leaves, one falls silent, one is killed, one
-// comes and goes, one tells a single router; meanwhile one router is stopped
-// with calls waiting in its sockets and then continued, and one can't hear any
-// other router. Each time a router trusted what it had heard before.
+// Guards against requests to endpoints seconds after they left, because a router trusts old announcements.
+// One endpoint announces its leave, one falls silent, one is killed, one joins and leaves repeatedly, one
+// announces its leave to a single router only. Meanwhile a router is frozen with calls waiting in its
+// sockets and resumed, and another one is partitioned from all other routers.
 func TestNoNewWorkAfterLeaving(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := launcher.Start(t, launcher.Options{Net: 100})
@@ -74,7 +73,7 @@
 	cut := time.Now()
 	cutFromRouters(f, cutOff)
 	f.Freeze(frozen.Name())
-	// Renewals of every endpoint now lie in the stopped router's sockets.
+	// The sockets of the frozen router now hold renewals of all endpoints.
 	froze := time.Now()
 	f.Eventually("renewals wait", func() bool { return time.Since(froze) > time.Second })
 	gone[silent] = time.Now()
@@ -115,9 +114,8 @@
 	}
 }
 
-// TestZoneThatAsksInTurn: in a zone with more routers than are asked in a
-// round, some never hear of an endpoint, or only until it is too old. Each
-// asks others in turn, which have it from others again; one is stopped.
+// Guards against routers that do not learn of an endpoint, or whose information expires, in a zone with
+// more routers than each of them queries in a round. One router is frozen.
 func TestZoneThatAsksInTurn(t *testing.T) {
 	f := launcher.Start(t, launcher.Options{Net: 101, Zones: []string{"osu-hall"}, Routers: 6})
 	l := loadOf(t, f)
@@ -150,7 +148,7 @@
 	gomega.NewWithT(t).Expect(last).To(gomega.BeTemporally("<", gone.Add(lateWork)))
 }
 
-// loadOf makes a workspace and returns its load.
+// loadOf creates a workspace and returns the load that it causes.
 func loadOf(t *testing.T, f *launcher.Fleet) imitator.Load {
 	t.Helper()
 	f.Eventually("keepers answer", func() bool { _, code := f.Command("config", "show"); return code == 0 })
@@ -170,8 +168,8 @@
 	}
 }
 
-// sendEverywhere sends the load to every router at once; the returned function
-// ends it and returns what came of it at each router.
+// sendEverywhere sends the load to all routers at the same time. The returned function ends it and returns
+// the results of each router.
 func sendEverywhere(t *testing.T, f *launcher.Fleet, l imitator.Load) func() map[string]imitator.Summary {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -207,8 +205,8 @@
 	}
 }
 
-// listen takes the place of an endpoint and tells when requests came, if only
-// their first byte. A connection that carries none is no work.
+// listen replaces an endpoint and records when the first bytes of requests arrive. Connections without
+// any bytes do not count.
 func listen(t *testing.T, address string) func() []time.Time {
 	t.Helper()
 	l, err := net.Listen("tcp", address)
@@ -243,7 +241,7 @@
 	}
 }
 
-// beginsAfter counts the runs of requests with a prefix since a time.
+// beginsAfter returns the number of runs since a time, of requests whose ids have a prefix.
 func beginsAfter(f *launcher.Fleet, endpoint, prefix string, since time.Time) int {
 	n := 0
 	for _, r := range f.Runs(endpoint) {
--- a/launcher/load_test.go
+++ b/launcher/load_test.go
@@ -14,8 +14,7 @@
 	"rattanhoist.example/rattanhoist/loader"
 )
 
-// TestLoadChecksEveryAnswer holds the oracle of the callers against real
-// engines and a plain service behind real routers.
+// Guards against callers whose checks of answers don't fit real engines and plain services.
 func TestLoadChecksEveryAnswer(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := launcher.Start(t, launcher.Options{Net: 109})
--- a/launcher/source.go
+++ b/launcher/source.go
@@ -8,11 +8,10 @@
 	"strings"
 )
 
-// noteSources looks at every source file of the module. Go's test cache keys a
-// result by the files that the test looked at, and knows nothing of the
-// binaries that it builds: without this, a test of real processes passes from
-// the cache after the product has changed.
-func noteSources() error {
+// statSources reads the attributes of all source files of the module. Go caches the result of a test by
+// the files that the test accesses, which do not include the sources of binaries that it builds. Without
+// this, a cached result would be used after the product has changed.
+func statSources() error {
 	out, err := exec.Command("go", "env", "GOMOD").Output()
 	if err != nil {
 		return err
--- a/launcher/starter.go
+++ b/launcher/starter.go
@@ -7,14 +7,11 @@
 	"syscall"
 )
 
-// start has the kernel end the process when this one ends. Without that, a
-// test that runs out of its time leaves a deployment behind that holds its
-// addresses, and every later run of the test fails with "address already in
-// use".
+// start starts a process that the kernel kills when this process ends. Otherwise, a test that exceeds its
+// time limit leaves a deployment behind, and later runs fail with "address already in use".
 //
-// The kernel watches the thread that started the process. All starts are made
-// on one thread that lives as long as the tests: a thread that Go's runtime
-// ends earlier would take a running deployment with it.
+// The kernel kills the process when the thread that started it ends. Therefore all processes are started
+// by one thread that runs as long as the tests, because Go's runtime may end other threads earlier.
 func start(c *exec.Cmd) error {
 	startOnce.Do(func() { go starter() })
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/launcher/state.go
+++ b/launcher/state.go
@@ -10,13 +10,11 @@
 	"rattanhoist.example/rattanhoist/loader"
 )
 
-// askWait bounds one question to a process about its state.
-const askWait = time.Second
+// queryTimeout bounds one query of the state of a process.
+const queryTimeout = time.Second
 
-// AwaitPaired waits until every keeper's vault has a whole copy at its mirror.
-// A keeper that is cut off or loses its mirror before that answers nothing, by
-// design, until it has one: a test that begins its faults earlier would wait
-// for answers in vain.
+// AwaitPaired waits until the vault of each keeper has a complete copy at its mirror. Until then, a
+// keeper that is partitioned or loses its mirror does not answer, so tests must not cause faults before.
 func (f *Fleet) AwaitPaired() {
 	f.t.Helper()
 	for _, p := range f.settings.Processes(loader.KindKeeper) {
@@ -26,8 +24,8 @@
 	}
 }
 
-// AwaitEndpoints waits until every router may use so many endpoints, or more: a
-// router that has not heard of any refuses what its siblings would answer.
+// AwaitEndpoints waits until each router may use at least the given number of endpoints. Until then, it
+// may refuse requests that other routers would serve.
 func (f *Fleet) AwaitEndpoints(n int) {
 	f.t.Helper()
 	f.Eventually("every router may use the endpoints", func() bool {
@@ -51,8 +49,7 @@
 	})
 }
 
-// Mode returns the mirror mode that a keeper's counters tell, "" while it does
-// not answer.
+// Mode returns the mirror mode from the counters of a keeper, or "" if it does not answer.
 func (f *Fleet) Mode(keeper string) string {
 	f.t.Helper()
 	p, err := f.settings.Process(loader.KindKeeper, keeper)
@@ -73,8 +70,8 @@
 	return vars.BudgetVault.Mode
 }
 
-// AwaitInForce waits until every router serves the latest configuration: a
-// router that lags refuses a workspace that was made a moment ago.
+// AwaitInForce waits until each router serves the latest configuration. Until then, a router may refuse
+// requests of a new workspace.
 func (f *Fleet) AwaitInForce() {
 	f.t.Helper()
 	var latest struct{ Version string }
@@ -86,7 +83,7 @@
 	})
 }
 
-// serving counts the routers that serve a version.
+// serving returns the number of routers that serve a version.
 func (f *Fleet) serving(version string) int {
 	var r struct {
 		Nodes []struct{ Node, Version string }
@@ -104,7 +101,7 @@
 	return n
 }
 
-// Ready reports whether a router says that it serves.
+// Ready reports whether a router states that it is ready.
 func (f *Fleet) Ready(router string) bool {
 	p, err := f.settings.Process(loader.KindRouter, router)
 	if err != nil {
@@ -118,8 +115,8 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// get asks a process, for askWait at most. The deadline covers the body too.
+// get queries a process, for at most queryTimeout, which includes reading the body.
 func get(url string) (*http.Response, error) {
-	c := http.Client{Timeout: askWait}
+	c := http.Client{Timeout: queryTimeout}
 	return c.Get(url)
 }
--- a/messenger/guard_test.go
+++ b/messenger/guard_test.go
@@ -77,10 +77,8 @@
 	g.Expect(status.Code(err)).To(gomega.Equal(codes.Unauthenticated))
 }
 
-// Symptom: a change that an operator made once is made again.
-// Sequence: the proof of an operator's call is recorded on the wire and sent
-// with another body to the same method, at once or just before it gets old.
-// Cause: the proof does not cover the body, so it must not count twice.
+// Guards against a replayed proof of an operator, which does not cover the body of the call: it is sent
+// again to the same method with another body, at once or just before it expires.
 func TestOperatorsProofCountsOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := noon
--- a/scripts/ablations_test.go
+++ b/scripts/ablations_test.go
@@ -10,9 +10,8 @@
 	"gopkg.in/ini.v1"
 )
 
-// Symptom: a table of ablations shows that a mechanism is worth nothing.
-// Sequence: the line that switches it off is rewritten; the table is made again.
-// Cause: the text to replace was no longer there, or stood elsewhere first.
+// Guards against ablations that change nothing, because the text that they replace no longer exists or
+// occurs earlier in another place.
 func TestEachAblationSwitchesOneLineOff(t *testing.T) {
 	g := gomega.NewWithT(t)
 	list, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, "ablations.ini")
--- a/scripts/demo_test.go
+++ b/scripts/demo_test.go
@@ -19,10 +19,8 @@
 	keeperRPC = demoNet + "1.1:7071"
 )
 
-// Symptom: after `make demo | head` the next demo talks to processes of the
-// last one and fails with a proof that does not fit.
-// Sequence: the reader of the output ends; the demo writes a line.
-// Cause: the clean-up wrote to the closed pipe first and ended there.
+// Guards against processes that a demo leaves behind when the reader of its output ends, as in
+// `make demo | head`: the next demo would connect to them.
 func TestDemoStopsItsProcessesWhenItsReaderIsGone(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r, w, err := os.Pipe()
