A router that restarts without paths is relayed at once

Callers saw: a router that was restarted while its paths to endpoints were cut refused them for 1 to 2 s more (503 'no path to endpoints', 'endpoints out of reach'), although another router had its paths. Cause: the relay checks the proof of the new incarnation against its list of routers, which it renews every 2 s. The refusals are in the relay's lines 'relay refused: the proof does not fit', in the seconds in which the callers were refused. Change: a refused proof makes the relay ask for the list with its next sync, as datagrams of unknown routers do.

Found by TestSoakOfLostPaths, whose routers now are processes of their own that are also killed, and which takes SOAK_ROUTERS.

--- a/courier/partition_soak_test.go
+++ b/courier/partition_soak_test.go
@@ -7,11 +7,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"regexp"
-	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,8 +19,10 @@
 
 const (
 	// soakSeed is the seed of the run in CI. SOAK_SEED replaces it; each seed has addresses of its own.
-	soakSeed     = 1
-	soakDuration = 20 * time.Second
+	soakSeed = 1
+	// soakPartitionedRouters is the number of router processes, which SOAK_ROUTERS replaces.
+	soakPartitionedRouters = 4
+	soakDuration           = 20 * time.Second
 	// soakBody is the whole answer of an engine.
 	soakBody = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
 	// minServedInSoak is the part of the answers that must be whole, as users require of routers
@@ -116,42 +117,34 @@
 }
 
 // Guards against requests that run twice, that run although they were refused as not run, or whose
-// answer is not whole, while paths of routers to endpoints are lost and come back in all ways and
-// routers are stopped and started. Router 7 always has its paths, and callers go on using their
-// connections until the process is gone.
+// answer is not whole, while paths of router processes to endpoints are lost and come back in all ways
+// and routers are stopped, killed and started. The last router always has its paths, and callers go on
+// using their connections until the process is gone.
 func TestSoakOfLostPaths(t *testing.T) {
 	t.Parallel()
-	seed := uint64(soakSeed)
-	if s := os.Getenv("SOAK_SEED"); s != "" {
-		n, err := strconv.ParseUint(s, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		seed = n
-	}
+	seed, count := soakSetting(t, "SOAK_SEED", soakSeed), int(soakSetting(t, "SOAK_ROUTERS", soakPartitionedRouters))
 	r := rand.New(rand.NewPCG(seed, 0))
-	f, g := startCluster(t, 110+int(seed%100))
+	f, g := startCluster(t, 110+int(seed%50))
 	f.publish(g, 1, document(2, 100_000_000))
-	cuts := map[int]*partition{}
-	for n := 4; n <= 7; n++ {
-		cuts[n] = newPartition()
-		f.partitionedRouter(n, cuts[n])
+	routers := make([]*partitionedProcess, count)
+	for i := range routers {
+		routers[i] = f.partitionedProcess(firstRouter + i)
 	}
 	engines := &soakEngines{runs: map[string]int{}}
-	for i := range 4 {
+	for i := range max(4, count/5) {
 		engines.start(f, fmt.Sprint("i-", i), r)
 	}
-	for n := 4; n <= 7; n++ {
-		f.awaitServing(g, n)
+	for i := range routers {
+		f.awaitServing(g, firstRouter+i)
 	}
 	var mu sync.Mutex
 	answers := map[string]soakAnswer{}
 	stop := make(chan struct{})
-	var callers sync.WaitGroup
-	for n := 4; n <= 7; n++ {
-		for k := range 3 {
+	var callers, restarts sync.WaitGroup
+	for i := range routers {
+		for k := range max(1, 12/count) {
 			callers.Go(func() {
-				soakCaller(f, n, fmt.Sprintf("r%d-%d", n, k), stop, func(id string, a soakAnswer) {
+				soakCaller(f, firstRouter+i, fmt.Sprintf("r%d-%d", firstRouter+i, k), stop, func(id string, a soakAnswer) {
 					mu.Lock()
 					defer mu.Unlock()
 					answers[id] = a
@@ -159,18 +152,22 @@
 			})
 		}
 	}
-	for begun := time.Now(); time.Since(begun) < soakDuration; time.Sleep(time.Duration(r.IntN(600)) * time.Millisecond) {
-		n := 4 + r.IntN(3)
+	// As often for each router in a fleet of any size.
+	pause := 600 * time.Millisecond * soakPartitionedRouters / time.Duration(count)
+	for begun := time.Now(); time.Since(begun) < soakDuration; time.Sleep(time.Duration(r.Int64N(int64(pause)))) {
+		p := routers[r.IntN(count-1)]
 		if r.IntN(8) == 0 {
-			f.stop(fmt.Sprint("router", n))
-			f.partitionedRouter(n, cuts[n])
+			how := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[r.IntN(2)]
+			t.Logf("router %d: %s", p.number, how)
+			restarts.Go(func() { p.restart(how) })
 			continue
 		}
 		c := []cut{cutNone, cutHang, cutRefuse, cutReset, cutResetRefuse}[r.IntN(5)]
-		t.Logf("router %d: cut %d", n, c)
-		cuts[n].set(c)
+		t.Logf("router %d: cut %d", p.number, c)
+		p.set(c)
 	}
-	for _, p := range cuts {
+	restarts.Wait()
+	for _, p := range routers {
 		p.set(cutNone)
 	}
 	close(stop)
@@ -194,7 +191,7 @@
 			answered++
 		}
 		if a.status != 200 || !a.whole {
-			outcomes[fmt.Sprintf("%s %d %s", id[:2], a.status, addressPattern.ReplaceAllString(strings.TrimSpace(a.body), "ADDRESS"))]++
+			outcomes[fmt.Sprintf("%s %d %s", id[:strings.Index(id, "-")], a.status, addressPattern.ReplaceAllString(strings.TrimSpace(a.body), "ADDRESS"))]++
 		}
 	}
 	t.Logf("%d of %d answers are whole; the others: %v", served, answered, outcomes)
--- a/courier/partition_test.go
+++ b/courier/partition_test.go
@@ -416,3 +416,29 @@
 	on.set(cutRefuse)
 	g.Expect(f.served(5, 5, "on")).To(gomega.BeZero())
 }
+
+// Guards against a router that refuses its callers for seconds because it starts without paths to
+// endpoints, and the routers that have paths do not know its new incarnation.
+func TestRouterThatRestartsWithoutPathsServesThroughOthers(t *testing.T) {
+	t.Parallel()
+	f, g := startCluster(t, 101)
+	f.publish(g, 1, document(2, 1_000_000))
+	p := newPartition()
+	f.partitionedRouter(4, p)
+	f.router(5)
+	f.sendHeartbeats("i-1", f.engine("i-1"))
+	f.awaitServing(g, 4)
+	f.awaitServing(g, 5)
+	p.set(cutResetRefuse)
+	for i := range 3 {
+		f.stop("router4")
+		f.partitionedRouter(4, p)
+		g.Eventually(func() int {
+			status, _ := f.call("GET", f.ip(4)+":8220", "/v1/ready", "")
+			return status
+		}, 5*time.Second, 5*time.Millisecond).Should(gomega.Equal(200))
+		served := f.served(4, 150, fmt.Sprint("restarted-", i, "-"))
+		t.Logf("%d of 150 requests in the first 3 s are served", served)
+		g.Expect(served).To(gomega.BeNumerically(">=", 100))
+	}
+}
--- a/courier/relay.go
+++ b/courier/relay.go
@@ -83,7 +83,7 @@
 func newRelays(f *fleetView, a *shaper.Admission, o Options) *relays {
 	r := &relays{table: f.table, pool: f.pool, admission: a, log: o.Log}
 	r.dialer = relayer.NewDialer(f, messenger.DialFunc(pooler.DialDirect))
-	r.server = relayer.NewServer(r, messenger.NewMemberGuard(f.incarnationOf, time.Now), r.dialer.Proven, o.Log)
+	r.server = relayer.NewServer(r, messenger.NewMemberGuard(f.incarnationOf, time.Now), func() { f.listRoutersSoon(time.Now()) }, r.dialer.Proven, o.Log)
 	return r
 }
 
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -226,7 +226,8 @@
 }
 
 // listRoutersSoon makes the next sync ask for the list of routers, at most once in
-// minRouterListInterval: a router that this one does not know has sent something.
+// minRouterListInterval. It is called when a router that this one does not know has sent something. It
+// is safe for concurrent use.
 func (f *fleetView) listRoutersSoon(now time.Time) {
 	at := int64(now.Sub(f.startedAt))
 	last := f.listSoonAt.Load()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -34,6 +35,8 @@
 	reachesOthers bool
 	busy          bool
 	connects      int
+	// refusals counts the callers without a valid proof.
+	refusals atomic.Int64
 }
 
 func (e *endpoints) Connect(ctx context.Context, name string) (net.Conn, error) {
@@ -78,7 +81,7 @@
 // startRelay starts a relay and returns its internal address.
 func startRelay(t *testing.T, e *endpoints, proven string) (string, *relayer.Server) {
 	guard := messenger.NewMemberGuard(func(address string) (uint64, bool) { return incarnation, address == routerAddress }, time.Now)
-	s := relayer.NewServer(e, guard, func() string { return proven }, zap.NewNop())
+	s := relayer.NewServer(e, guard, func() { e.refusals.Add(1) }, func() string { return proven }, zap.NewNop())
 	rpc := messenger.NewFleetServer()
 	messenger.RegisterFleetRouterServer(rpc, routerServer{Server: s})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -209,6 +212,7 @@
 		g.Expect(status.Code(err)).To(gomega.Equal(codes.Unauthenticated), "%v", err)
 	}
 	g.Expect(e.connects).To(gomega.BeZero())
+	g.Expect(e.refusals.Load()).To(gomega.Equal(int64(3)), "a router that has just started becomes known soon")
 }
 
 // Guards against mistaking a relay that has lost its own paths for an endpoint that is down, and the
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -54,7 +54,9 @@
 type Server struct {
 	endpoints Endpoints
 	guard     *messenger.MemberGuard
-	log       *zap.Logger
+	// refused is called for each caller without a valid proof: it may have started lately.
+	refused func()
+	log     *zap.Logger
 	// refusalLog logs at most maxRefusalLogLines a second.
 	refusalLog *zap.Logger
 	// proven returns a relay that connected this router lately, or "".
@@ -66,10 +68,11 @@
 	closing bool
 }
 
-// NewServer returns a server for the members that the guard admits.
-func NewServer(e Endpoints, g *messenger.MemberGuard, proven func() string, log *zap.Logger) *Server {
+// NewServer returns a server for the members that the guard admits. It calls refused for each caller
+// that the guard does not admit.
+func NewServer(e Endpoints, g *messenger.MemberGuard, refused func(), proven func() string, log *zap.Logger) *Server {
 	return &Server{
-		endpoints: e, guard: g, proven: proven, log: log, refusalLog: reporter.Sampled(log, maxRefusalLogLines), relays: map[*relay]bool{},
+		endpoints: e, guard: g, refused: refused, proven: proven, log: log, refusalLog: reporter.Sampled(log, maxRefusalLogLines), relays: map[*relay]bool{},
 	}
 }
 
@@ -88,6 +91,7 @@
 func (s *Server) Relay(stream messenger.FleetRouter_RelayServer) error {
 	if err := s.guard.Check(stream.Context(), messenger.FleetRouter_Relay_FullMethodName); err != nil {
 		relayProofsRefused.Inc()
+		s.refused()
 		s.refusalLog.Warn("relay refused", zap.Error(err))
 		return err
 	}
