Prompt parts in the lines of crashes and broken-off requests

'endpoint ended under requests' now lists the shared parts of the requests, those that this router remembers an answer to apart from the others; 'ended' lists the parts of requests that broke off or were refused. Nothing is decided by them yet.

--- a/courier/liveness.go
+++ b/courier/liveness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +27,8 @@
 	// connections. It is then considered unreachable rather than ended, since an endpoint
 	// that ended may have restarted by that time.
 	probeDuration = 1500 * time.Millisecond
+	// maxLoggedParts is the maximum number of prompt parts in the log line of a crash.
+	maxLoggedParts = 64
 )
 
 // livenessChecks determine whether an endpoint ended while requests were in progress there. A
@@ -36,6 +39,8 @@
 	// connections of this router has ended; it may be the path that is gone.
 	dial         pooler.DialFunc
 	confirmEnded func(enroller.Heartbeat) bool
+	// answered reports whether requests with a part were answered lately.
+	answered func(quarantiner.SharedPart) bool
 	// onCrash receives the requests that were in progress at an endpoint that ended.
 	onCrash func([]quarantiner.Crash)
 
@@ -48,6 +53,7 @@
 	return &livenessChecks{
 		log: log, onCrash: crashed, pending: map[enroller.Incarnation][]quarantiner.Crash{},
 		dial: pooler.DialDirect, confirmEnded: func(enroller.Heartbeat) bool { return true },
+		answered: func(quarantiner.SharedPart) bool { return false },
 	}
 }
 
@@ -78,10 +84,36 @@
 	for i, c := range list {
 		contents[i] = c.Request
 	}
-	l.log.Info("endpoint ended under requests", zap.Stringer("endpoint", b.Incarnation), zap.String("service", b.Service), zap.Stringers("contents", contents))
+	answered, unanswered := l.divideParts(list)
+	l.log.Info("endpoint ended under requests", zap.Stringer("endpoint", b.Incarnation), zap.String("service", b.Service), zap.Stringers("contents", contents),
+		zap.Strings("parts_unanswered", unanswered), zap.Strings("parts_answered", answered))
 	l.onCrash(list)
 }
 
+// divideParts returns the prompt parts of the requests, each with the number of requests that have
+// it, divided into those that were answered lately and the others.
+func (l *livenessChecks) divideParts(list []quarantiner.Crash) (answered, unanswered []string) {
+	requests := map[quarantiner.SharedPart]int{}
+	var parts []quarantiner.SharedPart
+	for _, c := range list {
+		for _, p := range c.Parts {
+			s := quarantiner.SharedPart{Workspace: c.Request.Workspace, Part: p}
+			if requests[s]++; requests[s] == 1 && len(parts) < maxLoggedParts {
+				parts = append(parts, s)
+			}
+		}
+	}
+	for _, s := range parts {
+		entry := fmt.Sprintf("%s:%d", s.Part, requests[s])
+		if l.answered(s) {
+			answered = append(answered, entry)
+		} else {
+			unanswered = append(unanswered, entry)
+		}
+	}
+	return answered, unanswered
+}
+
 // refusesConnections reports whether nothing listens at an address. A running endpoint
 // accepts the connection, and an unreachable one doesn't respond.
 func (l *livenessChecks) refusesConnections(address string) bool {
--- a/courier/quarantine.go
+++ b/courier/quarantine.go
@@ -53,8 +53,9 @@
 	log  *zap.Logger
 	held atomic.Pointer[heldRequests]
 
-	mu       sync.Mutex
-	answered quarantiner.AnsweredRequests
+	mu            sync.Mutex
+	answered      quarantiner.AnsweredRequests
+	answeredParts quarantiner.AnsweredParts
 	// local evaluates the crashes that this router saw, so that it protects endpoints while
 	// no keeper can be reached.
 	local *quarantiner.CrashTracker
@@ -73,6 +74,7 @@
 	q := &quarantine{log: log, local: quarantiner.NewCrashTracker(localHoldDuration)}
 	q.held.Store(&heldRequests{})
 	q.livenessChecks = newLivenessChecks(log, q.recordCrashes)
+	q.livenessChecks.answered = q.answeredLately
 	return q
 }
 
@@ -86,10 +88,14 @@
 }
 
 // RecordSuccess records that an endpoint answered a request completely.
-func (q *quarantine) RecordSuccess(f quarantiner.Fingerprint) {
+func (q *quarantine) RecordSuccess(in quarantiner.Input) {
+	f, now := in.Fingerprint, time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.answered.Add(f)
+	for _, p := range in.Parts {
+		q.answeredParts.Add(now, quarantiner.SharedPart{Workspace: f.Workspace, Part: p})
+	}
 	if (q.local.IsSuspect(f) || q.HeldFor(f) > 0) && !slices.Contains(q.cleared, f) && len(q.cleared) < maxReported {
 		q.cleared = append(q.cleared, f)
 		q.local.Clear(f)
@@ -97,12 +103,19 @@
 }
 
 // RecordBrokenOff records that the connection of a request in progress ended before its response did.
-func (q *quarantine) RecordBrokenOff(e *predictor.Endpoint, f quarantiner.Fingerprint, underway time.Duration) {
+func (q *quarantine) RecordBrokenOff(e *predictor.Endpoint, in quarantiner.Input, underway time.Duration) {
 	q.livenessChecks.connectionBroken(e.Beat(), quarantiner.Crash{
-		Request: f, Endpoint: e.Beat().Incarnation, At: time.Now(), Elapsed: underway,
+		Request: in.Fingerprint, Parts: in.Parts, Endpoint: e.Beat().Incarnation, At: time.Now(), Elapsed: underway,
 	})
 }
 
+// answeredLately reports whether this router remembers an answer to a request with the part.
+func (q *quarantine) answeredLately(p quarantiner.SharedPart) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !q.answeredParts.At(p).IsZero()
+}
+
 // recordCrashes records the requests that were in progress at an endpoint that ended.
 // Requests that an endpoint has answered are left out.
 func (q *quarantine) recordCrashes(list []quarantiner.Crash) {
--- a/courier/quarantine_internal_test.go
+++ b/courier/quarantine_internal_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/messenger"
@@ -19,6 +20,8 @@
 	return quarantiner.Fingerprint{Workspace: "w", Sum: n}
 }
 
+func input(n uint64) quarantiner.Input { return quarantiner.Input{Fingerprint: content(n)} }
+
 func crash(request uint64, endpoint int) quarantiner.Crash {
 	return quarantiner.Crash{Request: content(request), Endpoint: enroller.Incarnation{ID: fmt.Sprint("e", endpoint)}, At: time.Now().Add(time.Duration(endpoint) * time.Second)}
 }
@@ -33,6 +36,28 @@
 	return out, t
 }
 
+// Guards against ends of endpoints whose log lines do not show that the requests had a prompt part
+// in common which no endpoint has answered.
+func TestCrashLineNamesPromptParts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	stopped, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(stopped.Close()).To(gomega.Succeed())
+	core, lines := observer.New(zap.InfoLevel)
+	q := newQuarantine(zap.New(core))
+	with := func(n uint64, parts ...quarantiner.Part) quarantiner.Input {
+		return quarantiner.Input{Fingerprint: content(n), Parts: parts}
+	}
+	q.RecordSuccess(with(1, 0xa1))
+	e := predictor.NewEndpoint(enroller.Heartbeat{Incarnation: enroller.Incarnation{ID: "e1"}, Address: stopped.Addr().String()})
+	q.RecordBrokenOff(e, with(2, 0xa1, 0xb2), time.Second)
+	q.RecordBrokenOff(e, with(3, 0xa1), time.Second)
+	g.Eventually(lines.Len, 2*time.Second).Should(gomega.Equal(1))
+	fields := lines.All()[0].ContextMap()
+	g.Expect(fields["parts_unanswered"]).To(gomega.Equal([]any{"b2:1"}))
+	g.Expect(fields["parts_answered"]).To(gomega.Equal([]any{"a1:2"}))
+}
+
 // Guards against treating a harmless request as one that crashes endpoints. The endpoints
 // reset connections under it and keep running, so a broken connection is no crash.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
@@ -46,8 +71,8 @@
 	q := newQuarantine(zap.NewNop())
 	for n, l := range []net.Listener{alive, stopped} {
 		e := predictor.NewEndpoint(enroller.Heartbeat{Incarnation: enroller.Incarnation{ID: fmt.Sprint("e", n)}, Address: l.Addr().String()})
-		q.RecordBrokenOff(e, content(uint64(10+n)), time.Second)
-		q.RecordBrokenOff(e, content(uint64(20+n)), time.Second)
+		q.RecordBrokenOff(e, input(uint64(10+n)), time.Second)
+		q.RecordBrokenOff(e, input(uint64(20+n)), time.Second)
 	}
 	g.Eventually(func() []uint64 { out, _ := pendingReport(q); return out }, 2*time.Second).Should(gomega.ConsistOf(uint64(11), uint64(21)))
 	g.Consistently(func() []uint64 { out, _ := pendingReport(q); return out }, 200*time.Millisecond).Should(gomega.HaveLen(2))
@@ -59,7 +84,7 @@
 func TestAnsweredRequestIsNoSuspect(t *testing.T) {
 	g := gomega.NewWithT(t)
 	q := newQuarantine(zap.NewNop())
-	q.RecordSuccess(content(1))
+	q.RecordSuccess(input(1))
 	for e := range 5 {
 		q.recordCrashes([]quarantiner.Crash{crash(1, e), crash(uint64(100+e), e)})
 	}
@@ -120,9 +145,9 @@
 	now := time.Now()
 	q := newQuarantine(zap.NewNop())
 	q.update(now, []*messenger.QuarantineTold{{Request: content(1).Message(), Number: 1, LeftMs: 3_600_000}})
-	q.RecordSuccess(content(2))
-	q.RecordSuccess(content(1))
-	q.RecordSuccess(content(1))
+	q.RecordSuccess(input(2))
+	q.RecordSuccess(input(1))
+	q.RecordSuccess(input(1))
 	r := &messenger.SyncRequest{}
 	report := q.fillRequest(r)
 	g.Expect(r.Answered).To(gomega.HaveLen(1))
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -113,7 +113,7 @@
 func (j *job) reportBrokenOff(ctx context.Context, e *predictor.Endpoint, underway time.Duration) {
 	if ctx.Err() == nil {
 		j.suspected = true
-		j.f.Quarantine.RecordBrokenOff(e, j.fingerprint, underway)
+		j.f.Quarantine.RecordBrokenOff(e, j.input(), underway)
 	}
 }
 
@@ -124,7 +124,7 @@
 	j.completed = true
 	e.Gate().Step(time.Since(j.f.start), ejector.Succeeded, 0)
 	if status < http.StatusMultipleChoices {
-		j.f.Quarantine.RecordSuccess(j.fingerprint)
+		j.f.Quarantine.RecordSuccess(j.input())
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -130,10 +130,10 @@
 	HeldFor(quarantiner.Fingerprint) time.Duration
 	// RecordSuccess records that an endpoint answered a request completely and
 	// successfully.
-	RecordSuccess(quarantiner.Fingerprint)
+	RecordSuccess(quarantiner.Input)
 	// RecordBrokenOff records that an endpoint's connection ended before the answer was
 	// complete; underway is the time since the request was sent there.
-	RecordBrokenOff(e *predictor.Endpoint, f quarantiner.Fingerprint, underway time.Duration)
+	RecordBrokenOff(e *predictor.Endpoint, in quarantiner.Input, underway time.Duration)
 }
 
 // Admission decides which requests this router accepts.
@@ -446,6 +446,18 @@
 	j.fingerprint = r.Fingerprint()
 }
 
+// input describes the request to the quarantine.
+func (j *job) input() quarantiner.Input {
+	in := quarantiner.Input{Fingerprint: j.fingerprint}
+	if j.caller.Prompt == nil {
+		return in
+	}
+	for _, p := range j.caller.Prompt.Shared() {
+		in.Parts = quarantiner.AppendPart(in.Parts, quarantiner.NewPart(p.ID))
+	}
+	return in
+}
+
 // chooseService chooses a service at random, by weight.
 func chooseService(shares []publisher.Share) string {
 	var sum int64
@@ -581,7 +593,7 @@
 		fields = append(fields, zap.Strings("relays", j.relays))
 	}
 	if j.suspected {
-		fields = append(fields, zap.Stringer("content", j.fingerprint))
+		fields = append(fields, zap.Stringer("content", j.fingerprint), zap.Stringers("parts", j.input().Parts))
 	}
 	if reason != "" {
 		fields = append(fields, zap.String("why", reason))
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -255,7 +255,7 @@
 	}
 	g.Expect(w.quarantine.broken).To(gomega.HaveLen(2))
 	g.Expect(w.quarantine.broken[0]).To(gomega.Equal(w.quarantine.broken[1]))
-	g.Expect(w.quarantine.broken[0].Workspace).To(gomega.Equal("labone"))
+	g.Expect(w.quarantine.broken[0].Fingerprint.Workspace).To(gomega.Equal("labone"))
 	g.Expect(w.quarantine.answered).To(gomega.BeEmpty())
 
 	for name, c := range map[string]struct {
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -315,7 +315,7 @@
 // quarantineStub records its calls.
 type quarantineStub struct {
 	mu               sync.Mutex
-	broken, answered []quarantiner.Fingerprint
+	broken, answered []quarantiner.Input
 	heldFor          time.Duration
 }
 
@@ -325,14 +325,14 @@
 	return q.heldFor
 }
 
-func (q *quarantineStub) RecordSuccess(f quarantiner.Fingerprint) {
+func (q *quarantineStub) RecordSuccess(in quarantiner.Input) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.answered = append(q.answered, f)
+	q.answered = append(q.answered, in)
 }
 
-func (q *quarantineStub) RecordBrokenOff(_ *predictor.Endpoint, f quarantiner.Fingerprint, _ time.Duration) {
+func (q *quarantineStub) RecordBrokenOff(_ *predictor.Endpoint, in quarantiner.Input, _ time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.broken = append(q.broken, f)
+	q.broken = append(q.broken, in)
 }
--- a/quarantiner/crash_tracker.go
+++ b/quarantiner/crash_tracker.go
@@ -28,7 +28,9 @@
 
 // Crash is one request that was in progress at an endpoint when the endpoint crashed.
 type Crash struct {
-	Request  Fingerprint
+	Request Fingerprint
+	// Parts holds the shared parts of the request's prompt.
+	Parts    []Part
 	Endpoint enroller.Incarnation
 	// At is when the connection broke, converted to the local clock.
 	At time.Time
