--- a/courier/quarantine_test.go
+++ b/courier/quarantine_test.go
@@ -16,16 +16,22 @@
 // crashingBody is the request body that crashes an engine.
 const crashingBody = "poison"
 
-// crashingEngines are engines that end as soon as they begin to run a request with
-// crashingBody, together with all other requests that run there. After the downtime, they
-// restart as new incarnations.
+// crashingEngines are engines that end as soon as they begin to run certain requests, together with
+// all other requests that run there. After the downtime, they restart as new incarnations.
 type crashingEngines struct {
 	f        *cluster
 	downtime time.Duration
+	// crashes reports whether a request ends its engine; nil stands for those with crashingBody.
+	crashes func(r *http.Request, body string) bool
+	// pause is the time between the two events of an answer.
+	pause time.Duration
 
 	mu sync.Mutex
-	// ended holds when engines ended, and reached when they received crashingBody.
+	// ended holds when engines ended because of a request, and reached when they received such
+	// requests.
 	ended, reached []time.Time
+	// ends holds the functions that end the incarnations that run now.
+	ends map[string]func()
 }
 
 func (m *crashingEngines) run(name string) {
@@ -54,8 +60,19 @@
 func (m *crashingEngines) runIncarnation(ctx context.Context, id string, l net.Listener) {
 	ctx, end := context.WithCancel(ctx)
 	defer end()
+	m.mu.Lock()
+	if m.ends == nil {
+		m.ends = map[string]func(){}
+	}
+	m.ends[id] = end
+	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.ends, id)
+	}()
 	s := &http.Server{ReadHeaderTimeout: time.Second}
-	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.handle(w, r, id, end) })
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.handle(ctx, w, r, id, end) })
 	go func() { _ = s.Serve(l) }()
 	defer s.Close()
 	for n := 1; ctx.Err() == nil; n++ {
@@ -70,7 +87,7 @@
 }
 
 // handle answers with two events of five tokens, or ends the engine.
-func (m *crashingEngines) handle(w http.ResponseWriter, r *http.Request, id string, end func()) {
+func (m *crashingEngines) handle(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, end func()) {
 	if r.Header.Get("Rattanhoist-Target-Instance") != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -83,8 +100,13 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
-	if string(body) != crashingBody {
-		_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
+	if !m.crashesEngine(r, string(body)) {
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(m.pause)
+		if ctx.Err() == nil {
+			_, _ = io.WriteString(w, "id: 2\ndata: x\n\n")
+		}
 		return
 	}
 	m.mu.Lock()
@@ -98,17 +120,34 @@
 	<-r.Context().Done()
 }
 
-// lateArrivals returns how many requests with crashingBody reached an engine later than
-// contactWindow after the third crash.
-func (m *crashingEngines) lateArrivals() int {
+func (m *crashingEngines) crashesEngine(r *http.Request, body string) bool {
+	if m.crashes == nil {
+		return body == crashingBody
+	}
+	return m.crashes(r, body)
+}
+
+// endOne ends an engine without a cause, if one runs.
+func (m *crashingEngines) endOne() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, end := range m.ends {
+		end()
+		return
+	}
+}
+
+// lateArrivals returns how many requests that end engines reached one later than contactWindow after
+// the crash with that number.
+func (m *crashingEngines) lateArrivals(crash int) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.ended) < 3 {
+	if len(m.ended) < crash {
 		return 0
 	}
 	n := 0
 	for _, t := range m.reached {
-		if t.After(m.ended[2].Add(contactWindow)) {
+		if t.After(m.ended[crash-1].Add(contactWindow)) {
 			n++
 		}
 	}
@@ -126,7 +165,7 @@
 // at every router, as required by users.
 const contactWindow = 3 * time.Second
 
-// maxLateArrivals is how many requests with crashingBody may still arrive later than that.
+// maxLateArrivals is how many requests that end engines may still arrive later than that.
 const maxLateArrivals = 3
 
 // Guards against a request that ends one engine after the other for as long as its caller
@@ -161,7 +200,7 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	g.Expect(m.crashCount()).To(gomega.BeNumerically(">=", 3), "the engines crash")
-	g.Expect(m.lateArrivals()).To(gomega.BeNumerically("<=", maxLateArrivals))
+	g.Expect(m.lateArrivals(3)).To(gomega.BeNumerically("<=", maxLateArrivals))
 	g.Expect(last).To(gomega.Equal(http.StatusServiceUnavailable), "the response says that it did not run")
 	for i := range 12 {
 		g.Expect(send(i, fmt.Sprint("after ", i))).To(gomega.Equal(http.StatusOK), "all others are served")
