--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -145,7 +145,7 @@
 
 func newFleetView(o Options, incarnation uint64, table *predictor.Table, pool *pooler.Pool) *fleetView {
 	f := &fleetView{
-		options: o, table: table, pool: pool, quarantine: newQuarantine(o.Log), localizer: localizer.New(o.Node.Regions()), startedAt: time.Now(),
+		options: o, table: table, pool: pool, quarantine: newQuarantine(o.Log, o.Node.Features().PartQuarantine), localizer: localizer.New(o.Node.Regions()), startedAt: time.Now(),
 		self:    &messenger.FleetMember{Address: o.Node.Internal(), Zone: o.Node.Zone(), Incarnation: incarnation},
 		keepers: map[string]*messenger.Link{}, keeperZones: map[string]string{},
 		registered: enroller.NewTable(maxMissedHeartbeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, cacheQueried: map[enroller.Incarnation]bool{},
@@ -230,6 +230,7 @@
 		f.updatePeers(listed)
 	}
 	// These come before the document, because a starting router serves callers once it has one.
+	f.quarantine.setSuspects(r.Suspects)
 	f.quarantine.update(now, r.Quarantined)
 	f.evacuations.update(now, r.Evacuations)
 	f.shedding.observe(r.ZoneLoad)
--- a/courier/quarantine.go
+++ b/courier/quarantine.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"rattanhoist.example/rattanhoist/forwarder"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/quarantiner"
@@ -19,8 +20,16 @@
 	// keepers. Beyond it, the oldest are dropped. A router that is disconnected for as long
 	// as network partitions usually last sees fewer.
 	maxRecentCrashes = 1024
-	// maxReported is the maximum number of crashes in one sync request, at some 60 bytes each.
+	// maxReported is the maximum number of crashes in one sync request, at some 60 bytes each and
+	// 8 for each prompt part.
 	maxReported = 256
+	// maxAnswersReported is the maximum number of answered prompt parts in one sync request, at
+	// some 25 bytes each. An answer is reported if it is newer by answerReportInterval than the one
+	// reported before.
+	maxAnswersReported   = 64
+	answerReportInterval = time.Second
+	// maxRefusedReported is the maximum number of refused prompt parts in one sync request.
+	maxRefusedReported = 8
 	// crashRetention is how long crashes are kept after they have been reported. Keepers
 	// that restart have lost the earlier reports.
 	crashRetention = time.Minute
@@ -29,15 +38,17 @@
 	localHoldDuration = time.Minute
 )
 
-// heldRequests is an immutable snapshot of the requests that a router refuses to send.
-type heldRequests struct {
+// heldSubjects is an immutable snapshot of what a router refuses to send.
+type heldSubjects struct {
 	// newest is the highest number of a decision that a keeper has reported.
 	newest uint64
-	until  map[quarantiner.Fingerprint]time.Time
+	until  map[quarantiner.Subject]time.Time
+	// trials holds the subjects of which this router may send one request; false once it is sent.
+	trials map[quarantiner.Subject]*atomic.Bool
 }
 
-// anyExpired reports whether the time of any request has passed.
-func (h *heldRequests) anyExpired(now time.Time) bool {
+// anyExpired reports whether the time of any subject has passed.
+func (h *heldSubjects) anyExpired(now time.Time) bool {
 	for _, until := range h.until {
 		if !until.After(now) {
 			return true
@@ -46,18 +57,33 @@
 	return false
 }
 
-// quarantine tracks the requests under which endpoints crash: those that keepers hold back,
-// and those that this router has observed itself.
+// find returns for how much longer a request is held back, and by what.
+func (h *heldSubjects) find(now time.Time, in quarantiner.Input) forwarder.Hold {
+	if len(h.until) == 0 {
+		return forwarder.Hold{}
+	}
+	s, found := in.Find(func(s quarantiner.Subject) bool { return h.until[s].After(now) })
+	if !found {
+		return forwarder.Hold{}
+	}
+	return forwarder.Hold{Subject: s, Remaining: h.until[s].Sub(now)}
+}
+
+// quarantine tracks the requests and prompt parts under which endpoints crash: those that keepers
+// hold back, and those that this router has observed itself.
 type quarantine struct {
 	*livenessChecks
-	log  *zap.Logger
-	held atomic.Pointer[heldRequests]
+	log *zap.Logger
+	// parts is set if prompt parts may be held back.
+	parts bool
+	held  atomic.Pointer[heldSubjects]
+	// reportSoon receives a value when there are new crashes to report.
+	reportSoon chan struct{}
 
-	mu            sync.Mutex
-	answered      quarantiner.AnsweredRequests
-	answeredParts quarantiner.AnsweredParts
+	mu       sync.Mutex
+	answered quarantiner.AnsweredRequests
 	// local evaluates the crashes that this router saw, so that it protects endpoints while
-	// no keeper can be reached.
+	// no keeper can be reached. It also remembers which prompt parts were answered here.
 	local *quarantiner.CrashTracker
 	// recent holds the latest crashes, oldest first. dropped counts the crashes that have been
 	// removed from it. reported counts those that keepers have received, dropped ones included.
@@ -66,44 +92,75 @@
 	// cleared holds requests that were answered although endpoints had ended under them,
 	// until a keeper has received that.
 	cleared []quarantiner.Fingerprint
+	// suspects holds the prompt parts that keepers suspect, and reportedParts the answers to requests
+	// with parts that keepers have received.
+	suspects      []quarantiner.SharedPart
+	reportedParts quarantiner.AnsweredParts
+	// refused holds the prompt parts for which requests were refused since the last report.
+	refused []quarantiner.Subject
+	// released holds when keepers ended the quarantines of subjects.
+	released map[quarantiner.Subject]time.Time
 	// reportedAt is when keepers last received a report.
 	reportedAt time.Time
 }
 
-func newQuarantine(log *zap.Logger) *quarantine {
-	q := &quarantine{log: log, local: quarantiner.NewCrashTracker(localHoldDuration)}
-	q.held.Store(&heldRequests{})
+func newQuarantine(log *zap.Logger, parts bool) *quarantine {
+	q := &quarantine{
+		log: log, parts: parts, local: quarantiner.NewCrashTracker(localHoldDuration), reportSoon: make(chan struct{}, 1),
+		released: map[quarantiner.Subject]time.Time{},
+	}
+	q.held.Store(&heldSubjects{})
 	q.livenessChecks = newLivenessChecks(log, q.recordCrashes)
 	q.livenessChecks.answered = q.answeredLately
 	return q
 }
 
-// HeldFor returns the remaining time for which a request is held back, or 0.
-func (q *quarantine) HeldFor(f quarantiner.Fingerprint) time.Duration {
-	until, ok := q.held.Load().until[f]
-	if !ok {
-		return 0
+// HeldBack returns what holds a request back, and for how much longer.
+func (q *quarantine) HeldBack(in quarantiner.Input) forwarder.Hold {
+	return q.held.Load().find(time.Now(), in)
+}
+
+// TakeTrial reports whether one request that the subject holds back may be sent all the same, and
+// records that one was refused otherwise.
+func (q *quarantine) TakeTrial(s quarantiner.Subject) bool {
+	if permitted := q.held.Load().trials[s]; permitted != nil && permitted.CompareAndSwap(true, false) {
+		return true
+	}
+	if !s.IsPart() {
+		return false
 	}
-	return max(time.Until(until), 0)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.refused) < maxRefusedReported && !slices.Contains(q.refused, s) {
+		q.refused = append(q.refused, s)
+	}
+	return false
 }
 
 // RecordSuccess records that an endpoint answered a request completely.
 func (q *quarantine) RecordSuccess(in quarantiner.Input) {
 	f, now := in.Fingerprint, time.Now()
+	held := q.HeldBack(quarantiner.Input{Fingerprint: f}).Remaining > 0
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.answered.Add(f)
-	for _, p := range in.Parts {
-		q.answeredParts.Add(now, quarantiner.SharedPart{Workspace: f.Workspace, Part: p})
-	}
-	if (q.local.IsSuspect(f) || q.HeldFor(f) > 0) && !slices.Contains(q.cleared, f) && len(q.cleared) < maxReported {
+	if (q.local.IsSuspect(f) || held) && !slices.Contains(q.cleared, f) && len(q.cleared) < maxReported {
 		q.cleared = append(q.cleared, f)
-		q.local.Clear(f)
+		q.local.Clear(now, f)
+	}
+	if !q.parts {
+		return
+	}
+	for _, p := range in.Parts {
+		q.local.AddAnswer(now, quarantiner.AnsweredPart{Part: quarantiner.SharedPart{Workspace: f.Workspace, Part: p}, At: now})
 	}
 }
 
 // RecordBrokenOff records that the connection of a request in progress ended before its response did.
 func (q *quarantine) RecordBrokenOff(e *predictor.Endpoint, in quarantiner.Input, underway time.Duration) {
+	if !q.parts {
+		in.Parts = nil
+	}
 	q.livenessChecks.connectionBroken(e.Beat(), quarantiner.Crash{
 		Request: in.Fingerprint, Parts: in.Parts, Endpoint: e.Beat().Incarnation, At: time.Now(), Elapsed: underway,
 	})
@@ -113,7 +170,7 @@
 func (q *quarantine) answeredLately(p quarantiner.SharedPart) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return !q.answeredParts.At(p).IsZero()
+	return !q.local.Answered().At(p).IsZero()
 }
 
 // recordCrashes records the requests that were in progress at an endpoint that ended.
@@ -127,6 +184,12 @@
 			q.recent = append(q.recent, c)
 		}
 	}
+	if len(q.recent) > q.reported-q.dropped {
+		select {
+		case q.reportSoon <- struct{}{}:
+		default:
+		}
+	}
 	for len(q.recent) > 0 && (len(q.recent) > maxRecentCrashes || now.Sub(q.recent[0].At) > crashRetention && q.dropped < q.reported) {
 		if q.dropped >= q.reported {
 			q.log.Warn("end of an endpoint not told to keepers", zap.Stringer("endpoint", q.recent[0].Endpoint))
@@ -137,102 +200,209 @@
 	q.reported = max(q.reported, q.dropped)
 }
 
-// holdLocal holds back the requests that this router's own crashes implicate. It is only
+// holdLocal holds back what this router's own crashes implicate. It is only
 // used while keepers can't be reached: otherwise they decide, since they know which other
 // requests were in progress at the endpoints that ended.
 func (q *quarantine) holdLocal(now time.Time) {
 	q.mu.Lock()
 	due := q.local.ToQuarantine(now)
 	q.mu.Unlock()
-	q.hold(now, 0, due, func(int) time.Duration { return localHoldDuration })
+	decisions := make([]decision, len(due))
+	for i, s := range due {
+		decisions[i] = decision{subject: s, duration: localHoldDuration}
+	}
+	q.apply(now, 0, decisions)
 }
 
 // crashReport is the content of one sync request: the number of crashes up to the last one
-// reported, dropped ones included, and the number of answered requests.
-type crashReport struct{ crashes, cleared int }
+// reported, dropped ones included, the number of answered requests, and the rest as sent.
+type crashReport struct {
+	crashes, cleared int
+	answeredParts    []quarantiner.AnsweredPart
+	refused          []quarantiner.Subject
+}
 
-// fillRequest adds the crashes, the answered requests and the newest known
+// fillRequest adds the crashes, what was answered and refused, and the newest known
 // decision to a sync request.
 func (q *quarantine) fillRequest(r *messenger.SyncRequest) crashReport {
 	r.Quarantine = q.held.Load().newest
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, c := range q.recent[q.reported-q.dropped:] {
-		if len(r.Crashes) < maxReported {
-			r.Crashes = append(r.Crashes, c.Message(now))
-		}
+	unreported := q.recent[q.reported-q.dropped:]
+	unreported = unreported[:min(len(unreported), maxReported)]
+	for _, c := range unreported {
+		r.Crashes = append(r.Crashes, c.Message(now))
 	}
 	for _, f := range q.cleared {
 		r.Answered = append(r.Answered, f.Message())
 	}
-	return crashReport{crashes: q.reported + len(r.Crashes), cleared: len(r.Answered)}
+	out := crashReport{crashes: q.reported + len(r.Crashes), cleared: len(r.Answered), answeredParts: q.unreportedAnswers(unreported), refused: q.refused}
+	for _, a := range out.answeredParts {
+		r.AnsweredParts = append(r.AnsweredParts, a.Message(now))
+	}
+	for _, s := range out.refused {
+		r.Refused = append(r.Refused, s.Message())
+	}
+	return out
+}
+
+// unreportedAnswers returns the answers to requests with prompt parts that keepers want to know of:
+// parts of the crashes, parts that keepers suspect and those that are held back. The caller holds
+// q.mu.
+func (q *quarantine) unreportedAnswers(crashes []quarantiner.Crash) []quarantiner.AnsweredPart {
+	var out []quarantiner.AnsweredPart
+	considered := map[quarantiner.SharedPart]bool{}
+	consider := func(p quarantiner.SharedPart) {
+		if considered[p] || len(out) >= maxAnswersReported {
+			return
+		}
+		considered[p] = true
+		if at := q.local.Answered().At(p); at.Sub(q.reportedParts.At(p)) >= answerReportInterval {
+			out = append(out, quarantiner.AnsweredPart{Part: p, At: at})
+		} else if at := q.local.Answered().OfAnyAt(p.Part); at.Sub(q.reportedParts.OfAnyAt(p.Part)) >= answerReportInterval {
+			out = append(out, quarantiner.AnsweredPart{Part: quarantiner.SharedPart{Part: p.Part}, OfAny: true, At: at})
+		}
+	}
+	for s := range q.held.Load().until {
+		if s.IsPart() {
+			consider(quarantiner.SharedPart{Workspace: s.Workspace, Part: quarantiner.Part(s.Sum)})
+		}
+	}
+	for _, p := range q.suspects {
+		consider(p)
+	}
+	for _, c := range crashes {
+		for _, p := range c.Parts {
+			consider(quarantiner.SharedPart{Workspace: c.Request.Workspace, Part: p})
+		}
+	}
+	return out
 }
 
 // reportAccepted records that a keeper with a majority, which started at the given time, has
 // received a report. If it started after the last report, other keepers may have restarted as
-// well and none may know the earlier reports, so all crashes are reported again.
+// well and none may know the earlier reports, so all crashes and answers are reported again.
 func (q *quarantine) reportAccepted(now, started time.Time, t crashReport) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if started.After(q.reportedAt) {
 		q.reported = q.dropped
+		q.reportedParts = quarantiner.AnsweredParts{}
 	} else {
 		q.reported = min(max(q.reported, t.crashes), q.dropped+len(q.recent))
+		for _, a := range t.answeredParts {
+			q.reportedParts.Add(a)
+		}
 	}
 	q.cleared = q.cleared[min(t.cleared, len(q.cleared)):]
+	q.refused = slices.DeleteFunc(slices.Clone(q.refused), func(s quarantiner.Subject) bool { return slices.Contains(t.refused, s) })
 	q.reportedAt = now
 }
 
+// setSuspects replaces the prompt parts that keepers suspect.
+func (q *quarantine) setSuspects(list []*messenger.Content) {
+	var suspects []quarantiner.SharedPart
+	for _, m := range list {
+		if s := quarantiner.SubjectFromMessage(m); s.IsPart() {
+			suspects = append(suspects, quarantiner.SharedPart{Workspace: s.Workspace, Part: quarantiner.Part(s.Sum)})
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.suspects = suspects
+}
+
+// decision holds a subject back for at least a duration, or releases it if the duration is 0. One
+// request may be sent all the same if trial is set.
+type decision struct {
+	subject  quarantiner.Subject
+	duration time.Duration
+	trial    bool
+}
+
 // update applies the decisions that a keeper reported.
 func (q *quarantine) update(now time.Time, list []*messenger.QuarantineTold) {
-	var requests []quarantiner.Fingerprint
+	var decisions []decision
 	var newest uint64
 	for _, x := range list {
-		requests = append(requests, quarantiner.FingerprintFromMessage(x.Request))
 		newest = max(newest, x.Number)
+		s := quarantiner.SubjectFromMessage(x.Request)
+		if s.IsPart() && !q.parts {
+			continue
+		}
+		decisions = append(decisions, decision{subject: s, duration: time.Duration(x.LeftMs) * time.Millisecond, trial: x.Trial})
 	}
-	q.hold(now, newest, requests, func(i int) time.Duration { return time.Duration(list[i].LeftMs) * time.Millisecond })
+	q.apply(now, newest, decisions)
 }
 
-// hold holds requests back, each for at least its duration, and releases those whose
-// duration is 0. It must only be called from the goroutine that syncs with keepers.
-func (q *quarantine) hold(now time.Time, newest uint64, requests []quarantiner.Fingerprint, durationOf func(int) time.Duration) {
+// apply applies decisions. It must only be called from the goroutine that syncs with keepers.
+func (q *quarantine) apply(now time.Time, newest uint64, decisions []decision) {
 	old := q.held.Load()
-	if len(requests) == 0 && !old.anyExpired(now) {
+	if len(decisions) == 0 && newest <= old.newest && !old.anyExpired(now) {
 		return
 	}
-	next := &heldRequests{newest: max(old.newest, newest), until: maps.Clone(old.until)}
+	next := &heldSubjects{newest: max(old.newest, newest), until: maps.Clone(old.until), trials: maps.Clone(old.trials)}
 	if next.until == nil {
-		next.until = map[quarantiner.Fingerprint]time.Time{}
-	}
-	maps.DeleteFunc(next.until, func(_ quarantiner.Fingerprint, until time.Time) bool { return !until.After(now) })
-	for i, f := range requests {
-		until, known := now.Add(durationOf(i)), next.until[f]
-		switch {
-		case durationOf(i) <= 0:
-			delete(next.until, f)
-			if known.IsZero() {
-				continue
-			}
-		case known.After(until):
-			continue
-		default:
-			next.until[f] = until
+		next.until, next.trials = map[quarantiner.Subject]time.Time{}, map[quarantiner.Subject]*atomic.Bool{}
+	}
+	maps.DeleteFunc(next.until, func(_ quarantiner.Subject, until time.Time) bool { return !until.After(now) })
+	for _, d := range decisions {
+		if next.apply(now, d) {
+			q.log.Info(holdMessage(d), subjectField(d.subject), zap.String("workspace", d.subject.Workspace), zap.Duration("for", d.duration), zap.Bool("told", newest > 0))
 		}
-		q.log.Info(holdMessage(durationOf(i)), zap.Stringer("content", f), zap.String("workspace", f.Workspace), zap.Duration("for", durationOf(i)), zap.Bool("told", newest > 0))
 	}
+	maps.DeleteFunc(next.trials, func(s quarantiner.Subject, _ *atomic.Bool) bool { return next.until[s].IsZero() })
 	q.held.Store(next)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.local.SetQuarantined(slices.Collect(maps.Keys(next.until)))
+	for _, d := range decisions {
+		if d.duration <= 0 && len(q.released) < maxReported {
+			q.released[d.subject] = now
+		}
+	}
+	maps.DeleteFunc(q.released, func(_ quarantiner.Subject, at time.Time) bool { return now.Sub(at) > localHoldDuration })
+	q.local.SetQuarantined(now, slices.Collect(maps.Keys(next.until)), q.released)
 }
 
-// holdMessage returns the log message for a request that is held back, or released if the
-// duration is 0.
-func holdMessage(duration time.Duration) string {
-	if duration <= 0 {
+// apply applies a decision and reports whether it changed anything.
+func (h *heldSubjects) apply(now time.Time, d decision) bool {
+	until, known := now.Add(d.duration), h.until[d.subject]
+	if d.duration <= 0 {
+		delete(h.until, d.subject)
+		return !known.IsZero()
+	}
+	if d.trial {
+		permitted := &atomic.Bool{}
+		permitted.Store(true)
+		h.trials[d.subject] = permitted
+	}
+	if known.After(until) {
+		return d.trial
+	}
+	h.until[d.subject] = until
+	return true
+}
+
+// holdMessage returns the log message for a decision.
+func holdMessage(d decision) string {
+	switch {
+	case d.trial:
+		return "one request that is held back may be sent"
+	case d.subject.IsPart() && d.duration <= 0:
+		return "prompt part let go"
+	case d.subject.IsPart():
+		return "prompt part held back"
+	case d.duration <= 0:
 		return "request let go"
 	}
 	return "request held back"
 }
+
+// subjectField returns the log field that names the subject.
+func subjectField(s quarantiner.Subject) zap.Field {
+	if s.IsPart() {
+		return zap.Stringer("part", s)
+	}
+	return zap.Stringer("content", s)
+}
--- a/courier/quarantine_internal_test.go
+++ b/courier/quarantine_internal_test.go
@@ -44,7 +44,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(stopped.Close()).To(gomega.Succeed())
 	core, lines := observer.New(zap.InfoLevel)
-	q := newQuarantine(zap.New(core))
+	q := newQuarantine(zap.New(core), true)
 	with := func(n uint64, parts ...quarantiner.Part) quarantiner.Input {
 		return quarantiner.Input{Fingerprint: content(n), Parts: parts}
 	}
@@ -68,7 +68,7 @@
 	stopped, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(stopped.Close()).To(gomega.Succeed())
-	q := newQuarantine(zap.NewNop())
+	q := newQuarantine(zap.NewNop(), true)
 	for n, l := range []net.Listener{alive, stopped} {
 		e := predictor.NewEndpoint(enroller.Heartbeat{Incarnation: enroller.Incarnation{ID: fmt.Sprint("e", n)}, Address: l.Addr().String()})
 		q.RecordBrokenOff(e, input(uint64(10+n)), time.Second)
@@ -83,7 +83,7 @@
 // have answered.
 func TestAnsweredRequestIsNoSuspect(t *testing.T) {
 	g := gomega.NewWithT(t)
-	q := newQuarantine(zap.NewNop())
+	q := newQuarantine(zap.NewNop(), true)
 	q.RecordSuccess(input(1))
 	for e := range 5 {
 		q.recordCrashes([]quarantiner.Crash{crash(1, e), crash(uint64(100+e), e)})
@@ -91,7 +91,7 @@
 	list, _ := pendingReport(q)
 	g.Expect(list).To(gomega.Equal([]uint64{100, 101, 102, 103, 104}))
 	q.holdLocal(time.Now().Add(time.Second))
-	g.Expect(q.HeldFor(content(1))).To(gomega.BeZero())
+	g.Expect(q.HeldBack(input(1)).Remaining).To(gomega.BeZero())
 }
 
 // Guards against crash reports that are lost when all keepers restart, since they hold them
@@ -100,7 +100,7 @@
 func TestRestartedKeepersGetCrashReportsAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Now()
-	q := newQuarantine(zap.NewNop())
+	q := newQuarantine(zap.NewNop(), true)
 	q.reportAccepted(now, now.Add(-time.Minute), crashReport{})
 	q.recordCrashes([]quarantiner.Crash{crash(1, 1), crash(2, 1)})
 	list, upTo := pendingReport(q)
@@ -119,17 +119,17 @@
 // endpoint after the other, because only keepers decide which requests are held back.
 func TestDisconnectedRouterHoldsBackCrashingRequest(t *testing.T) {
 	g := gomega.NewWithT(t)
-	q := newQuarantine(zap.NewNop())
+	q := newQuarantine(zap.NewNop(), true)
 	for e := range 3 {
 		q.recordCrashes([]quarantiner.Crash{crash(1, e), crash(uint64(100+e), e)})
 	}
 	q.holdLocal(time.Now())
-	g.Expect(q.HeldFor(content(1))).To(gomega.BeZero(), "other requests may still fail there")
+	g.Expect(q.HeldBack(input(1)).Remaining).To(gomega.BeZero(), "other requests may still fail there")
 	q.holdLocal(time.Now().Add(time.Second))
-	g.Expect(q.HeldFor(content(1))).To(gomega.BeNumerically(">", 30*time.Second))
-	g.Expect(q.HeldFor(content(100))).To(gomega.BeZero())
+	g.Expect(q.HeldBack(input(1)).Remaining).To(gomega.BeNumerically(">", 30*time.Second))
+	g.Expect(q.HeldBack(input(100)).Remaining).To(gomega.BeZero())
 	q.update(time.Now(), []*messenger.QuarantineTold{{Request: content(1).Message(), Number: 4, LeftMs: 3_600_000}})
-	g.Expect(q.HeldFor(content(1))).To(gomega.BeNumerically(">", 30*time.Minute))
+	g.Expect(q.HeldBack(input(1)).Remaining).To(gomega.BeNumerically(">", 30*time.Minute))
 	r := &messenger.SyncRequest{}
 	q.fillRequest(r)
 	g.Expect(r.Quarantine).To(gomega.Equal(uint64(4)))
@@ -143,7 +143,7 @@
 func TestAnsweredRequestIsReportedAndReleased(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := time.Now()
-	q := newQuarantine(zap.NewNop())
+	q := newQuarantine(zap.NewNop(), true)
 	q.update(now, []*messenger.QuarantineTold{{Request: content(1).Message(), Number: 1, LeftMs: 3_600_000}})
 	q.RecordSuccess(input(2))
 	q.RecordSuccess(input(1))
@@ -152,20 +152,20 @@
 	report := q.fillRequest(r)
 	g.Expect(r.Answered).To(gomega.HaveLen(1))
 	g.Expect(r.Answered[0].Sum).To(gomega.Equal(uint64(1)))
-	g.Expect(q.HeldFor(content(1))).NotTo(gomega.BeZero(), "keepers decide")
+	g.Expect(q.HeldBack(input(1)).Remaining).NotTo(gomega.BeZero(), "keepers decide")
 	q.reportAccepted(now, now.Add(-time.Hour), report)
 	r = &messenger.SyncRequest{}
 	q.fillRequest(r)
 	g.Expect(r.Answered).To(gomega.BeEmpty())
 	q.update(now, []*messenger.QuarantineTold{{Request: content(1).Message(), Number: 2}, {Request: content(3).Message(), Number: 3}})
-	g.Expect(q.HeldFor(content(1))).To(gomega.BeZero())
+	g.Expect(q.HeldBack(input(1)).Remaining).To(gomega.BeZero())
 	g.Expect(q.held.Load().newest).To(gomega.Equal(uint64(3)))
 }
 
 // Guards against unbounded memory use by crashes while no keeper can be reached.
 func TestUnreportedCrashesAreBounded(t *testing.T) {
 	g := gomega.NewWithT(t)
-	q := newQuarantine(zap.NewNop())
+	q := newQuarantine(zap.NewNop(), true)
 	for n := range 3_000 {
 		q.recordCrashes([]quarantiner.Crash{crash(uint64(n), n)})
 	}
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -120,7 +120,7 @@
 	return false
 }
 
-// processReplies handles late replies for the given duration.
+// processReplies handles late replies for the given duration, or until there are crashes to report.
 func (f *fleetView) processReplies(ctx context.Context, pause time.Duration) {
 	t := time.NewTimer(pause)
 	defer t.Stop()
@@ -128,6 +128,8 @@
 		select {
 		case a := <-f.results:
 			f.handleResult(ctx, a)
+		case <-f.quarantine.reportSoon:
+			return
 		case <-t.C:
 			return
 		case <-ctx.Done():
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -150,8 +150,8 @@
 		j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, "out of time")
 		return false
 	}
-	if j.f.Quarantine.HeldFor(j.fingerprint) > 0 {
-		j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, heldBackReason)
+	if j.isHeldBack() {
+		j.endHeldBack(ctx)
 		return false
 	}
 	if o == outcomeUnsent {
@@ -218,6 +218,15 @@
 	}
 }
 
+// endHeldBack ends a request that was held back after its arrival.
+func (j *job) endHeldBack(ctx context.Context) {
+	if j.mayHaveRun || j.r.Context().Err() != nil {
+		j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, j.hold.reason())
+		return
+	}
+	j.refuseFor(j.hold.Remaining, http.StatusServiceUnavailable, j.hold.reason())
+}
+
 // attempt sends the request to one endpoint and handles the answer.
 func (j *job) attempt(ctx context.Context, assignment *predictor.Assignment) outcome {
 	e := assignment.Endpoint()
@@ -342,7 +351,9 @@
 	return &pooler.Request{
 		Method: j.r.Method, URI: j.r.RequestURI, Host: j.r.Host,
 		Header: j.f.Wire.EndpointHeader(j.r.Header, s), Body: j.body, ID: j.caller.ID, Repeatable: j.repeatable(),
-		Confirm: func() bool { return j.f.Table.InService(w.Endpoint()) && j.fits(w.Endpoint()) },
+		Confirm: func() bool {
+			return j.f.Table.InService(w.Endpoint()) && j.fits(w.Endpoint()) && (j.trial || !j.isHeldBack())
+		},
 	}
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -83,6 +83,9 @@
 	// writeGrace is how long after its deadline a caller may take to read the rest of its
 	// answer.
 	writeGrace = time.Second
+	// maxUsualParts is the number of shared prompt parts up to which a request needs no memory of
+	// its own for them.
+	maxUsualParts = 8
 	// defaultMaxBodyBytes is the limit on request bodies where the configuration
 	// states none.
 	defaultMaxBodyBytes = 4 << 20
@@ -124,10 +127,27 @@
 	PartialDispatches() bool
 }
 
+// Hold is what holds a request back, and for how much longer. Remaining is 0 if nothing does.
+type Hold struct {
+	Subject   quarantiner.Subject
+	Remaining time.Duration
+}
+
+// reason returns the body of answers to requests that are held back.
+func (h Hold) reason() string {
+	if h.Subject.IsPart() {
+		return "held back: endpoints ended under requests with its prompt part " + h.Subject.String()
+	}
+	return heldBackReason
+}
+
 // Quarantine identifies requests that crash the endpoints that run them.
 type Quarantine interface {
-	// HeldFor returns for how much longer a request is held back; 0 if it is not.
-	HeldFor(quarantiner.Fingerprint) time.Duration
+	// HeldBack returns what holds a request back, if anything.
+	HeldBack(quarantiner.Input) Hold
+	// TakeTrial reports whether one request that the subject holds back may be sent to an endpoint
+	// all the same, and once only.
+	TakeTrial(quarantiner.Subject) bool
 	// RecordSuccess records that an endpoint answered a request completely and
 	// successfully.
 	RecordSuccess(quarantiner.Input)
@@ -225,7 +245,13 @@
 	// holding counts the bytes held for the request.
 	holding     *enforcer.Holding
 	fingerprint quarantiner.Fingerprint
-	deadline    time.Time
+	// parts holds the shared parts of the prompt, in partBuffer if there are few.
+	parts      []quarantiner.Part
+	partBuffer [maxUsualParts]quarantiner.Part
+	// hold is what held the request back, if anything. trial is set if it is sent all the same.
+	hold     Hold
+	trial    bool
+	deadline time.Time
 	// place is the request's place among those of its service; nil unless it was started there.
 	place *place
 	// queued is the time for which the request waited for room at endpoints; 0 if it did not.
@@ -428,13 +454,25 @@
 // checkQuarantine refuses a request that has crashed endpoints. It would crash the next one
 // as well, fail, and break off all other requests running there.
 func (j *job) checkQuarantine() bool {
-	remaining := j.f.Quarantine.HeldFor(j.fingerprint)
-	if remaining == 0 {
+	j.collectParts()
+	if !j.isHeldBack() {
 		return true
 	}
-	requestsHeldBack.Inc()
-	j.suspected = true
-	return j.refuseFor(remaining, http.StatusServiceUnavailable, heldBackReason)
+	if j.f.Quarantine.TakeTrial(j.hold.Subject) {
+		j.trial = true
+		return true
+	}
+	return j.refuseFor(j.hold.Remaining, http.StatusServiceUnavailable, j.hold.reason())
+}
+
+// isHeldBack reports whether the quarantine holds the request back now.
+func (j *job) isHeldBack() bool {
+	h := j.f.Quarantine.HeldBack(j.input())
+	if h.Remaining == 0 {
+		return false
+	}
+	j.hold, j.suspected = h, true
+	return true
 }
 
 // computeFingerprint computes the fingerprint that identifies equal requests.
@@ -446,16 +484,20 @@
 	j.fingerprint = r.Fingerprint()
 }
 
-// input describes the request to the quarantine.
-func (j *job) input() quarantiner.Input {
-	in := quarantiner.Input{Fingerprint: j.fingerprint}
+// collectParts collects the shared parts of the prompt.
+func (j *job) collectParts() {
+	j.parts = j.partBuffer[:0]
 	if j.caller.Prompt == nil {
-		return in
+		return
 	}
 	for _, p := range j.caller.Prompt.Shared() {
-		in.Parts = quarantiner.AppendPart(in.Parts, quarantiner.NewPart(p.ID))
+		j.parts = quarantiner.AppendPart(j.parts, quarantiner.NewPart(p.ID))
 	}
-	return in
+}
+
+// input describes the request to the quarantine.
+func (j *job) input() quarantiner.Input {
+	return quarantiner.Input{Fingerprint: j.fingerprint, Parts: j.parts}
 }
 
 // chooseService chooses a service at random, by weight.
@@ -593,7 +635,10 @@
 		fields = append(fields, zap.Strings("relays", j.relays))
 	}
 	if j.suspected {
-		fields = append(fields, zap.Stringer("content", j.fingerprint), zap.Stringers("parts", j.input().Parts))
+		fields = append(fields, zap.Stringer("content", j.fingerprint), zap.Stringers("parts", j.parts))
+	}
+	if j.hold.Subject.IsPart() {
+		fields = append(fields, zap.Stringer("held_part", j.hold.Subject), zap.Bool("trial", j.trial))
 	}
 	if reason != "" {
 		fields = append(fields, zap.String("why", reason))
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -317,12 +318,29 @@
 	mu               sync.Mutex
 	broken, answered []quarantiner.Input
 	heldFor          time.Duration
+	// heldPart is the only part that is held back; 0 for every request.
+	heldPart quarantiner.Part
+	// trials is how many requests may be sent all the same.
+	trials int
 }
 
-func (q *quarantineStub) HeldFor(quarantiner.Fingerprint) time.Duration {
+func (q *quarantineStub) HeldBack(in quarantiner.Input) forwarder.Hold {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.heldFor
+	if q.heldPart != 0 && !slices.Contains(in.Parts, q.heldPart) {
+		return forwarder.Hold{}
+	}
+	if q.heldPart != 0 {
+		return forwarder.Hold{Subject: quarantiner.PartOfAnySubject(q.heldPart), Remaining: q.heldFor}
+	}
+	return forwarder.Hold{Subject: quarantiner.RequestSubject(in.Fingerprint), Remaining: q.heldFor}
+}
+
+func (q *quarantineStub) TakeTrial(quarantiner.Subject) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.trials--
+	return q.trials >= 0
 }
 
 func (q *quarantineStub) RecordSuccess(in quarantiner.Input) {
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -21,13 +21,45 @@
 // maxQuarantines bounds the quarantined requests; above it, the oldest are released.
 const maxQuarantines = 1024
 
-// Quarantine is a request that routers refuse until a point in time.
+// MaxTrials is how many requests may be sent in all, one at a time, with a prompt part that is
+// quarantined, to find out whether endpoints survive it now.
+const MaxTrials = 2
+
+// Quarantine is a subject that routers refuse until a point in time.
 type Quarantine struct {
-	Request quarantiner.Fingerprint
-	// Number is higher than that of every earlier quarantine.
+	Subject quarantiner.Subject
+	// Number is higher than that of every earlier quarantine and trial.
 	Number uint64
-	// UntilMS is when the quarantine ends, in Unix milliseconds.
-	UntilMS int64
+	// AtMS and UntilMS are when the quarantine begins and ends, in Unix milliseconds.
+	AtMS, UntilMS int64
+	// Trial is the latest trial.
+	Trial Trial
+}
+
+// Trial permits one router to send one request that is quarantined.
+type Trial struct {
+	// Number counts the trials of a quarantine; 0 stands for none.
+	Number uint32
+	// Router and Incarnation identify the router.
+	Router      string
+	Incarnation uint64
+}
+
+// MoreTrials reports whether another trial may be permitted.
+func (q *Quarantine) MoreTrials() bool { return q.Subject.IsPart() && q.Trial.Number < MaxTrials }
+
+func quarantineFromMessage(m *messenger.Quarantine) Quarantine {
+	return Quarantine{
+		Subject: quarantiner.SubjectFromMessage(m.Request), Number: m.Number, AtMS: m.AtMs, UntilMS: m.UntilMs,
+		Trial: Trial{Number: m.Trials, Router: m.TrialRouter, Incarnation: m.TrialIncarnation},
+	}
+}
+
+func (q *Quarantine) message() *messenger.Quarantine {
+	return &messenger.Quarantine{
+		Request: q.Subject.Message(), Number: q.Number, AtMs: q.AtMS, UntilMs: q.UntilMS,
+		Trials: q.Trial.Number, TrialRouter: q.Trial.Router, TrialIncarnation: q.Trial.Incarnation,
+	}
 }
 
 // Document is the current configuration document; immutable.
@@ -50,7 +82,7 @@
 	// leftEndpoints holds endpoint incarnations, oldest first. The slice is replaced,
 	// never changed in place.
 	leftEndpoints []enroller.Incarnation
-	// quarantines holds one entry for each request, oldest first. The slice is replaced,
+	// quarantines holds one entry for each subject, oldest first. The slice is replaced,
 	// never changed in place.
 	quarantines []Quarantine
 	evacuations *Evacuations
@@ -102,6 +134,8 @@
 		g.applyQuarantine(b.Quarantine)
 	case *messenger.FleetChange_Evacuation:
 		g.evacuations = g.evacuations.apply(b.Evacuation)
+	case *messenger.FleetChange_Trial:
+		g.applyTrial(b.Trial)
 	}
 	return nil
 }
@@ -127,27 +161,52 @@
 	g.leftEndpoints = append(slices.Clone(g.leftEndpoints[from:]), i)
 }
 
-// applyQuarantine quarantines or releases requests. A request that is already in the
+// applyQuarantine quarantines or releases subjects. One that is already in the
 // wanted state is left as it is: a leader may ask twice before it sees that the first
 // change was committed.
 func (g *StateMachine) applyQuarantine(c *messenger.QuarantineChange) {
 	list := slices.Clone(g.quarantines)
 	for _, x := range c.Requests {
-		f := quarantiner.FingerprintFromMessage(x)
-		same := func(q Quarantine) bool { return q.Request == f }
-		i := slices.IndexFunc(list, same)
+		s := quarantiner.SubjectFromMessage(x)
+		i := indexOf(list, s)
 		if held := i >= 0 && list[i].UntilMS > c.AtMs; held == (c.UntilMs > c.AtMs) {
 			continue
 		}
-		number := uint64(1)
-		if n := len(list); n > 0 {
-			number = list[n-1].Number + 1
-		}
-		list = append(slices.DeleteFunc(list, same), Quarantine{Request: f, Number: number, UntilMS: c.UntilMs})
+		list = moveToEnd(list, i, Quarantine{Subject: s, AtMS: c.AtMs, UntilMS: c.UntilMs})
 	}
 	g.quarantines = list[max(len(list)-maxQuarantines, 0):]
 }
 
+// applyTrial permits a router one request of a quarantined subject. Several keepers may ask for the
+// same trial; the first one is permitted.
+func (g *StateMachine) applyTrial(c *messenger.TrialChange) {
+	list := slices.Clone(g.quarantines)
+	i := indexOf(list, quarantiner.SubjectFromMessage(c.Subject))
+	if i < 0 || !list[i].MoreTrials() || list[i].Trial.Number+1 != c.Trial {
+		return
+	}
+	q := list[i]
+	q.Trial = Trial{Number: c.Trial, Router: c.Router, Incarnation: c.Incarnation}
+	g.quarantines = moveToEnd(list, i, q)
+}
+
+// indexOf returns the index of the quarantine of a subject, or -1.
+func indexOf(list []Quarantine, s quarantiner.Subject) int {
+	return slices.IndexFunc(list, func(q Quarantine) bool { return q.Subject == s })
+}
+
+// moveToEnd replaces entry i, if it is not negative, by a new last entry with the next number.
+func moveToEnd(list []Quarantine, i int, q Quarantine) []Quarantine {
+	q.Number = 1
+	if n := len(list); n > 0 {
+		q.Number = list[n-1].Number + 1
+	}
+	if i >= 0 {
+		list = slices.Delete(list, i, i+1)
+	}
+	return append(list, q)
+}
+
 // Snapshot returns the whole state, encoded.
 func (g *StateMachine) Snapshot() []byte {
 	s := &messenger.FleetSnapshot{Number: g.document.number, Content: g.document.content, Evacuations: g.evacuations.Message()}
@@ -155,7 +214,7 @@
 		s.Left = append(s.Left, i.LeaveChange())
 	}
 	for _, q := range g.quarantines {
-		s.Quarantined = append(s.Quarantined, &messenger.Quarantine{Request: q.Request.Message(), Number: q.Number, UntilMs: q.UntilMS})
+		s.Quarantined = append(s.Quarantined, q.message())
 	}
 	g.ledger.Snapshot(s)
 	b, err := proto.Marshal(s)
@@ -180,7 +239,7 @@
 	}
 	g.quarantines = nil
 	for _, q := range s.Quarantined {
-		g.quarantines = append(g.quarantines, Quarantine{Request: quarantiner.FingerprintFromMessage(q.Request), Number: q.Number, UntilMS: q.UntilMs})
+		g.quarantines = append(g.quarantines, quarantineFromMessage(q))
 	}
 	g.ledger = allotter.Restore(s)
 	g.evacuations = evacuationsFromMessage(s.Evacuations)
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -88,23 +88,23 @@
 	s := governor.New()
 	apply(t, s, quarantineChange(0, 1_000, 7, 8))
 	apply(t, s, quarantineChange(10, 1_010, 7))
-	held := func(sum, number uint64, until int64) governor.Quarantine {
-		return governor.Quarantine{Request: quarantiner.Fingerprint{Workspace: "w", Sum: sum}, Number: number, UntilMS: until}
+	held := func(sum, number uint64, from, until int64) governor.Quarantine {
+		return governor.Quarantine{Subject: quarantiner.Subject{Workspace: "w", Sum: sum}, Number: number, AtMS: from, UntilMS: until}
 	}
-	g.Expect(s.Quarantines()).To(gomega.Equal([]governor.Quarantine{held(7, 1, 1_000), held(8, 2, 1_000)}), "submitted twice")
+	g.Expect(s.Quarantines()).To(gomega.Equal([]governor.Quarantine{held(7, 1, 0, 1_000), held(8, 2, 0, 1_000)}), "submitted twice")
 	apply(t, s, quarantineChange(1_001, 2_001, 7))
-	want := []governor.Quarantine{held(8, 2, 1_000), held(7, 3, 2_001)}
+	want := []governor.Quarantine{held(8, 2, 0, 1_000), held(7, 3, 1_001, 2_001)}
 	g.Expect(s.Quarantines()).To(gomega.Equal(want), "quarantined again after its end")
 	apply(t, s, quarantineChange(1_500, 1_500, 7, 8, 9))
 	apply(t, s, quarantineChange(1_501, 1_501, 7))
-	want = []governor.Quarantine{held(8, 2, 1_000), held(7, 4, 1_500)}
+	want = []governor.Quarantine{held(8, 2, 0, 1_000), held(7, 4, 1_500, 1_500)}
 	g.Expect(s.Quarantines()).To(gomega.Equal(want), "released once; a request that is not quarantined stays so")
 	restored := governor.New()
 	g.Expect(restored.Restore(s.Snapshot())).To(gomega.Succeed())
 	g.Expect(restored.Quarantines()).To(gomega.Equal(want))
 	apply(t, restored, quarantineChange(3_000, 4_000, 9))
 	g.Expect(restored.Quarantines()).To(gomega.HaveLen(3))
-	g.Expect(restored.Quarantines()[2]).To(gomega.Equal(held(9, 5, 4_000)))
+	g.Expect(restored.Quarantines()[2]).To(gomega.Equal(held(9, 5, 3_000, 4_000)))
 	for n := range uint64(3_000) {
 		apply(t, restored, quarantineChange(3_000, 4_000, 100+n))
 	}
--- a/loader/node.go
+++ b/loader/node.go
@@ -81,6 +81,8 @@
 	EndpointRelays bool
 	// StreamVersions makes streams go on only at the software version that began them.
 	StreamVersions bool
+	// PartQuarantine holds back requests with a prompt part under which endpoints crash.
+	PartQuarantine bool
 	// EnginePriorities sends the priorities of requests to endpoints.
 	EnginePriorities bool
 }
@@ -207,7 +209,7 @@
 	"zones", "cold_overshoot", "cold_slack",
 	"limit_overshoot", "limit_slack", "limit_window_s",
 	"processor_share", "paced_claims", "shortage_notices", "load_digests", "service_admission", "engine_priorities", "caller_limits", "endpoint_relays",
-	"stream_versions",
+	"stream_versions", "part_quarantine",
 }
 
 // LoadNode reads and validates the settings of one process. The error lists
@@ -252,7 +254,7 @@
 
 // parseFeatures reads which parts of the fleet are switched on.
 func (c *parser) parseFeatures(sec *ini.Section, f *Features) {
-	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true, EndpointRelays: true, StreamVersions: true}
+	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true, EndpointRelays: true, StreamVersions: true, PartQuarantine: true}
 	c.readBool(sec, "paced_claims", &f.PacedClaims)
 	c.readBool(sec, "shortage_notices", &f.ShortageNotices)
 	c.readBool(sec, "load_digests", &f.LoadDigests)
@@ -261,6 +263,7 @@
 	c.readBool(sec, "caller_limits", &f.CallerLimits)
 	c.readBool(sec, "endpoint_relays", &f.EndpointRelays)
 	c.readBool(sec, "stream_versions", &f.StreamVersions)
+	c.readBool(sec, "part_quarantine", &f.PartQuarantine)
 }
 
 // parseRegions reads the region of each zone in the form ZONE:REGION,ZONE:REGION.
--- a/quarantiner/crash_tracker.go
+++ b/quarantiner/crash_tracker.go
@@ -1,7 +1,7 @@
 package quarantiner
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,8 +22,10 @@
 	// all.
 	correlationWindow = 100 * time.Millisecond
 	minCorrelated     = 2
-	// maxCrashes is the maximum number of crashes that are remembered, at about 250 bytes each.
-	maxCrashes = 8192
+	// maxCrashes is the maximum number of crashes that are remembered, at about 250 bytes each, and
+	// maxCrashParts that of the prompt parts in them, at about 60 bytes each.
+	maxCrashes    = 8192
+	maxCrashParts = 65_536
 )
 
 // Crash is one request that was in progress at an endpoint when the endpoint crashed.
@@ -45,35 +47,74 @@
 	totalElapsed time.Duration
 }
 
+// runningRequest is a request that was in progress at one endpoint.
+type runningRequest struct {
+	request Fingerprint
+	parts   []Part
+	elapsed time.Duration
+}
+
+// belongsTo reports whether the subject stands for the request.
+func (r runningRequest) belongsTo(s Subject) bool {
+	switch s.Kind {
+	case KindPart:
+		return r.request.Workspace == s.Workspace && slices.Contains(r.parts, Part(s.Sum))
+	case KindPartOfAny:
+		return slices.Contains(r.parts, Part(s.Sum))
+	}
+	return RequestSubject(r.request) == s
+}
+
 // endpointCrash is the crash of one endpoint.
 type endpointCrash struct {
+	endpoint enroller.Incarnation
 	// FirstReportedAt is when the crash was first reported.
 	firstReportedAt time.Time
 	// At is the earliest reported time of the crash.
 	at       time.Time
-	requests []Fingerprint
+	requests []runningRequest
 }
 
-// CrashTracker counts the endpoints that crashed during each request, and determines which
-// requests to quarantine. An endpoint that crashes interrupts other requests too. These are
-// retried as well, so some of them are in progress at as many crashes as the cause. Each crash is
-// therefore attributed to at most one request: crashes during a quarantined request do not count
+// has reports whether a request that the subject stands for was in progress at the endpoint.
+func (e *endpointCrash) has(s Subject) bool {
+	return slices.ContainsFunc(e.requests, func(x runningRequest) bool { return x.belongsTo(s) })
+}
+
+// CrashTracker counts the endpoints that crashed during each request and under each prompt part, and
+// determines which of them to quarantine. An endpoint that crashes interrupts other requests too.
+// These are retried as well, so some of them are in progress at as many crashes as the cause. Each
+// crash is therefore attributed to at most one subject: crashes under a quarantined one do not count
 // against others. It is not safe for concurrent use.
 type CrashTracker struct {
 	// Retention is how long a crash counts.
 	retention time.Duration
 	suspects  map[Fingerprint]*suspect
-	endpoints map[enroller.Incarnation]*endpointCrash
-	// Crashes holds all crashes, oldest first.
-	crashes     []Crash
-	quarantined map[Fingerprint]bool
+	// Parts holds the endpoints that crashed while requests with a part were in progress there, and
+	// workspaces the workspaces of these requests.
+	parts      map[SharedPart]map[enroller.Incarnation]bool
+	workspaces map[Part]map[string]bool
+	endpoints  map[enroller.Incarnation]*endpointCrash
+	// Crashes holds all crashes, oldest first, and crashParts is the number of parts in them.
+	crashes    []Crash
+	crashParts int
+	// Dropped counts the crashes that were removed before their retention ended.
+	dropped     int
+	answered    AnsweredParts
+	quarantined map[Subject]bool
+	// Released holds when the quarantines of subjects ended that are not quarantined now.
+	released map[Subject]time.Time
+	// ChangedAt is when the last report arrived; settled is set if nothing had to be quarantined
+	// since.
+	changedAt time.Time
+	settled   bool
 }
 
 // NewCrashTracker returns a tracker that forgets crashes after the retention.
 func NewCrashTracker(retention time.Duration) *CrashTracker {
 	return &CrashTracker{
 		retention: retention, suspects: map[Fingerprint]*suspect{}, endpoints: map[enroller.Incarnation]*endpointCrash{},
-		quarantined: map[Fingerprint]bool{},
+		parts: map[SharedPart]map[enroller.Incarnation]bool{}, workspaces: map[Part]map[string]bool{},
+		quarantined: map[Subject]bool{}, released: map[Subject]time.Time{},
 	}
 }
 
@@ -92,33 +133,73 @@
 	s.totalElapsed += c.Elapsed
 	e := r.endpoints[c.Endpoint]
 	if e == nil {
-		e = &endpointCrash{firstReportedAt: now, at: c.At}
+		e = &endpointCrash{endpoint: c.Endpoint, firstReportedAt: now, at: c.At}
 		r.endpoints[c.Endpoint] = e
 	}
 	if c.At.Before(e.at) {
 		e.at = c.At
 	}
-	e.requests = append(e.requests, c.Request)
+	c.Parts = c.Parts[:min(len(c.Parts), maxParts)]
+	e.requests = append(e.requests, runningRequest{request: c.Request, parts: c.Parts, elapsed: c.Elapsed})
 	r.crashes = append(r.crashes, c)
-	if len(r.crashes) > maxCrashes {
+	r.addParts(c)
+	r.changed(now)
+	for len(r.crashes) > maxCrashes || r.crashParts > maxCrashParts {
 		r.removeOldest()
+		r.dropped++
 	}
 	return true
 }
 
-// SetQuarantined replaces the set of quarantined requests.
-func (r *CrashTracker) SetQuarantined(requests []Fingerprint) {
-	r.quarantined = map[Fingerprint]bool{}
-	for _, f := range requests {
-		r.quarantined[f] = true
+// addParts records the prompt parts of a crash.
+func (r *CrashTracker) addParts(c Crash) {
+	r.crashParts += len(c.Parts)
+	for _, p := range c.Parts {
+		shared := SharedPart{Workspace: c.Request.Workspace, Part: p}
+		if r.parts[shared] == nil {
+			r.parts[shared] = map[enroller.Incarnation]bool{}
+		}
+		r.parts[shared][c.Endpoint] = true
+		if r.workspaces[p] == nil {
+			r.workspaces[p] = map[string]bool{}
+		}
+		r.workspaces[p][c.Request.Workspace] = true
+	}
+}
+
+// Dropped returns how many crashes were forgotten because there were too many.
+func (r *CrashTracker) Dropped() int { return r.dropped }
+
+// AddAnswer records that an endpoint answered a request with a prompt part.
+func (r *CrashTracker) AddAnswer(now time.Time, a AnsweredPart) {
+	r.answered.Add(a)
+	r.changed(now)
+}
+
+// Answered returns when requests with prompt parts were answered.
+func (r *CrashTracker) Answered() *AnsweredParts { return &r.answered }
+
+// SetQuarantined replaces the set of quarantined subjects. Released holds when quarantines ended:
+// crashes before that do not count again.
+func (r *CrashTracker) SetQuarantined(now time.Time, subjects []Subject, released map[Subject]time.Time) {
+	quarantined := make(map[Subject]bool, len(subjects))
+	for _, s := range subjects {
+		quarantined[s] = true
+	}
+	if !maps.Equal(quarantined, r.quarantined) {
+		r.changed(now)
 	}
+	r.quarantined, r.released = quarantined, released
 }
 
 // IsSuspect reports whether endpoints crashed during a request.
 func (r *CrashTracker) IsSuspect(f Fingerprint) bool { return r.suspects[f] != nil }
 
+// IsPartSuspect reports whether endpoints crashed during requests with the part.
+func (r *CrashTracker) IsPartSuspect(p SharedPart) bool { return r.parts[p] != nil }
+
 // Clear forgets the crashes during a request that an endpoint has answered.
-func (r *CrashTracker) Clear(f Fingerprint) {
+func (r *CrashTracker) Clear(now time.Time, f Fingerprint) {
 	if !r.IsSuspect(f) {
 		return
 	}
@@ -131,71 +212,11 @@
 		}
 	}
 	r.crashes = kept
+	r.changed(now)
 }
 
-// ToQuarantine returns the requests to quarantine from now on. Of several requests with the same
-// number of crashes, it chooses the one that had run for the shortest time: a request that crashes
-// its endpoint does so when it starts, while the others there had run for longer.
-func (r *CrashTracker) ToQuarantine(now time.Time) []Fingerprint {
-	r.expire(now)
-	var out []Fingerprint
-	isQuarantined := func(f Fingerprint) bool { return r.quarantined[f] || slices.Contains(out, f) }
-	for {
-		var best Fingerprint
-		bestCrashes := 0
-		for f, s := range r.suspects {
-			if len(s.endpoints) < minCrashes || isQuarantined(f) {
-				continue
-			}
-			n := r.attributedCrashes(now, f, isQuarantined)
-			if n < minCrashes || n < bestCrashes {
-				continue
-			}
-			if n > bestCrashes || r.moreSuspicious(f, best) {
-				best, bestCrashes = f, n
-			}
-		}
-		if bestCrashes == 0 {
-			return out
-		}
-		out = append(out, best)
-	}
-}
-
-// attributedCrashes counts the crashes during a request that are older than settleTime and that
-// neither a quarantined request nor an external cause explains.
-func (r *CrashTracker) attributedCrashes(now time.Time, f Fingerprint, isQuarantined func(Fingerprint) bool) int {
-	n := 0
-	for i := range r.suspects[f].endpoints {
-		e := r.endpoints[i]
-		if now.Sub(e.firstReportedAt) >= settleTime && !slices.ContainsFunc(e.requests, isQuarantined) && !r.hasExternalCause(f, e, isQuarantined) {
-			n++
-		}
-	}
-	return n
-}
-
-// hasExternalCause reports whether at least minCorrelated endpoints where neither the request nor a
-// quarantined one was in progress crashed at about the same time as endpoint e, where it was.
-func (r *CrashTracker) hasExternalCause(f Fingerprint, e *endpointCrash, isQuarantined func(Fingerprint) bool) bool {
-	others := 0
-	for _, x := range r.endpoints {
-		if x.at.Sub(e.at).Abs() <= correlationWindow && !slices.Contains(x.requests, f) && !slices.ContainsFunc(x.requests, isQuarantined) {
-			others++
-		}
-	}
-	return others >= minCorrelated
-}
-
-// moreSuspicious reports whether a is a more likely cause than b, if both have the same number of
-// crashes: a had run for a shorter time before them on average.
-func (r *CrashTracker) moreSuspicious(a, b Fingerprint) bool {
-	x, y := r.suspects[a], r.suspects[b]
-	return cmp.Or(
-		cmp.Compare(x.totalElapsed*time.Duration(len(y.endpoints)), y.totalElapsed*time.Duration(len(x.endpoints))),
-		cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Sum, b.Sum),
-	) < 0
-}
+// changed notes that a later ToQuarantine may return something else.
+func (r *CrashTracker) changed(now time.Time) { r.changedAt, r.settled = now, false }
 
 // expire removes crashes that were first reported longer ago than the retention.
 func (r *CrashTracker) expire(now time.Time) {
@@ -213,7 +234,7 @@
 	r.crashes = r.crashes[1:]
 }
 
-// remove removes a crash from the suspects and the endpoints.
+// remove removes a crash from the suspects, the parts and the endpoints.
 func (r *CrashTracker) remove(c Crash) {
 	s := r.suspects[c.Request]
 	delete(s.endpoints, c.Endpoint)
@@ -222,8 +243,29 @@
 		delete(r.suspects, c.Request)
 	}
 	e := r.endpoints[c.Endpoint]
-	e.requests = slices.DeleteFunc(e.requests, func(f Fingerprint) bool { return f == c.Request })
+	e.requests = slices.DeleteFunc(e.requests, func(x runningRequest) bool { return x.request == c.Request })
 	if len(e.requests) == 0 {
 		delete(r.endpoints, c.Endpoint)
 	}
+	r.removeParts(c, e)
+}
+
+// removeParts removes the prompt parts of a crash that no other request at the endpoint has.
+func (r *CrashTracker) removeParts(c Crash, e *endpointCrash) {
+	r.crashParts -= len(c.Parts)
+	for _, p := range c.Parts {
+		shared := SharedPart{Workspace: c.Request.Workspace, Part: p}
+		if e.has(PartSubject(shared)) {
+			continue
+		}
+		delete(r.parts[shared], c.Endpoint)
+		if len(r.parts[shared]) > 0 {
+			continue
+		}
+		delete(r.parts, shared)
+		delete(r.workspaces[p], c.Request.Workspace)
+		if len(r.workspaces[p]) == 0 {
+			delete(r.workspaces, p)
+		}
+	}
 }
--- a/quarantiner/crash_tracker_test.go
+++ b/quarantiner/crash_tracker_test.go
@@ -20,6 +20,8 @@
 	return quarantiner.Fingerprint{Workspace: "labone", Sum: n}
 }
 
+func subject(n uint64) quarantiner.Subject { return quarantiner.RequestSubject(fingerprint(n)) }
+
 func endpoint(n int) enroller.Incarnation { return enroller.Incarnation{ID: fmt.Sprint("e", n)} }
 
 // crashes reports that an endpoint crashed during requests, the most recently sent first.
@@ -39,8 +41,8 @@
 	g.Expect(r.ToQuarantine(at(110))).To(gomega.BeEmpty(), "a crash that is reported twice counts once")
 	crashes(r, at(110), 3, 7, 10)
 	g.Expect(r.ToQuarantine(at(110.1))).To(gomega.BeEmpty(), "other requests may still be reported for that crash")
-	g.Expect(r.ToQuarantine(at(110.9))).To(gomega.Equal([]quarantiner.Fingerprint{fingerprint(7)}))
-	r.SetQuarantined([]quarantiner.Fingerprint{fingerprint(7)})
+	g.Expect(r.ToQuarantine(at(110.9))).To(gomega.Equal([]quarantiner.Subject{subject(7)}))
+	r.SetQuarantined(at(0), []quarantiner.Subject{subject(7)}, nil)
 	g.Expect(r.ToQuarantine(at(111))).To(gomega.BeEmpty())
 }
 
@@ -55,15 +57,15 @@
 		r.Add(at(float64(e)), quarantiner.Crash{Request: fingerprint(1), Endpoint: endpoint(e), At: at(float64(e)), Elapsed: time.Second})
 		crashes(r, at(float64(e)+0.1), e, 7)
 	}
-	g.Expect(r.ToQuarantine(at(5))).To(gomega.Equal([]quarantiner.Fingerprint{fingerprint(7)}))
-	r.SetQuarantined([]quarantiner.Fingerprint{fingerprint(7)})
+	g.Expect(r.ToQuarantine(at(5))).To(gomega.Equal([]quarantiner.Subject{subject(7)}))
+	r.SetQuarantined(at(0), []quarantiner.Subject{subject(7)}, nil)
 	crashes(r, at(6), 4, 7, 1)
 	g.Expect(r.ToQuarantine(at(10))).To(gomega.BeEmpty(), "requests sent before the quarantine")
 	crashes(r, at(11), 5, 1)
 	crashes(r, at(12), 6, 1)
 	g.Expect(r.ToQuarantine(at(20))).To(gomega.BeEmpty())
 	crashes(r, at(21), 7, 1)
-	g.Expect(r.ToQuarantine(at(30))).To(gomega.Equal([]quarantiner.Fingerprint{fingerprint(1)}), "three crashes of its own")
+	g.Expect(r.ToQuarantine(at(30))).To(gomega.Equal([]quarantiner.Subject{subject(1)}), "three crashes of its own")
 }
 
 // Guards against quarantining a harmless request, so that the cause crashes three more endpoints.
@@ -80,7 +82,7 @@
 	for _, s := range []float64{3.1, 3.4, 3.7} {
 		g.Expect(r.ToQuarantine(at(s))).To(gomega.BeEmpty())
 	}
-	g.Expect(r.ToQuarantine(at(3.9))).To(gomega.Equal([]quarantiner.Fingerprint{fingerprint(7)}))
+	g.Expect(r.ToQuarantine(at(3.9))).To(gomega.Equal([]quarantiner.Subject{subject(7)}))
 }
 
 func TestTwoCrashingRequestsAtOnce(t *testing.T) {
@@ -89,7 +91,7 @@
 	for e := 1; e <= 6; e++ {
 		crashes(r, at(float64(e)), e, 7+uint64(e%2), 100+uint64(e))
 	}
-	g.Expect(r.ToQuarantine(at(10))).To(gomega.ConsistOf(fingerprint(7), fingerprint(8)))
+	g.Expect(r.ToQuarantine(at(10))).To(gomega.ConsistOf(subject(7), subject(8)))
 }
 
 func TestCrashesAreForgotten(t *testing.T) {
@@ -100,7 +102,7 @@
 	crashes(r, at(61), 3, 7)
 	g.Expect(r.ToQuarantine(at(62))).To(gomega.BeEmpty())
 	crashes(r, at(63), 4, 7)
-	g.Expect(r.ToQuarantine(at(64))).To(gomega.Equal([]quarantiner.Fingerprint{fingerprint(7)}))
+	g.Expect(r.ToQuarantine(at(64))).To(gomega.Equal([]quarantiner.Subject{subject(7)}))
 	// Many new crashes evict the oldest, and leave no partial state behind.
 	for e := range 20_000 {
 		crashes(r, at(65), 10+e, 1_000+uint64(e))
@@ -144,8 +146,8 @@
 			retried = beside
 			// Crashes are reported within 0.3 s, and keepers check as often.
 			if due := r.ToQuarantine(now.Add(390 * time.Millisecond)); len(due) > 0 {
-				g.Expect(due).To(gomega.Equal([]quarantiner.Fingerprint{fingerprint(crashing)}), "seed %d", seed)
-				r.SetQuarantined(due)
+				g.Expect(due).To(gomega.Equal([]quarantiner.Subject{subject(crashing)}), "seed %d", seed)
+				r.SetQuarantined(now, due, nil)
 				quarantinedAt = now
 			}
 		}
@@ -180,7 +182,7 @@
 		n++
 		crashes(r, at(110), n, 7, uint64(1_000+n))
 	}
-	g.Expect(r.ToQuarantine(at(112))).To(gomega.Equal([]quarantiner.Fingerprint{fingerprint(7)}))
+	g.Expect(r.ToQuarantine(at(112))).To(gomega.Equal([]quarantiner.Subject{subject(7)}))
 }
 
 func TestAnsweredRequestsAreRemembered(t *testing.T) {
--- a/quarantiner/part_test.go
+++ b/quarantiner/part_test.go
@@ -44,8 +44,8 @@
 	}
 	g.Expect(a.At(part(1))).To(gomega.BeZero())
 	for n := range 20_000 {
-		a.Add(at(float64(n)), part(n))
-		a.Add(at(float64(n)), part(1))
+		a.Add(quarantiner.AnsweredPart{Part: part(n), At: at(float64(n))})
+		a.Add(quarantiner.AnsweredPart{Part: part(1), At: at(float64(n))})
 	}
 	g.Expect(a.At(part(1))).To(gomega.Equal(at(19_999)), "answered repeatedly")
 	g.Expect(a.At(part(19_998))).To(gomega.Equal(at(19_998)))
--- a/steward/counters.go
+++ b/steward/counters.go
@@ -1,9 +1,12 @@
 package steward
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
 // Metrics of a keeper.
@@ -17,11 +20,25 @@
 	// crashesReported counts requests that were in progress at endpoints when these
 	// crashed.
 	crashesReported     = metrics.NewCounter("rattanhoist_endpoint_crashes_told_total")
+	crashesDropped      = metrics.NewCounter("rattanhoist_endpoint_crashes_dropped_total")
+	trialsPermitted     = metrics.NewCounter("rattanhoist_quarantine_trials_total")
 	changesNotCommitted = metrics.NewCounter("rattanhoist_orders_not_now_total")
 	// leavesUnnotified counts leaves that were acknowledged before all routers had synced.
 	leavesUnnotified = metrics.NewCounter("rattanhoist_leaves_unnotified_total")
 )
 
+// countQuarantineChange counts a subject that was quarantined, or released if the duration is 0.
+func countQuarantineChange(x quarantiner.Subject, duration time.Duration) {
+	kind, change := "request", "held"
+	if x.IsPart() {
+		kind = "part"
+	}
+	if duration == 0 {
+		change = "released"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`rattanhoist_quarantines_total{kind=%q,change=%q}`, kind, change)).Inc()
+}
+
 // registerGauges registers the gauges of a keeper; a process has one keeper only.
 func (s *Keeper) registerGauges() {
 	metrics.GetOrCreateGauge("rattanhoist_log_applied", func() float64 { return float64(s.loop.State().Applied()) })
--- a/steward/quarantine.go
+++ b/steward/quarantine.go
@@ -13,52 +13,105 @@
 	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
+const (
+	// maxSuspects is the maximum number of suspected prompt parts that routers are asked about.
+	maxSuspects = 64
+	// suspectsInterval is how often the suspected parts are determined.
+	suspectsInterval = 200 * time.Millisecond
+	// maxReleasingAge is the maximum age of an answer that ends the quarantine of a prompt part.
+	// Routers report answers within a few hundred milliseconds; an older one may have been given
+	// before the part began to crash endpoints.
+	maxReleasingAge = 2 * time.Second
+)
+
+// trialDelays are the times from the beginning of a prompt part's quarantine to its trials.
+var trialDelays = [governor.MaxTrials]time.Duration{time.Minute, 10 * time.Minute}
+
 // quarantineTracker collects the crashes that routers report and determines the requests
-// to quarantine. Crash reports are in memory only: a report that is lost with a keeper
-// costs one more endpoint. The quarantines are in the log, so that no restart loses them.
+// and prompt parts to quarantine. Crash reports are in memory only: a report that is lost with a
+// keeper costs one more endpoint. The quarantines are in the log, so that no restart loses them.
 type quarantineTracker struct {
-	// duration is how long a request is quarantined and how long crashes are remembered.
+	// duration is how long a subject is quarantined and how long crashes are remembered.
 	duration time.Duration
+	// parts is set if prompt parts may be quarantined.
+	parts bool
 
 	mu       sync.Mutex
 	register *quarantiner.CrashTracker
-	// newCrashes and newAnswered hold what routers reported to this keeper since it last
+	// newCrashes, newAnswered and newParts hold what routers reported to this keeper since it last
 	// shared its observations.
 	newCrashes  []quarantiner.Crash
 	newAnswered []quarantiner.Fingerprint
-	// answered holds requests that endpoints have answered, until they are no longer
+	newParts    []quarantiner.AnsweredPart
+	// answered holds subjects that endpoints have answered, until they are no longer
 	// quarantined.
-	answered map[quarantiner.Fingerprint]bool
-	// submitting is set while quarantines are being committed.
-	submitting atomic.Bool
+	answered map[quarantiner.Subject]bool
+	// suspects holds the suspected parts as of suspectsAt.
+	suspects   []*messenger.Content
+	suspectsAt time.Time
+	// dropped is the number of dropped crashes that were counted.
+	dropped int
+	// submitting is set while quarantines are being committed, and permitting while a trial is.
+	submitting, permitting atomic.Bool
 }
 
-func newQuarantineTracker(duration time.Duration) *quarantineTracker {
-	return &quarantineTracker{duration: duration, register: quarantiner.NewCrashTracker(duration), answered: map[quarantiner.Fingerprint]bool{}}
+func newQuarantineTracker(duration time.Duration, parts bool) *quarantineTracker {
+	return &quarantineTracker{
+		duration: duration, parts: parts, register: quarantiner.NewCrashTracker(duration), answered: map[quarantiner.Subject]bool{},
+	}
 }
 
-// recordReports records the crashes and answered requests that a router reports.
-func (q *quarantineTracker) recordReports(now time.Time, crashes []*messenger.Crash, answered []*messenger.Content) {
+// recordReports records what a router reports.
+func (q *quarantineTracker) recordReports(now time.Time, r *messenger.SyncRequest) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, m := range crashes {
+	for _, m := range r.Crashes {
 		c := quarantiner.CrashFromMessage(now, m)
-		if q.register.Add(now, c) {
+		if q.addCrash(now, c) {
 			crashesReported.Inc()
 			q.newCrashes = append(q.newCrashes, c)
 		}
 	}
-	for _, m := range answered {
+	for _, m := range r.Answered {
 		f := quarantiner.FingerprintFromMessage(m)
-		q.markAnswered(f)
+		q.markAnswered(now, f)
 		q.newAnswered = append(q.newAnswered, f)
 	}
+	for _, m := range r.AnsweredParts {
+		a := quarantiner.AnsweredPartFromMessage(now, m)
+		q.markPartAnswered(now, a)
+		q.newParts = append(q.newParts, a)
+	}
+}
+
+// addCrash records a crash and reports whether it is new. The caller holds q.mu.
+func (q *quarantineTracker) addCrash(now time.Time, c quarantiner.Crash) bool {
+	if !q.parts {
+		c.Parts = nil
+	}
+	added := q.register.Add(now, c)
+	if d := q.register.Dropped(); d > q.dropped {
+		crashesDropped.Add(d - q.dropped)
+		q.dropped = d
+	}
+	return added
 }
 
 // markAnswered marks a request as answered and drops its crashes. The caller holds q.mu.
-func (q *quarantineTracker) markAnswered(f quarantiner.Fingerprint) {
-	q.register.Clear(f)
-	q.answered[f] = true
+func (q *quarantineTracker) markAnswered(now time.Time, f quarantiner.Fingerprint) {
+	q.register.Clear(now, f)
+	q.answered[quarantiner.RequestSubject(f)] = true
+}
+
+// markPartAnswered records an answer to a request with a prompt part. The caller holds q.mu.
+func (q *quarantineTracker) markPartAnswered(now time.Time, a quarantiner.AnsweredPart) {
+	q.register.AddAnswer(now, a)
+	if now.Sub(a.At) > maxReleasingAge {
+		return
+	}
+	for _, s := range a.Subjects() {
+		q.answered[s] = true
+	}
 }
 
 // merge merges the reports that another keeper received.
@@ -66,10 +119,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, m := range s.Crashes {
-		q.register.Add(now, quarantiner.CrashFromMessage(now, m))
+		q.addCrash(now, quarantiner.CrashFromMessage(now, m))
 	}
 	for _, m := range s.Answered {
-		q.markAnswered(quarantiner.FingerprintFromMessage(m))
+		q.markAnswered(now, quarantiner.FingerprintFromMessage(m))
+	}
+	for _, m := range s.AnsweredParts {
+		q.markPartAnswered(now, quarantiner.AnsweredPartFromMessage(now, m))
 	}
 }
 
@@ -84,42 +140,64 @@
 	for _, f := range q.newAnswered {
 		s.Answered = append(s.Answered, f.Message())
 	}
-	q.newCrashes, q.newAnswered = nil, nil
-	return len(s.Crashes)+len(s.Answered) > 0
+	for _, a := range q.newParts {
+		s.AnsweredParts = append(s.AnsweredParts, a.Message(now))
+	}
+	q.newCrashes, q.newAnswered, q.newParts = nil, nil, nil
+	return len(s.Crashes)+len(s.Answered)+len(s.AnsweredParts) > 0
+}
+
+// suspectedParts returns the parts that routers are asked about.
+func (q *quarantineTracker) suspectedParts(now time.Time) []*messenger.Content {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now.Sub(q.suspectsAt) < suspectsInterval {
+		return q.suspects
+	}
+	q.suspects, q.suspectsAt = nil, now
+	for _, s := range q.register.Suspects(maxSuspects) {
+		q.suspects = append(q.suspects, s.Message())
+	}
+	return q.suspects
 }
 
-// setHeld replaces the set of quarantined requests, and returns those to release because
+// setHeld takes over the quarantines in the log, and returns the subjects to release because
 // an endpoint has answered them.
-func (q *quarantineTracker) setHeld(list []governor.Quarantine) (released []quarantiner.Fingerprint) {
+func (q *quarantineTracker) setHeld(now time.Time, list []governor.Quarantine) (released []quarantiner.Subject) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var held []quarantiner.Fingerprint
+	var held []quarantiner.Subject
+	ended := map[quarantiner.Subject]time.Time{}
 	for _, x := range list {
-		held = append(held, x.Request)
-		if q.answered[x.Request] {
-			released = append(released, x.Request)
+		if x.UntilMS <= now.UnixMilli() {
+			ended[x.Subject] = now.Add(-time.Duration(now.UnixMilli()-x.UntilMS) * time.Millisecond)
+			continue
+		}
+		held = append(held, x.Subject)
+		if q.answered[x.Subject] {
+			released = append(released, x.Subject)
 		}
 	}
-	q.register.SetQuarantined(held)
+	q.register.SetQuarantined(now, held, ended)
 	clear(q.answered)
-	for _, f := range released {
-		q.answered[f] = true
+	for _, s := range released {
+		q.answered[s] = true
 	}
 	return released
 }
 
-// due returns the requests that must be quarantined now.
-func (q *quarantineTracker) due(now time.Time) []quarantiner.Fingerprint {
+// due returns the subjects that must be quarantined now.
+func (q *quarantineTracker) due(now time.Time) []quarantiner.Subject {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return q.register.ToQuarantine(now)
 }
 
-// submitQuarantines commits the requests to quarantine and those to release, if this
+// submitQuarantines commits the subjects to quarantine and those to release, if this
 // keeper leads.
 func (s *Keeper) submitQuarantines(ctx context.Context) {
 	now := time.Now()
-	released := s.quarantines.setHeld(activeQuarantines(s.committedState.Load().quarantines, now))
+	released := s.quarantines.setHeld(now, s.committedState.Load().quarantines)
 	if !s.loop.State().IsLeader() {
 		return
 	}
@@ -129,49 +207,107 @@
 	}
 	go func() {
 		defer s.quarantines.submitting.Store(false)
-		s.submitQuarantine(ctx, due, now, s.quarantines.duration, "request held back: endpoints ended under it")
-		s.submitQuarantine(ctx, released, now, 0, "request let go: an endpoint answered it")
+		s.submitQuarantine(ctx, due, now, s.quarantines.duration)
+		s.submitQuarantine(ctx, released, now, 0)
 	}()
 }
 
-// submitQuarantine quarantines requests for a duration starting now; a duration of 0
+// submitQuarantine quarantines subjects for a duration starting now; a duration of 0
 // releases them.
-func (s *Keeper) submitQuarantine(ctx context.Context, requests []quarantiner.Fingerprint, now time.Time, duration time.Duration, message string) {
-	if len(requests) == 0 {
+func (s *Keeper) submitQuarantine(ctx context.Context, subjects []quarantiner.Subject, now time.Time, duration time.Duration) {
+	if len(subjects) == 0 {
 		return
 	}
 	change := &messenger.QuarantineChange{AtMs: now.UnixMilli(), UntilMs: now.Add(duration).UnixMilli()}
-	for _, f := range requests {
-		change.Requests = append(change.Requests, f.Message())
+	for _, x := range subjects {
+		change.Requests = append(change.Requests, x.Message())
 	}
 	err := s.commitChange(ctx, &messenger.FleetChange{Body: &messenger.FleetChange_Quarantine{Quarantine: change}})
 	if err != nil {
-		s.log.Warn("requests not held back or let go yet, tried again", zap.Int("requests", len(requests)), zap.Error(err))
+		s.log.Warn("requests not held back or let go yet, tried again", zap.Int("requests", len(subjects)), zap.Error(err))
 		return
 	}
-	for _, f := range requests {
-		s.log.Warn(message, zap.Stringer("content", f), zap.String("workspace", f.Workspace), zap.Duration("for", duration))
+	for _, x := range subjects {
+		countQuarantineChange(x, duration)
+		s.log.Warn(quarantineMessage(x, duration), subjectField(x), zap.String("workspace", workspaceLabel(x)), zap.Duration("for", duration))
 	}
 }
 
-// activeQuarantines returns the quarantines that have not ended.
-func activeQuarantines(list []governor.Quarantine, now time.Time) []governor.Quarantine {
-	var out []governor.Quarantine
-	for _, q := range list {
-		if q.UntilMS > now.UnixMilli() {
-			out = append(out, q)
+// quarantineMessage returns the log message for a subject that is quarantined, or released if the
+// duration is 0.
+func quarantineMessage(x quarantiner.Subject, duration time.Duration) string {
+	switch {
+	case x.IsPart() && duration > 0:
+		return "prompt part held back: endpoints ended under it"
+	case x.IsPart():
+		return "prompt part let go: an endpoint answered it"
+	case duration > 0:
+		return "request held back: endpoints ended under it"
+	}
+	return "request let go: an endpoint answered it"
+}
+
+// subjectField returns the log field that names the subject.
+func subjectField(x quarantiner.Subject) zap.Field {
+	if x.IsPart() {
+		return zap.Stringer("part", x)
+	}
+	return zap.Stringer("content", x)
+}
+
+// workspaceLabel returns the workspace of a subject, or "*" for all.
+func workspaceLabel(x quarantiner.Subject) string {
+	if x.Kind == quarantiner.KindPartOfAny {
+		return "*"
+	}
+	return x.Workspace
+}
+
+// permitTrials permits the router to send one request with each of the quarantined prompt parts
+// for which it has refused requests, if their next trial is due.
+func (s *Keeper) permitTrials(now time.Time, router *messenger.FleetMember, refused []*messenger.Content) {
+	list := s.committedState.Load().quarantines
+	for _, m := range refused {
+		x := quarantiner.SubjectFromMessage(m)
+		for i := range list {
+			if list[i].Subject != x || !trialDue(&list[i], now) || !s.quarantines.permitting.CompareAndSwap(false, true) {
+				continue
+			}
+			change := &messenger.TrialChange{Subject: m, Router: router.GetAddress(), Incarnation: router.GetIncarnation(), Trial: list[i].Trial.Number + 1}
+			go s.submitTrial(x, change)
 		}
 	}
-	return out
+}
+
+// trialDue reports whether a request may be sent to find out whether the quarantine is still needed.
+func trialDue(q *governor.Quarantine, now time.Time) bool {
+	return q.MoreTrials() && q.UntilMS > now.UnixMilli() &&
+		now.UnixMilli()-q.AtMS >= trialDelays[q.Trial.Number].Milliseconds()
+}
+
+// submitTrial commits a trial.
+func (s *Keeper) submitTrial(x quarantiner.Subject, change *messenger.TrialChange) {
+	defer s.quarantines.permitting.Store(false)
+	// The router's request may end before the change is committed.
+	if err := s.commitChange(context.Background(), &messenger.FleetChange{Body: &messenger.FleetChange_Trial{Trial: change}}); err != nil {
+		s.log.Warn("trial of a prompt part not committed, tried again", subjectField(x), zap.Error(err))
+		return
+	}
+	trialsPermitted.Inc()
+	s.log.Warn("one request with a prompt part that is held back may be sent", subjectField(x), zap.String("workspace", workspaceLabel(x)),
+		zap.String("router", change.Router), zap.Uint32("trial", change.Trial))
 }
 
 // quarantinesSince returns the quarantines with numbers above number, as sent to a router
 // that knows the others.
-func quarantinesSince(list []governor.Quarantine, number uint64, now time.Time) []*messenger.QuarantineTold {
+func quarantinesSince(list []governor.Quarantine, number uint64, now time.Time, router *messenger.FleetMember) []*messenger.QuarantineTold {
 	var out []*messenger.QuarantineTold
 	for _, q := range list {
 		if q.Number > number {
-			out = append(out, &messenger.QuarantineTold{Request: q.Request.Message(), Number: q.Number, LeftMs: max(q.UntilMS-now.UnixMilli(), 0)})
+			out = append(out, &messenger.QuarantineTold{
+				Request: q.Subject.Message(), Number: q.Number, LeftMs: max(q.UntilMS-now.UnixMilli(), 0),
+				Trial: q.Trial.Number > 0 && q.Trial.Router == router.GetAddress() && q.Trial.Incarnation == router.GetIncarnation(),
+			})
 		}
 	}
 	return out
--- a/steward/server.go
+++ b/steward/server.go
@@ -81,9 +81,11 @@
 	}
 	out.Keepers = append(out.Keepers, s.peers.fleetMembers()...)
 	s.registry.answerSync(now, q, out)
-	s.quarantines.recordReports(now, q.Crashes, q.Answered)
+	s.quarantines.recordReports(now, q)
+	s.permitTrials(now, q.Router, q.Refused)
+	out.Suspects = s.quarantines.suspectedParts(now)
 	out.Evacuations = committed.evacuationsMessage(now)
-	out.Quarantined = quarantinesSince(committed.quarantines, q.Quarantine, now)
+	out.Quarantined = quarantinesSince(committed.quarantines, q.Quarantine, now, q.Router)
 	if q.SkipEndpoints || len(out.Endpoints) > 0 || q.Revision != out.Revision || q.Epoch != out.Epoch {
 		for _, i := range committed.leftEndpoints[max(len(committed.leftEndpoints)-maxLeavesSent, 0):] {
 			out.Left = append(out.Left, i.LeaveChange())
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -105,7 +105,7 @@
 	s.committedState.Store(&committedState{document: s.state.Document(), evacuations: s.state.Evacuations()})
 	s.peers = newPeerLinks(n.Internal(), n.Seeds(), s.setPeers)
 	s.registry = newRegistry(n.Heartbeat())
-	s.quarantines = newQuarantineTracker(n.Quarantine())
+	s.quarantines = newQuarantineTracker(n.Quarantine(), n.Features().PartQuarantine)
 	s.loop, err = committer.New(committer.Options{
 		Core: replicator.Options{
 			Name: n.Internal(), Peers: s.peers.names(), Voters: 2*n.LostDisks() + 1,
