Held prompt parts: companions, waiting requests, spelling; tests of failures

Found by TestHeldPartsSurviveFullRestart: before any sound request had been sent, three crashes fit each of the parts that the requests shared, and one that sound requests share as well was held back; nothing could clear it, as everything with it was refused. A part is now held back together with the unanswered parts that all requests had at its crashes. An answer to a request with some of them narrows it to the others; that stands in the log, so that keepers without memory of the crashes get there too. Requests that wait in a queue are refused as soon as their part is held back.

--- a/courier/crashing_part_test.go
+++ b/courier/crashing_part_test.go
@@ -212,3 +212,126 @@
 		g.Expect(r.body).NotTo(gomega.ContainSubstring("held back"))
 	}
 }
+
+// partCluster is a cluster whose engines end at requests with the crashing part.
+func partCluster(t *testing.T, subnet, routers, engines int, downtime time.Duration) (*cluster, *gomega.WithT, *crashingEngines, *partLoad) {
+	f, g := startCluster(t, subnet)
+	f.publish(g, 1, document(2, 10_000_000))
+	l := &partLoad{f: f, prefix: func(crashing bool) string {
+		if crashing {
+			return "a1:30," + crashingPart + ":20,a2:40"
+		}
+		return "a1:30,a2:40"
+	}}
+	for r := range routers {
+		l.routers = append(l.routers, 4+r)
+		f.router(4 + r)
+	}
+	m := &crashingEngines{f: f, downtime: downtime, pause: 100 * time.Millisecond, crashes: func(r *http.Request, _ string) bool {
+		return strings.Contains(r.Header.Get("Rattanhoist-Prompt-Prefix"), crashingPart)
+	}}
+	for e := 1; e <= engines; e++ {
+		m.run(fmt.Sprint("i-", e))
+	}
+	for _, r := range l.routers {
+		f.awaitServing(g, r)
+	}
+	return f, g, m, l
+}
+
+// crashEngines sends requests with the crashing part until that many engines have ended, or none more
+// ends for seconds.
+func crashEngines(g *gomega.WithT, m *crashingEngines, l *partLoad, n int) {
+	g.Eventually(func() int {
+		l.send(true)
+		return m.crashCount()
+	}, 20*time.Second, 300*time.Millisecond).Should(gomega.BeNumerically(">=", n))
+}
+
+// awaitHeld waits until every router refuses requests with the crashing part.
+func awaitHeld(g *gomega.WithT, l *partLoad) {
+	for range l.routers {
+		g.Eventually(func() string { return l.send(true).body }, 5*time.Second, 100*time.Millisecond).Should(gomega.ContainSubstring("held back"))
+	}
+	for range 2 * len(l.routers) {
+		g.Expect(l.send(true).body).To(gomega.ContainSubstring("with its prompt part"))
+	}
+}
+
+// Guards against a restart of all keepers and routers that forgets the prompt parts which are held
+// back, and against a router that starts later and does not learn of them.
+func TestHeldPartsSurviveFullRestart(t *testing.T) {
+	f, g, m, l := partCluster(t, 73, 2, 6, 500*time.Millisecond)
+	crashEngines(g, m, l, 3)
+	awaitHeld(g, l)
+	time.Sleep(time.Second)
+	ended := m.crashCount()
+	for _, r := range l.routers {
+		f.stop(fmt.Sprint("router", r))
+	}
+	for n := 1; n <= 3; n++ {
+		f.stop(fmt.Sprint("keeper", n))
+	}
+	for n := 1; n <= 3; n++ {
+		f.keeper(n, false)
+	}
+	l.routers = append(l.routers, 6)
+	for _, r := range l.routers {
+		f.router(r)
+		f.awaitServing(g, r)
+	}
+	for range 9 {
+		g.Expect(l.send(true).body).To(gomega.ContainSubstring("with its prompt part"))
+		r := l.send(false)
+		g.Expect(r.status).To(gomega.Equal(http.StatusOK), r.body)
+	}
+	g.Expect(m.crashCount()).To(gomega.Equal(ended))
+}
+
+// Guards against crash reports that are lost with the keepers that got them: the leader and another
+// keeper are stopped between the crashes, one after the other, and come back without memory.
+func TestPartIsHeldBackWhileKeepersRestart(t *testing.T) {
+	f, g, m, l := partCluster(t, 74, 3, 8, time.Second)
+	for n := 1; n <= 3; n++ {
+		crashEngines(g, m, l, n)
+		f.stop(fmt.Sprint("keeper", n))
+		time.Sleep(500 * time.Millisecond)
+		f.keeper(n, false)
+		time.Sleep(500 * time.Millisecond)
+	}
+	fifth := time.Now()
+	for time.Since(fifth) < contactWindow {
+		l.send(true)
+		time.Sleep(300 * time.Millisecond)
+	}
+	before := m.crashCount()
+	for range 20 {
+		l.send(true)
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Logf("%d engines ended", m.crashCount())
+	g.Expect(m.crashCount() - before).To(gomega.BeNumerically("<=", maxLateArrivals))
+	awaitHeld(g, l)
+}
+
+// Guards against a stream that a part crashes at each endpoint at which it is resumed, and against
+// its content being blamed alone: each request is answered in part, so that it may be resumed, and
+// its caller takes it up once more.
+func TestPartOfResumedStreamsIsHeldBack(t *testing.T) {
+	f, g, m, l := partCluster(t, 75, 3, 10, time.Second)
+	f.publish(g, 1, strings.Replace(document(3, 10_000_000), `"attempts":1`, `"attempts":2,"stream_resume":true`, 1))
+	time.Sleep(500 * time.Millisecond)
+	crashEngines(g, m, l, 5)
+	fifth := time.Now()
+	for time.Since(fifth) < contactWindow {
+		l.send(true)
+		l.send(false)
+		time.Sleep(100 * time.Millisecond)
+	}
+	for range 20 {
+		l.send(true)
+		time.Sleep(100 * time.Millisecond)
+	}
+	g.Expect(m.lateArrivals(5)).To(gomega.BeNumerically("<=", maxLateArrivals))
+	awaitHeld(g, l)
+}
--- a/courier/quarantine.go
+++ b/courier/quarantine.go
@@ -43,6 +43,8 @@
 	// newest is the highest number of a decision that a keeper has reported.
 	newest uint64
 	until  map[quarantiner.Subject]time.Time
+	// with holds the parts that requests must have as well to be held back.
+	with map[quarantiner.Subject][]quarantiner.Part
 	// trials holds the subjects of which this router may send one request; false once it is sent.
 	trials map[quarantiner.Subject]*atomic.Bool
 }
@@ -62,7 +64,7 @@
 	if len(h.until) == 0 {
 		return forwarder.Hold{}
 	}
-	s, found := in.Find(func(s quarantiner.Subject) bool { return h.until[s].After(now) })
+	s, found := in.Find(func(s quarantiner.Subject) bool { return h.until[s].After(now) && in.HasParts(h.with[s]) })
 	if !found {
 		return forwarder.Hold{}
 	}
@@ -77,6 +79,8 @@
 	// parts is set if prompt parts may be held back.
 	parts bool
 	held  atomic.Pointer[heldSubjects]
+	// revision counts the changes of held.
+	revision atomic.Uint64
 	// reportSoon receives a value when there are new crashes to report.
 	reportSoon chan struct{}
 
@@ -120,6 +124,9 @@
 	return q.held.Load().find(time.Now(), in)
 }
 
+// Revision changes with what is held back.
+func (q *quarantine) Revision() uint64 { return q.revision.Load() }
+
 // TakeTrial reports whether one request that the subject holds back may be sent all the same, and
 // records that one was refused otherwise.
 func (q *quarantine) TakeTrial(s quarantiner.Subject) bool {
@@ -206,11 +213,11 @@
 func (q *quarantine) holdLocal(now time.Time) {
 	q.mu.Lock()
 	due := q.local.ToQuarantine(now)
-	q.mu.Unlock()
 	decisions := make([]decision, len(due))
 	for i, s := range due {
-		decisions[i] = decision{subject: s, duration: localHoldDuration}
+		decisions[i] = decision{subject: s, with: q.local.Companions(s), duration: localHoldDuration}
 	}
+	q.mu.Unlock()
 	q.apply(now, 0, decisions)
 }
 
@@ -264,9 +271,14 @@
 			out = append(out, quarantiner.AnsweredPart{Part: quarantiner.SharedPart{Part: p.Part}, OfAny: true, At: at})
 		}
 	}
-	for s := range q.held.Load().until {
-		if s.IsPart() {
-			consider(quarantiner.SharedPart{Workspace: s.Workspace, Part: quarantiner.Part(s.Sum)})
+	held := q.held.Load()
+	for s := range held.until {
+		if !s.IsPart() {
+			continue
+		}
+		consider(quarantiner.SharedPart{Workspace: s.Workspace, Part: quarantiner.Part(s.Sum)})
+		for _, p := range held.with[s] {
+			consider(quarantiner.SharedPart{Workspace: s.Workspace, Part: p})
 		}
 	}
 	for _, p := range q.suspects {
@@ -316,7 +328,9 @@
 // decision holds a subject back for at least a duration, or releases it if the duration is 0. One
 // request may be sent all the same if trial is set.
 type decision struct {
-	subject  quarantiner.Subject
+	subject quarantiner.Subject
+	// with holds the parts that requests must have as well to be held back.
+	with     []quarantiner.Part
 	duration time.Duration
 	trial    bool
 }
@@ -327,11 +341,11 @@
 	var newest uint64
 	for _, x := range list {
 		newest = max(newest, x.Number)
-		s := quarantiner.SubjectFromMessage(x.Request)
-		if s.IsPart() && !q.parts {
+		h := quarantiner.HeldSubjectFromMessage(x.Request)
+		if h.Subject.IsPart() && !q.parts {
 			continue
 		}
-		decisions = append(decisions, decision{subject: s, duration: time.Duration(x.LeftMs) * time.Millisecond, trial: x.Trial})
+		decisions = append(decisions, decision{subject: h.Subject, with: h.With, duration: time.Duration(x.LeftMs) * time.Millisecond, trial: x.Trial})
 	}
 	q.apply(now, newest, decisions)
 }
@@ -342,18 +356,20 @@
 	if len(decisions) == 0 && newest <= old.newest && !old.anyExpired(now) {
 		return
 	}
-	next := &heldSubjects{newest: max(old.newest, newest), until: maps.Clone(old.until), trials: maps.Clone(old.trials)}
+	next := &heldSubjects{newest: max(old.newest, newest), until: maps.Clone(old.until), with: maps.Clone(old.with), trials: maps.Clone(old.trials)}
 	if next.until == nil {
-		next.until, next.trials = map[quarantiner.Subject]time.Time{}, map[quarantiner.Subject]*atomic.Bool{}
+		next.until, next.with, next.trials = map[quarantiner.Subject]time.Time{}, map[quarantiner.Subject][]quarantiner.Part{}, map[quarantiner.Subject]*atomic.Bool{}
 	}
 	maps.DeleteFunc(next.until, func(_ quarantiner.Subject, until time.Time) bool { return !until.After(now) })
 	for _, d := range decisions {
 		if next.apply(now, d) {
-			q.log.Info(holdMessage(d), subjectField(d.subject), zap.String("workspace", d.subject.Workspace), zap.Duration("for", d.duration), zap.Bool("told", newest > 0))
+			q.log.Info(holdMessage(d), subjectField(d.subject), zap.String("workspace", d.subject.Workspace), zap.Stringers("with", d.with), zap.Duration("for", d.duration), zap.Bool("told", newest > 0))
 		}
 	}
+	maps.DeleteFunc(next.with, func(s quarantiner.Subject, _ []quarantiner.Part) bool { return next.until[s].IsZero() })
 	maps.DeleteFunc(next.trials, func(s quarantiner.Subject, _ *atomic.Bool) bool { return next.until[s].IsZero() })
 	q.held.Store(next)
+	q.revision.Add(1)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, d := range decisions {
@@ -377,13 +393,21 @@
 		permitted.Store(true)
 		h.trials[d.subject] = permitted
 	}
-	if known.After(until) {
+	if known.After(until) && len(d.with) >= len(h.with[d.subject]) {
 		return d.trial
 	}
-	h.until[d.subject] = until
+	h.until[d.subject] = maxTime(known, until)
+	h.with[d.subject] = d.with
 	return true
 }
 
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // holdMessage returns the log message for a decision.
 func holdMessage(d decision) string {
 	switch {
--- a/courier/quarantine_internal_test.go
+++ b/courier/quarantine_internal_test.go
@@ -178,3 +178,146 @@
 	list, _ = pendingReport(q)
 	g.Expect(list[0]).To(gomega.Equal(uint64(3_000 - maxRecentCrashes + maxReported)))
 }
+
+func partInput(request uint64, parts ...quarantiner.Part) quarantiner.Input {
+	return quarantiner.Input{Fingerprint: content(request), Parts: parts}
+}
+
+func partCrash(request uint64, endpoint int, parts ...quarantiner.Part) quarantiner.Crash {
+	c := crash(request, endpoint)
+	c.Parts = parts
+	return c
+}
+
+// answersIn returns the answered parts in the next sync request, and its report.
+func answersIn(q *quarantine) (out []uint64, t crashReport) {
+	r := &messenger.SyncRequest{}
+	t = q.fillRequest(r)
+	for _, a := range r.AnsweredParts {
+		out = append(out, a.Part)
+	}
+	return out, t
+}
+
+// Guards against a common part that keepers take for the cause of crashes, because no router tells
+// them that requests with it are answered; and against reports about every part there is.
+func TestAnswersToSuspectedPartsAreReported(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	q := newQuarantine(zap.NewNop(), true)
+	q.reportAccepted(now, now.Add(-time.Hour), crashReport{})
+	accept := func() {
+		_, report := answersIn(q)
+		q.reportAccepted(now, now.Add(-time.Hour), report)
+	}
+	q.RecordSuccess(partInput(1, 5, 6, 7))
+	answers, _ := answersIn(q)
+	g.Expect(answers).To(gomega.BeEmpty(), "nothing has crashed")
+	q.recordCrashes([]quarantiner.Crash{partCrash(2, 1, 5, 8)})
+	answers, _ = answersIn(q)
+	g.Expect(answers).To(gomega.Equal([]uint64{5}), "of a crash")
+	accept()
+	q.setSuspects([]*messenger.Content{{Workspace: "w", Sum: 6, Kind: messenger.ContentKind_CONTENT_KIND_PART}, {Workspace: "w", Sum: 9, Kind: messenger.ContentKind_CONTENT_KIND_PART}})
+	answers, _ = answersIn(q)
+	g.Expect(answers).To(gomega.Equal([]uint64{6}), "keepers suspect it")
+	accept()
+	answers, _ = answersIn(q)
+	g.Expect(answers).To(gomega.BeEmpty(), "they know")
+	q.setSuspects([]*messenger.Content{{Workspace: "other", Sum: 7, Kind: messenger.ContentKind_CONTENT_KIND_PART}})
+	r := &messenger.SyncRequest{}
+	q.fillRequest(r)
+	g.Expect(r.AnsweredParts).To(gomega.HaveLen(1))
+	g.Expect(r.AnsweredParts[0].OfAny).To(gomega.BeTrue(), "an answer to another workspace")
+	q.update(now, []*messenger.QuarantineTold{{Request: &messenger.Content{Workspace: "w", Sum: 7, Kind: messenger.ContentKind_CONTENT_KIND_PART}, Number: 1, LeftMs: 3_600_000}})
+	answers, _ = answersIn(q)
+	g.Expect(answers).To(gomega.ContainElement(uint64(7)), "it is held back")
+}
+
+// Guards against keepers that restart and take a common part for the cause of the crashes that
+// routers report again, since they do not know of the answers any more.
+func TestRestartedKeepersGetAnswersAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Now()
+	q := newQuarantine(zap.NewNop(), true)
+	q.reportAccepted(now, now.Add(-time.Minute), crashReport{})
+	q.RecordSuccess(partInput(1, 5))
+	q.recordCrashes([]quarantiner.Crash{partCrash(2, 1, 5)})
+	_, report := answersIn(q)
+	q.reportAccepted(now.Add(time.Second), now.Add(-time.Minute), report)
+	q.reportAccepted(now.Add(3*time.Second), now.Add(2*time.Second), crashReport{})
+	answers, _ := answersIn(q)
+	g.Expect(answers).To(gomega.Equal([]uint64{5}))
+}
+
+// Guards against a router without keepers that sends requests with a crashing part to one endpoint
+// after the other.
+func TestDisconnectedRouterHoldsBackCrashingPart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQuarantine(zap.NewNop(), true)
+	q.RecordSuccess(partInput(99, 5))
+	for e := range 3 {
+		q.recordCrashes([]quarantiner.Crash{partCrash(uint64(e), e, 5, 8), partCrash(uint64(100+e), e, 5)})
+		time.Sleep(2 * time.Millisecond)
+		q.RecordSuccess(partInput(uint64(200+e), 5))
+	}
+	q.holdLocal(time.Now().Add(time.Second))
+	g.Expect(q.HeldBack(partInput(300, 5, 8)).Remaining).To(gomega.BeNumerically(">", 30*time.Second))
+	g.Expect(q.HeldBack(partInput(300, 5)).Remaining).To(gomega.BeZero(), "the other part")
+	other := partInput(300, 8)
+	other.Fingerprint.Workspace = "other"
+	g.Expect(q.HeldBack(other).Remaining).To(gomega.BeZero(), "another workspace")
+}
+
+// Guards against refusing requests that have only some of the parts that are held back together.
+func TestPartsAreHeldBackTogether(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQuarantine(zap.NewNop(), true)
+	hold := func(number uint64, with ...uint64) {
+		q.update(time.Now(), []*messenger.QuarantineTold{{
+			Request: &messenger.Content{Workspace: "w", Sum: 5, Kind: messenger.ContentKind_CONTENT_KIND_PART, With: with}, Number: number, LeftMs: 3_600_000,
+		}})
+	}
+	hold(1, 6, 7)
+	g.Expect(q.HeldBack(partInput(1, 5, 6)).Remaining).To(gomega.BeZero())
+	g.Expect(q.HeldBack(partInput(1, 6, 7)).Remaining).To(gomega.BeZero())
+	g.Expect(q.HeldBack(partInput(1, 7, 8, 6, 5)).Remaining).NotTo(gomega.BeZero())
+	hold(2, 6)
+	g.Expect(q.HeldBack(partInput(1, 5, 6)).Remaining).NotTo(gomega.BeZero())
+	g.Expect(q.HeldBack(partInput(1, 5, 7)).Remaining).To(gomega.BeZero())
+	hold(3)
+	g.Expect(q.HeldBack(partInput(1, 5)).Remaining).NotTo(gomega.BeZero())
+}
+
+// Guards against a trial that lets several requests through, or one that is told twice.
+func TestTrialLetsOneRequestThrough(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQuarantine(zap.NewNop(), true)
+	part := &messenger.Content{Workspace: "w", Sum: 5, Kind: messenger.ContentKind_CONTENT_KIND_PART}
+	s := quarantiner.SubjectFromMessage(part)
+	q.update(time.Now(), []*messenger.QuarantineTold{{Request: part, Number: 1, LeftMs: 3_600_000}})
+	g.Expect(q.TakeTrial(s)).To(gomega.BeFalse())
+	r := &messenger.SyncRequest{}
+	report := q.fillRequest(r)
+	g.Expect(r.Refused).To(gomega.HaveLen(1), "keepers are told that requests are refused")
+	q.reportAccepted(time.Now(), time.Now().Add(-time.Hour), report)
+	q.update(time.Now(), []*messenger.QuarantineTold{{Request: part, Number: 2, LeftMs: 3_500_000, Trial: true}})
+	g.Expect(q.TakeTrial(s)).To(gomega.BeTrue())
+	g.Expect(q.TakeTrial(s)).To(gomega.BeFalse())
+	g.Expect(q.HeldBack(partInput(1, 5)).Remaining).NotTo(gomega.BeZero())
+	q.RecordSuccess(partInput(1, 5))
+	answers, _ := answersIn(q)
+	g.Expect(answers).To(gomega.Equal([]uint64{5}))
+}
+
+// Guards against a router that holds parts back although the operator has switched that off.
+func TestPartsAreNotHeldBackWhenSwitchedOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	q := newQuarantine(zap.NewNop(), false)
+	part := &messenger.Content{Workspace: "w", Sum: 5, Kind: messenger.ContentKind_CONTENT_KIND_PART}
+	q.update(time.Now(), []*messenger.QuarantineTold{{Request: part, Number: 1, LeftMs: 3_600_000}, {Request: content(7).Message(), Number: 2, LeftMs: 3_600_000}})
+	g.Expect(q.HeldBack(partInput(1, 5)).Remaining).To(gomega.BeZero())
+	g.Expect(q.HeldBack(partInput(7)).Remaining).NotTo(gomega.BeZero(), "whole requests are")
+	g.Expect(q.held.Load().newest).To(gomega.Equal(uint64(2)))
+	q.RecordSuccess(partInput(2, 6))
+	g.Expect(q.answeredLately(quarantiner.SharedPart{Workspace: "w", Part: 6})).To(gomega.BeFalse())
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -145,6 +145,8 @@
 type Quarantine interface {
 	// HeldBack returns what holds a request back, if anything.
 	HeldBack(quarantiner.Input) Hold
+	// Revision changes with what is held back.
+	Revision() uint64
 	// TakeTrial reports whether one request that the subject holds back may be sent to an endpoint
 	// all the same, and once only.
 	TakeTrial(quarantiner.Subject) bool
@@ -487,11 +489,9 @@
 // collectParts collects the shared parts of the prompt.
 func (j *job) collectParts() {
 	j.parts = j.partBuffer[:0]
-	if j.caller.Prompt == nil {
-		return
-	}
-	for _, p := range j.caller.Prompt.Shared() {
-		j.parts = quarantiner.AppendPart(j.parts, quarantiner.NewPart(p.ID))
+	// The last part belongs to the request alone.
+	for i := range len(j.caller.Parts) - 1 {
+		j.parts = quarantiner.AppendPart(j.parts, quarantiner.NewPart(j.caller.Parts[i].ID))
 	}
 }
 
--- a/forwarder/service_admission.go
+++ b/forwarder/service_admission.go
@@ -27,10 +27,11 @@
 
 // serviceAdmission makes requests wait, by priority, while every endpoint that may serve them is full.
 type serviceAdmission struct {
-	table   *predictor.Table
-	fleet   Fleet
-	start   time.Time
-	returns *returns
+	table      *predictor.Table
+	fleet      Fleet
+	quarantine Quarantine
+	start      time.Time
+	returns    *returns
 
 	mu     sync.Mutex
 	queues map[queueKey]*waitingQueue
@@ -49,7 +50,7 @@
 }
 
 func newServiceAdmission(p Dependencies, start time.Time) *serviceAdmission {
-	return &serviceAdmission{table: p.Table, fleet: p.Fleet, start: start, returns: newReturns(), queues: map[queueKey]*waitingQueue{}}
+	return &serviceAdmission{table: p.Table, fleet: p.Fleet, quarantine: p.Quarantine, start: start, returns: newReturns(), queues: map[queueKey]*waitingQueue{}}
 }
 
 // queue returns the queue for a service in the given zones, and for a version unless that is "".
@@ -99,11 +100,14 @@
 	queue *waitingQueue
 	id    uint64
 	// verdict receives the decision on the request, and changed a value after a new
-	// configuration came into force.
+	// configuration came into force or the quarantine has changed.
 	verdict chan admitter.Action
 	changed chan struct{}
 	// index is the configuration that the request knows or was told of; guarded by queue.mu.
 	index *publisher.Index
+	// quarantineRevision is that of the quarantine which the request knows or was told of; guarded by
+	// queue.mu.
+	quarantineRevision uint64
 	// started is set once the request may be sent; guarded by queue.mu.
 	started bool
 	// startedAt is when the request was started, and reported is set once loads include it. Both
@@ -114,7 +118,10 @@
 
 // enter adds a request to the queue, which was checked against a configuration.
 func (q *waitingQueue) enter(r queuedRequest, x *publisher.Index) *place {
-	p := &place{queue: q, index: x, verdict: make(chan admitter.Action, 1), changed: make(chan struct{}, 1)}
+	p := &place{
+		queue: q, index: x, quarantineRevision: q.admission.quarantine.Revision(),
+		verdict: make(chan admitter.Action, 1), changed: make(chan struct{}, 1),
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.nextID++
@@ -139,17 +146,17 @@
 	}
 }
 
-// tickOnce updates the queue and reports whether requests still wait. If the configuration has
-// changed, it tells the waiting requests, each of which checks itself.
+// tickOnce updates the queue and reports whether requests still wait. If the configuration or the
+// quarantine has changed, it tells the waiting requests, each of which checks itself.
 func (q *waitingQueue) tickOnce() bool {
-	current := q.admission.fleet.Index()
+	current, revision := q.admission.fleet.Index(), q.admission.quarantine.Revision()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, p := range q.places {
-		if p.index == current {
+		if p.index == current && p.quarantineRevision == revision {
 			continue
 		}
-		p.index = current
+		p.index, p.quarantineRevision = current, revision
 		select {
 		case p.changed <- struct{}{}:
 		default:
@@ -338,9 +345,15 @@
 // errEnded means that the request got its final answer.
 var errEnded = errors.New("request has ended")
 
-// recheck checks the key, the route and the zones of a request against the configuration in force. If
-// the request may not wait or start in its queue any more, it leaves it, and an error is returned.
+// recheck checks the request against the quarantine, and its key, route and zones against the
+// configuration in force. If the request may not wait or start in its queue any more, it leaves it,
+// and an error is returned.
 func (j *job) recheck(p *place, queued time.Duration) error {
+	if !j.trial && j.isHeldBack() {
+		return j.endQueued(p, queued, func() bool {
+			return j.refuseFor(j.hold.Remaining, http.StatusServiceUnavailable, j.hold.reason())
+		})
+	}
 	x := j.f.Fleet.Index()
 	if x == nil || x == j.index {
 		return nil
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -336,6 +336,19 @@
 	return forwarder.Hold{Subject: quarantiner.RequestSubject(in.Fingerprint), Remaining: q.heldFor}
 }
 
+// hold holds a prompt part back.
+func (q *quarantineStub) hold(p quarantiner.Part, d time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.heldPart, q.heldFor = p, d
+}
+
+func (q *quarantineStub) Revision() uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return uint64(q.heldFor)
+}
+
 func (q *quarantineStub) TakeTrial(quarantiner.Subject) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -22,6 +22,8 @@
 	Deadline time.Duration
 	// Prompt is nil for plain requests.
 	Prompt *predictor.Prompt
+	// Parts holds the parts of the prompt that the caller names, also if Prompt is nil.
+	Parts []predictor.Part
 	// LastEventID is the id of the last event that the caller has of a stream that it resumes, or "".
 	LastEventID string
 	// Resumes holds the ids that the caller states of the attempt which brought the stream's first
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -27,7 +27,7 @@
 
 // Quarantine is a subject that routers refuse until a point in time.
 type Quarantine struct {
-	Subject quarantiner.Subject
+	quarantiner.HeldSubject
 	// Number is higher than that of every earlier quarantine and trial.
 	Number uint64
 	// AtMS and UntilMS are when the quarantine begins and ends, in Unix milliseconds.
@@ -40,9 +40,9 @@
 type Trial struct {
 	// Number counts the trials of a quarantine; 0 stands for none.
 	Number uint32
-	// Router and Incarnation identify the router.
-	Router      string
-	Incarnation uint64
+	// Router and IncarnationHash identify the router.
+	Router          string
+	IncarnationHash uint64
 }
 
 // MoreTrials reports whether another trial may be permitted.
@@ -50,15 +50,15 @@
 
 func quarantineFromMessage(m *messenger.Quarantine) Quarantine {
 	return Quarantine{
-		Subject: quarantiner.SubjectFromMessage(m.Request), Number: m.Number, AtMS: m.AtMs, UntilMS: m.UntilMs,
-		Trial: Trial{Number: m.Trials, Router: m.TrialRouter, Incarnation: m.TrialIncarnation},
+		HeldSubject: quarantiner.HeldSubjectFromMessage(m.Request), Number: m.Number, AtMS: m.AtMs, UntilMS: m.UntilMs,
+		Trial: Trial{Number: m.Trials, Router: m.TrialRouter, IncarnationHash: m.TrialIncarnationHash},
 	}
 }
 
 func (q *Quarantine) message() *messenger.Quarantine {
 	return &messenger.Quarantine{
-		Request: q.Subject.Message(), Number: q.Number, AtMs: q.AtMS, UntilMs: q.UntilMS,
-		Trials: q.Trial.Number, TrialRouter: q.Trial.Router, TrialIncarnation: q.Trial.Incarnation,
+		Request: q.Message(), Number: q.Number, AtMs: q.AtMS, UntilMs: q.UntilMS,
+		Trials: q.Trial.Number, TrialRouter: q.Trial.Router, TrialIncarnationHash: q.Trial.IncarnationHash,
 	}
 }
 
@@ -163,16 +163,22 @@
 
 // applyQuarantine quarantines or releases subjects. One that is already in the
 // wanted state is left as it is: a leader may ask twice before it sees that the first
-// change was committed.
+// change was committed. A part that is held back with fewer other parts than before is held back
+// for more requests, until the same time.
 func (g *StateMachine) applyQuarantine(c *messenger.QuarantineChange) {
 	list := slices.Clone(g.quarantines)
 	for _, x := range c.Requests {
-		s := quarantiner.SubjectFromMessage(x)
-		i := indexOf(list, s)
-		if held := i >= 0 && list[i].UntilMS > c.AtMs; held == (c.UntilMs > c.AtMs) {
-			continue
+		h := quarantiner.HeldSubjectFromMessage(x)
+		i := indexOf(list, h.Subject)
+		held, wanted := i >= 0 && list[i].UntilMS > c.AtMs, c.UntilMs > c.AtMs
+		switch {
+		case held && wanted && len(h.With) < len(list[i].With):
+			wider := list[i]
+			wider.With = h.With
+			list = moveToEnd(list, i, wider)
+		case held != wanted:
+			list = moveToEnd(list, i, Quarantine{HeldSubject: h, AtMS: c.AtMs, UntilMS: c.UntilMs})
 		}
-		list = moveToEnd(list, i, Quarantine{Subject: s, AtMS: c.AtMs, UntilMS: c.UntilMs})
 	}
 	g.quarantines = list[max(len(list)-maxQuarantines, 0):]
 }
@@ -186,7 +192,7 @@
 		return
 	}
 	q := list[i]
-	q.Trial = Trial{Number: c.Trial, Router: c.Router, Incarnation: c.Incarnation}
+	q.Trial = Trial{Number: c.Trial, Router: c.Router, IncarnationHash: c.IncarnationHash}
 	g.quarantines = moveToEnd(list, i, q)
 }
 
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -89,7 +89,7 @@
 	apply(t, s, quarantineChange(0, 1_000, 7, 8))
 	apply(t, s, quarantineChange(10, 1_010, 7))
 	held := func(sum, number uint64, from, until int64) governor.Quarantine {
-		return governor.Quarantine{Subject: quarantiner.Subject{Workspace: "w", Sum: sum}, Number: number, AtMS: from, UntilMS: until}
+		return governor.Quarantine{HeldSubject: quarantiner.HeldSubject{Subject: quarantiner.Subject{Workspace: "w", Sum: sum}}, Number: number, AtMS: from, UntilMS: until}
 	}
 	g.Expect(s.Quarantines()).To(gomega.Equal([]governor.Quarantine{held(7, 1, 0, 1_000), held(8, 2, 0, 1_000)}), "submitted twice")
 	apply(t, s, quarantineChange(1_001, 2_001, 7))
@@ -112,3 +112,56 @@
 	g.Expect(list).To(gomega.HaveLen(1_024))
 	g.Expect(list[len(list)-1].Number).To(gomega.Equal(uint64(3_005)))
 }
+
+// Guards against more trials of a prompt part than allowed, one for each keeper that asks, and
+// against a restart that forgets them.
+func TestTrialsAreCountedAndPersisted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := governor.New()
+	part := &messenger.Content{Workspace: "w", Sum: 5, Kind: messenger.ContentKind_CONTENT_KIND_PART}
+	request := &messenger.Content{Workspace: "w", Sum: 5}
+	apply(t, s, &messenger.FleetChange{Body: &messenger.FleetChange_Quarantine{Quarantine: &messenger.QuarantineChange{
+		UntilMs: 1_000, Requests: []*messenger.Content{part, request},
+	}}})
+	try := func(c *messenger.Content, trial uint32, router string) {
+		apply(t, s, &messenger.FleetChange{Body: &messenger.FleetChange_Trial{Trial: &messenger.TrialChange{Subject: c, Trial: trial, Router: router, IncarnationHash: 9}}})
+	}
+	try(part, 1, "a")
+	try(part, 1, "b")
+	try(request, 1, "a")
+	first := governor.Quarantine{
+		HeldSubject: quarantiner.HeldSubjectFromMessage(part), Number: 3, UntilMS: 1_000, Trial: governor.Trial{Number: 1, Router: "a", IncarnationHash: 9},
+	}
+	g.Expect(s.Quarantines()).To(gomega.HaveLen(2))
+	g.Expect(s.Quarantines()[1]).To(gomega.Equal(first), "the first keeper that asks")
+	try(part, 2, "b")
+	try(part, 3, "c")
+	restored := governor.New()
+	g.Expect(restored.Restore(s.Snapshot())).To(gomega.Succeed())
+	g.Expect(restored.Quarantines()).To(gomega.Equal(s.Quarantines()))
+	g.Expect(restored.Quarantines()[1].Trial).To(gomega.Equal(governor.Trial{Number: 2, Router: "b", IncarnationHash: 9}))
+}
+
+// Guards against a part that stays held back for fewer requests than necessary, or for more again.
+func TestQuarantineIsWidenedOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := governor.New()
+	hold := func(with ...uint64) {
+		apply(t, s, &messenger.FleetChange{Body: &messenger.FleetChange_Quarantine{Quarantine: &messenger.QuarantineChange{
+			AtMs: 10, UntilMs: 1_000, Requests: []*messenger.Content{{Workspace: "w", Sum: 5, Kind: messenger.ContentKind_CONTENT_KIND_PART, With: with}},
+		}}})
+	}
+	with := func() []quarantiner.Part { return s.Quarantines()[0].With }
+	hold(6, 7)
+	hold(7)
+	hold(6, 7)
+	g.Expect(s.Quarantines()).To(gomega.HaveLen(1))
+	g.Expect(with()).To(gomega.Equal([]quarantiner.Part{7}))
+	g.Expect(s.Quarantines()[0].Number).To(gomega.Equal(uint64(2)), "routers learn of it")
+	restored := governor.New()
+	g.Expect(restored.Restore(s.Snapshot())).To(gomega.Succeed())
+	g.Expect(restored.Quarantines()).To(gomega.Equal(s.Quarantines()))
+	hold()
+	g.Expect(with()).To(gomega.BeEmpty())
+	g.Expect(s.Quarantines()[0].UntilMS).To(gomega.Equal(int64(1_000)))
+}
--- a/quarantiner/part_evidence_test.go
+++ b/quarantiner/part_evidence_test.go
@@ -200,6 +200,41 @@
 	g.Expect(r.ToQuarantine(at(20))).To(gomega.Equal(due), "three crashes since")
 }
 
+// Guards against refusing all requests with a common part, or none with the crashing one, because
+// only requests that have both were ever sent: which of the two is to blame shows later.
+func TestPartIsHeldBackTogetherWithItsCompanions(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := quarantiner.NewCrashTracker(time.Hour)
+	for e := range 3 {
+		partCrash(r, at(float64(e)), e, uint64(e), 100*time.Millisecond, 0xa1, crashingPart, 0xa2, quarantiner.Part(0x100+e))
+	}
+	due := r.ToQuarantine(at(4))
+	g.Expect(due).To(gomega.HaveLen(1))
+	r.SetQuarantined(at(4), due, nil)
+	with := r.Companions(due[0])
+	g.Expect(append(with, quarantiner.Part(due[0].Sum))).To(gomega.ConsistOf(quarantiner.Part(0xa1), crashingPart, quarantiner.Part(0xa2)))
+	held := quarantiner.HeldSubject{Subject: due[0], With: with}
+	g.Expect(r.RemainingCompanions(held)).To(gomega.Equal(with))
+
+	// An endpoint crashes under the crashing part without one of its companions.
+	partCrash(r, at(5), 5, 50, 100*time.Millisecond, quarantiner.Part(due[0].Sum), crashingPart, 0xa2)
+	g.Expect(r.RemainingCompanions(held)).NotTo(gomega.ContainElement(quarantiner.Part(0xa1)))
+
+	// Requests with the other two are answered.
+	partAnswered(r, at(6), 0xa1)
+	partAnswered(r, at(6), 0xa2)
+	if due[0] != partSubject(crashingPart) {
+		r.SetQuarantined(at(6), nil, nil)
+		due = r.ToQuarantine(at(7))
+		g.Expect(due).To(gomega.Equal([]quarantiner.Subject{partSubject(crashingPart)}))
+		with = r.Companions(due[0])
+	}
+	g.Expect(r.RemainingCompanions(quarantiner.HeldSubject{Subject: due[0], With: with})).To(gomega.BeEmpty())
+
+	fresh := quarantiner.NewCrashTracker(time.Hour)
+	g.Expect(fresh.RemainingCompanions(held)).To(gomega.Equal(held.With), "a keeper that has restarted")
+}
+
 // Guards against unbounded memory at keepers, and against dropping crashes unnoticed.
 func TestPartsOfCrashesAreBounded(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/quarantiner/subject.go
+++ b/quarantiner/subject.go
@@ -1,6 +1,8 @@
 package quarantiner
 
 import (
+	"slices"
+
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
@@ -25,6 +27,41 @@
 	Sum uint64
 }
 
+// HeldSubject is a subject of which only the requests are held back that have other parts as well.
+type HeldSubject struct {
+	Subject Subject
+	// With holds these parts; empty for most subjects.
+	With []Part
+}
+
+// HeldSubjectFromMessage returns the held subject in a message.
+func HeldSubjectFromMessage(c *messenger.Content) HeldSubject {
+	h := HeldSubject{Subject: SubjectFromMessage(c)}
+	for _, p := range c.GetWith() {
+		h.With = AppendPart(h.With, Part(p))
+	}
+	return h
+}
+
+// Message returns the message for the held subject.
+func (h HeldSubject) Message() *messenger.Content {
+	c := h.Subject.Message()
+	for _, p := range h.With {
+		c.With = append(c.With, uint64(p))
+	}
+	return c
+}
+
+// HasParts reports whether the request has all parts.
+func (in Input) HasParts(parts []Part) bool {
+	for _, p := range parts {
+		if !slices.Contains(in.Parts, p) {
+			return false
+		}
+	}
+	return true
+}
+
 // RequestSubject returns the subject of all requests with the fingerprint.
 func RequestSubject(f Fingerprint) Subject {
 	return Subject{Kind: KindRequest, Workspace: f.Workspace, Sum: f.Sum}
--- a/steward/quarantine.go
+++ b/steward/quarantine.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/governor"
@@ -161,9 +163,9 @@
 	return q.suspects
 }
 
-// setHeld takes over the quarantines in the log, and returns the subjects to release because
-// an endpoint has answered them.
-func (q *quarantineTracker) setHeld(now time.Time, list []governor.Quarantine) (released []quarantiner.Subject) {
+// setHeld takes over the quarantines in the log. It returns the subjects to release because an
+// endpoint has answered them, and those to hold back instead or for more requests than before.
+func (q *quarantineTracker) setHeld(now time.Time, list []governor.Quarantine) (released, widened []quarantiner.HeldSubject) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var held []quarantiner.Subject
@@ -174,34 +176,47 @@
 			continue
 		}
 		held = append(held, x.Subject)
-		if q.answered[x.Subject] {
-			released = append(released, x.Subject)
+		with := q.register.RemainingCompanions(x.HeldSubject)
+		switch {
+		case q.answered[x.Subject]:
+			released = append(released, x.HeldSubject)
+			if len(with) > 0 {
+				// One of the other parts is to blame.
+				next := quarantiner.Subject{Kind: x.Subject.Kind, Workspace: x.Subject.Workspace, Sum: uint64(with[0])}
+				widened = append(widened, quarantiner.HeldSubject{Subject: next, With: with[1:]})
+			}
+		case len(with) < len(x.With):
+			widened = append(widened, quarantiner.HeldSubject{Subject: x.Subject, With: with})
 		}
 	}
 	q.register.SetQuarantined(now, held, ended)
 	clear(q.answered)
-	for _, s := range released {
-		q.answered[s] = true
+	for _, h := range released {
+		q.answered[h.Subject] = true
 	}
-	return released
+	return released, widened
 }
 
 // due returns the subjects that must be quarantined now.
-func (q *quarantineTracker) due(now time.Time) []quarantiner.Subject {
+func (q *quarantineTracker) due(now time.Time) []quarantiner.HeldSubject {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.register.ToQuarantine(now)
+	var out []quarantiner.HeldSubject
+	for _, s := range q.register.ToQuarantine(now) {
+		out = append(out, quarantiner.HeldSubject{Subject: s, With: q.register.Companions(s)})
+	}
+	return out
 }
 
 // submitQuarantines commits the subjects to quarantine and those to release, if this
 // keeper leads.
 func (s *Keeper) submitQuarantines(ctx context.Context) {
 	now := time.Now()
-	released := s.quarantines.setHeld(now, s.committedState.Load().quarantines)
+	released, widened := s.quarantines.setHeld(now, s.committedState.Load().quarantines)
 	if !s.loop.State().IsLeader() {
 		return
 	}
-	due := s.quarantines.due(now)
+	due := append(s.quarantines.due(now), widened...)
 	if len(due)+len(released) == 0 || !s.quarantines.submitting.CompareAndSwap(false, true) {
 		return
 	}
@@ -214,7 +229,7 @@
 
 // submitQuarantine quarantines subjects for a duration starting now; a duration of 0
 // releases them.
-func (s *Keeper) submitQuarantine(ctx context.Context, subjects []quarantiner.Subject, now time.Time, duration time.Duration) {
+func (s *Keeper) submitQuarantine(ctx context.Context, subjects []quarantiner.HeldSubject, now time.Time, duration time.Duration) {
 	if len(subjects) == 0 {
 		return
 	}
@@ -228,8 +243,9 @@
 		return
 	}
 	for _, x := range subjects {
-		countQuarantineChange(x, duration)
-		s.log.Warn(quarantineMessage(x, duration), subjectField(x), zap.String("workspace", workspaceLabel(x)), zap.Duration("for", duration))
+		countQuarantineChange(x.Subject, duration)
+		s.log.Warn(quarantineMessage(x.Subject, duration), subjectField(x.Subject), zap.String("workspace", workspaceLabel(x.Subject)),
+			zap.Stringers("with", x.With), zap.Duration("for", duration))
 	}
 }
 
@@ -273,7 +289,7 @@
 			if list[i].Subject != x || !trialDue(&list[i], now) || !s.quarantines.permitting.CompareAndSwap(false, true) {
 				continue
 			}
-			change := &messenger.TrialChange{Subject: m, Router: router.GetAddress(), Incarnation: router.GetIncarnation(), Trial: list[i].Trial.Number + 1}
+			change := &messenger.TrialChange{Subject: m, Router: router.GetAddress(), IncarnationHash: incarnationHash(router), Trial: list[i].Trial.Number + 1}
 			go s.submitTrial(x, change)
 		}
 	}
@@ -298,6 +314,11 @@
 		zap.String("router", change.Router), zap.Uint32("trial", change.Trial))
 }
 
+// incarnationHash identifies the incarnation of a router in the log.
+func incarnationHash(router *messenger.FleetMember) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(nil, router.GetIncarnation()))
+}
+
 // quarantinesSince returns the quarantines with numbers above number, as sent to a router
 // that knows the others.
 func quarantinesSince(list []governor.Quarantine, number uint64, now time.Time, router *messenger.FleetMember) []*messenger.QuarantineTold {
@@ -305,8 +326,8 @@
 	for _, q := range list {
 		if q.Number > number {
 			out = append(out, &messenger.QuarantineTold{
-				Request: q.Subject.Message(), Number: q.Number, LeftMs: max(q.UntilMS-now.UnixMilli(), 0),
-				Trial: q.Trial.Number > 0 && q.Trial.Router == router.GetAddress() && q.Trial.Incarnation == router.GetIncarnation(),
+				Request: q.Message(), Number: q.Number, LeftMs: max(q.UntilMS-now.UnixMilli(), 0),
+				Trial: q.Trial.Number > 0 && q.Trial.Router == router.GetAddress() && q.Trial.IncarnationHash == incarnationHash(router),
 			})
 		}
 	}
