--- a/courier/crashing_part_test.go
+++ b/courier/crashing_part_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/messenger"
 )
 
 // crashingPart is the id of a prompt part that ends each engine that begins an answer on it.
@@ -335,3 +337,26 @@
 	g.Expect(m.lateArrivals(5)).To(gomega.BeNumerically("<=", maxLateArrivals))
 	awaitHeld(g, l)
 }
+
+// Guards against a quarantine that an operator lifts and that comes back at once because of the
+// crashes from before, and against one that does not come back although endpoints crash again.
+func TestLiftedPartIsHeldBackAfterThreeMoreCrashes(t *testing.T) {
+	f, g, m, l := partCluster(t, 76, 2, 8, 500*time.Millisecond)
+	for range 5 {
+		l.send(false)
+	}
+	crashEngines(g, m, l, 3)
+	awaitHeld(g, l)
+	keeper := messenger.NewLink(f.ip(2) + ":7340")
+	defer keeper.Close()
+	lift := &messenger.QuarantineChange{Requests: []*messenger.Content{{Workspace: "w", Sum: 0xbad0bad0, Kind: messenger.ContentKind_CONTENT_KIND_PART}}}
+	g.Expect(keeper.Call(t.Context(), time.Second, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+		_, err := c.Order(ctx, &messenger.OrderRequest{Change: &messenger.FleetChange{Body: &messenger.FleetChange_Quarantine{Quarantine: lift}}})
+		return err
+	})).To(gomega.Succeed())
+	ended := m.crashCount()
+	g.Eventually(func() int { l.send(true); return m.crashCount() }, 10*time.Second, 100*time.Millisecond).Should(gomega.BeNumerically(">", ended), "it is lifted")
+	awaitHeld(g, l)
+	t.Logf("%d engines ended after it was lifted", m.crashCount()-ended)
+	g.Expect(m.crashCount() - ended).To(gomega.BeNumerically(">=", 3))
+}
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -175,8 +175,8 @@
 	processes, endpoints map[string]bool
 	workspace            string
 	// content is empty unless an endpoint broke off while serving the request
-	// or the request was held back.
-	content string
+	// or the request was held back. part is the prompt part that held it back, if any.
+	content, part string
 }
 
 // newRequestScope derives the scope of a request from the lines that name it.
@@ -197,6 +197,9 @@
 		if c, ok := l.Fields["content"].(string); ok {
 			s.content = c
 		}
+		if p, ok := l.Fields["held_part"].(string); ok {
+			s.part = p
+		}
 		if w, ok := l.Fields["workspace"].(string); ok {
 			s.workspace = w
 		}
@@ -233,13 +236,26 @@
 	return l.Fields["content"] == s.content || slices.Contains(list, any(s.content))
 }
 
+// matchesPart reports whether the line is about the prompt part that held the request back, whenever
+// it was logged.
+func (s *requestScope) matchesPart(l *Line) bool {
+	if s.part == "" {
+		return false
+	}
+	list, _ := l.Fields["parts_unanswered"].([]any)
+	return l.Fields["part"] == s.part || slices.ContainsFunc(list, func(entry any) bool {
+		text, _ := entry.(string)
+		return strings.HasPrefix(text, s.part+":")
+	})
+}
+
 // includes reports whether a line that does not name the request belongs to its
 // history.
 func (s *requestScope) includes(l *Line) bool {
 	if _, other := l.Fields["request"]; other {
 		return false
 	}
-	if s.matchesContent(l) {
+	if s.matchesContent(l) || s.matchesPart(l) {
 		return true
 	}
 	if l.Time().Before(s.from.Add(-contextWindow)) || l.Time().After(s.to.Add(contextWindow)) {
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -80,6 +80,22 @@
 	}))
 }
 
+// Guards against the story of a refused request that does not say which prompt part held it back and
+// which endpoints ended under it.
+func TestStoryHoldsWhyAPartWasHeldBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := readLogs(t, map[string]string{
+		"r1.log": formatLine(160, "r1", "ended", `,"request":"x1","status":503,"took":0,"workspace":"w","content":"c1","parts":["a","5c"],"held_part":"5c"`),
+		"r2.log": formatLine(91, "r2", "endpoint ended under requests", `,"endpoint":"i-1","contents":["c7"],"parts_unanswered":["5c:1"],"parts_answered":["a:2"]`) +
+			formatLine(92, "r2", "endpoint ended under requests", `,"endpoint":"i-2","contents":["c8"],"parts_unanswered":["5c1:1"],"parts_answered":["a:2"]`),
+		"k1.log": formatLine(93, "k1", "prompt part held back: endpoints ended under it", `,"part":"5c","workspace":"w"`) +
+			formatLine(93, "k1", "prompt part held back: endpoints ended under it", `,"part":"a","workspace":"w"`),
+	})
+	g.Expect(processMessages(narrator.History(all, "x1"))).To(gomega.Equal([]string{
+		"r2: endpoint ended under requests", "k1: prompt part held back: endpoints ended under it", "r1: ended",
+	}))
+}
+
 // Guards against lines in the wrong order when the clock of one VM is ahead: a
 // keeper's lines appeared five seconds after their consequences. Lines were
 // sorted by the clock of each process. A router that was cut off and learned of
--- a/steward/quarantine.go
+++ b/steward/quarantine.go
@@ -327,7 +327,8 @@
 		if q.Number > number {
 			out = append(out, &messenger.QuarantineTold{
 				Request: q.Message(), Number: q.Number, LeftMs: max(q.UntilMS-now.UnixMilli(), 0),
-				Trial: q.Trial.Number > 0 && q.Trial.Router == router.GetAddress() && q.Trial.IncarnationHash == incarnationHash(router),
+				Trials: q.Trial.Number,
+				Trial:  q.Trial.Number > 0 && q.Trial.Router == router.GetAddress() && q.Trial.IncarnationHash == incarnationHash(router),
 			})
 		}
 	}
--- a/steward/server.go
+++ b/steward/server.go
@@ -46,6 +46,11 @@
 	if r.Change.GetRights() != nil {
 		return v.keeper.submitClaim(ctx, r.Change)
 	}
+	if q := r.Change.GetQuarantine(); q != nil && q.AtMs == 0 {
+		// An operator's command, whose clock may differ.
+		q.AtMs = time.Now().UnixMilli()
+		q.UntilMs = q.AtMs
+	}
 	return v.keeper.submitChange(ctx, r.Change)
 }
 
@@ -95,15 +100,23 @@
 }
 
 // Fetch returns this keeper's current configuration document.
-func (v *server) Fetch(context.Context, *messenger.FleetDocumentRequest) (*messenger.FleetDocumentReply, error) {
+func (v *server) Fetch(_ context.Context, r *messenger.FleetDocumentRequest) (*messenger.FleetDocumentReply, error) {
 	// The age is read before the document: the confirmation then covers the document that
 	// is read after it.
 	age := v.keeper.confirmedAge(time.Now())
 	committed := v.keeper.committedState.Load()
 	d := committed.document
-	return &messenger.FleetDocumentReply{
+	out := &messenger.FleetDocumentReply{
 		Number: d.Number(), Content: d.Content(), ConfirmedAgeMs: age, Evacuations: committed.evacuationsMessage(time.Now()),
-	}, nil
+	}
+	if r.ListQuarantines {
+		for _, q := range quarantinesSince(committed.quarantines, 0, time.Now(), nil) {
+			if q.LeftMs > 0 {
+				out.Quarantined = append(out.Quarantined, q)
+			}
+		}
+	}
+	return out, nil
 }
 
 // confirmedAge returns the milliseconds since a majority last confirmed this keeper's
