Answers without length and chunks are not complete when their endpoint has ended

What callers see: an answer may come with neither a length nor chunks and end with its connection. The system of a process that crashes closes its connections regularly, and such an answer looked whole: passed on with a length (plain) or a final chunk (stream), counted as answered in the quarantine, not resumed. Change: when the connection of such an answer is closed, the router connects to the endpoint once more; one that refuses has ended, and the answer was broken off. A sound one counts as answered, which streams did not until now.

--- a/courier/liveness.go
+++ b/courier/liveness.go
@@ -12,6 +12,7 @@
 
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/pooler"
+	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
@@ -27,6 +28,9 @@
 	// connections. It is then considered unreachable rather than ended, since an endpoint
 	// that ended may have restarted by that time.
 	probeDuration = 1500 * time.Millisecond
+	// endCheckTimeout bounds the check whether an endpoint has ended that has closed the connection
+	// of an answer without length. The caller waits for it.
+	endCheckTimeout = 200 * time.Millisecond
 	// maxLoggedParts is the maximum number of prompt parts in the log line of a crash.
 	maxLoggedParts = 64
 )
@@ -114,6 +118,17 @@
 	return answered, unanswered
 }
 
+// HasEnded reports whether an endpoint refuses a connection now, and not because its path is lost.
+func (l *livenessChecks) HasEnded(ctx context.Context, e *predictor.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	c, err := l.dial(ctx, e.Beat().Address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) && l.confirmEnded(e.Beat())
+}
+
 // refusesConnections reports whether nothing listens at an address. A running endpoint
 // accepts the connection, and an unreachable one doesn't respond.
 func (l *livenessChecks) refusesConnections(address string) bool {
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -393,7 +393,7 @@
 	j.holding.Add(len(body))
 	assignment.ObserveFirstByte(time.Now())
 	e := assignment.Endpoint()
-	if err != nil || !a.Complete() {
+	if err != nil || !a.Complete() || j.closedByEnd(ctx, a, e) {
 		j.reason = "answer broken off"
 		j.recordFailure(ctx, e)
 		return outcomeLost
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -39,7 +39,7 @@
 			}
 			continue
 		}
-		if err == io.EOF && a.Complete() && len(event) == 0 && !a.CloseDelimited {
+		if err == io.EOF && a.Complete() && len(event) == 0 && (!a.CloseDelimited || j.headSent && !j.closedByEnd(ctx, a, assignment.Endpoint())) {
 			j.recordSuccess(a.Status, assignment.Endpoint())
 			j.sendHead(a)
 			j.logEnd(a.Status, "")
@@ -49,13 +49,14 @@
 	}
 }
 
+// closedByEnd reports whether an answer without length and chunks was completed only by the end of
+// its endpoint. The system of a process that crashes closes its connections regularly.
+func (j *job) closedByEnd(ctx context.Context, a *pooler.Answer, e *predictor.Endpoint) bool {
+	return a.CloseDelimited && j.f.Quarantine.HasEnded(ctx, e)
+}
+
 // handleBrokenOff handles a stream that ended before its final event.
 func (j *job) handleBrokenOff(ctx context.Context, a *pooler.Answer, assignment *predictor.Assignment, event []byte, err error) outcome {
-	if err == io.EOF && a.CloseDelimited && len(event) == 0 && j.headSent {
-		// Without a length or chunks, the end of the connection is the end of the answer.
-		j.logEnd(a.Status, "unframed")
-		return outcomeDone
-	}
 	j.reason = "stream broken off"
 	if err != nil {
 		j.reason += ": " + err.Error()
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -362,6 +364,14 @@
 	q.answered = append(q.answered, in)
 }
 
+func (q *quarantineStub) HasEnded(ctx context.Context, e *predictor.Endpoint) bool {
+	c, err := pooler.DialDirect(ctx, e.Beat().Address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (q *quarantineStub) RecordBrokenOff(_ *predictor.Endpoint, in quarantiner.Input, _ time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
