An endpoint that restarts at once is recognized as ended

A router took an endpoint whose connections broke off for running if it accepted a connection. One that is back within milliseconds, as a new incarnation at its address, was never counted, and a part or request ended it again and again. Now the router also watches for another incarnation at the address, for 2.5 s; at most 512 requests are kept meanwhile.

--- a/courier/crashing_part_test.go
+++ b/courier/crashing_part_test.go
@@ -360,3 +360,21 @@
 	t.Logf("%d engines ended after it was lifted", m.crashCount()-ended)
 	g.Expect(m.crashCount() - ended).To(gomega.BeNumerically(">=", 3))
 }
+
+// Guards against ends that go unseen because the engine accepts connections again, as a new
+// incarnation, before any router has checked it.
+func TestPartIsHeldBackWhenEnginesRestartAtOnce(t *testing.T) {
+	_, g, m, l := partCluster(t, 77, 2, 4, 0)
+	for range 5 {
+		l.send(false)
+	}
+	crashEngines(g, m, l, 5)
+	time.Sleep(contactWindow)
+	before := m.crashCount()
+	for range 20 {
+		l.send(true)
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Logf("%d engines ended", m.crashCount())
+	g.Expect(m.crashCount()-before).To(gomega.BeNumerically("<=", maxLateArrivals))
+}
--- a/courier/endpoint.go
+++ b/courier/endpoint.go
@@ -1,6 +1,7 @@
 package courier
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,14 @@
 // they decide first.
 const maxMissedHeartbeats = 8
 
+// isReplaced reports whether another incarnation is in service at the address of an endpoint. It is
+// safe for concurrent use.
+func (f *fleetView) isReplaced(b enroller.Heartbeat) bool {
+	return slices.ContainsFunc(f.table.Endpoints(b.Service), func(e *predictor.Endpoint) bool {
+		return e.Beat().Address == b.Address && e.Beat().Incarnation != b.Incarnation
+	})
+}
+
 // applyEndpoints puts the known endpoints in service and removes the others. While no keeper
 // answers, endpoints don't expire, because heartbeats are only known through keepers.
 func (f *fleetView) applyEndpoints(now time.Time) {
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -154,6 +154,7 @@
 		results: make(chan syncResult), firstDocument: make(chan struct{}), keeperChanged: make(chan struct{}, 1),
 	}
 	f.routerCount.Store(1)
+	f.quarantine.replaced = f.isReplaced
 	for _, s := range o.Node.Seeds() {
 		f.addKeeper(s, "")
 	}
--- a/courier/liveness.go
+++ b/courier/liveness.go
@@ -28,6 +28,12 @@
 	// connections. It is then considered unreachable rather than ended, since an endpoint
 	// that ended may have restarted by that time.
 	probeDuration = 1500 * time.Millisecond
+	// replacementTimeout is how long a new incarnation may take to announce itself to keepers, and
+	// they to this router.
+	replacementTimeout = 2500 * time.Millisecond
+	// maxPendingRequests is the maximum number of requests that are kept while an endpoint is
+	// checked. More than that run at no endpoint at a time.
+	maxPendingRequests = 512
 	// endCheckTimeout bounds the check whether an endpoint has ended that has closed the connection
 	// of an answer without length. The caller waits for it.
 	endCheckTimeout = 200 * time.Millisecond
@@ -43,6 +49,8 @@
 	// connections of this router has ended; it may be the path that is gone.
 	dial         pooler.DialFunc
 	confirmEnded func(enroller.Heartbeat) bool
+	// replaced reports whether another incarnation is in service at an endpoint's address.
+	replaced func(enroller.Heartbeat) bool
 	// answered reports whether requests with a part were answered lately.
 	answered func(quarantiner.SharedPart) bool
 	// onCrash receives the requests that were in progress at an endpoint that ended.
@@ -57,7 +65,7 @@
 	return &livenessChecks{
 		log: log, onCrash: crashed, pending: map[enroller.Incarnation][]quarantiner.Crash{},
 		dial: pooler.DialDirect, confirmEnded: func(enroller.Heartbeat) bool { return true },
-		answered: func(quarantiner.SharedPart) bool { return false },
+		replaced: func(enroller.Heartbeat) bool { return false }, answered: func(quarantiner.SharedPart) bool { return false },
 	}
 }
 
@@ -66,7 +74,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	list, checking := l.pending[b.Incarnation]
-	l.pending[b.Incarnation] = append(list, c)
+	if len(list) < maxPendingRequests {
+		l.pending[b.Incarnation] = append(list, c)
+	}
 	if !checking {
 		go l.check(b)
 	}
@@ -75,7 +85,7 @@
 // check probes an endpoint, and reports the requests that failed there if it has ended.
 func (l *livenessChecks) check(b enroller.Heartbeat) {
 	time.Sleep(gatherDelay)
-	ended := l.refusesConnections(b.Address) && l.confirmEnded(b)
+	ended := l.refusesConnections(b.Address) && l.confirmEnded(b) || l.awaitReplacement(b)
 	l.mu.Lock()
 	list := l.pending[b.Incarnation]
 	delete(l.pending, b.Incarnation)
@@ -94,6 +104,17 @@
 	l.onCrash(list)
 }
 
+// awaitReplacement reports whether another incarnation comes into service at the address of an endpoint
+// that accepts connections: it may have ended and restarted before it was checked.
+func (l *livenessChecks) awaitReplacement(b enroller.Heartbeat) bool {
+	for begun := time.Now(); time.Since(begun) < replacementTimeout; time.Sleep(dialRetryInterval) {
+		if l.replaced(b) {
+			return true
+		}
+	}
+	return false
+}
+
 // divideParts returns the prompt parts of the requests, each with the number of requests that have
 // it, divided into those that were answered lately and the others.
 func (l *livenessChecks) divideParts(list []quarantiner.Crash) (answered, unanswered []string) {
--- a/courier/quarantine_test.go
+++ b/courier/quarantine_test.go
@@ -43,10 +43,12 @@
 	m.f.run(name, func(ctx context.Context) error {
 		for life := 1; ctx.Err() == nil; life++ {
 			m.runIncarnation(ctx, fmt.Sprint(name, "-", life), l)
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-time.After(m.downtime):
+			if m.downtime > 0 {
+				select {
+				case <-ctx.Done():
+					return nil
+				case <-time.After(m.downtime):
+				}
 			}
 			if l, err = net.Listen("tcp", address); err != nil {
 				return err
