A crowded router closes new connections unread

What callers would see: the platform may hand most new connections of a zone to one router for some seconds, then to another. That router reads all of them, and answers most with 503, or late: its link and processor are made for its even share. Change: a router whose link or processor is used by 0.8 and by 1.5 times as much as the others of its zone on average closes a part of the new connections before it reads anything, as many as bring it to 0.7. The callers' next attempt meets another router. Where others are as busy, or there are none, it refuses none. Routers report the use of their processors as well. connection_shedding = false switches it off.

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -71,6 +71,10 @@
 // force had been announced for too long.
 var outdatedRefusals = metrics.NewCounter("rattanhoist_configuration_outdated_refusals_total")
 
+// connectionsRefused counts connections of callers that were closed unread while this router was much
+// busier than the others of its zone.
+var connectionsRefused = metrics.NewCounter("rattanhoist_connections_refused_total")
+
 // endpointCrashes counts endpoints that ended while requests of this router were in
 // progress there.
 var endpointCrashes = metrics.NewCounter("rattanhoist_endpoints_ended_total")
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -113,7 +113,7 @@
 		c.pool.UseDialer(o.DialEndpoint)
 	}
 	c.fleet = newFleetView(o, c.incarnation, table, c.pool)
-	c.fleet.shedding = newShedding(c.admission, o.Log)
+	c.fleet.shedding = newShedding(c.admission, o.Node, o.Log)
 	if o.DialEndpoint != nil {
 		c.fleet.quarantine.dial = o.DialEndpoint
 	}
@@ -205,7 +205,7 @@
 	messenger.RegisterFleetRouterServer(rpc, &peerServer{rights: c.rights, table: c.fleet.table, relays: c.relays})
 	failed := make(chan error, 3)
 	go func() { failed <- rpc.Serve(internal) }()
-	go func() { failed <- callers.Serve(c.admission.Listener(front)) }()
+	go func() { failed <- callers.Serve(c.admission.Listener(c.fleet.shedding.listener(front))) }()
 	go func() { failed <- question.Serve(ready) }()
 	go c.fleet.run(work)
 	go c.rights.run(work)
--- a/courier/crashing_part_test.go
+++ b/courier/crashing_part_test.go
@@ -376,5 +376,5 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	t.Logf("%d engines ended", m.crashCount())
-	g.Expect(m.crashCount()-before).To(gomega.BeNumerically("<=", maxLateArrivals))
+	g.Expect(m.crashCount() - before).To(gomega.BeNumerically("<=", maxLateArrivals))
 }
--- a/loader/node.go
+++ b/loader/node.go
@@ -83,6 +83,8 @@
 	StreamVersions bool
 	// PartQuarantine holds back requests with a prompt part under which endpoints crash.
 	PartQuarantine bool
+	// ConnectionShedding refuses new connections at a router that is much busier than others.
+	ConnectionShedding bool
 	// EnginePriorities sends the priorities of requests to endpoints.
 	EnginePriorities bool
 }
@@ -209,7 +211,7 @@
 	"zones", "cold_overshoot", "cold_slack",
 	"limit_overshoot", "limit_slack", "limit_window_s",
 	"processor_share", "paced_claims", "shortage_notices", "load_digests", "service_admission", "engine_priorities", "caller_limits", "endpoint_relays",
-	"stream_versions", "part_quarantine",
+	"stream_versions", "part_quarantine", "connection_shedding",
 }
 
 // LoadNode reads and validates the settings of one process. The error lists
@@ -254,7 +256,7 @@
 
 // parseFeatures reads which parts of the fleet are switched on.
 func (c *parser) parseFeatures(sec *ini.Section, f *Features) {
-	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true, EndpointRelays: true, StreamVersions: true, PartQuarantine: true}
+	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true, EndpointRelays: true, StreamVersions: true, PartQuarantine: true, ConnectionShedding: true}
 	c.readBool(sec, "paced_claims", &f.PacedClaims)
 	c.readBool(sec, "shortage_notices", &f.ShortageNotices)
 	c.readBool(sec, "load_digests", &f.LoadDigests)
@@ -264,6 +266,7 @@
 	c.readBool(sec, "endpoint_relays", &f.EndpointRelays)
 	c.readBool(sec, "stream_versions", &f.StreamVersions)
 	c.readBool(sec, "part_quarantine", &f.PartQuarantine)
+	c.readBool(sec, "connection_shedding", &f.ConnectionShedding)
 }
 
 // parseRegions reads the region of each zone in the form ZONE:REGION,ZONE:REGION.
--- a/shaper/shedder.go
+++ b/shaper/shedder.go
@@ -25,8 +25,8 @@
 
 // ZoneLoad describes the load of the routers of an availability zone.
 type ZoneLoad struct {
-	// Mean is the mean utilization of their links.
-	Mean float64
+	// Mean is the mean utilization of their links, and MeanProcessor that of their processors.
+	Mean, MeanProcessor float64
 	// Routers is the number of routers, and Shedding the number of those that shed callers.
 	Routers, Shedding int
 }
--- a/steward/pace.go
+++ b/steward/pace.go
@@ -4,9 +4,8 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"rattanhoist.example/rattanhoist/allotter"
+	"rattanhoist.example/rattanhoist/shaper"
 )
 
 const (
@@ -40,7 +39,7 @@
 }
 
 func newClaimPace(share float64) *claimPace {
-	return &claimPace{share: share, processorTime: processorTime}
+	return &claimPace{share: share, processorTime: shaper.ProcessorTime}
 }
 
 // recordCommit records how long a log entry of claims took.
@@ -93,12 +92,3 @@
 	defer c.mu.Unlock()
 	return c.interval, c.load.Use
 }
-
-// processorTime returns the processor time that this process has used.
-func processorTime() (time.Duration, bool) {
-	var u unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
-		return 0, false
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), true
-}
--- a/steward/routers.go
+++ b/steward/routers.go
@@ -85,19 +85,21 @@
 	if c, ok := r.loads[zone]; ok && now.Sub(c.at) < zoneLoadTTL {
 		return c.load
 	}
-	out, sum := &messenger.ZoneLoad{}, uint64(0)
+	out, sum, processor := &messenger.ZoneLoad{}, uint64(0), uint64(0)
 	for _, x := range r.byAddress {
 		if x.member.Zone != zone || x.load == nil {
 			continue
 		}
 		out.Routers++
 		sum += uint64(x.load.Permille)
+		processor += uint64(x.load.ProcessorPermille)
 		if x.load.Shedding {
 			out.Shedding++
 		}
 	}
 	if out.Routers > 0 {
 		out.MeanPermille = uint32(sum / uint64(out.Routers))
+		out.MeanProcessorPermille = uint32(processor / uint64(out.Routers))
 	}
 	r.loads[zone] = cachedLoad{load: out, at: now}
 	return out
