--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -45,7 +45,7 @@
 			j.logEnd(a.Status, "")
 			return outcomeDone
 		}
-		return j.handleBrokenOff(ctx, a, assignment, event, err)
+		return j.handleBrokenOff(ctx, assignment, err)
 	}
 }
 
@@ -56,7 +56,7 @@
 }
 
 // handleBrokenOff handles a stream that ended before its final event.
-func (j *job) handleBrokenOff(ctx context.Context, a *pooler.Answer, assignment *predictor.Assignment, event []byte, err error) outcome {
+func (j *job) handleBrokenOff(ctx context.Context, assignment *predictor.Assignment, err error) outcome {
 	j.reason = "stream broken off"
 	if err != nil {
 		j.reason += ": " + err.Error()
