Crashes are indexed by part, and assessing them is bounded

An assessment of 120 crashes, each under 64 requests of eight parts of which 2,000 were never answered, took 36 s: each candidate walked all requests of all crashes, and each subject that was found began all over. Crashes now hold their requests by part, those at one moment and what explains a crash are kept for one assessment, at most four subjects are found by one, and a keeper pauses for 30 times its duration.

--- a/quarantiner/assessment.go
+++ b/quarantiner/assessment.go
@@ -28,6 +28,8 @@
 	// answeredSettleTime is the settleTime of prompt parts that were answered before: crashes count
 	// once routers that serve the part have had the time to report another answer.
 	answeredSettleTime = 2 * time.Second
+	// maxPerAssessment bounds the work of one assessment. The next one finds the rest.
+	maxPerAssessment = 4
 )
 
 // ToQuarantine returns the subjects to quarantine from now on.
@@ -36,15 +38,16 @@
 	if r.settled && now.Sub(r.changedAt) > answeredSettleTime {
 		return nil
 	}
-	a := &assessment{CrashTracker: r, now: now, quarantined: maps.Clone(r.quarantined), endpointsOf: map[Subject]map[enroller.Incarnation]bool{}}
+	a := newAssessment(r, now)
 	var out []Subject
-	for {
+	for len(out) < maxPerAssessment {
 		s, ok := a.next()
 		if !ok {
 			break
 		}
 		out = append(out, s)
 		a.quarantined[s] = true
+		clear(a.explained)
 	}
 	r.settled = len(out) == 0 && now.Sub(r.changedAt) > answeredSettleTime
 	return out
@@ -56,8 +59,30 @@
 	now time.Time
 	// quarantined includes the subjects that this assessment has found.
 	quarantined map[Subject]bool
-	// endpointsOf caches crashedEndpoints.
+	// endpointsOf caches crashedEndpoints, and explained caches explanations.
 	endpointsOf map[Subject]map[enroller.Incarnation]bool
+	explained   map[*endpointCrash][]Subject
+	// byTime holds the crashes of endpoints, oldest first, and simultaneous caches those that crashed
+	// at about the same time as one of them.
+	byTime       []*endpointCrash
+	simultaneous map[*endpointCrash][]*endpointCrash
+}
+
+func newAssessment(r *CrashTracker, now time.Time) *assessment {
+	a := &assessment{
+		CrashTracker: r, now: now, quarantined: maps.Clone(r.quarantined),
+		endpointsOf: map[Subject]map[enroller.Incarnation]bool{}, explained: map[*endpointCrash][]Subject{}, byTime: slices.Collect(maps.Values(r.endpoints)),
+		simultaneous: map[*endpointCrash][]*endpointCrash{},
+	}
+	slices.SortFunc(a.byTime, func(x, y *endpointCrash) int { return x.at.Compare(y.at) })
+	return a
+}
+
+// crashedBetween returns the crashes of endpoints from one time to another, both included.
+func (a *assessment) crashedBetween(from, to time.Time) []*endpointCrash {
+	i, _ := slices.BinarySearchFunc(a.byTime, from, func(e *endpointCrash, t time.Time) int { return e.at.Compare(t) })
+	j, _ := slices.BinarySearchFunc(a.byTime, to.Add(1), func(e *endpointCrash, t time.Time) int { return e.at.Compare(t) })
+	return a.byTime[i:j]
 }
 
 // next returns the subject that explains the most crashes, and whether there is one. Of a request
@@ -105,28 +130,48 @@
 }
 
 // isExplained reports whether a quarantined subject was in progress at the endpoint.
-func (a *assessment) isExplained(e *endpointCrash) bool {
-	return a.findExplanation(e, func(Subject) bool { return true })
-}
+func (a *assessment) isExplained(e *endpointCrash) bool { return len(a.explanations(e)) > 0 }
 
-// findExplanation reports whether a quarantined subject that was in progress at the endpoint
-// satisfies a condition.
-func (a *assessment) findExplanation(e *endpointCrash, condition func(Subject) bool) bool {
-	for _, x := range e.requests {
-		in := Input{Fingerprint: x.request, Parts: x.parts}
-		if _, found := in.Find(func(s Subject) bool { return a.quarantined[s] && condition(s) }); found {
-			return true
+// explanations returns the quarantined subjects that were in progress at the endpoint.
+func (a *assessment) explanations(e *endpointCrash) []Subject {
+	if len(a.quarantined) == 0 {
+		return nil
+	}
+	out, cached := a.explained[e]
+	if cached {
+		return out
+	}
+	consider := func(s Subject) {
+		if a.quarantined[s] {
+			out = append(out, s)
 		}
 	}
-	return false
+	for _, x := range e.requests {
+		consider(RequestSubject(x.request))
+	}
+	for p := range e.byPart {
+		consider(PartSubject(p))
+		consider(PartOfAnySubject(p.Part))
+	}
+	a.explained[e] = out
+	return out
 }
 
 // hasExternalCause reports whether at least minCorrelated endpoints where neither the subject nor a
 // quarantined one was in progress crashed at about the same time as endpoint e, where it was.
 func (a *assessment) hasExternalCause(s Subject, e *endpointCrash) bool {
+	near, cached := a.simultaneous[e]
+	if !cached {
+		near = a.crashedBetween(e.at.Add(-correlationWindow), e.at.Add(correlationWindow))
+		a.simultaneous[e] = near
+	}
+	if len(near) <= minCorrelated {
+		return false
+	}
 	others := 0
-	for _, x := range a.endpoints {
-		if x.at.Sub(e.at).Abs() <= correlationWindow && !x.has(s) && !a.isExplained(x) {
+	endpoints := a.crashedEndpoints(s)
+	for _, x := range near {
+		if !endpoints[x.endpoint] && !a.isExplained(x) {
 			others++
 		}
 	}
@@ -258,21 +303,19 @@
 		}
 		if !a.isExplained(e) {
 			v.unexplained++
-		} else if a.findExplanation(e, func(x Subject) bool { return !a.includes(s, x) }) {
+		} else if slices.ContainsFunc(a.explanations(e), func(x Subject) bool { return !a.includes(s, x) }) {
 			continue
 		}
 		v.crashes = append(v.crashes, e)
 	}
-	if s.Kind == KindPartOfAny && !a.concernsSeveralWorkspaces(s, v.crashes) {
+	if len(v.crashes) < minCrashes || s.Kind == KindPartOfAny && !a.concernsSeveralWorkspaces(s, v.crashes) {
 		return &evidence{subject: s}
 	}
 	slices.SortFunc(v.crashes, func(x, y *endpointCrash) int {
 		return cmp.Or(x.at.Compare(y.at), cmp.Compare(x.endpoint.ID, y.endpoint.ID))
 	})
-	v.count()
-	if len(v.crashes) >= minCrashes {
-		v.meanwhile = a.countMeanwhile(v, settle)
-	}
+	a.count(v)
+	v.meanwhile = a.countMeanwhile(v, settle)
 	return v
 }
 
@@ -308,10 +351,8 @@
 	alone := map[string]bool{}
 	for _, e := range crashes {
 		workspaces := map[string]bool{}
-		for _, x := range e.requests {
-			if x.belongsTo(s) {
-				workspaces[x.request.Workspace] = true
-			}
+		for _, x := range a.requestsWith(e, s) {
+			workspaces[x.request.Workspace] = true
 		}
 		if len(workspaces) == 1 {
 			maps.Copy(alone, workspaces)
@@ -323,18 +364,17 @@
 // countMeanwhile counts the crashes from the first to the last one attributed to a part that
 // quarantined subjects do not explain.
 func (a *assessment) countMeanwhile(v *evidence, settle time.Duration) int {
-	first, last := v.crashes[0].at, v.crashes[len(v.crashes)-1].at
-	n := len(v.crashes)
-	for _, e := range a.endpoints {
-		if !e.at.Before(first) && !e.at.After(last) && a.now.Sub(e.firstReportedAt) >= settle && !slices.Contains(v.crashes, e) && !a.isExplained(e) {
+	n := len(v.crashes) - v.unexplained
+	for _, e := range a.crashedBetween(v.crashes[0].at, v.crashes[len(v.crashes)-1].at) {
+		if a.now.Sub(e.firstReportedAt) >= settle && !a.isExplained(e) {
 			n++
 		}
 	}
 	return n
 }
 
-// count determines the counts that depend on the crashes alone.
-func (v *evidence) count() {
+// count determines the counts that depend on the part's crashes alone.
+func (a *assessment) count(v *evidence) {
 	seen := map[Fingerprint]bool{}
 	var moment time.Time
 	for _, e := range v.crashes {
@@ -344,10 +384,7 @@
 		}
 		before := len(seen)
 		shortest := time.Duration(-1)
-		for _, x := range e.requests {
-			if !x.belongsTo(v.subject) {
-				continue
-			}
+		for _, x := range a.requestsWith(e, v.subject) {
 			seen[x.request] = true
 			if shortest < 0 || x.elapsed < shortest {
 				shortest = x.elapsed
@@ -377,10 +414,7 @@
 		if !e.at.After(since) {
 			continue
 		}
-		for _, x := range e.requests {
-			if !x.belongsTo(s) {
-				continue
-			}
+		for _, x := range r.requestsWith(e, s) {
 			if first {
 				out, first = slices.Clone(x.parts), false
 			}
--- a/quarantiner/crash_tracker.go
+++ b/quarantiner/crash_tracker.go
@@ -54,17 +54,6 @@
 	elapsed time.Duration
 }
 
-// belongsTo reports whether the subject stands for the request.
-func (r runningRequest) belongsTo(s Subject) bool {
-	switch s.Kind {
-	case KindPart:
-		return r.request.Workspace == s.Workspace && slices.Contains(r.parts, Part(s.Sum))
-	case KindPartOfAny:
-		return slices.Contains(r.parts, Part(s.Sum))
-	}
-	return RequestSubject(r.request) == s
-}
-
 // endpointCrash is the crash of one endpoint.
 type endpointCrash struct {
 	endpoint enroller.Incarnation
@@ -73,11 +62,30 @@
 	// At is the earliest reported time of the crash.
 	at       time.Time
 	requests []runningRequest
+	// byPart holds the requests with each part.
+	byPart map[SharedPart][]runningRequest
 }
 
-// has reports whether a request that the subject stands for was in progress at the endpoint.
-func (e *endpointCrash) has(s Subject) bool {
-	return slices.ContainsFunc(e.requests, func(x runningRequest) bool { return x.belongsTo(s) })
+func (e *endpointCrash) add(x runningRequest) {
+	e.requests = append(e.requests, x)
+	for _, p := range x.parts {
+		shared := SharedPart{Workspace: x.request.Workspace, Part: p}
+		e.byPart[shared] = append(e.byPart[shared], x)
+	}
+}
+
+// remove removes a request, and returns its parts that no other request has.
+func (e *endpointCrash) remove(f Fingerprint, parts []Part) (gone []SharedPart) {
+	same := func(x runningRequest) bool { return x.request == f }
+	e.requests = slices.DeleteFunc(e.requests, same)
+	for _, p := range parts {
+		shared := SharedPart{Workspace: f.Workspace, Part: p}
+		if e.byPart[shared] = slices.DeleteFunc(e.byPart[shared], same); len(e.byPart[shared]) == 0 {
+			delete(e.byPart, shared)
+			gone = append(gone, shared)
+		}
+	}
+	return gone
 }
 
 // CrashTracker counts the endpoints that crashed during each request and under each prompt part, and
@@ -133,14 +141,14 @@
 	s.totalElapsed += c.Elapsed
 	e := r.endpoints[c.Endpoint]
 	if e == nil {
-		e = &endpointCrash{endpoint: c.Endpoint, firstReportedAt: now, at: c.At}
+		e = &endpointCrash{endpoint: c.Endpoint, firstReportedAt: now, at: c.At, byPart: map[SharedPart][]runningRequest{}}
 		r.endpoints[c.Endpoint] = e
 	}
 	if c.At.Before(e.at) {
 		e.at = c.At
 	}
 	c.Parts = c.Parts[:min(len(c.Parts), maxParts)]
-	e.requests = append(e.requests, runningRequest{request: c.Request, parts: c.Parts, elapsed: c.Elapsed})
+	e.add(runningRequest{request: c.Request, parts: c.Parts, elapsed: c.Elapsed})
 	r.crashes = append(r.crashes, c)
 	r.addParts(c)
 	r.changed(now)
@@ -243,29 +251,36 @@
 		delete(r.suspects, c.Request)
 	}
 	e := r.endpoints[c.Endpoint]
-	e.requests = slices.DeleteFunc(e.requests, func(x runningRequest) bool { return x.request == c.Request })
+	r.crashParts -= len(c.Parts)
+	for _, p := range e.remove(c.Request, c.Parts) {
+		r.removePart(p, c.Endpoint)
+	}
 	if len(e.requests) == 0 {
 		delete(r.endpoints, c.Endpoint)
 	}
-	r.removeParts(c, e)
 }
 
-// removeParts removes the prompt parts of a crash that no other request at the endpoint has.
-func (r *CrashTracker) removeParts(c Crash, e *endpointCrash) {
-	r.crashParts -= len(c.Parts)
-	for _, p := range c.Parts {
-		shared := SharedPart{Workspace: c.Request.Workspace, Part: p}
-		if e.has(PartSubject(shared)) {
-			continue
-		}
-		delete(r.parts[shared], c.Endpoint)
-		if len(r.parts[shared]) > 0 {
-			continue
-		}
-		delete(r.parts, shared)
-		delete(r.workspaces[p], c.Request.Workspace)
-		if len(r.workspaces[p]) == 0 {
-			delete(r.workspaces, p)
-		}
+// removePart removes an endpoint from those that crashed under a part.
+func (r *CrashTracker) removePart(p SharedPart, endpoint enroller.Incarnation) {
+	delete(r.parts[p], endpoint)
+	if len(r.parts[p]) > 0 {
+		return
+	}
+	delete(r.parts, p)
+	delete(r.workspaces[p.Part], p.Workspace)
+	if len(r.workspaces[p.Part]) == 0 {
+		delete(r.workspaces, p.Part)
+	}
+}
+
+// requestsWith returns the requests in progress at an endpoint that a part stands for.
+func (r *CrashTracker) requestsWith(e *endpointCrash, s Subject) []runningRequest {
+	if s.Kind == KindPart {
+		return e.byPart[SharedPart{Workspace: s.Workspace, Part: Part(s.Sum)}]
+	}
+	var out []runningRequest
+	for w := range r.workspaces[Part(s.Sum)] {
+		out = append(out, e.byPart[SharedPart{Workspace: w, Part: Part(s.Sum)}]...)
 	}
+	return out
 }
--- a/quarantiner/part_evidence_test.go
+++ b/quarantiner/part_evidence_test.go
@@ -459,3 +459,30 @@
 		}
 	}
 }
+
+// Keepers assess the crashes every 0.3 s. Here an endpoint with 64 requests of eight parts each
+// crashes every second for two minutes, some of the parts are common and answered, others rare.
+func BenchmarkAssessment(b *testing.B) {
+	r := quarantiner.NewCrashTracker(time.Hour)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for e := range 120 {
+		for n := range 64 {
+			var parts []quarantiner.Part
+			for range 4 {
+				parts = quarantiner.AppendPart(parts, quarantiner.Part(rng.IntN(10)))
+			}
+			for range 4 {
+				parts = quarantiner.AppendPart(parts, quarantiner.Part(100+rng.IntN(2000)))
+			}
+			partCrash(r, at(float64(e)), e, uint64(64*e+n), time.Second, parts...)
+		}
+		for p := range 10 {
+			partAnswered(r, at(float64(e)+0.5), quarantiner.Part(p))
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		partAnswered(r, at(119.5), 1)
+		r.ToQuarantine(at(121))
+	}
+}
--- a/steward/quarantine.go
+++ b/steward/quarantine.go
@@ -20,6 +20,9 @@
 	maxSuspects = 64
 	// suspectsInterval is how often the suspected parts are determined.
 	suspectsInterval = 200 * time.Millisecond
+	// assessmentPause is the pause after an assessment of the crashes as a multiple of its duration. It
+	// keeps the processor time below a thirtieth when thousands of parts are suspected.
+	assessmentPause = 30
 	// maxReleasingAge is the maximum age of an answer that ends the quarantine of a prompt part.
 	// Routers report answers within a few hundred milliseconds; an older one may have been given
 	// before the part began to crash endpoints.
@@ -53,6 +56,8 @@
 	suspectsAt time.Time
 	// dropped is the number of dropped crashes that were counted.
 	dropped int
+	// assessAfter is when the crashes may be assessed again.
+	assessAfter time.Time
 	// submitting is set while quarantines are being committed, and permitting while a trial is.
 	submitting, permitting atomic.Bool
 }
@@ -201,13 +206,22 @@
 func (q *quarantineTracker) due(now time.Time) []quarantiner.HeldSubject {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	begun := time.Now()
 	var out []quarantiner.HeldSubject
 	for _, s := range q.register.ToQuarantine(now) {
 		out = append(out, quarantiner.HeldSubject{Subject: s, With: q.register.Companions(s)})
 	}
+	q.assessAfter = now.Add(assessmentPause * time.Since(begun))
 	return out
 }
 
+// pausing reports whether the crashes may not be assessed yet.
+func (q *quarantineTracker) pausing(now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return now.Before(q.assessAfter)
+}
+
 // submitQuarantines commits the subjects to quarantine and those to release, if this
 // keeper leads.
 func (s *Keeper) submitQuarantines(ctx context.Context) {
@@ -216,7 +230,10 @@
 	if !s.loop.State().IsLeader() {
 		return
 	}
-	due := append(s.quarantines.due(now), widened...)
+	due := widened
+	if !s.quarantines.pausing(now) {
+		due = append(due, s.quarantines.due(now)...)
+	}
 	if len(due)+len(released) == 0 || !s.quarantines.submitting.CompareAndSwap(false, true) {
 		return
 	}
