--- a/cmd/rattanhoist-measure/main.go
+++ b/cmd/rattanhoist-measure/main.go
@@ -14,7 +14,8 @@
 	"rattanhoist.example/rattanhoist/measurer"
 )
 
-const pageMode = 0o644
+// pageFileMode is the mode of a capacity page that does not exist yet.
+const pageFileMode = 0o644
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
@@ -54,6 +55,7 @@
 	}
 }
 
+// capacity replaces the measured lines of a capacity page by those of a report in JSON.
 func capacity(slopes, page string) error {
 	f, err := os.Open(slopes)
 	if err != nil {
@@ -72,9 +74,10 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(page, []byte(text), pageMode)
+	return os.WriteFile(page, []byte(text), pageFileMode)
 }
 
+// run runs the named experiments, or all of them, and prints one report.
 func run(ctx context.Context, names []string, output string) error {
 	if len(names) == 0 {
 		for _, e := range measurer.Experiments() {
--- a/cmd/rattanhoist-node/main.go
+++ b/cmd/rattanhoist-node/main.go
@@ -25,17 +25,17 @@
 	"rattanhoist.example/rattanhoist/steward"
 )
 
-// metricsTimeout bounds a reader that is slow to ask.
+// metricsTimeout bounds how long a client of the metrics may take to send its request header.
 const metricsTimeout = 5 * time.Second
 
-// memoryPart of what the process may use is where garbage collection gives up
-// its pace: what the kernel holds for sockets comes on top.
-const memoryPart = 0.7
+// memoryLimitFraction of the memory that the process may use is the soft limit of the Go runtime.
+// Socket buffers in the kernel count towards the same memory.
+const memoryLimitFraction = 0.7
 
-// reloadEvery is how often the settings are read; it takes less than 0.1 ms.
-const reloadEvery = 2 * time.Second
+// settingsPollInterval is how often the settings file is read, which takes less than 0.1 ms.
+const settingsPollInterval = 2 * time.Second
 
-// settingsVariable names the settings file.
+// settingsVariable is the environment variable that holds the path of the settings file.
 const settingsVariable = "RATTANHOIST_SETTINGS"
 
 func main() {
@@ -48,7 +48,7 @@
 	}
 }
 
-// serveMetrics shows counters as text; a port that is taken costs only them.
+// serveMetrics serves the metrics as text. If the port is in use, the process runs without them.
 func serveMetrics(address string, log *zap.Logger) {
 	if address == "" {
 		return
@@ -66,6 +66,7 @@
 	}()
 }
 
+// run runs the router or keeper of the settings until ctx is done.
 func run(ctx context.Context) error {
 	n, warnings, err := loader.LoadNode(os.Getenv(settingsVariable))
 	if err != nil {
@@ -77,7 +78,7 @@
 		zap.Fields(zap.String("process", n.Name())))
 	serveMetrics(n.Metrics(), log)
 	if m := n.MemoryBytes(); m > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(m)))
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(m)))
 	}
 	for _, w := range warnings {
 		log.Warn(w)
@@ -101,14 +102,14 @@
 	})
 }
 
-// reload takes up seeds of changed settings, at a signal or when the file has
-// changed without one. All else needs a new start, which the platform gives.
-func reload(ctx context.Context, n *loader.Node, log *zap.Logger, learn func([]string)) {
+// reload adds the seeds of changed settings, on SIGHUP or when the file has changed without a signal.
+// All other changes take effect when the platform starts the process again.
+func reload(ctx context.Context, n *loader.Node, log *zap.Logger, addSeeds func([]string)) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	file := os.Getenv(settingsVariable)
 	seeds := n.Seeds()
-	t := time.NewTicker(reloadEvery)
+	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -125,7 +126,7 @@
 		if !slices.Equal(next.Seeds(), seeds) {
 			seeds = next.Seeds()
 			log.Info("seeds changed", zap.Strings("seeds", seeds))
-			learn(seeds)
+			addSeeds(seeds)
 		}
 	}
 }
--- a/cmd/rattanhoist-standin/hop.go
+++ b/cmd/rattanhoist-standin/hop.go
@@ -11,7 +11,7 @@
 	"rattanhoist.example/rattanhoist/imitator"
 )
 
-// errFailedCalls makes the exit code show that a comparison had failures.
+// errFailedCalls makes the exit code non-zero if calls of a comparison failed.
 var errFailedCalls = errors.New("calls failed; see the table")
 
 func hopCommand() *cobra.Command {
--- a/cmd/rattanhoist-standin/load.go
+++ b/cmd/rattanhoist-standin/load.go
@@ -11,7 +11,7 @@
 	"rattanhoist.example/rattanhoist/imitator"
 )
 
-// errWrongAnswer makes the exit code show that an answer was wrong.
+// errWrongAnswer makes the exit code non-zero if an answer was wrong.
 var errWrongAnswer = errors.New("wrong answers; see the summary")
 
 func loadCommand() *cobra.Command {
--- a/cmd/rattanhoist-standin/main.go
+++ b/cmd/rattanhoist-standin/main.go
@@ -29,12 +29,14 @@
 	}
 }
 
-// worker is a stand-in that serves requests.
-type worker interface {
+// endpointHandler serves the requests of a stand-in for an endpoint. Load is the number of requests that
+// it reports to routers.
+type endpointHandler interface {
 	http.Handler
 	Load() int64
 }
 
+// endpointFlags holds the flags of the commands that serve as an endpoint.
 type endpointFlags struct {
 	name, service, zone, listen, keyFile, runLog string
 	routers, announceTo, labels                  []string
@@ -82,6 +84,7 @@
 	return c
 }
 
+// serve serves requests and announces the endpoint to routers until ctx is done.
 func (f *endpointFlags) serve(ctx context.Context, kind string) error {
 	key, err := os.ReadFile(f.keyFile)
 	if err != nil {
@@ -92,9 +95,9 @@
 		return err
 	}
 	defer func() { _ = closeRuns() }()
-	var w worker = imitator.NewEngine(f.engineOptions(), runs)
+	var handler endpointHandler = imitator.NewEngine(f.engineOptions(), runs)
 	if kind == "plain" {
-		w = imitator.NewPlain(f.capacity, f.pace, runs)
+		handler = imitator.NewPlain(f.capacity, f.pace, runs)
 	}
 	l, err := net.Listen("tcp", f.listen)
 	if err != nil {
@@ -104,8 +107,8 @@
 	if len(f.announceTo) > 0 {
 		routers = f.announceTo
 	}
-	a := imitator.NewAnnouncer(f.announcement(), routers, strings.TrimSpace(string(key)), f.announceEvery, w.Load)
-	server := &http.Server{Handler: a.Control(w), ReadHeaderTimeout: time.Second}
+	a := imitator.NewAnnouncer(f.announcement(), routers, strings.TrimSpace(string(key)), f.announceEvery, handler.Load)
+	server := &http.Server{Handler: a.Control(handler), ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(l) }()
 	a.Run(ctx)
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.drain)
