ARCHITECTURE: quarantined parts, refused connections; a test of parts next to each other

The rule that crashes must concern several workspaces alone had no test that failed without it (ablation); TestCrashesNextToEachOtherDoNotConcernAllWorkspaces does.

--- a/quarantiner/part_evidence_test.go
+++ b/quarantiner/part_evidence_test.go
@@ -172,6 +172,21 @@
 	}))
 }
 
+// Guards against a part that is held back for all workspaces although at each crash requests of two of
+// them had it, so that no crash shows which of the two is concerned.
+func TestCrashesNextToEachOtherDoNotConcernAllWorkspaces(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := quarantiner.NewCrashTracker(time.Hour)
+	for e, pair := range [][2]string{{"a", "b"}, {"b", "c"}, {"a", "c"}} {
+		for n, w := range pair {
+			r.Add(at(float64(e)), quarantiner.Crash{
+				Request: quarantiner.Fingerprint{Workspace: w, Sum: uint64(10*e + n)}, Parts: []quarantiner.Part{commonPart}, Endpoint: endpoint(e), At: at(float64(e)),
+			})
+		}
+	}
+	g.Expect(r.ToQuarantine(at(5))).To(gomega.BeEmpty())
+}
+
 // Guards against three crashes for each workspace whose requests have a crashing part.
 func TestPartOfSeveralWorkspacesIsHeldBackForAll(t *testing.T) {
 	g := gomega.NewWithT(t)
