--- a/quarantiner/part_evidence_test.go
+++ b/quarantiner/part_evidence_test.go
@@ -187,6 +187,18 @@
 	g.Expect(r.ToQuarantine(at(5))).To(gomega.BeEmpty())
 }
 
+// Guards against refusing all requests with a new common part, which nothing has answered yet: other
+// requests with it run next to those with the crashing part.
+func TestPartOfFewerRequestsIsBlamed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := quarantiner.NewCrashTracker(time.Hour)
+	for e := 1; e <= 3; e++ {
+		partCrash(r, at(float64(e)), e, uint64(e), 100*time.Millisecond, commonPart, crashingPart)
+		partCrash(r, at(float64(e)), e, uint64(100+e), 50*time.Millisecond, commonPart)
+	}
+	g.Expect(r.ToQuarantine(at(5))[0]).To(gomega.Equal(partSubject(crashingPart)))
+}
+
 // Guards against three crashes for each workspace whose requests have a crashing part.
 func TestPartOfSeveralWorkspacesIsHeldBackForAll(t *testing.T) {
 	g := gomega.NewWithT(t)
