A slow assessment of crashes delays the next one by half a second at most; two tests

The pause after an assessment was 30 times its duration by the clock, unbounded: a keeper that waits for its processor for 0.3 s would have paused for 9 s, while a part crashes endpoints (TestSlowAssessmentDelaysTheNextOneByLittle).

--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -338,6 +338,18 @@
 	return forwarder.Hold{Subject: quarantiner.RequestSubject(in.Fingerprint), Remaining: q.heldFor}
 }
 
+func (q *quarantineStub) brokenCount() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.broken)
+}
+
+func (q *quarantineStub) answeredCount() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.answered)
+}
+
 // hold holds a prompt part back.
 func (q *quarantineStub) hold(p quarantiner.Part, d time.Duration) {
 	q.mu.Lock()
--- a/steward/quarantine.go
+++ b/steward/quarantine.go
@@ -21,8 +21,10 @@
 	// suspectsInterval is how often the suspected parts are determined.
 	suspectsInterval = 200 * time.Millisecond
 	// assessmentPause is the pause after an assessment of the crashes as a multiple of its duration. It
-	// keeps the processor time below a thirtieth when thousands of parts are suspected.
-	assessmentPause = 30
+	// keeps the processor time low when thousands of parts are suspected. It is at most
+	// maxAssessmentPause: a process that waits for its processor seems to take long as well.
+	assessmentPause    = 30
+	maxAssessmentPause = 500 * time.Millisecond
 	// maxReleasingAge is the maximum age of an answer that ends the quarantine of a prompt part.
 	// Routers report answers within a few hundred milliseconds; an older one may have been given
 	// before the part began to crash endpoints.
@@ -211,10 +213,15 @@
 	for _, s := range q.register.ToQuarantine(now) {
 		out = append(out, quarantiner.HeldSubject{Subject: s, With: q.register.Companions(s)})
 	}
-	q.assessAfter = now.Add(assessmentPause * time.Since(begun))
+	q.assessAfter = now.Add(pauseAfter(time.Since(begun)))
 	return out
 }
 
+// pauseAfter returns how long to wait after an assessment that took some time.
+func pauseAfter(took time.Duration) time.Duration {
+	return min(assessmentPause*took, maxAssessmentPause)
+}
+
 // pausing reports whether the crashes may not be assessed yet.
 func (q *quarantineTracker) pausing(now time.Time) bool {
 	q.mu.Lock()
--- a/steward/quarantine_test.go
+++ b/steward/quarantine_test.go
@@ -169,6 +169,14 @@
 	g.Expect(q.suspectedParts(now.Add(time.Minute))).To(gomega.BeEmpty())
 }
 
+// Guards against a part that crashes endpoints for seconds more, because an assessment took long while
+// its process waited for the processor.
+func TestSlowAssessmentDelaysTheNextOneByLittle(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(pauseAfter(time.Millisecond)).To(gomega.Equal(30 * time.Millisecond))
+	g.Expect(pauseAfter(time.Second)).To(gomega.BeNumerically("<=", 500*time.Millisecond))
+}
+
 // Guards against trials that come too early, too often, or for whole requests.
 func TestTrialsAreDueOneAtATime(t *testing.T) {
 	g := gomega.NewWithT(t)
