--- a/courier/liveness.go
+++ b/courier/liveness.go
@@ -28,6 +28,9 @@
 	// connections. It is then considered unreachable rather than ended, since an endpoint
 	// that ended may have restarted by that time.
 	probeDuration = 1500 * time.Millisecond
+	// An end is confirmed by up to maxConfirmations attempts, confirmationInterval apart.
+	maxConfirmations     = 5
+	confirmationInterval = 250 * time.Millisecond
 	// replacementTimeout is how long a new incarnation may take to announce itself to keepers, and
 	// they to this router.
 	replacementTimeout = 2500 * time.Millisecond
@@ -85,7 +88,7 @@
 // check probes an endpoint, and reports the requests that failed there if it has ended.
 func (l *livenessChecks) check(b enroller.Heartbeat) {
 	time.Sleep(gatherDelay)
-	ended := l.refusesConnections(b.Address) && l.confirmEnded(b) || l.awaitReplacement(b)
+	ended := l.refusesConnections(b.Address) && l.awaitConfirmation(b) || l.awaitReplacement(b)
 	l.mu.Lock()
 	list := l.pending[b.Incarnation]
 	delete(l.pending, b.Incarnation)
@@ -104,6 +107,18 @@
 	l.onCrash(list)
 }
 
+// awaitConfirmation reports whether an endpoint that refuses connections of this router has ended. Other
+// routers may not be asked at once while many endpoints end.
+func (l *livenessChecks) awaitConfirmation(b enroller.Heartbeat) bool {
+	for range maxConfirmations {
+		if l.confirmEnded(b) {
+			return true
+		}
+		time.Sleep(confirmationInterval)
+	}
+	return false
+}
+
 // awaitReplacement reports whether another incarnation comes into service at the address of an endpoint
 // that accepts connections: it may have ended and restarted before it was checked.
 func (l *livenessChecks) awaitReplacement(b enroller.Heartbeat) bool {
--- a/courier/quarantine_internal_test.go
+++ b/courier/quarantine_internal_test.go
@@ -321,3 +321,21 @@
 	q.RecordSuccess(partInput(2, 6))
 	g.Expect(q.answeredLately(quarantiner.SharedPart{Workspace: "w", Part: 6})).To(gomega.BeFalse())
 }
+
+// Guards against ends that go unseen while many endpoints end at once: other routers are asked at most
+// a few times a second whether they reach an endpoint, and paths count as lost meanwhile.
+func TestEndIsConfirmedOnceOtherRoutersCanBeAsked(t *testing.T) {
+	g := gomega.NewWithT(t)
+	stopped, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(stopped.Close()).To(gomega.Succeed())
+	q := newQuarantine(zap.NewNop(), true)
+	asked := 0
+	q.confirmEnded = func(enroller.Heartbeat) bool {
+		asked++
+		return asked > 2
+	}
+	e := predictor.NewEndpoint(enroller.Heartbeat{Incarnation: enroller.Incarnation{ID: "e1"}, Address: stopped.Addr().String()})
+	q.RecordBrokenOff(e, input(1), time.Second)
+	g.Eventually(func() []uint64 { out, _ := pendingReport(q); return out }, 2*time.Second).Should(gomega.Equal([]uint64{1}))
+}
