Keepers and routers log when leaves are learned, and how old that knowledge is

Cause: after a request that reached an endpoint late, no line told when its router had learned of the leave, from which keeper, or how late after a keeper had applied it, and nothing told how old a router's knowledge of leaves was. Change: line "endpoints have left" on routers, with keeper and delay; "leave acknowledged before all routers have synced" names the routers and whether the keeper had applied the leave; leaves_age in "ended"; gauge rattanhoist_leaves_age_seconds and histogram rattanhoist_leave_delay_seconds. No decision changes.

Measured: go test ./steward ./enroller ./forwarder.

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -79,6 +79,15 @@
 // progress there.
 var endpointCrashes = metrics.NewCounter("rattanhoist_endpoints_ended_total")
 
+// leaveDelays measures the time from when a keeper applied a leave until this router removed the
+// endpoint from service, at most: the time that the reply took to arrive is included.
+var leaveDelays = metrics.NewHistogram("rattanhoist_leave_delay_seconds")
+
+// registerLeavesGauge registers the gauge of the age of what this router knows of leaves.
+func registerLeavesGauge(f *fleetView) {
+	metrics.GetOrCreateGauge("rattanhoist_leaves_age_seconds", func() float64 { return f.LeavesAge().Seconds() })
+}
+
 // registerMemoryGauge registers the gauge of the bytes held for callers.
 func registerMemoryGauge(m *enforcer.Memory) {
 	metrics.GetOrCreateGauge("rattanhoist_caller_bytes_held", func() float64 { return float64(m.Held()) })
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -129,6 +129,7 @@
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
 	c.fleet.onDocument = c.rights.updateTotals
 	c.registerGauges()
+	registerLeavesGauge(c.fleet)
 	ratio, slack, window := o.Node.RetryLimit()
 	var limits *forwarder.CallerLimits
 	if o.Node.Features().CallerLimits {
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -133,6 +133,8 @@
 	// endpoints in service reflect.
 	appliedEvacuations uint64
 	evacuations        *evacuations
+	// leaves tells how current the knowledge of leaves is.
+	leaves leaveTracker
 	// shedding moves callers to other routers. It is nil if the load of the link is not known.
 	shedding       *shedding
 	warmup         *warmup
@@ -154,6 +156,7 @@
 		results: make(chan syncResult), firstDocument: make(chan struct{}), keeperChanged: make(chan struct{}, 1),
 	}
 	f.routerCount.Store(1)
+	f.leaves.startedAt = f.startedAt
 	f.quarantine.replaced = f.isReplaced
 	for _, s := range o.Node.Seeds() {
 		f.addKeeper(s, "")
@@ -236,9 +239,7 @@
 	f.evacuations.update(now, r.Evacuations)
 	f.shedding.observe(r.ZoneLoad)
 	f.fetchIfNewer(ctx, l, r.Number)
-	for _, l := range r.Left {
-		f.registered.Leave(now, enroller.IncarnationFromLeave(l))
-	}
+	f.applyLeaves(sent, now, l.Address(), r)
 	f.warmup.applyLimits(now, f)
 	return listed
 }
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -199,15 +199,19 @@
 
 // Leave removes an incarnation permanently. One without a start time stands for the
 // current incarnation under the id, because the sender of the message knew the id only.
-func (t *Table) Leave(now time.Time, i Incarnation) {
+// It reports whether the incarnation was in the table until then.
+func (t *Table) Leave(now time.Time, i Incarnation) bool {
 	if _, known := t.tombstones[i.ID]; known && i.BornMS == 0 || t.hasEnded(i) {
-		return
+		return false
 	}
 	if k, ok := t.Current(i.ID); ok && i.BornMS == 0 {
 		i = k
 	}
+	_, present := t.entries[i.ID]
 	t.markEnded(now, i)
+	_, remains := t.entries[i.ID]
 	t.revision++
+	return present && !remains
 }
 
 // hasEnded reports whether an incarnation has ended.
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -241,6 +241,7 @@
 	if e.Warmup().BackingOff(time.Now()) {
 		requestsBeforeRetryAfter.Inc()
 	}
+	j.leavesAge = max(j.leavesAge, j.f.Fleet.LeavesAge())
 	mayHaveRunBefore, sentAt := j.mayHaveRun, time.Now()
 	r := j.endpointRequest(assignment)
 	a, err := j.f.Pool.Exchange(ctx, j.connectionTarget(e), r)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -71,6 +71,9 @@
 	// minLoggedRightsWait is the shortest wait for tokens that is logged. Tokens that the
 	// router holds are reserved in less.
 	minLoggedRightsWait = time.Millisecond
+	// staleLeavesAge is the age from which the knowledge of leaves is logged with a request. It is longer
+	// than the interval between two syncs of a large fleet.
+	staleLeavesAge = time.Second
 	// connectionFraction of an endpoint's connection limit is shared among the routers; the
 	// rest allows for connections that are being closed.
 	connectionFraction = 0.8
@@ -125,6 +128,8 @@
 	// PartialDispatches reports whether only some of the other routers tell this one about
 	// their dispatches.
 	PartialDispatches() bool
+	// LeavesAge returns the time since the router's knowledge of endpoints that leave was complete.
+	LeavesAge() time.Duration
 }
 
 // Hold is what holds a request back, and for how much longer. Remaining is 0 if nothing does.
@@ -268,6 +273,8 @@
 	reservation Reservation
 	// rightsWait is how long the request waited for prepaid tokens, or 0 if it did not.
 	rightsWait time.Duration
+	// leavesAge is the highest age of the knowledge of leaves when an attempt began.
+	leavesAge time.Duration
 	// tried holds the incarnations that the request was sent to.
 	tried []enroller.Incarnation
 	// versions holds the software versions of these incarnations when the request was sent there.
@@ -627,6 +634,9 @@
 	if p := j.caller.Prompt; p != nil {
 		fields = append(fields, zap.Int64("prompt", p.InputTokens))
 	}
+	if j.leavesAge > staleLeavesAge {
+		fields = append(fields, zap.Duration("leaves_age", j.leavesAge))
+	}
 	if j.queued > 0 {
 		fields = append(fields, zap.Duration("queued", j.queued))
 	}
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -188,6 +188,8 @@
 }
 func (f fleetStub) PartialDispatches() bool { return false }
 
+func (f fleetStub) LeavesAge() time.Duration { return 0 }
+
 // testRouter is a router in front of scripted endpoints.
 type testRouter struct {
 	server     *httptest.Server
--- a/steward/leave.go
+++ b/steward/leave.go
@@ -19,6 +19,8 @@
 	// waited for: two syncs of a large fleet. A router that is silent for longer has lost
 	// contact or syncs with another keeper.
 	recentSyncWindow = 1200 * time.Millisecond
+	// maxLoggedPending bounds the routers in a log line.
+	maxLoggedPending = 8
 )
 
 // awaitLeaveNotified waits until every router that syncs with this keeper has been told that an
@@ -33,15 +35,16 @@
 		if appliedAt.IsZero() && slices.Contains(s.committedState.Load().leftEndpoints, i) {
 			appliedAt = now
 		}
-		pending := 0
+		var pending []string
 		if !appliedAt.IsZero() {
-			if pending = s.registry.unsyncedRouters(now, appliedAt); pending == 0 {
+			if pending = s.registry.unsyncedRouters(now, appliedAt); len(pending) == 0 {
 				return
 			}
 		}
 		if !now.Before(deadline) {
 			leavesUnnotified.Inc()
-			s.log.Info("leave acknowledged before all routers have synced", zap.Stringer("endpoint", i), zap.Int("routers", pending))
+			s.log.Info("leave acknowledged before all routers have synced", zap.Stringer("endpoint", i), zap.Bool("applied", !appliedAt.IsZero()),
+				zap.Int("routers", len(pending)), zap.Strings("pending", pending[:min(len(pending), maxLoggedPending)]))
 			return
 		}
 		select {
@@ -52,22 +55,22 @@
 	}
 }
 
-// unsyncedRouters returns how many routers sync with this keeper and have not done so since a
+// unsyncedRouters returns the routers that sync with this keeper and have not done so since a
 // time.
-func (r *registry) unsyncedRouters(now, since time.Time) int {
+func (r *registry) unsyncedRouters(now, since time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.routers.unsynced(now, since)
 }
 
-// unsynced returns how many routers called this keeper within recentSyncWindow, but not since a
+// unsynced returns the routers that called this keeper within recentSyncWindow, but not since a
 // time.
-func (r *routers) unsynced(now, since time.Time) int {
-	n := 0
-	for _, x := range r.byAddress {
+func (r *routers) unsynced(now, since time.Time) []string {
+	var out []string
+	for a, x := range r.byAddress {
 		if x.direct && now.Sub(x.lastSeen) < recentSyncWindow && !x.lastSeen.After(since) {
-			n++
+			out = append(out, a)
 		}
 	}
-	return n
+	return out
 }
--- a/steward/registry.go
+++ b/steward/registry.go
@@ -33,6 +33,8 @@
 	// its observations.
 	unshared map[string]bool
 	routers  *routers
+	// leftAt holds when this keeper applied the leaves that the committed state holds.
+	leftAt map[enroller.Incarnation]time.Time
 	// epoch identifies this process: the revisions of the table start again in every
 	// process.
 	epoch     uint64
@@ -40,7 +42,7 @@
 }
 
 func newRegistry(heartbeat time.Duration) *registry {
-	return &registry{table: enroller.NewTable(maxMissedHeartbeats * heartbeat), unshared: map[string]bool{}, routers: newRouters(), epoch: rand.Uint64() | 1, startedAt: time.Now()}
+	return &registry{table: enroller.NewTable(maxMissedHeartbeats * heartbeat), unshared: map[string]bool{}, routers: newRouters(), leftAt: map[enroller.Incarnation]time.Time{}, epoch: rand.Uint64() | 1, startedAt: time.Now()}
 }
 
 // beginVersions records whether there were endpoints before this process.
@@ -83,7 +85,37 @@
 	defer r.mu.Unlock()
 	for _, i := range left {
 		r.table.Leave(now, i)
+		if _, known := r.leftAt[i]; !known {
+			r.leftAt[i] = now
+		}
+	}
+	if len(r.leftAt) > 2*len(left) {
+		r.leftAt = retainLeaves(r.leftAt, left)
+	}
+}
+
+// retainLeaves returns the times of the given leaves.
+func retainLeaves(at map[enroller.Incarnation]time.Time, left []enroller.Incarnation) map[enroller.Incarnation]time.Time {
+	out := make(map[enroller.Incarnation]time.Time, len(left))
+	for _, i := range left {
+		out[i] = at[i]
 	}
+	return out
+}
+
+// leaveMessages returns leaves for a router, with the times since they were applied here.
+func (r *registry) leaveMessages(now time.Time, left []enroller.Incarnation) []*messenger.LeaveChange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*messenger.LeaveChange, 0, len(left))
+	for _, i := range left {
+		m := i.LeaveChange()
+		if at, known := r.leftAt[i]; known {
+			m.AgeMs = now.Sub(at).Milliseconds()
+		}
+		out = append(out, m)
+	}
+	return out
 }
 
 // resolveIncarnation completes an incarnation from a message that names only the id: it
--- a/steward/server.go
+++ b/steward/server.go
@@ -92,9 +92,7 @@
 	out.Evacuations = committed.evacuationsMessage(now)
 	out.Quarantined = quarantinesSince(committed.quarantines, q.Quarantine, now, q.Router)
 	if q.SkipEndpoints || len(out.Endpoints) > 0 || q.Revision != out.Revision || q.Epoch != out.Epoch {
-		for _, i := range committed.leftEndpoints[max(len(committed.leftEndpoints)-maxLeavesSent, 0):] {
-			out.Left = append(out.Left, i.LeaveChange())
-		}
+		out.Left = s.registry.leaveMessages(now, committed.leftEndpoints[max(len(committed.leftEndpoints)-maxLeavesSent, 0):])
 	}
 	return out, nil
 }
