A log sends each member one message for all changes that arrive together

Cause: the loop stepped the core once for each event, and each step that proposed or committed something sent a message to each member: changes times keepers, twice. Change: Core.Step takes all events of a batch and sends at its end. The order of writes, acknowledgements and messages is as before: rows are synced first.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -165,16 +165,15 @@
 // processBatch steps the core through a batch, executes the resulting actions, and then
 // runs inspections and sends immediate answers.
 func (l *Loop) processBatch(ctx context.Context, batch []call) error {
-	now := time.Now()
-	var actions []replicator.Action
+	var events []replicator.Event
 	answers := make([]*Outcome, len(batch))
 	for i, c := range batch {
 		var e replicator.Event
 		if e, answers[i] = l.eventFor(c); e != nil {
-			actions = append(actions, l.core.Step(now, e)...)
+			events = append(events, e)
 		}
 	}
-	if err := l.execute(ctx, actions); err != nil {
+	if err := l.execute(ctx, l.core.Step(time.Now(), events...)); err != nil {
 		return err
 	}
 	// Inspections and immediate answers may depend on an entry of this batch, so they wait
--- a/replicator/fuzz_test.go
+++ b/replicator/fuzz_test.go
@@ -73,6 +73,7 @@
 				}
 			}
 		},
+		"together": func(t *rapid.T) { p.deliverTogether(rapid.IntRange(2, 12).Draw(t, "messages")) },
 		"flow": func(t *rapid.T) {
 			for range rapid.IntRange(1, 40).Draw(t, "rounds") {
 				p.flow()
--- a/replicator/pool_test.go
+++ b/replicator/pool_test.go
@@ -193,8 +193,8 @@
 	}
 }
 
-func (p *pool) step(name string, e replicator.Event) {
-	p.do(name, p.nodes[name].core.Step(p.nodes[name].now, e))
+func (p *pool) step(name string, events ...replicator.Event) {
+	p.do(name, p.nodes[name].core.Step(p.nodes[name].now, events...))
 }
 
 func (p *pool) tick(d time.Duration) {
@@ -219,13 +219,24 @@
 // offer proposes change number again, or a new change if again is 0.
 func (p *pool) offer(name string, again int) {
 	if again == 0 || again%2 == 0 {
-		p.ids++
-		again = p.ids
+		p.step(name, p.newChange(name))
+		return
 	}
-	id := fmt.Sprint("c", again)
+	p.step(name, p.change(name, again))
+}
+
+// newChange returns the proposal of a change that was never proposed.
+func (p *pool) newChange(name string) replicator.Propose {
+	p.ids++
+	return p.change(name, p.ids)
+}
+
+// change returns the proposal of change number n.
+func (p *pool) change(name string, n int) replicator.Propose {
+	id := fmt.Sprint("c", n)
 	p.ticket++
 	p.asked[p.ticket] = pendingRequest{id: id}
-	p.step(name, replicator.Propose{Ticket: p.ticket, Data: fmt.Appendf(nil, "%s/%d", id, len(p.nodes[name].machine.history))})
+	return replicator.Propose{Ticket: p.ticket, Data: fmt.Appendf(nil, "%s/%d", id, len(p.nodes[name].machine.history))}
 }
 
 func (p *pool) read(name string) {
@@ -244,6 +255,26 @@
 	p.pass(m)
 }
 
+// deliverTogether delivers up to n of the waiting messages to one node in one
+// step, and then a new change.
+func (p *pool) deliverTogether(n int) {
+	if len(p.messages) == 0 {
+		return
+	}
+	to := p.messages[0].To.Name
+	var events []replicator.Event
+	p.messages = slices.DeleteFunc(p.messages, func(m *messenger.LogMessage) bool {
+		if m.To.Name != to || len(events) == n {
+			return false
+		}
+		if !p.cut[m.From.Name+to] {
+			events = append(events, replicator.Receive{Message: m})
+		}
+		return true
+	})
+	p.step(to, append(events, p.newChange(to))...)
+}
+
 func (p *pool) pass(m *messenger.LogMessage) {
 	if !p.cut[m.From.Name+m.To.Name] {
 		p.step(m.To.Name, replicator.Receive{Message: m})
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -211,14 +211,26 @@
 	return c.confirmedAt
 }
 
-// Step handles one event. The returned Write actions come first, and the
-// caller must sync them before it carries out the others.
-func (c *Core) Step(now time.Time, e Event) []Action {
+// Step handles events that arrived together. The returned Write actions come
+// first, and the caller must sync them before it carries out the others.
+// However many changes the events propose and commit, a leader sends each
+// member one message for all of them.
+func (c *Core) Step(now time.Time, events ...Event) []Action {
 	if c.halted {
 		return nil
 	}
 	c.now = now
 	c.checkQuorum()
+	for _, e := range events {
+		if !c.halted {
+			c.handle(e)
+		}
+	}
+	c.finishStep()
+	return c.takeActions()
+}
+
+func (c *Core) handle(e Event) {
 	switch e := e.(type) {
 	case Tick:
 		c.tick()
@@ -229,8 +241,6 @@
 	case Read:
 		c.read(e)
 	}
-	c.finishStep()
-	return c.takeActions()
 }
 
 // takeActions returns and clears the collected actions, with durable rows
