The voters of the log are spread over availability zones

Founders are the seeds, and what follows are the first names; no zone was known to the log. The loss of one zone, which must be borne, took the majority. Change: the leader adds a complete copy of the zone with fewest voters and then removes a voter of the zone with most, one committed step at a time, while all voters answer.

--- a/replicator/fuzz_test.go
+++ b/replicator/fuzz_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -202,11 +201,17 @@
 // change is lost, applied twice or reordered, if a term has two leaders, or if
 // a confirmed read misses a change.
 func TestLogAgainstRegister(t *testing.T) {
-	for _, n := range []int{3, 5} {
-		t.Run(fmt.Sprint(n), func(t *testing.T) {
+	for name, newPool := range map[string]func(t rapid.TB) *pool{
+		"3": func(t rapid.TB) *pool { return newPool(t, 3) },
+		"5": func(t rapid.TB) *pool { return newPool(t, 5) },
+		"3 of 6 in 2 zones": func(t rapid.TB) *pool {
+			return newZonedPool(t, 6, 3, replicator.DefaultTiming(), zoneOfNode)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
 			var acked, reads, wiped, leaders int
 			rapid.Check(t, func(t *rapid.T) {
-				p := newPool(t, n)
+				p := newPool(t)
 				for range rapid.SampledFrom([]int{60, 60, 60, 0}).Draw(t, "calm") {
 					p.flow()
 				}
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -89,19 +89,20 @@
 }
 
 // repairMembership takes one step towards a full set of voters with live
-// disks. First it removes a voter whose disk was erased, that was silent for
-// long while a spare is ready, or that the settings no longer name. Then it
-// adds a disk with a complete copy. Each step waits until the previous one is
-// committed, so that any two majorities overlap.
+// disks, spread over the availability zones. First it removes a voter whose
+// disk was erased, that was silent for long while a spare is ready, or that the
+// settings no longer name. Then it adds a disk with a complete copy. Each step
+// waits until the previous one is committed, so that any two majorities
+// overlap.
 func (c *Core) repairMembership() {
 	if !c.Ready() || c.log.votersIndex > c.commit {
 		return
 	}
-	if c.removeUnconfiguredVoter() {
+	if c.removeUnconfiguredVoter() || c.removeSurplusVoter() {
 		return
 	}
-	for _, l := range c.members() {
-		if c.isCaughtUp(l) && c.promoteLearner(l) {
+	for _, l := range c.caughtUpLearners() {
+		if c.promoteLearner(l) || c.spreadTo(l) {
 			return
 		}
 	}
@@ -156,14 +157,8 @@
 // canRemove reports whether a voter is silent and the responsive voters form a
 // majority without it. Otherwise its removal could not be committed.
 func (c *Core) canRemove(v Member) bool {
-	live := 0
-	for _, o := range c.log.voters {
-		if o == c.self || c.leaderState.progress[o] != nil && c.isResponsive(c.leaderState.progress[o]) {
-			live++
-		}
-	}
 	p := c.leaderState.progress[v]
-	return p != nil && !c.isResponsive(p) && live > (len(c.log.voters)-1)/2
+	return p != nil && !c.isResponsive(p) && c.responsiveVoters() > (len(c.log.voters)-1)/2
 }
 
 func (c *Core) isResponsive(p *progress) bool {
--- a/replicator/pool_test.go
+++ b/replicator/pool_test.go
@@ -72,6 +72,8 @@
 	ids     int
 	voters  int
 	timing  replicator.Timing
+	// zone is nil unless the voters are spread over zones.
+	zone func(name string) string
 	// retired is a name that is no longer in the settings.
 	retired string
 	// reads and wiped count events, so that a test in which nothing happens fails.
@@ -81,8 +83,13 @@
 func newPool(t rapid.TB, n int) *pool { return newPoolOf(t, n, n, replicator.DefaultTiming()) }
 
 func newPoolOf(t rapid.TB, n, voters int, timing replicator.Timing) *pool {
+	return newZonedPool(t, n, voters, timing, nil)
+}
+
+// newZonedPool returns a pool whose voters are spread over zones.
+func newZonedPool(t rapid.TB, n, voters int, timing replicator.Timing, zone func(string) string) *pool {
 	p := &pool{
-		voters: voters, timing: timing,
+		voters: voters, timing: timing, zone: zone,
 		t: t, nodes: map[string]*node{}, cut: map[string]bool{},
 		asked: map[replicator.Ticket]pendingRequest{}, acked: map[string]int{}, leaders: map[string]replicator.Member{},
 	}
@@ -97,12 +104,15 @@
 	return p
 }
 
+// zoneOfNode places three nodes in each zone.
+func zoneOfNode(name string) string { return fmt.Sprint("z", (name[0]-'a')/3) }
+
 func (p *pool) start(name string) {
 	n := p.nodes[name]
 	n.machine = &register{}
 	n.core = replicator.NewCore(replicator.Options{
 		Name: name, Peers: slices.DeleteFunc(slices.Clone(p.names), func(s string) bool { return s == name || s == p.retired }),
-		Voters: p.voters, Timing: p.timing, Rand: n.rand, Machine: n.machine, CompactAfter: 8,
+		Voters: p.voters, Zone: p.zone, Timing: p.timing, Rand: n.rand, Machine: n.machine, CompactAfter: 8,
 	})
 	r := n.core.NewRestorer()
 	for _, b := range replicator.Buckets {
@@ -333,13 +343,17 @@
 }
 
 func (p *pool) settled(last string) bool {
+	voters := 0
 	for _, name := range p.names {
 		n := p.nodes[name]
-		if !slices.Contains(n.machine.history, last) || !n.core.IsVoter() {
+		if !slices.Contains(n.machine.history, last) {
 			return false
 		}
+		if n.core.IsVoter() {
+			voters++
+		}
 	}
-	return true
+	return voters == p.voters
 }
 
 // checkAcked checks that every acknowledged change appears exactly once, at
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -82,7 +82,10 @@
 	// Peers are the names of the other keepers in the settings.
 	Peers []string
 	// Voters is the number of keepers that vote. The others are spares.
-	Voters  int
+	Voters int
+	// Zone returns the availability zone of a keeper, or "" if it is not known. Voters are spread over
+	// the zones. Nil stands for no known zones.
+	Zone    func(name string) string
 	Timing  Timing
 	Rand    *rand.Rand
 	Machine StateMachine
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -94,6 +94,13 @@
 	m.zones[name] = zone
 }
 
+// zone returns the availability zone that a keeper announced, or "".
+func (m *peerLinks) zone(name string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.zones[name]
+}
+
 // fleetMembers returns the other keepers with their zones, sorted by name.
 func (m *peerLinks) fleetMembers() []*messenger.FleetMember {
 	m.mu.Lock()
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -109,6 +109,7 @@
 	s.loop, err = committer.New(committer.Options{
 		Core: replicator.Options{
 			Name: n.Internal(), Peers: s.peers.names(), Voters: 2*n.LostDisks() + 1,
+			Zone:    s.zoneOf,
 			Timing:  replicator.Timing{HeartbeatInterval: logHeartbeatInterval, ElectionTimeout: electionTimeout, Replace: replaceVoterAfter},
 			Rand:    newRand(),
 			Machine: s.state, CompactAfter: compactEntries, CompactBytes: compactBytes,
@@ -132,6 +133,14 @@
 	return s, func() { _ = closeStore() }, nil
 }
 
+// zoneOf returns the availability zone of a keeper, or "" if it is not known yet.
+func (s *Keeper) zoneOf(name string) string {
+	if name == s.node.Internal() {
+		return s.node.Zone()
+	}
+	return s.peers.zone(name)
+}
+
 // newRand returns a random number generator with a random seed.
 func newRand() *rand.Rand {
 	var seed [16]byte
