Routers are sent each leave they do not know, by its log index

Cause: a reply held the newest 256 leaves and the log the newest 1,024. What was cut a router learned only from the one keeper that reports endpoints to it, as no longer listed, without a trace. Leaves that were repeated without a start time filled the list twice, and ended incarnations that had come back. A keeper acknowledged leaves that it had not applied. Change: a leave is known by the index of its log entry, the same at all keepers. A router states up to which index it knows all leaves; whichever keeper it asks sends the others, and lists all endpoints if it no longer holds them all. A keeper that lags behind the list from which a router began lists nothing to it. A leave without a start time is that of the last incarnation. A keeper that has not applied a leave does not acknowledge it. Why it works: what a router knows is one number, compared with one history; nothing is cut without a trace.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -63,6 +63,9 @@
 // Founded reports whether the disk belongs to a deployment.
 func (s *State) Founded() bool { return s.deployment != "" }
 
+// Deployment returns the id of the deployment; empty before it is founded.
+func (s *State) Deployment() string { return s.deployment }
+
 // Term returns the newest known term.
 func (s *State) Term() uint64 { return s.term }
 
--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -53,13 +53,13 @@
 // countingMachine is a state machine that counts the applied changes.
 type countingMachine struct{ n int }
 
-func (m *countingMachine) Apply([]byte) any {
+func (m *countingMachine) Apply(uint64, []byte) any {
 	m.n++
 	return m.n
 }
 
-func (m *countingMachine) Snapshot() []byte     { return nil }
-func (m *countingMachine) Restore([]byte) error { return nil }
+func (m *countingMachine) Snapshot() []byte             { return nil }
+func (m *countingMachine) Restore(uint64, []byte) error { return nil }
 
 // Guards against acknowledging a change that is on no disk, and against a keeper that ends
 // when a write fails. The disk is full while a change is proposed, and has space again
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -133,7 +133,7 @@
 	// endpoints in service reflect.
 	appliedEvacuations uint64
 	evacuations        *evacuations
-	// leaves tells how current the knowledge of leaves is.
+	// leaves records which leaves are known.
 	leaves leaveTracker
 	// shedding moves callers to other routers. It is nil if the load of the link is not known.
 	shedding       *shedding
@@ -224,7 +224,10 @@
 		f.addKeeper(k.Address, k.Zone)
 	}
 	f.mergeVersions(now, r)
-	if !skippedEndpoints {
+	// Leaves come before the endpoints in the same reply: one of these may have come back under the id
+	// of one that has left.
+	f.applyLeaves(sent, now, l.Address(), r)
+	if (!skippedEndpoints || r.GetLeaves().GetTruncated()) && !f.leaves.mayListLeft(r.Leaves) {
 		f.updateEndpoints(l.Address(), r, sent, now)
 		f.primarySource, f.primaryAt = l.Address(), now
 	}
@@ -239,7 +242,6 @@
 	f.evacuations.update(now, r.Evacuations)
 	f.shedding.observe(r.ZoneLoad)
 	f.fetchIfNewer(ctx, l, r.Number)
-	f.applyLeaves(sent, now, l.Address(), r)
 	f.warmup.applyLimits(now, f)
 	return listed
 }
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -34,6 +34,8 @@
 	sightings atomic.Pointer[messenger.Sightings]
 	// endpointSyncs counts the sync requests that ask for endpoints.
 	endpointSyncs atomic.Int64
+	// leaves is sent with each reply, from the index that the router states.
+	leaves atomic.Pointer[messenger.LeaveUpdate]
 	// evacuations are sent with each reply.
 	evacuations atomic.Pointer[messenger.Evacuations]
 	claims      atomic.Int64
@@ -63,6 +65,9 @@
 	if s := k.sightings.Load(); s != nil {
 		out.Endpoints = s.Sightings
 	}
+	if u := k.leaves.Load(); u != nil {
+		out.Leaves = &messenger.LeaveUpdate{Deployment: u.Deployment, Since: q.KnownLeaves.GetIndex(), Index: u.Index, Truncated: u.Truncated}
+	}
 	return out, pause(ctx, k.sync.Load())
 }
 
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -240,7 +240,7 @@
 
 // syncRequest returns the request for a keeper, and the crash report in it.
 func (f *fleetView) syncRequest(l *messenger.Link) (*messenger.SyncRequest, crashReport) {
-	q := &messenger.SyncRequest{Router: f.self, Load: f.shedding.load(time.Now()), SkipEndpoints: f.skipEndpoints(time.Now(), l.Address())}
+	q := &messenger.SyncRequest{Router: f.self, Load: f.shedding.load(time.Now()), SkipEndpoints: f.skipEndpoints(time.Now(), l.Address()), KnownLeaves: f.leaves.known()}
 	s := f.sources[l.Address()]
 	if s != nil {
 		q.Revision, q.Epoch, q.RoutersRevision = s.revision, s.epoch, s.routersRevision
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -96,6 +96,27 @@
 	return e.heartbeat.Incarnation, true
 }
 
+// Resolve completes an incarnation whose start time the sender of a message did not know: it returns
+// the current one under the id, or else the last one that ended.
+func (t *Table) Resolve(i Incarnation) Incarnation {
+	if i.BornMS != 0 {
+		return i
+	}
+	if k, ok := t.Current(i.ID); ok {
+		return k
+	}
+	return Incarnation{ID: i.ID, BornMS: t.tombstones[i.ID].bornMS}
+}
+
+// Retain removes all endpoints but the given incarnations.
+func (t *Table) Retain(incarnations map[Incarnation]bool) {
+	for id, e := range t.entries {
+		if !incarnations[e.heartbeat.Incarnation] {
+			t.remove(id)
+		}
+	}
+}
+
 // HasZone reports whether an endpoint of a zone is known.
 func (t *Table) HasZone(zone string) bool {
 	for _, e := range t.entries {
--- a/governor/evacuation_test.go
+++ b/governor/evacuation_test.go
@@ -31,7 +31,7 @@
 	g.Expect(s.Evacuations().Revision()).To(gomega.Equal(before.Revision() + 1))
 	g.Expect(before.Includes("a")).To(gomega.BeTrue(), "a state that was returned earlier does not change")
 	restored := governor.New()
-	g.Expect(restored.Restore(s.Snapshot())).To(gomega.Succeed())
+	g.Expect(restored.Restore(s.Index(), s.Snapshot())).To(gomega.Succeed())
 	g.Expect(restored.Evacuations()).To(gomega.Equal(s.Evacuations()))
 	apply(t, restored, evacuate("a", false))
 	g.Expect(restored.Evacuations().Revision()).To(gomega.Equal(before.Revision() + 2))
@@ -44,6 +44,6 @@
 	b, err := proto.Marshal(&messenger.FleetSnapshot{Number: 3})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	s := governor.New()
-	g.Expect(s.Restore(b)).To(gomega.Succeed())
+	g.Expect(s.Restore(1, b)).To(gomega.Succeed())
 	g.Expect(s.Evacuations().Zones()).To(gomega.BeEmpty())
 }
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -14,10 +14,6 @@
 	"rattanhoist.example/rattanhoist/quarantiner"
 )
 
-// maxLeftEndpoints bounds the remembered leaves. An incarnation leaves once; its delayed
-// heartbeats arrive within seconds, while this many leaves take hours.
-const maxLeftEndpoints = 1024
-
 // maxQuarantines bounds the quarantined requests; above it, the oldest are released.
 const maxQuarantines = 1024
 
@@ -79,9 +75,9 @@
 type StateMachine struct {
 	document *Document
 	ledger   *allotter.Ledger
-	// leftEndpoints holds endpoint incarnations, oldest first. The slice is replaced,
-	// never changed in place.
-	leftEndpoints []enroller.Incarnation
+	leaves   *enroller.LeaveHistory
+	// index is that of the last entry that was applied.
+	index uint64
 	// quarantines holds one entry for each subject, oldest first. The slice is replaced,
 	// never changed in place.
 	quarantines []Quarantine
@@ -90,14 +86,17 @@
 
 // New returns the empty state.
 func New() *StateMachine {
-	return &StateMachine{document: &Document{}, ledger: allotter.NewLedger(), evacuations: &Evacuations{}}
+	return &StateMachine{document: &Document{}, ledger: allotter.NewLedger(), leaves: enroller.NewLeaveHistory(), evacuations: &Evacuations{}}
 }
 
 // Document returns the current document.
 func (g *StateMachine) Document() *Document { return g.document }
 
-// LeftEndpoints returns the endpoints that have left; callers must not change it.
-func (g *StateMachine) LeftEndpoints() []enroller.Incarnation { return g.leftEndpoints }
+// Leaves returns the endpoints that have left.
+func (g *StateMachine) Leaves() enroller.Leaves { return g.leaves.Leaves() }
+
+// Index returns the index of the last log entry that the state includes.
+func (g *StateMachine) Index() uint64 { return g.index }
 
 // Quarantines returns the quarantines, oldest first, including those that have ended by
 // now; callers must not change it.
@@ -111,7 +110,8 @@
 
 // Apply applies a committed change. The result is *messenger.RightsGrants for a rights
 // change, a slice of them for a batch, and nil otherwise.
-func (g *StateMachine) Apply(data []byte) any {
+func (g *StateMachine) Apply(index uint64, data []byte) any {
+	g.index = index
 	c := &messenger.FleetChange{}
 	if err := proto.Unmarshal(data, c); err != nil {
 		// Every keeper reads the same bytes, so all of them skip the change.
@@ -129,7 +129,7 @@
 		}
 		return out
 	case *messenger.FleetChange_Leave:
-		g.applyLeave(enroller.IncarnationFromLeave(b.Leave))
+		g.leaves.Record(enroller.Leave{Incarnation: enroller.IncarnationFromLeave(b.Leave), Index: index})
 	case *messenger.FleetChange_Quarantine:
 		g.applyQuarantine(b.Quarantine)
 	case *messenger.FleetChange_Evacuation:
@@ -151,16 +151,6 @@
 	g.ledger.SetTotals(d.Totals)
 }
 
-// applyLeave adds an incarnation to leftEndpoints, and drops the oldest beyond
-// maxLeftEndpoints.
-func (g *StateMachine) applyLeave(i enroller.Incarnation) {
-	if slices.Contains(g.leftEndpoints, i) {
-		return
-	}
-	from := max(len(g.leftEndpoints)+1-maxLeftEndpoints, 0)
-	g.leftEndpoints = append(slices.Clone(g.leftEndpoints[from:]), i)
-}
-
 // applyQuarantine quarantines or releases subjects. One that is already in the
 // wanted state is left as it is: a leader may ask twice before it sees that the first
 // change was committed. A part that is held back with fewer other parts than before is held back
@@ -216,9 +206,7 @@
 // Snapshot returns the whole state, encoded.
 func (g *StateMachine) Snapshot() []byte {
 	s := &messenger.FleetSnapshot{Number: g.document.number, Content: g.document.content, Evacuations: g.evacuations.Message()}
-	for _, i := range g.leftEndpoints {
-		s.Left = append(s.Left, i.LeaveChange())
-	}
+	g.Leaves().Fill(s)
 	for _, q := range g.quarantines {
 		s.Quarantined = append(s.Quarantined, q.message())
 	}
@@ -232,17 +220,14 @@
 	return b
 }
 
-// Restore replaces the state by a snapshot.
-func (g *StateMachine) Restore(b []byte) error {
+// Restore replaces the state by a snapshot that was taken after the log entry with an index.
+func (g *StateMachine) Restore(index uint64, b []byte) error {
 	s := &messenger.FleetSnapshot{}
 	if err := proto.Unmarshal(b, s); err != nil {
 		return err
 	}
 	g.document = &Document{number: s.Number, content: s.Content}
-	g.leftEndpoints = nil
-	for _, l := range s.Left {
-		g.leftEndpoints = append(g.leftEndpoints, enroller.IncarnationFromLeave(l))
-	}
+	g.index, g.leaves = index, enroller.RestoreLeaves(s, index)
 	g.quarantines = nil
 	for _, q := range s.Quarantined {
 		g.quarantines = append(g.quarantines, quarantineFromMessage(q))
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return g.Apply(b)
+	return g.Apply(g.Index()+1, b)
 }
 
 func document(number uint64, content string, total int64) *messenger.FleetChange {
@@ -65,9 +65,11 @@
 		Router: "r", Incarnation: 1, Sequence: 4, Claims: []*messenger.RightsClaim{{Workspace: "w", Urgent: 30, Ceiling: 10, Slope: 2}},
 	}}})
 	copied := governor.New()
-	g.Expect(copied.Restore(s.Snapshot())).To(gomega.Succeed())
+	g.Expect(copied.Restore(s.Index(), s.Snapshot())).To(gomega.Succeed())
 	g.Expect(copied.Snapshot()).To(gomega.Equal(s.Snapshot()))
-	g.Expect(copied.LeftEndpoints()).To(gomega.Equal([]enroller.Incarnation{{ID: "e", BornMS: 3}}))
+	left, complete := copied.Leaves().Since(0)
+	g.Expect(complete).To(gomega.BeTrue())
+	g.Expect(left).To(gomega.Equal([]enroller.Leave{{Incarnation: enroller.Incarnation{ID: "e", BornMS: 3}, Index: 2}}))
 	g.Expect(copied.Ledger().Unallocated("w")).To(gomega.Equal(int64(70)))
 }
 
@@ -100,7 +102,7 @@
 	want = []governor.Quarantine{held(8, 2, 0, 1_000), held(7, 4, 1_500, 1_500)}
 	g.Expect(s.Quarantines()).To(gomega.Equal(want), "released once; a request that is not quarantined stays so")
 	restored := governor.New()
-	g.Expect(restored.Restore(s.Snapshot())).To(gomega.Succeed())
+	g.Expect(restored.Restore(s.Index(), s.Snapshot())).To(gomega.Succeed())
 	g.Expect(restored.Quarantines()).To(gomega.Equal(want))
 	apply(t, restored, quarantineChange(3_000, 4_000, 9))
 	g.Expect(restored.Quarantines()).To(gomega.HaveLen(3))
@@ -137,7 +139,7 @@
 	try(part, 2, "b")
 	try(part, 3, "c")
 	restored := governor.New()
-	g.Expect(restored.Restore(s.Snapshot())).To(gomega.Succeed())
+	g.Expect(restored.Restore(s.Index(), s.Snapshot())).To(gomega.Succeed())
 	g.Expect(restored.Quarantines()).To(gomega.Equal(s.Quarantines()))
 	g.Expect(restored.Quarantines()[1].Trial).To(gomega.Equal(governor.Trial{Number: 2, Router: "b", IncarnationHash: 9}))
 }
@@ -159,7 +161,7 @@
 	g.Expect(with()).To(gomega.Equal([]quarantiner.Part{7}))
 	g.Expect(s.Quarantines()[0].Number).To(gomega.Equal(uint64(2)), "routers learn of it")
 	restored := governor.New()
-	g.Expect(restored.Restore(s.Snapshot())).To(gomega.Succeed())
+	g.Expect(restored.Restore(s.Index(), s.Snapshot())).To(gomega.Succeed())
 	g.Expect(restored.Quarantines()).To(gomega.Equal(s.Quarantines()))
 	hold()
 	g.Expect(with()).To(gomega.BeEmpty())
--- a/keeper/log_loop.go
+++ b/keeper/log_loop.go
@@ -39,7 +39,7 @@
 
 // Apply decides the change in a log entry and returns a
 // *messenger.ProposeReply.
-func (m bookMachine) Apply(data []byte) any {
+func (m bookMachine) Apply(_ uint64, data []byte) any {
 	c := &messenger.LogChange{}
 	if err := proto.Unmarshal(data, c); err != nil || c.Change == nil {
 		return &messenger.ProposeReply{Outcome: messenger.ChangeOutcome_CHANGE_OUTCOME_REFUSED, Faults: []string{"change: unreadable"}}
@@ -58,7 +58,7 @@
 }
 
 // Restore replaces the book by a snapshot.
-func (m bookMachine) Restore(b []byte) error { return m.book.Restore(b) }
+func (m bookMachine) Restore(_ uint64, b []byte) error { return m.book.Restore(b) }
 
 // voterCount returns how many of the keepers vote. Above two keepers the
 // number is odd: one voter more would enlarge the majority by a machine
--- a/measurer/spread_outage.go
+++ b/measurer/spread_outage.go
@@ -85,7 +85,7 @@
 type bookMachine struct{ *configurer.Book }
 
 // Apply takes a change in.
-func (m bookMachine) Apply(data []byte) any {
+func (m bookMachine) Apply(_ uint64, data []byte) any {
 	c := &messenger.LogChange{}
 	_ = proto.Unmarshal(data, c)
 	return m.Decide(c)
@@ -97,6 +97,9 @@
 	return b
 }
 
+// Restore replaces the book by a snapshot.
+func (m bookMachine) Restore(_ uint64, b []byte) error { return m.Book.Restore(b) }
+
 // restartTime times a log's start from a disk with 10,000 changes.
 func restartTime(ctx context.Context, r *Report) error {
 	dir, err := os.MkdirTemp("", "rattanhoist-restart-")
--- a/replicator/follower.go
+++ b/replicator/follower.go
@@ -86,7 +86,7 @@
 }
 
 func (c *Core) installSnapshot(s *messenger.LogSnapshot) bool {
-	if err := c.options.Machine.Restore(s.Data); err != nil {
+	if err := c.options.Machine.Restore(s.Index, s.Data); err != nil {
 		c.halt(merry.Errorf("%w: snapshot %d: %s", ErrCorrupt, s.Index, err.Error()))
 		return false
 	}
@@ -135,7 +135,7 @@
 	c.appliedBytes += len(e.Data)
 	switch e.Kind {
 	case messenger.LogEntryKind_LOG_ENTRY_KIND_CHANGE:
-		result := c.options.Machine.Apply(e.Data)
+		result := c.options.Machine.Apply(e.Index, e.Data)
 		if t, ok := c.leaderState.proposals[e.Index]; ok && c.role == Leader {
 			delete(c.leaderState.proposals, e.Index)
 			c.actions = append(c.actions, ProposalCommitted{Ticket: t, Result: result})
--- a/replicator/pool_test.go
+++ b/replicator/pool_test.go
@@ -17,7 +17,7 @@
 // accepted if base is the number of changes before it.
 type register struct{ history []string }
 
-func (r *register) Apply(data []byte) any {
+func (r *register) Apply(_ uint64, data []byte) any {
 	id, base, _ := strings.Cut(string(data), "/")
 	if i := slices.Index(r.history, id); i >= 0 {
 		return i + 1
@@ -31,7 +31,7 @@
 
 func (r *register) Snapshot() []byte { return []byte(strings.Join(r.history, "\n")) }
 
-func (r *register) Restore(b []byte) error {
+func (r *register) Restore(_ uint64, b []byte) error {
 	r.history = nil
 	if len(b) > 0 {
 		r.history = strings.Split(string(b), "\n")
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -70,10 +70,11 @@
 // StateMachine is the state built from committed entries. Its methods must be
 // deterministic functions of the entries.
 type StateMachine interface {
-	// Apply applies a committed change and returns its result.
-	Apply(data []byte) any
+	// Apply applies the committed change of the log entry with an index and returns its result.
+	Apply(index uint64, data []byte) any
 	Snapshot() []byte
-	Restore(snapshot []byte) error
+	// Restore replaces the state by a snapshot that was taken after the entry with an index.
+	Restore(index uint64, snapshot []byte) error
 }
 
 // Options configures a core.
--- a/replicator/rows.go
+++ b/replicator/rows.go
@@ -143,7 +143,7 @@
 	if xxhash.Sum64(s.Data) != s.Checksum || s.Term > r.state.Term {
 		return merry.Errorf("%w: snapshot %d does not fit its checksum or the state row", ErrCorrupt, s.Index)
 	}
-	if err := c.options.Machine.Restore(s.Data); err != nil {
+	if err := c.options.Machine.Restore(s.Index, s.Data); err != nil {
 		return merry.Errorf("%w: snapshot %d: %s", ErrCorrupt, s.Index, err.Error())
 	}
 	c.log = entryLog{snapshot: s, base: s.Index, baseTerm: s.Term}
--- a/steward/control.go
+++ b/steward/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -177,12 +176,13 @@
 func (c *Control) Leave(ctx context.Context, i enroller.Incarnation) error {
 	arrived := time.Now()
 	i = c.keeper.registry.resolveIncarnation(i)
-	if slices.Contains(c.keeper.committedState.Load().leftEndpoints, i) {
-		return nil
+	if c.keeper.registry.hasLeft(i) {
+		// A repeated call. The first one may have been committed just now.
+		return c.keeper.awaitLeaveNotified(ctx, i, arrived)
 	}
 	err := c.keeper.commitChange(ctx, &messenger.FleetChange{Body: &messenger.FleetChange_Leave{Leave: i.LeaveChange()}})
 	if err == nil {
-		c.keeper.awaitLeaveNotified(ctx, i, arrived)
+		err = c.keeper.awaitLeaveNotified(ctx, i, arrived)
 	}
 	c.keeper.log.Info("endpoint leaves", zap.Stringer("endpoint", i), zap.Duration("took", time.Since(arrived)), zap.Error(err))
 	return err
--- a/steward/control_test.go
+++ b/steward/control_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	state.Apply(b)
+	state.Apply(state.Index()+1, b)
 	s := &Keeper{log: zap.NewNop(), registry: newRegistry(time.Second)}
 	s.committedState.Store(&committedState{document: state.Document(), evacuations: state.Evacuations()})
 	return NewControl(s, func([]byte) (*publisher.Document, error) {
--- a/steward/endpoints_file_test.go
+++ b/steward/endpoints_file_test.go
@@ -35,7 +35,7 @@
 	after := keeper()
 	after.restoreEndpoints()
 	// The log contains the leave of one of them.
-	after.registry.markLeft(time.Now(), []enroller.Incarnation{{ID: "a", BornMS: 5}})
+	applyLeave(after, enroller.Incarnation{ID: "a", BornMS: 5})
 	known, _ = after.registry.snapshot(time.Now())
 	g.Expect(known.Sightings).To(gomega.HaveLen(1))
 	g.Expect(known.Sightings[0].Id).To(gomega.Equal("b"))
@@ -67,7 +67,7 @@
 		b.Address, b.Version = "10.0.0.1:"+string(v[1:]), v
 		first.registry.observeHeartbeat(time.Now(), b)
 	}
-	first.registry.markLeft(time.Now(), []enroller.Incarnation{{ID: "v1", BornMS: 5}})
+	applyLeave(first, enroller.Incarnation{ID: "v1", BornMS: 5})
 	known, _ := first.registry.snapshot(time.Now())
 	g.Expect(first.writeEndpoints(known)).To(gomega.Succeed())
 
--- a/steward/evacuation_test.go
+++ b/steward/evacuation_test.go
@@ -32,7 +32,7 @@
 	change := func(zone string, withdrawn bool) *governor.Evacuations {
 		b, err := proto.Marshal(&messenger.FleetChange{Body: &messenger.FleetChange_Evacuation{Evacuation: &messenger.EvacuationChange{Zone: zone, Withdrawn: withdrawn}}})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		state.Apply(b)
+		state.Apply(state.Index()+1, b)
 		return state.Evacuations()
 	}
 	now := time.Now()
--- a/steward/leave.go
+++ b/steward/leave.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"slices"
+	"math"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/enroller"
@@ -23,54 +24,84 @@
 	maxLoggedPending = 8
 )
 
-// awaitLeaveNotified waits until every router that syncs with this keeper has been told that an
-// endpoint is leaving, for at most leaveNotifyTimeout after arrival. The time within which the
+// awaitLeaveNotified waits until every router that syncs with this keeper has been sent the leave of
+// an endpoint, for at most leaveNotifyTimeout after arrival. The time within which the
 // endpoint must receive no more requests counts from the acknowledgement, and a sync over a busy
-// link takes a large part of it.
-func (s *Keeper) awaitLeaveNotified(ctx context.Context, i enroller.Incarnation, arrived time.Time) {
+// link takes a large part of it. It returns ErrNoMajority if this keeper has not applied the leave by
+// then: it lags behind the log, and the endpoint may have its leave acknowledged by another keeper.
+func (s *Keeper) awaitLeaveNotified(ctx context.Context, i enroller.Incarnation, arrived time.Time) error {
 	deadline := arrived.Add(leaveNotifyTimeout)
-	var appliedAt time.Time
 	for {
 		now := time.Now()
-		if appliedAt.IsZero() && slices.Contains(s.committedState.Load().leftEndpoints, i) {
-			appliedAt = now
-		}
-		var pending []string
-		if !appliedAt.IsZero() {
-			if pending = s.registry.unsyncedRouters(now, appliedAt); len(pending) == 0 {
-				return
-			}
+		applied, notified := s.registry.leaveNotified(now, i)
+		if notified {
+			return nil
 		}
 		if !now.Before(deadline) {
+			if !applied {
+				return merry.Errorf("%w: the leave is not applied here yet", ErrNoMajority)
+			}
 			leavesUnnotified.Inc()
-			s.log.Info("leave acknowledged before all routers have synced", zap.Stringer("endpoint", i), zap.Bool("applied", !appliedAt.IsZero()),
+			pending := s.registry.unnotifiedRouters(now, i)
+			s.log.Info("leave acknowledged before all routers have synced", zap.Stringer("endpoint", i),
 				zap.Int("routers", len(pending)), zap.Strings("pending", pending[:min(len(pending), maxLoggedPending)]))
-			return
+			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return ctx.Err()
 		case <-time.After(leavePollInterval):
 		}
 	}
 }
 
-// unsyncedRouters returns the routers that sync with this keeper and have not done so since a
-// time.
-func (r *registry) unsyncedRouters(now, since time.Time) []string {
+// leaveNotified reports whether this keeper has applied a leave, and whether it has sent it to all
+// routers that sync with it.
+func (r *registry) leaveNotified(now time.Time, i enroller.Incarnation) (applied, notified bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l, applied := r.left[i]
+	return applied, applied && r.routers.notifiedIndex(now) >= l.index
+}
+
+// unnotifiedRouters returns the routers that sync with this keeper and have not been sent a leave.
+func (r *registry) unnotifiedRouters(now time.Time, i enroller.Incarnation) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.routers.unsynced(now, since)
+	l, applied := r.left[i]
+	if !applied {
+		return nil
+	}
+	return r.routers.unnotified(now, l.index)
 }
 
-// unsynced returns the routers that called this keeper within recentSyncWindow, but not since a
-// time.
-func (r *routers) unsynced(now, since time.Time) []string {
+// notifiedIndex returns the log index up to which all routers that sync with this keeper have been
+// sent all leaves. The result may be older by leavePollInterval/2.
+func (r *routers) notifiedIndex(now time.Time) uint64 {
+	if now.Sub(r.notifiedAt) < leavePollInterval/2 {
+		return r.lastNotified
+	}
+	lowest := uint64(math.MaxUint64)
+	for _, x := range r.byAddress {
+		if x.syncs(now) {
+			lowest = min(lowest, x.leavesIndex)
+		}
+	}
+	r.lastNotified, r.notifiedAt = lowest, now
+	return lowest
+}
+
+// unnotified returns the routers that sync with this keeper and have not been sent the leaves up to a
+// log index.
+func (r *routers) unnotified(now time.Time, index uint64) []string {
 	var out []string
 	for a, x := range r.byAddress {
-		if x.direct && now.Sub(x.lastSeen) < recentSyncWindow && !x.lastSeen.After(since) {
+		if x.syncs(now) && x.leavesIndex < index {
 			out = append(out, a)
 		}
 	}
 	return out
 }
+
+// syncs reports whether the router called this keeper within recentSyncWindow.
+func (x router) syncs(now time.Time) bool { return x.direct && now.Sub(x.lastSeen) < recentSyncWindow }
--- a/steward/leave_test.go
+++ b/steward/leave_test.go
@@ -1,6 +1,8 @@
 package steward
 
 import (
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,15 +14,30 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// newLeavingKeeper returns a keeper that has applied the leave of an endpoint.
-func newLeavingKeeper(i enroller.Incarnation) *Keeper {
+// newSyncingKeeper returns a keeper that answers syncs and has applied nothing.
+func newSyncingKeeper() *Keeper {
 	s := &Keeper{log: zap.NewNop(), registry: newRegistry(time.Second)}
-	s.committedState.Store(&committedState{document: governor.New().Document(), leftEndpoints: []enroller.Incarnation{i}})
+	s.committedState.Store(&committedState{document: governor.New().Document()})
 	return s
 }
 
+// applyLeave makes a keeper apply the leave of an endpoint, as the next log entry.
+func applyLeave(s *Keeper, i enroller.Incarnation) {
+	h, index := enroller.NewLeaveHistory(), s.registry.leavesIndex
+	for _, l := range allLeaves(s.registry.leaves) {
+		h.Record(l)
+	}
+	h.Record(enroller.Leave{Incarnation: i, Index: index + 1})
+	s.registry.applyLeaves(time.Now(), h.Leaves(), index+1)
+}
+
+func allLeaves(l enroller.Leaves) []enroller.Leave {
+	list, _ := l.Since(0)
+	return list
+}
+
 func (s *Keeper) syncFrom(at time.Time, address string) {
-	s.registry.answerSync(at, &messenger.SyncRequest{Router: &messenger.FleetMember{Address: address, Zone: "z"}}, &messenger.SyncReply{})
+	s.registry.answerSync(at, "d", &messenger.SyncRequest{Router: &messenger.FleetMember{Address: address, Zone: "z"}}, &messenger.SyncReply{})
 }
 
 // Guards against a request that reaches an endpoint too long after its leave was acknowledged: a
@@ -28,13 +45,14 @@
 func TestLeaveIsAcknowledgedOnceRoutersHaveSynced(t *testing.T) {
 	g := gomega.NewWithT(t)
 	i := enroller.Incarnation{ID: "a", BornMS: 5}
-	s := newLeavingKeeper(i)
+	s := newSyncingKeeper()
 	s.syncFrom(time.Now(), "fast")
 	s.syncFrom(time.Now(), "slow")
 	s.syncFrom(time.Now().Add(-recentSyncWindow), "silent")
+	applyLeave(s, i)
 	arrived, done := time.Now(), make(chan struct{})
 	go func() {
-		s.awaitLeaveNotified(t.Context(), i, arrived)
+		g.Expect(s.awaitLeaveNotified(t.Context(), i, arrived)).To(gomega.Succeed())
 		close(done)
 	}()
 	time.Sleep(2 * leavePollInterval)
@@ -49,10 +67,90 @@
 func TestLeaveIsAcknowledgedWithoutASilentRouter(t *testing.T) {
 	g := gomega.NewWithT(t)
 	i := enroller.Incarnation{ID: "a", BornMS: 5}
-	s := newLeavingKeeper(i)
+	s := newSyncingKeeper()
 	s.syncFrom(time.Now(), "gone")
+	applyLeave(s, i)
 	arrived := time.Now()
-	s.awaitLeaveNotified(t.Context(), i, arrived)
+	g.Expect(s.awaitLeaveNotified(t.Context(), i, arrived)).To(gomega.Succeed())
 	g.Expect(time.Since(arrived)).To(gomega.BeNumerically("~", leaveNotifyTimeout, 300*time.Millisecond))
 	g.Expect(leaveNotifyTimeout).To(gomega.BeNumerically("<", time.Second), "endpoints ask another keeper after a second")
 }
+
+// leavesOf returns the endpoints in a reply to a router that knows the leaves up to an index.
+func leavesOf(s *Keeper, now time.Time, known uint64, skipEndpoints bool) (*messenger.LeaveUpdate, *messenger.SyncReply) {
+	out := &messenger.SyncReply{}
+	s.registry.answerSync(now, "d", &messenger.SyncRequest{
+		Router: &messenger.FleetMember{Address: "r", Zone: "z"}, SkipEndpoints: skipEndpoints, KnownLeaves: &messenger.KnownLeaves{Deployment: "d", Index: known},
+	}, out)
+	return out.Leaves, out
+}
+
+// recordLeaves makes a keeper apply the leaves of endpoints e(from) to e(to-1), one in each log entry.
+func recordLeaves(s *Keeper, h *enroller.LeaveHistory, from, to int) {
+	for n := from; n < to; n++ {
+		h.Record(enroller.Leave{Incarnation: enroller.Incarnation{ID: fmt.Sprint("e", n), BornMS: 1}, Index: uint64(n + 1)})
+	}
+	s.registry.applyLeaves(time.Now(), h.Leaves(), uint64(to))
+}
+
+// Guards against leaves that a router never learns of, because more endpoints left since its last sync
+// than a reply holds.
+func TestReplyHoldsAllLeavesThatARouterDoesNotKnow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, h := newSyncingKeeper(), enroller.NewLeaveHistory()
+	recordLeaves(s, h, 0, 3_000)
+	for _, skip := range []bool{false, true} {
+		u, _ := leavesOf(s, time.Now(), 1_000, skip)
+		g.Expect(u.Truncated).To(gomega.BeFalse())
+		g.Expect([]uint64{u.Since, u.Index}).To(gomega.Equal([]uint64{1_000, 3_000}))
+		g.Expect(u.Leaves).To(gomega.HaveLen(2_000))
+		g.Expect(u.Leaves[0].Endpoint).To(gomega.Equal("e1000"))
+	}
+	u, _ := leavesOf(s, time.Now(), 3_000, true)
+	g.Expect(u.Leaves).To(gomega.BeEmpty())
+	u, _ = leavesOf(s, time.Now(), 3_100, true)
+	g.Expect(u.Index).To(gomega.Equal(uint64(3_000)), "the keeper lags behind the router's last one")
+}
+
+// Guards against leaves that are lost without a trace: a router was away for longer than the keepers
+// hold leaves, or knows those of another deployment.
+func TestRouterThatMissedDroppedLeavesIsSentAllEndpoints(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, h := newSyncingKeeper(), enroller.NewLeaveHistory()
+	s.registry.observeHeartbeat(time.Now(), heartbeatFor("alive", 1, "s"))
+	recordLeaves(s, h, 0, 20_000)
+	u, out := leavesOf(s, time.Now(), 100, true)
+	g.Expect(u.Truncated).To(gomega.BeTrue())
+	g.Expect(out.Partial).To(gomega.BeFalse())
+	g.Expect(out.Endpoints).To(gomega.HaveLen(1))
+	s.registry.answerSync(time.Now(), "other", &messenger.SyncRequest{
+		Router: &messenger.FleetMember{Address: "r", Zone: "z"}, SkipEndpoints: true, KnownLeaves: &messenger.KnownLeaves{Deployment: "d", Index: 19_990},
+	}, out)
+	g.Expect(out.Leaves.Truncated).To(gomega.BeTrue())
+}
+
+// Guards against an endpoint that leaves twice in the log, once with its start time and once without:
+// the second one stands for whichever incarnation a process knows by then.
+func TestLeaveWithoutAStartTimeIsThatOfTheLastIncarnation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSyncingKeeper()
+	s.registry.observeHeartbeat(time.Now(), heartbeatFor("a", 5, "s"))
+	g.Expect(s.registry.resolveIncarnation(enroller.Incarnation{ID: "a"}).BornMS).To(gomega.Equal(int64(5)))
+	applyLeave(s, enroller.Incarnation{ID: "a", BornMS: 5})
+	again := s.registry.resolveIncarnation(enroller.Incarnation{ID: "a"})
+	g.Expect(again.BornMS).To(gomega.Equal(int64(5)))
+	g.Expect(s.registry.hasLeft(again)).To(gomega.BeTrue())
+	s.registry.observeHeartbeat(time.Now(), heartbeatFor("a", 9, "s"))
+	g.Expect(s.registry.resolveIncarnation(enroller.Incarnation{ID: "a"}).BornMS).To(gomega.Equal(int64(9)))
+	g.Expect(s.registry.resolveIncarnation(enroller.Incarnation{ID: "unknown"}).BornMS).To(gomega.BeZero())
+}
+
+// Guards against an acknowledgement by a keeper that has not applied the leave, because it lags behind the
+// log: the routers that sync with it learn of the leave much later.
+func TestLeaveIsNotAcknowledgedByAKeeperThatLags(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := newSyncingKeeper()
+	s.syncFrom(time.Now(), "r")
+	err := s.awaitLeaveNotified(t.Context(), enroller.Incarnation{ID: "a", BornMS: 5}, time.Now())
+	g.Expect(errors.Is(err, ErrNoMajority)).To(gomega.BeTrue())
+}
--- a/steward/registry.go
+++ b/steward/registry.go
@@ -21,8 +21,11 @@
 	// versionsSettleTime is how long after its start a keeper does not vouch for the versions that
 	// services have had: a few times the interval at which keepers share what they know.
 	versionsSettleTime = 3 * time.Second
-	// maxLeavesSent bounds the leaves in one answer; the newest are sent.
+	// maxLeavesSent bounds the leaves in a reply to a router of an earlier version, which is sent the
+	// newest ones each time.
 	maxLeavesSent = 256
+	// minPrunedLeaves is the number of leaves from which those that are no longer held are removed.
+	minPrunedLeaves = 1024
 )
 
 // registry holds what a keeper knows about endpoints and routers.
@@ -33,16 +36,26 @@
 	// its observations.
 	unshared map[string]bool
 	routers  *routers
-	// leftAt holds when this keeper applied the leaves that the committed state holds.
-	leftAt map[enroller.Incarnation]time.Time
+	// leaves are those of the committed state, up to the log index leavesIndex. They have been applied
+	// to the table.
+	leaves      enroller.Leaves
+	leavesIndex uint64
+	// left holds the same leaves.
+	left map[enroller.Incarnation]appliedLeave
 	// epoch identifies this process: the revisions of the table start again in every
 	// process.
 	epoch     uint64
 	startedAt time.Time
 }
 
+// appliedLeave is a leave that this keeper has applied.
+type appliedLeave struct {
+	index uint64
+	at    time.Time
+}
+
 func newRegistry(heartbeat time.Duration) *registry {
-	return &registry{table: enroller.NewTable(maxMissedHeartbeats * heartbeat), unshared: map[string]bool{}, routers: newRouters(), leftAt: map[enroller.Incarnation]time.Time{}, epoch: rand.Uint64() | 1, startedAt: time.Now()}
+	return &registry{table: enroller.NewTable(maxMissedHeartbeats * heartbeat), unshared: map[string]bool{}, routers: newRouters(), left: map[enroller.Incarnation]appliedLeave{}, epoch: rand.Uint64() | 1, startedAt: time.Now()}
 }
 
 // beginVersions records whether there were endpoints before this process.
@@ -79,57 +92,78 @@
 	return true
 }
 
-// markLeft removes endpoints that have left.
-func (r *registry) markLeft(now time.Time, left []enroller.Incarnation) {
+// applyLeaves removes the endpoints that have left according to the committed state at a log index.
+func (r *registry) applyLeaves(now time.Time, leaves enroller.Leaves, index uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, i := range left {
-		r.table.Leave(now, i)
-		if _, known := r.leftAt[i]; !known {
-			r.leftAt[i] = now
-		}
+	added, _ := leaves.Since(r.leavesIndex)
+	for _, l := range added {
+		r.table.Leave(now, l.Incarnation)
+		r.left[l.Incarnation] = appliedLeave{index: l.Index, at: now}
 	}
-	if len(r.leftAt) > 2*len(left) {
-		r.leftAt = retainLeaves(r.leftAt, left)
+	r.leaves, r.leavesIndex = leaves, index
+	if len(r.left) > 2*max(leaves.Len(), minPrunedLeaves) {
+		r.pruneLeft()
 	}
 }
 
-// retainLeaves returns the times of the given leaves.
-func retainLeaves(at map[enroller.Incarnation]time.Time, left []enroller.Incarnation) map[enroller.Incarnation]time.Time {
-	out := make(map[enroller.Incarnation]time.Time, len(left))
-	for _, i := range left {
-		out[i] = at[i]
+// pruneLeft removes the leaves that the committed state no longer holds.
+func (r *registry) pruneLeft() {
+	held, _ := r.leaves.Since(0)
+	left := make(map[enroller.Incarnation]appliedLeave, len(held))
+	for _, l := range held {
+		left[l.Incarnation] = r.left[l.Incarnation]
 	}
-	return out
+	r.left = left
 }
 
-// leaveMessages returns leaves for a router, with the times since they were applied here.
-func (r *registry) leaveMessages(now time.Time, left []enroller.Incarnation) []*messenger.LeaveChange {
+// hasLeft reports whether this keeper has applied the leave of an incarnation.
+func (r *registry) hasLeft(i enroller.Incarnation) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]*messenger.LeaveChange, 0, len(left))
-	for _, i := range left {
-		m := i.LeaveChange()
-		if at, known := r.leftAt[i]; known {
-			m.AgeMs = now.Sub(at).Milliseconds()
-		}
+	_, left := r.left[i]
+	return left
+}
+
+// fillLeaves fills in the leaves that a router does not know, and reports whether the router needs the
+// list of all endpoints.
+func (r *registry) fillLeaves(now time.Time, deployment string, q *messenger.SyncRequest, out *messenger.SyncReply) (truncated bool) {
+	known := q.KnownLeaves
+	if known == nil {
+		held, _ := r.leaves.Since(0)
+		out.Left = r.leaveMessages(now, held[max(len(held)-maxLeavesSent, 0):])
+		return false
+	}
+	out.Leaves = &messenger.LeaveUpdate{Deployment: deployment, Index: r.leavesIndex}
+	if known.Index == 0 {
+		// The router has just started, and the list of endpoints holds none that has left.
+		return false
+	}
+	missing, complete := r.leaves.Since(known.Index)
+	if known.Deployment != deployment || !complete {
+		out.Leaves.Truncated = true
+		return true
+	}
+	out.Leaves.Since, out.Leaves.Leaves = known.Index, r.leaveMessages(now, missing)
+	return false
+}
+
+// leaveMessages returns leaves for a router, with the times since they were applied here.
+func (r *registry) leaveMessages(now time.Time, leaves []enroller.Leave) []*messenger.LeaveChange {
+	out := make([]*messenger.LeaveChange, 0, len(leaves))
+	for _, l := range leaves {
+		m := l.LeaveChange()
+		m.AgeMs = now.Sub(r.left[l.Incarnation].at).Milliseconds()
 		out = append(out, m)
 	}
 	return out
 }
 
-// resolveIncarnation completes an incarnation from a message that names only the id: it
-// returns the newest one known under that id, if there is one.
+// resolveIncarnation completes an incarnation from a message that names only the id.
 func (r *registry) resolveIncarnation(i enroller.Incarnation) enroller.Incarnation {
-	if i.BornMS != 0 {
-		return i
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if k, ok := r.table.Current(i.ID); ok {
-		return k
-	}
-	return i
+	return r.table.Resolve(i)
 }
 
 // hasZone reports whether an endpoint of a zone is known.
@@ -178,13 +212,14 @@
 	}
 }
 
-// answerSync records a router's request and fills in the routers and endpoints of the
+// answerSync records a router's request and fills in the routers, leaves and endpoints of the
 // reply.
-func (r *registry) answerSync(now time.Time, q *messenger.SyncRequest, out *messenger.SyncReply) {
+func (r *registry) answerSync(now time.Time, deployment string, q *messenger.SyncRequest, out *messenger.SyncReply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if q.Router.GetAddress() != "" {
 		r.routers.observe(now, q.Router, true)
+		r.routers.notified(q.Router.Address, r.leavesIndex)
 		r.routers.setLoad(q.Router.Address, q.Load)
 		out.ZoneLoad = r.routers.zoneLoad(now, q.Router.Zone)
 	}
@@ -196,13 +231,14 @@
 		r.routers.fillList(heldRevision, out)
 	}
 	out.Versions = r.versions(now)
-	if q.SkipEndpoints {
+	truncated := r.fillLeaves(now, deployment, q, out)
+	if q.SkipEndpoints && !truncated {
 		out.Epoch, out.Revision, out.Partial = q.Epoch, q.Revision, true
 		return
 	}
 	view := r.table.View(q.Router.GetZone())
 	out.Revision, out.Epoch = view.Refresh(now), r.epoch
-	if fillChanges(now, view, q, out) || q.Revision == out.Revision && q.Epoch == 0 {
+	if !truncated && (fillChanges(now, view, q, out) || q.Revision == out.Revision && q.Epoch == 0) {
 		return
 	}
 	out.Endpoints = view.Sightings(now, fullListTTL)
--- a/steward/registry_test.go
+++ b/steward/registry_test.go
@@ -37,7 +37,7 @@
 		q := questions[n]
 		q.ListRouters = list
 		out := &messenger.SyncReply{}
-		r.answerSync(now, q, out)
+		r.answerSync(now, "d", q, out)
 		q.Epoch, q.Revision = out.Epoch, out.Revision
 		return proto.Size(out)
 	}
--- a/steward/routers.go
+++ b/steward/routers.go
@@ -21,6 +21,8 @@
 	lastSeen time.Time
 	// direct is set if the router itself called this keeper.
 	direct bool
+	// leavesIndex is the log index up to which this keeper has sent the router all leaves.
+	leavesIndex uint64
 	// load is what the router last reported, or nil.
 	load *messenger.RouterLoad
 }
@@ -36,6 +38,9 @@
 	changesSince uint64
 	// loads caches the load of availability zones.
 	loads map[string]cachedLoad
+	// lastNotified caches notifiedIndex as of notifiedAt.
+	lastNotified uint64
+	notifiedAt   time.Time
 }
 
 // cachedLoad is the load of a zone as computed at a time.
@@ -57,7 +62,7 @@
 // observe records that a router is alive.
 func (r *routers) observe(now time.Time, m *messenger.FleetMember, direct bool) {
 	old, known := r.byAddress[m.Address]
-	r.byAddress[m.Address] = router{member: m, lastSeen: now, direct: direct, load: old.load}
+	r.byAddress[m.Address] = router{member: m, lastSeen: now, direct: direct, load: old.load, leavesIndex: old.leavesIndex}
 	if !known || old.member.Zone != m.Zone || old.member.Incarnation != m.Incarnation {
 		r.recordChange(m.Address)
 	}
@@ -80,6 +85,14 @@
 	}
 }
 
+// notified records that a known router is sent all leaves up to a log index.
+func (r *routers) notified(address string, index uint64) {
+	if x, ok := r.byAddress[address]; ok {
+		x.leavesIndex = index
+		r.byAddress[address] = x
+	}
+}
+
 // zoneLoad returns the load of a zone, computed from the routers that reported theirs.
 func (r *routers) zoneLoad(now time.Time, zone string) *messenger.ZoneLoad {
 	if c, ok := r.loads[zone]; ok && now.Sub(c.at) < zoneLoadTTL {
--- a/steward/routers_test.go
+++ b/steward/routers_test.go
@@ -61,7 +61,7 @@
 	r, now := newRegistry(time.Second), time.Unix(1000, 0)
 	ask := func(n int) *messenger.SyncReply {
 		out := &messenger.SyncReply{}
-		r.answerSync(now, &messenger.SyncRequest{Router: &messenger.FleetMember{Address: fmt.Sprint("a", n), Zone: "z"}, ListRouters: true, Epoch: r.epoch, Revision: 1}, out)
+		r.answerSync(now, "d", &messenger.SyncRequest{Router: &messenger.FleetMember{Address: fmt.Sprint("a", n), Zone: "z"}, ListRouters: true, Epoch: r.epoch, Revision: 1}, out)
 		return out
 	}
 	for n := range 5 {
@@ -81,7 +81,7 @@
 		for round := range 4 {
 			for i := range n {
 				out := &messenger.SyncReply{}
-				r.answerSync(now, &messenger.SyncRequest{
+				r.answerSync(now, "d", &messenger.SyncRequest{
 					Router: &messenger.FleetMember{Address: fmt.Sprintf("10.0.%d.%d:7340", i/250, i%250), Zone: "z"}, ListRouters: true,
 					Epoch: r.epoch, RoutersRevision: revisions[i],
 				}, out)
--- a/steward/server.go
+++ b/steward/server.go
@@ -85,15 +85,12 @@
 		Keepers:  []*messenger.FleetMember{{Address: s.node.Internal(), Zone: s.node.Zone()}},
 	}
 	out.Keepers = append(out.Keepers, s.peers.fleetMembers()...)
-	s.registry.answerSync(now, q, out)
+	s.registry.answerSync(now, state.Deployment(), q, out)
 	s.quarantines.recordReports(now, q)
 	s.permitTrials(now, q.Router, q.Refused)
 	out.Suspects = s.quarantines.suspectedParts(now)
 	out.Evacuations = committed.evacuationsMessage(now)
 	out.Quarantined = quarantinesSince(committed.quarantines, q.Quarantine, now, q.Router)
-	if q.SkipEndpoints || len(out.Endpoints) > 0 || q.Revision != out.Revision || q.Epoch != out.Epoch {
-		out.Left = s.registry.leaveMessages(now, committed.leftEndpoints[max(len(committed.leftEndpoints)-maxLeavesSent, 0):])
-	}
 	return out, nil
 }
 
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -19,7 +19,6 @@
 	"google.golang.org/grpc"
 
 	"rattanhoist.example/rattanhoist/committer"
-	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/governor"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
@@ -60,10 +59,9 @@
 // committedState is the committed state that readers outside the log's loop see;
 // immutable.
 type committedState struct {
-	document      *governor.Document
-	leftEndpoints []enroller.Incarnation
-	quarantines   []governor.Quarantine
-	evacuations   *governor.Evacuations
+	document    *governor.Document
+	quarantines []governor.Quarantine
+	evacuations *governor.Evacuations
 	// returnedAt holds when this keeper saw each evacuated zone return to service.
 	returnedAt map[string]time.Time
 }
@@ -153,7 +151,7 @@
 func (s *Keeper) onCommit() {
 	old := s.committedState.Load()
 	v := &committedState{
-		document: s.state.Document(), leftEndpoints: s.state.LeftEndpoints(), quarantines: s.state.Quarantines(),
+		document: s.state.Document(), quarantines: s.state.Quarantines(),
 		evacuations: s.state.Evacuations(), returnedAt: old.returnedAt,
 	}
 	if v.evacuations.Revision() != old.evacuations.Revision() {
@@ -165,9 +163,7 @@
 		s.log.Info("configuration", zap.Uint64("number", v.document.Number()), zap.Int("bytes", len(v.document.Content())),
 			zap.Int64("prepaid", s.state.Ledger().TotalPrepaid()))
 	}
-	if len(v.leftEndpoints) > 0 {
-		s.registry.markLeft(time.Now(), v.leftEndpoints)
-	}
+	s.registry.applyLeaves(time.Now(), s.state.Leaves(), s.state.Index())
 	s.logScarceBalances(time.Now())
 }
 
