A router that starts before the first log entry learns of leaves

Cause: index 0 stood for a router that has just started, so one whose first reply came from an empty log stayed at 0 and was sent no leave. Change: a router that has just started states no deployment; an update counts from what its request stated. Measured: TestRouterThatStartsWithAnEmptyLogLearnsOfLeaves; go test ./steward -run 'Leave|Router|Reply'; go test ./courier -run 'Leave|KeeperThat|ComesBack|BackInContact'.

--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -206,10 +206,9 @@
 }
 
 // applyReply applies a keeper's reply to a sync request. It returns the routers that the
-// keeper lists, or nil if it reported none. skippedEndpoints is set if the request did not
-// ask for endpoints.
-func (f *fleetView) applyReply(ctx context.Context, l *messenger.Link, r *messenger.SyncReply, sent time.Time, skippedEndpoints bool) []*messenger.FleetMember {
-	now := time.Now()
+// keeper lists, or nil if it reported none.
+func (f *fleetView) applyReply(ctx context.Context, x syncResult) []*messenger.FleetMember {
+	l, r, sent, now := x.link, x.reply, x.sentAt, time.Now()
 	if f.disconnectLogged {
 		f.disconnectLogged = false
 		f.options.Log.Info("keepers answer again", zap.String("keeper", l.Address()), zap.Duration("silence", f.sinceContact()))
@@ -226,8 +225,8 @@
 	f.mergeVersions(now, r)
 	// Leaves come before the endpoints in the same reply: one of these may have come back under the id
 	// of one that has left.
-	f.applyLeaves(sent, now, l.Address(), r)
-	if (!skippedEndpoints || r.GetLeaves().GetTruncated()) && !f.leaves.mayListLeft(r.Leaves) {
+	f.applyLeaves(sent, now, l.Address(), x.request.KnownLeaves, r)
+	if (!x.request.SkipEndpoints || r.GetLeaves().GetTruncated()) && !f.leaves.mayListLeft(r.Leaves) {
 		f.updateEndpoints(l.Address(), r, sent, now)
 		f.primarySource, f.primaryAt = l.Address(), now
 	}
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -34,7 +34,7 @@
 	sightings atomic.Pointer[messenger.Sightings]
 	// endpointSyncs counts the sync requests that ask for endpoints.
 	endpointSyncs atomic.Int64
-	// leaves is sent with each reply, from the index that the router states.
+	// leaves is sent with each reply.
 	leaves atomic.Pointer[messenger.LeaveUpdate]
 	// evacuations are sent with each reply.
 	evacuations atomic.Pointer[messenger.Evacuations]
@@ -66,7 +66,7 @@
 		out.Endpoints = s.Sightings
 	}
 	if u := k.leaves.Load(); u != nil {
-		out.Leaves = &messenger.LeaveUpdate{Deployment: u.Deployment, Since: q.KnownLeaves.GetIndex(), Index: u.Index, Truncated: u.Truncated}
+		out.Leaves = &messenger.LeaveUpdate{Deployment: u.Deployment, Index: u.Index, Truncated: u.Truncated}
 	}
 	return out, pause(ctx, k.sync.Load())
 }
--- a/courier/leave_tracker_test.go
+++ b/courier/leave_tracker_test.go
@@ -9,8 +9,8 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-func leaveUpdate(since, index uint64) *messenger.LeaveUpdate {
-	return &messenger.LeaveUpdate{Deployment: "d", Since: since, Index: index, Leaves: []*messenger.LeaveChange{{Endpoint: "a"}}}
+func leaveUpdate(index uint64) *messenger.LeaveUpdate {
+	return &messenger.LeaveUpdate{Deployment: "d", Index: index, Leaves: []*messenger.LeaveChange{{Endpoint: "a"}}}
 }
 
 // Guards against leaves that a router skips: its requests to two keepers overlap, and a reply counts only
@@ -18,21 +18,34 @@
 func TestOverlappingRepliesSkipNoLeave(t *testing.T) {
 	g := gomega.NewWithT(t)
 	x := &leaveTracker{}
-	_, complete := x.apply(&messenger.LeaveUpdate{Deployment: "d", Index: 100})
+	nothing := x.known()
+	_, complete := x.apply(nothing, &messenger.LeaveUpdate{Deployment: "d", Index: 100})
 	g.Expect([]any{complete, x.index, x.floor}).To(gomega.Equal([]any{true, uint64(100), uint64(100)}))
-	_, complete = x.apply(&messenger.LeaveUpdate{Deployment: "d", Index: 105})
+	_, complete = x.apply(nothing, &messenger.LeaveUpdate{Deployment: "d", Index: 105})
 	g.Expect([]any{complete, x.index}).To(gomega.Equal([]any{false, uint64(100)}), "sent before the first reply arrived")
-	left, complete := x.apply(leaveUpdate(100, 110))
+	stated := x.known()
+	left, complete := x.apply(stated, leaveUpdate(110))
 	g.Expect(left).To(gomega.HaveLen(1))
 	g.Expect([]any{complete, x.index}).To(gomega.Equal([]any{true, uint64(110)}))
-	x.apply(leaveUpdate(100, 106))
+	x.apply(stated, leaveUpdate(106))
 	g.Expect(x.index).To(gomega.Equal(uint64(110)))
-	_, complete = x.apply(&messenger.LeaveUpdate{Deployment: "other", Since: 110, Index: 500})
+	_, complete = x.apply(x.known(), &messenger.LeaveUpdate{Deployment: "other", Index: 500})
 	g.Expect([]any{complete, x.index}).To(gomega.Equal([]any{false, uint64(110)}))
-	x.apply(&messenger.LeaveUpdate{Deployment: "other", Index: 7, Truncated: true})
+	x.apply(x.known(), &messenger.LeaveUpdate{Deployment: "other", Index: 7, Truncated: true})
 	g.Expect([]any{x.deployment, x.index, x.floor}).To(gomega.Equal([]any{"other", uint64(7), uint64(7)}))
 }
 
+// Guards against a router that never learns of a leave because it started before the first log entry.
+func TestRouterThatStartsWithAnEmptyLogLearnsOfLeaves(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x := &leaveTracker{}
+	x.apply(x.known(), &messenger.LeaveUpdate{Deployment: "d"})
+	g.Expect(x.known().Deployment).To(gomega.Equal("d"))
+	left, complete := x.apply(x.known(), leaveUpdate(5))
+	g.Expect(left).To(gomega.HaveLen(1))
+	g.Expect([]any{complete, x.index}).To(gomega.Equal([]any{true, uint64(5)}))
+}
+
 // Guards against an endpoint that a keeper still lists although it left before this router started. The
 // keeper has missed a part of the log.
 func TestKeeperThatLagsPutsNoEndpointInService(t *testing.T) {
--- a/courier/leaves.go
+++ b/courier/leaves.go
@@ -32,14 +32,14 @@
 	return &messenger.KnownLeaves{Deployment: t.deployment, Index: t.index}
 }
 
-// apply records an update. It returns the leaves to apply, and whether all leaves up to the index of the
-// update are known now.
-func (t *leaveTracker) apply(u *messenger.LeaveUpdate) (left []*messenger.LeaveChange, complete bool) {
+// apply records the update in a reply to a request that stated what was known then. It returns the
+// leaves to apply, and whether all leaves up to the index of the update are known now.
+func (t *leaveTracker) apply(stated *messenger.KnownLeaves, u *messenger.LeaveUpdate) (left []*messenger.LeaveChange, complete bool) {
 	switch {
 	case u.Truncated, t.deployment == "":
 		t.deployment, t.index, t.floor = u.Deployment, u.Index, u.Index
 		return nil, true
-	case u.Deployment != t.deployment, u.Since == 0:
+	case u.Deployment != t.deployment, stated.GetDeployment() != u.Deployment:
 		// The request was sent before the first reply arrived.
 		return nil, false
 	}
@@ -71,16 +71,16 @@
 // LeavesAge returns the time since this router's knowledge of leaves was complete.
 func (f *fleetView) LeavesAge() time.Duration { return f.leaves.age(time.Now()) }
 
-// applyLeaves removes the endpoints that have left according to a keeper's reply to a request sent at
-// a time.
-func (f *fleetView) applyLeaves(sent, now time.Time, keeper string, r *messenger.SyncReply) {
+// applyLeaves removes the endpoints that have left according to a keeper's reply to a request that was
+// sent at a time and stated which leaves were known.
+func (f *fleetView) applyLeaves(sent, now time.Time, keeper string, stated *messenger.KnownLeaves, r *messenger.SyncReply) {
 	left, complete := r.Left, true
 	if u := r.Leaves; u.GetDeployment() != "" {
 		if u.Truncated {
 			f.options.Log.Warn("leaves missed; all endpoints are listed again", zap.String("keeper", keeper), zap.Uint64("known", f.leaves.index), zap.Uint64("index", u.Index))
 			f.retainListed(r.Endpoints)
 		}
-		left, complete = f.leaves.apply(u)
+		left, complete = f.leaves.apply(stated, u)
 	}
 	if complete && r.ConfirmedAgeMs >= 0 {
 		f.leaves.confirm(sent, time.Duration(r.ConfirmedAgeMs)*time.Millisecond)
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -142,11 +142,10 @@
 type syncResult struct {
 	link *messenger.Link
 	// syncResult is nil if the sync failed.
-	reply  *messenger.SyncReply
-	err    error
-	sentAt time.Time
-	// skippedEndpoints is set if the request did not ask for endpoints.
-	skippedEndpoints bool
+	reply   *messenger.SyncReply
+	err     error
+	sentAt  time.Time
+	request *messenger.SyncRequest
 	// report is the crash report in the request.
 	report crashReport
 }
@@ -160,7 +159,7 @@
 		return false
 	}
 	reconnected := f.disconnectLogged
-	listed := f.applyReply(ctx, result.link, result.reply, result.sentAt, result.skippedEndpoints)
+	listed := f.applyReply(ctx, result)
 	// The round may continue with other keepers, but endpoints that have left must be
 	// removed at once.
 	f.applyEndpoints(time.Now())
@@ -214,7 +213,7 @@
 	f.pending[l.Address()] = true
 	f.mu.Unlock()
 	go func() {
-		r := syncResult{link: l, sentAt: time.Now(), report: report, skippedEndpoints: q.SkipEndpoints}
+		r := syncResult{link: l, sentAt: time.Now(), report: report, request: q}
 		r.err = l.Call(ctx, syncTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
 			var err error
 			r.reply, err = c.Sync(ctx, q)
--- a/steward/leave_simulation_test.go
+++ b/steward/leave_simulation_test.go
@@ -169,7 +169,7 @@
 // ask sends a sync request, and calls answered when the reply arrives.
 func (s *leaveSimulation) ask(r *simRouter, keeper int, answered func()) {
 	q := &messenger.SyncRequest{
-		Router: &messenger.FleetMember{Address: r.address, Zone: "z"}, SkipEndpoints: true, KnownLeaves: &messenger.KnownLeaves{Deployment: "d", Index: r.known.Index},
+		Router: &messenger.FleetMember{Address: r.address, Zone: "z"}, SkipEndpoints: true, KnownLeaves: &messenger.KnownLeaves{Deployment: r.known.Deployment, Index: r.known.Index},
 	}
 	s.after(r.trip, func() {
 		if keeper == s.silent && !s.now.Before(s.silentFrom) {
@@ -186,7 +186,9 @@
 					s.learned = append(s.learned, learnedLeave{index: index, at: s.now})
 				}
 			}
-			r.known.Index = max(r.known.Index, out.Leaves.Index)
+			if r.known.Deployment == "" || q.KnownLeaves.Deployment != "" {
+				r.known.Deployment, r.known.Index = "d", max(r.known.Index, out.Leaves.Index)
+			}
 			answered()
 		})
 	})
@@ -259,7 +261,6 @@
 				t.Run(name, func(t *testing.T) {
 					g := gomega.NewWithT(t)
 					s := newLeaveSimulation(7, fleet.routers, fleet.zones, fleet.keepers)
-					// Routers start with the index of an earlier leave.
 					s.after(0, func() { s.commit(1, 0) })
 					s.run(5 * time.Second)
 					s.learned, s.bytes = nil, 0
--- a/steward/leave_test.go
+++ b/steward/leave_test.go
@@ -102,12 +102,14 @@
 	for _, skip := range []bool{false, true} {
 		u, _ := leavesOf(s, time.Now(), 1_000, skip)
 		g.Expect(u.Truncated).To(gomega.BeFalse())
-		g.Expect([]uint64{u.Since, u.Index}).To(gomega.Equal([]uint64{1_000, 3_000}))
+		g.Expect(u.Index).To(gomega.Equal(uint64(3_000)))
 		g.Expect(u.Leaves).To(gomega.HaveLen(2_000))
 		g.Expect(u.Leaves[0].Endpoint).To(gomega.Equal("e1000"))
 	}
 	u, _ := leavesOf(s, time.Now(), 3_000, true)
 	g.Expect(u.Leaves).To(gomega.BeEmpty())
+	u, _ = leavesOf(s, time.Now(), 0, true)
+	g.Expect(u.Leaves).To(gomega.HaveLen(3_000), "the router has known the deployment since before the first leave")
 	u, _ = leavesOf(s, time.Now(), 3_100, true)
 	g.Expect(u.Index).To(gomega.Equal(uint64(3_000)), "the keeper lags behind the router's last one")
 }
--- a/steward/registry.go
+++ b/steward/registry.go
@@ -135,7 +135,7 @@
 		return false
 	}
 	out.Leaves = &messenger.LeaveUpdate{Deployment: deployment, Index: r.leavesIndex}
-	if known.Index == 0 {
+	if known.Deployment == "" {
 		// The router has just started, and the list of endpoints holds none that has left.
 		return false
 	}
@@ -144,7 +144,7 @@
 		out.Leaves.Truncated = true
 		return true
 	}
-	out.Leaves.Since, out.Leaves.Leaves = known.Index, r.leaveMessages(now, missing)
+	out.Leaves.Leaves = r.leaveMessages(now, missing)
 	return false
 }
 
