A starting router is not told of endpoints that have just left

Cause: the list of all endpoints is reused for 0.1 s, and its members are refreshed at intervals, while the index in the same reply says that the router knows all leaves. Found by reading. Change: a list for a router that starts, or that missed leaves, holds only what is in the table now. Measured: TestListForAStartingRouterHoldsNoEndpointThatHasJustLeft (3,000 endpoints listed instead of 2,900 without the change, by reading); go test ./steward.

--- a/steward/leave_test.go
+++ b/steward/leave_test.go
@@ -131,6 +131,28 @@
 	g.Expect(out.Leaves.Truncated).To(gomega.BeTrue())
 }
 
+// Guards against an endpoint that a starting router is told of although it has just left: the list of
+// endpoints is reused for a moment, and the router's index says that it knows the leave.
+func TestListForAStartingRouterHoldsNoEndpointThatHasJustLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, h, now := newSyncingKeeper(), enroller.NewLeaveHistory(), time.Now()
+	for n := range 3_000 {
+		b := heartbeatFor(fmt.Sprint("e", n), 1, "s")
+		b.Address = fmt.Sprintf("10.0.%d.%d:1", n/250, n%250)
+		s.registry.observeHeartbeat(now, b)
+	}
+	list := func() (uint64, int) {
+		out := &messenger.SyncReply{}
+		s.registry.answerSync(now, "d", &messenger.SyncRequest{Router: &messenger.FleetMember{Address: "r", Zone: "z"}, KnownLeaves: &messenger.KnownLeaves{}}, out)
+		return out.Leaves.Index, len(out.Endpoints)
+	}
+	index, endpoints := list()
+	g.Expect([]any{index, endpoints}).To(gomega.Equal([]any{uint64(0), 3_000}))
+	recordLeaves(s, h, 0, 100)
+	index, endpoints = list()
+	g.Expect([]any{index, endpoints}).To(gomega.Equal([]any{uint64(100), 2_900}))
+}
+
 // Guards against an endpoint that leaves twice in the log, once with its start time and once without:
 // the second one stands for whichever incarnation a process knows by then.
 func TestLeaveWithoutAStartTimeIsThatOfTheLastIncarnation(t *testing.T) {
--- a/steward/registry.go
+++ b/steward/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -242,6 +243,18 @@
 		return
 	}
 	out.Endpoints = view.Sightings(now, fullListTTL)
+	if truncated || q.KnownLeaves.GetDeployment() == "" {
+		out.Endpoints = r.withoutLeft(out.Endpoints)
+	}
+}
+
+// withoutLeft returns the endpoints that are still in the table. A list that is reused may hold some that
+// have left since.
+func (r *registry) withoutLeft(list []*messenger.Sighting) []*messenger.Sighting {
+	return slices.DeleteFunc(slices.Clone(list), func(s *messenger.Sighting) bool {
+		i, known := r.table.Current(s.Id)
+		return !known || i.BornMS != s.BornMs
+	})
 }
 
 // routerCount returns the number of known routers.
