A late heartbeat does not end the living endpoint at an address

Cause: an endpoint that was silent for six heartbeats was removed without a trace, its late report taken for a new incarnation, and the younger report won the address: the living one was ended for ten minutes. Change: what is removed without a leave leaves a trace; only a first heartbeat, a later start time or the holder's silence for one and a half heartbeats takes an address, and the one that loses it may come back. A keeper's file yields to any heartbeat. A start time more than an hour ahead is refused. Lines on both outcomes. Why it works: only a leave is final; any other belief ends with the heartbeats of the endpoint that lives.

--- a/courier/source.go
+++ b/courier/source.go
@@ -21,6 +21,7 @@
 	// that was last recorded in the endpoint table.
 	alive           map[enroller.Incarnation]bool
 	aliveRecordedAt time.Time
+	repliedAt       time.Time
 }
 
 const (
@@ -56,7 +57,7 @@
 	case !r.Partial:
 		s.alive = map[enroller.Incarnation]bool{}
 	}
-	s.epoch, s.revision = r.Epoch, r.Revision
+	s.epoch, s.revision, s.repliedAt = r.Epoch, r.Revision, now
 	for _, g := range r.Gone {
 		i := enroller.IncarnationFromLeave(g)
 		delete(s.alive, i)
@@ -68,17 +69,32 @@
 			f.registered.MarkAlive(sent, i)
 		}
 	}
+	for _, x := range r.Endpoints {
+		if r.Epoch != 0 {
+			s.alive[enroller.Incarnation{ID: x.Id, BornMS: x.BornMs}] = true
+		}
+	}
 	for _, x := range r.Endpoints {
 		b, age := enroller.HeartbeatFromSighting(x)
 		if b.ColdRemaining > 0 {
 			// The remaining cold time counts from the reply, not from the request.
 			b.ColdRemaining += now.Sub(sent)
 		}
+		if i, ok := f.registered.AtAddress(b.Address); ok && i.ID != b.ID && b.Sequence > 0 && !f.listed(now, i) {
+			f.registered.Forget(i)
+		}
 		f.registered.Observe(sent, b, age)
-		if r.Epoch != 0 {
-			s.alive[b.Incarnation] = true
+	}
+}
+
+// listed reports whether any keeper that replied recently considers an incarnation alive.
+func (f *fleetView) listed(now time.Time, i enroller.Incarnation) bool {
+	for _, s := range f.sources {
+		if s.alive[i] && now.Sub(s.repliedAt) < primaryTimeout {
+			return true
 		}
 	}
+	return false
 }
 
 // updateRouters applies a keeper's report about routers. It returns all routers that the
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -51,6 +51,14 @@
 	endedAt time.Time
 }
 
+// trace records an incarnation that has not left and is no longer in the table: it fell silent, or
+// another one took its address. Its heartbeats may still arrive, and it may still be alive.
+type trace struct {
+	sequence uint64
+	lastSeen time.Time
+	endedAt  time.Time
+}
+
 // Table holds the known endpoints. It reads no clock: callers pass the time. It is not
 // safe for concurrent use.
 type Table struct {
@@ -61,7 +69,10 @@
 	// tombstones holds the last ended incarnation of each id. An incarnation whose
 	// heartbeats may still arrive always has its tombstone.
 	tombstones map[string]tombstone
-	// byAddress holds the id of the newest incarnation at each address.
+	// traces holds incarnations that were removed without a leave, at most maxTraces.
+	traces        map[Incarnation]trace
+	tracesDropped int
+	// byAddress holds the id of the incarnation that is in the table at each address.
 	byAddress map[string]string
 	revision  uint64
 	versions  *VersionHistory
@@ -69,8 +80,15 @@
 	views map[string]*View
 }
 
-// tombstoneTTL is far longer than the delay of any heartbeat.
-const tombstoneTTL = 10 * time.Minute
+const (
+	// tombstoneTTL is far longer than the delay of any heartbeat.
+	tombstoneTTL = 10 * time.Minute
+	// maxTraces bounds the memory that traces take, to some megabytes.
+	maxTraces = 32768
+	// An incarnation takes the address of another one that has been silent for expireAfter divided by
+	// successionDivisor: between one and two heartbeat intervals.
+	successionDivisor = 4
+)
 
 // coldTolerance is by how much a later heartbeat may extend the cold phase before the
 // extension counts as a change.
@@ -78,7 +96,7 @@
 
 // NewTable returns an empty table.
 func NewTable(expireAfter time.Duration) *Table {
-	return &Table{expireAfter: expireAfter, entries: map[string]*entry{}, tombstones: map[string]tombstone{}, byAddress: map[string]string{}, views: map[string]*View{}, versions: newVersionHistory()}
+	return &Table{expireAfter: expireAfter, entries: map[string]*entry{}, tombstones: map[string]tombstone{}, traces: map[Incarnation]trace{}, byAddress: map[string]string{}, views: map[string]*View{}, versions: newVersionHistory()}
 }
 
 // Versions returns the history of the software versions of the table's endpoints.
@@ -161,6 +179,13 @@
 	case b.Sequence < e.heartbeat.Sequence:
 		return false
 	}
+	if b.Address != e.heartbeat.Address {
+		if !t.claimAddress(now, b, lastSeen, true) {
+			return false
+		}
+		t.release(e)
+		t.byAddress[b.Address] = b.ID
+	}
 	if lastSeen.After(e.lastSeen) {
 		e.lastSeen = lastSeen
 	}
@@ -200,17 +225,17 @@
 	return out
 }
 
-// insert adds an incarnation. Another endpoint at the same address has ended, and gets a
-// tombstone so that a delayed heartbeat does not add it again.
+// insert adds an incarnation, unless its heartbeat is a late one or another incarnation is alive at its
+// address. One that it replaces there leaves a trace: which of the two is alive may become known later.
 func (t *Table) insert(now time.Time, b Heartbeat, lastSeen time.Time) bool {
-	if old := t.byAddress[b.Address]; old != "" && old != b.ID {
-		if o := t.entries[old]; o != nil {
-			if o.lastSeen.After(lastSeen) {
-				return false
-			}
-			t.markEnded(now, o.heartbeat.Incarnation)
-		}
+	past, known := t.traces[b.Incarnation]
+	if known && b.Sequence > 0 && (b.Sequence < past.sequence || b.Sequence == past.sequence && !lastSeen.After(past.lastSeen)) {
+		return false
+	}
+	if !t.claimAddress(now, b, lastSeen, known) {
+		return false
 	}
+	delete(t.traces, b.Incarnation)
 	t.revision++
 	t.entries[b.ID] = &entry{heartbeat: b, lastSeen: lastSeen, coldUntil: lastSeen.Add(b.ColdRemaining), revision: t.revision}
 	t.byAddress[b.Address] = b.ID
@@ -218,6 +243,63 @@
 	return true
 }
 
+// claimAddress removes another incarnation at the address of a heartbeat, if the sender takes its place.
+// known is set if the sender has been in the table before.
+func (t *Table) claimAddress(now time.Time, b Heartbeat, lastSeen time.Time, known bool) bool {
+	holder := t.entries[t.byAddress[b.Address]]
+	if holder == nil || holder.heartbeat.ID == b.ID {
+		return true
+	}
+	if !t.supersedes(b, lastSeen, known, holder) {
+		return false
+	}
+	t.end(now, holder)
+	return true
+}
+
+// supersedes reports whether the sender of a heartbeat takes the place of another incarnation at its
+// address. A heartbeat may arrive long after its sender has ended, so a sender that is not evidently the
+// later one waits until the other one is silent: if both are alive in turn, the one whose heartbeats
+// arrive stays.
+func (t *Table) supersedes(b Heartbeat, lastSeen time.Time, known bool, holder *entry) bool {
+	h := holder.heartbeat
+	switch {
+	case h.Sequence == 0 && b.Sequence > 0:
+		// The holder is known from a file only.
+		return true
+	case known:
+	case b.BornMS != 0 && h.BornMS != 0 && b.BornMS != h.BornMS:
+		if b.BornMS > h.BornMS {
+			return true
+		}
+	case b.Sequence == 1:
+		return true
+	}
+	return lastSeen.Sub(holder.lastSeen) >= t.expireAfter/successionDivisor
+}
+
+// end removes an entry and keeps its trace.
+func (t *Table) end(now time.Time, e *entry) {
+	t.remove(e.heartbeat.ID)
+	if len(t.traces) >= maxTraces {
+		t.tracesDropped++
+		return
+	}
+	t.traces[e.heartbeat.Incarnation] = trace{sequence: e.heartbeat.Sequence, lastSeen: e.lastSeen, endedAt: now}
+}
+
+// TracesDropped returns how many incarnations were removed without a trace because there were too many.
+func (t *Table) TracesDropped() int { return t.tracesDropped }
+
+// AtAddress returns the incarnation that is in the table at an address.
+func (t *Table) AtAddress(address string) (Incarnation, bool) {
+	e := t.entries[t.byAddress[address]]
+	if e == nil {
+		return Incarnation{}, false
+	}
+	return e.heartbeat.Incarnation, true
+}
+
 // Leave removes an incarnation permanently. One without a start time stands for the
 // current incarnation under the id, because the sender of the message knew the id only.
 // It reports whether the incarnation was in the table until then.
@@ -255,9 +337,14 @@
 		t.revision++
 		delete(t.entries, id)
 		t.versions.count(e.heartbeat, -1)
-		if t.byAddress[e.heartbeat.Address] == id {
-			delete(t.byAddress, e.heartbeat.Address)
-		}
+		t.release(e)
+	}
+}
+
+// release frees the address of an entry.
+func (t *Table) release(e *entry) {
+	if t.byAddress[e.heartbeat.Address] == e.heartbeat.ID {
+		delete(t.byAddress, e.heartbeat.Address)
 	}
 }
 
@@ -276,11 +363,16 @@
 }
 
 // Expire removes endpoints that have been silent for longer than expireAfter, and old
-// tombstones.
+// tombstones and traces.
 func (t *Table) Expire(now time.Time) {
-	for id, e := range t.entries {
+	for _, e := range t.entries {
 		if now.Sub(e.lastSeen) > t.expireAfter {
-			t.remove(id)
+			t.end(now, e)
+		}
+	}
+	for i, x := range t.traces {
+		if now.Sub(x.endedAt) > tombstoneTTL {
+			delete(t.traces, i)
 		}
 	}
 	for id, d := range t.tombstones {
--- a/steward/control.go
+++ b/steward/control.go
@@ -40,8 +40,12 @@
 	refusalLog *zap.Logger
 }
 
-// maxRefusalLogLines bounds the log lines a second about refused heartbeats.
-const maxRefusalLogLines = 5
+const (
+	// maxRefusalLogLines bounds the log lines a second about refused heartbeats.
+	maxRefusalLogLines = 5
+	// maxStartTimeLead is by how much an endpoint's clock may be ahead of a keeper's.
+	maxStartTimeLead = time.Hour
+)
 
 // NewControl returns the control of a keeper; decode parses configuration documents.
 func NewControl(s *Keeper, decode Decoder) *Control {
@@ -114,6 +118,9 @@
 // than the endpoint must have sent it. Accepting such a heartbeat would put a nonexistent
 // endpoint in service, or change the address behind an id that is in service.
 func (c *Control) acceptHeartbeat(b enroller.Heartbeat) error {
+	if err := checkStartTime(b.Incarnation); err != nil {
+		return err
+	}
 	if !c.hasService(b.Service) {
 		return merry.Errorf("%w: no service %q", enroller.ErrInvalidHeartbeat, b.Service)
 	}
@@ -123,6 +130,15 @@
 	return nil
 }
 
+// checkStartTime returns ErrInvalidHeartbeat if an endpoint states a start time so far in the future that
+// no clock explains it. It would end the incarnations that start until then.
+func checkStartTime(i enroller.Incarnation) error {
+	if i.BornMS > time.Now().Add(maxStartTimeLead).UnixMilli() {
+		return merry.Errorf("%w: %s starts in the future", enroller.ErrInvalidHeartbeat, i)
+	}
+	return nil
+}
+
 // serviceNames holds the names of a document's services; immutable.
 type serviceNames struct {
 	number uint64
@@ -175,6 +191,10 @@
 // that sync with this keeper have been told, as far as they do so in time.
 func (c *Control) Leave(ctx context.Context, i enroller.Incarnation) error {
 	arrived := time.Now()
+	if err := checkStartTime(i); err != nil {
+		c.HeartbeatRefused(i.ID, err)
+		return err
+	}
 	i = c.keeper.registry.resolveIncarnation(i)
 	if c.keeper.registry.hasLeft(i) {
 		// A repeated call. The first one may have been committed just now.
--- a/steward/control_test.go
+++ b/steward/control_test.go
@@ -73,6 +73,21 @@
 	g.Expect(news.Sightings[0].BornMs).To(gomega.Equal(int64(5)))
 }
 
+// Guards against a message with a start time in the future that ends the endpoint of that id, and all its
+// incarnations until then.
+func TestStartTimeInTheFutureIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := newTestControl(t)
+	now := time.Now().UnixMilli()
+	_, err := c.Heartbeat(t.Context(), heartbeatFor("a", now, "s"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	future := time.Now().Add(2 * maxStartTimeLead).UnixMilli()
+	_, err = c.Heartbeat(t.Context(), heartbeatFor("a", future, "s"))
+	g.Expect(err).To(gomega.MatchError(enroller.ErrInvalidHeartbeat))
+	g.Expect(c.Leave(t.Context(), enroller.Incarnation{ID: "a", BornMS: future})).To(gomega.MatchError(enroller.ErrInvalidHeartbeat))
+	g.Expect(c.keeper.registry.resolveIncarnation(enroller.Incarnation{ID: "a"}).BornMS).To(gomega.Equal(now))
+}
+
 func TestLeaveWithoutStartTimeMeansCurrentIncarnation(t *testing.T) {
 	g := gomega.NewWithT(t)
 	c := newTestControl(t)
--- a/steward/counters.go
+++ b/steward/counters.go
@@ -59,6 +59,7 @@
 		_, use := s.claimPace.stated()
 		return use
 	})
+	metrics.GetOrCreateGauge("rattanhoist_endpoint_traces_dropped", func() float64 { return float64(s.registry.tracesDropped()) })
 	metrics.GetOrCreateGauge("rattanhoist_zones_evacuated", func() float64 { return float64(len(s.committedState.Load().evacuations.Zones())) })
 	metrics.GetOrCreateGauge("rattanhoist_configuration_number", func() float64 { return float64(s.committedState.Load().document.Number()) })
 }
--- a/steward/endpoints_file.go
+++ b/steward/endpoints_file.go
@@ -72,7 +72,8 @@
 		return
 	}
 	for _, x := range known.Sightings {
-		x.AgeMs = 0
+		// Without a sequence, an endpoint gives way to any other one that reports from its address.
+		x.AgeMs, x.Sequence = 0, 0
 	}
 	for _, v := range known.GetVersions().GetGone() {
 		// How long this process was down is not known.
--- a/steward/registry.go
+++ b/steward/registry.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/messenger"
 )
@@ -25,6 +27,8 @@
 	// maxLeavesSent bounds the leaves in a reply to a router of an earlier version, which is sent the
 	// newest ones each time.
 	maxLeavesSent = 256
+	// maxConflictLogLines bounds the log lines a second about two endpoints at one address.
+	maxConflictLogLines = 20
 	// minPrunedLeaves is the number of leaves from which those that are no longer held are removed.
 	minPrunedLeaves = 1024
 )
@@ -47,6 +51,7 @@
 	// process.
 	epoch     uint64
 	startedAt time.Time
+	log       *zap.Logger
 }
 
 // appliedLeave is a leave that this keeper has applied.
@@ -56,7 +61,7 @@
 }
 
 func newRegistry(heartbeat time.Duration) *registry {
-	return &registry{table: enroller.NewTable(maxMissedHeartbeats * heartbeat), unshared: map[string]bool{}, routers: newRouters(), left: map[enroller.Incarnation]appliedLeave{}, epoch: rand.Uint64() | 1, startedAt: time.Now()}
+	return &registry{table: enroller.NewTable(maxMissedHeartbeats * heartbeat), unshared: map[string]bool{}, routers: newRouters(), left: map[enroller.Incarnation]appliedLeave{}, epoch: rand.Uint64() | 1, startedAt: time.Now(), log: zap.NewNop()}
 }
 
 // beginVersions records whether there were endpoints before this process.
@@ -88,11 +93,26 @@
 	if !r.table.Consistent(b) {
 		return false
 	}
+	holder, held := r.table.AtAddress(b.Address)
 	r.table.Observe(now, b, 0)
 	r.unshared[b.ID] = true
+	if held && holder.ID != b.ID {
+		r.logConflict(b, holder)
+	}
 	return true
 }
 
+// logConflict logs which of two endpoints is in service after a heartbeat from the address of another
+// one.
+func (r *registry) logConflict(b enroller.Heartbeat, holder enroller.Incarnation) {
+	fields := []zap.Field{zap.Stringer("endpoint", b.Incarnation), zap.String("address", b.Address), zap.Uint64("sequence", b.Sequence), zap.Stringer("other", holder)}
+	if now, ok := r.table.AtAddress(b.Address); ok && now == b.Incarnation {
+		r.log.Info("endpoint took the address of another", fields...)
+		return
+	}
+	r.log.Info("heartbeat passed over, another endpoint holds its address", fields...)
+}
+
 // applyLeaves removes the endpoints that have left according to the committed state at a log index.
 func (r *registry) applyLeaves(now time.Time, leaves enroller.Leaves, index uint64) {
 	r.mu.Lock()
@@ -174,6 +194,13 @@
 	return r.table.HasZone(zone)
 }
 
+// tracesDropped returns how many endpoints were removed without a trace.
+func (r *registry) tracesDropped() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.TracesDropped()
+}
+
 // expire removes silent endpoints and routers.
 func (r *registry) expire(now time.Time) {
 	r.mu.Lock()
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -23,6 +23,7 @@
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/replicator"
+	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/storer"
 )
 
@@ -103,6 +104,7 @@
 	s.committedState.Store(&committedState{document: s.state.Document(), evacuations: s.state.Evacuations()})
 	s.peers = newPeerLinks(n.Internal(), n.Seeds(), s.setPeers)
 	s.registry = newRegistry(n.Heartbeat())
+	s.registry.log = reporter.Sampled(log, maxConflictLogLines)
 	s.quarantines = newQuarantineTracker(n.Quarantine(), n.Features().PartQuarantine)
 	s.loop, err = committer.New(committer.Options{
 		Core: replicator.Options{
