--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -229,7 +229,8 @@
 // address. One that it replaces there leaves a trace: which of the two is alive may become known later.
 func (t *Table) insert(now time.Time, b Heartbeat, lastSeen time.Time) bool {
 	past, known := t.traces[b.Incarnation]
-	if known && b.Sequence > 0 && (b.Sequence < past.sequence || b.Sequence == past.sequence && !lastSeen.After(past.lastSeen)) {
+	// Without a start time, a lower sequence may be that of an endpoint that restarted under its id.
+	if known && b.BornMS != 0 && b.Sequence > 0 && (b.Sequence < past.sequence || b.Sequence == past.sequence && !lastSeen.After(past.lastSeen)) {
 		return false
 	}
 	if !t.claimAddress(now, b, lastSeen, known) {
--- a/enroller/succession_test.go
+++ b/enroller/succession_test.go
@@ -103,6 +103,18 @@
 	g.Expect(ids(x, now)).To(gomega.Equal([]string{"new"}))
 }
 
+// Guards against an endpoint that gets no work after a restart under its id, until its sequence has passed
+// that of its earlier run.
+func TestRestartUnderAnIDWithoutAStartTimeIsAdded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, now := enroller.NewTable(testExpiry), start
+	x.Observe(now, heartbeatAt1("a", 400), 0)
+	now = now.Add(testExpiry + testHeartbeat)
+	x.Expire(now)
+	x.Observe(now, heartbeatAt1("a", 1), 0)
+	g.Expect(ids(x, now)).To(gomega.Equal([]string{"a"}))
+}
+
 // Guards against an endpoint that takes another one out by moving to its address.
 func TestChangeOfAddressDoesNotEndAnotherEndpoint(t *testing.T) {
 	g := gomega.NewWithT(t)
