An answer without length is whole only if its endpoint answers after it

Cause: HasEnded asked once, while the process was being ended. Its system still accepts connections for a moment, or resets them, and only a refused connection counted as an end. Change: an answer without length and chunks is whole only if the incarnation answers a health check that is sent after it; a full endpoint that keeps the connection open for 0.6 s counts as alive. Where this router can't connect, the check goes through another router. Why it works: the connection is closed after the last instruction of the process, so a process that answers later was alive.

--- a/cmd/rattanhoist-node/main.go
+++ b/cmd/rattanhoist-node/main.go
@@ -86,7 +86,7 @@
 	if n.Kind() == loader.KindRouter {
 		c := courier.New(courier.Options{
 			Node: n, Log: log, Decode: platform.DecodeDocument, Wire: platform.HeaderCodec{},
-			ClassifyResponse: platform.ClassifyResponse, QueryCache: platform.QueryCache, ReadyPath: platform.ReadyPath,
+			ClassifyResponse: platform.ClassifyResponse, QueryCache: platform.QueryCache, ProbeInstance: platform.ProbeInstance, ReadyPath: platform.ReadyPath,
 		})
 		go reload(ctx, n, log, c.AddKeepers)
 		return c.Run(ctx)
--- a/courier/counters.go
+++ b/courier/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -88,6 +89,12 @@
 	metrics.GetOrCreateGauge("rattanhoist_leaves_age_seconds", func() float64 { return f.LeavesAge().Seconds() })
 }
 
+// aliveChecks returns the counter of checks whether the endpoint of an answer without length is alive. An
+// answer whose endpoint is not known to be alive is broken off.
+func aliveChecks(alive bool) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`rattanhoist_answers_without_length_total{alive="%v"}`, alive))
+}
+
 // registerMemoryGauge registers the gauge of the bytes held for callers.
 func registerMemoryGauge(m *enforcer.Memory) {
 	metrics.GetOrCreateGauge("rattanhoist_caller_bytes_held", func() float64 { return float64(m.Held()) })
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -72,6 +72,8 @@
 	// cache holds. It also returns the state that the endpoint reports, which is
 	// nil only if there was no response.
 	QueryCache func(context.Context, string) ([]predictor.Part, *predictor.State, error)
+	// ProbeInstance tells which incarnation of an endpoint answers over a connection.
+	ProbeInstance ProbeFunc
 	// DialEndpoint opens connections to endpoints; nil stands for pooler.DialDirect.
 	DialEndpoint pooler.DialFunc
 	// ReadyPath is the path of the platform's readiness probe.
@@ -114,6 +116,9 @@
 	}
 	c.fleet = newFleetView(o, c.incarnation, table, c.pool)
 	c.fleet.shedding = newShedding(c.admission, o.Node, o.Log)
+	if o.ProbeInstance != nil {
+		c.fleet.quarantine.probe = o.ProbeInstance
+	}
 	if o.DialEndpoint != nil {
 		c.fleet.quarantine.dial = o.DialEndpoint
 	}
@@ -121,6 +126,7 @@
 		c.relays = newRelays(c.fleet, c.admission, o)
 		c.pool.UseRelays(c.relays.dialer)
 		c.fleet.quarantine.confirmEnded = c.relays.confirmEnded
+		c.fleet.quarantine.dialRelay = c.relays.dialEndpoint
 	}
 	if o.Node.Features().StreamVersions {
 		c.fleet.origins = newStreamOrigins(c.fleet, o.Log)
--- a/courier/liveness.go
+++ b/courier/liveness.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"syscall"
 	"time"
@@ -37,13 +38,18 @@
 	// maxPendingRequests is the maximum number of requests that are kept while an endpoint is
 	// checked. More than that run at no endpoint at a time.
 	maxPendingRequests = 512
-	// endCheckTimeout bounds the check whether an endpoint has ended that has closed the connection
-	// of an answer without length. The caller waits for it.
-	endCheckTimeout = 200 * time.Millisecond
+	// aliveCheckTimeout bounds each of the two steps of the check whether an endpoint is alive that has
+	// closed the connection of an answer without length: a new connection, and an answer. The caller
+	// waits for it. A round trip takes half a second over a link that callers fill.
+	aliveCheckTimeout = 600 * time.Millisecond
 	// maxLoggedParts is the maximum number of prompt parts in the log line of a crash.
 	maxLoggedParts = 64
 )
 
+// ProbeFunc sends a health check to an endpoint over a connection. It reports whether the incarnation
+// with an id answered, or another one, and returns an error if none did.
+type ProbeFunc func(ctx context.Context, c io.ReadWriteCloser, path, id string) (same bool, err error)
+
 // livenessChecks determine whether an endpoint ended while requests were in progress there. A
 // broken connection does not show that: endpoints and links reset connections and keep running.
 type livenessChecks struct {
@@ -52,6 +58,10 @@
 	// connections of this router has ended; it may be the path that is gone.
 	dial         pooler.DialFunc
 	confirmEnded func(enroller.Heartbeat) bool
+	// dialRelay opens a connection to an endpoint through another router; nil if routers relay nothing.
+	dialRelay func(context.Context, enroller.Heartbeat) (io.ReadWriteCloser, error)
+	// probe reports whether the incarnation with an id answers over a connection.
+	probe ProbeFunc
 	// replaced reports whether another incarnation is in service at an endpoint's address.
 	replaced func(enroller.Heartbeat) bool
 	// answered reports whether requests with a part were answered lately.
@@ -68,6 +78,7 @@
 	return &livenessChecks{
 		log: log, onCrash: crashed, pending: map[enroller.Incarnation][]quarantiner.Crash{},
 		dial: pooler.DialDirect, confirmEnded: func(enroller.Heartbeat) bool { return true },
+		probe:    func(context.Context, io.ReadWriteCloser, string, string) (bool, error) { return true, nil },
 		replaced: func(enroller.Heartbeat) bool { return false }, answered: func(quarantiner.SharedPart) bool { return false },
 	}
 }
@@ -154,15 +165,38 @@
 	return answered, unanswered
 }
 
-// HasEnded reports whether an endpoint refuses a connection now, and not because its path is lost.
-func (l *livenessChecks) HasEnded(ctx context.Context, e *predictor.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+// IsAlive reports whether an endpoint is known to be alive now. The system of a process that is being
+// ended still accepts connections for a moment, and another process may listen at the address soon, so
+// only an answer of the incarnation shows that it is alive.
+func (l *livenessChecks) IsAlive(ctx context.Context, e *predictor.Endpoint, path string) bool {
+	c, err := l.connect(ctx, e.Beat())
+	if err != nil {
+		aliveChecks(false).Inc()
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	ctx, cancel := context.WithTimeout(ctx, aliveCheckTimeout)
+	defer cancel()
+	same, err := l.probe(ctx, c, path, e.Beat().ID)
+	// An endpoint whose slots are taken may let the health check wait. The connection of one that has
+	// ended is closed.
+	alive := err == nil && same || ctx.Err() != nil && !l.replaced(e.Beat())
+	aliveChecks(alive).Inc()
+	return alive
+}
+
+// connect opens a connection to an endpoint, through another router if this one can't.
+func (l *livenessChecks) connect(ctx context.Context, b enroller.Heartbeat) (io.ReadWriteCloser, error) {
+	direct, cancel := context.WithTimeout(ctx, aliveCheckTimeout)
 	defer cancel()
-	c, err := l.dial(ctx, e.Beat().Address)
+	c, err := l.dial(direct, b.Address)
 	if err == nil {
-		_ = c.Close()
+		return c, nil
+	}
+	if l.dialRelay == nil {
+		return nil, err
 	}
-	return errors.Is(err, syscall.ECONNREFUSED) && l.confirmEnded(e.Beat())
+	return l.dialRelay(ctx, b)
 }
 
 // refusesConnections reports whether nothing listens at an address. A running endpoint
--- a/courier/relay.go
+++ b/courier/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -172,6 +173,11 @@
 	return errors.Is(err, relayer.ErrEndpointDown) || r.pool.LostPaths() == 0 && !r.pool.Isolated()
 }
 
+// dialEndpoint opens a connection to an endpoint through another router.
+func (r *relays) dialEndpoint(ctx context.Context, b enroller.Heartbeat) (io.ReadWriteCloser, error) {
+	return r.dialer.Dial(ctx, relayer.Target{Endpoint: b.Incarnation.String(), Zone: b.Zone})
+}
+
 // report logs when the paths to endpoints are lost and when they are back, until ctx is done.
 func (r *relays) report(ctx context.Context) {
 	t := time.NewTicker(pathReportInterval)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -158,8 +158,8 @@
 	// RecordSuccess records that an endpoint answered a request completely and
 	// successfully.
 	RecordSuccess(quarantiner.Input)
-	// HasEnded reports whether an endpoint has certainly ended, within a few round trips.
-	HasEnded(ctx context.Context, e *predictor.Endpoint) bool
+	// IsAlive reports whether an endpoint is known to be alive now; path is that of its health check.
+	IsAlive(ctx context.Context, e *predictor.Endpoint, path string) bool
 	// RecordBrokenOff records that an endpoint's connection ended before the answer was
 	// complete; underway is the time since the request was sent there.
 	RecordBrokenOff(e *predictor.Endpoint, in quarantiner.Input, underway time.Duration)
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -49,10 +49,10 @@
 	}
 }
 
-// closedByEnd reports whether an answer without length and chunks was completed only by the end of
-// its endpoint. The system of a process that crashes closes its connections regularly.
+// closedByEnd reports whether an answer without length and chunks may have been completed only by the
+// end of its endpoint. The system of a process that crashes closes its connections regularly.
 func (j *job) closedByEnd(ctx context.Context, a *pooler.Answer, e *predictor.Endpoint) bool {
-	return a.CloseDelimited && j.f.Quarantine.HasEnded(ctx, e)
+	return a.CloseDelimited && !j.f.Quarantine.IsAlive(ctx, e, j.service.HealthPath)
 }
 
 // handleBrokenOff handles a stream that ended before its final event.
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,7 +11,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -378,12 +376,12 @@
 	q.answered = append(q.answered, in)
 }
 
-func (q *quarantineStub) HasEnded(ctx context.Context, e *predictor.Endpoint) bool {
+func (q *quarantineStub) IsAlive(ctx context.Context, e *predictor.Endpoint, _ string) bool {
 	c, err := pooler.DialDirect(ctx, e.Beat().Address)
 	if err == nil {
 		_ = c.Close()
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err == nil
 }
 
 func (q *quarantineStub) RecordBrokenOff(_ *predictor.Endpoint, in quarantiner.Input, _ time.Duration) {
