Tests: a trace outlasts silence, and an endpoint from a file gives way

Cause: taking each part of the mends out showed two that no test found: the trace of an endpoint removed for its silence, and the sequence that a keeper's file does not keep.

--- a/enroller/succession_test.go
+++ b/enroller/succession_test.go
@@ -90,6 +90,20 @@
 	g.Expect(ids(x, start)).To(gomega.Equal([]string{"new"}))
 }
 
+// Guards against a late heartbeat that counts as that of a new incarnation because its start time is that
+// of a clock ahead: the incarnation was removed for its silence, and is known.
+func TestLateHeartbeatWithALaterStartTimeDoesNotEndTheLivingIncarnation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	born := func(b enroller.Heartbeat, ms int64) enroller.Heartbeat { b.BornMS = ms; return b }
+	x, now := enroller.NewTable(testExpiry), start
+	x.Observe(now, born(heartbeatAt1("ahead", 7), 9_000_000), 0)
+	now = now.Add(testExpiry + testHeartbeat)
+	x.Expire(now)
+	x.Observe(now, born(heartbeatAt1("new", 1), 1_000), 0)
+	x.Observe(now.Add(testHeartbeat/2), born(heartbeatAt1("ahead", 8), 9_000_000), 0)
+	g.Expect(ids(x, now)).To(gomega.Equal([]string{"new"}))
+}
+
 // Guards against start times of a wrong clock that keep the living incarnation out for good.
 func TestStartTimeOfAWrongClockLosesToHeartbeats(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/steward/endpoints_file_test.go
+++ b/steward/endpoints_file_test.go
@@ -50,6 +50,24 @@
 	g.Expect(known.Sightings).To(gomega.BeEmpty())
 }
 
+// Guards against an endpoint that stays out of service because a keeper has read its predecessor at the
+// address from an old file.
+func TestEndpointFromAFileGivesWayToALivingOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := &Keeper{log: zap.NewNop(), registry: newRegistry(time.Second), endpointsFile: storer.NewAtomicFile(t.TempDir(), endpointsFileName)}
+	old, next := heartbeatFor("old", 0, "s"), heartbeatFor("new", 0, "s")
+	old.Sequence, next.Sequence = 9, 4
+	k.registry.observeHeartbeat(time.Now(), old)
+	known, _ := k.registry.snapshot(time.Now())
+	g.Expect(k.writeEndpoints(known)).To(gomega.Succeed())
+	k.registry = newRegistry(time.Second)
+	k.restoreEndpoints()
+	k.registry.observeHeartbeat(time.Now(), next)
+	known, _ = k.registry.snapshot(time.Now())
+	g.Expect(known.Sightings).To(gomega.HaveLen(1))
+	g.Expect(known.Sightings[0].Id).To(gomega.Equal("new"))
+}
+
 // Guards against keepers that forget, in a restart of all of them, which software versions services have
 // had, and against one that vouches for versions of which other keepers have not told it yet.
 func TestVersionsAreKnownAfterARestart(t *testing.T) {
