Keepers log announced disks, disks that do not vote, and which disks vote

Cause: no line or metric told whether a keeper with an empty disk is unknown to the leader, or known and not added.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,7 @@
 	term        uint64
 	deployment  string
 	voters      []replicator.Member
+	responsive  int
 	changed     chan struct{}
 }
 
@@ -75,6 +77,10 @@
 // Voters returns the committed voters; callers must not change them.
 func (s *State) Voters() []replicator.Member { return s.voters }
 
+// ResponsiveVoters returns how many voters answer this keeper while it leads, itself included;
+// otherwise 0.
+func (s *State) ResponsiveVoters() int { return s.responsive }
+
 // call is an input of the loop: exactly one of event, request, inspect and peers is set.
 type call struct {
 	event   replicator.Event
@@ -271,7 +277,7 @@
 	s := &State{
 		applied: l.core.Commit(), confirmedAt: l.core.ConfirmedAt(), leader: l.core.Leader(),
 		leads: l.core.Ready(), voter: l.core.IsVoter(), deployment: l.core.Deployment(), term: l.core.Term(),
-		changed: old.changed, voters: old.voters,
+		changed: old.changed, voters: old.voters, responsive: l.core.ResponsiveVoters(),
 	}
 	advanced := s.applied != old.applied
 	if advanced || old.voters == nil {
@@ -285,10 +291,10 @@
 	if advanced {
 		close(old.changed)
 	}
-	if s.leader != old.leader || s.voter != old.voter || s.deployment != old.deployment || s.leads != old.leads {
+	if s.leader != old.leader || s.voter != old.voter || s.deployment != old.deployment || s.leads != old.leads || !slices.Equal(s.voters, old.voters) {
 		l.options.Log.Info("log", zap.String("leader", s.leader.Name), zap.Bool("leads", s.leads),
 			zap.Bool("votes", s.voter), zap.Bool("founded", s.Founded()), zap.Uint64("term", s.term),
-			zap.Int("voters", len(s.voters)))
+			zap.Int("voters", len(s.voters)), zap.Stringers("disks", s.voters))
 	}
 }
 
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -9,6 +9,7 @@
 package replicator
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,6 +37,9 @@
 	Incarnation uint64
 }
 
+// String returns the member as name@incarnation.
+func (m Member) String() string { return fmt.Sprintf("%s@%016x", m.Name, m.Incarnation) }
+
 // Role is the role of a core in its current term.
 type Role int
 
--- a/replicator/zones.go
+++ b/replicator/zones.go
@@ -82,6 +82,14 @@
 	return most
 }
 
+// ResponsiveVoters returns how many voters answer this core while it leads, itself included; otherwise 0.
+func (c *Core) ResponsiveVoters() int {
+	if c.role != Leader {
+		return 0
+	}
+	return c.responsiveVoters()
+}
+
 // responsiveVoters returns how many voters answer, the leader included.
 func (c *Core) responsiveVoters() int {
 	n := 0
--- a/steward/counters.go
+++ b/steward/counters.go
@@ -48,6 +48,8 @@
 		}
 		return 0
 	})
+	metrics.GetOrCreateGauge("rattanhoist_log_voters", func() float64 { return float64(len(s.loop.State().Voters())) })
+	metrics.GetOrCreateGauge("rattanhoist_log_voters_responsive", func() float64 { return float64(s.loop.State().ResponsiveVoters()) })
 	metrics.GetOrCreateGauge("rattanhoist_log_confirmed_age_seconds", func() float64 {
 		return time.Since(s.loop.State().ConfirmedAt()).Seconds()
 	})
--- a/steward/server.go
+++ b/steward/server.go
@@ -21,6 +21,9 @@
 // Carry passes a message of the replicated log to the loop.
 func (v *server) Carry(_ context.Context, m *messenger.LogMessage) (*messenger.LogCarried, error) {
 	v.keeper.peers.add(m.From.GetName())
+	if m.GetHello() != nil {
+		v.keeper.logAnnouncement(m)
+	}
 	if err := v.keeper.loop.Receive(m); err != nil {
 		return nil, status.Error(codes.ResourceExhausted, err.Error())
 	}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -90,6 +90,9 @@
 	// balancesCheckedAt the time of that check; only the loop uses them.
 	scarce            map[string]bool
 	balancesCheckedAt time.Time
+	announcementLog   *zap.Logger
+	// nonVoterLoggedAt is used by shareObservations only.
+	nonVoterLoggedAt time.Time
 }
 
 // New opens the store and restores the log. The returned function closes the store.
@@ -105,6 +108,7 @@
 	s.peers = newPeerLinks(n.Internal(), n.Seeds(), s.setPeers)
 	s.registry = newRegistry(n.Heartbeat())
 	s.registry.log = reporter.Sampled(log, maxConflictLogLines)
+	s.announcementLog = reporter.Sampled(log, maxAnnouncementLogLines)
 	s.quarantines = newQuarantineTracker(n.Quarantine(), n.Features().PartQuarantine)
 	s.loop, err = committer.New(committer.Options{
 		Core: replicator.Options{
@@ -274,6 +278,7 @@
 		}
 		s.submitQuarantines(ctx)
 		s.addVoters()
+		s.logNonVoter(time.Now())
 	}
 }
 
