A keeper with an empty disk finds a leader that is none of its seeds

What operators saw: a keeper that lost its disk did not come back, 'no majority of keepers answers' there, and after the next two disks were lost with the power of all others nobody led: a configuration that had been acknowledged could not be read. Cause: only a leader adds a disk, and a disk announced itself to its seeds only until it belonged to a deployment; followers answered without naming anybody. With 3 of 5 keepers as seeds that is 2 leaders in 5, until a seed is elected. Ruled out: a leader that hears of the disk and does not add it (no line of the log on either side, no announcement at the leader). Change: the answer to an announcement names the voters, and a keeper that cannot found the deployment passes every keeper that it learns of on to its log at once. They now run in virtual time over connections in memory: in real time, beside five other test runs, leaders lost their office within the 4 s that the tests allow (election timeout 0.6 s), with the mend too.

--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -36,7 +36,7 @@
 func (c *Core) onHello(from Member, deployment string) {
 	if deployment == "" || deployment == c.deployment {
 		c.send(from, &messenger.LogMessage{Body: &messenger.LogMessage_HelloReply{HelloReply: &messenger.LogHelloReply{
-			Founded: c.deployment != "",
+			Founded: c.deployment != "", Voters: membershipToProto(c.log.voters).Voters,
 		}}})
 		c.addLearner(from)
 	}
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -29,8 +29,10 @@
 type peerLinks struct {
 	self           string
 	onNamesChanged func([]string)
-	mu             sync.Mutex
-	links          map[string]*peerLink
+	// newLink returns a link to the keeper with an internal address.
+	newLink func(address string) *messenger.Link
+	mu      sync.Mutex
+	links   map[string]*peerLink
 	// zones holds the availability zones of the keepers that announced theirs.
 	zones map[string]string
 	// namesChanged is set while the loop does not know all names yet.
@@ -44,8 +46,10 @@
 	outbox chan *messenger.LogMessage
 }
 
-func newPeerLinks(self string, seeds []string, onNamesChanged func([]string)) *peerLinks {
-	m := &peerLinks{self: self, onNamesChanged: onNamesChanged, links: map[string]*peerLink{}, zones: map[string]string{}}
+func newPeerLinks(self string, seeds []string, newLink func(address string) *messenger.Link, onNamesChanged func([]string)) *peerLinks {
+	m := &peerLinks{
+		self: self, onNamesChanged: onNamesChanged, newLink: newLink, links: map[string]*peerLink{}, zones: map[string]string{},
+	}
 	for _, s := range seeds {
 		m.add(s)
 	}
@@ -74,7 +78,7 @@
 	if m.links[name] != nil {
 		return
 	}
-	x := &peerLink{link: messenger.NewLink(name), outbox: make(chan *messenger.LogMessage, maxOutbox)}
+	x := &peerLink{link: m.newLink(name), outbox: make(chan *messenger.LogMessage, maxOutbox)}
 	m.links[name] = x
 	m.namesChanged = true
 	if m.ctx != nil {
--- a/steward/peers_test.go
+++ b/steward/peers_test.go
@@ -64,7 +64,7 @@
 	messenger.RegisterFleetKeeperServer(s, k)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
-	m := newPeerLinks("self", []string{l.Addr().String()}, func([]string) {})
+	m := newPeerLinks("self", []string{l.Addr().String()}, messenger.NewLink, func([]string) {})
 	m.run(t.Context())
 	return m, l.Addr().String()
 }
@@ -101,7 +101,7 @@
 // the seeds.
 func TestPeerListIncludesZones(t *testing.T) {
 	g := gomega.NewWithT(t)
-	m := newPeerLinks("10.0.0.1:7340", []string{"10.0.0.2:7340", "10.0.0.3:7340"}, func([]string) {})
+	m := newPeerLinks("10.0.0.1:7340", []string{"10.0.0.2:7340", "10.0.0.3:7340"}, messenger.NewLink, func([]string) {})
 	m.setZone("10.0.0.3:7340", "z3")
 	m.setZone("10.0.0.4:7340", "z4")
 	m.setZone("10.0.0.1:7340", "z1")
--- a/steward/rejoin_test.go
+++ b/steward/rejoin_test.go
@@ -3,17 +3,20 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"google.golang.org/grpc/test/bufconn"
 
 	"rattanhoist.example/rattanhoist/governor"
 	"rattanhoist.example/rattanhoist/loader"
@@ -24,31 +27,66 @@
 // as lost.
 const rejoinTimeout = 4 * time.Second
 
-// quorum is five keepers on loopback addresses, two of whose disks may be lost.
+// connectionBufferBytes is the buffer of a connection between two keepers.
+const connectionBufferBytes = 64 << 10
+
+// memoryNetwork connects keepers in one process, by their internal addresses.
+type memoryNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*bufconn.Listener
+}
+
+func (m *memoryNetwork) listen(address string) *bufconn.Listener {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := bufconn.Listen(connectionBufferBytes)
+	m.listeners[address] = l
+	return l
+}
+
+func (m *memoryNetwork) newLink(address string) *messenger.Link {
+	return messenger.NewLinkWithDialer(address, func(ctx context.Context, address string) (net.Conn, error) {
+		m.mu.Lock()
+		l := m.listeners[address]
+		m.mu.Unlock()
+		if l == nil {
+			return nil, syscall.ECONNREFUSED
+		}
+		return l.DialContext(ctx)
+	})
+}
+
+// quorum is five keepers with disks of their own, two of which may be lost. It runs in virtual time.
 type quorum struct {
-	t      *testing.T
-	g      *gomega.WithT
-	dir    string
-	subnet int
-	mu     sync.Mutex
+	t       *testing.T
+	g       *gomega.WithT
+	dir     string
+	network *memoryNetwork
 	// running holds the running keepers by number, and stops how to stop them.
 	running map[int]*Keeper
 	stops   map[int]func()
 }
 
-// startQuorum starts five keepers, the first three of which are seeds, and waits until all vote.
-func startQuorum(t *testing.T, subnet int) *quorum {
-	q := &quorum{t: t, g: gomega.NewWithT(t), dir: t.TempDir(), subnet: subnet, running: map[int]*Keeper{}, stops: map[int]func(){}}
-	for n := 1; n <= 5; n++ {
-		q.start(n, true, 1, 2, 3)
-	}
-	for n := 1; n <= 5; n++ {
-		q.awaitVoter(n, 15*time.Second)
-	}
-	return q
+// runQuorum runs a test with five keepers that vote, the first three of which are the seeds.
+func runQuorum(t *testing.T, test func(q *quorum)) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		q := &quorum{
+			t: t, g: gomega.NewWithT(t), dir: dir, network: &memoryNetwork{listeners: map[string]*bufconn.Listener{}},
+			running: map[int]*Keeper{}, stops: map[int]func(){},
+		}
+		defer q.stopAll()
+		for n := 1; n <= 5; n++ {
+			q.start(n, true, 1, 2, 3)
+		}
+		for n := 1; n <= 5; n++ {
+			q.awaitVoter(n, rejoinTimeout)
+		}
+		test(q)
+	})
 }
 
-func (q *quorum) ip(n int) string { return fmt.Sprintf("127.%d.%d.1", q.subnet, n) }
+func (q *quorum) ip(n int) string { return fmt.Sprintf("127.0.1.%d", n) }
 
 func (q *quorum) dataDir(n int) string { return filepath.Join(q.dir, fmt.Sprint("data", n)) }
 
@@ -64,30 +102,43 @@
 	q.g.Expect(os.WriteFile(file, []byte(text), 0o600)).To(gomega.Succeed())
 	node, _, err := loader.LoadNode(file)
 	q.g.Expect(err).NotTo(gomega.HaveOccurred())
-	k, cleanUp, err := New(node, zap.NewNop())
+	k, cleanUp, err := newKeeper(node, zap.NewNop(), q.network.newLink)
 	q.g.Expect(err).NotTo(gomega.HaveOccurred())
+	rpc := messenger.NewFleetServer()
+	messenger.RegisterFleetKeeperServer(rpc, &server{keeper: k})
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		defer cleanUp()
-		if err := k.Run(ctx, func(*Keeper) http.Handler { return http.NotFoundHandler() }); err != nil && ctx.Err() == nil {
-			q.t.Errorf("keeper %d: %v", n, err)
-		}
-	}()
-	var once sync.Once
-	q.mu.Lock()
-	defer q.mu.Unlock()
+	var ended sync.WaitGroup
+	listener := q.network.listen(node.Internal())
+	ended.Go(func() { _ = rpc.Serve(listener) })
+	ended.Go(func() { _ = k.loop.Run(ctx) })
+	ended.Go(func() { k.shareObservations(ctx) })
+	k.peers.run(ctx)
 	q.running[n] = k
-	q.stops[n] = func() { once.Do(func() { cancel(); <-done }) }
-	q.t.Cleanup(q.stops[n])
+	q.stops[n] = func() {
+		cancel()
+		rpc.Stop()
+		ended.Wait()
+		// Calls in progress end with their timeouts.
+		time.Sleep(callTimeout)
+		for _, x := range k.peers.links {
+			x.link.Close()
+		}
+		cleanUp()
+	}
 }
 
 func (q *quorum) stop(n int) {
 	q.stops[n]()
+	delete(q.stops, n)
 	delete(q.running, n)
 }
 
+func (q *quorum) stopAll() {
+	for n := range q.stops {
+		q.stop(n)
+	}
+}
+
 // wipe stops a keeper and removes its disk.
 func (q *quorum) wipe(n int) {
 	q.stop(n)
@@ -163,49 +214,50 @@
 // Guards against the loss of an acknowledged configuration after two more disks are lost, because a keeper that
 // lost its disk announces itself to its seeds only and the leader, which is none of them, never adds it again.
 func TestKeeperWithALostDiskRejoinsWhereTheLeaderIsNoSeed(t *testing.T) {
-	q := startQuorum(t, 71)
-	leader := q.awaitLeader()
-	lost := q.others(leader)[0]
-	seeds := q.others(leader, lost)[:2]
-	q.wipe(lost)
-	q.start(lost, false, append(seeds, lost)...)
-	q.awaitVoter(lost, rejoinTimeout)
-
-	q.publish(lost, 7)
-	kept := q.others(lost)
-	for n := 1; n <= 5; n++ {
-		q.stop(n)
-	}
-	for _, n := range kept[:2] {
-		q.g.Expect(os.RemoveAll(q.dataDir(n))).To(gomega.Succeed())
-	}
-	for n := 1; n <= 5; n++ {
-		q.start(n, false, 1, 2, 3)
-	}
-	for n := 1; n <= 5; n++ {
-		q.awaitDocument(n, 7)
-		q.awaitVoter(n, rejoinTimeout)
-	}
+	runQuorum(t, func(q *quorum) {
+		leader := q.awaitLeader()
+		lost := q.others(leader)[0]
+		seeds := q.others(leader, lost)[:2]
+		q.wipe(lost)
+		q.start(lost, false, append(seeds, lost)...)
+		q.awaitVoter(lost, rejoinTimeout)
+
+		q.publish(lost, 7)
+		kept := q.others(lost)
+		q.stopAll()
+		for _, n := range kept[:2] {
+			q.g.Expect(os.RemoveAll(q.dataDir(n))).To(gomega.Succeed())
+		}
+		for n := 1; n <= 5; n++ {
+			q.start(n, false, 1, 2, 3)
+		}
+		for n := 1; n <= 5; n++ {
+			q.awaitDocument(n, 7)
+			q.awaitVoter(n, rejoinTimeout)
+		}
+	})
 }
 
 // Guards against a new keeper that is never added, and so replaces no lost one, because none of its seeds leads
 // and the leader does not know its address.
 func TestNewKeeperIsAddedWhereTheLeaderIsNoSeed(t *testing.T) {
-	q := startQuorum(t, 72)
-	leader := q.awaitLeader()
-	removed := q.others(leader)[0]
-	seeds := q.others(leader, removed)[:2]
-	q.wipe(removed)
-	q.start(6, false, append(seeds, removed)...)
-	q.awaitVoter(6, replaceVoterAfter+rejoinTimeout)
+	runQuorum(t, func(q *quorum) {
+		leader := q.awaitLeader()
+		removed := q.others(leader)[0]
+		seeds := q.others(leader, removed)[:2]
+		q.wipe(removed)
+		q.start(6, false, append(seeds, removed)...)
+		q.awaitVoter(6, replaceVoterAfter+rejoinTimeout)
+	})
 }
 
 // Guards against a keeper that lost its disk and is never added again, because all of its seeds are gone.
 func TestKeeperWithALostDiskRejoinsWithoutItsSeeds(t *testing.T) {
-	q := startQuorum(t, 73)
-	leader := q.awaitLeader()
-	lost := q.others(leader)[0]
-	q.wipe(lost)
-	q.start(lost, false, 8, 9)
-	q.awaitVoter(lost, rejoinTimeout)
+	runQuorum(t, func(q *quorum) {
+		leader := q.awaitLeader()
+		lost := q.others(leader)[0]
+		q.wipe(lost)
+		q.start(lost, false, 8, 9)
+		q.awaitVoter(lost, rejoinTimeout)
+	})
 }
--- a/steward/server.go
+++ b/steward/server.go
@@ -21,6 +21,9 @@
 // Carry passes a message of the replicated log to the loop.
 func (v *server) Carry(_ context.Context, m *messenger.LogMessage) (*messenger.LogCarried, error) {
 	v.keeper.peers.add(m.From.GetName())
+	for _, x := range m.GetHelloReply().GetVoters() {
+		v.keeper.peers.add(x.GetName())
+	}
 	if m.GetHello() != nil {
 		v.keeper.logAnnouncement(m)
 	}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -72,7 +72,9 @@
 	node      *loader.Node
 	log       *zap.Logger
 	startedAt time.Time
-	loop      *committer.Loop
+	// mayFound is set at the first start of the whole fleet if this keeper is one of its seeds.
+	mayFound bool
+	loop     *committer.Loop
 	// state is changed by the loop only; committedState holds what other goroutines may
 	// read.
 	state          *governor.StateMachine
@@ -97,6 +99,11 @@
 
 // New opens the store and restores the log. The returned function closes the store.
 func New(n *loader.Node, log *zap.Logger) (*Keeper, func(), error) {
+	return newKeeper(n, log, messenger.NewLink)
+}
+
+// newKeeper is New with the function that returns links to other keepers.
+func newKeeper(n *loader.Node, log *zap.Logger, newLink func(address string) *messenger.Link) (*Keeper, func(), error) {
 	store, closeStore, err := storer.Open(n.DataDir())
 	if err != nil {
 		return nil, nil, err
@@ -105,7 +112,8 @@
 		node: n, log: log, startedAt: time.Now(), state: governor.New(), scarce: map[string]bool{}, endpointsFile: storer.NewAtomicFile(n.DataDir(), endpointsFileName),
 	}
 	s.committedState.Store(&committedState{document: s.state.Document(), evacuations: s.state.Evacuations()})
-	s.peers = newPeerLinks(n.Internal(), n.Seeds(), s.setPeers)
+	s.mayFound = n.FirstStart() && slices.Contains(n.Seeds(), n.Internal())
+	s.peers = newPeerLinks(n.Internal(), n.Seeds(), newLink, s.setPeers)
 	s.registry = newRegistry(n.Heartbeat())
 	s.registry.log = reporter.Sampled(log, maxConflictLogLines)
 	s.announcementLog = reporter.Sampled(log, maxAnnouncementLogLines)
@@ -117,7 +125,7 @@
 			Timing:  replicator.Timing{HeartbeatInterval: logHeartbeatInterval, ElectionTimeout: electionTimeout, Replace: replaceVoterAfter},
 			Rand:    newRand(),
 			Machine: s.state, CompactAfter: compactEntries, CompactBytes: compactBytes,
-			NoFounding: !n.FirstStart() || !slices.Contains(n.Seeds(), n.Internal()),
+			NoFounding: !s.mayFound,
 		},
 		Store: store, Send: s.peers.send, OnCommit: s.onCommit, Log: log,
 	})
@@ -190,12 +198,9 @@
 	}
 }
 
-// setPeers passes the names of the other keepers to the log, once the deployment is
-// founded.
+// setPeers passes the names of the other keepers to the log.
 func (s *Keeper) setPeers(names []string) {
-	if s.loop == nil || !s.loop.State().Founded() {
-		// Until the deployment is founded, only the configured seeds decide which keeper
-		// founds it.
+	if s.loop == nil || s.onlySeedsAreKnown() {
 		return
 	}
 	if err := s.loop.SetPeers(names); err != nil {
@@ -203,6 +208,10 @@
 	}
 }
 
+// onlySeedsAreKnown reports whether the log may know no keepers but the seeds. Until the deployment is
+// founded, the seeds of those that may found it decide which of them does.
+func (s *Keeper) onlySeedsAreKnown() bool { return s.mayFound && !s.loop.State().Founded() }
+
 // AddSeeds adds the keepers that changed settings name.
 func (s *Keeper) AddSeeds(seeds []string) {
 	for _, x := range seeds {
@@ -288,7 +297,7 @@
 	for _, v := range s.loop.State().Voters() {
 		s.peers.add(v.Name)
 	}
-	if s.loop.State().Founded() {
+	if !s.onlySeedsAreKnown() {
 		s.peers.reportNames()
 	}
 }
