The server of callers' connections is a type of its own

No change of what it does: the listener, the count of requests in progress, the closing of idle connections and the end move from Router to callerServer, so that a test can hold a connection between two steps.

--- a/courier/counters.go
+++ b/courier/counters.go
@@ -108,7 +108,7 @@
 
 // registerGauges registers the gauges of a router. There is one router per process.
 func (c *Router) registerGauges() {
-	metrics.GetOrCreateGauge("rattanhoist_requests_active", func() float64 { return float64(c.activeRequests.Load()) })
+	metrics.GetOrCreateGauge("rattanhoist_requests_active", func() float64 { return float64(c.callers.Active()) })
 	metrics.GetOrCreateGauge("rattanhoist_connections_opened", func() float64 { return float64(c.connectionsOpened.Load()) })
 	metrics.GetOrCreateGauge("rattanhoist_keeper_silence_seconds", func() float64 { return c.fleet.sinceContact().Seconds() })
 	metrics.GetOrCreateGauge("rattanhoist_endpoint_silence_seconds", func() float64 { return c.pool.Silence().Seconds() })
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -95,7 +95,7 @@
 	relays *relays
 	// drainingSince is the time from startedAt until the process was told to stop, or 0.
 	drainingSince     atomic.Int64
-	activeRequests    atomic.Int64
+	callers           *callerServer
 	connectionsOpened atomic.Int64
 	// stopping is closed when a stopping router accepts no more requests.
 	stopping chan struct{}
@@ -134,6 +134,7 @@
 	}
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
 	c.fleet.onDocument = c.rights.updateTotals
+	c.callers = newCallerServer(http.HandlerFunc(c.handleCaller))
 	c.registerGauges()
 	registerLeavesGauge(c.fleet)
 	ratio, slack, window := o.Node.RetryLimit()
@@ -190,9 +191,6 @@
 	if err != nil {
 		return err
 	}
-	callers := &http.Server{
-		Handler: http.HandlerFunc(c.handleCaller), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+c.ReadyPath, c.handleReady)
 	question := &http.Server{Handler: m, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
@@ -212,7 +210,7 @@
 	messenger.RegisterFleetRouterServer(rpc, &peerServer{rights: c.rights, table: c.fleet.table, relays: c.relays})
 	failed := make(chan error, 3)
 	go func() { failed <- rpc.Serve(internal) }()
-	go func() { failed <- callers.Serve(c.admission.Listener(c.fleet.shedding.listener(front))) }()
+	go func() { failed <- c.callers.serve(c.admission.Listener(c.fleet.shedding.listener(front))) }()
 	go func() { failed <- question.Serve(ready) }()
 	go c.fleet.run(work)
 	go c.rights.run(work)
@@ -224,8 +222,8 @@
 		go c.pool.MaintainPaths(work)
 		go c.relays.report(work)
 	}
-	go c.fleet.shedding.run(work, callers.SetKeepAlivesEnabled)
-	go c.lag.Run(work, func() bool { return c.activeRequests.Load() >= minRequestsForLag })
+	go c.fleet.shedding.run(work, c.callers.keepConnections)
+	go c.lag.Run(work, func() bool { return c.callers.Active() >= minRequestsForLag })
 	c.Log.Info("router started", zap.String("zone", c.Node.Zone()), zap.Strings("seeds", c.Node.Seeds()), zap.String("incarnation", incarnationLabel(c.incarnation)))
 	select {
 	case err := <-failed:
@@ -234,7 +232,7 @@
 	case <-ctx.Done():
 	}
 	c.drain()
-	c.closeCallers(callers)
+	c.callers.shutdown(time.Now().Add(c.Node.Grace() - exitMargin - c.drainDuration()))
 	var handOvers sync.WaitGroup
 	if c.fleet.origins != nil {
 		handOvers.Go(c.fleet.origins.handOver)
@@ -249,7 +247,7 @@
 
 // drain waits until no requests are active, for at most the grace period less exitMargin.
 func (c *Router) drain() {
-	c.Log.Info("router stops", zap.Int64("active", c.activeRequests.Load()))
+	c.Log.Info("router stops", zap.Int64("active", c.callers.Active()))
 	begun := time.Now()
 	c.drainingSince.Store(int64(time.Since(c.startedAt)))
 	if c.relays != nil {
@@ -261,28 +259,12 @@
 		if time.Since(begun) > c.acceptDuration() {
 			stopWaiting()
 		}
-		if time.Since(begun) > minDrainDuration && c.activeRequests.Load() == 0 && c.relayedConnections() == 0 {
+		if time.Since(begun) > minDrainDuration && c.callers.Active() == 0 && c.relayedConnections() == 0 {
 			return
 		}
 		time.Sleep(drainPollInterval)
 	}
-	c.Log.Warn("router stops with callers left", zap.Int64("active", c.activeRequests.Load()))
-}
-
-// closeCallers closes the listener and idle connections, and then all others once the requests that
-// arrived after the drain have ended, within the grace period.
-func (c *Router) closeCallers(s *http.Server) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	// The server is closed in any case, so the error says nothing.
-	go func() { _ = s.Shutdown(ctx) }()
-	for {
-		time.Sleep(drainPollInterval)
-		if c.activeRequests.Load() == 0 || c.drainDuration() >= c.Node.Grace()-exitMargin {
-			_ = s.Close()
-			return
-		}
-	}
+	c.Log.Warn("router stops with callers left", zap.Int64("active", c.callers.Active()))
 }
 
 // relayedConnections returns the number of connections that this router relays for others.
@@ -309,8 +291,6 @@
 
 // handleCaller forwards a request of a caller, unless the router is about to stop.
 func (c *Router) handleCaller(w http.ResponseWriter, r *http.Request) {
-	c.activeRequests.Add(1)
-	defer c.activeRequests.Add(-1)
 	if d := c.drainDuration(); d > 0 {
 		// The caller has to open a new connection, which the platform routes to another router.
 		w.Header().Set("Connection", "close")
