Tests of the cluster in two checkouts take turns at their addresses

Cause: the clusters of courier's tests listen at fixed loopback addresses. Two runs at once share them: the second can't listen, and its documents, endpoints and requests go to the processes of the first. Change: the lock of the launcher's nets is taken by these clusters too, under names of their own. Measured: TestClustersWithTheSameAddressesTakeTurns fails before ("Expected <int32>: 2 to be equivalent to <int>: 1"), passes now.

--- a/courier/cluster_test.go
+++ b/courier/cluster_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/courier"
+	"rattanhoist.example/rattanhoist/launcher"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/platform"
 	"rattanhoist.example/rattanhoist/steward"
@@ -33,6 +35,7 @@
 }
 
 func newCluster(t *testing.T, subnet int) *cluster {
+	launcher.LockAddresses(t, fmt.Sprint("cluster-", subnet))
 	return &cluster{t: t, dir: t.TempDir(), subnet: subnet, stops: map[string]func(){}}
 }
 
@@ -201,6 +204,21 @@
 	return f, g
 }
 
+// Guards against two runs of the tests on one machine that use the same addresses at the same time: the
+// second can't listen, and the first gets requests, endpoints and documents of the second.
+func TestClustersWithTheSameAddressesTakeTurns(t *testing.T) {
+	var running atomic.Int32
+	for _, name := range []string{"one", "another"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			newCluster(t, 161)
+			gomega.NewWithT(t).Expect(running.Add(1)).To(gomega.BeEquivalentTo(1))
+			time.Sleep(200 * time.Millisecond)
+			running.Add(-1)
+		})
+	}
+}
+
 func (f *cluster) awaitServing(g *gomega.WithT, router int) {
 	g.Eventually(func() int {
 		status, _ := f.request(router, "warm", "1,1")
--- a/courier/leaves_test.go
+++ b/courier/leaves_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/launcher"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/pooler"
@@ -51,6 +52,7 @@
 
 // startLeaveFleet starts the keepers, which commit changes when it returns.
 func startLeaveFleet(t *testing.T, subnet int) *leaveFleet {
+	launcher.LockAddresses(t, fmt.Sprint("cluster-", subnet))
 	f := &leaveFleet{
 		t: t, g: gomega.NewWithT(t), dir: t.TempDir(), subnet: subnet, network: newSilentNetwork(),
 		keepers: map[int]*leaveKeeper{}, views: map[int]*fleetView{}, stops: map[int]func(){}, acknowledged: map[string]time.Time{},
--- a/launcher/lock.go
+++ b/launcher/lock.go
@@ -8,12 +8,12 @@
 	"testing"
 )
 
-// lockNet waits until no other test process on this machine uses the addresses of a net. Otherwise, two
-// checkouts that run the same test would fail with "address already in use", or connect to each other's
-// processes. The lock is released when the process ends.
-func lockNet(t testing.TB, net int) {
+// LockAddresses waits until no other test on this machine uses the addresses that a name stands for.
+// Otherwise, two checkouts that run the same test would fail with "address already in use", or connect to
+// each other's processes. The lock is released after the clean-up functions that the test registers later.
+func LockAddresses(t testing.TB, name string) {
 	t.Helper()
-	f, err := os.OpenFile(filepath.Join(os.TempDir(), fmt.Sprintf("rattanhoist-net-%d.lock", net)), os.O_CREATE|os.O_RDWR, 0o600)
+	f, err := os.OpenFile(filepath.Join(os.TempDir(), fmt.Sprintf("rattanhoist-%s.lock", name)), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -22,3 +22,9 @@
 	}
 	t.Cleanup(func() { _ = f.Close() })
 }
+
+// lockNet locks the addresses of a net.
+func lockNet(t testing.TB, net int) {
+	t.Helper()
+	LockAddresses(t, fmt.Sprint("net-", net))
+}
