Names of keepers that a busy log did not take are passed on again

Cause: the names were marked as passed on before the log had taken them; a full queue (a slow disk) dropped them until another keeper became known, of which there may be none. Change: they stay marked as changed after a failure. Result: TestNamesAreReportedAgainAfterAFailure fails without the change (one report instead of two) and passes.

--- a/steward/peers.go
+++ b/steward/peers.go
@@ -28,7 +28,7 @@
 // peerLinks holds the connections to the other keepers, by internal address.
 type peerLinks struct {
 	self           string
-	onNamesChanged func([]string)
+	onNamesChanged func([]string) error
 	// newLink returns a link to the keeper with an internal address.
 	newLink func(address string) *messenger.Link
 	mu      sync.Mutex
@@ -46,7 +46,7 @@
 	outbox chan *messenger.LogMessage
 }
 
-func newPeerLinks(self string, seeds []string, newLink func(address string) *messenger.Link, onNamesChanged func([]string)) *peerLinks {
+func newPeerLinks(self string, seeds []string, newLink func(address string) *messenger.Link, onNamesChanged func([]string) error) *peerLinks {
 	m := &peerLinks{
 		self: self, onNamesChanged: onNamesChanged, newLink: newLink, links: map[string]*peerLink{}, zones: map[string]string{},
 	}
@@ -116,15 +116,18 @@
 	return out
 }
 
-// reportNames passes the names to onNamesChanged if they changed since the last call.
+// reportNames passes the names to onNamesChanged if they changed since the last call, or if that call failed.
 func (m *peerLinks) reportNames() {
 	m.mu.Lock()
 	changed := m.namesChanged
 	m.namesChanged = false
 	m.mu.Unlock()
-	if changed {
-		m.onNamesChanged(m.names())
+	if !changed || m.onNamesChanged(m.names()) == nil {
+		return
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.namesChanged = true
 }
 
 // run starts sending to all keepers, and to those added later.
--- a/steward/peers_test.go
+++ b/steward/peers_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"rattanhoist.example/rattanhoist/committer"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
@@ -64,7 +65,7 @@
 	messenger.RegisterFleetKeeperServer(s, k)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
-	m := newPeerLinks("self", []string{l.Addr().String()}, messenger.NewLink, func([]string) {})
+	m := newPeerLinks("self", []string{l.Addr().String()}, messenger.NewLink, func([]string) error { return nil })
 	m.run(t.Context())
 	return m, l.Addr().String()
 }
@@ -101,7 +102,7 @@
 // the seeds.
 func TestPeerListIncludesZones(t *testing.T) {
 	g := gomega.NewWithT(t)
-	m := newPeerLinks("10.0.0.1:7340", []string{"10.0.0.2:7340", "10.0.0.3:7340"}, messenger.NewLink, func([]string) {})
+	m := newPeerLinks("10.0.0.1:7340", []string{"10.0.0.2:7340", "10.0.0.3:7340"}, messenger.NewLink, func([]string) error { return nil })
 	m.setZone("10.0.0.3:7340", "z3")
 	m.setZone("10.0.0.4:7340", "z4")
 	m.setZone("10.0.0.1:7340", "z1")
@@ -111,3 +112,20 @@
 	}
 	g.Expect(zones).To(gomega.Equal(map[string]string{"10.0.0.2:7340": "", "10.0.0.3:7340": "z3", "10.0.0.4:7340": "z4"}))
 }
+
+// Guards against a keeper that never learns of the leader because its log was too busy to take the names of the others.
+func TestNamesAreReportedAgainAfterAFailure(t *testing.T) {
+	g := gomega.NewWithT(t)
+	err := committer.ErrBusy
+	var reported [][]string
+	m := newPeerLinks("10.0.0.1:7340", []string{"10.0.0.2:7340"}, messenger.NewLink, func(names []string) error {
+		reported = append(reported, names)
+		return err
+	})
+	m.reportNames()
+	err = nil
+	m.reportNames()
+	m.reportNames()
+	names := []string{"10.0.0.2:7340"}
+	g.Expect(reported).To(gomega.Equal([][]string{names, names}))
+}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -199,13 +199,12 @@
 }
 
 // setPeers passes the names of the other keepers to the log.
-func (s *Keeper) setPeers(names []string) {
-	if s.loop == nil || s.onlySeedsAreKnown() {
-		return
-	}
-	if err := s.loop.SetPeers(names); err != nil {
-		s.log.Warn("cannot update the peers of the log; retrying when another peer is added", zap.Error(err))
+func (s *Keeper) setPeers(names []string) error {
+	err := s.loop.SetPeers(names)
+	if err != nil {
+		s.log.Warn("cannot update the peers of the log, will retry", zap.Error(err))
 	}
+	return err
 }
 
 // onlySeedsAreKnown reports whether the log may know no keepers but the seeds. Until the deployment is
