Tests of series of lost disks, and of losses while a spare replaces a voter

Change: five keepers in virtual time; disks, machines and all power are lost in series, with any three keepers as seeds, one of which is left where a machine has a new address. And six keepers of which one falls silent, two disks lost at any moment of its replacement, in steps of 25 ms.

--- a/steward/rejoin_test.go
+++ b/steward/rejoin_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -62,9 +64,10 @@
 	g       *gomega.WithT
 	dir     string
 	network *memoryNetwork
-	// running holds the running keepers by number, and stops how to stop them.
-	running map[int]*Keeper
-	stops   map[int]func()
+	// running holds the running keepers by number. A keeper does nothing more once halted, and its disk may be
+	// used again once cleaned up.
+	running         map[int]*Keeper
+	halts, cleanUps map[int]func()
 }
 
 // runQuorum runs a test with five keepers that vote, the first three of which are the seeds.
@@ -73,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		q := &quorum{
 			t: t, g: gomega.NewWithT(t), dir: dir, network: &memoryNetwork{listeners: map[string]*bufconn.Listener{}},
-			running: map[int]*Keeper{}, stops: map[int]func(){},
+			running: map[int]*Keeper{}, halts: map[int]func(){}, cleanUps: map[int]func(){},
 		}
 		defer q.stopAll()
 		for n := 1; n <= 5; n++ {
@@ -114,9 +117,11 @@
 	ended.Go(func() { k.shareObservations(ctx) })
 	k.peers.run(ctx)
 	q.running[n] = k
-	q.stops[n] = func() {
+	q.halts[n] = func() {
 		cancel()
 		rpc.Stop()
+	}
+	q.cleanUps[n] = func() {
 		ended.Wait()
 		// Calls in progress end with their timeouts.
 		time.Sleep(callTimeout)
@@ -128,14 +133,20 @@
 }
 
 func (q *quorum) stop(n int) {
-	q.stops[n]()
-	delete(q.stops, n)
+	q.halts[n]()
+	q.cleanUps[n]()
 	delete(q.running, n)
 }
 
+// stopAll stops all keepers at the same moment.
 func (q *quorum) stopAll() {
-	for n := range q.stops {
-		q.stop(n)
+	running := q.others()
+	for _, n := range running {
+		q.halts[n]()
+	}
+	for _, n := range running {
+		q.cleanUps[n]()
+		delete(q.running, n)
 	}
 }
 
@@ -261,3 +272,94 @@
 		q.awaitVoter(lost, rejoinTimeout)
 	})
 }
+
+// defaultLossSeries is the number of series of losses that are drawn without LOSS_SERIES.
+const defaultLossSeries = 4
+
+// Guards against a quorum that does not recover: series of lost disks, of machines that are replaced by empty ones
+// at new addresses and of losses of all power, with settings that name any three keepers as seeds.
+func TestQuorumRecoversFromSeriesOfLosses(t *testing.T) {
+	series := defaultLossSeries
+	if n, err := strconv.Atoi(os.Getenv("LOSS_SERIES")); err == nil {
+		series = n
+	}
+	for seed := range series {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runQuorum(t, func(q *quorum) { q.playLosses(rand.New(rand.NewPCG(uint64(seed), 5))) })
+		})
+	}
+}
+
+// playLosses plays losses that a deployment of five keepers bears, one after the other, and checks after each
+// that the newest acknowledged document is read and that five keepers vote again.
+func (q *quorum) playLosses(r *rand.Rand) {
+	newest := 5
+	for number := uint64(1); number <= 8; number++ {
+		members := q.others()
+		q.publish(members[r.IntN(len(members))], number)
+		time.Sleep(time.Duration(r.IntN(400)) * time.Millisecond)
+		r.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+		lost, kept := members[:1+r.IntN(2)], members
+		if r.IntN(2) == 0 {
+			q.stopAll()
+		}
+		timeout := rejoinTimeout
+		for i, n := range lost {
+			q.t.Logf("%d is lost", n)
+			if q.running[n] != nil {
+				q.stop(n)
+			}
+			q.g.Expect(os.RemoveAll(q.dataDir(n))).To(gomega.Succeed())
+			if r.IntN(3) == 0 {
+				newest++
+				kept[i] = newest
+				timeout = replaceVoterAfter + rejoinTimeout
+			}
+		}
+		time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+		for _, n := range kept {
+			if q.running[n] == nil {
+				// Nobody knows a new address, so that one of its seeds has to be left.
+				seeds := []int{1 + r.IntN(newest), 1 + r.IntN(newest), kept[len(kept)-1-r.IntN(3)]}
+				q.t.Logf("%d starts, seeds %v", n, seeds)
+				q.start(n, false, seeds...)
+			}
+		}
+		for _, n := range kept {
+			q.awaitDocument(n, number)
+		}
+		for _, n := range kept {
+			q.awaitVoter(n, timeout)
+		}
+	}
+}
+
+// Guards against the loss of an acknowledged document while a spare replaces a silent voter: two disks are lost with
+// the power of all others at any moment of the replacement, and the silent voter, whose disk is whole, comes back.
+func TestLossOfTwoDisksWhileASpareReplacesAVoter(t *testing.T) {
+	for step := range 24 {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			runQuorum(t, func(q *quorum) {
+				q.start(6, false, 1, 2, 3)
+				time.Sleep(time.Second)
+				leader := q.awaitLeader()
+				silent := q.others(leader, 6)[0]
+				q.stop(silent)
+				time.Sleep(replaceVoterAfter - callTimeout - 100*time.Millisecond + time.Duration(step)*25*time.Millisecond)
+				q.publish(leader, 1)
+				q.t.Log(q.running[leader].loop.State().Voters())
+				lost := q.others(silent, 6)[step%3 : step%3+2]
+				q.stopAll()
+				for _, n := range lost {
+					q.g.Expect(os.RemoveAll(q.dataDir(n))).To(gomega.Succeed())
+				}
+				for n := 1; n <= 6; n++ {
+					q.start(n, false, 1, 2, 3)
+				}
+				for n := 1; n <= 6; n++ {
+					q.awaitDocument(n, 1)
+				}
+			})
+		})
+	}
+}
