A spare is added before the silent voter that it replaces is removed

What operators would see: an acknowledged configuration that cannot be read after two disks were lost with the power of all others, while a spare was replacing a keeper that was cut off or frozen for 6 s and whose disk is whole. Cause: the replacement removed the silent voter and added the spare in the next step, a heartbeat later. Of four voters in between, two lost disks stop the log, and the removed voter does not count when it comes back. Change: the spare is added first, if the voters that answer and it are a majority of the larger set; of the surplus, a voter that was silent for long goes first.

--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -89,9 +89,9 @@
 }
 
 // repairMembership takes one step towards a full set of voters with live
-// disks, spread over the availability zones. First it removes a voter whose
-// disk was erased, that was silent for long while a spare is ready, or that the
-// settings no longer name. Then it adds a disk with a complete copy. Each step
+// disks, spread over the availability zones. It removes a voter whose disk was
+// erased, that the settings no longer name, or beyond the configured number, and
+// adds a disk with a complete copy. Each step
 // waits until the previous one is committed, so that any two majorities
 // overlap.
 func (c *Core) repairMembership() {
@@ -131,22 +131,29 @@
 // promoteLearner takes the next step towards making a learner a voter, and
 // reports whether there was one. Two disks of the same keeper never vote at
 // the same time: the older one is lost and would count against every majority.
+// A learner that replaces the silent voter of another keeper, whose disk may be
+// whole, is added before that voter is removed. With one voter less in between,
+// fewer disks could be lost.
 func (c *Core) promoteLearner(l Member) bool {
 	i := slices.IndexFunc(c.log.voters, func(v Member) bool { return v.Name == l.Name })
-	if i < 0 && len(c.log.voters) < c.options.Voters {
+	switch {
+	case i >= 0 && c.canRemove(c.log.voters[i]):
+		c.changeVoters(slices.Delete(c.Voters(), i, i+1))
+	case i < 0 && (len(c.log.voters) < c.options.Voters || c.canAddReplacement()):
 		c.changeVoters(append(c.Voters(), l))
-		return true
-	}
-	if i < 0 {
-		i = slices.IndexFunc(c.log.voters, c.isReplaceable)
-	}
-	if i < 0 || !c.canRemove(c.log.voters[i]) {
+	default:
 		return false
 	}
-	c.changeVoters(slices.Delete(c.Voters(), i, i+1))
 	return true
 }
 
+// canAddReplacement reports whether a voter is to be replaced, and the responsive
+// voters and one more form a majority of the larger membership.
+func (c *Core) canAddReplacement() bool {
+	n := len(c.log.voters)
+	return n == c.options.Voters && slices.ContainsFunc(c.log.voters, c.isReplaceable) && c.responsiveVoters()+1 > (n+1)/2
+}
+
 // isReplaceable reports whether a voter was silent for longer than
 // the Replace timeout.
 func (c *Core) isReplaceable(v Member) bool {
--- a/replicator/zones.go
+++ b/replicator/zones.go
@@ -50,16 +50,24 @@
 	return true
 }
 
-// removeSurplusVoter removes a voter of the zone with most voters if there are
-// more than configured, and reports whether it did. The leader stays.
+// removeSurplusVoter removes a voter if there are more than configured, and
+// reports whether it did: one that was silent for long, or else one of the zone
+// with most voters. The leader stays.
 func (c *Core) removeSurplusVoter() bool {
 	if len(c.log.voters) <= c.options.Voters {
 		return false
 	}
 	voters := c.votersByZone()
 	most := maxCount(voters)
+	return c.removeVoterIf(c.isReplaceable) ||
+		c.removeVoterIf(func(v Member) bool { return voters == nil || voters[c.zone(v)] >= most })
+}
+
+// removeVoterIf removes the last voter for which f is true, and reports whether
+// it did. The voters left that answer must be a majority.
+func (c *Core) removeVoterIf(f func(Member) bool) bool {
 	for i, v := range slices.Backward(c.log.voters) {
-		if v == c.self || voters != nil && voters[c.zone(v)] < most {
+		if v == c.self || !f(v) {
 			continue
 		}
 		rest := c.responsiveVoters()
