--- a/courier/caller_server_internal_test.go
+++ b/courier/caller_server_internal_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -273,3 +274,61 @@
 		g.Expect(closes).To(gomega.BeFalse())
 	}
 }
+
+// Guards against requests that are handled and whose connection is closed without an answer, while a router
+// begins and ceases to shed callers again and again and these send one request after the other.
+func TestSheddingLeavesNoRequestUnanswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var handled, answered atomic.Int64
+	l := &pausingListener{}
+	s := startCallerServer(t, l, func(w http.ResponseWriter, r *http.Request) {
+		handled.Add(1)
+		answerHello(w, r)
+	})
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for range 50 {
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				answered.Add(exchangeUntilClosed(l.Addr().String()))
+			}
+		})
+	}
+	for i := range 500 {
+		s.keepConnections(i%2 == 0)
+		time.Sleep(4 * time.Millisecond)
+	}
+	s.keepConnections(false)
+	close(stop)
+	callers.Wait()
+	t.Logf("%d requests", handled.Load())
+	g.Expect(answered.Load()).To(gomega.Equal(handled.Load()))
+}
+
+// exchangeUntilClosed sends requests over one connection until it is closed. It returns how many were
+// answered.
+func exchangeUntilClosed(address string) (answered int64) {
+	n, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0
+	}
+	defer n.Close()
+	_ = n.SetDeadline(time.Now().Add(5 * time.Second))
+	c := &testCaller{n, bufio.NewReader(n)}
+	for {
+		c.send()
+		_, closes, err := c.receive()
+		if err != nil {
+			return answered
+		}
+		answered++
+		if closes {
+			return answered
+		}
+	}
+}
