A silent voter is replaced within the time in which its successor has to vote

What operators would see: an acknowledged configuration that cannot be read, because two disks were lost after a machine had been replaced by an empty one, whose time to catch up was over. Cause: a voter was replaced after 6 s of silence; the deployment counts the removed machine as lost for catch_up_s after its successor's start, which is 4 s on the small sites and 6 on the others. For up to 2.4 s a lost disk still voted and fewer than set could be lost. Change: the setting catch_up_s (default 4); a voter is replaced after half of it. The tests allow a new keeper 4 s after its start (10 before), and the series wait for that time between two losses, as the deployment does, and then expect five voters and no other.

--- a/loader/node.go
+++ b/loader/node.go
@@ -39,7 +39,9 @@
 	grace time.Duration
 	// drain is how long an endpoint continues to serve after its leave was
 	// acknowledged.
-	drain        time.Duration
+	drain time.Duration
+	// catchUp is the time after its start within which a keeper with an empty disk must vote.
+	catchUp      time.Duration
 	retryRatio   float64
 	retrySlack   float64
 	retryWindow  time.Duration
@@ -144,6 +146,10 @@
 // acknowledged.
 func (n *Node) Drain() time.Duration { return n.drain }
 
+// CatchUp returns the time after its start within which a keeper with an empty disk must vote. Until
+// then, its disk counts as one of those that may be lost at the same time.
+func (n *Node) CatchUp() time.Duration { return n.catchUp }
+
 // RetryLimit returns the retry limit of the fleet: within any window, at most
 // ratio retries per request, plus slack.
 func (n *Node) RetryLimit() (ratio, slack float64, window time.Duration) {
@@ -188,6 +194,7 @@
 	defaultHeartbeat    = time.Second
 	defaultGrace        = 10 * time.Second
 	defaultDrain        = 2 * time.Second
+	defaultCatchUp      = 4 * time.Second
 	defaultRetryRatio   = 0.2
 	defaultRetrySlack   = 10
 	defaultRetryWindow  = 10 * time.Second
@@ -206,7 +213,7 @@
 
 var nodeKeys = []string{
 	"name", "kind", "zone", "ip", "internal_ports", "seeds", "first_start", "serve", "ready", "control",
-	"metrics", "data_dir", "memory_mb", "link_mbps", "lost_disks", "heartbeat_ms", "grace_s", "drain_ms",
+	"metrics", "data_dir", "memory_mb", "link_mbps", "lost_disks", "heartbeat_ms", "grace_s", "drain_ms", "catch_up_s",
 	"retry_ratio", "retry_slack", "retry_window_s", "order_timeout_ms", "apply_ms", "quarantine_s",
 	"zones", "cold_overshoot", "cold_slack",
 	"limit_overshoot", "limit_slack", "limit_window_s",
@@ -241,7 +248,7 @@
 		name: c.readRequired(sec, "name"), kind: c.readRequired(sec, "kind"), zone: c.readRequired(sec, "zone"),
 		serve: sec.Key("serve").String(), ready: sec.Key("ready").String(), control: sec.Key("control").String(),
 		metrics: sec.Key("metrics").String(), dataDir: sec.Key("data_dir").String(),
-		heartbeat: defaultHeartbeat, grace: defaultGrace, drain: defaultDrain, retryRatio: defaultRetryRatio,
+		heartbeat: defaultHeartbeat, grace: defaultGrace, drain: defaultDrain, catchUp: defaultCatchUp, retryRatio: defaultRetryRatio,
 		retrySlack: defaultRetrySlack, retryWindow: defaultRetryWindow, orderTimeout: defaultOrderTimeout, apply: defaultApply, quarantine: defaultQuarantine,
 		coldOvershoot: defaultOvershoot, limitOvershoot: defaultLimitOvershoot, limitSlack: defaultLimitSlack, limitWindow: defaultLimitWindow,
 	}
@@ -326,6 +333,7 @@
 	c.readTimeSpan(sec, "heartbeat_ms", time.Millisecond, &n.heartbeat)
 	c.readTimeSpan(sec, "grace_s", time.Second, &n.grace)
 	c.readTimeSpan(sec, "drain_ms", time.Millisecond, &n.drain)
+	c.readTimeSpan(sec, "catch_up_s", time.Second, &n.catchUp)
 	c.readTimeSpan(sec, "retry_window_s", time.Second, &n.retryWindow)
 	c.readTimeSpan(sec, "order_timeout_ms", time.Millisecond, &n.orderTimeout)
 	c.readTimeSpan(sec, "apply_ms", time.Millisecond, &n.apply)
--- a/steward/rejoin_test.go
+++ b/steward/rejoin_test.go
@@ -25,9 +25,12 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// rejoinTimeout is the shortest time after its start within which a deployment counts a keeper
-// as lost.
-const rejoinTimeout = 4 * time.Second
+// rejoinTimeout is the time after its start until which a keeper with an empty disk counts as lost, and
+// silentTimeout the time after which a silent one is replaced.
+const (
+	rejoinTimeout = 4 * time.Second
+	silentTimeout = rejoinTimeout / replaceDivisor
+)
 
 // connectionBufferBytes is the buffer of a connection between two keepers.
 const connectionBufferBytes = 64 << 10
@@ -258,7 +261,7 @@
 		seeds := q.others(leader, removed)[:2]
 		q.wipe(removed)
 		q.start(6, false, append(seeds, removed)...)
-		q.awaitVoter(6, replaceVoterAfter+rejoinTimeout)
+		q.awaitVoter(6, rejoinTimeout)
 	})
 }
 
@@ -303,7 +306,6 @@
 		if r.IntN(2) == 0 {
 			q.stopAll()
 		}
-		timeout := rejoinTimeout
 		for i, n := range lost {
 			q.t.Logf("%d is lost", n)
 			if q.running[n] != nil {
@@ -313,7 +315,6 @@
 			if r.IntN(3) == 0 {
 				newest++
 				kept[i] = newest
-				timeout = replaceVoterAfter + rejoinTimeout
 			}
 		}
 		time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
@@ -325,12 +326,17 @@
 				q.start(n, false, seeds...)
 			}
 		}
+		started := time.Now()
 		for _, n := range kept {
 			q.awaitDocument(n, number)
 		}
+		// Before that, a further loss would be one more than may be borne.
+		time.Sleep(time.Until(started.Add(rejoinTimeout)))
+		leader := q.running[q.awaitLeader()].loop.State()
 		for _, n := range kept {
-			q.awaitVoter(n, timeout)
+			q.g.Expect(q.running[n].loop.State().IsVoter()).To(gomega.BeTrue(), "keeper %d votes", n)
 		}
+		q.g.Expect(leader.Voters()).To(gomega.HaveLen(5))
 	}
 }
 
@@ -345,7 +351,7 @@
 				leader := q.awaitLeader()
 				silent := q.others(leader, 6)[0]
 				q.stop(silent)
-				time.Sleep(replaceVoterAfter - callTimeout - 100*time.Millisecond + time.Duration(step)*25*time.Millisecond)
+				time.Sleep(silentTimeout - callTimeout - 100*time.Millisecond + time.Duration(step)*25*time.Millisecond)
 				q.publish(leader, 1)
 				q.t.Log(q.running[leader].loop.State().Voters())
 				lost := q.others(silent, 6)[step%3 : step%3+2]
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -31,10 +31,10 @@
 	// The failure of a leader costs one to two election timeouts and a round of votes.
 	logHeartbeatInterval = 100 * time.Millisecond
 	electionTimeout      = 600 * time.Millisecond
-	// replaceVoterAfter is how long a voter must be silent before a keeper with a complete
-	// copy replaces it. It is longer than a restart or a network partition between zones
-	// usually lasts; replacing a voter too early is safe, only unnecessary.
-	replaceVoterAfter = 6 * time.Second
+	// replaceDivisor is the part of the catch-up time for which a voter must be silent before a
+	// keeper with a complete copy replaces it. The rest is for the change of the voters. Replacing
+	// a voter too early is safe, only unnecessary.
+	replaceDivisor = 2
 	// A snapshot of the log is written after compactEntries entries or compactBytes bytes.
 	compactEntries = 1024
 	compactBytes   = 4 << 20
@@ -122,7 +122,7 @@
 		Core: replicator.Options{
 			Name: n.Internal(), Peers: s.peers.names(), Voters: 2*n.LostDisks() + 1,
 			Zone:    s.zoneOf,
-			Timing:  replicator.Timing{HeartbeatInterval: logHeartbeatInterval, ElectionTimeout: electionTimeout, Replace: replaceVoterAfter},
+			Timing:  replicator.Timing{HeartbeatInterval: logHeartbeatInterval, ElectionTimeout: electionTimeout, Replace: n.CatchUp() / replaceDivisor},
 			Rand:    newRand(),
 			Machine: s.state, CompactAfter: compactEntries, CompactBytes: compactBytes,
 			NoFounding: !s.mayFound,
