A SIGHUP during the start does not end a process

Cause: SIGHUP had a receiver only once the settings were read and a keeper had opened its disk. Before that its default action ended the process. Change: the receiver is the first thing that main installs. The test held the process in a FIFO that the loader opens twice; what it opens second is a file now, and a process that hangs is ended after 10 s.

--- a/cmd/rattanhoist-node/main.go
+++ b/cmd/rattanhoist-node/main.go
@@ -42,7 +42,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
-	if err := run(ctx); err != nil && ctx.Err() == nil {
+	// Settings may change while the process starts. Without a receiver, the signal would end it.
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	if err := run(ctx, changed); err != nil && ctx.Err() == nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -66,8 +69,9 @@
 	}()
 }
 
-// run runs the router or keeper of the settings until ctx is done.
-func run(ctx context.Context) error {
+// run runs the router or keeper of the settings until ctx is done. A value from changed means that the
+// settings have changed.
+func run(ctx context.Context, changed <-chan os.Signal) error {
 	n, warnings, err := loader.LoadNode(os.Getenv(settingsVariable))
 	if err != nil {
 		return err
@@ -88,7 +92,7 @@
 			Node: n, Log: log, Decode: platform.DecodeDocument, Wire: platform.HeaderCodec{},
 			ClassifyResponse: platform.ClassifyResponse, QueryCache: platform.QueryCache, ProbeInstance: platform.ProbeInstance, ReadyPath: platform.ReadyPath,
 		})
-		go reload(ctx, n, log, c.AddKeepers)
+		go reload(ctx, changed, n, log, c.AddKeepers)
 		return c.Run(ctx)
 	}
 	s, cleanUp, err := steward.New(n, log)
@@ -96,7 +100,7 @@
 		return err
 	}
 	defer cleanUp()
-	go reload(ctx, n, log, s.AddSeeds)
+	go reload(ctx, changed, n, log, s.AddSeeds)
 	return s.Run(ctx, func(s *steward.Keeper) http.Handler {
 		return platform.NewControl(steward.NewControl(s, platform.DecodeDocument))
 	})
@@ -104,9 +108,7 @@
 
 // reload adds the seeds of changed settings, on SIGHUP or when the file has changed without a signal.
 // All other changes take effect when the platform starts the process again.
-func reload(ctx context.Context, n *loader.Node, log *zap.Logger, addSeeds func([]string)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func reload(ctx context.Context, changed <-chan os.Signal, n *loader.Node, log *zap.Logger, addSeeds func([]string)) {
 	file := os.Getenv(settingsVariable)
 	seeds := n.Seeds()
 	t := time.NewTicker(settingsPollInterval)
@@ -115,7 +117,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-changed:
 		case <-t.C:
 		}
 		next, _, err := loader.LoadNode(file)
--- a/cmd/rattanhoist-node/main_test.go
+++ b/cmd/rattanhoist-node/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -28,7 +29,9 @@
 	g := gomega.NewWithT(t)
 	file := filepath.Join(t.TempDir(), "node.ini")
 	g.Expect(syscall.Mkfifo(file, 0o600)).To(gomega.Succeed())
-	c := exec.Command(os.Args[0])
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	c := exec.CommandContext(ctx, os.Args[0])
 	c.Env = append(os.Environ(), runAsNodeVariable+"=1", settingsVariable+"="+file)
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	g.Expect(c.Start()).To(gomega.Succeed())
@@ -37,7 +40,11 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(c.Process.Signal(syscall.SIGHUP)).To(gomega.Succeed())
 	time.Sleep(100 * time.Millisecond)
-	_, _ = settings.WriteString("[node]\n")
+	// What it opens from now on is a file.
+	const faulty = "[node]\n"
+	g.Expect(os.Remove(file)).To(gomega.Succeed())
+	g.Expect(os.WriteFile(file, []byte(faulty), 0o600)).To(gomega.Succeed())
+	_, _ = settings.WriteString(faulty)
 	_ = settings.Close()
 	_ = c.Wait()
 	g.Expect(c.ProcessState.ExitCode()).To(gomega.Equal(1), "it ends because of its faulty settings: %s", c.ProcessState)
