Connections of callers are not closed under a request that was read

What callers saw: a connection that ends without an answer to a request that an endpoint runs. Cause: connections were closed from outside. net/http takes a connection for idle until the whole header of a request has been read and parsed, so that shedding closed it between these steps, and the request was handled all the same. And a router that stops closed all connections once no request was being handled; an answer of up to 4 kB is written only after that, and waits there while the link or the caller's window is full. Change: callerServer closes an unused connection by a read deadline, which has no effect on a request that was read meanwhile, 50 ms after the decision, so that a request on its way is answered; the answer tells the caller to leave. A router that stops waits until its connections are closed, not only until nothing is handled. Ruled out: http.Server.Shutdown alone, which drops requests on new connections that it has read, and closes under those that it has begun to read.

--- a/courier/caller_server.go
+++ b/courier/caller_server.go
@@ -1,55 +1,180 @@
 package courier
 
 import (
-	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// callerServer serves the connections of callers. It is safe for concurrent use.
+// closeDelay is the time from the decision to close an unused connection to its end. A request that is
+// on its way then is read and answered; round trips to callers take some milliseconds.
+const closeDelay = 50 * time.Millisecond
+
+// closing tells which connections are closed while they bring no request.
+type closing int32
+
+const (
+	// closingNone closes idle connections after idleTimeout only.
+	closingNone closing = iota
+	// closingKept closes connections after a request was answered.
+	closingKept
+	// closingAll also closes those that have not brought a request yet.
+	closingAll
+)
+
+// includes reports whether a connection in that use is closed.
+func (c closing) includes(u callerUse) bool {
+	return u == useKept && c != closingNone || u == useNone && c == closingAll
+}
+
+// callerServer serves the connections of callers. It closes none under a request of which it has read a
+// byte, except at the deadline of its shutdown. It is safe for concurrent use.
 type callerServer struct {
 	server http.Server
-	// active counts the requests in progress.
+	// active counts the requests that are being handled.
 	active atomic.Int64
+	which  atomic.Int32
+	// accepting counts the calls of serve.
+	accepting sync.WaitGroup
+
+	mu sync.Mutex
+	// listener is nil before serve, and stopped is set once no more connections are accepted.
+	listener net.Listener
+	stopped  bool
+	open     map[*callerConn]bool
 }
 
 // newCallerServer returns a server whose requests h handles.
 func newCallerServer(h http.Handler) *callerServer {
-	s := &callerServer{}
+	s := &callerServer{open: map[*callerConn]bool{}}
 	s.server = http.Server{
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: recordUse,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.active.Add(1)
 			defer s.active.Add(-1)
+			if s.closing() != closingNone {
+				w.Header().Set("Connection", "close")
+			}
 			h.ServeHTTP(w, r)
 		}),
 	}
 	return s
 }
 
-// Active returns the number of requests in progress.
+// recordUse records the use of a connection that its state in the HTTP server shows.
+func recordUse(n net.Conn, s http.ConnState) {
+	c, ok := n.(*callerConn)
+	switch {
+	case !ok:
+	case s == http.StateActive:
+		// The request may have been read together with the one before.
+		c.beginRequest()
+	case s == http.StateIdle:
+		c.endRequest()
+	}
+}
+
+// Active returns the number of requests that are being handled.
 func (s *callerServer) Active() int64 { return s.active.Load() }
 
+// closing returns which connections are closed now.
+func (s *callerServer) closing() closing { return closing(s.which.Load()) }
+
 // serve accepts connections until the listener is closed.
-func (s *callerServer) serve(l net.Listener) error { return s.server.Serve(l) }
+func (s *callerServer) serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.stopped {
+		s.mu.Unlock()
+		return l.Close()
+	}
+	s.listener = l
+	s.accepting.Add(1)
+	s.mu.Unlock()
+	defer s.accepting.Done()
+	return s.server.Serve(callerListener{l, s})
+}
 
-// keepConnections sets whether connections stay open after an answer. If not, idle ones are closed.
-func (s *callerServer) keepConnections(keep bool) { s.server.SetKeepAlivesEnabled(keep) }
+// callerListener returns connections of a callerServer.
+type callerListener struct {
+	net.Listener
+	server *callerServer
+}
+
+// Accept waits for a connection.
+func (l callerListener) Accept() (net.Conn, error) {
+	n, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{Conn: n, server: l.server}
+	l.server.add(c)
+	return c, nil
+}
 
-// shutdown closes the listener and idle connections, and then all others once the requests that
-// arrived before have ended, or at the deadline.
+func (s *callerServer) add(c *callerConn) {
+	s.mu.Lock()
+	s.open[c] = true
+	s.mu.Unlock()
+	c.closeUnused(s.closing())
+}
+
+func (s *callerServer) remove(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// connections returns the open connections.
+func (s *callerServer) connections() []*callerConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.open))
+}
+
+// keepConnections sets whether connections stay open after an answer. If not, callers are told so with
+// the next answer, and connections that wait for a request are closed.
+func (s *callerServer) keepConnections(keep bool) {
+	if keep {
+		s.which.CompareAndSwap(int32(closingKept), int32(closingNone))
+		return
+	}
+	if s.which.CompareAndSwap(int32(closingNone), int32(closingKept)) {
+		s.closeUnused()
+	}
+}
+
+func (s *callerServer) closeUnused() {
+	for _, c := range s.connections() {
+		c.closeUnused(s.closing())
+	}
+}
+
+// shutdown closes the listener, connections without a request, and all others once their requests are
+// answered, or at the deadline.
 func (s *callerServer) shutdown(deadline time.Time) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	// The server is closed in any case, so the error says nothing.
-	go func() { _ = s.server.Shutdown(ctx) }()
-	for {
+	s.mu.Lock()
+	s.stopped = true
+	l := s.listener
+	s.mu.Unlock()
+	if l != nil {
+		// Nothing more is accepted in any case.
+		_ = l.Close()
+	}
+	s.accepting.Wait()
+	s.which.Store(int32(closingAll))
+	s.closeUnused()
+	s.awaitClosed(deadline)
+	// The listener has reported its error, and there is nobody to tell of the others.
+	_ = s.server.Close()
+}
+
+// awaitClosed waits until all connections are closed, or for a deadline.
+func (s *callerServer) awaitClosed(deadline time.Time) {
+	for len(s.connections()) > 0 && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
-		if s.Active() == 0 || !time.Now().Before(deadline) {
-			_ = s.server.Close()
-			return
-		}
 	}
 }
--- a/courier/caller_server_internal_test.go
+++ b/courier/caller_server_internal_test.go
@@ -275,6 +275,31 @@
 	}
 }
 
+// Guards against a request that is read together with the one before it and is not answered, because its
+// router begins to stop in between.
+func TestRequestsReadTogetherAreAnswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	handling, release := make(chan struct{}, 2), make(chan struct{})
+	l := &pausingListener{}
+	s := startCallerServer(t, l, func(w http.ResponseWriter, r *http.Request) {
+		handling <- struct{}{}
+		<-release
+		answerHello(w, r)
+	})
+	c := dialCaller(t, l)
+	_, _ = io.WriteString(c, testRequest+testRequest)
+	<-handling
+	go s.shutdown(time.Now().Add(3 * time.Second))
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	for _, last := range []bool{false, true} {
+		body, closes, err := c.receive()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal("hello"))
+		g.Expect(closes).To(gomega.Equal(last))
+	}
+}
+
 // Guards against requests that are handled and whose connection is closed without an answer, while a router
 // begins and ceases to shed callers again and again and these send one request after the other.
 func TestSheddingLeavesNoRequestUnanswered(t *testing.T) {
