A router that stops without keepers gives its rights back in time

Cause: a router that cannot reach keepers sent its rights to another router and, after that, its last claim, each within 200 ms; with a silent peer and a silent keeper that took 0.4 s, and 0.3 are left before the process is killed. Change: both are sent at the same time. What the claim states was decided before, as until now.

--- a/courier/rights.go
+++ b/courier/rights.go
@@ -330,8 +330,12 @@
 // close returns all remaining rights to the keepers, or to another router if no keeper can
 // be reached. Otherwise they would count as spent.
 func (r *rights) close(ctx context.Context) {
+	var handOver sync.WaitGroup
+	defer handOver.Wait()
 	if r.fleet.disconnected() {
-		r.handOver(ctx)
+		if send := r.prepareHandOver(); send != nil {
+			handOver.Go(func() { send(ctx) })
+		}
 	}
 	l := r.fleet.currentKeeper.Load()
 	if l == nil {
@@ -343,12 +347,13 @@
 	}
 }
 
-// handOver gives all available rights to another router. If its response is lost, it may
-// have received them, so they are not offered to a second one.
-func (r *rights) handOver(ctx context.Context) {
+// prepareHandOver takes all available rights and returns a function that gives them to another router,
+// or nil if there is none. If its response is lost, it may have received them, so they are not offered
+// to a second one.
+func (r *rights) prepareHandOver() (send func(context.Context)) {
 	others := r.fleet.allPeers()
 	if len(others) == 0 {
-		return
+		return nil
 	}
 	q := &messenger.LeaveRightsRequest{}
 	r.mu.Lock()
@@ -358,8 +363,10 @@
 		}
 	}
 	r.mu.Unlock()
-	err := others[0].LeaveRights(ctx, closeTimeout, q)
-	r.log.Info("rights handed over", zap.String("to", others[0].Address()), zap.Error(err))
+	return func(ctx context.Context) {
+		err := others[0].LeaveRights(ctx, closeTimeout, q)
+		r.log.Info("rights handed over", zap.String("to", others[0].Address()), zap.Error(err))
+	}
 }
 
 // LeaveRights accepts rights from another router: one that stops while it can't reach a
