Requests left at the end of the grace period are answered

Cause: a router that stops closed the connections of requests on which endpoints were still at work 0.3 s before the end of its grace period; callers got a closed channel, and the log said that they had left.

--- a/courier/caller_server.go
+++ b/courier/caller_server.go
@@ -1,6 +1,7 @@
 package courier
 
 import (
+	"context"
 	"maps"
 	"net"
 	"net/http"
@@ -8,11 +9,18 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"rattanhoist.example/rattanhoist/forwarder"
 )
 
-// closeDelay is the time from the decision to close an unused connection to its end. A request that is
-// on its way then is read and answered; round trips to callers take some milliseconds.
-const closeDelay = 50 * time.Millisecond
+const (
+	// closeDelay is the time from the decision to close an unused connection to its end. A request that
+	// is on its way then is read and answered; round trips to callers take some milliseconds.
+	closeDelay = 50 * time.Millisecond
+	// lastAnswersDelay is the time in which requests that are left at the deadline of a shutdown are
+	// answered.
+	lastAnswersDelay = 100 * time.Millisecond
+)
 
 // closing tells which connections are closed while they bring no request.
 type closing int32
@@ -38,6 +46,8 @@
 	// active counts the requests that are being handled.
 	active atomic.Int64
 	which  atomic.Int32
+	// endRequests ends the requests in progress, which are answered if they still can be.
+	endRequests context.CancelCauseFunc
 	// accepting counts the calls of serve.
 	accepting sync.WaitGroup
 
@@ -50,9 +60,11 @@
 
 // newCallerServer returns a server whose requests h handles.
 func newCallerServer(h http.Handler) *callerServer {
-	s := &callerServer{open: map[*callerConn]bool{}}
+	base, end := context.WithCancelCause(context.Background())
+	s := &callerServer{open: map[*callerConn]bool{}, endRequests: end}
 	s.server = http.Server{
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: recordUse,
+		BaseContext: func(net.Listener) context.Context { return base },
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.active.Add(1)
 			defer s.active.Add(-1)
@@ -154,7 +166,8 @@
 }
 
 // shutdown closes the listener, connections without a request, and all others once their requests are
-// answered, or at the deadline.
+// answered. Requests that are left at the deadline are ended, and connections cut off lastAnswersDelay
+// after it.
 func (s *callerServer) shutdown(deadline time.Time) {
 	s.mu.Lock()
 	s.stopped = true
@@ -168,6 +181,8 @@
 	s.which.Store(int32(closingAll))
 	s.closeUnused()
 	s.awaitClosed(deadline)
+	s.endRequests(forwarder.ErrRouterStops)
+	s.awaitClosed(deadline.Add(lastAnswersDelay))
 	// The listener has reported its error, and there is nobody to tell of the others.
 	_ = s.server.Close()
 }
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -48,8 +48,9 @@
 	// might not complete before the process is killed. If it is refused as not executed
 	// instead, the caller can retry at another router at once.
 	drainAcceptFraction = 0.36
-	// exitMargin is how long before the end of the grace period the process exits by itself.
-	exitMargin        = 300 * time.Millisecond
+	// exitMargin is how long before the end of the grace period requests that are left are ended. It
+	// covers lastAnswersDelay and closeTimeout.
+	exitMargin        = 400 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 	// incarnationLabelBytes is the length of a label that identifies an incarnation in logs.
 	incarnationLabelBytes = 6
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -205,6 +205,10 @@
 // run is never reported as not run.
 func (j *job) endWithoutAnswer(ctx context.Context, status int, reason string) {
 	switch {
+	case j.mustEnd() && j.mayHaveRun:
+		j.fail(http.StatusBadGateway, ErrRouterStops.Error())
+	case j.mustEnd():
+		j.refuseFor(retryDelayOverload, http.StatusServiceUnavailable, ErrRouterStops.Error())
 	case j.r.Context().Err() != nil:
 		// The caller has disconnected, so nobody reads an answer.
 		j.logEnd(0, "caller gone: "+reason)
@@ -218,6 +222,9 @@
 	}
 }
 
+// mustEnd reports whether the request has to end because its router stops.
+func (j *job) mustEnd() bool { return errors.Is(context.Cause(j.r.Context()), ErrRouterStops) }
+
 // endHeldBack ends a request that was held back after its arrival.
 func (j *job) endHeldBack(ctx context.Context) {
 	if j.mayHaveRun || j.r.Context().Err() != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -32,6 +32,10 @@
 	ErrRightsUnavailable = merry.Sentinel("prepaid rights are out of reach")
 )
 
+// ErrRouterStops is the cause with which the context of a request ends if its router stops and the request
+// may not last longer. Compare with errors.Is.
+var ErrRouterStops = merry.Sentinel("this router stops")
+
 // RightsUnavailable is ErrRightsUnavailable with the time after which tokens are expected
 // to be available.
 type RightsUnavailable struct{ After time.Duration }
--- /dev/null
+++ b/forwarder/stopping_test.go
@@ -0,0 +1,62 @@
+package forwarder_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/forwarder"
+)
+
+// Guards against requests that get no answer, or one which says that they did not run, because their
+// router may not wait any longer.
+func TestRequestsAreAnsweredWhenTheirRouterEndsThem(t *testing.T) {
+	working := make(chan struct{}, 1)
+	atWork := newEndpoint(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		working <- struct{}{}
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	for name, x := range map[string]struct {
+		change func(*testRouter)
+		status int
+	}{
+		"endpoint is at work": {func(*testRouter) {}, http.StatusBadGateway},
+		"connection to an endpoint is opened": {func(w *testRouter) {
+			w.pool.UseDialer(func(ctx context.Context, _ string) (net.Conn, error) {
+				working <- struct{}{}
+				<-ctx.Done()
+				return nil, ctx.Err()
+			})
+		}, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w := newTestRouter(t, atWork)
+			x.change(w)
+			ctx, end := context.WithCancelCause(t.Context())
+			r := httptest.NewRequestWithContext(ctx, "POST", "/once/x", strings.NewReader("body"))
+			r.Host = "a.example"
+			r.Header.Set("Rattanhoist-Request-Id", "r1")
+			r.Header.Set("Api-Key", "k1")
+			answer, done := httptest.NewRecorder(), make(chan struct{})
+			go func() {
+				defer close(done)
+				// A connection that is aborted gets no answer.
+				defer func() { _ = recover() }()
+				w.forwarder.ServeHTTP(answer, r)
+			}()
+			g.Eventually(working, 2*time.Second).Should(gomega.Receive())
+			end(forwarder.ErrRouterStops)
+			g.Eventually(done, time.Second).Should(gomega.BeClosed())
+			g.Expect(answer.Code).To(gomega.Equal(x.status))
+			g.Expect(answer.Body.String()).To(gomega.ContainSubstring(forwarder.ErrRouterStops.Error()))
+		})
+	}
+}
