The test of a full link looks only at moments at which the link is full

Cause: the simulated link is full before 10 s, but the test also looked at 10 s itself. Answers that the link held back arrive there at once, with 0 to 270 ms of the 300 ms, and the delay is rightly believed to be less. Change: the last moment at which it looks is the last one at which the link is full. It runs in virtual time, so the load of the machine has no part in it.

--- a/predictor/prediction_test.go
+++ b/predictor/prediction_test.go
@@ -265,7 +265,7 @@
 	}
 	during := 0
 	s.observe = func(i int, at time.Time, _ *fakeCall) {
-		if i != 0 || at.Sub(start) < 9*time.Second || at.Sub(start) > 10*time.Second {
+		if i != 0 || at.Sub(start) < 9*time.Second || at.Sub(start) >= 10*time.Second {
 			return
 		}
 		during++
