The head of an endpoint's answer is bounded

Cause: http.ReadResponse reads a status line and header lines of any length, so that an endpoint in trouble that sends bytes without end fills the router's memory until the request's time is up: a router of 112 MB on a link of 10 Mbit/s is ended for its memory by eight requests of 12 s, and all its requests end without an answer. A late answer to another request was read to its end, whatever its length. Both ended by the time limit only, so the endpoint never counted as failing and idempotent requests had no time left for another one.

Change: a head is read up to 64 KiB, the body of an answer to another request up to 256 KiB. Beyond that the exchange ends, and the connection with it; the request may have run.

--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -36,9 +36,15 @@
 	Confirm func() bool
 }
 
-// maxStrayAnswers is the number of answers to earlier requests that are skipped before the
-// request's own answer.
-const maxStrayAnswers = 2
+const (
+	// maxStrayAnswers is the number of interim answers, and of answers to earlier requests, that are
+	// skipped before the request's own answer.
+	maxStrayAnswers = 2
+	// maxStrayBytes is the maximum size of the body of an answer to an earlier request.
+	maxStrayBytes = 256 << 10
+	// maxHeadBytes is the maximum size of the head of an answer.
+	maxHeadBytes = 64 << 10
+)
 
 // concurrentWriteBytes is the body size from which a request is written while the
 // answer is read. Smaller bodies fit into the socket's buffer; writing larger ones would
@@ -148,7 +154,7 @@
 func (p *Pool) readHead(c *conn, r *Request, written *atomic.Bool) (*Answer, error) {
 	request := &http.Request{Method: r.Method}
 	for range maxStrayAnswers + 1 {
-		h, err := http.ReadResponse(c.reader, request)
+		h, err := c.readResponse(request)
 		if err != nil {
 			return nil, err
 		}
@@ -162,13 +168,23 @@
 		if match == MatchUnnamed || h.Close || h.ContentLength < 0 && len(h.TransferEncoding) == 0 {
 			return nil, merry.New("answer of another request")
 		}
-		if _, err := io.Copy(io.Discard, h.Body); err != nil {
+		if _, err := io.CopyN(io.Discard, h.Body, maxStrayBytes); err == nil {
+			return nil, merry.New("answer of another request is too long")
+		} else if err != io.EOF {
 			return nil, err
 		}
 	}
 	return nil, merry.New("only answers of other requests")
 }
 
+// readResponse reads one head, up to maxHeadBytes.
+func (c *conn) readResponse(request *http.Request) (*http.Response, error) {
+	c.headLeft = maxHeadBytes
+	h, err := http.ReadResponse(c.reader, request)
+	c.headLeft = noHeadLimit
+	return h, err
+}
+
 // newAnswer returns the answer whose head was read from a connection.
 func (p *Pool) newAnswer(c *conn, h *http.Response, written *atomic.Bool) *Answer {
 	a := &Answer{
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -190,11 +190,20 @@
 	repeatable atomic.Bool
 	// reusableUntil is when an idle connection becomes too old to be reused.
 	reusableUntil time.Time
+	// headLeft is how many bytes may still be received of the head that is being read, or
+	// noHeadLimit. Only the reader uses it.
+	headLeft int
 }
 
+// noHeadLimit is the value of headLeft while no head is being read.
+const noHeadLimit = -1
+
+// errHeadTooLong is returned for a head of more than maxHeadBytes.
+var errHeadTooLong = merry.Sentinel("head of the answer is too long")
+
 // newConn returns a connection over a transport.
 func (p *Pool) newConn(t Target, over transport, relay, relayZone string) *conn {
-	c := &conn{transport: over, target: t, relay: relay, relayZone: relayZone}
+	c := &conn{transport: over, target: t, relay: relay, relayZone: relayZone, headLeft: noHeadLimit}
 	if relay == "" {
 		c.silence = p.silence.Service(t.Service)
 	}
@@ -210,7 +219,16 @@
 
 // Read reads from the connection.
 func (r recordedReader) Read(b []byte) (int, error) {
+	if r.conn.headLeft == 0 {
+		return 0, errHeadTooLong
+	}
+	if r.conn.headLeft > 0 {
+		b = b[:min(len(b), r.conn.headLeft)]
+	}
 	n, err := r.conn.transport.Read(b)
+	if r.conn.headLeft > 0 {
+		r.conn.headLeft -= n
+	}
 	if n > 0 {
 		r.pool.recordReceived(r.conn, n)
 	}
