An event of a stream is bounded whatever its lines

Cause: the limit on the size of an event was checked only at lines longer than the buffer. Short lines without an empty one between them, or empty lines alone, were held without a limit, and each empty line was compared with all that came before.

Change: the limit holds for each line, and the event's content is a flag.

--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
@@ -19,6 +21,9 @@
 	maxEventBytes = 1 << 20
 )
 
+// errEventTooLong is returned for an event of more than maxEventBytes.
+var errEventTooLong = merry.Sentinel("event is too long")
+
 // relay passes events on as they arrive. An incomplete event is held back, so that the
 // stream can be resumed at another endpoint after the last complete one. version is that of the
 // endpoint when the request was sent there.
@@ -133,18 +138,26 @@
 // is an error, the event is incomplete.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
+	// hasContent is set once the event has a line that is not empty.
+	hasContent := false
 	for {
 		line, err := r.ReadSlice('\n')
+		if len(event)+len(line) > maxEventBytes {
+			return event, errEventTooLong
+		}
 		event = append(event, line...)
-		if err == bufio.ErrBufferFull && len(event) < maxEventBytes {
+		if err == bufio.ErrBufferFull {
+			hasContent = true
 			continue
 		}
 		if err != nil {
 			return event, err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(bytes.TrimRight(event, "\r\n")) > 0 {
+		empty := len(bytes.TrimRight(line, "\r\n")) == 0
+		if empty && hasContent {
 			return event, nil
 		}
+		hasContent = hasContent || !empty
 	}
 }
 
