A line as long as the buffer does not end its event

Cause: a line that fills the buffer of 4 KiB exactly is read in two steps, and the second one, its line feed alone, was taken for the empty line that ends an event. The first part was passed on as a whole event, so that a stream that broke off there went on at another endpoint after an event that the caller had only in part.

Change: what follows the part of a line is no empty line.

--- a/forwarder/endless_stream_test.go
+++ b/forwarder/endless_stream_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -30,7 +31,7 @@
 // first one sends lines without end after a whole event.
 func TestStreamIsResumedAfterLinesWithoutEnd(t *testing.T) {
 	x := endlessEvents["lines after an event"]
-	for range 8 {
+	for range 40 {
 		g := gomega.NewWithT(t)
 		bad, good := newEndpoint(t, endlessly(x.begin, x.part, 0)), newEndpoint(t, responds(streamHead, event("2"), streamEnd))
 		w := newTestRouter(t, bad, good)
@@ -45,3 +46,20 @@
 	t.Fatal("the endpoint in trouble was never chosen")
 }
 
+// Guards against an event that is passed on, and counts as whole, before its end: one of its lines is as
+// long as the buffer, so that the line's end looks like the empty line after an event.
+func TestEventWithALineOfTheBufferSizeIsWhole(t *testing.T) {
+	for _, length := range []int{4095, 4096, 4097, 8192} {
+		g := gomega.NewWithT(t)
+		line := "data: " + strings.Repeat("x", length-len("data: "))
+		whole := "id: 1\n" + line + "\ndata: y\n\n"
+		first := newEndpoint(t, responds(unframedStream, "id: 1\n"+line+"\n", "reset"))
+		w := newTestRouter(t, first)
+		a := w.send(t, "POST", "/resume/x", "b", "Rattanhoist-Token-Usage", "10,20")
+		g.Expect(a.status).To(gomega.Equal(502), "%d: no event is whole", length)
+		w = newTestRouter(t, newEndpoint(t, responds(unframedStream, whole, "close")))
+		a = w.send(t, "POST", "/resume/x", "b", "Rattanhoist-Token-Usage", "10,20")
+		g.Expect(a.err).NotTo(gomega.HaveOccurred())
+		g.Expect(a.body).To(gomega.Equal(whole))
+	}
+}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -138,26 +138,24 @@
 // is an error, the event is incomplete.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
-	// hasContent is set once the event has a line that is not empty.
-	hasContent := false
+	// hasContent is set once the event has a line that is not empty, and inLine while a line is longer
+	// than the buffer.
+	var hasContent, inLine bool
 	for {
 		line, err := r.ReadSlice('\n')
 		if len(event)+len(line) > maxEventBytes {
 			return event, errEventTooLong
 		}
 		event = append(event, line...)
-		if err == bufio.ErrBufferFull {
-			hasContent = true
-			continue
-		}
-		if err != nil {
+		if err != nil && err != bufio.ErrBufferFull {
 			return event, err
 		}
-		empty := len(bytes.TrimRight(line, "\r\n")) == 0
-		if empty && hasContent {
+		empty := !inLine && len(bytes.TrimRight(line, "\r\n")) == 0
+		if err == nil && empty && hasContent {
 			return event, nil
 		}
 		hasContent = hasContent || !empty
+		inLine = err != nil
 	}
 }
 
