Keepers: the seat of a removed VM is given on after 2 s of silence

Cause: a voter with another name than the learner loses its seat only after replaceVoterAfter (6 s) of silence, and each new leader measures that anew. Until then the seat of a removed VM counts against every majority although its successor has a complete copy: of five voters, two may then lose their disks no more, for longer than the 4 s after which a successor no longer counts as lost.

A keeper that is silent for so long without a spare keeps its seat as before.

--- a/steward/steward.go
+++ b/steward/steward.go
@@ -32,9 +32,10 @@
 	logHeartbeatInterval = 100 * time.Millisecond
 	electionTimeout      = 600 * time.Millisecond
 	// replaceVoterAfter is how long a voter must be silent before a keeper with a complete
-	// copy replaces it. It is longer than a restart or a network partition between zones
-	// usually lasts; replacing a voter too early is safe, only unnecessary.
-	replaceVoterAfter = 6 * time.Second
+	// copy replaces it. Each new leader measures it anew, and until it has passed the seat of
+	// a removed VM counts against every majority. So it is short: replacing a voter too early
+	// is safe, only unnecessary.
+	replaceVoterAfter = 2 * time.Second
 	// A snapshot of the log is written after compactEntries entries or compactBytes bytes.
 	compactEntries = 1024
 	compactBytes   = 4 << 20
