Store: a loss of power during the creation of the file doesn't stop a keeper for good

Cause: the file was initialized under its final name. If the power is lost before that is synced, a part of the four pages remains, which bbolt refuses ("invalid database"), at every later start as well: a keeper whose disk was erased and that loses power once more doesn't come back.

Change: the file is initialized and synced beside its name and then renamed; the directory is synced after that, as before. What an interrupted creation left is removed.

--- a/storer/dir_test.go
+++ b/storer/dir_test.go
@@ -78,3 +78,15 @@
 		g.Expect(err).To(gomega.MatchError(ErrStore), failing)
 	}
 }
+
+// Guards against a store that is replaced by what an earlier creation left beside it.
+func TestRemainsOfACreationAreIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dir := t.TempDir()
+	s, closeStore, err := Open(dir)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(s.Apply([]Row{{Bucket: "log", Key: "1", Value: []byte("a")}})).To(gomega.Succeed())
+	g.Expect(closeStore()).To(gomega.Succeed())
+	g.Expect(os.WriteFile(filepath.Join(dir, fileName+".new"), []byte("torn"), fileMode)).To(gomega.Succeed())
+	g.Expect(readRows(dir)).To(gomega.Equal(map[string]string{"1": "a"}))
+}
--- a/storer/power_test.go
+++ b/storer/power_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -31,6 +32,8 @@
 	t    *testing.T
 	dir  string
 	file *os.File
+	// firstOpened is the path of the first file that was opened.
+	firstOpened string
 }
 
 // open opens the store and keeps its file for withoutSync.
@@ -39,6 +42,7 @@
 	s, closeStore, err := open(d.dir, fileOps{syncDir: syncDir, openFile: func(name string, flag int, mode os.FileMode) (*os.File, error) {
 		f, err := os.OpenFile(name, flag, mode)
 		d.file = f
+		d.firstOpened = cmp.Or(d.firstOpened, name)
 		return f, err
 	}})
 	if err != nil {
@@ -241,3 +245,32 @@
 	}
 	t.Fatalf("seed %d: %d rows after a loss of power, acknowledged were %d", seed, len(got), len(allowed[len(allowed)-1]))
 }
+
+// Guards against a keeper that never starts again because the power was lost while its first file was
+// written. Such a file holds nothing that was acknowledged.
+func TestPowerLossDuringCreationLeavesAnEmptyStore(t *testing.T) {
+	for seed := range uint64(powerLossSeeds) {
+		r := rand.New(rand.NewPCG(seed, 13))
+		d := &powerLossDisk{t: t, dir: t.TempDir()}
+		_, closeStore := d.open()
+		created := d.image()
+		if err := closeStore(); err != nil {
+			t.Fatal(err)
+		}
+		dir := t.TempDir()
+		remains := imageAfterPowerLoss(nil, created, false, r)
+		if err := os.WriteFile(filepath.Join(dir, filepath.Base(d.firstOpened)), remains, fileMode); err != nil {
+			t.Fatal(err)
+		}
+		s, closeStore, err := Open(dir)
+		if err != nil {
+			t.Fatalf("seed %d: the store doesn't open after a loss of power: %v", seed, err)
+		}
+		if err := s.Apply([]Row{{Bucket: "log", Key: "1", Value: []byte("a")}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := closeStore(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -3,6 +3,8 @@
 package storer
 
 import (
+	"errors"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
@@ -53,13 +55,11 @@
 	if err := createDirDurably(dir, f.syncDir); err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
-	db, err := bbolt.Open(filepath.Join(dir, fileName), fileMode, &bbolt.Options{
-		Timeout: lockTimeout,
-		// The list of free pages is rebuilt when the file is opened. Writing it
-		// with every commit would cost more as the file grows.
-		NoFreelistSync: true, FreelistType: bbolt.FreelistMapType,
-		OpenFile: f.openFile,
-	})
+	path := filepath.Join(dir, fileName)
+	if err := createFile(path, f); err != nil {
+		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
+	}
+	db, err := openFile(path, f)
 	if err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
@@ -73,6 +73,36 @@
 	return &Store{db: db}, db.Close, nil
 }
 
+// createFile creates the file of a store if it does not exist. It gets its name once it
+// is synced: a loss of power can't leave a file of that name that is only partly written.
+func createFile(path string, f fileOps) error {
+	if _, err := os.Stat(path); !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	next := path + ".new"
+	if err := os.Remove(next); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	db, err := openFile(next, f)
+	if err != nil {
+		return err
+	}
+	if err := db.Close(); err != nil {
+		return err
+	}
+	return os.Rename(next, path)
+}
+
+func openFile(path string, f fileOps) (*bbolt.DB, error) {
+	return bbolt.Open(path, fileMode, &bbolt.Options{
+		Timeout: lockTimeout,
+		// The list of free pages is rebuilt when the file is opened. Writing it
+		// with every commit would cost more as the file grows.
+		NoFreelistSync: true, FreelistType: bbolt.FreelistMapType,
+		OpenFile: f.openFile,
+	})
+}
+
 // Apply writes the rows in one transaction and returns after they are synced.
 func (s *Store) Apply(rows []Row) error {
 	if len(rows) == 0 {
