Store: nothing relies on a page whose sync failed

Cause: bbolt writes a meta page and syncs it. If that sync fails, the change is refused, but the page stays readable, and Linux marks it as clean: a later sync succeeds without writing it. The next change then builds on a version that isn't on the disk and reuses pages that the durable version needs. If the power is lost during it, acknowledged rows are missing or the file is damaged.

Change: after a failed change, the next one is preceded by a transaction without rows. It writes and syncs the other meta page and overwrites no page of the durable version.

Fails before: TestAcknowledgedRowsSurviveAFailedSyncAndPowerLoss, "seed 0: 0 rows after a loss of power, acknowledged were 7".

--- a/storer/power_test.go
+++ b/storer/power_test.go
@@ -9,8 +9,10 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"reflect"
 	"syscall"
 	"testing"
+	"unsafe"
 
 	"github.com/onsi/gomega"
 )
@@ -274,3 +276,119 @@
 		}
 	}
 }
+
+// metaSyncDisk is a disk that may fail to sync a meta page. As on Linux, the page then stays readable but
+// reaches the disk only if it is written again.
+type metaSyncDisk struct {
+	powerLossDisk
+	store *Store
+	// durable is what a loss of power leaves.
+	durable []byte
+	// written holds the writes since the last sync, by offset.
+	written map[int64][]byte
+	// metaWritten is set while the last write was that of a meta page.
+	metaWritten bool
+	// failing makes the sync after the write of a meta page fail.
+	failing bool
+}
+
+// record makes the store's writes known to the disk.
+func (d *metaSyncDisk) record() {
+	field := reflect.ValueOf(d.store.db).Elem().FieldByName("ops").FieldByName("writeAt")
+	writeAt := (*func([]byte, int64) (int, error))(unsafe.Pointer(field.UnsafeAddr()))
+	original := *writeAt
+	*writeAt = func(b []byte, at int64) (int, error) {
+		isMeta := at < int64(metaPages*os.Getpagesize())
+		if d.metaWritten && !isMeta {
+			// An earlier transaction of this call was synced.
+			d.durable, d.written = d.content(true), map[int64][]byte{}
+		}
+		d.metaWritten = isMeta
+		d.written[at] = bytes.Clone(b)
+		n, err := original(b, at)
+		if d.failing && isMeta {
+			d.refuseSync()
+		}
+		return n, err
+	}
+}
+
+// refuseSync lets the file descriptor refer to the null device until apply ends.
+func (d *metaSyncDisk) refuseSync() {
+	null, err := os.OpenFile(os.DevNull, os.O_RDWR, 0)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if err := syscall.Dup3(int(null.Fd()), int(d.file.Fd()), syscall.O_CLOEXEC); err != nil {
+		d.t.Fatal(err)
+	}
+	if err := null.Close(); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// apply applies rows and returns whether they were acknowledged.
+func (d *metaSyncDisk) apply(rows []Row, fails bool) bool {
+	kept, err := syscall.Dup(int(d.file.Fd()))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.written, d.metaWritten, d.failing = map[int64][]byte{}, false, fails
+	err = d.store.Apply(rows)
+	if err := errors.Join(syscall.Dup3(kept, int(d.file.Fd()), syscall.O_CLOEXEC), syscall.Close(kept)); err != nil {
+		d.t.Fatal(err)
+	}
+	return err == nil
+}
+
+// content returns the durable content with the recorded writes.
+func (d *metaSyncDisk) content(withMetas bool) []byte {
+	out := bytes.Clone(d.durable)
+	for at, b := range d.written {
+		if at < int64(metaPages*os.Getpagesize()) && !withMetas {
+			continue
+		}
+		if end := int(at) + len(b); end > len(out) {
+			out = append(out, make([]byte, end-len(out))...)
+		}
+		copy(out[at:], b)
+	}
+	return out
+}
+
+// Guards against a store that relies on a page whose sync failed: after a loss of power during a later
+// change, acknowledged rows were missing or the file was damaged.
+func TestAcknowledgedRowsSurviveAFailedSyncAndPowerLoss(t *testing.T) {
+	failed := 0
+	for seed := range uint64(powerLossSeeds) {
+		r := rand.New(rand.NewPCG(seed, 17))
+		d := &metaSyncDisk{powerLossDisk: powerLossDisk{t: t, dir: t.TempDir()}}
+		s, closeStore := d.open()
+		d.store = s
+		if err := s.Apply([]Row{{Bucket: "log", Key: "founded", Value: []byte("yes")}}); err != nil {
+			t.Fatal(err)
+		}
+		d.durable = d.image()
+		d.record()
+		acknowledged := map[string]string{"founded": "yes"}
+		for range 2 + r.IntN(12) {
+			before, after := maps.Clone(acknowledged), maps.Clone(acknowledged)
+			change := randomRows(r, after)
+			for !d.apply(change, r.IntN(3) == 0) {
+				failed++
+				checkAfterLoss(t, seed, imageAfterPowerLoss(d.durable, d.content(true), true, r), before, after)
+				d.durable = d.content(false)
+			}
+			acknowledged = after
+			checkAfterLoss(t, seed, imageAfterPowerLoss(d.durable, d.content(true), true, r), before, acknowledged)
+			d.durable = d.content(true)
+			checkAfterLoss(t, seed, d.durable, acknowledged)
+		}
+		if err := closeStore(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if failed == 0 {
+		t.Fatal("no sync failed")
+	}
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -35,6 +36,11 @@
 // Store is an embedded key-value store whose rows are grouped into buckets.
 type Store struct {
 	db *bbolt.DB
+	// mu serializes changes and protects suspect.
+	mu sync.Mutex
+	// suspect is set after a failed change. The page that selects the current version of
+	// the rows may then be readable although it is not on the disk.
+	suspect bool
 }
 
 // Open opens the store in dir and creates it if it does not exist. The returned
@@ -108,7 +114,7 @@
 	if len(rows) == 0 {
 		return nil
 	}
-	err := s.db.Update(func(tx *bbolt.Tx) error {
+	err := s.update(func(tx *bbolt.Tx) error {
 		for _, r := range rows {
 			if err := applyRow(tx, r); err != nil {
 				return err
@@ -122,6 +128,22 @@
 	return nil
 }
 
+// update makes a change and returns after it is synced. After a failed one, the system may
+// report later syncs of the same pages as successful without writing them. A change without
+// rows writes the selecting page again and reuses no page of the durable version.
+func (s *Store) update(change func(*bbolt.Tx) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.suspect {
+		if err := s.db.Update(func(*bbolt.Tx) error { return nil }); err != nil {
+			return err
+		}
+	}
+	err := s.db.Update(change)
+	s.suspect = err != nil
+	return err
+}
+
 // applyRow writes or deletes one row and creates its bucket if needed.
 func applyRow(tx *bbolt.Tx, r Row) error {
 	b, err := tx.CreateBucketIfNotExists([]byte(r.Bucket))
@@ -136,7 +158,7 @@
 
 // Clear deletes all rows of the buckets in one transaction.
 func (s *Store) Clear(buckets ...string) error {
-	err := s.db.Update(func(tx *bbolt.Tx) error {
+	err := s.update(func(tx *bbolt.Tx) error {
 		for _, b := range buckets {
 			if tx.Bucket([]byte(b)) == nil {
 				continue
