--- a/steward/steward.go
+++ b/steward/steward.go
@@ -32,9 +32,10 @@
 	logHeartbeatInterval = 100 * time.Millisecond
 	electionTimeout      = 600 * time.Millisecond
 	// replaceDivisor is the part of the catch-up time for which a voter must be silent before a
-	// keeper with a complete copy replaces it. The rest is for the change of the voters. Replacing
-	// a voter too early is safe, only unnecessary.
-	replaceDivisor = 2
+	// keeper with a complete copy replaces it. Each new leader measures the silence anew, and the
+	// change of the voters takes time as well. Replacing a voter too early is safe, only
+	// unnecessary.
+	replaceDivisor = 3
 	// A snapshot of the log is written after compactEntries entries or compactBytes bytes.
 	compactEntries = 1024
 	compactBytes   = 4 << 20
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -3,9 +3,12 @@
 package storer
 
 import (
+	"errors"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -33,6 +36,11 @@
 // Store is an embedded key-value store whose rows are grouped into buckets.
 type Store struct {
 	db *bbolt.DB
+	// mu serializes changes and protects suspect.
+	mu sync.Mutex
+	// suspect is set after a failed change. The page that selects the current version of
+	// the rows may then be readable although it is not on the disk.
+	suspect bool
 }
 
 // Open opens the store in dir and creates it if it does not exist. The returned
@@ -53,13 +61,11 @@
 	if err := createDirDurably(dir, f.syncDir); err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
-	db, err := bbolt.Open(filepath.Join(dir, fileName), fileMode, &bbolt.Options{
-		Timeout: lockTimeout,
-		// The list of free pages is rebuilt when the file is opened. Writing it
-		// with every commit would cost more as the file grows.
-		NoFreelistSync: true, FreelistType: bbolt.FreelistMapType,
-		OpenFile: f.openFile,
-	})
+	path := filepath.Join(dir, fileName)
+	if err := createFile(path, f); err != nil {
+		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
+	}
+	db, err := openFile(path, f)
 	if err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
@@ -73,12 +79,42 @@
 	return &Store{db: db}, db.Close, nil
 }
 
+// createFile creates the file of a store if it does not exist. It gets its name once it
+// is synced: a loss of power can't leave a file of that name that is only partly written.
+func createFile(path string, f fileOps) error {
+	if _, err := os.Stat(path); !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	next := path + ".new"
+	if err := os.Remove(next); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	db, err := openFile(next, f)
+	if err != nil {
+		return err
+	}
+	if err := db.Close(); err != nil {
+		return err
+	}
+	return os.Rename(next, path)
+}
+
+func openFile(path string, f fileOps) (*bbolt.DB, error) {
+	return bbolt.Open(path, fileMode, &bbolt.Options{
+		Timeout: lockTimeout,
+		// The list of free pages is rebuilt when the file is opened. Writing it
+		// with every commit would cost more as the file grows.
+		NoFreelistSync: true, FreelistType: bbolt.FreelistMapType,
+		OpenFile: f.openFile,
+	})
+}
+
 // Apply writes the rows in one transaction and returns after they are synced.
 func (s *Store) Apply(rows []Row) error {
 	if len(rows) == 0 {
 		return nil
 	}
-	err := s.db.Update(func(tx *bbolt.Tx) error {
+	err := s.update(func(tx *bbolt.Tx) error {
 		for _, r := range rows {
 			if err := applyRow(tx, r); err != nil {
 				return err
@@ -92,6 +128,22 @@
 	return nil
 }
 
+// update makes a change and returns after it is synced. After a failed one, the system may
+// report later syncs of the same pages as successful without writing them. A change without
+// rows writes the selecting page again and reuses no page of the durable version.
+func (s *Store) update(change func(*bbolt.Tx) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.suspect {
+		if err := s.db.Update(func(*bbolt.Tx) error { return nil }); err != nil {
+			return err
+		}
+	}
+	err := s.db.Update(change)
+	s.suspect = err != nil
+	return err
+}
+
 // applyRow writes or deletes one row and creates its bucket if needed.
 func applyRow(tx *bbolt.Tx, r Row) error {
 	b, err := tx.CreateBucketIfNotExists([]byte(r.Bucket))
@@ -106,7 +158,7 @@
 
 // Clear deletes all rows of the buckets in one transaction.
 func (s *Store) Clear(buckets ...string) error {
-	err := s.db.Update(func(tx *bbolt.Tx) error {
+	err := s.update(func(tx *bbolt.Tx) error {
 		for _, b := range buckets {
 			if tx.Bucket([]byte(b)) == nil {
 				continue
