Store: the file is synced before it is read

Cause: a process that is killed between a write and its sync leaves rows in the page cache. The next process reads them, confirms entries to the leader and shows commits from them without a write of its own, so without a sync; if the power is lost then, they are gone. Besides, its first change reuses pages that the durable version still needs.

Change: Open syncs the file first.

TestFileIsSyncedBeforeItIsRead does not compile before (the store had no such sync) and passes now.

--- a/storer/dir_test.go
+++ b/storer/dir_test.go
@@ -22,7 +22,7 @@
 		synced = append(synced, folder)
 		return syncDir(folder)
 	}
-	_, closeStore, err := open(dir, fileOps{syncDir: recordSync, openFile: os.OpenFile})
+	_, closeStore, err := open(dir, fileOps{syncDir: recordSync, openFile: os.OpenFile, syncFile: (*os.File).Sync})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(closeStore()).To(gomega.Succeed())
 	g.Expect(synced).To(gomega.Equal([]string{root, filepath.Join(root, "data"), dir}))
@@ -30,7 +30,7 @@
 	// After a crash between the creation of a directory and the sync of its
 	// parent, the next start syncs the parent.
 	synced = nil
-	_, closeStore, err = open(dir, fileOps{syncDir: recordSync, openFile: os.OpenFile})
+	_, closeStore, err = open(dir, fileOps{syncDir: recordSync, openFile: os.OpenFile, syncFile: (*os.File).Sync})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(closeStore()).To(gomega.Succeed())
 	g.Expect(synced).To(gomega.Equal([]string{filepath.Join(root, "data"), dir}))
@@ -48,7 +48,7 @@
 	}
 	for range 2 {
 		synced = nil
-		_, closeStore, err := open(filepath.Join(root, "data")+"/", fileOps{syncDir: recordSync, openFile: os.OpenFile})
+		_, closeStore, err := open(filepath.Join(root, "data")+"/", fileOps{syncDir: recordSync, openFile: os.OpenFile, syncFile: (*os.File).Sync})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(closeStore()).To(gomega.Succeed())
 		g.Expect(synced).To(gomega.Equal([]string{root, filepath.Join(root, "data")}))
@@ -69,7 +69,7 @@
 	for _, failing := range []string{"", "data", "data/keeper"} {
 		g := gomega.NewWithT(t)
 		root := t.TempDir()
-		_, _, err := open(filepath.Join(root, "data", "keeper"), fileOps{openFile: os.OpenFile, syncDir: func(folder string) error {
+		_, _, err := open(filepath.Join(root, "data", "keeper"), fileOps{openFile: os.OpenFile, syncFile: (*os.File).Sync, syncDir: func(folder string) error {
 			if folder == filepath.Join(root, failing) {
 				return errors.New("input/output error")
 			}
@@ -79,6 +79,28 @@
 	}
 }
 
+// Guards against a keeper that acknowledges rows of its page cache: a process that was killed between a
+// write and its sync leaves rows that are readable and not durable.
+func TestFileIsSyncedBeforeItIsRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dir := t.TempDir()
+	synced := 0
+	f := fileOps{syncDir: syncDir, openFile: os.OpenFile, syncFile: func(x *os.File) error {
+		g.Expect(filepath.Base(x.Name())).To(gomega.Equal(fileName))
+		synced++
+		return x.Sync()
+	}}
+	for starts := 1; starts <= 2; starts++ {
+		_, closeStore, err := open(dir, f)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(closeStore()).To(gomega.Succeed())
+		g.Expect(synced).To(gomega.Equal(starts))
+	}
+	f.syncFile = func(*os.File) error { return errors.New("input/output error") }
+	_, _, err := open(dir, f)
+	g.Expect(err).To(gomega.MatchError(ErrStore))
+}
+
 // Guards against a store that is replaced by what an earlier creation left beside it.
 func TestRemainsOfACreationAreIgnored(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/storer/power_test.go
+++ b/storer/power_test.go
@@ -41,7 +41,7 @@
 // open opens the store and keeps its file for withoutSync.
 func (d *powerLossDisk) open() (*Store, func() error) {
 	d.t.Helper()
-	s, closeStore, err := open(d.dir, fileOps{syncDir: syncDir, openFile: func(name string, flag int, mode os.FileMode) (*os.File, error) {
+	s, closeStore, err := open(d.dir, fileOps{syncDir: syncDir, syncFile: (*os.File).Sync, openFile: func(name string, flag int, mode os.FileMode) (*os.File, error) {
 		f, err := os.OpenFile(name, flag, mode)
 		d.file = f
 		d.firstOpened = cmp.Or(d.firstOpened, name)
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -46,7 +46,7 @@
 // Open opens the store in dir and creates it if it does not exist. The returned
 // function closes it.
 func Open(dir string) (*Store, func() error, error) {
-	return open(dir, fileOps{syncDir: syncDir, openFile: os.OpenFile})
+	return open(dir, fileOps{syncDir: syncDir, openFile: os.OpenFile, syncFile: (*os.File).Sync})
 }
 
 // fileOps holds the file operations that tests replace to simulate a loss of
@@ -54,6 +54,8 @@
 type fileOps struct {
 	syncDir  func(dir string) error
 	openFile func(name string, flag int, mode os.FileMode) (*os.File, error)
+	// syncFile syncs the file of a store when it is opened.
+	syncFile func(*os.File) error
 }
 
 // open is Open with replaceable file operations.
@@ -65,6 +67,9 @@
 	if err := createFile(path, f); err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
+	if err := syncExisting(path, f); err != nil {
+		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
+	}
 	db, err := openFile(path, f)
 	if err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
@@ -99,6 +104,16 @@
 	return os.Rename(next, path)
 }
 
+// syncExisting syncs a file before it is read: a process that was killed between a write
+// and its sync leaves rows that are readable and would be lost with the power.
+func syncExisting(path string, f fileOps) error {
+	x, err := os.OpenFile(path, os.O_RDWR, fileMode)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.syncFile(x), x.Close())
+}
+
 func openFile(path string, f fileOps) (*bbolt.DB, error) {
 	return bbolt.Open(path, fileMode, &bbolt.Options{
 		Timeout: lockTimeout,
