Store: nothing relies on a failed sync of the process before

Cause: as after a failed sync within a process; the next process finds the page readable and doesn't know that its sync failed.

Change: the first change after a start is preceded by a transaction without rows, too.

--- a/storer/power_test.go
+++ b/storer/power_test.go
@@ -363,9 +363,9 @@
 	for seed := range uint64(powerLossSeeds) {
 		r := rand.New(rand.NewPCG(seed, 17))
 		d := &metaSyncDisk{powerLossDisk: powerLossDisk{t: t, dir: t.TempDir()}}
-		s, closeStore := d.open()
-		d.store = s
-		if err := s.Apply([]Row{{Bucket: "log", Key: "founded", Value: []byte("yes")}}); err != nil {
+		var closeStore func() error
+		d.store, closeStore = d.open()
+		if err := d.store.Apply([]Row{{Bucket: "log", Key: "founded", Value: []byte("yes")}}); err != nil {
 			t.Fatal(err)
 		}
 		d.durable = d.image()
@@ -378,6 +378,14 @@
 				failed++
 				checkAfterLoss(t, seed, imageAfterPowerLoss(d.durable, d.content(true), true, r), before, after)
 				d.durable = d.content(false)
+				if r.IntN(2) == 0 {
+					// The process ends instead of trying again.
+					if err := closeStore(); err != nil {
+						t.Fatal(err)
+					}
+					d.store, closeStore = d.open()
+					d.record()
+				}
 			}
 			acknowledged = after
 			checkAfterLoss(t, seed, imageAfterPowerLoss(d.durable, d.content(true), true, r), before, acknowledged)
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -38,7 +38,8 @@
 	db *bbolt.DB
 	// mu serializes changes and protects suspect.
 	mu sync.Mutex
-	// suspect is set after a failed change. The page that selects the current version of
+	// suspect is set after a failed change, and at the start, because the last change of
+	// the previous process may have failed. The page that selects the current version of
 	// the rows may then be readable although it is not on the disk.
 	suspect bool
 }
@@ -81,7 +82,7 @@
 		_ = db.Close()
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
-	return &Store{db: db}, db.Close, nil
+	return &Store{db: db, suspect: true}, db.Close, nil
 }
 
 // createFile creates the file of a store if it does not exist. It gets its name once it
