--- a/storer/storer.go
+++ b/storer/storer.go
@@ -38,7 +38,8 @@
 	db *bbolt.DB
 	// mu serializes changes and protects suspect.
 	mu sync.Mutex
-	// suspect is set after a failed change. The page that selects the current version of
+	// suspect is set after a failed change, and at the start, because the last change of
+	// the previous process may have failed. The page that selects the current version of
 	// the rows may then be readable although it is not on the disk.
 	suspect bool
 }
@@ -46,7 +47,7 @@
 // Open opens the store in dir and creates it if it does not exist. The returned
 // function closes it.
 func Open(dir string) (*Store, func() error, error) {
-	return open(dir, fileOps{syncDir: syncDir, openFile: os.OpenFile})
+	return open(dir, fileOps{syncDir: syncDir, openFile: os.OpenFile, syncFile: (*os.File).Sync})
 }
 
 // fileOps holds the file operations that tests replace to simulate a loss of
@@ -54,6 +55,8 @@
 type fileOps struct {
 	syncDir  func(dir string) error
 	openFile func(name string, flag int, mode os.FileMode) (*os.File, error)
+	// syncFile syncs the file of a store when it is opened.
+	syncFile func(*os.File) error
 }
 
 // open is Open with replaceable file operations.
@@ -65,6 +68,9 @@
 	if err := createFile(path, f); err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
+	if err := syncExisting(path, f); err != nil {
+		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
+	}
 	db, err := openFile(path, f)
 	if err != nil {
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
@@ -76,7 +82,7 @@
 		_ = db.Close()
 		return nil, nil, merry.Errorf("%w: %s", ErrStore, err.Error())
 	}
-	return &Store{db: db}, db.Close, nil
+	return &Store{db: db, suspect: true}, db.Close, nil
 }
 
 // createFile creates the file of a store if it does not exist. It gets its name once it
@@ -99,6 +105,16 @@
 	return os.Rename(next, path)
 }
 
+// syncExisting syncs a file before it is read: a process that was killed between a write
+// and its sync leaves rows that are readable and would be lost with the power.
+func syncExisting(path string, f fileOps) error {
+	x, err := os.OpenFile(path, os.O_RDWR, fileMode)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.syncFile(x), x.Close())
+}
+
 func openFile(path string, f fileOps) (*bbolt.DB, error) {
 	return bbolt.Open(path, fileMode, &bbolt.Options{
 		Timeout: lockTimeout,
