The log tells which answers close their connection, and what is cut off

The line "ended" has closes where the answer tells the caller that its connection is closed (the router stops or sheds callers); a router that ends while answers are not written yet logs "connections cut off under requests" with their number. Guarded by TestLogTellsWhichAnswersCloseTheirConnection and TestShutdownEndsAtItsDeadline.

--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -81,6 +81,13 @@
 	c.closeUnused(c.server.closing())
 }
 
+// inRequest reports whether a request or its answer is under way.
+func (c *callerConn) inRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.use == useRequest
+}
+
 // closeUnused closes the connection soon, unless a request arrives before, if it is one of those that
 // are to be closed.
 func (c *callerConn) closeUnused(which closing) {
--- a/courier/caller_server.go
+++ b/courier/caller_server.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"rattanhoist.example/rattanhoist/forwarder"
 )
 
@@ -43,6 +45,7 @@
 // byte, except at the deadline of its shutdown. It is safe for concurrent use.
 type callerServer struct {
 	server http.Server
+	log    *zap.Logger
 	// active counts the requests that are being handled.
 	active atomic.Int64
 	which  atomic.Int32
@@ -59,9 +62,9 @@
 }
 
 // newCallerServer returns a server whose requests h handles.
-func newCallerServer(h http.Handler) *callerServer {
+func newCallerServer(h http.Handler, log *zap.Logger) *callerServer {
 	base, end := context.WithCancelCause(context.Background())
-	s := &callerServer{open: map[*callerConn]bool{}, endRequests: end}
+	s := &callerServer{log: log, open: map[*callerConn]bool{}, endRequests: end}
 	s.server = http.Server{
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: recordUse,
 		BaseContext: func(net.Listener) context.Context { return base },
@@ -183,6 +186,9 @@
 	s.awaitClosed(deadline)
 	s.endRequests(forwarder.ErrRouterStops)
 	s.awaitClosed(deadline.Add(lastAnswersDelay))
+	if n := s.countRequests(); n > 0 {
+		s.log.Warn("connections cut off under requests", zap.Int("connections", n))
+	}
 	// The listener has reported its error, and there is nobody to tell of the others.
 	_ = s.server.Close()
 }
@@ -193,3 +199,14 @@
 		time.Sleep(drainPollInterval)
 	}
 }
+
+// countRequests returns the number of connections that bring a request or its answer.
+func (s *callerServer) countRequests() int {
+	n := 0
+	for _, c := range s.connections() {
+		if c.inRequest() {
+			n++
+		}
+	}
+	return n
+}
--- a/courier/caller_server_internal_test.go
+++ b/courier/caller_server_internal_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // pausingListener pauses the server where a busy process or a full link would: after it has read bytes of
@@ -57,7 +59,7 @@
 		t.Fatal(err)
 	}
 	l.Listener = inner
-	s := newCallerServer(h)
+	s := newCallerServer(h, zap.NewNop())
 	go func() { _ = s.serve(l) }()
 	t.Cleanup(func() { s.shutdown(time.Now()) })
 	return s
@@ -225,12 +227,15 @@
 		time.Sleep(2 * time.Second)
 	}}
 	s := startCallerServer(t, l, answerHello)
+	core, logged := observer.New(zap.InfoLevel)
+	s.log = zap.New(core)
 	c := dialCaller(t, l)
 	c.send()
 	<-writing
 	begun := time.Now()
 	s.shutdown(begun.Add(300 * time.Millisecond))
 	g.Expect(time.Since(begun)).To(gomega.BeNumerically("~", 300*time.Millisecond, 200*time.Millisecond))
+	g.Expect(logged.FilterMessage("connections cut off under requests").Len()).To(gomega.Equal(1))
 }
 
 // Guards against callers that stay at a router which sheds them, and against callers that it cuts off: idle
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -135,7 +135,7 @@
 	}
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
 	c.fleet.onDocument = c.rights.updateTotals
-	c.callers = newCallerServer(http.HandlerFunc(c.handleCaller))
+	c.callers = newCallerServer(http.HandlerFunc(c.handleCaller), o.Log)
 	c.registerGauges()
 	registerLeavesGauge(c.fleet)
 	ratio, slack, window := o.Node.RetryLimit()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -227,7 +227,7 @@
 
 // ServeHTTP handles one request up to its final answer.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	j := &job{f: f, w: w, r: r, startedAt: time.Now(), holding: f.hold()}
+	j := &job{f: f, w: w, r: r, startedAt: time.Now(), closes: w.Header().Get("Connection") == "close", holding: f.hold()}
 	defer j.holding.Release()
 	j.serve()
 }
@@ -246,9 +246,11 @@
 	w         http.ResponseWriter
 	r         *http.Request
 	startedAt time.Time
-	caller    Caller
-	index     *publisher.Index
-	route     *publisher.Route
+	// closes is set if the answer tells the caller that its connection is closed.
+	closes bool
+	caller Caller
+	index  *publisher.Index
+	route  *publisher.Route
 	// service is chosen once; retries stay with it.
 	service   *publisher.Service
 	workspace *publisher.Workspace
@@ -656,6 +658,9 @@
 	if j.hold.Subject.IsPart() {
 		fields = append(fields, zap.Stringer("held_part", j.hold.Subject), zap.Bool("trial", j.trial))
 	}
+	if j.closes {
+		fields = append(fields, zap.Bool("closes", true))
+	}
 	if reason != "" {
 		fields = append(fields, zap.String("why", reason))
 	}
--- a/forwarder/stopping_test.go
+++ b/forwarder/stopping_test.go
@@ -60,3 +60,26 @@
 		})
 	}
 }
+
+// Guards against an answer after which its connection is closed and whose log line does not say so.
+func TestLogTellsWhichAnswersCloseTheirConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newTestRouter(t, newEndpoint(t, responds(answerOK)))
+	for _, closes := range []bool{false, true} {
+		r := httptest.NewRequestWithContext(t.Context(), "POST", "/once/x", strings.NewReader("body"))
+		r.Host = "a.example"
+		r.Header.Set("Rattanhoist-Request-Id", "r1")
+		r.Header.Set("Api-Key", "k1")
+		answer := httptest.NewRecorder()
+		if closes {
+			answer.Header().Set("Connection", "close")
+		}
+		w.forwarder.ServeHTTP(answer, r)
+		g.Expect(answer.Code).To(gomega.Equal(http.StatusOK))
+		ended := w.logged.FilterMessage("ended").TakeAll()
+		g.Expect(ended).To(gomega.HaveLen(1))
+		_, told := ended[0].ContextMap()["closes"]
+		g.Expect(told).To(gomega.Equal(closes))
+		w.logged.TakeAll()
+	}
+}
