--- a/courier/caller_server_internal_test.go
+++ b/courier/caller_server_internal_test.go
@@ -170,6 +170,36 @@
 	g.Expect(closes).To(gomega.BeTrue(), "the caller is told to send no more on this connection")
 }
 
+// Guards against a request whose connection is closed while the rest of its head or of its body is on its
+// way, because its router begins to close idle connections.
+func TestRequestsThatArriveInPartsAreAnswered(t *testing.T) {
+	for name, end := range map[string]func(*callerServer){
+		"router sheds callers": func(s *callerServer) { s.keepConnections(false) },
+		"router stops":         func(s *callerServer) { s.shutdown(time.Now().Add(3 * time.Second)) },
+	} {
+		for part, n := range map[string]int{"head": 20, "body": len(testRequest) - 2} {
+			t.Run(name+", "+part, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				l := &pausingListener{}
+				s := startCallerServer(t, l, answerHello)
+				c := dialCaller(t, l)
+				c.send()
+				_, _, err := c.receive()
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				_, _ = io.WriteString(c, testRequest[:n])
+				time.Sleep(50 * time.Millisecond)
+				go end(s)
+				time.Sleep(4 * closeDelay)
+				_, _ = io.WriteString(c, testRequest[n:])
+				body, _, err := c.receive()
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(body).To(gomega.Equal("hello"))
+				g.Expect(c.closed(time.Second)).To(gomega.BeTrue())
+			})
+		}
+	}
+}
+
 // Guards against a router that ends with callers on their way: a request that arrives just after an idle
 // connection is chosen to be closed is answered.
 func TestRequestsThatCrossACloseAreAnswered(t *testing.T) {
