--- a/courier/router_end_test.go
+++ b/courier/router_end_test.go
@@ -17,13 +17,16 @@
 )
 
 const (
-	// endRouters is the number of router processes that are told to stop, which END_ROUTERS replaces,
-	// endRounds how often each of them is, and endCallers the number of connections to each.
+	// endRouters is the number of router processes that are told to stop, endRounds how often each of
+	// them is, and endCallers the number of connections to each. END_ROUTERS, END_ROUNDS and END_CALLERS
+	// replace them.
 	endRouters = 4
 	endRounds  = 2
 	endCallers = 60
 	// endSeed is the seed of the run in CI, which END_SEED replaces.
 	endSeed = 1
+	// endGrace is the grace period in the settings of a cluster.
+	endGrace = 5 * time.Second
 	// smallShare is the share of a processor that a small VM has.
 	smallShare = 0.2
 	// maxCallerPause is the longest time for which a caller leaves its connection idle. It is longer
@@ -187,7 +190,7 @@
 func TestRequestsOnOpenConnectionsOutlastTheirRouter(t *testing.T) {
 	t.Parallel()
 	seed, routers := soakSetting(t, "END_SEED", endSeed), int(soakSetting(t, "END_ROUTERS", endRouters))
-	rounds := int(soakSetting(t, "END_ROUNDS", endRounds))
+	rounds, each := int(soakSetting(t, "END_ROUNDS", endRounds)), int(soakSetting(t, "END_CALLERS", endCallers))
 	f, g := startCluster(t, 21+int(seed%8))
 	f.publish(g, 1, endDocument(2))
 	engine := &endEngine{runs: map[string]int{}}
@@ -202,7 +205,7 @@
 	counts, stop := &endCounts{}, make(chan struct{})
 	var callers sync.WaitGroup
 	for i := range processes {
-		for n := range endCallers {
+		for n := range each {
 			c := &endCaller{f: f, router: firstRouter + i, name: fmt.Sprintf("c%d-%d", i, n), random: rand.New(rand.NewPCG(seed, uint64(1000*i+n))), engine: engine, counts: counts}
 			callers.Go(func() { c.run(stop) })
 		}
@@ -216,7 +219,13 @@
 	for round := range rounds {
 		var stopped sync.WaitGroup
 		for _, p := range processes {
-			stopped.Go(func() { p.restart(syscall.SIGTERM) })
+			stopped.Go(func() {
+				begun := time.Now()
+				p.restart(syscall.SIGTERM)
+				if d := time.Since(begun); d > endGrace {
+					t.Errorf("router %d ended %s after it was told to", p.number, d)
+				}
+			})
 			if round%2 == 0 {
 				time.Sleep(500 * time.Millisecond)
 			}
