A shared prompt part is not blamed before late reports of the crashing one

What callers see: all requests of a workspace are refused, for up to an hour ("held back: endpoints ended under requests with its prompt part a1"), where a1 is a part that all of them have, next to one that is rightly held back. Traced in a run of TestCrashingPartIsHeldBackByAllRouters with logs (-race, load of 30 on eight processors): all 12 endpoints had ended within 1.6 s, and two of three routers had lost the paths to 10 and got no confirmation of the ends at once. They reported that the crashing part was in progress at i-8, i-11, i-5, i-9 and i-3 2.9 to 3.3 s after the first reports or the ends (at 13.9 to 14.7; first reports of i-8 and i-11 at 10.7 and 10.9). At 12.97 the keepers blamed a1: i-8 and i-11 were unexplained for 2 s, a1 was at all other crashes too, and nothing could be answered meanwhile. Cause: one unexplained crash is enough to blame a part that was answered and was wherever a held part was, and 2 s are less than a router takes to report what was in progress (five confirmations, then up to 2.5 s for a replacement). Change: such a part is blamed only if a crash stays unexplained for 5 s. A part beside which none is held is blamed as before.

--- a/quarantiner/assessment.go
+++ b/quarantiner/assessment.go
@@ -15,7 +15,7 @@
 // ToQuarantine returns the subjects to quarantine from now on.
 func (r *CrashTracker) ToQuarantine(now time.Time) []Subject {
 	r.expire(now)
-	if r.settled && now.Sub(r.changedAt) > answeredSettleTime {
+	if r.settled && now.Sub(r.changedAt) > lateReportTime {
 		return nil
 	}
 	a := newAssessment(r, now)
@@ -29,7 +29,7 @@
 		a.quarantined[s] = true
 		clear(a.explained)
 	}
-	r.settled = len(out) == 0 && now.Sub(r.changedAt) > answeredSettleTime
+	r.settled = len(out) == 0 && now.Sub(r.changedAt) > lateReportTime
 	return out
 }
 
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -26,6 +26,11 @@
 	// answeredSettleTime is the settleTime of prompt parts that were answered before: crashes count
 	// once routers that serve the part have had the time to report another answer.
 	answeredSettleTime = 2 * time.Second
+	// lateReportTime is how long ago a crash must first have been reported to show that the cause is
+	// not a quarantined subject, but an answered part that was in progress wherever the subject was. A
+	// router that has lost the paths to many endpoints reports what was in progress at an endpoint only
+	// once another router has confirmed the crash, or the endpoint was replaced.
+	lateReportTime = 5 * time.Second
 )
 
 // evidence is what speaks against a prompt part.
@@ -33,8 +38,10 @@
 	subject Subject
 	// crashes holds the crashes that are attributed to the part, oldest first.
 	crashes []*endpointCrash
-	// unexplained counts those of them that no quarantined subject explains.
+	// unexplained counts those of them that no quarantined subject explains. Overdue is set if one of
+	// them is older than lateReportTime.
 	unexplained int
+	overdue     bool
 	// moments counts the crashes without those right after another one.
 	moments int
 	// independent counts the crashes at which a request with the part was in progress that was not
@@ -56,6 +63,9 @@
 	if v.unexplained == 0 {
 		return false
 	}
+	if v.answered && v.unexplained < len(v.crashes) && !v.overdue {
+		return false
+	}
 	share := float64(len(v.crashes)) / float64(max(v.meanwhile, 1))
 	many := len(v.crashes) >= enoughCrashes && v.moments >= minMomentsOfMany
 	if v.answered {
@@ -96,6 +106,7 @@
 		}
 		if !a.isExplained(e) {
 			v.unexplained++
+			v.overdue = v.overdue || a.now.Sub(e.firstReportedAt) >= lateReportTime
 		} else if slices.ContainsFunc(a.explanations(e), func(x Subject) bool { return !a.includes(s, x) }) {
 			continue
 		}
--- a/quarantiner/part_evidence_test.go
+++ b/quarantiner/part_evidence_test.go
@@ -118,6 +118,42 @@
 	g.Expect(r.ToQuarantine(at(106.1))).To(gomega.Equal([]quarantiner.Subject{partSubject(crashingPart)}))
 }
 
+// Guards against refusing a whole workspace because a part that all its requests have is next to the
+// crashing one: routers that have lost the paths to many endpoints at once report seconds later that a
+// request with the crashing part was in progress at some of them, and meanwhile nothing is answered.
+func TestAnsweredPartIsNotBlamedBeforeLateReportsOfTheCause(t *testing.T) {
+	for _, reported := range []bool{true, false} {
+		t.Run(fmt.Sprintf("reported %v", reported), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := quarantiner.NewCrashTracker(time.Hour)
+			partAnswered(r, at(0), commonPart)
+			for e := range 6 {
+				partCrash(r, at(1+0.15*float64(e)), e, uint64(e), 100*time.Millisecond, commonPart, crashingPart)
+			}
+			due := r.ToQuarantine(at(2.7))
+			g.Expect(due).To(gomega.Equal([]quarantiner.Subject{partSubject(crashingPart)}))
+			r.SetQuarantined(at(2.7), due, nil)
+			for e := 6; e < 8; e++ {
+				partCrash(r, at(2.8), e, uint64(100+e), time.Second, commonPart)
+			}
+			for _, now := range []float64{4.9, 5.5, 6} {
+				g.Expect(r.ToQuarantine(at(now))).To(gomega.BeEmpty())
+			}
+			for e := 6; e < 8 && reported; e++ {
+				r.Add(at(6.1), quarantiner.Crash{
+					Request: fingerprint(uint64(e)), Parts: []quarantiner.Part{commonPart, crashingPart}, Endpoint: endpoint(e), At: at(2.8), Elapsed: 100 * time.Millisecond,
+				})
+			}
+			due = r.ToQuarantine(at(8))
+			if reported {
+				g.Expect(due).To(gomega.BeEmpty())
+			} else {
+				g.Expect(due).To(gomega.Equal([]quarantiner.Subject{partSubject(commonPart)}), "the crashing part does not explain all crashes")
+			}
+		})
+	}
+}
+
 func TestTwoCrashingPartsAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	r := quarantiner.NewCrashTracker(time.Hour)
