An endpoint whose answers come slowly and never end is ejected

Cause: a failure after the deadline, or after the caller has left, is not counted against the endpoint, since it may only be slow. An endpoint in trouble that sends bytes that come to no end, one after the other, ends each request in this way. It was never ejected and each request sent to it spent its whole time there.

Change: the pool records since when bytes of a part of an answer (a head, the body of a plain answer, an event) keep arriving. If they have done so for half a second at the end of a request, without the end of the part, that is the endpoint's failure. Silence and whole events are not, nor is anything while the router itself is delayed.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -251,7 +251,7 @@
 		if errors.Is(err, pooler.ErrMayHaveRun) {
 			j.recordTried(b, version)
 			j.mayHaveRun = true
-			j.recordFailure(ctx, e)
+			j.recordBrokenAnswer(ctx, e, errors.Is(err, pooler.ErrUnfinished))
 			return outcomeLost
 		}
 		if errors.Is(err, pooler.ErrUnreachable) {
@@ -311,6 +311,15 @@
 	j.recordEndpointEvent(ctx, e, ejector.Failed)
 }
 
+// recordBrokenAnswer counts an answer that is not whole against an endpoint. Where bytes kept arriving that
+// came to no end, that is its failure also if the deadline passed or the caller disconnected.
+func (j *job) recordBrokenAnswer(ctx context.Context, e *predictor.Endpoint, unfinished bool) {
+	if unfinished && !j.overloaded() {
+		ctx = context.WithoutCancel(ctx)
+	}
+	j.recordFailure(ctx, e)
+}
+
 // recordUnsent counts a connection that could not be opened, as recordFailure does.
 func (j *job) recordUnsent(ctx context.Context, e *predictor.Endpoint, err error) {
 	if pooler.TimedOut(err) {
@@ -396,7 +405,7 @@
 	e := assignment.Endpoint()
 	if err != nil || !a.Complete() || j.closedByEnd(ctx, a, e) {
 		j.reason = "answer broken off"
-		j.recordFailure(ctx, e)
+		j.recordBrokenAnswer(ctx, e, a.Unfinished())
 		return outcomeLost
 	}
 	if a.Status >= http.StatusInternalServerError {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -42,6 +42,7 @@
 				j.logEnd(0, "caller gone")
 				panic(http.ErrAbortHandler)
 			}
+			a.BeginPart()
 			continue
 		}
 		if err == io.EOF && a.Complete() && len(event) == 0 && (!a.CloseDelimited || j.headSent && !j.closedByEnd(ctx, a, assignment.Endpoint())) {
@@ -50,7 +51,7 @@
 			j.logEnd(a.Status, "")
 			return outcomeDone
 		}
-		return j.handleBrokenOff(ctx, assignment, err)
+		return j.handleBrokenOff(ctx, a, assignment, err)
 	}
 }
 
@@ -61,12 +62,12 @@
 }
 
 // handleBrokenOff handles a stream that ended before its final event.
-func (j *job) handleBrokenOff(ctx context.Context, assignment *predictor.Assignment, err error) outcome {
+func (j *job) handleBrokenOff(ctx context.Context, a *pooler.Answer, assignment *predictor.Assignment, err error) outcome {
 	j.reason = "stream broken off"
 	if err != nil {
 		j.reason += ": " + err.Error()
 	}
-	j.recordFailure(ctx, assignment.Endpoint())
+	j.recordBrokenAnswer(ctx, assignment.Endpoint(), a.Unfinished())
 	return outcomeLost
 }
 
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -101,7 +101,10 @@
 		stop()
 		p.ended(c)
 		p.discard(c)
-		return nil, merry.Errorf("%w: %s", ErrMayHaveRun, err.Error())
+		if c.part.unfinished() {
+			err = fmt.Errorf("%w: %w", ErrUnfinished, err)
+		}
+		return nil, fmt.Errorf("%w: %w", ErrMayHaveRun, err)
 	}
 	a.stopContextClose = stop
 	return a, nil
@@ -153,12 +156,14 @@
 // answers to earlier requests.
 func (p *Pool) readHead(c *conn, r *Request, written *atomic.Bool) (*Answer, error) {
 	request := &http.Request{Method: r.Method}
+	p.beginPart(c)
 	for range maxStrayAnswers + 1 {
 		h, err := c.readResponse(request)
 		if err != nil {
 			return nil, err
 		}
 		if h.StatusCode < http.StatusOK {
+			p.beginPart(c)
 			continue
 		}
 		match := p.match(h.Header, r.ID)
@@ -173,6 +178,7 @@
 		} else if err != io.EOF {
 			return nil, err
 		}
+		p.beginPart(c)
 	}
 	return nil, merry.New("only answers of other requests")
 }
@@ -185,6 +191,13 @@
 	return h, err
 }
 
+// BeginPart records that what was read of the answer so far is whole, such as a number of events.
+func (a *Answer) BeginPart() { a.pool.beginPart(a.conn) }
+
+// Unfinished reports whether bytes of the part that is being read kept arriving for a while without coming
+// to its end. A request that takes long does not show in this.
+func (a *Answer) Unfinished() bool { return a.conn.part.unfinished() }
+
 // newAnswer returns the answer whose head was read from a connection.
 func (p *Pool) newAnswer(c *conn, h *http.Response, written *atomic.Bool) *Answer {
 	a := &Answer{
@@ -192,6 +205,7 @@
 		CloseDelimited: h.ContentLength < 0 && len(h.TransferEncoding) == 0,
 		pool:           p, conn: c, written: written,
 	}
+	p.beginPart(c)
 	a.Body = &completionReader{reader: h.Body, complete: &a.complete}
 	if !h.Close && !a.CloseDelimited {
 		a.reuseTimeout = reuseTimeout(h.Header)
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -27,6 +27,9 @@
 	// ErrMayHaveRun means that the request was sent, at least in part, and that its outcome
 	// is unknown.
 	ErrMayHaveRun = merry.Sentinel("request sent, outcome unknown")
+	// ErrUnfinished means that bytes of a head kept arriving for a while without coming to its end. It
+	// accompanies ErrMayHaveRun.
+	ErrUnfinished = merry.Sentinel("head of the answer unfinished")
 	// ErrConnectionLimit means that this router may not open more connections to the
 	// endpoint. Nothing was sent.
 	ErrConnectionLimit = merry.Sentinel("connection bound reached")
@@ -190,6 +193,8 @@
 	repeatable atomic.Bool
 	// reusableUntil is when an idle connection becomes too old to be reused.
 	reusableUntil time.Time
+	// part is the part of an answer that is being read. Only the reader uses it.
+	part part
 	// headLeft is how many bytes may still be received of the head that is being read, or
 	// noHeadLimit. Only the reader uses it.
 	headLeft int
@@ -243,6 +248,7 @@
 	}
 	at := now.Sub(p.created)
 	c.heardAt.Store(int64(at))
+	c.part.received(at)
 	if c.silence != nil {
 		p.heardAt.Store(int64(at))
 		c.silence.Heard(at)
