What comes slowly and never ends is replaced by another endpoint's

Cause: a head or an event whose bytes keep coming and never end was read until the request's time was up, so that neither an idempotent request nor a resumable stream could go on at another endpoint.

Change: if the request may be sent elsewhere, a head or an event is given up once its bytes have kept arriving for 2.5 s. Silence does not count, and other requests and the bodies of plain answers keep their whole time.

--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -29,6 +29,7 @@
 // endpoint when the request was sent there.
 func (j *job) relay(ctx context.Context, a *pooler.Answer, assignment *predictor.Assignment, version enroller.Version) outcome {
 	events := bufio.NewReaderSize(a.Body, relayBuffer)
+	a.BeginPart(j.repeatable())
 	for {
 		event, err := readEvent(events)
 		if len(event) > 0 && err == nil {
@@ -42,7 +43,7 @@
 				j.logEnd(0, "caller gone")
 				panic(http.ErrAbortHandler)
 			}
-			a.BeginPart()
+			a.BeginPart(j.repeatable())
 			continue
 		}
 		if err == io.EOF && a.Complete() && len(event) == 0 && (!a.CloseDelimited || j.headSent && !j.closedByEnd(ctx, a, assignment.Endpoint())) {
--- a/pooler/endless_test.go
+++ b/pooler/endless_test.go
@@ -112,6 +112,20 @@
 	}
 }
 
+// Guards against a request that spends all its time on a head that never ends, so that no other
+// endpoint can be asked. Each byte of it comes soon after the last one.
+func TestHeadThatComesSlowlyIsBounded(t *testing.T) {
+	for name, a := range endlessHeads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			took, _, err := exchangeEndless(t, a, 20*time.Millisecond, 6*time.Second, true)
+			g.Expect(err).To(gomega.MatchError(pooler.ErrMayHaveRun))
+			g.Expect(took).To(gomega.BeNumerically("<", 4*time.Second))
+		})
+	}
+}
+
 // Guards against a head without end that is read beyond the time limit of its request.
 func TestHeadThatComesSlowlyEndsWithTheRequest(t *testing.T) {
 	for name, a := range endlessHeads {
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -156,14 +156,14 @@
 // answers to earlier requests.
 func (p *Pool) readHead(c *conn, r *Request, written *atomic.Bool) (*Answer, error) {
 	request := &http.Request{Method: r.Method}
-	p.beginPart(c)
+	p.beginPart(c, r.Repeatable)
 	for range maxStrayAnswers + 1 {
 		h, err := c.readResponse(request)
 		if err != nil {
 			return nil, err
 		}
 		if h.StatusCode < http.StatusOK {
-			p.beginPart(c)
+			p.beginPart(c, r.Repeatable)
 			continue
 		}
 		match := p.match(h.Header, r.ID)
@@ -178,7 +178,7 @@
 		} else if err != io.EOF {
 			return nil, err
 		}
-		p.beginPart(c)
+		p.beginPart(c, r.Repeatable)
 	}
 	return nil, merry.New("only answers of other requests")
 }
@@ -191,8 +191,9 @@
 	return h, err
 }
 
-// BeginPart records that what was read of the answer so far is whole, such as a number of events.
-func (a *Answer) BeginPart() { a.pool.beginPart(a.conn) }
+// BeginPart records that what was read of the answer so far is whole, such as a number of events. If the
+// next part may be replaced by another endpoint's, it is given up once its bytes keep arriving without end.
+func (a *Answer) BeginPart(replaceable bool) { a.pool.beginPart(a.conn, replaceable) }
 
 // Unfinished reports whether bytes of the part that is being read kept arriving for a while without coming
 // to its end. A request that takes long does not show in this.
@@ -205,7 +206,7 @@
 		CloseDelimited: h.ContentLength < 0 && len(h.TransferEncoding) == 0,
 		pool:           p, conn: c, written: written,
 	}
-	p.beginPart(c)
+	p.beginPart(c, false)
 	a.Body = &completionReader{reader: h.Body, complete: &a.complete}
 	if !h.Close && !a.CloseDelimited {
 		a.reuseTimeout = reuseTimeout(h.Header)
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -227,6 +227,9 @@
 	if r.conn.headLeft == 0 {
 		return 0, errHeadTooLong
 	}
+	if r.conn.part.timedOut() {
+		return 0, errPartTimeout
+	}
 	if r.conn.headLeft > 0 {
 		b = b[:min(len(b), r.conn.headLeft)]
 	}
