The body of a rejection delays its request by 0.1 s at most

Cause: the body of an answer that states that the request has not run was read to its end before another endpoint was asked, though only that of a 400 is passed on. A body that comes slowly and never ends held the request until its time was up; it was then refused.

Change: such a body is read for 100 ms and up to 4 KiB, so that the connection can be used again; else the connection is closed.

Measured: fails before: TestRejectionWithoutEndDelaysNothing, "out of time", "Expected 503 to equal 200" in six of nine cases, each after 1.50 s; passes now.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -44,6 +44,13 @@
 // is complete. A longer one counts as broken off.
 const maxPlainAnswerBytes = 256 << 10
 
+// The body of a rejection is read only so that its connection can be used again; another endpoint may be
+// waiting for the request.
+const (
+	rejectionTimeout  = 100 * time.Millisecond
+	maxRejectionBytes = 4 << 10
+)
+
 // runAttempts sends the request to endpoints until there is a final answer.
 func (j *job) runAttempts(ctx context.Context) {
 	for {
@@ -378,12 +385,16 @@
 // handleNotRun handles an answer stating that the request was not run.
 func (j *job) handleNotRun(a *pooler.Answer, m AnswerFields, e *predictor.Endpoint) outcome {
 	j.reason = "endpoint did not run it: " + http.StatusText(a.Status)
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxPlainAnswerBytes))
 	if m.Misdirected {
 		// The address belongs to another incarnation now.
 		e.Exclude()
 	}
-	if a.Status == http.StatusBadRequest && err == nil && a.Complete() {
+	if a.Status != http.StatusBadRequest {
+		a.Drain(rejectionTimeout, maxRejectionBytes)
+		return outcomeNotRun
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxPlainAnswerBytes))
+	if err == nil && a.Complete() {
 		j.sendAnswer(a, body, false)
 		return outcomeDone
 	}
--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -191,6 +191,17 @@
 	return h, err
 }
 
+// Drain reads the rest of an answer that nobody needs, so that its connection can be used again, for at
+// most the given time and number of bytes.
+func (a *Answer) Drain(timeout time.Duration, maxBytes int64) {
+	expiry := time.AfterFunc(timeout, func() { _ = a.conn.Close() })
+	// After an error the answer is not complete, and its connection is closed.
+	_, _ = io.CopyN(io.Discard, a.Body, maxBytes)
+	if !expiry.Stop() {
+		a.complete = false
+	}
+}
+
 // BeginPart records that what was read of the answer so far is whole, such as a number of events. If the
 // next part may be replaced by another endpoint's, it is given up once its bytes keep arriving without end.
 func (a *Answer) BeginPart(replaceable bool) { a.pool.beginPart(a.conn, replaceable) }
