--- a/courier/liveness.go
+++ b/courier/liveness.go
@@ -177,14 +177,31 @@
 	defer func() { _ = c.Close() }()
 	ctx, cancel := context.WithTimeout(ctx, aliveCheckTimeout)
 	defer cancel()
-	same, err := l.probe(ctx, c, path, e.Beat().ID)
+	probed := &probedConn{ReadWriteCloser: c}
+	same, err := l.probe(ctx, probed, path, e.Beat().ID)
 	// An endpoint whose slots are taken may let the health check wait. The connection of one that has
-	// ended is closed.
-	alive := err == nil && same || ctx.Err() != nil && !l.replaced(e.Beat())
+	// ended is closed, and bytes that are no answer may come from any process.
+	waits := ctx.Err() != nil && !probed.heard
+	alive := err == nil && same || waits && !l.replaced(e.Beat())
 	aliveChecks(alive).Inc()
 	return alive
 }
 
+// probedConn records whether bytes arrived on a connection.
+type probedConn struct {
+	io.ReadWriteCloser
+	heard bool
+}
+
+// Read reads from the connection.
+func (c *probedConn) Read(b []byte) (int, error) {
+	n, err := c.ReadWriteCloser.Read(b)
+	if n > 0 {
+		c.heard = true
+	}
+	return n, err
+}
+
 // connect opens a connection to an endpoint, through another router if this one can't.
 func (l *livenessChecks) connect(ctx context.Context, b enroller.Heartbeat) (io.ReadWriteCloser, error) {
 	direct, cancel := context.WithTimeout(ctx, aliveCheckTimeout)
