The answer to a refused request waits half a second for its body

Cause: net/http reads up to 256 KiB of a body that the handler did not read before it sends the answer, and a request that is refused before its body (no route, unknown key, no capacity) had no read deadline. A caller that sends a body slowly and without end got no answer, and held its connection and a goroutine for as long as it liked.

Change: such a request gets a read deadline of 500 ms, after which it is answered and its connection closed. A connection whose body was read is kept. A stopping router closes connections and never waited.

--- a/courier/endless_internal_test.go
+++ b/courier/endless_internal_test.go
@@ -1,8 +1,11 @@
 package courier
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -40,3 +43,22 @@
 		}
 	}
 }
+
+// Guards against a stopping router whose refusal waits for a body that comes slowly, until the process ends
+// and the caller has no answer.
+func TestStoppingRouterAnswersWithoutTheBody(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := &Router{Options: Options{Node: loadTestNode(t, ""), Wire: platform.HeaderCodec{}}, startedAt: time.Now().Add(-time.Minute)}
+	c.drainingSince.Store(1)
+	s := httptest.NewServer(http.HandlerFunc(c.handleCaller))
+	t.Cleanup(s.Close)
+	caller, err := net.Dial("tcp", s.Listener.Addr().String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer caller.Close()
+	_, err = io.WriteString(caller, "POST /a/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 10\r\n\r\nhalf")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(caller.SetReadDeadline(time.Now().Add(2 * time.Second))).To(gomega.Succeed())
+	a, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(a.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+}
--- a/enforcer/caller_time.go
+++ b/enforcer/caller_time.go
@@ -18,6 +18,14 @@
 	}
 }
 
+// LimitUnreadBody bounds the time for the rest of a body that the handler does not read. The server reads
+// some of it before it sends the answer, and would wait for a caller that sends it slowly.
+func LimitUnreadBody(w http.ResponseWriter, q *http.Request, timeout time.Duration) {
+	if q.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
+	}
+}
+
 // timedBody clears the read deadline at the end of the body. The server keeps
 // reading to notice when a caller disconnects, and would mistake the deadline
 // for that.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -86,6 +86,9 @@
 	// writeGrace is how long after its deadline a caller may take to read the rest of its
 	// answer.
 	writeGrace = time.Second
+	// unreadBodyTimeout is how long the answer to a refused request may wait for the rest of its body. A
+	// caller that is still sending may not read the answer before.
+	unreadBodyTimeout = 500 * time.Millisecond
 	// maxUsualParts is the number of shared prompt parts up to which a request needs no memory of
 	// its own for them.
 	maxUsualParts = 8
@@ -251,6 +254,8 @@
 	// zones holds the zones in which the request may be served; nil stands for all.
 	zones *localizer.Zones
 	body  []byte
+	// bodyBegun is set once the body is being read.
+	bodyBegun bool
 	// holding counts the bytes held for the request.
 	holding     *enforcer.Holding
 	fingerprint quarantiner.Fingerprint
@@ -433,6 +438,7 @@
 	if !time.Now().Before(j.deadline) {
 		return j.refuse(http.StatusServiceUnavailable, "out of time")
 	}
+	j.bodyBegun = true
 	if j.f.CallerLimits != nil {
 		enforcer.LimitBodyTime(j.w, j.r, j.deadline)
 		enforcer.LimitWriteTime(j.w, j.deadline.Add(writeGrace))
@@ -454,6 +460,7 @@
 		return j.fail(http.StatusRequestEntityTooLarge, "body too large")
 	case errors.Is(err, enforcer.ErrMemory):
 		memoryRefusals.Inc()
+		j.limitUnreadBody()
 		return j.refuseOverloaded()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		slowBodies.Inc()
@@ -582,6 +589,9 @@
 		// the rest is missing.
 		panic(http.ErrAbortHandler)
 	}
+	if !j.bodyBegun {
+		j.limitUnreadBody()
+	}
 	h := j.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	j.w.WriteHeader(status)
@@ -589,6 +599,13 @@
 	return false
 }
 
+// limitUnreadBody bounds the time for which the answer to a refused request waits for its body.
+func (j *job) limitUnreadBody() {
+	if j.f.CallerLimits != nil {
+		enforcer.LimitUnreadBody(j.w, j.r, unreadBodyTimeout)
+	}
+}
+
 // missedObjective names the latency by which the answer missed its route's objective, or
 // returns "".
 func (j *job) missedObjective() string {
