Requests to keepers and readiness checks end within a time

Cause: the servers of keepers and of the readiness check bounded the time for the head of a request only. A document, heartbeat or leave whose body comes slowly and never ends was read for as long as its sender liked, and one that nobody reads (a GET with a body, an unknown call) held its answer.

Change: 10 s for a whole request at keepers, 6 s at the readiness check, and heads of 64 KiB as for callers.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -195,7 +195,7 @@
 	}
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+c.ReadyPath, c.handleReady)
-	question := &http.Server{Handler: m, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	question := &http.Server{Handler: m, ReadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	internal, err := net.Listen("tcp", c.Node.Internal())
 	if err != nil {
 		return err
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -45,10 +45,12 @@
 	// announceInterval is how often a keeper without new observations sends its zone to
 	// the others.
 	announceInterval = 2 * time.Second
-	// headerTimeout bounds the wait for a caller's request headers, and idleTimeout how
-	// long an endpoint's connection is kept between heartbeats.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 30 * time.Second
+	// headerTimeout bounds the wait for a caller's request headers, requestTimeout that for the whole
+	// request, and idleTimeout how long an endpoint's connection is kept between heartbeats.
+	headerTimeout  = 5 * time.Second
+	requestTimeout = 10 * time.Second
+	idleTimeout    = 30 * time.Second
+	maxHeaderBytes = 64 << 10
 	// callTimeout bounds a call between keepers; it is shorter than the second that
 	// operators and endpoints wait for an answer.
 	callTimeout = 400 * time.Millisecond
@@ -220,7 +222,9 @@
 	}
 	rpc := messenger.NewFleetServer()
 	messenger.RegisterFleetKeeperServer(rpc, &server{keeper: s})
-	web := &http.Server{Handler: control(s), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	web := &http.Server{
+		Handler: control(s), ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	failed := make(chan error, 3)
 	go func() { failed <- rpc.Serve(internalListener) }()
 	go func() { failed <- web.Serve(controlListener) }()
