--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -44,6 +44,13 @@
 // is complete. A longer one counts as broken off.
 const maxPlainAnswerBytes = 256 << 10
 
+// The body of a rejection is read only so that its connection can be used again; another endpoint may be
+// waiting for the request.
+const (
+	rejectionTimeout  = 100 * time.Millisecond
+	maxRejectionBytes = 4 << 10
+)
+
 // runAttempts sends the request to endpoints until there is a final answer.
 func (j *job) runAttempts(ctx context.Context) {
 	for {
@@ -258,7 +265,7 @@
 		if errors.Is(err, pooler.ErrMayHaveRun) {
 			j.recordTried(b, version)
 			j.mayHaveRun = true
-			j.recordFailure(ctx, e)
+			j.recordBrokenAnswer(ctx, e, errors.Is(err, pooler.ErrUnfinished))
 			return outcomeLost
 		}
 		if errors.Is(err, pooler.ErrUnreachable) {
@@ -318,6 +325,15 @@
 	j.recordEndpointEvent(ctx, e, ejector.Failed)
 }
 
+// recordBrokenAnswer counts an answer that is not whole against an endpoint. Where bytes kept arriving that
+// came to no end, that is its failure also if the deadline passed or the caller disconnected.
+func (j *job) recordBrokenAnswer(ctx context.Context, e *predictor.Endpoint, unfinished bool) {
+	if unfinished && !j.overloaded() {
+		ctx = context.WithoutCancel(ctx)
+	}
+	j.recordFailure(ctx, e)
+}
+
 // recordUnsent counts a connection that could not be opened, as recordFailure does.
 func (j *job) recordUnsent(ctx context.Context, e *predictor.Endpoint, err error) {
 	if pooler.TimedOut(err) {
@@ -376,12 +392,16 @@
 // handleNotRun handles an answer stating that the request was not run.
 func (j *job) handleNotRun(a *pooler.Answer, m AnswerFields, e *predictor.Endpoint) outcome {
 	j.reason = "endpoint did not run it: " + http.StatusText(a.Status)
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxPlainAnswerBytes))
 	if m.Misdirected {
 		// The address belongs to another incarnation now.
 		e.Exclude()
 	}
-	if a.Status == http.StatusBadRequest && err == nil && a.Complete() {
+	if a.Status != http.StatusBadRequest {
+		a.Drain(rejectionTimeout, maxRejectionBytes)
+		return outcomeNotRun
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxPlainAnswerBytes))
+	if err == nil && a.Complete() {
 		j.sendAnswer(a, body, false)
 		return outcomeDone
 	}
@@ -403,7 +423,7 @@
 	e := assignment.Endpoint()
 	if err != nil || !a.Complete() || j.closedByEnd(ctx, a, e) {
 		j.reason = "answer broken off"
-		j.recordFailure(ctx, e)
+		j.recordBrokenAnswer(ctx, e, a.Unfinished())
 		return outcomeLost
 	}
 	if a.Status >= http.StatusInternalServerError {
