A crashing part may be held back before the fifth crash

Cause: TestCrashingPartIsHeldBackByAllRouters waited for five crashes, but a part that three crashes at three moments speak against is held back 0.8 s later, at two crashes a second sometimes after the fourth: "Timed out after 20.167s. the engines crash: Expected 4 to be >= 5". Change: it waits for five crashes or a refusal because of the part, wants at least three, and counts late sends from the last of these crashes, which is as strict or stricter.

--- a/courier/crashing_part_test.go
+++ b/courier/crashing_part_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -115,6 +116,13 @@
 	return begun, sent
 }
 
+// isHeld reports whether a request was refused because of the crashing part.
+func (l *partLoad) isHeld() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.results, func(r partResult) bool { return r.crashing && strings.Contains(r.body, "with its prompt part") })
+}
+
 // Guards against a prompt part that ends one engine after the other. No two of the requests with it
 // are alike, so that what is learned of whole requests holds none of them back, while sound requests
 // share their caller and all their other parts.
@@ -162,14 +170,16 @@
 			time.Sleep(4 * time.Second)
 			crashing := time.Now()
 			go l.run(ctx, l.crashing, true, &group)
-			g.Eventually(m.crashCount, 20*time.Second, 10*time.Millisecond).Should(gomega.BeNumerically(">=", 5), "the engines crash")
-			fifth := time.Now()
+			// The part may be held back before the fifth crash.
+			g.Eventually(func() bool { return m.crashCount() >= 5 || l.isHeld() }, 20*time.Second, 10*time.Millisecond).Should(gomega.BeTrue())
+			crashes, fifth := min(m.crashCount(), 5), time.Now()
+			g.Expect(crashes).To(gomega.BeNumerically(">=", 3), "the engines crash")
 			time.Sleep(2*contactWindow + 4*time.Second)
 			end := time.Now()
 			last := l.send(true)
 			cancel()
 			group.Wait()
-			g.Expect(m.lateArrivals(5)).To(gomega.BeNumerically("<=", maxLateArrivals))
+			g.Expect(m.lateArrivals(crashes)).To(gomega.BeNumerically("<=", maxLateArrivals))
 			g.Expect(last.status).To(gomega.Equal(http.StatusServiceUnavailable), "the response says that it did not run")
 			before, sentBefore := l.begun(started.Add(time.Second), crashing)
 			after, sentAfter := l.begun(fifth.Add(2*contactWindow), end)
