Long events that are not whole count as held memory

Cause: an event may take 1 MiB before it is broken off, and what many streams held of theirs was not counted: the sum had no limit.

Change: what an event that is not whole holds beyond 4 KiB is reserved as the bodies of requests are, and a stream whose event does not fit is broken off, and resumed elsewhere where its route allows.

Measured: fails before: TestUnfinishedEventsStayWithinTheMemory, "Expected 0 to be > 1048576" bytes counted as held; passes now.

--- a/enforcer/memory.go
+++ b/enforcer/memory.go
@@ -65,6 +65,9 @@
 	return nil
 }
 
+// Return gives n bytes back that were added or reserved.
+func (h *Holding) Return(n int) { h.Add(-n) }
+
 // Release returns all bytes of the request.
 func (h *Holding) Release() {
 	if h.memory == nil {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"rattanhoist.example/rattanhoist/enforcer"
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
@@ -31,7 +32,7 @@
 	events := bufio.NewReaderSize(a.Body, relayBuffer)
 	a.BeginPart(j.repeatable())
 	for {
-		event, err := readEvent(events)
+		event, err := readEvent(events, j.holding)
 		if len(event) > 0 && err == nil {
 			if j.f.Origins != nil && changed(version, assignment.Endpoint().Version()) {
 				j.reason = "endpoint changed its version during the stream"
@@ -137,9 +138,11 @@
 }
 
 // readEvent returns the bytes of an event, including the empty line that ends it. If there
-// is an error, the event is incomplete.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+// is an error, the event is incomplete. Longer events than the buffer are held while they are incomplete.
+func readEvent(r *bufio.Reader, h *enforcer.Holding) ([]byte, error) {
 	var event []byte
+	held := 0
+	defer func() { h.Return(held) }()
 	// hasContent is set once the event has a line that is not empty, and inLine while a line is longer
 	// than the buffer.
 	var hasContent, inLine bool
@@ -148,6 +151,12 @@
 		if len(event)+len(line) > maxEventBytes {
 			return event, errEventTooLong
 		}
+		if len(event) > relayBuffer {
+			if err := h.Reserve(len(line)); err != nil {
+				return event, err
+			}
+			held += len(line)
+		}
 		event = append(event, line...)
 		if err != nil && err != bufio.ErrBufferFull {
 			return event, err
