Metadata of calls between processes and handshakes are bounded

Cause: gRPC's defaults allow 16 MiB of metadata, and 120 s until a new connection has sent its preface and settings. A peer in trouble could take that much memory for each connection, or hold descriptors with connections on which nothing comes.

Other bytes that are no calls were bounded before, through relays too (TestBytesWithoutEndThroughARelayAreBounded).

--- a/messenger/link.go
+++ b/messenger/link.go
@@ -42,6 +42,11 @@
 	// maxLinkMessageBytes is the maximum size of a message. A configuration of thousands of routes
 	// fits.
 	maxLinkMessageBytes = 32 << 20
+	// maxLinkHeaderBytes is the maximum size of the metadata of a call or an answer.
+	maxLinkHeaderBytes = 64 << 10
+	// linkHandshakeTimeout bounds the time until a new connection to a server has sent its settings. It is
+	// longer than a client tries to connect.
+	linkHandshakeTimeout = 5 * time.Second
 )
 
 // DialFunc opens a TCP connection to an address.
@@ -118,6 +123,7 @@
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxLinkMessageBytes), grpc.MaxCallSendMsgSize(maxLinkMessageBytes)),
 		grpc.WithReadBufferSize(linkBufferBytes), grpc.WithWriteBufferSize(linkBufferBytes), grpc.WithSharedWriteBuffer(true),
+		grpc.WithMaxHeaderListSize(maxLinkHeaderBytes),
 		grpc.WithDisableServiceConfig(),
 	)
 	if err != nil {
@@ -308,5 +314,6 @@
 	return grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxLinkMessageBytes), grpc.MaxSendMsgSize(maxLinkMessageBytes),
 		grpc.ReadBufferSize(linkBufferBytes), grpc.WriteBufferSize(linkBufferBytes), grpc.SharedWriteBuffer(true),
+		grpc.MaxHeaderListSize(maxLinkHeaderBytes), grpc.ConnectionTimeout(linkHandshakeTimeout),
 	)
 }
