--- a/steward/loss_simulation_test.go
+++ b/steward/loss_simulation_test.go
@@ -15,7 +15,10 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"rattanhoist.example/rattanhoist/committer"
+	"rattanhoist.example/rattanhoist/governor"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/replicator"
 	"rattanhoist.example/rattanhoist/storer"
@@ -45,36 +48,77 @@
 // errPowerLost ends a step whose rows were not yet synced.
 var errPowerLost = errors.New("power lost")
 
-// idMachine is the state machine of the simulation: the numbers of the changes, in order.
-type idMachine struct{ ids []uint64 }
+// numberedMachine is the state of a keeper, with the numbers of the changes that led to it.
+type numberedMachine struct {
+	ids   []uint64
+	state *governor.StateMachine
+}
 
 // Apply returns the position of the change.
-func (m *idMachine) Apply(_ uint64, data []byte) any {
+func (m *numberedMachine) Apply(index uint64, data []byte) any {
 	m.ids = append(m.ids, binary.BigEndian.Uint64(data))
+	m.state.Apply(index, data[8:])
 	return len(m.ids)
 }
 
-func (m *idMachine) Snapshot() []byte {
-	var out []byte
+func (m *numberedMachine) Snapshot() []byte {
+	out := binary.BigEndian.AppendUint64(nil, uint64(len(m.ids)))
 	for _, id := range m.ids {
 		out = binary.BigEndian.AppendUint64(out, id)
 	}
-	return out
+	return append(out, m.state.Snapshot()...)
 }
 
-func (m *idMachine) Restore(_ uint64, b []byte) error {
+func (m *numberedMachine) Restore(index uint64, b []byte) error {
 	m.ids = nil
-	for ; len(b) > 0; b = b[8:] {
+	n := binary.BigEndian.Uint64(b)
+	for b = b[8:]; n > 0; n-- {
 		m.ids = append(m.ids, binary.BigEndian.Uint64(b))
+		b = b[8:]
+	}
+	return m.state.Restore(index, b)
+}
+
+// lossChange returns a change of the fleet's state: a document with a higher total, a claim of rights, the
+// leave of an endpoint, or the evacuation or return of a zone.
+func lossChange(id uint64, size int) *messenger.FleetChange {
+	switch id % 4 {
+	case 0:
+		return &messenger.FleetChange{Body: &messenger.FleetChange_Document{Document: &messenger.DocumentChange{
+			Number: id, Content: bytes.Repeat([]byte{byte(id)}, size), Totals: []*messenger.PrepaidTotal{{Workspace: "w", Tokens: int64(id) * 100}},
+		}}}
+	case 1:
+		return &messenger.FleetChange{Body: &messenger.FleetChange_Rights{Rights: &messenger.RightsChange{
+			Router: "r", Incarnation: 1, Sequence: id, Claims: []*messenger.RightsClaim{{Workspace: "w", Urgent: 10}},
+		}}}
+	case 2:
+		return &messenger.FleetChange{Body: &messenger.FleetChange_Leave{Leave: &messenger.LeaveChange{Endpoint: fmt.Sprint("i-", id), BornMs: int64(id)}}}
+	default:
+		return &messenger.FleetChange{Body: &messenger.FleetChange_Evacuation{Evacuation: &messenger.EvacuationChange{
+			Zone: fmt.Sprint("zone-", id%5), Withdrawn: id%3 == 0,
+		}}}
 	}
-	return nil
+}
+
+// summary returns what a state tells.
+func summary(t *testing.T, g *governor.StateMachine) string {
+	t.Helper()
+	left, complete := g.Leaves().Since(0)
+	if !complete {
+		t.Fatal("leaves were dropped")
+	}
+	var ids []string
+	for _, l := range left {
+		ids = append(ids, l.Incarnation.String())
+	}
+	return fmt.Sprint(g.Document().Number(), len(g.Document().Content()), g.Ledger().TotalPrepaid(), g.Ledger().Unallocated("w"), g.Evacuations().Zones(), ids)
 }
 
 // lossKeeper is one keeper with a store in a file.
 type lossKeeper struct {
 	name, dir string
 	core      *replicator.Core
-	machine   *idMachine
+	machine   *numberedMachine
 	store     *storer.Store
 	close     func() error
 	pending   committer.PendingCalls[committer.Outcome]
@@ -118,6 +162,7 @@
 	network []lossMessage
 	answers []lossAnswer
 	ids     uint64
+	changes map[uint64][]byte
 	// acknowledged maps changes to their positions.
 	acknowledged map[uint64]int
 	// floor is the highest index that an acknowledged change may have.
@@ -135,7 +180,7 @@
 
 func newLossSimulation(t *testing.T, seed uint64) *lossSimulation {
 	s := &lossSimulation{
-		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 11)), acknowledged: map[uint64]int{},
+		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 11)), acknowledged: map[uint64]int{}, changes: map[uint64][]byte{},
 		leaders: map[uint64]replicator.Member{}, began: time.Now(),
 	}
 	s.compact = []int{8, 32, 256}[s.rand.IntN(3)]
@@ -180,7 +225,7 @@
 	if err != nil {
 		s.fail("%s does not start: %v", k.name, err)
 	}
-	k.store, k.close, k.machine = store, closeStore, &idMachine{}
+	k.store, k.close, k.machine = store, closeStore, &numberedMachine{state: governor.New()}
 	k.pending = committer.NewPendingCalls(func(o committer.Outcome) committer.Outcome { return o })
 	k.core = replicator.NewCore(replicator.Options{
 		Name: k.name, Peers: s.peersOf(k), Voters: 2*maxLostDisks + 1,
@@ -316,8 +361,12 @@
 	var out []replicator.Event
 	for s.rand.IntN(25) == 0 {
 		s.ids++
-		data := binary.BigEndian.AppendUint64(nil, s.ids)
-		data = append(data, bytes.Repeat([]byte{byte(s.ids)}, s.rand.IntN(5000))...)
+		change, err := proto.Marshal(lossChange(s.ids, s.rand.IntN(20_000)))
+		if err != nil {
+			s.fail("%v", err)
+		}
+		data := append(binary.BigEndian.AppendUint64(nil, s.ids), change...)
+		s.changes[s.ids] = change
 		done := make(chan committer.Outcome, 1)
 		s.answers = append(s.answers, lossAnswer{id: s.ids, done: done})
 		out = append(out, replicator.Propose{Ticket: k.pending.Add(done), Data: data})
@@ -747,6 +796,7 @@
 		if k.running && k.core.Ready() && len(k.machine.ids) < len(s.longest) {
 			s.fail("%s leads with %d changes of %d", k.name, len(k.machine.ids), len(s.longest))
 		}
+		s.checkState(k)
 	}
 	s.run(lossCatchUp + replaceVoterAfter)
 	for _, k := range s.keepers {
@@ -756,6 +806,17 @@
 	}
 }
 
+// checkState checks that a keeper's state is what its changes lead to.
+func (s *lossSimulation) checkState(k *lossKeeper) {
+	want := governor.New()
+	for i, id := range k.machine.ids {
+		want.Apply(uint64(i+1), s.changes[id])
+	}
+	if got, want := summary(s.t, k.machine.state), summary(s.t, want); got != want {
+		s.fail("%s tells %s, acknowledged was %s", k.name, got, want)
+	}
+}
+
 func lossSeeds(t *testing.T) (first, n uint64) {
 	n = defaultLossSeeds
 	for name, v := range map[string]*uint64{"LOSS_FIRST_SEED": &first, "LOSS_SEEDS": &n} {
