A spare's announcements are logged once

What operators would see: five lines a second for ever at each keeper, where there are spares. Found in review. Cause: a keeper that does not vote announces itself every 0.3 s as long as it runs, and each announcement was logged. Change: a line is written where the disk, its deployment, the leader or the keeper's own role differ from the last one.

--- a/steward/steward.go
+++ b/steward/steward.go
@@ -96,6 +96,7 @@
 	scarce            map[string]bool
 	balancesCheckedAt time.Time
 	announcementLog   *zap.Logger
+	announcements     announcements
 	// nonVoterLoggedAt is used by shareObservations only.
 	nonVoterLoggedAt time.Time
 }
@@ -119,6 +120,7 @@
 	s.peers = newPeerLinks(n.Internal(), n.Seeds(), newLink, s.setPeers)
 	s.registry = newRegistry(n.Heartbeat())
 	s.registry.log = reporter.Sampled(log, maxConflictLogLines)
+	s.announcements.last = map[string]announcement{}
 	s.announcementLog = reporter.Sampled(log, maxAnnouncementLogLines)
 	s.quarantines = newQuarantineTracker(n.Quarantine(), n.Features().PartQuarantine)
 	s.loop, err = committer.New(committer.Options{
