A distant disk is added to a busy log

What operators would see: a keeper that lost its disk does not come back while changes are committed. Found in review. Cause: a disk had to hold everything that was committed at the very heartbeat. One that answers later than the majority never does in a busy log: 20 changes a second suffice at 20 ms one way with 5 ms elsewhere. Change: it has to hold what was committed at the heartbeat before. A voter is no less safe for being behind.

--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -60,6 +60,8 @@
 	confirmedRound uint64
 	confirmedAt    time.Time
 	heartbeatAt    time.Time
+	// heartbeatCommit is the commit index at the previous heartbeat.
+	heartbeatCommit uint64
 	// broadcastDue requests a broadcast at the end of the step.
 	broadcastDue bool
 }
@@ -69,7 +71,7 @@
 	c.leader = c.self
 	c.leaderState = leaderState{
 		progress: map[Member]*progress{}, proposals: map[uint64]Ticket{},
-		confirmedAt: c.now, firstIndex: c.log.last() + 1,
+		confirmedAt: c.now, firstIndex: c.log.last() + 1, heartbeatCommit: c.commit,
 	}
 	c.trackMembers()
 	c.appendLeaderEntry(&messenger.LogEntry{Kind: messenger.LogEntryKind_LOG_ENTRY_KIND_NOOP})
@@ -141,6 +143,7 @@
 	c.leaderState.heartbeatAt = c.now
 	c.leaderState.broadcastDue = true
 	c.repairMembership()
+	c.leaderState.heartbeatCommit = c.commit
 }
 
 // trackMembers creates progress for every voter except the leader.
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -120,12 +120,13 @@
 	return false
 }
 
-// isCaughtUp reports whether a disk that is not a voter has all committed
-// entries. The disk must have answered a round since tracking began, so that
+// isCaughtUp reports whether a disk that is not a voter has all entries that
+// were committed at the previous heartbeat. In a busy log, the answers of a
+// distant or slow disk are always behind the majority's. The disk must have answered a round since tracking began, so that
 // late messages from a lost disk do not add it again.
 func (c *Core) isCaughtUp(l Member) bool {
 	p := c.leaderState.progress[l]
-	return !slices.Contains(c.log.voters, l) && c.isResponsive(p) && p.round > p.trackedRound && p.match >= c.commit
+	return !slices.Contains(c.log.voters, l) && c.isResponsive(p) && p.round > p.trackedRound && p.match >= c.leaderState.heartbeatCommit
 }
 
 // promoteLearner takes the next step towards making a learner a voter, and
