A new leader does not take silent voters for answering ones

What operators would see: an acknowledged configuration that cannot be read after two disks were lost, when the leader had changed while a machine was being replaced. Found in review. Cause: a new leader counted every voter as heard at its election. It waited for the whole time of silence again, so that a removed machine voted beyond catch_up_s; and for 0.6 s it knew no silent one, so that of six voters it removed a living one. Change: a voter has answered once it has answered this leader. One that never did is replaced after half of the time; of a surplus, a voter that does not answer goes first, once all had the time of an election to answer. What a leader that has just started does not know by name is removed after that time only, as before.

--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -19,7 +19,8 @@
 	// not answer.
 	next uint64
 	// round is the latest broadcast round that the member answered.
-	round   uint64
+	round uint64
+	// ackedAt is when the member last answered this leader, or the zero time.
 	ackedAt time.Time
 	// ackedSinceHeartbeat is reset at every heartbeat.
 	ackedSinceHeartbeat bool
@@ -150,7 +151,7 @@
 func (c *Core) trackMembers() {
 	for _, v := range c.log.voters {
 		if v != c.self && c.leaderState.progress[v] == nil {
-			c.leaderState.progress[v] = &progress{next: c.log.last() + 1, trackedAt: c.now, ackedAt: c.now}
+			c.leaderState.progress[v] = &progress{next: c.log.last() + 1, trackedAt: c.now}
 		}
 	}
 }
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"rattanhoist.example/rattanhoist/messenger"
 )
@@ -155,18 +156,33 @@
 	return n == c.options.Voters && slices.ContainsFunc(c.log.voters, c.isReplaceable) && c.responsiveVoters()+1 > (n+1)/2
 }
 
-// isReplaceable reports whether a voter was silent for longer than
-// the Replace timeout.
+// isReplaceable reports whether a voter was silent for longer than the Replace
+// timeout. A leader does not know how long a voter was silent before it was
+// elected, so half of the timeout is enough for one that never answered it.
 func (c *Core) isReplaceable(v Member) bool {
 	p := c.leaderState.progress[v]
-	return p != nil && c.now.Sub(p.ackedAt) > c.options.Timing.Replace
+	switch {
+	case p == nil:
+		return false
+	case p.ackedAt.IsZero():
+		return c.silence(p) > max(c.options.Timing.Replace/2, c.options.Timing.ElectionTimeout)
+	}
+	return c.silence(p) > c.options.Timing.Replace
 }
 
 // canRemove reports whether a voter is silent and the responsive voters form a
 // majority without it. Otherwise its removal could not be committed.
 func (c *Core) canRemove(v Member) bool {
 	p := c.leaderState.progress[v]
-	return p != nil && !c.isResponsive(p) && c.responsiveVoters() > (len(c.log.voters)-1)/2
+	return p != nil && c.silence(p) >= c.options.Timing.ElectionTimeout && c.responsiveVoters() > (len(c.log.voters)-1)/2
+}
+
+// silence returns for how long a member has not answered this leader.
+func (c *Core) silence(p *progress) time.Duration {
+	if p.ackedAt.IsZero() {
+		return c.now.Sub(p.trackedAt)
+	}
+	return c.now.Sub(p.ackedAt)
 }
 
 func (c *Core) isResponsive(p *progress) bool {
--- a/replicator/zones.go
+++ b/replicator/zones.go
@@ -51,18 +51,25 @@
 }
 
 // removeSurplusVoter removes a voter if there are more than configured, and
-// reports whether it did: one that was silent for long, or else one of the zone
-// with most voters. The leader stays.
+// reports whether it did: one that does not answer, or else one of the zone with
+// most voters. The leader stays. A new leader waits for the answers first.
 func (c *Core) removeSurplusVoter() bool {
-	if len(c.log.voters) <= c.options.Voters {
+	if len(c.log.voters) <= c.options.Voters || slices.ContainsFunc(c.log.voters, c.isAwaited) {
 		return false
 	}
 	voters := c.votersByZone()
 	most := maxCount(voters)
-	return c.removeVoterIf(c.isReplaceable) ||
+	return c.removeVoterIf(func(v Member) bool { return !c.isResponsiveVoter(v) }) ||
 		c.removeVoterIf(func(v Member) bool { return voters == nil || voters[c.zone(v)] >= most })
 }
 
+// isAwaited reports whether a voter may still answer this leader for the first
+// time.
+func (c *Core) isAwaited(v Member) bool {
+	p := c.leaderState.progress[v]
+	return p != nil && p.ackedAt.IsZero() && c.silence(p) < c.options.Timing.ElectionTimeout
+}
+
 // removeVoterIf removes the last voter for which f is true, and reports whether
 // it did. The voters left that answer must be a majority.
 func (c *Core) removeVoterIf(f func(Member) bool) bool {
