--- a/replicator/zones.go
+++ b/replicator/zones.go
@@ -52,9 +52,11 @@
 
 // removeSurplusVoter removes a voter if there are more than configured, and
 // reports whether it did: one that does not answer, or else one of the zone with
-// most voters. The leader stays. A new leader waits for the answers first.
+// most voters. The leader stays. A new leader waits until all but the surplus
+// have answered.
 func (c *Core) removeSurplusVoter() bool {
-	if len(c.log.voters) <= c.options.Voters || slices.ContainsFunc(c.log.voters, c.isAwaited) {
+	surplus := len(c.log.voters) - c.options.Voters
+	if surplus <= 0 || c.awaitedVoters() > surplus {
 		return false
 	}
 	voters := c.votersByZone()
@@ -63,11 +65,17 @@
 		c.removeVoterIf(func(v Member) bool { return voters == nil || voters[c.zone(v)] >= most })
 }
 
-// isAwaited reports whether a voter may still answer this leader for the first
-// time.
-func (c *Core) isAwaited(v Member) bool {
-	p := c.leaderState.progress[v]
-	return p != nil && p.ackedAt.IsZero() && c.silence(p) < c.options.Timing.ElectionTimeout
+// awaitedVoters returns how many voters may still answer this leader for the
+// first time.
+func (c *Core) awaitedVoters() int {
+	n := 0
+	for _, v := range c.log.voters {
+		p := c.leaderState.progress[v]
+		if p != nil && p.ackedAt.IsZero() && c.silence(p) < c.options.Timing.ElectionTimeout {
+			n++
+		}
+	}
+	return n
 }
 
 // removeVoterIf removes the last voter for which f is true, and reports whether
