Tests of keepers in virtual time use connections in memory without timers

Change: a connection in memory of two buffers, without deadlines, for the tests of rejoining keepers.

--- a/steward/rejoin_test.go
+++ b/steward/rejoin_test.go
@@ -18,7 +18,6 @@
 
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
-	"google.golang.org/grpc/test/bufconn"
 
 	"rattanhoist.example/rattanhoist/governor"
 	"rattanhoist.example/rattanhoist/loader"
@@ -32,21 +31,18 @@
 	silentTimeout = rejoinTimeout / replaceDivisor
 )
 
-// connectionBufferBytes is the buffer of a connection between two keepers.
-const connectionBufferBytes = 64 << 10
-
 // memoryNetwork connects keepers in one process, by their internal addresses.
 type memoryNetwork struct {
 	mu        sync.Mutex
-	listeners map[string]*bufconn.Listener
+	listeners map[string]*memoryListener
 	// silent is set if a keeper that does not run sends no resets: connections to it hang.
 	silent bool
 }
 
-func (m *memoryNetwork) listen(address string) *bufconn.Listener {
+func (m *memoryNetwork) listen(address string) *memoryListener {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	l := bufconn.Listen(connectionBufferBytes)
+	l := newMemoryListener()
 	m.listeners[address] = l
 	return l
 }
@@ -62,7 +58,7 @@
 		if l == nil {
 			return nil, syscall.ECONNREFUSED
 		}
-		return l.DialContext(ctx)
+		return l.Dial()
 	})
 }
 
@@ -83,7 +79,7 @@
 	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
 		q := &quorum{
-			t: t, g: gomega.NewWithT(t), dir: dir, network: &memoryNetwork{listeners: map[string]*bufconn.Listener{}},
+			t: t, g: gomega.NewWithT(t), dir: dir, network: &memoryNetwork{listeners: map[string]*memoryListener{}},
 			running: map[int]*Keeper{}, halts: map[int]func(){}, cleanUps: map[int]func(){},
 		}
 		defer q.stopAll()
--- a/steward/successor_test.go
+++ b/steward/successor_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/onsi/gomega"
-	"google.golang.org/grpc/test/bufconn"
 )
 
 // silentConn is a connection that hangs once its peer is gone.
@@ -48,7 +47,7 @@
 		l := m.listeners[address]
 		m.mu.Unlock()
 		if l != nil {
-			c, err := l.DialContext(ctx)
+			c, err := l.Dial()
 			if err == nil {
 				return &silentConn{Conn: c, closed: make(chan struct{})}, nil
 			}
@@ -64,7 +63,7 @@
 // newQuorum returns a quorum of which no keeper runs.
 func newQuorum(t *testing.T, dir string, silent bool) *quorum {
 	return &quorum{
-		t: t, g: gomega.NewWithT(t), dir: dir, network: &memoryNetwork{listeners: map[string]*bufconn.Listener{}, silent: silent},
+		t: t, g: gomega.NewWithT(t), dir: dir, network: &memoryNetwork{listeners: map[string]*memoryListener{}, silent: silent},
 		running: map[int]*Keeper{}, halts: map[int]func(){}, cleanUps: map[int]func(){},
 	}
 }
