--- a/steward/rejoin_test.go
+++ b/steward/rejoin_test.go
@@ -51,7 +51,7 @@
 	if m.silent {
 		return messenger.NewLinkWithDialer(address, m.dialSilent)
 	}
-	return messenger.NewLinkWithDialer(address, func(ctx context.Context, address string) (net.Conn, error) {
+	return messenger.NewLinkWithDialer(address, func(_ context.Context, address string) (net.Conn, error) {
 		m.mu.Lock()
 		l := m.listeners[address]
 		m.mu.Unlock()
