--- a/review/fleet/founding.go
+++ b/review/fleet/founding.go
@@ -41,7 +41,7 @@
 			return false, err
 		}
 	}
-	w, err := r.startWorker("i-1", nodes)
+	w, err := r.startWorker("i-1", 1, nodes)
 	if err != nil {
 		return false, err
 	}
--- a/review/fleet/sameid.go
+++ b/review/fleet/sameid.go
@@ -20,23 +20,23 @@
 	cut     *cut
 }
 
-// startWorker starts a worker in the first zone. Routers reach it, and it reaches control, through proxies.
-func (r *run) startWorker(id string, control []*machine) (*runningWorker, error) {
+// startWorker starts a worker in a zone. Routers reach it, and it reaches control, through proxies.
+func (r *run) startWorker(id string, zone int, control []*machine) (*runningWorker, error) {
 	w := &runningWorker{run: r, id: id, cut: &cut{}}
-	listen := fmt.Sprintf("%s:%d", r.ip(0, 21), r.front)
-	p, err := newProxy(fmt.Sprintf("%s:%d", r.ip(0, 22), r.front), listen, w.cut)
+	listen := fmt.Sprintf("%s:%d", r.ip(zone, 21), r.front)
+	p, err := newProxy(fmt.Sprintf("%s:%d", r.ip(zone, 22), r.front), listen, w.cut)
 	if err != nil {
 		return nil, err
 	}
 	var nodes []string
 	for i, m := range control {
-		c, err := newProxy(fmt.Sprintf("%s:%d", r.ip(0, 31+i), r.control), m.controlAddress(), w.cut)
+		c, err := newProxy(fmt.Sprintf("%s:%d", r.ip(zone, 31+i), r.control), m.controlAddress(), w.cut)
 		if err != nil {
 			return nil, err
 		}
 		nodes = append(nodes, c.address())
 	}
-	w.args = []string{"worker", "-id", id, "-listen", listen, "-address", p.address(), "-zone", zones[0], "-control", strings.Join(nodes, ",")}
+	w.args = []string{"worker", "-id", id, "-listen", listen, "-address", p.address(), "-zone", zones[zone], "-control", strings.Join(nodes, ",")}
 	return w, w.start()
 }
 
@@ -62,10 +62,10 @@
 	crashDelay   = 100 * time.Millisecond
 	restartDelay = 500 * time.Millisecond
 	cutTime      = 1500 * time.Millisecond
-	requests     = unframedOf
+	requests     = 90
 )
 
-// sameID ends a worker behind a cut under answers without a length. It starts again under its id.
+// sameID ends one of three workers behind a cut under answers without a length. It starts again under its id.
 func sameID(r *run) (held bool, err error) {
 	keepers, routers := r.machines()
 	for _, m := range slices.Concat(keepers, routers) {
@@ -76,11 +76,14 @@
 	if err := r.publish(keepers, 1, 20*time.Second); err != nil {
 		return false, err
 	}
-	w, err := r.startWorker("i-7f3a91c2", keepers)
-	if err != nil {
-		return false, err
+	var workers []*runningWorker
+	for z := range zones {
+		w, err := r.startWorker(fmt.Sprintf("i-7f3a91c%d", z), z, keepers)
+		if err != nil {
+			return false, err
+		}
+		workers = append(workers, w)
 	}
-	defer w.stop()
 	if err := r.awaitService(routers); err != nil {
 		return false, err
 	}
@@ -89,7 +92,7 @@
 	for i := range requests {
 		for j, path := range []string{plainPath, eventPath} {
 			all.Go(func() {
-				id := fmt.Sprintf("%016x", 1000+10*i+j)
+				id := fmt.Sprintf("%016x", 1000*(j+1)+i)
 				r.note("request %s %s sent to %s", id, path, routers[i%len(routers)].name)
 				answers <- request(routers[i%len(routers)], path, id, 10*time.Second)
 			})
@@ -97,7 +100,7 @@
 	}
 	time.Sleep(underWay)
 	if r.trouble {
-		if err := w.reborn(); err != nil {
+		if err := workers[0].reborn(); err != nil {
 			return false, err
 		}
 	}
@@ -144,7 +147,7 @@
 func (r *run) awaitService(routers []*machine) error {
 	for i, m := range routers {
 		for n := 0; ; n++ {
-			a := request(m, plainPath, fmt.Sprintf("%016x", 100+100*i+n), 3*time.Second)
+			a := request(m, plainPath, fmt.Sprintf("%016x", 101+100*i+n), 3*time.Second)
 			if a.err == nil && a.status == 200 {
 				break
 			}
--- a/review/fleet/worker.go
+++ b/review/fleet/worker.go
@@ -10,7 +10,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -38,18 +37,18 @@
 
 func event(i int) string { return fmt.Sprintf("id: %d\ndata: %060d\n\n", i+1, i+1) }
 
-// unframedOf is how many answers of a kind there are for one that has no length and ends with its connection.
+// unframedOf is how many requests there are for one whose answer has no length and ends with its connection.
 const unframedOf = 20
 
-// worker is a stand-in of a worker.
-type worker struct {
-	id string
-
-	mu sync.Mutex
-	// runs counts the requests of each kind.
-	runs map[string]int
+// unframed reports whether the answer to a request has no length.
+func unframed(id string) bool {
+	n, err := strconv.ParseUint(id, 16, 64)
+	return err == nil && n%unframedOf == 0
 }
 
+// worker is a stand-in of a worker.
+type worker struct{ id string }
+
 // serveWorker runs a worker process.
 func serveWorker(args []string) error {
 	f := flag.NewFlagSet("worker", flag.ContinueOnError)
@@ -65,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	w := &worker{id: *id, runs: map[string]int{}}
+	w := worker{id: *id}
 	go w.announce(strings.Split(*control, ","), *address, *zone)
 	for {
 		c, err := l.Accept()
@@ -77,7 +76,7 @@
 }
 
 // announce sends a heartbeat in each interval. A control node that does not answer is followed by the next.
-func (w *worker) announce(control []string, address, zone string) {
+func (w worker) announce(control []string, address, zone string) {
 	born := time.Now().UnixMilli()
 	for sequence := 1; ; sequence++ {
 		b, _ := json.Marshal(map[string]any{
@@ -95,7 +94,7 @@
 }
 
 // serve answers one request and closes the connection.
-func (w *worker) serve(c net.Conn) {
+func (w worker) serve(c net.Conn) {
 	defer c.Close()
 	q, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
@@ -112,16 +111,8 @@
 	w.run(c, q, q.Header.Get("Rattanhoist-Request-Id"))
 }
 
-// unframed counts a request, and reports whether its answer has no length.
-func (w *worker) unframed(kind string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.runs[kind]++
-	return w.runs[kind]%unframedOf == 0
-}
-
 // run answers a request in parts.
-func (w *worker) run(c net.Conn, q *http.Request, id string) {
+func (w worker) run(c net.Conn, q *http.Request, id string) {
 	kind, body := "text/plain", wholeBody(q.URL.Path, id)
 	parts, pause := []string{body[:len(body)/2], body[len(body)/2:]}, halfTime
 	if strings.HasPrefix(q.URL.Path, eventPath) {
@@ -129,7 +120,7 @@
 		parts[len(parts)-1] += "\n\n"
 	}
 	framing := "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
-	if w.unframed(kind) {
+	if unframed(id) {
 		framing = ""
 	}
 	w.log("begins", q, id, framing)
@@ -144,6 +135,6 @@
 }
 
 // log writes what the worker runs, with its process, to its log.
-func (w *worker) log(what string, q *http.Request, id, framing string) {
+func (w worker) log(what string, q *http.Request, id, framing string) {
 	fmt.Printf("%s  worker %s, process %d, %s request %s %s, length stated %v\n", time.Now().Format("15:04:05.000"), w.id, os.Getpid(), what, id, q.URL.Path, framing != "")
 }
