--- a/review/fleet/founding.go
+++ b/review/fleet/founding.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"time"
 )
@@ -9,14 +10,17 @@
 const (
 	// startSpread is the most time between the starts of two machines at the first start.
 	startSpread = 300 * time.Millisecond
-	// successorDelay is the time until an empty machine comes for one that is gone for good.
-	successorDelay = time.Second
+	// successorDelay is the time until an empty machine comes for one that is gone for good, and
+	// processRestartDelay that until the platform starts a killed process again.
+	successorDelay      = time.Second
+	processRestartDelay = 500 * time.Millisecond
 	// foundingTime is how long the operator tries: many times ack_timeout_ms, which is 4 s.
 	foundingTime = 60 * time.Second
 	serviceTime  = 20 * time.Second
 )
 
-// founding loses one of three machines with a disk for good at the first start, and adds its successor.
+// founding loses one of three machines with a disk for good at the first start, and adds its successor. With
+// VARIANT=restart its process is killed only, and started again with its disk.
 func founding(r *run) (held bool, err error) {
 	keepers, routers := r.machines()
 	lost := keepers[0]
@@ -24,9 +28,11 @@
 		return false, err
 	}
 	time.Sleep(startSpread)
-	nodes := keepers
+	nodes, restart := keepers, os.Getenv("VARIANT") == "restart"
 	if r.trouble {
 		lost.kill()
+	}
+	if r.trouble && !restart {
 		successor := &machine{run: r, name: "core-" + zones[0] + "-2", role: "keeper", zone: 0, host: 2, seeds: keepers}
 		nodes = []*machine{keepers[1], keepers[2], successor}
 	}
@@ -35,11 +41,16 @@
 			return false, err
 		}
 	}
-	if r.trouble {
+	switch {
+	case r.trouble && restart:
+		time.Sleep(processRestartDelay)
+		err = lost.start(false)
+	case r.trouble:
 		time.Sleep(successorDelay)
-		if err := nodes[2].start(false); err != nil {
-			return false, err
-		}
+		err = nodes[2].start(false)
+	}
+	if err != nil {
+		return false, err
 	}
 	w, err := r.startWorker("i-1", 1, nodes)
 	if err != nil {
