--- a/review/fleet/founding.go
+++ b/review/fleet/founding.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// startSpread is the most time between the starts of two machines at the first start.
-	startSpread = 300 * time.Millisecond
+	// startSpread is the time between the starts of the first machine and the others. The pages allow 300 ms
+	// between any two.
+	startSpread = 200 * time.Millisecond
 	// successorDelay is the time until an empty machine comes for one that is gone for good, and
 	// processRestartDelay that until the platform starts a killed process again.
 	successorDelay      = time.Second
@@ -29,9 +30,6 @@
 	}
 	time.Sleep(startSpread)
 	nodes, restart := keepers, os.Getenv("VARIANT") == "restart"
-	if r.trouble {
-		lost.kill()
-	}
 	if r.trouble && !restart {
 		successor := &machine{run: r, name: "core-" + zones[0] + "-2", role: "keeper", zone: 0, host: 2, seeds: keepers}
 		nodes = []*machine{keepers[1], keepers[2], successor}
@@ -41,6 +39,9 @@
 			return false, err
 		}
 	}
+	if r.trouble {
+		lost.kill()
+	}
 	switch {
 	case r.trouble && restart:
 		time.Sleep(processRestartDelay)
--- a/review/fleet/run.go
+++ b/review/fleet/run.go
@@ -181,6 +181,9 @@
 		"bounds.retry_budget_ratio": "0.2", "bounds.budget_slack": "52", "bounds.budget_window_s": "10",
 		"bounds.ack_timeout_ms": "4000", "bounds.config_apply_ms": "2000",
 	}
+	if m.role == "router" {
+		v["limits.memory_mb"], v["limits.cpu_share"] = "134", "0.4"
+	}
 	if m.role == "keeper" {
 		v["listen.control_addr"], v["data_dir"] = m.controlAddress(), filepath.Join(m.run.dir, m.name+".data")
 	} else {
--- a/review/fleet/sameid.go
+++ b/review/fleet/sameid.go
@@ -21,7 +21,7 @@
 }
 
 // startWorker starts a worker in a zone. Routers reach it, and it reaches control, through proxies.
-func (r *run) startWorker(id string, zone int, control []*machine) (*runningWorker, error) {
+func (r *run) startWorker(id string, zone int, control []*machine, flags ...string) (*runningWorker, error) {
 	w := &runningWorker{run: r, id: id, cut: &cut{}}
 	listen := fmt.Sprintf("%s:%d", r.ip(zone, 21), r.front)
 	p, err := newProxy(fmt.Sprintf("%s:%d", r.ip(zone, 22), r.front), listen, w.cut)
@@ -36,7 +36,7 @@
 		}
 		nodes = append(nodes, c.address())
 	}
-	w.args = []string{"worker", "-id", id, "-listen", listen, "-address", p.address(), "-zone", zones[zone], "-control", strings.Join(nodes, ",")}
+	w.args = append([]string{"worker", "-id", id, "-listen", listen, "-address", p.address(), "-zone", zones[zone], "-control", strings.Join(nodes, ",")}, flags...)
 	return w, w.start()
 }
 
@@ -62,7 +62,7 @@
 	crashDelay   = 100 * time.Millisecond
 	restartDelay = 500 * time.Millisecond
 	cutTime      = 1500 * time.Millisecond
-	requests     = 90
+	requests     = 75
 )
 
 // sameID ends one of three workers behind a cut under answers without a length. It starts again under its id.
@@ -78,7 +78,11 @@
 	}
 	var workers []*runningWorker
 	for z := range zones {
-		w, err := r.startWorker(fmt.Sprintf("i-7f3a91c%d", z), z, keepers)
+		var flags []string
+		if z == 0 {
+			flags = []string{"-garbles"}
+		}
+		w, err := r.startWorker(fmt.Sprintf("i-7f3a91c%d", z), z, keepers, flags...)
 		if err != nil {
 			return false, err
 		}
--- a/review/fleet/worker.go
+++ b/review/fleet/worker.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,17 +39,17 @@
 
 func event(i int) string { return fmt.Sprintf("id: %d\ndata: %060d\n\n", i+1, i+1) }
 
-// unframedOf is how many requests there are for one whose answer has no length and ends with its connection.
+// unframedOf is how many answers there are for one that has no length and ends with its connection.
 const unframedOf = 20
 
-// unframed reports whether the answer to a request has no length.
-func unframed(id string) bool {
-	n, err := strconv.ParseUint(id, 16, 64)
-	return err == nil && n%unframedOf == 0
-}
-
 // worker is a stand-in of a worker.
-type worker struct{ id string }
+type worker struct {
+	id string
+	// garbles is set if one answer in unframedOf has no length.
+	garbles bool
+	// runs counts the requests.
+	runs atomic.Int64
+}
 
 // serveWorker runs a worker process.
 func serveWorker(args []string) error {
@@ -56,6 +58,7 @@
 	listen := f.String("listen", "", "address to listen at")
 	address := f.String("address", "", "address to announce")
 	zone := f.String("zone", "", "availability zone")
+	garbles := f.Bool("garbles", false, "leave the length out of one answer in twenty")
 	control := f.String("control", "", "control addresses, joined by commas")
 	if err := f.Parse(args); err != nil {
 		return err
@@ -64,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	w := worker{id: *id}
+	w := &worker{id: *id, garbles: *garbles}
 	go w.announce(strings.Split(*control, ","), *address, *zone)
 	for {
 		c, err := l.Accept()
@@ -76,7 +79,7 @@
 }
 
 // announce sends a heartbeat in each interval. A control node that does not answer is followed by the next.
-func (w worker) announce(control []string, address, zone string) {
+func (w *worker) announce(control []string, address, zone string) {
 	born := time.Now().UnixMilli()
 	for sequence := 1; ; sequence++ {
 		b, _ := json.Marshal(map[string]any{
@@ -93,26 +96,40 @@
 	}
 }
 
-// serve answers one request and closes the connection.
-func (w worker) serve(c net.Conn) {
+// serve answers the requests of one connection until it ends, or until an answer that ends with it.
+func (w *worker) serve(c net.Conn) {
 	defer c.Close()
-	q, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
-	}
-	if t := q.Header.Get("Rattanhoist-Target-Instance"); t != "" && t != w.id {
-		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRattanhoist-Not-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-		return
+	b := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		if !w.answer(c, q) {
+			return
+		}
 	}
-	if q.URL.Path == "/health" {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRattanhoist-Instance-Id: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", w.id)
-		return
+}
+
+// answer answers a request, and reports whether the connection stays open.
+func (w *worker) answer(c net.Conn, q *http.Request) bool {
+	id := q.Header.Get("Rattanhoist-Request-Id")
+	switch t := q.Header.Get("Rattanhoist-Target-Instance"); {
+	case t != "" && t != w.id:
+		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRattanhoist-Request-Id: %s\r\nRattanhoist-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+		return !q.Close
+	case q.URL.Path == "/health":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRattanhoist-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.id)
+		return !q.Close
 	}
-	w.run(c, q, q.Header.Get("Rattanhoist-Request-Id"))
+	return w.run(c, q, id) && !q.Close
 }
 
-// run answers a request in parts.
-func (w worker) run(c net.Conn, q *http.Request, id string) {
+// run answers a request in parts, and reports whether it stated the length.
+func (w *worker) run(c net.Conn, q *http.Request, id string) bool {
 	kind, body := "text/plain", wholeBody(q.URL.Path, id)
 	parts, pause := []string{body[:len(body)/2], body[len(body)/2:]}, halfTime
 	if strings.HasPrefix(q.URL.Path, eventPath) {
@@ -120,21 +137,26 @@
 		parts[len(parts)-1] += "\n\n"
 	}
 	framing := "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
-	if unframed(id) {
-		framing = ""
+	if w.runs.Add(1)%unframedOf == 0 && w.garbles {
+		framing = "Connection: close\r\n"
 	}
-	w.log("begins", q, id, framing)
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRattanhoist-Request-Id: %s\r\nRattanhoist-Response-Signature: %s\r\nContent-Type: %s\r\n%sConnection: close\r\n\r\n", id, signature, kind, framing)
+	framed := strings.HasPrefix(framing, "Content")
+	w.log("begins", q, id, framed)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRattanhoist-Request-Id: %s\r\nRattanhoist-Response-Signature: %s\r\nContent-Type: %s\r\n%s\r\n", id, signature, kind, framing)
 	for i, part := range parts {
 		if i > 0 {
 			time.Sleep(pause)
 		}
-		fmt.Fprint(c, part)
+		if _, err := fmt.Fprint(c, part); err != nil {
+			w.log("drops", q, id, framed)
+			return false
+		}
 	}
-	w.log("ends", q, id, framing)
+	w.log("ends", q, id, framed)
+	return framed
 }
 
 // log writes what the worker runs, with its process, to its log.
-func (w worker) log(what string, q *http.Request, id, framing string) {
-	fmt.Printf("%s  worker %s, process %d, %s request %s %s, length stated %v\n", time.Now().Format("15:04:05.000"), w.id, os.Getpid(), what, id, q.URL.Path, framing != "")
+func (w *worker) log(what string, q *http.Request, id string, framed bool) {
+	fmt.Printf("%s  worker %s, process %d, %s request %s %s, length stated %v\n", time.Now().Format("15:04:05.000"), w.id, os.Getpid(), what, id, q.URL.Path, framed)
 }
