--- a/courier/brittle_test.go
+++ b/courier/brittle_test.go
@@ -130,7 +130,10 @@
 }
 
 // flood sends requests to each router, 60 a second, until the returned function is called.
-func (f *cluster) flood(routers ...int) (stop func()) {
+func (f *cluster) flood(routers ...int) (stop func()) { return f.floodAt(60, routers...) }
+
+// floodAt sends requests to each router, so many a second, until the returned function is called.
+func (f *cluster) floodAt(perSecond int, routers ...int) (stop func()) {
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, r := range routers {
@@ -141,7 +144,7 @@
 				select {
 				case <-done:
 					return
-				case <-time.After(time.Second / 60):
+				case <-time.After(time.Second / time.Duration(perSecond)):
 				}
 				wg.Add(1)
 				go func() {
