A rejection by a brittle endpoint says what the router believed of its room

Change: predictor.Belief is taken at the choice; 'endpoint had no room' and rattanhoist_rejections_by_belief_total state it.

--- a/courier/brittle_fall_test.go
+++ b/courier/brittle_fall_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/onsi/gomega"
 )
 
@@ -329,13 +330,26 @@
 func (b *brittleFleet) expectFew(name string, tolerated int, work time.Duration, act func()) {
 	// The next brittle times are examined as well if this one fails.
 	g := gomega.NewGomega(func(message string, _ ...int) { b.t.Error(message) })
+	before := rejectionsByBelief()
 	crashes, served := b.brittleRound(tolerated, act)
+	for belief, n := range rejectionsByBelief() {
+		b.t.Logf("%s: %d rejections, sent as %s", name, n-before[belief], belief)
+	}
 	most := float64(len(b.engines)*brittleSlots) / work.Seconds()
 	b.t.Logf("%s: %d crashes, %.0f of %.0f requests a second served", name, crashes, served, most)
 	g.Expect(crashes).To(gomega.BeNumerically("<=", 2+len(b.engines)/10), name)
 	g.Expect(served).To(gomega.BeNumerically(">=", most/2), "%s: half of what the engines can run", name)
 }
 
+// rejectionsByBelief returns the counters of all routers of the process.
+func rejectionsByBelief() map[string]uint64 {
+	out := map[string]uint64{}
+	for _, belief := range []string{"limit_unknown", "load_unknown", "at_risk", "room"} {
+		out[belief] = metrics.GetOrCreateCounter(`rattanhoist_rejections_by_belief_total{sent_as="` + belief + `"}`).Get()
+	}
+	return out
+}
+
 // Guards against endpoints that limit rejections and crash, one after the other, because routers
 // together send them more than they have room for: in steady load, when all endpoints slow down, and
 // when routers stop and start.
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -295,7 +295,7 @@
 		j.f.Fleet.Observe(e, fields.State, sentAt)
 	}
 	if fields.Rejected && e.Warmup().LimitsRejections() {
-		rejectionsWhileLimited.Inc()
+		j.logRejection(assignment)
 	}
 	if fields.NotRun || fields.Misdirected {
 		j.mayHaveRun = mayHaveRunBefore
@@ -305,6 +305,17 @@
 	return j.passAnswer(ctx, a, assignment, version)
 }
 
+// logRejection counts and logs that an endpoint that limits rejections had no room for the request, with
+// what this router knew of it when it sent the request there.
+func (j *job) logRejection(w *predictor.Assignment) {
+	e, b := w.Endpoint(), w.Belief()
+	countRejection(b.Reason())
+	j.f.Log.Info("endpoint had no room", zap.String("request", j.caller.ID), zap.String("endpoint", e.Name()),
+		zap.Float64("tolerated", e.Warmup().RejectionLimit().PerSecond), zap.Int("rejected", e.RecentRejections(time.Now())),
+		zap.String("sent_as", b.Reason()), zap.Bool("load_known", b.LoadKnown), zap.Int("running", b.Load.Running), zap.Int("waiting", b.Load.Waiting),
+		zap.Int("slots", e.Beat().Slots), zap.Duration("load_age", b.LoadAge), zap.Int("own", b.Own), zap.Int("unreported", b.Unreported), zap.Int("routers", j.f.Fleet.Routers()))
+}
+
 // recordTried records that the request was sent to an endpoint.
 func (j *job) recordTried(b enroller.Heartbeat, v enroller.Version) {
 	j.tried = append(j.tried, b.Incarnation)
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -52,6 +52,12 @@
 	refusalsWithRoom = metrics.NewCounter("rattanhoist_admission_refused_with_room_total")
 )
 
+// countRejection counts a rejection by an endpoint that limits them, by why the request was sent there.
+func countRejection(reason string) {
+	rejectionsWhileLimited.Inc()
+	metrics.GetOrCreateCounter(`rattanhoist_rejections_by_belief_total{sent_as="` + reason + `"}`).Inc()
+}
+
 // countEnd counts a final answer; status 0 stands for a caller who disconnected.
 func (j *job) countEnd(status int) {
 	metrics.GetOrCreateCounter(`rattanhoist_answers_total{status="` + strconv.Itoa(status) + `"}`).Inc()
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -140,8 +140,10 @@
 	// routers.
 	reported   Load
 	reportedAt time.Time
-	// rejectedAt is when the endpoint last rejected a request of this router.
+	// rejectedAt is when the endpoint last rejected a request of this router, and rejections holds
+	// the recent ones.
 	rejectedAt time.Time
+	rejections []time.Time
 	// reportedPace is the prefill factor that came with the reported load, or 0, and
 	// paceMeasuredAt when this router last measured its own.
 	reportedPace   float64
@@ -448,6 +450,8 @@
 	predicted   prediction
 	firstByteAt time.Time
 	started     bool
+	// belief is what was known of the endpoint's room at the dispatch.
+	belief Belief
 }
 
 // PredictedFirstEvent returns the time to the first event as predicted at dispatch.
--- a/predictor/plan.go
+++ b/predictor/plan.go
@@ -171,11 +171,12 @@
 	return e.model.BaseLatency() + max(queued, p.transferTime) + e.prefillTime(now, p.uncachedTokens, prompt) + time.Duration(e.activeRequests(now))*perRequestDelay
 }
 
-// assign records the dispatch of a request to the endpoint under a plan.
-func (e *Endpoint) assign(now time.Time, a Request, p plan) *Assignment {
+// assign records the dispatch of a request to the endpoint under a plan. AtRisk is set if the endpoint
+// might reject it.
+func (e *Endpoint) assign(now time.Time, a Request, p plan, atRisk bool) *Assignment {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w := &Assignment{endpoint: e, dispatchedAt: now}
+	w := &Assignment{endpoint: e, dispatchedAt: now, belief: e.belief(now, atRisk)}
 	if e.reports != nil && a.Prompt != nil {
 		w.predicted = e.predict(now, p, a.Prompt.InputTokens)
 		w.predictedFirstEvent = w.predicted.total() + e.reports.link.value(now)
--- a/predictor/rejection.go
+++ b/predictor/rejection.go
@@ -1,6 +1,9 @@
 package predictor
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// rejectionMemory is how long an endpoint that rejected a request is considered full.
@@ -10,13 +13,74 @@
 	reservedSlotsDivisor = 4
 )
 
+// maxRecentRejections bounds the rejections that are remembered for an endpoint.
+const maxRecentRejections = 64
+
 // recordRejection records that the endpoint rejected a request of this router for want of room.
 func (e *Endpoint) recordRejection(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.rejectedAt = now
+	e.rejections = slices.DeleteFunc(e.rejections, func(at time.Time) bool { return now.Sub(at) >= rejectionMemory })
+	if len(e.rejections) < maxRecentRejections {
+		e.rejections = append(e.rejections, now)
+	}
+}
+
+// RecentRejections returns how many requests of this router the endpoint has rejected in the last
+// rejectionMemory.
+func (e *Endpoint) RecentRejections(now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, at := range e.rejections {
+		if now.Sub(at) < rejectionMemory {
+			n++
+		}
+	}
+	return n
+}
+
+// Belief is what a router knew of an endpoint's room when it chose the endpoint for a request.
+type Belief struct {
+	// LimitKnown is set if the router knew that the endpoint limits rejections.
+	LimitKnown bool
+	// AtRisk is set if the request took a token of the router's share of the rejections.
+	AtRisk bool
+	// Load is the newest known load, and LoadAge its age. LoadKnown is set if it was recent
+	// enough to be used.
+	Load      Load
+	LoadAge   time.Duration
+	LoadKnown bool
+	// Own is the number of this router's other requests there, and Unreported how many of them the
+	// load does not include.
+	Own, Unreported int
 }
 
+// Reason says why the request was sent, in a word for counters.
+func (b Belief) Reason() string {
+	switch {
+	case !b.LimitKnown:
+		return "limit_unknown"
+	case b.AtRisk:
+		return "at_risk"
+	case !b.LoadKnown:
+		return "load_unknown"
+	}
+	return "room"
+}
+
+// belief returns what is known of the endpoint's room. The caller holds e.mu.
+func (e *Endpoint) belief(now time.Time, atRisk bool) Belief {
+	return Belief{
+		LimitKnown: e.warmup.LimitsRejections(), AtRisk: atRisk, Load: e.reported, LoadAge: now.Sub(e.reportedAt),
+		LoadKnown: e.loadKnown(now), Own: e.running, Unreported: e.unreported(now),
+	}
+}
+
+// Belief returns what was known of the endpoint's room when it was chosen.
+func (w *Assignment) Belief() Belief { return w.belief }
+
 // mayReject reports whether the endpoint limits rejections and might reject a request now, as far as
 // this router knows its load. It may hold fewer waiting requests than usual, so that only free slots
 // count as room. The other routers of the fleet are assumed to have sent there, since its last report, as
@@ -52,10 +116,12 @@
 	return e.warmup.Open(now) && (!e.mayReject(now, routers) || e.warmup.RiskOpen(now))
 }
 
-// admit reports whether the endpoint may be sent a request now, and counts it if so.
-func (e *Endpoint) admit(now time.Time, routers int) bool {
-	if e.mayReject(now, routers) && !e.warmup.AdmitRisk(now) {
-		return false
+// admit reports whether the endpoint may be sent a request now, and counts it if so. AtRisk is set if
+// the endpoint might reject the request.
+func (e *Endpoint) admit(now time.Time, routers int) (atRisk, ok bool) {
+	atRisk = e.mayReject(now, routers)
+	if atRisk && !e.warmup.AdmitRisk(now) {
+		return atRisk, false
 	}
-	return e.warmup.Admit(now)
+	return atRisk, e.warmup.Admit(now)
 }
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -227,8 +227,8 @@
 			return nil
 		}
 		// A concurrent request may have used up what the endpoint still accepts.
-		if best.endpoint.admit(now, a.Routers) {
-			return best.endpoint.assign(now, a, best)
+		if atRisk, ok := best.endpoint.admit(now, a.Routers); ok {
+			return best.endpoint.assign(now, a, best, atRisk)
 		}
 	}
 }
