A limit on rejections that one endpoint reports applies to its service

What callers saw: engines that limit rejections (Server-Brittle) were sent requests as if they did not, ended, and broke off what ran there. Cause: a router applied the limit to the incarnation that had stated it in a response to this router. With 58 routers and 140 engines a router hears from an engine every 13 s, and an engine that is back is another incarnation. Change: the endpoints of a service limit rejections together, so that a report of one holds for all of them for 4 s, unless a later response of an endpoint states none. Routers tell each other what endpoints reported to them in their load digests.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -294,7 +294,7 @@
 	if !fields.Misdirected {
 		j.f.Fleet.Observe(e, fields.State, sentAt)
 	}
-	if fields.Rejected && e.Warmup().LimitsRejections() {
+	if fields.Rejected && e.RejectionLimit(time.Now()).Limited {
 		j.logRejection(assignment)
 	}
 	if fields.NotRun || fields.Misdirected {
@@ -311,7 +311,7 @@
 	e, b := w.Endpoint(), w.Belief()
 	countRejection(b.Reason())
 	j.f.Log.Info("endpoint had no room", zap.String("request", j.caller.ID), zap.String("endpoint", e.Name()),
-		zap.Float64("tolerated", e.Warmup().RejectionLimit().PerSecond), zap.Int("rejected", e.RecentRejections(time.Now())),
+		zap.Float64("tolerated", e.RejectionLimit(time.Now()).PerSecond), zap.Int("rejected", e.RecentRejections(time.Now())),
 		zap.String("sent_as", b.Reason()), zap.Bool("load_known", b.LoadKnown), zap.Int("running", b.Load.Running), zap.Int("waiting", b.Load.Waiting),
 		zap.Int("slots", e.Beat().Slots), zap.Duration("load_age", b.LoadAge), zap.Int("own", b.Own), zap.Int("unreported", b.Unreported), zap.Int("routers", j.f.Fleet.Routers()))
 }
--- a/predictor/capacity.go
+++ b/predictor/capacity.go
@@ -82,7 +82,7 @@
 		return 0, slots, false
 	}
 	free = slots - e.activeRequests(now)
-	if e.warmup.LimitsRejections() {
+	if e.limitsRejections(now) {
 		free -= reservedSlots(slots)
 	}
 	return max(free, 0), slots, true
--- a/predictor/digest.go
+++ b/predictor/digest.go
@@ -119,17 +119,17 @@
 	at    time.Time
 }
 
-// Digest returns the newest observations of loads and the room in zones for other routers, encoded
-// in at most maxBytes. It returns nil if nothing has been observed recently.
+// Digest returns the newest observations of loads, the room in zones and the limits of services for
+// other routers, encoded in at most maxBytes. It returns nil if nothing has been observed recently.
 func (t *Table) Digest(now time.Time, maxBytes int) *messenger.LoadDigest {
 	if t.reports == nil {
 		return nil
 	}
-	loads := t.recentLoads(now)
-	if len(loads) == 0 {
+	loads, limits := t.recentLoads(now), t.recentLimits(now)
+	if len(loads)+len(limits) == 0 {
 		return nil
 	}
-	out := &messenger.LoadDigest{Zone: t.zone}
+	out := &messenger.LoadDigest{Zone: t.zone, Limits: limits}
 	left := maxBytes - proto.Size(out)
 	rooms := left - int(maxRoomFraction*float64(maxBytes))
 	for _, r := range t.recentRooms(now) {
@@ -226,6 +226,9 @@
 	for _, r := range d.GetZones() {
 		t.applyRoom(now, r, &out)
 	}
+	for _, l := range d.GetLimits() {
+		t.applyLimit(now, l, &out)
+	}
 	return out
 }
 
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -115,6 +115,12 @@
 	// shedding load.
 	warmup   warmer.Gate
 	excluded atomic.Bool
+	// serviceLimit is shared by all endpoints of the service; nil before the endpoint is first put in
+	// service.
+	serviceLimit atomic.Pointer[serviceLimit]
+	// unlimitedAt is when the latest request was sent whose response stated no limit on rejections,
+	// in nanoseconds since 1970; 0 before the first one.
+	unlimitedAt atomic.Int64
 
 	mu sync.Mutex
 	// running counts this router's requests at the endpoint.
@@ -250,7 +256,7 @@
 		e.recordRejection(now)
 	}
 	return StateChange{
-		RejectionLimit:  e.warmup.ObserveRejectionLimit(s.RejectionLimit, sentAt, now),
+		RejectionLimit:  e.observeRejectionLimit(s.RejectionLimit, sentAt, now),
 		RateLimit:       e.warmup.ObserveRateLimit(s.RateLimit, sentAt, now),
 		SheddingStarted: e.warmup.ObserveBackoff(withJitter(s.RetryAfter), sentAt, now),
 		LeavingStarted:  s.Leaving && !e.excluded.Swap(true),
@@ -274,9 +280,10 @@
 // from its next Replace on.
 func (e *Endpoint) SetVersion(v enroller.Version) { e.version.Store(&v) }
 
-// putInService puts the endpoint in service with the latency model of its service and the
-// table's load reports and delays, or nil. It has no effect on an endpoint that is in service already.
-func (e *Endpoint) putInService(m *LatencyModel, r *loadReports, d *serviceDelay) {
+// putInService puts the endpoint in service with the latency model and the limit of its service and
+// the table's load reports and delays, or nil. It has no effect on an endpoint that is in service already.
+func (e *Endpoint) putInService(m *LatencyModel, l *serviceLimit, r *loadReports, d *serviceDelay) {
+	e.serviceLimit.CompareAndSwap(nil, l)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.inService {
--- a/predictor/rejection.go
+++ b/predictor/rejection.go
@@ -73,7 +73,7 @@
 // belief returns what is known of the endpoint's room. The caller holds e.mu.
 func (e *Endpoint) belief(now time.Time, atRisk bool) Belief {
 	return Belief{
-		LimitKnown: e.warmup.LimitsRejections(), AtRisk: atRisk, Load: e.reported, LoadAge: now.Sub(e.reportedAt),
+		LimitKnown: e.limitsRejections(now), AtRisk: atRisk, Load: e.reported, LoadAge: now.Sub(e.reportedAt),
 		LoadKnown: e.loadKnown(now), Own: e.running, Unreported: e.unreported(now),
 	}
 }
@@ -86,7 +86,7 @@
 // count as room. The other routers of the fleet are assumed to have sent there, since its last report, as
 // many requests each as this one.
 func (e *Endpoint) mayReject(now time.Time, routers int) bool {
-	if !e.warmup.LimitsRejections() {
+	if !e.limitsRejections(now) {
 		return false
 	}
 	e.mu.Lock()
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -40,6 +40,9 @@
 	// accesses them.
 	models map[string]*LatencyModel
 	delays map[string]*serviceDelay
+	// limits holds the limit on rejections of each service that has had endpoints. The map is
+	// immutable.
+	limits atomic.Pointer[map[string]*serviceLimit]
 }
 
 // group holds the endpoints of one service as seen by a router of a zone. It is immutable
@@ -120,6 +123,7 @@
 // NewTable returns an empty table for a router in zone.
 func NewTable(zone string) *Table {
 	t := &Table{zone: zone, models: map[string]*LatencyModel{}, delays: map[string]*serviceDelay{}}
+	t.limits.Store(&map[string]*serviceLimit{})
 	t.Replace(nil)
 	return t
 }
@@ -127,19 +131,21 @@
 // Replace replaces the endpoints in service.
 func (t *Table) Replace(byService map[string][]*Endpoint) {
 	groups, names, services := map[string]*group{}, map[string]*Endpoint{}, map[uint32]bool{}
+	limits := maps.Clone(*t.limits.Load())
 	for s, list := range byService {
 		services[hashName(s)] = true
 		groups[s] = newGroup(list, t.zone)
 		if t.models[s] == nil {
-			t.models[s], t.delays[s] = NewLatencyModel(), newServiceDelay()
+			t.models[s], t.delays[s], limits[s] = NewLatencyModel(), newServiceDelay(), &serviceLimit{}
 		}
 		for _, e := range list {
 			names[e.name] = e
-			e.putInService(t.models[s], t.reports, t.delays[s])
+			e.putInService(t.models[s], limits[s], t.reports, t.delays[s])
 		}
 	}
 	t.byService.Store(&groups)
 	t.byName.Store(&names)
+	t.limits.Store(&limits)
 	byHash := indexByHash(names)
 	t.byHash.Store(&byHash)
 	t.serviceHashes.Store(&services)
