Requests to endpoints that limit rejections need a permit of one coordinator

What callers saw: engines that state how many rejections they tolerate rejected more and ended; streams broke off, and the load of each went to the next. Where they did not, they were left four fifths empty. Cause: each router counted the free slots of an endpoint by itself, from a report up to a second old or from none, and guessed what others send as a multiple of what it sends. The first request of each router was free, so that 16 or 58 routers took the same slots; two requests of a router counted as those of all, so that the slots stayed empty. Class: a shared bound that every router enforces by an estimate of what the others do. Change: permitter.Coordinator, at one router for each endpoint, grants a permit for each request while stated requests and what the endpoint reports beyond them leave an eighth of the slots free. Routers state absolute numbers in datagrams, so that losses heal; silent coordinators are passed over. Setting permits, on by default.

--- a/courier/brittle_fall_test.go
+++ b/courier/brittle_fall_test.go
@@ -344,7 +344,7 @@
 // rejectionsByBelief returns the counters of all routers of the process.
 func rejectionsByBelief() map[string]uint64 {
 	out := map[string]uint64{}
-	for _, belief := range []string{"limit_unknown", "load_unknown", "at_risk", "room"} {
+	for _, belief := range []string{"limit_unknown", "load_unknown", "at_risk", "room", "permitted"} {
 		out[belief] = metrics.GetOrCreateCounter(`rattanhoist_rejections_by_belief_total{sent_as="` + belief + `"}`).Get()
 	}
 	return out
--- a/courier/counters.go
+++ b/courier/counters.go
@@ -10,6 +10,9 @@
 	"rattanhoist.example/rattanhoist/resumer"
 )
 
+// coordinatorsSilent counts coordinators of permits that did not answer.
+var coordinatorsSilent = metrics.NewCounter("rattanhoist_permit_coordinators_silent_total")
+
 // Counters for prepaid rights.
 var (
 	rightsOutOfReach = metrics.NewCounter("rattanhoist_rights_out_of_reach_total")
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -109,6 +109,9 @@
 	if o.Node.Features().LoadDigests {
 		table.EnableLoadReports()
 	}
+	if o.Node.Features().Permits {
+		table.EnablePermits()
+	}
 	c.pool = pooler.New(o.ClassifyResponse, func() { c.connectionsOpened.Add(1) })
 	c.admission = shaper.NewAdmission(o.Node.LinkRate(), &c.lag)
 	c.pool.UseLink(c.admission)
@@ -129,6 +132,9 @@
 		c.fleet.quarantine.confirmEnded = c.relays.confirmEnded
 		c.fleet.quarantine.dialRelay = c.relays.dialEndpoint
 	}
+	if o.Node.Features().Permits {
+		c.fleet.permits = newPermits(c.fleet, o.Log)
+	}
 	if o.Node.Features().StreamVersions {
 		c.fleet.origins = newStreamOrigins(c.fleet, o.Log)
 		registerOriginGauges(c.fleet.origins)
@@ -218,6 +224,9 @@
 	if c.fleet.origins != nil {
 		go c.fleet.origins.run(work)
 	}
+	if c.fleet.permits != nil {
+		go c.fleet.permits.run(work)
+	}
 	go c.sweepPool(work)
 	if c.relays != nil {
 		go c.pool.MaintainPaths(work)
--- a/courier/dispatch_notifier.go
+++ b/courier/dispatch_notifier.go
@@ -104,4 +104,7 @@
 	if d.Stream != nil && n.fleet.origins != nil {
 		n.fleet.origins.receive(d.Stream, now)
 	}
+	if d.Permits != nil && n.fleet.permits != nil {
+		n.fleet.permits.receive(now, d.Permits)
+	}
 }
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -69,6 +69,8 @@
 	versions atomic.Pointer[enroller.VersionHistory]
 	// origins is nil if streams go on at any version.
 	origins *streamOrigins
+	// permits is nil if requests need no permits.
+	permits *permits
 	// listSoon is set if the next sync is to ask for the list of routers, and listSoonAt is when it was
 	// last set, as a duration since startedAt.
 	listSoon   atomic.Bool
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -170,6 +170,9 @@
 		if len(listed) > 0 {
 			f.routersListedAt = now
 			f.warmup.observe(now, listed)
+			if f.permits != nil {
+				f.permits.setMembers(f.warmup.members.List())
+			}
 		}
 		f.quarantine.reportAccepted(now, now.Add(-time.Duration(result.reply.UptimeMs)*time.Millisecond), result.report)
 	}
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -62,9 +62,17 @@
 		if j.f.Table.CountsDispatches() {
 			j.place.recordReported()
 		}
+		if !j.acquirePermit(ctx, assignment) {
+			if j.denials >= maxDenials || j.permitWait >= maxPermitWait || ctx.Err() != nil {
+				j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, noRoomReason)
+				return
+			}
+			continue
+		}
 		sentAt := time.Now()
 		o := j.attempt(ctx, assignment)
 		assignment.End()
+		j.f.Fleet.ReleasePermit(assignment.Endpoint())
 		if o == outcomeLost {
 			j.reportBrokenOff(ctx, assignment.Endpoint(), time.Since(sentAt))
 		}
@@ -83,6 +91,29 @@
 	}
 }
 
+// acquirePermit reports whether the request may be sent to the endpoint that it was assigned to. If not,
+// it ends the assignment.
+func (j *job) acquirePermit(ctx context.Context, w *predictor.Assignment) bool {
+	e := w.Endpoint()
+	if !e.NeedsPermit(time.Now()) {
+		return true
+	}
+	begun := time.Now()
+	granted := j.f.Fleet.AcquirePermit(ctx, e)
+	j.permitWait += time.Since(begun)
+	if granted {
+		permitsGranted.Inc()
+		w.Permitted()
+		return true
+	}
+	permitsDenied.Inc()
+	w.End()
+	e.RecordDenial(time.Now())
+	j.denials++
+	j.noConnection = append(j.noConnection, e.Beat().Incarnation)
+	return false
+}
+
 // choose assigns the request to an endpoint, or returns nil.
 func (j *job) choose() *predictor.Assignment {
 	if j.bound && j.origin.Version == "" {
@@ -101,6 +132,17 @@
 	j.endWithoutAnswer(ctx, http.StatusServiceUnavailable, j.noEndpointReason())
 }
 
+const (
+	// noRoomReason is the body of answers to requests for which no permit was granted.
+	noRoomReason = "endpoints are full"
+	// maxDenials is how many endpoints a request asks permits for. Where so many are full, most
+	// others are.
+	maxDenials = 6
+	// maxPermitWait is how long a request waits for answers. Its caller does better at another router
+	// than at one that has lost its paths to the others.
+	maxPermitWait = 250 * time.Millisecond
+)
+
 // noPathReason is the body of answers to requests that neither this router nor a relay can send.
 const noPathReason = "no path to endpoints"
 
@@ -112,6 +154,9 @@
 	if j.withoutVersion() {
 		return noVersionReason
 	}
+	if j.denials > 0 || j.f.Table.AllNeedPermits(time.Now(), j.service.Name) {
+		return noRoomReason
+	}
 	return "no endpoint in service"
 }
 
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -26,7 +26,10 @@
 	requestsBeforeRetryAfter = metrics.NewCounter("rattanhoist_requests_before_retry_after_total")
 	// rejectionsWhileLimited counts rejections by endpoints that limit them.
 	rejectionsWhileLimited = metrics.NewCounter("rattanhoist_rejections_while_limited_total")
-	overloadRefusals       = metrics.NewCounter("rattanhoist_overload_refusals_total")
+	// Permits for requests to endpoints that limit rejections.
+	permitsGranted   = metrics.NewCounter("rattanhoist_permits_granted_total")
+	permitsDenied    = metrics.NewCounter("rattanhoist_permits_denied_total")
+	overloadRefusals = metrics.NewCounter("rattanhoist_overload_refusals_total")
 	// memoryRefusals counts requests refused because too many bytes were held for callers,
 	// and slowBodies those whose body was not sent in time.
 	memoryRefusals = metrics.NewCounter("rattanhoist_memory_refusals_total")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -135,6 +135,11 @@
 	// PartialDispatches reports whether only some of the other routers tell this one about
 	// their dispatches.
 	PartialDispatches() bool
+	// AcquirePermit asks for a permit for one more request to an endpoint that needs one, and reports
+	// whether it was granted. The endpoint counts the request already.
+	AcquirePermit(ctx context.Context, e *predictor.Endpoint) bool
+	// ReleasePermit tells that a request to an endpoint has ended.
+	ReleasePermit(e *predictor.Endpoint)
 	// LeavesAge returns the time since the router's knowledge of endpoints that leave was complete.
 	LeavesAge() time.Duration
 }
@@ -298,8 +303,11 @@
 	resumption resumptionOutcome
 	// streamVersion is the version of the endpoint that made the last event passed on.
 	streamVersion enroller.Version
-	// noConnection holds the incarnations that had no connection left for this router.
+	// noConnection holds the incarnations that had no connection left for this router, or no permit.
 	noConnection []enroller.Incarnation
+	// denials counts the permits that were denied, and permitWait is how long they were awaited.
+	denials    int
+	permitWait time.Duration
 	// unreachable counts the endpoints that could not be reached.
 	unreachable int
 	// withoutPath counts the endpoints to which there was no path, and relays holds the routers
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -188,6 +188,10 @@
 
 func (f fleetStub) LeavesAge() time.Duration { return 0 }
 
+func (f fleetStub) AcquirePermit(context.Context, *predictor.Endpoint) bool { return true }
+
+func (f fleetStub) ReleasePermit(*predictor.Endpoint) {}
+
 // testRouter is a router in front of scripted endpoints.
 type testRouter struct {
 	server     *httptest.Server
--- a/loader/node.go
+++ b/loader/node.go
@@ -87,6 +87,8 @@
 	PartQuarantine bool
 	// ConnectionShedding refuses new connections at a router that is much busier than others.
 	ConnectionShedding bool
+	// Permits bounds the requests of all routers together at endpoints that limit rejections.
+	Permits bool
 	// EnginePriorities sends the priorities of requests to endpoints.
 	EnginePriorities bool
 }
@@ -263,7 +265,7 @@
 
 // parseFeatures reads which parts of the fleet are switched on.
 func (c *parser) parseFeatures(sec *ini.Section, f *Features) {
-	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true, EndpointRelays: true, StreamVersions: true, PartQuarantine: true, ConnectionShedding: true}
+	*f = Features{PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true, EndpointRelays: true, StreamVersions: true, PartQuarantine: true, ConnectionShedding: true, Permits: true}
 	c.readBool(sec, "paced_claims", &f.PacedClaims)
 	c.readBool(sec, "shortage_notices", &f.ShortageNotices)
 	c.readBool(sec, "load_digests", &f.LoadDigests)
@@ -274,6 +276,7 @@
 	c.readBool(sec, "stream_versions", &f.StreamVersions)
 	c.readBool(sec, "part_quarantine", &f.PartQuarantine)
 	c.readBool(sec, "connection_shedding", &f.ConnectionShedding)
+	c.readBool(sec, "permits", &f.Permits)
 }
 
 // parseRegions reads the region of each zone in the form ZONE:REGION,ZONE:REGION.
--- a/loader/node_test.go
+++ b/loader/node_test.go
@@ -77,10 +77,10 @@
 	n, _, err := loader.LoadNode(nodeFile(t, validNode))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(n.Features()).To(gomega.Equal(loader.Features{
-		PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true, EndpointRelays: true, StreamVersions: true, PartQuarantine: true, ConnectionShedding: true,
+		PacedClaims: true, ShortageNotices: true, LoadDigests: true, ServiceAdmission: true, EnginePriorities: true, CallerLimits: true, EndpointRelays: true, StreamVersions: true, PartQuarantine: true, ConnectionShedding: true, Permits: true,
 	}))
 	g.Expect(n.ProcessorShare()).To(gomega.BeZero())
-	off := "processor_share = 0.48\npaced_claims = false\nshortage_notices = false\nload_digests = false\nservice_admission = false\nengine_priorities = false\ncaller_limits = false\nendpoint_relays = false\nstream_versions = false\npart_quarantine = false\nconnection_shedding = false\n"
+	off := "processor_share = 0.48\npaced_claims = false\nshortage_notices = false\nload_digests = false\nservice_admission = false\nengine_priorities = false\ncaller_limits = false\nendpoint_relays = false\nstream_versions = false\npart_quarantine = false\nconnection_shedding = false\npermits = false\n"
 	n, _, err = loader.LoadNode(nodeFile(t, validNode+off))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(n.Features()).To(gomega.Equal(loader.Features{}))
--- a/predictor/capacity.go
+++ b/predictor/capacity.go
@@ -81,8 +81,8 @@
 	if slots <= 0 || !e.loadKnown(now) {
 		return 0, slots, false
 	}
-	free = slots - e.activeRequests(now)
-	if e.limitsRejections(now) {
+	free = e.usableSlots(now, slots) - e.activeRequests(now)
+	if !e.permits.Load() && e.limitsRejections(now) {
 		free -= reservedSlots(slots)
 	}
 	return max(free, 0), slots, true
--- a/predictor/digest.go
+++ b/predictor/digest.go
@@ -178,6 +178,14 @@
 	return o
 }
 
+// EncodeLoad returns the newest observation of an endpoint's load, or nil if none is recent.
+func (e *Endpoint) EncodeLoad(now time.Time) *messenger.EndpointLoad {
+	if o := e.observation(now); o.fresh(now) {
+		return encodeLoad(now, hashName(e.name), o)
+	}
+	return nil
+}
+
 func encodeLoad(now time.Time, hash uint32, o observation) *messenger.EndpointLoad {
 	return &messenger.EndpointLoad{
 		Endpoint: hash, Running: encodeCount(o.load.Running), Waiting: encodeCount(o.load.Waiting),
--- a/predictor/endpoint.go
+++ b/predictor/endpoint.go
@@ -121,6 +121,10 @@
 	// unlimitedAt is when the latest request was sent whose response stated no limit on rejections,
 	// in nanoseconds since 1970; 0 before the first one.
 	unlimitedAt atomic.Int64
+	// permits is set if requests need permits while the endpoint limits rejections, and deniedAt is
+	// when one was last denied, in nanoseconds since 1970.
+	permits  atomic.Bool
+	deniedAt atomic.Int64
 
 	mu sync.Mutex
 	// running counts this router's requests at the endpoint.
--- a/predictor/plan.go
+++ b/predictor/plan.go
@@ -112,7 +112,7 @@
 	if a.Prompt == nil {
 		slots := max(e.beat.Slots, 1)
 		c := scaled(e.model.MeanAnswer(), e.reportedSlowdown(now)) + e.currentExtraAnswerTime(now) + time.Duration(float64(active)/float64(slots)*float64(50*time.Millisecond))
-		if active >= slots {
+		if active >= e.usableSlots(now, slots) {
 			c += unavailablePenalty
 		}
 		if e.reports != nil {
@@ -127,7 +127,7 @@
 	if e.prefillTime(now, p.uncachedTokens, a.Prompt.InputTokens) > longPrefill {
 		c += time.Duration(active) * longPrefillPenalty
 	}
-	if slots := e.beat.Slots; slots > 0 && active >= slots {
+	if slots := e.beat.Slots; slots > 0 && active >= e.usableSlots(now, slots) {
 		c += unavailablePenalty
 	}
 	return c
--- a/predictor/rejection_test.go
+++ b/predictor/rejection_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/warmer"
 )
 
@@ -62,3 +63,44 @@
 	}
 	g.Expect(sent).To(gomega.Equal(6), "six routers fill three quarters of 48 slots")
 }
+
+// Guards against requests to an endpoint that limits rejections, by a choice that counts free slots on its own
+// where permits decide, and against an endpoint that is asked for again at once after a denial or a
+// rejection.
+func TestPermitsReplaceTheReservedSlots(t *testing.T) {
+	g := gomega.NewWithT(t)
+	x, now := NewTable("a"), time.Unix(1_000, 0)
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	x.EnableLoadReports()
+	x.EnablePermits()
+	e := NewEndpoint(enroller.Heartbeat{Incarnation: enroller.Incarnation{ID: "e"}, Service: "llm", Zone: "a", Slots: 12})
+	unknown := NewEndpoint(enroller.Heartbeat{Incarnation: enroller.Incarnation{ID: "no slots"}, Service: "other", Zone: "a"})
+	x.Replace(map[string][]*Endpoint{"llm": {e}, "other": {unknown}})
+	choose := func(ms int) bool {
+		w := x.Choose(at(ms), Request{Service: "llm", Routers: 58})
+		if w != nil {
+			w.endAt(at(ms))
+		}
+		return w != nil
+	}
+	g.Expect(e.NeedsPermit(at(0))).To(gomega.BeFalse())
+	g.Expect(x.AllNeedPermits(at(0), "llm")).To(gomega.BeFalse())
+	e.Observe(limitedState(2), at(1), at(2))
+	unknown.Observe(limitedState(2), at(1), at(2))
+	g.Expect(e.NeedsPermit(at(3))).To(gomega.BeTrue())
+	g.Expect(unknown.NeedsPermit(at(3))).To(gomega.BeFalse(), "nobody knows how many it has room for")
+	g.Expect(x.AllNeedPermits(at(3), "llm")).To(gomega.BeTrue())
+	e.ObserveLoad(at(4), Load{Running: 10, Slots: 12})
+	g.Expect(choose(5)).To(gomega.BeTrue(), "a permit decides")
+	g.Expect(x.Capacity(at(5), Request{Service: "llm"}).Room).To(gomega.BeZero(), "two slots are left free")
+	e.RecordDenial(at(6))
+	g.Expect(choose(7)).To(gomega.BeFalse())
+	g.Expect(choose(27)).To(gomega.BeTrue())
+	e.Observe(State{RejectionLimit: limitedState(2).RejectionLimit, Rejected: true}, at(28), at(29))
+	g.Expect(choose(1_000)).To(gomega.BeFalse())
+	g.Expect(choose(1_030)).To(gomega.BeTrue())
+	w := x.Choose(at(1_031), Request{Service: "llm"})
+	g.Expect(w.Belief().Reason()).To(gomega.Equal("load_unknown"))
+	w.Permitted()
+	g.Expect(w.Belief().Reason()).To(gomega.Equal("permitted"))
+}
--- a/predictor/table.go
+++ b/predictor/table.go
@@ -43,6 +43,8 @@
 	// limits holds the limit on rejections of each service that has had endpoints. The map is
 	// immutable.
 	limits atomic.Pointer[map[string]*serviceLimit]
+	// permits is set if requests to endpoints that limit rejections need permits.
+	permits bool
 }
 
 // group holds the endpoints of one service as seen by a router of a zone. It is immutable
@@ -140,6 +142,7 @@
 		}
 		for _, e := range list {
 			names[e.name] = e
+			e.permits.Store(t.permits)
 			e.putInService(t.models[s], limits[s], t.reports, t.delays[s])
 		}
 	}
--- a/warmer/members.go
+++ b/warmer/members.go
@@ -75,6 +75,32 @@
 	return ahead < owners
 }
 
+// List returns all members that count, this router included.
+func (m *Members) List() []Member {
+	out := []Member{m.self}
+	for x := range m.seen {
+		if x.Address != m.self.Address {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// Coordinator returns the member of a list with the highest rank for an endpoint, without those to skip.
+// It returns false if there is none.
+func Coordinator(list []Member, endpoint, zone string, skip func(Member) bool) (best Member, ok bool) {
+	var first position
+	for _, x := range list {
+		if skip(x) {
+			continue
+		}
+		if r := rank(x, endpoint, zone); !ok || r.before(first) {
+			best, first, ok = x, r, true
+		}
+	}
+	return best, ok
+}
+
 // OtherOwners returns the addresses of an endpoint's owners by rank, for a router that is not an
 // owner itself.
 func (m *Members) OtherOwners(endpoint, zone string, owners int) []string {
