Permits: a second router keeps the requests, and lists that differ meet at one coordinator

Change: statements go to the first two routers by rank; who is asked but does not come first names the one that does; senders that no list has are known for 5 s; a coordinator without statements for a second leaves a quarter free; a load that comes with a rejection ends the pause.

--- a/courier/permits.go
+++ b/courier/permits.go
@@ -4,6 +4,9 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,8 +26,12 @@
 	// permitTimeout how long in all: a round trip between regions takes a part of that.
 	permitResendInterval = 40 * time.Millisecond
 	permitTimeout        = 120 * time.Millisecond
-	// maxCoordinators is how many routers are asked for one permit, if they do not answer.
-	maxCoordinators = 2
+	// maxCoordinators is how many routers are asked for one permit, if they do not answer or name another
+	// one.
+	maxCoordinators = 3
+	// learnedTTL is how long a router that keepers do not list may coordinate after its last message: it
+	// has just started, or the list of this router is late.
+	learnedTTL = 5 * time.Second
 	// A coordinator that does not answer is passed over for minCoordinatorSilence, and for twice as
 	// long each further time, up to maxCoordinatorSilence.
 	minCoordinatorSilence = 2 * time.Second
@@ -34,6 +41,12 @@
 	holdInterval = permitter.HoldTTL / 4
 	// maxHoldDatagram is the maximum size of the statements in a datagram.
 	maxHoldDatagram = 400
+	// keptCoordinators is how many routers know of the requests at an endpoint: the coordinator, and the one that
+	// takes over from it.
+	keptCoordinators = 2
+	// rankedCoordinators is how many routers may take over one after the other before a router asks
+	// itself.
+	rankedCoordinators = 8
 	// maxPermitLogLines is the maximum number of log lines a second about coordinators.
 	maxPermitLogLines = 2
 )
@@ -45,16 +58,19 @@
 	fleet   *fleetView
 	log     *zap.Logger
 	process uint64
-	// members holds the routers that may coordinate, with this one.
-	members atomic.Pointer[[]warmer.Member]
+	// ranks orders the routers that may coordinate: those listed, this one included, and those learned of.
+	ranks atomic.Pointer[coordinatorRanks]
 
 	mu          sync.Mutex
 	coordinator *permitter.Coordinator
 	sequence    uint64
 	// questions holds the channels for answers by the sequence of the question.
-	questions map[uint64]chan bool
+	questions map[uint64]chan *messenger.PermitAnswer
 	// silent holds the coordinators that did not answer.
 	silent map[string]silence
+	// listed holds the routers that keepers list, and learned when others last sent a message.
+	listed  []warmer.Member
+	learned map[warmer.Member]time.Time
 	// stated holds the endpoints of which a coordinator may know requests of this router.
 	stated map[string]bool
 }
@@ -68,14 +84,66 @@
 func newPermits(f *fleetView, log *zap.Logger) *permits {
 	p := &permits{
 		fleet: f, log: reporter.Sampled(log, maxPermitLogLines), process: rand.Uint64(), coordinator: permitter.NewCoordinator(),
-		questions: map[uint64]chan bool{}, silent: map[string]silence{}, stated: map[string]bool{},
+		questions: map[uint64]chan *messenger.PermitAnswer{}, silent: map[string]silence{}, learned: map[warmer.Member]time.Time{}, stated: map[string]bool{},
 	}
 	p.setMembers([]warmer.Member{{Address: f.self.Address, Zone: f.self.Zone}})
 	return p
 }
 
-// setMembers replaces the routers that may coordinate.
-func (p *permits) setMembers(list []warmer.Member) { p.members.Store(&list) }
+// coordinatorRanks orders a list of routers by endpoint.
+type coordinatorRanks struct {
+	members []warmer.Member
+
+	mu sync.Mutex
+	// byEndpoint holds the first rankedCoordinators addresses for each endpoint that was asked for.
+	byEndpoint map[string][]string
+}
+
+// of returns the addresses of the routers that may coordinate an endpoint, by rank. Callers must not modify
+// the slice.
+func (r *coordinatorRanks) of(e *predictor.Endpoint) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := r.byEndpoint[e.Name()]
+	if list == nil {
+		list = warmer.Ranked(r.members, e.Name(), e.Beat().Zone, rankedCoordinators)
+		r.byEndpoint[e.Name()] = list
+	}
+	return list
+}
+
+// setMembers replaces the routers that keepers list, which are sorted by address.
+func (p *permits) setMembers(list []warmer.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listed = list
+	p.rankLocked(time.Now())
+}
+
+// learnLocked records that a router may coordinate. The caller holds p.mu.
+func (p *permits) learnLocked(now time.Time, m warmer.Member) {
+	if _, err := netip.ParseAddrPort(m.Address); err != nil || slices.Contains(p.listed, m) || len(p.learned) >= maxPeers {
+		return
+	}
+	p.learned[m] = now
+	p.rankLocked(now)
+}
+
+// rankLocked orders the routers that may coordinate, if they have changed. The caller holds p.mu.
+func (p *permits) rankLocked(now time.Time) {
+	members := slices.Clone(p.listed)
+	for m, at := range p.learned {
+		if now.Sub(at) >= learnedTTL || slices.Contains(p.listed, m) {
+			delete(p.learned, m)
+			continue
+		}
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b warmer.Member) int { return strings.Compare(a.Address, b.Address) })
+	if known := p.ranks.Load(); known == nil || !slices.Equal(known.members, members) {
+		p.ranks.Store(&coordinatorRanks{members: members, byEndpoint: map[string][]string{}})
+	}
+}
 
 // AcquirePermit asks the endpoint's coordinator for a permit, and the next router in its place if that
 // does not answer.
@@ -85,60 +153,98 @@
 		return true
 	}
 	for range maxCoordinators {
-		to := p.coordinatorOf(time.Now(), e)
+		to, passedOver := p.coordinatorOf(time.Now(), e)
 		if to == f.self.Address {
-			return p.grantOwn(e)
-		}
-		granted, answered := p.ask(ctx, to, e)
-		if answered || ctx.Err() != nil {
+			granted := p.grantOwn(e)
+			p.stateGranted(e, granted, to)
 			return granted
 		}
-		p.recordSilence(time.Now(), to)
+		a := p.ask(ctx, to, e, passedOver)
+		switch {
+		case a != nil && a.Coordinator == "":
+			p.stateGranted(e, a.Granted, to)
+			return a.Granted
+		case ctx.Err() != nil:
+			return false
+		case a == nil:
+			p.recordSilence(time.Now(), to)
+		default:
+			p.learn(warmer.Member{Address: a.Coordinator, Zone: a.CoordinatorZone})
+		}
 	}
 	return false
 }
 
-// ReleasePermit tells the endpoint's coordinator that a request has ended.
+// stateGranted states this router's requests at an endpoint after a permit was granted, except to the router that
+// granted it.
+func (p *permits) stateGranted(e *predictor.Endpoint, granted bool, by string) {
+	if granted {
+		p.state(e, by)
+	}
+}
+
+// learn records a router that another one has named.
+func (p *permits) learn(m warmer.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.learnLocked(time.Now(), m)
+}
+
+// ReleasePermit tells that a request to an endpoint has ended.
 func (f *fleetView) ReleasePermit(e *predictor.Endpoint) {
-	p := f.permits
-	if p == nil || !e.NeedsPermit(time.Now()) {
-		return
+	if f.permits != nil && e.NeedsPermit(time.Now()) {
+		f.permits.state(e, "")
 	}
-	to := p.coordinatorOf(time.Now(), e)
-	if to == f.self.Address {
-		p.recordOwn(e)
-		return
+}
+
+// state states this router's requests at an endpoint to the routers that know of them, except one.
+func (p *permits) state(e *predictor.Endpoint, except string) {
+	for _, to := range p.keepersOf(time.Now(), e) {
+		if to != except {
+			p.stateTo(to, []*predictor.Endpoint{e})
+		}
 	}
-	p.mu.Lock()
-	m := p.messageLocked()
-	m.Holds = append(m.Holds, holdOf(e, time.Now()))
-	p.mu.Unlock()
-	p.send(to, m, e)
 }
 
 // coordinatorOf returns the address of the router that grants permits for an endpoint, as far as this
-// router knows.
-func (p *permits) coordinatorOf(now time.Time, e *predictor.Endpoint) string {
-	list := *p.members.Load()
+// router knows. PassedOver is set if others come before it that did not answer.
+func (p *permits) coordinatorOf(now time.Time, e *predictor.Endpoint) (address string, passedOver bool) {
+	ranked := p.ranks.Load().of(e)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := e.Beat()
-	m, _ := warmer.Coordinator(list, e.Name(), b.Zone, func(m warmer.Member) bool {
-		return m.Address != p.fleet.self.Address && now.Before(p.silent[m.Address].until)
-	})
-	return m.Address
+	for i, address := range ranked {
+		if address == p.fleet.self.Address || !now.Before(p.silent[address].until) {
+			return address, i > 0
+		}
+	}
+	return p.fleet.self.Address, true
+}
+
+// keepersOf returns the addresses of the routers that know of the requests at an endpoint. A coordinator
+// that did not answer is among them: it may answer others, or be back.
+func (p *permits) keepersOf(now time.Time, e *predictor.Endpoint) []string {
+	out := slices.Clone(p.ranks.Load().of(e))
+	out = out[:min(len(out), keptCoordinators)]
+	if current, _ := p.coordinatorOf(now, e); !slices.Contains(out, current) {
+		out = append(out, current)
+	}
+	return out
 }
 
 // holdOf states this router's requests at an endpoint.
 func holdOf(e *predictor.Endpoint, now time.Time) *messenger.EndpointHold {
-	return &messenger.EndpointHold{Endpoint: e.Name(), Requests: uint32(max(e.Running(), 0)), Rejected: e.RecentRejections(now) > 0}
+	h := &messenger.EndpointHold{Endpoint: e.Name(), Requests: uint32(max(e.Running(), 0))}
+	if at, recent := e.LastRejection(now); recent {
+		h.RejectedMs = proto.Uint32(uint32(now.Sub(at).Milliseconds()))
+	}
+	return h
 }
 
 // messageLocked returns an empty message with the next sequence. The caller holds p.mu until it has read
 // what the message states, so that a later message states what is newer.
 func (p *permits) messageLocked() *messenger.PermitMessage {
 	p.sequence++
-	return &messenger.PermitMessage{From: p.fleet.self.Address, Process: p.process, Sequence: p.sequence}
+	return &messenger.PermitMessage{From: p.fleet.self.Address, Zone: p.fleet.self.Zone, Process: p.process, Sequence: p.sequence}
 }
 
 // grantOwn decides on a permit for this router.
@@ -150,19 +256,17 @@
 	return p.grantLocked(now, e, m, holdOf(e, now))
 }
 
-// recordOwn records the requests of this router at an endpoint that it coordinates.
-func (p *permits) recordOwn(e *predictor.Endpoint) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.recordLocked(now, p.messageLocked(), holdOf(e, now))
+// recordLocked records what a router states. The caller holds p.mu.
+func (p *permits) recordLocked(now time.Time, m *messenger.PermitMessage, h *messenger.EndpointHold) {
+	p.recordRejectionLocked(now, h)
+	p.coordinator.Record(now, h.Endpoint, statement(m, h))
 }
 
-func (p *permits) recordLocked(now time.Time, m *messenger.PermitMessage, h *messenger.EndpointHold) {
-	if h.Rejected {
-		p.coordinator.RecordRejection(now, h.Endpoint)
+// recordRejectionLocked records the rejection that a router states, if any. The caller holds p.mu.
+func (p *permits) recordRejectionLocked(now time.Time, h *messenger.EndpointHold) {
+	if h.RejectedMs != nil {
+		p.coordinator.RecordRejection(now, now.Add(-time.Duration(h.GetRejectedMs())*time.Millisecond), h.Endpoint)
 	}
-	p.coordinator.Record(now, h.Endpoint, statement(m, h))
 }
 
 func statement(m *messenger.PermitMessage, h *messenger.EndpointHold) permitter.Hold {
@@ -171,23 +275,21 @@
 
 // grantLocked decides on a permit for a router. The caller holds p.mu.
 func (p *permits) grantLocked(now time.Time, e *predictor.Endpoint, m *messenger.PermitMessage, h *messenger.EndpointHold) bool {
-	if h.Rejected {
-		p.coordinator.RecordRejection(now, h.Endpoint)
-	}
+	p.recordRejectionLocked(now, h)
 	load, at := e.ReportedLoad()
 	return p.coordinator.Grant(now, h.Endpoint, e.Beat().Slots, permitter.Load{Requests: load.Running + load.Waiting, At: at}, statement(m, h))
 }
 
-// ask asks a coordinator for a permit. It returns whether it was granted, and whether an answer came.
-func (p *permits) ask(ctx context.Context, to string, e *predictor.Endpoint) (granted, answered bool) {
-	answer := make(chan bool, maxCoordinators)
+// ask asks a coordinator for a permit. It returns nil if no answer came.
+func (p *permits) ask(ctx context.Context, to string, e *predictor.Endpoint, passedOver bool) *messenger.PermitAnswer {
+	answer := make(chan *messenger.PermitAnswer, 1)
 	var sequences []uint64
 	defer func() { p.forget(sequences) }()
 	begun := time.Now()
 	for time.Since(begun) < permitTimeout {
 		p.mu.Lock()
 		m := p.messageLocked()
-		m.Ask = holdOf(e, time.Now())
+		m.Ask, m.PassedOver = holdOf(e, time.Now()), passedOver
 		p.questions[m.Sequence] = answer
 		p.stated[e.Name()] = true
 		p.mu.Unlock()
@@ -198,14 +300,14 @@
 			wait = permitResendInterval
 		}
 		select {
-		case granted = <-answer:
-			return granted, true
+		case a := <-answer:
+			return a
 		case <-ctx.Done():
-			return false, false
+			return nil
 		case <-time.After(wait):
 		}
 	}
-	return false, false
+	return nil
 }
 
 // forget removes questions that nobody waits for.
@@ -248,13 +350,14 @@
 	p.fleet.table.ApplyDigest(now, &messenger.LoadDigest{Endpoints: m.Loads})
 	p.mu.Lock()
 	delete(p.silent, m.From)
+	p.learnLocked(now, warmer.Member{Address: m.From, Zone: m.Zone})
 	for _, h := range m.Holds {
 		p.recordLocked(now, m, h)
 	}
 	if a := m.Answer; a != nil {
 		if c := p.questions[a.Sequence]; c != nil {
 			select {
-			case c <- a.Granted:
+			case c <- a:
 			default:
 			}
 		}
@@ -265,18 +368,34 @@
 	}
 }
 
-// answer decides on a permit for another router and tells it. An endpoint that is not known here may be
-// gone, or has just started: the next question comes later.
+// answer decides on a permit for another router and tells it, or names the router that comes first. An
+// endpoint that is not known here may be gone, or has just started: the next question comes later.
 func (p *permits) answer(now time.Time, m *messenger.PermitMessage) {
-	e := p.fleet.table.Endpoint(m.Ask.Endpoint)
+	a, e := &messenger.PermitAnswer{Sequence: m.Sequence}, p.fleet.table.Endpoint(m.Ask.Endpoint)
+	if e != nil && !m.PassedOver {
+		a.Coordinator, a.CoordinatorZone = p.firstBefore(now, e)
+	}
 	p.mu.Lock()
-	granted := e != nil && p.grantLocked(now, e, m, m.Ask)
+	if e != nil && a.Coordinator == "" {
+		a.Granted = p.grantLocked(now, e, m, m.Ask)
+	}
 	reply := p.messageLocked()
 	p.mu.Unlock()
-	reply.Answer = &messenger.PermitAnswer{Sequence: m.Sequence, Granted: granted}
+	reply.Answer = a
 	p.send(m.From, reply, e)
 }
 
+// firstBefore returns the address and zone of the router that grants permits for an endpoint, or "" if it is this one.
+func (p *permits) firstBefore(now time.Time, e *predictor.Endpoint) (address, zone string) {
+	first, _ := p.coordinatorOf(now, e)
+	for _, m := range p.ranks.Load().members {
+		if m.Address == first && first != p.fleet.self.Address {
+			return first, m.Zone
+		}
+	}
+	return "", ""
+}
+
 // run states the requests of this router regularly until ctx is done.
 func (p *permits) run(ctx context.Context) {
 	t := time.NewTicker(holdInterval)
@@ -301,26 +420,21 @@
 	}
 }
 
-// stateAll states the requests at all endpoints that limit rejections to their coordinators. An endpoint
-// without requests is stated once more, as the message on the last one may have been lost.
+// stateAll states the requests at all endpoints that limit rejections. An endpoint without requests is
+// stated once more, as the message on the last one may have been lost.
 func (p *permits) stateAll(now time.Time) {
 	p.forgetGone()
-	byCoordinator := map[string][]*predictor.Endpoint{}
+	byRouter := map[string][]*predictor.Endpoint{}
 	for _, name := range p.fleet.table.Names() {
 		e := p.fleet.table.Endpoint(name)
 		if e == nil || !e.NeedsPermit(now) || !p.markStated(name, e.Running() > 0) {
 			continue
 		}
-		to := p.coordinatorOf(now, e)
-		byCoordinator[to] = append(byCoordinator[to], e)
-	}
-	for to, list := range byCoordinator {
-		if to == p.fleet.self.Address {
-			for _, e := range list {
-				p.recordOwn(e)
-			}
-			continue
+		for _, to := range p.keepersOf(now, e) {
+			byRouter[to] = append(byRouter[to], e)
 		}
+	}
+	for to, list := range byRouter {
 		p.stateTo(to, list)
 	}
 }
@@ -345,20 +459,32 @@
 	return wasStated || active
 }
 
-// stateTo states the requests at endpoints to a coordinator, as many in one datagram as fit.
+// stateTo states the requests at endpoints to a router, as many in one datagram as fit.
 func (p *permits) stateTo(to string, list []*predictor.Endpoint) {
 	for len(list) > 0 {
 		now := time.Now()
 		p.mu.Lock()
 		m := p.messageLocked()
+		var loads []*messenger.EndpointLoad
 		for size := 0; len(list) > 0; list = list[1:] {
-			h := holdOf(list[0], now)
-			if size += proto.Size(h); size > maxHoldDatagram && len(m.Holds) > 0 {
+			h, l := holdOf(list[0], now), list[0].EncodeLoad(now)
+			if size += proto.Size(h) + proto.Size(l); size > maxHoldDatagram && len(m.Holds) > 0 {
 				break
 			}
 			m.Holds = append(m.Holds, h)
+			if l != nil {
+				loads = append(loads, l)
+			}
+		}
+		if to == p.fleet.self.Address {
+			for _, h := range m.Holds {
+				p.recordLocked(now, m, h)
+			}
 		}
 		p.mu.Unlock()
-		p.send(to, m, nil)
+		if to != p.fleet.self.Address {
+			m.Loads = loads
+			p.send(to, m, nil)
+		}
 	}
 }
--- a/permitter/coordinator.go
+++ b/permitter/coordinator.go
@@ -16,9 +16,11 @@
 	c.ledger(now, endpoint).record(now, h)
 }
 
-// RecordRejection records that an endpoint rejected a request for want of room.
-func (c *Coordinator) RecordRejection(now time.Time, endpoint string) {
-	c.ledger(now, endpoint).rejectedAt = now
+// RecordRejection records that an endpoint rejected a request at a time for want of room.
+func (c *Coordinator) RecordRejection(now, at time.Time, endpoint string) {
+	if l := c.ledger(now, endpoint); at.After(l.rejectedAt) {
+		l.rejectedAt = at
+	}
 }
 
 // Grant reports whether a router may send one more request to an endpoint with a number of slots and the
--- a/permitter/ledger.go
+++ b/permitter/ledger.go
@@ -14,8 +14,8 @@
 	// flightTime is how far apart the grant or the end of a request here and its arrival or end at the
 	// endpoint may be.
 	flightTime = 50 * time.Millisecond
-	// rejectionPause is how long an endpoint gets no new requests after it has rejected one: it holds
-	// more than is known.
+	// rejectionPause is how long an endpoint gets no new requests after it has rejected one, unless it
+	// has reported its load with the rejection or since: it holds more than is known.
 	rejectionPause = time.Second
 	// 1/reserveDivisor of the slots stay free for requests that the coordinator does not know of, such
 	// as those that an endpoint goes on with after their callers have left.
@@ -54,8 +54,8 @@
 
 // ledger holds the requests at one endpoint.
 type ledger struct {
-	// since is when the coordinator began to receive the statements of routers, and usedAt when it
-	// last received one.
+	// since is when the coordinator began to receive the statements of routers, without a gap, and
+	// usedAt when it last received one.
 	since, usedAt time.Time
 	holders       map[string]holder
 	// changes holds the recent ones in their order.
@@ -67,7 +67,22 @@
 
 // Limit returns the number of requests that routers may have together at an endpoint with a number of
 // slots.
-func Limit(slots int) int { return max(slots-(slots+reserveDivisor-1)/reserveDivisor, 1) }
+func Limit(slots int) int { return max(slots-reserve(slots), 1) }
+
+// reserve returns how many of the slots stay free.
+func reserve(slots int) int { return (slots + reserveDivisor - 1) / reserveDivisor }
+
+// use records that a statement was received. After a time without any, another router may have
+// coordinated.
+func (l *ledger) use(now time.Time) {
+	if now.Sub(l.usedAt) >= HoldTTL/2 {
+		l.since = now
+	}
+	l.usedAt = now
+}
+
+// settled reports whether all routers have had the time to state their requests.
+func (l *ledger) settled(now time.Time) bool { return now.Sub(l.since) >= HoldTTL }
 
 // outdated reports whether a later statement of the same process is known.
 func (l *ledger) outdated(h Hold) bool {
@@ -77,7 +92,7 @@
 
 // record replaces the statement of a router, unless a later one is known.
 func (l *ledger) record(now time.Time, h Hold) {
-	l.usedAt = now
+	l.use(now)
 	if l.outdated(h) {
 		return
 	}
@@ -87,7 +102,7 @@
 
 // grant records the statement of a router that asks for a permit, and reports whether it gets one.
 func (l *ledger) grant(now time.Time, slots int, load Load, h Hold) bool {
-	l.usedAt = now
+	l.use(now)
 	if l.outdated(h) {
 		// A later statement included the request.
 		return l.requests(now, h.Router) >= h.Requests
@@ -102,17 +117,22 @@
 
 // fits reports whether there is room for the requests that a router states.
 func (l *ledger) fits(now time.Time, slots int, load Load, h Hold) bool {
-	if now.Sub(l.rejectedAt) < rejectionPause {
+	if now.Sub(l.rejectedAt) < rejectionPause && load.At.Before(l.rejectedAt.Add(-flightTime)) {
 		return false
 	}
 	held, most := l.total(now)-l.requests(now, h.Router)+h.Requests, Limit(slots)
+	known := !load.At.IsZero() && now.Sub(load.At) < LoadTTL
+	if known {
+		held += l.unstated(now, load)
+	}
 	switch {
-	case !load.At.IsZero() && now.Sub(load.At) < LoadTTL:
-		return held+l.unstated(now, load) <= most
-	case now.Sub(l.since) < HoldTTL:
-		return held <= max(most/unknownDivisor, 1)
+	case l.settled(now):
+		return held <= most
+	case known:
+		// Another coordinator may have granted permits since the report.
+		return held <= max(most-reserve(slots), 1)
 	}
-	return held <= most
+	return held <= max(most/unknownDivisor, 1)
 }
 
 // total returns the requests of all routers.
--- a/predictor/rejection.go
+++ b/predictor/rejection.go
@@ -45,6 +45,14 @@
 	return n
 }
 
+// LastRejection returns when the endpoint last rejected a request of this router, and whether that was
+// within rejectionMemory.
+func (e *Endpoint) LastRejection(now time.Time) (at time.Time, recent bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rejectedAt, now.Sub(e.rejectedAt) < rejectionMemory
+}
+
 // Belief is what a router knew of an endpoint's room when it chose the endpoint for a request.
 type Belief struct {
 	// LimitKnown is set if the router knew that the endpoint limits rejections.
--- a/warmer/members.go
+++ b/warmer/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,7 +76,19 @@
 	return ahead < owners
 }
 
-// List returns all members that count, this router included.
+// OtherOwners returns the addresses of an endpoint's owners by rank, for a router that is not an
+// owner itself.
+func (m *Members) OtherOwners(endpoint, zone string, owners int) []string {
+	var others []Member
+	for x := range m.seen {
+		if x.Address != m.self.Address {
+			others = append(others, x)
+		}
+	}
+	return Ranked(others, endpoint, zone, owners)
+}
+
+// List returns all members that count, this router included, by address.
 func (m *Members) List() []Member {
 	out := []Member{m.self}
 	for x := range m.seen {
@@ -83,32 +96,15 @@
 			out = append(out, x)
 		}
 	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Address, b.Address) })
 	return out
 }
 
-// Coordinator returns the member of a list with the highest rank for an endpoint, without those to skip.
-// It returns false if there is none.
-func Coordinator(list []Member, endpoint, zone string, skip func(Member) bool) (best Member, ok bool) {
-	var first position
+// Ranked returns the addresses of the n members of a list that come first for an endpoint, by rank.
+func Ranked(list []Member, endpoint, zone string, n int) []string {
+	ranks := make([]position, 0, len(list))
 	for _, x := range list {
-		if skip(x) {
-			continue
-		}
-		if r := rank(x, endpoint, zone); !ok || r.before(first) {
-			best, first, ok = x, r, true
-		}
-	}
-	return best, ok
-}
-
-// OtherOwners returns the addresses of an endpoint's owners by rank, for a router that is not an
-// owner itself.
-func (m *Members) OtherOwners(endpoint, zone string, owners int) []string {
-	var ranks []position
-	for x := range m.seen {
-		if x.Address != m.self.Address {
-			ranks = append(ranks, rank(x, endpoint, zone))
-		}
+		ranks = append(ranks, rank(x, endpoint, zone))
 	}
 	slices.SortFunc(ranks, func(a, b position) int {
 		if a.before(b) {
@@ -116,8 +112,8 @@
 		}
 		return 1
 	})
-	out := make([]string, 0, owners)
-	for _, r := range ranks[:min(owners, len(ranks))] {
+	out := make([]string, 0, n)
+	for _, r := range ranks[:min(n, len(ranks))] {
 		out = append(out, r.address)
 	}
 	return out
