A router that started after others had ended does not tell streams of one content apart

What callers saw: a stream that was taken up after all routers had been killed ended whole, its first part from one software version, the rest from another. Cause: callers that do not name the attempt they resume are found by the content of their request. After the kill nobody knew the older stream, and another of the same content, begun since, was the only one known: both keys are equal. Class: the absence of a record was taken for the absence of the stream. Change: a router answers by content only once it has known of all streams for as long as their origins are kept. Keepers tell for how long no router has ended or started anew; a fleet that was just founded has lost nothing.

--- a/courier/stream_origins.go
+++ b/courier/stream_origins.go
@@ -30,6 +30,8 @@
 	// between two.
 	handOverSends    = 2
 	handOverInterval = 50 * time.Millisecond
+	// lossNoticeDelay is how long keepers take to notice that a router has ended, and to tell.
+	lossNoticeDelay = 5 * time.Second
 	// maxProofLogLines is the maximum number of log lines a second about datagrams without a proof.
 	maxProofLogLines = 2
 )
@@ -37,14 +39,18 @@
 // streamOrigins exchanges the origins of streams, which are the services and versions that began them,
 // with other routers. It is safe for concurrent use.
 type streamOrigins struct {
-	fleet *fleetView
-	guard *messenger.MemberGuard
-	log   *zap.Logger
+	fleet     *fleetView
+	guard     *messenger.MemberGuard
+	log       *zap.Logger
+	startedAt time.Time
 
 	mu          sync.Mutex
 	replication *resumer.Replication
 	placement   *resumer.Placement
 	members     streamMembers
+	// completeSince is the time from which no origin that this router would keep was lost: it has kept them
+	// since its start, and no router ended just before. It is zero until a keeper has told.
+	completeSince time.Time
 	// searches holds the searches in progress by their numbers.
 	searches map[uint64]*originSearch
 }
@@ -57,7 +63,7 @@
 
 func newStreamOrigins(f *fleetView, log *zap.Logger) *streamOrigins {
 	s := &streamOrigins{
-		fleet: f, log: reporter.Sampled(log, maxProofLogLines),
+		fleet: f, log: reporter.Sampled(log, maxProofLogLines), startedAt: time.Now(),
 		replication: resumer.NewReplication(), placement: resumer.NewPlacement(f.self.Zone, nil), searches: map[uint64]*originSearch{},
 	}
 	s.guard = messenger.NewMemberGuard(s.incarnationOf, time.Now)
@@ -138,10 +144,11 @@
 }
 
 // Find returns the origin of a stream. It returns resumer.ErrUnknown if the routers that would keep it
-// do not know it, and resumer.ErrUnreachable if they do not answer.
-func (s *streamOrigins) Find(ctx context.Context, k resumer.Key) (resumer.Origin, error) {
+// do not know it, or have kept origins for less than minKept, and resumer.ErrUnreachable if they do not
+// answer.
+func (s *streamOrigins) Find(ctx context.Context, k resumer.Key, minKept time.Duration) (resumer.Origin, error) {
 	number := rand.Uint64()
-	search, o, err := s.startSearch(number, k)
+	search, o, err := s.startSearch(number, k, minKept)
 	if search == nil {
 		return o, err
 	}
@@ -149,7 +156,7 @@
 	t := time.NewTicker(searchPollInterval)
 	defer t.Stop()
 	for {
-		asked, o, done, err := s.stepSearch(search, k)
+		asked, o, done, err := s.stepSearch(search, k, minKept)
 		if done {
 			countSearch(err)
 			return o, err
@@ -167,11 +174,11 @@
 }
 
 // startSearch returns nil and the result if no other router has to be asked, or can be.
-func (s *streamOrigins) startSearch(number uint64, k resumer.Key) (*originSearch, resumer.Origin, error) {
+func (s *streamOrigins) startSearch(number uint64, k resumer.Key, minKept time.Duration) (*originSearch, resumer.Origin, error) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o, ok := s.replication.Find(now, k); ok {
+	if o, ok := s.replication.Find(now, k); ok && s.keptLocked(now) >= minKept {
 		return nil, o, nil
 	}
 	if len(s.searches) >= maxSearches {
@@ -182,7 +189,7 @@
 	if len(candidates) == 0 {
 		s.fleet.listRoutersSoon(now)
 	}
-	search := &originSearch{core: resumer.NewSearch(now, candidates), answered: make(chan struct{}, 1)}
+	search := &originSearch{core: resumer.NewSearch(now, candidates, minKept), answered: make(chan struct{}, 1)}
 	s.searches[number] = search
 	return search, resumer.Origin{}, nil
 }
@@ -194,11 +201,11 @@
 }
 
 // stepSearch returns the routers to ask now, or the result.
-func (s *streamOrigins) stepSearch(search *originSearch, k resumer.Key) (ask []resumer.Member, o resumer.Origin, done bool, err error) {
+func (s *streamOrigins) stepSearch(search *originSearch, k resumer.Key, minKept time.Duration) (ask []resumer.Member, o resumer.Origin, done bool, err error) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o, ok := s.replication.Find(now, k); ok {
+	if o, ok := s.replication.Find(now, k); ok && s.keptLocked(now) >= minKept {
 		return nil, o, true, nil
 	}
 	ask = search.core.Tick(now)
@@ -206,6 +213,30 @@
 	return ask, o, done, err
 }
 
+// keptLocked returns for how long this router has kept all origins that it was sent, or would have been sent
+// if it had run. The caller holds s.mu.
+func (s *streamOrigins) keptLocked(now time.Time) time.Duration {
+	since := s.completeSince
+	if since.IsZero() {
+		return 0
+	}
+	if at := s.replication.DroppedAt(); at.After(since) {
+		since = at
+	}
+	return now.Sub(since)
+}
+
+// recordRoutersKept records for how long no router has ended. What ends later takes nothing away from what
+// this router keeps.
+func (s *streamOrigins) recordRoutersKept(now time.Time, kept time.Duration) {
+	since := now.Add(-kept)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.completeSince.IsZero() || since.After(s.completeSince) && since.Before(s.startedAt.Add(lossNoticeDelay)) {
+		s.completeSince = since
+	}
+}
+
 // sendAll sends origins, as many in one datagram as fit.
 func (s *streamOrigins) sendAll(sends []resumer.Send) {
 	for _, send := range sends {
@@ -289,10 +320,11 @@
 	if !ok {
 		return
 	}
+	now := time.Now()
 	s.mu.Lock()
-	o, known := s.replication.Find(time.Now(), k)
+	o, known := s.replication.Find(now, k)
+	a := &messenger.StreamQueryAnswer{Number: q.Number, KeptMs: s.keptLocked(now).Milliseconds()}
 	s.mu.Unlock()
-	a := &messenger.StreamQueryAnswer{Number: q.Number}
 	if known {
 		a.Origin = &messenger.StreamOrigin{Service: o.Service, Version: string(o.Version)}
 	}
@@ -307,7 +339,7 @@
 	if search == nil {
 		return
 	}
-	search.core.Answer(from, originFromMessage(a.Origin), a.Origin != nil)
+	search.core.Answer(from, originFromMessage(a.Origin), a.Origin != nil, time.Duration(a.KeptMs)*time.Millisecond)
 	select {
 	case search.answered <- struct{}{}:
 	default:
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -174,6 +174,9 @@
 				f.permits.setMembers(f.warmup.members.List())
 			}
 		}
+		if f.origins != nil {
+			f.origins.recordRoutersKept(now, time.Duration(result.reply.RoutersKeptMs)*time.Millisecond)
+		}
 		f.quarantine.reportAccepted(now, now.Add(-time.Duration(result.reply.UptimeMs)*time.Millisecond), result.report)
 	}
 	// After a partition, the first keeper that answers becomes the current one. The keeper
--- a/forwarder/resumption.go
+++ b/forwarder/resumption.go
@@ -102,11 +102,13 @@
 
 // findOrigin returns what began the stream that the request resumes.
 func (j *job) findOrigin() (resumer.Origin, error) {
-	k := resumer.NewContentKey(j.fingerprint)
+	// Another stream of the same content may have begun at another version before routers started that know of
+	// this one only.
+	k, minKept := resumer.NewContentKey(j.fingerprint), j.originRetention()
 	if attempt := j.resumedAttempt(); attempt != "" {
-		k = j.originKey(attempt)
+		k, minKept = j.originKey(attempt), 0
 	}
-	o, err := j.f.Origins.Find(j.r.Context(), k)
+	o, err := j.f.Origins.Find(j.r.Context(), k, minKept)
 	if err == nil {
 		return o, nil
 	}
@@ -214,7 +216,12 @@
 			attempts = append(attempts, j.originKey(a))
 		}
 	}
-	j.f.Origins.Record(j.origin, resumer.Retention(max(j.caller.Deadline, j.route.Timeout)), resumer.NewContentKey(j.fingerprint), attempts...)
+	j.f.Origins.Record(j.origin, j.originRetention(), resumer.NewContentKey(j.fingerprint), attempts...)
+}
+
+// originRetention returns how long the origin of the request's stream is kept.
+func (j *job) originRetention() time.Duration {
+	return resumer.Retention(max(j.caller.Deadline, j.route.Timeout))
 }
 
 // logged returns the beginning of a text that a caller sent.
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -67,8 +67,9 @@
 	// Record makes the origin of a stream known to other routers for the retention, by the content of
 	// its request and by attempts. It returns once that survives the end of this process.
 	Record(o resumer.Origin, retention time.Duration, content resumer.Key, attempts ...resumer.Key)
-	// Find returns the origin of a stream, resumer.ErrUnknown or resumer.ErrUnreachable.
-	Find(ctx context.Context, k resumer.Key) (resumer.Origin, error)
+	// Find returns the origin of a stream, resumer.ErrUnknown or resumer.ErrUnreachable. A key that several
+	// streams may share is known only to routers that have kept all origins for minKept.
+	Find(ctx context.Context, k resumer.Key, minKept time.Duration) (resumer.Origin, error)
 	// SoleVersion returns the version of a service if no endpoint has had another one for a time.
 	SoleVersion(service string, within time.Duration) (enroller.Version, bool)
 	// KnowsVersion reports whether an endpoint of a service has, or has had lately, a version.
--- a/resumer/replication.go
+++ b/resumer/replication.go
@@ -182,6 +182,14 @@
 	return r.own.Len() + r.held.Len(), r.own.Dropped() + r.held.Dropped()
 }
 
+// DroppedAt returns when an origin was last dropped before it expired, or the zero time.
+func (r *Replication) DroppedAt() time.Time {
+	if at := r.held.DroppedAt(); at.After(r.own.DroppedAt()) {
+		return at
+	}
+	return r.own.DroppedAt()
+}
+
 // batch collects origins by receiver.
 type batch struct{ sends []Send }
 
--- a/resumer/search.go
+++ b/resumer/search.go
@@ -20,7 +20,9 @@
 // Search looks for the origin of one stream at the routers that may keep it. It reads no clock and is
 // not safe for concurrent use.
 type Search struct {
-	began   time.Time
+	began time.Time
+	// minKept is how long a router must have kept origins to know the stream for sure.
+	minKept time.Duration
 	targets []searchTarget
 	rounds  int
 	origin  Origin
@@ -32,9 +34,10 @@
 	denials int
 }
 
-// NewSearch returns a search at the given routers.
-func NewSearch(now time.Time, candidates []Member) *Search {
-	s := &Search{began: now}
+// NewSearch returns a search at the given routers. A router that has kept origins for less than minKept counts as
+// one that does not know the stream.
+func NewSearch(now time.Time, candidates []Member, minKept time.Duration) *Search {
+	s := &Search{began: now, minKept: minKept}
 	for _, m := range candidates {
 		s.targets = append(s.targets, searchTarget{Member: m})
 	}
@@ -56,9 +59,10 @@
 	return out
 }
 
-// Answer takes in the answer of a router at an address; known is false if it does not know the stream.
-// Answers of routers that were not asked are ignored.
-func (s *Search) Answer(address string, o Origin, known bool) {
+// Answer takes in the answer of a router at an address, which has kept origins for a time; known is false
+// if it does not know the stream. Answers of routers that were not asked are ignored.
+func (s *Search) Answer(address string, o Origin, known bool, kept time.Duration) {
+	known = known && kept >= s.minKept
 	i := slices.IndexFunc(s.targets, func(t searchTarget) bool { return t.Address == address })
 	switch {
 	case i < 0 || s.rounds == 0:
--- a/resumer/store.go
+++ b/resumer/store.go
@@ -16,6 +16,8 @@
 	byExpiry             expiryHeap
 	bytes                int
 	dropped              int
+	// droppedAt is when an entry was last dropped.
+	droppedAt time.Time
 }
 
 type storedEntry struct {
@@ -61,6 +63,7 @@
 	for len(s.byExpiry) > s.maxEntries || s.bytes > s.maxBytes {
 		s.remove(s.byExpiry[0])
 		s.dropped++
+		s.droppedAt = now
 	}
 }
 
@@ -98,6 +101,9 @@
 // Dropped returns how many entries were dropped before they expired.
 func (s *Store) Dropped() int { return s.dropped }
 
+// DroppedAt returns when an entry was last dropped before it expired, or the zero time.
+func (s *Store) DroppedAt() time.Time { return s.droppedAt }
+
 func (s *Store) expire(now time.Time) {
 	for len(s.byExpiry) > 0 && !s.byExpiry[0].expires.After(now) {
 		s.remove(s.byExpiry[0])
--- a/steward/registry.go
+++ b/steward/registry.go
@@ -64,14 +64,16 @@
 	return &registry{table: enroller.NewTable(maxMissedHeartbeats * heartbeat), unshared: map[string]bool{}, routers: newRouters(), left: map[enroller.Incarnation]appliedLeave{}, epoch: rand.Uint64() | 1, startedAt: time.Now(), log: zap.NewNop()}
 }
 
-// beginVersions records whether there were endpoints before this process.
+// beginVersions records whether there were endpoints and routers before this process.
 func (r *registry) beginVersions(now time.Time, firstStart bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if firstStart {
 		r.table.Versions().BeginWithFleet(now)
+		r.routers.allKnownSince = now.Add(-foundedBefore)
 	} else {
 		r.table.Versions().Begin(now)
+		r.routers.allKnownSince = now
 	}
 }
 
@@ -259,6 +261,7 @@
 		r.routers.fillList(heldRevision, out)
 	}
 	out.Versions = r.versions(now)
+	out.RoutersKeptMs = r.routers.keptDuration(now).Milliseconds()
 	truncated := r.fillLeaves(now, deployment, q, out)
 	if q.SkipEndpoints && !truncated {
 		out.Epoch, out.Revision, out.Partial = q.Epoch, q.Revision, true
--- a/steward/routers.go
+++ b/steward/routers.go
@@ -11,6 +11,9 @@
 const (
 	// maxRouterChanges bounds the remembered changes of the router list.
 	maxRouterChanges = 4096
+	// foundedBefore is for how long no router has ended in a deployment that was just founded: longer than
+	// any stream.
+	foundedBefore = 24 * time.Hour
 	// zoneLoadTTL is how old a zone's load sent to routers may be.
 	zoneLoadTTL = 200 * time.Millisecond
 )
@@ -38,6 +41,9 @@
 	changesSince uint64
 	// loads caches the load of availability zones.
 	loads map[string]cachedLoad
+	// allKnownSince is when this keeper began to hear of routers, or long before if it founded the
+	// deployment. LostAt is when it last noticed that a router has ended or started anew.
+	allKnownSince, lostAt time.Time
 	// lastNotified caches notifiedIndex as of notifiedAt.
 	lastNotified uint64
 	notifiedAt   time.Time
@@ -63,11 +69,23 @@
 func (r *routers) observe(now time.Time, m *messenger.FleetMember, direct bool) {
 	old, known := r.byAddress[m.Address]
 	r.byAddress[m.Address] = router{member: m, lastSeen: now, direct: direct, load: old.load, leavesIndex: old.leavesIndex}
+	if known && old.member.Incarnation != m.Incarnation {
+		r.lostAt = now
+	}
 	if !known || old.member.Zone != m.Zone || old.member.Incarnation != m.Incarnation {
 		r.recordChange(m.Address)
 	}
 }
 
+// keptDuration returns for how long no router has ended or started anew, as far as this keeper knows.
+func (r *routers) keptDuration(now time.Time) time.Duration {
+	since := r.allKnownSince
+	if r.lostAt.After(since) {
+		since = r.lostAt
+	}
+	return now.Sub(since)
+}
+
 // observeRelayed records a router that another keeper reported, unless the router itself
 // called this keeper recently.
 func (r *routers) observeRelayed(now time.Time, m *messenger.FleetMember) {
@@ -123,6 +141,7 @@
 	for a, x := range r.byAddress {
 		if now.Sub(x.lastSeen) > routerTimeout {
 			delete(r.byAddress, a)
+			r.lostAt = now
 			r.recordChange(a)
 		}
 	}
