An endpoint that started again under its id does not complete an answer without length

Cause: an answer without length is whole if its endpoint is alive after its end; the check compared ids, which the new process has as well. Heartbeats with its start arrive later than the end of the connection. Change: an answer on a connection that was open before the request decides, as only the same process holds it. Without one, the incarnation has to answer on a new connection, and no other request may have been broken off there within 0.1 s. What remains: a router whose only request there is one without length, and which has no connection that was open before, goes by the id.

--- a/courier/endless_internal_test.go
+++ b/courier/endless_internal_test.go
@@ -37,7 +37,7 @@
 					}
 				})})
 				begun := time.Now()
-				g.Expect(l.IsAlive(t.Context(), e, "/health")).To(gomega.BeFalse())
+				g.Expect(l.IsAlive(t.Context(), e, "/health", time.Now())).To(gomega.BeFalse())
 				g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 2*aliveCheckTimeout))
 			})
 		}
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -160,6 +160,7 @@
 	f.routerCount.Store(1)
 	f.leaves.startedAt = f.startedAt
 	f.quarantine.replaced = f.isReplaced
+	f.quarantine.takeIdle = pool.TakeIdle
 	for _, s := range o.Node.Seeds() {
 		f.addKeeper(s, "")
 	}
--- a/courier/liveness.go
+++ b/courier/liveness.go
@@ -42,6 +42,12 @@
 	// closed the connection of an answer without length: a new connection, and an answer. The caller
 	// waits for it. A round trip takes half a second over a link that callers fill.
 	aliveCheckTimeout = 600 * time.Millisecond
+	// suspicionDelay is how long other requests at an endpoint that has ended may take to fail: what a cut
+	// link held back does not arrive at once.
+	suspicionDelay = 100 * time.Millisecond
+	// maxIdleProbes is how many connections that were open are tried, as an endpoint may have closed one
+	// that was idle.
+	maxIdleProbes = 2
 	// maxLoggedParts is the maximum number of prompt parts in the log line of a crash.
 	maxLoggedParts = 64
 )
@@ -62,6 +68,9 @@
 	dialRelay func(context.Context, enroller.Heartbeat) (io.ReadWriteCloser, error)
 	// probe reports whether the incarnation with an id answers over a connection.
 	probe ProbeFunc
+	// takeIdle returns a connection to an endpoint that was opened before a time and has no request, or
+	// nil.
+	takeIdle func(endpoint string, before time.Time) io.ReadWriteCloser
 	// replaced reports whether another incarnation is in service at an endpoint's address.
 	replaced func(enroller.Heartbeat) bool
 	// answered reports whether requests with a part were answered lately.
@@ -79,6 +88,7 @@
 		log: log, onCrash: crashed, pending: map[enroller.Incarnation][]quarantiner.Crash{},
 		dial: pooler.DialDirect, confirmEnded: func(enroller.Heartbeat) bool { return true },
 		probe:    func(context.Context, io.ReadWriteCloser, string, string) (bool, error) { return true, nil },
+		takeIdle: func(string, time.Time) io.ReadWriteCloser { return nil },
 		replaced: func(enroller.Heartbeat) bool { return false }, answered: func(quarantiner.SharedPart) bool { return false },
 	}
 }
@@ -165,15 +175,42 @@
 	return answered, unanswered
 }
 
-// IsAlive reports whether an endpoint is known to be alive now. The system of a process that is being
-// ended still accepts connections for a moment, and another process may listen at the address soon, so
-// only an answer of the incarnation shows that it is alive.
-func (l *livenessChecks) IsAlive(ctx context.Context, e *predictor.Endpoint, path string) bool {
-	c, err := l.connect(ctx, e.Beat())
-	if err != nil {
-		aliveChecks(false).Inc()
-		return false
+// IsAlive reports whether the process of an endpoint that ran at a time is known to be alive now. The
+// system of a process that is being ended still accepts connections for a moment, and another process may
+// listen at the address soon, also under the same id. So an answer on a connection that was open then
+// decides. Without such a connection, the incarnation has to answer on a new one, and no other request
+// may have been broken off there.
+func (l *livenessChecks) IsAlive(ctx context.Context, e *predictor.Endpoint, path string, since time.Time) bool {
+	survived, known := l.survived(ctx, e, path, since)
+	alive := survived || !known && l.answers(ctx, e, path) && !l.endSuspected(e.Beat().Incarnation)
+	aliveChecks(alive).Inc()
+	return alive
+}
+
+// survived reports whether an endpoint answers on a connection that was opened before a time. It is not
+// known if there is none.
+func (l *livenessChecks) survived(ctx context.Context, e *predictor.Endpoint, path string, since time.Time) (survived, known bool) {
+	for range maxIdleProbes {
+		c := l.takeIdle(e.Name(), since)
+		if c == nil {
+			break
+		}
+		known = true
+		if l.probeConnection(ctx, e, path, c) {
+			return true, true
+		}
 	}
+	return false, known
+}
+
+// answers reports whether the incarnation of an endpoint answers on a new connection, as far as its id tells.
+func (l *livenessChecks) answers(ctx context.Context, e *predictor.Endpoint, path string) bool {
+	c, err := l.connect(ctx, e.Beat())
+	return err == nil && l.probeConnection(ctx, e, path, c)
+}
+
+// probeConnection reports whether the incarnation of an endpoint answers on a connection, which it closes.
+func (l *livenessChecks) probeConnection(ctx context.Context, e *predictor.Endpoint, path string, c io.ReadWriteCloser) bool {
 	defer func() { _ = c.Close() }()
 	ctx, cancel := context.WithTimeout(ctx, aliveCheckTimeout)
 	defer cancel()
@@ -182,9 +219,15 @@
 	// An endpoint whose slots are taken may let the health check wait. The connection of one that has
 	// ended is closed, and bytes that are no answer may come from any process.
 	waits := ctx.Err() != nil && !probed.heard
-	alive := err == nil && same || waits && !l.replaced(e.Beat())
-	aliveChecks(alive).Inc()
-	return alive
+	return err == nil && same || waits && !l.replaced(e.Beat())
+}
+
+// endSuspected reports whether other requests were broken off at an endpoint, which is being checked.
+func (l *livenessChecks) endSuspected(i enroller.Incarnation) bool {
+	time.Sleep(suspicionDelay)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending[i]) > 0
 }
 
 // probedConn records whether bytes arrived on a connection.
--- a/courier/liveness_test.go
+++ b/courier/liveness_test.go
@@ -84,8 +84,55 @@
 			}
 			e := predictor.NewEndpoint(enroller.Heartbeat{Incarnation: enroller.Incarnation{ID: "a", BornMS: 3}, Address: listen(t, x.handle)})
 			began := time.Now()
-			gomega.NewWithT(t).Expect(l.IsAlive(t.Context(), e, "/health")).To(gomega.Equal(x.alive))
+			gomega.NewWithT(t).Expect(l.IsAlive(t.Context(), e, "/health", time.Now())).To(gomega.Equal(x.alive))
 			gomega.NewWithT(t).Expect(time.Since(began)).To(gomega.BeNumerically("<", 3*aliveCheckTimeout))
 		})
 	}
 }
+
+// Guards against an answer without length that counts as whole although its endpoint has ended, as it has
+// started again under the same id by the time of the check.
+func TestEndpointThatStartedAgainUnderItsIdIsNotTheOneThatEnded(t *testing.T) {
+	open := func(handle func(net.Conn)) io.ReadWriteCloser {
+		c, err := net.Dial("tcp", listen(t, handle))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	closes := func(c net.Conn) { _ = c.Close() }
+	for name, x := range map[string]struct {
+		idle    []func(net.Conn)
+		pending bool
+		alive   bool
+	}{
+		"an open connection answers":             {idle: []func(net.Conn){answers("a")}, pending: true, alive: true},
+		"one was closed, another answers":        {idle: []func(net.Conn){closes, answers("a")}, alive: true},
+		"all that were open are closed":          {idle: []func(net.Conn){closes, closes}},
+		"none was open, others were broken off":  {pending: true},
+		"none was open, nothing else was broken": {alive: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			l := newLivenessChecks(zap.NewNop(), func([]quarantiner.Crash) {})
+			l.probe = platform.ProbeInstance
+			e := predictor.NewEndpoint(enroller.Heartbeat{Incarnation: enroller.Incarnation{ID: "a", BornMS: 3}, Address: listen(t, answers("a"))})
+			since := time.Now()
+			l.takeIdle = func(endpoint string, before time.Time) io.ReadWriteCloser {
+				g.Expect(endpoint).To(gomega.Equal(e.Name()))
+				g.Expect(before).To(gomega.Equal(since))
+				if len(x.idle) == 0 {
+					return nil
+				}
+				c := open(x.idle[0])
+				x.idle = x.idle[1:]
+				return c
+			}
+			if x.pending {
+				l.pending[e.Beat().Incarnation] = []quarantiner.Crash{{}}
+			}
+			g.Expect(l.IsAlive(t.Context(), e, "/health", since)).To(gomega.Equal(x.alive))
+		})
+	}
+}
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -302,6 +302,7 @@
 	}
 	j.leavesAge = max(j.leavesAge, j.f.Fleet.LeavesAge())
 	mayHaveRunBefore, sentAt := j.mayHaveRun, time.Now()
+	j.sentAt = sentAt
 	r := j.endpointRequest(assignment)
 	a, err := j.f.Pool.Exchange(ctx, j.connectionTarget(e), r)
 	j.recordRelay(r.Relay)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -170,8 +170,9 @@
 	// RecordSuccess records that an endpoint answered a request completely and
 	// successfully.
 	RecordSuccess(quarantiner.Input)
-	// IsAlive reports whether an endpoint is known to be alive now; path is that of its health check.
-	IsAlive(ctx context.Context, e *predictor.Endpoint, path string) bool
+	// IsAlive reports whether the process of an endpoint that ran at a time is known to be alive now; path is
+	// that of its health check.
+	IsAlive(ctx context.Context, e *predictor.Endpoint, path string, since time.Time) bool
 	// RecordBrokenOff records that an endpoint's connection ended before the answer was
 	// complete; underway is the time since the request was sent there.
 	RecordBrokenOff(e *predictor.Endpoint, in quarantiner.Input, underway time.Duration)
@@ -291,6 +292,8 @@
 	rightsWait time.Duration
 	// leavesAge is the highest age of the knowledge of leaves when an attempt began.
 	leavesAge time.Duration
+	// sentAt is when the last attempt began.
+	sentAt time.Time
 	// tried holds the incarnations that the request was sent to.
 	tried []enroller.Incarnation
 	// versions holds the software versions of these incarnations when the request was sent there.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -60,7 +60,7 @@
 // closedByEnd reports whether an answer without length and chunks may have been completed only by the
 // end of its endpoint. The system of a process that crashes closes its connections regularly.
 func (j *job) closedByEnd(ctx context.Context, a *pooler.Answer, e *predictor.Endpoint) bool {
-	return a.CloseDelimited && !j.f.Quarantine.IsAlive(ctx, e, j.service.HealthPath)
+	return a.CloseDelimited && !j.f.Quarantine.IsAlive(ctx, e, j.service.HealthPath, j.sentAt)
 }
 
 // handleBrokenOff handles a stream that ended before its final event.
--- a/forwarder/testrouter_test.go
+++ b/forwarder/testrouter_test.go
@@ -380,7 +380,7 @@
 	q.answered = append(q.answered, in)
 }
 
-func (q *quarantineStub) IsAlive(ctx context.Context, e *predictor.Endpoint, _ string) bool {
+func (q *quarantineStub) IsAlive(ctx context.Context, e *predictor.Endpoint, _ string, _ time.Time) bool {
 	c, err := pooler.DialDirect(ctx, e.Beat().Address)
 	if err == nil {
 		_ = c.Close()
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -187,6 +188,7 @@
 	relayZone string
 	// silence is nil on relayed connections.
 	silence *pathfinder.ServiceSilence
+	openedAt time.Time
 	// heardAt is when bytes last arrived, in nanoseconds since the pool was created.
 	heardAt atomic.Int64
 	// repeatable is set while a request that may run again waits on the connection.
@@ -208,7 +210,7 @@
 
 // newConn returns a connection over a transport.
 func (p *Pool) newConn(t Target, over transport, relay, relayZone string) *conn {
-	c := &conn{transport: over, target: t, relay: relay, relayZone: relayZone, headLeft: noHeadLimit}
+	c := &conn{transport: over, target: t, relay: relay, relayZone: relayZone, openedAt: time.Now(), headLeft: noHeadLimit}
 	if relay == "" {
 		c.silence = p.silence.Service(t.Service)
 	}
@@ -350,6 +352,38 @@
 	}
 }
 
+// TakeIdle removes an idle connection to an endpoint that was opened before a time, or returns nil if there is
+// none. The process that answers on it is the one that ran then. The caller must close it.
+func (p *Pool) TakeIdle(id string, before time.Time) io.ReadWriteCloser {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x := p.peers[id]
+	if x == nil {
+		return nil
+	}
+	i := slices.IndexFunc(x.idle, func(c *conn) bool { return c.openedAt.Before(before) })
+	if i < 0 {
+		return nil
+	}
+	c := x.idle[i]
+	x.idle = slices.Delete(x.idle, i, i+1)
+	x.busy[c] = true
+	return &takenConn{conn: c, pool: p}
+}
+
+// takenConn is a connection that was taken out of the pool.
+type takenConn struct {
+	*conn
+	pool *Pool
+	once sync.Once
+}
+
+// Close closes the connection.
+func (c *takenConn) Close() error {
+	c.once.Do(func() { c.pool.discard(c.conn) })
+	return nil
+}
+
 // CloseIdle closes the idle connections to an endpoint that has left service.
 func (p *Pool) CloseIdle(id string) {
 	p.closeIdle(id, func(*conn) bool { return true })
