--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -187,7 +187,7 @@
 	// relayZone is that router's availability zone.
 	relayZone string
 	// silence is nil on relayed connections.
-	silence *pathfinder.ServiceSilence
+	silence  *pathfinder.ServiceSilence
 	openedAt time.Time
 	// heardAt is when bytes last arrived, in nanoseconds since the pool was created.
 	heardAt atomic.Int64
