The clock since boot bounds the time from a router's last claim to its end from below

Cause: the account of a router that was killed behind a cut was ended after 2.4 s instead of 6.2, as the clocks of router, leader and another keeper had been set back alike; three clocks that agree were believed, and the clock since boot, which agreed with none, was not heard. Change: that clock is never adjusted, and a reboot only makes its difference shorter, so that at least as much time has passed. A reboot with the same adjustment of three clocks is still assumed not to happen.

--- a/allotter/elapsed.go
+++ b/allotter/elapsed.go
@@ -12,14 +12,24 @@
 	clockTolerance = 200 * time.Millisecond
 	// twoClockMargin is added to a duration that only two clocks of other VMs confirm, because
 	// both may have been adjusted by the same amount. Adjustments are of the order of seconds.
-	// Adjustments of three clocks between a claim and a restart are assumed not to happen.
+	// The same adjustment of three clocks between a claim and a reboot is assumed not to happen.
 	twoClockMargin = 3 * time.Second
 )
 
 // maxElapsed returns the most time that can have passed between two moments of one VM, and whether
 // that is known. A single clock is not enough: wall clocks are adjusted, and the clock since boot
-// starts again after a reboot. Clocks of several VMs that agree are enough.
+// starts again after a reboot. Clocks of several VMs that agree are enough, unless the clock since boot
+// shows that more time has passed: it is never adjusted, and a reboot only makes its difference shorter.
 func maxElapsed(from, to *messenger.RightsMoment) (time.Duration, bool) {
+	elapsed, known := agreedElapsed(from, to)
+	if boot := clockDifference(from.GetBootMs(), to.GetBootMs()); known {
+		elapsed = max(elapsed, boot+clockTolerance)
+	}
+	return elapsed, known
+}
+
+// agreedElapsed returns the most time that has passed by the clocks that agree.
+func agreedElapsed(from, to *messenger.RightsMoment) (time.Duration, bool) {
 	router := clockDifference(from.GetRouterMs(), to.GetRouterMs())
 	leader := clockDifference(from.GetLeaderMs(), to.GetLeaderMs())
 	keeper := clockDifference(from.GetKeeperMs(), to.GetKeeperMs())
--- a/allotter/elapsed_test.go
+++ b/allotter/elapsed_test.go
@@ -78,3 +78,25 @@
 		g.Expect(off).To(gomega.BeNumerically(">=", least), name)
 	}
 }
+
+// Guards against overspending when the clocks of a router, of the leader and of another keeper are set back
+// alike between the router's last claim and the end of its process, while its VM goes on: the time that has passed
+// would count as shorter, and less as spent than was.
+func TestThreeAdjustedClocksDoNotShortenTheTimeSinceBoot(t *testing.T) {
+	for _, back := range []int64{0, 1000, 3890, 6000} {
+		g := gomega.NewWithT(t)
+		now := time.Unix(1000, 0)
+		l, p := newLedger(100_000_000), &allotter.Allocation{}
+		for range 40 {
+			runRequests(p, now, 20, 250*time.Millisecond)
+			now = now.Add(250 * time.Millisecond)
+			sendClaim(l, "a", 1, p, now, now)
+		}
+		runRequests(p, now, 20, 6200*time.Millisecond)
+		end := momentAt(now.Add(6200 * time.Millisecond))
+		end.RouterMs, end.LeaderMs, end.KeeperMs = end.RouterMs-back, end.LeaderMs-back, end.KeeperMs-back
+		sequence++
+		l.ApplyClaims(&messenger.RightsChange{Router: "a", Incarnation: 2, Sequence: sequence, Sent: end, Started: end})
+		g.Expect(l.Balances()[0].SpentByEnded).To(gomega.BeNumerically(">=", p.Used()), "set back by %d ms: tokens used that could be granted again", back)
+	}
+}
