Statements of unknown endpoints are ignored, and only answers end a coordinator's silence

Cause: found when the diff was read: a sender could fill a router's memory with names of endpoints, and a router that hears a coordinator which does not answer it would wait for its answers again after each of its statements. Change: statements count for endpoints in service; a silence ends with an answer, or its time.

--- a/courier/permits.go
+++ b/courier/permits.go
@@ -22,17 +22,18 @@
 )
 
 const (
-	// permitResendInterval is how long an answer is awaited before the question is sent once more, and
-	// permitTimeout how long in all: a round trip between regions takes a part of that.
+	// permitResendInterval is how long an answer is awaited before the question is sent once more.
 	permitResendInterval = 40 * time.Millisecond
-	permitTimeout        = 120 * time.Millisecond
+	// permitTimeout is how long an answer is awaited in all: a round trip between regions takes a part of
+	// that.
+	permitTimeout = 120 * time.Millisecond
 	// maxCoordinators is how many routers are asked for one permit, if they do not answer or name another
 	// one.
 	maxCoordinators = 3
 	// learnedTTL is how long a router that keepers do not list may coordinate after its last message: it
 	// has just started, or the list of this router is late.
 	learnedTTL = 5 * time.Second
-	// A coordinator that does not answer is passed over for minCoordinatorSilence, and for twice as
+	// A coordinator that does not answer a question is passed over for minCoordinatorSilence, and for twice as
 	// long each further time, up to maxCoordinatorSilence.
 	minCoordinatorSilence = 2 * time.Second
 	maxCoordinatorSilence = 16 * time.Second
@@ -256,8 +257,11 @@
 	return p.grantLocked(now, e, m, holdOf(e, now))
 }
 
-// recordLocked records what a router states. The caller holds p.mu.
+// recordLocked records what a router states of an endpoint in service. The caller holds p.mu.
 func (p *permits) recordLocked(now time.Time, m *messenger.PermitMessage, h *messenger.EndpointHold) {
+	if p.fleet.table.Endpoint(h.Endpoint) == nil {
+		return
+	}
 	p.recordRejectionLocked(now, h)
 	p.coordinator.Record(now, h.Endpoint, statement(m, h))
 }
@@ -269,6 +273,7 @@
 	}
 }
 
+// statement returns what a message states of an endpoint.
 func statement(m *messenger.PermitMessage, h *messenger.EndpointHold) permitter.Hold {
 	return permitter.Hold{Router: m.From, Process: m.Process, Sequence: m.Sequence, Requests: int(h.Requests)}
 }
@@ -349,12 +354,12 @@
 func (p *permits) receive(now time.Time, m *messenger.PermitMessage) {
 	p.fleet.table.ApplyDigest(now, &messenger.LoadDigest{Endpoints: m.Loads})
 	p.mu.Lock()
-	delete(p.silent, m.From)
 	p.learnLocked(now, warmer.Member{Address: m.From, Zone: m.Zone})
 	for _, h := range m.Holds {
 		p.recordLocked(now, m, h)
 	}
 	if a := m.Answer; a != nil {
+		delete(p.silent, m.From)
 		if c := p.questions[a.Sequence]; c != nil {
 			select {
 			case c <- a:
--- a/courier/permits_internal_test.go
+++ b/courier/permits_internal_test.go
@@ -295,3 +295,22 @@
 	}
 	g.Expect(granted).To(gomega.BeNumerically("<=", 2), "a quarter of the slots without a load")
 }
+
+// Guards against memory that grows with the names of endpoints that a sender makes up, and against a coordinator
+// that counts as answering because it sends statements of its own.
+func TestStatementsOfUnknownEndpointsAreIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := startPermitRouters(t, "a", "b")
+	now := time.Now()
+	for i := range 1000 {
+		r[0].permits.receive(now, &messenger.PermitMessage{From: r[1].self.Address, Zone: "b", Holds: []*messenger.EndpointHold{{Endpoint: fmt.Sprint(i), Requests: 1}}})
+	}
+	g.Expect(r[0].permits.coordinator.Endpoints()).To(gomega.BeZero())
+	r[1].permits.recordSilence(now, r[0].self.Address)
+	statement := &messenger.PermitMessage{From: r[0].self.Address, Zone: "a", Holds: []*messenger.EndpointHold{{Endpoint: r[0].endpoint.Name(), Requests: 1}}}
+	r[1].permits.receive(now, statement)
+	g.Expect(r[1].coordinates()).To(gomega.BeTrue(), "it has not answered")
+	g.Expect(r[1].permits.coordinator.Endpoints()).To(gomega.Equal(1))
+	r[1].permits.receive(now, &messenger.PermitMessage{From: r[0].self.Address, Zone: "a", Answer: &messenger.PermitAnswer{}})
+	g.Expect(r[1].coordinates()).To(gomega.BeFalse())
+}
--- a/permitter/coordinator.go
+++ b/permitter/coordinator.go
@@ -47,5 +47,8 @@
 	}
 }
 
+// Endpoints returns the number of endpoints of which requests are known.
+func (c *Coordinator) Endpoints() int { return len(c.ledgers) }
+
 // Reset forgets everything, after a time in which statements of routers may have been missed.
 func (c *Coordinator) Reset() { clear(c.ledgers) }
