--- a/courier/brittle_fall_test.go
+++ b/courier/brittle_fall_test.go
@@ -358,6 +358,7 @@
 // together send them more than they have room for: in steady load, when all endpoints slow down, and
 // when routers stop and start.
 func TestRoutersTogetherCrashFewBrittleEndpoints(t *testing.T) {
+	t.Parallel()
 	b := startBrittleFleet(t, 170, 4, 6)
 	stop := b.flood(4, 5, 6, 7)
 	defer stop()
@@ -389,6 +390,7 @@
 // Guards against the same with so many routers that each sends an endpoint less than a request in the
 // time of a load report.
 func TestManyRoutersTogetherCrashFewBrittleEndpoints(t *testing.T) {
+	t.Parallel()
 	const routers = 16
 	b := startBrittleFleet(t, 171, routers, 12)
 	var numbers []int
