--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -17,10 +17,12 @@
 # their timeouts honest.
 # Tests named in KNOWN-RED.txt run on their own, and their result is printed.
 red=$(cut -d: -f1 KNOWN-RED.txt 2>/dev/null | paste -sd'|' || true)
-go test -race -count=1 -p 2 -skip "^(${red:-none})\$" ./...
+# The clusters of ./courier take more than the default of ten minutes for a package.
+timeout=20m
+go test -race -count=1 -p 2 -timeout "$timeout" -skip "^(${red:-none})\$" ./...
 if [ -n "$red" ]; then
   echo "known red, passed over:"
   cat KNOWN-RED.txt
-  go test -race -count=1 -p 2 -run "^($red)\$" ./... 2>&1 | grep -E '^(--- |FAIL|ok .*[0-9]s$)' || true
+  go test -race -count=1 -p 2 -timeout "$timeout" -run "^($red)\$" ./... 2>&1 | grep -E '^(--- |FAIL|ok .*[0-9]s$)' || true
 fi
 for d in adwenpa jasmine-road; do ./scripts/demo.sh "$d"; done
