A majority of the seeds founds the deployment where one is lost at the first start

Cause: founding needed a report of an empty disk from every keeper of the settings, and only the first by name founded. A restarted process has bootstrap=false and might not found either, although its disk had been empty at the first start.

Change: the names of the seeds of the first start are kept on their disks. After 1 s a majority of them founds, with all seeds as the first membership, so that every commit needs a majority of all of them; a silent one is in it without an incarnation. Several deployments may be founded, only one commits: a disk leaves one only if it helped to commit nothing there. A vote request carries the first entry, so that a founding can be completed without its founder. Reports answer a numbered hello, so that late ones prove nothing.

Ruled out: a new incarnation for a disk that leaves.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -134,6 +134,10 @@
 	return l, l.execute(context.Background(), actions)
 }
 
+// FoundingSeeds returns the names of the keepers with which the disk may found a deployment, or none. It must
+// not be called while Run runs.
+func (l *Loop) FoundingSeeds() []string { return l.core.FoundingSeeds() }
+
 // State returns the state that is synced and applied.
 func (l *Loop) State() *State { return l.state.Load() }
 
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		c.send(v, &messenger.LogMessage{Term: term, Body: &messenger.LogMessage_Vote{Vote: &messenger.LogVote{
-			Trial: trial, LastIndex: c.log.last(), LastTerm: c.log.lastTerm(),
+			Trial: trial, LastIndex: c.log.last(), LastTerm: c.log.lastTerm(), Founding: c.foundingMembership(),
 		}}})
 	}
 }
--- a/replicator/event.go
+++ b/replicator/event.go
@@ -85,22 +85,28 @@
 	return Member{Name: m.GetName(), Incarnation: m.GetIncarnation()}
 }
 
-func membershipToProto(voters []Member) *messenger.LogMembership {
-	out := &messenger.LogMembership{}
-	for _, v := range voters {
-		out.Voters = append(out.Voters, v.proto())
+func membersToProto(members []Member) []*messenger.LogMember {
+	var out []*messenger.LogMember
+	for _, m := range members {
+		out = append(out, m.proto())
 	}
 	return out
 }
 
-func votersFromProto(m *messenger.LogMembership) []Member {
+func membersFromProto(members []*messenger.LogMember) []Member {
 	var out []Member
-	for _, v := range m.GetVoters() {
-		out = append(out, memberFromProto(v))
+	for _, m := range members {
+		out = append(out, memberFromProto(m))
 	}
 	return out
 }
 
+func membershipToProto(voters []Member) *messenger.LogMembership {
+	return &messenger.LogMembership{Voters: membersToProto(voters)}
+}
+
+func votersFromProto(m *messenger.LogMembership) []Member { return membersFromProto(m.GetVoters()) }
+
 func appendReply(accepted bool, match, round uint64) *messenger.LogMessage {
 	return &messenger.LogMessage{Body: &messenger.LogMessage_AppendReply{AppendReply: &messenger.LogAppendReply{
 		Accepted: accepted, MatchIndex: match, Round: round,
--- a/replicator/follower.go
+++ b/replicator/follower.go
@@ -39,7 +39,7 @@
 	if c.commit >= a.CommitIndex {
 		c.confirmedAt = c.now.Add(-time.Duration(a.ConfirmedAgeMs) * time.Millisecond)
 	}
-	c.send(from, appendReply(true, match, a.Round))
+	c.acknowledge(from, match, a.Round)
 }
 
 // acceptEntry appends an entry and removes a conflicting tail first. It halts
@@ -82,7 +82,15 @@
 		}
 	}
 	c.advanceCommit(max(c.commit, s.Index))
-	c.send(from, appendReply(true, s.Index, in.Round))
+	c.acknowledge(from, s.Index, in.Round)
+}
+
+// acknowledge reports to the leader that the entries up to an index are on disk.
+func (c *Core) acknowledge(from Member, match, round uint64) {
+	if match > 1 {
+		c.recordAcknowledgment(from)
+	}
+	c.send(from, appendReply(true, match, round))
 }
 
 func (c *Core) installSnapshot(s *messenger.LogSnapshot) bool {
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -1,25 +1,12 @@
 package replicator
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// checkDeployment reports whether a message belongs to this deployment. A
-// keeper with an empty disk joins the deployment of the first message that
-// names its incarnation, because only a keeper that has heard from this disk
-// knows it.
-func (c *Core) checkDeployment(m *messenger.LogMessage, to Member) bool {
-	if c.deployment == "" && m.Deployment != "" && to.Incarnation == c.self.Incarnation {
-		c.deployment = m.Deployment
-		c.stateDirty = true
-	}
-	return m.Deployment != "" && m.Deployment == c.deployment
-}
-
 // sendHello announces a disk that is not a voter, or that finds no leader, to
 // the peers. A voter without a leader may have been replaced while it was
 // partitioned, and all the disks that it knows may be gone.
@@ -28,59 +15,23 @@
 		return
 	}
 	c.helloAt = c.now.Add(helloIntervalHeartbeats * c.options.Timing.HeartbeatInterval)
+	c.founding.round++
 	for _, p := range c.options.Peers {
-		c.send(Member{Name: p}, &messenger.LogMessage{Body: &messenger.LogMessage_Hello{Hello: &messenger.LogHello{}}})
+		c.send(Member{Name: p}, &messenger.LogMessage{Body: &messenger.LogMessage_Hello{Hello: &messenger.LogHello{Round: c.founding.round}}})
 	}
-	c.tryFoundDeployment()
+	c.tryFound()
 }
 
-func (c *Core) onHello(from Member, deployment string) {
+func (c *Core) onHello(from Member, deployment string, round uint64) {
+	c.send(from, &messenger.LogMessage{Body: &messenger.LogMessage_HelloReply{HelloReply: &messenger.LogHelloReply{
+		Founded: c.deployment != "", Voters: membershipToProto(c.log.voters).Voters, FoundingSeed: len(c.founding.seeds) > 0, Committed: c.commit > 0,
+		Round: round,
+	}}})
 	if deployment == "" || deployment == c.deployment {
-		c.send(from, &messenger.LogMessage{Body: &messenger.LogMessage_HelloReply{HelloReply: &messenger.LogHelloReply{
-			Founded: c.deployment != "", Voters: membershipToProto(c.log.voters).Voters,
-		}}})
 		c.addLearner(from)
 	}
 }
 
-func (c *Core) onHelloReply(from Member, r *messenger.LogHelloReply) {
-	if r.Founded {
-		delete(c.unfounded, from.Name)
-		return
-	}
-	c.unfounded[from.Name] = from.Incarnation
-	c.tryFoundDeployment()
-}
-
-// tryFoundDeployment founds a deployment if all keepers in the settings have
-// empty disks. A keeper whose disk was erased must not found a second
-// deployment beside the one it has forgotten. Therefore every other keeper
-// must have reported an empty disk since then, and only the first by name
-// founds.
-func (c *Core) tryFoundDeployment() {
-	if c.options.NoFounding || c.deployment != "" || len(c.unfounded) < len(c.options.Peers) {
-		return
-	}
-	all := []Member{c.self}
-	for _, p := range c.options.Peers {
-		all = append(all, Member{Name: p, Incarnation: c.unfounded[p]})
-	}
-	slices.SortFunc(all, compareMembers)
-	if all[0] != c.self {
-		return
-	}
-	c.deployment = fmt.Sprintf("%016x%016x", c.options.Rand.Uint64(), c.options.Rand.Uint64())
-	c.term = 1
-	c.stateDirty = true
-	e := &messenger.LogEntry{
-		Index: 1, Term: 1, Kind: messenger.LogEntryKind_LOG_ENTRY_KIND_MEMBERSHIP,
-		Membership: membershipToProto(all[:min(max(c.options.Voters, 1), len(all))]),
-	}
-	c.log.append(e)
-	c.writeEntry(e)
-	c.electionAt = c.now
-}
-
 // addLearner makes the leader replicate to a disk that is not a voter.
 func (c *Core) addLearner(m Member) {
 	if c.role != Leader || c.leaderState.progress[m] != nil || m == c.self || m.Incarnation == 0 {
--- a/replicator/pool_test.go
+++ b/replicator/pool_test.go
@@ -76,6 +76,14 @@
 	zone func(name string) string
 	// retired is a name that is no longer in the settings.
 	retired string
+	// foundingDelay is passed on to the cores.
+	foundingDelay time.Duration
+	// restarted holds the nodes that no longer start as parts of the first start.
+	restarted map[string]bool
+	// down holds the nodes that do not run.
+	down map[string]bool
+	// committed holds the deployments that have committed anything.
+	committed map[string]bool
 	// reads and wiped count events, so that a test in which nothing happens fails.
 	reads, wiped int
 }
@@ -92,16 +100,22 @@
 		voters: voters, timing: timing, zone: zone,
 		t: t, nodes: map[string]*node{}, cut: map[string]bool{},
 		asked: map[replicator.Ticket]pendingRequest{}, acked: map[string]int{}, leaders: map[string]replicator.Member{},
+		restarted: map[string]bool{}, down: map[string]bool{}, committed: map[string]bool{},
 	}
 	for i := range n {
 		p.names = append(p.names, string(rune('a'+i)))
 	}
 	p.draw, _ = t.(*rapid.T)
+	p.startAll()
+	return p
+}
+
+// startAll starts all nodes for the first time.
+func (p *pool) startAll() {
 	for i, name := range p.names {
 		p.nodes[name] = &node{disk: map[string]map[string][]byte{}, rand: rand.New(rand.NewPCG(uint64(i), 7)), now: time.Unix(1000, 0)}
 		p.start(name)
 	}
-	return p
 }
 
 // zoneOfNode places three nodes in each zone.
@@ -113,6 +127,7 @@
 	n.core = replicator.NewCore(replicator.Options{
 		Name: name, Peers: slices.DeleteFunc(slices.Clone(p.names), func(s string) bool { return s == name || s == p.retired }),
 		Voters: p.voters, Zone: p.zone, Timing: p.timing, Rand: n.rand, Machine: n.machine, CompactAfter: 8,
+		FoundingDelay: p.foundingDelay, NoFounding: p.restarted[name],
 	})
 	r := n.core.NewRestorer()
 	for _, b := range replicator.Buckets {
@@ -169,6 +184,12 @@
 
 func (p *pool) checkNode(name string) {
 	n := p.nodes[name]
+	if n.core.Commit() > 0 {
+		p.committed[n.core.Deployment()] = true
+	}
+	if len(p.committed) > 1 {
+		p.t.Fatalf("two deployments have committed: %v", p.committed)
+	}
 	if n.core.Role() == replicator.Leader {
 		key := fmt.Sprint(n.core.Deployment(), n.core.Term())
 		if l, ok := p.leaders[key]; ok && l != n.core.Self() {
@@ -204,6 +225,9 @@
 }
 
 func (p *pool) step(name string, events ...replicator.Event) {
+	if p.down[name] {
+		return
+	}
 	p.do(name, p.nodes[name].core.Step(p.nodes[name].now, events...))
 }
 
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -105,6 +105,9 @@
 	// each other through seeds: a keeper whose disk was erased knows too few names
 	// to tell whether it is the first.
 	NoFounding bool
+	// FoundingDelay is the time after the start from which a majority of the
+	// keepers may found the deployment without the others. 0 waits for all of them.
+	FoundingDelay time.Duration
 }
 
 const (
@@ -155,8 +158,7 @@
 	// current.
 	confirmedAt time.Time
 	votes       map[Member]bool
-	// unfounded maps the peers that reported an empty disk to their incarnations.
-	unfounded   map[string]uint64
+	founding    founding
 	leaderState leaderState
 
 	stateDirty bool
@@ -171,7 +173,7 @@
 	if o.CompactAfter == 0 {
 		o.CompactAfter = defaultCompactAfter
 	}
-	return &Core{options: o, self: Member{Name: o.Name}, unfounded: map[string]uint64{}}
+	return &Core{options: o, self: Member{Name: o.Name}}
 }
 
 // Self returns the name and incarnation of the local disk.
@@ -273,6 +275,7 @@
 		c.tickLeader()
 		return
 	}
+	c.tryAbandon()
 	c.sendHello()
 	if c.IsVoter() && !c.now.Before(c.electionAt) {
 		c.startPreVote()
@@ -313,10 +316,10 @@
 	}
 	switch b := m.Body.(type) {
 	case *messenger.LogMessage_Hello:
-		c.onHello(from, m.Deployment)
+		c.onHello(from, m.Deployment, b.Hello.Round)
 		return
 	case *messenger.LogMessage_HelloReply:
-		c.onHelloReply(from, b.HelloReply)
+		c.onHelloReply(from, m.Deployment, b.HelloReply)
 		return
 	}
 	if !c.checkDeployment(m, to) || !c.followTerm(m) {
--- a/replicator/rows.go
+++ b/replicator/rows.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -88,6 +89,7 @@
 	if r.rowCount == 0 {
 		c.self.Incarnation = max(c.options.Rand.Uint64(), 1)
 		c.stateDirty = true
+		c.initializeFounding()
 		c.resetElectionTimer()
 		return c.takeActions(), nil
 	}
@@ -100,6 +102,7 @@
 	if err := r.load(); err != nil {
 		return nil, err
 	}
+	c.restoreFounding(r.state)
 	c.setStartupElectionTimer()
 	c.applyCommitted()
 	return c.takeActions(), nil
@@ -173,7 +176,7 @@
 func (c *Core) stateRow() Write {
 	return encodeRow(bucketState, keyState, &messenger.LogState{
 		Deployment: c.deployment, Incarnation: c.self.Incarnation, Term: c.term, VotedFor: c.vote.proto(),
-		LastIndex: c.log.last(), CommitIndex: c.commit,
+		LastIndex: c.log.last(), CommitIndex: c.commit, FoundingSeeds: c.founding.seeds, AcknowledgedTo: membersToProto(slices.Collect(maps.Keys(c.founding.acknowledgedTo))),
 	})
 }
 
--- a/steward/loss_simulation_test.go
+++ b/steward/loss_simulation_test.go
@@ -231,7 +231,7 @@
 		Name: k.name, Peers: s.peersOf(k), Voters: 2*maxLostDisks + 1,
 		Timing:  replicator.Timing{HeartbeatInterval: logHeartbeatInterval, ElectionTimeout: electionTimeout, Replace: lossCatchUp / replaceDivisor},
 		Rand:    rand.New(rand.NewPCG(s.rand.Uint64(), 3)),
-		Machine: k.machine, CompactAfter: s.compact, NoFounding: !first,
+		Machine: k.machine, CompactAfter: s.compact, NoFounding: !first, FoundingDelay: foundingDelay,
 	})
 	actions, err := committer.RestoreCore(k.core, k.store)
 	if err != nil {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -31,6 +31,9 @@
 	// The failure of a leader costs one to two election timeouts and a round of votes.
 	logHeartbeatInterval = 100 * time.Millisecond
 	electionTimeout      = 600 * time.Millisecond
+	// foundingDelay is the time after its start from which a majority of the seeds founds the deployment
+	// without the others: several times the time between the starts of the machines.
+	foundingDelay = time.Second
 	// replaceDivisor is the part of the catch-up time for which a voter must be silent before a
 	// keeper with a complete copy replaces it. Each new leader measures the silence anew, and the
 	// change of the voters takes time as well. Replacing a voter too early is safe, only
@@ -75,9 +78,7 @@
 	node      *loader.Node
 	log       *zap.Logger
 	startedAt time.Time
-	// mayFound is set at the first start of the whole fleet if this keeper is one of its seeds.
-	mayFound bool
-	loop     *committer.Loop
+	loop      *committer.Loop
 	// state is changed by the loop only; committedState holds what other goroutines may
 	// read.
 	state          *governor.StateMachine
@@ -116,7 +117,6 @@
 		node: n, log: log, startedAt: time.Now(), state: governor.New(), scarce: map[string]bool{}, endpointsFile: storer.NewAtomicFile(n.DataDir(), endpointsFileName),
 	}
 	s.committedState.Store(&committedState{document: s.state.Document(), evacuations: s.state.Evacuations()})
-	s.mayFound = n.FirstStart() && slices.Contains(n.Seeds(), n.Internal())
 	s.peers = newPeerLinks(n.Internal(), n.Seeds(), newLink, s.setPeers)
 	s.registry = newRegistry(n.Heartbeat())
 	s.registry.log = reporter.Sampled(log, maxConflictLogLines)
@@ -130,7 +130,8 @@
 			Timing:  replicator.Timing{HeartbeatInterval: logHeartbeatInterval, ElectionTimeout: electionTimeout, Replace: n.CatchUp() / replaceDivisor},
 			Rand:    newRand(),
 			Machine: s.state, CompactAfter: compactEntries, CompactBytes: compactBytes,
-			NoFounding: !s.mayFound,
+			// At the first start of the whole fleet, its seeds found the deployment.
+			NoFounding: !n.FirstStart() || !slices.Contains(n.Seeds(), n.Internal()), FoundingDelay: foundingDelay,
 		},
 		Store: store, Send: s.peers.send, OnCommit: s.onCommit, Log: log,
 	})
@@ -138,6 +139,8 @@
 		_ = closeStore()
 		return nil, nil, err
 	}
+	// After a restart, the seeds in the settings may name other VMs.
+	s.AddSeeds(s.loop.FoundingSeeds())
 	s.claimPace = newClaimPace(n.ProcessorShare())
 	s.registerGauges()
 	s.batcher = newBatcher(s.loop.Propose, log)
@@ -212,11 +215,7 @@
 	return err
 }
 
-// onlySeedsAreKnown reports whether the log may know no keepers but the seeds. Until the deployment is
-// founded, the seeds of those that may found it decide which of them does.
-func (s *Keeper) onlySeedsAreKnown() bool { return s.mayFound && !s.loop.State().Founded() }
-
-// AddSeeds adds the keepers that changed settings name.
+// AddSeeds adds keepers that settings name, now or at an earlier start.
 func (s *Keeper) AddSeeds(seeds []string) {
 	for _, x := range seeds {
 		s.peers.add(x)
@@ -303,7 +302,5 @@
 	for _, v := range s.loop.State().Voters() {
 		s.peers.add(v.Name)
 	}
-	if !s.onlySeedsAreKnown() {
-		s.peers.reportNames()
-	}
+	s.peers.reportNames()
 }
