The test of brittle falls has a brittle time in which a router loses its paths to the engines

No test counted falls of engines while a router is cut off from them and reaches them through others, only rejections (TestBrittleEndpointRejectsNoMoreThanItTolerates). One of four routers now loses its paths to all six engines twice for 2.2 s of 11, once by dropped packets and once by resets.

--- a/courier/brittle_fall_test.go
+++ b/courier/brittle_fall_test.go
@@ -356,9 +356,13 @@
 
 // Guards against endpoints that limit rejections and crash, one after the other, because routers
 // together send them more than they have room for: in steady load, when all endpoints slow down, and
-// when routers stop and start.
+// when routers stop and start, and when one loses its paths to all endpoints and reaches them through the
+// others.
 func TestRoutersTogetherCrashFewBrittleEndpoints(t *testing.T) {
-	b := startBrittleFleet(t, 170, 4, 6)
+	b := startBrittleFleet(t, 170, 3, 6)
+	p := newPartition()
+	b.partitionedRouter(7, p)
+	b.awaitServing(gomega.NewWithT(t), 7)
 	stop := b.flood(4, 5, 6, 7)
 	defer stop()
 	time.Sleep(time.Second)
@@ -384,6 +388,12 @@
 			b.router(n)
 		}
 	})
+	b.expectFew("a router is cut off from the engines", 2, most, func() {
+		for _, c := range []cut{cutHang, cutNone, cutResetRefuse, cutNone} {
+			time.Sleep(brittleTime / 5)
+			p.set(c)
+		}
+	})
 }
 
 // Guards against the same with so many routers that each sends an endpoint less than a request in the
