A disk that leaves a deployment forgets when its copy was confirmed

Found by reading: confirmedAt was kept, so that an empty disk could look current for as long as confirmations count.

--- a/replicator/founding.go
+++ b/replicator/founding.go
@@ -202,15 +202,15 @@
 	c.founding.acknowledgedTo[leader] = c.founding.round
 }
 
-// hasContributed reports whether this disk may have helped to commit an entry.
+// hasContributed reports whether this disk may have helped to commit an entry. A
+// leader that has left since the acknowledgment has committed nothing.
 func (c *Core) hasContributed() bool {
 	if c.commit > 0 {
 		return true
 	}
 	for leader, round := range c.founding.acknowledgedTo {
 		r, ok := c.founding.reports[leader.Name]
-		asked := ok && r.round-round-1 < 1<<63
-		if !asked || r.incarnation != leader.Incarnation || r.deployment == c.deployment {
+		if !ok || r.round <= round || r.incarnation != leader.Incarnation || r.deployment == c.deployment {
 			return true
 		}
 	}
@@ -237,6 +237,6 @@
 	c.deleteEntryRows(1, c.log.last())
 	c.log = entryLog{}
 	c.becomeFollower(c.term, Member{})
-	c.deployment, c.leaderHeardAt = "", time.Time{}
+	c.deployment, c.leaderHeardAt, c.confirmedAt = "", time.Time{}, time.Time{}
 	c.resetFounding()
 }
