--- a/replicator/founding_test.go
+++ b/replicator/founding_test.go
@@ -23,12 +23,8 @@
 
 // newSeeds returns three nodes that start for the first time.
 func newSeeds(t rapid.TB) *pool {
-	p := &pool{
-		voters: 3, timing: fleetTiming(), foundingDelay: testFoundingDelay, names: []string{"a", "b", "c"},
-		t: t, nodes: map[string]*node{}, cut: map[string]bool{}, asked: map[replicator.Ticket]pendingRequest{}, acked: map[string]int{},
-		leaders: map[string]replicator.Member{}, restarted: map[string]bool{}, down: map[string]bool{}, committed: map[string]bool{},
-	}
-	p.draw, _ = t.(*rapid.T)
+	p := preparePool(t, 3, 3, fleetTiming())
+	p.foundingDelay = testFoundingDelay
 	p.startAll()
 	return p
 }
--- a/replicator/pool_test.go
+++ b/replicator/pool_test.go
@@ -96,9 +96,16 @@
 
 // newZonedPool returns a pool whose voters are spread over zones.
 func newZonedPool(t rapid.TB, n, voters int, timing replicator.Timing, zone func(string) string) *pool {
+	p := preparePool(t, n, voters, timing)
+	p.zone = zone
+	p.startAll()
+	return p
+}
+
+// preparePool returns a pool of which no node runs.
+func preparePool(t rapid.TB, n, voters int, timing replicator.Timing) *pool {
 	p := &pool{
-		voters: voters, timing: timing, zone: zone,
-		t: t, nodes: map[string]*node{}, cut: map[string]bool{},
+		voters: voters, timing: timing, t: t, nodes: map[string]*node{}, cut: map[string]bool{},
 		asked: map[replicator.Ticket]pendingRequest{}, acked: map[string]int{}, leaders: map[string]replicator.Member{},
 		restarted: map[string]bool{}, down: map[string]bool{}, committed: map[string]bool{},
 	}
@@ -106,7 +113,6 @@
 		p.names = append(p.names, string(rune('a'+i)))
 	}
 	p.draw, _ = t.(*rapid.T)
-	p.startAll()
 	return p
 }
 
