A clock since boot of another boot does not count as the time from a router's last claim to its end

What callers saw: after a loss of power, requests are refused with 402 although the totals cover them.

Cause: took the clock since boot as a lower bound, as a reboot would only make its difference shorter. VMs come back with one that is far ahead: `account of a router ended` says up to 87,942 s after the last claim at a loss of power, and nothing is recovered of 11 of the 18 accounts that end without notice there.

Change: that clock is a lower bound only if it is at most a minute ahead of the clocks that agree. Three clocks that are set back alike by more than a minute between a claim and the end are believed again, as before.

--- a/allotter/elapsed.go
+++ b/allotter/elapsed.go
@@ -14,15 +14,20 @@
 	// both may have been adjusted by the same amount. Adjustments are of the order of seconds.
 	// The same adjustment of three clocks between a claim and a reboot is assumed not to happen.
 	twoClockMargin = 3 * time.Second
+	// maxAdjustment bounds by how much clocks of several VMs are adjusted alike. A clock since boot that
+	// is further ahead of them is that of another boot.
+	maxAdjustment = time.Minute
 )
 
 // maxElapsed returns the most time that can have passed between two moments of one VM, and whether
 // that is known. A single clock is not enough: wall clocks are adjusted, and the clock since boot
-// starts again after a reboot. Clocks of several VMs that agree are enough, unless the clock since boot
-// shows that more time has passed: it is never adjusted, and a reboot only makes its difference shorter.
+// is another one after a reboot, which may also be further on, as on a host that has run for longer.
+// Clocks of several VMs that agree are enough, unless the clock since boot shows that more time has
+// passed: without a reboot it is never adjusted.
 func maxElapsed(from, to *messenger.RightsMoment) (time.Duration, bool) {
 	elapsed, known := agreedElapsed(from, to)
-	if boot := clockDifference(from.GetBootMs(), to.GetBootMs()); known {
+	boot := clockDifference(from.GetBootMs(), to.GetBootMs())
+	if known && boot-elapsed <= maxAdjustment {
 		elapsed = max(elapsed, boot+clockTolerance)
 	}
 	return elapsed, known
--- a/allotter/elapsed_test.go
+++ b/allotter/elapsed_test.go
@@ -100,3 +100,27 @@
 		g.Expect(l.Balances()[0].SpentByEnded).To(gomega.BeNumerically(">=", p.Used()), "set back by %d ms: tokens used that could be granted again", back)
 	}
 }
+
+// Guards against the loss of nearly all rights of routers that lost power: their VMs come back with a clock
+// since boot that is far ahead, which would count as the time from the last claim to the end.
+func TestClockOfAnotherBootIsNotTheTimeUntilTheEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	spent := map[time.Duration]int64{}
+	for _, ahead := range []time.Duration{0, time.Hour, 24 * time.Hour} {
+		now := time.Unix(1000, 0)
+		l, p := newLedger(100_000_000), &allotter.Allocation{}
+		for range 40 {
+			runRequests(p, now, 20, 250*time.Millisecond)
+			now = now.Add(250 * time.Millisecond)
+			sendClaim(l, "a", 1, p, now, now)
+		}
+		end := momentAt(now.Add(2 * time.Second))
+		end.BootMs += ahead.Milliseconds()
+		sequence++
+		l.ApplyClaims(&messenger.RightsChange{Router: "a", Incarnation: 2, Sequence: sequence, Sent: end, Started: end})
+		spent[ahead] = l.Balances()[0].SpentByEnded
+		g.Expect(spent[ahead]).To(gomega.BeNumerically(">=", p.Used()))
+	}
+	g.Expect(spent[time.Hour]).To(gomega.Equal(spent[0]))
+	g.Expect(spent[24*time.Hour]).To(gomega.Equal(spent[0]))
+}
