Syncs that fail at one keeper, messages that cannot be encoded and stale knowledge of leaves are logged and counted

Cause: in the incident of requests after leaves, nothing told which of three hypotheses holds. gRPC encodes a reply after the handler has returned, so a keeper whose replies all fail has no line and counts each sync as answered; a router logs a failure only if no keeper answers at all; no line says from when its knowledge of leaves was old; an accepted heartbeat leaves no line; a message between keepers that fails is dropped silently.

Change: a codec that counts and logs what it can't encode or decode, by type of message; routers log the begin and end of a series of failed syncs by keeper, and when the knowledge of leaves becomes stale; keepers log first heartbeats and failed exchanges. No decision changes.

--- a/commander/evacuations_test.go
+++ b/commander/evacuations_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/messenger"
 )
@@ -26,7 +27,7 @@
 	g := gomega.NewWithT(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	s := messenger.NewFleetServer()
+	s := messenger.NewFleetServer(zap.NewNop())
 	messenger.RegisterFleetKeeperServer(s, evacuatedKeeper{})
 	go func() { _ = s.Serve(l) }()
 	defer s.Stop()
--- a/commander/quarantines_test.go
+++ b/commander/quarantines_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/messenger"
 )
@@ -38,7 +39,7 @@
 	g := gomega.NewWithT(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	s, k := messenger.NewFleetServer(), &holdingKeeper{}
+	s, k := messenger.NewFleetServer(zap.NewNop()), &holdingKeeper{}
 	messenger.RegisterFleetKeeperServer(s, k)
 	go func() { _ = s.Serve(l) }()
 	defer s.Stop()
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -24,6 +24,7 @@
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
+	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/shaper"
 )
 
@@ -58,6 +59,9 @@
 	// callers may hold. The heap grows to nearly twice its live data, and buffers of
 	// connections take as much again.
 	callerMemoryDivisor = 4
+	// maxMessageLogLines bounds the log lines a second about messages of other processes that cannot be
+	// encoded or decoded.
+	maxMessageLogLines = 5
 )
 
 // Options configure a router.
@@ -213,7 +217,7 @@
 	c.fleet.notifier.Store(n)
 	go n.receive(work)
 	go n.sendDigests(work)
-	rpc := messenger.NewFleetServer()
+	rpc := messenger.NewFleetServer(reporter.Sampled(c.Log, maxMessageLogLines))
 	messenger.RegisterFleetRouterServer(rpc, &peerServer{rights: c.rights, table: c.fleet.table, relays: c.relays})
 	failed := make(chan error, 3)
 	go func() { failed <- rpc.Serve(internal) }()
--- a/courier/endpoint.go
+++ b/courier/endpoint.go
@@ -33,6 +33,7 @@
 	if now.Sub(f.contactAt) < maxContactGap && now.Sub(f.contactSince) > maxMissedHeartbeats*f.options.Node.Heartbeat() {
 		f.registered.Expire(now)
 	}
+	f.logLeavesAge(now)
 	f.removeLeaving(now)
 	defer f.publishVersions(now)
 	evacuated := f.evacuations.load()
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -129,6 +129,7 @@
 	// loss of all keepers has been logged.
 	lastFailure      error
 	disconnectLogged bool
+	syncFailures     syncFailures
 	// appliedRevision is the revision of the endpoints in service.
 	appliedRevision uint64
 	// appliedEvacuations is the revision of the evacuations that the
@@ -154,7 +155,7 @@
 		keepers: map[string]*messenger.Link{}, keeperZones: map[string]string{},
 		registered: enroller.NewTable(maxMissedHeartbeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, cacheQueried: map[enroller.Incarnation]bool{},
 		aliveInterval: o.Node.Heartbeat(), sources: map[string]*keeperSource{}, pending: map[string]bool{}, slowAt: map[string]time.Time{},
-		evacuations: newEvacuations(o.Log), warmup: newWarmup(o), rateLimitPolls: rateLimitPolls{},
+		evacuations: newEvacuations(o.Log), warmup: newWarmup(o), rateLimitPolls: rateLimitPolls{}, syncFailures: syncFailures{},
 		results: make(chan syncResult), firstDocument: make(chan struct{}), keeperChanged: make(chan struct{}, 1),
 	}
 	f.routerCount.Store(1)
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -101,7 +101,7 @@
 	if k.content, err = publisher.Compress([]byte("{}")); err != nil {
 		t.Fatal(err)
 	}
-	s := messenger.NewFleetServer()
+	s := messenger.NewFleetServer(zap.NewNop())
 	messenger.RegisterFleetKeeperServer(s, k)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
@@ -303,7 +303,7 @@
 		}
 		x := &lenderStub{delay: p.delay, asked: p.asked, shortage: p.shortage}
 		x.has.Store(p.tokens)
-		s := messenger.NewFleetServer()
+		s := messenger.NewFleetServer(zap.NewNop())
 		messenger.RegisterFleetRouterServer(s, x)
 		go func() { _ = s.Serve(l) }()
 		t.Cleanup(s.Stop)
@@ -363,7 +363,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	x := &lenderStub{}
 	x.has.Store(10_000)
-	s := messenger.NewFleetServer()
+	s := messenger.NewFleetServer(zap.NewNop())
 	messenger.RegisterFleetRouterServer(s, x)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
--- a/courier/leaves.go
+++ b/courier/leaves.go
@@ -10,8 +10,13 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// maxLoggedLeaves bounds the endpoints in a log line on leaves.
-const maxLoggedLeaves = 64
+const (
+	// maxLoggedLeaves bounds the endpoints in a log line on leaves.
+	maxLoggedLeaves = 64
+	// staleLeavesAge is the age from which the knowledge of leaves is logged as stale: longer than two syncs
+	// of a large fleet, and shorter than the time for which an endpoint that has left serves requests.
+	staleLeavesAge = 1500 * time.Millisecond
+)
 
 // leaveTracker records which leaves this router knows. Only the goroutine of run uses it, except for
 // age.
@@ -25,6 +30,8 @@
 	// confirmedAt is the time, as a duration since startedAt, as of which a majority of keepers
 	// confirmed the leaves that this router has received.
 	confirmedAt atomic.Int64
+	// staleLogged is set while the log says that the knowledge is stale.
+	staleLogged bool
 }
 
 // known returns what to tell a keeper.
@@ -68,6 +75,19 @@
 	return now.Sub(t.startedAt) - time.Duration(t.confirmedAt.Load())
 }
 
+// logLeavesAge logs when the knowledge of leaves becomes stale, and when it is up to date again. Requests may
+// be sent meanwhile to endpoints that have left.
+func (f *fleetView) logLeavesAge(now time.Time) {
+	age := f.leaves.age(now)
+	switch {
+	case age > staleLeavesAge && !f.leaves.staleLogged:
+		f.options.Log.Warn("knowledge of leaves is stale", zap.Duration("age", age), zap.Int("endpoints", len(f.endpoints)), zap.NamedError("last_failure", f.lastFailure))
+	case age <= staleLeavesAge && f.leaves.staleLogged:
+		f.options.Log.Info("knowledge of leaves is up to date")
+	}
+	f.leaves.staleLogged = age > staleLeavesAge
+}
+
 // LeavesAge returns the time since this router's knowledge of leaves was complete.
 func (f *fleetView) LeavesAge() time.Duration { return f.leaves.age(time.Now()) }
 
--- a/courier/owner_test.go
+++ b/courier/owner_test.go
@@ -59,7 +59,7 @@
 		t.Fatal(err)
 	}
 	o := &ownerStub{lent: make(chan int64, 100), returned: make(chan int64, 100)}
-	s := messenger.NewFleetServer()
+	s := messenger.NewFleetServer(zap.NewNop())
 	messenger.RegisterFleetRouterServer(s, o)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -141,7 +141,7 @@
 // syncResult is the outcome of a sync with a keeper.
 type syncResult struct {
 	link *messenger.Link
-	// syncResult is nil if the sync failed.
+	// reply is nil if the sync failed.
 	reply   *messenger.SyncReply
 	err     error
 	sentAt  time.Time
@@ -154,6 +154,7 @@
 // keeper's copy recently.
 func (f *fleetView) handleResult(ctx context.Context, result syncResult) bool {
 	f.recordResult(result)
+	f.syncFailures.record(time.Now(), f.options.Log, result.link.Address(), result.err)
 	if result.err != nil {
 		f.lastFailure = result.err
 		return false
--- a/messenger/endless_test.go
+++ b/messenger/endless_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
 )
 
 // Frames of HTTP/2: a type, flags and a stream.
@@ -107,7 +108,7 @@
 
 // Guards against connections to a process's internal port that hold a descriptor, or memory, without end.
 func TestCallOfAPeerWithoutEndIsBounded(t *testing.T) {
-	s := NewFleetServer()
+	s := NewFleetServer(zap.NewNop())
 	RegisterFleetKeeperServer(s, &UnimplementedFleetKeeperServer{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
@@ -121,7 +122,8 @@
 			Backoff:           backoff.Config{BaseDelay: linkMinBackoff, Multiplier: 2, MaxDelay: linkMaxBackoff},
 			MinConnectTimeout: linkConnectTimeout,
 		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxLinkMessageBytes), grpc.MaxCallSendMsgSize(maxLinkMessageBytes)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxLinkMessageBytes), grpc.MaxCallSendMsgSize(maxLinkMessageBytes),
+			grpc.ForceCodecV2(newCountingCodec(nil))),
 		grpc.WithReadBufferSize(linkBufferBytes), grpc.WithWriteBufferSize(linkBufferBytes), grpc.WithSharedWriteBuffer(true),
 		grpc.WithMaxHeaderListSize(maxLinkHeaderBytes),
 		grpc.WithDisableServiceConfig(),
@@ -308,10 +310,11 @@
 	}
 }
 
-// NewFleetServer returns a gRPC server for the calls of a fleet's processes. The caller registers the
-// services.
-func NewFleetServer() *grpc.Server {
+// NewFleetServer returns a gRPC server for the calls of a fleet's processes. It logs messages that cannot be
+// encoded or decoded; the caller bounds the rate of these lines, and registers the services.
+func NewFleetServer(log *zap.Logger) *grpc.Server {
 	return grpc.NewServer(
+		grpc.ForceServerCodecV2(newCountingCodec(log)),
 		grpc.MaxRecvMsgSize(maxLinkMessageBytes), grpc.MaxSendMsgSize(maxLinkMessageBytes),
 		grpc.ReadBufferSize(linkBufferBytes), grpc.WriteBufferSize(linkBufferBytes), grpc.SharedWriteBuffer(true),
 		grpc.MaxHeaderListSize(maxLinkHeaderBytes), grpc.ConnectionTimeout(linkHandshakeTimeout),
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/messenger"
 )
@@ -83,7 +84,7 @@
 		t.Fatal(err)
 	}
 	k, counting := &slowKeeper{}, &countingListener{Listener: l, delay: accept}
-	s := messenger.NewFleetServer()
+	s := messenger.NewFleetServer(zap.NewNop())
 	messenger.RegisterFleetKeeperServer(s, k)
 	go func() { _ = s.Serve(counting) }()
 	link := messenger.NewLink(l.Addr().String())
@@ -128,7 +129,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	counting := &countingListener{Listener: throttledListener{l}}
-	s := messenger.NewFleetServer()
+	s := messenger.NewFleetServer(zap.NewNop())
 	messenger.RegisterFleetKeeperServer(s, &slowKeeper{})
 	go func() { _ = s.Serve(counting) }()
 	link := messenger.NewLink(l.Addr().String())
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -82,7 +82,7 @@
 func startRelay(t *testing.T, e *endpoints, proven string) (string, *relayer.Server) {
 	guard := messenger.NewMemberGuard(func(address string) (uint64, bool) { return incarnation, address == routerAddress }, time.Now)
 	s := relayer.NewServer(e, guard, func() { e.refusals.Add(1) }, func() string { return proven }, zap.NewNop())
-	rpc := messenger.NewFleetServer()
+	rpc := messenger.NewFleetServer(zap.NewNop())
 	messenger.RegisterFleetRouterServer(rpc, routerServer{Server: s})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -249,7 +249,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(l.Close()).To(gomega.Succeed())
-	old := messenger.NewFleetServer()
+	old := messenger.NewFleetServer(zap.NewNop())
 	lo, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	go func() { _ = old.Serve(lo) }()
--- a/steward/counters.go
+++ b/steward/counters.go
@@ -27,6 +27,9 @@
 	leavesUnnotified = metrics.NewCounter("rattanhoist_leaves_unnotified_total")
 )
 
+// sharesFailed counts messages with observations that another keeper did not receive.
+var sharesFailed = metrics.NewCounter("rattanhoist_shares_failed_total")
+
 // countQuarantineChange counts a subject that was quarantined, or released if the duration is 0.
 func countQuarantineChange(x quarantiner.Subject, duration time.Duration) {
 	kind, change := "request", "held"
--- a/steward/peers.go
+++ b/steward/peers.go
@@ -205,16 +205,19 @@
 	})
 }
 
-// broadcast sends observations to all other keepers in parallel. It does not retry: the
-// next heartbeats bring them again.
-func (m *peerLinks) broadcast(ctx context.Context, s *messenger.Sightings) {
+// broadcast sends observations to all other keepers in parallel, and calls onFailure for each keeper that it
+// does not reach. It does not retry: the next heartbeats bring them again.
+func (m *peerLinks) broadcast(ctx context.Context, s *messenger.Sightings, onFailure func(keeper string, err error)) {
 	for _, n := range m.names() {
 		x := m.get(n)
 		go func() {
-			_ = x.link.Call(ctx, callTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
+			err := x.link.Call(ctx, callTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
 				_, err := c.Share(ctx, s)
 				return err
 			})
+			if err != nil && ctx.Err() == nil {
+				onFailure(n, err)
+			}
 		}()
 	}
 }
--- a/steward/peers_test.go
+++ b/steward/peers_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -61,7 +62,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := messenger.NewFleetServer()
+	s := messenger.NewFleetServer(zap.NewNop())
 	messenger.RegisterFleetKeeperServer(s, k)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
--- a/steward/registry.go
+++ b/steward/registry.go
@@ -27,8 +27,8 @@
 	// maxLeavesSent bounds the leaves in a reply to a router of an earlier version, which is sent the
 	// newest ones each time.
 	maxLeavesSent = 256
-	// maxConflictLogLines bounds the log lines a second about two endpoints at one address.
-	maxConflictLogLines = 20
+	// maxHeartbeatLogLines bounds the log lines a second of each kind about heartbeats.
+	maxHeartbeatLogLines = 20
 	// minPrunedLeaves is the number of leaves from which those that are no longer held are removed.
 	minPrunedLeaves = 1024
 )
@@ -96,6 +96,10 @@
 		return false
 	}
 	holder, held := r.table.AtAddress(b.Address)
+	if i, known := r.table.Current(b.ID); !known || i != b.Incarnation {
+		r.log.Info("heartbeat of an endpoint that was not known here", zap.Stringer("endpoint", b.Incarnation), zap.String("service", b.Service),
+			zap.String("address", b.Address), zap.String("zone", b.Zone), zap.Uint64("sequence", b.Sequence))
+	}
 	r.table.Observe(now, b, 0)
 	r.unshared[b.ID] = true
 	if held && holder.ID != b.ID {
--- a/steward/rejoin_test.go
+++ b/steward/rejoin_test.go
@@ -111,7 +111,7 @@
 	q.g.Expect(err).NotTo(gomega.HaveOccurred())
 	k, cleanUp, err := newKeeper(node, zap.NewNop(), q.network.newLink)
 	q.g.Expect(err).NotTo(gomega.HaveOccurred())
-	rpc := messenger.NewFleetServer()
+	rpc := messenger.NewFleetServer(zap.NewNop())
 	messenger.RegisterFleetKeeperServer(rpc, &server{keeper: k})
 	ctx, cancel := context.WithCancel(context.Background())
 	var ended sync.WaitGroup
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -55,6 +55,9 @@
 	requestTimeout = 10 * time.Second
 	idleTimeout    = 30 * time.Second
 	maxHeaderBytes = 64 << 10
+	// maxMessageLogLines bounds the log lines a second about messages of other processes that cannot be
+	// encoded or decoded.
+	maxMessageLogLines = 5
 	// callTimeout bounds a call between keepers; it is shorter than the second that
 	// operators and endpoints wait for an answer.
 	callTimeout = 400 * time.Millisecond
@@ -119,7 +122,7 @@
 	s.committedState.Store(&committedState{document: s.state.Document(), evacuations: s.state.Evacuations()})
 	s.peers = newPeerLinks(n.Internal(), n.Seeds(), newLink, s.setPeers)
 	s.registry = newRegistry(n.Heartbeat())
-	s.registry.log = reporter.Sampled(log, maxConflictLogLines)
+	s.registry.log = reporter.Sampled(log, maxHeartbeatLogLines)
 	s.announcements.last = map[string]announcement{}
 	s.announcementLog = reporter.Sampled(log, maxAnnouncementLogLines)
 	s.quarantines = newQuarantineTracker(n.Quarantine(), n.Features().PartQuarantine)
@@ -234,7 +237,7 @@
 	if err != nil {
 		return err
 	}
-	rpc := messenger.NewFleetServer()
+	rpc := messenger.NewFleetServer(reporter.Sampled(s.log, maxMessageLogLines))
 	messenger.RegisterFleetKeeperServer(rpc, &server{keeper: s})
 	web := &http.Server{
 		Handler: control(s), ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -276,6 +279,11 @@
 	t := time.NewTicker(shareInterval)
 	defer t.Stop()
 	var sharedAt time.Time
+	failureLog := reporter.Sampled(s.log, maxMessageLogLines)
+	onFailure := func(keeper string, err error) {
+		sharesFailed.Inc()
+		failureLog.Warn("observations not shared with keeper", zap.String("keeper", keeper), zap.Error(err))
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -287,7 +295,7 @@
 		s.registry.expire(time.Now())
 		hasNews := s.quarantines.takeUnshared(time.Now(), m) || len(m.Sightings)+len(m.Routers) > 0
 		if hasNews || time.Since(sharedAt) > announceInterval {
-			s.peers.broadcast(ctx, m)
+			s.peers.broadcast(ctx, m, onFailure)
 			sharedAt = time.Now()
 		}
 		s.submitQuarantines(ctx)
