--- a/courier/cluster_test.go
+++ b/courier/cluster_test.go
@@ -30,8 +30,9 @@
 	t   *testing.T
 	dir string
 	// subnet is the second byte of the addresses, which is different in each test.
-	subnet int
-	stops  map[string]func()
+	subnet  int
+	stopsMu sync.Mutex
+	stops   map[string]func()
 }
 
 func newCluster(t *testing.T, subnet int) *cluster {
@@ -78,8 +79,11 @@
 		}
 	}()
 	var once sync.Once
-	f.stops[name] = func() { once.Do(func() { cancel(); <-done }) }
-	f.t.Cleanup(f.stops[name])
+	stop := func() { once.Do(func() { cancel(); <-done }) }
+	f.t.Cleanup(stop)
+	f.stopsMu.Lock()
+	defer f.stopsMu.Unlock()
+	f.stops[name] = stop
 }
 
 func (f *cluster) keeper(n int, first bool) {
@@ -103,7 +107,12 @@
 	f.run(fmt.Sprint("router", n), c.Run)
 }
 
-func (f *cluster) stop(name string) { f.stops[name]() }
+func (f *cluster) stop(name string) {
+	f.stopsMu.Lock()
+	stop := f.stops[name]
+	f.stopsMu.Unlock()
+	stop()
+}
 
 // call returns the status and body of the response to one request, or 0 if it failed.
 func (f *cluster) call(method, address, path, body string, header ...string) (int, string) {
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -93,7 +93,10 @@
 }
 
 // serveStub serves a keeper stub and returns its address.
-func serveStub(t *testing.T, k *keeperStub) string {
+func serveStub(t *testing.T, k *keeperStub) string { return serveKeeper(t, k, k) }
+
+// serveKeeper serves a keeper that is based on a stub and returns its address.
+func serveKeeper(t *testing.T, server messenger.FleetKeeperServer, k *keeperStub) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -102,7 +105,7 @@
 		t.Fatal(err)
 	}
 	s := messenger.NewFleetServer(zap.NewNop())
-	messenger.RegisterFleetKeeperServer(s, k)
+	messenger.RegisterFleetKeeperServer(s, server)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
 	return l.Addr().String()
--- a/courier/stream_version_test.go
+++ b/courier/stream_version_test.go
@@ -75,7 +75,7 @@
 		}
 		return ctx.Err()
 	})
-	e.stop = f.stops["beats "+id]
+	e.stop = func() { f.stop("beats " + id) }
 	return e
 }
 
--- a/steward/leave_test.go
+++ b/steward/leave_test.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/governor"
@@ -178,3 +180,97 @@
 	err := s.awaitLeaveNotified(t.Context(), enroller.Incarnation{ID: "a", BornMS: 5}, time.Now())
 	g.Expect(errors.Is(err, ErrNoMajority)).To(gomega.BeTrue())
 }
+
+// syncKnowing makes a router sync that states the leaves up to an index as known.
+func (s *Keeper) syncKnowing(address string, index uint64) {
+	s.registry.answerSync(time.Now(), "d", &messenger.SyncRequest{
+		Router: &messenger.FleetMember{Address: address, Zone: "z"}, KnownLeaves: &messenger.KnownLeaves{Deployment: "d", Index: index},
+	}, &messenger.SyncReply{})
+}
+
+// Guards against a leave that is acknowledged at once although a router does not know it: the replies to that
+// router are lost, and composing them counted as telling it.
+func TestRouterThatReceivesNoRepliesIsNotNotified(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, i := newSyncingKeeper(), enroller.Incarnation{ID: "a", BornMS: 5}
+	notified := func() bool {
+		_, notified := s.registry.leaveNotified(time.Now().Add(leavePollInterval), i)
+		return notified
+	}
+	s.syncKnowing("sound", 0)
+	s.syncKnowing("mute", 0)
+	applyLeave(s, i)
+	s.syncKnowing("sound", 0)
+	s.syncKnowing("mute", 0)
+	s.syncKnowing("sound", 1)
+	s.syncKnowing("mute", 0)
+	g.Expect(notified()).To(gomega.BeFalse(), "one router has not received two replies")
+	s.syncKnowing("mute", 1)
+	g.Expect(notified()).To(gomega.BeTrue())
+}
+
+// Guards against a leave that is acknowledged by a keeper of which no router receives a reply.
+func TestLeaveIsNotAcknowledgedByAKeeperWhoseRepliesAreLost(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, i := newSyncingKeeper(), enroller.Incarnation{ID: "a", BornMS: 5}
+	applyLeave(s, i)
+	for range 3 {
+		s.syncKnowing("r1", 0)
+		s.syncKnowing("r2", 0)
+	}
+	g.Expect(s.awaitLeaveNotified(t.Context(), i, time.Now())).NotTo(gomega.Succeed())
+	s.syncKnowing("r2", 1)
+	g.Expect(s.awaitLeaveNotified(t.Context(), i, time.Now())).To(gomega.Succeed(), "one router is silent, the other knows the leave")
+}
+
+const (
+	// maxReplyBytes is half of what a message between processes may have.
+	maxReplyBytes = 16 << 20
+	// maxSlowReplyBytes is what a link of 10 Mbit/s carries within the timeout of a sync, 2 s.
+	maxSlowReplyBytes = 2_500_000
+)
+
+// Guards against replies that are too large to be sent, and against leaves that take too long over the link of a
+// router: a program announces thousands of endpoints with long ids in zones with long names, and lets them
+// leave. The endpoints that are in service before and come after are listed all the same.
+func TestRepliesAreBoundedBesideLongIDs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, h, now := newSyncingKeeper(), enroller.NewLeaveHistory(), time.Now()
+	announce := func(id, zone string, n int) {
+		b := heartbeatFor(id, 1, "s")
+		b.Zone, b.Address = zone, fmt.Sprintf("10.%d.%d.%d:1", n>>16, n>>8&255, n&255)
+		s.registry.observeHeartbeat(now, b)
+	}
+	for n := range 500 {
+		announce(fmt.Sprint("before", n), "z", n)
+	}
+	leavesOf(s, now, 0, false)
+	long := strings.Repeat("x", 4_000)
+	for n := range 4_000 {
+		announce(fmt.Sprint(long, n), fmt.Sprint(long[:1_000], n), 100_000+n)
+		h.Record(enroller.Leave{Incarnation: enroller.Incarnation{ID: fmt.Sprint(long, "left", n), BornMS: 1}, Index: uint64(n + 1)})
+	}
+	s.registry.applyLeaves(now, h.Leaves(), 4_000)
+	for n := range 500 {
+		announce(fmt.Sprint("after", n), "z", 10_000+n)
+	}
+	now = now.Add(time.Second)
+	u, out := leavesOf(s, now, 0, false)
+	g.Expect(u.Index).To(gomega.Equal(uint64(4_000)))
+	g.Expect(proto.Size(out)).To(gomega.BeNumerically("<", maxReplyBytes))
+	sound := 0
+	for _, x := range out.Endpoints {
+		if len(x.Id) < 100 {
+			sound++
+		}
+	}
+	g.Expect(sound).To(gomega.Equal(1_000))
+	_, out = leavesOf(s, now, 3_900, true)
+	g.Expect(proto.Size(out)).To(gomega.BeNumerically("<", maxSlowReplyBytes))
+	s.registry.expire(now.Add(time.Hour))
+	gone := &messenger.SyncReply{}
+	s.registry.answerSync(now, "d", &messenger.SyncRequest{
+		Router: &messenger.FleetMember{Address: "r", Zone: "z"}, Epoch: s.registry.epoch, Revision: 500, KnownLeaves: &messenger.KnownLeaves{Deployment: "d", Index: 4_000},
+	}, gone)
+	g.Expect(proto.Size(gone)).To(gomega.BeNumerically("<", maxSlowReplyBytes))
+}
