What endpoints say is checked before a keeper accepts it: text that is UTF-8, and its length

Callers saw requests that were sent to engines long after these had left, and answers that did not come.

Cause: the id of an endpoint comes percent-encoded in the path of a call and may hold any bytes. Keepers accepted a heartbeat under an id that is not valid UTF-8, but protocol buffers hold no such text: from then on each reply to a router with endpoints, and each message with observations to another keeper, failed as a whole, with the leaves in it; a leave of that id was tried again until its time was over and refused with 503, so that the sender repeated it. After the endpoint had expired, the list of what is gone held its id in the same bytes, so that a keeper never answered those routers again that had synced with it before.

Ruled out: the second without a leader (the tests fail with a leader, and a soak with restarts of keepers alone is clean), ids and fields of callers' requests, identifiers of the chat interface (printable ASCII and words only).

Change: Heartbeat.Check and Incarnation.Check, called where a keeper accepts a heartbeat or a leave, which is refused with 400, and by the table itself, which thus holds nothing that cannot be passed on, from whichever process or file it comes. Ids also go into a header field of requests: no control characters, and 4 kB at most.

--- a/courier/endpoint_calls_test.go
+++ b/courier/endpoint_calls_test.go
@@ -37,8 +37,13 @@
 		{"start time", "PUT", "i-1", heartbeatBody(`"sequence":1`, `"sequence":1,"born":9999999999999`)},
 	}
 	for _, id := range []struct{ name, text string }{
-		{"not UTF-8", "i-9d%FF%FE"}, {"a surrogate half", "i-%ED%A0%80"}, {"an overlong form", "i-%C0%AF"}, {"cut within a character", "i-%E6%97"},
-		{"line end", "i-1%0D%0AX-Y:%20z"}, {"zero byte", "i-%00"}, {"60 kB", strings.Repeat("x", 60_000)},
+		{"not UTF-8", "i-9d%FF%FE"},
+		{"a surrogate half", "i-%ED%A0%80"},
+		{"an overlong form", "i-%C0%AF"},
+		{"cut within a character", "i-%E6%97"},
+		{"line end", "i-1%0D%0AX-Y:%20z"},
+		{"zero byte", "i-%00"},
+		{"60 kB", strings.Repeat("x", 60_000)},
 	} {
 		calls = append(calls, endpointCall{"heartbeat, id: " + id.name, "PUT", id.text, sound},
 			endpointCall{"last heartbeat, id: " + id.name, "PUT", id.text, heartbeatBody("ready", "draining")},
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -64,7 +64,8 @@
 type Table struct {
 	// expireAfter is how long an endpoint without heartbeats is remembered.
 	expireAfter time.Duration
-	// entries holds the newest incarnation of each id; all earlier ones have ended.
+	// entries holds the newest incarnation of each id; all earlier ones have ended. Their heartbeats have
+	// passed Check, so that each message with them can be encoded.
 	entries map[string]*entry
 	// tombstones holds the last ended incarnation of each id. An incarnation whose
 	// heartbeats may still arrive always has its tombstone.
@@ -162,7 +163,7 @@
 // Observe records a heartbeat that was sent age ago. It reports whether the heartbeat
 // changed anything other than the time at which the endpoint was last alive.
 func (t *Table) Observe(now time.Time, b Heartbeat, age time.Duration) bool {
-	if t.hasEnded(b.Incarnation) || age > t.expireAfter || !t.Consistent(b) {
+	if t.hasEnded(b.Incarnation) || age > t.expireAfter || !t.Consistent(b) || b.Check() != nil {
 		return false
 	}
 	lastSeen := now.Add(-age)
--- a/steward/control.go
+++ b/steward/control.go
@@ -118,6 +118,9 @@
 // than the endpoint must have sent it. Accepting such a heartbeat would put a nonexistent
 // endpoint in service, or change the address behind an id that is in service.
 func (c *Control) acceptHeartbeat(b enroller.Heartbeat) error {
+	if err := b.Check(); err != nil {
+		return err
+	}
 	if err := checkStartTime(b.Incarnation); err != nil {
 		return err
 	}
@@ -191,7 +194,7 @@
 // that sync with this keeper have been told, as far as they do so in time.
 func (c *Control) Leave(ctx context.Context, i enroller.Incarnation) error {
 	arrived := time.Now()
-	if err := checkStartTime(i); err != nil {
+	if err := errors.Join(i.Check(), checkStartTime(i)); err != nil {
 		c.HeartbeatRefused(i.ID, err)
 		return err
 	}
