A keeper whose reply with endpoints fails is asked without them next

Callers saw requests that were sent to engines long after these had left.

Cause: leaves, the configuration, evacuations and quarantines come in the same reply as the list of endpoints, so that a list that cannot be encoded, or is too large for a link, keeps all of them from a router, again and again.

Change: after a reply with endpoints that did not arrive, for another reason than that the keeper is out of reach, the next request to that keeper asks for none, and the one after it asks for them again. Endpoints expire only while keepers report endpoints; before, any reply counted, and all would have expired.

--- a/courier/endpoint.go
+++ b/courier/endpoint.go
@@ -23,14 +23,14 @@
 	})
 }
 
-// applyEndpoints puts the known endpoints in service and removes the others. While no keeper
-// answers, endpoints don't expire, because heartbeats are only known through keepers.
+// applyEndpoints puts the known endpoints in service and removes the others. While no keeper reports
+// endpoints, they don't expire, because heartbeats are only known through keepers.
 func (f *fleetView) applyEndpoints(now time.Time) {
 	if !f.disconnectLogged && f.disconnected() {
 		f.disconnectLogged = true
 		f.options.Log.Warn("no keeper answers; serving what is known", zap.Duration("silence", f.sinceContact()), zap.NamedError("last_failure", f.lastFailure))
 	}
-	if now.Sub(f.contactAt) < maxContactGap && now.Sub(f.contactSince) > maxMissedHeartbeats*f.options.Node.Heartbeat() {
+	if now.Sub(f.endpointsAt) < maxContactGap && now.Sub(f.endpointsSince) > maxMissedHeartbeats*f.options.Node.Heartbeat() {
 		f.registered.Expire(now)
 	}
 	f.logLeavesAge(now)
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -117,14 +117,17 @@
 	results       chan syncResult
 	rounds        int
 	startedAt     time.Time
-	// contactAt is when a keeper last answered, and contactSince the time since which
-	// keepers have answered without a gap.
+	// contactAt is when a keeper last answered.
 	contactAt time.Time
+	// endpointsAt is when a keeper last reported endpoints, and endpointsSince the time since which
+	// keepers have reported them without a gap.
+	endpointsAt, endpointsSince time.Time
+	// listFailed holds the keepers, by address, whose last reply with endpoints did not arrive.
+	listFailed map[string]bool
 	// routersListedAt is when a keeper with a confirmed copy last listed all routers, and
 	// routerLister the keeper whose list is in use.
 	routersListedAt time.Time
 	routerLister    *messenger.Link
-	contactSince    time.Time
 	// lastFailure is the error of the last failed sync. disconnectLogged is set once the
 	// loss of all keepers has been logged.
 	lastFailure      error
@@ -155,7 +158,7 @@
 		keepers: map[string]*messenger.Link{}, keeperZones: map[string]string{},
 		registered: enroller.NewTable(maxMissedHeartbeats * o.Node.Heartbeat()), endpoints: map[enroller.Incarnation]*predictor.Endpoint{}, cacheQueried: map[enroller.Incarnation]bool{},
 		aliveInterval: o.Node.Heartbeat(), sources: map[string]*keeperSource{}, pending: map[string]bool{}, slowAt: map[string]time.Time{},
-		evacuations: newEvacuations(o.Log), warmup: newWarmup(o), rateLimitPolls: rateLimitPolls{}, syncFailures: syncFailures{},
+		evacuations: newEvacuations(o.Log), warmup: newWarmup(o), rateLimitPolls: rateLimitPolls{}, syncFailures: syncFailures{}, listFailed: map[string]bool{},
 		results: make(chan syncResult), firstDocument: make(chan struct{}), keeperChanged: make(chan struct{}, 1),
 	}
 	f.routerCount.Store(1)
@@ -218,7 +221,6 @@
 		f.options.Log.Info("keepers answer again", zap.String("keeper", l.Address()), zap.Duration("silence", f.sinceContact()))
 	}
 	if now.Sub(f.contactAt) > maxContactGap {
-		f.contactSince = now
 		f.registered.Versions().Begin(now)
 	}
 	f.contactAt = now
@@ -231,6 +233,10 @@
 	// of one that has left.
 	f.applyLeaves(sent, now, l.Address(), x.request.KnownLeaves, r)
 	if (!x.request.SkipEndpoints || r.GetLeaves().GetTruncated()) && !f.leaves.mayListLeft(r.Leaves) {
+		if now.Sub(f.endpointsAt) > maxContactGap {
+			f.endpointsSince = now
+		}
+		f.endpointsAt = now
 		f.updateEndpoints(l.Address(), r, sent, now)
 		f.primarySource, f.primaryAt = l.Address(), now
 	}
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"rattanhoist.example/rattanhoist/messenger"
 )
@@ -155,6 +157,7 @@
 func (f *fleetView) handleResult(ctx context.Context, result syncResult) bool {
 	f.recordResult(result)
 	f.syncFailures.record(time.Now(), f.options.Log, result.link.Address(), result.err)
+	f.listFailed[result.link.Address()] = listFailed(result)
 	if result.err != nil {
 		f.lastFailure = result.err
 		return false
@@ -189,6 +192,13 @@
 	return fresh
 }
 
+// listFailed reports whether a keeper failed to send a reply with endpoints, although it is there. Its next
+// reply is requested without them: one that is too large, or cannot be encoded because of one endpoint, would
+// keep leaves, the configuration and evacuations from this router.
+func listFailed(r syncResult) bool {
+	return r.err != nil && !r.request.SkipEndpoints && status.Code(r.err) != codes.Unavailable
+}
+
 // setCurrentKeeper selects the keeper that receives rights claims. If it is a new one, the
 // goroutine that sends the claims is notified.
 func (f *fleetView) setCurrentKeeper(l *messenger.Link) {
@@ -246,7 +256,7 @@
 
 // syncRequest returns the request for a keeper, and the crash report in it.
 func (f *fleetView) syncRequest(l *messenger.Link) (*messenger.SyncRequest, crashReport) {
-	q := &messenger.SyncRequest{Router: f.self, Load: f.shedding.load(time.Now()), SkipEndpoints: f.skipEndpoints(time.Now(), l.Address()), KnownLeaves: f.leaves.known()}
+	q := &messenger.SyncRequest{Router: f.self, Load: f.shedding.load(time.Now()), SkipEndpoints: f.listFailed[l.Address()] || f.skipEndpoints(time.Now(), l.Address()), KnownLeaves: f.leaves.known()}
 	s := f.sources[l.Address()]
 	if s != nil {
 		q.Revision, q.Epoch, q.RoutersRevision = s.revision, s.epoch, s.routersRevision
