A router counts as notified of a leave only while its replies arrive

Callers saw requests that were sent to engines long after these had left.

Cause: a keeper counted a router as told of a leave once it had composed the reply. Replies that failed on their way counted as well, so that leaves were acknowledged at once, without a line, while no router learned of them.

Change: a router states in each request up to where it knows leaves. If that is less than the reply before held, the reply was lost: the router then counts up to what it stated, and the acknowledgement waits for it as for one that is late. A keeper of which no router receives a reply does not acknowledge leaves; the endpoint asks another one. Waiting for each router's next request instead was weighed: it adds an interval of syncs to each acknowledgement, 0.2 to 0.6 s.

--- a/steward/leave.go
+++ b/steward/leave.go
@@ -24,11 +24,16 @@
 	maxLoggedPending = 8
 )
 
+// ErrRepliesLost says that no router receives the replies of this keeper, so that none learns of a leave from it.
+// The endpoint may have its leave acknowledged by another keeper.
+var ErrRepliesLost = merry.Sentinel("no router receives the replies of this keeper")
+
 // awaitLeaveNotified waits until every router that syncs with this keeper has been sent the leave of
 // an endpoint, for at most leaveNotifyTimeout after arrival. The time within which the
 // endpoint must receive no more requests counts from the acknowledgement, and a sync over a busy
 // link takes a large part of it. It returns ErrNoMajority if this keeper has not applied the leave by
-// then: it lags behind the log, and the endpoint may have its leave acknowledged by another keeper.
+// then: it lags behind the log, and the endpoint may have its leave acknowledged by another keeper. It
+// returns ErrRepliesLost if no router that syncs with this keeper receives its replies.
 func (s *Keeper) awaitLeaveNotified(ctx context.Context, i enroller.Incarnation, arrived time.Time) error {
 	deadline := arrived.Add(leaveNotifyTimeout)
 	for {
@@ -41,6 +46,9 @@
 			if !applied {
 				return merry.Errorf("%w: the leave is not applied here yet", ErrNoMajority)
 			}
+			if s.registry.repliesLost(now) {
+				return ErrRepliesLost
+			}
 			leavesUnnotified.Inc()
 			pending := s.registry.unnotifiedRouters(now, i)
 			s.log.Info("leave acknowledged before all routers have synced", zap.Stringer("endpoint", i),
@@ -103,5 +111,22 @@
 	return out
 }
 
+// repliesLost reports whether routers sync with this keeper and none of them receives its replies.
+func (r *registry) repliesLost(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lost := false
+	for _, x := range r.routers.byAddress {
+		if !x.syncs(now) {
+			continue
+		}
+		if !x.missedReply {
+			return false
+		}
+		lost = true
+	}
+	return lost
+}
+
 // syncs reports whether the router called this keeper within recentSyncWindow.
 func (x router) syncs(now time.Time) bool { return x.direct && now.Sub(x.lastSeen) < recentSyncWindow }
--- a/steward/leave_test.go
+++ b/steward/leave_test.go
@@ -193,8 +193,10 @@
 func TestRouterThatReceivesNoRepliesIsNotNotified(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s, i := newSyncingKeeper(), enroller.Incarnation{ID: "a", BornMS: 5}
+	now := time.Now()
 	notified := func() bool {
-		_, notified := s.registry.leaveNotified(time.Now().Add(leavePollInterval), i)
+		now = now.Add(leavePollInterval)
+		_, notified := s.registry.leaveNotified(now, i)
 		return notified
 	}
 	s.syncKnowing("sound", 0)
--- a/steward/registry.go
+++ b/steward/registry.go
@@ -253,7 +253,7 @@
 	defer r.mu.Unlock()
 	if q.Router.GetAddress() != "" {
 		r.routers.observe(now, q.Router, true)
-		r.routers.notified(q.Router.Address, r.leavesIndex)
+		r.routers.notified(q.Router.Address, deployment, q.KnownLeaves, r.leavesIndex)
 		r.routers.setLoad(q.Router.Address, q.Load)
 		out.ZoneLoad = r.routers.zoneLoad(now, q.Router.Zone)
 	}
--- a/steward/routers.go
+++ b/steward/routers.go
@@ -24,8 +24,13 @@
 	lastSeen time.Time
 	// direct is set if the router itself called this keeper.
 	direct bool
-	// leavesIndex is the log index up to which this keeper has sent the router all leaves.
+	// leavesIndex is the log index up to which the router knows all leaves, or has been sent them in a
+	// reply that it will receive as far as this keeper knows.
 	leavesIndex uint64
+	// sentIndex is the log index of the last reply to the router, and missedReply is set if the router's next
+	// request stated less: that reply did not arrive.
+	sentIndex   uint64
+	missedReply bool
 	// load is what the router last reported, or nil.
 	load *messenger.RouterLoad
 }
@@ -68,7 +73,11 @@
 // observe records that a router is alive.
 func (r *routers) observe(now time.Time, m *messenger.FleetMember, direct bool) {
 	old, known := r.byAddress[m.Address]
-	r.byAddress[m.Address] = router{member: m, lastSeen: now, direct: direct, load: old.load, leavesIndex: old.leavesIndex}
+	x := router{member: m, lastSeen: now, direct: direct, load: old.load}
+	if known && old.member.Incarnation == m.Incarnation {
+		x.leavesIndex, x.sentIndex, x.missedReply = old.leavesIndex, old.sentIndex, old.missedReply
+	}
+	r.byAddress[m.Address] = x
 	if known && old.member.Incarnation != m.Incarnation {
 		r.lostAt = now
 	}
@@ -103,12 +112,24 @@
 	}
 }
 
-// notified records that a known router is sent all leaves up to a log index.
-func (r *routers) notified(address string, index uint64) {
-	if x, ok := r.byAddress[address]; ok {
-		x.leavesIndex = index
-		r.byAddress[address] = x
+// notified records that a known router is sent all leaves up to a log index, in reply to a request that stated
+// which leaves the router knows; nil if it is of an earlier version. A reply counts once it is composed, as long as
+// the replies before have arrived: leaves are then acknowledged without waiting for the router's next request.
+func (r *routers) notified(address, deployment string, stated *messenger.KnownLeaves, index uint64) {
+	x, ok := r.byAddress[address]
+	if !ok {
+		return
+	}
+	knows := uint64(0)
+	if stated.GetDeployment() == deployment {
+		knows = stated.GetIndex()
+	}
+	x.missedReply = stated != nil && knows < x.sentIndex
+	x.sentIndex, x.leavesIndex = index, index
+	if x.missedReply {
+		x.leavesIndex = knows
 	}
+	r.byAddress[address] = x
 }
 
 // zoneLoad returns the load of a zone, computed from the routers that reported theirs.
