Endpoints, leaves and changes have a size that messages between processes can carry

Cause: only the number of leaves and changes was bounded, and not at all that of endpoints. What a keeper sends in one message grows with the length of ids and zones: a list that is larger than the largest message fails as a whole, and one that takes longer than a sync's timeout never arrives.

Leaves hold 1 MiB of ids and changes of a view 256 KiB; what is older is sent as a whole list, as before.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -17,6 +17,9 @@
 // program must have sent it. Compare with errors.Is.
 var ErrInvalidHeartbeat = merry.Sentinel("heartbeat is unusable")
 
+// ErrTableFull says that a table has no room for another endpoint. Compare with errors.Is.
+var ErrTableFull = merry.Sentinel("too many endpoints")
+
 // Heartbeat is one heartbeat of an endpoint.
 type Heartbeat struct {
 	Incarnation
@@ -75,8 +78,10 @@
 	tracesDropped int
 	// byAddress holds the id of the incarnation that is in the table at each address.
 	byAddress map[string]string
-	revision  uint64
-	versions  *VersionHistory
+	// bytes is the size of the entries, at most maxTableBytes.
+	bytes    int
+	revision uint64
+	versions *VersionHistory
 	// views holds the view of each availability zone's routers.
 	views map[string]*View
 }
@@ -86,6 +91,14 @@
 	tombstoneTTL = 10 * time.Minute
 	// maxTraces bounds the memory that traces take, to some megabytes.
 	maxTraces = 32768
+	// maxTableBytes bounds the table, so that a list of all endpoints is much smaller than the largest
+	// message between processes: there is room for tens of thousands with names of usual length.
+	maxTableBytes = 8 << 20
+	// An endpoint may take one of headroomParts parts of the room that is left: those with long names are
+	// refused while there is room for many others.
+	headroomParts = 64
+	// entryBytes is the size of the numbers of an entry in a message.
+	entryBytes = 32
 	// An incarnation takes the address of another one that has been silent for expireAfter divided by
 	// successionDivisor: between one and two heartbeat intervals.
 	successionDivisor = 4
@@ -207,6 +220,7 @@
 		t.versions.count(b, 1)
 		t.versions.count(e.heartbeat, -1)
 	}
+	t.bytes += b.size() - e.heartbeat.size()
 	e.heartbeat = b
 	if changed {
 		t.revision++
@@ -234,17 +248,28 @@
 	if known && b.BornMS != 0 && b.Sequence > 0 && (b.Sequence < past.sequence || b.Sequence == past.sequence && !lastSeen.After(past.lastSeen)) {
 		return false
 	}
-	if !t.claimAddress(now, b, lastSeen, known) {
+	if !t.HasRoom(b) || !t.claimAddress(now, b, lastSeen, known) {
 		return false
 	}
 	delete(t.traces, b.Incarnation)
 	t.revision++
+	t.bytes += b.size()
 	t.entries[b.ID] = &entry{heartbeat: b, lastSeen: lastSeen, coldUntil: lastSeen.Add(b.ColdRemaining), revision: t.revision}
 	t.byAddress[b.Address] = b.ID
 	t.versions.count(b, 1)
 	return true
 }
 
+// HasRoom reports whether there is room for the sender of a heartbeat, or it is in the table already.
+func (t *Table) HasRoom(b Heartbeat) bool {
+	return t.entries[b.ID] != nil || b.size() <= (maxTableBytes-t.bytes)/headroomParts
+}
+
+// size returns the approximate size of an entry for the heartbeat in a message.
+func (b Heartbeat) size() int {
+	return len(b.ID) + len(b.Service) + len(b.Address) + len(b.Zone) + len(b.Version) + entryBytes
+}
+
 // claimAddress removes another incarnation at the address of a heartbeat, if the sender takes its place.
 // known is set if the sender has been in the table before.
 func (t *Table) claimAddress(now time.Time, b Heartbeat, lastSeen time.Time, known bool) bool {
@@ -338,6 +363,7 @@
 	if e := t.entries[id]; e != nil {
 		t.revision++
 		delete(t.entries, id)
+		t.bytes -= e.heartbeat.size()
 		t.versions.count(e.heartbeat, -1)
 		t.release(e)
 	}
--- a/enroller/leave_history.go
+++ b/enroller/leave_history.go
@@ -6,9 +6,14 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-// maxLeaves bounds the leaves that a history holds: more than one for each endpoint of the largest
-// fleets, so that a process that was away while all of them were replaced learns of each leave.
-const maxLeaves = 16384
+const (
+	// maxLeaves bounds the leaves that a history holds: more than one for each endpoint of the largest
+	// fleets, so that a process that was away while all of them were replaced learns of each leave.
+	maxLeaves = 16384
+	// maxLeavesBytes bounds the ids of these leaves, so that a message with all of them passes over a slow
+	// link within the timeout of a sync.
+	maxLeavesBytes = 1 << 20
+)
 
 // Leave records that an incarnation has left service for good.
 type Leave struct {
@@ -22,6 +27,8 @@
 type LeaveHistory struct {
 	leaves Leaves
 	known  map[Incarnation]bool
+	// idBytes is the size of the ids of the leaves.
+	idBytes int
 }
 
 // Leaves is an immutable list of leaves, oldest first.
@@ -45,9 +52,11 @@
 	h.known[l.Incarnation] = true
 	// Earlier values of h.leaves share the array, and end before the new element.
 	h.leaves.list = append(h.leaves.list, l)
-	if len(h.leaves.list) > maxLeaves {
+	h.idBytes += len(l.ID)
+	for len(h.leaves.list) > maxLeaves || h.idBytes > maxLeavesBytes {
 		oldest := h.leaves.list[0]
 		delete(h.known, oldest.Incarnation)
+		h.idBytes -= len(oldest.ID)
 		h.leaves.dropped = oldest.Index
 		h.leaves.list = h.leaves.list[1:]
 	}
--- a/enroller/view.go
+++ b/enroller/view.go
@@ -23,8 +23,9 @@
 	// a processor at any size.
 	refreshIntervalPerEndpoint = 20 * time.Microsecond
 	unthrottledEndpoints       = 1000
-	// maxViewChanges bounds the changes that a view remembers.
-	maxViewChanges = 4096
+	// maxViewChanges bounds the changes that a view remembers, and maxViewChangeBytes the ids in them.
+	maxViewChanges     = 4096
+	maxViewChangeBytes = 256 << 10
 )
 
 // View is the part of a table that is sent to the routers of one availability zone: all
@@ -43,6 +44,8 @@
 	// changes is ordered by revision and complete after changesSince.
 	changes      []viewChange
 	changesSince uint64
+	// changesBytes is the size of the ids in changes.
+	changesBytes int
 	// cached holds all sightings as of cachedAt.
 	cached         []*messenger.Sighting
 	cachedAt       time.Time
@@ -108,12 +111,22 @@
 func (v *View) recordChange(i Incarnation, removed bool) {
 	v.revision++
 	v.changes = append(v.changes, viewChange{revision: v.revision, removed: removed, incarnation: i})
-	if n := len(v.changes); n > 2*maxViewChanges {
-		v.changesSince = v.changes[n-maxViewChanges-1].revision
-		v.changes = slices.Clone(v.changes[n-maxViewChanges:])
+	v.changesBytes += len(i.ID)
+	if len(v.changes) > 2*maxViewChanges || v.changesBytes > 2*maxViewChangeBytes {
+		v.dropChanges()
 	}
 }
 
+// dropChanges drops the oldest changes beyond maxViewChanges and maxViewChangeBytes.
+func (v *View) dropChanges() {
+	drop := 0
+	for ; len(v.changes)-drop > maxViewChanges || v.changesBytes > maxViewChangeBytes; drop++ {
+		v.changesBytes -= len(v.changes[drop].incarnation.ID)
+		v.changesSince = v.changes[drop].revision
+	}
+	v.changes = slices.Clone(v.changes[drop:])
+}
+
 // serviceZone is the key of the endpoints of a service in a zone.
 type serviceZone struct{ service, zone string }
 
--- a/steward/control.go
+++ b/steward/control.go
@@ -115,7 +115,7 @@
 }
 
 // acceptHeartbeat records a heartbeat, or returns ErrInvalidHeartbeat if a program other
-// than the endpoint must have sent it. Accepting such a heartbeat would put a nonexistent
+// than the endpoint must have sent it, and ErrTableFull if there are too many endpoints. Accepting such a heartbeat would put a nonexistent
 // endpoint in service, or change the address behind an id that is in service.
 func (c *Control) acceptHeartbeat(b enroller.Heartbeat) error {
 	if err := b.Check(); err != nil {
@@ -127,10 +127,7 @@
 	if !c.hasService(b.Service) {
 		return merry.Errorf("%w: no service %q", enroller.ErrInvalidHeartbeat, b.Service)
 	}
-	if !c.keeper.registry.observeHeartbeat(time.Now(), b) {
-		return merry.Errorf("%w: it disagrees with what %s told before", enroller.ErrInvalidHeartbeat, b.ID)
-	}
-	return nil
+	return c.keeper.registry.observeHeartbeat(time.Now(), b)
 }
 
 // checkStartTime returns ErrInvalidHeartbeat if an endpoint states a start time so far in the future that
--- a/steward/registry.go
+++ b/steward/registry.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/enroller"
@@ -87,13 +88,16 @@
 	return out
 }
 
-// observeHeartbeat records a heartbeat and reports whether it is consistent with what is
-// known of its id.
-func (r *registry) observeHeartbeat(now time.Time, b enroller.Heartbeat) bool {
+// observeHeartbeat records a heartbeat. It returns enroller.ErrInvalidHeartbeat for one that is not consistent
+// with what is known of its id, and enroller.ErrTableFull if there is no room for another endpoint.
+func (r *registry) observeHeartbeat(now time.Time, b enroller.Heartbeat) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.table.Consistent(b) {
-		return false
+		return merry.Errorf("%w: it disagrees with what %s told before", enroller.ErrInvalidHeartbeat, b.ID)
+	}
+	if !r.table.HasRoom(b) {
+		return enroller.ErrTableFull
 	}
 	holder, held := r.table.AtAddress(b.Address)
 	if i, known := r.table.Current(b.ID); !known || i != b.Incarnation {
@@ -105,7 +109,7 @@
 	if held && holder.ID != b.ID {
 		r.logConflict(b, holder)
 	}
-	return true
+	return nil
 }
 
 // logConflict logs which of two endpoints is in service after a heartbeat from the address of another
