A stream whose origin is lost goes on at the only version of its service as of now, not as of an earlier reply

Reported by operators of like systems: one router was out of step for seconds, standing still or cut off, while a version was released; streams that had begun at it through other routers broke, came to that router and went on at another version.

Cause: a router that finds no origin of a stream takes the service's version if the service has had only one. It did so while it was in contact, which began with the arrival of a reply, and for 0.9 s after the last one. A reply that lay in the socket while the router stood still counted as the present state, and so did the last reply before a cut.

If it knows that no keeper answers, it refuses at once, as before.

--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -65,8 +65,9 @@
 	notifier    atomic.Pointer[dispatchNotifier]
 	// versionGauges count the endpoints in service.
 	versionGauges versionGauges
-	// versions is the history of versions for requests; nil before the first endpoints.
-	versions atomic.Pointer[enroller.VersionHistory]
+	versions      knownVersions
+	// syncRequested receives a value when a request waits for the next sync.
+	syncRequested chan struct{}
 	// origins is nil if streams go on at any version.
 	origins *streamOrigins
 	// permits is nil if requests need no permits.
@@ -122,6 +123,9 @@
 	// endpointsAt is when a keeper last reported endpoints, and endpointsSince the time since which
 	// keepers have reported them without a gap.
 	endpointsAt, endpointsSince time.Time
+	// versionsAsOf is when the latest reply was requested whose endpoints, and versions that have gone, are in
+	// registered.
+	versionsAsOf time.Time
 	// listFailed holds the keepers, by address, whose last reply with endpoints did not arrive.
 	listFailed map[string]bool
 	// routersListedAt is when a keeper with a confirmed copy last listed all routers, and
@@ -160,6 +164,7 @@
 		aliveInterval: o.Node.Heartbeat(), sources: map[string]*keeperSource{}, pending: map[string]bool{}, slowAt: map[string]time.Time{},
 		evacuations: newEvacuations(o.Log), warmup: newWarmup(o), rateLimitPolls: rateLimitPolls{}, syncFailures: syncFailures{}, listFailed: map[string]bool{},
 		results: make(chan syncResult), firstDocument: make(chan struct{}), keeperChanged: make(chan struct{}, 1),
+		versions: knownVersions{published: make(chan struct{})}, syncRequested: make(chan struct{}, 1),
 	}
 	f.routerCount.Store(1)
 	f.leaves.startedAt = f.startedAt
@@ -238,6 +243,9 @@
 		}
 		f.endpointsAt = now
 		f.updateEndpoints(l.Address(), r, sent, now)
+		if isConfirmed(r) && sent.After(f.versionsAsOf) {
+			f.versionsAsOf = sent
+		}
 		f.primarySource, f.primaryAt = l.Address(), now
 	}
 	listed := f.updateRouters(l.Address(), r)
--- a/courier/fleet_test.go
+++ b/courier/fleet_test.go
@@ -38,6 +38,7 @@
 	leaves atomic.Pointer[messenger.LeaveUpdate]
 	// evacuations are sent with each reply.
 	evacuations atomic.Pointer[messenger.Evacuations]
+	versions    atomic.Pointer[messenger.VersionHistory]
 	claims      atomic.Int64
 	cut         atomic.Bool
 	// grant is the answer to each claim, or nil for 1,000 tokens.
@@ -61,7 +62,7 @@
 	if !q.SkipEndpoints {
 		k.endpointSyncs.Add(1)
 	}
-	out := &messenger.SyncReply{Number: k.number(), ConfirmedAgeMs: k.age.Load(), Evacuations: k.evacuations.Load()}
+	out := &messenger.SyncReply{Number: k.number(), ConfirmedAgeMs: k.age.Load(), Evacuations: k.evacuations.Load(), Versions: k.versions.Load()}
 	if s := k.sightings.Load(); s != nil {
 		out.Endpoints = s.Sightings
 	}
--- a/courier/stream_origins.go
+++ b/courier/stream_origins.go
@@ -351,8 +351,8 @@
 }
 
 // SoleVersion returns the version of a service if its endpoints have had no other one for a time.
-func (s *streamOrigins) SoleVersion(service string, within time.Duration) (enroller.Version, bool) {
-	return s.fleet.soleVersion(time.Now(), service, within)
+func (s *streamOrigins) SoleVersion(ctx context.Context, service string, within time.Duration) (enroller.Version, bool) {
+	return s.fleet.soleVersion(ctx, service, within)
 }
 
 // KnowsVersion reports whether an endpoint of a service has, or has had lately, a version.
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -122,12 +122,20 @@
 	return false
 }
 
-// processReplies handles late replies for the given duration, or until there are crashes to report.
+// processReplies handles late replies for the given duration, or until there are crashes to report. It ends
+// after minSyncPause if a request waits for the next sync.
 func (f *fleetView) processReplies(ctx context.Context, pause time.Duration) {
 	t := time.NewTimer(pause)
 	defer t.Stop()
+	early := time.NewTimer(min(pause, minSyncPause))
+	defer early.Stop()
+	var requested chan struct{}
 	for {
 		select {
+		case <-early.C:
+			requested = f.syncRequested
+		case <-requested:
+			return
 		case a := <-f.results:
 			f.handleResult(ctx, a)
 		case <-f.quarantine.reportSoon:
@@ -167,8 +175,7 @@
 	// The round may continue with other keepers, but endpoints that have left must be
 	// removed at once.
 	f.applyEndpoints(time.Now())
-	age := time.Duration(result.reply.ConfirmedAgeMs) * time.Millisecond
-	fresh := result.reply.ConfirmedAgeMs >= 0 && age < maxConfirmedAge
+	fresh := isConfirmed(result.reply)
 	if fresh {
 		now := time.Now()
 		if len(listed) > 0 {
--- a/courier/versions.go
+++ b/courier/versions.go
@@ -1,36 +1,103 @@
 package courier
 
 import (
+	"context"
+	"sync"
 	"time"
 
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
+const (
+	// maxVersionsWait bounds the wait for a reply that shows the present versions: a round trip to a
+	// keeper, or to the next one if the first does not answer.
+	maxVersionsWait = 2 * nextKeeperDelay
+	// minSyncPause is the time between two syncs of which the second was requested early.
+	minSyncPause = 50 * time.Millisecond
+)
+
+// knownVersions is the history of versions as requests see it, with the time as of which it is known. It is
+// safe for concurrent use.
+type knownVersions struct {
+	mu sync.Mutex
+	// history is nil before the first endpoints.
+	history *enroller.VersionHistory
+	// asOf is when the latest reply was requested whose endpoints are in the history.
+	asOf time.Time
+	// published is closed when asOf changes.
+	published chan struct{}
+}
+
+// publish replaces the history.
+func (k *knownVersions) publish(h *enroller.VersionHistory, asOf time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.history = h
+	if asOf.After(k.asOf) {
+		k.asOf = asOf
+		close(k.published)
+		k.published = make(chan struct{})
+	}
+}
+
+// load returns the history, the time as of which it is known, and a channel that is closed when that changes.
+func (k *knownVersions) load() (h *enroller.VersionHistory, asOf time.Time, published <-chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.history, k.asOf, k.published
+}
+
 // mergeVersions takes in which versions a keeper knows to have gone, if a majority confirmed the keeper
 // lately. One that is cut off may miss some.
 func (f *fleetView) mergeVersions(now time.Time, r *messenger.SyncReply) {
-	if r.ConfirmedAgeMs >= 0 && time.Duration(r.ConfirmedAgeMs)*time.Millisecond <= maxConfirmedAge {
+	if isConfirmed(r) {
 		f.registered.Versions().Merge(now, r.Versions)
 	}
 }
 
+// isConfirmed reports whether a majority confirmed the copy of a keeper shortly before it replied.
+func isConfirmed(r *messenger.SyncReply) bool {
+	return r.ConfirmedAgeMs >= 0 && time.Duration(r.ConfirmedAgeMs)*time.Millisecond <= maxConfirmedAge
+}
+
 // publishVersions makes the history of versions available to requests.
 func (f *fleetView) publishVersions(now time.Time) {
-	f.versions.Store(f.registered.Versions().Clone(now))
+	f.versions.publish(f.registered.Versions().Clone(now), f.versionsAsOf)
+}
+
+// soleVersion returns the version of a service if its endpoints have had no other one for a time, up to the
+// call: it waits for a reply that was requested after the call. This router may have been out of step for
+// seconds, in which a version was released and streams began at it elsewhere.
+func (f *fleetView) soleVersion(ctx context.Context, service string, within time.Duration) (enroller.Version, bool) {
+	called := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, maxVersionsWait)
+	defer cancel()
+	for !f.disconnected() {
+		h, asOf, published := f.versions.load()
+		if h != nil && asOf.After(called) {
+			return h.Sole(service, called.Add(-within))
+		}
+		f.syncSoon()
+		select {
+		case <-published:
+		case <-ctx.Done():
+			return "", false
+		}
+	}
+	return "", false
 }
 
-// soleVersion returns the version of a service if its endpoints have had no other one for a time.
-func (f *fleetView) soleVersion(now time.Time, service string, within time.Duration) (enroller.Version, bool) {
-	h := f.versions.Load()
-	if h == nil || f.disconnected() {
-		return "", false
+// syncSoon makes the goroutine of run sync with a keeper without waiting for the end of the interval.
+func (f *fleetView) syncSoon() {
+	select {
+	case f.syncRequested <- struct{}{}:
+	default:
 	}
-	return h.Sole(service, now.Add(-within))
 }
 
 // knowsVersion reports whether an endpoint of a service has, or has had lately, a version.
 func (f *fleetView) knowsVersion(service string, v enroller.Version) bool {
-	h := f.versions.Load()
+	h, _, _ := f.versions.load()
 	return h != nil && h.Knows(service, v)
 }
--- /dev/null
+++ b/courier/versions_test.go
@@ -0,0 +1,69 @@
+package courier
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/messenger"
+)
+
+// versionSightings returns an endpoint of each version.
+func versionSightings(versions ...string) *messenger.Sightings {
+	out := &messenger.Sightings{}
+	for _, v := range versions {
+		out.Sightings = append(out.Sightings, &messenger.Sighting{Id: "i-" + v, Service: "s", Address: "10.0.0.1:" + v, Zone: "z", Slots: 8, Sequence: 1, Version: v})
+	}
+	return out
+}
+
+// Guards against a stream that goes on at another version because its router was out of step: it stood still,
+// and takes a reply from before that for the present state. Meanwhile a version was released, at which
+// another router began the stream.
+func TestSoleVersionIsNotThatOfAnEarlierReply(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := &keeperStub{}
+	k.sightings.Store(versionSightings("1"))
+	k.versions.Store(&messenger.VersionHistory{CompleteMs: time.Hour.Milliseconds()})
+	f := startFleet(t, serveStub(t, k))
+	sole := func() string {
+		v, ok := f.soleVersion(t.Context(), "s", time.Minute)
+		return string(v) + map[bool]string{true: "", false: " unknown"}[ok]
+	}
+	g.Eventually(sole, 3*time.Second, 10*time.Millisecond).Should(gomega.Equal("1"))
+	k.sync.Store(int64(700 * time.Millisecond))
+	time.Sleep(time.Second)
+	before := k.syncs.Load()
+	g.Eventually(k.syncs.Load, 3*time.Second, time.Millisecond).Should(gomega.BeNumerically(">", before))
+	// The reply is composed and takes 700 ms.
+	time.Sleep(50 * time.Millisecond)
+	k.sightings.Store(versionSightings("1", "2"))
+	for begun := time.Now(); time.Since(begun) < 600*time.Millisecond; time.Sleep(20 * time.Millisecond) {
+		g.Expect(sole()).NotTo(gomega.Equal("1"))
+	}
+}
+
+// Guards against the same at a router that is cut off while a version is released, and against one that waits for
+// keepers of which it knows that they do not answer.
+func TestRouterThatIsCutOffKnowsNoSoleVersion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := &keeperStub{}
+	k.sightings.Store(versionSightings("1"))
+	k.versions.Store(&messenger.VersionHistory{CompleteMs: time.Hour.Milliseconds()})
+	f := startFleet(t, serveStub(t, k))
+	known := func() bool {
+		_, ok := f.soleVersion(t.Context(), "s", time.Minute)
+		return ok
+	}
+	g.Eventually(known, 3*time.Second, 10*time.Millisecond).Should(gomega.BeTrue())
+	k.sync.Store(int64(time.Hour))
+	time.Sleep(50 * time.Millisecond)
+	begun := time.Now()
+	g.Expect(known()).To(gomega.BeFalse())
+	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", maxVersionsWait+100*time.Millisecond))
+	g.Eventually(f.disconnected, 3*time.Second, 10*time.Millisecond).Should(gomega.BeTrue())
+	begun = time.Now()
+	g.Expect(known()).To(gomega.BeFalse())
+	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 50*time.Millisecond))
+}
--- a/forwarder/resumption.go
+++ b/forwarder/resumption.go
@@ -114,7 +114,7 @@
 	}
 	within := max(soleVersionTimeouts*j.route.Timeout, minSoleVersion)
 	if service, ok := soleService(j.route.Shares); ok {
-		if v, ok := j.f.Origins.SoleVersion(service, within); ok {
+		if v, ok := j.f.Origins.SoleVersion(j.r.Context(), service, within); ok {
 			return resumer.Origin{Service: service, Version: v}, nil
 		}
 	}
--- a/forwarder/resumption_test.go
+++ b/forwarder/resumption_test.go
@@ -62,7 +62,7 @@
 	return resumer.Origin{}, o.err
 }
 
-func (o *originsStub) SoleVersion(service string, within time.Duration) (enroller.Version, bool) {
+func (o *originsStub) SoleVersion(_ context.Context, service string, within time.Duration) (enroller.Version, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.within = within
--- a/forwarder/wire.go
+++ b/forwarder/wire.go
@@ -70,8 +70,9 @@
 	// Find returns the origin of a stream, resumer.ErrUnknown or resumer.ErrUnreachable. A key that several
 	// streams may share is known only to routers that have kept all origins for minKept.
 	Find(ctx context.Context, k resumer.Key, minKept time.Duration) (resumer.Origin, error)
-	// SoleVersion returns the version of a service if no endpoint has had another one for a time.
-	SoleVersion(service string, within time.Duration) (enroller.Version, bool)
+	// SoleVersion returns the version of a service if no endpoint has had another one for a time, up to the
+	// call. It may wait for a keeper's answer.
+	SoleVersion(ctx context.Context, service string, within time.Duration) (enroller.Version, bool)
 	// KnowsVersion reports whether an endpoint of a service has, or has had lately, a version.
 	KnowsVersion(service string, v enroller.Version) bool
 }
