Keepers share a version that was not known at once

Cause: keepers exchange what they heard every 0.3 s, so that a router whose keeper has not yet heard of a release may take the earlier version for the only one of a service, while routers of another keeper begin streams at the new one.

Change: the first heartbeat with a version is shared within 50 ms.

--- a/steward/registry.go
+++ b/steward/registry.go
@@ -53,6 +53,8 @@
 	epoch     uint64
 	startedAt time.Time
 	log       *zap.Logger
+	// versionAdded receives a value when a heartbeat states a version that was not known.
+	versionAdded chan struct{}
 }
 
 // appliedLeave is a leave that this keeper has applied.
@@ -62,7 +64,7 @@
 }
 
 func newRegistry(heartbeat time.Duration) *registry {
-	return &registry{table: enroller.NewTable(maxMissedHeartbeats * heartbeat), unshared: map[string]bool{}, routers: newRouters(), left: map[enroller.Incarnation]appliedLeave{}, epoch: rand.Uint64() | 1, startedAt: time.Now(), log: zap.NewNop()}
+	return &registry{table: enroller.NewTable(maxMissedHeartbeats * heartbeat), unshared: map[string]bool{}, routers: newRouters(), left: map[enroller.Incarnation]appliedLeave{}, epoch: rand.Uint64() | 1, startedAt: time.Now(), log: zap.NewNop(), versionAdded: make(chan struct{}, 1)}
 }
 
 // beginVersions records whether there were endpoints and routers before this process.
@@ -104,8 +106,15 @@
 		r.log.Info("heartbeat of an endpoint that was not known here", zap.Stringer("endpoint", b.Incarnation), zap.String("service", b.Service),
 			zap.String("address", b.Address), zap.String("zone", b.Zone), zap.Uint64("sequence", b.Sequence))
 	}
+	versionKnown := r.table.Versions().Knows(b.Service, b.Version)
 	r.table.Observe(now, b, 0)
 	r.unshared[b.ID] = true
+	if !versionKnown {
+		select {
+		case r.versionAdded <- struct{}{}:
+		default:
+		}
+	}
 	if held && holder.ID != b.ID {
 		r.logConflict(b, holder)
 	}
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -46,6 +46,9 @@
 	balanceLogInterval = time.Second
 	// shareInterval is how often keepers send each other what they observed.
 	shareInterval = 300 * time.Millisecond
+	// minShareInterval is the time between two messages of which the second was sent early, because of a new
+	// version.
+	minShareInterval = 50 * time.Millisecond
 	// announceInterval is how often a keeper without new observations sends its zone to
 	// the others.
 	announceInterval = 2 * time.Second
@@ -274,7 +277,9 @@
 	rpc.Stop()
 }
 
-// shareObservations periodically sends what this keeper observed to the other keepers.
+// shareObservations periodically sends what this keeper observed to the other keepers. A version that was not
+// known is shared at once: streams may begin at it as soon as one router knows it, and routers that sync with
+// another keeper must not take an earlier version for the only one.
 func (s *Keeper) shareObservations(ctx context.Context) {
 	t := time.NewTicker(shareInterval)
 	defer t.Stop()
@@ -289,6 +294,8 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		case <-s.registry.versionAdded:
+			time.Sleep(time.Until(sharedAt.Add(minShareInterval)))
 		}
 		m := s.registry.takeUnshared(time.Now(), s.node.Internal())
 		m.Zone = s.node.Zone()
