What a router has kept of a content is confirmed by others, and a router that was out of step has not kept all

Cause: a stream whose caller names no attempt is found by its content, of which other streams may have begun. A router that had kept such an origin used it without asking. If it stood still or was cut off when another stream of that content began at another version, it went on at the wrong one, and told others that it had kept everything.

Change: the origin of a content is confirmed by the routers that may keep it; if none answers, it is unreachable. A router that has not ticked for a second, whose VM was suspended, or which heard neither keepers nor other routers for a second counts from then on as one that has just begun to keep origins. Named attempts are as before.

--- a/courier/dispatch_notifier.go
+++ b/courier/dispatch_notifier.go
@@ -93,6 +93,9 @@
 		datagramsInvalid.Inc()
 		return
 	}
+	if n.fleet.origins != nil {
+		n.fleet.origins.recordReceived(now)
+	}
 	if d.Unread > 0 {
 		n.fleet.table.RecordDispatch(now, d.Endpoint, predictor.Dispatch{
 			UncachedTokens: d.Unread, PrefillTime: time.Duration(d.TakesUs) * time.Microsecond, Parts: d.Parts,
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -227,6 +227,9 @@
 	}
 	if now.Sub(f.contactAt) > maxContactGap {
 		f.registered.Versions().Begin(now)
+		if f.origins != nil && !f.contactAt.IsZero() {
+			f.origins.contactLost(now, now.Sub(f.contactAt))
+		}
 	}
 	f.contactAt = now
 	f.lastContact.Store(int64(now.Sub(f.startedAt)))
--- a/courier/stream_origins.go
+++ b/courier/stream_origins.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/reporter"
@@ -32,6 +33,8 @@
 	handOverInterval = 50 * time.Millisecond
 	// lossNoticeDelay is how long keepers take to notice that a router has ended, and to tell.
 	lossNoticeDelay = 5 * time.Second
+	// maxTickGap is the time between two ticks from which this router counts as having stood still.
+	maxTickGap = time.Second
 	// maxProofLogLines is the maximum number of log lines a second about datagrams without a proof.
 	maxProofLogLines = 2
 )
@@ -51,6 +54,11 @@
 	// completeSince is the time from which no origin that this router would keep was lost: it has kept them
 	// since its start, and no router ended just before. It is zero until a keeper has told.
 	completeSince time.Time
+	// tickedAt is when the goroutine of run last ticked; zero if that does not run. The clocks of a VM that was
+	// suspended disagree.
+	tickedAt rattanhoist.Moment
+	// receivedAt is when a datagram of another router last arrived.
+	receivedAt time.Time
 	// searches holds the searches in progress by their numbers.
 	searches map[uint64]*originSearch
 }
@@ -116,13 +124,45 @@
 			return
 		case <-t.C:
 		}
+		now := time.Now()
 		s.mu.Lock()
-		sends := s.replication.Tick(time.Now())
+		if s.stoodStillLocked(now) {
+			s.completeSince = now
+		}
+		s.tickedAt = rattanhoist.MomentOf(now)
+		sends := s.replication.Tick(now)
 		s.mu.Unlock()
 		s.sendAll(sends)
 	}
 }
 
+// stoodStillLocked reports whether this process or its VM has stood still since the last tick. Origins that were
+// sent meanwhile may be lost. The caller holds s.mu.
+func (s *streamOrigins) stoodStillLocked(now time.Time) bool {
+	if s.tickedAt.IsZero() {
+		return false
+	}
+	gap, agree := rattanhoist.MomentOf(now).Since(s.tickedAt)
+	return !agree || gap > maxTickGap
+}
+
+// recordReceived records that a datagram of another router arrived.
+func (s *streamOrigins) recordReceived(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.receivedAt = now
+}
+
+// contactLost records that no keeper has answered this router for a time. If no other router was heard
+// either, it was cut off, and has missed origins.
+func (s *streamOrigins) contactLost(now time.Time, silence time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.receivedAt) >= silence && !s.completeSince.IsZero() {
+		s.completeSince = now
+	}
+}
+
 // handOver sends everything that this router keeps to the routers that keep it from now on.
 func (s *streamOrigins) handOver() {
 	for i := range handOverSends {
@@ -178,8 +218,10 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o, ok := s.replication.Find(now, k); ok && s.keptLocked(now) >= minKept {
-		return nil, o, nil
+	own, known := s.replication.Find(now, k)
+	known = known && s.keptLocked(now) >= minKept
+	if known && minKept == 0 {
+		return nil, own, nil
 	}
 	if len(s.searches) >= maxSearches {
 		originSearchesDropped.Inc()
@@ -190,6 +232,9 @@
 		s.fleet.listRoutersSoon(now)
 	}
 	search := &originSearch{core: resumer.NewSearch(now, candidates, minKept), answered: make(chan struct{}, 1)}
+	if known {
+		search.core = resumer.NewConfirmation(now, candidates, minKept, own)
+	}
 	s.searches[number] = search
 	return search, resumer.Origin{}, nil
 }
@@ -205,7 +250,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o, ok := s.replication.Find(now, k); ok && s.keptLocked(now) >= minKept {
+	if o, ok := s.replication.Find(now, k); ok && minKept == 0 {
 		return nil, o, true, nil
 	}
 	ask = search.core.Tick(now)
@@ -217,7 +262,7 @@
 // if it had run. The caller holds s.mu.
 func (s *streamOrigins) keptLocked(now time.Time) time.Duration {
 	since := s.completeSince
-	if since.IsZero() {
+	if since.IsZero() || s.stoodStillLocked(now) {
 		return 0
 	}
 	if at := s.replication.DroppedAt(); at.After(since) {
--- a/courier/stream_origins_test.go
+++ b/courier/stream_origins_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/enroller"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/resumer"
@@ -272,3 +273,62 @@
 	r[0].recordRoutersKept(now, time.Second)
 	g.Expect(kept()).To(gomega.Equal(3*time.Second), "one ended long after its start")
 }
+
+// Guards against a stream that goes on at the version of another one of the same content: its router was cut off
+// from the others when they began it.
+func TestOwnOriginOfAContentIsConfirmedByOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := startOriginRouters(t, "a", "a", "a")
+	for _, x := range r {
+		x.recordRoutersKept(time.Now(), time.Hour)
+	}
+	content, later := streamKey(-1), resumer.Origin{Service: "s", Version: "v2"}
+	r[0].Record(streamOrigin, time.Minute, content, streamKey(1))
+	g.Eventually(func() int { return r[1].known() + r[2].known() }, time.Second, time.Millisecond).Should(gomega.Equal(4))
+	o, err := r[0].Find(t.Context(), content, time.Minute)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(o).To(gomega.Equal(streamOrigin))
+	introduce(r[1], r[2])
+	r[1].Record(later, time.Minute, content, streamKey(2))
+	introduce(r...)
+	o, err = r[0].Find(t.Context(), content, time.Minute)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(o.Version).To(gomega.BeEmpty(), "two streams have this content")
+	for _, x := range r[1:] {
+		_ = x.notifier.conn.Close()
+	}
+	_, err = r[0].Find(t.Context(), content, time.Minute)
+	g.Expect(err).To(gomega.MatchError(resumer.ErrUnreachable))
+	o, err = r[0].Find(t.Context(), streamKey(1), 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "an attempt's name is that of one stream")
+	g.Expect(o).To(gomega.Equal(streamOrigin))
+}
+
+// Guards against a router that believes to know all streams of a content although it stood still, or was cut
+// off, when others began.
+func TestRouterThatWasOutOfStepHasNotKeptAllOrigins(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := startOriginRouters(t, "a", "a")[0]
+	now := time.Now()
+	kept := func() time.Duration {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.keptLocked(now).Round(time.Second)
+	}
+	r.recordRoutersKept(now, time.Hour)
+	r.tickedAt = rattanhoist.MomentOf(now)
+	g.Expect(kept()).To(gomega.Equal(time.Hour))
+	now = now.Add(3 * time.Second)
+	g.Expect(kept()).To(gomega.BeZero(), "it stood still")
+	r.tickedAt = rattanhoist.MomentOf(now).Add(-time.Millisecond)
+	g.Expect(kept()).To(gomega.BeNumerically(">=", time.Hour))
+	r.tickedAt = rattanhoist.NewMoment(rattanhoist.MomentOf(now).Monotonic(), rattanhoist.MomentOf(now).Wall()-3*time.Second)
+	g.Expect(kept()).To(gomega.BeZero(), "its VM was suspended")
+	r.tickedAt = rattanhoist.MomentOf(now)
+	r.recordReceived(now.Add(-500 * time.Millisecond))
+	r.contactLost(now, 2*time.Second)
+	g.Expect(kept()).To(gomega.BeNumerically(">=", time.Hour), "other routers were heard; keepers alone were away")
+	r.recordReceived(now.Add(-3 * time.Second))
+	r.contactLost(now, 2*time.Second)
+	g.Expect(kept()).To(gomega.BeZero())
+}
--- a/resumer/search.go
+++ b/resumer/search.go
@@ -27,11 +27,14 @@
 	rounds  int
 	origin  Origin
 	found   bool
+	// own is set if the origin is what this router itself has kept.
+	own bool
 }
 
 type searchTarget struct {
 	Member
-	denials int
+	denials  int
+	answered bool
 }
 
 // NewSearch returns a search at the given routers. A router that has kept origins for less than minKept counts as
@@ -44,6 +47,14 @@
 	return s
 }
 
+// NewConfirmation returns a search that confirms an origin which this router itself has kept. Several streams may
+// share its key, and this router may have been out of step when another one began at a different origin.
+func NewConfirmation(now time.Time, candidates []Member, minKept time.Duration, own Origin) *Search {
+	s := NewSearch(now, candidates, minKept)
+	s.origin, s.found, s.own = own, true, true
+	return s
+}
+
 // Tick returns the routers to ask now.
 func (s *Search) Tick(now time.Time) []Member {
 	if s.rounds >= searchRounds || now.Sub(s.began) < time.Duration(s.rounds)*searchRoundInterval {
@@ -64,8 +75,11 @@
 func (s *Search) Answer(address string, o Origin, known bool, kept time.Duration) {
 	known = known && kept >= s.minKept
 	i := slices.IndexFunc(s.targets, func(t searchTarget) bool { return t.Address == address })
+	if i < 0 || s.rounds == 0 {
+		return
+	}
+	s.targets[i].answered = true
 	switch {
-	case i < 0 || s.rounds == 0:
 	case known && s.found && s.origin != o:
 		s.origin.Version = ""
 	case known:
@@ -78,6 +92,8 @@
 // Result returns the origin, or ErrUnknown or ErrUnreachable. It is not done while the search goes on.
 func (s *Search) Result(now time.Time) (o Origin, done bool, err error) {
 	switch {
+	case s.own:
+		return s.confirmed(now)
 	case s.found:
 		return s.origin, true, nil
 	case len(s.targets) == 0:
@@ -91,3 +107,22 @@
 	}
 	return Origin{}, true, ErrUnknown
 }
+
+// confirmed returns the own origin once all routers have answered, or those that do in time.
+func (s *Search) confirmed(now time.Time) (o Origin, done bool, err error) {
+	answers := 0
+	for _, t := range s.targets {
+		if t.answered {
+			answers++
+		}
+	}
+	switch {
+	case answers == len(s.targets):
+		return s.origin, true, nil
+	case now.Sub(s.began) < searchTimeout:
+		return Origin{}, false, nil
+	case answers == 0:
+		return Origin{}, true, ErrUnreachable
+	}
+	return s.origin, true, nil
+}
