--- a/courier/leave_soak_test.go
+++ b/courier/leave_soak_test.go
@@ -200,7 +200,7 @@
 func TestSoakOfLeaves(t *testing.T) {
 	seed, routers := soakSetting(t, "SOAK_SEED", leaveSoakSeed), int(soakSetting(t, "SOAK_ROUTERS", soakRouters))
 	r := rand.New(rand.NewPCG(seed, 2))
-	c, g := startCluster(t, 102+int(seed%6))
+	c, g := startCluster(t, 220+int(seed%30))
 	c.publish(g, 1, document(2, 100_000_000))
 	s := &leaveSoak{soakFleet: &soakFleet{cluster: c, binary: nodeBinary(t), routers: routers, processes: map[int]*exec.Cmd{}, disturbedAt: map[int]time.Time{}}}
 	var engines []*leavingEngine
