Candidates that ask for votes at the same moment give way to one of them

Cause: several keepers ask whether they would get votes, all are told yes, and then each votes for itself in the same term: the votes are split and all wait for another election timeout. With three of five left, a leader needs every vote.

Change: for a heartbeat interval a keeper says yes to one candidate only, the first that asks or one that comes before it in the order of names, and a candidate that gives way to another starts no term. It holds for 0.2 s after the first such question, so that a candidate which hears no answers holds up nobody for longer. Trial votes grant nothing, so safety does not depend on it.

--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -1,7 +1,9 @@
 package replicator_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -338,9 +340,15 @@
 // and request votes before the others are listening. The cause is a lost vote
 // request that is not repeated before the next election.
 func TestLostQuestionForVotesIsAskedAgain(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint("seed ", defaultSeed+seed), func(t *testing.T) { testStartOfAll(t, defaultSeed+seed) })
+	}
+}
+
+func testStartOfAll(t *testing.T, seed uint64) {
 	timing := replicator.Timing{HeartbeatInterval: 100 * time.Millisecond, ElectionTimeout: 600 * time.Millisecond, Replace: 6 * time.Second}
 	const deaf, step = 400 * time.Millisecond, 20 * time.Millisecond
-	p := newPoolOf(t, 5, 5, timing)
+	p := newSeededPool(t, 5, 5, timing, seed)
 	p.settle()
 	var worst time.Duration
 	for range 50 {
@@ -369,3 +377,50 @@
 		t.Fatalf("nobody led for %v after a start of all", worst)
 	}
 }
+
+// separate cuts nodes off from all others, or joins them again.
+func (p *pool) separate(cut bool, nodes ...string) {
+	for _, n := range nodes {
+		for _, other := range p.names {
+			p.cut[n+other], p.cut[other+n] = cut, cut
+		}
+	}
+}
+
+// Guards against a voter that is replaced too late, or seconds without a leader, because the keepers that are left ask
+// for votes at the same moment again and again: two of five are lost, so that a leader needs the votes of all others.
+func TestThreeOfFiveElectALeaderSoon(t *testing.T) {
+	timing := replicator.Timing{HeartbeatInterval: 100 * time.Millisecond, ElectionTimeout: 600 * time.Millisecond, Replace: 6 * time.Second}
+	const step = 20 * time.Millisecond
+	// Two election timeouts and a round of votes.
+	const bound = 2*600*time.Millisecond + 200*time.Millisecond
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint("seed ", defaultSeed+seed), func(t *testing.T) {
+			p := newSeededPool(t, 5, 5, timing, defaultSeed+seed)
+			p.settle()
+			var worst time.Duration
+			for range 20 {
+				leader := p.leaderName()
+				other := p.names[slices.IndexFunc(p.names, func(n string) bool { return n != leader })]
+				left := slices.DeleteFunc(slices.Clone(p.names), func(n string) bool { return n == leader || n == other })
+				p.separate(true, leader, other)
+				var passed time.Duration
+				for led := false; !led && passed < 10*time.Second; passed += step {
+					p.tick(step)
+					for len(p.messages) > 0 {
+						p.deliver(0, false)
+					}
+					for _, n := range left {
+						led = led || p.nodes[n].core.Role() == replicator.Leader
+					}
+				}
+				worst = max(worst, passed)
+				p.separate(false, leader, other)
+				p.settle()
+			}
+			if worst > bound {
+				t.Fatalf("nobody led for %v after two of five were lost", worst)
+			}
+		})
+	}
+}
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -7,6 +7,36 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
+// contestHeartbeats is for how many heartbeat intervals after the first trial candidates give way to each other.
+const contestHeartbeats = 2
+
+// contest is a moment without a leader in which several candidates may ask for votes.
+type contest struct {
+	// begunAt is when another keeper first asked.
+	begunAt time.Time
+	// candidate is the one that this keeper prefers until a point in time.
+	candidate Member
+	until     time.Time
+}
+
+// prefer reports whether this keeper gives its trial vote to a candidate. Candidates that ask at the same moment
+// would split the votes of the next term, and all wait for another election timeout. So for a heartbeat interval
+// each voter prefers the first candidate that asks, or one that comes before it in the order of names. This
+// holds for the beginning of a contest only, which is the first trial of another keeper: a candidate that hears no
+// answers must not hold up the others.
+func (c *Core) prefer(m Member) bool {
+	t := c.options.Timing
+	if m != c.self && c.now.Sub(c.contest.begunAt) > t.ElectionTimeout {
+		c.contest.begunAt = c.now
+	}
+	contested := c.now.Sub(c.contest.begunAt) < contestHeartbeats*t.HeartbeatInterval && c.now.Before(c.contest.until)
+	if contested && compareMembers(m, c.contest.candidate) > 0 {
+		return false
+	}
+	c.contest.candidate, c.contest.until = m, c.now.Add(t.HeartbeatInterval)
+	return true
+}
+
 // hasLiveLeader reports whether this core leads or heard from a leader within
 // the election timeout. Votes are then refused, so that one keeper with a bad
 // link cannot depose a healthy leader.
@@ -57,6 +87,10 @@
 	}
 	switch c.role {
 	case PreCandidate:
+		if c.hasVoteMajority() && c.prefer(c.self) {
+			c.startElection()
+			return
+		}
 		c.requestVotes(true, c.term+1)
 	case Candidate:
 		c.requestVotes(false, c.term)
@@ -72,6 +106,9 @@
 
 func (c *Core) requestVotes(trial bool, term uint64) {
 	c.resetVoteRetryTimer()
+	if trial {
+		c.prefer(c.self)
+	}
 	for _, v := range c.log.voters {
 		if c.votes[v] {
 			continue
@@ -99,7 +136,7 @@
 }
 
 func (c *Core) onPreVote(from Member, term uint64, v *messenger.LogVote) {
-	if term > c.term && !c.hasLiveLeader() && c.isLogUpToDate(v) {
+	if term > c.term && !c.hasLiveLeader() && c.isLogUpToDate(v) && c.prefer(from) {
 		// Delay this keeper's own vote requests in favor of the candidate.
 		c.resetVoteRetryTimer()
 		m := voteReply(true, true)
@@ -126,7 +163,7 @@
 	switch {
 	case r.Trial && c.role == PreCandidate && term == c.term+1:
 		c.votes[from] = true
-		if c.hasVoteMajority() {
+		if c.hasVoteMajority() && c.prefer(c.self) {
 			c.startElection()
 		}
 	case !r.Trial && c.role == Candidate && term == c.term:
--- a/replicator/pool_test.go
+++ b/replicator/pool_test.go
@@ -49,6 +49,9 @@
 	now time.Time
 }
 
+// defaultSeed is the seed of pools whose test names none.
+const defaultSeed = 7
+
 type pendingRequest struct {
 	id    string
 	floor uint64
@@ -76,6 +79,8 @@
 	zone func(name string) string
 	// retired is a name that is no longer in the settings.
 	retired string
+	// seed distinguishes the random numbers of pools.
+	seed uint64
 	// foundingDelay is passed on to the cores.
 	foundingDelay time.Duration
 	// restarted holds the nodes that no longer start as parts of the first start.
@@ -102,10 +107,18 @@
 	return p
 }
 
+// newSeededPool is newPoolOf with other random numbers.
+func newSeededPool(t rapid.TB, n, voters int, timing replicator.Timing, seed uint64) *pool {
+	p := preparePool(t, n, voters, timing)
+	p.seed = seed
+	p.startAll()
+	return p
+}
+
 // preparePool returns a pool of which no node runs.
 func preparePool(t rapid.TB, n, voters int, timing replicator.Timing) *pool {
 	p := &pool{
-		voters: voters, timing: timing, t: t, nodes: map[string]*node{}, cut: map[string]bool{},
+		seed: defaultSeed, voters: voters, timing: timing, t: t, nodes: map[string]*node{}, cut: map[string]bool{},
 		asked: map[replicator.Ticket]pendingRequest{}, acked: map[string]int{}, leaders: map[string]replicator.Member{},
 		restarted: map[string]bool{}, down: map[string]bool{}, committed: map[string]bool{},
 	}
@@ -119,7 +132,7 @@
 // startAll starts all nodes for the first time.
 func (p *pool) startAll() {
 	for i, name := range p.names {
-		p.nodes[name] = &node{disk: map[string]map[string][]byte{}, rand: rand.New(rand.NewPCG(uint64(i), 7)), now: time.Unix(1000, 0)}
+		p.nodes[name] = &node{disk: map[string]map[string][]byte{}, rand: rand.New(rand.NewPCG(uint64(i), p.seed)), now: time.Unix(1000, 0)}
 		p.start(name)
 	}
 }
