--- a/courier/leaves_test.go
+++ b/courier/leaves_test.go
@@ -352,3 +352,24 @@
 	}
 	f.g.Eventually(func() []string { return v.table.Names() }, maxLeaveDelay, 10*time.Millisecond).Should(gomega.HaveLen(200))
 }
+
+// Guards against a leave that routers learn of too late because the keeper that acknowledged it, which may lead,
+// stops right after: it is durable at a majority, and the others apply it once they know that it is committed.
+func TestLeaveIsKnownAfterItsKeeperStops(t *testing.T) {
+	f := startLeaveFleet(t, 200)
+	for n := 11; n <= 16; n++ {
+		f.startRouter(n, 1, 2, 3)
+	}
+	f.register(0, 30, 1)
+	f.awaitKnown(30)
+	for k := 1; k <= 3; k++ {
+		f.leave(10*(k-1), 10*k, 1, k)
+		acknowledged := time.Now()
+		f.keepers[k].stop()
+		f.awaitKnown(30 - 10*k)
+		t.Logf("keeper %d: known %v after the acknowledgement", k, time.Since(acknowledged))
+		f.g.Expect(time.Since(acknowledged)).To(gomega.BeNumerically("<", 2*maxLeaveDelay))
+		f.startKeeper(k, false)
+		time.Sleep(2 * time.Second)
+	}
+}
