--- a/courier/versions_test.go
+++ b/courier/versions_test.go
@@ -1,12 +1,16 @@
 package courier
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist/messenger"
+	"rattanhoist.example/rattanhoist/pooler"
+	"rattanhoist.example/rattanhoist/predictor"
 )
 
 // versionSightings returns an endpoint of each version.
@@ -67,3 +71,45 @@
 	g.Expect(known()).To(gomega.BeFalse())
 	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 50*time.Millisecond))
 }
+
+// Guards against a stream that waits for the next regular sync, or is refused in a large fleet whose routers sync
+// more rarely than that.
+func TestSoleVersionIsAskedForAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := &keeperStub{}
+	k.sightings.Store(versionSightings("1"))
+	k.versions.Store(&messenger.VersionHistory{CompleteMs: time.Hour.Milliseconds()})
+	f := startFleet(t, serveStub(t, k))
+	known := func() bool {
+		_, ok := f.soleVersion(t.Context(), "s", time.Minute)
+		return ok
+	}
+	g.Eventually(known, 3*time.Second, 10*time.Millisecond).Should(gomega.BeTrue())
+	begun := time.Now()
+	for range 10 {
+		g.Expect(known()).To(gomega.BeTrue())
+	}
+	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 8*syncInterval))
+}
+
+// Guards against a router that counts origins as kept although it was cut off from keepers and routers.
+func TestContactThatWasLostEndsWhatARouterHasKept(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleetView(Options{Node: loadTestNode(t, ""), Log: zap.NewNop()}, 1, predictor.NewTable("z"), pooler.New(func(http.Header, string) pooler.AnswerMatch { return pooler.MatchOwn }, func() {}))
+	f.origins = newStreamOrigins(f, zap.NewNop())
+	reply := func() {
+		f.applyReply(t.Context(), syncResult{link: messenger.NewLink("127.0.0.1:9"), reply: &messenger.SyncReply{}, sentAt: time.Now(), request: &messenger.SyncRequest{}})
+	}
+	kept := func() time.Duration {
+		f.origins.mu.Lock()
+		defer f.origins.mu.Unlock()
+		return f.origins.keptLocked(time.Now())
+	}
+	f.origins.recordRoutersKept(time.Now(), time.Hour)
+	reply()
+	reply()
+	g.Expect(kept()).To(gomega.BeNumerically(">=", time.Hour))
+	f.contactAt = time.Now().Add(-2 * time.Second)
+	reply()
+	g.Expect(kept()).To(gomega.BeNumerically("<", time.Minute))
+}
