Announcements state an address of 256 bytes at most

Cause: an IPv6 address may name a network interface of any length, and gossip carries the addresses of many endpoints in one message.

Measured: the test got no error for an address of 4 kB before.

--- a/tracker/announcement.go
+++ b/tracker/announcement.go
@@ -24,9 +24,11 @@
 // Limits on the fields of an announcement.
 const (
 	MaxWordBytes = 128
-	MaxLabels    = 32
-	MaxCapacity  = 1_000_000
-	MaxLoad      = 100_000_000
+	// MaxAddressBytes bounds an address: an IPv6 address may name a network interface.
+	MaxAddressBytes = 256
+	MaxLabels       = 32
+	MaxCapacity     = 1_000_000
+	MaxLoad         = 100_000_000
 )
 
 // Announcement is a message in which an endpoint describes itself.
@@ -111,6 +113,9 @@
 	if address == "" {
 		return faulty("address", "missing")
 	}
+	if len(address) > MaxAddressBytes {
+		return faulty("address", "longer than %d bytes", MaxAddressBytes)
+	}
 	a, err := netip.ParseAddrPort(address)
 	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
 		return faulty("address", "%q: want IP:port that routers can reach", address)
