--- a/enroller/check.go
+++ b/enroller/check.go
@@ -1,10 +1,10 @@
 package enroller
 
 import (
-	"strings"
 	"unicode/utf8"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -22,7 +22,7 @@
 	if err := checkText("id", i.ID, maxNameBytes); err != nil {
 		return err
 	}
-	if strings.ContainsFunc(i.ID, isControl) {
+	if !httpguts.ValidHeaderFieldValue(i.ID) {
 		return merry.Errorf("%w: the id holds a control character", ErrInvalidHeartbeat)
 	}
 	return nil
@@ -54,6 +54,3 @@
 	}
 	return nil
 }
-
-// isControl reports whether a header field may not hold a character.
-func isControl(c rune) bool { return c < ' ' || c == 0x7f }
--- a/enroller/check_test.go
+++ b/enroller/check_test.go
@@ -6,8 +6,11 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"golang.org/x/net/http/httpguts"
+	"google.golang.org/protobuf/proto"
 
 	"rattanhoist.example/rattanhoist/enroller"
+	"rattanhoist.example/rattanhoist/messenger"
 )
 
 // Guards against an endpoint in the table that no message can hold: one that a keeper of an earlier version
@@ -34,3 +37,19 @@
 	}
 	g.Expect(sound.Check()).To(gomega.Succeed())
 }
+
+// FuzzCheck searches for texts that are accepted but that a message or a header field cannot hold, or that are
+// refused although both can.
+func FuzzCheck(f *testing.F) {
+	for _, id := range []string{"i-1", "測試", "\xff\xfe", "\xed\xa0\x80", "a\r\nb", "\x00", "\u0085", "\ufffd"} {
+		f.Add(id, "z", "10.0.0.1:1")
+	}
+	f.Fuzz(func(t *testing.T, id, zone, address string) {
+		b := enroller.Heartbeat{Incarnation: enroller.Incarnation{ID: id}, Service: "s", Zone: zone, Address: address, Sequence: 1}
+		_, err := proto.Marshal(&messenger.Sighting{Id: id, Zone: zone, Address: address})
+		sendable := err == nil && httpguts.ValidHeaderFieldValue(id) && len(id) <= 4<<10 && len(zone) <= 4<<10 && len(address) <= 256
+		if accepted := b.Check() == nil; accepted != sendable {
+			t.Fatalf("accepted %v: %q %q %q", accepted, id, zone, address)
+		}
+	})
+}
