The early sync for a resumed stream comes at half of the interval at the soonest

Cause: after a loss of power of all routers each resumed stream may ask for a sync, and keepers of a large fleet would be asked twelve times as often, just as they recover.

Change: at most twice as often.

--- a/courier/sync.go
+++ b/courier/sync.go
@@ -123,11 +123,11 @@
 }
 
 // processReplies handles late replies for the given duration, or until there are crashes to report. It ends
-// after minSyncPause if a request waits for the next sync.
+// after half of the time if a request waits for the next sync.
 func (f *fleetView) processReplies(ctx context.Context, pause time.Duration) {
 	t := time.NewTimer(pause)
 	defer t.Stop()
-	early := time.NewTimer(min(pause, minSyncPause))
+	early := time.NewTimer(pause / 2)
 	defer early.Stop()
 	var requested chan struct{}
 	for {
--- a/courier/versions.go
+++ b/courier/versions.go
@@ -9,13 +9,9 @@
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
-const (
-	// maxVersionsWait bounds the wait for a reply that shows the present versions: a round trip to a
-	// keeper, or to the next one if the first does not answer.
-	maxVersionsWait = 2 * nextKeeperDelay
-	// minSyncPause is the time between two syncs of which the second was requested early.
-	minSyncPause = 50 * time.Millisecond
-)
+// maxVersionsWait bounds the wait for a reply that shows the present versions: half of the interval between two
+// syncs of a large fleet, and a round trip to a keeper.
+const maxVersionsWait = 700 * time.Millisecond
 
 // knownVersions is the history of versions as requests see it, with the time as of which it is known. It is
 // safe for concurrent use.
@@ -88,7 +84,7 @@
 	return "", false
 }
 
-// syncSoon makes the goroutine of run sync with a keeper without waiting for the end of the interval.
+// syncSoon makes the goroutine of run sync with a keeper once half of the interval is over.
 func (f *fleetView) syncSoon() {
 	select {
 	case f.syncRequested <- struct{}{}:
--- a/steward/control.go
+++ b/steward/control.go
@@ -114,9 +114,10 @@
 	return "", nil
 }
 
-// acceptHeartbeat records a heartbeat, or returns ErrInvalidHeartbeat if a program other
-// than the endpoint must have sent it, and ErrTableFull if there are too many endpoints. Accepting such a heartbeat would put a nonexistent
-// endpoint in service, or change the address behind an id that is in service.
+// acceptHeartbeat records a heartbeat, or returns ErrInvalidHeartbeat if a program other than the endpoint must
+// have sent it, and ErrTableFull if there are too many endpoints. Accepting such a heartbeat would put a
+// nonexistent endpoint in service, change the address behind an id that is in service, or leave an endpoint that
+// no message between processes can hold.
 func (c *Control) acceptHeartbeat(b enroller.Heartbeat) error {
 	if err := b.Check(); err != nil {
 		return err
