--- a/courier/versions.go
+++ b/courier/versions.go
@@ -64,15 +64,20 @@
 
 // soleVersion returns the version of a service if its endpoints have had no other one for a time, up to the
 // call: it waits for a reply that was requested after the call. This router may have been out of step for
-// seconds, in which a version was released and streams began at it elsewhere.
+// seconds, in which a version was released and streams began at it elsewhere. It does not wait if it knows of
+// another version already.
 func (f *fleetView) soleVersion(ctx context.Context, service string, within time.Duration) (enroller.Version, bool) {
 	called := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, maxVersionsWait)
 	defer cancel()
 	for !f.disconnected() {
 		h, asOf, published := f.versions.load()
-		if h != nil && asOf.After(called) {
-			return h.Sole(service, called.Add(-within))
+		if h == nil {
+			return "", false
+		}
+		v, ok := h.Sole(service, called.Add(-within))
+		if !ok || asOf.After(called) {
+			return v, ok
 		}
 		f.syncSoon()
 		select {
--- a/courier/versions_test.go
+++ b/courier/versions_test.go
@@ -109,3 +109,16 @@
 	reply()
 	g.Expect(kept()).To(gomega.BeNumerically("<", time.Minute))
 }
+
+// Guards against a stream that is refused late although its router knows two versions of the service.
+func TestSeveralVersionsAreKnownAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f, k := startVersionedFleet(t)
+	k.sightings.Store(versionSightings("1", "2"))
+	g.Eventually(func() string { return sole(t, f) }, 3*time.Second, 10*time.Millisecond).Should(gomega.BeEmpty())
+	k.sync.Store(int64(time.Hour))
+	time.Sleep(50 * time.Millisecond)
+	begun := time.Now()
+	g.Expect(sole(t, f)).To(gomega.BeEmpty())
+	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 50*time.Millisecond))
+}
