Each port has a number of connections, and the one that has stalled for longest gives way

Cause: nothing bounded the connections of a port. Clients that send nothing, a byte at a time or a body that stops short took all descriptors, and the kernel held up to 411 MB that a router had not read. Bodies that stopped just short kept the memory for bodies, so that everybody else was refused.

Change: acceptor is where all ports of a node listen: callers, readiness, operators and endpoints, processes, metrics. A port has a share of max_fds less 200, and for clients of the memory at 32 KiB each; the receive buffer of a connection is 16 KiB. From seven eighths of its number on, a port closes connections: first those that bring no head for 250 ms, then kept ones without a request for a second, then bodies and answers that are stalled, which are answered 408. Requests that are handled are never closed. Between processes, connections that have carried no call are bounded on their own. A stalled request also ends if there is no memory for another. The metrics port has timeouts, and answers four requests at a time. The Go runtime's soft limit is 0.6 of the memory, since the kernel's part counts towards it too.

Ruled out: refusing whoever comes next. A crowd inside would keep all others out.

What callers see: 408 or a closed connection for those that stall while a port is full; nothing in calm (TestClientsWithinTheLimitsAreServed).

--- /dev/null
+++ b/acceptor/acceptor.go
@@ -0,0 +1,214 @@
+// Package acceptor bounds what the clients of a process's ports may hold of it: connections, and the memory of
+// request heads and bodies. While a port is full, it closes the connection that has made no progress for the
+// longest time, and serves the next client.
+package acceptor
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"rattanhoist.example/rattanhoist/enforcer"
+)
+
+const (
+	// receiveBufferBytes bounds what arrives at a connection before the process reads it. The kernel holds
+	// it, and the platform counts it towards the memory of the process.
+	receiveBufferBytes = 16 << 10
+	// evictionFraction is the fraction of a port's connections from which on connections are closed, so that
+	// those that are being closed fit as well.
+	evictionFraction = 0.875
+	// evictionBatch is the part of a port's connections that are closed at a time if they bring no request.
+	evictionBatch = 1. / 16
+	// closeGrace is the time for the answer to a request whose connection is closed.
+	closeGrace = 200 * time.Millisecond
+)
+
+// Limits bound what the clients of one port may hold.
+type Limits struct {
+	// Connections is the number of open connections; 0 means no limit.
+	Connections int
+	// Unproven is the number of those that have carried no call of another process yet; 0 means no limit.
+	Unproven int
+}
+
+// Acceptor is what the ports of one process share. It is safe for concurrent use.
+type Acceptor struct {
+	memory *enforcer.Memory
+	log    *zap.Logger
+
+	mu    sync.Mutex
+	ports []*Port
+}
+
+// New returns an acceptor whose ports hold requests in memory.
+func New(memory *enforcer.Memory, log *zap.Logger) *Acceptor {
+	a := &Acceptor{memory: memory, log: log}
+	memory.UseReclaim(a.reclaim)
+	return a
+}
+
+// Memory returns the memory in which the requests of all ports are held.
+func (a *Acceptor) Memory() *enforcer.Memory { return a.memory }
+
+// reclaim closes the stalled connection that has made no progress for the longest time, on any port, so that
+// its request returns its memory. It reports whether there was one.
+func (a *Acceptor) reclaim() bool {
+	a.mu.Lock()
+	ports := a.ports
+	a.mu.Unlock()
+	now := time.Now()
+	var worst candidate
+	for _, p := range ports {
+		for _, x := range p.candidates(now) {
+			if x.conn.holdsRequest() && x.standing.stalled() && (worst.conn == nil || x.standing.before(worst.standing)) {
+				worst = x
+			}
+		}
+	}
+	if worst.conn == nil {
+		return false
+	}
+	worst.conn.evict(worst.standing, "memory")
+	return true
+}
+
+// Port listens on one address. It is safe for concurrent use.
+type Port struct {
+	net.Listener
+	acceptor *Acceptor
+	limits   Limits
+	counters portCounters
+	// framed is set if the server reports the requests of the port's connections.
+	framed bool
+
+	mu   sync.Mutex
+	open map[*conn]bool
+	// proven counts those that have carried a call.
+	proven int
+
+	crowd crowd
+}
+
+// Listen returns a listener on an address. The name labels the port in counters and log lines.
+func (a *Acceptor) Listen(name, address string, l Limits) (*Port, error) {
+	// What cannot be set stays at the system's default.
+	control := func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		})
+	}
+	inner, err := (&net.ListenConfig{Control: control}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p := &Port{Listener: inner, acceptor: a, limits: l, open: map[*conn]bool{}}
+	p.counters = newPortCounters(name, p)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ports = append(a.ports[:len(a.ports):len(a.ports)], p)
+	return p, nil
+}
+
+// Accept waits for a connection for which there is room.
+func (p *Port) Accept() (net.Conn, error) {
+	for {
+		n, err := p.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := p.add(n); c != nil {
+			return c, nil
+		}
+		p.counters.refused.Inc()
+		p.reportCrowd("connections")
+		_ = n.Close()
+	}
+}
+
+// add returns a connection, or nil if there is no room for it.
+func (p *Port) add(n net.Conn) *conn {
+	if !p.hasRoom(p.limits.Connections, p.Open) || !p.hasRoom(p.limits.Unproven, p.unproven) {
+		return nil
+	}
+	c := &conn{Conn: n, port: p, since: time.Now()}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[c] = true
+	return c
+}
+
+// hasRoom reports whether the number of connections is below a limit, and closes some from evictionFraction of it.
+func (p *Port) hasRoom(limit int, number func() int) bool {
+	if limit <= 0 {
+		return true
+	}
+	if number() >= int(evictionFraction*float64(limit)) {
+		p.makeRoom()
+	}
+	return number() < limit
+}
+
+// unproven returns the number of open connections that have carried no call.
+func (p *Port) unproven() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.open) - p.proven
+}
+
+// Open returns the number of open connections.
+func (p *Port) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.open)
+}
+
+func (p *Port) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[c] && c.carriesCalls.Load() {
+		p.proven--
+	}
+	delete(p.open, c)
+}
+
+// recordProven records that a connection has carried its first call.
+func (p *Port) recordProven(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[c] && c.carriesCalls.CompareAndSwap(false, true) {
+		p.proven++
+	}
+}
+
+// candidate is a connection that may be closed.
+type candidate struct {
+	conn     *conn
+	standing standing
+}
+
+// candidates returns the connections that may be closed.
+func (p *Port) candidates(now time.Time) []candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]candidate, 0, len(p.open))
+	for c := range p.open {
+		if s, ok := c.standing(now); ok {
+			out = append(out, candidate{c, s})
+		}
+	}
+	return out
+}
+
+// makeRoom closes the connections that have made no progress for the longest time.
+func (p *Port) makeRoom() {
+	list := p.candidates(time.Now())
+	for _, x := range leastProgress(list, max(int(evictionBatch*float64(len(list))), 1)) {
+		x.conn.evict(x.standing, "connections")
+	}
+}
--- /dev/null
+++ b/acceptor/port_test.go
@@ -0,0 +1,139 @@
+package acceptor
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"rattanhoist.example/rattanhoist/enforcer"
+)
+
+// serve starts a server that reads bodies into memory, and returns its port.
+func serve(t *testing.T, memory *enforcer.Memory, l Limits) *Port {
+	t.Helper()
+	p, err := New(memory, zap.NewNop()).Listen(t.Name(), "127.0.0.1:0", l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := memory.Hold()
+		defer h.Release()
+		switch _, err := h.ReadAll(r.Body, r.ContentLength); {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			w.WriteHeader(http.StatusRequestTimeout)
+		case err != nil:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})}
+	p.Track(s)
+	go func() { _ = s.Serve(p) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return p
+}
+
+// open opens a connection and sends bytes.
+func open(t *testing.T, p *Port, text string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	// The connection may be closed already.
+	_, _ = io.WriteString(c, text)
+	return c
+}
+
+// status returns the status of the answer on a connection, or 0 without one.
+func status(c net.Conn) int {
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_ = a.Body.Close()
+	return a.StatusCode
+}
+
+const (
+	head     = "POST / HTTP/1.1\r\nHost: a\r\n"
+	ordinary = head + "Content-Length: 1\r\n\r\nx"
+)
+
+// Many clients connect and send nothing. Guards against a port that runs out of descriptors, or that they close to
+// everybody else.
+func TestSilentClientsLeaveRoomForOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := serve(t, nil, Limits{Connections: 32})
+	for range 100 {
+		open(t, p, "")
+	}
+	g.Expect(status(open(t, p, ordinary))).To(gomega.Equal(http.StatusOK))
+	g.Expect(p.Open()).To(gomega.BeNumerically("<=", 32))
+}
+
+// Guards against a connection that is closed under a request that is handled, for clients that send nothing.
+func TestRequestInProgressIsNotClosedForOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	release := make(chan struct{})
+	p, err := New(nil, zap.NewNop()).Listen(t.Name(), "127.0.0.1:0", Limits{Connections: 8})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	s := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-release
+	})}
+	p.Track(s)
+	go func() { _ = s.Serve(p) }()
+	t.Cleanup(func() { _ = s.Close() })
+	c := open(t, p, ordinary)
+	time.Sleep(2 * stallTimeout)
+	for range 50 {
+		open(t, p, "")
+	}
+	time.Sleep(stallTimeout)
+	close(release)
+	g.Expect(status(c)).To(gomega.Equal(http.StatusOK))
+}
+
+// The memory is full of bodies that stopped just short of their end. Guards against refusing everybody else.
+func TestStalledBodiesReturnTheirMemory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	m := enforcer.NewMemory(1 << 20)
+	p := serve(t, m, Limits{})
+	const size = 200_000
+	body := head + fmt.Sprintf("Content-Length: %d\r\n\r\n", size) + strings.Repeat("x", size)
+	var stalled []net.Conn
+	for range 5 {
+		stalled = append(stalled, open(t, p, body[:len(body)-1]))
+	}
+	time.Sleep(2 * stallTimeout)
+	for range 3 {
+		g.Expect(status(open(t, p, body))).To(gomega.Equal(http.StatusOK))
+	}
+	g.Expect(status(stalled[0])).To(gomega.Equal(http.StatusRequestTimeout), "its caller learns that nothing ran")
+	g.Expect(m.Held()).To(gomega.BeNumerically("<=", 1<<20))
+}
+
+// Guards against resources that leave a port without connections, or all ports together with more than there are.
+func TestSharesOfThePorts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, shares := range []Shares{RouterShares, KeeperShares} {
+		r := Resources{MemoryBytes: 134 << 20, Descriptors: 4100, Shares: shares}
+		sum := r.ForClients().Connections + r.ForPeers().Connections + 2*r.ForProbes().Connections
+		g.Expect(sum).To(gomega.BeNumerically("<", 0.9*float64(r.Descriptors-platformDescriptors)))
+	}
+	g.Expect(Resources{MemoryBytes: 134 << 20, Descriptors: 4100, Shares: RouterShares}.ForClients().Connections).To(gomega.Equal(1072))
+	g.Expect(Resources{MemoryBytes: 280 << 20, Descriptors: 4096, Shares: KeeperShares}.ForPeers().Connections).To(gomega.BeNumerically(">", 1000), "all routers")
+	g.Expect(Resources{Shares: RouterShares}.ForClients().Connections).To(gomega.BeZero(), "no limit")
+	g.Expect(Resources{Shares: RouterShares}.ForProbes().Connections).To(gomega.Equal(maxProbeConnections))
+}
--- /dev/null
+++ b/acceptor/resources.go
@@ -0,0 +1,78 @@
+package acceptor
+
+const (
+	// platformDescriptors are reserved by the platform for files outside the data directory.
+	platformDescriptors = 200
+	// connectionBytes is the memory of an open connection: its goroutine, the server's buffers, and what the
+	// kernel holds of it.
+	connectionBytes = 32 << 10
+	// clientMemoryDivisor is the part of the process's memory that connections of clients may take, and
+	// unprovenMemoryDivisor that of connections at the port for processes that have carried no call.
+	clientMemoryDivisor   = 4
+	unprovenMemoryDivisor = 16
+	// requestMemoryDivisor is the part of the process's memory that requests and answers of clients may hold. The
+	// heap grows to nearly twice its live data.
+	requestMemoryDivisor = 4
+	// probeShare is the share of the connections at ports with a handful of clients, of which there are
+	// maxProbeConnections at the most.
+	probeShare          = 1. / 32
+	maxProbeConnections = 64
+)
+
+// HeapFraction is the fraction of the memory of a process that is the soft limit of the Go runtime. What the kernel
+// holds for its connections, and the program itself, count towards the same memory.
+const HeapFraction = 0.6
+
+// Shares are the shares of the descriptors of a process for the connections of its ports. The rest is for probes, for
+// connections that the process opens itself, and for its files.
+type Shares struct{ Clients, Peers float64 }
+
+// Shares of the kinds of processes: routers serve callers, and keepers serve all routers.
+var (
+	RouterShares = Shares{Clients: 0.5, Peers: 0.25}
+	KeeperShares = Shares{Clients: 0.25, Peers: 0.5}
+)
+
+// Resources are what a process may use; 0 means no limit.
+type Resources struct {
+	MemoryBytes int64
+	Descriptors int
+	Shares      Shares
+}
+
+// RequestMemory returns the bytes that requests and answers of all clients may hold; 0 means no limit.
+func (r Resources) RequestMemory() int64 { return r.MemoryBytes / requestMemoryDivisor }
+
+// ForClients returns the limits of the port for callers, or for operators and endpoints.
+func (r Resources) ForClients() Limits {
+	return Limits{Connections: lower(r.share(r.Shares.Clients), r.perConnection(clientMemoryDivisor))}
+}
+
+// ForPeers returns the limits of the port for other processes.
+func (r Resources) ForPeers() Limits {
+	n := r.share(r.Shares.Peers)
+	return Limits{Connections: n, Unproven: lower(n, r.perConnection(unprovenMemoryDivisor))}
+}
+
+// ForProbes returns the limits of a port with a handful of clients.
+func (r Resources) ForProbes() Limits {
+	return Limits{Connections: lower(r.share(probeShare), maxProbeConnections)}
+}
+
+// share returns a share of the descriptors, or 0 for no limit.
+func (r Resources) share(share float64) int {
+	return int(share * float64(max(r.Descriptors-platformDescriptors, 0)))
+}
+
+// perConnection returns how many connections fit into a part of the memory, or 0 for no limit.
+func (r Resources) perConnection(divisor int64) int {
+	return int(r.MemoryBytes / divisor / connectionBytes)
+}
+
+// lower returns the lower of two limits, of which 0 means none.
+func lower(a, b int) int {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
--- /dev/null
+++ b/acceptor/server.go
@@ -0,0 +1,87 @@
+package acceptor
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+)
+
+// Track makes a server report what the connections of the port are used for. It is called before the server
+// serves, and after the server has its handler and its hooks.
+func (p *Port) Track(s *http.Server) {
+	p.framed = true
+	next, handler := s.ConnState, s.Handler
+	s.ConnState = func(n net.Conn, state http.ConnState) {
+		if c := unwrap(n); c != nil {
+			switch state {
+			case http.StateActive:
+				c.enter(phaseBody)
+			case http.StateIdle:
+				c.enter(phaseKept)
+			}
+		}
+		if next != nil {
+			next(n, state)
+		}
+	}
+	s.ConnContext = func(ctx context.Context, n net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, unwrap(n))
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
+			if r.ContentLength == 0 {
+				c.enter(phaseAnswer)
+			} else {
+				r.Body = &trackedBody{r.Body, c}
+			}
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+type connKey struct{}
+
+// unwrap returns the connection of a port, or nil.
+func unwrap(n net.Conn) *conn {
+	for n != nil {
+		if c, ok := n.(*conn); ok {
+			return c
+		}
+		x, ok := n.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		n = x.NetConn()
+	}
+	return nil
+}
+
+// trackedBody records the end of a body.
+type trackedBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read reads the body.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.conn.enter(phaseAnswer)
+	}
+	return n, err
+}
+
+// LimitAnswers returns a handler that passes up to n requests at a time to another, and refuses all others.
+func LimitAnswers(n int, next http.Handler) http.Handler {
+	places := make(chan struct{}, n)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case places <- struct{}{}:
+			defer func() { <-places }()
+			next.ServeHTTP(w, r)
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
--- a/cmd/rattanhoist-node/main.go
+++ b/cmd/rattanhoist-node/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -18,19 +17,26 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"rattanhoist.example/rattanhoist/acceptor"
 	"rattanhoist.example/rattanhoist/courier"
+	"rattanhoist.example/rattanhoist/enforcer"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/platform"
 	"rattanhoist.example/rattanhoist/reporter"
 	"rattanhoist.example/rattanhoist/steward"
 )
 
-// metricsTimeout bounds how long a client of the metrics may take to send its request header.
-const metricsTimeout = 5 * time.Second
-
-// memoryLimitFraction of the memory that the process may use is the soft limit of the Go runtime.
-// Socket buffers in the kernel count towards the same memory.
-const memoryLimitFraction = 0.7
+const (
+	// metricsHeadTimeout, metricsTimeout and metricsIdleTimeout bound how long a client of the metrics may take
+	// to send its request header, to send the request and read the answer, and for its next request.
+	metricsHeadTimeout = 5 * time.Second
+	metricsTimeout     = 10 * time.Second
+	metricsIdleTimeout = 30 * time.Second
+	// metricsMemory bounds what clients of the metrics may hold, in bytes.
+	metricsMemory = 1 << 20
+	// maxMetricsAnswers bounds the answers that are made at the same time.
+	maxMetricsAnswers = 4
+)
 
 // settingsPollInterval is how often the settings file is read, which takes less than 0.1 ms.
 const settingsPollInterval = 2 * time.Second
@@ -52,21 +58,23 @@
 }
 
 // serveMetrics serves the metrics as text. If the port is in use, the process runs without them.
-func serveMetrics(address string, log *zap.Logger) {
-	if address == "" {
+func serveMetrics(n *loader.Node, log *zap.Logger) {
+	if n.Metrics() == "" {
 		return
 	}
-	l, err := net.Listen("tcp", address)
+	resources := acceptor.Resources{MemoryBytes: n.MemoryBytes(), Descriptors: n.Descriptors()}
+	l, err := acceptor.New(enforcer.NewMemory(metricsMemory), log).Listen("metrics", n.Metrics(), resources.ForProbes())
 	if err != nil {
 		log.Warn("no metrics", zap.Error(err))
 		return
 	}
 	m := http.NewServeMux()
-	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	go func() {
-		s := &http.Server{Handler: m, ReadHeaderTimeout: metricsTimeout}
-		log.Warn("metrics end", zap.Error(s.Serve(l)))
-	}()
+	m.Handle("GET /metrics", acceptor.LimitAnswers(maxMetricsAnswers, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})))
+	s := &http.Server{Handler: m, ReadHeaderTimeout: metricsHeadTimeout, ReadTimeout: metricsTimeout, WriteTimeout: metricsTimeout, IdleTimeout: metricsIdleTimeout}
+	l.Track(s)
+	go func() { log.Warn("metrics end", zap.Error(s.Serve(l))) }()
 }
 
 // run runs the router or keeper of the settings until ctx is done. A value from changed means that the
@@ -80,9 +88,9 @@
 	defer flush()
 	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel),
 		zap.Fields(zap.String("process", n.Name())))
-	serveMetrics(n.Metrics(), log)
+	serveMetrics(n, log)
 	if m := n.MemoryBytes(); m > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(m)))
+		debug.SetMemoryLimit(int64(acceptor.HeapFraction * float64(m)))
 	}
 	for _, w := range warnings {
 		log.Warn(w)
--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -32,6 +32,9 @@
 	deadline, closeAt time.Time
 }
 
+// NetConn returns the connection below.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection. The first byte of a request ends the wait for it.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -8,7 +8,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"rattanhoist.example/rattanhoist/acceptor"
 	"rattanhoist.example/rattanhoist/enforcer"
 	"rattanhoist.example/rattanhoist/forwarder"
 	"rattanhoist.example/rattanhoist/limiter"
@@ -55,10 +55,6 @@
 	drainPollInterval = 20 * time.Millisecond
 	// incarnationLabelBytes is the length of a label that identifies an incarnation in logs.
 	incarnationLabelBytes = 6
-	// callerMemoryDivisor is the part of the process's memory that requests and answers of
-	// callers may hold. The heap grows to nearly twice its live data, and buffers of
-	// connections take as much again.
-	callerMemoryDivisor = 4
 	// maxMessageLogLines bounds the log lines a second about messages of other processes that cannot be
 	// encoded or decoded.
 	maxMessageLogLines = 5
@@ -100,6 +96,7 @@
 	relays *relays
 	// drainingSince is the time from startedAt until the process was told to stop, or 0.
 	drainingSince     atomic.Int64
+	acceptor          *acceptor.Acceptor
 	callers           *callerServer
 	connectionsOpened atomic.Int64
 	// stopping is closed when a stopping router accepts no more requests.
@@ -143,6 +140,8 @@
 		c.fleet.origins = newStreamOrigins(c.fleet, o.Log)
 		registerOriginGauges(c.fleet.origins)
 	}
+	memory := enforcer.NewMemory(c.resources().RequestMemory())
+	c.acceptor = acceptor.New(memory, o.Log)
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
 	c.fleet.onDocument = c.rights.updateTotals
 	c.callers = newCallerServer(http.HandlerFunc(c.handleCaller), o.Log)
@@ -151,8 +150,8 @@
 	ratio, slack, window := o.Node.RetryLimit()
 	var limits *forwarder.CallerLimits
 	if o.Node.Features().CallerLimits {
-		limits = &forwarder.CallerLimits{Memory: enforcer.NewMemory(o.Node.MemoryBytes() / callerMemoryDivisor)}
-		registerMemoryGauge(limits.Memory)
+		limits = &forwarder.CallerLimits{Memory: memory}
+		registerMemoryGauge(memory)
 	}
 	var origins forwarder.StreamOrigins
 	if c.fleet.origins != nil {
@@ -168,6 +167,11 @@
 	return c
 }
 
+// resources returns what the process may use for its clients.
+func (c *Router) resources() acceptor.Resources {
+	return acceptor.Resources{MemoryBytes: c.Node.MemoryBytes(), Descriptors: c.Node.Descriptors(), Shares: acceptor.RouterShares}
+}
+
 // newIncarnation returns a random number that is not 0.
 func newIncarnation() uint64 {
 	var b [8]byte
@@ -194,18 +198,21 @@
 func (c *Router) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	front, err := net.Listen("tcp", c.Node.Serve())
+	resources := c.resources()
+	front, err := c.acceptor.Listen("callers", c.Node.Serve(), resources.ForClients())
 	if err != nil {
 		return err
 	}
-	ready, err := net.Listen("tcp", c.Node.Ready())
+	front.Track(&c.callers.server)
+	ready, err := c.acceptor.Listen("readiness", c.Node.Ready(), resources.ForProbes())
 	if err != nil {
 		return err
 	}
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+c.ReadyPath, c.handleReady)
 	question := &http.Server{Handler: m, ReadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	internal, err := net.Listen("tcp", c.Node.Internal())
+	ready.Track(question)
+	internal, err := c.acceptor.Listen("processes", c.Node.Internal(), resources.ForPeers())
 	if err != nil {
 		return err
 	}
--- a/shaper/conn.go
+++ b/shaper/conn.go
@@ -29,6 +29,9 @@
 	return &conn{Conn: c, admission: l.admission}, nil
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection and records the bytes.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -10,7 +10,6 @@
 	crand "crypto/rand"
 	"encoding/binary"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"rattanhoist.example/rattanhoist/acceptor"
 	"rattanhoist.example/rattanhoist/committer"
 	"rattanhoist.example/rattanhoist/enforcer"
 	"rattanhoist.example/rattanhoist/governor"
@@ -60,9 +60,8 @@
 	requestTimeout = 10 * time.Second
 	idleTimeout    = 30 * time.Second
 	maxHeaderBytes = 64 << 10
-	// requestMemoryDivisor is the part of the process's memory that requests of operators and endpoints may hold,
-	// and defaultRequestMemory what they may hold without a limit, in bytes.
-	requestMemoryDivisor = 4
+	// defaultRequestMemory bounds what operators and endpoints may hold of a process without a limit on its
+	// memory, in bytes.
 	defaultRequestMemory = 56 << 20
 	// maxMessageLogLines bounds the log lines a second about messages of other processes that cannot be
 	// encoded or decoded.
@@ -110,7 +109,7 @@
 	balancesCheckedAt time.Time
 	announcementLog   *zap.Logger
 	announcements     announcements
-	requestMemory     *enforcer.Memory
+	acceptor          *acceptor.Acceptor
 	// nonVoterLoggedAt is used by shareObservations only.
 	nonVoterLoggedAt time.Time
 }
@@ -131,7 +130,7 @@
 	}
 	s.committedState.Store(&committedState{document: s.state.Document(), evacuations: s.state.Evacuations()})
 	s.peers = newPeerLinks(n.Internal(), n.Seeds(), newLink, s.setPeers)
-	s.requestMemory = enforcer.NewMemory(cmp.Or(n.MemoryBytes()/requestMemoryDivisor, defaultRequestMemory))
+	s.acceptor = acceptor.New(enforcer.NewMemory(cmp.Or(s.resources().RequestMemory(), defaultRequestMemory)), log)
 	s.registry = newRegistry(n.Heartbeat())
 	s.registry.log = reporter.Sampled(log, maxHeartbeatLogLines)
 	s.announcements.last = map[string]announcement{}
@@ -167,8 +166,13 @@
 	return s, func() { _ = closeStore() }, nil
 }
 
+// resources returns what the process may use for its clients.
+func (s *Keeper) resources() acceptor.Resources {
+	return acceptor.Resources{MemoryBytes: s.node.MemoryBytes(), Descriptors: s.node.Descriptors(), Shares: acceptor.KeeperShares}
+}
+
 // RequestMemory returns the memory in which the requests of operators and endpoints are held.
-func (s *Keeper) RequestMemory() *enforcer.Memory { return s.requestMemory }
+func (s *Keeper) RequestMemory() *enforcer.Memory { return s.acceptor.Memory() }
 
 // zoneOf returns the availability zone of a keeper, or "" if it is not known yet.
 func (s *Keeper) zoneOf(name string) string {
@@ -243,11 +247,12 @@
 func (s *Keeper) Run(ctx context.Context, control func(*Keeper) http.Handler) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	internalListener, err := net.Listen("tcp", s.node.Internal())
+	resources := s.resources()
+	internalListener, err := s.acceptor.Listen("processes", s.node.Internal(), resources.ForPeers())
 	if err != nil {
 		return err
 	}
-	controlListener, err := net.Listen("tcp", s.node.Control())
+	controlListener, err := s.acceptor.Listen("control", s.node.Control(), resources.ForClients())
 	if err != nil {
 		return err
 	}
@@ -256,6 +261,7 @@
 	web := &http.Server{
 		Handler: control(s), ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	controlListener.Track(web)
 	failed := make(chan error, 3)
 	go func() { failed <- rpc.Serve(internalListener) }()
 	go func() { failed <- web.Serve(controlListener) }()
