Calls between processes whose message does not come end, the oldest first

Cause: a call that has begun waits for its message for as long as its client likes, with a goroutine and buffers, and a connection carried any number.

Change: a fleet's server keeps 1,024 calls without their message and ends the oldest one for the next; a connection carries 512 calls at a time. The first call tells the port that a connection is not a stranger's, so that those are closed first. A connection at that port is counted with 64 KiB.

What processes see: nothing in calm; a call and its message are sent together.

--- a/acceptor/resources.go
+++ b/acceptor/resources.go
@@ -6,6 +6,8 @@
 	// connectionBytes is the memory of an open connection: its goroutine, the server's buffers, and what the
 	// kernel holds of it.
 	connectionBytes = 32 << 10
+	// peerConnectionBytes is the memory of a connection at the port for processes, with calls that have begun on it.
+	peerConnectionBytes = 64 << 10
 	// clientMemoryDivisor is the part of the process's memory that connections of clients may take, and
 	// unprovenMemoryDivisor that of connections at the port for processes that have carried no call.
 	clientMemoryDivisor   = 4
@@ -49,13 +51,13 @@
 // ForClients returns the limits of the port for callers, or for operators and endpoints, with heads of up to
 // headBytes.
 func (r Resources) ForClients(headBytes func() int64) Limits {
-	return Limits{Connections: lower(r.share(r.Shares.Clients), r.perConnection(clientMemoryDivisor)), HeadBytes: headBytes}
+	return Limits{Connections: lower(r.share(r.Shares.Clients), r.inMemory(clientMemoryDivisor, connectionBytes)), HeadBytes: headBytes}
 }
 
 // ForPeers returns the limits of the port for other processes.
 func (r Resources) ForPeers() Limits {
 	n := r.share(r.Shares.Peers)
-	return Limits{Connections: n, Unproven: lower(n, r.perConnection(unprovenMemoryDivisor))}
+	return Limits{Connections: n, Unproven: lower(n, r.inMemory(unprovenMemoryDivisor, peerConnectionBytes))}
 }
 
 // ForProbes returns the limits of a port with a handful of clients, which send nothing but short heads.
@@ -68,10 +70,8 @@
 	return int(share * float64(max(r.Descriptors-platformDescriptors, 0)))
 }
 
-// perConnection returns how many connections fit into a part of the memory, or 0 for no limit.
-func (r Resources) perConnection(divisor int64) int {
-	return int(r.MemoryBytes / divisor / connectionBytes)
-}
+// inMemory returns how many connections of a size in bytes fit into a part of the memory, or 0 for no limit.
+func (r Resources) inMemory(divisor, size int64) int { return int(r.MemoryBytes / divisor / size) }
 
 // lower returns the lower of two limits, of which 0 means none.
 func lower(a, b int) int {
--- a/messenger/counters.go
+++ b/messenger/counters.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"path"
 
+	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 )
@@ -14,6 +15,9 @@
 	countFailed = expvar.NewMap("rpc_failed")
 )
 
+// callsEnded counts calls that were ended because their message did not arrive.
+var callsEnded = metrics.NewCounter("rattanhoist_pending_calls_ended_total")
+
 // count counts a served call by its method, and also by its code if it failed. It returns err.
 func count(method string, err error) error {
 	name := path.Base(path.Dir(method)) + "/" + path.Base(method)
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -313,7 +313,10 @@
 // NewFleetServer returns a gRPC server for the calls of a fleet's processes. It logs messages that cannot be
 // encoded or decoded; the caller bounds the rate of these lines, and registers the services.
 func NewFleetServer(log *zap.Logger) *grpc.Server {
+	p := newPendingCalls(maxPendingCalls)
 	return grpc.NewServer(
+		grpc.Creds(carrierCredentials{insecure.NewCredentials()}), grpc.MaxConcurrentStreams(maxCallsPerConnection),
+		grpc.InTapHandle(p.begin), grpc.UnaryInterceptor(p.interceptUnary), grpc.StreamInterceptor(p.interceptStream),
 		grpc.ForceServerCodecV2(newCountingCodec(log)),
 		grpc.MaxRecvMsgSize(maxLinkMessageBytes), grpc.MaxSendMsgSize(maxLinkMessageBytes),
 		grpc.ReadBufferSize(linkBufferBytes), grpc.WriteBufferSize(linkBufferBytes), grpc.SharedWriteBuffer(true),
