The chat interface's ports have the same limits as those of a node

A body counts until its request is answered; one without memory gets 503 with code overloaded and outcome not_run. The debug address has timeouts, answers four requests at a time, and reads 4 KiB of a fault's form.

What callers see: 431, 408, 503 or a closed connection beside a crowd.

--- a/commander/process.go
+++ b/commander/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
+	"rattanhoist.example/rattanhoist/acceptor"
 	"rattanhoist.example/rattanhoist/keeper"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/router"
@@ -56,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(acceptor.HeapFraction * float64(s.Policy().MemoryBytes())))
 	log, syncLog, err := newLog(name)
 	if err != nil {
 		return err
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -5,11 +5,12 @@
 
 import (
 	"context"
-	"net"
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"rattanhoist.example/rattanhoist/acceptor"
+	"rattanhoist.example/rattanhoist/enforcer"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/reporter"
@@ -76,7 +77,9 @@
 func (k *Keeper) Run(parent context.Context) error {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	l, err := net.Listen("tcp", k.self.RPC())
+	p := k.settings.Policy()
+	resources := acceptor.Resources{MemoryBytes: p.MemoryBytes(), Descriptors: p.MaxDescriptors(), Shares: acceptor.KeeperShares}
+	l, err := acceptor.New(enforcer.NewMemory(resources.RequestMemory()), k.log).Listen("processes", k.self.RPC(), resources.ForPeers())
 	if err != nil {
 		return err
 	}
@@ -84,7 +87,7 @@
 	if k.settings.Policy().FaultPortEnabled() {
 		cutter = k.dialer.Cutter()
 	}
-	if err := reporter.Serve(ctx, k.self.Debug(), cutter, &operationsServer{keeper: k}, k.log); err != nil {
+	if err := reporter.Serve(ctx, k.self.Debug(), resources, cutter, &operationsServer{keeper: k}, k.log); err != nil {
 		return err
 	}
 	go func() { cancel(k.server.Serve(l)) }()
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -7,19 +7,31 @@
 	"context"
 	"errors"
 	"expvar"
-	"net"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"rattanhoist.example/rattanhoist/acceptor"
+	"rattanhoist.example/rattanhoist/enforcer"
 	"rattanhoist.example/rattanhoist/messenger"
 )
 
 const (
+	// readHeaderTimeout, readTimeout, writeTimeout and idleTimeout bound how long a client may take to send its
+	// head and its request, to read the answer, and for its next request.
 	readHeaderTimeout = 2 * time.Second
+	readTimeout       = 5 * time.Second
+	writeTimeout      = 10 * time.Second
+	idleTimeout       = 30 * time.Second
 	stateTimeout      = 2 * time.Second
+	// maxFaultBytes bounds the body of a call that injects a fault, and requestMemory all that clients hold, in
+	// bytes.
+	maxFaultBytes = 4 << 10
+	requestMemory = 1 << 20
+	// maxAnswers bounds the answers that are made at the same time.
+	maxAnswers = 4
 )
 
 // stateProvider returns the state of a process. Servers of the Operations service
@@ -31,16 +43,20 @@
 // Serve starts the debug server on address in the background and stops it when
 // ctx is done. It does nothing if address is empty. If cutter is not nil, POST
 // /fault/cut starts a simulated network partition to the address in the form
-// value "address", and POST /fault/heal ends it.
-func Serve(ctx context.Context, address string, cutter *messenger.Cutter, s stateProvider, log *zap.Logger) error {
+// value "address", and POST /fault/heal ends it. The resources are those of the process.
+func Serve(ctx context.Context, address string, resources acceptor.Resources, cutter *messenger.Cutter, s stateProvider, log *zap.Logger) error {
 	if address == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := acceptor.New(enforcer.NewMemory(requestMemory), log).Listen("debug", address, resources.ForProbes())
 	if err != nil {
 		return err
 	}
-	h := &http.Server{Handler: newHandler(cutter, s), ReadHeaderTimeout: readHeaderTimeout}
+	h := &http.Server{
+		Handler: acceptor.LimitAnswers(maxAnswers, newHandler(cutter, s)), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+	}
+	l.Track(h)
 	go func() {
 		<-ctx.Done()
 		_ = h.Close()
@@ -60,12 +76,18 @@
 	m.Handle("GET /debug/vars", expvar.Handler())
 	m.HandleFunc("GET /state", func(w http.ResponseWriter, r *http.Request) { writeState(w, r, s) })
 	if cutter != nil {
-		m.HandleFunc("POST /fault/cut", func(_ http.ResponseWriter, r *http.Request) { cutter.Cut(r.FormValue("address")) })
-		m.HandleFunc("POST /fault/heal", func(_ http.ResponseWriter, r *http.Request) { cutter.Heal(r.FormValue("address")) })
+		m.HandleFunc("POST /fault/cut", func(w http.ResponseWriter, r *http.Request) { cutter.Cut(faultAddress(w, r)) })
+		m.HandleFunc("POST /fault/heal", func(w http.ResponseWriter, r *http.Request) { cutter.Heal(faultAddress(w, r)) })
 	}
 	return m
 }
 
+// faultAddress returns the form value "address".
+func faultAddress(w http.ResponseWriter, r *http.Request) string {
+	r.Body = http.MaxBytesReader(w, r.Body, maxFaultBytes)
+	return r.FormValue("address")
+}
+
 // writeState writes the StateReply of the process as JSON.
 func writeState(w http.ResponseWriter, r *http.Request, s stateProvider) {
 	ctx, cancel := context.WithTimeout(r.Context(), stateTimeout)
--- a/router/handler.go
+++ b/router/handler.go
@@ -13,13 +13,14 @@
 	"go.uber.org/zap"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/enforcer"
 	"rattanhoist.example/rattanhoist/tracer"
 )
 
 // handler returns the HTTP handler for callers and endpoints.
 func (r *Router) handler() http.Handler {
 	m := http.NewServeMux()
-	callers := alice.New(tracer.Middleware, r.recoverPanic, r.requireReady, limitBodyTime(bodyTimeout))
+	callers := alice.New(tracer.Middleware, r.recoverPanic, r.requireReady, limitBodyTime(bodyTimeout), r.holdBody)
 	m.Handle("POST /v1/chat/completions", callers.ThenFunc(r.handleChat))
 	m.Handle("POST /v1/tickets", callers.ThenFunc(r.issueTicket))
 	m.Handle("/v1/services/{service}/{path...}", callers.ThenFunc(r.handlePlain))
@@ -44,6 +45,25 @@
 	})
 }
 
+// holdBody is middleware that counts the memory of a body until the request is answered.
+func (r *Router) holdBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		h := r.acceptor.Memory().Hold()
+		defer h.Release()
+		next.ServeHTTP(w, q.WithContext(context.WithValue(q.Context(), holdingKey{}, h)))
+	})
+}
+
+type holdingKey struct{}
+
+// holding returns the account with which a request holds its body.
+func holding(q *http.Request) *enforcer.Holding {
+	if h, ok := q.Context().Value(holdingKey{}).(*enforcer.Holding); ok {
+		return h
+	}
+	return (*enforcer.Memory)(nil).Hold()
+}
+
 // requireReady is middleware that counts requests in progress. It refuses them
 // while the router drains or does not know the configuration and its siblings
 // yet.
--- a/router/request.go
+++ b/router/request.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/configurer"
+	"rattanhoist.example/rattanhoist/enforcer"
 	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/messenger"
 )
@@ -227,11 +227,14 @@
 
 // readBody reads the whole body, up to the size limit.
 func (p parser) readBody(r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, p.maxBody))
+	body, err := holding(r).ReadAll(http.MaxBytesReader(nil, r.Body, p.maxBody), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, &Problem{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge, Field: "body", Outcome: NotRun, Detail: "the body is larger than " + strconv.FormatInt(p.maxBody, 10) + " bytes"}
 	}
+	if errors.Is(err, enforcer.ErrMemory) {
+		return nil, &Problem{Status: http.StatusServiceUnavailable, Code: CodeOverloaded, Field: "body", Outcome: NotRun, Detail: "this router holds too many bodies", After: defaultRetryAfter}
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, bodyTimeoutProblem(r)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,7 +16,9 @@
 	"google.golang.org/grpc"
 
 	"rattanhoist.example/rattanhoist"
+	"rattanhoist.example/rattanhoist/acceptor"
 	"rattanhoist.example/rattanhoist/configurer"
+	"rattanhoist.example/rattanhoist/enforcer"
 	"rattanhoist.example/rattanhoist/joiner"
 	"rattanhoist.example/rattanhoist/loader"
 	"rattanhoist.example/rattanhoist/messenger"
@@ -86,6 +87,7 @@
 	limiters   sync.Map
 	server     *http.Server
 	dialer     *messenger.Dialer
+	acceptor   *acceptor.Acceptor
 	peerRPC    *grpc.Server
 	peers      *peerTable
 	runRecords runRecordStore
@@ -117,6 +119,7 @@
 		ledger:       picker.NewLedger(now),
 		lifecycle:    newLifeCycle(log),
 	}
+	r.acceptor = acceptor.New(enforcer.NewMemory(r.resources().RequestMemory()), log)
 	r.ledger.SetRouters(len(s.Processes(loader.KindRouter)))
 	closePeers, err := r.connect()
 	if err != nil {
@@ -133,6 +136,12 @@
 	return r, closePeers, nil
 }
 
+// resources returns what the process may use for its clients.
+func (r *Router) resources() acceptor.Resources {
+	p := r.settings.Policy()
+	return acceptor.Resources{MemoryBytes: p.MemoryBytes(), Descriptors: p.MaxDescriptors(), Shares: acceptor.RouterShares}
+}
+
 // newLifeCycle returns the state machine of the process: starting, ready,
 // draining.
 func newLifeCycle(log *zap.Logger) *fsm.FSM {
@@ -147,10 +156,11 @@
 // Run serves until ctx ends and then drains: requests in progress are
 // completed, new ones are refused, and unspent rights are returned.
 func (r *Router) Run(ctx context.Context) error {
-	l, err := net.Listen("tcp", r.self.HTTP())
+	l, err := r.acceptor.Listen("callers", r.self.HTTP(), r.resources().ForClients(func() int64 { return maxHeaderBytes }))
 	if err != nil {
 		return err
 	}
+	l.Track(r.server)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	if err := r.serveInternal(background); err != nil {
@@ -176,7 +186,7 @@
 
 // serveInternal starts the servers for other processes of the deployment.
 func (r *Router) serveInternal(ctx context.Context) error {
-	l, err := net.Listen("tcp", r.self.RPC())
+	l, err := r.acceptor.Listen("processes", r.self.RPC(), r.resources().ForPeers())
 	if err != nil {
 		return err
 	}
@@ -185,7 +195,7 @@
 		<-ctx.Done()
 		r.peerRPC.Stop()
 	}()
-	return reporter.Serve(ctx, r.self.Debug(), faultCutter(r.settings, r.dialer), &operationsServer{router: r}, r.log)
+	return reporter.Serve(ctx, r.self.Debug(), r.resources(), faultCutter(r.settings, r.dialer), &operationsServer{router: r}, r.log)
 }
 
 // faultCutter returns the cutter that injects network faults, or nil if the
