Strangers give way to strangers at the port for processes, and the debug address shows the ports

Cause: found by reading. While more strangers came than the port for processes lets in, and none had stalled yet, connections of processes that were idle for 30 s were closed for them. The chat interface's processes counted what their ports refuse and showed it nowhere.

Change: only connections that have carried no call give way to others of that kind. The debug address serves GET /metrics.

Evidence: TestStrangersAreNotExchangedForProcesses fails without the change.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -156,7 +156,9 @@
 
 // add returns a connection, or nil if there is no room for it.
 func (p *Port) add(n net.Conn) *conn {
-	if !p.hasRoom(p.limits.Connections, p.Open) || !p.hasRoom(p.limits.Unproven, p.unproven) {
+	anyone := func(*conn) bool { return true }
+	stranger := func(c *conn) bool { return !c.carriesCalls.Load() }
+	if !p.hasRoom(p.limits.Unproven, p.unproven, stranger) || !p.hasRoom(p.limits.Connections, p.Open, anyone) {
 		return nil
 	}
 	c := &conn{Conn: n, port: p, since: time.Now()}
@@ -166,13 +168,14 @@
 	return c
 }
 
-// hasRoom reports whether the number of connections is below a limit, and closes some from evictionFraction of it.
-func (p *Port) hasRoom(limit int, number func() int) bool {
+// hasRoom reports whether the number of connections is below a limit. From evictionFraction of it on, it closes some of
+// those that may give way.
+func (p *Port) hasRoom(limit int, number func() int, mayGiveWay func(*conn) bool) bool {
 	if limit <= 0 {
 		return true
 	}
 	if number() >= int(evictionFraction*float64(limit)) {
-		p.makeRoom()
+		p.makeRoom(mayGiveWay)
 	}
 	return number() < limit
 }
@@ -228,9 +231,9 @@
 	return out
 }
 
-// makeRoom closes the connections that have made no progress for the longest time.
-func (p *Port) makeRoom() {
-	list := p.candidates(time.Now())
+// makeRoom closes those of some connections that have made no progress for the longest time.
+func (p *Port) makeRoom(mayGiveWay func(*conn) bool) {
+	list := slices.DeleteFunc(p.candidates(time.Now()), func(x candidate) bool { return !mayGiveWay(x.conn) })
 	for _, x := range leastProgress(list, max(int(evictionBatch*float64(len(list))), 1)) {
 		x.conn.evict(x.standing, "connections")
 	}
--- a/acceptor/port_test.go
+++ b/acceptor/port_test.go
@@ -251,3 +251,34 @@
 		g.Eventually(ran, time.Second).Should(gomega.Receive(gomega.BeNil()))
 	}
 }
+
+// Strangers fill the port for processes. Guards against closing the idle connections of processes for them.
+func TestStrangersAreNotExchangedForProcesses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p, err := New(nil, zap.NewNop()).Listen(t.Name(), "127.0.0.1:0", Limits{Connections: 100, Unproven: 16})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	accepted := make(chan net.Conn, 100)
+	go func() {
+		for {
+			c, err := p.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	t.Cleanup(func() { _ = p.Close() })
+	open(t, p, "")
+	process := (<-accepted).(*conn)
+	process.CarryCall()
+	process.mu.Lock()
+	process.since = process.since.Add(-2 * idleDuration)
+	process.mu.Unlock()
+	for range 50 {
+		open(t, p, "")
+	}
+	g.Eventually(accepted, time.Second).Should(gomega.HaveLen(50))
+	process.mu.Lock()
+	defer process.mu.Unlock()
+	g.Expect(process.closed).To(gomega.BeFalse())
+}
--- a/cmd/rattanhoist/clients_test.go
+++ b/cmd/rattanhoist/clients_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -161,3 +162,16 @@
 		return launcher.At(d.keeperProcess().RPC(), http.MethodPost, messenger.Operations_State_FullMethodName)
 	}, launcher.MisbehaviorsOfPeers)
 }
+
+// Guards against a crowd that an operator can't tell from other troubles.
+func TestDebugAddressShowsThePorts(t *testing.T) {
+	d := start(t, manyDescriptors)
+	a, err := http.Get("http://" + d.routerProcess().Debug() + "/metrics")
+	d.g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	d.g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, port := range []string{"callers", "processes", "debug"} {
+		d.g.Expect(string(b)).To(gomega.ContainSubstring(fmt.Sprintf("rattanhoist_port_connections_max{port=%q}", port)))
+	}
+}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -74,6 +75,7 @@
 func newHandler(cutter *messenger.Cutter, s stateProvider) http.Handler {
 	m := http.NewServeMux()
 	m.Handle("GET /debug/vars", expvar.Handler())
+	m.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	m.HandleFunc("GET /state", func(w http.ResponseWriter, r *http.Request) { writeState(w, r, s) })
 	if cutter != nil {
 		m.HandleFunc("POST /fault/cut", func(w http.ResponseWriter, r *http.Request) { cutter.Cut(faultAddress(w, r)) })
