A process with few descriptors or little memory has a limit as well

Cause: found by reading. A share of max_fds below 203, or of little memory, came to 0 connections, which means no limit.

Change: a share is one connection at least.

Evidence: TestSharesOfThePorts fails without the change.

--- a/acceptor/resources.go
+++ b/acceptor/resources.go
@@ -67,11 +67,19 @@
 
 // share returns a share of the descriptors, or 0 for no limit.
 func (r Resources) share(share float64) int {
-	return int(share * float64(max(r.Descriptors-platformDescriptors, 0)))
+	if r.Descriptors <= 0 {
+		return 0
+	}
+	return max(int(share*float64(r.Descriptors-platformDescriptors)), 1)
 }
 
 // inMemory returns how many connections of a size in bytes fit into a part of the memory, or 0 for no limit.
-func (r Resources) inMemory(divisor, size int64) int { return int(r.MemoryBytes / divisor / size) }
+func (r Resources) inMemory(divisor, size int64) int {
+	if r.MemoryBytes <= 0 {
+		return 0
+	}
+	return max(int(r.MemoryBytes/divisor/size), 1)
+}
 
 // lower returns the lower of two limits, of which 0 means none.
 func lower(a, b int) int {
--- a/cmd/rattanhoist-node/clients_test.go
+++ b/cmd/rattanhoist-node/clients_test.go
@@ -43,6 +43,13 @@
 	expectCrowdIsBorne(t, func(f *smallFleet) launcher.Target { return launcher.At(f.serve(), http.MethodPost, "/a/x") }, launcher.MisbehaviorsAnywhere, launcher.MisbehaviorsWithBodies)
 }
 
+// Guards against a router that clients end with many whole bodies at once, which it passes on.
+func TestRouterBearsCrowdsWithWholeBodies(t *testing.T) {
+	expectCrowdIsBorne(t, func(f *smallFleet) launcher.Target {
+		return launcher.At(f.serve(), http.MethodPost, "/a/x")
+	}, map[string]launcher.Misbehavior{"whole bodies": launcher.WholeBodies(strings.Repeat("x", launcher.LegalBodyBytes))})
+}
+
 // Guards against a router that clients end at a path that leads nowhere, where no limit of a route holds.
 func TestRouterBearsCrowdsWithoutARoute(t *testing.T) {
 	expectCrowdIsBorne(t, func(f *smallFleet) launcher.Target { return launcher.At(f.serve(), http.MethodPost, "/none") }, launcher.MisbehaviorsAnywhere, launcher.MisbehaviorsWithBodies)
