Operators' and endpoints' heads may take 64 KiB again

The platform repeats a call after 431, and ends it after 400.

What heads take together is bounded by the memory in any case.

--- a/steward/steward.go
+++ b/steward/steward.go
@@ -59,7 +59,7 @@
 	headerTimeout  = 5 * time.Second
 	requestTimeout = 10 * time.Second
 	idleTimeout    = 30 * time.Second
-	maxHeaderBytes = 16 << 10
+	maxHeaderBytes = 64 << 10
 	// defaultRequestMemory bounds what operators and endpoints may hold of a process without a limit on its
 	// memory, in bytes.
 	defaultRequestMemory = 56 << 20
