The end of a request's log line says how its caller's connection ended

A router that closed a connection under a request logged `caller gone`, as it does for a caller that has left: the two were not told apart. The line `ended` now names what ended the connection and the time that the request still had, and a counter tells whether an endpoint may have run the request.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -48,6 +48,24 @@
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
+// ErrEvicted is returned by reads and writes of a connection that is closed for lack of room. Servers take it for a
+// deadline that has passed. Compare with errors.Is.
+var ErrEvicted error = evictedError{}
+
+type evictedError struct{}
+
+// Error returns the text of the error.
+func (evictedError) Error() string { return "connection closed for others" }
+
+// Timeout reports that a deadline has passed.
+func (evictedError) Timeout() bool { return true }
+
+// Temporary implements net.Error.
+func (evictedError) Temporary() bool { return true }
+
+// Unwrap returns the error of a deadline that has passed, for errors.Is.
+func (evictedError) Unwrap() error { return os.ErrDeadlineExceeded }
+
 // conn is a client's connection. It is safe for concurrent use.
 type conn struct {
 	net.Conn
@@ -75,12 +93,25 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 {
-		return n, err
+		return n, c.explain(err)
 	}
 	if failed := c.record(b[:n]); failed != nil {
 		return 0, failed
 	}
-	return n, err
+	return n, c.explain(err)
+}
+
+// explain returns the error of a read or write, or ErrEvicted if the connection was closed for others.
+func (c *conn) explain(err error) error {
+	if err == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		return ErrEvicted
+	}
+	return err
 }
 
 // record records what was received, and returns the error with which the connection ends if it is too much.
@@ -88,7 +119,7 @@
 	c.mu.Lock()
 	if c.evicted {
 		c.mu.Unlock()
-		return os.ErrDeadlineExceeded
+		return ErrEvicted
 	}
 	if !c.port.framed {
 		c.since = time.Now()
@@ -166,7 +197,8 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.setWriting(time.Now())
 	defer c.setWriting(time.Time{})
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	return n, c.explain(err)
 }
 
 func (c *conn) setWriting(since time.Time) {
--- a/acceptor/server.go
+++ b/acceptor/server.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 )
 
 // Track makes a server report what the connections of the port are used for. It is called before the server
@@ -26,7 +25,11 @@
 			next(n, state)
 		}
 	}
+	nextContext := s.ConnContext
 	s.ConnContext = func(ctx context.Context, n net.Conn) context.Context {
+		if nextContext != nil {
+			ctx = nextContext(ctx, n)
+		}
 		return context.WithValue(ctx, connKey{}, unwrap(n))
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -74,7 +77,7 @@
 	if err == io.EOF && !b.ended {
 		b.ended = true
 		if !b.conn.enter(phaseAnswer) {
-			return n, os.ErrDeadlineExceeded
+			return n, ErrEvicted
 		}
 	}
 	return n, err
--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -1,9 +1,15 @@
 package courier
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"rattanhoist.example/rattanhoist/acceptor"
 )
 
 // callerUse is what a caller's connection is used for at a moment.
@@ -30,6 +36,8 @@
 	// deadline is the read deadline that the HTTP server has set, and closeAt the time at which the
 	// connection is closed unless a request arrives before. Zero stands for none.
 	deadline, closeAt time.Time
+	// failure is the first error of a read or write in the request, unless the HTTP server caused it.
+	failure error
 }
 
 // NetConn returns the connection below.
@@ -41,9 +49,52 @@
 	if n > 0 {
 		c.beginRequest()
 	}
+	c.recordFailure(err)
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *callerConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.recordFailure(err)
 	return n, err
 }
 
+// recordFailure records why a read or write failed during a request.
+func (c *callerConn) recordFailure(err error) {
+	if err == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// The HTTP server ends its own reads by a deadline in the distant past.
+	aborted := errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, acceptor.ErrEvicted) && !c.deadline.IsZero() && c.deadline.Unix() <= 1
+	if c.use == useRequest && c.failure == nil && !aborted {
+		c.failure = err
+	}
+}
+
+// EndCause returns why the connection can no longer be used for the request in progress, or "" if it can.
+func (c *callerConn) EndCause() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.failure == nil:
+		return ""
+	case errors.Is(c.failure, acceptor.ErrEvicted):
+		return "evicted"
+	case errors.Is(c.failure, os.ErrDeadlineExceeded):
+		return "deadline"
+	case errors.Is(c.failure, io.EOF):
+		return "closed by caller"
+	case errors.Is(c.failure, syscall.ECONNRESET), errors.Is(c.failure, syscall.EPIPE):
+		return "reset by caller"
+	case errors.Is(c.failure, net.ErrClosed):
+		return "closed by router"
+	}
+	return "other"
+}
+
 // SetReadDeadline sets the read deadline, which is not later than closeAt.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -68,7 +119,7 @@
 	if c.use == useRequest {
 		return
 	}
-	c.use = useRequest
+	c.use, c.failure = useRequest, nil
 	if !c.closeAt.IsZero() {
 		c.closeAt = time.Time{}
 		// An error shows in the next read as well.
--- a/courier/caller_server.go
+++ b/courier/caller_server.go
@@ -68,6 +68,9 @@
 	s.server = http.Server{
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: recordUse,
 		BaseContext: func(net.Listener) context.Context { return base },
+		ConnContext: func(ctx context.Context, n net.Conn) context.Context {
+			return forwarder.WithCallerConnection(ctx, n.(*callerConn))
+		},
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.active.Add(1)
 			defer s.active.Add(-1)
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -61,6 +62,12 @@
 	metrics.GetOrCreateCounter(`rattanhoist_rejections_by_belief_total{sent_as="` + reason + `"}`).Inc()
 }
 
+// countConnectionEnd counts a request whose connection ended before its answer, by the cause and by whether an endpoint
+// may have run it.
+func countConnectionEnd(cause string, mayHaveRun bool) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("rattanhoist_caller_connections_ended_total{cause=%q,may_have_run=\"%v\"}", cause, mayHaveRun)).Inc()
+}
+
 // countEnd counts a final answer; status 0 stands for a caller who disconnected.
 func (j *job) countEnd(status int) {
 	metrics.GetOrCreateCounter(`rattanhoist_answers_total{status="` + strconv.Itoa(status) + `"}`).Inc()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -689,6 +689,10 @@
 	if j.closes {
 		fields = append(fields, zap.Bool("closes", true))
 	}
+	if c := j.connectionEnd(); c != "" {
+		countConnectionEnd(c, j.mayHaveRun)
+		fields = append(fields, zap.String("connection", c), zap.Duration("time_left", time.Until(j.deadline)))
+	}
 	if reason != "" {
 		fields = append(fields, zap.String("why", reason))
 	}
