--- a/acceptor/port_test.go
+++ b/acceptor/port_test.go
@@ -330,3 +330,58 @@
 	defer process.mu.Unlock()
 	g.Expect(process.closed).To(gomega.BeFalse())
 }
+
+// pausingListener returns connections that wait after each read of a whole request, before the server gets it.
+type pausingListener struct {
+	net.Listener
+	read, proceed chan struct{}
+}
+
+func (l pausingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return pausingConn{c, l}, err
+}
+
+type pausingConn struct {
+	net.Conn
+	listener pausingListener
+}
+
+func (c pausingConn) NetConn() net.Conn { return c.Conn }
+
+func (c pausingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 1 {
+		c.listener.read <- struct{}{}
+		<-c.listener.proceed
+	}
+	return n, err
+}
+
+// A server is slow to parse a request that it has read whole. Guards against its connection being closed for others
+// meanwhile, so that the client gets neither an answer nor a refusal.
+func TestRequestThatWasReadIsAnsweredOrRefused(t *testing.T) {
+	for name, request := range map[string]string{"with a body": ordinary, "without a body": "GET / HTTP/1.1\r\nHost: a\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			p, err := New(nil, zap.NewNop()).Listen(t.Name(), "127.0.0.1:0", Limits{})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			s := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); err != nil {
+					w.WriteHeader(http.StatusRequestTimeout)
+				}
+			})}
+			p.Track(s)
+			l := pausingListener{p, make(chan struct{}, 1), make(chan struct{})}
+			go func() { _ = s.Serve(l) }()
+			t.Cleanup(func() { _ = s.Close() })
+			c := open(t, p, request)
+			g.Eventually(l.read, time.Second).Should(gomega.Receive())
+			list := p.candidates(time.Now())
+			g.Expect(list).To(gomega.HaveLen(1))
+			list[0].conn.evict(list[0].standing, "connections")
+			close(l.proceed)
+			g.Expect(status(c)).To(gomega.BeElementOf(http.StatusOK, http.StatusRequestTimeout, http.StatusServiceUnavailable))
+		})
+	}
+}
