A request that was read is answered or refused when its connection is closed for others

What callers saw: a closed connection, without an answer, to a request that they had sent whole. Cause: a port that is full closes the connection of a client that has brought no whole head. The server may have read the head, and the body, by then, and be about to parse them: the port and the server differ about the state of the connection. Change: such a connection is ended by a read deadline, like that of a request in progress, and closed closeGrace later. What the server has read is handled: its body reports ErrEvicted (408), and a request without one is refused with 503 and Retry-After instead of an aborted connection. What was read before the connection was chosen is no longer dropped. It stops counting towards the port's limits at once, as before.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -86,7 +86,9 @@
 	// carriesCalls is set once a call of another process was received.
 	carriesCalls atomic.Bool
 	evicted      bool
-	closed       bool
+	// uncounted is set once the connection no longer counts towards the port's limits.
+	uncounted bool
+	closed    bool
 }
 
 // Read reads from the connection, and counts what it reads of a request.
@@ -117,7 +119,7 @@
 // record records what was received, and returns the error with which the connection ends if it is too much.
 func (c *conn) record(b []byte) error {
 	c.mu.Lock()
-	if c.evicted {
+	if !c.port.framed && c.evicted {
 		c.mu.Unlock()
 		return ErrEvicted
 	}
@@ -221,7 +223,7 @@
 // begin is enter for a caller that holds c.mu.
 func (c *conn) begin(p phase) {
 	c.phase, c.since, c.received = p, time.Now(), 0
-	if !c.closed {
+	if !c.closed && !c.uncounted {
 		c.addCost(p)
 	}
 }
@@ -302,30 +304,41 @@
 }
 
 // evict ends the connection, unless it has gone on since its standing was determined. What arrives later is not passed
-// to the server. A request in progress fails to read its body, and is answered if it still can be.
+// to the server. A request that the server has read already is answered if it still can be.
 func (c *conn) evict(s standing, reason string) {
 	c.mu.Lock()
-	current, ok := c.currentStanding(time.Now())
+	now := time.Now()
+	current, ok := c.currentStanding(now)
 	if !ok || current.since != s.since || current.inRequest() != s.inRequest() {
 		c.mu.Unlock()
 		return
 	}
 	c.evicted = true
+	if !s.inRequest() {
+		c.uncount()
+	}
 	c.mu.Unlock()
 	c.port.counters.evicted(reason).Inc()
 	c.port.reportCrowd(reason)
-	if !s.inRequest() {
+	if !c.port.framed {
 		_ = c.Close()
 		return
 	}
+	if !s.inRequest() {
+		c.port.remove(c)
+	}
 	// An error shows in the next read or write as well.
 	_ = c.Conn.SetReadDeadline(past)
-	if s.rank == rankStalledBody {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(closeGrace))
-	}
+	_ = c.Conn.SetWriteDeadline(now.Add(closeGrace))
 	time.AfterFunc(closeGrace, func() { _ = c.Close() })
 }
 
+// uncount ends the counting of the connection's memory. The caller holds c.mu.
+func (c *conn) uncount() {
+	c.port.connectionBytes.Add(-c.cost)
+	c.cost, c.uncounted = 0, true
+}
+
 // SetReadDeadline sets the deadline of reads. It has no effect on a connection that is being closed.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -349,8 +362,7 @@
 	c.port.remove(c)
 	c.mu.Lock()
 	c.closed = true
-	c.port.connectionBytes.Add(-c.cost)
-	c.cost = 0
+	c.uncount()
 	c.free()
 	c.mu.Unlock()
 	return c.Conn.Close()
--- a/acceptor/server.go
+++ b/acceptor/server.go
@@ -37,14 +37,21 @@
 			if r.ContentLength != 0 {
 				r.Body = &trackedBody{ReadCloser: r.Body, conn: c}
 			} else if !c.enter(phaseAnswer) {
-				// The client does not receive an answer, so that nothing may run.
-				panic(http.ErrAbortHandler)
+				refuseEvicted(w)
+				return
 			}
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
+// refuseEvicted answers a request that was read on a connection that is being closed.
+func refuseEvicted(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 type connKey struct{}
 
 // unwrap returns the connection of a port, or nil.
