A connection stays open from the moment at which its request is sent on

What callers saw: an answer that ends in the middle, while the router was full of callers: `unexpected EOF` after 4.0 of 6.0 MB. Cause: a port that is full closes a connection on which a write has waited for 250 ms. Behind a link with a queue of a second the acknowledgements of every caller come late, so that an answer which is being read looks stalled; so does one whose caller pauses for a moment. The read deadline that is set with it also ends the background read, which cancels the request's context: the handler takes that for its caller's leave, closes the endpoint's connection and answers nothing. Change: the forwarder protects the connection just before the first byte is sent to an endpoint. A protected connection gives way to nothing; what is left is its caller, the deadline of the request and the end of the grace time. A request whose connection is being closed already is not sent on, and is refused. A context that ended without the caller's end of the connection is answered. Ruled out: a longer time until a write counts as stalled, which cuts off slower callers all the same.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -85,7 +85,9 @@
 	writingSince time.Time
 	// carriesCalls is set once a call of another process was received.
 	carriesCalls atomic.Bool
-	evicted      bool
+	// protected is set while a request is in progress that was sent on.
+	protected bool
+	evicted   bool
 	// uncounted is set once the connection no longer counts towards the port's limits.
 	uncounted bool
 	closed    bool
@@ -223,11 +225,23 @@
 // begin is enter for a caller that holds c.mu.
 func (c *conn) begin(p phase) {
 	c.phase, c.since, c.received = p, time.Now(), 0
+	if p != phaseAnswer {
+		c.protected = false
+	}
 	if !c.closed && !c.uncounted {
 		c.addCost(p)
 	}
 }
 
+// protect keeps the connection open until the request in progress is answered. It reports false if the connection is
+// being closed already.
+func (c *conn) protect() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.protected = !c.evicted
+	return c.protected
+}
+
 // addCost counts what the connection takes in a phase. The caller holds c.mu, or has the only reference.
 func (c *conn) addCost(p phase) {
 	next := connectionCosts[p]
@@ -263,7 +277,7 @@
 func (c *conn) currentStanding(now time.Time) (standing, bool) {
 	idle := now.Sub(c.since)
 	switch {
-	case c.evicted:
+	case c.evicted || c.protected:
 		return standing{}, false
 	case !c.port.framed:
 		return c.standingOfCalls(idle), true
--- a/acceptor/server.go
+++ b/acceptor/server.go
@@ -52,6 +52,13 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// Protect keeps a connection of a port open until the request in progress is answered, whatever the port is short of.
+// It is called before the request is sent on, which must not happen if it reports false: the connection is being closed.
+func Protect(n net.Conn) bool {
+	c := unwrap(n)
+	return c == nil || c.protect()
+}
+
 type connKey struct{}
 
 // unwrap returns the connection of a port, or nil.
--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rattanhoist.example/rattanhoist/acceptor"
+	"rattanhoist.example/rattanhoist/forwarder"
 )
 
 // callerUse is what a caller's connection is used for at a moment.
@@ -74,27 +75,31 @@
 	}
 }
 
-// EndCause returns why the connection can no longer be used for the request in progress, or "" if it can.
-func (c *callerConn) EndCause() string {
+// End returns why the connection can no longer be used for the request in progress, or "" if it can.
+func (c *callerConn) End() forwarder.ConnectionEnd {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.failure == nil:
 		return ""
 	case errors.Is(c.failure, acceptor.ErrEvicted):
-		return "evicted"
+		return forwarder.Evicted
 	case errors.Is(c.failure, os.ErrDeadlineExceeded):
-		return "deadline"
+		return forwarder.EndedByDeadline
 	case errors.Is(c.failure, io.EOF):
-		return "closed by caller"
+		return forwarder.ClosedByCaller
 	case errors.Is(c.failure, syscall.ECONNRESET), errors.Is(c.failure, syscall.EPIPE):
-		return "reset by caller"
+		return forwarder.ResetByCaller
 	case errors.Is(c.failure, net.ErrClosed):
-		return "closed by router"
+		return forwarder.ClosedByRouter
 	}
-	return "other"
+	return forwarder.EndedOtherwise
 }
 
+// Protect keeps the connection open until the request in progress is answered. It reports false if the connection is
+// being closed already.
+func (c *callerConn) Protect() bool { return acceptor.Protect(c.Conn) }
+
 // SetReadDeadline sets the read deadline, which is not later than closeAt.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -261,8 +261,8 @@
 		j.fail(http.StatusBadGateway, ErrRouterStops.Error())
 	case j.mustEnd():
 		j.refuseFor(retryDelayOverload, http.StatusServiceUnavailable, ErrRouterStops.Error())
-	case j.r.Context().Err() != nil:
-		// The caller has disconnected, so nobody reads an answer.
+	case j.callerLeft():
+		// Nobody reads an answer.
 		j.logEnd(0, "caller gone: "+reason)
 		panic(http.ErrAbortHandler)
 	case ctx.Err() != nil && j.mayHaveRun:
@@ -433,7 +433,7 @@
 		Method: j.r.Method, URI: j.r.RequestURI, Host: j.r.Host,
 		Header: j.f.Wire.EndpointHeader(j.r.Header, s), Body: j.body, ID: j.caller.ID, Repeatable: j.repeatable(),
 		Confirm: func() bool {
-			return j.f.Table.InService(w.Endpoint()) && j.fits(w.Endpoint()) && (j.trial || !j.isHeldBack())
+			return j.f.Table.InService(w.Endpoint()) && j.fits(w.Endpoint()) && (j.trial || !j.isHeldBack()) && j.protectConnection()
 		},
 	}
 }
--- a/forwarder/caller_connection.go
+++ b/forwarder/caller_connection.go
@@ -2,10 +2,31 @@
 
 import "context"
 
+// ConnectionEnd tells why a caller's connection can no longer be used for a request; "" if it can, or if that is unknown.
+type ConnectionEnd string
+
+// Ends of a caller's connection.
+const (
+	// ClosedByCaller is the regular end of the caller's side, and ResetByCaller any other.
+	ClosedByCaller ConnectionEnd = "closed by caller"
+	ResetByCaller  ConnectionEnd = "reset by caller"
+	// EndedByDeadline means that the caller did not send its body, or did not read its answer, in time.
+	EndedByDeadline ConnectionEnd = "deadline"
+	// Evicted means that this router closes the connection for lack of room.
+	Evicted ConnectionEnd = "evicted"
+	// ClosedByRouter is any other end by this router.
+	ClosedByRouter ConnectionEnd = "closed by router"
+	// EndedOtherwise is an end of unknown cause.
+	EndedOtherwise ConnectionEnd = "other"
+)
+
 // CallerConnection is the connection on which a request arrived.
 type CallerConnection interface {
-	// EndCause returns why the connection can no longer be used for the request, or "" if it can.
-	EndCause() string
+	// End returns why the connection can no longer be used for the request.
+	End() ConnectionEnd
+	// Protect keeps the connection open until the request is answered, unless its caller leaves or its time is
+	// over. It reports false if the connection is being closed already.
+	Protect() bool
 }
 
 type callerConnectionKey struct{}
@@ -15,11 +36,35 @@
 	return context.WithValue(ctx, callerConnectionKey{}, c)
 }
 
-// connectionEnd returns why the connection of the request can no longer be used, or "" if it can or if that is unknown.
-func (j *job) connectionEnd() string {
-	c, ok := j.r.Context().Value(callerConnectionKey{}).(CallerConnection)
-	if !ok {
-		return ""
+// connection returns the connection of the request, or nil if it is unknown.
+func (j *job) connection() CallerConnection {
+	c, _ := j.r.Context().Value(callerConnectionKey{}).(CallerConnection)
+	return c
+}
+
+// connectionEnd returns why the connection of the request can no longer be used.
+func (j *job) connectionEnd() ConnectionEnd {
+	if c := j.connection(); c != nil {
+		return c.End()
+	}
+	return ""
+}
+
+// protectConnection reports whether the request may be sent on: its connection then stays open for the answer.
+func (j *job) protectConnection() bool {
+	c := j.connection()
+	return c == nil || c.Protect()
+}
+
+// callerLeft reports whether the caller has ended its connection. The server ends the request as well if a read fails
+// for another reason; then the caller still waits for an answer.
+func (j *job) callerLeft() bool {
+	if j.r.Context().Err() == nil {
+		return false
+	}
+	switch j.connectionEnd() {
+	case EndedByDeadline, Evicted, ClosedByRouter:
+		return false
 	}
-	return c.EndCause()
+	return true
 }
--- a/forwarder/counters.go
+++ b/forwarder/counters.go
@@ -64,7 +64,7 @@
 
 // countConnectionEnd counts a request whose connection ended before its answer, by the cause and by whether an endpoint
 // may have run it.
-func countConnectionEnd(cause string, mayHaveRun bool) {
+func countConnectionEnd(cause ConnectionEnd, mayHaveRun bool) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("rattanhoist_caller_connections_ended_total{cause=%q,may_have_run=\"%v\"}", cause, mayHaveRun)).Inc()
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -691,7 +691,7 @@
 	}
 	if c := j.connectionEnd(); c != "" {
 		countConnectionEnd(c, j.mayHaveRun)
-		fields = append(fields, zap.String("connection", c), zap.Duration("time_left", time.Until(j.deadline)))
+		fields = append(fields, zap.String("connection", string(c)), zap.Duration("time_left", time.Until(j.deadline)))
 	}
 	if reason != "" {
 		fields = append(fields, zap.String("why", reason))
