What this router's own link delays is not taken for a client's silence

What callers saw: requests that ended without an answer at routers whose incoming link carries half of what is sent to it: bodies that are refused with 408 as stalled, and kept connections that are closed while the next request waits in the queue. Cause: 250 ms without progress, and 50 ms from the decision to close an unused connection to its end, suppose that round trips take milliseconds. The router knew the queue of what it sends, but not that of what it receives, which others fill. Change: a router measures its round trips by its syncs with keepers (shaper.RoundTrips); while replies are missing, the time since the first of them was due counts. A connection is stalled after 250 ms and twice that delay and the process's own; an unused one is closed after 50 ms and the delay, at most 2 s.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -54,6 +54,9 @@
 	memory *enforcer.Memory
 	log    *zap.Logger
 
+	// delay returns by how much this process itself delays its clients; nil if that is unknown.
+	delay func() time.Duration
+
 	mu    sync.Mutex
 	ports []*Port
 
@@ -70,6 +73,19 @@
 	return a
 }
 
+// UseDelay sets a function that returns by how much the process's own network link and processor delay its clients. It
+// is called before the first Listen.
+func (a *Acceptor) UseDelay(delay func() time.Duration) { a.delay = delay }
+
+// stallTimeout returns the time without progress from which a connection is stalled. A client's next bytes come a
+// round trip after those before, and wait at this process's link and for its processor.
+func (a *Acceptor) stallTimeout() time.Duration {
+	if a.delay == nil {
+		return stallTimeout
+	}
+	return stallTimeout + delayFactor*a.delay()
+}
+
 // Memory returns the memory in which the requests of all ports are held.
 func (a *Acceptor) Memory() *enforcer.Memory { return a.memory }
 
@@ -254,9 +270,9 @@
 func (p *Port) candidates(now time.Time) []candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make([]candidate, 0, len(p.open))
+	out, stall := make([]candidate, 0, len(p.open)), p.acceptor.stallTimeout()
 	for c := range p.open {
-		if s, ok := c.standing(now); ok {
+		if s, ok := c.standing(now, stall); ok {
 			out = append(out, candidate{c, s})
 		}
 	}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -266,45 +266,46 @@
 	c.free()
 }
 
-// standing returns how soon the connection is closed if there is no room, or false if it is not.
-func (c *conn) standing(now time.Time) (standing, bool) {
+// standing returns how soon the connection is closed if there is no room, or false if it is not. It is stalled after the
+// time stall without progress.
+func (c *conn) standing(now time.Time, stall time.Duration) (standing, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.currentStanding(now)
+	return c.currentStanding(now, stall)
 }
 
 // currentStanding is standing for a caller that holds c.mu.
-func (c *conn) currentStanding(now time.Time) (standing, bool) {
+func (c *conn) currentStanding(now time.Time, stall time.Duration) (standing, bool) {
 	idle := now.Sub(c.since)
 	switch {
 	case c.evicted || c.protected:
 		return standing{}, false
 	case !c.port.framed:
-		return c.standingOfCalls(idle), true
-	case !c.writingSince.IsZero() && now.Sub(c.writingSince) >= stallTimeout:
+		return c.standingOfCalls(idle, stall), true
+	case !c.writingSince.IsZero() && now.Sub(c.writingSince) >= stall:
 		return standing{rankStalledBody, c.writingSince}, true
 	case c.phase == phaseAnswer:
 		return standing{}, false
-	case c.phase == phaseBody && idle >= stallTimeout:
+	case c.phase == phaseBody && idle >= stall:
 		return standing{rankStalledBody, c.since}, true
 	case c.phase == phaseBody:
 		return standing{rankBody, c.since}, true
 	case c.phase == phaseKept && idle >= keptDuration:
 		return standing{rankKept, c.since}, true
-	case c.phase != phaseKept && idle >= stallTimeout:
+	case c.phase != phaseKept && idle >= stall:
 		return standing{rankStalledHead, c.since}, true
 	}
 	return standing{rankHead, c.since}, true
 }
 
 // standingOfCalls returns the standing of a connection between processes. The caller holds c.mu.
-func (c *conn) standingOfCalls(idle time.Duration) standing {
+func (c *conn) standingOfCalls(idle, stall time.Duration) standing {
 	switch {
 	case c.carriesCalls.Load() && idle >= idleDuration:
 		return standing{rankKept, c.since}
 	case c.carriesCalls.Load():
 		return standing{rankBody, c.since}
-	case idle >= stallTimeout:
+	case idle >= stall:
 		return standing{rankStalledHead, c.since}
 	}
 	return standing{rankHead, c.since}
@@ -322,7 +323,7 @@
 func (c *conn) evict(s standing, reason string) {
 	c.mu.Lock()
 	now := time.Now()
-	current, ok := c.currentStanding(now)
+	current, ok := c.currentStanding(now, c.port.acceptor.stallTimeout())
 	if !ok || current.since != s.since || current.inRequest() != s.inRequest() {
 		c.mu.Unlock()
 		return
--- a/acceptor/port_test.go
+++ b/acceptor/port_test.go
@@ -385,3 +385,34 @@
 		})
 	}
 }
+
+// Guards against clients that are taken for stalled because their bytes wait at this process's own link.
+func TestDelaysOfTheProcessAreNotStalls(t *testing.T) {
+	for name, x := range map[string]struct {
+		delay time.Duration
+		rank  rank
+	}{"a slow link": {500 * time.Millisecond, rankBody}, "a fast link": {0, rankStalledBody}} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			a := New(nil, zap.NewNop())
+			a.UseDelay(func() time.Duration { return x.delay })
+			p, err := a.Listen(t.Name(), "127.0.0.1:0", Limits{})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			s := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+			})}
+			p.Track(s)
+			go func() { _ = s.Serve(p) }()
+			t.Cleanup(func() { _ = s.Close() })
+			open(t, p, head+"Content-Length: 2\r\n\r\nx")
+			rankLater := func() rank {
+				list := p.candidates(time.Now().Add(2 * stallTimeout))
+				if len(list) != 1 {
+					return -1
+				}
+				return list[0].standing.rank
+			}
+			g.Eventually(rankLater, time.Second).Should(gomega.Equal(x.rank))
+		})
+	}
+}
--- a/acceptor/standing.go
+++ b/acceptor/standing.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// stallTimeout is the time without progress from which a connection is stalled.
+	// stallTimeout is the time without progress from which a connection is stalled, unless this process delays its
+	// clients. It is longer by delayFactor times that delay, which may grow meanwhile.
 	stallTimeout = 250 * time.Millisecond
+	delayFactor  = 2
 	// progressBytes is how much of a body must arrive to count as progress.
 	progressBytes = 4 << 10
 	// keptDuration is how long a connection that waits for its next request is spared.
--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -140,13 +140,16 @@
 	c.closeUnused(c.server.closing())
 }
 
-// inRequest reports whether a request or its answer is under way.
-func (c *callerConn) inRequest() bool {
+// currentUse returns what the connection is used for now.
+func (c *callerConn) currentUse() callerUse {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.use == useRequest
+	return c.use
 }
 
+// inRequest reports whether a request or its answer is under way.
+func (c *callerConn) inRequest() bool { return c.currentUse() == useRequest }
+
 // closeUnused closes the connection soon, unless a request arrives before, if it is one of those that
 // are to be closed.
 func (c *callerConn) closeUnused(which closing) {
@@ -155,7 +158,7 @@
 	if !c.closeAt.IsZero() || !which.includes(c.use) {
 		return
 	}
-	c.closeAt = time.Now().Add(closeDelay)
+	c.closeAt = time.Now().Add(c.server.closeDelay())
 	// An error shows in the next read as well.
 	_ = c.applyDeadline()
 }
--- a/courier/caller_server.go
+++ b/courier/caller_server.go
@@ -17,8 +17,10 @@
 
 const (
 	// closeDelay is the time from the decision to close an unused connection to its end. A request that
-	// is on its way then is read and answered; round trips to callers take some milliseconds.
-	closeDelay = 50 * time.Millisecond
+	// is on its way then is read and answered; round trips to callers take some milliseconds, and the
+	// delay that the router itself causes, up to maxCloseDelay.
+	closeDelay    = 50 * time.Millisecond
+	maxCloseDelay = 2 * time.Second
 	// lastAnswersDelay is the time in which requests that are left at the deadline of a shutdown are
 	// answered.
 	lastAnswersDelay = 100 * time.Millisecond
@@ -46,6 +48,8 @@
 type callerServer struct {
 	server http.Server
 	log    *zap.Logger
+	// delay returns by how much the router itself delays its callers; nil if that is unknown.
+	delay func() time.Duration
 	// active counts the requests that are being handled.
 	active atomic.Int64
 	which  atomic.Int32
@@ -99,6 +103,14 @@
 // Active returns the number of requests that are being handled.
 func (s *callerServer) Active() int64 { return s.active.Load() }
 
+// closeDelay returns the time until an unused connection is closed.
+func (s *callerServer) closeDelay() time.Duration {
+	if s.delay == nil {
+		return closeDelay
+	}
+	return min(closeDelay+s.delay(), maxCloseDelay)
+}
+
 // closing returns which connections are closed now.
 func (s *callerServer) closing() closing { return closing(s.which.Load()) }
 
--- a/courier/caller_server_internal_test.go
+++ b/courier/caller_server_internal_test.go
@@ -223,6 +223,28 @@
 	}
 }
 
+// Guards against a router that closes connections on which requests wait in the queue of its own link.
+func TestRequestsThatWaitAtTheRoutersLinkCrossACloseAndAreAnswered(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := &pausingListener{}
+	s := startCallerServer(t, l, answerHello)
+	const delay = 400 * time.Millisecond
+	s.delay = func() time.Duration { return delay }
+	c := dialCaller(t, l)
+	c.send()
+	_, _, err := c.receive()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Eventually(func() callerUse { return s.connections()[0].currentUse() }, time.Second).Should(gomega.Equal(useKept))
+	s.keepConnections(false)
+	time.Sleep(delay)
+	c.send()
+	body, closes, err := c.receive()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(body).To(gomega.Equal("hello"))
+	g.Expect(closes).To(gomega.BeTrue())
+	g.Expect(c.closed(time.Second)).To(gomega.BeTrue())
+}
+
 // Guards against a router that waits for idle callers until the end of its grace period.
 func TestShutdownClosesIdleConnections(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -143,9 +143,11 @@
 	}
 	memory := enforcer.NewMemory(c.resources().RequestMemory())
 	c.acceptor = acceptor.New(memory, o.Log)
+	c.acceptor.UseDelay(c.delay)
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
 	c.fleet.onDocument = c.rights.updateTotals
 	c.callers = newCallerServer(http.HandlerFunc(c.handleCaller), o.Log)
+	c.callers.delay = c.delay
 	c.registerGauges()
 	registerLeavesGauge(c.fleet)
 	ratio, slack, window := o.Node.RetryLimit()
@@ -173,6 +175,12 @@
 	return acceptor.Resources{MemoryBytes: c.Node.MemoryBytes(), Descriptors: c.Node.Descriptors(), Shares: acceptor.RouterShares}
 }
 
+// delay returns by how much this router's own link and processor delay what it receives and sends.
+func (c *Router) delay() time.Duration {
+	now := time.Now()
+	return c.admission.Delay(now) + c.fleet.roundTrips.Delay(now)
+}
+
 // maxHeadBytes returns the limit on heads that the configuration states.
 func (c *Router) maxHeadBytes() int64 {
 	if x := c.fleet.Index(); x != nil && x.Document().Limits.HeaderBytes > 0 {
--- a/courier/fleet.go
+++ b/courier/fleet.go
@@ -14,6 +14,7 @@
 	"rattanhoist.example/rattanhoist/pooler"
 	"rattanhoist.example/rattanhoist/predictor"
 	"rattanhoist.example/rattanhoist/publisher"
+	"rattanhoist.example/rattanhoist/shaper"
 )
 
 const (
@@ -145,6 +146,8 @@
 	evacuations        *evacuations
 	// leaves records which leaves are known.
 	leaves leaveTracker
+	// roundTrips measures the syncs with keepers.
+	roundTrips shaper.RoundTrips
 	// shedding moves callers to other routers. It is nil if the load of the link is not known.
 	shedding       *shedding
 	warmup         *warmup
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -238,11 +238,15 @@
 	f.mu.Unlock()
 	go func() {
 		r := syncResult{link: l, sentAt: time.Now(), report: report, request: q}
+		f.roundTrips.Sent(r.sentAt)
 		r.err = l.Call(ctx, syncTimeout, func(ctx context.Context, c messenger.FleetKeeperClient) error {
 			var err error
 			r.reply, err = c.Sync(ctx, q)
 			return err
 		})
+		if r.err == nil {
+			f.roundTrips.Received(time.Now(), r.sentAt)
+		}
 		select {
 		case f.results <- r:
 		case <-ctx.Done():
