A connection is not taken for unused while the next request has begun

What callers saw: a closed connection, without an answer, to a request that was sent as the answer to the one before ended, at a router that sheds callers or stops. Cause: the server reads a byte of the next request while it handles one. Change: a connection on which a byte was read ahead stays in use.

--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -37,6 +37,8 @@
 	// deadline is the read deadline that the HTTP server has set, and closeAt the time at which the
 	// connection is closed unless a request arrives before. Zero stands for none.
 	deadline, closeAt time.Time
+	// ahead is set once a byte of the next request was read during the one in progress.
+	ahead bool
 	// failure is the first error of a read or write in the request, unless the HTTP server caused it.
 	failure error
 }
@@ -48,7 +50,7 @@
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.beginRequest()
+		c.beginRequest(len(b) == 1)
 	}
 	c.recordFailure(err)
 	return n, err
@@ -117,11 +119,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// beginRequest records that a request arrives, so that the connection stays open.
-func (c *callerConn) beginRequest() {
+// beginRequest records that a request arrives, so that the connection stays open. The HTTP server reads a single byte
+// while it handles a request, which belongs to the next one.
+func (c *callerConn) beginRequest(single bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.use == useRequest {
+		c.ahead = c.ahead || single
 		return
 	}
 	c.use, c.failure = useRequest, nil
@@ -132,10 +136,14 @@
 	}
 }
 
-// endRequest records that a request was answered.
+// endRequest records that a request was answered. The next one may have begun.
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
-	c.use = useKept
+	c.failure = nil
+	if !c.ahead {
+		c.use = useKept
+	}
+	c.ahead = false
 	c.mu.Unlock()
 	c.closeUnused(c.server.closing())
 }
--- a/courier/caller_server.go
+++ b/courier/caller_server.go
@@ -94,7 +94,7 @@
 	case !ok:
 	case s == http.StateActive:
 		// The request may have been read together with the one before.
-		c.beginRequest()
+		c.beginRequest(false)
 	case s == http.StateIdle:
 		c.endRequest()
 	}
