Failing test: full memory cuts off an answer that waits for the link

Acceptor.reclaim ends requests that are stalled, and takes a write that has waited for 250 ms for a stalled client's, as a full port does. The next head or body for which there is no memory closes the connection in the middle of the answer.

--- a/acceptor/slow_link_test.go
+++ b/acceptor/slow_link_test.go
@@ -3,11 +3,14 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"rattanhoist.example/rattanhoist/enforcer"
 )
 
 // answerer answers in two parts, and records the error of the request's context after them.
@@ -38,3 +41,22 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// The memory is full, and an answer waits for the process's own link longer than a stalled client may. Guards against
+// cutting it off in the middle, and against a handler that believes that its client has gone.
+func TestAnswerThatWaitsForTheLinkIsNotCutOffForMemory(t *testing.T) {
+	h := &answerer{}
+	m := enforcer.NewMemory(2000)
+	inMemory(t, m, Limits{}, h, func(t *testing.T, p *memoryPort) {
+		g := gomega.NewWithT(t)
+		c := p.open(2*stallTimeout, ordinary)
+		time.Sleep(stallTimeout + stallTimeout/2)
+		go p.crowd(5, head+strings.Repeat("a:\r\n", 8))
+		body, err := receive(c)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal("hello"))
+		synctest.Wait()
+		g.Expect(h.ctxErr).NotTo(gomega.HaveOccurred())
+		time.Sleep(time.Second)
+	})
+}
