--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -37,6 +37,8 @@
 	// deadline is the read deadline that the HTTP server has set, and closeAt the time at which the
 	// connection is closed unless a request arrives before. Zero stands for none.
 	deadline, closeAt time.Time
+	// ahead is set once a byte of the next request was read during the one in progress.
+	ahead bool
 	// failure is the first error of a read or write in the request, unless the HTTP server caused it.
 	failure error
 }
@@ -48,7 +50,7 @@
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.beginRequest()
+		c.beginRequest(len(b) == 1)
 	}
 	c.recordFailure(err)
 	return n, err
@@ -96,9 +98,55 @@
 	return forwarder.EndedOtherwise
 }
 
-// Protect keeps the connection open until the request in progress is answered. It reports false if the connection is
-// being closed already.
-func (c *callerConn) Protect() bool { return acceptor.Protect(c.Conn) }
+// Protect keeps the connection open until the request in progress is answered. It returns why it is not, if the caller
+// has ended the connection or the router is about to. The server reads the end of the connection beside the handler,
+// which may be ahead of it.
+func (c *callerConn) Protect() forwarder.ConnectionEnd {
+	switch err := peek(c.Conn); {
+	case err == io.EOF:
+		return forwarder.ClosedByCaller
+	case err != nil:
+		return forwarder.ResetByCaller
+	case !acceptor.Protect(c.Conn):
+		return forwarder.Evicted
+	}
+	return ""
+}
+
+// peek returns the error that the next read of a connection returns at once, if any. A read may wait on the connection
+// meanwhile.
+func peek(n net.Conn) error {
+	for {
+		x, ok := n.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		n = x.NetConn()
+	}
+	s, ok := n.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var received int
+	var failure error
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		received, _, failure = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	switch {
+	case err != nil:
+		return err
+	case failure == syscall.EAGAIN, failure == syscall.EINTR, received > 0:
+		return nil
+	case failure != nil:
+		return failure
+	}
+	return io.EOF
+}
 
 // SetReadDeadline sets the read deadline, which is not later than closeAt.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
@@ -117,11 +165,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// beginRequest records that a request arrives, so that the connection stays open.
-func (c *callerConn) beginRequest() {
+// beginRequest records that a request arrives, so that the connection stays open. The HTTP server reads a single byte
+// while it handles a request, which belongs to the next one.
+func (c *callerConn) beginRequest(single bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.use == useRequest {
+		c.ahead = c.ahead || single
 		return
 	}
 	c.use, c.failure = useRequest, nil
@@ -132,10 +182,14 @@
 	}
 }
 
-// endRequest records that a request was answered.
+// endRequest records that a request was answered. The next one may have begun.
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
-	c.use = useKept
+	c.failure = nil
+	if !c.ahead {
+		c.use = useKept
+	}
+	c.ahead = false
 	c.mu.Unlock()
 	c.closeUnused(c.server.closing())
 }
