An answer is delivered before its connection is closed with unread bytes

What callers saw: an answer that ends in the middle where the router closes the connection and bytes of the caller are unread: 32,514 of 262,144 bytes where the next request was sent ahead. Cause: the system resets such a connection and discards what it has not sent yet. The wrappers of connections also hid CloseWrite from the HTTP server, which uses it before it closes a connection whose body is unread. Change: a connection with unread bytes ends its own side first, and discards what comes until the caller ends its side, for 500 ms and the router's own delay at most. A stop that is over does not wait for that.

--- a/acceptor/slow_link_test.go
+++ b/acceptor/slow_link_test.go
@@ -13,11 +13,12 @@
 	"rattanhoist.example/rattanhoist/enforcer"
 )
 
-// answerer answers in two parts, and records the error of the request's context after them.
+// answerer sends requests on and answers in two parts, and records the error of the request's context after them.
 type answerer struct{ ctxErr error }
 
 func (h *answerer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
+	r.Context().Value(connKey{}).(*conn).protect()
 	_, _ = io.WriteString(w, "hel")
 	_ = http.NewResponseController(w).Flush()
 	_, _ = io.WriteString(w, "lo")
--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -102,7 +102,7 @@
 // has ended the connection or the router is about to. The server reads the end of the connection beside the handler,
 // which may be ahead of it.
 func (c *callerConn) Protect() forwarder.ConnectionEnd {
-	switch err := peek(c.Conn); {
+	switch _, err := peek(c.Conn); {
 	case err == io.EOF:
 		return forwarder.ClosedByCaller
 	case err != nil:
@@ -113,23 +113,27 @@
 	return ""
 }
 
-// peek returns the error that the next read of a connection returns at once, if any. A read may wait on the connection
-// meanwhile.
-func peek(n net.Conn) error {
+// innermost returns the connection below all others.
+func innermost(n net.Conn) net.Conn {
 	for {
 		x, ok := n.(interface{ NetConn() net.Conn })
 		if !ok {
-			break
+			return n
 		}
 		n = x.NetConn()
 	}
-	s, ok := n.(syscall.Conn)
+}
+
+// peek returns how many bytes the next read of a connection returns at once, at most one, and its error. Both are zero if
+// it would wait. A read may wait on the connection meanwhile.
+func peek(n net.Conn) (int, error) {
+	s, ok := innermost(n).(syscall.Conn)
 	if !ok {
-		return nil
+		return 0, nil
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return err
+		return 0, err
 	}
 	var received int
 	var failure error
@@ -139,13 +143,15 @@
 	})
 	switch {
 	case err != nil:
-		return err
-	case failure == syscall.EAGAIN, failure == syscall.EINTR, received > 0:
-		return nil
+		return 0, err
+	case failure == syscall.EAGAIN, failure == syscall.EINTR:
+		return 0, nil
 	case failure != nil:
-		return failure
+		return 0, failure
+	case received == 0:
+		return 0, io.EOF
 	}
-	return io.EOF
+	return received, nil
 }
 
 // SetReadDeadline sets the read deadline, which is not later than closeAt.
@@ -217,8 +223,43 @@
 	_ = c.applyDeadline()
 }
 
-// Close closes the connection.
+// CloseWrite ends the router's side of the connection. The HTTP server does so before it closes a connection on which a
+// part of a body is unread.
+func (c *callerConn) CloseWrite() error {
+	if x, ok := innermost(c.Conn).(interface{ CloseWrite() error }); ok {
+		return x.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection, once its caller has received the answer if it has sent more.
 func (c *callerConn) Close() error {
+	if c.hasUnread() && !c.server.ended.Load() {
+		c.linger()
+	}
 	c.server.remove(c)
 	return c.Conn.Close()
 }
+
+// hasUnread reports whether the caller has sent bytes that nobody reads. The system resets a connection that is closed
+// with such bytes, and discards what its caller has not received yet.
+func (c *callerConn) hasUnread() bool {
+	c.mu.Lock()
+	ahead, failed := c.ahead, c.failure != nil
+	c.mu.Unlock()
+	if failed {
+		return false
+	}
+	n, err := peek(c.Conn)
+	return err == nil && (ahead || n > 0)
+}
+
+// linger ends the router's side of the connection, and discards what comes until the caller ends its own.
+func (c *callerConn) linger() {
+	_ = c.CloseWrite()
+	raw := innermost(c.Conn)
+	if raw.SetReadDeadline(time.Now().Add(lingerTimeout+c.server.ownDelay())) == nil {
+		// The connection is closed in any case.
+		_, _ = io.CopyN(io.Discard, raw, maxLingerBytes)
+	}
+}
--- a/courier/caller_server.go
+++ b/courier/caller_server.go
@@ -21,6 +21,10 @@
 	// delay that the router itself causes, up to maxCloseDelay.
 	closeDelay    = 50 * time.Millisecond
 	maxCloseDelay = 2 * time.Second
+	// lingerTimeout is how long a connection with unread bytes stays half open so that its caller receives the
+	// answer, unless the router itself delays it, and maxLingerBytes how much of what comes is discarded.
+	lingerTimeout  = 500 * time.Millisecond
+	maxLingerBytes = 256 << 10
 	// lastAnswersDelay is the time in which requests that are left at the deadline of a shutdown are
 	// answered.
 	lastAnswersDelay = 100 * time.Millisecond
@@ -55,6 +59,8 @@
 	which  atomic.Int32
 	// endRequests ends the requests in progress, which are answered if they still can be.
 	endRequests context.CancelCauseFunc
+	// ended is set once connections are closed whatever they are used for.
+	ended atomic.Bool
 	// accepting counts the calls of serve.
 	accepting sync.WaitGroup
 
@@ -103,12 +109,17 @@
 // Active returns the number of requests that are being handled.
 func (s *callerServer) Active() int64 { return s.active.Load() }
 
-// closeDelay returns the time until an unused connection is closed.
-func (s *callerServer) closeDelay() time.Duration {
+// ownDelay returns by how much the router itself delays its callers.
+func (s *callerServer) ownDelay() time.Duration {
 	if s.delay == nil {
-		return closeDelay
+		return 0
 	}
-	return min(closeDelay+s.delay(), maxCloseDelay)
+	return s.delay()
+}
+
+// closeDelay returns the time until an unused connection is closed.
+func (s *callerServer) closeDelay() time.Duration {
+	return min(closeDelay+s.ownDelay(), maxCloseDelay)
 }
 
 // closing returns which connections are closed now.
@@ -204,6 +215,7 @@
 	if n := s.countRequests(); n > 0 {
 		s.log.Warn("connections cut off under requests", zap.Int("connections", n))
 	}
+	s.ended.Store(true)
 	// The listener has reported its error, and there is nobody to tell of the others.
 	_ = s.server.Close()
 }
