A head that takes too long is not answered as faulty

What callers saw: 400, after which they do not try again, where the request line did not arrive whole in time. Cause: the server parses what it has of the line. Change: nothing is written to a connection whose head was cut off by its time limit; it is closed.

--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -37,6 +37,8 @@
 	// deadline is the read deadline that the HTTP server has set, and closeAt the time at which the
 	// connection is closed unless a request arrives before. Zero stands for none.
 	deadline, closeAt time.Time
+	// handled is set once the request in progress has a handler.
+	handled bool
 	// ahead is set once a byte of the next request was read during the one in progress.
 	ahead bool
 	// failure is the first error of a read or write in the request, unless the HTTP server caused it.
@@ -56,8 +58,12 @@
 	return n, err
 }
 
-// Write writes to the connection.
+// Write writes to the connection. The HTTP server answers that a request is faulty if its head did not arrive in time.
+// That is not sent, as the caller would not try again.
 func (c *callerConn) Write(b []byte) (int, error) {
+	if err := c.headFailure(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(b)
 	c.recordFailure(err)
 	return n, err
@@ -77,6 +83,23 @@
 	}
 }
 
+// headFailure returns the error with which the head of a request ended, if its time was over.
+func (c *callerConn) headFailure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.handled || !errors.Is(c.failure, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return c.failure
+}
+
+// beginHandler records that the request in progress has a handler.
+func (c *callerConn) beginHandler() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handled = true
+}
+
 // End returns why the connection can no longer be used for the request in progress, or "" if it can.
 func (c *callerConn) End() forwarder.ConnectionEnd {
 	c.mu.Lock()
@@ -191,7 +214,7 @@
 // endRequest records that a request was answered. The next one may have begun.
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
-	c.failure = nil
+	c.failure, c.handled = nil, false
 	if !c.ahead {
 		c.use = useKept
 	}
--- a/courier/caller_server.go
+++ b/courier/caller_server.go
@@ -84,6 +84,9 @@
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.active.Add(1)
 			defer s.active.Add(-1)
+			if c, ok := forwarder.CallerConnectionOf(r.Context()).(*callerConn); ok {
+				c.beginHandler()
+			}
 			if s.closing() != closingNone {
 				w.Header().Set("Connection", "close")
 			}
