A slow link of this router does not make an endpoint look dead

Cause: an answer that ends with its connection is whole only if its endpoint is alive, and the check of that had fixed times. Change: each step of the check takes longer by the delay that the router itself causes.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -148,7 +148,7 @@
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
 	c.fleet.onDocument = c.rights.updateTotals
 	c.callers = newCallerServer(http.HandlerFunc(c.handleCaller), o.Log)
-	c.callers.delay = c.delay
+	c.callers.delay, c.fleet.quarantine.delay = c.delay, c.delay
 	c.registerGauges()
 	registerLeavesGauge(c.fleet)
 	ratio, slack, window := o.Node.RetryLimit()
--- a/courier/liveness.go
+++ b/courier/liveness.go
@@ -40,7 +40,7 @@
 	maxPendingRequests = 512
 	// aliveCheckTimeout bounds each of the two steps of the check whether an endpoint is alive that has
 	// closed the connection of an answer without length: a new connection, and an answer. The caller
-	// waits for it. A round trip takes half a second over a link that callers fill.
+	// waits for it. Each step takes longer by the delay that this router itself causes.
 	aliveCheckTimeout = 600 * time.Millisecond
 	// suspicionDelay is how long other requests at an endpoint that has ended may take to fail: what a cut
 	// link held back does not arrive at once.
@@ -75,6 +75,8 @@
 	replaced func(enroller.Heartbeat) bool
 	// answered reports whether requests with a part were answered lately.
 	answered func(quarantiner.SharedPart) bool
+	// delay returns by how much this router's own link and processor delay what it receives; nil if that is unknown.
+	delay func() time.Duration
 	// onCrash receives the requests that were in progress at an endpoint that ended.
 	onCrash func([]quarantiner.Crash)
 
@@ -209,10 +211,18 @@
 	return err == nil && l.probeConnection(ctx, e, path, c)
 }
 
+// aliveTimeout returns the time for one step of the check whether an endpoint is alive.
+func (l *livenessChecks) aliveTimeout() time.Duration {
+	if l.delay == nil {
+		return aliveCheckTimeout
+	}
+	return aliveCheckTimeout + l.delay()
+}
+
 // probeConnection reports whether the incarnation of an endpoint answers on a connection, which it closes.
 func (l *livenessChecks) probeConnection(ctx context.Context, e *predictor.Endpoint, path string, c io.ReadWriteCloser) bool {
 	defer func() { _ = c.Close() }()
-	ctx, cancel := context.WithTimeout(ctx, aliveCheckTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.aliveTimeout())
 	defer cancel()
 	probed := &probedConn{ReadWriteCloser: c}
 	same, err := l.probe(ctx, probed, path, e.Beat().ID)
@@ -247,7 +257,7 @@
 
 // connect opens a connection to an endpoint, through another router if this one can't.
 func (l *livenessChecks) connect(ctx context.Context, b enroller.Heartbeat) (io.ReadWriteCloser, error) {
-	direct, cancel := context.WithTimeout(ctx, aliveCheckTimeout)
+	direct, cancel := context.WithTimeout(ctx, l.aliveTimeout())
 	defer cancel()
 	c, err := l.dial(direct, b.Address)
 	if err == nil {
