--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -48,6 +48,24 @@
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
+// ErrEvicted is returned by reads and writes of a connection that is closed for lack of room. Servers take it for a
+// deadline that has passed. Compare with errors.Is.
+var ErrEvicted error = evictedError{}
+
+type evictedError struct{}
+
+// Error returns the text of the error.
+func (evictedError) Error() string { return "connection closed for others" }
+
+// Timeout reports that a deadline has passed.
+func (evictedError) Timeout() bool { return true }
+
+// Temporary implements net.Error.
+func (evictedError) Temporary() bool { return true }
+
+// Unwrap returns the error of a deadline that has passed, for errors.Is.
+func (evictedError) Unwrap() error { return os.ErrDeadlineExceeded }
+
 // conn is a client's connection. It is safe for concurrent use.
 type conn struct {
 	net.Conn
@@ -67,28 +85,45 @@
 	writingSince time.Time
 	// carriesCalls is set once a call of another process was received.
 	carriesCalls atomic.Bool
-	evicted      bool
-	closed       bool
+	// protected is set while a request is in progress that was sent on.
+	protected bool
+	evicted   bool
+	// uncounted is set once the connection no longer counts towards the port's limits.
+	uncounted bool
+	closed    bool
 }
 
 // Read reads from the connection, and counts what it reads of a request.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 {
-		return n, err
+		return n, c.explain(err)
 	}
 	if failed := c.record(b[:n]); failed != nil {
 		return 0, failed
 	}
-	return n, err
+	return n, c.explain(err)
+}
+
+// explain returns the error of a read or write, or ErrEvicted if the connection was closed for others.
+func (c *conn) explain(err error) error {
+	if err == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		return ErrEvicted
+	}
+	return err
 }
 
 // record records what was received, and returns the error with which the connection ends if it is too much.
 func (c *conn) record(b []byte) error {
 	c.mu.Lock()
-	if c.evicted {
+	if !c.port.framed && c.evicted {
 		c.mu.Unlock()
-		return os.ErrDeadlineExceeded
+		return ErrEvicted
 	}
 	if !c.port.framed {
 		c.since = time.Now()
@@ -166,7 +201,8 @@
 func (c *conn) Write(b []byte) (int, error) {
 	c.setWriting(time.Now())
 	defer c.setWriting(time.Time{})
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	return n, c.explain(err)
 }
 
 func (c *conn) setWriting(since time.Time) {
@@ -189,11 +225,23 @@
 // begin is enter for a caller that holds c.mu.
 func (c *conn) begin(p phase) {
 	c.phase, c.since, c.received = p, time.Now(), 0
-	if !c.closed {
+	if p != phaseAnswer {
+		c.protected = false
+	}
+	if !c.closed && !c.uncounted {
 		c.addCost(p)
 	}
 }
 
+// protect keeps the connection open until the request in progress is answered. It reports false if the connection is
+// being closed already.
+func (c *conn) protect() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.protected = !c.evicted
+	return c.protected
+}
+
 // addCost counts what the connection takes in a phase. The caller holds c.mu, or has the only reference.
 func (c *conn) addCost(p phase) {
 	next := connectionCosts[p]
@@ -218,45 +266,46 @@
 	c.free()
 }
 
-// standing returns how soon the connection is closed if there is no room, or false if it is not.
-func (c *conn) standing(now time.Time) (standing, bool) {
+// standing returns how soon the connection is closed if there is no room, or false if it is not. It is stalled after the
+// time stall without progress.
+func (c *conn) standing(now time.Time, stall time.Duration) (standing, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.currentStanding(now)
+	return c.currentStanding(now, stall)
 }
 
 // currentStanding is standing for a caller that holds c.mu.
-func (c *conn) currentStanding(now time.Time) (standing, bool) {
+func (c *conn) currentStanding(now time.Time, stall time.Duration) (standing, bool) {
 	idle := now.Sub(c.since)
 	switch {
-	case c.evicted:
+	case c.evicted || c.protected:
 		return standing{}, false
 	case !c.port.framed:
-		return c.standingOfCalls(idle), true
-	case !c.writingSince.IsZero() && now.Sub(c.writingSince) >= stallTimeout:
+		return c.standingOfCalls(idle, stall), true
+	case !c.writingSince.IsZero() && now.Sub(c.writingSince) >= stall:
 		return standing{rankStalledBody, c.writingSince}, true
 	case c.phase == phaseAnswer:
 		return standing{}, false
-	case c.phase == phaseBody && idle >= stallTimeout:
+	case c.phase == phaseBody && idle >= stall:
 		return standing{rankStalledBody, c.since}, true
 	case c.phase == phaseBody:
 		return standing{rankBody, c.since}, true
 	case c.phase == phaseKept && idle >= keptDuration:
 		return standing{rankKept, c.since}, true
-	case c.phase != phaseKept && idle >= stallTimeout:
+	case c.phase != phaseKept && idle >= stall:
 		return standing{rankStalledHead, c.since}, true
 	}
 	return standing{rankHead, c.since}, true
 }
 
 // standingOfCalls returns the standing of a connection between processes. The caller holds c.mu.
-func (c *conn) standingOfCalls(idle time.Duration) standing {
+func (c *conn) standingOfCalls(idle, stall time.Duration) standing {
 	switch {
 	case c.carriesCalls.Load() && idle >= idleDuration:
 		return standing{rankKept, c.since}
 	case c.carriesCalls.Load():
 		return standing{rankBody, c.since}
-	case idle >= stallTimeout:
+	case idle >= stall:
 		return standing{rankStalledHead, c.since}
 	}
 	return standing{rankHead, c.since}
@@ -270,30 +319,41 @@
 }
 
 // evict ends the connection, unless it has gone on since its standing was determined. What arrives later is not passed
-// to the server. A request in progress fails to read its body, and is answered if it still can be.
+// to the server. A request that the server has read already is answered if it still can be.
 func (c *conn) evict(s standing, reason string) {
 	c.mu.Lock()
-	current, ok := c.currentStanding(time.Now())
+	now := time.Now()
+	current, ok := c.currentStanding(now, c.port.acceptor.stallTimeout())
 	if !ok || current.since != s.since || current.inRequest() != s.inRequest() {
 		c.mu.Unlock()
 		return
 	}
 	c.evicted = true
+	if !s.inRequest() {
+		c.uncount()
+	}
 	c.mu.Unlock()
 	c.port.counters.evicted(reason).Inc()
 	c.port.reportCrowd(reason)
-	if !s.inRequest() {
+	if !c.port.framed {
 		_ = c.Close()
 		return
 	}
+	if !s.inRequest() {
+		c.port.remove(c)
+	}
 	// An error shows in the next read or write as well.
 	_ = c.Conn.SetReadDeadline(past)
-	if s.rank == rankStalledBody {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(closeGrace))
-	}
+	_ = c.Conn.SetWriteDeadline(now.Add(closeGrace))
 	time.AfterFunc(closeGrace, func() { _ = c.Close() })
 }
 
+// uncount ends the counting of the connection's memory. The caller holds c.mu.
+func (c *conn) uncount() {
+	c.port.connectionBytes.Add(-c.cost)
+	c.cost, c.uncounted = 0, true
+}
+
 // SetReadDeadline sets the deadline of reads. It has no effect on a connection that is being closed.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -317,8 +377,7 @@
 	c.port.remove(c)
 	c.mu.Lock()
 	c.closed = true
-	c.port.connectionBytes.Add(-c.cost)
-	c.cost = 0
+	c.uncount()
 	c.free()
 	c.mu.Unlock()
 	return c.Conn.Close()
--- a/acceptor/server.go
+++ b/acceptor/server.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 )
 
 // Track makes a server report what the connections of the port are used for. It is called before the server
@@ -26,7 +25,11 @@
 			next(n, state)
 		}
 	}
+	nextContext := s.ConnContext
 	s.ConnContext = func(ctx context.Context, n net.Conn) context.Context {
+		if nextContext != nil {
+			ctx = nextContext(ctx, n)
+		}
 		return context.WithValue(ctx, connKey{}, unwrap(n))
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -34,14 +37,28 @@
 			if r.ContentLength != 0 {
 				r.Body = &trackedBody{ReadCloser: r.Body, conn: c}
 			} else if !c.enter(phaseAnswer) {
-				// The client does not receive an answer, so that nothing may run.
-				panic(http.ErrAbortHandler)
+				refuseEvicted(w)
+				return
 			}
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
+// refuseEvicted answers a request that was read on a connection that is being closed.
+func refuseEvicted(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Protect keeps a connection of a port open until the request in progress is answered, whatever the port is short of.
+// It is called before the request is sent on, which must not happen if it reports false: the connection is being closed.
+func Protect(n net.Conn) bool {
+	c := unwrap(n)
+	return c == nil || c.protect()
+}
+
 type connKey struct{}
 
 // unwrap returns the connection of a port, or nil.
@@ -74,7 +91,7 @@
 	if err == io.EOF && !b.ended {
 		b.ended = true
 		if !b.conn.enter(phaseAnswer) {
-			return n, os.ErrDeadlineExceeded
+			return n, ErrEvicted
 		}
 	}
 	return n, err
--- a/courier/caller_server.go
+++ b/courier/caller_server.go
@@ -17,8 +17,14 @@
 
 const (
 	// closeDelay is the time from the decision to close an unused connection to its end. A request that
-	// is on its way then is read and answered; round trips to callers take some milliseconds.
-	closeDelay = 50 * time.Millisecond
+	// is on its way then is read and answered; round trips to callers take some milliseconds, and the
+	// delay that the router itself causes, up to maxCloseDelay.
+	closeDelay    = 50 * time.Millisecond
+	maxCloseDelay = 2 * time.Second
+	// lingerTimeout is how long a connection with unread bytes stays half open so that its caller receives the
+	// answer, unless the router itself delays it, and maxLingerBytes how much of what comes is discarded.
+	lingerTimeout  = 500 * time.Millisecond
+	maxLingerBytes = 256 << 10
 	// lastAnswersDelay is the time in which requests that are left at the deadline of a shutdown are
 	// answered.
 	lastAnswersDelay = 100 * time.Millisecond
@@ -46,11 +52,15 @@
 type callerServer struct {
 	server http.Server
 	log    *zap.Logger
+	// delay returns by how much the router itself delays its callers; nil if that is unknown.
+	delay func() time.Duration
 	// active counts the requests that are being handled.
 	active atomic.Int64
 	which  atomic.Int32
 	// endRequests ends the requests in progress, which are answered if they still can be.
 	endRequests context.CancelCauseFunc
+	// ended is set once connections are closed whatever they are used for.
+	ended atomic.Bool
 	// accepting counts the calls of serve.
 	accepting sync.WaitGroup
 
@@ -68,6 +78,9 @@
 	s.server = http.Server{
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: recordUse,
 		BaseContext: func(net.Listener) context.Context { return base },
+		ConnContext: func(ctx context.Context, n net.Conn) context.Context {
+			return forwarder.WithCallerConnection(ctx, n.(*callerConn))
+		},
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.active.Add(1)
 			defer s.active.Add(-1)
@@ -87,7 +100,7 @@
 	case !ok:
 	case s == http.StateActive:
 		// The request may have been read together with the one before.
-		c.beginRequest()
+		c.beginRequest(false)
 	case s == http.StateIdle:
 		c.endRequest()
 	}
@@ -96,6 +109,19 @@
 // Active returns the number of requests that are being handled.
 func (s *callerServer) Active() int64 { return s.active.Load() }
 
+// ownDelay returns by how much the router itself delays its callers.
+func (s *callerServer) ownDelay() time.Duration {
+	if s.delay == nil {
+		return 0
+	}
+	return s.delay()
+}
+
+// closeDelay returns the time until an unused connection is closed.
+func (s *callerServer) closeDelay() time.Duration {
+	return min(closeDelay+s.ownDelay(), maxCloseDelay)
+}
+
 // closing returns which connections are closed now.
 func (s *callerServer) closing() closing { return closing(s.which.Load()) }
 
@@ -189,6 +215,7 @@
 	if n := s.countRequests(); n > 0 {
 		s.log.Warn("connections cut off under requests", zap.Int("connections", n))
 	}
+	s.ended.Store(true)
 	// The listener has reported its error, and there is nobody to tell of the others.
 	_ = s.server.Close()
 }
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -92,7 +93,7 @@
 	pool        *pooler.Pool
 	lag         shaper.Lag
 	admission   *shaper.Admission
-	handler     *forwarder.Forwarder
+	handler     http.Handler
 	// relays is nil if relaying is switched off.
 	relays *relays
 	// drainingSince is the time from startedAt until the process was told to stop, or 0.
@@ -143,9 +144,11 @@
 	}
 	memory := enforcer.NewMemory(c.resources().RequestMemory())
 	c.acceptor = acceptor.New(memory, o.Log)
+	c.acceptor.UseDelay(c.delay)
 	c.rights = newRights(c.fleet, o.Node.Internal(), o.Log)
 	c.fleet.onDocument = c.rights.updateTotals
 	c.callers = newCallerServer(http.HandlerFunc(c.handleCaller), o.Log)
+	c.callers.delay = c.delay
 	c.registerGauges()
 	registerLeavesGauge(c.fleet)
 	ratio, slack, window := o.Node.RetryLimit()
@@ -173,6 +176,12 @@
 	return acceptor.Resources{MemoryBytes: c.Node.MemoryBytes(), Descriptors: c.Node.Descriptors(), Shares: acceptor.RouterShares}
 }
 
+// delay returns by how much this router's own link and processor delay what it receives and sends.
+func (c *Router) delay() time.Duration {
+	now := time.Now()
+	return c.admission.Delay(now) + c.fleet.roundTrips.Delay(now)
+}
+
 // maxHeadBytes returns the limit on heads that the configuration states.
 func (c *Router) maxHeadBytes() int64 {
 	if x := c.fleet.Index(); x != nil && x.Document().Limits.HeaderBytes > 0 {
@@ -325,14 +334,25 @@
 		// The caller has to open a new connection, which the platform routes to another router.
 		w.Header().Set("Connection", "close")
 		if d > c.acceptDuration() {
-			c.Wire.RetryAfter(w.Header(), 0)
-			w.WriteHeader(http.StatusServiceUnavailable)
+			c.refuseElsewhere(w)
 			return
 		}
 	}
+	if r.Context().Err() != nil && !errors.Is(context.Cause(r.Context()), forwarder.ErrRouterStops) {
+		// A read that failed under an earlier request has ended the context of the connection.
+		w.Header().Set("Connection", "close")
+		c.refuseElsewhere(w)
+		return
+	}
 	c.handler.ServeHTTP(w, r)
 }
 
+// refuseElsewhere answers that the request has not run and that another router can serve it at once.
+func (c *Router) refuseElsewhere(w http.ResponseWriter) {
+	c.Wire.RetryAfter(w.Header(), 0)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // handleReady answers the readiness probe: the router is not ready without a current document,
 // while it sheds load, and while it drains.
 func (c *Router) handleReady(w http.ResponseWriter, _ *http.Request) {
