--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -37,6 +37,8 @@
 	// deadline is the read deadline that the HTTP server has set, and closeAt the time at which the
 	// connection is closed unless a request arrives before. Zero stands for none.
 	deadline, closeAt time.Time
+	// handled is set once the request in progress has a handler.
+	handled bool
 	// ahead is set once a byte of the next request was read during the one in progress.
 	ahead bool
 	// failure is the first error of a read or write in the request, unless the HTTP server caused it.
@@ -56,8 +58,12 @@
 	return n, err
 }
 
-// Write writes to the connection.
+// Write writes to the connection. The HTTP server answers that a request is faulty if its head did not arrive in time.
+// That is not sent, as the caller would not try again.
 func (c *callerConn) Write(b []byte) (int, error) {
+	if err := c.headFailure(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(b)
 	c.recordFailure(err)
 	return n, err
@@ -77,6 +83,23 @@
 	}
 }
 
+// headFailure returns the error with which the head of a request ended, if its time was over.
+func (c *callerConn) headFailure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.handled || !errors.Is(c.failure, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return c.failure
+}
+
+// beginHandler records that the request in progress has a handler.
+func (c *callerConn) beginHandler() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handled = true
+}
+
 // End returns why the connection can no longer be used for the request in progress, or "" if it can.
 func (c *callerConn) End() forwarder.ConnectionEnd {
 	c.mu.Lock()
@@ -102,7 +125,7 @@
 // has ended the connection or the router is about to. The server reads the end of the connection beside the handler,
 // which may be ahead of it.
 func (c *callerConn) Protect() forwarder.ConnectionEnd {
-	switch err := peek(c.Conn); {
+	switch _, err := peek(c.Conn); {
 	case err == io.EOF:
 		return forwarder.ClosedByCaller
 	case err != nil:
@@ -113,23 +136,27 @@
 	return ""
 }
 
-// peek returns the error that the next read of a connection returns at once, if any. A read may wait on the connection
-// meanwhile.
-func peek(n net.Conn) error {
+// innermost returns the connection below all others.
+func innermost(n net.Conn) net.Conn {
 	for {
 		x, ok := n.(interface{ NetConn() net.Conn })
 		if !ok {
-			break
+			return n
 		}
 		n = x.NetConn()
 	}
-	s, ok := n.(syscall.Conn)
+}
+
+// peek returns how many bytes the next read of a connection returns at once, at most one, and its error. Both are zero if
+// it would wait. A read may wait on the connection meanwhile.
+func peek(n net.Conn) (int, error) {
+	s, ok := innermost(n).(syscall.Conn)
 	if !ok {
-		return nil
+		return 0, nil
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return err
+		return 0, err
 	}
 	var received int
 	var failure error
@@ -139,13 +166,15 @@
 	})
 	switch {
 	case err != nil:
-		return err
-	case failure == syscall.EAGAIN, failure == syscall.EINTR, received > 0:
-		return nil
+		return 0, err
+	case failure == syscall.EAGAIN, failure == syscall.EINTR:
+		return 0, nil
 	case failure != nil:
-		return failure
+		return 0, failure
+	case received == 0:
+		return 0, io.EOF
 	}
-	return io.EOF
+	return received, nil
 }
 
 // SetReadDeadline sets the read deadline, which is not later than closeAt.
@@ -185,7 +214,7 @@
 // endRequest records that a request was answered. The next one may have begun.
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
-	c.failure = nil
+	c.failure, c.handled = nil, false
 	if !c.ahead {
 		c.use = useKept
 	}
@@ -217,8 +246,43 @@
 	_ = c.applyDeadline()
 }
 
-// Close closes the connection.
+// CloseWrite ends the router's side of the connection. The HTTP server does so before it closes a connection on which a
+// part of a body is unread.
+func (c *callerConn) CloseWrite() error {
+	if x, ok := innermost(c.Conn).(interface{ CloseWrite() error }); ok {
+		return x.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection, once its caller has received the answer if it has sent more.
 func (c *callerConn) Close() error {
+	if c.hasUnread() && !c.server.ended.Load() {
+		c.linger()
+	}
 	c.server.remove(c)
 	return c.Conn.Close()
 }
+
+// hasUnread reports whether the caller has sent bytes that nobody reads. The system resets a connection that is closed
+// with such bytes, and discards what its caller has not received yet.
+func (c *callerConn) hasUnread() bool {
+	c.mu.Lock()
+	ahead, failed := c.ahead, c.failure != nil
+	c.mu.Unlock()
+	if failed {
+		return false
+	}
+	n, err := peek(c.Conn)
+	return err == nil && (ahead || n > 0)
+}
+
+// linger ends the router's side of the connection, and discards what comes until the caller ends its own.
+func (c *callerConn) linger() {
+	_ = c.CloseWrite()
+	raw := innermost(c.Conn)
+	if raw.SetReadDeadline(time.Now().Add(lingerTimeout+c.server.ownDelay())) == nil {
+		// The connection is closed in any case.
+		_, _ = io.CopyN(io.Discard, raw, maxLingerBytes)
+	}
+}
