A request that crosses a close is answered, and not read and discarded

What callers would have seen after: a whole request that arrives as its unused connection is closed was read and discarded, and the connection ended up to 500 ms later; a reset told them before that it had not been read. Cause: connections that end without an answer waited for their callers as well. Change: only the end of an answer waits. If a request has arrived when an unused connection is about to be closed, the connection stays open and the request is answered.

--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -51,6 +51,9 @@
 // Read reads from the connection. The first byte of a request ends the wait for it.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.keepForRequest() {
+		n, err = c.Conn.Read(b)
+	}
 	if n > 0 {
 		c.beginRequest(len(b) == 1)
 	}
@@ -58,6 +61,21 @@
 	return n, err
 }
 
+// keepForRequest reports whether a request has arrived just as an unused connection was to be closed. The connection then
+// stays open.
+func (c *callerConn) keepForRequest() bool {
+	if n, err := peek(c.Conn); n == 0 || err != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.use == useRequest || c.closeAt.IsZero() || !c.deadline.IsZero() && !time.Now().Before(c.deadline) {
+		return false
+	}
+	c.closeAt = time.Time{}
+	return c.applyDeadline() == nil
+}
+
 // Write writes to the connection. The HTTP server answers that a request is faulty if its head did not arrive in time.
 // That is not sent, as the caller would not try again.
 func (c *callerConn) Write(b []byte) (int, error) {
@@ -255,22 +273,22 @@
 	return nil
 }
 
-// Close closes the connection, once its caller has received the answer if it has sent more.
+// Close closes the connection, after an answer once its caller has received it if it has sent more.
 func (c *callerConn) Close() error {
-	if c.hasUnread() && !c.server.ended.Load() {
+	if c.answersUnread() && !c.server.ended.Load() {
 		c.linger()
 	}
 	c.server.remove(c)
 	return c.Conn.Close()
 }
 
-// hasUnread reports whether the caller has sent bytes that nobody reads. The system resets a connection that is closed
-// with such bytes, and discards what its caller has not received yet.
-func (c *callerConn) hasUnread() bool {
+// answersUnread reports whether the connection ends after an answer whose caller has sent bytes that nobody reads. The
+// system resets a connection that is closed with such bytes, and discards what its caller has not received yet.
+func (c *callerConn) answersUnread() bool {
 	c.mu.Lock()
-	ahead, failed := c.ahead, c.failure != nil
+	ahead, answered := c.ahead, c.use == useRequest && c.handled && c.failure == nil
 	c.mu.Unlock()
-	if failed {
+	if !answered {
 		return false
 	}
 	n, err := peek(c.Conn)
