A refused request whose body does not come gives way again

Change: after the handler, a request counts as one whose body is arriving until the end of its body was read.

--- a/acceptor/server.go
+++ b/acceptor/server.go
@@ -33,16 +33,26 @@
 		return context.WithValue(ctx, connKey{}, unwrap(n))
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
-			if !c.enter(phaseAnswer) {
-				refuseEvicted(w)
-				return
-			}
-			if r.ContentLength != 0 {
-				r.Body = &trackedBody{ReadCloser: r.Body, conn: c}
-			}
+		c, _ := r.Context().Value(connKey{}).(*conn)
+		if c == nil {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		if !c.enter(phaseAnswer) {
+			refuseEvicted(w)
+			return
 		}
+		if r.ContentLength == 0 {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		body := &trackedBody{ReadCloser: r.Body, conn: c}
+		r.Body = body
 		handler.ServeHTTP(w, r)
+		if !body.ended {
+			// The server reads the rest before it sends the answer.
+			c.enter(phaseBody)
+		}
 	})
 }
 
