A byte of a long head is not taken for the next request

What callers saw: a connection that stays open at a router that sheds callers or stops, until its time is over. Cause: a single byte counted as read ahead also while no request had a handler.

--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -218,7 +218,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.use == useRequest {
-		c.ahead = c.ahead || single
+		c.ahead = c.ahead || single && c.handled
 		return
 	}
 	c.use, c.failure = useRequest, nil
