--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -30,6 +30,12 @@
 	// reclaimInterval is the time between two searches for stalled requests, of which reclaimBatch end at a time.
 	reclaimInterval = 5 * time.Millisecond
 	reclaimBatch    = 4
+	// keptGrace is the time from the decision to close a kept connection to its end, to which the delay of this
+	// process is added, up to maxKeptGrace.
+	keptGrace    = 20 * time.Millisecond
+	maxKeptGrace = 2 * time.Second
+	// roomInterval is the time between two looks for room that connections which are being closed leave.
+	roomInterval = 2 * time.Millisecond
 	// closeGrace is the time for the answer to a request whose connection is closed.
 	closeGrace = 200 * time.Millisecond
 )
@@ -86,6 +92,15 @@
 	return stallTimeout + delayFactor*a.delay()
 }
 
+// keptGrace returns the time until a kept connection is closed for others. A request that is on its way then arrives
+// before.
+func (a *Acceptor) keptGrace() time.Duration {
+	if a.delay == nil {
+		return keptGrace
+	}
+	return min(keptGrace+a.delay(), maxKeptGrace)
+}
+
 // Memory returns the memory in which the requests of all ports are held.
 func (a *Acceptor) Memory() *enforcer.Memory { return a.memory }
 
@@ -134,6 +149,8 @@
 
 	// connectionBytes is the memory that the open connections take, in bytes.
 	connectionBytes atomic.Int64
+	// relieving is set while relieve is to be called again.
+	relieving atomic.Bool
 
 	mu   sync.Mutex
 	open map[*conn]bool
@@ -200,7 +217,7 @@
 // add returns a connection, or nil if there is no room for it.
 func (p *Port) add(n net.Conn) *conn {
 	stranger := func(c *conn) bool { return !c.carriesCalls.Load() }
-	if !p.hasRoom(p.limits.Unproven, p.unproven, stranger) || !p.hasRoom(p.limits.Connections, p.Open, anyone) || !p.hasRoom(p.limits.ConnectionBytes, p.bytes, anyone) {
+	if !p.awaitRoom(p.limits.Unproven, p.unproven, stranger) || !p.awaitRoom(p.limits.Connections, p.Open, anyone) || !p.awaitRoom(p.limits.ConnectionBytes, p.bytes, anyone) {
 		return nil
 	}
 	c := &conn{Conn: n, port: p, since: time.Now()}
@@ -225,6 +242,39 @@
 	return taken() < limit
 }
 
+// relieve closes some connections that may give way while the memory of all is over its limit, now and later.
+func (p *Port) relieve(mayGiveWay func(*conn) bool) {
+	if p.hasRoom(p.limits.ConnectionBytes, p.bytes, mayGiveWay) || !p.relieving.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(p.acceptor.stallTimeout(), func() {
+		p.relieving.Store(false)
+		p.relieve(anyone)
+	})
+}
+
+// awaitRoom is hasRoom that waits for connections which are being closed.
+func (p *Port) awaitRoom(limit int, taken func() int, mayGiveWay func(*conn) bool) bool {
+	for until := time.Now().Add(closeGrace); !p.hasRoom(limit, taken, mayGiveWay); time.Sleep(roomInterval) {
+		if time.Now().After(until) || !p.closing() {
+			return false
+		}
+	}
+	return true
+}
+
+// closing reports whether connections are being closed.
+func (p *Port) closing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		if c.closes() {
+			return true
+		}
+	}
+	return false
+}
+
 // bytes returns the memory that the open connections take, in bytes.
 func (p *Port) bytes() int { return int(p.connectionBytes.Load()) }
 
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -81,23 +81,30 @@
 	held int
 	// cost is the memory of the connection itself, in bytes.
 	cost int64
-	// readingSince and writingSince are when the read and the write in progress began, or zero.
-	readingSince, writingSince time.Time
+	// reading is set while the server waits for its client, and readAt is when it last stopped to.
+	reading bool
+	readAt  time.Time
+	// writingSince is when the write in progress began, or zero.
+	writingSince time.Time
 	// carriesCalls is set once a call of another process was received.
 	carriesCalls atomic.Bool
 	// protected is set while a request is in progress that was sent on.
 	protected bool
 	evicted   bool
-	// uncounted is set once the connection no longer counts towards the port's limits.
-	uncounted bool
 	closed    bool
+	// deadline is the read deadline that the server has set, and closeAt the time at which a kept connection is
+	// closed for others unless a request arrives before. Zero stands for none.
+	deadline, closeAt time.Time
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read reads from the connection, and counts what it reads of a request.
 func (c *conn) Read(b []byte) (int, error) {
-	c.setReading(time.Now())
+	c.beginRead(time.Now())
 	n, err := c.Conn.Read(b)
-	c.setReading(time.Time{})
+	c.endRead(time.Now())
 	if n == 0 {
 		return n, c.explain(err)
 	}
@@ -135,6 +142,9 @@
 		}
 		return c.acquire(len(b))
 	}
+	if !c.closeAt.IsZero() {
+		c.keep()
+	}
 	inHead, kept := c.phase == phaseNew || c.phase == phaseKept || c.phase == phaseHead, c.phase == phaseKept
 	switch {
 	case inHead && c.phase != phaseHead:
@@ -148,7 +158,7 @@
 	c.mu.Unlock()
 	if kept {
 		// Many kept connections may bring their next requests at once. This one does not end for it.
-		c.port.hasRoom(c.port.limits.ConnectionBytes, c.port.bytes, func(x *conn) bool { return x != c })
+		c.port.relieve(func(x *conn) bool { return x != c })
 	}
 	if !inHead {
 		return nil
@@ -207,10 +217,23 @@
 	return n, c.explain(err)
 }
 
-func (c *conn) setReading(since time.Time) {
+// beginRead records that the server waits for its client. The time since the read before was the server's.
+func (c *conn) beginRead(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	if c.readAt.Before(c.since) {
+		return
+	}
+	if served := now.Sub(c.readAt); served > 0 {
+		c.since = c.since.Add(served)
+	}
+}
+
+func (c *conn) endRead(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readingSince = since
+	c.reading, c.readAt = false, now
 }
 
 func (c *conn) setWriting(since time.Time) {
@@ -236,7 +259,7 @@
 	if p != phaseAnswer {
 		c.protected = false
 	}
-	if !c.closed && !c.uncounted {
+	if !c.closed {
 		c.addCost(p)
 	}
 }
@@ -284,32 +307,36 @@
 
 // currentStanding is standing for a caller that holds c.mu.
 func (c *conn) currentStanding(now time.Time, stall time.Duration) (standing, bool) {
-	idle, reading := now.Sub(c.since), !c.readingSince.IsZero()
-	if c.port.framed && c.phase != phaseKept {
-		// What has arrived waits for the server; only a read that waits shows that the client is silent.
-		idle = min(idle, now.Sub(c.readingSince))
-	}
+	idle := now.Sub(c.since)
 	switch {
-	case c.evicted || c.protected:
+	case c.evicted || !c.closeAt.IsZero():
 		return standing{}, false
 	case !c.port.framed:
 		return c.standingOfCalls(idle, stall), true
-	case !c.writingSince.IsZero() && now.Sub(c.writingSince) >= stall:
+	case !c.writingSince.IsZero() && now.Sub(c.writingSince) >= c.writeStall(stall):
 		return standing{rankStalledBody, c.writingSince}, true
-	case c.phase == phaseAnswer, !reading && (c.phase == phaseHead || c.phase == phaseBody):
+	case c.phase == phaseAnswer, !c.reading && (c.phase == phaseHead || c.phase == phaseBody):
 		return standing{}, false
 	case c.phase == phaseBody && idle >= stall:
 		return standing{rankStalledBody, c.since}, true
 	case c.phase == phaseBody:
 		return standing{rankBody, c.since}, true
-	case c.phase == phaseKept && idle >= keptDuration:
+	case c.phase == phaseKept && idle >= keptDuration-stallTimeout+stall:
 		return standing{rankKept, c.since}, true
-	case c.phase != phaseKept && reading && idle >= stall:
+	case c.phase != phaseKept && c.reading && idle >= stall:
 		return standing{rankStalledHead, c.since}, true
 	}
 	return standing{rankHead, c.since}, true
 }
 
+// writeStall returns the time from which a write that waits is stalled. The caller holds c.mu.
+func (c *conn) writeStall(stall time.Duration) time.Duration {
+	if c.protected {
+		return unreadTimeout - stallTimeout + stall
+	}
+	return stall
+}
+
 // standingOfCalls returns the standing of a connection between processes. The caller holds c.mu.
 func (c *conn) standingOfCalls(idle, stall time.Duration) standing {
 	switch {
@@ -340,38 +367,56 @@
 		c.mu.Unlock()
 		return
 	}
-	c.evicted = true
-	if !s.inRequest() {
-		c.uncount()
+	if c.port.framed && c.phase == phaseKept {
+		c.closeAt = now.Add(c.port.acceptor.keptGrace())
+		// An error shows in the next read as well.
+		_ = c.Conn.SetReadDeadline(c.closeAt)
+		c.mu.Unlock()
+		c.reportEviction(reason)
+		return
 	}
+	c.evicted = true
 	c.mu.Unlock()
-	c.port.counters.evicted(reason).Inc()
-	c.port.reportCrowd(reason)
+	c.reportEviction(reason)
 	if !c.port.framed {
 		_ = c.Close()
 		return
 	}
-	if !s.inRequest() {
-		c.port.remove(c)
-	}
 	// An error shows in the next read or write as well.
 	_ = c.Conn.SetReadDeadline(past)
 	_ = c.Conn.SetWriteDeadline(now.Add(closeGrace))
 	time.AfterFunc(closeGrace, func() { _ = c.Close() })
 }
 
-// uncount ends the counting of the connection's memory. The caller holds c.mu.
-func (c *conn) uncount() {
-	c.port.connectionBytes.Add(-c.cost)
-	c.cost, c.uncounted = 0, true
+func (c *conn) reportEviction(reason string) {
+	c.port.counters.evicted(reason).Inc()
+	c.port.reportCrowd(reason)
+}
+
+// closes reports whether the connection is being closed for others.
+func (c *conn) closes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && (c.evicted || !c.closeAt.IsZero())
+}
+
+// keep ends the eviction of a kept connection on which the next request has arrived. The caller holds c.mu.
+func (c *conn) keep() {
+	c.closeAt = time.Time{}
+	// An error shows in the next read as well.
+	_ = c.Conn.SetReadDeadline(c.deadline)
 }
 
 // SetReadDeadline sets the deadline of reads. It has no effect on a connection that is being closed.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.evicted {
+	c.deadline = t
+	switch {
+	case c.evicted:
 		t = past
+	case !c.closeAt.IsZero() && (t.IsZero() || c.closeAt.Before(t)):
+		t = c.closeAt
 	}
 	return c.Conn.SetReadDeadline(t)
 }
@@ -389,7 +434,8 @@
 	c.port.remove(c)
 	c.mu.Lock()
 	c.closed = true
-	c.uncount()
+	c.port.connectionBytes.Add(-c.cost)
+	c.cost = 0
 	c.free()
 	c.mu.Unlock()
 	return c.Conn.Close()
--- a/acceptor/standing.go
+++ b/acceptor/standing.go
@@ -11,6 +11,8 @@
 	// clients. It is longer by delayFactor times that delay, which may grow meanwhile.
 	stallTimeout = 250 * time.Millisecond
 	delayFactor  = 2
+	// unreadTimeout is stallTimeout for a client that does not read the answer to a request that was sent on.
+	unreadTimeout = 2 * time.Second
 	// progressBytes is how much of a body must arrive to count as progress.
 	progressBytes = 4 << 10
 	// keptDuration is how long a connection that waits for its next request is spared.
