A request that was not sent on is refused also where its caller's side has ended

What callers saw: no answer where they had ended their side of the connection and still read, which HTTP/1.1 allows.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -266,9 +266,14 @@
 	case j.mustEnd():
 		j.refuseFor(retryDelayOverload, http.StatusServiceUnavailable, ErrRouterStops.Error())
 	case j.callerLeft():
-		// Nobody reads an answer.
 		j.logEnd(0, "caller gone: "+reason)
-		panic(http.ErrAbortHandler)
+		if j.mayHaveRun || j.headSent {
+			panic(http.ErrAbortHandler)
+		}
+		// A caller that has ended only its own side of the connection still reads.
+		j.f.Wire.RetryAfter(j.w.Header(), retryDelayOverload)
+		j.w.Header().Set("Connection", "close")
+		j.w.WriteHeader(http.StatusServiceUnavailable)
 	case ctx.Err() != nil && j.mayHaveRun:
 		j.fail(http.StatusGatewayTimeout, "no whole answer in time: "+reason)
 	case j.mayHaveRun:
--- a/forwarder/caller_connection_test.go
+++ b/forwarder/caller_connection_test.go
@@ -37,12 +37,11 @@
 	return answer.Code
 }
 
-// Guards against a router that ends a read of its caller's connection, takes that for the caller's leave, and answers
-// nothing.
-func TestOnlyACallerThatLeftGetsNoAnswer(t *testing.T) {
-	for end, status := range map[forwarder.ConnectionEnd]int{
-		forwarder.ClosedByCaller: 0, forwarder.ResetByCaller: 0,
-		forwarder.Evicted: http.StatusServiceUnavailable, forwarder.EndedByDeadline: http.StatusServiceUnavailable, forwarder.ClosedByRouter: http.StatusServiceUnavailable,
+// Guards against a request that was not sent on and gets no answer: a router that ends a read of its caller's connection
+// takes that for the caller's leave, and a caller that has ended only its own side still reads.
+func TestRequestThatWasNotSentOnIsRefused(t *testing.T) {
+	for _, end := range []forwarder.ConnectionEnd{
+		forwarder.ClosedByCaller, forwarder.ResetByCaller, forwarder.Evicted, forwarder.EndedByDeadline, forwarder.ClosedByRouter,
 	} {
 		t.Run(string(end), func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -53,6 +52,26 @@
 				<-ctx.Done()
 				return nil, ctx.Err()
 			})
+			g.Expect(w.serveOn(ctx, connectionStub{end: end})).To(gomega.Equal(http.StatusServiceUnavailable))
+		})
+	}
+}
+
+// Guards against a router that ends a read of its caller's connection, takes that for the caller's leave, and answers
+// nothing to a request that an endpoint may have run.
+func TestOnlyACallerThatLeftGetsNoAnswer(t *testing.T) {
+	for end, status := range map[forwarder.ConnectionEnd]int{
+		forwarder.ClosedByCaller: 0, forwarder.ResetByCaller: 0,
+		forwarder.Evicted: http.StatusGatewayTimeout, forwarder.EndedByDeadline: http.StatusGatewayTimeout, forwarder.ClosedByRouter: http.StatusGatewayTimeout,
+	} {
+		t.Run(string(end), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			w := newTestRouter(t, newEndpoint(t, func(c net.Conn, _ *http.Request, _ string) bool {
+				cancel()
+				_, _ = c.Read(make([]byte, 1))
+				return false
+			}))
 			g.Expect(w.serveOn(ctx, connectionStub{end: end})).To(gomega.Equal(status))
 		})
 	}
@@ -60,7 +79,7 @@
 
 // Guards against a request that is sent on although its caller's connection is about to be closed.
 func TestRequestOnAConnectionThatClosesIsNotSentOn(t *testing.T) {
-	for end, status := range map[forwarder.ConnectionEnd]int{forwarder.Evicted: http.StatusServiceUnavailable, forwarder.ClosedByCaller: 0} {
+	for _, end := range []forwarder.ConnectionEnd{forwarder.Evicted, forwarder.ClosedByCaller} {
 		t.Run(string(end), func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			sent := make(chan struct{}, 1)
@@ -68,7 +87,7 @@
 				sent <- struct{}{}
 				return false
 			}))
-			g.Expect(w.serveOn(t.Context(), connectionStub{unprotected: end})).To(gomega.Equal(status))
+			g.Expect(w.serveOn(t.Context(), connectionStub{unprotected: end})).To(gomega.Equal(http.StatusServiceUnavailable))
 			g.Consistently(sent, 100*time.Millisecond).ShouldNot(gomega.Receive())
 		})
 	}
