What waits at this router's own link does not count as a lost path

Cause: the pool knew the queue of what the router sends, and a request on a path that is taken for lost was ended after a second of silence whatever the link's delay. Change: the pool's link includes the measured round trip, which stays small in a partition, and the silence may last for twice the delay more. Replies with an error count as round trips too.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -117,11 +117,11 @@
 	}
 	c.pool = pooler.New(o.ClassifyResponse, func() { c.connectionsOpened.Add(1) })
 	c.admission = shaper.NewAdmission(o.Node.LinkRate(), &c.lag)
-	c.pool.UseLink(c.admission)
 	if o.DialEndpoint != nil {
 		c.pool.UseDialer(o.DialEndpoint)
 	}
 	c.fleet = newFleetView(o, c.incarnation, table, c.pool)
+	c.pool.UseLink(measuredLink{c.admission, &c.fleet.roundTrips})
 	c.fleet.shedding = newShedding(c.admission, o.Node, o.Log)
 	if o.ProbeInstance != nil {
 		c.fleet.quarantine.probe = o.ProbeInstance
--- a/courier/sync.go
+++ b/courier/sync.go
@@ -244,7 +244,7 @@
 			r.reply, err = c.Sync(ctx, q)
 			return err
 		})
-		if r.err == nil {
+		if answered(r.err) {
 			f.roundTrips.Received(time.Now(), r.sentAt)
 		}
 		select {
@@ -254,6 +254,15 @@
 	}()
 }
 
+// answered reports whether a call was answered, be it with an error.
+func answered(err error) bool {
+	switch status.Code(err) {
+	case codes.Unavailable, codes.DeadlineExceeded, codes.Canceled:
+		return false
+	}
+	return true
+}
+
 // listRoutersSoon makes the next sync ask for the list of routers, at most once in
 // minRouterListInterval. It is called when a router that this one does not know has sent something. It
 // is safe for concurrent use.
--- a/pooler/paths.go
+++ b/pooler/paths.go
@@ -16,7 +16,7 @@
 	// maxPathProbes is the maximum number of lost paths that are probed in one interval.
 	maxPathProbes = 16
 	// hungTimeout is how long nothing may arrive on a connection whose path is lost before a
-	// request that may run again is ended there.
+	// request that may run again is ended there, unless this router's own link delays what arrives.
 	hungTimeout = time.Second
 )
 
@@ -415,11 +415,15 @@
 // endHung closes the direct connections on which a request that may run again waits while the path
 // is lost.
 func (p *Pool) endHung(now time.Duration) {
+	timeout := hungTimeout
+	if p.link != nil {
+		timeout += 2 * p.link.Delay(time.Now())
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, x := range p.peers {
 		for c := range x.busy {
-			if c.direct() && c.repeatable.Load() && now-time.Duration(c.heardAt.Load()) > hungTimeout && p.paths.Gone(now, id) {
+			if c.direct() && c.repeatable.Load() && now-time.Duration(c.heardAt.Load()) > timeout && p.paths.Gone(now, id) {
 				// The exchange that uses the connection discards it.
 				_ = c.Close()
 			}
--- a/shaper/round_trips.go
+++ b/shaper/round_trips.go
@@ -44,12 +44,25 @@
 func (r *RoundTrips) Delay(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var d time.Duration
-	if now.Sub(r.lastAt) < roundTripTTL {
-		d = r.last
-	}
+	d := r.latest(now)
 	if !r.waitingSince.IsZero() {
 		d = max(d, now.Sub(r.waitingSince))
 	}
 	return min(d, maxRoundTrip)
 }
+
+// Measured returns the latest round trip, or 0 if none was measured lately. Unlike Delay, it does not grow while
+// replies are missing, as they are in a partition.
+func (r *RoundTrips) Measured(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return min(r.latest(now), maxRoundTrip)
+}
+
+// latest returns the latest round trip, or 0 if it is out of date. The caller holds r.mu.
+func (r *RoundTrips) latest(now time.Time) time.Duration {
+	if now.Sub(r.lastAt) >= roundTripTTL {
+		return 0
+	}
+	return r.last
+}
--- a/shaper/round_trips_test.go
+++ b/shaper/round_trips_test.go
@@ -22,6 +22,7 @@
 	r.Sent(at(100))
 	r.Sent(at(500))
 	g.Expect(r.Delay(at(900))).To(gomega.Equal(800*time.Millisecond), "since the first of two requests")
+	g.Expect(r.Measured(at(900))).To(gomega.Equal(2*time.Millisecond), "it may be a partition")
 	r.Received(at(1400), at(100))
 	g.Expect(r.Delay(at(1500))).To(gomega.Equal(1300 * time.Millisecond))
 	g.Expect(r.Delay(at(7000))).To(gomega.BeZero(), "out of date")
