A test of requests that last longer than their stopping router, red

A router that stops takes each request of the first 0.36 of its grace period, also one of a route whose requests last longer than the rest of it. Such a request is sent to an endpoint, cut off 0.4 s before the end, and may not be repeated; another router could have served it whole. TestRequestsThatWouldOutlastTheirRouterAreRefused, in which 3 requests of each route took 4.2 s before, and one each comes 1 s after the begin of a stop of 5 s, fails:

long stream: status 200, Retry-After "", closes true, error unexpected EOF after 4.62s, 1 runs long resume: status 200, Retry-After "", closes true, error unexpected EOF after 4.62s, 1 runs long once: status 502, Retry-After "", closes true, error <nil> after 4.62s, 1 runs long read: status 502, Retry-After "", closes true, error <nil> after 4.62s, 1 runs

--- a/courier/router_stop_test.go
+++ b/courier/router_stop_test.go
@@ -249,6 +249,33 @@
 	g.Expect(<-x.ended).To(gomega.BeNumerically("<", endGrace))
 }
 
+// Guards against requests that a stopping router takes although those of their route last longer than it will: they
+// are sent to an endpoint, and cut off in the middle of their answers.
+func TestRequestsThatWouldOutlastTheirRouterAreRefused(t *testing.T) {
+	t.Parallel()
+	const usual = 4200 * time.Millisecond
+	x, g := startStopCluster(t, 45)
+	var served sync.WaitGroup
+	for _, route := range stopRoutes {
+		for i := range 3 {
+			c := x.dial(g)
+			served.Go(func() { c.serve(g, route, fmt.Sprint(route, i), usual) })
+		}
+	}
+	served.Wait()
+	callers := map[string]*stopCaller{}
+	for _, route := range stopRoutes {
+		callers["long "+route] = x.dial(g)
+	}
+	x.stopRouter()
+	x.at(earlyAfter)
+	for id, c := range callers {
+		c.write(stopHead(strings.TrimPrefix(id, "long "), id, usual, "Content-Length: 1"), "b")
+	}
+	x.expectRefused(callers)
+	g.Expect(<-x.ended).To(gomega.BeNumerically("<", endGrace))
+}
+
 // Guards against requests that are sent at any moment of a stop, on kept and on new connections, and end without an
 // answer although an endpoint got them, or are sent to one when the router accepts no more.
 func TestRequestsAtEachMomentOfAStopAreAnswered(t *testing.T) {
