A test of bodies that are unfinished when their router ends, red

At the end of a stop, 0.4 s before the end of the grace period, the contexts of the requests that are left are ended. A request whose body is still read does not notice, and its connection is closed without an answer 0.1 s later, also if the rest of the body comes in this time. TestUnfinishedBodiesAreAnsweredBeforeTheirRouterEnds fails for 8 of 8 callers:

--- a/courier/router_stop_test.go
+++ b/courier/router_stop_test.go
@@ -390,3 +390,31 @@
 	done.Wait()
 	g.Expect(<-x.ended).To(gomega.BeNumerically("<", endGrace))
 }
+
+// Guards against callers that get no answer because their bodies still arrive when their router ends.
+func TestUnfinishedBodiesAreAnsweredBeforeTheirRouterEnds(t *testing.T) {
+	t.Parallel()
+	const pause = 50 * time.Millisecond
+	x, g := startStopCluster(t, 49)
+	callers := map[string]*stopCaller{}
+	var done sync.WaitGroup
+	for _, route := range stopRoutes {
+		for name, f := range map[string]struct{ framing, part string }{
+			"length": {"Content-Length: 100000", "x"}, "chunks": {"Transfer-Encoding: chunked", "1\r\nx\r\n"},
+		} {
+			c, id := x.dial(g), route+" in "+name
+			callers[id] = c
+			c.write(stopHead(route, id, 0, f.framing))
+			done.Go(func() {
+				for err := error(nil); err == nil; _, err = io.WriteString(c, f.part) {
+					time.Sleep(pause)
+				}
+			})
+		}
+	}
+	time.Sleep(4 * pause)
+	x.stopRouter()
+	x.expectRefused(callers)
+	g.Expect(<-x.ended).To(gomega.BeNumerically("<", endGrace))
+	done.Wait()
+}
