A test of the time that is left for the last claim, red

A router that stops ends its requests 0.4 s before the end of its grace period, waits up to 0.1 s for their answers, and then up to 0.2 s for its last claim. The last wait begins whenever the one before has ended, so that each delay of a busy machine moves it, and 0.06 s are left for all of them (the checks of the drain come every 0.02 s).

handOver is split off without a change, so that a test can call it.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -263,12 +263,7 @@
 	}
 	c.drain()
 	c.callers.shutdown(time.Now().Add(c.Node.Grace() - exitMargin - c.drainDuration()))
-	var handOvers sync.WaitGroup
-	if c.fleet.origins != nil {
-		handOvers.Go(c.fleet.origins.handOver)
-	}
-	c.rights.close(work)
-	handOvers.Wait()
+	c.handOver(work)
 	_ = question.Close()
 	rpc.Stop()
 	c.Log.Info("router stopped")
@@ -297,6 +292,16 @@
 	c.Log.Warn("router stops with callers left", zap.Int64("active", c.callers.Active()))
 }
 
+// handOver gives the rights and the origins of streams that this router keeps to other processes.
+func (c *Router) handOver(ctx context.Context) {
+	var origins sync.WaitGroup
+	if c.fleet.origins != nil {
+		origins.Go(c.fleet.origins.handOver)
+	}
+	c.rights.close(ctx)
+	origins.Wait()
+}
+
 // relayedConnections returns the number of connections that this router relays for others.
 func (c *Router) relayedConnections() int {
 	if c.relays == nil {
--- a/courier/rights_end_test.go
+++ b/courier/rights_end_test.go
@@ -28,3 +28,20 @@
 	r.close(context.Background())
 	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", exitMargin))
 }
+
+// Guards against a router that is killed at the end of its grace period because it waits for a silent keeper for as
+// long as always although its answers to callers have taken longer than planned.
+func TestRightsAreGivenBackInTheTimeThatIsLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := startPartition(t, partition{})
+	k := &keeperStub{}
+	k.cut.Store(true)
+	r.fleet.currentKeeper.Store(messenger.NewLink(serveStub(t, k)))
+	r.allocation("w")
+	node := loadTestNode(t, "")
+	c := &Router{Options: Options{Node: node}, startedAt: time.Now().Add(-node.Grace()), fleet: r.fleet, rights: r}
+	c.drainingSince.Store(1)
+	begun := time.Now()
+	c.handOver(context.Background())
+	g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", closeTimeout), "no time is left")
+}
