Processes that stop do not wait for silent peers

Cause: grpc's Server.Stop first waits for connections whose handshake has not ended, of which each is given 5 s (linkHandshakeTimeout), and closes only connections after it. A peer that opened a connection and went away or stood still, or anybody at that port, kept a router from ending until it was killed, and a keeper for up to 5 s. Change: a port closes its listener and all its connections, so that nothing is left for which Stop could wait. The calls on them were cut off by Stop before as well. Same cause elsewhere: the servers of callers, probes, operators and metrics are net/http's, whose Close closes connections in every state.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -123,6 +124,8 @@
 	open map[*conn]bool
 	// proven counts those that have carried a call.
 	proven int
+	// closed is set once the port has been shut down.
+	closed bool
 
 	crowd crowd
 }
@@ -191,10 +194,28 @@
 	c.addCost(phaseNew)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		p.connectionBytes.Add(-c.cost)
+		return nil
+	}
 	p.open[c] = true
 	return c
 }
 
+// Shutdown closes the listener and all connections. It returns the error of the listener.
+func (p *Port) Shutdown() error {
+	err := p.Listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	open := slices.Collect(maps.Keys(p.open))
+	p.mu.Unlock()
+	for _, c := range open {
+		// There is nobody to tell of an error.
+		_ = c.Close()
+	}
+	return err
+}
+
 func anyone(*conn) bool { return true }
 
 // hasRoom reports whether what the connections take is below a limit. From evictionFraction of it on, it closes some of
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -265,6 +265,8 @@
 	c.callers.shutdown(time.Now().Add(c.Node.Grace() - exitMargin - c.drainDuration()))
 	c.handOver(work)
 	_ = question.Close()
+	// The server would wait for connections that are being opened.
+	_ = internal.Shutdown()
 	rpc.Stop()
 	c.Log.Info("router stopped")
 	return nil
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -274,7 +274,7 @@
 		zap.Bool("first_start", s.node.FirstStart()), zap.Uint64("number", s.committedState.Load().document.Number()))
 	select {
 	case <-ctx.Done():
-		s.stop(rpc, web)
+		s.stop(rpc, internalListener, web)
 		return nil
 	case err := <-failed:
 		s.log.Error("keeper failed", zap.Error(err))
@@ -286,11 +286,13 @@
 const shutdownTimeout = 200 * time.Millisecond
 
 // stop closes the servers after a short wait for answers in progress.
-func (s *Keeper) stop(rpc *grpc.Server, web *http.Server) {
+func (s *Keeper) stop(rpc *grpc.Server, internal *acceptor.Port, web *http.Server) {
 	s.log.Info("keeper stops")
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	_ = web.Shutdown(ctx)
+	// The server would wait for connections that are being opened.
+	_ = internal.Shutdown()
 	rpc.Stop()
 }
 
