A stopping router sends nothing that it would cut off

What callers saw: a request that a router took while it stopped, also one that may not be repeated, was sent to an endpoint and ended at the end of the grace period: with 502, or in the middle of a stream. Cause: a router that stops decided at the head of a request whether to take it. The body, room, tokens, or another endpoint after a rejection may come seconds later, and nothing looked at the time again. Change: before each endpoint that a request is sent to, a router that has stopped accepting checks that the request ends before it: by its deadline, or by what requests of its route took here (mean and three mean deviations). One that does not, or of whose route nothing is known, is refused as not run, with a short Retry-After, so that its caller goes to another router. A request that an endpoint may have run already is treated as before. With grace periods over 8 s the check begins after 2.9 s, though requests are accepted for longer. TestRejectedRequestIsNotSentAgainByAStoppingRouter is new.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -50,6 +50,9 @@
 	// might not complete before the process is killed. If it is refused as not executed
 	// instead, the caller can retry at another router at once.
 	drainAcceptFraction = 0.36
+	// maxTrustingDrain is how long a stopping router accepts requests that may last longer than it. The
+	// platform has moved its callers to other routers by then.
+	maxTrustingDrain = 2900 * time.Millisecond
 	// exitMargin is how long before the end of the grace period requests that are left are ended. It
 	// covers lastAnswersDelay and closeTimeout.
 	exitMargin = 400 * time.Millisecond
@@ -167,7 +170,7 @@
 		Origins: origins,
 		Wire:    o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
 		Quarantine: c.fleet.quarantine, Admission: c.admission, CallerLimits: limits,
-		EnginePriorities: o.Node.Features().EnginePriorities, ServiceAdmission: o.Node.Features().ServiceAdmission, Stopping: c.stopping,
+		EnginePriorities: o.Node.Features().EnginePriorities, ServiceAdmission: o.Node.Features().ServiceAdmission, Stopping: c.stopping, Stop: c.stop,
 		Limiter: limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
 	})
 	return c
@@ -335,6 +338,18 @@
 	return time.Since(c.startedAt) - time.Duration(at)
 }
 
+// stop returns how far the stop of the process has come.
+func (c *Router) stop() forwarder.Stop {
+	at := c.drainingSince.Load()
+	if at == 0 {
+		return forwarder.Stop{}
+	}
+	return forwarder.Stop{
+		RequestsEnd: c.startedAt.Add(time.Duration(at) + c.Node.Grace() - exitMargin),
+		Late:        c.drainDuration() > min(c.acceptDuration(), maxTrustingDrain),
+	}
+}
+
 // handleCaller forwards a request of a caller, unless the router is about to stop.
 func (c *Router) handleCaller(w http.ResponseWriter, r *http.Request) {
 	if d := c.drainDuration(); d > 0 {
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -54,6 +54,10 @@
 // runAttempts sends the request to endpoints until there is a final answer.
 func (j *job) runAttempts(ctx context.Context) {
 	for {
+		if !j.mayHaveRun && j.outlastsRouter() {
+			j.refuseStopping()
+			return
+		}
 		assignment := j.choose()
 		if assignment == nil {
 			j.endWithoutEndpoint(ctx)
@@ -260,7 +264,7 @@
 	case j.mustEnd() && j.mayHaveRun:
 		j.fail(http.StatusBadGateway, ErrRouterStops.Error())
 	case j.mustEnd():
-		j.refuseFor(retryDelayOverload, http.StatusServiceUnavailable, ErrRouterStops.Error())
+		j.refuseStopping()
 	case j.r.Context().Err() != nil:
 		// The caller has disconnected, so nobody reads an answer.
 		j.logEnd(0, "caller gone: "+reason)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -208,7 +208,9 @@
 	ServiceAdmission bool
 	// Stopping is closed when requests may no longer wait, because the process is about to end.
 	Stopping <-chan struct{}
-	Log      *zap.Logger
+	// Stop tells how far the stop of the router has come; nil if it never stops.
+	Stop func() Stop
+	Log  *zap.Logger
 }
 
 // CallerLimits bounds what callers that send or read slowly may take.
@@ -222,12 +224,13 @@
 	Dependencies
 	start time.Time
 	// services is nil if requests never wait.
-	services *serviceAdmission
+	services  *serviceAdmission
+	durations *durations
 }
 
 // New returns a forwarder.
 func New(p Dependencies) *Forwarder {
-	f := &Forwarder{Dependencies: p, start: time.Now()}
+	f := &Forwarder{Dependencies: p, start: time.Now(), durations: newDurations()}
 	if p.ServiceAdmission {
 		f.services = newServiceAdmission(p, f.start)
 	}
@@ -358,7 +361,11 @@
 		defer func() { j.reservation.Settle(j.spentTokens()) }()
 	}
 	j.f.Limiter.RecordRequest(j.startedAt, j.service.Name)
+	begun := time.Now()
 	j.runAttempts(ctx)
+	if j.completed {
+		j.f.durations.record(j.route.Name, time.Since(begun))
+	}
 }
 
 // spentTokens returns the number of tokens that the request is charged: its prompt once if
--- a/forwarder/service_admission.go
+++ b/forwarder/service_admission.go
@@ -311,7 +311,7 @@
 			p.leave()
 			j.queued = time.Since(begun)
 			refusalsLate.Inc()
-			j.refuseFor(retryDelayOverload, http.StatusServiceUnavailable, ErrRouterStops.Error())
+			j.refuseStopping()
 			return false, nil
 		case <-ctx.Done():
 			p.leave()
--- a/forwarder/stopping_test.go
+++ b/forwarder/stopping_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,3 +84,32 @@
 		w.logged.TakeAll()
 	}
 }
+
+// Guards against a request that a stopping router sends to an endpoint again, after another has rejected it, although
+// there is no time left for it.
+func TestRejectedRequestIsNotSentAgainByAStoppingRouter(t *testing.T) {
+	for name, x := range map[string]struct {
+		left   time.Duration
+		status int
+	}{"time is left": {time.Minute, http.StatusOK}, "no time is left": {time.Second, http.StatusServiceUnavailable}} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var late atomic.Bool
+			e := newEndpoint(t, func(c net.Conn, r *http.Request, body string) bool {
+				late.Store(true)
+				return responds(answerNotRun)(c, r, body)
+			}, responds(answerOK))
+			end := time.Now().Add(x.left)
+			w := newTestRouterWith(t, document(), func(p *forwarder.Dependencies) {
+				p.Stop = func() forwarder.Stop { return forwarder.Stop{RequestsEnd: end, Late: late.Load()} }
+			}, func(int) string { return "z" }, e, e)
+			a := w.send(t, http.MethodPost, "/once/x", "body")
+			g.Expect(a.status).To(gomega.Equal(x.status), a.body)
+			if x.status == http.StatusServiceUnavailable {
+				g.Expect(a.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+				g.Expect(a.body).To(gomega.ContainSubstring(forwarder.ErrRouterStops.Error()))
+				g.Expect(e.requests()).To(gomega.HaveLen(1))
+			}
+		})
+	}
+}
