A stopping router refuses requests that usually outlast it

Change: in that time a request whose deadline lies after the end is refused as not run if requests of its route take longer here than the time that is left, in the mean. One of whose route nothing is known is taken as before: most end in time. Not covered: the size of a request does not count, so that a request that is much longer than the mean of its route is still taken and cut off.

--- a/forwarder/stopping.go
+++ b/forwarder/stopping.go
@@ -9,7 +9,8 @@
 type Stop struct {
 	// RequestsEnd is when the requests in progress are ended; zero while the router does not stop.
 	RequestsEnd time.Time
-	// Late is set once requests are sent to endpoints only if they are expected to end before that.
+	// Late is set once requests are sent to endpoints only if they are known to end before that. Until then,
+	// those that may not be expected to are refused.
 	Late bool
 }
 
@@ -24,11 +25,17 @@
 // outlastsRouter reports whether the request would be ended before it is answered, because its router stops.
 func (j *job) outlastsRouter() bool {
 	stop := j.f.stop()
-	if !stop.Late || !j.deadline.After(stop.RequestsEnd) {
+	if stop.RequestsEnd.IsZero() || !j.deadline.After(stop.RequestsEnd) {
 		return false
 	}
-	_, longest, known := j.f.durations.usual(j.route.Name)
-	return !known || time.Now().Add(longest).After(stop.RequestsEnd)
+	mean, longest, known := j.f.durations.usual(j.route.Name)
+	if !known {
+		return stop.Late
+	}
+	if stop.Late {
+		mean = longest
+	}
+	return time.Now().Add(mean).After(stop.RequestsEnd)
 }
 
 // refuseStopping answers that the request has not run and that another router can serve it.
