Requests whose body is unfinished at the end of a stop are answered

What callers saw: a connection that is closed without an answer at the end of the grace period, while the body is still on its way, or has just come whole. Cause: at the end the contexts of the requests end, which the read of a body does not notice; 0.1 s later all connections are closed. Change: the reads of connections on which the head of a request was read end with the contexts, and the request is refused as not run (503 with a short Retry-After). The head of a request that arrives in the last 0.1 s is read as before.

--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -18,6 +18,9 @@
 	useKept
 )
 
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // callerConn is a connection of a caller. Between two requests it is closed by a read deadline. Unlike
 // Close, that has no effect on a request which the HTTP server has read meanwhile. It is safe for
 // concurrent use.
@@ -30,6 +33,9 @@
 	// deadline is the read deadline that the HTTP server has set, and closeAt the time at which the
 	// connection is closed unless a request arrives before. Zero stands for none.
 	deadline, closeAt time.Time
+	// headRead is set from the end of a request's head to the end of its answer, and ended once nothing more
+	// is read.
+	headRead, ended bool
 }
 
 // NetConn returns the connection below.
@@ -58,6 +64,9 @@
 	if !c.closeAt.IsZero() && (t.IsZero() || c.closeAt.Before(t)) {
 		t = c.closeAt
 	}
+	if c.ended {
+		t = past
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -76,10 +85,19 @@
 	}
 }
 
+// endHead records that the head of a request was read.
+func (c *callerConn) endHead() {
+	// The request may have been read together with the one before.
+	c.beginRequest()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headRead = true
+}
+
 // endRequest records that a request was answered.
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
-	c.use = useKept
+	c.use, c.headRead = useKept, false
 	c.mu.Unlock()
 	c.closeUnused(c.server.closing())
 }
@@ -104,6 +122,18 @@
 	_ = c.applyDeadline()
 }
 
+// endReads makes the reads of a request whose head was read fail, so that it can be answered.
+func (c *callerConn) endReads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.headRead {
+		return
+	}
+	c.ended = true
+	// An error shows in the next read as well.
+	_ = c.applyDeadline()
+}
+
 // Close closes the connection.
 func (c *callerConn) Close() error {
 	c.server.remove(c)
--- a/courier/caller_server.go
+++ b/courier/caller_server.go
@@ -86,8 +86,7 @@
 	switch {
 	case !ok:
 	case s == http.StateActive:
-		// The request may have been read together with the one before.
-		c.beginRequest()
+		c.endHead()
 	case s == http.StateIdle:
 		c.endRequest()
 	}
@@ -185,6 +184,9 @@
 	s.closeUnused()
 	s.awaitClosed(deadline)
 	s.endRequests(forwarder.ErrRouterStops)
+	for _, c := range s.connections() {
+		c.endReads()
+	}
 	s.awaitClosed(deadline.Add(lastAnswersDelay))
 	if n := s.countRequests(); n > 0 {
 		s.log.Warn("connections cut off under requests", zap.Int("connections", n))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -480,6 +480,8 @@
 func (j *job) refuseBody(err error) bool {
 	var large *http.MaxBytesError
 	switch {
+	case j.mustEnd():
+		return j.refuseStopping()
 	case errors.As(err, &large):
 		return j.fail(http.StatusRequestEntityTooLarge, "body too large")
 	case errors.Is(err, enforcer.ErrMemory):
