A test of a router that notices the end of its requests late, red

0.4 s before the end of the grace period the requests that are left are ended, and have until 0.3 s before it to be answered; then their connections are closed. A router that a full processor keeps from noticing the first moment until the second has passed closes all connections at once, without an answer.

TestRequestsAreAnsweredByALateShutdown fails: "unexpected EOF" for the first of 20 requests.

--- a/courier/caller_server_internal_test.go
+++ b/courier/caller_server_internal_test.go
@@ -268,6 +268,34 @@
 	g.Expect(logged.FilterMessage("connections cut off under requests").Len()).To(gomega.Equal(1))
 }
 
+// Guards against a busy router that notices the end of its requests' time late, and then closes their connections at once
+// instead of answering them.
+func TestRequestsAreAnsweredByALateShutdown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const requests = 20
+	handling := make(chan struct{}, requests)
+	l := &pausingListener{}
+	s := startCallerServer(t, l, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		handling <- struct{}{}
+		<-r.Context().Done()
+		_, _ = io.WriteString(w, "stops")
+	})
+	var callers []*testCaller
+	for range requests {
+		c := dialCaller(t, l)
+		c.send()
+		<-handling
+		callers = append(callers, c)
+	}
+	s.shutdown(time.Now().Add(-time.Second))
+	for _, c := range callers {
+		body, _, err := c.receive()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal("stops"))
+	}
+}
+
 // Guards against callers that stay at a router which sheds them, and against callers that it cuts off: idle
 // connections are closed, a request in progress is answered, and new ones are told to leave.
 func TestSheddingClosesConnectionsBetweenRequests(t *testing.T) {
