--- a/courier/caller_conn.go
+++ b/courier/caller_conn.go
@@ -25,6 +25,9 @@
 	useKept
 )
 
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // callerConn is a connection of a caller. Between two requests it is closed by a read deadline. Unlike
 // Close, that has no effect on a request which the HTTP server has read meanwhile. It is safe for
 // concurrent use.
@@ -43,6 +46,9 @@
 	ahead bool
 	// failure is the first error of a read or write in the request, unless the HTTP server caused it.
 	failure error
+	// headRead is set from the end of a request's head to the end of its answer, and ended once nothing more
+	// is read.
+	headRead, ended bool
 }
 
 // NetConn returns the connection below.
@@ -209,6 +215,9 @@
 	if !c.closeAt.IsZero() && (t.IsZero() || c.closeAt.Before(t)) {
 		t = c.closeAt
 	}
+	if c.ended {
+		t = past
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -229,10 +238,19 @@
 	}
 }
 
+// endHead records that the head of a request was read.
+func (c *callerConn) endHead() {
+	// The request may have been read together with the one before.
+	c.beginRequest(false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headRead = true
+}
+
 // endRequest records that a request was answered. The next one may have begun.
 func (c *callerConn) endRequest() {
 	c.mu.Lock()
-	c.failure, c.handled = nil, false
+	c.failure, c.handled, c.headRead = nil, false, false
 	if !c.ahead {
 		c.use = useKept
 	}
@@ -264,6 +282,18 @@
 	_ = c.applyDeadline()
 }
 
+// endReads makes the reads of a request whose head was read fail, so that it can be answered.
+func (c *callerConn) endReads() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.headRead {
+		return
+	}
+	c.ended = true
+	// An error shows in the next read as well.
+	_ = c.applyDeadline()
+}
+
 // CloseWrite ends the router's side of the connection. The HTTP server does so before it closes a connection on which a
 // part of a body is unread.
 func (c *callerConn) CloseWrite() error {
--- a/courier/caller_server.go
+++ b/courier/caller_server.go
@@ -25,8 +25,7 @@
 	// answer, unless the router itself delays it, and maxLingerBytes how much of what comes is discarded.
 	lingerTimeout  = 500 * time.Millisecond
 	maxLingerBytes = 256 << 10
-	// lastAnswersDelay is the time in which requests that are left at the deadline of a shutdown are
-	// answered.
+	// lastAnswersDelay is the time in which requests that a shutdown ends are answered.
 	lastAnswersDelay = 100 * time.Millisecond
 )
 
@@ -102,8 +101,7 @@
 	switch {
 	case !ok:
 	case s == http.StateActive:
-		// The request may have been read together with the one before.
-		c.beginRequest(false)
+		c.endHead()
 	case s == http.StateIdle:
 		c.endRequest()
 	}
@@ -199,7 +197,7 @@
 
 // shutdown closes the listener, connections without a request, and all others once their requests are
 // answered. Requests that are left at the deadline are ended, and connections cut off lastAnswersDelay
-// after it.
+// later.
 func (s *callerServer) shutdown(deadline time.Time) {
 	s.mu.Lock()
 	s.stopped = true
@@ -214,7 +212,11 @@
 	s.closeUnused()
 	s.awaitClosed(deadline)
 	s.endRequests(forwarder.ErrRouterStops)
-	s.awaitClosed(deadline.Add(lastAnswersDelay))
+	for _, c := range s.connections() {
+		c.endReads()
+	}
+	// The deadline may have been noticed late.
+	s.awaitClosed(time.Now().Add(lastAnswersDelay))
 	if n := s.countRequests(); n > 0 {
 		s.log.Warn("connections cut off under requests", zap.Int("connections", n))
 	}
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -51,9 +51,17 @@
 	// might not complete before the process is killed. If it is refused as not executed
 	// instead, the caller can retry at another router at once.
 	drainAcceptFraction = 0.36
+	// maxTrustingDrain is how long a stopping router accepts requests that may last longer than it. The
+	// platform has moved its callers to other routers by then.
+	maxTrustingDrain = 2900 * time.Millisecond
 	// exitMargin is how long before the end of the grace period requests that are left are ended. It
 	// covers lastAnswersDelay and closeTimeout.
-	exitMargin        = 400 * time.Millisecond
+	exitMargin = 400 * time.Millisecond
+	// lastCallMargin is how long before the end of the grace period the last calls to other processes
+	// end, and minLastCall how long they may take in any case: rights that are not given back count as
+	// spent.
+	lastCallMargin    = 100 * time.Millisecond
+	minLastCall       = 30 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 	// incarnationLabelBytes is the length of a label that identifies an incarnation in logs.
 	incarnationLabelBytes = 6
@@ -165,7 +173,7 @@
 		Origins: origins,
 		Wire:    o.Wire, Fleet: c.fleet, Table: table, Pool: c.pool, Rights: c.rights, Log: o.Log,
 		Quarantine: c.fleet.quarantine, Admission: c.admission, CallerLimits: limits,
-		EnginePriorities: o.Node.Features().EnginePriorities, ServiceAdmission: o.Node.Features().ServiceAdmission, Stopping: c.stopping,
+		EnginePriorities: o.Node.Features().EnginePriorities, ServiceAdmission: o.Node.Features().ServiceAdmission, Stopping: c.stopping, Stop: c.stop,
 		Limiter: limiter.New(limiter.Budget{Ratio: ratio, Slack: slack, Window: window}, time.Now()),
 	})
 	return c
@@ -272,13 +280,10 @@
 	}
 	c.drain()
 	c.callers.shutdown(time.Now().Add(c.Node.Grace() - exitMargin - c.drainDuration()))
-	var handOvers sync.WaitGroup
-	if c.fleet.origins != nil {
-		handOvers.Go(c.fleet.origins.handOver)
-	}
-	c.rights.close(work)
-	handOvers.Wait()
+	c.handOver(work)
 	_ = question.Close()
+	// The server would wait for connections that are being opened.
+	_ = internal.Shutdown()
 	rpc.Stop()
 	c.Log.Info("router stopped")
 	return nil
@@ -306,6 +311,20 @@
 	c.Log.Warn("router stops with callers left", zap.Int64("active", c.callers.Active()))
 }
 
+// handOver gives the rights and the origins of streams that this router keeps to other processes, in the
+// time that is left of the grace period.
+func (c *Router) handOver(ctx context.Context) {
+	left := c.Node.Grace() - lastCallMargin - c.drainDuration()
+	ctx, cancel := context.WithTimeout(ctx, max(left, minLastCall))
+	defer cancel()
+	var origins sync.WaitGroup
+	if c.fleet.origins != nil {
+		origins.Go(c.fleet.origins.handOver)
+	}
+	c.rights.close(ctx)
+	origins.Wait()
+}
+
 // relayedConnections returns the number of connections that this router relays for others.
 func (c *Router) relayedConnections() int {
 	if c.relays == nil {
@@ -328,6 +347,18 @@
 	return time.Since(c.startedAt) - time.Duration(at)
 }
 
+// stop returns how far the stop of the process has come.
+func (c *Router) stop() forwarder.Stop {
+	at := c.drainingSince.Load()
+	if at == 0 {
+		return forwarder.Stop{}
+	}
+	return forwarder.Stop{
+		RequestsEnd: c.startedAt.Add(time.Duration(at) + c.Node.Grace() - exitMargin),
+		Late:        c.drainDuration() > min(c.acceptDuration(), maxTrustingDrain),
+	}
+}
+
 // handleCaller forwards a request of a caller, unless the router is about to stop.
 func (c *Router) handleCaller(w http.ResponseWriter, r *http.Request) {
 	if d := c.drainDuration(); d > 0 {
