An unframed answer that is reset under its upload is broken off

What callers saw: a worker answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as the whole answer, with the signature.

Cause: the system reports the loss of a connection once, to whoever asks first. The write of the upload took the error; the read saw an end, which is the end of an answer without length. The writer dropped its error ("the reader detects the broken connection by itself").

Change: detector.Conn returns io.EOF from Read only if no write has taken the error of a loss. At an end, it stops a write in progress and waits for what that has seen: the system hands out the error before the end, so the order is fixed. EPIPE means that the end came first, as from a worker that ends its answer and does not read the rest of the upload. A timeout of the acknowledgements is told in the same way.

--- a/pooler/paths.go
+++ b/pooler/paths.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"rattanhoist.example/rattanhoist/detector"
 	"rattanhoist.example/rattanhoist/pathfinder"
 	"rattanhoist.example/rattanhoist/relayer"
 )
@@ -121,7 +122,7 @@
 	if p.relays != nil && p.paths.Connected(p.now(), t.ID) {
 		p.restored(t.ID)
 	}
-	return p.newConn(t, directTransport{c}, "", ""), nil
+	return p.newConn(t, directTransport{detector.New(c)}, "", ""), nil
 }
 
 // DialFor opens a direct connection to an endpoint on behalf of another router.
--- a/pooler/transport.go
+++ b/pooler/transport.go
@@ -5,9 +5,12 @@
 	"io"
 	"net"
 	"syscall"
+
+	"rattanhoist.example/rattanhoist/detector"
 )
 
-// transport carries the bytes of a connection to an endpoint.
+// transport carries the bytes of a connection to an endpoint. Reads return io.EOF only if the endpoint closed the
+// connection regularly.
 type transport interface {
 	io.ReadWriteCloser
 	// Reusable reports whether an idle connection is open and has no unread bytes. Unsolicited
@@ -30,11 +33,11 @@
 }
 
 // directTransport is a TCP connection to the endpoint.
-type directTransport struct{ net.Conn }
+type directTransport struct{ *detector.Conn }
 
 // Reusable peeks into the socket without waiting.
 func (t directTransport) Reusable() bool {
-	s, ok := t.Conn.(syscall.Conn)
+	s, ok := t.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
