A relay passes a reset under an upload on as one

The relay's write took the error of the reset, and its read could see an end before the connection was closed for the failed write; the other router then got a regular end.

Change: the relay's connection to the endpoint tells its end from its loss as well.

--- a/relayer/server.go
+++ b/relayer/server.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"rattanhoist.example/rattanhoist/detector"
 	"rattanhoist.example/rattanhoist/messenger"
 	"rattanhoist.example/rattanhoist/reporter"
 )
@@ -106,7 +107,7 @@
 	}
 	defer s.active.Add(-1)
 	defer c.Close()
-	r := &relay{server: s, endpoint: c, stream: stream}
+	r := &relay{server: s, endpoint: detector.New(c), stream: stream}
 	if err := r.send(&messenger.RelayResponse{Result: messenger.RelayResult_RELAY_RESULT_CONNECTED}); err != nil {
 		return err
 	}
