A status that is none is no answer

What callers saw: a worker in trouble answered with the status 999, and callers got it, with the signature; a route with at most one run sent the request to a second endpoint if such an answer said that it had not run. A status of 000 to 099, or 101, counted as an interim answer: the request waited for another one to the end of its time and was not repeated, and an answer that stood in the body was taken for its own.

Change: a final answer has a status from 200 to 599; of the others, only 100 and 102 to 199 are interim, without a body. Anything else ends the exchange at once. The request may have run, whatever the rest of the head says: it is repeated where it may be, and otherwise ends as 502 without a signature.

TestUnusualStatusesAreAnswers holds before and after.

--- a/pooler/exchange.go
+++ b/pooler/exchange.go
@@ -44,6 +44,8 @@
 	maxStrayBytes = 256 << 10
 	// maxHeadBytes is the maximum size of the head of an answer.
 	maxHeadBytes = 64 << 10
+	// maxStatus is the highest status code of HTTP.
+	maxStatus = 599
 )
 
 // concurrentWriteBytes is the body size from which a request is written while the
@@ -162,7 +164,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if h.StatusCode < http.StatusOK {
+		final, err := CheckHead(h)
+		if err != nil {
+			return nil, err
+		}
+		if !final {
 			p.beginPart(c, r.Repeatable)
 			continue
 		}
@@ -183,6 +189,22 @@
 	return nil, merry.New("only answers of other requests")
 }
 
+// CheckHead reports whether a head is that of a final answer, or of an interim one, which another follows. It returns
+// ErrInvalidHead for one that is neither: what follows it belongs to no request.
+func CheckHead(h *http.Response) (final bool, err error) {
+	switch {
+	case h.StatusCode < http.StatusContinue || h.StatusCode > maxStatus:
+		return false, merry.Errorf("%w: status %d", ErrInvalidHead, h.StatusCode)
+	case h.StatusCode >= http.StatusOK:
+		return true, nil
+	case h.StatusCode == http.StatusSwitchingProtocols:
+		return false, merry.Errorf("%w: no other protocol was asked for", ErrInvalidHead)
+	case len(h.TransferEncoding) > 0 || strings.Trim(h.Header.Get("Content-Length"), "0") != "":
+		return false, merry.Errorf("%w: interim answer with a body", ErrInvalidHead)
+	}
+	return false, nil
+}
+
 // readResponse reads one head, up to maxHeadBytes.
 func (c *conn) readResponse(request *http.Request) (*http.Response, error) {
 	c.headLeft = maxHeadBytes
--- a/pooler/pooler.go
+++ b/pooler/pooler.go
@@ -31,6 +31,8 @@
 	// ErrUnfinished means that bytes of a head kept arriving for a while without coming to its end. It
 	// accompanies ErrMayHaveRun.
 	ErrUnfinished = merry.Sentinel("head of the answer unfinished")
+	// ErrInvalidHead means that a head is not that of an answer. It accompanies ErrMayHaveRun.
+	ErrInvalidHead = merry.Sentinel("head of no answer")
 	// ErrConnectionLimit means that this router may not open more connections to the
 	// endpoint. Nothing was sent.
 	ErrConnectionLimit = merry.Sentinel("connection bound reached")
