Plain calls take no status that is none

The same in the router of cmd/rattanhoist: an endpoint's answer with the status 000 made the server panic, and the caller got 500 "the router failed". It is an incomplete answer now, 502 endpoint_failed. TestPlainCallsPassThrough, with 000, 042, 101, 600 and 999, fails before at 000 (500 instead of 502) and passes now.

--- a/router/plain_test.go
+++ b/router/plain_test.go
@@ -35,6 +35,10 @@
 		c, _, _ := http.NewResponseController(w).Hijack()
 		_, _ = c.Write([]byte("HTTP/1.0 200 OK\r\n\r\nhalf of it"))
 		_ = c.Close()
+	case "/status":
+		c, _, _ := http.NewResponseController(w).Hijack()
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\nContent-Length: 5\r\n\r\nhello", r.URL.RawQuery)
+		_ = c.Close()
 	default:
 		text := fmt.Sprintf("%s %s %s %s", r.Method, r.RequestURI, r.Header.Get("Accept-Language"), body)
 		w.Header().Set("Content-Length", fmt.Sprint(len(text)))
@@ -108,4 +112,9 @@
 	resp, body = f.send("POST", "/endless", "")
 	f.g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusBadGateway), body)
 	f.g.Expect(body).To(gomega.ContainSubstring("endpoint_failed"))
+	for _, status := range []string{"000", "042", "101", "600", "999"} {
+		resp, body = f.send("POST", "/status?"+status, "")
+		f.g.Expect(resp.StatusCode).To(gomega.Equal(http.StatusBadGateway), "%s: %s", status, body)
+		f.g.Expect(body).To(gomega.ContainSubstring("endpoint_failed"), status)
+	}
 }
--- a/router/run_plain.go
+++ b/router/run_plain.go
@@ -12,6 +12,7 @@
 
 	"rattanhoist.example/rattanhoist"
 	"rattanhoist.example/rattanhoist/joiner"
+	"rattanhoist.example/rattanhoist/pooler"
 )
 
 // runPlain runs a call at a plain service. Any status counts as an answer and
@@ -60,6 +61,9 @@
 	if id := resp.Header.Get(headerRequestID); id != "" && id != q.key.String() {
 		return nil, ErrWrongRequest
 	}
+	if _, err := pooler.CheckHead(resp); err != nil {
+		return nil, merry.Wrap(ErrIncomplete, merry.AppendMessage(err.Error()))
+	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && q.method != http.MethodHead {
 		return nil, merry.Wrap(ErrIncomplete, merry.AppendMessage("the answer has neither a length nor an end mark"))
 	}
