An event counts until it is written

An event of up to 1 MiB counted while it arrived, and no longer while it was written to a caller that does not read: many of them exceed the memory of the process. It is counted until it is written now.

--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -32,9 +32,10 @@
 	events := bufio.NewReaderSize(a.Body, relayBuffer)
 	a.BeginPart(j.repeatable())
 	for {
-		event, err := readEvent(events, j.holding)
+		event, held, err := readEvent(events, j.holding)
 		if len(event) > 0 && err == nil {
 			if j.f.Origins != nil && changed(version, assignment.Endpoint().Version()) {
+				j.holding.Return(held)
 				j.reason = "endpoint changed its version during the stream"
 				return outcomeLost
 			}
@@ -44,6 +45,7 @@
 				j.logEnd(0, "caller gone")
 				panic(http.ErrAbortHandler)
 			}
+			j.holding.Return(held)
 			a.BeginPart(j.repeatable())
 			continue
 		}
@@ -138,32 +140,36 @@
 }
 
 // readEvent returns the bytes of an event, including the empty line that ends it. If there
-// is an error, the event is incomplete. Longer events than the buffer are held while they are incomplete.
-func readEvent(r *bufio.Reader, h *enforcer.Holding) ([]byte, error) {
-	var event []byte
-	held := 0
-	defer func() { h.Return(held) }()
+// is an error, the event is incomplete. For events that are longer than the buffer, it returns the number of bytes that
+// are held until the caller returns them; after an error none are.
+func readEvent(r *bufio.Reader, h *enforcer.Holding) (event []byte, held int, err error) {
+	defer func() {
+		if err != nil {
+			h.Return(held)
+			held = 0
+		}
+	}()
 	// hasContent is set once the event has a line that is not empty, and inLine while a line is longer
 	// than the buffer.
 	var hasContent, inLine bool
 	for {
 		line, err := r.ReadSlice('\n')
 		if len(event)+len(line) > maxEventBytes {
-			return event, errEventTooLong
+			return event, held, errEventTooLong
 		}
 		if len(event) > relayBuffer {
 			if err := h.Reserve(len(line)); err != nil {
-				return event, err
+				return event, held, err
 			}
 			held += len(line)
 		}
 		event = append(event, line...)
 		if err != nil && err != bufio.ErrBufferFull {
-			return event, err
+			return event, held, err
 		}
 		empty := !inLine && len(bytes.TrimRight(line, "\r\n")) == 0
 		if err == nil && empty && hasContent {
-			return event, nil
+			return event, held, nil
 		}
 		hasContent = hasContent || !empty
 		inLine = err != nil
