Bytes that wait at a relay are bounded for each connection

What callers would see: a worker sends without end, or does not read an upload, while the router has no path of its own to it. The router that asked and its relay hold megabytes for each such connection, and are ended for their memory.

Cause: the library raises the windows of a stream to up to 16 MiB on a fast connection, and keeps each message of 4 KiB and a few bytes in a buffer of 16 KiB.

Change: windows of fixed size, 64 KiB for an answer at the router that asked and 256 KiB for a call at a server, and messages that fit into the library's buffers.

--- a/messenger/link.go
+++ b/messenger/link.go
@@ -45,6 +45,12 @@
 	maxLinkMessageBytes = 32 << 20
 	// maxLinkHeaderBytes is the maximum size of the metadata of a call or an answer.
 	maxLinkHeaderBytes = 64 << 10
+	// relayWindowBytes and serverWindowBytes bound what may be held of one stream whose receiver does not read: of an
+	// endpoint's answer at the router that asked a relay, and of a call at a server. The library would raise its windows
+	// to megabytes on a fast connection. linkWindowBytes is the window of a connection, which bounds what is on its way.
+	relayWindowBytes  = 64 << 10
+	serverWindowBytes = 256 << 10
+	linkWindowBytes   = 1 << 20
 	// linkHandshakeTimeout bounds the time until a new connection to a server has sent its settings. It is
 	// longer than a client tries to connect.
 	linkHandshakeTimeout = 5 * time.Second
@@ -60,8 +66,9 @@
 // for concurrent use.
 type Link struct {
 	address string
-	// dialAddress opens its connections.
+	// dialAddress opens its connections, for which there may be more options.
 	dialAddress DialFunc
+	options     []grpc.DialOption
 	mu          sync.Mutex
 	conn        *grpc.ClientConn
 	// silentSince is when the first call began of those that timed out since the last answer; zero
@@ -106,6 +113,13 @@
 	return &Link{address: address, dialAddress: dial}
 }
 
+// NewRelayLink returns a link for OpenRelay, whose connections are opened by dial.
+func NewRelayLink(address string, dial DialFunc) *Link {
+	l := NewLinkWithDialer(address, dial)
+	l.options = []grpc.DialOption{grpc.WithStaticStreamWindowSize(relayWindowBytes), grpc.WithStaticConnWindowSize(linkWindowBytes)}
+	return l
+}
+
 // Address returns the internal address of the process.
 func (l *Link) Address() string { return l.address }
 
@@ -115,7 +129,7 @@
 	if l.conn != nil {
 		return l.conn, nil
 	}
-	c, err := grpc.NewClient("passthrough:///"+l.address,
+	c, err := grpc.NewClient("passthrough:///"+l.address, append([]grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(l.dial),
 		grpc.WithConnectParams(grpc.ConnectParams{
@@ -127,7 +141,7 @@
 		grpc.WithReadBufferSize(linkBufferBytes), grpc.WithWriteBufferSize(linkBufferBytes), grpc.WithSharedWriteBuffer(true),
 		grpc.WithMaxHeaderListSize(maxLinkHeaderBytes),
 		grpc.WithDisableServiceConfig(),
-	)
+	}, l.options...)...)
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
@@ -321,5 +335,6 @@
 		grpc.MaxRecvMsgSize(maxLinkMessageBytes), grpc.MaxSendMsgSize(maxLinkMessageBytes),
 		grpc.ReadBufferSize(linkBufferBytes), grpc.WriteBufferSize(linkBufferBytes), grpc.SharedWriteBuffer(true),
 		grpc.MaxHeaderListSize(maxLinkHeaderBytes), grpc.ConnectionTimeout(linkHandshakeTimeout),
+		grpc.StaticStreamWindowSize(serverWindowBytes), grpc.StaticConnWindowSize(linkWindowBytes),
 	)
 }
--- a/relayer/conn.go
+++ b/relayer/conn.go
@@ -15,8 +15,12 @@
 // regularly, so that an answer which ends with it is not complete.
 var ErrBrokenOff = merry.Sentinel("relayed connection broken off")
 
+// messageOverhead is what a message takes besides its data. With it, a message just fits into one of the buffers that the
+// library keeps, which are 4, 16 or 32 KiB long.
+const messageOverhead = 64
+
 // maxChunkBytes is the maximum number of bytes in one message.
-const maxChunkBytes = 16 << 10
+const maxChunkBytes = 16<<10 - messageOverhead
 
 // Conn is a connection to an endpoint through another router. Reads and writes may be concurrent,
 // but not several of one kind.
--- a/relayer/dialer.go
+++ b/relayer/dialer.go
@@ -202,7 +202,7 @@
 	defer d.mu.Unlock()
 	l := d.links[address]
 	if l == nil {
-		l = messenger.NewLinkWithDialer(address, d.dial)
+		l = messenger.NewRelayLink(address, d.dial)
 		d.links[address] = l
 	}
 	return l
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -29,7 +29,7 @@
 	maxRefusalLogLines = 5
 	// relayBufferBytes is the size of the buffer for bytes of an endpoint. Events of streams are
 	// shorter.
-	relayBufferBytes = 4 << 10
+	relayBufferBytes = 4<<10 - messageOverhead
 )
 
 // Endpoints connects a relay to endpoints.
