Answers take three quarters of the memory at the most

Answers without end could hold all the memory that is meant for callers, so that no head or body of another request was read until they ended: 503 for up to the longest time of a request. Long answers leave a quarter of it now.

TestAnswersLeaveRoomForRequests fails before ("the body of a request: too many bytes are held for callers") and passes now.

--- a/enforcer/body.go
+++ b/enforcer/body.go
@@ -31,17 +31,22 @@
 // ReadAnswer reads the body of an answer as ReadAll does. A short one is held beyond the limit, and others may exceed it
 // by a margin. After an error nothing of it is held.
 func (h *Holding) ReadAnswer(r io.Reader, size int64) ([]byte, error) {
-	b := bodyBuffer{holding: h, size: size, first: minSegmentBytes}
+	b, reserved := bodyBuffer{holding: h, size: size, first: minSegmentBytes}, 0
 	b.reserve = func(n int) error {
 		if b.length == 0 {
 			h.Add(n)
 			return nil
 		}
-		return h.ReserveForAnswer(n)
+		err := h.ReserveForAnswer(n)
+		if err == nil {
+			reserved += n
+		}
+		return err
 	}
 	out, err := b.readAll(r)
 	if err != nil {
-		h.Return(b.capacity())
+		h.ReturnForAnswer(reserved)
+		h.Return(b.capacity() - reserved)
 	}
 	return out, err
 }
--- a/enforcer/memory.go
+++ b/enforcer/memory.go
@@ -17,6 +17,9 @@
 	// answerMargin is the fraction of the limit by which answers may exceed it: bodies of other requests must not
 	// fail an answer that an endpoint has made.
 	answerMargin = 0.25
+	// answerShare is the fraction of the limit that answers may take, short ones aside: answers without end must not
+	// keep other requests from being read.
+	answerShare = 0.75
 )
 
 // Memory counts the bytes that a process holds for its callers: heads and bodies of requests, and answers that
@@ -24,6 +27,8 @@
 type Memory struct {
 	limit int64
 	held  atomic.Int64
+	// answers is the part of held that was reserved for answers.
+	answers atomic.Int64
 	// reclaim ends a request that is stalled, and reports whether there was one; nil if none is ended.
 	reclaim func() bool
 }
@@ -67,11 +72,12 @@
 	if m == nil || n == 0 {
 		return nil
 	}
-	limit := m.limit + int64(answerMargin*float64(m.limit))
+	share, limit := int64(answerShare*float64(m.limit)), m.limit+int64(answerMargin*float64(m.limit))
 	for range reclaimAttempts {
-		if m.take(n, limit) {
+		if m.answers.Add(int64(n)) <= share && m.take(n, limit) {
 			return nil
 		}
+		m.answers.Add(int64(-n))
 		if m.reclaim != nil {
 			m.reclaim()
 		}
@@ -119,6 +125,8 @@
 type Holding struct {
 	memory *Memory
 	bytes  int64
+	// answers is the part of bytes that was reserved for answers.
+	answers int64
 }
 
 // Add holds n more bytes, beyond the limit as well.
@@ -146,9 +154,20 @@
 		return err
 	}
 	h.bytes += int64(n)
+	h.answers += int64(n)
 	return nil
 }
 
+// ReturnForAnswer gives n bytes back that were reserved for an answer.
+func (h *Holding) ReturnForAnswer(n int) {
+	if h.memory == nil {
+		return
+	}
+	h.memory.answers.Add(int64(-n))
+	h.answers -= int64(n)
+	h.Return(n)
+}
+
 // Return gives n bytes back that were added or reserved.
 func (h *Holding) Return(n int) { h.Add(-n) }
 
@@ -158,5 +177,6 @@
 		return
 	}
 	h.memory.held.Add(-h.bytes)
-	h.bytes = 0
+	h.memory.answers.Add(-h.answers)
+	h.bytes, h.answers = 0, 0
 }
--- a/enforcer/memory_test.go
+++ b/enforcer/memory_test.go
@@ -140,3 +140,32 @@
 	time.AfterFunc(50*time.Millisecond, full.Release)
 	g.Expect(m.Hold().ReserveForAnswer(1)).To(gomega.Succeed())
 }
+
+// Guards against answers without end that take all the memory, so that no other request is read until they end.
+func TestAnswersLeaveRoomForRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const limit, part = 400 << 10, 40 << 10
+	m := enforcer.NewMemory(limit)
+	var open []*enforcer.Holding
+	for range 20 {
+		h := m.Hold()
+		if h.ReserveForAnswer(part) == nil {
+			open = append(open, h)
+		}
+	}
+	g.Expect(len(open)).To(gomega.BeNumerically(">=", 6), "they take most of it")
+	g.Expect(m.Hold().Reserve(part)).To(gomega.Succeed(), "the body of a request")
+	open[0].ReturnForAnswer(part)
+	g.Expect(m.Hold().ReserveForAnswer(part)).To(gomega.Succeed(), "what one answer returned serves the next")
+	for _, h := range open {
+		h.Release()
+	}
+	_, err := m.Hold().ReadAnswer(strings.NewReader(strings.Repeat("x", 100<<10)), -1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for range 20 {
+		h := m.Hold()
+		_, err := h.ReadAnswer(strings.NewReader(strings.Repeat("x", 100<<10)), -1)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "nothing stays counted")
+		h.Release()
+	}
+}
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -316,7 +316,7 @@
 	j.recordRelay(r.Relay)
 	if err != nil {
 		j.reason = err.Error()
-		j.holding.Return(head)
+		j.holding.ReturnForAnswer(head)
 		if errors.Is(err, pooler.ErrMayHaveRun) {
 			j.recordTried(b, version)
 			j.mayHaveRun = true
