--- a/enforcer/memory.go
+++ b/enforcer/memory.go
@@ -14,6 +14,12 @@
 	// reclaimAttempts and reclaimPause bound the wait for memory that a stalled request returns.
 	reclaimAttempts = 40
 	reclaimPause    = 5 * time.Millisecond
+	// answerMargin is the fraction of the limit by which answers may exceed it: bodies of other requests must not
+	// fail an answer that an endpoint has made.
+	answerMargin = 0.25
+	// answerShare is the fraction of the limit that answers may take, short ones aside: answers without end must not
+	// keep other requests from being read.
+	answerShare = 0.75
 )
 
 // Memory counts the bytes that a process holds for its callers: heads and bodies of requests, and answers that
@@ -21,6 +27,8 @@
 type Memory struct {
 	limit int64
 	held  atomic.Int64
+	// answers is the part of held that was reserved for answers.
+	answers atomic.Int64
 	// reclaim ends a request that is stalled, and reports whether there was one; nil if none is ended.
 	reclaim func() bool
 }
@@ -48,10 +56,9 @@
 		return nil
 	}
 	for range reclaimAttempts {
-		if m.held.Add(int64(n)) <= m.limit {
+		if m.take(n, m.limit) {
 			return nil
 		}
-		m.Free(n)
 		if m.reclaim == nil || !m.reclaim() {
 			return ErrMemory
 		}
@@ -60,6 +67,34 @@
 	return ErrMemory
 }
 
+// acquireForAnswer takes n bytes as Acquire does, and waits for answers that end as well.
+func (m *Memory) acquireForAnswer(n int) error {
+	if m == nil || n == 0 {
+		return nil
+	}
+	share, limit := int64(answerShare*float64(m.limit)), m.limit+int64(answerMargin*float64(m.limit))
+	for range reclaimAttempts {
+		if m.answers.Add(int64(n)) <= share && m.take(n, limit) {
+			return nil
+		}
+		m.answers.Add(int64(-n))
+		if m.reclaim != nil {
+			m.reclaim()
+		}
+		time.Sleep(reclaimPause)
+	}
+	return ErrMemory
+}
+
+// take takes n bytes unless that exceeds a limit.
+func (m *Memory) take(n int, limit int64) bool {
+	if m.held.Add(int64(n)) <= limit {
+		return true
+	}
+	m.Free(n)
+	return false
+}
+
 // Free returns n bytes.
 func (m *Memory) Free(n int) {
 	if m != nil {
@@ -90,10 +125,11 @@
 type Holding struct {
 	memory *Memory
 	bytes  int64
+	// answers is the part of bytes that was reserved for answers.
+	answers int64
 }
 
-// Add holds n more bytes, beyond the limit as well: an answer that an endpoint has made is passed
-// on.
+// Add holds n more bytes, beyond the limit as well.
 func (h *Holding) Add(n int) {
 	if h.memory == nil {
 		return
@@ -111,6 +147,27 @@
 	return nil
 }
 
+// ReserveForAnswer holds n more bytes of an answer, or returns ErrMemory if there is no room for a while. Answers may
+// exceed the limit by a margin.
+func (h *Holding) ReserveForAnswer(n int) error {
+	if err := h.memory.acquireForAnswer(n); err != nil || h.memory == nil {
+		return err
+	}
+	h.bytes += int64(n)
+	h.answers += int64(n)
+	return nil
+}
+
+// ReturnForAnswer gives n bytes back that were reserved for an answer.
+func (h *Holding) ReturnForAnswer(n int) {
+	if h.memory == nil {
+		return
+	}
+	h.memory.answers.Add(int64(-n))
+	h.answers -= int64(n)
+	h.Return(n)
+}
+
 // Return gives n bytes back that were added or reserved.
 func (h *Holding) Return(n int) { h.Add(-n) }
 
@@ -120,5 +177,6 @@
 		return
 	}
 	h.memory.held.Add(-h.bytes)
-	h.bytes = 0
+	h.memory.answers.Add(-h.answers)
+	h.bytes, h.answers = 0, 0
 }
--- a/enforcer/memory_test.go
+++ b/enforcer/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -112,3 +113,59 @@
 	m.UseReclaim(func() bool { return true })
 	g.Expect(m.Hold().Reserve(600)).To(gomega.MatchError(enforcer.ErrMemory))
 }
+
+// Guards against answers that exceed the memory together, against one that is thrown away because bodies of requests fill
+// the memory, or because others are about to end, and against a short one that fails.
+func TestAnswersExceedTheLimitByAMargin(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const limit, short, long = 400 << 10, 4 << 10, 40 << 10
+	m := enforcer.NewMemory(limit)
+	g.Expect(m.Hold().Reserve(limit)).To(gomega.Succeed())
+	var read, failed int
+	for range 8 {
+		_, err := m.Hold().ReadAnswer(strings.NewReader(strings.Repeat("x", long)), long)
+		if err == nil {
+			read++
+			continue
+		}
+		g.Expect(err).To(gomega.MatchError(enforcer.ErrMemory))
+		failed++
+	}
+	g.Expect(m.Held()).To(gomega.BeNumerically("<=", limit+limit/4+long), "a margin, and the copy of the last one")
+	g.Expect([]int{read, failed}).To(gomega.Equal([]int{2, 6}))
+	_, err := m.Hold().ReadAnswer(strings.NewReader(strings.Repeat("x", short)), -1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	full := m.Hold()
+	full.Add(limit)
+	time.AfterFunc(50*time.Millisecond, full.Release)
+	g.Expect(m.Hold().ReserveForAnswer(1)).To(gomega.Succeed())
+}
+
+// Guards against answers without end that take all the memory, so that no other request is read until they end.
+func TestAnswersLeaveRoomForRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const limit, part = 400 << 10, 40 << 10
+	m := enforcer.NewMemory(limit)
+	var open []*enforcer.Holding
+	for range 20 {
+		h := m.Hold()
+		if h.ReserveForAnswer(part) == nil {
+			open = append(open, h)
+		}
+	}
+	g.Expect(len(open)).To(gomega.BeNumerically(">=", 6), "they take most of it")
+	g.Expect(m.Hold().Reserve(part)).To(gomega.Succeed(), "the body of a request")
+	open[0].ReturnForAnswer(part)
+	g.Expect(m.Hold().ReserveForAnswer(part)).To(gomega.Succeed(), "what one answer returned serves the next")
+	for _, h := range open {
+		h.Release()
+	}
+	_, err := m.Hold().ReadAnswer(strings.NewReader(strings.Repeat("x", 100<<10)), -1)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for range 20 {
+		h := m.Hold()
+		_, err := h.ReadAnswer(strings.NewReader(strings.Repeat("x", 100<<10)), -1)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), "nothing stays counted")
+		h.Release()
+	}
+}
