A failing test: links to relays expire while they are in use

A router closes its links to relays that it no longer uses every five seconds (`Dialer.Expire`). A relay is known once it has connected or failed, so the link on which the first connection through it is being opened counts as unused.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -329,3 +329,52 @@
 	g.Expect(c.Relay()).To(gomega.Equal(good))
 	_ = c.Close()
 }
+
+// slowEndpoints take a while to connect.
+type slowEndpoints struct {
+	*endpoints
+	delay time.Duration
+}
+
+func (e slowEndpoints) Connect(ctx context.Context, name string) (net.Conn, error) {
+	time.Sleep(e.delay)
+	return e.endpoints.Connect(ctx, name)
+}
+
+// Links to relays that are no longer used are closed while the first connection through a relay is being opened. Guards
+// against closing its link as well: the request on it would end, and its caller would get 502.
+func TestLinksInUseDoNotExpire(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := listen(t, func(c *net.TCPConn) { _, _ = io.Copy(c, c) })
+	guard := messenger.NewMemberGuard(func(address string) (uint64, bool) { return incarnation, address == routerAddress }, time.Now)
+	e := slowEndpoints{&endpoints{address: address}, 100 * time.Millisecond}
+	rpc := messenger.NewFleetServer(zap.NewNop())
+	messenger.RegisterFleetRouterServer(rpc, routerServer{Server: relayer.NewServer(e, guard, func() {}, func() string { return "" }, zap.NewNop())})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() { _ = rpc.Serve(l) }()
+	t.Cleanup(rpc.Stop)
+	d := newDialer(member(), l.Addr().String())
+	stop := make(chan struct{})
+	var expiring sync.WaitGroup
+	expiring.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+				d.Expire()
+			}
+		}
+	})
+	defer expiring.Wait()
+	defer close(stop)
+	c, err := d.Dial(t.Context(), target)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer c.Close()
+	_, err = c.Write([]byte("request"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	b := make([]byte, len("request"))
+	_, err = io.ReadFull(c, b)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
