--- a/cmd/rattanhoist-node/clients_test.go
+++ b/cmd/rattanhoist-node/clients_test.go
@@ -124,6 +124,32 @@
 	}, launcher.MisbehaviorsOfPeers)
 }
 
+// Guards against a process that clients end who hold little each, as many as its descriptors allow at its port for other
+// processes.
+func TestProcessesBearQuietCrowdsAtTheirPortsForProcesses(t *testing.T) {
+	const crowdsEach = 3
+	for _, kind := range []string{"silence", "silence after settings", "messages that stop short"} {
+		t.Run(kind, func(t *testing.T) {
+			f := startSmallFleet(t, manyDescriptors)
+			var crowds []*launcher.Crowd
+			for range crowdsEach {
+				for _, x := range []launcher.Target{
+					launcher.At(f.routerPeers(), http.MethodPost, messenger.FleetRouter_Relay_FullMethodName),
+					launcher.At(f.keeperPeers(), http.MethodPost, messenger.FleetKeeper_Sync_FullMethodName),
+				} {
+					crowds = append(crowds, launcher.StartCrowd(t.Context(), x, launcher.MisbehaviorsOfPeers[kind], true))
+				}
+			}
+			time.Sleep(launcher.CrowdDuration)
+			for _, w := range crowds {
+				w.Leave()
+			}
+			f.expectServed()
+			f.expectWithinBounds(gomega.NewWithT(t))
+		})
+	}
+}
+
 // Guards against crowds that are borne at each port, and not at all of them together.
 func TestProcessesBearCrowdsAtAllPortsTogether(t *testing.T) {
 	for kind, m := range map[string]launcher.Misbehavior{
