A failing test: a fleet that starts again is taken for strangers

As the test of the fleet that connects at once, beside connections of the same machines that ended unnoticed, as after a loss of power.

--- a/acceptor/processes_test.go
+++ b/acceptor/processes_test.go
@@ -255,6 +255,27 @@
 	}
 }
 
+// All machines lose their power, and their processes start again. Guards against closing their new connections for old ones,
+// of which nobody has heard that they ended.
+func TestFleetThatStartsAgainIsNotTakenForStrangers(t *testing.T) {
+	const n = 295
+	for name, r := range resourcesOfSites {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				p := startProcessesPort(t, enforcer.NewMemory(r.RequestMemory()), r.ForPeers())
+				defer p.stop()
+				for i := range n {
+					lost := p.newLink(i)
+					defer lost.Close()
+					g.Expect(lost.Call(context.Background(), callTimeout, callSync)).To(gomega.Succeed())
+				}
+				g.Expect(p.connectFleet(n)).To(gomega.Equal(outcome{CallsAnswered: n}))
+			})
+		})
+	}
+}
+
 // strangers are what clients that are no processes of the fleet send.
 var strangers = map[string]func(c net.Conn) error{
 	"silence":                func(net.Conn) error { return nil },
