A fleet that connects at once is not taken for strangers

Cause: a connection at the port for processes that has carried no call counted with 64 KiB, as if it held a body. A router of 112 MB had 112 of them and closed from 98 on, a keeper of 280 MB 280 and 245, whatever the size of the fleet. Processes that start at once all have their first call to make; closed ones connect again within 250 ms and close others, so that where the first call takes over a second nobody gets through (the tests before).

Change: a connection that has brought up to 4 KiB is quiet and counts with what it takes, 16 KiB; a sixteenth of the memory is still what those may take that bring more. Quiet ones may take a sixth. Between processes no request is in progress on a connection without a call, so that it closes at once and the limit itself can be reached. Routers have 26 instead of 25 % of the descriptors for peers, 1,014 of 4,100: 985 routers fit. The line on a crowd tells how many connections are unproven.

Not mended by this: strangers beside the fleet (TestStrangersGiveWayToTheFleet), a connection under a call (TestConnectionUnderACallIsNotClosedForRoom).

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -22,8 +22,8 @@
 	// receiveBufferBytes bounds what arrives at a connection before the process reads it. The kernel holds
 	// it, and the platform counts it towards the memory of the process.
 	receiveBufferBytes = 16 << 10
-	// evictionFraction is the fraction of a port's connections from which on connections are closed, so that
-	// those that are being closed fit as well.
+	// evictionFraction is the fraction of the connections of a port for requests from which on connections are closed, so
+	// that those that are being closed fit as well.
 	evictionFraction = 0.875
 	// evictionBatch is the part of a port's connections that are closed at a time if they bring no request.
 	evictionBatch = 1. / 16
@@ -40,8 +40,9 @@
 	Connections int
 	// ConnectionBytes is the memory that open connections may take, in bytes; 0 means no limit.
 	ConnectionBytes int
-	// Unproven is the number of those that have carried no call of another process yet; 0 means no limit.
-	Unproven int
+	// Unproven is the number of those that have carried no call of another process yet, and Sending of those among them
+	// that have brought more than quietBytes; 0 means no limit.
+	Unproven, Sending int
 	// Pending is the number of connections that wait to be accepted, whose bytes the kernel holds as well; 0 means
 	// the system's default.
 	Pending int
@@ -121,8 +122,10 @@
 
 	mu   sync.Mutex
 	open map[*conn]bool
-	// proven counts those that have carried a call.
-	proven int
+	// proven counts those that have carried a call, and sending holds those that have brought more than quietBytes without
+	// one.
+	proven  int
+	sending map[*conn]bool
 
 	crowd crowd
 }
@@ -143,7 +146,7 @@
 		_ = inner.Close()
 		return nil, err
 	}
-	p := &Port{Listener: inner, acceptor: a, limits: l, open: map[*conn]bool{}}
+	p := &Port{Listener: inner, acceptor: a, limits: l, open: map[*conn]bool{}, sending: map[*conn]bool{}}
 	p.counters = newPortCounters(name, p)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -183,8 +186,7 @@
 
 // add returns a connection, or nil if there is no room for it.
 func (p *Port) add(n net.Conn) *conn {
-	stranger := func(c *conn) bool { return !c.carriesCalls.Load() }
-	if !p.hasRoom(p.limits.Unproven, p.unproven, stranger) || !p.hasRoom(p.limits.Connections, p.Open, anyone) || !p.hasRoom(p.limits.ConnectionBytes, p.bytes, anyone) {
+	if !p.hasRoom(p.limits.Unproven, p.unproven, isStranger) || !p.hasRoom(p.limits.Connections, p.Open, anyone) || !p.hasRoom(p.limits.ConnectionBytes, p.bytes, anyone) {
 		return nil
 	}
 	c := &conn{Conn: n, port: p, since: time.Now()}
@@ -197,28 +199,30 @@
 
 func anyone(*conn) bool { return true }
 
-// hasRoom reports whether what the connections take is below a limit. From evictionFraction of it on, it closes some of
-// those that may give way.
+// hasRoom reports whether what the connections take is below a limit. Near the limit, it closes some of those that may
+// give way.
 func (p *Port) hasRoom(limit int, taken func() int, mayGiveWay func(*conn) bool) bool {
 	if limit <= 0 {
 		return true
 	}
-	if taken() >= int(evictionFraction*float64(limit)) {
+	if taken() >= p.evictionThreshold(limit) {
 		p.makeRoom(mayGiveWay)
 	}
 	return taken() < limit
 }
 
+// evictionThreshold returns what the connections may take before some are closed. Where no request can be in progress, they
+// are closed at once, and the limit can be reached.
+func (p *Port) evictionThreshold(limit int) int {
+	if !p.framed {
+		return limit
+	}
+	return int(evictionFraction * float64(limit))
+}
+
 // bytes returns the memory that the open connections take, in bytes.
 func (p *Port) bytes() int { return int(p.connectionBytes.Load()) }
 
-// unproven returns the number of open connections that have carried no call.
-func (p *Port) unproven() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.open) - p.proven
-}
-
 // Open returns the number of open connections.
 func (p *Port) Open() int {
 	p.mu.Lock()
@@ -233,15 +237,7 @@
 		p.proven--
 	}
 	delete(p.open, c)
-}
-
-// recordProven records that a connection has carried its first call.
-func (p *Port) recordProven(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open[c] && c.carriesCalls.CompareAndSwap(false, true) {
-		p.proven++
-	}
+	delete(p.sending, c)
 }
 
 // candidate is a connection that may be closed.
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -96,7 +96,7 @@
 		if c.carriesCalls.Load() {
 			return nil
 		}
-		return c.acquire(len(b))
+		return c.port.recordUnproven(c, len(b))
 	}
 	inHead, kept := c.phase == phaseNew || c.phase == phaseKept || c.phase == phaseHead, c.phase == phaseKept
 	switch {
@@ -162,6 +162,13 @@
 	return nil
 }
 
+// heldBytes returns the memory that the head takes, or what has arrived of the first call.
+func (c *conn) heldBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held
+}
+
 // Write writes to the connection.
 func (c *conn) Write(b []byte) (int, error) {
 	c.setWriting(time.Now())
--- a/acceptor/crowd.go
+++ b/acceptor/crowd.go
@@ -31,6 +31,7 @@
 	p.crowd.since = time.Now()
 	p.acceptor.log.Warn("port closes connections for others", zap.String("port", p.counters.port), zap.String("scarce", scarce),
 		zap.Int("connections", p.Open()), zap.Int("connections_limit", p.limits.Connections),
+		zap.Int("unproven", p.unproven()), zap.Int("unproven_limit", p.limits.Unproven),
 		zap.Int("connection_bytes", p.bytes()), zap.Int("connection_bytes_limit", p.limits.ConnectionBytes), zap.Int64("memory_held", p.acceptor.memory.Held()), zap.Int64("memory_limit", p.acceptor.memory.Limit()))
 	time.AfterFunc(crowdInterval, p.checkCrowd)
 }
--- /dev/null
+++ b/acceptor/processes.go
@@ -0,0 +1,66 @@
+package acceptor
+
+const (
+	// quietBytes is how much a connection may have brought of its first call to count as quiet. The first call of a process
+	// is smaller, with few exceptions.
+	quietBytes = 4 << 10
+	// quietCost is the memory of a quiet connection between processes in bytes: its goroutines and the buffers of the server.
+	quietCost = 16 << 10
+)
+
+// isStranger reports whether a connection has carried no call.
+func isStranger(c *conn) bool { return !c.carriesCalls.Load() }
+
+// recordUnproven counts what was received on a connection that has carried no call. From quietBytes on, the connection
+// counts towards the limit on those that send, and others of these are closed for it.
+func (p *Port) recordUnproven(c *conn, n int) error {
+	if err := c.acquire(n); err != nil {
+		return err
+	}
+	if c.heldBytes() > quietBytes && p.recordSending(c) {
+		p.hasRoom(p.limits.Sending, p.sendingConnections, func(x *conn) bool { return x != c && p.isSending(x) })
+	}
+	return nil
+}
+
+// recordSending records that a connection has brought more than quietBytes without a call. It reports false if it was
+// recorded before.
+func (p *Port) recordSending(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.open[c] || c.carriesCalls.Load() || p.sending[c] {
+		return false
+	}
+	p.sending[c] = true
+	return true
+}
+
+func (p *Port) isSending(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sending[c]
+}
+
+// sendingConnections returns the number of open connections that have brought more than quietBytes without a call.
+func (p *Port) sendingConnections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sending)
+}
+
+// unproven returns the number of open connections that have carried no call.
+func (p *Port) unproven() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.open) - p.proven
+}
+
+// recordProven records that a connection has carried its first call.
+func (p *Port) recordProven(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[c] && c.carriesCalls.CompareAndSwap(false, true) {
+		p.proven++
+		delete(p.sending, c)
+	}
+}
--- a/acceptor/resources.go
+++ b/acceptor/resources.go
@@ -3,10 +3,12 @@
 const (
 	// platformDescriptors are reserved by the platform for files outside the data directory.
 	platformDescriptors = 200
-	// clientMemoryDivisor is the part of the process's memory that connections of clients may take, and
-	// unprovenMemoryDivisor that of connections at the port for processes that have carried no call.
-	clientMemoryDivisor   = 4
-	unprovenMemoryDivisor = 16
+	// clientMemoryDivisor is the part of the process's memory that connections of clients may take.
+	clientMemoryDivisor = 4
+	// unprovenMemoryDivisor is the part that connections at the port for processes may take before they have carried a
+	// call, while they are quiet, and sendingMemoryDivisor that of those that are not. A whole fleet may connect at once.
+	unprovenMemoryDivisor = 6
+	sendingMemoryDivisor  = 16
 	// requestMemoryFraction is the fraction of the process's memory that requests and answers of clients may hold. The
 	// heap grows to nearly twice its live data.
 	requestMemoryFraction = 0.3
@@ -32,7 +34,7 @@
 
 // Shares of the kinds of processes: routers serve callers, and keepers serve all routers.
 var (
-	RouterShares = Shares{Clients: 0.5, Peers: 0.25}
+	RouterShares = Shares{Clients: 0.5, Peers: 0.26}
 	KeeperShares = Shares{Clients: 0.25, Peers: 0.5}
 )
 
@@ -57,7 +59,10 @@
 // ForPeers returns the limits of the port for other processes.
 func (r Resources) ForPeers() Limits {
 	n := r.share(r.Shares.Peers)
-	return Limits{Connections: n, Unproven: lower(n, r.unproven()), Pending: pendingPeers}
+	return Limits{
+		Connections: n, Unproven: lower(n, r.connectionsIn(unprovenMemoryDivisor, quietCost)), Sending: lower(n, r.connectionsIn(sendingMemoryDivisor, connectionCosts[phaseNew])),
+		Pending: pendingPeers,
+	}
 }
 
 // ForProbes returns the limits of a port with a handful of clients, which send nothing but short heads.
@@ -73,12 +78,12 @@
 	return max(int(share*float64(r.Descriptors-platformDescriptors)), 1)
 }
 
-// unproven returns how many connections that have carried no call fit into the memory, or 0 for no limit.
-func (r Resources) unproven() int {
+// connectionsIn returns how many connections of some cost fit into a part of the memory, or 0 for no limit.
+func (r Resources) connectionsIn(divisor, cost int64) int {
 	if r.MemoryBytes <= 0 {
 		return 0
 	}
-	return max(int(r.MemoryBytes/unprovenMemoryDivisor/connectionCosts[phaseNew]), 1)
+	return max(int(r.MemoryBytes/divisor/cost), 1)
 }
 
 // lower returns the lower of two limits, of which 0 means none.
