A link that is taken for silent is not closed under calls

Cause: a link is taken for silent when calls time out and less than 2 KiB arrive for a second. Connections through a relay to an endpoint that does not answer time out as well, while the relay is well, and requests that wait for their answers bring no bytes.

Change: the next call opens another connection, as before. The old one is closed when its last call ends, or once the process does not answer a probe on it (the health check of gRPC; a process of the version before answers that it does not know it). Pooled connections through it get no further requests. What arrives on a relay stream shows that the link is not silent.

Ruled out: closing after a longer silence only, which would keep requests on a lost path from being repeated.

--- a/messenger/busy_link_test.go
+++ b/messenger/busy_link_test.go
@@ -155,6 +155,7 @@
 			_, err := open(ctx, silentEndpoint)
 			g.Expect(err).To(gomega.HaveOccurred())
 		}
+		g.Expect(s.Retired()).To(gomega.BeTrue(), "no further requests")
 		reply, err := s.Recv()
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(string(reply.Data)).To(gomega.Equal("answer"))
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,7 +56,8 @@
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
 // Link calls one process. When calls time out and only control frames arrived for
-// linkSilenceTimeout, the connection is closed: after a network partition it would hang for long. A
+// linkSilenceTimeout, the next call opens another connection: after a network partition the old one would hang
+// for long. It is closed, or while other calls are under way once the process answers no probe on it. A
 // connection that is being opened, or whose answers are late over a full network link, is kept,
 // since a new one needs two round trips before its first call and would be closed again. It is safe
 // for concurrent use.
@@ -63,7 +66,9 @@
 	// dialAddress opens its connections.
 	dialAddress DialFunc
 	mu          sync.Mutex
-	conn        *grpc.ClientConn
+	conn        *linkConn
+	// retired holds the connections on which no more calls begin, but some are under way.
+	retired map[*linkConn]bool
 	// silentSince is when the first call began of those that timed out since the last answer; zero
 	// if none did.
 	silentSince time.Time
@@ -103,17 +108,27 @@
 
 // NewLinkWithDialer returns a link whose connections are opened by dial.
 func NewLinkWithDialer(address string, dial DialFunc) *Link {
-	return &Link{address: address, dialAddress: dial}
+	return &Link{address: address, dialAddress: dial, retired: map[*linkConn]bool{}}
 }
 
 // Address returns the internal address of the process.
 func (l *Link) Address() string { return l.address }
 
-func (l *Link) connection() (*grpc.ClientConn, error) {
+// begin returns the connection for a call, which ends with a call of end.
+func (l *Link) begin() (*linkConn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if err := l.open(); err != nil {
+		return nil, err
+	}
+	l.conn.calls++
+	return l.conn, nil
+}
+
+// open makes sure that there is a connection. The caller holds l.mu.
+func (l *Link) open() error {
 	if l.conn != nil {
-		return l.conn, nil
+		return nil
 	}
 	c, err := grpc.NewClient("passthrough:///"+l.address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -129,23 +144,24 @@
 		grpc.WithDisableServiceConfig(),
 	)
 	if err != nil {
-		return nil, merry.Wrap(err)
+		return merry.Wrap(err)
 	}
-	l.conn, l.silentSince = c, time.Time{}
-	return c, nil
+	l.conn, l.silentSince = &linkConn{ClientConn: c}, time.Time{}
+	return nil
 }
 
 // Call makes one call to a keeper with a timeout.
 func (l *Link) Call(ctx context.Context, timeout time.Duration, f func(context.Context, FleetKeeperClient) error) error {
-	return l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error { return f(ctx, NewFleetKeeperClient(c)) })
+	return l.call(ctx, timeout, func(ctx context.Context, c *linkConn) error { return f(ctx, NewFleetKeeperClient(c)) })
 }
 
 // Await connects, and returns nil once calls can be sent.
 func (l *Link) Await(ctx context.Context, timeout time.Duration) error {
-	c, err := l.connection()
+	c, err := l.begin()
 	if err != nil {
 		return err
 	}
+	defer l.end(c)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c.Connect()
@@ -160,7 +176,7 @@
 // Lend asks a router for rights.
 func (l *Link) Lend(ctx context.Context, timeout time.Duration, r *LendRequest) (*LendReply, error) {
 	var reply *LendReply
-	err := l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error {
+	err := l.call(ctx, timeout, func(ctx context.Context, c *linkConn) error {
 		var err error
 		reply, err = NewFleetRouterClient(c).Lend(ctx, r)
 		return err
@@ -170,7 +186,7 @@
 
 // LeaveRights transfers rights to a router.
 func (l *Link) LeaveRights(ctx context.Context, timeout time.Duration, r *LeaveRightsRequest) error {
-	return l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error {
+	return l.call(ctx, timeout, func(ctx context.Context, c *linkConn) error {
 		_, err := NewFleetRouterClient(c).LeaveRights(ctx, r)
 		return err
 	})
@@ -179,7 +195,7 @@
 // ReserveRights asks a router for the tokens of one request.
 func (l *Link) ReserveRights(ctx context.Context, timeout time.Duration, r *ReserveRightsRequest) (*ReserveRightsReply, error) {
 	var reply *ReserveRightsReply
-	err := l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error {
+	err := l.call(ctx, timeout, func(ctx context.Context, c *linkConn) error {
 		var err error
 		reply, err = NewFleetRouterClient(c).ReserveRights(ctx, r)
 		return err
@@ -190,7 +206,7 @@
 // RateLimits queries a router for the rate limits of endpoints.
 func (l *Link) RateLimits(ctx context.Context, timeout time.Duration, r *RateLimitsRequest) (*RateLimitsReply, error) {
 	var reply *RateLimitsReply
-	err := l.call(ctx, timeout, func(ctx context.Context, c *grpc.ClientConn) error {
+	err := l.call(ctx, timeout, func(ctx context.Context, c *linkConn) error {
 		var err error
 		reply, err = NewFleetRouterClient(c).RateLimits(ctx, r)
 		return err
@@ -202,15 +218,29 @@
 type RelayStream struct {
 	FleetRouter_RelayClient
 	cancel context.CancelCauseFunc
+	link   *Link
+	conn   *linkConn
+}
+
+// Recv waits for a message.
+func (s *RelayStream) Recv() (*RelayResponse, error) {
+	m, err := s.FleetRouter_RelayClient.Recv()
+	if err == nil {
+		s.link.recordAnswer(s.conn)
+	}
+	return m, err
 }
 
+// Retired reports whether the stream's connection is taken for silent, so that no more requests are sent on it.
+func (s *RelayStream) Retired() bool { return s.link.isRetired(s.conn) }
+
 // Close ends the stream, and with it the connection.
 func (s *RelayStream) Close() { s.cancel(context.Canceled) }
 
 // OpenRelay asks a router, as a member of the fleet, for a connection to an endpoint, until timeout
 // or the end of ctx. The stream outlives ctx; the caller closes it.
 func (l *Link) OpenRelay(ctx context.Context, timeout time.Duration, self *FleetMember, endpoint string) (*RelayStream, *RelayResponse, error) {
-	c, err := l.connection()
+	c, err := l.begin()
 	if err != nil {
 		return nil, nil, err
 	}
@@ -221,11 +251,13 @@
 	stream, reply, err := openRelay(streamCtx, c, self, endpoint)
 	if err == nil && stop() && expiry.Stop() {
 		l.recordAnswer(c)
-		return &RelayStream{FleetRouter_RelayClient: stream, cancel: cancel}, reply, nil
+		context.AfterFunc(streamCtx, func() { l.end(c) })
+		return &RelayStream{FleetRouter_RelayClient: stream, cancel: cancel, link: l, conn: c}, reply, nil
 	}
+	defer l.end(c)
 	stop()
-	if context.Cause(streamCtx) == context.DeadlineExceeded && ready && l.recordTimeout(c, begun) {
-		_ = c.Close()
+	if context.Cause(streamCtx) == context.DeadlineExceeded && ready {
+		l.recordTimeout(c, begun)
 	}
 	if err == nil {
 		// ctx ended, or the timeout passed, just as the response came.
@@ -236,7 +268,7 @@
 }
 
 // openRelay opens a relay stream and returns its first response.
-func openRelay(ctx context.Context, c *grpc.ClientConn, self *FleetMember, endpoint string) (FleetRouter_RelayClient, *RelayResponse, error) {
+func openRelay(ctx context.Context, c *linkConn, self *FleetMember, endpoint string) (FleetRouter_RelayClient, *RelayResponse, error) {
 	stream, err := NewFleetRouterClient(c).Relay(ctx, grpc.PerRPCCredentials(memberProof(self)))
 	if err != nil {
 		return nil, nil, err
@@ -249,11 +281,12 @@
 	return stream, reply, err
 }
 
-func (l *Link) call(ctx context.Context, timeout time.Duration, f func(context.Context, *grpc.ClientConn) error) error {
-	c, err := l.connection()
+func (l *Link) call(ctx context.Context, timeout time.Duration, f func(context.Context, *linkConn) error) error {
+	c, err := l.begin()
 	if err != nil {
 		return err
 	}
+	defer l.end(c)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	ready, begun := c.GetState() == connectivity.Ready, time.Now()
@@ -261,14 +294,14 @@
 	switch {
 	case err == nil:
 		l.recordAnswer(c)
-	case status.Code(err) == codes.DeadlineExceeded && ready && l.recordTimeout(c, begun):
-		_ = c.Close()
+	case status.Code(err) == codes.DeadlineExceeded && ready:
+		l.recordTimeout(c, begun)
 	}
 	return err
 }
 
 // recordAnswer records that a call over a connection was answered.
-func (l *Link) recordAnswer(c *grpc.ClientConn) {
+func (l *Link) recordAnswer(c *linkConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == c {
@@ -276,36 +309,43 @@
 	}
 }
 
-// recordTimeout records that a call timed out, and when it began. It reports whether the connection
+// recordTimeout records that a call over a connection timed out, and when it began. It retires a connection that
 // has been silent for too long; the next call then opens another one.
-func (l *Link) recordTimeout(c *grpc.ClientConn, begun time.Time) bool {
+func (l *Link) recordTimeout(c *linkConn, begun time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn != c {
-		return false
+		return
 	}
 	received := l.received.Load()
 	if l.silentSince.IsZero() {
 		l.silentSince, l.silentRead = begun, received
 	}
 	if time.Since(l.silentSince) < linkSilenceTimeout {
-		return false
+		return
 	}
 	if received-l.silentRead >= minLinkProgressBytes {
 		l.silentSince, l.silentRead = time.Now(), received
-		return false
+		return
+	}
+	l.conn, l.retired[c] = nil, true
+	// The call that timed out is one of them.
+	if c.calls > 1 {
+		go c.probeUntilClosed()
 	}
-	l.conn = nil
-	return true
 }
 
 // Close ends the link.
 func (l *Link) Close() {
 	l.mu.Lock()
-	c := l.conn
+	open := slices.Collect(maps.Keys(l.retired))
+	if l.conn != nil {
+		open = append(open, l.conn)
+	}
 	l.conn = nil
+	clear(l.retired)
 	l.mu.Unlock()
-	if c != nil {
+	for _, c := range open {
 		_ = c.Close()
 	}
 }
--- a/relayer/conn.go
+++ b/relayer/conn.go
@@ -101,9 +101,11 @@
 	return written, nil
 }
 
-// Reusable reports whether the connection is open, no bytes wait to be read and the relay is not
-// about to stop.
-func (c *Conn) Reusable() bool { return !c.closing.Load() && c.pending.Load() == 0 }
+// Reusable reports whether the connection is open, no bytes wait to be read, and the relay is neither
+// about to stop nor silent.
+func (c *Conn) Reusable() bool {
+	return !c.closing.Load() && c.pending.Load() == 0 && !c.stream.Retired()
+}
 
 // Close ends the connection.
 func (c *Conn) Close() error {
