Links to relays do not expire while they are in use

Cause: the link on which the first connection through a relay is being opened, or the first one after a long pause, was closed as unused, if the expiry of links, each five seconds, fell into that time: "grpc: the client connection is closing". The next relay was asked, or, where the stream had just been opened, the request on it ended with 502.

Change: a link with requests to its relay under way does not expire.

--- a/relayer/dialer.go
+++ b/relayer/dialer.go
@@ -67,14 +67,20 @@
 	started time.Time
 
 	mu    sync.Mutex
-	links map[string]*messenger.Link
+	links map[string]*relayLink
 	// dial opens the connections to relays.
 	dial messenger.DialFunc
 }
 
 // NewDialer returns a dialer that connects to relays with dial.
 func NewDialer(f Fleet, dial messenger.DialFunc) *Dialer {
-	return &Dialer{fleet: f, relays: pathfinder.NewRelays(), started: time.Now(), links: map[string]*messenger.Link{}, dial: dial}
+	return &Dialer{fleet: f, relays: pathfinder.NewRelays(), started: time.Now(), links: map[string]*relayLink{}, dial: dial}
+}
+
+// relayLink is the link to a relay. The dialer's mutex guards asks, the number of requests to the relay under way.
+type relayLink struct {
+	*messenger.Link
+	asks int
 }
 
 // result is the outcome of a request to one relay.
@@ -155,7 +161,9 @@
 // ask requests a connection from one relay.
 func (d *Dialer) ask(ctx context.Context, relay pathfinder.Peer, t Target, results chan<- result) {
 	begun, address := time.Now(), relay.Address
-	s, reply, err := d.link(address).OpenRelay(ctx, openTimeout, d.fleet.Self(), t.Endpoint)
+	link := d.acquire(address)
+	defer d.release(link)
+	s, reply, err := link.OpenRelay(ctx, openTimeout, d.fleet.Self(), t.Endpoint)
 	now := time.Since(d.started)
 	if err != nil {
 		switch {
@@ -196,18 +204,25 @@
 	return ErrNoRelay
 }
 
-// link returns the link to a relay.
-func (d *Dialer) link(address string) *messenger.Link {
+// acquire returns the link to a relay for a request, which ends with a call of release.
+func (d *Dialer) acquire(address string) *relayLink {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.links[address]
 	if l == nil {
-		l = messenger.NewLinkWithDialer(address, d.dial)
+		l = &relayLink{Link: messenger.NewLinkWithDialer(address, d.dial)}
 		d.links[address] = l
 	}
+	l.asks++
 	return l
 }
 
+func (d *Dialer) release(l *relayLink) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.asks--
+}
+
 // Proven returns a relay that connected lately, or "".
 func (d *Dialer) Proven() string { return d.relays.Proven(time.Since(d.started)) }
 
@@ -218,7 +233,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for address, l := range d.links {
-		if !d.relays.Known(address) {
+		if l.asks == 0 && !d.relays.Known(address) {
 			l.Close()
 			delete(d.links, address)
 		}
