--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -23,8 +23,8 @@
 	// receiveBufferBytes bounds what arrives at a connection before the process reads it. The kernel holds
 	// it, and the platform counts it towards the memory of the process.
 	receiveBufferBytes = 16 << 10
-	// evictionFraction is the fraction of a port's connections from which on connections are closed, so that
-	// those that are being closed fit as well.
+	// evictionFraction is the fraction of the connections of a port for requests from which on connections are closed, so
+	// that those that are being closed fit as well.
 	evictionFraction = 0.875
 	// evictionBatch is the part of a port's connections that are closed at a time if they bring no request.
 	evictionBatch = 1. / 16
@@ -47,8 +47,9 @@
 	Connections int
 	// ConnectionBytes is the memory that open connections may take, in bytes; 0 means no limit.
 	ConnectionBytes int
-	// Unproven is the number of those that have carried no call of another process yet; 0 means no limit.
-	Unproven int
+	// Unproven is the number of those that have carried no call of another process yet, and Sending of those among them
+	// that have brought more than quietBytes; 0 means no limit.
+	Unproven, Sending int
 	// Pending is the number of connections that wait to be accepted, whose bytes the kernel holds as well; 0 means
 	// the system's default.
 	Pending int
@@ -155,8 +156,10 @@
 
 	mu   sync.Mutex
 	open map[*conn]bool
-	// proven counts those that have carried a call.
-	proven int
+	// proven counts those that have carried a call, and sending holds those that have brought more than quietBytes without
+	// one.
+	proven  int
+	sending map[*conn]bool
 	// closed is set once the port has been shut down.
 	closed bool
 
@@ -179,7 +182,7 @@
 		_ = inner.Close()
 		return nil, err
 	}
-	p := &Port{Listener: inner, acceptor: a, limits: l, open: map[*conn]bool{}}
+	p := &Port{Listener: inner, acceptor: a, limits: l, open: map[*conn]bool{}, sending: map[*conn]bool{}}
 	p.counters = newPortCounters(name, p)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -219,11 +222,10 @@
 
 // add returns a connection, or nil if there is no room for it.
 func (p *Port) add(n net.Conn) *conn {
-	stranger := func(c *conn) bool { return !c.carriesCalls.Load() }
-	if !p.awaitRoom(p.limits.Unproven, p.unproven, stranger) || !p.awaitRoom(p.limits.Connections, p.Open, anyone) || !p.awaitRoom(p.limits.ConnectionBytes, p.bytes, anyone) {
+	if !p.awaitRoom(p.limits.Unproven, p.unproven, isStranger) || !p.awaitRoom(p.limits.Connections, p.Open, anyone) || !p.awaitRoom(p.limits.ConnectionBytes, p.bytes, anyone) {
 		return nil
 	}
-	c := &conn{Conn: n, port: p, since: time.Now()}
+	c := &conn{Conn: n, port: p, machine: machineOf(n), since: time.Now()}
 	c.addCost(phaseNew)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -251,13 +253,13 @@
 
 func anyone(*conn) bool { return true }
 
-// hasRoom reports whether what the connections take is below a limit. From evictionFraction of it on, it closes some of
-// those that may give way.
+// hasRoom reports whether what the connections take is below a limit. Near the limit, it closes some of those that may
+// give way.
 func (p *Port) hasRoom(limit int, taken func() int, mayGiveWay func(*conn) bool) bool {
 	if limit <= 0 {
 		return true
 	}
-	if taken() >= int(evictionFraction*float64(limit)) {
+	if taken() >= p.evictionThreshold(limit) {
 		p.makeRoom(mayGiveWay)
 	}
 	return taken() < limit
@@ -296,16 +298,18 @@
 	return false
 }
 
+// evictionThreshold returns what the connections may take before some are closed. Where no request can be in progress, they
+// are closed at once, and the limit can be reached.
+func (p *Port) evictionThreshold(limit int) int {
+	if !p.framed {
+		return limit
+	}
+	return int(evictionFraction * float64(limit))
+}
+
 // bytes returns the memory that the open connections take, in bytes.
 func (p *Port) bytes() int { return int(p.connectionBytes.Load()) }
 
-// unproven returns the number of open connections that have carried no call.
-func (p *Port) unproven() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.open) - p.proven
-}
-
 // Open returns the number of open connections.
 func (p *Port) Open() int {
 	p.mu.Lock()
@@ -320,15 +324,7 @@
 		p.proven--
 	}
 	delete(p.open, c)
-}
-
-// recordProven records that a connection has carried its first call.
-func (p *Port) recordProven(c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open[c] && c.carriesCalls.CompareAndSwap(false, true) {
-		p.proven++
-	}
+	delete(p.sending, c)
 }
 
 // candidate is a connection that may be closed.
@@ -353,7 +349,21 @@
 // makeRoom closes those of some connections that have made no progress for the longest time.
 func (p *Port) makeRoom(mayGiveWay func(*conn) bool) {
 	list := slices.DeleteFunc(p.candidates(time.Now()), func(x candidate) bool { return !mayGiveWay(x.conn) })
-	for _, x := range leastProgress(list, max(int(evictionBatch*float64(len(list))), 1)) {
+	for _, x := range p.chooseLeast(list) {
 		x.conn.evict(x.standing, "connections")
 	}
 }
+
+// chooseLeast returns which of the candidates are closed.
+func (p *Port) chooseLeast(list []candidate) []candidate {
+	if p.framed {
+		return leastProgress(list, batch(list))
+	}
+	if strangers := slices.DeleteFunc(slices.Clone(list), func(x candidate) bool { return !isStranger(x.conn) }); len(strangers) > 0 {
+		return strangersToClose(strangers)
+	}
+	return leastProgress(list, 1)
+}
+
+// batch returns how many of the candidates are closed at a time.
+func batch(list []candidate) int { return max(int(evictionBatch*float64(len(list))), 1) }
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -70,6 +71,8 @@
 type conn struct {
 	net.Conn
 	port *Port
+	// machine is the address of the client's machine.
+	machine netip.Addr
 
 	mu    sync.Mutex
 	phase phase
@@ -86,8 +89,9 @@
 	readAt  time.Time
 	// writingSince is when the write in progress began, or zero.
 	writingSince time.Time
-	// carriesCalls is set once a call of another process was received.
+	// carriesCalls is set once a call of another process was received, and calls counts those under way.
 	carriesCalls atomic.Bool
+	calls        int
 	// protected is set while a request is in progress that was sent on.
 	protected bool
 	evicted   bool
@@ -140,7 +144,7 @@
 		if c.carriesCalls.Load() {
 			return nil
 		}
-		return c.acquire(len(b))
+		return c.port.recordUnproven(c, len(b))
 	}
 	if !c.closeAt.IsZero() {
 		c.keep()
@@ -209,6 +213,13 @@
 	return nil
 }
 
+// heldBytes returns the memory that the head takes, or what has arrived of the first call.
+func (c *conn) heldBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held
+}
+
 // Write writes to the connection.
 func (c *conn) Write(b []byte) (int, error) {
 	c.setWriting(time.Now())
@@ -286,15 +297,16 @@
 	c.held = 0
 }
 
-// CarryCall records that a call of another process was received.
-func (c *conn) CarryCall() {
-	if c.carriesCalls.Load() {
-		return
+// CarryCall records that a call of another process was received, until the function that it returns is called.
+func (c *conn) CarryCall() (end func()) {
+	if !c.carriesCalls.Load() {
+		c.port.recordProven(c)
 	}
-	c.port.recordProven(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.free()
+	c.calls++
+	return c.endCall
 }
 
 // standing returns how soon the connection is closed if there is no room, or false if it is not. It is stalled after the
@@ -312,7 +324,7 @@
 	case c.evicted || !c.closeAt.IsZero():
 		return standing{}, false
 	case !c.port.framed:
-		return c.standingOfCalls(idle, stall), true
+		return c.standingOfCalls(idle, stall)
 	case !c.writingSince.IsZero() && now.Sub(c.writingSince) >= c.writeStall(stall):
 		return standing{rankStalledBody, c.writingSince}, true
 	case c.phase == phaseAnswer, !c.reading && (c.phase == phaseHead || c.phase == phaseBody):
@@ -337,19 +349,6 @@
 	return stall
 }
 
-// standingOfCalls returns the standing of a connection between processes. The caller holds c.mu.
-func (c *conn) standingOfCalls(idle, stall time.Duration) standing {
-	switch {
-	case c.carriesCalls.Load() && idle >= idleDuration:
-		return standing{rankKept, c.since}
-	case c.carriesCalls.Load():
-		return standing{rankBody, c.since}
-	case idle >= stall:
-		return standing{rankStalledHead, c.since}
-	}
-	return standing{rankHead, c.since}
-}
-
 // holdsRequest reports whether the connection holds a part of a request.
 func (c *conn) holdsRequest() bool {
 	c.mu.Lock()
