--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -228,19 +228,20 @@
 	return n, c.explain(err)
 }
 
-// beginRead records that the server waits for its client. The time since the read before was the server's.
+// beginRead records that the server waits for its client. The time before was the server's, from the end of the last read
+// or from the begin of the phase.
 func (c *conn) beginRead(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = true
-	if c.readAt.Before(c.since) {
-		return
-	}
-	if served := now.Sub(c.readAt); served > 0 {
-		c.since = c.since.Add(served)
+	from := c.since
+	if c.readAt.After(from) {
+		from = c.readAt
 	}
+	c.since = c.since.Add(max(now.Sub(from), 0))
 }
 
+// endRead records that the server has something to do.
 func (c *conn) endRead(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
