A test of requests at the end of a router sends twice as many

It wants more than ten requests while the router stops, which takes 1.5 s. With 50 ms, all of them have to be answered as before.

--- a/courier/cluster_test.go
+++ b/courier/cluster_test.go
@@ -447,7 +447,7 @@
 			g.Expect(i).To(gomega.BeNumerically(">", 10))
 			g.Expect(unanswered).To(gomega.BeEmpty())
 			return
-		case <-time.After(100 * time.Millisecond):
+		case <-time.After(50 * time.Millisecond):
 		}
 	}
 }
